--- /dev/null
+++ b/src/core/debug.ts
@@ -0,0 +1,23 @@
+/** Assertions for conditions that only a programming error can break. */
+
+function fail(message: string): never {
+  throw new Error(`Debug failure: ${message}`);
+}
+
+/** Throws unless `condition` holds. */
+function assert(condition: boolean, message: string): asserts condition {
+  if (!condition) fail(message);
+}
+
+/** Marks the branch that an exhaustive switch must never reach. */
+function assertNever(value: never): never {
+  return fail(`unexpected value ${JSON.stringify(value)}`);
+}
+
+/** Returns `value`, or throws if it is `undefined`. */
+function assertDefined<T>(value: T | undefined, what: string): T {
+  if (value === undefined) fail(`${what} is undefined`);
+  return value;
+}
+
+export const Debug = { fail, assert, assertNever, assertDefined } as const;
--- /dev/null
+++ b/src/core/random.ts
@@ -0,0 +1,22 @@
+/**
+ * Seeded randomness for the core. The generator lives in the state, so that the same events give
+ * the same effects.
+ */
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+
+/** A seeded source of uniform numbers. */
+export interface Random {
+  /** Returns a number in [0, 1). */
+  next: () => number;
+  /** Returns an integer in [0, bound). */
+  nextInt: (bound: number) => number;
+}
+
+const UINT32_RANGE = 2 ** 32;
+
+/** Creates a generator whose sequence depends on `seed` alone. */
+export function createRandom(seed: number): Random {
+  const generator = xoroshiro128plus(seed);
+  const next = () => (generator.next() >>> 0) / UINT32_RANGE;
+  return { next, nextInt: (bound) => Math.floor(next() * bound) };
+}
