--- /dev/null
+++ b/src/core/core.ts
@@ -0,0 +1,83 @@
+/**
+ * The public face of the core. A core decides; it performs no input or output. The same options and
+ * the same events at the same times give the same effects.
+ */
+import { createAttemptsState } from './attempts/attemptsState.js';
+import type { Millis } from './clock.js';
+import { applyView } from './configuration/configuration.js';
+import { createConfigurationState } from './configuration/configurationState.js';
+import type { CoreContext } from './context.js';
+import { createDispatchState } from './dispatch/dispatchState.js';
+import { createDrainState } from './drain/drainState.js';
+import { createMembershipState } from './membership/membershipState.js';
+import { createOwnershipState } from './ownership/ownershipState.js';
+import { createRandom } from './random.js';
+import { reduceEvent, reducePeerMessage } from './reducer.js';
+import { createRequestsState } from './requests/requestsState.js';
+import { DEFAULT_CORE_SETTINGS, type CoreSettings } from './settings.js';
+import { createSharesState } from './shares/sharesState.js';
+import type { CoreState } from './state.js';
+import type {
+  ConfigurationView,
+  CoreEvent,
+  Effect,
+  InstanceIdentity,
+  PeerMessage,
+} from './types.js';
+
+export interface CoreOptions {
+  readonly self: InstanceIdentity;
+  /** Seed of the generator in the state. */
+  readonly seed: number;
+  readonly settings?: Partial<CoreSettings>;
+  /** A configuration to begin with, brought into force at `start`. */
+  readonly initialConfiguration?: ConfigurationView;
+}
+
+export interface Core {
+  /** The state, for status pages and tests; only `reduce` writes to it. */
+  readonly state: CoreState;
+  /** Reduces one event at time `now`; returns the effects in the order in which they are due. */
+  readonly reduce: (event: CoreEvent, now: Millis) => readonly Effect[];
+}
+
+/** Creates the core of one instance. */
+export function createCore(options: CoreOptions): Core {
+  const state = createState(options);
+
+  function reduce(event: CoreEvent, now: Millis): readonly Effect[] {
+    const effects: Effect[] = [];
+    const ownMessages: PeerMessage[] = [];
+    const ctx: CoreContext = {
+      state,
+      now,
+      emit: (effect) => effects.push(effect),
+      deliverToSelf: (message) => ownMessages.push(message),
+    };
+    reduceEvent(ctx, event);
+    if (event.kind === 'start' && options.initialConfiguration !== undefined) {
+      applyView(ctx, options.initialConfiguration);
+    }
+    // The list grows while it is walked: a message may cause further ones.
+    for (const message of ownMessages) reducePeerMessage(ctx, state.self.id, message);
+    return effects;
+  }
+
+  return { state, reduce };
+}
+
+function createState(options: CoreOptions): CoreState {
+  return {
+    self: options.self,
+    settings: { ...DEFAULT_CORE_SETTINGS, ...options.settings },
+    random: createRandom(options.seed),
+    membership: createMembershipState(options.self),
+    ownership: createOwnershipState(),
+    configuration: createConfigurationState(),
+    shares: createSharesState(),
+    dispatch: createDispatchState(),
+    requests: createRequestsState(),
+    attempts: createAttemptsState(),
+    drain: createDrainState(),
+  };
+}
--- /dev/null
+++ b/src/core/requests/admission.ts
@@ -0,0 +1,96 @@
+/**
+ * Admission: checks a caller's request against the configuration and the state of this instance,
+ * then queues it or refuses it as not run.
+ */
+import type { CoreContext } from '../context.js';
+import type { DiagnosticCode } from '../diagnostics.js';
+import { enqueue } from '../dispatch/queues.js';
+import type {
+  CallerRequestEvent,
+  ConfigurationView,
+  NotRunProblem,
+  PoolConfig,
+  RequestFacts,
+  Step,
+} from '../types.js';
+
+export function onCallerRequest(ctx: CoreContext, event: CallerRequestEvent): void {
+  const { view } = ctx.state.configuration;
+  if (view === undefined) {
+    refuseEvent(ctx, event, 'notReady', 503, 'receive');
+    return;
+  }
+  if (ctx.state.drain.isStopping) {
+    refuseEvent(ctx, event, 'instanceStopping', 503, 'receive');
+    return;
+  }
+  const customer = view.customersByKey.get(event.keyHash);
+  if (customer === undefined) {
+    refuseEvent(ctx, event, 'unknownKey', 401, 'authenticate');
+    return;
+  }
+  const pool = view.pools.get(event.pool);
+  if (pool === undefined) {
+    refuseEvent(ctx, event, 'unknownPool', 404, 'route');
+    return;
+  }
+  const facts = createFacts(ctx, event, view, pool, customer);
+  ctx.state.requests.active.set(facts.requestId, { state: 'waiting', facts, since: ctx.now });
+  enqueue(ctx, facts);
+}
+
+function createFacts(
+  ctx: CoreContext,
+  event: CallerRequestEvent,
+  view: ConfigurationView,
+  pool: PoolConfig,
+  customer: number,
+): RequestFacts {
+  return {
+    requestId: event.requestId,
+    customer,
+    pool: pool.id,
+    idempotent: event.idempotent ?? isIdempotentRoute(event, view, pool),
+    ...(event.idempotencyKey === undefined ? {} : { idempotencyKey: event.idempotencyKey }),
+    fingerprint: event.fingerprint,
+    bodyBytes: event.bodyBytes,
+    promptTokens: event.promptTokens,
+    ...(event.costHint === undefined ? {} : { costHint: event.costHint }),
+    prefixBlocks: event.prefixBlocks,
+    streamed: event.streamed,
+    arrivedAt: ctx.now,
+    deadlineAt: ctx.now + (event.deadlineInMs ?? ctx.state.settings.defaultDeadlineMs),
+  };
+}
+
+/** The longest matching prefix decides; without a match the pool's default does. */
+function isIdempotentRoute(
+  event: CallerRequestEvent,
+  view: ConfigurationView,
+  pool: PoolConfig,
+): boolean {
+  let longest = -1;
+  let idempotent = pool.idempotentByDefault;
+  for (const route of view.routes) {
+    const matches =
+      route.pool === pool.id &&
+      event.path.startsWith(route.pathPrefix) &&
+      (route.methods.length === 0 || route.methods.includes(event.method));
+    if (matches && route.pathPrefix.length > longest) {
+      longest = route.pathPrefix.length;
+      idempotent = route.idempotent;
+    }
+  }
+  return idempotent;
+}
+
+function refuseEvent(
+  ctx: CoreContext,
+  event: CallerRequestEvent,
+  code: DiagnosticCode,
+  status: number,
+  step: Step,
+): void {
+  const problem: NotRunProblem = { code, status, executed: 'no', step, peer: { kind: 'self' } };
+  ctx.emit({ kind: 'refuse', requestId: event.requestId, problem });
+}
--- /dev/null
+++ b/src/core/settings.ts
@@ -0,0 +1,41 @@
+/** Settings of the core with their defaults. All durations are milliseconds. */
+import type { Millis } from './clock.js';
+
+export interface CoreSettings {
+  /** Interval of heartbeats within a failure domain. */
+  readonly heartbeatMs: Millis;
+  /** Silence after which an instance is taken for dead. */
+  readonly memberTimeoutMs: Millis;
+  /** Interval at which the platform's instance list is read. */
+  readonly instanceListMs: Millis;
+  /** Delay in which changes of waiting counts are batched. */
+  readonly announceMs: Millis;
+  /** Interval at which sums of service are exchanged. */
+  readonly exchangeMs: Millis;
+  /** Interval at which an owner reads an upstream's load. */
+  readonly pollMs: Millis;
+  /** Time after which an unused grant expires. */
+  readonly grantTimeoutMs: Millis;
+  /** Resolution of request deadlines. */
+  readonly deadlineTickMs: Millis;
+  /** Deadline of a request whose caller sets none. */
+  readonly defaultDeadlineMs: Millis;
+  /** Longest wait for the first part of an answer. */
+  readonly firstByteTimeoutMs: Millis;
+  /** Longest silence between two parts of an answer, before rates are known. */
+  readonly idleTimeoutMs: Millis;
+}
+
+export const DEFAULT_CORE_SETTINGS: CoreSettings = {
+  heartbeatMs: 1_000,
+  memberTimeoutMs: 4_000,
+  instanceListMs: 5_000,
+  announceMs: 20,
+  exchangeMs: 250,
+  pollMs: 500,
+  grantTimeoutMs: 1_000,
+  deadlineTickMs: 100,
+  defaultDeadlineMs: 300_000,
+  firstByteTimeoutMs: 120_000,
+  idleTimeoutMs: 30_000,
+};
--- /dev/null
+++ b/src/core/state.ts
@@ -0,0 +1,29 @@
+/**
+ * The state of the core: one part per matter. A part is written only by the sub-reducers of its own
+ * folder, in place: copying thousands of customers at each event would exceed the processor budget.
+ */
+import type { MembershipState } from './membership/membershipState.js';
+import type { OwnershipState } from './ownership/ownershipState.js';
+import type { SharesState } from './shares/sharesState.js';
+import type { DispatchState } from './dispatch/dispatchState.js';
+import type { RequestsState } from './requests/requestsState.js';
+import type { AttemptsState } from './attempts/attemptsState.js';
+import type { ConfigurationState } from './configuration/configurationState.js';
+import type { DrainState } from './drain/drainState.js';
+import type { Random } from './random.js';
+import type { CoreSettings } from './settings.js';
+import type { InstanceIdentity } from './types.js';
+
+export interface CoreState {
+  readonly self: InstanceIdentity;
+  readonly settings: CoreSettings;
+  readonly random: Random;
+  readonly membership: MembershipState;
+  readonly ownership: OwnershipState;
+  readonly configuration: ConfigurationState;
+  readonly shares: SharesState;
+  readonly dispatch: DispatchState;
+  readonly requests: RequestsState;
+  readonly attempts: AttemptsState;
+  readonly drain: DrainState;
+}
