Hash names faster and let callers keep the hashes for rendezvous

Change: imurmurhash in place of murmurhash, and a score of two hashes that callers can keep. Two tests state the spread by weight and that only a leaving node's keys move.

--- a/src/core/hash.ts
+++ b/src/core/hash.ts
@@ -1,11 +1,19 @@
 /** Non-cryptographic hashing for placement decisions. */
-import murmurhash from 'murmurhash';
+import MurmurHash3 from 'imurmurhash';
 
 const UINT32_RANGE = 2 ** 32;
 
 /** Returns a 32-bit hash of `text`. */
 export function hash32(text: string, seed = 0): number {
-  return murmurhash.v3(text, seed);
+  return MurmurHash3(text, seed).result();
+}
+
+/** Combines two 32-bit hashes into one whose bits all depend on both (the finalizer of MurmurHash3). */
+export function mixHashes(first: number, second: number): number {
+  let mixed = Math.imul(first ^ (first >>> 16), 0x85ebca6b) ^ second;
+  mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b);
+  mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35);
+  return (mixed ^ (mixed >>> 16)) >>> 0;
 }
 
 /**
@@ -13,6 +21,11 @@
  * hash tables", SPAA 2005). The node with the greatest score is chosen.
  */
 export function rendezvousScore(key: string, node: string, weight = 1): number {
-  const uniform = (hash32(`${node}\u0000${key}`) + 0.5) / UINT32_RANGE;
+  return rendezvousScoreOfHashes(hash32(key), hash32(node), weight);
+}
+
+/** `rendezvousScore` for callers that keep the hashes of their keys and nodes. */
+export function rendezvousScoreOfHashes(keyHash: number, nodeHash: number, weight = 1): number {
+  const uniform = (mixHashes(keyHash, nodeHash) + 0.5) / UINT32_RANGE;
   return -weight / Math.log(uniform);
 }
--- /dev/null
+++ b/test/hash.test.ts
@@ -0,0 +1,37 @@
+import { expect } from 'chai';
+import { rendezvousScore } from '../src/core/hash.js';
+
+const KEYS = Array.from({ length: 3_000 }, (_, i) => `engine-${i}`);
+const NODES = Array.from({ length: 10 }, (_, i) => ({
+  id: `instance-${i}`,
+  weight: i < 5 ? 1 : 2,
+}));
+
+function choose(key: string, nodes: typeof NODES): string {
+  const score = (node: (typeof NODES)[number]) => rendezvousScore(key, node.id, node.weight);
+  return nodes.reduce((best, node) => (score(node) > score(best) ? node : best)).id;
+}
+
+describe('rendezvous hashing', () => {
+  it('spreads keys by weight', () => {
+    const counts = new Map<string, number>();
+    KEYS.forEach((key) => {
+      const node = choose(key, NODES);
+      counts.set(node, (counts.get(node) ?? 0) + 1);
+    });
+    // Six standard deviations of a binomial count around its mean.
+    NODES.forEach(({ id, weight }) => {
+      const p = weight / 15;
+      const allowed = 6 * Math.sqrt(KEYS.length * p * (1 - p));
+      expect(Math.abs((counts.get(id) ?? 0) - KEYS.length * p), id).to.be.below(allowed);
+    });
+  });
+
+  it('moves only the keys of a node that leaves', () => {
+    const left = NODES.slice(1);
+    KEYS.forEach((key) => {
+      const before = choose(key, NODES);
+      if (before !== 'instance-0') expect(choose(key, left)).to.equal(before);
+    });
+  });
+});
