--- a/src/core/diagnostics.ts
+++ b/src/core/diagnostics.ts
@@ -34,6 +34,9 @@
   notFound: entry(1012, 'error', 'No such path.'),
   started: entry(5001, 'message', 'Instance {id} listens for callers on {address}.'),
   stopped: entry(5002, 'message', 'Instance {id} has stopped.'),
+  peerLost: entry(5003, 'message', 'The link to instance {id} was lost: {reason}'),
+  certificateUnreadable: entry(5004, 'error', 'The certificates cannot be read: {reason}'),
+  eventFailed: entry(5005, 'error', "Event '{event}' could not be handled: {reason}"),
 } as const satisfies Readonly<Record<string, DiagnosticMessage>>;
 
 export type DiagnosticCode = keyof typeof diagnostics;
--- /dev/null
+++ b/src/daemon/instance.ts
@@ -0,0 +1,251 @@
+/** Wires the core of one instance to its hosts. */
+import { createCore, type Core } from '../core/core.js';
+import type { CoreSettings } from '../core/settings.js';
+import type {
+  ConfigurationView,
+  CoreEvent,
+  FailureDomainId,
+  InstanceId,
+  InstanceIdentity,
+  RegionId,
+} from '../core/types.js';
+import { createCallerHost } from '../hosts/callerHost.js';
+import type { CertificateSource } from '../hosts/certificates.js';
+import type { HttpLimits } from '../hosts/httpServer.js';
+import { createLogger, type LogForm, type LogThreshold } from '../hosts/logger.js';
+import { createMetrics } from '../hosts/metrics.js';
+import { createOperatorHost } from '../hosts/operatorHost.js';
+import { createPeerHost, type LinkClass } from '../hosts/peerHost.js';
+import { createPlatformHost } from '../hosts/platformHost.js';
+import { createSystem } from '../hosts/system.js';
+import type { ControlBytes, System } from '../hosts/types.js';
+import { createUpstreamHost } from '../hosts/upstreamHost.js';
+import { createEffectRunner, type Hosts } from './effects.js';
+import { createLoop, type Loop } from './loop.js';
+
+/** Where a port listens. */
+export interface ListenAddress {
+  readonly host: string;
+  /** 0 lets the system choose. */
+  readonly port: number;
+}
+
+export interface InstanceOptions {
+  readonly id: InstanceId;
+  readonly domain: FailureDomainId;
+  readonly region: RegionId;
+  readonly callers?: ListenAddress;
+  readonly peers?: ListenAddress;
+  readonly operators?: ListenAddress;
+  /** Address of the peer port as others reach it, if it differs from the bound one. */
+  readonly advertisedAddress?: string | undefined;
+  /** Base address of the platform, `http://ip:port`. */
+  readonly platformUrl?: string | undefined;
+  readonly maxBodyBytes?: number;
+  readonly limits?: Partial<HttpLimits>;
+  readonly callerCertificates?: CertificateSource | undefined;
+  readonly peerCertificates?: CertificateSource | undefined;
+  readonly log?: {
+    readonly threshold?: LogThreshold;
+    readonly form?: LogForm;
+    readonly writeLine?: (line: string) => void;
+  };
+  /** Receiver of metrics as `ip:port`. */
+  readonly metricsAddress?: string | undefined;
+  readonly settings?: Partial<CoreSettings>;
+  readonly initialConfiguration?: ConfigurationView | undefined;
+  /** Number of this start; by default made of the time and random bits. */
+  readonly incarnation?: number;
+  readonly seed?: number;
+  readonly system?: System;
+}
+
+/** Bound addresses of a started instance, as `ip:port`. */
+export interface InstanceAddresses {
+  readonly callers: string;
+  readonly peers: string;
+  readonly operators: string;
+}
+
+export interface Instance {
+  /** Starts all ports and the core. Rejects if a port is taken. */
+  readonly start: () => Promise<InstanceAddresses>;
+  /** Planned stop: ends accepted work, leaves, then resolves. */
+  readonly stop: () => Promise<void>;
+  /** Ends at once, as a crash does; connections are cut. */
+  readonly kill: () => Promise<void>;
+  readonly isReady: () => boolean;
+  /** The core of a started instance. */
+  readonly core: () => Core;
+  readonly controlBytes: () => ControlBytes;
+  readonly post: (event: CoreEvent) => void;
+}
+
+const LOOPBACK: ListenAddress = { host: '127.0.0.1', port: 0 };
+/** Random values that tell starts within the same millisecond apart. */
+const INCARNATION_RANDOM_RANGE = 1_024;
+const SEED_RANGE = 2 ** 31;
+
+/** Creates an instance that does not listen yet. */
+export function createInstance(options: InstanceOptions): Instance {
+  const system = options.system ?? createSystem();
+  const incarnation = options.incarnation ?? createIncarnation(system);
+  const self = { id: options.id, incarnation };
+  let running: { readonly core: Core; readonly loop: Loop } | undefined;
+  let early: CoreEvent[] = [];
+  let resolveStopped: () => void = () => {};
+  const stopped = new Promise<void>((resolve) => {
+    resolveStopped = resolve;
+  });
+
+  /** Events that arrive while ports are opened wait for the core. */
+  function post(event: CoreEvent): void {
+    if (running === undefined) early.push(event);
+    else running.loop.post(event);
+  }
+
+  function linkClassOf(to: InstanceId): LinkClass {
+    const member = running?.core.state.membership.members.get(to);
+    if (member === undefined) return 'crossRegion';
+    if (member.domain === options.domain) return 'sameDomain';
+    return member.region === options.region ? 'sameRegion' : 'crossRegion';
+  }
+
+  const hosts = createHosts({ options, system, self, post, linkClassOf });
+
+  async function start(): Promise<InstanceAddresses> {
+    const peers = await hosts.peers.listen();
+    const operators = await hosts.operators.listen();
+    const identity: InstanceIdentity = {
+      ...self,
+      address: options.advertisedAddress ?? peers,
+      domain: options.domain,
+      region: options.region,
+    };
+    const core = createCore({
+      self: identity,
+      seed: options.seed ?? Math.floor(Math.random() * SEED_RANGE),
+      ...(options.settings === undefined ? {} : { settings: options.settings }),
+      ...(options.initialConfiguration === undefined
+        ? {}
+        : { initialConfiguration: options.initialConfiguration }),
+    });
+    const runEffect = createEffectRunner({ hosts, post, onStopped: resolveStopped });
+    const loop = createLoop({ core, system, runEffect, onError: logFailure });
+    running = { core, loop };
+    loop.post({ kind: 'start' });
+    early.forEach(loop.post);
+    early = [];
+    const callers = await hosts.callers.listen();
+    hosts.logger.write('info', 'daemon', 'started', { id: options.id, address: callers });
+    return { callers, peers, operators };
+  }
+
+  function logFailure(err: unknown, event: CoreEvent): void {
+    const reason = err instanceof Error ? (err.stack ?? err.message) : String(err);
+    hosts.logger.write('error', 'daemon', 'eventFailed', { event: event.kind, reason });
+    if (event.kind !== 'callerRequest') return;
+    hosts.callers.fail(event.requestId, {
+      code: 'internalError',
+      status: 500,
+      executed: 'unknown',
+      step: 'receive',
+      peer: { kind: 'self' },
+    });
+  }
+
+  async function closeHosts(): Promise<void> {
+    running?.loop.close();
+    await Promise.all([
+      hosts.upstreams.close(),
+      hosts.peers.close(),
+      hosts.platform.close(),
+      hosts.operators.close(),
+      hosts.metrics.close(),
+    ]);
+  }
+
+  async function stop(): Promise<void> {
+    post({ kind: 'plannedStop' });
+    await stopped;
+    await hosts.callers.close();
+    await closeHosts();
+    hosts.logger.write('info', 'daemon', 'stopped', { id: options.id });
+  }
+
+  async function kill(): Promise<void> {
+    await closeHosts();
+    await hosts.callers.kill();
+  }
+
+  return {
+    start,
+    stop,
+    kill,
+    post,
+    isReady: hosts.callers.isReady,
+    core: () => {
+      if (running === undefined) throw new Error('The instance has not been started.');
+      return running.core;
+    },
+    controlBytes: hosts.peers.controlBytes,
+  };
+}
+
+interface HostContext {
+  readonly options: InstanceOptions;
+  readonly system: System;
+  readonly self: Pick<InstanceIdentity, 'id' | 'incarnation'>;
+  readonly post: (event: CoreEvent) => void;
+  readonly linkClassOf: (to: InstanceId) => LinkClass;
+}
+
+function createHosts({ options, system, self, post, linkClassOf }: HostContext): Hosts {
+  const logger = createLogger({ instance: options.id, clock: system, ...options.log });
+  const callers = createCallerHost({
+    self,
+    post,
+    ...(options.callers ?? LOOPBACK),
+    ...(options.maxBodyBytes === undefined ? {} : { maxBodyBytes: options.maxBodyBytes }),
+    ...(options.limits === undefined ? {} : { limits: options.limits }),
+    certificates: options.callerCertificates,
+  });
+  const peers = createPeerHost({
+    self,
+    post,
+    ...(options.peers ?? LOOPBACK),
+    linkClassOf,
+    onLost: (to, reason) => logger.write('info', 'peers', 'peerLost', { id: to, reason }),
+    certificates: options.peerCertificates,
+  });
+  const operators = createOperatorHost({
+    post,
+    ...(options.operators ?? LOOPBACK),
+    isReady: callers.isReady,
+    hostStatus: () => ({
+      id: options.id,
+      incarnation: self.incarnation,
+      domain: options.domain,
+      region: options.region,
+      controlBytes: peers.controlBytes(),
+    }),
+  });
+  return {
+    logger,
+    callers,
+    peers,
+    operators,
+    upstreams: createUpstreamHost({ post }),
+    platform: createPlatformHost({ post, url: options.platformUrl }),
+    metrics: createMetrics({
+      address: options.metricsAddress,
+      tags: { instance: options.id, domain: options.domain, region: options.region },
+    }),
+  };
+}
+
+/** A later start has the larger number: the start time, then random bits. */
+function createIncarnation(system: System): number {
+  const random = Math.floor(Math.random() * INCARNATION_RANDOM_RANGE);
+  return Math.floor(system.now()) * INCARNATION_RANDOM_RANGE + random;
+}
--- /dev/null
+++ b/src/hosts/callerHost.ts
@@ -0,0 +1,189 @@
+/**
+ * The callers' port: completions in the usual format of model servers and plain services below
+ * `/apps/<pool>/`. Keeps each request's body and answer until the core has ended the request.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { H3 } from 'h3';
+import type { InstanceIdentity, NotRunProblem, Problem, RequestId } from '../core/types.js';
+import { createCallerAnswer, type CallerAnswer } from './answerSink.js';
+import { malformed, readBody, readCallerRequest, type CallerRoute } from './callerRequest.js';
+import type { CertificateSource } from './certificates.js';
+import { createHttpServer, headerOf, nodeRoute, type HttpLimits } from './httpServer.js';
+import { problemBody, problemHeaders } from './problem.js';
+import type { CallerHost, OutgoingRequest, Post } from './types.js';
+
+export interface CallerHostOptions {
+  readonly self: Pick<InstanceIdentity, 'id' | 'incarnation'>;
+  readonly post: Post;
+  readonly host: string;
+  readonly port: number;
+  /** Largest body of a request in bytes. */
+  readonly maxBodyBytes?: number;
+  readonly limits?: Partial<HttpLimits>;
+  readonly certificates?: CertificateSource | undefined;
+}
+
+export const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
+const SERVICE_PREFIX = '/apps/';
+const COMPLETION_PATHS = ['/v1/chat/completions', '/v1/completions'] as const;
+/** Ids of callers that are returned as they are. */
+const CALLER_ID_PATTERN = /^[\w.:-]{1,128}$/;
+const RADIX = 36;
+
+interface OpenRequest {
+  readonly outgoing: OutgoingRequest;
+  readonly answer: CallerAnswer;
+}
+
+/** Creates the callers' port; it does not listen yet. */
+export function createCallerHost(options: CallerHostOptions): CallerHost {
+  const { post, self } = options;
+  const maxBodyBytes = options.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
+  const open = new Map<RequestId, OpenRequest>();
+  let nextNumber = 1;
+  let isReady = false;
+
+  function createRequestId(): RequestId {
+    const id = `${self.id}-${self.incarnation.toString(RADIX)}-q${nextNumber.toString(RADIX)}`;
+    nextNumber += 1;
+    return id;
+  }
+
+  async function receive(
+    route: CallerRoute,
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    const requestId = createRequestId();
+    const callerId = headerOf(req, 'x-request-id') ?? '';
+    const shownId = CALLER_ID_PATTERN.test(callerId) ? callerId : requestId;
+    const answer = createCallerAnswer({ res, headers: { 'x-request-id': shownId } });
+    const body = await readBody(req, maxBodyBytes);
+    if (body === undefined) {
+      refuseUnread(req, res, answer, bodyTooLarge(maxBodyBytes));
+      return;
+    }
+    const result = readCallerRequest(requestId, route, req, body);
+    if (result.kind === 'refused') {
+      answer.fail(result.problem);
+      return;
+    }
+    open.set(requestId, { outgoing: result.request.outgoing, answer });
+    res.once('close', () => {
+      if (!open.delete(requestId)) return;
+      post({ kind: 'callerGone', requestId });
+    });
+    post(result.request.event);
+  }
+
+  const handle = (routeOf: (req: IncomingMessage) => CallerRoute | undefined) =>
+    nodeRoute((req, res) => {
+      const route = routeOf(req);
+      if (route === undefined) {
+        createCallerAnswer({ res, headers: {} }).fail(notFound());
+        return;
+      }
+      // A caller that leaves while it sends its body has no answer to wait for.
+      receive(route, req, res).catch(() => res.destroy());
+    });
+
+  const app = new H3({ silent: true });
+  COMPLETION_PATHS.forEach((path) => {
+    app.post(
+      path,
+      handle(() => ({ kind: 'completion', path })),
+    );
+  });
+  app.all(`${SERVICE_PREFIX}**`, handle(serviceRouteOf));
+  app.all(
+    '/**',
+    handle(() => undefined),
+  );
+  const server = createHttpServer({ app, ...options, malformedAnswer });
+
+  /** Takes a request out of the table; its caller's departure is of no more interest. */
+  function settle(id: RequestId): CallerAnswer | undefined {
+    const request = open.get(id);
+    open.delete(id);
+    return request?.answer;
+  }
+
+  return {
+    listen: server.listen,
+    setReady: (ready) => {
+      isReady = ready;
+    },
+    isReady: () => isReady,
+    requestOf: (id) => open.get(id)?.outgoing,
+    sinkOf: (id) => open.get(id)?.answer,
+    finishAnswer: (id) => settle(id)?.finish(),
+    replayAnswer: (id, recorded) => settle(id)?.replay(recorded),
+    refuse: (id, problem) => settle(id)?.fail(problem),
+    fail: (id, problem) => settle(id)?.fail(problem),
+    close: server.close,
+    kill: server.kill,
+  };
+}
+
+/** `/apps/<pool>/<path>`; `undefined` if no pool is named. */
+function serviceRouteOf(req: IncomingMessage): CallerRoute | undefined {
+  const match = /^\/apps\/([^/?#]+)(\/[^#]*|\?[^#]*)?$/.exec(req.url ?? '');
+  if (match?.[1] === undefined) return undefined;
+  const rest = match[2] ?? '/';
+  try {
+    const pool = decodeURIComponent(match[1]);
+    return { kind: 'service', pool, path: rest.startsWith('/') ? rest : `/${rest}` };
+  } catch {
+    return undefined;
+  }
+}
+
+/** Answers before the body has been read; the connection cannot be used again. */
+function refuseUnread(
+  req: IncomingMessage,
+  res: ServerResponse,
+  answer: CallerAnswer,
+  problem: NotRunProblem,
+): void {
+  res.setHeader('connection', 'close');
+  answer.fail(problem);
+  req.unpipe();
+  req.resume();
+}
+
+function bodyTooLarge(limit: number): NotRunProblem {
+  return {
+    code: 'bodyTooLarge',
+    status: 413,
+    executed: 'no',
+    step: 'receive',
+    peer: { kind: 'caller' },
+    detail: `The limit is ${limit} bytes.`,
+  };
+}
+
+function notFound(): NotRunProblem {
+  return {
+    code: 'notFound',
+    status: 404,
+    executed: 'no',
+    step: 'route',
+    peer: { kind: 'caller' },
+  };
+}
+
+function malformedAnswer(): string {
+  const { problem } = malformed('The bytes are not a HTTP request.');
+  return rawAnswer(problem);
+}
+
+function rawAnswer(problem: Problem): string {
+  const body = `${JSON.stringify(problemBody(problem))}\n`;
+  const headers = {
+    ...problemHeaders(problem),
+    'content-length': String(Buffer.byteLength(body)),
+    connection: 'close',
+  };
+  const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
+  return `HTTP/1.1 ${problem.status} Bad Request\r\n${lines.join('')}\r\n${body}`;
+}
--- /dev/null
+++ b/src/hosts/metrics.ts
@@ -0,0 +1,37 @@
+/** Metrics over UDP by `hot-shots`; nothing is sent unless an address is set. */
+import { StatsD } from 'hot-shots';
+import type { Metrics } from './types.js';
+
+export interface MetricsOptions {
+  /** Receiver as `ip:port`; none switches metrics off. */
+  readonly address?: string | undefined;
+  readonly prefix?: string;
+  readonly tags: Readonly<Record<string, string>>;
+}
+
+const DEFAULT_PREFIX = 'primroseswitch.';
+const MAX_PACKET_BYTES = 1_400;
+const NO_METRICS: Metrics = { count: () => {}, close: async () => Promise.resolve() };
+
+/** Creates the sender of one instance's metrics. */
+export function createMetrics(options: MetricsOptions): Metrics {
+  if (options.address === undefined) return NO_METRICS;
+  const split = options.address.lastIndexOf(':');
+  const client = new StatsD({
+    host: options.address.slice(0, split),
+    port: Number(options.address.slice(split + 1)),
+    prefix: options.prefix ?? DEFAULT_PREFIX,
+    globalTags: { ...options.tags },
+    maxBufferSize: MAX_PACKET_BYTES,
+    cacheDns: true,
+    // A receiver that is away must not disturb the instance.
+    errorHandler: () => {},
+  });
+  return {
+    count: (metric, value, tags) => client.increment(metric, value, { ...tags }),
+    close: async () =>
+      new Promise<void>((resolve) => {
+        client.close(() => resolve());
+      }),
+  };
+}
--- /dev/null
+++ b/src/hosts/operatorHost.ts
@@ -0,0 +1,165 @@
+/** The operators' port: health, readiness, status and commands. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { H3 } from 'h3';
+import { z } from 'zod';
+import type { Millis } from '../core/clock.js';
+import type { OperatorCommand, OperatorResult, Problem } from '../core/types.js';
+import { readBody } from './callerRequest.js';
+import { createHttpServer, nodeRoute, sendJson } from './httpServer.js';
+import { problemBody, problemHeaders } from './problem.js';
+import type { OperatorHost, Post } from './types.js';
+
+export interface OperatorHostOptions {
+  readonly post: Post;
+  readonly host: string;
+  readonly port: number;
+  readonly isReady: () => boolean;
+  /** Facts of the hosts that the core does not know, shown beside its status. */
+  readonly hostStatus: () => Readonly<Record<string, unknown>>;
+  /** Longest wait for the core's reply to a command. */
+  readonly commandTimeoutMs?: Millis;
+}
+
+const DEFAULT_COMMAND_TIMEOUT_MS = 30_000;
+const MAX_COMMAND_BYTES = 16 * 1024 * 1024;
+
+const NOT_FOUND: Problem = {
+  code: 'notFound',
+  status: 404,
+  executed: 'no',
+  step: 'route',
+  peer: { kind: 'caller' },
+};
+const BAD_COMMAND: Problem = {
+  ...NOT_FOUND,
+  code: 'malformedRequest',
+  status: 400,
+  step: 'receive',
+};
+/** The command may still take effect. */
+const NO_REPLY: Problem = {
+  code: 'internalError',
+  status: 504,
+  executed: 'unknown',
+  step: 'settle',
+  peer: { kind: 'self' },
+};
+
+const keyHash = z.string().regex(/^[0-9a-f]{64}$/);
+const commandSchema = z.discriminatedUnion('kind', [
+  z.strictObject({
+    kind: z.literal('publish'),
+    editId: z.string().min(1),
+    section: z.string(),
+    baseVersion: z.number().int(),
+    text: z.string(),
+    author: z.string(),
+    keyHash,
+  }),
+  z.strictObject({ kind: z.literal('liftQuarantine'), fingerprint: z.string(), keyHash }),
+  z.strictObject({ kind: z.literal('status') }),
+]);
+
+/** Creates the operators' port; it does not listen yet. */
+export function createOperatorHost(options: OperatorHostOptions): OperatorHost {
+  const timeoutMs = options.commandTimeoutMs ?? DEFAULT_COMMAND_TIMEOUT_MS;
+  const pending = new Map<string, (result: OperatorResult) => void>();
+  let nextCommand = 1;
+
+  async function run(command: OperatorCommand): Promise<OperatorResult> {
+    const commandId = `c${nextCommand}`;
+    nextCommand += 1;
+    return new Promise((resolve) => {
+      const timer = setTimeout(
+        () => settle(commandId, { kind: 'rejected', problem: NO_REPLY }),
+        timeoutMs,
+      );
+      pending.set(commandId, (result) => {
+        clearTimeout(timer);
+        resolve(result);
+      });
+      options.post({ kind: 'operatorCommand', commandId, command });
+    });
+  }
+
+  function settle(commandId: string, result: OperatorResult): void {
+    pending.get(commandId)?.(result);
+    pending.delete(commandId);
+  }
+
+  async function runCommand(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const body = await readBody(req, MAX_COMMAND_BYTES);
+    const parsed = commandSchema.safeParse(body === undefined ? undefined : parseJson(body));
+    if (!parsed.success) {
+      sendProblem(res, { ...BAD_COMMAND, detail: parsed.error.issues[0]?.message ?? '' });
+      return;
+    }
+    sendResult(res, await run(parsed.data));
+  }
+
+  async function showStatus(res: ServerResponse): Promise<void> {
+    const result = await run({ kind: 'status' });
+    const core = result.kind === 'done' ? result.data : undefined;
+    sendJson(res, 200, { ready: options.isReady(), ...options.hostStatus(), core });
+  }
+
+  const app = new H3({ silent: true });
+  app.get(
+    '/healthz',
+    nodeRoute((_req, res) => sendJson(res, 200, { healthy: true })),
+  );
+  app.get(
+    '/readyz',
+    nodeRoute((_req, res) => {
+      const ready = options.isReady();
+      sendJson(res, ready ? 200 : 503, { ready });
+    }),
+  );
+  app.get(
+    '/status',
+    nodeRoute((_req, res) => {
+      void showStatus(res);
+    }),
+  );
+  app.post(
+    '/commands',
+    nodeRoute((req, res) => {
+      runCommand(req, res).catch(() => res.destroy());
+    }),
+  );
+  app.all(
+    '/**',
+    nodeRoute((_req, res) => sendProblem(res, NOT_FOUND)),
+  );
+  const server = createHttpServer({ app, host: options.host, port: options.port });
+  return {
+    listen: server.listen,
+    reply: settle,
+    close: async () => {
+      pending.forEach((_, id) => settle(id, { kind: 'rejected', problem: NO_REPLY }));
+      await server.close();
+    },
+  };
+}
+
+function parseJson(body: Uint8Array): unknown {
+  try {
+    return JSON.parse(Buffer.from(body).toString('utf8'));
+  } catch {
+    return undefined;
+  }
+}
+
+function sendResult(res: ServerResponse, result: OperatorResult): void {
+  if (result.kind === 'done') {
+    sendJson(res, 200, result.data ?? {});
+    return;
+  }
+  const { problem, data } = result;
+  const body = { ...problemBody(problem), ...(data === undefined ? {} : { data }) };
+  sendJson(res, problem.status, body, problemHeaders(problem));
+}
+
+function sendProblem(res: ServerResponse, problem: Problem): void {
+  sendJson(res, problem.status, problemBody(problem), problemHeaders(problem));
+}
--- /dev/null
+++ b/src/hosts/problem.ts
@@ -0,0 +1,43 @@
+/** Problems as callers and operators see them (RFC 9457, `application/problem+json`). */
+import { MS_PER_SECOND } from '../core/clock.js';
+import { diagnostics, formatDiagnostic } from '../core/diagnostics.js';
+import type { Problem } from '../core/types.js';
+
+export const PROBLEM_TYPE = 'application/problem+json';
+
+/** Body of a problem answer. */
+export interface ProblemBody {
+  readonly type: string;
+  readonly title: string;
+  readonly status: number;
+  readonly code: number;
+  readonly executed: Problem['executed'];
+  readonly step: Problem['step'];
+  readonly peer: Problem['peer'];
+  readonly detail?: string;
+}
+
+/** Turns a problem into the body of its answer. */
+export function problemBody(problem: Problem): ProblemBody {
+  const { code, status, executed, step, peer, detail } = problem;
+  return {
+    type: `urn:primroseswitch:problem:${code}`,
+    title: formatDiagnostic(code),
+    status,
+    code: diagnostics[code].code,
+    executed,
+    step,
+    peer,
+    ...(detail === undefined ? {} : { detail }),
+  };
+}
+
+/** Headers of a problem answer besides its length. */
+export function problemHeaders(problem: Problem): Record<string, string> {
+  const headers: Record<string, string> = { 'content-type': PROBLEM_TYPE };
+  if (problem.status === 401) headers['www-authenticate'] = 'Bearer';
+  if (problem.retryAfterMs !== undefined) {
+    headers['retry-after'] = String(Math.max(1, Math.ceil(problem.retryAfterMs / MS_PER_SECOND)));
+  }
+  return headers;
+}
--- a/src/hosts/types.ts
+++ b/src/hosts/types.ts
@@ -49,6 +49,8 @@
   /** Starts to listen; returns the bound address as `ip:port`. */
   readonly listen: () => Promise<string>;
   readonly setReady: (ready: boolean) => void;
+  /** Whether the balancer may send callers here. */
+  readonly isReady: () => boolean;
   readonly requestOf: (id: RequestId) => OutgoingRequest | undefined;
   readonly sinkOf: (id: RequestId) => AnswerSink | undefined;
   readonly finishAnswer: (id: RequestId) => void;
@@ -57,6 +59,8 @@
   readonly fail: (id: RequestId, problem: Problem) => void;
   /** Stops to listen and resolves once every connection has ended. */
   readonly close: () => Promise<void>;
+  /** Stops to listen and cuts every connection. */
+  readonly kill: () => Promise<void>;
 }
 
 /** Connections to engines and plain services. */
