--- a/src/hosts/peerHost.ts
+++ b/src/hosts/peerHost.ts
@@ -147,6 +147,7 @@
   return experimental.createCertificateProviderServerCredentials(provider, provider, true);
 }
 
+/** Listeners are told later, since the server is not yet ready for an answer as it registers one. */
 function createProvider(certificates: CertificateSource): experimental.CertificateProvider {
   const caListeners = new Set<experimental.CaCertificateUpdateListener>();
   const identityListeners = new Set<experimental.IdentityCertificateUpdateListener>();
@@ -165,12 +166,12 @@
   return {
     addCaCertificateListener: (listener) => {
       caListeners.add(listener);
-      tellAuthority(listener);
+      queueMicrotask(() => tellAuthority(listener));
     },
     removeCaCertificateListener: (listener) => caListeners.delete(listener),
     addIdentityCertificateListener: (listener) => {
       identityListeners.add(listener);
-      tellIdentity(listener);
+      queueMicrotask(() => tellIdentity(listener));
     },
     removeIdentityCertificateListener: (listener) => identityListeners.delete(listener),
   };
--- a/src/hosts/peerLink.ts
+++ b/src/hosts/peerLink.ts
@@ -1,7 +1,8 @@
 /**
  * The sending link to one other instance: a gRPC stream that is opened on demand, opened anew after
  * failures with a growing delay, and given up when no answer to its pings arrives, since a
- * connection can fall silent for good while new ones work.
+ * connection can fall silent for good while new ones work. Messages wait until the other side has
+ * answered once, so that a connection that never comes up loses none of them.
  */
 import { Client, type ChannelCredentials, type ClientDuplexStream } from '@grpc/grpc-js';
 import type { Millis } from '../core/clock.js';
@@ -53,13 +54,20 @@
   readonly stream: Stream;
   /** Time at which the unanswered ping was sent. */
   pingSentAt: number | undefined;
+  /** Whether the other side has answered on this connection. */
+  isOpen: boolean;
   isBlocked: boolean;
 }
 
 /** Bytes of the gRPC message header and the HTTP/2 frame header around one batch. */
 const FRAMING_BYTES = 14;
 /** Channels with the same address would share one connection. */
-const CHANNEL_OPTIONS = { 'grpc.use_local_subchannel_pool': 1, 'grpc.enable_retries': 0 } as const;
+const CHANNEL_OPTIONS = {
+  'grpc.use_local_subchannel_pool': 1,
+  'grpc.enable_retries': 0,
+  // IP numbers are not allowed as the server name of TLS.
+  'grpc.ssl_target_name_override': 'primroseswitch',
+} as const;
 
 /** Creates a link that connects with its first message. */
 export function createPeerLink(options: PeerLinkOptions): PeerLink {
@@ -82,12 +90,21 @@
     const client = new Client(options.address, options.createCredentials(), CHANNEL_OPTIONS);
     const { path } = PeerService.exchange;
     const stream: Stream = client.makeBidiStreamRequest(path, serialize, decodeBatch);
-    const opened: Connection = { client, stream, pingSentAt: undefined, isBlocked: false };
+    const opened = { client, stream, pingSentAt: undefined, isOpen: false, isBlocked: false };
     connection = opened;
+    listen(opened);
+    ping(opened);
+  }
+
+  function listen(opened: Connection): void {
+    const { stream } = opened;
     stream.on('data', (batch: PeerBatch) => {
       if (!batch.messages.some((message) => message.$case === 'pong')) return;
       opened.pingSentAt = undefined;
       backoffMs = limits.minBackoffMs;
+      if (opened.isOpen) return;
+      opened.isOpen = true;
+      flush();
     });
     stream.on('drain', () => {
       opened.isBlocked = false;
@@ -95,7 +112,6 @@
     });
     stream.on('error', (err: Error) => lose(opened, err.message));
     stream.on('end', () => lose(opened, 'The stream was ended.'));
-    ping(opened);
   }
 
   function lose(lost: Connection, reason: string): void {
@@ -132,10 +148,14 @@
     isFlushDue = false;
     if (isClosed || queue.length === 0 || retryTimer !== undefined) return;
     if (connection === undefined) connect();
-    while (connection !== undefined && !connection.isBlocked && queue.length > 0) {
+    else if (connection.isOpen) sendQueued(connection);
+  }
+
+  function sendQueued(target: Connection): void {
+    while (!target.isBlocked && queue.length > 0) {
       const messages = queue.slice(0, limits.maxBatch);
       queue = queue.slice(messages.length);
-      connection.isBlocked = !connection.stream.write(options.createBatch(messages));
+      target.isBlocked = !target.stream.write(options.createBatch(messages));
     }
   }
 
