--- /dev/null
+++ b/src/bench/support/timing.ts
@@ -0,0 +1,39 @@
+/** Repeated timing of short operations: a warm-up, then rounds whose median counts. */
+import { performance } from 'node:perf_hooks';
+
+export interface TimingOptions {
+  readonly warmUpMs?: number;
+  readonly roundMs?: number;
+  readonly rounds?: number;
+}
+
+const NS_PER_MS = 1e6;
+
+/**
+ * Runs `operation` again and again and returns the median time of one run in nanoseconds.
+ * `operation` returns how many units of work it did.
+ */
+export function timeOperation(operation: () => number, options: TimingOptions = {}): number {
+  const { warmUpMs = 200, roundMs = 200, rounds = 5 } = options;
+  timeRound(operation, warmUpMs);
+  const samples = Array.from({ length: rounds }, () => timeRound(operation, roundMs));
+  samples.sort((a, b) => a - b);
+  return samples[Math.floor(rounds / 2)] ?? NaN;
+}
+
+function timeRound(operation: () => number, lengthMs: number): number {
+  const start = performance.now();
+  let units = 0;
+  let elapsed = 0;
+  do {
+    units += operation();
+    elapsed = performance.now() - start;
+  } while (elapsed < lengthMs);
+  return (elapsed * NS_PER_MS) / units;
+}
+
+/** Returns the bytes of heap in use after a collection, if the process allows one. */
+export function heapBytes(): number {
+  globalThis.gc?.();
+  return process.memoryUsage().heapUsed + process.memoryUsage().external;
+}
