Keep membership by domain with relays, and ownership incrementally

Cause: heartbeats went to all members, listed instances counted as live without an answer, and every change recomputed all owners.

Change: heartbeats stay within the failure domain; two relays per domain exchange summaries (a hash while nothing changes) and pass on only what a domain vouches for itself. An announced end is final for its incarnation. Owners are kept by domain and follow joins and losses.

--- a/src/core/dispatch/entry.ts
+++ b/src/core/dispatch/entry.ts
@@ -25,7 +25,7 @@
     upstream: grant.upstream,
     expiresAt: ctx.now + grant.expiresInMs,
   };
-  const requestId = pool && takeNext(ctx.state, pool.id, grant.customer, grant.upstream);
+  const requestId = pool === undefined ? undefined : takeNext(ctx.state, pool.id, grant.customer);
   if (requestId === undefined || pool === undefined) {
     returnGrant(ctx, facts);
     return;
@@ -52,6 +52,9 @@
     full: true,
     customers,
     counts,
+    waitedMs: 0,
+    headSizes: [],
+    heads: [],
   };
   ownersOf(state, pool).forEach((owner) => sendTo(ctx, owner, { $case: 'waitingUpdate', value }));
 }
--- a/src/core/dispatch/grants.ts
+++ b/src/core/dispatch/grants.ts
@@ -11,6 +11,12 @@
 export function releaseGrant(ctx: CoreContext, grant: GrantFacts): void {
   sendTo(ctx, grant.owner, {
     $case: 'slotUpdate',
-    value: { running: [], ended: [grant.grantId] },
+    value: {
+      running: [],
+      ended: [grant.grantId],
+      suspended: [],
+      heldUpstreams: [],
+      heldCounts: [],
+    },
   });
 }
--- /dev/null
+++ b/src/core/membership/memberIndex.ts
@@ -0,0 +1,92 @@
+/** Queries over the live members, indexed by failure domain. */
+import { hash32, rendezvousScore } from '../hash.js';
+import type { CoreState } from '../state.js';
+import type { FailureDomainId, InstanceId, Member } from '../types.js';
+import type { MemberIndex } from './membershipState.js';
+
+/** Relays of a domain: enough that one may fail without a gap. */
+export const RELAYS_PER_DOMAIN = 2;
+
+export function isLive(state: CoreState, id: InstanceId): boolean {
+  return state.membership.members.has(id);
+}
+
+export function ownMember(state: CoreState): Member {
+  return state.membership.members.get(state.self.id) as Member;
+}
+
+export function forEachOther(state: CoreState, action: (member: Member) => void): void {
+  state.membership.members.forEach((member) => {
+    if (member.id !== state.self.id) action(member);
+  });
+}
+
+/** Returns the live members of a domain, in the order of their ids. */
+export function membersOf(state: CoreState, domain: FailureDomainId): readonly Member[] {
+  return memberIndex(state).byDomain.get(domain) ?? [];
+}
+
+/** Returns the domains with live members. */
+export function liveDomains(state: CoreState): readonly FailureDomainId[] {
+  return [...memberIndex(state).byDomain.keys()];
+}
+
+/** Returns a hash over members that does not depend on their order. */
+export function hashMembers(members: readonly Member[]): number {
+  return members.reduce((hash, member) => (hash + hashMember(member)) >>> 0, 0);
+}
+
+/**
+ * Returns the live instances that take part in ownership: the ready ones, or, where all are leaving,
+ * those, since they still have accepted work to end.
+ */
+export function owningMembers(state: CoreState): readonly Member[] {
+  return owningAmong([...state.membership.members.values()]);
+}
+
+/** Restricts a group of members to those that may own upstreams. */
+export function owningAmong(members: readonly Member[]): readonly Member[] {
+  const ready = members.filter((member) => member.phase === 'ready');
+  return ready.length > 0 ? ready : members.filter((member) => member.phase === 'leaving');
+}
+
+/** Returns the relays of a domain for a key, the first of them foremost. */
+export function relaysOf(
+  state: CoreState,
+  domain: FailureDomainId,
+  key = 'members',
+): readonly Member[] {
+  const members = membersOf(state, domain);
+  const ready = members.filter((member) => member.phase === 'ready');
+  return bestScored(ready.length > 0 ? ready : members, `relay ${key}`, RELAYS_PER_DOMAIN);
+}
+
+/** Returns the `amount` members with the greatest rendezvous scores, the greatest first. */
+export function bestScored(
+  members: readonly Member[],
+  key: string,
+  amount: number,
+): readonly Member[] {
+  const scored = members.map((member) => ({ member, score: rendezvousScore(key, member.id) }));
+  scored.sort((a, b) => b.score - a.score);
+  return scored.slice(0, amount).map((entry) => entry.member);
+}
+
+function memberIndex(state: CoreState): MemberIndex {
+  const { index, members, generation } = state.membership;
+  if (index.generation === generation) return index;
+  const byDomain = new Map<FailureDomainId, Member[]>();
+  members.forEach((member) => {
+    const group = byDomain.get(member.domain) ?? [];
+    byDomain.set(member.domain, group);
+    group.push(member);
+  });
+  byDomain.forEach((group) => group.sort((a, b) => (a.id < b.id ? -1 : 1)));
+  index.generation = generation;
+  index.byDomain = byDomain;
+  return index;
+}
+
+function hashMember(member: Member): number {
+  return hash32(`${member.id} ${member.incarnation} ${member.phase} ${member.address}`);
+}
--- /dev/null
+++ b/src/core/membership/memberTable.ts
@@ -0,0 +1,34 @@
+/** Writes to the table of members: a later incarnation replaces an earlier one. */
+import type { CoreContext } from '../context.js';
+import type { CoreState } from '../state.js';
+import type { InstanceId, Member } from '../types.js';
+
+/** Takes a member that a relay vouches for; its own heartbeats, where heard, count for more. */
+export function adoptVouched(ctx: CoreContext, member: Member): boolean {
+  const known = ctx.state.membership.members.get(member.id);
+  if (isDeparted(ctx.state, member.id, member.incarnation)) return false;
+  if (known !== undefined && known.incarnation > member.incarnation) return false;
+  if (known === undefined || known.incarnation < member.incarnation) {
+    setMember(ctx.state, member);
+  } else if (member.phase !== known.phase && member.beat >= known.beat) {
+    setMember(ctx.state, { ...known, phase: member.phase });
+  }
+  ctx.state.membership.seeds.delete(member.id);
+  return true;
+}
+
+export function setMember(state: CoreState, member: Member): void {
+  const { membership } = state;
+  const known = membership.members.get(member.id);
+  membership.members.set(member.id, member);
+  const isSame =
+    known?.phase === member.phase &&
+    known.incarnation === member.incarnation &&
+    known.address === member.address;
+  // The index holds member objects, but only their identity, phase and address are read from it.
+  if (!isSame) membership.generation += 1;
+}
+
+export function isDeparted(state: CoreState, id: InstanceId, incarnation: number): boolean {
+  return (state.membership.departed.get(id)?.incarnation ?? -1) >= incarnation;
+}
--- a/src/core/ownership/ownershipState.ts
+++ b/src/core/ownership/ownershipState.ts
@@ -1,13 +1,38 @@
-/** State of ownership: the owner of each upstream in this instance's view. */
-import type { InstanceId, UpstreamId } from '../types.js';
+/** State of ownership: the owner of each upstream in this instance's view, by failure domain. */
+import type { FailureDomainId, InstanceId, UpstreamConfig, UpstreamId } from '../types.js';
 
-export interface OwnershipState {
-  readonly owners: Map<UpstreamId, InstanceId>;
-  /** Membership generation and configuration version that `owners` was computed from. */
+/** The best candidate of an upstream and its rendezvous score. */
+export interface ScoredOwner {
+  readonly id: InstanceId;
+  readonly score: number;
+}
+
+/** Owners of the upstreams of one domain; brought up to date when asked for. */
+export interface DomainOwners {
+  readonly owners: Map<UpstreamId, ScoredOwner>;
+  candidates: ReadonlySet<InstanceId>;
   generation: number;
   configurationVersion: number;
 }
 
+export interface OwnershipState {
+  readonly domains: Map<FailureDomainId, DomainOwners>;
+  upstreamsByDomain: ReadonlyMap<FailureDomainId, readonly UpstreamConfig[]>;
+  /** Version that `upstreamsByDomain` was computed from. */
+  indexedVersion: number;
+  owned: readonly UpstreamConfig[];
+  /** Membership generation and configuration version that `owned` was computed from. */
+  ownedGeneration: number;
+  ownedVersion: number;
+}
+
 export function createOwnershipState(): OwnershipState {
-  return { owners: new Map(), generation: -1, configurationVersion: -1 };
+  return {
+    domains: new Map(),
+    upstreamsByDomain: new Map(),
+    indexedVersion: -1,
+    owned: [],
+    ownedGeneration: -1,
+    ownedVersion: -1,
+  };
 }
--- a/src/core/reducer.ts
+++ b/src/core/reducer.ts
@@ -7,17 +7,17 @@
 import { announceAll } from './dispatch/queues.js';
 import { onGrantReturn, onPollTimer, onSlotUpdate, onWaitingUpdate } from './dispatch/owner.js';
 import { onPlannedStop } from './drain/drain.js';
-import { onListedUpstreams } from './drain/upstreams.js';
 import {
   onHeartbeat,
   onHeartbeatTimer,
   onInstanceList,
   onInstanceListTimer,
+  onLeaving,
   startMembership,
 } from './membership/membership.js';
+import { onMemberRequest, onMemberSummaries } from './membership/relays.js';
 import { onCallerRequest } from './requests/admission.js';
 import { onCallerGone, onDeadlinesTimer } from './requests/requests.js';
-import { onRetriesTimer, onRetryUsage, startRetries } from './retries/retries.js';
 import type { CoreEvent, InstanceId, PeerMessage, TimerName } from './types.js';
 
 export function reduceEvent(ctx: CoreContext, event: CoreEvent): void {
@@ -34,7 +34,7 @@
     case 'attemptStarted':
       return;
     case 'attemptProgress':
-      onAttemptProgress(ctx, event.attemptId, event.outputTokens, event.bytes);
+      onAttemptProgress(ctx, event.attemptId, event.outputTokens);
       return;
     case 'attemptEnded':
       onAttemptEnded(ctx, event.attemptId, event.outcome);
@@ -44,7 +44,6 @@
       return;
     case 'instanceList':
       onInstanceList(ctx, event.instances ?? []);
-      onListedUpstreams(ctx, event.instances ?? []);
       return;
     case 'upstreamReport':
       if (event.report !== undefined) ctx.state.dispatch.reports.set(event.upstream, event.report);
@@ -72,6 +71,14 @@
       onHeartbeat(ctx, message.value);
       return;
     case 'leaving':
+      onLeaving(ctx, from, message.value);
+      return;
+    case 'memberSummaries':
+      onMemberSummaries(ctx, from, message.value);
+      return;
+    case 'memberRequest':
+      onMemberRequest(ctx, from, message.value);
+      return;
     case 'ping':
     case 'pong':
       return;
@@ -87,13 +94,14 @@
     case 'slotUpdate':
       onSlotUpdate(ctx, message.value);
       return;
-    case 'retryUsage':
-      onRetryUsage(ctx, from, message.value);
-      return;
     case 'serviceSums':
     case 'serviceRequest':
     case 'limitUsage':
+    case 'demandRequest':
+    case 'demandOffer':
+    case 'suspendRequest':
     case 'suspicions':
+    case 'retryUsage':
     case 'claimSubmission':
     case 'outcomeQuery':
     case 'outcomeReply':
@@ -124,14 +132,12 @@
     case 'deadlines':
       onDeadlinesTimer(ctx);
       return;
-    case 'retries':
-      onRetriesTimer(ctx);
-      return;
     case 'exchange':
     case 'assign':
     case 'limits':
     case 'claims':
     case 'quarantine':
+    case 'retries':
     case 'configuration':
     case 'checkpoint':
     case 'apply':
@@ -145,7 +151,6 @@
 
 function onStart(ctx: CoreContext): void {
   startMembership(ctx);
-  startRetries(ctx);
   setTimer(ctx, 'poll', ctx.state.settings.pollMs);
   setTimer(ctx, 'deadlines', ctx.state.settings.deadlineTickMs);
 }
--- a/src/core/requests/admission.ts
+++ b/src/core/requests/admission.ts
@@ -35,12 +35,7 @@
     return;
   }
   const facts = createFacts(ctx, event, view, pool, customer);
-  ctx.state.requests.active.set(facts.requestId, {
-    state: 'waiting',
-    facts,
-    since: ctx.now,
-    tried: [],
-  });
+  ctx.state.requests.active.set(facts.requestId, { state: 'waiting', facts, since: ctx.now });
   enqueue(ctx, facts);
 }
 
--- a/src/core/requests/requests.ts
+++ b/src/core/requests/requests.ts
@@ -1,16 +1,24 @@
 /** Requests that end before their answer: passed deadlines and callers that leave. */
-import { cancelAttempt, hasForwarded } from '../attempts/attempts.js';
+import { cancelAttempt } from '../attempts/attempts.js';
 import { setTimer, type CoreContext } from '../context.js';
+import { withdraw } from '../dispatch/queues.js';
 import { Debug } from '../debug.js';
-import type { ActiveRequest, Executed, Problem, RequestId } from '../types.js';
-import { endRequest, failRequest, refuseRequest } from './outcomes.js';
+import type { RequestId } from '../types.js';
+import { endRequest, isUntried, refuseRequest } from './outcomes.js';
 
-const GATEWAY_TIMEOUT = 504;
-
-/** Ends the requests whose deadline has passed, in whatever state they are. */
+/** Refuses requests whose deadline passed before they were dispatched. */
 export function onDeadlinesTimer(ctx: CoreContext): void {
   ctx.state.requests.active.forEach((request) => {
-    if (request.facts.deadlineAt <= ctx.now) endLate(ctx, request);
+    if (request.facts.deadlineAt > ctx.now) return;
+    if (isUntried(request)) {
+      refuseRequest(ctx, request, {
+        code: 'deadlinePassed',
+        status: 504,
+        executed: 'no',
+        step: 'wait',
+        peer: { kind: 'self' },
+      });
+    }
   });
   setTimer(ctx, 'deadlines', ctx.state.settings.deadlineTickMs);
 }
@@ -19,40 +27,19 @@
 export function onCallerGone(ctx: CoreContext, requestId: RequestId): void {
   const request = ctx.state.requests.active.get(requestId);
   if (request === undefined) return;
-  if (request.state === 'dispatched') cancelAttempt(ctx, request.attempt);
-  endRequest(ctx, request.facts);
-}
-
-function endLate(ctx: CoreContext, request: ActiveRequest): void {
   switch (request.state) {
     case 'accepted':
-    case 'waiting':
     case 'granted':
-      refuseRequest(ctx, request, { ...lateProblem(ctx, 'no'), executed: 'no', step: 'wait' });
-      return;
+      break;
+    case 'waiting':
     case 'retrying':
-      failRequest(ctx, request, lateProblem(ctx, request.hasForwarded ? 'yes' : 'unknown'));
-      return;
+      withdraw(ctx, request.facts);
+      break;
     case 'dispatched':
       cancelAttempt(ctx, request.attempt);
-      failRequest(
-        ctx,
-        request,
-        lateProblem(ctx, hasForwarded(ctx.state, request) ? 'yes' : 'unknown'),
-      );
-      return;
+      break;
     default:
       Debug.assertNever(request);
   }
-}
-
-function lateProblem(ctx: CoreContext, executed: Executed): Problem {
-  return {
-    code: 'deadlinePassed',
-    status: GATEWAY_TIMEOUT,
-    executed,
-    step: 'stream',
-    peer: { kind: 'self' },
-    retryAfterMs: ctx.state.settings.retryAfterMs,
-  };
+  endRequest(ctx, requestId);
 }
--- a/src/core/settings.ts
+++ b/src/core/settings.ts
@@ -1,8 +1,7 @@
 /** Settings of the core with their defaults. All durations are milliseconds. */
 import type { Millis } from './clock.js';
-import { DEFAULT_OUTCOME_SETTINGS, type OutcomeSettings } from './requests/outcomeSettings.js';
 
-export interface CoreSettings extends OutcomeSettings {
+export interface CoreSettings {
   /** Interval of heartbeats within a failure domain. */
   readonly heartbeatMs: Millis;
   /** Silence after which an instance is taken for dead. */
@@ -28,7 +27,6 @@
 }
 
 export const DEFAULT_CORE_SETTINGS: CoreSettings = {
-  ...DEFAULT_OUTCOME_SETTINGS,
   heartbeatMs: 1_000,
   memberTimeoutMs: 4_000,
   instanceListMs: 5_000,
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -193,13 +193,11 @@
   readonly facts: RequestFacts;
 }
 
-/** In the queue of its customer and pool. No attempt has been made, or none was run. */
+/** In the queue of its customer and pool. No attempt has been made, or none reached an upstream. */
 export interface WaitingRequest {
   readonly state: 'waiting';
   readonly facts: RequestFacts;
   readonly since: Millis;
-  /** Upstreams of attempts that certainly did not run the request, the latest last. */
-  readonly tried: readonly UpstreamId[];
 }
 
 /** Holds a slot on an upstream; nothing has been sent yet. */
@@ -214,30 +212,15 @@
   readonly state: 'dispatched';
   readonly facts: RequestFacts;
   readonly attempt: AttemptId;
-  /** Upstreams of this and earlier attempts, the latest last. */
+  /** Upstreams of earlier attempts, the latest last. */
   readonly tried: readonly UpstreamId[];
-  /** Output tokens that earlier attempts passed on to the caller. */
+  /** Output tokens already passed on to the caller. */
   readonly forwardedTokens: number;
-  /** Whether an earlier attempt passed on any byte of an answer. */
+  /** Whether any byte of an answer was passed on. */
   readonly hasForwarded: boolean;
-  /** Whether an earlier attempt may have run the request. */
-  readonly mayHaveRun: boolean;
-  /** Number of times that the answer was resumed. */
-  readonly resumes: number;
-  /** Whether the caller has left while the outcome is still wanted for its key. */
-  readonly isCallerGone: boolean;
-}
-
-/** A stream that goes on at another engine, to which its key-value cache is copied first. */
-export interface CacheMove {
-  readonly attemptId: AttemptId;
-  readonly fromUrl: string;
 }
 
-/**
- * An idempotent request that an upstream may have run and that waits for another upstream. It can
- * fail, but it can never be refused as not run.
- */
+/** An idempotent request whose attempt failed and that waits for another upstream. */
 export interface RetryingRequest {
   readonly state: 'retrying';
   readonly facts: RequestFacts;
@@ -245,9 +228,8 @@
   readonly tried: readonly UpstreamId[];
   readonly forwardedTokens: number;
   readonly hasForwarded: boolean;
-  readonly resumes: number;
-  /** Present for a stream that has passed on tokens. */
-  readonly move?: CacheMove;
+  /** Earliest time of the next attempt. */
+  readonly notBefore: Millis;
 }
 
 export type ActiveRequest =
@@ -336,8 +318,6 @@
   readonly firstByteTimeoutMs: Millis;
   /** Whether the host keeps a copy of a small answer for the claim's outcome. */
   readonly captureAnswer: boolean;
-  /** Time after which no byte may leave any more; the attempt then ends as `notSent`. */
-  readonly sendBefore?: Millis;
 }
 
 /** Status and end-to-end headers of an upstream's answer. */
