Follow the wider waiting update and sums in the benchmarks

Cause: the messages gained fields for waits, prefix heads and acknowledgement. Change: the benchmark's messages carry them.

--- a/src/bench/micro/cases.ts
+++ b/src/bench/micro/cases.ts
@@ -26,18 +26,25 @@
     full: true,
     customers: numbers((i) => i * 90),
     counts: numbers((i) => i % 40),
+    waitedMs: 800,
+    headSizes: [],
+    heads: [],
   },
 };
 
 const SERVICE_SUMS: PeerMessage = {
   $case: 'serviceSums',
   value: {
+    scope: 0,
     pool: 3,
     origin: SENDER.id,
     originIncarnation: SENDER.incarnation,
+    sequence: 70_000,
+    acknowledged: 69_998,
+    waiting: ENTRIES,
     customers: numbers((i) => i * 90),
-    sums: numbers((i) => i * 1_234.5),
-    lifts: numbers((i) => i * 77.25),
+    sums: numbers((i) => i * 1_234),
+    lifts: numbers((i) => i * 77),
   },
 };
 
