Add prefix cache, orders, load reports and faults to the engine stand-in

Cause: the router has to be tried against engines that lag, crash, hang and cross answers. Change: each of these behind a control path, drawn from the seed, with a log of every attempt.

--- /dev/null
+++ b/src/standins/engineState.ts
@@ -0,0 +1,193 @@
+/**
+ * State of one model engine: its work, prefix cache, orders and load report, and the faults that
+ * concern the engine as a whole.
+ */
+import type { Millis } from '../core/clock.js';
+import { createRandom, type Random } from '../core/random.js';
+import type { Attempt, AttemptRecord } from './attempts.js';
+import type { Batch, BatchStats } from './batch.js';
+import { createCacheEvents, type CacheEvents } from './cacheEvents.js';
+import { createEngineWork, type EngineWork } from './engineWork.js';
+import { engineFaultSchema, type EngineFault } from './faults.js';
+import type { HttpServer } from './http.js';
+import { createLaggingReport, createRateMeter, type LoadReport } from './loadReport.js';
+import { createOrders, type OrderRecord, type Orders } from './orders.js';
+import { createPrefixCache, type PrefixCache } from './prefixCache.js';
+
+export interface EngineStateOptions {
+  readonly seed: number;
+  readonly model: string;
+  readonly version: string;
+  readonly role: string;
+  readonly batchSize: number;
+  readonly tokenIntervalMs: Millis;
+  readonly prefillTokensPerSecond: number;
+  readonly cacheBlocks: number;
+  readonly cacheEventDelayMs: Millis;
+  readonly cacheEventLossRate: number;
+  readonly loadLagMs: Millis;
+  readonly checksOrders: boolean;
+  readonly modelLoadMs: Millis;
+  readonly weightsUrl?: string | undefined;
+}
+
+/** What checks read from `GET /_control/log`. */
+export interface EngineLog {
+  readonly attempts: readonly AttemptRecord[];
+  readonly orders: readonly OrderRecord[];
+  readonly crashes: readonly EngineCrash[];
+}
+
+export interface EngineCrash {
+  readonly at: Millis;
+  /** Request id of the poisoned request that caused it. */
+  readonly poisonedBy: string | undefined;
+  /** Request ids that were in the batch. */
+  readonly running: readonly string[];
+}
+
+/** Use of the engine since its start, from `GET /_control/stats`. */
+export interface EngineStats extends BatchStats {
+  readonly slots: number;
+}
+
+export interface EngineState {
+  readonly random: Random;
+  readonly work: EngineWork;
+  readonly batch: Batch<Attempt>;
+  readonly orders: Orders;
+  readonly cache: PrefixCache;
+  readonly cacheEvents: CacheEvents;
+  cacheEpoch: () => number;
+  setFault: (fault: EngineFault) => void;
+  load: () => LoadReport;
+  stats: () => EngineStats;
+  log: () => EngineLog;
+  stop: () => void;
+}
+
+/** Creates the state of the engine that listens on `server`. */
+export function createEngineState(cfg: EngineStateOptions, server: HttpServer): EngineState {
+  const random = createRandom(cfg.seed);
+  const now = () => Date.now();
+  const crashes: EngineCrash[] = [];
+  let cacheEpoch = 1;
+  let isHung = false;
+
+  const cacheEvents = createCacheEvents({
+    delayMs: cfg.cacheEventDelayMs,
+    lossRate: cfg.cacheEventLossRate,
+    random,
+    now,
+  });
+  const cache = createPrefixCache({ capacity: cfg.cacheBlocks, onChange: cacheEvents.add });
+  const work = createEngineWork({
+    batchSize: cfg.batchSize,
+    tokenIntervalMs: cfg.tokenIntervalMs,
+    prefillTokensPerSecond: cfg.prefillTokensPerSecond,
+    cache,
+    random,
+    now,
+    onPoisoned: (attempt, restartAfterMs) => crash(restartAfterMs, attempt),
+  });
+  const { batch } = work;
+  const orders = createOrders({
+    initial: {
+      model: cfg.model,
+      version: cfg.version,
+      role: cfg.role,
+      adapters: {},
+      orderNumber: 0,
+    },
+    checksOrders: cfg.checksOrders,
+    loadMs: cfg.modelLoadMs,
+    weightsUrl: cfg.weightsUrl,
+    onChange: () => {
+      if (orders.isLoadingModel()) loseCache();
+      updatePause();
+    },
+  });
+
+  function loseCache(): void {
+    cache.clear();
+    cacheEvents.clear();
+    cacheEpoch += 1;
+  }
+
+  function updatePause(): void {
+    batch.setPaused(isHung || orders.isLoadingModel());
+  }
+
+  function crash(restartAfterMs: Millis, poisonedBy?: Attempt): void {
+    if (!server.isListening()) return;
+    const running = work.records().filter(({ outcome }) => outcome === 'running');
+    crashes.push({ at: now(), poisonedBy: poisonedBy?.id, running: running.map(({ id }) => id) });
+    server.crash(restartAfterMs);
+    work.crash();
+    loseCache();
+    orders.reset();
+    updatePause();
+  }
+
+  function setFault(input: EngineFault): void {
+    const fault = engineFaultSchema.parse(input);
+    switch (fault.kind) {
+      case 'crash':
+        crash(fault.restartAfterMs);
+        return;
+      case 'hang':
+        isHung = true;
+        server.hold();
+        updatePause();
+        return;
+      case 'silent':
+        server.silence();
+        return;
+      case 'slow':
+        batch.setSlowdown(fault.factor);
+        return;
+      case 'clear':
+        isHung = false;
+        work.clearFaults();
+        batch.setSlowdown(1);
+        updatePause();
+        server.release();
+        return;
+      default:
+        work.addFault(fault);
+    }
+  }
+
+  const readTokenRate = createRateMeter(() => batch.stats().tokens);
+  const report = createLaggingReport<LoadReport>(
+    () => ({
+      running: batch.running(),
+      queued: batch.queued(),
+      slots: cfg.batchSize,
+      tokensPerSecond: readTokenRate(),
+      ...orders.current(),
+      cacheEpoch,
+    }),
+    cfg.loadLagMs,
+  );
+  const stats = () => ({ ...batch.stats(), slots: cfg.batchSize });
+  const log = () => ({ attempts: work.records(), orders: orders.history(), crashes });
+
+  return {
+    random,
+    work,
+    batch,
+    orders,
+    cache,
+    cacheEvents,
+    cacheEpoch: () => cacheEpoch,
+    setFault,
+    load: report.current,
+    stats,
+    log,
+    stop: () => {
+      report.stop();
+      batch.clear();
+    },
+  };
+}
