--- a/src/core/reducer.ts
+++ b/src/core/reducer.ts
@@ -12,8 +12,10 @@
   onHeartbeatTimer,
   onInstanceList,
   onInstanceListTimer,
+  onLeaving,
   startMembership,
 } from './membership/membership.js';
+import { onMemberRequest, onMemberSummaries } from './membership/relays.js';
 import { onCallerRequest } from './requests/admission.js';
 import { onCallerGone, onDeadlinesTimer } from './requests/requests.js';
 import type { CoreEvent, InstanceId, PeerMessage, TimerName } from './types.js';
@@ -69,6 +71,14 @@
       onHeartbeat(ctx, message.value);
       return;
     case 'leaving':
+      onLeaving(ctx, from, message.value);
+      return;
+    case 'memberSummaries':
+      onMemberSummaries(ctx, from, message.value);
+      return;
+    case 'memberRequest':
+      onMemberRequest(ctx, from, message.value);
+      return;
     case 'ping':
     case 'pong':
       return;
@@ -87,6 +97,9 @@
     case 'serviceSums':
     case 'serviceRequest':
     case 'limitUsage':
+    case 'demandRequest':
+    case 'demandOffer':
+    case 'suspendRequest':
     case 'suspicions':
     case 'retryUsage':
     case 'claimSubmission':
