Keep silent connections silent at the end of a response

Cause: the HTTP server uncorks the socket at the end of a response, so a silenced stream still ended. Change: a silenced socket can't be uncorked; attempts without an id get a running number.

--- a/src/standins/engine.ts
+++ b/src/standins/engine.ts
@@ -116,9 +116,11 @@
 function addCompletionRoutes(
   app: H3,
   server: HttpServer,
-  { work, random }: EngineState,
+  { work }: EngineState,
   echoesRequestId: boolean,
 ): void {
+  let unnamed = 0;
+
   async function complete(req: IncomingMessage, res: ServerResponse, chat: boolean) {
     const body = parseJson(completionSchema, (await readBytes(req)).toString('utf8'));
     const { stream, model } = body;
@@ -126,7 +128,7 @@
     res.once('close', () => {
       if (!server.isSilent(req.socket)) work.disconnect(output);
     });
-    const id = headerOf(req, 'x-request-id') ?? `engine-${random.nextInt(2 ** 31)}`;
+    const id = headerOf(req, 'x-request-id') ?? `engine-${(unnamed += 1)}`;
     const key = headerOf(req, 'idempotency-key');
     const resumeFrom = Number(headerOf(req, 'x-resume-from') ?? 0);
     work.submit(createAttempt({ id, key, body, resumeFrom, output, now: Date.now() }));
--- a/src/standins/engineState.ts
+++ b/src/standins/engineState.ts
@@ -3,7 +3,7 @@
  * concern the engine as a whole.
  */
 import type { Millis } from '../core/clock.js';
-import { createRandom, type Random } from '../core/random.js';
+import { createRandom } from '../core/random.js';
 import type { Attempt, AttemptRecord } from './attempts.js';
 import type { Batch, BatchStats } from './batch.js';
 import { createCacheEvents, type CacheEvents } from './cacheEvents.js';
@@ -52,7 +52,6 @@
 }
 
 export interface EngineState {
-  readonly random: Random;
   readonly work: EngineWork;
   readonly batch: Batch<Attempt>;
   readonly orders: Orders;
@@ -174,7 +173,6 @@
   const log = () => ({ attempts: work.records(), orders: orders.history(), crashes });
 
   return {
-    random,
     work,
     batch,
     orders,
--- a/src/standins/http.ts
+++ b/src/standins/http.ts
@@ -134,8 +134,9 @@
       sockets.forEach((socket) => {
         if (controlSockets.has(socket) || silent.has(socket)) return;
         silent.add(socket);
-        // Written bytes stay in the buffer of the corked socket.
+        // Written bytes stay in the buffer; the HTTP server would uncork at the end of a response.
         socket.cork();
+        socket.uncork = () => {};
       });
     },
     isSilent: (socket) => socket !== null && silent.has(socket),
