--- a/src/standins/platform.ts
+++ b/src/standins/platform.ts
@@ -1,25 +1,51 @@
 /**
  * Stand-in for the platform: the append-only log, the list of instances and the store of model
- * weights, over HTTP.
+ * weights, over HTTP, with their limits, lags and outages.
  */
-import { getQuery, getRouterParam, H3, type H3Event } from 'h3';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { getRouterParam, H3, type H3Event } from 'h3';
 import { z } from 'zod';
 import type { Millis } from '../core/clock.js';
 import { MS_PER_SECOND } from '../core/clock.js';
-import { listen, parseJson, type ListenOptions } from './http.js';
+import { createRandom } from '../core/random.js';
+import {
+  platformFaultSchema,
+  type ParsedPlatformFault,
+  type PlatformFault,
+  type PlatformPart,
+} from './faults.js';
+import { listen, queryNumber, readJson, type ListenOptions } from './http.js';
 import { createLogStream, type LogStream } from './log.js';
+import { createRateLimit, type RateLimit } from './rateLimit.js';
 
 const DEFAULT_READ_LIMIT = 1_000;
 const MAX_WAIT_MS: Millis = 30_000;
 
 export interface PlatformOptions extends ListenOptions {
+  readonly seed?: number;
+  /** Appends to all streams together in a second. */
+  readonly appendsPerSecond?: number;
+  /** Records that a stream keeps at most. */
+  readonly retentionRecords?: number;
+  /** Age at which a record expires. */
+  readonly retentionMs?: Millis;
+  /** Time after which a change of the instance list is seen. */
+  readonly listLagMs?: Millis;
   /** Downloads of weights that may start in a second. */
   readonly weightsPerSecond?: number;
   /** Size of the weights of a model. */
   readonly weightBytes?: number;
 }
 
-const DEFAULTS = { weightsPerSecond: 2, weightBytes: 4_096 } as const;
+const DEFAULTS = {
+  seed: 1,
+  appendsPerSecond: 400,
+  retentionRecords: 1_000_000,
+  retentionMs: 3_600_000,
+  listLagMs: 0,
+  weightsPerSecond: 2,
+  weightBytes: 4_096,
+} as const;
 
 const instanceSchema = z.object({
   id: z.string(),
@@ -34,10 +60,22 @@
 /** An entry of the instance list. */
 export type ListedInstance = z.infer<typeof instanceSchema>;
 
+/** Calls that took effect, from `GET /_control/stats`. */
+export interface PlatformStats {
+  readonly appends: number;
+  readonly appendedRecords: number;
+  readonly reads: number;
+  readonly refused: number;
+  readonly lostReplies: number;
+  readonly downloads: number;
+}
+
 export interface PlatformStandin {
   readonly url: string;
   readonly port: number;
   setInstances: (instances: readonly ListedInstance[]) => void;
+  setFault: (fault: PlatformFault) => void;
+  stats: () => PlatformStats;
   stop: () => Promise<void>;
 }
 
@@ -46,65 +84,179 @@
   options: PlatformOptions = {},
 ): Promise<PlatformStandin> {
   const cfg = { ...DEFAULTS, ...options };
+  const app = new H3({ silent: true });
+  const server = await listen(app, options);
+  const faults = createPlatformFaults(cfg.seed, server.silence);
+  const list = createInstanceList(cfg.listLagMs);
   const streams = new Map<string, LogStream>();
-  let instances: readonly ListedInstance[] = [];
-  let weightsFreeAt: Millis = 0;
+  const stats = {
+    appends: 0,
+    appendedRecords: 0,
+    reads: 0,
+    refused: 0,
+    lostReplies: 0,
+    downloads: 0,
+  };
+  const now = () => Date.now();
+  const appendLimit = createRateLimit(cfg.appendsPerSecond, cfg.appendsPerSecond, now);
+  const weightLimit = createRateLimit(cfg.weightsPerSecond, 1, now);
 
   function streamOf(event: H3Event): LogStream {
     const name = getRouterParam(event, 'name') ?? '';
     const existing = streams.get(name);
     if (existing !== undefined) return existing;
-    const created = createLogStream();
+    const created = createLogStream({ ...cfg, now });
     streams.set(name, created);
     return created;
   }
 
-  const numberOf = (event: H3Event, name: string, fallback: number) => {
-    const value = Number(getQuery<Record<string, string>>(event)[name] ?? fallback);
-    return Number.isFinite(value) && value >= 0 ? Math.trunc(value) : fallback;
-  };
+  function refuse(event: H3Event, status: number, error: string): object {
+    stats.refused += 1;
+    event.res.status = status;
+    return { error };
+  }
 
-  const app = new H3({ silent: true });
-  app.post('/streams/:name/records', async (event) => {
-    const { records } = parseJson(appendSchema, await event.req.text());
-    return { offset: streamOf(event).append(records) };
-  });
-  app.get('/streams/:name/records', async (event) => {
-    const limit = numberOf(event, 'limit', DEFAULT_READ_LIMIT);
-    const waitMs = Math.min(numberOf(event, 'waitMs', 0), MAX_WAIT_MS);
-    const result = await streamOf(event).read(numberOf(event, 'from', 0), limit, waitMs);
+  /** Answers 429 if the limit is reached; otherwise returns `undefined`. */
+  function refuseOver(limit: RateLimit, event: H3Event): object | undefined {
+    const waitMs = limit.take();
+    if (waitMs === 0) return undefined;
+    event.res.headers.set('retry-after', String(Math.ceil(waitMs / MS_PER_SECOND)));
+    return refuse(event, 429, 'rate');
+  }
+
+  /** Subjects a route to the outages and delays of a part of the platform. */
+  const during =
+    (part: PlatformPart, route: (event: H3Event) => unknown) => async (event: H3Event) => {
+      const isUp = await faults.pass(part);
+      return isUp ? route(event) : refuse(event, 503, 'outage');
+    };
+
+  async function append(event: H3Event): Promise<unknown> {
+    const { records } = await readJson(appendSchema, event);
+    const refusal = refuseOver(appendLimit, event);
+    if (refusal !== undefined) return refusal;
+    const offset = streamOf(event).append(records);
+    stats.appends += 1;
+    stats.appendedRecords += records.length;
+    if (faults.losesReply()) {
+      stats.lostReplies += 1;
+      event.runtime?.node?.res?.socket?.destroy();
+    }
+    return { offset };
+  }
+
+  async function read(event: H3Event): Promise<unknown> {
+    const from = queryNumber(event, 'from', 0);
+    const limit = queryNumber(event, 'limit', DEFAULT_READ_LIMIT);
+    const waitMs = Math.min(queryNumber(event, 'waitMs', 0), MAX_WAIT_MS);
+    const result = await streamOf(event).read(from, limit, waitMs);
+    stats.reads += 1;
     if (result.kind === 'records') return { records: result.records, next: result.next };
     event.res.status = 410;
     return { oldest: result.oldest };
-  });
-  app.get('/instances', () => ({ instances }));
-  app.put('/_control/instances', async (event) => {
-    instances = parseJson(instancesSchema, await event.req.text()).instances;
-    return { instances };
-  });
-  app.get('/weights/:model/:version', (event) => {
-    const now = Date.now();
-    if (weightsFreeAt > now) {
-      event.res.status = 429;
-      const seconds = Math.ceil((weightsFreeAt - now) / MS_PER_SECOND);
-      event.res.headers.set('retry-after', String(seconds));
-      return { error: 'rate' };
-    }
-    weightsFreeAt = now + MS_PER_SECOND / cfg.weightsPerSecond;
+  }
+
+  function download(event: H3Event): unknown {
+    const refusal = refuseOver(weightLimit, event);
+    if (refusal !== undefined) return refusal;
+    stats.downloads += 1;
     event.res.headers.set('content-type', 'application/octet-stream');
     return new Uint8Array(cfg.weightBytes);
+  }
+
+  app.post('/streams/:name/records', during('log', append));
+  app.get('/streams/:name/records', during('log', read));
+  app.get(
+    '/instances',
+    during('list', () => ({ instances: list.read() })),
+  );
+  app.get('/weights/:model/:version', during('weights', download));
+  app.put('/_control/instances', async (event) => {
+    list.set((await readJson(instancesSchema, event)).instances);
+    return { done: true };
   });
+  app.post('/_control/faults', async (event) => {
+    faults.set(await readJson(platformFaultSchema, event));
+    return { done: true };
+  });
+  app.get('/_control/stats', () => stats);
 
-  const server = await listen(app, options);
   return {
     url: server.url,
     port: server.port,
-    setInstances: (list) => {
-      instances = list;
-    },
+    setInstances: list.set,
+    setFault: faults.set,
+    stats: () => ({ ...stats }),
     stop: async () => {
+      faults.set({ kind: 'clear' });
       streams.forEach((stream) => stream.wake());
-      return server.close();
+      await server.close();
+    },
+  };
+}
+
+interface InstanceList {
+  set: (instances: readonly ListedInstance[]) => void;
+  /** The list as it was before the lag. */
+  read: () => readonly ListedInstance[];
+}
+
+function createInstanceList(lagMs: Millis): InstanceList {
+  let visible: readonly ListedInstance[] = [];
+  return {
+    set: (instances) => {
+      if (lagMs === 0) {
+        visible = instances;
+        return;
+      }
+      setTimeout(() => {
+        visible = instances;
+      }, lagMs).unref();
+    },
+    read: () => visible,
+  };
+}
+
+interface PlatformFaults {
+  set: (fault: PlatformFault) => void;
+  /** Waits as the faults demand; false if the part is to refuse the call. */
+  pass: (part: PlatformPart) => Promise<boolean>;
+  losesReply: () => boolean;
+}
+
+type LastingFault = Exclude<ParsedPlatformFault, { kind: 'silent' | 'clear' }>;
+
+function createPlatformFaults(seed: number, silence: () => void): PlatformFaults {
+  const random = createRandom(seed);
+  const held = new Set<() => void>();
+  let faults: { [K in LastingFault['kind']]?: Extract<LastingFault, { kind: K }> } = {};
+
+  function clear(): void {
+    faults = {};
+    held.forEach((resume) => resume());
+    held.clear();
+  }
+
+  const waitForClear = async () =>
+    new Promise<void>((resolve) => {
+      held.add(resolve);
+    });
+
+  return {
+    set: (input) => {
+      const fault = platformFaultSchema.parse(input);
+      if (fault.kind === 'clear') clear();
+      else if (fault.kind === 'silent') silence();
+      else faults = { ...faults, [fault.kind]: fault };
+    },
+    pass: async (part) => {
+      const { outage, slow } = faults;
+      if (slow?.parts.includes(part) === true) await sleep(slow.delayMs);
+      if (outage?.parts.includes(part) !== true) return true;
+      if (outage.mode === 'refuse') return false;
+      await waitForClear();
+      return true;
     },
+    losesReply: () => random.next() < (faults['lost-reply']?.rate ?? 0),
   };
 }
--- a/src/standins/settings.ts
+++ b/src/standins/settings.ts
@@ -7,17 +7,34 @@
 import { createPlatformStandin, type PlatformStandin } from './platform.js';
 import { createServiceStandin, type ServiceStandin } from './service.js';
 
-const listenShape = { host: z.string().optional(), port: z.number().int().min(0).optional() };
+const listenShape = {
+  host: z.string().optional(),
+  port: z.number().int().min(0).optional(),
+  seed: z.number().int().optional(),
+};
+const text = z.string().optional();
+const flag = z.boolean().optional();
+const share = z.number().min(0).max(1).optional();
 const positive = z.number().positive().optional();
 const notNegative = z.number().min(0).optional();
 
 const engineSchema = z.strictObject({
   ...listenShape,
   name: z.string(),
-  model: z.string().optional(),
+  model: text,
+  version: text,
+  role: text,
   batchSize: positive,
   tokenIntervalMs: notNegative,
   prefillTokensPerSecond: positive,
+  echoesRequestId: flag,
+  cacheBlocks: notNegative,
+  cacheEventDelayMs: notNegative,
+  cacheEventLossRate: share,
+  loadLagMs: notNegative,
+  checksOrders: flag,
+  modelLoadMs: notNegative,
+  weightsUrl: text,
 });
 
 const serviceSchema = z.strictObject({
@@ -25,9 +42,18 @@
   name: z.string(),
   latencyMs: notNegative,
   concurrency: positive,
+  loadLagMs: notNegative,
 });
 
-const platformSchema = z.strictObject({ ...listenShape, weightsPerSecond: positive });
+const platformSchema = z.strictObject({
+  ...listenShape,
+  appendsPerSecond: positive,
+  retentionRecords: positive,
+  retentionMs: positive,
+  listLagMs: notNegative,
+  weightsPerSecond: positive,
+  weightBytes: notNegative,
+});
 
 const standinSettingsSchema = z.strictObject({
   engines: z.array(engineSchema).default([]),
@@ -46,8 +72,8 @@
 }
 
 /** Parses settings of stand-ins. Throws a `ZodError` or a `YAMLParseError`. */
-export function parseStandinSettings(text: string): StandinSettings {
-  return standinSettingsSchema.parse(parse(text) ?? {});
+export function parseStandinSettings(yaml: string): StandinSettings {
+  return standinSettingsSchema.parse(parse(yaml) ?? {});
 }
 
 /** Drops the keys without a value, so that the defaults of the factories apply. */
