--- a/src/standins/service.ts
+++ b/src/standins/service.ts
@@ -40,6 +40,8 @@
   readonly byKey: Readonly<Record<string, number>>;
   /** By `X-Request-Id`. */
   readonly byRequest: Readonly<Record<string, number>>;
+  /** By hash of the body. */
+  readonly byBody: Readonly<Record<string, number>>;
   readonly total: number;
 }
 
@@ -168,26 +170,29 @@
 }
 
 interface Executions {
-  add: (req: IncomingMessage) => void;
+  add: (req: IncomingMessage, body: Buffer) => void;
   read: () => ExecutionCounts;
 }
 
 function createExecutionCounts(): Executions {
   const byKey = new Map<string, number>();
   const byRequest = new Map<string, number>();
+  const byBody = new Map<string, number>();
   let total = 0;
   const increment = (map: Map<string, number>, name: string | undefined) => {
     if (name !== undefined) map.set(name, (map.get(name) ?? 0) + 1);
   };
   return {
-    add: (req) => {
+    add: (req, body) => {
       total += 1;
       increment(byKey, headerOf(req, 'idempotency-key'));
       increment(byRequest, headerOf(req, 'x-request-id'));
+      increment(byBody, bodyHash(body));
     },
     read: () => ({
       byKey: Object.fromEntries(byKey),
       byRequest: Object.fromEntries(byRequest),
+      byBody: Object.fromEntries(byBody),
       total,
     }),
   };
@@ -242,7 +247,7 @@
   }
 
   async function run(req: IncomingMessage, body: Buffer): Promise<Answer> {
-    counts.add(req);
+    counts.add(req, body);
     const { poison } = faults;
     if (poison !== undefined && body.includes(poison.marker)) server.crash(poison.restartAfterMs);
     await sleep(latencyMs * slowdown);
