--- /dev/null
+++ b/src/configuration/source.ts
@@ -0,0 +1,202 @@
+/**
+ * Splits the source of a document into sections and that of a section into entries, by lines that
+ * begin in the first column. In YAML's block style every other line belongs to the entry before it,
+ * so each entry can be parsed by itself and a change of one entry costs the parsing of one.
+ */
+import { parseDocument, stringify } from 'yaml';
+import { ENTRY_BYTES_MAX, ENTRIES_MAX, SECTION_BYTES_MAX } from './bounds.js';
+import { nearestName } from './nearest.js';
+import { ID_PATTERN } from './schema.js';
+import {
+  isSectionName,
+  SECTION_NAMES,
+  type DocumentDiagnostic,
+  type SectionName,
+} from './types.js';
+
+/** Source of one entry. */
+export interface EntrySource {
+  readonly key: string;
+  readonly text: string;
+  /** Line of the section's source on which `text` begins, from 0. */
+  readonly line: number;
+}
+
+/** Source of one section, its entries in the first column. */
+export interface SectionSource {
+  readonly name: SectionName;
+  readonly text: string;
+  /** Line and column of the document at which `text` begins, from 0. */
+  readonly line: number;
+  readonly column: number;
+}
+
+export interface Split<T> {
+  readonly parts: readonly T[];
+  readonly diagnostics: readonly DocumentDiagnostic[];
+}
+
+const KEY_LINE = /^(["']?)([^\s"':#][^"':#]*?)\1\s*:(?:\s+(.*))?$/;
+const IGNORED_LINE = /^\s*(#.*)?$/;
+const DOCUMENT_START = /^---\s*$/;
+
+/** Splits a document into its sections. */
+export function splitDocument(source: string): Split<SectionSource> {
+  const lines = source.split(/\r?\n/);
+  const parts: SectionSource[] = [];
+  const diagnostics: DocumentDiagnostic[] = [];
+  const seen = new Set<string>();
+  let index = 0;
+  while (index < lines.length) {
+    const line = lines[index] ?? '';
+    const start = index;
+    index += 1;
+    if (IGNORED_LINE.test(line) || (start === 0 && DOCUMENT_START.test(line))) continue;
+    const name = KEY_LINE.exec(line)?.[2];
+    if (name === undefined) {
+      diagnostics.push(at('notASection', start, 0));
+      continue;
+    }
+    while (index < lines.length && !isTopLevel(lines[index] ?? '')) index += 1;
+    if (!isSectionName(name)) {
+      diagnostics.push(unknownSection(name, start));
+    } else if (seen.has(name)) {
+      diagnostics.push(at('duplicateKey', start, 0, { key: name }));
+    } else {
+      seen.add(name);
+      parts.push(sectionOf(name, lines, start, index));
+    }
+  }
+  return { parts, diagnostics };
+}
+
+function unknownSection(name: string, line: number): DocumentDiagnostic {
+  const nearest = nearestName(name, SECTION_NAMES);
+  return nearest === undefined
+    ? at('unknownSection', line, 0, { section: name })
+    : at('unknownSectionNear', line, 0, { section: name, nearest });
+}
+
+/** Cuts the lines of one section out of a document and moves them to the first column. */
+function sectionOf(
+  name: SectionName,
+  lines: readonly string[],
+  start: number,
+  end: number,
+): SectionSource {
+  const rest = stripComment(KEY_LINE.exec(lines[start] ?? '')?.[3] ?? '');
+  const body = lines.slice(start + 1, end);
+  if (rest !== '') return { name, text: [rest, ...body].join('\n'), line: start, column: 0 };
+  const first = body.find((line) => !IGNORED_LINE.test(line)) ?? '';
+  const column = first.length - first.trimStart().length;
+  const indent = first.slice(0, column);
+  const moved = body.map((line) => {
+    if (line.startsWith(indent)) return line.slice(column);
+    // A line that is indented less than the first one is no part of the mapping: it is marked so
+    // that it is reported as a malformed entry.
+    return IGNORED_LINE.test(line) ? line.trimStart() : `? ${line.trimStart()}`;
+  });
+  return { name, text: trimEnd(moved), line: start + 1, column };
+}
+
+function trimEnd(lines: readonly string[]): string {
+  const joined = lines.join('\n').trimEnd();
+  return joined === '' ? '' : `${joined}\n`;
+}
+
+/** Splits a section into its entries. Comments before an entry belong to it. */
+export function splitSection(section: SectionName, source: string): Split<EntrySource> {
+  if (source.length > SECTION_BYTES_MAX) {
+    const args = { section, limit: SECTION_BYTES_MAX };
+    return { parts: [], diagnostics: [at('sectionTooLarge', 0, 0, args)] };
+  }
+  if (/^[{[]/.test(source.trimStart())) return splitFlowSection(section, source);
+  const lines = source.split(/\r?\n/);
+  const diagnostics: DocumentDiagnostic[] = [];
+  const parts: EntrySource[] = [];
+  const seen = new Set<string>();
+  let start = 0;
+  let key: string | undefined;
+  let commentStart: number | undefined;
+  const close = (end: number) => {
+    if (key === undefined) return;
+    if (seen.has(key)) diagnostics.push(at('duplicateKey', start, 0, { key }));
+    seen.add(key);
+    parts.push({ key, text: entryText(lines.slice(start, end)), line: start });
+  };
+  for (let i = 0; i < lines.length; i += 1) {
+    const line = lines[i] ?? '';
+    if (IGNORED_LINE.test(line)) {
+      if (line.startsWith('#')) commentStart ??= i;
+    } else if (isTopLevel(line)) {
+      const next = KEY_LINE.exec(line)?.[2];
+      if (next === undefined || !ID_PATTERN.test(next)) {
+        diagnostics.push(at('notAnEntry', i, 0, { section }));
+      } else {
+        const begin = commentStart ?? i;
+        close(begin);
+        key = next;
+        start = begin;
+      }
+      commentStart = undefined;
+    } else {
+      if (key === undefined) diagnostics.push(at('notAnEntry', i, 0, { section }));
+      commentStart = undefined;
+    }
+  }
+  close(lines.length);
+  if (parts.length > ENTRIES_MAX) {
+    diagnostics.push(at('tooManyEntries', 0, 0, { section, limit: ENTRIES_MAX }));
+  }
+  return { parts, diagnostics };
+}
+
+/** A section in flow style (`{...}`); it is brought into block style, entry by entry. */
+function splitFlowSection(section: SectionName, source: string): Split<EntrySource> {
+  const tooLarge = source.length > ENTRY_BYTES_MAX || exceedsFlowDepth(source);
+  if (tooLarge) return { parts: [], diagnostics: [at('flowSectionTooLarge', 0, 0, { section })] };
+  const doc = parseDocument(source, { schema: 'core', logLevel: 'silent' });
+  const value: unknown = doc.errors.length === 0 ? doc.toJS({ maxAliasCount: 0 }) : undefined;
+  if (typeof value !== 'object' || value === null || Array.isArray(value)) {
+    return { parts: [], diagnostics: [at('notAnEntry', 0, 0, { section })] };
+  }
+  const parts = Object.entries(value).map(([key, item], line) => ({
+    key,
+    text: stringify({ [key]: item as unknown }),
+    line,
+  }));
+  const wrong = parts.filter((part) => !ID_PATTERN.test(part.key));
+  return { parts, diagnostics: wrong.map(() => at('notAnEntry', 0, 0, { section })) };
+}
+
+/** Nesting of brackets and of compact sequences, counted without regard to quotes. */
+export function exceedsFlowDepth(source: string, limit = 16): boolean {
+  let depth = 0;
+  for (const char of source) {
+    if (char === '[' || char === '{') depth += 1;
+    else if (char === ']' || char === '}') depth = Math.max(0, depth - 1);
+    if (depth > limit) return true;
+  }
+  return /(?:[-?][ \t]+){16}/.test(source);
+}
+
+function entryText(lines: readonly string[]): string {
+  return `${lines.join('\n').trimEnd()}\n`;
+}
+
+function isTopLevel(line: string): boolean {
+  return line !== '' && !/^[\s#]/.test(line);
+}
+
+function stripComment(text: string): string {
+  return text.startsWith('#') ? '' : text.trim();
+}
+
+function at(
+  code: DocumentDiagnostic['code'],
+  line: number,
+  column: number,
+  args: DocumentDiagnostic['args'] = {},
+): DocumentDiagnostic {
+  return { code, args, line: line + 1, column: column + 1 };
+}
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -140,6 +140,8 @@
   readonly model: string;
   readonly version: string;
   readonly adapters: readonly string[];
+  /** Role that the engines are given; empty or absent for any. */
+  readonly role?: string;
   readonly minUpstreams: number;
   readonly maxUpstreams: number;
   /** Smallest share of the pool that keeps serving during a rolling load. */
@@ -160,6 +162,8 @@
   readonly plannedStops: ReadonlyMap<UpstreamId, PlannedStopConfig>;
   readonly fairness: FairnessConfig;
   readonly placement: readonly PlacementConfig[];
+  /** Model loads that may be under way at a time in the whole fleet. */
+  readonly concurrentLoads?: number;
   /** Weight of a customer in a pool. */
   readonly weightOf: (customer: CustomerNumber, pool: PoolId) => number;
 }
