Fold edits of the configuration log into one document, alike everywhere

Cause: nothing decided which of racing edits is in force. Change: edits are records with changes by entry, base version and a proof of the author's team; the fold judges them from the records alone, in pieces. A repeated edit keeps its first verdict, a refused one gets findings and who changed what since its base, a record of a later program stops the fold.

--- /dev/null
+++ b/test/configuration/fold.test.ts
@@ -0,0 +1,122 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { entriesAt, foldRecord } from '../../src/core/configuration/fold.js';
+import {
+  createFoldState,
+  type FoldState,
+  VERDICTS_MAX,
+} from '../../src/core/configuration/foldState.js';
+import type { SectionChange } from '../../src/core/configuration/records.js';
+import { splitDocument, splitSection } from '../../src/configuration/source.js';
+import { ACCOUNTS_HASH, BASE_DOCUMENT, editRecord } from '../support/edits.js';
+
+function changesOf(source: string): SectionChange[] {
+  return splitDocument(source).parts.map(({ name, text }) => ({
+    section: name,
+    set: Object.fromEntries(splitSection(name, text).parts.map((part) => [part.key, part.text])),
+    remove: [],
+  }));
+}
+
+function startedFold(): FoldState {
+  const fold = createFoldState();
+  foldRecord(fold, 0, editRecord('base', -1, changesOf(BASE_DOCUMENT)));
+  return fold;
+}
+
+const stop = (key: string, reason = 'r'): SectionChange => ({
+  section: 'plannedStops',
+  set: { [key]: `${key}: { reason: ${reason} }\n` },
+  remove: [],
+});
+
+function reasonOf(fold: FoldState, offset: number, record: string) {
+  const judgement = foldRecord(fold, offset, record);
+  return judgement.kind === 'refused' ? judgement.verdict.reason : judgement.kind;
+}
+
+describe('fold of the configuration', () => {
+  it('needs the teams first, then an owner', () => {
+    const empty = createFoldState();
+    expect(reasonOf(empty, 0, editRecord('x', -1, [stop('e1')]))).to.equal('bootstrap');
+    const fold = startedFold();
+    expect(fold.version).to.equal(0);
+    const byAccounts = { team: 'accounts' };
+    expect(reasonOf(fold, 1, editRecord('a', 0, [stop('e1')], byAccounts))).to.equal('notOwner');
+    const forged = { team: 'platform', keyHash: ACCOUNTS_HASH };
+    expect(reasonOf(fold, 2, editRecord('b', 0, [stop('e1')], forged))).to.equal('wrongProof');
+    const unknown = { team: 'nobody', keyHash: ACCOUNTS_HASH };
+    expect(reasonOf(fold, 3, editRecord('c', 0, [stop('e1')], unknown))).to.equal('unknownTeam');
+    expect(reasonOf(fold, 4, editRecord('d', 0, [stop('e1')]))).to.equal('accepted');
+    expect(fold.version).to.equal(4);
+  });
+
+  it('lets exactly one of racing edits of a section win, and says who won', () => {
+    const fold = startedFold();
+    expect(reasonOf(fold, 1, editRecord('first', 0, [stop('e1')]))).to.equal('accepted');
+    const judgement = foldRecord(fold, 2, editRecord('second', 0, [stop('e1', 'other')]));
+    const verdict = judgement.kind === 'refused' ? judgement.verdict : undefined;
+    expect(verdict?.reason).to.equal('conflict');
+    expect(verdict?.conflicts[0]).to.deep.include({ author: 'author-first', keys: ['e1'] });
+    const other: SectionChange = {
+      section: 'entitlements',
+      set: { c1: 'c1: { chat: 2 }\n' },
+      remove: [],
+    };
+    const byAccounts = { team: 'accounts' };
+    expect(reasonOf(fold, 3, editRecord('third', 0, [other], byAccounts))).to.equal('accepted');
+  });
+
+  it('gives a repeated edit the first verdict and does not apply it again', () => {
+    const fold = startedFold();
+    const record = editRecord('once', 0, [stop('e1')]);
+    expect(reasonOf(fold, 1, record)).to.equal('accepted');
+    expect(reasonOf(fold, 2, record)).to.equal('ignored');
+    expect(fold.version).to.equal(1);
+  });
+
+  it('refuses what breaks the document as a whole', () => {
+    const fold = startedFold();
+    const remove: SectionChange = { section: 'pools', set: {}, remove: ['chat'] };
+    const judgement = foldRecord(fold, 1, editRecord('a', 0, [remove]));
+    const verdict = judgement.kind === 'refused' ? judgement.verdict : undefined;
+    expect(verdict?.diagnostics[0]?.code).to.equal('unknownReference');
+    expect(reasonOf(fold, 2, editRecord('b', 9, [stop('e1')]))).to.equal('unknownBase');
+  });
+
+  it('stops before a record of a later program', () => {
+    const fold = startedFold();
+    const later = JSON.stringify({ kind: 'edit', schemaVersion: 99, whatever: 1 });
+    expect(foldRecord(fold, 1, later).kind).to.equal('blocked');
+    expect(fold).to.deep.include({ next: 1, version: 0 });
+    expect(fold.blocked).to.deep.equal({ offset: 1, schemaVersion: 99 });
+  });
+
+  it('knows earlier texts of a section', () => {
+    const fold = startedFold();
+    foldRecord(fold, 1, editRecord('a', 0, [stop('e1', 'one')]));
+    foldRecord(fold, 2, editRecord('b', 1, [stop('e1', 'two')]));
+    const removed: SectionChange = { section: 'plannedStops', set: {}, remove: ['e1'] };
+    foldRecord(fold, 3, editRecord('c', 2, [removed]));
+    expect(entriesAt(fold, 'plannedStops', 1)?.get('e1')).to.contain('one');
+    expect(entriesAt(fold, 'plannedStops', 2)?.get('e1')).to.contain('two');
+    expect(entriesAt(fold, 'plannedStops', 3)?.size).to.equal(0);
+    expect(entriesAt(fold, 'plannedStops', 0)?.size).to.equal(0);
+  });
+
+  it('ignores any other text and bounds what it keeps', () => {
+    fc.assert(
+      fc.property(fc.oneof(fc.string(), fc.json()), (data) => {
+        const fold = startedFold();
+        expect(foldRecord(fold, 1, data).kind).to.equal('ignored');
+        expect(fold.next).to.equal(2);
+      }),
+      { seed: 6, numRuns: 100 },
+    );
+    const fold = startedFold();
+    for (let i = 1; i <= VERDICTS_MAX + 10; i += 1) {
+      foldRecord(fold, i, editRecord(`e${i}`, 0, [stop('e1')], { keyHash: ACCOUNTS_HASH }));
+    }
+    expect(fold.verdicts.size).to.equal(VERDICTS_MAX);
+  });
+});
