Claim keyed non-idempotent requests through the log

Cause: two instances could run the same key, and a repeated key ran again. Change: claims, releases and outcomes in the stream claims, folded alike by every instance; group commit through few writers; reads that follow the log from a checkpoint; duplicates answered from the log or by the holder; a stopping instance waits for its records. Conclusion: who may run a key depends on log order alone; a late claimant gives up.

--- a/src/core/attempts/attempts.ts
+++ b/src/core/attempts/attempts.ts
@@ -2,6 +2,8 @@
  * Attempts: one dispatch of a request to an upstream, its progress and its end. Each attempt has an
  * id of its own; events of an attempt that is not the request's current one only free its slot.
  */
+import { refuseExpiredClaim } from '../claims/claims.js';
+import { claimExpiry, needsClaim } from '../claims/ownClaims.js';
 import type { CoreContext } from '../context.js';
 import { Debug } from '../debug.js';
 import { releaseGrant, returnGrant } from '../dispatch/grants.js';
@@ -50,6 +52,10 @@
     requeueAfter(ctx, requestId, state.settings.requeueMs);
     return;
   }
+  if (refuseExpiredClaim(ctx, request.facts)) {
+    returnGrant(ctx, grant);
+    return;
+  }
   if (request.state === 'waiting' && request.tried.length === 0) noteFirstAttempt(state);
   if (request.state === 'retrying' && request.move !== undefined) {
     moveCache(ctx, request.move, target.upstream);
@@ -231,6 +237,7 @@
     hasForwarded: false,
   });
   state.requests.active.set(facts.requestId, { ...request, attempt: attemptId });
+  const sendBefore = claimExpiry(state, facts);
   ctx.emit({
     kind: 'dispatch',
     attempt: {
@@ -243,7 +250,8 @@
       resumeFromToken: request.forwardedTokens,
       idleTimeoutMs: state.settings.idleTimeoutMs,
       firstByteTimeoutMs: state.settings.firstByteTimeoutMs,
-      captureAnswer: facts.idempotencyKey !== undefined && !facts.idempotent,
+      captureAnswer: needsClaim(facts),
+      ...(sendBefore === undefined ? {} : { sendBefore }),
     },
   });
 }
--- a/src/core/core.ts
+++ b/src/core/core.ts
@@ -3,6 +3,7 @@
  * the same events at the same times give the same effects.
  */
 import { createAttemptsState } from './attempts/attemptsState.js';
+import { createClaimsState } from './claims/claimsState.js';
 import type { Millis } from './clock.js';
 import { applyView } from './configuration/configuration.js';
 import { createConfigurationState } from './configuration/configurationState.js';
@@ -80,6 +81,7 @@
     requests: createRequestsState(),
     attempts: createAttemptsState(),
     retries: createRetriesState(),
+    claims: createClaimsState(),
     drain: createDrainState(),
   };
 }
--- a/src/core/reducer.ts
+++ b/src/core/reducer.ts
@@ -1,12 +1,22 @@
 /** The one reducer: hands each event to the sub-reducers of its matters. */
 import { onAttemptEnded, onAttemptProgress } from './attempts/attempts.js';
+import { onClaimsTimer } from './claims/claimsTimer.js';
+import { onOutcomeQuery, onOutcomeReply } from './claims/duplicates.js';
+import { onClaimsLogRead, startReading } from './claims/reading.js';
+import {
+  CHECKPOINTS_STREAM,
+  CLAIMS_STREAM,
+  flushAppends,
+  onClaimsAppended,
+  onClaimSubmission,
+} from './claims/submission.js';
 import type { CoreContext } from './context.js';
 import { setTimer } from './context.js';
 import { Debug } from './debug.js';
 import { onAnnounceTimer, onGrant } from './dispatch/entry.js';
 import { announceAll } from './dispatch/queues.js';
 import { onGrantReturn, onPollTimer, onSlotUpdate, onWaitingUpdate } from './dispatch/owner.js';
-import { onPlannedStop } from './drain/drain.js';
+import { checkStopped, onDrainTimer, onPlannedStop } from './drain/drain.js';
 import { onListedUpstreams } from './drain/upstreams.js';
 import {
   onHeartbeat,
@@ -38,6 +48,7 @@
       return;
     case 'attemptEnded':
       onAttemptEnded(ctx, event.attemptId, event.outcome);
+      checkStopped(ctx);
       return;
     case 'peerMessage':
       reducePeerMessage(ctx, event.from, event.message);
@@ -49,9 +60,15 @@
     case 'upstreamReport':
       if (event.report !== undefined) ctx.state.dispatch.reports.set(event.upstream, event.report);
       return;
-    case 'peerUnreachable':
     case 'logRead':
+      if (isClaimsStream(event.stream)) {
+        onClaimsLogRead(ctx, event.stream, event.from, event.result);
+      }
+      return;
     case 'appendSettled':
+      if (isClaimsStream(event.stream)) onClaimsAppended(ctx, event.result);
+      return;
+    case 'peerUnreachable':
     case 'orderSettled':
     case 'operatorCommand':
       return;
@@ -90,13 +107,19 @@
     case 'retryUsage':
       onRetryUsage(ctx, from, message.value);
       return;
+    case 'claimSubmission':
+      onClaimSubmission(ctx, message.value.records);
+      return;
+    case 'outcomeQuery':
+      onOutcomeQuery(ctx, from, message.value);
+      return;
+    case 'outcomeReply':
+      onOutcomeReply(ctx, message.value);
+      return;
     case 'serviceSums':
     case 'serviceRequest':
     case 'limitUsage':
     case 'suspicions':
-    case 'claimSubmission':
-    case 'outcomeQuery':
-    case 'outcomeReply':
     case 'configurationRecords':
     case 'configurationRequest':
     case 'configurationSnapshot':
@@ -124,19 +147,26 @@
     case 'deadlines':
       onDeadlinesTimer(ctx);
       return;
+    case 'claims':
+      onClaimsTimer(ctx);
+      return;
+    case 'claimAppend':
+      flushAppends(ctx);
+      return;
     case 'retries':
       onRetriesTimer(ctx);
       return;
+    case 'drain':
+      onDrainTimer(ctx);
+      return;
     case 'exchange':
     case 'assign':
     case 'limits':
-    case 'claims':
     case 'quarantine':
     case 'configuration':
     case 'checkpoint':
     case 'apply':
     case 'orders':
-    case 'drain':
       return;
     default:
       Debug.assertNever(timer);
@@ -146,6 +176,11 @@
 function onStart(ctx: CoreContext): void {
   startMembership(ctx);
   startRetries(ctx);
+  startReading(ctx);
   setTimer(ctx, 'poll', ctx.state.settings.pollMs);
   setTimer(ctx, 'deadlines', ctx.state.settings.deadlineTickMs);
 }
+
+function isClaimsStream(stream: string): boolean {
+  return stream === CLAIMS_STREAM || stream === CHECKPOINTS_STREAM;
+}
--- a/src/core/requests/admission.ts
+++ b/src/core/requests/admission.ts
@@ -2,6 +2,7 @@
  * Admission: checks a caller's request against the configuration and the state of this instance,
  * then queues it or refuses it as not run.
  */
+import { requestClaim } from '../claims/claims.js';
 import type { CoreContext } from '../context.js';
 import type { DiagnosticCode } from '../diagnostics.js';
 import { enqueue } from '../dispatch/queues.js';
@@ -42,6 +43,7 @@
     tried: [],
   });
   enqueue(ctx, facts);
+  requestClaim(ctx, facts);
 }
 
 function createFacts(
--- a/src/core/requests/outcomes.ts
+++ b/src/core/requests/outcomes.ts
@@ -1,4 +1,5 @@
 /** The outcomes that end a request: each request gets exactly one. */
+import { abandonClaim, settleClaim } from '../claims/settlement.js';
 import type { CoreContext } from '../context.js';
 import { withdraw } from '../dispatch/queues.js';
 import { checkStopped } from '../drain/drain.js';
@@ -21,27 +22,45 @@
 export function finishRequest(
   ctx: CoreContext,
   request: DispatchedRequest,
-  _answer: RecordedAnswer | undefined,
+  answer: RecordedAnswer | undefined,
 ): void {
   const { facts, isCallerGone } = request;
+  settleClaim(ctx, facts, answer === undefined ? { executed: 'yes' } : { executed: 'yes', answer });
   if (!isCallerGone) ctx.emit({ kind: 'finishAnswer', requestId: facts.requestId });
   endRequest(ctx, facts);
 }
 
+/** Sends the answer that an earlier request with the same key was given. */
+export function replayRequest(ctx: CoreContext, facts: RequestFacts, answer: RecordedAnswer): void {
+  ctx.emit({ kind: 'replayAnswer', requestId: facts.requestId, answer });
+  endRequest(ctx, facts);
+}
+
 /** Tells the caller that its request was not run. */
 export function refuseRequest(
   ctx: CoreContext,
   request: UntriedRequest,
   problem: NotRunProblem,
 ): void {
-  ctx.emit({ kind: 'refuse', requestId: request.facts.requestId, problem });
+  const { requestId } = request.facts;
+  abandonClaim(ctx, requestId);
+  ctx.emit({ kind: 'refuse', requestId, problem });
   endRequest(ctx, request.facts);
 }
 
 /** Tells the caller that its request failed, or may have run elsewhere under its key. */
 export function failRequest(ctx: CoreContext, request: ActiveRequest, problem: Problem): void {
+  const { facts } = request;
   const isCallerGone = request.state === 'dispatched' && request.isCallerGone;
-  if (!isCallerGone) ctx.emit({ kind: 'fail', requestId: request.facts.requestId, problem });
+  const executed = problem.executed === 'yes' ? 'yes' : 'unknown';
+  settleClaim(ctx, facts, { executed });
+  if (!isCallerGone) ctx.emit({ kind: 'fail', requestId: facts.requestId, problem });
+  endRequest(ctx, facts);
+}
+
+/** Ends a request whose caller is gone and that certainly was not run. */
+export function dropRequest(ctx: CoreContext, request: UntriedRequest): void {
+  abandonClaim(ctx, request.facts.requestId);
   endRequest(ctx, request.facts);
 }
 
--- a/src/core/requests/readiness.ts
+++ b/src/core/requests/readiness.ts
@@ -1,4 +1,5 @@
 /** Which of the requests in a queue may be dispatched now, and on which upstream. */
+import { isClaimWon } from '../claims/ownClaims.js';
 import { isUpstreamStopping } from '../drain/upstreams.js';
 import type { CoreState } from '../state.js';
 import type { RequestId, RetryingRequest, UpstreamId, WaitingRequest } from '../types.js';
@@ -10,6 +11,7 @@
 export function isRunnable(state: CoreState, requestId: RequestId, upstream?: UpstreamId): boolean {
   const request = state.requests.active.get(requestId);
   if (request?.state !== 'waiting' && request?.state !== 'retrying') return false;
+  if (!isClaimWon(state, request.facts)) return false;
   return upstream === undefined || isRunnableOn(state, request, upstream);
 }
 
@@ -19,5 +21,9 @@
   request: WaitingRequest | RetryingRequest,
   upstream: UpstreamId,
 ): boolean {
-  return !request.tried.includes(upstream) && !isUpstreamStopping(state, upstream);
+  return (
+    isClaimWon(state, request.facts) &&
+    !request.tried.includes(upstream) &&
+    !isUpstreamStopping(state, upstream)
+  );
 }
--- a/src/core/requests/requests.ts
+++ b/src/core/requests/requests.ts
@@ -1,9 +1,10 @@
 /** Requests that end before their answer: passed deadlines and callers that leave. */
 import { cancelAttempt, hasForwarded } from '../attempts/attempts.js';
+import { needsClaim } from '../claims/ownClaims.js';
 import { setTimer, type CoreContext } from '../context.js';
 import { Debug } from '../debug.js';
 import type { ActiveRequest, Executed, Problem, RequestId } from '../types.js';
-import { endRequest, failRequest, refuseRequest } from './outcomes.js';
+import { dropRequest, endRequest, failRequest, refuseRequest } from './outcomes.js';
 
 const GATEWAY_TIMEOUT = 504;
 
@@ -15,12 +16,33 @@
   setTimer(ctx, 'deadlines', ctx.state.settings.deadlineTickMs);
 }
 
-/** Ends the work of a caller that has closed its connection. */
+/**
+ * Ends the work of a caller that has closed its connection. A request that runs under a claim goes
+ * on, since its outcome is wanted for those who repeat the key.
+ */
 export function onCallerGone(ctx: CoreContext, requestId: RequestId): void {
   const request = ctx.state.requests.active.get(requestId);
   if (request === undefined) return;
-  if (request.state === 'dispatched') cancelAttempt(ctx, request.attempt);
-  endRequest(ctx, request.facts);
+  switch (request.state) {
+    case 'accepted':
+    case 'waiting':
+    case 'granted':
+      dropRequest(ctx, request);
+      return;
+    case 'retrying':
+      endRequest(ctx, request.facts);
+      return;
+    case 'dispatched':
+      if (needsClaim(request.facts)) {
+        ctx.state.requests.active.set(requestId, { ...request, isCallerGone: true });
+        return;
+      }
+      cancelAttempt(ctx, request.attempt);
+      endRequest(ctx, request.facts);
+      return;
+    default:
+      Debug.assertNever(request);
+  }
 }
 
 function endLate(ctx: CoreContext, request: ActiveRequest): void {
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -9,6 +9,7 @@
 import type { RequestsState } from './requests/requestsState.js';
 import type { AttemptsState } from './attempts/attemptsState.js';
 import type { ConfigurationState } from './configuration/configurationState.js';
+import type { ClaimsState } from './claims/claimsState.js';
 import type { DrainState } from './drain/drainState.js';
 import type { RetriesState } from './retries/retriesState.js';
 import type { Random } from './random.js';
@@ -27,5 +28,6 @@
   readonly requests: RequestsState;
   readonly attempts: AttemptsState;
   readonly retries: RetriesState;
+  readonly claims: ClaimsState;
   readonly drain: DrainState;
 }
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -477,6 +477,7 @@
   | 'deadlines'
   | 'limits'
   | 'claims'
+  | 'claimAppend'
   | 'quarantine'
   | 'retries'
   | 'configuration'
