Quarantine requests that crash upstreams

Cause: a request that crashes each upstream that runs it was retried, and sent again, without end. Change: crashes are inferred from broken connections with a second sign; requests that ran there are suspects, which run one at a time and alone; a second crash quarantines; finishing clears; expiry and the operator's lift end it; instances tell each other. Conclusion: after the first crash a request can take down one more upstream.

--- a/src/core/attempts/attempts.ts
+++ b/src/core/attempts/attempts.ts
@@ -5,9 +5,13 @@
 import { refuseExpiredClaim } from '../claims/claims.js';
 import { claimExpiry, needsClaim } from '../claims/ownClaims.js';
 import type { CoreContext } from '../context.js';
+import type { Millis } from '../clock.js';
 import { Debug } from '../debug.js';
 import { releaseGrant, returnGrant } from '../dispatch/grants.js';
 import { isUpstreamStopping } from '../drain/upstreams.js';
+import { notePermitUsed } from '../quarantine/permits.js';
+import { noteAttemptOutcome } from '../quarantine/quarantine.js';
+import { isSuspect } from '../quarantine/suspects.js';
 import { failRequest, finishRequest, refuseRequest } from '../requests/outcomes.js';
 import { isRunnableOn } from '../requests/readiness.js';
 import { noteFirstAttempt, requeueAfter, retryDelay, takeRetry } from '../retries/retries.js';
@@ -86,6 +90,7 @@
   if (attempt === undefined) return;
   state.attempts.running.delete(id);
   chargeSlotTime(ctx, attempt);
+  noteAttemptOutcome(ctx, attempt, outcome);
   const request = state.requests.active.get(attempt.requestId);
   if (request?.state !== 'dispatched' || request.attempt !== id) {
     releaseGrant(ctx, attempt.grant);
@@ -99,19 +104,6 @@
   recover(ctx, request, attempt, outcome);
 }
 
-/** Stops an attempt whose answer nobody wants any more. */
-export function cancelAttempt(ctx: CoreContext, id: AttemptId): void {
-  const attempt = ctx.state.attempts.running.get(id);
-  if (attempt === undefined) return;
-  ctx.emit({ kind: 'cancelAttempt', attemptId: id, upstream: attempt.grant.upstream });
-}
-
-/** Whether any byte of an answer was passed on to the caller of a dispatched request. */
-export function hasForwarded(state: CoreState, request: DispatchedRequest): boolean {
-  const attempt = state.attempts.running.get(request.attempt);
-  return request.hasForwarded || (attempt?.hasForwarded ?? false);
-}
-
 function recover(
   ctx: CoreContext,
   request: DispatchedRequest,
@@ -127,7 +119,8 @@
     canResume: canResume(state, request, attempt),
     isUpstreamStopping: isUpstreamStopping(state, attempt.grant.upstream),
   });
-  if (recovery.kind === 'resume' && resume(ctx, request, attempt)) return;
+  const isSuspected = isSuspect(state, request.facts.fingerprint);
+  if (recovery.kind === 'resume' && !isSuspected && resume(ctx, request, attempt)) return;
   releaseGrant(ctx, attempt.grant);
   switch (recovery.kind) {
     case 'finish':
@@ -203,8 +196,14 @@
     return;
   }
   state.requests.active.set(facts.requestId, queued);
-  const delay = outcome.kind === 'silent' ? 0 : retryDelay(state, tried.length);
-  requeueAfter(ctx, facts.requestId, delay);
+  requeueAfter(ctx, facts.requestId, delayOf(state, outcome, tried.length));
+}
+
+/** A silent connection is given up late enough; a broken one may tell of a crash, which shows soon. */
+function delayOf(state: CoreState, outcome: FailedOutcome, failures: number): Millis {
+  if (outcome.kind === 'silent') return 0;
+  const delay = retryDelay(state, failures);
+  return outcome.kind === 'cut' ? state.settings.crashProbeMs + delay : delay;
 }
 
 function giveUpStream(
@@ -237,6 +236,7 @@
     hasForwarded: false,
   });
   state.requests.active.set(facts.requestId, { ...request, attempt: attemptId });
+  notePermitUsed(ctx, facts.fingerprint, target.upstream.id);
   const sendBefore = claimExpiry(state, facts);
   ctx.emit({
     kind: 'dispatch',
--- a/src/core/core.ts
+++ b/src/core/core.ts
@@ -12,6 +12,7 @@
 import { createDrainState } from './drain/drainState.js';
 import { createMembershipState } from './membership/membershipState.js';
 import { createOwnershipState } from './ownership/ownershipState.js';
+import { createQuarantineState } from './quarantine/quarantineState.js';
 import { createRandom } from './random.js';
 import { reduceEvent, reducePeerMessage } from './reducer.js';
 import { createRequestsState } from './requests/requestsState.js';
@@ -82,6 +83,7 @@
     attempts: createAttemptsState(),
     retries: createRetriesState(),
     claims: createClaimsState(),
+    quarantine: createQuarantineState(),
     drain: createDrainState(),
   };
 }
--- /dev/null
+++ b/src/core/quarantine/permits.ts
@@ -0,0 +1,73 @@
+/**
+ * Permits: at most one instance of the fleet runs a suspect at a time. An instance announces that it
+ * is about to run a suspect and waits a little; of instances that announce the same suspect, one that
+ * already runs it comes first, then the one with the least id.
+ */
+import type { CoreContext } from '../context.js';
+import { noteChange } from '../dispatch/queues.js';
+import type { ActiveRequest, InstanceId, UpstreamId } from '../types.js';
+import { ANY_UPSTREAM, type Fingerprint, type Suspect } from './quarantineState.js';
+import { QUARANTINE_CRASHES } from './suspects.js';
+import { announceSuspect } from './suspicions.js';
+
+/** Asks for permits for queued suspects, and makes ready those that nobody contests. */
+export function advancePermits(ctx: CoreContext): void {
+  const { quarantine, requests } = ctx.state;
+  if (quarantine.suspects.size === 0) return;
+  requests.active.forEach((request) => askForPermit(ctx, request));
+  quarantine.suspects.forEach((suspect, fingerprint) => advance(ctx, fingerprint, suspect));
+}
+
+/** Tells the others on which upstream a suspect runs. */
+export function notePermitUsed(
+  ctx: CoreContext,
+  fingerprint: Fingerprint,
+  upstream: UpstreamId,
+): void {
+  const permit = ctx.state.quarantine.suspects.get(fingerprint)?.permit;
+  if (permit === undefined) return;
+  permit.upstream = upstream;
+  announceSuspect(ctx, fingerprint);
+}
+
+/** Gives up the permit of a request that has stopped to run. */
+export function dropPermit(ctx: CoreContext, fingerprint: Fingerprint, requestId: string): void {
+  const suspect = ctx.state.quarantine.suspects.get(fingerprint);
+  if (suspect?.permit?.requestId !== requestId) return;
+  suspect.permit = undefined;
+  announceSuspect(ctx, fingerprint);
+}
+
+function askForPermit(ctx: CoreContext, request: ActiveRequest): void {
+  if (request.state !== 'waiting' && request.state !== 'retrying') return;
+  const { fingerprint, requestId } = request.facts;
+  const suspect = ctx.state.quarantine.suspects.get(fingerprint);
+  if (suspect === undefined || suspect.permit !== undefined) return;
+  if (suspect.crashes >= QUARANTINE_CRASHES || suspect.runs.size > 0) return;
+  const readyAt = ctx.now + ctx.state.settings.suspectSettleMs;
+  suspect.permit = { requestId, readyAt, isReady: false, upstream: ANY_UPSTREAM };
+  announceSuspect(ctx, fingerprint);
+}
+
+function advance(ctx: CoreContext, fingerprint: Fingerprint, suspect: Suspect): void {
+  const { permit } = suspect;
+  if (permit === undefined) return;
+  const request = ctx.state.requests.active.get(permit.requestId);
+  if (request === undefined || isContested(ctx.state.self.id, suspect)) {
+    dropPermit(ctx, fingerprint, permit.requestId);
+    return;
+  }
+  if (!permit.isReady && permit.readyAt <= ctx.now) {
+    permit.isReady = true;
+    noteChange(ctx, request.facts.pool);
+  }
+  announceSuspect(ctx, fingerprint);
+}
+
+function isContested(self: InstanceId, suspect: Suspect): boolean {
+  if (suspect.permit?.upstream !== ANY_UPSTREAM) return false;
+  for (const [instance, run] of suspect.runs) {
+    if (run.upstream !== ANY_UPSTREAM || instance < self) return true;
+  }
+  return false;
+}
--- /dev/null
+++ b/src/core/quarantine/suspects.ts
@@ -0,0 +1,41 @@
+/** Lookups of suspects: what may run where. */
+import type { CoreState } from '../state.js';
+import type { RequestFacts, UpstreamId } from '../types.js';
+import type { Fingerprint, Suspect } from './quarantineState.js';
+
+/** Number of crashes that puts a request in quarantine. */
+export const QUARANTINE_CRASHES = 2;
+
+export function isSuspect(state: CoreState, fingerprint: Fingerprint): boolean {
+  return state.quarantine.suspects.has(fingerprint);
+}
+
+export function isQuarantined(state: CoreState, fingerprint: Fingerprint): boolean {
+  return (state.quarantine.suspects.get(fingerprint)?.crashes ?? 0) >= QUARANTINE_CRASHES;
+}
+
+/** Whether a request may run at all now: it is no suspect, or this instance may run the suspect. */
+export function mayRun(state: CoreState, facts: RequestFacts): boolean {
+  const suspect = state.quarantine.suspects.get(facts.fingerprint);
+  if (suspect === undefined) return true;
+  if (suspect.crashes >= QUARANTINE_CRASHES) return false;
+  return suspect.permit?.requestId === facts.requestId && suspect.permit.isReady;
+}
+
+/** Whether a request may run on an upstream: a suspect only where no other suspect runs. */
+export function mayRunOn(state: CoreState, facts: RequestFacts, upstream: UpstreamId): boolean {
+  if (!mayRun(state, facts)) return false;
+  return !isSuspect(state, facts.fingerprint) || !hasSuspect(state, upstream);
+}
+
+function hasSuspect(state: CoreState, upstream: UpstreamId): boolean {
+  for (const suspect of state.quarantine.suspects.values()) {
+    if (runsOn(suspect, upstream)) return true;
+  }
+  return false;
+}
+
+function runsOn(suspect: Suspect, upstream: UpstreamId): boolean {
+  if (suspect.permit?.upstream === upstream) return true;
+  return [...suspect.runs.values()].some((run) => run.upstream === upstream);
+}
--- a/src/core/reducer.ts
+++ b/src/core/reducer.ts
@@ -11,7 +11,7 @@
   onClaimSubmission,
 } from './claims/submission.js';
 import type { CoreContext } from './context.js';
-import { setTimer } from './context.js';
+import { audit, setTimer } from './context.js';
 import { Debug } from './debug.js';
 import { onAnnounceTimer, onGrant } from './dispatch/entry.js';
 import { announceAll } from './dispatch/queues.js';
@@ -25,10 +25,17 @@
   onInstanceListTimer,
   startMembership,
 } from './membership/membership.js';
+import {
+  liftQuarantine,
+  noteReport,
+  onQuarantineTimer,
+  onSuspicions,
+  startQuarantine,
+} from './quarantine/quarantine.js';
 import { onCallerRequest } from './requests/admission.js';
 import { onCallerGone, onDeadlinesTimer } from './requests/requests.js';
 import { onRetriesTimer, onRetryUsage, startRetries } from './retries/retries.js';
-import type { CoreEvent, InstanceId, PeerMessage, TimerName } from './types.js';
+import type { CoreEvent, InstanceId, OperatorCommand, PeerMessage, TimerName } from './types.js';
 
 export function reduceEvent(ctx: CoreContext, event: CoreEvent): void {
   switch (event.kind) {
@@ -59,6 +66,7 @@
       return;
     case 'upstreamReport':
       if (event.report !== undefined) ctx.state.dispatch.reports.set(event.upstream, event.report);
+      noteReport(ctx, event.upstream, event.report);
       return;
     case 'logRead':
       if (isClaimsStream(event.stream)) {
@@ -70,7 +78,9 @@
       return;
     case 'peerUnreachable':
     case 'orderSettled':
+      return;
     case 'operatorCommand':
+      onOperatorCommand(ctx, event.commandId, event.command);
       return;
     case 'timer':
       reduceTimer(ctx, event.timer);
@@ -116,10 +126,12 @@
     case 'outcomeReply':
       onOutcomeReply(ctx, message.value);
       return;
+    case 'suspicions':
+      onSuspicions(ctx, from, message.value);
+      return;
     case 'serviceSums':
     case 'serviceRequest':
     case 'limitUsage':
-    case 'suspicions':
     case 'configurationRecords':
     case 'configurationRequest':
     case 'configurationSnapshot':
@@ -129,6 +141,22 @@
   }
 }
 
+function onOperatorCommand(ctx: CoreContext, commandId: string, command: OperatorCommand): void {
+  switch (command.kind) {
+    case 'liftQuarantine': {
+      const wasLifted = liftQuarantine(ctx, command.fingerprint);
+      audit(ctx, 'liftQuarantine', command.fingerprint, 'operator', wasLifted);
+      ctx.emit({ kind: 'operatorReply', commandId, result: { kind: 'done', data: { wasLifted } } });
+      return;
+    }
+    case 'publish':
+    case 'status':
+      return;
+    default:
+      Debug.assertNever(command);
+  }
+}
+
 function reduceTimer(ctx: CoreContext, timer: TimerName): void {
   switch (timer) {
     case 'heartbeat':
@@ -153,6 +181,9 @@
     case 'claimAppend':
       flushAppends(ctx);
       return;
+    case 'quarantine':
+      onQuarantineTimer(ctx);
+      return;
     case 'retries':
       onRetriesTimer(ctx);
       return;
@@ -162,7 +193,6 @@
     case 'exchange':
     case 'assign':
     case 'limits':
-    case 'quarantine':
     case 'configuration':
     case 'checkpoint':
     case 'apply':
@@ -177,6 +207,7 @@
   startMembership(ctx);
   startRetries(ctx);
   startReading(ctx);
+  startQuarantine(ctx);
   setTimer(ctx, 'poll', ctx.state.settings.pollMs);
   setTimer(ctx, 'deadlines', ctx.state.settings.deadlineTickMs);
 }
--- a/src/core/requests/admission.ts
+++ b/src/core/requests/admission.ts
@@ -6,6 +6,7 @@
 import type { CoreContext } from '../context.js';
 import type { DiagnosticCode } from '../diagnostics.js';
 import { enqueue } from '../dispatch/queues.js';
+import { refuseQuarantined } from '../quarantine/quarantine.js';
 import type {
   CallerRequestEvent,
   ConfigurationView,
@@ -42,6 +43,7 @@
     since: ctx.now,
     tried: [],
   });
+  if (refuseQuarantined(ctx, facts)) return;
   enqueue(ctx, facts);
   requestClaim(ctx, facts);
 }
--- a/src/core/requests/outcomeSettings.ts
+++ b/src/core/requests/outcomeSettings.ts
@@ -46,13 +46,15 @@
 
   /** Time within which failures at one upstream are taken for one crash. */
   readonly crashWindowMs: Millis;
+  /** Delay of a retry after a broken connection, in which the upstream is looked at. */
+  readonly crashProbeMs: Millis;
   /** Time for which a suspicion is kept. */
   readonly suspicionMs: Millis;
   /** Time for which a request stays in quarantine. */
   readonly quarantineMs: Millis;
   /** Time between announcing that a suspect is to run and running it. */
   readonly suspectSettleMs: Millis;
-  /** Resolution of the expiry of suspicions. */
+  /** Interval at which suspects' permits advance and suspicions expire. */
   readonly quarantineTickMs: Millis;
 
   /** Longest wait of a stopping instance for its records to be read back from the log. */
@@ -83,10 +85,11 @@
   claimCheckpointMs: 60_000,
 
   crashWindowMs: 2_000,
+  crashProbeMs: 100,
   suspicionMs: 600_000,
   quarantineMs: 1_800_000,
   suspectSettleMs: 300,
-  quarantineTickMs: 1_000,
+  quarantineTickMs: 100,
 
   drainLogTimeoutMs: 5_000,
 };
--- a/src/core/requests/readiness.ts
+++ b/src/core/requests/readiness.ts
@@ -1,6 +1,7 @@
 /** Which of the requests in a queue may be dispatched now, and on which upstream. */
 import { isClaimWon } from '../claims/ownClaims.js';
 import { isUpstreamStopping } from '../drain/upstreams.js';
+import { mayRun, mayRunOn } from '../quarantine/suspects.js';
 import type { CoreState } from '../state.js';
 import type { RequestId, RetryingRequest, UpstreamId, WaitingRequest } from '../types.js';
 
@@ -11,7 +12,7 @@
 export function isRunnable(state: CoreState, requestId: RequestId, upstream?: UpstreamId): boolean {
   const request = state.requests.active.get(requestId);
   if (request?.state !== 'waiting' && request?.state !== 'retrying') return false;
-  if (!isClaimWon(state, request.facts)) return false;
+  if (!isClaimWon(state, request.facts) || !mayRun(state, request.facts)) return false;
   return upstream === undefined || isRunnableOn(state, request, upstream);
 }
 
@@ -23,6 +24,7 @@
 ): boolean {
   return (
     isClaimWon(state, request.facts) &&
+    mayRunOn(state, request.facts, upstream) &&
     !request.tried.includes(upstream) &&
     !isUpstreamStopping(state, upstream)
   );
--- a/src/core/requests/requests.ts
+++ b/src/core/requests/requests.ts
@@ -1,5 +1,5 @@
 /** Requests that end before their answer: passed deadlines and callers that leave. */
-import { cancelAttempt, hasForwarded } from '../attempts/attempts.js';
+import { cancelAttempt, hasForwarded } from '../attempts/cancel.js';
 import { needsClaim } from '../claims/ownClaims.js';
 import { setTimer, type CoreContext } from '../context.js';
 import { Debug } from '../debug.js';
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -11,6 +11,7 @@
 import type { ConfigurationState } from './configuration/configurationState.js';
 import type { ClaimsState } from './claims/claimsState.js';
 import type { DrainState } from './drain/drainState.js';
+import type { QuarantineState } from './quarantine/quarantineState.js';
 import type { RetriesState } from './retries/retriesState.js';
 import type { Random } from './random.js';
 import type { CoreSettings } from './settings.js';
@@ -29,5 +30,6 @@
   readonly attempts: AttemptsState;
   readonly retries: RetriesState;
   readonly claims: ClaimsState;
+  readonly quarantine: QuarantineState;
   readonly drain: DrainState;
 }
