--- a/src/bench/exact/fakeUpstreams.ts
+++ b/src/bench/exact/fakeUpstreams.ts
@@ -4,7 +4,13 @@
  */
 import type { Millis } from '../../core/clock.js';
 import type { Random } from '../../core/random.js';
-import type { AttemptId, AttemptOutcome, AttemptPlan, CoreEvent, UpstreamId } from '../../core/types.js';
+import type {
+  AttemptId,
+  AttemptOutcome,
+  AttemptPlan,
+  CoreEvent,
+  UpstreamId,
+} from '../../core/types.js';
 import type { Schedule } from './schedule.js';
 
 /** What the fake has to know of a request. */
@@ -122,6 +128,20 @@
     });
   };
 
+  const strike = (run: Running, fate: Fate) => {
+    const { plan } = run;
+    if (fate === 'silent') {
+      schedule.after(plan.idleTimeoutMs, () => end(run, { kind: 'silent' }));
+      return;
+    }
+    end(run, fate === 'cut' ? { kind: 'cut', detail: 'reset' } : { kind: 'foreign' });
+    // The answer arrives after all, for an attempt that has ended.
+    const outcome = { kind: 'complete', status: 200, outputTokens: 1 } as const;
+    schedule.after(tokenMs * 3, () => {
+      run.post({ kind: 'attemptEnded', attemptId: plan.attemptId, outcome });
+    });
+  };
+
   /** Passes on token by token; `failAt` is the token at which the fate strikes. */
   const produce = (run: Running, work: Work, token: number, fate: Fate, failAt: number) => {
     if (run.isOver) return;
@@ -141,20 +161,6 @@
     });
   };
 
-  const strike = (run: Running, fate: Fate) => {
-    const { plan } = run;
-    if (fate === 'silent') {
-      schedule.after(plan.idleTimeoutMs, () => end(run, { kind: 'silent' }));
-      return;
-    }
-    end(run, fate === 'cut' ? { kind: 'cut', detail: 'reset' } : { kind: 'foreign' });
-    // The answer arrives after all, for an attempt that has ended.
-    const outcome = { kind: 'complete', status: 200, outputTokens: 1 } as const;
-    schedule.after(tokenMs * 3, () => {
-      run.post({ kind: 'attemptEnded', attemptId: plan.attemptId, outcome });
-    });
-  };
-
   const begin = (run: Running) => {
     const { plan } = run;
     const work = workOf(plan.requestId);
--- a/src/core/dispatch/entry.ts
+++ b/src/core/dispatch/entry.ts
@@ -52,6 +52,9 @@
     full: true,
     customers,
     counts,
+    waitedMs: 0,
+    headSizes: [],
+    heads: [],
   };
   ownersOf(state, pool).forEach((owner) => sendTo(ctx, owner, { $case: 'waitingUpdate', value }));
 }
--- a/src/core/reducer.ts
+++ b/src/core/reducer.ts
@@ -23,8 +23,10 @@
   onHeartbeatTimer,
   onInstanceList,
   onInstanceListTimer,
+  onLeaving,
   startMembership,
 } from './membership/membership.js';
+import { onMemberRequest, onMemberSummaries } from './membership/relays.js';
 import {
   liftQuarantine,
   noteReport,
@@ -99,6 +101,14 @@
       onHeartbeat(ctx, message.value);
       return;
     case 'leaving':
+      onLeaving(ctx, from, message.value);
+      return;
+    case 'memberSummaries':
+      onMemberSummaries(ctx, from, message.value);
+      return;
+    case 'memberRequest':
+      onMemberRequest(ctx, from, message.value);
+      return;
     case 'ping':
     case 'pong':
       return;
@@ -132,6 +142,9 @@
     case 'serviceSums':
     case 'serviceRequest':
     case 'limitUsage':
+    case 'demandRequest':
+    case 'demandOffer':
+    case 'suspendRequest':
     case 'configurationRecords':
     case 'configurationRequest':
     case 'configurationSnapshot':
