--- a/src/core/core.ts
+++ b/src/core/core.ts
@@ -3,6 +3,7 @@
  * the same events at the same times give the same effects.
  */
 import { createAttemptsState } from './attempts/attemptsState.js';
+import { createClaimsState } from './claims/claimsState.js';
 import type { Millis } from './clock.js';
 import { applyView } from './configuration/configuration.js';
 import { createConfigurationState } from './configuration/configurationState.js';
@@ -11,9 +12,11 @@
 import { createDrainState } from './drain/drainState.js';
 import { createMembershipState } from './membership/membershipState.js';
 import { createOwnershipState } from './ownership/ownershipState.js';
+import { createQuarantineState } from './quarantine/quarantineState.js';
 import { createRandom } from './random.js';
 import { reduceEvent, reducePeerMessage } from './reducer.js';
 import { createRequestsState } from './requests/requestsState.js';
+import { createRetriesState } from './retries/retriesState.js';
 import { DEFAULT_CORE_SETTINGS, type CoreSettings } from './settings.js';
 import { createSharesState } from './shares/sharesState.js';
 import type { CoreState } from './state.js';
@@ -78,6 +81,9 @@
     dispatch: createDispatchState(),
     requests: createRequestsState(),
     attempts: createAttemptsState(),
+    retries: createRetriesState(),
+    claims: createClaimsState(),
+    quarantine: createQuarantineState(),
     drain: createDrainState(),
   };
 }
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -9,7 +9,10 @@
 import type { RequestsState } from './requests/requestsState.js';
 import type { AttemptsState } from './attempts/attemptsState.js';
 import type { ConfigurationState } from './configuration/configurationState.js';
+import type { ClaimsState } from './claims/claimsState.js';
 import type { DrainState } from './drain/drainState.js';
+import type { QuarantineState } from './quarantine/quarantineState.js';
+import type { RetriesState } from './retries/retriesState.js';
 import type { Random } from './random.js';
 import type { CoreSettings } from './settings.js';
 import type { InstanceIdentity } from './types.js';
@@ -25,5 +28,8 @@
   readonly dispatch: DispatchState;
   readonly requests: RequestsState;
   readonly attempts: AttemptsState;
+  readonly retries: RetriesState;
+  readonly claims: ClaimsState;
+  readonly quarantine: QuarantineState;
   readonly drain: DrainState;
 }
