--- a/src/core/requests/admission.ts
+++ b/src/core/requests/admission.ts
@@ -2,9 +2,11 @@
  * Admission: checks a caller's request against the configuration and the state of this instance,
  * then queues it or refuses it as not run.
  */
+import { requestClaim } from '../claims/claims.js';
 import type { CoreContext } from '../context.js';
 import type { DiagnosticCode } from '../diagnostics.js';
 import { enqueue } from '../dispatch/queues.js';
+import { refuseQuarantined } from '../quarantine/quarantine.js';
 import type {
   CallerRequestEvent,
   ConfigurationView,
@@ -35,8 +37,15 @@
     return;
   }
   const facts = createFacts(ctx, event, view, pool, customer);
-  ctx.state.requests.active.set(facts.requestId, { state: 'waiting', facts, since: ctx.now });
+  ctx.state.requests.active.set(facts.requestId, {
+    state: 'waiting',
+    facts,
+    since: ctx.now,
+    tried: [],
+  });
+  if (refuseQuarantined(ctx, facts)) return;
   enqueue(ctx, facts);
+  requestClaim(ctx, facts);
 }
 
 function createFacts(
