Check settings as a whole and name file, line, column and the nearest key

Cause: an instance had no settings file. Change: a YAML schema with durations and sizes, derived for every setting of the core; findings 3001 to 3007 with their place. Conclusion: an unknown key, a bad unit or a duplicate name starts nothing.

--- /dev/null
+++ b/src/configuration/settings.ts
@@ -0,0 +1,131 @@
+/**
+ * Settings of an instance: a YAML file, checked as a whole before anything starts. Each finding
+ * names its line and column and, for an unknown key, the nearest known one.
+ */
+import { isMap, isScalar, LineCounter, parseDocument, type Document, type Node } from 'yaml';
+import { z } from 'zod';
+import {
+  diagnostics,
+  formatDiagnostic,
+  type DiagnosticArgs,
+  type DiagnosticCode,
+} from '../core/diagnostics.js';
+import { nearestName } from './nearest.js';
+import { settingsSchema, type Settings } from './settingsSchema.js';
+
+export type { Settings } from './settingsSchema.js';
+
+/** A finding in a settings file; line and column count from 1. */
+export interface SettingsDiagnostic {
+  readonly code: DiagnosticCode;
+  readonly args: DiagnosticArgs;
+  readonly line: number;
+  readonly column: number;
+}
+
+export type SettingsResult =
+  | { readonly kind: 'settings'; readonly settings: Settings }
+  | { readonly kind: 'invalid'; readonly diagnostics: readonly SettingsDiagnostic[] };
+
+type Path = readonly PropertyKey[];
+
+interface SettingsSource {
+  readonly doc: Document;
+  readonly lines: LineCounter;
+}
+
+/** Parses and checks settings. */
+export function parseSettings(text: string): SettingsResult {
+  const lines = new LineCounter();
+  const doc = parseDocument(text, { lineCounter: lines, schema: 'core', logLevel: 'silent' });
+  const broken = [...doc.errors, ...doc.warnings];
+  if (broken.length > 0) return { kind: 'invalid', diagnostics: broken.map(syntaxDiagnostic) };
+  const value: unknown = doc.toJS({ maxAliasCount: 0 }) ?? {};
+  const result = settingsSchema.safeParse(value);
+  if (result.success) return { kind: 'settings', settings: result.data };
+  const source = { doc, lines };
+  const found = result.error.issues.flatMap((issue) => issueDiagnostics(source, issue));
+  return { kind: 'invalid', diagnostics: found.sort(byPlace) };
+}
+
+/** One line for a finding, `file:line:column: error 3003: text`. */
+export function formatSettingsDiagnostic(file: string, diagnostic: SettingsDiagnostic): string {
+  const { code, args, line, column } = diagnostic;
+  const { category, code: number } = diagnostics[code];
+  return `${file}:${line}:${column}: ${category} ${number}: ${formatDiagnostic(code, args)}`;
+}
+
+function byPlace(a: SettingsDiagnostic, b: SettingsDiagnostic): number {
+  return a.line - b.line || a.column - b.column;
+}
+
+function syntaxDiagnostic(err: Document['errors'][number]): SettingsDiagnostic {
+  const { line, col } = err.linePos?.[0] ?? { line: 1, col: 1 };
+  if (err.code === 'DUPLICATE_KEY') {
+    return { code: 'duplicateSetting', args: {}, line, column: col };
+  }
+  const reason = err.message.split('\n')[0]?.replace(/ at line \d+, column \d+:?$/, '') ?? '';
+  return { code: 'settingsMalformed', args: { reason }, line, column: col };
+}
+
+function issueDiagnostics(
+  source: SettingsSource,
+  issue: z.core.$ZodIssue,
+): readonly SettingsDiagnostic[] {
+  const { path } = issue;
+  if (issue.code === 'unrecognized_keys') {
+    return issue.keys.map((key) => unknownKeyDiagnostic(source, path, key));
+  }
+  const setting = path.map(String).join('.');
+  if (valueAt(source.doc, path) === undefined) {
+    const code = path.length === 0 ? 'settingsMalformed' : 'missingSetting';
+    const args = path.length === 0 ? { reason: issue.message } : { setting };
+    return [{ code, args, ...placeOf(source, path.slice(0, -1)) }];
+  }
+  const args = { setting, reason: issue.message };
+  return [{ code: 'invalidSetting', args, ...placeOf(source, path) }];
+}
+
+function unknownKeyDiagnostic(source: SettingsSource, path: Path, key: string): SettingsDiagnostic {
+  const nearest = nearestName(key, knownKeysAt(path));
+  const place = placeOfKey(source, path, key);
+  if (nearest === undefined) return { code: 'unknownSetting', args: { key }, ...place };
+  return { code: 'unknownSettingNear', args: { key, nearest }, ...place };
+}
+
+/** Names that the schema knows below a path. */
+function knownKeysAt(path: Path): readonly string[] {
+  let type: unknown = settingsSchema;
+  for (const key of path) type = shapeOf(type)?.[String(key)];
+  return Object.keys(shapeOf(type) ?? {});
+}
+
+/** Fields of an object type, whatever it is wrapped in. */
+function shapeOf(type: unknown): Readonly<Record<string, unknown>> | undefined {
+  if (type instanceof z.ZodObject) return type.shape;
+  if (type instanceof z.ZodPipe) return shapeOf(type.in);
+  const isWrapper =
+    type instanceof z.ZodOptional || type instanceof z.ZodDefault || type instanceof z.ZodPrefault;
+  return isWrapper ? shapeOf(type.unwrap()) : undefined;
+}
+
+function valueAt(doc: Document, path: Path): unknown {
+  return path.length === 0 ? (doc.contents ?? undefined) : doc.getIn(path, true);
+}
+
+function placeOf(source: SettingsSource, path: Path) {
+  const node = valueAt(source.doc, path) as Node | undefined;
+  return placeAt(source.lines, node?.range?.[0] ?? 0);
+}
+
+function placeOfKey(source: SettingsSource, path: Path, key: string) {
+  const map = valueAt(source.doc, path);
+  const items = isMap(map) ? map.items : [];
+  const pair = items.find((item) => isScalar(item.key) && String(item.key.value) === key);
+  return placeAt(source.lines, (pair?.key as Node | undefined)?.range?.[0] ?? 0);
+}
+
+function placeAt(lines: LineCounter, offset: number) {
+  const { line, col } = lines.linePos(offset);
+  return { line: Math.max(1, line), column: Math.max(1, col) };
+}
--- /dev/null
+++ b/src/configuration/settingsSchema.ts
@@ -0,0 +1,123 @@
+/** Schema of an instance's settings. What it leaves out has the default of the part it concerns. */
+import { z } from 'zod';
+import { DEFAULT_CORE_SETTINGS, type CoreSettings } from '../core/settings.js';
+import { formatDuration, formatSize, parseDuration, parseSize } from './units.js';
+
+export const DEFAULT_OPERATORS_PORT = 9_081;
+
+const MAX_PORT = 65_535;
+const NAME_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/;
+const IP_PORT_PATTERN = /^((?:\d{1,3}\.){3}\d{1,3}|\[[0-9a-fA-F:]{2,39}\]):(\d{1,5})$/;
+
+const name = z
+  .string()
+  .regex(NAME_PATTERN, 'up to 63 letters, digits, dots, underscores and hyphens are expected');
+
+const duration = z
+  .string("a duration such as '250ms' or '4s' is expected")
+  .transform((text, ctx) => {
+    const span = parseDuration(text);
+    if (span !== undefined) return span;
+    ctx.addIssue("a duration such as '250ms', '4s', '5m' or '1h' is expected");
+    return z.NEVER;
+  });
+
+const size = z.string("a size such as '64KiB' is expected").transform((text, ctx) => {
+  const bytes = parseSize(text);
+  if (bytes !== undefined) return bytes;
+  ctx.addIssue("a size such as '100B', '64KiB' or '4MiB' is expected");
+  return z.NEVER;
+});
+
+/** IP number and port; instances know no host names. */
+const address = z
+  .string("an address such as '10.0.0.1:8080' is expected")
+  .refine(isAddress, "an IP number and a port such as '10.0.0.1:8080' are expected");
+
+const baseUrl = z
+  .string("an address such as 'http://10.0.0.1:8080' is expected")
+  .refine(
+    (text) => text.startsWith('http://') && isAddress(text.slice('http://'.length)),
+    "an address such as 'http://10.0.0.1:8080' is expected",
+  );
+
+function isAddress(text: string): boolean {
+  const match = IP_PORT_PATTERN.exec(text);
+  return match !== null && Number(match[2]) <= MAX_PORT;
+}
+
+const file = z.string().min(1);
+const positive = z.number().positive();
+
+/** `heartbeatMs` is set as `heartbeat: 1s`, `answerMemoryBytes` as `answerMemory: 8MiB`. */
+function coreFieldOf(key: string): { readonly key: string; readonly type: z.ZodType } {
+  if (key.endsWith('Ms')) return { key: key.slice(0, -'Ms'.length), type: duration };
+  if (key.endsWith('Bytes')) return { key: key.slice(0, -'Bytes'.length), type: size };
+  return { key, type: positive };
+}
+
+const coreKeys = Object.keys(DEFAULT_CORE_SETTINGS) as (keyof CoreSettings)[];
+const coreFields = coreKeys.map((key) => ({ target: key, field: coreFieldOf(key) }));
+
+const core = z
+  .strictObject(
+    Object.fromEntries(coreFields.map(({ field }) => [field.key, field.type.optional()])),
+  )
+  .transform((values): Partial<CoreSettings> =>
+    Object.fromEntries(
+      coreFields
+        .map(({ target, field }) => [target, values[field.key]] as const)
+        .filter(([, value]) => value !== undefined),
+    ),
+  );
+
+/** The defaults of the core's settings as settings write them, by name. */
+export function coreSettingDefaults(): ReadonlyMap<string, string> {
+  return new Map(
+    coreFields.map(({ target, field }) => {
+      const value = DEFAULT_CORE_SETTINGS[target];
+      if (target.endsWith('Ms')) return [field.key, formatDuration(value)];
+      return [field.key, target.endsWith('Bytes') ? formatSize(value) : String(value)];
+    }),
+  );
+}
+
+export const settingsSchema = z.strictObject({
+  instance: z.strictObject({ id: name, domain: name, region: name }),
+  listen: z.strictObject({
+    callers: address,
+    peers: address,
+    operators: address.default(`127.0.0.1:${DEFAULT_OPERATORS_PORT}`),
+  }),
+  /** Address of the peer port as other instances reach it. */
+  advertise: address.optional(),
+  platform: z.strictObject({ url: baseUrl }).optional(),
+  /** Configuration document in force until the log gives a newer one. */
+  document: file.optional(),
+  tls: z
+    .strictObject({
+      callers: z.strictObject({ certificate: file, key: file }).optional(),
+      peers: z.strictObject({ certificate: file, key: file, authorities: file }).optional(),
+      checkInterval: duration.default(10_000),
+    })
+    .optional(),
+  log: z
+    .strictObject({
+      level: z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info'),
+      form: z.enum(['text', 'json']).default('text'),
+    })
+    .prefault({}),
+  metrics: z.strictObject({ address }).optional(),
+  limits: z
+    .strictObject({
+      body: size.optional(),
+      headers: size.optional(),
+      headersTimeout: duration.optional(),
+      requestTimeout: duration.optional(),
+      connections: z.int().min(1).optional(),
+    })
+    .prefault({}),
+  core: core.prefault({}),
+});
+
+export type Settings = z.output<typeof settingsSchema>;
--- /dev/null
+++ b/test/configuration/settings.test.ts
@@ -0,0 +1,78 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { formatSettingsDiagnostic, parseSettings } from '../../src/configuration/settings.js';
+import {
+  formatDuration,
+  formatSize,
+  parseDuration,
+  parseSize,
+} from '../../src/configuration/units.js';
+
+const GOOD = `instance: { id: a1, domain: iasi-a, region: moldova }
+listen:
+  callers: 10.0.0.1:8080
+  peers: 10.0.0.1:8081
+`;
+
+const findingsOf = (text: string): readonly string[] => {
+  const result = parseSettings(text);
+  if (result.kind === 'settings') return [];
+  return result.diagnostics.map((diagnostic) => formatSettingsDiagnostic('s.yaml', diagnostic));
+};
+
+describe('settings', () => {
+  it('reads durations, sizes and defaults', () => {
+    const result = parseSettings(`${GOOD}core: { heartbeat: 250ms, recordedAnswer: 64KiB }\n`);
+    expect(result).to.nested.include({
+      kind: 'settings',
+      'settings.core.heartbeatMs': 250,
+      'settings.core.recordedAnswerBytes': 65_536,
+      'settings.log.level': 'info',
+      'settings.listen.operators': '127.0.0.1:9081',
+    });
+  });
+
+  const cases: Readonly<Record<string, readonly [string, string]>> = {
+    'an unknown key': [
+      `${GOOD}core:\n  heartbeet: 1s\n`,
+      "s.yaml:6:3: error 3004: The key 'heartbeet' is not known here. Did you mean 'heartbeat'?",
+    ],
+    'a bad unit': [`${GOOD}core:\n  heartbeat: 4sec\n`, 's.yaml:6:14: error 3006:'],
+    'a number without a unit': [`${GOOD}core: { poll: 5 }\n`, 's.yaml:5:15: error 3006:'],
+    'a name given twice': [`${GOOD}log: {}\nlog: {}\n`, 's.yaml:6:1: error 3007:'],
+    'a missing key': [
+      'instance: { id: a, domain: d }\n',
+      "s.yaml:1:11: error 3005: 'instance.region'",
+    ],
+    'a host name': [GOOD.replace('10.0.0.1:8081', 'localhost:1'), 's.yaml:4:10: error 3006:'],
+    'a port out of range': [GOOD.replace('8081', '70000'), 's.yaml:4:10: error 3006:'],
+    'broken YAML': ['instance: [', 's.yaml:1:12: error 3002:'],
+    'an empty file': ['', "s.yaml:1:1: error 3005: 'instance' is missing."],
+  };
+  Object.entries(cases).forEach(([what, [text, message]]) => {
+    it(`names the place of ${what}`, () => {
+      expect(findingsOf(text).join('\n')).to.include(message);
+    });
+  });
+
+  it('reads back every duration and size that it writes', () => {
+    fc.assert(
+      fc.property(fc.integer({ min: 0, max: 999_999_999 }), (value) => {
+        expect(parseDuration(formatDuration(value))).to.equal(value);
+        expect(parseSize(formatSize(value))).to.equal(value);
+      }),
+      { seed: 3 },
+    );
+  });
+
+  it('never throws, whatever the text', () => {
+    fc.assert(
+      fc.property(fc.string({ maxLength: 60 }), (text) => {
+        const found = findingsOf(text);
+        expect(found).to.not.be.empty;
+        found.forEach((line) => expect(line).to.match(/^s\.yaml:\d+:\d+: error 300\d: /));
+      }),
+      { seed: 4, numRuns: 500 },
+    );
+  });
+});
