--- a/src/core/sha256.ts
+++ b/src/core/sha256.ts
@@ -7,7 +7,14 @@
 const LENGTH_BYTES = 8;
 
 const INITIAL = Uint32Array.of(
-  0x6a09e667, 0xbb67ae85, 0x3c6ef372, 0xa54ff53a, 0x510e527f, 0x9b05688c, 0x1f83d9ab, 0x5be0cd19,
+  0x6a09e667,
+  0xbb67ae85,
+  0x3c6ef372,
+  0xa54ff53a,
+  0x510e527f,
+  0x9b05688c,
+  0x1f83d9ab,
+  0x5be0cd19,
 );
 
 // prettier-ignore
@@ -80,7 +87,14 @@
     w[i] = (w[i - 16] as number) + s0 + (w[i - 7] as number) + s1;
   }
   let [a, b, c, d, e, f, g, h] = hash as unknown as [
-    number, number, number, number, number, number, number, number,
+    number,
+    number,
+    number,
+    number,
+    number,
+    number,
+    number,
+    number,
   ];
   for (let i = 0; i < BLOCK_BYTES; i += 1) {
     const s1 = rotate(e, 6) ^ rotate(e, 11) ^ rotate(e, 25);
