Run loads: metrics, fairness gap, utilisation, faults, truth check and report

Cause: shares, gaps, utilisation, control bytes and the truth of answers have to be measured alike everywhere. Change: runLoad over a load file and a fault schedule; results as data, text and an HTML page.

--- /dev/null
+++ b/src/bench/load/sender.ts
@@ -0,0 +1,118 @@
+/**
+ * Requests in flight of a load: sends them, counts how they end and what customers received. Times
+ * count from when a request was due, so that a late sender does not hide a wait.
+ */
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { Millis } from '../../core/clock.js';
+import type { Arrival } from './arrivals.js';
+import type { Caller } from './caller.js';
+import { countOutcome, type CustomerPoolMetrics } from './customerMetrics.js';
+import type { LoadFile } from './loadFile.js';
+import type { Progress } from './outcome.js';
+import type { EndedRequest } from './truthCheck.js';
+
+interface Cost {
+  readonly perPromptToken: number;
+  readonly perOutputToken: number;
+  readonly perCall: number;
+}
+
+const DEFAULT_COST: Cost = { perPromptToken: 0, perOutputToken: 1, perCall: 1 };
+
+export interface Sender {
+  send: (arrival: Arrival) => void;
+  inFlight: () => number;
+  /** Waits for the ends of all requests; returns how many are still without one after the time. */
+  drain: (limitMs: Millis) => Promise<number>;
+  /** Resolves once every request has an end. */
+  settled: () => Promise<void>;
+  ended: () => readonly EndedRequest[];
+}
+
+export interface SenderOptions {
+  readonly file: LoadFile;
+  readonly metrics: readonly CustomerPoolMetrics[];
+  readonly caller: Caller;
+  /** Time of arrival 0 on the clock of `performance.now`. */
+  readonly startedAt: Millis;
+}
+
+/** Creates a sender without requests. */
+export function createSender({ file, metrics, caller, startedAt }: SenderOptions): Sender {
+  const nameOf = (customer: string, pool: string) => `${customer}\n${pool}`;
+  const byName = new Map(metrics.map((entry) => [nameOf(entry.customer, entry.pool), entry]));
+  const costs = new Map(file.pools.map(({ name, cost }) => [name, cost]));
+  const ended: EndedRequest[] = [];
+  const running = new Set<Promise<void>>();
+
+  async function run(arrival: Arrival, entry: CustomerPoolMetrics): Promise<void> {
+    const dueAt = startedAt + arrival.atMs;
+    const cost = costs.get(arrival.work.pool) ?? DEFAULT_COST;
+    const tracker = trackProgress(arrival, entry, cost, dueAt);
+    entry.counts.sent += 1;
+    const outcome = await caller.send(arrival, tracker);
+    tracker.end();
+    countOutcome(entry.counts, outcome);
+    if (outcome.kind === 'served') entry.latency.add(performance.now() - dueAt);
+    ended.push({ arrival, outcome });
+  }
+
+  return {
+    send: (arrival) => {
+      const entry = byName.get(nameOf(arrival.customer.name, arrival.work.pool));
+      if (entry === undefined) return;
+      if (running.size >= file.maxInFlight) {
+        entry.counts.notSent += 1;
+        return;
+      }
+      const promise = run(arrival, entry).finally(() => running.delete(promise));
+      running.add(promise);
+    },
+    inFlight: () => running.size,
+    drain: async (limitMs) => {
+      const limit = new AbortController();
+      const timeout = sleep(limitMs, undefined, { signal: limit.signal }).catch(() => {});
+      await Promise.race([Promise.all(running), timeout]);
+      limit.abort();
+      return running.size;
+    },
+    settled: async () => {
+      await Promise.all(running);
+    },
+    ended: () => ended,
+  };
+}
+
+/** Counts waiting, times and service of one request; `end` must be called once. */
+function trackProgress(
+  arrival: Arrival,
+  entry: CustomerPoolMetrics,
+  cost: Cost,
+  dueAt: Millis,
+): Progress & { readonly end: () => void } {
+  let isWaiting = true;
+  entry.waiting += 1;
+
+  function stopWaiting(): void {
+    if (!isWaiting) return;
+    isWaiting = false;
+    entry.waiting -= 1;
+    if (entry.waiting === 0) entry.wasIdle = true;
+  }
+
+  return {
+    onFirst: () => {
+      stopWaiting();
+      entry.firstToken.add(performance.now() - dueAt);
+      if (arrival.kind === 'call') entry.service += cost.perCall;
+    },
+    onTokens: (tokens) => {
+      entry.service += tokens * cost.perOutputToken;
+    },
+    onGap: entry.betweenTokens.add,
+    onUsage: (uncachedPromptTokens) => {
+      entry.service += uncachedPromptTokens * cost.perPromptToken;
+    },
+    end: stopWaiting,
+  };
+}
--- a/src/standins/attempts.ts
+++ b/src/standins/attempts.ts
@@ -4,7 +4,14 @@
  */
 import type { Millis } from '../core/clock.js';
 import type { Sequence } from './batch.js';
-import { answerSeed, promptOf, questionOf, tokenize, type CompletionBody } from './content.js';
+import {
+  answerSeed,
+  promptOf,
+  questionHash,
+  questionOf,
+  tokenize,
+  type CompletionBody,
+} from './content.js';
 import type { Output, Usage } from './output.js';
 
 /** How an attempt ended. */
@@ -24,6 +31,8 @@
   /** Index after the last token produced. */
   readonly to: number;
   readonly length: number;
+  /** Whether it was in the batch at any time. */
+  readonly admitted: boolean;
   readonly outcome: AttemptOutcome;
   readonly receivedAt: Millis;
   readonly endedAt: Millis | undefined;
@@ -32,7 +41,9 @@
 export interface Attempt extends Sequence {
   readonly id: string;
   readonly key: string | undefined;
+  readonly question: string;
   readonly seed: number;
+  admitted: boolean;
   readonly prompt: string;
   readonly promptTokens: readonly string[];
   readonly from: number;
@@ -61,12 +72,15 @@
 export function createAttempt(options: AttemptOptions): Attempt {
   const { id, key, body, output, now } = options;
   const prompt = promptOf(body);
+  const question = questionOf(body);
   const wanted = Number.isFinite(options.resumeFrom) ? Math.trunc(options.resumeFrom) : 0;
   const from = Math.min(Math.max(0, wanted), body.max_tokens);
   return {
     id,
     key,
-    seed: answerSeed(questionOf(body)),
+    question: questionHash(question),
+    seed: answerSeed(question),
+    admitted: false,
     prompt,
     promptTokens: tokenize(prompt),
     from,
@@ -85,9 +99,9 @@
 
 /** The record of an attempt as checks read it. */
 export function recordOf(attempt: Attempt): AttemptRecord {
-  const { id, key, seed, from, position, length, outcome, receivedAt, endedAt } = attempt;
-  const question = seed.toString(16);
-  return { id, key, question, from, to: position, length, outcome, receivedAt, endedAt };
+  const { id, key, question, from, position, length, admitted, outcome } = attempt;
+  const { receivedAt, endedAt } = attempt;
+  return { id, key, question, from, to: position, length, admitted, outcome, receivedAt, endedAt };
 }
 
 /** Token counts in the usual format. */
--- a/src/standins/content.ts
+++ b/src/standins/content.ts
@@ -8,6 +8,8 @@
 
 const DEFAULT_MAX_TOKENS = 16;
 const TOKEN_RADIX = 36;
+/** Seed that makes the second half of a name independent of the first. */
+const SECOND_SEED = 0x9e3779b9;
 
 const messageSchema = z.looseObject({ role: z.string(), content: z.string() });
 
@@ -46,6 +48,11 @@
   return hash32(question);
 }
 
+/** Name of a question in the records of the engine, in hexadecimal. */
+export function questionHash(question: string): string {
+  return `${hash32(question).toString(16)}-${hash32(question, SECOND_SEED).toString(16)}`;
+}
+
 /** Text of the token at `index` of the answer with this seed. */
 export function answerToken(seed: number, index: number): string {
   return ` ${hash32(String(index), seed).toString(TOKEN_RADIX)}`;
--- a/src/standins/engineWork.ts
+++ b/src/standins/engineWork.ts
@@ -91,6 +91,7 @@
       attempt.prefillLeft = Math.min(attempt.prefillLeft, uncached + attempt.from);
       drawFaults(attempt);
     }
+    attempt.admitted = true;
     attempt.outcome = 'running';
     const { poison } = faults;
     if (poison === undefined || !attempt.prompt.includes(poison.marker)) return;
--- /dev/null
+++ b/test/bench/load.test.ts
@@ -0,0 +1,206 @@
+import { expect } from 'chai';
+import {
+  formatLoadReport,
+  formatLoadResult,
+  isTruthful,
+  parseFaultFile,
+  parseLoadFile,
+  runLoad,
+  totalCounts,
+  type FaultFile,
+  type LoadFile,
+  type LoadResult,
+} from '../../src/bench/load/index.js';
+import { createArrivals } from '../../src/bench/load/arrivals.js';
+import { createCustomerMetrics } from '../../src/bench/load/customerMetrics.js';
+import { createGapMeter } from '../../src/bench/load/fairness.js';
+import { checkTruth } from '../../src/bench/load/truthCheck.js';
+import {
+  createEngineStandin,
+  createServiceStandin,
+  type EngineFault,
+} from '../../src/standins/index.js';
+
+function loadFile(extra: string): LoadFile {
+  const parsed = parseLoadFile(`
+seed: 5
+durationMs: 300
+sampleMs: 50
+customers:
+  - name: grower
+    key: k1
+    ratePerSecond: 100
+    mix: [{ kind: completion, pool: assistant, promptWords: [3, 9], maxTokens: [2, 20] }]
+  - name: depot
+    key: k2
+    weight: 2
+    ratePerSecond: 50
+    floods: [{ fromMs: 100, toMs: 200, ratePerSecond: 200 }]
+    bursts: [{ atMs: 50, requests: 10 }]
+    mix:
+      - { kind: completion, pool: assistant, stream: false, share: 3 }
+      - { kind: completion, pool: assistant, sharedWords: 32, hintError: 3 }
+${extra}`);
+  if (parsed.kind === 'rejected') throw new Error(JSON.stringify(parsed.issues));
+  return parsed.value;
+}
+
+async function run(file: LoadFile, faults?: FaultFile): Promise<LoadResult> {
+  const done = await runLoad({ file, ...(faults === undefined ? {} : { faults }) });
+  if (done.kind === 'rejected') throw new Error(done.unknownTargets.join());
+  return done.result;
+}
+
+describe('load file', () => {
+  it('names the line of what does not fit', () => {
+    const parsed = parseLoadFile('durationMs: 10\ncustomers:\n  - name: a\n    kye: b\n');
+    expect(parsed.kind).to.equal('rejected');
+    const issues = parsed.kind === 'rejected' ? parsed.issues : [];
+    expect(issues.map(({ line }) => line)).to.include(3);
+    expect(issues.some(({ message }) => message.includes('kye'))).to.equal(true);
+  });
+
+  it('refuses a name that is used twice', () => {
+    const parsed = parseLoadFile(`
+durationMs: 10
+customers:
+  - &c { name: a, key: b, mix: [{ kind: call, pool: p }] }
+  - *c
+`);
+    expect(parsed.kind === 'rejected' && parsed.issues[0]?.path).to.equal('customers.1.name');
+  });
+
+  it('gives the same arrivals for the same seed, each with content of its own', () => {
+    const arrivals = createArrivals(loadFile(''));
+    expect(createArrivals(loadFile(''))).to.deep.equal(arrivals);
+    const questions = arrivals.map((arrival) => arrival.kind === 'completion' && arrival.question);
+    expect(new Set(questions).size).to.equal(arrivals.length);
+    const times = arrivals.map(({ atMs }) => atMs);
+    expect(times).to.deep.equal(times.toSorted((a, b) => a - b));
+    expect(times.every((at) => at >= 0 && at < 300)).to.equal(true);
+  });
+});
+
+describe('load run', () => {
+  async function runAgainstEngine(fault?: EngineFault): Promise<LoadResult> {
+    const engine = await createEngineStandin({ tokenIntervalMs: 1, batchSize: 8 });
+    const { url } = engine;
+    const file = loadFile(`
+instances: [{ name: direct, url: "${url}" }]
+engines: [{ name: e1, pool: assistant, url: "${url}" }]
+`);
+    const faults = fault && { faults: [{ atMs: 0, standin: 'e1', fault }] };
+    const result = await run(file, faults);
+    await engine.stop();
+    return result;
+  }
+
+  it('serves every request and measures it', async () => {
+    const result = await runAgainstEngine();
+    const total = totalCounts(result);
+    expect(total.served).to.equal(total.sent);
+    expect(total.sent).to.equal(createArrivals(loadFile('')).length);
+    expect(isTruthful(result)).to.equal(true);
+    expect(result.truth.unread).to.deep.equal([]);
+    const [grower] = result.customers;
+    expect(grower?.firstTokenMs.count).to.equal(grower?.counts.served);
+    expect(result.utilisation.upstreams[0]?.utilisation).to.be.within(0, 1);
+    const shares = result.customers.map(({ serviceShare }) => serviceShare);
+    expect(shares.reduce((sum, share) => sum + share, 0)).to.be.closeTo(1, 1e-9);
+  });
+
+  it('sees answers of other requests', async () => {
+    const result = await runAgainstEngine({ kind: 'crossed', rate: 1 });
+    expect(totalCounts(result).notOwn).to.be.above(0);
+    expect(isTruthful(result)).to.equal(false);
+  });
+
+  it('sees cut answers that end as if they were complete', async () => {
+    const result = await runAgainstEngine({ kind: 'cut', rate: 1, ending: 'close' });
+    expect(totalCounts(result).truncated).to.be.above(0);
+    expect(formatLoadResult(result)).to.include('NOT ALL ANSWERS WERE TRUE');
+  });
+
+  it('counts broken connections as failed, with an unknown execution', async () => {
+    const result = await runAgainstEngine({ kind: 'crash', restartAfterMs: 0 });
+    const total = totalCounts(result);
+    expect(total.sent).to.equal(total.served + total.failed);
+    expect(result.faults).to.have.length(1);
+    expect(isTruthful(result)).to.equal(true);
+  });
+
+  it('writes a page that loads nothing from elsewhere', async () => {
+    const page = formatLoadReport(await runAgainstEngine());
+    expect(page).to.include('uPlot');
+    expect(page).to.not.match(/(src|href)="/u);
+  });
+
+  it('refuses faults on targets that do not exist', async () => {
+    const parsed = parseFaultFile('faults: [{ atMs: 1, process: i9, signal: SIGSTOP }]');
+    if (parsed.kind === 'rejected') throw new Error(JSON.stringify(parsed.issues));
+    const file = loadFile('instances: [{ name: i, url: "http://127.0.0.1:9" }]');
+    expect(await runLoad({ file, faults: parsed.value })).to.deep.equal({
+      kind: 'rejected',
+      unknownTargets: ['i9'],
+    });
+  });
+});
+
+describe('truth check', () => {
+  it('finds calls that ran twice, or although they were refused', async () => {
+    const service = await createServiceStandin({ latencyMs: 0 });
+    const parsed = parseLoadFile(`
+durationMs: 100
+services: [{ name: s, pool: booking, url: "${service.url}" }]
+customers:
+  - name: c
+    key: k
+    bursts: [{ atMs: 0, requests: 3 }]
+    mix: [{ kind: call, pool: booking, idempotent: false }]
+`);
+    if (parsed.kind === 'rejected') throw new Error(JSON.stringify(parsed.issues));
+    const [twice, refused, missing] = createArrivals(parsed.value);
+    if (twice?.kind !== 'call' || refused?.kind !== 'call' || missing === undefined) {
+      throw new Error('three calls are expected');
+    }
+    const post = async (body: string) => fetch(`${service.url}/x`, { method: 'POST', body });
+    await Promise.all([post(twice.body), post(twice.body), post(refused.body)]);
+    const truth = await checkTruth(parsed.value, [
+      { arrival: twice, outcome: { kind: 'served' } },
+      { arrival: refused, outcome: { kind: 'refused', status: 503, step: 'wait' } },
+      { arrival: missing, outcome: { kind: 'served' } },
+    ]);
+    await service.stop();
+    expect(truth).to.deep.equal({
+      doubled: [twice.id],
+      falseRefusals: [refused.id],
+      servedNotRun: [missing.id],
+      unread: [],
+    });
+  });
+});
+
+describe('gap meter', () => {
+  it('measures only while both customers wait without a break', () => {
+    const metrics = createCustomerMetrics(loadFile(''));
+    const meter = createGapMeter(metrics);
+    const [a, b] = metrics;
+    if (a === undefined || b === undefined) throw new Error('two customers are expected');
+    const serve = (first: number, second: number) => {
+      a.service += first;
+      b.service += second;
+      return meter.sample(0).gap;
+    };
+    a.waiting = 1;
+    b.waiting = 1;
+    expect(serve(100, 0)).to.equal(0);
+    expect(serve(0, 0)).to.equal(0);
+    expect(serve(10, 0)).to.equal(10);
+    // The weight of the second customer is 2.
+    expect(serve(0, 60)).to.equal(30);
+    expect(serve(0, 0)).to.equal(30);
+    b.wasIdle = true;
+    expect(serve(500, 0)).to.equal(0);
+    expect(meter.maxGap()).to.equal(30);
+  });
+});
