Name prefix blocks in the engine stand-in as instances do

Cause: the engine named blocks of 16 words by its own hash, so no instance could match them. Change: blocks of 256 characters named by the caller host's hash; the instance list also lists upstreams; a refusal of the service says that nothing was executed. Conclusion: prefix routing can now be tried against the engine.

--- a/src/standins/attempts.ts
+++ b/src/standins/attempts.ts
@@ -6,10 +6,10 @@
 import type { Sequence } from './batch.js';
 import {
   answerSeed,
+  countTokens,
   promptOf,
   questionHash,
   questionOf,
-  tokenize,
   type CompletionBody,
 } from './content.js';
 import type { Output, Usage } from './output.js';
@@ -45,7 +45,7 @@
   readonly seed: number;
   admitted: boolean;
   readonly prompt: string;
-  readonly promptTokens: readonly string[];
+  readonly promptTokens: number;
   readonly from: number;
   readonly receivedAt: Millis;
   cachedTokens: number;
@@ -82,7 +82,7 @@
     seed: answerSeed(question),
     admitted: false,
     prompt,
-    promptTokens: tokenize(prompt),
+    promptTokens: countTokens(prompt),
     from,
     receivedAt: now,
     length: body.max_tokens,
@@ -106,7 +106,7 @@
 
 /** Token counts in the usual format. */
 export function usageOf(attempt: Attempt): Usage {
-  const prompt = attempt.promptTokens.length;
+  const prompt = attempt.promptTokens;
   return {
     prompt_tokens: prompt,
     completion_tokens: attempt.position,
--- a/src/standins/cacheEvents.ts
+++ b/src/standins/cacheEvents.ts
@@ -47,7 +47,7 @@
       const events = kept
         .filter(({ event, visibleAt }) => event.seq > after && visibleAt <= now)
         .map(({ event }) => event);
-      return { events, next: events.at(-1)?.seq ?? after };
+      return { events, next: events.at(-1)?.seq ?? Math.min(after, seq) };
     },
     clear: () => {
       kept = [];
--- a/src/standins/content.ts
+++ b/src/standins/content.ts
@@ -6,6 +6,8 @@
 import { z } from 'zod';
 import { hash32 } from '../core/hash.js';
 
+/** Characters of a prompt that count as a token. */
+export const CHARS_PER_TOKEN = 4;
 const DEFAULT_MAX_TOKENS = 16;
 const TOKEN_RADIX = 36;
 /** Seed that makes the second half of a name independent of the first. */
@@ -38,9 +40,9 @@
   return messages.map((message) => `${message.role} ${message.content}`).join('\n');
 }
 
-/** Splits a prompt into the stand-in's tokens: words. */
-export function tokenize(text: string): readonly string[] {
-  return text.split(/\s+/u).filter((word) => word !== '');
+/** Tokens of a prompt: the stand-in counts characters. */
+export function countTokens(prompt: string): number {
+  return Math.ceil(prompt.length / CHARS_PER_TOKEN);
 }
 
 /** Number from which all tokens of the answer to `question` follow. */
--- a/src/standins/index.ts
+++ b/src/standins/index.ts
@@ -7,6 +7,6 @@
 export type { LoadReport } from './loadReport.js';
 export type { EngineOrder, NumberedOrder, OrderRecord } from './orders.js';
 export * from './platform.js';
-export { BLOCK_TOKENS, blocksOf } from './prefixCache.js';
+export { BLOCK_TOKENS } from './prefixCache.js';
 export * from './service.js';
 export * from './settings.js';
--- a/src/standins/platform.ts
+++ b/src/standins/platform.ts
@@ -53,12 +53,13 @@
   domain: z.string(),
   region: z.string(),
   state: z.enum(['live', 'leaving']),
+  kind: z.enum(['instance', 'upstream']).default('instance'),
 });
 const instancesSchema = z.object({ instances: z.array(instanceSchema) });
 const appendSchema = z.object({ records: z.array(z.string()).min(1) });
 
 /** An entry of the instance list. */
-export type ListedInstance = z.infer<typeof instanceSchema>;
+export type ListedInstance = z.input<typeof instanceSchema>;
 
 /** Calls that took effect, from `GET /_control/stats`. */
 export interface PlatformStats {
--- a/src/standins/service.ts
+++ b/src/standins/service.ts
@@ -277,7 +277,7 @@
       const body = await readBytes(req);
       const { refuse } = faults;
       if (isDrawn(refuse)) {
-        sendJson(res, refuse?.status ?? 503, { error: { type: 'refused' } });
+        sendJson(res, refuse?.status ?? 503, { executed: 'no' });
         return;
       }
       await slots.acquire();
