--- a/src/configuration/settings.ts
+++ b/src/configuration/settings.ts
@@ -2,7 +2,16 @@
  * Settings of an instance: a YAML file, checked as a whole before anything starts. Each finding
  * names its line and column and, for an unknown key, the nearest known one.
  */
-import { isMap, isScalar, LineCounter, parseDocument, type Document, type Node } from 'yaml';
+import {
+  isMap,
+  isScalar,
+  LineCounter,
+  parseDocument,
+  visit,
+  type Alias,
+  type Document,
+  type Node,
+} from 'yaml';
 import { z } from 'zod';
 import {
   diagnostics,
@@ -40,7 +49,9 @@
   const doc = parseDocument(text, { lineCounter: lines, schema: 'core', logLevel: 'silent' });
   const broken = [...doc.errors, ...doc.warnings];
   if (broken.length > 0) return { kind: 'invalid', diagnostics: broken.map(syntaxDiagnostic) };
-  const value: unknown = doc.toJS({ maxAliasCount: 0 }) ?? {};
+  const alias = findAlias(doc);
+  if (alias !== undefined) return { kind: 'invalid', diagnostics: [aliasDiagnostic(lines, alias)] };
+  const value: unknown = doc.toJS() ?? {};
   const result = settingsSchema.safeParse(value);
   if (result.success) return { kind: 'settings', settings: result.data };
   const source = { doc, lines };
@@ -68,6 +79,23 @@
   return { code: 'settingsMalformed', args: { reason }, line, column: col };
 }
 
+/** Aliases make a small file grow without bound; settings do without them. */
+function findAlias(doc: Document): Alias | undefined {
+  let found: Alias | undefined;
+  visit(doc, {
+    Alias: (_key, node) => {
+      found = node;
+      return visit.BREAK;
+    },
+  });
+  return found;
+}
+
+function aliasDiagnostic(lines: LineCounter, alias: Alias): SettingsDiagnostic {
+  const args = { reason: 'Aliases are not allowed.' };
+  return { code: 'settingsMalformed', args, ...placeAt(lines, alias.range?.[0] ?? 0) };
+}
+
 function issueDiagnostics(
   source: SettingsSource,
   issue: z.core.$ZodIssue,
--- a/test/configuration/settings.test.ts
+++ b/test/configuration/settings.test.ts
@@ -46,6 +46,7 @@
     ],
     'a host name': [GOOD.replace('10.0.0.1:8081', 'localhost:1'), 's.yaml:4:10: error 3006:'],
     'a port out of range': [GOOD.replace('8081', '70000'), 's.yaml:4:10: error 3006:'],
+    'an alias': [`${GOOD}log: *x\n`, 's.yaml:5:6: error 300'],
     'broken YAML': ['instance: [', 's.yaml:1:12: error 3002:'],
     'an empty file': ['', "s.yaml:1:1: error 3005: 'instance' is missing."],
   };
