Add the command line: serve, check, demo, status, standin and load

Cause: the fleet could only be started from code. Conclusion: npm start shows a fleet at work; SIGTERM ends a running stream first.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -75,6 +75,8 @@
     rules: {
       'n/no-sync': 'off',
       'n/no-process-exit': 'off',
+      // The executable keeps its first line when it is compiled.
+      'n/hashbang': 'off',
       'no-console': 'off',
       'import-x/no-extraneous-dependencies': 'off',
       'no-await-in-loop': 'off',
--- /dev/null
+++ b/src/cli/commands/load.ts
@@ -0,0 +1,81 @@
+/** `load`: runs an open-loop load against a fleet and reports shares, latencies and truth. */
+import { writeFile } from 'node:fs/promises';
+import { command, flag, number, option, optional, positional, string } from 'cmd-ts';
+import {
+  formatLoadReport,
+  formatLoadResult,
+  isTruthful,
+  parseFaultFile,
+  parseLoadFile,
+  runLoad,
+  type LoadResult,
+  type ParsedFile,
+} from '../../bench/load/index.js';
+import { EXIT_CODES, type ExitCode } from '../exitCodes.js';
+import { readText } from '../files.js';
+import { printDiagnostic, printError, printJson, printLine } from '../output.js';
+
+const options = {
+  file: positional({ type: string, displayName: 'FILE', description: 'YAML file of the load' }),
+  faults: option({
+    type: optional(string),
+    long: 'faults',
+    description: 'YAML file of faults at set times',
+  }),
+  seed: option({
+    type: optional(number),
+    long: 'seed',
+    description: 'seed in place of the one in the file',
+  }),
+  report: option({
+    type: optional(string),
+    long: 'report',
+    description: 'HTML file to write plots to',
+  }),
+  json: flag({ long: 'json', description: 'print the result as JSON' }),
+};
+
+export const load = command({
+  name: 'load',
+  description:
+    'Runs a load against a fleet. Exits with 1 if an answer was wrong or a refusal untrue.',
+  args: options,
+  handler: async ({ file, faults, seed, report, json }): Promise<ExitCode> => {
+    const loadFile = await readParsed(file, parseLoadFile);
+    const faultFile = faults === undefined ? undefined : await readParsed(faults, parseFaultFile);
+    if (loadFile === undefined || (faults !== undefined && faultFile === undefined)) {
+      return EXIT_CODES.invalid;
+    }
+    const run = await runLoad({
+      file: seed === undefined ? loadFile : { ...loadFile, seed },
+      ...(faultFile === undefined ? {} : { faults: faultFile }),
+    });
+    if (run.kind === 'rejected') {
+      const targets = run.unknownTargets.join(', ') || 'instances';
+      printDiagnostic('loadRejected', { file, targets });
+      return EXIT_CODES.invalid;
+    }
+    if (report !== undefined) await writeFile(report, formatLoadReport(run.result));
+    return printResult(run.result, json);
+  },
+});
+
+async function readParsed<T>(
+  file: string,
+  parse: (text: string) => ParsedFile<T>,
+): Promise<T | undefined> {
+  const text = await readText(file);
+  if (text === undefined) return undefined;
+  const parsed = parse(text);
+  if (parsed.kind === 'parsed') return parsed.value;
+  parsed.issues.forEach(({ line, path, message }) => {
+    printError(`${file}:${line ?? 1}: error: ${path === '' ? '' : `${path}: `}${message}`);
+  });
+  return undefined;
+}
+
+function printResult(result: LoadResult, json: boolean): ExitCode {
+  if (json) printJson(result);
+  else printLine(formatLoadResult(result));
+  return isTruthful(result) ? EXIT_CODES.ok : EXIT_CODES.failed;
+}
--- /dev/null
+++ b/src/cli/commands/serve.ts
@@ -0,0 +1,70 @@
+/** `serve`: runs one instance until SIGTERM, then stops without cutting off a request. */
+import { dirname, resolve } from 'node:path';
+import { command, option, string } from 'cmd-ts';
+import type { Settings } from '../../configuration/settings.js';
+import type { ConfigurationView } from '../../core/types.js';
+import { startDaemon, type Daemon } from '../../daemon/serve.js';
+import { EXIT_CODES, type ExitCode } from '../exitCodes.js';
+import { checkDocument, checkSettings, readText, UNREADABLE } from '../files.js';
+import { printDiagnostic, printError } from '../output.js';
+import { stopRequested } from '../stopSignals.js';
+
+const options = {
+  settings: option({
+    type: string,
+    long: 'settings',
+    short: 's',
+    description: 'YAML file with the settings of the instance',
+  }),
+};
+
+export const serve = command({
+  name: 'serve',
+  description:
+    'Runs one instance. SIGTERM ends accepted work, then exits; SIGHUP reloads certificates.',
+  args: options,
+  handler: async ({ settings: file }): Promise<ExitCode> => {
+    const text = await readText(file);
+    if (text === undefined) return UNREADABLE;
+    const checked = checkSettings(file, text);
+    if (checked.kind === 'findings') {
+      checked.lines.forEach(printError);
+      return EXIT_CODES.invalid;
+    }
+    return runWith(file, checked.value);
+  },
+});
+
+async function runWith(file: string, settings: Settings): Promise<ExitCode> {
+  let initialConfiguration: ConfigurationView | undefined;
+  if (settings.document !== undefined) {
+    const documentFile = resolve(dirname(file), settings.document);
+    const text = await readText(documentFile);
+    if (text === undefined) return UNREADABLE;
+    const checked = checkDocument(documentFile, text);
+    if (checked.kind === 'findings') {
+      checked.lines.forEach(printError);
+      return EXIT_CODES.invalid;
+    }
+    initialConfiguration = checked.value;
+  }
+  const daemon = await start(settings, initialConfiguration);
+  if (daemon === undefined) return EXIT_CODES.failed;
+  process.on('SIGHUP', daemon.reload);
+  await stopRequested();
+  await daemon.stop();
+  process.removeListener('SIGHUP', daemon.reload);
+  return EXIT_CODES.ok;
+}
+
+async function start(
+  settings: Settings,
+  initialConfiguration: ConfigurationView | undefined,
+): Promise<Daemon | undefined> {
+  try {
+    return await startDaemon({ settings, initialConfiguration });
+  } catch (err) {
+    printDiagnostic('cannotStart', { reason: (err as Error).message });
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/cli/exitCodes.ts
@@ -0,0 +1,15 @@
+/** Exit codes of the command line. */
+export const EXIT_CODES = {
+  /** Done. */
+  ok: 0,
+  /** The command ran and failed. */
+  failed: 1,
+  /** The command line itself is wrong. */
+  usage: 2,
+  /** Settings, a document or a load file is invalid; nothing was started. */
+  invalid: 3,
+  /** An instance or a file could not be reached. */
+  unreachable: 4,
+} as const;
+
+export type ExitCode = (typeof EXIT_CODES)[keyof typeof EXIT_CODES];
--- /dev/null
+++ b/src/configuration/initialView.ts
@@ -0,0 +1,20 @@
+/** The view of a configuration document that is given by a file, before the log gives one. */
+import type { ConfigurationView } from '../core/types.js';
+import { parseDocument } from './document.js';
+import type { DocumentDiagnostic } from './types.js';
+import { assignNumbers, createView, NO_NUMBERS } from './view.js';
+
+/** Version of a document that is not from the log. */
+const FILE_VERSION = 0;
+
+export type InitialViewResult =
+  | { readonly kind: 'view'; readonly view: ConfigurationView }
+  | { readonly kind: 'diagnostics'; readonly diagnostics: readonly DocumentDiagnostic[] };
+
+/** Parses and checks a document and builds its view. */
+export function parseInitialView(text: string): InitialViewResult {
+  const result = parseDocument(text);
+  if (result.kind !== 'document') return result;
+  const numbers = assignNumbers(result.document, NO_NUMBERS);
+  return { kind: 'view', view: createView(result.document, numbers, FILE_VERSION) };
+}
--- a/src/core/diagnostics.ts
+++ b/src/core/diagnostics.ts
@@ -100,6 +100,10 @@
   peerLost: entry(5003, 'message', 'The link to instance {id} was lost: {reason}'),
   certificateUnreadable: entry(5004, 'error', 'The certificates cannot be read: {reason}'),
   eventFailed: entry(5005, 'error', "Event '{event}' could not be handled: {reason}"),
+  commandFailed: entry(7001, 'error', 'The command failed: {reason}'),
+  cannotStart: entry(7002, 'error', 'Cannot start: {reason}'),
+  noStatus: entry(7003, 'error', 'No status from {url}: {reason}'),
+  loadRejected: entry(7004, 'error', "'{file}' names none or unknown: {targets}."),
 } as const satisfies Readonly<Record<string, DiagnosticMessage>>;
 
 export type DiagnosticCode = keyof typeof diagnostics;
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -20,6 +20,7 @@
 import { createSystem } from '../hosts/system.js';
 import type { ControlBytes, System } from '../hosts/types.js';
 import { createUpstreamHost } from '../hosts/upstreamHost.js';
+import { describe } from './describe.js';
 import { createEffectRunner, type Hosts } from './effects.js';
 import { createLoop, type Loop } from './loop.js';
 
@@ -111,7 +112,8 @@
     return member.region === options.region ? 'sameRegion' : 'crossRegion';
   }
 
-  const hosts = createHosts({ options, system, self, post, linkClassOf });
+  const describeCore = () => describe(running?.core.state);
+  const hosts = createHosts({ options, system, self, post, linkClassOf, describeCore });
 
   async function start(): Promise<InstanceAddresses> {
     const peers = await hosts.peers.listen();
@@ -198,9 +200,11 @@
   readonly self: Pick<InstanceIdentity, 'id' | 'incarnation'>;
   readonly post: (event: CoreEvent) => void;
   readonly linkClassOf: (to: InstanceId) => LinkClass;
+  readonly describeCore: () => unknown;
 }
 
-function createHosts({ options, system, self, post, linkClassOf }: HostContext): Hosts {
+function createHosts(context: HostContext): Hosts {
+  const { options, system, self, post, linkClassOf, describeCore } = context;
   const logger = createLogger({ instance: options.id, clock: system, ...options.log });
   const callers = createCallerHost({
     self,
@@ -222,12 +226,13 @@
     post,
     ...(options.operators ?? LOOPBACK),
     isReady: callers.isReady,
-    hostStatus: () => ({
+    status: () => ({
       id: options.id,
       incarnation: self.incarnation,
       domain: options.domain,
       region: options.region,
       controlBytes: peers.controlBytes(),
+      state: describeCore(),
     }),
   });
   return {
--- /dev/null
+++ b/src/daemon/serve.ts
@@ -0,0 +1,89 @@
+/** Runs one instance as its settings say, until it is told to stop. */
+import type { Settings } from '../configuration/settings.js';
+import { formatDiagnostic } from '../core/diagnostics.js';
+import type { ConfigurationView } from '../core/types.js';
+import {
+  createCertificateSource,
+  type CertificateFiles,
+  type CertificateSource,
+} from '../hosts/certificates.js';
+import { createInstance, type Instance, type InstanceAddresses } from './instance.js';
+
+export interface ServeOptions {
+  readonly settings: Settings;
+  /** Configuration in force until the log gives a newer one. */
+  readonly initialConfiguration?: ConfigurationView | undefined;
+  readonly writeLine?: (line: string) => void;
+}
+
+export interface Daemon {
+  readonly instance: Instance;
+  readonly addresses: InstanceAddresses;
+  /** Reads the certificates again. */
+  readonly reload: () => void;
+  readonly stop: () => Promise<void>;
+}
+
+/** Starts an instance. Rejects if a certificate cannot be read or a port is taken. */
+export async function startDaemon(options: ServeOptions): Promise<Daemon> {
+  const { settings } = options;
+  const writeLine = options.writeLine ?? ((line) => process.stderr.write(`${line}\n`));
+  const { tls, limits } = settings;
+
+  const openSource = async (
+    files: CertificateFiles | undefined,
+  ): Promise<CertificateSource | undefined> =>
+    files &&
+    createCertificateSource({
+      files,
+      ...(tls === undefined ? {} : { checkIntervalMs: tls.checkInterval }),
+      onError: (err) => {
+        writeLine(formatDiagnostic('certificateUnreadable', { reason: err.message }));
+      },
+    });
+
+  const callerCertificates = await openSource(tls?.callers);
+  const peerCertificates = await openSource(tls?.peers);
+  const sources = [callerCertificates, peerCertificates];
+  const instance = createInstance({
+    ...settings.instance,
+    callers: splitAddress(settings.listen.callers),
+    peers: splitAddress(settings.listen.peers),
+    operators: splitAddress(settings.listen.operators),
+    advertisedAddress: settings.advertise,
+    platformUrl: settings.platform?.url,
+    ...(limits.body === undefined ? {} : { maxBodyBytes: limits.body }),
+    limits: {
+      ...(limits.headers === undefined ? {} : { maxHeaderBytes: limits.headers }),
+      ...(limits.headersTimeout === undefined ? {} : { headersTimeoutMs: limits.headersTimeout }),
+      ...(limits.requestTimeout === undefined ? {} : { requestTimeoutMs: limits.requestTimeout }),
+      ...(limits.connections === undefined ? {} : { maxConnections: limits.connections }),
+    },
+    callerCertificates,
+    peerCertificates,
+    log: { threshold: settings.log.level, form: settings.log.form, writeLine },
+    metricsAddress: settings.metrics?.address,
+    settings: settings.core,
+    initialConfiguration: options.initialConfiguration,
+  });
+  const addresses = await instance.start();
+  return {
+    instance,
+    addresses,
+    reload: () => {
+      sources.forEach((source) => {
+        void source?.reload();
+      });
+    },
+    stop: async () => {
+      await instance.stop();
+      sources.forEach((source) => source?.close());
+    },
+  };
+}
+
+function splitAddress(address: string) {
+  const split = address.lastIndexOf(':');
+  const host = address.slice(0, split).replace(/^\[|\]$/g, '');
+  return { host, port: Number(address.slice(split + 1)) };
+}
--- a/src/hosts/operatorHost.ts
+++ b/src/hosts/operatorHost.ts
@@ -14,8 +14,8 @@
   readonly host: string;
   readonly port: number;
   readonly isReady: () => boolean;
-  /** Facts of the hosts that the core does not know, shown beside its status. */
-  readonly hostStatus: () => Readonly<Record<string, unknown>>;
+  /** All that an instance tells of itself. */
+  readonly status: () => Readonly<Record<string, unknown>>;
   /** Longest wait for the core's reply to a command. */
   readonly commandTimeoutMs?: Millis;
 }
@@ -97,10 +97,8 @@
     sendResult(res, await run(parsed.data));
   }
 
-  async function showStatus(res: ServerResponse): Promise<void> {
-    const result = await run({ kind: 'status' });
-    const core = result.kind === 'done' ? result.data : undefined;
-    sendJson(res, 200, { ready: options.isReady(), ...options.hostStatus(), core });
+  function showStatus(res: ServerResponse): void {
+    sendJson(res, 200, { ready: options.isReady(), ...options.status() });
   }
 
   const app = new H3({ silent: true });
@@ -118,7 +116,7 @@
   app.get(
     '/status',
     nodeRoute((_req, res) => {
-      void showStatus(res);
+      showStatus(res);
     }),
   );
   app.post(
--- /dev/null
+++ b/src/index.ts
@@ -0,0 +1,17 @@
+/**
+ * The library: the core with its events, effects and messages; the codec of peer messages; the
+ * hosts and the instance that is made of them; settings and the configuration document.
+ */
+export * from './core/core.js';
+export * from './core/clock.js';
+export * from './core/settings.js';
+export * from './core/diagnostics.js';
+export type * from './core/types.js';
+export { parseDocument } from './configuration/document.js';
+export { parseInitialView, type InitialViewResult } from './configuration/initialView.js';
+export * from './configuration/settings.js';
+export * from './protocol/codec.js';
+export type * from './hosts/types.js';
+export * from './daemon/instance.js';
+export * from './daemon/loop.js';
+export { createEffectRunner, type EffectRunnerOptions, type Hosts } from './daemon/effects.js';
--- /dev/null
+++ b/test/cli/cli.test.ts
@@ -0,0 +1,121 @@
+import { spawn } from 'node:child_process';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { expect } from 'chai';
+import { stringify } from 'yaml';
+import { SECTION_NAMES } from '../../src/configuration/types.js';
+import { EXIT_CODES } from '../../src/cli/exitCodes.js';
+import { answerText, createEngineStandin } from '../../src/standins/index.js';
+import { ask, keyHashOf, streamedText, TEST_KEY } from '../support/fleet.js';
+
+const MAIN = join('dist', 'src', 'cli', 'main.js');
+
+interface Ended {
+  readonly code: number | null;
+  readonly stdout: string;
+  readonly stderr: string;
+}
+
+function start(args: readonly string[]) {
+  const child = spawn(process.execPath, [MAIN, ...args], { stdio: 'pipe' });
+  const output = { stdout: '', stderr: '' };
+  child.stdout.on('data', (part: Buffer) => {
+    output.stdout += part.toString();
+  });
+  child.stderr.on('data', (part: Buffer) => {
+    output.stderr += part.toString();
+  });
+  const ended = new Promise<Ended>((resolve) => {
+    child.once('close', (code) => resolve({ code, ...output }));
+  });
+  return { child, output, ended };
+}
+
+const run = async (...args: readonly string[]): Promise<Ended> => start(args).ended;
+
+describe('command line', () => {
+  let dir: string;
+  before(async () => {
+    dir = await mkdtemp(join(tmpdir(), 'primroseswitch-'));
+  });
+  after(async () => rm(dir, { recursive: true }));
+
+  const write = async (name: string, text: string) => {
+    const file = join(dir, name);
+    await writeFile(file, text);
+    return file;
+  };
+
+  it('tells a wrong command line by its exit code', async () => {
+    const { code, stdout, stderr } = await run('srve');
+    expect(code).to.equal(EXIT_CODES.usage);
+    expect(stdout).to.equal('');
+    expect(stderr).to.include('serve');
+  });
+
+  it('checks a document and names file, line and column', async () => {
+    const good = await run('check', join('examples', 'cherry-net-hire.yaml'));
+    expect(good.code).to.equal(EXIT_CODES.ok);
+    const file = await write('document.yaml', 'custmers:\n  a: {}\n');
+    const bad = await run('check', '--kind', 'document', '--json', file);
+    expect(bad.code).to.equal(EXIT_CODES.invalid);
+    const { findings } = JSON.parse(bad.stdout) as { findings: readonly string[] };
+    expect(findings[0]).to.match(/document\.yaml:1:1: .*customers/);
+  });
+
+  it('starts nothing with invalid settings', async () => {
+    const file = await write('bad.yaml', 'instance: { id: a, domain: d, reegion: r }\n');
+    const { code, stderr } = await run('serve', '--settings', file);
+    expect(code).to.equal(EXIT_CODES.invalid);
+    expect(stderr).to.include(`${file}:1:31: error 3004`);
+  });
+
+  it('tells that an instance cannot be reached', async () => {
+    const { code, stderr } = await run('status', '--url', 'http://127.0.0.1:1');
+    expect(code).to.equal(EXIT_CODES.unreachable);
+    expect(stderr).to.include('error 7003');
+  });
+
+  it('serves, and ends a stream in progress before it exits on SIGTERM', async () => {
+    const engine = await createEngineStandin({ tokenIntervalMs: 20 });
+    const place = { domain: 'd', region: 'r' };
+    await write(
+      'fleet.yaml',
+      stringify({
+        teams: { t: { keyHashes: [keyHashOf('team')], sections: SECTION_NAMES } },
+        customers: { c: { keyHashes: [keyHashOf(TEST_KEY)] } },
+        pools: { chat: { kind: 'model' } },
+        upstreams: { e: { ...place, pool: 'chat', url: engine.url, slots: 4 } },
+      }),
+    );
+    const settings = await write(
+      'good.yaml',
+      stringify({
+        instance: { id: 'a', ...place },
+        listen: { callers: '127.0.0.1:0', peers: '127.0.0.1:0', operators: '127.0.0.1:0' },
+        document: 'fleet.yaml',
+      }),
+    );
+    const { child, output, ended } = start(['serve', '--settings', settings]);
+    const address = await new Promise<string>((resolve) => {
+      child.stderr.on('data', () => {
+        const match = /listens for callers on (\S+)\.\n/.exec(output.stderr);
+        if (match?.[1] !== undefined) resolve(match[1]);
+      });
+    });
+    const res = await ask(`http://${address}`, 'still running', { tokens: 30 });
+    child.kill('SIGTERM');
+    expect(streamedText(await res.text())).to.equal(answerText('still running', 30));
+    const { code, stderr } = await ended;
+    expect(code).to.equal(EXIT_CODES.ok);
+    expect(stderr).to.include('has stopped');
+    await engine.stop();
+  });
+
+  it('shows a fleet at work and exits', async () => {
+    const { code, stdout } = await run('demo', '--once', '--seconds', '1');
+    expect(stdout).to.include('all answers were true');
+    expect(code).to.equal(EXIT_CODES.ok);
+  });
+});
