Answer bad input clearly and give up on callers that read nothing

Cause: malformed bytes, slow or silent callers and over-long bodies were not proven harmless. Change: every malformed request gets problem+json with executed no (400, 408, 413, 431); bytes after a request in progress cannot enter its answer; a caller that leaves its answer unread for a minute is taken for gone; completions are asked for without compression.

--- a/src/hosts/answerSink.ts
+++ b/src/hosts/answerSink.ts
@@ -1,5 +1,6 @@
 /** The caller's side of one answer: its head, its parts with back-pressure, and its end. */
 import type { ServerResponse } from 'node:http';
+import type { Millis } from '../core/clock.js';
 import type { AnswerHead, Problem, RecordedAnswer } from '../core/types.js';
 import { sendJson } from './httpServer.js';
 import { problemBody, problemHeaders } from './problem.js';
@@ -19,9 +20,12 @@
   readonly res: ServerResponse;
   /** Headers that every answer carries. */
   readonly headers: Readonly<Record<string, string>>;
+  /** Time after which a caller that reads nothing is taken for gone. */
+  readonly stallTimeoutMs: Millis;
 }
 
-export function createCallerAnswer({ res, headers }: CallerAnswerOptions): CallerAnswer {
+export function createCallerAnswer(options: CallerAnswerOptions): CallerAnswer {
+  const { res, headers, stallTimeoutMs } = options;
   let isEventStream = false;
 
   function start(head: AnswerHead): void {
@@ -32,7 +36,7 @@
 
   function write(chunk: Uint8Array): Promise<void> | undefined {
     if (res.destroyed) return Promise.reject(new Error('The caller is gone.'));
-    return res.write(chunk) ? undefined : drained(res);
+    return res.write(chunk) ? undefined : drained(res, stallTimeoutMs);
   }
 
   /** Ends the connection once what was written has left. */
@@ -73,9 +77,12 @@
   };
 }
 
-async function drained(res: ServerResponse): Promise<void> {
+/** Resolves when the caller can take more; rejects when it is gone. */
+async function drained(res: ServerResponse, stallTimeoutMs: Millis): Promise<void> {
   return new Promise((resolve, reject) => {
+    const timer = setTimeout(() => res.destroy(), stallTimeoutMs);
     function settle(): void {
+      clearTimeout(timer);
       res.removeListener('drain', settle);
       res.removeListener('close', settle);
       if (res.destroyed) reject(new Error('The caller is gone.'));
--- a/src/hosts/attemptRun.ts
+++ b/src/hosts/attemptRun.ts
@@ -202,7 +202,11 @@
       else end(failureOutcome(err, hasSent));
     },
   };
-  options.dispatcher.dispatch(dispatchOptions(plan, req), handler);
+  try {
+    options.dispatcher.dispatch(dispatchOptions(plan, req), handler);
+  } catch (err) {
+    end({ kind: 'notSent', detail: messageOf(err) });
+  }
   return {
     cancel: () => {
       if (hasEnded) return;
--- a/src/hosts/callerHost.ts
+++ b/src/hosts/callerHost.ts
@@ -2,9 +2,10 @@
  * The callers' port: completions in the usual format of model servers and plain services below
  * `/apps/<pool>/`. Keeps each request's body and answer until the core has ended the request.
  */
-import type { IncomingMessage, ServerResponse } from 'node:http';
+import { STATUS_CODES, type IncomingMessage, type ServerResponse } from 'node:http';
 import { H3 } from 'h3';
-import type { InstanceIdentity, NotRunProblem, Problem, RequestId } from '../core/types.js';
+import type { Millis } from '../core/clock.js';
+import type { InstanceIdentity, NotRunProblem, RequestId } from '../core/types.js';
 import { createCallerAnswer, type CallerAnswer } from './answerSink.js';
 import { malformed, readBody, readCallerRequest, type CallerRoute } from './callerRequest.js';
 import type { CertificateSource } from './certificates.js';
@@ -20,10 +21,13 @@
   /** Largest body of a request in bytes. */
   readonly maxBodyBytes?: number;
   readonly limits?: Partial<HttpLimits>;
+  /** Longest time for which a caller may leave its answer unread. */
+  readonly stallTimeoutMs?: Millis;
   readonly certificates?: CertificateSource | undefined;
 }
 
 export const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
+const DEFAULT_STALL_TIMEOUT_MS: Millis = 60_000;
 const SERVICE_PREFIX = '/apps/';
 const COMPLETION_PATHS = ['/v1/chat/completions', '/v1/completions'] as const;
 /** Ids of callers that are returned as they are. */
@@ -39,6 +43,7 @@
 export function createCallerHost(options: CallerHostOptions): CallerHost {
   const { post, self } = options;
   const maxBodyBytes = options.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
+  const stallTimeoutMs = options.stallTimeoutMs ?? DEFAULT_STALL_TIMEOUT_MS;
   const open = new Map<RequestId, OpenRequest>();
   let nextNumber = 1;
   let isReady = false;
@@ -57,10 +62,12 @@
     const requestId = createRequestId();
     const callerId = headerOf(req, 'x-request-id') ?? '';
     const shownId = CALLER_ID_PATTERN.test(callerId) ? callerId : requestId;
-    const answer = createCallerAnswer({ res, headers: { 'x-request-id': shownId } });
+    const headers = { 'x-request-id': shownId };
+    const answer = createCallerAnswer({ res, headers, stallTimeoutMs });
     const body = await readBody(req, maxBodyBytes);
     if (body === undefined) {
-      refuseUnread(req, res, answer, bodyTooLarge(maxBodyBytes));
+      answer.fail(bodyTooLarge(maxBodyBytes));
+      req.resume();
       return;
     }
     const result = readCallerRequest(requestId, route, req, body);
@@ -80,7 +87,7 @@
     nodeRoute((req, res) => {
       const route = routeOf(req);
       if (route === undefined) {
-        createCallerAnswer({ res, headers: {} }).fail(notFound());
+        createCallerAnswer({ res, headers: {}, stallTimeoutMs }).fail(notFound());
         return;
       }
       // A caller that leaves while it sends its body has no answer to wait for.
@@ -138,19 +145,6 @@
   }
 }
 
-/** Answers before the body has been read; the connection cannot be used again. */
-function refuseUnread(
-  req: IncomingMessage,
-  res: ServerResponse,
-  answer: CallerAnswer,
-  problem: NotRunProblem,
-): void {
-  res.setHeader('connection', 'close');
-  answer.fail(problem);
-  req.unpipe();
-  req.resume();
-}
-
 function bodyTooLarge(limit: number): NotRunProblem {
   return {
     code: 'bodyTooLarge',
@@ -172,12 +166,15 @@
   };
 }
 
-function malformedAnswer(): string {
-  const { problem } = malformed('The bytes are not a HTTP request.');
-  return rawAnswer(problem);
-}
+/** Status by the error code of a connection whose bytes cannot be read. */
+const CONNECTION_STATUS: Readonly<Record<string, number>> = {
+  HPE_HEADER_OVERFLOW: 431,
+  ERR_HTTP_REQUEST_TIMEOUT: 408,
+};
 
-function rawAnswer(problem: Problem): string {
+function malformedAnswer(errorCode: string): string {
+  const status = CONNECTION_STATUS[errorCode] ?? 400;
+  const { problem } = malformed('The bytes are not a request of HTTP/1.1.', status);
   const body = `${JSON.stringify(problemBody(problem))}\n`;
   const headers = {
     ...problemHeaders(problem),
@@ -185,5 +182,5 @@
     connection: 'close',
   };
   const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
-  return `HTTP/1.1 ${problem.status} Bad Request\r\n${lines.join('')}\r\n${body}`;
+  return `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\n${lines.join('')}\r\n${body}`;
 }
--- a/src/hosts/callerRequest.ts
+++ b/src/hosts/callerRequest.ts
@@ -69,7 +69,8 @@
   if (Number(req.headers['content-length'] ?? 0) > limit) return undefined;
   const parts: Buffer[] = [];
   let size = 0;
-  for await (const part of req) {
+  // Leaving the loop early must not destroy the connection that the refusal is sent on.
+  for await (const part of req.iterator({ destroyOnReturn: false })) {
     size += (part as Buffer).length;
     if (size > limit) return undefined;
     parts.push(part as Buffer);
@@ -134,7 +135,10 @@
     prefixBlocks: prefixBlocksOf(content.prompt),
     streamed: content.isStreamed,
   };
-  return { event, outgoing: { method, path: route.path, headers: forwardedHeaders(req), body } };
+  return {
+    event,
+    outgoing: { method, path: route.path, headers: forwardedHeaders(req, route), body },
+  };
 }
 
 /** SHA-256 of the bearer key, so that no key reaches the core, a log or a dump. */
@@ -251,8 +255,10 @@
   return createHash('sha256').update(text).digest('hex');
 }
 
-function forwardedHeaders(req: IncomingMessage): Record<string, string> {
+function forwardedHeaders(req: IncomingMessage, route: CallerRoute): Record<string, string> {
   const named = (headerOf(req, 'connection') ?? '').toLowerCase().split(/\s*,\s*/);
+  // Tokens can only be counted in an answer that is not compressed.
+  if (route.kind === 'completion') named.push('accept-encoding');
   const headers: Record<string, string> = {};
   Object.entries(req.headers).forEach(([name, value]) => {
     if (value === undefined || DROPPED_HEADERS.has(name) || named.includes(name)) return;
--- a/src/hosts/httpServer.ts
+++ b/src/hosts/httpServer.ts
@@ -37,8 +37,8 @@
   readonly port: number;
   readonly limits?: Partial<HttpLimits>;
   readonly certificates?: CertificateSource | undefined;
-  /** Answers a connection whose bytes are not HTTP. */
-  readonly malformedAnswer?: () => string;
+  /** Answers a connection whose bytes are not HTTP, by the code of the error. */
+  readonly malformedAnswer?: (errorCode: string) => string;
 }
 
 export interface HttpServer {
@@ -53,19 +53,22 @@
 /** Creates a server that does not listen yet. */
 export function createHttpServer(options: HttpServerOptions): HttpServer {
   const limits = { ...DEFAULT_HTTP_LIMITS, ...options.limits };
+  const busy = new WeakSet<Socket>();
   const server = openServer(options, limits);
+  server.prependListener('request', (req: IncomingMessage, res: ServerResponse) => {
+    busy.add(req.socket);
+    res.once('close', () => busy.delete(req.socket));
+  });
   server.maxConnections = limits.maxConnections;
   server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
   server.on('connection', (socket: Socket) => {
     socket.setNoDelay(true);
   });
-  const { malformedAnswer } = options;
-  if (malformedAnswer !== undefined) {
-    server.on('clientError', (_err, socket) => {
-      if (socket.writable) socket.end(malformedAnswer());
-      else socket.destroy();
-    });
-  }
+  server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => {
+    // Bytes between the parts of an answer in progress would become part of it.
+    if (!socket.writable || busy.has(socket)) socket.destroy();
+    else socket.end(options.malformedAnswer?.(err.code ?? '') ?? '');
+  });
   return {
     listen: async () => {
       await new Promise<void>((resolve, reject) => {
@@ -98,10 +101,16 @@
     headersTimeout: limits.headersTimeoutMs,
     requestTimeout: limits.requestTimeoutMs,
     connectionsCheckingInterval: CHECK_INTERVAL_MS,
+    // Checked below, so that the refusal has the form of all others.
+    requireHostHeader: false,
   };
   const { certificates } = options;
   const listener = (req: IncomingMessage, res: ServerResponse) => {
-    void handler(req, res);
+    if (req.headers.host === undefined && req.httpVersion === '1.1') {
+      req.socket.end(options.malformedAnswer?.('') ?? '');
+      return;
+    }
+    Promise.resolve(handler(req, res)).catch(() => res.destroy());
   };
   if (certificates === undefined) return createServer(serverOptions, listener);
   const server = createTlsServer({ ...serverOptions, ...certificates.current() }, listener);
--- /dev/null
+++ b/test/hosts/callerHost.test.ts
@@ -0,0 +1,265 @@
+import { createConnection } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { expect } from 'chai';
+import fc from 'fast-check';
+import type { CallerRequestEvent, CoreEvent } from '../../src/core/types.js';
+import { createCallerHost, type CallerHostOptions } from '../../src/hosts/callerHost.js';
+import type { ProblemBody } from '../../src/hosts/problem.js';
+import type { CallerHost } from '../../src/hosts/types.js';
+
+const NOT_RUN = { executed: 'no' } as const;
+
+interface RawAnswer {
+  readonly status: number;
+  readonly head: string;
+  readonly body: string;
+}
+
+/** Sends bytes on a connection of their own and reads until it is closed. */
+async function sendRaw(address: string, bytes: string | Uint8Array): Promise<RawAnswer> {
+  const [host = '', port] = address.split(':');
+  const socket = createConnection(Number(port), host);
+  socket.on('error', () => {});
+  socket.end(bytes);
+  const parts: Buffer[] = [];
+  socket.on('data', (part: Buffer) => parts.push(part));
+  await new Promise((resolve) => {
+    socket.once('close', resolve);
+  });
+  const [head = '', ...rest] = Buffer.concat(parts).toString('latin1').split('\r\n\r\n');
+  return { status: Number(head.split(' ')[1] ?? 0), head, body: rest.join('\r\n\r\n') };
+}
+
+async function until(condition: () => boolean): Promise<void> {
+  if (condition()) return;
+  await sleep(2);
+  await until(condition);
+}
+
+describe("callers' port", () => {
+  const hosts: CallerHost[] = [];
+
+  async function startHost(options: Partial<CallerHostOptions> = {}) {
+    const events: CoreEvent[] = [];
+    const host: CallerHost = createCallerHost({
+      self: { id: 'a', incarnation: 1 },
+      post: (event) => {
+        events.push(event);
+        if (event.kind === 'callerRequest') setImmediate(() => options.post?.(event));
+      },
+      host: '127.0.0.1',
+      port: 0,
+      maxBodyBytes: 10_000,
+      ...(options.limits === undefined ? {} : { limits: options.limits }),
+      ...(options.stallTimeoutMs === undefined ? {} : { stallTimeoutMs: options.stallTimeoutMs }),
+    });
+    hosts.push(host);
+    return { host, events, address: await host.listen() };
+  }
+
+  /** A host that answers each request with an empty 200. */
+  async function startAnswering() {
+    const started = await startHost({
+      post: (event) => {
+        const { requestId } = event as CallerRequestEvent;
+        started.host.sinkOf(requestId)?.start({ status: 200, headers: {} });
+        started.host.finishAnswer(requestId);
+      },
+    });
+    return started;
+  }
+
+  afterEach(async () => {
+    await Promise.all(hosts.splice(0).map(async (host) => host.kill()));
+  });
+
+  const post = async (
+    address: string,
+    body: string | Uint8Array<ArrayBuffer>,
+    headers: Record<string, string> = {},
+  ): Promise<Response> =>
+    fetch(`http://${address}/v1/chat/completions`, { method: 'POST', body, headers });
+
+  it('answers any bytes that are no request as not run and goes on', async () => {
+    const { events, address } = await startAnswering();
+    const method = fc.constantFrom('GET', 'POST', 'PUT', '\u0000', 'gEt', 'CONNECT', 'PRI');
+    const path = fc.oneof(fc.string(), fc.constantFrom('*', '//', '/%', 'http://[', '/apps/%zz/x'));
+    const version = fc.constantFrom('HTTP/1.1', 'HTTP/1.0', 'HTTP/9', '');
+    const line = fc.tuple(method, path, version).map((parts) => parts.join(' '));
+    const header = fc.oneof(
+      fc.string(),
+      fc.constantFrom('content-length: -1', 'content-length: 9', 'transfer-encoding: x', 'host:'),
+    );
+    const request = fc
+      .tuple(line, fc.array(header, { maxLength: 4 }), fc.string())
+      .map(([first, headers, body]) => `${[first, ...headers].join('\r\n')}\r\n\r\n${body}`);
+    const bytes = fc.oneof(fc.uint8Array({ maxLength: 200 }), request);
+    await fc.assert(
+      fc.asyncProperty(bytes, async (sent) => {
+        const { status, head, body } = await sendRaw(address, sent);
+        if (status === 0) return;
+        expect(status).to.be.within(200, 499);
+        if (status < 400 || body === '') return;
+        expect(head.toLowerCase()).to.include('application/problem+json');
+        expect(JSON.parse(body)).to.include(NOT_RUN);
+      }),
+      { seed: 11, numRuns: 300 },
+    );
+    expect((await post(address, '{"model":"chat"}')).status).to.equal(200);
+    const count = (kind: string) => events.filter((event) => event.kind === kind).length;
+    expect(count('callerGone')).to.be.at.most(count('callerRequest'));
+  });
+
+  it('refuses any body that is no completion request as not run', async () => {
+    const { events, address } = await startAnswering();
+    const broken = fc.oneof(
+      fc.uint8Array({ minLength: 1, maxLength: 50 }),
+      fc.json().map((text) => new TextEncoder().encode(text)),
+      fc
+        .record({
+          model: fc.constantFrom('', 1, null),
+          messages: fc.constantFrom([], 'x', [1], [{ content: 5 }]),
+        })
+        .map((value) => new TextEncoder().encode(JSON.stringify(value))),
+    );
+    await fc.assert(
+      fc.asyncProperty(broken, async (body) => {
+        const res = await post(address, new Uint8Array(body));
+        expect(res.status).to.equal(400);
+        expect(res.headers.get('content-type')).to.equal('application/problem+json');
+        expect(await res.json()).to.include({ ...NOT_RUN, step: 'receive' });
+      }),
+      { seed: 12, numRuns: 200 },
+    );
+    expect(events).to.deep.equal([]);
+  });
+
+  it('refuses a body over the limit, whether its length is told or not', async () => {
+    const { events, address } = await startHost();
+    const told = await post(address, 'x'.repeat(20_000));
+    expect(told.status).to.equal(413);
+    const chunks = new Blob(['x'.repeat(20_000)]).stream();
+    const init = { method: 'POST', body: chunks, duplex: 'half' } as RequestInit;
+    const untold = await fetch(`http://${address}/v1/completions`, init);
+    expect(untold.status).to.equal(413);
+    expect(await untold.json()).to.include(NOT_RUN);
+    expect(events).to.deep.equal([]);
+  });
+
+  it('refuses headers over the limit', async () => {
+    const { address } = await startHost({ limits: { maxHeaderBytes: 1_000 } });
+    const { status, body } = await sendRaw(
+      address,
+      `GET / HTTP/1.1\r\na: ${'x'.repeat(5_000)}\r\n`,
+    );
+    expect(status).to.equal(431);
+    expect(JSON.parse(body)).to.include(NOT_RUN);
+  });
+
+  it('ends a connection whose headers trickle in', async () => {
+    const { address } = await startHost({
+      limits: { headersTimeoutMs: 50, requestTimeoutMs: 100 },
+    });
+    const [host = '', port] = address.split(':');
+    const socket = createConnection(Number(port), host);
+    socket.on('error', () => {});
+    const timer = setInterval(() => socket.write('x'), 20);
+    socket.write('GET / HTTP/1.1\r\n');
+    let answer = '';
+    socket.on('data', (part: Buffer) => {
+      answer += part.toString();
+    });
+    await new Promise((resolve) => {
+      socket.once('close', resolve);
+    });
+    clearInterval(timer);
+    expect(answer).to.match(/^HTTP\/1\.1 408 /);
+  });
+
+  it('reports the departure of a caller that waits', async () => {
+    const { events, address } = await startHost();
+    const abort = new AbortController();
+    const body = '{"model":"chat"}';
+    const asked = fetch(`http://${address}/v1/completions`, {
+      method: 'POST',
+      body,
+      signal: abort.signal,
+    }).catch(() => undefined);
+    await until(() => events.length === 1);
+    abort.abort();
+    await asked;
+    await until(() => events.length === 2);
+    const [first, second] = events as [CallerRequestEvent, CoreEvent];
+    expect(second).to.deep.equal({ kind: 'callerGone', requestId: first.requestId });
+  });
+
+  it('takes a caller that reads nothing for gone', async () => {
+    const { host, events, address } = await startHost({ stallTimeoutMs: 30 });
+    const [ip = '', port] = address.split(':');
+    const socket = createConnection(Number(port), ip);
+    socket.pause();
+    socket.on('error', () => {});
+    socket.write(
+      'POST /v1/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 16\r\n\r\n{"model":"chat"}',
+    );
+    await until(() => events.length === 1);
+    const [request] = events as [CallerRequestEvent];
+    const sink = host.sinkOf(request.requestId);
+    sink?.start({ status: 200, headers: {} });
+    const part = new Uint8Array(1024 * 1024);
+    const fill = async (): Promise<void> => {
+      await sink?.write(part);
+      await fill();
+    };
+    const ending = await fill().catch((err: Error) => err.message);
+    expect(ending).to.equal('The caller is gone.');
+    await until(() => events.some(({ kind }) => kind === 'callerGone'));
+    socket.destroy();
+  });
+
+  it('hashes the key and passes no credentials on', async () => {
+    const { host, events, address } = await startHost();
+    const headers = {
+      authorization: 'Bearer secret',
+      'x-idempotent': 'true',
+      'x-cost-hint': '7.5',
+    };
+    void post(address, '{"model":"chat"}', headers).catch(() => {});
+    await until(() => events.length === 1);
+    const [event] = events as [CallerRequestEvent];
+    expect(event).to.include({ idempotent: true, costHint: 7.5, pool: 'chat' });
+    expect(event.keyHash).to.match(/^[0-9a-f]{64}$/);
+    expect(JSON.stringify([event, host.requestOf(event.requestId)])).to.not.include('secret');
+  });
+
+  it('ends a stream that fails with an error event and never as a whole one', async () => {
+    const { host, events, address } = await startHost();
+    const asked = post(address, '{"model":"chat","stream":true}');
+    await until(() => events.length === 1);
+    const [{ requestId }] = events as [CallerRequestEvent];
+    const sink = host.sinkOf(requestId);
+    sink?.start({ status: 200, headers: { 'content-type': 'text/event-stream' } });
+    void sink?.write(Buffer.from('data: {}\n\n'));
+    host.fail(requestId, {
+      code: 'answerCut',
+      status: 502,
+      executed: 'yes',
+      step: 'stream',
+      peer: { kind: 'upstream', id: 'e1' },
+    });
+    const res = await asked;
+    let text = '';
+    const readAll = async () => {
+      const decoder = new TextDecoder();
+      for await (const part of res.body ?? []) text += decoder.decode(part as Uint8Array);
+    };
+    const ending = await readAll().then(
+      () => 'whole',
+      () => 'broken',
+    );
+    expect(ending).to.equal('broken');
+    expect(text).to.match(/^data: \{\}\n\nevent: error\ndata: .*"executed":"yes"/);
+    const data = /event: error\ndata: (.*)\n/.exec(text)?.[1] ?? '';
+    expect((JSON.parse(data) as ProblemBody).peer).to.deep.equal({ kind: 'upstream', id: 'e1' });
+  });
+});
