--- a/scripts/prepare.mjs
+++ b/scripts/prepare.mjs
@@ -3,14 +3,19 @@
  * then compiles. Run before `npm start` and `npm test`.
  */
 import { execFileSync } from 'node:child_process';
-import { existsSync, statSync } from 'node:fs';
+import { existsSync, lstatSync, statSync } from 'node:fs';
 import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 
 const root = join(dirname(fileURLToPath(import.meta.url)), '..');
 const run = (command, args) => execFileSync(command, args, { cwd: root, stdio: 'inherit' });
 
+/** A linked folder belongs to another checkout, which keeps it up to date. */
+const isLinked = () =>
+  lstatSync(join(root, 'node_modules'), { throwIfNoEntry: false })?.isSymbolicLink();
+
 const isInstalled = () => {
+  if (isLinked()) return true;
   const marker = join(root, 'node_modules', '.package-lock.json');
   return (
     existsSync(marker) &&
--- a/src/core/attempts/attempts.ts
+++ b/src/core/attempts/attempts.ts
@@ -1,75 +1,96 @@
-/** Attempts: one dispatch of a request to an upstream, its progress and its end. */
+/**
+ * Attempts: one dispatch of a request to an upstream, its progress and its end. Each attempt has an
+ * id of its own; events of an attempt that is not the request's current one only free its slot.
+ */
 import type { CoreContext } from '../context.js';
+import { Debug } from '../debug.js';
 import { releaseGrant, returnGrant } from '../dispatch/grants.js';
-import { endRequest, failRequest } from '../requests/outcomes.js';
+import { isUpstreamStopping } from '../drain/upstreams.js';
+import { failRequest, finishRequest, refuseRequest } from '../requests/outcomes.js';
+import { isRunnableOn } from '../requests/readiness.js';
+import { noteFirstAttempt, requeueAfter, retryDelay, takeRetry } from '../retries/retries.js';
 import { charge } from '../shares/shares.js';
+import type { CoreState } from '../state.js';
 import type {
   AttemptId,
   AttemptOutcome,
+  CacheMove,
+  DispatchedRequest,
   GrantFacts,
   PoolConfig,
-  Problem,
-  RequestFacts,
   RequestId,
+  RetryingRequest,
   UpstreamConfig,
+  WaitingRequest,
 } from '../types.js';
 import type { AttemptRecord } from './attemptsState.js';
+import { notRunProblemOf, problemOf } from './problems.js';
+import { planRecovery } from './recovery.js';
 
-/** Dispatches a waiting request to the upstream of a grant. */
+type FailedOutcome = Exclude<AttemptOutcome, { readonly kind: 'complete' }>;
+type QueuedRequest = WaitingRequest | RetryingRequest;
+
+/** An upstream with its pool, as the configuration in force has them. */
+interface Target {
+  readonly upstream: UpstreamConfig;
+  readonly pool: PoolConfig;
+}
+
+/** Dispatches a queued request to the upstream of a grant, unless it may not run there now. */
 export function startAttempt(ctx: CoreContext, requestId: RequestId, grant: GrantFacts): void {
   const { state } = ctx;
   const request = state.requests.active.get(requestId);
-  const upstream = state.configuration.view?.upstreams.get(grant.upstream);
-  const pool = upstream && state.configuration.view?.pools.get(upstream.pool);
-  if (request === undefined || upstream === undefined || pool === undefined) {
+  const target = targetOf(state, grant);
+  if (request === undefined || (request.state !== 'waiting' && request.state !== 'retrying')) {
     returnGrant(ctx, grant);
     return;
   }
-  const attemptId = createAttemptId(ctx);
+  if (target === undefined || !isRunnableOn(state, request, grant.upstream)) {
+    returnGrant(ctx, grant);
+    requeueAfter(ctx, requestId, state.settings.requeueMs);
+    return;
+  }
+  if (request.state === 'waiting' && request.tried.length === 0) noteFirstAttempt(state);
+  if (request.state === 'retrying' && request.move !== undefined) {
+    moveCache(ctx, request.move, target.upstream);
+  }
   const { facts } = request;
-  state.attempts.running.set(attemptId, {
-    attemptId,
-    requestId,
-    customer: facts.customer,
-    pool: pool.id,
-    grant,
-    startedAt: ctx.now,
-    outputTokens: 0,
-  });
-  state.requests.active.set(requestId, {
-    state: 'dispatched',
-    facts,
-    attempt: attemptId,
-    tried: [],
-    forwardedTokens: 0,
-    hasForwarded: false,
-  });
-  charge(ctx, facts.customer, pool.id, facts.promptTokens * pool.cost.perPromptToken);
-  emitDispatch(ctx, attemptId, facts, upstream, pool);
+  charge(ctx, facts.customer, target.pool.id, facts.promptTokens * target.pool.cost.perPromptToken);
+  dispatch(ctx, dispatchedFrom(request, grant), grant, target);
 }
 
 /** Charges the tokens that were passed on since the last report. */
-export function onAttemptProgress(ctx: CoreContext, id: AttemptId, outputTokens: number): void {
+export function onAttemptProgress(
+  ctx: CoreContext,
+  id: AttemptId,
+  outputTokens: number,
+  bytes: number,
+): void {
   const attempt = ctx.state.attempts.running.get(id);
   const pool = attempt && ctx.state.configuration.view?.pools.get(attempt.pool);
   if (attempt === undefined || pool === undefined) return;
   attempt.outputTokens += outputTokens;
+  attempt.hasForwarded ||= outputTokens > 0 || bytes > 0;
   charge(ctx, attempt.customer, pool.id, outputTokens * pool.cost.perOutputToken);
 }
 
 export function onAttemptEnded(ctx: CoreContext, id: AttemptId, outcome: AttemptOutcome): void {
-  const attempt = ctx.state.attempts.running.get(id);
+  const { state } = ctx;
+  const attempt = state.attempts.running.get(id);
   if (attempt === undefined) return;
-  ctx.state.attempts.running.delete(id);
-  releaseGrant(ctx, attempt.grant);
+  state.attempts.running.delete(id);
   chargeSlotTime(ctx, attempt);
-  if (!ctx.state.requests.active.has(attempt.requestId)) return;
+  const request = state.requests.active.get(attempt.requestId);
+  if (request?.state !== 'dispatched' || request.attempt !== id) {
+    releaseGrant(ctx, attempt.grant);
+    return;
+  }
   if (outcome.kind === 'complete') {
-    ctx.emit({ kind: 'finishAnswer', requestId: attempt.requestId });
-    endRequest(ctx, attempt.requestId);
+    releaseGrant(ctx, attempt.grant);
+    finishRequest(ctx, request, outcome.answer);
     return;
   }
-  failRequest(ctx, attempt.requestId, problemOf(attempt, outcome));
+  recover(ctx, request, attempt, outcome);
 }
 
 /** Stops an attempt whose answer nobody wants any more. */
@@ -79,31 +100,225 @@
   ctx.emit({ kind: 'cancelAttempt', attemptId: id, upstream: attempt.grant.upstream });
 }
 
-function emitDispatch(
+/** Whether any byte of an answer was passed on to the caller of a dispatched request. */
+export function hasForwarded(state: CoreState, request: DispatchedRequest): boolean {
+  const attempt = state.attempts.running.get(request.attempt);
+  return request.hasForwarded || (attempt?.hasForwarded ?? false);
+}
+
+function recover(
+  ctx: CoreContext,
+  request: DispatchedRequest,
+  attempt: AttemptRecord,
+  outcome: FailedOutcome,
+): void {
+  const { state } = ctx;
+  const recovery = planRecovery({
+    outcome,
+    isIdempotent: request.facts.idempotent,
+    hasForwarded: request.hasForwarded || attempt.hasForwarded,
+    mayHaveRun: request.mayHaveRun,
+    canResume: canResume(state, request, attempt),
+    isUpstreamStopping: isUpstreamStopping(state, attempt.grant.upstream),
+  });
+  if (recovery.kind === 'resume' && resume(ctx, request, attempt)) return;
+  releaseGrant(ctx, attempt.grant);
+  switch (recovery.kind) {
+    case 'finish':
+      Debug.fail('a failed attempt finishes no request');
+      break;
+    case 'resume':
+      giveUpStream(ctx, request, attempt, outcome);
+      return;
+    case 'move':
+      if (!move(ctx, request, attempt)) giveUpStream(ctx, request, attempt, outcome);
+      return;
+    case 'retry':
+      retry(ctx, request, attempt, outcome, recovery.mayHaveRun);
+      return;
+    case 'giveUp':
+      failRequest(
+        ctx,
+        request,
+        problemOf(state, attempt.grant.upstream, outcome, recovery.executed),
+      );
+      return;
+    default:
+      Debug.assertNever(recovery);
+  }
+}
+
+/** Goes on at the same engine, within the same slot. */
+function resume(ctx: CoreContext, request: DispatchedRequest, attempt: AttemptRecord): boolean {
+  const target = targetOf(ctx.state, attempt.grant);
+  if (target === undefined || !takeRetry(ctx.state)) return false;
+  dispatch(ctx, resumedFrom(request, attempt), attempt.grant, target);
+  return true;
+}
+
+/** Queues a stream for another engine. */
+function move(ctx: CoreContext, request: DispatchedRequest, attempt: AttemptRecord): boolean {
+  const from = ctx.state.configuration.view?.upstreams.get(attempt.grant.upstream);
+  const mayMove = from !== undefined && hasUntried(ctx.state, request) && takeRetry(ctx.state);
+  if (!mayMove) return false;
+  const { facts, tried, resumes } = request;
+  ctx.state.requests.active.set(facts.requestId, {
+    state: 'retrying',
+    facts,
+    since: ctx.now,
+    tried,
+    forwardedTokens: request.forwardedTokens + attempt.outputTokens,
+    hasForwarded: true,
+    resumes: resumes + 1,
+    move: { attemptId: attempt.attemptId, fromUrl: from.url },
+  });
+  requeueAfter(ctx, facts.requestId, 0);
+  return true;
+}
+
+/** Queues a request for another upstream, or tells its caller at once that there is none. */
+function retry(
+  ctx: CoreContext,
+  request: DispatchedRequest,
+  attempt: AttemptRecord,
+  outcome: FailedOutcome,
+  mayHaveRun: boolean,
+): void {
+  const { state } = ctx;
+  const { facts, tried } = request;
+  const queued = queuedFrom(ctx, request, mayHaveRun);
+  if (!hasUntried(state, request) || !takeRetry(state)) {
+    const { upstream } = attempt.grant;
+    if (queued.state === 'waiting') {
+      refuseRequest(ctx, queued, notRunProblemOf(state, upstream, outcome));
+    } else {
+      failRequest(ctx, request, problemOf(state, upstream, outcome, 'unknown'));
+    }
+    return;
+  }
+  state.requests.active.set(facts.requestId, queued);
+  const delay = outcome.kind === 'silent' ? 0 : retryDelay(state, tried.length);
+  requeueAfter(ctx, facts.requestId, delay);
+}
+
+function giveUpStream(
+  ctx: CoreContext,
+  request: DispatchedRequest,
+  attempt: AttemptRecord,
+  outcome: FailedOutcome,
+): void {
+  failRequest(ctx, request, problemOf(ctx.state, attempt.grant.upstream, outcome, 'yes'));
+}
+
+function dispatch(
   ctx: CoreContext,
-  attemptId: AttemptId,
-  facts: RequestFacts,
-  upstream: UpstreamConfig,
-  pool: PoolConfig,
+  request: Omit<DispatchedRequest, 'attempt'>,
+  grant: GrantFacts,
+  target: Target,
 ): void {
-  const { settings } = ctx.state;
+  const { state } = ctx;
+  const { facts } = request;
+  const attemptId = createAttemptId(ctx);
+  state.attempts.running.set(attemptId, {
+    attemptId,
+    requestId: facts.requestId,
+    customer: facts.customer,
+    pool: target.pool.id,
+    fingerprint: facts.fingerprint,
+    grant,
+    startedAt: ctx.now,
+    outputTokens: 0,
+    hasForwarded: false,
+  });
+  state.requests.active.set(facts.requestId, { ...request, attempt: attemptId });
   ctx.emit({
     kind: 'dispatch',
     attempt: {
       attemptId,
       requestId: facts.requestId,
-      upstream: upstream.id,
-      url: upstream.url,
-      pool: pool.id,
-      kind: pool.kind,
-      resumeFromToken: 0,
-      idleTimeoutMs: settings.idleTimeoutMs,
-      firstByteTimeoutMs: settings.firstByteTimeoutMs,
+      upstream: target.upstream.id,
+      url: target.upstream.url,
+      pool: target.pool.id,
+      kind: target.pool.kind,
+      resumeFromToken: request.forwardedTokens,
+      idleTimeoutMs: state.settings.idleTimeoutMs,
+      firstByteTimeoutMs: state.settings.firstByteTimeoutMs,
       captureAnswer: facts.idempotencyKey !== undefined && !facts.idempotent,
     },
   });
 }
 
+function dispatchedFrom(
+  request: QueuedRequest,
+  grant: GrantFacts,
+): Omit<DispatchedRequest, 'attempt'> {
+  const isRetrying = request.state === 'retrying';
+  return {
+    state: 'dispatched',
+    facts: request.facts,
+    tried: [...request.tried, grant.upstream],
+    forwardedTokens: isRetrying ? request.forwardedTokens : 0,
+    hasForwarded: isRetrying && request.hasForwarded,
+    mayHaveRun: isRetrying,
+    resumes: isRetrying ? request.resumes : 0,
+    isCallerGone: false,
+  };
+}
+
+function resumedFrom(
+  request: DispatchedRequest,
+  attempt: AttemptRecord,
+): Omit<DispatchedRequest, 'attempt'> {
+  return {
+    ...request,
+    forwardedTokens: request.forwardedTokens + attempt.outputTokens,
+    hasForwarded: true,
+    mayHaveRun: true,
+    resumes: request.resumes + 1,
+  };
+}
+
+function queuedFrom(
+  ctx: CoreContext,
+  request: DispatchedRequest,
+  mayHaveRun: boolean,
+): QueuedRequest {
+  const { facts, tried, resumes } = request;
+  const common = { facts, since: ctx.now, tried };
+  if (!mayHaveRun) return { state: 'waiting', ...common };
+  return { state: 'retrying', ...common, forwardedTokens: 0, hasForwarded: false, resumes };
+}
+
+function canResume(state: CoreState, request: DispatchedRequest, attempt: AttemptRecord): boolean {
+  const pool = state.configuration.view?.pools.get(attempt.pool);
+  const { facts, resumes } = request;
+  return pool?.kind === 'model' && facts.streamed && resumes < state.settings.maxResumes;
+}
+
+/** Whether the pool has an upstream that has not been tried and takes new work. */
+function hasUntried(state: CoreState, request: DispatchedRequest): boolean {
+  const upstreams = state.configuration.view?.upstreamsByPool.get(request.facts.pool) ?? [];
+  return upstreams.some(
+    (upstream) => !request.tried.includes(upstream.id) && !isUpstreamStopping(state, upstream.id),
+  );
+}
+
+function moveCache(ctx: CoreContext, from: CacheMove, to: UpstreamConfig): void {
+  ctx.emit({
+    kind: 'moveCache',
+    attemptId: from.attemptId,
+    fromUrl: from.fromUrl,
+    toUrl: to.url,
+  });
+}
+
+function targetOf(state: CoreState, grant: GrantFacts): Target | undefined {
+  const { view } = state.configuration;
+  const upstream = view?.upstreams.get(grant.upstream);
+  const pool = upstream && view?.pools.get(upstream.pool);
+  return upstream === undefined || pool === undefined ? undefined : { upstream, pool };
+}
+
 function createAttemptId(ctx: CoreContext): AttemptId {
   const { attempts, self } = ctx.state;
   const number = attempts.nextNumber;
@@ -117,16 +332,3 @@
   const cost = (ctx.now - attempt.startedAt) * pool.cost.perSlotMs;
   charge(ctx, attempt.customer, pool.id, cost);
 }
-
-function problemOf(attempt: AttemptRecord, outcome: AttemptOutcome): Problem {
-  const isCut = outcome.kind === 'cut' || outcome.kind === 'silent';
-  const wasNotRun = outcome.kind === 'notSent' || outcome.kind === 'declined';
-  return {
-    code: isCut ? 'answerCut' : 'upstreamFailed',
-    status: outcome.kind === 'silent' ? 504 : 502,
-    executed: wasNotRun ? 'no' : 'unknown',
-    step: isCut ? 'stream' : 'dispatch',
-    peer: { kind: 'upstream', id: attempt.grant.upstream },
-    detail: outcome.kind,
-  };
-}
--- a/src/core/attempts/attemptsState.ts
+++ b/src/core/attempts/attemptsState.ts
@@ -7,9 +7,13 @@
   readonly requestId: RequestId;
   readonly customer: CustomerNumber;
   readonly pool: PoolId;
+  readonly fingerprint: string;
   readonly grant: GrantFacts;
   readonly startedAt: Millis;
+  /** Output tokens that this attempt passed on. */
   outputTokens: number;
+  /** Whether this attempt passed on any byte of an answer. */
+  hasForwarded: boolean;
 }
 
 export interface AttemptsState {
--- a/src/core/core.ts
+++ b/src/core/core.ts
@@ -14,6 +14,7 @@
 import { createRandom } from './random.js';
 import { reduceEvent, reducePeerMessage } from './reducer.js';
 import { createRequestsState } from './requests/requestsState.js';
+import { createRetriesState } from './retries/retriesState.js';
 import { DEFAULT_CORE_SETTINGS, type CoreSettings } from './settings.js';
 import { createSharesState } from './shares/sharesState.js';
 import type { CoreState } from './state.js';
@@ -78,6 +79,7 @@
     dispatch: createDispatchState(),
     requests: createRequestsState(),
     attempts: createAttemptsState(),
+    retries: createRetriesState(),
     drain: createDrainState(),
   };
 }
--- a/src/core/dispatch/entry.ts
+++ b/src/core/dispatch/entry.ts
@@ -25,7 +25,7 @@
     upstream: grant.upstream,
     expiresAt: ctx.now + grant.expiresInMs,
   };
-  const requestId = pool === undefined ? undefined : takeNext(ctx.state, pool.id, grant.customer);
+  const requestId = pool && takeNext(ctx.state, pool.id, grant.customer, grant.upstream);
   if (requestId === undefined || pool === undefined) {
     returnGrant(ctx, facts);
     return;
--- a/src/core/dispatch/queues.ts
+++ b/src/core/dispatch/queues.ts
@@ -1,7 +1,8 @@
 /** The queues of requests that wait at this instance, by pool and customer. */
 import { setTimer, type CoreContext } from '../context.js';
+import { isRunnable } from '../requests/readiness.js';
 import type { CoreState } from '../state.js';
-import type { CustomerNumber, PoolId, RequestFacts, RequestId } from '../types.js';
+import type { CustomerNumber, PoolId, RequestFacts, RequestId, UpstreamId } from '../types.js';
 
 /** Puts a request into the queue of its customer and pool. */
 export function enqueue(ctx: CoreContext, facts: RequestFacts): void {
@@ -24,13 +25,16 @@
   ctx.state.dispatch.queues.forEach((_, pool) => noteChange(ctx, pool));
 }
 
-/** Takes the oldest request of a customer out of its queue. */
+/** Takes the oldest request of a customer that may run on an upstream out of its queue. */
 export function takeNext(
   state: CoreState,
   pool: PoolId,
   customer: CustomerNumber,
+  upstream: UpstreamId,
 ): RequestId | undefined {
-  return queueOf(state, pool, customer).shift();
+  const queue = queueOf(state, pool, customer);
+  const index = queue.findIndex((id) => isRunnable(state, id, upstream));
+  return index < 0 ? undefined : queue.splice(index, 1)[0];
 }
 
 function queueOf(state: CoreState, pool: PoolId, customer: CustomerNumber): RequestId[] {
--- a/src/core/reducer.ts
+++ b/src/core/reducer.ts
@@ -7,6 +7,7 @@
 import { announceAll } from './dispatch/queues.js';
 import { onGrantReturn, onPollTimer, onSlotUpdate, onWaitingUpdate } from './dispatch/owner.js';
 import { onPlannedStop } from './drain/drain.js';
+import { onListedUpstreams } from './drain/upstreams.js';
 import {
   onHeartbeat,
   onHeartbeatTimer,
@@ -18,6 +19,7 @@
 import { onMemberRequest, onMemberSummaries } from './membership/relays.js';
 import { onCallerRequest } from './requests/admission.js';
 import { onCallerGone, onDeadlinesTimer } from './requests/requests.js';
+import { onRetriesTimer, onRetryUsage, startRetries } from './retries/retries.js';
 import type { CoreEvent, InstanceId, PeerMessage, TimerName } from './types.js';
 
 export function reduceEvent(ctx: CoreContext, event: CoreEvent): void {
@@ -34,7 +36,7 @@
     case 'attemptStarted':
       return;
     case 'attemptProgress':
-      onAttemptProgress(ctx, event.attemptId, event.outputTokens);
+      onAttemptProgress(ctx, event.attemptId, event.outputTokens, event.bytes);
       return;
     case 'attemptEnded':
       onAttemptEnded(ctx, event.attemptId, event.outcome);
@@ -44,6 +46,7 @@
       return;
     case 'instanceList':
       onInstanceList(ctx, event.instances ?? []);
+      onListedUpstreams(ctx, event.instances ?? []);
       return;
     case 'upstreamReport':
       if (event.report !== undefined) ctx.state.dispatch.reports.set(event.upstream, event.report);
@@ -94,6 +97,9 @@
     case 'slotUpdate':
       onSlotUpdate(ctx, message.value);
       return;
+    case 'retryUsage':
+      onRetryUsage(ctx, from, message.value);
+      return;
     case 'serviceSums':
     case 'serviceRequest':
     case 'limitUsage':
@@ -101,7 +107,6 @@
     case 'demandOffer':
     case 'suspendRequest':
     case 'suspicions':
-    case 'retryUsage':
     case 'claimSubmission':
     case 'outcomeQuery':
     case 'outcomeReply':
@@ -132,12 +137,14 @@
     case 'deadlines':
       onDeadlinesTimer(ctx);
       return;
+    case 'retries':
+      onRetriesTimer(ctx);
+      return;
     case 'exchange':
     case 'assign':
     case 'limits':
     case 'claims':
     case 'quarantine':
-    case 'retries':
     case 'configuration':
     case 'checkpoint':
     case 'apply':
@@ -151,6 +158,7 @@
 
 function onStart(ctx: CoreContext): void {
   startMembership(ctx);
+  startRetries(ctx);
   setTimer(ctx, 'poll', ctx.state.settings.pollMs);
   setTimer(ctx, 'deadlines', ctx.state.settings.deadlineTickMs);
 }
--- a/src/core/requests/admission.ts
+++ b/src/core/requests/admission.ts
@@ -35,7 +35,12 @@
     return;
   }
   const facts = createFacts(ctx, event, view, pool, customer);
-  ctx.state.requests.active.set(facts.requestId, { state: 'waiting', facts, since: ctx.now });
+  ctx.state.requests.active.set(facts.requestId, {
+    state: 'waiting',
+    facts,
+    since: ctx.now,
+    tried: [],
+  });
   enqueue(ctx, facts);
 }
 
--- a/src/core/requests/requests.ts
+++ b/src/core/requests/requests.ts
@@ -1,24 +1,16 @@
 /** Requests that end before their answer: passed deadlines and callers that leave. */
-import { cancelAttempt } from '../attempts/attempts.js';
+import { cancelAttempt, hasForwarded } from '../attempts/attempts.js';
 import { setTimer, type CoreContext } from '../context.js';
-import { withdraw } from '../dispatch/queues.js';
 import { Debug } from '../debug.js';
-import type { RequestId } from '../types.js';
-import { endRequest, isUntried, refuseRequest } from './outcomes.js';
+import type { ActiveRequest, Executed, Problem, RequestId } from '../types.js';
+import { endRequest, failRequest, refuseRequest } from './outcomes.js';
 
-/** Refuses requests whose deadline passed before they were dispatched. */
+const GATEWAY_TIMEOUT = 504;
+
+/** Ends the requests whose deadline has passed, in whatever state they are. */
 export function onDeadlinesTimer(ctx: CoreContext): void {
   ctx.state.requests.active.forEach((request) => {
-    if (request.facts.deadlineAt > ctx.now) return;
-    if (isUntried(request)) {
-      refuseRequest(ctx, request, {
-        code: 'deadlinePassed',
-        status: 504,
-        executed: 'no',
-        step: 'wait',
-        peer: { kind: 'self' },
-      });
-    }
+    if (request.facts.deadlineAt <= ctx.now) endLate(ctx, request);
   });
   setTimer(ctx, 'deadlines', ctx.state.settings.deadlineTickMs);
 }
@@ -27,19 +19,40 @@
 export function onCallerGone(ctx: CoreContext, requestId: RequestId): void {
   const request = ctx.state.requests.active.get(requestId);
   if (request === undefined) return;
+  if (request.state === 'dispatched') cancelAttempt(ctx, request.attempt);
+  endRequest(ctx, request.facts);
+}
+
+function endLate(ctx: CoreContext, request: ActiveRequest): void {
   switch (request.state) {
     case 'accepted':
-    case 'granted':
-      break;
     case 'waiting':
+    case 'granted':
+      refuseRequest(ctx, request, { ...lateProblem(ctx, 'no'), executed: 'no', step: 'wait' });
+      return;
     case 'retrying':
-      withdraw(ctx, request.facts);
-      break;
+      failRequest(ctx, request, lateProblem(ctx, request.hasForwarded ? 'yes' : 'unknown'));
+      return;
     case 'dispatched':
       cancelAttempt(ctx, request.attempt);
-      break;
+      failRequest(
+        ctx,
+        request,
+        lateProblem(ctx, hasForwarded(ctx.state, request) ? 'yes' : 'unknown'),
+      );
+      return;
     default:
       Debug.assertNever(request);
   }
-  endRequest(ctx, requestId);
+}
+
+function lateProblem(ctx: CoreContext, executed: Executed): Problem {
+  return {
+    code: 'deadlinePassed',
+    status: GATEWAY_TIMEOUT,
+    executed,
+    step: 'stream',
+    peer: { kind: 'self' },
+    retryAfterMs: ctx.state.settings.retryAfterMs,
+  };
 }
--- a/src/core/settings.ts
+++ b/src/core/settings.ts
@@ -1,7 +1,8 @@
 /** Settings of the core with their defaults. All durations are milliseconds. */
 import type { Millis } from './clock.js';
+import { DEFAULT_OUTCOME_SETTINGS, type OutcomeSettings } from './requests/outcomeSettings.js';
 
-export interface CoreSettings {
+export interface CoreSettings extends OutcomeSettings {
   /** Interval of heartbeats within a failure domain. */
   readonly heartbeatMs: Millis;
   /** Silence after which an instance is taken for dead. */
@@ -27,6 +28,7 @@
 }
 
 export const DEFAULT_CORE_SETTINGS: CoreSettings = {
+  ...DEFAULT_OUTCOME_SETTINGS,
   heartbeatMs: 1_000,
   memberTimeoutMs: 4_000,
   instanceListMs: 5_000,
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -10,6 +10,7 @@
 import type { AttemptsState } from './attempts/attemptsState.js';
 import type { ConfigurationState } from './configuration/configurationState.js';
 import type { DrainState } from './drain/drainState.js';
+import type { RetriesState } from './retries/retriesState.js';
 import type { Random } from './random.js';
 import type { CoreSettings } from './settings.js';
 import type { InstanceIdentity } from './types.js';
@@ -25,5 +26,6 @@
   readonly dispatch: DispatchState;
   readonly requests: RequestsState;
   readonly attempts: AttemptsState;
+  readonly retries: RetriesState;
   readonly drain: DrainState;
 }
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -193,11 +193,13 @@
   readonly facts: RequestFacts;
 }
 
-/** In the queue of its customer and pool. No attempt has been made, or none reached an upstream. */
+/** In the queue of its customer and pool. No attempt has been made, or none was run. */
 export interface WaitingRequest {
   readonly state: 'waiting';
   readonly facts: RequestFacts;
   readonly since: Millis;
+  /** Upstreams of attempts that certainly did not run the request, the latest last. */
+  readonly tried: readonly UpstreamId[];
 }
 
 /** Holds a slot on an upstream; nothing has been sent yet. */
@@ -212,15 +214,30 @@
   readonly state: 'dispatched';
   readonly facts: RequestFacts;
   readonly attempt: AttemptId;
-  /** Upstreams of earlier attempts, the latest last. */
+  /** Upstreams of this and earlier attempts, the latest last. */
   readonly tried: readonly UpstreamId[];
-  /** Output tokens already passed on to the caller. */
+  /** Output tokens that earlier attempts passed on to the caller. */
   readonly forwardedTokens: number;
-  /** Whether any byte of an answer was passed on. */
+  /** Whether an earlier attempt passed on any byte of an answer. */
   readonly hasForwarded: boolean;
+  /** Whether an earlier attempt may have run the request. */
+  readonly mayHaveRun: boolean;
+  /** Number of times that the answer was resumed. */
+  readonly resumes: number;
+  /** Whether the caller has left while the outcome is still wanted for its key. */
+  readonly isCallerGone: boolean;
+}
+
+/** A stream that goes on at another engine, to which its key-value cache is copied first. */
+export interface CacheMove {
+  readonly attemptId: AttemptId;
+  readonly fromUrl: string;
 }
 
-/** An idempotent request whose attempt failed and that waits for another upstream. */
+/**
+ * An idempotent request that an upstream may have run and that waits for another upstream. It can
+ * fail, but it can never be refused as not run.
+ */
 export interface RetryingRequest {
   readonly state: 'retrying';
   readonly facts: RequestFacts;
@@ -228,8 +245,9 @@
   readonly tried: readonly UpstreamId[];
   readonly forwardedTokens: number;
   readonly hasForwarded: boolean;
-  /** Earliest time of the next attempt. */
-  readonly notBefore: Millis;
+  readonly resumes: number;
+  /** Present for a stream that has passed on tokens. */
+  readonly move?: CacheMove;
 }
 
 export type ActiveRequest =
@@ -318,6 +336,8 @@
   readonly firstByteTimeoutMs: Millis;
   /** Whether the host keeps a copy of a small answer for the claim's outcome. */
   readonly captureAnswer: boolean;
+  /** Time after which no byte may leave any more; the attempt then ends as `notSent`. */
+  readonly sendBefore?: Millis;
 }
 
 /** Status and end-to-end headers of an upstream's answer. */
