--- a/src/core/attempts/attempts.ts
+++ b/src/core/attempts/attempts.ts
@@ -10,6 +10,7 @@
 import { isRunnableOn } from '../requests/readiness.js';
 import { noteFirstAttempt, requeueAfter, retryDelay, takeRetry } from '../retries/retries.js';
 import { charge } from '../shares/shares.js';
+import { settleSlotTime } from '../shares/slotTime.js';
 import type { CoreState } from '../state.js';
 import type {
   AttemptId,
@@ -79,7 +80,7 @@
   const attempt = state.attempts.running.get(id);
   if (attempt === undefined) return;
   state.attempts.running.delete(id);
-  chargeSlotTime(ctx, attempt);
+  settleSlotTime(ctx, attempt);
   const request = state.requests.active.get(attempt.requestId);
   if (request?.state !== 'dispatched' || request.attempt !== id) {
     releaseGrant(ctx, attempt.grant);
@@ -325,10 +326,3 @@
   attempts.nextNumber += 1;
   return `${self.id}-${self.incarnation.toString(36)}-${number.toString(36)}`;
 }
-
-function chargeSlotTime(ctx: CoreContext, attempt: AttemptRecord): void {
-  const pool = ctx.state.configuration.view?.pools.get(attempt.pool);
-  if (pool?.kind !== 'service') return;
-  const cost = (ctx.now - attempt.startedAt) * pool.cost.perSlotMs;
-  charge(ctx, attempt.customer, pool.id, cost);
-}
--- a/src/core/core.ts
+++ b/src/core/core.ts
@@ -9,6 +9,7 @@
 import type { CoreContext } from './context.js';
 import { createDispatchState } from './dispatch/dispatchState.js';
 import { createDrainState } from './drain/drainState.js';
+import { createLimitsState } from './limits/limitsState.js';
 import { createMembershipState } from './membership/membershipState.js';
 import { createOwnershipState } from './ownership/ownershipState.js';
 import { createRandom } from './random.js';
@@ -26,6 +27,10 @@
   PeerMessage,
 } from './types.js';
 
+const GRANT_RANGES = 2 ** 20;
+
+const GRANTS_PER_RANGE = 2 ** 24;
+
 export interface CoreOptions {
   readonly self: InstanceIdentity;
   /** Seed of the generator in the state. */
@@ -60,7 +65,8 @@
       applyView(ctx, options.initialConfiguration);
     }
     // The list grows while it is walked: a message may cause further ones.
-    for (const message of ownMessages) reducePeerMessage(ctx, state.self.id, message);
+    for (const message of ownMessages)
+      reducePeerMessage(ctx, state.self.id, state.self.incarnation, message);
     return effects;
   }
 
@@ -76,10 +82,16 @@
     ownership: createOwnershipState(),
     configuration: createConfigurationState(),
     shares: createSharesState(),
-    dispatch: createDispatchState(),
+    dispatch: createDispatchState(firstGrantId(options.seed)),
+    limits: createLimitsState(),
     requests: createRequestsState(),
     attempts: createAttemptsState(),
     retries: createRetriesState(),
     drain: createDrainState(),
   };
 }
+
+/** Grant numbers of two starts of one instance must not meet, so each start begins elsewhere. */
+function firstGrantId(seed: number): number {
+  return createRandom(seed).nextInt(GRANT_RANGES) * GRANTS_PER_RANGE + 1;
+}
--- a/src/core/diagnostics.ts
+++ b/src/core/diagnostics.ts
@@ -47,6 +47,9 @@
   drainUnsettled: entry(1025, 'warning', 'Stopping with {records} records not read back.'),
   started: entry(5001, 'message', 'Instance {id} listens for callers on {address}.'),
   stopped: entry(5002, 'message', 'Instance {id} has stopped.'),
+  waitingLimit: entry(8001, 'error', 'Too many requests of this customer wait.'),
+  waitingBytesLimit: entry(8002, 'error', 'Too many bytes of this customer wait.'),
+  rateLimit: entry(8003, 'error', 'The request rate of this customer exceeds its limit.'),
 } as const satisfies Readonly<Record<string, DiagnosticMessage>>;
 
 export type DiagnosticCode = keyof typeof diagnostics;
--- /dev/null
+++ b/src/core/dispatch/announcements.ts
@@ -0,0 +1,293 @@
+/**
+ * Announcements of waiting counts. Work is offered to this instance's own upstreams first. What is
+ * left is announced to a few owners of the domain, to more the longer it waits, and to the relay of
+ * the pool, from which owners elsewhere pull. An owner is told again only when what it believes is
+ * off by more than a factor of two, so that a long queue costs no message per request.
+ */
+import { sendTo, type CoreContext } from '../context.js';
+import type { Millis } from '../clock.js';
+import { hash32 } from '../hash.js';
+import { bestScored, isLive, membersOf, relaysOf } from '../membership/memberIndex.js';
+import { ownerOf, upstreamsIn } from '../ownership/ownership.js';
+import type { CoreState } from '../state.js';
+import type { CustomerNumber, InstanceId, PoolConfig, PoolId } from '../types.js';
+import { assignPool } from './assign.js';
+import { blockHashes } from './cache.js';
+import { setWaiting } from './demand.js';
+import { peekNext, runnableCount, wakeAnnouncer } from './queues.js';
+
+/** Announce intervals after which the number of targets doubles. */
+const WIDENING_INTERVALS = 2;
+
+/** Targets are refreshed in turn, each at every so many hold reports; relays at each. */
+const REFRESH_TURNS = 4;
+
+interface Waiting {
+  readonly customer: CustomerNumber;
+  readonly count: number;
+  readonly waited: Millis;
+}
+
+interface Update {
+  readonly customers: CustomerNumber[];
+  readonly counts: number[];
+}
+
+/** Returns the instance that collects the waiting counts of a pool in a domain. */
+export function demandRelay(
+  state: CoreState,
+  domain: string,
+  pool: PoolId,
+): InstanceId | undefined {
+  return relaysOf(state, domain, `demand ${pool}`)[0]?.id;
+}
+
+/** Offers the waiting work of the changed pools. */
+export function onAnnounceTimer(ctx: CoreContext): void {
+  const { dispatch, settings } = ctx.state;
+  dispatch.announceAt = Infinity;
+  dispatch.changedPools.forEach((pool) => offerLocally(ctx, pool));
+  if (dispatch.changedPools.size === 0) return;
+  if (dispatch.remoteAnnounceAt > ctx.now) {
+    wakeAnnouncer(ctx, dispatch.remoteAnnounceAt);
+    return;
+  }
+  dispatch.remoteAnnounceAt = ctx.now + settings.announceMs;
+  const pools = [...dispatch.changedPools];
+  dispatch.changedPools.clear();
+  pools.forEach((pool) => announcePool(ctx, pool, () => false));
+}
+
+/** Repeats announcements, a part of the targets at a time, in case some were lost. */
+export function refreshAnnouncements(ctx: CoreContext): void {
+  const { state } = ctx;
+  const turn = state.dispatch.holdReports % REFRESH_TURNS;
+  state.dispatch.announced.forEach((targets, pool) => {
+    targets.forEach((_, target) => {
+      if (!isLive(state, target)) targets.delete(target);
+    });
+    const relay = demandRelay(state, state.self.domain, pool);
+    const isDue = (target: InstanceId) =>
+      target === relay || hash32(target) % REFRESH_TURNS === turn;
+    announcePool(ctx, pool, isDue);
+  });
+}
+
+/** Notes that an owner has taken one waiting request off the count that it believes. */
+export function noteGranted(
+  state: CoreState,
+  owner: InstanceId,
+  pool: PoolId,
+  customer: CustomerNumber,
+): void {
+  const targets = state.dispatch.announced.get(pool);
+  const relay = demandRelay(state, state.self.domain, pool);
+  const counts = [owner, relay].map((id) => (id === undefined ? undefined : targets?.get(id)));
+  const believed = counts.find((ofTarget) => (ofTarget?.get(customer) ?? 0) > 0);
+  if (believed !== undefined) believed.set(customer, (believed.get(customer) ?? 0) - 1);
+}
+
+/** Takes this instance's own waiting work into its own table of demand and assigns slots. */
+function offerLocally(ctx: CoreContext, pool: PoolId): void {
+  const { state } = ctx;
+  const demand = state.dispatch.demand.get(pool);
+  demand?.forEach((_, customer) => noteOwnCount(ctx, pool, customer));
+  state.dispatch.queues.get(pool)?.forEach((_, customer) => noteOwnCount(ctx, pool, customer));
+  assignPool(ctx, pool);
+}
+
+function noteOwnCount(ctx: CoreContext, pool: PoolId, customer: CustomerNumber): void {
+  const { state } = ctx;
+  const count = runnableCount(state, pool, customer);
+  setWaiting(state, pool, customer, {
+    entry: state.self.id,
+    count,
+    sequence: 0,
+    heads: count > 0 ? headsOf(state, pool, customer) : [],
+    waitingSince: ctx.now - waitedOf(ctx, pool, customer),
+    expiresAt: Infinity,
+  });
+}
+
+function announcePool(
+  ctx: CoreContext,
+  poolId: PoolId,
+  isDue: (target: InstanceId) => boolean,
+): void {
+  const { state } = ctx;
+  const pool = state.configuration.view?.pools.get(poolId);
+  if (pool === undefined) return;
+  const waiting = waitingIn(ctx, poolId);
+  const owners = ownersNear(state, poolId);
+  const targets = targetsOf(state, poolId);
+  waiting.forEach((work) => addTargets(state, pool, work, owners, targets));
+  const counts = new Map(waiting.map((work) => [work.customer, work.count]));
+  const longest = waiting.reduce((most, { waited }) => Math.max(most, waited), 0);
+  targets.forEach((believed, target) => {
+    if (isDue(target)) sendFull(ctx, pool, target, believed, counts, longest);
+    else sendChanges(ctx, pool, target, believed, counts, longest);
+  });
+  // Work that keeps waiting is announced more widely.
+  if (waiting.length > 0 && needsWidening(state, waiting, owners.length)) {
+    state.dispatch.changedPools.add(poolId);
+    wakeAnnouncer(ctx, ctx.now + state.settings.announceMs);
+  }
+}
+
+function needsWidening(state: CoreState, waiting: readonly Waiting[], owners: number): boolean {
+  const { announceMs } = state.settings;
+  return waiting.some(({ waited }) => {
+    const isNew = waited < WIDENING_INTERVALS * announceMs;
+    return isNew || fanout(state, waited) < owners;
+  });
+}
+
+function fanout(state: CoreState, waited: Millis): number {
+  const { announceFanout, announceMs } = state.settings;
+  return announceFanout * 2 ** Math.floor(waited / (WIDENING_INTERVALS * announceMs));
+}
+
+/** Makes the owners that a customer's work is due to, and the relay, targets of announcements. */
+function addTargets(
+  state: CoreState,
+  pool: PoolConfig,
+  work: Waiting,
+  owners: readonly InstanceId[],
+  targets: Map<InstanceId, Map<CustomerNumber, number>>,
+): void {
+  const add = (target: InstanceId) => {
+    if (target === state.self.id) return;
+    const believed = targets.get(target) ?? new Map<CustomerNumber, number>();
+    targets.set(target, believed);
+    if (!believed.has(work.customer)) believed.set(work.customer, 0);
+  };
+  const most = fanout(state, work.waited);
+  const start = owners.length === 0 ? 0 : hash32(`${work.customer} ${state.self.id}`);
+  for (let i = 0; i < Math.min(most, owners.length); i += 1) {
+    add(owners[(start + i) % owners.length] as InstanceId);
+  }
+  const isLate = work.waited >= WIDENING_INTERVALS * state.settings.announceMs;
+  const relay = demandRelay(state, state.self.domain, pool.id);
+  if (relay !== undefined && (isLate || owners.length === 0)) add(relay);
+}
+
+function sendChanges(
+  ctx: CoreContext,
+  pool: PoolConfig,
+  target: InstanceId,
+  believed: Map<CustomerNumber, number>,
+  counts: ReadonlyMap<CustomerNumber, number>,
+  longest: Millis,
+): void {
+  const update: Update = { customers: [], counts: [] };
+  believed.forEach((known, customer) => {
+    const count = counts.get(customer) ?? 0;
+    if (isCloseEnough(known, count)) {
+      if (count === 0) believed.delete(customer);
+      return;
+    }
+    update.customers.push(customer);
+    update.counts.push(count);
+    believed.set(customer, count);
+  });
+  if (update.customers.length > 0) send(ctx, pool, target, update, false, longest);
+}
+
+function sendFull(
+  ctx: CoreContext,
+  pool: PoolConfig,
+  target: InstanceId,
+  believed: Map<CustomerNumber, number>,
+  counts: ReadonlyMap<CustomerNumber, number>,
+  longest: Millis,
+): void {
+  const update: Update = { customers: [], counts: [] };
+  believed.forEach((_, customer) => {
+    const count = counts.get(customer) ?? 0;
+    if (count === 0) {
+      believed.delete(customer);
+      return;
+    }
+    update.customers.push(customer);
+    update.counts.push(count);
+    believed.set(customer, count);
+  });
+  send(ctx, pool, target, update, true, longest);
+  // An empty announcement ends the repetition.
+  if (update.customers.length === 0) ctx.state.dispatch.announced.get(pool.id)?.delete(target);
+}
+
+function send(
+  ctx: CoreContext,
+  pool: PoolConfig,
+  target: InstanceId,
+  update: Update,
+  full: boolean,
+  longest: Millis,
+): void {
+  const { state } = ctx;
+  state.dispatch.sequence += 1;
+  const heads = update.customers.map((customer, i) =>
+    (update.counts[i] ?? 0) > 0 ? headsOf(state, pool.id, customer) : [],
+  );
+  sendTo(ctx, target, {
+    $case: 'waitingUpdate',
+    value: {
+      pool: pool.number,
+      sequence: state.dispatch.sequence,
+      full,
+      customers: update.customers,
+      counts: update.counts,
+      waitedMs: Math.round(longest),
+      headSizes: heads.some((ofCustomer) => ofCustomer.length > 0)
+        ? heads.map((ofCustomer) => ofCustomer.length)
+        : [],
+      heads: heads.flat(),
+    },
+  });
+}
+
+function isCloseEnough(believed: number, count: number): boolean {
+  if ((believed === 0) !== (count === 0)) return false;
+  return believed <= 2 * count && count <= 2 * believed;
+}
+
+function waitingIn(ctx: CoreContext, pool: PoolId): readonly Waiting[] {
+  const waiting: Waiting[] = [];
+  ctx.state.dispatch.queues.get(pool)?.forEach((_, customer) => {
+    const count = runnableCount(ctx.state, pool, customer);
+    if (count > 0) waiting.push({ customer, count, waited: waitedOf(ctx, pool, customer) });
+  });
+  return waiting;
+}
+
+function waitedOf(ctx: CoreContext, pool: PoolId, customer: CustomerNumber): Millis {
+  const next = peekNext(ctx.state, pool, customer);
+  const request = next === undefined ? undefined : ctx.state.requests.active.get(next);
+  if (request?.state !== 'waiting' && request?.state !== 'retrying') return 0;
+  return ctx.now - request.since;
+}
+
+function headsOf(state: CoreState, pool: PoolId, customer: CustomerNumber): readonly number[] {
+  const next = peekNext(state, pool, customer);
+  const request = next === undefined ? undefined : state.requests.active.get(next);
+  return request === undefined ? [] : blockHashes(request.facts.prefixBlocks);
+}
+
+/** Owners of the pool's upstreams in this domain, the same order at every call. */
+function ownersNear(state: CoreState, pool: PoolId): readonly InstanceId[] {
+  const owners = new Set<InstanceId>();
+  upstreamsIn(state, state.self.domain).forEach((upstream) => {
+    const owner = upstream.pool === pool ? ownerOf(state, upstream.id) : undefined;
+    if (owner !== undefined && owner !== state.self.id) owners.add(owner);
+  });
+  const members = membersOf(state, state.self.domain).filter(({ id }) => owners.has(id));
+  return bestScored(members, `owners ${pool}`, members.length).map(({ id }) => id);
+}
+
+function targetsOf(state: CoreState, pool: PoolId): Map<InstanceId, Map<CustomerNumber, number>> {
+  const { announced } = state.dispatch;
+  const targets = announced.get(pool) ?? new Map<InstanceId, Map<CustomerNumber, number>>();
+  announced.set(pool, targets);
+  return targets;
+}
--- /dev/null
+++ b/src/core/dispatch/assign.ts
@@ -0,0 +1,186 @@
+/**
+ * Assignment: gives each free slot of an owned upstream to the waiting customer with the least
+ * virtual service. Among the free upstreams, the one with the longest cached prefix of the
+ * customer's next request is chosen, unless another is less loaded by more than a set margin.
+ */
+import { sendTo, type CoreContext } from '../context.js';
+import type { Millis } from '../clock.js';
+import { isUpstreamStopping } from '../drain/upstreams.js';
+import { ownedUpstreams } from '../ownership/ownership.js';
+import { leastServed, reserve } from '../shares/shares.js';
+import type { CoreState } from '../state.js';
+import type { CustomerNumber, PoolConfig, PoolId, UpstreamConfig } from '../types.js';
+import { cachedBlocks } from './cache.js';
+import { takeOne } from './demand.js';
+import type { IssuedGrant, PoolDemand, WaitingCount } from './dispatchState.js';
+import { foreignUse, freeSlots, slotsOf } from './slots.js';
+import { relieve, resumeNext } from './suspension.js';
+
+/** Exchanges after which the service of a new grant shows in the sums. */
+const RESERVATION_EXCHANGES = 3;
+
+/** Grants in a row to local requests after which another instance's request goes first. */
+const LOCAL_STREAK = 4;
+
+/** Returns the owned upstreams of a pool. */
+export function ownedInPool(state: CoreState, pool: PoolId): readonly UpstreamConfig[] {
+  return ownedByPool(state).get(pool) ?? [];
+}
+
+export function ownedByPool(state: CoreState): ReadonlyMap<PoolId, readonly UpstreamConfig[]> {
+  const { dispatch } = state;
+  const owned = ownedUpstreams(state);
+  if (dispatch.ownedSource === owned) return dispatch.ownedByPool;
+  const byPool = new Map<PoolId, UpstreamConfig[]>();
+  owned.forEach((upstream) => {
+    const ofPool = byPool.get(upstream.pool) ?? [];
+    byPool.set(upstream.pool, ofPool);
+    ofPool.push(upstream);
+  });
+  dispatch.ownedByPool = byPool;
+  dispatch.ownedSource = owned;
+  return byPool;
+}
+
+/** Grants free slots in all pools of the owned upstreams. */
+export function assignAll(ctx: CoreContext): void {
+  ownedByPool(ctx.state).forEach((_, pool) => assignPool(ctx, pool));
+}
+
+/** Grants free slots of a pool until none is free or nobody waits. */
+export function assignPool(ctx: CoreContext, poolId: PoolId): void {
+  const { state } = ctx;
+  const pool = state.configuration.view?.pools.get(poolId);
+  if (pool === undefined) return;
+  for (;;) {
+    const free = usableUpstreams(ctx, poolId);
+    const demand = state.dispatch.demand.get(poolId);
+    const customer = demand && leastServed(state, demand.keys(), poolId);
+    if (free.length === 0) {
+      if (customer !== undefined) relieve(ctx, pool, customer);
+      return;
+    }
+    if (resumeNext(ctx, pool, free, customer)) continue;
+    if (demand === undefined || customer === undefined) return;
+    const waiting = chooseEntry(ctx, demand, customer);
+    if (waiting === undefined) return;
+    const upstream = chooseUpstream(ctx, free, waiting.heads);
+    takeOne(demand, customer, waiting.entry);
+    issueGrant(ctx, waiting.entry, pool, customer, upstream);
+  }
+}
+
+/** Returns the owned upstreams of a pool with free slots. */
+export function usableUpstreams(ctx: CoreContext, pool: PoolId): readonly UpstreamConfig[] {
+  const { state } = ctx;
+  return ownedInPool(state, pool).filter(
+    (upstream) =>
+      !isUpstreamStopping(state, upstream.id) && freeSlots(state, upstream, ctx.now) > 0,
+  );
+}
+
+/** Requests of this instance cost no message, but others have their turn. */
+function chooseEntry(
+  ctx: CoreContext,
+  demand: PoolDemand,
+  customer: CustomerNumber,
+): WaitingCount | undefined {
+  const { dispatch, self } = ctx.state;
+  const entries = demand.get(customer);
+  if (entries === undefined) return undefined;
+  const own = entries.get(self.id);
+  if (own !== undefined && (entries.size === 1 || dispatch.localStreak < LOCAL_STREAK)) {
+    dispatch.localStreak = entries.size === 1 ? 0 : dispatch.localStreak + 1;
+    return own;
+  }
+  dispatch.localStreak = 0;
+  for (const waiting of entries.values()) {
+    if (waiting.entry !== self.id) return waiting;
+  }
+  return own;
+}
+
+function chooseUpstream(
+  ctx: CoreContext,
+  free: readonly UpstreamConfig[],
+  heads: readonly number[],
+): UpstreamConfig {
+  const { state } = ctx;
+  const loads = free.map((upstream) => loadOf(state, upstream, ctx.now));
+  const least = Math.min(...loads);
+  let best = free[0] as UpstreamConfig;
+  let bestBlocks = -1;
+  let bestLoad = Infinity;
+  free.forEach((upstream, i) => {
+    const load = loads[i] ?? 0;
+    const isNear = load - least <= state.settings.prefixLoadMargin;
+    const blocks = isNear ? cachedBlocks(state, upstream.id, heads) : 0;
+    if (blocks > bestBlocks || (blocks === bestBlocks && load < bestLoad)) {
+      best = upstream;
+      bestBlocks = blocks;
+      bestLoad = load;
+    }
+  });
+  return best;
+}
+
+function loadOf(state: CoreState, upstream: UpstreamConfig, now: Millis): number {
+  const slots = slotsOf(state, upstream);
+  return (slots.inUse + foreignUse(slots, now)) / Math.max(1, slots.limit);
+}
+
+function issueGrant(
+  ctx: CoreContext,
+  entry: string,
+  pool: PoolConfig,
+  customer: CustomerNumber,
+  upstream: UpstreamConfig,
+): void {
+  const { dispatch, settings } = ctx.state;
+  const grantId = dispatch.nextGrant;
+  dispatch.nextGrant += 1;
+  const grant: IssuedGrant = {
+    grantId,
+    entry,
+    pool: pool.id,
+    customer,
+    upstream: upstream.id,
+    issuedAt: ctx.now,
+    expiresAt: ctx.now + settings.grantTimeoutMs + settings.holdReportMs,
+    phase: 'held',
+    phaseSince: ctx.now,
+    canSuspend: pool.kind === 'model',
+  };
+  dispatch.issued.set(grantId, grant);
+  const slots = slotsOf(ctx.state, upstream);
+  slots.inUse += 1;
+  slots.lastUsedAt = ctx.now;
+  reserveStep(ctx, pool.id, customer);
+  sendTo(ctx, entry, {
+    $case: 'grant',
+    value: {
+      grantId,
+      pool: pool.number,
+      customer,
+      upstream: upstream.id,
+      expiresInMs: settings.grantTimeoutMs,
+    },
+  });
+}
+
+/** Counts a charge step as received until the grant's real service shows in the sums. */
+function reserveStep(ctx: CoreContext, pool: PoolId, customer: CustomerNumber): void {
+  const { dispatch, settings, configuration } = ctx.state;
+  const amount = configuration.view?.fairness.chargeStep ?? 0;
+  reserve(ctx.state, customer, pool, amount);
+  const until = ctx.now + RESERVATION_EXCHANGES * settings.exchangeMs;
+  dispatch.reservations.push({ until, customer, pool, amount });
+}
+
+/** Ends the reservations whose service shows in the sums by now. */
+export function settleReservations(ctx: CoreContext): void {
+  const { reservations } = ctx.state.dispatch;
+  const pending = reservations.findIndex(({ until }) => until > ctx.now);
+  const settled = reservations.splice(0, pending < 0 ? reservations.length : pending);
+  settled.forEach(({ customer, pool, amount }) => reserve(ctx.state, customer, pool, -amount));
+}
--- a/src/core/dispatch/dispatchState.ts
+++ b/src/core/dispatch/dispatchState.ts
@@ -1,50 +1,179 @@
 /**
- * State of dispatch. Entry side: the queues of requests that wait here. Owner side: the waiting
- * counts that entries announced and the slots of the upstreams that this instance owns.
+ * State of dispatch. Entry side: the queues of requests that wait here, what each owner was told of
+ * them, and the grants that are held. Owner side: the waiting counts that entries announced, the
+ * slots of the owned upstreams and what is believed of their caches.
  */
 import type { Millis } from '../clock.js';
 import type {
+  AttemptId,
   CustomerNumber,
   GrantId,
   InstanceId,
   PoolId,
   RequestId,
+  UpstreamConfig,
   UpstreamId,
   UpstreamReport,
 } from '../types.js';
 
+/** How many requests of one customer wait at one entry, as announced. */
+export interface WaitingCount {
+  readonly entry: InstanceId;
+  count: number;
+  /** Sequence of the announcement that the count comes from; 0 for an offer by a relay. */
+  sequence: number;
+  /** Hashes of the next request's prefix blocks, the longest prefix last. */
+  heads: readonly number[];
+  /** Time since which the entry's longest waiting request waits. */
+  waitingSince: Millis;
+  /** Time at which an offer by a relay lapses; announcements do not. */
+  expiresAt: Millis;
+}
+
+/** Waiting work of one pool: by customer, then by entry, the least recently served first. */
+export type PoolDemand = Map<CustomerNumber, Map<InstanceId, WaitingCount>>;
+
+export type GrantPhase = 'held' | 'suspending' | 'suspended';
+
 export interface IssuedGrant {
   readonly grantId: GrantId;
   readonly entry: InstanceId;
   readonly pool: PoolId;
   readonly customer: CustomerNumber;
   readonly upstream: UpstreamId;
-  /** Time at which the slot counts as free again unless the entry reports it running. */
+  readonly issuedAt: Millis;
+  /** Time at which the slot counts as free again unless the entry reports it held. */
   expiresAt: Millis;
+  phase: GrantPhase;
+  phaseSince: Millis;
+  canSuspend: boolean;
+}
+
+/** The slots of one owned upstream. */
+export interface Slots {
+  /** Grants in use, without suspended ones. */
+  inUse: number;
+  suspended: number;
+  /** Largest number of slots to use at present; adapts to the reported load. */
+  limit: number;
+  /** `inUse` when the last load report was asked for. */
+  inUseAtPoll: number;
+  /** Requests of others at the upstream by its last report. */
+  foreignReported: number;
+  /** Attempts under grants of earlier owners, by entry. */
+  readonly foreignHeld: Map<InstanceId, { readonly count: number; readonly until: Millis }>;
+  hasReport: boolean;
+  /** Smoothed token rate of the upstream. */
+  tokenRate: number;
+  reportedRunning: number;
+  slowReports: number;
+  lastUsedAt: Millis;
+}
+
+/** What is believed of an upstream's cache. */
+export interface CacheBelief {
+  epoch: string;
+  next: number;
+  /** Block hashes in the order of their last storing. */
+  readonly blocks: Set<number>;
+}
+
+/** A standing request of an owner, or of another domain's relay, for waiting work. */
+export interface DemandSubscription {
+  slots: number;
+  minWaitedMs: Millis;
+  until: Millis;
+}
+
+/** An attempt of this entry that was suspended on request of an owner. */
+export interface SuspendedAttempt {
+  readonly attemptId: AttemptId;
+  readonly upstream: UpstreamId;
+  readonly since: Millis;
+}
+
+/** A grant in use at this entry. */
+export interface HeldGrant {
+  readonly customer: CustomerNumber;
+  /** Incarnation of the owner that issued it. */
+  readonly incarnation: number;
+}
+
+/** Grants of one owner that were seen, against repeated delivery. */
+export interface SeenGrants {
+  incarnation: number;
+  readonly ids: Set<GrantId>;
+}
+
+export interface Reservation {
+  readonly until: Millis;
+  readonly customer: CustomerNumber;
+  readonly pool: PoolId;
+  readonly amount: number;
 }
 
 export interface DispatchState {
   /** Entry side: waiting requests in order of arrival. */
   readonly queues: Map<PoolId, Map<CustomerNumber, RequestId[]>>;
   readonly changedPools: Set<PoolId>;
+  /** Counts that a target still believes, by pool, target and customer. */
+  readonly announced: Map<PoolId, Map<InstanceId, Map<CustomerNumber, number>>>;
+  readonly seenGrants: Map<InstanceId, SeenGrants>;
+  /** Grants in use here. */
+  readonly heldGrants: Map<GrantId, HeldGrant>;
+  readonly suspendedAttempts: Map<GrantId, SuspendedAttempt>;
   sequence: number;
-  /** Owner side: counts by pool, entry and customer. */
-  readonly demand: Map<PoolId, Map<InstanceId, Map<CustomerNumber, number>>>;
+  /** Time of the announce timer, or Infinity. */
+  announceAt: Millis;
+  /** Earliest time of the next announcement to other instances. */
+  remoteAnnounceAt: Millis;
+  holdReportAt: Millis;
+  holdReports: number;
+
+  /** Owner side. */
+  readonly demand: Map<PoolId, PoolDemand>;
   readonly issued: Map<GrantId, IssuedGrant>;
-  readonly slotsInUse: Map<UpstreamId, number>;
+  readonly slots: Map<UpstreamId, Slots>;
   readonly reports: Map<UpstreamId, UpstreamReport>;
+  readonly caches: Map<UpstreamId, CacheBelief>;
+  readonly reservations: Reservation[];
+  /** Owned upstreams by pool, computed from `ownedSource`. */
+  ownedByPool: ReadonlyMap<PoolId, readonly UpstreamConfig[]>;
+  ownedSource: readonly UpstreamConfig[];
   nextGrant: number;
+  /** Grants in a row to requests of this instance while others had waiting work. */
+  localStreak: number;
+
+  /** Relay side: standing requests by pool and subscriber. */
+  readonly subscriptions: Map<PoolId, Map<InstanceId, DemandSubscription>>;
+  /** Pools for which this instance has asked relays, with the time of the last request. */
+  readonly pulledAt: Map<PoolId, Millis>;
 }
 
-export function createDispatchState(): DispatchState {
+export function createDispatchState(firstGrant: GrantId): DispatchState {
   return {
     queues: new Map(),
     changedPools: new Set(),
+    announced: new Map(),
+    seenGrants: new Map(),
+    heldGrants: new Map(),
+    suspendedAttempts: new Map(),
     sequence: 0,
+    announceAt: Infinity,
+    remoteAnnounceAt: 0,
+    holdReportAt: 0,
+    holdReports: 0,
     demand: new Map(),
     issued: new Map(),
-    slotsInUse: new Map(),
+    slots: new Map(),
     reports: new Map(),
-    nextGrant: 1,
+    caches: new Map(),
+    reservations: [],
+    ownedByPool: new Map(),
+    ownedSource: [],
+    nextGrant: firstGrant,
+    localStreak: 0,
+    subscriptions: new Map(),
+    pulledAt: new Map(),
   };
 }
--- a/src/core/dispatch/entry.ts
+++ b/src/core/dispatch/entry.ts
@@ -1,69 +1,102 @@
-/**
- * Entry side of dispatch: announcements of waiting counts to the owners, and the use of the grants
- * that come back.
- */
+/** Entry side of dispatch: the use of grants, and requests of owners to suspend attempts. */
 import { startAttempt } from '../attempts/attempts.js';
 import { sendTo, type CoreContext } from '../context.js';
-import { ownerOf } from '../ownership/ownership.js';
+import { noteRunning } from '../limits/limits.js';
+import type { CoreState } from '../state.js';
+import type { GrantFacts, GrantId, InstanceId, PeerMessageOf } from '../types.js';
+import { noteGranted } from './announcements.js';
 import { returnGrant } from './grants.js';
 import { noteChange, takeNext } from './queues.js';
-import type { CoreState } from '../state.js';
-import type { GrantFacts, InstanceId, PeerMessageOf, PoolId } from '../types.js';
 
-/** Sends the waiting counts of the changed pools to their owners. */
-export function onAnnounceTimer(ctx: CoreContext): void {
-  const { dispatch } = ctx.state;
-  dispatch.changedPools.forEach((pool) => announcePool(ctx, pool));
-  dispatch.changedPools.clear();
-}
+/** Ids of one owner that are remembered against repeated delivery. */
+const REMEMBERED_GRANTS = 512;
 
-export function onGrant(ctx: CoreContext, owner: InstanceId, grant: PeerMessageOf<'grant'>): void {
-  const pool = ctx.state.configuration.view?.poolsByNumber.get(grant.pool);
+export function onGrant(
+  ctx: CoreContext,
+  owner: InstanceId,
+  incarnation: number,
+  grant: PeerMessageOf<'grant'>,
+): void {
+  const { state } = ctx;
+  if (!isFirstDelivery(state, owner, incarnation, grant.grantId)) return;
+  const pool = state.configuration.view?.poolsByNumber.get(grant.pool);
   const facts: GrantFacts = {
     grantId: grant.grantId,
     owner,
     upstream: grant.upstream,
     expiresAt: ctx.now + grant.expiresInMs,
   };
-  const requestId = pool && takeNext(ctx.state, pool.id, grant.customer, grant.upstream);
-  if (requestId === undefined || pool === undefined) {
+  if (pool === undefined) {
     returnGrant(ctx, facts);
     return;
   }
+  noteGranted(state, owner, pool.id, grant.customer);
   noteChange(ctx, pool.id);
+  const requestId = takeNext(state, pool.id, grant.customer, grant.upstream);
+  if (requestId === undefined) {
+    returnGrant(ctx, facts);
+    return;
+  }
+  state.dispatch.heldGrants.set(grant.grantId, { customer: grant.customer, incarnation });
+  noteRunning(state, grant.customer, 1);
   startAttempt(ctx, requestId, facts);
 }
 
-function announcePool(ctx: CoreContext, pool: PoolId): void {
+/** Suspends or resumes the attempt of a grant, if it is an idempotent stream that still runs. */
+export function onSuspendRequest(
+  ctx: CoreContext,
+  owner: InstanceId,
+  request: PeerMessageOf<'suspendRequest'>,
+): void {
   const { state } = ctx;
-  const view = state.configuration.view?.pools.get(pool);
-  if (view === undefined) return;
-  state.dispatch.sequence += 1;
-  const customers: number[] = [];
-  const counts: number[] = [];
-  state.dispatch.queues.get(pool)?.forEach((queue, customer) => {
-    if (queue.length === 0) return;
-    customers.push(customer);
-    counts.push(queue.length);
-  });
-  const value = {
-    pool: view.number,
-    sequence: state.dispatch.sequence,
-    full: true,
-    customers,
-    counts,
-    waitedMs: 0,
-    headSizes: [],
-    heads: [],
-  };
-  ownersOf(state, pool).forEach((owner) => sendTo(ctx, owner, { $case: 'waitingUpdate', value }));
+  const { suspendedAttempts } = state.dispatch;
+  const attempt = [...state.attempts.running.values()].find(
+    ({ grant }) => grant.grantId === request.grantId && grant.owner === owner,
+  );
+  if (attempt === undefined) return;
+  const { attemptId, grant } = attempt;
+  const facts = state.requests.active.get(attempt.requestId)?.facts;
+  const isSuspended = suspendedAttempts.has(grant.grantId);
+  const maySuspend = facts?.idempotent === true && facts.streamed;
+  if (request.resume && isSuspended) {
+    suspendedAttempts.delete(grant.grantId);
+    ctx.emit({ kind: 'resumeAttempt', attemptId, upstream: grant.upstream });
+  } else if (!request.resume && !isSuspended && maySuspend) {
+    suspendedAttempts.set(grant.grantId, { attemptId, upstream: grant.upstream, since: ctx.now });
+    ctx.emit({ kind: 'suspendAttempt', attemptId, upstream: grant.upstream });
+  }
+  reportPhase(ctx, owner, grant.grantId);
 }
 
-function ownersOf(state: CoreState, pool: PoolId): ReadonlySet<InstanceId> {
-  const owners = new Set<InstanceId>();
-  state.configuration.view?.upstreamsByPool.get(pool)?.forEach((upstream) => {
-    const owner = ownerOf(state, upstream.id);
-    if (owner !== undefined) owners.add(owner);
+function reportPhase(ctx: CoreContext, owner: InstanceId, grantId: GrantId): void {
+  const isSuspended = ctx.state.dispatch.suspendedAttempts.has(grantId);
+  sendTo(ctx, owner, {
+    $case: 'slotUpdate',
+    value: {
+      running: isSuspended ? [] : [grantId],
+      ended: [],
+      suspended: isSuspended ? [grantId] : [],
+      heldUpstreams: [],
+      heldCounts: [],
+    },
   });
-  return owners;
+}
+
+function isFirstDelivery(
+  state: CoreState,
+  owner: InstanceId,
+  incarnation: number,
+  id: GrantId,
+): boolean {
+  const { seenGrants } = state.dispatch;
+  const seen = seenGrants.get(owner);
+  if (seen === undefined || seen.incarnation < incarnation) {
+    seenGrants.set(owner, { incarnation, ids: new Set([id]) });
+    return true;
+  }
+  if (seen.incarnation > incarnation || seen.ids.has(id)) return false;
+  seen.ids.add(id);
+  const [oldest] = seen.ids;
+  if (seen.ids.size > REMEMBERED_GRANTS && oldest !== undefined) seen.ids.delete(oldest);
+  return true;
 }
--- /dev/null
+++ b/src/core/dispatch/holds.ts
@@ -0,0 +1,94 @@
+/**
+ * Holds: the entry's regular word to the owners on the grants whose attempts run. A grant that is
+ * not reported for some time counts as ended. Where an upstream's owner has changed, the new one is
+ * told how many attempts still run there under earlier grants.
+ */
+import { sendTo, type CoreContext } from '../context.js';
+import { ownerOf } from '../ownership/ownership.js';
+import type { CoreState } from '../state.js';
+import type { GrantFacts, GrantId, InstanceId, UpstreamId } from '../types.js';
+import { refreshAnnouncements } from './announcements.js';
+
+/** Factor on the longest suspension after which an entry resumes an attempt by itself. */
+const SELF_RESUME_FACTOR = 2;
+
+interface HoldReport {
+  readonly running: GrantId[];
+  readonly suspended: GrantId[];
+  readonly held: Map<UpstreamId, number>;
+}
+
+/** Reports the held grants, and repeats announcements, once in a hold interval. */
+export function reportHolds(ctx: CoreContext): void {
+  const { dispatch, settings } = ctx.state;
+  if (dispatch.holdReportAt > ctx.now) return;
+  dispatch.holdReportAt = ctx.now + settings.holdReportMs;
+  dispatch.holdReports += 1;
+  resumeForgotten(ctx);
+  collectReports(ctx.state).forEach((report, owner) => {
+    sendTo(ctx, owner, {
+      $case: 'slotUpdate',
+      value: {
+        running: report.running,
+        ended: [],
+        suspended: report.suspended,
+        heldUpstreams: [...report.held.keys()],
+        heldCounts: [...report.held.values()],
+      },
+    });
+  });
+  refreshAnnouncements(ctx);
+}
+
+/** Counts the attempts of this instance on an upstream under grants of earlier owners. */
+export function heldUnderEarlier(state: CoreState, upstream: UpstreamId): number {
+  let held = 0;
+  state.attempts.running.forEach(({ grant }) => {
+    if (grant.upstream === upstream && isOfEarlierOwner(state, grant)) held += 1;
+  });
+  return held;
+}
+
+/** Whether a grant's owner no longer owns the upstream, or has restarted since. */
+export function isOfEarlierOwner(state: CoreState, grant: GrantFacts): boolean {
+  if (ownerOf(state, grant.upstream) !== grant.owner) return true;
+  const incarnation = state.membership.members.get(grant.owner)?.incarnation;
+  return incarnation !== state.dispatch.heldGrants.get(grant.grantId)?.incarnation;
+}
+
+function collectReports(state: CoreState): ReadonlyMap<InstanceId, HoldReport> {
+  const reports = new Map<InstanceId, HoldReport>();
+  const reportFor = (owner: InstanceId) => {
+    const report = reports.get(owner) ?? { running: [], suspended: [], held: new Map() };
+    reports.set(owner, report);
+    return report;
+  };
+  state.attempts.running.forEach(({ grant }) => {
+    const isSuspended = state.dispatch.suspendedAttempts.has(grant.grantId);
+    const report = reportFor(grant.owner);
+    (isSuspended ? report.suspended : report.running).push(grant.grantId);
+    const owner = ownerOf(state, grant.upstream);
+    if (owner === undefined || !isOfEarlierOwner(state, grant)) return;
+    const { held } = reportFor(owner);
+    held.set(grant.upstream, (held.get(grant.upstream) ?? 0) + 1);
+  });
+  return reports;
+}
+
+/** Resumes attempts whose owner has gone or has not resumed them for too long. */
+function resumeForgotten(ctx: CoreContext): void {
+  const { dispatch, settings, attempts } = ctx.state;
+  dispatch.suspendedAttempts.forEach((suspended, grantId) => {
+    const attempt = attempts.running.get(suspended.attemptId);
+    if (attempt === undefined) {
+      dispatch.suspendedAttempts.delete(grantId);
+      return;
+    }
+    const age = ctx.now - suspended.since;
+    const isOverdue = age > SELF_RESUME_FACTOR * settings.maxSuspendMs;
+    if (!isOverdue && !isOfEarlierOwner(ctx.state, attempt.grant)) return;
+    dispatch.suspendedAttempts.delete(grantId);
+    const { attemptId, upstream } = suspended;
+    ctx.emit({ kind: 'resumeAttempt', attemptId, upstream });
+  });
+}
--- a/src/core/dispatch/queues.ts
+++ b/src/core/dispatch/queues.ts
@@ -1,40 +1,92 @@
 /** The queues of requests that wait at this instance, by pool and customer. */
-import { setTimer, type CoreContext } from '../context.js';
+import type { CoreContext } from '../context.js';
+import type { Millis } from '../clock.js';
+import { concurrencyHeadroom, noteQueued } from '../limits/limits.js';
 import { isRunnable } from '../requests/readiness.js';
 import type { CoreState } from '../state.js';
 import type { CustomerNumber, PoolId, RequestFacts, RequestId, UpstreamId } from '../types.js';
 
+/** Largest count that is announced; more makes no difference to an owner. */
+const LARGEST_COUNT = 64;
+
 /** Puts a request into the queue of its customer and pool. */
 export function enqueue(ctx: CoreContext, facts: RequestFacts): void {
-  const queue = queueOf(ctx.state, facts.pool, facts.customer);
-  queue.push(facts.requestId);
+  queueOf(ctx.state, facts.pool, facts.customer).push(facts.requestId);
+  noteQueued(ctx, facts.customer, 1, facts.bodyBytes);
   noteChange(ctx, facts.pool);
 }
 
 /** Takes a request out of its queue, if it is there. */
 export function withdraw(ctx: CoreContext, facts: RequestFacts): void {
-  const queue = queueOf(ctx.state, facts.pool, facts.customer);
-  const index = queue.indexOf(facts.requestId);
-  if (index < 0) return;
+  const queue = ctx.state.dispatch.queues.get(facts.pool)?.get(facts.customer);
+  const index = queue?.indexOf(facts.requestId) ?? -1;
+  if (queue === undefined || index < 0) return;
   queue.splice(index, 1);
+  noteQueued(ctx, facts.customer, -1, facts.bodyBytes);
+  forgetEmpty(ctx.state, facts.pool, facts.customer, queue);
   noteChange(ctx, facts.pool);
 }
 
-/** Announces every pool with waiting work again, for owners that are new. */
+/** Has every pool with waiting work looked at again, for owners that are new. */
 export function announceAll(ctx: CoreContext): void {
   ctx.state.dispatch.queues.forEach((_, pool) => noteChange(ctx, pool));
 }
 
-/** Takes the oldest request of a customer that may run on an upstream out of its queue. */
+/** Takes the oldest request of a customer that may run, on the upstream if one is named. */
 export function takeNext(
   state: CoreState,
   pool: PoolId,
   customer: CustomerNumber,
-  upstream: UpstreamId,
+  upstream?: UpstreamId,
 ): RequestId | undefined {
-  const queue = queueOf(state, pool, customer);
+  const queue = state.dispatch.queues.get(pool)?.get(customer);
+  if (queue === undefined || concurrencyHeadroom(state, customer) <= 0) return undefined;
   const index = queue.findIndex((id) => isRunnable(state, id, upstream));
-  return index < 0 ? undefined : queue.splice(index, 1)[0];
+  if (index < 0) return undefined;
+  const requestId = queue[index] as RequestId;
+  queue.splice(index, 1);
+  const bytes = state.requests.active.get(requestId)?.facts.bodyBytes ?? 0;
+  noteQueued({ state }, customer, -1, bytes);
+  forgetEmpty(state, pool, customer, queue);
+  return requestId;
+}
+
+/** Returns the next request of a customer that may run, without taking it. */
+export function peekNext(
+  state: CoreState,
+  pool: PoolId,
+  customer: CustomerNumber,
+): RequestId | undefined {
+  const queue = state.dispatch.queues.get(pool)?.get(customer);
+  return queue?.find((id) => isRunnable(state, id));
+}
+
+/** Returns how many requests of a customer could be dispatched now, up to a limit. */
+export function runnableCount(state: CoreState, pool: PoolId, customer: CustomerNumber): number {
+  const queue = state.dispatch.queues.get(pool)?.get(customer);
+  if (queue === undefined) return 0;
+  const most = Math.min(LARGEST_COUNT, concurrencyHeadroom(state, customer));
+  let count = 0;
+  for (const id of queue) {
+    if (count >= most) break;
+    if (isRunnable(state, id)) count += 1;
+  }
+  return count;
+}
+
+/** Has the waiting counts of a pool looked at after the events that are due now. */
+export function noteChange(ctx: CoreContext, pool: PoolId): void {
+  ctx.state.dispatch.changedPools.add(pool);
+  wakeAnnouncer(ctx, ctx.now);
+}
+
+/** Sets the announce timer unless it is due earlier. */
+export function wakeAnnouncer(ctx: CoreContext, at: Millis): void {
+  const { dispatch } = ctx.state;
+  if (dispatch.announceAt <= at && dispatch.announceAt > ctx.now) return;
+  if (dispatch.announceAt === at) return;
+  dispatch.announceAt = at;
+  ctx.emit({ kind: 'setTimer', timer: 'announce', at });
 }
 
 function queueOf(state: CoreState, pool: PoolId, customer: CustomerNumber): RequestId[] {
@@ -46,9 +98,11 @@
   return queue;
 }
 
-/** Has the waiting counts of a pool announced soon. */
-export function noteChange(ctx: CoreContext, pool: PoolId): void {
-  const { dispatch, settings } = ctx.state;
-  if (dispatch.changedPools.size === 0) setTimer(ctx, 'announce', settings.announceMs);
-  dispatch.changedPools.add(pool);
+function forgetEmpty(
+  state: CoreState,
+  pool: PoolId,
+  customer: CustomerNumber,
+  queue: readonly RequestId[],
+): void {
+  if (queue.length === 0) state.dispatch.queues.get(pool)?.delete(customer);
 }
--- /dev/null
+++ b/src/core/dispatch/suspension.ts
@@ -0,0 +1,85 @@
+/**
+ * Suspension: when all slots are held and a waiting customer lags the holders by more than two charge
+ * steps, a stream of the most-served holder is suspended, so that a short question does not wait
+ * for a long stream to end. Only idempotent streams are suspended, no more than the pool's share of
+ * an upstream's slots, and each is resumed after a limited time at the latest.
+ */
+import { sendTo, type CoreContext } from '../context.js';
+import { virtualService } from '../shares/shares.js';
+import type { CoreState } from '../state.js';
+import type { CustomerNumber, PoolConfig, UpstreamConfig } from '../types.js';
+import type { IssuedGrant } from './dispatchState.js';
+import { setPhase } from './slots.js';
+
+/** Lag, in charge steps, at which a holder's stream gives way. */
+const LAG_STEPS = 2;
+
+/** Time after which a request to suspend that was not answered may be repeated. */
+const SUSPEND_RETRY_MS = 1_000;
+
+/** Asks for the suspension of a stream of the most-served holder, if `customer` lags enough. */
+export function relieve(ctx: CoreContext, pool: PoolConfig, customer: CustomerNumber): void {
+  const { state } = ctx;
+  if (pool.suspendShare <= 0) return;
+  const step = state.configuration.view?.fairness.chargeStep ?? 0;
+  const own = virtualService(state, customer, pool.id);
+  let candidate: IssuedGrant | undefined;
+  let most = own + LAG_STEPS * step;
+  let isPending = false;
+  state.dispatch.issued.forEach((grant) => {
+    if (grant.pool !== pool.id) return;
+    if (grant.phase === 'suspending') {
+      if (ctx.now - grant.phaseSince < SUSPEND_RETRY_MS) isPending = true;
+      else setPhase(ctx, grant, 'held');
+      return;
+    }
+    if (grant.phase !== 'held' || !grant.canSuspend || grant.customer === customer) return;
+    if (!hasSuspendRoom(state, pool, grant)) return;
+    const service = virtualService(state, grant.customer, pool.id);
+    if (service <= most) return;
+    most = service;
+    candidate = grant;
+  });
+  if (candidate === undefined || isPending) return;
+  setPhase(ctx, candidate, 'suspending');
+  askEntry(ctx, candidate, false);
+}
+
+/**
+ * Resumes a suspended stream if one of `free` has it and its turn has come: its customer is not
+ * ahead of the next waiting one, nobody waits, or it was suspended for the longest time allowed.
+ */
+export function resumeNext(
+  ctx: CoreContext,
+  pool: PoolConfig,
+  free: readonly UpstreamConfig[],
+  waiting: CustomerNumber | undefined,
+): boolean {
+  const { state } = ctx;
+  const limit = waiting === undefined ? Infinity : virtualService(state, waiting, pool.id);
+  let next: IssuedGrant | undefined;
+  free.forEach((upstream) => {
+    if ((state.dispatch.slots.get(upstream.id)?.suspended ?? 0) === 0) return;
+    state.dispatch.issued.forEach((grant) => {
+      if (grant.upstream !== upstream.id || grant.phase !== 'suspended') return;
+      const isOverdue = ctx.now - grant.phaseSince >= state.settings.maxSuspendMs;
+      if (!isOverdue && virtualService(state, grant.customer, pool.id) > limit) return;
+      if (next === undefined || grant.phaseSince < next.phaseSince) next = grant;
+    });
+  });
+  if (next === undefined) return false;
+  setPhase(ctx, next, 'held');
+  askEntry(ctx, next, true);
+  return true;
+}
+
+function hasSuspendRoom(state: CoreState, pool: PoolConfig, grant: IssuedGrant): boolean {
+  const upstream = state.configuration.view?.upstreams.get(grant.upstream);
+  const suspended = state.dispatch.slots.get(grant.upstream)?.suspended ?? 0;
+  return upstream !== undefined && suspended < Math.floor(pool.suspendShare * upstream.slots);
+}
+
+function askEntry(ctx: CoreContext, grant: IssuedGrant, resume: boolean): void {
+  const value = { grantId: grant.grantId, resume };
+  sendTo(ctx, grant.entry, { $case: 'suspendRequest', value });
+}
--- a/src/core/reducer.ts
+++ b/src/core/reducer.ts
@@ -3,9 +3,18 @@
 import type { CoreContext } from './context.js';
 import { setTimer } from './context.js';
 import { Debug } from './debug.js';
-import { onAnnounceTimer, onGrant } from './dispatch/entry.js';
+import { onAnnounceTimer } from './dispatch/announcements.js';
+import { onGrant, onSuspendRequest } from './dispatch/entry.js';
 import { announceAll } from './dispatch/queues.js';
-import { onGrantReturn, onPollTimer, onSlotUpdate, onWaitingUpdate } from './dispatch/owner.js';
+import {
+  onGrantReturn,
+  onPollTimer,
+  onSlotUpdate,
+  onUpstreamReport,
+  onWaitingUpdate,
+} from './dispatch/owner.js';
+import { onAssignTimer, onDemandOffer, onDemandRequest } from './dispatch/pull.js';
+import { onLimitsTimer, onLimitUsage } from './limits/limitUsage.js';
 import { onPlannedStop } from './drain/drain.js';
 import { onListedUpstreams } from './drain/upstreams.js';
 import {
@@ -17,6 +26,8 @@
   startMembership,
 } from './membership/membership.js';
 import { onMemberRequest, onMemberSummaries } from './membership/relays.js';
+import { onExchangeTimer, onServiceSums } from './shares/exchange.js';
+import { onServiceRequest } from './shares/relay.js';
 import { onCallerRequest } from './requests/admission.js';
 import { onCallerGone, onDeadlinesTimer } from './requests/requests.js';
 import { onRetriesTimer, onRetryUsage, startRetries } from './retries/retries.js';
@@ -42,14 +53,14 @@
       onAttemptEnded(ctx, event.attemptId, event.outcome);
       return;
     case 'peerMessage':
-      reducePeerMessage(ctx, event.from, event.message);
+      reducePeerMessage(ctx, event.from, event.incarnation, event.message);
       return;
     case 'instanceList':
       onInstanceList(ctx, event.instances ?? []);
       onListedUpstreams(ctx, event.instances ?? []);
       return;
     case 'upstreamReport':
-      if (event.report !== undefined) ctx.state.dispatch.reports.set(event.upstream, event.report);
+      onUpstreamReport(ctx, event);
       return;
     case 'peerUnreachable':
     case 'logRead':
@@ -68,7 +79,12 @@
   }
 }
 
-export function reducePeerMessage(ctx: CoreContext, from: InstanceId, message: PeerMessage): void {
+export function reducePeerMessage(
+  ctx: CoreContext,
+  from: InstanceId,
+  incarnation: number,
+  message: PeerMessage,
+): void {
   switch (message.$case) {
     case 'heartbeat':
       onHeartbeat(ctx, message.value);
@@ -89,23 +105,35 @@
       onWaitingUpdate(ctx, from, message.value);
       return;
     case 'grant':
-      onGrant(ctx, from, message.value);
+      onGrant(ctx, from, incarnation, message.value);
       return;
     case 'grantReturn':
       onGrantReturn(ctx, message.value.grantIds);
       return;
     case 'slotUpdate':
-      onSlotUpdate(ctx, message.value);
+      onSlotUpdate(ctx, from, message.value);
       return;
     case 'retryUsage':
       onRetryUsage(ctx, from, message.value);
       return;
     case 'serviceSums':
+      onServiceSums(ctx, from, incarnation, message.value);
+      return;
     case 'serviceRequest':
+      onServiceRequest(ctx, from, message.value);
+      return;
     case 'limitUsage':
+      onLimitUsage(ctx, from, message.value);
+      return;
     case 'demandRequest':
+      onDemandRequest(ctx, from, message.value);
+      return;
     case 'demandOffer':
+      onDemandOffer(ctx, message.value);
+      return;
     case 'suspendRequest':
+      onSuspendRequest(ctx, from, message.value);
+      return;
     case 'suspicions':
     case 'claimSubmission':
     case 'outcomeQuery':
@@ -141,8 +169,14 @@
       onRetriesTimer(ctx);
       return;
     case 'exchange':
+      onExchangeTimer(ctx);
+      return;
     case 'assign':
+      onAssignTimer(ctx);
+      return;
     case 'limits':
+      onLimitsTimer(ctx);
+      return;
     case 'claims':
     case 'quarantine':
     case 'configuration':
@@ -159,6 +193,9 @@
 function onStart(ctx: CoreContext): void {
   startMembership(ctx);
   startRetries(ctx);
+  setTimer(ctx, 'exchange', ctx.state.settings.exchangeMs);
+  setTimer(ctx, 'assign', 0);
+  setTimer(ctx, 'limits', ctx.state.settings.limitsMs);
   setTimer(ctx, 'poll', ctx.state.settings.pollMs);
   setTimer(ctx, 'deadlines', ctx.state.settings.deadlineTickMs);
 }
--- a/src/core/settings.ts
+++ b/src/core/settings.ts
@@ -1,8 +1,9 @@
 /** Settings of the core with their defaults. All durations are milliseconds. */
 import type { Millis } from './clock.js';
+import { DEFAULT_SHARING_SETTINGS, type SharingSettings } from './dispatch/sharingSettings.js';
 import { DEFAULT_OUTCOME_SETTINGS, type OutcomeSettings } from './requests/outcomeSettings.js';
 
-export interface CoreSettings extends OutcomeSettings {
+export interface CoreSettings extends OutcomeSettings, SharingSettings {
   /** Interval of heartbeats within a failure domain. */
   readonly heartbeatMs: Millis;
   /** Silence after which an instance is taken for dead. */
@@ -29,6 +30,7 @@
 
 export const DEFAULT_CORE_SETTINGS: CoreSettings = {
   ...DEFAULT_OUTCOME_SETTINGS,
+  ...DEFAULT_SHARING_SETTINGS,
   heartbeatMs: 1_000,
   memberTimeoutMs: 4_000,
   instanceListMs: 5_000,
--- /dev/null
+++ b/src/core/shares/exchange.ts
@@ -0,0 +1,170 @@
+/**
+ * The exchange of service sums as every instance takes part in it: it sends what it charged and who
+ * waits to the relays of the customers' groups in its domain, and takes in what they say of the
+ * fleet. Sums only grow and the largest counts, so messages may come in any order, twice or late.
+ */
+import { sendTo, setTimer, type CoreContext } from '../context.js';
+import { isLive } from '../membership/memberIndex.js';
+import type { CoreState } from '../state.js';
+import type { CustomerNumber, InstanceId } from '../types.js';
+import { accountByNumber, accountOf, ensureCapacity, noteWaiting } from './accounts.js';
+import { groupOf, groupRelays } from './groups.js';
+import { relayOnTimer, takeDomainSums, takeOriginSums } from './relay.js';
+import type { Account, SentSums } from './sharesState.js';
+import { chargeRunningSlotTime } from './slotTime.js';
+import {
+  encodeSums,
+  floorToWire,
+  forEachSum,
+  SumScope,
+  type ServiceSums,
+  type SumEntry,
+} from './sumsCodec.js';
+
+/** Exchanges without news after which a customer no longer counts as waiting. */
+export const WAITING_EXCHANGES = 8;
+
+interface Batch {
+  readonly waiting: SumEntry[];
+  readonly others: SumEntry[];
+}
+
+/** Fires twice in each exchange: sums go up first, and out of the relays half an interval later. */
+export function onExchangeTimer(ctx: CoreContext): void {
+  const { shares, settings } = ctx.state;
+  shares.ticks += 1;
+  if (shares.ticks % 2 === 1) {
+    chargeRunningSlotTime(ctx);
+    forgetLostRelays(ctx.state);
+    const waiting = waitingByAccount(ctx.state);
+    shares.accounts.forEach((account) => {
+      sendOwnSums(ctx, account, waiting.get(account) ?? new Set());
+    });
+  } else {
+    relayOnTimer(ctx);
+  }
+  setTimer(ctx, 'exchange', settings.exchangeMs / 2);
+}
+
+function forgetLostRelays(state: CoreState): void {
+  state.shares.sent.forEach((_, relay) => {
+    if (!isLive(state, relay)) state.shares.sent.delete(relay);
+  });
+}
+
+export function onServiceSums(
+  ctx: CoreContext,
+  from: InstanceId,
+  incarnation: number,
+  message: ServiceSums,
+): void {
+  switch (message.scope) {
+    case SumScope.instance:
+      takeOriginSums(ctx, from, incarnation, message);
+      return;
+    case SumScope.domain:
+      takeDomainSums(ctx, message);
+      return;
+    case SumScope.fleet:
+      takeFleetSums(ctx, from, message);
+      break;
+    default:
+  }
+}
+
+/** Customers with requests in the queues of this instance. */
+function waitingByAccount(state: CoreState): ReadonlyMap<Account, ReadonlySet<CustomerNumber>> {
+  const waiting = new Map<Account, Set<CustomerNumber>>();
+  state.dispatch.queues.forEach((queues, pool) => {
+    const account = accountOf(state, pool);
+    if (account === undefined) return;
+    const customers = waiting.get(account) ?? new Set<CustomerNumber>();
+    waiting.set(account, customers);
+    queues.forEach((queue, customer) => {
+      if (queue.length > 0) customers.add(customer);
+    });
+  });
+  return waiting;
+}
+
+function sendOwnSums(
+  ctx: CoreContext,
+  account: Account,
+  waiting: ReadonlySet<CustomerNumber>,
+): void {
+  const { state } = ctx;
+  const batches = new Map<InstanceId, Batch>();
+  const add = (customer: CustomerNumber, isWaiting: boolean) => {
+    ensureCapacity(account, customer);
+    const sum = floorToWire(account.own[customer] ?? 0);
+    const entry = { customer, sum, lift: account.lift[customer] ?? 0 };
+    groupRelays(state, state.self.domain, groupOf(state, customer)).forEach((relay) => {
+      const batch = batches.get(relay) ?? { waiting: [], others: [] };
+      batches.set(relay, batch);
+      (isWaiting ? batch.waiting : batch.others).push(entry);
+    });
+  };
+  waiting.forEach((customer) => add(customer, true));
+  account.unsent.forEach((customer) => {
+    if (waiting.has(customer)) return;
+    if (floorToWire(account.own[customer] ?? 0) > (account.acknowledged[customer] ?? 0)) {
+      add(customer, false);
+    } else {
+      account.unsent.delete(customer);
+    }
+  });
+  noteSilence(state, account, batches);
+  batches.forEach((batch, relay) => sendBatch(ctx, account, relay, batch));
+}
+
+/** A relay that was told of waiting customers is told once when none are left. */
+function noteSilence(state: CoreState, account: Account, batches: Map<InstanceId, Batch>): void {
+  state.shares.sent.forEach((ofRelay, relay) => {
+    const last = ofRelay.get(account.number);
+    if (last === undefined || batches.has(relay)) return;
+    if (last.customers.length > 0) batches.set(relay, { waiting: [], others: [] });
+  });
+}
+
+function sendBatch(ctx: CoreContext, account: Account, relay: InstanceId, batch: Batch): void {
+  const { shares } = ctx.state;
+  shares.sequence += 1;
+  const value = encodeSums(
+    { scope: SumScope.instance, account: account.number, sequence: shares.sequence },
+    batch.waiting,
+    batch.others,
+  );
+  const entries = [...batch.waiting, ...batch.others];
+  const ofRelay = shares.sent.get(relay) ?? new Map<number, SentSums>();
+  shares.sent.set(relay, ofRelay);
+  ofRelay.set(account.number, {
+    sequence: shares.sequence,
+    customers: entries.map((entry) => entry.customer),
+    sums: entries.map((entry) => entry.sum),
+  });
+  sendTo(ctx, relay, { $case: 'serviceSums', value });
+}
+
+function takeFleetSums(ctx: CoreContext, from: InstanceId, message: ServiceSums): void {
+  const { settings } = ctx.state;
+  const account = accountByNumber(ctx.state, message.pool);
+  const until = ctx.now + WAITING_EXCHANGES * settings.exchangeMs;
+  forEachSum(message, ({ customer, sum, lift }, isWaiting) => {
+    ensureCapacity(account, customer);
+    account.fleet[customer] = Math.max(account.fleet[customer] ?? 0, sum);
+    account.lift[customer] = Math.max(account.lift[customer] ?? 0, lift);
+    if (isWaiting) noteWaiting(account, customer, until);
+    else account.waitingUntil[customer] = 0;
+  });
+  acknowledge(ctx.state, account, from, message.acknowledged);
+}
+
+/** Notes that the fleet's sums include what was sent under a sequence number. */
+function acknowledge(state: CoreState, account: Account, relay: InstanceId, sequence: number) {
+  const sent = state.shares.sent.get(relay)?.get(account.number);
+  if (sent?.sequence !== sequence) return;
+  sent.customers.forEach((customer, i) => {
+    const sum = sent.sums[i] ?? 0;
+    account.acknowledged[customer] = Math.max(account.acknowledged[customer] ?? 0, sum);
+  });
+}
--- /dev/null
+++ b/src/core/shares/lifts.ts
@@ -0,0 +1,70 @@
+/**
+ * Lifts, decided by the foremost relay of a customer's group. A customer that returns from idle is
+ * raised to the least virtual service among the waiting, so that idling earns no credit. A customer
+ * that lags the most-served waiting one by more than the debt cap is raised to the cap; that bounds
+ * what is repaid after a partition. A lift is a largest-value register: it only grows.
+ */
+import type { CoreContext } from '../context.js';
+import type { CustomerNumber, PoolNumber } from '../types.js';
+import { accountByNumber, forEachWaiting, settledIn, weightIn } from './accounts.js';
+import { groupOf, isForemost } from './groups.js';
+import { sumOf, type RelayEntry } from './relayState.js';
+
+interface Range {
+  readonly least: number;
+  readonly most: number;
+}
+
+/** Raises the customers of this relay's groups where they have to be. */
+export function liftReturned(
+  ctx: CoreContext,
+  isLearning: (customer: CustomerNumber) => boolean,
+): void {
+  const { state } = ctx;
+  const debtCap = state.configuration.view?.fairness.debtCap ?? Infinity;
+  state.shares.relay.entries.forEach((entries, account) => {
+    const range = waitingRange(ctx, account);
+    entries.forEach((entry, customer) => {
+      const isWaiting = entry.waitingAt.size > 0;
+      const hasReturned = isWaiting && !entry.wasWaiting;
+      // Members learn of both changes with the next sums.
+      if (isWaiting !== entry.wasWaiting) {
+        entry.isNewBelow = true;
+        entry.isNewAbroad = true;
+      }
+      entry.wasWaiting = isWaiting;
+      if (!isWaiting || range === undefined || isLearning(customer)) return;
+      if (!isForemost(state, groupOf(state, customer))) return;
+      const floor = Math.max(hasReturned ? range.least : 0, range.most - debtCap);
+      raiseTo(ctx, account, customer, entry, floor);
+    });
+  });
+}
+
+function raiseTo(
+  ctx: CoreContext,
+  account: PoolNumber,
+  customer: CustomerNumber,
+  entry: RelayEntry,
+  floor: number,
+): void {
+  const weight = weightIn(ctx.state, accountByNumber(ctx.state, account), customer);
+  const missing = floor - sumOf(entry) / weight - entry.lift;
+  if (missing <= 0) return;
+  entry.lift += missing;
+  entry.isNewBelow = true;
+  entry.isNewAbroad = true;
+}
+
+/** The range of virtual service over the customers that this instance believes to wait. */
+function waitingRange(ctx: CoreContext, number: PoolNumber): Range | undefined {
+  const account = accountByNumber(ctx.state, number);
+  let least = Infinity;
+  let most = -Infinity;
+  forEachWaiting(account, ctx.now, (customer) => {
+    const service = settledIn(ctx.state, account, customer);
+    least = Math.min(least, service);
+    most = Math.max(most, service);
+  });
+  return least === Infinity ? undefined : { least, most };
+}
--- /dev/null
+++ b/src/core/shares/relaySending.ts
@@ -0,0 +1,86 @@
+/** What a relay of service sums sends: domain sums to other relays, fleet sums to its domain. */
+import { sendTo, type CoreContext } from '../context.js';
+import { liveDomains, membersOf } from '../membership/memberIndex.js';
+import type { CustomerNumber, InstanceId, PoolNumber } from '../types.js';
+import { groupOf, groupRelays, isForemost } from './groups.js';
+import { sumOf, type RelayEntry } from './relayState.js';
+import { encodeSums, SumScope, type SumEntry } from './sumsCodec.js';
+
+interface Batch {
+  readonly waiting: SumEntry[];
+  readonly others: SumEntry[];
+}
+
+/** Sends the domain sums that changed, or are due again, to the relays of the other domains. */
+export function sendAbroad(ctx: CoreContext): void {
+  const { state } = ctx;
+  const domains = liveDomains(state).filter((domain) => domain !== state.self.domain);
+  forEachAccount(ctx, (account, entries) => {
+    const batches = new Map<InstanceId, Batch>();
+    entries.forEach((entry, customer) => {
+      const isWaitingHere = [...entry.waitingAt.keys()].some((place) => !domains.includes(place));
+      if (!entry.isNewAbroad && !(isWaitingHere && isRefreshDue(ctx, customer))) return;
+      const group = groupOf(state, customer);
+      if (!isForemost(state, group)) return;
+      entry.isNewAbroad = false;
+      const sum = { customer, sum: entry.folded + entry.live, lift: entry.lift };
+      domains.forEach((domain) => {
+        const relay = groupRelays(state, domain, group)[0];
+        if (relay !== undefined) addTo(batches, relay, sum, isWaitingHere);
+      });
+    });
+    batches.forEach((batch, relay) => {
+      const header = { scope: SumScope.domain, account, origin: state.self.domain };
+      const value = encodeSums(header, batch.waiting, batch.others);
+      sendTo(ctx, relay, { $case: 'serviceSums', value });
+    });
+  });
+}
+
+/** Sends the fleet sums that changed, or are due again, to all instances of the domain. */
+export function sendBelow(ctx: CoreContext): void {
+  const { state } = ctx;
+  const { origins } = state.shares.relay;
+  forEachAccount(ctx, (account, entries) => {
+    const batch: Batch = { waiting: [], others: [] };
+    entries.forEach((entry, customer) => {
+      const isWaiting = entry.waitingAt.size > 0;
+      if (!entry.isNewBelow && !(isWaiting && isRefreshDue(ctx, customer))) return;
+      if (!isForemost(state, groupOf(state, customer))) return;
+      entry.isNewBelow = false;
+      const sum = { customer, sum: sumOf(entry), lift: entry.lift };
+      (isWaiting ? batch.waiting : batch.others).push(sum);
+    });
+    if (batch.waiting.length + batch.others.length === 0) return;
+    membersOf(state, state.self.domain).forEach((member) => {
+      const acknowledged = origins.get(member.id)?.sequences.get(account) ?? 0;
+      const header = { scope: SumScope.fleet, account, acknowledged };
+      const value = encodeSums(header, batch.waiting, batch.others);
+      sendTo(ctx, member.id, { $case: 'serviceSums', value });
+    });
+  });
+}
+
+/** Spreads the repetition of unchanged sums over the exchanges. */
+function isRefreshDue(ctx: CoreContext, customer: CustomerNumber): boolean {
+  const { settings, shares } = ctx.state;
+  return (customer + shares.ticks / 2) % settings.refreshExchanges === 0;
+}
+
+function addTo(
+  batches: Map<InstanceId, Batch>,
+  relay: InstanceId,
+  sum: SumEntry,
+  isWaiting: boolean,
+): void {
+  const batch = batches.get(relay) ?? { waiting: [], others: [] };
+  batches.set(relay, batch);
+  (isWaiting ? batch.waiting : batch.others).push(sum);
+}
+
+function forEachAccount(
+  ctx: CoreContext,
+  action: (account: PoolNumber, entries: ReadonlyMap<CustomerNumber, RelayEntry>) => void,
+): void {
+  ctx.state.shares.relay.entries.forEach((entries, account) => action(account, entries));
+}
--- a/src/core/shares/shares.ts
+++ b/src/core/shares/shares.ts
@@ -1,11 +1,13 @@
 /**
  * Shares: weighted virtual token counters (Sheng et al., "Fairness in Serving Large Language
  * Models", OSDI 2024). A customer's virtual service is its service divided by its weight; the
- * waiting customer with the least is served next.
+ * waiting customer with the least is served next. Service is charged while requests run and is
+ * exchanged within the fleet (`exchange.ts`, `relay.ts`).
  */
 import type { CoreContext } from '../context.js';
 import type { CoreState } from '../state.js';
 import type { CustomerNumber, PoolId } from '../types.js';
+import { accountOf, ensureCapacity, virtualIn } from './accounts.js';
 
 /** Adds service, in cost units, that a customer received at this instance. */
 export function charge(
@@ -14,16 +16,33 @@
   pool: PoolId,
   cost: number,
 ): void {
-  const { charged } = ctx.state.shares;
-  const ofPool = charged.get(pool) ?? new Map<CustomerNumber, number>();
-  charged.set(pool, ofPool);
-  ofPool.set(customer, (ofPool.get(customer) ?? 0) + cost);
+  const account = accountOf(ctx.state, pool);
+  if (account === undefined || !(cost > 0)) return;
+  ensureCapacity(account, customer);
+  account.own[customer] = (account.own[customer] ?? 0) + cost;
+  account.unsent.add(customer);
+}
+
+/**
+ * Changes the service that is expected of a customer's grants. A reservation never exceeds a charge
+ * step, so that no hint of the cost can move the bound.
+ */
+export function reserve(
+  state: CoreState,
+  customer: CustomerNumber,
+  pool: PoolId,
+  change: number,
+): void {
+  const account = accountOf(state, pool);
+  if (account === undefined) return;
+  ensureCapacity(account, customer);
+  account.reserved[customer] = Math.max(0, (account.reserved[customer] ?? 0) + change);
 }
 
 /** Returns a customer's virtual service in a pool: cost units per weight. */
 export function virtualService(state: CoreState, customer: CustomerNumber, pool: PoolId): number {
-  const weight = state.configuration.view?.weightOf(customer, pool) ?? 1;
-  return (state.shares.charged.get(pool)?.get(customer) ?? 0) / weight;
+  const account = accountOf(state, pool);
+  return account === undefined ? 0 : virtualIn(state, account, customer);
 }
 
 /** Returns the customer with the least virtual service. */
@@ -32,10 +51,12 @@
   customers: Iterable<CustomerNumber>,
   pool: PoolId,
 ): CustomerNumber | undefined {
+  const account = accountOf(state, pool);
+  if (account === undefined) return undefined;
   let best: CustomerNumber | undefined;
   let least = Infinity;
   for (const customer of customers) {
-    const service = virtualService(state, customer, pool);
+    const service = virtualIn(state, account, customer);
     if (service < least) {
       best = customer;
       least = service;
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -11,6 +11,7 @@
 import type { ConfigurationState } from './configuration/configurationState.js';
 import type { DrainState } from './drain/drainState.js';
 import type { RetriesState } from './retries/retriesState.js';
+import type { LimitsState } from './limits/limitsState.js';
 import type { Random } from './random.js';
 import type { CoreSettings } from './settings.js';
 import type { InstanceIdentity } from './types.js';
@@ -24,6 +25,7 @@
   readonly configuration: ConfigurationState;
   readonly shares: SharesState;
   readonly dispatch: DispatchState;
+  readonly limits: LimitsState;
   readonly requests: RequestsState;
   readonly attempts: AttemptsState;
   readonly retries: RetriesState;
