--- a/src/core/diagnostics.ts
+++ b/src/core/diagnostics.ts
@@ -89,6 +89,9 @@
   peerLost: entry(5003, 'message', 'The link to instance {id} was lost: {reason}'),
   certificateUnreadable: entry(5004, 'error', 'The certificates cannot be read: {reason}'),
   eventFailed: entry(5005, 'error', "Event '{event}' could not be handled: {reason}"),
+  waitingLimit: entry(8001, 'error', 'Too many requests of this customer wait.'),
+  waitingBytesLimit: entry(8002, 'error', 'Too many bytes of this customer wait.'),
+  rateLimit: entry(8003, 'error', 'The request rate of this customer exceeds its limit.'),
 } as const satisfies Readonly<Record<string, DiagnosticMessage>>;
 
 export type DiagnosticCode = keyof typeof diagnostics;
