--- a/src/core/diagnostics.ts
+++ b/src/core/diagnostics.ts
@@ -104,6 +104,9 @@
   cannotStart: entry(7002, 'error', 'Cannot start: {reason}'),
   noStatus: entry(7003, 'error', 'No status from {url}: {reason}'),
   loadRejected: entry(7004, 'error', "'{file}' names none or unknown: {targets}."),
+  waitingLimit: entry(8001, 'error', 'Too many requests of this customer wait.'),
+  waitingBytesLimit: entry(8002, 'error', 'Too many bytes of this customer wait.'),
+  rateLimit: entry(8003, 'error', 'The request rate of this customer exceeds its limit.'),
 } as const satisfies Readonly<Record<string, DiagnosticMessage>>;
 
 export type DiagnosticCode = keyof typeof diagnostics;
