Add a live benchmark of latency and of many streams

Cause: the targets of added latency and concurrent streams were unmeasured. Change: src/bench/live runs engines and one instance as processes of their own.

--- /dev/null
+++ b/src/bench/live/latency.ts
@@ -0,0 +1,84 @@
+/**
+ * Latency that an idle instance adds: the same calls to an engine, directly and through an
+ * instance in turn, one at a time.
+ */
+import { Agent } from 'undici';
+import type { Millis } from '../../core/clock.js';
+import { createDurations } from '../load/customerMetrics.js';
+import { startBenchFleet } from './processes.js';
+import { callStream } from './streamCall.js';
+
+export interface LatencyOptions {
+  readonly calls: number;
+  readonly tokens: number;
+  readonly tokenIntervalMs: Millis;
+}
+
+/** Quantiles of one way, in milliseconds. */
+export interface LatencyResult {
+  readonly firstP50: Millis;
+  readonly totalP50: Millis;
+  readonly gapP50: Millis;
+  readonly gapP95: Millis;
+}
+
+export interface LatencyComparison {
+  readonly direct: LatencyResult;
+  readonly viaInstance: LatencyResult;
+}
+
+const WARM_UP_CALLS = 50;
+
+export async function measureLatency(options: LatencyOptions): Promise<LatencyComparison> {
+  const { tokenIntervalMs, tokens } = options;
+  const fleet = await startBenchFleet({ engines: 1, slotsPerEngine: 8, tokenIntervalMs });
+  const dispatcher = new Agent();
+  const ways = [fleet.engineUrls[0] ?? '', fleet.instanceUrl].map((origin) => createWay(origin));
+
+  async function callAll(round: number, isCounted: boolean): Promise<void> {
+    for (const way of ways) {
+      const question = `call ${round}`;
+      await way.call({ dispatcher, question, tokens, isCounted });
+    }
+  }
+
+  for (let round = 0; round < WARM_UP_CALLS + options.calls; round += 1) {
+    await callAll(round, round >= WARM_UP_CALLS);
+  }
+  await dispatcher.close();
+  await fleet.stop();
+  const [direct, viaInstance] = ways.map(({ result }) => result());
+  if (direct === undefined || viaInstance === undefined) throw new Error('Nothing was measured.');
+  return { direct, viaInstance };
+}
+
+interface WayCall {
+  readonly dispatcher: Agent;
+  readonly question: string;
+  readonly tokens: number;
+  readonly isCounted: boolean;
+}
+
+function createWay(origin: string) {
+  const first = createDurations();
+  const total = createDurations();
+  const gaps = createDurations();
+  return {
+    call: async ({ dispatcher, question, tokens, isCounted }: WayCall): Promise<void> => {
+      const onPart = (_events: number, gapMs: Millis) => {
+        if (isCounted) gaps.add(gapMs);
+      };
+      const result = await callStream({ dispatcher, origin, question, tokens, onPart });
+      if (!result.isWhole) throw new Error('An answer was not whole.');
+      if (!isCounted) return;
+      first.add(result.firstPartMs);
+      total.add(result.totalMs);
+    },
+    result: (): LatencyResult => ({
+      firstP50: first.quantiles().p50,
+      totalP50: total.quantiles().p50,
+      gapP50: gaps.quantiles().p50,
+      gapP95: gaps.quantiles().p95,
+    }),
+  };
+}
--- /dev/null
+++ b/src/bench/live/streamCall.ts
@@ -0,0 +1,75 @@
+/** One streamed completion, with the times at which its tokens arrive. */
+import type { Dispatcher } from 'undici';
+import type { Millis } from '../../core/clock.js';
+import { BENCH_KEY, BENCH_POOL } from './processes.js';
+
+export interface StreamCallOptions {
+  readonly dispatcher: Dispatcher;
+  readonly origin: string;
+  readonly question: string;
+  readonly tokens: number;
+  /** Called for each part with the number of events in it and the time since the part before. */
+  readonly onPart?: (events: number, gapMs: Millis) => void;
+}
+
+export interface StreamCallResult {
+  readonly firstPartMs: Millis;
+  readonly totalMs: Millis;
+  /** Whether the end mark arrived. */
+  readonly isWhole: boolean;
+}
+
+const LINE_FEED = 0x0a;
+
+/** Sends a completion. Rejects on any status but 200 and on a broken connection. */
+export async function callStream(options: StreamCallOptions): Promise<StreamCallResult> {
+  const { dispatcher, origin, question, tokens, onPart } = options;
+  const startedAt = performance.now();
+  let firstPartMs = 0;
+  let lastAt = startedAt;
+  let tail = '';
+  await new Promise<void>((resolve, reject) => {
+    dispatcher.dispatch(
+      {
+        origin,
+        path: '/v1/chat/completions',
+        method: 'POST',
+        headers: { authorization: `Bearer ${BENCH_KEY}`, 'content-type': 'application/json' },
+        body: JSON.stringify({
+          model: BENCH_POOL,
+          stream: true,
+          max_tokens: tokens,
+          messages: [{ role: 'user', content: question }],
+        }),
+        headersTimeout: 0,
+        bodyTimeout: 0,
+      },
+      {
+        onRequestStart: () => {},
+        onResponseStart: (_controller, status) => {
+          if (status !== 200) reject(new Error(`status ${status}`));
+        },
+        onResponseData: (_controller, chunk) => {
+          const now = performance.now();
+          if (firstPartMs === 0) firstPartMs = now - startedAt;
+          else onPart?.(countEvents(chunk), now - lastAt);
+          lastAt = now;
+          tail = chunk.subarray(-16).toString();
+        },
+        onResponseEnd: () => resolve(),
+        onResponseError: (_controller, err) => reject(err),
+      },
+    );
+  });
+  const totalMs = performance.now() - startedAt;
+  return { firstPartMs, totalMs, isWhole: tail.endsWith('[DONE]\n\n') };
+}
+
+/** Events in a part; each ends with an empty line. */
+function countEvents(chunk: Uint8Array): number {
+  let count = 0;
+  for (let i = chunk.indexOf(LINE_FEED); i >= 0; i = chunk.indexOf(LINE_FEED, i + 1)) {
+    if (chunk[i + 1] === LINE_FEED) count += 1;
+  }
+  return count;
+}
--- /dev/null
+++ b/src/bench/live/streams.ts
@@ -0,0 +1,133 @@
+/**
+ * Many streams through one instance process at the same time: token events a second, processor
+ * time, memory per stream and the slope of the memory.
+ */
+import { setTimeout as sleep } from 'node:timers/promises';
+import { Agent } from 'undici';
+import { MS_PER_SECOND, type Millis } from '../../core/clock.js';
+import { createDurations } from '../load/customerMetrics.js';
+import { readProcessUse, startBenchFleet, type ProcessUse } from './processes.js';
+import { callStream } from './streamCall.js';
+
+export interface StreamsOptions {
+  readonly streams: number;
+  readonly engines: number;
+  readonly tokenIntervalMs: Millis;
+  readonly tokensPerStream: number;
+  readonly seconds: number;
+  /** Whether the streams go to the engines directly, for comparison. */
+  readonly isDirect: boolean;
+}
+
+export interface StreamsResult {
+  readonly eventsPerSecond: number;
+  readonly answers: number;
+  readonly broken: number;
+  readonly gapP50: Millis;
+  readonly gapP95: Millis;
+  readonly gapP99: Millis;
+  /** Share of one core that the instance used. */
+  readonly cpuShare: number;
+  readonly idleBytes: number;
+  readonly bytesPerStream: number;
+  /** Growth of the memory by a line fitted to its second half, in bytes a minute. */
+  readonly slopeBytesPerMinute: number;
+}
+
+const SAMPLE_MS = 1_000;
+const MS_PER_MINUTE = 60 * MS_PER_SECOND;
+const SETTLE_MS = 2_000;
+/** Pause after a broken answer. */
+const RETRY_MS = 100;
+
+interface Sample extends ProcessUse {
+  readonly at: Millis;
+}
+
+export async function measureStreams(options: StreamsOptions): Promise<StreamsResult> {
+  const fleet = await startBenchFleet({
+    engines: options.engines,
+    slotsPerEngine: Math.ceil(options.streams / options.engines),
+    tokenIntervalMs: options.tokenIntervalMs,
+  });
+  const idle = await readProcessUse(fleet.instancePid);
+  const dispatcher = new Agent();
+  const gaps = createDurations();
+  const counts = { events: 0, answers: 0, broken: 0 };
+  let isEnding = false;
+  let isCounting = false;
+
+  const onPart = (events: number, gapMs: Millis) => {
+    if (!isCounting) return;
+    counts.events += events;
+    gaps.add(gapMs);
+  };
+
+  async function runStream(n: number): Promise<void> {
+    const origins = options.isDirect ? fleet.engineUrls : [fleet.instanceUrl];
+    const origin = origins[n % origins.length] ?? '';
+    for (let round = 0; !isEnding; round += 1) {
+      const question = `stream ${n} round ${round}`;
+      const tokens = options.tokensPerStream;
+      const call = callStream({ dispatcher, origin, question, tokens, onPart });
+      const result = await call.catch(() => undefined);
+      counts.answers += 1;
+      if (result?.isWhole === true) continue;
+      counts.broken += 1;
+      await sleep(RETRY_MS);
+    }
+  }
+
+  const running = Array.from({ length: options.streams }, async (_, n) => runStream(n));
+  await sleep(SETTLE_MS);
+  isCounting = true;
+  const samples = await sampleFor(fleet.instancePid, options.seconds * MS_PER_SECOND);
+  isCounting = false;
+  isEnding = true;
+  await Promise.all(running);
+  await dispatcher.close();
+  await fleet.stop();
+
+  const [first] = samples;
+  const last = samples.at(-1);
+  if (first === undefined || last === undefined) throw new Error('Nothing was sampled.');
+  const elapsed = last.at - first.at;
+  const { p50, p95, p99 } = gaps.quantiles();
+  return {
+    eventsPerSecond: (counts.events * MS_PER_SECOND) / elapsed,
+    answers: counts.answers,
+    broken: counts.broken,
+    gapP50: p50,
+    gapP95: p95,
+    gapP99: p99,
+    cpuShare: (last.cpuMs - first.cpuMs) / elapsed,
+    idleBytes: idle.residentBytes,
+    bytesPerStream: (last.residentBytes - idle.residentBytes) / options.streams,
+    slopeBytesPerMinute: slopeOf(samples.slice(Math.floor(samples.length / 2))) * MS_PER_MINUTE,
+  };
+}
+
+async function sampleFor(pid: number, span: Millis): Promise<readonly Sample[]> {
+  const samples: Sample[] = [];
+  const startedAt = performance.now();
+  while (performance.now() - startedAt <= span) {
+    samples.push({ at: performance.now(), ...(await readProcessUse(pid)) });
+    await sleep(SAMPLE_MS);
+  }
+  return samples;
+}
+
+/** Slope of the line of least squares through the memory samples, in bytes a millisecond. */
+function slopeOf(samples: readonly Sample[]): number {
+  const mean = (values: readonly number[]) =>
+    values.reduce((sum, value) => sum + value, 0) / values.length;
+  const meanAt = mean(samples.map(({ at }) => at));
+  const meanBytes = mean(samples.map(({ residentBytes }) => residentBytes));
+  let covariance = 0;
+  let variance = 0;
+  samples.forEach(({ at, residentBytes }) => {
+    covariance += (at - meanAt) * (residentBytes - meanBytes);
+    variance += (at - meanAt) ** 2;
+  });
+  return variance === 0 ? 0 : covariance / variance;
+}
