Give each of thousands of concurrent callers its own answer; run due timers at once

Change: due timers are posted directly and events of a turn are reduced in it; a test of 2,000 concurrent requests through 5 instances while engines cross and delay replies; tests of the loop.

--- a/src/daemon/loop.ts
+++ b/src/daemon/loop.ts
@@ -2,6 +2,7 @@
  * The one loop of an instance: takes the events that hosts post, reduces each at the current time
  * and executes the effects through the hosts, in order.
  */
+import type { Millis } from '../core/clock.js';
 import type { Core } from '../core/core.js';
 import { Debug } from '../core/debug.js';
 import type { CoreEvent, Effect, TimerName } from '../core/types.js';
@@ -25,13 +26,19 @@
   readonly close: () => void;
 }
 
+/** A timer that is set, with the event that it posts. */
+interface PendingTimer {
+  readonly event: CoreEvent;
+  readonly cancel: () => void;
+}
+
 /** Events that are reduced before input and output get their turn. */
 const MAX_EVENTS_PER_TURN = 512;
 
 /** Creates the loop; it runs as soon as the first event is posted. */
 export function createLoop(options: LoopOptions): Loop {
   const { core, system, runEffect } = options;
-  const timers = new Map<TimerName, () => void>();
+  const timers = new Map<TimerName, PendingTimer>();
   let queue: CoreEvent[] = [];
   let isScheduled = false;
   let isClosed = false;
@@ -43,15 +50,24 @@
   }
 
   function runTurn(): void {
+    let handled = 0;
+    // Events that are posted by effects of this turn belong to it.
+    for (let i = 0; i < queue.length && i < MAX_EVENTS_PER_TURN; i += 1) {
+      const event = queue[i];
+      if (event !== undefined) handle(event);
+      handled = i + 1;
+    }
+    queue = queue.slice(handled);
     isScheduled = false;
-    if (isClosed) return;
-    const events = queue.slice(0, MAX_EVENTS_PER_TURN);
-    queue = queue.slice(events.length);
-    events.forEach(handle);
     schedule();
   }
 
   function handle(event: CoreEvent): void {
+    if (event.kind === 'timer') {
+      // The timer may have been set anew after it was due.
+      if (timers.get(event.timer)?.event !== event) return;
+      timers.delete(event.timer);
+    }
     try {
       core.reduce(event, system.now()).forEach(execute);
     } catch (err) {
@@ -64,13 +80,17 @@
     else runEffect(effect);
   }
 
-  function setTimer(timer: TimerName, at: number): void {
-    timers.get(timer)?.();
-    const cancel = system.schedule(at, () => {
-      timers.delete(timer);
-      post({ kind: 'timer', timer });
-    });
-    timers.set(timer, cancel);
+  function setTimer(timer: TimerName, at: Millis): void {
+    timers.get(timer)?.cancel();
+    const event = { kind: 'timer', timer } as const;
+    const fire = () => post(event);
+    // A timer of Node.js takes a millisecond at least.
+    if (at <= system.now()) {
+      timers.set(timer, { event, cancel: () => {} });
+      fire();
+    } else {
+      timers.set(timer, { event, cancel: system.schedule(at, fire) });
+    }
   }
 
   function post(event: CoreEvent): void {
@@ -84,7 +104,7 @@
     close: () => {
       isClosed = true;
       queue = [];
-      timers.forEach((cancel) => cancel());
+      timers.forEach(({ cancel }) => cancel());
       timers.clear();
     },
   };
--- /dev/null
+++ b/test/daemon/crossed.test.ts
@@ -0,0 +1,64 @@
+import { expect } from 'chai';
+import { Agent, request } from 'undici';
+import { answerText } from '../../src/standins/index.js';
+import { startTestFleet, streamedText, TEST_KEY, type TestFleet } from '../support/fleet.js';
+
+/** Concurrent requests; `WIDE_REQUESTS` sets another number within the limit on open files. */
+const REQUESTS = Number(process.env.WIDE_REQUESTS ?? 2_000);
+const INSTANCES = 5;
+const ENGINES = 8;
+const TOKENS = 6;
+
+describe('answers under crossed and late replies', () => {
+  let fleet: TestFleet;
+  const agent = new Agent();
+  before(async () => {
+    const engine = { batchSize: 64, tokenIntervalMs: 5, prefillTokensPerSecond: 1e9 };
+    fleet = await startTestFleet({
+      instances: INSTANCES,
+      engines: Array.from({ length: ENGINES }, (_, i) => ({ ...engine, seed: i + 1 })),
+      // Each crossed reply costs a retry; the budget of operation would end some requests.
+      instance: { settings: { retryRatio: 1 } },
+    });
+    fleet.engines.forEach(({ setFault }) => {
+      setFault({ kind: 'crossed', rate: 0.05, at: 'head' });
+      setFault({ kind: 'crossed', rate: 0.05, at: 'middle' });
+      setFault({ kind: 'late', rate: 0.05, delayMs: 300 });
+    });
+  });
+  after(async () => {
+    await agent.close();
+    await fleet.close();
+  });
+
+  async function answerTo(question: string, url: string): Promise<string> {
+    const { statusCode, body } = await request(`${url}/v1/chat/completions`, {
+      dispatcher: agent,
+      method: 'POST',
+      headers: { authorization: `Bearer ${TEST_KEY}` },
+      body: JSON.stringify({
+        model: 'chat',
+        stream: true,
+        max_tokens: TOKENS,
+        messages: [{ role: 'user', content: question }],
+      }),
+    });
+    const text = await body.text();
+    return statusCode === 200 ? streamedText(text) : `status ${statusCode}: ${text}`;
+  }
+
+  it(`gives each of ${REQUESTS} concurrent callers its own whole answer`, async () => {
+    const questions = Array.from({ length: REQUESTS }, (_, i) => `question ${i}`);
+    const wrong: string[] = [];
+    await Promise.all(
+      questions.map(async (question, i) => {
+        const url = fleet.urls[i % fleet.urls.length] ?? '';
+        const text = await answerTo(question, url).catch((err: Error) => err.message);
+        if (text !== answerText(question, TOKENS)) wrong.push(`${question}: ${text}`);
+      }),
+    );
+    expect(wrong.slice(0, 5)).to.deep.equal([]);
+    const attempts = fleet.engines.reduce((sum, { log }) => sum + log().attempts.length, 0);
+    expect(attempts, 'no reply was crossed').to.be.greaterThan(REQUESTS);
+  });
+});
--- /dev/null
+++ b/test/daemon/loop.test.ts
@@ -0,0 +1,108 @@
+import { expect } from 'chai';
+import { createManualClock } from '../../src/core/clock.js';
+import type { Core } from '../../src/core/core.js';
+import type { CoreEvent, Effect } from '../../src/core/types.js';
+import { createLoop } from '../../src/daemon/loop.js';
+import type { System } from '../../src/hosts/types.js';
+
+const stopEvent = { kind: 'plannedStop' } as const;
+const gone = (requestId: string) => ({ kind: 'callerGone', requestId }) as const;
+
+/** A system whose deferred actions and timers run when the test says so. */
+function createManualSystem() {
+  const clock = createManualClock(100);
+  const deferred: (() => void)[] = [];
+  const timers = new Set<{ readonly at: number; readonly action: () => void }>();
+  const system: System = {
+    now: clock.now,
+    schedule: (at, action) => {
+      const timer = { at, action };
+      timers.add(timer);
+      return () => timers.delete(timer);
+    },
+    defer: (action) => deferred.push(action),
+  };
+  const runDeferred = () => deferred.splice(0).forEach((action) => action());
+  const advance = (span: number) => {
+    clock.advance(span);
+    timers.forEach((timer) => {
+      if (timer.at > clock.now() || !timers.delete(timer)) return;
+      timer.action();
+    });
+    runDeferred();
+  };
+  return { system, runDeferred, advance };
+}
+
+/** A loop around a core that answers each event with the effects that `answer` gives. */
+function createTestLoop(answer: (event: CoreEvent, now: number) => readonly Effect[]) {
+  const manual = createManualSystem();
+  const reduced: CoreEvent[] = [];
+  const effects: Effect[] = [];
+  const errors: unknown[] = [];
+  const reduce: Core['reduce'] = (event, now) => {
+    reduced.push(event);
+    return answer(event, now);
+  };
+  const loop = createLoop({
+    core: { reduce } as Core,
+    system: manual.system,
+    runEffect: (effect) => effects.push(effect),
+    onError: (err) => errors.push(err),
+  });
+  return { ...manual, loop, reduced, effects, errors };
+}
+
+describe('loop', () => {
+  it('reduces events in order, never within post', () => {
+    const { loop, reduced, runDeferred } = createTestLoop(() => []);
+    ['a', 'b', 'c'].forEach((id) => loop.post(gone(id)));
+    expect(reduced).to.deep.equal([]);
+    runDeferred();
+    expect(reduced).to.deep.equal(['a', 'b', 'c'].map(gone));
+  });
+
+  it('runs a timer once, at its time, and only its last setting', () => {
+    const { loop, reduced, advance, runDeferred } = createTestLoop((event, now) => {
+      if (event.kind !== 'callerGone') return [];
+      const at = now + Number(event.requestId);
+      return [{ kind: 'setTimer', timer: 'poll', at }];
+    });
+    const timerEvents = () => reduced.filter(({ kind }) => kind === 'timer').length;
+    [10, 50].forEach((span) => loop.post(gone(String(span))));
+    runDeferred();
+    advance(49);
+    expect(timerEvents()).to.equal(0);
+    advance(1);
+    expect(timerEvents()).to.equal(1);
+    // A timer that is due at once is replaced as well.
+    [0, 20].forEach((span) => loop.post(gone(String(span))));
+    runDeferred();
+    expect(timerEvents()).to.equal(1);
+    advance(20);
+    expect(timerEvents()).to.equal(2);
+  });
+
+  it('goes on after an event that throws', () => {
+    const { loop, reduced, errors, runDeferred } = createTestLoop((event) => {
+      if (event.kind === 'plannedStop') throw new Error('broken');
+      return [];
+    });
+    [stopEvent, gone('a')].forEach(loop.post);
+    runDeferred();
+    expect(errors).to.have.length(1);
+    expect(reduced).to.deep.equal([stopEvent, gone('a')]);
+  });
+
+  it('handles nothing more once it is closed', () => {
+    const { loop, reduced, advance, runDeferred } = createTestLoop((_event, now) => [
+      { kind: 'setTimer', timer: 'poll', at: now + 10 },
+    ]);
+    loop.post(gone('a'));
+    runDeferred();
+    loop.post(gone('b'));
+    loop.close();
+    advance(20);
+    expect(reduced).to.deep.equal([gone('a')]);
+  });
+});
