--- a/src/bench/live/streams.ts
+++ b/src/bench/live/streams.ts
@@ -49,8 +49,10 @@
     engines: options.engines,
     slotsPerEngine: Math.ceil(options.streams / options.engines),
     tokenIntervalMs: options.tokenIntervalMs,
+    maxRequests: 2 * options.streams,
   });
-  const idle = await readProcessUse(fleet.instancePid);
+  const [pid = 0] = fleet.instancePids;
+  const idle = await readProcessUse(pid);
   const dispatcher = new Agent();
   const gaps = createDurations();
   const counts = { events: 0, answers: 0, broken: 0 };
@@ -64,7 +66,7 @@
   };
 
   async function runStream(n: number): Promise<void> {
-    const origins = options.isDirect ? fleet.engineUrls : [fleet.instanceUrl];
+    const origins = options.isDirect ? fleet.engineUrls : fleet.instanceUrls;
     const origin = origins[n % origins.length] ?? '';
     for (let round = 0; !isEnding; round += 1) {
       const question = `stream ${n} round ${round}`;
@@ -81,7 +83,7 @@
   const running = Array.from({ length: options.streams }, async (_, n) => runStream(n));
   await sleep(SETTLE_MS);
   isCounting = true;
-  const samples = await sampleFor(fleet.instancePid, options.seconds * MS_PER_SECOND);
+  const samples = await sampleFor(pid, options.seconds * MS_PER_SECOND);
   isCounting = false;
   isEnding = true;
   await Promise.all(running);
--- a/src/core/diagnostics.ts
+++ b/src/core/diagnostics.ts
@@ -95,7 +95,11 @@
   missingSetting: entry(3005, 'error', "'{setting}' is missing."),
   invalidSetting: entry(3006, 'error', "The value of '{setting}' is invalid: {reason}."),
   duplicateSetting: entry(3007, 'error', 'The same key is given twice.'),
-  started: entry(5001, 'message', 'Instance {id} listens for callers on {address}.'),
+  started: entry(
+    5001,
+    'message',
+    'Instance {id} listens for callers on {callers}, for peers on {peers} and for operators on {operators}.',
+  ),
   stopped: entry(5002, 'message', 'Instance {id} has stopped.'),
   peerLost: entry(5003, 'message', 'The link to instance {id} was lost: {reason}'),
   certificateUnreadable: entry(5004, 'error', 'The certificates cannot be read: {reason}'),
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -139,7 +139,7 @@
     early.forEach(loop.post);
     early = [];
     const callers = await hosts.callers.listen();
-    hosts.logger.write('info', 'daemon', 'started', { id: options.id, address: callers });
+    hosts.logger.write('info', 'daemon', 'started', { id: options.id, callers, peers, operators });
     return { callers, peers, operators };
   }
 
--- a/src/standins/engineWork.ts
+++ b/src/standins/engineWork.ts
@@ -60,6 +60,8 @@
   const byId = new Map<string, Attempt>();
   let recorded: Attempt[] = [];
   let lastFinished: Attempt | undefined;
+  /** Attempts crossed once; a second exchange would undo the first and lose a token unseen. */
+  const exchanged = new WeakSet<Attempt>();
   let faults: AttemptFaults = {};
 
   const batch = createBatch<Attempt>({
@@ -137,15 +139,19 @@
   /** Exchanges the connections of two attempts, or repeats an earlier answer on this one. */
   function cross(attempt: Attempt): void {
     attempt.crossAt = undefined;
+    if (exchanged.has(attempt)) return;
     const isHead = attempt.position <= attempt.from + 1;
     const partner = [...live].find(
       (other) =>
         other !== attempt &&
+        !exchanged.has(other) &&
         other.output !== NO_OUTPUT &&
         (isHead ? other.position === other.from : other.position > other.from),
     );
     const { output } = attempt;
+    exchanged.add(attempt);
     if (partner !== undefined) {
+      exchanged.add(partner);
       setOutput(attempt, partner.output);
       setOutput(partner, output);
     } else if (lastFinished !== undefined) {
