--- a/test/bench/load.test.ts
+++ b/test/bench/load.test.ts
@@ -1,3 +1,4 @@
+import { readFileSync } from 'node:fs';
 import { expect } from 'chai';
 import {
   formatLoadReport,
@@ -18,6 +19,7 @@
 import {
   createEngineStandin,
   createServiceStandin,
+  parseStandinSettings,
   type EngineFault,
 } from '../../src/standins/index.js';
 
@@ -204,3 +206,16 @@
     expect(meter.maxGap()).to.equal(30);
   });
 });
+
+describe('examples', () => {
+  const read = (name: string) => readFileSync(`examples/${name}`, 'utf8');
+
+  it('fit their schemas and name the same stand-ins', () => {
+    const load = parseLoadFile(read('load.yaml'));
+    const faults = parseFaultFile(read('faults.yaml'));
+    const standins = parseStandinSettings(read('standins.yaml'));
+    expect([load.kind, faults.kind]).to.deep.equal(['parsed', 'parsed']);
+    const urls = load.kind === 'parsed' ? load.value.engines.map(({ url }) => url) : [];
+    expect(urls).to.deep.equal(standins.engines.map(({ port }) => `http://127.0.0.1:${port}`));
+  });
+});
