Read the examples of the load test beside the test

Cause: the linter forbids synchronous reads in tests, and the path depended on the working folder. Change: asynchronous reads relative to the test file.

--- a/test/bench/load.test.ts
+++ b/test/bench/load.test.ts
@@ -1,4 +1,4 @@
-import { readFileSync } from 'node:fs';
+import { readFile } from 'node:fs/promises';
 import { expect } from 'chai';
 import {
   formatLoadReport,
@@ -208,12 +208,13 @@
 });
 
 describe('examples', () => {
-  const read = (name: string) => readFileSync(`examples/${name}`, 'utf8');
+  const folder = new URL('../../../examples/', import.meta.url);
+  const read = async (name: string) => readFile(new URL(name, folder), 'utf8');
 
-  it('fit their schemas and name the same stand-ins', () => {
-    const load = parseLoadFile(read('load.yaml'));
-    const faults = parseFaultFile(read('faults.yaml'));
-    const standins = parseStandinSettings(read('standins.yaml'));
+  it('fit their schemas and name the same stand-ins', async () => {
+    const load = parseLoadFile(await read('load.yaml'));
+    const faults = parseFaultFile(await read('faults.yaml'));
+    const standins = parseStandinSettings(await read('standins.yaml'));
     expect([load.kind, faults.kind]).to.deep.equal(['parsed', 'parsed']);
     const urls = load.kind === 'parsed' ? load.value.engines.map(({ url }) => url) : [];
     expect(urls).to.deep.equal(standins.engines.map(({ port }) => `http://127.0.0.1:${port}`));
