--- a/src/core/diagnostics.ts
+++ b/src/core/diagnostics.ts
@@ -84,6 +84,17 @@
   quarantineLifted: entry(1023, 'message', 'The quarantine of {fingerprint} was lifted.'),
   claimsGap: entry(1024, 'warning', 'Claims before offset {offset} expired before they were read.'),
   drainUnsettled: entry(1025, 'warning', 'Stopping with {records} records not read back.'),
+  settingsUnreadable: entry(3001, 'error', "'{file}' cannot be read: {reason}"),
+  settingsMalformed: entry(3002, 'error', 'These are no well-formed settings: {reason}'),
+  unknownSetting: entry(3003, 'error', "The key '{key}' is not known here."),
+  unknownSettingNear: entry(
+    3004,
+    'error',
+    "The key '{key}' is not known here. Did you mean '{nearest}'?",
+  ),
+  missingSetting: entry(3005, 'error', "'{setting}' is missing."),
+  invalidSetting: entry(3006, 'error', "The value of '{setting}' is invalid: {reason}."),
+  duplicateSetting: entry(3007, 'error', 'The same key is given twice.'),
   started: entry(5001, 'message', 'Instance {id} listens for callers on {address}.'),
   stopped: entry(5002, 'message', 'Instance {id} has stopped.'),
   peerLost: entry(5003, 'message', 'The link to instance {id} was lost: {reason}'),
@@ -92,6 +103,10 @@
   waitingLimit: entry(8001, 'error', 'Too many requests of this customer wait.'),
   waitingBytesLimit: entry(8002, 'error', 'Too many bytes of this customer wait.'),
   rateLimit: entry(8003, 'error', 'The request rate of this customer exceeds its limit.'),
+  commandFailed: entry(7001, 'error', 'The command failed: {reason}'),
+  cannotStart: entry(7002, 'error', 'Cannot start: {reason}'),
+  noStatus: entry(7003, 'error', 'No status from {url}: {reason}'),
+  loadRejected: entry(7004, 'error', "'{file}' names none or unknown: {targets}."),
 } as const satisfies Readonly<Record<string, DiagnosticMessage>>;
 
 export type DiagnosticCode = keyof typeof diagnostics;
