--- /dev/null
+++ b/test/bench/faultPlan.test.ts
@@ -0,0 +1,53 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { createFaultPlan, parseFaultFile } from '../../src/bench/load/index.js';
+import {
+  engineFaultSchema,
+  platformFaultSchema,
+  serviceFaultSchema,
+} from '../../src/standins/faults.js';
+
+const TARGETS = {
+  instances: ['instance-1', 'instance-2'],
+  engines: ['engine-1'],
+  services: ['service-1'],
+  hasPlatform: true,
+};
+
+const schemaOf = (standin: string) => {
+  if (standin === 'platform') return platformFaultSchema;
+  return standin.startsWith('engine') ? engineFaultSchema : serviceFaultSchema;
+};
+
+describe('fault plan', () => {
+  const anyPlan = fc
+    .record({ seed: fc.nat(), durationMs: fc.integer({ min: 1_000, max: 300_000 }) })
+    .map((options) => ({ ...options, ...TARGETS, faultsPerSecond: 2 }));
+
+  it('holds only faults that the stand-ins know', () => {
+    fc.assert(
+      fc.property(anyPlan, (options) => {
+        const plan = createFaultPlan(options);
+        expect(parseFaultFile(JSON.stringify(plan)).kind).to.equal('parsed');
+        for (const fault of plan.faults) {
+          if ('standin' in fault) schemaOf(fault.standin).parse(fault.fault);
+        }
+      }),
+      { seed: 1, numRuns: 50 },
+    );
+  });
+
+  it('repeats for the same seed and ends every lasting fault', () => {
+    fc.assert(
+      fc.property(anyPlan, (options) => {
+        const { faults } = createFaultPlan(options);
+        expect(createFaultPlan(options).faults).to.deep.equal(faults);
+        const signals = faults.flatMap((fault) => ('process' in fault ? [fault] : []));
+        const count = (signal: string) => signals.filter((fault) => fault.signal === signal).length;
+        expect(count('SIGSTOP')).to.equal(count('SIGCONT'));
+        expect(faults.every(({ atMs }) => atMs < options.durationMs)).to.equal(true);
+      }),
+      { seed: 1, numRuns: 50 },
+    );
+  });
+});
