Warm up the generator so that small seeds differ from the first draw on

Cause: the first draw of xoroshiro128plus is the complement of the seed, so every small seed drew almost 1 first; a fault schedule with seed 1 was empty, and instances with seeds 1 to 5 drew alike. Change: 16 draws are dropped; tests over 10,000 small seeds, and that a schedule holds all kinds. Conclusion: sequences change for every seed; no test depended on one.

--- a/src/core/random.ts
+++ b/src/core/random.ts
@@ -13,10 +13,13 @@
 }
 
 const UINT32_RANGE = 2 ** 32;
+/** Draws after which the sequences of neighbouring seeds no longer resemble each other. */
+const WARM_UP_DRAWS = 16;
 
 /** Creates a generator whose sequence depends on `seed` alone. */
 export function createRandom(seed: number): Random {
   const generator = xoroshiro128plus(seed);
+  for (let i = 0; i < WARM_UP_DRAWS; i += 1) generator.next();
   const next = () => (generator.next() >>> 0) / UINT32_RANGE;
   return { next, nextInt: (bound) => Math.floor(next() * bound) };
 }
--- a/test/bench/faultPlan.test.ts
+++ b/test/bench/faultPlan.test.ts
@@ -37,6 +37,24 @@
     );
   });
 
+  it('holds faults of every kind of target for any seed, if the load is long', () => {
+    fc.assert(
+      fc.property(fc.nat(), (seed) => {
+        const plan = createFaultPlan({ ...TARGETS, seed, durationMs: 300_000, faultsPerSecond: 2 });
+        const targets = plan.faults.map((fault) =>
+          'process' in fault ? 'instance' : fault.standin,
+        );
+        expect([...new Set(targets)]).to.have.members([
+          'instance',
+          'engine-1',
+          'service-1',
+          'platform',
+        ]);
+      }),
+      { seed: 1, numRuns: 50, examples: [[1], [2], [3]] },
+    );
+  });
+
   it('repeats for the same seed and ends every lasting fault', () => {
     fc.assert(
       fc.property(anyPlan, (options) => {
--- a/test/random.test.ts
+++ b/test/random.test.ts
@@ -10,4 +10,17 @@
     expect(draw(7)).to.deep.equal(draw(7));
     expect(draw(7)).to.not.deep.equal(draw(8));
   });
+
+  it('spreads the first draws of small seeds evenly', () => {
+    const SEEDS = 10_000;
+    const BUCKETS = 10;
+    const counts = new Array<number>(BUCKETS).fill(0);
+    for (let seed = 0; seed < SEEDS; seed += 1) {
+      const bucket = createRandom(seed).nextInt(BUCKETS);
+      counts[bucket] = (counts[bucket] ?? 0) + 1;
+    }
+    // Five standard deviations of a binomial count.
+    const spread = 5 * Math.sqrt(SEEDS * (1 / BUCKETS) * (1 - 1 / BUCKETS));
+    counts.forEach((count) => expect(count).to.be.closeTo(SEEDS / BUCKETS, spread));
+  });
 });
