Count requests without any end as lost

Cause: a caller that waited in vain was counted among the failed, although nothing told it so. Change: a time-out of the caller on an open connection is its own outcome and fails the run; the trial fleet gives up silent upstreams after 10 s, since the default of 120 s exceeds the load's 60 s.

--- a/scripts/fleet/files.mjs
+++ b/scripts/fleet/files.mjs
@@ -151,6 +151,8 @@
     platform: { url: url(plan.platform.port) },
     document: 'configuration.yaml',
     log: { level: 'warn' },
+    // No call of this load takes seconds, so a silent upstream can be given up early.
+    core: { firstByteTimeout: '10s', idleTimeout: '5s' },
   });
 }
 
--- a/src/bench/load/caller.ts
+++ b/src/bench/load/caller.ts
@@ -25,11 +25,15 @@
   'ENETUNREACH',
   'UND_ERR_CONNECT_TIMEOUT',
 ]);
+const TIMEOUT_ERRORS: ReadonlySet<string> = new Set([
+  'UND_ERR_HEADERS_TIMEOUT',
+  'UND_ERR_BODY_TIMEOUT',
+]);
 
 export interface CallerOptions {
   /** Base URLs of the instances. */
   readonly instances: readonly string[];
-  /** Time without a byte after which a request counts as failed. */
+  /** Time without a byte after which a request counts as lost. */
   readonly timeoutMs: Millis;
 }
 
@@ -82,6 +86,7 @@
         return await readAnswer(arrival, res, progress);
       } catch (err) {
         const code = codeOf(err);
+        if (TIMEOUT_ERRORS.has(code)) return { kind: 'lost', reason: code };
         return failed(CONNECT_ERRORS.has(code) ? 'no' : 'unknown', code);
       }
     },
--- a/src/bench/load/customerMetrics.ts
+++ b/src/bench/load/customerMetrics.ts
@@ -25,6 +25,8 @@
   served: number;
   refused: number;
   failed: number;
+  /** Requests without an answer or a problem for as long as the caller waited. */
+  lost: number;
   /** Answers of another request. */
   notOwn: number;
   /** Answers that ended early without an error. */
@@ -106,6 +108,7 @@
     served: 0,
     refused: 0,
     failed: 0,
+    lost: 0,
     notOwn: 0,
     truncated: 0,
     reasons: {},
@@ -129,6 +132,10 @@
       counts.failed += 1;
       addReason(`failed (executed: ${outcome.executed}), ${outcome.reason}`);
       return;
+    case 'lost':
+      counts.lost += 1;
+      addReason(`lost, ${outcome.reason}`);
+      return;
     default:
       if (outcome.violation === 'not-own') counts.notOwn += 1;
       else counts.truncated += 1;
--- a/src/bench/load/outcome.ts
+++ b/src/bench/load/outcome.ts
@@ -13,6 +13,8 @@
   | { readonly kind: 'refused'; readonly status: number; readonly step: string }
   /** A problem after the request may have run, or a broken connection. */
   | { readonly kind: 'failed'; readonly executed: Executed; readonly reason: string }
+  /** Neither an answer nor a problem for as long as the caller waited. */
+  | { readonly kind: 'lost'; readonly reason: string }
   /** An answer that breaks a promise. */
   | { readonly kind: 'wrong'; readonly violation: Violation; readonly detail: string };
 
--- a/src/bench/load/results.ts
+++ b/src/bench/load/results.ts
@@ -73,6 +73,7 @@
     served: 0,
     refused: 0,
     failed: 0,
+    lost: 0,
     notOwn: 0,
     truncated: 0,
     reasons: {},
@@ -83,6 +84,7 @@
     total.served += counts.served;
     total.refused += counts.refused;
     total.failed += counts.failed;
+    total.lost += counts.lost;
     total.notOwn += counts.notOwn;
     total.truncated += counts.truncated;
     for (const [reason, count] of Object.entries(counts.reasons)) {
@@ -92,11 +94,12 @@
   return total;
 }
 
-/** Whether every answer was the caller's own, complete and truthful, as far as was read. */
+/** Whether every request had an end, and every answer was the caller's own, complete and true. */
 export function isTruthful(result: LoadResult): boolean {
-  const { notOwn, truncated } = totalCounts(result);
+  const { lost, notOwn, truncated } = totalCounts(result);
   const { falseRefusals, doubled, servedNotRun } = result.truth;
-  return notOwn + truncated + falseRefusals.length + doubled.length + servedNotRun.length === 0;
+  const untrue = falseRefusals.length + doubled.length + servedNotRun.length;
+  return lost + result.unfinished + notOwn + truncated + untrue === 0;
 }
 
 export function toCustomerResults(
--- a/src/bench/load/runLoad.ts
+++ b/src/bench/load/runLoad.ts
@@ -23,7 +23,7 @@
   readonly faults?: FaultFile;
   /** Process ids by the names that the faults use. */
   readonly pids?: ReadonlyMap<string, number>;
-  /** Time without a byte after which a request counts as failed. */
+  /** Time without a byte after which a request counts as lost. */
   readonly timeoutMs?: Millis;
   /** Called after each sample. */
   readonly onSample?: (atMs: Millis, inFlight: number) => void;
--- a/src/bench/load/table.ts
+++ b/src/bench/load/table.ts
@@ -41,6 +41,7 @@
     'served',
     'refused',
     'failed',
+    'lost',
     'wrong',
     'service',
     'share',
@@ -54,6 +55,7 @@
     String(entry.counts.served),
     String(entry.counts.refused),
     String(entry.counts.failed),
+    String(entry.counts.lost),
     String(entry.counts.notOwn + entry.counts.truncated),
     entry.service.toFixed(0),
     percent(entry.serviceShare),
@@ -78,7 +80,7 @@
   const reasons = Object.entries(total.reasons).map(([reason, count]) => `  ${count} ${reason}`);
   return [
     `${total.sent} sent in ${(result.elapsedMs / 1_000).toFixed(1)} s, ${total.served} served, ` +
-      `${total.refused} refused, ${total.failed} failed, ${total.notSent} not sent, ` +
+      `${total.refused} refused, ${total.failed} failed, ${total.lost} lost, ${total.notSent} not sent, ` +
       `${result.unfinished} unfinished`,
     ...reasons,
     `control bytes: ${sameDomain} same domain, ${sameRegion} same region, ` +
@@ -98,6 +100,6 @@
     `answers of other requests: ${notOwn}, cut answers: ${truncated}, ` +
       `false refusals: ${falseRefusals.length}, run twice: ${doubled.length}, ` +
       `served but not run: ${servedNotRun.length}${partial}`,
-    isTruthful(result) ? 'all answers were true' : 'NOT ALL ANSWERS WERE TRUE',
+    isTruthful(result) ? 'every request had a true end' : 'NOT EVERY REQUEST HAD A TRUE END',
   ].join('\n');
 }
--- a/test/bench/load.test.ts
+++ b/test/bench/load.test.ts
@@ -47,8 +47,12 @@
   return parsed.value;
 }
 
-async function run(file: LoadFile, faults?: FaultFile): Promise<LoadResult> {
-  const done = await runLoad({ file, ...(faults === undefined ? {} : { faults }) });
+async function run(
+  file: LoadFile,
+  faults: FaultFile = { faults: [] },
+  timeoutMs = 30_000,
+): Promise<LoadResult> {
+  const done = await runLoad({ file, faults, timeoutMs });
   if (done.kind === 'rejected') throw new Error(done.unknownTargets.join());
   return done.result;
 }
@@ -84,7 +88,7 @@
 });
 
 describe('load run', () => {
-  async function runAgainstEngine(fault?: EngineFault): Promise<LoadResult> {
+  async function runAgainstEngine(fault?: EngineFault, timeoutMs?: number): Promise<LoadResult> {
     const engine = await createEngineStandin({ tokenIntervalMs: 1, batchSize: 8 });
     const { url } = engine;
     const file = loadFile(`
@@ -92,7 +96,7 @@
 engines: [{ name: e1, pool: assistant, url: "${url}" }]
 `);
     const faults = fault && { faults: [{ atMs: 0, standin: 'e1', fault }] };
-    const result = await run(file, faults);
+    const result = await run(file, faults, timeoutMs);
     await engine.stop();
     return result;
   }
@@ -120,7 +124,13 @@
   it('sees cut answers that end as if they were complete', async () => {
     const result = await runAgainstEngine({ kind: 'cut', rate: 1, ending: 'close' });
     expect(totalCounts(result).truncated).to.be.above(0);
-    expect(formatLoadResult(result)).to.include('NOT ALL ANSWERS WERE TRUE');
+    expect(formatLoadResult(result)).to.include('NOT EVERY REQUEST HAD A TRUE END');
+  });
+
+  it('counts requests without an end as lost', async () => {
+    const result = await runAgainstEngine({ kind: 'hang' }, 500);
+    expect(totalCounts(result).lost).to.be.above(0);
+    expect(isTruthful(result)).to.equal(false);
   });
 
   it('counts broken connections as failed, with an unknown execution', async () => {
