Distribute the configuration through the log, readers, peers and checkpoints

Cause: an accepted edit reached nobody, and an instance that starts empty had nothing to load. Change: two readers of each failure domain follow the log and pass records on; others compare versions with heartbeats and ask; checkpoints are appended in parts by a writer chosen by rendezvous and noted in the stream; a new instance takes the highest of log, checkpoint and peers before it is ready. Folding, building views and encoding are cut into pieces by the `apply` timer. Operators publish, get, check and list edits through commands; a lost reply is settled by reading.

--- /dev/null
+++ b/src/core/configuration/checkpoint.ts
@@ -0,0 +1,201 @@
+/**
+ * Checkpoints: the state of the fold in parts of bounded size, for the log and for peers. Entries
+ * carry their parsed values, so that a new instance need not parse a long document.
+ */
+import { z } from 'zod';
+import { parseEntry } from '../../configuration/entry.js';
+import {
+  SECTION_NAMES,
+  type ConfigurationDocument,
+  type Entry,
+  type SectionName,
+  type Steps,
+} from '../../configuration/types.js';
+import { createFoldState, type AcceptedEdit, type FoldState, type Verdict } from './foldState.js';
+import { parseJson, SCHEMA_VERSION } from './records.js';
+
+/** Length of the texts in one part. */
+const PART_TEXT = 32_768;
+/** Work of encoding or decoding one part, in units of parsing one entry. */
+const PART_WORK = 4;
+
+/** Key, source, value, and the number of a customer or pool, else 0. */
+type EntryRow = readonly [string, string, unknown, number];
+
+interface CheckpointHead {
+  readonly version: number;
+  readonly nextCustomer: number;
+  readonly nextPool: number;
+  readonly sectionVersions: readonly (readonly [SectionName, number])[];
+}
+
+/** One part of a checkpoint. */
+export interface CheckpointPart {
+  readonly kind: 'part';
+  readonly schemaVersion: number;
+  readonly id: string;
+  readonly part: number;
+  readonly parts: number;
+  /** Records before this offset are in the checkpoint. */
+  readonly through: number;
+  readonly head?: CheckpointHead | undefined;
+  readonly verdicts?: readonly Verdict[] | undefined;
+  readonly history?: readonly AcceptedEdit[] | undefined;
+  readonly section?: SectionName | undefined;
+  readonly entries?: readonly EntryRow[] | undefined;
+}
+
+type PartContent = Pick<CheckpointPart, 'head' | 'verdicts' | 'history' | 'section' | 'entries'>;
+
+const partSchema = z.object({
+  kind: z.literal('part'),
+  schemaVersion: z.int(),
+  id: z.string(),
+  part: z.int().min(0),
+  parts: z.int().min(1).max(65_536),
+  through: z.int().min(0),
+  head: z
+    .object({
+      version: z.int(),
+      nextCustomer: z.int(),
+      nextPool: z.int(),
+      sectionVersions: z.array(z.tuple([z.enum(SECTION_NAMES), z.int()])),
+    })
+    .optional(),
+  verdicts: z.array(z.custom<Verdict>()).optional(),
+  history: z.array(z.custom<AcceptedEdit>()).optional(),
+  section: z.enum(SECTION_NAMES).optional(),
+  entries: z.array(z.tuple([z.string(), z.string(), z.unknown(), z.number()])).optional(),
+});
+
+/** Encodes the state of the fold in pieces; returns the parts in order. */
+export function* encodeCheckpointSteps(fold: FoldState, id: string): Steps<readonly string[]> {
+  const contents = contentsOf(fold);
+  const parts: string[] = [];
+  for (const content of contents) {
+    const part: CheckpointPart = {
+      kind: 'part',
+      schemaVersion: SCHEMA_VERSION,
+      id,
+      part: parts.length,
+      parts: contents.length,
+      through: fold.next,
+      ...content,
+    };
+    parts.push(JSON.stringify(part));
+    yield PART_WORK;
+  }
+  return parts;
+}
+
+function contentsOf(fold: FoldState): readonly PartContent[] {
+  const head: CheckpointHead = {
+    version: fold.version,
+    nextCustomer: fold.numbers.nextCustomer,
+    nextPool: fold.numbers.nextPool,
+    sectionVersions: [...fold.sectionVersions],
+  };
+  const verdicts = chunks([...fold.verdicts.values()], verdictLength);
+  const history = chunks(fold.history, editLength);
+  const sections = SECTION_NAMES.flatMap((section) =>
+    chunks(rowsOf(fold, section), ([key, text]) => key.length + 2 * text.length).map((entries) => ({
+      section,
+      entries,
+    })),
+  );
+  return [
+    { head },
+    ...verdicts.map((chunk) => ({ verdicts: chunk })),
+    ...history.map((chunk) => ({ history: chunk })),
+    ...sections,
+  ];
+}
+
+function verdictLength(verdict: Verdict): number {
+  return 200 + 200 * (verdict.diagnostics.length + verdict.conflicts.length);
+}
+
+function editLength(edit: AcceptedEdit): number {
+  const texts = edit.earlier.flatMap((change) => Object.entries(change.texts));
+  return 200 + texts.reduce((sum, [key, text]) => sum + key.length + (text?.length ?? 0), 0);
+}
+
+function rowsOf(fold: FoldState, section: SectionName): readonly EntryRow[] {
+  const numbers = numbersOf(fold, section);
+  return [...(fold.document[section] as ReadonlyMap<string, Entry>).values()].map((entry) => [
+    entry.key,
+    entry.text,
+    entry.value,
+    numbers?.get(entry.key) ?? 0,
+  ]);
+}
+
+function numbersOf(fold: FoldState, section: SectionName) {
+  if (section === 'customers') return fold.numbers.customers;
+  return section === 'pools' ? fold.numbers.pools : undefined;
+}
+
+function chunks<T>(items: readonly T[], lengthOf: (item: T) => number): readonly (readonly T[])[] {
+  const result: T[][] = [];
+  let length = PART_TEXT;
+  for (const item of items) {
+    if (length >= PART_TEXT) {
+      result.push([]);
+      length = 0;
+    }
+    result.at(-1)?.push(item);
+    length += lengthOf(item);
+  }
+  return result;
+}
+
+/** Decodes one part; `undefined` for any other text and for parts of a later program. */
+export function decodePart(data: string): CheckpointPart | undefined {
+  const parsed = partSchema.safeParse(parseJson(data));
+  if (!parsed.success || parsed.data.schemaVersion > SCHEMA_VERSION) return undefined;
+  return parsed.data;
+}
+
+/** Builds the state of the fold from all parts of a checkpoint, in pieces. */
+export function* loadCheckpointSteps(
+  parts: readonly CheckpointPart[],
+): Steps<FoldState | undefined> {
+  const head = parts[0]?.head;
+  if (head === undefined) return undefined;
+  const fold = createFoldState();
+  const customers = new Map<string, number>();
+  const pools = new Map<string, number>();
+  const sections = Object.fromEntries(
+    SECTION_NAMES.map((name) => [name, new Map<string, Entry>()]),
+  ) as Record<SectionName, Map<string, Entry>>;
+  for (const part of parts) {
+    part.verdicts?.forEach((verdict) => fold.verdicts.set(verdict.editId, verdict));
+    if (part.history !== undefined) fold.history = [...fold.history, ...part.history];
+    const { section } = part;
+    if (section !== undefined) {
+      for (const row of part.entries ?? []) {
+        const entry = entryOf(part, section, row);
+        if (entry === undefined) return undefined;
+        sections[section].set(row[0], entry);
+        if (section === 'customers') customers.set(row[0], row[3]);
+        if (section === 'pools') pools.set(row[0], row[3]);
+      }
+    }
+    yield part.schemaVersion === SCHEMA_VERSION ? PART_WORK : (part.entries?.length ?? 0);
+  }
+  fold.next = parts[0]?.through ?? 0;
+  fold.version = head.version;
+  fold.document = sections as unknown as ConfigurationDocument;
+  const { nextCustomer, nextPool } = head;
+  fold.numbers = { customers, nextCustomer, pools, nextPool };
+  head.sectionVersions.forEach(([name, version]) => fold.sectionVersions.set(name, version));
+  return fold;
+}
+
+/** An earlier program's values may lack defaults, so its entries are parsed anew. */
+function entryOf(part: CheckpointPart, section: SectionName, row: EntryRow): Entry | undefined {
+  const [key, text, value] = row;
+  if (part.schemaVersion === SCHEMA_VERSION) return { key, text, value };
+  const result = parseEntry(section, { key, text, line: 0 });
+  return result.kind === 'entry' ? result.entry : undefined;
+}
--- a/src/core/configuration/configuration.ts
+++ b/src/core/configuration/configuration.ts
@@ -1,17 +1,180 @@
-/** The configuration in force at this instance. */
-import type { CoreContext } from '../context.js';
+/**
+ * The configuration in force at this instance: takes the events of the log, of peers, of operators
+ * and of timers, and brings accepted versions into force.
+ */
+import { logLine, setTimer, type CoreContext } from '../context.js';
 import { announceAll } from '../dispatch/queues.js';
 import { setOwnPhase } from '../membership/membership.js';
-import type { ConfigurationView } from '../types.js';
+import type {
+  ConfigurationView,
+  CoreEvent,
+  InstanceId,
+  OperatorCommand,
+  PeerMessageOf,
+} from '../types.js';
+import { onCheckpointAppended, writeCheckpointIfDue } from './checkpointing.js';
+import {
+  askIfBehind,
+  onConfigurationRecords,
+  onConfigurationRequest,
+  onConfigurationSnapshot,
+  onPeerVersion,
+} from './distribution.js';
+import { checkOperatorKey } from './keys.js';
+import { advanceEdits, onEditAppended, onPublish } from './publishing.js';
+import { checkConfiguration, configurationHistory, getConfiguration } from './queries.js';
+import { onConfigurationRead, requestRead } from './reading.js';
+import { isFolded, work, type WorkHooks } from './work.js';
+
+type EventOf<K extends CoreEvent['kind']> = Extract<CoreEvent, { readonly kind: K }>;
 
 /** Brings a newer view into force; an older one is ignored. */
 export function applyView(ctx: CoreContext, view: ConfigurationView): void {
   const { configuration, drain } = ctx.state;
   if (configuration.view !== undefined && configuration.view.version >= view.version) return;
   configuration.view = view;
+  logLine(ctx, 'info', 'configuration', 'configurationLoaded', { version: view.version });
   if (!drain.isStopping) {
     setOwnPhase(ctx, 'ready');
     ctx.emit({ kind: 'setReady', ready: true });
   }
   announceAll(ctx);
 }
+
+export function startConfiguration(ctx: CoreContext): void {
+  const { configuration, settings } = ctx.state;
+  configuration.startedAt = ctx.now;
+  configuration.checkpointedAt = ctx.now;
+  setTimer(ctx, 'configuration', settings.configurationTickMs);
+}
+
+export function onConfigurationTimer(ctx: CoreContext): void {
+  askIfBehind(ctx);
+  writeCheckpointIfDue(ctx);
+  advance(ctx);
+  setTimer(ctx, 'configuration', ctx.state.settings.configurationTickMs);
+}
+
+export function onApplyTimer(ctx: CoreContext): void {
+  advance(ctx);
+}
+
+export function onConfigurationLogRead(ctx: CoreContext, event: EventOf<'logRead'>): void {
+  onConfigurationRead(ctx, event);
+  advance(ctx);
+}
+
+export function onConfigurationAppended(ctx: CoreContext, event: EventOf<'appendSettled'>): void {
+  onCheckpointAppended(ctx, event.appendId, event.result);
+  onEditAppended(ctx, event.appendId, event.result);
+  advance(ctx);
+}
+
+export function onConfigurationMessage(
+  ctx: CoreContext,
+  from: InstanceId,
+  message:
+    | {
+        readonly $case: 'configurationRecords';
+        readonly value: PeerMessageOf<'configurationRecords'>;
+      }
+    | {
+        readonly $case: 'configurationRequest';
+        readonly value: PeerMessageOf<'configurationRequest'>;
+      }
+    | {
+        readonly $case: 'configurationSnapshot';
+        readonly value: PeerMessageOf<'configurationSnapshot'>;
+      },
+): void {
+  if (message.$case === 'configurationRecords') onConfigurationRecords(ctx, from, message.value);
+  else if (message.$case === 'configurationRequest') {
+    onConfigurationRequest(ctx, from, message.value);
+  } else onConfigurationSnapshot(ctx, message.value);
+  advance(ctx);
+}
+
+/** Compares a peer's version with this instance's. Called for each heartbeat. */
+export function onHeartbeatVersion(ctx: CoreContext, from: InstanceId, version: number): void {
+  onPeerVersion(ctx, from, version);
+}
+
+export type ConfigurationCommand = Extract<
+  OperatorCommand,
+  {
+    readonly kind: 'publish' | 'getConfiguration' | 'checkConfiguration' | 'configurationHistory';
+  }
+>;
+
+export function isConfigurationCommand(command: OperatorCommand): command is ConfigurationCommand {
+  return (
+    command.kind === 'publish' ||
+    command.kind === 'getConfiguration' ||
+    command.kind === 'checkConfiguration' ||
+    command.kind === 'configurationHistory'
+  );
+}
+
+export function onConfigurationCommand(
+  ctx: CoreContext,
+  commandId: string,
+  command: ConfigurationCommand,
+): void {
+  if (command.kind === 'publish') onPublish(ctx, commandId, command);
+  else answer(ctx, commandId, command);
+  advance(ctx);
+}
+
+function answer(
+  ctx: CoreContext,
+  commandId: string,
+  command: Exclude<ConfigurationCommand, { readonly kind: 'publish' }>,
+): void {
+  const check = checkOperatorKey(ctx, command.keyHash);
+  if (check.kind === 'rejected') {
+    ctx.emit({ kind: 'operatorReply', commandId, result: check });
+  } else if (command.kind === 'checkConfiguration') {
+    checkConfiguration(ctx, commandId, command);
+  } else {
+    const result =
+      command.kind === 'getConfiguration'
+        ? getConfiguration(ctx, command)
+        : configurationHistory(ctx, command);
+    ctx.emit({ kind: 'operatorReply', commandId, result });
+  }
+}
+
+const HOOKS: WorkHooks = {
+  onFolded: (ctx) => {
+    advanceEdits(ctx);
+  },
+  onViewBuilt: bringIntoForce,
+  onIdle: (ctx) => {
+    catchUp(ctx);
+    advanceEdits(ctx);
+  },
+};
+
+function advance(ctx: CoreContext): void {
+  advanceEdits(ctx);
+  work(ctx, HOOKS);
+  requestRead(ctx);
+}
+
+function bringIntoForce(ctx: CoreContext): void {
+  const { built, hasCaughtUp } = ctx.state.configuration;
+  if (built !== undefined && hasCaughtUp) applyView(ctx, built.view);
+}
+
+/** A new instance is ready once it has the highest version that log and peers show. */
+function catchUp(ctx: CoreContext): void {
+  const { configuration } = ctx.state;
+  const { fold, reading } = configuration;
+  if (configuration.hasCaughtUp || fold.version < 0 || !isFolded(configuration)) return;
+  const hasReadLog = reading.mode.kind === 'follow' && reading.atEndAt !== undefined;
+  if (!hasReadLog && reading.failingSince === undefined) return;
+  const isBehindPeers = (configuration.distribution.ahead?.version ?? -1) > fold.version;
+  if (isBehindPeers && fold.blocked === undefined) return;
+  configuration.hasCaughtUp = true;
+  bringIntoForce(ctx);
+}
--- a/src/core/configuration/fold.ts
+++ b/src/core/configuration/fold.ts
@@ -15,6 +15,7 @@
   type TeamEntry,
 } from '../../configuration/types.js';
 import { assignNumbers, type Numbers } from '../../configuration/view.js';
+import { Debug } from '../debug.js';
 import { equalInConstantTime } from '../sha256.js';
 import {
   HISTORY_MAX,
@@ -44,6 +45,8 @@
 /** What one record does to the state. */
 export type Judgement =
   | { readonly kind: 'ignored' }
+  /** A note of a checkpoint. */
+  | { readonly kind: 'noted' }
   | { readonly kind: 'blocked'; readonly schemaVersion: number }
   | { readonly kind: 'refused'; readonly verdict: Verdict }
   | {
@@ -65,8 +68,12 @@
       return fold.verdicts.has(record.editId)
         ? { kind: 'ignored' }
         : yield* judgeEdit(fold, offset, record);
-    default:
+    case 'checkpoint':
+      return { kind: 'noted' };
+    case 'malformed':
       return { kind: 'ignored' };
+    default:
+      return Debug.assertNever(record);
   }
 }
 
@@ -77,7 +84,7 @@
     return;
   }
   fold.next = offset + 1;
-  if (judgement.kind === 'ignored') return;
+  if (judgement.kind === 'ignored' || judgement.kind === 'noted') return;
   keepVerdict(fold, judgement.verdict);
   if (judgement.kind === 'refused') return;
   fold.version = offset;
--- a/src/core/reducer.ts
+++ b/src/core/reducer.ts
@@ -1,5 +1,17 @@
 /** The one reducer: hands each event to the sub-reducers of its matters. */
 import { onAttemptEnded, onAttemptProgress } from './attempts/attempts.js';
+import {
+  isConfigurationCommand,
+  onApplyTimer,
+  onConfigurationAppended,
+  onConfigurationCommand,
+  onConfigurationLogRead,
+  onConfigurationMessage,
+  onConfigurationTimer,
+  onHeartbeatVersion,
+  startConfiguration,
+} from './configuration/configuration.js';
+import { CHECKPOINT_STREAM, CONFIGURATION_STREAM } from './configuration/records.js';
 import type { CoreContext } from './context.js';
 import { setTimer } from './context.js';
 import { Debug } from './debug.js';
@@ -48,11 +60,19 @@
     case 'upstreamReport':
       if (event.report !== undefined) ctx.state.dispatch.reports.set(event.upstream, event.report);
       return;
-    case 'peerUnreachable':
     case 'logRead':
+      if (isConfigurationStream(event.stream)) onConfigurationLogRead(ctx, event);
+      return;
     case 'appendSettled':
-    case 'orderSettled':
+      if (isConfigurationStream(event.stream)) onConfigurationAppended(ctx, event);
+      return;
     case 'operatorCommand':
+      if (isConfigurationCommand(event.command)) {
+        onConfigurationCommand(ctx, event.commandId, event.command);
+      }
+      return;
+    case 'peerUnreachable':
+    case 'orderSettled':
       return;
     case 'timer':
       reduceTimer(ctx, event.timer);
@@ -69,6 +89,7 @@
   switch (message.$case) {
     case 'heartbeat':
       onHeartbeat(ctx, message.value);
+      onHeartbeatVersion(ctx, from, message.value.configurationVersion);
       return;
     case 'leaving':
       onLeaving(ctx, from, message.value);
@@ -105,9 +126,11 @@
     case 'claimSubmission':
     case 'outcomeQuery':
     case 'outcomeReply':
+      return;
     case 'configurationRecords':
     case 'configurationRequest':
     case 'configurationSnapshot':
+      onConfigurationMessage(ctx, from, message);
       return;
     default:
       Debug.assertNever(message);
@@ -132,15 +155,19 @@
     case 'deadlines':
       onDeadlinesTimer(ctx);
       return;
+    case 'configuration':
+      onConfigurationTimer(ctx);
+      return;
+    case 'apply':
+      onApplyTimer(ctx);
+      return;
     case 'exchange':
     case 'assign':
     case 'limits':
     case 'claims':
     case 'quarantine':
     case 'retries':
-    case 'configuration':
     case 'checkpoint':
-    case 'apply':
     case 'orders':
     case 'drain':
       return;
@@ -151,6 +178,11 @@
 
 function onStart(ctx: CoreContext): void {
   startMembership(ctx);
+  startConfiguration(ctx);
   setTimer(ctx, 'poll', ctx.state.settings.pollMs);
   setTimer(ctx, 'deadlines', ctx.state.settings.deadlineTickMs);
 }
+
+function isConfigurationStream(stream: string): boolean {
+  return stream === CONFIGURATION_STREAM || stream === CHECKPOINT_STREAM;
+}
--- a/src/core/settings.ts
+++ b/src/core/settings.ts
@@ -24,6 +24,24 @@
   readonly firstByteTimeoutMs: Millis;
   /** Longest silence between two parts of an answer, before rates are known. */
   readonly idleTimeoutMs: Millis;
+  /** Interval at which reading, asking and publishing of the configuration are looked after. */
+  readonly configurationTickMs: Millis;
+  /** Longest wait of one read of the configuration's log. */
+  readonly configurationPollMs: Millis;
+  /** Pause after a failed read or append of the configuration's log. */
+  readonly configurationRetryMs: Millis;
+  /** Time in which a new instance expects a peer's configuration before it reads the log. */
+  readonly configurationPeerWaitMs: Millis;
+  /** Interval of checkpoints; far below the time for which the log keeps records. */
+  readonly checkpointMs: Millis;
+  /** Longest wait for the verdict of a published edit. */
+  readonly publishTimeoutMs: Millis;
+  /** Hashes of the keys that may publish the first document; none: any key may. */
+  readonly bootstrapKeyHashes: readonly string[];
+  /** Interval at which desired and observed states of engines are compared. */
+  readonly ordersTickMs: Millis;
+  /** Time after which an order whose effect is not seen is given again. */
+  readonly orderTimeoutMs: Millis;
 }
 
 export const DEFAULT_CORE_SETTINGS: CoreSettings = {
@@ -38,4 +56,13 @@
   defaultDeadlineMs: 300_000,
   firstByteTimeoutMs: 120_000,
   idleTimeoutMs: 30_000,
+  configurationTickMs: 250,
+  configurationPollMs: 10_000,
+  configurationRetryMs: 500,
+  configurationPeerWaitMs: 750,
+  checkpointMs: 1_200_000,
+  publishTimeoutMs: 20_000,
+  bootstrapKeyHashes: [],
+  ordersTickMs: 2_000,
+  orderTimeoutMs: 120_000,
 };
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -431,6 +431,23 @@
       readonly author: string;
       readonly keyHash: KeyHash;
     }
+  /** The source of a section, or of the document, in force or at an earlier version. */
+  | {
+      readonly kind: 'getConfiguration';
+      readonly section?: string;
+      readonly version?: number;
+      readonly keyHash: KeyHash;
+    }
+  /** Parses and checks a section or document without publishing it. */
+  | {
+      readonly kind: 'checkConfiguration';
+      readonly section: string;
+      readonly text: string;
+      readonly keyHash: KeyHash;
+    }
+  | { readonly kind: 'configurationHistory'; readonly limit: number; readonly keyHash: KeyHash }
+  | { readonly kind: 'readAudit'; readonly limit: number; readonly keyHash: KeyHash }
+  | { readonly kind: 'listOrders'; readonly keyHash: KeyHash }
   | { readonly kind: 'liftQuarantine'; readonly fingerprint: string; readonly keyHash: KeyHash }
   | { readonly kind: 'status' };
 
@@ -446,6 +463,9 @@
   readonly subject: string;
   readonly accepted: boolean;
   readonly detail: string;
+  /** Old and new state of the subject, shortened, without key hashes. */
+  readonly before?: string;
+  readonly after?: string;
 }
 
 // Timers
