--- a/src/core/configuration/configuration.ts
+++ b/src/core/configuration/configuration.ts
@@ -106,15 +106,6 @@
   }
 >;
 
-export function isConfigurationCommand(command: OperatorCommand): command is ConfigurationCommand {
-  return (
-    command.kind === 'publish' ||
-    command.kind === 'getConfiguration' ||
-    command.kind === 'checkConfiguration' ||
-    command.kind === 'configurationHistory'
-  );
-}
-
 export function onConfigurationCommand(
   ctx: CoreContext,
   commandId: string,
--- a/src/core/diagnostics.ts
+++ b/src/core/diagnostics.ts
@@ -109,6 +109,9 @@
   auditUnread: entry(2044, 'error', 'The audit trail cannot be read now.'),
   started: entry(5001, 'message', 'Instance {id} listens for callers on {address}.'),
   stopped: entry(5002, 'message', 'Instance {id} has stopped.'),
+  peerLost: entry(5003, 'message', 'The link to instance {id} was lost: {reason}'),
+  certificateUnreadable: entry(5004, 'error', 'The certificates cannot be read: {reason}'),
+  eventFailed: entry(5005, 'error', "Event '{event}' could not be handled: {reason}"),
 } as const satisfies Readonly<Record<string, DiagnosticMessage>>;
 
 export type DiagnosticCode = keyof typeof diagnostics;
--- a/src/core/reducer.ts
+++ b/src/core/reducer.ts
@@ -1,7 +1,6 @@
 /** The one reducer: hands each event to the sub-reducers of its matters. */
 import { onAttemptEnded, onAttemptProgress } from './attempts/attempts.js';
 import {
-  isConfigurationCommand,
   onApplyTimer,
   onConfigurationAppended,
   onConfigurationCommand,
@@ -12,13 +11,25 @@
   startConfiguration,
 } from './configuration/configuration.js';
 import { CHECKPOINT_STREAM, CONFIGURATION_STREAM } from './configuration/records.js';
+import { onClaimsTimer } from './claims/claimsTimer.js';
+import { onOutcomeQuery, onOutcomeReply } from './claims/duplicates.js';
+import { onClaimsLogRead, startReading } from './claims/reading.js';
+import {
+  CHECKPOINTS_STREAM,
+  CLAIMS_STREAM,
+  flushAppends,
+  onClaimsAppended,
+  onClaimSubmission,
+} from './claims/submission.js';
+import { checkOperatorKey } from './configuration/keys.js';
 import type { CoreContext } from './context.js';
-import { setTimer } from './context.js';
+import { audit, setTimer } from './context.js';
 import { Debug } from './debug.js';
 import { onAnnounceTimer, onGrant } from './dispatch/entry.js';
 import { announceAll } from './dispatch/queues.js';
 import { onGrantReturn, onPollTimer, onSlotUpdate, onWaitingUpdate } from './dispatch/owner.js';
-import { onPlannedStop } from './drain/drain.js';
+import { checkStopped, onDrainTimer, onPlannedStop } from './drain/drain.js';
+import { onListedUpstreams } from './drain/upstreams.js';
 import {
   onHeartbeat,
   onHeartbeatTimer,
@@ -28,9 +39,17 @@
   startMembership,
 } from './membership/membership.js';
 import { onMemberRequest, onMemberSummaries } from './membership/relays.js';
+import {
+  liftQuarantine,
+  noteReport,
+  onQuarantineTimer,
+  onSuspicions,
+  startQuarantine,
+} from './quarantine/quarantine.js';
 import { onCallerRequest } from './requests/admission.js';
 import { onCallerGone, onDeadlinesTimer } from './requests/requests.js';
-import type { CoreEvent, InstanceId, PeerMessage, TimerName } from './types.js';
+import { onRetriesTimer, onRetryUsage, startRetries } from './retries/retries.js';
+import type { CoreEvent, InstanceId, OperatorCommand, PeerMessage, TimerName } from './types.js';
 
 export function reduceEvent(ctx: CoreContext, event: CoreEvent): void {
   switch (event.kind) {
@@ -46,34 +65,40 @@
     case 'attemptStarted':
       return;
     case 'attemptProgress':
-      onAttemptProgress(ctx, event.attemptId, event.outputTokens);
+      onAttemptProgress(ctx, event.attemptId, event.outputTokens, event.bytes);
       return;
     case 'attemptEnded':
       onAttemptEnded(ctx, event.attemptId, event.outcome);
+      checkStopped(ctx);
       return;
     case 'peerMessage':
       reducePeerMessage(ctx, event.from, event.message);
       return;
     case 'instanceList':
       onInstanceList(ctx, event.instances ?? []);
+      onListedUpstreams(ctx, event.instances ?? []);
       return;
     case 'upstreamReport':
       if (event.report !== undefined) ctx.state.dispatch.reports.set(event.upstream, event.report);
+      noteReport(ctx, event.upstream, event.report);
       return;
     case 'logRead':
-      if (isConfigurationStream(event.stream)) onConfigurationLogRead(ctx, event);
+      if (isClaimsStream(event.stream)) {
+        onClaimsLogRead(ctx, event.stream, event.from, event.result);
+      } else if (isConfigurationStream(event.stream)) {
+        onConfigurationLogRead(ctx, event);
+      }
       return;
     case 'appendSettled':
-      if (isConfigurationStream(event.stream)) onConfigurationAppended(ctx, event);
-      return;
-    case 'operatorCommand':
-      if (isConfigurationCommand(event.command)) {
-        onConfigurationCommand(ctx, event.commandId, event.command);
-      }
+      if (isClaimsStream(event.stream)) onClaimsAppended(ctx, event.result);
+      else if (isConfigurationStream(event.stream)) onConfigurationAppended(ctx, event);
       return;
     case 'peerUnreachable':
     case 'orderSettled':
       return;
+    case 'operatorCommand':
+      onOperatorCommand(ctx, event.commandId, event.command);
+      return;
     case 'timer':
       reduceTimer(ctx, event.timer);
       return;
@@ -115,17 +140,27 @@
     case 'slotUpdate':
       onSlotUpdate(ctx, message.value);
       return;
+    case 'retryUsage':
+      onRetryUsage(ctx, from, message.value);
+      return;
+    case 'claimSubmission':
+      onClaimSubmission(ctx, message.value.records);
+      return;
+    case 'outcomeQuery':
+      onOutcomeQuery(ctx, from, message.value);
+      return;
+    case 'outcomeReply':
+      onOutcomeReply(ctx, message.value);
+      return;
+    case 'suspicions':
+      onSuspicions(ctx, from, message.value);
+      return;
     case 'serviceSums':
     case 'serviceRequest':
     case 'limitUsage':
     case 'demandRequest':
     case 'demandOffer':
     case 'suspendRequest':
-    case 'suspicions':
-    case 'retryUsage':
-    case 'claimSubmission':
-    case 'outcomeQuery':
-    case 'outcomeReply':
       return;
     case 'configurationRecords':
     case 'configurationRequest':
@@ -137,6 +172,34 @@
   }
 }
 
+function onOperatorCommand(ctx: CoreContext, commandId: string, command: OperatorCommand): void {
+  switch (command.kind) {
+    case 'publish':
+    case 'getConfiguration':
+    case 'checkConfiguration':
+    case 'configurationHistory':
+      onConfigurationCommand(ctx, commandId, command);
+      return;
+    case 'liftQuarantine': {
+      const check = checkOperatorKey(ctx, command.keyHash);
+      if (check.kind === 'rejected') {
+        ctx.emit({ kind: 'operatorReply', commandId, result: check });
+        return;
+      }
+      const wasLifted = liftQuarantine(ctx, command.fingerprint);
+      audit(ctx, 'liftQuarantine', command.fingerprint, check.team, wasLifted);
+      ctx.emit({ kind: 'operatorReply', commandId, result: { kind: 'done', data: { wasLifted } } });
+      return;
+    }
+    case 'readAudit':
+    case 'listOrders':
+    case 'status':
+      return;
+    default:
+      Debug.assertNever(command);
+  }
+}
+
 function reduceTimer(ctx: CoreContext, timer: TimerName): void {
   switch (timer) {
     case 'heartbeat':
@@ -161,15 +224,26 @@
     case 'apply':
       onApplyTimer(ctx);
       return;
-    case 'exchange':
-    case 'assign':
-    case 'limits':
     case 'claims':
+      onClaimsTimer(ctx);
+      return;
+    case 'claimAppend':
+      flushAppends(ctx);
+      return;
     case 'quarantine':
+      onQuarantineTimer(ctx);
+      return;
     case 'retries':
+      onRetriesTimer(ctx);
+      return;
+    case 'drain':
+      onDrainTimer(ctx);
+      return;
+    case 'exchange':
+    case 'assign':
+    case 'limits':
     case 'checkpoint':
     case 'orders':
-    case 'drain':
       return;
     default:
       Debug.assertNever(timer);
@@ -179,6 +253,9 @@
 function onStart(ctx: CoreContext): void {
   startMembership(ctx);
   startConfiguration(ctx);
+  startRetries(ctx);
+  startReading(ctx);
+  startQuarantine(ctx);
   setTimer(ctx, 'poll', ctx.state.settings.pollMs);
   setTimer(ctx, 'deadlines', ctx.state.settings.deadlineTickMs);
 }
@@ -186,3 +263,7 @@
 function isConfigurationStream(stream: string): boolean {
   return stream === CONFIGURATION_STREAM || stream === CHECKPOINT_STREAM;
 }
+
+function isClaimsStream(stream: string): boolean {
+  return stream === CLAIMS_STREAM || stream === CHECKPOINTS_STREAM;
+}
