Order engines to their placement and keep an audit trail in the log

Cause: nothing told engines what to load, and changes left no trace that outlives an instance. Change: an upstream's owner compares placement and report and gives one order at a time, numbered by its record's offset. A record counts only if it replaces the order outstanding at its place and the loads of pool and fleet leave room, so racing owners and the weight store's rate are settled by the log. Answers that were lost are settled by the engine's reports. Audit entries are collected from the effects and appended in batches at a bounded rate; an operator reads the latest.

--- a/src/bench/configuration/fakeFleet.ts
+++ b/src/bench/configuration/fakeFleet.ts
@@ -3,6 +3,7 @@
  * the configuration. Messages take a fixed time; links, the log and single replies can fail.
  */
 import { createCore, type Core } from '../../core/core.js';
+import type { FakeEngines } from './fakeEngines.js';
 import { createRandom } from '../../core/random.js';
 import type { CoreSettings } from '../../core/settings.js';
 import type {
@@ -30,6 +31,9 @@
   readonly seed: number;
   readonly settings?: Partial<CoreSettings>;
   readonly latencyMs?: number;
+  readonly engines?: FakeEngines;
+  /** Share of the replies to orders that are lost. */
+  readonly lostOrderReplies?: number;
   readonly onMessage?: (from: FakeInstance, to: FakeInstance, message: PeerMessage) => void;
   /** Wraps each call of a core, to time it. */
   readonly timed?: (instance: FakeInstance, event: CoreEvent, run: () => void) => void;
@@ -153,6 +157,19 @@
           post(instance, incarnation, { kind: 'instanceList', instances: listed() }),
         );
         return;
+      case 'pollUpstream': {
+        const { upstream } = effect;
+        at(current + 1, () => {
+          const report = options.engines?.report(upstream, current);
+          const cache = { cacheEvents: [], cacheNext: 0, cacheGap: false };
+          const event = { kind: 'upstreamReport', upstream, ...cache } as const;
+          post(instance, incarnation, report === undefined ? event : { ...event, report });
+        });
+        return;
+      }
+      case 'giveOrder':
+        giveOrder(instance, effect);
+        return;
       case 'operatorReply':
         replies.get(effect.commandId)?.(effect.result);
         replies.delete(effect.commandId);
@@ -161,6 +178,22 @@
     }
   }
 
+  function giveOrder(
+    instance: FakeInstance,
+    effect: Extract<Effect, { readonly kind: 'giveOrder' }>,
+  ): void {
+    const { incarnation } = instance;
+    const { upstream, orderNumber, order } = effect;
+    at(current + latencyMs, () => {
+      const answer = options.engines?.giveOrder(upstream, orderNumber, order, current) ?? 'failed';
+      const isLost = random.next() < (options.lostOrderReplies ?? 0);
+      const result = isLost ? 'unknown' : answer;
+      at(current + latencyMs, () => {
+        post(instance, incarnation, { kind: 'orderSettled', upstream, orderNumber, result });
+      });
+    });
+  }
+
   function listed(): readonly ListedInstance[] {
     return instances
       .filter((instance) => instance.isUp)
--- a/src/core/core.ts
+++ b/src/core/core.ts
@@ -2,6 +2,8 @@
  * The public face of the core. A core decides; it performs no input or output. The same options and
  * the same events at the same times give the same effects.
  */
+import { createAuditState } from './audit/auditState.js';
+import { keepAudit } from './audit/audit.js';
 import { createAttemptsState } from './attempts/attemptsState.js';
 import { createClaimsState } from './claims/claimsState.js';
 import type { Millis } from './clock.js';
@@ -11,6 +13,7 @@
 import { createDispatchState } from './dispatch/dispatchState.js';
 import { createDrainState } from './drain/drainState.js';
 import { createMembershipState } from './membership/membershipState.js';
+import { createOrdersState } from './orders/ordersState.js';
 import { createOwnershipState } from './ownership/ownershipState.js';
 import { createQuarantineState } from './quarantine/quarantineState.js';
 import { createRandom } from './random.js';
@@ -63,6 +66,7 @@
     }
     // The list grows while it is walked: a message may cause further ones.
     for (const message of ownMessages) reducePeerMessage(ctx, state.self.id, message);
+    keepAudit(state, effects);
     return effects;
   }
 
@@ -85,5 +89,7 @@
     claims: createClaimsState(),
     quarantine: createQuarantineState(),
     drain: createDrainState(),
+    orders: createOrdersState(),
+    audit: createAuditState(),
   };
 }
--- a/src/core/reducer.ts
+++ b/src/core/reducer.ts
@@ -1,4 +1,11 @@
 /** The one reducer: hands each event to the sub-reducers of its matters. */
+import {
+  AUDIT_STREAM,
+  onAuditAppended,
+  onAuditRead,
+  onAuditTimer,
+  onReadAudit,
+} from './audit/audit.js';
 import { onAttemptEnded, onAttemptProgress } from './attempts/attempts.js';
 import {
   onApplyTimer,
@@ -38,6 +45,16 @@
   onLeaving,
   startMembership,
 } from './membership/membership.js';
+import { ORDERS_STREAM } from './orders/orderRecords.js';
+import {
+  listOrders,
+  onOrderAppended,
+  onOrderReport,
+  onOrderSettled,
+  onOrdersRead,
+  onOrdersTimer,
+  startOrders,
+} from './orders/orders.js';
 import { onMemberRequest, onMemberSummaries } from './membership/relays.js';
 import {
   liftQuarantine,
@@ -81,20 +98,29 @@
     case 'upstreamReport':
       if (event.report !== undefined) ctx.state.dispatch.reports.set(event.upstream, event.report);
       noteReport(ctx, event.upstream, event.report);
+      onOrderReport(ctx, event.upstream, event.report);
       return;
     case 'logRead':
       if (isClaimsStream(event.stream)) {
         onClaimsLogRead(ctx, event.stream, event.from, event.result);
       } else if (isConfigurationStream(event.stream)) {
         onConfigurationLogRead(ctx, event);
+      } else if (event.stream === ORDERS_STREAM) {
+        onOrdersRead(ctx, event);
+      } else if (event.stream === AUDIT_STREAM) {
+        onAuditRead(ctx, event);
       }
       return;
     case 'appendSettled':
       if (isClaimsStream(event.stream)) onClaimsAppended(ctx, event.result);
       else if (isConfigurationStream(event.stream)) onConfigurationAppended(ctx, event);
+      else if (event.stream === ORDERS_STREAM) onOrderAppended(ctx, event.appendId, event.result);
+      else if (event.stream === AUDIT_STREAM) onAuditAppended(ctx, event.appendId, event.result);
       return;
-    case 'peerUnreachable':
     case 'orderSettled':
+      onOrderSettled(ctx, event);
+      return;
+    case 'peerUnreachable':
       return;
     case 'operatorCommand':
       onOperatorCommand(ctx, event.commandId, event.command);
@@ -180,21 +206,42 @@
     case 'configurationHistory':
       onConfigurationCommand(ctx, commandId, command);
       return;
+    case 'liftQuarantine':
+    case 'readAudit':
+    case 'listOrders':
+      onKeyedCommand(ctx, commandId, command);
+      return;
+    case 'status':
+      return;
+    default:
+      Debug.assertNever(command);
+  }
+}
+
+type KeyedCommand = Extract<
+  OperatorCommand,
+  { readonly kind: 'liftQuarantine' | 'readAudit' | 'listOrders' }
+>;
+
+function onKeyedCommand(ctx: CoreContext, commandId: string, command: KeyedCommand): void {
+  const check = checkOperatorKey(ctx, command.keyHash);
+  if (check.kind === 'rejected') {
+    ctx.emit({ kind: 'operatorReply', commandId, result: check });
+    return;
+  }
+  switch (command.kind) {
+    case 'readAudit':
+      onReadAudit(ctx, commandId, command.limit);
+      return;
+    case 'listOrders':
+      ctx.emit({ kind: 'operatorReply', commandId, result: listOrders(ctx) });
+      return;
     case 'liftQuarantine': {
-      const check = checkOperatorKey(ctx, command.keyHash);
-      if (check.kind === 'rejected') {
-        ctx.emit({ kind: 'operatorReply', commandId, result: check });
-        return;
-      }
       const wasLifted = liftQuarantine(ctx, command.fingerprint);
       audit(ctx, 'liftQuarantine', command.fingerprint, check.team, wasLifted);
       ctx.emit({ kind: 'operatorReply', commandId, result: { kind: 'done', data: { wasLifted } } });
       return;
     }
-    case 'readAudit':
-    case 'listOrders':
-    case 'status':
-      return;
     default:
       Debug.assertNever(command);
   }
@@ -220,6 +267,10 @@
       return;
     case 'configuration':
       onConfigurationTimer(ctx);
+      onAuditTimer(ctx);
+      return;
+    case 'orders':
+      onOrdersTimer(ctx);
       return;
     case 'apply':
       onApplyTimer(ctx);
@@ -243,7 +294,6 @@
     case 'assign':
     case 'limits':
     case 'checkpoint':
-    case 'orders':
       return;
     default:
       Debug.assertNever(timer);
@@ -253,6 +303,7 @@
 function onStart(ctx: CoreContext): void {
   startMembership(ctx);
   startConfiguration(ctx);
+  startOrders(ctx);
   startRetries(ctx);
   startReading(ctx);
   startQuarantine(ctx);
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -2,6 +2,7 @@
  * The state of the core: one part per matter. A part is written only by the sub-reducers of its own
  * folder, in place: copying thousands of customers at each event would exceed the processor budget.
  */
+import type { AuditState } from './audit/auditState.js';
 import type { MembershipState } from './membership/membershipState.js';
 import type { OwnershipState } from './ownership/ownershipState.js';
 import type { SharesState } from './shares/sharesState.js';
@@ -11,6 +12,7 @@
 import type { ConfigurationState } from './configuration/configurationState.js';
 import type { ClaimsState } from './claims/claimsState.js';
 import type { DrainState } from './drain/drainState.js';
+import type { OrdersState } from './orders/ordersState.js';
 import type { QuarantineState } from './quarantine/quarantineState.js';
 import type { RetriesState } from './retries/retriesState.js';
 import type { Random } from './random.js';
@@ -32,4 +34,6 @@
   readonly claims: ClaimsState;
   readonly quarantine: QuarantineState;
   readonly drain: DrainState;
+  readonly orders: OrdersState;
+  readonly audit: AuditState;
 }
