--- a/src/core/core.ts
+++ b/src/core/core.ts
@@ -12,6 +12,7 @@
 import type { CoreContext } from './context.js';
 import { createDispatchState } from './dispatch/dispatchState.js';
 import { createDrainState } from './drain/drainState.js';
+import { createLimitsState } from './limits/limitsState.js';
 import { createMembershipState } from './membership/membershipState.js';
 import { createOrdersState } from './orders/ordersState.js';
 import { createOwnershipState } from './ownership/ownershipState.js';
@@ -31,6 +32,10 @@
   PeerMessage,
 } from './types.js';
 
+const GRANT_RANGES = 2 ** 20;
+
+const GRANTS_PER_RANGE = 2 ** 24;
+
 export interface CoreOptions {
   readonly self: InstanceIdentity;
   /** Seed of the generator in the state. */
@@ -65,7 +70,8 @@
       applyView(ctx, options.initialConfiguration);
     }
     // The list grows while it is walked: a message may cause further ones.
-    for (const message of ownMessages) reducePeerMessage(ctx, state.self.id, message);
+    for (const message of ownMessages)
+      reducePeerMessage(ctx, state.self.id, state.self.incarnation, message);
     keepAudit(state, effects);
     return effects;
   }
@@ -82,7 +88,8 @@
     ownership: createOwnershipState(),
     configuration: createConfigurationState(),
     shares: createSharesState(),
-    dispatch: createDispatchState(),
+    dispatch: createDispatchState(firstGrantId(options.seed)),
+    limits: createLimitsState(),
     requests: createRequestsState(),
     attempts: createAttemptsState(),
     retries: createRetriesState(),
@@ -93,3 +100,8 @@
     audit: createAuditState(),
   };
 }
+
+/** Grant numbers of two starts of one instance must not meet, so each start begins elsewhere. */
+function firstGrantId(seed: number): number {
+  return createRandom(seed).nextInt(GRANT_RANGES) * GRANTS_PER_RANGE + 1;
+}
