--- a/src/configuration/document.ts
+++ b/src/configuration/document.ts
@@ -6,7 +6,13 @@
 import { DIAGNOSTICS_MAX, DOCUMENT_BYTES_MAX } from './bounds.js';
 import { checkDocument } from './checks.js';
 import { parseEntry } from './entry.js';
-import { splitDocument, splitSection, type EntrySource, type SectionSource } from './source.js';
+import {
+  splitDocumentSteps,
+  splitSection,
+  splitSectionSteps,
+  type EntrySource,
+  type SectionSource,
+} from './source.js';
 import {
   emptyDocument,
   runSteps,
@@ -42,7 +48,7 @@
     const args = { limit: DOCUMENT_BYTES_MAX };
     return rejected([{ code: 'documentTooLarge', args, line: 1, column: 1 }]);
   }
-  const { parts, diagnostics } = splitDocument(source);
+  const { parts, diagnostics } = yield* splitDocumentSteps(source);
   const found = [...diagnostics];
   const sections: Partial<Record<SectionName, ReadonlyMap<string, Entry>>> = {};
   for (const part of parts) {
@@ -67,7 +73,7 @@
   source: string,
   known: ReadonlyMap<string, Entry> = new Map(),
 ): Steps<SectionResult<S>> {
-  const split = splitSection(section, source);
+  const split = yield* splitSectionSteps(section, source);
   const diagnostics: DocumentDiagnostic[] = split.diagnostics.map((diagnostic) => ({
     ...diagnostic,
     section,
--- a/src/configuration/source.ts
+++ b/src/configuration/source.ts
@@ -9,9 +9,11 @@
 import { ID_PATTERN } from './schema.js';
 import {
   isSectionName,
+  runSteps,
   SECTION_NAMES,
   type DocumentDiagnostic,
   type SectionName,
+  type Steps,
 } from './types.js';
 
 /** Source of one entry. */
@@ -36,13 +38,22 @@
   readonly diagnostics: readonly DocumentDiagnostic[];
 }
 
+const LINES_PER_STEP = 1_024;
+/** Work of one such step, in units of parsing one entry. */
+const STEP_WORK = 5;
+
 const KEY_LINE = /^(["']?)([^\s"':#][^"':#]*?)\1\s*:(?:\s+(.*))?$/;
 const IGNORED_LINE = /^\s*(#.*)?$/;
 const DOCUMENT_START = /^---\s*$/;
 
-/** Splits a document into its sections. */
+/** Splits a document into its sections at once. */
 export function splitDocument(source: string): Split<SectionSource> {
-  const lines = source.split(/\r?\n/);
+  return runSteps(splitDocumentSteps(source));
+}
+
+/** Splits a document into its sections, in pieces. */
+export function* splitDocumentSteps(source: string): Steps<Split<SectionSource>> {
+  const lines = yield* splitLinesSteps(source);
   const parts: SectionSource[] = [];
   const diagnostics: DocumentDiagnostic[] = [];
   const seen = new Set<string>();
@@ -57,14 +68,17 @@
       diagnostics.push(at('notASection', start, 0));
       continue;
     }
-    while (index < lines.length && !isTopLevel(lines[index] ?? '')) index += 1;
+    while (index < lines.length && !isTopLevel(lines[index] ?? '')) {
+      index += 1;
+      if (index % LINES_PER_STEP === 0) yield STEP_WORK;
+    }
     if (!isSectionName(name)) {
       diagnostics.push(unknownSection(name, start));
     } else if (seen.has(name)) {
       diagnostics.push(at('duplicateKey', start, 0, { key: name }));
     } else {
       seen.add(name);
-      parts.push(sectionOf(name, lines, start, index));
+      parts.push(yield* sectionSteps(name, lines, start, index));
     }
   }
   return { parts, diagnostics };
@@ -77,26 +91,50 @@
     : at('unknownSectionNear', line, 0, { section: name, nearest });
 }
 
+/** Splits at the ends of lines, in pieces. */
+function* splitLinesSteps(source: string): Steps<readonly string[]> {
+  const lines: string[] = [];
+  let begin = 0;
+  while (begin <= source.length) {
+    const found = source.indexOf('\n', begin);
+    const end = found < 0 ? source.length : found;
+    lines.push(source.slice(begin, source[end - 1] === '\r' ? end - 1 : end));
+    begin = end + 1;
+    if (lines.length % LINES_PER_STEP === 0) yield STEP_WORK;
+  }
+  return lines;
+}
+
 /** Cuts the lines of one section out of a document and moves them to the first column. */
-function sectionOf(
+function* sectionSteps(
   name: SectionName,
   lines: readonly string[],
   start: number,
   end: number,
-): SectionSource {
+): Steps<SectionSource> {
   const rest = stripComment(KEY_LINE.exec(lines[start] ?? '')?.[3] ?? '');
-  const body = lines.slice(start + 1, end);
-  if (rest !== '') return { name, text: [rest, ...body].join('\n'), line: start, column: 0 };
-  const first = body.find((line) => !IGNORED_LINE.test(line)) ?? '';
-  const column = first.length - first.trimStart().length;
-  const indent = first.slice(0, column);
-  const moved = body.map((line) => {
-    if (line.startsWith(indent)) return line.slice(column);
-    // A line that is indented less than the first one is no part of the mapping: it is marked so
-    // that it is reported as a malformed entry.
-    return IGNORED_LINE.test(line) ? line.trimStart() : `? ${line.trimStart()}`;
-  });
-  return { name, text: trimEnd(moved), line: start + 1, column };
+  if (rest !== '') {
+    const text = [rest, ...lines.slice(start + 1, end)].join('\n');
+    return { name, text, line: start, column: 0 };
+  }
+  let indent: string | undefined;
+  const moved: string[] = [];
+  for (let i = start + 1; i < end; i += 1) {
+    const line = lines[i] ?? '';
+    if (indent === undefined && !IGNORED_LINE.test(line)) indent = /^\s*/.exec(line)?.[0];
+    moved.push(moveLine(line, indent));
+    if (i % LINES_PER_STEP === 0) yield STEP_WORK;
+  }
+  return { name, text: trimEnd(moved), line: start + 1, column: indent?.length ?? 0 };
+}
+
+/**
+ * Removes the indent of a section. A line that is indented less is no part of the mapping: it is
+ * marked so that it is reported as a malformed entry.
+ */
+function moveLine(line: string, indent: string | undefined): string {
+  if (indent !== undefined && line.startsWith(indent)) return line.slice(indent.length);
+  return IGNORED_LINE.test(line) ? line.trimStart() : `? ${line.trimStart()}`;
 }
 
 function trimEnd(lines: readonly string[]): string {
@@ -104,14 +142,22 @@
   return joined === '' ? '' : `${joined}\n`;
 }
 
-/** Splits a section into its entries. Comments before an entry belong to it. */
+/** Splits a section into its entries at once. */
 export function splitSection(section: SectionName, source: string): Split<EntrySource> {
+  return runSteps(splitSectionSteps(section, source));
+}
+
+/** Splits a section into its entries, in pieces. Comments before an entry belong to it. */
+export function* splitSectionSteps(
+  section: SectionName,
+  source: string,
+): Steps<Split<EntrySource>> {
   if (source.length > SECTION_BYTES_MAX) {
     const args = { section, limit: SECTION_BYTES_MAX };
     return { parts: [], diagnostics: [at('sectionTooLarge', 0, 0, args)] };
   }
   if (/^[{[]/.test(source.trimStart())) return splitFlowSection(section, source);
-  const lines = source.split(/\r?\n/);
+  const lines = yield* splitLinesSteps(source);
   const diagnostics: DocumentDiagnostic[] = [];
   const parts: EntrySource[] = [];
   const seen = new Set<string>();
@@ -125,6 +171,7 @@
     parts.push({ key, text: entryText(lines.slice(start, end)), line: start });
   };
   for (let i = 0; i < lines.length; i += 1) {
+    if (i % LINES_PER_STEP === 0) yield STEP_WORK;
     const line = lines[i] ?? '';
     if (IGNORED_LINE.test(line)) {
       if (line.startsWith('#')) commentStart ??= i;
--- a/src/core/configuration/changes.ts
+++ b/src/core/configuration/changes.ts
@@ -1,13 +1,16 @@
 /** Differences between what an operator sent and the document that the fold holds. */
 import { checkDocument } from '../../configuration/checks.js';
 import {
-  splitDocument,
+  splitDocumentSteps,
   splitSection,
+  splitSectionSteps,
   type EntrySource,
   type SectionSource,
+  type Split,
 } from '../../configuration/source.js';
 import {
   isSectionName,
+  runSteps,
   SECTION_NAMES,
   type ConfigurationDocument,
   type DocumentDiagnostic,
@@ -19,8 +22,9 @@
 
 /** Name under which a whole document is published. */
 export const WHOLE_DOCUMENT = 'document';
-/** Entries that are compared in the time of parsing one. */
-const COMPARED_PER_WORK = 50;
+const COMPARED_PER_STEP = 512;
+/** Work of comparing so many entries, in units of parsing one. */
+const COMPARE_WORK = 5;
 
 export type ChangesResult =
   | { readonly kind: 'changes'; readonly changes: readonly SectionChange[] }
@@ -32,23 +36,22 @@
   section: string,
   text: string,
 ): Steps<ChangesResult> {
-  const split = splitSource(section, text);
+  const split = yield* splitSourceSteps(section, text);
   if (split.diagnostics.length > 0) return { kind: 'diagnostics', diagnostics: split.diagnostics };
   const changes: SectionChange[] = [];
   for (const part of split.parts) {
-    const { parts, diagnostics } = splitSection(part.name, part.text);
+    const { parts, diagnostics } = yield* splitSectionSteps(part.name, part.text);
     if (diagnostics.length > 0) {
       return { kind: 'diagnostics', diagnostics: diagnostics.map((d) => inSource(d, part)) };
     }
-    yield parts.length / COMPARED_PER_WORK;
-    const change = compare(part, document[part.name], parts);
+    const change = yield* compareSteps(part, document[part.name], parts);
     if (change !== undefined) changes.push(change);
   }
   return { kind: 'changes', changes };
 }
 
 /** A whole document that lacks a section empties it. */
-function splitSource(section: string, text: string) {
+function* splitSourceSteps(section: string, text: string): Steps<Split<SectionSource>> {
   if (section !== WHOLE_DOCUMENT) {
     if (isSectionName(section)) {
       return { parts: [{ name: section, text, line: 0, column: 0 }], diagnostics: [] };
@@ -59,22 +62,30 @@
       diagnostics: [{ code: 'unknownSection', args, line: 0, column: 0 } as const],
     };
   }
-  const { parts, diagnostics } = splitDocument(text);
+  const { parts, diagnostics } = yield* splitDocumentSteps(text);
   const absent = SECTION_NAMES.filter((name) => !parts.some((part) => part.name === name));
   const emptied = absent.map((name) => ({ name, text: '', line: 0, column: 0 }));
   return { parts: [...parts, ...emptied], diagnostics };
 }
 
-function compare(
+function* compareSteps(
   source: SectionSource,
   entries: ReadonlyMap<string, Entry>,
   parts: readonly EntrySource[],
-): SectionChange | undefined {
-  const changed = parts.filter((part) => entries.get(part.key)?.text !== part.text);
-  const kept = new Set(parts.map((part) => part.key));
+): Steps<SectionChange | undefined> {
+  const set: Record<string, string> = {};
+  const kept = new Set<string>();
+  let changed = 0;
+  for (const part of parts) {
+    kept.add(part.key);
+    if (entries.get(part.key)?.text !== part.text) {
+      set[part.key] = part.text;
+      changed += 1;
+    }
+    if (kept.size % COMPARED_PER_STEP === 0) yield COMPARE_WORK;
+  }
   const remove = [...entries.keys()].filter((key) => !kept.has(key));
-  if (changed.length === 0 && remove.length === 0) return undefined;
-  const set = Object.fromEntries(changed.map((part) => [part.key, part.text]));
+  if (changed === 0 && remove.length === 0) return undefined;
   return { section: source.name, set, remove };
 }
 
@@ -98,7 +109,7 @@
   text: string,
 ): readonly DocumentDiagnostic[] {
   if (diagnostics.length === 0) return [];
-  const { parts } = splitSource(section, text);
+  const { parts } = runSteps(splitSourceSteps(section, text));
   return diagnostics.map((diagnostic) => {
     const part = parts.find(({ name }) => name === diagnostic.section);
     if (part === undefined) return diagnostic;
--- a/src/core/configuration/checkpoint.ts
+++ b/src/core/configuration/checkpoint.ts
@@ -18,6 +18,8 @@
 const PART_TEXT = 32_768;
 /** Work of encoding or decoding one part, in units of parsing one entry. */
 const PART_WORK = 4;
+/** Work of collecting the entries of one part. */
+const CHUNK_WORK = 1;
 
 /** Key, source, value, and the number of a customer or pool, else 0. */
 type EntryRow = readonly [string, string, unknown, number];
@@ -70,7 +72,7 @@
 
 /** Encodes the state of the fold in pieces; returns the parts in order. */
 export function* encodeCheckpointSteps(fold: FoldState, id: string): Steps<readonly string[]> {
-  const contents = contentsOf(fold);
+  const contents = yield* contentsSteps(fold);
   const parts: string[] = [];
   for (const content of contents) {
     const part: CheckpointPart = {
@@ -88,27 +90,39 @@
   return parts;
 }
 
-function contentsOf(fold: FoldState): readonly PartContent[] {
+function* contentsSteps(fold: FoldState): Steps<readonly PartContent[]> {
   const head: CheckpointHead = {
     version: fold.version,
     nextCustomer: fold.numbers.nextCustomer,
     nextPool: fold.numbers.nextPool,
     sectionVersions: [...fold.sectionVersions],
   };
-  const verdicts = chunks([...fold.verdicts.values()], verdictLength);
-  const history = chunks(fold.history, editLength);
-  const sections = SECTION_NAMES.flatMap((section) =>
-    chunks(rowsOf(fold, section), ([key, text]) => key.length + 2 * text.length).map((entries) => ({
-      section,
-      entries,
-    })),
-  );
-  return [
+  const verdicts = yield* chunkSteps([...fold.verdicts.values()], verdictLength);
+  const history = yield* chunkSteps(fold.history, editLength);
+  const contents: PartContent[] = [
     { head },
     ...verdicts.map((chunk) => ({ verdicts: chunk })),
     ...history.map((chunk) => ({ history: chunk })),
-    ...sections,
   ];
+  for (const section of SECTION_NAMES) {
+    const entries = (fold.document[section] as ReadonlyMap<string, Entry>).values();
+    const numbers = numbersOf(fold, section);
+    const rows = yield* chunkSteps(entries, entryLength);
+    rows.forEach((chunk) => {
+      const row = ({ key, text, value }: Entry): EntryRow => [
+        key,
+        text,
+        value,
+        numbers?.get(key) ?? 0,
+      ];
+      contents.push({ section, entries: chunk.map(row) });
+    });
+  }
+  return contents;
+}
+
+function entryLength(entry: Entry): number {
+  return entry.key.length + 2 * entry.text.length;
 }
 
 function verdictLength(verdict: Verdict): number {
@@ -116,18 +130,7 @@
 }
 
 function editLength(edit: AcceptedEdit): number {
-  const texts = edit.earlier.flatMap((change) => Object.entries(change.texts));
-  return 200 + texts.reduce((sum, [key, text]) => sum + key.length + (text?.length ?? 0), 0);
-}
-
-function rowsOf(fold: FoldState, section: SectionName): readonly EntryRow[] {
-  const numbers = numbersOf(fold, section);
-  return [...(fold.document[section] as ReadonlyMap<string, Entry>).values()].map((entry) => [
-    entry.key,
-    entry.text,
-    entry.value,
-    numbers?.get(entry.key) ?? 0,
-  ]);
+  return 200 + edit.length;
 }
 
 function numbersOf(fold: FoldState, section: SectionName) {
@@ -135,13 +138,18 @@
   return section === 'pools' ? fold.numbers.pools : undefined;
 }
 
-function chunks<T>(items: readonly T[], lengthOf: (item: T) => number): readonly (readonly T[])[] {
+/** Groups items into chunks of bounded length, in pieces. */
+function* chunkSteps<T>(
+  items: Iterable<T>,
+  lengthOf: (item: T) => number,
+): Steps<readonly (readonly T[])[]> {
   const result: T[][] = [];
   let length = PART_TEXT;
   for (const item of items) {
     if (length >= PART_TEXT) {
       result.push([]);
       length = 0;
+      yield CHUNK_WORK;
     }
     result.at(-1)?.push(item);
     length += lengthOf(item);
--- a/src/core/configuration/checkpointing.ts
+++ b/src/core/configuration/checkpointing.ts
@@ -8,12 +8,7 @@
 import type { AppendResult } from '../types.js';
 import { encodeCheckpointSteps } from './checkpoint.js';
 import type { CheckpointWriting } from './configurationState.js';
-import {
-  CHECKPOINT_STREAM,
-  CONFIGURATION_STREAM,
-  encodeRecord,
-  SCHEMA_VERSION,
-} from './records.js';
+import { CHECKPOINT_STREAM, CONFIGURATION_STREAM, encodeNote, SCHEMA_VERSION } from './records.js';
 import { addJob } from './work.js';
 
 /** Instances that may write a checkpoint, one after another. */
@@ -69,7 +64,7 @@
     return;
   }
   const note = { kind: 'checkpoint', schemaVersion: SCHEMA_VERSION, id, through } as const;
-  const records = [encodeRecord({ ...note, offset: offset ?? 0 })];
+  const records = [encodeNote({ ...note, offset: offset ?? 0 })];
   ctx.emit({ kind: 'appendLog', appendId, stream: CONFIGURATION_STREAM, records });
 }
 
--- a/src/core/configuration/fold.ts
+++ b/src/core/configuration/fold.ts
@@ -11,6 +11,7 @@
   type ConfigurationDocument,
   type DocumentDiagnostic,
   type Entry,
+  type SectionName,
   type Steps,
   type TeamEntry,
 } from '../../configuration/types.js';
@@ -18,6 +19,7 @@
 import { Debug } from '../debug.js';
 import { equalInConstantTime } from '../sha256.js';
 import {
+  HISTORY_KEYS_MAX,
   HISTORY_MAX,
   HISTORY_TEXT_MAX,
   VERDICTS_MAX,
@@ -30,15 +32,15 @@
 } from './foldState.js';
 import {
   changedKeys,
-  decodeRecord,
+  decodeRecordSteps,
   proofSteps,
   sectionsOf,
   type EditRecord,
   type SectionChange,
 } from './records.js';
 
-/** Characters of a record that are decoded in the time of parsing one entry. */
-const DECODED_PER_WORK = 16_384;
+/** Work of assigning numbers, in units of parsing one entry; it begins a new slice. */
+const ASSIGN_WORK = 24;
 const CONFLICTS_MAX = 20;
 const CONFLICT_KEYS_MAX = 20;
 
@@ -59,8 +61,7 @@
 
 /** Judges the record at `offset` in pieces; does not change the state. */
 export function* judgeSteps(fold: FoldState, offset: number, data: string): Steps<Judgement> {
-  const record = decodeRecord(data);
-  yield data.length / DECODED_PER_WORK;
+  const record = yield* decodeRecordSteps(data);
   switch (record.kind) {
     case 'newer':
       return { kind: 'blocked', schemaVersion: record.schemaVersion };
@@ -112,17 +113,11 @@
   let length = 0;
   let first = history.length;
   while (first > 0 && history.length - first < HISTORY_MAX) {
-    length += textLength(history[first - 1] as AcceptedEdit);
+    length += history[first - 1]?.length ?? 0;
     if (length > HISTORY_TEXT_MAX) break;
     first -= 1;
   }
-  return history.slice(first);
-}
-
-function textLength(edit: AcceptedEdit): number {
-  return edit.earlier
-    .flatMap(({ texts }) => Object.entries(texts))
-    .reduce((sum, [key, text]) => sum + key.length + (text?.length ?? 0), 0);
+  return first === 0 ? history : history.slice(first);
 }
 
 function* judgeEdit(fold: FoldState, offset: number, edit: EditRecord): Steps<Judgement> {
@@ -143,6 +138,7 @@
   if (changed.diagnostics.length > 0) return refuse('invalid', changed.diagnostics);
   const crossed = yield* checkDocument(changed.document);
   if (crossed.length > 0) return refuse('invalid', crossed);
+  yield ASSIGN_WORK;
   return {
     kind: 'accepted',
     verdict: verdictOf(edit, offset, { accepted: true, diagnostics: [], conflicts: [] }),
@@ -186,17 +182,18 @@
   return fold.history
     .filter((later) => later.version > edit.baseVersion)
     .flatMap((later) =>
-      later.earlier
-        .filter(({ section }) => sections.includes(section))
-        .map(({ section, texts }) => conflictOf(later, { section, texts })),
+      later.sections
+        .filter((section) => sections.includes(section))
+        .map((section) => conflictOf(later, section)),
     )
     .slice(-CONFLICTS_MAX);
 }
 
-function conflictOf(edit: AcceptedEdit, change: EarlierTexts): ConflictingEdit {
+function conflictOf(edit: AcceptedEdit, section: SectionName): ConflictingEdit {
   const { version, author, team, at } = edit;
-  const keys = Object.keys(change.texts).slice(0, CONFLICT_KEYS_MAX);
-  return { version, author, team, at, section: change.section, keys };
+  const texts = edit.earlier?.find((change) => change.section === section)?.texts ?? {};
+  const keys = Object.keys(texts).slice(0, CONFLICT_KEYS_MAX);
+  return { version, author, team, at, section, keys };
 }
 
 interface Changed {
@@ -248,19 +245,27 @@
 
 function acceptedEdit(fold: FoldState, version: number, edit: EditRecord): AcceptedEdit {
   const { editId, author, team, at } = edit;
-  const earlier = edit.changes.map((change) => ({
-    section: change.section,
-    texts: Object.fromEntries(
-      changedKeys(change).map((key) => [key, fold.document[change.section].get(key)?.text ?? null]),
-    ),
-  }));
-  return { version, editId, author, team, at, earlier };
+  const sections = sectionsOf(edit);
+  const base = { version, editId, author, team, at, sections };
+  const changes = edit.changes.map((change) => ({ change, keys: changedKeys(change) }));
+  const changed = changes.reduce((sum, { keys }) => sum + keys.length, 0);
+  if (changed > HISTORY_KEYS_MAX) return { ...base, length: 0 };
+  let length = 0;
+  const earlier = changes.map(({ change: { section }, keys }): EarlierTexts => {
+    const texts = keys.map((key): [string, string | null] => {
+      const text = fold.document[section].get(key)?.text ?? null;
+      length += key.length + (text?.length ?? 0);
+      return [key, text];
+    });
+    return { section, texts: Object.fromEntries(texts) };
+  });
+  return { ...base, earlier, length };
 }
 
 /** Source of a section as it was at an earlier version, if the history reaches back to it. */
 export function entriesAt(
   fold: FoldState,
-  section: EditRecord['changes'][number]['section'],
+  section: SectionName,
   version: number,
 ): ReadonlyMap<string, string> | undefined {
   const current = new Map([...fold.document[section]].map(([key, { text }]) => [key, text]));
@@ -269,6 +274,7 @@
   const isWhole = fold.history.some((edit) => edit.version <= version);
   if (!isWhole && version >= 0) return undefined;
   for (const edit of [...later].reverse()) {
+    if (edit.earlier === undefined) return undefined;
     edit.earlier
       .filter((change) => change.section === section)
       .forEach(({ texts }) => restore(current, texts));
--- a/src/core/configuration/foldState.ts
+++ b/src/core/configuration/foldState.ts
@@ -12,6 +12,8 @@
 export const VERDICTS_MAX = 1_024;
 /** Accepted edits that are kept for hints, history and reverts. */
 export const HISTORY_MAX = 500;
+/** Entries of one edit whose earlier texts are kept; a larger edit ends the history before it. */
+export const HISTORY_KEYS_MAX = 2_000;
 /** Total length of the earlier texts in the history. */
 export const HISTORY_TEXT_MAX = 2 ** 20;
 
@@ -56,7 +58,11 @@
   readonly author: string;
   readonly team: string;
   readonly at: Millis;
-  readonly earlier: readonly EarlierTexts[];
+  /** Absent if the edit changed too many entries. */
+  readonly earlier?: readonly EarlierTexts[] | undefined;
+  readonly sections: readonly SectionName[];
+  /** Length of the earlier texts. */
+  readonly length: number;
 }
 
 export interface FoldState {
--- a/src/core/configuration/publishing.ts
+++ b/src/core/configuration/publishing.ts
@@ -13,8 +13,9 @@
 import type { RefusalReason, Verdict } from './foldState.js';
 import { checkOperatorKey } from './keys.js';
 import {
+  changedKeys,
   CONFIGURATION_STREAM,
-  encodeRecord,
+  encodeEditSteps,
   proofSteps,
   SCHEMA_VERSION,
   type EditContent,
@@ -26,6 +27,8 @@
 
 /** Length of the old and new texts in the audit trail. */
 const AUDIT_TEXT_MAX = 500;
+/** Entries of one section of which the audit trail shows texts. */
+const AUDIT_KEYS_MAX = 50;
 
 const REASON_CODES: Readonly<Record<RefusalReason, DiagnosticCode>> = {
   unknownTeam: 'operatorKeyUnknown',
@@ -125,7 +128,8 @@
       };
       const proof = yield* proofSteps(edit.keyHash, content);
       const record = { kind: 'edit', schemaVersion: SCHEMA_VERSION, ...content, proof } as const;
-      return (later: CoreContext) => append(later, edit, encodeRecord(record), result.changes);
+      const data = yield* encodeEditSteps(record);
+      return (later: CoreContext) => append(later, edit, data, result.changes);
     })(),
   );
 }
@@ -238,7 +242,9 @@
 ): void {
   const { document } = ctx.state.configuration.fold;
   const keys = changes.flatMap((change) =>
-    [...Object.keys(change.set), ...change.remove].map((key) => ({ change, key })),
+    changedKeys(change)
+      .slice(0, AUDIT_KEYS_MAX)
+      .map((key) => ({ change, key })),
   );
   edit.before = shorten(
     keys.map(({ change, key }) => document[change.section].get(key)?.text ?? ''),
--- a/src/core/configuration/records.ts
+++ b/src/core/configuration/records.ts
@@ -5,6 +5,7 @@
 import { z } from 'zod';
 import {
   isSectionName,
+  runSteps,
   SECTION_NAMES,
   type SectionName,
   type Steps,
@@ -67,9 +68,12 @@
 const id = z.string().min(1).max(128);
 const offset = z.int().min(-1);
 
+const LINES_PER_STEP = 256;
+/** Work of encoding or decoding so many lines, in units of parsing one entry. */
+const LINES_WORK = 4;
+
 const changeSchema = z.object({
   section: z.enum(SECTION_NAMES),
-  set: z.record(z.string(), z.string()),
   remove: z.array(z.string()),
 });
 
@@ -82,7 +86,6 @@
     author: z.string().max(256),
     team: z.string().max(128),
     at: z.number(),
-    changes: z.array(changeSchema).max(SECTION_NAMES.length),
     proof: z.string(),
   }),
   z.object({
@@ -94,12 +97,44 @@
   }),
 ]);
 
-export function encodeRecord(record: EditRecord | CheckpointNote): string {
-  return JSON.stringify(record);
+/** Encodes a note of a checkpoint. */
+export function encodeNote(note: CheckpointNote): string {
+  return JSON.stringify(note);
+}
+
+/** Encodes an edit at once. */
+export function encodeEdit(record: EditRecord): string {
+  return runSteps(encodeEditSteps(record));
+}
+
+/**
+ * Encodes an edit in pieces. Its first line is a JSON object with all but the changes; for each
+ * change follow a line `{"section":..,"remove":[..]}` and a line `[key,text]` for each entry that is
+ * set, so that a long record is read and written line by line.
+ */
+export function* encodeEditSteps(record: EditRecord): Steps<string> {
+  const { changes, ...head } = record;
+  const lines = [JSON.stringify(head)];
+  for (const { section, set, remove } of changes) {
+    lines.push(JSON.stringify({ section, remove }));
+    for (const [key, text] of Object.entries(set)) {
+      lines.push(JSON.stringify([key, text]));
+      if (lines.length % LINES_PER_STEP === 0) yield LINES_WORK;
+    }
+  }
+  yield lines.length / LINES_PER_STEP;
+  return lines.join('\n');
 }
 
+/** Decodes a record at once. */
 export function decodeRecord(data: string): ConfigurationRecord {
-  const value = parseJson(data);
+  return runSteps(decodeRecordSteps(data));
+}
+
+/** Decodes a record in pieces; an edit may set thousands of entries. */
+export function* decodeRecordSteps(data: string): Steps<ConfigurationRecord> {
+  const end = data.indexOf('\n');
+  const value = parseJson(end < 0 ? data : data.slice(0, end));
   if (typeof value !== 'object' || value === null) return { kind: 'malformed' };
   const { schemaVersion } = value as { schemaVersion?: unknown };
   if (typeof schemaVersion === 'number' && schemaVersion > SCHEMA_VERSION) {
@@ -107,12 +142,46 @@
   }
   const parsed = recordSchema.safeParse(value);
   if (!parsed.success) return { kind: 'malformed' };
-  const record = parsed.data;
-  if (record.kind === 'edit') {
-    const sections = new Set(record.changes.map((change) => change.section));
-    if (sections.size !== record.changes.length) return { kind: 'malformed' };
+  if (parsed.data.kind === 'checkpoint') return parsed.data;
+  const changes = yield* decodeChangesSteps(data, end);
+  return changes === undefined ? { kind: 'malformed' } : { ...parsed.data, changes };
+}
+
+interface MutableChange {
+  readonly section: SectionName;
+  readonly set: Record<string, string>;
+  readonly remove: readonly string[];
+}
+
+/** Reads the lines behind the head; `undefined` if one is malformed or a section comes twice. */
+function* decodeChangesSteps(
+  data: string,
+  headEnd: number,
+): Steps<readonly SectionChange[] | undefined> {
+  const changes: MutableChange[] = [];
+  let end = headEnd;
+  let lines = 0;
+  while (end >= 0) {
+    const start = end + 1;
+    end = data.indexOf('\n', start);
+    const value = parseJson(data.slice(start, end < 0 ? data.length : end));
+    if (Array.isArray(value)) {
+      const [key, text] = value as readonly unknown[];
+      const change = changes.at(-1);
+      const isEntry = typeof key === 'string' && typeof text === 'string';
+      if (change === undefined || !isEntry) return undefined;
+      change.set[key] = text;
+    } else {
+      const change = changeSchema.safeParse(value);
+      if (!change.success) return undefined;
+      const { section, remove } = change.data;
+      if (changes.some((earlier) => earlier.section === section)) return undefined;
+      changes.push({ section, set: {}, remove });
+    }
+    lines += 1;
+    if (lines % LINES_PER_STEP === 0) yield LINES_WORK;
   }
-  return record;
+  return changes;
 }
 
 export function parseJson(data: string): unknown {
--- a/test/support/edits.ts
+++ b/test/support/edits.ts
@@ -1,7 +1,7 @@
 /** Builds edits of the configuration for tests. */
 import { sha256Hex } from '../../src/core/sha256.js';
 import {
-  encodeRecord,
+  encodeEdit,
   proofSteps,
   SCHEMA_VERSION,
   type EditContent,
@@ -58,5 +58,5 @@
   };
   const keyHash = options.keyHash ?? (team === 'platform' ? PLATFORM_HASH : ACCOUNTS_HASH);
   const proof = runSteps(proofSteps(keyHash, content));
-  return encodeRecord({ kind: 'edit', schemaVersion: SCHEMA_VERSION, ...content, proof });
+  return encodeEdit({ kind: 'edit', schemaVersion: SCHEMA_VERSION, ...content, proof });
 }
