--- a/src/cli/commands/serve.ts
+++ b/src/cli/commands/serve.ts
@@ -48,7 +48,7 @@
     }
     initialConfiguration = checked.value;
   }
-  const daemon = await start(settings, initialConfiguration);
+  const daemon = await start(file, settings, initialConfiguration);
   if (daemon === undefined) return EXIT_CODES.failed;
   process.on('SIGHUP', daemon.reload);
   await stopRequested();
@@ -58,11 +58,12 @@
 }
 
 async function start(
+  file: string,
   settings: Settings,
   initialConfiguration: ConfigurationView | undefined,
 ): Promise<Daemon | undefined> {
   try {
-    return await startDaemon({ settings, initialConfiguration });
+    return await startDaemon({ settings, baseDir: dirname(file), initialConfiguration });
   } catch (err) {
     printDiagnostic('cannotStart', { reason: (err as Error).message });
     return undefined;
--- a/src/configuration/settingsSchema.ts
+++ b/src/configuration/settingsSchema.ts
@@ -47,13 +47,13 @@
 }
 
 const file = z.string().min(1);
-const positive = z.number().positive();
+const count = z.number().min(0);
 
 /** `heartbeatMs` is set as `heartbeat: 1s`, `answerMemoryBytes` as `answerMemory: 8MiB`. */
 function coreFieldOf(key: keyof CoreSettings): { readonly key: string; readonly type: z.ZodType } {
   if (key.endsWith('Ms')) return { key: key.slice(0, -'Ms'.length), type: duration };
   if (key.endsWith('Bytes')) return { key: key.slice(0, -'Bytes'.length), type: size };
-  return { key, type: Array.isArray(DEFAULT_CORE_SETTINGS[key]) ? z.array(name) : positive };
+  return { key, type: Array.isArray(DEFAULT_CORE_SETTINGS[key]) ? z.array(name) : count };
 }
 
 const coreKeys = Object.keys(DEFAULT_CORE_SETTINGS) as (keyof CoreSettings)[];
--- a/src/daemon/serve.ts
+++ b/src/daemon/serve.ts
@@ -1,4 +1,5 @@
 /** Runs one instance as its settings say, until it is told to stop. */
+import { resolve } from 'node:path';
 import type { Settings } from '../configuration/settings.js';
 import { formatDiagnostic } from '../core/diagnostics.js';
 import type { ConfigurationView } from '../core/types.js';
@@ -11,6 +12,8 @@
 
 export interface ServeOptions {
   readonly settings: Settings;
+  /** Folder that the files named in the settings are relative to. */
+  readonly baseDir: string;
   /** Configuration in force until the log gives a newer one. */
   readonly initialConfiguration?: ConfigurationView | undefined;
   readonly writeLine?: (line: string) => void;
@@ -35,7 +38,7 @@
   ): Promise<CertificateSource | undefined> =>
     files &&
     createCertificateSource({
-      files,
+      files: resolveFiles(options.baseDir, files),
       ...(tls === undefined ? {} : { checkIntervalMs: tls.checkInterval }),
       onError: (err) => {
         writeLine(formatDiagnostic('certificateUnreadable', { reason: err.message }));
@@ -82,6 +85,15 @@
   };
 }
 
+function resolveFiles(baseDir: string, files: CertificateFiles): CertificateFiles {
+  const { certificate, key, authorities } = files;
+  return {
+    certificate: resolve(baseDir, certificate),
+    key: resolve(baseDir, key),
+    authorities: authorities === undefined ? undefined : resolve(baseDir, authorities),
+  };
+}
+
 function splitAddress(address: string) {
   const split = address.lastIndexOf(':');
   const host = address.slice(0, split).replace(/^\[|\]$/g, '');
--- a/test/configuration/settings.test.ts
+++ b/test/configuration/settings.test.ts
@@ -1,6 +1,9 @@
+import { readFile } from 'node:fs/promises';
+import { join } from 'node:path';
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { formatSettingsDiagnostic, parseSettings } from '../../src/configuration/settings.js';
+import { coreSettingDefaults } from '../../src/configuration/settingsSchema.js';
 import {
   formatDuration,
   formatSize,
@@ -56,6 +59,17 @@
     });
   });
 
+  // `node scripts/settingsPage.mjs` writes the page anew.
+  it('are all described with their defaults', async () => {
+    const page = await readFile(join('docs', 'SETTINGS.md'), 'utf8');
+    const rows = page.split('\n').map((line) => line.split('|').map((cell) => cell.trim()));
+    coreSettingDefaults().forEach((value, key) => {
+      const row = rows.find((cells) => cells[1] === `\`${key}\``);
+      expect(row?.[2], key).to.equal(`\`${value}\``);
+      expect(row?.[3], key).to.not.equal('');
+    });
+  });
+
   it('reads back every duration and size that it writes', () => {
     fc.assert(
       fc.property(fc.integer({ min: 0, max: 999_999_999 }), (value) => {
