Prove exact outcomes under each fault and each pair of faults

Change: a bench of real cores between small fakes of the log, the upstreams and the links, in simulated time, and a reference model of what callers may be told; a seeded property over all faults singly and in pairs at random instants.

--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -1,8 +1,8 @@
 /**
  * Quarantine of requests that crash the upstreams that run them.
  *
- * A crash is inferred when several connections to an upstream break at once, or when one breaks and
- * the upstream then refuses connections, does not report or reports a new start. Every request that
+ * A crash is inferred when a connection breaks and the upstream then refuses connections, does not
+ * report or reports a new start; at an upstream without reports, when several break at once. Every request that
  * ran there becomes a suspect, since nobody can tell which one did it. A suspect runs again only as
  * the one suspect of an upstream, at one instance of the fleet at a time; if it finishes, it is
  * cleared, and if the upstream crashes again, it is quarantined everywhere until the quarantine
@@ -119,14 +119,18 @@
   failures.push({ attemptId, fingerprint, at: ctx.now, isCut });
   ctx.state.quarantine.failures.set(upstream, failures);
   const cuts = new Set(failures.filter((failure) => failure.isCut).map((f) => f.fingerprint));
-  const crash = recentCrash(ctx, upstream);
-  if (crash !== undefined || cuts.size >= CUTS_OF_A_CRASH) confirmCrash(ctx, upstream);
+  const isEnough = cuts.size >= CUTS_OF_A_CRASH && !canProbe(ctx, upstream);
+  if (isEnough || recentCrash(ctx, upstream) !== undefined) confirmCrash(ctx, upstream);
+}
+
+function canProbe(ctx: CoreContext, upstream: UpstreamId): boolean {
+  return ctx.state.configuration.view?.upstreams.get(upstream)?.reportsLoad ?? false;
 }
 
 /** Looks whether an upstream still answers. */
 function probe(ctx: CoreContext, id: UpstreamId): void {
   const upstream = ctx.state.configuration.view?.upstreams.get(id);
-  if (!upstream?.reportsLoad) return;
+  if (upstream === undefined || !canProbe(ctx, id)) return;
   ctx.emit({ kind: 'pollUpstream', upstream: id, url: upstream.url, cacheAfter: 0 });
 }
 
--- /dev/null
+++ b/test/exact/faults.test.ts
@@ -0,0 +1,53 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { FAULTS, type Fault } from '../../src/bench/exact/faults.js';
+import { runScenario, type Strike } from '../../src/bench/exact/scenario.js';
+
+const instant = fc.integer({ min: 0, max: 6_000 });
+const span = fc.integer({ min: 100, max: 9_000 });
+
+const strikeOf = (fault: Fault): fc.Arbitrary<Strike> =>
+  fc.record({
+    fault: fc.constant(fault),
+    at: instant,
+    span,
+    pick: fc.integer({ min: 0, max: 11 }),
+  });
+
+const check = (strikes: fc.Arbitrary<readonly Strike[]>, seed: number, numRuns: number) =>
+  fc.assert(
+    fc.property(strikes, fc.integer({ min: 1, max: 1e6 }), (list, fleetSeed) => {
+      const { violations } = runScenario({ fleet: { seed: fleetSeed }, strikes: list });
+      expect(violations).to.deep.equal([]);
+    }),
+    { seed, numRuns },
+  );
+
+describe('exact outcomes under faults', () => {
+  const covered: string[] = [];
+  after(() => {
+    process.stdout.write(`\nfaults and pairs covered (${covered.length}): ${covered.join(', ')}\n`);
+  });
+
+  FAULTS.forEach((first, i) => {
+    it(`hold under ${first}`, () => {
+      check(fc.tuple(strikeOf(first)), i, 2);
+      covered.push(first);
+    });
+
+    it(`hold under ${first} together with each fault`, () => {
+      FAULTS.slice(i).forEach((second, j) => {
+        check(fc.tuple(strikeOf(first), strikeOf(second)), 100 * i + j, 1);
+        covered.push(`${first}+${second}`);
+      });
+    });
+  });
+
+  it('are judged broken when the rule of the first claim is off', () => {
+    const { violations } = runScenario({
+      fleet: { seed: 1, hidesForeignClaims: true },
+      strikes: [],
+    });
+    expect(violations.join()).to.match(/ran \d times/);
+  });
+});
