Leave an upstream alone for a while after it refused a connection

Cause: requests granted to an upstream that is down used up the retry budget one after the other. Change: takesNewWork also asks whether the upstream has just refused a connection; owners and entries both ask it. Conclusion: one request in half a second finds out.

--- a/src/core/attempts/attempts.ts
+++ b/src/core/attempts/attempts.ts
@@ -27,6 +27,7 @@
   RequestId,
   RetryingRequest,
   UpstreamConfig,
+  UpstreamId,
   WaitingRequest,
 } from '../types.js';
 import type { AttemptRecord } from './attemptsState.js';
@@ -90,6 +91,7 @@
   if (attempt === undefined) return;
   state.attempts.running.delete(id);
   chargeSlotTime(ctx, attempt);
+  if (outcome.kind === 'notSent') avoid(ctx, attempt.grant.upstream);
   noteAttemptOutcome(ctx, attempt, outcome);
   const request = state.requests.active.get(attempt.requestId);
   if (request?.state !== 'dispatched' || request.attempt !== id) {
@@ -104,6 +106,18 @@
   recover(ctx, request, attempt, outcome);
 }
 
+/** Lets upstreams that refused connections be tried again. */
+export function expireAvoided(ctx: CoreContext): void {
+  const { avoided } = ctx.state.attempts;
+  avoided.forEach((until, upstream) => {
+    if (until <= ctx.now) avoided.delete(upstream);
+  });
+}
+
+function avoid(ctx: CoreContext, upstream: UpstreamId): void {
+  ctx.state.attempts.avoided.set(upstream, ctx.now + ctx.state.settings.avoidMs);
+}
+
 function recover(
   ctx: CoreContext,
   request: DispatchedRequest,
--- a/src/core/attempts/attemptsState.ts
+++ b/src/core/attempts/attemptsState.ts
@@ -1,6 +1,13 @@
 /** State of the attempts that run for this instance's requests. */
 import type { Millis } from '../clock.js';
-import type { AttemptId, CustomerNumber, GrantFacts, PoolId, RequestId } from '../types.js';
+import type {
+  AttemptId,
+  CustomerNumber,
+  GrantFacts,
+  PoolId,
+  RequestId,
+  UpstreamId,
+} from '../types.js';
 
 export interface AttemptRecord {
   readonly attemptId: AttemptId;
@@ -18,9 +25,11 @@
 
 export interface AttemptsState {
   readonly running: Map<AttemptId, AttemptRecord>;
+  /** Upstreams that refused a connection, by the time until which they are left alone. */
+  readonly avoided: Map<UpstreamId, Millis>;
   nextNumber: number;
 }
 
 export function createAttemptsState(): AttemptsState {
-  return { running: new Map(), nextNumber: 1 };
+  return { running: new Map(), avoided: new Map(), nextNumber: 1 };
 }
--- a/src/core/dispatch/owner.ts
+++ b/src/core/dispatch/owner.ts
@@ -3,7 +3,7 @@
  * owned upstream to the waiting customer with the least virtual service.
  */
 import { sendTo, setTimer, type CoreContext } from '../context.js';
-import { isUpstreamStopping } from '../drain/upstreams.js';
+import { takesNewWork } from '../drain/upstreams.js';
 import { isLive } from '../membership/membership.js';
 import { forEachOwned } from '../ownership/ownership.js';
 import { leastServed } from '../shares/shares.js';
@@ -71,7 +71,7 @@
   if (view === undefined) return;
   forEachOwned(ctx.state, (upstream) => {
     const pool = view.pools.get(upstream.pool);
-    if (pool === undefined || isUpstreamStopping(ctx.state, upstream.id)) return;
+    if (pool === undefined || !takesNewWork(ctx.state, upstream.id)) return;
     while (usedSlots(ctx.state, upstream.id) < upstream.slots) {
       if (!grantNext(ctx, pool, upstream)) return;
     }
--- a/src/core/drain/upstreams.ts
+++ b/src/core/drain/upstreams.ts
@@ -13,6 +13,11 @@
   return (view?.plannedStops.has(upstream) ?? false) || state.drain.leavingUpstreams.has(upstream);
 }
 
+/** Whether an upstream may be given work: it is not to stop and has not just refused a connection. */
+export function takesNewWork(state: CoreState, upstream: UpstreamId): boolean {
+  return !isUpstreamStopping(state, upstream) && !state.attempts.avoided.has(upstream);
+}
+
 /** Keeps the upstreams that the list shows as leaving; one that it lists as live takes work again. */
 export function onListedUpstreams(ctx: CoreContext, listed: readonly ListedInstance[]): void {
   const { leavingUpstreams } = ctx.state.drain;
--- a/src/core/requests/outcomeSettings.ts
+++ b/src/core/requests/outcomeSettings.ts
@@ -10,6 +10,8 @@
   readonly retryBackoffMs: Millis;
   /** Delay after which a request is offered again when it could not use a grant. */
   readonly requeueMs: Millis;
+  /** Time for which an upstream that refused a connection is left alone. */
+  readonly avoidMs: Millis;
   /** Number of times that one answer is resumed on its engine. */
   readonly maxResumes: number;
   /** `Retry-After` of refusals for want of capacity or of the log. */
@@ -66,6 +68,7 @@
   retryWindowMs: 1_000,
   retryBackoffMs: 50,
   requeueMs: 50,
+  avoidMs: 500,
   maxResumes: 3,
   retryAfterMs: 1_000,
 
--- a/src/core/requests/readiness.ts
+++ b/src/core/requests/readiness.ts
@@ -1,6 +1,6 @@
 /** Which of the requests in a queue may be dispatched now, and on which upstream. */
 import { isClaimWon } from '../claims/ownClaims.js';
-import { isUpstreamStopping } from '../drain/upstreams.js';
+import { takesNewWork } from '../drain/upstreams.js';
 import { mayRun, mayRunOn } from '../quarantine/suspects.js';
 import type { CoreState } from '../state.js';
 import type { RequestId, RetryingRequest, UpstreamId, WaitingRequest } from '../types.js';
@@ -26,6 +26,6 @@
     isClaimWon(state, request.facts) &&
     mayRunOn(state, request.facts, upstream) &&
     !request.tried.includes(upstream) &&
-    !isUpstreamStopping(state, upstream)
+    takesNewWork(state, upstream)
   );
 }
