--- a/src/bench/exact/fakeUpstreams.ts
+++ b/src/bench/exact/fakeUpstreams.ts
@@ -44,10 +44,12 @@
   /** Requests that an upstream began or went on to run. */
   readonly sightings: Sighting[];
   readonly crashes: { readonly upstream: UpstreamId; readonly at: Millis }[];
-  readonly counts: { dispatches: number };
+  readonly counts: { dispatches: number; moves: number };
   readonly dispatch: (plan: AttemptPlan, post: (event: CoreEvent) => void) => void;
   readonly cancel: (attemptId: AttemptId) => void;
-  readonly moveCache: (toUrl: string) => void;
+  readonly moveCache: () => void;
+  /** Cuts all streams of an upstream, which goes on running; returns their number. */
+  readonly cutAll: (upstream: UpstreamId) => number;
   readonly isDown: (upstream: UpstreamId) => boolean;
   readonly epochOf: (upstream: UpstreamId) => string;
 }
@@ -84,7 +86,7 @@
   };
   const sightings: Sighting[] = [];
   const crashes: { upstream: UpstreamId; at: Millis }[] = [];
-  const counts = { dispatches: 0 };
+  const counts = { dispatches: 0, moves: 0 };
   const running = new Map<AttemptId, Running>();
   const downUntil = new Map<UpstreamId, Millis>();
 
@@ -108,6 +110,12 @@
       .forEach((run) => end(run, { kind: 'cut', detail: 'reset' }));
   };
 
+  const cutAll = (upstream: UpstreamId) => {
+    const cut = [...running.values()].filter((run) => run.plan.upstream === upstream);
+    cut.forEach((run) => end(run, { kind: 'cut', detail: 'reset' }));
+    return cut.length;
+  };
+
   const drawFate = (): Fate => {
     const draw = random.next();
     if (draw < faults.silent) return 'silent';
@@ -213,7 +221,10 @@
     counts,
     dispatch,
     cancel,
-    moveCache: () => undefined,
+    moveCache: () => {
+      counts.moves += 1;
+    },
+    cutAll,
     isDown,
     epochOf,
   };
--- a/src/bench/exact/fleet.ts
+++ b/src/bench/exact/fleet.ts
@@ -13,6 +13,7 @@
   InstanceId,
   ListedInstance,
   LogReadResult,
+  OperatorCommand,
   UpstreamId,
 } from '../../core/types.js';
 import { createFakeLog, type FakeLog } from './fakeLog.js';
@@ -67,6 +68,8 @@
   readonly setLeaving: (upstream: UpstreamId, isLeaving: boolean) => void;
   /** Has the caller of a request close its connection. */
   readonly leave: (requestId: string) => void;
+  /** Gives an instance an operator's command. */
+  readonly operate: (id: InstanceId, command: OperatorCommand) => void;
   readonly runFor: (span: Millis) => void;
 }
 
@@ -160,6 +163,9 @@
       case 'cancelAttempt':
         upstreams.cancel(effect.attemptId);
         return;
+      case 'moveCache':
+        upstreams.moveCache();
+        return;
       case 'sendPeer':
         peers.send(id, effect.to, effect.message);
         return;
@@ -365,6 +371,11 @@
       else leaving.delete(upstream);
     },
     leave,
+    operate: (id, command) => {
+      const node = nodes.get(id);
+      if (node === undefined) return;
+      post(id, node, { kind: 'operatorCommand', commandId: 'command', command });
+    },
     runFor: (span) => schedule.runUntil(schedule.now() + span),
   };
 }
--- a/src/core/claims/claimsState.ts
+++ b/src/core/claims/claimsState.ts
@@ -97,6 +97,8 @@
   phase: 'locating' | 'following';
   /** Offset of the checkpoints stream or the claims stream to read next. */
   next: number;
+  /** Whether the claims stream was ever read. */
+  hasRead: boolean;
   /** Largest offset that a checkpoint has named. */
   checkpoint: number;
   lastCheckpointAt: Millis;
@@ -123,6 +125,7 @@
     nextAppendId: 1,
     phase: 'locating',
     next: 0,
+    hasRead: false,
     checkpoint: 0,
     lastCheckpointAt: 0,
     read: undefined,
--- a/src/core/claims/reading.ts
+++ b/src/core/claims/reading.ts
@@ -97,6 +97,7 @@
   sentAt: number,
 ): void {
   const { claims, settings } = ctx.state;
+  claims.hasRead = true;
   for (const { offset, data } of records) {
     const record = offset >= claims.next ? decodeRecord(data) : undefined;
     if (offset >= claims.next) claims.next = offset + 1;
@@ -118,7 +119,7 @@
  */
 function onExpired(ctx: CoreContext, stream: string, oldest: number): void {
   const { claims } = ctx.state;
-  const isGap = stream === CLAIMS_STREAM && claims.known.size > 0;
+  const isGap = stream === CLAIMS_STREAM && claims.hasRead;
   claims.next = Math.max(oldest, claims.next);
   if (isGap) {
     logLine(ctx, 'warn', 'claims', 'claimsGap', { offset: oldest });
--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -151,7 +151,8 @@
   const suspect = suspectOf(ctx, fingerprint);
   suspect.crashes += 1;
   const isQuarantine = suspect.crashes >= QUARANTINE_CRASHES;
-  suspect.expiresAt = ctx.now + (isQuarantine ? settings.quarantineMs : settings.suspicionMs);
+  const keptMs = isQuarantine ? settings.quarantineMs : settings.suspicionMs;
+  suspect.expiresAt = Math.max(suspect.expiresAt, ctx.now + keptMs);
   logLine(ctx, 'warn', 'quarantine', 'suspected', { fingerprint, crashes: suspect.crashes });
   announceSuspect(ctx, fingerprint);
   noteCrashes(ctx, fingerprint);
--- a/src/core/requests/outcomeSettings.ts
+++ b/src/core/requests/outcomeSettings.ts
@@ -73,7 +73,7 @@
   retryAfterMs: 1_000,
 
   claimTimeoutMs: 5_000,
-  claimHoldMs: 300_000,
+  claimHoldMs: 60_000,
   claimMemoryMs: 900_000,
   claimAppendsPerSecond: 200,
   claimWriters: 4,
--- /dev/null
+++ b/test/exact/claims.test.ts
@@ -0,0 +1,191 @@
+import { expect } from 'chai';
+import { createExactFleet, type ExactFleet } from '../../src/bench/exact/fleet.js';
+
+const BOOKING = { pool: 'desk', customer: 1, outputTokens: 0, key: 'k', content: 'b' } as const;
+
+function readyFleet(options: Partial<Parameters<typeof createExactFleet>[0]> = {}): ExactFleet {
+  const fleet = createExactFleet({ seed: 7, ...options });
+  fleet.runFor(6_000);
+  return fleet;
+}
+
+const toldOf = (fleet: ExactFleet, id: string) => fleet.model.told.get(id)?.[0];
+
+const problemOf = (fleet: ExactFleet, id: string) => {
+  const told = toldOf(fleet, id);
+  return told !== undefined && 'problem' in told ? told.problem : undefined;
+};
+
+const expectHolds = (fleet: ExactFleet) =>
+  expect(fleet.model.judge(fleet.upstreams.sightings)).to.deep.equal([]);
+
+describe('claims', () => {
+  it('let one of ten instances run a key that reaches all at once', () => {
+    const fleet = readyFleet({ instances: 10 });
+    const ids = fleet.ids.map((instance) => fleet.submit(instance, BOOKING));
+    fleet.runFor(10_000);
+    expect(fleet.upstreams.sightings).to.have.length(1);
+    expect(ids.filter((id) => toldOf(fleet, id)?.kind === 'answer')).to.have.length(1);
+    expectHolds(fleet);
+  });
+
+  it('let one instance run a key across a partition', () => {
+    const fleet = readyFleet();
+    fleet.peers.cutOff.add('i0');
+    fleet.runFor(8_000);
+    fleet.ids.forEach((instance) => fleet.submit(instance, BOOKING));
+    fleet.runFor(10_000);
+    expect(fleet.upstreams.sightings).to.have.length(1);
+    expectHolds(fleet);
+  });
+
+  it('replay the recorded answer, also at an instance that has started since', () => {
+    const fleet = readyFleet();
+    fleet.submit('i0', BOOKING);
+    fleet.runFor(1_000);
+    fleet.kill('i1');
+    fleet.start('i1');
+    fleet.runFor(6_000);
+    fleet.kill('i0');
+    const id = fleet.submit('i1', BOOKING);
+    fleet.runFor(1_000);
+    expect(toldOf(fleet, id)).to.deep.equal({ kind: 'replay', body: 'answer of k' });
+    expectHolds(fleet);
+  });
+
+  it('answer another request under the same key with 422, not run', () => {
+    const fleet = readyFleet();
+    fleet.submit('i0', BOOKING);
+    fleet.runFor(1_000);
+    const id = fleet.submit('i1', { ...BOOKING, content: 'other' });
+    fleet.runFor(1_000);
+    expect(problemOf(fleet, id)).to.include({ code: 'keyReused', status: 422, executed: 'no' });
+  });
+
+  it('tell others that it is unknown once the claimant is gone, before or after its dispatch', () => {
+    [5, 60].forEach((lived) => {
+      const fleet = readyFleet({ logDelayMs: 40, tokenMs: 200 });
+      fleet.submit('i0', BOOKING);
+      fleet.runFor(lived === 5 ? 30 : 120);
+      fleet.kill('i0');
+      fleet.runFor(6_000);
+      const id = fleet.submit('i1', BOOKING);
+      fleet.runFor(2_000);
+      expect(problemOf(fleet, id)).to.include({ code: 'keyInUse', executed: 'unknown' });
+      expectHolds(fleet);
+    });
+  });
+
+  it('refuse keyed requests only while the log is down, and take the key again afterwards', () => {
+    const fleet = readyFleet();
+    fleet.log.faults.isDown = true;
+    const keyed = fleet.submit('i0', BOOKING);
+    fleet.runFor(6_000);
+    const later = fleet.submit('i0', { ...BOOKING, key: 'k2' });
+    const other = fleet.submit('i0', { pool: 'desk', customer: 1, outputTokens: 0 });
+    fleet.runFor(1_000);
+    expect(problemOf(fleet, keyed)).to.include({ code: 'logUnavailable', executed: 'no' });
+    expect(problemOf(fleet, later)).to.include({ code: 'logUnavailable', executed: 'no' });
+    expect(toldOf(fleet, other)?.kind).to.equal('answer');
+    fleet.log.faults.isDown = false;
+    fleet.runFor(3_000);
+    const again = fleet.submit('i1', BOOKING);
+    fleet.runFor(3_000);
+    expect(toldOf(fleet, again)?.kind).to.equal('answer');
+    expectHolds(fleet);
+  });
+
+  it('free a key whose claim was given up while its append was on the way', () => {
+    const fleet = readyFleet({ logDelayMs: 12_000 });
+    fleet.runFor(60_000);
+    const late = fleet.submit('i0', BOOKING);
+    fleet.runFor(5_200);
+    expect(problemOf(fleet, late)).to.include({ executed: 'no' });
+    fleet.log.faults.delayMs = 20;
+    fleet.runFor(60_000);
+    const again = fleet.submit('i1', BOOKING);
+    fleet.runFor(3_000);
+    expect(toldOf(fleet, again)?.kind).to.equal('answer');
+    expectHolds(fleet);
+  });
+
+  it('settle lost replies of the log by reading', () => {
+    const fleet = readyFleet();
+    fleet.log.faults.lostReplies = 1;
+    const id = fleet.submit('i0', BOOKING);
+    fleet.runFor(1_000);
+    expect(toldOf(fleet, id)?.kind).to.equal('answer');
+    expectHolds(fleet);
+  });
+
+  it('keep a claimant that was paused for longer than its claim holds from dispatching', () => {
+    const settings = { claimHoldMs: 4_000, claimMemoryMs: 10_000, defaultDeadlineMs: 1e6 };
+    const fleet = readyFleet({ settings, slots: 1, upstreams: 2, tokenMs: 2_000 });
+    fleet.submit('i1', { ...BOOKING, key: 'other', content: 'other' });
+    fleet.runFor(300);
+    const id = fleet.submit('i0', BOOKING);
+    fleet.runFor(200);
+    fleet.pause('i0', 14_000);
+    fleet.runFor(13_000);
+    fleet.submit('i1', BOOKING);
+    fleet.runFor(20_000);
+    expect(problemOf(fleet, id)?.executed).to.equal('no');
+    expect(fleet.upstreams.sightings).to.have.length(2);
+    expectHolds(fleet);
+  });
+
+  it('give up what was claimed before records expired unread', () => {
+    const fleet = readyFleet({ logDelayMs: 400 });
+    const id = fleet.submit('i0', BOOKING);
+    const core = fleet.coreOf('i0');
+    const now = fleet.schedule.now();
+    const next = core?.state.claims.next ?? 0;
+    const gap = { kind: 'expired', oldest: next + 50 } as const;
+    const effects = core?.reduce(
+      { kind: 'logRead', stream: 'claims', from: next, result: gap },
+      now,
+    );
+    expect(effects?.find(({ kind }) => kind === 'refuse')).to.nested.include({
+      requestId: id,
+      'problem.executed': 'no',
+    });
+    fleet.runFor(10_000);
+    expect(fleet.upstreams.sightings).to.have.length(0);
+  });
+
+  it('begin an empty restart at the latest checkpoint', () => {
+    const settings = { claimMemoryMs: 2_000, claimCheckpointMs: 1_000, claimHoldMs: 1_000 };
+    const fleet = readyFleet({ settings });
+    for (let i = 0; i < 100; i += 1) {
+      fleet.submit('i1', { ...BOOKING, key: `k${i}`, content: `k${i}` });
+      fleet.runFor(200);
+    }
+    fleet.kill('i0');
+    const before = fleet.log.counts.recordsRead;
+    fleet.start('i0');
+    fleet.runFor(150);
+    // Claims and outcomes of the memory and of one checkpoint interval, and all checkpoints.
+    const recent = 2 * ((2_000 + 1_000) / 200 + 1);
+    const checkpoints = 30;
+    expect(fleet.log.counts.recordsAppended).to.be.at.least(200);
+    expect(fleet.log.counts.recordsRead - before).to.be.at.most(recent + checkpoints);
+    expect(fleet.coreOf('i0')?.state.claims.phase).to.equal('following');
+  });
+
+  it('share few appends among many claims of many instances', () => {
+    const fleet = readyFleet({ instances: 9, slots: 1_000 });
+    const before = fleet.log.counts.appends;
+    for (let i = 0; i < 200; i += 1) {
+      fleet.ids.forEach((instance, n) => {
+        fleet.submit(instance, { ...BOOKING, key: `${i}-${n}`, content: `${i}-${n}` });
+      });
+      fleet.runFor(5);
+    }
+    fleet.runFor(5_000);
+    const seconds = (200 * 5) / 1_000 + 5;
+    const { claimAppendsPerSecond } = fleet.coreOf('i0')?.state.settings ?? {};
+    expect(fleet.log.counts.appends - before).to.be.at.most((claimAppendsPerSecond ?? 0) * seconds);
+    expect(fleet.upstreams.sightings).to.have.length(1_800);
+    expectHolds(fleet);
+  });
+});
--- /dev/null
+++ b/test/exact/retries.test.ts
@@ -0,0 +1,89 @@
+import { expect } from 'chai';
+import { createExactFleet, type ExactFleet } from '../../src/bench/exact/fleet.js';
+
+const CHAT = { pool: 'chat', customer: 1, outputTokens: 5 } as const;
+
+function readyFleet(seed = 3): ExactFleet {
+  const fleet = createExactFleet({ seed, slots: 50 });
+  fleet.runFor(6_000);
+  return fleet;
+}
+
+const expectHolds = (fleet: ExactFleet) =>
+  expect(fleet.model.judge(fleet.upstreams.sightings)).to.deep.equal([]);
+
+describe('retries', () => {
+  it('stay under 1.1 attempts a request when every upstream fails', () => {
+    const fleet = readyFleet();
+    fleet.upstreams.faults.isFailing = true;
+    const requests = 3_000;
+    for (let i = 0; i < requests; i += 1) {
+      fleet.submit(fleet.ids[i % 3] as string, CHAT);
+      fleet.runFor(10);
+    }
+    fleet.runFor(20_000);
+    expect(fleet.upstreams.counts.dispatches).to.be.below(1.1 * requests);
+    expect(fleet.upstreams.counts.dispatches).to.be.above(requests);
+    expectHolds(fleet);
+  });
+
+  it('go to another upstream than before', () => {
+    const fleet = readyFleet();
+    fleet.upstreams.faults.cut = 0.1;
+    for (let i = 0; i < 500; i += 1) {
+      fleet.submit(fleet.ids[i % 3] as string, CHAT);
+      fleet.runFor(20);
+    }
+    fleet.runFor(20_000);
+    const tried = new Map<string, string[]>();
+    fleet.upstreams.sightings
+      .filter(({ isResume }) => !isResume)
+      .forEach(({ requestId, upstream }) => {
+        tried.set(requestId, [...(tried.get(requestId) ?? []), upstream]);
+      });
+    const repeated = [...tried.values()].filter((list) => list.length > 1);
+    expect(repeated).to.have.length.above(0);
+    repeated.forEach((list) => expect(new Set(list).size).to.equal(list.length));
+    expectHolds(fleet);
+  });
+
+  it('move the cache of a cut stream whose engine is to stop', () => {
+    const fleet = readyFleet();
+    for (let i = 0; i < 100; i += 1) fleet.submit('i0', { ...CHAT, outputTokens: 500 });
+    fleet.runFor(400);
+    fleet.setLeaving('engine0', true);
+    fleet.runFor(5_500);
+    // The streams that still run there are cut; the budget lets some of them move.
+    const moved = fleet.upstreams.cutAll('engine0');
+    fleet.runFor(10_000);
+    expect(moved).to.be.above(0);
+    expect(fleet.upstreams.counts.moves).to.be.above(0);
+    expectHolds(fleet);
+  });
+});
+
+describe('planned stops of instances', () => {
+  it('lose, double and cut nothing in a rolling replacement under load', () => {
+    const fleet = readyFleet(11);
+    const submitted: string[] = [];
+    fleet.ids.forEach((stopping) => {
+      fleet.stop(stopping);
+      const others = fleet.ids.filter((id) => id !== stopping);
+      for (let i = 0; i < 60; i += 1) {
+        const to = others[i % 2] as string;
+        submitted.push(fleet.submit(to, CHAT));
+        const key = `${stopping}-${i}`;
+        const spec = { pool: 'desk', customer: 2, outputTokens: 0, key, content: key } as const;
+        submitted.push(fleet.submit(to, spec));
+        fleet.runFor(100);
+      }
+      expect(fleet.stopped.has(stopping)).to.equal(true);
+      fleet.start(stopping);
+      fleet.runFor(4_000);
+    });
+    fleet.runFor(20_000);
+    const kinds = submitted.map((id) => fleet.model.told.get(id)?.[0]?.kind);
+    expect(new Set(kinds)).to.deep.equal(new Set(['answer']));
+    expectHolds(fleet);
+  });
+});
