--- a/src/core/dispatch/assign.ts
+++ b/src/core/dispatch/assign.ts
@@ -5,7 +5,7 @@
  */
 import { sendTo, type CoreContext } from '../context.js';
 import type { Millis } from '../clock.js';
-import { isUpstreamStopping } from '../drain/upstreams.js';
+import { takesNewWork } from '../drain/upstreams.js';
 import { ownedUpstreams } from '../ownership/ownership.js';
 import { leastServed, reserve } from '../shares/shares.js';
 import type { CoreState } from '../state.js';
@@ -74,8 +74,7 @@
 export function usableUpstreams(ctx: CoreContext, pool: PoolId): readonly UpstreamConfig[] {
   const { state } = ctx;
   return ownedInPool(state, pool).filter(
-    (upstream) =>
-      !isUpstreamStopping(state, upstream.id) && freeSlots(state, upstream, ctx.now) > 0,
+    (upstream) => takesNewWork(state, upstream.id) && freeSlots(state, upstream, ctx.now) > 0,
   );
 }
 
