Ask for the work of lagging customers elsewhere, and state the bounds as formulas

Change: standing requests for customers below a virtual service, pushed as work is announced; grants are known by owner and number; reservations end with their grant; the bounds are functions of settings and conditions. Property tests on the fake network: gap, unserved wait, idle slot, with and without loss, and a control with the exchange off.

--- a/src/core/core.ts
+++ b/src/core/core.ts
@@ -9,6 +9,7 @@
 import type { CoreContext } from './context.js';
 import { createDispatchState } from './dispatch/dispatchState.js';
 import { createDrainState } from './drain/drainState.js';
+import { hash32 } from './hash.js';
 import { createLimitsState } from './limits/limitsState.js';
 import { createMembershipState } from './membership/membershipState.js';
 import { createOwnershipState } from './ownership/ownershipState.js';
@@ -82,7 +83,7 @@
     ownership: createOwnershipState(),
     configuration: createConfigurationState(),
     shares: createSharesState(),
-    dispatch: createDispatchState(firstGrantId(options.seed)),
+    dispatch: createDispatchState(firstGrantId(options.self)),
     limits: createLimitsState(),
     requests: createRequestsState(),
     attempts: createAttemptsState(),
@@ -92,6 +93,7 @@
 }
 
 /** Grant numbers of two starts of one instance must not meet, so each start begins elsewhere. */
-function firstGrantId(seed: number): number {
-  return createRandom(seed).nextInt(GRANT_RANGES) * GRANTS_PER_RANGE + 1;
+function firstGrantId(self: InstanceIdentity): number {
+  const range = hash32(`${self.id} ${self.incarnation}`) % GRANT_RANGES;
+  return range * GRANTS_PER_RANGE + 1;
 }
--- a/src/core/dispatch/assign.ts
+++ b/src/core/dispatch/assign.ts
@@ -13,7 +13,7 @@
 import { cachedBlocks } from './cache.js';
 import { takeOne } from './demand.js';
 import type { IssuedGrant, PoolDemand, WaitingCount } from './dispatchState.js';
-import { foreignUse, freeSlots, slotsOf } from './slots.js';
+import { endReservation, foreignUse, freeSlots, slotsOf } from './slots.js';
 import { relieve, resumeNext } from './suspension.js';
 
 /** Exchanges after which the service of a new grant shows in the sums. */
@@ -136,7 +136,7 @@
   customer: CustomerNumber,
   upstream: UpstreamConfig,
 ): void {
-  const { dispatch, settings } = ctx.state;
+  const { dispatch, settings, configuration } = ctx.state;
   const grantId = dispatch.nextGrant;
   dispatch.nextGrant += 1;
   const grant: IssuedGrant = {
@@ -150,12 +150,13 @@
     phase: 'held',
     phaseSince: ctx.now,
     canSuspend: pool.kind === 'model',
+    reserved: configuration.view?.fairness.chargeStep ?? 0,
   };
   dispatch.issued.set(grantId, grant);
   const slots = slotsOf(ctx.state, upstream);
   slots.inUse += 1;
   slots.lastUsedAt = ctx.now;
-  reserveStep(ctx, pool.id, customer);
+  reserve(ctx.state, customer, pool.id, grant.reserved);
   sendTo(ctx, entry, {
     $case: 'grant',
     value: {
@@ -168,19 +169,11 @@
   });
 }
 
-/** Counts a charge step as received until the grant's real service shows in the sums. */
-function reserveStep(ctx: CoreContext, pool: PoolId, customer: CustomerNumber): void {
-  const { dispatch, settings, configuration } = ctx.state;
-  const amount = configuration.view?.fairness.chargeStep ?? 0;
-  reserve(ctx.state, customer, pool, amount);
-  const until = ctx.now + RESERVATION_EXCHANGES * settings.exchangeMs;
-  dispatch.reservations.push({ until, customer, pool, amount });
-}
-
-/** Ends the reservations whose service shows in the sums by now. */
+/** Ends the reservations of grants whose service shows in the sums by now. */
 export function settleReservations(ctx: CoreContext): void {
-  const { reservations } = ctx.state.dispatch;
-  const pending = reservations.findIndex(({ until }) => until > ctx.now);
-  const settled = reservations.splice(0, pending < 0 ? reservations.length : pending);
-  settled.forEach(({ customer, pool, amount }) => reserve(ctx.state, customer, pool, -amount));
+  const { dispatch, settings } = ctx.state;
+  const oldest = ctx.now - RESERVATION_EXCHANGES * settings.exchangeMs;
+  dispatch.issued.forEach((grant) => {
+    if (grant.reserved > 0 && grant.issuedAt <= oldest) endReservation(ctx.state, grant);
+  });
 }
--- a/src/core/dispatch/dispatchState.ts
+++ b/src/core/dispatch/dispatchState.ts
@@ -7,6 +7,7 @@
 import type {
   AttemptId,
   CustomerNumber,
+  GrantFacts,
   GrantId,
   InstanceId,
   PoolId,
@@ -47,6 +48,8 @@
   phase: GrantPhase;
   phaseSince: Millis;
   canSuspend: boolean;
+  /** Service that is expected of the grant and not in the sums yet, in cost units. */
+  reserved: number;
 }
 
 /** The slots of one owned upstream. */
@@ -82,6 +85,8 @@
 export interface DemandSubscription {
   slots: number;
   minWaitedMs: Millis;
+  /** Virtual service of wanted customers is less; Infinity for any. */
+  below: number;
   until: Millis;
 }
 
@@ -92,6 +97,9 @@
   readonly since: Millis;
 }
 
+/** Owner and number of a grant: numbers of two owners may be equal. */
+export type GrantKey = string;
+
 /** A grant in use at this entry. */
 export interface HeldGrant {
   readonly customer: CustomerNumber;
@@ -105,13 +113,6 @@
   readonly ids: Set<GrantId>;
 }
 
-export interface Reservation {
-  readonly until: Millis;
-  readonly customer: CustomerNumber;
-  readonly pool: PoolId;
-  readonly amount: number;
-}
-
 export interface DispatchState {
   /** Entry side: waiting requests in order of arrival. */
   readonly queues: Map<PoolId, Map<CustomerNumber, RequestId[]>>;
@@ -120,8 +121,8 @@
   readonly announced: Map<PoolId, Map<InstanceId, Map<CustomerNumber, number>>>;
   readonly seenGrants: Map<InstanceId, SeenGrants>;
   /** Grants in use here. */
-  readonly heldGrants: Map<GrantId, HeldGrant>;
-  readonly suspendedAttempts: Map<GrantId, SuspendedAttempt>;
+  readonly heldGrants: Map<GrantKey, HeldGrant>;
+  readonly suspendedAttempts: Map<GrantKey, SuspendedAttempt>;
   sequence: number;
   /** Time of the announce timer, or Infinity. */
   announceAt: Millis;
@@ -136,7 +137,6 @@
   readonly slots: Map<UpstreamId, Slots>;
   readonly reports: Map<UpstreamId, UpstreamReport>;
   readonly caches: Map<UpstreamId, CacheBelief>;
-  readonly reservations: Reservation[];
   /** Owned upstreams by pool, computed from `ownedSource`. */
   ownedByPool: ReadonlyMap<PoolId, readonly UpstreamConfig[]>;
   ownedSource: readonly UpstreamConfig[];
@@ -146,6 +146,8 @@
 
   /** Relay side: standing requests by pool and subscriber. */
   readonly subscriptions: Map<PoolId, Map<InstanceId, DemandSubscription>>;
+  /** Time of the next look at own work that was offered to others and not taken. */
+  ownOffersAt: Millis;
   /** Pools for which this instance has asked relays, with the time of the last request. */
   readonly pulledAt: Map<PoolId, Millis>;
 }
@@ -168,12 +170,16 @@
     slots: new Map(),
     reports: new Map(),
     caches: new Map(),
-    reservations: [],
     ownedByPool: new Map(),
     ownedSource: [],
     nextGrant: firstGrant,
     localStreak: 0,
     subscriptions: new Map(),
+    ownOffersAt: 0,
     pulledAt: new Map(),
   };
 }
+
+export function grantKey(grant: Pick<GrantFacts, 'owner' | 'grantId'>): GrantKey {
+  return `${grant.owner} ${grant.grantId}`;
+}
--- a/src/core/dispatch/entry.ts
+++ b/src/core/dispatch/entry.ts
@@ -4,6 +4,7 @@
 import { noteRunning } from '../limits/limits.js';
 import type { CoreState } from '../state.js';
 import type { GrantFacts, GrantId, InstanceId, PeerMessageOf } from '../types.js';
+import { grantKey } from './dispatchState.js';
 import { noteGranted } from './announcements.js';
 import { returnGrant } from './grants.js';
 import { noteChange, takeNext } from './queues.js';
@@ -37,7 +38,7 @@
     returnGrant(ctx, facts);
     return;
   }
-  state.dispatch.heldGrants.set(grant.grantId, { customer: grant.customer, incarnation });
+  state.dispatch.heldGrants.set(grantKey(facts), { customer: grant.customer, incarnation });
   noteRunning(state, grant.customer, 1);
   startAttempt(ctx, requestId, facts);
 }
@@ -56,20 +57,20 @@
   if (attempt === undefined) return;
   const { attemptId, grant } = attempt;
   const facts = state.requests.active.get(attempt.requestId)?.facts;
-  const isSuspended = suspendedAttempts.has(grant.grantId);
+  const isSuspended = suspendedAttempts.has(grantKey(grant));
   const maySuspend = facts?.idempotent === true && facts.streamed;
   if (request.resume && isSuspended) {
-    suspendedAttempts.delete(grant.grantId);
+    suspendedAttempts.delete(grantKey(grant));
     ctx.emit({ kind: 'resumeAttempt', attemptId, upstream: grant.upstream });
   } else if (!request.resume && !isSuspended && maySuspend) {
-    suspendedAttempts.set(grant.grantId, { attemptId, upstream: grant.upstream, since: ctx.now });
+    suspendedAttempts.set(grantKey(grant), { attemptId, upstream: grant.upstream, since: ctx.now });
     ctx.emit({ kind: 'suspendAttempt', attemptId, upstream: grant.upstream });
   }
   reportPhase(ctx, owner, grant.grantId);
 }
 
 function reportPhase(ctx: CoreContext, owner: InstanceId, grantId: GrantId): void {
-  const isSuspended = ctx.state.dispatch.suspendedAttempts.has(grantId);
+  const isSuspended = ctx.state.dispatch.suspendedAttempts.has(grantKey({ owner, grantId }));
   sendTo(ctx, owner, {
     $case: 'slotUpdate',
     value: {
--- a/src/core/dispatch/grants.ts
+++ b/src/core/dispatch/grants.ts
@@ -3,6 +3,7 @@
 import { noteRunning } from '../limits/limits.js';
 import { ownerOf } from '../ownership/ownership.js';
 import type { GrantFacts } from '../types.js';
+import { grantKey } from './dispatchState.js';
 import { heldUnderEarlier, isOfEarlierOwner } from './holds.js';
 
 /** Gives an unused grant back to its owner. */
@@ -16,7 +17,7 @@
   const { state } = ctx;
   const isForeign = isOfEarlierOwner(state, grant);
   forgetHeld(ctx, grant);
-  state.dispatch.suspendedAttempts.delete(grant.grantId);
+  state.dispatch.suspendedAttempts.delete(grantKey(grant));
   const value = { running: [], ended: [grant.grantId], suspended: [] };
   sendTo(ctx, grant.owner, {
     $case: 'slotUpdate',
@@ -33,8 +34,8 @@
 
 function forgetHeld(ctx: CoreContext, grant: GrantFacts): void {
   const { heldGrants } = ctx.state.dispatch;
-  const held = heldGrants.get(grant.grantId);
+  const held = heldGrants.get(grantKey(grant));
   if (held === undefined) return;
-  heldGrants.delete(grant.grantId);
+  heldGrants.delete(grantKey(grant));
   noteRunning(ctx.state, held.customer, -1);
 }
--- a/src/core/dispatch/holds.ts
+++ b/src/core/dispatch/holds.ts
@@ -7,6 +7,7 @@
 import { ownerOf } from '../ownership/ownership.js';
 import type { CoreState } from '../state.js';
 import type { GrantFacts, GrantId, InstanceId, UpstreamId } from '../types.js';
+import { grantKey } from './dispatchState.js';
 import { refreshAnnouncements } from './announcements.js';
 
 /** Factor on the longest suspension after which an entry resumes an attempt by itself. */
@@ -53,7 +54,7 @@
 export function isOfEarlierOwner(state: CoreState, grant: GrantFacts): boolean {
   if (ownerOf(state, grant.upstream) !== grant.owner) return true;
   const incarnation = state.membership.members.get(grant.owner)?.incarnation;
-  return incarnation !== state.dispatch.heldGrants.get(grant.grantId)?.incarnation;
+  return incarnation !== state.dispatch.heldGrants.get(grantKey(grant))?.incarnation;
 }
 
 function collectReports(state: CoreState): ReadonlyMap<InstanceId, HoldReport> {
@@ -64,7 +65,7 @@
     return report;
   };
   state.attempts.running.forEach(({ grant }) => {
-    const isSuspended = state.dispatch.suspendedAttempts.has(grant.grantId);
+    const isSuspended = state.dispatch.suspendedAttempts.has(grantKey(grant));
     const report = reportFor(grant.owner);
     (isSuspended ? report.suspended : report.running).push(grant.grantId);
     const owner = ownerOf(state, grant.upstream);
@@ -78,16 +79,16 @@
 /** Resumes attempts whose owner has gone or has not resumed them for too long. */
 function resumeForgotten(ctx: CoreContext): void {
   const { dispatch, settings, attempts } = ctx.state;
-  dispatch.suspendedAttempts.forEach((suspended, grantId) => {
+  dispatch.suspendedAttempts.forEach((suspended, key) => {
     const attempt = attempts.running.get(suspended.attemptId);
     if (attempt === undefined) {
-      dispatch.suspendedAttempts.delete(grantId);
+      dispatch.suspendedAttempts.delete(key);
       return;
     }
     const age = ctx.now - suspended.since;
     const isOverdue = age > SELF_RESUME_FACTOR * settings.maxSuspendMs;
     if (!isOverdue && !isOfEarlierOwner(ctx.state, attempt.grant)) return;
-    dispatch.suspendedAttempts.delete(grantId);
+    dispatch.suspendedAttempts.delete(key);
     const { attemptId, upstream } = suspended;
     ctx.emit({ kind: 'resumeAttempt', attemptId, upstream });
   });
--- a/src/core/dispatch/pull.ts
+++ b/src/core/dispatch/pull.ts
@@ -1,20 +1,23 @@
 /**
  * Pulling: an owner with free slots and no known waiting work has a standing request at the relay
- * of the pool in its domain. The relay passes on what it knows, and asks the relays of the other
+ * of the pool in its domain, and so has an owner that knows only work of customers who are ahead of
+ * others waiting elsewhere. The relay passes on what it knows, and asks the relays of the other
  * domains: those of its region for any work, those of other regions only for work that has waited
  * longer than the price of the crossing, if the pool allows crossings at all.
  */
 import { sendTo, setTimer, type CoreContext } from '../context.js';
 import type { Millis } from '../clock.js';
 import { isLive, liveDomains, membersOf } from '../membership/memberIndex.js';
+import { accountOf, leastWaiting, settledIn } from '../shares/accounts.js';
 import { virtualService } from '../shares/shares.js';
 import type { CoreState } from '../state.js';
 import type { CustomerNumber, InstanceId, PeerMessageOf, PoolConfig, PoolId } from '../types.js';
 import { demandRelay } from './announcements.js';
-import { assignPool, ownedByPool, usableUpstreams } from './assign.js';
+import { assignPool, ownedByPool, ownedInPool, usableUpstreams } from './assign.js';
 import { takeOffer, takeOne } from './demand.js';
 import type { DemandSubscription, PoolDemand, WaitingCount } from './dispatchState.js';
 import { poll } from './loadPolls.js';
+import { noteChange } from './queues.js';
 import { freeSlots } from './slots.js';
 
 /** Looks at free slots in one interval of renewals. */
@@ -23,11 +26,21 @@
 /** Renewals that may be lost before a standing request lapses. */
 const LOST_RENEWALS = 3;
 
+/** Lag, in charge steps, at which work of customers elsewhere is asked for. */
+const LAG_STEPS = 2;
+
+/** Requests of lagging customers that are asked for beyond the owned slots. */
+const LAG_AHEAD = 8;
+
+/** Share of the owned slots for which work is asked ahead. */
+const AHEAD_SHARE = 0.25;
+
 /** Looks for owned upstreams with free slots and no waiting work, and serves standing requests. */
 export function onAssignTimer(ctx: CoreContext): void {
   const { state } = ctx;
   const { dispatch, settings } = state;
   pollNewUpstreams(ctx);
+  refreshOwnOffers(ctx);
   ownedByPool(state).forEach((_, pool) => requestDemand(ctx, pool));
   dispatch.subscriptions.forEach((subscribers, poolId) => {
     subscribers.forEach((subscription, id) => {
@@ -41,6 +54,14 @@
   setTimer(ctx, 'assign', settings.pullMs / LOOKS_PER_PULL);
 }
 
+/** Own work that was offered to others and not taken counts as waiting again. */
+function refreshOwnOffers(ctx: CoreContext): void {
+  const { dispatch, settings } = ctx.state;
+  if (dispatch.ownOffersAt > ctx.now) return;
+  dispatch.ownOffersAt = ctx.now + settings.pullMs;
+  dispatch.queues.forEach((_, pool) => noteChange(ctx, pool));
+}
+
 export function onDemandRequest(
   ctx: CoreContext,
   from: InstanceId,
@@ -57,6 +78,7 @@
   subscribers.set(from, {
     slots: request.slots,
     minWaitedMs: request.minWaitedMs,
+    below: request.below > 0 ? request.below : Infinity,
     until: ctx.now + request.validMs,
   });
   answerSubscriptions(ctx, pool);
@@ -67,6 +89,10 @@
   const pool = ctx.state.configuration.view?.poolsByNumber.get(offer.pool);
   if (pool === undefined) return;
   takeOffer(ctx, pool.id, offer);
+  // An offer uses the standing request up; what is still wanted may be asked for at once.
+  const { pulledAt } = ctx.state.dispatch;
+  if (pulledAt.has(pool.id)) pulledAt.set(pool.id, -Infinity);
+  pulledAt.delete(abroadKey(pool.id));
   assignPool(ctx, pool.id);
   answerSubscriptions(ctx, pool);
 }
@@ -140,7 +166,7 @@
       const isForeign = waiting.expiresAt !== Infinity && isOfOtherDomain(ctx.state, to);
       if (waiting.entry === to || isForeign || waiting.waitingSince > latest) continue;
       const service = virtualService(ctx.state, customer, pool);
-      if (service < least) {
+      if (service < least && service < subscription.below) {
         least = service;
         best = { customer, waiting };
       }
@@ -150,47 +176,93 @@
   return best;
 }
 
-/** Asks the relay of the pool for work while owned upstreams have free slots and nobody waits. */
+/** Asks the relay of the pool for work, or withdraws the request. */
 function requestDemand(ctx: CoreContext, poolId: PoolId): void {
   const { state } = ctx;
   const { dispatch, settings } = state;
   const pool = state.configuration.view?.pools.get(poolId);
   const relay = demandRelay(state, state.self.domain, poolId);
   if (pool === undefined || relay === undefined) return;
-  const slots = spareSlots(ctx, poolId);
   const askedAt = dispatch.pulledAt.get(poolId);
-  if (slots <= 0) {
+  if (askedAt !== undefined && ctx.now - askedAt < settings.pullMs) return;
+  const wanted = wantedDemand(ctx, poolId, sumSlots(ctx, poolId));
+  if (wanted === undefined) {
     if (askedAt === undefined) return;
     dispatch.pulledAt.delete(poolId);
-    send(ctx, relay, pool, 0, 0);
+    send(ctx, relay, pool, { slots: 0, below: Infinity }, 0);
     return;
   }
-  if (askedAt !== undefined && ctx.now - askedAt < settings.pullMs) return;
   dispatch.pulledAt.set(poolId, ctx.now);
-  send(ctx, relay, pool, slots, 0);
+  send(ctx, relay, pool, wanted, 0);
+}
+
+/** Key of the requests that a relay makes for its domain. */
+function abroadKey(pool: PoolId): string {
+  return `abroad ${pool}`;
+}
+
+interface WantedDemand {
+  readonly slots: number;
+  readonly below: number;
+}
+
+/**
+ * What to ask for: any work if none is known, or that of customers elsewhere who lag behind one
+ * known here by more than two charge steps, unless enough of such work is known.
+ */
+function wantedDemand(ctx: CoreContext, pool: PoolId, slots: OwnSlots): WantedDemand | undefined {
+  const { state } = ctx;
+  const demand = state.dispatch.demand.get(pool);
+  if (demand === undefined || demand.size === 0) {
+    // Some work is asked for ahead, so that a slot that becomes free has it at once.
+    const ahead = Math.ceil(slots.all * AHEAD_SHARE);
+    return slots.all > 0 ? { slots: slots.free + ahead, below: Infinity } : undefined;
+  }
+  const account = accountOf(state, pool);
+  if (account === undefined || slots.all === 0) return undefined;
+  const step = state.configuration.view?.fairness.chargeStep ?? 0;
+  const services = [...demand.keys()].map((customer) => settledIn(state, account, customer));
+  const below = Math.max(...services) - LAG_STEPS * step;
+  if (leastWaiting(state, account, ctx.now) >= below) return undefined;
+  let known = 0;
+  [...demand.values()].forEach((entries, i) => {
+    if ((services[i] ?? 0) < below)
+      entries.forEach(({ count }) => {
+        known += count;
+      });
+  });
+  return known >= slots.all ? undefined : { slots: slots.all + LAG_AHEAD, below };
+}
+
+interface OwnSlots {
+  readonly free: number;
+  readonly all: number;
 }
 
-function spareSlots(ctx: CoreContext, pool: PoolId): number {
+function sumSlots(ctx: CoreContext, pool: PoolId): OwnSlots {
   const { state } = ctx;
-  if ((state.dispatch.demand.get(pool)?.size ?? 0) > 0) return 0;
-  return usableUpstreams(ctx, pool).reduce(
+  const free = usableUpstreams(ctx, pool).reduce(
     (sum, upstream) => sum + freeSlots(state, upstream, ctx.now),
     0,
   );
+  const all = ownedInPool(state, pool).reduce((sum, upstream) => sum + upstream.slots, 0);
+  return { free, all };
 }
 
 /** As relay, asks the relays of other domains on behalf of this one. */
 function requestAbroad(ctx: CoreContext, pool: PoolConfig): void {
   const { state } = ctx;
   const { dispatch, settings, self } = state;
-  if ((dispatch.demand.get(pool.id)?.size ?? 0) > 0) return;
-  const key = `abroad ${pool.id}`;
+  const key = abroadKey(pool.id);
   if (ctx.now - (dispatch.pulledAt.get(key) ?? -Infinity) < settings.pullMs) return;
-  let slots = 0;
+  const near = { free: 0, all: 0 };
   subscribersOf(state, pool.id).forEach((subscription, id) => {
-    if (!isOfOtherDomain(state, id)) slots += subscription.slots;
+    if (isOfOtherDomain(state, id)) return;
+    if (subscription.below === Infinity) near.free += subscription.slots;
+    near.all += subscription.slots;
   });
-  if (slots === 0) return;
+  const wanted = wantedDemand(ctx, pool.id, near);
+  if (wanted === undefined) return;
   dispatch.pulledAt.set(key, ctx.now);
   liveDomains(state).forEach((domain) => {
     if (domain === self.domain) return;
@@ -198,7 +270,7 @@
     if (!isNear && !pool.crossRegion) return;
     const relay = demandRelay(state, domain, pool.id);
     if (relay === undefined) return;
-    send(ctx, relay, pool, slots, isNear ? 0 : pool.crossRegionPriceMs);
+    send(ctx, relay, pool, wanted, isNear ? 0 : pool.crossRegionPriceMs);
   });
 }
 
@@ -206,13 +278,14 @@
   ctx: CoreContext,
   relay: InstanceId,
   pool: PoolConfig,
-  slots: number,
+  wanted: WantedDemand,
   minWaitedMs: Millis,
 ): void {
   const validMs = LOST_RENEWALS * ctx.state.settings.pullMs;
+  const below = wanted.below === Infinity ? 0 : wanted.below;
   sendTo(ctx, relay, {
     $case: 'demandRequest',
-    value: { pool: pool.number, slots, validMs, minWaitedMs },
+    value: { pool: pool.number, slots: wanted.slots, validMs, minWaitedMs, below },
   });
 }
 
--- a/src/core/dispatch/slots.ts
+++ b/src/core/dispatch/slots.ts
@@ -7,6 +7,7 @@
  */
 import type { CoreContext } from '../context.js';
 import type { Millis } from '../clock.js';
+import { reserve } from '../shares/shares.js';
 import type { CoreState } from '../state.js';
 import type { GrantId, UpstreamConfig, UpstreamId, UpstreamReport } from '../types.js';
 import type { IssuedGrant, Slots } from './dispatchState.js';
@@ -107,6 +108,7 @@
   const grant = issued.get(id);
   if (grant === undefined) return undefined;
   issued.delete(id);
+  endReservation(state, grant);
   const ofUpstream = slots.get(grant.upstream);
   if (ofUpstream === undefined) return grant;
   if (grant.phase === 'suspended') ofUpstream.suspended -= 1;
@@ -114,6 +116,12 @@
   return grant;
 }
 
+/** Ends the reservation of a grant: its service shows in the sums, or it has ended. */
+export function endReservation(state: CoreState, grant: IssuedGrant): void {
+  reserve(state, grant.customer, grant.pool, -grant.reserved);
+  grant.reserved = 0;
+}
+
 /** Moves a grant between the slots in use and the suspended ones. */
 export function setPhase(ctx: CoreContext, grant: IssuedGrant, phase: IssuedGrant['phase']): void {
   const slots = ctx.state.dispatch.slots.get(grant.upstream);
--- a/src/core/shares/accounts.ts
+++ b/src/core/shares/accounts.ts
@@ -107,3 +107,12 @@
     else account.active.delete(customer);
   });
 }
+
+/** Returns the least virtual service among the customers believed to wait somewhere. */
+export function leastWaiting(state: CoreState, account: Account, now: Millis): number {
+  let least = Infinity;
+  forEachWaiting(account, now, (customer) => {
+    least = Math.min(least, settledIn(state, account, customer));
+  });
+  return least;
+}
--- /dev/null
+++ b/test/fair/sharing.test.ts
@@ -0,0 +1,130 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { DEFAULT_CORE_SETTINGS } from '../../src/core/settings.js';
+import { discoveryTime, serviceGapBound, waitBound } from '../../src/core/shares/bound.js';
+import { startSharing, type SharingLoad, type SharingRun } from '../support/sharingLoad.js';
+
+const DURATION_MS = 30_000;
+const SAMPLE_MS = 100;
+
+/** Time that the fake upstreams and their links add between two requests on one slot. */
+const UPSTREAM_TURN_MS = 2 * 10 + 2 * 1;
+
+const customer = fc.record(
+  {
+    weight: fc.integer({ min: 1, max: 3 }),
+    instance: fc.integer({ min: 0, max: 8 }),
+    tokens: fc.integer({ min: 20, max: 300 }),
+    hint: fc.constantFrom(0, 0.01, 1, 100),
+  },
+  { requiredKeys: ['weight', 'tokens'] },
+);
+
+const domain = fc.record({
+  instances: fc.integer({ min: 1, max: 3 }),
+  upstreams: fc.array(fc.integer({ min: 1, max: 4 }), { maxLength: 2 }),
+});
+
+const load: fc.Arbitrary<SharingLoad> = fc.record({
+  seed: fc.integer({ min: 1, max: 1e6 }),
+  domains: fc
+    .array(domain, { minLength: 1, maxLength: 3 })
+    .filter((domains) => domains.some(({ upstreams }) => upstreams.length > 0)),
+  customers: fc.array(customer, { minLength: 2, maxLength: 4 }),
+  suspendShare: fc.constantFrom(0, 0.25),
+});
+
+interface Extremes {
+  readonly gap: number;
+  readonly longestWait: number;
+  readonly longestIdle: number;
+}
+
+/** Runs the load and returns the largest gap, unserved wait and idle time of a slot. */
+function observe(run: SharingRun): Extremes {
+  const { network } = run;
+  const start = network.now();
+  const end = start + DURATION_MS;
+  const servedAt = new Map<number, number>();
+  let last = run.virtualServed();
+  let gap = 0;
+  let longestWait = 0;
+  let longestIdle = 0;
+  const upstreams = [...network.view.upstreams.values()];
+  while (network.now() < end) {
+    network.runUntil(network.now() + SAMPLE_MS);
+    const served = run.virtualServed();
+    gap = Math.max(gap, Math.max(...served) - Math.min(...served));
+    served.forEach((amount, i) => {
+      if (amount > (last[i] ?? 0) || !servedAt.has(i)) servedAt.set(i, network.now());
+      longestWait = Math.max(longestWait, network.now() - (servedAt.get(i) ?? 0));
+    });
+    upstreams.forEach((upstream) => {
+      const idle = Math.min(network.idleFor(upstream.id), network.now() - start);
+      longestIdle = Math.max(longestIdle, idle);
+    });
+    last = served;
+  }
+  return { gap, longestWait, longestIdle };
+}
+
+function expectWithinBounds(run: SharingRun, greatestWeight: number): void {
+  const { gap, longestWait } = observe(run);
+  const { conditions } = run;
+  expect(gap, 'gap').to.be.at.most(serviceGapBound(DEFAULT_CORE_SETTINGS, conditions));
+  const most = waitBound(DEFAULT_CORE_SETTINGS, conditions, greatestWeight);
+  expect(longestWait, 'wait').to.be.at.most(most + SAMPLE_MS);
+}
+
+const greatestWeight = (of: SharingLoad) => Math.max(...of.customers.map(({ weight }) => weight));
+
+describe('fair/sharing', () => {
+  it('keeps every two waiting customers within the stated bound', () => {
+    fc.assert(
+      fc.property(load, (of) => expectWithinBounds(startSharing(of), greatestWeight(of))),
+      { seed: 7, numRuns: 14 },
+    );
+  });
+
+  it('keeps the bound with loss, duplication and reordering', () => {
+    const network = { loss: 0.03, duplication: 0.03, jitterMs: 30 };
+    fc.assert(
+      fc.property(load, (of) =>
+        expectWithinBounds(startSharing({ ...of, network }), greatestWeight(of)),
+      ),
+      { seed: 8, numRuns: 8 },
+    );
+  });
+
+  it('leaves no slot idle for longer than the discovery time while work waits', () => {
+    fc.assert(
+      fc.property(load, (of) => {
+        const run = startSharing(of);
+        const { longestIdle } = observe(run);
+        const most = discoveryTime(DEFAULT_CORE_SETTINGS, run.conditions) + UPSTREAM_TURN_MS;
+        expect(longestIdle).to.be.at.most(most + SAMPLE_MS);
+      }),
+      { seed: 9, numRuns: 10 },
+    );
+  });
+
+  it('exceeds the bound once the exchange of sums is off', () => {
+    const of: SharingLoad = {
+      seed: 1,
+      domains: [
+        { instances: 2, upstreams: [4] },
+        { instances: 2, upstreams: [4, 4, 4] },
+      ],
+      customers: [
+        { weight: 1, instance: 0, tokens: 40 },
+        { weight: 1, instance: 2, tokens: 40 },
+        { weight: 1, instance: 3, tokens: 40 },
+        { weight: 1, instance: 1, tokens: 40 },
+      ],
+      network: { settings: { exchangeMs: 1e9, pullMs: 1e9 } },
+    };
+    const run = startSharing(of);
+    const { gap } = observe(run);
+    expect(gap).to.be.above(serviceGapBound(DEFAULT_CORE_SETTINGS, run.conditions));
+  });
+});
--- a/test/support/fakeNetwork.ts
+++ b/test/support/fakeNetwork.ts
@@ -96,6 +96,8 @@
   /** True service by customer, in tokens. */
   const served = new Map<number, number>();
   const waiting = new Map<number, Set<RequestId>>();
+  /** Last time at which an upstream was full or began a request. */
+  const usedAt = new Map<UpstreamId, number>();
   const heap: Pending[] = [];
   const tickMs = options.tickMs ?? 10;
   const tokensPerTick = ((options.tokensPerSecond ?? 100) * tickMs) / 1_000;
@@ -249,7 +251,9 @@
       if (attempt.state !== 'queued' || running >= slots) return;
       attempt.state = 'running';
       running += 1;
+      usedAt.set(upstream, now);
     });
+    if (running >= slots) usedAt.set(upstream, now);
   }
 
   function tickEngines(): void {
@@ -364,11 +368,14 @@
 
   return {
     nodes,
+    view: options.view,
     jobs,
     served,
     waiting,
     now: () => now,
     busySlotMs: () => busySlotMs,
+    /** Time for which an upstream has had a free slot and begun nothing. */
+    idleFor: (upstream: UpstreamId) => now - (usedAt.get(upstream) ?? 0),
     at: schedule,
     submit,
     runUntil,
