--- a/src/core/core.ts
+++ b/src/core/core.ts
@@ -3,6 +3,7 @@
  * the same events at the same times give the same effects.
  */
 import { createAttemptsState } from './attempts/attemptsState.js';
+import { createClaimsState } from './claims/claimsState.js';
 import type { Millis } from './clock.js';
 import { applyView } from './configuration/configuration.js';
 import { createConfigurationState } from './configuration/configurationState.js';
@@ -13,6 +14,7 @@
 import { createLimitsState } from './limits/limitsState.js';
 import { createMembershipState } from './membership/membershipState.js';
 import { createOwnershipState } from './ownership/ownershipState.js';
+import { createQuarantineState } from './quarantine/quarantineState.js';
 import { createRandom } from './random.js';
 import { reduceEvent, reducePeerMessage } from './reducer.js';
 import { createRequestsState } from './requests/requestsState.js';
@@ -88,6 +90,8 @@
     requests: createRequestsState(),
     attempts: createAttemptsState(),
     retries: createRetriesState(),
+    claims: createClaimsState(),
+    quarantine: createQuarantineState(),
     drain: createDrainState(),
   };
 }
--- a/src/core/reducer.ts
+++ b/src/core/reducer.ts
@@ -1,7 +1,17 @@
 /** The one reducer: hands each event to the sub-reducers of its matters. */
 import { onAttemptEnded, onAttemptProgress } from './attempts/attempts.js';
+import { onClaimsTimer } from './claims/claimsTimer.js';
+import { onOutcomeQuery, onOutcomeReply } from './claims/duplicates.js';
+import { onClaimsLogRead, startReading } from './claims/reading.js';
+import {
+  CHECKPOINTS_STREAM,
+  CLAIMS_STREAM,
+  flushAppends,
+  onClaimsAppended,
+  onClaimSubmission,
+} from './claims/submission.js';
 import type { CoreContext } from './context.js';
-import { setTimer } from './context.js';
+import { audit, setTimer } from './context.js';
 import { Debug } from './debug.js';
 import { onAnnounceTimer } from './dispatch/announcements.js';
 import { onGrant, onSuspendRequest } from './dispatch/entry.js';
@@ -15,7 +25,7 @@
 } from './dispatch/owner.js';
 import { onAssignTimer, onDemandOffer, onDemandRequest } from './dispatch/pull.js';
 import { onLimitsTimer, onLimitUsage } from './limits/limitUsage.js';
-import { onPlannedStop } from './drain/drain.js';
+import { checkStopped, onDrainTimer, onPlannedStop } from './drain/drain.js';
 import { onListedUpstreams } from './drain/upstreams.js';
 import {
   onHeartbeat,
@@ -26,12 +36,19 @@
   startMembership,
 } from './membership/membership.js';
 import { onMemberRequest, onMemberSummaries } from './membership/relays.js';
-import { onExchangeTimer, onServiceSums } from './shares/exchange.js';
-import { onServiceRequest } from './shares/relay.js';
+import {
+  liftQuarantine,
+  noteReport,
+  onQuarantineTimer,
+  onSuspicions,
+  startQuarantine,
+} from './quarantine/quarantine.js';
 import { onCallerRequest } from './requests/admission.js';
 import { onCallerGone, onDeadlinesTimer } from './requests/requests.js';
 import { onRetriesTimer, onRetryUsage, startRetries } from './retries/retries.js';
-import type { CoreEvent, InstanceId, PeerMessage, TimerName } from './types.js';
+import type { CoreEvent, InstanceId, OperatorCommand, PeerMessage, TimerName } from './types.js';
+import { onExchangeTimer, onServiceSums } from './shares/exchange.js';
+import { onServiceRequest } from './shares/relay.js';
 
 export function reduceEvent(ctx: CoreContext, event: CoreEvent): void {
   switch (event.kind) {
@@ -51,6 +68,7 @@
       return;
     case 'attemptEnded':
       onAttemptEnded(ctx, event.attemptId, event.outcome);
+      checkStopped(ctx);
       return;
     case 'peerMessage':
       reducePeerMessage(ctx, event.from, event.incarnation, event.message);
@@ -61,12 +79,21 @@
       return;
     case 'upstreamReport':
       onUpstreamReport(ctx, event);
+      noteReport(ctx, event.upstream, event.report);
       return;
-    case 'peerUnreachable':
     case 'logRead':
+      if (isClaimsStream(event.stream)) {
+        onClaimsLogRead(ctx, event.stream, event.from, event.result);
+      }
+      return;
     case 'appendSettled':
+      if (isClaimsStream(event.stream)) onClaimsAppended(ctx, event.result);
+      return;
+    case 'peerUnreachable':
     case 'orderSettled':
+      return;
     case 'operatorCommand':
+      onOperatorCommand(ctx, event.commandId, event.command);
       return;
     case 'timer':
       reduceTimer(ctx, event.timer);
@@ -116,6 +143,18 @@
     case 'retryUsage':
       onRetryUsage(ctx, from, message.value);
       return;
+    case 'claimSubmission':
+      onClaimSubmission(ctx, message.value.records);
+      return;
+    case 'outcomeQuery':
+      onOutcomeQuery(ctx, from, message.value);
+      return;
+    case 'outcomeReply':
+      onOutcomeReply(ctx, message.value);
+      return;
+    case 'suspicions':
+      onSuspicions(ctx, from, message.value);
+      return;
     case 'serviceSums':
       onServiceSums(ctx, from, incarnation, message.value);
       return;
@@ -134,10 +173,6 @@
     case 'suspendRequest':
       onSuspendRequest(ctx, from, message.value);
       return;
-    case 'suspicions':
-    case 'claimSubmission':
-    case 'outcomeQuery':
-    case 'outcomeReply':
     case 'configurationRecords':
     case 'configurationRequest':
     case 'configurationSnapshot':
@@ -147,6 +182,22 @@
   }
 }
 
+function onOperatorCommand(ctx: CoreContext, commandId: string, command: OperatorCommand): void {
+  switch (command.kind) {
+    case 'liftQuarantine': {
+      const wasLifted = liftQuarantine(ctx, command.fingerprint);
+      audit(ctx, 'liftQuarantine', command.fingerprint, 'operator', wasLifted);
+      ctx.emit({ kind: 'operatorReply', commandId, result: { kind: 'done', data: { wasLifted } } });
+      return;
+    }
+    case 'publish':
+    case 'status':
+      return;
+    default:
+      Debug.assertNever(command);
+  }
+}
+
 function reduceTimer(ctx: CoreContext, timer: TimerName): void {
   switch (timer) {
     case 'heartbeat':
@@ -165,9 +216,21 @@
     case 'deadlines':
       onDeadlinesTimer(ctx);
       return;
+    case 'claims':
+      onClaimsTimer(ctx);
+      return;
+    case 'claimAppend':
+      flushAppends(ctx);
+      return;
+    case 'quarantine':
+      onQuarantineTimer(ctx);
+      return;
     case 'retries':
       onRetriesTimer(ctx);
       return;
+    case 'drain':
+      onDrainTimer(ctx);
+      return;
     case 'exchange':
       onExchangeTimer(ctx);
       return;
@@ -177,13 +240,10 @@
     case 'limits':
       onLimitsTimer(ctx);
       return;
-    case 'claims':
-    case 'quarantine':
     case 'configuration':
     case 'checkpoint':
     case 'apply':
     case 'orders':
-    case 'drain':
       return;
     default:
       Debug.assertNever(timer);
@@ -193,9 +253,15 @@
 function onStart(ctx: CoreContext): void {
   startMembership(ctx);
   startRetries(ctx);
+  startReading(ctx);
+  startQuarantine(ctx);
   setTimer(ctx, 'exchange', ctx.state.settings.exchangeMs);
   setTimer(ctx, 'assign', 0);
   setTimer(ctx, 'limits', ctx.state.settings.limitsMs);
   setTimer(ctx, 'poll', ctx.state.settings.pollMs);
   setTimer(ctx, 'deadlines', ctx.state.settings.deadlineTickMs);
 }
+
+function isClaimsStream(stream: string): boolean {
+  return stream === CLAIMS_STREAM || stream === CHECKPOINTS_STREAM;
+}
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -9,9 +9,11 @@
 import type { RequestsState } from './requests/requestsState.js';
 import type { AttemptsState } from './attempts/attemptsState.js';
 import type { ConfigurationState } from './configuration/configurationState.js';
+import type { ClaimsState } from './claims/claimsState.js';
 import type { DrainState } from './drain/drainState.js';
-import type { RetriesState } from './retries/retriesState.js';
 import type { LimitsState } from './limits/limitsState.js';
+import type { QuarantineState } from './quarantine/quarantineState.js';
+import type { RetriesState } from './retries/retriesState.js';
 import type { Random } from './random.js';
 import type { CoreSettings } from './settings.js';
 import type { InstanceIdentity } from './types.js';
@@ -29,5 +31,7 @@
   readonly requests: RequestsState;
   readonly attempts: AttemptsState;
   readonly retries: RetriesState;
+  readonly claims: ClaimsState;
+  readonly quarantine: QuarantineState;
   readonly drain: DrainState;
 }
