Enforce limits per customer over the fleet and test dispatch

Cause: admission ignored the configured limits; dispatch had no tests. Change: admission asks for room in the limits and refuses at once; the concurrency limit is divided by demand; a grant carries the cached part of the prompt, which is not charged; load reports from an earlier time of ownership are forgotten.

--- a/src/core/attempts/attempts.ts
+++ b/src/core/attempts/attempts.ts
@@ -66,7 +66,8 @@
     moveCache(ctx, request.move, target.upstream);
   }
   const { facts } = request;
-  charge(ctx, facts.customer, target.pool.id, facts.promptTokens * target.pool.cost.perPromptToken);
+  const newTokens = facts.promptTokens * (1 - (grant.cachedShare ?? 0));
+  charge(ctx, facts.customer, target.pool.id, newTokens * target.pool.cost.perPromptToken);
   dispatch(ctx, dispatchedFrom(request, grant), grant, target);
 }
 
--- a/src/core/dispatch/assign.ts
+++ b/src/core/dispatch/assign.ts
@@ -13,7 +13,7 @@
 import { cachedBlocks } from './cache.js';
 import { takeOne } from './demand.js';
 import type { IssuedGrant, PoolDemand, WaitingCount } from './dispatchState.js';
-import { endReservation, foreignUse, freeSlots, slotsOf } from './slots.js';
+import { endReservation, forgetReports, foreignUse, freeSlots, slotsOf } from './slots.js';
 import { relieve, resumeNext } from './suspension.js';
 
 /** Exchanges after which the service of a new grant shows in the sums. */
@@ -39,6 +39,7 @@
   });
   dispatch.ownedByPool = byPool;
   dispatch.ownedSource = owned;
+  forgetReports(state, owned);
   return byPool;
 }
 
@@ -66,7 +67,8 @@
     if (waiting === undefined) return;
     const upstream = chooseUpstream(ctx, free, waiting.heads);
     takeOne(demand, customer, waiting.entry);
-    issueGrant(ctx, waiting.entry, pool, customer, upstream);
+    const cachedPercent = cachedPercentOf(state, upstream, waiting.heads);
+    issueGrant(ctx, waiting.entry, pool, customer, upstream, cachedPercent);
   }
 }
 
@@ -124,6 +126,15 @@
   return best;
 }
 
+function cachedPercentOf(
+  state: CoreState,
+  upstream: UpstreamConfig,
+  heads: readonly number[],
+): number {
+  if (heads.length === 0) return 0;
+  return Math.floor((100 * cachedBlocks(state, upstream.id, heads)) / heads.length);
+}
+
 function loadOf(state: CoreState, upstream: UpstreamConfig, now: Millis): number {
   const slots = slotsOf(state, upstream);
   return (slots.inUse + foreignUse(slots, now)) / Math.max(1, slots.limit);
@@ -135,6 +146,7 @@
   pool: PoolConfig,
   customer: CustomerNumber,
   upstream: UpstreamConfig,
+  cachedPercent: number,
 ): void {
   const { dispatch, settings, configuration } = ctx.state;
   const grantId = dispatch.nextGrant;
@@ -165,6 +177,7 @@
       customer,
       upstream: upstream.id,
       expiresInMs: settings.grantTimeoutMs,
+      cachedPercent,
     },
   });
 }
--- a/src/core/dispatch/dispatchState.ts
+++ b/src/core/dispatch/dispatchState.ts
@@ -65,6 +65,8 @@
   foreignReported: number;
   /** Attempts under grants of earlier owners, by entry. */
   readonly foreignHeld: Map<InstanceId, { readonly count: number; readonly until: Millis }>;
+  /** Whether the load was asked for, and was reported, since the upstream is owned. */
+  isPolled: boolean;
   hasReport: boolean;
   /** Smoothed token rate of the upstream. */
   tokenRate: number;
--- a/src/core/dispatch/entry.ts
+++ b/src/core/dispatch/entry.ts
@@ -26,6 +26,7 @@
     owner,
     upstream: grant.upstream,
     expiresAt: ctx.now + grant.expiresInMs,
+    cachedShare: Math.min(100, grant.cachedPercent) / 100,
   };
   if (pool === undefined) {
     returnGrant(ctx, facts);
--- a/src/core/dispatch/loadPolls.ts
+++ b/src/core/dispatch/loadPolls.ts
@@ -8,6 +8,7 @@
 export function poll(ctx: CoreContext, upstream: UpstreamConfig): void {
   if (!upstream.reportsLoad) return;
   const slots = slotsOf(ctx.state, upstream);
+  slots.isPolled = true;
   slots.inUseAtPoll = slots.inUse;
   const cacheAfter = cacheNext(ctx.state, upstream.id);
   ctx.emit({ kind: 'pollUpstream', upstream: upstream.id, url: upstream.url, cacheAfter });
--- a/src/core/dispatch/pull.ts
+++ b/src/core/dispatch/pull.ts
@@ -18,7 +18,7 @@
 import type { DemandSubscription, PoolDemand, WaitingCount } from './dispatchState.js';
 import { poll } from './loadPolls.js';
 import { noteChange } from './queues.js';
-import { freeSlots } from './slots.js';
+import { freeSlots, slotsOf } from './slots.js';
 
 /** Looks at free slots in one interval of renewals. */
 const LOOKS_PER_PULL = 5;
@@ -293,7 +293,7 @@
 function pollNewUpstreams(ctx: CoreContext): void {
   ownedByPool(ctx.state).forEach((upstreams) => {
     upstreams.forEach((upstream) => {
-      if (!ctx.state.dispatch.slots.has(upstream.id)) poll(ctx, upstream);
+      if (!slotsOf(ctx.state, upstream).isPolled) poll(ctx, upstream);
     });
   });
 }
--- a/src/core/dispatch/slots.ts
+++ b/src/core/dispatch/slots.ts
@@ -38,6 +38,7 @@
     inUseAtPoll: 0,
     foreignReported: 0,
     foreignHeld: new Map(),
+    isPolled: false,
     hasReport: false,
     tokenRate: 0,
     reportedRunning: 0,
@@ -138,6 +139,17 @@
   grant.phaseSince = ctx.now;
 }
 
+/** Has the load of upstreams that are no longer owned read afresh if they are owned again. */
+export function forgetReports(state: CoreState, owned: readonly UpstreamConfig[]): void {
+  const ids = new Set(owned.map(({ id }) => id));
+  state.dispatch.slots.forEach((slots, id) => {
+    if (ids.has(id)) return;
+    slots.isPolled = false;
+    slots.hasReport = false;
+    slots.foreignReported = 0;
+  });
+}
+
 /** Forgets the slots of upstreams that left the configuration. */
 export function pruneSlots(state: CoreState): void {
   const { slots, caches, reports } = state.dispatch;
--- a/src/core/limits/limitUsage.ts
+++ b/src/core/limits/limitUsage.ts
@@ -32,6 +32,9 @@
 export function onLimitsTimer(ctx: CoreContext): void {
   const { limits, settings } = ctx.state;
   limits.ticks += 1;
+  limits.fleet.forEach((use, customer) => {
+    if (use.until <= ctx.now) limits.fleet.delete(customer);
+  });
   if (limits.ticks % 2 === 1) reportOwn(ctx);
   else reportAsRelay(ctx);
   setTimer(ctx, 'limits', settings.limitsMs / 2);
@@ -90,7 +93,7 @@
 
 function reportAsRelay(ctx: CoreContext): void {
   const { state } = ctx;
-  const { places, sequences } = state.limits;
+  const { places, sequences, newcomers } = state.limits;
   const domains = liveDomains(state);
   const abroad = new Map<InstanceId, UsageEntry[]>();
   const below = new Map<InstanceId, UsageEntry[]>();
@@ -101,6 +104,7 @@
     const group = groupOf(state, customer);
     if (ofCustomer.size === 0 || !isForemost(state, group)) {
       places.delete(customer);
+      newcomers.delete(customer);
       return;
     }
     const near = [...ofCustomer.keys()].filter((place) => !domains.includes(place));
@@ -109,7 +113,7 @@
       near.map((place) => ofCustomer.get(place) as PlaceUse),
     );
     const ofFleet = total(customer, [...ofCustomer.values()]);
-    near.forEach((place) => addTo(below, place, ofFleet));
+    if (!newcomers.delete(customer)) near.forEach((place) => addTo(below, place, ofFleet));
     if (near.length === 0) return;
     domains.forEach((domain) => {
       const relay = groupRelays(state, domain, group)[0];
@@ -128,7 +132,7 @@
   return (
     use.waiting > limits.waitingRequests * part ||
     use.bytes > limits.waitingBytes * part ||
-    use.running > limits.concurrency * part ||
+    use.running + use.waiting > limits.concurrency * part ||
     use.arrivals > limits.rate * part
   );
 }
@@ -140,7 +144,8 @@
 }
 
 function notePlace(ctx: CoreContext, place: string, entry: UsageEntry): void {
-  const { places } = ctx.state.limits;
+  const { places, newcomers } = ctx.state.limits;
+  if (!places.has(entry.customer)) newcomers.add(entry.customer);
   const ofCustomer = places.get(entry.customer) ?? new Map<string, PlaceUse>();
   places.set(entry.customer, ofCustomer);
   ofCustomer.set(place, { ...entry, until: limitOf(ctx) });
@@ -150,9 +155,6 @@
   const { fleet, reported } = ctx.state.limits;
   const own = reported.get(entry.customer) ?? { waiting: 0, bytes: 0, running: 0, arrivals: 0 };
   fleet.set(entry.customer, { ...entry, own, until: limitOf(ctx) });
-  fleet.forEach((use, customer) => {
-    if (use.until <= ctx.now) fleet.delete(customer);
-  });
 }
 
 function limitOf(ctx: CoreContext): Millis {
--- a/src/core/limits/limits.ts
+++ b/src/core/limits/limits.ts
@@ -48,18 +48,24 @@
   return waitMs > 0 ? refuse('rateLimit', waitMs) : { kind: 'admitted' };
 }
 
-/** Returns how many more requests of a customer may run now, as far as this instance may decide. */
+/**
+ * Returns how many more requests of a customer may run at this instance now. The limit is divided
+ * by the instances' demand, running and waiting; each that has any gets at least one.
+ */
 export function concurrencyHeadroom(state: CoreState, customer: CustomerNumber): number {
   const limit = state.configuration.view?.customers.get(customer)?.limits.concurrency ?? Infinity;
-  const use = state.limits.local.get(customer);
+  const running = state.limits.local.get(customer)?.running ?? 0;
   const fleet = state.limits.fleet.get(customer);
-  const running = use?.running ?? 0;
-  if (fleet === undefined) return limit - running;
-  const others = Math.max(0, fleet.running - fleet.own.running);
-  const left = limit - others - running;
-  const grown = running - fleet.own.running;
-  const part = Math.max(1, (limit - fleet.running) / Math.max(1, fleet.users));
-  return Math.max(0, Math.floor(Math.min(left, part - grown)));
+  // Until the fleet's use is known, each instance takes an even part.
+  if (fleet === undefined) return Math.ceil(limit / state.membership.members.size) - running;
+  const own = demandOf(fleet.own);
+  const total = Math.max(own, demandOf(fleet));
+  if (total === 0) return limit - running;
+  return Math.max(1, Math.floor((limit * own) / total)) - running;
+}
+
+function demandOf(use: LimitUse): number {
+  return use.running + use.waiting;
 }
 
 /** Counts a request that began or ceased to wait. */
--- a/src/core/limits/limitsState.ts
+++ b/src/core/limits/limitsState.ts
@@ -37,6 +37,8 @@
   readonly fleet: Map<CustomerNumber, FleetUse>;
   /** As relay: by customer, then by instance of this domain or by other domain. */
   readonly places: Map<CustomerNumber, Map<string, PlaceUse>>;
+  /** As relay: customers of whose use abroad nothing can be known yet. */
+  readonly newcomers: Set<CustomerNumber>;
   /** Last sequence by sender. */
   readonly sequences: Map<InstanceId, number>;
   /** Use in the last report, by customer. */
@@ -50,6 +52,7 @@
     local: new Map(),
     fleet: new Map(),
     places: new Map(),
+    newcomers: new Set(),
     sequences: new Map(),
     reported: new Map(),
     sequence: 0,
--- a/src/core/requests/admission.ts
+++ b/src/core/requests/admission.ts
@@ -6,6 +6,7 @@
 import type { CoreContext } from '../context.js';
 import type { DiagnosticCode } from '../diagnostics.js';
 import { enqueue } from '../dispatch/queues.js';
+import { admit } from '../limits/limits.js';
 import { refuseQuarantined } from '../quarantine/quarantine.js';
 import type {
   CallerRequestEvent,
@@ -36,6 +37,11 @@
     refuseEvent(ctx, event, 'unknownPool', 404, 'route');
     return;
   }
+  const admission = admit(ctx, customer, event.bodyBytes);
+  if (admission.kind === 'refused') {
+    ctx.emit({ kind: 'refuse', requestId: event.requestId, problem: admission.problem });
+    return;
+  }
   const facts = createFacts(ctx, event, view, pool, customer);
   ctx.state.requests.active.set(facts.requestId, {
     state: 'waiting',
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -266,6 +266,8 @@
   readonly owner: InstanceId;
   readonly upstream: UpstreamId;
   readonly expiresAt: Millis;
+  /** Part of the prompt, from 0 to 1, that the upstream's cache is believed to hold. */
+  readonly cachedShare?: number;
 }
 
 // Problems
--- /dev/null
+++ b/test/fair/limits.test.ts
@@ -0,0 +1,114 @@
+import { expect } from 'chai';
+import type { CustomerLimits } from '../../src/core/types.js';
+import { createTestView } from '../support/configuration.js';
+import { createFakeNetwork, type FakeNetwork } from '../support/fakeNetwork.js';
+
+const INSTANCES = ['a', 'b', 'c'].map((id, i) => ({ id, domain: `d${i % 2}`, region: 'r1' }));
+const OPEN: CustomerLimits = {
+  waitingRequests: 1e6,
+  waitingBytes: 1e9,
+  concurrency: 1e6,
+  rate: 1e6,
+};
+
+function createLimited(limits: Partial<CustomerLimits>, slots = 8): FakeNetwork {
+  const view = createTestView({ upstreams: [{ id: 'e1', slots, domain: 'd0' }] });
+  const customers = new Map(view.customers);
+  const customer = customers.get(1);
+  if (customer !== undefined) customers.set(1, { ...customer, limits: { ...OPEN, ...limits } });
+  const network = createFakeNetwork({
+    seed: 1,
+    view: { ...view, customers },
+    instances: INSTANCES,
+  });
+  network.runUntil(5_000);
+  return network;
+}
+
+/** Submits at each of the given instances at a rate for some seconds; returns the admitted share. */
+function submitFor(network: FakeNetwork, ids: readonly string[], perSecond: number, ms: number) {
+  const before = network.jobs.size;
+  const end = network.now() + ms;
+  while (network.now() < end) {
+    ids.forEach((instance) => network.submit({ instance, customer: 1, tokens: 20 }));
+    network.runUntil(network.now() + 1_000 / perSecond);
+  }
+  const jobs = [...network.jobs.values()].slice(before);
+  return jobs.filter((job) => job.outcome !== 'refused').length;
+}
+
+describe('fair/limits', () => {
+  it('refuses at once, as not run, and says when to try again', () => {
+    const network = createLimited({ waitingRequests: 5 }, 1);
+    const jobs = Array.from({ length: 10 }, () =>
+      network.submit({ instance: 'a', customer: 1, tokens: 1_000 }),
+    );
+    expect(jobs.filter((job) => job.outcome === 'refused')).to.have.length(5);
+    const effects = network.nodes.get('a')?.core.reduce(
+      {
+        kind: 'callerRequest',
+        requestId: 'late',
+        keyHash: 'hash-1',
+        pool: 'chat',
+        method: 'POST',
+        path: '/',
+        fingerprint: 'late',
+        bodyBytes: 1,
+        promptTokens: 0,
+        prefixBlocks: [],
+        streamed: true,
+      },
+      network.now(),
+    );
+    const [refusal] = effects ?? [];
+    expect(refusal?.kind === 'refuse' && refusal.problem).to.include({
+      code: 'waitingLimit',
+      status: 429,
+      executed: 'no',
+      retryAfterMs: 1_000,
+    });
+  });
+
+  it('refuses more waiting bytes than the limit', () => {
+    const network = createLimited({ waitingBytes: 350 }, 1);
+    const jobs = Array.from({ length: 6 }, () =>
+      network.submit({ instance: 'a', customer: 1, tokens: 1_000 }),
+    );
+    expect(jobs.filter((job) => job.outcome === 'refused')).to.have.length(3);
+  });
+
+  it('divides the waiting limit over the fleet', () => {
+    const limit = 60;
+    const network = createLimited({ waitingRequests: limit }, 1);
+    submitFor(network, ['a', 'b', 'c'], 20, 6_000);
+    const waiting = network.waiting.get(1)?.size ?? 0;
+    expect(waiting).to.be.within(limit * 0.7, limit * 1.1);
+  });
+
+  it('keeps the rate over the fleet, however the customer is spread', () => {
+    const rate = 20;
+    const seconds = 20;
+    [['a'], ['a', 'b', 'c']].forEach((ids) => {
+      const network = createLimited({ rate }, 64);
+      submitFor(network, ids, 40, 10_000);
+      const admitted = submitFor(network, ids, 40, seconds * 1_000);
+      expect(admitted, ids.join()).to.be.within(rate * seconds * 0.85, rate * seconds * 1.15);
+    });
+  });
+
+  it('runs no more requests at a time than the limit, without refusing', () => {
+    const network = createLimited({ concurrency: 3 });
+    for (let i = 0; i < 30; i += 1) {
+      network.submit({ instance: INSTANCES[i % 3]?.id ?? '', customer: 1, tokens: 100 });
+    }
+    let most = 0;
+    for (let i = 0; i < 100; i += 1) {
+      network.runUntil(network.now() + 50);
+      // What began before the first exchange of use may exceed the limit.
+      if (i > 30) most = Math.max(most, network.runningOn('e1'));
+    }
+    expect(most).to.be.within(1, 3);
+    network.runUntil(network.now() + 30_000);
+    network.jobs.forEach((job) => expect(job.outcome).to.equal('finished'));
+  });
+});
--- a/test/fair/sharing.test.ts
+++ b/test/fair/sharing.test.ts
@@ -44,28 +44,48 @@
 function observe(run: SharingRun): Extremes {
   const { network } = run;
   const start = network.now();
-  const end = start + DURATION_MS;
   const servedAt = new Map<number, number>();
+  let extremes: Extremes = { gap: 0, longestWait: 0, longestIdle: 0 };
   let last = run.virtualServed();
-  let gap = 0;
-  let longestWait = 0;
-  let longestIdle = 0;
-  const upstreams = [...network.view.upstreams.values()];
-  while (network.now() < end) {
+  last.forEach((_, i) => servedAt.set(i, start));
+  while (network.now() < start + DURATION_MS) {
     network.runUntil(network.now() + SAMPLE_MS);
     const served = run.virtualServed();
-    gap = Math.max(gap, Math.max(...served) - Math.min(...served));
-    served.forEach((amount, i) => {
-      if (amount > (last[i] ?? 0) || !servedAt.has(i)) servedAt.set(i, network.now());
-      longestWait = Math.max(longestWait, network.now() - (servedAt.get(i) ?? 0));
-    });
-    upstreams.forEach((upstream) => {
-      const idle = Math.min(network.idleFor(upstream.id), network.now() - start);
-      longestIdle = Math.max(longestIdle, idle);
-    });
+    noteServed(servedAt, last, served, network.now());
+    extremes = widen(extremes, run, served, servedAt, start);
     last = served;
   }
-  return { gap, longestWait, longestIdle };
+  return extremes;
+}
+
+function noteServed(
+  servedAt: Map<number, number>,
+  before: readonly number[],
+  after: readonly number[],
+  now: number,
+): void {
+  after.forEach((amount, i) => {
+    if (amount > (before[i] ?? 0)) servedAt.set(i, now);
+  });
+}
+
+function widen(
+  extremes: Extremes,
+  { network }: SharingRun,
+  served: readonly number[],
+  servedAt: ReadonlyMap<number, number>,
+  start: number,
+): Extremes {
+  const now = network.now();
+  const waits = [...servedAt.values()].map((at) => now - at);
+  const idle = [...network.view.upstreams.keys()].map((id) =>
+    Math.min(network.idleFor(id), now - start),
+  );
+  return {
+    gap: Math.max(extremes.gap, Math.max(...served) - Math.min(...served)),
+    longestWait: Math.max(extremes.longestWait, ...waits),
+    longestIdle: Math.max(extremes.longestIdle, ...idle),
+  };
 }
 
 function expectWithinBounds(run: SharingRun, greatestWeight: number): void {
--- /dev/null
+++ b/test/fair/suspension.test.ts
@@ -0,0 +1,81 @@
+import { expect } from 'chai';
+import type { FakeNetwork, Job } from '../support/fakeNetwork.js';
+import { createFakeNetwork } from '../support/fakeNetwork.js';
+import { createTestView } from '../support/configuration.js';
+
+const SLOTS = 8;
+const LONG_TOKENS = 2_000;
+const SHORT_TOKENS = 5;
+const INSTANCES = ['a', 'b', 'c'].map((id) => ({ id, domain: 'd1', region: 'r1' }));
+
+interface Flood {
+  readonly network: FakeNetwork;
+  readonly questions: readonly Job[];
+  readonly mostSuspended: number;
+}
+
+/** Customer 1 floods with long streams from one instance; customer 2 asks short questions. */
+function flood(suspendShare: number, idempotent = true): Flood {
+  const view = createTestView({ upstreams: [{ id: 'e1', slots: SLOTS }], pool: { suspendShare } });
+  const network = createFakeNetwork({ seed: 1, view, instances: INSTANCES });
+  network.runUntil(5_000);
+  for (let i = 0; i < 3 * SLOTS; i += 1) {
+    network.submit({ instance: 'a', customer: 1, tokens: LONG_TOKENS, idempotent });
+  }
+  network.runUntil(9_000);
+  const questions: Job[] = [];
+  let mostSuspended = 0;
+  for (let i = 0; i < 10; i += 1) {
+    questions.push(network.submit({ instance: 'b', customer: 2, tokens: SHORT_TOKENS }));
+    for (let step = 0; step < 100; step += 1) {
+      network.runUntil(network.now() + 10);
+      mostSuspended = Math.max(mostSuspended, network.suspendedOn('e1'));
+    }
+  }
+  return { network, questions, mostSuspended };
+}
+
+const waitOf = (job: Job) => (job.firstTokenAt ?? Infinity) - job.submittedAt;
+
+describe('fair/suspension', () => {
+  it('serves a short question while long streams hold all slots', () => {
+    const { questions, mostSuspended } = flood(0.25);
+    // Announcement, suspension there and back, grant, dispatch and two ticks of the upstream.
+    const most = 3 * 20 + 4 * 1 + 2 * 1 + 2 * 10;
+    questions.forEach((job) => expect(waitOf(job)).to.be.at.most(most));
+    expect(mostSuspended).to.be.within(1, SLOTS * 0.25);
+  });
+
+  it('lets it wait for a stream to end where nothing may be suspended', () => {
+    const { questions, mostSuspended } = flood(0);
+    expect(waitOf(questions[0] as Job)).to.be.above(1_000);
+    expect(mostSuspended).to.equal(0);
+  });
+
+  it('suspends no stream that is not idempotent', () => {
+    const { mostSuspended } = flood(0.25, false);
+    expect(mostSuspended).to.equal(0);
+  });
+
+  it('resumes every suspended stream', () => {
+    const { network } = flood(0.25);
+    const perStream = (LONG_TOKENS / 100) * 1_000;
+    network.runUntil(network.now() + 5 * perStream);
+    network.jobs.forEach((job) => expect(job.outcome).to.equal('finished'));
+  });
+
+  it('resumes streams whose owner has gone', () => {
+    const { network } = flood(0.25);
+    network.submit({ instance: 'b', customer: 2, tokens: SHORT_TOKENS });
+    network.runUntil(network.now() + 60);
+    const owner = INSTANCES.find(({ id }) =>
+      network.nodes.get(id)?.core.state.ownership.owned.some((owned) => owned.id === 'e1'),
+    );
+    if (owner?.id !== 'a') network.crash(owner?.id ?? '');
+    const perStream = (LONG_TOKENS / 100) * 1_000;
+    network.runUntil(network.now() + 5 * perStream);
+    network.jobs.forEach((job) => {
+      if (job.customer === 1 && job.instance === 'a') expect(job.outcome).to.equal('finished');
+    });
+  });
+});
