--- a/eslint.config.js
+++ b/eslint.config.js
@@ -71,7 +71,7 @@
     rules: { '@typescript-eslint/no-unused-expressions': 'off', 'no-unused-expressions': 'off' },
   },
   {
-    files: ['scripts/**', 'eslint.config.js', 'src/cli/**', 'src/bench/**'],
+    files: ['scripts/**', 'eslint.config.js', 'src/cli/**', 'src/bench/**', 'src/checker/**'],
     rules: {
       'n/no-sync': 'off',
       'n/no-process-exit': 'off',
--- a/src/checker/fleetSystem.ts
+++ b/src/checker/fleetSystem.ts
@@ -62,6 +62,8 @@
   readonly instance: number;
   readonly stream: string;
   readonly from: number;
+  /** Time at which the log answers a reader for whom nothing new has come. */
+  readonly heldUntil: Millis;
 }
 
 interface PendingAttempt {
@@ -71,6 +73,7 @@
 }
 
 const CHOICE_TAKES_MS: Millis = 60;
+const WAIT_MS: Millis = 1_000;
 const MEMBERSHIP_SETTLES_MS: Millis = 3_000;
 const MAX_EVENTS_PER_CHOICE = 2_000;
 
@@ -128,7 +131,15 @@
         return;
       case 'readLog':
         reads = reads.filter((read) => read.instance !== instance || read.stream !== effect.stream);
-        reads = [...reads, { instance, stream: effect.stream, from: effect.from }];
+        reads = [
+          ...reads,
+          {
+            instance,
+            stream: effect.stream,
+            from: effect.from,
+            heldUntil: now + effect.waitMs,
+          },
+        ];
         return;
       case 'readInstanceList':
         post(instance, { kind: 'instanceList', instances: listInstances(cores) });
@@ -152,6 +163,7 @@
   function advance(span: Millis): void {
     const end = now + span;
     for (;;) {
+      answerHeldReads();
       const due = earliestTimer(timers, end);
       if (due === undefined) break;
       now = Math.max(now, due.at);
@@ -160,11 +172,25 @@
       drainInbox();
     }
     now = end;
+    answerHeldReads();
+  }
+
+  /** Answers the reads that were held back long enough and for which there is nothing new. */
+  function answerHeldReads(): void {
+    const idle = reads.filter((read) => read.heldUntil <= now && visibleRecords(read).length === 0);
+    if (idle.length === 0) return;
+    reads = reads.filter((read) => !idle.includes(read));
+    idle.forEach(({ instance, stream, from }) => {
+      const result = { kind: 'records', records: [], next: from } as const;
+      post(instance, { kind: 'logRead', stream, from, result });
+    });
+    drainInbox();
   }
 
   function choices(): readonly string[] {
     const canFail = faults > 0;
     return [
+      'wait',
       ...[...left].map((i) => `arrive ${i}`),
       ...appends.flatMap((_, i) => [
         `append ${i}`,
@@ -213,7 +239,7 @@
       default:
     }
     drainInbox();
-    advance(CHOICE_TAKES_MS);
+    advance(choice === 'wait' ? WAIT_MS : CHOICE_TAKES_MS);
   }
 
   function settleAppend(at: number, action: string): void {
