--- a/test/cli/cli.test.ts
+++ b/test/cli/cli.test.ts
@@ -1,4 +1,4 @@
-import { spawn } from 'node:child_process';
+import { spawn, type ChildProcess } from 'node:child_process';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -17,8 +17,12 @@
   readonly stderr: string;
 }
 
+const children = new Set<ChildProcess>();
+
 function start(args: readonly string[]) {
   const child = spawn(process.execPath, [MAIN, ...args], { stdio: 'pipe' });
+  children.add(child);
+  child.once('close', () => children.delete(child));
   const output = { stdout: '', stderr: '' };
   child.stdout.on('data', (part: Buffer) => {
     output.stdout += part.toString();
@@ -39,6 +43,7 @@
   before(async () => {
     dir = await mkdtemp(join(tmpdir(), 'primroseswitch-'));
   });
+  afterEach(() => children.forEach((child) => child.kill('SIGKILL')));
   after(async () => rm(dir, { recursive: true }));
 
   const write = async (name: string, text: string) => {
--- a/test/daemon/path.test.ts
+++ b/test/daemon/path.test.ts
@@ -1,7 +1,14 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'chai';
 import { answerText, bodyHash } from '../../src/standins/index.js';
 import { ask, startTestFleet, streamedText, TEST_KEY, type TestFleet } from '../support/fleet.js';
 
+async function until(condition: () => boolean): Promise<void> {
+  if (condition()) return;
+  await sleep(5);
+  await until(condition);
+}
+
 describe('path of a request', () => {
   let fleet: TestFleet;
   let url: string;
@@ -37,6 +44,44 @@
     });
   });
 
+  it('ends the work at the engine when the caller leaves', async () => {
+    const abort = new AbortController();
+    const res = await ask(url, 'never read', { tokens: 500, signal: abort.signal });
+    const recordOf = () =>
+      fleet.engines[0]?.log().attempts.find(({ outcome }) => outcome === 'running');
+    expect(recordOf()).to.not.equal(undefined);
+    await res.body?.getReader().read();
+    abort.abort();
+    await until(() => recordOf() === undefined);
+    await until(() => fleet.instances[0]?.core().state.requests.active.size === 0);
+  });
+
+  it('lets a slow caller hold up its own stream only', async () => {
+    const slow = await ask(url, 'slow', { tokens: 40 });
+    const others = ['a', 'b', 'c'].map(async (question) => (await ask(url, question)).text());
+    const texts = (await Promise.all(others)).map(streamedText);
+    expect(texts).to.deep.equal(['a', 'b', 'c'].map((question) => answerText(question, 5)));
+    expect(streamedText(await slow.text())).to.equal(answerText('slow', 40));
+  });
+
+  it('refuses an unknown model and an unknown path as not run', async () => {
+    const post = { method: 'POST', body: '{"model":"none"}' };
+    const headers = { authorization: `Bearer ${TEST_KEY}` };
+    const model = await fetch(`${url}/v1/completions`, { ...post, headers });
+    expect(model.status).to.equal(404);
+    expect(await model.json()).to.deep.include({ executed: 'no', step: 'route', code: 1002 });
+    const path = await fetch(`${url}/v2/completions`, { ...post, headers });
+    expect(path.status).to.equal(404);
+    expect(await path.json()).to.deep.include({ executed: 'no', code: 1012 });
+  });
+
+  it('shows the state of each part to operators', async () => {
+    const status = await fetch(`${fleet.operatorUrls[0]}/status`);
+    const body = (await status.json()) as { state: { requests: object; membership: object } };
+    expect(body).to.include({ ready: true, id: 'i1', domain: 'd1' });
+    expect(body.state).to.include.keys('requests', 'membership', 'dispatch', 'shares');
+  });
+
   it('refuses a wrong key as not run', async () => {
     const res = await ask(url, 'q', { headers: { authorization: 'Bearer wrong' } });
     expect(res.status).to.equal(401);
