--- a/src/core/quarantine/quarantineState.ts
+++ b/src/core/quarantine/quarantineState.ts
@@ -56,6 +56,13 @@
   readonly crashes: Map<UpstreamId, Crash>;
   readonly epochs: Map<UpstreamId, string>;
   lastGossipAt: Millis;
+  /** Members that know what this instance knows, by incarnation. */
+  readonly informed: Map<InstanceId, number>;
+  /** Whether this instance knows what the others know; until then it runs nothing. */
+  hasCaughtUp: boolean;
+  /** Time from which it runs requests although nobody has answered. */
+  catchUpUntil: Millis;
+  lastTickAt: Millis;
 }
 
 export function createQuarantineState(): QuarantineState {
@@ -66,5 +73,9 @@
     crashes: new Map(),
     epochs: new Map(),
     lastGossipAt: 0,
+    informed: new Map(),
+    hasCaughtUp: true,
+    catchUpUntil: 0,
+    lastTickAt: 0,
   };
 }
--- a/src/core/quarantine/suspicions.ts
+++ b/src/core/quarantine/suspicions.ts
@@ -95,19 +95,31 @@
 }
 
 function gossip(ctx: CoreContext): void {
-  const entries: Suspicion[] = [];
-  ctx.state.quarantine.suspects.forEach((suspect, fingerprint) => {
-    entries.push(encode(ctx, fingerprint, suspect));
-  });
+  const entries = allEntries(ctx);
   if (entries.length === 0) return;
   const others: InstanceId[] = [];
   forEachOther(ctx.state, (member) => others.push(member.id));
   for (let i = 0; i < GOSSIP_FANOUT && others.length > 0; i += 1) {
     const [to] = others.splice(ctx.state.random.nextInt(others.length), 1);
-    if (to !== undefined) sendTo(ctx, to, { $case: 'suspicions', value: { entries } });
+    if (to !== undefined) sendEntries(ctx, to, entries);
   }
 }
 
+/** Tells one member all that this instance knows. */
+export function sendAll(ctx: CoreContext, to: InstanceId): void {
+  sendEntries(ctx, to, allEntries(ctx));
+}
+
+function sendEntries(ctx: CoreContext, to: InstanceId, entries: readonly Suspicion[]): void {
+  sendTo(ctx, to, { $case: 'suspicions', value: { entries, wantsAll: false } });
+}
+
+function allEntries(ctx: CoreContext): readonly Suspicion[] {
+  return [...ctx.state.quarantine.suspects].map(([fingerprint, suspect]) =>
+    encode(ctx, fingerprint, suspect),
+  );
+}
+
 function forget(ctx: CoreContext, fingerprint: Fingerprint, suspect: Suspect): void {
   ctx.state.quarantine.suspects.delete(fingerprint);
   ctx.state.quarantine.cleared.set(fingerprint, suspect.expiresAt);
@@ -125,6 +137,6 @@
 
 function broadcast(ctx: CoreContext, entry: Suspicion): void {
   forEachOther(ctx.state, (member) => {
-    sendTo(ctx, member.id, { $case: 'suspicions', value: { entries: [entry] } });
+    sendEntries(ctx, member.id, [entry]);
   });
 }
