--- a/src/core/core.ts
+++ b/src/core/core.ts
@@ -2,6 +2,8 @@
  * The public face of the core. A core decides; it performs no input or output. The same options and
  * the same events at the same times give the same effects.
  */
+import { createAuditState } from './audit/auditState.js';
+import { keepAudit } from './audit/audit.js';
 import { createAttemptsState } from './attempts/attemptsState.js';
 import { createClaimsState } from './claims/claimsState.js';
 import type { Millis } from './clock.js';
@@ -10,8 +12,10 @@
 import type { CoreContext } from './context.js';
 import { createDispatchState } from './dispatch/dispatchState.js';
 import { createDrainState } from './drain/drainState.js';
+import { hash32 } from './hash.js';
 import { createLimitsState } from './limits/limitsState.js';
 import { createMembershipState } from './membership/membershipState.js';
+import { createOrdersState } from './orders/ordersState.js';
 import { createOwnershipState } from './ownership/ownershipState.js';
 import { createQuarantineState } from './quarantine/quarantineState.js';
 import { createRandom } from './random.js';
@@ -69,6 +73,7 @@
     // The list grows while it is walked: a message may cause further ones.
     for (const message of ownMessages)
       reducePeerMessage(ctx, state.self.id, state.self.incarnation, message);
+    keepAudit(state, effects);
     return effects;
   }
 
@@ -84,7 +89,7 @@
     ownership: createOwnershipState(),
     configuration: createConfigurationState(),
     shares: createSharesState(),
-    dispatch: createDispatchState(firstGrantId(options.seed)),
+    dispatch: createDispatchState(firstGrantId(options.self)),
     limits: createLimitsState(),
     requests: createRequestsState(),
     attempts: createAttemptsState(),
@@ -92,10 +97,13 @@
     claims: createClaimsState(),
     quarantine: createQuarantineState(),
     drain: createDrainState(),
+    orders: createOrdersState(),
+    audit: createAuditState(),
   };
 }
 
 /** Grant numbers of two starts of one instance must not meet, so each start begins elsewhere. */
-function firstGrantId(seed: number): number {
-  return createRandom(seed).nextInt(GRANT_RANGES) * GRANTS_PER_RANGE + 1;
+function firstGrantId(self: InstanceIdentity): number {
+  const range = hash32(`${self.id} ${self.incarnation}`) % GRANT_RANGES;
+  return range * GRANTS_PER_RANGE + 1;
 }
--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -24,7 +24,7 @@
 } from '../types.js';
 import { advancePermits, dropPermit } from './permits.js';
 import type { AttemptFailure, Crash, Fingerprint } from './quarantineState.js';
-import { keepInformed, noteCaughtUp, startCatchUp } from './catchUp.js';
+import { catchUpTick, keepInformed, noteCaughtUp, startCatchUp } from './catchUp.js';
 import { isQuarantined, QUARANTINE_CRASHES } from './suspects.js';
 import {
   announceSuspect,
@@ -43,14 +43,14 @@
 export function startQuarantine(ctx: CoreContext): void {
   ctx.state.quarantine.lastGossipAt = ctx.now;
   startCatchUp(ctx);
-  setTimer(ctx, 'quarantine', ctx.state.settings.quarantineTickMs);
+  setTimer(ctx, 'quarantine', catchUpTick(ctx));
 }
 
 export function onQuarantineTimer(ctx: CoreContext): void {
   keepInformed(ctx);
   expireSuspicions(ctx);
   advancePermits(ctx);
-  setTimer(ctx, 'quarantine', ctx.state.settings.quarantineTickMs);
+  setTimer(ctx, 'quarantine', catchUpTick(ctx));
 }
 
 /** Refuses a request that is in quarantine; true if it did. */
--- a/src/core/quarantine/quarantineState.ts
+++ b/src/core/quarantine/quarantineState.ts
@@ -48,6 +48,9 @@
   readonly fingerprints: Set<Fingerprint>;
 }
 
+/** `due`: no other instance is known yet. `asking`: runs nothing until one of them has answered. */
+export type CatchUp = 'due' | 'asking' | 'done';
+
 export interface QuarantineState {
   readonly suspects: Map<Fingerprint, Suspect>;
   /** Expiry of suspicions that were cleared or lifted; older news of them counts for nothing. */
@@ -58,8 +61,8 @@
   lastGossipAt: Millis;
   /** Members that know what this instance knows, by incarnation. */
   readonly informed: Map<InstanceId, number>;
-  /** Whether this instance knows what the others know; until then it runs nothing. */
-  hasCaughtUp: boolean;
+  /** How far this instance has come in learning what the others know. */
+  catchUp: CatchUp;
   /** Time from which it runs requests although nobody has answered. */
   catchUpUntil: Millis;
   lastTickAt: Millis;
@@ -74,7 +77,7 @@
     epochs: new Map(),
     lastGossipAt: 0,
     informed: new Map(),
-    hasCaughtUp: true,
+    catchUp: 'due',
     catchUpUntil: 0,
     lastTickAt: 0,
   };
--- a/src/core/quarantine/suspects.ts
+++ b/src/core/quarantine/suspects.ts
@@ -16,7 +16,7 @@
 
 /** Whether a request may run at all now: it is no suspect, or this instance may run the suspect. */
 export function mayRun(state: CoreState, facts: RequestFacts): boolean {
-  if (!state.quarantine.hasCaughtUp && hasPeers(state)) return false;
+  if (state.quarantine.catchUp === 'asking') return false;
   const suspect = state.quarantine.suspects.get(facts.fingerprint);
   if (suspect === undefined) return true;
   if (suspect.crashes >= QUARANTINE_CRASHES) return false;
@@ -29,10 +29,6 @@
   return !isSuspect(state, facts.fingerprint) || !hasSuspect(state, upstream);
 }
 
-function hasPeers(state: CoreState): boolean {
-  return state.membership.members.size > 1 || state.membership.seeds.size > 0;
-}
-
 function hasSuspect(state: CoreState, upstream: UpstreamId): boolean {
   for (const suspect of state.quarantine.suspects.values()) {
     if (runsOn(suspect, upstream)) return true;
--- a/src/core/reducer.ts
+++ b/src/core/reducer.ts
@@ -1,5 +1,23 @@
 /** The one reducer: hands each event to the sub-reducers of its matters. */
+import {
+  AUDIT_STREAM,
+  onAuditAppended,
+  onAuditRead,
+  onAuditTimer,
+  onReadAudit,
+} from './audit/audit.js';
 import { onAttemptEnded, onAttemptProgress } from './attempts/attempts.js';
+import {
+  onApplyTimer,
+  onConfigurationAppended,
+  onConfigurationCommand,
+  onConfigurationLogRead,
+  onConfigurationMessage,
+  onConfigurationTimer,
+  onHeartbeatVersion,
+  startConfiguration,
+} from './configuration/configuration.js';
+import { CHECKPOINT_STREAM, CONFIGURATION_STREAM } from './configuration/records.js';
 import { onClaimsTimer } from './claims/claimsTimer.js';
 import { onOutcomeQuery, onOutcomeReply } from './claims/duplicates.js';
 import { onClaimsLogRead, startReading } from './claims/reading.js';
@@ -10,6 +28,7 @@
   onClaimsAppended,
   onClaimSubmission,
 } from './claims/submission.js';
+import { checkOperatorKey } from './configuration/keys.js';
 import type { CoreContext } from './context.js';
 import { audit, setTimer } from './context.js';
 import { Debug } from './debug.js';
@@ -35,6 +54,16 @@
   onLeaving,
   startMembership,
 } from './membership/membership.js';
+import { ORDERS_STREAM } from './orders/orderRecords.js';
+import {
+  listOrders,
+  onOrderAppended,
+  onOrderReport,
+  onOrderSettled,
+  onOrdersRead,
+  onOrdersTimer,
+  startOrders,
+} from './orders/orders.js';
 import { onMemberRequest, onMemberSummaries } from './membership/relays.js';
 import {
   liftQuarantine,
@@ -80,17 +109,29 @@
     case 'upstreamReport':
       onUpstreamReport(ctx, event);
       noteReport(ctx, event.upstream, event.report);
+      onOrderReport(ctx, event.upstream, event.report);
       return;
     case 'logRead':
       if (isClaimsStream(event.stream)) {
         onClaimsLogRead(ctx, event.stream, event.from, event.result);
+      } else if (isConfigurationStream(event.stream)) {
+        onConfigurationLogRead(ctx, event);
+      } else if (event.stream === ORDERS_STREAM) {
+        onOrdersRead(ctx, event);
+      } else if (event.stream === AUDIT_STREAM) {
+        onAuditRead(ctx, event);
       }
       return;
     case 'appendSettled':
       if (isClaimsStream(event.stream)) onClaimsAppended(ctx, event.result);
+      else if (isConfigurationStream(event.stream)) onConfigurationAppended(ctx, event);
+      else if (event.stream === ORDERS_STREAM) onOrderAppended(ctx, event.appendId, event.result);
+      else if (event.stream === AUDIT_STREAM) onAuditAppended(ctx, event.appendId, event.result);
       return;
-    case 'peerUnreachable':
     case 'orderSettled':
+      onOrderSettled(ctx, event);
+      return;
+    case 'peerUnreachable':
       return;
     case 'operatorCommand':
       onOperatorCommand(ctx, event.commandId, event.command);
@@ -115,6 +156,7 @@
   switch (message.$case) {
     case 'heartbeat':
       onHeartbeat(ctx, message.value);
+      onHeartbeatVersion(ctx, from, message.value.configurationVersion);
       return;
     case 'leaving':
       onLeaving(ctx, from, message.value);
@@ -176,6 +218,7 @@
     case 'configurationRecords':
     case 'configurationRequest':
     case 'configurationSnapshot':
+      onConfigurationMessage(ctx, from, message);
       return;
     default:
       Debug.assertNever(message);
@@ -184,15 +227,48 @@
 
 function onOperatorCommand(ctx: CoreContext, commandId: string, command: OperatorCommand): void {
   switch (command.kind) {
+    case 'publish':
+    case 'getConfiguration':
+    case 'checkConfiguration':
+    case 'configurationHistory':
+      onConfigurationCommand(ctx, commandId, command);
+      return;
+    case 'liftQuarantine':
+    case 'readAudit':
+    case 'listOrders':
+      onKeyedCommand(ctx, commandId, command);
+      return;
+    case 'status':
+      return;
+    default:
+      Debug.assertNever(command);
+  }
+}
+
+type KeyedCommand = Extract<
+  OperatorCommand,
+  { readonly kind: 'liftQuarantine' | 'readAudit' | 'listOrders' }
+>;
+
+function onKeyedCommand(ctx: CoreContext, commandId: string, command: KeyedCommand): void {
+  const check = checkOperatorKey(ctx, command.keyHash);
+  if (check.kind === 'rejected') {
+    ctx.emit({ kind: 'operatorReply', commandId, result: check });
+    return;
+  }
+  switch (command.kind) {
+    case 'readAudit':
+      onReadAudit(ctx, commandId, command.limit);
+      return;
+    case 'listOrders':
+      ctx.emit({ kind: 'operatorReply', commandId, result: listOrders(ctx) });
+      return;
     case 'liftQuarantine': {
       const wasLifted = liftQuarantine(ctx, command.fingerprint);
-      audit(ctx, 'liftQuarantine', command.fingerprint, 'operator', wasLifted);
+      audit(ctx, 'liftQuarantine', command.fingerprint, check.team, wasLifted);
       ctx.emit({ kind: 'operatorReply', commandId, result: { kind: 'done', data: { wasLifted } } });
       return;
     }
-    case 'publish':
-    case 'status':
-      return;
     default:
       Debug.assertNever(command);
   }
@@ -216,6 +292,16 @@
     case 'deadlines':
       onDeadlinesTimer(ctx);
       return;
+    case 'configuration':
+      onConfigurationTimer(ctx);
+      onAuditTimer(ctx);
+      return;
+    case 'orders':
+      onOrdersTimer(ctx);
+      return;
+    case 'apply':
+      onApplyTimer(ctx);
+      return;
     case 'claims':
       onClaimsTimer(ctx);
       return;
@@ -240,10 +326,7 @@
     case 'limits':
       onLimitsTimer(ctx);
       return;
-    case 'configuration':
     case 'checkpoint':
-    case 'apply':
-    case 'orders':
       return;
     default:
       Debug.assertNever(timer);
@@ -252,6 +335,8 @@
 
 function onStart(ctx: CoreContext): void {
   startMembership(ctx);
+  startConfiguration(ctx);
+  startOrders(ctx);
   startRetries(ctx);
   startReading(ctx);
   startQuarantine(ctx);
@@ -262,6 +347,10 @@
   setTimer(ctx, 'deadlines', ctx.state.settings.deadlineTickMs);
 }
 
+function isConfigurationStream(stream: string): boolean {
+  return stream === CONFIGURATION_STREAM || stream === CHECKPOINT_STREAM;
+}
+
 function isClaimsStream(stream: string): boolean {
   return stream === CLAIMS_STREAM || stream === CHECKPOINTS_STREAM;
 }
--- a/src/standins/content.ts
+++ b/src/standins/content.ts
@@ -6,8 +6,12 @@
 import { z } from 'zod';
 import { hash32 } from '../core/hash.js';
 
+/** Characters of a prompt that count as a token. */
+export const CHARS_PER_TOKEN = 4;
 const DEFAULT_MAX_TOKENS = 16;
 const TOKEN_RADIX = 36;
+/** Seed that makes the second half of a name independent of the first. */
+const SECOND_SEED = 0x9e3779b9;
 
 const messageSchema = z.looseObject({ role: z.string(), content: z.string() });
 
@@ -36,9 +40,9 @@
   return messages.map((message) => `${message.role} ${message.content}`).join('\n');
 }
 
-/** Splits a prompt into the stand-in's tokens: words. */
-export function tokenize(text: string): readonly string[] {
-  return text.split(/\s+/u).filter((word) => word !== '');
+/** Tokens of a prompt: the stand-in counts characters. */
+export function countTokens(prompt: string): number {
+  return Math.ceil(prompt.length / CHARS_PER_TOKEN);
 }
 
 /** Number from which all tokens of the answer to `question` follow. */
@@ -46,6 +50,11 @@
   return hash32(question);
 }
 
+/** Name of a question in the records of the engine, in hexadecimal. */
+export function questionHash(question: string): string {
+  return `${hash32(question).toString(16)}-${hash32(question, SECOND_SEED).toString(16)}`;
+}
+
 /** Text of the token at `index` of the answer with this seed. */
 export function answerToken(seed: number, index: number): string {
   return ` ${hash32(String(index), seed).toString(TOKEN_RADIX)}`;
