--- a/src/core/dispatch/assign.ts
+++ b/src/core/dispatch/assign.ts
@@ -19,6 +19,9 @@
 /** Exchanges after which the service of a new grant shows in the sums. */
 const RESERVATION_EXCHANGES = 3;
 
+/** Announce intervals for which an upstream comes last after a grant came back unused. */
+const RETURNED_INTERVALS = 5;
+
 /** Grants in a row to local requests after which another instance's request goes first. */
 const LOCAL_STREAK = 4;
 
@@ -136,7 +139,10 @@
 
 function loadOf(state: CoreState, upstream: UpstreamConfig, now: Millis): number {
   const slots = slotsOf(state, upstream);
-  return (slots.inUse + foreignUse(slots, now)) / Math.max(1, slots.limit);
+  const load = (slots.inUse + foreignUse(slots, now)) / Math.max(1, slots.limit);
+  // The request that waits may be one that must not run there; others are tried first.
+  const wasReturned = now - slots.returnedAt < RETURNED_INTERVALS * state.settings.announceMs;
+  return wasReturned ? load + 1 : load;
 }
 
 function issueGrant(
--- a/src/core/dispatch/dispatchState.ts
+++ b/src/core/dispatch/dispatchState.ts
@@ -73,6 +73,8 @@
   reportedRunning: number;
   slowReports: number;
   lastUsedAt: Millis;
+  /** Time at which a grant of the upstream last came back unused. */
+  returnedAt: Millis;
 }
 
 /** What is believed of an upstream's cache. */
--- a/src/core/dispatch/owner.ts
+++ b/src/core/dispatch/owner.ts
@@ -29,7 +29,12 @@
 export function onGrantReturn(ctx: CoreContext, ids: readonly GrantId[]): void {
   assignPools(
     ctx,
-    ids.map((id) => freeGrant(ctx.state, id)?.pool),
+    ids.map((id) => {
+      const grant = freeGrant(ctx.state, id);
+      const slots = grant && ctx.state.dispatch.slots.get(grant.upstream);
+      if (slots !== undefined) slots.returnedAt = ctx.now;
+      return grant?.pool;
+    }),
   );
 }
 
--- a/src/core/dispatch/queues.ts
+++ b/src/core/dispatch/queues.ts
@@ -80,6 +80,12 @@
   wakeAnnouncer(ctx, ctx.now);
 }
 
+/** Has the waiting counts of a pool looked at after the announce interval. */
+export function noteChangeLater(ctx: CoreContext, pool: PoolId): void {
+  ctx.state.dispatch.changedPools.add(pool);
+  wakeAnnouncer(ctx, ctx.now + ctx.state.settings.announceMs);
+}
+
 /** Sets the announce timer unless it is due earlier. */
 export function wakeAnnouncer(ctx: CoreContext, at: Millis): void {
   const { dispatch } = ctx.state;
--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -24,6 +24,7 @@
 } from '../types.js';
 import { advancePermits, dropPermit } from './permits.js';
 import type { AttemptFailure, Crash, Fingerprint } from './quarantineState.js';
+import { catchUpTick, keepInformed, noteCaughtUp, startCatchUp } from './catchUp.js';
 import { isQuarantined, QUARANTINE_CRASHES } from './suspects.js';
 import {
   announceSuspect,
@@ -31,6 +32,7 @@
   expireSuspicions,
   liftSuspect,
   mergeSuspicion,
+  sendAll,
   suspectOf,
 } from './suspicions.js';
 
@@ -40,13 +42,15 @@
 
 export function startQuarantine(ctx: CoreContext): void {
   ctx.state.quarantine.lastGossipAt = ctx.now;
-  setTimer(ctx, 'quarantine', ctx.state.settings.quarantineTickMs);
+  startCatchUp(ctx);
+  setTimer(ctx, 'quarantine', catchUpTick(ctx));
 }
 
 export function onQuarantineTimer(ctx: CoreContext): void {
+  keepInformed(ctx);
   expireSuspicions(ctx);
   advancePermits(ctx);
-  setTimer(ctx, 'quarantine', ctx.state.settings.quarantineTickMs);
+  setTimer(ctx, 'quarantine', catchUpTick(ctx));
 }
 
 /** Refuses a request that is in quarantine; true if it did. */
@@ -102,6 +106,8 @@
   from: InstanceId,
   message: PeerMessageOf<'suspicions'>,
 ): void {
+  if (message.wantsAll) sendAll(ctx, from);
+  else noteCaughtUp(ctx);
   for (const entry of message.entries) {
     if (mergeSuspicion(ctx, from, entry)) noteCrashes(ctx, entry.fingerprint);
   }
--- a/src/core/quarantine/quarantineState.ts
+++ b/src/core/quarantine/quarantineState.ts
@@ -48,6 +48,9 @@
   readonly fingerprints: Set<Fingerprint>;
 }
 
+/** `due`: no other instance is known yet. `asking`: runs nothing until one of them has answered. */
+export type CatchUp = 'due' | 'asking' | 'done';
+
 export interface QuarantineState {
   readonly suspects: Map<Fingerprint, Suspect>;
   /** Expiry of suspicions that were cleared or lifted; older news of them counts for nothing. */
@@ -56,6 +59,13 @@
   readonly crashes: Map<UpstreamId, Crash>;
   readonly epochs: Map<UpstreamId, string>;
   lastGossipAt: Millis;
+  /** Members that know what this instance knows, by incarnation. */
+  readonly informed: Map<InstanceId, number>;
+  /** How far this instance has come in learning what the others know. */
+  catchUp: CatchUp;
+  /** Time from which it runs requests although nobody has answered. */
+  catchUpUntil: Millis;
+  lastTickAt: Millis;
 }
 
 export function createQuarantineState(): QuarantineState {
@@ -66,5 +76,9 @@
     crashes: new Map(),
     epochs: new Map(),
     lastGossipAt: 0,
+    informed: new Map(),
+    catchUp: 'due',
+    catchUpUntil: 0,
+    lastTickAt: 0,
   };
 }
