--- a/src/bench/load/results.ts
+++ b/src/bench/load/results.ts
@@ -61,6 +61,8 @@
   readonly serviceSamples: readonly ServiceSample[];
   readonly faults: readonly AppliedFault[];
   readonly truth: TruthReport;
+  /** Ids of the requests that got neither an answer nor a problem. */
+  readonly lost: readonly string[];
   /** Requests without an end when the time to drain was over. */
   readonly unfinished: number;
 }
--- a/src/bench/load/runLoad.ts
+++ b/src/bench/load/runLoad.ts
@@ -73,6 +73,10 @@
     ...(await sampler.results(elapsedMs)),
     faults: schedule.applied(),
     truth: await checkTruth(file, sender.ended()),
+    lost: sender
+      .ended()
+      .filter(({ outcome }) => outcome.kind === 'lost')
+      .map(({ arrival }) => arrival.id),
     unfinished,
   };
   return { kind: 'finished', result };
