--- a/scripts/fleet/files.mjs
+++ b/scripts/fleet/files.mjs
@@ -180,6 +180,7 @@
       name,
       url: url(callers),
       statusUrl: `${url(operators)}/status`,
+      readyUrl: `${url(operators)}/readyz`,
     })),
     engines: targets(plan.engines, MODEL_POOL),
     services: targets(plan.services, SERVICE_POOL),
--- a/src/bench/load/caller.ts
+++ b/src/bench/load/caller.ts
@@ -1,11 +1,12 @@
 /**
- * Sends the requests of a load as a caller does, through instances picked at random. An instance
- * that can't be connected to is passed over, as a balancer passes over one that is not ready.
+ * Sends the requests of a load as a caller does, through the instances that the balancer picks. An
+ * instance that can't be connected to is passed over.
  */
 import { Agent } from 'undici';
 import type { Dispatcher } from 'undici';
 import type { Millis } from '../../core/clock.js';
 import { bodyHash, type ServiceReply } from '../../standins/service.js';
+import type { Balancer } from './balancer.js';
 import type { Arrival, CallArrival, CompletionArrival } from './arrivals.js';
 import { checkWholeAnswer, createStreamCheck } from './answerCheck.js';
 import {
@@ -31,8 +32,7 @@
 ]);
 
 export interface CallerOptions {
-  /** Base URLs of the instances. */
-  readonly instances: readonly string[];
+  readonly balancer: Balancer;
   /** Time without a byte after which a request counts as lost. */
   readonly timeoutMs: Millis;
 }
@@ -58,28 +58,24 @@
     bodyTimeout: options.timeoutMs,
     connect: { timeout: CONNECT_TIMEOUT_MS },
   });
-  const { length } = options.instances;
 
-  /** Connects to the instance at `index` or, if it can't be reached, to the next. */
+  /** Connects to the first instance or, if it can't be reached, to the next. */
   async function request(
     call: HttpCall,
-    index: number,
-    tries = 1,
+    [origin = '', ...others]: readonly string[],
   ): Promise<Dispatcher.ResponseData> {
-    const origin = options.instances[index % length] as string;
     try {
       return await agent.request({ ...call, origin });
     } catch (err) {
-      if (!CONNECT_ERRORS.has(codeOf(err)) || tries >= length) throw err;
-      return request(call, index + 1, tries + 1);
+      if (!CONNECT_ERRORS.has(codeOf(err)) || others.length === 0) throw err;
+      return request(call, others);
     }
   }
 
   return {
     send: async (arrival, progress) => {
       try {
-        const first = Math.floor(arrival.balance * length);
-        const res = await request(toCall(arrival), first);
+        const res = await request(toCall(arrival), options.balancer.order(arrival.balance));
         if (res.statusCode >= 400) {
           return outcomeOfProblem(res.statusCode, await res.body.text());
         }
--- a/src/bench/load/loadFile.ts
+++ b/src/bench/load/loadFile.ts
@@ -88,7 +88,15 @@
     /** Requests in flight at most; arrivals beyond are counted as not sent. */
     maxInFlight: positiveCount.default(20_000),
     instances: z
-      .array(z.strictObject({ name, url: z.url(), statusUrl: z.url().optional() }))
+      .array(
+        z.strictObject({
+          name,
+          url: z.url(),
+          statusUrl: z.url().optional(),
+          /** Asked by the balancer; an instance that does not answer 200 gets no requests. */
+          readyUrl: z.url().optional(),
+        }),
+      )
       .default([]),
     engines: z.array(target.extend({ pool: name })).default([]),
     services: z.array(target.extend({ pool: name })).default([]),
--- a/src/bench/load/observe.ts
+++ b/src/bench/load/observe.ts
@@ -47,6 +47,19 @@
   }
 }
 
+/** The status of an answer; `undefined` if there was none in time. */
+export async function readStatusOf(url: string): Promise<number | undefined> {
+  try {
+    const { statusCode, body } = await request(url, {
+      signal: AbortSignal.timeout(READ_TIMEOUT_MS),
+    });
+    await body.dump();
+    return statusCode;
+  } catch {
+    return undefined;
+  }
+}
+
 export interface UpstreamTarget {
   readonly name: string;
   readonly pool: string;
--- a/src/bench/load/runLoad.ts
+++ b/src/bench/load/runLoad.ts
@@ -6,6 +6,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Millis } from '../../core/clock.js';
 import { createArrivals, type Arrival } from './arrivals.js';
+import { createBalancer } from './balancer.js';
 import { createCaller } from './caller.js';
 import { createCustomerMetrics } from './customerMetrics.js';
 import { findUnknownTargets, startFaultSchedule, type FaultFile } from './faultSchedule.js';
@@ -46,8 +47,9 @@
 
   const metrics = createCustomerMetrics(file);
   const sampler = await createSampler(file, metrics);
+  const balancer = createBalancer(file.instances);
   const caller = createCaller({
-    instances: file.instances.map(({ url }) => url),
+    balancer,
     timeoutMs: options.timeoutMs ?? DEFAULT_TIMEOUT_MS,
   });
   const startedAt = performance.now();
@@ -64,6 +66,7 @@
   const elapsedMs = elapsed();
   await sampling.stop();
   schedule.stop();
+  balancer.stop();
   await caller.close();
   await sender.settled();
   const result: LoadResult = {
--- a/src/standins/http.ts
+++ b/src/standins/http.ts
@@ -93,10 +93,10 @@
   await open(options.port ?? 0);
   const { port } = server.address() as AddressInfo;
 
-  const shutDown = async () =>
+  const shutDown = async (isCut: (socket: Socket) => boolean) =>
     new Promise<void>((resolve) => {
       server.close(() => resolve());
-      sockets.forEach((socket) => socket.resetAndDestroy());
+      [...sockets].filter(isCut).forEach((socket) => socket.resetAndDestroy());
     });
 
   function reopen(): void {
@@ -118,12 +118,13 @@
     close: async () => {
       clearTimeout(restart);
       held = undefined;
-      await shutDown();
+      await shutDown(() => true);
     },
     crash: (restartAfterMs) => {
       if (!server.listening) return;
       if (held !== undefined) held = [];
-      void shutDown();
+      // The request that asked for the crash is still answered.
+      void shutDown((socket) => !controlSockets.has(socket));
       restart = setTimeout(reopen, restartAfterMs);
     },
     hold: () => {
