--- a/src/cli/commands/load.ts
+++ b/src/cli/commands/load.ts
@@ -1,6 +1,16 @@
 /** `load`: runs an open-loop load against a fleet and reports shares, latencies and truth. */
 import { writeFile } from 'node:fs/promises';
-import { command, flag, number, option, optional, positional, string } from 'cmd-ts';
+import {
+  type Type,
+  command,
+  flag,
+  multioption,
+  number,
+  option,
+  optional,
+  positional,
+  string,
+} from 'cmd-ts';
 import {
   formatLoadReport,
   formatLoadResult,
@@ -15,6 +25,19 @@
 import { readText } from '../files.js';
 import { printDiagnostic, printError, printJson, printLine } from '../output.js';
 
+/** `NAME=PID` of processes; signals go to these ids only. */
+const processIds: Type<string[], ReadonlyMap<string, number>> = {
+  displayName: 'name=pid',
+  from: async (texts) =>
+    new Map(
+      texts.map((text) => {
+        const [, name, pid] = /^([^=]+)=(\d+)$/u.exec(text) ?? [];
+        if (name === undefined || Number(pid) <= 1) throw new Error(`'${text}' is not NAME=PID`);
+        return [name, Number(pid)] as const;
+      }),
+    ),
+};
+
 const options = {
   file: positional({ type: string, displayName: 'FILE', description: 'YAML file of the load' }),
   faults: option({
@@ -22,6 +45,11 @@
     long: 'faults',
     description: 'YAML file of faults at set times',
   }),
+  pids: multioption({
+    type: processIds,
+    long: 'pid',
+    description: 'NAME=PID of a process that the faults name; may be repeated',
+  }),
   seed: option({
     type: optional(number),
     long: 'seed',
@@ -40,7 +68,7 @@
   description:
     'Runs a load against a fleet. Exits with 1 if an answer was wrong or a refusal untrue.',
   args: options,
-  handler: async ({ file, faults, seed, report, json }): Promise<ExitCode> => {
+  handler: async ({ file, faults, pids, seed, report, json }): Promise<ExitCode> => {
     const loadFile = await readParsed(file, parseLoadFile);
     const faultFile = faults === undefined ? undefined : await readParsed(faults, parseFaultFile);
     if (loadFile === undefined || (faults !== undefined && faultFile === undefined)) {
@@ -48,6 +76,7 @@
     }
     const run = await runLoad({
       file: seed === undefined ? loadFile : { ...loadFile, seed },
+      pids,
       ...(faultFile === undefined ? {} : { faults: faultFile }),
     });
     if (run.kind === 'rejected') {
--- a/test/cli/cli.test.ts
+++ b/test/cli/cli.test.ts
@@ -71,6 +71,17 @@
     expect(stderr).to.include(`${file}:1:31: error 3004`);
   });
 
+  it('takes process ids for faults by name, and no others', async () => {
+    const load = join('examples', 'load.yaml');
+    const faults = await write('faults.yaml', 'faults: [{atMs: 1, process: i1, signal: SIGCONT}]');
+    const bad = await run('load', load, '--faults', faults, '--pid', 'i1');
+    expect(bad.code).to.equal(EXIT_CODES.usage);
+    expect(bad.stderr).to.include("'i1' is not NAME=PID");
+    const other = await run('load', load, '--faults', faults, '--pid', `i2=${process.pid}`);
+    expect(other.code).to.equal(EXIT_CODES.invalid);
+    expect(other.stderr).to.include('i1');
+  });
+
   it('tells that an instance cannot be reached', async () => {
     const { code, stderr } = await run('status', '--url', 'http://127.0.0.1:1');
     expect(code).to.equal(EXIT_CODES.unreachable);
@@ -115,7 +126,7 @@
 
   it('shows a fleet at work and exits', async () => {
     const { code, stdout } = await run('demo', '--once', '--seconds', '1');
-    expect(stdout).to.include('all answers were true');
+    expect(stdout).to.include('every request had a true end');
     expect(code).to.equal(EXIT_CODES.ok);
   });
 });
