Count customers as waiting only after a time without a byte

Cause: a customer with many requests always has one whose prompt is in process, so the gap meter took it for backlogged and the gap grew with its rate. Change: a request counts as waiting after waitingAfterMs (250 ms) without a byte.

--- a/src/bench/load/customerMetrics.ts
+++ b/src/bench/load/customerMetrics.ts
@@ -46,7 +46,7 @@
   readonly latency: Durations;
   /** Service received, in the units of the pool. */
   service: number;
-  /** Requests sent that have had no byte of an answer. */
+  /** Requests that have had no byte of an answer for as long as the load file sets. */
   waiting: number;
   /** Whether no request waited at some moment since the last sample. */
   wasIdle: boolean;
--- a/src/bench/load/loadFile.ts
+++ b/src/bench/load/loadFile.ts
@@ -83,6 +83,8 @@
     durationMs: z.number().positive(),
     /** Time that requests in flight have to end after the last arrival. */
     drainMs: span.default(30_000),
+    /** Time without a byte after which a request counts as waiting for the fairness gap. */
+    waitingAfterMs: span.default(250),
     /** Interval of the samples of gap, use and control bytes. */
     sampleMs: z.number().min(10).default(500),
     /** Requests in flight at most; arrivals beyond are counted as not sent. */
--- a/src/bench/load/sender.ts
+++ b/src/bench/load/sender.ts
@@ -48,7 +48,8 @@
   async function run(arrival: Arrival, entry: CustomerPoolMetrics): Promise<void> {
     const dueAt = startedAt + arrival.atMs;
     const cost = costs.get(arrival.work.pool) ?? DEFAULT_COST;
-    const tracker = trackProgress(arrival, entry, cost, dueAt);
+    const { waitingAfterMs } = file;
+    const tracker = trackProgress({ arrival, entry, cost, dueAt, waitingAfterMs });
     entry.counts.sent += 1;
     const outcome = await caller.send(arrival, tracker);
     tracker.end();
@@ -83,17 +84,25 @@
   };
 }
 
+interface TrackOptions {
+  readonly arrival: Arrival;
+  readonly entry: CustomerPoolMetrics;
+  readonly cost: Cost;
+  readonly dueAt: Millis;
+  readonly waitingAfterMs: Millis;
+}
+
 /** Counts waiting, times and service of one request; `end` must be called once. */
-function trackProgress(
-  arrival: Arrival,
-  entry: CustomerPoolMetrics,
-  cost: Cost,
-  dueAt: Millis,
-): Progress & { readonly end: () => void } {
-  let isWaiting = true;
-  entry.waiting += 1;
+function trackProgress(options: TrackOptions): Progress & { readonly end: () => void } {
+  const { arrival, entry, cost, dueAt } = options;
+  let isWaiting = false;
+  const timer = setTimeout(() => {
+    isWaiting = true;
+    entry.waiting += 1;
+  }, options.waitingAfterMs);
 
   function stopWaiting(): void {
+    clearTimeout(timer);
     if (!isWaiting) return;
     isWaiting = false;
     entry.waiting -= 1;
--- a/test/bench/load.test.ts
+++ b/test/bench/load.test.ts
@@ -127,6 +127,30 @@
     expect(formatLoadResult(result)).to.include('NOT EVERY REQUEST HAD A TRUE END');
   });
 
+  it('sees the gap that an engine leaves which serves in order of arrival', async () => {
+    const engine = await createEngineStandin({ tokenIntervalMs: 4, batchSize: 1 });
+    const customer = (name: string) =>
+      `{ name: ${name}, key: k, bursts: [{ atMs: 0, requests: 20 }], mix: [*work] }`;
+    const parsed = parseLoadFile(`
+durationMs: 10
+sampleMs: 20
+waitingAfterMs: 0
+instances: [{ name: direct, url: "${engine.url}" }]
+customers:
+  - { name: idle, key: k, mix: [&work { kind: completion, pool: assistant, maxTokens: [5, 5] }] }
+  - ${customer('first')}
+  - ${customer('second')}
+`);
+    if (parsed.kind === 'rejected') throw new Error(JSON.stringify(parsed.issues));
+    const result = await run(parsed.value);
+    await engine.stop();
+    // All 20 requests of the first customer are served before any of the second.
+    expect(result.fairness[0]?.maxGap).to.be.within(1, 20 * 5);
+    expect(Math.max(...(result.fairness[0]?.samples.map(({ waiting }) => waiting) ?? []))).to.equal(
+      2,
+    );
+  });
+
   it('counts requests without an end as lost', async () => {
     const result = await runAgainstEngine({ kind: 'hang' }, 500);
     expect(totalCounts(result).lost).to.be.above(0);
