Take operators' keys as bearer keys and hide hashes on the status page

Cause: commands carried the hash of the key, so whoever read the configuration, which holds the hashes, could act for a team; the status page listed them in full. Change: the operators' port hashes the bearer key itself and a command has no hash; commands of the configuration, the audit trail and the orders are parsed; hashes are shortened in the status. A document from a file has a version below that of any record.

--- a/src/configuration/initialView.ts
+++ b/src/configuration/initialView.ts
@@ -4,8 +4,8 @@
 import type { DocumentDiagnostic } from './types.js';
 import { assignNumbers, createView, NO_NUMBERS } from './view.js';
 
-/** Version of a document that is not from the log. */
-const FILE_VERSION = 0;
+/** Version of a document that is not from the log: below -1, which stands for none. */
+const FILE_VERSION = -2;
 
 export type InitialViewResult =
   | { readonly kind: 'view'; readonly view: ConfigurationView }
--- a/src/configuration/settingsSchema.ts
+++ b/src/configuration/settingsSchema.ts
@@ -48,12 +48,14 @@
 
 const file = z.string().min(1);
 const positive = z.number().positive();
+const hashes = z.array(z.string().regex(/^[0-9a-f]{64}$/, 'a SHA-256 in hexadecimal is expected'));
 
 /** `heartbeatMs` is set as `heartbeat: 1s`, `answerMemoryBytes` as `answerMemory: 8MiB`. */
 function coreFieldOf(key: string): { readonly key: string; readonly type: z.ZodType } {
   if (key.endsWith('Ms')) return { key: key.slice(0, -'Ms'.length), type: duration };
   if (key.endsWith('Bytes')) return { key: key.slice(0, -'Bytes'.length), type: size };
-  return { key, type: positive };
+  const isList = Array.isArray(DEFAULT_CORE_SETTINGS[key as keyof CoreSettings]);
+  return { key, type: isList ? hashes : positive };
 }
 
 const coreKeys = Object.keys(DEFAULT_CORE_SETTINGS) as (keyof CoreSettings)[];
@@ -76,6 +78,7 @@
   return new Map(
     coreFields.map(({ target, field }) => {
       const value = DEFAULT_CORE_SETTINGS[target];
+      if (typeof value !== 'number') return [field.key, JSON.stringify(value)];
       if (target.endsWith('Ms')) return [field.key, formatDuration(value)];
       return [field.key, target.endsWith('Bytes') ? formatSize(value) : String(value)];
     }),
--- a/src/core/configuration/publishing.ts
+++ b/src/core/configuration/publishing.ts
@@ -76,6 +76,7 @@
       after: '',
     };
     configuration.publishing.set(edit.editId, edit);
+    if (configuration.reading.failingSince === undefined) configuration.reading.retryAt = ctx.now;
     advanceEdits(ctx);
   }
 }
--- a/src/core/configuration/reading.ts
+++ b/src/core/configuration/reading.ts
@@ -21,6 +21,8 @@
 const PARTS_LIMIT = 16;
 /** Longest wait of a read by an instance that does not follow the log. */
 const BRIEF_POLL_MS = 1_000;
+/** Pause between reads of an instance that waits for the first document of the log. */
+const IDLE_PAUSE_MS = 5_000;
 
 type LogReadEvent = Extract<CoreEvent, { readonly kind: 'logRead' }>;
 type RecordsResult = Extract<LogReadResult, { readonly kind: 'records' }>;
@@ -119,6 +121,12 @@
   if (result.records.length < READ_LIMIT) reading.atEndAt = ctx.now;
   const [first] = readersOf(ctx.state);
   if (fresh.length > 0 && first === ctx.state.self.id) pushRecords(ctx, from, fresh);
+  // With a document of its own and an empty log there is nothing to hurry for.
+  const { view, publishing } = ctx.state.configuration;
+  const isIdle = result.records.length === 0 && view !== undefined && publishing.size === 0;
+  if (isIdle && !readersOf(ctx.state).includes(ctx.state.self.id)) {
+    reading.retryAt = ctx.now + IDLE_PAUSE_MS;
+  }
 }
 
 function onLocated(ctx: CoreContext, mode: LocateMode, result: RecordsResult): void {
--- a/src/daemon/describe.ts
+++ b/src/daemon/describe.ts
@@ -6,6 +6,7 @@
 /** Copies a value without functions; long lists and maps are cut, with their full size beside. */
 export function describe(value: unknown, depth = 0): unknown {
   if (typeof value === 'function') return undefined;
+  if (typeof value === 'string') return hideHashes(value);
   if (typeof value !== 'object' || value === null) return value;
   if (value instanceof Map) return describeMap(value, depth);
   if (value instanceof Set) return describeList([...value], value.size, depth);
@@ -16,6 +17,11 @@
   return Object.fromEntries(entries.map(([key, item]) => [key, describe(item, depth + 1)]));
 }
 
+/** Shortens hashes of keys, which are of no use to a reader but to a guesser. */
+function hideHashes(text: string): string {
+  return text.replace(/[0-9a-f]{64}/g, (hash) => `${hash.slice(0, 8)}…`);
+}
+
 function describeMap(map: ReadonlyMap<unknown, unknown>, depth: number): unknown {
   if (depth >= MAX_DEPTH) return { size: map.size };
   const shown: Record<string, unknown> = {};
@@ -23,7 +29,7 @@
   for (const [key, item] of map) {
     if (left === 0) return { size: map.size, first: shown };
     left -= 1;
-    shown[String(key)] = describe(item, depth + 1);
+    shown[hideHashes(String(key))] = describe(item, depth + 1);
   }
   return shown;
 }
--- a/src/hosts/callerRequest.ts
+++ b/src/hosts/callerRequest.ts
@@ -142,7 +142,7 @@
 }
 
 /** SHA-256 of the bearer key, so that no key reaches the core, a log or a dump. */
-function readKeyHash(req: IncomingMessage): KeyHash {
+export function readKeyHash(req: IncomingMessage): KeyHash {
   const match = /^Bearer +([!-~]+) *$/i.exec(headerOf(req, 'authorization') ?? '');
   return match?.[1] === undefined ? '' : sha256(match[1]);
 }
--- /dev/null
+++ b/src/hosts/operatorCommands.ts
@@ -0,0 +1,65 @@
+/** Commands as operators send them: JSON, with the operator's key as bearer key beside it. */
+import { z } from 'zod';
+import type { KeyHash, OperatorCommand } from '../core/types.js';
+
+const MAX_LIMIT = 1_000;
+
+const id = z.string().min(1).max(128);
+const limit = z.int().min(1).max(MAX_LIMIT).default(50);
+
+const commandSchema = z.discriminatedUnion('kind', [
+  z.strictObject({
+    kind: z.literal('publish'),
+    editId: id,
+    section: z.string(),
+    baseVersion: z.int(),
+    text: z.string(),
+    author: z.string().min(1).max(256),
+  }),
+  z.strictObject({
+    kind: z.literal('getConfiguration'),
+    section: z.string().exactOptional(),
+    version: z.int().exactOptional(),
+  }),
+  z.strictObject({
+    kind: z.literal('checkConfiguration'),
+    section: z.string(),
+    text: z.string(),
+  }),
+  z.strictObject({ kind: z.literal('configurationHistory'), limit }),
+  z.strictObject({ kind: z.literal('readAudit'), limit }),
+  z.strictObject({ kind: z.literal('listOrders') }),
+  z.strictObject({ kind: z.literal('liftQuarantine'), fingerprint: z.string() }),
+  z.strictObject({ kind: z.literal('status') }),
+]);
+
+/** A command without its author's key. */
+export type WireCommand = z.input<typeof commandSchema>;
+
+export type ParsedCommand =
+  | { readonly kind: 'command'; readonly command: OperatorCommand }
+  | { readonly kind: 'malformed'; readonly reason: string };
+
+/**
+ * Reads a command. The key is hashed here, so that knowing a stored hash, which every reader of the
+ * configuration does, is not enough to act for its team.
+ */
+export function parseCommand(body: Uint8Array | undefined, keyHash: KeyHash): ParsedCommand {
+  const parsed = commandSchema.safeParse(body === undefined ? undefined : parseJson(body));
+  if (!parsed.success) {
+    return { kind: 'malformed', reason: parsed.error.issues[0]?.message ?? '' };
+  }
+  const command = parsed.data;
+  return {
+    kind: 'command',
+    command: command.kind === 'status' ? command : { ...command, keyHash },
+  };
+}
+
+function parseJson(body: Uint8Array): unknown {
+  try {
+    return JSON.parse(Buffer.from(body).toString('utf8'));
+  } catch {
+    return undefined;
+  }
+}
--- a/src/hosts/operatorHost.ts
+++ b/src/hosts/operatorHost.ts
@@ -1,11 +1,11 @@
 /** The operators' port: health, readiness, status and commands. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { H3 } from 'h3';
-import { z } from 'zod';
 import type { Millis } from '../core/clock.js';
 import type { OperatorCommand, OperatorResult, Problem } from '../core/types.js';
-import { readBody } from './callerRequest.js';
+import { readBody, readKeyHash } from './callerRequest.js';
 import { createHttpServer, nodeRoute, sendJson } from './httpServer.js';
+import { parseCommand } from './operatorCommands.js';
 import { problemBody, problemHeaders } from './problem.js';
 import type { OperatorHost, Post } from './types.js';
 
@@ -45,21 +45,6 @@
   peer: { kind: 'self' },
 };
 
-const keyHash = z.string().regex(/^[0-9a-f]{64}$/);
-const commandSchema = z.discriminatedUnion('kind', [
-  z.strictObject({
-    kind: z.literal('publish'),
-    editId: z.string().min(1),
-    section: z.string(),
-    baseVersion: z.number().int(),
-    text: z.string(),
-    author: z.string(),
-    keyHash,
-  }),
-  z.strictObject({ kind: z.literal('liftQuarantine'), fingerprint: z.string(), keyHash }),
-  z.strictObject({ kind: z.literal('status') }),
-]);
-
 /** Creates the operators' port; it does not listen yet. */
 export function createOperatorHost(options: OperatorHostOptions): OperatorHost {
   const timeoutMs = options.commandTimeoutMs ?? DEFAULT_COMMAND_TIMEOUT_MS;
@@ -89,12 +74,12 @@
 
   async function runCommand(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const body = await readBody(req, MAX_COMMAND_BYTES);
-    const parsed = commandSchema.safeParse(body === undefined ? undefined : parseJson(body));
-    if (!parsed.success) {
-      sendProblem(res, { ...BAD_COMMAND, detail: parsed.error.issues[0]?.message ?? '' });
+    const parsed = parseCommand(body, readKeyHash(req));
+    if (parsed.kind === 'malformed') {
+      sendProblem(res, { ...BAD_COMMAND, detail: parsed.reason });
       return;
     }
-    sendResult(res, await run(parsed.data));
+    sendResult(res, await run(parsed.command));
   }
 
   function showStatus(res: ServerResponse): void {
@@ -140,14 +125,6 @@
   };
 }
 
-function parseJson(body: Uint8Array): unknown {
-  try {
-    return JSON.parse(Buffer.from(body).toString('utf8'));
-  } catch {
-    return undefined;
-  }
-}
-
 function sendResult(res: ServerResponse, result: OperatorResult): void {
   if (result.kind === 'done') {
     sendJson(res, 200, result.data ?? {});
