Add the operators' commands: config, customer, stop, orders, quarantine, audit and top

Cause: the configuration could be changed only by hand-made requests. Change: the commands speak to the operators' port with the key from a variable or file. An exported source names its version in its first line, so that publishing it is checked against what was read; a lost reply is sent again under the same id; edits of single entries are tried again after a conflict. `top` shows waiting work, upstreams and control traffic. Conclusion: a test runs them against an instance and the platform stand-in: publish, conflict with its hint, revert, stops, ownership by team, audit; no key or hash in the status page.

--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -1,16 +1,37 @@
 /** The command line: the table of commands and the mapping of their ends to exit codes. */
 import { runSafely, subcommands } from 'cmd-ts';
+import { audit } from './commands/audit.js';
 import { check } from './commands/check.js';
+import { config } from './commands/config.js';
+import { customer } from './commands/customer.js';
 import { demo } from './commands/demo.js';
 import { load } from './commands/load.js';
+import { orders } from './commands/orders.js';
+import { quarantine } from './commands/quarantine.js';
 import { serve } from './commands/serve.js';
 import { standin } from './commands/standin.js';
 import { status } from './commands/status.js';
+import { stop } from './commands/stop.js';
+import { top } from './commands/top.js';
 import { EXIT_CODES, type ExitCode } from './exitCodes.js';
 import { printDiagnostic, printError, printLine } from './output.js';
 
 /** All commands by name. Each resolves to its exit code. */
-const COMMANDS = { serve, check, demo, status, standin, load };
+const COMMANDS = {
+  serve,
+  check,
+  config,
+  customer,
+  stop,
+  orders,
+  quarantine,
+  audit,
+  status,
+  top,
+  demo,
+  standin,
+  load,
+};
 
 const cli = subcommands({
   name: 'primroseswitch',
@@ -23,7 +44,7 @@
 export async function runCli(args: readonly string[]): Promise<ExitCode> {
   try {
     const result = await runSafely(cli, [...args]);
-    if ('value' in result) return await result.value.value;
+    if ('value' in result) return await exitCodeOf(result.value);
     const { exitCode, message, into } = result.error.config;
     (into === 'stderr' ? printError : printLine)(message.trimEnd());
     return exitCode === 0 ? EXIT_CODES.ok : EXIT_CODES.usage;
@@ -32,3 +53,10 @@
     return EXIT_CODES.failed;
   }
 }
+
+/** Commands within commands come with the results of the inner ones. */
+async function exitCodeOf(output: unknown): Promise<ExitCode> {
+  const value: unknown = await output;
+  const isOuter = typeof value === 'object' && value !== null && 'value' in value;
+  return isOuter ? exitCodeOf(value.value) : (value as ExitCode);
+}
--- /dev/null
+++ b/src/cli/commands/config.ts
@@ -0,0 +1,219 @@
+/** `config`: reads, checks, publishes and reverts the configuration. */
+import { writeFile } from 'node:fs/promises';
+import { command, number, option, optional, positional, string, subcommands } from 'cmd-ts';
+import type { DocumentDiagnostic } from '../../configuration/types.js';
+import { EXIT_CODES, type ExitCode } from '../exitCodes.js';
+import { readText, UNREADABLE } from '../files.js';
+import { authorOption } from '../operators/author.js';
+import {
+  createOperatorClient,
+  formatFinding,
+  operatorOptions,
+  reportFailure,
+  type OperatorClient,
+  type SectionSource,
+} from '../operators/client.js';
+import { describeDifferences } from '../operators/differences.js';
+import { readExported, writeExported } from '../operators/exported.js';
+import { formatColumns, printDiagnostic, printError, printLine } from '../output.js';
+
+const WHOLE = 'document';
+
+const section = option({
+  type: optional(string),
+  long: 'section',
+  short: 's',
+  description: 'section; by default that of the file, else the whole document',
+});
+const file = positional({ type: string, displayName: 'FILE', description: 'YAML source' });
+const version = option({
+  type: optional(number),
+  long: 'version',
+  description: 'an earlier version in place of the one in force',
+});
+
+const get = command({
+  name: 'get',
+  description: 'Writes the source of a section or of the document.',
+  args: {
+    ...operatorOptions,
+    section: positional({ type: optional(string), displayName: 'SECTION' }),
+    version,
+    output: option({ type: optional(string), long: 'output', short: 'o', description: 'file' }),
+  },
+  handler: async ({ url, keyFile, output, ...wanted }): Promise<ExitCode> => {
+    const client = await createOperatorClient({ url, keyFile });
+    const reply = await readSource(client, wanted.section ?? WHOLE, wanted.version);
+    if (reply.kind !== 'done') return reportFailure(url, reply);
+    const { data } = reply;
+    const text = writeExported(data.section, data.version, data.text);
+    if (output === undefined) printLine(text.trimEnd());
+    else await writeFile(output, text);
+    return EXIT_CODES.ok;
+  },
+});
+
+async function readSource(client: OperatorClient, name: string, wanted?: number) {
+  return client.run<SectionSource>({
+    kind: 'getConfiguration',
+    section: name,
+    ...(wanted !== undefined && { version: wanted }),
+  });
+}
+
+const diff = command({
+  name: 'diff',
+  description: 'Shows what a file, or the version in force, changes.',
+  args: {
+    ...operatorOptions,
+    file: positional({ type: optional(string), displayName: 'FILE' }),
+    section,
+    from: option({ type: optional(number), long: 'from', description: 'earlier version' }),
+  },
+  handler: async ({ url, keyFile, from, ...given }): Promise<ExitCode> => {
+    const client = await createOperatorClient({ url, keyFile });
+    const source = given.file === undefined ? undefined : await readText(given.file);
+    if (given.file !== undefined && source === undefined) return UNREADABLE;
+    const exported = readExported(source ?? '');
+    const name = given.section ?? exported.section ?? WHOLE;
+    const before = await readSource(client, name, from);
+    if (before.kind !== 'done') return reportFailure(url, before);
+    const after = source === undefined ? await readSource(client, name) : undefined;
+    if (after !== undefined && after.kind !== 'done') return reportFailure(url, after);
+    const text = after === undefined ? exported.text : after.data.text;
+    describeDifferences(name, before.data.text, text).forEach(printLine);
+    return EXIT_CODES.ok;
+  },
+});
+
+const check = command({
+  name: 'check',
+  description: 'Checks a file against the configuration in force, without publishing.',
+  args: { ...operatorOptions, file, section },
+  handler: async ({ url, keyFile, ...given }): Promise<ExitCode> => {
+    const source = await readText(given.file);
+    if (source === undefined) return UNREADABLE;
+    const client = await createOperatorClient({ url, keyFile });
+    const exported = readExported(source);
+    const reply = await client.run<{ readonly diagnostics: readonly DocumentDiagnostic[] }>({
+      kind: 'checkConfiguration',
+      section: given.section ?? exported.section ?? WHOLE,
+      text: exported.text,
+    });
+    if (reply.kind !== 'done') return reportFailure(url, reply);
+    const { diagnostics } = reply.data;
+    diagnostics.forEach((found) => printError(formatFinding(given.file, found)));
+    if (diagnostics.length === 0) printLine(`${given.file}: no findings`);
+    return diagnostics.length === 0 ? EXIT_CODES.ok : EXIT_CODES.invalid;
+  },
+});
+
+const publish = command({
+  name: 'publish',
+  description:
+    'Publishes a file and waits for the verdict. Example: config get pools -o pools.yaml; ' +
+    'edit; config publish pools.yaml',
+  args: {
+    ...operatorOptions,
+    file,
+    section,
+    base: option({
+      type: optional(number),
+      long: 'base',
+      description: 'version that you had read; by default that of the file',
+    }),
+    editId: option({
+      type: optional(string),
+      long: 'edit-id',
+      description: 'id of an edit that is sent again',
+    }),
+    author: authorOption,
+  },
+  handler: async ({ url, keyFile, base, editId, author, ...given }): Promise<ExitCode> => {
+    const source = await readText(given.file);
+    if (source === undefined) return UNREADABLE;
+    const exported = readExported(source);
+    const name = given.section ?? exported.section ?? WHOLE;
+    const baseVersion = base ?? exported.version;
+    if (baseVersion === undefined) {
+      printDiagnostic('baseMissing');
+      return EXIT_CODES.usage;
+    }
+    const client = await createOperatorClient({ url, keyFile });
+    const edit = { section: name, text: exported.text, baseVersion, author, editId };
+    const reply = await client.publish(edit);
+    if (reply.kind !== 'done') return reportFailure(url, reply, given.file);
+    const { version: accepted, unchanged } = reply.data;
+    printLine(unchanged === true ? `unchanged at version ${accepted}` : `version ${accepted}`);
+    return EXIT_CODES.ok;
+  },
+});
+
+interface HistoryEdit {
+  readonly version: number;
+  readonly accepted: boolean;
+  readonly author: string;
+  readonly team: string;
+  readonly at: number;
+  readonly sections: readonly string[];
+  readonly keys: readonly string[];
+  readonly reason?: string;
+}
+
+const history = command({
+  name: 'history',
+  description: 'Lists the latest edits, accepted and refused.',
+  args: {
+    ...operatorOptions,
+    limit: option({ type: number, long: 'limit', defaultValue: () => 20 }),
+  },
+  handler: async ({ url, keyFile, limit }): Promise<ExitCode> => {
+    const client = await createOperatorClient({ url, keyFile });
+    const reply = await client.run<{ readonly edits: readonly HistoryEdit[] }>({
+      kind: 'configurationHistory',
+      limit,
+    });
+    if (reply.kind !== 'done') return reportFailure(url, reply);
+    const head = ['version', 'when', 'who', 'verdict', 'what'];
+    const rows = reply.data.edits.map((edit) => [
+      String(edit.version),
+      new Date(edit.at).toISOString(),
+      `${edit.team}/${edit.author}`,
+      edit.accepted ? 'accepted' : `refused: ${edit.reason ?? ''}`,
+      (edit.keys.length > 0 ? edit.keys : edit.sections).join(' '),
+    ]);
+    printLine(formatColumns([head, ...rows]));
+    return EXIT_CODES.ok;
+  },
+});
+
+const revert = command({
+  name: 'revert',
+  description: 'Publishes an earlier version again, as a new version.',
+  args: {
+    ...operatorOptions,
+    version: positional({ type: number, displayName: 'VERSION' }),
+    section,
+    author: authorOption,
+  },
+  handler: async ({ url, keyFile, author, ...given }): Promise<ExitCode> => {
+    const client = await createOperatorClient({ url, keyFile });
+    const name = given.section ?? WHOLE;
+    const current = await readSource(client, name);
+    if (current.kind !== 'done') return reportFailure(url, current);
+    const earlier = await readSource(client, name, given.version);
+    if (earlier.kind !== 'done') return reportFailure(url, earlier);
+    const baseVersion = current.data.version;
+    const edit = { section: name, text: earlier.data.text, baseVersion, author };
+    const reply = await client.publish(edit);
+    if (reply.kind !== 'done') return reportFailure(url, reply);
+    printLine(`version ${reply.data.version}`);
+    return EXIT_CODES.ok;
+  },
+});
+
+export const config = subcommands({
+  name: 'config',
+  description: 'Reads, checks, publishes and reverts the configuration.',
+  cmds: { get, diff, check, publish, history, revert },
+});
