--- a/src/core/dispatch/assign.ts
+++ b/src/core/dispatch/assign.ts
@@ -5,7 +5,7 @@
  */
 import { sendTo, type CoreContext } from '../context.js';
 import type { Millis } from '../clock.js';
-import { isUpstreamStopping } from '../drain/upstreams.js';
+import { takesNewWork } from '../drain/upstreams.js';
 import { ownedUpstreams } from '../ownership/ownership.js';
 import { leastServed, reserve } from '../shares/shares.js';
 import type { CoreState } from '../state.js';
@@ -13,7 +13,7 @@
 import { cachedBlocks } from './cache.js';
 import { takeOne } from './demand.js';
 import type { IssuedGrant, PoolDemand, WaitingCount } from './dispatchState.js';
-import { foreignUse, freeSlots, slotsOf } from './slots.js';
+import { endReservation, forgetReports, foreignUse, freeSlots, slotsOf } from './slots.js';
 import { relieve, resumeNext } from './suspension.js';
 
 /** Exchanges after which the service of a new grant shows in the sums. */
@@ -39,6 +39,7 @@
   });
   dispatch.ownedByPool = byPool;
   dispatch.ownedSource = owned;
+  forgetReports(state, owned);
   return byPool;
 }
 
@@ -66,7 +67,8 @@
     if (waiting === undefined) return;
     const upstream = chooseUpstream(ctx, free, waiting.heads);
     takeOne(demand, customer, waiting.entry);
-    issueGrant(ctx, waiting.entry, pool, customer, upstream);
+    const cachedPercent = cachedPercentOf(state, upstream, waiting.heads);
+    issueGrant(ctx, waiting.entry, pool, customer, upstream, cachedPercent);
   }
 }
 
@@ -74,8 +76,7 @@
 export function usableUpstreams(ctx: CoreContext, pool: PoolId): readonly UpstreamConfig[] {
   const { state } = ctx;
   return ownedInPool(state, pool).filter(
-    (upstream) =>
-      !isUpstreamStopping(state, upstream.id) && freeSlots(state, upstream, ctx.now) > 0,
+    (upstream) => takesNewWork(state, upstream.id) && freeSlots(state, upstream, ctx.now) > 0,
   );
 }
 
@@ -124,6 +125,15 @@
   return best;
 }
 
+function cachedPercentOf(
+  state: CoreState,
+  upstream: UpstreamConfig,
+  heads: readonly number[],
+): number {
+  if (heads.length === 0) return 0;
+  return Math.floor((100 * cachedBlocks(state, upstream.id, heads)) / heads.length);
+}
+
 function loadOf(state: CoreState, upstream: UpstreamConfig, now: Millis): number {
   const slots = slotsOf(state, upstream);
   return (slots.inUse + foreignUse(slots, now)) / Math.max(1, slots.limit);
@@ -135,8 +145,9 @@
   pool: PoolConfig,
   customer: CustomerNumber,
   upstream: UpstreamConfig,
+  cachedPercent: number,
 ): void {
-  const { dispatch, settings } = ctx.state;
+  const { dispatch, settings, configuration } = ctx.state;
   const grantId = dispatch.nextGrant;
   dispatch.nextGrant += 1;
   const grant: IssuedGrant = {
@@ -150,12 +161,13 @@
     phase: 'held',
     phaseSince: ctx.now,
     canSuspend: pool.kind === 'model',
+    reserved: configuration.view?.fairness.chargeStep ?? 0,
   };
   dispatch.issued.set(grantId, grant);
   const slots = slotsOf(ctx.state, upstream);
   slots.inUse += 1;
   slots.lastUsedAt = ctx.now;
-  reserveStep(ctx, pool.id, customer);
+  reserve(ctx.state, customer, pool.id, grant.reserved);
   sendTo(ctx, entry, {
     $case: 'grant',
     value: {
@@ -164,23 +176,16 @@
       customer,
       upstream: upstream.id,
       expiresInMs: settings.grantTimeoutMs,
+      cachedPercent,
     },
   });
 }
 
-/** Counts a charge step as received until the grant's real service shows in the sums. */
-function reserveStep(ctx: CoreContext, pool: PoolId, customer: CustomerNumber): void {
-  const { dispatch, settings, configuration } = ctx.state;
-  const amount = configuration.view?.fairness.chargeStep ?? 0;
-  reserve(ctx.state, customer, pool, amount);
-  const until = ctx.now + RESERVATION_EXCHANGES * settings.exchangeMs;
-  dispatch.reservations.push({ until, customer, pool, amount });
-}
-
-/** Ends the reservations whose service shows in the sums by now. */
+/** Ends the reservations of grants whose service shows in the sums by now. */
 export function settleReservations(ctx: CoreContext): void {
-  const { reservations } = ctx.state.dispatch;
-  const pending = reservations.findIndex(({ until }) => until > ctx.now);
-  const settled = reservations.splice(0, pending < 0 ? reservations.length : pending);
-  settled.forEach(({ customer, pool, amount }) => reserve(ctx.state, customer, pool, -amount));
+  const { dispatch, settings } = ctx.state;
+  const oldest = ctx.now - RESERVATION_EXCHANGES * settings.exchangeMs;
+  dispatch.issued.forEach((grant) => {
+    if (grant.reserved > 0 && grant.issuedAt <= oldest) endReservation(ctx.state, grant);
+  });
 }
