--- a/src/core/configuration/configuration.ts
+++ b/src/core/configuration/configuration.ts
@@ -10,6 +10,7 @@
   CoreEvent,
   InstanceId,
   OperatorCommand,
+  OperatorResult,
   PeerMessageOf,
 } from '../types.js';
 import { onCheckpointAppended, writeCheckpointIfDue } from './checkpointing.js';
@@ -116,6 +117,22 @@
   advance(ctx);
 }
 
+/** The versions of the configuration at this instance, without its content. */
+export function describeConfiguration(ctx: CoreContext): OperatorResult {
+  const { configuration } = ctx.state;
+  const { fold, reading } = configuration;
+  const data = {
+    version: configuration.view?.version ?? -1,
+    acceptedVersion: fold.version,
+    readThrough: configuration.intakeNext,
+    hasCaughtUp: configuration.hasCaughtUp,
+    logFailingSince: reading.failingSince ?? null,
+    blocked: fold.blocked ?? null,
+    pendingEdits: configuration.publishing.size,
+  };
+  return { kind: 'done', data };
+}
+
 function answer(
   ctx: CoreContext,
   commandId: string,
--- a/src/core/orders/ordersState.ts
+++ b/src/core/orders/ordersState.ts
@@ -50,7 +50,7 @@
     foreignSince: new Map(),
     settling: new Map(),
     readSentAt: undefined,
-    atEndAt: -1,
+    atEndAt: -Infinity,
     nextAppendId: 1,
     nextOrder: 1,
   };
--- a/src/core/reducer.ts
+++ b/src/core/reducer.ts
@@ -8,6 +8,7 @@
 } from './audit/audit.js';
 import { onAttemptEnded, onAttemptProgress } from './attempts/attempts.js';
 import {
+  describeConfiguration,
   onApplyTimer,
   onConfigurationAppended,
   onConfigurationCommand,
@@ -239,6 +240,7 @@
       onKeyedCommand(ctx, commandId, command);
       return;
     case 'status':
+      ctx.emit({ kind: 'operatorReply', commandId, result: describeConfiguration(ctx) });
       return;
     default:
       Debug.assertNever(command);
--- a/test/configuration/fold.test.ts
+++ b/test/configuration/fold.test.ts
@@ -7,29 +7,14 @@
   VERDICTS_MAX,
 } from '../../src/core/configuration/foldState.js';
 import type { SectionChange } from '../../src/core/configuration/records.js';
-import { splitDocument, splitSection } from '../../src/configuration/source.js';
-import { ACCOUNTS_HASH, BASE_DOCUMENT, editRecord } from '../support/edits.js';
-
-function changesOf(source: string): SectionChange[] {
-  return splitDocument(source).parts.map(({ name, text }) => ({
-    section: name,
-    set: Object.fromEntries(splitSection(name, text).parts.map((part) => [part.key, part.text])),
-    remove: [],
-  }));
-}
+import { ACCOUNTS_HASH, baseChanges, editRecord, stopChange } from '../support/edits.js';
 
 function startedFold(): FoldState {
   const fold = createFoldState();
-  foldRecord(fold, 0, editRecord('base', -1, changesOf(BASE_DOCUMENT)));
+  foldRecord(fold, 0, editRecord('base', -1, baseChanges()));
   return fold;
 }
 
-const stop = (key: string, reason = 'r'): SectionChange => ({
-  section: 'plannedStops',
-  set: { [key]: `${key}: { reason: ${reason} }\n` },
-  remove: [],
-});
-
 function reasonOf(fold: FoldState, offset: number, record: string) {
   const judgement = foldRecord(fold, offset, record);
   return judgement.kind === 'refused' ? judgement.verdict.reason : judgement.kind;
@@ -38,23 +23,29 @@
 describe('fold of the configuration', () => {
   it('needs the teams first, then an owner', () => {
     const empty = createFoldState();
-    expect(reasonOf(empty, 0, editRecord('x', -1, [stop('e1')]))).to.equal('bootstrap');
+    expect(reasonOf(empty, 0, editRecord('x', -1, [stopChange('e1')]))).to.equal('bootstrap');
     const fold = startedFold();
     expect(fold.version).to.equal(0);
     const byAccounts = { team: 'accounts' };
-    expect(reasonOf(fold, 1, editRecord('a', 0, [stop('e1')], byAccounts))).to.equal('notOwner');
+    expect(reasonOf(fold, 1, editRecord('a', 0, [stopChange('e1')], byAccounts))).to.equal(
+      'notOwner',
+    );
     const forged = { team: 'platform', keyHash: ACCOUNTS_HASH };
-    expect(reasonOf(fold, 2, editRecord('b', 0, [stop('e1')], forged))).to.equal('wrongProof');
+    expect(reasonOf(fold, 2, editRecord('b', 0, [stopChange('e1')], forged))).to.equal(
+      'wrongProof',
+    );
     const unknown = { team: 'nobody', keyHash: ACCOUNTS_HASH };
-    expect(reasonOf(fold, 3, editRecord('c', 0, [stop('e1')], unknown))).to.equal('unknownTeam');
-    expect(reasonOf(fold, 4, editRecord('d', 0, [stop('e1')]))).to.equal('accepted');
+    expect(reasonOf(fold, 3, editRecord('c', 0, [stopChange('e1')], unknown))).to.equal(
+      'unknownTeam',
+    );
+    expect(reasonOf(fold, 4, editRecord('d', 0, [stopChange('e1')]))).to.equal('accepted');
     expect(fold.version).to.equal(4);
   });
 
   it('lets exactly one of racing edits of a section win, and says who won', () => {
     const fold = startedFold();
-    expect(reasonOf(fold, 1, editRecord('first', 0, [stop('e1')]))).to.equal('accepted');
-    const judgement = foldRecord(fold, 2, editRecord('second', 0, [stop('e1', 'other')]));
+    expect(reasonOf(fold, 1, editRecord('first', 0, [stopChange('e1')]))).to.equal('accepted');
+    const judgement = foldRecord(fold, 2, editRecord('second', 0, [stopChange('e1', 'other')]));
     const verdict = judgement.kind === 'refused' ? judgement.verdict : undefined;
     expect(verdict?.reason).to.equal('conflict');
     expect(verdict?.conflicts[0]).to.deep.include({ author: 'author-first', keys: ['e1'] });
@@ -69,7 +60,7 @@
 
   it('gives a repeated edit the first verdict and does not apply it again', () => {
     const fold = startedFold();
-    const record = editRecord('once', 0, [stop('e1')]);
+    const record = editRecord('once', 0, [stopChange('e1')]);
     expect(reasonOf(fold, 1, record)).to.equal('accepted');
     expect(reasonOf(fold, 2, record)).to.equal('ignored');
     expect(fold.version).to.equal(1);
@@ -81,7 +72,7 @@
     const judgement = foldRecord(fold, 1, editRecord('a', 0, [remove]));
     const verdict = judgement.kind === 'refused' ? judgement.verdict : undefined;
     expect(verdict?.diagnostics[0]?.code).to.equal('unknownReference');
-    expect(reasonOf(fold, 2, editRecord('b', 9, [stop('e1')]))).to.equal('unknownBase');
+    expect(reasonOf(fold, 2, editRecord('b', 9, [stopChange('e1')]))).to.equal('unknownBase');
   });
 
   it('stops before a record of a later program', () => {
@@ -94,8 +85,8 @@
 
   it('knows earlier texts of a section', () => {
     const fold = startedFold();
-    foldRecord(fold, 1, editRecord('a', 0, [stop('e1', 'one')]));
-    foldRecord(fold, 2, editRecord('b', 1, [stop('e1', 'two')]));
+    foldRecord(fold, 1, editRecord('a', 0, [stopChange('e1', 'one')]));
+    foldRecord(fold, 2, editRecord('b', 1, [stopChange('e1', 'two')]));
     const removed: SectionChange = { section: 'plannedStops', set: {}, remove: ['e1'] };
     foldRecord(fold, 3, editRecord('c', 2, [removed]));
     expect(entriesAt(fold, 'plannedStops', 1)?.get('e1')).to.contain('one');
@@ -115,7 +106,7 @@
     );
     const fold = startedFold();
     for (let i = 1; i <= VERDICTS_MAX + 10; i += 1) {
-      foldRecord(fold, i, editRecord(`e${i}`, 0, [stop('e1')], { keyHash: ACCOUNTS_HASH }));
+      foldRecord(fold, i, editRecord(`e${i}`, 0, [stopChange('e1')], { keyHash: ACCOUNTS_HASH }));
     }
     expect(fold.verdicts.size).to.equal(VERDICTS_MAX);
   });
--- a/test/orders/orders.test.ts
+++ b/test/orders/orders.test.ts
@@ -6,11 +6,13 @@
   type FakeFleet,
   type FakeInstance,
 } from '../../src/bench/configuration/fakeFleet.js';
+import { createCore } from '../../src/core/core.js';
 import {
   createOrdersFold,
   foldOrder,
   type OrderRecord,
 } from '../../src/core/orders/orderRecords.js';
+import { createTestView } from '../support/configuration.js';
 import { BASE_DOCUMENT, PLATFORM_HASH } from '../support/edits.js';
 
 const ENGINES = 8;
@@ -126,6 +128,52 @@
   });
 });
 
+describe('an owner that was paused between its decision and the order', () => {
+  const self = { id: 'a', incarnation: 1, address: '127.0.0.1:1', domain: 'd1', region: 'r1' };
+  const placement = [
+    {
+      pool: 'chat',
+      model: 'm',
+      version: '1',
+      adapters: [],
+      minUpstreams: 1,
+      maxUpstreams: 9,
+      servingShare: 0,
+    },
+  ];
+
+  /** Orders that are given if the record is read back `pauseMs` after it was appended. */
+  function givenAfter(pauseMs: number): number {
+    const initialConfiguration = { ...createTestView(), placement };
+    const core = createCore({ self, seed: 1, initialConfiguration });
+    core.reduce({ kind: 'start' }, 0);
+    const engines = createFakeEngines({ ids: ['e1'], checks: () => false, loadMs: 10 });
+    const report = engines.report('e1', 0);
+    if (report === undefined) throw new Error('no report');
+    const cache = { cacheEvents: [], cacheNext: 0, cacheGap: false };
+    core.reduce({ kind: 'upstreamReport', upstream: 'e1', report, ...cache }, 1);
+    core.reduce({ kind: 'timer', timer: 'orders' }, 2);
+    const empty = { kind: 'records', records: [], next: 0 } as const;
+    core.reduce({ kind: 'logRead', stream: 'orders', from: 0, result: empty }, 3);
+    const effects = core.reduce({ kind: 'timer', timer: 'orders' }, 4);
+    const append = effects.find((effect) => effect.kind === 'appendLog');
+    if (append === undefined) throw new Error('nothing was appended');
+    const { appendId, stream, records } = append;
+    const now = 5 + pauseMs;
+    const appended = { kind: 'appended', offset: 0 } as const;
+    core.reduce({ kind: 'appendSettled', appendId, stream, result: appended }, now);
+    const read = [{ offset: 0, data: records[0] ?? '' }];
+    const result = { kind: 'records', records: read, next: 1 } as const;
+    const given = core.reduce({ kind: 'logRead', stream, from: 0, result }, now + 1);
+    return given.filter((effect) => effect.kind === 'giveOrder').length;
+  }
+
+  it('gives it in time, and not any more when it is old', () => {
+    expect(givenAfter(10)).to.equal(1);
+    expect(givenAfter(60_000)).to.equal(0);
+  });
+});
+
 describe('fold of the orders', () => {
   const orderArbitrary = fc.record({
     kind: fc.constant('order' as const),
--- a/test/support/edits.ts
+++ b/test/support/edits.ts
@@ -7,6 +7,7 @@
   type EditContent,
   type SectionChange,
 } from '../../src/core/configuration/records.js';
+import { splitDocument, splitSection } from '../../src/configuration/source.js';
 import { runSteps, SECTION_NAMES } from '../../src/configuration/types.js';
 
 export const PLATFORM_KEY = 'platform-secret';
@@ -35,6 +36,20 @@
   e1: { pool: chat, url: 'http://127.0.0.1:9', domain: d1, region: r1, slots: 2 }
 `;
 
+/** Changes that publish the base document. */
+export function baseChanges(): SectionChange[] {
+  return splitDocument(BASE_DOCUMENT).parts.map(({ name, text }) => ({
+    section: name,
+    set: Object.fromEntries(splitSection(name, text).parts.map((part) => [part.key, part.text])),
+    remove: [],
+  }));
+}
+
+/** A change that plans the stop of an upstream. */
+export function stopChange(key: string, reason = 'r'): SectionChange {
+  return { section: 'plannedStops', set: { [key]: `${key}: { reason: ${reason} }\n` }, remove: [] };
+}
+
 export interface EditOptions {
   readonly team?: string;
   readonly keyHash?: string;
