--- a/src/core/dispatch/entry.ts
+++ b/src/core/dispatch/entry.ts
@@ -7,7 +7,7 @@
 import { grantKey } from './dispatchState.js';
 import { noteGranted } from './announcements.js';
 import { returnGrant } from './grants.js';
-import { noteChange, takeNext } from './queues.js';
+import { noteChange, noteChangeLater, takeNext } from './queues.js';
 
 /** Ids of one owner that are remembered against repeated delivery. */
 const REMEMBERED_GRANTS = 512;
@@ -33,12 +33,14 @@
     return;
   }
   noteGranted(state, owner, pool.id, grant.customer);
-  noteChange(ctx, pool.id);
   const requestId = takeNext(state, pool.id, grant.customer, grant.upstream);
   if (requestId === undefined) {
+    // What waits may not run on this upstream; offering it again at once would bring the same grant.
+    noteChangeLater(ctx, pool.id);
     returnGrant(ctx, facts);
     return;
   }
+  noteChange(ctx, pool.id);
   state.dispatch.heldGrants.set(grantKey(facts), { customer: grant.customer, incarnation });
   noteRunning(state, grant.customer, 1);
   startAttempt(ctx, requestId, facts);
--- a/src/core/dispatch/slots.ts
+++ b/src/core/dispatch/slots.ts
@@ -44,6 +44,7 @@
     reportedRunning: 0,
     slowReports: 0,
     lastUsedAt: 0,
+    returnedAt: -Infinity,
   };
   slots.set(upstream.id, created);
   return created;
