Measure claims, and append by oneself while the budget allows

Change: an instance appends by itself within its part of half the budget and goes to a writer only beyond that; src/bench/exact/main.ts prints appends, claim time, outage, restart and fault runs.

--- a/src/bench/exact/fleet.ts
+++ b/src/bench/exact/fleet.ts
@@ -152,7 +152,7 @@
     model.onEffect(effect);
     switch (effect.kind) {
       case 'dispatch':
-        model.onDispatch(effect.attempt, sinceNews(node, effect.attempt.upstream));
+        model.onDispatch(effect.attempt, sinceNews(node, effect.attempt.upstream), schedule.now());
         upstreams.dispatch(effect.attempt, (event) => {
           if (nodes.get(id) !== node) return;
           const isTokens = event.kind === 'attemptProgress';
--- /dev/null
+++ b/src/bench/exact/main.ts
@@ -0,0 +1,36 @@
+/**
+ * Prints the figures of exact outcomes: `node dist/src/bench/exact/main.js [runs] [seed]`. Exits with
+ * 1 if a figure exceeds its bound.
+ */
+import {
+  measureAppends,
+  measureClaimTime,
+  measureFaults,
+  measureOutage,
+  measureRestart,
+  type Figure,
+} from './measure.js';
+
+const DEFAULT_RUNS = 200;
+
+const [runs, seed] = process.argv.slice(2).map(Number);
+const figures: readonly Figure[] = [
+  ...measureAppends(9, 1_000),
+  ...measureAppends(40, 1_000),
+  ...measureClaimTime(3, 20),
+  ...measureClaimTime(3, 100),
+  ...measureClaimTime(9, 20),
+  ...measureClaimTime(9, 100),
+  ...measureOutage(),
+  ...measureRestart(20),
+  ...measureFaults(runs ?? DEFAULT_RUNS, seed ?? 1),
+];
+
+let isExceeded = false;
+figures.forEach(({ name, value, unit, bound }) => {
+  const isOver = bound !== undefined && value > bound;
+  isExceeded ||= isOver;
+  const limit = bound === undefined ? '' : ` (bound ${bound}${isOver ? ', EXCEEDED' : ''})`;
+  process.stdout.write(`${name}: ${value.toFixed(2)} ${unit}${limit}\n`);
+});
+process.exitCode = isExceeded ? 1 : 0;
--- /dev/null
+++ b/src/bench/exact/measure.ts
@@ -0,0 +1,175 @@
+/** Measurements of claims in simulated time; all of them are properties of the protocol. */
+import { MS_PER_SECOND, type Millis } from '../../core/clock.js';
+import { createExactFleet, type ExactFleet, type ExactFleetOptions } from './fleet.js';
+import { runScenario } from './scenario.js';
+import { FAULTS, type Fault } from './faults.js';
+
+/** One figure with its unit and the bound that the design states for it, if it states one. */
+export interface Figure {
+  readonly name: string;
+  readonly value: number;
+  readonly unit: string;
+  readonly bound?: number;
+}
+
+const WARM_UP_MS = 6_000;
+const SECONDS_OF_LOAD = 10;
+const OUTAGE_MS = 600_000;
+const PLENTY_OF_SLOTS = 10_000;
+
+function readyFleet(options: ExactFleetOptions): ExactFleet {
+  const fleet = createExactFleet({ slots: PLENTY_OF_SLOTS, ...options });
+  fleet.runFor(WARM_UP_MS);
+  return fleet;
+}
+
+const booking = (key: string) =>
+  ({ pool: 'desk', customer: 1, outputTokens: 0, key, content: key }) as const;
+
+/** Appends per second while every instance takes keyed requests. */
+export function measureAppends(instances: number, requestsPerSecond: number): readonly Figure[] {
+  const fleet = readyFleet({ seed: 1, instances });
+  const { appends, recordsAppended } = fleet.log.counts;
+  const requests = requestsPerSecond * SECONDS_OF_LOAD;
+  for (let i = 0; i < requests; i += 1) {
+    fleet.schedule.after((i * MS_PER_SECOND) / requestsPerSecond, () => {
+      fleet.submit(fleet.ids[i % instances] as string, booking(`k${i}`));
+    });
+  }
+  fleet.runFor(SECONDS_OF_LOAD * MS_PER_SECOND);
+  const made = fleet.log.counts.appends - appends;
+  const records = fleet.log.counts.recordsAppended - recordsAppended;
+  const name = `${instances} instances, ${requestsPerSecond} keyed requests/s`;
+  const bound = fleet.coreOf('i0')?.state.settings.claimAppendsPerSecond ?? 0;
+  return [
+    { name: `appends, ${name}`, value: made / SECONDS_OF_LOAD, unit: '1/s', bound },
+    { name: `records per append, ${name}`, value: records / made, unit: '' },
+  ];
+}
+
+/** Time from arrival to dispatch that a claim adds, in round trips of the log. */
+export function measureClaimTime(instances: number, logDelayMs: Millis): readonly Figure[] {
+  const fleet = readyFleet({ seed: 2, instances, logDelayMs });
+  const waits: { keyed: Millis[]; plain: Millis[] } = { keyed: [], plain: [] };
+  const ids: { readonly id: string; readonly isKeyed: boolean }[] = [];
+  for (let i = 0; i < 400; i += 1) {
+    const to = fleet.ids[fleet.random.nextInt(instances)] as string;
+    const isKeyed = i % 2 === 0;
+    const plain = { pool: 'desk', customer: 1, outputTokens: 0 } as const;
+    ids.push({ id: fleet.submit(to, isKeyed ? booking(`k${i}`) : plain), isKeyed });
+    fleet.runFor(fleet.random.nextInt(100));
+  }
+  fleet.runFor(10 * MS_PER_SECOND);
+  ids.forEach(({ id, isKeyed }) => {
+    const sent = fleet.model.submissions.get(id)?.at ?? 0;
+    const dispatched = fleet.model.dispatchedAt.get(id);
+    if (dispatched !== undefined) waits[isKeyed ? 'keyed' : 'plain'].push(dispatched - sent);
+  });
+  const plain = quantile(waits.plain, 0.5);
+  const added = (q: number) => (quantile(waits.keyed, q) - plain) / logDelayMs;
+  const name = `${instances} instances, log round trip ${logDelayMs} ms`;
+  const unit = 'round trips';
+  return [
+    { name: `claim, median, ${name}`, value: added(0.5), unit, bound: 2 },
+    { name: `claim, 95 in 100, ${name}`, value: added(0.95), unit, bound: 2 },
+  ];
+}
+
+/** Shares of requests refused in an outage of the log. */
+export function measureOutage(): readonly Figure[] {
+  const fleet = readyFleet({ seed: 3 });
+  fleet.log.faults.isDown = true;
+  const kinds = { keyed: [] as string[], unkeyed: [] as string[], stream: [] as string[] };
+  for (let at = 0; at < OUTAGE_MS; at += MS_PER_SECOND) {
+    const to = fleet.ids[fleet.random.nextInt(fleet.ids.length)] as string;
+    kinds.keyed.push(fleet.submit(to, booking(`k${at}`)));
+    kinds.unkeyed.push(fleet.submit(to, { pool: 'desk', customer: 1, outputTokens: 0 }));
+    kinds.stream.push(fleet.submit(to, { pool: 'chat', customer: 2, outputTokens: 5 }));
+    fleet.runFor(MS_PER_SECOND);
+  }
+  fleet.log.faults.isDown = false;
+  const back = fleet.schedule.now();
+  const first = firstTaken(fleet, back);
+  const isRefused = (id: string) => fleet.model.told.get(id)?.[0]?.kind === 'refuse';
+  const share = (ids: readonly string[]) => (100 * ids.filter(isRefused).length) / ids.length;
+  const name = 'refused in a 10-minute outage of the log';
+  return [
+    { name: `${name}, keyed`, value: share(kinds.keyed), unit: '%' },
+    {
+      name: `${name}, non-idempotent without a key`,
+      value: share(kinds.unkeyed),
+      unit: '%',
+      bound: 0,
+    },
+    { name: `${name}, idempotent`, value: share(kinds.stream), unit: '%', bound: 0 },
+    { name: 'end of the outage to the first keyed request taken', value: first, unit: 'ms' },
+  ];
+}
+
+/** Time that an instance restarted empty takes to be level with the log. */
+export function measureRestart(keyedPerSecond: number): readonly Figure[] {
+  const settings = { claimMemoryMs: 60_000, claimCheckpointMs: 10_000, claimHoldMs: 10_000 };
+  const fleet = readyFleet({ seed: 4, settings });
+  const requests = keyedPerSecond * 180;
+  for (let i = 0; i < requests; i += 1) {
+    fleet.submit(fleet.ids[1 + (i % 2)] as string, booking(`k${i}`));
+    fleet.runFor(MS_PER_SECOND / keyedPerSecond);
+  }
+  fleet.kill('i0');
+  const before = fleet.log.counts.recordsRead;
+  const from = fleet.schedule.now();
+  fleet.start('i0');
+  const next = () => fleet.coreOf('i0')?.state.claims.next ?? 0;
+  const wanted = fleet.coreOf('i1')?.state.claims.next ?? 0;
+  while (next() < wanted) fleet.runFor(1);
+  const took = fleet.schedule.now() - from;
+  const name = `empty restart, ${keyedPerSecond} keyed requests/s, 60 s remembered`;
+  const read = fleet.log.counts.recordsRead - before;
+  // A claim and an outcome per request of the memory, and of a checkpoint interval.
+  const bound = 2 * keyedPerSecond * (60 + 10) + 20;
+  return [
+    { name: `${name}: level with the log after`, value: took, unit: 'ms' },
+    { name: `${name}: records read`, value: read, unit: '', bound },
+    { name: `${name}: records in the log`, value: fleet.log.counts.recordsAppended, unit: '' },
+  ];
+}
+
+/** Runs with random faults at random instants; returns what was run and what was broken. */
+export function measureFaults(runs: number, seed: number): readonly Figure[] {
+  let broken = 0;
+  let requests = 0;
+  for (let run = 0; run < runs; run += 1) {
+    const pick = createExactFleet({ seed: seed + run, instances: 1 }).random;
+    const strikes = Array.from({ length: 1 + pick.nextInt(3) }, () => ({
+      fault: FAULTS[pick.nextInt(FAULTS.length)] as Fault,
+      at: pick.nextInt(6_000),
+      span: 100 + pick.nextInt(9_000),
+      pick: pick.nextInt(12),
+    }));
+    const { fleet, violations } = runScenario({ fleet: { seed: seed + run }, strikes });
+    requests += fleet.model.submissions.size;
+    if (violations.length === 0) continue;
+    broken += 1;
+    process.stdout.write(`${JSON.stringify({ seed: seed + run, strikes, violations })}\n`);
+  }
+  return [
+    { name: `requests in ${runs} runs with one to three faults`, value: requests, unit: '' },
+    { name: `runs of ${runs} in which a rule was broken`, value: broken, unit: '', bound: 0 },
+  ];
+}
+
+/** Time after `back` at which a keyed request is taken again, asking four times a second. */
+function firstTaken(fleet: ExactFleet, back: Millis): Millis {
+  for (let i = 0; i < 100; i += 1) {
+    const id = fleet.submit('i0', booking(`back${i}`));
+    fleet.runFor(250);
+    const dispatched = fleet.model.dispatchedAt.get(id);
+    if (dispatched !== undefined) return dispatched - back;
+  }
+  return Infinity;
+}
+
+function quantile(values: readonly number[], q: number): number {
+  const sorted = [...values].sort((a, b) => a - b);
+  return sorted[Math.min(sorted.length - 1, Math.floor(q * sorted.length))] ?? NaN;
+}
--- a/src/bench/exact/model.ts
+++ b/src/bench/exact/model.ts
@@ -29,9 +29,11 @@
   readonly told: Map<RequestId, Told[]>;
   /** Requests that need no outcome: the caller left, or its instance was lost. */
   readonly excused: Set<RequestId>;
+  /** Time of the first dispatch of a request. */
+  readonly dispatchedAt: Map<RequestId, Millis>;
   readonly submit: (submission: Submission) => void;
   /** `sinceNews` is the time since its instance learnt that the upstream leaves; 0 if it stays. */
-  readonly onDispatch: (plan: AttemptPlan, sinceNews: Millis) => void;
+  readonly onDispatch: (plan: AttemptPlan, sinceNews: Millis, now: Millis) => void;
   readonly onTokens: (requestId: RequestId, tokens: number) => void;
   readonly onEffect: (effect: Effect) => void;
   /** Returns what was broken, given all that the upstreams saw. */
@@ -42,6 +44,7 @@
   const submissions = new Map<RequestId, Submission>();
   const told = new Map<RequestId, Told[]>();
   const excused = new Set<RequestId>();
+  const dispatchedAt = new Map<RequestId, Millis>();
   const received = new Map<RequestId, number>();
   const violations: string[] = [];
 
@@ -49,7 +52,8 @@
     told.set(requestId, [...(told.get(requestId) ?? []), what]);
   };
 
-  const onDispatch = (plan: AttemptPlan, sinceNews: Millis) => {
+  const onDispatch = (plan: AttemptPlan, sinceNews: Millis, now: Millis) => {
+    if (!dispatchedAt.has(plan.requestId)) dispatchedAt.set(plan.requestId, now);
     if (sinceNews > STOP_NEWS_MS) {
       violations.push(`${plan.requestId} went to ${plan.upstream}, which is to stop`);
     }
@@ -89,6 +93,7 @@
     submissions,
     told,
     excused,
+    dispatchedAt,
     submit: (submission) => submissions.set(submission.requestId, submission),
     onDispatch,
     onTokens: (requestId, tokens) => {
--- a/src/core/claims/submission.ts
+++ b/src/core/claims/submission.ts
@@ -1,9 +1,9 @@
 /**
  * Submission: how records get into the claims stream.
  *
- * Many records share one append. In a fleet of more than `claimWriters` instances, few writers,
- * chosen by rendezvous hashing, append for the others; each writer keeps to its part of the fleet's
- * append budget. Nothing is confirmed: a record counts once its author has read it back. What is not
+ * Many records share one append. An instance appends by itself as long as its part of the fleet's
+ * append budget allows; in a fleet of more than `claimWriters` instances, what is beyond that goes to
+ * one of few writers, chosen by rendezvous hashing, each with a larger part of the budget. Nothing is confirmed: a record counts once its author has read it back. What is not
  * read back in time is appended again by the author itself, whether a message, a writer or a reply of
  * the log was lost; a record that is in the log twice counts once.
  */
@@ -18,13 +18,15 @@
 export const CHECKPOINTS_STREAM = 'claims-checkpoints';
 
 const MAX_RECORDS_PER_APPEND = 500;
+/** In a large fleet the writers share one half of the budget, and all others the other half. */
+const HALF_OF_THE_BUDGET = 0.5;
 /** Doublings of the time after which a record is appended again. */
 const MAX_DOUBLINGS = 3;
 
 /** Has a record of this instance appended, again and again until it is read back. */
 export function submitRecord(ctx: CoreContext, record: ClaimsRecord): void {
   ctx.state.claims.unseen.set(unseenId(record), { record, sentAt: ctx.now, sends: 1 });
-  const writer = writerFor(ctx.state);
+  const writer = writerFor(ctx);
   if (writer === ctx.state.self.id) {
     ctx.state.claims.toAppend.add(encodeRecord(record));
     flushAppends(ctx);
@@ -102,9 +104,11 @@
     .map((writer) => writer.id);
 }
 
-function writerFor(state: CoreState): InstanceId {
-  const { self, membership, settings } = state;
-  if (membership.members.size <= settings.claimWriters) return self.id;
+function writerFor(ctx: CoreContext): InstanceId {
+  const { state } = ctx;
+  const { self, membership, settings, claims } = state;
+  const isFree = claims.toAppend.size === 0 && ctx.now >= claims.nextAppendAt;
+  if (isFree || membership.members.size <= settings.claimWriters) return self.id;
   let best = self.id;
   let bestScore = -Infinity;
   claimWriters(state).forEach((writer) => {
@@ -119,11 +123,12 @@
 /** Time between two appends of this instance. */
 function appendSpacing(state: CoreState): Millis {
   const { membership, settings } = state;
+  const instances = membership.members.size;
+  const perSecond = settings.claimAppendsPerSecond;
+  if (instances <= settings.claimWriters) return (MS_PER_SECOND * instances) / perSecond;
   const isWriter = claimWriters(state).includes(state.self.id);
-  const sharers = isWriter
-    ? Math.min(settings.claimWriters, membership.members.size)
-    : membership.members.size;
-  return (MS_PER_SECOND * sharers) / settings.claimAppendsPerSecond;
+  const sharers = isWriter ? settings.claimWriters : instances;
+  return (MS_PER_SECOND * sharers) / (perSecond * HALF_OF_THE_BUDGET);
 }
 
 function emitAppend(ctx: CoreContext, stream: string, records: readonly string[]): void {
