--- a/src/bench/exact/main.ts
+++ b/src/bench/exact/main.ts
@@ -1,11 +1,12 @@
 /**
- * Prints the figures of exact outcomes: `node dist/src/bench/exact/main.js [runs] [seed]`. Exits with
- * 1 if a figure exceeds its bound.
+ * Prints the figures of exact outcomes: `node --expose-gc dist/src/bench/exact/main.js [runs]
+ * [seed]`. Exits with 1 if a figure exceeds its bound.
  */
 import {
   measureAppends,
   measureClaimTime,
   measureFaults,
+  measureMemory,
   measureOutage,
   measureRestart,
   type Figure,
@@ -23,6 +24,7 @@
   ...measureClaimTime(9, 100),
   ...measureOutage(),
   ...measureRestart(20),
+  ...measureMemory(200_000),
   ...measureFaults(runs ?? DEFAULT_RUNS, seed ?? 1),
 ];
 
--- a/src/bench/exact/measure.ts
+++ b/src/bench/exact/measure.ts
@@ -1,5 +1,7 @@
 /** Measurements of claims in simulated time; all of them are properties of the protocol. */
 import { MS_PER_SECOND, type Millis } from '../../core/clock.js';
+import { foldRecord } from '../../core/claims/knownKeys.js';
+import { decodeRecord, encodeRecord, type ClaimsRecord } from '../../core/claims/records.js';
 import { createExactFleet, type ExactFleet, type ExactFleetOptions } from './fleet.js';
 import { runScenario } from './scenario.js';
 import { FAULTS, type Fault } from './faults.js';
@@ -134,6 +136,28 @@
   ];
 }
 
+/** Size of the records of a key, and of what is remembered of it (only with `--expose-gc`). */
+export function measureMemory(keys: number): readonly Figure[] {
+  const { state } = readyFleet({ seed: 5, instances: 1 }).coreOf('i0') ?? {};
+  if (state === undefined) return [];
+  const before = heapBytes();
+  let recordBytes = 0;
+  for (let i = 0; i < keys; i += 1) {
+    recordsOfKey(i).forEach((record, n) => {
+      const data = encodeRecord(record);
+      recordBytes += data.length;
+      foldRecord(state, decodeRecord(data) ?? record, 2 * i + n, i);
+    });
+  }
+  const remembered = (heapBytes() - before) / state.claims.known.size;
+  return [
+    { name: 'records of a key in the log', value: recordBytes / keys, unit: 'bytes' },
+    ...(global.gc === undefined
+      ? []
+      : [{ name: `memory of a key, of ${keys}`, value: remembered, unit: 'bytes' }]),
+  ];
+}
+
 /** Runs with random faults at random instants; returns what was run and what was broken. */
 export function measureFaults(runs: number, seed: number): readonly Figure[] {
   let broken = 0;
@@ -169,6 +193,26 @@
   return Infinity;
 }
 
+function recordsOfKey(number: number): readonly ClaimsRecord[] {
+  const common = {
+    id: `iasi-a-3-lr2k8f3a-${number.toString(36)}`,
+    customer: number % 9_000,
+    key: `8f14e45f-ceea-467f-a830-${number.toString().padStart(12, '0')}`,
+    fingerprint: number.toString(16).padStart(64, '0'),
+    instance: 'iasi-a-3',
+    incarnation: 1_700_000_000_000,
+  };
+  return [
+    { type: 'claim', ...common },
+    { type: 'outcome', ...common, executed: 'yes' },
+  ];
+}
+
+function heapBytes(): number {
+  global.gc?.();
+  return process.memoryUsage().heapUsed;
+}
+
 function quantile(values: readonly number[], q: number): number {
   const sorted = [...values].sort((a, b) => a - b);
   return sorted[Math.min(sorted.length - 1, Math.floor(q * sorted.length))] ?? NaN;
--- a/src/core/claims/logReader.ts
+++ b/src/core/claims/logReader.ts
@@ -11,7 +11,9 @@
   const { claims, settings } = ctx.state;
   if (claims.read !== undefined) return;
   const stream = streamOf(ctx.state);
-  const waitMs = claims.phase === 'locating' ? 0 : settings.claimReadWaitMs;
+  // A log that fails is asked for an answer at once, so that its return shows soon.
+  const isHeldBack = claims.phase === 'following' && claims.failingSince === undefined;
+  const waitMs = isHeldBack ? settings.claimReadWaitMs : 0;
   claims.read = { stream, from: claims.next, sentAt: ctx.now };
   ctx.emit({ kind: 'readLog', stream, from: claims.next, limit: READ_LIMIT, waitMs });
 }
