--- a/src/core/dispatch/assign.ts
+++ b/src/core/dispatch/assign.ts
@@ -9,7 +9,14 @@
 import { ownedUpstreams } from '../ownership/ownership.js';
 import { leastServed, reserve } from '../shares/shares.js';
 import type { CoreState } from '../state.js';
-import type { CustomerNumber, PoolConfig, PoolId, UpstreamConfig } from '../types.js';
+import type {
+  CustomerNumber,
+  InstanceId,
+  PoolConfig,
+  PoolId,
+  UpstreamConfig,
+  UpstreamId,
+} from '../types.js';
 import { cachedBlocks } from './cache.js';
 import { takeOne } from './demand.js';
 import type { IssuedGrant, PoolDemand, WaitingCount } from './dispatchState.js';
@@ -22,6 +29,9 @@
 /** Grants in a row to local requests after which another instance's request goes first. */
 const LOCAL_STREAK = 4;
 
+/** Announce intervals for which a pair of work and upstream is skipped after a returned grant. */
+const RETURN_INTERVALS = 5;
+
 /** Returns the owned upstreams of a pool. */
 export function ownedInPool(state: CoreState, pool: PoolId): readonly UpstreamConfig[] {
   return ownedByPool(state).get(pool) ?? [];
@@ -53,25 +63,72 @@
   const { state } = ctx;
   const pool = state.configuration.view?.pools.get(poolId);
   if (pool === undefined) return;
+  const skipped = new Set<CustomerNumber>();
   for (;;) {
     const free = usableUpstreams(ctx, poolId);
-    const demand = state.dispatch.demand.get(poolId);
-    const customer = demand && leastServed(state, demand.keys(), poolId);
+    const customer = nextCustomer(state, poolId, skipped);
     if (free.length === 0) {
       if (customer !== undefined) relieve(ctx, pool, customer);
       return;
     }
     if (resumeNext(ctx, pool, free, customer)) continue;
-    if (demand === undefined || customer === undefined) return;
-    const waiting = chooseEntry(ctx, demand, customer);
-    if (waiting === undefined) return;
-    const upstream = chooseUpstream(ctx, free, waiting.heads);
-    takeOne(demand, customer, waiting.entry);
-    const cachedPercent = cachedPercentOf(state, upstream, waiting.heads);
-    issueGrant(ctx, waiting.entry, pool, customer, upstream, cachedPercent);
+    if (customer === undefined) return;
+    if (!grantTo(ctx, pool, customer, free)) skipped.add(customer);
   }
 }
 
+/** Notes a grant that came back: its entry has nothing that may run on the upstream just now. */
+export function noteReturned(ctx: CoreContext, grant: IssuedGrant): void {
+  const until = ctx.now + RETURN_INTERVALS * ctx.state.settings.announceMs;
+  ctx.state.dispatch.returned.set(pairKey(grant.entry, grant.customer, grant.upstream), until);
+}
+
+/** Grants again where grants came back some time ago. */
+export function retryReturned(ctx: CoreContext): void {
+  const { returned } = ctx.state.dispatch;
+  const before = returned.size;
+  returned.forEach((until, key) => {
+    if (until <= ctx.now) returned.delete(key);
+  });
+  if (returned.size < before) assignAll(ctx);
+}
+
+function nextCustomer(
+  state: CoreState,
+  pool: PoolId,
+  skipped: ReadonlySet<CustomerNumber>,
+): CustomerNumber | undefined {
+  const demand = state.dispatch.demand.get(pool);
+  if (demand === undefined) return undefined;
+  if (skipped.size === 0) return leastServed(state, demand.keys(), pool);
+  const left = [...demand.keys()].filter((customer) => !skipped.has(customer));
+  return leastServed(state, left, pool);
+}
+
+/** Grants one slot to a customer; returns whether there was a pair of work and upstream for it. */
+function grantTo(
+  ctx: CoreContext,
+  pool: PoolConfig,
+  customer: CustomerNumber,
+  free: readonly UpstreamConfig[],
+): boolean {
+  const { state } = ctx;
+  const demand = state.dispatch.demand.get(pool.id);
+  const usable = (entry: InstanceId) =>
+    free.filter(({ id }) => !state.dispatch.returned.has(pairKey(entry, customer, id)));
+  const waiting = demand && chooseEntry(ctx, demand, customer, usable);
+  if (demand === undefined || waiting === undefined) return false;
+  const upstream = chooseUpstream(ctx, usable(waiting.entry), waiting.heads);
+  takeOne(demand, customer, waiting.entry);
+  const cachedPercent = cachedPercentOf(state, upstream, waiting.heads);
+  issueGrant(ctx, waiting.entry, pool, customer, upstream, cachedPercent);
+  return true;
+}
+
+function pairKey(entry: InstanceId, customer: CustomerNumber, upstream: UpstreamId): string {
+  return `${entry} ${customer} ${upstream}`;
+}
+
 /** Returns the owned upstreams of a pool with free slots. */
 export function usableUpstreams(ctx: CoreContext, pool: PoolId): readonly UpstreamConfig[] {
   const { state } = ctx;
@@ -86,20 +143,22 @@
   ctx: CoreContext,
   demand: PoolDemand,
   customer: CustomerNumber,
+  usable: (entry: InstanceId) => readonly UpstreamConfig[],
 ): WaitingCount | undefined {
   const { dispatch, self } = ctx.state;
   const entries = demand.get(customer);
   if (entries === undefined) return undefined;
   const own = entries.get(self.id);
-  if (own !== undefined && (entries.size === 1 || dispatch.localStreak < LOCAL_STREAK)) {
+  const isOwnUsable = own !== undefined && usable(self.id).length > 0;
+  if (isOwnUsable && (entries.size === 1 || dispatch.localStreak < LOCAL_STREAK)) {
     dispatch.localStreak = entries.size === 1 ? 0 : dispatch.localStreak + 1;
     return own;
   }
   dispatch.localStreak = 0;
   for (const waiting of entries.values()) {
-    if (waiting.entry !== self.id) return waiting;
+    if (waiting.entry !== self.id && usable(waiting.entry).length > 0) return waiting;
   }
-  return own;
+  return isOwnUsable ? own : undefined;
 }
 
 function chooseUpstream(
@@ -142,7 +201,7 @@
 
 function issueGrant(
   ctx: CoreContext,
-  entry: string,
+  entry: InstanceId,
   pool: PoolConfig,
   customer: CustomerNumber,
   upstream: UpstreamConfig,
--- a/src/core/dispatch/dispatchState.ts
+++ b/src/core/dispatch/dispatchState.ts
@@ -68,6 +68,8 @@
   /** Whether the load was asked for, and was reported, since the upstream is owned. */
   isPolled: boolean;
   hasReport: boolean;
+  /** Reads of the load in a row that got no answer. */
+  failedPolls: number;
   /** Smoothed token rate of the upstream. */
   tokenRate: number;
   reportedRunning: number;
@@ -136,6 +138,8 @@
   /** Owner side. */
   readonly demand: Map<PoolId, PoolDemand>;
   readonly issued: Map<GrantId, IssuedGrant>;
+  /** Pairs of waiting work and upstream whose grant came back, with the time until which to skip. */
+  readonly returned: Map<string, Millis>;
   readonly slots: Map<UpstreamId, Slots>;
   readonly reports: Map<UpstreamId, UpstreamReport>;
   readonly caches: Map<UpstreamId, CacheBelief>;
@@ -169,6 +173,7 @@
     holdReports: 0,
     demand: new Map(),
     issued: new Map(),
+    returned: new Map(),
     slots: new Map(),
     reports: new Map(),
     caches: new Map(),
--- a/src/core/dispatch/owner.ts
+++ b/src/core/dispatch/owner.ts
@@ -3,13 +3,13 @@
 import { isLive } from '../membership/memberIndex.js';
 import { ownedUpstreams } from '../ownership/ownership.js';
 import type { CoreEvent, GrantId, InstanceId, PeerMessageOf, PoolId } from '../types.js';
-import { assignAll, assignPool, settleReservations } from './assign.js';
+import { assignAll, assignPool, noteReturned, settleReservations } from './assign.js';
 import { noteCacheNews } from './cache.js';
 import { pruneDemand, takeAnnouncement } from './demand.js';
 import { reportHolds } from './holds.js';
 import { poll } from './loadPolls.js';
 import { answerSubscriptions } from './pull.js';
-import { freeGrant, noteReport, pruneSlots, setPhase, slotsOf } from './slots.js';
+import { freeGrant, noteFailedPoll, noteReport, pruneSlots, setPhase, slotsOf } from './slots.js';
 
 /** Hold reports that may be lost before a grant counts as ended. */
 const LOST_HOLD_REPORTS = 3;
@@ -27,9 +27,11 @@
 }
 
 export function onGrantReturn(ctx: CoreContext, ids: readonly GrantId[]): void {
+  const returned = ids.map((id) => freeGrant(ctx.state, id));
+  returned.forEach((grant) => grant && noteReturned(ctx, grant));
   assignPools(
     ctx,
-    ids.map((id) => freeGrant(ctx.state, id)?.pool),
+    returned.map((grant) => grant?.pool),
   );
 }
 
@@ -93,7 +95,10 @@
     gap: event.cacheGap,
     ...(report === undefined ? {} : { report }),
   });
-  if (report === undefined) return;
+  if (report === undefined) {
+    noteFailedPoll(state, upstream);
+    return;
+  }
   state.dispatch.reports.set(upstream.id, report);
   noteReport(state, upstream, report);
   assignPool(ctx, upstream.pool);
--- a/src/core/dispatch/pull.ts
+++ b/src/core/dispatch/pull.ts
@@ -13,7 +13,7 @@
 import type { CoreState } from '../state.js';
 import type { CustomerNumber, InstanceId, PeerMessageOf, PoolConfig, PoolId } from '../types.js';
 import { demandRelay } from './announcements.js';
-import { assignPool, ownedByPool, ownedInPool, usableUpstreams } from './assign.js';
+import { assignPool, ownedByPool, ownedInPool, retryReturned, usableUpstreams } from './assign.js';
 import { takeOffer, takeOne } from './demand.js';
 import type { DemandSubscription, PoolDemand, WaitingCount } from './dispatchState.js';
 import { poll } from './loadPolls.js';
@@ -41,6 +41,7 @@
   const { dispatch, settings } = state;
   pollNewUpstreams(ctx);
   refreshOwnOffers(ctx);
+  retryReturned(ctx);
   ownedByPool(state).forEach((_, pool) => requestDemand(ctx, pool));
   dispatch.subscriptions.forEach((subscribers, poolId) => {
     subscribers.forEach((subscription, id) => {
--- a/src/core/dispatch/slots.ts
+++ b/src/core/dispatch/slots.ts
@@ -24,6 +24,9 @@
 /** Slow reports in a row at which the limit falls. */
 const SLOW_REPORTS = 3;
 
+/** Failed reads of the load in a row after which nothing is granted at an upstream. */
+const FAILED_POLLS = 2;
+
 /** Weight of the latest report in the smoothed token rate. */
 const RATE_GAIN = 0.2;
 
@@ -40,6 +43,7 @@
     foreignHeld: new Map(),
     isPolled: false,
     hasReport: false,
+    failedPolls: 0,
     tokenRate: 0,
     reportedRunning: 0,
     slowReports: 0,
@@ -52,6 +56,7 @@
 /** Returns the slots of an upstream that may be granted now. */
 export function freeSlots(state: CoreState, upstream: UpstreamConfig, now: Millis): number {
   const slots = slotsOf(state, upstream);
+  if (slots.failedPolls >= FAILED_POLLS) return 0;
   const limit = Math.floor(Math.min(slots.limit, upstream.slots));
   // Before the first report another owner may still fill the upstream.
   const usable = upstream.reportsLoad && !slots.hasReport ? Math.ceil(limit / 2) : limit;
@@ -68,6 +73,11 @@
   return Math.max(held, slots.foreignReported);
 }
 
+/** Notes that an upstream did not tell its load; it may be out of reach from here. */
+export function noteFailedPoll(state: CoreState, upstream: UpstreamConfig): void {
+  slotsOf(state, upstream).failedPolls += 1;
+}
+
 /** Takes a load report. */
 export function noteReport(
   state: CoreState,
@@ -79,6 +89,7 @@
   const own = Math.max(slots.inUseAtPoll, slots.inUse);
   slots.foreignReported = Math.max(0, report.running + report.queued - own);
   slots.hasReport = true;
+  slots.failedPolls = 0;
   adaptLimit(upstream, slots, report);
 }
 
@@ -147,6 +158,7 @@
     slots.isPolled = false;
     slots.hasReport = false;
     slots.foreignReported = 0;
+    slots.failedPolls = 0;
   });
 }
 
--- a/src/core/shares/lifts.ts
+++ b/src/core/shares/lifts.ts
@@ -5,6 +5,7 @@
  * what is repaid after a partition. A lift is a largest-value register: it only grows.
  */
 import type { CoreContext } from '../context.js';
+import { liveDomains } from '../membership/memberIndex.js';
 import type { CustomerNumber, PoolNumber } from '../types.js';
 import { accountByNumber, forEachWaiting, settledIn, weightIn } from './accounts.js';
 import { groupOf, isForemost } from './groups.js';
@@ -24,9 +25,12 @@
   const debtCap = state.configuration.view?.fairness.debtCap ?? Infinity;
   state.shares.relay.entries.forEach((entries, account) => {
     const range = waitingRange(ctx, account);
+    const domains = liveDomains(state);
     entries.forEach((entry, customer) => {
       const isWaiting = entry.waitingAt.size > 0;
-      const hasReturned = isWaiting && !entry.wasWaiting;
+      // Its return is decided where it returns: from afar, the end of a partition looks alike.
+      const isHere = [...entry.waitingAt.keys()].some((place) => !domains.includes(place));
+      const hasReturned = isHere && !entry.wasWaiting;
       // Members learn of both changes with the next sums.
       if (isWaiting !== entry.wasWaiting) {
         entry.isNewBelow = true;
--- a/test/support/sharingLoad.ts
+++ b/test/support/sharingLoad.ts
@@ -21,6 +21,8 @@
   readonly tokens: number;
   /** Factor on the true cost in the hint; absent for no hint. */
   readonly hint?: number;
+  /** Time, after the load began, at which the customer's requests begin. */
+  readonly startsAfterMs?: number;
 }
 
 export interface SharingLoad {
@@ -50,8 +52,10 @@
   network.runUntil(8_000);
   const random = createRandom(load.seed);
   const ids = [...network.nodes.keys()];
+  const start = network.now();
   const refill = () => {
     load.customers.forEach((customer, i) => {
+      if (network.now() < start + (customer.startsAfterMs ?? 0)) return;
       const number = i + 1;
       while ((network.waiting.get(number)?.size ?? 0) < 2 * slots) {
         const at = customer.instance ?? random.nextInt(ids.length);
