--- a/eslint.config.js
+++ b/eslint.config.js
@@ -71,10 +71,12 @@
     rules: { '@typescript-eslint/no-unused-expressions': 'off', 'no-unused-expressions': 'off' },
   },
   {
-    files: ['scripts/**', 'eslint.config.js', 'src/cli/**', 'src/bench/**'],
+    files: ['scripts/**', 'eslint.config.js', 'src/cli/**', 'src/bench/**', 'src/checker/**'],
     rules: {
       'n/no-sync': 'off',
       'n/no-process-exit': 'off',
+      // The executable keeps its first line when it is compiled.
+      'n/hashbang': 'off',
       'no-console': 'off',
       'import-x/no-extraneous-dependencies': 'off',
       'no-await-in-loop': 'off',
