--- /dev/null
+++ b/src/bench/fair/policies.ts
@@ -0,0 +1,221 @@
+/**
+ * Measures the sharing policy on the fake network in the shapes of two deployments, against three
+ * baselines: no sums exchanged between instances, first come first served, and one owner of all
+ * upstreams.
+ */
+import { serviceGapBound, type SharingConditions } from '../../core/shares/bound.js';
+import { createRandom } from '../../core/random.js';
+import { bestScored } from '../../core/membership/memberIndex.js';
+import { DEFAULT_CORE_SETTINGS } from '../../core/settings.js';
+import type { ConfigurationView, Member, UpstreamConfig } from '../../core/types.js';
+import { createFakeNetwork, type FakeNetwork } from '../../../test/support/fakeNetwork.js';
+import { createFleetView } from '../support/fleetView.js';
+import { createProbe, type LinkClass } from './probe.js';
+
+export interface Shape {
+  readonly name: string;
+  /** Instances in each of the three domains, one domain to a region. */
+  readonly instances: readonly number[];
+  readonly engines: number;
+}
+
+export const SHAPES: readonly Shape[] = [
+  { name: 'Cherry Net Hire', instances: [3, 3, 2], engines: 13 },
+  { name: 'Lembah Salju', instances: [3, 3, 2], engines: 6 },
+];
+
+export const POLICIES = ['shared', 'no exchange', 'first come', 'one owner'] as const;
+export type Policy = (typeof POLICIES)[number];
+
+export interface PolicyResult {
+  readonly shape: string;
+  readonly policy: Policy;
+  readonly gapToBound: number;
+  readonly utilisation: number;
+  readonly quickP95Ms: number;
+  readonly quickP95IdleMs: number;
+  readonly requests: number;
+  readonly bytesPerRequest: number;
+  readonly bytesPerSecond: Readonly<Record<LinkClass, number>>;
+}
+
+const SLOTS = 8;
+const TOKENS_PER_SECOND = 50;
+const PER_OUTPUT_TOKEN = 2;
+const CHARGE_STEP = 100;
+const REGION_DELAY_MS = 12;
+const TICK_MS = 20;
+const WARM_UP_MS = 8_000;
+const SETTLE_MS = 10_000;
+const DURATION_MS = 60_000;
+const SAMPLE_MS = 100;
+const REFILL_MS = 20;
+
+/** Largest output, in tokens, of the requests of the three large customers. */
+const LARGE_TOKENS = [600, 200, 100] as const;
+const SMALL_CUSTOMERS = 13;
+const QUICK_TOKENS = 20;
+const QUICK_INTERVAL_MS = 2_000;
+
+export function measurePolicy(shape: Shape, policy: Policy): PolicyResult {
+  const flooded = runPolicy(shape, policy, true);
+  const idle = runPolicy(shape, policy, false);
+  return { ...flooded, quickP95IdleMs: idle.quickP95Ms };
+}
+
+function runPolicy(shape: Shape, policy: Policy, withFlood: boolean): PolicyResult {
+  const probe = createProbe();
+  const instances = placesOf(shape, policy);
+  const view = viewOf(shape, policy, instances);
+  const noExchange = { exchangeMs: 1e9 };
+  const network = createFakeNetwork({
+    seed: 1,
+    view,
+    instances,
+    tickMs: TICK_MS,
+    tokensPerSecond: TOKENS_PER_SECOND,
+    jitterMs: 1,
+    delayMs: (from, to) => (from.region === to.region ? 1 : REGION_DELAY_MS),
+    ...(policy === 'no exchange' ? { settings: noExchange } : {}),
+    ...probe.hooks,
+  });
+  network.runUntil(WARM_UP_MS);
+  const load = startLoad(network, shape, policy, withFlood);
+  network.runUntil(network.now() + SETTLE_MS);
+  probe.reset();
+  const slots = shape.engines * SLOTS;
+  const busyBefore = network.busySlotMs();
+  const jobsBefore = network.jobs.size;
+  const bound = serviceGapBound(DEFAULT_CORE_SETTINGS, conditionsOf(slots));
+  const end = network.now() + DURATION_MS;
+  let gap = 0;
+  while (network.now() < end) {
+    network.runUntil(network.now() + SAMPLE_MS);
+    const served = LARGE_TOKENS.map((_, i) => (network.served.get(i + 1) ?? 0) * PER_OUTPUT_TOKEN);
+    gap = Math.max(gap, Math.max(...served) - Math.min(...served));
+  }
+  const requests = network.jobs.size - jobsBefore;
+  const bytes = probe.bytes();
+  const perSecond = (amount: number) => (amount * 1_000) / DURATION_MS / instances.length;
+  return {
+    shape: shape.name,
+    policy,
+    gapToBound: gap / bound,
+    utilisation: (network.busySlotMs() - busyBefore) / (DURATION_MS * slots),
+    quickP95Ms: percentile(load.quickWaits(), 0.95),
+    quickP95IdleMs: 0,
+    requests,
+    bytesPerRequest: (bytes.sameDomain + bytes.sameRegion + bytes.crossRegion) / requests,
+    bytesPerSecond: {
+      sameDomain: perSecond(bytes.sameDomain),
+      sameRegion: perSecond(bytes.sameRegion),
+      crossRegion: perSecond(bytes.crossRegion),
+    },
+  };
+}
+
+/** Three large customers keep their queues filled; small ones ask short questions now and then. */
+function startLoad(network: FakeNetwork, shape: Shape, policy: Policy, withFlood: boolean) {
+  const random = createRandom(7);
+  const ids = [...network.nodes.keys()];
+  const depth = 2 * shape.engines * SLOTS;
+  // With one key for all, queues are served in order of arrival.
+  const key = policy === 'first come' ? { keyOf: 1 } : {};
+  const quick: string[] = [];
+  const flood = () => {
+    LARGE_TOKENS.forEach((largest, i) => {
+      const customer = i + 1;
+      while ((network.waiting.get(customer)?.size ?? 0) < depth) {
+        // The first comes by one instance only, the others by all.
+        const instance = ids[i === 0 ? 0 : random.nextInt(ids.length)] as string;
+        network.submit({ instance, customer, tokens: 1 + random.nextInt(largest), ...key });
+      }
+    });
+    network.at(network.now() + REFILL_MS, flood);
+  };
+  if (withFlood) flood();
+  for (let i = 0; i < SMALL_CUSTOMERS; i += 1) {
+    const customer = LARGE_TOKENS.length + 1 + i;
+    const ask = () => {
+      const instance = ids[random.nextInt(ids.length)] as string;
+      quick.push(network.submit({ instance, customer, tokens: QUICK_TOKENS, ...key }).requestId);
+      network.at(network.now() + random.next() * 2 * QUICK_INTERVAL_MS, ask);
+    };
+    network.at(network.now() + random.next() * QUICK_INTERVAL_MS, ask);
+  }
+  return {
+    /** Waits until the first token; a question not answered yet counts with its wait so far. */
+    quickWaits: () =>
+      quick.map((id) => {
+        const job = network.jobs.get(id);
+        return (job?.firstTokenAt ?? network.now()) - (job?.submittedAt ?? 0);
+      }),
+  };
+}
+
+function placesOf(shape: Shape, policy: Policy) {
+  return shape.instances.flatMap((amount, d) =>
+    Array.from({ length: amount }, (_, n) => ({
+      id: `d${d}-i${n}`,
+      domain: policy === 'one owner' ? 'd0' : `d${d}`,
+      region: `r${d}`,
+    })),
+  );
+}
+
+function viewOf(
+  shape: Shape,
+  policy: Policy,
+  instances: ReturnType<typeof placesOf>,
+): ConfigurationView {
+  const customers = LARGE_TOKENS.length + SMALL_CUSTOMERS;
+  const view = createFleetView({
+    customers,
+    upstreams: shape.engines,
+    slots: SLOTS,
+    domains: 3,
+    regions: 3,
+  });
+  if (policy !== 'one owner') return view;
+  const upstreams = [...view.upstreams.values()].map((upstream) =>
+    ownedByFirst(upstream, instances),
+  );
+  return {
+    ...view,
+    upstreams: new Map(upstreams.map((upstream) => [upstream.id, upstream])),
+    upstreamsByPool: new Map([['pool0', upstreams]]),
+  };
+}
+
+/** Renames an upstream until the first instance owns it. */
+function ownedByFirst(
+  upstream: UpstreamConfig,
+  instances: ReturnType<typeof placesOf>,
+): UpstreamConfig {
+  const members = instances.map((place) => place as unknown as Member);
+  for (let n = 0; ; n += 1) {
+    const id = `${upstream.id}-${n}`;
+    if (bestScored(members, id, 1)[0]?.id === instances[0]?.id) {
+      return { ...upstream, id, domain: 'd0', region: 'r0' };
+    }
+  }
+}
+
+function conditionsOf(slots: number): SharingConditions {
+  return {
+    slots,
+    largestRequest: Math.max(...LARGE_TOKENS) * PER_OUTPUT_TOKEN,
+    chargeStep: CHARGE_STEP,
+    slotRate: TOKENS_PER_SECOND * PER_OUTPUT_TOKEN,
+    leastWeight: 1,
+    delayMs: REGION_DELAY_MS + 1,
+    crossRegionPriceMs: 100,
+    lostMessages: 0,
+    customers: LARGE_TOKENS.length + SMALL_CUSTOMERS,
+  };
+}
+
+function percentile(values: readonly number[], part: number): number {
+  const sorted = [...values].sort((a, b) => a - b);
+  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * part))] ?? 0;
+}
--- a/src/core/dispatch/suspension.ts
+++ b/src/core/dispatch/suspension.ts
@@ -1,7 +1,7 @@
 /**
- * Suspension: when all slots are held and a waiting customer lags the holders by more than two charge
- * steps, a stream of the most-served holder is suspended, so that a short question does not wait
- * for a long stream to end. Only idempotent streams are suspended, no more than the pool's share of
+ * Suspension: when all slots are held, a stream of the most-served holder is suspended for a waiting
+ * customer that holds no slot here and is not ahead of it, or that lags it by more than two charge
+ * steps, so that a short question does not wait for a long stream to end. Only idempotent streams are suspended, no more than the pool's share of
  * an upstream's slots, and each is resumed after a limited time at the latest.
  */
 import { sendTo, type CoreContext } from '../context.js';
@@ -24,7 +24,7 @@
   const step = state.configuration.view?.fairness.chargeStep ?? 0;
   const own = virtualService(state, customer, pool.id);
   let candidate: IssuedGrant | undefined;
-  let most = own + LAG_STEPS * step;
+  let most = own + (holdsSlot(state, pool, customer) ? LAG_STEPS * step : 0);
   let isPending = false;
   state.dispatch.issued.forEach((grant) => {
     if (grant.pool !== pool.id) return;
@@ -73,6 +73,14 @@
   return true;
 }
 
+function holdsSlot(state: CoreState, pool: PoolConfig, customer: CustomerNumber): boolean {
+  for (const grant of state.dispatch.issued.values()) {
+    const isHeld = grant.customer === customer && grant.pool === pool.id;
+    if (isHeld && grant.phase !== 'suspended') return true;
+  }
+  return false;
+}
+
 function hasSuspendRoom(state: CoreState, pool: PoolConfig, grant: IssuedGrant): boolean {
   const upstream = state.configuration.view?.upstreams.get(grant.upstream);
   const suspended = state.dispatch.slots.get(grant.upstream)?.suspended ?? 0;
--- a/test/support/fakeNetwork.ts
+++ b/test/support/fakeNetwork.ts
@@ -35,7 +35,11 @@
   /** Sees every message that is sent. */
   readonly onSend?: (from: InstanceIdentity, to: InstanceIdentity, effect: SendEffect) => void;
   /** Wraps every call of `reduce`. */
-  readonly onReduce?: (id: InstanceId, run: () => readonly Effect[]) => readonly Effect[];
+  readonly onReduce?: (
+    id: InstanceId,
+    event: CoreEvent,
+    run: () => readonly Effect[],
+  ) => readonly Effect[];
 }
 
 type SendEffect = Extract<Effect, { kind: 'sendPeer' }>;
@@ -56,6 +60,8 @@
   readonly instance: InstanceId;
   readonly customer: number;
   readonly tokens: number;
+  /** Customer whose key the request carries, if it differs from the one it counts for. */
+  readonly keyOf?: number;
   readonly promptTokens?: number;
   readonly costHint?: number;
   readonly pool?: string;
@@ -102,7 +108,7 @@
   const tickMs = options.tickMs ?? 10;
   const tokensPerTick = ((options.tokensPerSecond ?? 100) * tickMs) / 1_000;
   let listed: readonly ListedInstance[] = [];
-  let isCut: (from: InstanceId, to: InstanceId | UpstreamId) => boolean = () => false;
+  let isCut: (from: InstanceId, to: string) => boolean = () => false;
   let now = 0;
   let order = 0;
   let jobNumber = 0;
@@ -141,7 +147,7 @@
     const node = nodes.get(id);
     if (!node?.isUp) return;
     const run = () => node.core.reduce(event, now);
-    const effects = options.onReduce === undefined ? run() : options.onReduce(id, run);
+    const effects = options.onReduce === undefined ? run() : options.onReduce(id, event, run);
     effects.forEach((effect) => perform(node, effect));
   }
 
@@ -339,7 +345,7 @@
     post(instance, {
       kind: 'callerRequest',
       requestId,
-      keyHash: `hash-${customer}`,
+      keyHash: `hash-${submission.keyOf ?? customer}`,
       pool: submission.pool ?? [...options.view.pools.keys()][0] ?? '',
       method: 'POST',
       path: '/',
@@ -392,7 +398,7 @@
     restart: startNode,
     list,
     /** Cuts all links, to upstreams as well, for which `rule` holds. */
-    partition: (rule: (from: InstanceId, to: InstanceId | UpstreamId) => boolean) => {
+    partition: (rule: (from: InstanceId, to: string) => boolean) => {
       isCut = rule;
     },
     heal: () => {
