--- a/test/cli/cli.test.ts
+++ b/test/cli/cli.test.ts
@@ -126,6 +126,7 @@
 
   it('shows a fleet at work and exits', async () => {
     const { code, stdout } = await run('demo', '--once', '--seconds', '1');
+    expect(stdout).to.match(/\n(\d+) sent in [\d.]+ s, \1 served, 0 refused, 0 failed/);
     expect(stdout).to.include('every request had a true end');
     expect(code).to.equal(EXIT_CODES.ok);
   });
