--- a/src/bench/load/loadFile.ts
+++ b/src/bench/load/loadFile.ts
@@ -83,12 +83,22 @@
     durationMs: z.number().positive(),
     /** Time that requests in flight have to end after the last arrival. */
     drainMs: span.default(30_000),
+    /** Time without a byte after which a request counts as waiting for the fairness gap. */
+    waitingAfterMs: span.default(250),
     /** Interval of the samples of gap, use and control bytes. */
     sampleMs: z.number().min(10).default(500),
     /** Requests in flight at most; arrivals beyond are counted as not sent. */
     maxInFlight: positiveCount.default(20_000),
     instances: z
-      .array(z.strictObject({ name, url: z.url(), statusUrl: z.url().optional() }))
+      .array(
+        z.strictObject({
+          name,
+          url: z.url(),
+          statusUrl: z.url().optional(),
+          /** Asked by the balancer; an instance that does not answer 200 gets no requests. */
+          readyUrl: z.url().optional(),
+        }),
+      )
       .default([]),
     engines: z.array(target.extend({ pool: name })).default([]),
     services: z.array(target.extend({ pool: name })).default([]),
--- a/src/configuration/initialView.ts
+++ b/src/configuration/initialView.ts
@@ -4,7 +4,7 @@
 import type { DocumentDiagnostic } from './types.js';
 import { assignNumbers, createView, NO_NUMBERS } from './view.js';
 
-/** Version of a document that is not from the log: below all of the log's, apart from -1 for none. */
+/** Version of a document that is not from the log: below -1, which stands for none. */
 const FILE_VERSION = -2;
 
 export type InitialViewResult =
--- a/src/core/quarantine/suspects.ts
+++ b/src/core/quarantine/suspects.ts
@@ -16,6 +16,7 @@
 
 /** Whether a request may run at all now: it is no suspect, or this instance may run the suspect. */
 export function mayRun(state: CoreState, facts: RequestFacts): boolean {
+  if (state.quarantine.catchUp === 'asking') return false;
   const suspect = state.quarantine.suspects.get(facts.fingerprint);
   if (suspect === undefined) return true;
   if (suspect.crashes >= QUARANTINE_CRASHES) return false;
