Show memory on the status page and tell the collected heap from resident memory

Cause: resident memory grows with the laziness of the collector, so its slope says little of leaks. Change: the status page has the process's memory; the benchmark fits the least heap of each span.

--- a/src/bench/live/main.ts
+++ b/src/bench/live/main.ts
@@ -69,7 +69,8 @@
       ['processor time of the instance, cores', result.cpuShare.toFixed(2)],
       ['idle memory MiB', (result.idleBytes / BYTES_PER_MIB).toFixed(1)],
       ['memory per stream KiB', (result.bytesPerStream / BYTES_PER_KIB).toFixed(1)],
-      ['slope KiB/min', (result.slopeBytesPerMinute / BYTES_PER_KIB).toFixed(1)],
+      ['slope of resident memory KiB/min', (result.residentSlope / BYTES_PER_KIB).toFixed(1)],
+      ['slope of the collected heap KiB/min', (result.heapSlope / BYTES_PER_KIB).toFixed(1)],
     ]),
   );
 }
--- a/src/bench/live/processes.ts
+++ b/src/bench/live/processes.ts
@@ -31,13 +31,14 @@
 export interface BenchFleet {
   readonly engineUrls: readonly string[];
   readonly instanceUrls: readonly string[];
+  readonly statusUrls: readonly string[];
   readonly instancePids: readonly number[];
   readonly stop: () => Promise<void>;
 }
 
 const CLI = fileURLToPath(new URL('../../cli/main.js', import.meta.url));
 const ANY_PORT = '127.0.0.1:0';
-const ADDRESSES = /callers on (\S+), for peers on (\S+) /;
+const ADDRESSES = /callers on (\S+), for peers on (\S+) and for operators on (\S+)\./;
 const PLACE = { domain: 'bench-a', region: 'bench' };
 /** Fast enough that prompts cost no time of note. */
 const PREFILL_TOKENS_PER_SECOND = 1e9;
@@ -65,14 +66,16 @@
       const id = `bench-${i + 1}`;
       const settings = await writeSettings(dir, options, id, document, platformUrl);
       const child = startCli(children, ['serve', '--settings', settings]);
-      const [address = '', peers = ''] = await nextMatch(child, 'stderr', ADDRESSES);
-      return { id, child, address, peers };
+      const match = await nextMatch(child, 'stderr', ADDRESSES);
+      const [address = '', peers = '', operators = ''] = match;
+      return { id, child, address, peers, operators };
     }),
   );
   await listInstances(platformUrl, instances);
   return {
     engineUrls,
     instanceUrls: instances.map(({ address }) => `http://${address}`),
+    statusUrls: instances.map(({ operators }) => `http://${operators}/status`),
     instancePids: instances.map(({ child }) => child.pid ?? 0),
     stop: async () => {
       await Promise.all(children.map(stopChild));
@@ -182,6 +185,8 @@
 /** Memory and processor time of a process, from the kernel's tables. */
 export interface ProcessUse {
   readonly residentBytes: number;
+  /** Heap in use, with what is not collected yet. */
+  readonly heapBytes: number;
   readonly cpuMs: Millis;
 }
 
@@ -190,11 +195,14 @@
 const TICKS_PER_SECOND = 100;
 const MS_PER_TICK = 1_000 / TICKS_PER_SECOND;
 
-export async function readProcessUse(pid: number): Promise<ProcessUse> {
+export async function readProcessUse(pid: number, statusUrl: string): Promise<ProcessUse> {
+  const { body } = await request(statusUrl);
+  const { memory } = (await body.json()) as { readonly memory: { readonly heapUsed: number } };
   const status = await readFile(`/proc/${pid}/status`, 'utf8');
   const stat = await readFile(`/proc/${pid}/stat`, 'utf8');
   const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
   const ticks = Number(fields[11]) + Number(fields[12]);
   const kib = Number(/VmRSS:\s+(\d+)/.exec(status)?.[1]);
-  return { residentBytes: kib * BYTES_PER_KIB, cpuMs: ticks * MS_PER_TICK };
+  const residentBytes = kib * BYTES_PER_KIB;
+  return { residentBytes, heapBytes: memory.heapUsed, cpuMs: ticks * MS_PER_TICK };
 }
--- a/src/bench/live/streams.ts
+++ b/src/bench/live/streams.ts
@@ -30,12 +30,15 @@
   readonly cpuShare: number;
   readonly idleBytes: number;
   readonly bytesPerStream: number;
-  /** Growth of the memory by a line fitted to its second half, in bytes a minute. */
-  readonly slopeBytesPerMinute: number;
+  /** Growth of the resident memory by a line fitted to its second half, in bytes a minute. */
+  readonly residentSlope: number;
+  /** The same of the heap after collections: the least value in each span of ten samples. */
+  readonly heapSlope: number;
 }
 
 const SAMPLE_MS = 1_000;
 const MS_PER_MINUTE = 60 * MS_PER_SECOND;
+const HEAP_SPAN_SAMPLES = 10;
 const SETTLE_MS = 2_000;
 /** Pause after a broken answer. */
 const RETRY_MS = 100;
@@ -52,7 +55,8 @@
     maxRequests: 2 * options.streams,
   });
   const [pid = 0] = fleet.instancePids;
-  const idle = await readProcessUse(pid);
+  const [statusUrl = ''] = fleet.statusUrls;
+  const idle = await readProcessUse(pid, statusUrl);
   const dispatcher = new Agent();
   const gaps = createDurations();
   const counts = { events: 0, answers: 0, broken: 0 };
@@ -83,7 +87,7 @@
   const running = Array.from({ length: options.streams }, async (_, n) => runStream(n));
   await sleep(SETTLE_MS);
   isCounting = true;
-  const samples = await sampleFor(pid, options.seconds * MS_PER_SECOND);
+  const samples = await sampleFor(pid, statusUrl, options.seconds * MS_PER_SECOND);
   isCounting = false;
   isEnding = true;
   await Promise.all(running);
@@ -94,6 +98,7 @@
   const last = samples.at(-1);
   if (first === undefined || last === undefined) throw new Error('Nothing was sampled.');
   const elapsed = last.at - first.at;
+  const late = samples.slice(Math.floor(samples.length / 2));
   const { p50, p95, p99 } = gaps.quantiles();
   return {
     eventsPerSecond: (counts.events * MS_PER_SECOND) / elapsed,
@@ -105,31 +110,42 @@
     cpuShare: (last.cpuMs - first.cpuMs) / elapsed,
     idleBytes: idle.residentBytes,
     bytesPerStream: (last.residentBytes - idle.residentBytes) / options.streams,
-    slopeBytesPerMinute: slopeOf(samples.slice(Math.floor(samples.length / 2))) * MS_PER_MINUTE,
+    residentSlope: slopeOf(late.map(({ at, residentBytes }) => [at, residentBytes])),
+    heapSlope: slopeOf(lowest(late).map(({ at, heapBytes }) => [at, heapBytes])),
   };
 }
 
-async function sampleFor(pid: number, span: Millis): Promise<readonly Sample[]> {
+async function sampleFor(pid: number, statusUrl: string, span: Millis): Promise<readonly Sample[]> {
   const samples: Sample[] = [];
   const startedAt = performance.now();
   while (performance.now() - startedAt <= span) {
-    samples.push({ at: performance.now(), ...(await readProcessUse(pid)) });
+    samples.push({ at: performance.now(), ...(await readProcessUse(pid, statusUrl)) });
     await sleep(SAMPLE_MS);
   }
   return samples;
 }
 
-/** Slope of the line of least squares through the memory samples, in bytes a millisecond. */
-function slopeOf(samples: readonly Sample[]): number {
+/** The sample with the smallest heap of each span. */
+function lowest(samples: readonly Sample[]): readonly Sample[] {
+  const spans = Array.from({ length: Math.ceil(samples.length / HEAP_SPAN_SAMPLES) }, (_, i) =>
+    samples.slice(i * HEAP_SPAN_SAMPLES, (i + 1) * HEAP_SPAN_SAMPLES),
+  );
+  return spans.map((span) => span.reduce((a, b) => (b.heapBytes < a.heapBytes ? b : a)));
+}
+
+type Point = readonly [at: Millis, bytes: number];
+
+/** Slope of the line of least squares through the points, in bytes a minute. */
+function slopeOf(points: readonly Point[]): number {
   const mean = (values: readonly number[]) =>
     values.reduce((sum, value) => sum + value, 0) / values.length;
-  const meanAt = mean(samples.map(({ at }) => at));
-  const meanBytes = mean(samples.map(({ residentBytes }) => residentBytes));
+  const meanAt = mean(points.map(([at]) => at));
+  const meanBytes = mean(points.map(([, bytes]) => bytes));
   let covariance = 0;
   let variance = 0;
-  samples.forEach(({ at, residentBytes }) => {
-    covariance += (at - meanAt) * (residentBytes - meanBytes);
+  points.forEach(([at, bytes]) => {
+    covariance += (at - meanAt) * (bytes - meanBytes);
     variance += (at - meanAt) ** 2;
   });
-  return variance === 0 ? 0 : covariance / variance;
+  return variance === 0 ? 0 : (covariance / variance) * MS_PER_MINUTE;
 }
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -232,6 +232,7 @@
       domain: options.domain,
       region: options.region,
       controlBytes: peers.controlBytes(),
+      memory: memoryUse(),
       state: describeCore(),
     }),
   });
@@ -249,6 +250,12 @@
   };
 }
 
+/** Memory of the process in bytes. */
+function memoryUse(): { readonly resident: number; readonly heapUsed: number } {
+  const { rss, heapUsed } = process.memoryUsage();
+  return { resident: rss, heapUsed };
+}
+
 /** A later start has the larger number: the start time, then random bits. */
 function createIncarnation(system: System): number {
   const random = Math.floor(Math.random() * INCARNATION_RANDOM_RANGE);
