--- /dev/null
+++ b/test/daemon/silentUpstreams.test.ts
@@ -0,0 +1,34 @@
+import { expect } from 'chai';
+import { answerText } from '../../src/standins/index.js';
+import { ask, startTestFleet, streamedText } from '../support/fleet.js';
+
+const REQUESTS = 16;
+
+describe('upstreams whose connections fall silent', () => {
+  it('end every request that was sent on them, in full or as a problem', async () => {
+    const fleet = await startTestFleet({
+      engines: [
+        { seed: 1, tokenIntervalMs: 5 },
+        { seed: 2, tokenIntervalMs: 5 },
+      ],
+      instance: { settings: { firstByteTimeoutMs: 1_000, idleTimeoutMs: 1_000 } },
+    });
+    const url = fleet.urls[0] ?? '';
+    const askAll = async (name: string) =>
+      Promise.all(
+        Array.from({ length: REQUESTS }, async (_, i) => {
+          const question = `${name} ${i}`;
+          const res = await ask(url, question);
+          return { question, status: res.status, text: await res.text() };
+        }),
+      );
+    await askAll('leaves an idle connection');
+    fleet.engines.forEach((engine) => engine.setFault({ kind: 'silent' }));
+    const answers = await askAll('meets a silent connection');
+    await fleet.close();
+    answers.forEach(({ question, status, text }) => {
+      if (status === 200) expect(streamedText(text)).to.equal(answerText(question, 5));
+      else expect(JSON.parse(text)).to.include({ status: 504, executed: 'unknown' });
+    });
+  });
+});
