Send a share of the keyed calls twice

Cause: at most once by key was watched for single sendings only. Change: repeatShare in the load file; a second sending goes through an instance of its own while the first may still run; a refusal counts as false unless another sending of the key ran later.

--- a/scripts/fleet/files.mjs
+++ b/scripts/fleet/files.mjs
@@ -210,6 +210,7 @@
           method: 'POST',
           path: '/reserve',
           idempotent: false,
+          repeatShare: 0.2,
         },
         { kind: 'call', pool: SERVICE_POOL, share: 2, method: 'GET', path: '/stock' },
       ],
--- a/src/bench/load/arrivals.ts
+++ b/src/bench/load/arrivals.ts
@@ -34,6 +34,8 @@
 export interface CallArrival extends ArrivalBase {
   readonly kind: 'call';
   readonly work: CallWork;
+  /** Sent as `Idempotency-Key` unless the call is idempotent; a repeat has the key of the first. */
+  readonly key: string;
   readonly body: string;
 }
 
@@ -55,9 +57,19 @@
   const bursts = customer.bursts.flatMap(({ atMs, requests }) =>
     Array.from({ length: requests }, () => atMs),
   );
-  return [...steady, ...floods, ...bursts].map((atMs, i) =>
-    createArrival(customer, `load-${seed}-${customer.name}-${i}`, atMs, random),
-  );
+  return [...steady, ...floods, ...bursts].flatMap((atMs, i) => {
+    const id = `load-${seed}-${customer.name}-${i}`;
+    return withRepeat(createArrival(customer, id, atMs, random), random);
+  });
+}
+
+/** Adds the second sending of a call, through an instance of its own. */
+function withRepeat(arrival: Arrival, random: Random): readonly Arrival[] {
+  if (arrival.kind !== 'call' || arrival.work.idempotent) return [arrival];
+  const { repeatShare, repeatWithinMs } = arrival.work;
+  if (random.next() >= repeatShare) return [arrival];
+  const atMs = arrival.atMs + random.next() * repeatWithinMs;
+  return [arrival, { ...arrival, id: `${arrival.id}-again`, atMs, balance: random.next() }];
 }
 
 function poisson(random: Random, fromMs: Millis, toMs: Millis, ratePerSecond: number): Millis[] {
@@ -73,7 +85,7 @@
   const base = { id, atMs, customer, balance: random.next() };
   if (work.kind === 'call') {
     const size = drawRange(random, work.bodyBytes);
-    return { ...base, kind: 'call', work, body: `${id} `.padEnd(size, '.') };
+    return { ...base, kind: 'call', work, key: id, body: `${id} `.padEnd(size, '.') };
   }
   const promptWords = drawRange(random, work.promptWords);
   const maxTokens = drawRange(random, work.maxTokens);
--- a/src/bench/load/caller.ts
+++ b/src/bench/load/caller.ts
@@ -130,8 +130,8 @@
 }
 
 function toServiceCall(arrival: CallArrival): HttpCall {
-  const { work, body, id } = arrival;
-  const key: Record<string, string> = work.idempotent ? {} : { 'idempotency-key': id };
+  const { work, body } = arrival;
+  const key: Record<string, string> = work.idempotent ? {} : { 'idempotency-key': arrival.key };
   return {
     method: work.method,
     path: `/apps/${work.pool}${work.path}`,
--- a/src/bench/load/loadFile.ts
+++ b/src/bench/load/loadFile.ts
@@ -44,6 +44,10 @@
   bodyBytes: range.default([32, 256]),
   /** Whether the call may be repeated; one that may not carries an `Idempotency-Key`. */
   idempotent: z.boolean().default(true),
+  /** Share of the calls with a key that the caller sends again, under the same key. */
+  repeatShare: z.number().min(0).max(1).default(0),
+  /** Longest time until a call is sent again. */
+  repeatWithinMs: span.default(500),
   deadlineMs: z.number().positive().optional(),
 });
 
--- a/src/bench/load/sender.ts
+++ b/src/bench/load/sender.ts
@@ -55,7 +55,7 @@
     tracker.end();
     countOutcome(entry.counts, outcome);
     if (outcome.kind === 'served') entry.latency.add(performance.now() - dueAt);
-    ended.push({ arrival, outcome });
+    ended.push({ arrival, outcome, endedAtMs: performance.now() - startedAt });
   }
 
   return {
--- a/src/bench/load/truthCheck.ts
+++ b/src/bench/load/truthCheck.ts
@@ -18,6 +18,8 @@
 export interface EndedRequest {
   readonly arrival: Arrival;
   readonly outcome: Outcome;
+  /** Time of the end since the start of the load. */
+  readonly endedAtMs: Millis;
 }
 
 export interface TruthReport {
@@ -55,26 +57,27 @@
     return counts.found.reduce((sum, { byBody }) => sum + (byBody[hash] ?? 0), 0);
   };
 
-  const idsOf = (matches: (request: EndedRequest) => boolean) =>
-    requests.filter(matches).map(({ arrival }) => arrival.id);
+  const firstByKey = (matches: (request: EndedRequest) => boolean) => [
+    ...new Set(requests.filter(matches).map(({ arrival }) => keyOf(arrival))),
+  ];
+  const sendings = groupByKey(requests);
   const hasRecords = ({ arrival: { work } }: EndedRequest) => hasTargets(file, work.pool);
-  const hasOwnBody = ({ arrival }: EndedRequest) =>
-    arrival.kind === 'call' && arrival.work.method !== 'GET';
   return {
-    falseRefusals: idsOf(
+    falseRefusals: firstByKey(
       (request) =>
         request.outcome.kind === 'refused' &&
         (request.arrival.kind === 'completion' || hasOwnBody(request)) &&
-        executions(request.arrival) > 0,
+        executions(request.arrival) > 0 &&
+        !mayRunLater(request, sendings.get(keyOf(request.arrival)) ?? []),
     ),
-    doubled: idsOf(
+    doubled: firstByKey(
       (request) =>
         hasOwnBody(request) &&
         request.arrival.kind === 'call' &&
         !request.arrival.work.idempotent &&
         executions(request.arrival) > 1,
     ),
-    servedNotRun: idsOf(
+    servedNotRun: firstByKey(
       (request) =>
         request.outcome.kind === 'served' &&
         hasOwnBody(request) &&
@@ -86,6 +89,37 @@
   };
 }
 
+/** The name that all sendings of a request share. */
+function keyOf(arrival: Arrival): string {
+  return arrival.kind === 'call' ? arrival.key : arrival.id;
+}
+
+/** Whether no other request has the same body. */
+function hasOwnBody({ arrival }: EndedRequest): boolean {
+  return arrival.kind === 'call' && arrival.work.method !== 'GET';
+}
+
+function groupByKey(requests: readonly EndedRequest[]): ReadonlyMap<string, EndedRequest[]> {
+  const groups = new Map<string, EndedRequest[]>();
+  for (const request of requests) {
+    const key = keyOf(request.arrival);
+    const group = groups.get(key);
+    if (group === undefined) groups.set(key, [request]);
+    else group.push(request);
+  }
+  return groups;
+}
+
+/**
+ * Whether a refused request can have run by another sending that had not ended when this one was
+ * refused. The refusal was true then.
+ */
+function mayRunLater(refused: EndedRequest, sendings: readonly EndedRequest[]): boolean {
+  return sendings.some(
+    ({ outcome, endedAtMs }) => outcome.kind !== 'refused' && endedAtMs > refused.endedAtMs,
+  );
+}
+
 function hasTargets(file: LoadFile, pool: string): boolean {
   return file.services.some((service) => service.pool === pool);
 }
--- a/test/bench/load.test.ts
+++ b/test/bench/load.test.ts
@@ -182,6 +182,8 @@
   });
 });
 
+const REFUSED = { kind: 'refused', status: 503, step: 'wait' } as const;
+
 describe('truth check', () => {
   it('finds calls that ran twice, or although they were refused', async () => {
     const service = await createServiceStandin({ latencyMs: 0 });
@@ -202,9 +204,9 @@
     const post = async (body: string) => fetch(`${service.url}/x`, { method: 'POST', body });
     await Promise.all([post(twice.body), post(twice.body), post(refused.body)]);
     const truth = await checkTruth(parsed.value, [
-      { arrival: twice, outcome: { kind: 'served' } },
-      { arrival: refused, outcome: { kind: 'refused', status: 503, step: 'wait' } },
-      { arrival: missing, outcome: { kind: 'served' } },
+      { arrival: twice, outcome: { kind: 'served' }, endedAtMs: 1 },
+      { arrival: refused, outcome: REFUSED, endedAtMs: 2 },
+      { arrival: missing, outcome: { kind: 'served' }, endedAtMs: 3 },
     ]);
     await service.stop();
     expect(truth).to.deep.equal({
@@ -214,6 +216,34 @@
       unread: [],
     });
   });
+
+  it('takes a refusal for true if another sending of the key ran later', async () => {
+    const service = await createServiceStandin({ latencyMs: 0 });
+    const parsed = parseLoadFile(`
+durationMs: 100
+services: [{ name: s, pool: booking, url: "${service.url}" }]
+customers:
+  - name: c
+    key: k
+    bursts: [{ atMs: 0, requests: 1 }]
+    mix: [{ kind: call, pool: booking, idempotent: false, repeatShare: 1 }]
+`);
+    if (parsed.kind === 'rejected') throw new Error(JSON.stringify(parsed.issues));
+    const [first, again] = createArrivals(parsed.value);
+    if (first?.kind !== 'call' || again?.kind !== 'call') throw new Error('two calls are expected');
+    expect(again).to.include({ key: first.key, body: first.body });
+    await fetch(`${service.url}/x`, { method: 'POST', body: first.body });
+    const falseRefusalsIf = async (refusedAt: number, servedAt: number) => {
+      const { falseRefusals } = await checkTruth(parsed.value, [
+        { arrival: first, outcome: REFUSED, endedAtMs: refusedAt },
+        { arrival: again, outcome: { kind: 'served' }, endedAtMs: servedAt },
+      ]);
+      return falseRefusals;
+    };
+    expect(await falseRefusalsIf(1, 2)).to.deep.equal([]);
+    expect(await falseRefusalsIf(2, 1)).to.deep.equal([first.key]);
+    await service.stop();
+  });
 });
 
 describe('gap meter', () => {
