Audit changes of owners and refuse edits a blocked instance could not judge

Cause: owner changes left no trace, and an instance stopped at a later program's record took edits whose verdict it could never tell. Change: one audit entry for all upstreams that an instance gained or lost since the last look; a blocked instance refuses new edits at once as not published.

--- a/src/core/configuration/publishing.ts
+++ b/src/core/configuration/publishing.ts
@@ -99,6 +99,12 @@
 function prepareIfSynced(ctx: CoreContext, edit: PendingEdit): void {
   const { configuration } = ctx.state;
   const { fold, reading } = configuration;
+  if (fold.blocked !== undefined) {
+    const { offset, schemaVersion: version } = fold.blocked;
+    const detail = formatDiagnostic('schemaNewer', { offset, version });
+    finish(ctx, edit, problemOf('schemaNewer', 503, 'no', 'configure', detail));
+    return;
+  }
   const hasReadEnd = reading.atEndAt !== undefined && reading.mode.kind === 'follow';
   if (!isFolded(configuration) || !(hasReadEnd || configuration.hasCaughtUp)) return;
   if (fold.version >= edit.baseVersion) {
--- a/src/core/orders/orders.ts
+++ b/src/core/orders/orders.ts
@@ -28,6 +28,7 @@
   type SettledRecord,
 } from './orderRecords.js';
 import type { OrderProgress } from './ordersState.js';
+import { auditOwners } from './ownerAudit.js';
 import { fleetLoadsOf, hasEffect, nextOrder, placementOf, poolLoadsOf } from './placement.js';
 
 type EventOf<K extends CoreEvent['kind']> = Extract<CoreEvent, { readonly kind: K }>;
@@ -50,6 +51,7 @@
 
 export function onOrdersTimer(ctx: CoreContext): void {
   const { orders } = ctx.state;
+  auditOwners(ctx);
   forgetOthers(ctx);
   let needsLog = orders.progress.size > 0;
   forEachOwned(ctx.state, (upstream) => {
--- a/src/core/orders/ordersState.ts
+++ b/src/core/orders/ordersState.ts
@@ -1,6 +1,6 @@
 /** State of the orders: the fold of the log, what engines report, and the orders under way here. */
 import type { Millis } from '../clock.js';
-import type { EngineOrder, UpstreamId, UpstreamReport } from '../types.js';
+import type { EngineOrder, UpstreamConfig, UpstreamId, UpstreamReport } from '../types.js';
 import { createOrdersFold, type OrdersFold } from './orderRecords.js';
 
 /** An order that this instance is giving. */
@@ -34,6 +34,9 @@
   readonly foreignSince: Map<number, Millis>;
   /** Appends of settled records that are under way, by append id. */
   readonly settling: Map<number, UpstreamId>;
+  /** Owned upstreams as the audit trail last told them. */
+  owned: ReadonlySet<UpstreamId>;
+  ownedList: readonly UpstreamConfig[];
   readSentAt: Millis | undefined;
   /** Last time at which a read reached the end of the stream. */
   atEndAt: Millis;
@@ -49,6 +52,8 @@
     notBefore: new Map(),
     foreignSince: new Map(),
     settling: new Map(),
+    owned: new Set(),
+    ownedList: [],
     readSentAt: undefined,
     atEndAt: -Infinity,
     nextAppendId: 1,
--- a/test/configuration/audit.test.ts
+++ b/test/configuration/audit.test.ts
@@ -35,6 +35,8 @@
     expect(published[1]?.after).to.contain('kind: service');
     expect(published[1]?.before).to.contain('kind: model');
     expect(entries.filter((entry) => entry.action === 'authenticate')).to.have.lengthOf(1);
+    const owners = entries.filter((entry) => entry.action === 'owner');
+    expect(owners.map((entry) => entry.detail)).to.deep.equal(['gained e1']);
     const text = JSON.stringify([...(fleet.log.streams.get('audit') ?? []), results]);
     [PLATFORM_KEY, PLATFORM_HASH, ACCOUNTS_HASH].forEach((secret) => {
       expect(text).to.not.contain(secret);
--- a/test/configuration/fleet.test.ts
+++ b/test/configuration/fleet.test.ts
@@ -172,6 +172,27 @@
     expect(fleet.log.streams.get('configuration')).to.have.lengthOf(2);
   });
 
+  it('refuses to publish through a program that cannot read the log any more', () => {
+    const fleet = startedFleet(2, 1);
+    fleet.log.streams.get('configuration')?.push('{"kind":"edit","schemaVersion":9}');
+    const results = fleet.instances.map((instance, i) =>
+      publish(fleet, instance, {
+        editId: `s${i}`,
+        section: 'plannedStops',
+        baseVersion: 0,
+        text: stopText('x'),
+      }),
+    );
+    fleet.run(25_000);
+    results.flat().forEach((result) => {
+      expect(result.kind).to.equal('rejected');
+    });
+    const late = publish(fleet, fleet.instances[0] as FakeInstance, { editId: 'late' });
+    fleet.run(100);
+    expect(late[0]?.kind === 'rejected' && late[0].problem.code).to.equal('schemaNewer');
+    expect(fleet.instances.map(versionOf)).to.deep.equal([0, 0]);
+  });
+
   it('never shows an operator key in state, log or replies', () => {
     const fleet = startedFleet(2, 1);
     const everything = JSON.stringify([
