--- a/src/bench/exact/measure.ts
+++ b/src/bench/exact/measure.ts
@@ -143,11 +143,11 @@
   const before = heapBytes();
   let recordBytes = 0;
   for (let i = 0; i < keys; i += 1) {
-    recordsOfKey(i).forEach((record, n) => {
+    for (const [n, record] of recordsOfKey(i).entries()) {
       const data = encodeRecord(record);
       recordBytes += data.length;
       foldRecord(state, decodeRecord(data) ?? record, 2 * i + n, i);
-    });
+    }
   }
   const remembered = (heapBytes() - before) / state.claims.known.size;
   return [
