--- a/src/bench/exact/fleet.ts
+++ b/src/bench/exact/fleet.ts
@@ -265,6 +265,7 @@
   }
 
   function start(id: InstanceId): void {
+    kill(id);
     incarnations += 1;
     const domain = ids.indexOf(id) % DOMAINS;
     const self = {
--- a/src/hosts/attemptRun.ts
+++ b/src/hosts/attemptRun.ts
@@ -172,6 +172,10 @@
         started.abort(new errors.RequestAbortedError());
         return;
       }
+      if (plan.sendBefore !== undefined && performance.timeOrigin + performance.now() >= plan.sendBefore) {
+        abortAs({ kind: 'notSent', detail: 'The time allowed for sending has passed.' });
+        return;
+      }
       hasSent = true;
     },
     onResponseStart: (_controller, status, headers) => {
