Say when to come back in every transient refusal

Cause: refusals of an instance without a configuration, or of one that stops, had no Retry-After. Change: they have. Conclusion: every 503 names a time.

--- a/src/core/requests/admission.ts
+++ b/src/core/requests/admission.ts
@@ -17,14 +17,16 @@
   Step,
 } from '../types.js';
 
+const UNAVAILABLE = 503;
+
 export function onCallerRequest(ctx: CoreContext, event: CallerRequestEvent): void {
   const { view } = ctx.state.configuration;
   if (view === undefined) {
-    refuseEvent(ctx, event, 'notReady', 503, 'receive');
+    refuseEvent(ctx, event, 'notReady', UNAVAILABLE, 'receive');
     return;
   }
   if (ctx.state.drain.isStopping) {
-    refuseEvent(ctx, event, 'instanceStopping', 503, 'receive');
+    refuseEvent(ctx, event, 'instanceStopping', UNAVAILABLE, 'receive');
     return;
   }
   const customer = view.customersByKey.get(event.keyHash);
@@ -106,6 +108,14 @@
   status: number,
   step: Step,
 ): void {
-  const problem: NotRunProblem = { code, status, executed: 'no', step, peer: { kind: 'self' } };
+  const isTransient = status === UNAVAILABLE;
+  const problem: NotRunProblem = {
+    code,
+    status,
+    executed: 'no',
+    step,
+    peer: { kind: 'self' },
+    ...(isTransient ? { retryAfterMs: ctx.state.settings.retryAfterMs } : {}),
+  };
   ctx.emit({ kind: 'refuse', requestId: event.requestId, problem });
 }
