--- a/src/core/dispatch/pull.ts
+++ b/src/core/dispatch/pull.ts
@@ -41,7 +41,6 @@
   const { dispatch, settings } = state;
   pollNewUpstreams(ctx);
   refreshOwnOffers(ctx);
-  retryReturned(ctx);
   ownedByPool(state).forEach((_, pool) => requestDemand(ctx, pool));
   dispatch.subscriptions.forEach((subscribers, poolId) => {
     subscribers.forEach((subscription, id) => {
@@ -52,6 +51,8 @@
     answerSubscriptions(ctx, pool);
     requestAbroad(ctx, pool);
   });
+  // After the offers to others, or work that may not run here would be tried here first for ever.
+  retryReturned(ctx);
   setTimer(ctx, 'assign', settings.pullMs / LOOKS_PER_PULL);
 }
 
--- a/test/exact/retries.test.ts
+++ b/test/exact/retries.test.ts
@@ -47,6 +47,24 @@
     expectHolds(fleet);
   });
 
+  it('reach upstreams of other domains when those of the own domain were tried', () => {
+    const fleet = readyFleet();
+    fleet.upstreams.faults.declined = 0.1;
+    const ids: string[] = [];
+    for (let i = 0; i < 400; i += 1) {
+      ids.push(fleet.submit(fleet.ids[i % 3] as string, CHAT));
+      fleet.runFor(50);
+    }
+    fleet.runFor(20_000);
+    const codes = ids.map((id) => {
+      const told = fleet.model.told.get(id)?.[0];
+      return told !== undefined && 'problem' in told ? told.problem.code : 'answered';
+    });
+    expect(codes).to.include('answered');
+    expect(codes).to.not.include('deadlinePassed');
+    expectHolds(fleet);
+  });
+
   it('move the cache of a cut stream whose engine is to stop', () => {
     const fleet = readyFleet();
     for (let i = 0; i < 100; i += 1) fleet.submit('i0', { ...CHAT, outputTokens: 500 });
