--- a/src/hosts/callerHost.ts
+++ b/src/hosts/callerHost.ts
@@ -127,7 +127,14 @@
     replayAnswer: (id, recorded) => settle(id)?.replay(recorded),
     refuse: (id, problem) => settle(id)?.fail(problem),
     fail: (id, problem) => settle(id)?.fail(problem),
-    close: server.close,
+    close: async () => {
+      // A caller that neither reads its answer nor leaves must not hold up a stop for good.
+      const timer = setTimeout(() => {
+        void server.kill();
+      }, stallTimeoutMs);
+      await server.close();
+      clearTimeout(timer);
+    },
     kill: server.kill,
   };
 }
--- a/test/hosts/callerHost.test.ts
+++ b/test/hosts/callerHost.test.ts
@@ -217,6 +217,17 @@
     socket.destroy();
   });
 
+  it('closes although a caller neither ends its request nor leaves', async () => {
+    const { host, address } = await startHost({ stallTimeoutMs: 30 });
+    const [ip = '', port] = address.split(':');
+    const socket = createConnection(Number(port), ip);
+    socket.on('error', () => {});
+    socket.write('POST /v1/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\n{');
+    await sleep(20);
+    await host.close();
+    socket.destroy();
+  });
+
   it('hashes the key and passes no credentials on', async () => {
     const { host, events, address } = await startHost();
     const headers = {
