Drop crossed replies of engines that name attempts in their body only

Cause: an engine that does not return the request id in its head, but in the body, could have a reply crossed from its first part on without notice. Change: once an upstream's body has named its attempt, another name is foreign. Figures: test/hosts/upstreamHost.test.ts green with the new case. Conclusion: the first reply of such an engine is still taken on trust.

--- a/src/hosts/attemptRun.ts
+++ b/src/hosts/attemptRun.ts
@@ -5,7 +5,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import { errors, type Dispatcher } from 'undici';
 import type { AnswerHead, AttemptOutcome, AttemptPlan, RecordedAnswer } from '../core/types.js';
-import { createEventStreamReader, readBodyUsage, type TokenUsage } from './eventStream.js';
+import { createEventStreamReader, readBodyFacts, type TokenUsage } from './eventStream.js';
 import type { AnswerSink, OutgoingRequest } from './types.js';
 
 /** Largest answer that is held until it is whole, and largest one kept for a claim's outcome. */
@@ -28,6 +28,8 @@
 
 export interface AttemptListener {
   readonly onStarted: () => void;
+  /** The answer's body named the attempt by its id. */
+  readonly onNamed?: () => void;
   readonly onProgress: (tokens: number, bytes: number) => void;
   /** Called once. */
   readonly onEnded: (outcome: AttemptOutcome) => void;
@@ -44,6 +46,8 @@
   readonly req: OutgoingRequest;
   readonly sink: AnswerSink;
   readonly listener: AttemptListener;
+  /** Whether bodies of this upstream name their attempt, so that another name is foreign. */
+  readonly namesAttempts?: boolean;
 }
 
 /** How the parts of an answer are treated. */
@@ -138,7 +142,12 @@
 
   function endHeld(): void {
     const body = Buffer.concat(kept);
-    const usage = plan.kind === 'model' ? readBodyUsage(body) : {};
+    const { id, ...usage } = plan.kind === 'model' ? readBodyFacts(body) : {};
+    if (options.namesAttempts === true && id !== undefined && id !== plan.attemptId) {
+      end({ kind: 'foreign' });
+      return;
+    }
+    if (id === plan.attemptId) listener.onNamed?.();
     sink.start(head);
     if (body.length > 0) pass(body, usage.outputTokens ?? 0);
     const contentType = head.headers['content-type'] ?? 'application/octet-stream';
@@ -154,6 +163,7 @@
       const isWhole = plan.kind === 'service' ? !mode.reader.hasRest() : mode.reader.hasEnded();
       if (!isWhole) end({ kind: 'cut', detail: 'The stream ended before its end mark.' });
       else {
+        if (mode.reader.answerId() === plan.attemptId) listener.onNamed?.();
         sink.start(head);
         endComplete(mode.reader.usage());
       }
@@ -189,7 +199,7 @@
         return;
       }
       head = { status, headers: endToEndHeaders(headers) };
-      mode = modeOf(plan, req, status, headers);
+      mode = modeOf(options, status, headers);
       isFramed = hasFraming(req, status, headers);
       if (mode.kind !== 'error') listener.onStarted();
     },
@@ -241,15 +251,15 @@
 }
 
 function modeOf(
-  plan: AttemptPlan,
-  req: OutgoingRequest,
+  { plan, req, namesAttempts }: AttemptRunOptions,
   status: number,
   headers: IncomingHttpHeaders,
 ): AnswerMode {
   if (status === 429 || status >= 500) return { kind: 'error' };
   const type = headers['content-type'] ?? '';
   if (type.startsWith('text/event-stream')) {
-    return { kind: 'events', reader: createEventStreamReader() };
+    const expectedId = namesAttempts === true ? plan.attemptId : undefined;
+    return { kind: 'events', reader: createEventStreamReader(expectedId) };
   }
   const length = headers['content-length'];
   const isSmall = length !== undefined && Number(length) <= MAX_HELD_BYTES;
--- a/src/hosts/eventStream.ts
+++ b/src/hosts/eventStream.ts
@@ -30,15 +30,17 @@
   /** Whether bytes of an unfinished event are left. */
   readonly hasRest: () => boolean;
   readonly usage: () => TokenUsage;
+  /** Id that the events name, if they name one. */
+  readonly answerId: () => string | undefined;
 }
 
 const NOTHING = new Uint8Array(0);
 
-/** Creates a reader of one stream. */
-export function createEventStreamReader(): EventStreamReader {
+/** Creates a reader of one stream. With an `expectedId` events with another id are foreign. */
+export function createEventStreamReader(expectedId?: string): EventStreamReader {
   let rest: Uint8Array = NOTHING;
   let hasEnded = false;
-  let answerId: string | undefined;
+  let answerId = expectedId;
   let usage: TokenUsage = {};
 
   /** Reads one event; returns its tokens, or `undefined` if it is another answer's. */
@@ -79,6 +81,7 @@
     hasEnded: () => hasEnded,
     hasRest: () => rest.length > 0,
     usage: () => usage,
+    answerId: () => answerId,
   };
 }
 
@@ -145,8 +148,14 @@
   };
 }
 
-/** Reads the usage of an answer that came as one JSON body. */
-export function readBodyUsage(body: Uint8Array): TokenUsage {
+/** What an answer that came as one JSON body tells of itself. */
+export interface BodyFacts extends TokenUsage {
+  readonly id?: string;
+}
+
+/** Reads the id and the usage of an answer that came as one JSON body. */
+export function readBodyFacts(body: Uint8Array): BodyFacts {
   const value = parseObject(Buffer.from(body).toString('utf8'));
-  return isRecord(value?.usage) ? readUsage(value.usage) : {};
+  const usage = isRecord(value?.usage) ? readUsage(value.usage) : {};
+  return typeof value?.id === 'string' ? { ...usage, id: value.id } : usage;
 }
--- a/src/hosts/upstreamHost.ts
+++ b/src/hosts/upstreamHost.ts
@@ -5,7 +5,7 @@
 import { Agent } from 'undici';
 import { Debug } from '../core/debug.js';
 import type { Millis } from '../core/clock.js';
-import type { AttemptId, AttemptPlan } from '../core/types.js';
+import type { AttemptId, AttemptPlan, UpstreamId } from '../core/types.js';
 import { startAttemptRun, type AttemptRun } from './attemptRun.js';
 import { createEngineControl } from './engineControl.js';
 import type { OutgoingRequest, Post, UpstreamHost, AnswerSink } from './types.js';
@@ -44,6 +44,8 @@
   const control = createEngineControl({ post, timeoutMs: cfg.controlTimeoutMs });
   const running = new Map<AttemptId, RunningAttempt>();
   const changed = new Set<RunningAttempt>();
+  /** Upstreams whose answers have named their attempt in the body. */
+  const naming = new Set<UpstreamId>();
   const moves = new Map<string, Promise<void>>();
   let flushTimer: NodeJS.Timeout | undefined;
 
@@ -76,7 +78,9 @@
       plan,
       req,
       sink,
+      namesAttempts: plan.kind === 'model' && naming.has(plan.upstream),
       listener: {
+        onNamed: () => naming.add(plan.upstream),
         onStarted: () => post({ kind: 'attemptStarted', attemptId }),
         onProgress: (tokens, bytes) => noteProgress(attempt, tokens, bytes),
         onEnded: (outcome) => {
--- a/test/hosts/upstreamHost.test.ts
+++ b/test/hosts/upstreamHost.test.ts
@@ -49,11 +49,18 @@
     return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
   }
 
-  function begin(url: string, plan: Partial<AttemptPlan> = {}, write?: AnswerSink['write']) {
-    const events: CoreEvent[] = [];
+  /** Starts an attempt, on the host of an earlier one if it is given. */
+  function begin(
+    url: string,
+    plan: Partial<AttemptPlan> = {},
+    write?: AnswerSink['write'],
+    earlier?: { readonly host: UpstreamHost; readonly events: CoreEvent[] },
+  ) {
+    const events: CoreEvent[] = earlier?.events ?? [];
+    events.splice(0);
     const passed: { text: string; status: number | undefined } = { text: '', status: undefined };
-    const host = createUpstreamHost({ post: (event) => events.push(event) });
-    hosts.push(host);
+    const host = earlier?.host ?? createUpstreamHost({ post: (event) => events.push(event) });
+    if (earlier === undefined) hosts.push(host);
     const sink: AnswerSink = {
       start: ({ status }) => {
         passed.status ??= status;
@@ -154,6 +161,21 @@
     expect(middle).to.deep.include({ outcome: { kind: 'foreign' }, text: EVENT('a') });
   });
 
+  it('drops a crossed reply of an engine that names attempts in its body only', async () => {
+    const headers = { 'content-type': 'text/event-stream' };
+    let reply = EVENT('a') + DONE;
+    const url = await serve((res) => {
+      res.writeHead(200, headers);
+      res.end(reply);
+    });
+    const first = begin(url);
+    expect((await first.ended()).outcome.kind).to.equal('complete');
+    reply = reply.replace(ATTEMPT, 'other');
+    const second = begin(url, {}, undefined, first);
+    const { outcome, text } = await second.ended();
+    expect([outcome.kind, text]).to.deep.equal(['foreign', '']);
+  });
+
   const refusals: readonly (readonly [number, string, AttemptOutcome['kind']])[] = [
     [429, '', 'declined'],
     [503, '{"executed":"no"}', 'declined'],
