Choose holders of a model only where a pool exceeds its bound

Cause: after every change of the configuration each instance scored and sorted all upstreams of its pools, in one event, though nearly always all of them hold the model. Change: no choice is made where the bound covers the pool; the number of holders is counted from the planned stops.

--- a/src/core/orders/placement.ts
+++ b/src/core/orders/placement.ts
@@ -11,6 +11,8 @@
 } from '../types.js';
 
 const DEFAULT_FLEET_LOADS = 4;
+/** Keeps `8 * (1 - 0.75)` at 2 whatever the rounding of fractions. */
+const ROUNDING = 1e-9;
 
 /** Returns the placement that applies to an upstream, if it is among those that hold the model. */
 export function placementOf(
@@ -19,19 +21,35 @@
 ): PlacementConfig | undefined {
   if (view.plannedStops.has(upstream.id)) return undefined;
   const placement = view.placement.find(({ pool }) => pool === upstream.pool);
-  if (placement === undefined) return undefined;
-  return holdersOf(view, placement).has(upstream.id) ? placement : undefined;
+  if (placement === undefined || holdsWhole(view, placement)) return placement;
+  return chosenHolders(view, placement).has(upstream.id) ? placement : undefined;
 }
 
-const holders = new WeakMap<ConfigurationView, Map<PoolId, ReadonlySet<UpstreamId>>>();
+/** Whether all upstreams of a pool may hold its model. */
+function holdsWhole(view: ConfigurationView, placement: PlacementConfig): boolean {
+  return placement.maxUpstreams >= (view.upstreamsByPool.get(placement.pool)?.length ?? 0);
+}
+
+/** Number of upstreams of a pool that hold its model. */
+function holderCount(view: ConfigurationView, placement: PlacementConfig): number {
+  const all = view.upstreamsByPool.get(placement.pool)?.length ?? 0;
+  let stopping = 0;
+  for (const id of view.plannedStops.keys()) {
+    if (view.upstreams.get(id)?.pool === placement.pool) stopping += 1;
+  }
+  return Math.min(placement.maxUpstreams, all - stopping);
+}
+
+/** Choices by view: they cost a score for each upstream of the pool. */
+const choices = new WeakMap<ConfigurationView, Map<PoolId, ReadonlySet<UpstreamId>>>();
 
-/** Returns the upstreams of a pool that hold its model: all, up to the largest number. */
-export function holdersOf(
+/** Chooses by rendezvous the upstreams that hold the model of a pool larger than its bound. */
+function chosenHolders(
   view: ConfigurationView,
   placement: PlacementConfig,
 ): ReadonlySet<UpstreamId> {
-  const ofView = holders.get(view) ?? new Map<PoolId, ReadonlySet<UpstreamId>>();
-  holders.set(view, ofView);
+  const ofView = choices.get(view) ?? new Map<PoolId, ReadonlySet<UpstreamId>>();
+  choices.set(view, ofView);
   const known = ofView.get(placement.pool);
   if (known !== undefined) return known;
   const candidates = (view.upstreamsByPool.get(placement.pool) ?? [])
@@ -75,8 +93,8 @@
  * too small for the share still loads one engine at a time.
  */
 export function poolLoadsOf(view: ConfigurationView, placement: PlacementConfig): number {
-  const { size } = holdersOf(view, placement);
-  return Math.max(1, Math.floor(size * (1 - placement.servingShare) + 1e-9));
+  const share = 1 - placement.servingShare;
+  return Math.max(1, Math.floor(holderCount(view, placement) * share + ROUNDING));
 }
 
 export function fleetLoadsOf(view: ConfigurationView): number {
