Look only at the customers whose waiting work has changed

Cause: each change of one queue had the waiting work of all customers counted, offered and compared with every target's belief. Change: changes are noted by customer; relays are chosen once per change of membership.

--- a/src/core/dispatch/announcements.ts
+++ b/src/core/dispatch/announcements.ts
@@ -14,7 +14,7 @@
 import { assignPool } from './assign.js';
 import { blockHashes } from './cache.js';
 import { setWaiting } from './demand.js';
-import { peekNext, runnableCount, wakeAnnouncer } from './queues.js';
+import { noteChangeLater, peekNext, runnableCount, wakeAnnouncer } from './queues.js';
 
 /** Announce intervals after which the number of targets doubles. */
 const WIDENING_INTERVALS = 2;
@@ -24,10 +24,12 @@
 
 interface Waiting {
   readonly customer: CustomerNumber;
-  readonly count: number;
   readonly waited: Millis;
 }
 
+/** Counts that each target believes. */
+type Targets = Map<InstanceId, Map<CustomerNumber, number>>;
+
 interface Update {
   readonly customers: CustomerNumber[];
   readonly counts: number[];
@@ -42,20 +44,43 @@
   return relaysOf(state, domain, `demand ${pool}`)[0]?.id;
 }
 
-/** Offers the waiting work of the changed pools. */
+/** Offers the waiting work that has changed. */
 export function onAnnounceTimer(ctx: CoreContext): void {
   const { dispatch, settings } = ctx.state;
   dispatch.announceAt = Infinity;
-  dispatch.changedPools.forEach((pool) => offerLocally(ctx, pool));
-  if (dispatch.changedPools.size === 0) return;
+  changedPools(ctx.state).forEach((pool) => offerLocally(ctx, pool));
+  const pools = changedPools(ctx.state);
+  if (pools.size === 0) return;
   if (dispatch.remoteAnnounceAt > ctx.now) {
     wakeAnnouncer(ctx, dispatch.remoteAnnounceAt);
     return;
   }
   dispatch.remoteAnnounceAt = ctx.now + settings.announceMs;
-  const pools = [...dispatch.changedPools];
-  dispatch.changedPools.clear();
-  pools.forEach((pool) => announcePool(ctx, pool, () => false));
+  pools.forEach((pool) => {
+    const changed = changedIn(ctx.state, pool);
+    dispatch.changedPools.delete(pool);
+    dispatch.changedCustomers.delete(pool);
+    announcePool(ctx, pool, changed);
+  });
+}
+
+function changedPools(state: CoreState): ReadonlySet<PoolId> {
+  const { dispatch } = state;
+  return new Set([...dispatch.changedPools, ...dispatch.changedCustomers.keys()]);
+}
+
+/** Returns the customers of a pool whose waiting work has to be looked at. */
+function changedIn(state: CoreState, pool: PoolId): ReadonlySet<CustomerNumber> {
+  const { dispatch } = state;
+  const changed = dispatch.changedCustomers.get(pool) ?? new Set<CustomerNumber>();
+  if (!dispatch.changedPools.has(pool)) return changed;
+  const all = new Set(changed);
+  dispatch.queues.get(pool)?.forEach((_, customer) => all.add(customer));
+  dispatch.demand.get(pool)?.forEach((_, customer) => all.add(customer));
+  dispatch.announced.get(pool)?.forEach((believed) => {
+    believed.forEach((_, customer) => all.add(customer));
+  });
+  return all;
 }
 
 /** Repeats announcements, a part of the targets at a time, in case some were lost. */
@@ -66,10 +91,18 @@
     targets.forEach((_, target) => {
       if (!isLive(state, target)) targets.delete(target);
     });
-    const relay = demandRelay(state, state.self.domain, pool);
-    const isDue = (target: InstanceId) =>
-      target === relay || hash32(target) % REFRESH_TURNS === turn;
-    announcePool(ctx, pool, isDue);
+    refreshPool(ctx, pool, targets, turn);
+  });
+}
+
+function refreshPool(ctx: CoreContext, poolId: PoolId, targets: Targets, turn: number): void {
+  const { state } = ctx;
+  const pool = state.configuration.view?.pools.get(poolId);
+  if (pool === undefined) return;
+  const relay = demandRelay(state, state.self.domain, poolId);
+  targets.forEach((believed, target) => {
+    const isDue = target === relay || hash32(target) % REFRESH_TURNS === turn;
+    if (isDue) sendFull(ctx, pool, target, believed);
   });
 }
 
@@ -89,10 +122,7 @@
 
 /** Takes this instance's own waiting work into its own table of demand and assigns slots. */
 function offerLocally(ctx: CoreContext, pool: PoolId): void {
-  const { state } = ctx;
-  const demand = state.dispatch.demand.get(pool);
-  demand?.forEach((_, customer) => noteOwnCount(ctx, pool, customer));
-  state.dispatch.queues.get(pool)?.forEach((_, customer) => noteOwnCount(ctx, pool, customer));
+  changedIn(ctx.state, pool).forEach((customer) => noteOwnCount(ctx, pool, customer));
   assignPool(ctx, pool);
 }
 
@@ -112,33 +142,30 @@
 function announcePool(
   ctx: CoreContext,
   poolId: PoolId,
-  isDue: (target: InstanceId) => boolean,
+  changed: ReadonlySet<CustomerNumber>,
 ): void {
   const { state } = ctx;
   const pool = state.configuration.view?.pools.get(poolId);
   if (pool === undefined) return;
-  const waiting = waitingIn(ctx, poolId);
   const owners = ownersNear(state, poolId);
   const targets = targetsOf(state, poolId);
-  waiting.forEach((work) => addTargets(state, pool, work, owners, targets));
-  const counts = new Map(waiting.map((work) => [work.customer, work.count]));
-  targets.forEach((believed, target) => {
-    if (isDue(target)) sendFull(ctx, pool, target, believed, counts);
-    else sendChanges(ctx, pool, target, believed, counts);
+  const relay = demandRelay(state, state.self.domain, poolId);
+  const counts = new Map<CustomerNumber, number>();
+  changed.forEach((customer) => {
+    const count = runnableCount(state, poolId, customer);
+    counts.set(customer, count);
+    if (count === 0) return;
+    const waited = waitedOf(ctx, poolId, customer);
+    addTargets(state, { customer, waited }, owners, relay, targets);
+    // Work that keeps waiting is announced more widely.
+    if (needsWidening(state, waited, owners.length)) noteChangeLater(ctx, poolId, customer);
   });
-  // Work that keeps waiting is announced more widely.
-  if (waiting.length > 0 && needsWidening(state, waiting, owners.length)) {
-    state.dispatch.changedPools.add(poolId);
-    wakeAnnouncer(ctx, ctx.now + state.settings.announceMs);
-  }
+  targets.forEach((believed, target) => sendChanges(ctx, pool, target, believed, counts));
 }
 
-function needsWidening(state: CoreState, waiting: readonly Waiting[], owners: number): boolean {
-  const { announceMs } = state.settings;
-  return waiting.some(({ waited }) => {
-    const isNew = waited < WIDENING_INTERVALS * announceMs;
-    return isNew || fanout(state, waited) < owners;
-  });
+function needsWidening(state: CoreState, waited: Millis, owners: number): boolean {
+  const isNew = waited < WIDENING_INTERVALS * state.settings.announceMs;
+  return isNew || fanout(state, waited) < owners;
 }
 
 function fanout(state: CoreState, waited: Millis): number {
@@ -149,10 +176,10 @@
 /** Makes the owners that a customer's work is due to, and the relay, targets of announcements. */
 function addTargets(
   state: CoreState,
-  pool: PoolConfig,
   work: Waiting,
   owners: readonly InstanceId[],
-  targets: Map<InstanceId, Map<CustomerNumber, number>>,
+  relay: InstanceId | undefined,
+  targets: Targets,
 ): void {
   const add = (target: InstanceId) => {
     if (target === state.self.id) return;
@@ -160,13 +187,12 @@
     targets.set(target, believed);
     if (!believed.has(work.customer)) believed.set(work.customer, 0);
   };
-  const most = fanout(state, work.waited);
-  const start = owners.length === 0 ? 0 : hash32(`${work.customer} ${state.self.id}`);
-  for (let i = 0; i < Math.min(most, owners.length); i += 1) {
+  const most = Math.min(fanout(state, work.waited), owners.length);
+  const start = most === owners.length ? 0 : hash32(`${work.customer} ${state.self.id}`);
+  for (let i = 0; i < most; i += 1) {
     add(owners[(start + i) % owners.length] as InstanceId);
   }
   const isLate = work.waited >= WIDENING_INTERVALS * state.settings.announceMs;
-  const relay = demandRelay(state, state.self.domain, pool.id);
   if (relay !== undefined && (isLate || owners.length === 0)) add(relay);
 }
 
@@ -178,8 +204,9 @@
   counts: ReadonlyMap<CustomerNumber, number>,
 ): void {
   const update: Update = { customers: [], counts: [] };
-  believed.forEach((known, customer) => {
-    const count = counts.get(customer) ?? 0;
+  counts.forEach((count, customer) => {
+    const known = believed.get(customer);
+    if (known === undefined) return;
     if (isCloseEnough(known, count)) {
       if (count === 0) believed.delete(customer);
       return;
@@ -196,11 +223,10 @@
   pool: PoolConfig,
   target: InstanceId,
   believed: Map<CustomerNumber, number>,
-  counts: ReadonlyMap<CustomerNumber, number>,
 ): void {
   const update: Update = { customers: [], counts: [] };
   believed.forEach((_, customer) => {
-    const count = counts.get(customer) ?? 0;
+    const count = runnableCount(ctx.state, pool.id, customer);
     if (count === 0) {
       believed.delete(customer);
       return;
@@ -248,15 +274,6 @@
   return believed <= 2 * count && count <= 2 * believed;
 }
 
-function waitingIn(ctx: CoreContext, pool: PoolId): readonly Waiting[] {
-  const waiting: Waiting[] = [];
-  ctx.state.dispatch.queues.get(pool)?.forEach((_, customer) => {
-    const count = runnableCount(ctx.state, pool, customer);
-    if (count > 0) waiting.push({ customer, count, waited: waitedOf(ctx, pool, customer) });
-  });
-  return waiting;
-}
-
 function waitedOf(ctx: CoreContext, pool: PoolId, customer: CustomerNumber): Millis {
   const next = peekNext(ctx.state, pool, customer);
   const request = next === undefined ? undefined : ctx.state.requests.active.get(next);
--- a/src/core/dispatch/dispatchState.ts
+++ b/src/core/dispatch/dispatchState.ts
@@ -120,7 +120,10 @@
 export interface DispatchState {
   /** Entry side: waiting requests in order of arrival. */
   readonly queues: Map<PoolId, Map<CustomerNumber, RequestId[]>>;
+  /** Pools all of whose waiting work has to be looked at. */
   readonly changedPools: Set<PoolId>;
+  /** Customers in other pools whose waiting work has to be looked at. */
+  readonly changedCustomers: Map<PoolId, Set<CustomerNumber>>;
   /** Counts that a target still believes, by pool, target and customer. */
   readonly announced: Map<PoolId, Map<InstanceId, Map<CustomerNumber, number>>>;
   readonly seenGrants: Map<InstanceId, SeenGrants>;
@@ -162,6 +165,7 @@
   return {
     queues: new Map(),
     changedPools: new Set(),
+    changedCustomers: new Map(),
     announced: new Map(),
     seenGrants: new Map(),
     heldGrants: new Map(),
--- a/src/core/dispatch/entry.ts
+++ b/src/core/dispatch/entry.ts
@@ -36,11 +36,11 @@
   const requestId = takeNext(state, pool.id, grant.customer, grant.upstream);
   if (requestId === undefined) {
     // What waits may not run on this upstream; offering it again at once would bring the same grant.
-    noteChangeLater(ctx, pool.id);
+    noteChangeLater(ctx, pool.id, grant.customer);
     returnGrant(ctx, facts);
     return;
   }
-  noteChange(ctx, pool.id);
+  noteChange(ctx, pool.id, grant.customer);
   state.dispatch.heldGrants.set(grantKey(facts), { customer: grant.customer, incarnation });
   noteRunning(state, grant.customer, 1);
   startAttempt(ctx, requestId, facts);
--- a/src/core/dispatch/queues.ts
+++ b/src/core/dispatch/queues.ts
@@ -13,7 +13,7 @@
 export function enqueue(ctx: CoreContext, facts: RequestFacts): void {
   queueOf(ctx.state, facts.pool, facts.customer).push(facts.requestId);
   noteQueued(ctx, facts.customer, 1, facts.bodyBytes);
-  noteChange(ctx, facts.pool);
+  noteChange(ctx, facts.pool, facts.customer);
 }
 
 /** Takes a request out of its queue, if it is there. */
@@ -24,7 +24,7 @@
   queue.splice(index, 1);
   noteQueued(ctx, facts.customer, -1, facts.bodyBytes);
   forgetEmpty(ctx.state, facts.pool, facts.customer, queue);
-  noteChange(ctx, facts.pool);
+  noteChange(ctx, facts.pool, facts.customer);
 }
 
 /** Has every pool with waiting work looked at again, for owners that are new. */
@@ -74,18 +74,29 @@
   return count;
 }
 
-/** Has the waiting counts of a pool looked at after the events that are due now. */
-export function noteChange(ctx: CoreContext, pool: PoolId): void {
-  ctx.state.dispatch.changedPools.add(pool);
+/** Has the waiting work of a pool, or of one customer in it, looked at after the due events. */
+export function noteChange(ctx: CoreContext, pool: PoolId, customer?: CustomerNumber): void {
+  markChanged(ctx.state, pool, customer);
   wakeAnnouncer(ctx, ctx.now);
 }
 
-/** Has the waiting counts of a pool looked at after the announce interval. */
-export function noteChangeLater(ctx: CoreContext, pool: PoolId): void {
-  ctx.state.dispatch.changedPools.add(pool);
+/** Has the waiting work of a pool, or of one customer in it, looked at after the announce interval. */
+export function noteChangeLater(ctx: CoreContext, pool: PoolId, customer?: CustomerNumber): void {
+  markChanged(ctx.state, pool, customer);
   wakeAnnouncer(ctx, ctx.now + ctx.state.settings.announceMs);
 }
 
+function markChanged(state: CoreState, pool: PoolId, customer: CustomerNumber | undefined): void {
+  const { changedPools, changedCustomers } = state.dispatch;
+  if (customer === undefined) {
+    changedPools.add(pool);
+    return;
+  }
+  const changed = changedCustomers.get(pool) ?? new Set<CustomerNumber>();
+  changedCustomers.set(pool, changed);
+  changed.add(customer);
+}
+
 /** Sets the announce timer unless it is due earlier. */
 export function wakeAnnouncer(ctx: CoreContext, at: Millis): void {
   const { dispatch } = ctx.state;
--- a/src/core/membership/memberIndex.ts
+++ b/src/core/membership/memberIndex.ts
@@ -56,9 +56,16 @@
   domain: FailureDomainId,
   key = 'members',
 ): readonly Member[] {
+  const { relays } = memberIndex(state);
+  const cacheKey = `${key} ${domain}`;
+  const known = relays.get(cacheKey);
+  if (known !== undefined) return known;
   const members = membersOf(state, domain);
   const ready = members.filter((member) => member.phase === 'ready');
-  return bestScored(ready.length > 0 ? ready : members, `relay ${key}`, RELAYS_PER_DOMAIN);
+  const candidates = ready.length > 0 ? ready : members;
+  const chosen = bestScored(candidates, `relay ${key}`, RELAYS_PER_DOMAIN);
+  relays.set(cacheKey, chosen);
+  return chosen;
 }
 
 /** Returns the `amount` members with the greatest rendezvous scores, the greatest first. */
@@ -84,6 +91,7 @@
   byDomain.forEach((group) => group.sort((a, b) => (a.id < b.id ? -1 : 1)));
   index.generation = generation;
   index.byDomain = byDomain;
+  index.relays.clear();
   return index;
 }
 
--- a/src/core/membership/membershipState.ts
+++ b/src/core/membership/membershipState.ts
@@ -30,6 +30,8 @@
 export interface MemberIndex {
   generation: number;
   byDomain: ReadonlyMap<FailureDomainId, readonly Member[]>;
+  /** Relays by key and domain, as far as they were asked for. */
+  readonly relays: Map<string, readonly Member[]>;
 }
 
 export interface MembershipState {
@@ -62,7 +64,7 @@
     departed: new Map(),
     vouched: new Map(),
     sentHashes: new Map(),
-    index: { generation: -1, byDomain: new Map() },
+    index: { generation: -1, byDomain: new Map(), relays: new Map() },
     beat: 0,
     generation: 0,
   };
--- a/src/core/shares/groups.ts
+++ b/src/core/shares/groups.ts
@@ -16,17 +16,7 @@
   domain: FailureDomainId,
   group: number,
 ): readonly InstanceId[] {
-  const { shares, membership } = state;
-  if (shares.relayGeneration !== membership.generation) {
-    shares.relayCache.clear();
-    shares.relayGeneration = membership.generation;
-  }
-  const key = `${group} ${domain}`;
-  const known = shares.relayCache.get(key);
-  if (known !== undefined) return known;
-  const relays = relaysOf(state, domain, `group ${group}`).map((member) => member.id);
-  shares.relayCache.set(key, relays);
-  return relays;
+  return relaysOf(state, domain, `group ${group}`).map((member) => member.id);
 }
 
 /** Whether this instance speaks for its domain in a group. */
--- a/src/core/shares/sharesState.ts
+++ b/src/core/shares/sharesState.ts
@@ -48,10 +48,6 @@
   readonly relay: RelayState;
   /** Time up to which the slot time of an attempt at a plain service has been charged. */
   readonly slotTimeUntil: Map<AttemptId, Millis>;
-  /** Membership generation of `relayCache`. */
-  relayGeneration: number;
-  /** Relays by domain and group. */
-  readonly relayCache: Map<string, readonly InstanceId[]>;
   sequence: number;
   /** Half exchanges so far. */
   ticks: number;
@@ -63,8 +59,6 @@
     sent: new Map(),
     relay: createRelayState(),
     slotTimeUntil: new Map(),
-    relayGeneration: -1,
-    relayCache: new Map(),
     sequence: 0,
     ticks: 0,
   };
