--- a/src/configuration/settingsSchema.ts
+++ b/src/configuration/settingsSchema.ts
@@ -47,7 +47,7 @@
 }
 
 const file = z.string().min(1);
-const positive = z.number().positive();
+const count = z.number().min(0);
 const keyHash = z.string().regex(/^[0-9a-f]{64}$/, 'a SHA-256 hash in hexadecimal is expected');
 
 /** `heartbeatMs` is set as `heartbeat: 1s`, `answerMemoryBytes` as `answerMemory: 8MiB`. */
@@ -55,7 +55,7 @@
   if (key.endsWith('Ms')) return { key: key.slice(0, -'Ms'.length), type: duration };
   if (key.endsWith('Bytes')) return { key: key.slice(0, -'Bytes'.length), type: size };
   if (key.endsWith('Hashes')) return { key, type: z.array(keyHash) };
-  return { key, type: positive };
+  return { key, type: count };
 }
 
 const coreKeys = Object.keys(DEFAULT_CORE_SETTINGS) as (keyof CoreSettings)[];
--- a/test/cli/cli.test.ts
+++ b/test/cli/cli.test.ts
@@ -71,6 +71,17 @@
     expect(stderr).to.include(`${file}:1:31: error 3004`);
   });
 
+  it('takes process ids for faults by name, and no others', async () => {
+    const load = join('examples', 'load.yaml');
+    const faults = await write('faults.yaml', 'faults: [{atMs: 1, process: i1, signal: SIGCONT}]');
+    const bad = await run('load', load, '--faults', faults, '--pid', 'i1');
+    expect(bad.code).to.equal(EXIT_CODES.usage);
+    expect(bad.stderr).to.include("'i1' is not NAME=PID");
+    const other = await run('load', load, '--faults', faults, '--pid', `i2=${process.pid}`);
+    expect(other.code).to.equal(EXIT_CODES.invalid);
+    expect(other.stderr).to.include('i1');
+  });
+
   it('tells that an instance cannot be reached', async () => {
     const { code, stderr } = await run('status', '--url', 'http://127.0.0.1:1');
     expect(code).to.equal(EXIT_CODES.unreachable);
@@ -100,7 +111,7 @@
     const { child, output, ended } = start(['serve', '--settings', settings]);
     const address = await new Promise<string>((resolve) => {
       child.stderr.on('data', () => {
-        const match = /listens for callers on (\S+)\.\n/.exec(output.stderr);
+        const match = /listens for callers on (\S+),/.exec(output.stderr);
         if (match?.[1] !== undefined) resolve(match[1]);
       });
     });
@@ -115,7 +126,8 @@
 
   it('shows a fleet at work and exits', async () => {
     const { code, stdout } = await run('demo', '--once', '--seconds', '1');
-    expect(stdout).to.include('all answers were true');
+    expect(stdout).to.match(/\n(\d+) sent in [\d.]+ s, \1 served, 0 refused, 0 failed/);
+    expect(stdout).to.include('every request had a true end');
     expect(code).to.equal(EXIT_CODES.ok);
   });
 });
