--- a/src/core/dispatch/pull.ts
+++ b/src/core/dispatch/pull.ts
@@ -8,8 +8,7 @@
 import { sendTo, setTimer, type CoreContext } from '../context.js';
 import type { Millis } from '../clock.js';
 import { isLive, liveDomains, membersOf } from '../membership/memberIndex.js';
-import { accountOf, leastWaiting, settledIn } from '../shares/accounts.js';
-import { virtualService } from '../shares/shares.js';
+import { accountOf, leastWaiting, serviceReader } from '../shares/accounts.js';
 import type { CoreState } from '../state.js';
 import type { CustomerNumber, InstanceId, PeerMessageOf, PoolConfig, PoolId } from '../types.js';
 import { demandRelay } from './announcements.js';
@@ -158,6 +157,9 @@
   to: InstanceId,
   subscription: DemandSubscription,
 ): { readonly customer: CustomerNumber; readonly waiting: WaitingCount } | undefined {
+  const account = accountOf(ctx.state, pool);
+  if (account === undefined) return undefined;
+  const read = serviceReader(ctx.state, account, 'reserved');
   let best: { customer: CustomerNumber; waiting: WaitingCount } | undefined;
   let least = Infinity;
   const latest = ctx.now - subscription.minWaitedMs;
@@ -166,7 +168,7 @@
       // What came from another domain's relay is not passed to a further one.
       const isForeign = waiting.expiresAt !== Infinity && isOfOtherDomain(ctx.state, to);
       if (waiting.entry === to || isForeign || waiting.waitingSince > latest) continue;
-      const service = virtualService(ctx.state, customer, pool);
+      const service = read(customer);
       if (service < least && service < subscription.below) {
         least = service;
         best = { customer, waiting };
@@ -222,7 +224,7 @@
   const account = accountOf(state, pool);
   if (account === undefined || slots.all === 0) return undefined;
   const step = state.configuration.view?.fairness.chargeStep ?? 0;
-  const services = [...demand.keys()].map((customer) => settledIn(state, account, customer));
+  const services = [...demand.keys()].map(serviceReader(state, account, 'settled'));
   const below = Math.max(...services) - LAG_STEPS * step;
   if (leastWaiting(state, account, ctx.now) >= below) return undefined;
   let known = 0;
--- a/src/core/dispatch/suspension.ts
+++ b/src/core/dispatch/suspension.ts
@@ -5,7 +5,7 @@
  * an upstream's slots, and each is resumed after a limited time at the latest.
  */
 import { sendTo, type CoreContext } from '../context.js';
-import { virtualService } from '../shares/shares.js';
+import { accountOf, serviceReader } from '../shares/accounts.js';
 import type { CoreState } from '../state.js';
 import type { CustomerNumber, PoolConfig, UpstreamConfig, UpstreamId } from '../types.js';
 import type { IssuedGrant } from './dispatchState.js';
@@ -22,7 +22,10 @@
   const { state } = ctx;
   if (pool.suspendShare <= 0) return;
   const step = state.configuration.view?.fairness.chargeStep ?? 0;
-  const own = virtualService(state, customer, pool.id);
+  const account = accountOf(state, pool.id);
+  if (account === undefined) return;
+  const read = serviceReader(state, account, 'reserved');
+  const own = read(customer);
   let candidate: IssuedGrant | undefined;
   const holdsOne = holdsSlot(state, pool, customer);
   let most = own + (holdsOne ? LAG_STEPS * step : 0);
@@ -35,9 +38,9 @@
       return;
     }
     if (grant.phase !== 'held' || !grant.canSuspend || grant.customer === customer) return;
-    if (suspendRoom(state, pool, grant.upstream, holdsOne) <= 0) return;
-    const service = virtualService(state, grant.customer, pool.id);
+    const service = read(grant.customer);
     if (service <= most) return;
+    if (suspendRoom(state, pool, grant.upstream, holdsOne) <= 0) return;
     most = service;
     candidate = grant;
   });
@@ -58,7 +61,10 @@
   waiting: CustomerNumber | undefined,
 ): boolean {
   const { state } = ctx;
-  const limit = waiting === undefined ? Infinity : virtualService(state, waiting, pool.id);
+  const account = accountOf(state, pool.id);
+  if (account === undefined) return false;
+  const read = serviceReader(state, account, 'reserved');
+  const limit = waiting === undefined ? Infinity : read(waiting);
   const isForSlotless = waiting !== undefined && !holdsSlot(state, pool, waiting);
   let next: IssuedGrant | undefined;
   free.forEach((upstream) => {
@@ -68,8 +74,7 @@
     state.dispatch.issued.forEach((grant) => {
       if (grant.upstream !== upstream.id || grant.phase !== 'suspended') return;
       const isOverdue = ctx.now - grant.phaseSince >= state.settings.maxSuspendMs;
-      if (!isOverdue && !isOverdrawn && virtualService(state, grant.customer, pool.id) > limit)
-        return;
+      if (!isOverdue && !isOverdrawn && read(grant.customer) > limit) return;
       if (next === undefined || grant.phaseSince < next.phaseSince) next = grant;
     });
   });
--- a/src/core/shares/accounts.ts
+++ b/src/core/shares/accounts.ts
@@ -74,19 +74,44 @@
 
 /** Returns the customer's virtual service as this instance knows it, reservations included. */
 export function virtualIn(state: CoreState, account: Account, customer: CustomerNumber): number {
-  ensureCapacity(account, customer);
-  return (
-    settledIn(state, account, customer) +
-    (account.reserved[customer] ?? 0) / weightIn(state, account, customer)
-  );
+  const weight = weightIn(state, account, customer);
+  return settledIn(state, account, customer) + (account.reserved[customer] ?? 0) / weight;
 }
 
 /** Returns the customer's virtual service without reservations. */
 export function settledIn(state: CoreState, account: Account, customer: CustomerNumber): number {
-  ensureCapacity(account, customer);
+  const weight = weightIn(state, account, customer);
   const pending = (account.own[customer] ?? 0) - (account.acknowledged[customer] ?? 0);
   const service = (account.fleet[customer] ?? 0) + Math.max(0, pending);
-  return service / weightIn(state, account, customer) + (account.lift[customer] ?? 0);
+  return service / weight + (account.lift[customer] ?? 0);
+}
+
+/** Whether reservations count in a comparison of customers. */
+export type ServiceView = 'settled' | 'reserved';
+
+/**
+ * Returns a function that reads virtual service as `settledIn` or `virtualIn` do, for walks over many
+ * customers. It holds for as long as the account is not written to.
+ */
+export function serviceReader(
+  state: CoreState,
+  account: Account,
+  view: ServiceView,
+): (customer: CustomerNumber) => number {
+  weightIn(state, account, 0);
+  const { capacity, own, acknowledged, fleet, lift, reserved, weight } = account;
+  const isSettled = view === 'settled';
+  return (customer) => {
+    const known = customer < capacity ? (weight[customer] as number) : 0;
+    if (known === 0) {
+      const read = isSettled ? settledIn : virtualIn;
+      return read(state, account, customer);
+    }
+    const pending = (own[customer] as number) - (acknowledged[customer] as number);
+    let service = (fleet[customer] as number) + (pending > 0 ? pending : 0);
+    if (!isSettled) service += reserved[customer] as number;
+    return service / known + (lift[customer] as number);
+  };
 }
 
 /** Notes that a customer waits somewhere until a time. */
@@ -111,8 +136,10 @@
 /** Returns the least virtual service among the customers believed to wait somewhere. */
 export function leastWaiting(state: CoreState, account: Account, now: Millis): number {
   let least = Infinity;
+  const read = serviceReader(state, account, 'settled');
   forEachWaiting(account, now, (customer) => {
-    least = Math.min(least, settledIn(state, account, customer));
+    const service = read(customer);
+    if (service < least) least = service;
   });
   return least;
 }
--- a/src/core/shares/shares.ts
+++ b/src/core/shares/shares.ts
@@ -7,7 +7,7 @@
 import type { CoreContext } from '../context.js';
 import type { CoreState } from '../state.js';
 import type { CustomerNumber, PoolId } from '../types.js';
-import { accountOf, ensureCapacity, virtualIn } from './accounts.js';
+import { accountOf, ensureCapacity, serviceReader, virtualIn } from './accounts.js';
 
 /** Adds service, in cost units, that a customer received at this instance. */
 export function charge(
@@ -53,10 +53,11 @@
 ): CustomerNumber | undefined {
   const account = accountOf(state, pool);
   if (account === undefined) return undefined;
+  const read = serviceReader(state, account, 'reserved');
   let best: CustomerNumber | undefined;
   let least = Infinity;
   for (const customer of customers) {
-    const service = virtualIn(state, account, customer);
+    const service = read(customer);
     if (service < least) {
       best = customer;
       least = service;
