Count token events over the time in which they were counted

Cause: events were counted for up to a second longer than the time they were divided by, so short runs showed too many. Change: the rate is over the counting time; the token interval can be set.

--- a/src/bench/live/main.ts
+++ b/src/bench/live/main.ts
@@ -1,6 +1,6 @@
 /**
  * `npm run bench:live`: measures one instance process against engine stand-ins in processes of
- * their own. Options: `--only latency|streams|crossed`, `--calls N`, `--streams N`,
+ * their own. Options: `--only latency|streams|crossed`, `--calls N`, `--streams N`, `--interval MS`,
  * `--seconds N`, `--direct`, `--requests N`.
  */
 import { parseArgs } from 'node:util';
@@ -19,6 +19,7 @@
     only: { type: 'string' },
     seconds: { type: 'string', default: '30' },
     streams: { type: 'string', default: '1000' },
+    interval: { type: 'string', default: '50' },
     calls: { type: 'string', default: '400' },
     requests: { type: 'string', default: '10000' },
     direct: { type: 'boolean', default: false },
@@ -53,7 +54,7 @@
   const result = await measureStreams({
     streams: Number(values.streams),
     engines: 2,
-    tokenIntervalMs: 50,
+    tokenIntervalMs: Number(values.interval),
     tokensPerStream: 200,
     seconds: Number(values.seconds),
     isDirect: values.direct,
--- a/src/bench/live/streams.ts
+++ b/src/bench/live/streams.ts
@@ -87,8 +87,10 @@
   const running = Array.from({ length: options.streams }, async (_, n) => runStream(n));
   await sleep(SETTLE_MS);
   isCounting = true;
+  const countedFrom = performance.now();
   const samples = await sampleFor(pid, statusUrl, options.seconds * MS_PER_SECOND);
   isCounting = false;
+  const countedMs = performance.now() - countedFrom;
   isEnding = true;
   await Promise.all(running);
   await dispatcher.close();
@@ -101,7 +103,7 @@
   const late = samples.slice(Math.floor(samples.length / 2));
   const { p50, p95, p99 } = gaps.quantiles();
   return {
-    eventsPerSecond: (counts.events * MS_PER_SECOND) / elapsed,
+    eventsPerSecond: (counts.events * MS_PER_SECOND) / countedMs,
     answers: counts.answers,
     broken: counts.broken,
     gapP50: p50,
