--- a/src/core/requests/outcomeSettings.ts
+++ b/src/core/requests/outcomeSettings.ts
@@ -76,7 +76,7 @@
   claimHoldMs: 60_000,
   claimMemoryMs: 900_000,
   claimAppendsPerSecond: 200,
-  claimWriters: 4,
+  claimWriters: 2,
   claimResubmitMs: 1_000,
   claimTickMs: 50,
   claimReadWaitMs: 1_000,
