--- a/scripts/fleet.mjs
+++ b/scripts/fleet.mjs
@@ -38,6 +38,8 @@
     seconds: { type: 'string', default: '30' },
     /** Requests in a second. */
     rate: { type: 'string', default: '100' },
+    /** Requests that arrive at once at the start. */
+    burst: { type: 'string', default: '0' },
     /** `none`, `random`, or a fault file. */
     faults: { type: 'string', default: 'none' },
     'faults-per-second': { type: 'string', default: '0.5' },
@@ -108,7 +110,14 @@
   await startFleet();
   const faults = await readFaults();
   const file = unwrap(
-    parseLoadFile(loadFile(plan, { seed, durationMs, ratePerSecond: Number(args.rate) })),
+    parseLoadFile(
+      loadFile(plan, {
+        seed,
+        durationMs,
+        ratePerSecond: Number(args.rate),
+        burst: Number(args.burst),
+      }),
+    ),
   );
   const done = await runLoad({ file, faults, pids: instances.pids });
   if (done.kind === 'rejected') throw new Error(`unknown targets: ${done.unknownTargets}`);
--- a/scripts/fleet/files.mjs
+++ b/scripts/fleet/files.mjs
@@ -170,12 +170,12 @@
 }
 
 /** A load with short and long completions, and bookings that may run once only. */
-export function loadFile(plan, { seed, durationMs, ratePerSecond }) {
+export function loadFile(plan, { seed, durationMs, ratePerSecond, burst }) {
   const targets = (list, pool) => list.map(({ name, port }) => ({ name, pool, url: url(port) }));
   return stringify({
     seed,
     durationMs,
-    drainMs: 60_000,
+    drainMs: 120_000,
     instances: plan.instances.map(({ name, callers, operators }) => ({
       name,
       url: url(callers),
@@ -194,6 +194,7 @@
       key: keyOf(name),
       weight,
       ratePerSecond: ratePerSecond * part,
+      bursts: burst > 0 ? [{ atMs: 0, requests: Math.round(burst * part) }] : [],
       mix: [
         {
           kind: 'completion',
