--- a/src/core/dispatch/suspension.ts
+++ b/src/core/dispatch/suspension.ts
@@ -14,7 +14,7 @@
 /** Lag, in charge steps, at which a holder's stream gives way. */
 const LAG_STEPS = 2;
 
-/** Time after which a request to suspend that was not answered may be repeated. */
+/** Time after which a request to suspend that was not answered, or was taken back, may be repeated. */
 const SUSPEND_RETRY_MS = 1_000;
 
 /** Asks for the suspension of a stream of the most-served holder, if `customer` lags enough. */
@@ -38,6 +38,9 @@
       return;
     }
     if (grant.phase !== 'held' || !grant.canSuspend || grant.customer === customer) return;
+    // A stream that was resumed runs for a while, or it could give way again within one moment.
+    const wasResumed = grant.phaseSince > grant.issuedAt;
+    if (wasResumed && ctx.now - grant.phaseSince < SUSPEND_RETRY_MS) return;
     const service = read(grant.customer);
     if (service <= most) return;
     if (suspendRoom(state, pool, grant.upstream, holdsOne) <= 0) return;
