--- /dev/null
+++ b/src/bench/capacity/fleetRun.ts
@@ -0,0 +1,192 @@
+/**
+ * One run of a fleet of real cores on the fake network at a stated size, with work waiting
+ * throughout. Control traffic and processor time are counted per instance, since a limit holds for
+ * the busiest instance and not for the mean.
+ */
+import { performance } from 'node:perf_hooks';
+import type { Millis } from '../../core/clock.js';
+import { MS_PER_SECOND } from '../../core/clock.js';
+import { createRandom, type Random } from '../../core/random.js';
+import type { InstanceId } from '../../core/types.js';
+import { PeerMessage as PeerMessageCodec } from '../../protocol/generated/peer.js';
+import { createFakeNetwork, type FakeNetwork } from '../../../test/support/fakeNetwork.js';
+import { createFleetView, domainName, regionName } from '../support/fleetView.js';
+
+export interface FleetRunSize {
+  readonly instances: number;
+  readonly domains: number;
+  readonly regions: number;
+  readonly pools: number;
+  readonly engines: number;
+  readonly slots: number;
+  /** Customers that always have work waiting; each uses one pool. */
+  readonly waiting: number;
+  readonly customers: number;
+  readonly tokensPerRequest: number;
+  readonly tokensPerSecondAndSlot: number;
+  readonly durationMs: Millis;
+}
+
+/** Amounts per second of one instance. */
+export interface InstanceLoad {
+  /** Sent and received, with framing. */
+  readonly bytes: number;
+  readonly crossRegionBytes: number;
+  readonly messages: number;
+  /** Processor time in timers and peer messages, coding included, in milliseconds. */
+  readonly controlMs: number;
+  readonly polls: number;
+}
+
+export interface FleetRunResult {
+  readonly mean: InstanceLoad;
+  /** The largest of each amount over the instances. */
+  readonly largest: InstanceLoad;
+  /** Mean bytes per instance and second, by kind of message. */
+  readonly bytesByKind: Readonly<Record<string, number>>;
+  readonly requestsPerSecond: number;
+}
+
+type Totals = { -readonly [K in keyof InstanceLoad]: number };
+
+/** Framing of a message: gRPC's five bytes and the frame head of HTTP/2. */
+export const FRAMING_BYTES = 14;
+
+const TICK_MS: Millis = 200;
+const MEMBERSHIP_MS: Millis = 6_000;
+const SETTLE_MS: Millis = 4_000;
+const REFILL_MS: Millis = 200;
+const SAME_REGION_DELAY_MS: Millis = 1;
+const CROSS_REGION_DELAY_MS: Millis = 12;
+
+export function runFleet(size: FleetRunSize): FleetRunResult {
+  const meter = createMeter();
+  const network = createFakeNetwork({
+    seed: 1,
+    view: createFleetView({ ...size, upstreams: size.engines }),
+    instances: Array.from({ length: size.instances }, (_, i) => ({
+      id: `i${i}`,
+      domain: domainName(i % size.domains),
+      region: regionName(i % size.domains, size.regions),
+    })),
+    tickMs: TICK_MS,
+    tokensPerSecond: size.tokensPerSecondAndSlot,
+    delayMs: (from, to) =>
+      from.region === to.region ? SAME_REGION_DELAY_MS : CROSS_REGION_DELAY_MS,
+    ...meter.hooks,
+  });
+  network.runUntil(MEMBERSHIP_MS);
+  keepWaiting(network, size);
+  network.runUntil(MEMBERSHIP_MS + SETTLE_MS);
+  meter.reset();
+  const jobsBefore = endedJobs(network);
+  network.runUntil(MEMBERSHIP_MS + SETTLE_MS + size.durationMs);
+  const seconds = size.durationMs / MS_PER_SECOND;
+  const requestsPerSecond = (endedJobs(network) - jobsBefore) / seconds;
+  return { ...meter.result([...network.nodes.keys()], seconds), requestsPerSecond };
+}
+
+function createMeter() {
+  const totals = new Map<InstanceId, Totals>();
+  const byKind = new Map<string, number>();
+
+  function totalsOf(id: InstanceId): Totals {
+    const known = totals.get(id);
+    if (known !== undefined) return known;
+    const fresh = { bytes: 0, crossRegionBytes: 0, messages: 0, controlMs: 0, polls: 0 };
+    totals.set(id, fresh);
+    return fresh;
+  }
+
+  const hooks: Pick<Parameters<typeof createFakeNetwork>[0], 'onSend' | 'onReduce'> = {
+    onSend: (from, to, { message }) => {
+      const start = performance.now();
+      const encoded = PeerMessageCodec.encode({ body: message }).finish();
+      const middle = performance.now();
+      PeerMessageCodec.decode(encoded);
+      const bytes = encoded.length + FRAMING_BYTES;
+      const sender = totalsOf(from.id);
+      const receiver = totalsOf(to.id);
+      sender.controlMs += middle - start;
+      receiver.controlMs += performance.now() - middle;
+      [sender, receiver].forEach((side) => {
+        side.bytes += bytes;
+        side.messages += 1;
+        if (from.region !== to.region) side.crossRegionBytes += bytes;
+      });
+      byKind.set(message.$case, (byKind.get(message.$case) ?? 0) + 2 * bytes);
+    },
+    onReduce: (id, event, run) => {
+      const isControl = event.kind === 'peerMessage' || event.kind === 'timer';
+      const start = performance.now();
+      const effects = run();
+      const side = totalsOf(id);
+      if (isControl) side.controlMs += performance.now() - start;
+      side.polls += effects.filter((effect) => effect.kind === 'pollUpstream').length;
+      return effects;
+    },
+  };
+
+  function result(ids: readonly InstanceId[], seconds: number) {
+    const sides = ids.map(totalsOf);
+    const mean = (of: (side: Totals) => number) =>
+      sides.reduce((sum, side) => sum + of(side), 0) / sides.length / seconds;
+    const largest = (of: (side: Totals) => number) => Math.max(...sides.map(of)) / seconds;
+    const each = (pick: typeof mean): InstanceLoad => ({
+      bytes: pick((side) => side.bytes),
+      crossRegionBytes: pick((side) => side.crossRegionBytes),
+      messages: pick((side) => side.messages),
+      controlMs: pick((side) => side.controlMs),
+      polls: pick((side) => side.polls),
+    });
+    const bytesByKind = Object.fromEntries(
+      [...byKind].map(([kind, bytes]) => [kind, bytes / ids.length / seconds]),
+    );
+    return { mean: each(mean), largest: each(largest), bytesByKind };
+  }
+
+  function reset(): void {
+    totals.clear();
+    byKind.clear();
+  }
+
+  return { hooks, reset, result };
+}
+
+/** Sends requests so that each waiting customer has more of them than slots can take. */
+function keepWaiting(network: FakeNetwork, size: FleetRunSize): void {
+  const random = createRandom(5);
+  const ids = [...network.nodes.keys()];
+  const depth = Math.max(2, Math.ceil((2 * size.engines * size.slots) / size.waiting));
+  const refill = (): void => {
+    for (let customer = 1; customer <= size.waiting; customer += 1) {
+      const missing = depth - (network.waiting.get(customer)?.size ?? 0);
+      for (let i = 0; i < missing; i += 1) submit(network, size, ids, random, customer);
+    }
+    network.at(network.now() + REFILL_MS, refill);
+  };
+  refill();
+}
+
+function submit(
+  network: FakeNetwork,
+  size: FleetRunSize,
+  ids: readonly InstanceId[],
+  random: Random,
+  customer: number,
+): void {
+  network.submit({
+    instance: ids[random.nextInt(ids.length)] as InstanceId,
+    customer,
+    pool: `pool${customer % size.pools}`,
+    tokens: 1 + random.nextInt(2 * size.tokensPerRequest),
+  });
+}
+
+function endedJobs(network: FakeNetwork): number {
+  let ended = 0;
+  network.jobs.forEach((job) => {
+    if (job.outcome === 'finished') ended += 1;
+  });
+  return ended;
+}
