Explore the configuration's fold exhaustively, and check both protocols faster

Cause: racing editors must have exactly one winner in every order of appends, reads and restarts. Change: a scenario of two editors with one base version; a log that shows each edit as if based on the one before must find two winners. Quiet settings, eager start-up and waits that count as faults cut the states.

--- /dev/null
+++ b/src/bench/capacity/slopes.ts
@@ -0,0 +1,105 @@
+/**
+ * `npm run slopes`: measures the slopes of state, messages, bytes and processor time and writes
+ * docs/slopes.json, from which `npm run capacity` works out docs/CAPACITY.md.
+ */
+import { writeFileSync } from 'node:fs';
+import { readRevision } from '../support/revision.js';
+import { fitLine, type Line, type Point } from './fit.js';
+import { runFleet, type FleetRunResult, type KindLoad } from './fleetRun.js';
+import { measurePollBytes } from './pollBytes.js';
+import { measureStateSlopes, type StateSlope } from './stateSlopes.js';
+import { DOMAIN_SLICE, sizesAlong, type Dimension } from './target.js';
+
+/** A kind of message or timer over one dimension. */
+export interface KindSlope {
+  readonly kind: string;
+  readonly dimension: Dimension;
+  readonly events: Line;
+  readonly bytes: Line;
+  readonly controlMs: Line;
+}
+
+export interface SlopesFile {
+  readonly revision: string;
+  readonly kinds: readonly KindSlope[];
+  readonly totals: readonly {
+    readonly dimension: Dimension;
+    readonly points: readonly {
+      readonly at: number;
+      readonly bytes: number;
+      readonly largestBytes: number;
+      readonly controlMs: number;
+    }[];
+  }[];
+  readonly state: readonly StateSlope[];
+  readonly slice: FleetRunResult;
+  /** Bytes of one reading of an engine's load and cache events, both ways. */
+  readonly pollBytes: number;
+}
+
+export const SLOPES_PATH = 'docs/slopes.json';
+
+const DIMENSIONS: readonly Dimension[] = [
+  'waiting',
+  'instancesPerDomain',
+  'enginesPerInstance',
+  'domains',
+  'requestsPerInstance',
+];
+
+const NOTHING: KindLoad = { events: 0, bytes: 0, controlMs: 0 };
+
+async function measure(): Promise<SlopesFile> {
+  const sweeps = DIMENSIONS.map((dimension) => ({
+    dimension,
+    runs: sizesAlong(dimension).map(({ at, size }) => {
+      console.log(`${dimension} ${at}`);
+      return { at, result: runFleet(size) };
+    }),
+  }));
+  console.log('one failure domain of the size to come');
+  const slice = runFleet(DOMAIN_SLICE);
+  const pollBytes = await measurePollBytes();
+  return {
+    revision: readRevision(),
+    kinds: sweeps.flatMap(({ dimension, runs }) => fitKinds(dimension, runs)),
+    totals: sweeps.map(({ dimension, runs }) => ({
+      dimension,
+      points: runs.map(({ at, result }) => ({
+        at,
+        bytes: result.mean.bytes,
+        largestBytes: result.largest.bytes,
+        controlMs: result.mean.controlMs,
+      })),
+    })),
+    state: measureStateSlopes(),
+    slice,
+    pollBytes,
+  };
+}
+
+function fitKinds(
+  dimension: Dimension,
+  runs: readonly { readonly at: number; readonly result: FleetRunResult }[],
+): readonly KindSlope[] {
+  const kinds = new Set(runs.flatMap(({ result }) => Object.keys(result.kinds)));
+  return [...kinds].sort().map((kind) => {
+    const line = (of: (load: KindLoad) => number) =>
+      fitLine(runs.map(({ at, result }): Point => [at, of(result.kinds[kind] ?? NOTHING)]));
+    return {
+      kind,
+      dimension,
+      events: line((load) => load.events),
+      bytes: line((load) => load.bytes),
+      controlMs: line((load) => load.controlMs),
+    };
+  });
+}
+
+/** Numbers are written with four digits, so that the file can be read. */
+function shorten(_: string, value: unknown): unknown {
+  return typeof value === 'number' ? Number(value.toPrecision(4)) : value;
+}
+
+writeFileSync(SLOPES_PATH, `${JSON.stringify(await measure(), shorten, 1)}\n`);
+console.log(`wrote ${SLOPES_PATH}`);
--- a/src/checker/claims.ts
+++ b/src/checker/claims.ts
@@ -36,7 +36,17 @@
   }));
   const lens = withoutLogOrder ? { lens: ownClaimsFirst } : {};
   return {
-    create: () => createFleetSystem({ instances, view, arrivals, faults, judge, ...lens }),
+    create: () =>
+      createFleetSystem({
+        instances,
+        view,
+        arrivals,
+        faults,
+        judge,
+        matters: ['requests', 'claims'],
+        streams: ['claims'],
+        ...lens,
+      }),
     maxDepth,
   };
 }
--- a/src/checker/main.ts
+++ b/src/checker/main.ts
@@ -4,6 +4,7 @@
  */
 import { parseArgs } from 'node:util';
 import { createClaimsCheck } from './claims.js';
+import { createConfigurationCheck } from './configuration.js';
 import { explore, type ExploreOptions } from './explore.js';
 
 const { values } = parseArgs({
@@ -24,6 +25,12 @@
     createClaimsCheck({ instances, faults: 0, maxDepth, withoutLogOrder: true }),
     true,
   ],
+  ['configuration', createConfigurationCheck({ instances, faults, maxDepth }), false],
+  [
+    'configuration, without the check of the base version',
+    createConfigurationCheck({ instances, faults: 0, maxDepth, withoutBaseCheck: true }),
+    true,
+  ],
 ];
 
 let isAsExpected = true;
