Place models by demand within the operators' bounds

Cause: all upstreams of a pool up to maxUpstreams held its model whatever the demand; minUpstreams had no effect.

Change: each owner keeps a level for a pool, doubled when work waits for placementGrowMs and lowered by one after placementShrinkMs of little use. All rank the upstreams by rendezvous and exchange only own for own (those that hold the model first), so the bounds hold without messages. An owned upstream that is not needed gets no orders; if it holds something else than the placement asks for, it finishes what runs and gets nothing new.

--- a/src/core/dispatch/assign.ts
+++ b/src/core/dispatch/assign.ts
@@ -6,6 +6,7 @@
 import { sendTo, type CoreContext } from '../context.js';
 import type { Millis } from '../clock.js';
 import { takesNewWork } from '../drain/upstreams.js';
+import { isOutdated } from '../orders/outdated.js';
 import { ownedUpstreams } from '../ownership/ownership.js';
 import { leastServed, reserve } from '../shares/shares.js';
 import type { CoreState } from '../state.js';
@@ -133,7 +134,10 @@
 export function usableUpstreams(ctx: CoreContext, pool: PoolId): readonly UpstreamConfig[] {
   const { state } = ctx;
   return ownedInPool(state, pool).filter(
-    (upstream) => takesNewWork(state, upstream.id) && freeSlots(state, upstream, ctx.now) > 0,
+    (upstream) =>
+      takesNewWork(state, upstream.id) &&
+      !isOutdated(state, upstream) &&
+      freeSlots(state, upstream, ctx.now) > 0,
   );
 }
 
--- a/src/core/orders/orders.ts
+++ b/src/core/orders/orders.ts
@@ -29,6 +29,7 @@
 } from './orderRecords.js';
 import type { OrderProgress } from './ordersState.js';
 import { auditOwners } from './ownerAudit.js';
+import { levelOf, updateDemandLevels } from './demandLevels.js';
 import { fleetLoadsOf, hasEffect, nextOrder, placementOf, poolLoadsOf } from './placement.js';
 
 type EventOf<K extends CoreEvent['kind']> = Extract<CoreEvent, { readonly kind: K }>;
@@ -53,6 +54,7 @@
   const { orders } = ctx.state;
   auditOwners(ctx);
   forgetOthers(ctx);
+  updateDemandLevels(ctx);
   let needsLog = orders.progress.size > 0;
   forEachOwned(ctx.state, (upstream) => {
     if (compare(ctx, upstream)) needsLog = true;
@@ -101,7 +103,8 @@
     return true;
   }
   const { view } = configuration;
-  const placement = view && placementOf(view, upstream);
+  const isNeeded = !orders.unneeded.has(upstream.id);
+  const placement = view && isNeeded ? placementOf(view, upstream) : undefined;
   const wanted = placement && nextOrder(placement, report);
   if (placement === undefined || wanted === undefined) {
     // An earlier owner may have left an order outstanding.
@@ -139,7 +142,7 @@
   const bounds = {
     upstream: upstream.id,
     pool: upstream.pool,
-    poolLoads: poolLoadsOf(view, placement),
+    poolLoads: poolLoadsOf(view, placement, levelOf(ctx.state, placement.pool)),
     fleetLoads: fleetLoadsOf(view),
   };
   if (order.kind === 'load-model' && !hasRoom(orders.fold, bounds)) {
--- a/src/core/orders/ordersState.ts
+++ b/src/core/orders/ordersState.ts
@@ -1,6 +1,6 @@
 /** State of the orders: the fold of the log, what engines report, and the orders under way here. */
 import type { Millis } from '../clock.js';
-import type { EngineOrder, UpstreamConfig, UpstreamId, UpstreamReport } from '../types.js';
+import type { EngineOrder, PoolId, UpstreamConfig, UpstreamId, UpstreamReport } from '../types.js';
 import { createOrdersFold, type OrdersFold } from './orderRecords.js';
 
 /** An order that this instance is giving. */
@@ -24,6 +24,15 @@
   readonly since: Millis;
 }
 
+/** How many upstreams of a pool are believed to be needed. */
+export interface DemandLevel {
+  level: number;
+  /** Time since which work has been waiting at each look, or since the last growth. */
+  waitingSince: Millis | undefined;
+  /** Time since which there has been little use at each look, or since the last shrinking. */
+  idleSince: Millis | undefined;
+}
+
 export interface OrdersState {
   fold: OrdersFold;
   readonly observed: Map<UpstreamId, ObservedReport>;
@@ -34,6 +43,9 @@
   readonly foreignSince: Map<number, Millis>;
   /** Appends of settled records that are under way, by append id. */
   readonly settling: Map<number, UpstreamId>;
+  readonly levels: Map<PoolId, DemandLevel>;
+  /** Owned upstreams that need not hold their pool's model at present. */
+  readonly unneeded: Set<UpstreamId>;
   /** Owned upstreams as the audit trail last told them. */
   owned: ReadonlySet<UpstreamId>;
   ownedList: readonly UpstreamConfig[];
@@ -52,6 +64,8 @@
     notBefore: new Map(),
     foreignSince: new Map(),
     settling: new Map(),
+    levels: new Map(),
+    unneeded: new Set(),
     owned: new Set(),
     ownedList: [],
     readSentAt: undefined,
--- a/src/core/orders/placement.ts
+++ b/src/core/orders/placement.ts
@@ -22,7 +22,8 @@
   if (view.plannedStops.has(upstream.id)) return undefined;
   const placement = view.placement.find(({ pool }) => pool === upstream.pool);
   if (placement === undefined || holdsWhole(view, placement)) return placement;
-  return chosenHolders(view, placement).has(upstream.id) ? placement : undefined;
+  const rank = rankOf(view, placement, upstream.id) ?? Infinity;
+  return rank < placement.maxUpstreams ? placement : undefined;
 }
 
 /** Whether all upstreams of a pool may hold its model. */
@@ -30,35 +31,59 @@
   return placement.maxUpstreams >= (view.upstreamsByPool.get(placement.pool)?.length ?? 0);
 }
 
-/** Number of upstreams of a pool that hold its model. */
-function holderCount(view: ConfigurationView, placement: PlacementConfig): number {
+/** Least and largest number of upstreams of a pool that hold its model. */
+export function boundsOf(
+  view: ConfigurationView,
+  placement: PlacementConfig,
+): { readonly least: number; readonly most: number } {
   const all = view.upstreamsByPool.get(placement.pool)?.length ?? 0;
   let stopping = 0;
   for (const id of view.plannedStops.keys()) {
     if (view.upstreams.get(id)?.pool === placement.pool) stopping += 1;
   }
-  return Math.min(placement.maxUpstreams, all - stopping);
+  const most = Math.min(placement.maxUpstreams, all - stopping);
+  return { least: Math.min(placement.minUpstreams, most), most };
 }
 
-/** Choices by view: they cost a score for each upstream of the pool. */
-const choices = new WeakMap<ConfigurationView, Map<PoolId, ReadonlySet<UpstreamId>>>();
+/** Ranks by view: they cost a score for each upstream of the pool. */
+const ranks = new WeakMap<ConfigurationView, Map<PoolId, ReadonlyMap<UpstreamId, number>>>();
 
-/** Chooses by rendezvous the upstreams that hold the model of a pool larger than its bound. */
-function chosenHolders(
+/**
+ * Returns the place of an upstream, from 0, in the order by rendezvous in which a pool's upstreams
+ * come to hold its model; `undefined` with a planned stop.
+ */
+export function rankOf(
   view: ConfigurationView,
   placement: PlacementConfig,
-): ReadonlySet<UpstreamId> {
-  const ofView = choices.get(view) ?? new Map<PoolId, ReadonlySet<UpstreamId>>();
-  choices.set(view, ofView);
-  const known = ofView.get(placement.pool);
+  upstream: UpstreamId,
+): number | undefined {
+  const ofView = ranks.get(view) ?? new Map<PoolId, ReadonlyMap<UpstreamId, number>>();
+  ranks.set(view, ofView);
+  const known = ofView.get(placement.pool) ?? rankAll(view, placement);
+  ofView.set(placement.pool, known);
+  return known.get(upstream);
+}
+
+/** Scores outlive a view: most upstreams are the same in the next one. */
+const scores = new WeakMap<UpstreamConfig, number>();
+
+function scoreOf(upstream: UpstreamConfig): number {
+  const known = scores.get(upstream);
   if (known !== undefined) return known;
+  const score = rendezvousScore(`placement ${upstream.pool}`, upstream.id);
+  scores.set(upstream, score);
+  return score;
+}
+
+function rankAll(
+  view: ConfigurationView,
+  placement: PlacementConfig,
+): ReadonlyMap<UpstreamId, number> {
   const candidates = (view.upstreamsByPool.get(placement.pool) ?? [])
     .filter(({ id }) => !view.plannedStops.has(id))
-    .map(({ id }) => ({ id, score: rendezvousScore(`placement ${placement.pool}`, id) }))
+    .map((upstream) => ({ id: upstream.id, score: scoreOf(upstream) }))
     .sort((a, b) => b.score - a.score);
-  const chosen = new Set(candidates.slice(0, placement.maxUpstreams).map(({ id }) => id));
-  ofView.set(placement.pool, chosen);
-  return chosen;
+  return new Map(candidates.map(({ id }, rank) => [id, rank]));
 }
 
 /** Returns the next order for an engine, or `undefined` if it holds what it should. */
@@ -90,11 +115,16 @@
 
 /**
  * Model loads of a pool that may be under way at a time, so that its serving share goes on. A pool
- * too small for the share still loads one engine at a time.
+ * too small for the share still loads one engine at a time. `holders` is the number of upstreams
+ * that are to hold the model; absent for the largest allowed.
  */
-export function poolLoadsOf(view: ConfigurationView, placement: PlacementConfig): number {
+export function poolLoadsOf(
+  view: ConfigurationView,
+  placement: PlacementConfig,
+  holders = boundsOf(view, placement).most,
+): number {
   const share = 1 - placement.servingShare;
-  return Math.max(1, Math.floor(holderCount(view, placement) * share + ROUNDING));
+  return Math.max(1, Math.floor(holders * share + ROUNDING));
 }
 
 export function fleetLoadsOf(view: ConfigurationView): number {
--- a/src/core/settings.ts
+++ b/src/core/settings.ts
@@ -44,6 +44,10 @@
   readonly ordersTickMs: Millis;
   /** Time after which an order whose effect is not seen is given again. */
   readonly orderTimeoutMs: Millis;
+  /** Time for which work of a pool waits until more upstreams are loaded for it. */
+  readonly placementGrowMs: Millis;
+  /** Time of little use after which one upstream less is kept loaded for a pool. */
+  readonly placementShrinkMs: Millis;
 }
 
 export const DEFAULT_CORE_SETTINGS: CoreSettings = {
@@ -69,4 +73,6 @@
   bootstrapKeyHashes: [],
   ordersTickMs: 2_000,
   orderTimeoutMs: 120_000,
+  placementGrowMs: 10_000,
+  placementShrinkMs: 600_000,
 };
