Keep the bound when weights change while work waits

Cause: virtual service is all service by weight, so a new weight weighed the whole history anew and held back the others in proportion to it.

Change: the relays notice a waiting customer whose weight is not the one with which it last waited and raise every waiting customer of the pool to the most served one. The fake network can put a newer view in force.

Debt of a partition is forgiven with a change of weights.

--- a/src/core/shares/lifts.ts
+++ b/src/core/shares/lifts.ts
@@ -2,7 +2,9 @@
  * Lifts, decided by the foremost relay of a customer's group. A customer that returns from idle is
  * raised to the least virtual service among the waiting, so that idling earns no credit. A customer
  * that lags the most-served waiting one by more than the debt cap is raised to the cap; that bounds
- * what is repaid after a partition. A lift is a largest-value register: it only grows.
+ * what is repaid after a partition. When weights change, all history would be weighed anew, so every
+ * waiting customer is raised to the most served one and the new weights count from there on. A lift is
+ * a largest-value register: it only grows.
  */
 import type { CoreContext } from '../context.js';
 import { liveDomains } from '../membership/memberIndex.js';
@@ -25,6 +27,7 @@
   const debtCap = state.configuration.view?.fairness.debtCap ?? Infinity;
   state.shares.relay.entries.forEach((entries, account) => {
     const range = waitingRange(ctx, account);
+    const isReweighted = noteWeights(ctx, account);
     const domains = liveDomains(state);
     entries.forEach((entry, customer) => {
       const isWaiting = entry.waitingAt.size > 0;
@@ -39,7 +42,8 @@
       entry.wasWaiting = isWaiting;
       if (!isWaiting || range === undefined || isLearning(customer)) return;
       if (!isForemost(state, groupOf(state, customer))) return;
-      const floor = Math.max(hasReturned ? range.least : 0, range.most - debtCap);
+      const cap = isReweighted ? 0 : debtCap;
+      const floor = Math.max(hasReturned ? range.least : 0, range.most - cap);
       raiseTo(ctx, account, customer, entry, floor);
     });
   });
@@ -60,6 +64,24 @@
   entry.isNewAbroad = true;
 }
 
+/** Whether the weight of a waiting customer is not the one with which it last waited. */
+function noteWeights(ctx: CoreContext, number: PoolNumber): boolean {
+  const { state } = ctx;
+  const { weights } = state.shares.relay;
+  const account = accountByNumber(state, number);
+  const known = weights.get(number) ?? new Map<CustomerNumber, number>();
+  weights.set(number, known);
+  let isChanged = false;
+  forEachWaiting(account, ctx.now, (customer) => {
+    const weight = weightIn(state, account, customer);
+    const before = known.get(customer);
+    if (before === weight) return;
+    known.set(customer, weight);
+    if (before !== undefined) isChanged = true;
+  });
+  return isChanged;
+}
+
 /** The range of virtual service over the customers that this instance believes to wait. */
 function waitingRange(ctx: CoreContext, number: PoolNumber): Range | undefined {
   const account = accountByNumber(ctx.state, number);
--- a/src/core/shares/relayState.ts
+++ b/src/core/shares/relayState.ts
@@ -36,12 +36,20 @@
   readonly origins: Map<InstanceId, Origin>;
   /** Last incarnation of origins whose sums were folded, with the time of folding. */
   readonly retired: Map<InstanceId, { readonly incarnation: number; readonly at: Millis }>;
+  /** Weights with which customers last waited, by account. */
+  readonly weights: Map<PoolNumber, Map<CustomerNumber, number>>;
   /** Groups that this instance relays, with the time since which it does. */
   readonly groups: Map<number, Millis>;
 }
 
 export function createRelayState(): RelayState {
-  return { entries: new Map(), origins: new Map(), retired: new Map(), groups: new Map() };
+  return {
+    entries: new Map(),
+    origins: new Map(),
+    retired: new Map(),
+    weights: new Map(),
+    groups: new Map(),
+  };
 }
 
 export function createRelayEntry(): RelayEntry {
--- /dev/null
+++ b/test/fair/weights.test.ts
@@ -0,0 +1,56 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { DEFAULT_CORE_SETTINGS } from '../../src/core/settings.js';
+import { serviceGapBound } from '../../src/core/shares/bound.js';
+import { PER_OUTPUT_TOKEN, startSharing } from '../support/sharingLoad.js';
+
+const BEFORE_MS = 30_000;
+const AFTER_MS = 30_000;
+const SAMPLE_MS = 100;
+
+const customer = fc.record({
+  weight: fc.integer({ min: 1, max: 3 }),
+  nextWeight: fc.integer({ min: 1, max: 3 }),
+  tokens: fc.integer({ min: 20, max: 100 }),
+});
+
+const load = fc.record({
+  seed: fc.integer({ min: 1, max: 1e6 }),
+  domains: fc.array(
+    fc.record({
+      instances: fc.integer({ min: 1, max: 2 }),
+      upstreams: fc.array(fc.integer({ min: 1, max: 4 }), { minLength: 1, maxLength: 2 }),
+    }),
+    { minLength: 1, maxLength: 2 },
+  ),
+  customers: fc.array(customer, { minLength: 2, maxLength: 4 }),
+});
+
+describe('fair/weights', () => {
+  it('keeps the bound by the new weights when they change while work waits', () => {
+    fc.assert(
+      fc.property(load, (of) => {
+        const run = startSharing(of);
+        const { network, conditions } = run;
+        network.runUntil(network.now() + BEFORE_MS);
+        const next = of.customers.map(({ nextWeight }) => nextWeight);
+        const weightOf = (number: number) => next[number - 1] ?? 1;
+        network.publish({ ...network.view, version: network.view.version + 1, weightOf });
+        const served = () => next.map((_, i) => network.served.get(i + 1) ?? 0);
+        const atChange = served();
+        // What one lags at the change may be repaid after it.
+        const most =
+          serviceGapBound(DEFAULT_CORE_SETTINGS, conditions) +
+          serviceGapBound(DEFAULT_CORE_SETTINGS, { ...conditions, leastWeight: Math.min(...next) });
+        for (const until = network.now() + AFTER_MS; network.now() < until;) {
+          network.runUntil(network.now() + SAMPLE_MS);
+          const since = served().map(
+            (tokens, i) => ((tokens - (atChange[i] ?? 0)) * PER_OUTPUT_TOKEN) / weightOf(i + 1),
+          );
+          expect(Math.max(...since) - Math.min(...since)).to.be.at.most(most);
+        }
+      }),
+      { seed: 10, numRuns: 8 },
+    );
+  });
+});
--- a/test/support/fakeNetwork.ts
+++ b/test/support/fakeNetwork.ts
@@ -3,6 +3,8 @@
  * and fake upstreams that serve a fixed number of requests at a time. For property tests and
  * measurements of the policy; it keeps the true service of every customer for comparison.
  */
+import { applyView } from '../../src/core/configuration/configuration.js';
+import type { CoreContext } from '../../src/core/context.js';
 import { createCore, type Core } from '../../src/core/core.js';
 import { createRandom } from '../../src/core/random.js';
 import type { CoreSettings } from '../../src/core/settings.js';
@@ -107,6 +109,7 @@
   const heap: Pending[] = [];
   const tickMs = options.tickMs ?? 10;
   const tokensPerTick = ((options.tokensPerSecond ?? 100) * tickMs) / 1_000;
+  let current = options.view;
   let listed: readonly ListedInstance[] = [];
   let isCut: (from: InstanceId, to: string) => boolean = () => false;
   let now = 0;
@@ -126,7 +129,7 @@
     const core = createCore({
       self,
       seed: options.seed + nodes.size + now,
-      initialConfiguration: options.view,
+      initialConfiguration: current,
       ...(options.settings === undefined ? {} : { settings: options.settings }),
     });
     nodes.set(id, { core, self, timers: new Map(), isUp: true });
@@ -361,6 +364,24 @@
     return job;
   }
 
+  /** Puts a newer view in force on every node at once; its upstreams are those of the first. */
+  function publish(view: ConfigurationView): void {
+    current = view;
+    nodes.forEach((node) => {
+      const effects: Effect[] = [];
+      const ctx: CoreContext = {
+        state: node.core.state,
+        now,
+        emit: (effect) => effects.push(effect),
+        deliverToSelf: () => {
+          throw new Error('a view sends no message to its own instance');
+        },
+      };
+      if (node.isUp) applyView(ctx, view);
+      effects.forEach((effect) => perform(node, effect));
+    });
+  }
+
   function runUntil(until: number): void {
     while (heap[0] !== undefined && heap[0].at <= until) {
       const next = popHeap(heap) as Pending;
@@ -392,6 +413,7 @@
     idleFor: (upstream: UpstreamId) => now - (usedAt.get(upstream) ?? 0),
     at: schedule,
     submit,
+    publish,
     runUntil,
     post,
     crash,
