Announce waiting work to fewer owners in a large domain, and look for streams to suspend less often

Cause: while a backlog lasts, every customer's work had waited long and was announced to all 28 owners of the target's domain slice at each change; and each event with no free slot searched for a stream to suspend. Change: beyond four owners only customers below the mean less two standard deviations are announced more widely; the announce interval grows with the domain; the search runs once in an announce interval. Ruled out: a lag in charge steps (the natural spread is thousands of units, so nearly all lagged).

--- a/src/bench/capacity/fleetRun.ts
+++ b/src/bench/capacity/fleetRun.ts
@@ -60,6 +60,9 @@
 /** Framing of a message: gRPC's five bytes and the frame head of HTTP/2. */
 export const FRAMING_BYTES = 14;
 
+/** Tag and length of a further message in a batch. */
+const MESSAGE_HEAD_BYTES = 3;
+
 const TICK_MS: Millis = 200;
 const MEMBERSHIP_MS: Millis = 6_000;
 const SETTLE_MS: Millis = 4_000;
@@ -96,6 +99,8 @@
 
 function createMeter() {
   const totals = new Map<InstanceId, Totals>();
+  /** Messages to one instance that one event causes share a batch, and so its framing. */
+  const batches = new Set<string>();
   const byKind = new Map<string, { -readonly [K in keyof KindLoad]: number }>();
 
   function totalsOf(id: InstanceId): Totals {
@@ -120,7 +125,9 @@
       const encoded = PeerMessageCodec.encode({ body: message }).finish();
       const middle = performance.now();
       PeerMessageCodec.decode(encoded);
-      const bytes = encoded.length + FRAMING_BYTES;
+      const link = `${from.id} ${to.id}`;
+      const bytes = encoded.length + (batches.has(link) ? MESSAGE_HEAD_BYTES : FRAMING_BYTES);
+      batches.add(link);
       const sender = totalsOf(from.id);
       const receiver = totalsOf(to.id);
       sender.controlMs += middle - start;
@@ -135,6 +142,7 @@
     },
     onReduce: (id, event, run) => {
       const isControl = event.kind === 'peerMessage' || event.kind === 'timer';
+      batches.clear();
       const start = performance.now();
       const effects = run();
       const side = totalsOf(id);
--- a/src/core/dispatch/announcements.ts
+++ b/src/core/dispatch/announcements.ts
@@ -9,9 +9,11 @@
 import { hash32 } from '../hash.js';
 import { bestScored, isLive, membersOf, relaysOf } from '../membership/memberIndex.js';
 import { ownerOf, upstreamsIn } from '../ownership/ownership.js';
+import { laggingBelow, virtualService } from '../shares/shares.js';
 import type { CoreState } from '../state.js';
 import type { CustomerNumber, InstanceId, PoolConfig, PoolId } from '../types.js';
-import { assignPool } from './assign.js';
+import { announceInterval } from './announceInterval.js';
+import { assignPool, relieveLater } from './assign.js';
 import { blockHashes } from './cache.js';
 import { setWaiting } from './demand.js';
 import { noteChangeLater, peekNext, runnableCount, wakeAnnouncer } from './queues.js';
@@ -19,6 +21,9 @@
 /** Announce intervals after which the number of targets doubles. */
 const WIDENING_INTERVALS = 2;
 
+/** Owners that the work of a customer that does not lag is announced to at most. */
+const ENOUGH_OWNERS = 4;
+
 /** Targets are refreshed in turn, each at every so many hold reports; relays at each. */
 const REFRESH_TURNS = 4;
 
@@ -46,8 +51,10 @@
 
 /** Offers the waiting work that has changed. */
 export function onAnnounceTimer(ctx: CoreContext): void {
-  const { dispatch, settings } = ctx.state;
+  const { dispatch, self, settings } = ctx.state;
+  const neighbours = membersOf(ctx.state, self.domain).length;
   dispatch.announceAt = Infinity;
+  relieveLater(ctx);
   changedPools(ctx.state).forEach((pool) => offerLocally(ctx, pool));
   const pools = changedPools(ctx.state);
   if (pools.size === 0) return;
@@ -55,7 +62,7 @@
     wakeAnnouncer(ctx, dispatch.remoteAnnounceAt);
     return;
   }
-  dispatch.remoteAnnounceAt = ctx.now + settings.announceMs;
+  dispatch.remoteAnnounceAt = ctx.now + announceInterval(settings.announceMs, neighbours);
   pools.forEach((pool) => {
     const changed = changedIn(ctx.state, pool);
     dispatch.changedPools.delete(pool);
@@ -92,6 +99,8 @@
       if (!isLive(state, target)) targets.delete(target);
     });
     refreshPool(ctx, pool, targets, turn);
+    // A customer that has begun to lag meanwhile is announced more widely.
+    if (ownersNear(state, pool).length > ENOUGH_OWNERS) noteChangeLater(ctx, pool);
   });
 }
 
@@ -151,12 +160,15 @@
   const targets = targetsOf(state, poolId);
   const relay = demandRelay(state, state.self.domain, poolId);
   const counts = new Map<CustomerNumber, number>();
+  const lagLimit = owners.length > ENOUGH_OWNERS ? laggingBelow(state, poolId, ctx.now) : 0;
   changed.forEach((customer) => {
     const count = runnableCount(state, poolId, customer);
     counts.set(customer, count);
     if (count === 0) return;
     const waited = waitedOf(ctx, poolId, customer);
-    addTargets(state, { customer, waited }, owners, relay, targets);
+    const work = { customer, waited };
+    const most = targetCount(state, poolId, work, owners.length, lagLimit);
+    addTargets(state, work, owners, most, relay, targets);
     // Work that keeps waiting is announced more widely.
     if (needsWidening(state, waited, owners.length)) noteChangeLater(ctx, poolId, customer);
   });
@@ -168,6 +180,24 @@
   return isNew || fanout(state, waited) < owners;
 }
 
+/**
+ * Owners that a customer's work is announced to. Where many customers wait, a few owners are enough:
+ * each owner then knows work of nearly all of them from some entry. Only the work of a customer that
+ * lags goes to all, and owners without work pull from the relay.
+ */
+function targetCount(
+  state: CoreState,
+  pool: PoolId,
+  work: Waiting,
+  owners: number,
+  lagLimit: number,
+): number {
+  const widened = Math.min(fanout(state, work.waited), owners);
+  if (widened <= ENOUGH_OWNERS) return widened;
+  const lags = virtualService(state, work.customer, pool) < lagLimit;
+  return lags ? widened : ENOUGH_OWNERS;
+}
+
 function fanout(state: CoreState, waited: Millis): number {
   const { announceFanout, announceMs } = state.settings;
   return announceFanout * 2 ** Math.floor(waited / (WIDENING_INTERVALS * announceMs));
@@ -178,6 +208,7 @@
   state: CoreState,
   work: Waiting,
   owners: readonly InstanceId[],
+  most: number,
   relay: InstanceId | undefined,
   targets: Targets,
 ): void {
@@ -187,7 +218,6 @@
     targets.set(target, believed);
     if (!believed.has(work.customer)) believed.set(work.customer, 0);
   };
-  const most = Math.min(fanout(state, work.waited), owners.length);
   const start = most === owners.length ? 0 : hash32(`${work.customer} ${state.self.id}`);
   for (let i = 0; i < most; i += 1) {
     add(owners[(start + i) % owners.length] as InstanceId);
--- a/src/core/dispatch/assign.ts
+++ b/src/core/dispatch/assign.ts
@@ -21,6 +21,7 @@
 import { cachedBlocks } from './cache.js';
 import { takeOne } from './demand.js';
 import type { IssuedGrant, PoolDemand, WaitingCount } from './dispatchState.js';
+import { wakeAnnouncer } from './queues.js';
 import { endReservation, forgetReports, foreignUse, freeSlots, slotsOf } from './slots.js';
 import { relieve, resumeNext } from './suspension.js';
 
@@ -67,17 +68,44 @@
   const skipped = new Set<CustomerNumber>();
   for (;;) {
     const free = usableUpstreams(ctx, poolId);
-    const customer = nextCustomer(state, poolId, skipped);
     if (free.length === 0) {
-      if (customer !== undefined) relieve(ctx, pool, customer);
+      relieveOnce(ctx, pool, skipped);
       return;
     }
+    const customer = nextCustomer(state, poolId, skipped);
     if (resumeNext(ctx, pool, free, customer)) continue;
     if (customer === undefined) return;
     if (!grantTo(ctx, pool, customer, free)) skipped.add(customer);
   }
 }
 
+/** Looks for a stream to suspend in the pools where that was put off. */
+export function relieveLater(ctx: CoreContext): void {
+  const { relievePools } = ctx.state.dispatch;
+  const due = [...relievePools];
+  relievePools.clear();
+  due.forEach((pool) => assignPool(ctx, pool));
+}
+
+/** Looks for a stream to suspend, at most once in an announce interval. */
+function relieveOnce(
+  ctx: CoreContext,
+  pool: PoolConfig,
+  skipped: ReadonlySet<CustomerNumber>,
+): void {
+  const { dispatch, settings } = ctx.state;
+  const next = (dispatch.relievedAt.get(pool.id) ?? -Infinity) + settings.announceMs;
+  if (pool.suspendShare <= 0 || dispatch.demand.get(pool.id) === undefined) return;
+  if (next > ctx.now) {
+    dispatch.relievePools.add(pool.id);
+    wakeAnnouncer(ctx, next);
+    return;
+  }
+  dispatch.relievedAt.set(pool.id, ctx.now);
+  const customer = nextCustomer(ctx.state, pool.id, skipped);
+  if (customer !== undefined) relieve(ctx, pool, customer);
+}
+
 /** Notes a grant that came back: its entry has nothing that may run on the upstream just now. */
 export function noteReturned(ctx: CoreContext, grant: IssuedGrant): void {
   const until = ctx.now + RETURN_INTERVALS * ctx.state.settings.announceMs;
--- a/src/core/dispatch/dispatchState.ts
+++ b/src/core/dispatch/dispatchState.ts
@@ -133,6 +133,10 @@
   sequence: number;
   /** Time of the announce timer, or Infinity. */
   announceAt: Millis;
+  /** When a stream to suspend was last looked for, by pool. */
+  readonly relievedAt: Map<PoolId, Millis>;
+  /** Pools in which that was put off. */
+  readonly relievePools: Set<PoolId>;
   /** Earliest time of the next announcement to other instances. */
   remoteAnnounceAt: Millis;
   holdReportAt: Millis;
@@ -171,6 +175,8 @@
     heldGrants: new Map(),
     suspendedAttempts: new Map(),
     sequence: 0,
+    relievedAt: new Map(),
+    relievePools: new Set(),
     announceAt: Infinity,
     remoteAnnounceAt: 0,
     holdReportAt: 0,
--- a/src/core/shares/bound.ts
+++ b/src/core/shares/bound.ts
@@ -3,6 +3,7 @@
  * sketch is in docs/notes/fairness.md.
  */
 import { MS_PER_SECOND, type Millis } from '../clock.js';
+import { announceInterval } from '../dispatch/announceInterval.js';
 import type { CoreSettings } from '../settings.js';
 
 export interface SharingConditions {
@@ -22,6 +23,8 @@
   readonly crossRegionPriceMs: Millis;
   /** Messages in a row that may be lost between two instances. */
   readonly lostMessages: number;
+  /** Instances of the largest failure domain; absent for a small one. */
+  readonly instancesInDomain?: number;
   /** Customers that wait at the same time. */
   readonly customers: number;
 }
@@ -49,8 +52,9 @@
 
 /** Longest time until an owner elsewhere with a free slot has found work that waits. */
 export function discoveryTime(settings: BoundSettings, conditions: SharingConditions): Millis {
-  const { lostMessages, delayMs, crossRegionPriceMs } = conditions;
-  const announcing = ANNOUNCE_INTERVALS * settings.announceMs + crossRegionPriceMs;
+  const { lostMessages, delayMs, crossRegionPriceMs, instancesInDomain = 1 } = conditions;
+  const interval = announceInterval(settings.announceMs, instancesInDomain);
+  const announcing = ANNOUNCE_INTERVALS * interval + crossRegionPriceMs;
   const pulling = 2 * settings.pullMs + PULL_HOPS * delayMs;
   return announcing + pulling + lostMessages * settings.holdReportMs;
 }
--- a/src/core/shares/shares.ts
+++ b/src/core/shares/shares.ts
@@ -4,10 +4,11 @@
  * waiting customer with the least is served next. Service is charged while requests run and is
  * exchanged within the fleet (`exchange.ts`, `relay.ts`).
  */
+import type { Millis } from '../clock.js';
 import type { CoreContext } from '../context.js';
 import type { CoreState } from '../state.js';
 import type { CustomerNumber, PoolId } from '../types.js';
-import { accountOf, ensureCapacity, serviceReader, virtualIn } from './accounts.js';
+import { accountOf, ensureCapacity, forEachWaiting, serviceReader, virtualIn } from './accounts.js';
 
 /** Adds service, in cost units, that a customer received at this instance. */
 export function charge(
@@ -65,3 +66,24 @@
   }
   return best;
 }
+
+/**
+ * Returns the virtual service below which a waiting customer lags: the mean of the customers believed
+ * to wait somewhere in the fleet, less twice their standard deviation.
+ */
+export function laggingBelow(state: CoreState, pool: PoolId, now: Millis): number {
+  const account = accountOf(state, pool);
+  if (account === undefined) return 0;
+  let sum = 0;
+  let squares = 0;
+  let customers = 0;
+  forEachWaiting(account, now, (customer) => {
+    const service = virtualIn(state, account, customer);
+    sum += service;
+    squares += service * service;
+    customers += 1;
+  });
+  if (customers === 0) return 0;
+  const mean = sum / customers;
+  return mean - 2 * Math.sqrt(Math.max(0, squares / customers - mean * mean));
+}
