Exchange sums of service less often where many customers wait

Cause: at the target's domain slice the sums took 85 KB/s an instance, sent and received, since all 900 waiting customers' sums went out four times a second. Change: the interval grows with the customers whose sums there are; the formula of B uses it.

--- a/src/core/dispatch/assign.ts
+++ b/src/core/dispatch/assign.ts
@@ -8,6 +8,7 @@
 import { takesNewWork } from '../drain/upstreams.js';
 import { isOutdated } from '../orders/outdated.js';
 import { ownedUpstreams } from '../ownership/ownership.js';
+import { exchangeInterval } from '../shares/exchangeInterval.js';
 import { leastServed, reserve } from '../shares/shares.js';
 import type { CoreState } from '../state.js';
 import type {
@@ -274,8 +275,8 @@
 
 /** Ends the reservations of grants whose service shows in the sums by now. */
 export function settleReservations(ctx: CoreContext): void {
-  const { dispatch, settings } = ctx.state;
-  const oldest = ctx.now - RESERVATION_EXCHANGES * settings.exchangeMs;
+  const { dispatch } = ctx.state;
+  const oldest = ctx.now - RESERVATION_EXCHANGES * exchangeInterval(ctx.state);
   dispatch.issued.forEach((grant) => {
     if (grant.reserved > 0 && grant.issuedAt <= oldest) endReservation(ctx.state, grant);
   });
--- a/src/core/shares/bound.ts
+++ b/src/core/shares/bound.ts
@@ -5,6 +5,7 @@
 import { MS_PER_SECOND, type Millis } from '../clock.js';
 import { announceInterval } from '../dispatch/announceInterval.js';
 import type { CoreSettings } from '../settings.js';
+import { stretchedInterval } from './exchangeInterval.js';
 
 export interface SharingConditions {
   /** Slots of the pool over all upstreams. */
@@ -47,7 +48,8 @@
 export function informationAge(settings: BoundSettings, conditions: SharingConditions): Millis {
   const { lostMessages, delayMs } = conditions;
   const exchanges = EXCHANGE_HOPS + lostMessages * settings.refreshExchanges;
-  return exchanges * settings.exchangeMs + EXCHANGE_HOPS * delayMs;
+  const interval = stretchedInterval(settings.exchangeMs, conditions.customers);
+  return exchanges * interval + EXCHANGE_HOPS * delayMs;
 }
 
 /** Longest time until an owner elsewhere with a free slot has found work that waits. */
--- a/src/core/shares/exchange.ts
+++ b/src/core/shares/exchange.ts
@@ -5,6 +5,7 @@
  */
 import { sendTo, setTimer, type CoreContext } from '../context.js';
 import { isLive } from '../membership/memberIndex.js';
+import { exchangeInterval } from './exchangeInterval.js';
 import type { CoreState } from '../state.js';
 import type { CustomerNumber, InstanceId } from '../types.js';
 import { accountByNumber, accountOf, ensureCapacity, noteWaiting } from './accounts.js';
@@ -31,7 +32,7 @@
 
 /** Fires twice in each exchange: sums go up first, and out of the relays half an interval later. */
 export function onExchangeTimer(ctx: CoreContext): void {
-  const { shares, settings } = ctx.state;
+  const { shares } = ctx.state;
   shares.ticks += 1;
   if (shares.ticks % 2 === 1) {
     chargeRunningSlotTime(ctx);
@@ -43,7 +44,7 @@
   } else {
     relayOnTimer(ctx);
   }
-  setTimer(ctx, 'exchange', settings.exchangeMs / 2);
+  setTimer(ctx, 'exchange', exchangeInterval(ctx.state) / 2);
 }
 
 function forgetLostRelays(state: CoreState): void {
@@ -146,9 +147,8 @@
 }
 
 function takeFleetSums(ctx: CoreContext, from: InstanceId, message: ServiceSums): void {
-  const { settings } = ctx.state;
   const account = accountByNumber(ctx.state, message.pool);
-  const until = ctx.now + WAITING_EXCHANGES * settings.exchangeMs;
+  const until = ctx.now + WAITING_EXCHANGES * exchangeInterval(ctx.state);
   forEachSum(message, ({ customer, sum, lift }, isWaiting) => {
     ensureCapacity(account, customer);
     account.fleet[customer] = Math.max(account.fleet[customer] ?? 0, sum);
--- a/src/core/shares/relay.ts
+++ b/src/core/shares/relay.ts
@@ -9,6 +9,7 @@
  * first report of an origin counts as part of that instead of being added to it.
  */
 import { sendTo, type CoreContext } from '../context.js';
+import { exchangeInterval } from './exchangeInterval.js';
 import type { Millis } from '../clock.js';
 import { isLive, liveDomains, membersOf } from '../membership/memberIndex.js';
 import type { CoreState } from '../state.js';
@@ -229,13 +230,13 @@
 }
 
 function isLearning(ctx: CoreContext, customer: CustomerNumber): boolean {
-  const { shares, settings } = ctx.state;
+  const { shares } = ctx.state;
   const since = shares.relay.groups.get(groupOf(ctx.state, customer)) ?? ctx.now;
-  return ctx.now - since < LEARNING_EXCHANGES * settings.exchangeMs;
+  return ctx.now - since < LEARNING_EXCHANGES * exchangeInterval(ctx.state);
 }
 
 function waitingLimit(ctx: CoreContext): Millis {
-  return ctx.now + SILENT_EXCHANGES * ctx.state.settings.exchangeMs;
+  return ctx.now + SILENT_EXCHANGES * exchangeInterval(ctx.state);
 }
 
 function entryFor(state: CoreState, account: PoolNumber, customer: CustomerNumber): RelayEntry {
