--- a/src/core/dispatch/announcements.ts
+++ b/src/core/dispatch/announcements.ts
@@ -9,9 +9,11 @@
 import { hash32 } from '../hash.js';
 import { bestScored, isLive, membersOf, relaysOf } from '../membership/memberIndex.js';
 import { ownerOf, upstreamsIn } from '../ownership/ownership.js';
+import { laggingBelow, virtualService } from '../shares/shares.js';
 import type { CoreState } from '../state.js';
 import type { CustomerNumber, InstanceId, PoolConfig, PoolId } from '../types.js';
-import { assignPool } from './assign.js';
+import { announceInterval } from './announceInterval.js';
+import { assignPool, relieveLater } from './assign.js';
 import { blockHashes } from './cache.js';
 import { setWaiting } from './demand.js';
 import { noteChangeLater, peekNext, runnableCount, wakeAnnouncer } from './queues.js';
@@ -19,6 +21,12 @@
 /** Announce intervals after which the number of targets doubles. */
 const WIDENING_INTERVALS = 2;
 
+/** Rounds of offers to the own upstreams in one firing; each may change what waits. */
+const LOCAL_PASSES = 3;
+
+/** Owners that the work of a customer that does not lag is announced to at most. */
+const ENOUGH_OWNERS = 4;
+
 /** Targets are refreshed in turn, each at every so many hold reports; relays at each. */
 const REFRESH_TURNS = 4;
 
@@ -44,29 +52,47 @@
   return relaysOf(state, domain, `demand ${pool}`)[0]?.id;
 }
 
-/** Offers the waiting work that has changed. */
+/** Offers the waiting work that has changed: here at once, elsewhere in intervals. */
 export function onAnnounceTimer(ctx: CoreContext): void {
-  const { dispatch, settings } = ctx.state;
+  const { state } = ctx;
+  const { dispatch } = state;
   dispatch.announceAt = Infinity;
-  changedPools(ctx.state).forEach((pool) => offerLocally(ctx, pool));
-  const pools = changedPools(ctx.state);
-  if (pools.size === 0) return;
+  relieveLater(ctx);
+  for (let pass = 0; pass < LOCAL_PASSES && hasChanges(state); pass += 1) offerChanges(ctx);
+  if (hasChanges(state)) {
+    wakeAnnouncer(ctx, ctx.now);
+    return;
+  }
+  if (dispatch.unannounced.size === 0) return;
   if (dispatch.remoteAnnounceAt > ctx.now) {
     wakeAnnouncer(ctx, dispatch.remoteAnnounceAt);
     return;
   }
-  dispatch.remoteAnnounceAt = ctx.now + settings.announceMs;
-  pools.forEach((pool) => {
-    const changed = changedIn(ctx.state, pool);
-    dispatch.changedPools.delete(pool);
-    dispatch.changedCustomers.delete(pool);
-    announcePool(ctx, pool, changed);
-  });
+  const neighbours = membersOf(state, state.self.domain).length;
+  const interval = announceInterval(state.settings.announceMs, neighbours);
+  dispatch.remoteAnnounceAt = ctx.now + interval;
+  const unannounced = [...dispatch.unannounced];
+  dispatch.unannounced.clear();
+  unannounced.forEach(([pool, customers]) => announcePool(ctx, pool, customers));
 }
 
-function changedPools(state: CoreState): ReadonlySet<PoolId> {
-  const { dispatch } = state;
-  return new Set([...dispatch.changedPools, ...dispatch.changedCustomers.keys()]);
+function hasChanges(state: CoreState): boolean {
+  return state.dispatch.changedPools.size > 0 || state.dispatch.changedCustomers.size > 0;
+}
+
+/** Offers to the own upstreams what has changed, and keeps it for the next announcement. */
+function offerChanges(ctx: CoreContext): void {
+  const { dispatch } = ctx.state;
+  const pools = new Set([...dispatch.changedPools, ...dispatch.changedCustomers.keys()]);
+  const changes = [...pools].map((pool) => [pool, changedIn(ctx.state, pool)] as const);
+  dispatch.changedPools.clear();
+  dispatch.changedCustomers.clear();
+  changes.forEach(([pool, changed]) => {
+    const unannounced = dispatch.unannounced.get(pool) ?? new Set<CustomerNumber>();
+    dispatch.unannounced.set(pool, unannounced);
+    changed.forEach((customer) => unannounced.add(customer));
+    offerLocally(ctx, pool, changed);
+  });
 }
 
 /** Returns the customers of a pool whose waiting work has to be looked at. */
@@ -92,6 +118,8 @@
       if (!isLive(state, target)) targets.delete(target);
     });
     refreshPool(ctx, pool, targets, turn);
+    // A customer that has begun to lag meanwhile is announced more widely.
+    if (ownersNear(state, pool).length > ENOUGH_OWNERS) noteChangeLater(ctx, pool);
   });
 }
 
@@ -121,8 +149,8 @@
 }
 
 /** Takes this instance's own waiting work into its own table of demand and assigns slots. */
-function offerLocally(ctx: CoreContext, pool: PoolId): void {
-  changedIn(ctx.state, pool).forEach((customer) => noteOwnCount(ctx, pool, customer));
+function offerLocally(ctx: CoreContext, pool: PoolId, changed: ReadonlySet<CustomerNumber>): void {
+  changed.forEach((customer) => noteOwnCount(ctx, pool, customer));
   assignPool(ctx, pool);
 }
 
@@ -151,12 +179,15 @@
   const targets = targetsOf(state, poolId);
   const relay = demandRelay(state, state.self.domain, poolId);
   const counts = new Map<CustomerNumber, number>();
+  const lagLimit = owners.length > ENOUGH_OWNERS ? laggingBelow(state, poolId, ctx.now) : 0;
   changed.forEach((customer) => {
     const count = runnableCount(state, poolId, customer);
     counts.set(customer, count);
     if (count === 0) return;
     const waited = waitedOf(ctx, poolId, customer);
-    addTargets(state, { customer, waited }, owners, relay, targets);
+    const work = { customer, waited };
+    const most = targetCount(state, poolId, work, owners.length, lagLimit);
+    addTargets(state, work, owners, most, relay, targets);
     // Work that keeps waiting is announced more widely.
     if (needsWidening(state, waited, owners.length)) noteChangeLater(ctx, poolId, customer);
   });
@@ -168,6 +199,24 @@
   return isNew || fanout(state, waited) < owners;
 }
 
+/**
+ * Owners that a customer's work is announced to. Where many customers wait, a few owners are enough:
+ * each owner then knows work of nearly all of them from some entry. Only the work of a customer that
+ * lags goes to all, and owners without work pull from the relay.
+ */
+function targetCount(
+  state: CoreState,
+  pool: PoolId,
+  work: Waiting,
+  owners: number,
+  lagLimit: number,
+): number {
+  const widened = Math.min(fanout(state, work.waited), owners);
+  if (widened <= ENOUGH_OWNERS) return widened;
+  const lags = virtualService(state, work.customer, pool) < lagLimit;
+  return lags ? widened : ENOUGH_OWNERS;
+}
+
 function fanout(state: CoreState, waited: Millis): number {
   const { announceFanout, announceMs } = state.settings;
   return announceFanout * 2 ** Math.floor(waited / (WIDENING_INTERVALS * announceMs));
@@ -178,6 +227,7 @@
   state: CoreState,
   work: Waiting,
   owners: readonly InstanceId[],
+  most: number,
   relay: InstanceId | undefined,
   targets: Targets,
 ): void {
@@ -187,7 +237,6 @@
     targets.set(target, believed);
     if (!believed.has(work.customer)) believed.set(work.customer, 0);
   };
-  const most = Math.min(fanout(state, work.waited), owners.length);
   const start = most === owners.length ? 0 : hash32(`${work.customer} ${state.self.id}`);
   for (let i = 0; i < most; i += 1) {
     add(owners[(start + i) % owners.length] as InstanceId);
--- a/src/core/dispatch/assign.ts
+++ b/src/core/dispatch/assign.ts
@@ -8,6 +8,7 @@
 import { takesNewWork } from '../drain/upstreams.js';
 import { isOutdated } from '../orders/outdated.js';
 import { ownedUpstreams } from '../ownership/ownership.js';
+import { exchangeInterval } from '../shares/exchangeInterval.js';
 import { leastServed, reserve } from '../shares/shares.js';
 import type { CoreState } from '../state.js';
 import type {
@@ -21,6 +22,7 @@
 import { cachedBlocks } from './cache.js';
 import { takeOne } from './demand.js';
 import type { IssuedGrant, PoolDemand, WaitingCount } from './dispatchState.js';
+import { wakeAnnouncer } from './queues.js';
 import { endReservation, forgetReports, foreignUse, freeSlots, slotsOf } from './slots.js';
 import { relieve, resumeNext } from './suspension.js';
 
@@ -67,17 +69,44 @@
   const skipped = new Set<CustomerNumber>();
   for (;;) {
     const free = usableUpstreams(ctx, poolId);
-    const customer = nextCustomer(state, poolId, skipped);
     if (free.length === 0) {
-      if (customer !== undefined) relieve(ctx, pool, customer);
+      relieveOnce(ctx, pool, skipped);
       return;
     }
+    const customer = nextCustomer(state, poolId, skipped);
     if (resumeNext(ctx, pool, free, customer)) continue;
     if (customer === undefined) return;
     if (!grantTo(ctx, pool, customer, free)) skipped.add(customer);
   }
 }
 
+/** Looks for a stream to suspend in the pools where that was put off. */
+export function relieveLater(ctx: CoreContext): void {
+  const { relievePools } = ctx.state.dispatch;
+  const due = [...relievePools];
+  relievePools.clear();
+  due.forEach((pool) => assignPool(ctx, pool));
+}
+
+/** Looks for a stream to suspend, at most once in an announce interval. */
+function relieveOnce(
+  ctx: CoreContext,
+  pool: PoolConfig,
+  skipped: ReadonlySet<CustomerNumber>,
+): void {
+  const { dispatch, settings } = ctx.state;
+  const next = (dispatch.relievedAt.get(pool.id) ?? -Infinity) + settings.announceMs;
+  if (pool.suspendShare <= 0 || dispatch.demand.get(pool.id) === undefined) return;
+  if (next > ctx.now) {
+    dispatch.relievePools.add(pool.id);
+    wakeAnnouncer(ctx, next);
+    return;
+  }
+  dispatch.relievedAt.set(pool.id, ctx.now);
+  const customer = nextCustomer(ctx.state, pool.id, skipped);
+  if (customer !== undefined) relieve(ctx, pool, customer);
+}
+
 /** Notes a grant that came back: its entry has nothing that may run on the upstream just now. */
 export function noteReturned(ctx: CoreContext, grant: IssuedGrant): void {
   const until = ctx.now + RETURN_INTERVALS * ctx.state.settings.announceMs;
@@ -246,8 +275,8 @@
 
 /** Ends the reservations of grants whose service shows in the sums by now. */
 export function settleReservations(ctx: CoreContext): void {
-  const { dispatch, settings } = ctx.state;
-  const oldest = ctx.now - RESERVATION_EXCHANGES * settings.exchangeMs;
+  const { dispatch } = ctx.state;
+  const oldest = ctx.now - RESERVATION_EXCHANGES * exchangeInterval(ctx.state);
   dispatch.issued.forEach((grant) => {
     if (grant.reserved > 0 && grant.issuedAt <= oldest) endReservation(ctx.state, grant);
   });
--- a/src/core/dispatch/dispatchState.ts
+++ b/src/core/dispatch/dispatchState.ts
@@ -124,6 +124,8 @@
   readonly changedPools: Set<PoolId>;
   /** Customers in other pools whose waiting work has to be looked at. */
   readonly changedCustomers: Map<PoolId, Set<CustomerNumber>>;
+  /** Customers whose changes were offered here and not yet announced elsewhere. */
+  readonly unannounced: Map<PoolId, Set<CustomerNumber>>;
   /** Counts that a target still believes, by pool, target and customer. */
   readonly announced: Map<PoolId, Map<InstanceId, Map<CustomerNumber, number>>>;
   readonly seenGrants: Map<InstanceId, SeenGrants>;
@@ -133,6 +135,10 @@
   sequence: number;
   /** Time of the announce timer, or Infinity. */
   announceAt: Millis;
+  /** When a stream to suspend was last looked for, by pool. */
+  readonly relievedAt: Map<PoolId, Millis>;
+  /** Pools in which that was put off. */
+  readonly relievePools: Set<PoolId>;
   /** Earliest time of the next announcement to other instances. */
   remoteAnnounceAt: Millis;
   holdReportAt: Millis;
@@ -166,11 +172,14 @@
     queues: new Map(),
     changedPools: new Set(),
     changedCustomers: new Map(),
+    unannounced: new Map(),
     announced: new Map(),
     seenGrants: new Map(),
     heldGrants: new Map(),
     suspendedAttempts: new Map(),
     sequence: 0,
+    relievedAt: new Map(),
+    relievePools: new Set(),
     announceAt: Infinity,
     remoteAnnounceAt: 0,
     holdReportAt: 0,
--- a/src/core/shares/bound.ts
+++ b/src/core/shares/bound.ts
@@ -3,7 +3,9 @@
  * sketch is in docs/notes/fairness.md.
  */
 import { MS_PER_SECOND, type Millis } from '../clock.js';
+import { announceInterval } from '../dispatch/announceInterval.js';
 import type { CoreSettings } from '../settings.js';
+import { stretchedInterval } from './exchangeInterval.js';
 
 export interface SharingConditions {
   /** Slots of the pool over all upstreams. */
@@ -22,6 +24,8 @@
   readonly crossRegionPriceMs: Millis;
   /** Messages in a row that may be lost between two instances. */
   readonly lostMessages: number;
+  /** Instances of the largest failure domain; absent for a small one. */
+  readonly instancesInDomain?: number;
   /** Customers that wait at the same time. */
   readonly customers: number;
 }
@@ -44,13 +48,15 @@
 export function informationAge(settings: BoundSettings, conditions: SharingConditions): Millis {
   const { lostMessages, delayMs } = conditions;
   const exchanges = EXCHANGE_HOPS + lostMessages * settings.refreshExchanges;
-  return exchanges * settings.exchangeMs + EXCHANGE_HOPS * delayMs;
+  const interval = stretchedInterval(settings.exchangeMs, conditions.customers);
+  return exchanges * interval + EXCHANGE_HOPS * delayMs;
 }
 
 /** Longest time until an owner elsewhere with a free slot has found work that waits. */
 export function discoveryTime(settings: BoundSettings, conditions: SharingConditions): Millis {
-  const { lostMessages, delayMs, crossRegionPriceMs } = conditions;
-  const announcing = ANNOUNCE_INTERVALS * settings.announceMs + crossRegionPriceMs;
+  const { lostMessages, delayMs, crossRegionPriceMs, instancesInDomain = 1 } = conditions;
+  const interval = announceInterval(settings.announceMs, instancesInDomain);
+  const announcing = ANNOUNCE_INTERVALS * interval + crossRegionPriceMs;
   const pulling = 2 * settings.pullMs + PULL_HOPS * delayMs;
   return announcing + pulling + lostMessages * settings.holdReportMs;
 }
