Say 'not run' of a keyed request only if the fate of its key is known

The refusal spoke of the sending, while the caller asks for the key. Change: refusals of keyed non-idempotent requests say unknown unless the claim is won or the key's holder is known; also where limits or a stop refuse them before a claim.

--- a/src/core/claims/duplicates.ts
+++ b/src/core/claims/duplicates.ts
@@ -4,7 +4,7 @@
  * or may have run.
  */
 import { sendTo, type CoreContext } from '../context.js';
-import { failRequest, isUntried, refuseRequest, replayRequest } from '../requests/outcomes.js';
+import { failRequest, isUntried, refuseSettledKey, replayRequest } from '../requests/outcomes.js';
 import type { DiagnosticCode } from '../diagnostics.js';
 import type {
   Executed,
@@ -157,7 +157,8 @@
 function refuse(ctx: CoreContext, facts: RequestFacts, code: DiagnosticCode, status: number): void {
   const request = ctx.state.requests.active.get(facts.requestId);
   if (request === undefined || !isUntried(request)) return;
-  refuseRequest(ctx, request, { ...problem(ctx, code, status, { kind: 'self' }), executed: 'no' });
+  const told = problem(ctx, code, status, { kind: 'self' });
+  refuseSettledKey(ctx, request, { ...told, executed: 'no' });
 }
 
 function problem(
--- a/src/core/requests/admission.ts
+++ b/src/core/requests/admission.ts
@@ -41,7 +41,7 @@
   }
   const admission = admit(ctx, customer, event.bodyBytes);
   if (admission.kind === 'refused') {
-    ctx.emit({ kind: 'refuse', requestId: event.requestId, problem: admission.problem });
+    tellRefusal(ctx, event, admission.problem);
     return;
   }
   const facts = createFacts(ctx, event, view, pool, customer);
@@ -117,5 +117,16 @@
     peer: { kind: 'self' },
     ...(isTransient ? { retryAfterMs: ctx.state.settings.retryAfterMs } : {}),
   };
-  ctx.emit({ kind: 'refuse', requestId: event.requestId, problem });
+  tellRefusal(ctx, event, problem);
+}
+
+/** An earlier sending of the same key may have run, of which nothing is known here yet. */
+function tellRefusal(ctx: CoreContext, event: CallerRequestEvent, problem: NotRunProblem): void {
+  const { requestId, idempotencyKey, idempotent } = event;
+  const isTransient = problem.retryAfterMs !== undefined;
+  if (isTransient && idempotencyKey !== undefined && idempotent !== true) {
+    ctx.emit({ kind: 'fail', requestId, problem: { ...problem, executed: 'unknown' } });
+    return;
+  }
+  ctx.emit({ kind: 'refuse', requestId, problem });
 }
--- a/src/core/requests/outcomes.ts
+++ b/src/core/requests/outcomes.ts
@@ -1,4 +1,5 @@
 /** The outcomes that end a request: each request gets exactly one. */
+import { isClaimWon } from '../claims/ownClaims.js';
 import { abandonClaim, settleClaim } from '../claims/settlement.js';
 import type { CoreContext } from '../context.js';
 import { withdraw } from '../dispatch/queues.js';
@@ -36,11 +37,31 @@
   endRequest(ctx, facts);
 }
 
-/** Tells the caller that its request was not run. */
+/**
+ * Ends a request that no upstream was given. The caller is told that it was not run, unless the
+ * request has a key whose earlier fate this instance does not know: an earlier sending of the same
+ * key may have run, so that only `unknown` is true.
+ */
 export function refuseRequest(
   ctx: CoreContext,
   request: UntriedRequest,
   problem: NotRunProblem,
+): void {
+  if (isClaimWon(ctx.state, request.facts)) {
+    refuseSettledKey(ctx, request, problem);
+    return;
+  }
+  const { requestId } = request.facts;
+  abandonClaim(ctx, requestId);
+  ctx.emit({ kind: 'fail', requestId, problem: { ...problem, executed: 'unknown' } });
+  endRequest(ctx, request.facts);
+}
+
+/** Tells the caller that its request was not run; what became of its key, if any, is known. */
+export function refuseSettledKey(
+  ctx: CoreContext,
+  request: UntriedRequest,
+  problem: NotRunProblem,
 ): void {
   const { requestId } = request.facts;
   abandonClaim(ctx, requestId);
