--- a/src/bench/capacity/slopes.ts
+++ b/src/bench/capacity/slopes.ts
@@ -4,41 +4,13 @@
  */
 import { writeFileSync } from 'node:fs';
 import { readRevision } from '../support/revision.js';
-import { fitLine, type Line, type Point } from './fit.js';
+import { fitLine, type Point } from './fit.js';
 import { runFleet, type FleetRunResult, type KindLoad } from './fleetRun.js';
 import { measurePollBytes } from './pollBytes.js';
-import { measureStateSlopes, type StateSlope } from './stateSlopes.js';
+import { SLOPES_PATH, type KindSlope, type SlopesFile } from './slopesFile.js';
+import { measureStateSlopes } from './stateSlopes.js';
 import { DOMAIN_SLICE, sizesAlong, type Dimension } from './target.js';
 
-/** A kind of message or timer over one dimension. */
-export interface KindSlope {
-  readonly kind: string;
-  readonly dimension: Dimension;
-  readonly events: Line;
-  readonly bytes: Line;
-  readonly controlMs: Line;
-}
-
-export interface SlopesFile {
-  readonly revision: string;
-  readonly kinds: readonly KindSlope[];
-  readonly totals: readonly {
-    readonly dimension: Dimension;
-    readonly points: readonly {
-      readonly at: number;
-      readonly bytes: number;
-      readonly largestBytes: number;
-      readonly controlMs: number;
-    }[];
-  }[];
-  readonly state: readonly StateSlope[];
-  readonly slice: FleetRunResult;
-  /** Bytes of one reading of an engine's load and cache events, both ways. */
-  readonly pollBytes: number;
-}
-
-export const SLOPES_PATH = 'docs/slopes.json';
-
 const DIMENSIONS: readonly Dimension[] = [
   'waiting',
   'instancesPerDomain',
--- a/src/core/dispatch/dispatchState.ts
+++ b/src/core/dispatch/dispatchState.ts
@@ -135,6 +135,8 @@
   sequence: number;
   /** Time of the announce timer, or Infinity. */
   announceAt: Millis;
+  /** Turn of the last readings of load, where the owned upstreams are read in turn. */
+  pollTurn: number;
   /** When a stream to suspend was last looked for, by pool. */
   readonly relievedAt: Map<PoolId, Millis>;
   /** Pools in which that was put off. */
@@ -178,6 +180,7 @@
     heldGrants: new Map(),
     suspendedAttempts: new Map(),
     sequence: 0,
+    pollTurn: 0,
     relievedAt: new Map(),
     relievePools: new Set(),
     announceAt: Infinity,
--- a/src/core/dispatch/owner.ts
+++ b/src/core/dispatch/owner.ts
@@ -7,7 +7,7 @@
 import { noteCacheNews } from './cache.js';
 import { pruneDemand, takeAnnouncement } from './demand.js';
 import { reportHolds } from './holds.js';
-import { poll } from './loadPolls.js';
+import { pollInTurn } from './loadPolls.js';
 import { answerSubscriptions } from './pull.js';
 import { freeGrant, noteFailedPoll, noteReport, pruneSlots, setPhase, slotsOf } from './slots.js';
 
@@ -80,7 +80,7 @@
 /** Reads the load of the owned upstreams, reports holds and ends expired grants. */
 export function onPollTimer(ctx: CoreContext): void {
   const { state } = ctx;
-  ownedUpstreams(state).forEach((upstream) => poll(ctx, upstream));
+  pollInTurn(ctx, ownedUpstreams(state));
   expireGrants(ctx);
   settleReservations(ctx);
   pruneDemand(ctx);
