--- a/src/core/attempts/problems.ts
+++ b/src/core/attempts/problems.ts
@@ -21,6 +21,7 @@
     executed,
     peer: { kind: 'upstream', id: upstream },
     detail: detailOf(outcome),
+    args: { upstream, reason: detailOf(outcome) },
     retryAfterMs: retryAfterOf(state, outcome),
   };
 }
--- a/src/core/requests/admission.ts
+++ b/src/core/requests/admission.ts
@@ -4,7 +4,7 @@
  */
 import { requestClaim } from '../claims/claims.js';
 import type { CoreContext } from '../context.js';
-import type { DiagnosticCode } from '../diagnostics.js';
+import type { DiagnosticArgs, DiagnosticCode } from '../diagnostics.js';
 import { enqueue } from '../dispatch/queues.js';
 import { admit } from '../limits/limits.js';
 import { refuseQuarantined } from '../quarantine/quarantine.js';
@@ -36,7 +36,7 @@
   }
   const pool = view.pools.get(event.pool);
   if (pool === undefined) {
-    refuseEvent(ctx, event, 'unknownPool', 404, 'route');
+    refuseEvent(ctx, event, 'unknownPool', 404, 'route', { pool: event.pool });
     return;
   }
   const admission = admit(ctx, customer, event.bodyBytes);
@@ -107,6 +107,7 @@
   code: DiagnosticCode,
   status: number,
   step: Step,
+  args: DiagnosticArgs = {},
 ): void {
   const isTransient = status === UNAVAILABLE;
   const problem: NotRunProblem = {
@@ -115,6 +116,7 @@
     executed: 'no',
     step,
     peer: { kind: 'self' },
+    args,
     ...(isTransient ? { retryAfterMs: ctx.state.settings.retryAfterMs } : {}),
   };
   tellRefusal(ctx, event, problem);
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -6,7 +6,7 @@
  * cost units (see `PoolConfig.cost`).
  */
 import type { Millis } from './clock.js';
-import type { DiagnosticCode } from './diagnostics.js';
+import type { DiagnosticArgs, DiagnosticCode } from './diagnostics.js';
 import type * as peer from '../protocol/generated/peer.js';
 
 // Identities
@@ -309,6 +309,8 @@
   readonly step: Step;
   readonly peer: Peer;
   readonly detail?: string;
+  /** Values of the place-holders in the diagnostic's text. */
+  readonly args?: DiagnosticArgs;
   readonly retryAfterMs?: Millis;
 }
 
--- a/src/hosts/callerHost.ts
+++ b/src/hosts/callerHost.ts
@@ -160,6 +160,7 @@
     step: 'receive',
     peer: { kind: 'caller' },
     detail: `The limit is ${limit} bytes.`,
+    args: { limit },
   };
 }
 
--- a/src/hosts/callerRequest.ts
+++ b/src/hosts/callerRequest.ts
@@ -107,6 +107,7 @@
       step: 'receive',
       peer: { kind: 'caller' },
       detail,
+      args: { reason: detail },
     },
   };
 }
--- a/src/hosts/operatorHost.ts
+++ b/src/hosts/operatorHost.ts
@@ -35,6 +35,7 @@
   code: 'malformedRequest',
   status: 400,
   step: 'receive',
+  args: { reason: 'a command as JSON is expected' },
 };
 /** The command may still take effect. */
 const NO_REPLY: Problem = {
--- a/src/hosts/problem.ts
+++ b/src/hosts/problem.ts
@@ -19,10 +19,10 @@
 
 /** Turns a problem into the body of its answer. */
 export function problemBody(problem: Problem): ProblemBody {
-  const { code, status, executed, step, peer, detail } = problem;
+  const { args, code, status, executed, step, peer, detail } = problem;
   return {
     type: `urn:primroseswitch:problem:${code}`,
-    title: formatDiagnostic(code),
+    title: formatDiagnostic(code, args),
     status,
     code: diagnostics[code].code,
     executed,
--- a/test/daemon/path.test.ts
+++ b/test/daemon/path.test.ts
@@ -69,7 +69,12 @@
     const headers = { authorization: `Bearer ${TEST_KEY}` };
     const model = await fetch(`${url}/v1/completions`, { ...post, headers });
     expect(model.status).to.equal(404);
-    expect(await model.json()).to.deep.include({ executed: 'no', step: 'route', code: 1002 });
+    expect(await model.json()).to.deep.include({
+      executed: 'no',
+      step: 'route',
+      code: 1002,
+      title: "No pool is named 'none'.",
+    });
     const path = await fetch(`${url}/v2/completions`, { ...post, headers });
     expect(path.status).to.equal(404);
     expect(await path.json()).to.deep.include({ executed: 'no', code: 1012 });
