Share the request builder, the counts and the fake network of benchmarks

Cause: the same builder stood in three places, and benchmarks under src imported a fake from the tests. Change: one builder and one set of empty counts; the fake network moved to src/bench/support.

--- a/src/bench/capacity/fleetRun.ts
+++ b/src/bench/capacity/fleetRun.ts
@@ -9,7 +9,7 @@
 import { createRandom, type Random } from '../../core/random.js';
 import type { InstanceId } from '../../core/types.js';
 import { PeerMessage as PeerMessageCodec } from '../../protocol/generated/peer.js';
-import { createFakeNetwork, type FakeNetwork } from '../../../test/support/fakeNetwork.js';
+import { createFakeNetwork, type FakeNetwork } from '../support/fakeNetwork.js';
 import { createFleetView, domainName, regionName } from '../support/fleetView.js';
 
 export interface FleetRunSize {
--- a/src/bench/capacity/stateSlopes.ts
+++ b/src/bench/capacity/stateSlopes.ts
@@ -1,6 +1,6 @@
 /** Memory of the core's state over customers, upstreams, members and requests. Needs `--expose-gc`. */
 import { createCore, type Core } from '../../core/core.js';
-import type { CoreEvent } from '../../core/types.js';
+import { createCallerRequest } from '../support/callerRequest.js';
 import { createFleetView, type FleetViewOptions } from '../support/fleetView.js';
 import { heapBytes } from '../support/timing.js';
 import { fitLine, type Line, type Point } from './fit.js';
@@ -25,12 +25,12 @@
     ),
     slope('customers with work', [100, 300, 900], (n) => {
       const core = startCore({ ...SMALL, customers: 900 });
-      for (let i = 1; i <= n; i += 1) core.reduce(request(`q${i}`, i), 10);
+      for (let i = 1; i <= n; i += 1) core.reduce(createCallerRequest(`q${i}`, i), 10);
       return core;
     }),
     slope('waiting requests', [1_000, 3_000, 9_000], (n) => {
       const core = startCore(SMALL);
-      for (let i = 1; i <= n; i += 1) core.reduce(request(`q${i}`, 1 + (i % 10)), 10);
+      for (let i = 1; i <= n; i += 1) core.reduce(createCallerRequest(`q${i}`, 1 + (i % 10)), 10);
       return core;
     }),
   ];
@@ -53,19 +53,3 @@
   core.reduce({ kind: 'start' }, 0);
   return core;
 }
-
-function request(requestId: string, customer: number): CoreEvent {
-  return {
-    kind: 'callerRequest',
-    requestId,
-    keyHash: `hash-${customer}`,
-    pool: 'pool0',
-    method: 'POST',
-    path: '/v1/chat/completions',
-    fingerprint: requestId,
-    bodyBytes: 1_000,
-    promptTokens: 250,
-    prefixBlocks: [],
-    streamed: true,
-  };
-}
--- a/src/bench/fair/policies.ts
+++ b/src/bench/fair/policies.ts
@@ -8,7 +8,7 @@
 import { bestScored } from '../../core/membership/memberIndex.js';
 import { DEFAULT_CORE_SETTINGS } from '../../core/settings.js';
 import type { ConfigurationView, Member, UpstreamConfig } from '../../core/types.js';
-import { createFakeNetwork, type FakeNetwork } from '../../../test/support/fakeNetwork.js';
+import { createFakeNetwork, type FakeNetwork } from '../support/fakeNetwork.js';
 import { createFleetView } from '../support/fleetView.js';
 import { createProbe, type LinkClass } from './probe.js';
 
--- a/src/bench/fair/probe.ts
+++ b/src/bench/fair/probe.ts
@@ -1,7 +1,7 @@
 /** Counts control bytes by class of link and processor time by instance on the fake network. */
 import { performance } from 'node:perf_hooks';
 import { PeerMessage as PeerMessageCodec } from '../../protocol/generated/peer.js';
-import type { FakeNetworkOptions } from '../../../test/support/fakeNetwork.js';
+import type { FakeNetworkOptions } from '../support/fakeNetwork.js';
 
 export type LinkClass = 'sameDomain' | 'sameRegion' | 'crossRegion';
 
--- a/src/bench/fair/slopes.ts
+++ b/src/bench/fair/slopes.ts
@@ -1,6 +1,6 @@
 /** Control bytes and processor time of one instance over the fleet's size, on the fake network. */
 import { createRandom } from '../../core/random.js';
-import { createFakeNetwork, type FakeNetwork } from '../../../test/support/fakeNetwork.js';
+import { createFakeNetwork, type FakeNetwork } from '../support/fakeNetwork.js';
 import { createFleetView } from '../support/fleetView.js';
 import { createProbe } from './probe.js';
 
--- a/src/bench/load/customerMetrics.ts
+++ b/src/bench/load/customerMetrics.ts
@@ -101,7 +101,8 @@
   );
 }
 
-function createCounts(): OutcomeCounts {
+/** Counts of nothing yet. */
+export function createCounts(): OutcomeCounts {
   return {
     sent: 0,
     notSent: 0,
--- a/src/bench/load/results.ts
+++ b/src/bench/load/results.ts
@@ -1,4 +1,5 @@
 /** What a load run found, as data. */
+import { createCounts } from './customerMetrics.js';
 import type { Millis } from '../../core/clock.js';
 import type { CustomerPoolMetrics, OutcomeCounts, Quantiles } from './customerMetrics.js';
 import type { GapSample } from './fairness.js';
@@ -69,17 +70,7 @@
 
 /** Sums over all customers. */
 export function totalCounts(result: LoadResult): OutcomeCounts {
-  const total: OutcomeCounts = {
-    sent: 0,
-    notSent: 0,
-    served: 0,
-    refused: 0,
-    failed: 0,
-    lost: 0,
-    notOwn: 0,
-    truncated: 0,
-    reasons: {},
-  };
+  const total = createCounts();
   for (const { counts } of result.customers) {
     total.sent += counts.sent;
     total.notSent += counts.notSent;
--- a/src/bench/micro/steadyCore.ts
+++ b/src/bench/micro/steadyCore.ts
@@ -4,7 +4,8 @@
  */
 import { createCore, type Core } from '../../core/core.js';
 import type { Millis } from '../../core/clock.js';
-import type { AttemptId, CallerRequestEvent, CoreEvent, Effect } from '../../core/types.js';
+import type { AttemptId, CoreEvent, Effect } from '../../core/types.js';
+import { createCallerRequest } from '../support/callerRequest.js';
 import { createFleetView, domainName, regionName } from '../support/fleetView.js';
 
 export interface SteadyCoreOptions {
@@ -61,7 +62,7 @@
     nextRequest += 1;
     const requestId = `q${nextRequest}`;
     customerOf.set(requestId, customer);
-    apply(createRequest(requestId, customer));
+    apply(createCallerRequest(requestId, customer));
   }
 
   function fireTimers(): number {
@@ -106,19 +107,3 @@
   }
   return { core, cycle, progress, fireTimers };
 }
-
-function createRequest(requestId: string, customer: number): CallerRequestEvent {
-  return {
-    kind: 'callerRequest',
-    requestId,
-    keyHash: `hash-${customer}`,
-    pool: 'pool0',
-    method: 'POST',
-    path: '/v1/chat/completions',
-    fingerprint: requestId,
-    bodyBytes: 1_000,
-    promptTokens: 250,
-    prefixBlocks: [],
-    streamed: true,
-  };
-}
--- a/test/support/fakeNetwork.ts
+++ b/src/bench/support/fakeNetwork.ts
@@ -3,11 +3,11 @@
  * and fake upstreams that serve a fixed number of requests at a time. For property tests and
  * measurements of the policy; it keeps the true service of every customer for comparison.
  */
-import { applyView } from '../../src/core/configuration/configuration.js';
-import type { CoreContext } from '../../src/core/context.js';
-import { createCore, type Core } from '../../src/core/core.js';
-import { createRandom } from '../../src/core/random.js';
-import type { CoreSettings } from '../../src/core/settings.js';
+import { applyView } from '../../core/configuration/configuration.js';
+import type { CoreContext } from '../../core/context.js';
+import { createCore, type Core } from '../../core/core.js';
+import { createRandom } from '../../core/random.js';
+import type { CoreSettings } from '../../core/settings.js';
 import type {
   AttemptPlan,
   ConfigurationView,
@@ -18,7 +18,7 @@
   ListedInstance,
   RequestId,
   UpstreamId,
-} from '../../src/core/types.js';
+} from '../../core/types.js';
 
 export interface FakeNetworkOptions {
   readonly seed: number;
--- a/src/checker/claims.ts
+++ b/src/checker/claims.ts
@@ -3,6 +3,7 @@
  * idempotency key, and every order and fate of appends, reads and attempts is tried.
  */
 import type { CallerRequestEvent, RequestId, StreamRecord } from '../core/types.js';
+import { createCallerRequest } from '../bench/support/callerRequest.js';
 import { createFleetView } from '../bench/support/fleetView.js';
 import type { ExploreOptions } from './explore.js';
 import { createFleetSystem, type LogLens, type Observed } from './fleetSystem.js';
@@ -52,21 +53,12 @@
 }
 
 function createRequest(requestId: RequestId): CallerRequestEvent {
-  return {
-    kind: 'callerRequest',
-    requestId,
-    keyHash: 'hash-1',
-    pool: 'pool0',
-    method: 'POST',
-    path: '/book',
+  return createCallerRequest(requestId, 1, {
     idempotent: false,
     idempotencyKey: KEY,
     fingerprint: 'same',
-    bodyBytes: 10,
-    promptTokens: 1,
-    prefixBlocks: [],
     streamed: false,
-  };
+  });
 }
 
 /** What must hold in every state: one execution per key, true refusals, one outcome per request. */
--- a/test/fair/dispatch.test.ts
+++ b/test/fair/dispatch.test.ts
@@ -3,7 +3,7 @@
 import { grantKey } from '../../src/core/dispatch/dispatchState.js';
 import type { CacheEvent, Effect, PeerMessage, UpstreamReport } from '../../src/core/types.js';
 import { createTestView, type TestViewOptions } from '../support/configuration.js';
-import { createFakeNetwork } from '../support/fakeNetwork.js';
+import { createFakeNetwork } from '../../src/bench/support/fakeNetwork.js';
 
 const SELF = { id: 'a', incarnation: 1, address: '127.0.0.1:1', domain: 'd1', region: 'r1' };
 
--- a/test/fair/limits.test.ts
+++ b/test/fair/limits.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import type { CustomerLimits } from '../../src/core/types.js';
 import { createTestView } from '../support/configuration.js';
-import { createFakeNetwork, type FakeNetwork } from '../support/fakeNetwork.js';
+import { createFakeNetwork, type FakeNetwork } from '../../src/bench/support/fakeNetwork.js';
 
 const INSTANCES = ['a', 'b', 'c'].map((id, i) => ({ id, domain: `d${i % 2}`, region: 'r1' }));
 const OPEN: CustomerLimits = {
--- a/test/fair/membership.test.ts
+++ b/test/fair/membership.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import { ownerOf } from '../../src/core/ownership/ownership.js';
 import { createTestView } from '../support/configuration.js';
-import { createFakeNetwork, type FakeNetwork } from '../support/fakeNetwork.js';
+import { createFakeNetwork, type FakeNetwork } from '../../src/bench/support/fakeNetwork.js';
 
 const DOMAINS = ['d1', 'd2', 'd3'];
 const UPSTREAMS = DOMAINS.flatMap((domain, d) =>
--- a/test/fair/suspension.test.ts
+++ b/test/fair/suspension.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
-import type { FakeNetwork, Job } from '../support/fakeNetwork.js';
-import { createFakeNetwork } from '../support/fakeNetwork.js';
+import type { FakeNetwork, Job } from '../../src/bench/support/fakeNetwork.js';
+import { createFakeNetwork } from '../../src/bench/support/fakeNetwork.js';
 import { createTestView } from '../support/configuration.js';
 
 const SLOTS = 8;
--- a/test/orders/demandLevels.test.ts
+++ b/test/orders/demandLevels.test.ts
@@ -6,7 +6,7 @@
 import type { PlacementConfig, UpstreamId } from '../../src/core/types.js';
 import { createTestView } from '../support/configuration.js';
 import { BASE_DOCUMENT, PLATFORM_HASH } from '../support/edits.js';
-import { createFakeNetwork, type FakeNetwork } from '../support/fakeNetwork.js';
+import { createFakeNetwork, type FakeNetwork } from '../../src/bench/support/fakeNetwork.js';
 
 const UPSTREAMS = 8;
 const SLOTS = 2;
--- a/test/support/sharingLoad.ts
+++ b/test/support/sharingLoad.ts
@@ -2,7 +2,11 @@
 import type { SharingConditions } from '../../src/core/shares/bound.js';
 import { createRandom } from '../../src/core/random.js';
 import { createTestView } from './configuration.js';
-import { createFakeNetwork, type FakeNetwork, type FakeNetworkOptions } from './fakeNetwork.js';
+import {
+  createFakeNetwork,
+  type FakeNetwork,
+  type FakeNetworkOptions,
+} from '../../src/bench/support/fakeNetwork.js';
 
 export const LINK_DELAY_MS = 12;
 export const TOKENS_PER_SECOND = 100;
