Plot the measured slopes on the capacity page

Cause: the slopes were given as tables only. Change: charts in the page's own text, one for each dimension and amount.

--- a/src/bench/capacity/page.ts
+++ b/src/bench/capacity/page.ts
@@ -20,6 +20,7 @@
     renderLimits(slopes),
     renderEvents(),
     renderSlopes(slopes),
+    renderPlots(slopes),
   ].join('\n');
 }
 
@@ -253,6 +254,40 @@
   );
 }
 
+/** Plots the measured totals over each dimension, as charts that Markdown viewers draw. */
+function renderPlots(slopes: SlopesFile): string {
+  const charts = slopes.totals.flatMap(({ dimension, points }) => {
+    const at = points.map((point) => point.at);
+    return [
+      chart(
+        `${dimension}: bytes/s of an instance`,
+        at,
+        points.map((point) => point.bytes),
+      ),
+      chart(
+        `${dimension}: ms/s of an instance`,
+        at,
+        points.map((point) => point.controlMs),
+      ),
+    ];
+  });
+  return `## Plots\n\n${charts.join('\n')}`;
+}
+
+function chart(title: string, x: readonly number[], y: readonly number[]): string {
+  const top = Math.ceil(1.1 * Math.max(...y));
+  return [
+    '```mermaid',
+    'xychart-beta',
+    `  title "${title}"`,
+    `  x-axis [${x.join(', ')}]`,
+    `  y-axis 0 --> ${top}`,
+    `  line [${y.map((value) => value.toPrecision(4)).join(', ')}]`,
+    '```',
+    '',
+  ].join('\n');
+}
+
 function lineOf(slopes: SlopesFile, share: Share) {
   return slopes.kinds.find(
     ({ kind, dimension }) => kind === share.kind && dimension === share.driver,
