--- a/src/core/dispatch/announcements.ts
+++ b/src/core/dispatch/announcements.ts
@@ -1,7 +1,7 @@
 /**
  * Announcements of waiting counts. Work is offered to this instance's own upstreams first. What is
- * left is announced to a few owners of the domain, to more the longer it waits, and to the relay of
- * the pool, from which owners elsewhere pull. An owner is told again only when what it believes is
+ * left is announced to a few owners of the domain, to more the longer it waits (in a large domain only
+ * if its customer lags), and to the relay of the pool, from which owners elsewhere pull. An owner is told again only when what it believes is
  * off by more than a factor of two, so that a long queue costs no message per request.
  */
 import { sendTo, type CoreContext } from '../context.js';
--- a/src/hosts/peerLink.ts
+++ b/src/hosts/peerLink.ts
@@ -7,7 +7,7 @@
 import { Client, type ChannelCredentials, type ClientDuplexStream } from '@grpc/grpc-js';
 import type { Millis } from '../core/clock.js';
 import type { PeerMessage } from '../core/types.js';
-import { decodeBatch, encodeBatch, type PeerBatch } from '../protocol/codec.js';
+import { decodeBatch, encodeBatch, FRAMING_BYTES, type PeerBatch } from '../protocol/codec.js';
 import { PeerService } from '../protocol/generated/peer.js';
 
 export interface PeerLinkLimits {
@@ -59,8 +59,6 @@
   isBlocked: boolean;
 }
 
-/** Bytes of the gRPC message header and the HTTP/2 frame header around one batch. */
-const FRAMING_BYTES = 14;
 /** Channels with the same address would share one connection. */
 const CHANNEL_OPTIONS = {
   'grpc.use_local_subchannel_pool': 1,
--- a/src/protocol/codec.ts
+++ b/src/protocol/codec.ts
@@ -2,6 +2,9 @@
 import type { PeerMessage } from '../core/types.js';
 import { Batch, type Sender } from './generated/peer.js';
 
+/** Framing of a batch on its link: gRPC's five bytes and the frame head of HTTP/2. */
+export const FRAMING_BYTES = 14;
+
 /** Messages that one instance sends to another at once. */
 export interface PeerBatch {
   readonly sender: Sender;
