--- a/eslint.config.js
+++ b/eslint.config.js
@@ -34,7 +34,7 @@
 };
 
 export default [
-  { ignores: ['dist/**', 'node_modules/**', 'src/protocol/generated/**'] },
+  { ignores: ['dist/**', 'target/**', 'node_modules/**', 'src/protocol/generated/**'] },
   js.configs.recommended,
   plugins.stylistic,
   plugins.importX,
@@ -65,13 +65,20 @@
       'n/no-unsupported-features/node-builtins': 'off',
     },
   },
-  { files: ['src/core/**/*.ts'], rules: coreRestrictions },
+  { files: ['src/core/**/*.ts', 'src/routing/**/*.ts'], rules: coreRestrictions },
   {
     files: ['test/**/*.ts'],
     rules: { '@typescript-eslint/no-unused-expressions': 'off', 'no-unused-expressions': 'off' },
   },
   {
-    files: ['scripts/**', 'eslint.config.js', 'src/cli/**', 'src/bench/**', 'src/checker/**'],
+    files: [
+      'scripts/**',
+      'eslint.config.js',
+      'platform/main.ts',
+      'src/cli/**',
+      'src/bench/**',
+      'src/checker/**',
+    ],
     rules: {
       'n/no-sync': 'off',
       'n/no-process-exit': 'off',
--- a/src/configuration/settingsSchema.ts
+++ b/src/configuration/settingsSchema.ts
@@ -1,6 +1,7 @@
 /** Schema of an instance's settings. What it leaves out has the default of the part it concerns. */
 import { z } from 'zod';
 import { DEFAULT_CORE_SETTINGS, type CoreSettings } from '../core/settings.js';
+import { DEFAULT_ROUTING_SETTINGS, type RoutingSettings } from '../routing/settings.js';
 import { formatDuration, formatSize, parseDuration, parseSize } from './units.js';
 
 export const DEFAULT_OPERATORS_PORT = 9_081;
@@ -48,6 +49,7 @@
 
 const file = z.string().min(1);
 const count = z.number().min(0);
+const path = z.string().startsWith('/');
 const keyHash = z.string().regex(/^[0-9a-f]{64}$/, 'a SHA-256 hash in hexadecimal is expected');
 
 /** `heartbeatMs` is set as `heartbeat: 1s`, `answerMemoryBytes` as `answerMemory: 8MiB`. */
@@ -58,33 +60,62 @@
   return { key, type: count };
 }
 
-const coreKeys = Object.keys(DEFAULT_CORE_SETTINGS) as (keyof CoreSettings)[];
-const coreFields = coreKeys.map((key) => ({ target: key, field: coreFieldOf(key) }));
-
-const core = z
-  .strictObject(
-    Object.fromEntries(coreFields.map(({ field }) => [field.key, field.type.optional()])),
-  )
-  .transform((values): Partial<CoreSettings> =>
-    Object.fromEntries(
-      coreFields
-        .map(({ target, field }) => [target, values[field.key]] as const)
-        .filter(([, value]) => value !== undefined),
-    ),
-  );
+type FieldDefaults = Readonly<Record<string, number | readonly string[]>>;
 
-/** The defaults of the core's settings as settings write them, by name. */
-export function coreSettingDefaults(): ReadonlyMap<string, string> {
+interface NamedField {
+  readonly target: string;
+  readonly field: { readonly key: string; readonly type: z.ZodType };
+}
+
+/** Fields of a group of settings that are named and typed after its defaults. */
+function fieldsOf(defaults: object): readonly NamedField[] {
+  return Object.keys(defaults).map((key) => ({ target: key, field: coreFieldOf(key) }));
+}
+
+/** Schema of such a group; all of its fields may be left out. */
+function groupOf<T extends object>(fields: readonly NamedField[], others: z.ZodRawShape = {}) {
+  const named = fields.map(({ field }) => [field.key, field.type.optional()] as const);
+  return z.strictObject({ ...Object.fromEntries(named), ...others }).transform((values) => {
+    const given = values as Readonly<Record<string, unknown>>;
+    const entries = fields
+      .map(({ target, field }) => [target, given[field.key]] as const)
+      .filter(([, value]) => value !== undefined);
+    return Object.fromEntries(entries) as Partial<T>;
+  });
+}
+
+function defaultsOf(
+  fields: readonly NamedField[],
+  defaults: FieldDefaults,
+): ReadonlyMap<string, string> {
   return new Map(
-    coreFields.map(({ target, field }) => {
-      const value = DEFAULT_CORE_SETTINGS[target];
-      if (typeof value !== 'number') return [field.key, value.join(', ') || 'none'];
+    fields.map(({ target, field }) => {
+      const value = defaults[target];
+      if (typeof value !== 'number') return [field.key, listText(value ?? [])];
       if (target.endsWith('Ms')) return [field.key, formatDuration(value)];
       return [field.key, target.endsWith('Bytes') ? formatSize(value) : String(value)];
     }),
   );
 }
 
+function listText(values: readonly string[]): string {
+  return values.length === 0 ? 'none' : values.join(', ');
+}
+
+const coreFields = fieldsOf(DEFAULT_CORE_SETTINGS);
+const core = groupOf<CoreSettings>(coreFields);
+const routingFields = fieldsOf(DEFAULT_ROUTING_SETTINGS);
+
+/** The defaults of the core's settings as settings write them, by name. */
+export function coreSettingDefaults(): ReadonlyMap<string, string> {
+  return defaultsOf(coreFields, { ...DEFAULT_CORE_SETTINGS });
+}
+
+/** The defaults of the routing core's settings as settings write them, by name. */
+export function routingSettingDefaults(): ReadonlyMap<string, string> {
+  return defaultsOf(routingFields, { ...DEFAULT_ROUTING_SETTINGS });
+}
+
 export const settingsSchema = z.strictObject({
   instance: z.strictObject({ id: name, domain: name, region: name }),
   listen: z.strictObject({
@@ -121,6 +152,19 @@
     })
     .prefault({}),
   core: core.prefault({}),
+  /** Present for an instance that passes requests through on routes of the platform. */
+  routing: z
+    .strictObject({
+      /** Address at which the balancer asks whether new callers may come, and the path. */
+      readiness: address,
+      readinessPath: path,
+      /** Path of the metrics at the operators' address. */
+      metricsPath: path.default('/metrics'),
+      /** Region of each failure domain. */
+      regions: z.record(name, name),
+      tuning: groupOf<RoutingSettings>(routingFields).prefault({}),
+    })
+    .optional(),
 });
 
 export type Settings = z.output<typeof settingsSchema>;
--- a/src/core/reducer.ts
+++ b/src/core/reducer.ts
@@ -170,6 +170,7 @@
       return;
     case 'ping':
     case 'pong':
+    case 'routingNews':
       return;
     case 'waitingUpdate':
       onWaitingUpdate(ctx, from, message.value);
--- a/src/daemon/effects.ts
+++ b/src/daemon/effects.ts
@@ -1,6 +1,6 @@
 /** Executes each effect through the host that it concerns. */
 import { Debug } from '../core/debug.js';
-import type { AttemptPlan } from '../core/types.js';
+import type { AttemptPlan, Effect } from '../core/types.js';
 import type {
   CallerHost,
   Logger,
@@ -30,7 +30,11 @@
   readonly onStopped: () => void;
 }
 
-export function createEffectRunner({ hosts, post, onStopped }: EffectRunnerOptions): EffectRunner {
+export function createEffectRunner({
+  hosts,
+  post,
+  onStopped,
+}: EffectRunnerOptions): EffectRunner<Effect> {
   const { callers, upstreams, peers, platform, operators, logger, metrics } = hosts;
 
   function dispatch(plan: AttemptPlan): void {
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -4,10 +4,12 @@
 import type {
   ConfigurationView,
   CoreEvent,
+  Effect,
   FailureDomainId,
   InstanceId,
   InstanceIdentity,
   RegionId,
+  TimerName,
 } from '../core/types.js';
 import { createCallerHost } from '../hosts/callerHost.js';
 import type { CertificateSource } from '../hosts/certificates.js';
@@ -92,7 +94,7 @@
   const system = options.system ?? createSystem();
   const incarnation = options.incarnation ?? createIncarnation(system);
   const self = { id: options.id, incarnation };
-  let running: { readonly core: Core; readonly loop: Loop } | undefined;
+  let running: { readonly core: Core; readonly loop: Loop<CoreEvent> } | undefined;
   let early: CoreEvent[] = [];
   let resolveStopped: () => void = () => {};
   const stopped = new Promise<void>((resolve) => {
@@ -133,7 +135,12 @@
         : { initialConfiguration: options.initialConfiguration }),
     });
     const runEffect = createEffectRunner({ hosts, post, onStopped: resolveStopped });
-    const loop = createLoop({ core, system, runEffect, onError: logFailure });
+    const loop = createLoop<CoreEvent, Effect, TimerName>({
+      core,
+      system,
+      runEffect,
+      onError: logFailure,
+    });
     running = { core, loop };
     loop.post({ kind: 'start' });
     early.forEach(loop.post);
@@ -257,7 +264,7 @@
 }
 
 /** A later start has the larger number: the start time, then random bits. */
-function createIncarnation(system: System): number {
+export function createIncarnation(system: System): number {
   const random = Math.floor(Math.random() * INCARNATION_RANDOM_RANGE);
   return Math.floor(system.now()) * INCARNATION_RANDOM_RANGE + random;
 }
--- /dev/null
+++ b/src/daemon/routingInstance.ts
@@ -0,0 +1,338 @@
+/** Wires the routing core of one instance to its hosts. */
+import type { CoreEvent, FailureDomainId, InstanceIdentity, RegionId } from '../core/types.js';
+import { Debug } from '../core/debug.js';
+import { createFrontHost, type FrontHost } from '../hosts/routing/frontHost.js';
+import { createGapClock } from '../hosts/routing/gapClock.js';
+import { createMetricsPage, type MetricsPage } from '../hosts/routing/metricsPage.js';
+import { createRoutingLog, type RoutingLog } from '../hosts/routing/routingLog.js';
+import type { GapClock, RequestProtocol, RoutingPlatform } from '../hosts/routing/types.js';
+import { createUpstreamPools, type UpstreamPools } from '../hosts/routing/upstreamPools.js';
+import { createWatchHost, type WatchHost } from '../hosts/routing/watchHost.js';
+import type { LogThreshold } from '../hosts/logger.js';
+import { createPeerHost } from '../hosts/peerHost.js';
+import { createSystem } from '../hosts/system.js';
+import type { PeerHost, System } from '../hosts/types.js';
+import { confirmationAge } from '../routing/freshness/freshness.js';
+import { createRouting, type Routing } from '../routing/routing.js';
+import type { RoutingSettings } from '../routing/settings.js';
+import type { RoutingEffect, RoutingEvent, RoutingTimer } from '../routing/types.js';
+import { createLoop, type Loop } from './loop.js';
+import { createIncarnation, type ListenAddress } from './instance.js';
+
+export interface RoutingInstanceOptions {
+  readonly id: string;
+  readonly domain: FailureDomainId;
+  readonly region: RegionId;
+  readonly regions: ReadonlyMap<FailureDomainId, RegionId>;
+  readonly callers: ListenAddress;
+  readonly peers: ListenAddress;
+  readonly readiness: ListenAddress;
+  readonly readinessPath: string;
+  readonly operators: ListenAddress;
+  readonly metricsPath: string;
+  readonly protocol: RequestProtocol;
+  readonly platform: RoutingPlatform;
+  readonly settings?: Partial<RoutingSettings>;
+  readonly log?: RoutingLog;
+  readonly logThreshold?: LogThreshold;
+  readonly clock?: GapClock;
+  readonly seed?: number;
+}
+
+export interface RoutingAddresses {
+  readonly callers: string;
+  readonly peers: string;
+  readonly readiness: string;
+  readonly operators: string;
+}
+
+export interface RoutingInstance {
+  /** Opens all ports and starts the core. Rejects if a port is taken. */
+  readonly start: () => Promise<RoutingAddresses>;
+  /** Planned stop: resolves once what ran has ended, or the time allowed has passed. */
+  readonly stop: () => Promise<void>;
+  /** Ends at once, as a crash does; connections are cut. */
+  readonly kill: () => Promise<void>;
+  /** Takes changed settings. */
+  readonly reload: (settings: Partial<RoutingSettings>) => void;
+  readonly isReady: () => boolean;
+  readonly routing: () => Routing;
+  readonly log: RoutingLog;
+}
+
+const SEED_RANGE = 2 ** 31;
+
+interface RoutingHosts {
+  readonly front: FrontHost;
+  readonly pools: UpstreamPools;
+  readonly peers: PeerHost;
+  readonly readiness: WatchHost;
+  readonly operators: WatchHost;
+  readonly metrics: MetricsPage;
+  readonly log: RoutingLog;
+}
+
+/** Creates an instance that does not listen yet. */
+export function createRoutingInstance(options: RoutingInstanceOptions): RoutingInstance {
+  const clock = options.clock ?? createGapClock();
+  const system: System = { ...createSystem(), now: clock.now };
+  const incarnation = createIncarnation(system);
+  let running: { readonly routing: Routing; readonly loop: Loop<RoutingEvent> } | undefined;
+  let isReady = false;
+  let resolveStopped: () => void = () => {};
+  const stopped = new Promise<void>((resolve) => {
+    resolveStopped = resolve;
+  });
+  const post = (event: RoutingEvent) => running?.loop.post(event);
+  const routing = () => Debug.assertDefined(running, 'started instance').routing;
+  const hosts = createHosts({ options, clock, incarnation, post, isReady: () => isReady, routing });
+
+  async function start(): Promise<RoutingAddresses> {
+    const peers = await hosts.peers.listen();
+    const { id, domain, region } = options;
+    const self: InstanceIdentity = { id, incarnation, address: peers, domain, region };
+    const core = createRouting({
+      self,
+      regions: options.regions,
+      seed: options.seed ?? Math.floor(Math.random() * SEED_RANGE),
+      ...(options.settings === undefined ? {} : { settings: options.settings }),
+    });
+    const loop = createLoop<RoutingEvent, RoutingEffect, RoutingTimer>({
+      core,
+      system,
+      runEffect,
+      onError: logFailure,
+      beforeTurn: () => {
+        const gapMs = clock.takeGap();
+        return gapMs > 0 ? [{ kind: 'clockGap', gapMs }] : [];
+      },
+    });
+    running = { routing: core, loop };
+    const readiness = await hosts.readiness.listen();
+    const operators = await hosts.operators.listen();
+    const callers = await hosts.front.listen();
+    hosts.log.write('info', 'started', {
+      id,
+      domain,
+      region,
+      callers,
+      peers,
+      readiness,
+      operators,
+    });
+    loop.post({ kind: 'start' });
+    return { callers, peers, readiness, operators };
+  }
+
+  function logFailure(err: unknown, event: RoutingEvent): void {
+    const reason = err instanceof Error ? (err.stack ?? err.message) : String(err);
+    hosts.log.write('error', 'eventFailed', { event: event.kind, reason });
+    if (event.kind !== 'requestArrived') return;
+    const { request } = event.facts;
+    hosts.front.answer({ request, status: 502, reason: 'internalError' });
+  }
+
+  function runEffect(effect: Exclude<RoutingEffect, { readonly kind: 'setTimer' }>): void {
+    switch (effect.kind) {
+      case 'send':
+        hosts.front.send(effect.plan);
+        return;
+      case 'cancel':
+        hosts.front.cancel(effect.attempt);
+        return;
+      case 'answer':
+        hosts.front.answer(effect.answer);
+        return;
+      case 'passError':
+        hosts.front.passError(effect.request);
+        return;
+      case 'cutAnswer':
+        hosts.front.cutAnswer(effect.request);
+        return;
+      case 'limitCallers':
+        hosts.front.limit(effect.limits);
+        return;
+      case 'closeCallers':
+        hosts.front.closeCallers();
+        return;
+      case 'setReady':
+        isReady = effect.isReady;
+        return;
+      case 'sendPeer':
+        hosts.peers.send(effect.to, effect.address, effect.message);
+        return;
+      case 'dropPeer':
+        hosts.peers.drop(effect.to);
+        return;
+      case 'forgetUpstream':
+        hosts.pools.forget(effect.upstream, effect.bornAt);
+        return;
+      case 'probe':
+        probe(effect);
+        return;
+      case 'pollConfiguration':
+      case 'pollUpstreams':
+      case 'pollInstances':
+      case 'announce':
+        callPlatform(effect);
+        return;
+      case 'log':
+        hosts.log.write(effect.level, effect.code, effect.fields);
+        return;
+      case 'count':
+        hosts.metrics.count(effect.decision);
+        return;
+      case 'observe':
+        hosts.metrics.observe(effect.metric, effect.valueMs);
+        return;
+      case 'stopped':
+        resolveStopped();
+        return;
+      default:
+        Debug.assertNever(effect);
+    }
+  }
+
+  function probe({ upstream, bornAt, address }: EffectOf<'probe'>): void {
+    void hosts.pools.probe(address).then((isAlive) => {
+      post({ kind: 'probed', upstream, bornAt, isAlive });
+    });
+  }
+
+  function callPlatform(
+    effect: EffectOf<'pollConfiguration' | 'pollUpstreams' | 'pollInstances' | 'announce'>,
+  ): void {
+    const { platform } = options;
+    const askedAt = clock.now();
+    switch (effect.kind) {
+      case 'pollConfiguration':
+        void platform.pollConfiguration(effect.cursor, effect.waitMs).then((result) => {
+          post({ kind: 'configurationPolled', askedAt, ...result });
+        });
+        return;
+      case 'pollUpstreams':
+        void platform.pollUpstreams(effect.cursor).then((result) => {
+          post({ kind: 'upstreamsPolled', askedAt, ...result });
+        });
+        return;
+      case 'pollInstances':
+        void platform.pollInstances(effect.cursor, effect.waitMs).then(({ outcome }) => {
+          post({ kind: 'instancesPolled', outcome });
+        });
+        return;
+      case 'announce':
+        void platform.announce(effect.self).then((reason) => {
+          post({ kind: 'announced', ...(reason === undefined ? {} : { reason }) });
+        });
+        return;
+      default:
+        Debug.assertNever(effect);
+    }
+  }
+
+  async function kill(): Promise<void> {
+    running?.loop.close();
+    options.platform.close();
+    hosts.readiness.close();
+    hosts.operators.close();
+    await Promise.all([hosts.front.kill(), hosts.pools.close(), hosts.peers.close()]);
+    await hosts.log.flush();
+  }
+
+  return {
+    start,
+    stop: async () => {
+      post({ kind: 'plannedStop' });
+      await stopped;
+      await kill();
+    },
+    kill,
+    reload: (settings) => post({ kind: 'settingsChanged', settings }),
+    isReady: () => isReady,
+    routing,
+    log: hosts.log,
+  };
+}
+
+type EffectOf<K extends RoutingEffect['kind']> = Extract<RoutingEffect, { readonly kind: K }>;
+
+interface HostContext {
+  readonly options: RoutingInstanceOptions;
+  readonly clock: GapClock;
+  readonly incarnation: number;
+  readonly post: (event: RoutingEvent) => void;
+  readonly isReady: () => boolean;
+  readonly routing: () => Routing;
+}
+
+function createHosts(context: HostContext): RoutingHosts {
+  const { options, clock, incarnation, post, isReady } = context;
+  const log =
+    options.log ??
+    createRoutingLog({
+      instance: options.id,
+      now: clock.now,
+      timeOfDay: () => Date.now(),
+      ...(options.logThreshold === undefined ? {} : { threshold: options.logThreshold }),
+    });
+  const metrics = createMetricsPage();
+  const pools = createUpstreamPools();
+  return {
+    log,
+    metrics,
+    pools,
+    front: createFrontHost({
+      post,
+      ...options.callers,
+      protocol: options.protocol,
+      pools,
+      now: clock.now,
+      onMalformed: (status, reason, requestId) => {
+        metrics.count('malformed');
+        log.write('warn', 'malformed', { request: requestId, status, reason });
+      },
+    }),
+    peers: createPeerHost({
+      self: { id: options.id, incarnation },
+      post: (event) => postPeerEvent(event, post),
+      ...options.peers,
+      linkClassOf: () => 'crossRegion',
+    }),
+    readiness: createWatchHost({
+      ...options.readiness,
+      pages: new Map([
+        [
+          options.readinessPath,
+          () => ({ status: isReady() ? 200 : 503, contentType: 'text/plain', text: '' }),
+        ],
+      ]),
+    }),
+    operators: createWatchHost({
+      ...options.operators,
+      pages: new Map([[options.metricsPath, async () => renderMetrics(context, metrics, log)]]),
+    }),
+  };
+}
+
+/** Other messages belong to the core that grants slots, which does not run here. */
+function postPeerEvent(event: CoreEvent, post: (event: RoutingEvent) => void): void {
+  if (event.kind !== 'peerMessage' || event.message.$case !== 'routingNews') return;
+  const { from, incarnation, message } = event;
+  post({ kind: 'peerMessage', from, incarnation, news: message.value });
+}
+
+async function renderMetrics(context: HostContext, metrics: MetricsPage, log: RoutingLog) {
+  const { state } = context.routing();
+  const ctx = { state, now: context.clock.now(), effects: [] };
+  const upstreams = [...state.upstreams.byId.values()];
+  const text = await metrics.render({
+    openRequests: state.requests.open.size,
+    configurationVersion: state.freshness.configuration?.version ?? -1,
+    configurationAgeMs: confirmationAge(ctx) ?? -1,
+    upstreams: upstreams.length,
+    lostUpstreams: upstreams.filter(({ reachability }) => reachability.kind === 'lost').length,
+    instances: 1 + [...state.exchange.peers.values()].filter(({ isHeard }) => isHeard).length,
+    linesOmitted: log.omitted(),
+  });
+  return { status: 200, contentType: metrics.contentType, text };
+}
--- a/src/daemon/serve.ts
+++ b/src/daemon/serve.ts
@@ -8,7 +8,12 @@
   type CertificateFiles,
   type CertificateSource,
 } from '../hosts/certificates.js';
-import { createInstance, type Instance, type InstanceAddresses } from './instance.js';
+import {
+  createInstance,
+  type Instance,
+  type InstanceAddresses,
+  type ListenAddress,
+} from './instance.js';
 
 export interface ServeOptions {
   readonly settings: Settings;
@@ -94,7 +99,8 @@
   };
 }
 
-function splitAddress(address: string) {
+/** Host and port of `ip:port`. */
+export function splitAddress(address: string): ListenAddress {
   const split = address.lastIndexOf(':');
   const host = address.slice(0, split).replace(/^\[|\]$/g, '');
   return { host, port: Number(address.slice(split + 1)) };
--- a/src/hosts/eventStream.ts
+++ b/src/hosts/eventStream.ts
@@ -85,8 +85,8 @@
   };
 }
 
-/** Position after the last empty line. */
-function endOfLastEvent(bytes: Uint8Array): number {
+/** Position after the last empty line, with which the last whole event ends; 0 if there is none. */
+export function endOfLastEvent(bytes: Uint8Array): number {
   for (let i = bytes.length - 1; i > 0; i -= 1) {
     if (bytes[i] === LINE_FEED) {
       const before = bytes[i - 1] === CARRIAGE_RETURN ? i - 2 : i - 1;
--- a/src/hosts/httpServer.ts
+++ b/src/hosts/httpServer.ts
@@ -48,6 +48,17 @@
   readonly close: () => Promise<void>;
   /** Stops to listen and cuts every connection. */
   readonly kill: () => Promise<void>;
+  /** Changes time limits; connections that are open already keep their present wait. */
+  readonly setTimeouts: (timeouts: HttpTimeouts) => void;
+  /** Closes the connections on which no request is in progress. */
+  readonly closeIdle: () => void;
+}
+
+export interface HttpTimeouts {
+  /** Longest time in which the headers of a request have to arrive. */
+  readonly headersMs: Millis;
+  /** Time after which an idle connection is closed. */
+  readonly idleMs: Millis;
 }
 
 /** Creates a server that does not listen yet. */
@@ -91,6 +102,11 @@
         server.close(() => resolve());
         server.closeAllConnections();
       }),
+    setTimeouts: ({ headersMs, idleMs }) => {
+      server.headersTimeout = headersMs;
+      server.keepAliveTimeout = idleMs;
+    },
+    closeIdle: () => server.closeIdleConnections(),
   };
 }
 
--- /dev/null
+++ b/src/hosts/routing/frontHost.ts
@@ -0,0 +1,267 @@
+/**
+ * The callers' port of the routing core: takes requests of any method and body, keeps each until it
+ * has its final answer, and runs the attempts that the core orders.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { H3 } from 'h3';
+import type { Millis } from '../../core/clock.js';
+import { hash32 } from '../../core/hash.js';
+import { Debug } from '../../core/debug.js';
+import type {
+  AttemptNumber,
+  AttemptPlan,
+  CallerLimits,
+  OwnAnswer,
+  RequestNumber,
+} from '../../routing/types.js';
+import { readBody } from '../callerRequest.js';
+import { createHttpServer, nodeRoute, sendJson } from '../httpServer.js';
+import { startAttempt, type HeldAnswer, type RunningAttempt } from './attempt.js';
+import { createCallerAnswer, type CallerAnswer } from './callerAnswer.js';
+import type { HeadFacts, PostRoutingEvent, RequestHead, RequestProtocol } from './types.js';
+import type { UpstreamPools } from './upstreamPools.js';
+
+export interface FrontHostOptions {
+  readonly post: PostRoutingEvent;
+  readonly host: string;
+  readonly port: number;
+  readonly protocol: RequestProtocol;
+  readonly pools: UpstreamPools;
+  readonly now: () => Millis;
+  /** Called with the reason for which a request was not taken. */
+  readonly onMalformed: (status: number, reason: string, requestId: string | undefined) => void;
+}
+
+export interface FrontHost {
+  readonly listen: () => Promise<string>;
+  readonly limit: (limits: CallerLimits) => void;
+  readonly send: (plan: AttemptPlan) => void;
+  readonly cancel: (attempt: AttemptNumber) => void;
+  readonly answer: (answer: OwnAnswer) => void;
+  /** Passes on the error answer that was held back. */
+  readonly passError: (request: RequestNumber) => void;
+  readonly cutAnswer: (request: RequestNumber) => void;
+  /** Ends idle connections, and each other one with its next answer. */
+  readonly closeCallers: () => void;
+  readonly close: () => Promise<void>;
+  readonly kill: () => Promise<void>;
+}
+
+interface HeldRequest {
+  readonly requestId: string;
+  readonly head: RequestHead;
+  readonly body: Uint8Array | undefined;
+  readonly answer: CallerAnswer;
+  held: HeldAnswer | undefined;
+}
+
+const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
+/** Heads beyond the configured limit are read up to here, so that they can be refused. */
+const MAX_HEADER_BYTES = 64 * 1024;
+const DEFAULT_LIMITS: CallerLimits = {
+  maxHeaderBytes: 16 * 1024,
+  maxBodyBytes: DEFAULT_MAX_BODY_BYTES,
+  headerTimeoutMs: 5_000,
+  idleTimeoutMs: 30_000,
+};
+
+/** Status by the error code of a connection whose bytes cannot be read. */
+const CONNECTION_STATUS: Readonly<Record<string, number>> = {
+  HPE_HEADER_OVERFLOW: 431,
+  ERR_HTTP_REQUEST_TIMEOUT: 408,
+};
+const STATUS_TEXT: Readonly<Record<number, string>> = {
+  400: 'Bad Request',
+  408: 'Request Timeout',
+  431: 'Request Header Fields Too Large',
+};
+
+/** Creates the port; it does not listen yet. */
+export function createFrontHost(options: FrontHostOptions): FrontHost {
+  const { post, protocol, pools } = options;
+  const open = new Map<RequestNumber, HeldRequest>();
+  const running = new Map<AttemptNumber, RunningAttempt>();
+  let limits = DEFAULT_LIMITS;
+  let nextRequest: RequestNumber = 1;
+  let isClosing = false;
+
+  async function receive(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const { rawHeaders } = req;
+    const head = { method: req.method ?? 'GET', path: req.url ?? '/', rawHeaders };
+    if (headBytes(head) > limits.maxHeaderBytes) {
+      reject(req, res, 431, 'the headers are too long');
+      return;
+    }
+    const result = protocol.readHead(head);
+    if (result.kind === 'malformed') {
+      reject(req, res, 400, result.reason);
+      return;
+    }
+    const body = await readBody(req, limits.maxBodyBytes);
+    if (body === undefined) {
+      reject(req, res, 413, 'the body is too long', result.facts.requestId);
+      return;
+    }
+    take(head, result.facts, body, res, hasBody(req));
+  }
+
+  function take(
+    head: RequestHead,
+    facts: HeadFacts,
+    body: Uint8Array,
+    res: ServerResponse,
+    isSentWithBody: boolean,
+  ): void {
+    const request = nextRequest;
+    nextRequest += 1;
+    const { requestId } = facts;
+    const answer = createCallerAnswer({ res, isLast: () => isClosing });
+    open.set(request, {
+      requestId,
+      head,
+      body: isSentWithBody ? body : undefined,
+      answer,
+      held: undefined,
+    });
+    res.once('close', () => {
+      if (open.delete(request) && !res.writableFinished) post({ kind: 'callerGone', request });
+    });
+    const fingerprint = fingerprintOf(head, facts.key, body);
+    post({
+      kind: 'requestArrived',
+      facts: { ...facts, request, path: head.path, fingerprint },
+    });
+  }
+
+  function reject(
+    req: IncomingMessage,
+    res: ServerResponse,
+    status: number,
+    reason: string,
+    requestId?: string,
+  ): void {
+    options.onMalformed(status, reason, requestId);
+    sendJson(res, status, { status, reason: 'malformed', title: reason }, { connection: 'close' });
+    req.resume();
+  }
+
+  function send(plan: AttemptPlan): void {
+    const { attempt } = plan;
+    const request = open.get(plan.request);
+    if (request === undefined) {
+      const outcome = { kind: 'notSent', reason: 'the caller is gone' } as const;
+      post({ kind: 'attemptEnded', attempt, outcome });
+      return;
+    }
+    const { requestId, head, body, answer } = request;
+    running.set(
+      attempt,
+      startAttempt({
+        dispatcher: pools.poolOf(plan),
+        plan,
+        requestId,
+        head,
+        body,
+        answer,
+        protocol,
+        now: options.now,
+        listener: {
+          onSent: () => post({ kind: 'attemptSent', attempt }),
+          onAnswered: (status, load) => {
+            const told = load === undefined ? {} : { load };
+            post({ kind: 'attemptAnswered', attempt, status, ...told });
+          },
+          onProgress: () => post({ kind: 'attemptProgress', attempt }),
+          onEnded: (outcome, held) => {
+            running.delete(attempt);
+            request.held = held;
+            if (outcome.kind === 'complete') open.delete(plan.request);
+            post({ kind: 'attemptEnded', attempt, outcome });
+          },
+        },
+      }),
+    );
+  }
+
+  function settle(request: RequestNumber): HeldRequest | undefined {
+    const held = open.get(request);
+    open.delete(request);
+    return held;
+  }
+
+  const app = new H3({ silent: true });
+  app.all(
+    '/**',
+    nodeRoute((req, res) => {
+      // A caller that leaves while it sends its body has no answer to wait for.
+      receive(req, res).catch((err: unknown) => {
+        options.onMalformed(0, err instanceof Error ? err.message : String(err), undefined);
+        res.destroy();
+      });
+    }),
+  );
+  const server = createHttpServer({
+    app,
+    host: options.host,
+    port: options.port,
+    limits: { maxHeaderBytes: MAX_HEADER_BYTES },
+    malformedAnswer: (errorCode) => {
+      const status = CONNECTION_STATUS[errorCode] ?? 400;
+      options.onMalformed(status, errorCode, undefined);
+      return `HTTP/1.1 ${status} ${STATUS_TEXT[status] ?? ''}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
+    },
+  });
+
+  return {
+    listen: server.listen,
+    limit: (next) => {
+      limits = next;
+      server.setTimeouts({ headersMs: next.headerTimeoutMs, idleMs: next.idleTimeoutMs });
+    },
+    send,
+    cancel: (attempt) => {
+      const run = running.get(attempt);
+      running.delete(attempt);
+      run?.cancel();
+    },
+    answer: (answer) => settle(answer.request)?.answer.sendOwn(answer, protocol),
+    passError: (request) => {
+      const settled = settle(request);
+      if (settled === undefined) return;
+      const { head, body } = Debug.assertDefined(settled.held, 'held answer');
+      settled.answer.start(head);
+      settled.answer.write(body);
+      settled.answer.finish();
+    },
+    cutAnswer: (request) => settle(request)?.answer.cut(),
+    closeCallers: () => {
+      isClosing = true;
+      server.closeIdle();
+    },
+    close: async () => {
+      running.forEach((run) => run.cancel());
+      await server.kill();
+    },
+    kill: server.kill,
+  };
+}
+
+function headBytes({ method, path, rawHeaders }: RequestHead): number {
+  const separators = 4;
+  return rawHeaders.reduce(
+    (sum, part) => sum + part.length + separators / 2,
+    method.length + path.length + separators,
+  );
+}
+
+/** Whether a request was sent with a body, be it empty. */
+function hasBody(req: IncomingMessage): boolean {
+  const { headers } = req;
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+}
+
+/** Tells requests apart by caller, method, path and body. */
+function fingerprintOf(head: RequestHead, key: string | undefined, body: Uint8Array): number {
+  const text = Buffer.from(body.buffer, body.byteOffset, body.length).toString('latin1');
+  return hash32(`${head.method} ${head.path} ${key ?? ''}\n${text}`);
+}
--- /dev/null
+++ b/src/hosts/routing/metricsPage.ts
@@ -0,0 +1,72 @@
+/** Counters and latency histograms of the routing core in the exposition format, by `prom-client`. */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import { MS_PER_SECOND, type Millis } from '../../core/clock.js';
+import type { RoutingEventCode } from '../../routing/eventTable.js';
+import type { RoutingHistogram } from '../../routing/types.js';
+
+/** Values that are read as the page is made. */
+export interface MetricsGauges {
+  readonly openRequests: number;
+  readonly configurationVersion: number;
+  readonly configurationAgeMs: Millis;
+  readonly upstreams: number;
+  readonly lostUpstreams: number;
+  readonly instances: number;
+  readonly linesOmitted: number;
+}
+
+export interface MetricsPage {
+  readonly count: (decision: RoutingEventCode) => void;
+  readonly observe: (histogram: RoutingHistogram, valueMs: Millis) => void;
+  /** The page as text. */
+  readonly render: (gauges: MetricsGauges) => Promise<string>;
+  readonly contentType: string;
+}
+
+const PREFIX = 'primroseswitch_';
+const LATENCY_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8, 15];
+
+export function createMetricsPage(): MetricsPage {
+  const registry = new Registry();
+  const registers = [registry];
+  const decisions = new Counter({
+    name: `${PREFIX}decisions_total`,
+    help: 'Decisions that touched a request, by event.',
+    labelNames: ['event'] as const,
+    registers,
+  });
+  const histogram = (name: string, help: string) =>
+    new Histogram({
+      name: `${PREFIX}${name}_seconds`,
+      help,
+      buckets: LATENCY_BUCKETS_S,
+      registers,
+    });
+  const histograms: Readonly<Record<RoutingHistogram, Histogram>> = {
+    firstPart: histogram('first_part', 'Time from the arrival to the first part of the answer.'),
+    whole: histogram('whole', 'Time from the arrival to the end of the answer.'),
+    predictionError: histogram('prediction_error', 'Error of the expected time to the first part.'),
+  };
+  const gauge = (name: string, help: string) =>
+    new Gauge({ name: `${PREFIX}${name}`, help, registers });
+  const gauges: Readonly<Record<keyof MetricsGauges, Gauge>> = {
+    openRequests: gauge('open_requests', 'Requests without a final answer.'),
+    configurationVersion: gauge('configuration_version', 'Version in force.'),
+    configurationAgeMs: gauge('configuration_age_ms', 'Time since the last confirmation.'),
+    upstreams: gauge('upstreams', 'Upstreams in the list.'),
+    lostUpstreams: gauge('lost_upstreams', 'Upstreams that do not answer.'),
+    instances: gauge('instances', 'Instances heard of, this one included.'),
+    linesOmitted: gauge('log_lines_omitted', 'Log lines that were left out.'),
+  };
+  return {
+    count: (event) => decisions.inc({ event }),
+    observe: (name, valueMs) => histograms[name].observe(valueMs / MS_PER_SECOND),
+    render: async (values) => {
+      (Object.keys(gauges) as (keyof MetricsGauges)[]).forEach((name) => {
+        gauges[name].set(values[name]);
+      });
+      return registry.metrics();
+    },
+    contentType: registry.contentType,
+  };
+}
--- /dev/null
+++ b/src/hosts/routing/upstreamPools.ts
@@ -0,0 +1,88 @@
+/** Kept connections to upstreams: one pool for each start of an upstream, and probes. */
+import { connect as connectSocket } from 'node:net';
+import { Pool } from 'undici';
+import type { Millis } from '../../core/clock.js';
+import type { UpstreamId } from '../../routing/types.js';
+
+export interface UpstreamPoolsOptions {
+  /** Longest wait for a new connection. */
+  readonly connectTimeoutMs?: Millis;
+  /** Time for which an idle connection is kept if the upstream names none. */
+  readonly idleTimeoutMs?: Millis;
+}
+
+export interface UpstreamPools {
+  /** The pool of one start of an upstream. */
+  readonly poolOf: (target: PoolTarget) => Pool;
+  /** Drops a pool once its requests have ended. */
+  readonly forget: (upstream: UpstreamId, bornAt: Millis) => void;
+  /** Whether an upstream takes a connection. */
+  readonly probe: (address: string) => Promise<boolean>;
+  readonly close: () => Promise<void>;
+}
+
+export interface PoolTarget {
+  readonly upstream: UpstreamId;
+  readonly bornAt: Millis;
+  readonly address: string;
+  readonly maxConnections: number;
+}
+
+const DEFAULTS = { connectTimeoutMs: 800, idleTimeoutMs: 4_000 } as const;
+/** Idle connections are closed this long before the upstream would. */
+const IDLE_MARGIN_MS: Millis = 1_000;
+const MAX_IDLE_MS: Millis = 60_000;
+
+export function createUpstreamPools(options: UpstreamPoolsOptions = {}): UpstreamPools {
+  const cfg = { ...DEFAULTS, ...options };
+  const pools = new Map<string, Pool>();
+  const keyOf = (upstream: UpstreamId, bornAt: Millis) => `${upstream}@${bornAt}`;
+
+  function open(target: PoolTarget): Pool {
+    return new Pool(`http://${target.address}`, {
+      connections: target.maxConnections,
+      pipelining: 1,
+      connect: { timeout: cfg.connectTimeoutMs, noDelay: true },
+      keepAliveTimeout: cfg.idleTimeoutMs,
+      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+      keepAliveMaxTimeout: MAX_IDLE_MS,
+    });
+  }
+
+  return {
+    poolOf: (target) => {
+      const key = keyOf(target.upstream, target.bornAt);
+      const pool = pools.get(key) ?? open(target);
+      pools.set(key, pool);
+      return pool;
+    },
+    forget: (upstream, bornAt) => {
+      const key = keyOf(upstream, bornAt);
+      const pool = pools.get(key);
+      pools.delete(key);
+      // Requests that still run end as they would; a failure to close shows in their outcomes.
+      pool?.close().catch(() => undefined);
+    },
+    probe: async (address) => probeConnection(address, cfg.connectTimeoutMs),
+    close: async () => {
+      const all = [...pools.values()];
+      pools.clear();
+      await Promise.all(all.map(async (pool) => pool.destroy()));
+    },
+  };
+}
+
+async function probeConnection(address: string, timeoutMs: Millis): Promise<boolean> {
+  const split = address.lastIndexOf(':');
+  const port = Number(address.slice(split + 1));
+  return new Promise((resolve) => {
+    const socket = connectSocket({ host: address.slice(0, split), port });
+    const settle = (isAlive: boolean) => {
+      socket.destroy();
+      resolve(isAlive);
+    };
+    socket.setTimeout(timeoutMs, () => settle(false));
+    socket.once('connect', () => settle(true));
+    socket.once('error', () => settle(false));
+  });
+}
--- /dev/null
+++ b/src/routing/attempts/arrival.ts
@@ -0,0 +1,227 @@
+/** Decides what becomes of a request as it arrives: its route, its customer, its place. */
+import type { Millis } from '../../core/clock.js';
+import { decideAdmission, type AdmissionDecision } from '../admission/admission.js';
+import { emit, logWarning, type RoutingContext } from '../context.js';
+import type { RoutingEventCode } from '../eventTable.js';
+import {
+  confirmationAge,
+  confirmationBound,
+  isConfirmed,
+  staleRetryAfter,
+} from '../freshness/freshness.js';
+import { place, type Placement } from '../placement/placement.js';
+import { pickPool } from '../routes/routeTable.js';
+import { noteAsked, standingOf, tokensOf, type Standing } from '../shares/tokenShares.js';
+import { isBlocked } from '../suspects/suspects.js';
+import type {
+  CustomerName,
+  LogFields,
+  OwnStatus,
+  RequestFacts,
+  Route,
+  RoutingConfiguration,
+} from '../types.js';
+import { budgetOf, sendTo } from './attempts.js';
+import type { OpenRequest } from './attemptsState.js';
+
+/** Return time of callers that no upstream can serve at present. */
+const NO_UPSTREAM_RETRY_MS: Millis = 400;
+const STOPPING_RETRY_MS: Millis = 50;
+/** A request that crashes upstreams is not wanted again soon. */
+const BLOCKED_RETRY_MS: Millis = 60_000;
+
+interface Refusal {
+  readonly status: OwnStatus;
+  readonly reason: RoutingEventCode;
+  readonly retryAfterMs?: Millis;
+  readonly fields?: LogFields;
+}
+
+export function onRequestArrived(ctx: RoutingContext, facts: RequestFacts): void {
+  const checked = check(ctx, facts);
+  if ('status' in checked) {
+    refuse(ctx, facts, checked);
+    return;
+  }
+  const { route, customer } = checked;
+  const pool = pickPool(route, ctx.state.random);
+  if (pool === undefined) {
+    refuse(ctx, facts, noUpstream(ctx, 'the route names no pool'));
+    return;
+  }
+  const request = createRequest(ctx, facts, route, pool, customer);
+  budgetOf(ctx, pool).noteRequest(ctx.now);
+  admit(ctx, request);
+}
+
+interface Accepted {
+  readonly route: Route;
+  readonly customer: CustomerName | undefined;
+}
+
+/** Finds the route and customer, or the reason for which there is no service. */
+function check(ctx: RoutingContext, facts: RequestFacts): Accepted | Refusal {
+  const { configuration } = ctx.state.freshness;
+  if (configuration === undefined) {
+    const retryAfterMs = staleRetryAfter(ctx.state);
+    return { status: 503, reason: 'noConfiguration', retryAfterMs };
+  }
+  const stopping = checkStopping(ctx);
+  if (stopping !== undefined) return stopping;
+  const route = ctx.state.freshness.routeTable.find(facts.host, facts.path);
+  const customer = customerOf(configuration, facts);
+  const isOpen = route !== undefined && (route.isPublic || !configuration.hasCustomers);
+  if (!isOpen && !isConfirmed(ctx)) return staleRefusal(ctx);
+  if (route === undefined) return { status: 404, reason: 'noRoute' };
+  if (!isOpen && customer === undefined) return { status: 401, reason: 'unknownKey' };
+  if (isBlocked(ctx, facts.fingerprint)) {
+    const { fingerprint } = facts;
+    const retryAfterMs = BLOCKED_RETRY_MS;
+    return { status: 503, reason: 'crashesUpstreams', retryAfterMs, fields: { fingerprint } };
+  }
+  return { route, customer };
+}
+
+function checkStopping(ctx: RoutingContext): Refusal | undefined {
+  const { stopRequestedAt, settings } = ctx.state;
+  if (stopRequestedAt === undefined) return undefined;
+  const sinceMs = ctx.now - stopRequestedAt;
+  if (sinceMs < settings.stopAcceptMs) return undefined;
+  const retryAfterMs = STOPPING_RETRY_MS;
+  return { status: 503, reason: 'stopping', retryAfterMs, fields: { sinceMs } };
+}
+
+function staleRefusal(ctx: RoutingContext): Refusal {
+  return {
+    status: 503,
+    reason: 'staleConfiguration',
+    retryAfterMs: staleRetryAfter(ctx.state),
+    fields: {
+      confirmationAgeMs: confirmationAge(ctx),
+      boundMs: confirmationBound(ctx),
+      failures: ctx.state.freshness.failures,
+    },
+  };
+}
+
+function customerOf(
+  configuration: RoutingConfiguration,
+  { key }: RequestFacts,
+): CustomerName | undefined {
+  return key === undefined ? undefined : configuration.customersByKey.get(key);
+}
+
+function createRequest(
+  ctx: RoutingContext,
+  facts: RequestFacts,
+  route: Route,
+  pool: string,
+  customer: CustomerName | undefined,
+): OpenRequest {
+  const deadlineMs = facts.deadlineMs ?? route.timeoutMs;
+  return {
+    facts,
+    route,
+    pool,
+    customer,
+    arrivedAt: ctx.now,
+    dueAt: ctx.now + Math.min(deadlineMs, route.timeoutMs),
+    deadlineAt: ctx.now + deadlineMs,
+    tried: [],
+    unreachable: [],
+    attempt: undefined,
+    isAnswering: false,
+    firstPartAt: undefined,
+    lastEvent: undefined,
+  };
+}
+
+/** Places a request and sends or refuses it. */
+function admit(ctx: RoutingContext, request: OpenRequest): void {
+  const { facts, route, pool } = request;
+  const standing = noteDemand(ctx, request);
+  const placement = place(ctx, { facts, route, pool, excluded: [] });
+  if (placement === undefined) {
+    refuse(ctx, facts, noUpstream(ctx, 'none is ready and reachable'));
+    return;
+  }
+  const decision = decideAdmission(
+    {
+      firstMs: placement.firstMs,
+      objectiveMs: route.objectiveMs,
+      leftMs: request.deadlineAt - ctx.now,
+      ...(standing === undefined ? {} : { standing }),
+    },
+    ctx.state.random,
+  );
+  if (decision.kind === 'admit') {
+    ctx.state.requests.open.set(facts.request, request);
+    sendTo(ctx, request, placement);
+    return;
+  }
+  const { reason, retryAfterMs } = decision;
+  const fields = describeDecision(request, placement, standing, decision);
+  refuse(ctx, facts, { status: 503, reason, retryAfterMs, fields });
+}
+
+/** Counts what a request asks for; returns the standing of its customer. */
+function noteDemand(ctx: RoutingContext, request: OpenRequest): Standing | undefined {
+  const { facts, customer } = request;
+  const tokens = tokensOf(facts.promptTokens, facts.outputTokens);
+  if (customer === undefined || tokens === 0) return undefined;
+  noteAsked(ctx, customer, tokens);
+  const capacity = ctx.state.freshness.configuration?.tokensPerSecond ?? Infinity;
+  return standingOf(ctx, customer, capacity);
+}
+
+function describeDecision(
+  { route, customer, facts }: OpenRequest,
+  placement: Placement,
+  standing: Standing | undefined,
+  decision: AdmissionDecision,
+): LogFields {
+  return {
+    route: route.name,
+    customer,
+    tokens: facts.promptTokens,
+    upstream: placement.upstream.listed.id,
+    expectedMs: Math.round(placement.firstMs),
+    limitMs: Math.round(decision.limitMs),
+    ahead: Math.round(placement.tokensAhead),
+    running: placement.running,
+    asked: standing && Math.round(standing.asked),
+    admitted: standing && Math.round(standing.admitted),
+    level: standing && Math.round(standing.level),
+  };
+}
+
+function noUpstream(ctx: RoutingContext, detail: string): Refusal {
+  const { upstreams } = ctx.state;
+  return {
+    status: 503,
+    reason: 'noUpstream',
+    retryAfterMs: NO_UPSTREAM_RETRY_MS * (0.5 + ctx.state.random.next()),
+    fields: { detail, listAgeMs: ctx.now - (upstreams.readAt ?? -Infinity) },
+  };
+}
+
+function refuse(ctx: RoutingContext, facts: RequestFacts, refusal: Refusal): void {
+  const { status, reason, retryAfterMs } = refusal;
+  emit(ctx, {
+    kind: 'answer',
+    answer: {
+      request: facts.request,
+      status,
+      reason,
+      ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+    },
+  });
+  emit(ctx, { kind: 'count', decision: reason });
+  logWarning(ctx, reason, {
+    request: facts.requestId,
+    status,
+    retryAfterMs: retryAfterMs === undefined ? undefined : Math.round(retryAfterMs),
+    version: ctx.state.freshness.configuration?.version,
+    ...refusal.fields,
+  });
+}
--- /dev/null
+++ b/src/routing/attempts/attempts.ts
@@ -0,0 +1,423 @@
+/**
+ * Attempts of a request at upstreams and what follows from their outcomes. A request that may not be
+ * repeated is sent again only if no upstream can have run it; refusals are given to such requests
+ * only. Others get an explicit error that promises nothing.
+ */
+import { Debug } from '../../core/debug.js';
+import type { Millis } from '../../core/clock.js';
+import { emit, logInfo, logWarning, type RoutingContext } from '../context.js';
+import type { RoutingEventCode } from '../eventTable.js';
+import { countInstances } from '../exchange/exchange.js';
+import { connectionLimit, notePrefix, place, poolSpeed } from '../placement/placement.js';
+import type { Placement } from '../placement/placement.js';
+import { createRetryBudget, type RetryBudget } from '../retries/retryBudget.js';
+import { noteAdmitted, tokensOf } from '../shares/tokenShares.js';
+import type { AttemptOutcome, OwnStatus, PoolId, RoutingEvent } from '../types.js';
+import { noteCut } from '../upstreams/crashes.js';
+import { noteFailedConnect, noteHeard, noteLost, noteResult } from '../upstreams/health.js';
+import type { Upstream } from '../upstreams/upstreamsState.js';
+import type { Attempt, OpenRequest } from './attemptsState.js';
+import { FIRST_ERROR_STATUS, MISDIRECTED_STATUS, NOT_RUN_STATUSES } from './statuses.js';
+
+/** Return time of callers whose request was declined by all upstreams that it may be sent to. */
+const DECLINED_RETRY_MS: Millis = 200;
+/** Part of the budget that is used; windows of instances that restart do not add up. */
+const USABLE_BUDGET = 0.7;
+/** An upstream is always given some time. */
+const MIN_DEADLINE_MS: Millis = 1;
+
+type Answered = Extract<RoutingEvent, { readonly kind: 'attemptAnswered' }>;
+
+/** Sends a request to the upstream that was chosen. */
+export function sendTo(ctx: RoutingContext, request: OpenRequest, placement: Placement): void {
+  const { requests } = ctx.state;
+  const { facts, route, pool, customer } = request;
+  const { upstream, uncachedTokens } = placement;
+  const { id, address, bornAt } = upstream.listed;
+  const attempt: Attempt = {
+    number: requests.nextAttempt,
+    request: facts.request,
+    upstream: id,
+    bornAt,
+    startedAt: ctx.now,
+    uncachedTokens,
+    tokensAhead: placement.tokensAhead,
+    heldTokens: facts.promptTokens + facts.outputTokens,
+    expectedMs: placement.firstMs,
+    isSent: false,
+    firstPartAt: undefined,
+    lastPartAt: undefined,
+  };
+  requests.nextAttempt += 1;
+  requests.attempts.set(attempt.number, attempt);
+  request.attempt = attempt.number;
+  upstream.own.running += 1;
+  upstream.own.pendingTokens += uncachedTokens;
+  upstream.own.heldTokens += attempt.heldTokens;
+  notePrefix(ctx, facts, id);
+  const isFirst = request.tried.length === 0 && request.unreachable.length === 0;
+  if (isFirst && customer !== undefined) {
+    noteAdmitted(ctx, customer, tokensOf(facts.promptTokens, facts.outputTokens));
+  }
+  request.tried.push(id);
+  emit(ctx, {
+    kind: 'send',
+    plan: {
+      attempt: attempt.number,
+      request: facts.request,
+      upstream: id,
+      address,
+      bornAt,
+      ...(customer === undefined ? {} : { customer }),
+      deadlineMs: Math.max(MIN_DEADLINE_MS, deadlineOf(request) - ctx.now),
+      mode: route.mode,
+      ...(request.lastEvent === undefined ? {} : { resumeAfter: request.lastEvent }),
+      maxConnections: connectionLimit(ctx, pool),
+    },
+  });
+  const again = request.isAnswering ? 'resumed' : 'retried';
+  const code = isFirst ? 'sent' : again;
+  emit(ctx, { kind: 'count', decision: code });
+  logInfo(ctx, code, {
+    request: facts.requestId,
+    route: route.name,
+    customer,
+    upstream: id,
+    version: ctx.state.freshness.configuration?.version,
+    expectedMs: Math.round(placement.firstMs),
+    ahead: Math.round(placement.tokensAhead),
+    uncached: uncachedTokens,
+    running: placement.running,
+    isHome: placement.isHome,
+    after: request.lastEvent,
+  });
+}
+
+/** Budget of retries of a pool. */
+export function budgetOf(ctx: RoutingContext, pool: PoolId): RetryBudget {
+  const { retries } = ctx.state;
+  const budget = retries.get(pool) ?? createRetryBudget();
+  retries.set(pool, budget);
+  return budget;
+}
+
+export function onAttemptSent(ctx: RoutingContext, number: number): void {
+  const attempt = ctx.state.requests.attempts.get(number);
+  if (attempt !== undefined) attempt.isSent = true;
+}
+
+export function onAttemptAnswered(ctx: RoutingContext, event: Answered): void {
+  const attempt = ctx.state.requests.attempts.get(event.attempt);
+  if (attempt === undefined) return;
+  attempt.isSent = true;
+  const upstream = upstreamOf(ctx, attempt);
+  if (upstream !== undefined) {
+    noteHeard(ctx, upstream);
+    if (event.load !== undefined) upstream.load = { ...event.load, at: ctx.now };
+  }
+  const request = ctx.state.requests.open.get(attempt.request);
+  // An answer of another kind is held back until the core has decided.
+  if (request === undefined) return;
+  request.isAnswering ||= event.status < FIRST_ERROR_STATUS;
+}
+
+export function onAttemptProgress(ctx: RoutingContext, number: number): void {
+  const attempt = ctx.state.requests.attempts.get(number);
+  if (attempt === undefined) return;
+  attempt.lastPartAt = ctx.now;
+  const upstream = upstreamOf(ctx, attempt);
+  if (upstream !== undefined) noteHeard(ctx, upstream);
+  if (attempt.firstPartAt === undefined) noteFirstPart(ctx, attempt, upstream);
+}
+
+export function onAttemptEnded(ctx: RoutingContext, number: number, outcome: AttemptOutcome): void {
+  const attempt = ctx.state.requests.attempts.get(number);
+  if (attempt === undefined) return;
+  const upstream = release(ctx, attempt);
+  const request = ctx.state.requests.open.get(attempt.request);
+  if (upstream !== undefined) noteOutcome(ctx, attempt, upstream, outcome, request);
+  if (request === undefined || request.attempt !== number) return;
+  request.attempt = undefined;
+  settle(ctx, request, attempt, outcome);
+}
+
+export function onCallerGone(ctx: RoutingContext, number: number): void {
+  const request = ctx.state.requests.open.get(number);
+  if (request === undefined) return;
+  ctx.state.requests.open.delete(number);
+  const { facts, arrivedAt, firstPartAt } = request;
+  emit(ctx, { kind: 'count', decision: 'callerGone' });
+  logInfo(ctx, 'callerGone', {
+    request: facts.requestId,
+    afterMs: Math.round(ctx.now - arrivedAt),
+    firstPartMs: firstPartAt === undefined ? undefined : Math.round(firstPartAt - arrivedAt),
+    upstream: request.tried.at(-1),
+  });
+  cancelAttempt(ctx, request);
+}
+
+/** Ends the attempt of a request, if there is one. */
+export function cancelAttempt(ctx: RoutingContext, request: OpenRequest): void {
+  const { attempt } = request;
+  request.attempt = undefined;
+  const open = attempt === undefined ? undefined : ctx.state.requests.attempts.get(attempt);
+  if (open === undefined) return;
+  release(ctx, open);
+  emit(ctx, { kind: 'cancel', attempt: open.number });
+}
+
+/** Ends a request with an answer of this instance, or by closing the connection if one has begun. */
+export function fail(
+  ctx: RoutingContext,
+  request: OpenRequest,
+  status: OwnStatus,
+  reason: RoutingEventCode,
+  detail: Readonly<Record<string, string | number | undefined>> = {},
+): void {
+  const { facts, arrivedAt } = request;
+  ctx.state.requests.open.delete(facts.request);
+  if (request.isAnswering) emit(ctx, { kind: 'cutAnswer', request: facts.request });
+  else {
+    const retryAfterMs = status === 503 ? DECLINED_RETRY_MS * (1 + ctx.state.random.next()) : 0;
+    emit(ctx, {
+      kind: 'answer',
+      answer: {
+        request: facts.request,
+        status,
+        reason,
+        ...(retryAfterMs > 0 ? { retryAfterMs } : {}),
+      },
+    });
+  }
+  emit(ctx, { kind: 'count', decision: reason });
+  logWarning(ctx, reason, {
+    request: facts.requestId,
+    status: request.isAnswering ? undefined : status,
+    route: request.route.name,
+    customer: request.customer,
+    tried: request.tried.join(','),
+    unreachable: request.unreachable.join(','),
+    afterMs: Math.round(ctx.now - arrivedAt),
+    ...detail,
+  });
+}
+
+/**
+ * Sends a request to another upstream if its route and the budget allow it. Returns whether it did.
+ */
+export function sendElsewhere(ctx: RoutingContext, request: OpenRequest): boolean {
+  const { facts, route, pool } = request;
+  if (request.tried.length >= route.maxUpstreams || ctx.now >= deadlineOf(request)) return false;
+  const excluded = [...request.tried, ...request.unreachable];
+  const placement = place(ctx, { facts, route, pool, excluded });
+  if (placement === undefined) return false;
+  // Only requests that may have arrived somewhere draw on the budget.
+  if (request.tried.length > 0 && !takeRetry(ctx, pool)) {
+    logWarning(ctx, 'retryBudgetSpent', { request: facts.requestId, pool });
+    return false;
+  }
+  sendTo(ctx, request, placement);
+  return true;
+}
+
+function takeRetry(ctx: RoutingContext, pool: PoolId): boolean {
+  const { settings } = ctx.state;
+  return budgetOf(ctx, pool).take(ctx.now, {
+    ratio: settings.retryRatio * USABLE_BUDGET,
+    slack: (settings.retrySlack * USABLE_BUDGET) / countInstances(ctx),
+    windowMs: settings.retryWindowMs,
+  });
+}
+
+/** Time until which an upstream may work on a request. */
+function deadlineOf(request: OpenRequest): Millis {
+  return request.isAnswering ? request.deadlineAt : request.dueAt;
+}
+
+function settle(
+  ctx: RoutingContext,
+  request: OpenRequest,
+  attempt: Attempt,
+  outcome: AttemptOutcome,
+): void {
+  switch (outcome.kind) {
+    case 'complete':
+      finish(ctx, request, attempt, outcome.status);
+      return;
+    case 'notSent':
+      request.tried.pop();
+      request.unreachable.push(attempt.upstream);
+      if (!sendElsewhere(ctx, request)) {
+        fail(ctx, request, 503, 'notSent', { reason: outcome.reason, upstream: attempt.upstream });
+      }
+      return;
+    case 'declined':
+      if (!sendElsewhere(ctx, request)) {
+        const { status } = outcome;
+        fail(ctx, request, mayHaveRun(request) ? 502 : 503, 'declined', { upstreamStatus: status });
+      }
+      return;
+    case 'failed':
+      if (isRepeatable(request) && sendElsewhere(ctx, request)) return;
+      settleError(ctx, request, attempt, outcome.status);
+      return;
+    case 'rejected':
+      settleError(ctx, request, attempt, outcome.status);
+      return;
+    case 'cut':
+      request.lastEvent = outcome.lastEvent ?? request.lastEvent;
+      if (isRepeatable(request) && sendElsewhere(ctx, request)) return;
+      fail(ctx, request, 502, 'answerCut', { upstream: attempt.upstream, reason: outcome.reason });
+      return;
+    case 'foreign':
+      if (isRepeatable(request) && sendElsewhere(ctx, request)) return;
+      fail(ctx, request, 502, 'foreignAnswer', { upstream: attempt.upstream });
+      return;
+    case 'cancelled':
+      return;
+    default:
+      Debug.assertNever(outcome);
+  }
+}
+
+/** Whether a request may be sent again although an upstream may have run it. */
+export function isRepeatable({ route, isAnswering, lastEvent }: OpenRequest): boolean {
+  if (route.mode === 'resumableStream') return !isAnswering || lastEvent !== undefined;
+  return route.mode === 'idempotent' && !isAnswering;
+}
+
+/** Whether an upstream before the one that declined may have run the request. */
+function mayHaveRun(request: OpenRequest): boolean {
+  return request.isAnswering || request.tried.length > 1;
+}
+
+function finish(ctx: RoutingContext, request: OpenRequest, attempt: Attempt, status: number): void {
+  const { facts, arrivedAt, firstPartAt } = request;
+  ctx.state.requests.open.delete(facts.request);
+  const firstPartMs = (firstPartAt ?? ctx.now) - arrivedAt;
+  emit(ctx, { kind: 'count', decision: 'served' });
+  emit(ctx, { kind: 'observe', metric: 'firstPart', valueMs: firstPartMs });
+  emit(ctx, { kind: 'observe', metric: 'whole', valueMs: ctx.now - arrivedAt });
+  logInfo(ctx, 'served', {
+    request: facts.requestId,
+    status,
+    upstream: attempt.upstream,
+    firstPartMs: Math.round(firstPartMs),
+    expectedMs: Math.round(attempt.expectedMs),
+    wholeMs: Math.round(ctx.now - arrivedAt),
+    attempts: request.tried.length,
+  });
+}
+
+/** Gives the caller an upstream's error, unless its status would promise too much. */
+function settleError(
+  ctx: RoutingContext,
+  request: OpenRequest,
+  attempt: Attempt,
+  status: number,
+): void {
+  if (request.isAnswering) {
+    fail(ctx, request, 502, 'answerCut', { upstream: attempt.upstream, upstreamStatus: status });
+  } else if (NOT_RUN_STATUSES.has(status)) {
+    fail(ctx, request, 502, 'upstreamError', {
+      upstream: attempt.upstream,
+      upstreamStatus: status,
+    });
+  } else {
+    passError(ctx, request, attempt, status);
+  }
+}
+
+function passError(
+  ctx: RoutingContext,
+  request: OpenRequest,
+  attempt: Attempt,
+  status: number,
+): void {
+  const { facts } = request;
+  ctx.state.requests.open.delete(facts.request);
+  emit(ctx, { kind: 'passError', request: facts.request });
+  emit(ctx, { kind: 'count', decision: 'upstreamError' });
+  logWarning(ctx, 'upstreamError', {
+    request: facts.requestId,
+    status,
+    upstream: attempt.upstream,
+    tried: request.tried.join(','),
+    afterMs: Math.round(ctx.now - request.arrivedAt),
+  });
+}
+
+/** Takes an attempt's work off its upstream. */
+function release(ctx: RoutingContext, attempt: Attempt): Upstream | undefined {
+  ctx.state.requests.attempts.delete(attempt.number);
+  const upstream = upstreamOf(ctx, attempt);
+  if (upstream === undefined) return undefined;
+  upstream.own.running -= 1;
+  upstream.own.heldTokens -= attempt.heldTokens;
+  if (attempt.firstPartAt === undefined) upstream.own.pendingTokens -= attempt.uncachedTokens;
+  return upstream;
+}
+
+function noteFirstPart(
+  ctx: RoutingContext,
+  attempt: Attempt,
+  upstream: Upstream | undefined,
+): void {
+  attempt.firstPartAt = ctx.now;
+  const request = ctx.state.requests.open.get(attempt.request);
+  if (request !== undefined) request.firstPartAt ??= ctx.now;
+  if (upstream === undefined) return;
+  upstream.own.pendingTokens -= attempt.uncachedTokens;
+  const firstMs = ctx.now - attempt.startedAt;
+  const { pool } = upstream.listed;
+  poolSpeed(ctx, pool).observe(attempt.tokensAhead + attempt.uncachedTokens, firstMs);
+  upstream.speed.observe(attempt.tokensAhead + attempt.uncachedTokens, firstMs);
+  upstream.speed.observeSlowness(
+    (firstMs / Math.max(1, attempt.expectedMs)) * upstream.speed.slowness(),
+  );
+  const errorMs = Math.abs(firstMs - attempt.expectedMs);
+  emit(ctx, { kind: 'observe', metric: 'predictionError', valueMs: errorMs });
+}
+
+function noteOutcome(
+  ctx: RoutingContext,
+  attempt: Attempt,
+  upstream: Upstream,
+  outcome: AttemptOutcome,
+  request: OpenRequest | undefined,
+): void {
+  switch (outcome.kind) {
+    case 'complete':
+      noteHeard(ctx, upstream);
+      noteResult(ctx, upstream, false);
+      poolSpeed(ctx, upstream.listed.pool).observeHold(ctx.now - attempt.startedAt);
+      return;
+    case 'notSent':
+      noteFailedConnect(ctx, upstream, outcome.reason);
+      return;
+    case 'declined':
+      // The address belongs to another upstream by now.
+      if (outcome.status === MISDIRECTED_STATUS) noteLost(ctx, upstream, 'address reused');
+      noteResult(ctx, upstream, true);
+      return;
+    case 'cut':
+      noteResult(ctx, upstream, true);
+      if (request !== undefined) noteCut(ctx, upstream, request.facts.fingerprint);
+      return;
+    case 'failed':
+    case 'foreign':
+      noteResult(ctx, upstream, true);
+      return;
+    case 'rejected':
+    case 'cancelled':
+      return;
+    default:
+      Debug.assertNever(outcome);
+  }
+}
+
+/** The upstream of an attempt, if it is still the same start of it. */
+function upstreamOf(ctx: RoutingContext, attempt: Attempt): Upstream | undefined {
+  const upstream = ctx.state.upstreams.byId.get(attempt.upstream);
+  return upstream?.listed.bornAt === attempt.bornAt ? upstream : undefined;
+}
--- /dev/null
+++ b/src/routing/attempts/attemptsState.ts
@@ -0,0 +1,59 @@
+/** Requests that have no final answer, and the attempts that run for them. */
+import type { Millis } from '../../core/clock.js';
+import type {
+  AttemptNumber,
+  CustomerName,
+  EventId,
+  PoolId,
+  RequestFacts,
+  RequestNumber,
+  Route,
+  UpstreamId,
+} from '../types.js';
+
+export interface OpenRequest {
+  readonly facts: RequestFacts;
+  readonly route: Route;
+  readonly pool: PoolId;
+  readonly customer: CustomerName | undefined;
+  readonly arrivedAt: Millis;
+  /** Time by which the caller has its final answer, unless one has begun. */
+  readonly dueAt: Millis;
+  /** Time at which the caller leaves. */
+  readonly deadlineAt: Millis;
+  /** Upstreams to which the request may have been sent, the latest last. */
+  readonly tried: UpstreamId[];
+  /** Upstreams that could not be reached. */
+  readonly unreachable: UpstreamId[];
+  attempt: AttemptNumber | undefined;
+  /** Whether a part of an answer may have been passed on to the caller. */
+  isAnswering: boolean;
+  firstPartAt: Millis | undefined;
+  lastEvent: EventId | undefined;
+}
+
+export interface Attempt {
+  readonly number: AttemptNumber;
+  readonly request: RequestNumber;
+  readonly upstream: UpstreamId;
+  readonly bornAt: Millis;
+  readonly startedAt: Millis;
+  /** Prompt tokens to be read for it and before it. */
+  readonly uncachedTokens: number;
+  readonly tokensAhead: number;
+  readonly heldTokens: number;
+  readonly expectedMs: Millis;
+  isSent: boolean;
+  firstPartAt: Millis | undefined;
+  lastPartAt: Millis | undefined;
+}
+
+export interface RequestsState {
+  readonly open: Map<RequestNumber, OpenRequest>;
+  readonly attempts: Map<AttemptNumber, Attempt>;
+  nextAttempt: AttemptNumber;
+}
+
+export function createRequestsState(): RequestsState {
+  return { open: new Map(), attempts: new Map(), nextAttempt: 1 };
+}
--- /dev/null
+++ b/src/routing/routing.ts
@@ -0,0 +1,180 @@
+/**
+ * The routing core: passes callers' requests through to upstreams that the platform lists, on routes
+ * that operators configure there. One reducer over all events; effects are data.
+ */
+import { Debug } from '../core/debug.js';
+import type { Millis } from '../core/clock.js';
+import type { InstanceIdentity } from '../core/types.js';
+import { onRequestArrived } from './attempts/arrival.js';
+import {
+  onAttemptAnswered,
+  onAttemptEnded,
+  onAttemptProgress,
+  onAttemptSent,
+  onCallerGone,
+} from './attempts/attempts.js';
+import { onWatchTimer } from './attempts/watch.js';
+import type { RoutingContext } from './context.js';
+import { onPlannedStop, onStopTimer, updateReadiness } from './drain/stop.js';
+import {
+  onAnnounced,
+  onAnnounceTimer,
+  onExchangeTimer,
+  onInstancesPolled,
+  onNews,
+  startExchange,
+  startInstancePoll,
+} from './exchange/exchange.js';
+import {
+  onClockGap,
+  onConfigurationPolled,
+  startConfigurationPoll,
+} from './freshness/freshness.js';
+import { DEFAULT_ROUTING_SETTINGS, type RoutingSettings } from './settings.js';
+import { createRoutingState, type RoutingState } from './state.js';
+import type {
+  FailureDomainId,
+  RegionId,
+  RoutingEffect,
+  RoutingEvent,
+  RoutingTimer,
+} from './types.js';
+import { confirmCrash } from './upstreams/crashes.js';
+import { noteHeard, noteLost } from './upstreams/health.js';
+import { onUpstreamsPolled, startUpstreamPoll } from './upstreams/list.js';
+
+export interface RoutingOptions {
+  readonly self: InstanceIdentity;
+  readonly settings?: Partial<RoutingSettings>;
+  /** Regions of the failure domains. */
+  readonly regions?: ReadonlyMap<FailureDomainId, RegionId>;
+  readonly seed: number;
+}
+
+export interface Routing {
+  readonly state: RoutingState;
+  /** Takes one event and returns what is to be done. */
+  readonly reduce: (event: RoutingEvent, now: Millis) => readonly RoutingEffect[];
+}
+
+/** Creates a routing core that waits for its `start` event. */
+export function createRouting(options: RoutingOptions): Routing {
+  const state = createRoutingState({
+    self: options.self,
+    settings: { ...DEFAULT_ROUTING_SETTINGS, ...options.settings },
+    regions: options.regions ?? new Map(),
+    seed: options.seed,
+  });
+  return {
+    state,
+    reduce: (event, now) => {
+      const ctx: RoutingContext = { state, now, effects: [] };
+      reduceEvent(ctx, event);
+      updateReadiness(ctx);
+      return ctx.effects;
+    },
+  };
+}
+
+function reduceEvent(ctx: RoutingContext, event: RoutingEvent): void {
+  switch (event.kind) {
+    case 'start':
+      startConfigurationPoll(ctx);
+      startUpstreamPoll(ctx);
+      startExchange(ctx);
+      onWatchTimer(ctx);
+      return;
+    case 'timer':
+      reduceTimer(ctx, event.timer);
+      return;
+    case 'clockGap':
+      onClockGap(ctx, event.gapMs);
+      return;
+    case 'configurationPolled':
+      onConfigurationPolled(ctx, event);
+      return;
+    case 'upstreamsPolled':
+      onUpstreamsPolled(ctx, event);
+      return;
+    case 'instancesPolled':
+      onInstancesPolled(ctx, event);
+      return;
+    case 'announced':
+      onAnnounced(ctx, event.reason);
+      return;
+    case 'requestArrived':
+      onRequestArrived(ctx, event.facts);
+      return;
+    case 'callerGone':
+      onCallerGone(ctx, event.request);
+      return;
+    case 'attemptSent':
+      onAttemptSent(ctx, event.attempt);
+      return;
+    case 'attemptAnswered':
+      onAttemptAnswered(ctx, event);
+      return;
+    case 'attemptProgress':
+      onAttemptProgress(ctx, event.attempt);
+      return;
+    case 'attemptEnded':
+      onAttemptEnded(ctx, event.attempt, event.outcome);
+      return;
+    case 'peerMessage':
+      onNews(ctx, event.from, event.incarnation, event.news);
+      return;
+    case 'probed':
+      onProbed(ctx, event);
+      return;
+    case 'settingsChanged':
+      ctx.state.settings = { ...DEFAULT_ROUTING_SETTINGS, ...event.settings };
+      return;
+    case 'plannedStop':
+      onPlannedStop(ctx);
+      return;
+    default:
+      Debug.assertNever(event);
+  }
+}
+
+function reduceTimer(ctx: RoutingContext, timer: RoutingTimer): void {
+  switch (timer) {
+    case 'configurationPoll':
+      startConfigurationPoll(ctx);
+      return;
+    case 'upstreamPoll':
+      startUpstreamPoll(ctx);
+      return;
+    case 'instancePoll':
+      startInstancePoll(ctx);
+      return;
+    case 'announce':
+      onAnnounceTimer(ctx);
+      return;
+    case 'exchange':
+      onExchangeTimer(ctx);
+      return;
+    case 'health':
+      onWatchTimer(ctx);
+      return;
+    case 'stop':
+      onStopTimer(ctx);
+      return;
+    default:
+      Debug.assertNever(timer);
+  }
+}
+
+function onProbed(
+  ctx: RoutingContext,
+  event: Extract<RoutingEvent, { readonly kind: 'probed' }>,
+): void {
+  const upstream = ctx.state.upstreams.byId.get(event.upstream);
+  if (upstream?.listed.bornAt !== event.bornAt) return;
+  if (event.isAlive) {
+    noteHeard(ctx, upstream);
+    return;
+  }
+  noteLost(ctx, upstream, 'probe failed');
+  confirmCrash(ctx, upstream);
+}
--- /dev/null
+++ b/src/routing/shares/tokenShares.ts
@@ -0,0 +1,110 @@
+/**
+ * Fair shares of tokens among customers.
+ *
+ * Load pattern: a few customers at a time send several times their usual, at different instances,
+ * while the upstreams are fully used. Each customer is owed its max-min share of what the upstreams
+ * process: those that ask for less than an even share get all of it, the others the same amount.
+ * Every instance counts what each customer asks for and gets, as rates over the last seconds, and
+ * tells the others, so that all of them reach about the same level.
+ */
+import { MS_PER_SECOND, type Millis } from '../../core/clock.js';
+import { hash32 } from '../../core/hash.js';
+import type { RoutingContext } from '../context.js';
+import type { CustomerName } from '../types.js';
+import type { DecayingRates, TokenRates } from './sharesState.js';
+
+/** Time constant of the rates. */
+const RATE_SPAN_MS: Millis = 2_000;
+/** A generated token costs as much as two that are read. */
+const OUTPUT_TOKEN_PRICE = 2;
+/** Customers that ask for less than this are forgotten. */
+const NEGLIGIBLE_RATE = 1;
+
+/** Price of a request in tokens. */
+export function tokensOf(promptTokens: number, outputTokens: number): number {
+  return promptTokens + OUTPUT_TOKEN_PRICE * outputTokens;
+}
+
+export function noteAsked(ctx: RoutingContext, customer: CustomerName, tokens: number): void {
+  const rates = decayed(ctx, customer);
+  rates.asked += (tokens * MS_PER_SECOND) / RATE_SPAN_MS;
+}
+
+export function noteAdmitted(ctx: RoutingContext, customer: CustomerName, tokens: number): void {
+  const rates = decayed(ctx, customer);
+  rates.admitted += (tokens * MS_PER_SECOND) / RATE_SPAN_MS;
+}
+
+/** This instance's rates now, without those that are negligible. */
+export function ownRates(ctx: RoutingContext): ReadonlyMap<CustomerName, TokenRates> {
+  const rates = new Map<CustomerName, TokenRates>();
+  ctx.state.shares.own.forEach((_, customer) => {
+    const { asked, admitted } = decayed(ctx, customer);
+    if (asked < NEGLIGIBLE_RATE) ctx.state.shares.own.delete(customer);
+    else rates.set(customer, { asked, admitted });
+  });
+  return rates;
+}
+
+/** Where a customer stands with regard to its share of the fleet's tokens. */
+export interface Standing extends TokenRates {
+  /** Tokens per second that no customer exceeds while others want more than they get. */
+  readonly level: number;
+  /** Customers that ask for something. */
+  readonly customers: number;
+}
+
+/** Sums the rates of all instances and finds a customer's standing. */
+export function standingOf(
+  ctx: RoutingContext,
+  customer: CustomerName,
+  tokensPerSecond: number,
+): Standing {
+  const sums = new Map<number, { asked: number; admitted: number }>();
+  const add = (key: number, { asked, admitted }: TokenRates) => {
+    const sum = sums.get(key) ?? { asked: 0, admitted: 0 };
+    sum.asked += asked;
+    sum.admitted += admitted;
+    sums.set(key, sum);
+  };
+  ownRates(ctx).forEach((rates, name) => add(hash32(name), rates));
+  ctx.state.exchange.peers.forEach(({ news }) => {
+    news?.rates.forEach((rates, key) => add(key, rates));
+  });
+  const all = [...sums.values()];
+  const admittedInAll = all.reduce((sum, { admitted }) => sum + admitted, 0);
+  const level = fairLevel(
+    all.map(({ asked }) => asked),
+    // What is processed in fact may exceed the nominal figure, since kept prompts need no reading.
+    Math.max(tokensPerSecond, admittedInAll),
+  );
+  const own = sums.get(hash32(customer)) ?? { asked: 0, admitted: 0 };
+  return { ...own, level, customers: all.length };
+}
+
+/**
+ * Max-min level of `capacity` among demands: each gets the lesser of its demand and the level, and
+ * all of the capacity is used. Without contention it is unbounded.
+ */
+export function fairLevel(demands: readonly number[], capacity: number): number {
+  const sorted = [...demands].sort((a, b) => a - b);
+  let left = capacity;
+  for (let i = 0; i < sorted.length; i += 1) {
+    const even = left / (sorted.length - i);
+    const demand = sorted[i] ?? 0;
+    if (demand > even) return even;
+    left -= demand;
+  }
+  return Infinity;
+}
+
+function decayed(ctx: RoutingContext, customer: CustomerName): DecayingRates {
+  const { own } = ctx.state.shares;
+  const rates = own.get(customer) ?? { asked: 0, admitted: 0, at: ctx.now };
+  own.set(customer, rates);
+  const kept = Math.exp(-Math.max(0, ctx.now - rates.at) / RATE_SPAN_MS);
+  rates.asked *= kept;
+  rates.admitted *= kept;
+  rates.at = ctx.now;
+  return rates;
+}
--- /dev/null
+++ b/src/routing/state.ts
@@ -0,0 +1,61 @@
+/** State of the routing core. Each part is written by the modules of its own folder only. */
+import type { Millis } from '../core/clock.js';
+import { createRandom, type Random } from '../core/random.js';
+import type { InstanceIdentity } from '../core/types.js';
+import { createPrefixMemory, type PrefixMemory } from './placement/prefixMemory.js';
+import { createRequestsState, type RequestsState } from './attempts/attemptsState.js';
+import { createExchangeState, type ExchangeState } from './exchange/exchangeState.js';
+import { createFreshnessState, type FreshnessState } from './freshness/freshnessState.js';
+import type { RetryBudget } from './retries/retryBudget.js';
+import type { RoutingSettings } from './settings.js';
+import { createSharesState, type SharesState } from './shares/sharesState.js';
+import { createSuspectsState, type SuspectsState } from './suspects/suspectsState.js';
+import type { FailureDomainId, PoolId, RegionId } from './types.js';
+import { createUpstreamsState, type UpstreamsState } from './upstreams/upstreamsState.js';
+
+export type RoutingPhase = 'starting' | 'running' | 'stopping' | 'stopped';
+
+export interface RoutingState {
+  readonly self: InstanceIdentity;
+  settings: RoutingSettings;
+  readonly regions: ReadonlyMap<FailureDomainId, RegionId>;
+  readonly random: Random;
+  phase: RoutingPhase;
+  isReady: boolean;
+  stopRequestedAt: Millis | undefined;
+  readonly freshness: FreshnessState;
+  readonly upstreams: UpstreamsState;
+  readonly exchange: ExchangeState;
+  readonly requests: RequestsState;
+  readonly shares: SharesState;
+  readonly prefixes: PrefixMemory;
+  readonly retries: Map<PoolId, RetryBudget>;
+  readonly suspects: SuspectsState;
+}
+
+export interface RoutingStateOptions {
+  readonly self: InstanceIdentity;
+  readonly settings: RoutingSettings;
+  readonly regions: ReadonlyMap<FailureDomainId, RegionId>;
+  readonly seed: number;
+}
+
+export function createRoutingState(options: RoutingStateOptions): RoutingState {
+  return {
+    self: options.self,
+    settings: options.settings,
+    regions: options.regions,
+    random: createRandom(options.seed),
+    phase: 'starting',
+    isReady: false,
+    stopRequestedAt: undefined,
+    freshness: createFreshnessState(),
+    upstreams: createUpstreamsState(),
+    exchange: createExchangeState(),
+    requests: createRequestsState(),
+    shares: createSharesState(),
+    prefixes: createPrefixMemory(),
+    retries: new Map(),
+    suspects: createSuspectsState(),
+  };
+}
--- /dev/null
+++ b/src/routing/upstreams/list.ts
@@ -0,0 +1,140 @@
+/**
+ * Follows the platform's list of upstreams. An entry that is removed names no upstream any more,
+ * except where the platform was away: entries lapse meanwhile although their upstreams live, and
+ * those are kept for a short time in which a living upstream lists itself again.
+ */
+import { Debug } from '../../core/debug.js';
+import type { Millis } from '../../core/clock.js';
+import { emit, logInfo, logWarning, setTimer, type RoutingContext } from '../context.js';
+import type { ListedUpstream, RoutingEvent, UpstreamChange, UpstreamId } from '../types.js';
+import { createUpstream, hashOf, type Upstream } from './upstreamsState.js';
+
+/** Delay before a read that follows a failed one, and the random part of it. */
+const RETRY_DELAY_MS: Millis = 200;
+const RETRY_JITTER_MS: Millis = 150;
+
+type Polled = Extract<RoutingEvent, { readonly kind: 'upstreamsPolled' }>;
+
+export function startUpstreamPoll(ctx: RoutingContext): void {
+  emit(ctx, { kind: 'pollUpstreams', cursor: ctx.state.upstreams.cursor });
+}
+
+export function onUpstreamsPolled(ctx: RoutingContext, event: Polled): void {
+  const { upstreams, settings, random } = ctx.state;
+  const { outcome } = event;
+  switch (outcome.kind) {
+    case 'answered':
+      if (upstreams.failures > 0) noteRegained(ctx);
+      takeChanges(ctx, outcome.changes, event.isWhole);
+      upstreams.cursor = outcome.cursor;
+      upstreams.isKnown = true;
+      upstreams.readAt = event.askedAt;
+      dropMissing(ctx);
+      setTimer(ctx, 'upstreamPoll', settings.upstreamPollMs);
+      return;
+    case 'expired':
+      upstreams.cursor = undefined;
+      startUpstreamPoll(ctx);
+      return;
+    case 'failed':
+      upstreams.failures += 1;
+      if (upstreams.failures === 1) {
+        logWarning(ctx, 'platformLost', { reads: 'upstreams', reason: outcome.reason });
+      }
+      setTimer(ctx, 'upstreamPoll', RETRY_DELAY_MS + random.next() * RETRY_JITTER_MS);
+      return;
+    default:
+      Debug.assertNever(outcome);
+  }
+}
+
+/** Drops upstreams that did not come back into the list in time. */
+export function dropMissing(ctx: RoutingContext): void {
+  const { upstreams, settings } = ctx.state;
+  if (upstreams.failures > 0) return;
+  const since = upstreams.regainedAt ?? -Infinity;
+  if (ctx.now - since < settings.relistWithinMs) return;
+  upstreams.byId.forEach((upstream, id) => {
+    if (upstream.missingSince !== undefined) remove(ctx, id, 'not listed again');
+  });
+}
+
+function noteRegained(ctx: RoutingContext): void {
+  const { upstreams } = ctx.state;
+  logInfo(ctx, 'platformRegained', { reads: 'upstreams', failures: upstreams.failures });
+  upstreams.failures = 0;
+  upstreams.regainedAt = ctx.now;
+}
+
+function takeChanges(
+  ctx: RoutingContext,
+  changes: readonly UpstreamChange[],
+  isWhole: boolean,
+): void {
+  const named = new Set<UpstreamId>();
+  changes.forEach((change) => {
+    if (change.kind === 'listed') {
+      named.add(change.upstream.id);
+      list(ctx, change.upstream);
+    } else if (change.kind === 'removed') {
+      miss(ctx, change.id);
+    } else {
+      named.add(change.id);
+      logWarning(ctx, 'entryUnreadable', { upstream: change.id, reason: change.reason });
+    }
+  });
+  if (!isWhole) return;
+  [...ctx.state.upstreams.byId.keys()]
+    .filter((id) => !named.has(id))
+    .forEach((id) => miss(ctx, id));
+}
+
+function list(ctx: RoutingContext, listed: ListedUpstream): void {
+  const { byId } = ctx.state.upstreams;
+  const known = byId.get(listed.id);
+  if (known !== undefined && isOlder(listed, known.listed)) return;
+  if (known === undefined || listed.bornAt > known.listed.bornAt || hasMoved(known, listed)) {
+    if (known !== undefined) remove(ctx, listed.id, 'started again');
+    byId.set(listed.id, createUpstream(listed, ctx.now));
+    const { id, pool, address, domain, phase } = listed;
+    logInfo(ctx, 'upstreamListed', { upstream: id, pool, address, domain, phase });
+    return;
+  }
+  if (listed.phase === 'draining' && known.listed.phase === 'ready') {
+    logInfo(ctx, 'upstreamDraining', { upstream: listed.id, running: known.own.running });
+  }
+  known.listed = listed;
+  known.hash = hashOf(listed);
+  known.missingSince = undefined;
+}
+
+/** An entry of an earlier start, or an earlier entry of the same one, may be read late. */
+function isOlder(listed: ListedUpstream, known: ListedUpstream): boolean {
+  if (listed.bornAt !== known.bornAt) return listed.bornAt < known.bornAt;
+  return listed.beat < known.beat;
+}
+
+function hasMoved(known: Upstream, listed: ListedUpstream): boolean {
+  return known.listed.address !== listed.address || known.listed.pool !== listed.pool;
+}
+
+function miss(ctx: RoutingContext, id: UpstreamId): void {
+  const { upstreams, settings } = ctx.state;
+  const upstream = upstreams.byId.get(id);
+  if (upstream === undefined) return;
+  const wasAway =
+    upstreams.regainedAt !== undefined && ctx.now - upstreams.regainedAt < settings.relistWithinMs;
+  if (wasAway) upstream.missingSince ??= ctx.now;
+  else remove(ctx, id, 'left the list');
+}
+
+function remove(ctx: RoutingContext, id: UpstreamId, reason: string): void {
+  const { byId } = ctx.state.upstreams;
+  const upstream = byId.get(id);
+  if (upstream === undefined) return;
+  byId.delete(id);
+  ctx.state.prefixes.forget(id);
+  const { bornAt } = upstream.listed;
+  emit(ctx, { kind: 'forgetUpstream', upstream: id, bornAt });
+  logInfo(ctx, 'upstreamRemoved', { upstream: id, reason, running: upstream.own.running });
+}
--- /dev/null
+++ b/src/routing/upstreams/speed.ts
@@ -0,0 +1,76 @@
+/**
+ * Learns how long a first event takes: `first = base + perToken * tokens to be read before it`, by
+ * least squares over recent observations, of which older ones count less and less. For pools whose
+ * requests have no tokens, only the base is learnt.
+ */
+import type { Millis } from '../../core/clock.js';
+
+export interface Speed {
+  /** Takes in the time to a first event with `tokens` to be read before it. */
+  readonly observe: (tokens: number, first: Millis) => void;
+  /** Milliseconds that a token takes, if enough has been observed. */
+  readonly perTokenMs: () => number | undefined;
+  /** Time to the first event of a request without tokens, if anything was observed. */
+  readonly baseMs: () => Millis | undefined;
+  /** Takes in how long a request occupied its upstream. */
+  readonly observeHold: (hold: Millis) => void;
+  /** Time for which a request occupies its upstream, if anything was observed. */
+  readonly holdMs: () => Millis | undefined;
+  /** Observed time over expected time, averaged; 1 for an upstream that is as fast as expected. */
+  readonly slowness: () => number;
+  readonly observeSlowness: (ratio: number) => void;
+}
+
+/** Weight that older observations keep at each new one. */
+const KEPT_WEIGHT = 0.98;
+const MIN_OBSERVATIONS = 8;
+/** Slopes outside of these cannot be a model engine's. */
+const MIN_PER_TOKEN_MS = 0.0005;
+const MAX_PER_TOKEN_MS = 1;
+const HOLD_WEIGHT = 0.05;
+const SLOWNESS_WEIGHT = 0.1;
+const MIN_SLOWNESS = 0.5;
+const MAX_SLOWNESS = 8;
+
+export function createSpeed(): Speed {
+  let weight = 0;
+  let sumTokens = 0;
+  let sumFirst = 0;
+  let sumTokensSquared = 0;
+  let sumProducts = 0;
+  let hold: Millis | undefined;
+  let slowness = 1;
+
+  function perTokenMs(): number | undefined {
+    if (weight < MIN_OBSERVATIONS) return undefined;
+    const variance = sumTokensSquared * weight - sumTokens * sumTokens;
+    if (variance <= 0) return undefined;
+    const slope = (sumProducts * weight - sumTokens * sumFirst) / variance;
+    return Math.min(MAX_PER_TOKEN_MS, Math.max(MIN_PER_TOKEN_MS, slope));
+  }
+
+  return {
+    observe: (tokens, first) => {
+      weight = weight * KEPT_WEIGHT + 1;
+      sumTokens = sumTokens * KEPT_WEIGHT + tokens;
+      sumFirst = sumFirst * KEPT_WEIGHT + first;
+      sumTokensSquared = sumTokensSquared * KEPT_WEIGHT + tokens * tokens;
+      sumProducts = sumProducts * KEPT_WEIGHT + tokens * first;
+    },
+    perTokenMs,
+    baseMs: () => {
+      if (weight === 0) return undefined;
+      const slope = perTokenMs() ?? 0;
+      return Math.max(0, (sumFirst - slope * sumTokens) / weight);
+    },
+    observeHold: (observed) => {
+      hold = hold === undefined ? observed : hold + HOLD_WEIGHT * (observed - hold);
+    },
+    holdMs: () => hold,
+    slowness: () => slowness,
+    observeSlowness: (ratio) => {
+      const bounded = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, ratio));
+      slowness += SLOWNESS_WEIGHT * (bounded - slowness);
+    },
+  };
+}
