--- a/src/routing/attempts/attempts.ts
+++ b/src/routing/attempts/attempts.ts
@@ -136,7 +136,7 @@
   const upstream = release(ctx, attempt);
   const request = ctx.state.requests.open.get(attempt.request);
   if (upstream !== undefined) noteOutcome(ctx, attempt, upstream, outcome, request);
-  if (request === undefined || request.attempt !== number) return;
+  if (request?.attempt !== number) return;
   request.attempt = undefined;
   settle(ctx, request, attempt, outcome);
 }
