--- a/src/hosts/routing/attempt.ts
+++ b/src/hosts/routing/attempt.ts
@@ -6,7 +6,7 @@
 import { errors, type Dispatcher } from 'undici';
 import type { Millis } from '../../core/clock.js';
 import { FIRST_ERROR_STATUS, NOT_RUN_STATUSES } from '../../routing/attempts/statuses.js';
-import type { AttemptOutcome, AttemptPlan, UpstreamLoad } from '../../routing/types.js';
+import type { AttemptOutcome, AttemptPlan, EventId, UpstreamLoad } from '../../routing/types.js';
 import type { CallerAnswer, UpstreamHead } from './callerAnswer.js';
 import { createEventCutter } from './eventCutter.js';
 import type { AnswerFacts, RawHeaders, RequestHead, RequestProtocol } from './types.js';
@@ -28,6 +28,8 @@
   readonly onSent: () => void;
   readonly onAnswered: (status: number, load: UpstreamLoad | undefined) => void;
   readonly onProgress: () => void;
+  /** Whole events up to this one were passed on. */
+  readonly onEvent: (id: EventId) => void;
   /** Called once. */
   readonly onEnded: (outcome: AttemptOutcome, held: HeldAnswer | undefined) => void;
 }
@@ -42,6 +44,10 @@
   readonly protocol: RequestProtocol;
   readonly listener: AttemptListener;
   readonly now: () => Millis;
+  /** Whether the connection is being ended by an error at this moment. */
+  readonly isBreaking: () => boolean;
+  /** Last event that the caller has of an answer that goes on. */
+  readonly resumeAfter?: EventId | undefined;
 }
 
 export interface RunningAttempt {
@@ -74,11 +80,6 @@
     controller?.abort(new errors.RequestAbortedError());
   }
 
-  function cutOutcome(reason: string): AttemptOutcome {
-    const lastEvent = cutter?.lastId();
-    return { kind: 'cut', reason, ...(lastEvent === undefined ? {} : { lastEvent }) };
-  }
-
   function pass(bytes: Uint8Array): void {
     if (bytes.length === 0) return;
     const canTakeMore = answer.write(bytes);
@@ -94,7 +95,8 @@
 
   function hold(chunk: Uint8Array): void {
     heldBytes += chunk.length;
-    if (heldBytes > MAX_HELD_BYTES) abortAs(cutOutcome('The error answer is too long.'));
+    if (heldBytes > MAX_HELD_BYTES)
+      abortAs({ kind: 'cut', reason: 'The error answer is too long.' });
     else held.push(chunk);
   }
 
@@ -127,6 +129,10 @@
     },
     onResponseEnd: () => {
       if (hasEnded || head === undefined || facts === undefined) return;
+      if (options.isBreaking()) {
+        end({ kind: 'cut', reason: 'The connection was reset.' });
+        return;
+      }
       if (head.status < FIRST_ERROR_STATUS) {
         pass(cutter?.rest() ?? NOTHING);
         answer.finish();
@@ -140,15 +146,21 @@
     onResponseError: (_controller, err) => {
       if (isCancelled) end({ kind: 'cancelled' });
       else if (!hasSent) end({ kind: 'notSent', reason: messageOf(err) });
-      else end(cutOutcome(messageOf(err)));
+      else end({ kind: 'cut', reason: messageOf(err) });
     },
   };
 
   function passChunk(chunk: Uint8Array): void {
     try {
-      pass(cutter === undefined ? chunk : cutter.take(chunk));
+      if (cutter === undefined) {
+        pass(chunk);
+        return;
+      }
+      pass(cutter.take(chunk));
+      const id = cutter.lastId();
+      if (id !== undefined) listener.onEvent(id);
     } catch (err) {
-      abortAs(cutOutcome(messageOf(err)));
+      abortAs({ kind: 'cut', reason: messageOf(err) });
     }
   }
 
@@ -168,11 +180,11 @@
 }
 
 function dispatchOptions(options: AttemptOptions): Dispatcher.DispatchOptions {
-  const { plan, head, body, protocol } = options;
+  const { plan, head, body, protocol, resumeAfter } = options;
   return {
     path: head.path,
     method: head.method,
-    headers: [...protocol.upstreamHeaders(head, plan)],
+    headers: [...protocol.upstreamHeaders(head, plan, resumeAfter)],
     body: body ?? null,
     // The core watches over time limits.
     headersTimeout: 0,
--- a/src/hosts/routing/frontHost.ts
+++ b/src/hosts/routing/frontHost.ts
@@ -11,6 +11,7 @@
   AttemptNumber,
   AttemptPlan,
   CallerLimits,
+  EventId,
   OwnAnswer,
   RequestNumber,
 } from '../../routing/types.js';
@@ -53,6 +54,8 @@
   readonly body: Uint8Array | undefined;
   readonly answer: CallerAnswer;
   held: HeldAnswer | undefined;
+  /** Last event that the caller has. */
+  lastEvent: EventId | undefined;
 }
 
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
@@ -122,6 +125,7 @@
       body: isSentWithBody ? body : undefined,
       answer,
       held: undefined,
+      lastEvent: undefined,
     });
     res.once('close', () => {
       if (open.delete(request) && !res.writableFinished) post({ kind: 'callerGone', request });
@@ -165,12 +169,17 @@
         answer,
         protocol,
         now: options.now,
+        isBreaking: pools.isBreaking,
+        resumeAfter: plan.isResumed ? request.lastEvent : undefined,
         listener: {
           onSent: () => post({ kind: 'attemptSent', attempt }),
           onAnswered: (status, load) => {
             const told = load === undefined ? {} : { load };
             post({ kind: 'attemptAnswered', attempt, status, ...told });
           },
+          onEvent: (id) => {
+            request.lastEvent = id;
+          },
           onProgress: () => post({ kind: 'attemptProgress', attempt }),
           onEnded: (outcome, held) => {
             running.delete(attempt);
--- a/src/hosts/routing/types.ts
+++ b/src/hosts/routing/types.ts
@@ -9,6 +9,7 @@
   AttemptPlan,
   ConfigurationChange,
   Cursor,
+  EventId,
   OwnAnswer,
   PollOutcome,
   RequestFacts,
@@ -53,7 +54,11 @@
 export interface RequestProtocol {
   readonly readHead: (head: RequestHead) => HeadResult;
   /** End-to-end headers for the upstream, in place of those of the caller. */
-  readonly upstreamHeaders: (head: RequestHead, plan: AttemptPlan) => readonly string[];
+  readonly upstreamHeaders: (
+    head: RequestHead,
+    plan: AttemptPlan,
+    resumeAfter: EventId | undefined,
+  ) => readonly string[];
   readonly readAnswer: (rawHeaders: RawHeaders) => AnswerFacts;
   /** Headers of an answer that the instance gives itself. */
   readonly ownHeaders: (
--- a/src/hosts/routing/upstreamPools.ts
+++ b/src/hosts/routing/upstreamPools.ts
@@ -1,6 +1,6 @@
 /** Kept connections to upstreams: one pool for each start of an upstream, and probes. */
-import { connect as connectSocket } from 'node:net';
-import { Pool } from 'undici';
+import { connect as connectSocket, type Socket } from 'node:net';
+import { buildConnector, errors, Pool } from 'undici';
 import type { Millis } from '../../core/clock.js';
 import type { UpstreamId } from '../../routing/types.js';
 
@@ -16,6 +16,11 @@
   readonly poolOf: (target: PoolTarget) => Pool;
   /** Drops a pool once its requests have ended. */
   readonly forget: (upstream: UpstreamId, bornAt: Millis) => void;
+  /**
+   * Whether a connection is being ended by an error at this moment. An answer that has no length and
+   * is ended by that is not whole, although the library takes it for whole.
+   */
+  readonly isBreaking: () => boolean;
   /** Whether an upstream takes a connection. */
   readonly probe: (address: string) => Promise<boolean>;
   readonly close: () => Promise<void>;
@@ -31,6 +36,8 @@
 const DEFAULTS = { connectTimeoutMs: 800, idleTimeoutMs: 4_000 } as const;
 /** Idle connections are closed this long before the upstream would. */
 const IDLE_MARGIN_MS: Millis = 1_000;
+/** What the library says as it closes the connection of a request that was given up. */
+const ABORTED = 'aborted';
 const MAX_IDLE_MS: Millis = 60_000;
 
 export function createUpstreamPools(options: UpstreamPoolsOptions = {}): UpstreamPools {
@@ -38,11 +45,34 @@
   const pools = new Map<string, Pool>();
   const keyOf = (upstream: UpstreamId, bornAt: Millis) => `${upstream}@${bornAt}`;
 
+  const connector = buildConnector({ timeout: cfg.connectTimeoutMs });
+  let isBreaking = false;
+
+  /** Connects, and sees errors of the connection before the library does. */
+  const connect: buildConnector.connector = (target, callback) => {
+    connector(target, (...result) => {
+      const [, socket] = result;
+      if (socket) prepare(socket);
+      callback(...result);
+    });
+  };
+
+  function prepare(socket: Socket): void {
+    socket.setNoDelay(true);
+    socket.prependListener('error', () => {
+      isBreaking = true;
+      queueMicrotask(() => {
+        isBreaking = false;
+      });
+    });
+    resetWhenAborted(socket);
+  }
+
   function open(target: PoolTarget): Pool {
     return new Pool(`http://${target.address}`, {
       connections: target.maxConnections,
       pipelining: 1,
-      connect: { timeout: cfg.connectTimeoutMs, noDelay: true },
+      connect,
       keepAliveTimeout: cfg.idleTimeoutMs,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
       keepAliveMaxTimeout: MAX_IDLE_MS,
@@ -63,6 +93,7 @@
       // Requests that still run end as they would; a failure to close shows in their outcomes.
       pool?.close().catch(() => undefined);
     },
+    isBreaking: () => isBreaking,
     probe: async (address) => probeConnection(address, cfg.connectTimeoutMs),
     close: async () => {
       const all = [...pools.values()];
@@ -72,6 +103,20 @@
   };
 }
 
+/**
+ * Resets a connection whose request is given up. Closed in the usual way, bytes that are held up on
+ * the way would still arrive later, and the request would run after its caller has left.
+ */
+function resetWhenAborted(socket: Socket): void {
+  const destroy = socket.destroy.bind(socket);
+  socket.destroy = (err) => {
+    const isAborted = err instanceof errors.InformationalError && err.message === ABORTED;
+    if (!isAborted || socket.destroyed) return destroy(err);
+    socket.destroy = destroy;
+    return socket.resetAndDestroy();
+  };
+}
+
 async function probeConnection(address: string, timeoutMs: Millis): Promise<boolean> {
   const split = address.lastIndexOf(':');
   const port = Number(address.slice(split + 1));
--- a/src/routing/admission/admission.ts
+++ b/src/routing/admission/admission.ts
@@ -32,6 +32,10 @@
 
 /** Part of the objective that may be expected to pass; the rest is for errors of the estimate. */
 const USABLE_OBJECTIVE = 0.85;
+/** Part of that for a customer that gets just its share; smaller ones have all of it. */
+const AT_SHARE_PART = 0.75;
+/** Part of an even share up to which a customer counts as small. */
+const SMALL_PART = 0.5;
 /** Part of that for a customer that is well beyond its share. */
 const OVER_SHARE_PART = 0.2;
 /** Excess over the share, relative to it, at which that part is reached. */
@@ -42,6 +46,14 @@
 /** Width of the spread over which refused callers return, relative to the objective. */
 const RETURN_SPREAD = 0.5;
 
+/**
+ * Expected time up to which a request should be placed. A customer beyond its share is not worth
+ * reading a shared part again, so it is not placed elsewhere to meet its own, shorter limit.
+ */
+export function placementLimit(objectiveMs: Millis, standing: Standing | undefined): Millis {
+  return objectiveMs * USABLE_OBJECTIVE * Math.max(AT_SHARE_PART, partFor(standing));
+}
+
 /** Admits a request or refuses it with the time after which to come back. */
 export function decideAdmission(input: AdmissionInput, random: Random): AdmissionDecision {
   const limitMs = input.objectiveMs * USABLE_OBJECTIVE * partFor(input.standing);
@@ -50,10 +62,21 @@
   return { kind: 'refuse', reason, limitMs, retryAfterMs: returnTime(input, limitMs, random) };
 }
 
+/** Part of the usable objective that a customer may wait: less, the more it gets already. */
 function partFor(standing: Standing | undefined): number {
-  if (standing === undefined || !isOverShare(standing)) return 1;
+  if (standing === undefined) return 1;
+  const use = standing.admitted / Math.min(standing.level, standing.even);
+  if (!isOverShare(standing)) {
+    return interpolate(use, SMALL_PART, 1, 1, AT_SHARE_PART);
+  }
   const excess = standing.admitted / standing.level - 1;
-  return Math.max(OVER_SHARE_PART, 1 - ((1 - OVER_SHARE_PART) * excess) / FULL_EXCESS);
+  return interpolate(excess, 0, AT_SHARE_PART, FULL_EXCESS, OVER_SHARE_PART);
+}
+
+/** Straight line from (`x1`, `y1`) to (`x2`, `y2`), level outside of them. */
+function interpolate(x: number, x1: number, y1: number, x2: number, y2: number): number {
+  const part = Math.min(1, Math.max(0, (x - x1) / (x2 - x1)));
+  return y1 + part * (y2 - y1);
 }
 
 function isOverShare(standing: Standing | undefined): boolean {
--- a/src/routing/attempts/arrival.ts
+++ b/src/routing/attempts/arrival.ts
@@ -1,6 +1,6 @@
 /** Decides what becomes of a request as it arrives: its route, its customer, its place. */
 import type { Millis } from '../../core/clock.js';
-import { decideAdmission, type AdmissionDecision } from '../admission/admission.js';
+import { decideAdmission, placementLimit, type AdmissionDecision } from '../admission/admission.js';
 import { emit, logWarning, type RoutingContext } from '../context.js';
 import type { RoutingEventCode } from '../eventTable.js';
 import {
@@ -132,7 +132,6 @@
     attempt: undefined,
     isAnswering: false,
     firstPartAt: undefined,
-    lastEvent: undefined,
   };
 }
 
@@ -140,7 +139,8 @@
 function admit(ctx: RoutingContext, request: OpenRequest): void {
   const { facts, route, pool } = request;
   const standing = noteDemand(ctx, request);
-  const placement = place(ctx, { facts, route, pool, excluded: [] });
+  const withinMs = placementLimit(route.objectiveMs, standing);
+  const placement = place(ctx, { facts, route, pool, excluded: [], withinMs });
   if (placement === undefined) {
     refuse(ctx, facts, noUpstream(ctx, 'none is ready and reachable'));
     return;
--- a/src/routing/attempts/attempts.ts
+++ b/src/routing/attempts/attempts.ts
@@ -71,7 +71,7 @@
       ...(customer === undefined ? {} : { customer }),
       deadlineMs: Math.max(MIN_DEADLINE_MS, deadlineOf(request) - ctx.now),
       mode: route.mode,
-      ...(request.lastEvent === undefined ? {} : { resumeAfter: request.lastEvent }),
+      isResumed: request.isAnswering,
       maxConnections: connectionLimit(ctx, pool),
     },
   });
@@ -89,7 +89,6 @@
     uncached: uncachedTokens,
     running: placement.running,
     isHome: placement.isHome,
-    after: request.lastEvent,
   });
 }
 
@@ -209,7 +208,8 @@
   const { facts, route, pool } = request;
   if (request.tried.length >= route.maxUpstreams || ctx.now >= deadlineOf(request)) return false;
   const excluded = [...request.tried, ...request.unreachable];
-  const placement = place(ctx, { facts, route, pool, excluded });
+  const withinMs = route.objectiveMs;
+  const placement = place(ctx, { facts, route, pool, excluded, withinMs });
   if (placement === undefined) return false;
   // Only requests that may have arrived somewhere draw on the budget.
   if (request.tried.length > 0 && !takeRetry(ctx, pool)) {
@@ -265,7 +265,6 @@
       settleError(ctx, request, attempt, outcome.status);
       return;
     case 'cut':
-      request.lastEvent = outcome.lastEvent ?? request.lastEvent;
       if (isRepeatable(request) && sendElsewhere(ctx, request)) return;
       fail(ctx, request, 502, 'answerCut', { upstream: attempt.upstream, reason: outcome.reason });
       return;
@@ -281,8 +280,9 @@
 }
 
 /** Whether a request may be sent again although an upstream may have run it. */
-export function isRepeatable({ route, isAnswering, lastEvent }: OpenRequest): boolean {
-  if (route.mode === 'resumableStream') return !isAnswering || lastEvent !== undefined;
+export function isRepeatable({ route, isAnswering, firstPartAt }: OpenRequest): boolean {
+  // A stream that has begun can only go on after an event.
+  if (route.mode === 'resumableStream') return !isAnswering || firstPartAt !== undefined;
   return route.mode === 'idempotent' && !isAnswering;
 }
 
--- a/src/routing/attempts/attemptsState.ts
+++ b/src/routing/attempts/attemptsState.ts
@@ -3,7 +3,6 @@
 import type {
   AttemptNumber,
   CustomerName,
-  EventId,
   PoolId,
   RequestFacts,
   RequestNumber,
@@ -28,8 +27,8 @@
   attempt: AttemptNumber | undefined;
   /** Whether a part of an answer may have been passed on to the caller. */
   isAnswering: boolean;
+  /** Time at which the caller got the first part of its answer. */
   firstPartAt: Millis | undefined;
-  lastEvent: EventId | undefined;
 }
 
 export interface Attempt {
--- a/src/routing/placement/placement.ts
+++ b/src/routing/placement/placement.ts
@@ -27,7 +27,11 @@
 /** Time for which a part is believed to be kept after its last use. */
 const PREFIX_KEPT_MS: Millis = 60_000;
 /** Weight of reading a shared part once more, beyond the time that the request itself loses. */
-const SHARED_READ_WEIGHT = 2;
+const SHARED_READ_WEIGHT = 8;
+/** Part of that weight at the upstream to which all instances turn next. */
+const SECOND_HOME_PART = 0.5;
+/** Disadvantage of an upstream where the objective would be missed, as a multiple of it. */
+const LATE_OBJECTIVES = 10;
 /** Disadvantage of an upstream in another failure domain or region, beside its round trip. */
 const OTHER_DOMAIN_MS: Millis = 2;
 const OTHER_REGION_MS: Millis = 30;
@@ -61,6 +65,8 @@
   readonly route: Route;
   readonly pool: PoolId;
   readonly excluded: readonly UpstreamId[];
+  /** Expected time to the first event up to which the request would be admitted. */
+  readonly withinMs: Millis;
 }
 
 /** Returns the best upstream for a request, or `undefined` if none can take it. */
@@ -71,11 +77,11 @@
       listed.pool === pool && listed.phase === 'ready' && reachability.kind === 'reachable',
   );
   const limit = connectionLimit(ctx, pool);
-  const home = homeOf(request.facts, members);
+  const homes = homesOf(request.facts, members);
   let best: Placement | undefined;
   members.forEach((upstream) => {
     if (excluded.includes(upstream.listed.id) || upstream.own.running >= limit) return;
-    const placement = evaluate(ctx, request, upstream, upstream === home);
+    const placement = evaluate(ctx, request, upstream, homes);
     if (best === undefined || placement.score < best.score) best = placement;
   });
   return best;
@@ -117,9 +123,11 @@
   ctx: RoutingContext,
   request: PlacementRequest,
   upstream: Upstream,
-  isHome: boolean,
+  homes: Homes,
 ): Placement {
   const { facts, route, pool } = request;
+  const isHome = upstream === homes.first;
+  const readWeight = SHARED_READ_WEIGHT * (upstream === homes.second ? SECOND_HOME_PART : 1);
   const speed = poolSpeed(ctx, pool);
   const slowness = upstream.speed.slowness();
   const perToken = (speed.perTokenMs() ?? ASSUMED_PER_TOKEN_MS) * slowness;
@@ -130,8 +138,9 @@
   const firstMs = base + wait + (work.pendingTokens + uncached.tokens) * perToken;
   const score =
     firstMs +
-    uncached.sharedTokens * perToken * SHARED_READ_WEIGHT +
+    uncached.sharedTokens * perToken * readWeight +
     distance(ctx, upstream) +
+    lateness(firstMs, request.withinMs, route.objectiveMs) +
     Math.max(0, upstream.failureRate - USUAL_FAILURE_RATE) * FAILURE_WEIGHT * route.objectiveMs;
   return {
     upstream,
@@ -144,6 +153,12 @@
   };
 }
 
+/** Disadvantage of an upstream at which the request would be refused: any other one is better. */
+function lateness(firstMs: Millis, withinMs: Millis, objectiveMs: Millis): Millis {
+  const excess = firstMs - withinMs;
+  return excess > 0 ? LATE_OBJECTIVES * objectiveMs + excess : 0;
+}
+
 /** Expected wait for a slot or for memory. */
 function slotWait(
   ctx: RoutingContext,
@@ -196,20 +211,31 @@
   return { tokens: Math.max(0, promptTokens - kept), sharedTokens: shared - keptShared };
 }
 
-/** Upstream on which all instances agree for the longest shared part of a prompt. */
-function homeOf(facts: RequestFacts, members: readonly Upstream[]): Upstream | undefined {
+/** Upstreams on which all instances agree for the longest shared part of a prompt. */
+interface Homes {
+  readonly first: Upstream | undefined;
+  /** Where requests go that the first one cannot take in time. */
+  readonly second: Upstream | undefined;
+}
+
+function homesOf(facts: RequestFacts, members: readonly Upstream[]): Homes {
   const part = facts.prefix.at(-2);
-  if (part === undefined) return undefined;
+  if (part === undefined) return { first: undefined, second: undefined };
   const key = hash32(partKey(facts, part.id));
-  let home: Upstream | undefined;
-  let highest = -Infinity;
+  let first: Upstream | undefined;
+  let second: Upstream | undefined;
+  let firstScore = -Infinity;
+  let secondScore = -Infinity;
   members.forEach((upstream) => {
     const score = rendezvousScoreOfHashes(key, upstream.hash);
-    if (score <= highest) return;
-    highest = score;
-    home = upstream;
+    if (score > firstScore) {
+      [second, secondScore] = [first, firstScore];
+      [first, firstScore] = [upstream, score];
+    } else if (score > secondScore) {
+      [second, secondScore] = [upstream, score];
+    }
   });
-  return home;
+  return { first, second };
 }
 
 function partKey(facts: RequestFacts, part: string): string {
--- a/src/routing/settings.ts
+++ b/src/routing/settings.ts
@@ -35,7 +35,7 @@
   configurationWaitMs: 1_000,
   upstreamPollMs: 800,
   instanceWaitMs: 10_000,
-  exchangeMs: 100,
+  exchangeMs: 200,
   exchangeInstances: 10,
   peerTimeoutMs: 2_500,
   stopGraceMs: 8_000,
--- a/src/routing/shares/tokenShares.ts
+++ b/src/routing/shares/tokenShares.ts
@@ -50,8 +50,8 @@
 export interface Standing extends TokenRates {
   /** Tokens per second that no customer exceeds while others want more than they get. */
   readonly level: number;
-  /** Customers that ask for something. */
-  readonly customers: number;
+  /** The capacity divided by the customers that ask for something. */
+  readonly even: number;
 }
 
 /** Sums the rates of all instances and finds a customer's standing. */
@@ -73,13 +73,14 @@
   });
   const all = [...sums.values()];
   const admittedInAll = all.reduce((sum, { admitted }) => sum + admitted, 0);
+  // What is processed in fact may exceed the nominal figure, since kept prompts need no reading.
+  const capacity = Math.max(tokensPerSecond, admittedInAll);
   const level = fairLevel(
     all.map(({ asked }) => asked),
-    // What is processed in fact may exceed the nominal figure, since kept prompts need no reading.
-    Math.max(tokensPerSecond, admittedInAll),
+    capacity,
   );
   const own = sums.get(hash32(customer)) ?? { asked: 0, admitted: 0 };
-  return { ...own, level, customers: all.length };
+  return { ...own, level, even: capacity / Math.max(1, all.length) };
 }
 
 /**
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -175,8 +175,8 @@
   /** Time that the upstream may take. */
   readonly deadlineMs: Millis;
   readonly mode: RouteMode;
-  /** Continues the answer after this event, which the caller has. */
-  readonly resumeAfter?: EventId;
+  /** Whether the answer goes on after the last event that the caller has. */
+  readonly isResumed: boolean;
   readonly maxConnections: number;
 }
 
@@ -193,7 +193,7 @@
   /** The upstream found the request at fault; held back as well. */
   | { readonly kind: 'rejected'; readonly status: number }
   /** The connection ended before the answer was complete. */
-  | { readonly kind: 'cut'; readonly reason: string; readonly lastEvent?: EventId }
+  | { readonly kind: 'cut'; readonly reason: string }
   /** The answer belonged to another request and was dropped. */
   | { readonly kind: 'foreign' }
   /** Ended by an effect of the core. */
--- /dev/null
+++ b/test/platform/path.test.ts
@@ -0,0 +1,305 @@
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
+import { Readable } from 'node:stream';
+import { expect } from 'chai';
+import { request } from 'undici';
+import { eventText } from '../../src/standins/platform/batchEngine.js';
+import {
+  call,
+  createPlatformFleet,
+  HOST,
+  KEY,
+  until,
+  type PlatformFleet,
+  type StartedInstance,
+} from './support/fleet.js';
+
+const wholeStream = (events: number, from = 1) =>
+  Array.from({ length: events - from + 1 }, (_, i) => eventText(from + i)).join('');
+
+describe('a request on the platform', () => {
+  let fleet: PlatformFleet;
+
+  beforeEach(async () => {
+    fleet = await createPlatformFleet();
+    fleet.configure(1);
+  });
+
+  afterEach(async () => fleet.close());
+
+  async function readyInstance(): Promise<StartedInstance> {
+    const started = await fleet.addInstance();
+    await until(() => started.instance.isReady(), 'the instance is ready');
+    return started;
+  }
+
+  it('passes a stream through unchanged, with its headers and signature', async () => {
+    const engine = await fleet.addEngine('models');
+    const answer = await call(await readyInstance(), '/draft/7?x=1', { body: 'the prompt' });
+    expect(answer.status).to.equal(200);
+    expect(answer.text).to.equal(wholeStream(5));
+    const [run] = engine.runs;
+    expect(run).to.include({ method: 'POST', path: '/draft/7?x=1', body: 'the prompt' });
+    expect(answer.headers['response-signature']).to.equal(`signed-${run?.requestId}`);
+  });
+
+  it('gives the upstream the customer and never the key', async () => {
+    const engine = await fleet.addEngine('models');
+    await call(await readyInstance(), '/draft/7');
+    const headers = engine.runs[0]?.headers;
+    expect(headers).to.include({ tenant: 'customer-a', 'expect-instance': engine.id });
+    expect(JSON.stringify(headers)).to.not.include(KEY);
+    expect(Number(headers?.['deadline-ms'])).to.be.within(1, 4_000);
+  });
+
+  it('drops headers that are the system\u2019s to set', async () => {
+    const engine = await fleet.addEngine('models');
+    const forged = {
+      Tenant: 'another',
+      Hold: '1',
+      'Pin-Ms': '5',
+      'Kv-Backup': '1.1.1.1:1',
+      'Kv-From': '1.1.1.1:1/2',
+      'Kv-Fetch': '1.1.1.1:1',
+      'Expect-Instance': 'i-x',
+    };
+    await call(await readyInstance(), '/draft/7', { headers: { ...forged, 'X-Own': 'kept' } });
+    const headers = engine.runs[0]?.headers;
+    expect(headers).to.include({ tenant: 'customer-a', 'x-own': 'kept' });
+    expect(headers).to.not.have.any.keys('hold', 'pin-ms', 'kv-backup', 'kv-from', 'kv-fetch');
+  });
+
+  it('refuses unknown paths, hosts and keys with the right status', async () => {
+    await fleet.addEngine('models');
+    const started = await readyInstance();
+    expect((await call(started, '/none/7')).status).to.equal(404);
+    expect((await call(started, '/draft/7', { headers: { host: 'x' } })).status).to.equal(404);
+    expect((await call(started, '/draft/7', { key: 'wrong' })).status).to.equal(401);
+    expect((await call(started, '/draft/7', { key: undefined })).status).to.equal(401);
+  });
+
+  it('takes bodies in chunks and refuses those beyond the limit', async () => {
+    const engine = await fleet.addEngine('desk');
+    const started = await readyInstance();
+    const answer = await request(`http://${started.addresses.callers}/book/1`, {
+      method: 'POST',
+      headers: { host: HOST, 'request-id': 'c1', authorization: `Token ${KEY}` },
+      body: Readable.from([Buffer.from('two '), Buffer.from('parts')]),
+    });
+    await answer.body.dump();
+    expect(engine.runs[0]?.body).to.equal('two parts');
+    expect((await call(started, '/book/1', { body: 'x'.repeat(70_000) })).status).to.equal(413);
+  });
+
+  it('answers 400 to a request whose length is given twice, and closes', async () => {
+    await fleet.addEngine('desk');
+    const { addresses } = await readyInstance();
+    const [host, port] = addresses.callers.split(':');
+    const text = await new Promise<string>((resolve, reject) => {
+      const socket = connect(Number(port), host);
+      let received = '';
+      socket.on('data', (chunk: Buffer) => {
+        received += chunk.toString();
+      });
+      socket.on('close', () => resolve(received));
+      socket.on('error', reject);
+      socket.write(
+        `POST /book/1 HTTP/1.1\r\nHost: ${HOST}\r\nRequest-Id: s\r\nContent-Length: 5\r\n` +
+          'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /look/1 HTTP/1.1\r\n\r\n',
+      );
+    });
+    expect(text).to.match(/^HTTP\/1\.1 400 /);
+    expect(text.match(/HTTP\/1\.1/g)).to.have.length(1);
+  });
+
+  it('runs a request that may not be repeated once, whatever happens to its answer', async () => {
+    const first = await fleet.addEngine('desk');
+    const second = await fleet.addEngine('desk');
+    const started = await readyInstance();
+    [first, second].forEach((engine) => engine.setFault({ kind: 'reset' }));
+    expect((await call(started, '/book/1')).status).to.equal(502);
+    expect(first.runs.length + second.runs.length).to.equal(1);
+  });
+
+  it('passes the upstream\u2019s own error on unchanged', async () => {
+    const engine = await fleet.addEngine('desk');
+    engine.setFault({ kind: 'error' });
+    const answer = await call(await readyInstance(), '/book/1');
+    expect(answer).to.include({ status: 500, text: 'failed' });
+    expect(answer.headers['response-signature']).to.equal(`signed-${engine.runs[0]?.requestId}`);
+  });
+
+  it('repeats an idempotent request at another upstream', async () => {
+    const first = await fleet.addEngine('desk');
+    const second = await fleet.addEngine('desk');
+    const started = await readyInstance();
+    first.setFault({ kind: 'reset' });
+    second.setFault({ kind: 'error' });
+    second.strikeNext(0);
+    const answers = await Promise.all(
+      Array.from({ length: 4 }, async () => call(started, '/look/1', { method: 'GET' })),
+    );
+    expect(answers.map(({ status }) => status)).to.deep.equal([200, 200, 200, 200]);
+  });
+
+  it('goes to another upstream if one takes no connection, and refuses without one', async () => {
+    const gone = await fleet.addEngine('desk');
+    await gone.close();
+    const started = await readyInstance();
+    expect((await call(started, '/book/1')).status).to.equal(503);
+    const other = await fleet.addEngine('desk');
+    await until(
+      () => started.instance.routing().state.upstreams.byId.has(other.id),
+      'the other one is listed',
+    );
+    const answers = await Promise.all(
+      Array.from({ length: 4 }, async () => call(started, '/book/1')),
+    );
+    expect(answers.map(({ status }) => status)).to.deep.equal([200, 200, 200, 200]);
+  });
+
+  it('does not let a request run later that was given up behind a silent connection', async () => {
+    // Takes the connection and reads nothing, as behind a cut.
+    const received: Buffer[] = [];
+    const sockets: Socket[] = [];
+    const errors: string[] = [];
+    const silent = createServer((socket) => {
+      socket.pause();
+      sockets.push(socket);
+      socket.on('error', (err: NodeJS.ErrnoException) => errors.push(err.code ?? ''));
+      socket.on('data', (chunk: Buffer) => received.push(chunk));
+    });
+    await new Promise<void>((resolve) => {
+      silent.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = silent.address() as AddressInfo;
+    const engine = await fleet.addEngine('models');
+    fleet.store.put('keyed.servers', engine.id, undefined);
+    fleet.listEngine({ ...engine, id: 'silent', address: `127.0.0.1:${port}` }, 'desk');
+    const started = await readyInstance();
+    const abort = new AbortController();
+    const left = call(started, '/book/1', { signal: abort.signal }).catch(() => undefined);
+    await until(() => sockets.length > 0, 'it is connected');
+    abort.abort();
+    await left;
+    await until(() => started.logged.some(({ event }) => event === 'callerGone'), 'it is gone');
+    sockets.forEach((socket) => socket.resume());
+    await until(() => errors.length > 0, 'the connection is reset');
+    expect(errors).to.include('ECONNRESET');
+    silent.close();
+  });
+
+  it('refuses what no upstream ran, and says when to come back', async () => {
+    const engine = await fleet.addEngine('desk');
+    engine.setFault({ kind: 'shed' });
+    const answer = await call(await readyInstance(), '/book/1');
+    expect(answer.status).to.equal(503);
+    expect(Number(answer.headers['retry-after'])).to.be.within(0.05, 2);
+    expect(engine.runs).to.have.length(0);
+  });
+
+  it('continues a resumable stream elsewhere, each event once', async () => {
+    const engines = [await fleet.addEngine('models'), await fleet.addEngine('models')];
+    const started = await readyInstance();
+    engines.forEach((engine) => {
+      engine.setFault({ kind: 'breakOff', afterEvents: 2 });
+      engine.strikeNext(1);
+    });
+    // Only the first of the two attempts breaks off.
+    engines[1]?.strikeNext(0);
+    engines[0]?.strikeNext(1);
+    const answers = await Promise.all(
+      Array.from({ length: 3 }, async () => call(started, '/chat/1')),
+    );
+    answers.forEach(({ status, text }) => {
+      expect(status).to.equal(200);
+      expect(text).to.equal(wholeStream(5));
+    });
+  });
+
+  it('never lets a broken stream look complete', async () => {
+    const engine = await fleet.addEngine('models');
+    engine.setFault({ kind: 'breakOff', afterEvents: 2 });
+    const started = await readyInstance();
+    let failure: unknown;
+    await call(started, '/draft/1').catch((err: unknown) => {
+      failure = err;
+    });
+    expect(failure).to.be.instanceOf(Error);
+    await until(() => started.logged.some(({ event }) => event === 'answerCut'), 'it is logged');
+  });
+
+  it('gives no caller the answer to another request', async () => {
+    const engine = await fleet.addEngine('desk');
+    engine.setFault({ kind: 'foreign' });
+    const answer = await call(await readyInstance(), '/book/1');
+    expect(answer.status).to.equal(502);
+    expect(answer.text).to.not.include('not yours');
+  });
+
+  it('drops a second answer that follows the first', async () => {
+    const engine = await fleet.addEngine('desk');
+    engine.setFault({ kind: 'extra' });
+    const started = await readyInstance();
+    for (let i = 0; i < 5; i += 1) {
+      // eslint-disable-next-line no-await-in-loop -- on one connection, one after the other
+      const { status, text } = await call(started, '/look/1', { method: 'GET' });
+      expect(status).to.equal(200);
+      expect(text).to.match(/^answer to r\d+$/);
+    }
+  });
+
+  it('takes an answer without a length as whole only if its connection ends well', async () => {
+    const engine = await fleet.addEngine('desk');
+    const started = await readyInstance();
+    engine.setFault({ kind: 'unframed', isReset: false });
+    expect((await call(started, '/book/1')).text).to.equal('whole body');
+    engine.setFault({ kind: 'unframed', isReset: true });
+    const broken = await call(started, '/book/1').then(
+      ({ status }) => status,
+      () => 'cut',
+    );
+    expect(broken).to.be.oneOf(['cut', 502]);
+  });
+
+  it('ends the work of a caller that leaves', async () => {
+    const engine = await fleet.addEngine('models', { events: 1_000, eventGapMs: 5 });
+    const started = await readyInstance();
+    const abort = new AbortController();
+    const left = call(started, '/draft/1', { signal: abort.signal }).catch(() => undefined);
+    await until(() => engine.runs.length === 1, 'the request runs');
+    abort.abort();
+    await left;
+    await until(() => engine.runs[0]?.isAbandoned === true, 'the upstream sees it');
+  });
+
+  it('gives the final answer at the time limit of the route', async () => {
+    fleet.configure(2, {
+      Routes: [
+        {
+          Name: 'book',
+          Host: HOST,
+          PathPrefix: '/book/',
+          Kind: 'non_idempotent',
+          Service: 'desk',
+          TimeoutMs: 300,
+          SloMs: 100,
+          Attempts: 1,
+        },
+      ],
+    });
+    const engine = await fleet.addEngine('desk');
+    engine.setFault({ kind: 'hang' });
+    const started = await readyInstance();
+    expect((await call(started, '/book/1')).status).to.equal(504);
+    expect(engine.runs).to.have.length(1);
+  });
+
+  it('refuses while the configuration is not known', async () => {
+    fleet.store.setFault({ kind: 'refuse', status: 503 });
+    const started = await fleet.addInstance();
+    const answer = await call(started, '/draft/1');
+    expect(answer.status).to.equal(503);
+    expect(answer.headers['retry-after']).to.be.a('string');
+    expect(started.instance.isReady()).to.equal(false);
+  });
+});
--- /dev/null
+++ b/test/platform/platform.test.ts
@@ -0,0 +1,209 @@
+import { readFile } from 'node:fs/promises';
+import { join } from 'node:path';
+import { expect } from 'chai';
+import { request } from 'undici';
+import { parseSettings } from '../../src/configuration/settings.js';
+import type { StoreFault } from '../../src/standins/platform/logStore.js';
+import {
+  call,
+  createPlatformFleet,
+  until,
+  type PlatformFleet,
+  type StartedInstance,
+} from './support/fleet.js';
+
+describe('an instance on the platform', () => {
+  let fleet: PlatformFleet;
+
+  beforeEach(async () => {
+    fleet = await createPlatformFleet();
+    fleet.configure(1);
+  });
+
+  afterEach(async () => fleet.close());
+
+  async function readyInstance(settings = {}): Promise<StartedInstance> {
+    const started = await fleet.addInstance(settings);
+    await until(() => started.instance.isReady(), 'the instance is ready');
+    return started;
+  }
+
+  const hasLogged = ({ logged }: StartedInstance, event: string) =>
+    logged.some((line) => line.event === event);
+  const statusOf = async (started: StartedInstance, key?: string) =>
+    (await call(started, '/draft/1', key === undefined ? {} : { key })).status;
+
+  it('puts a new configuration in force and never goes back', async () => {
+    await fleet.addEngine('models');
+    const started = await readyInstance();
+    fleet.configure(5, { Tenants: [{ Name: 'b', ApiKeys: ['new-key'] }] });
+    await until(() => started.instance.routing().state.freshness.configuration?.version === 5, '5');
+    expect(await statusOf(started)).to.equal(401);
+    expect(await statusOf(started, 'new-key')).to.equal(200);
+    fleet.configure(3);
+    await until(() => hasLogged(started, 'configurationIgnored'), 'the old one is ignored');
+    expect(await statusOf(started)).to.equal(401);
+  });
+
+  it('keeps what is in force if a configuration cannot be read', async () => {
+    await fleet.addEngine('models');
+    const started = await readyInstance();
+    fleet.store.put('keyed.op', 'config', '{"Version": 9, "Routes": 1}');
+    await until(() => hasLogged(started, 'configurationIgnored'), 'it is logged');
+    expect(await statusOf(started)).to.equal(200);
+  });
+
+  const outages: readonly StoreFault[] = [
+    { kind: 'refuse', status: 503 },
+    { kind: 'refuse', status: 429 },
+    { kind: 'reset' },
+    { kind: 'silent' },
+  ];
+  outages.forEach((fault) => {
+    const name = fault.kind === 'refuse' ? `answers ${fault.status}` : `is ${fault.kind}`;
+    it(`refuses keyed requests in time when the store ${name}, and serves again after it`, async () => {
+      await fleet.addEngine('models');
+      // The time to a key's refusal is short here, so that the test is.
+      const started = await readyInstance({ revokeMs: 1_200 });
+      fleet.store.setFault(fault);
+      await until(() => hasLogged(started, 'configurationStale'), 'it is stale');
+      expect(await statusOf(started)).to.equal(503);
+      expect(started.instance.isReady()).to.equal(false);
+      fleet.store.setFault({ kind: 'none' });
+      await until(() => started.instance.isReady(), 'it is ready again');
+      expect(await statusOf(started)).to.equal(200);
+    });
+  });
+
+  it('goes on when the store has dropped its history', async () => {
+    await fleet.addEngine('models');
+    const started = await readyInstance();
+    fleet.store.dropHistory('keyed.op');
+    fleet.store.dropHistory('keyed.servers');
+    fleet.configure(2);
+    fleet.store.dropHistory('keyed.op');
+    await until(() => started.instance.routing().state.freshness.configuration?.version === 2, '2');
+    expect(await statusOf(started)).to.equal(200);
+  });
+
+  it('sends nothing to an upstream that drains or has left', async () => {
+    const first = await fleet.addEngine('models');
+    const second = await fleet.addEngine('models');
+    const started = await readyInstance();
+    fleet.listEngine(first, 'models', { State: 'draining' });
+    await until(() => hasLogged(started, 'upstreamDraining'), 'it drains');
+    await Promise.all(Array.from({ length: 6 }, async () => statusOf(started)));
+    expect(first.runs).to.have.length(0);
+    fleet.store.put('keyed.servers', second.id, undefined);
+    await until(() => hasLogged(started, 'upstreamRemoved'), 'it is gone');
+    expect(await statusOf(started)).to.equal(503);
+  });
+
+  it('uses no entry that it cannot read, and the others', async () => {
+    await fleet.addEngine('models');
+    ['not json', '{}', '{"Service":"models","Address":7}'].forEach((text, i) => {
+      fleet.store.put('keyed.servers', `bad-${i}`, text);
+    });
+    fleet.listEngine({ ...(await fleet.addEngine('models')), id: 'odd' }, 'models', {
+      State: 'odd',
+    });
+    const started = await readyInstance();
+    const unreadable = started.logged.filter(({ event }) => event === 'entryUnreadable');
+    expect(unreadable).to.have.length(4);
+    expect(await statusOf(started)).to.equal(200);
+  });
+
+  it('does not run a request at an address that belongs to another upstream by now', async () => {
+    const engine = await fleet.addEngine('models');
+    fleet.listEngine({ ...engine, id: 'i-gone' }, 'models');
+    fleet.store.put('keyed.servers', engine.id, undefined);
+    const started = await readyInstance();
+    expect(await statusOf(started)).to.equal(503);
+    expect(engine.runs).to.have.length(0);
+  });
+
+  it('finds the other instances and tells them of its work', async () => {
+    const engine = await fleet.addEngine('models', { events: 400, eventGapMs: 5 });
+    const first = await readyInstance();
+    const second = await readyInstance();
+    const isHeard = (started: StartedInstance) =>
+      [...started.instance.routing().state.exchange.peers.values()].some((peer) => peer.isHeard);
+    await until(() => isHeard(first) && isHeard(second), 'they hear of each other');
+    const abort = new AbortController();
+    const open = call(first, '/draft/1', { signal: abort.signal }).catch(() => undefined);
+    await until(() => engine.runs.length === 1, 'a request runs');
+    const peer = () => [...second.instance.routing().state.exchange.peers.values()][0];
+    const told = () => [...(peer()?.news?.work.values() ?? [])][0]?.running;
+    await until(() => told() === 1, 'the other instance knows');
+    abort.abort();
+    await open;
+    await until(() => told() === undefined, 'it hears that the work has ended');
+  });
+
+  it('lets running streams end when it is told to stop, then refuses, then ends', async () => {
+    await fleet.addEngine('models', { events: 200, eventGapMs: 10 });
+    const started = await readyInstance({ stopGraceMs: 20_000, stopAcceptMs: 100 });
+    const running = call(started, '/draft/1');
+    await until(() => started.instance.routing().state.requests.open.size === 1, 'it runs');
+    const stopped = started.instance.stop();
+    await until(() => hasLogged(started, 'notReady'), 'it is not ready');
+    await new Promise((resolve) => {
+      setTimeout(resolve, 200);
+    });
+    const late = await call(started, '/draft/2');
+    expect(late.status).to.equal(503);
+    expect(late.headers.connection).to.equal('close');
+    const { status, text } = await running;
+    expect(status).to.equal(200);
+    expect(text.match(/id: /g)).to.have.length(200);
+    await stopped;
+  });
+
+  it('shows readiness and metrics', async () => {
+    await fleet.addEngine('models');
+    const started = await readyInstance();
+    await statusOf(started);
+    const { readiness, operators } = started.addresses;
+    const ready = await request(`http://${readiness}/ready`);
+    await ready.body.dump();
+    expect(ready.statusCode).to.equal(200);
+    const metrics = await (await request(`http://${operators}/metrics`)).body.text();
+    expect(metrics).to.include('primroseswitch_decisions_total{event="served"} 1');
+    expect(metrics).to.include('primroseswitch_configuration_version 1');
+  });
+});
+
+describe('template of the settings', () => {
+  it('yields settings that the check accepts', async () => {
+    const template = await readFile(
+      join(process.cwd(), 'platform', 'settings.yaml.template'),
+      'utf8',
+    );
+    const values: Readonly<Record<string, string>> = {
+      NodeName: 'front-iasi-a-1',
+      Zone: 'iasi-a',
+      Region: 'moldova-ro',
+      Ip: '10.1.0.33',
+      'Listen.Front': '10.1.0.33:8783',
+      'Listen.Ready': '10.1.0.33:8780',
+      'PortRange.0': '7400',
+      'PortRange.1': '7401',
+      'Provider.Address': '10.200.1.7:8781',
+      'Bounds.RevokeMs': '5000',
+      'Bounds.GraceS': '8',
+      'Bounds.RetryRatio': '0.2',
+      'Bounds.RetrySlack': '54',
+      'Bounds.RetryWindowS': '10',
+    };
+    const text = template
+      .replace(/\{\{#Zones\}\}\n([\s\S]*?)\{\{\/Zones\}\}\n/, '    iasi-a: moldova-ro\n')
+      .replace(/\{\{([\w.]+)\}\}/g, (_, name: string) => values[name] ?? '');
+    const result = parseSettings(text);
+    expect(result.kind === 'invalid' ? result.diagnostics : []).to.deep.equal([]);
+    expect(result).to.nested.include({
+      'settings.routing.tuning.revokeMs': 5_000,
+      'settings.routing.tuning.stopGraceMs': 8_000,
+      'settings.routing.regions.iasi-a': 'moldova-ro',
+    });
+  });
+});
--- /dev/null
+++ b/test/routing/attempts.test.ts
@@ -0,0 +1,220 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import type { AttemptOutcome, RoutingEffect } from '../../src/routing/types.js';
+import { answerOf, createTestCore, effectsOf, planOf, type TestCore } from './support/core.js';
+
+const PATHS = {
+  nonIdempotent: '/book/1',
+  idempotent: '/look/1',
+  stream: '/draft/1',
+  resumableStream: '/chat/1',
+} as const;
+type Mode = keyof typeof PATHS;
+
+const end = (core: TestCore, attempt: number, outcome: AttemptOutcome) =>
+  core.take({ kind: 'attemptEnded', attempt, outcome });
+
+/** What a caller or an upstream sees of effects. */
+function seen(effects: readonly RoutingEffect[]): string {
+  const answer = answerOf(effects);
+  if (effectsOf(effects, 'send').length > 0) return 'again';
+  if (effectsOf(effects, 'passError').length > 0) return 'passed';
+  if (effectsOf(effects, 'cutAnswer').length > 0) return 'cut';
+  return answer === undefined ? 'nothing' : String(answer.status);
+}
+
+describe('outcomes of attempts', () => {
+  const CUT: AttemptOutcome = { kind: 'cut', reason: 'reset' };
+  const cases: readonly (readonly [Mode, AttemptOutcome, string])[] = [
+    ['nonIdempotent', CUT, '502'],
+    ['nonIdempotent', { kind: 'foreign' }, '502'],
+    ['nonIdempotent', { kind: 'failed', status: 500 }, 'passed'],
+    // These statuses would promise that the request has not run.
+    ['nonIdempotent', { kind: 'failed', status: 503 }, '502'],
+    ['nonIdempotent', { kind: 'failed', status: 429 }, '502'],
+    ['nonIdempotent', { kind: 'rejected', status: 404 }, 'passed'],
+    ['nonIdempotent', { kind: 'declined', status: 503 }, 'again'],
+    ['nonIdempotent', { kind: 'notSent', reason: 'refused' }, 'again'],
+    ['stream', CUT, '502'],
+    ['stream', { kind: 'declined', status: 503 }, 'again'],
+    ['resumableStream', CUT, 'again'],
+    ['idempotent', CUT, 'again'],
+    ['idempotent', { kind: 'foreign' }, 'again'],
+    ['idempotent', { kind: 'failed', status: 500 }, 'again'],
+    ['idempotent', { kind: 'rejected', status: 400 }, 'passed'],
+  ];
+  cases.forEach(([mode, outcome, expected]) => {
+    const status = 'status' in outcome ? ` ${outcome.status}` : '';
+    it(`${mode}: ${outcome.kind}${status} leads to '${expected}'`, () => {
+      const core = createTestCore();
+      const plan = planOf(core.arrive({ path: PATHS[mode] }));
+      expect(seen(end(core, plan.attempt, outcome))).to.equal(expected);
+    });
+  });
+
+  it('cuts an answer that has begun and cannot go on', () => {
+    const core = createTestCore();
+    const { attempt } = planOf(core.arrive());
+    core.take({ kind: 'attemptAnswered', attempt, status: 200 });
+    expect(seen(end(core, attempt, CUT))).to.equal('cut');
+  });
+
+  it('resumes after the last whole event', () => {
+    const core = createTestCore();
+    const first = planOf(core.arrive({ path: '/chat/1' }));
+    core.take({ kind: 'attemptAnswered', attempt: first.attempt, status: 200 });
+    core.take({ kind: 'attemptProgress', attempt: first.attempt });
+    const second = planOf(end(core, first.attempt, CUT));
+    expect(second.isResumed).to.equal(true);
+    expect(second.upstream).to.not.equal(first.upstream);
+  });
+
+  it('cuts a begun stream of which no event has arrived, rather than starting it twice', () => {
+    const core = createTestCore();
+    const { attempt } = planOf(core.arrive({ path: '/chat/1' }));
+    core.take({ kind: 'attemptAnswered', attempt, status: 200 });
+    expect(seen(end(core, attempt, CUT))).to.equal('cut');
+  });
+
+  it('refuses a declined request only if no upstream can have run it', () => {
+    const core = createTestCore();
+    const first = planOf(core.arrive({ path: '/look/1' }));
+    const second = planOf(end(core, first.attempt, CUT));
+    expect(seen(end(core, second.attempt, { kind: 'declined', status: 503 }))).to.equal('502');
+  });
+
+  it('never sends a request to more upstreams than its route allows', () => {
+    fc.assert(
+      fc.property(
+        fc.constantFrom<Mode>('nonIdempotent', 'idempotent', 'stream', 'resumableStream'),
+        fc.array(
+          fc.constantFrom<AttemptOutcome>(
+            CUT,
+            { kind: 'foreign' },
+            { kind: 'failed', status: 500 },
+            { kind: 'declined', status: 503 },
+          ),
+          { minLength: 4, maxLength: 4 },
+        ),
+        (mode, outcomes) => {
+          const core = createTestCore();
+          let effects = core.arrive({ path: PATHS[mode] });
+          let ran = 0;
+          let mayHaveRun = 0;
+          outcomes.forEach((outcome) => {
+            if (effectsOf(effects, 'send').length === 0) return;
+            ran += 1;
+            if (outcome.kind !== 'declined') mayHaveRun += 1;
+            effects = end(core, planOf(effects).attempt, outcome);
+          });
+          expect(ran).to.be.at.most(2);
+          if (mode === 'nonIdempotent' || mode === 'stream') expect(mayHaveRun).to.be.at.most(1);
+          const status = answerOf(effects)?.status;
+          if (status === 503) expect(mayHaveRun).to.equal(0);
+          expect(seen(effects)).to.not.equal('again');
+        },
+      ),
+      { seed: 20_261_204, numRuns: 300 },
+    );
+  });
+
+  it('cancels the attempt of a caller that leaves', () => {
+    const core = createTestCore();
+    const plan = planOf(core.arrive());
+    const effects = core.take({ kind: 'callerGone', request: plan.request });
+    expect(effectsOf(effects, 'cancel').map(({ attempt }) => attempt)).to.deep.equal([
+      plan.attempt,
+    ]);
+    expect(core.routing.state.upstreams.byId.get(plan.upstream)?.own).to.deep.equal({
+      running: 0,
+      pendingTokens: 0,
+      heldTokens: 0,
+    });
+  });
+
+  it('gives the final answer at the time limit of the route', () => {
+    const core = createTestCore();
+    const plan = planOf(core.arrive({ path: '/book/1', deadlineMs: 60_000 }));
+    core.advance(10_000);
+    const effects = core.take({ kind: 'timer', timer: 'health' });
+    expect(answerOf(effects)).to.include({ request: plan.request, status: 504 });
+    expect(effectsOf(effects, 'cancel')).to.have.length(1);
+  });
+
+  it('gives upstreams no more time than the caller has left', () => {
+    const core = createTestCore();
+    const first = planOf(core.arrive({ path: '/look/1', deadlineMs: 3_000 }));
+    expect(first.deadlineMs).to.equal(3_000);
+    core.advance(1_000);
+    expect(planOf(end(core, first.attempt, CUT)).deadlineMs).to.equal(2_000);
+  });
+
+  it('moves requests that may be repeated away from an upstream that falls silent', () => {
+    const core = createTestCore();
+    const first = planOf(core.arrive({ path: '/look/1' }));
+    core.advance(3_000);
+    const second = planOf(core.take({ kind: 'timer', timer: 'health' }));
+    expect(second.request).to.equal(first.request);
+    expect(second.upstream).to.not.equal(first.upstream);
+  });
+});
+
+describe('requests that crash upstreams', () => {
+  /** A request runs at an upstream, which then does not take a probe. */
+  function crash(core: TestCore, fingerprint: number): void {
+    const plan = planOf(core.arrive({ path: '/draft/1', fingerprint }));
+    const effects = end(core, plan.attempt, { kind: 'cut', reason: 'reset' });
+    expect(effectsOf(effects, 'probe')).to.have.length(1);
+    const { upstream, bornAt } = plan;
+    core.take({ kind: 'probed', upstream, bornAt, isAlive: false });
+    core.advance(300);
+    core.take({ kind: 'probed', upstream, bornAt, isAlive: true });
+  }
+
+  it('are refused after the third crash, others are not', () => {
+    const core = createTestCore();
+    [1, 2, 3].forEach(() => crash(core, 77));
+    const refused = core.arrive({ fingerprint: 77 });
+    expect(answerOf(refused)).to.include({ status: 503, reason: 'crashesUpstreams' });
+    expect(effectsOf(core.arrive({ fingerprint: 78 }), 'send')).to.have.length(1);
+  });
+
+  it('are not suspected if the upstream goes on', () => {
+    const core = createTestCore();
+    for (let i = 0; i < 4; i += 1) {
+      const plan = planOf(core.arrive({ fingerprint: 77 }));
+      end(core, plan.attempt, { kind: 'cut', reason: 'reset' });
+      core.take({ kind: 'probed', upstream: plan.upstream, bornAt: plan.bornAt, isAlive: true });
+      core.advance(1_000);
+    }
+    expect(effectsOf(core.arrive({ fingerprint: 77 }), 'send')).to.have.length(1);
+  });
+
+  it('are refused by instances that were told, whoever saw the crashes', () => {
+    const core = createTestCore();
+    const announced = { incarnation: 1, domain: 'domain-a', region: 'region-a', announcedAt: 1 };
+    const changes = ['a', 'b', 'c'].map((id) => ({ ...announced, id, address: '10.0.0.8:1' }));
+    core.take({ kind: 'instancesPolled', outcome: { kind: 'answered', cursor: 1, changes } });
+    changes.forEach(({ id }) => {
+      core.take({
+        kind: 'peerMessage',
+        from: id,
+        incarnation: 1,
+        news: {
+          sequence: 1,
+          isLeaving: false,
+          upstreams: [],
+          running: [],
+          pendingTokens: [],
+          heldTokens: [],
+          customers: [],
+          asked: [],
+          admitted: [],
+          suspects: [77],
+          crashes: [1],
+        },
+      });
+    });
+    expect(answerOf(core.arrive({ fingerprint: 77 }))?.reason).to.equal('crashesUpstreams');
+  });
+});
--- /dev/null
+++ b/test/routing/beliefs.test.ts
@@ -0,0 +1,228 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { createRouteTable } from '../../src/routing/routes/routeTable.js';
+import { createRetryBudget } from '../../src/routing/retries/retryBudget.js';
+import type { PollOutcome, UpstreamChange } from '../../src/routing/types.js';
+import {
+  answerOf,
+  BOOK_ROUTE,
+  createConfiguration,
+  createTestCore,
+  createUpstreamEntry,
+  effectsOf,
+  HOST,
+  MODEL_ROUTE,
+  planOf,
+  type TestCore,
+} from './support/core.js';
+
+const failConfiguration = (core: TestCore) =>
+  core.take({
+    kind: 'configurationPolled',
+    askedAt: core.now(),
+    isWhole: false,
+    outcome: { kind: 'failed', reason: 'silent' },
+  });
+
+const pollUpstreams = (core: TestCore, outcome: PollOutcome<UpstreamChange>, isWhole = false) =>
+  core.take({ kind: 'upstreamsPolled', askedAt: core.now(), isWhole, outcome });
+
+const upstreamIds = (core: TestCore) => [...core.routing.state.upstreams.byId.keys()];
+
+describe('route table', () => {
+  it('finds the longest prefix that begins the path', () => {
+    const long = { ...MODEL_ROUTE, name: 'long', pathPrefix: '/draft/x/' };
+    const table = createRouteTable([MODEL_ROUTE, long, BOOK_ROUTE]);
+    expect(table.find(HOST, '/draft/x/1')?.name).to.equal('long');
+    expect(table.find(HOST, '/draft/xy')?.name).to.equal('draft');
+    expect(table.find(`${HOST.toUpperCase()}:80`, '/book/?a=/draft/')?.name).to.equal('book');
+    expect(table.find(HOST, '/draft')).to.equal(undefined);
+    expect(table.find('other', '/draft/1')).to.equal(undefined);
+  });
+});
+
+describe('freshness of the configuration', () => {
+  it('ends a keyed request in time after the platform was lost', () => {
+    fc.assert(
+      fc.property(fc.integer({ min: 0, max: 20_000 }), (silentForMs) => {
+        const core = createTestCore({ revokeMs: 5_000 });
+        core.advance(silentForMs);
+        failConfiguration(core);
+        const isSent = effectsOf(core.arrive(), 'send').length > 0;
+        // A key that was taken away right after the last confirmation must be refused by then.
+        if (silentForMs >= 5_000) expect(isSent).to.equal(false);
+        if (silentForMs <= 3_000) expect(isSent).to.equal(true);
+      }),
+      { seed: 1, numRuns: 200 },
+    );
+  });
+
+  it('counts from the time at which the read was sent', () => {
+    const core = createTestCore({ revokeMs: 5_000 });
+    const askedAt = core.now();
+    core.advance(6_000);
+    core.take({
+      kind: 'configurationPolled',
+      askedAt,
+      isWhole: false,
+      outcome: { kind: 'answered', cursor: 9, changes: [] },
+    });
+    expect(answerOf(core.arrive())?.reason).to.equal('staleConfiguration');
+  });
+
+  it('ends at once when time has passed that the clock did not count', () => {
+    const core = createTestCore({ revokeMs: 5_000 });
+    const effects = core.take({ kind: 'clockGap', gapMs: 6_000 });
+    expect(effectsOf(effects, 'setReady')).to.deep.equal([{ kind: 'setReady', isReady: false }]);
+    expect(answerOf(core.arrive())?.reason).to.equal('staleConfiguration');
+    core.configure();
+    expect(effectsOf(core.arrive(), 'send')).to.have.length(1);
+  });
+
+  it('is not needed for public routes', () => {
+    const core = createTestCore();
+    const routes = [{ ...MODEL_ROUTE, isPublic: true }];
+    core.configure(createConfiguration({ version: 2, routes }));
+    core.take({ kind: 'clockGap', gapMs: 60_000 });
+    expect(effectsOf(core.arrive({ path: '/draft/1' }), 'send')).to.have.length(1);
+  });
+
+  it('never refuses with a final status what a newer configuration may allow', () => {
+    const core = createTestCore();
+    core.take({ kind: 'clockGap', gapMs: 60_000 });
+    expect(answerOf(core.arrive({ path: '/new/1' }))?.status).to.equal(503);
+    expect(answerOf(core.arrive({ key: 'new' }))?.status).to.equal(503);
+  });
+
+  it('never takes an older version, in whatever order they come', () => {
+    fc.assert(
+      fc.property(fc.array(fc.integer({ min: 1, max: 30 }), { maxLength: 20 }), (versions) => {
+        const core = createTestCore();
+        let highest = 1;
+        versions.forEach((version) => {
+          core.configure(createConfiguration({ version }));
+          highest = Math.max(highest, version);
+          expect(core.routing.state.freshness.configuration?.version).to.equal(highest);
+        });
+      }),
+      { seed: 2, numRuns: 100 },
+    );
+  });
+
+  it('reads the whole state if the history is gone', () => {
+    const core = createTestCore();
+    const effects = core.take({
+      kind: 'configurationPolled',
+      askedAt: core.now(),
+      isWhole: false,
+      outcome: { kind: 'expired' },
+    });
+    expect(effectsOf(effects, 'pollConfiguration')[0]?.cursor).to.equal(undefined);
+  });
+});
+
+describe('list of upstreams', () => {
+  const answered = (changes: readonly UpstreamChange[]): PollOutcome<UpstreamChange> => ({
+    kind: 'answered',
+    cursor: 5,
+    changes,
+  });
+
+  it('drops what left the list at once', () => {
+    const core = createTestCore();
+    pollUpstreams(core, answered([{ kind: 'removed', id: 'i-1' }]));
+    expect(upstreamIds(core)).to.not.include('i-1');
+  });
+
+  it('keeps what lapsed while the platform was away for two seconds, then drops it', () => {
+    const core = createTestCore({ relistWithinMs: 2_000 });
+    pollUpstreams(core, { kind: 'failed', reason: 'down' });
+    core.advance(6_000);
+    pollUpstreams(
+      core,
+      answered([
+        { kind: 'removed', id: 'i-1' },
+        { kind: 'removed', id: 'i-2' },
+      ]),
+    );
+    expect(upstreamIds(core)).to.include.members(['i-1', 'i-2']);
+    core.advance(1_000);
+    core.list(createUpstreamEntry('i-1', { beat: 2 }));
+    core.advance(1_100);
+    core.take({ kind: 'timer', timer: 'health' });
+    expect(upstreamIds(core)).to.include('i-1');
+    expect(upstreamIds(core)).to.not.include('i-2');
+  });
+
+  it('drops what a read of the whole state does not name', () => {
+    const core = createTestCore();
+    pollUpstreams(
+      core,
+      answered([{ kind: 'listed', upstream: createUpstreamEntry('i-2', { beat: 3 }) }]),
+      true,
+    );
+    expect(upstreamIds(core)).to.deep.equal(['i-2']);
+  });
+
+  it('takes a new start under the same id for another upstream', () => {
+    const core = createTestCore();
+    const plan = planOf(core.arrive());
+    const id = plan.upstream;
+    const effects = core.list(createUpstreamEntry(id, { bornAt: 9 }));
+    expect(effectsOf(effects, 'forgetUpstream')).to.deep.equal([
+      { kind: 'forgetUpstream', upstream: id, bornAt: 1 },
+    ]);
+    // The end of the old attempt does not count against the new start.
+    core.take({
+      kind: 'attemptEnded',
+      attempt: plan.attempt,
+      outcome: { kind: 'cut', reason: 'reset' },
+    });
+    expect(core.routing.state.upstreams.byId.get(id)?.own.running).to.equal(0);
+  });
+
+  it('ignores entries that are older than what is known', () => {
+    const core = createTestCore();
+    core.list(createUpstreamEntry('i-1', { phase: 'draining', beat: 5 }));
+    core.list(createUpstreamEntry('i-1', { phase: 'ready', beat: 4 }));
+    expect(core.routing.state.upstreams.byId.get('i-1')?.listed.phase).to.equal('draining');
+  });
+});
+
+describe('retry budget', () => {
+  it('keeps to the ratio and the slack in every window that slides', () => {
+    const options = { ratio: 0.2, slack: 5, windowMs: 10_000 };
+    fc.assert(
+      fc.property(
+        fc.array(fc.record({ afterMs: fc.integer({ min: 0, max: 900 }), isRetry: fc.boolean() }), {
+          maxLength: 200,
+        }),
+        (steps) => {
+          const budget = createRetryBudget();
+          let now = 50_000;
+          const requests: number[] = [];
+          const retries: number[] = [];
+          steps.forEach(({ afterMs, isRetry }) => {
+            now += afterMs;
+            if (!isRetry) {
+              budget.noteRequest(now);
+              requests.push(now);
+            } else if (budget.take(now, options)) {
+              retries.push(now);
+            }
+          });
+          retries.forEach((start) => {
+            const inWindow = (time: number) => time >= start && time < start + options.windowMs;
+            // Requests of the window before may have earned what is spent in this one.
+            const earned = requests.filter(
+              (time) => time >= start - 1_100 - options.windowMs && time < start + options.windowMs,
+            ).length;
+            const spent = retries.filter(inWindow).length;
+            expect(spent).to.be.at.most(options.ratio * earned + options.slack + 1e-9);
+          });
+        },
+      ),
+      { seed: 3, numRuns: 200 },
+    );
+  });
+});
--- /dev/null
+++ b/test/routing/policy.test.ts
@@ -0,0 +1,241 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { createRandom } from '../../src/core/random.js';
+import { decideAdmission } from '../../src/routing/admission/admission.js';
+import { fairLevel } from '../../src/routing/shares/tokenShares.js';
+import type { PrefixPart, RoutingEffect } from '../../src/routing/types.js';
+import { createSpeed } from '../../src/routing/upstreams/speed.js';
+import {
+  createConfiguration,
+  createTestCore,
+  createUpstreamEntry,
+  effectsOf,
+  planOf,
+  type TestCore,
+} from './support/core.js';
+
+/** A prompt with a long part that others share and a part of its own. */
+const prompt = (shared: string, own: string): readonly PrefixPart[] => [
+  { id: 'c0', tokens: 500 },
+  { id: shared, tokens: 5_000 },
+  { id: own, tokens: 1_000 },
+];
+
+const sharedFacts = (shared: string, own: string) => ({
+  promptTokens: 6_500,
+  prefix: prompt(shared, own),
+});
+
+const manyUpstreams = () =>
+  Array.from({ length: 12 }, (_, i) => createUpstreamEntry(`i-${i + 10}`));
+
+function finish(core: TestCore, attempt: number): void {
+  core.take({ kind: 'attemptEnded', attempt, outcome: { kind: 'complete', status: 200 } });
+}
+
+describe('placement', () => {
+  it('brings the requests that share a part to one upstream, at all instances', () => {
+    const homes = [1, 2, 3].map(() => {
+      const core = createTestCore();
+      core.list(...manyUpstreams());
+      return Array.from({ length: 20 }, (_, i) => {
+        const plan = planOf(core.arrive(sharedFacts(`a${i}`, `b${i}`)));
+        finish(core, plan.attempt);
+        return plan.upstream;
+      });
+    });
+    expect(homes[1]).to.deep.equal(homes[0]);
+    expect(homes[2]).to.deep.equal(homes[0]);
+    expect(new Set(homes[0]).size).to.be.at.least(6);
+  });
+
+  it('keeps most homes when an upstream comes', () => {
+    const homesWith = (count: number) => {
+      const core = createTestCore();
+      core.list(...manyUpstreams().slice(0, count));
+      return Array.from({ length: 100 }, (_, i) => {
+        const plan = planOf(core.arrive({ ...sharedFacts(`a${i}`, `b${i}`), key: 'key-of-b' }));
+        core.take({ kind: 'callerGone', request: plan.request });
+        core.advance(3_000);
+        core.configure();
+        return plan.upstream;
+      });
+    };
+    const before = homesWith(11);
+    const after = homesWith(12);
+    const moved = before.filter((home, i) => home !== after[i]).length;
+    // One in fourteen moves on average.
+    expect(moved).to.be.at.most(25);
+  });
+
+  it('does not read a shared part again for a short wait, but rather than refuse', () => {
+    const core = createTestCore();
+    core.list(...manyUpstreams());
+    const placed = Array.from({ length: 60 }, (_, i) => core.arrive(sharedFacts('aa', `b${i}`)));
+    const upstreams = placed.flatMap((effects) =>
+      effectsOf(effects, 'send').map(({ plan }) => plan.upstream),
+    );
+    const atHome = upstreams.filter((upstream) => upstream === upstreams[0]).length;
+    expect(atHome).to.be.at.least(10);
+    expect(new Set(upstreams).size).to.be.at.least(2);
+    expect(upstreams).to.have.length(60);
+  });
+
+  it('spreads requests without shared parts', () => {
+    const core = createTestCore();
+    core.list(...manyUpstreams());
+    const upstreams = Array.from({ length: 28 }, () => planOf(core.arrive()).upstream);
+    expect(new Set(upstreams).size).to.equal(14);
+  });
+
+  it('prefers upstreams near by, and uses those far away under load', () => {
+    const core = createTestCore();
+    const far = createUpstreamEntry('i-20', { domain: 'domain-b' });
+    core.list(far);
+    expect(planOf(core.arrive()).upstream).to.not.equal('i-20');
+    const upstreams = Array.from({ length: 20 }, () => planOf(core.arrive()).upstream);
+    expect(upstreams).to.include('i-20');
+  });
+
+  it('avoids an upstream that fails more often than others', () => {
+    const core = createTestCore();
+    for (let i = 0; i < 30; i += 1) {
+      const plan = planOf(core.arrive({ path: '/book/1' }));
+      const outcome =
+        plan.upstream === 'i-3'
+          ? ({ kind: 'failed', status: 500 } as const)
+          : ({ kind: 'complete', status: 200 } as const);
+      core.take({ kind: 'attemptEnded', attempt: plan.attempt, outcome });
+      core.advance(50);
+    }
+    const upstreams = Array.from({ length: 6 }, () => {
+      const plan = planOf(core.arrive({ path: '/book/1' }));
+      finish(core, plan.attempt);
+      return plan.upstream;
+    });
+    expect(new Set(upstreams)).to.deep.equal(new Set(['i-4']));
+  });
+});
+
+describe('speed of upstreams', () => {
+  it('is learnt from times to first events', () => {
+    const speed = createSpeed();
+    const random = createRandom(4);
+    for (let i = 0; i < 200; i += 1) {
+      const tokens = random.next() * 40_000;
+      speed.observe(tokens, 35 + tokens / 120 + random.next() * 10);
+    }
+    expect(1 / (speed.perTokenMs() ?? 0)).to.be.closeTo(120, 5);
+    expect(speed.baseMs()).to.be.closeTo(40, 8);
+  });
+});
+
+describe('admission', () => {
+  const random = createRandom(1);
+  const input = { objectiveMs: 500, leftMs: 12_000 };
+  const standing = { asked: 100, admitted: 100, level: Infinity, even: 1_000 };
+
+  it('admits what can begin within its objective and refuses the rest at once', () => {
+    expect(decideAdmission({ ...input, firstMs: 100 }, random).kind).to.equal('admit');
+    expect(decideAdmission({ ...input, firstMs: 600 }, random)).to.include({
+      kind: 'refuse',
+      reason: 'overload',
+    });
+  });
+
+  it('refuses a customer beyond its share earlier, and not while upstreams are free', () => {
+    const over = { ...standing, admitted: 200, level: 100 };
+    expect(decideAdmission({ ...input, firstMs: 300, standing: over }, random)).to.include({
+      kind: 'refuse',
+      reason: 'overShare',
+    });
+    expect(decideAdmission({ ...input, firstMs: 50, standing: over }, random).kind).to.equal(
+      'admit',
+    );
+    const within = { ...standing, admitted: 90, level: 100 };
+    expect(decideAdmission({ ...input, firstMs: 300, standing: within }, random).kind).to.equal(
+      'admit',
+    );
+  });
+
+  it('lets refused callers return spread, and within the time that they have', () => {
+    const times = Array.from({ length: 50 }, () => {
+      const decision = decideAdmission({ ...input, firstMs: 700 }, random);
+      return decision.kind === 'refuse' ? decision.retryAfterMs : 0;
+    });
+    expect(Math.min(...times)).to.be.at.least(200);
+    expect(Math.max(...times) - Math.min(...times)).to.be.at.least(100);
+    const late = decideAdmission({ ...input, firstMs: 9_000, leftMs: 900 }, random);
+    expect(late.kind === 'refuse' && late.retryAfterMs).to.be.at.most(300);
+  });
+
+  it('gives each of six customers that flood the same, and the others all that they ask', () => {
+    const level = fairLevel([5, 5, 5, 100, 100, 100, 100, 100, 100], 315);
+    expect(level).to.equal(50);
+  });
+
+  it('uses all of the capacity, and gives no customer more than it asks', () => {
+    fc.assert(
+      fc.property(
+        fc.array(fc.double({ min: 0.1, max: 1_000, noNaN: true }), { minLength: 1, maxLength: 40 }),
+        fc.double({ min: 1, max: 5_000, noNaN: true }),
+        (demands, capacity) => {
+          const level = fairLevel(demands, capacity);
+          const given = demands.reduce((sum, demand) => sum + Math.min(demand, level), 0);
+          const asked = demands.reduce((sum, demand) => sum + demand, 0);
+          expect(given).to.be.closeTo(Math.min(asked, capacity), 1e-6 * capacity + 1e-6);
+        },
+      ),
+      { seed: 5, numRuns: 300 },
+    );
+  });
+
+  it('holds a flooding customer back under overload while another is served', () => {
+    const core = createTestCore();
+    core.configure(createConfiguration({ version: 2, tokensPerSecond: 200_000 }));
+    const engines = createFifoEngines(core);
+    let served = 0;
+    let floodServed = 0;
+    for (let i = 0; i < 600; i += 1) {
+      core.advance(5);
+      if (i % 100 === 0) core.configure();
+      engines.run();
+      floodServed += engines.start(core.arrive({ key: 'key-of-b', promptTokens: 8_000 }));
+      if (i % 20 === 10) served += engines.start(core.arrive({ promptTokens: 2_000 }));
+    }
+    // Both upstreams are kept busy: 600 thousand tokens in three seconds, less a tenth.
+    expect(floodServed * 8_000 + served * 2_000).to.be.at.least(540_000);
+    // Nine in ten of a customer within its share are served.
+    expect(served).to.be.at.least(27);
+  });
+});
+
+/** Upstreams that read one prompt after the other, a hundred tokens a millisecond. */
+function createFifoEngines(core: TestCore) {
+  const tokensPerMs = 100;
+  const freeAt = new Map<string, number>();
+  const ends: { attempt: number; at: number }[] = [];
+  return {
+    /** Starts what was sent; returns the number of requests. */
+    start: (effects: readonly RoutingEffect[]): number => {
+      const sent = effectsOf(effects, 'send');
+      sent.forEach(({ plan }) => {
+        const tokens = core.routing.state.requests.attempts.get(plan.attempt)?.uncachedTokens ?? 0;
+        const at = Math.max(core.now(), freeAt.get(plan.upstream) ?? 0) + tokens / tokensPerMs;
+        freeAt.set(plan.upstream, at);
+        ends.push({ attempt: plan.attempt, at });
+      });
+      return sent.length;
+    },
+    /** Ends what has been read by now. */
+    run: () => {
+      ends
+        .filter(({ at }) => at <= core.now())
+        .forEach((end) => {
+          ends.splice(ends.indexOf(end), 1);
+          core.take({ kind: 'attemptProgress', attempt: end.attempt });
+          finish(core, end.attempt);
+        });
+    },
+  };
+}
--- /dev/null
+++ b/test/routing/support/core.ts
@@ -0,0 +1,205 @@
+/** A routing core without hosts: events go in, effects are collected. */
+import { createRouting, type Routing } from '../../../src/routing/routing.js';
+import type { RoutingSettings } from '../../../src/routing/settings.js';
+import type {
+  AttemptPlan,
+  ListedUpstream,
+  OwnAnswer,
+  Route,
+  RoutingConfiguration,
+  RoutingEffect,
+  RoutingEvent,
+  RequestFacts,
+} from '../../../src/routing/types.js';
+
+export const HOST = 'orchard.example';
+export const KEY = 'key-of-a';
+
+export const MODEL_ROUTE: Route = {
+  name: 'draft',
+  host: HOST,
+  pathPrefix: '/draft/',
+  mode: 'stream',
+  targets: [{ pool: 'models', weight: 1 }],
+  maxUpstreams: 2,
+  timeoutMs: 10_000,
+  objectiveMs: 500,
+  pauseTargetMs: 200,
+  isPublic: false,
+  sharesPrefixes: true,
+};
+
+export const CHAT_ROUTE: Route = {
+  ...MODEL_ROUTE,
+  name: 'chat',
+  pathPrefix: '/chat/',
+  mode: 'resumableStream',
+};
+
+export const BOOK_ROUTE: Route = {
+  ...MODEL_ROUTE,
+  name: 'book',
+  pathPrefix: '/book/',
+  mode: 'nonIdempotent',
+  targets: [{ pool: 'desk', weight: 1 }],
+};
+
+export const LOOK_ROUTE: Route = {
+  ...BOOK_ROUTE,
+  name: 'look',
+  pathPrefix: '/look/',
+  mode: 'idempotent',
+};
+
+export function createConfiguration(
+  changes: Partial<RoutingConfiguration> = {},
+): RoutingConfiguration {
+  return {
+    version: 1,
+    routes: [MODEL_ROUTE, CHAT_ROUTE, BOOK_ROUTE, LOOK_ROUTE],
+    pools: new Map([
+      ['models', { id: 'models', maxConnections: 200, healthPath: '/' }],
+      ['desk', { id: 'desk', maxConnections: 200, healthPath: '/' }],
+    ]),
+    hasCustomers: true,
+    customersByKey: new Map([
+      [KEY, 'customer-a'],
+      ['key-of-b', 'customer-b'],
+    ]),
+    callerLimits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 65_536,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+    },
+    tokensPerSecond: 100_000,
+    ...changes,
+  };
+}
+
+export function createUpstreamEntry(
+  id: string,
+  changes: Partial<ListedUpstream> = {},
+): ListedUpstream {
+  return {
+    id,
+    pool: 'models',
+    address: `10.0.0.1:${1_000 + Number(id.replace(/\D/g, '') || 0)}`,
+    domain: 'domain-a',
+    slots: 32,
+    phase: 'ready',
+    bornAt: 1,
+    beat: 1,
+    coldForMs: 0,
+    ...changes,
+  };
+}
+
+type EffectOf<K extends RoutingEffect['kind']> = Extract<RoutingEffect, { readonly kind: K }>;
+
+export interface TestCore {
+  readonly routing: Routing;
+  readonly now: () => number;
+  readonly advance: (ms: number) => void;
+  /** Takes an event and returns its effects. */
+  readonly take: (event: RoutingEvent) => readonly RoutingEffect[];
+  readonly configure: (configuration?: RoutingConfiguration) => readonly RoutingEffect[];
+  readonly list: (...upstreams: readonly ListedUpstream[]) => readonly RoutingEffect[];
+  /** A request arrives; returns its effects. */
+  readonly arrive: (facts?: Partial<RequestFacts>) => readonly RoutingEffect[];
+  readonly nextRequest: () => number;
+}
+
+/** Creates a core with a configuration and two upstreams of each pool. */
+export function createTestCore(settings: Partial<RoutingSettings> = {}): TestCore {
+  let now = 1_000_000;
+  let cursor = 1;
+  let request = 0;
+  const routing = createRouting({
+    self: {
+      id: 'instance-1',
+      incarnation: 1,
+      address: '10.0.0.9:7400',
+      domain: 'domain-a',
+      region: 'region-a',
+    },
+    regions: new Map([
+      ['domain-a', 'region-a'],
+      ['domain-b', 'region-b'],
+    ]),
+    settings,
+    seed: 1,
+  });
+  const take = (event: RoutingEvent) => routing.reduce(event, now);
+  const core: TestCore = {
+    routing,
+    now: () => now,
+    advance: (ms) => {
+      now += ms;
+    },
+    take,
+    configure: (configuration = createConfiguration()) => {
+      cursor += 1;
+      return take({
+        kind: 'configurationPolled',
+        askedAt: now,
+        isWhole: false,
+        outcome: { kind: 'answered', cursor, changes: [{ kind: 'configured', configuration }] },
+      });
+    },
+    list: (...upstreams) => {
+      cursor += 1;
+      const changes = upstreams.map((upstream) => ({ kind: 'listed', upstream }) as const);
+      const outcome = { kind: 'answered', cursor, changes } as const;
+      return take({ kind: 'upstreamsPolled', askedAt: now, isWhole: false, outcome });
+    },
+    arrive: (facts = {}) => {
+      request += 1;
+      return take({
+        kind: 'requestArrived',
+        facts: {
+          request,
+          requestId: `r${request}`,
+          host: HOST,
+          path: '/draft/1',
+          key: KEY,
+          promptTokens: 1_000,
+          outputTokens: 50,
+          prefix: [],
+          model: 'm',
+          fingerprint: request,
+          ...facts,
+        },
+      });
+    },
+    nextRequest: () => request,
+  };
+  core.configure();
+  core.list(
+    createUpstreamEntry('i-1'),
+    createUpstreamEntry('i-2'),
+    createUpstreamEntry('i-3', { pool: 'desk' }),
+    createUpstreamEntry('i-4', { pool: 'desk' }),
+  );
+  return core;
+}
+
+/** Effects of one kind. */
+export function effectsOf<K extends RoutingEffect['kind']>(
+  effects: readonly RoutingEffect[],
+  kind: K,
+): readonly EffectOf<K>[] {
+  return effects.filter((effect): effect is EffectOf<K> => effect.kind === kind);
+}
+
+/** The plan of the one attempt that was ordered. */
+export function planOf(effects: readonly RoutingEffect[]): AttemptPlan {
+  const [send] = effectsOf(effects, 'send');
+  if (send === undefined) throw new Error('nothing was sent');
+  return send.plan;
+}
+
+/** The answer of the instance itself. */
+export function answerOf(effects: readonly RoutingEffect[]): OwnAnswer | undefined {
+  return effectsOf(effects, 'answer')[0]?.answer;
+}
