--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -5,6 +5,7 @@
 import { config } from './commands/config.js';
 import { customer } from './commands/customer.js';
 import { demo } from './commands/demo.js';
+import { explain } from './commands/explain.js';
 import { load } from './commands/load.js';
 import { orders } from './commands/orders.js';
 import { quarantine } from './commands/quarantine.js';
@@ -28,6 +29,7 @@
   audit,
   status,
   top,
+  explain,
   demo,
   standin,
   load,
--- a/src/core/diagnostics.ts
+++ b/src/core/diagnostics.ts
@@ -133,6 +133,7 @@
   commandFailed: entry(7001, 'error', 'The command failed: {reason}'),
   cannotStart: entry(7002, 'error', 'Cannot start: {reason}'),
   noStatus: entry(7003, 'error', 'No status from {url}: {reason}'),
+  requestNotLogged: entry(7005, 'error', "No line names the request '{request}'."),
   loadRejected: entry(7004, 'error', "'{file}' names none or unknown: {targets}."),
   waitingLimit: entry(8001, 'error', 'Too many requests of this customer wait.'),
   waitingBytesLimit: entry(8002, 'error', 'Too many bytes of this customer wait.'),
--- /dev/null
+++ b/test/routing/logs.test.ts
@@ -0,0 +1,175 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { expect } from 'chai';
+import { explainRequest, formatLogLine, readLogLines } from '../../src/cli/explain.js';
+import { createLineWriter } from '../../src/hosts/routing/lineWriter.js';
+import { createRoutingLog } from '../../src/hosts/routing/routingLog.js';
+import { createGapClock } from '../../src/hosts/routing/gapClock.js';
+import { routingEvents, type RoutingEventCode } from '../../src/routing/eventTable.js';
+import { createTestCore, effectsOf, planOf, type TestCore } from './support/core.js';
+
+describe('log of the routing core', () => {
+  const endings: readonly (readonly [string, RoutingEventCode, (core: TestCore) => unknown])[] = [
+    ['no route', 'noRoute', (core) => core.arrive({ path: '/none/' })],
+    ['an unknown key', 'unknownKey', (core) => core.arrive({ key: 'x' })],
+    [
+      'a stale configuration',
+      'staleConfiguration',
+      (core) => {
+        core.take({ kind: 'clockGap', gapMs: 60_000 });
+        return core.arrive();
+      },
+    ],
+    [
+      'no upstream',
+      'noUpstream',
+      (core) => {
+        const outcome = { kind: 'answered', cursor: 3, changes: [] } as const;
+        const askedAt = core.now();
+        core.take({ kind: 'upstreamsPolled', askedAt, isWhole: true, outcome });
+        return core.arrive();
+      },
+    ],
+    ['overload', 'overload', (core) => core.arrive({ promptTokens: 900_000 })],
+    [
+      'a cut answer',
+      'answerCut',
+      (core) => {
+        const { attempt } = planOf(core.arrive());
+        const outcome = { kind: 'cut', reason: 'ECONNRESET' } as const;
+        return core.take({ kind: 'attemptEnded', attempt, outcome });
+      },
+    ],
+    [
+      'the time limit',
+      'timedOut',
+      (core) => {
+        core.arrive();
+        core.advance(10_000);
+        return core.take({ kind: 'timer', timer: 'health' });
+      },
+    ],
+  ];
+  endings.forEach(([what, code, end]) => {
+    it(`has exactly one deciding line with its inputs for ${what}`, () => {
+      const core = createTestCore();
+      const effects = end(core) as Parameters<typeof effectsOf>[0];
+      const lines = effectsOf(effects, 'log').filter(
+        ({ code: logged, fields }) =>
+          routingEvents[logged].category === 'request' &&
+          fields.request === 'r1' &&
+          logged !== 'sent',
+      );
+      expect(lines.map((line) => line.code)).to.deep.equal([code]);
+      const inputs = Object.values(lines[0]?.fields ?? {}).filter((value) => value !== undefined);
+      expect(inputs.length).to.be.at.least(2);
+    });
+  });
+
+  it('shows no key', () => {
+    const core = createTestCore();
+    const effects = [...core.arrive(), ...core.arrive({ key: 'secret-key' })];
+    expect(JSON.stringify(effectsOf(effects, 'log'))).to.not.match(/secret-key|key-of-a/);
+  });
+
+  it('follows a request over several files to the decision that ended it', () => {
+    const line = (time: string, event: string, fields: object) =>
+      JSON.stringify({ time: `2026-01-01T00:00:0${time}Z`, instance: 'a', event, ...fields });
+    const files = [
+      `noise\n${line('2.0', 'answerCut', { request: 'r1', upstream: 'i-1' })}\n`,
+      `12.5 a ${line('1.0', 'sent', { request: 'r1', upstream: 'i-1' })}\n` +
+        `${line('1.5', 'upstreamLost', { upstream: 'i-1', reason: 'silent' })}\n` +
+        `${line('1.6', 'sent', { request: 'r2' })}\n`,
+    ];
+    const { way, ending, beliefs } = explainRequest('r1', files.flatMap(readLogLines));
+    expect(way.map(({ event }) => event)).to.deep.equal(['sent', 'answerCut']);
+    expect(ending?.event).to.equal('answerCut');
+    expect(beliefs.map(formatLogLine)).to.deep.equal([
+      '2026-01-01T00:00:01.5Z a upstreamLost: An upstream does not answer. upstream=i-1 reason=silent',
+    ]);
+  });
+});
+
+describe('writer of log lines', () => {
+  it('never waits for a reader that is stuck, and counts what it leaves out', async () => {
+    let writes = 0;
+    const writer = createLineWriter({
+      fd: 1,
+      now: () => 0,
+      maxBufferedBytes: 1_000,
+      omittedLine: (count) => `omitted ${count}`,
+      writeBytes: () => {
+        writes += 1;
+      },
+    });
+    for (let i = 0; i < 300; i += 1) writer.write('x'.repeat(100), 'failure');
+    await sleep(80);
+    for (let i = 0; i < 300; i += 1) writer.write('x'.repeat(100), 'failure');
+    expect(writes).to.equal(1);
+    expect(writer.omitted()).to.be.at.least(580);
+  });
+
+  it('keeps a budget a second for each class, failures before successes', async () => {
+    let written = '';
+    let now = 0;
+    const log = createRoutingLog({
+      instance: 'a',
+      now: () => now,
+      timeOfDay: () => 0,
+      writer: {
+        budgets: { expected: 5, failure: 10 },
+        writeBytes: (_fd, bytes, done) => {
+          written += Buffer.from(bytes).toString();
+          done(null);
+        },
+      },
+    });
+    const flood = () => {
+      for (let i = 0; i < 100; i += 1) {
+        log.write('info', 'served', { request: `r${i}` });
+        log.write('warn', 'overload', { request: `r${i}` });
+      }
+    };
+    flood();
+    now = 1_000;
+    flood();
+    await log.flush();
+    const events = readLogLines(written).map(({ event }) => event);
+    expect(events.filter((event) => event === 'served')).to.have.length(10);
+    expect(events.filter((event) => event === 'overload')).to.have.length(20);
+    expect(events).to.include('linesOmitted');
+    expect(log.omitted()).to.equal(370);
+  });
+});
+
+describe('clock that tells gaps', () => {
+  function createClocks() {
+    const at = { steady: 0, timeOfDay: 1_000_000, boot: 50_000 };
+    const clock = createGapClock({
+      steady: () => at.steady,
+      timeOfDay: () => at.timeOfDay,
+      sinceBoot: () => at.boot,
+    });
+    const pass = (steady: number, timeOfDay: number, boot: number) => {
+      at.steady += steady;
+      at.timeOfDay += timeOfDay;
+      at.boot += boot;
+      return clock.takeGap();
+    };
+    return pass;
+  }
+
+  it('tells a suspension, by the time of day or by the time since boot', () => {
+    expect(createClocks()(10, 5_010, 5_010)).to.equal(5_000);
+    expect(createClocks()(250, 250, 5_250)).to.equal(5_000);
+  });
+
+  it('tells a time of day that was set ahead, and nothing of one set back', () => {
+    expect(createClocks()(10, 2_010, 10)).to.equal(2_000);
+    expect(createClocks()(10, -2_000, 10)).to.equal(0);
+  });
+
+  it('tells nothing as time goes on as usual', () => {
+    const pass = createClocks();
+    for (let i = 0; i < 100; i += 1) expect(pass(50, 50 + (i % 3), 50)).to.equal(0);
+  });
+});
