End an attempt before another one takes its place

Conclusion: the core withdraws the attempt, waits for its end, and sends again with what it knows then.

--- a/src/daemon/routingInstance.ts
+++ b/src/daemon/routingInstance.ts
@@ -140,6 +140,9 @@
       case 'cancel':
         hosts.front.cancel(effect.attempt);
         return;
+      case 'withdraw':
+        hosts.front.withdraw(effect.attempt, effect.mayResume);
+        return;
       case 'answer':
         hosts.front.answer(effect.answer);
         return;
--- a/src/hosts/routing/attempt.ts
+++ b/src/hosts/routing/attempt.ts
@@ -53,6 +53,8 @@
 export interface RunningAttempt {
   /** Ends the attempt and its connection. */
   readonly cancel: () => void;
+  /** Whether another attempt may take its place. */
+  readonly isWithdrawable: (mayResume: boolean) => boolean;
 }
 
 /** Starts an attempt. The outcome is reported later, never from within this call. */
@@ -171,6 +173,8 @@
     queueMicrotask(() => end({ kind: 'notSent', reason: messageOf(err) }));
   }
   return {
+    isWithdrawable: (mayResume) =>
+      head === undefined || (mayResume && cutter?.lastId() !== undefined),
     cancel: () => {
       isCancelled = true;
       controller?.abort(new errors.RequestAbortedError());
--- a/src/hosts/routing/frontHost.ts
+++ b/src/hosts/routing/frontHost.ts
@@ -38,6 +38,8 @@
   readonly limit: (limits: CallerLimits) => void;
   readonly send: (plan: AttemptPlan) => void;
   readonly cancel: (attempt: AttemptNumber) => void;
+  /** Ends an attempt in favour of another one, unless its answer has begun and cannot go on. */
+  readonly withdraw: (attempt: AttemptNumber, mayResume: boolean) => void;
   readonly answer: (answer: OwnAnswer) => void;
   /** Passes on the error answer that was held back. */
   readonly passError: (request: RequestNumber) => void;
@@ -233,6 +235,10 @@
       running.delete(attempt);
       run?.cancel();
     },
+    withdraw: (attempt, mayResume) => {
+      const run = running.get(attempt);
+      if (run?.isWithdrawable(mayResume)) run.cancel();
+    },
     answer: (answer) => settle(answer.request)?.answer.sendOwn(answer, protocol),
     passError: (request) => {
       const settled = settle(request);
--- a/src/routing/attempts/arrival.ts
+++ b/src/routing/attempts/arrival.ts
@@ -130,6 +130,7 @@
     tried: [],
     unreachable: [],
     attempt: undefined,
+    isMoving: false,
     isAnswering: false,
     firstPartAt: undefined,
   };
--- a/src/routing/attempts/attempts.ts
+++ b/src/routing/attempts/attempts.ts
@@ -10,7 +10,11 @@
 import { countInstances } from '../exchange/exchange.js';
 import { connectionLimit, notePrefix, place, poolSpeed } from '../placement/placement.js';
 import type { Placement } from '../placement/placement.js';
-import { createRetryBudget, type RetryBudget } from '../retries/retryBudget.js';
+import {
+  createRetryBudget,
+  type RetryBudget,
+  type RetryBudgetOptions,
+} from '../retries/retryBudget.js';
 import { noteAdmitted, tokensOf } from '../shares/tokenShares.js';
 import type { AttemptOutcome, OwnStatus, PoolId, RoutingEvent } from '../types.js';
 import { noteCut } from '../upstreams/crashes.js';
@@ -118,6 +122,7 @@
   // An answer of another kind is held back until the core has decided.
   if (request === undefined) return;
   request.isAnswering ||= event.status < FIRST_ERROR_STATUS;
+  request.isMoving = false;
 }
 
 export function onAttemptProgress(ctx: RoutingContext, number: number): void {
@@ -137,6 +142,7 @@
   if (upstream !== undefined) noteOutcome(ctx, attempt, upstream, outcome, request);
   if (request?.attempt !== number) return;
   request.attempt = undefined;
+  request.isMoving = false;
   settle(ctx, request, attempt, outcome);
 }
 
@@ -201,18 +207,29 @@
   });
 }
 
+/** Whether a request could be sent to another upstream now. */
+export function hasElsewhere(ctx: RoutingContext, request: OpenRequest): boolean {
+  if (request.tried.length >= request.route.maxUpstreams) return false;
+  const hasBudget = budgetOf(ctx, request.pool).left(ctx.now, budgetOptions(ctx)) >= 1;
+  return hasBudget && placeElsewhere(ctx, request) !== undefined;
+}
+
+function placeElsewhere(ctx: RoutingContext, request: OpenRequest): Placement | undefined {
+  const { facts, route, pool } = request;
+  const excluded = [...request.tried, ...request.unreachable];
+  return place(ctx, { facts, route, pool, excluded, withinMs: route.objectiveMs });
+}
+
 /**
  * Sends a request to another upstream if its route and the budget allow it. Returns whether it did.
  */
 export function sendElsewhere(ctx: RoutingContext, request: OpenRequest): boolean {
   const { facts, route, pool } = request;
   if (request.tried.length >= route.maxUpstreams || ctx.now >= deadlineOf(request)) return false;
-  const excluded = [...request.tried, ...request.unreachable];
-  const withinMs = route.objectiveMs;
-  const placement = place(ctx, { facts, route, pool, excluded, withinMs });
+  const placement = placeElsewhere(ctx, request);
   if (placement === undefined) return false;
   // Only requests that may have arrived somewhere draw on the budget.
-  if (request.tried.length > 0 && !takeRetry(ctx, pool)) {
+  if (request.tried.length > 0 && !budgetOf(ctx, pool).take(ctx.now, budgetOptions(ctx))) {
     logWarning(ctx, 'retryBudgetSpent', { request: facts.requestId, pool });
     return false;
   }
@@ -220,13 +237,13 @@
   return true;
 }
 
-function takeRetry(ctx: RoutingContext, pool: PoolId): boolean {
+function budgetOptions(ctx: RoutingContext): RetryBudgetOptions {
   const { settings } = ctx.state;
-  return budgetOf(ctx, pool).take(ctx.now, {
+  return {
     ratio: settings.retryRatio * USABLE_BUDGET,
     slack: (settings.retrySlack * USABLE_BUDGET) / countInstances(ctx),
     windowMs: settings.retryWindowMs,
-  });
+  };
 }
 
 /** Time until which an upstream may work on a request. */
@@ -273,6 +290,8 @@
       fail(ctx, request, 502, 'foreignAnswer', { upstream: attempt.upstream });
       return;
     case 'cancelled':
+      if (isRepeatable(request) && sendElsewhere(ctx, request)) return;
+      fail(ctx, request, 504, 'timedOut', { upstream: attempt.upstream, reason: 'moved in vain' });
       return;
     default:
       Debug.assertNever(outcome);
--- a/src/routing/attempts/attemptsState.ts
+++ b/src/routing/attempts/attemptsState.ts
@@ -25,6 +25,8 @@
   /** Upstreams that could not be reached. */
   readonly unreachable: UpstreamId[];
   attempt: AttemptNumber | undefined;
+  /** Whether the present attempt is being ended in favour of another one. */
+  isMoving: boolean;
   /** Whether a part of an answer may have been passed on to the caller. */
   isAnswering: boolean;
   /** Time at which the caller got the first part of its answer. */
--- a/src/routing/attempts/watch.ts
+++ b/src/routing/attempts/watch.ts
@@ -4,13 +4,13 @@
  */
 import type { Millis } from '../../core/clock.js';
 import type { RoutingContext } from '../context.js';
-import { setTimer } from '../context.js';
+import { emit, setTimer } from '../context.js';
 import { updateFreshness } from '../freshness/freshness.js';
 import { expireCrashes } from '../suspects/suspects.js';
 import { longestSilence, noteLost, probeLost } from '../upstreams/health.js';
 import { dropMissing } from '../upstreams/list.js';
 import type { Upstream } from '../upstreams/upstreamsState.js';
-import { cancelAttempt, fail, isRepeatable, sendElsewhere } from './attempts.js';
+import { cancelAttempt, fail, hasElsewhere, isRepeatable } from './attempts.js';
 import type { Attempt, OpenRequest } from './attemptsState.js';
 
 const WATCH_INTERVAL_MS: Millis = 100;
@@ -34,12 +34,14 @@
     fail(ctx, request, 504, 'timedOut', { limitMs: Math.round(dueAt - request.arrivedAt) });
     return;
   }
-  if (isHanging(ctx, request)) moveElsewhere(ctx, request);
+  const attempt = attemptOf(ctx, request);
+  if (attempt !== undefined && isHanging(ctx, request, attempt)) {
+    moveElsewhere(ctx, request, attempt);
+  }
 }
 
-function isHanging(ctx: RoutingContext, request: OpenRequest): boolean {
-  const attempt = attemptOf(ctx, request);
-  if (attempt === undefined || !isRepeatable(request)) return false;
+function isHanging(ctx: RoutingContext, request: OpenRequest, attempt: Attempt): boolean {
+  if (!isRepeatable(request)) return false;
   const upstream = ctx.state.upstreams.byId.get(attempt.upstream);
   if (upstream?.reachability.kind === 'lost') return true;
   if (attempt.firstPartAt !== undefined) return false;
@@ -47,14 +49,16 @@
   return ctx.now - attempt.startedAt > limit;
 }
 
-/** Gives up an attempt for one at another upstream, if there is one that the request may go to. */
-function moveElsewhere(ctx: RoutingContext, request: OpenRequest): void {
-  const { attempt } = request;
-  if (!sendElsewhere(ctx, request)) return;
-  const next = request.attempt;
-  request.attempt = attempt;
-  cancelAttempt(ctx, request);
-  request.attempt = next;
+/**
+ * Has an attempt ended for one at another upstream, if there is one. The request is sent again once
+ * the end is reported, since the attempt may begin to answer meanwhile.
+ */
+function moveElsewhere(ctx: RoutingContext, request: OpenRequest, attempt: Attempt): void {
+  if (request.isMoving || !hasElsewhere(ctx, request)) return;
+  request.isMoving = true;
+  const upstream = ctx.state.upstreams.byId.get(attempt.upstream);
+  const mayResume = upstream?.reachability.kind === 'lost';
+  emit(ctx, { kind: 'withdraw', attempt: attempt.number, mayResume });
 }
 
 /** Upstreams with open work from which nothing has come for too long. */
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -321,6 +321,11 @@
   | { readonly kind: 'announce'; readonly self: InstanceIdentity }
   | { readonly kind: 'send'; readonly plan: AttemptPlan }
   | { readonly kind: 'cancel'; readonly attempt: AttemptNumber }
+  /**
+   * Ends an attempt in favour of another one, and reports its end. Left out if the attempt has begun
+   * to answer meanwhile, unless `mayResume` is set and the answer can go on elsewhere.
+   */
+  | { readonly kind: 'withdraw'; readonly attempt: AttemptNumber; readonly mayResume: boolean }
   | { readonly kind: 'answer'; readonly answer: OwnAnswer }
   /** Passes on the server error that the host held back. */
   | { readonly kind: 'passError'; readonly request: RequestNumber }
--- a/test/platform/path.test.ts
+++ b/test/platform/path.test.ts
@@ -1,5 +1,6 @@
 import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
 import { Readable } from 'node:stream';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'chai';
 import { request } from 'undici';
 import { eventText } from '../../src/standins/platform/batchEngine.js';
@@ -216,6 +217,25 @@
     });
   });
 
+  it('gives each event once if a slow stream begins just as it is moved elsewhere', async () => {
+    const slow = { firstEventMs: 1_080, events: 40, eventGapMs: 10 };
+    await fleet.addEngine('models', slow);
+    await fleet.addEngine('models', slow);
+    const started = await readyInstance();
+    // Times to the first event around the limit at which a request is moved.
+    const answers = await Promise.all(
+      Array.from({ length: 12 }, async (_, i) => {
+        await sleep(i * 17);
+        return call(started, '/chat/1');
+      }),
+    );
+    answers.forEach(({ status, text }) => {
+      expect(status).to.equal(200);
+      expect(text).to.equal(wholeStream(40));
+    });
+    expect(started.logged.map(({ event }) => event)).to.include('retried');
+  });
+
   it('never lets a broken stream look complete', async () => {
     const engine = await fleet.addEngine('models');
     engine.setFault({ kind: 'breakOff', afterEvents: 2 });
--- a/test/routing/attempts.test.ts
+++ b/test/routing/attempts.test.ts
@@ -149,13 +149,36 @@
     expect(planOf(end(core, first.attempt, CUT)).deadlineMs).to.equal(2_000);
   });
 
-  it('moves requests that may be repeated away from an upstream that falls silent', () => {
-    const core = createTestCore();
-    const first = planOf(core.arrive({ path: '/look/1' }));
-    core.advance(3_000);
-    const second = planOf(core.take({ kind: 'timer', timer: 'health' }));
-    expect(second.request).to.equal(first.request);
-    expect(second.upstream).to.not.equal(first.upstream);
+  describe('of an upstream that falls silent', () => {
+    const withdrawnOf = (effects: readonly RoutingEffect[]) => effectsOf(effects, 'withdraw')[0];
+
+    function fallSilent(path: string) {
+      const core = createTestCore();
+      const first = planOf(core.arrive({ path }));
+      core.advance(3_000);
+      const effects = core.take({ kind: 'timer', timer: 'health' });
+      return { core, first, effects };
+    }
+
+    it('are followed by another attempt if the request may be repeated', () => {
+      const { core, first, effects } = fallSilent(PATHS.idempotent);
+      expect(withdrawnOf(effects)?.attempt).to.equal(first.attempt);
+      const second = planOf(end(core, first.attempt, { kind: 'cancelled' }));
+      expect(second.request).to.equal(first.request);
+      expect(second.upstream).to.not.equal(first.upstream);
+    });
+
+    it('go on after the events that arrived before the attempt had ended', () => {
+      const { core, first } = fallSilent(PATHS.resumableStream);
+      core.take({ kind: 'attemptAnswered', attempt: first.attempt, status: 200 });
+      core.take({ kind: 'attemptProgress', attempt: first.attempt });
+      expect(planOf(end(core, first.attempt, { kind: 'cancelled' })).isResumed).to.equal(true);
+    });
+
+    it('are waited for if the request may not be repeated', () => {
+      const { effects } = fallSilent(PATHS.nonIdempotent);
+      expect(withdrawnOf(effects)).to.equal(undefined);
+    });
   });
 });
 
