--- a/src/routing/settings.ts
+++ b/src/routing/settings.ts
@@ -6,6 +6,7 @@
   readonly revokeMs: Millis;
   /** Longest wait of one read of the configuration for news. */
   readonly configurationWaitMs: Millis;
+  /** Interval of reads of the list of upstreams. */
   readonly upstreamPollMs: Millis;
   /** Longest wait of one read of the announced instances for news. */
   readonly instanceWaitMs: Millis;
@@ -25,6 +26,7 @@
   readonly retryRatio: number;
   /** Retries of all instances beyond that share, in each window. */
   readonly retrySlack: number;
+  /** Length of the window in which retries are counted. */
   readonly retryWindowMs: Millis;
   /** Upstreams that a request may crash before it is refused. */
   readonly maxCrashes: number;
@@ -32,8 +34,8 @@
 
 export const DEFAULT_ROUTING_SETTINGS: RoutingSettings = {
   revokeMs: 5_000,
-  configurationWaitMs: 1_000,
-  upstreamPollMs: 800,
+  configurationWaitMs: 1_400,
+  upstreamPollMs: 1_000,
   instanceWaitMs: 10_000,
   exchangeMs: 200,
   exchangeInstances: 10,
--- a/test/configuration/settings.test.ts
+++ b/test/configuration/settings.test.ts
@@ -3,7 +3,10 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { formatSettingsDiagnostic, parseSettings } from '../../src/configuration/settings.js';
-import { coreSettingDefaults } from '../../src/configuration/settingsSchema.js';
+import {
+  coreSettingDefaults,
+  routingSettingDefaults,
+} from '../../src/configuration/settingsSchema.js';
 import {
   formatDuration,
   formatSize,
@@ -62,11 +65,15 @@
   // `node scripts/settingsPage.mjs` writes the page anew.
   it('are all described with their defaults', async () => {
     const page = await readFile(join('docs', 'SETTINGS.md'), 'utf8');
-    const rows = page.split('\n').map((line) => line.split('|').map((cell) => cell.trim()));
-    coreSettingDefaults().forEach((value, key) => {
-      const row = rows.find((cells) => cells[1] === `\`${key}\``);
-      expect(row?.[2], key).to.equal(`\`${value}\``);
-      expect(row?.[3], key).to.not.equal('');
+    const groups = { core: coreSettingDefaults(), 'routing.tuning': routingSettingDefaults() };
+    Object.entries(groups).forEach(([name, defaults]) => {
+      const section = page.split('\n## ').find((text) => text.startsWith(`\`${name}\``)) ?? '';
+      const rows = section.split('\n').map((line) => line.split('|').map((cell) => cell.trim()));
+      defaults.forEach((value, key) => {
+        const row = rows.find((cells) => cells[1] === `\`${key}\``);
+        expect(row?.[2], key).to.equal(`\`${value}\``);
+        expect(row?.[3], key).to.not.equal('');
+      });
     });
   });
 
