--- a/test/daemon/loop.test.ts
+++ b/test/daemon/loop.test.ts
@@ -45,7 +45,7 @@
     return answer(event, now);
   };
   const loop = createLoop({
-    core: { reduce } as Core,
+    core: { reduce },
     system: manual.system,
     runEffect: (effect) => effects.push(effect),
     onError: (err) => errors.push(err),
