Decode only what decisions use

Cause: reading the diff as a newcomer: five fields were decoded and used nowhere. Ruled out: using the load that upstreams tell, as the exchange tells the same earlier; slowness after a start, as it is learnt.

--- a/src/hosts/routing/attempt.ts
+++ b/src/hosts/routing/attempt.ts
@@ -6,7 +6,7 @@
 import { errors, type Dispatcher } from 'undici';
 import type { Millis } from '../../core/clock.js';
 import { FIRST_ERROR_STATUS, NOT_RUN_STATUSES } from '../../routing/attempts/statuses.js';
-import type { AttemptOutcome, AttemptPlan, EventId, UpstreamLoad } from '../../routing/types.js';
+import type { AttemptOutcome, AttemptPlan, EventId } from '../../routing/types.js';
 import type { CallerAnswer, UpstreamHead } from './callerAnswer.js';
 import { createEventCutter } from './eventCutter.js';
 import type { AnswerFacts, RawHeaders, RequestHead, RequestProtocol } from './types.js';
@@ -26,7 +26,7 @@
 
 export interface AttemptListener {
   readonly onSent: () => void;
-  readonly onAnswered: (status: number, load: UpstreamLoad | undefined) => void;
+  readonly onAnswered: (status: number) => void;
   readonly onProgress: () => void;
   /** Whole events up to this one were passed on. */
   readonly onEvent: (id: EventId) => void;
@@ -121,7 +121,7 @@
         return;
       }
       head = { status, statusMessage: statusMessage ?? '', rawHeaders };
-      listener.onAnswered(status, facts.load);
+      listener.onAnswered(status);
       if (status < FIRST_ERROR_STATUS) answer.start(head);
     },
     onResponseData: (_controller, chunk) => {
--- a/src/hosts/routing/frontHost.ts
+++ b/src/hosts/routing/frontHost.ts
@@ -175,10 +175,7 @@
         resumeAfter: plan.isResumed ? request.lastEvent : undefined,
         listener: {
           onSent: () => post({ kind: 'attemptSent', attempt }),
-          onAnswered: (status, load) => {
-            const told = load === undefined ? {} : { load };
-            post({ kind: 'attemptAnswered', attempt, status, ...told });
-          },
+          onAnswered: (status) => post({ kind: 'attemptAnswered', attempt, status }),
           onEvent: (id) => {
             request.lastEvent = id;
           },
--- a/src/hosts/routing/types.ts
+++ b/src/hosts/routing/types.ts
@@ -15,7 +15,6 @@
   RequestFacts,
   RoutingEvent,
   UpstreamChange,
-  UpstreamLoad,
 } from '../../routing/types.js';
 
 /** Hands an event to the loop. Never calls back into the host synchronously. */
@@ -47,7 +46,6 @@
   readonly isNotRun: boolean;
   /** Whether it bears what marks an answer of the upstream as its own. */
   readonly isGenuine: boolean;
-  readonly load?: UpstreamLoad;
 }
 
 /** Translates the headers of requests and answers. */
--- a/src/routing/attempts/attempts.ts
+++ b/src/routing/attempts/attempts.ts
@@ -114,10 +114,7 @@
   if (attempt === undefined) return;
   attempt.isSent = true;
   const upstream = upstreamOf(ctx, attempt);
-  if (upstream !== undefined) {
-    noteHeard(ctx, upstream);
-    if (event.load !== undefined) upstream.load = { ...event.load, at: ctx.now };
-  }
+  if (upstream !== undefined) noteHeard(ctx, upstream);
   const request = ctx.state.requests.open.get(attempt.request);
   // An answer of another kind is held back until the core has decided.
   if (request === undefined) return;
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -63,21 +63,14 @@
   readonly timeoutMs: Millis;
   /** Time to the answer, or to a stream's first event, that callers expect. */
   readonly objectiveMs: Millis;
-  /** Longest pause between two events that callers expect; 0 for no limit. */
-  readonly pauseTargetMs: Millis;
   /** Whether requests need no key. */
   readonly isPublic: boolean;
-  /** Whether requests name parts of their prompts that upstreams may keep. */
-  readonly sharesPrefixes: boolean;
 }
 
 export interface Pool {
   readonly id: PoolId;
   /** Connections that one of its upstreams takes from all instances together. */
   readonly maxConnections: number;
-  readonly healthPath: string;
-  /** Requests that an upstream runs at a time, where the configuration tells it. */
-  readonly slots?: number;
   /** Tokens of prompts and answers that an upstream keeps in memory, for pools of model engines. */
   readonly memoryTokens?: number;
 }
@@ -120,15 +113,6 @@
   readonly bornAt: Millis;
   /** Counts the entries of one start. */
   readonly beat: number;
-  /** How much longer the upstream is slow after its start. */
-  readonly coldForMs: Millis;
-}
-
-/** Load that an upstream tells with its answers. */
-export interface UpstreamLoad {
-  readonly running: number;
-  readonly waiting: number;
-  readonly slots: number;
 }
 
 // Requests
@@ -281,7 +265,6 @@
       readonly kind: 'attemptAnswered';
       readonly attempt: AttemptNumber;
       readonly status: number;
-      readonly load?: UpstreamLoad;
     }
   /** Part of the answer was passed on; at most some a second for each attempt. */
   | { readonly kind: 'attemptProgress'; readonly attempt: AttemptNumber }
--- a/src/routing/upstreams/upstreamsState.ts
+++ b/src/routing/upstreams/upstreamsState.ts
@@ -1,7 +1,7 @@
 /** What is believed of the upstreams: the list, their open work, their speed and their health. */
 import type { Millis } from '../../core/clock.js';
 import { hash32 } from '../../core/hash.js';
-import type { Cursor, ListedUpstream, PoolId, UpstreamId, UpstreamLoad } from '../types.js';
+import type { Cursor, ListedUpstream, PoolId, UpstreamId } from '../types.js';
 import { createSpeed, type Speed } from './speed.js';
 
 /** Whether an upstream answers. */
@@ -32,8 +32,6 @@
   failedConnects: number;
   /** Part of the recent requests that failed, from 0 to 1. */
   failureRate: number;
-  /** Last load that the upstream told, and when. */
-  load: (UpstreamLoad & { readonly at: Millis }) | undefined;
   /** Time at which the entry left the list while the platform had been away. */
   missingSince: Millis | undefined;
   readonly listedAt: Millis;
@@ -81,7 +79,6 @@
     lastHeardAt: now,
     failedConnects: 0,
     failureRate: 0,
-    load: undefined,
     missingSince: undefined,
     listedAt: now,
     cuts: [],
--- a/test/routing/support/core.ts
+++ b/test/routing/support/core.ts
@@ -24,9 +24,7 @@
   maxUpstreams: 2,
   timeoutMs: 10_000,
   objectiveMs: 500,
-  pauseTargetMs: 200,
   isPublic: false,
-  sharesPrefixes: true,
 };
 
 export const CHAT_ROUTE: Route = {
@@ -58,8 +56,8 @@
     version: 1,
     routes: [MODEL_ROUTE, CHAT_ROUTE, BOOK_ROUTE, LOOK_ROUTE],
     pools: new Map([
-      ['models', { id: 'models', maxConnections: 200, healthPath: '/' }],
-      ['desk', { id: 'desk', maxConnections: 200, healthPath: '/' }],
+      ['models', { id: 'models', maxConnections: 200 }],
+      ['desk', { id: 'desk', maxConnections: 200 }],
     ]),
     hasCustomers: true,
     customersByKey: new Map([
@@ -90,7 +88,6 @@
     phase: 'ready',
     bornAt: 1,
     beat: 1,
-    coldForMs: 0,
     ...changes,
   };
 }
