Tell a reset that arrives together with bytes from a usual end

A reset that is read together with the bytes before it is reported as a usual end of the connection. Conclusion: the end of an answer without a length counts only while the connection has another side.

--- a/src/hosts/routing/attempt.ts
+++ b/src/hosts/routing/attempt.ts
@@ -9,6 +9,8 @@
 import type { AttemptOutcome, AttemptPlan, EventId } from '../../routing/types.js';
 import type { CallerAnswer, UpstreamHead } from './callerAnswer.js';
 import { createEventCutter } from './eventCutter.js';
+import { headerValue } from './headers.js';
+import type { ConnectionEnd } from './upstreamPools.js';
 import type { AnswerFacts, RawHeaders, RequestHead, RequestProtocol } from './types.js';
 
 const NOTHING = new Uint8Array(0);
@@ -44,8 +46,8 @@
   readonly protocol: RequestProtocol;
   readonly listener: AttemptListener;
   readonly now: () => Millis;
-  /** Whether the connection is being ended by an error at this moment. */
-  readonly isBreaking: () => boolean;
+  /** How a connection is ending at this moment. */
+  readonly connectionEnd: () => ConnectionEnd;
   /** Last event that the caller has of an answer that goes on. */
   readonly resumeAfter?: EventId | undefined;
 }
@@ -131,8 +133,8 @@
     },
     onResponseEnd: () => {
       if (hasEnded || head === undefined || facts === undefined) return;
-      if (options.isBreaking()) {
-        end({ kind: 'cut', reason: 'The connection was reset.' });
+      if (!isWhole(head, options.connectionEnd())) {
+        end({ kind: 'cut', reason: 'The connection ended before the answer.' });
         return;
       }
       if (head.status < FIRST_ERROR_STATUS) {
@@ -203,6 +205,15 @@
   return facts.requestId === requestId && facts.isGenuine;
 }
 
+/** Whether the end of an answer is the one that its framing announces. */
+function isWhole({ rawHeaders }: UpstreamHead, connectionEnd: ConnectionEnd): boolean {
+  if (connectionEnd === 'none') return true;
+  const isFramed =
+    headerValue(rawHeaders, 'content-length') !== undefined ||
+    headerValue(rawHeaders, 'transfer-encoding') !== undefined;
+  return connectionEnd === 'closed' && !isFramed;
+}
+
 function errorOutcome(status: number, facts: AnswerFacts): AttemptOutcome {
   if (facts.isNotRun) return { kind: 'declined', status };
   const isRequestAtFault = status < 500 && !NOT_RUN_STATUSES.has(status);
--- a/src/hosts/routing/frontHost.ts
+++ b/src/hosts/routing/frontHost.ts
@@ -171,7 +171,7 @@
         answer,
         protocol,
         now: options.now,
-        isBreaking: pools.isBreaking,
+        connectionEnd: pools.connectionEnd,
         resumeAfter: plan.isResumed ? request.lastEvent : undefined,
         listener: {
           onSent: () => post({ kind: 'attemptSent', attempt }),
--- a/src/hosts/routing/upstreamPools.ts
+++ b/src/hosts/routing/upstreamPools.ts
@@ -11,16 +11,24 @@
   readonly idleTimeoutMs?: Millis;
 }
 
+export type ConnectionEnd =
+  /** No connection is ending. */
+  | 'none'
+  /** The upstream has closed it in the usual way. */
+  | 'closed'
+  /** It was reset, or given up. */
+  | 'broken';
+
 export interface UpstreamPools {
   /** The pool of one start of an upstream. */
   readonly poolOf: (target: PoolTarget) => Pool;
   /** Drops a pool once its requests have ended. */
   readonly forget: (upstream: UpstreamId, bornAt: Millis) => void;
   /**
-   * Whether a connection is being ended by an error at this moment. An answer that has no length and
-   * is ended by that is not whole, although the library takes it for whole.
+   * How a connection is ending at this moment. The library takes any end of a connection that is not
+   * kept for the end of the answer, so that the framing has to be compared with it.
    */
-  readonly isBreaking: () => boolean;
+  readonly connectionEnd: () => ConnectionEnd;
   /** Whether an upstream takes a connection. */
   readonly probe: (address: string) => Promise<boolean>;
   readonly close: () => Promise<void>;
@@ -46,9 +54,9 @@
   const keyOf = (upstream: UpstreamId, bornAt: Millis) => `${upstream}@${bornAt}`;
 
   const connector = buildConnector({ timeout: cfg.connectTimeoutMs });
-  let isBreaking = false;
+  let connectionEnd: ConnectionEnd = 'none';
 
-  /** Connects, and sees errors of the connection before the library does. */
+  /** Connects, and sees the end of the connection before the library does. */
   const connect: buildConnector.connector = (target, callback) => {
     connector(target, (...result) => {
       const [, socket] = result;
@@ -59,12 +67,24 @@
 
   function prepare(socket: Socket): void {
     socket.setNoDelay(true);
-    socket.prependListener('error', () => {
-      isBreaking = true;
+    const during = (endOf: () => ConnectionEnd) => () => {
+      connectionEnd = endOf();
       queueMicrotask(() => {
-        isBreaking = false;
+        connectionEnd = 'none';
       });
-    });
+    };
+    socket.prependListener(
+      'end',
+      during(() => (hasPeer(socket) ? 'closed' : 'broken')),
+    );
+    socket.prependListener(
+      'error',
+      during(() => 'broken'),
+    );
+    socket.prependListener(
+      'close',
+      during(() => 'broken'),
+    );
     resetWhenAborted(socket);
   }
 
@@ -93,7 +113,7 @@
       // Requests that still run end as they would; a failure to close shows in their outcomes.
       pool?.close().catch(() => undefined);
     },
-    isBreaking: () => isBreaking,
+    connectionEnd: () => connectionEnd,
     probe: async (address) => probeConnection(address, cfg.connectTimeoutMs),
     close: async () => {
       const all = [...pools.values()];
@@ -103,6 +123,14 @@
   };
 }
 
+/**
+ * Whether a connection that has ended still has another side. A reset that arrives together with the
+ * bytes before it is told as a usual end, but a connection that was reset has no peer any more.
+ */
+function hasPeer(socket: Socket): boolean {
+  return socket.remoteAddress !== undefined;
+}
+
 /**
  * Resets a connection whose request is given up. Closed in the usual way, bytes that are held up on
  * the way would still arrive later, and the request would run after its caller has left.
--- a/src/standins/platform/batchEngine.ts
+++ b/src/standins/platform/batchEngine.ts
@@ -25,7 +25,9 @@
   /** A second answer follows the first on the same connection. */
   | { readonly kind: 'extra' }
   /** No length; the end of the connection ends the answer. */
-  | { readonly kind: 'unframed'; readonly isReset: boolean };
+  | { readonly kind: 'unframed'; readonly isReset: boolean }
+  /** In chunks on a connection that is closed in the usual way before the last one. */
+  | { readonly kind: 'unfinished' };
 
 export interface EngineRun {
   readonly requestId: string;
@@ -128,10 +130,21 @@
         return;
       case 'unframed':
         req.socket.write(`HTTP/1.1 200 OK\r\n${headerLines(headers)}\r\nwhole body`);
-        await sleep(cfg.eventGapMs);
+        // At once: the reset arrives together with the bytes before it.
         if (struck.isReset) req.socket.resetAndDestroy();
         else req.socket.end();
         return;
+      case 'unfinished': {
+        const lines = headerLines({
+          ...headers,
+          Connection: 'close',
+          'Transfer-Encoding': 'chunked',
+        });
+        req.socket.write(`HTTP/1.1 200 OK\r\n${lines}\r\n4\r\npart\r\n`);
+        await sleep(cfg.eventGapMs);
+        req.socket.end();
+        return;
+      }
       default:
         break;
     }
--- a/test/platform/path.test.ts
+++ b/test/platform/path.test.ts
@@ -274,11 +274,29 @@
     engine.setFault({ kind: 'unframed', isReset: false });
     expect((await call(started, '/book/1')).text).to.equal('whole body');
     engine.setFault({ kind: 'unframed', isReset: true });
-    const broken = await call(started, '/book/1').then(
-      ({ status }) => status,
-      () => 'cut',
+    for (let i = 0; i < 20; i += 1) {
+      // eslint-disable-next-line no-await-in-loop -- one connection after the other
+      const broken = await call(started, '/book/1').then(
+        ({ status }) => status,
+        () => 'cut',
+      );
+      expect(broken).to.be.oneOf(['cut', 502]);
+    }
+  });
+
+  it('never takes an answer in chunks for whole without the last one', async () => {
+    const engine = await fleet.addEngine('desk');
+    engine.setFault({ kind: 'unfinished' });
+    const started = await readyInstance();
+    const ends = await Promise.all(
+      ['/book/1', '/book/2'].map(async (path) =>
+        call(started, path).then(
+          ({ status }) => status,
+          () => 'cut',
+        ),
+      ),
     );
-    expect(broken).to.be.oneOf(['cut', 502]);
+    expect(ends).to.deep.equal(['cut', 'cut']);
   });
 
   it('ends the work of a caller that leaves', async () => {
