--- a/src/hosts/callerRequest.ts
+++ b/src/hosts/callerRequest.ts
@@ -4,6 +4,7 @@
 import type { Millis } from '../core/clock.js';
 import type { CallerRequestEvent, KeyHash, NotRunProblem, RequestId } from '../core/types.js';
 import { headerOf } from './httpServer.js';
+import { CONNECTION_HEADERS } from './routing/headers.js';
 import type { OutgoingRequest } from './types.js';
 
 /** Characters of a prompt that one prefix block covers. */
@@ -17,19 +18,11 @@
 
 /** Request headers that end at this hop or that are replaced for the upstream. */
 const DROPPED_HEADERS: ReadonlySet<string> = new Set([
+  ...CONNECTION_HEADERS,
   'authorization',
-  'connection',
   'content-length',
   'expect',
   'host',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
   'x-cost-hint',
   'x-deadline-ms',
   'x-idempotent',
--- a/src/hosts/routing/headers.ts
+++ b/src/hosts/routing/headers.ts
@@ -1,7 +1,8 @@
-/** Headers that end at one connection and are not passed on (RFC 9110, section 7.6.1). */
+/** Headers of requests and answers, of which some end at one connection (RFC 9110, section 7.6.1). */
 import type { RawHeaders } from './types.js';
 
-const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
+/** Lower-case names of headers that belong to one connection. */
+export const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
   'connection',
   'keep-alive',
   'proxy-authenticate',
--- a/src/routing/attempts/attempts.ts
+++ b/src/routing/attempts/attempts.ts
@@ -8,7 +8,7 @@
 import { emit, logInfo, logWarning, type RoutingContext } from '../context.js';
 import type { RoutingEventCode } from '../eventTable.js';
 import { countInstances } from '../exchange/exchange.js';
-import { connectionLimit, notePrefix, place, poolSpeed } from '../placement/placement.js';
+import { connectionLimit, notePrefix, place } from '../placement/placement.js';
 import type { Placement } from '../placement/placement.js';
 import {
   createRetryBudget,
@@ -17,11 +17,10 @@
 } from '../retries/retryBudget.js';
 import { noteAdmitted, tokensOf } from '../shares/tokenShares.js';
 import type { AttemptOutcome, OwnStatus, PoolId, RoutingEvent } from '../types.js';
-import { noteCut } from '../upstreams/crashes.js';
-import { noteFailedConnect, noteHeard, noteLost, noteResult } from '../upstreams/health.js';
-import type { Upstream } from '../upstreams/upstreamsState.js';
+import { noteHeard } from '../upstreams/health.js';
+import { noteFirstPart, noteOutcome, release, upstreamOf } from './accounting.js';
 import type { Attempt, OpenRequest } from './attemptsState.js';
-import { FIRST_ERROR_STATUS, MISDIRECTED_STATUS, NOT_RUN_STATUSES } from './statuses.js';
+import { FIRST_ERROR_STATUS, NOT_RUN_STATUSES } from './statuses.js';
 
 /** Return time of callers whose request was declined by all upstreams that it may be sent to. */
 const DECLINED_RETRY_MS: Millis = 200;
@@ -362,78 +361,3 @@
     afterMs: Math.round(ctx.now - request.arrivedAt),
   });
 }
-
-/** Takes an attempt's work off its upstream. */
-function release(ctx: RoutingContext, attempt: Attempt): Upstream | undefined {
-  ctx.state.requests.attempts.delete(attempt.number);
-  const upstream = upstreamOf(ctx, attempt);
-  if (upstream === undefined) return undefined;
-  upstream.own.running -= 1;
-  upstream.own.heldTokens -= attempt.heldTokens;
-  if (attempt.firstPartAt === undefined) upstream.own.pendingTokens -= attempt.uncachedTokens;
-  return upstream;
-}
-
-function noteFirstPart(
-  ctx: RoutingContext,
-  attempt: Attempt,
-  upstream: Upstream | undefined,
-): void {
-  attempt.firstPartAt = ctx.now;
-  const request = ctx.state.requests.open.get(attempt.request);
-  if (request !== undefined) request.firstPartAt ??= ctx.now;
-  if (upstream === undefined) return;
-  upstream.own.pendingTokens -= attempt.uncachedTokens;
-  const firstMs = ctx.now - attempt.startedAt;
-  const { pool } = upstream.listed;
-  poolSpeed(ctx, pool).observe(attempt.tokensAhead + attempt.uncachedTokens, firstMs);
-  upstream.speed.observe(attempt.tokensAhead + attempt.uncachedTokens, firstMs);
-  upstream.speed.observeSlowness(
-    (firstMs / Math.max(1, attempt.expectedMs)) * upstream.speed.slowness(),
-  );
-  const errorMs = Math.abs(firstMs - attempt.expectedMs);
-  emit(ctx, { kind: 'observe', metric: 'predictionError', valueMs: errorMs });
-}
-
-function noteOutcome(
-  ctx: RoutingContext,
-  attempt: Attempt,
-  upstream: Upstream,
-  outcome: AttemptOutcome,
-  request: OpenRequest | undefined,
-): void {
-  switch (outcome.kind) {
-    case 'complete':
-      noteHeard(ctx, upstream);
-      noteResult(ctx, upstream, false);
-      poolSpeed(ctx, upstream.listed.pool).observeHold(ctx.now - attempt.startedAt);
-      return;
-    case 'notSent':
-      noteFailedConnect(ctx, upstream, outcome.reason);
-      return;
-    case 'declined':
-      // The address belongs to another upstream by now.
-      if (outcome.status === MISDIRECTED_STATUS) noteLost(ctx, upstream, 'address reused');
-      noteResult(ctx, upstream, true);
-      return;
-    case 'cut':
-      noteResult(ctx, upstream, true);
-      if (request !== undefined) noteCut(ctx, upstream, request.facts.fingerprint);
-      return;
-    case 'failed':
-    case 'foreign':
-      noteResult(ctx, upstream, true);
-      return;
-    case 'rejected':
-    case 'cancelled':
-      return;
-    default:
-      Debug.assertNever(outcome);
-  }
-}
-
-/** The upstream of an attempt, if it is still the same start of it. */
-function upstreamOf(ctx: RoutingContext, attempt: Attempt): Upstream | undefined {
-  const upstream = ctx.state.upstreams.byId.get(attempt.upstream);
-  return upstream?.listed.bornAt === attempt.bornAt ? upstream : undefined;
-}
