Compare clocks with what they said at first, not from check to check

The time since boot is told in whole seconds there; from one check to the next it gains up to 0.8 s, and what it loses after that did not count. Conclusion: a gap counts once a clock is ahead by more than its resolution since the last gap.

--- a/src/hosts/routing/frontHost.ts
+++ b/src/hosts/routing/frontHost.ts
@@ -46,7 +46,6 @@
   readonly cutAnswer: (request: RequestNumber) => void;
   /** Ends idle connections, and each other one with its next answer. */
   readonly closeCallers: () => void;
-  readonly close: () => Promise<void>;
   readonly kill: () => Promise<void>;
 }
 
@@ -250,10 +249,6 @@
       isClosing = true;
       server.closeIdle();
     },
-    close: async () => {
-      running.forEach((run) => run.cancel());
-      await server.kill();
-    },
     kill: server.kill,
   };
 }
--- a/src/hosts/routing/gapClock.ts
+++ b/src/hosts/routing/gapClock.ts
@@ -15,8 +15,10 @@
   readonly sinceBoot: () => Millis;
 }
 
-/** Smaller differences are due to the resolution of the clocks and to their adjustment. */
-const SMALLEST_GAP_MS: Millis = 300;
+/** Smaller differences from the time of day are due to its adjustment. */
+const SMALLEST_DAY_GAP_MS: Millis = 300;
+/** The time since boot may be told in whole seconds. */
+const SMALLEST_BOOT_GAP_MS: Millis = 1_100;
 /** The time since boot is read from a file, and not more often than this. */
 const BOOT_CHECK_INTERVAL_MS: Millis = 200;
 
@@ -27,35 +29,38 @@
 };
 
 export function createGapClock(sources: GapClockSources = PROCESS_SOURCES): GapClock {
-  let steady = sources.steady();
-  let timeOfDay = sources.timeOfDay();
-  let bootCheckedAt = steady;
-  let sinceBoot = sources.sinceBoot();
-
-  function takeDayGap(now: Millis): Millis {
-    const next = sources.timeOfDay();
-    const gap = next - timeOfDay - (now - steady);
-    steady = now;
-    timeOfDay = next;
-    return gap;
-  }
+  const { steady, timeOfDay, sinceBoot } = sources;
+  const day = createComparison(timeOfDay() - steady(), SMALLEST_DAY_GAP_MS);
+  const boot = createComparison(sinceBoot() - steady(), SMALLEST_BOOT_GAP_MS);
+  let bootCheckedAt = steady();
 
   function takeBootGap(now: Millis): Millis {
     if (now - bootCheckedAt < BOOT_CHECK_INTERVAL_MS) return 0;
-    const next = sources.sinceBoot();
-    const gap = next - sinceBoot - (now - bootCheckedAt);
-    sinceBoot = next;
     bootCheckedAt = now;
-    return gap;
+    return boot.takeGap(sinceBoot() - now);
   }
 
   return {
-    now: sources.steady,
+    now: steady,
     takeGap: () => {
-      const now = sources.steady();
+      const now = steady();
+      const dayGap = day.takeGap(timeOfDay() - now);
       // A suspension shows in both, maybe at different calls; counting it twice errs on the safe side.
-      const gap = Math.max(takeDayGap(now), takeBootGap(now));
-      return gap < SMALLEST_GAP_MS ? 0 : gap;
+      return Math.max(dayGap, takeBootGap(now));
+    },
+  };
+}
+
+/** Follows by how much a clock is ahead of the steady one. */
+function createComparison(lead: Millis, smallestGap: Millis) {
+  let known = lead;
+  return {
+    /** Time by which the clock has gained since the last gap; 0 below the smallest one. */
+    takeGap: (next: Millis): Millis => {
+      const gap = next - known;
+      if (Math.abs(gap) < smallestGap) return 0;
+      known = next;
+      return Math.max(0, gap);
     },
   };
 }
--- a/test/routing/logs.test.ts
+++ b/test/routing/logs.test.ts
@@ -168,6 +168,23 @@
     expect(createClocks()(10, -2_000, 10)).to.equal(0);
   });
 
+  it('tells nothing where the time since boot is told in whole seconds', () => {
+    const at = { steady: 400, boot: 0 };
+    const clock = createGapClock({
+      steady: () => at.steady,
+      timeOfDay: () => 1_000_000 + at.steady,
+      sinceBoot: () => Math.floor((7_300 + at.steady + at.boot) / 1_000) * 1_000,
+    });
+    for (let i = 0; i < 200; i += 1) {
+      at.steady += 70;
+      expect(clock.takeGap()).to.equal(0);
+    }
+    // And yet it tells a suspension.
+    at.boot += 5_000;
+    at.steady += 300;
+    expect(clock.takeGap()).to.be.within(4_000, 6_000);
+  });
+
   it('tells nothing as time goes on as usual', () => {
     const pass = createClocks();
     for (let i = 0; i < 100; i += 1) expect(pass(50, 50 + (i % 3), 50)).to.equal(0);
