--- a/src/hosts/routing/attempt.ts
+++ b/src/hosts/routing/attempt.ts
@@ -27,7 +27,6 @@
 }
 
 export interface AttemptListener {
-  readonly onSent: () => void;
   readonly onAnswered: (status: number) => void;
   readonly onProgress: () => void;
   /** Whole events up to this one were passed on. */
@@ -112,7 +111,6 @@
         return;
       }
       hasSent = true;
-      listener.onSent();
     },
     onResponseStart: (_controller, status, _headers, statusMessage) => {
       if (hasEnded || status < FIRST_FINAL_STATUS) return;
--- a/src/hosts/routing/frontHost.ts
+++ b/src/hosts/routing/frontHost.ts
@@ -173,7 +173,6 @@
         connectionEnd: pools.connectionEnd,
         resumeAfter: plan.isResumed ? request.lastEvent : undefined,
         listener: {
-          onSent: () => post({ kind: 'attemptSent', attempt }),
           onAnswered: (status) => post({ kind: 'attemptAnswered', attempt, status }),
           onEvent: (id) => {
             request.lastEvent = id;
--- a/src/routing/attempts/attempts.ts
+++ b/src/routing/attempts/attempts.ts
@@ -16,7 +16,14 @@
   type RetryBudgetOptions,
 } from '../retries/retryBudget.js';
 import { noteAdmitted, tokensOf } from '../shares/tokenShares.js';
-import type { AttemptOutcome, OwnStatus, PoolId, RoutingEvent } from '../types.js';
+import type {
+  AttemptOutcome,
+  AttemptPlan,
+  LogFields,
+  OwnStatus,
+  PoolId,
+  RoutingEvent,
+} from '../types.js';
 import { noteHeard } from '../upstreams/health.js';
 import { noteFirstPart, noteOutcome, release, upstreamOf } from './accounting.js';
 import type { Attempt, OpenRequest } from './attemptsState.js';
@@ -33,21 +40,37 @@
 
 /** Sends a request to the upstream that was chosen. */
 export function sendTo(ctx: RoutingContext, request: OpenRequest, placement: Placement): void {
+  const { facts, customer } = request;
+  const { id } = placement.upstream.listed;
+  const attempt = openAttempt(ctx, request, placement);
+  notePrefix(ctx, facts, id);
+  const isFirst = request.tried.length === 0 && request.unreachable.length === 0;
+  if (isFirst && customer !== undefined) {
+    noteAdmitted(ctx, customer, tokensOf(facts.promptTokens, facts.outputTokens));
+  }
+  request.tried.push(id);
+  emit(ctx, { kind: 'send', plan: planOf(ctx, request, attempt, placement) });
+  const again = request.isAnswering ? 'resumed' : 'retried';
+  const code = isFirst ? 'sent' : again;
+  emit(ctx, { kind: 'count', decision: code });
+  logInfo(ctx, code, describePlacement(ctx, request, placement));
+}
+
+/** Creates the attempt and adds its work to the upstream. */
+function openAttempt(ctx: RoutingContext, request: OpenRequest, placement: Placement): Attempt {
   const { requests } = ctx.state;
-  const { facts, route, pool, customer } = request;
+  const { facts } = request;
   const { upstream, uncachedTokens } = placement;
-  const { id, address, bornAt } = upstream.listed;
   const attempt: Attempt = {
     number: requests.nextAttempt,
     request: facts.request,
-    upstream: id,
-    bornAt,
+    upstream: upstream.listed.id,
+    bornAt: upstream.listed.bornAt,
     startedAt: ctx.now,
     uncachedTokens,
     tokensAhead: placement.tokensAhead,
     heldTokens: facts.promptTokens + facts.outputTokens,
     expectedMs: placement.firstMs,
-    isSent: false,
     firstPartAt: undefined,
     lastPartAt: undefined,
   };
@@ -57,42 +80,48 @@
   upstream.own.running += 1;
   upstream.own.pendingTokens += uncachedTokens;
   upstream.own.heldTokens += attempt.heldTokens;
-  notePrefix(ctx, facts, id);
-  const isFirst = request.tried.length === 0 && request.unreachable.length === 0;
-  if (isFirst && customer !== undefined) {
-    noteAdmitted(ctx, customer, tokensOf(facts.promptTokens, facts.outputTokens));
-  }
-  request.tried.push(id);
-  emit(ctx, {
-    kind: 'send',
-    plan: {
-      attempt: attempt.number,
-      request: facts.request,
-      upstream: id,
-      address,
-      bornAt,
-      ...(customer === undefined ? {} : { customer }),
-      deadlineMs: Math.max(MIN_DEADLINE_MS, deadlineOf(request) - ctx.now),
-      mode: route.mode,
-      isResumed: request.isAnswering,
-      maxConnections: connectionLimit(ctx, pool),
-    },
-  });
-  const again = request.isAnswering ? 'resumed' : 'retried';
-  const code = isFirst ? 'sent' : again;
-  emit(ctx, { kind: 'count', decision: code });
-  logInfo(ctx, code, {
+  return attempt;
+}
+
+function planOf(
+  ctx: RoutingContext,
+  request: OpenRequest,
+  attempt: Attempt,
+  { upstream }: Placement,
+): AttemptPlan {
+  const { route, pool, customer } = request;
+  return {
+    attempt: attempt.number,
+    request: attempt.request,
+    upstream: attempt.upstream,
+    address: upstream.listed.address,
+    bornAt: attempt.bornAt,
+    ...(customer === undefined ? {} : { customer }),
+    deadlineMs: Math.max(MIN_DEADLINE_MS, deadlineOf(request) - ctx.now),
+    mode: route.mode,
+    isResumed: request.isAnswering,
+    maxConnections: connectionLimit(ctx, pool),
+  };
+}
+
+/** The inputs by which an upstream was chosen. */
+function describePlacement(
+  ctx: RoutingContext,
+  { facts, route, customer }: OpenRequest,
+  placement: Placement,
+): LogFields {
+  return {
     request: facts.requestId,
     route: route.name,
     customer,
-    upstream: id,
+    upstream: placement.upstream.listed.id,
     version: ctx.state.freshness.configuration?.version,
     expectedMs: Math.round(placement.firstMs),
     ahead: Math.round(placement.tokensAhead),
-    uncached: uncachedTokens,
+    uncached: placement.uncachedTokens,
     running: placement.running,
     isHome: placement.isHome,
-  });
+  };
 }
 
 /** Budget of retries of a pool. */
@@ -103,15 +132,9 @@
   return budget;
 }
 
-export function onAttemptSent(ctx: RoutingContext, number: number): void {
-  const attempt = ctx.state.requests.attempts.get(number);
-  if (attempt !== undefined) attempt.isSent = true;
-}
-
 export function onAttemptAnswered(ctx: RoutingContext, event: Answered): void {
   const attempt = ctx.state.requests.attempts.get(event.attempt);
   if (attempt === undefined) return;
-  attempt.isSent = true;
   const upstream = upstreamOf(ctx, attempt);
   if (upstream !== undefined) noteHeard(ctx, upstream);
   const request = ctx.state.requests.open.get(attempt.request);
--- a/src/routing/attempts/attemptsState.ts
+++ b/src/routing/attempts/attemptsState.ts
@@ -44,7 +44,6 @@
   readonly tokensAhead: number;
   readonly heldTokens: number;
   readonly expectedMs: Millis;
-  isSent: boolean;
   firstPartAt: Millis | undefined;
   lastPartAt: Millis | undefined;
 }
--- a/src/routing/routing.ts
+++ b/src/routing/routing.ts
@@ -10,7 +10,6 @@
   onAttemptAnswered,
   onAttemptEnded,
   onAttemptProgress,
-  onAttemptSent,
   onCallerGone,
 } from './attempts/attempts.js';
 import { onWatchTimer } from './attempts/watch.js';
@@ -108,9 +107,6 @@
     case 'callerGone':
       onCallerGone(ctx, event.request);
       return;
-    case 'attemptSent':
-      onAttemptSent(ctx, event.attempt);
-      return;
     case 'attemptAnswered':
       onAttemptAnswered(ctx, event);
       return;
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -256,8 +256,6 @@
   | { readonly kind: 'announced'; readonly reason?: string }
   | { readonly kind: 'requestArrived'; readonly facts: RequestFacts }
   | { readonly kind: 'callerGone'; readonly request: RequestNumber }
-  /** Bytes of the request may have left from now on. */
-  | { readonly kind: 'attemptSent'; readonly attempt: AttemptNumber }
   /** The head of an answer arrived. */
   | {
       readonly kind: 'attemptAnswered';
--- a/src/routing/upstreams/health.ts
+++ b/src/routing/upstreams/health.ts
@@ -64,7 +64,7 @@
 }
 
 /** Average part of the requests of a pool that fail. */
-export function poolFailureRate(ctx: RoutingContext, pool: string): number {
+function poolFailureRate(ctx: RoutingContext, pool: string): number {
   const rates = [...ctx.state.upstreams.byId.values()]
     .filter(({ listed }) => listed.pool === pool)
     .map(({ failureRate }) => failureRate);
