Read all that has come before a request is taken

A busy process finds the request and the caller's departure waiting at the same time, and reads the request first. Ruled out: bytes held up behind a cut (reset since), late cancels (the attempt is cancelled as soon as the departure is read). One turn of the loop was not enough: the test still failed. Conclusion: a request is taken once the loop has polled again, if its caller is still there.

--- a/src/hosts/routing/frontHost.ts
+++ b/src/hosts/routing/frontHost.ts
@@ -132,9 +132,18 @@
       if (open.delete(request) && !res.writableFinished) post({ kind: 'callerGone', request });
     });
     const fingerprint = fingerprintOf(head, facts.key, body);
-    post({
-      kind: 'requestArrived',
-      facts: { ...facts, request, path: head.path, fingerprint },
+    // While the process was busy, the caller may have left; its departure is read after its request.
+    afterNextPoll(() => {
+      if (!open.has(request)) return;
+      if (res.socket?.readableEnded === true) {
+        open.delete(request);
+        res.destroy();
+        return;
+      }
+      post({
+        kind: 'requestArrived',
+        facts: { ...facts, request, path: head.path, fingerprint },
+      });
     });
   }
 
@@ -252,6 +261,12 @@
   };
 }
 
+/** Runs an action once all that has arrived by now has been read. */
+function afterNextPoll(action: () => void): void {
+  // The first one runs before the loop polls again, the second one after it.
+  setImmediate(() => setImmediate(action));
+}
+
 function headBytes({ method, path, rawHeaders }: RequestHead): number {
   const separators = 4;
   return rawHeaders.reduce(
--- a/test/platform/path.test.ts
+++ b/test/platform/path.test.ts
@@ -310,6 +310,29 @@
     await until(() => engine.runs[0]?.isAbandoned === true, 'the upstream sees it');
   });
 
+  it('does not send on the request of a caller that left while the process was busy', async () => {
+    const engine = await fleet.addEngine('desk', { firstEventMs: 200 });
+    const { addresses } = await readyInstance();
+    const [host, port] = addresses.callers.split(':');
+    for (let i = 0; i < 10; i += 1) {
+      const socket = connect(Number(port), host);
+      // eslint-disable-next-line no-await-in-loop -- one caller after the other
+      await new Promise((resolve) => {
+        socket.once('connect', resolve);
+      });
+      socket.write(
+        `POST /book/1 HTTP/1.1\r\nHost: ${HOST}\r\nRequest-Id: gone${i}\r\n` +
+          `Authorization: Token ${KEY}\r\nContent-Length: 0\r\n\r\n`,
+      );
+      socket.destroy();
+      const busyUntil = performance.now() + 20;
+      while (performance.now() < busyUntil);
+      // eslint-disable-next-line no-await-in-loop -- the loop takes up what has come
+      await sleep(20);
+    }
+    expect(engine.runs.map(({ requestId }) => requestId)).to.deep.equal([]);
+  });
+
   it('gives the final answer at the time limit of the route', async () => {
     fleet.configure(2, {
       Routes: [
