Tell no clock gap while the process waits for the processor; keep the level of log lines

Cause: two clocks were read one after the other; where the charge for earlier work fell due between them, the wait was taken for time that the steady clock had not counted. Besides, the field 'level' of a refusal's share stood in place of the line's level, and 'event' of a failed event in place of the line's. Before: the two new tests of the clock and one of the log fail (a wait of 370 ms told as a gap; level null). Conclusion: a difference of clocks counts only if both were read within 20 ms.

--- a/src/daemon/routingInstance.ts
+++ b/src/daemon/routingInstance.ts
@@ -126,7 +126,7 @@
 
   function logFailure(err: unknown, event: RoutingEvent): void {
     const reason = err instanceof Error ? (err.stack ?? err.message) : String(err);
-    hosts.log.write('error', 'eventFailed', { event: event.kind, reason });
+    hosts.log.write('error', 'eventFailed', { failed: event.kind, reason });
     if (event.kind !== 'requestArrived') return;
     const { request } = event.facts;
     hosts.front.answer({ request, status: 502, reason: 'internalError' });
--- a/src/hosts/routing/gapClock.ts
+++ b/src/hosts/routing/gapClock.ts
@@ -21,6 +21,9 @@
 const SMALLEST_BOOT_GAP_MS: Millis = 1_100;
 /** The time since boot is read from a file, and not more often than this. */
 const BOOT_CHECK_INTERVAL_MS: Millis = 200;
+/** Two clocks whose readings lie further apart are read again. */
+const LONGEST_READING_MS: Millis = 20;
+const MAX_READINGS = 3;
 
 const PROCESS_SOURCES: GapClockSources = {
   steady: () => performance.timeOrigin + performance.now(),
@@ -30,37 +33,50 @@
 
 export function createGapClock(sources: GapClockSources = PROCESS_SOURCES): GapClock {
   const { steady, timeOfDay, sinceBoot } = sources;
-  const day = createComparison(timeOfDay() - steady(), SMALLEST_DAY_GAP_MS);
-  const boot = createComparison(sinceBoot() - steady(), SMALLEST_BOOT_GAP_MS);
+  const day = createComparison(steady, timeOfDay, SMALLEST_DAY_GAP_MS);
+  const boot = createComparison(steady, sinceBoot, SMALLEST_BOOT_GAP_MS);
   let bootCheckedAt = steady();
 
-  function takeBootGap(now: Millis): Millis {
+  function takeBootGap(): Millis {
+    const now = steady();
     if (now - bootCheckedAt < BOOT_CHECK_INTERVAL_MS) return 0;
     bootCheckedAt = now;
-    return boot.takeGap(sinceBoot() - now);
+    return boot.takeGap();
   }
 
   return {
     now: steady,
-    takeGap: () => {
-      const now = steady();
-      const dayGap = day.takeGap(timeOfDay() - now);
-      // A suspension shows in both, maybe at different calls; counting it twice errs on the safe side.
-      return Math.max(dayGap, takeBootGap(now));
-    },
+    // A suspension shows in both, maybe at different calls; counting it twice errs on the safe side.
+    takeGap: () => Math.max(day.takeGap(), takeBootGap()),
   };
 }
 
 /** Follows by how much a clock is ahead of the steady one. */
-function createComparison(lead: Millis, smallestGap: Millis) {
-  let known = lead;
+function createComparison(steady: () => Millis, clock: () => Millis, smallestGap: Millis) {
+  let known = readLead(steady, clock) ?? clock() - steady();
   return {
     /** Time by which the clock has gained since the last gap; 0 below the smallest one. */
-    takeGap: (next: Millis): Millis => {
-      const gap = next - known;
+    takeGap: (): Millis => {
+      const lead = readLead(steady, clock);
+      // The next reading tells.
+      if (lead === undefined) return 0;
+      const gap = lead - known;
       if (Math.abs(gap) < smallestGap) return 0;
-      known = next;
+      known = lead;
       return Math.max(0, gap);
     },
   };
 }
+
+/**
+ * Reads two clocks so close to each other that their difference means something. A process that
+ * waits for the processor between the readings would take that wait for time that was not counted.
+ */
+function readLead(steady: () => Millis, clock: () => Millis): Millis | undefined {
+  for (let i = 0; i < MAX_READINGS; i += 1) {
+    const before = steady();
+    const read = clock();
+    if (steady() - before <= LONGEST_READING_MS) return read - before;
+  }
+  return undefined;
+}
--- a/src/routing/attempts/arrival.ts
+++ b/src/routing/attempts/arrival.ts
@@ -193,7 +193,7 @@
     running: placement.running,
     asked: standing && Math.round(standing.asked),
     admitted: standing && Math.round(standing.admitted),
-    level: standing && Math.round(standing.level),
+    shareLevel: standing && Math.round(standing.level),
   };
 }
 
--- a/test/routing/logs.test.ts
+++ b/test/routing/logs.test.ts
@@ -50,6 +50,34 @@
     ],
   ];
   endings.forEach(([what, code, end]) => {
+    it(`keeps the level, event and instance of the line for ${what}`, async () => {
+      const core = createTestCore();
+      let written = '';
+      const log = createRoutingLog({
+        instance: 'a',
+        now: () => 0,
+        timeOfDay: () => 0,
+        writer: {
+          writeBytes: (_fd, bytes, done) => {
+            written += Buffer.from(bytes).toString();
+            done(null);
+          },
+        },
+      });
+      const effects = end(core) as Parameters<typeof effectsOf>[0];
+      effectsOf(effects, 'log').forEach((line) => log.write(line.level, line.code, line.fields));
+      await log.flush();
+      const lines = written
+        .trim()
+        .split('\n')
+        .map((line) => JSON.parse(line) as Record<string, unknown>);
+      expect(lines.find(({ event }) => event === code)).to.include({
+        level: 'warn',
+        event: code,
+        instance: 'a',
+      });
+    });
+
     it(`has exactly one deciding line with its inputs for ${what}`, () => {
       const core = createTestCore();
       const effects = end(core) as Parameters<typeof effectsOf>[0];
@@ -185,6 +213,44 @@
     expect(clock.takeGap()).to.be.within(4_000, 6_000);
   });
 
+  it('tells nothing where the process waits for the processor between two readings', () => {
+    // The charge for earlier work falls due at a system call, as the reading of another clock is one.
+    const at = { steady: 400, due: 0 };
+    const read = (clock: number) => {
+      at.steady += at.due;
+      at.due = 0;
+      return clock + at.steady;
+    };
+    const clock = createGapClock({
+      steady: () => at.steady,
+      timeOfDay: () => read(1_000_000),
+      sinceBoot: () => Math.floor(read(7_300) / 1_000) * 1_000,
+    });
+    for (let i = 0; i < 200; i += 1) {
+      at.steady += 70;
+      at.due = 100 + (i % 7) * 90;
+      expect(clock.takeGap()).to.equal(0);
+    }
+  });
+
+  it('tells a suspension also while the process waits for the processor', () => {
+    const at = { steady: 400, due: 0, suspended: 0 };
+    const read = (clock: number) => {
+      at.steady += at.due;
+      at.due = 0;
+      return clock + at.steady + at.suspended;
+    };
+    const clock = createGapClock({
+      steady: () => at.steady,
+      timeOfDay: () => read(1_000_000),
+      sinceBoot: () => read(7_300),
+    });
+    at.steady += 300;
+    at.due = 700;
+    at.suspended += 3_000;
+    expect(clock.takeGap()).to.be.within(2_900, 3_100);
+  });
+
   it('tells nothing as time goes on as usual', () => {
     const pass = createClocks();
     for (let i = 0; i < 100; i += 1) expect(pass(50, 50 + (i % 3), 50)).to.equal(0);
