Log where a request's shared part has its home and what is read again

Cause: the log told 'isHome' only, so that it could not be seen which placements read shared parts again.

--- a/src/routing/attempts/attempts.ts
+++ b/src/routing/attempts/attempts.ts
@@ -120,7 +120,9 @@
     ahead: Math.round(placement.tokensAhead),
     uncached: placement.uncachedTokens,
     running: placement.running,
-    isHome: placement.isHome,
+    sharedToRead: placement.sharedTokens,
+    part: facts.prefix.at(-2)?.id,
+    home: placement.home,
   };
 }
 
--- a/src/routing/placement/placement.ts
+++ b/src/routing/placement/placement.ts
@@ -44,6 +44,9 @@
 /** Part of the connections of an upstream that the instances use together. */
 const USABLE_CONNECTIONS = 0.9;
 
+/** Whether all instances turn to an upstream first, or second, for a request's shared part. */
+export type HomeRank = 'first' | 'second' | 'none';
+
 /** What is expected of a request at one upstream. */
 export interface Placement {
   readonly upstream: Upstream;
@@ -55,7 +58,9 @@
   readonly tokensAhead: number;
   /** Requests that run there, of all instances. */
   readonly running: number;
-  readonly isHome: boolean;
+  /** Tokens among the uncached ones of parts that other requests share. */
+  readonly sharedTokens: number;
+  readonly home: HomeRank;
   /** Lowest is best: expected time and disadvantages. */
   readonly score: number;
 }
@@ -126,13 +131,13 @@
   homes: Homes,
 ): Placement {
   const { facts, route, pool } = request;
-  const isHome = upstream === homes.first;
-  const readWeight = SHARED_READ_WEIGHT * (upstream === homes.second ? SECOND_HOME_PART : 1);
+  const home = rankOf(upstream, homes);
+  const readWeight = SHARED_READ_WEIGHT * (home === 'second' ? SECOND_HOME_PART : 1);
   const speed = poolSpeed(ctx, pool);
   const slowness = upstream.speed.slowness();
   const perToken = (speed.perTokenMs() ?? ASSUMED_PER_TOKEN_MS) * slowness;
   const work = workAt(ctx, upstream);
-  const uncached = uncachedParts(ctx, facts, upstream.listed.id, isHome);
+  const uncached = uncachedParts(ctx, facts, upstream.listed.id, home === 'first');
   const base = (speed.baseMs() ?? ASSUMED_BASE_MS) * slowness;
   const wait = slotWait(ctx, request, upstream, work) * slowness;
   const firstMs = base + wait + (work.pendingTokens + uncached.tokens) * perToken;
@@ -148,7 +153,8 @@
     uncachedTokens: uncached.tokens,
     tokensAhead: work.pendingTokens,
     running: work.running,
-    isHome,
+    sharedTokens: uncached.sharedTokens,
+    home,
     score,
   };
 }
@@ -218,6 +224,11 @@
   readonly second: Upstream | undefined;
 }
 
+function rankOf(upstream: Upstream, homes: Homes): HomeRank {
+  if (upstream === homes.first) return 'first';
+  return upstream === homes.second ? 'second' : 'none';
+}
+
 function homesOf(facts: RequestFacts, members: readonly Upstream[]): Homes {
   const part = facts.prefix.at(-2);
   if (part === undefined) return { first: undefined, second: undefined };
