Tell instances where shared parts are kept, and wait equally for all kinds of request

Cause: an instance knew only of its own sending where a shared part is kept. Under load a part was read again wherever there was just room, which took capacity from all. The time that a token takes was learnt too small (0.0009 to 0.009 ms, 0.0085 true on the emulator), since what is ahead is known roughly only. Drafts with an objective of 500 ms filled the queues beyond the 300 ms of the other kinds. Change: parts that upstreams read are told in two messages in a row; a part that is kept somewhere is read again only where time remains, by the customer's standing; observations count by the part of the tokens that are the request's own; the wait allowed under contention is the one of the most urgent route, changed by how each route fares; prompts that take the objective by themselves are served where nothing waits.

--- a/src/routing/admission/admission.ts
+++ b/src/routing/admission/admission.ts
@@ -4,8 +4,10 @@
  * Load pattern: for seconds at a time more is asked for than the upstreams can process. Whatever is
  * let in beyond that waits at the upstreams, in order of arrival, until all answers are late. A
  * request is therefore refused while its first event cannot be expected within the objective of its
- * route, which is known at its arrival, and the caller is told when the backlog will have gone. A
- * customer beyond its fair share is refused earlier, so that the others find the upstreams free.
+ * route, which is known at its arrival, and the caller is told when the backlog will have gone. As
+ * upstreams work in order of arrival, the wait that is allowed is the same for all kinds of request:
+ * that of the most urgent one, which would find no room otherwise; it is changed a little for kinds
+ * that fare better or worse than the others. A customer beyond its fair share is refused earlier, so that the others find the upstreams free.
  */
 import type { Millis } from '../../core/clock.js';
 import type { Random } from '../../core/random.js';
@@ -14,7 +16,15 @@
 export interface AdmissionInput {
   /** Expected time to the first event. */
   readonly firstMs: Millis;
+  /** What it would be without any wait. */
+  readonly ownMs: Millis;
+  /** Part of that in which its own prompt is read. */
+  readonly readMs: Millis;
   readonly objectiveMs: Millis;
+  /** Shortest objective of the routes that lead to the same upstreams. */
+  readonly urgentMs: Millis;
+  /** Factor of the allowed wait, by which kinds of request are kept balanced. */
+  readonly waitFactor: number;
   /** Time that the caller waits. */
   readonly leftMs: Millis;
   /** The customer's place among the others; none for requests without tokens. */
@@ -31,7 +41,9 @@
     };
 
 /** Part of the objective that may be expected to pass; the rest is for errors of the estimate. */
-const USABLE_OBJECTIVE = 0.85;
+const USABLE_OBJECTIVE = 0.9;
+/** Part of it that a request may wait whose own prompt takes most of the objective to read. */
+const LARGE_WAIT_PART = 0.05;
 /** Part of that for a customer that gets just its share; smaller ones have all of it. */
 const AT_SHARE_PART = 0.75;
 /** Part of an even share up to which a customer counts as small. */
@@ -40,6 +52,8 @@
 const OVER_SHARE_PART = 0.2;
 /** Excess over the share, relative to it, at which that part is reached. */
 const FULL_EXCESS = 0.25;
+/** Part of the time that a caller has by which the first event must come; the answer needs the rest. */
+const LONGEST_FIRST = 0.5;
 /** Callers do not come back later than this part of the time that they have. */
 const LONGEST_RETURN = 1 / 3;
 const SHORTEST_RETURN_MS: Millis = 50;
@@ -56,23 +70,60 @@
 
 /** Admits a request or refuses it with the time after which to come back. */
 export function decideAdmission(input: AdmissionInput, random: Random): AdmissionDecision {
-  const limitMs = input.objectiveMs * USABLE_OBJECTIVE * partFor(input.standing);
+  const limitMs = limitFor(input);
   if (input.firstMs <= limitMs) return { kind: 'admit', limitMs };
   const reason = isOverShare(input.standing) ? 'overShare' : 'overload';
   return { kind: 'refuse', reason, limitMs, retryAfterMs: returnTime(input, limitMs, random) };
 }
 
+/** Expected time up to which a request is admitted. */
+function limitFor(input: AdmissionInput): Millis {
+  const { objectiveMs, urgentMs, waitFactor, ownMs, readMs, leftMs, standing } = input;
+  const usable = USABLE_OBJECTIVE * partFor(standing);
+  const ownUsableMs = objectiveMs * usable;
+  const usableMs = isContended(standing)
+    ? Math.min(ownUsableMs, urgentMs * usable * waitFactor + readMs)
+    : ownUsableMs;
+  if (isOverShare(standing)) return usableMs;
+  // The largest prompts take longer than that by themselves; they are served while little waits.
+  const largeMs = ownMs + usableMs * LARGE_WAIT_PART;
+  return Math.max(usableMs, Math.min(largeMs, leftMs * LONGEST_FIRST));
+}
+
+/** How many times as long as reading a shared part again a request has to have to spare for it. */
+const SPARE_READS_FREE = 2;
+const SPARE_READS_AT_SHARE = 6;
+
+/**
+ * Times that reading a shared part again has to be to spare: little while there is capacity for all
+ * and for customers that get little; more where the reading takes capacity from others.
+ */
+export function spareReadsFor(standing: Standing | undefined): number {
+  if (!isContended(standing)) return SPARE_READS_FREE;
+  return interpolate(useOf(standing), SMALL_PART, SPARE_READS_FREE, 1, SPARE_READS_AT_SHARE);
+}
+
 /** Part of the usable objective that a customer may wait: less, the more it gets already. */
 function partFor(standing: Standing | undefined): number {
-  if (standing === undefined) return 1;
-  const use = standing.admitted / Math.min(standing.level, standing.even);
+  // While all get what they ask for, nobody has to be kept back.
+  if (!isContended(standing)) return 1;
   if (!isOverShare(standing)) {
-    return interpolate(use, SMALL_PART, 1, 1, AT_SHARE_PART);
+    return interpolate(useOf(standing), SMALL_PART, 1, 1, AT_SHARE_PART);
   }
   const excess = standing.admitted / standing.level - 1;
   return interpolate(excess, 0, AT_SHARE_PART, FULL_EXCESS, OVER_SHARE_PART);
 }
 
+/** Whether customers ask for more than there is. */
+function isContended(standing: Standing | undefined): standing is Standing {
+  return standing !== undefined && standing.level < Infinity;
+}
+
+/** What a customer gets, relative to what each may have. */
+function useOf({ admitted, level }: Standing): number {
+  return admitted / level;
+}
+
 /** Straight line from (`x1`, `y1`) to (`x2`, `y2`), level outside of them. */
 function interpolate(x: number, x1: number, y1: number, x2: number, y2: number): number {
   const part = Math.min(1, Math.max(0, (x - x1) / (x2 - x1)));
--- a/src/routing/attempts/accounting.ts
+++ b/src/routing/attempts/accounting.ts
@@ -39,8 +39,9 @@
   upstream.own.pendingTokens -= attempt.uncachedTokens;
   const firstMs = ctx.now - attempt.startedAt;
   const { pool } = upstream.listed;
-  poolSpeed(ctx, pool).observe(attempt.tokensAhead + attempt.uncachedTokens, firstMs);
-  upstream.speed.observe(attempt.tokensAhead + attempt.uncachedTokens, firstMs);
+  const tokens = { own: attempt.uncachedTokens, ahead: attempt.tokensAhead };
+  poolSpeed(ctx, pool).observe(tokens, firstMs);
+  upstream.speed.observe(tokens, firstMs);
   upstream.speed.observeSlowness(
     (firstMs / Math.max(1, attempt.expectedMs)) * upstream.speed.slowness(),
   );
--- a/src/routing/attempts/arrival.ts
+++ b/src/routing/attempts/arrival.ts
@@ -1,6 +1,11 @@
 /** Decides what becomes of a request as it arrives: its route, its customer, its place. */
 import type { Millis } from '../../core/clock.js';
-import { decideAdmission, placementLimit, type AdmissionDecision } from '../admission/admission.js';
+import {
+  decideAdmission,
+  placementLimit,
+  spareReadsFor,
+  type AdmissionDecision,
+} from '../admission/admission.js';
 import { emit, logWarning, type RoutingContext } from '../context.js';
 import type { RoutingEventCode } from '../eventTable.js';
 import {
@@ -11,6 +16,7 @@
 } from '../freshness/freshness.js';
 import { place, type Placement } from '../placement/placement.js';
 import { pickPool } from '../routes/routeTable.js';
+import { noteKindAdmitted, noteKindAsked, waitFactor } from '../shares/kindBalance.js';
 import { noteAsked, standingOf, tokensOf, type Standing } from '../shares/tokenShares.js';
 import { isBlocked } from '../suspects/suspects.js';
 import type {
@@ -141,21 +147,28 @@
   const { facts, route, pool } = request;
   const standing = noteDemand(ctx, request);
   const withinMs = placementLimit(route.objectiveMs, standing);
-  const placement = place(ctx, { facts, route, pool, excluded: [], withinMs });
+  const spareReads = spareReadsFor(standing);
+  const placement = place(ctx, { facts, route, pool, excluded: [], withinMs, spareReads });
   if (placement === undefined) {
     refuse(ctx, facts, noUpstream(ctx, 'none is ready and reachable'));
     return;
   }
   const decision = decideAdmission(
     {
-      firstMs: placement.firstMs,
+      firstMs: placement.reckonedMs,
+      ownMs: placement.ownMs,
+      readMs: placement.readMs,
       objectiveMs: route.objectiveMs,
+      urgentMs: ctx.state.freshness.routeTable.urgentObjective(pool) ?? route.objectiveMs,
+      waitFactor: waitFactor(ctx, pool, route),
       leftMs: request.deadlineAt - ctx.now,
       ...(standing === undefined ? {} : { standing }),
     },
     ctx.state.random,
   );
+  noteKindAsked(ctx, pool, route);
   if (decision.kind === 'admit') {
+    noteKindAdmitted(ctx, pool, route);
     ctx.state.requests.open.set(facts.request, request);
     sendTo(ctx, request, placement);
     return;
--- a/src/routing/attempts/attempts.ts
+++ b/src/routing/attempts/attempts.ts
@@ -43,7 +43,7 @@
   const { facts, customer } = request;
   const { id } = placement.upstream.listed;
   const attempt = openAttempt(ctx, request, placement);
-  notePrefix(ctx, facts, id);
+  notePrefix(ctx, facts, placement.upstream);
   const isFirst = request.tried.length === 0 && request.unreachable.length === 0;
   if (isFirst && customer !== undefined) {
     noteAdmitted(ctx, customer, tokensOf(facts.promptTokens, facts.outputTokens));
@@ -238,7 +238,8 @@
 function placeElsewhere(ctx: RoutingContext, request: OpenRequest): Placement | undefined {
   const { facts, route, pool } = request;
   const excluded = [...request.tried, ...request.unreachable];
-  return place(ctx, { facts, route, pool, excluded, withinMs: route.objectiveMs });
+  const withinMs = route.objectiveMs;
+  return place(ctx, { facts, route, pool, excluded, withinMs, spareReads: 0 });
 }
 
 /**
--- a/src/routing/exchange/exchange.ts
+++ b/src/routing/exchange/exchange.ts
@@ -1,7 +1,8 @@
 /**
  * Exchange between instances: each announces itself once on the platform, finds the others there,
  * and then tells them directly, some times a second, of its open work at upstreams, of what
- * customers ask for and get, and of requests that crash upstreams. News are whole states, so that a
+ * customers ask for and get, of parts of prompts that upstreams read, and of requests that crash
+ * upstreams. News are whole states, so that a
  * lost or late message does no harm; an instance that is not heard of no longer counts.
  */
 import { Debug } from '../../core/debug.js';
@@ -104,6 +105,10 @@
   value.suspects.forEach((fingerprint, i) => {
     noteReportedCrashes(ctx, from, fingerprint, value.crashes[i] ?? 0);
   });
+  value.readParts.forEach((part, i) => {
+    const upstream = value.readAt[i];
+    if (upstream !== undefined) ctx.state.prefixes.noteTold({ part, upstream }, ctx.now);
+  });
 }
 
 /** Instances that may open connections to upstreams, this one included. */
@@ -183,6 +188,7 @@
   const busy = [...upstreams.byId.values()].filter(({ own }) => own.running > 0);
   const rates = [...ownRates(ctx)];
   const crashes = ownCrashes(ctx);
+  const reads = ctx.state.prefixes.takeNews();
   return {
     $case: 'routingNews',
     value: {
@@ -197,6 +203,8 @@
       admitted: rates.map(([, { admitted }]) => Math.round(admitted)),
       suspects: crashes.map(({ fingerprint }) => fingerprint),
       crashes: crashes.map((entry) => entry.crashes),
+      readParts: reads.map(({ part }) => part),
+      readAt: reads.map(({ upstream }) => upstream),
     },
   };
 }
--- a/src/routing/placement/placement.ts
+++ b/src/routing/placement/placement.ts
@@ -15,6 +15,7 @@
 import type { RoutingContext } from '../context.js';
 import { countInstances, peersWork } from '../exchange/exchange.js';
 import type { PoolId, RegionId, RequestFacts, Route, UpstreamId } from '../types.js';
+import type { PartHash } from './prefixMemory.js';
 import { createSpeed, type Speed } from '../upstreams/speed.js';
 import type { OpenWork, Upstream } from '../upstreams/upstreamsState.js';
 
@@ -24,12 +25,8 @@
 const ASSUMED_PER_TOKEN_MS = 0.01;
 /** Time for which a request occupies its upstream, until one has been observed. */
 const ASSUMED_HOLD_MS: Millis = 100;
-/** Time for which a part is believed to be kept after its last use. */
-const PREFIX_KEPT_MS: Millis = 60_000;
 /** Weight of reading a shared part once more, beyond the time that the request itself loses. */
-const SHARED_READ_WEIGHT = 8;
-/** Part of that weight at the upstream to which all instances turn next. */
-const SECOND_HOME_PART = 0.5;
+const SHARED_READ_WEIGHT = 12;
 /** Disadvantage of an upstream where the objective would be missed, as a multiple of it. */
 const LATE_OBJECTIVES = 10;
 /** Disadvantage of an upstream in another failure domain or region, beside its round trip. */
@@ -52,13 +49,22 @@
   readonly upstream: Upstream;
   /** Expected time to the first event. */
   readonly firstMs: Millis;
+  /** What it would be without any wait. */
+  readonly ownMs: Millis;
+  /** Part of that in which the upstream reads the request's own prompt. */
+  readonly readMs: Millis;
+  /**
+   * Expected time by which admission goes: reading a shared part again takes capacity from all, so
+   * that it has to leave more time to spare.
+   */
+  readonly reckonedMs: Millis;
   /** Prompt tokens that the upstream has to read for the request. */
   readonly uncachedTokens: number;
   /** Prompt tokens that it has to read before those. */
   readonly tokensAhead: number;
   /** Requests that run there, of all instances. */
   readonly running: number;
-  /** Tokens among the uncached ones of parts that other requests share. */
+  /** Tokens among them of shared parts that another upstream keeps. */
   readonly sharedTokens: number;
   readonly home: HomeRank;
   /** Lowest is best: expected time and disadvantages. */
@@ -72,6 +78,8 @@
   readonly excluded: readonly UpstreamId[];
   /** Expected time to the first event up to which the request would be admitted. */
   readonly withinMs: Millis;
+  /** How many times as long as reading a shared part again the request has to have to spare. */
+  readonly spareReads: number;
 }
 
 /** Returns the best upstream for a request, or `undefined` if none can take it. */
@@ -82,11 +90,11 @@
       listed.pool === pool && listed.phase === 'ready' && reachability.kind === 'reachable',
   );
   const limit = connectionLimit(ctx, pool);
-  const homes = homesOf(request.facts, members);
+  const prompt = describePrompt(ctx, request.facts, members);
   let best: Placement | undefined;
   members.forEach((upstream) => {
     if (excluded.includes(upstream.listed.id) || upstream.own.running >= limit) return;
-    const placement = evaluate(ctx, request, upstream, homes);
+    const placement = evaluate(ctx, request, upstream, prompt);
     if (best === undefined || placement.score < best.score) best = placement;
   });
   return best;
@@ -98,10 +106,14 @@
   return Math.max(1, Math.floor((all * USABLE_CONNECTIONS) / countInstances(ctx)));
 }
 
-/** Remembers that an upstream reads the parts of a prompt now. */
-export function notePrefix(ctx: RoutingContext, facts: RequestFacts, upstream: UpstreamId): void {
-  facts.prefix.forEach(({ id }) => {
-    ctx.state.prefixes.note(partKey(facts, id), upstream, ctx.now);
+/** Remembers, and tells the other instances, that an upstream reads the parts of a prompt now. */
+export function notePrefix(ctx: RoutingContext, facts: RequestFacts, { hash }: Upstream): void {
+  const last = facts.prefix.length - 1;
+  facts.prefix.forEach(({ id }, i) => {
+    // The last part belongs to the request itself or to its session, which stays at one instance.
+    const isTold = i < last;
+    const read = { part: partHash(facts, id), upstream: hash };
+    ctx.state.prefixes.noteSent(read, ctx.now, isTold);
   });
 }
 
@@ -128,32 +140,38 @@
   ctx: RoutingContext,
   request: PlacementRequest,
   upstream: Upstream,
-  homes: Homes,
+  prompt: Prompt,
 ): Placement {
-  const { facts, route, pool } = request;
-  const home = rankOf(upstream, homes);
-  const readWeight = SHARED_READ_WEIGHT * (home === 'second' ? SECOND_HOME_PART : 1);
+  const { route, pool } = request;
+  const home = rankOf(upstream, prompt.homes);
   const speed = poolSpeed(ctx, pool);
   const slowness = upstream.speed.slowness();
   const perToken = (speed.perTokenMs() ?? ASSUMED_PER_TOKEN_MS) * slowness;
   const work = workAt(ctx, upstream);
-  const uncached = uncachedParts(ctx, facts, upstream.listed.id, home === 'first');
+  const uncached = uncachedParts(ctx, prompt, upstream, home);
   const base = (speed.baseMs() ?? ASSUMED_BASE_MS) * slowness;
   const wait = slotWait(ctx, request, upstream, work) * slowness;
-  const firstMs = base + wait + (work.pendingTokens + uncached.tokens) * perToken;
+  const readMs = uncached.tokens * perToken;
+  const ownMs = base + readMs;
+  const firstMs = ownMs + wait + work.pendingTokens * perToken;
+  const againMs = uncached.readAgain * perToken;
+  const reckonedMs = firstMs + againMs * request.spareReads;
   const score =
     firstMs +
-    uncached.sharedTokens * perToken * readWeight +
+    againMs * SHARED_READ_WEIGHT +
     distance(ctx, upstream) +
-    lateness(firstMs, request.withinMs, route.objectiveMs) +
+    lateness(reckonedMs, request.withinMs, route.objectiveMs) +
     Math.max(0, upstream.failureRate - USUAL_FAILURE_RATE) * FAILURE_WEIGHT * route.objectiveMs;
   return {
     upstream,
     firstMs,
+    ownMs,
+    readMs,
+    reckonedMs,
     uncachedTokens: uncached.tokens,
     tokensAhead: work.pendingTokens,
     running: work.running,
-    sharedTokens: uncached.sharedTokens,
+    sharedTokens: uncached.readAgain,
     home,
     score,
   };
@@ -186,35 +204,60 @@
   return Math.max(forSlot, forMemory);
 }
 
+/** A request's prompt as placement sees it. */
+interface Prompt {
+  readonly tokens: number;
+  readonly parts: readonly PromptPart[];
+  readonly homes: Homes;
+}
+
+interface PromptPart {
+  readonly hash: PartHash;
+  readonly tokens: number;
+  readonly isShared: boolean;
+  /** Whether some upstream that can be used is believed to keep it. */
+  readonly isKept: boolean;
+}
+
+function describePrompt(
+  ctx: RoutingContext,
+  facts: RequestFacts,
+  members: readonly Upstream[],
+): Prompt {
+  const { prefixes } = ctx.state;
+  const last = facts.prefix.length - 1;
+  const parts = facts.prefix.map(({ id, tokens }, i) => {
+    const hash = partHash(facts, id);
+    const isShared = i < last;
+    const isKept =
+      isShared && members.some((member) => prefixes.isKept(hash, member.hash, ctx.now));
+    return { hash, tokens, isShared, isKept };
+  });
+  return { tokens: facts.promptTokens, parts, homes: homesOf(parts, members) };
+}
+
 interface Uncached {
   readonly tokens: number;
-  /** Those of parts that other requests share. */
-  readonly sharedTokens: number;
+  /** Those of shared parts that another upstream keeps, or that belong at a home. */
+  readonly readAgain: number;
 }
 
 /** Tokens that an upstream has to read: all from the first part on that it does not keep. */
 function uncachedParts(
   ctx: RoutingContext,
-  facts: RequestFacts,
-  upstream: UpstreamId,
-  isHome: boolean,
+  { tokens, parts }: Prompt,
+  { hash }: Upstream,
+  home: HomeRank,
 ): Uncached {
-  const { prefix, promptTokens } = facts;
   let kept = 0;
-  let keptShared = 0;
-  let shared = 0;
+  let readAgain = 0;
   let isChained = true;
-  prefix.forEach(({ id, tokens }, i) => {
-    const isShared = i < prefix.length - 1;
-    if (isShared) shared += tokens;
-    const lastUse = ctx.state.prefixes.lastUse(partKey(facts, id), upstream);
-    const isRecent = lastUse !== undefined && ctx.now - lastUse < PREFIX_KEPT_MS;
-    isChained &&= isRecent || (isHome && isShared);
-    if (!isChained) return;
-    kept += tokens;
-    if (isShared) keptShared += tokens;
+  parts.forEach((part) => {
+    isChained &&= ctx.state.prefixes.isKept(part.hash, hash, ctx.now);
+    if (isChained) kept += part.tokens;
+    else if (part.isShared && (part.isKept || home === 'none')) readAgain += part.tokens;
   });
-  return { tokens: Math.max(0, promptTokens - kept), sharedTokens: shared - keptShared };
+  return { tokens: Math.max(0, tokens - kept), readAgain };
 }
 
 /** Upstreams on which all instances agree for the longest shared part of a prompt. */
@@ -229,10 +272,10 @@
   return upstream === homes.second ? 'second' : 'none';
 }
 
-function homesOf(facts: RequestFacts, members: readonly Upstream[]): Homes {
-  const part = facts.prefix.at(-2);
+function homesOf(parts: readonly PromptPart[], members: readonly Upstream[]): Homes {
+  const part = parts.at(-2);
   if (part === undefined) return { first: undefined, second: undefined };
-  const key = hash32(partKey(facts, part.id));
+  const key = part.hash;
   let first: Upstream | undefined;
   let second: Upstream | undefined;
   let firstScore = -Infinity;
@@ -249,8 +292,8 @@
   return { first, second };
 }
 
-function partKey(facts: RequestFacts, part: string): string {
-  return `${facts.model} ${part}`;
+function partHash(facts: RequestFacts, part: string): PartHash {
+  return hash32(`${facts.model} ${part}`);
 }
 
 function distance(ctx: RoutingContext, { listed }: Upstream): Millis {
--- a/src/routing/routes/routeTable.ts
+++ b/src/routing/routes/routeTable.ts
@@ -1,22 +1,30 @@
 /** Finds the route of a request by its host and the longest prefix of its path. */
+import type { Millis } from '../../core/clock.js';
 import type { Random } from '../../core/random.js';
 import type { PoolId, Route } from '../types.js';
 
 export interface RouteTable {
   /** Returns the route of a host and path (a query is ignored), if there is one. */
   readonly find: (host: string, path: string) => Route | undefined;
+  /** Shortest objective among the routes that lead to a pool. */
+  readonly urgentObjective: (pool: PoolId) => Millis | undefined;
 }
 
 /** Indexes routes. A lookup takes one step for each slash of the path. */
 export function createRouteTable(routes: readonly Route[]): RouteTable {
   const byHost = new Map<string, Map<string, Route>>();
+  const urgent = new Map<PoolId, Millis>();
   routes.forEach((route) => {
+    route.targets.forEach(({ pool }) => {
+      urgent.set(pool, Math.min(urgent.get(pool) ?? Infinity, route.objectiveMs));
+    });
     const host = route.host.toLowerCase();
     const byPrefix = byHost.get(host) ?? new Map<string, Route>();
     byPrefix.set(route.pathPrefix, route);
     byHost.set(host, byPrefix);
   });
   return {
+    urgentObjective: (pool) => urgent.get(pool),
     find: (host, path) => {
       const byPrefix = byHost.get(hostWithoutPort(host));
       if (byPrefix === undefined) return undefined;
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -339,10 +339,9 @@
   | { readonly kind: 'count'; readonly decision: RoutingEventCode }
   | { readonly kind: 'stopped' };
 
-export type LogFields = Readonly<Record<string, string | number | boolean | undefined>> & {
+export type LogFields = Readonly<Record<string, string | number | boolean | undefined>> &
   /** Fields that each line has of itself; see `RoutingLog`. */
-  readonly [K in 'time' | 'level' | 'instance' | 'event' | 'code']?: never;
-};
+  Partial<Readonly<Record<'time' | 'level' | 'instance' | 'event' | 'code', never>>>;
 
 /** Latencies that are kept as histograms. */
 export type RoutingHistogram = 'firstPart' | 'whole' | 'predictionError';
--- a/src/routing/upstreams/list.ts
+++ b/src/routing/upstreams/list.ts
@@ -133,7 +133,7 @@
   const upstream = byId.get(id);
   if (upstream === undefined) return;
   byId.delete(id);
-  ctx.state.prefixes.forget(id);
+  ctx.state.prefixes.forget(upstream.hash);
   const { bornAt } = upstream.listed;
   emit(ctx, { kind: 'forgetUpstream', upstream: id, bornAt });
   logInfo(ctx, 'upstreamRemoved', { upstream: id, reason, running: upstream.own.running });
--- a/src/routing/upstreams/speed.ts
+++ b/src/routing/upstreams/speed.ts
@@ -2,12 +2,16 @@
  * Learns how long a first event takes: `first = base + perToken * tokens to be read before it`, by
  * least squares over recent observations, of which older ones count less and less. For pools whose
  * requests have no tokens, only the base is learnt.
+ *
+ * What is read ahead of a request is known roughly only: other instances tell of theirs late, and
+ * part of it has been read already. Errors in it would make a token look cheaper than it is, so that
+ * an observation counts by the part of its tokens that are the request's own.
  */
 import type { Millis } from '../../core/clock.js';
 
 export interface Speed {
-  /** Takes in the time to a first event with `tokens` to be read before it. */
-  readonly observe: (tokens: number, first: Millis) => void;
+  /** Takes in the time to a first event, with the tokens that were read for it and before it. */
+  readonly observe: (tokens: ObservedTokens, first: Millis) => void;
   /** Milliseconds that a token takes, if enough has been observed. */
   readonly perTokenMs: () => number | undefined;
   /** Time to the first event of a request without tokens, if anything was observed. */
@@ -21,6 +25,13 @@
   readonly observeSlowness: (ratio: number) => void;
 }
 
+/** Tokens that an upstream had to read before a first event. */
+export interface ObservedTokens {
+  readonly own: number;
+  /** Those of other requests, as they were believed to be. */
+  readonly ahead: number;
+}
+
 /** Weight that older observations keep at each new one. */
 const KEPT_WEIGHT = 0.98;
 const MIN_OBSERVATIONS = 8;
@@ -50,12 +61,16 @@
   }
 
   return {
-    observe: (tokens, first) => {
-      weight = weight * KEPT_WEIGHT + 1;
-      sumTokens = sumTokens * KEPT_WEIGHT + tokens;
-      sumFirst = sumFirst * KEPT_WEIGHT + first;
-      sumTokensSquared = sumTokensSquared * KEPT_WEIGHT + tokens * tokens;
-      sumProducts = sumProducts * KEPT_WEIGHT + tokens * first;
+    observe: ({ own, ahead }, first) => {
+      const tokens = own + ahead;
+      const counts = tokens > 0 ? (own / tokens) ** 2 : 1;
+      // What counts little makes little of the older ones forgotten, too.
+      const kept = 1 - (1 - KEPT_WEIGHT) * counts;
+      weight = weight * kept + counts;
+      sumTokens = sumTokens * kept + counts * tokens;
+      sumFirst = sumFirst * kept + counts * first;
+      sumTokensSquared = sumTokensSquared * kept + counts * tokens * tokens;
+      sumProducts = sumProducts * kept + counts * tokens * first;
     },
     perTokenMs,
     baseMs: () => {
--- a/test/routing/attempts.test.ts
+++ b/test/routing/attempts.test.ts
@@ -235,6 +235,8 @@
           admitted: [],
           suspects: [77],
           crashes: [1],
+          readParts: [],
+          readAt: [],
         },
       });
     });
--- a/test/routing/policy.test.ts
+++ b/test/routing/policy.test.ts
@@ -122,7 +122,7 @@
     const random = createRandom(4);
     for (let i = 0; i < 200; i += 1) {
       const tokens = random.next() * 40_000;
-      speed.observe(tokens, 35 + tokens / 120 + random.next() * 10);
+      speed.observe({ own: tokens, ahead: 0 }, 35 + tokens / 120 + random.next() * 10);
     }
     expect(1 / (speed.perTokenMs() ?? 0)).to.be.closeTo(120, 5);
     expect(speed.baseMs()).to.be.closeTo(40, 8);
@@ -131,7 +131,14 @@
 
 describe('admission', () => {
   const random = createRandom(1);
-  const input = { objectiveMs: 500, leftMs: 12_000 };
+  const input = {
+    ownMs: 0,
+    readMs: 0,
+    urgentMs: 500,
+    waitFactor: 1,
+    objectiveMs: 500,
+    leftMs: 12_000,
+  };
   const standing = { asked: 100, admitted: 100, level: Infinity, even: 1_000 };
 
   it('admits what can begin within its objective and refuses the rest at once', () => {
--- /dev/null
+++ b/test/routing/replay.test.ts
@@ -0,0 +1,179 @@
+import { expect } from 'chai';
+import { createEmulatedEngine } from '../../src/bench/routing/emulatedEngine.js';
+import { PATTERNS, SHAPE } from '../../src/bench/routing/patterns.js';
+import { replay, summarize } from '../../src/bench/routing/replay.js';
+import { createSimulation } from '../../src/bench/routing/simulation.js';
+import { createRandom } from '../../src/core/random.js';
+import { createSpeed } from '../../src/routing/upstreams/speed.js';
+import {
+  createTestCore,
+  createUpstreamEntry,
+  effectsOf,
+  planOf,
+  type TestCore,
+} from './support/core.js';
+
+const SECONDS = 8;
+
+function replayPattern(name: string) {
+  const pattern = PATTERNS.find((candidate) => candidate.name === name);
+  if (pattern === undefined) throw new Error(`no pattern ${name}`);
+  const results = replay(pattern, { lengthMs: SECONDS * 1_000, seed: 3 });
+  return summarize(name, results, SECONDS);
+}
+
+describe('load patterns on an emulated fleet', () => {
+  it('serves nine in ten in time at the usual load, and refuses one in twenty at most', () => {
+    const { inTime, refused } = replayPattern('usual');
+    expect(inTime).to.be.at.least(0.9);
+    expect(refused).to.be.at.most(0.05);
+  });
+
+  it('keeps what others are owed when one customer floods', () => {
+    // The platform's rule: half of what a customer asks for within its share, at the least.
+    expect(replayPattern('one customer twelvefold').worstCustomer).to.be.at.least(0.5);
+    expect(replayPattern('six customers fivefold').worstCustomer).to.be.at.least(0.5);
+  });
+
+  it('makes as much at three times the usual load as at the usual one', () => {
+    const usual = replayPattern('usual').begunTokensPerSecond;
+    const worst = replayPattern('triple throughout').begunTokensPerSecond;
+    expect(worst).to.be.at.least(usual);
+  });
+
+  it('goes on as an engine is lost', () => {
+    expect(replayPattern('an engine lost at usual load').inTime).to.be.at.least(0.85);
+  });
+});
+
+describe('knowledge of what upstreams keep', () => {
+  const shared = (own: string) => ({
+    promptTokens: 6_500,
+    prefix: [
+      { id: 'c0', tokens: 500 },
+      { id: 'a1', tokens: 5_000 },
+      { id: own, tokens: 1_000 },
+    ],
+  });
+  const upstreams = Array.from({ length: 12 }, (_, i) => createUpstreamEntry(`i-${i + 10}`));
+  const peer = {
+    id: 'instance-2',
+    incarnation: 1,
+    address: '10.0.0.8:7400',
+    domain: 'domain-a',
+    region: 'region-a',
+    announcedAt: 0,
+  };
+
+  const createFullCore = () => {
+    const core = createTestCore();
+    core.list(...upstreams);
+    return core;
+  };
+
+  function tell(from: TestCore, to: TestCore): void {
+    effectsOf(from.take({ kind: 'timer', timer: 'exchange' }), 'sendPeer').forEach(
+      ({ message }) => {
+        if (message.$case !== 'routingNews') return;
+        to.take({ kind: 'peerMessage', from: peer.id, incarnation: 1, news: message.value });
+      },
+    );
+  }
+
+  it('is told among instances, so that a part is not read a second time elsewhere', () => {
+    const home = planOf(createFullCore().arrive(shared('b1'))).upstream;
+    // The first instance knows of no home yet.
+    const others = upstreams.filter(({ id }) => id !== home);
+    const elsewhere = others[0];
+    if (elsewhere === undefined) throw new Error('no other upstream');
+    const first = createTestCore();
+    first.list(
+      ...['i-1', 'i-2'].map((id) => createUpstreamEntry(id, { phase: 'draining', beat: 2 })),
+    );
+    first.list(elsewhere);
+    const second = createFullCore();
+    const outcome = { kind: 'answered', cursor: 1, changes: [peer] } as const;
+    [first, second].forEach((core) => core.take({ kind: 'instancesPolled', outcome }));
+    // Instances that were not heard of yet are told something now and then only.
+    for (let i = 0; i < 5; i += 1) tell(second, first);
+    expect(planOf(first.arrive(shared('b2'))).upstream).to.equal(elsewhere.id);
+    tell(first, second);
+    expect(planOf(second.arrive(shared('b3'))).upstream).to.equal(elsewhere.id);
+  });
+});
+
+describe('speed that is learnt', () => {
+  it('is not mistaken where the queue ahead is known roughly only', () => {
+    const speed = createSpeed();
+    const random = createRandom(4);
+    for (let i = 0; i < 400; i += 1) {
+      const own = 500 + random.next() * 12_000;
+      const ahead = random.next() < 0.3 ? 0 : random.next() * 30_000;
+      const believed = ahead * 2 * random.next();
+      speed.observe({ own, ahead: believed }, 35 + (own + ahead) / 120);
+    }
+    expect(1 / (speed.perTokenMs() ?? 0)).to.be.within(120 * 0.8, 120 * 1.25);
+  });
+});
+
+describe('emulated engine', () => {
+  it('reads in chunks, keeps parts and makes a token in each step', () => {
+    const simulation = createSimulation();
+    const reads: number[] = [];
+    const engine = createEmulatedEngine({
+      simulation,
+      model: SHAPE.engine,
+      onRead: (_parts, _first, tokens) => reads.push(tokens),
+    });
+    const firsts: number[] = [];
+    const ends: number[] = [];
+    const submit = (id: number) => {
+      engine.submit({
+        id,
+        parts: [
+          { id: 'a', tokens: 5_000 },
+          { id: `own-${id}`, tokens: 1_000 },
+        ],
+        promptTokens: 6_000,
+        outputTokens: 10,
+        onFirst: () => firsts.push(simulation.now()),
+        onEnded: () => ends.push(simulation.now()),
+      });
+    };
+    submit(1);
+    simulation.runUntil(1_000);
+    submit(2);
+    simulation.runUntil(2_000);
+    expect(reads).to.deep.equal([6_000, 1_000]);
+    const { startMs, stepMs, stepMsPerRequest, readTokensPerMs } = SHAPE.engine;
+    // Three chunks, and one step for each further token.
+    const firstMs = startMs + 3 * (stepMs + stepMsPerRequest) + 6_000 / readTokensPerMs;
+    expect(firsts[0]).to.be.closeTo(firstMs, 0.01);
+    expect(ends[0]).to.be.closeTo(firstMs + 9 * (stepMs + stepMsPerRequest), 0.01);
+  });
+
+  it('yields the parts that were not used for longest, and loses all as it crashes', () => {
+    const simulation = createSimulation();
+    const reads: number[] = [];
+    const engine = createEmulatedEngine({
+      simulation,
+      model: { ...SHAPE.engine, memoryTokens: 10_000 },
+      onRead: (_parts, _first, tokens) => reads.push(tokens),
+    });
+    const run = (id: number, part: string) => {
+      const parts = [
+        { id: part, tokens: 3_000 },
+        { id: `own-${id}`, tokens: 500 },
+      ];
+      const ignore = () => {};
+      const sizes = { promptTokens: 3_500, outputTokens: 10 };
+      engine.submit({ id, parts, ...sizes, onFirst: ignore, onEnded: ignore });
+      simulation.runUntil(simulation.now() + 500);
+    };
+    ['a', 'b', 'a', 'c', 'a', 'b'].forEach((part, i) => run(i, part));
+    expect(reads).to.deep.equal([3_500, 3_500, 500, 3_500, 500, 3_500]);
+    engine.crash();
+    run(9, 'a');
+    expect(reads.at(-1)).to.equal(3_500);
+  });
+});
