--- a/src/bench/routing/emulatedFleet.ts
+++ b/src/bench/routing/emulatedFleet.ts
@@ -86,6 +86,8 @@
 
 interface OpenCall {
   readonly offered: OfferedRequest;
+  /** Number of the request among all, the same as it returns. */
+  readonly number: number;
   readonly firstAt: Millis;
   readonly returns: number;
 }
@@ -111,6 +113,7 @@
   const instances = new Map<string, Instance>();
   let nextJob = 1;
   let nextRequest = 1;
+  let nextCall = 1;
   let listVersion = 1;
 
   const delayBetween = (a: FailureDomainId | undefined, b: FailureDomainId | undefined) =>
@@ -329,7 +332,8 @@
     nextRequest += 1;
     instance.open.set(request, call);
     const leftMs = call.firstAt + offered.deadlineMs - simulation.now();
-    instance.post({ kind: 'requestArrived', facts: factsOf(offered, request, leftMs) });
+    const facts = { ...factsOf(offered, request, leftMs), fingerprint: call.number };
+    instance.post({ kind: 'requestArrived', facts });
   }
 
   shape.domains.forEach(({ id, instances: count }) => {
@@ -343,10 +347,12 @@
 
   return {
     offer: (offered) => {
+      const number = nextCall;
+      nextCall += 1;
       simulation.at(offered.at, () => {
         results.asked(offered);
         simulation.after(shape.callerMs, () => {
-          arrive({ offered, firstAt: offered.at, returns: offered.returns });
+          arrive({ offered, number, firstAt: offered.at, returns: offered.returns });
         });
       });
     },
@@ -414,7 +420,11 @@
   return picked;
 }
 
-function factsOf(offered: OfferedRequest, request: number, leftMs: Millis): RequestFacts {
+function factsOf(
+  offered: OfferedRequest,
+  request: number,
+  leftMs: Millis,
+): Omit<RequestFacts, 'fingerprint'> {
   const { route, parts, promptTokens, outputTokens } = offered;
   return {
     request,
@@ -427,7 +437,6 @@
     outputTokens,
     prefix: parts,
     model: 'm',
-    fingerprint: request,
   };
 }
 
--- a/src/hosts/httpServer.ts
+++ b/src/hosts/httpServer.ts
@@ -31,8 +31,12 @@
 const CHECK_INTERVAL_MS = 1_000;
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
 
+/** Takes each request and writes its answer, now or later. */
+export type RequestHandler = (req: IncomingMessage, res: ServerResponse) => void | Promise<void>;
+
 export interface HttpServerOptions {
-  readonly app: H3;
+  /** An application, or a handler for ports on which all paths are handled alike. */
+  readonly app: H3 | RequestHandler;
   readonly host: string;
   readonly port: number;
   readonly limits?: Partial<HttpLimits>;
@@ -111,7 +115,8 @@
 }
 
 function openServer(options: HttpServerOptions, limits: HttpLimits): Server | TlsServer {
-  const handler = toNodeHandler(options.app);
+  const { app } = options;
+  const handler = typeof app === 'function' ? app : toNodeHandler(app);
   const serverOptions = {
     maxHeaderSize: limits.maxHeaderBytes,
     headersTimeout: limits.headersTimeoutMs,
--- a/src/hosts/routing/callerAnswer.ts
+++ b/src/hosts/routing/callerAnswer.ts
@@ -64,12 +64,11 @@
       if (res.headersSent || res.destroyed) return;
       const { status, reason } = answer;
       const { number, text } = routingEvents[reason];
-      const body = Buffer.from(
-        `${JSON.stringify({ status, code: number, reason, title: text })}\n`,
-      );
+      // Text goes out in one write with the head; bytes would need another one.
+      const body = `${JSON.stringify({ status, code: number, reason, title: text })}\n`;
       res.writeHead(status, {
         'content-type': 'application/problem+json',
-        'content-length': String(body.length),
+        'content-length': String(Buffer.byteLength(body)),
         ...protocol.ownHeaders(answer),
         ...(isLast() ? { connection: 'close' } : {}),
       });
--- a/src/hosts/routing/frontHost.ts
+++ b/src/hosts/routing/frontHost.ts
@@ -3,9 +3,9 @@
  * has its final answer, and runs the attempts that the core orders.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { H3 } from 'h3';
+import { crc32 } from 'node:zlib';
 import type { Millis } from '../../core/clock.js';
-import { hash32 } from '../../core/hash.js';
+import { hash32, mixHashes } from '../../core/hash.js';
 import { Debug } from '../../core/debug.js';
 import type {
   AttemptNumber,
@@ -16,7 +16,7 @@
   RequestNumber,
 } from '../../routing/types.js';
 import { readBody } from '../callerRequest.js';
-import { createHttpServer, nodeRoute, sendJson } from '../httpServer.js';
+import { createHttpServer, sendJson } from '../httpServer.js';
 import { startAttempt, type HeldAnswer, type RunningAttempt } from './attempt.js';
 import { createCallerAnswer, type CallerAnswer } from './callerAnswer.js';
 import type { HeadFacts, PostRoutingEvent, RequestHead, RequestProtocol } from './types.js';
@@ -204,17 +204,15 @@
     return held;
   }
 
-  const app = new H3({ silent: true });
-  app.all(
-    '/**',
-    nodeRoute((req, res) => {
+  const app = async (req: IncomingMessage, res: ServerResponse) => {
+    try {
+      await receive(req, res);
+    } catch (err) {
       // A caller that leaves while it sends its body has no answer to wait for.
-      receive(req, res).catch((err: unknown) => {
-        options.onMalformed(0, err instanceof Error ? err.message : String(err), undefined);
-        res.destroy();
-      });
-    }),
-  );
+      options.onMalformed(0, err instanceof Error ? err.message : String(err), undefined);
+      res.destroy();
+    }
+  };
   const server = createHttpServer({
     app,
     host: options.host,
@@ -283,6 +281,6 @@
 
 /** Tells requests apart by caller, method, path and body. */
 function fingerprintOf(head: RequestHead, key: string | undefined, body: Uint8Array): number {
-  const text = Buffer.from(body.buffer, body.byteOffset, body.length).toString('latin1');
-  return hash32(`${head.method} ${head.path} ${key ?? ''}\n${text}`);
+  // Bodies are long, and each request has to be told apart, also those that are refused at once.
+  return mixHashes(hash32(`${head.method} ${head.path} ${key ?? ''}`), crc32(body));
 }
