--- a/src/routing/admission/admission.ts
+++ b/src/routing/admission/admission.ts
@@ -58,7 +58,7 @@
 const LONGEST_RETURN = 1 / 3;
 const SHORTEST_RETURN_MS: Millis = 50;
 /** Width of the spread over which refused callers return, relative to the objective. */
-const RETURN_SPREAD = 0.2;
+const RETURN_SPREAD = 0.25;
 
 /**
  * Expected time up to which a request should be placed. A customer beyond its share is not worth
