Compare policies on the emulated fleet, with plots

Cause: what the exchange and the refusals are worth was not shown in one run. Ruled out: nothing yet.

--- a/src/bench/routing/emulatedFleet.ts
+++ b/src/bench/routing/emulatedFleet.ts
@@ -6,7 +6,7 @@
 import { createRandom, type Random } from '../../core/random.js';
 import type { Millis } from '../../core/clock.js';
 import type { FailureDomainId, PeerMessage, RegionId } from '../../core/types.js';
-import { createRouting, type Routing } from '../../routing/routing.js';
+import { createRouting } from '../../routing/routing.js';
 import type { RoutingSettings } from '../../routing/settings.js';
 import type {
   AttemptNumber,
@@ -19,6 +19,7 @@
   RoutingEvent,
   RoutingTimer,
 } from '../../routing/types.js';
+import { createBaselineRouter, type BaselinePolicy, type Router } from './baselines.js';
 import { createEmulatedEngine, type EmulatedEngine, type EngineModel } from './emulatedEngine.js';
 import { createReadCounter, createResults, type Ending, type FleetResults } from './results.js';
 import type { Simulation } from './simulation.js';
@@ -61,8 +62,12 @@
   readonly loseEngine: (id: string) => void;
 }
 
+/** How instances decide: by the core, by the core without news of each other, or by a baseline. */
+export type FleetPolicy = 'core' | 'coreWithoutNews' | BaselinePolicy;
+
 export interface EmulatedFleetOptions {
   readonly simulation: Simulation;
+  readonly policy?: FleetPolicy;
   readonly shape: FleetShape;
   readonly seed: number;
   readonly settings?: Partial<RoutingSettings>;
@@ -77,7 +82,7 @@
 interface Instance {
   readonly id: string;
   readonly domain: FailureDomainId;
-  readonly routing: Routing;
+  readonly router: Router;
   readonly timers: Map<RoutingTimer, number>;
   readonly open: Map<number, OpenCall>;
   readonly attempts: Map<AttemptNumber, { readonly engine: string; readonly job: number }>;
@@ -94,7 +99,7 @@
 
 /** Creates the fleet; its instances start at once and know of each other and of all engines. */
 export function createEmulatedFleet(options: EmulatedFleetOptions): EmulatedFleet {
-  const { simulation, shape } = options;
+  const { simulation, shape, policy = 'core' } = options;
   const random = createRandom(options.seed);
   const reads = createReadCounter(simulation.now);
   const results = createResults(reads);
@@ -119,23 +124,28 @@
   const delayBetween = (a: FailureDomainId | undefined, b: FailureDomainId | undefined) =>
     a === b ? shape.withinRegionMs : shape.crossRegionMs;
 
-  function createInstance(domain: FailureDomainId, index: number): Instance {
-    const id = `${domain}-instance-${index}`;
-    const routing = createRouting({
+  function createRouter(id: string, domain: FailureDomainId): Router {
+    if (policy !== 'core' && policy !== 'coreWithoutNews') return createBaselineRouter(policy);
+    return createRouting({
       self: { id, incarnation: 1, address: id, domain, region: regionOf(domain) },
       regions,
       seed: options.seed + instances.size,
       ...(options.settings === undefined ? {} : { settings: options.settings }),
     });
+  }
+
+  function createInstance(domain: FailureDomainId, index: number): Instance {
+    const id = `${domain}-instance-${index}`;
+    const router = createRouter(id, domain);
     const instance: Instance = {
       id,
       domain,
-      routing,
+      router,
       timers: new Map(),
       open: new Map(),
       attempts: new Map(),
       post: (event) => {
-        routing.reduce(event, simulation.now()).forEach((effect) => execute(instance, effect));
+        router.reduce(event, simulation.now()).forEach((effect) => execute(instance, effect));
       },
     };
     return instance;
@@ -236,6 +246,7 @@
   function deliver(from: Instance, to: string, message: PeerMessage): void {
     const receiver = instances.get(to);
     if (receiver === undefined || message.$case !== 'routingNews') return;
+    if (policy === 'coreWithoutNews') return;
     simulation.after(delayBetween(from.domain, receiver.domain), () => {
       receiver.post({ kind: 'peerMessage', from: from.id, incarnation: 1, news: message.value });
     });
--- a/src/bench/routing/main.ts
+++ b/src/bench/routing/main.ts
@@ -1,41 +1,81 @@
 /**
- * `npm run bench:routing`: replays load patterns on an emulated fleet and prints what callers got.
- * Options: `--seconds N`, `--seed N`, `--json FILE`.
+ * `npm run bench:routing`: replays load patterns on an emulated fleet with several policies and
+ * prints what callers got. Options: `--seconds N`, `--seed N`, `--only POLICY`, `--json FILE`,
+ * `--report FILE` (an HTML page with plots).
  */
 import { writeFileSync } from 'node:fs';
 import { parseArgs } from 'node:util';
 import { MS_PER_SECOND } from '../../core/clock.js';
+import { formatPlotPage, type Plot } from '../support/plotPage.js';
 import { readRevision } from '../support/revision.js';
-import { KINDS, PATTERNS } from './patterns.js';
+import type { FleetPolicy } from './emulatedFleet.js';
+import { KINDS, PATTERNS, type LoadPattern } from './patterns.js';
 import { replay, summarize, type ReplaySummary } from './replay.js';
+import type { FleetResults } from './results.js';
+
+const POLICIES: readonly FleetPolicy[] = ['core', 'coreWithoutNews', 'homes', 'leastLoaded'];
+const COLUMN_WIDTH = 12;
+const FIRST_COLUMN_WIDTH = 46;
 
 const { values } = parseArgs({
   options: {
     seconds: { type: 'string', default: '20' },
     seed: { type: 'string', default: '1' },
+    only: { type: 'string' },
     json: { type: 'string' },
+    report: { type: 'string' },
   },
 });
 
+interface Run {
+  readonly pattern: LoadPattern;
+  readonly policy: FleetPolicy;
+  readonly results: FleetResults;
+  readonly summary: ReplaySummary;
+}
+
+const seconds = Number(values.seconds);
 const revision = readRevision();
+const header = formatRow([
+  'pattern, policy',
+  'in time',
+  'late',
+  'refused',
+  'worst cust.',
+  ...KINDS.map(({ route }) => route.name),
+  'begun/s',
+  'read/s',
+  'again/s',
+]);
 console.log(`revision ${revision}`);
-printRow(['pattern', 'in time', 'late', 'refused', 'worst cust.', 'begun/s', 'read/s', 'again/s']);
-const summaries = PATTERNS.map((pattern) => {
-  const results = replay(pattern, {
-    lengthMs: Number(values.seconds) * MS_PER_SECOND,
-    seed: Number(values.seed),
-  });
-  const summary = summarize(pattern.name, results, Number(values.seconds));
-  printSummary(summary);
-  return summary;
-});
+console.log(header);
+const policies = POLICIES.filter((policy) => values.only === undefined || policy === values.only);
+const runs = PATTERNS.flatMap((pattern) => policies.map((policy) => run(pattern, policy)));
+const summaries = runs.map(({ summary }) => summary);
 if (values.json !== undefined) {
   writeFileSync(values.json, `${JSON.stringify({ revision, summaries }, null, 2)}\n`);
 }
+if (values.report !== undefined) {
+  const text = [
+    `revision ${revision}, seed ${values.seed}`,
+    header,
+    ...summaries.map(formatSummary),
+  ];
+  const page = { title: 'Load patterns on an emulated fleet', text: text.join('\n') };
+  writeFileSync(values.report, formatPlotPage({ ...page, plots: PATTERNS.flatMap(plotsOf) }));
+}
 
-function printSummary(summary: ReplaySummary): void {
-  printRow([
-    summary.pattern,
+function run(pattern: LoadPattern, policy: FleetPolicy): Run {
+  const options = { lengthMs: seconds * MS_PER_SECOND, seed: Number(values.seed), policy };
+  const results = replay(pattern, options);
+  const summary = summarize(pattern.name, policy, results, seconds);
+  console.log(formatSummary(summary));
+  return { pattern, policy, results, summary };
+}
+
+function formatSummary(summary: ReplaySummary): string {
+  return formatRow([
+    `${summary.pattern}, ${summary.policy}`,
     summary.inTime.toFixed(3),
     summary.late.toFixed(3),
     summary.refused.toFixed(3),
@@ -47,7 +87,29 @@
   ]);
 }
 
-function printRow(cells: readonly string[]): void {
+function formatRow(cells: readonly string[]): string {
   const [first = '', ...rest] = cells;
-  console.log(first.padEnd(30) + rest.map((cell) => cell.padStart(13)).join(''));
+  return (
+    first.padEnd(FIRST_COLUMN_WIDTH) + rest.map((cell) => cell.padStart(COLUMN_WIDTH)).join('')
+  );
+}
+
+/** What callers got over time, by policy: the part in time, late, and refused. */
+function plotsOf(pattern: LoadPattern): readonly Plot[] {
+  const ofPattern = runs.filter((candidate) => candidate.pattern === pattern);
+  const times = [...(ofPattern[0]?.results.bySecond.keys() ?? [])].sort((a, b) => a - b);
+  return (['inTime', 'late', 'refused'] as const).map((what) => ({
+    title: `${pattern.name}: ${what === 'inTime' ? 'in time' : what}`,
+    unit: 'part',
+    lines: ofPattern.map(({ policy }) => policy),
+    data: [
+      times,
+      ...ofPattern.map(({ results }) =>
+        times.map((second) => {
+          const tally = results.bySecond.get(second);
+          return tally === undefined || tally.asked === 0 ? null : tally[what] / tally.asked;
+        }),
+      ),
+    ],
+  }));
 }
--- a/src/bench/routing/replay.ts
+++ b/src/bench/routing/replay.ts
@@ -1,6 +1,6 @@
 /** Replays a load pattern on an emulated fleet. */
 import type { Millis } from '../../core/clock.js';
-import { createEmulatedFleet } from './emulatedFleet.js';
+import { createEmulatedFleet, type FleetPolicy } from './emulatedFleet.js';
 import { drawRequests, SHAPE, type LoadPattern } from './patterns.js';
 import type { FleetResults, Tally } from './results.js';
 import { createSimulation } from './simulation.js';
@@ -8,10 +8,12 @@
 export interface ReplayOptions {
   readonly lengthMs: Millis;
   readonly seed: number;
+  readonly policy?: FleetPolicy;
 }
 
 export interface ReplaySummary {
   readonly pattern: string;
+  readonly policy: FleetPolicy;
   /** Parts of what was asked for. */
   readonly inTime: number;
   readonly late: number;
@@ -31,9 +33,12 @@
 /** What runs at the end is waited for. */
 const TAIL_MS: Millis = 5_000;
 
-export function replay(pattern: LoadPattern, { lengthMs, seed }: ReplayOptions): FleetResults {
+export function replay(
+  pattern: LoadPattern,
+  { lengthMs, seed, policy = 'core' }: ReplayOptions,
+): FleetResults {
   const simulation = createSimulation();
-  const fleet = createEmulatedFleet({ simulation, shape: SHAPE, seed });
+  const fleet = createEmulatedFleet({ simulation, shape: SHAPE, seed, policy });
   drawRequests(pattern, lengthMs, seed).forEach((request) => {
     fleet.offer({ ...request, at: request.at + LEAD_MS });
   });
@@ -46,6 +51,7 @@
 
 export function summarize(
   pattern: string,
+  policy: FleetPolicy,
   { all, byCustomer, byRoute, reads }: FleetResults,
   seconds: number,
 ): ReplaySummary {
@@ -55,6 +61,7 @@
   const calm = customers.filter(({ askedTokens }) => askedTokens <= usual);
   return {
     pattern,
+    policy,
     inTime: part(all, all.inTime),
     late: part(all, all.late),
     refused: part(all, all.refused),
--- a/src/bench/routing/results.ts
+++ b/src/bench/routing/results.ts
@@ -1,5 +1,5 @@
 /** What callers of an emulated fleet got, and what its engines read. */
-import type { Millis } from '../../core/clock.js';
+import { MS_PER_SECOND, type Millis } from '../../core/clock.js';
 import type { PrefixPart } from '../../routing/types.js';
 import type { OfferedRequest } from './emulatedFleet.js';
 
@@ -26,6 +26,8 @@
 
 export interface FleetResults {
   readonly all: Tally;
+  /** By the second of the first call, counted from the start of the simulation. */
+  readonly bySecond: ReadonlyMap<number, Tally>;
   readonly byCustomer: ReadonlyMap<number, Tally>;
   readonly byRoute: ReadonlyMap<string, Tally>;
   readonly reads: ReadCounter;
@@ -59,15 +61,18 @@
 
 export function createResults(reads: ReadCounter): FleetResults {
   const all = createTally();
+  const bySecond = new Map<number, Tally>();
   const byCustomer = new Map<number, Tally>();
   const byRoute = new Map<string, Tally>();
-  const talliesOf = ({ customer, route }: OfferedRequest) => [
+  const talliesOf = ({ at, customer, route }: OfferedRequest) => [
     all,
+    tallyOf(bySecond, Math.floor(at / MS_PER_SECOND)),
     tallyOf(byCustomer, customer),
     tallyOf(byRoute, route.name),
   ];
   return {
     all,
+    bySecond,
     byCustomer,
     byRoute,
     reads,
--- a/test/routing/replay.test.ts
+++ b/test/routing/replay.test.ts
@@ -19,7 +19,7 @@
   const pattern = PATTERNS.find((candidate) => candidate.name === name);
   if (pattern === undefined) throw new Error(`no pattern ${name}`);
   const results = replay(pattern, { lengthMs: SECONDS * 1_000, seed: 3 });
-  return summarize(name, results, SECONDS);
+  return summarize(name, 'core', results, SECONDS);
 }
 
 describe('load patterns on an emulated fleet', () => {
