Split addresses and set timers of retries in one place

Cause: three polls each had a delay with a random part of their own, three modules split ip:port by themselves, and two fields were written and never read (listedAt, announcedAt). Ruled out: nothing. Conclusion: one copy of each.

--- a/src/bench/routing/emulatedFleet.ts
+++ b/src/bench/routing/emulatedFleet.ts
@@ -231,7 +231,6 @@
                 address: id,
                 domain,
                 region: regionOf(domain),
-                announcedAt: 0,
               }))
             : [];
           instance.post({
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -11,6 +11,7 @@
   RegionId,
   TimerName,
 } from '../core/types.js';
+import type { SocketAddress } from '../hosts/address.js';
 import { createCallerHost } from '../hosts/callerHost.js';
 import type { CertificateSource } from '../hosts/certificates.js';
 import type { HttpLimits } from '../hosts/httpServer.js';
@@ -27,19 +28,13 @@
 import { createLoop, type Loop } from './loop.js';
 
 /** Where a port listens. */
-export interface ListenAddress {
-  readonly host: string;
-  /** 0 lets the system choose. */
-  readonly port: number;
-}
-
 export interface InstanceOptions {
   readonly id: InstanceId;
   readonly domain: FailureDomainId;
   readonly region: RegionId;
-  readonly callers?: ListenAddress;
-  readonly peers?: ListenAddress;
-  readonly operators?: ListenAddress;
+  readonly callers?: SocketAddress;
+  readonly peers?: SocketAddress;
+  readonly operators?: SocketAddress;
   /** Address of the peer port as others reach it, if it differs from the bound one. */
   readonly advertisedAddress?: string | undefined;
   /** Base address of the platform, `http://ip:port`. */
@@ -84,7 +79,7 @@
   readonly post: (event: CoreEvent) => void;
 }
 
-const LOOPBACK: ListenAddress = { host: '127.0.0.1', port: 0 };
+const LOOPBACK: SocketAddress = { host: '127.0.0.1', port: 0 };
 /** Random values that tell starts within the same millisecond apart. */
 const INCARNATION_RANDOM_RANGE = 1_024;
 const SEED_RANGE = 2 ** 31;
--- a/src/daemon/routingInstance.ts
+++ b/src/daemon/routingInstance.ts
@@ -1,6 +1,7 @@
 /** Wires the routing core of one instance to its hosts. */
 import type { CoreEvent, FailureDomainId, InstanceIdentity, RegionId } from '../core/types.js';
 import { Debug } from '../core/debug.js';
+import type { SocketAddress } from '../hosts/address.js';
 import { createFrontHost, type FrontHost } from '../hosts/routing/frontHost.js';
 import { createGapClock } from '../hosts/routing/gapClock.js';
 import { createMetricsPage, type MetricsPage } from '../hosts/routing/metricsPage.js';
@@ -17,18 +18,18 @@
 import type { RoutingSettings } from '../routing/settings.js';
 import type { RoutingEffect, RoutingEvent, RoutingTimer } from '../routing/types.js';
 import { createLoop, type Loop } from './loop.js';
-import { createIncarnation, type ListenAddress } from './instance.js';
+import { createIncarnation } from './instance.js';
 
 export interface RoutingInstanceOptions {
   readonly id: string;
   readonly domain: FailureDomainId;
   readonly region: RegionId;
   readonly regions: ReadonlyMap<FailureDomainId, RegionId>;
-  readonly callers: ListenAddress;
-  readonly peers: ListenAddress;
-  readonly readiness: ListenAddress;
+  readonly callers: SocketAddress;
+  readonly peers: SocketAddress;
+  readonly readiness: SocketAddress;
   readonly readinessPath: string;
-  readonly operators: ListenAddress;
+  readonly operators: SocketAddress;
   readonly metricsPath: string;
   readonly protocol: RequestProtocol;
   readonly platform: RoutingPlatform;
--- a/src/daemon/serve.ts
+++ b/src/daemon/serve.ts
@@ -1,5 +1,6 @@
 /** Runs one instance as its settings say, until it is told to stop. */
 import { resolve } from 'node:path';
+import { splitAddress } from '../hosts/address.js';
 import type { Settings } from '../configuration/settings.js';
 import { formatDiagnostic } from '../core/diagnostics.js';
 import type { ConfigurationView } from '../core/types.js';
@@ -8,12 +9,7 @@
   type CertificateFiles,
   type CertificateSource,
 } from '../hosts/certificates.js';
-import {
-  createInstance,
-  type Instance,
-  type InstanceAddresses,
-  type ListenAddress,
-} from './instance.js';
+import { createInstance, type Instance, type InstanceAddresses } from './instance.js';
 
 export interface ServeOptions {
   readonly settings: Settings;
@@ -98,10 +94,3 @@
     authorities: authorities === undefined ? undefined : resolve(baseDir, authorities),
   };
 }
-
-/** Host and port of `ip:port`. */
-export function splitAddress(address: string): ListenAddress {
-  const split = address.lastIndexOf(':');
-  const host = address.slice(0, split).replace(/^\[|\]$/g, '');
-  return { host, port: Number(address.slice(split + 1)) };
-}
--- a/src/daemon/serveRouting.ts
+++ b/src/daemon/serveRouting.ts
@@ -8,7 +8,7 @@
 } from '../configuration/settings.js';
 import type { RequestProtocol, RoutingPlatform } from '../hosts/routing/types.js';
 import { createRoutingInstance, type RoutingInstance } from './routingInstance.js';
-import { splitAddress } from './serve.js';
+import { splitAddress } from '../hosts/address.js';
 
 export interface PlatformAdapter {
   readonly protocol: RequestProtocol;
--- a/src/hosts/metrics.ts
+++ b/src/hosts/metrics.ts
@@ -1,6 +1,7 @@
 /** Metrics over UDP by `hot-shots`; nothing is sent unless an address is set. */
 import { StatsD } from 'hot-shots';
 import type { Metrics } from './types.js';
+import { splitAddress } from './address.js';
 
 export interface MetricsOptions {
   /** Receiver as `ip:port`; none switches metrics off. */
@@ -16,10 +17,8 @@
 /** Creates the sender of one instance's metrics. */
 export function createMetrics(options: MetricsOptions): Metrics {
   if (options.address === undefined) return NO_METRICS;
-  const split = options.address.lastIndexOf(':');
   const client = new StatsD({
-    host: options.address.slice(0, split),
-    port: Number(options.address.slice(split + 1)),
+    ...splitAddress(options.address),
     prefix: options.prefix ?? DEFAULT_PREFIX,
     globalTags: { ...options.tags },
     maxBufferSize: MAX_PACKET_BYTES,
--- a/src/hosts/routing/upstreamPools.ts
+++ b/src/hosts/routing/upstreamPools.ts
@@ -3,6 +3,7 @@
 import { buildConnector, errors, Pool } from 'undici';
 import type { Millis } from '../../core/clock.js';
 import type { UpstreamId } from '../../routing/types.js';
+import { splitAddress } from '../address.js';
 
 export interface UpstreamPoolsOptions {
   /** Longest wait for a new connection. */
@@ -146,10 +147,8 @@
 }
 
 async function probeConnection(address: string, timeoutMs: Millis): Promise<boolean> {
-  const split = address.lastIndexOf(':');
-  const port = Number(address.slice(split + 1));
   return new Promise((resolve) => {
-    const socket = connectSocket({ host: address.slice(0, split), port });
+    const socket = connectSocket(splitAddress(address));
     const settle = (isAlive: boolean) => {
       socket.destroy();
       resolve(isAlive);
--- a/src/routing/context.ts
+++ b/src/routing/context.ts
@@ -18,6 +18,16 @@
   emit(ctx, { kind: 'setTimer', timer, at: ctx.now + delayMs });
 }
 
+/** Time after which a failed call is tried again, and its random part, so that instances spread. */
+export interface RetryDelay {
+  readonly delayMs: Millis;
+  readonly jitterMs: Millis;
+}
+
+export function setRetryTimer(ctx: RoutingContext, timer: RoutingTimer, delay: RetryDelay): void {
+  setTimer(ctx, timer, delay.delayMs + ctx.state.random.next() * delay.jitterMs);
+}
+
 /** Logs something that went as expected. */
 export function logInfo(ctx: RoutingContext, code: RoutingEventCode, fields: LogFields): void {
   emit(ctx, { kind: 'log', level: 'info', code, fields });
--- a/src/routing/exchange/exchange.ts
+++ b/src/routing/exchange/exchange.ts
@@ -9,16 +9,23 @@
 import type { Millis } from '../../core/clock.js';
 import { hash32 } from '../../core/hash.js';
 import type { PeerMessage, PeerMessageOf } from '../../core/types.js';
-import { emit, logInfo, logWarning, setTimer, type RoutingContext } from '../context.js';
+import {
+  emit,
+  logInfo,
+  logWarning,
+  setRetryTimer,
+  setTimer,
+  type RetryDelay,
+  type RoutingContext,
+} from '../context.js';
 import { ownRates } from '../shares/tokenShares.js';
 import { noteReportedCrashes, ownCrashes } from '../suspects/suspects.js';
 import type { AnnouncedInstance, RoutingEvent } from '../types.js';
 import type { OpenWork } from '../upstreams/upstreamsState.js';
 import type { PeerInstance, PeerNews } from './exchangeState.js';
 
-/** Delay before a failed announcement or read is tried again, and its random part. */
-const RETRY_DELAY_MS: Millis = 500;
-const RETRY_JITTER_MS: Millis = 500;
+/** Delay before a failed announcement or read is tried again. */
+const RETRY_DELAY: RetryDelay = { delayMs: 500, jitterMs: 500 };
 /** Interval at which instances that are not heard of are still told news. */
 const SILENT_PEER_INTERVAL_MS: Millis = 2_000;
 /** Time after which an instance that was never heard of again is dropped. */
@@ -48,7 +55,7 @@
     return;
   }
   logWarning(ctx, 'announceFailed', { reason });
-  setTimer(ctx, 'announce', RETRY_DELAY_MS + ctx.state.random.next() * RETRY_JITTER_MS);
+  setRetryTimer(ctx, 'announce', RETRY_DELAY);
 }
 
 export function onAnnounceTimer(ctx: RoutingContext): void {
@@ -56,7 +63,7 @@
 }
 
 export function onInstancesPolled(ctx: RoutingContext, { outcome }: Polled): void {
-  const { exchange, random } = ctx.state;
+  const { exchange } = ctx.state;
   switch (outcome.kind) {
     case 'answered':
       exchange.failures = 0;
@@ -73,7 +80,7 @@
       if (exchange.failures === 1) {
         logWarning(ctx, 'platformLost', { reads: 'instances', reason: outcome.reason });
       }
-      setTimer(ctx, 'instancePoll', RETRY_DELAY_MS + random.next() * RETRY_JITTER_MS);
+      setRetryTimer(ctx, 'instancePoll', RETRY_DELAY);
       return;
     default:
       Debug.assertNever(outcome);
--- a/src/routing/freshness/freshness.ts
+++ b/src/routing/freshness/freshness.ts
@@ -6,15 +6,20 @@
  */
 import { Debug } from '../../core/debug.js';
 import { MS_PER_SECOND, type Millis } from '../../core/clock.js';
-import { emit, logInfo, logWarning, setTimer, type RoutingContext } from '../context.js';
+import {
+  emit,
+  logInfo,
+  logWarning,
+  setRetryTimer,
+  type RetryDelay,
+  type RoutingContext,
+} from '../context.js';
 import { createRouteTable } from '../routes/routeTable.js';
 import type { RoutingState } from '../state.js';
 import type { ConfigurationChange, RoutingConfiguration, RoutingEvent } from '../types.js';
 
-/** Delay before a read that follows a failed one. */
-const RETRY_DELAY_MS: Millis = 150;
-/** Random part of that delay, so that instances do not return together. */
-const RETRY_JITTER_MS: Millis = 100;
+/** Delay before a read that follows a failed one; keyed requests wait for it. */
+const RETRY_DELAY: RetryDelay = { delayMs: 150, jitterMs: 100 };
 /** Part of the time to a key's refusal that is left for a request on its way to an upstream. */
 const REVOKE_MARGIN_MS: Millis = 600;
 
@@ -57,11 +62,7 @@
         logWarning(ctx, 'platformLost', { reads: 'configuration', reason });
       }
       updateFreshness(ctx);
-      setTimer(
-        ctx,
-        'configurationPoll',
-        RETRY_DELAY_MS + ctx.state.random.next() * RETRY_JITTER_MS,
-      );
+      setRetryTimer(ctx, 'configurationPoll', RETRY_DELAY);
       return;
     default:
       Debug.assertNever(outcome);
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -214,10 +214,7 @@
   | { readonly kind: 'unreadable'; readonly reason: string };
 
 /** Where an instance can be reached, as it announces itself on the platform. */
-export interface AnnouncedInstance extends InstanceIdentity {
-  /** Wall-clock time of the announcement, by the announcing instance. */
-  readonly announcedAt: Millis;
-}
+export type AnnouncedInstance = InstanceIdentity;
 
 // Events and effects
 
--- a/src/routing/upstreams/list.ts
+++ b/src/routing/upstreams/list.ts
@@ -4,14 +4,20 @@
  * those are kept for a short time in which a living upstream lists itself again.
  */
 import { Debug } from '../../core/debug.js';
-import type { Millis } from '../../core/clock.js';
-import { emit, logInfo, logWarning, setTimer, type RoutingContext } from '../context.js';
+import {
+  emit,
+  logInfo,
+  logWarning,
+  setRetryTimer,
+  setTimer,
+  type RetryDelay,
+  type RoutingContext,
+} from '../context.js';
 import type { ListedUpstream, RoutingEvent, UpstreamChange, UpstreamId } from '../types.js';
 import { createUpstream, hashOf, type Upstream } from './upstreamsState.js';
 
-/** Delay before a read that follows a failed one, and the random part of it. */
-const RETRY_DELAY_MS: Millis = 200;
-const RETRY_JITTER_MS: Millis = 150;
+/** Delay before a read that follows a failed one. */
+const RETRY_DELAY: RetryDelay = { delayMs: 200, jitterMs: 150 };
 
 type Polled = Extract<RoutingEvent, { readonly kind: 'upstreamsPolled' }>;
 
@@ -20,7 +26,7 @@
 }
 
 export function onUpstreamsPolled(ctx: RoutingContext, event: Polled): void {
-  const { upstreams, settings, random } = ctx.state;
+  const { upstreams, settings } = ctx.state;
   const { outcome } = event;
   switch (outcome.kind) {
     case 'answered':
@@ -41,7 +47,7 @@
       if (upstreams.failures === 1) {
         logWarning(ctx, 'platformLost', { reads: 'upstreams', reason: outcome.reason });
       }
-      setTimer(ctx, 'upstreamPoll', RETRY_DELAY_MS + random.next() * RETRY_JITTER_MS);
+      setRetryTimer(ctx, 'upstreamPoll', RETRY_DELAY);
       return;
     default:
       Debug.assertNever(outcome);
--- a/src/routing/upstreams/upstreamsState.ts
+++ b/src/routing/upstreams/upstreamsState.ts
@@ -34,7 +34,6 @@
   failureRate: number;
   /** Time at which the entry left the list while the platform had been away. */
   missingSince: Millis | undefined;
-  readonly listedAt: Millis;
   /** Requests that were cut off lately. */
   cuts: CutRequest[];
 }
@@ -80,7 +79,6 @@
     failedConnects: 0,
     failureRate: 0,
     missingSince: undefined,
-    listedAt: now,
     cuts: [],
   };
 }
--- a/test/routing/attempts.test.ts
+++ b/test/routing/attempts.test.ts
@@ -215,7 +215,7 @@
 
   it('are refused by instances that were told, whoever saw the crashes', () => {
     const core = createTestCore();
-    const announced = { incarnation: 1, domain: 'domain-a', region: 'region-a', announcedAt: 1 };
+    const announced = { incarnation: 1, domain: 'domain-a', region: 'region-a' };
     const changes = ['a', 'b', 'c'].map((id) => ({ ...announced, id, address: '10.0.0.8:1' }));
     core.take({ kind: 'instancesPolled', outcome: { kind: 'answered', cursor: 1, changes } });
     changes.forEach(({ id }) => {
--- a/test/routing/replay.test.ts
+++ b/test/routing/replay.test.ts
@@ -62,7 +62,6 @@
     address: '10.0.0.8:7400',
     domain: 'domain-a',
     region: 'region-a',
-    announcedAt: 0,
   };
 
   const createFullCore = () => {
