Call a platform that is away less and less often

Ruled out: one delay for all reads (the configuration has to be read soon, as keyed requests wait for it). Before: the new test fails (delays do not grow). After: delays grow by a half up to 0.4, 0.8 and 3 s, 90 passed. Conclusion: bounds of the platform (2.5 s) are kept with room.

--- a/src/routing/context.ts
+++ b/src/routing/context.ts
@@ -18,14 +18,26 @@
   emit(ctx, { kind: 'setTimer', timer, at: ctx.now + delayMs });
 }
 
-/** Time after which a failed call is tried again, and its random part, so that instances spread. */
+/** Times after which calls are tried again that failed. */
 export interface RetryDelay {
-  readonly delayMs: Millis;
-  readonly jitterMs: Millis;
+  /** After the first failure; it grows by a half with each further one. */
+  readonly firstMs: Millis;
+  readonly longestMs: Millis;
 }
 
-export function setRetryTimer(ctx: RoutingContext, timer: RoutingTimer, delay: RetryDelay): void {
-  setTimer(ctx, timer, delay.delayMs + ctx.state.random.next() * delay.jitterMs);
+const RETRY_GROWTH = 1.5;
+/** Random part of a delay, relative to it, so that instances do not call together. */
+const RETRY_JITTER = 0.6;
+
+/** Sets the timer after which a call is tried again that has failed `failures` times in a row. */
+export function setRetryTimer(
+  ctx: RoutingContext,
+  timer: RoutingTimer,
+  { firstMs, longestMs }: RetryDelay,
+  failures: number,
+): void {
+  const delayMs = Math.min(longestMs, firstMs * RETRY_GROWTH ** Math.max(0, failures - 1));
+  setTimer(ctx, timer, delayMs * (1 + ctx.state.random.next() * RETRY_JITTER));
 }
 
 /** Logs something that went as expected. */
--- a/src/routing/exchange/exchange.ts
+++ b/src/routing/exchange/exchange.ts
@@ -25,7 +25,7 @@
 import type { PeerInstance, PeerNews } from './exchangeState.js';
 
 /** Delay before a failed announcement or read is tried again. */
-const RETRY_DELAY: RetryDelay = { delayMs: 500, jitterMs: 500 };
+const RETRY_DELAY: RetryDelay = { firstMs: 500, longestMs: 3_000 };
 /** Interval at which instances that are not heard of are still told news. */
 const SILENT_PEER_INTERVAL_MS: Millis = 2_000;
 /** Time after which an instance that was never heard of again is dropped. */
@@ -54,8 +54,10 @@
     ctx.state.exchange.isAnnounced = true;
     return;
   }
+  const { exchange } = ctx.state;
   logWarning(ctx, 'announceFailed', { reason });
-  setRetryTimer(ctx, 'announce', RETRY_DELAY);
+  exchange.announceFailures += 1;
+  setRetryTimer(ctx, 'announce', RETRY_DELAY, exchange.announceFailures);
 }
 
 export function onAnnounceTimer(ctx: RoutingContext): void {
@@ -80,7 +82,7 @@
       if (exchange.failures === 1) {
         logWarning(ctx, 'platformLost', { reads: 'instances', reason: outcome.reason });
       }
-      setRetryTimer(ctx, 'instancePoll', RETRY_DELAY);
+      setRetryTimer(ctx, 'instancePoll', RETRY_DELAY, exchange.failures);
       return;
     default:
       Debug.assertNever(outcome);
--- a/src/routing/exchange/exchangeState.ts
+++ b/src/routing/exchange/exchangeState.ts
@@ -32,9 +32,17 @@
   cursor: Cursor | undefined;
   failures: number;
   isAnnounced: boolean;
+  announceFailures: number;
   sequence: number;
 }
 
 export function createExchangeState(): ExchangeState {
-  return { peers: new Map(), cursor: undefined, failures: 0, isAnnounced: false, sequence: 0 };
+  return {
+    peers: new Map(),
+    cursor: undefined,
+    failures: 0,
+    isAnnounced: false,
+    announceFailures: 0,
+    sequence: 0,
+  };
 }
--- a/src/routing/freshness/freshness.ts
+++ b/src/routing/freshness/freshness.ts
@@ -19,7 +19,7 @@
 import type { ConfigurationChange, RoutingConfiguration, RoutingEvent } from '../types.js';
 
 /** Delay before a read that follows a failed one; keyed requests wait for it. */
-const RETRY_DELAY: RetryDelay = { delayMs: 150, jitterMs: 100 };
+const RETRY_DELAY: RetryDelay = { firstMs: 150, longestMs: 400 };
 /** Part of the time to a key's refusal that is left for a request on its way to an upstream. */
 const REVOKE_MARGIN_MS: Millis = 600;
 
@@ -62,7 +62,7 @@
         logWarning(ctx, 'platformLost', { reads: 'configuration', reason });
       }
       updateFreshness(ctx);
-      setRetryTimer(ctx, 'configurationPoll', RETRY_DELAY);
+      setRetryTimer(ctx, 'configurationPoll', RETRY_DELAY, freshness.failures);
       return;
     default:
       Debug.assertNever(outcome);
--- a/src/routing/upstreams/list.ts
+++ b/src/routing/upstreams/list.ts
@@ -17,7 +17,7 @@
 import { createUpstream, hashOf, type Upstream } from './upstreamsState.js';
 
 /** Delay before a read that follows a failed one. */
-const RETRY_DELAY: RetryDelay = { delayMs: 200, jitterMs: 150 };
+const RETRY_DELAY: RetryDelay = { firstMs: 200, longestMs: 800 };
 
 type Polled = Extract<RoutingEvent, { readonly kind: 'upstreamsPolled' }>;
 
@@ -47,7 +47,7 @@
       if (upstreams.failures === 1) {
         logWarning(ctx, 'platformLost', { reads: 'upstreams', reason: outcome.reason });
       }
-      setRetryTimer(ctx, 'upstreamPoll', RETRY_DELAY);
+      setRetryTimer(ctx, 'upstreamPoll', RETRY_DELAY, upstreams.failures);
       return;
     default:
       Debug.assertNever(outcome);
--- a/test/routing/beliefs.test.ts
+++ b/test/routing/beliefs.test.ts
@@ -121,6 +121,34 @@
   });
 });
 
+describe('calls to a platform that is away', () => {
+  /** Delays after failures in a row of one kind of read. */
+  function delaysOf(kind: 'configurationPolled' | 'upstreamsPolled' | 'instancesPolled') {
+    const core = createTestCore();
+    return Array.from({ length: 12 }, () => {
+      const outcome = { kind: 'failed', reason: 'ECONNRESET' } as const;
+      const effects = core.take({ kind, askedAt: core.now(), isWhole: false, outcome });
+      const at = effectsOf(effects, 'setTimer')[0]?.at ?? Infinity;
+      const delayMs = at - core.now();
+      core.advance(delayMs);
+      return delayMs;
+    });
+  }
+
+  it('become fewer, within bounds that keep the news in time', () => {
+    const configuration = delaysOf('configurationPolled');
+    const upstreams = delaysOf('upstreamsPolled');
+    const instances = delaysOf('instancesPolled');
+    [configuration, upstreams, instances].forEach((delays) => {
+      expect(delays.at(-1)).to.be.above((delays[0] ?? 0) * 1.5);
+    });
+    // A configuration has to be in force, and a draining upstream left, 2.5 s after it was told.
+    expect(Math.max(...configuration)).to.be.at.most(700);
+    expect(Math.max(...upstreams)).to.be.at.most(1_500);
+    expect(Math.max(...instances)).to.be.at.most(5_000);
+  });
+});
+
 describe('list of upstreams', () => {
   const answered = (changes: readonly UpstreamChange[]): PollOutcome<UpstreamChange> => ({
     kind: 'answered',
