Limit the wait, not the whole time, of customers beyond their share

Cause: what a customer may have is found from what all get. A customer beyond it was refused unless its first event was expected within 54 ms, which no idle upstream meets where a first event takes 60 to 130 ms. Change: the limit of a customer beyond its share is on its wait, which is none; without a wait it is admitted. Test: 'admits a customer beyond its share where nothing waits' fails before and passes after. The test above it took 50 ms as the time at a free upstream without saying so; it says now that nothing waits there, and refuses 30 ms of wait.

--- a/src/bench/routing/emulatedFleet.ts
+++ b/src/bench/routing/emulatedFleet.ts
@@ -60,6 +60,8 @@
   readonly engines: ReadonlyMap<string, EmulatedEngine>;
   /** An engine ends; its connections are cut and it leaves the list. */
   readonly loseEngine: (id: string) => void;
+  /** All instances end and start again at once, knowing nothing of before. */
+  readonly restartInstances: () => void;
 }
 
 /** How instances decide: by the core, by the core without news of each other, or by a baseline. */
@@ -82,7 +84,7 @@
 interface Instance {
   readonly id: string;
   readonly domain: FailureDomainId;
-  readonly router: Router;
+  router: Router;
   readonly timers: Map<RoutingTimer, number>;
   readonly open: Map<number, OpenCall>;
   readonly attempts: Map<AttemptNumber, { readonly engine: string; readonly job: number }>;
@@ -145,7 +147,8 @@
       open: new Map(),
       attempts: new Map(),
       post: (event) => {
-        router.reduce(event, simulation.now()).forEach((effect) => execute(instance, effect));
+        const effects = instance.router.reduce(event, simulation.now());
+        effects.forEach((effect) => execute(instance, effect));
       },
     };
     return instance;
@@ -368,6 +371,17 @@
     },
     results,
     engines,
+    restartInstances: () => {
+      instances.forEach((instance) => {
+        instance.attempts.forEach(({ engine, job }) => engines.get(engine)?.cancel(job));
+        instance.attempts.clear();
+        instance.timers.clear();
+        instance.open.forEach(({ offered }) => results.end(offered, 'failed'));
+        instance.open.clear();
+        instance.router = createRouter(instance.id, instance.domain);
+        instance.post({ kind: 'start' });
+      });
+    },
     loseEngine: (id) => {
       present.delete(id);
       listVersion += 1;
--- a/src/bench/routing/patterns.ts
+++ b/src/bench/routing/patterns.ts
@@ -28,6 +28,8 @@
   readonly hot?: { readonly customers: number; readonly factor: number };
   /** Time at which an engine ends. */
   readonly engineLostAt?: Millis;
+  /** Time at which all instances start again. */
+  readonly restartAt?: Millis;
 }
 
 const route = (name: string, objectiveMs: Millis, timeoutMs: Millis): Route => ({
@@ -112,6 +114,7 @@
   { name: 'one customer twelvefold', load: () => 1, hot: { customers: 1, factor: 12 } },
   { name: 'six customers fivefold', load: () => 1, hot: { customers: 6, factor: 5 } },
   { name: 'an engine lost at usual load', load: () => 1, engineLostAt: 8_000 },
+  { name: 'all restart at 1.5 times the load', load: () => 1.5, restartAt: 4_000 },
 ];
 
 const TICK_MS: Millis = 10;
--- a/src/bench/routing/replay.ts
+++ b/src/bench/routing/replay.ts
@@ -45,6 +45,9 @@
   if (pattern.engineLostAt !== undefined) {
     simulation.at(LEAD_MS + pattern.engineLostAt, () => fleet.loseEngine('a-engine-0'));
   }
+  if (pattern.restartAt !== undefined) {
+    simulation.at(LEAD_MS + pattern.restartAt, fleet.restartInstances);
+  }
   simulation.runUntil(LEAD_MS + lengthMs + TAIL_MS);
   return fleet.results;
 }
--- a/src/routing/admission/admission.ts
+++ b/src/routing/admission/admission.ts
@@ -48,8 +48,8 @@
 const AT_SHARE_PART = 0.75;
 /** Part of an even share up to which a customer counts as small. */
 const SMALL_PART = 0.5;
-/** Part of that for a customer that is well beyond its share. */
-const OVER_SHARE_PART = 0.2;
+/** Part of that for a customer that is well beyond its share: it has what nobody waits for. */
+const OVER_SHARE_PART = 0;
 /** Excess over the share, relative to it, at which that part is reached. */
 const FULL_EXCESS = 0.25;
 /** Part of the time that a caller has by which the first event must come; the answer needs the rest. */
@@ -78,16 +78,24 @@
 
 /** Expected time up to which a request is admitted. */
 function limitFor(input: AdmissionInput): Millis {
-  const { objectiveMs, urgentMs, waitFactor, ownMs, readMs, leftMs, standing } = input;
-  const usable = USABLE_OBJECTIVE * partFor(standing);
-  const ownUsableMs = objectiveMs * usable;
-  const usableMs = isContended(standing)
-    ? Math.min(ownUsableMs, urgentMs * usable * waitFactor + readMs)
-    : ownUsableMs;
-  if (isOverShare(standing)) return usableMs;
-  // The largest prompts take longer than that by themselves; they are served while little waits.
-  const largeMs = ownMs + usableMs * LARGE_WAIT_PART;
-  return Math.max(usableMs, Math.min(largeMs, leftMs * LONGEST_FIRST));
+  const { objectiveMs, urgentMs, ownMs, readMs, leftMs, standing } = input;
+  const usableMs = objectiveMs * USABLE_OBJECTIVE;
+  if (!isContended(standing)) return Math.max(usableMs, largeLimit(ownMs, usableMs, leftMs));
+  // What does not wait takes nothing from others, so that the limits are on the wait alone: what
+  // customers get tells how much there is, and would never grow again otherwise.
+  const baseMs = ownMs - readMs;
+  const longestWaitMs = Math.max(0, urgentMs * USABLE_OBJECTIVE - baseMs);
+  const waitMs = longestWaitMs * partFor(standing) * input.waitFactor;
+  if (isOverShare(standing)) return Math.min(usableMs, ownMs + waitMs);
+  return Math.max(
+    Math.min(usableMs, ownMs + waitMs),
+    largeLimit(ownMs, usableMs * partFor(standing), leftMs),
+  );
+}
+
+/** The largest prompts take longer than the objective by themselves; they are served while little waits. */
+function largeLimit(ownMs: Millis, usableMs: Millis, leftMs: Millis): Millis {
+  return Math.min(ownMs + usableMs * LARGE_WAIT_PART, leftMs * LONGEST_FIRST);
 }
 
 /** How many times as long as reading a shared part again a request has to have to spare for it. */
