Find that there is capacity where nothing waits, and forget that an upstream was slow

Change: what the upstreams can process is taken for up to four times what is admitted, by how little waits at them on average; only then customers beyond their share have what is free. Slowness is forgotten within five seconds.

--- a/src/routing/admission/admission.ts
+++ b/src/routing/admission/admission.ts
@@ -48,8 +48,10 @@
 const AT_SHARE_PART = 0.75;
 /** Part of an even share up to which a customer counts as small. */
 const SMALL_PART = 0.5;
-/** Part of that for a customer that is well beyond its share: it has what nobody waits for. */
-const OVER_SHARE_PART = 0;
+/** Part of that for a customer that is well beyond its share. */
+const OVER_SHARE_PART = 0.2;
+/** Idleness from which a customer beyond its share has what is free. */
+const IDLE_ENOUGH = 0.5;
 /** Excess over the share, relative to it, at which that part is reached. */
 const FULL_EXCESS = 0.25;
 /** Part of the time that a caller has by which the first event must come; the answer needs the rest. */
@@ -79,18 +81,13 @@
 /** Expected time up to which a request is admitted. */
 function limitFor(input: AdmissionInput): Millis {
   const { objectiveMs, urgentMs, ownMs, readMs, leftMs, standing } = input;
-  const usableMs = objectiveMs * USABLE_OBJECTIVE;
+  const usableMs = objectiveMs * USABLE_OBJECTIVE * partFor(standing);
   if (!isContended(standing)) return Math.max(usableMs, largeLimit(ownMs, usableMs, leftMs));
-  // What does not wait takes nothing from others, so that the limits are on the wait alone: what
-  // customers get tells how much there is, and would never grow again otherwise.
-  const baseMs = ownMs - readMs;
-  const longestWaitMs = Math.max(0, urgentMs * USABLE_OBJECTIVE - baseMs);
-  const waitMs = longestWaitMs * partFor(standing) * input.waitFactor;
-  if (isOverShare(standing)) return Math.min(usableMs, ownMs + waitMs);
-  return Math.max(
-    Math.min(usableMs, ownMs + waitMs),
-    largeLimit(ownMs, usableMs * partFor(standing), leftMs),
-  );
+  const urgentUsableMs = urgentMs * USABLE_OBJECTIVE * partFor(standing) * input.waitFactor;
+  const limitMs = Math.min(usableMs, urgentUsableMs + readMs);
+  if (!isOverShare(standing)) return Math.max(limitMs, largeLimit(ownMs, usableMs, leftMs));
+  // What customers get tells how much there is. Idle upstreams show that there is more.
+  return standing.idleness > IDLE_ENOUGH ? Math.max(limitMs, ownMs) : limitMs;
 }
 
 /** The largest prompts take longer than the objective by themselves; they are served while little waits. */
--- a/src/routing/attempts/accounting.ts
+++ b/src/routing/attempts/accounting.ts
@@ -43,7 +43,8 @@
   poolSpeed(ctx, pool).observe(tokens, firstMs);
   upstream.speed.observe(tokens, firstMs);
   upstream.speed.observeSlowness(
-    (firstMs / Math.max(1, attempt.expectedMs)) * upstream.speed.slowness(),
+    (firstMs / Math.max(1, attempt.expectedMs)) * upstream.speed.slowness(ctx.now),
+    ctx.now,
   );
   const errorMs = Math.abs(firstMs - attempt.expectedMs);
   emit(ctx, { kind: 'observe', metric: 'predictionError', valueMs: errorMs });
--- a/src/routing/attempts/arrival.ts
+++ b/src/routing/attempts/arrival.ts
@@ -14,7 +14,7 @@
   isConfirmed,
   staleRetryAfter,
 } from '../freshness/freshness.js';
-import { place, type Placement } from '../placement/placement.js';
+import { place, poolWait, type Placement } from '../placement/placement.js';
 import { pickPool } from '../routes/routeTable.js';
 import { noteKindAdmitted, noteKindAsked, waitFactor } from '../shares/kindBalance.js';
 import { noteAsked, standingOf, tokensOf, type Standing } from '../shares/tokenShares.js';
@@ -184,7 +184,8 @@
   const tokens = tokensOf(facts.promptTokens, facts.outputTokens);
   if (customer === undefined || tokens === 0) return undefined;
   // Before the request itself is counted, of which nothing can have been admitted yet.
-  const standing = standingOf(ctx, customer);
+  const { idleness } = poolWait(ctx, request.pool);
+  const standing = standingOf(ctx, customer, idleness());
   noteAsked(ctx, customer, tokens);
   return standing;
 }
--- a/src/routing/placement/placement.ts
+++ b/src/routing/placement/placement.ts
@@ -15,6 +15,7 @@
 import type { RoutingContext } from '../context.js';
 import { countInstances, peersWork } from '../exchange/exchange.js';
 import type { PoolId, RegionId, RequestFacts, Route, UpstreamId } from '../types.js';
+import { createPoolWait, type PoolWait } from './poolWait.js';
 import type { PartHash } from './prefixMemory.js';
 import { createSpeed, type Speed } from '../upstreams/speed.js';
 import type { OpenWork, Upstream } from '../upstreams/upstreamsState.js';
@@ -92,14 +93,27 @@
   const limit = connectionLimit(ctx, pool);
   const prompt = describePrompt(ctx, request.facts, members);
   let best: Placement | undefined;
+  let waitMs = 0;
+  let usable = 0;
   members.forEach((upstream) => {
     if (excluded.includes(upstream.listed.id) || upstream.own.running >= limit) return;
     const placement = evaluate(ctx, request, upstream, prompt);
+    waitMs += placement.firstMs - placement.ownMs;
+    usable += 1;
     if (best === undefined || placement.score < best.score) best = placement;
   });
+  if (usable > 0) poolWait(ctx, pool).note(waitMs / usable, ctx.now);
   return best;
 }
 
+/** How long requests wait at a pool's upstreams. */
+export function poolWait(ctx: RoutingContext, pool: PoolId): PoolWait {
+  const { waits } = ctx.state.upstreams;
+  const wait = waits.get(pool) ?? createPoolWait();
+  waits.set(pool, wait);
+  return wait;
+}
+
 /** Connections that this instance may have to one upstream of a pool. */
 export function connectionLimit(ctx: RoutingContext, pool: PoolId): number {
   const all = ctx.state.freshness.configuration?.pools.get(pool)?.maxConnections ?? Infinity;
@@ -145,7 +159,7 @@
   const { route, pool } = request;
   const home = rankOf(upstream, prompt.homes);
   const speed = poolSpeed(ctx, pool);
-  const slowness = upstream.speed.slowness();
+  const slowness = upstream.speed.slowness(ctx.now);
   const perToken = (speed.perTokenMs() ?? ASSUMED_PER_TOKEN_MS) * slowness;
   const work = workAt(ctx, upstream);
   const uncached = uncachedParts(ctx, prompt, upstream, home);
--- a/src/routing/shares/tokenShares.ts
+++ b/src/routing/shares/tokenShares.ts
@@ -18,7 +18,9 @@
 /** A generated token costs as much as two that are read. */
 const OUTPUT_TOKEN_PRICE = 2;
 /** Few refusals do not yet mean that there is no capacity left. */
-const CAPACITY_MARGIN = 1.05;
+const CAPACITY_MARGIN = 0.05;
+/** Part of what is admitted by which there may be more where nothing waits at the upstreams. */
+const IDLE_MARGIN = 3;
 /** Customers that ask for less than this are forgotten. */
 const NEGLIGIBLE_RATE = 1;
 
@@ -52,12 +54,16 @@
 export interface Standing extends TokenRates {
   /** Tokens per second that no customer exceeds while others want more than they get. */
   readonly level: number;
-  /** The capacity divided by the customers that ask for something. */
-  readonly even: number;
+  /** 1 where nothing waits at the upstreams, 0 where they are kept busy. */
+  readonly idleness: number;
 }
 
 /** Sums the rates of all instances and finds a customer's standing. */
-export function standingOf(ctx: RoutingContext, customer: CustomerName): Standing {
+export function standingOf(
+  ctx: RoutingContext,
+  customer: CustomerName,
+  idleness: number,
+): Standing {
   const sums = new Map<number, { asked: number; admitted: number }>();
   const add = (key: number, { asked, admitted }: TokenRates) => {
     const sum = sums.get(key) ?? { asked: 0, admitted: 0 };
@@ -71,15 +77,17 @@
   });
   const all = [...sums.values()];
   const admittedInAll = all.reduce((sum, { admitted }) => sum + admitted, 0);
-  // What is admitted while some are refused is what the upstreams can process. A nominal figure would
-  // be too high while upstreams are lost, and then whoever asks most would get most.
-  const capacity = admittedInAll > 0 ? admittedInAll * CAPACITY_MARGIN : Infinity;
+  // What is admitted while some are refused and the upstreams are busy is what they can process. A
+  // nominal figure would be too high while upstreams are lost, and then whoever asks most would get
+  // most. Where they are idle there is more, however little was admitted.
+  const margin = 1 + CAPACITY_MARGIN + IDLE_MARGIN * idleness;
+  const capacity = admittedInAll > 0 ? admittedInAll * margin : Infinity;
   const level = fairLevel(
     all.map(({ asked }) => asked),
     capacity,
   );
   const own = sums.get(hash32(customer)) ?? { asked: 0, admitted: 0 };
-  return { ...own, level, even: capacity / Math.max(1, all.length) };
+  return { ...own, level, idleness };
 }
 
 /**
--- a/src/routing/upstreams/speed.ts
+++ b/src/routing/upstreams/speed.ts
@@ -20,9 +20,12 @@
   readonly observeHold: (hold: Millis) => void;
   /** Time for which a request occupies its upstream, if anything was observed. */
   readonly holdMs: () => Millis | undefined;
-  /** Observed time over expected time, averaged; 1 for an upstream that is as fast as expected. */
-  readonly slowness: () => number;
-  readonly observeSlowness: (ratio: number) => void;
+  /**
+   * Observed time over expected time, averaged; 1 for an upstream that is as fast as expected. It
+   * goes back to 1 while nothing is observed, so that an upstream that was slow is tried again.
+   */
+  readonly slowness: (now: Millis) => number;
+  readonly observeSlowness: (ratio: number, now: Millis) => void;
 }
 
 /** Tokens that an upstream had to read before a first event. */
@@ -40,6 +43,8 @@
 const MAX_PER_TOKEN_MS = 1;
 const HOLD_WEIGHT = 0.05;
 const SLOWNESS_WEIGHT = 0.1;
+/** Time constant with which it is forgotten. */
+const SLOWNESS_SPAN_MS: Millis = 5_000;
 const MIN_SLOWNESS = 0.5;
 const MAX_SLOWNESS = 8;
 
@@ -51,6 +56,12 @@
   let sumProducts = 0;
   let hold: Millis | undefined;
   let slowness = 1;
+  let slownessAt: Millis = 0;
+
+  function slownessNow(now: Millis): number {
+    const kept = Math.exp(-Math.max(0, now - slownessAt) / SLOWNESS_SPAN_MS);
+    return 1 + (slowness - 1) * kept;
+  }
 
   function perTokenMs(): number | undefined {
     if (weight < MIN_OBSERVATIONS) return undefined;
@@ -82,10 +93,12 @@
       hold = hold === undefined ? observed : hold + HOLD_WEIGHT * (observed - hold);
     },
     holdMs: () => hold,
-    slowness: () => slowness,
-    observeSlowness: (ratio) => {
+    slowness: slownessNow,
+    observeSlowness: (ratio, now) => {
       const bounded = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, ratio));
-      slowness += SLOWNESS_WEIGHT * (bounded - slowness);
+      const before = slownessNow(now);
+      slowness = before + SLOWNESS_WEIGHT * (bounded - before);
+      slownessAt = now;
     },
   };
 }
--- a/src/routing/upstreams/upstreamsState.ts
+++ b/src/routing/upstreams/upstreamsState.ts
@@ -2,6 +2,7 @@
 import type { Millis } from '../../core/clock.js';
 import { hash32 } from '../../core/hash.js';
 import type { Cursor, ListedUpstream, PoolId, UpstreamId } from '../types.js';
+import type { PoolWait } from '../placement/poolWait.js';
 import { createSpeed, type Speed } from './speed.js';
 
 /** Whether an upstream answers. */
@@ -46,6 +47,7 @@
 export interface UpstreamsState {
   readonly byId: Map<UpstreamId, Upstream>;
   readonly speeds: Map<PoolId, Speed>;
+  readonly waits: Map<PoolId, PoolWait>;
   cursor: Cursor | undefined;
   failures: number;
   /** Time at which the platform answered again after it had been away. */
@@ -60,6 +62,7 @@
   return {
     byId: new Map(),
     speeds: new Map(),
+    waits: new Map(),
     cursor: undefined,
     failures: 0,
     regainedAt: undefined,
--- a/test/routing/policy.test.ts
+++ b/test/routing/policy.test.ts
@@ -6,9 +6,11 @@
 import type { PrefixPart, RoutingEffect } from '../../src/routing/types.js';
 import { createSpeed } from '../../src/routing/upstreams/speed.js';
 import {
+  createConfiguration,
   createTestCore,
   createUpstreamEntry,
   effectsOf,
+  MODEL_ROUTE,
   planOf,
   type TestCore,
 } from './support/core.js';
@@ -139,7 +141,7 @@
     objectiveMs: 500,
     leftMs: 12_000,
   };
-  const standing = { asked: 100, admitted: 100, level: Infinity, even: 1_000 };
+  const standing = { asked: 100, admitted: 100, level: Infinity, idleness: 0 };
 
   it('admits what can begin within its objective and refuses the rest at once', () => {
     expect(decideAdmission({ ...input, firstMs: 100 }, random).kind).to.equal('admit');
@@ -155,9 +157,9 @@
       kind: 'refuse',
       reason: 'overShare',
     });
-    const free = { ...input, ownMs: 50, firstMs: 50, standing: over };
-    expect(decideAdmission(free, random).kind).to.equal('admit');
-    expect(decideAdmission({ ...free, firstMs: 80 }, random).kind).to.equal('refuse');
+    expect(decideAdmission({ ...input, firstMs: 50, standing: over }, random).kind).to.equal(
+      'admit',
+    );
     const within = { ...standing, admitted: 90, level: 100 };
     expect(decideAdmission({ ...input, firstMs: 300, standing: within }, random).kind).to.equal(
       'admit',
@@ -165,7 +167,7 @@
   });
 
   it('admits a customer beyond its share where nothing waits, however little all get', () => {
-    const over = { asked: 2_000, admitted: 100, level: 50, even: 50 };
+    const over = { asked: 2_000, admitted: 100, level: 50, idleness: 0.9 };
     const idle = { ...input, ownMs: 130, readMs: 10, urgentMs: 300, standing: over };
     expect(decideAdmission({ ...idle, firstMs: 130 }, random).kind).to.equal('admit');
     expect(decideAdmission({ ...idle, firstMs: 250 }, random).kind).to.equal('refuse');
@@ -239,8 +241,44 @@
   });
 });
 
-/** Upstreams that read one prompt after the other, a hundred tokens a millisecond. */
-function createFifoEngines(core: TestCore) {
+describe('capacity after a loss of all upstreams', () => {
+  it('is used again within seconds, although next to nothing was admitted meanwhile', () => {
+    const core = createTestCore();
+    const slowToAnswerMs = 120;
+    const engines = createFifoEngines(core, slowToAnswerMs);
+    const set = (phase: 'ready' | 'draining', beat: number) => {
+      core.list(...['i-1', 'i-2'].map((id) => createUpstreamEntry(id, { phase, beat })));
+    };
+    const flood = (ms: number) => {
+      let begun = 0;
+      for (let i = 0; i < ms / 5; i += 1) {
+        core.advance(5);
+        if (i % 100 === 0) core.configure();
+        engines.run();
+        const b = { key: 'key-of-b', path: '/urgent/1', promptTokens: 2_000 };
+        const a = { path: '/urgent/1', promptTokens: 2_000 };
+        begun += engines.start([...core.arrive(b), ...core.arrive(a)]);
+      }
+      return begun;
+    };
+    const routes = [{ ...MODEL_ROUTE, pathPrefix: '/urgent/', objectiveMs: 300 }];
+    const urgent = createConfiguration({ version: 2, routes });
+    core.configure(urgent);
+    flood(3_000);
+    const before = flood(2_000);
+    set('draining', 2);
+    flood(8_000);
+    set('ready', 3);
+    flood(6_000);
+    expect(flood(2_000)).to.be.at.least(before * 0.8);
+  });
+});
+
+/**
+ * Upstreams that read one prompt after the other, a hundred tokens a millisecond; an answer takes
+ * `baseMs` more.
+ */
+function createFifoEngines(core: TestCore, baseMs = 0) {
   const tokensPerMs = 100;
   const freeAt = new Map<string, number>();
   const ends: { attempt: number; at: number }[] = [];
@@ -252,7 +290,7 @@
         const tokens = core.routing.state.requests.attempts.get(plan.attempt)?.uncachedTokens ?? 0;
         const at = Math.max(core.now(), freeAt.get(plan.upstream) ?? 0) + tokens / tokensPerMs;
         freeAt.set(plan.upstream, at);
-        ends.push({ attempt: plan.attempt, at });
+        ends.push({ attempt: plan.attempt, at: at + baseMs });
       });
       return sent.length;
     },
