--- a/test/routing/logs.test.ts
+++ b/test/routing/logs.test.ts
@@ -242,7 +242,7 @@
       sinceBoot: () => Math.floor((7_300 + at.time) / 1_000) * 1_000,
     });
     for (let i = 0; i < 400; i += 1) {
-      at.time += 137;
+      at.time += 1_137;
       at.lag = i % 3 === 0 ? 590 : 0;
       expect(clock.takeGap()).to.equal(0);
     }
