--- a/src/routing/admission/admission.ts
+++ b/src/routing/admission/admission.ts
@@ -7,7 +7,8 @@
  * route, which is known at its arrival, and the caller is told when the backlog will have gone. As
  * upstreams work in order of arrival, the wait that is allowed is the same for all kinds of request:
  * that of the most urgent one, which would find no room otherwise; it is changed a little for kinds
- * that fare better or worse than the others. A customer beyond its fair share is refused earlier, so that the others find the upstreams free.
+ * that fare better or worse than the others. A customer beyond its fair share is refused earlier, so
+ * that the others find the upstreams free.
  */
 import type { Millis } from '../../core/clock.js';
 import type { Random } from '../../core/random.js';
@@ -42,18 +43,24 @@
 
 /** Part of the objective that may be expected to pass; the rest is for errors of the estimate. */
 const USABLE_OBJECTIVE = 0.9;
-/** Part of it that a request may wait whose own prompt takes most of the objective to read. */
+/** Part of it that a request may wait whose own prompt takes the objective to read. */
 const LARGE_WAIT_PART = 0.05;
-/** Part of that for a customer that gets just its share; smaller ones have all of it. */
+/** Part of the usable objective for a customer that gets just its share; smaller ones have all. */
 const AT_SHARE_PART = 0.75;
-/** Part of an even share up to which a customer counts as small. */
+/** Part of its share up to which a customer counts as small. */
 const SMALL_PART = 0.5;
-/** Part of that for a customer that is well beyond its share. */
+/** Part of the usable objective for a customer that is well beyond its share. */
 const OVER_SHARE_PART = 0.2;
-/** Idleness from which a customer beyond its share has what is free. */
-const IDLE_ENOUGH = 0.5;
 /** Excess over the share, relative to it, at which that part is reached. */
 const FULL_EXCESS = 0.25;
+/** Idleness from which a customer beyond its share has what is free. */
+const IDLE_ENOUGH = 0.5;
+/**
+ * Times that reading a shared part again has to be to spare: where there is capacity for all, and
+ * for a customer that gets its share.
+ */
+const SPARE_READS_FREE = 2;
+const SPARE_READS_AT_SHARE = 6;
 /** Part of the time that a caller has by which the first event must come; the answer needs the rest. */
 const LONGEST_FIRST = 0.5;
 /** Callers do not come back later than this part of the time that they have. */
@@ -90,15 +97,11 @@
   return standing.idleness > IDLE_ENOUGH ? Math.max(limitMs, ownMs) : limitMs;
 }
 
-/** The largest prompts take longer than the objective by themselves; they are served while little waits. */
+/** Prompts that take the objective by themselves are served while next to nothing waits. */
 function largeLimit(ownMs: Millis, usableMs: Millis, leftMs: Millis): Millis {
   return Math.min(ownMs + usableMs * LARGE_WAIT_PART, leftMs * LONGEST_FIRST);
 }
 
-/** How many times as long as reading a shared part again a request has to have to spare for it. */
-const SPARE_READS_FREE = 2;
-const SPARE_READS_AT_SHARE = 6;
-
 /**
  * Times that reading a shared part again has to be to spare: little while there is capacity for all
  * and for customers that get little; more where the reading takes capacity from others.
--- a/src/routing/placement/placement.ts
+++ b/src/routing/placement/placement.ts
@@ -3,20 +3,26 @@
  *
  * Load pattern: long prompts share their first parts in some hundred groups, many instances place
  * requests at the same time, and reading a shared part again takes as long as reading the rest of
- * the prompt. All instances therefore agree, without a message, on a home upstream for each shared
- * part by rendezvous hashing. A request goes elsewhere once the wait at its home exceeds what
- * reading the shared part again costs, and then to the next one in the same order.
+ * the prompt. A request goes to an upstream that keeps its shared part, and elsewhere only where
+ * time remains for reading the part again. A part that no upstream keeps goes to its first or second
+ * home, on which all instances agree without a message.
  *
  * The time to the first event is expected from the prompt tokens that are to be read before it, here
  * and by the requests of all instances, from the free slots and from the speed that was observed.
  */
 import type { Millis } from '../../core/clock.js';
-import { hash32, rendezvousScoreOfHashes } from '../../core/hash.js';
 import type { RoutingContext } from '../context.js';
 import { countInstances, peersWork } from '../exchange/exchange.js';
 import type { PoolId, RegionId, RequestFacts, Route, UpstreamId } from '../types.js';
 import { createPoolWait, type PoolWait } from './poolWait.js';
-import type { PartHash } from './prefixMemory.js';
+import {
+  describePrompt,
+  partHash,
+  rankOf,
+  uncachedParts,
+  type HomeRank,
+  type Prompt,
+} from './prompt.js';
 import { createSpeed, type Speed } from '../upstreams/speed.js';
 import type { OpenWork, Upstream } from '../upstreams/upstreamsState.js';
 
@@ -42,9 +48,6 @@
 /** Part of the connections of an upstream that the instances use together. */
 const USABLE_CONNECTIONS = 0.9;
 
-/** Whether all instances turn to an upstream first, or second, for a request's shared part. */
-export type HomeRank = 'first' | 'second' | 'none';
-
 /** What is expected of a request at one upstream. */
 export interface Placement {
   readonly upstream: Upstream;
@@ -218,98 +221,6 @@
   return Math.max(forSlot, forMemory);
 }
 
-/** A request's prompt as placement sees it. */
-interface Prompt {
-  readonly tokens: number;
-  readonly parts: readonly PromptPart[];
-  readonly homes: Homes;
-}
-
-interface PromptPart {
-  readonly hash: PartHash;
-  readonly tokens: number;
-  readonly isShared: boolean;
-  /** Whether some upstream that can be used is believed to keep it. */
-  readonly isKept: boolean;
-}
-
-function describePrompt(
-  ctx: RoutingContext,
-  facts: RequestFacts,
-  members: readonly Upstream[],
-): Prompt {
-  const { prefixes } = ctx.state;
-  const last = facts.prefix.length - 1;
-  const parts = facts.prefix.map(({ id, tokens }, i) => {
-    const hash = partHash(facts, id);
-    const isShared = i < last;
-    const isKept =
-      isShared && members.some((member) => prefixes.isKept(hash, member.hash, ctx.now));
-    return { hash, tokens, isShared, isKept };
-  });
-  return { tokens: facts.promptTokens, parts, homes: homesOf(parts, members) };
-}
-
-interface Uncached {
-  readonly tokens: number;
-  /** Those of shared parts that another upstream keeps, or that belong at a home. */
-  readonly readAgain: number;
-}
-
-/** Tokens that an upstream has to read: all from the first part on that it does not keep. */
-function uncachedParts(
-  ctx: RoutingContext,
-  { tokens, parts }: Prompt,
-  { hash }: Upstream,
-  home: HomeRank,
-): Uncached {
-  let kept = 0;
-  let readAgain = 0;
-  let isChained = true;
-  parts.forEach((part) => {
-    isChained &&= ctx.state.prefixes.isKept(part.hash, hash, ctx.now);
-    if (isChained) kept += part.tokens;
-    else if (part.isShared && (part.isKept || home === 'none')) readAgain += part.tokens;
-  });
-  return { tokens: Math.max(0, tokens - kept), readAgain };
-}
-
-/** Upstreams on which all instances agree for the longest shared part of a prompt. */
-interface Homes {
-  readonly first: Upstream | undefined;
-  /** Where requests go that the first one cannot take in time. */
-  readonly second: Upstream | undefined;
-}
-
-function rankOf(upstream: Upstream, homes: Homes): HomeRank {
-  if (upstream === homes.first) return 'first';
-  return upstream === homes.second ? 'second' : 'none';
-}
-
-function homesOf(parts: readonly PromptPart[], members: readonly Upstream[]): Homes {
-  const part = parts.at(-2);
-  if (part === undefined) return { first: undefined, second: undefined };
-  const key = part.hash;
-  let first: Upstream | undefined;
-  let second: Upstream | undefined;
-  let firstScore = -Infinity;
-  let secondScore = -Infinity;
-  members.forEach((upstream) => {
-    const score = rendezvousScoreOfHashes(key, upstream.hash);
-    if (score > firstScore) {
-      [second, secondScore] = [first, firstScore];
-      [first, firstScore] = [upstream, score];
-    } else if (score > secondScore) {
-      [second, secondScore] = [upstream, score];
-    }
-  });
-  return { first, second };
-}
-
-function partHash(facts: RequestFacts, part: string): PartHash {
-  return hash32(`${facts.model} ${part}`);
-}
-
 function distance(ctx: RoutingContext, { listed }: Upstream): Millis {
   const { self, regions } = ctx.state;
   if (listed.domain === self.domain) return 0;
