Follow up the three reads of the platform in one place, and decay values by one rule

The reads of configuration, upstreams and instances each had their own copy of what follows an answer, a lost history and a failure; the exponential decay stood in four modules, with two types of the same shape; whether a part is kept was looked up twice for each upstream of each placement; the emulated fleet ended attempts in four places; two tests had their own copies of the same prompt and upstreams; options, fields and an export were unused. Ruled out: splitting the speed of a pool from that of an upstream, as it would change what health takes for usual. Changed beside that: a regained read of the instances is logged, as a lost one was (the copy that lacked the line), with a test; the line of a regained configuration stands before that of its version; placement's field is readAgainTokens.

--- a/src/bench/routing/emulatedFleet.ts
+++ b/src/bench/routing/emulatedFleet.ts
@@ -3,13 +3,14 @@
  * engines, and callers that return after a refusal. It keeps what callers got of each customer and
  * kind of request, and how many shared tokens engines read again.
  */
-import { createRandom, type Random } from '../../core/random.js';
+import { createRandom } from '../../core/random.js';
 import type { Millis } from '../../core/clock.js';
 import type { FailureDomainId, PeerMessage, RegionId } from '../../core/types.js';
 import { createRouting } from '../../routing/routing.js';
 import type { RoutingSettings } from '../../routing/settings.js';
 import type {
   AttemptNumber,
+  AttemptOutcome,
   ListedUpstream,
   PrefixPart,
   RequestFacts,
@@ -78,6 +79,7 @@
 const POOL = 'models';
 const STORE_MS: Millis = 4;
 const MAX_CONNECTIONS = 10_000;
+const RESET: AttemptOutcome = { kind: 'cut', reason: 'ECONNRESET' };
 
 const regionOf = (domain: FailureDomainId): RegionId => `region-of-${domain}`;
 
@@ -121,7 +123,6 @@
   let nextJob = 1;
   let nextRequest = 1;
   let nextCall = 1;
-  let listVersion = 1;
 
   const delayBetween = (a: FailureDomainId | undefined, b: FailureDomainId | undefined) =>
     a === b ? shape.withinRegionMs : shape.crossRegionMs;
@@ -221,7 +222,7 @@
           const changes = listed
             .filter(({ id }) => present.has(id))
             .map((upstream) => ({ kind: 'listed', upstream }) as const);
-          const outcome = { kind: 'answered', cursor: listVersion, changes } as const;
+          const outcome = { kind: 'answered', cursor: 1, changes } as const;
           instance.post({ kind: 'upstreamsPolled', askedAt, isWhole: true, outcome });
           return;
         }
@@ -273,7 +274,7 @@
     };
     simulation.after(delay, () => {
       if (!present.has(upstream)) {
-        back(() => endAttempt(instance, attempt, request, 'cut'));
+        back(() => endAttempt(instance, attempt, RESET));
         return;
       }
       engine.submit({
@@ -289,35 +290,25 @@
           });
         },
         onEnded: () => {
-          back(() => endAttempt(instance, attempt, request, 'complete'));
+          back(() => {
+            instance.open.delete(request);
+            endAttempt(instance, attempt, { kind: 'complete', status: 200 });
+          });
         },
       });
     });
   }
 
-  function endAttempt(
-    instance: Instance,
-    attempt: AttemptNumber,
-    request: number,
-    how: 'complete' | 'cut',
-  ): void {
+  function endAttempt(instance: Instance, attempt: AttemptNumber, outcome: AttemptOutcome): void {
     instance.attempts.delete(attempt);
-    if (how === 'complete') {
-      instance.open.delete(request);
-      const outcome = { kind: 'complete', status: 200 } as const;
-      instance.post({ kind: 'attemptEnded', attempt, outcome });
-      return;
-    }
-    const outcome = { kind: 'cut', reason: 'ECONNRESET' } as const;
     instance.post({ kind: 'attemptEnded', attempt, outcome });
   }
 
   function withdraw(instance: Instance, attempt: AttemptNumber): void {
     const running = instance.attempts.get(attempt);
     if (running === undefined) return;
-    instance.attempts.delete(attempt);
     engines.get(running.engine)?.cancel(running.job);
-    instance.post({ kind: 'attemptEnded', attempt, outcome: { kind: 'cancelled' } });
+    endAttempt(instance, attempt, { kind: 'cancelled' });
   }
 
   function endCall(
@@ -345,8 +336,7 @@
     nextRequest += 1;
     instance.open.set(request, call);
     const leftMs = call.firstAt + offered.deadlineMs - simulation.now();
-    const facts = { ...factsOf(offered, request, leftMs), fingerprint: call.number };
-    instance.post({ kind: 'requestArrived', facts });
+    instance.post({ kind: 'requestArrived', facts: factsOf(call, request, leftMs) });
   }
 
   shape.domains.forEach(({ id, instances: count }) => {
@@ -384,14 +374,10 @@
     },
     loseEngine: (id) => {
       present.delete(id);
-      listVersion += 1;
       const lost = new Set(engines.get(id)?.crash());
       instances.forEach((instance) => {
         instance.attempts.forEach(({ job }, attempt) => {
-          if (!lost.has(job)) return;
-          instance.attempts.delete(attempt);
-          const outcome = { kind: 'cut', reason: 'ECONNRESET' } as const;
-          instance.post({ kind: 'attemptEnded', attempt, outcome });
+          if (lost.has(job)) endAttempt(instance, attempt, RESET);
         });
       });
     },
@@ -444,11 +430,7 @@
   return picked;
 }
 
-function factsOf(
-  offered: OfferedRequest,
-  request: number,
-  leftMs: Millis,
-): Omit<RequestFacts, 'fingerprint'> {
+function factsOf({ offered, number }: OpenCall, request: number, leftMs: Millis): RequestFacts {
   const { route, parts, promptTokens, outputTokens } = offered;
   return {
     request,
@@ -461,12 +443,6 @@
     outputTokens,
     prefix: parts,
     model: 'm',
+    fingerprint: number,
   };
 }
-
-/** Draws from a log-normal distribution with a mean and a spread of its logarithm. */
-export function drawLogNormal(random: Random, mean: number, spread: number): number {
-  const normal =
-    Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next());
-  return mean * Math.exp(spread * normal - (spread * spread) / 2);
-}
--- a/src/bench/routing/patterns.ts
+++ b/src/bench/routing/patterns.ts
@@ -6,7 +6,7 @@
 import { MS_PER_SECOND, type Millis } from '../../core/clock.js';
 import { createRandom, type Random } from '../../core/random.js';
 import type { PrefixPart, Route } from '../../routing/types.js';
-import { drawLogNormal, type FleetShape, type OfferedRequest } from './emulatedFleet.js';
+import type { FleetShape, OfferedRequest } from './emulatedFleet.js';
 
 /** A kind of request. */
 export interface RequestKind {
@@ -179,3 +179,10 @@
   const skewed = Math.floor(random.next() ** 1.3 * perCustomer);
   return count < SHAPE.customers ? random.nextInt(count) : customer * perCustomer + skewed;
 }
+
+/** Draws from a log-normal distribution with a mean and a spread of its logarithm. */
+function drawLogNormal(random: Random, mean: number, spread: number): number {
+  const normal =
+    Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next());
+  return mean * Math.exp(spread * normal - (spread * spread) / 2);
+}
--- a/src/routing/attempts/attempts.ts
+++ b/src/routing/attempts/attempts.ts
@@ -120,7 +120,7 @@
     ahead: Math.round(placement.tokensAhead),
     uncached: placement.uncachedTokens,
     running: placement.running,
-    sharedToRead: placement.sharedTokens,
+    sharedToRead: placement.readAgainTokens,
     part: facts.prefix.at(-2)?.id,
     home: placement.home,
   };
--- a/src/routing/exchange/exchange.ts
+++ b/src/routing/exchange/exchange.ts
@@ -2,10 +2,9 @@
  * Exchange between instances: each announces itself once on the platform, finds the others there,
  * and then tells them directly, some times a second, of its open work at upstreams, of what
  * customers ask for and get, of parts of prompts that upstreams read, and of requests that crash
- * upstreams. News are whole states, so that a
- * lost or late message does no harm; an instance that is not heard of no longer counts.
+ * upstreams. News are whole states, or told twice, so that a lost or late message does no harm; an
+ * instance that is not heard of no longer counts.
  */
-import { Debug } from '../../core/debug.js';
 import type { Millis } from '../../core/clock.js';
 import { hash32 } from '../../core/hash.js';
 import type { PeerMessage, PeerMessageOf } from '../../core/types.js';
@@ -18,6 +17,7 @@
   type RetryDelay,
   type RoutingContext,
 } from '../context.js';
+import { settlePoll, type Poll } from '../polls.js';
 import { ownRates } from '../shares/tokenShares.js';
 import { noteReportedCrashes, ownCrashes } from '../suspects/suspects.js';
 import type { AnnouncedInstance, RoutingEvent } from '../types.js';
@@ -26,6 +26,8 @@
 
 /** Delay before a failed announcement or read is tried again. */
 const RETRY_DELAY: RetryDelay = { firstMs: 500, longestMs: 3_000 };
+/** Of so many news, instances that were found lately and are not heard of yet are told one. */
+const NEW_PEER_EVERY = 5;
 /** Interval at which instances that are not heard of are still told news. */
 const SILENT_PEER_INTERVAL_MS: Millis = 2_000;
 /** Time after which an instance that was never heard of again is dropped. */
@@ -65,28 +67,20 @@
 }
 
 export function onInstancesPolled(ctx: RoutingContext, { outcome }: Polled): void {
-  const { exchange } = ctx.state;
-  switch (outcome.kind) {
-    case 'answered':
-      exchange.failures = 0;
-      exchange.cursor = outcome.cursor;
-      outcome.changes.forEach((announced) => addPeer(ctx, announced));
-      startInstancePoll(ctx);
-      return;
-    case 'expired':
-      exchange.cursor = undefined;
-      startInstancePoll(ctx);
-      return;
-    case 'failed':
-      exchange.failures += 1;
-      if (exchange.failures === 1) {
-        logWarning(ctx, 'platformLost', { reads: 'instances', reason: outcome.reason });
-      }
-      setRetryTimer(ctx, 'instancePoll', RETRY_DELAY, exchange.failures);
-      return;
-    default:
-      Debug.assertNever(outcome);
-  }
+  const changes = settlePoll(ctx, pollOf(ctx), outcome);
+  if (changes === undefined) return;
+  changes.forEach((announced) => addPeer(ctx, announced));
+  startInstancePoll(ctx);
+}
+
+function pollOf(ctx: RoutingContext): Poll {
+  return {
+    reads: 'instances',
+    state: ctx.state.exchange,
+    timer: 'instancePoll',
+    retryDelay: RETRY_DELAY,
+    start: startInstancePoll,
+  };
 }
 
 export function onExchangeTimer(ctx: RoutingContext): void {
@@ -110,7 +104,7 @@
   peer.isHeard = true;
   peer.lastHeardAt = ctx.now;
   peer.sequence = value.sequence;
-  peer.news = value.isLeaving ? undefined : readNews(value, ctx.now);
+  peer.news = value.isLeaving ? undefined : readNews(value);
   value.suspects.forEach((fingerprint, i) => {
     noteReportedCrashes(ctx, from, fingerprint, value.crashes[i] ?? 0);
   });
@@ -188,7 +182,7 @@
   const { exchange, settings } = ctx.state;
   const everyNth = Math.max(1, Math.round(SILENT_PEER_INTERVAL_MS / settings.exchangeMs));
   const isNew = ctx.now - peer.lastHeardAt < settings.peerTimeoutMs;
-  return isNew ? exchange.sequence % 5 === 0 : exchange.sequence % everyNth === 0;
+  return exchange.sequence % (isNew ? NEW_PEER_EVERY : everyNth) === 0;
 }
 
 function composeNews(ctx: RoutingContext): NewsMessage {
@@ -218,7 +212,7 @@
   };
 }
 
-function readNews(value: News, receivedAt: Millis): PeerNews {
+function readNews(value: News): PeerNews {
   const work = new Map<number, OpenWork>();
   value.upstreams.forEach((hash, i) => {
     work.set(hash, {
@@ -233,5 +227,5 @@
       { asked: value.asked[i] ?? 0, admitted: value.admitted[i] ?? 0 },
     ]),
   );
-  return { receivedAt, work, rates };
+  return { work, rates };
 }
--- a/src/routing/exchange/exchangeState.ts
+++ b/src/routing/exchange/exchangeState.ts
@@ -1,12 +1,12 @@
 /** The other instances and the last news of each. */
 import type { Millis } from '../../core/clock.js';
+import type { PollState } from '../polls.js';
 import type { TokenRates } from '../shares/sharesState.js';
-import type { Cursor, FailureDomainId, InstanceId, RegionId } from '../types.js';
+import type { FailureDomainId, InstanceId, RegionId } from '../types.js';
 import type { OpenWork } from '../upstreams/upstreamsState.js';
 
 /** What another instance told last. */
 export interface PeerNews {
-  readonly receivedAt: Millis;
   /** Open work by the hash of the upstream's id and start. */
   readonly work: ReadonlyMap<number, OpenWork>;
   /** Rates by the hash of the customer's name. */
@@ -27,10 +27,8 @@
   sequence: number;
 }
 
-export interface ExchangeState {
+export interface ExchangeState extends PollState {
   readonly peers: Map<InstanceId, PeerInstance>;
-  cursor: Cursor | undefined;
-  failures: number;
   isAnnounced: boolean;
   announceFailures: number;
   sequence: number;
--- a/src/routing/freshness/freshness.ts
+++ b/src/routing/freshness/freshness.ts
@@ -4,16 +4,9 @@
  * the last confirmation is young enough, so that a key that was taken away is refused in time even
  * by an instance that has lost the platform. A pending read confirms nothing.
  */
-import { Debug } from '../../core/debug.js';
 import { MS_PER_SECOND, type Millis } from '../../core/clock.js';
-import {
-  emit,
-  logInfo,
-  logWarning,
-  setRetryTimer,
-  type RetryDelay,
-  type RoutingContext,
-} from '../context.js';
+import { emit, logInfo, logWarning, type RetryDelay, type RoutingContext } from '../context.js';
+import { settlePoll, type Poll } from '../polls.js';
 import { createRouteTable } from '../routes/routeTable.js';
 import type { RoutingState } from '../state.js';
 import type { ConfigurationChange, RoutingConfiguration, RoutingEvent } from '../types.js';
@@ -37,36 +30,25 @@
 
 export function onConfigurationPolled(ctx: RoutingContext, event: Polled): void {
   const { freshness } = ctx.state;
-  const { outcome } = event;
-  switch (outcome.kind) {
-    case 'answered':
-      outcome.changes.forEach((change) => takeChange(ctx, change));
-      freshness.cursor = outcome.cursor;
-      if (freshness.failures > 0) {
-        logInfo(ctx, 'platformRegained', { reads: 'configuration', failures: freshness.failures });
-      }
-      freshness.failures = 0;
-      freshness.confirmedAt = Math.max(freshness.confirmedAt ?? -Infinity, event.askedAt);
-      updateFreshness(ctx);
-      startConfigurationPoll(ctx);
-      return;
-    case 'expired':
-      // Only a read of the whole state tells what is newest now.
-      freshness.cursor = undefined;
-      startConfigurationPoll(ctx);
-      return;
-    case 'failed':
-      freshness.failures += 1;
-      if (freshness.failures === 1) {
-        const { reason } = outcome;
-        logWarning(ctx, 'platformLost', { reads: 'configuration', reason });
-      }
-      updateFreshness(ctx);
-      setRetryTimer(ctx, 'configurationPoll', RETRY_DELAY, freshness.failures);
-      return;
-    default:
-      Debug.assertNever(outcome);
+  const changes = settlePoll(ctx, pollOf(ctx), event.outcome);
+  if (changes === undefined) {
+    updateFreshness(ctx);
+    return;
   }
+  changes.forEach((change) => takeChange(ctx, change));
+  freshness.confirmedAt = Math.max(freshness.confirmedAt ?? -Infinity, event.askedAt);
+  updateFreshness(ctx);
+  startConfigurationPoll(ctx);
+}
+
+function pollOf(ctx: RoutingContext): Poll {
+  return {
+    reads: 'configuration',
+    state: ctx.state.freshness,
+    timer: 'configurationPoll',
+    retryDelay: RETRY_DELAY,
+    start: startConfigurationPoll,
+  };
 }
 
 /** Drops the confirmation if time may have passed that the clock did not count. */
--- a/src/routing/placement/placement.ts
+++ b/src/routing/placement/placement.ts
@@ -68,8 +68,8 @@
   readonly tokensAhead: number;
   /** Requests that run there, of all instances. */
   readonly running: number;
-  /** Tokens among them of shared parts that another upstream keeps. */
-  readonly sharedTokens: number;
+  /** Uncached tokens of shared parts that another upstream keeps, or that belong at a home. */
+  readonly readAgainTokens: number;
   readonly home: HomeRank;
   /** Lowest is best: expected time and disadvantages. */
   readonly score: number;
@@ -143,7 +143,7 @@
 }
 
 /** Work of all instances at an upstream. */
-export function workAt(ctx: RoutingContext, upstream: Upstream): OpenWork {
+function workAt(ctx: RoutingContext, upstream: Upstream): OpenWork {
   const others = peersWork(ctx, upstream.hash);
   const { own } = upstream;
   return {
@@ -165,7 +165,7 @@
   const slowness = upstream.speed.slowness(ctx.now);
   const perToken = (speed.perTokenMs() ?? ASSUMED_PER_TOKEN_MS) * slowness;
   const work = workAt(ctx, upstream);
-  const uncached = uncachedParts(ctx, prompt, upstream, home);
+  const uncached = uncachedParts(prompt, upstream, home);
   const base = (speed.baseMs() ?? ASSUMED_BASE_MS) * slowness;
   const wait = slotWait(ctx, request, upstream, work) * slowness;
   const readMs = uncached.tokens * perToken;
@@ -188,7 +188,7 @@
     uncachedTokens: uncached.tokens,
     tokensAhead: work.pendingTokens,
     running: work.running,
-    sharedTokens: uncached.readAgain,
+    readAgainTokens: uncached.readAgain,
     home,
     score,
   };
--- a/src/routing/placement/poolWait.ts
+++ b/src/routing/placement/poolWait.ts
@@ -3,6 +3,7 @@
  * Where nothing waits, there is capacity left, whatever has been admitted so far.
  */
 import type { Millis } from '../../core/clock.js';
+import { partKept } from '../decay.js';
 
 export interface PoolWait {
   /** Takes in the mean wait at the upstreams that can be used. */
@@ -21,7 +22,7 @@
   let notedAt: Millis = 0;
   return {
     note: (waitMs, now) => {
-      const kept = Math.exp(-Math.max(0, now - notedAt) / AVERAGE_SPAN_MS);
+      const kept = partKept(now - notedAt, AVERAGE_SPAN_MS);
       average = average === undefined ? waitMs : waitMs + kept * (average - waitMs);
       notedAt = now;
     },
--- a/src/routing/placement/prefixMemory.ts
+++ b/src/routing/placement/prefixMemory.ts
@@ -31,14 +31,11 @@
   readonly forget: (upstream: UpstreamHash) => void;
 }
 
-export interface PrefixMemoryOptions {
-  readonly maxParts?: number;
-  /** Time for which a part is believed to be kept after its last use. */
-  readonly keptMs?: Millis;
-}
-
 const MAX_PARTS = 20_000;
-/** An upstream whose memory is full drops what was not used for about so long. */
+/**
+ * Time for which a part is believed to be kept after its last use. An upstream whose memory is full
+ * drops what was not used for about so long.
+ */
 const KEPT_MS: Millis = 15_000;
 /** Time after which a part that is still in use is told again, well within the time it is kept. */
 const TELL_AGAIN_MS: Millis = 4_000;
@@ -50,8 +47,7 @@
   toldAt: Millis;
 }
 
-export function createPrefixMemory(options: PrefixMemoryOptions = {}): PrefixMemory {
-  const { maxParts = MAX_PARTS, keptMs = KEPT_MS } = options;
+export function createPrefixMemory(): PrefixMemory {
   const parts = new Map<PartHash, Map<UpstreamHash, PartUse>>();
   let news: PartRead[] = [];
   let toldBefore: readonly PartRead[] = [];
@@ -64,7 +60,7 @@
     // Re-inserting keeps the map in the order of use.
     parts.delete(part);
     parts.set(part, uses);
-    if (parts.size > maxParts) {
+    if (parts.size > MAX_PARTS) {
       const [oldest] = parts.keys();
       if (oldest !== undefined) parts.delete(oldest);
     }
@@ -74,7 +70,7 @@
   return {
     isKept: (part, upstream, now) => {
       const use = parts.get(part)?.get(upstream);
-      return use !== undefined && now - use.at < keptMs;
+      return use !== undefined && now - use.at < KEPT_MS;
     },
     noteSent: (read, now, isTold) => {
       const use = note(read, now);
--- a/src/routing/placement/prompt.ts
+++ b/src/routing/placement/prompt.ts
@@ -23,8 +23,8 @@
   readonly hash: PartHash;
   readonly tokens: number;
   readonly isShared: boolean;
-  /** Whether some upstream that can be used is believed to keep it. */
-  readonly isKept: boolean;
+  /** Upstreams that can be used and are believed to keep it. */
+  readonly keptBy: ReadonlySet<Upstream>;
 }
 
 /** Describes a prompt with regard to the upstreams that can be used. */
@@ -37,10 +37,8 @@
   const last = facts.prefix.length - 1;
   const parts = facts.prefix.map(({ id, tokens }, i) => {
     const hash = partHash(facts, id);
-    const isShared = i < last;
-    const isKept =
-      isShared && members.some((member) => prefixes.isKept(hash, member.hash, ctx.now));
-    return { hash, tokens, isShared, isKept };
+    const keepers = members.filter((member) => prefixes.isKept(hash, member.hash, ctx.now));
+    return { hash, tokens, isShared: i < last, keptBy: new Set(keepers) };
   });
   return { tokens: facts.promptTokens, parts, homes: homesOf(parts, members) };
 }
@@ -54,18 +52,17 @@
 
 /** Tokens that an upstream has to read: all from the first part on that it does not keep. */
 export function uncachedParts(
-  ctx: RoutingContext,
   { tokens, parts }: Prompt,
-  { hash }: Upstream,
+  upstream: Upstream,
   home: HomeRank,
 ): Uncached {
   let kept = 0;
   let readAgain = 0;
   let isChained = true;
   parts.forEach((part) => {
-    isChained &&= ctx.state.prefixes.isKept(part.hash, hash, ctx.now);
+    isChained &&= part.keptBy.has(upstream);
     if (isChained) kept += part.tokens;
-    else if (part.isShared && (part.isKept || home === 'none')) readAgain += part.tokens;
+    else if (part.isShared && (part.keptBy.size > 0 || home === 'none')) readAgain += part.tokens;
   });
   return { tokens: Math.max(0, tokens - kept), readAgain };
 }
--- a/src/routing/shares/kindBalance.ts
+++ b/src/routing/shares/kindBalance.ts
@@ -8,8 +8,8 @@
  */
 import type { Millis } from '../../core/clock.js';
 import type { RoutingContext } from '../context.js';
+import { createDecayingCounts, decay, type DecayingCounts } from '../decay.js';
 import type { PoolId, Route } from '../types.js';
-import type { KindCounts } from './sharesState.js';
 
 /** Time constant of the counts. */
 const COUNT_SPAN_MS: Millis = 3_000;
@@ -47,23 +47,12 @@
   ctx: RoutingContext,
   pool: PoolId,
   { name }: Route,
-): readonly [all: KindCounts, own: KindCounts] {
+): readonly [all: DecayingCounts, own: DecayingCounts] {
   const { kinds } = ctx.state.shares;
-  const ofPool = kinds.get(pool) ?? { all: createCounts(ctx.now), byRoute: new Map() };
+  const ofPool = kinds.get(pool) ?? { all: createDecayingCounts(ctx.now), byRoute: new Map() };
   kinds.set(pool, ofPool);
-  const own = ofPool.byRoute.get(name) ?? createCounts(ctx.now);
+  const own = ofPool.byRoute.get(name) ?? createDecayingCounts(ctx.now);
   ofPool.byRoute.set(name, own);
-  [ofPool.all, own].forEach((counts) => decay(counts, ctx.now));
+  [ofPool.all, own].forEach((counts) => decay(counts, ctx.now, COUNT_SPAN_MS));
   return [ofPool.all, own];
 }
-
-function createCounts(now: Millis): KindCounts {
-  return { asked: 0, admitted: 0, at: now };
-}
-
-function decay(counts: KindCounts, now: Millis): void {
-  const kept = Math.exp(-Math.max(0, now - counts.at) / COUNT_SPAN_MS);
-  counts.asked *= kept;
-  counts.admitted *= kept;
-  counts.at = now;
-}
--- a/src/routing/shares/sharesState.ts
+++ b/src/routing/shares/sharesState.ts
@@ -1,5 +1,5 @@
 /** Rates at which customers ask for tokens and get them, here and at the other instances. */
-import type { Millis } from '../../core/clock.js';
+import type { DecayingCounts } from '../decay.js';
 import type { CustomerName, PoolId } from '../types.js';
 
 /** Tokens per second. */
@@ -8,27 +8,15 @@
   readonly admitted: number;
 }
 
-/** Rates that decay with time, so that they follow the last seconds. */
-export interface DecayingRates {
-  asked: number;
-  admitted: number;
-  at: Millis;
-}
-
-/** Requests of a route, or of all routes to a pool, that decay with time. */
-export interface KindCounts {
-  asked: number;
-  admitted: number;
-  at: Millis;
-}
-
+/** Requests for a pool, of all routes and of each. */
 export interface PoolKinds {
-  readonly all: KindCounts;
-  readonly byRoute: Map<string, KindCounts>;
+  readonly all: DecayingCounts;
+  readonly byRoute: Map<string, DecayingCounts>;
 }
 
 export interface SharesState {
-  readonly own: Map<CustomerName, DecayingRates>;
+  /** Rates of this instance, in tokens per second. */
+  readonly own: Map<CustomerName, DecayingCounts>;
   readonly kinds: Map<PoolId, PoolKinds>;
 }
 
--- a/src/routing/shares/tokenShares.ts
+++ b/src/routing/shares/tokenShares.ts
@@ -10,8 +10,9 @@
 import { MS_PER_SECOND, type Millis } from '../../core/clock.js';
 import { hash32 } from '../../core/hash.js';
 import type { RoutingContext } from '../context.js';
+import { createDecayingCounts, decay, type DecayingCounts } from '../decay.js';
 import type { CustomerName } from '../types.js';
-import type { DecayingRates, TokenRates } from './sharesState.js';
+import type { TokenRates } from './sharesState.js';
 
 /** Time constant of the rates. */
 const RATE_SPAN_MS: Millis = 2_000;
@@ -106,13 +107,10 @@
   return Infinity;
 }
 
-function decayed(ctx: RoutingContext, customer: CustomerName): DecayingRates {
+function decayed(ctx: RoutingContext, customer: CustomerName): DecayingCounts {
   const { own } = ctx.state.shares;
-  const rates = own.get(customer) ?? { asked: 0, admitted: 0, at: ctx.now };
+  const rates = own.get(customer) ?? createDecayingCounts(ctx.now);
   own.set(customer, rates);
-  const kept = Math.exp(-Math.max(0, ctx.now - rates.at) / RATE_SPAN_MS);
-  rates.asked *= kept;
-  rates.admitted *= kept;
-  rates.at = ctx.now;
+  decay(rates, ctx.now, RATE_SPAN_MS);
   return rates;
 }
--- a/src/routing/upstreams/list.ts
+++ b/src/routing/upstreams/list.ts
@@ -3,16 +3,15 @@
  * except where the platform was away: entries lapse meanwhile although their upstreams live, and
  * those are kept for a short time in which a living upstream lists itself again.
  */
-import { Debug } from '../../core/debug.js';
 import {
   emit,
   logInfo,
   logWarning,
-  setRetryTimer,
   setTimer,
   type RetryDelay,
   type RoutingContext,
 } from '../context.js';
+import { settlePoll, type Poll } from '../polls.js';
 import type { ListedUpstream, RoutingEvent, UpstreamChange, UpstreamId } from '../types.js';
 import { createUpstream, hashOf, type Upstream } from './upstreamsState.js';
 
@@ -27,31 +26,25 @@
 
 export function onUpstreamsPolled(ctx: RoutingContext, event: Polled): void {
   const { upstreams, settings } = ctx.state;
-  const { outcome } = event;
-  switch (outcome.kind) {
-    case 'answered':
-      if (upstreams.failures > 0) noteRegained(ctx);
-      takeChanges(ctx, outcome.changes, event.isWhole);
-      upstreams.cursor = outcome.cursor;
-      upstreams.isKnown = true;
-      upstreams.readAt = event.askedAt;
-      dropMissing(ctx);
-      setTimer(ctx, 'upstreamPoll', settings.upstreamPollMs);
-      return;
-    case 'expired':
-      upstreams.cursor = undefined;
-      startUpstreamPoll(ctx);
-      return;
-    case 'failed':
-      upstreams.failures += 1;
-      if (upstreams.failures === 1) {
-        logWarning(ctx, 'platformLost', { reads: 'upstreams', reason: outcome.reason });
-      }
-      setRetryTimer(ctx, 'upstreamPoll', RETRY_DELAY, upstreams.failures);
-      return;
-    default:
-      Debug.assertNever(outcome);
-  }
+  const wasAway = upstreams.failures > 0;
+  const changes = settlePoll(ctx, pollOf(ctx), event.outcome);
+  if (changes === undefined) return;
+  if (wasAway) upstreams.regainedAt = ctx.now;
+  takeChanges(ctx, changes, event.isWhole);
+  upstreams.isKnown = true;
+  upstreams.readAt = event.askedAt;
+  dropMissing(ctx);
+  setTimer(ctx, 'upstreamPoll', settings.upstreamPollMs);
+}
+
+function pollOf(ctx: RoutingContext): Poll {
+  return {
+    reads: 'upstreams',
+    state: ctx.state.upstreams,
+    timer: 'upstreamPoll',
+    retryDelay: RETRY_DELAY,
+    start: startUpstreamPoll,
+  };
 }
 
 /** Drops upstreams that did not come back into the list in time. */
@@ -65,13 +58,6 @@
   });
 }
 
-function noteRegained(ctx: RoutingContext): void {
-  const { upstreams } = ctx.state;
-  logInfo(ctx, 'platformRegained', { reads: 'upstreams', failures: upstreams.failures });
-  upstreams.failures = 0;
-  upstreams.regainedAt = ctx.now;
-}
-
 function takeChanges(
   ctx: RoutingContext,
   changes: readonly UpstreamChange[],
--- a/src/routing/upstreams/speed.ts
+++ b/src/routing/upstreams/speed.ts
@@ -8,6 +8,7 @@
  * an observation counts by the part of its tokens that are the request's own.
  */
 import type { Millis } from '../../core/clock.js';
+import { partKept } from '../decay.js';
 
 export interface Speed {
   /** Takes in the time to a first event, with the tokens that were read for it and before it. */
@@ -59,8 +60,7 @@
   let slownessAt: Millis = 0;
 
   function slownessNow(now: Millis): number {
-    const kept = Math.exp(-Math.max(0, now - slownessAt) / SLOWNESS_SPAN_MS);
-    return 1 + (slowness - 1) * kept;
+    return 1 + (slowness - 1) * partKept(now - slownessAt, SLOWNESS_SPAN_MS);
   }
 
   function perTokenMs(): number | undefined {
--- a/src/routing/upstreams/upstreamsState.ts
+++ b/src/routing/upstreams/upstreamsState.ts
@@ -1,7 +1,8 @@
 /** What is believed of the upstreams: the list, their open work, their speed and their health. */
 import type { Millis } from '../../core/clock.js';
 import { hash32 } from '../../core/hash.js';
-import type { Cursor, ListedUpstream, PoolId, UpstreamId } from '../types.js';
+import type { ListedUpstream, PoolId, UpstreamId } from '../types.js';
+import type { PollState } from '../polls.js';
 import type { PoolWait } from '../placement/poolWait.js';
 import { createSpeed, type Speed } from './speed.js';
 
@@ -44,12 +45,10 @@
   readonly at: Millis;
 }
 
-export interface UpstreamsState {
+export interface UpstreamsState extends PollState {
   readonly byId: Map<UpstreamId, Upstream>;
   readonly speeds: Map<PoolId, Speed>;
   readonly waits: Map<PoolId, PoolWait>;
-  cursor: Cursor | undefined;
-  failures: number;
   /** Time at which the platform answered again after it had been away. */
   regainedAt: Millis | undefined;
   /** Whether the list has been read at least once. */
--- a/test/routing/beliefs.test.ts
+++ b/test/routing/beliefs.test.ts
@@ -135,6 +135,22 @@
     });
   }
 
+  (['configurationPolled', 'upstreamsPolled', 'instancesPolled'] as const).forEach((kind) => {
+    it(`tell once that it is lost and once that it is back: ${kind}`, () => {
+      const core = createTestCore();
+      const read = (outcome: PollOutcome<never>) =>
+        effectsOf(core.take({ kind, askedAt: core.now(), isWhole: false, outcome }), 'log')
+          .map(({ code }) => code)
+          .filter((code) => code === 'platformLost' || code === 'platformRegained');
+      const failed = { kind: 'failed', reason: 'ECONNRESET' } as const;
+      const answered = { kind: 'answered', cursor: 9, changes: [] } as const;
+      expect(read(failed)).to.deep.equal(['platformLost']);
+      expect(read(failed)).to.deep.equal([]);
+      expect(read(answered)).to.deep.equal(['platformRegained']);
+      expect(read(answered)).to.deep.equal([]);
+    });
+  });
+
   it('become fewer, within bounds that keep the news in time', () => {
     const configuration = delaysOf('configurationPolled');
     const upstreams = delaysOf('upstreamsPolled');
--- a/test/routing/policy.test.ts
+++ b/test/routing/policy.test.ts
@@ -3,33 +3,20 @@
 import { createRandom } from '../../src/core/random.js';
 import { decideAdmission } from '../../src/routing/admission/admission.js';
 import { fairLevel } from '../../src/routing/shares/tokenShares.js';
-import type { PrefixPart, RoutingEffect } from '../../src/routing/types.js';
+import type { RoutingEffect } from '../../src/routing/types.js';
 import { createSpeed } from '../../src/routing/upstreams/speed.js';
 import {
   createConfiguration,
+  createManyUpstreams,
   createTestCore,
   createUpstreamEntry,
   effectsOf,
   MODEL_ROUTE,
   planOf,
+  sharedFacts,
   type TestCore,
 } from './support/core.js';
 
-/** A prompt with a long part that others share and a part of its own. */
-const prompt = (shared: string, own: string): readonly PrefixPart[] => [
-  { id: 'c0', tokens: 500 },
-  { id: shared, tokens: 5_000 },
-  { id: own, tokens: 1_000 },
-];
-
-const sharedFacts = (shared: string, own: string) => ({
-  promptTokens: 6_500,
-  prefix: prompt(shared, own),
-});
-
-const manyUpstreams = () =>
-  Array.from({ length: 12 }, (_, i) => createUpstreamEntry(`i-${i + 10}`));
-
 function finish(core: TestCore, attempt: number): void {
   core.take({ kind: 'attemptEnded', attempt, outcome: { kind: 'complete', status: 200 } });
 }
@@ -38,7 +25,7 @@
   it('brings the requests that share a part to one upstream, at all instances', () => {
     const homes = [1, 2, 3].map(() => {
       const core = createTestCore();
-      core.list(...manyUpstreams());
+      core.list(...createManyUpstreams());
       return Array.from({ length: 20 }, (_, i) => {
         const plan = planOf(core.arrive(sharedFacts(`a${i}`, `b${i}`)));
         finish(core, plan.attempt);
@@ -53,7 +40,7 @@
   it('keeps most homes when an upstream comes', () => {
     const homesWith = (count: number) => {
       const core = createTestCore();
-      core.list(...manyUpstreams().slice(0, count));
+      core.list(...createManyUpstreams().slice(0, count));
       return Array.from({ length: 100 }, (_, i) => {
         const plan = planOf(core.arrive({ ...sharedFacts(`a${i}`, `b${i}`), key: 'key-of-b' }));
         core.take({ kind: 'callerGone', request: plan.request });
@@ -71,7 +58,7 @@
 
   it('does not read a shared part again for a short wait, but rather than refuse', () => {
     const core = createTestCore();
-    core.list(...manyUpstreams());
+    core.list(...createManyUpstreams());
     const placed = Array.from({ length: 60 }, (_, i) => core.arrive(sharedFacts('aa', `b${i}`)));
     const upstreams = placed.flatMap((effects) =>
       effectsOf(effects, 'send').map(({ plan }) => plan.upstream),
@@ -84,7 +71,7 @@
 
   it('spreads requests without shared parts', () => {
     const core = createTestCore();
-    core.list(...manyUpstreams());
+    core.list(...createManyUpstreams());
     const upstreams = Array.from({ length: 28 }, () => planOf(core.arrive()).upstream);
     expect(new Set(upstreams).size).to.equal(14);
   });
--- a/test/routing/replay.test.ts
+++ b/test/routing/replay.test.ts
@@ -6,10 +6,12 @@
 import { createRandom } from '../../src/core/random.js';
 import { createSpeed } from '../../src/routing/upstreams/speed.js';
 import {
+  createManyUpstreams,
   createTestCore,
   createUpstreamEntry,
   effectsOf,
   planOf,
+  sharedFacts,
   type TestCore,
 } from './support/core.js';
 
@@ -47,15 +49,7 @@
 });
 
 describe('knowledge of what upstreams keep', () => {
-  const shared = (own: string) => ({
-    promptTokens: 6_500,
-    prefix: [
-      { id: 'c0', tokens: 500 },
-      { id: 'a1', tokens: 5_000 },
-      { id: own, tokens: 1_000 },
-    ],
-  });
-  const upstreams = Array.from({ length: 12 }, (_, i) => createUpstreamEntry(`i-${i + 10}`));
+  const upstreams = createManyUpstreams();
   const peer = {
     id: 'instance-2',
     incarnation: 1,
@@ -80,7 +74,7 @@
   }
 
   it('is told among instances, so that a part is not read a second time elsewhere', () => {
-    const home = planOf(createFullCore().arrive(shared('b1'))).upstream;
+    const home = planOf(createFullCore().arrive(sharedFacts('a1', 'b1'))).upstream;
     // The first instance knows of no home yet.
     const others = upstreams.filter(({ id }) => id !== home);
     const elsewhere = others[0];
@@ -95,9 +89,9 @@
     [first, second].forEach((core) => core.take({ kind: 'instancesPolled', outcome }));
     // Instances that were not heard of yet are told something now and then only.
     for (let i = 0; i < 5; i += 1) tell(second, first);
-    expect(planOf(first.arrive(shared('b2'))).upstream).to.equal(elsewhere.id);
+    expect(planOf(first.arrive(sharedFacts('a1', 'b2'))).upstream).to.equal(elsewhere.id);
     tell(first, second);
-    expect(planOf(second.arrive(shared('b3'))).upstream).to.equal(elsewhere.id);
+    expect(planOf(second.arrive(sharedFacts('a1', 'b3'))).upstream).to.equal(elsewhere.id);
   });
 });
 
--- a/test/routing/support/core.ts
+++ b/test/routing/support/core.ts
@@ -91,6 +91,26 @@
   };
 }
 
+/** Twelve model upstreams, beside the two that a core begins with. */
+export function createManyUpstreams(): readonly ListedUpstream[] {
+  return Array.from({ length: 12 }, (_, i) => createUpstreamEntry(`i-${i + 10}`));
+}
+
+/** A prompt with a long part that others share and a part of its own. */
+export function sharedFacts(
+  shared: string,
+  own: string,
+): Pick<RequestFacts, 'promptTokens' | 'prefix'> {
+  return {
+    promptTokens: 6_500,
+    prefix: [
+      { id: 'c0', tokens: 500 },
+      { id: shared, tokens: 5_000 },
+      { id: own, tokens: 1_000 },
+    ],
+  };
+}
+
 type EffectOf<K extends RoutingEffect['kind']> = Extract<RoutingEffect, { readonly kind: K }>;
 
 export interface TestCore {
