--- a/src/cli/output.ts
+++ b/src/cli/output.ts
@@ -1,9 +1,26 @@
 /** Output of commands: data on standard output, errors on standard error. */
 import { diagnostics, formatDiagnostic } from '../core/diagnostics.js';
 import type { DiagnosticArgs, DiagnosticCode } from '../core/diagnostics.js';
+import { EXIT_CODES } from './exitCodes.js';
+
+let isReaderWatched = false;
+
+/**
+ * Ends the process in the usual way once nobody reads its output any more, as where `head` has read
+ * enough: what is left to print has no reader. Any other failure to write is an error.
+ */
+function watchReader(): void {
+  if (isReaderWatched) return;
+  isReaderWatched = true;
+  process.stdout.on('error', (err: NodeJS.ErrnoException) => {
+    if (err.code !== 'EPIPE') throw err;
+    process.exit(EXIT_CODES.ok);
+  });
+}
 
 /** Writes a line of data. */
 export function printLine(line = ''): void {
+  watchReader();
   process.stdout.write(`${line}\n`);
 }
 
--- a/test/cli/cli.test.ts
+++ b/test/cli/cli.test.ts
@@ -69,6 +69,17 @@
     expect(findings[0]).to.match(/document\.yaml:1:1: .*customers/);
   });
 
+  it('ends without an error once nobody reads its output', async () => {
+    const line = { time: '2026-01-01T00:00:00Z', instance: 'i1', event: 'sent', request: 'r1' };
+    // More than a pipe holds, so that the rest is written after its reader has left.
+    const file = await write('i1.log', `${JSON.stringify(line)}\n`.repeat(20_000));
+    const { child, ended } = start(['explain', 'r1', file]);
+    child.stdout?.once('data', () => child.stdout?.destroy());
+    const { code, stderr } = await ended;
+    expect(stderr).to.equal('');
+    expect(code).to.equal(EXIT_CODES.ok);
+  });
+
   it('starts nothing with invalid settings', async () => {
     const file = await write('bad.yaml', 'instance: { id: a, domain: d, reegion: r }\n');
     const { code, stderr } = await run('serve', '--settings', file);
