--- a/src/bench/load/faultSchedule.ts
+++ b/src/bench/load/faultSchedule.ts
@@ -3,7 +3,7 @@
  * whose ids the caller of the load tool hands over.
  */
 import { request } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Millis } from '../../core/clock.js';
 import { parseYaml, type ParsedFile } from './loadFile.js';
 
--- a/src/bench/load/loadFile.ts
+++ b/src/bench/load/loadFile.ts
@@ -3,7 +3,7 @@
  * stand-ins to read use and logs from. YAML, checked before anything is sent.
  */
 import { LineCounter, parseDocument } from 'yaml';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Requests that a load may have in all. */
 const MAX_REQUESTS = 2_000_000;
--- a/src/configuration/schema.ts
+++ b/src/configuration/schema.ts
@@ -1,5 +1,5 @@
 /** Schemas of the entries of each section, with the defaults of the fields that may be left out. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { SECTION_NAMES, type SectionName } from './types.js';
 
 const MAX_TEXT = 256;
--- a/src/configuration/settings.ts
+++ b/src/configuration/settings.ts
@@ -12,7 +12,7 @@
   type Document,
   type Node,
 } from 'yaml';
-import { z } from 'zod';
+import * as z from 'zod';
 import {
   diagnostics,
   formatDiagnostic,
--- a/src/configuration/settingsSchema.ts
+++ b/src/configuration/settingsSchema.ts
@@ -1,5 +1,5 @@
 /** Schema of an instance's settings. What it leaves out has the default of the part it concerns. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { DEFAULT_CORE_SETTINGS, type CoreSettings } from '../core/settings.js';
 import { DEFAULT_ROUTING_SETTINGS, type RoutingSettings } from '../routing/settings.js';
 import { formatDuration, formatSize, parseDuration, parseSize } from './units.js';
--- a/src/core/configuration/checkpoint.ts
+++ b/src/core/configuration/checkpoint.ts
@@ -2,7 +2,7 @@
  * Checkpoints: the state of the fold in parts of bounded size, for the log and for peers. Entries
  * carry their parsed values, so that a new instance need not parse a long document.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { parseEntry } from '../../configuration/entry.js';
 import {
   SECTION_NAMES,
--- a/src/core/configuration/records.ts
+++ b/src/core/configuration/records.ts
@@ -2,7 +2,7 @@
  * Records of the streams `configuration` (edits and notes of checkpoints) and
  * `configuration-checkpoints` (parts of checkpoints). Every record is one JSON text.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import {
   isSectionName,
   runSteps,
--- a/src/core/orders/orderRecords.ts
+++ b/src/core/orders/orderRecords.ts
@@ -4,7 +4,7 @@
  * log, and if the loads under way allow another: so one of two racing owners wins, and the pool and
  * the weight store keep their bounds, whoever believes to be owner.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Millis } from '../clock.js';
 import type { EngineOrder, InstanceId, PoolId, StreamRecord, UpstreamId } from '../types.js';
 
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -23,6 +23,7 @@
 import { createSystem } from '../hosts/system.js';
 import type { ControlBytes, System } from '../hosts/types.js';
 import { createUpstreamHost } from '../hosts/upstreamHost.js';
+import { createIncarnation } from './incarnation.js';
 import { describe } from './describe.js';
 import { createEffectRunner, type Hosts } from './effects.js';
 import { createLoop, type Loop } from './loop.js';
@@ -80,8 +81,6 @@
 }
 
 const LOOPBACK: SocketAddress = { host: '127.0.0.1', port: 0 };
-/** Random values that tell starts within the same millisecond apart. */
-const INCARNATION_RANDOM_RANGE = 1_024;
 const SEED_RANGE = 2 ** 31;
 
 /** Creates an instance that does not listen yet. */
@@ -257,9 +256,3 @@
   const { rss, heapUsed } = process.memoryUsage();
   return { resident: rss, heapUsed };
 }
-
-/** A later start has the larger number: the start time, then random bits. */
-export function createIncarnation(system: System): number {
-  const random = Math.floor(Math.random() * INCARNATION_RANDOM_RANGE);
-  return Math.floor(system.now()) * INCARNATION_RANDOM_RANGE + random;
-}
--- a/src/daemon/routingInstance.ts
+++ b/src/daemon/routingInstance.ts
@@ -18,7 +18,7 @@
 import type { RoutingSettings } from '../routing/settings.js';
 import type { RoutingEffect, RoutingEvent, RoutingTimer } from '../routing/types.js';
 import { createLoop, type Loop } from './loop.js';
-import { createIncarnation } from './instance.js';
+import { createIncarnation } from './incarnation.js';
 
 export interface RoutingInstanceOptions {
   readonly id: string;
--- a/src/hosts/engineControl.ts
+++ b/src/hosts/engineControl.ts
@@ -1,5 +1,5 @@
 /** Control calls to engines: load and cache events, orders, steering of requests, cache moves. */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Millis } from '../core/clock.js';
 import type {
   AttemptId,
--- a/src/hosts/operatorCommands.ts
+++ b/src/hosts/operatorCommands.ts
@@ -1,5 +1,5 @@
 /** Commands as operators send them: JSON, with the operator's key as bearer key beside it. */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { KeyHash, OperatorCommand } from '../core/types.js';
 
 const MAX_LIMIT = 1_000;
--- a/src/hosts/platformHost.ts
+++ b/src/hosts/platformHost.ts
@@ -1,5 +1,5 @@
 /** The platform's log and instance list over HTTP. */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Millis } from '../core/clock.js';
 import type { AppendResult, ListedInstance, LogReadResult } from '../core/types.js';
 import { createJsonClient, type JsonResult } from './jsonClient.js';
--- a/src/standins/content.ts
+++ b/src/standins/content.ts
@@ -3,7 +3,7 @@
  * so that a caller can tell its own complete answer from a crossed, cut or repeated one.
  */
 
-import { z } from 'zod';
+import * as z from 'zod';
 import { hash32 } from '../core/hash.js';
 
 /** Characters of a prompt that count as a token. */
--- a/src/standins/engine.ts
+++ b/src/standins/engine.ts
@@ -5,7 +5,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { getRouterParam, H3, type H3Event } from 'h3';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Millis } from '../core/clock.js';
 import { createAttempt, type Attempt } from './attempts.js';
 import { completionSchema } from './content.js';
--- a/src/standins/faults.ts
+++ b/src/standins/faults.ts
@@ -2,7 +2,7 @@
  * Faults that a stand-in brings about, as bodies of `POST /_control/faults`. Faults with a rate hit
  * a share of the requests, drawn from the seed of the stand-in; each stays until `clear`.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 const rate = z.number().min(0).max(1);
 const restartAfterMs = z.number().min(0).default(1_000);
--- a/src/standins/orders.ts
+++ b/src/standins/orders.ts
@@ -4,7 +4,7 @@
  */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { request } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Millis } from '../core/clock.js';
 import { MS_PER_SECOND } from '../core/clock.js';
 
--- a/src/standins/settings.ts
+++ b/src/standins/settings.ts
@@ -2,7 +2,7 @@
  * Settings of a set of stand-ins as a YAML document, and the start of all that it lists.
  */
 import { parse } from 'yaml';
-import { z } from 'zod';
+import * as z from 'zod';
 import { createEngineStandin, type EngineStandin } from './engine.js';
 import { createPlatformStandin, type PlatformStandin } from './platform.js';
 import { createServiceStandin, type ServiceStandin } from './service.js';
