Read the list of upstreams as often as leaving has to be known, and count all instances in the gauge

Cause: each instance read the list once a second whatever the platform's bound; calls are the greatest price of the grown sites, whose bound is 4 s. The interval is 0.4 of the bound now, 1 s as before where it is 2.5 s. The gauge of instances counted those heard of directly, which in a fleet with relays leaves out the other domains. Ruled out: passing the list on between instances (state of 69 upstreams in messages), left for later.

--- a/src/daemon/routingInstance.ts
+++ b/src/daemon/routingInstance.ts
@@ -13,6 +13,7 @@
 import { createPeerHost } from '../hosts/peerHost.js';
 import { createSystem } from '../hosts/system.js';
 import type { PeerHost, System } from '../hosts/types.js';
+import { countInstances } from '../routing/exchange/exchange.js';
 import { confirmationAge } from '../routing/freshness/freshness.js';
 import { createRouting, type Routing } from '../routing/routing.js';
 import type { RoutingSettings } from '../routing/settings.js';
@@ -335,7 +336,7 @@
     configurationAgeMs: confirmationAge(ctx) ?? -1,
     upstreams: upstreams.length,
     lostUpstreams: upstreams.filter(({ reachability }) => reachability.kind === 'lost').length,
-    instances: 1 + [...state.exchange.peers.values()].filter(({ isHeard }) => isHeard).length,
+    instances: countInstances(ctx),
     linesOmitted: log.omitted(),
   });
   return { status: 200, contentType: metrics.contentType, text };
--- a/src/routing/settings.ts
+++ b/src/routing/settings.ts
@@ -8,8 +8,10 @@
   readonly applyMs: Millis;
   /** Longest wait of one read of the configuration for news. */
   readonly configurationWaitMs: Millis;
-  /** Interval of reads of the list of upstreams. */
+  /** Shortest interval of reads of the list of upstreams. */
   readonly upstreamPollMs: Millis;
+  /** Time after which an upstream that leaves must get no more requests; it bounds that interval. */
+  readonly drainMs: Millis;
   /** Longest wait of one read of the announced instances for news. */
   readonly instanceWaitMs: Millis;
   /** Interval at which an instance tells the others of its open work. */
@@ -44,6 +46,7 @@
   applyMs: 2_500,
   configurationWaitMs: 600,
   upstreamPollMs: 1_000,
+  drainMs: 2_500,
   instanceWaitMs: 10_000,
   exchangeMs: 200,
   exchangeInstances: 10,
--- a/src/routing/upstreams/list.ts
+++ b/src/routing/upstreams/list.ts
@@ -18,6 +18,12 @@
 /** Delay before a read that follows a failed one. */
 const RETRY_DELAY: RetryDelay = { firstMs: 200, longestMs: 800 };
 
+/**
+ * Part of the time in which an upstream's leaving has to be known that passes between two reads; the
+ * rest is for reads that fail and for requests on their way.
+ */
+const POLLED_PART = 0.4;
+
 type Polled = Extract<RoutingEvent, { readonly kind: 'upstreamsPolled' }>;
 
 export function startUpstreamPoll(ctx: RoutingContext): void {
@@ -34,7 +40,8 @@
   upstreams.isKnown = true;
   upstreams.readAt = event.askedAt;
   dropMissing(ctx);
-  setTimer(ctx, 'upstreamPoll', settings.upstreamPollMs);
+  const intervalMs = Math.max(settings.upstreamPollMs, settings.drainMs * POLLED_PART);
+  setTimer(ctx, 'upstreamPoll', intervalMs);
 }
 
 function pollOf(ctx: RoutingContext): Poll {
--- a/test/platform/bundle.test.ts
+++ b/test/platform/bundle.test.ts
@@ -23,6 +23,7 @@
     'Provider.Address': storeAddress,
     'Bounds.RevokeMs': '5000',
     'Bounds.ConfigApplyMs': '2500',
+    'Bounds.DrainMs': '2500',
     'Bounds.GraceS': '8',
     'Bounds.RetryRatio': '0.2',
     'Bounds.RetrySlack': '54',
--- a/test/platform/platform.test.ts
+++ b/test/platform/platform.test.ts
@@ -191,6 +191,7 @@
       'Provider.Address': '10.200.1.7:8781',
       'Bounds.RevokeMs': '5000',
       'Bounds.ConfigApplyMs': '2500',
+      'Bounds.DrainMs': '2500',
       'Bounds.GraceS': '8',
       'Bounds.RetryRatio': '0.2',
       'Bounds.RetrySlack': '54',
--- a/test/platform/support/fleet.ts
+++ b/test/platform/support/fleet.ts
@@ -173,7 +173,7 @@
         metricsPath: '/metrics',
         protocol: createRequestProtocol(),
         platform: createStorePlatform(store.url),
-        settings: { upstreamPollMs: 30, configurationWaitMs: 200, ...settings },
+        settings: { upstreamPollMs: 30, drainMs: 75, configurationWaitMs: 200, ...settings },
         log,
         seed: 1,
       });
--- a/test/routing/beliefs.test.ts
+++ b/test/routing/beliefs.test.ts
@@ -41,6 +41,22 @@
   });
 });
 
+describe('reads of the list of upstreams', () => {
+  const intervalFor = (drainMs: number): number => {
+    const core = createTestCore({ drainMs });
+    const timers = effectsOf(core.list(), 'setTimer');
+    const poll = timers.find(({ timer }) => timer === 'upstreamPoll');
+    return (poll?.at ?? NaN) - core.now();
+  };
+
+  it('come twice within the time in which leaving has to be known, and no more often than needed', () => {
+    [2_500, 4_000, 10_000].forEach((drainMs) => {
+      expect(intervalFor(drainMs) * 2, `${drainMs}`).to.be.below(drainMs);
+      expect(intervalFor(drainMs) * 3, `${drainMs}`).to.be.above(drainMs);
+    });
+  });
+});
+
 describe('freshness of the configuration', () => {
   it('ends a keyed request in time after the platform was lost', () => {
     fc.assert(
