--- /dev/null
+++ b/test/soak/plan.ts
@@ -0,0 +1,114 @@
+/** The faults of a run, all drawn from its seed. */
+import { createRandom, type Random } from '../../src/core/random.js';
+import type { EngineFault } from '../../src/standins/platform/batchEngine.js';
+import type { StoreFault } from '../../src/standins/platform/logStore.js';
+import type { LinkFault } from './link.js';
+
+export type SoakFault =
+  | { readonly kind: 'kill' | 'stop' | 'hup'; readonly instance: number }
+  | { readonly kind: 'pause'; readonly instance: number; readonly forMs: number }
+  | { readonly kind: 'store'; readonly fault: StoreFault; readonly forMs: number }
+  | { readonly kind: 'dropHistory' }
+  | {
+      readonly kind: 'storeLink';
+      readonly instance: number;
+      readonly fault: LinkFault;
+      readonly forMs: number;
+    }
+  | {
+      readonly kind: 'engineLink';
+      readonly engine: number;
+      readonly fault: LinkFault;
+      readonly forMs: number;
+    }
+  | { readonly kind: 'engine'; readonly engine: number; readonly fault: EngineFault }
+  | { readonly kind: 'crashEngine'; readonly engine: number }
+  | { readonly kind: 'configure' }
+  | { readonly kind: 'revoke' };
+
+export interface PlannedFault {
+  readonly atMs: number;
+  readonly fault: SoakFault;
+}
+
+export interface PlanOptions {
+  readonly seed: number;
+  readonly durationMs: number;
+  readonly instances: number;
+  readonly engines: number;
+  /** Mean time between two faults. */
+  readonly everyMs: number;
+}
+
+const LINK_FAULTS: readonly LinkFault[] = [
+  { kind: 'silent' },
+  { kind: 'oneWay' },
+  { kind: 'reset' },
+  { kind: 'slow', delayMs: 300 },
+];
+const STORE_FAULTS: readonly StoreFault[] = [
+  { kind: 'refuse', status: 503 },
+  { kind: 'refuse', status: 429 },
+  { kind: 'reset' },
+  { kind: 'silent' },
+  { kind: 'slow', delayMs: 700 },
+  { kind: 'lost' },
+];
+const ENGINE_FAULTS: readonly EngineFault[] = [
+  { kind: 'shed' },
+  { kind: 'error' },
+  { kind: 'hang' },
+  { kind: 'reset' },
+  { kind: 'breakOff', afterEvents: 2 },
+  { kind: 'foreign' },
+  { kind: 'extra' },
+  { kind: 'unframed', isReset: true },
+  { kind: 'unfinished' },
+];
+const LONGEST_FAULT_MS = 6_000;
+
+/** Draws the faults of a run, in the order of their times. */
+export function planFaults(options: PlanOptions): readonly PlannedFault[] {
+  const random = createRandom(options.seed);
+  const planned: PlannedFault[] = [];
+  let atMs = 0;
+  for (;;) {
+    atMs += options.everyMs * 2 * random.next();
+    if (atMs >= options.durationMs) return planned;
+    planned.push({ atMs, fault: drawFault(random, options) });
+  }
+}
+
+function drawFault(random: Random, { instances, engines }: PlanOptions): SoakFault {
+  const below = (limit: number) => Math.floor(random.next() * limit);
+  const pick = <T>(from: readonly T[]): T => from[below(from.length)] as T;
+  const instance = below(instances);
+  const engine = below(engines);
+  const forMs = 500 + below(LONGEST_FAULT_MS - 500);
+  switch (below(12)) {
+    case 0:
+      return { kind: 'kill', instance };
+    case 1:
+      return { kind: 'stop', instance };
+    case 2:
+      return { kind: 'hup', instance };
+    case 3:
+      return { kind: 'pause', instance, forMs };
+    case 4:
+      return { kind: 'store', fault: pick(STORE_FAULTS), forMs };
+    case 5:
+      return { kind: 'dropHistory' };
+    case 6:
+      return { kind: 'storeLink', instance, fault: pick(LINK_FAULTS), forMs };
+    case 7:
+      return { kind: 'engineLink', engine, fault: pick(LINK_FAULTS), forMs };
+    case 8:
+      return { kind: 'crashEngine', engine };
+    case 9:
+      return { kind: 'configure' };
+    case 10:
+      return { kind: 'revoke' };
+    default:
+      return { kind: 'engine', engine, fault: pick(ENGINE_FAULTS) };
+  }
+}
--- /dev/null
+++ b/test/soak/run.ts
@@ -0,0 +1,286 @@
+/**
+ * One run of the fault soak: real processes behind faulty links, callers that keep using their open
+ * connections, faults that a seed decides, and a check of every promise on what was seen.
+ */
+import { setTimeout as sleep } from 'node:timers/promises';
+import { Agent, request } from 'undici';
+import { createRandom } from '../../src/core/random.js';
+import { Debug } from '../../src/core/debug.js';
+import { createOperatorConfiguration, HOST } from '../platform/support/fleet.js';
+import type { CheckOptions, SeenRequest, SoakKind, SoakRecord } from './checks.js';
+import { SOAK_EVENTS, startSoakFleet, type SoakFleet } from './fleet.js';
+import { planFaults, type PlannedFault, type SoakFault } from './plan.js';
+
+export interface SoakOptions {
+  readonly seed: number;
+  readonly durationMs: number;
+  readonly instances: number;
+  readonly engines: number;
+  readonly requestsPerS: number;
+  readonly faultsEveryMs: number;
+  readonly program: string;
+  readonly dir: string;
+  /** Time from the last fault to the requests that have to be served again. */
+  readonly recoveryMs?: number;
+}
+
+export interface SoakResult {
+  readonly faults: readonly PlannedFault[];
+  readonly record: SoakRecord;
+}
+
+export const CHECKS: CheckOptions = { revokeMs: 5_000, events: SOAK_EVENTS, servedPart: 0.9 };
+
+const READY_INTERVAL_MS = 200;
+const START_TIMEOUT_MS = 20_000;
+/** Time in which the longest fault ends and instances recover, before the last requests count. */
+const DEFAULT_RECOVERY_MS = 14_000;
+const LAST_SPAN_MS = 4_000;
+const CALLER_TIMEOUT_MS = 5_000;
+const KINDS: readonly SoakKind[] = ['book', 'look', 'chat', 'draft'];
+const KEYS = 12;
+
+/** Plays one run. */
+export async function runSoak(options: SoakOptions): Promise<SoakResult> {
+  const { seed, durationMs, instances, engines } = options;
+  const fleet = await startSoakFleet(options);
+  const faults = planFaults({
+    seed,
+    durationMs,
+    instances,
+    engines,
+    everyMs: options.faultsEveryMs,
+  });
+  const operator = createOperator(fleet);
+  operator.configure();
+  const balancer = startBalancer(fleet);
+  try {
+    await waitReady(balancer, instances);
+    const startedAt = Date.now();
+    const { recoveryMs = DEFAULT_RECOVERY_MS } = options;
+    const recoveredAt = startedAt + durationMs + recoveryMs;
+    const until = recoveredAt + LAST_SPAN_MS;
+    const callers = startCallers(options, balancer, operator, until);
+    await playFaults(faults, fleet, operator, startedAt);
+    const requests = await callers;
+    const runs = fleet.allEngines().flatMap((engine) => engine.runs);
+    const { revokedAt } = operator;
+    const { ownEnds } = fleet;
+    return { faults, record: { requests, runs, revokedAt, ownEnds, recoveredAt } };
+  } finally {
+    balancer.stop();
+    await fleet.close();
+  }
+}
+
+/** The operator's side: versions, and keys that are taken away one after the other. */
+function createOperator({ store }: SoakFleet) {
+  const revokedAt = new Map<string, number>();
+  const keys = Array.from({ length: KEYS }, (_, i) => `soak-key-${i}`);
+  let version = 0;
+
+  function configure(): void {
+    version += 1;
+    const valid = keys.filter((key) => !revokedAt.has(key));
+    const tenants = [{ Name: 'customer-a', ApiKeys: valid, Priority: 1 }];
+    store.put('keyed.op', 'config', createOperatorConfiguration(version, { Tenants: tenants }));
+  }
+
+  return {
+    keys,
+    revokedAt,
+    configure,
+    revoke: () => {
+      // One key stays, so that there is always something to serve.
+      const next = keys.slice(1).find((key) => !revokedAt.has(key));
+      if (next === undefined) return;
+      revokedAt.set(next, Date.now());
+      configure();
+    },
+  };
+}
+
+type Operator = ReturnType<typeof createOperator>;
+
+/** Knows which instances say that they are ready, as the platform's balancer does. */
+function startBalancer({ instances }: SoakFleet) {
+  const ready = new Set<number>();
+  let isStopped = false;
+  const agent = new Agent({ connect: { timeout: 500 } });
+
+  async function watch(number: number, url: string): Promise<void> {
+    while (!isStopped) {
+      // eslint-disable-next-line no-await-in-loop -- polls
+      const isReady = await request(url, { dispatcher: agent, signal: AbortSignal.timeout(500) })
+        .then(async ({ statusCode, body }) => {
+          await body.dump();
+          return statusCode === 200;
+        })
+        .catch(() => false);
+      if (isReady) ready.add(number);
+      else ready.delete(number);
+      // eslint-disable-next-line no-await-in-loop -- polls
+      await sleep(READY_INTERVAL_MS);
+    }
+  }
+
+  instances.forEach(({ number, ready: url }) => {
+    void watch(number, url);
+  });
+  return {
+    /** Instances that take new requests; all of them if none is ready. */
+    choices: () => {
+      const chosen = instances.filter(({ number }) => ready.has(number));
+      return chosen.length > 0 ? chosen : instances;
+    },
+    readyCount: () => ready.size,
+    stop: () => {
+      isStopped = true;
+      void agent.destroy();
+    },
+  };
+}
+
+type Balancer = ReturnType<typeof startBalancer>;
+
+async function waitReady(balancer: Balancer, instances: number): Promise<void> {
+  for (let waited = 0; waited < START_TIMEOUT_MS; waited += READY_INTERVAL_MS) {
+    if (balancer.readyCount() === instances) return;
+    // eslint-disable-next-line no-await-in-loop -- polls
+    await sleep(READY_INTERVAL_MS);
+  }
+  throw new Error(`${balancer.readyCount()} of ${instances} instances became ready`);
+}
+
+/** Sends requests until a time; resolves with what was seen of each. */
+async function startCallers(
+  options: SoakOptions,
+  balancer: Balancer,
+  operator: Operator,
+  until: number,
+): Promise<SeenRequest[]> {
+  const random = createRandom(options.seed + 1);
+  const agent = new Agent();
+  const open: Promise<SeenRequest>[] = [];
+  let count = 0;
+  while (Date.now() < until) {
+    const choices = balancer.choices();
+    const instance = choices[Math.floor(random.next() * choices.length)];
+    const kind = KINDS[Math.floor(random.next() * KINDS.length)] ?? 'look';
+    const key = operator.keys[Math.floor(random.next() * KEYS)] ?? '';
+    count += 1;
+    if (instance !== undefined) {
+      const id = `s${options.seed}-${count}`;
+      open.push(send(agent, instance, { id, kind, key }));
+    }
+    // eslint-disable-next-line no-await-in-loop -- a steady rate
+    await sleep((1_000 / options.requestsPerS) * 2 * random.next());
+  }
+  const seen = await Promise.all(open);
+  await agent.destroy();
+  return seen;
+}
+
+async function send(
+  agent: Agent,
+  { callers, number }: { readonly callers: string; readonly number: number },
+  { id, kind, key }: Pick<SeenRequest, 'id' | 'kind' | 'key'>,
+): Promise<SeenRequest> {
+  const sentAt = Date.now();
+  const seen = { id, kind, key, instance: number, sentAt };
+  try {
+    const answer = await request(`${callers}/${kind}/1`, {
+      dispatcher: agent,
+      method: kind === 'look' ? 'GET' : 'POST',
+      headers: {
+        host: HOST,
+        'request-id': id,
+        'deadline-ms': String(CALLER_TIMEOUT_MS),
+        authorization: `Token ${key}`,
+      },
+      signal: AbortSignal.timeout(CALLER_TIMEOUT_MS),
+    });
+    const text = await answer.body.text();
+    const signature = answer.headers['response-signature'];
+    return {
+      ...seen,
+      endedAt: Date.now(),
+      status: answer.statusCode,
+      text,
+      signature: typeof signature === 'string' ? signature : undefined,
+    };
+  } catch {
+    // A connection that ended is one of the outcomes; the checks judge it.
+    return { ...seen, endedAt: Date.now(), status: undefined, text: '', signature: undefined };
+  }
+}
+
+async function playFaults(
+  faults: readonly PlannedFault[],
+  fleet: SoakFleet,
+  operator: Operator,
+  startedAt: number,
+): Promise<void> {
+  for (const { atMs, fault } of faults) {
+    // eslint-disable-next-line no-await-in-loop -- at their times
+    await sleep(Math.max(0, startedAt + atMs - Date.now()));
+    // eslint-disable-next-line no-await-in-loop -- one begins after the other
+    await beginFault(fault, fleet, operator);
+  }
+}
+
+async function beginFault(fault: SoakFault, fleet: SoakFleet, operator: Operator): Promise<void> {
+  const { store, instances } = fleet;
+  const later = (forMs: number, action: () => void) => {
+    setTimeout(action, forMs);
+  };
+  switch (fault.kind) {
+    case 'kill':
+      instances[fault.instance]?.signal('SIGKILL');
+      return;
+    case 'stop':
+      instances[fault.instance]?.signal('SIGTERM');
+      return;
+    case 'hup':
+      instances[fault.instance]?.signal('SIGHUP');
+      return;
+    case 'pause':
+      instances[fault.instance]?.signal('SIGSTOP');
+      later(fault.forMs, () => instances[fault.instance]?.signal('SIGCONT'));
+      return;
+    case 'store':
+      store.setFault(fault.fault);
+      later(fault.forMs, () => store.setFault({ kind: 'none' }));
+      return;
+    case 'dropHistory':
+      ['keyed.op', 'keyed.servers', 'keyed.instances'].forEach(store.dropHistory);
+      return;
+    case 'storeLink':
+      instances[fault.instance]?.setStoreFault(fault.fault);
+      later(fault.forMs, () => instances[fault.instance]?.setStoreFault({ kind: 'none' }));
+      return;
+    case 'engineLink': {
+      const link = fleet.engines()[fault.engine]?.link;
+      link?.setFault(fault.fault);
+      later(fault.forMs, () => link?.setFault({ kind: 'none' }));
+      return;
+    }
+    case 'engine': {
+      const engine = fleet.engines()[fault.engine]?.engine;
+      engine?.setFault(fault.fault);
+      engine?.strikeNext(10);
+      return;
+    }
+    case 'crashEngine':
+      await fleet.crashEngine(fault.engine);
+      return;
+    case 'configure':
+      operator.configure();
+      return;
+    case 'revoke':
+      operator.revoke();
+      return;
+    default:
+      Debug.assertNever(fault);
+  }
+}
