Fill in the template of the settings in one place of the tests

Cause: bundle.test.ts had its own copy of the table of bounds and of the filling beside platform.test.ts. Both call fillTemplate now; the assertions are the same. Ruled out: sharing the fields of an instance, which differ on purpose. Conclusion: tests only.

--- a/test/platform/bundle.test.ts
+++ b/test/platform/bundle.test.ts
@@ -1,17 +1,17 @@
 import { execFile, spawn } from 'node:child_process';
-import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { promisify } from 'node:util';
 import { expect } from 'chai';
 import { createPlatformFleet } from './support/fleet.js';
+import { fillTemplate } from './support/settings.js';
 
 const execute = promisify(execFile);
 
-/** Settings as the platform fills them in, with ports that the system chooses. */
-async function settingsText(storeAddress: string): Promise<string> {
-  const template = await readFile(join('platform', 'settings.yaml.template'), 'utf8');
-  const values: Readonly<Record<string, string>> = {
+/** Settings with ports that the system chooses. */
+const settingsText = async (storeAddress: string): Promise<string> =>
+  fillTemplate({
     NodeName: 'instance-1',
     Zone: 'domain-a',
     Region: 'region-a',
@@ -21,18 +21,7 @@
     'PortRange.0': '0',
     'PortRange.1': '0',
     'Provider.Address': storeAddress,
-    'Bounds.RevokeMs': '5000',
-    'Bounds.ConfigApplyMs': '2500',
-    'Bounds.DrainMs': '2500',
-    'Bounds.GraceS': '8',
-    'Bounds.RetryRatio': '0.2',
-    'Bounds.RetrySlack': '54',
-    'Bounds.RetryWindowS': '10',
-  };
-  return template
-    .replace(/\{\{#Zones\}\}\n([\s\S]*?)\{\{\/Zones\}\}\n/, '    domain-a: region-a\n')
-    .replace(/\{\{([\w.]+)\}\}/g, (_, name: string) => values[name] ?? '');
-}
+  });
 
 describe('bundle of the program', () => {
   let dir: string;
--- a/test/platform/platform.test.ts
+++ b/test/platform/platform.test.ts
@@ -1,5 +1,3 @@
-import { readFile } from 'node:fs/promises';
-import { join } from 'node:path';
 import { expect } from 'chai';
 import { request } from 'undici';
 import { parseSettings } from '../../src/configuration/settings.js';
@@ -11,6 +9,7 @@
   type PlatformFleet,
   type StartedInstance,
 } from './support/fleet.js';
+import { fillTemplate } from './support/settings.js';
 
 describe('an instance on the platform', () => {
   let fleet: PlatformFleet;
@@ -175,11 +174,7 @@
 
 describe('template of the settings', () => {
   it('yields settings that the check accepts', async () => {
-    const template = await readFile(
-      join(process.cwd(), 'platform', 'settings.yaml.template'),
-      'utf8',
-    );
-    const values: Readonly<Record<string, string>> = {
+    const text = await fillTemplate({
       NodeName: 'front-iasi-a-1',
       Zone: 'iasi-a',
       Region: 'moldova-ro',
@@ -189,17 +184,7 @@
       'PortRange.0': '7400',
       'PortRange.1': '7401',
       'Provider.Address': '10.200.1.7:8781',
-      'Bounds.RevokeMs': '5000',
-      'Bounds.ConfigApplyMs': '2500',
-      'Bounds.DrainMs': '2500',
-      'Bounds.GraceS': '8',
-      'Bounds.RetryRatio': '0.2',
-      'Bounds.RetrySlack': '54',
-      'Bounds.RetryWindowS': '10',
-    };
-    const text = template
-      .replace(/\{\{#Zones\}\}\n([\s\S]*?)\{\{\/Zones\}\}\n/, '    iasi-a: moldova-ro\n')
-      .replace(/\{\{([\w.]+)\}\}/g, (_, name: string) => values[name] ?? '');
+    });
     const result = parseSettings(text);
     expect(result.kind === 'invalid' ? result.diagnostics : []).to.deep.equal([]);
     expect(result).to.nested.include({
--- /dev/null
+++ b/test/platform/support/settings.ts
@@ -0,0 +1,26 @@
+/** The settings of an instance as the platform fills them in from the template. */
+import { readFile } from 'node:fs/promises';
+import { join } from 'node:path';
+
+/** Bounds as the platform gives them. */
+const BOUNDS: Readonly<Record<string, string>> = {
+  'Bounds.RevokeMs': '5000',
+  'Bounds.ConfigApplyMs': '2500',
+  'Bounds.DrainMs': '2500',
+  'Bounds.GraceS': '8',
+  'Bounds.RetryRatio': '0.2',
+  'Bounds.RetrySlack': '54',
+  'Bounds.RetryWindowS': '10',
+};
+
+/** Fills in the template with the fields of one instance, whose failure domain is the only one. */
+export async function fillTemplate(fields: Readonly<Record<string, string>>): Promise<string> {
+  const template = await readFile(join('platform', 'settings.yaml.template'), 'utf8');
+  const values: Readonly<Record<string, string>> = { ...BOUNDS, ...fields };
+  return template
+    .replace(
+      /\{\{#Zones\}\}\n([\s\S]*?)\{\{\/Zones\}\}\n/,
+      `    ${values.Zone}: ${values.Region}\n`,
+    )
+    .replace(/\{\{([\w.]+)\}\}/g, (_, name: string) => values[name] ?? '');
+}
