Tell what a second took of an instance's own processor

Cause: a saturated process and busy upstreams look alike in the logs, so that the hypotheses of the incident could not be told apart. Change: one line a second (loadMeasured) and two gauges with the loop's utilization and lag, connections accepted, requests read, requests whose callers had left, the oldest request at its decision, and messages between instances.

--- a/src/daemon/routingInstance.ts
+++ b/src/daemon/routingInstance.ts
@@ -4,6 +4,7 @@
 import type { SocketAddress } from '../hosts/address.js';
 import { createFrontHost, type FrontHost } from '../hosts/routing/frontHost.js';
 import { createGapClock } from '../hosts/routing/gapClock.js';
+import { createLoadMeter, type LoadMeter, type LoadReading } from '../hosts/routing/loadMeter.js';
 import { createMetricsPage, type MetricsPage } from '../hosts/routing/metricsPage.js';
 import { createRoutingLog, type RoutingLog } from '../hosts/routing/routingLog.js';
 import type { GapClock, RequestProtocol, RoutingPlatform } from '../hosts/routing/types.js';
@@ -17,7 +18,7 @@
 import { confirmationAge } from '../routing/freshness/freshness.js';
 import { createRouting, type Routing } from '../routing/routing.js';
 import type { RoutingSettings } from '../routing/settings.js';
-import type { RoutingEffect, RoutingEvent, RoutingTimer } from '../routing/types.js';
+import type { LogFields, RoutingEffect, RoutingEvent, RoutingTimer } from '../routing/types.js';
 import { createLoop, type Loop } from './loop.js';
 import { createIncarnation } from './incarnation.js';
 
@@ -71,6 +72,7 @@
   readonly readiness: WatchHost;
   readonly operators: WatchHost;
   readonly metrics: MetricsPage;
+  readonly meter: LoadMeter;
   readonly log: RoutingLog;
 }
 
@@ -123,6 +125,7 @@
       operators,
     });
     loop.post({ kind: 'start' });
+    hosts.meter.start();
     return { callers, peers, readiness, operators };
   }
 
@@ -164,6 +167,7 @@
         isReady = effect.isReady;
         return;
       case 'sendPeer':
+        hosts.meter.count('messagesOut');
         hosts.peers.send(effect.to, effect.address, effect.message);
         return;
       case 'dropPeer':
@@ -237,6 +241,7 @@
 
   async function kill(): Promise<void> {
     running?.loop.close();
+    hosts.meter.stop();
     options.platform.close();
     hosts.readiness.close();
     hosts.operators.close();
@@ -282,9 +287,14 @@
     });
   const metrics = createMetricsPage();
   const pools = createUpstreamPools();
+  const meter = createLoadMeter({
+    now: clock.now,
+    onReading: (reading) => log.write('info', 'loadMeasured', describeLoad(context, reading)),
+  });
   return {
     log,
     metrics,
+    meter,
     pools,
     front: createFrontHost({
       post,
@@ -292,6 +302,7 @@
       protocol: options.protocol,
       pools,
       now: clock.now,
+      meter,
       onMalformed: (status, reason, requestId) => {
         metrics.count('malformed');
         log.write('warn', 'malformed', { request: requestId, status, reason });
@@ -299,7 +310,10 @@
     }),
     peers: createPeerHost({
       self: { id: options.id, incarnation },
-      post: (event) => postPeerEvent(event, post),
+      post: (event) => {
+        meter.count('messagesIn');
+        postPeerEvent(event, post);
+      },
       ...options.peers,
       linkClassOf: () => 'crossRegion',
     }),
@@ -314,7 +328,9 @@
     }),
     operators: createWatchHost({
       ...options.operators,
-      pages: new Map([[options.metricsPath, async () => renderMetrics(context, metrics, log)]]),
+      pages: new Map([
+        [options.metricsPath, async () => renderMetrics(context, { metrics, meter, log })],
+      ]),
     }),
   };
 }
@@ -326,7 +342,23 @@
   post({ kind: 'peerMessage', from, incarnation, news: message.value });
 }
 
-async function renderMetrics(context: HostContext, metrics: MetricsPage, log: RoutingLog) {
+/** Fields of the line that tells what the last interval took of the process. */
+function describeLoad({ routing, isReady }: HostContext, reading: LoadReading): LogFields {
+  const { utilization, lagMs, oldestMs, ...counts } = reading;
+  return {
+    ...counts,
+    utilization: Number(utilization.toFixed(3)),
+    lagMs: Math.round(lagMs),
+    oldestMs: Math.round(oldestMs),
+    open: routing().state.requests.open.size,
+    isReady: isReady(),
+  };
+}
+
+async function renderMetrics(
+  context: HostContext,
+  { metrics, meter, log }: Pick<RoutingHosts, 'metrics' | 'meter' | 'log'>,
+) {
   const { state } = context.routing();
   const ctx = { state, now: context.clock.now(), effects: [] };
   const upstreams = [...state.upstreams.byId.values()];
@@ -338,6 +370,8 @@
     lostUpstreams: upstreams.filter(({ reachability }) => reachability.kind === 'lost').length,
     instances: countInstances(ctx),
     linesOmitted: log.omitted(),
+    loopUtilization: meter.last().utilization,
+    loopLagMs: meter.last().lagMs,
   });
   return { status: 200, contentType: metrics.contentType, text };
 }
--- a/src/hosts/httpServer.ts
+++ b/src/hosts/httpServer.ts
@@ -43,6 +43,8 @@
   readonly certificates?: CertificateSource | undefined;
   /** Answers a connection whose bytes are not HTTP, by the code of the error. */
   readonly malformedAnswer?: (errorCode: string) => string;
+  /** Called with each connection that is accepted. */
+  readonly onConnection?: () => void;
 }
 
 export interface HttpServer {
@@ -78,6 +80,7 @@
   server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
   server.on('connection', (socket: Socket) => {
     socket.setNoDelay(true);
+    options.onConnection?.();
   });
   server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => {
     // Bytes between the parts of an answer in progress would become part of it.
--- a/src/hosts/routing/frontHost.ts
+++ b/src/hosts/routing/frontHost.ts
@@ -19,6 +19,7 @@
 import { createHttpServer, sendJson } from '../httpServer.js';
 import { startAttempt, type HeldAnswer, type RunningAttempt } from './attempt.js';
 import { createCallerAnswer, type CallerAnswer } from './callerAnswer.js';
+import type { LoadMeter } from './loadMeter.js';
 import type { HeadFacts, PostRoutingEvent, RequestHead, RequestProtocol } from './types.js';
 import type { UpstreamPools } from './upstreamPools.js';
 
@@ -29,6 +30,7 @@
   readonly protocol: RequestProtocol;
   readonly pools: UpstreamPools;
   readonly now: () => Millis;
+  readonly meter: Pick<LoadMeter, 'count' | 'noteAge'>;
   /** Called with the reason for which a request was not taken. */
   readonly onMalformed: (status: number, reason: string, requestId: string | undefined) => void;
 }
@@ -82,7 +84,7 @@
 
 /** Creates the port; it does not listen yet. */
 export function createFrontHost(options: FrontHostOptions): FrontHost {
-  const { post, protocol, pools } = options;
+  const { post, protocol, pools, meter } = options;
   const open = new Map<RequestNumber, HeldRequest>();
   const running = new Map<AttemptNumber, RunningAttempt>();
   let limits = DEFAULT_LIMITS;
@@ -132,14 +134,21 @@
       if (open.delete(request) && !res.writableFinished) post({ kind: 'callerGone', request });
     });
     const fingerprint = fingerprintOf(head, facts.key, body);
+    const readAt = options.now();
+    meter.count('read');
     // While the process was busy, the caller may have left; its departure is read after its request.
     afterNextPoll(() => {
-      if (!open.has(request)) return;
+      if (!open.has(request)) {
+        meter.count('dead');
+        return;
+      }
       if (res.socket?.readableEnded === true) {
+        meter.count('dead');
         open.delete(request);
         res.destroy();
         return;
       }
+      meter.noteAge(options.now() - readAt);
       post({
         kind: 'requestArrived',
         facts: { ...facts, request, path: head.path, fingerprint },
@@ -218,6 +227,7 @@
     host: options.host,
     port: options.port,
     limits: { maxHeaderBytes: MAX_HEADER_BYTES },
+    onConnection: () => meter.count('accepted'),
     malformedAnswer: (errorCode) => {
       const status = CONNECTION_STATUS[errorCode] ?? 400;
       options.onMalformed(status, errorCode, undefined);
--- a/src/hosts/routing/metricsPage.ts
+++ b/src/hosts/routing/metricsPage.ts
@@ -13,6 +13,10 @@
   readonly lostUpstreams: number;
   readonly instances: number;
   readonly linesOmitted: number;
+  /** Part of the last second in which the loop was at work. */
+  readonly loopUtilization: number;
+  /** Time by which the loop was late then. */
+  readonly loopLagMs: Millis;
 }
 
 export interface MetricsPage {
@@ -57,6 +61,8 @@
     lostUpstreams: gauge('lost_upstreams', 'Upstreams that do not answer.'),
     instances: gauge('instances', 'Instances heard of, this one included.'),
     linesOmitted: gauge('log_lines_omitted', 'Log lines that were left out.'),
+    loopUtilization: gauge('loop_utilization', 'Part of the last second in which the loop worked.'),
+    loopLagMs: gauge('loop_lag_ms', 'Time by which the loop was late.'),
   };
   return {
     count: (event) => decisions.inc({ event }),
--- a/src/routing/eventTable.ts
+++ b/src/routing/eventTable.ts
@@ -68,6 +68,8 @@
   domainFound: entry(9058, 'belief', 'Sums of another failure domain have come.'),
   domainLost: entry(9059, 'belief', 'No sums of another failure domain have come in time.'),
   newerVersionHeard: entry(9060, 'belief', 'Another instance has a newer configuration.'),
+  loadMeasured: entry(9061, 'belief', 'What the last second took of this process.'),
+  clockDistrusted: entry(9062, 'belief', 'A clock runs at another pace and no longer counts.'),
   started: entry(9070, 'process', 'The instance has started.'),
   ready: entry(9071, 'process', 'The instance takes callers.'),
   notReady: entry(9072, 'process', 'The instance takes no callers.'),
