Do not take a clock of another pace for suspensions

Cause: the time since boot comes from a file that is not the emulated machine's.

Change: a clock that drifts, or that tells a gap which the time of day does not show, no longer counts (clockDistrusted, once). What it was for, a suspension that a time of day set back hides, is kept safe: without it, a time of day that goes back makes the confirmation count as of no known age. The tests read the gap from an object that names the clock; their expectations are the same.

--- a/src/daemon/routingInstance.ts
+++ b/src/daemon/routingInstance.ts
@@ -106,10 +106,7 @@
       system,
       runEffect,
       onError: logFailure,
-      beforeTurn: () => {
-        const gapMs = clock.takeGap();
-        return gapMs > 0 ? [{ kind: 'clockGap', gapMs }] : [];
-      },
+      beforeTurn: takeClockGap,
     });
     running = { routing: core, loop };
     const readiness = await hosts.readiness.listen();
@@ -129,6 +126,15 @@
     return { callers, peers, readiness, operators };
   }
 
+  function takeClockGap(): readonly RoutingEvent[] {
+    const wasTrusted = clock.isBootTrusted();
+    const gap = clock.takeGap();
+    if (wasTrusted && !clock.isBootTrusted()) {
+      hosts.log.write('warn', 'clockDistrusted', { clock: 'sinceBoot' });
+    }
+    return gap === undefined ? [] : [{ kind: 'clockGap', gapMs: gap.ms, clock: gap.clock }];
+  }
+
   function logFailure(err: unknown, event: RoutingEvent): void {
     const reason = err instanceof Error ? (err.stack ?? err.message) : String(err);
     hosts.log.write('error', 'eventFailed', { failed: event.kind, reason });
--- a/src/hosts/routing/gapClock.ts
+++ b/src/hosts/routing/gapClock.ts
@@ -3,10 +3,14 @@
  * nothing of it on the steady clock, but the time of day and the time since the machine started go
  * on. The time of day may also be set; a jump ahead is reported as well, since the two cannot always
  * be told apart.
+ *
+ * The time since boot may be that of another machine, where this one is emulated: then it runs at
+ * another pace than the steady clock, and would tell suspensions again and again. It counts until it
+ * has shown that.
  */
 import { uptime } from 'node:os';
 import { MS_PER_SECOND, type Millis } from '../../core/clock.js';
-import type { GapClock } from './types.js';
+import type { ClockGap, GapClock } from './types.js';
 
 export interface GapClockSources {
   readonly steady: () => Millis;
@@ -23,6 +27,8 @@
  * time of day.
  */
 const SMALLEST_BOOT_GAP_MS: Millis = 1_800;
+/** Told where time may have passed and no clock says how much; longer than anything is believed. */
+const UNKNOWN_GAP_MS: Millis = 3_600_000;
 /** The time since boot is read from a file, and not more often than this. */
 const BOOT_CHECK_INTERVAL_MS: Millis = 200;
 /** Two clocks whose readings lie further apart are read again. */
@@ -37,50 +43,72 @@
 
 export function createGapClock(sources: GapClockSources = PROCESS_SOURCES): GapClock {
   const { steady, timeOfDay, sinceBoot } = sources;
-  const day = createComparison(steady, timeOfDay, SMALLEST_DAY_GAP_MS);
-  const boot = createComparison(steady, sinceBoot, SMALLEST_BOOT_GAP_MS);
+  const day = createLead(steady, timeOfDay);
+  const boot = createLead(steady, sinceBoot);
+  let dayLead = day.first;
+  let bootLead = boot.first;
+  /** Lead of the time since boot after its last gap, from which its pace shows. */
+  let bootOrigin = boot.first;
+  let isBootTrusted = true;
   let bootCheckedAt = steady();
+  let hasDayShifted = false;
+
+  /** Change of the time of day's lead; 0 below the smallest gap. */
+  function takeDayShift(): Millis {
+    const lead = day.read() ?? dayLead;
+    const shift = lead - dayLead;
+    if (Math.abs(shift) < SMALLEST_DAY_GAP_MS) return 0;
+    dayLead = lead;
+    hasDayShifted = true;
+    return shift;
+  }
 
   function takeBootGap(): Millis {
     const now = steady();
-    if (now - bootCheckedAt < BOOT_CHECK_INTERVAL_MS) return 0;
+    if (!isBootTrusted || now - bootCheckedAt < BOOT_CHECK_INTERVAL_MS) return 0;
     bootCheckedAt = now;
-    return boot.takeGap();
+    const lead = boot.read() ?? bootLead;
+    const gap = lead - bootLead;
+    bootLead = lead;
+    const isGap = gap >= SMALLEST_BOOT_GAP_MS;
+    if (isGap) bootOrigin = lead;
+    const isOutOfPace = Math.abs(lead - bootOrigin) >= SMALLEST_BOOT_GAP_MS;
+    // A suspension that the time of day hides is rare; two are another pace.
+    if (isOutOfPace || (isGap && !hasDayShifted)) isBootTrusted = false;
+    hasDayShifted = false;
+    return isGap ? gap : 0;
   }
 
   return {
     now: steady,
+    isBootTrusted: () => isBootTrusted,
     // A suspension shows in both, maybe at different calls; counting it twice errs on the safe side.
-    takeGap: () => Math.max(day.takeGap(), takeBootGap()),
-  };
-}
-
-/** Follows by how much a clock is ahead of the steady one. */
-function createComparison(steady: () => Millis, clock: () => Millis, smallestGap: Millis) {
-  let known = readLead(steady, clock) ?? clock() - steady();
-  return {
-    /** Time by which the clock has gained since the last gap; 0 below the smallest one. */
-    takeGap: (): Millis => {
-      const lead = readLead(steady, clock);
-      // The next reading tells.
-      if (lead === undefined) return 0;
-      const gap = lead - known;
-      if (Math.abs(gap) < smallestGap) return 0;
-      known = lead;
-      return Math.max(0, gap);
+    takeGap: (): ClockGap | undefined => {
+      const dayShift = takeDayShift();
+      const bootGap = takeBootGap();
+      if (bootGap > 0 && bootGap >= dayShift) return { clock: 'sinceBoot', ms: bootGap };
+      if (dayShift > 0) return { clock: 'timeOfDay', ms: dayShift };
+      // It was set back, maybe while the process was suspended.
+      if (dayShift < 0 && !isBootTrusted) return { clock: 'none', ms: UNKNOWN_GAP_MS };
+      return undefined;
     },
   };
 }
 
-/**
- * Reads two clocks so close to each other that their difference means something. A process that
- * waits for the processor between the readings would take that wait for time that was not counted.
- */
-function readLead(steady: () => Millis, clock: () => Millis): Millis | undefined {
-  for (let i = 0; i < MAX_READINGS; i += 1) {
-    const before = steady();
-    const read = clock();
-    if (steady() - before <= LONGEST_READING_MS) return read - before;
+/** By how much a clock is ahead of the steady one. */
+function createLead(steady: () => Millis, clock: () => Millis) {
+  /**
+   * Reads two clocks so close to each other that their difference means something. A process that
+   * waits for the processor between the readings would take that wait for time that was not counted.
+   */
+  function read(): Millis | undefined {
+    for (let i = 0; i < MAX_READINGS; i += 1) {
+      const before = steady();
+      const value = clock();
+      if (steady() - before <= LONGEST_READING_MS) return value - before;
+    }
+    // The next reading tells.
+    return undefined;
   }
-  return undefined;
+  return { read, first: read() ?? clock() - steady() };
 }
--- a/src/hosts/routing/types.ts
+++ b/src/hosts/routing/types.ts
@@ -86,8 +86,17 @@
   readonly close: () => void;
 }
 
+/** Time that the steady clock did not count. */
+export interface ClockGap {
+  readonly ms: Millis;
+  /** The clock that told it; none where it is not known how long it was. */
+  readonly clock: 'timeOfDay' | 'sinceBoot' | 'none';
+}
+
 /** Finds time that the steady clock did not count. */
 export interface GapClock extends Clock {
-  /** Time since the last call that the steady clock did not count; 0 in general. */
-  readonly takeGap: () => Millis;
+  /** Time since the last call that the steady clock did not count; none in general. */
+  readonly takeGap: () => ClockGap | undefined;
+  /** Whether the time since boot keeps pace with the steady clock, and counts. */
+  readonly isBootTrusted: () => boolean;
 }
--- a/src/routing/freshness/freshness.ts
+++ b/src/routing/freshness/freshness.ts
@@ -112,11 +112,11 @@
 }
 
 /** Drops the confirmation if time may have passed that the clock did not count. */
-export function onClockGap(ctx: RoutingContext, gapMs: Millis): void {
+export function onClockGap(ctx: RoutingContext, gapMs: Millis, clock: string | undefined): void {
   const { freshness } = ctx.state;
   if (freshness.confirmedAt !== undefined) freshness.confirmedAt -= gapMs;
   freshness.uncountedMs += gapMs;
-  logWarning(ctx, 'clockGap', { gapMs, confirmationAgeMs: confirmationAge(ctx) });
+  logWarning(ctx, 'clockGap', { gapMs, clock, confirmationAgeMs: confirmationAge(ctx) });
   updateFreshness(ctx);
 }
 
--- a/src/routing/routing.ts
+++ b/src/routing/routing.ts
@@ -90,7 +90,7 @@
       return;
     case 'clockGap':
       forgetSentTimes(ctx);
-      onClockGap(ctx, event.gapMs);
+      onClockGap(ctx, event.gapMs, event.clock);
       return;
     case 'configurationPolled':
       onConfigurationPolled(ctx, event);
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -231,7 +231,12 @@
   | { readonly kind: 'start' }
   | { readonly kind: 'timer'; readonly timer: RoutingTimer }
   /** The process was suspended, or clocks disagree: this much time may have passed unnoticed. */
-  | { readonly kind: 'clockGap'; readonly gapMs: Millis }
+  | {
+      readonly kind: 'clockGap';
+      readonly gapMs: Millis;
+      /** The clock that told it, for logs. */
+      readonly clock?: string;
+    }
   | {
       readonly kind: 'configurationPolled';
       /** Time at which the read was sent. */
--- a/test/routing/logs.test.ts
+++ b/test/routing/logs.test.ts
@@ -1,8 +1,10 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'chai';
+import fc from 'fast-check';
 import { explainRequest, formatLogLine, readLogLines } from '../../src/cli/explain.js';
 import { createLineWriter } from '../../src/hosts/routing/lineWriter.js';
 import { createRoutingLog } from '../../src/hosts/routing/routingLog.js';
+import type { GapClock } from '../../src/hosts/routing/types.js';
 import { createGapClock } from '../../src/hosts/routing/gapClock.js';
 import { routingEvents, type RoutingEventCode } from '../../src/routing/eventTable.js';
 import { createTestCore, effectsOf, planOf, type TestCore } from './support/core.js';
@@ -170,6 +172,8 @@
 });
 
 describe('clock that tells gaps', () => {
+  const gapOf = (clock: GapClock) => clock.takeGap()?.ms ?? 0;
+
   function createClocks() {
     const at = { steady: 0, timeOfDay: 1_000_000, boot: 50_000 };
     const clock = createGapClock({
@@ -181,7 +185,7 @@
       at.steady += steady;
       at.timeOfDay += timeOfDay;
       at.boot += boot;
-      return clock.takeGap();
+      return gapOf(clock);
     };
     return pass;
   }
@@ -205,12 +209,12 @@
     });
     for (let i = 0; i < 200; i += 1) {
       at.steady += 70;
-      expect(clock.takeGap()).to.equal(0);
+      expect(gapOf(clock)).to.equal(0);
     }
     // And yet it tells a suspension.
     at.boot += 5_000;
     at.steady += 300;
-    expect(clock.takeGap()).to.be.within(4_000, 6_000);
+    expect(gapOf(clock)).to.be.within(4_000, 6_000);
   });
 
   it('tells nothing where the process waits for the processor between two readings', () => {
@@ -229,7 +233,7 @@
     for (let i = 0; i < 200; i += 1) {
       at.steady += 70;
       at.due = 100 + (i % 7) * 90;
-      expect(clock.takeGap()).to.equal(0);
+      expect(gapOf(clock)).to.equal(0);
     }
   });
 
@@ -244,10 +248,10 @@
     for (let i = 0; i < 400; i += 1) {
       at.time += 1_137;
       at.lag = i % 3 === 0 ? 590 : 0;
-      expect(clock.takeGap()).to.equal(0);
+      expect(gapOf(clock)).to.equal(0);
     }
     at.time += 3_000;
-    expect(clock.takeGap()).to.equal(0);
+    expect(gapOf(clock)).to.equal(0);
   });
 
   it('tells a suspension also while the process waits for the processor', () => {
@@ -265,7 +269,71 @@
     at.steady += 300;
     at.due = 700;
     at.suspended += 3_000;
-    expect(clock.takeGap()).to.be.within(2_900, 3_100);
+    expect(gapOf(clock)).to.be.within(2_900, 3_100);
+  });
+
+  it('does not turn callers away where the time since boot runs at another pace', () => {
+    // Lead of the time since boot at checks 0.2 s apart, on a day that was slow to play.
+    const leads = [
+      0, 1_787, 3_475, 5_603, 6_892, 6_801, 6_681, 7_421, 8_698, 9_487, 9_603, 9_810, 10_127,
+      10_202, 10_351, 10_298, 10_768, 11_446, 11_505, 11_735, 11_960, 12_150, 12_489, 12_974,
+    ];
+    const at = { steady: 400, lead: 0 };
+    const clock = createGapClock({
+      steady: () => at.steady,
+      timeOfDay: () => 1_000_000 + at.steady,
+      sinceBoot: () => 7_300 + at.steady + at.lead,
+    });
+    leads.forEach((lead) => {
+      at.steady += 210;
+      at.lead = lead;
+      expect(gapOf(clock)).to.equal(0);
+    });
+    expect(clock.isBootTrusted()).to.equal(false);
+  });
+
+  it('tells one gap at most of a time since boot that is faster or slower', () => {
+    fc.assert(
+      fc.property(
+        fc.double({ min: 0.1, max: 8, noNaN: true }),
+        fc.integer({ min: 20, max: 1_500 }),
+        (pace, intervalMs) => {
+          let steady = 400;
+          const clock = createGapClock({
+            steady: () => steady,
+            timeOfDay: () => 1_000_000 + steady,
+            sinceBoot: () => 7_300 + steady * pace,
+          });
+          let gaps = 0;
+          for (let i = 0; i < 500; i += 1) {
+            steady += intervalMs;
+            if (gapOf(clock) > 0) gaps += 1;
+          }
+          expect(gaps).to.be.at.most(1);
+        },
+      ),
+      { seed: 19, numRuns: 200 },
+    );
+  });
+
+  it('takes no suspension for none where the time since boot is no help', () => {
+    const at = { steady: 400, day: 1_000_000, boot: 0 };
+    const clock = createGapClock({
+      steady: () => at.steady,
+      timeOfDay: () => at.day + at.steady,
+      sinceBoot: () => 7_300 + at.steady * 3,
+    });
+    for (let i = 0; i < 20; i += 1) {
+      at.steady += 300;
+      clock.takeGap();
+    }
+    expect(clock.isBootTrusted()).to.equal(false);
+    // Suspended for 3 s, and then seen.
+    at.day += 3_000;
+    expect(gapOf(clock)).to.equal(3_000);
+    // Suspended for some time while the time of day was set back by more: nobody knows how long.
+    at.day -= 1_000;
+    expect(gapOf(clock)).to.be.at.least(60_000);
   });
 
   it('tells nothing as time goes on as usual', () => {
