Tell the other instances less often while the own processor is saturated

Cause: an instance whose processor is fully used spends as much on news as an idle one; of twelve idle processes each takes 57 ms/s, of two 19. Change: the host's reading of the loop goes into the core, which logs it and stretches the interval of news up to three times above half of utilization, at most to 0.7 s, so that neighbours follow. The test failed before: the interval was the same at any load.

--- a/src/daemon/routingInstance.ts
+++ b/src/daemon/routingInstance.ts
@@ -4,7 +4,7 @@
 import type { SocketAddress } from '../hosts/address.js';
 import { createFrontHost, type FrontHost } from '../hosts/routing/frontHost.js';
 import { createGapClock } from '../hosts/routing/gapClock.js';
-import { createLoadMeter, type LoadMeter, type LoadReading } from '../hosts/routing/loadMeter.js';
+import { createLoadMeter, type LoadMeter, type MeasuredLoad } from '../hosts/routing/loadMeter.js';
 import { createMetricsPage, type MetricsPage } from '../hosts/routing/metricsPage.js';
 import { createRoutingLog, type RoutingLog } from '../hosts/routing/routingLog.js';
 import type { GapClock, RequestProtocol, RoutingPlatform } from '../hosts/routing/types.js';
@@ -16,9 +16,10 @@
 import type { PeerHost, System } from '../hosts/types.js';
 import { countInstances } from '../routing/exchange/exchange.js';
 import { confirmationAge } from '../routing/freshness/freshness.js';
+import type { LoadReading } from '../routing/load/ownLoad.js';
 import { createRouting, type Routing } from '../routing/routing.js';
 import type { RoutingSettings } from '../routing/settings.js';
-import type { LogFields, RoutingEffect, RoutingEvent, RoutingTimer } from '../routing/types.js';
+import type { RoutingEffect, RoutingEvent, RoutingTimer } from '../routing/types.js';
 import { createLoop, type Loop } from './loop.js';
 import { createIncarnation } from './incarnation.js';
 
@@ -295,7 +296,7 @@
   const pools = createUpstreamPools();
   const meter = createLoadMeter({
     now: clock.now,
-    onReading: (reading) => log.write('info', 'loadMeasured', describeLoad(context, reading)),
+    onReading: (reading) => post({ kind: 'loadMeasured', reading: readingOf(reading) }),
   });
   return {
     log,
@@ -348,17 +349,9 @@
   post({ kind: 'peerMessage', from, incarnation, news: message.value });
 }
 
-/** Fields of the line that tells what the last interval took of the process. */
-function describeLoad({ routing, isReady }: HostContext, reading: LoadReading): LogFields {
-  const { utilization, lagMs, oldestMs, ...counts } = reading;
-  return {
-    ...counts,
-    utilization: Number(utilization.toFixed(3)),
-    lagMs: Math.round(lagMs),
-    oldestMs: Math.round(oldestMs),
-    open: routing().state.requests.open.size,
-    isReady: isReady(),
-  };
+/** A measured load as the core takes it. */
+function readingOf({ utilization, lagMs, ...counts }: MeasuredLoad): LoadReading {
+  return { utilization, lagMs, counts: { ...counts, oldestMs: Math.round(counts.oldestMs) } };
 }
 
 async function renderMetrics(
--- a/src/hosts/routing/loadMeter.ts
+++ b/src/hosts/routing/loadMeter.ts
@@ -19,7 +19,7 @@
   | 'messagesOut';
 
 /** What one interval has shown. */
-export interface LoadReading extends Readonly<Record<LoadCount, number>> {
+export interface MeasuredLoad extends Readonly<Record<LoadCount, number>> {
   /** Part of the time in which the loop was at work or waited for the processor, from 0 to 1. */
   readonly utilization: number;
   /** Time by which the reading was late. */
@@ -30,7 +30,7 @@
 
 export interface LoadMeterOptions {
   readonly now: () => Millis;
-  readonly onReading: (reading: LoadReading) => void;
+  readonly onReading: (reading: MeasuredLoad) => void;
   /** Time at which the loop was at work and idle; the process's own by default. */
   readonly utilization?: () => number;
   readonly intervalMs?: Millis;
@@ -43,7 +43,7 @@
   /** Notes how long a request waited from its reading to its decision. */
   readonly noteAge: (ageMs: Millis) => void;
   /** The last reading, or what there is before the first one. */
-  readonly last: () => LoadReading;
+  readonly last: () => MeasuredLoad;
 }
 
 const NO_COUNTS: Readonly<Record<LoadCount, number>> = {
@@ -61,7 +61,7 @@
   let oldestMs: Millis = 0;
   let dueAt: Millis = 0;
   let timer: NodeJS.Timeout | undefined;
-  let last: LoadReading = { ...NO_COUNTS, utilization: 0, lagMs: 0, oldestMs: 0 };
+  let last: MeasuredLoad = { ...NO_COUNTS, utilization: 0, lagMs: 0, oldestMs: 0 };
 
   function schedule(): void {
     dueAt = now() + intervalMs;
--- a/src/routing/exchange/exchange.ts
+++ b/src/routing/exchange/exchange.ts
@@ -16,6 +16,7 @@
   type RetryDelay,
   type RoutingContext,
 } from '../context.js';
+import { controlStretch } from '../load/ownLoad.js';
 import { settlePoll, type Poll } from '../polls.js';
 import type { PartRead } from '../placement/prefixMemory.js';
 import { noteReportedCrashes } from '../suspects/suspects.js';
@@ -42,6 +43,8 @@
 const SILENT_PEER_INTERVAL_MS: Millis = 2_000;
 /** Time after which an instance that was never heard of again is dropped. */
 const DROP_AFTER_MS: Millis = 30_000;
+/** Busy instances are heard of within this time, so that their neighbours follow them. */
+const LONGEST_STRETCHED_MS: Millis = 700;
 /** Time for which instances count that are not heard of, where connections are divided. */
 const COUNTED_FOR_MS: Millis = 10_000;
 
@@ -92,15 +95,21 @@
 }
 
 export function onExchangeTimer(ctx: RoutingContext): void {
-  const { exchange, settings } = ctx.state;
+  const { exchange } = ctx.state;
   exchange.peers.forEach((peer) => checkPeer(ctx, peer));
   expireSums(ctx);
   dropSums(ctx);
   exchange.sequence += 1;
   const parts = ctx.state.prefixes.takeNews();
   const told = isRelayed(ctx) ? tellDomain(ctx, parts) : tellAll(ctx, parts);
-  const factor = Math.max(1, told / settings.exchangeInstances);
-  setTimer(ctx, 'exchange', settings.exchangeMs * factor);
+  setTimer(ctx, 'exchange', exchangeInterval(ctx, told));
+}
+
+/** Time to the next news: longer the more instances are told, and while the processor is busy. */
+function exchangeInterval(ctx: RoutingContext, told: number): Millis {
+  const { exchangeMs, exchangeInstances } = ctx.state.settings;
+  const usualMs = exchangeMs * Math.max(1, told / exchangeInstances);
+  return Math.max(usualMs, Math.min(usualMs * controlStretch(ctx), LONGEST_STRETCHED_MS));
 }
 
 export function onNews(ctx: RoutingContext, from: string, incarnation: number, value: News): void {
--- a/src/routing/routing.ts
+++ b/src/routing/routing.ts
@@ -31,6 +31,7 @@
   onConfigurationTimer,
   startConfigurationPoll,
 } from './freshness/freshness.js';
+import { onLoadMeasured } from './load/ownLoad.js';
 import { DEFAULT_ROUTING_SETTINGS, type RoutingSettings } from './settings.js';
 import { createRoutingState, type RoutingState } from './state.js';
 import type {
@@ -125,6 +126,9 @@
     case 'probed':
       onProbed(ctx, event);
       return;
+    case 'loadMeasured':
+      onLoadMeasured(ctx, event.reading);
+      return;
     case 'settingsChanged':
       ctx.state.settings = { ...DEFAULT_ROUTING_SETTINGS, ...event.settings };
       return;
--- a/src/routing/state.ts
+++ b/src/routing/state.ts
@@ -6,6 +6,7 @@
 import { createRequestsState, type RequestsState } from './attempts/attemptsState.js';
 import { createExchangeState, type ExchangeState } from './exchange/exchangeState.js';
 import { createFreshnessState, type FreshnessState } from './freshness/freshnessState.js';
+import { createOwnLoad, type OwnLoad } from './load/ownLoad.js';
 import type { RetryBudget } from './retries/retryBudget.js';
 import type { RoutingSettings } from './settings.js';
 import { createSharesState, type SharesState } from './shares/sharesState.js';
@@ -31,6 +32,7 @@
   readonly prefixes: PrefixMemory;
   readonly retries: Map<PoolId, RetryBudget>;
   readonly suspects: SuspectsState;
+  readonly load: OwnLoad;
 }
 
 export interface RoutingStateOptions {
@@ -57,5 +59,6 @@
     prefixes: createPrefixMemory(),
     retries: new Map(),
     suspects: createSuspectsState(),
+    load: createOwnLoad(),
   };
 }
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -18,6 +18,7 @@
   UpstreamId,
 } from '../core/types.js';
 import type { RoutingEventCode } from './eventTable.js';
+import type { LoadReading } from './load/ownLoad.js';
 import type { RoutingSettings } from './settings.js';
 
 export type { FailureDomainId, InstanceId, InstanceIdentity, PoolId, RegionId, UpstreamId };
@@ -283,6 +284,7 @@
       readonly bornAt: Millis;
       readonly isAlive: boolean;
     }
+  | { readonly kind: 'loadMeasured'; readonly reading: LoadReading }
   | { readonly kind: 'settingsChanged'; readonly settings: Partial<RoutingSettings> }
   | { readonly kind: 'plannedStop' };
 
--- a/test/hosts/loadMeter.test.ts
+++ b/test/hosts/loadMeter.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { createLoadMeter, type LoadReading } from '../../src/hosts/routing/loadMeter.js';
+import { createLoadMeter, type MeasuredLoad } from '../../src/hosts/routing/loadMeter.js';
 
 describe('load meter', () => {
   /** Collects readings while `during` is called once for each interval, before it ends. */
@@ -10,12 +10,12 @@
       interval: number,
       pass: (ms: number) => void,
     ) => void,
-  ): Promise<LoadReading[]> {
+  ): Promise<MeasuredLoad[]> {
     let now = 0;
     const pass = (ms: number) => {
       now += ms;
     };
-    const readings: LoadReading[] = [];
+    const readings: MeasuredLoad[] = [];
     await new Promise<void>((resolve) => {
       const meter = createLoadMeter({
         now: () => now,
--- /dev/null
+++ b/test/routing/load.test.ts
@@ -0,0 +1,44 @@
+import { expect } from 'chai';
+import { createTestCore, effectsOf, type TestCore } from './support/core.js';
+
+const COUNTS = { accepted: 100, read: 80, dead: 20 };
+
+function measure(core: TestCore, utilization: number) {
+  return core.take({
+    kind: 'loadMeasured',
+    reading: { utilization, lagMs: 400, counts: COUNTS },
+  });
+}
+
+/** Time to the next news that an exchange sets. */
+function exchangeDelay(core: TestCore): number {
+  const effects = core.take({ kind: 'timer', timer: 'exchange' });
+  const timer = effectsOf(effects, 'setTimer').find((effect) => effect.timer === 'exchange');
+  return (timer?.at ?? NaN) - core.now();
+}
+
+describe('routing/load', () => {
+  it('tells the others less often while the processor is saturated, and yet often enough', () => {
+    const core = createTestCore();
+    const usual = exchangeDelay(core);
+    measure(core, 0.4);
+    expect(exchangeDelay(core)).to.equal(usual);
+    measure(core, 0.75);
+    expect(exchangeDelay(core)).to.be.within(1.5 * usual, 2.5 * usual);
+    measure(core, 1);
+    expect(exchangeDelay(core)).to.equal(3 * usual);
+    // Neighbours follow an instance that they heard of within a second.
+    expect(exchangeDelay(core)).to.be.below(1_000);
+    measure(core, 0.1);
+    expect(exchangeDelay(core)).to.equal(usual);
+  });
+
+  it('leaves a line with what the last second took, as a failure where it is saturated', () => {
+    const core = createTestCore();
+    const [calm] = effectsOf(measure(core, 0.2), 'log');
+    expect(calm).to.include({ level: 'info', code: 'loadMeasured' });
+    const [busy] = effectsOf(measure(core, 0.99), 'log');
+    expect(busy).to.include({ level: 'warn', code: 'loadMeasured' });
+    expect(busy?.fields).to.include({ ...COUNTS, utilization: 0.99, lagMs: 400, open: 0 });
+  });
+});
