Let failure domains tell each other sums in fleets of more than 12 instances

Cause: each of up to 24 instances told all others, 50 messages a second out and as many in. Change: from 13 instances on the domains exchange sums through relays.

--- a/src/routing/settings.ts
+++ b/src/routing/settings.ts
@@ -50,7 +50,7 @@
   instanceWaitMs: 10_000,
   exchangeMs: 200,
   exchangeInstances: 10,
-  meshInstances: 24,
+  meshInstances: 12,
   peerTimeoutMs: 2_500,
   stopGraceMs: 8_000,
   stopAcceptMs: 1_500,
