Decide one request in a turn of the loop, and bound the queue of connections

Cause: the loop accepts one connection in a turn (libuv 1.46; 50 pending ones take 50 turns), while a turn decides all that has come on kept connections. A turn of 60 ms of a small machine accepts 16 connections a second; the system's queue of 511 holds callers that left long ago, and each of those is worked for in its turn. So the process stays busy with callers that are gone, also once the others are fewer: a collapse that outlives its trigger, which is why service does not come back after a return of all instances, when every caller connects anew. Class: a queue whose entries' age nobody sees.

Change: requests wait in the process, one is decided in a turn, in turn by the callers' keys, those whose callers have left at no cost; the wait counts against the objective, and what waited beyond it is refused at once as instanceBusy with a short Retry-After. The system's queue holds 64 connections.

--- a/src/hosts/httpServer.ts
+++ b/src/hosts/httpServer.ts
@@ -43,6 +43,8 @@
   readonly certificates?: CertificateSource | undefined;
   /** Answers a connection whose bytes are not HTTP, by the code of the error. */
   readonly malformedAnswer?: (errorCode: string) => string;
+  /** Connections that may wait to be accepted; the system's usual number by default. */
+  readonly backlog?: number;
   /** Called with each connection that is accepted. */
   readonly onConnection?: () => void;
 }
@@ -91,7 +93,8 @@
     listen: async () => {
       await new Promise<void>((resolve, reject) => {
         server.once('error', reject);
-        server.listen(options.port, options.host, () => {
+        const { host, port, backlog } = options;
+        server.listen({ host, port, ...(backlog === undefined ? {} : { backlog }) }, () => {
           server.removeListener('error', reject);
           resolve();
         });
--- a/src/hosts/routing/frontHost.ts
+++ b/src/hosts/routing/frontHost.ts
@@ -13,12 +13,14 @@
   CallerLimits,
   EventId,
   OwnAnswer,
+  RequestFacts,
   RequestNumber,
 } from '../../routing/types.js';
 import { readBody } from '../callerRequest.js';
 import { createHttpServer, sendJson } from '../httpServer.js';
 import { startAttempt, type HeldAnswer, type RunningAttempt } from './attempt.js';
 import { createCallerAnswer, type CallerAnswer } from './callerAnswer.js';
+import { createIntake } from './intake.js';
 import type { LoadMeter } from './loadMeter.js';
 import type { HeadFacts, PostRoutingEvent, RequestHead, RequestProtocol } from './types.js';
 import type { UpstreamPools } from './upstreamPools.js';
@@ -61,9 +63,21 @@
   lastEvent: EventId | undefined;
 }
 
+/** A request that was read and waits for its decision. */
+interface WaitingRequest {
+  readonly facts: RequestFacts;
+  readonly res: ServerResponse;
+  readonly readAt: Millis;
+}
+
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
 /** Heads beyond the configured limit are read up to here, so that they can be refused. */
 const MAX_HEADER_BYTES = 64 * 1024;
+/**
+ * Callers leave a connection that is not accepted within a second, and connections are accepted in
+ * order. More of them than a small machine accepts in that time would all be accepted too late.
+ */
+const MAX_PENDING_CONNECTIONS = 64;
 const DEFAULT_LIMITS: CallerLimits = {
   maxHeaderBytes: 16 * 1024,
   maxBodyBytes: DEFAULT_MAX_BODY_BYTES,
@@ -88,6 +102,7 @@
   const open = new Map<RequestNumber, HeldRequest>();
   const running = new Map<AttemptNumber, RunningAttempt>();
   let limits = DEFAULT_LIMITS;
+  const intake = createIntake({ decide });
   let nextRequest: RequestNumber = 1;
   let isClosing = false;
 
@@ -134,28 +149,29 @@
       if (open.delete(request) && !res.writableFinished) post({ kind: 'callerGone', request });
     });
     const fingerprint = fingerprintOf(head, facts.key, body);
-    const readAt = options.now();
     meter.count('read');
-    // While the process was busy, the caller may have left; its departure is read after its request.
-    afterNextPoll(() => {
-      if (!open.has(request)) {
-        meter.count('dead');
-        return;
-      }
-      if (res.socket?.readableEnded === true) {
-        meter.count('dead');
-        open.delete(request);
-        res.destroy();
-        return;
-      }
-      meter.noteAge(options.now() - readAt);
-      post({
-        kind: 'requestArrived',
-        facts: { ...facts, request, path: head.path, fingerprint },
-      });
+    intake.add(facts.key ?? '', {
+      facts: { ...facts, request, path: head.path, fingerprint },
+      res,
+      readAt: options.now(),
     });
   }
 
+  /** Gives a request to the core; false if its caller has left. */
+  function decide({ facts, res, readAt }: WaitingRequest): boolean {
+    const { request } = facts;
+    const isAbandoned = res.socket?.readableEnded === true;
+    if (!open.has(request) || isAbandoned) {
+      meter.count('dead');
+      if (open.delete(request)) res.destroy();
+      return false;
+    }
+    const waitedMs = Math.max(0, options.now() - readAt);
+    meter.noteAge(waitedMs);
+    post({ kind: 'requestArrived', facts: { ...facts, waitedMs } });
+    return true;
+  }
+
   function reject(
     req: IncomingMessage,
     res: ServerResponse,
@@ -227,6 +243,7 @@
     host: options.host,
     port: options.port,
     limits: { maxHeaderBytes: MAX_HEADER_BYTES },
+    backlog: MAX_PENDING_CONNECTIONS,
     onConnection: () => meter.count('accepted'),
     malformedAnswer: (errorCode) => {
       const status = CONNECTION_STATUS[errorCode] ?? 400;
@@ -269,12 +286,6 @@
   };
 }
 
-/** Runs an action once all that has arrived by now has been read. */
-function afterNextPoll(action: () => void): void {
-  // The first one runs before the loop polls again, the second one after it.
-  setImmediate(() => setImmediate(action));
-}
-
 function headBytes({ method, path, rawHeaders }: RequestHead): number {
   const separators = 4;
   return rawHeaders.reduce(
--- a/src/routing/admission/admission.ts
+++ b/src/routing/admission/admission.ts
@@ -77,6 +77,11 @@
   return objectiveMs * USABLE_OBJECTIVE * Math.max(AT_SHARE_PART, partFor(standing));
 }
 
+/** Longest wait for a decision after which a first event could still come in time. */
+export function latestDecision(objectiveMs: Millis): Millis {
+  return objectiveMs * USABLE_OBJECTIVE;
+}
+
 /** Admits a request or refuses it with the time after which to come back. */
 export function decideAdmission(input: AdmissionInput, random: Random): AdmissionDecision {
   const limitMs = limitFor(input);
--- a/src/routing/attempts/arrival.ts
+++ b/src/routing/attempts/arrival.ts
@@ -2,6 +2,7 @@
 import type { Millis } from '../../core/clock.js';
 import {
   decideAdmission,
+  latestDecision,
   placementLimit,
   spareReadsFor,
   type AdmissionDecision,
@@ -33,6 +34,8 @@
 /** Return time of callers that no upstream can serve at present. */
 const NO_UPSTREAM_RETRY_MS: Millis = 400;
 const STOPPING_RETRY_MS: Millis = 50;
+/** Return time of callers whose instance has no time for them; they reach another one. */
+const BUSY_RETRY_MS: Millis = 200;
 /** A request that crashes upstreams is not wanted again soon. */
 const BLOCKED_RETRY_MS: Millis = 60_000;
 
@@ -85,7 +88,24 @@
     const retryAfterMs = BLOCKED_RETRY_MS;
     return { status: 503, reason: 'crashesUpstreams', retryAfterMs, fields: { fingerprint } };
   }
-  return { route, customer };
+  return checkWait(ctx, facts, route) ?? { route, customer };
+}
+
+/** Whether the instance itself took so long that no upstream can begin in time any more. */
+function checkWait(
+  ctx: RoutingContext,
+  { waitedMs = 0 }: RequestFacts,
+  { objectiveMs }: Route,
+): Refusal | undefined {
+  const limitMs = latestDecision(objectiveMs);
+  if (waitedMs <= limitMs) return undefined;
+  const { utilization, lagMs } = ctx.state.load;
+  return {
+    status: 503,
+    reason: 'instanceBusy',
+    retryAfterMs: BUSY_RETRY_MS * (0.5 + ctx.state.random.next()),
+    fields: { waitedMs: Math.round(waitedMs), limitMs, utilization, lagMs: Math.round(lagMs) },
+  };
 }
 
 function checkStopping(ctx: RoutingContext): Refusal | undefined {
@@ -125,14 +145,15 @@
   customer: CustomerName | undefined,
 ): OpenRequest {
   const deadlineMs = facts.deadlineMs ?? route.timeoutMs;
+  const arrivedAt = ctx.now - (facts.waitedMs ?? 0);
   return {
     facts,
     route,
     pool,
     customer,
-    arrivedAt: ctx.now,
-    dueAt: ctx.now + Math.min(deadlineMs, route.timeoutMs),
-    deadlineAt: ctx.now + deadlineMs,
+    arrivedAt,
+    dueAt: arrivedAt + Math.min(deadlineMs, route.timeoutMs),
+    deadlineAt: arrivedAt + deadlineMs,
     tried: [],
     unreachable: [],
     attempt: undefined,
@@ -155,7 +176,8 @@
   }
   const decision = decideAdmission(
     {
-      firstMs: placement.reckonedMs,
+      // The caller counts from the arrival.
+      firstMs: placement.reckonedMs + (facts.waitedMs ?? 0),
       ownMs: placement.ownMs,
       readMs: placement.readMs,
       objectiveMs: route.objectiveMs,
--- a/src/routing/eventTable.ts
+++ b/src/routing/eventTable.ts
@@ -47,6 +47,7 @@
   timedOut: entry(9025, 'request', 'The time limit passed before the answer.'),
   malformed: entry(9026, 'request', 'The request cannot be read.'),
   internalError: entry(9027, 'request', 'An internal error ended the request.'),
+  instanceBusy: entry(9028, 'request', 'This instance was too busy to decide in time.'),
   configurationInForce: entry(9040, 'belief', 'A configuration is in force.'),
   configurationIgnored: entry(9041, 'belief', 'A configuration was not taken.'),
   configurationStale: entry(9042, 'belief', 'The configuration is no longer confirmed.'),
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -141,6 +141,8 @@
   readonly model: string;
   /** Hash of method, path, key and body. */
   readonly fingerprint: number;
+  /** Time that it has waited at this instance for its decision. */
+  readonly waitedMs?: Millis;
 }
 
 /** Id of the last event that the caller of a resumed stream has. */
--- a/test/routing/load.test.ts
+++ b/test/routing/load.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import { createFairQueue } from '../../src/routing/load/fairQueue.js';
 import { createTestCore, effectsOf, type TestCore } from './support/core.js';
 
 const COUNTS = { accepted: 100, read: 80, dead: 20 };
@@ -18,6 +19,27 @@
 }
 
 describe('routing/load', () => {
+  it('refuses at once what has waited too long for its decision, and counts the wait for others', () => {
+    const core = createTestCore();
+    // The objective of the route is 500 ms.
+    const late = core.arrive({ waitedMs: 460 });
+    const [refused] = effectsOf(late, 'answer');
+    expect(refused?.answer).to.include({ status: 503, reason: 'instanceBusy' });
+    expect(refused?.answer.retryAfterMs).to.be.within(50, 500);
+    const inTime = core.arrive({ waitedMs: 100, deadlineMs: 2_000 });
+    const [send] = effectsOf(inTime, 'send');
+    expect(send?.plan.deadlineMs).to.equal(1_900);
+  });
+
+  it('serves customers in turn, each in its order', () => {
+    const queue = createFairQueue<string>();
+    ['a1', 'a2', 'a3', 'b1', 'a4', 'c1', 'b2'].forEach((entry) => queue.add(entry[0] ?? '', entry));
+    expect(queue.size()).to.equal(7);
+    const taken = Array.from({ length: 8 }, () => queue.take());
+    expect(taken).to.deep.equal(['a1', 'b1', 'c1', 'a2', 'b2', 'a3', 'a4', undefined]);
+    expect(queue.size()).to.equal(0);
+  });
+
   it('tells the others less often while the processor is saturated, and yet often enough', () => {
     const core = createTestCore();
     const usual = exchangeDelay(core);
