Turn away early what a saturated instance cannot begin, and send new callers elsewhere

What callers saw: a hot customer's clients sit at one instance (80 to 150 requests a second; the others of the fleet 2 to 17, utilization 0.25 to 0.55). Its requests waited 1 to 2 s each and were then refused; 1 to 4 a second were sent to upstreams.

Cause: requests were decided in the order of arrival, so that under a standing queue each is decided just as it is of no more use, and an instance with idle neighbours went on saying that it is ready.

Change: the newest request of a customer is decided first; what has waited over 0.1 s is decided beside it and turned away at 0.3 of its objective, in time for another instance; from a second of utilization above 0.95 to one below 0.7 the instance is not ready and its answers end their connections.

The test of the order of arrival in the queue is replaced: customers still take turns, the newest of each first.

--- a/src/daemon/routingInstance.ts
+++ b/src/daemon/routingInstance.ts
@@ -170,6 +170,9 @@
       case 'closeCallers':
         hosts.front.closeCallers();
         return;
+      case 'moveCallers':
+        hosts.front.setMovingCallers(effect.isMoving);
+        return;
       case 'setReady':
         isReady = effect.isReady;
         return;
--- a/src/hosts/routing/frontHost.ts
+++ b/src/hosts/routing/frontHost.ts
@@ -50,6 +50,8 @@
   readonly cutAnswer: (request: RequestNumber) => void;
   /** Ends idle connections, and each other one with its next answer. */
   readonly closeCallers: () => void;
+  /** Sets whether each answer ends its connection, so that the caller's next one goes elsewhere. */
+  readonly setMovingCallers: (isMoving: boolean) => void;
   readonly kill: () => Promise<void>;
 }
 
@@ -102,9 +104,10 @@
   const open = new Map<RequestNumber, HeldRequest>();
   const running = new Map<AttemptNumber, RunningAttempt>();
   let limits = DEFAULT_LIMITS;
-  const intake = createIntake({ decide });
+  const intake = createIntake({ now: options.now, decide });
   let nextRequest: RequestNumber = 1;
   let isClosing = false;
+  let isMovingCallers = false;
 
   async function receive(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const { rawHeaders } = req;
@@ -136,7 +139,7 @@
     const request = nextRequest;
     nextRequest += 1;
     const { requestId } = facts;
-    const answer = createCallerAnswer({ res, isLast: () => isClosing });
+    const answer = createCallerAnswer({ res, isLast: () => isClosing || isMovingCallers });
     open.set(request, {
       requestId,
       head,
@@ -278,6 +281,9 @@
       settled.answer.finish();
     },
     cutAnswer: (request) => settle(request)?.answer.cut(),
+    setMovingCallers: (isMoving) => {
+      isMovingCallers = isMoving;
+    },
     closeCallers: () => {
       isClosing = true;
       server.closeIdle();
--- a/src/routing/admission/admission.ts
+++ b/src/routing/admission/admission.ts
@@ -63,6 +63,8 @@
 const SPARE_READS_AT_SHARE = 6;
 /** Part of the time that a caller has by which the first event must come; the answer needs the rest. */
 const LONGEST_FIRST = 0.5;
+/** Part of the objective that a request may wait for its decision. */
+const LONGEST_WAIT_PART = 0.3;
 /** Callers do not come back later than this part of the time that they have. */
 const LONGEST_RETURN = 1 / 3;
 const SHORTEST_RETURN_MS: Millis = 50;
@@ -77,9 +79,12 @@
   return objectiveMs * USABLE_OBJECTIVE * Math.max(AT_SHARE_PART, partFor(standing));
 }
 
-/** Longest wait for a decision after which a first event could still come in time. */
+/**
+ * Longest wait of a request at its instance. Turned away then, it can still be served in time at
+ * another instance, whose processor may be idle.
+ */
 export function latestDecision(objectiveMs: Millis): Millis {
-  return objectiveMs * USABLE_OBJECTIVE;
+  return objectiveMs * LONGEST_WAIT_PART;
 }
 
 /** Admits a request or refuses it with the time after which to come back. */
--- a/src/routing/drain/stop.ts
+++ b/src/routing/drain/stop.ts
@@ -40,9 +40,9 @@
 
 /** Tells the balancer whether new callers may come. */
 export function updateReadiness(ctx: RoutingContext): void {
-  const { freshness, upstreams, phase } = ctx.state;
-  const isReady =
-    phase !== 'stopping' && phase !== 'stopped' && freshness.isFresh && upstreams.isKnown;
+  const { freshness, upstreams, load, phase } = ctx.state;
+  const isStopping = phase === 'stopping' || phase === 'stopped';
+  const isReady = !isStopping && freshness.isFresh && upstreams.isKnown && !load.isSaturated;
   if (isReady === ctx.state.isReady) return;
   ctx.state.isReady = isReady;
   if (isReady && phase === 'starting') ctx.state.phase = 'running';
@@ -50,6 +50,7 @@
   logInfo(ctx, isReady ? 'ready' : 'notReady', {
     isConfigurationFresh: freshness.isFresh,
     isListKnown: upstreams.isKnown,
+    isSaturated: load.isSaturated,
     phase,
   });
 }
--- a/src/routing/load/ownLoad.ts
+++ b/src/routing/load/ownLoad.ts
@@ -6,7 +6,7 @@
  * What control takes from callers then has to be little.
  */
 import type { Millis } from '../../core/clock.js';
-import { logInfo, logWarning, type RoutingContext } from '../context.js';
+import { emit, logInfo, logWarning, type RoutingContext } from '../context.js';
 import type { LogFields } from '../types.js';
 
 /** What the host has measured over the last interval. */
@@ -22,6 +22,8 @@
 export interface OwnLoad {
   utilization: number;
   lagMs: Millis;
+  /** Whether new callers are better off at another instance. */
+  isSaturated: boolean;
 }
 
 /** Utilization from which on control is told and read less often. */
@@ -30,9 +32,11 @@
 const MAX_STRETCH = 3;
 /** Utilization from which on the process counts as saturated. */
 const SATURATED = 0.95;
+/** Utilization up to which a saturated process takes new callers again. */
+const RELIEVED = 0.7;
 
 export function createOwnLoad(): OwnLoad {
-  return { utilization: 0, lagMs: 0 };
+  return { utilization: 0, lagMs: 0, isSaturated: false };
 }
 
 /** Takes in a reading; a saturated process leaves a line of the class that is kept longest. */
@@ -40,6 +44,7 @@
   const { load, requests, isReady } = ctx.state;
   load.utilization = reading.utilization;
   load.lagMs = reading.lagMs;
+  updateSaturation(ctx);
   const fields: LogFields = {
     ...reading.counts,
     utilization: Number(reading.utilization.toFixed(3)),
@@ -51,6 +56,15 @@
   log(ctx, 'loadMeasured', fields);
 }
 
+/** The balancer sends new callers elsewhere, and answers end their connections meanwhile. */
+function updateSaturation(ctx: RoutingContext): void {
+  const { load } = ctx.state;
+  const isSaturated = load.utilization > (load.isSaturated ? RELIEVED : SATURATED);
+  if (isSaturated === load.isSaturated) return;
+  load.isSaturated = isSaturated;
+  emit(ctx, { kind: 'moveCallers', isMoving: isSaturated });
+}
+
 /** Factor of the intervals of control: 1 while the processor has time to spare. */
 export function controlStretch({ state }: RoutingContext): number {
   const { utilization } = state.load;
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -326,6 +326,8 @@
     }
   | { readonly kind: 'limitCallers'; readonly limits: CallerLimits }
   | { readonly kind: 'setReady'; readonly isReady: boolean }
+  /** Has each answer end its connection, or no longer. */
+  | { readonly kind: 'moveCallers'; readonly isMoving: boolean }
   /** Ends idle connections of callers, and others with their next answer. */
   | { readonly kind: 'closeCallers' }
   | {
--- a/test/routing/load.test.ts
+++ b/test/routing/load.test.ts
@@ -22,7 +22,7 @@
   it('refuses at once what has waited too long for its decision, and counts the wait for others', () => {
     const core = createTestCore();
     // The objective of the route is 500 ms.
-    const late = core.arrive({ waitedMs: 460 });
+    const late = core.arrive({ waitedMs: 160 });
     const [refused] = effectsOf(late, 'answer');
     expect(refused?.answer).to.include({ status: 503, reason: 'instanceBusy' });
     expect(refused?.answer.retryAfterMs).to.be.within(50, 500);
@@ -31,13 +31,40 @@
     expect(send?.plan.deadlineMs).to.equal(1_900);
   });
 
-  it('serves customers in turn, each in its order', () => {
+  it('serves customers in turn, the newest request of each first, and finds the oldest', () => {
     const queue = createFairQueue<string>();
-    ['a1', 'a2', 'a3', 'b1', 'a4', 'c1', 'b2'].forEach((entry) => queue.add(entry[0] ?? '', entry));
+    ['a1', 'a2', 'a3', 'b1', 'a4', 'c1', 'b2'].forEach((entry, at) =>
+      queue.add(entry[0] ?? '', entry, at),
+    );
     expect(queue.size()).to.equal(7);
-    const taken = Array.from({ length: 8 }, () => queue.take());
-    expect(taken).to.deep.equal(['a1', 'b1', 'c1', 'a2', 'b2', 'a3', 'a4', undefined]);
-    expect(queue.size()).to.equal(0);
+    expect(queue.takeOldest(-1)).to.equal(undefined);
+    expect(queue.takeOldest(3)).to.equal('a1');
+    const taken = Array.from({ length: 4 }, queue.takeNewest);
+    expect(taken).to.deep.equal(['a4', 'b2', 'c1', 'a3']);
+    expect(queue.takeOldest(9)).to.equal('a2');
+    expect(queue.takeOldest(9)).to.equal('b1');
+    expect([queue.takeOldest(9), queue.takeNewest(), queue.size()]).to.deep.equal([
+      undefined,
+      undefined,
+      0,
+    ]);
+  });
+
+  it('sends new callers elsewhere while the processor is saturated, and takes them again', () => {
+    const core = createTestCore();
+    const ready = (utilization: number) => {
+      const effects = measure(core, utilization);
+      return [
+        ...effectsOf(effects, 'setReady').map(({ isReady }) => isReady),
+        ...effectsOf(effects, 'moveCallers').map(({ isMoving }) => !isMoving),
+      ];
+    };
+    expect(ready(0.9)).to.deep.equal([]);
+    expect(ready(1)).to.deep.equal([false, false]);
+    // It is not taken for relieved by the first second that is a little better.
+    expect(ready(0.8)).to.deep.equal([]);
+    expect(ready(0.6)).to.deep.equal([true, true]);
+    expect(core.routing.state.isReady).to.equal(true);
   });
 
   it('tells the others less often while the processor is saturated, and yet often enough', () => {
