--- a/src/hosts/routing/loadMeter.ts
+++ b/src/hosts/routing/loadMeter.ts
@@ -31,7 +31,7 @@
 export interface LoadMeterOptions {
   readonly now: () => Millis;
   readonly onReading: (reading: MeasuredLoad) => void;
-  /** Time at which the loop was at work and idle; the process's own by default. */
+  /** Part of the time since the last call in which the loop was at work; the process's own by default. */
   readonly utilization?: () => number;
   readonly intervalMs?: Millis;
 }
