--- a/src/core/claims/claims.ts
+++ b/src/core/claims/claims.ts
@@ -1,11 +1,13 @@
 /**
- * Claims make a non-idempotent request with an idempotency key run at most once in the whole fleet.
+ * Claims ensure that a non-idempotent request with an idempotency key runs at most once in the
+ * whole fleet.
  *
- * Before its dispatch the request's instance appends a claim to the log and reads it back; the first
- * claim of a key in log order wins. The claim waits in parallel with the request's wait for a slot.
- * No clock or lease decides who may run the request: the winner is the winner for good, also if it
- * dies, in which case nobody knows whether the request ran and nobody runs it again. An instance
- * gives a claim up only on its own account, and never dispatches under it afterwards.
+ * Before dispatch, the instance that received the request appends a claim to the log and reads it
+ * back; the first claim of a key in log order wins. This happens while the request waits for a
+ * slot. Ownership of a key depends on no clock or lease: the winner keeps the key permanently, even
+ * if it crashes. After a crash it is unknown whether the request ran, so no other instance runs it.
+ * Only the claiming instance itself can abandon a claim, and it never dispatches under it
+ * afterwards.
  */
 import { logLine, type CoreContext } from '../context.js';
 import { Debug } from '../debug.js';
@@ -13,23 +15,23 @@
 import { noteChange } from '../dispatch/queues.js';
 import { isUntried, refuseRequest } from '../requests/outcomes.js';
 import type { NotRunProblem, RequestFacts } from '../types.js';
-import { knownKeyOf, type KnownKey, type OwnClaim } from './claimsState.js';
+import { keyIdOf, type KeyState, type OwnClaim } from './claimsState.js';
 import { answerDuplicate } from './duplicates.js';
-import { foldRecord, knownKey } from './knownKeys.js';
+import { foldRecord, getKeyState } from './knownKeys.js';
 import { isLogDown, requestRead } from './logReader.js';
-import { claimExpiry, claimRecordOf, needsClaim } from './ownClaims.js';
+import { claimExpiry, createClaimRecord, needsClaim } from './ownClaims.js';
 import type { ClaimsRecord } from './records.js';
 import { releaseClaim } from './settlement.js';
-import { noteSeen, submitRecord } from './submission.js';
+import { confirmRecord, submitRecord } from './submission.js';
 
 const UNAVAILABLE = 503;
 
-/** Claims the key of a queued request, or answers the request from what is known of the key. */
+/** Claims the key of a queued request, or answers the request from the known state of the key. */
 export function requestClaim(ctx: CoreContext, facts: RequestFacts): void {
   const { claims } = ctx.state;
   if (!needsClaim(facts)) return;
   const key = facts.idempotencyKey as string;
-  const known = knownKey(ctx.state, knownKeyOf(facts.customer, key));
+  const known = getKeyState(ctx.state, keyIdOf(facts.customer, key));
   if (known?.holder !== undefined) {
     answerDuplicate(ctx, facts, known);
     return;
@@ -41,13 +43,13 @@
   const claim = createClaim(ctx, facts, key);
   claims.own.set(claim.claimId, claim);
   claims.byRequest.set(facts.requestId, claim.claimId);
-  submitRecord(ctx, claimRecordOf(ctx.state, claim));
+  submitRecord(ctx, createClaimRecord(ctx.state, claim));
   requestRead(ctx);
 }
 
 /**
- * Refuses a request whose claim is too old; true if it did. A claimant that was paused may not know
- * what others did in the meantime.
+ * Refuses a request whose claim has expired, and returns whether it did. An instance that was
+ * paused may have missed records that other instances appended in the meantime.
  */
 export function refuseExpiredClaim(ctx: CoreContext, facts: RequestFacts): boolean {
   const expiry = claimExpiry(ctx.state, facts);
@@ -56,14 +58,14 @@
   return true;
 }
 
-/** Gives up every claim that has not been read back. */
-export function abandonAll(ctx: CoreContext): void {
+/** Refuses the requests of all claims that have not been read back yet. */
+export function abandonPendingClaims(ctx: CoreContext): void {
   ctx.state.claims.own.forEach((claim) => {
     if (claim.status === 'pending') refuseClaim(ctx, claim.facts, 'claimNotSettled');
   });
 }
 
-/** Refuses the requests whose claims were not read back in time. */
+/** Refuses requests whose claims were not read back in time, and deletes old abandoned claims. */
 export function timeOutClaims(ctx: CoreContext): void {
   const { claims, settings } = ctx.state;
   claims.own.forEach((claim, id) => {
@@ -75,18 +77,18 @@
   });
 }
 
-/** Folds a record that was read from the log and acts on what it decides for this instance. */
+/** Folds a record read from the log and applies its result to the claims of this instance. */
 export function onRecordRead(ctx: CoreContext, record: ClaimsRecord, offset: number): void {
   const known = foldRecord(ctx.state, record, offset, ctx.now);
-  noteSeen(ctx.state, record);
+  confirmRecord(ctx.state, record);
   if (record.type !== 'claim') return;
   const claim = ctx.state.claims.own.get(record.id);
   if (claim === undefined) return;
-  if (known.holder?.claimId === record.id) onWon(ctx, claim);
-  else onLost(ctx, claim, known);
+  if (known.holder?.claimId === record.id) handleWonClaim(ctx, claim);
+  else handleLostClaim(ctx, claim, known);
 }
 
-function onWon(ctx: CoreContext, claim: OwnClaim): void {
+function handleWonClaim(ctx: CoreContext, claim: OwnClaim): void {
   switch (claim.status) {
     case 'won':
       return;
@@ -94,7 +96,7 @@
       releaseClaim(ctx, claim);
       return;
     case 'pending':
-      // A paused instance reads its claim late; its time-out has not fired yet.
+      // After a pause, the claim can be read back late, before the claim timer has run.
       if (ctx.now - claim.submittedAt >= ctx.state.settings.claimTimeoutMs) {
         claim.status = 'won';
         refuseClaim(ctx, claim.facts, 'claimNotSettled');
@@ -108,7 +110,7 @@
   }
 }
 
-function onLost(ctx: CoreContext, claim: OwnClaim, known: KnownKey): void {
+function handleLostClaim(ctx: CoreContext, claim: OwnClaim, known: KeyState): void {
   const { claims } = ctx.state;
   claims.own.delete(claim.claimId);
   claims.byRequest.delete(claim.facts.requestId);
@@ -132,8 +134,8 @@
 
 function createClaim(ctx: CoreContext, facts: RequestFacts, key: string): OwnClaim {
   const { claims, self } = ctx.state;
-  const number = claims.nextClaim;
+  const sequence = claims.nextClaim;
   claims.nextClaim += 1;
-  const claimId = `${self.id}-${self.incarnation.toString(36)}-${number.toString(36)}`;
+  const claimId = `${self.id}-${self.incarnation.toString(36)}-${sequence.toString(36)}`;
   return { claimId, facts, key, submittedAt: ctx.now, status: 'pending' };
 }
--- a/src/core/claims/claimsState.ts
+++ b/src/core/claims/claimsState.ts
@@ -1,4 +1,6 @@
-/** State of claims: this instance's own ones, the keys known from the log, and the log's position. */
+/**
+ * State of the claims: this instance's claims, the keys read from the log, and the read position.
+ */
 import type { Millis } from '../clock.js';
 import type {
   CustomerNumber,
@@ -9,16 +11,16 @@
 } from '../types.js';
 import type { ClaimId, ClaimsRecord } from './records.js';
 
-/** A customer's key as one text. */
-export type KnownKeyId = string;
+/** A customer number and idempotency key, joined into one map key. */
+export type KeyId = string;
 
-export function knownKeyOf(customer: CustomerNumber, key: string): KnownKeyId {
+export function keyIdOf(customer: CustomerNumber, key: string): KeyId {
   return `${customer}:${key}`;
 }
 
 /**
- * `pending`: not read back yet. `won`: read back as the first of its key. `abandoned`: this instance
- * will never dispatch under it; if it wins nevertheless, it is released.
+ * `pending`: not read back yet. `won`: read back as the first claim of its key. `abandoned`: this
+ * instance never dispatches under it; if it still wins, it is released.
  */
 export type OwnClaimStatus = 'pending' | 'won' | 'abandoned';
 
@@ -27,11 +29,12 @@
   readonly claimId: ClaimId;
   readonly facts: RequestFacts;
   readonly key: string;
-  /** Time before which no record of the claim can have reached the log. */
+  /** Lower bound of the time at which a record of the claim reached the log. */
   readonly submittedAt: Millis;
   status: OwnClaimStatus;
 }
 
+/** The winning claim of a key and the instance that made it. */
 export interface ClaimHolder {
   readonly claimId: ClaimId;
   readonly instance: InstanceId;
@@ -39,36 +42,39 @@
   readonly fingerprint: string;
 }
 
+/** How the request that held a key ended, with its answer if that was recorded. */
 export interface ClaimOutcome {
   readonly executed: 'yes' | 'unknown';
   readonly answer?: RecordedAnswer;
 }
 
-/** What the log says of a key. */
-export interface KnownKey {
-  /** Absent once the winner has released the key. */
+/** State of a key, derived from the log. */
+export interface KeyState {
+  /** `undefined` after the winner has released the key. */
   holder: ClaimHolder | undefined;
   outcome: ClaimOutcome | undefined;
-  /** Claims that were released; later copies of their records count for nothing. */
+  /** Released claims; later duplicates of their records are ignored. */
   readonly released: ClaimId[];
-  /** Offset of the first record of the key that is remembered. */
+  /** Offset of the first record of the key since it was last forgotten. */
   firstOffset: number;
   readAt: Millis;
 }
 
 /** A record of this instance that has not been read back yet. */
-export interface UnseenRecord {
+export interface UnconfirmedRecord {
   readonly record: ClaimsRecord;
   sentAt: Millis;
   sends: number;
 }
 
+/** A query to the holder of a key about the outcome of its request. */
 export interface OutcomeQuery {
   readonly requestId: RequestId;
-  readonly knownKey: KnownKeyId;
+  readonly knownKey: KeyId;
   readonly sentAt: Millis;
 }
 
+/** The outstanding read of the log. */
 export interface PendingRead {
   readonly stream: string;
   readonly from: number;
@@ -80,31 +86,31 @@
   readonly byRequest: Map<RequestId, ClaimId>;
   nextClaim: number;
 
-  /** Keys in the order in which they were last read. */
-  readonly known: Map<KnownKeyId, KnownKey>;
-  /** Sizes of the answers in memory, the oldest first. */
-  readonly answers: Map<KnownKeyId, number>;
+  /** Keys, ordered by the time at which a record of them was last read. */
+  readonly known: Map<KeyId, KeyState>;
+  /** Body sizes in bytes of the recorded answers in memory, oldest first. */
+  readonly answers: Map<KeyId, number>;
   answerBytes: number;
 
-  /** Records by type and claim. */
-  readonly unseen: Map<string, UnseenRecord>;
-  /** Records that wait for the next append of this instance, by their text. */
+  /** Records of this instance that have not been read back, by record type and claim id. */
+  readonly unseen: Map<string, UnconfirmedRecord>;
+  /** Encoded records that wait for this instance's next append. */
   readonly toAppend: Set<string>;
   nextAppendAt: Millis;
   nextAppendId: number;
 
-  /** `locating`: looks for the latest checkpoint. `following`: reads the claims stream. */
+  /** `locating`: reads the checkpoints stream. `following`: reads the claims stream. */
   phase: 'locating' | 'following';
-  /** Offset of the checkpoints stream or the claims stream to read next. */
+  /** Next offset to read, in the stream that `phase` selects. */
   next: number;
-  /** Whether the claims stream was ever read. */
+  /** Whether a read of the claims stream has succeeded. */
   hasRead: boolean;
-  /** Largest offset that a checkpoint has named. */
+  /** Largest offset that a checkpoint contained. */
   checkpoint: number;
   lastCheckpointAt: Millis;
   read: PendingRead | undefined;
   nextReadAt: Millis;
-  /** Time of the first failure since the log last answered. */
+  /** Time of the first failure since the log last answered a read; `undefined` if none. */
   failingSince: Millis | undefined;
 
   readonly queries: Map<number, OutcomeQuery>;
--- a/src/core/claims/duplicates.ts
+++ b/src/core/claims/duplicates.ts
@@ -1,7 +1,7 @@
 /**
- * Duplicates: requests whose key another request holds. They are never run. What their caller is
- * told speaks of the operation under the key: its recorded answer, that it has run, or that it runs
- * or may have run.
+ * Duplicates: requests whose idempotency key is held by another request. They are never run. Their
+ * answer describes the operation under the key: its recorded answer, that it has run, or that it is
+ * running or may have run.
  */
 import { sendTo, type CoreContext } from '../context.js';
 import { failRequest, isUntried, refuseSettledKey, replayRequest } from '../requests/outcomes.js';
@@ -15,43 +15,43 @@
   RecordedAnswer,
   RequestFacts,
 } from '../types.js';
-import { knownKeyOf, type ClaimHolder, type ClaimOutcome, type KnownKey } from './claimsState.js';
-import { knownKey } from './knownKeys.js';
+import { keyIdOf, type ClaimHolder, type ClaimOutcome, type KeyState } from './claimsState.js';
+import { getKeyState } from './knownKeys.js';
 
 const CONFLICT = 409;
 const UNPROCESSABLE = 422;
 const UNAVAILABLE = 503;
 
-/** `OutcomeReply.state` */
-const NOT_KNOWN = 0;
-const RUNNING = 1;
-const ENDED = 2;
+/** Values of `OutcomeReply.state`. */
+const STATE_UNKNOWN = 0;
+const STATE_RUNNING = 1;
+const STATE_ENDED = 2;
 
-/** Answers a request whose key is held, asking the holder if the log does not tell the outcome. */
-export function answerDuplicate(ctx: CoreContext, facts: RequestFacts, known: KnownKey): void {
+/** Answers a duplicate from the outcome in the log, or asks the holder if there is none yet. */
+export function answerDuplicate(ctx: CoreContext, facts: RequestFacts, known: KeyState): void {
   const { holder, outcome } = known;
-  if (holder === undefined || !refuseUnlike(ctx, facts, holder)) return;
+  if (holder === undefined || !checkFingerprint(ctx, facts, holder)) return;
   if (outcome !== undefined) {
-    answerWith(ctx, facts, outcome);
+    answerWithOutcome(ctx, facts, outcome);
     return;
   }
-  if (holder.instance === ctx.state.self.id) answerOwn(ctx, facts, holder);
-  else askHolder(ctx, facts, holder);
+  if (holder.instance === ctx.state.self.id) answerForOwnClaim(ctx, facts, holder);
+  else queryHolder(ctx, facts, holder);
 }
 
-/** Tells another instance what became of a key that this instance holds. */
+/** Replies to another instance with the outcome of a key that this instance holds. */
 export function onOutcomeQuery(
   ctx: CoreContext,
   from: InstanceId,
   query: PeerMessageOf<'outcomeQuery'>,
 ): void {
-  const known = knownKey(ctx.state, knownKeyOf(query.customer, query.key));
+  const known = getKeyState(ctx.state, keyIdOf(query.customer, query.key));
   const answer = known?.outcome?.answer;
   sendTo(ctx, from, {
     $case: 'outcomeReply',
     value: {
       queryId: query.queryId,
-      state: replyState(ctx, known),
+      state: outcomeStateOf(ctx, known),
       status: answer?.status ?? 0,
       contentType: answer?.contentType ?? '',
       body: answer?.body ?? new Uint8Array(),
@@ -66,11 +66,11 @@
   claims.queries.delete(reply.queryId);
   const facts = requests.active.get(query.requestId)?.facts;
   if (facts === undefined) return;
-  if (reply.state === ENDED) answerWith(ctx, facts, outcomeOf(reply));
-  else answerInUse(ctx, facts);
+  if (reply.state === STATE_ENDED) answerWithOutcome(ctx, facts, outcomeOf(reply));
+  else failKeyInUse(ctx, facts);
 }
 
-/** Answers the requests whose holder was asked in vain. */
+/** Answers requests whose query timed out or whose outcome has since been read from the log. */
 export function expireQueries(ctx: CoreContext): void {
   const { claims, requests, settings } = ctx.state;
   claims.queries.forEach((query, id) => {
@@ -79,44 +79,44 @@
     claims.queries.delete(id);
     const facts = requests.active.get(query.requestId)?.facts;
     if (facts === undefined) return;
-    if (outcome === undefined) answerInUse(ctx, facts);
-    else answerWith(ctx, facts, outcome);
+    if (outcome === undefined) failKeyInUse(ctx, facts);
+    else answerWithOutcome(ctx, facts, outcome);
   });
 }
 
-/** Refuses a request that differs from the one that holds its key; false if it did. */
-function refuseUnlike(ctx: CoreContext, facts: RequestFacts, holder: ClaimHolder): boolean {
+/** Returns whether the request equals the one that holds its key; refuses it if it does not. */
+function checkFingerprint(ctx: CoreContext, facts: RequestFacts, holder: ClaimHolder): boolean {
   if (holder.fingerprint === facts.fingerprint) return true;
-  refuse(ctx, facts, 'keyReused', UNPROCESSABLE);
+  refuseDuplicate(ctx, facts, 'keyReused', UNPROCESSABLE);
   return false;
 }
 
-function answerWith(ctx: CoreContext, facts: RequestFacts, outcome: ClaimOutcome): void {
+function answerWithOutcome(ctx: CoreContext, facts: RequestFacts, outcome: ClaimOutcome): void {
   if (outcome.answer !== undefined) replayRequest(ctx, facts, outcome.answer);
-  else fail(ctx, facts, 'keyEnded', outcome.executed, { kind: 'self' });
+  else failDuplicate(ctx, facts, 'keyEnded', outcome.executed, { kind: 'self' });
 }
 
-/** The holder is a request of this instance, or of an earlier start of it. */
-function answerOwn(ctx: CoreContext, facts: RequestFacts, holder: ClaimHolder): void {
+/** Answers a duplicate whose key is held by this instance or by an earlier incarnation of it. */
+function answerForOwnClaim(ctx: CoreContext, facts: RequestFacts, holder: ClaimHolder): void {
   const claim = ctx.state.claims.own.get(holder.claimId);
-  if (claim?.status === 'abandoned') refuse(ctx, facts, 'claimNotSettled', UNAVAILABLE);
-  else answerInUse(ctx, facts);
+  if (claim?.status === 'abandoned') refuseDuplicate(ctx, facts, 'claimNotSettled', UNAVAILABLE);
+  else failKeyInUse(ctx, facts);
 }
 
-function askHolder(ctx: CoreContext, facts: RequestFacts, holder: ClaimHolder): void {
+function queryHolder(ctx: CoreContext, facts: RequestFacts, holder: ClaimHolder): void {
   const { claims, membership } = ctx.state;
   const member = membership.members.get(holder.instance);
   if (member?.incarnation !== holder.incarnation) {
-    answerInUse(ctx, facts);
+    failKeyInUse(ctx, facts);
     return;
   }
   const queryId = claims.nextQuery;
   claims.nextQuery += 1;
   const key = facts.idempotencyKey as string;
-  const knownKeyId = knownKeyOf(facts.customer, key);
+  const keyId = keyIdOf(facts.customer, key);
   claims.queries.set(queryId, {
     requestId: facts.requestId,
-    knownKey: knownKeyId,
+    knownKey: keyId,
     sentAt: ctx.now,
   });
   sendTo(ctx, holder.instance, {
@@ -125,10 +125,10 @@
   });
 }
 
-function replyState(ctx: CoreContext, known: KnownKey | undefined): number {
-  if (known?.outcome !== undefined) return ENDED;
+function outcomeStateOf(ctx: CoreContext, known: KeyState | undefined): number {
+  if (known?.outcome !== undefined) return STATE_ENDED;
   const isOwn = known?.holder !== undefined && ctx.state.claims.own.has(known.holder.claimId);
-  return isOwn ? RUNNING : NOT_KNOWN;
+  return isOwn ? STATE_RUNNING : STATE_UNKNOWN;
 }
 
 function outcomeOf(reply: PeerMessageOf<'outcomeReply'>): ClaimOutcome {
@@ -138,11 +138,11 @@
   return { executed: 'yes', answer };
 }
 
-function answerInUse(ctx: CoreContext, facts: RequestFacts): void {
-  fail(ctx, facts, 'keyInUse', 'unknown', { kind: 'self' });
+function failKeyInUse(ctx: CoreContext, facts: RequestFacts): void {
+  failDuplicate(ctx, facts, 'keyInUse', 'unknown', { kind: 'self' });
 }
 
-function fail(
+function failDuplicate(
   ctx: CoreContext,
   facts: RequestFacts,
   code: DiagnosticCode,
@@ -151,17 +151,22 @@
 ): void {
   const request = ctx.state.requests.active.get(facts.requestId);
   if (request === undefined) return;
-  failRequest(ctx, request, { ...problem(ctx, code, CONFLICT, peer), executed });
+  failRequest(ctx, request, { ...createProblem(ctx, code, CONFLICT, peer), executed });
 }
 
-function refuse(ctx: CoreContext, facts: RequestFacts, code: DiagnosticCode, status: number): void {
+function refuseDuplicate(
+  ctx: CoreContext,
+  facts: RequestFacts,
+  code: DiagnosticCode,
+  status: number,
+): void {
   const request = ctx.state.requests.active.get(facts.requestId);
   if (request === undefined || !isUntried(request)) return;
-  const told = problem(ctx, code, status, { kind: 'self' });
-  refuseSettledKey(ctx, request, { ...told, executed: 'no' });
+  const details = createProblem(ctx, code, status, { kind: 'self' });
+  refuseSettledKey(ctx, request, { ...details, executed: 'no' });
 }
 
-function problem(
+function createProblem(
   ctx: CoreContext,
   code: DiagnosticCode,
   status: number,
--- a/src/core/claims/knownKeys.ts
+++ b/src/core/claims/knownKeys.ts
@@ -1,35 +1,36 @@
 /**
- * The keys known from the claims stream. Every instance folds the records in log order by the same
- * rules, so all agree on the winner of a key without a message.
+ * Keys read from the claims stream. Every instance folds the records in log order by the same
+ * rules, so all instances agree on the winner of a key without exchanging messages.
  *
- * A key is forgotten once none of its records has been read for `claimMemoryMs`. A claim that loses
- * counts as a record of the key, which is what makes forgetting at different times harmless: of two
- * claims within that time, the later one meets the earlier one in every reader's memory.
+ * A key is forgotten when none of its records has been read for `claimMemoryMs`. Losing claims
+ * count as records of the key, so it is safe that readers forget it at different times: if two
+ * claims are less than that time apart, every reader still knows the earlier one when it reads the
+ * later one.
  */
 import type { Millis } from '../clock.js';
 import type { CoreState } from '../state.js';
 import {
-  knownKeyOf,
+  keyIdOf,
   type ClaimOutcome,
   type ClaimsState,
-  type KnownKey,
-  type KnownKeyId,
+  type KeyState,
+  type KeyId,
 } from './claimsState.js';
 import type { ClaimRecord, ClaimsRecord, OutcomeRecord, ReleaseRecord } from './records.js';
 
-/** Released claims that are kept per key to recognise late copies. */
-const MAX_RELEASED = 4;
+/** Released claims kept per key, to recognize late duplicates of their records. */
+const MAX_RELEASED_CLAIMS = 4;
 
-/** Folds one record. */
+/** Folds one record and returns the state of its key. */
 export function foldRecord(
   state: CoreState,
   record: ClaimsRecord,
   offset: number,
   now: Millis,
-): KnownKey {
+): KeyState {
   const { claims } = state;
-  const id = knownKeyOf(record.customer, record.key);
-  const known = touch(claims, id, offset, now);
+  const id = keyIdOf(record.customer, record.key);
+  const known = refreshKey(claims, id, offset, now);
   switch (record.type) {
     case 'claim':
       foldClaim(known, record);
@@ -46,38 +47,38 @@
   return known;
 }
 
-export function knownKey(state: CoreState, id: KnownKeyId): KnownKey | undefined {
+export function getKeyState(state: CoreState, id: KeyId): KeyState | undefined {
   return state.claims.known.get(id);
 }
 
-/** Keeps the outcome of a key, its answer as long as the memory for answers lasts. */
-export function keepOutcome(state: CoreState, id: KnownKeyId, outcome: ClaimOutcome): void {
+/** Stores the outcome of a key, and evicts the oldest answers beyond `answerMemoryBytes`. */
+export function storeOutcome(state: CoreState, id: KeyId, outcome: ClaimOutcome): void {
   const { claims } = state;
   const known = claims.known.get(id);
   if (known === undefined) return;
-  dropAnswer(claims, id);
+  evictAnswer(claims, id);
   known.outcome = outcome;
   if (outcome.answer === undefined) return;
   claims.answers.set(id, outcome.answer.body.length);
   claims.answerBytes += outcome.answer.body.length;
   for (const oldest of claims.answers.keys()) {
     if (claims.answerBytes <= state.settings.answerMemoryBytes) return;
-    dropAnswer(claims, oldest);
+    evictAnswer(claims, oldest);
   }
 }
 
-/** Forgets the keys of which no record was read for a long time. */
-export function forgetOldKeys(state: CoreState, now: Millis): void {
+/** Forgets keys of which no record was read for `claimMemoryMs`. */
+export function expireKeys(state: CoreState, now: Millis): void {
   const { claims, settings } = state;
   for (const [id, known] of claims.known) {
     if (now - known.readAt <= settings.claimMemoryMs) return;
-    dropAnswer(claims, id);
+    evictAnswer(claims, id);
     claims.known.delete(id);
   }
 }
 
-/** Returns the offset before which no record matters any more. */
-export function oldestOffset(claims: ClaimsState): number {
+/** Returns the offset before which no record is needed any more. */
+export function oldestRetainedOffset(claims: ClaimsState): number {
   let oldest = claims.next;
   claims.known.forEach((known) => {
     oldest = Math.min(oldest, known.firstOffset);
@@ -85,7 +86,7 @@
   return oldest;
 }
 
-function touch(claims: ClaimsState, id: KnownKeyId, offset: number, now: Millis): KnownKey {
+function refreshKey(claims: ClaimsState, id: KeyId, offset: number, now: Millis): KeyState {
   const known = claims.known.get(id) ?? {
     holder: undefined,
     outcome: undefined,
@@ -99,7 +100,7 @@
   return known;
 }
 
-function foldClaim(known: KnownKey, record: ClaimRecord): void {
+function foldClaim(known: KeyState, record: ClaimRecord): void {
   if (known.holder !== undefined || known.released.includes(record.id)) return;
   known.holder = {
     claimId: record.id,
@@ -109,20 +110,15 @@
   };
 }
 
-function foldRelease(known: KnownKey, record: ReleaseRecord): void {
+function foldRelease(known: KeyState, record: ReleaseRecord): void {
   if (known.holder?.claimId !== record.id || known.outcome !== undefined) return;
   known.holder = undefined;
   known.released.push(record.id);
-  if (known.released.length > MAX_RELEASED) known.released.shift();
+  if (known.released.length > MAX_RELEASED_CLAIMS) known.released.shift();
 }
 
-/** An outcome whose claim was not read, since it has expired, stands for the claim too. */
-function foldOutcome(
-  state: CoreState,
-  id: KnownKeyId,
-  known: KnownKey,
-  record: OutcomeRecord,
-): void {
+/** Folds an outcome. If its claim expired before it was read, the outcome also sets the holder. */
+function foldOutcome(state: CoreState, id: KeyId, known: KeyState, record: OutcomeRecord): void {
   if (known.holder !== undefined && known.holder.claimId !== record.id) return;
   known.holder ??= {
     claimId: record.id,
@@ -131,10 +127,10 @@
     fingerprint: record.fingerprint,
   };
   const { executed, answer } = record;
-  keepOutcome(state, id, answer === undefined ? { executed } : { executed, answer });
+  storeOutcome(state, id, answer === undefined ? { executed } : { executed, answer });
 }
 
-function dropAnswer(claims: ClaimsState, id: KnownKeyId): void {
+function evictAnswer(claims: ClaimsState, id: KeyId): void {
   const bytes = claims.answers.get(id);
   if (bytes === undefined) return;
   claims.answers.delete(id);
--- a/src/core/claims/logReader.ts
+++ b/src/core/claims/logReader.ts
@@ -1,4 +1,4 @@
-/** The one outstanding read of this instance on the streams of claims. */
+/** Reads the claims and checkpoints streams, with at most one read outstanding. */
 import type { CoreContext } from '../context.js';
 import type { CoreState } from '../state.js';
 import { CHECKPOINTS_STREAM, CLAIMS_STREAM } from './submission.js';
@@ -10,21 +10,21 @@
 export function requestRead(ctx: CoreContext): void {
   const { claims, settings } = ctx.state;
   if (claims.read !== undefined) return;
-  const stream = streamOf(ctx.state);
-  // A log that fails is asked for an answer at once, so that its return shows soon.
-  const isHeldBack = claims.phase === 'following' && claims.failingSince === undefined;
-  const waitMs = isHeldBack ? settings.claimReadWaitMs : 0;
+  const stream = currentStream(ctx.state);
+  // A failing log is read without a long poll, so that its recovery is noticed soon.
+  const isLongPoll = claims.phase === 'following' && claims.failingSince === undefined;
+  const waitMs = isLongPoll ? settings.claimReadWaitMs : 0;
   claims.read = { stream, from: claims.next, sentAt: ctx.now };
   ctx.emit({ kind: 'readLog', stream, from: claims.next, limit: READ_LIMIT, waitMs });
 }
 
-/** Whether the log has been failing for long enough to count as down. */
+/** Whether the log has been failing for at least `logOutageMs`. */
 export function isLogDown(ctx: CoreContext): boolean {
   const { failingSince } = ctx.state.claims;
   return failingSince !== undefined && ctx.now - failingSince >= ctx.state.settings.logOutageMs;
 }
 
-/** Returns the stream that is read now. */
-export function streamOf(state: CoreState): string {
+/** Returns the stream to read in the current phase. */
+export function currentStream(state: CoreState): string {
   return state.claims.phase === 'locating' ? CHECKPOINTS_STREAM : CLAIMS_STREAM;
 }
--- a/src/core/claims/ownClaims.ts
+++ b/src/core/claims/ownClaims.ts
@@ -5,30 +5,30 @@
 import type { OwnClaim } from './claimsState.js';
 import type { ClaimRecord } from './records.js';
 
-/** Whether a request may be dispatched only under a claim. */
+/** Whether a request needs a claim before dispatch: it is not idempotent and has a key. */
 export function needsClaim(facts: RequestFacts): boolean {
   return !facts.idempotent && facts.idempotencyKey !== undefined;
 }
 
-/** Whether a request's claim allows a dispatch, as far as it depends on no time. */
+/** Whether a request needs no claim or has won it. Does not check the claim's expiry. */
 export function isClaimWon(state: CoreState, facts: RequestFacts): boolean {
-  return !needsClaim(facts) || ownClaim(state, facts.requestId)?.status === 'won';
+  return !needsClaim(facts) || findOwnClaim(state, facts.requestId)?.status === 'won';
 }
 
-/** Time after which a request must not be dispatched under its claim any more. */
+/** Time from which a request must not be dispatched under its claim; `undefined` without one. */
 export function claimExpiry(state: CoreState, facts: RequestFacts): Millis | undefined {
-  const claim = ownClaim(state, facts.requestId);
+  const claim = findOwnClaim(state, facts.requestId);
   return claim && claim.submittedAt + state.settings.claimHoldMs;
 }
 
 /** Returns the claim of a request, if it has one. */
-export function ownClaim(state: CoreState, requestId: RequestId): OwnClaim | undefined {
+export function findOwnClaim(state: CoreState, requestId: RequestId): OwnClaim | undefined {
   const id = state.claims.byRequest.get(requestId);
   return id === undefined ? undefined : state.claims.own.get(id);
 }
 
-/** Returns the record that makes a claim. */
-export function claimRecordOf(state: CoreState, claim: OwnClaim): ClaimRecord {
+/** Creates the log record of a claim. */
+export function createClaimRecord(state: CoreState, claim: OwnClaim): ClaimRecord {
   return {
     type: 'claim',
     id: claim.claimId,
@@ -40,7 +40,7 @@
   };
 }
 
-/** Number of records of this instance that are not known to be in the log. */
+/** Returns the number of records of this instance that have not been read back from the log. */
 export function unsettledRecords(state: CoreState): number {
   return state.claims.unseen.size;
 }
--- a/src/core/claims/reading.ts
+++ b/src/core/claims/reading.ts
@@ -1,22 +1,27 @@
 /**
- * Reading: follows the claims stream. A starting instance first reads the short stream of
- * checkpoints, then the claims from the offset that the latest one names, so that it reads no more
- * than what is still remembered. Until it has read past its own claims, none of them is won.
+ * Follows the claims stream. A starting instance first reads the short checkpoints stream and then
+ * the claims from the largest offset in it, so that it reads only records that are still needed.
+ * A claim of this instance is won only when it has been read back.
  *
- * At most one read is outstanding. The log holds it back while there is nothing new, so a record is
- * read as soon as it is appended; while no claim of this instance is pending, reads are rarer.
+ * At most one read is outstanding. Reads are long polls, so a record is read as soon as it is
+ * appended; while no record of this instance is waiting to be read back, reads are less frequent.
  */
 import { logLine, setTimer, type CoreContext } from '../context.js';
 import { Debug } from '../debug.js';
 import type { CoreState } from '../state.js';
 import type { LogReadResult, StreamRecord } from '../types.js';
-import { abandonAll, onRecordRead } from './claims.js';
-import { READ_LIMIT, requestRead, streamOf } from './logReader.js';
-import { oldestOffset } from './knownKeys.js';
+import { abandonPendingClaims, onRecordRead } from './claims.js';
+import { READ_LIMIT, requestRead, currentStream } from './logReader.js';
+import { oldestRetainedOffset } from './knownKeys.js';
 import { decodeCheckpoint, decodeRecord } from './records.js';
-import { appendCheckpoint, CHECKPOINTS_STREAM, CLAIMS_STREAM, claimWriters } from './submission.js';
+import {
+  appendCheckpoint,
+  CHECKPOINTS_STREAM,
+  CLAIMS_STREAM,
+  selectClaimWriters,
+} from './submission.js';
 
-/** Begins with the checkpoints. */
+/** Starts reading with the checkpoints stream. */
 export function startReading(ctx: CoreContext): void {
   ctx.state.claims.lastCheckpointAt = ctx.now;
   requestRead(ctx);
@@ -30,57 +35,57 @@
   result: LogReadResult,
 ): void {
   const { claims } = ctx.state;
-  const isExpected = claims.read?.stream === stream && claims.read.from === from;
-  // A late result of a read that was given up is as good as a new one, if it begins where we are.
-  if (from !== claims.next || streamOf(ctx.state) !== stream) {
-    if (isExpected) claims.read = undefined;
+  const isCurrentRead = claims.read?.stream === stream && claims.read.from === from;
+  // A late result of an abandoned read is still valid if it begins at the current offset.
+  if (from !== claims.next || currentStream(ctx.state) !== stream) {
+    if (isCurrentRead) claims.read = undefined;
     return;
   }
   const sentAt = claims.read?.sentAt ?? ctx.now;
   claims.read = undefined;
   switch (result.kind) {
     case 'failed':
-      noteFailure(ctx);
+      recordReadFailure(ctx);
       return;
     case 'expired':
       claims.failingSince = undefined;
-      onExpired(ctx, stream, result.oldest);
+      handleExpiredRecords(ctx, stream, result.oldest);
       return;
     case 'records':
       claims.failingSince = undefined;
-      if (stream === CHECKPOINTS_STREAM) readCheckpoints(ctx, result.records, result.next);
-      else readClaims(ctx, result.records, result.next, sentAt);
+      if (stream === CHECKPOINTS_STREAM) applyCheckpoints(ctx, result.records, result.next);
+      else applyClaims(ctx, result.records, result.next, sentAt);
       break;
     default:
       Debug.assertNever(result);
   }
 }
 
-/** Gives up a read that was not answered and sends the next one when it is due. */
+/** Abandons a read that has timed out, and sends the next one when it is due. */
 export function continueReading(ctx: CoreContext): void {
   const { claims, settings } = ctx.state;
   if (claims.read !== undefined) {
-    const patience = settings.claimReadWaitMs + settings.claimTimeoutMs / 2;
-    if (ctx.now - claims.read.sentAt < patience) return;
+    const readTimeoutMs = settings.claimReadWaitMs + settings.claimTimeoutMs / 2;
+    if (ctx.now - claims.read.sentAt < readTimeoutMs) return;
     claims.read = undefined;
     claims.failingSince ??= ctx.now;
   }
   if (ctx.now >= claims.nextReadAt) requestRead(ctx);
 }
 
-/** One instance appends the offset before which no reader needs to begin. */
+/** Appends a checkpoint, the offset at which readers may start. Only the first writer does so. */
 export function writeCheckpoint(ctx: CoreContext): void {
   const { claims, settings, self } = ctx.state;
   if (ctx.now - claims.lastCheckpointAt < settings.claimCheckpointMs) return;
   claims.lastCheckpointAt = ctx.now;
-  if (claims.phase !== 'following' || claimWriters(ctx.state)[0] !== self.id) return;
-  const from = oldestOffset(claims);
+  if (claims.phase !== 'following' || selectClaimWriters(ctx.state)[0] !== self.id) return;
+  const from = oldestRetainedOffset(claims);
   if (from <= claims.checkpoint) return;
   claims.checkpoint = from;
   appendCheckpoint(ctx, { type: 'checkpoint', from });
 }
 
-function readCheckpoints(ctx: CoreContext, records: readonly StreamRecord[], next: number): void {
+function applyCheckpoints(ctx: CoreContext, records: readonly StreamRecord[], next: number): void {
   const { claims } = ctx.state;
   records.forEach(({ data }) => {
     claims.checkpoint = Math.max(claims.checkpoint, decodeCheckpoint(data)?.from ?? 0);
@@ -90,7 +95,7 @@
   requestRead(ctx);
 }
 
-function readClaims(
+function applyClaims(
   ctx: CoreContext,
   records: readonly StreamRecord[],
   next: number,
@@ -104,9 +109,9 @@
     if (record !== undefined) onRecordRead(ctx, record, offset);
   }
   claims.next = Math.max(next, claims.next);
-  const wasHeldBack = ctx.now - sentAt >= settings.claimReadWaitMs / 2;
-  const isWaited = records.length > 0 || wasHeldBack;
-  if (isWaited && (claims.unseen.size > 0 || records.length === READ_LIMIT)) {
+  const wasLongPolled = ctx.now - sentAt >= settings.claimReadWaitMs / 2;
+  const mayReadAtOnce = records.length > 0 || wasLongPolled;
+  if (mayReadAtOnce && (claims.unseen.size > 0 || records.length === READ_LIMIT)) {
     requestRead(ctx);
     return;
   }
@@ -114,16 +119,16 @@
 }
 
 /**
- * Records were lost to this reader. What it has claimed is older than the log's retention by now and
- * may have been claimed by others since, so it dispatches none of it.
+ * Skips records that expired before they were read. Pending claims are older than the log's
+ * retention by now, and other instances may have claimed their keys since, so they are abandoned.
  */
-function onExpired(ctx: CoreContext, stream: string, oldest: number): void {
+function handleExpiredRecords(ctx: CoreContext, stream: string, oldest: number): void {
   const { claims } = ctx.state;
-  const isGap = stream === CLAIMS_STREAM && claims.hasRead;
+  const hasGap = stream === CLAIMS_STREAM && claims.hasRead;
   claims.next = Math.max(oldest, claims.next);
-  if (isGap) {
+  if (hasGap) {
     logLine(ctx, 'warn', 'claims', 'claimsGap', { offset: oldest });
-    abandonAll(ctx);
+    abandonPendingClaims(ctx);
   }
   requestRead(ctx);
 }
@@ -133,7 +138,7 @@
   state.claims.next = state.claims.checkpoint;
 }
 
-function noteFailure(ctx: CoreContext): void {
+function recordReadFailure(ctx: CoreContext): void {
   const { claims, settings } = ctx.state;
   claims.failingSince ??= ctx.now;
   claims.nextReadAt = ctx.now + settings.claimReadIdleMs;
--- a/src/core/claims/records.ts
+++ b/src/core/claims/records.ts
@@ -1,14 +1,14 @@
 /**
- * The records of the claims stream, and their encoding as JSON.
+ * Records of the claims stream and their JSON encoding.
  *
- * - `claim`: an instance asks to be the only one that may run a customer's key. The first claim of a
- *   key in log order wins; a record that repeats a claim's id is the same claim.
- * - `release`: the winner has not run the request and never will; the next claim may win.
- * - `outcome`: the winner's request has ended; a small answer is kept with it.
+ * - `claim`: an instance requests the exclusive right to run a customer's key. The first claim of a
+ *   key in log order wins; records with the same claim id are the same claim.
+ * - `release`: the winner has not run the request and never will, so the next claim can win.
+ * - `outcome`: the winner's request has ended; a small answer is included.
  */
 import type { CustomerNumber, InstanceId, RecordedAnswer } from '../types.js';
 
-/** Names a claim for good: instance, incarnation and a number. */
+/** Unique id of a claim: instance, incarnation and sequence number. */
 export type ClaimId = string;
 
 export interface ClaimRecord {
@@ -40,10 +40,12 @@
   readonly answer?: RecordedAnswer;
 }
 
-/** Records of the claims stream. */
+/** A record of the claims stream. */
 export type ClaimsRecord = ClaimRecord | ReleaseRecord | OutcomeRecord;
 
-/** Record of the checkpoints stream: claims before `from` need not be read any more. */
+/**
+ * A record of the checkpoints stream: records of the claims stream before `from` are not needed.
+ */
 export interface CheckpointRecord {
   readonly type: 'checkpoint';
   readonly from: number;
@@ -52,7 +54,7 @@
 interface EncodedAnswer {
   readonly status: number;
   readonly contentType: string;
-  /** Base64. */
+  /** Base64-encoded. */
   readonly body: string;
 }
 
@@ -61,7 +63,7 @@
   return JSON.stringify({ ...record, answer: encodeAnswer(record.answer) });
 }
 
-/** Decodes a record of the claims stream; `undefined` if it is none. */
+/** Decodes a record of the claims stream; returns `undefined` if it is invalid. */
 export function decodeRecord(data: string): ClaimsRecord | undefined {
   const value = parseObject(data);
   if (value === undefined || !hasClaimFields(value)) return undefined;
@@ -77,25 +79,25 @@
   }
 }
 
-/** Decodes a record of the checkpoints stream; `undefined` if it is none. */
+/** Decodes a record of the checkpoints stream; returns `undefined` if it is invalid. */
 export function decodeCheckpoint(data: string): CheckpointRecord | undefined {
   const value = parseObject(data);
   if (value?.type !== 'checkpoint' || typeof value.from !== 'number') return undefined;
   return { type: 'checkpoint', from: value.from };
 }
 
-type Fields = Readonly<Record<string, unknown>>;
+type JsonObject = Readonly<Record<string, unknown>>;
 
-function parseObject(data: string): Fields | undefined {
+function parseObject(data: string): JsonObject | undefined {
   try {
     const value: unknown = JSON.parse(data);
-    return typeof value === 'object' && value !== null ? (value as Fields) : undefined;
+    return typeof value === 'object' && value !== null ? (value as JsonObject) : undefined;
   } catch {
     return undefined;
   }
 }
 
-function hasClaimFields(value: Fields): boolean {
+function hasClaimFields(value: JsonObject): boolean {
   return (
     typeof value.id === 'string' &&
     typeof value.customer === 'number' &&
@@ -103,7 +105,7 @@
   );
 }
 
-function hasClaimant(value: Fields): boolean {
+function hasClaimant(value: JsonObject): boolean {
   return (
     typeof value.fingerprint === 'string' &&
     typeof value.instance === 'string' &&
@@ -111,7 +113,7 @@
   );
 }
 
-function decodeOutcome(value: Fields): OutcomeRecord {
+function decodeOutcome(value: JsonObject): OutcomeRecord {
   const { answer, ...rest } = value;
   const outcome = {
     ...(rest as unknown as OutcomeRecord),
--- a/src/core/claims/settlement.ts
+++ b/src/core/claims/settlement.ts
@@ -1,33 +1,33 @@
-/** The end of a claim: given up, or settled by the outcome of its request. */
+/** Ends claims: they are abandoned, or settled with the outcome of their request. */
 import type { CoreContext } from '../context.js';
 import type { RequestFacts, RequestId } from '../types.js';
-import { knownKeyOf, type ClaimOutcome, type OwnClaim } from './claimsState.js';
-import { keepOutcome } from './knownKeys.js';
+import { keyIdOf, type ClaimOutcome, type OwnClaim } from './claimsState.js';
+import { storeOutcome } from './knownKeys.js';
 import { requestRead } from './logReader.js';
-import { claimRecordOf, ownClaim } from './ownClaims.js';
+import { createClaimRecord, findOwnClaim } from './ownClaims.js';
 import { submitRecord, withdrawRecord } from './submission.js';
 
-/** Gives up the claim of a request that has certainly not been run. */
+/** Abandons the claim of a request that has definitely not been run. */
 export function abandonClaim(ctx: CoreContext, requestId: RequestId): void {
   const { claims } = ctx.state;
-  const claim = ownClaim(ctx.state, requestId);
+  const claim = findOwnClaim(ctx.state, requestId);
   if (claim === undefined) return;
   claims.byRequest.delete(requestId);
   if (claim.status === 'won') releaseClaim(ctx, claim);
-  else withdrawRecord(ctx.state, claimRecordOf(ctx.state, claim));
+  else withdrawRecord(ctx.state, createClaimRecord(ctx.state, claim));
   claim.status = 'abandoned';
 }
 
 /** Records the outcome of a request that was dispatched under its claim. */
 export function settleClaim(ctx: CoreContext, facts: RequestFacts, outcome: ClaimOutcome): void {
   const { claims, self, settings } = ctx.state;
-  const claim = ownClaim(ctx.state, facts.requestId);
+  const claim = findOwnClaim(ctx.state, facts.requestId);
   if (claim?.status !== 'won') return;
   const isSmall = (outcome.answer?.body.length ?? Infinity) <= settings.recordedAnswerBytes;
-  const kept: ClaimOutcome = isSmall ? outcome : { executed: outcome.executed };
+  const recordedOutcome: ClaimOutcome = isSmall ? outcome : { executed: outcome.executed };
   claims.byRequest.delete(facts.requestId);
   claims.own.delete(claim.claimId);
-  keepOutcome(ctx.state, knownKeyOf(facts.customer, claim.key), kept);
+  storeOutcome(ctx.state, keyIdOf(facts.customer, claim.key), recordedOutcome);
   submitRecord(ctx, {
     type: 'outcome',
     id: claim.claimId,
@@ -36,12 +36,12 @@
     fingerprint: facts.fingerprint,
     instance: self.id,
     incarnation: self.incarnation,
-    ...kept,
+    ...recordedOutcome,
   });
   requestRead(ctx);
 }
 
-/** Tells all readers that a won claim has not been used and never will be. */
+/** Appends a release, after which the key of a won but unused claim can be claimed again. */
 export function releaseClaim(ctx: CoreContext, claim: OwnClaim): void {
   submitRecord(ctx, {
     type: 'release',
--- a/src/core/claims/submission.ts
+++ b/src/core/claims/submission.ts
@@ -1,11 +1,12 @@
 /**
- * Submission: how records get into the claims stream.
+ * Appends records to the claims stream.
  *
- * Many records share one append. An instance appends by itself as long as its part of the fleet's
- * append budget allows; in a fleet of more than `claimWriters` instances, what is beyond that goes to
- * one of few writers, chosen by rendezvous hashing, each with a larger part of the budget. Nothing is confirmed: a record counts once its author has read it back. What is not
- * read back in time is appended again by the author itself, whether a message, a writer or a reply of
- * the log was lost; a record that is in the log twice counts once.
+ * Records are batched. An instance appends its own records as long as its share of the fleet's
+ * append budget allows. In a fleet of more than `claimWriters` instances, it sends the excess to
+ * one of a few writers, which are chosen by rendezvous hashing and have a larger share of the
+ * budget. Appends are not acknowledged: a record counts when its author has read it back. If that
+ * takes too long, because a message, a writer or a reply of the log was lost, the author appends
+ * the record again. Duplicate records in the log have no further effect.
  */
 import { MS_PER_SECOND, type Millis } from '../clock.js';
 import { sendTo, setTimer, type CoreContext } from '../context.js';
@@ -18,15 +19,15 @@
 export const CHECKPOINTS_STREAM = 'claims-checkpoints';
 
 const MAX_RECORDS_PER_APPEND = 500;
-/** In a large fleet the writers share one half of the budget, and all others the other half. */
-const HALF_OF_THE_BUDGET = 0.5;
-/** Doublings of the time after which a record is appended again. */
-const MAX_DOUBLINGS = 3;
+/** In a large fleet, the writers share one half of the append budget, and all others the other. */
+const BUDGET_SHARE_PER_GROUP = 0.5;
+/** Limit of the exponential backoff between appends of the same record. */
+const MAX_BACKOFF_DOUBLINGS = 3;
 
-/** Has a record of this instance appended, again and again until it is read back. */
+/** Submits a record of this instance. It is resubmitted until it has been read back. */
 export function submitRecord(ctx: CoreContext, record: ClaimsRecord): void {
-  ctx.state.claims.unseen.set(unseenId(record), { record, sentAt: ctx.now, sends: 1 });
-  const writer = writerFor(ctx);
+  ctx.state.claims.unseen.set(recordIdOf(record), { record, sentAt: ctx.now, sends: 1 });
+  const writer = selectWriter(ctx);
   if (writer === ctx.state.self.id) {
     ctx.state.claims.toAppend.add(encodeRecord(record));
     flushAppends(ctx);
@@ -35,37 +36,37 @@
   sendTo(ctx, writer, { $case: 'claimSubmission', value: { records: [encodeRecord(record)] } });
 }
 
-/** Drops a record of this instance that need not reach the log any more. */
+/** Stops submitting a record that is not needed in the log any more. */
 export function withdrawRecord(state: CoreState, record: ClaimsRecord): void {
-  state.claims.unseen.delete(unseenId(record));
+  state.claims.unseen.delete(recordIdOf(record));
   state.claims.toAppend.delete(encodeRecord(record));
 }
 
-/** Takes a record that was read back off the list. */
-export function noteSeen(state: CoreState, record: ClaimsRecord): void {
-  state.claims.unseen.delete(unseenId(record));
+/** Stops resubmitting a record that has been read back. */
+export function confirmRecord(state: CoreState, record: ClaimsRecord): void {
+  state.claims.unseen.delete(recordIdOf(record));
 }
 
-/** Takes records of other instances into the next append. */
+/** Adds records submitted by another instance to the next append. */
 export function onClaimSubmission(ctx: CoreContext, records: readonly string[]): void {
   records.forEach((record) => ctx.state.claims.toAppend.add(record));
   flushAppends(ctx);
 }
 
-/** Appends again what has not been read back in time. */
-export function resubmitUnseen(ctx: CoreContext): void {
+/** Resubmits records that have not been read back in time. */
+export function resubmitUnconfirmed(ctx: CoreContext): void {
   const { claims, settings } = ctx.state;
-  claims.unseen.forEach((unseen) => {
-    const doublings = Math.min(unseen.sends - 1, MAX_DOUBLINGS);
-    if (ctx.now - unseen.sentAt < settings.claimResubmitMs * 2 ** doublings) return;
-    unseen.sentAt = ctx.now;
-    unseen.sends += 1;
-    claims.toAppend.add(encodeRecord(unseen.record));
+  claims.unseen.forEach((entry) => {
+    const doublings = Math.min(entry.sends - 1, MAX_BACKOFF_DOUBLINGS);
+    if (ctx.now - entry.sentAt < settings.claimResubmitMs * 2 ** doublings) return;
+    entry.sentAt = ctx.now;
+    entry.sends += 1;
+    claims.toAppend.add(encodeRecord(entry.record));
   });
   flushAppends(ctx);
 }
 
-/** Makes one append of what waits, unless the budget has the instance wait too. */
+/** Appends the waiting records in one batch, or sets a timer if the budget is used up. */
 export function flushAppends(ctx: CoreContext): void {
   const { claims } = ctx.state;
   if (claims.toAppend.size === 0) return;
@@ -76,7 +77,7 @@
   const records = [...claims.toAppend].slice(0, MAX_RECORDS_PER_APPEND);
   records.forEach((record) => claims.toAppend.delete(record));
   emitAppend(ctx, CLAIMS_STREAM, records);
-  claims.nextAppendAt = ctx.now + appendSpacing(ctx.state);
+  claims.nextAppendAt = ctx.now + appendInterval(ctx.state);
   if (claims.toAppend.size > 0) setTimer(ctx, 'claimAppend', claims.nextAppendAt - ctx.now);
 }
 
@@ -84,15 +85,17 @@
   emitAppend(ctx, CHECKPOINTS_STREAM, [encodeRecord(record)]);
 }
 
-/** Notes whether the log takes appends. A lost reply needs no action: reading settles it. */
+/**
+ * Records a failed append. A lost reply needs no action, since reading settles what was appended.
+ */
 export function onClaimsAppended(ctx: CoreContext, result: AppendResult): void {
   const { claims } = ctx.state;
   if (result.kind === 'appended') return;
   claims.failingSince ??= ctx.now;
 }
 
-/** Members that append claims for the others, the same for all who know the same members. */
-export function claimWriters(state: CoreState): readonly InstanceId[] {
+/** Returns the instances that append for others. Equal membership views give equal writers. */
+export function selectClaimWriters(state: CoreState): readonly InstanceId[] {
   const candidates: Member[] = [];
   state.membership.members.forEach((member) => {
     if (member.phase !== 'leaving' || member.id === state.self.id) candidates.push(member);
@@ -104,14 +107,14 @@
     .map((writer) => writer.id);
 }
 
-function writerFor(ctx: CoreContext): InstanceId {
+function selectWriter(ctx: CoreContext): InstanceId {
   const { state } = ctx;
   const { self, membership, settings, claims } = state;
-  const isFree = claims.toAppend.size === 0 && ctx.now >= claims.nextAppendAt;
-  if (isFree || membership.members.size <= settings.claimWriters) return self.id;
+  const canAppendNow = claims.toAppend.size === 0 && ctx.now >= claims.nextAppendAt;
+  if (canAppendNow || membership.members.size <= settings.claimWriters) return self.id;
   let best = self.id;
   let bestScore = -Infinity;
-  claimWriters(state).forEach((writer) => {
+  selectClaimWriters(state).forEach((writer) => {
     const score = writer === self.id ? Infinity : rendezvousScore(self.id, writer);
     if (score <= bestScore) return;
     best = writer;
@@ -120,15 +123,15 @@
   return best;
 }
 
-/** Time between two appends of this instance. */
-function appendSpacing(state: CoreState): Millis {
+/** Minimum time between two appends of this instance. */
+function appendInterval(state: CoreState): Millis {
   const { membership, settings } = state;
   const instances = membership.members.size;
   const perSecond = settings.claimAppendsPerSecond;
   if (instances <= settings.claimWriters) return (MS_PER_SECOND * instances) / perSecond;
-  const isWriter = claimWriters(state).includes(state.self.id);
-  const sharers = isWriter ? settings.claimWriters : instances;
-  return (MS_PER_SECOND * sharers) / (perSecond * HALF_OF_THE_BUDGET);
+  const isWriter = selectClaimWriters(state).includes(state.self.id);
+  const budgetShares = isWriter ? settings.claimWriters : instances;
+  return (MS_PER_SECOND * budgetShares) / (perSecond * BUDGET_SHARE_PER_GROUP);
 }
 
 function emitAppend(ctx: CoreContext, stream: string, records: readonly string[]): void {
@@ -137,6 +140,6 @@
   claims.nextAppendId += 1;
 }
 
-function unseenId(record: ClaimsRecord): string {
+function recordIdOf(record: ClaimsRecord): string {
   return `${record.type}:${record.id}`;
 }
--- a/test/exact/claims.test.ts
+++ b/test/exact/claims.test.ts
@@ -9,14 +9,14 @@
   return fleet;
 }
 
-const toldOf = (fleet: ExactFleet, id: string) => fleet.model.told.get(id)?.[0];
+const outcomeOf = (fleet: ExactFleet, id: string) => fleet.model.told.get(id)?.[0];
 
 const problemOf = (fleet: ExactFleet, id: string) => {
-  const told = toldOf(fleet, id);
+  const told = outcomeOf(fleet, id);
   return told !== undefined && 'problem' in told ? told.problem : undefined;
 };
 
-const expectHolds = (fleet: ExactFleet) =>
+const expectNoViolations = (fleet: ExactFleet) =>
   expect(fleet.model.judge(fleet.upstreams.sightings)).to.deep.equal([]);
 
 describe('claims', () => {
@@ -25,8 +25,8 @@
     const ids = fleet.ids.map((instance) => fleet.submit(instance, BOOKING));
     fleet.runFor(10_000);
     expect(fleet.upstreams.sightings).to.have.length(1);
-    expect(ids.filter((id) => toldOf(fleet, id)?.kind === 'answer')).to.have.length(1);
-    expectHolds(fleet);
+    expect(ids.filter((id) => outcomeOf(fleet, id)?.kind === 'answer')).to.have.length(1);
+    expectNoViolations(fleet);
   });
 
   it('let one instance run a key across a partition', () => {
@@ -36,7 +36,7 @@
     fleet.ids.forEach((instance) => fleet.submit(instance, BOOKING));
     fleet.runFor(10_000);
     expect(fleet.upstreams.sightings).to.have.length(1);
-    expectHolds(fleet);
+    expectNoViolations(fleet);
   });
 
   it('replay the recorded answer, also at an instance that has started since', () => {
@@ -49,8 +49,8 @@
     fleet.kill('i0');
     const id = fleet.submit('i1', BOOKING);
     fleet.runFor(1_000);
-    expect(toldOf(fleet, id)).to.deep.equal({ kind: 'replay', body: 'answer of k' });
-    expectHolds(fleet);
+    expect(outcomeOf(fleet, id)).to.deep.equal({ kind: 'replay', body: 'answer of k' });
+    expectNoViolations(fleet);
   });
 
   it('answer another request under the same key with 422, not run', () => {
@@ -63,16 +63,16 @@
   });
 
   it('tell others that it is unknown once the claimant is gone, before or after its dispatch', () => {
-    [5, 60].forEach((lived) => {
+    [5, 60].forEach((caseId) => {
       const fleet = readyFleet({ logDelayMs: 40, tokenMs: 200 });
       fleet.submit('i0', BOOKING);
-      fleet.runFor(lived === 5 ? 30 : 120);
+      fleet.runFor(caseId === 5 ? 30 : 120);
       fleet.kill('i0');
       fleet.runFor(6_000);
       const id = fleet.submit('i1', BOOKING);
       fleet.runFor(2_000);
       expect(problemOf(fleet, id)).to.include({ code: 'keyInUse', executed: 'unknown' });
-      expectHolds(fleet);
+      expectNoViolations(fleet);
     });
   });
 
@@ -84,16 +84,16 @@
     const later = fleet.submit('i0', { ...BOOKING, key: 'k2' });
     const other = fleet.submit('i0', { pool: 'desk', customer: 1, outputTokens: 0 });
     fleet.runFor(1_000);
-    // Whether an earlier sending of the key ran cannot be known without the log.
+    // Without the log, it is unknown whether an earlier request with the same key has run.
     expect(problemOf(fleet, keyed)).to.include({ code: 'logUnavailable', executed: 'unknown' });
     expect(problemOf(fleet, later)).to.include({ code: 'logUnavailable', executed: 'unknown' });
-    expect(toldOf(fleet, other)?.kind).to.equal('answer');
+    expect(outcomeOf(fleet, other)?.kind).to.equal('answer');
     fleet.log.faults.isDown = false;
     fleet.runFor(3_000);
     const again = fleet.submit('i1', BOOKING);
     fleet.runFor(3_000);
-    expect(toldOf(fleet, again)?.kind).to.equal('answer');
-    expectHolds(fleet);
+    expect(outcomeOf(fleet, again)?.kind).to.equal('answer');
+    expectNoViolations(fleet);
   });
 
   it('never say of a repeated key that it was not run, if an earlier sending ran', () => {
@@ -101,7 +101,7 @@
     fleet.kill('i1');
     const first = fleet.submit('i0', BOOKING);
     fleet.runFor(1_000);
-    expect(toldOf(fleet, first)?.kind).to.equal('answer');
+    expect(outcomeOf(fleet, first)?.kind).to.equal('answer');
     fleet.log.faults.isDown = true;
     fleet.start('i1');
     fleet.runFor(1_000);
@@ -109,7 +109,7 @@
     fleet.runFor(10_000);
     expect(problemOf(fleet, repeat)?.executed).to.equal('unknown');
     expect(fleet.upstreams.sightings).to.have.length(1);
-    expectHolds(fleet);
+    expectNoViolations(fleet);
   });
 
   it('free a key whose claim was given up while its append was on the way', () => {
@@ -122,8 +122,8 @@
     fleet.runFor(60_000);
     const again = fleet.submit('i1', BOOKING);
     fleet.runFor(3_000);
-    expect(toldOf(fleet, again)?.kind).to.equal('answer');
-    expectHolds(fleet);
+    expect(outcomeOf(fleet, again)?.kind).to.equal('answer');
+    expectNoViolations(fleet);
   });
 
   it('settle lost replies of the log by reading', () => {
@@ -131,8 +131,8 @@
     fleet.log.faults.lostReplies = 1;
     const id = fleet.submit('i0', BOOKING);
     fleet.runFor(1_000);
-    expect(toldOf(fleet, id)?.kind).to.equal('answer');
-    expectHolds(fleet);
+    expect(outcomeOf(fleet, id)?.kind).to.equal('answer');
+    expectNoViolations(fleet);
   });
 
   it('keep a claimant that was paused for longer than its claim holds from dispatching', () => {
@@ -148,7 +148,7 @@
     fleet.runFor(20_000);
     expect(problemOf(fleet, id)?.executed).to.equal('no');
     expect(fleet.upstreams.sightings).to.have.length(2);
-    expectHolds(fleet);
+    expectNoViolations(fleet);
   });
 
   it('give up what was claimed before records expired unread', () => {
@@ -181,7 +181,7 @@
     const before = fleet.log.counts.recordsRead;
     fleet.start('i0');
     fleet.runFor(150);
-    // Claims and outcomes of the memory and of one checkpoint interval, and all checkpoints.
+    // Claims and outcomes within the retention time plus one checkpoint interval, and all checkpoints.
     const recent = 2 * ((2_000 + 1_000) / 200 + 1);
     const checkpoints = 30;
     expect(fleet.log.counts.recordsAppended).to.be.at.least(200);
@@ -203,6 +203,6 @@
     const { claimAppendsPerSecond } = fleet.coreOf('i0')?.state.settings ?? {};
     expect(fleet.log.counts.appends - before).to.be.at.most((claimAppendsPerSecond ?? 0) * seconds);
     expect(fleet.upstreams.sightings).to.have.length(1_800);
-    expectHolds(fleet);
+    expectNoViolations(fleet);
   });
 });
--- a/test/exact/quarantine.test.ts
+++ b/test/exact/quarantine.test.ts
@@ -1,21 +1,21 @@
 import { expect } from 'chai';
 import { createExactFleet, type ExactFleet } from '../../src/bench/exact/fleet.js';
 
-const CRASHING = {
+const CRASHING_REQUEST = {
   pool: 'chat',
   customer: 1,
   outputTokens: 50,
   isCrashing: true,
   content: 'crashing',
 } as const;
-const INNOCENT = { pool: 'chat', customer: 2, outputTokens: 50 } as const;
+const HARMLESS_REQUEST = { pool: 'chat', customer: 2, outputTokens: 50 } as const;
 
 function readyFleet(settings = {}): ExactFleet {
   const fleet = createExactFleet({ seed: 5, upstreams: 12, settings });
   fleet.runFor(6_000);
-  // A fleet at work, whose retry budget is not empty.
+  // Successful requests fill the retry budget.
   for (let i = 0; i < 400; i += 1) {
-    fleet.submit(fleet.ids[i % 3] as string, { ...INNOCENT, outputTokens: 1 });
+    fleet.submit(fleet.ids[i % 3] as string, { ...HARMLESS_REQUEST, outputTokens: 1 });
     fleet.runFor(10);
   }
   return fleet;
@@ -24,69 +24,69 @@
 const codesOf = (fleet: ExactFleet, id: string) =>
   (fleet.model.told.get(id) ?? []).map((told) => ('problem' in told ? told.problem.code : ''));
 
-const expectHolds = (fleet: ExactFleet) =>
+const expectNoViolations = (fleet: ExactFleet) =>
   expect(fleet.model.judge(fleet.upstreams.sightings)).to.deep.equal([]);
 
 describe('quarantine', () => {
   it('stops a request after two crashes, wherever it is sent again', () => {
     const fleet = readyFleet();
     for (let sent = 0; sent < 6; sent += 1) {
-      fleet.submit(fleet.ids[sent % 3] as string, CRASHING);
+      fleet.submit(fleet.ids[sent % 3] as string, CRASHING_REQUEST);
       fleet.runFor(3_000);
     }
     expect(fleet.upstreams.crashes).to.have.length(2);
-    const last = fleet.submit('i2', CRASHING);
+    const last = fleet.submit('i2', CRASHING_REQUEST);
     fleet.runFor(100);
     expect(codesOf(fleet, last)).to.deep.equal(['quarantined']);
-    expectHolds(fleet);
+    expectNoViolations(fleet);
   });
 
   it('loses at most two more upstreams to copies that are sent at once', () => {
     const fleet = readyFleet();
-    fleet.submit('i0', CRASHING);
+    fleet.submit('i0', CRASHING_REQUEST);
     fleet.runFor(1_000);
     const before = fleet.upstreams.crashes.length;
     for (let copy = 0; copy < 12; copy += 1) {
-      fleet.submit(fleet.ids[copy % 3] as string, CRASHING);
+      fleet.submit(fleet.ids[copy % 3] as string, CRASHING_REQUEST);
     }
     fleet.runFor(20_000);
     expect(fleet.upstreams.crashes.length - before).to.be.at.most(2);
-    expectHolds(fleet);
+    expectNoViolations(fleet);
   });
 
   it('quarantines no innocent request that ran beside it', () => {
     const fleet = readyFleet();
-    const innocent = Array.from({ length: 60 }, (_, i) =>
-      fleet.submit(fleet.ids[i % 3] as string, { ...INNOCENT, content: `innocent${i}` }),
+    const harmless = Array.from({ length: 60 }, (_, i) =>
+      fleet.submit(fleet.ids[i % 3] as string, { ...HARMLESS_REQUEST, content: `innocent${i}` }),
     );
     fleet.runFor(50);
     for (let sent = 0; sent < 4; sent += 1) {
-      fleet.submit(fleet.ids[sent % 3] as string, CRASHING);
+      fleet.submit(fleet.ids[sent % 3] as string, CRASHING_REQUEST);
       fleet.runFor(2_500);
     }
     fleet.runFor(15_000);
     expect(fleet.upstreams.crashes).to.have.length(2);
-    innocent.forEach((id) => expect(codesOf(fleet, id)).to.not.include('quarantined'));
-    const again = fleet.submit('i1', { ...INNOCENT, content: 'innocent1' });
+    harmless.forEach((id) => expect(codesOf(fleet, id)).to.not.include('quarantined'));
+    const again = fleet.submit('i1', { ...HARMLESS_REQUEST, content: 'innocent1' });
     fleet.runFor(15_000);
     expect(codesOf(fleet, again)).to.deep.equal(['']);
-    expectHolds(fleet);
+    expectNoViolations(fleet);
   });
 
   it('ends when it expires', () => {
     const fleet = readyFleet({ suspicionMs: 5_000, quarantineMs: 5_000 });
-    fleet.submit('i0', CRASHING);
+    fleet.submit('i0', CRASHING_REQUEST);
     fleet.runFor(3_000);
     expect(fleet.upstreams.crashes).to.have.length(2);
     fleet.runFor(8_000);
-    const id = fleet.submit('i0', { ...CRASHING, isCrashing: false });
+    const id = fleet.submit('i0', { ...CRASHING_REQUEST, isCrashing: false });
     fleet.runFor(5_000);
     expect(codesOf(fleet, id)).to.deep.equal(['']);
   });
 
   it("ends everywhere on an operator's word, and stays ended", () => {
     const fleet = readyFleet();
-    fleet.submit('i0', CRASHING);
+    fleet.submit('i0', CRASHING_REQUEST);
     fleet.runFor(3_000);
     const isKnown = () =>
       fleet.ids.map((id) => fleet.coreOf(id)?.state.quarantine.suspects.has('crashing'));
--- a/test/exact/recovery.test.ts
+++ b/test/exact/recovery.test.ts
@@ -22,7 +22,7 @@
   isUpstreamStopping: fc.boolean(),
 });
 
-const isCertainlyNotRun = (outcome: AttemptOutcome) =>
+const isProvablyNotRun = (outcome: AttemptOutcome) =>
   outcome.kind === 'notSent' || outcome.kind === 'declined';
 
 describe('recovery of a failed attempt', () => {
@@ -51,7 +51,7 @@
     fc.assert(
       fc.property(facts, (f) => {
         const { kind } = planRecovery({ ...f, isIdempotent: false, hasForwarded: false });
-        if (isCertainlyNotRun(f.outcome)) expect(kind).to.equal('retry');
+        if (isProvablyNotRun(f.outcome)) expect(kind).to.equal('retry');
         else expect(kind).to.equal('giveUp');
       }),
       { seed: 3, numRuns: 500 },
--- a/test/exact/retries.test.ts
+++ b/test/exact/retries.test.ts
@@ -9,7 +9,7 @@
   return fleet;
 }
 
-const expectHolds = (fleet: ExactFleet) =>
+const expectNoViolations = (fleet: ExactFleet) =>
   expect(fleet.model.judge(fleet.upstreams.sightings)).to.deep.equal([]);
 
 describe('retries', () => {
@@ -24,7 +24,7 @@
     fleet.runFor(20_000);
     expect(fleet.upstreams.counts.dispatches).to.be.below(1.1 * requests);
     expect(fleet.upstreams.counts.dispatches).to.be.above(requests);
-    expectHolds(fleet);
+    expectNoViolations(fleet);
   });
 
   it('go to another upstream than before', () => {
@@ -44,7 +44,7 @@
     const repeated = [...tried.values()].filter((list) => list.length > 1);
     expect(repeated).to.have.length.above(0);
     repeated.forEach((list) => expect(new Set(list).size).to.equal(list.length));
-    expectHolds(fleet);
+    expectNoViolations(fleet);
   });
 
   it('reach upstreams of other domains when those of the own domain were tried', () => {
@@ -62,7 +62,7 @@
     });
     expect(codes).to.include('answered');
     expect(codes).to.not.include('deadlinePassed');
-    expectHolds(fleet);
+    expectNoViolations(fleet);
   });
 
   it('move the cache of a cut stream whose engine is to stop', () => {
@@ -71,12 +71,12 @@
     fleet.runFor(400);
     fleet.setLeaving('engine0', true);
     fleet.runFor(5_500);
-    // The streams that still run there are cut; the budget lets some of them move.
+    // Cuts the remaining streams; the retry budget allows some of them to move.
     const moved = fleet.upstreams.cutAll('engine0');
     fleet.runFor(10_000);
     expect(moved).to.be.above(0);
     expect(fleet.upstreams.counts.moves).to.be.above(0);
-    expectHolds(fleet);
+    expectNoViolations(fleet);
   });
 });
 
@@ -102,6 +102,6 @@
     fleet.runFor(20_000);
     const kinds = submitted.map((id) => fleet.model.told.get(id)?.[0]?.kind);
     expect(new Set(kinds)).to.deep.equal(new Set(['answer']));
-    expectHolds(fleet);
+    expectNoViolations(fleet);
   });
 });
--- a/test/exact/sendBefore.test.ts
+++ b/test/exact/sendBefore.test.ts
@@ -7,12 +7,12 @@
 
 describe('an attempt with a last time of sending', () => {
   let server: Server;
-  let seen = 0;
+  let requestsReceived = 0;
   const agent = new Agent();
 
   before((done) => {
     server = createServer((_req, res) => {
-      seen += 1;
+      requestsReceived += 1;
       res.end('booked');
     });
     server.listen(0, '127.0.0.1', done);
@@ -54,11 +54,11 @@
 
   it('sends nothing once that time has passed', async () => {
     expect((await run(Date.now() - 1_000)).kind).to.equal('notSent');
-    expect(seen).to.equal(0);
+    expect(requestsReceived).to.equal(0);
   });
 
   it('is sent before that time', async () => {
     expect((await run(Date.now() + 60_000)).kind).to.equal('complete');
-    expect(seen).to.equal(1);
+    expect(requestsReceived).to.equal(1);
   });
 });
