Reword the membership of the fleet

The comments said what an instance "believes", "hears" and "tells", and names such as `welcome`, `forgetOldNews`, `distant` and `takeSummary` gave no hint of their effect. They now speak of views, heartbeats, probes, summaries, departures and seeds; "vouches for" is defined where its state is declared.

Members of the core's state and fields of messages keep their names.

--- a/src/core/membership/memberCodec.ts
+++ b/src/core/membership/memberCodec.ts
@@ -1,4 +1,4 @@
-/** Members as they travel in heartbeats and summaries. */
+/** Encoding of members in heartbeats and summaries. */
 import type { InstancePhase, Member, PeerMessageOf } from '../types.js';
 
 export type MemberInfo = NonNullable<PeerMessageOf<'heartbeat'>['member']>;
--- a/src/core/membership/memberIndex.ts
+++ b/src/core/membership/memberIndex.ts
@@ -4,7 +4,7 @@
 import type { FailureDomainId, InstanceId, Member } from '../types.js';
 import type { MemberIndex } from './membershipState.js';
 
-/** Relays of a domain: enough that one may fail without a gap. */
+/** Relays per failure domain; with two, one can fail without interrupting the summaries. */
 export const RELAYS_PER_DOMAIN = 2;
 
 export function isLive(state: CoreState, id: InstanceId): boolean {
@@ -21,36 +21,36 @@
   });
 }
 
-/** Returns the live members of a domain, in the order of their ids. */
+/** Returns the live members of a failure domain, sorted by id. */
 export function membersOf(state: CoreState, domain: FailureDomainId): readonly Member[] {
   return memberIndex(state).byDomain.get(domain) ?? [];
 }
 
-/** Returns the domains with live members. */
+/** Returns the failure domains that have live members. */
 export function liveDomains(state: CoreState): readonly FailureDomainId[] {
   return [...memberIndex(state).byDomain.keys()];
 }
 
-/** Returns a hash over members that does not depend on their order. */
+/** Returns an order-independent hash of members. */
 export function hashMembers(members: readonly Member[]): number {
   return members.reduce((hash, member) => (hash + hashMember(member)) >>> 0, 0);
 }
 
 /**
- * Returns the live instances that take part in ownership: the ready ones, or, where all are leaving,
- * those, since they still have accepted work to end.
+ * Returns the live instances that may own upstreams: the ready ones or, if there are none, the
+ * leaving ones, which still have accepted work to finish.
  */
 export function owningMembers(state: CoreState): readonly Member[] {
   return owningAmong([...state.membership.members.values()]);
 }
 
-/** Restricts a group of members to those that may own upstreams. */
+/** Filters members to those that may own upstreams, as `owningMembers` does. */
 export function owningAmong(members: readonly Member[]): readonly Member[] {
   const ready = members.filter((member) => member.phase === 'ready');
   return ready.length > 0 ? ready : members.filter((member) => member.phase === 'leaving');
 }
 
-/** Returns the relays of a domain for a key, the first of them foremost. */
+/** Returns the relays of a failure domain for a key, the primary relay first. */
 export function relaysOf(
   state: CoreState,
   domain: FailureDomainId,
@@ -58,8 +58,8 @@
 ): readonly Member[] {
   const { relays } = memberIndex(state);
   const cacheKey = `${key} ${domain}`;
-  const known = relays.get(cacheKey);
-  if (known !== undefined) return known;
+  const cached = relays.get(cacheKey);
+  if (cached !== undefined) return cached;
   const members = membersOf(state, domain);
   const ready = members.filter((member) => member.phase === 'ready');
   const candidates = ready.length > 0 ? ready : members;
@@ -68,7 +68,7 @@
   return chosen;
 }
 
-/** Returns the `amount` members with the greatest rendezvous scores, the greatest first. */
+/** Returns the `amount` members with the highest rendezvous scores, in descending order. */
 export function bestScored(
   members: readonly Member[],
   key: string,
--- a/src/core/membership/memberTable.ts
+++ b/src/core/membership/memberTable.ts
@@ -1,10 +1,13 @@
-/** Writes to the table of members: a later incarnation replaces an earlier one. */
+/** Updates of the member table, in which a later incarnation replaces an earlier one. */
 import type { CoreContext } from '../context.js';
 import type { CoreState } from '../state.js';
 import type { InstanceId, Member } from '../types.js';
 
-/** Takes a member that a relay vouches for; its own heartbeats, where heard, count for more. */
-export function adoptVouched(ctx: CoreContext, member: Member): boolean {
+/**
+ * Adds or updates a member that a relay vouches for, and returns whether it is accepted. What its
+ * own heartbeats have reported takes precedence.
+ */
+export function adoptVouchedMember(ctx: CoreContext, member: Member): boolean {
   const known = ctx.state.membership.members.get(member.id);
   if (isDeparted(ctx.state, member.id, member.incarnation)) return false;
   if (known !== undefined && known.incarnation > member.incarnation) return false;
@@ -25,7 +28,7 @@
     known?.phase === member.phase &&
     known.incarnation === member.incarnation &&
     known.address === member.address;
-  // The index holds member objects, but only their identity, phase and address are read from it.
+  // The index may hold outdated member objects; only their identity, phase and address are used.
   if (!isSame) membership.generation += 1;
 }
 
--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -1,11 +1,12 @@
 /**
- * Membership: heartbeats among the instances of a failure domain; relays carry summaries between
- * domains (`relays.ts`). The platform's lagging list only names instances to try. Nothing is
- * agreed; views may differ for seconds.
+ * Membership of the fleet. Instances of a failure domain exchange heartbeats, and relays exchange
+ * summaries between domains (`relays.ts`). The platform's instance list lags behind and is only
+ * used to find instances to contact. There is no consensus: the views of instances may differ for
+ * seconds.
  *
- * An instance of the own domain is live while its heartbeats arrive; one of another domain while a
- * relay vouches for it. A later incarnation replaces an earlier one; an announced end is final for
- * its incarnation, so that no late message brings it back.
+ * An instance of the same domain is live while its heartbeats arrive, and one of another domain
+ * while a relay vouches for it. A later incarnation replaces an earlier one. A departure is final
+ * for its incarnation, so a delayed message cannot make the instance live again.
  */
 import { setTimer, type CoreContext } from '../context.js';
 import type { Millis } from '../clock.js';
@@ -26,16 +27,16 @@
 
 export { forEachOther, isLive, owningMembers } from './memberIndex.js';
 
-/** Beats between two attempts to reach instances that are listed or lost but not live. */
-const PROBE_BEATS = 3;
+/** Heartbeats between two probes of instances that are listed or were lost but are not live. */
+const PROBE_INTERVAL_BEATS = 3;
 
-/** Seeds of a domain without live members that one relay tries at a time. */
-const PROBES_PER_DOMAIN = 2;
+/** Seeds probed at a time in each other domain that has no live members. */
+const MAX_PROBES_PER_DOMAIN = 2;
 
-/** Time for which an instance that was lost, and is not listed, is still tried. */
+/** Time for which an instance that was lost and is not listed is still probed. */
 const SEED_RETENTION_MS: Millis = 600_000;
 
-/** Time for which an announced end is remembered; exceeds every delay of the list and the peers. */
+/** Time for which a departure is remembered; exceeds all delays of the list and of messages. */
 const DEPARTURE_RETENTION_MS: Millis = 3_600_000;
 
 export function startMembership(ctx: CoreContext): void {
@@ -44,18 +45,18 @@
   setTimer(ctx, 'heartbeat', 0);
 }
 
-/** Sends this instance's heartbeat within its domain, relays' summaries, and drops the silent. */
+/** Removes timed-out members, and sends the heartbeat, probes and any summaries that are due. */
 export function onHeartbeatTimer(ctx: CoreContext): void {
   const { membership, settings, self } = ctx.state;
   membership.beat += 1;
-  updateSelf(ctx, { beat: membership.beat });
-  removeSilentMembers(ctx);
-  forgetOldNews(ctx);
+  updateOwnMember(ctx, { beat: membership.beat });
+  removeTimedOutMembers(ctx);
+  expireSeedsAndDepartures(ctx);
   const heartbeat = encodeHeartbeat(ctx.state);
   membersOf(ctx.state, self.domain).forEach((member) => {
-    if (member.id !== self.id) emitTo(ctx, member, heartbeat);
+    if (member.id !== self.id) sendToAddress(ctx, member, heartbeat);
   });
-  if (membership.beat % PROBE_BEATS === 1) probeSeeds(ctx, heartbeat);
+  if (membership.beat % PROBE_INTERVAL_BEATS === 1) probeSeeds(ctx, heartbeat);
   sendSummaries(ctx);
   setTimer(ctx, 'heartbeat', settings.heartbeatMs);
 }
@@ -65,18 +66,18 @@
   setTimer(ctx, 'instanceList', ctx.state.settings.instanceListMs);
 }
 
-/** Notes listed instances as seeds; the list lags, so it neither adds nor removes a member. */
+/** Adds listed instances as seeds. The list lags, so it neither adds nor removes members. */
 export function onInstanceList(ctx: CoreContext, instances: readonly ListedInstance[]): void {
   const { members, seeds } = ctx.state.membership;
-  let hasNews = false;
+  let hasNewSeed = false;
   for (const listed of instances) {
     if (listed.kind !== 'instance' || listed.state !== 'live') continue;
     if (listed.id === ctx.state.self.id || members.has(listed.id)) continue;
-    hasNews ||= !seeds.has(listed.id);
+    hasNewSeed ||= !seeds.has(listed.id);
     const { id, address, domain, region } = listed;
     seeds.set(id, { id, address, domain, region, seenAt: ctx.now });
   }
-  if (hasNews) probeSeeds(ctx, encodeHeartbeat(ctx.state));
+  if (hasNewSeed) probeSeeds(ctx, encodeHeartbeat(ctx.state));
 }
 
 export function onHeartbeat(ctx: CoreContext, heartbeat: PeerMessageOf<'heartbeat'>): void {
@@ -92,45 +93,45 @@
   });
   setMember(ctx.state, member);
   seeds.delete(info.id);
-  if (known?.incarnation !== info.incarnation) welcome(ctx, member);
-  // Only a probe crosses domains: its sender knows nobody here, although it may be known.
+  if (known?.incarnation !== info.incarnation) greetNewMember(ctx, member);
+  // Only probes are sent across domains: the sender knows no member here, but may be known.
   else if (member.domain !== ctx.state.self.domain) sendOwnSummary(ctx, member);
 }
 
-/** Removes an instance that has announced its end. */
+/** Records the announced departure of an instance and removes it from the members. */
 export function onLeaving(
   ctx: CoreContext,
   from: InstanceId,
   leaving: PeerMessageOf<'leaving'>,
 ): void {
   const { members, departed, seeds } = ctx.state.membership;
-  const known = departed.get(from)?.incarnation ?? -1;
-  if (leaving.incarnation < known) return;
+  const knownIncarnation = departed.get(from)?.incarnation ?? -1;
+  if (leaving.incarnation < knownIncarnation) return;
   departed.set(from, { incarnation: leaving.incarnation, at: ctx.now });
   seeds.delete(from);
   const member = members.get(from);
   if (member !== undefined && member.incarnation <= leaving.incarnation) removeMember(ctx, member);
 }
 
-/** Changes this instance's own phase and tells the others at once. */
+/** Changes this instance's phase and sends a heartbeat immediately. */
 export function setOwnPhase(ctx: CoreContext, phase: InstancePhase): void {
   if (ownMember(ctx.state).phase === phase) return;
-  updateSelf(ctx, { phase });
+  updateOwnMember(ctx, { phase });
   setTimer(ctx, 'heartbeat', 0);
 }
 
-function updateSelf(ctx: CoreContext, change: Partial<Member>): void {
+function updateOwnMember(ctx: CoreContext, change: Partial<Member>): void {
   setMember(ctx.state, { ...ownMember(ctx.state), ...change, lastHeardAt: ctx.now });
 }
 
-/** Answers a newcomer at once, so that both sides know each other within one round trip. */
-function welcome(ctx: CoreContext, member: Member): void {
-  emitTo(ctx, member, encodeHeartbeat(ctx.state));
+/** Replies to a new member immediately, so that both know each other within one round trip. */
+function greetNewMember(ctx: CoreContext, member: Member): void {
+  sendToAddress(ctx, member, encodeHeartbeat(ctx.state));
   if (member.domain === ctx.state.self.domain) sendAllSummaries(ctx, member);
   else sendOwnSummary(ctx, member);
 }
 
-function removeSilentMembers(ctx: CoreContext): void {
+function removeTimedOutMembers(ctx: CoreContext): void {
   const { settings, membership } = ctx.state;
   forEachOther(ctx.state, (member) => {
     if (ctx.now - member.lastHeardAt <= settings.memberTimeoutMs) return;
@@ -150,7 +151,7 @@
   ctx.emit({ kind: 'dropPeer', to: member.id });
 }
 
-function forgetOldNews(ctx: CoreContext): void {
+function expireSeedsAndDepartures(ctx: CoreContext): void {
   const { seeds, departed } = ctx.state.membership;
   seeds.forEach((seed, id) => {
     if (ctx.now - seed.seenAt > SEED_RETENTION_MS) seeds.delete(id);
@@ -160,28 +161,28 @@
   });
 }
 
-/** Tries the seeds of the own domain and a few of each domain of which no member is live. */
+/** Probes all seeds of this domain and a few of each other domain without live members. */
 function probeSeeds(ctx: CoreContext, heartbeat: PeerMessage): void {
   const { state } = ctx;
-  const distant = new Map<string, Seed[]>();
+  const remoteSeeds = new Map<string, Seed[]>();
   state.membership.seeds.forEach((seed) => {
     if (seed.domain === state.self.domain) {
-      emitTo(ctx, seed, heartbeat);
+      sendToAddress(ctx, seed, heartbeat);
     } else if (membersOf(state, seed.domain).length === 0) {
-      const group = distant.get(seed.domain) ?? [];
-      distant.set(seed.domain, group);
+      const group = remoteSeeds.get(seed.domain) ?? [];
+      remoteSeeds.set(seed.domain, group);
       group.push(seed);
     }
   });
-  distant.forEach((group) => {
+  remoteSeeds.forEach((group) => {
     const start = state.random.nextInt(group.length);
-    for (let i = 0; i < Math.min(PROBES_PER_DOMAIN, group.length); i += 1) {
-      emitTo(ctx, group[(start + i) % group.length] as Seed, heartbeat);
+    for (let i = 0; i < Math.min(MAX_PROBES_PER_DOMAIN, group.length); i += 1) {
+      sendToAddress(ctx, group[(start + i) % group.length] as Seed, heartbeat);
     }
   });
 }
 
-function emitTo(
+function sendToAddress(
   ctx: CoreContext,
   to: { readonly id: InstanceId; readonly address: string },
   message: PeerMessage,
--- a/src/core/membership/membershipState.ts
+++ b/src/core/membership/membershipState.ts
@@ -1,24 +1,28 @@
-/** State of membership: what this instance believes of every instance of the fleet, itself included. */
+/**
+ * State of the membership: this instance's view of all instances of the fleet, including itself.
+ */
 import type { Millis } from '../clock.js';
 import type { FailureDomainId, InstanceId, InstanceIdentity, Member, RegionId } from '../types.js';
 
-/** An instance that may exist: listed by the platform, or heard earlier. Not counted as live. */
+/**
+ * An instance that may exist: it is listed by the platform or was a member. Not counted as live.
+ */
 export interface Seed {
   readonly id: InstanceId;
   readonly address: string;
   readonly domain: FailureDomainId;
   readonly region: RegionId;
-  /** Last time at which the list named it or it was heard. */
+  /** Time at which it was last listed, or removed from the members. */
   readonly seenAt: Millis;
 }
 
-/** An incarnation that announced its end; older news of it is ignored. */
+/** An announced departure; messages from this or earlier incarnations are ignored. */
 export interface Departure {
   readonly incarnation: number;
   readonly at: Millis;
 }
 
-/** What one relay vouches for in one domain: ids with their incarnations. */
+/** The members of one failure domain that a relay vouches for, that is, reports as live. */
 export interface VouchedDomain {
   readonly domain: FailureDomainId;
   readonly hash: number;
@@ -26,27 +30,27 @@
   refreshedAt: Millis;
 }
 
-/** Index of the members, rebuilt when `generation` has changed. */
+/** Index of the live members, rebuilt when `MembershipState.generation` has changed. */
 export interface MemberIndex {
   generation: number;
   byDomain: ReadonlyMap<FailureDomainId, readonly Member[]>;
-  /** Relays by key and domain, as far as they were asked for. */
+  /** Cache of relays by key and domain. */
   readonly relays: Map<string, readonly Member[]>;
 }
 
 export interface MembershipState {
-  /** Live instances in this instance's belief. */
+  /** Instances that this instance considers live. */
   readonly members: Map<InstanceId, Member>;
   readonly seeds: Map<InstanceId, Seed>;
   readonly departed: Map<InstanceId, Departure>;
-  /** By relay, then by domain. */
+  /** Members that relays vouch for, by relay and domain. */
   readonly vouched: Map<InstanceId, Map<FailureDomainId, VouchedDomain>>;
-  /** Hash of the last full summary sent, by receiver, then by domain. */
+  /** Hash of the last summary sent, by receiver and domain. */
   readonly sentHashes: Map<InstanceId, Map<FailureDomainId, number>>;
   readonly index: MemberIndex;
-  /** Number of this instance's last heartbeat. */
+  /** Sequence number of this instance's last heartbeat. */
   beat: number;
-  /** Grows with every change of the set of live members or their phases. */
+  /** Incremented when the live members or their phases, incarnations or addresses change. */
   generation: number;
 }
 
