--- a/src/core/orders/demandLevels.ts
+++ b/src/core/orders/demandLevels.ts
@@ -1,7 +1,8 @@
 /**
- * How many upstreams of a pool are kept loaded, between the operators' bounds, by the demand that
- * an owner believes. Every owner takes its own upstreams among the first ones of the same order by
- * rendezvous, so that the bounds hold in the whole fleet also while beliefs differ.
+ * Demand levels: how many upstreams of a pool should hold its model, within the configured bounds.
+ * Each owner estimates the level from the demand it sees and keeps as many of its own upstreams as
+ * there are among the first `level` in the pool's rendezvous order. All owners use the same order,
+ * so the bounds hold fleet-wide even while their estimates differ.
  */
 import { count, type CoreContext } from '../context.js';
 import { ownedByPool, ownedInPool } from '../dispatch/assign.js';
@@ -9,14 +10,14 @@
 import type { CoreState } from '../state.js';
 import type { ConfigurationView, PlacementConfig, PoolId, UpstreamConfig } from '../types.js';
 import type { DemandLevel } from './ordersState.js';
-import { boundsOf, rankOf } from './placement.js';
+import { placementBounds, rankOf } from './placement.js';
 
-/** Factor by which a pool with persistent waiting work grows. */
-const GROWTH = 2;
-/** Share of the slots that one upstream less would have, below which a pool may shrink. */
-const SHRINK_BELOW_SHARE = 0.5;
+/** Factor by which the level grows while requests keep waiting. */
+const GROWTH_FACTOR = 2;
+/** Utilization, relative to the slots with one upstream less, below which the level may shrink. */
+const SHRINK_UTILIZATION = 0.5;
 
-/** Decides anew for every pool with a placement and an owned upstream. */
+/** Updates the level of every pool that has a placement and an upstream owned by this instance. */
 export function updateDemandLevels(ctx: CoreContext): void {
   const { configuration, orders } = ctx.state;
   const { view } = configuration;
@@ -24,52 +25,60 @@
   orders.unneeded.clear();
   const pools = new Set<PoolId>();
   view?.placement.forEach((placement) => {
-    const own = owned.get(placement.pool) ?? [];
-    if (own.length === 0) return;
+    const ownUpstreams = owned.get(placement.pool) ?? [];
+    if (ownUpstreams.length === 0) return;
     pools.add(placement.pool);
-    decide(ctx, view, placement, own);
+    updatePoolLevel(ctx, view, placement, ownUpstreams);
   });
   orders.levels.forEach((_, pool) => {
     if (!pools.has(pool)) orders.levels.delete(pool);
   });
 }
 
-/** Number of upstreams of a pool that this instance believes are needed; `undefined` if unknown. */
-export function levelOf(state: CoreState, pool: PoolId): number | undefined {
+/** Returns this instance's estimate of the upstreams a pool needs; `undefined` if unknown. */
+export function demandLevelOf(state: CoreState, pool: PoolId): number | undefined {
   return state.orders.levels.get(pool)?.level;
 }
 
-function decide(
+function updatePoolLevel(
   ctx: CoreContext,
   view: ConfigurationView,
   placement: PlacementConfig,
-  own: readonly UpstreamConfig[],
+  ownUpstreams: readonly UpstreamConfig[],
 ): void {
   const { levels, unneeded } = ctx.state.orders;
-  const { least, most } = boundsOf(view, placement);
-  // One that has seen nothing yet gives up nothing.
-  const known = levels.get(placement.pool) ?? startLevel(most);
-  levels.set(placement.pool, known);
-  known.level = clamp(known.level, least, most);
-  const candidates = own.filter(({ id }) => (rankOf(view, placement, id) ?? most) < most);
-  adapt(ctx, placement.pool, known, neededOf(ctx.state, view, placement, candidates, known.level));
-  known.level = clamp(known.level, least, most);
-  const needed = new Set(neededOf(ctx.state, view, placement, candidates, known.level));
-  own.forEach((upstream) => {
+  const { min, max } = placementBounds(view, placement);
+  // A new owner has no demand data yet, so it starts at the maximum and unloads nothing.
+  const demand = levels.get(placement.pool) ?? createDemandLevel(max);
+  levels.set(placement.pool, demand);
+  demand.level = clamp(demand.level, min, max);
+  const candidates = ownUpstreams.filter(({ id }) => (rankOf(view, placement, id) ?? max) < max);
+  adjustLevel(
+    ctx,
+    placement.pool,
+    demand,
+    selectNeeded(ctx.state, view, placement, candidates, demand.level),
+  );
+  demand.level = clamp(demand.level, min, max);
+  const needed = new Set(selectNeeded(ctx.state, view, placement, candidates, demand.level));
+  ownUpstreams.forEach((upstream) => {
     if (!needed.has(upstream)) unneeded.add(upstream.id);
   });
 }
 
-function startLevel(level: number): DemandLevel {
+function createDemandLevel(level: number): DemandLevel {
   return { level, waitingSince: undefined, idleSince: undefined };
 }
 
-function clamp(level: number, least: number, most: number): number {
-  return Math.min(most, Math.max(least, level));
+function clamp(level: number, min: number, max: number): number {
+  return Math.min(max, Math.max(min, level));
 }
 
-/** As many own upstreams as there are among the first `level`; those that hold the model first. */
-function neededOf(
+/**
+ * Selects as many candidates as there are among the first `level` of the pool. Candidates that hold
+ * the model are preferred.
+ */
+function selectNeeded(
   state: CoreState,
   view: ConfigurationView,
   placement: PlacementConfig,
@@ -88,43 +97,43 @@
     .map(({ upstream }) => upstream);
 }
 
-/** Whether an upstream holds the model in any version, or is about to. */
+/** Whether an upstream holds any version of the model, or an order for it is in progress. */
 function holdsModel(state: CoreState, { model }: PlacementConfig, { id }: UpstreamConfig): boolean {
   const { observed, progress } = state.orders;
   return progress.has(id) || observed.get(id)?.report.model === model;
 }
 
-/** Grows after persistent waiting; shrinks by one after a longer time of little use. */
-function adapt(
+/** Multiplies the level after persistent waiting; decrements it after a longer underused period. */
+function adjustLevel(
   ctx: CoreContext,
   pool: PoolId,
-  known: DemandLevel,
+  demand: DemandLevel,
   needed: readonly UpstreamConfig[],
 ): void {
   const { settings, dispatch } = ctx.state;
-  const limits = needed.reduce((sum, each) => sum + slotsOf(ctx.state, each).limit, 0);
+  const slotLimit = needed.reduce((sum, each) => sum + slotsOf(ctx.state, each).limit, 0);
   const isWaiting = (dispatch.demand.get(pool)?.size ?? 0) > 0;
-  known.waitingSince = isWaiting ? (known.waitingSince ?? ctx.now) : undefined;
-  const isIdle = !isWaiting && hasLittleUse(ctx, pool, known.level, limits);
-  known.idleSince = isIdle ? (known.idleSince ?? ctx.now) : undefined;
-  if (ctx.now - (known.waitingSince ?? ctx.now) >= settings.placementGrowMs) {
-    known.level = Math.max(1, known.level * GROWTH);
-    known.waitingSince = ctx.now;
+  demand.waitingSince = isWaiting ? (demand.waitingSince ?? ctx.now) : undefined;
+  const isIdle = !isWaiting && isUnderused(ctx, pool, demand.level, slotLimit);
+  demand.idleSince = isIdle ? (demand.idleSince ?? ctx.now) : undefined;
+  if (ctx.now - (demand.waitingSince ?? ctx.now) >= settings.placementGrowMs) {
+    demand.level = Math.max(1, demand.level * GROWTH_FACTOR);
+    demand.waitingSince = ctx.now;
     count(ctx, 'orders.level', 1, { change: 'grow' });
-  } else if (ctx.now - (known.idleSince ?? ctx.now) >= settings.placementShrinkMs) {
-    known.level -= 1;
-    known.idleSince = ctx.now;
+  } else if (ctx.now - (demand.idleSince ?? ctx.now) >= settings.placementShrinkMs) {
+    demand.level -= 1;
+    demand.idleSince = ctx.now;
     count(ctx, 'orders.level', 1, { change: 'shrink' });
   }
 }
 
-/** Whether the work on all own upstreams would leave much room with one needed upstream less. */
-function hasLittleUse(ctx: CoreContext, pool: PoolId, level: number, limits: number): boolean {
+/** Whether the work on all owned upstreams would need little capacity with one upstream less. */
+function isUnderused(ctx: CoreContext, pool: PoolId, level: number, slotLimit: number): boolean {
   const inUse = ownedInPool(ctx.state, pool).reduce((sum, upstream) => {
     const slots = slotsOf(ctx.state, upstream);
     return sum + slots.inUse + slots.suspended + foreignUse(slots, ctx.now);
   }, 0);
-  // The own upstreams are taken for a sample of the pool.
-  const remaining = level === 0 ? 0 : (limits * (level - 1)) / level;
-  return inUse === 0 || inUse < remaining * SHRINK_BELOW_SHARE;
+  // The owned upstreams are treated as a representative sample of the pool.
+  const remainingSlots = level === 0 ? 0 : (slotLimit * (level - 1)) / level;
+  return inUse === 0 || inUse < remainingSlots * SHRINK_UTILIZATION;
 }
--- a/src/core/orders/orderRecords.ts
+++ b/src/core/orders/orderRecords.ts
@@ -1,8 +1,9 @@
 /**
- * Records of the stream `orders` and their fold. An order's number is the offset of its record. A
- * record counts only if the order that it replaces was still the outstanding one at its place in the
- * log, and if the loads under way allow another: so one of two racing owners wins, and the pool and
- * the weight store keep their bounds, whoever believes to be owner.
+ * Records of the `orders` stream and their fold. The number of an order is the offset of its
+ * record. An order record is valid only if the order that it replaces is still outstanding at that
+ * offset and the limits on concurrent model loads permit another load. So, of two racing owners one
+ * wins, and the load limits of the pool and the weight store hold even if several instances act as
+ * owner.
  */
 import * as z from 'zod';
 import type { Millis } from '../clock.js';
@@ -10,9 +11,10 @@
 
 export const ORDERS_STREAM = 'orders';
 export const ORDER_SCHEMA_VERSION = 1;
-/** Number that stands for no outstanding order. */
+/** Order number that means that there is no order. */
 export const NO_ORDER = -1;
 
+/** A record that proposes an order to an engine. */
 export interface OrderRecord {
   readonly kind: 'order';
   readonly schemaVersion: number;
@@ -22,16 +24,17 @@
   readonly order: EngineOrder;
   readonly by: InstanceId;
   readonly at: Millis;
-  /** Number of the outstanding order that this one replaces. */
+  /** Number of the outstanding order that this one replaces, or `NO_ORDER`. */
   readonly replaces: number;
-  /** Model loads of the pool that may be under way with this one. */
+  /** Maximum number of concurrent model loads in the pool, including this one. */
   readonly poolLoads: number;
-  /** The same for the whole fleet. */
+  /** Maximum number of concurrent model loads in the fleet, including this one. */
   readonly fleetLoads: number;
 }
 
 export type OrderOutcome = 'done' | 'failed' | 'withdrawn';
 
+/** A record that ends an order. */
 export interface SettledRecord {
   readonly kind: 'settled';
   readonly schemaVersion: number;
@@ -41,7 +44,7 @@
   readonly by: InstanceId;
 }
 
-/** An order whose effect has not been seen yet. */
+/** A valid order that has not been settled yet. */
 export interface OutstandingOrder {
   readonly number: number;
   readonly id: string;
@@ -51,6 +54,7 @@
   readonly by: InstanceId;
 }
 
+/** Result of folding the `orders` stream up to `next`. */
 export interface OrdersFold {
   /** Offset of the next record to fold. */
   next: number;
@@ -61,21 +65,21 @@
   return { next: 0, outstanding: new Map() };
 }
 
-const text = z.string().min(1).max(256);
+const nonEmptyText = z.string().min(1).max(256);
 const orderSchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('load-model'), model: text, version: text }),
-  z.object({ kind: z.literal('load-adapter'), adapter: text }),
-  z.object({ kind: z.literal('set-role'), role: text }),
+  z.object({ kind: z.literal('load-model'), model: nonEmptyText, version: nonEmptyText }),
+  z.object({ kind: z.literal('load-adapter'), adapter: nonEmptyText }),
+  z.object({ kind: z.literal('set-role'), role: nonEmptyText }),
 ]);
 const recordSchema = z.discriminatedUnion('kind', [
   z.object({
     kind: z.literal('order'),
     schemaVersion: z.literal(ORDER_SCHEMA_VERSION),
-    id: text,
-    upstream: text,
-    pool: text,
+    id: nonEmptyText,
+    upstream: nonEmptyText,
+    pool: nonEmptyText,
     order: orderSchema,
-    by: text,
+    by: nonEmptyText,
     at: z.number(),
     replaces: z.int(),
     poolLoads: z.int(),
@@ -84,25 +88,25 @@
   z.object({
     kind: z.literal('settled'),
     schemaVersion: z.literal(ORDER_SCHEMA_VERSION),
-    upstream: text,
+    upstream: nonEmptyText,
     number: z.int(),
     outcome: z.enum(['done', 'failed', 'withdrawn']),
-    by: text,
+    by: nonEmptyText,
   }),
 ]);
 
-/** An order record that was folded, and whether it counts. */
-export interface JudgedOrder {
+/** A folded order record and whether it is valid. */
+export interface FoldedOrder {
   readonly record: OrderRecord;
   readonly number: number;
   readonly isValid: boolean;
 }
 
-/** Folds one record; returns the judgement of an order. Other texts change nothing. */
-export function foldOrder(fold: OrdersFold, entry: StreamRecord): JudgedOrder | undefined {
+/** Folds one record and returns the result if it is an order. Invalid data is ignored. */
+export function foldOrder(fold: OrdersFold, entry: StreamRecord): FoldedOrder | undefined {
   if (entry.offset < fold.next) return undefined;
   fold.next = entry.offset + 1;
-  const record = decode(entry.data);
+  const record = decodeRecord(entry.data);
   if (record === undefined) return undefined;
   if (record.kind === 'settled') {
     const outstanding = fold.outstanding.get(record.upstream);
@@ -117,7 +121,7 @@
   return { record, number: entry.offset, isValid };
 }
 
-function decode(data: string): OrderRecord | SettledRecord | undefined {
+function decodeRecord(data: string): OrderRecord | SettledRecord | undefined {
   try {
     const parsed = recordSchema.safeParse(JSON.parse(data));
     return parsed.success ? parsed.data : undefined;
@@ -129,19 +133,19 @@
 function isAdmitted(fold: OrdersFold, record: OrderRecord): boolean {
   const number = fold.outstanding.get(record.upstream)?.number ?? NO_ORDER;
   if (number !== record.replaces) return false;
-  return record.order.kind !== 'load-model' || hasRoom(fold, record);
+  return record.order.kind !== 'load-model' || isWithinLoadLimits(fold, record);
 }
 
-type Bounds = Pick<OrderRecord, 'upstream' | 'pool' | 'poolLoads' | 'fleetLoads'>;
+type LoadLimits = Pick<OrderRecord, 'upstream' | 'pool' | 'poolLoads' | 'fleetLoads'>;
 
-/** Whether another model load fits beside those of other upstreams. */
-export function hasRoom(fold: OrdersFold, bounds: Bounds): boolean {
-  let ofPool = 0;
-  let ofFleet = 0;
+/** Whether one more model load stays within the limits, given the loads of other upstreams. */
+export function isWithinLoadLimits(fold: OrdersFold, limits: LoadLimits): boolean {
+  let poolLoads = 0;
+  let fleetLoads = 0;
   fold.outstanding.forEach(({ upstream, pool, order }) => {
-    if (upstream === bounds.upstream || order.kind !== 'load-model') return;
-    ofFleet += 1;
-    if (pool === bounds.pool) ofPool += 1;
+    if (upstream === limits.upstream || order.kind !== 'load-model') return;
+    fleetLoads += 1;
+    if (pool === limits.pool) poolLoads += 1;
   });
-  return ofPool < bounds.poolLoads && ofFleet < bounds.fleetLoads;
+  return poolLoads < limits.poolLoads && fleetLoads < limits.fleetLoads;
 }
--- a/src/core/orders/orders.ts
+++ b/src/core/orders/orders.ts
@@ -1,7 +1,8 @@
 /**
- * Orders to engines. The owner of an upstream compares what it should hold with what it reports and
- * gives one order at a time, level-triggered: a lost reply, a crash or a change of owner only means
- * that the next comparison decides anew. The stream is read only while something is to be ordered.
+ * Orders to engines. The owner of an upstream reconciles the state that an engine reports with the
+ * state that it should have, and sends one order at a time. Reconciliation is level-triggered:
+ * after a lost reply, a crash or a change of owner, the next pass decides again from the current
+ * state. The `orders` stream is read only while an order is needed or in progress.
  */
 import { audit, count, setTimer, type CoreContext } from '../context.js';
 import { forEachOwned, isOwner } from '../ownership/ownership.js';
@@ -18,33 +19,33 @@
 import {
   createOrdersFold,
   foldOrder,
-  hasRoom,
+  isWithinLoadLimits,
   NO_ORDER,
   ORDER_SCHEMA_VERSION,
   ORDERS_STREAM,
-  type JudgedOrder,
+  type FoldedOrder,
   type OrderOutcome,
   type OrderRecord,
   type SettledRecord,
 } from './orderRecords.js';
 import type { OrderProgress } from './ordersState.js';
-import { auditOwners } from './ownerAudit.js';
-import { levelOf, updateDemandLevels } from './demandLevels.js';
-import { fleetLoadsOf, hasEffect, nextOrder, placementOf, poolLoadsOf } from './placement.js';
+import { auditOwnership } from './ownerAudit.js';
+import { demandLevelOf, updateDemandLevels } from './demandLevels.js';
+import { maxFleetLoads, hasEffect, nextOrder, placementOf, maxPoolLoads } from './placement.js';
 
 type EventOf<K extends CoreEvent['kind']> = Extract<CoreEvent, { readonly kind: K }>;
 
 const READ_LIMIT = 256;
-/** Time after which a read without a reply counts as lost. */
+/** Time after which an unanswered read is considered lost. */
 const READ_TIMEOUT_MS = 10_000;
-/** A report older than this says nothing. */
-const REPORT_AGE_MAX_MS = 10_000;
-/** Longest time from the decision to the order; a paused instance gives no stale order. */
-const GIVE_WITHIN_MS = 10_000;
-/** Time after which an order without a known effect is given again. */
-const GIVE_AGAIN_MS = 10_000;
-/** Pause after a failed order, times the number of attempts. */
-const FAILED_PAUSE_MS = 5_000;
+/** Reports older than this are ignored. */
+const MAX_REPORT_AGE_MS = 10_000;
+/** Maximum time from proposing to sending an order, so that no stale order follows a pause. */
+const MAX_DECISION_AGE_MS = 10_000;
+/** Time after which an order without an observed effect is sent again. */
+const RESEND_INTERVAL_MS = 10_000;
+/** Delay after an unsuccessful order, multiplied by the number of attempts. */
+const RETRY_DELAY_MS = 5_000;
 
 export function startOrders(ctx: CoreContext): void {
   setTimer(ctx, 'orders', ctx.state.settings.ordersTickMs);
@@ -52,18 +53,18 @@
 
 export function onOrdersTimer(ctx: CoreContext): void {
   const { orders } = ctx.state;
-  auditOwners(ctx);
-  forgetOthers(ctx);
+  auditOwnership(ctx);
+  dropStaleState(ctx);
   updateDemandLevels(ctx);
   let needsLog = orders.progress.size > 0;
   forEachOwned(ctx.state, (upstream) => {
-    if (compare(ctx, upstream)) needsLog = true;
+    if (reconcile(ctx, upstream)) needsLog = true;
   });
   if (needsLog) requestRead(ctx);
   setTimer(ctx, 'orders', ctx.state.settings.ordersTickMs);
 }
 
-/** Keeps an engine's report for the next comparison. */
+/** Stores an engine's report for the next reconciliation. */
 export function onOrderReport(
   ctx: CoreContext,
   upstream: UpstreamId,
@@ -75,8 +76,8 @@
   observed.set(upstream, { report, at: ctx.now, since });
 }
 
-/** Drops what is known of orders that have ended and of upstreams that this instance no longer owns. */
-function forgetOthers(ctx: CoreContext): void {
+/** Drops the state of settled orders and of upstreams that this instance no longer owns. */
+function dropStaleState(ctx: CoreContext): void {
   const { orders } = ctx.state;
   const numbers = new Set([...orders.fold.outstanding.values()].map(({ number }) => number));
   for (const number of orders.foreignSince.keys()) {
@@ -91,34 +92,38 @@
   }
 }
 
-/** Compares one upstream; returns whether the stream of orders has to be read for it. */
-function compare(ctx: CoreContext, upstream: UpstreamConfig): boolean {
+/** Reconciles one upstream, and returns whether the `orders` stream has to be read for it. */
+function reconcile(ctx: CoreContext, upstream: UpstreamConfig): boolean {
   const { orders, configuration } = ctx.state;
   const observed = orders.observed.get(upstream.id);
-  if (observed === undefined || ctx.now - observed.at > REPORT_AGE_MAX_MS) return false;
+  if (observed === undefined || ctx.now - observed.at > MAX_REPORT_AGE_MS) return false;
   const { report } = observed;
   const progress = orders.progress.get(upstream.id);
   if (progress !== undefined) {
-    watch(ctx, upstream, progress, observed);
+    superviseOrder(ctx, upstream, progress, observed);
     return true;
   }
   const { view } = configuration;
   const isNeeded = !orders.unneeded.has(upstream.id);
   const placement = view && isNeeded ? placementOf(view, upstream) : undefined;
-  const wanted = placement && nextOrder(placement, report);
-  if (placement === undefined || wanted === undefined) {
-    // An earlier owner may have left an order outstanding.
-    return tidy(ctx, upstream.id, report) || observed.since > orders.atEndAt;
+  const requiredOrder = placement && nextOrder(placement, report);
+  if (placement === undefined || requiredOrder === undefined) {
+    // A previous owner may have left an order outstanding.
+    return settleLeftoverOrder(ctx, upstream.id, report) || observed.since > orders.atEndAt;
   }
   if (ctx.now < (orders.notBefore.get(upstream.id) ?? 0)) return false;
   if (ctx.now - orders.atEndAt <= 2 * ctx.state.settings.ordersTickMs) {
-    propose(ctx, upstream, placement, wanted);
+    proposeOrder(ctx, upstream, placement, requiredOrder);
   }
   return true;
 }
 
-/** Settles an order of an earlier owner whose effect is there, or that is no longer wanted. */
-function tidy(ctx: CoreContext, upstream: UpstreamId, report: UpstreamReport): boolean {
+/** Settles an order left by a previous owner that has taken effect or is no longer needed. */
+function settleLeftoverOrder(
+  ctx: CoreContext,
+  upstream: UpstreamId,
+  report: UpstreamReport,
+): boolean {
   const { orders } = ctx.state;
   const outstanding = orders.fold.outstanding.get(upstream);
   if (outstanding === undefined) return false;
@@ -127,8 +132,10 @@
   return true;
 }
 
-/** Appends an order unless one is outstanding that may still take effect. */
-function propose(
+/**
+ * Appends an order, unless an outstanding order may still take effect or a load limit is reached.
+ */
+function proposeOrder(
   ctx: CoreContext,
   upstream: UpstreamConfig,
   placement: PlacementConfig,
@@ -139,14 +146,14 @@
   if (view === undefined) return;
   const outstanding = orders.fold.outstanding.get(upstream.id);
   if (outstanding !== undefined && mayTakeEffect(ctx, upstream, outstanding.number)) return;
-  const bounds = {
+  const limits = {
     upstream: upstream.id,
     pool: upstream.pool,
-    poolLoads: poolLoadsOf(view, placement, levelOf(ctx.state, placement.pool)),
-    fleetLoads: fleetLoadsOf(view),
+    poolLoads: maxPoolLoads(view, placement, demandLevelOf(ctx.state, placement.pool)),
+    fleetLoads: maxFleetLoads(view),
   };
-  if (order.kind === 'load-model' && !hasRoom(orders.fold, bounds)) {
-    withdrawAbandoned(ctx);
+  if (order.kind === 'load-model' && !isWithinLoadLimits(orders.fold, limits)) {
+    withdrawAbandonedLoads(ctx);
     return;
   }
   const record: OrderRecord = {
@@ -157,7 +164,7 @@
     by: self.id,
     at: ctx.now,
     replaces: outstanding?.number ?? NO_ORDER,
-    ...bounds,
+    ...limits,
   };
   orders.nextOrder += 1;
   orders.progress.set(upstream.id, {
@@ -166,15 +173,15 @@
     order,
     startedAt: ctx.now,
     phase: 'appending',
-    appendId: append(ctx, record),
+    appendId: appendRecord(ctx, record),
     number: NO_ORDER,
     givenAt: ctx.now,
     attempts: 0,
   });
 }
 
-/** Loads that never ended, of instances or upstreams that are gone, must not hold others up. */
-function withdrawAbandoned(ctx: CoreContext): void {
+/** Withdraws loads left by instances or upstreams that are gone, which would block other loads. */
+function withdrawAbandonedLoads(ctx: CoreContext): void {
   const { orders, settings } = ctx.state;
   orders.fold.outstanding.forEach(({ number, upstream }) => {
     const since = orders.foreignSince.get(number) ?? ctx.now;
@@ -187,19 +194,20 @@
 }
 
 /**
- * Another instance's order may be under way. An engine that checks numbers refuses it once a newer
- * one came, so it can be replaced at once; with any other engine it is waited for.
+ * Whether an outstanding order of another instance may still take effect. An engine that checks
+ * order numbers refuses it after a newer order, so it can be replaced soon; any other engine may
+ * still execute it, so the full order timeout has to pass.
  */
 function mayTakeEffect(ctx: CoreContext, upstream: UpstreamConfig, number: number): boolean {
   const { foreignSince } = ctx.state.orders;
   const since = foreignSince.get(number) ?? ctx.now;
   foreignSince.set(number, since);
-  const waitMs = upstream.checksOrders ? GIVE_AGAIN_MS : ctx.state.settings.orderTimeoutMs;
+  const waitMs = upstream.checksOrders ? RESEND_INTERVAL_MS : ctx.state.settings.orderTimeoutMs;
   return ctx.now - since < waitMs;
 }
 
-/** Looks after an order under way. */
-function watch(
+/** Advances an order in progress: finishes it, or sends it again if it has had no effect. */
+function superviseOrder(
   ctx: CoreContext,
   upstream: UpstreamConfig,
   progress: OrderProgress,
@@ -207,20 +215,20 @@
 ): void {
   const { orders, settings } = ctx.state;
   if (progress.phase === 'appending') {
-    // Whether its record counts is known only from reading it.
-    if (ctx.now - progress.startedAt > GIVE_WITHIN_MS) orders.progress.delete(upstream.id);
+    // Whether the record is valid is known only when it is read back.
+    if (ctx.now - progress.startedAt > MAX_DECISION_AGE_MS) orders.progress.delete(upstream.id);
     return;
   }
   if (observed.at > progress.givenAt && hasEffect(progress.order, observed.report)) {
-    end(ctx, progress, 'done');
+    finishOrder(ctx, progress, 'done');
   } else if (ctx.now - progress.startedAt > settings.orderTimeoutMs) {
-    end(ctx, progress, 'failed');
-  } else if (progress.phase === 'observing' && ctx.now - progress.givenAt > GIVE_AGAIN_MS) {
-    give(ctx, upstream, progress);
+    finishOrder(ctx, progress, 'failed');
+  } else if (progress.phase === 'observing' && ctx.now - progress.givenAt > RESEND_INTERVAL_MS) {
+    sendOrder(ctx, upstream, progress);
   }
 }
 
-function give(ctx: CoreContext, upstream: UpstreamConfig, progress: OrderProgress): void {
+function sendOrder(ctx: CoreContext, upstream: UpstreamConfig, progress: OrderProgress): void {
   progress.phase = 'given';
   progress.givenAt = ctx.now;
   progress.attempts += 1;
@@ -235,7 +243,7 @@
   count(ctx, 'orders.given', 1, { kind: order.kind });
 }
 
-/** Takes the engine's answer. What an answer leaves open, the engine's next reports tell. */
+/** Handles the engine's answer. If it is inconclusive, the engine's next reports are decisive. */
 export function onOrderSettled(ctx: CoreContext, event: EventOf<'orderSettled'>): void {
   const { orders } = ctx.state;
   const progress = orders.progress.get(event.upstream);
@@ -247,21 +255,21 @@
       progress.givenAt = ctx.now;
       return;
     case 'stale':
-      // Someone else's newer order stands; the next comparison decides.
-      end(ctx, progress, 'withdrawn');
+      // Another instance has sent a newer order; the next reconciliation decides.
+      finishOrder(ctx, progress, 'withdrawn');
       return;
     default:
-      end(ctx, progress, 'failed');
+      finishOrder(ctx, progress, 'failed');
   }
 }
 
-function end(ctx: CoreContext, progress: OrderProgress, outcome: OrderOutcome): void {
+function finishOrder(ctx: CoreContext, progress: OrderProgress, outcome: OrderOutcome): void {
   const { orders } = ctx.state;
   const { upstream, number, order } = progress;
   orders.progress.delete(upstream);
   if (outcome !== 'done') {
-    const pause = FAILED_PAUSE_MS * Math.max(1, progress.attempts);
-    orders.notBefore.set(upstream, ctx.now + pause * (1 + ctx.state.random.next()));
+    const retryDelayMs = RETRY_DELAY_MS * Math.max(1, progress.attempts);
+    orders.notBefore.set(upstream, ctx.now + retryDelayMs * (1 + ctx.state.random.next()));
   }
   appendSettled(ctx, upstream, number, outcome);
   const detail = `${JSON.stringify(order)} number ${number} ${outcome}`;
@@ -284,10 +292,10 @@
     outcome,
     by: self.id,
   };
-  orders.settling.set(append(ctx, record), upstream);
+  orders.settling.set(appendRecord(ctx, record), upstream);
 }
 
-function append(ctx: CoreContext, record: OrderRecord | SettledRecord): number {
+function appendRecord(ctx: CoreContext, record: OrderRecord | SettledRecord): number {
   const { orders } = ctx.state;
   const appendId = orders.nextAppendId;
   orders.nextAppendId += 1;
@@ -309,9 +317,9 @@
 
 function requestRead(ctx: CoreContext): void {
   const { orders } = ctx.state;
-  const isOutstanding =
+  const isReadPending =
     orders.readSentAt !== undefined && ctx.now - orders.readSentAt < READ_TIMEOUT_MS;
-  if (isOutstanding) return;
+  if (isReadPending) return;
   orders.readSentAt = ctx.now;
   const from = orders.fold.next;
   ctx.emit({ kind: 'readLog', stream: ORDERS_STREAM, from, limit: READ_LIMIT, waitMs: 0 });
@@ -323,14 +331,14 @@
   orders.readSentAt = undefined;
   const { result } = event;
   if (result.kind === 'expired') {
-    // Orders that old have long taken effect or failed; the reports tell.
+    // Expired orders have taken effect or failed long ago, which the reports show.
     orders.fold = createOrdersFold();
     orders.fold.next = result.oldest;
     requestRead(ctx);
   } else if (result.kind === 'records') {
     result.records.forEach((record) => {
-      const judged = foldOrder(orders.fold, record);
-      if (judged !== undefined) onJudged(ctx, judged);
+      const folded = foldOrder(orders.fold, record);
+      if (folded !== undefined) handleFoldedOrder(ctx, folded);
     });
     orders.fold.next = Math.max(orders.fold.next, result.next);
     if (result.records.length === READ_LIMIT) requestRead(ctx);
@@ -338,23 +346,23 @@
   }
 }
 
-/** An order of this instance that counts is given, unless it has become old. */
-function onJudged(ctx: CoreContext, judged: JudgedOrder): void {
+/** Sends an order of this instance whose record is valid, unless the decision is too old. */
+function handleFoldedOrder(ctx: CoreContext, folded: FoldedOrder): void {
   const { orders, configuration } = ctx.state;
-  const { upstream: id } = judged.record;
+  const { upstream: id } = folded.record;
   const progress = orders.progress.get(id);
-  if (progress?.id !== judged.record.id) return;
+  if (progress?.id !== folded.record.id) return;
   const upstream = configuration.view?.upstreams.get(id);
-  const isOld = ctx.now - progress.startedAt > GIVE_WITHIN_MS;
-  if (!judged.isValid || upstream === undefined || isOld || !isOwner(ctx.state, id)) {
+  const isTooOld = ctx.now - progress.startedAt > MAX_DECISION_AGE_MS;
+  if (!folded.isValid || upstream === undefined || isTooOld || !isOwner(ctx.state, id)) {
     orders.progress.delete(id);
     return;
   }
-  progress.number = judged.number;
-  give(ctx, upstream, progress);
+  progress.number = folded.number;
+  sendOrder(ctx, upstream, progress);
 }
 
-/** Returns the orders under way here and all that are outstanding in the fleet. */
+/** Returns this instance's orders in progress and all outstanding orders of the fleet. */
 export function listOrders(ctx: CoreContext): OperatorResult {
   const { orders } = ctx.state;
   const own = [...orders.progress.values()].map((entry) => ({
--- a/src/core/orders/ordersState.ts
+++ b/src/core/orders/ordersState.ts
@@ -1,9 +1,11 @@
-/** State of the orders: the fold of the log, what engines report, and the orders under way here. */
+/**
+ * State of the orders: the log fold, the engines' reports, and this instance's orders in progress.
+ */
 import type { Millis } from '../clock.js';
 import type { EngineOrder, PoolId, UpstreamConfig, UpstreamId, UpstreamReport } from '../types.js';
 import { createOrdersFold, type OrdersFold } from './orderRecords.js';
 
-/** An order that this instance is giving. */
+/** An order in progress at this instance. */
 export interface OrderProgress {
   readonly upstream: UpstreamId;
   readonly id: string;
@@ -16,20 +18,20 @@
   attempts: number;
 }
 
-/** The latest report of an owned upstream. */
+/** The latest report of an upstream that this instance owns. */
 export interface ObservedReport {
   readonly report: UpstreamReport;
   readonly at: Millis;
-  /** When this instance began to observe the upstream. */
+  /** Time of the first report since this instance owns the upstream. */
   readonly since: Millis;
 }
 
-/** How many upstreams of a pool are believed to be needed. */
+/** Estimated number of upstreams that a pool needs. */
 export interface DemandLevel {
   level: number;
-  /** Time since which work has been waiting at each look, or since the last growth. */
+  /** Time since which every update has found waiting work; restarts when the level grows. */
   waitingSince: Millis | undefined;
-  /** Time since which there has been little use at each look, or since the last shrinking. */
+  /** Time since which every update has found little use; restarts when the level shrinks. */
   idleSince: Millis | undefined;
 }
 
@@ -37,16 +39,16 @@
   fold: OrdersFold;
   readonly observed: Map<UpstreamId, ObservedReport>;
   readonly progress: Map<UpstreamId, OrderProgress>;
-  /** Earliest time of the next order to an upstream after a failure. */
+  /** Earliest time of the next order to an upstream after an unsuccessful one. */
   readonly notBefore: Map<UpstreamId, Millis>;
-  /** First time at which the outstanding order of another instance was seen, by its number. */
+  /** Time at which an outstanding order of another instance was first seen, by order number. */
   readonly foreignSince: Map<number, Millis>;
-  /** Appends of settled records that are under way, by append id. */
+  /** Upstreams of pending appends of settled records, by append id. */
   readonly settling: Map<number, UpstreamId>;
   readonly levels: Map<PoolId, DemandLevel>;
-  /** Owned upstreams that need not hold their pool's model at present. */
+  /** Owned upstreams that currently need not hold their pool's model. */
   readonly unneeded: Set<UpstreamId>;
-  /** Owned upstreams as the audit trail last told them. */
+  /** Owned upstreams at the last audit entry. */
   owned: ReadonlySet<UpstreamId>;
   ownedList: readonly UpstreamConfig[];
   readSentAt: Millis | undefined;
--- a/src/core/orders/outdated.ts
+++ b/src/core/orders/outdated.ts
@@ -1,10 +1,10 @@
-/** Upstreams that hold something else than their pool's model and are not going to change that. */
+/** Detection of upstreams that hold another model and are not going to be updated. */
 import type { CoreState } from '../state.js';
 import type { UpstreamConfig } from '../types.js';
 
 /**
- * Whether an owned upstream is not needed by demand and holds another model or version than its
- * placement asks for. It finishes what runs and is given nothing new.
+ * Whether demand does not require an owned upstream and it holds another model or version than its
+ * placement specifies. It finishes running requests but receives no new ones.
  */
 export function isOutdated(state: CoreState, { id, pool }: UpstreamConfig): boolean {
   const { orders, configuration } = state;
--- a/src/core/orders/ownerAudit.ts
+++ b/src/core/orders/ownerAudit.ts
@@ -1,13 +1,13 @@
-/** Tells the audit trail which upstreams this instance came to own and which it gave up. */
+/** Audit entries for upstreams that this instance starts or stops owning. */
 import { audit, type CoreContext } from '../context.js';
 import { ownedUpstreams } from '../ownership/ownership.js';
 import type { UpstreamId } from '../types.js';
 
-/** Names in one entry; the rest is counted. */
-const NAMES_MAX = 20;
+/** Maximum number of ids in an entry; the others are only counted. */
+const MAX_LISTED_UPSTREAMS = 20;
 
-/** Compares the owned upstreams with those of the last call; one entry for all changes. */
-export function auditOwners(ctx: CoreContext): void {
+/** Writes one audit entry for all changes of the owned upstreams since the last call. */
+export function auditOwnership(ctx: CoreContext): void {
   const { orders } = ctx.state;
   const list = ownedUpstreams(ctx.state);
   if (list === orders.ownedList) return;
@@ -17,13 +17,15 @@
   const lost = [...orders.owned].filter((id) => !owned.has(id));
   orders.owned = owned;
   if (gained.length === 0 && lost.length === 0) return;
-  const detail = [describe('gained', gained), describe('lost', lost)].filter(Boolean).join('; ');
+  const detail = [formatChange('gained', gained), formatChange('lost', lost)]
+    .filter(Boolean)
+    .join('; ');
   audit(ctx, 'owner', 'upstreams', detail);
 }
 
-function describe(what: string, ids: readonly UpstreamId[]): string {
+function formatChange(what: string, ids: readonly UpstreamId[]): string {
   if (ids.length === 0) return '';
-  const rest = ids.length - NAMES_MAX;
-  const names = ids.slice(0, NAMES_MAX).join(' ');
-  return `${what} ${names}${rest > 0 ? ` and ${rest} more` : ''}`;
+  const remaining = ids.length - MAX_LISTED_UPSTREAMS;
+  const names = ids.slice(0, MAX_LISTED_UPSTREAMS).join(' ');
+  return `${what} ${names}${remaining > 0 ? ` and ${remaining} more` : ''}`;
 }
--- a/src/core/orders/placement.ts
+++ b/src/core/orders/placement.ts
@@ -1,4 +1,4 @@
-/** What each engine should hold, and the next order that brings it nearer to that. */
+/** Desired state of each engine, and the next order that brings the engine closer to it. */
 import { rendezvousScore } from '../hash.js';
 import type {
   ConfigurationView,
@@ -10,72 +10,72 @@
   UpstreamReport,
 } from '../types.js';
 
-const DEFAULT_FLEET_LOADS = 4;
-/** Keeps `8 * (1 - 0.75)` at 2 whatever the rounding of fractions. */
-const ROUNDING = 1e-9;
+const DEFAULT_MAX_FLEET_LOADS = 4;
+/** Keeps the floor of products such as `8 * (1 - 0.75)` at 2 despite rounding errors. */
+const ROUNDING_TOLERANCE = 1e-9;
 
-/** Returns the placement that applies to an upstream, if it is among those that hold the model. */
+/** Returns the placement that applies to an upstream, if it is one of those to hold the model. */
 export function placementOf(
   view: ConfigurationView,
   upstream: UpstreamConfig,
 ): PlacementConfig | undefined {
   if (view.plannedStops.has(upstream.id)) return undefined;
   const placement = view.placement.find(({ pool }) => pool === upstream.pool);
-  if (placement === undefined || holdsWhole(view, placement)) return placement;
+  if (placement === undefined || coversWholePool(view, placement)) return placement;
   const rank = rankOf(view, placement, upstream.id) ?? Infinity;
   return rank < placement.maxUpstreams ? placement : undefined;
 }
 
 /** Whether all upstreams of a pool may hold its model. */
-function holdsWhole(view: ConfigurationView, placement: PlacementConfig): boolean {
+function coversWholePool(view: ConfigurationView, placement: PlacementConfig): boolean {
   return placement.maxUpstreams >= (view.upstreamsByPool.get(placement.pool)?.length ?? 0);
 }
 
-/** Least and largest number of upstreams of a pool that hold its model. */
-export function boundsOf(
+/** Returns the minimum and maximum number of upstreams of a pool that hold its model. */
+export function placementBounds(
   view: ConfigurationView,
   placement: PlacementConfig,
-): { readonly least: number; readonly most: number } {
+): { readonly min: number; readonly max: number } {
   const all = view.upstreamsByPool.get(placement.pool)?.length ?? 0;
   let stopping = 0;
   for (const id of view.plannedStops.keys()) {
     if (view.upstreams.get(id)?.pool === placement.pool) stopping += 1;
   }
-  const most = Math.min(placement.maxUpstreams, all - stopping);
-  return { least: Math.min(placement.minUpstreams, most), most };
+  const max = Math.min(placement.maxUpstreams, all - stopping);
+  return { min: Math.min(placement.minUpstreams, max), max };
 }
 
-/** Ranks by view: they cost a score for each upstream of the pool. */
+/** Cache of ranks by view and pool; computing them needs a score for each upstream of the pool. */
 const ranks = new WeakMap<ConfigurationView, Map<PoolId, ReadonlyMap<UpstreamId, number>>>();
 
 /**
- * Returns the place of an upstream, from 0, in the order by rendezvous in which a pool's upstreams
- * come to hold its model; `undefined` with a planned stop.
+ * Returns the zero-based rank of an upstream in the rendezvous order in which a pool's upstreams
+ * are chosen to hold its model; `undefined` if the upstream has a planned stop.
  */
 export function rankOf(
   view: ConfigurationView,
   placement: PlacementConfig,
   upstream: UpstreamId,
 ): number | undefined {
-  const ofView = ranks.get(view) ?? new Map<PoolId, ReadonlyMap<UpstreamId, number>>();
-  ranks.set(view, ofView);
-  const known = ofView.get(placement.pool) ?? rankAll(view, placement);
-  ofView.set(placement.pool, known);
-  return known.get(upstream);
+  const poolRanks = ranks.get(view) ?? new Map<PoolId, ReadonlyMap<UpstreamId, number>>();
+  ranks.set(view, poolRanks);
+  const cached = poolRanks.get(placement.pool) ?? rankUpstreams(view, placement);
+  poolRanks.set(placement.pool, cached);
+  return cached.get(upstream);
 }
 
-/** Scores outlive a view: most upstreams are the same in the next one. */
+/** Cache of scores across views: most upstream objects are the same in the next view. */
 const scores = new WeakMap<UpstreamConfig, number>();
 
 function scoreOf(upstream: UpstreamConfig): number {
-  const known = scores.get(upstream);
-  if (known !== undefined) return known;
+  const cached = scores.get(upstream);
+  if (cached !== undefined) return cached;
   const score = rendezvousScore(`placement ${upstream.pool}`, upstream.id);
   scores.set(upstream, score);
   return score;
 }
 
-function rankAll(
+function rankUpstreams(
   view: ConfigurationView,
   placement: PlacementConfig,
 ): ReadonlyMap<UpstreamId, number> {
@@ -86,7 +86,7 @@
   return new Map(candidates.map(({ id }, rank) => [id, rank]));
 }
 
-/** Returns the next order for an engine, or `undefined` if it holds what it should. */
+/** Returns the next order for an engine, or `undefined` if it is in the desired state. */
 export function nextOrder(
   placement: PlacementConfig,
   report: UpstreamReport,
@@ -97,8 +97,8 @@
   }
   const adapter = adapters.find((name) => !report.adapters.includes(name));
   if (adapter !== undefined) return { kind: 'load-adapter', adapter };
-  const isOtherRole = role !== undefined && role !== '' && report.role !== role;
-  return isOtherRole ? { kind: 'set-role', role } : undefined;
+  const needsRoleChange = role !== undefined && role !== '' && report.role !== role;
+  return needsRoleChange ? { kind: 'set-role', role } : undefined;
 }
 
 /** Whether an engine's report shows the effect of an order. */
@@ -114,19 +114,19 @@
 }
 
 /**
- * Model loads of a pool that may be under way at a time, so that its serving share goes on. A pool
- * too small for the share still loads one engine at a time. `holders` is the number of upstreams
- * that are to hold the model; absent for the largest allowed.
+ * Returns the maximum number of concurrent model loads in a pool, so that its `servingShare` keeps
+ * serving. A pool that is too small for the share still loads one engine at a time. `holders` is
+ * the number of upstreams that should hold the model; it defaults to the maximum.
  */
-export function poolLoadsOf(
+export function maxPoolLoads(
   view: ConfigurationView,
   placement: PlacementConfig,
-  holders = boundsOf(view, placement).most,
+  holders = placementBounds(view, placement).max,
 ): number {
   const share = 1 - placement.servingShare;
-  return Math.max(1, Math.floor(holders * share + ROUNDING));
+  return Math.max(1, Math.floor(holders * share + ROUNDING_TOLERANCE));
 }
 
-export function fleetLoadsOf(view: ConfigurationView): number {
-  return view.concurrentLoads ?? DEFAULT_FLEET_LOADS;
+export function maxFleetLoads(view: ConfigurationView): number {
+  return view.concurrentLoads ?? DEFAULT_MAX_FLEET_LOADS;
 }
--- a/test/orders/demandLevels.test.ts
+++ b/test/orders/demandLevels.test.ts
@@ -10,8 +10,8 @@
 
 const UPSTREAMS = 8;
 const SLOTS = 2;
-const LEAST = 2;
-const MOST = 6;
+const MIN_UPSTREAMS = 2;
+const MAX_UPSTREAMS = 6;
 const TOKENS_PER_SECOND = 100;
 const SETTINGS = { ordersTickMs: 500, placementGrowMs: 2_000, placementShrinkMs: 5_000 };
 const IDLE_MS = 60_000;
@@ -24,8 +24,8 @@
   model: 'm',
   version: '1',
   adapters: [],
-  minUpstreams: LEAST,
-  maxUpstreams: MOST,
+  minUpstreams: MIN_UPSTREAMS,
+  maxUpstreams: MAX_UPSTREAMS,
   servingShare: 0.75,
 };
 
@@ -36,7 +36,7 @@
 
 const rankIn = (id: UpstreamId) => rankOf(view, PLACEMENT, id) ?? Infinity;
 
-/** The upstreams of the pool that the instances together keep loaded. */
+/** Returns the upstreams of the pool that no instance considers unneeded. */
 function needed(network: FakeNetwork): readonly UpstreamId[] {
   const unneeded = new Set<UpstreamId>();
   network.nodes.forEach(({ core }) => {
@@ -55,15 +55,15 @@
   });
 }
 
-/** Runs on and returns the numbers of needed upstreams that were seen. */
-function watch(network: FakeNetwork, ms: number, each: () => void = () => undefined) {
-  const seen: number[] = [];
+/** Runs the network for `ms` and returns the number of needed upstreams at each sample. */
+function sampleNeeded(network: FakeNetwork, ms: number, each: () => void = () => undefined) {
+  const neededCounts: number[] = [];
   for (const until = network.now() + ms; network.now() < until;) {
     each();
     network.runUntil(network.now() + SAMPLE_MS);
-    seen.push(needed(network).length);
+    neededCounts.push(needed(network).length);
   }
-  return seen;
+  return neededCounts;
 }
 
 function submit(network: FakeNetwork, count: number, tokens: number) {
@@ -73,8 +73,8 @@
   );
 }
 
-/** Keeps more work waiting than all upstreams have slots. */
-function flood(network: FakeNetwork): void {
+/** Keeps twice as many requests waiting as all upstreams have slots. */
+function overload(network: FakeNetwork): void {
   const missing = 2 * UPSTREAMS * SLOTS - (network.waiting.get(1)?.size ?? 0);
   submit(network, Math.max(0, missing), TOKENS_PER_SECOND);
 }
@@ -85,27 +85,27 @@
   it('shrinks to the least when idle, grows to the most in a flood and stays within', () => {
     const network = createPool(1);
     network.runUntil(SAMPLE_MS * 4);
-    expect(needed(network)).to.have.length(MOST);
-    const idle = watch(network, IDLE_MS);
-    expect(last(idle)).to.equal(LEAST);
-    const kept = needed(network);
-    const flooded = watch(network, 30_000, () => flood(network));
-    expect(last(flooded)).to.equal(MOST);
-    expect(needed(network)).to.include.members([...kept]);
-    const after = watch(network, 2 * IDLE_MS);
-    expect(last(after)).to.equal(LEAST);
-    [...idle, ...flooded, ...after].forEach((size) => {
-      expect(size).to.be.within(LEAST, MOST);
+    expect(needed(network)).to.have.length(MAX_UPSTREAMS);
+    const idle = sampleNeeded(network, IDLE_MS);
+    expect(last(idle)).to.equal(MIN_UPSTREAMS);
+    const neededWhenIdle = needed(network);
+    const overloaded = sampleNeeded(network, 30_000, () => overload(network));
+    expect(last(overloaded)).to.equal(MAX_UPSTREAMS);
+    expect(needed(network)).to.include.members([...neededWhenIdle]);
+    const after = sampleNeeded(network, 2 * IDLE_MS);
+    expect(last(after)).to.equal(MIN_UPSTREAMS);
+    [...idle, ...overloaded, ...after].forEach((size) => {
+      expect(size).to.be.within(MIN_UPSTREAMS, MAX_UPSTREAMS);
     });
   });
 
   it('settles with steady load', () => {
     const network = createPool(2);
-    watch(network, IDLE_MS);
-    // Each sample brings work for five slots.
+    sampleNeeded(network, IDLE_MS);
+    // Each sample period adds enough work to occupy five slots.
     const load = () => submit(network, 5, (TOKENS_PER_SECOND * SAMPLE_MS) / 1_000);
-    watch(network, 2 * IDLE_MS, load);
-    const steady = watch(network, 2 * IDLE_MS, load);
+    sampleNeeded(network, 2 * IDLE_MS, load);
+    const steady = sampleNeeded(network, 2 * IDLE_MS, load);
     expect(new Set(steady).size).to.equal(1);
     expect(steady[0]).to.be.at.least(Math.ceil(5 / SLOTS));
   });
@@ -116,7 +116,7 @@
     const seconds = 100;
     const jobs = submit(network, 2, seconds * TOKENS_PER_SECOND);
     network.runUntil(network.now() + IDLE_MS);
-    expect(needed(network).length).to.be.below(MOST);
+    expect(needed(network).length).to.be.below(MAX_UPSTREAMS);
     expect(jobs.map(({ outcome }) => outcome)).to.deep.equal([undefined, undefined]);
     network.runUntil(network.now() + IDLE_MS);
     jobs.forEach(({ outcome, submittedAt, endedAt }) => {
@@ -126,10 +126,10 @@
   });
 
   it('gives nothing new to an upstream that is not needed and holds something else', () => {
-    // The upstreams of the fake network report no model.
+    // The upstreams of the fake network report no model, so they count as holding another one.
     const network = createPool(4);
-    watch(network, IDLE_MS);
-    const jobs = submit(network, MOST * SLOTS, 10 * TOKENS_PER_SECOND);
+    sampleNeeded(network, IDLE_MS);
+    const jobs = submit(network, MAX_UPSTREAMS * SLOTS, 10 * TOKENS_PER_SECOND);
     network.runUntil(network.now() + 1_000);
     const busy = ids.filter((id) => network.runningOn(id) > 0);
     expect(busy).to.have.members([...needed(network)]);
@@ -152,7 +152,7 @@
         /upstreams:\n.*\n/,
         `upstreams:\n${upstreams.join('\n')}\n`,
       );
-      const bounds = `minUpstreams: ${LEAST}, maxUpstreams: ${MOST}`;
+      const bounds = `minUpstreams: ${MIN_UPSTREAMS}, maxUpstreams: ${MAX_UPSTREAMS}`;
       const text = `${base}placement:\n  chat: { model: m, version: '${version}', ${bounds}, servingShare: 0 }\n`;
       const edit = { editId: `v${version}`, section: 'document', baseVersion: version - 2, text };
       const command = { kind: 'publish', ...edit, author: 'op', keyHash: PLATFORM_HASH } as const;
@@ -164,16 +164,16 @@
     publish(1);
     fleet.run(2 * IDLE_MS);
     const held = holding('1');
-    expect(held).to.have.length(MOST);
+    expect(held).to.have.length(MAX_UPSTREAMS);
     publish(2);
     fleet.run(IDLE_MS);
-    expect(holding('2')).to.have.length(LEAST);
+    expect(holding('2')).to.have.length(MIN_UPSTREAMS);
     expect(held).to.include.members(holding('2'));
   });
 
   it('keeps those that hold the model before those that come first by rank', () => {
     const ranked = [...ids].sort((a, b) => rankIn(a) - rankIn(b));
-    const holders = ranked.slice(MOST - LEAST, MOST);
+    const holders = ranked.slice(MAX_UPSTREAMS - MIN_UPSTREAMS, MAX_UPSTREAMS);
     const self = { id: 'a', incarnation: 1, address: 'a:1', domain: 'd1', region: 'r1' };
     const core = createCore({ self, seed: 1, settings: SETTINGS, initialConfiguration: view });
     core.reduce({ kind: 'start' }, 0);
--- a/test/orders/orders.test.ts
+++ b/test/orders/orders.test.ts
@@ -17,7 +17,7 @@
 
 const ENGINES = 8;
 const SERVING_SHARE = 0.75;
-const LOADS_MAX = ENGINES * (1 - SERVING_SHARE);
+const MAX_LOADS = ENGINES * (1 - SERVING_SHARE);
 
 const ids = Array.from({ length: ENGINES }, (_, i) => `e${i}`);
 
@@ -51,7 +51,7 @@
   );
 }
 
-function createScene(seed: number, lostOrderReplies = 0) {
+function createScenario(seed: number, lostOrderReplies = 0) {
   const engines = createFakeEngines({
     ids,
     checks: (id) => Number(id.slice(1)) % 2 === 0,
@@ -72,14 +72,14 @@
 
 function runUntilHeld(fleet: FakeFleet, engines: FakeEngines, version: string, ms: number) {
   return fleet.runUntil(() => {
-    expect(engines.loadingCount(fleet.now())).to.be.at.most(LOADS_MAX);
+    expect(engines.loadingCount(fleet.now())).to.be.at.most(MAX_LOADS);
     return allHold(engines, version);
   }, ms);
 }
 
 describe('orders to engines', () => {
   it('bring every engine to its placement while the serving share goes on', () => {
-    const { engines, fleet } = createScene(1);
+    const { engines, fleet } = createScenario(1);
     expect(runUntilHeld(fleet, engines, '1', 120_000)).to.not.equal(undefined);
     engines.engines.forEach((engine) => expect(engine.loads).to.equal(1));
     publish(fleet, 'second', 0, documentWith('2'));
@@ -96,7 +96,7 @@
         fc.integer({ min: 1, max: 1_000 }),
         fc.array(fc.nat(3), { maxLength: 4 }),
         (seed, restarts) => {
-          const { engines, fleet } = createScene(seed, 0.5);
+          const { engines, fleet } = createScenario(seed, 0.5);
           for (const index of restarts) {
             fleet.run(3_000);
             const instance = fleet.instances[index] as FakeInstance;
@@ -104,7 +104,7 @@
             fleet.run(500);
             fleet.start(instance);
           }
-          // The document is accepted by now; only the orders meet the outage.
+          // The document has been accepted by now, so the outage affects only the orders.
           fleet.run(3_000);
           fleet.log.isDown = true;
           fleet.run(2_000);
@@ -117,7 +117,7 @@
   });
 
   it('corrects an engine that took a late order of a paused owner', () => {
-    const { engines, fleet } = createScene(2);
+    const { engines, fleet } = createScenario(2);
     expect(runUntilHeld(fleet, engines, '1', 120_000)).to.not.equal(undefined);
     const late = { kind: 'load-model', model: 'm', version: '0' } as const;
     expect(engines.giveOrder('e0', 0, late, fleet.now())).to.equal('stale');
@@ -142,8 +142,8 @@
     },
   ];
 
-  /** Orders that are given if the record is read back `pauseMs` after it was appended. */
-  function givenAfter(pauseMs: number): number {
+  /** Returns how many orders are sent if the record is read back `pauseMs` after its append. */
+  function ordersGivenAfter(pauseMs: number): number {
     const initialConfiguration = { ...createTestView(), placement };
     const core = createCore({ self, seed: 1, initialConfiguration });
     core.reduce({ kind: 'start' }, 0);
@@ -169,8 +169,8 @@
   }
 
   it('gives it in time, and not any more when it is old', () => {
-    expect(givenAfter(10)).to.equal(1);
-    expect(givenAfter(60_000)).to.equal(0);
+    expect(ordersGivenAfter(10)).to.equal(1);
+    expect(ordersGivenAfter(60_000)).to.equal(0);
   });
 });
 
@@ -195,8 +195,8 @@
         const fold = createOrdersFold();
         records.forEach((record, offset) => {
           const before = fold.outstanding.get(record.upstream)?.number ?? -1;
-          const judged = foldOrder(fold, { offset, data: JSON.stringify(record) });
-          if (judged?.isValid === true) expect(record.replaces).to.equal(before);
+          const folded = foldOrder(fold, { offset, data: JSON.stringify(record) });
+          if (folded?.isValid === true) expect(record.replaces).to.equal(before);
           const outstanding = [...fold.outstanding.values()];
           expect(outstanding.length).to.be.at.most(2);
           expect(new Set(outstanding.map(({ pool }) => pool)).size).to.equal(outstanding.length);
--- a/test/orders/placement.test.ts
+++ b/test/orders/placement.test.ts
@@ -1,7 +1,12 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import type { PlacementConfig, UpstreamReport } from '../../src/core/types.js';
-import { hasEffect, nextOrder, placementOf, poolLoadsOf } from '../../src/core/orders/placement.js';
+import {
+  hasEffect,
+  nextOrder,
+  placementOf,
+  maxPoolLoads,
+} from '../../src/core/orders/placement.js';
 import { createTestView } from '../support/configuration.js';
 
 const PLACEMENT: PlacementConfig = {
@@ -74,7 +79,7 @@
         fc.integer({ min: 0, max: 100 }),
         (size, percent) => {
           const view = viewOf(size, size);
-          const loads = poolLoadsOf(view, {
+          const loads = maxPoolLoads(view, {
             ...PLACEMENT,
             maxUpstreams: size,
             servingShare: percent / 100,
