Reword the quarantine of crashing requests

The comments described gossip as news that instances "tell", "ask for" and "learn", a permit as "leave to run", and a crash as something that one "did". Names such as `probe`, `forget`, `encode`, `advance`, `keepInformed` and `RUN_MS` said too little. The code now uses: suspect, suspicion, broadcast, gossip, catch-up, permit, threshold, TTL.

Notable renames: keepInformed -> syncSuspicions, noteCaughtUp -> finishCatchUp, catchUpTick -> nextTickDelay, noteCrashes -> enforceQuarantine, CUTS_OF_A_CRASH -> CRASH_CUT_THRESHOLD, QUARANTINE_CRASHES -> QUARANTINE_CRASH_THRESHOLD, suspectOf -> getOrCreateSuspect. Audit texts, log events and members of the core's state keep their names.

--- a/src/core/quarantine/permits.ts
+++ b/src/core/quarantine/permits.ts
@@ -1,24 +1,25 @@
 /**
- * Permits: at most one instance of the fleet runs a suspect at a time. An instance announces that it
- * is about to run a suspect and waits a little; of instances that announce the same suspect, one that
- * already runs it comes first, then the one with the least id.
+ * Permits ensure that at most one instance of the fleet runs a suspect at a time. An instance
+ * announces that it intends to run a suspect and waits for `suspectSettleMs`. If several instances
+ * announce the same suspect, one that already runs it takes precedence, then the one with the
+ * lowest id.
  */
 import type { CoreContext } from '../context.js';
 import { noteChange } from '../dispatch/queues.js';
 import type { ActiveRequest, InstanceId, UpstreamId } from '../types.js';
 import { ANY_UPSTREAM, type Fingerprint, type Suspect } from './quarantineState.js';
-import { QUARANTINE_CRASHES } from './suspects.js';
+import { QUARANTINE_CRASH_THRESHOLD } from './suspects.js';
 import { announceSuspect } from './suspicions.js';
 
-/** Asks for permits for queued suspects, and makes ready those that nobody contests. */
+/** Requests permits for queued suspects, and marks uncontested permits as ready. */
 export function advancePermits(ctx: CoreContext): void {
   const { quarantine, requests } = ctx.state;
   if (quarantine.suspects.size === 0) return;
-  requests.active.forEach((request) => askForPermit(ctx, request));
-  quarantine.suspects.forEach((suspect, fingerprint) => advance(ctx, fingerprint, suspect));
+  requests.active.forEach((request) => requestPermit(ctx, request));
+  quarantine.suspects.forEach((suspect, fingerprint) => advancePermit(ctx, fingerprint, suspect));
 }
 
-/** Tells the others on which upstream a suspect runs. */
+/** Records the upstream on which a suspect runs, and announces it to the other members. */
 export function notePermitUsed(
   ctx: CoreContext,
   fingerprint: Fingerprint,
@@ -30,31 +31,31 @@
   announceSuspect(ctx, fingerprint);
 }
 
-/** Gives up the permit of a request that has stopped to run. */
-export function dropPermit(ctx: CoreContext, fingerprint: Fingerprint, requestId: string): void {
+/** Releases the permit of a request that no longer runs. */
+export function releasePermit(ctx: CoreContext, fingerprint: Fingerprint, requestId: string): void {
   const suspect = ctx.state.quarantine.suspects.get(fingerprint);
   if (suspect?.permit?.requestId !== requestId) return;
   suspect.permit = undefined;
   announceSuspect(ctx, fingerprint);
 }
 
-function askForPermit(ctx: CoreContext, request: ActiveRequest): void {
+function requestPermit(ctx: CoreContext, request: ActiveRequest): void {
   if (request.state !== 'waiting' && request.state !== 'retrying') return;
   const { fingerprint, requestId } = request.facts;
   const suspect = ctx.state.quarantine.suspects.get(fingerprint);
   if (suspect === undefined || suspect.permit !== undefined) return;
-  if (suspect.crashes >= QUARANTINE_CRASHES || suspect.runs.size > 0) return;
+  if (suspect.crashes >= QUARANTINE_CRASH_THRESHOLD || suspect.runs.size > 0) return;
   const readyAt = ctx.now + ctx.state.settings.suspectSettleMs;
   suspect.permit = { requestId, readyAt, isReady: false, upstream: ANY_UPSTREAM };
   announceSuspect(ctx, fingerprint);
 }
 
-function advance(ctx: CoreContext, fingerprint: Fingerprint, suspect: Suspect): void {
+function advancePermit(ctx: CoreContext, fingerprint: Fingerprint, suspect: Suspect): void {
   const { permit } = suspect;
   if (permit === undefined) return;
   const request = ctx.state.requests.active.get(permit.requestId);
   if (request === undefined || isContested(ctx.state.self.id, suspect)) {
-    dropPermit(ctx, fingerprint, permit.requestId);
+    releasePermit(ctx, fingerprint, permit.requestId);
     return;
   }
   if (!permit.isReady && permit.readyAt <= ctx.now) {
--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -1,12 +1,12 @@
 /**
  * Quarantine of requests that crash the upstreams that run them.
  *
- * A crash is inferred when a connection breaks and the upstream then refuses connections, does not
- * report or reports a new start; at an upstream without reports, when several break at once. Every request that
- * ran there becomes a suspect, since nobody can tell which one did it. A suspect runs again only as
- * the one suspect of an upstream, at one instance of the fleet at a time; if it finishes, it is
- * cleared, and if the upstream crashes again, it is quarantined everywhere until the quarantine
- * expires or an operator lifts it.
+ * A crash is inferred when a connection breaks and the upstream then refuses connections, stops
+ * reporting or reports a new epoch; for an upstream without reports, when several connections break
+ * within a short time. Every request that ran there becomes a suspect, because the one that caused
+ * the crash is unknown. A suspect is retried only where no other suspect runs, and by one instance
+ * of the fleet at a time. If it finishes, it is cleared; if the upstream crashes again, the request
+ * is quarantined fleet-wide until the quarantine expires or an operator lifts it.
  */
 import { cancelAttempt } from '../attempts/cancel.js';
 import type { AttemptRecord } from '../attempts/attemptsState.js';
@@ -22,38 +22,38 @@
   UpstreamId,
   UpstreamReport,
 } from '../types.js';
-import { advancePermits, dropPermit } from './permits.js';
+import { advancePermits, releasePermit } from './permits.js';
 import type { AttemptFailure, Crash, Fingerprint } from './quarantineState.js';
-import { catchUpTick, keepInformed, noteCaughtUp, startCatchUp } from './catchUp.js';
-import { isQuarantined, QUARANTINE_CRASHES } from './suspects.js';
+import { nextTickDelay, syncSuspicions, finishCatchUp, startCatchUp } from './catchUp.js';
+import { isQuarantined, QUARANTINE_CRASH_THRESHOLD } from './suspects.js';
 import {
   announceSuspect,
   clearSuspect,
   expireSuspicions,
   liftSuspect,
   mergeSuspicion,
-  sendAll,
-  suspectOf,
+  sendAllSuspicions,
+  getOrCreateSuspect,
 } from './suspicions.js';
 
 const UNPROCESSABLE = 422;
-/** Broken connections to one upstream, close in time, that are taken for its crash. */
-const CUTS_OF_A_CRASH = 2;
+/** Distinct requests whose connections to an upstream break close in time, as sign of a crash. */
+const CRASH_CUT_THRESHOLD = 2;
 
 export function startQuarantine(ctx: CoreContext): void {
   ctx.state.quarantine.lastGossipAt = ctx.now;
   startCatchUp(ctx);
-  setTimer(ctx, 'quarantine', catchUpTick(ctx));
+  setTimer(ctx, 'quarantine', nextTickDelay(ctx));
 }
 
 export function onQuarantineTimer(ctx: CoreContext): void {
-  keepInformed(ctx);
+  syncSuspicions(ctx);
   expireSuspicions(ctx);
   advancePermits(ctx);
-  setTimer(ctx, 'quarantine', catchUpTick(ctx));
+  setTimer(ctx, 'quarantine', nextTickDelay(ctx));
 }
 
-/** Refuses a request that is in quarantine; true if it did. */
+/** Ends a request that is in quarantine, and returns whether it did. */
 export function refuseQuarantined(ctx: CoreContext, facts: RequestFacts): boolean {
   const request = ctx.state.requests.active.get(facts.requestId);
   if (request === undefined || !isQuarantined(ctx.state, facts.fingerprint)) return false;
@@ -61,7 +61,7 @@
   return true;
 }
 
-/** Learns from the end of an attempt. May end the attempt's request. */
+/** Updates suspicions from the outcome of an attempt. May end the attempt's request. */
 export function noteAttemptOutcome(
   ctx: CoreContext,
   attempt: AttemptRecord,
@@ -72,12 +72,12 @@
       clearSuspect(ctx, attempt.fingerprint);
       return;
     case 'cut':
-      noteFailure(ctx, attempt, true);
-      probe(ctx, attempt.grant.upstream);
+      recordFailure(ctx, attempt, true);
+      probeUpstream(ctx, attempt.grant.upstream);
       break;
     case 'upstreamError':
     case 'silent':
-      noteFailure(ctx, attempt, false);
+      recordFailure(ctx, attempt, false);
       break;
     case 'notSent':
       confirmCrash(ctx, attempt.grant.upstream);
@@ -85,10 +85,10 @@
     default:
       break;
   }
-  dropPermit(ctx, attempt.fingerprint, attempt.requestId);
+  releasePermit(ctx, attempt.fingerprint, attempt.requestId);
 }
 
-/** Learns from a report, or from its absence. */
+/** Infers a crash from an upstream's report or from a missing one. */
 export function noteReport(
   ctx: CoreContext,
   upstream: UpstreamId,
@@ -96,9 +96,9 @@
 ): void {
   const { epochs } = ctx.state.quarantine;
   const known = epochs.get(upstream);
-  const isNewStart = report !== undefined && known !== undefined && known !== report.epoch;
+  const hasRestarted = report !== undefined && known !== undefined && known !== report.epoch;
   if (report !== undefined) epochs.set(upstream, report.epoch);
-  if (report === undefined || isNewStart) confirmCrash(ctx, upstream);
+  if (report === undefined || hasRestarted) confirmCrash(ctx, upstream);
 }
 
 export function onSuspicions(
@@ -106,41 +106,41 @@
   from: InstanceId,
   message: PeerMessageOf<'suspicions'>,
 ): void {
-  if (message.wantsAll) sendAll(ctx, from);
-  else noteCaughtUp(ctx);
+  if (message.wantsAll) sendAllSuspicions(ctx, from);
+  else finishCatchUp(ctx);
   for (const entry of message.entries) {
-    if (mergeSuspicion(ctx, from, entry)) noteCrashes(ctx, entry.fingerprint);
+    if (mergeSuspicion(ctx, from, entry)) enforceQuarantine(ctx, entry.fingerprint);
   }
 }
 
-/** Lifts the quarantine of a request; false if it is in none. */
+/** Lifts the suspicion or quarantine of a fingerprint; returns false if there is none. */
 export function liftQuarantine(ctx: CoreContext, fingerprint: Fingerprint): boolean {
   return liftSuspect(ctx, fingerprint);
 }
 
-function noteFailure(ctx: CoreContext, attempt: AttemptRecord, isCut: boolean): void {
+function recordFailure(ctx: CoreContext, attempt: AttemptRecord, isCut: boolean): void {
   const { upstream } = attempt.grant;
   const { attemptId, fingerprint } = attempt;
   const failures = recentFailures(ctx, upstream);
   failures.push({ attemptId, fingerprint, at: ctx.now, isCut });
   ctx.state.quarantine.failures.set(upstream, failures);
   const cuts = new Set(failures.filter((failure) => failure.isCut).map((f) => f.fingerprint));
-  const isEnough = cuts.size >= CUTS_OF_A_CRASH && !canProbe(ctx, upstream);
-  if (isEnough || recentCrash(ctx, upstream) !== undefined) confirmCrash(ctx, upstream);
+  const isInferredCrash = cuts.size >= CRASH_CUT_THRESHOLD && !supportsReports(ctx, upstream);
+  if (isInferredCrash || recentCrash(ctx, upstream) !== undefined) confirmCrash(ctx, upstream);
 }
 
-function canProbe(ctx: CoreContext, upstream: UpstreamId): boolean {
+function supportsReports(ctx: CoreContext, upstream: UpstreamId): boolean {
   return ctx.state.configuration.view?.upstreams.get(upstream)?.reportsLoad ?? false;
 }
 
-/** Looks whether an upstream still answers. */
-function probe(ctx: CoreContext, id: UpstreamId): void {
+/** Polls an upstream to find out whether it still answers. */
+function probeUpstream(ctx: CoreContext, id: UpstreamId): void {
   const upstream = ctx.state.configuration.view?.upstreams.get(id);
-  if (upstream === undefined || !canProbe(ctx, id)) return;
+  if (upstream === undefined || !supportsReports(ctx, id)) return;
   ctx.emit({ kind: 'pollUpstream', upstream: id, url: upstream.url, cacheAfter: 0 });
 }
 
-/** Counts a crash against the requests whose attempts failed shortly before. */
+/** Counts a crash of an upstream against the requests whose attempts failed there recently. */
 function confirmCrash(ctx: CoreContext, upstream: UpstreamId): void {
   const failures = recentFailures(ctx, upstream);
   if (failures.length === 0) return;
@@ -154,18 +154,18 @@
   if (crash.fingerprints.has(fingerprint)) return;
   crash.fingerprints.add(fingerprint);
   const { settings } = ctx.state;
-  const suspect = suspectOf(ctx, fingerprint);
+  const suspect = getOrCreateSuspect(ctx, fingerprint);
   suspect.crashes += 1;
-  const isQuarantine = suspect.crashes >= QUARANTINE_CRASHES;
-  const keptMs = isQuarantine ? settings.quarantineMs : settings.suspicionMs;
-  suspect.expiresAt = Math.max(suspect.expiresAt, ctx.now + keptMs);
+  const isQuarantine = suspect.crashes >= QUARANTINE_CRASH_THRESHOLD;
+  const retentionMs = isQuarantine ? settings.quarantineMs : settings.suspicionMs;
+  suspect.expiresAt = Math.max(suspect.expiresAt, ctx.now + retentionMs);
   logLine(ctx, 'warn', 'quarantine', 'suspected', { fingerprint, crashes: suspect.crashes });
   announceSuspect(ctx, fingerprint);
-  noteCrashes(ctx, fingerprint);
+  enforceQuarantine(ctx, fingerprint);
 }
 
-/** Ends the requests of a fingerprint once it is in quarantine. */
-function noteCrashes(ctx: CoreContext, fingerprint: Fingerprint): void {
+/** Ends the active requests of a fingerprint if it is in quarantine. */
+function enforceQuarantine(ctx: CoreContext, fingerprint: Fingerprint): void {
   if (!isQuarantined(ctx.state, fingerprint)) return;
   audit(ctx, 'quarantine', fingerprint, 'crashed upstreams twice');
   ctx.state.requests.active.forEach((request) => {
--- a/src/core/quarantine/quarantineState.ts
+++ b/src/core/quarantine/quarantineState.ts
@@ -1,31 +1,32 @@
-/** State of quarantine: suspects, and the failures from which crashes are inferred. */
+/** State of the quarantine: suspects, and the failures from which crashes are inferred. */
 import type { Millis } from '../clock.js';
 import type { AttemptId, InstanceId, RequestId, UpstreamId } from '../types.js';
 
 /** Fingerprint of a request; see `RequestFacts.fingerprint`. */
 export type Fingerprint = string;
 
-/** Stands for an upstream while a suspect is announced but not yet dispatched. */
+/** Placeholder for the upstream of a suspect that is announced but not dispatched yet. */
 export const ANY_UPSTREAM = '*';
 
-/** A run of a suspect at some instance, announced or under way. */
+/** A run of a suspect by another instance, announced or in progress. */
 export interface SuspectRun {
   readonly upstream: UpstreamId;
-  /** Time at which the run is forgotten unless it is announced again. */
+  /** Time at which the run expires unless it is announced again. */
   readonly until: Millis;
 }
 
-/** This instance's leave to run a suspect. */
+/** Permit of this instance to run a suspect. */
 export interface SuspectPermit {
   readonly requestId: RequestId;
-  /** Time from which the suspect may be dispatched. */
+  /** Earliest time at which the permit becomes ready. */
   readonly readyAt: Millis;
   isReady: boolean;
   upstream: UpstreamId;
 }
 
+/** A request that ran on an upstream when it crashed. */
 export interface Suspect {
-  /** Number of crashes at which the request ran; two put it in quarantine. */
+  /** Number of crashes counted against the request; two put it in quarantine. */
   crashes: number;
   expiresAt: Millis;
   permit: SuspectPermit | undefined;
@@ -38,7 +39,7 @@
   readonly attemptId: AttemptId;
   readonly fingerprint: Fingerprint;
   readonly at: Millis;
-  /** Whether the connection broke, which is what a crash does. */
+  /** Whether the connection broke, as it does in a crash. */
   readonly isCut: boolean;
 }
 
@@ -48,22 +49,22 @@
   readonly fingerprints: Set<Fingerprint>;
 }
 
-/** `due`: no other instance is known yet. `asking`: runs nothing until one of them has answered. */
+/** `due`: no other member is known yet. `asking`: no request runs until a member has answered. */
 export type CatchUp = 'due' | 'asking' | 'done';
 
 export interface QuarantineState {
   readonly suspects: Map<Fingerprint, Suspect>;
-  /** Expiry of suspicions that were cleared or lifted; older news of them counts for nothing. */
+  /** Expiry of cleared or lifted suspicions; messages with no later expiry are ignored. */
   readonly cleared: Map<Fingerprint, Millis>;
   readonly failures: Map<UpstreamId, AttemptFailure[]>;
   readonly crashes: Map<UpstreamId, Crash>;
   readonly epochs: Map<UpstreamId, string>;
   lastGossipAt: Millis;
-  /** Members that know what this instance knows, by incarnation. */
+  /** Members that have been sent all suspicions, with their incarnation. */
   readonly informed: Map<InstanceId, number>;
-  /** How far this instance has come in learning what the others know. */
+  /** Progress of fetching the suspicions of other members. */
   catchUp: CatchUp;
-  /** Time from which it runs requests although nobody has answered. */
+  /** Time at which the catch-up ends even without an answer. */
   catchUpUntil: Millis;
   lastTickAt: Millis;
 }
--- a/src/core/quarantine/suspects.ts
+++ b/src/core/quarantine/suspects.ts
@@ -1,35 +1,37 @@
-/** Lookups of suspects: what may run where. */
+/** Queries about suspects: which requests may run, and on which upstreams. */
 import type { CoreState } from '../state.js';
 import type { RequestFacts, UpstreamId } from '../types.js';
 import type { Fingerprint, Suspect } from './quarantineState.js';
 
-/** Number of crashes that puts a request in quarantine. */
-export const QUARANTINE_CRASHES = 2;
+/** Number of crashes after which a request is quarantined. */
+export const QUARANTINE_CRASH_THRESHOLD = 2;
 
 export function isSuspect(state: CoreState, fingerprint: Fingerprint): boolean {
   return state.quarantine.suspects.has(fingerprint);
 }
 
 export function isQuarantined(state: CoreState, fingerprint: Fingerprint): boolean {
-  return (state.quarantine.suspects.get(fingerprint)?.crashes ?? 0) >= QUARANTINE_CRASHES;
+  return (state.quarantine.suspects.get(fingerprint)?.crashes ?? 0) >= QUARANTINE_CRASH_THRESHOLD;
 }
 
-/** Whether a request may run at all now: it is no suspect, or this instance may run the suspect. */
+/**
+ * Whether a request may run now: it is not a suspect, or this instance has a ready permit for it.
+ */
 export function mayRun(state: CoreState, facts: RequestFacts): boolean {
   if (state.quarantine.catchUp === 'asking') return false;
   const suspect = state.quarantine.suspects.get(facts.fingerprint);
   if (suspect === undefined) return true;
-  if (suspect.crashes >= QUARANTINE_CRASHES) return false;
+  if (suspect.crashes >= QUARANTINE_CRASH_THRESHOLD) return false;
   return suspect.permit?.requestId === facts.requestId && suspect.permit.isReady;
 }
 
-/** Whether a request may run on an upstream: a suspect only where no other suspect runs. */
+/** Whether a request may run on an upstream. A suspect may run only where no other suspect runs. */
 export function mayRunOn(state: CoreState, facts: RequestFacts, upstream: UpstreamId): boolean {
   if (!mayRun(state, facts)) return false;
-  return !isSuspect(state, facts.fingerprint) || !hasSuspect(state, upstream);
+  return !isSuspect(state, facts.fingerprint) || !isRunningSuspect(state, upstream);
 }
 
-function hasSuspect(state: CoreState, upstream: UpstreamId): boolean {
+function isRunningSuspect(state: CoreState, upstream: UpstreamId): boolean {
   for (const suspect of state.quarantine.suspects.values()) {
     if (runsOn(suspect, upstream)) return true;
   }
--- a/src/core/quarantine/suspicions.ts
+++ b/src/core/quarantine/suspicions.ts
@@ -1,24 +1,25 @@
 /**
- * What instances tell each other of suspects. News go to all members at once, since they are rare;
- * for those who missed them, each instance now and then tells two others all that it knows.
+ * Exchange of suspicions between instances. Changes are rare and are broadcast to all members. To
+ * reach members that missed a message, each instance periodically sends all its suspicions to two
+ * random members.
  */
 import { logLine, sendTo, type CoreContext } from '../context.js';
 import { forEachOther } from '../membership/membership.js';
 import type { InstanceId, PeerMessageOf } from '../types.js';
 import type { Fingerprint, Suspect, SuspectRun } from './quarantineState.js';
-import { QUARANTINE_CRASHES } from './suspects.js';
+import { QUARANTINE_CRASH_THRESHOLD } from './suspects.js';
 
 type Suspicion = PeerMessageOf<'suspicions'>['entries'][number];
 
-const GOSSIP_MS = 5_000;
+const GOSSIP_INTERVAL_MS = 5_000;
 const GOSSIP_FANOUT = 2;
-/** Slack for the travel time of a message when expiries are compared. */
+/** Tolerance for message latency when expiry times are compared. */
 const EXPIRY_SLACK_MS = 1_000;
-/** Time for which an announced run counts unless it is announced again. */
-const RUN_MS = 2_000;
+/** Time after which an announced run expires unless it is announced again. */
+const RUN_TTL_MS = 2_000;
 
-/** Returns a suspect, creating it if need be. */
-export function suspectOf(ctx: CoreContext, fingerprint: Fingerprint): Suspect {
+/** Returns the suspect of a fingerprint, creating it if necessary. */
+export function getOrCreateSuspect(ctx: CoreContext, fingerprint: Fingerprint): Suspect {
   const { suspects } = ctx.state.quarantine;
   const suspect = suspects.get(fingerprint) ?? {
     crashes: 0,
@@ -30,54 +31,54 @@
   return suspect;
 }
 
-/** Tells all members of a suspect. */
+/** Broadcasts the state of a suspect to all members. */
 export function announceSuspect(ctx: CoreContext, fingerprint: Fingerprint): void {
   const suspect = ctx.state.quarantine.suspects.get(fingerprint);
-  if (suspect !== undefined) broadcast(ctx, encode(ctx, fingerprint, suspect));
+  if (suspect !== undefined) broadcast(ctx, encodeSuspicion(ctx, fingerprint, suspect));
 }
 
-/** Clears a request that has finished, here and everywhere. */
+/** Clears the suspicion of a request that has finished, on all members. */
 export function clearSuspect(ctx: CoreContext, fingerprint: Fingerprint): void {
   const suspect = ctx.state.quarantine.suspects.get(fingerprint);
-  if (suspect === undefined || suspect.crashes >= QUARANTINE_CRASHES) return;
-  broadcast(ctx, { ...encode(ctx, fingerprint, suspect), cleared: true });
-  forget(ctx, fingerprint, suspect);
+  if (suspect === undefined || suspect.crashes >= QUARANTINE_CRASH_THRESHOLD) return;
+  broadcast(ctx, { ...encodeSuspicion(ctx, fingerprint, suspect), cleared: true });
+  removeSuspect(ctx, fingerprint, suspect);
 }
 
-/** Lifts a suspicion or a quarantine on an operator's word; false if there is none. */
+/** Lifts a suspicion or quarantine on behalf of an operator; returns false if there is none. */
 export function liftSuspect(ctx: CoreContext, fingerprint: Fingerprint): boolean {
   const suspect = ctx.state.quarantine.suspects.get(fingerprint);
   if (suspect === undefined) return false;
-  broadcast(ctx, { ...encode(ctx, fingerprint, suspect), crashes: 0, cleared: true });
-  forget(ctx, fingerprint, suspect);
+  broadcast(ctx, { ...encodeSuspicion(ctx, fingerprint, suspect), crashes: 0, cleared: true });
+  removeSuspect(ctx, fingerprint, suspect);
   logLine(ctx, 'info', 'quarantine', 'quarantineLifted', { fingerprint });
   return true;
 }
 
-/** Merges one entry of a message; returns whether the suspect's crashes have grown. */
+/** Merges one entry of a message, and returns whether the suspect's crash count has increased. */
 export function mergeSuspicion(ctx: CoreContext, from: InstanceId, entry: Suspicion): boolean {
   const { suspects, cleared } = ctx.state.quarantine;
   const known = suspects.get(entry.fingerprint);
   const expiresAt = ctx.now + entry.expiresInMs;
   if (entry.cleared) {
-    const isLift = entry.crashes === 0;
-    if (known !== undefined && (isLift || known.crashes <= entry.crashes)) {
-      forget(ctx, entry.fingerprint, known);
+    const isLifted = entry.crashes === 0;
+    if (known !== undefined && (isLifted || known.crashes <= entry.crashes)) {
+      removeSuspect(ctx, entry.fingerprint, known);
     }
     return false;
   }
   const clearedUntil = cleared.get(entry.fingerprint);
   if (clearedUntil !== undefined && expiresAt <= clearedUntil + EXPIRY_SLACK_MS) return false;
-  const suspect = suspectOf(ctx, entry.fingerprint);
-  const hasGrown = entry.crashes > suspect.crashes;
+  const suspect = getOrCreateSuspect(ctx, entry.fingerprint);
+  const hasNewCrash = entry.crashes > suspect.crashes;
   suspect.crashes = Math.max(suspect.crashes, entry.crashes);
   suspect.expiresAt = Math.max(suspect.expiresAt, expiresAt);
   if (entry.runningOn === '') suspect.runs.delete(from);
-  else suspect.runs.set(from, { upstream: entry.runningOn, until: ctx.now + RUN_MS });
-  return hasGrown;
+  else suspect.runs.set(from, { upstream: entry.runningOn, until: ctx.now + RUN_TTL_MS });
+  return hasNewCrash;
 }
 
-/** Forgets what has expired and now and then tells two members of the rest. */
+/** Removes expired runs and suspicions, and periodically gossips the remaining ones. */
 export function expireSuspicions(ctx: CoreContext): void {
   const { quarantine } = ctx.state;
   quarantine.suspects.forEach((suspect, fingerprint) => {
@@ -89,13 +90,13 @@
   quarantine.cleared.forEach((until, fingerprint) => {
     if (until + EXPIRY_SLACK_MS <= ctx.now) quarantine.cleared.delete(fingerprint);
   });
-  if (ctx.now - quarantine.lastGossipAt < GOSSIP_MS) return;
+  if (ctx.now - quarantine.lastGossipAt < GOSSIP_INTERVAL_MS) return;
   quarantine.lastGossipAt = ctx.now;
   gossip(ctx);
 }
 
 function gossip(ctx: CoreContext): void {
-  const entries = allEntries(ctx);
+  const entries = encodeAllSuspicions(ctx);
   if (entries.length === 0) return;
   const others: InstanceId[] = [];
   forEachOther(ctx.state, (member) => others.push(member.id));
@@ -105,27 +106,27 @@
   }
 }
 
-/** Tells one member all that this instance knows. */
-export function sendAll(ctx: CoreContext, to: InstanceId): void {
-  sendEntries(ctx, to, allEntries(ctx));
+/** Sends all suspicions of this instance to one member. */
+export function sendAllSuspicions(ctx: CoreContext, to: InstanceId): void {
+  sendEntries(ctx, to, encodeAllSuspicions(ctx));
 }
 
 function sendEntries(ctx: CoreContext, to: InstanceId, entries: readonly Suspicion[]): void {
   sendTo(ctx, to, { $case: 'suspicions', value: { entries, wantsAll: false } });
 }
 
-function allEntries(ctx: CoreContext): readonly Suspicion[] {
+function encodeAllSuspicions(ctx: CoreContext): readonly Suspicion[] {
   return [...ctx.state.quarantine.suspects].map(([fingerprint, suspect]) =>
-    encode(ctx, fingerprint, suspect),
+    encodeSuspicion(ctx, fingerprint, suspect),
   );
 }
 
-function forget(ctx: CoreContext, fingerprint: Fingerprint, suspect: Suspect): void {
+function removeSuspect(ctx: CoreContext, fingerprint: Fingerprint, suspect: Suspect): void {
   ctx.state.quarantine.suspects.delete(fingerprint);
   ctx.state.quarantine.cleared.set(fingerprint, suspect.expiresAt);
 }
 
-function encode(ctx: CoreContext, fingerprint: Fingerprint, suspect: Suspect): Suspicion {
+function encodeSuspicion(ctx: CoreContext, fingerprint: Fingerprint, suspect: Suspect): Suspicion {
   return {
     fingerprint,
     crashes: suspect.crashes,
