--- a/src/core/dispatch/assign.ts
+++ b/src/core/dispatch/assign.ts
@@ -1,7 +1,7 @@
 /**
- * Assignment: gives each free slot of an owned upstream to the waiting customer with the least
- * virtual service. Among the free upstreams, the one with the longest cached prefix of the
- * customer's next request is chosen, unless another is less loaded by more than a set margin.
+ * Assigns each free slot of an owned upstream to the waiting customer with the least virtual
+ * service. Among the upstreams with free slots, it selects the one that caches the longest prefix
+ * of the customer's next request, unless another is less loaded by more than the configured margin.
  */
 import { sendTo, type CoreContext } from '../context.js';
 import type { Millis } from '../clock.js';
@@ -20,26 +20,27 @@
   UpstreamId,
 } from '../types.js';
 import { cachedBlocks } from './cache.js';
-import { takeOne } from './demand.js';
+import { decrementWaiting } from './demand.js';
 import type { IssuedGrant, PoolDemand, WaitingCount } from './dispatchState.js';
-import { wakeAnnouncer } from './queues.js';
-import { endReservation, forgetReports, foreignUse, freeSlots, slotsOf } from './slots.js';
-import { relieve, resumeNext } from './suspension.js';
+import { setAnnounceTimer } from './queues.js';
+import { endReservation, resetLoadReports, foreignUse, freeSlots, slotsOf } from './slots.js';
+import { requestSuspension, resumeNextSuspended } from './suspension.js';
 
-/** Exchanges after which the service of a new grant shows in the sums. */
+/** Number of exchanges after which the service sums include the service of a new grant. */
 const RESERVATION_EXCHANGES = 3;
 
-/** Grants in a row to local requests after which another instance's request goes first. */
-const LOCAL_STREAK = 4;
+/** Maximum consecutive grants to local requests while other instances have waiting work. */
+const MAX_LOCAL_STREAK = 4;
 
-/** Announce intervals for which a pair of work and upstream is skipped after a returned grant. */
-const RETURN_INTERVALS = 5;
+/** Number of announce intervals for which work is not granted an upstream that it has returned. */
+const RETURNED_BACKOFF_INTERVALS = 5;
 
 /** Returns the owned upstreams of a pool. */
 export function ownedInPool(state: CoreState, pool: PoolId): readonly UpstreamConfig[] {
   return ownedByPool(state).get(pool) ?? [];
 }
 
+/** Groups the owned upstreams by pool; cached until the list of owned upstreams is replaced. */
 export function ownedByPool(state: CoreState): ReadonlyMap<PoolId, readonly UpstreamConfig[]> {
   const { dispatch } = state;
   const owned = ownedUpstreams(state);
@@ -52,44 +53,44 @@
   });
   dispatch.ownedByPool = byPool;
   dispatch.ownedSource = owned;
-  forgetReports(state, owned);
+  resetLoadReports(state, owned);
   return byPool;
 }
 
-/** Grants free slots in all pools of the owned upstreams. */
+/** Assigns free slots in every pool with owned upstreams. */
 export function assignAll(ctx: CoreContext): void {
   ownedByPool(ctx.state).forEach((_, pool) => assignPool(ctx, pool));
 }
 
-/** Grants free slots of a pool until none is free or nobody waits. */
+/** Assigns free slots of a pool until no slot is free or no request waits. */
 export function assignPool(ctx: CoreContext, poolId: PoolId): void {
   const { state } = ctx;
   const pool = state.configuration.view?.pools.get(poolId);
   if (pool === undefined) return;
   const skipped = new Set<CustomerNumber>();
   for (;;) {
-    const free = usableUpstreams(ctx, poolId);
+    const free = upstreamsWithFreeSlots(ctx, poolId);
     if (free.length === 0) {
-      relieveOnce(ctx, pool, skipped);
+      requestSuspensionThrottled(ctx, pool, skipped);
       return;
     }
     const customer = nextCustomer(state, poolId, skipped);
-    if (resumeNext(ctx, pool, free, customer)) continue;
+    if (resumeNextSuspended(ctx, pool, free, customer)) continue;
     if (customer === undefined) return;
-    if (!grantTo(ctx, pool, customer, free)) skipped.add(customer);
+    if (!tryGrant(ctx, pool, customer, free)) skipped.add(customer);
   }
 }
 
-/** Looks for a stream to suspend in the pools where that was put off. */
-export function relieveLater(ctx: CoreContext): void {
+/** Retries the suspension of streams in the pools where rate limiting deferred it. */
+export function retryDeferredSuspensions(ctx: CoreContext): void {
   const { relievePools } = ctx.state.dispatch;
   const due = [...relievePools];
   relievePools.clear();
   due.forEach((pool) => assignPool(ctx, pool));
 }
 
-/** Looks for a stream to suspend, at most once in an announce interval. */
-function relieveOnce(
+/** Requests the suspension of a stream, at most once per announce interval. */
+function requestSuspensionThrottled(
   ctx: CoreContext,
   pool: PoolConfig,
   skipped: ReadonlySet<CustomerNumber>,
@@ -99,22 +100,25 @@
   if (pool.suspendShare <= 0 || dispatch.demand.get(pool.id) === undefined) return;
   if (next > ctx.now) {
     dispatch.relievePools.add(pool.id);
-    wakeAnnouncer(ctx, next);
+    setAnnounceTimer(ctx, next);
     return;
   }
   dispatch.relievedAt.set(pool.id, ctx.now);
   const customer = nextCustomer(ctx.state, pool.id, skipped);
-  if (customer !== undefined) relieve(ctx, pool, customer);
+  if (customer !== undefined) requestSuspension(ctx, pool, customer);
 }
 
-/** Notes a grant that came back: its entry has nothing that may run on the upstream just now. */
-export function noteReturned(ctx: CoreContext, grant: IssuedGrant): void {
-  const until = ctx.now + RETURN_INTERVALS * ctx.state.settings.announceMs;
-  ctx.state.dispatch.returned.set(pairKey(grant.entry, grant.customer, grant.upstream), until);
+/** Records a returned grant: its entry has no request that may currently run on the upstream. */
+export function recordReturnedGrant(ctx: CoreContext, grant: IssuedGrant): void {
+  const until = ctx.now + RETURNED_BACKOFF_INTERVALS * ctx.state.settings.announceMs;
+  ctx.state.dispatch.returned.set(
+    returnedPairKey(grant.entry, grant.customer, grant.upstream),
+    until,
+  );
 }
 
-/** Grants again where grants came back some time ago. */
-export function retryReturned(ctx: CoreContext): void {
+/** Drops expired records of returned grants and, if there were any, assigns slots again. */
+export function retryReturnedGrants(ctx: CoreContext): void {
   const { returned } = ctx.state.dispatch;
   const before = returned.size;
   returned.forEach((until, key) => {
@@ -131,12 +135,12 @@
   const demand = state.dispatch.demand.get(pool);
   if (demand === undefined) return undefined;
   if (skipped.size === 0) return leastServed(state, demand.keys(), pool);
-  const left = [...demand.keys()].filter((customer) => !skipped.has(customer));
-  return leastServed(state, left, pool);
+  const eligible = [...demand.keys()].filter((customer) => !skipped.has(customer));
+  return leastServed(state, eligible, pool);
 }
 
-/** Grants one slot to a customer; returns whether there was a pair of work and upstream for it. */
-function grantTo(
+/** Grants one slot to a customer; returns false if none of its work may use a free upstream. */
+function tryGrant(
   ctx: CoreContext,
   pool: PoolConfig,
   customer: CustomerNumber,
@@ -144,23 +148,27 @@
 ): boolean {
   const { state } = ctx;
   const demand = state.dispatch.demand.get(pool.id);
-  const usable = (entry: InstanceId) =>
-    free.filter(({ id }) => !state.dispatch.returned.has(pairKey(entry, customer, id)));
-  const waiting = demand && chooseEntry(ctx, demand, customer, usable);
+  const usableFor = (entry: InstanceId) =>
+    free.filter(({ id }) => !state.dispatch.returned.has(returnedPairKey(entry, customer, id)));
+  const waiting = demand && chooseEntry(ctx, demand, customer, usableFor);
   if (demand === undefined || waiting === undefined) return false;
-  const upstream = chooseUpstream(ctx, usable(waiting.entry), waiting.heads);
-  takeOne(demand, customer, waiting.entry);
+  const upstream = chooseUpstream(ctx, usableFor(waiting.entry), waiting.heads);
+  decrementWaiting(demand, customer, waiting.entry);
   const cachedPercent = cachedPercentOf(state, upstream, waiting.heads);
   issueGrant(ctx, waiting.entry, pool, customer, upstream, cachedPercent);
   return true;
 }
 
-function pairKey(entry: InstanceId, customer: CustomerNumber, upstream: UpstreamId): string {
+function returnedPairKey(
+  entry: InstanceId,
+  customer: CustomerNumber,
+  upstream: UpstreamId,
+): string {
   return `${entry} ${customer} ${upstream}`;
 }
 
-/** Returns the owned upstreams of a pool with free slots. */
-export function usableUpstreams(ctx: CoreContext, pool: PoolId): readonly UpstreamConfig[] {
+/** Returns the owned upstreams of a pool that accept new work and have free slots. */
+export function upstreamsWithFreeSlots(ctx: CoreContext, pool: PoolId): readonly UpstreamConfig[] {
   const { state } = ctx;
   return ownedInPool(state, pool).filter(
     (upstream) =>
@@ -170,29 +178,30 @@
   );
 }
 
-/** Requests of this instance cost no message, but others have their turn. */
+/** Prefers local requests, which cost no message, but bounds how often they precede others. */
 function chooseEntry(
   ctx: CoreContext,
   demand: PoolDemand,
   customer: CustomerNumber,
-  usable: (entry: InstanceId) => readonly UpstreamConfig[],
+  usableFor: (entry: InstanceId) => readonly UpstreamConfig[],
 ): WaitingCount | undefined {
   const { dispatch, self } = ctx.state;
   const entries = demand.get(customer);
   if (entries === undefined) return undefined;
   const own = entries.get(self.id);
-  const isOwnUsable = own !== undefined && usable(self.id).length > 0;
-  if (isOwnUsable && (entries.size === 1 || dispatch.localStreak < LOCAL_STREAK)) {
+  const isOwnUsable = own !== undefined && usableFor(self.id).length > 0;
+  if (isOwnUsable && (entries.size === 1 || dispatch.localStreak < MAX_LOCAL_STREAK)) {
     dispatch.localStreak = entries.size === 1 ? 0 : dispatch.localStreak + 1;
     return own;
   }
   dispatch.localStreak = 0;
   for (const waiting of entries.values()) {
-    if (waiting.entry !== self.id && usable(waiting.entry).length > 0) return waiting;
+    if (waiting.entry !== self.id && usableFor(waiting.entry).length > 0) return waiting;
   }
   return isOwnUsable ? own : undefined;
 }
 
+/** Selects the upstream with the longest cached prefix among those within the load margin. */
 function chooseUpstream(
   ctx: CoreContext,
   free: readonly UpstreamConfig[],
@@ -200,14 +209,14 @@
 ): UpstreamConfig {
   const { state } = ctx;
   const loads = free.map((upstream) => loadOf(state, upstream, ctx.now));
-  const least = Math.min(...loads);
+  const leastLoad = Math.min(...loads);
   let best = free[0] as UpstreamConfig;
   let bestBlocks = -1;
   let bestLoad = Infinity;
   free.forEach((upstream, i) => {
     const load = loads[i] ?? 0;
-    const isNear = load - least <= state.settings.prefixLoadMargin;
-    const blocks = isNear ? cachedBlocks(state, upstream.id, heads) : 0;
+    const isWithinMargin = load - leastLoad <= state.settings.prefixLoadMargin;
+    const blocks = isWithinMargin ? cachedBlocks(state, upstream.id, heads) : 0;
     if (blocks > bestBlocks || (blocks === bestBlocks && load < bestLoad)) {
       best = upstream;
       bestBlocks = blocks;
@@ -273,7 +282,7 @@
   });
 }
 
-/** Ends the reservations of grants whose service shows in the sums by now. */
+/** Releases the reservations of grants whose service the sums now include. */
 export function settleReservations(ctx: CoreContext): void {
   const { dispatch } = ctx.state;
   const oldest = ctx.now - RESERVATION_EXCHANGES * exchangeInterval(ctx.state);
--- a/src/core/dispatch/cache.ts
+++ b/src/core/dispatch/cache.ts
@@ -1,18 +1,20 @@
 /**
- * What is believed of the upstreams' prefix caches. Events come late and with gaps: a gap, or a new
- * start of the upstream, drops what was believed of it. Memory is bounded; the block stored longest
- * ago is forgotten first.
+ * Estimates the contents of the upstreams' prefix caches from their cache events. Events may be
+ * delayed or missing: after a gap or a restart of the upstream, its estimate is cleared. The size
+ * of an estimate is bounded; the block stored least recently is evicted first.
  */
 import { hash32 } from '../hash.js';
 import type { CoreState } from '../state.js';
 import type { CacheEvent, UpstreamId, UpstreamReport } from '../types.js';
-import type { CacheBelief } from './dispatchState.js';
+import type { CacheEstimate } from './dispatchState.js';
 
-/** Blocks of a request that are compared: the longest prefix and shorter ones at even distances. */
+/**
+ * Number of prefixes of a request that are compared: the longest and evenly spaced shorter ones.
+ */
 const COMPARED_BLOCKS = 3;
 
-/** News of an upstream's cache. */
-export interface CacheNews {
+/** Cache events read from an upstream. */
+export interface CacheUpdate {
   readonly events: readonly CacheEvent[];
   readonly next: number;
   readonly gap: boolean;
@@ -28,22 +30,27 @@
   });
 }
 
-export function noteCacheNews(state: CoreState, upstream: UpstreamId, news: CacheNews): void {
-  const belief = beliefOf(state, upstream);
-  const { report } = news;
-  const hasRestarted = report !== undefined && report.epoch !== belief.epoch;
-  if (hasRestarted) belief.epoch = report.epoch;
-  if (news.gap || hasRestarted) belief.blocks.clear();
-  news.events.forEach((event) => {
+/** Applies cache events to the estimate of an upstream's cache. */
+export function applyCacheUpdate(
+  state: CoreState,
+  upstream: UpstreamId,
+  update: CacheUpdate,
+): void {
+  const estimate = cacheEstimateOf(state, upstream);
+  const { report } = update;
+  const hasRestarted = report !== undefined && report.epoch !== estimate.epoch;
+  if (hasRestarted) estimate.epoch = report.epoch;
+  if (update.gap || hasRestarted) estimate.blocks.clear();
+  update.events.forEach((event) => {
     const block = hash32(event.block);
-    belief.blocks.delete(block);
-    if (event.kind === 'stored') belief.blocks.add(block);
+    estimate.blocks.delete(block);
+    if (event.kind === 'stored') estimate.blocks.add(block);
   });
-  belief.next = hasRestarted && !news.gap ? news.next : Math.max(news.next, 0);
-  trim(belief, state.settings.cacheBlocks);
+  estimate.next = hasRestarted && !update.gap ? update.next : Math.max(update.next, 0);
+  evictOldest(estimate, state.settings.cacheBlocks);
 }
 
-/** Returns how many of the compared blocks the upstream is believed to hold. */
+/** Returns how many of the compared prefixes the upstream is estimated to have cached. */
 export function cachedBlocks(
   state: CoreState,
   upstream: UpstreamId,
@@ -57,21 +64,21 @@
   return 0;
 }
 
-/** Returns the sequence after which cache events are to be read. */
-export function cacheNext(state: CoreState, upstream: UpstreamId): number {
+/** Returns the sequence number after which to read cache events. */
+export function nextCacheSequence(state: CoreState, upstream: UpstreamId): number {
   return state.dispatch.caches.get(upstream)?.next ?? 0;
 }
 
-function beliefOf(state: CoreState, upstream: UpstreamId): CacheBelief {
+function cacheEstimateOf(state: CoreState, upstream: UpstreamId): CacheEstimate {
   const { caches } = state.dispatch;
-  const belief = caches.get(upstream) ?? { epoch: '', next: 0, blocks: new Set<number>() };
-  caches.set(upstream, belief);
-  return belief;
+  const estimate = caches.get(upstream) ?? { epoch: '', next: 0, blocks: new Set<number>() };
+  caches.set(upstream, estimate);
+  return estimate;
 }
 
-function trim(belief: CacheBelief, most: number): void {
-  for (const block of belief.blocks) {
-    if (belief.blocks.size <= most) return;
-    belief.blocks.delete(block);
+function evictOldest(estimate: CacheEstimate, maxBlocks: number): void {
+  for (const block of estimate.blocks) {
+    if (estimate.blocks.size <= maxBlocks) return;
+    estimate.blocks.delete(block);
   }
 }
--- a/src/core/dispatch/demand.ts
+++ b/src/core/dispatch/demand.ts
@@ -1,13 +1,14 @@
-/** The owner's table of waiting work: counts by pool, customer and entry. */
+/** The owner's demand table: counts of waiting requests by pool, customer and entry. */
 import type { CoreContext } from '../context.js';
 import { isLive } from '../membership/memberIndex.js';
 import type { CoreState } from '../state.js';
 import type { CustomerNumber, InstanceId, PeerMessageOf, PoolId } from '../types.js';
 import type { PoolDemand, WaitingCount } from './dispatchState.js';
 
-/** Time for which an offer by a relay holds. */
+/** Time after which an offer by a relay expires. */
 export const OFFER_TTL_MS = 1_000;
 
+/** Returns the demand of a pool, creating it if it does not exist. */
 export function demandOf(state: CoreState, pool: PoolId): PoolDemand {
   const { demand } = state.dispatch;
   const ofPool = demand.get(pool) ?? (new Map() as PoolDemand);
@@ -15,7 +16,7 @@
   return ofPool;
 }
 
-/** Replaces the count of one customer at one entry; 0 removes it. */
+/** Sets the count of one customer at one entry; a count of 0 removes it. */
 export function setWaiting(
   state: CoreState,
   pool: PoolId,
@@ -35,8 +36,8 @@
   else demand.set(customer, new Map([[waiting.entry, waiting]]));
 }
 
-/** Takes an announcement of an entry; parts that are older than what is known are dropped. */
-export function takeAnnouncement(
+/** Applies an announcement by an entry, ignoring counts that are older than the stored ones. */
+export function applyAnnouncement(
   ctx: CoreContext,
   entry: InstanceId,
   pool: PoolId,
@@ -67,8 +68,8 @@
   });
 }
 
-/** Takes waiting work that a relay passed on. An announcement of the entry itself counts for more. */
-export function takeOffer(
+/** Applies an offer forwarded by a relay. Counts announced by the entry itself take precedence. */
+export function applyOffer(
   ctx: CoreContext,
   pool: PoolId,
   offer: PeerMessageOf<'demandOffer'>,
@@ -90,7 +91,7 @@
   });
 }
 
-/** Drops lapsed offers and the work of entries that are gone. */
+/** Removes expired offers and the work of entries that are no longer live. */
 export function pruneDemand(ctx: CoreContext): void {
   ctx.state.dispatch.demand.forEach((demand) => {
     demand.forEach((entries, customer) => {
@@ -102,8 +103,12 @@
   });
 }
 
-/** Takes one waiting request off a count and moves its entry to the end of the order. */
-export function takeOne(demand: PoolDemand, customer: CustomerNumber, entry: InstanceId): void {
+/** Decrements the count of an entry and moves the entry to the end of the service order. */
+export function decrementWaiting(
+  demand: PoolDemand,
+  customer: CustomerNumber,
+  entry: InstanceId,
+): void {
   const entries = demand.get(customer);
   const waiting = entries?.get(entry);
   if (entries === undefined || waiting === undefined) return;
--- a/src/core/dispatch/dispatchState.ts
+++ b/src/core/dispatch/dispatchState.ts
@@ -1,7 +1,7 @@
 /**
- * State of dispatch. Entry side: the queues of requests that wait here, what each owner was told of
- * them, and the grants that are held. Owner side: the waiting counts that entries announced, the
- * slots of the owned upstreams and what is believed of their caches.
+ * State of dispatch. Entry side: the queues of requests waiting at this instance, the counts
+ * announced to each owner, and the held grants. Owner side: the waiting counts announced by
+ * entries, the slots of the owned upstreams and the estimated contents of their caches.
  */
 import type { Millis } from '../clock.js';
 import type {
@@ -17,21 +17,21 @@
   UpstreamReport,
 } from '../types.js';
 
-/** How many requests of one customer wait at one entry, as announced. */
+/** Announced number of requests of one customer that wait at one entry. */
 export interface WaitingCount {
   readonly entry: InstanceId;
   count: number;
-  /** Sequence of the announcement that the count comes from; 0 for an offer by a relay. */
+  /** Sequence number of the announcement that carried the count; 0 for an offer by a relay. */
   sequence: number;
   /** Hashes of the next request's prefix blocks, the longest prefix last. */
   heads: readonly number[];
-  /** Time since which the entry's longest waiting request waits. */
+  /** Time at which the entry's longest-waiting request began to wait. */
   waitingSince: Millis;
-  /** Time at which an offer by a relay lapses; announcements do not. */
+  /** Time at which an offer by a relay expires; Infinity for announcements, which do not expire. */
   expiresAt: Millis;
 }
 
-/** Waiting work of one pool: by customer, then by entry, the least recently served first. */
+/** Waiting work of one pool by customer, then by entry in least-recently-served order. */
 export type PoolDemand = Map<CustomerNumber, Map<InstanceId, WaitingCount>>;
 
 export type GrantPhase = 'held' | 'suspending' | 'suspended';
@@ -43,32 +43,33 @@
   readonly customer: CustomerNumber;
   readonly upstream: UpstreamId;
   readonly issuedAt: Millis;
-  /** Time at which the slot counts as free again unless the entry reports it held. */
+  /** Time at which the slot is considered free again unless the entry reports the grant as held. */
   expiresAt: Millis;
   phase: GrantPhase;
   phaseSince: Millis;
   canSuspend: boolean;
-  /** Service that is expected of the grant and not in the sums yet, in cost units. */
+  /** Expected service of the grant, in cost units, while the service sums do not include it. */
   reserved: number;
 }
 
 /** The slots of one owned upstream. */
 export interface Slots {
-  /** Grants in use, without suspended ones. */
+  /** Number of grants in use, excluding suspended ones. */
   inUse: number;
   suspended: number;
-  /** Largest number of slots to use at present; adapts to the reported load. */
+  /** Current limit on the slots in use; adapts to the reported load. */
   limit: number;
-  /** `inUse` when the last load report was asked for. */
+  /** `inUse` at the time of the last load poll. */
   inUseAtPoll: number;
-  /** Requests of others at the upstream by its last report. */
+  /** Requests of other owners at the upstream according to its last report. */
   foreignReported: number;
-  /** Attempts under grants of earlier owners, by entry. */
+  /** Attempts that run under grants of earlier owners, by entry. */
   readonly foreignHeld: Map<InstanceId, { readonly count: number; readonly until: Millis }>;
-  /** Whether the load was asked for, and was reported, since the upstream is owned. */
+  /** Whether the load has been polled since this instance became the owner. */
   isPolled: boolean;
+  /** Whether the load has been reported since this instance became the owner. */
   hasReport: boolean;
-  /** Reads of the load in a row that got no answer. */
+  /** Number of consecutive load polls that failed. */
   failedPolls: number;
   /** Smoothed token rate of the upstream. */
   tokenRate: number;
@@ -77,31 +78,31 @@
   lastUsedAt: Millis;
 }
 
-/** What is believed of an upstream's cache. */
-export interface CacheBelief {
+/** Estimated contents of an upstream's prefix cache. */
+export interface CacheEstimate {
   epoch: string;
   next: number;
-  /** Block hashes in the order of their last storing. */
+  /** Block hashes, the least recently stored first. */
   readonly blocks: Set<number>;
 }
 
-/** A standing request of an owner, or of another domain's relay, for waiting work. */
+/** Subscription of an owner, or of another domain's relay, to waiting work. */
 export interface DemandSubscription {
   slots: number;
   minWaitedMs: Millis;
-  /** Virtual service of wanted customers is less; Infinity for any. */
+  /** Exclusive upper bound on the virtual service of the requested customers; Infinity for any. */
   below: number;
   until: Millis;
 }
 
-/** An attempt of this entry that was suspended on request of an owner. */
+/** An attempt of this entry that was suspended at the request of an owner. */
 export interface SuspendedAttempt {
   readonly attemptId: AttemptId;
   readonly upstream: UpstreamId;
   readonly since: Millis;
 }
 
-/** Owner and number of a grant: numbers of two owners may be equal. */
+/** Owner and id of a grant; ids are unique only per owner. */
 export type GrantKey = string;
 
 /** A grant in use at this entry. */
@@ -111,35 +112,35 @@
   readonly incarnation: number;
 }
 
-/** Grants of one owner that were seen, against repeated delivery. */
+/** Ids of the grants received from one owner, used to detect duplicate delivery. */
 export interface SeenGrants {
   incarnation: number;
   readonly ids: Set<GrantId>;
 }
 
 export interface DispatchState {
-  /** Entry side: waiting requests in order of arrival. */
+  /** Entry side: waiting requests by pool and customer, in order of arrival. */
   readonly queues: Map<PoolId, Map<CustomerNumber, RequestId[]>>;
-  /** Pools all of whose waiting work has to be looked at. */
+  /** Pools whose waiting work must be re-evaluated for all customers. */
   readonly changedPools: Set<PoolId>;
-  /** Customers in other pools whose waiting work has to be looked at. */
+  /** Customers, by pool, whose waiting work must be re-evaluated. */
   readonly changedCustomers: Map<PoolId, Set<CustomerNumber>>;
-  /** Customers whose changes were offered here and not yet announced elsewhere. */
+  /** Customers whose changes were offered locally but not yet announced to other instances. */
   readonly unannounced: Map<PoolId, Set<CustomerNumber>>;
-  /** Counts that a target still believes, by pool, target and customer. */
+  /** Counts last announced, by pool, target and customer. */
   readonly announced: Map<PoolId, Map<InstanceId, Map<CustomerNumber, number>>>;
   readonly seenGrants: Map<InstanceId, SeenGrants>;
-  /** Grants in use here. */
+  /** Grants in use at this entry. */
   readonly heldGrants: Map<GrantKey, HeldGrant>;
   readonly suspendedAttempts: Map<GrantKey, SuspendedAttempt>;
   sequence: number;
-  /** Time of the announce timer, or Infinity. */
+  /** Time at which the announce timer fires, or Infinity if it is not set. */
   announceAt: Millis;
-  /** Turn of the last readings of load, where the owned upstreams are read in turn. */
+  /** Index of the group of owned upstreams that was polled last. */
   pollTurn: number;
-  /** When a stream to suspend was last looked for, by pool. */
+  /** Time of the last attempt to suspend a stream, by pool. */
   readonly relievedAt: Map<PoolId, Millis>;
-  /** Pools in which that was put off. */
+  /** Pools in which an attempt to suspend a stream was deferred by rate limiting. */
   readonly relievePools: Set<PoolId>;
   /** Earliest time of the next announcement to other instances. */
   remoteAnnounceAt: Millis;
@@ -149,23 +150,25 @@
   /** Owner side. */
   readonly demand: Map<PoolId, PoolDemand>;
   readonly issued: Map<GrantId, IssuedGrant>;
-  /** Pairs of waiting work and upstream whose grant came back, with the time until which to skip. */
+  /**
+   * Combinations of waiting work and upstream with a returned grant, with the end of the backoff.
+   */
   readonly returned: Map<string, Millis>;
   readonly slots: Map<UpstreamId, Slots>;
   readonly reports: Map<UpstreamId, UpstreamReport>;
-  readonly caches: Map<UpstreamId, CacheBelief>;
+  readonly caches: Map<UpstreamId, CacheEstimate>;
   /** Owned upstreams by pool, computed from `ownedSource`. */
   ownedByPool: ReadonlyMap<PoolId, readonly UpstreamConfig[]>;
   ownedSource: readonly UpstreamConfig[];
   nextGrant: number;
-  /** Grants in a row to requests of this instance while others had waiting work. */
+  /** Consecutive grants to local requests while other instances had waiting work. */
   localStreak: number;
 
-  /** Relay side: standing requests by pool and subscriber. */
+  /** Relay side: subscriptions by pool and subscriber. */
   readonly subscriptions: Map<PoolId, Map<InstanceId, DemandSubscription>>;
-  /** Time of the next look at own work that was offered to others and not taken. */
+  /** Time at which local work that was offered to others but not taken is next re-evaluated. */
   ownOffersAt: Millis;
-  /** Pools for which this instance has asked relays, with the time of the last request. */
+  /** Time of the last request to relays, by pool. */
   readonly pulledAt: Map<PoolId, Millis>;
 }
 
--- a/src/core/dispatch/entry.ts
+++ b/src/core/dispatch/entry.ts
@@ -1,17 +1,18 @@
-/** Entry side of dispatch: the use of grants, and requests of owners to suspend attempts. */
+/** Entry side of dispatch: handles grants and suspend requests from owners. */
 import { startAttempt } from '../attempts/attempts.js';
 import { sendTo, type CoreContext } from '../context.js';
 import { noteRunning } from '../limits/limits.js';
 import type { CoreState } from '../state.js';
 import type { GrantFacts, GrantId, InstanceId, PeerMessageOf } from '../types.js';
 import { grantKey } from './dispatchState.js';
-import { noteGranted } from './announcements.js';
+import { recordGranted } from './announcements.js';
 import { returnGrant } from './grants.js';
-import { noteChange, noteChangeLater, takeNext } from './queues.js';
+import { noteChange, scheduleDelayedAnnouncement, dequeueNext } from './queues.js';
 
-/** Ids of one owner that are remembered against repeated delivery. */
-const REMEMBERED_GRANTS = 512;
+/** Maximum number of grant ids kept per owner to detect duplicate delivery. */
+const MAX_SEEN_GRANTS = 512;
 
+/** Starts an attempt under a new grant, or returns the grant if no request may use it. */
 export function onGrant(
   ctx: CoreContext,
   owner: InstanceId,
@@ -32,11 +33,12 @@
     returnGrant(ctx, facts);
     return;
   }
-  noteGranted(state, owner, pool.id, grant.customer);
-  const requestId = takeNext(state, pool.id, grant.customer, grant.upstream);
+  recordGranted(state, owner, pool.id, grant.customer);
+  const requestId = dequeueNext(state, pool.id, grant.customer, grant.upstream);
   if (requestId === undefined) {
-    // What waits may not run on this upstream; offering it again at once would bring the same grant.
-    noteChangeLater(ctx, pool.id, grant.customer);
+    // No waiting request may run on this upstream. Announcing immediately would yield the same
+    // grant.
+    scheduleDelayedAnnouncement(ctx, pool.id, grant.customer);
     returnGrant(ctx, facts);
     return;
   }
@@ -46,7 +48,7 @@
   startAttempt(ctx, requestId, facts);
 }
 
-/** Suspends or resumes the attempt of a grant, if it is an idempotent stream that still runs. */
+/** Resumes the attempt of a grant, or suspends it if it is a running, idempotent stream. */
 export function onSuspendRequest(
   ctx: CoreContext,
   owner: InstanceId,
@@ -108,6 +110,6 @@
   if (seen.incarnation > incarnation || seen.ids.has(id)) return false;
   seen.ids.add(id);
   const [oldest] = seen.ids;
-  if (seen.ids.size > REMEMBERED_GRANTS && oldest !== undefined) seen.ids.delete(oldest);
+  if (seen.ids.size > MAX_SEEN_GRANTS && oldest !== undefined) seen.ids.delete(oldest);
   return true;
 }
--- a/src/core/dispatch/grants.ts
+++ b/src/core/dispatch/grants.ts
@@ -1,22 +1,25 @@
-/** Grants as an entry gives them back to their owners. */
+/** Returns and releases grants held by an entry. */
 import { sendTo, type CoreContext } from '../context.js';
 import { noteRunning } from '../limits/limits.js';
 import { ownerOf } from '../ownership/ownership.js';
 import type { GrantFacts } from '../types.js';
 import { grantKey } from './dispatchState.js';
-import { heldUnderEarlier, isOfEarlierOwner } from './holds.js';
+import { countUnderEarlierOwners, isFromEarlierOwner } from './holds.js';
 
-/** Gives an unused grant back to its owner. */
+/** Returns an unused grant to its owner. */
 export function returnGrant(ctx: CoreContext, grant: GrantFacts): void {
-  forgetHeld(ctx, grant);
+  removeHeldGrant(ctx, grant);
   sendTo(ctx, grant.owner, { $case: 'grantReturn', value: { grantIds: [grant.grantId] } });
 }
 
-/** Tells the owner that the slot of a grant is free again. */
+/**
+ * Reports the end of a grant to its owner and, if that has changed, to the upstream's current
+ * owner.
+ */
 export function releaseGrant(ctx: CoreContext, grant: GrantFacts): void {
   const { state } = ctx;
-  const isForeign = isOfEarlierOwner(state, grant);
-  forgetHeld(ctx, grant);
+  const hasEarlierOwner = isFromEarlierOwner(state, grant);
+  removeHeldGrant(ctx, grant);
   state.dispatch.suspendedAttempts.delete(grantKey(grant));
   const value = { running: [], ended: [grant.grantId], suspended: [], refused: [] };
   sendTo(ctx, grant.owner, {
@@ -24,15 +27,15 @@
     value: { ...value, heldUpstreams: [], heldCounts: [] },
   });
   const owner = ownerOf(state, grant.upstream);
-  if (!isForeign || owner === undefined) return;
-  const held = heldUnderEarlier(state, grant.upstream);
+  if (!hasEarlierOwner || owner === undefined) return;
+  const held = countUnderEarlierOwners(state, grant.upstream);
   sendTo(ctx, owner, {
     $case: 'slotUpdate',
     value: { ...value, ended: [], heldUpstreams: [grant.upstream], heldCounts: [held] },
   });
 }
 
-function forgetHeld(ctx: CoreContext, grant: GrantFacts): void {
+function removeHeldGrant(ctx: CoreContext, grant: GrantFacts): void {
   const { heldGrants } = ctx.state.dispatch;
   const held = heldGrants.get(grantKey(grant));
   if (held === undefined) return;
--- a/src/core/dispatch/holds.ts
+++ b/src/core/dispatch/holds.ts
@@ -1,7 +1,8 @@
 /**
- * Holds: the entry's regular word to the owners on the grants whose attempts run. A grant that is
- * not reported for some time counts as ended. Where an upstream's owner has changed, the new one is
- * told how many attempts still run there under earlier grants.
+ * Hold reports: an entry periodically reports to each owner the grants whose attempts are running.
+ * The owner considers a grant ended if it is not reported for some time. If the owner of an
+ * upstream has changed, the new owner receives the number of attempts that still run there under
+ * earlier grants.
  */
 import { sendTo, type CoreContext } from '../context.js';
 import { ownerOf } from '../ownership/ownership.js';
@@ -10,7 +11,7 @@
 import { grantKey } from './dispatchState.js';
 import { refreshAnnouncements } from './announcements.js';
 
-/** Factor on the longest suspension after which an entry resumes an attempt by itself. */
+/** Multiple of the maximum suspension after which an entry resumes an attempt on its own. */
 const SELF_RESUME_FACTOR = 2;
 
 interface HoldReport {
@@ -19,14 +20,14 @@
   readonly held: Map<UpstreamId, number>;
 }
 
-/** Reports the held grants, and repeats announcements, once in a hold interval. */
-export function reportHolds(ctx: CoreContext): void {
+/** Reports the held grants and repeats announcements, once per hold report interval. */
+export function reportHeldGrants(ctx: CoreContext): void {
   const { dispatch, settings } = ctx.state;
   if (dispatch.holdReportAt > ctx.now) return;
   dispatch.holdReportAt = ctx.now + settings.holdReportMs;
   dispatch.holdReports += 1;
-  resumeForgotten(ctx);
-  collectReports(ctx.state).forEach((report, owner) => {
+  resumeAbandonedAttempts(ctx);
+  collectHoldReports(ctx.state).forEach((report, owner) => {
     sendTo(ctx, owner, {
       $case: 'slotUpdate',
       value: {
@@ -42,23 +43,23 @@
   refreshAnnouncements(ctx);
 }
 
-/** Counts the attempts of this instance on an upstream under grants of earlier owners. */
-export function heldUnderEarlier(state: CoreState, upstream: UpstreamId): number {
+/** Counts the attempts of this instance that run on an upstream under grants of earlier owners. */
+export function countUnderEarlierOwners(state: CoreState, upstream: UpstreamId): number {
   let held = 0;
   state.attempts.running.forEach(({ grant }) => {
-    if (grant.upstream === upstream && isOfEarlierOwner(state, grant)) held += 1;
+    if (grant.upstream === upstream && isFromEarlierOwner(state, grant)) held += 1;
   });
   return held;
 }
 
-/** Whether a grant's owner no longer owns the upstream, or has restarted since. */
-export function isOfEarlierOwner(state: CoreState, grant: GrantFacts): boolean {
+/** Whether the issuer of a grant no longer owns the upstream or has restarted since. */
+export function isFromEarlierOwner(state: CoreState, grant: GrantFacts): boolean {
   if (ownerOf(state, grant.upstream) !== grant.owner) return true;
   const incarnation = state.membership.members.get(grant.owner)?.incarnation;
   return incarnation !== state.dispatch.heldGrants.get(grantKey(grant))?.incarnation;
 }
 
-function collectReports(state: CoreState): ReadonlyMap<InstanceId, HoldReport> {
+function collectHoldReports(state: CoreState): ReadonlyMap<InstanceId, HoldReport> {
   const reports = new Map<InstanceId, HoldReport>();
   const reportFor = (owner: InstanceId) => {
     const report = reports.get(owner) ?? { running: [], suspended: [], held: new Map() };
@@ -70,15 +71,15 @@
     const report = reportFor(grant.owner);
     (isSuspended ? report.suspended : report.running).push(grant.grantId);
     const owner = ownerOf(state, grant.upstream);
-    if (owner === undefined || !isOfEarlierOwner(state, grant)) return;
+    if (owner === undefined || !isFromEarlierOwner(state, grant)) return;
     const { held } = reportFor(owner);
     held.set(grant.upstream, (held.get(grant.upstream) ?? 0) + 1);
   });
   return reports;
 }
 
-/** Resumes attempts whose owner has gone or has not resumed them for too long. */
-function resumeForgotten(ctx: CoreContext): void {
+/** Resumes attempts whose owner has changed or has not resumed them in time. */
+function resumeAbandonedAttempts(ctx: CoreContext): void {
   const { dispatch, settings, attempts } = ctx.state;
   dispatch.suspendedAttempts.forEach((suspended, key) => {
     const attempt = attempts.running.get(suspended.attemptId);
@@ -88,7 +89,7 @@
     }
     const age = ctx.now - suspended.since;
     const isOverdue = age > SELF_RESUME_FACTOR * settings.maxSuspendMs;
-    if (!isOverdue && !isOfEarlierOwner(ctx.state, attempt.grant)) return;
+    if (!isOverdue && !isFromEarlierOwner(ctx.state, attempt.grant)) return;
     dispatch.suspendedAttempts.delete(key);
     const { attemptId, upstream } = suspended;
     ctx.emit({ kind: 'resumeAttempt', attemptId, upstream });
--- a/src/core/dispatch/owner.ts
+++ b/src/core/dispatch/owner.ts
@@ -1,18 +1,27 @@
-/** Owner side of dispatch: waiting counts, slot reports and the load of the owned upstreams. */
+/**
+ * Owner side of dispatch: handles waiting counts, slot updates and load reports of owned upstreams.
+ */
 import { setTimer, type CoreContext } from '../context.js';
 import { isLive } from '../membership/memberIndex.js';
 import { ownedUpstreams } from '../ownership/ownership.js';
 import type { CoreEvent, GrantId, InstanceId, PeerMessageOf, PoolId } from '../types.js';
-import { assignAll, assignPool, noteReturned, settleReservations } from './assign.js';
-import { noteCacheNews } from './cache.js';
-import { pruneDemand, takeAnnouncement } from './demand.js';
-import { reportHolds } from './holds.js';
-import { pollInTurn } from './loadPolls.js';
-import { answerSubscriptions } from './pull.js';
-import { freeGrant, noteFailedPoll, noteReport, pruneSlots, setPhase, slotsOf } from './slots.js';
+import { assignAll, assignPool, recordReturnedGrant, settleReservations } from './assign.js';
+import { applyCacheUpdate } from './cache.js';
+import { pruneDemand, applyAnnouncement } from './demand.js';
+import { reportHeldGrants } from './holds.js';
+import { pollRoundRobin } from './loadPolls.js';
+import { serveSubscriptions } from './pull.js';
+import {
+  endGrant,
+  recordFailedPoll,
+  applyLoadReport,
+  pruneSlots,
+  setGrantPhase,
+  slotsOf,
+} from './slots.js';
 
-/** Hold reports that may be lost before a grant counts as ended. */
-const LOST_HOLD_REPORTS = 3;
+/** Number of consecutive hold reports that may be lost before a grant is considered ended. */
+const MAX_LOST_HOLD_REPORTS = 3;
 
 export function onWaitingUpdate(
   ctx: CoreContext,
@@ -21,14 +30,14 @@
 ): void {
   const pool = ctx.state.configuration.view?.poolsByNumber.get(update.pool);
   if (pool === undefined) return;
-  takeAnnouncement(ctx, entry, pool.id, update);
+  applyAnnouncement(ctx, entry, pool.id, update);
   assignPool(ctx, pool.id);
-  answerSubscriptions(ctx, pool);
+  serveSubscriptions(ctx, pool);
 }
 
 export function onGrantReturn(ctx: CoreContext, ids: readonly GrantId[]): void {
-  const returned = ids.map((id) => freeGrant(ctx.state, id));
-  returned.forEach((grant) => grant && noteReturned(ctx, grant));
+  const returned = ids.map((id) => endGrant(ctx.state, id));
+  returned.forEach((grant) => grant && recordReturnedGrant(ctx, grant));
   assignPools(
     ctx,
     returned.map((grant) => grant?.pool),
@@ -45,47 +54,47 @@
   update.running.forEach((id) => {
     const grant = issued.get(id);
     if (grant === undefined) return;
-    grant.expiresAt = holdLimit(ctx);
-    // A report on its way says nothing of a change that was asked for since.
-    const isNews = ctx.now - grant.phaseSince > ctx.state.settings.holdReportMs;
-    if (isNews) setPhase(ctx, grant, 'held');
+    grant.expiresAt = holdExpiry(ctx);
+    // The report may have been sent before the last phase change and must not revert it.
+    const isCurrent = ctx.now - grant.phaseSince > ctx.state.settings.holdReportMs;
+    if (isCurrent) setGrantPhase(ctx, grant, 'held');
   });
   update.refused.forEach((id) => {
     const grant = issued.get(id);
     if (grant === undefined) return;
     grant.canSuspend = false;
-    setPhase(ctx, grant, 'held');
+    setGrantPhase(ctx, grant, 'held');
   });
   update.suspended.forEach((id) => {
     const grant = issued.get(id);
     if (grant === undefined) return;
-    grant.expiresAt = holdLimit(ctx);
-    const isResumed =
+    grant.expiresAt = holdExpiry(ctx);
+    const wasJustResumed =
       grant.phase === 'held' && ctx.now - grant.phaseSince <= ctx.state.settings.holdReportMs;
-    if (isResumed) return;
-    setPhase(ctx, grant, 'suspended');
+    if (wasJustResumed) return;
+    setGrantPhase(ctx, grant, 'suspended');
     pools.push(grant.pool);
   });
-  update.ended.forEach((id) => pools.push(freeGrant(ctx.state, id)?.pool));
+  update.ended.forEach((id) => pools.push(endGrant(ctx.state, id)?.pool));
   update.heldUpstreams.forEach((id, i) => {
     const upstream = ctx.state.configuration.view?.upstreams.get(id);
     if (upstream === undefined) return;
-    const held = { count: update.heldCounts[i] ?? 0, until: holdLimit(ctx) };
+    const held = { count: update.heldCounts[i] ?? 0, until: holdExpiry(ctx) };
     slotsOf(ctx.state, upstream).foreignHeld.set(from, held);
     pools.push(upstream.pool);
   });
   assignPools(ctx, pools);
 }
 
-/** Reads the load of the owned upstreams, reports holds and ends expired grants. */
+/** Polls the load of the owned upstreams, reports held grants and ends expired ones. */
 export function onPollTimer(ctx: CoreContext): void {
   const { state } = ctx;
-  pollInTurn(ctx, ownedUpstreams(state));
+  pollRoundRobin(ctx, ownedUpstreams(state));
   expireGrants(ctx);
   settleReservations(ctx);
   pruneDemand(ctx);
   pruneSlots(state);
-  reportHolds(ctx);
+  reportHeldGrants(ctx);
   assignAll(ctx);
   setTimer(ctx, 'poll', state.settings.pollMs);
 }
@@ -98,18 +107,18 @@
   const upstream = state.configuration.view?.upstreams.get(event.upstream);
   if (upstream === undefined) return;
   const { report } = event;
-  noteCacheNews(state, upstream.id, {
+  applyCacheUpdate(state, upstream.id, {
     events: event.cacheEvents,
     next: event.cacheNext,
     gap: event.cacheGap,
     ...(report === undefined ? {} : { report }),
   });
   if (report === undefined) {
-    noteFailedPoll(state, upstream);
+    recordFailedPoll(state, upstream);
     return;
   }
   state.dispatch.reports.set(upstream.id, report);
-  noteReport(state, upstream, report);
+  applyLoadReport(state, upstream, report);
   assignPool(ctx, upstream.pool);
 }
 
@@ -119,12 +128,12 @@
   });
 }
 
-function holdLimit(ctx: CoreContext): number {
-  return ctx.now + LOST_HOLD_REPORTS * ctx.state.settings.holdReportMs;
+function holdExpiry(ctx: CoreContext): number {
+  return ctx.now + MAX_LOST_HOLD_REPORTS * ctx.state.settings.holdReportMs;
 }
 
 function expireGrants(ctx: CoreContext): void {
   ctx.state.dispatch.issued.forEach((grant, id) => {
-    if (grant.expiresAt < ctx.now || !isLive(ctx.state, grant.entry)) freeGrant(ctx.state, id);
+    if (grant.expiresAt < ctx.now || !isLive(ctx.state, grant.entry)) endGrant(ctx.state, id);
   });
 }
--- a/src/core/dispatch/pull.ts
+++ b/src/core/dispatch/pull.ts
@@ -1,9 +1,9 @@
 /**
- * Pulling: an owner with free slots and no known waiting work has a standing request at the relay
- * of the pool in its domain, and so has an owner that knows only work of customers who are ahead of
- * others waiting elsewhere. The relay passes on what it knows, and asks the relays of the other
- * domains: those of its region for any work, those of other regions only for work that has waited
- * longer than the price of the crossing, if the pool allows crossings at all.
+ * Pulls waiting work through relays. An owner subscribes at the pool's relay in its domain if it
+ * has free slots and no known waiting work, or if it knows only work of customers that are ahead of
+ * others waiting elsewhere. The relay offers the work it knows and subscribes at the relays of
+ * other domains: those of its region for any work, those of other regions only for work that has
+ * waited longer than the cross-region price, provided that the pool permits cross-region dispatch.
  */
 import { sendTo, setTimer, type CoreContext } from '../context.js';
 import type { Millis } from '../clock.js';
@@ -12,34 +12,40 @@
 import type { CoreState } from '../state.js';
 import type { CustomerNumber, InstanceId, PeerMessageOf, PoolConfig, PoolId } from '../types.js';
 import { demandRelay } from './announcements.js';
-import { assignPool, ownedByPool, ownedInPool, retryReturned, usableUpstreams } from './assign.js';
-import { takeOffer, takeOne } from './demand.js';
+import {
+  assignPool,
+  ownedByPool,
+  ownedInPool,
+  retryReturnedGrants,
+  upstreamsWithFreeSlots,
+} from './assign.js';
+import { applyOffer, decrementWaiting } from './demand.js';
 import type { DemandSubscription, PoolDemand, WaitingCount } from './dispatchState.js';
-import { poll } from './loadPolls.js';
+import { pollLoad } from './loadPolls.js';
 import { noteChange } from './queues.js';
 import { freeSlots, slotsOf } from './slots.js';
 
-/** Looks at free slots in one interval of renewals. */
-const LOOKS_PER_PULL = 5;
+/** Number of checks for free slots per renewal interval. */
+const CHECKS_PER_PULL = 5;
 
-/** Renewals that may be lost before a standing request lapses. */
-const LOST_RENEWALS = 3;
+/** Number of consecutive renewals that may be lost before a subscription expires. */
+const MAX_LOST_RENEWALS = 3;
 
-/** Lag, in charge steps, at which work of customers elsewhere is asked for. */
-const LAG_STEPS = 2;
+/** Lag, in charge steps, at which work of customers waiting elsewhere is requested. */
+const MIN_LAG_STEPS = 2;
 
-/** Requests of lagging customers that are asked for beyond the owned slots. */
-const LAG_AHEAD = 8;
+/** Number of requests of lagging customers to ask for in addition to the owned slots. */
+const LAG_PREFETCH_REQUESTS = 8;
 
-/** Share of the owned slots for which work is asked ahead. */
-const AHEAD_SHARE = 0.25;
+/** Share of the owned slots for which work is requested in advance. */
+const PREFETCH_SHARE = 0.25;
 
-/** Looks for owned upstreams with free slots and no waiting work, and serves standing requests. */
+/** Requests work for owned upstreams that have free slots and serves subscriptions. */
 export function onAssignTimer(ctx: CoreContext): void {
   const { state } = ctx;
   const { dispatch, settings } = state;
   pollNewUpstreams(ctx);
-  refreshOwnOffers(ctx);
+  reclaimUntakenOffers(ctx);
   ownedByPool(state).forEach((_, pool) => requestDemand(ctx, pool));
   dispatch.subscriptions.forEach((subscribers, poolId) => {
     subscribers.forEach((subscription, id) => {
@@ -47,22 +53,26 @@
     });
     const pool = state.configuration.view?.pools.get(poolId);
     if (pool === undefined || subscribers.size === 0) return;
-    answerSubscriptions(ctx, pool);
-    requestAbroad(ctx, pool);
+    serveSubscriptions(ctx, pool);
+    requestFromOtherDomains(ctx, pool);
   });
-  // After the offers to others, or work that may not run here would be tried here first for ever.
-  retryReturned(ctx);
-  setTimer(ctx, 'assign', settings.pullMs / LOOKS_PER_PULL);
+  // Must follow the offers to others, or work that may not run here would always be retried here
+  // first.
+  retryReturnedGrants(ctx);
+  setTimer(ctx, 'assign', settings.pullMs / CHECKS_PER_PULL);
 }
 
-/** Own work that was offered to others and not taken counts as waiting again. */
-function refreshOwnOffers(ctx: CoreContext): void {
+/**
+ * Re-evaluates local work, so that work offered to others but not taken counts as waiting again.
+ */
+function reclaimUntakenOffers(ctx: CoreContext): void {
   const { dispatch, settings } = ctx.state;
   if (dispatch.ownOffersAt > ctx.now) return;
   dispatch.ownOffersAt = ctx.now + settings.pullMs;
   dispatch.queues.forEach((_, pool) => noteChange(ctx, pool));
 }
 
+/** Updates or cancels a subscription, then serves the pool's subscriptions. */
 export function onDemandRequest(
   ctx: CoreContext,
   from: InstanceId,
@@ -71,7 +81,7 @@
   const { state } = ctx;
   const pool = state.configuration.view?.poolsByNumber.get(request.pool);
   if (pool === undefined) return;
-  const subscribers = subscribersOf(state, pool.id);
+  const subscribers = subscriptionsOf(state, pool.id);
   if (request.slots === 0) {
     subscribers.delete(from);
     return;
@@ -82,35 +92,36 @@
     below: request.below > 0 ? request.below : Infinity,
     until: ctx.now + request.validMs,
   });
-  answerSubscriptions(ctx, pool);
-  requestAbroad(ctx, pool);
+  serveSubscriptions(ctx, pool);
+  requestFromOtherDomains(ctx, pool);
 }
 
+/** Adds the offered work to the demand table and assigns slots to it. */
 export function onDemandOffer(ctx: CoreContext, offer: PeerMessageOf<'demandOffer'>): void {
   const pool = ctx.state.configuration.view?.poolsByNumber.get(offer.pool);
   if (pool === undefined) return;
-  takeOffer(ctx, pool.id, offer);
-  // An offer uses the standing request up; what is still wanted may be asked for at once.
+  applyOffer(ctx, pool.id, offer);
+  // An offer consumes the subscription, so further work may be requested immediately.
   const { pulledAt } = ctx.state.dispatch;
   if (pulledAt.has(pool.id)) pulledAt.set(pool.id, -Infinity);
-  pulledAt.delete(abroadKey(pool.id));
+  pulledAt.delete(crossDomainKey(pool.id));
   assignPool(ctx, pool.id);
-  answerSubscriptions(ctx, pool);
+  serveSubscriptions(ctx, pool);
 }
 
-/** Passes waiting work on to those that asked for it; each piece to one of them. */
-export function answerSubscriptions(ctx: CoreContext, pool: PoolConfig): void {
+/** Offers waiting work to subscribers; each request is offered to one subscriber. */
+export function serveSubscriptions(ctx: CoreContext, pool: PoolConfig): void {
   const { state } = ctx;
   const demand = state.dispatch.demand.get(pool.id);
   const subscribers = state.dispatch.subscriptions.get(pool.id);
   if (demand === undefined || demand.size === 0 || subscribers === undefined) return;
   subscribers.forEach((subscription, id) => {
     if (subscription.until <= ctx.now || subscription.slots <= 0 || id === state.self.id) return;
-    offerTo(ctx, pool, demand, id, subscription);
+    sendOffer(ctx, pool, demand, id, subscription);
   });
 }
 
-function offerTo(
+function sendOffer(
   ctx: CoreContext,
   pool: PoolConfig,
   demand: PoolDemand,
@@ -120,10 +131,10 @@
   const { state } = ctx;
   const entries = new Map<InstanceId, { customers: number[]; counts: number[]; since: Millis }>();
   while (subscription.slots > 0) {
-    const next = nextToOffer(ctx, pool.id, demand, to, subscription);
+    const next = selectOffer(ctx, pool.id, demand, to, subscription);
     if (next === undefined) break;
     const { customer, waiting } = next;
-    takeOne(demand, customer, waiting.entry);
+    decrementWaiting(demand, customer, waiting.entry);
     subscription.slots -= 1;
     const ofEntry = entries.get(waiting.entry) ?? {
       customers: [],
@@ -150,8 +161,8 @@
   if (subscription.slots <= 0) state.dispatch.subscriptions.get(pool.id)?.delete(to);
 }
 
-/** The waiting customer with the least virtual service whose work the subscriber wants. */
-function nextToOffer(
+/** Returns the waiting customer with the least virtual service that matches the subscription. */
+function selectOffer(
   ctx: CoreContext,
   pool: PoolId,
   demand: PoolDemand,
@@ -160,16 +171,16 @@
 ): { readonly customer: CustomerNumber; readonly waiting: WaitingCount } | undefined {
   const account = accountOf(ctx.state, pool);
   if (account === undefined) return undefined;
-  const read = serviceReader(ctx.state, account, 'reserved');
+  const serviceOf = serviceReader(ctx.state, account, 'reserved');
   let best: { customer: CustomerNumber; waiting: WaitingCount } | undefined;
   let least = Infinity;
-  const latest = ctx.now - subscription.minWaitedMs;
+  const latestStart = ctx.now - subscription.minWaitedMs;
   demand.forEach((entries, customer) => {
     for (const waiting of entries.values()) {
-      // What came from another domain's relay is not passed to a further one.
-      const isForeign = waiting.expiresAt !== Infinity && isOfOtherDomain(ctx.state, to);
-      if (waiting.entry === to || isForeign || waiting.waitingSince > latest) continue;
-      const service = read(customer);
+      // Work offered by a relay is not forwarded to another domain.
+      const wouldRelayTwice = waiting.expiresAt !== Infinity && isInOtherDomain(ctx.state, to);
+      if (waiting.entry === to || wouldRelayTwice || waiting.waitingSince > latestStart) continue;
+      const service = serviceOf(customer);
       if (service < least && service < subscription.below) {
         least = service;
         best = { customer, waiting };
@@ -180,7 +191,7 @@
   return best;
 }
 
-/** Asks the relay of the pool for work, or withdraws the request. */
+/** Subscribes at the pool's relay, renews the subscription or cancels it. */
 function requestDemand(ctx: CoreContext, poolId: PoolId): void {
   const { state } = ctx;
   const { dispatch, settings } = state;
@@ -189,19 +200,19 @@
   if (pool === undefined || relay === undefined) return;
   const askedAt = dispatch.pulledAt.get(poolId);
   if (askedAt !== undefined && ctx.now - askedAt < settings.pullMs) return;
-  const wanted = wantedDemand(ctx, poolId, sumSlots(ctx, poolId));
+  const wanted = computeWantedDemand(ctx, poolId, countOwnSlots(ctx, poolId));
   if (wanted === undefined) {
     if (askedAt === undefined) return;
     dispatch.pulledAt.delete(poolId);
-    send(ctx, relay, pool, { slots: 0, below: Infinity }, 0);
+    sendDemandRequest(ctx, relay, pool, { slots: 0, below: Infinity }, 0);
     return;
   }
   dispatch.pulledAt.set(poolId, ctx.now);
-  send(ctx, relay, pool, wanted, 0);
+  sendDemandRequest(ctx, relay, pool, wanted, 0);
 }
 
-/** Key of the requests that a relay makes for its domain. */
-function abroadKey(pool: PoolId): string {
+/** Returns the key in `pulledAt` for requests that a relay sends on behalf of its domain. */
+function crossDomainKey(pool: PoolId): string {
   return `abroad ${pool}`;
 }
 
@@ -211,22 +222,27 @@
 }
 
 /**
- * What to ask for: any work if none is known, or that of customers elsewhere who lag behind one
- * known here by more than two charge steps, unless enough of such work is known.
+ * Determines the work to request: any work if none is known; otherwise work of customers elsewhere
+ * that lag behind a customer known here by more than two charge steps, unless enough such work is
+ * known.
  */
-function wantedDemand(ctx: CoreContext, pool: PoolId, slots: OwnSlots): WantedDemand | undefined {
+function computeWantedDemand(
+  ctx: CoreContext,
+  pool: PoolId,
+  slots: SlotTotals,
+): WantedDemand | undefined {
   const { state } = ctx;
   const demand = state.dispatch.demand.get(pool);
   if (demand === undefined || demand.size === 0) {
-    // Some work is asked for ahead, so that a slot that becomes free has it at once.
-    const ahead = Math.ceil(slots.all * AHEAD_SHARE);
-    return slots.all > 0 ? { slots: slots.free + ahead, below: Infinity } : undefined;
+    // Request some work in advance, so that a slot that becomes free can be assigned immediately.
+    const prefetched = Math.ceil(slots.all * PREFETCH_SHARE);
+    return slots.all > 0 ? { slots: slots.free + prefetched, below: Infinity } : undefined;
   }
   const account = accountOf(state, pool);
   if (account === undefined || slots.all === 0) return undefined;
   const step = state.configuration.view?.fairness.chargeStep ?? 0;
   const services = [...demand.keys()].map(serviceReader(state, account, 'settled'));
-  const below = Math.max(...services) - LAG_STEPS * step;
+  const below = Math.max(...services) - MIN_LAG_STEPS * step;
   if (leastWaiting(state, account, ctx.now) >= below) return undefined;
   let known = 0;
   [...demand.values()].forEach((entries, i) => {
@@ -235,17 +251,17 @@
         known += count;
       });
   });
-  return known >= slots.all ? undefined : { slots: slots.all + LAG_AHEAD, below };
+  return known >= slots.all ? undefined : { slots: slots.all + LAG_PREFETCH_REQUESTS, below };
 }
 
-interface OwnSlots {
+interface SlotTotals {
   readonly free: number;
   readonly all: number;
 }
 
-function sumSlots(ctx: CoreContext, pool: PoolId): OwnSlots {
+function countOwnSlots(ctx: CoreContext, pool: PoolId): SlotTotals {
   const { state } = ctx;
-  const free = usableUpstreams(ctx, pool).reduce(
+  const free = upstreamsWithFreeSlots(ctx, pool).reduce(
     (sum, upstream) => sum + freeSlots(state, upstream, ctx.now),
     0,
   );
@@ -253,39 +269,39 @@
   return { free, all };
 }
 
-/** As relay, asks the relays of other domains on behalf of this one. */
-function requestAbroad(ctx: CoreContext, pool: PoolConfig): void {
+/** Requests work from the relays of other domains on behalf of this relay's domain. */
+function requestFromOtherDomains(ctx: CoreContext, pool: PoolConfig): void {
   const { state } = ctx;
   const { dispatch, settings, self } = state;
-  const key = abroadKey(pool.id);
+  const key = crossDomainKey(pool.id);
   if (ctx.now - (dispatch.pulledAt.get(key) ?? -Infinity) < settings.pullMs) return;
-  const near = { free: 0, all: 0 };
-  subscribersOf(state, pool.id).forEach((subscription, id) => {
-    if (isOfOtherDomain(state, id)) return;
-    if (subscription.below === Infinity) near.free += subscription.slots;
-    near.all += subscription.slots;
+  const slots = { free: 0, all: 0 };
+  subscriptionsOf(state, pool.id).forEach((subscription, id) => {
+    if (isInOtherDomain(state, id)) return;
+    if (subscription.below === Infinity) slots.free += subscription.slots;
+    slots.all += subscription.slots;
   });
-  const wanted = wantedDemand(ctx, pool.id, near);
+  const wanted = computeWantedDemand(ctx, pool.id, slots);
   if (wanted === undefined) return;
   dispatch.pulledAt.set(key, ctx.now);
   liveDomains(state).forEach((domain) => {
     if (domain === self.domain) return;
-    const isNear = membersOf(state, domain)[0]?.region === self.region;
-    if (!isNear && !pool.crossRegion) return;
+    const isSameRegion = membersOf(state, domain)[0]?.region === self.region;
+    if (!isSameRegion && !pool.crossRegion) return;
     const relay = demandRelay(state, domain, pool.id);
     if (relay === undefined) return;
-    send(ctx, relay, pool, wanted, isNear ? 0 : pool.crossRegionPriceMs);
+    sendDemandRequest(ctx, relay, pool, wanted, isSameRegion ? 0 : pool.crossRegionPriceMs);
   });
 }
 
-function send(
+function sendDemandRequest(
   ctx: CoreContext,
   relay: InstanceId,
   pool: PoolConfig,
   wanted: WantedDemand,
   minWaitedMs: Millis,
 ): void {
-  const validMs = LOST_RENEWALS * ctx.state.settings.pullMs;
+  const validMs = MAX_LOST_RENEWALS * ctx.state.settings.pullMs;
   const below = wanted.below === Infinity ? 0 : wanted.below;
   sendTo(ctx, relay, {
     $case: 'demandRequest',
@@ -293,20 +309,20 @@
   });
 }
 
-/** Reads the load of upstreams that this instance has begun to own. */
+/** Polls the load of newly owned upstreams. */
 function pollNewUpstreams(ctx: CoreContext): void {
   ownedByPool(ctx.state).forEach((upstreams) => {
     upstreams.forEach((upstream) => {
-      if (!slotsOf(ctx.state, upstream).isPolled) poll(ctx, upstream);
+      if (!slotsOf(ctx.state, upstream).isPolled) pollLoad(ctx, upstream);
     });
   });
 }
 
-function isOfOtherDomain(state: CoreState, id: InstanceId): boolean {
+function isInOtherDomain(state: CoreState, id: InstanceId): boolean {
   return state.membership.members.get(id)?.domain !== state.self.domain;
 }
 
-function subscribersOf(state: CoreState, pool: PoolId): Map<InstanceId, DemandSubscription> {
+function subscriptionsOf(state: CoreState, pool: PoolId): Map<InstanceId, DemandSubscription> {
   const { subscriptions } = state.dispatch;
   const subscribers = subscriptions.get(pool) ?? new Map<InstanceId, DemandSubscription>();
   subscriptions.set(pool, subscribers);
--- a/src/core/dispatch/queues.ts
+++ b/src/core/dispatch/queues.ts
@@ -1,4 +1,4 @@
-/** The queues of requests that wait at this instance, by pool and customer. */
+/** Queues of the requests waiting at this instance, by pool and customer. */
 import type { CoreContext } from '../context.js';
 import type { Millis } from '../clock.js';
 import { concurrencyHeadroom, noteQueued } from '../limits/limits.js';
@@ -6,34 +6,34 @@
 import type { CoreState } from '../state.js';
 import type { CustomerNumber, PoolId, RequestFacts, RequestId, UpstreamId } from '../types.js';
 
-/** Largest count that is announced; more makes no difference to an owner. */
-const LARGEST_COUNT = 64;
+/** Maximum count to announce; larger counts make no difference to an owner. */
+const MAX_ANNOUNCED_COUNT = 64;
 
-/** Puts a request into the queue of its customer and pool. */
+/** Appends a request to the queue of its pool and customer. */
 export function enqueue(ctx: CoreContext, facts: RequestFacts): void {
   queueOf(ctx.state, facts.pool, facts.customer).push(facts.requestId);
   noteQueued(ctx, facts.customer, 1, facts.bodyBytes);
   noteChange(ctx, facts.pool, facts.customer);
 }
 
-/** Takes a request out of its queue, if it is there. */
+/** Removes a request from its queue, if it is queued. */
 export function withdraw(ctx: CoreContext, facts: RequestFacts): void {
   const queue = ctx.state.dispatch.queues.get(facts.pool)?.get(facts.customer);
   const index = queue?.indexOf(facts.requestId) ?? -1;
   if (queue === undefined || index < 0) return;
   queue.splice(index, 1);
   noteQueued(ctx, facts.customer, -1, facts.bodyBytes);
-  forgetEmpty(ctx.state, facts.pool, facts.customer, queue);
+  removeIfEmpty(ctx.state, facts.pool, facts.customer, queue);
   noteChange(ctx, facts.pool, facts.customer);
 }
 
-/** Has every pool with waiting work looked at again, for owners that are new. */
+/** Schedules an announcement for every pool with waiting work, so that new owners learn of it. */
 export function announceAll(ctx: CoreContext): void {
   ctx.state.dispatch.queues.forEach((_, pool) => noteChange(ctx, pool));
 }
 
-/** Takes the oldest request of a customer that may run, on the upstream if one is named. */
-export function takeNext(
+/** Dequeues a customer's oldest runnable request, restricted to an upstream if one is given. */
+export function dequeueNext(
   state: CoreState,
   pool: PoolId,
   customer: CustomerNumber,
@@ -47,11 +47,11 @@
   queue.splice(index, 1);
   const bytes = state.requests.active.get(requestId)?.facts.bodyBytes ?? 0;
   noteQueued({ state }, customer, -1, bytes);
-  forgetEmpty(state, pool, customer, queue);
+  removeIfEmpty(state, pool, customer, queue);
   return requestId;
 }
 
-/** Returns the next request of a customer that may run, without taking it. */
+/** Returns a customer's oldest runnable request without dequeuing it. */
 export function peekNext(
   state: CoreState,
   pool: PoolId,
@@ -61,29 +61,35 @@
   return queue?.find((id) => isRunnable(state, id));
 }
 
-/** Returns how many requests of a customer could be dispatched now, up to a limit. */
+/** Returns the number of a customer's requests that could be dispatched now, up to a limit. */
 export function runnableCount(state: CoreState, pool: PoolId, customer: CustomerNumber): number {
   const queue = state.dispatch.queues.get(pool)?.get(customer);
   if (queue === undefined) return 0;
-  const most = Math.min(LARGEST_COUNT, concurrencyHeadroom(state, customer));
+  const maxCount = Math.min(MAX_ANNOUNCED_COUNT, concurrencyHeadroom(state, customer));
   let count = 0;
   for (const id of queue) {
-    if (count >= most) break;
+    if (count >= maxCount) break;
     if (isRunnable(state, id)) count += 1;
   }
   return count;
 }
 
-/** Has the waiting work of a pool, or of one customer in it, looked at after the due events. */
+/** Schedules an immediate announcement for a pool, or for one of its customers. */
 export function noteChange(ctx: CoreContext, pool: PoolId, customer?: CustomerNumber): void {
   markChanged(ctx.state, pool, customer);
-  wakeAnnouncer(ctx, ctx.now);
+  setAnnounceTimer(ctx, ctx.now);
 }
 
-/** Has the waiting work of a pool, or of one customer in it, looked at after the announce interval. */
-export function noteChangeLater(ctx: CoreContext, pool: PoolId, customer?: CustomerNumber): void {
+/**
+ * Schedules an announcement after one announce interval for a pool, or for one of its customers.
+ */
+export function scheduleDelayedAnnouncement(
+  ctx: CoreContext,
+  pool: PoolId,
+  customer?: CustomerNumber,
+): void {
   markChanged(ctx.state, pool, customer);
-  wakeAnnouncer(ctx, ctx.now + ctx.state.settings.announceMs);
+  setAnnounceTimer(ctx, ctx.now + ctx.state.settings.announceMs);
 }
 
 function markChanged(state: CoreState, pool: PoolId, customer: CustomerNumber | undefined): void {
@@ -97,8 +103,8 @@
   changed.add(customer);
 }
 
-/** Sets the announce timer unless it is due earlier. */
-export function wakeAnnouncer(ctx: CoreContext, at: Millis): void {
+/** Sets the announce timer unless it is already set to an earlier time. */
+export function setAnnounceTimer(ctx: CoreContext, at: Millis): void {
   const { dispatch } = ctx.state;
   if (dispatch.announceAt <= at && dispatch.announceAt > ctx.now) return;
   if (dispatch.announceAt === at) return;
@@ -115,7 +121,7 @@
   return queue;
 }
 
-function forgetEmpty(
+function removeIfEmpty(
   state: CoreState,
   pool: PoolId,
   customer: CustomerNumber,
--- a/src/core/dispatch/sharingSettings.ts
+++ b/src/core/dispatch/sharingSettings.ts
@@ -1,24 +1,26 @@
-/** Settings of shares, dispatch and limits. All durations are milliseconds. */
+/** Settings of shares, dispatch and limits. All durations are in milliseconds. */
 import type { Millis } from '../clock.js';
 
 export interface SharingSettings {
   /** Number of customer groups, each with its own relays of service sums. */
   readonly customerGroups: number;
-  /** Exchanges after which unchanged sums of waiting customers are sent again. */
+  /** Number of exchanges after which unchanged sums of waiting customers are resent. */
   readonly refreshExchanges: number;
-  /** Owners to which waiting work is announced first; the number doubles while it waits. */
+  /** Initial number of owners to which waiting work is announced; doubles while the work waits. */
   readonly announceFanout: number;
-  /** Interval at which an owner with free slots renews its requests for waiting work. */
+  /** Interval at which an owner with free slots renews its subscription to waiting work. */
   readonly pullMs: Millis;
-  /** Interval at which entries report the grants that they hold. */
+  /** Interval at which entries report their held grants. */
   readonly holdReportMs: Millis;
-  /** Load difference, as a share of the slots, up to which a cached prefix decides. */
+  /**
+   * Load difference, as a share of the slots, up to which the longest cached prefix is preferred.
+   */
   readonly prefixLoadMargin: number;
-  /** Cached blocks that are remembered of each upstream. */
+  /** Maximum number of cached blocks tracked per upstream. */
   readonly cacheBlocks: number;
-  /** Longest time for which a stream stays suspended. */
+  /** Maximum time for which a stream stays suspended. */
   readonly maxSuspendMs: Millis;
-  /** Interval at which the use of fleet-wide limits is exchanged. */
+  /** Interval at which instances exchange their usage of fleet-wide limits. */
   readonly limitsMs: Millis;
 }
 
--- a/src/core/dispatch/slots.ts
+++ b/src/core/dispatch/slots.ts
@@ -1,9 +1,9 @@
 /**
- * The slots of owned upstreams. The number in use is what this owner granted plus what others run
- * there, by the upstream's load report or the entries' own word, so that two owners do not fill an
- * upstream twice. The limit follows the reported load: it falls by a factor when the upstream
- * queues or slows down and rises by one when it is used up (additive increase, multiplicative
- * decrease), never above the configured slots.
+ * Accounts for the slots of owned upstreams. The slots in use comprise this owner's grants and the
+ * requests of others, as given by the upstream's load report or the entries' hold reports, so that
+ * two owners do not fill an upstream twice. The limit adapts to the reported load by additive
+ * increase and multiplicative decrease: it falls by a factor when the upstream queues requests or
+ * slows down and rises by one when it is exhausted, but never exceeds the configured slots.
  */
 import type { CoreContext } from '../context.js';
 import type { Millis } from '../clock.js';
@@ -12,24 +12,25 @@
 import type { GrantId, UpstreamConfig, UpstreamId, UpstreamReport } from '../types.js';
 import type { IssuedGrant, Slots } from './dispatchState.js';
 
-/** Factor on the limit when the upstream queues or slows down. */
-const DECREASE = 0.8;
+/** Factor applied to the limit when the upstream queues requests or slows down. */
+const LIMIT_DECREASE_FACTOR = 0.8;
 
-/** Share of the slots that may queue at the upstream before the limit falls. */
-const TOLERATED_QUEUE = 0.25;
+/** Queued requests, as a share of the slots, above which the limit is decreased. */
+const MAX_QUEUED_SHARE = 0.25;
 
 /** Share of the smoothed token rate below which a report counts as slow. */
-const SLOW_RATE = 0.6;
+const SLOW_RATE_SHARE = 0.6;
 
-/** Slow reports in a row at which the limit falls. */
-const SLOW_REPORTS = 3;
+/** Number of consecutive slow reports at which the limit is decreased. */
+const SLOW_REPORTS_TO_DECREASE = 3;
 
-/** Failed reads of the load in a row after which nothing is granted at an upstream. */
-const FAILED_POLLS = 2;
+/** Number of consecutive failed load polls at which an upstream receives no more grants. */
+const FAILED_POLLS_TO_STOP = 2;
 
-/** Weight of the latest report in the smoothed token rate. */
-const RATE_GAIN = 0.2;
+/** Weight of the latest report in the exponentially smoothed token rate. */
+const TOKEN_RATE_SMOOTHING = 0.2;
 
+/** Returns the slot accounting of an upstream, creating it if it does not exist. */
 export function slotsOf(state: CoreState, upstream: UpstreamConfig): Slots {
   const { slots } = state.dispatch;
   const known = slots.get(upstream.id);
@@ -53,17 +54,17 @@
   return created;
 }
 
-/** Returns the slots of an upstream that may be granted now. */
+/** Returns the number of slots of an upstream that may be granted now. */
 export function freeSlots(state: CoreState, upstream: UpstreamConfig, now: Millis): number {
   const slots = slotsOf(state, upstream);
-  if (slots.failedPolls >= FAILED_POLLS) return 0;
+  if (slots.failedPolls >= FAILED_POLLS_TO_STOP) return 0;
   const limit = Math.floor(Math.min(slots.limit, upstream.slots));
-  // Before the first report another owner may still fill the upstream.
+  // Until the first report, assume that another owner may still use part of the upstream.
   const usable = upstream.reportsLoad && !slots.hasReport ? Math.ceil(limit / 2) : limit;
   return usable - slots.inUse - foreignUse(slots, now);
 }
 
-/** Requests of others at the upstream: of earlier owners, or of owners with another view. */
+/** Returns the slots used by others: earlier owners, or owners with a different membership view. */
 export function foreignUse(slots: Slots, now: Millis): number {
   let held = 0;
   slots.foreignHeld.forEach(({ count, until }, entry) => {
@@ -73,19 +74,19 @@
   return Math.max(held, slots.foreignReported);
 }
 
-/** Notes that an upstream did not tell its load; it may be out of reach from here. */
-export function noteFailedPoll(state: CoreState, upstream: UpstreamConfig): void {
+/** Records a failed load poll; the upstream may be unreachable from this instance. */
+export function recordFailedPoll(state: CoreState, upstream: UpstreamConfig): void {
   slotsOf(state, upstream).failedPolls += 1;
 }
 
-/** Takes a load report. */
-export function noteReport(
+/** Applies a load report of an upstream. */
+export function applyLoadReport(
   state: CoreState,
   upstream: UpstreamConfig,
   report: UpstreamReport,
 ): void {
   const slots = slotsOf(state, upstream);
-  // Grants given since the report was made are not in it; those that ended since still are.
+  // The report lacks grants issued after it was made and still includes grants that ended since.
   const own = Math.max(slots.inUseAtPoll, slots.inUse);
   slots.foreignReported = Math.max(0, report.running + report.queued - own);
   slots.hasReport = true;
@@ -94,28 +95,28 @@
 }
 
 function adaptLimit(upstream: UpstreamConfig, slots: Slots, report: UpstreamReport): void {
-  const most = report.slots > 0 ? Math.min(upstream.slots, report.slots) : upstream.slots;
-  const isQueueing = report.queued > Math.max(1, most * TOLERATED_QUEUE);
+  const maxSlots = report.slots > 0 ? Math.min(upstream.slots, report.slots) : upstream.slots;
+  const isQueueing = report.queued > Math.max(1, maxSlots * MAX_QUEUED_SHARE);
   const isSlow =
     report.running > 0 &&
     report.running >= slots.reportedRunning &&
-    report.tokensPerSecond < slots.tokenRate * SLOW_RATE;
+    report.tokensPerSecond < slots.tokenRate * SLOW_RATE_SHARE;
   slots.slowReports = isSlow ? slots.slowReports + 1 : 0;
   if (report.running > 0) {
-    slots.tokenRate += (report.tokensPerSecond - slots.tokenRate) * RATE_GAIN;
+    slots.tokenRate += (report.tokensPerSecond - slots.tokenRate) * TOKEN_RATE_SMOOTHING;
   }
   slots.reportedRunning = report.running;
-  if (isQueueing || slots.slowReports >= SLOW_REPORTS) {
-    slots.limit = Math.max(1, Math.min(slots.limit, most) * DECREASE);
+  if (isQueueing || slots.slowReports >= SLOW_REPORTS_TO_DECREASE) {
+    slots.limit = Math.max(1, Math.min(slots.limit, maxSlots) * LIMIT_DECREASE_FACTOR);
     slots.slowReports = 0;
   } else if (slots.inUse >= Math.floor(slots.limit)) {
     slots.limit += 1;
   }
-  slots.limit = Math.min(slots.limit, most);
+  slots.limit = Math.min(slots.limit, maxSlots);
 }
 
-/** Ends a grant; its slot is free again. */
-export function freeGrant(state: CoreState, id: GrantId): IssuedGrant | undefined {
+/** Removes an issued grant and frees its slot. */
+export function endGrant(state: CoreState, id: GrantId): IssuedGrant | undefined {
   const { issued, slots } = state.dispatch;
   const grant = issued.get(id);
   if (grant === undefined) return undefined;
@@ -128,14 +129,18 @@
   return grant;
 }
 
-/** Ends the reservation of a grant: its service shows in the sums, or it has ended. */
+/** Releases the reservation of a grant that has ended or whose service the sums include. */
 export function endReservation(state: CoreState, grant: IssuedGrant): void {
   reserve(state, grant.customer, grant.pool, -grant.reserved);
   grant.reserved = 0;
 }
 
-/** Moves a grant between the slots in use and the suspended ones. */
-export function setPhase(ctx: CoreContext, grant: IssuedGrant, phase: IssuedGrant['phase']): void {
+/** Sets the phase of a grant and updates the counts of slots in use and suspended. */
+export function setGrantPhase(
+  ctx: CoreContext,
+  grant: IssuedGrant,
+  phase: IssuedGrant['phase'],
+): void {
   const slots = ctx.state.dispatch.slots.get(grant.upstream);
   if (grant.phase === phase || slots === undefined) return;
   if (grant.phase === 'suspended') {
@@ -150,8 +155,11 @@
   grant.phaseSince = ctx.now;
 }
 
-/** Has the load of upstreams that are no longer owned read afresh if they are owned again. */
-export function forgetReports(state: CoreState, owned: readonly UpstreamConfig[]): void {
+/**
+ * Discards the load reports of upstreams that are no longer owned, so that they are polled anew
+ * later.
+ */
+export function resetLoadReports(state: CoreState, owned: readonly UpstreamConfig[]): void {
   const ids = new Set(owned.map(({ id }) => id));
   state.dispatch.slots.forEach((slots, id) => {
     if (ids.has(id)) return;
@@ -162,7 +170,7 @@
   });
 }
 
-/** Forgets the slots of upstreams that left the configuration. */
+/** Removes the state of upstreams that are no longer in the configuration. */
 export function pruneSlots(state: CoreState): void {
   const { slots, caches, reports } = state.dispatch;
   const upstreams = state.configuration.view?.upstreams;
--- a/src/core/shares/bound.ts
+++ b/src/core/shares/bound.ts
@@ -3,7 +3,7 @@
  * sketch is in docs/notes/fairness.md.
  */
 import { MS_PER_SECOND, type Millis } from '../clock.js';
-import { announceInterval, ENOUGH_OWNERS } from '../dispatch/announceInterval.js';
+import { announceInterval, MAX_OWNERS_UNLESS_LAGGING } from '../dispatch/announceInterval.js';
 import type { CoreSettings } from '../settings.js';
 import { stretchedInterval } from './exchangeInterval.js';
 
@@ -57,7 +57,7 @@
   const { lostMessages, delayMs, crossRegionPriceMs, instancesInDomain = 1 } = conditions;
   const interval = announceInterval(settings.announceMs, instancesInDomain);
   // In a large domain a customer's lag is looked at with each report of held slots.
-  const noticing = instancesInDomain > ENOUGH_OWNERS ? settings.holdReportMs : 0;
+  const noticing = instancesInDomain > MAX_OWNERS_UNLESS_LAGGING ? settings.holdReportMs : 0;
   const announcing = ANNOUNCE_INTERVALS * interval + noticing + crossRegionPriceMs;
   const pulling = 2 * settings.pullMs + PULL_HOPS * delayMs;
   return announcing + pulling + lostMessages * settings.holdReportMs;
