--- a/src/core/dispatch/announcements.ts
+++ b/src/core/dispatch/announcements.ts
@@ -10,7 +10,7 @@
 import { hash32 } from '../hash.js';
 import { bestScored, isLive, membersOf, relaysOf } from '../membership/memberIndex.js';
 import { ownerOf, upstreamsIn } from '../ownership/ownership.js';
-import { laggingBelow, virtualService } from '../shares/shares.js';
+import { lagThresholdOf, virtualService } from '../shares/shares.js';
 import type { CoreState } from '../state.js';
 import type { CustomerNumber, InstanceId, PoolConfig, PoolId } from '../types.js';
 import { announceInterval, MAX_OWNERS_UNLESS_LAGGING } from './announceInterval.js';
@@ -58,9 +58,7 @@
   return relaysOf(state, domain, `demand ${pool}`)[0]?.id;
 }
 
-/**
- * Offers changed waiting work to local upstreams immediately and announces it once per interval.
- */
+/** Offers changed work to local upstreams immediately and announces it once per interval. */
 export function onAnnounceTimer(ctx: CoreContext): void {
   const { state } = ctx;
   const { dispatch } = state;
@@ -200,7 +198,7 @@
   const relay = demandRelay(state, state.self.domain, poolId);
   const counts = new Map<CustomerNumber, number>();
   const lagThreshold =
-    owners.length > MAX_OWNERS_UNLESS_LAGGING ? laggingBelow(state, poolId, ctx.now) : 0;
+    owners.length > MAX_OWNERS_UNLESS_LAGGING ? lagThresholdOf(state, poolId, ctx.now) : 0;
   changed.forEach((customer) => {
     const count = runnableCount(state, poolId, customer);
     counts.set(customer, count);
--- a/src/core/dispatch/cache.ts
+++ b/src/core/dispatch/cache.ts
@@ -8,9 +8,7 @@
 import type { CacheEvent, UpstreamId, UpstreamReport } from '../types.js';
 import type { CacheEstimate } from './dispatchState.js';
 
-/**
- * Number of prefixes of a request that are compared: the longest and evenly spaced shorter ones.
- */
+/** Number of compared prefixes per request: the longest and evenly spaced shorter ones. */
 const COMPARED_BLOCKS = 3;
 
 /** Cache events read from an upstream. */
--- a/src/core/dispatch/dispatchState.ts
+++ b/src/core/dispatch/dispatchState.ts
@@ -150,9 +150,7 @@
   /** Owner side. */
   readonly demand: Map<PoolId, PoolDemand>;
   readonly issued: Map<GrantId, IssuedGrant>;
-  /**
-   * Combinations of waiting work and upstream with a returned grant, with the end of the backoff.
-   */
+  /** Pairs of waiting work and upstream with a returned grant, with the end of the backoff. */
   readonly returned: Map<string, Millis>;
   readonly slots: Map<UpstreamId, Slots>;
   readonly reports: Map<UpstreamId, UpstreamReport>;
--- a/src/core/dispatch/owner.ts
+++ b/src/core/dispatch/owner.ts
@@ -1,6 +1,4 @@
-/**
- * Owner side of dispatch: handles waiting counts, slot updates and load reports of owned upstreams.
- */
+/** Owner side of dispatch: handles waiting counts, slot updates and load reports. */
 import { setTimer, type CoreContext } from '../context.js';
 import { isLive } from '../membership/memberIndex.js';
 import { ownedUpstreams } from '../ownership/ownership.js';
--- a/src/core/dispatch/pull.ts
+++ b/src/core/dispatch/pull.ts
@@ -8,7 +8,7 @@
 import { sendTo, setTimer, type CoreContext } from '../context.js';
 import type { Millis } from '../clock.js';
 import { isLive, liveDomains, membersOf } from '../membership/memberIndex.js';
-import { accountOf, leastWaiting, serviceReader } from '../shares/accounts.js';
+import { accountOf, leastWaitingService, serviceReader } from '../shares/accounts.js';
 import type { CoreState } from '../state.js';
 import type { CustomerNumber, InstanceId, PeerMessageOf, PoolConfig, PoolId } from '../types.js';
 import { demandRelay } from './announcements.js';
@@ -62,9 +62,7 @@
   setTimer(ctx, 'assign', settings.pullMs / CHECKS_PER_PULL);
 }
 
-/**
- * Re-evaluates local work, so that work offered to others but not taken counts as waiting again.
- */
+/** Re-evaluates local work, so that offered but untaken work counts as waiting again. */
 function reclaimUntakenOffers(ctx: CoreContext): void {
   const { dispatch, settings } = ctx.state;
   if (dispatch.ownOffersAt > ctx.now) return;
@@ -243,7 +241,7 @@
   const step = state.configuration.view?.fairness.chargeStep ?? 0;
   const services = [...demand.keys()].map(serviceReader(state, account, 'settled'));
   const below = Math.max(...services) - MIN_LAG_STEPS * step;
-  if (leastWaiting(state, account, ctx.now) >= below) return undefined;
+  if (leastWaitingService(state, account, ctx.now) >= below) return undefined;
   let known = 0;
   [...demand.values()].forEach((entries, i) => {
     if ((services[i] ?? 0) < below)
--- a/src/core/dispatch/queues.ts
+++ b/src/core/dispatch/queues.ts
@@ -80,9 +80,7 @@
   setAnnounceTimer(ctx, ctx.now);
 }
 
-/**
- * Schedules an announcement after one announce interval for a pool, or for one of its customers.
- */
+/** Schedules an announcement for a pool, or one of its customers, after one announce interval. */
 export function scheduleDelayedAnnouncement(
   ctx: CoreContext,
   pool: PoolId,
--- a/src/core/dispatch/sharingSettings.ts
+++ b/src/core/dispatch/sharingSettings.ts
@@ -12,9 +12,7 @@
   readonly pullMs: Millis;
   /** Interval at which entries report their held grants. */
   readonly holdReportMs: Millis;
-  /**
-   * Load difference, as a share of the slots, up to which the longest cached prefix is preferred.
-   */
+  /** Load difference, as a share of the slots, within which the longest cached prefix wins. */
   readonly prefixLoadMargin: number;
   /** Maximum number of cached blocks tracked per upstream. */
   readonly cacheBlocks: number;
--- a/src/core/dispatch/suspension.ts
+++ b/src/core/dispatch/suspension.ts
@@ -1,6 +1,6 @@
 /**
  * Suspends streams so that a short request does not have to wait for a long stream to end. When all
- * slots are held, a stream of the most-served customer is suspended in favor of a waiting customer
+ * slots are held, a stream of the most-served customer is suspended in favour of a waiting customer
  * that either holds no slot here and is not ahead, or lags by more than two charge steps. Only
  * idempotent streams are suspended, at most the pool's configured share of an upstream's slots, and
  * the duration of a suspension is bounded.
@@ -12,9 +12,7 @@
 import type { IssuedGrant } from './dispatchState.js';
 import { setGrantPhase } from './slots.js';
 
-/**
- * Lag, in charge steps, of a waiting customer with slots above which a stream is suspended for it.
- */
+/** Lag, in charge steps, above which a stream is suspended for a customer that holds slots. */
 const MIN_LAG_STEPS = 2;
 
 /**
--- a/src/core/shares/accounts.ts
+++ b/src/core/shares/accounts.ts
@@ -1,4 +1,4 @@
-/** Access to the accounts of service. */
+/** Lookup and access functions for service accounts. */
 import type { Millis } from '../clock.js';
 import type { CoreState } from '../state.js';
 import type { CustomerNumber, PoolId, PoolNumber } from '../types.js';
@@ -6,7 +6,7 @@
 
 const INITIAL_CAPACITY = 64;
 
-/** Returns the account that a pool's service counts in. */
+/** Returns the account to which a pool's service is charged. */
 export function accountOf(state: CoreState, pool: PoolId): Account | undefined {
   const { view } = state.configuration;
   const config = view?.pools.get(pool);
@@ -14,6 +14,7 @@
   return accountByNumber(state, view.fairness.scope === 'fleet' ? FLEET_ACCOUNT : config.number);
 }
 
+/** Returns an account by its number, creating it if it does not exist. */
 export function accountByNumber(state: CoreState, number: PoolNumber): Account {
   const { accounts } = state.shares;
   const known = accounts.get(number);
@@ -36,7 +37,7 @@
   return account;
 }
 
-/** Makes room for a customer number. */
+/** Grows the account's arrays to include a customer number. */
 export function ensureCapacity(account: Account, customer: CustomerNumber): void {
   if (customer < account.capacity) return;
   const capacity = Math.max(customer + 1, account.capacity * 2);
@@ -55,7 +56,7 @@
   account.capacity = capacity;
 }
 
-/** Returns the customer's weight in the account; over all pools, that of the first pool. */
+/** Returns the customer's weight in the account; the fleet-wide account uses the first pool's. */
 export function weightIn(state: CoreState, account: Account, customer: CustomerNumber): number {
   const { view } = state.configuration;
   if (view === undefined) return 1;
@@ -72,26 +73,34 @@
   return weight;
 }
 
-/** Returns the customer's virtual service as this instance knows it, reservations included. */
-export function virtualIn(state: CoreState, account: Account, customer: CustomerNumber): number {
+/** Returns the customer's virtual service known to this instance, including reservations. */
+export function virtualServiceIn(
+  state: CoreState,
+  account: Account,
+  customer: CustomerNumber,
+): number {
   const weight = weightIn(state, account, customer);
-  return settledIn(state, account, customer) + (account.reserved[customer] ?? 0) / weight;
+  return settledServiceIn(state, account, customer) + (account.reserved[customer] ?? 0) / weight;
 }
 
-/** Returns the customer's virtual service without reservations. */
-export function settledIn(state: CoreState, account: Account, customer: CustomerNumber): number {
+/** Returns the customer's virtual service known to this instance, excluding reservations. */
+export function settledServiceIn(
+  state: CoreState,
+  account: Account,
+  customer: CustomerNumber,
+): number {
   const weight = weightIn(state, account, customer);
   const pending = (account.own[customer] ?? 0) - (account.acknowledged[customer] ?? 0);
   const service = (account.fleet[customer] ?? 0) + Math.max(0, pending);
   return service / weight + (account.lift[customer] ?? 0);
 }
 
-/** Whether reservations count in a comparison of customers. */
+/** Whether reservations are excluded (`settled`) or included (`reserved`). */
 export type ServiceView = 'settled' | 'reserved';
 
 /**
- * Returns a function that reads virtual service as `settledIn` or `virtualIn` do, for walks over many
- * customers. It holds for as long as the account is not written to.
+ * Returns a function equivalent to `settledServiceIn` or `virtualServiceIn` that is faster for
+ * iterating over many customers. It is valid only until the account is next modified.
  */
 export function serviceReader(
   state: CoreState,
@@ -104,7 +113,7 @@
   return (customer) => {
     const known = customer < capacity ? (weight[customer] as number) : 0;
     if (known === 0) {
-      const read = isSettled ? settledIn : virtualIn;
+      const read = isSettled ? settledServiceIn : virtualServiceIn;
       return read(state, account, customer);
     }
     const pending = (own[customer] as number) - (acknowledged[customer] as number);
@@ -114,14 +123,14 @@
   };
 }
 
-/** Notes that a customer waits somewhere until a time. */
-export function noteWaiting(account: Account, customer: CustomerNumber, until: Millis): void {
+/** Marks a customer as waiting somewhere in the fleet until the given time. */
+export function markWaiting(account: Account, customer: CustomerNumber, until: Millis): void {
   ensureCapacity(account, customer);
   account.waitingUntil[customer] = Math.max(account.waitingUntil[customer] ?? 0, until);
   account.active.add(customer);
 }
 
-/** Calls `action` for each customer believed to wait somewhere. */
+/** Calls `action` for each customer known to wait somewhere in the fleet. */
 export function forEachWaiting(
   account: Account,
   now: Millis,
@@ -133,12 +142,12 @@
   });
 }
 
-/** Returns the least virtual service among the customers believed to wait somewhere. */
-export function leastWaiting(state: CoreState, account: Account, now: Millis): number {
+/** Returns the least virtual service among the customers known to wait somewhere in the fleet. */
+export function leastWaitingService(state: CoreState, account: Account, now: Millis): number {
   let least = Infinity;
-  const read = serviceReader(state, account, 'settled');
+  const serviceOf = serviceReader(state, account, 'settled');
   forEachWaiting(account, now, (customer) => {
-    const service = read(customer);
+    const service = serviceOf(customer);
     if (service < least) least = service;
   });
   return least;
--- a/src/core/shares/bound.ts
+++ b/src/core/shares/bound.ts
@@ -1,11 +1,11 @@
 /**
- * The stated bounds of fair sharing as formulas, for tests, measurements and operators. The proof
- * sketch is in docs/notes/fairness.md.
+ * Formulas for the guaranteed bounds of fair sharing, for tests, measurements and operators. See
+ * docs/notes/fairness.md for a proof sketch.
  */
 import { MS_PER_SECOND, type Millis } from '../clock.js';
 import { announceInterval, MAX_OWNERS_UNLESS_LAGGING } from '../dispatch/announceInterval.js';
 import type { CoreSettings } from '../settings.js';
-import { stretchedInterval } from './exchangeInterval.js';
+import { scaledExchangeInterval } from './exchangeInterval.js';
 
 export interface SharingConditions {
   /** Slots of the pool over all upstreams. */
@@ -14,19 +14,19 @@
   readonly largestRequest: number;
   /** Largest amount charged at once, in cost units. */
   readonly chargeStep: number;
-  /** Cost units that one slot serves in a second. */
+  /** Cost units that one slot serves per second. */
   readonly slotRate: number;
-  /** Smallest weight among the customers that wait. */
+  /** Smallest weight among the waiting customers. */
   readonly leastWeight: number;
-  /** Longest one-way delay between two instances. */
+  /** Maximum one-way delay between two instances. */
   readonly delayMs: Millis;
-  /** Price of a crossing of regions, as in the pool's configuration. */
+  /** The pool's configured price of dispatching to another region. */
   readonly crossRegionPriceMs: Millis;
-  /** Messages in a row that may be lost between two instances. */
+  /** Maximum number of consecutive messages lost between two instances. */
   readonly lostMessages: number;
-  /** Instances of the largest failure domain; absent for a small one. */
+  /** Number of instances in the largest failure domain; 1 if absent. */
   readonly instancesInDomain?: number;
-  /** Customers that wait at the same time. */
+  /** Number of customers that wait at the same time. */
   readonly customers: number;
 }
 
@@ -35,43 +35,43 @@
   'exchangeMs' | 'refreshExchanges' | 'announceMs' | 'pullMs' | 'holdReportMs'
 >;
 
-/** Messages that service sums take from an instance over two relays to another instance. */
+/** Number of messages that carry service sums from one instance through two relays to another. */
 const EXCHANGE_HOPS = 3;
 
-/** Announce intervals until work is announced to all owners of a small domain and to the relay. */
+/** Announce intervals until all owners of a small domain and the relay know of waiting work. */
 const ANNOUNCE_INTERVALS = 3;
 
-/** Messages from an owner over two relays to an entry's work, with the grant. */
+/** Number of messages to pull work through two relays, including the grant to the entry. */
 const PULL_HOPS = 5;
 
-/** Age of what an instance knows of the fleet's service. */
+/** Returns the maximum age of an instance's knowledge of the service in the fleet. */
 export function informationAge(settings: BoundSettings, conditions: SharingConditions): Millis {
   const { lostMessages, delayMs } = conditions;
   const exchanges = EXCHANGE_HOPS + lostMessages * settings.refreshExchanges;
-  const interval = stretchedInterval(settings.exchangeMs, conditions.customers);
+  const interval = scaledExchangeInterval(settings.exchangeMs, conditions.customers);
   return exchanges * interval + EXCHANGE_HOPS * delayMs;
 }
 
-/** Longest time until an owner elsewhere with a free slot has found work that waits. */
+/** Returns the maximum time until an owner elsewhere with a free slot discovers waiting work. */
 export function discoveryTime(settings: BoundSettings, conditions: SharingConditions): Millis {
   const { lostMessages, delayMs, crossRegionPriceMs, instancesInDomain = 1 } = conditions;
   const interval = announceInterval(settings.announceMs, instancesInDomain);
-  // In a large domain a customer's lag is looked at with each report of held slots.
-  const noticing = instancesInDomain > MAX_OWNERS_UNLESS_LAGGING ? settings.holdReportMs : 0;
-  const announcing = ANNOUNCE_INTERVALS * interval + noticing + crossRegionPriceMs;
+  // In a large domain, a customer's lag is evaluated at each hold report.
+  const lagDetection = instancesInDomain > MAX_OWNERS_UNLESS_LAGGING ? settings.holdReportMs : 0;
+  const announcing = ANNOUNCE_INTERVALS * interval + lagDetection + crossRegionPriceMs;
   const pulling = 2 * settings.pullMs + PULL_HOPS * delayMs;
   return announcing + pulling + lostMessages * settings.holdReportMs;
 }
 
-/** Largest difference of virtual service between two customers that both have work waiting. */
+/** Returns the maximum difference in virtual service between two customers with waiting work. */
 export function serviceGapBound(settings: BoundSettings, conditions: SharingConditions): number {
   const { slots, largestRequest, chargeStep, slotRate, leastWeight } = conditions;
   const age = informationAge(settings, conditions) + discoveryTime(settings, conditions);
-  const unseen = (slots * slotRate * age) / MS_PER_SECOND;
-  return (slots * (largestRequest + chargeStep) + unseen) / leastWeight;
+  const unreported = (slots * slotRate * age) / MS_PER_SECOND;
+  return (slots * (largestRequest + chargeStep) + unreported) / leastWeight;
 }
 
-/** Longest time for which a customer with work waiting is not served at all. */
+/** Returns the maximum time for which a customer with waiting work receives no service. */
 export function waitBound(
   settings: BoundSettings,
   conditions: SharingConditions,
@@ -80,7 +80,7 @@
   const { slots, slotRate, customers, largestRequest } = conditions;
   const gap = serviceGapBound(settings, conditions) * greatestWeight;
   const catchUp = (gap * (customers - 1)) / (slots * slotRate);
-  const slot = largestRequest / slotRate;
+  const slotTime = largestRequest / slotRate;
   const age = informationAge(settings, conditions) + discoveryTime(settings, conditions);
-  return age + (catchUp + slot) * MS_PER_SECOND;
+  return age + (catchUp + slotTime) * MS_PER_SECOND;
 }
--- a/src/core/shares/describe.ts
+++ b/src/core/shares/describe.ts
@@ -1,4 +1,4 @@
-/** Read-only snapshot of shares and dispatch for status pages. */
+/** Read-only snapshots of shares and dispatch for status pages. */
 import type { Millis } from '../clock.js';
 import { foreignUse } from '../dispatch/slots.js';
 import { concurrencyHeadroom } from '../limits/limits.js';
@@ -14,32 +14,38 @@
   UpstreamConfig,
   UpstreamId,
 } from '../types.js';
-import { accountOf, forEachWaiting, settledIn, virtualIn, weightIn } from './accounts.js';
+import {
+  accountOf,
+  forEachWaiting,
+  settledServiceIn,
+  virtualServiceIn,
+  weightIn,
+} from './accounts.js';
 import type { Account } from './sharesState.js';
 
-/** Why a customer's next request at this instance waits. */
+/** Reason why a customer's next request at this instance waits. */
 export type WaitReason =
-  /** Its claim, a retry time or another condition of the request is pending. */
+  /** The claim, the retry time or another precondition of the request is pending. */
   | 'notReady'
   | 'concurrencyLimit'
-  /** Customers with less virtual service go first. */
+  /** Customers with less virtual service take precedence. */
   | 'others'
-  /** No slot that this instance knows of is free. */
+  /** No slot known to this instance is free. */
   | 'slots';
 
 export interface CustomerShare {
   readonly customer: CustomerId;
   readonly pool: PoolId;
-  /** Fleet-wide service in cost units, as known here. */
+  /** Fleet-wide service in cost units, as known to this instance. */
   readonly service: number;
   readonly lift: number;
-  /** Service by weight, with lift and reservations: the least is served next. */
+  /** Service divided by weight, plus lift and reservations; the least is served next. */
   readonly virtualService: number;
   readonly weight: number;
-  /** Part of the weights of all customers that wait in the fleet, from 0 to 1. */
+  /** Fraction of the total weight of the customers that wait in the fleet; 0 if not waiting. */
   readonly share: number;
   readonly isWaitingInFleet: boolean;
-  /** Requests that wait at this instance. */
+  /** Number of requests that wait at this instance. */
   readonly waitingHere: number;
   readonly waitReason?: WaitReason;
 }
@@ -49,7 +55,7 @@
   readonly pool: PoolId;
   readonly owner?: InstanceId;
   readonly slots: number;
-  /** Slots that may be used at present. */
+  /** Current adaptive limit on the slots in use. */
   readonly limit: number;
   readonly inUse: number;
   readonly inUseByOthers: number;
@@ -63,7 +69,7 @@
   readonly upstreams: readonly OwnedUpstream[];
 }
 
-/** Describes the shares of the customers with recent service or waiting work, and owned upstreams. */
+/** Describes the owned upstreams and the shares of customers with service or waiting work. */
 export function describeShares(state: CoreState, now: Millis): SharesDescription {
   const customers: CustomerShare[] = [];
   state.configuration.view?.pools.forEach((pool) => {
@@ -92,7 +98,7 @@
   const shares: CustomerShare[] = [];
   state.configuration.view?.customers.forEach(({ id, number }) => {
     const isWaiting = waiting.has(number);
-    const virtualService = virtualIn(state, account, number);
+    const virtualService = virtualServiceIn(state, account, number);
     if (!isWaiting && virtualService === 0) return;
     const weight = weightIn(state, account, number);
     const lift = account.lift[number] ?? 0;
@@ -100,7 +106,7 @@
     shares.push({
       customer: id,
       pool: pool.id,
-      service: (settledIn(state, account, number) - lift) * weight,
+      service: (settledServiceIn(state, account, number) - lift) * weight,
       lift,
       virtualService,
       weight,
@@ -124,10 +130,10 @@
   if (queue === undefined || queue.length === 0) return undefined;
   if (!queue.some((id) => isRunnable(state, id))) return 'notReady';
   if (concurrencyHeadroom(state, customer) <= 0) return 'concurrencyLimit';
-  const own = virtualIn(state, account, customer);
+  const own = virtualServiceIn(state, account, customer);
   let isNext = true;
   forEachWaiting(account, now, (other) => {
-    if (other !== customer && virtualIn(state, account, other) < own) isNext = false;
+    if (other !== customer && virtualServiceIn(state, account, other) < own) isNext = false;
   });
   return isNext ? 'slots' : 'others';
 }
--- a/src/core/shares/exchange.ts
+++ b/src/core/shares/exchange.ts
@@ -1,16 +1,17 @@
 /**
- * The exchange of service sums as every instance takes part in it: it sends what it charged and who
- * waits to the relays of the customers' groups in its domain, and takes in what they say of the
- * fleet. Sums only grow and the largest counts, so messages may come in any order, twice or late.
+ * The part of every instance in the exchange of service sums. An instance sends its charged service
+ * and its waiting customers to the relays of the customers' groups in its domain and receives the
+ * sums of the fleet from them. Sums only grow and are merged by maximum, so messages may be
+ * reordered, duplicated or delayed.
  */
 import { sendTo, setTimer, type CoreContext } from '../context.js';
 import { isLive } from '../membership/memberIndex.js';
 import { exchangeInterval } from './exchangeInterval.js';
 import type { CoreState } from '../state.js';
 import type { CustomerNumber, InstanceId } from '../types.js';
-import { accountByNumber, accountOf, ensureCapacity, noteWaiting } from './accounts.js';
+import { accountByNumber, accountOf, ensureCapacity, markWaiting } from './accounts.js';
 import { groupOf, groupRelays } from './groups.js';
-import { relayOnTimer, takeDomainSums, takeOriginSums } from './relay.js';
+import { runRelayRound, applyDomainSums, applyOriginSums } from './relay.js';
 import type { Account, SentSums } from './sharesState.js';
 import { chargeRunningSlotTime } from './slotTime.js';
 import {
@@ -22,32 +23,35 @@
   type SumEntry,
 } from './sumsCodec.js';
 
-/** Exchanges without news after which a customer no longer counts as waiting. */
-export const WAITING_EXCHANGES = 8;
+/** Number of exchanges without an update after which a customer no longer counts as waiting. */
+export const WAITING_TTL_EXCHANGES = 8;
 
-interface Batch {
+interface SumBatch {
   readonly waiting: SumEntry[];
   readonly others: SumEntry[];
 }
 
-/** Fires twice in each exchange: sums go up first, and out of the relays half an interval later. */
+/**
+ * Fires twice per exchange: instances send their sums to the relays first, and the relays
+ * distribute them half an interval later.
+ */
 export function onExchangeTimer(ctx: CoreContext): void {
   const { shares } = ctx.state;
   shares.ticks += 1;
   if (shares.ticks % 2 === 1) {
     chargeRunningSlotTime(ctx);
-    forgetLostRelays(ctx.state);
+    removeLostRelays(ctx.state);
     const waiting = waitingByAccount(ctx.state);
     shares.accounts.forEach((account) => {
       sendOwnSums(ctx, account, waiting.get(account) ?? new Set());
     });
   } else {
-    relayOnTimer(ctx);
+    runRelayRound(ctx);
   }
   setTimer(ctx, 'exchange', exchangeInterval(ctx.state) / 2);
 }
 
-function forgetLostRelays(state: CoreState): void {
+function removeLostRelays(state: CoreState): void {
   state.shares.sent.forEach((_, relay) => {
     if (!isLive(state, relay)) state.shares.sent.delete(relay);
   });
@@ -61,19 +65,19 @@
 ): void {
   switch (message.scope) {
     case SumScope.instance:
-      takeOriginSums(ctx, from, incarnation, message);
+      applyOriginSums(ctx, from, incarnation, message);
       return;
     case SumScope.domain:
-      takeDomainSums(ctx, message);
+      applyDomainSums(ctx, message);
       return;
     case SumScope.fleet:
-      takeFleetSums(ctx, from, message);
+      applyFleetSums(ctx, from, message);
       break;
     default:
   }
 }
 
-/** Customers with requests in the queues of this instance. */
+/** Returns the customers with requests in the queues of this instance, by account. */
 function waitingByAccount(state: CoreState): ReadonlyMap<Account, ReadonlySet<CustomerNumber>> {
   const waiting = new Map<Account, Set<CustomerNumber>>();
   state.dispatch.queues.forEach((queues, pool) => {
@@ -94,7 +98,7 @@
   waiting: ReadonlySet<CustomerNumber>,
 ): void {
   const { state } = ctx;
-  const batches = new Map<InstanceId, Batch>();
+  const batches = new Map<InstanceId, SumBatch>();
   const add = (customer: CustomerNumber, isWaiting: boolean) => {
     ensureCapacity(account, customer);
     const sum = floorToWire(account.own[customer] ?? 0);
@@ -114,12 +118,16 @@
       account.unsent.delete(customer);
     }
   });
-  noteSilence(state, account, batches);
+  addEmptyBatches(state, account, batches);
   batches.forEach((batch, relay) => sendBatch(ctx, account, relay, batch));
 }
 
-/** A relay that was told of waiting customers is told once when none are left. */
-function noteSilence(state: CoreState, account: Account, batches: Map<InstanceId, Batch>): void {
+/** Adds an empty batch for each relay whose last batch had entries but that now has none. */
+function addEmptyBatches(
+  state: CoreState,
+  account: Account,
+  batches: Map<InstanceId, SumBatch>,
+): void {
   state.shares.sent.forEach((ofRelay, relay) => {
     const last = ofRelay.get(account.number);
     if (last === undefined || batches.has(relay)) return;
@@ -127,7 +135,7 @@
   });
 }
 
-function sendBatch(ctx: CoreContext, account: Account, relay: InstanceId, batch: Batch): void {
+function sendBatch(ctx: CoreContext, account: Account, relay: InstanceId, batch: SumBatch): void {
   const { shares } = ctx.state;
   shares.sequence += 1;
   const value = encodeSums(
@@ -146,20 +154,20 @@
   sendTo(ctx, relay, { $case: 'serviceSums', value });
 }
 
-function takeFleetSums(ctx: CoreContext, from: InstanceId, message: ServiceSums): void {
+function applyFleetSums(ctx: CoreContext, from: InstanceId, message: ServiceSums): void {
   const account = accountByNumber(ctx.state, message.pool);
-  const until = ctx.now + WAITING_EXCHANGES * exchangeInterval(ctx.state);
+  const until = ctx.now + WAITING_TTL_EXCHANGES * exchangeInterval(ctx.state);
   forEachSum(message, ({ customer, sum, lift }, isWaiting) => {
     ensureCapacity(account, customer);
     account.fleet[customer] = Math.max(account.fleet[customer] ?? 0, sum);
     account.lift[customer] = Math.max(account.lift[customer] ?? 0, lift);
-    if (isWaiting) noteWaiting(account, customer, until);
+    if (isWaiting) markWaiting(account, customer, until);
     else account.waitingUntil[customer] = 0;
   });
   acknowledge(ctx.state, account, from, message.acknowledged);
 }
 
-/** Notes that the fleet's sums include what was sent under a sequence number. */
+/** Records that the fleet's sums include the sums sent with a sequence number. */
 function acknowledge(state: CoreState, account: Account, relay: InstanceId, sequence: number) {
   const sent = state.shares.sent.get(relay)?.get(account.number);
   if (sent?.sequence !== sequence) return;
--- a/src/core/shares/exchangeInterval.ts
+++ b/src/core/shares/exchangeInterval.ts
@@ -1,22 +1,23 @@
 /**
- * The interval at which sums of service are exchanged. It grows with the customers whose sums there
- * are to send, so that the bytes that an instance sends and receives in a second stay the same.
+ * The interval at which service sums are exchanged. It grows with the number of active customers,
+ * whose sums are sent, so that the bandwidth used by an instance stays constant.
  */
 import type { Millis } from '../clock.js';
 import type { CoreState } from '../state.js';
 
-/** Customers from which on the interval grows. */
-const UNSTRETCHED_CUSTOMERS = 100;
+/** Number of active customers above which the interval grows. */
+const MAX_CUSTOMERS_AT_BASE_INTERVAL = 100;
 
-export function stretchedInterval(exchangeMs: Millis, customers: number): Millis {
-  return exchangeMs * Math.max(1, customers / UNSTRETCHED_CUSTOMERS);
+/** Returns the exchange interval, scaled with the number of customers. */
+export function scaledExchangeInterval(exchangeMs: Millis, customers: number): Millis {
+  return exchangeMs * Math.max(1, customers / MAX_CUSTOMERS_AT_BASE_INTERVAL);
 }
 
-/** Returns the interval that this instance uses now. */
+/** Returns the current exchange interval of this instance. */
 export function exchangeInterval(state: CoreState): Millis {
   let customers = 0;
   state.shares.accounts.forEach((account) => {
     customers += account.active.size;
   });
-  return stretchedInterval(state.settings.exchangeMs, customers);
+  return scaledExchangeInterval(state.settings.exchangeMs, customers);
 }
--- a/src/core/shares/groups.ts
+++ b/src/core/shares/groups.ts
@@ -1,16 +1,18 @@
 /**
- * Customer groups and their relays: in each failure domain the sums of a group of customers are
- * collected by two instances, chosen by rendezvous hashing; the foremost speaks for the domain.
+ * Customer groups and their relays. In each failure domain, two instances chosen by rendezvous
+ * hashing collect the sums of a customer group; the first of them, the primary, sends on behalf of
+ * the domain.
  */
 import { relaysOf } from '../membership/memberIndex.js';
 import type { CoreState } from '../state.js';
 import type { CustomerNumber, FailureDomainId, InstanceId } from '../types.js';
 
+/** Returns the group of a customer. */
 export function groupOf(state: CoreState, customer: CustomerNumber): number {
   return customer % state.settings.customerGroups;
 }
 
-/** Returns the relays of a group in a domain, the foremost first. */
+/** Returns the relays of a group in a domain, the primary first. */
 export function groupRelays(
   state: CoreState,
   domain: FailureDomainId,
@@ -19,7 +21,7 @@
   return relaysOf(state, domain, `group ${group}`).map((member) => member.id);
 }
 
-/** Whether this instance speaks for its domain in a group. */
+/** Whether this instance is the primary relay of a group in its domain. */
 export function isForemost(state: CoreState, group: number): boolean {
   return groupRelays(state, state.self.domain, group)[0] === state.self.id;
 }
--- a/src/core/shares/lifts.ts
+++ b/src/core/shares/lifts.ts
@@ -1,25 +1,26 @@
 /**
- * Lifts, decided by the foremost relay of a customer's group. A customer that returns from idle is
- * raised to the least virtual service among the waiting, so that idling earns no credit. A customer
- * that lags the most-served waiting one by more than the debt cap is raised to the cap; that bounds
- * what is repaid after a partition. When weights change, all history would be weighed anew, so every
- * waiting customer is raised to the most served one and the new weights count from there on. A lift is
- * a largest-value register: it only grows.
+ * Lifts increase a customer's virtual service; the primary relay of the customer's group decides
+ * them. A customer that returns from idle is raised to the least virtual service among the waiting
+ * customers, so that idling earns no credit. A customer that lags the most-served waiting customer
+ * by more than the debt cap is raised to the cap, which bounds the service repaid after a
+ * partition. A change of weights would rescale all past service, so every waiting customer is
+ * raised to the most-served one and the new weights apply from then on. A lift is a max register:
+ * it only grows.
  */
 import type { CoreContext } from '../context.js';
 import { liveDomains } from '../membership/memberIndex.js';
 import type { CustomerNumber, PoolNumber } from '../types.js';
-import { accountByNumber, forEachWaiting, settledIn, weightIn } from './accounts.js';
+import { accountByNumber, forEachWaiting, settledServiceIn, weightIn } from './accounts.js';
 import { groupOf, isForemost } from './groups.js';
-import { sumOf, type RelayEntry } from './relayState.js';
+import { fleetSumOf, type RelayEntry } from './relayState.js';
 
-interface Range {
+interface ServiceRange {
   readonly least: number;
   readonly most: number;
 }
 
-/** Raises the customers of this relay's groups where they have to be. */
-export function liftReturned(
+/** Raises the lifts of the waiting customers of this relay's groups where required. */
+export function applyLifts(
   ctx: CoreContext,
   isLearning: (customer: CustomerNumber) => boolean,
 ): void {
@@ -27,14 +28,15 @@
   const debtCap = state.configuration.view?.fairness.debtCap ?? Infinity;
   state.shares.relay.entries.forEach((entries, account) => {
     const range = waitingRange(ctx, account);
-    const isReweighted = noteWeights(ctx, account);
+    const isReweighted = updateWeights(ctx, account);
     const domains = liveDomains(state);
     entries.forEach((entry, customer) => {
       const isWaiting = entry.waitingAt.size > 0;
-      // Its return is decided where it returns: from afar, the end of a partition looks alike.
-      const isHere = [...entry.waitingAt.keys()].some((place) => !domains.includes(place));
-      const hasReturned = isHere && !entry.wasWaiting;
-      // Members learn of both changes with the next sums.
+      // Only the domain in which a customer returns decides this. In other domains, the end of a
+      // partition cannot be distinguished from a return.
+      const waitsInDomain = [...entry.waitingAt.keys()].some((source) => !domains.includes(source));
+      const hasReturned = waitsInDomain && !entry.wasWaiting;
+      // The next sums report both the start and the end of waiting.
       if (isWaiting !== entry.wasWaiting) {
         entry.isNewBelow = true;
         entry.isNewAbroad = true;
@@ -44,12 +46,12 @@
       if (!isForemost(state, groupOf(state, customer))) return;
       const cap = isReweighted ? 0 : debtCap;
       const floor = Math.max(hasReturned ? range.least : 0, range.most - cap);
-      raiseTo(ctx, account, customer, entry, floor);
+      raiseLiftTo(ctx, account, customer, entry, floor);
     });
   });
 }
 
-function raiseTo(
+function raiseLiftTo(
   ctx: CoreContext,
   account: PoolNumber,
   customer: CustomerNumber,
@@ -57,15 +59,15 @@
   floor: number,
 ): void {
   const weight = weightIn(ctx.state, accountByNumber(ctx.state, account), customer);
-  const missing = floor - sumOf(entry) / weight - entry.lift;
+  const missing = floor - fleetSumOf(entry) / weight - entry.lift;
   if (missing <= 0) return;
   entry.lift += missing;
   entry.isNewBelow = true;
   entry.isNewAbroad = true;
 }
 
-/** Whether the weight of a waiting customer is not the one with which it last waited. */
-function noteWeights(ctx: CoreContext, number: PoolNumber): boolean {
+/** Records the weights of the waiting customers and returns whether any has changed. */
+function updateWeights(ctx: CoreContext, number: PoolNumber): boolean {
   const { state } = ctx;
   const { weights } = state.shares.relay;
   const account = accountByNumber(state, number);
@@ -82,13 +84,13 @@
   return isChanged;
 }
 
-/** The range of virtual service over the customers that this instance believes to wait. */
-function waitingRange(ctx: CoreContext, number: PoolNumber): Range | undefined {
+/** Returns the range of virtual service over the customers known to wait in the fleet. */
+function waitingRange(ctx: CoreContext, number: PoolNumber): ServiceRange | undefined {
   const account = accountByNumber(ctx.state, number);
   let least = Infinity;
   let most = -Infinity;
   forEachWaiting(account, ctx.now, (customer) => {
-    const service = settledIn(ctx.state, account, customer);
+    const service = settledServiceIn(ctx.state, account, customer);
     least = Math.min(least, service);
     most = Math.max(most, service);
   });
--- a/src/core/shares/relay.ts
+++ b/src/core/shares/relay.ts
@@ -1,12 +1,13 @@
 /**
  * Relays of service sums. A relay collects the sums of its groups' customers from the instances of
- * its domain, exchanges domain sums with the relays of the same groups elsewhere, and tells its
- * domain the sums of the fleet. It also decides lifts.
+ * its domain (the origins), exchanges domain sums with the relays of the same groups in other
+ * domains, and sends the fleet sums to the instances of its domain. It also decides lifts.
  *
- * The sum of a domain is what live origins reported plus what is folded: service of origins that
- * ended, or that another relay knows of. It only grows, and the largest value counts, so two relays
- * of one domain do no harm. A relay that begins asks others for what they hold; while it is new, the
- * first report of an origin counts as part of that instead of being added to it.
+ * The sum of a domain consists of the sums reported by live origins and the folded service: that of
+ * origins that ended, or that was learned from another relay. It only grows and is merged by
+ * maximum, so a domain may safely have two relays. A new relay requests the sums held by others;
+ * while it is learning, the first report of an origin counts as part of those sums instead of being
+ * added to them.
  */
 import { sendTo, type CoreContext } from '../context.js';
 import { exchangeInterval } from './exchangeInterval.js';
@@ -15,25 +16,28 @@
 import type { CoreState } from '../state.js';
 import type { CustomerNumber, InstanceId, PeerMessageOf, PoolNumber } from '../types.js';
 import { groupOf, groupRelays } from './groups.js';
-import { liftReturned } from './lifts.js';
+import { applyLifts } from './lifts.js';
 import { createRelayEntry, type Origin, type RelayEntry } from './relayState.js';
-import { sendBelow, sendAbroad } from './relaySending.js';
+import { sendToOwnDomain, sendToOtherDomains } from './relaySending.js';
 import { encodeSums, forEachSum, SumScope, type ServiceSums, type SumEntry } from './sumsCodec.js';
 
-/** Exchanges during which a new relay still learns what others hold. */
+/** Number of exchanges during which a new relay is still learning the sums of others. */
 const LEARNING_EXCHANGES = 4;
 
-/** Exchanges without a message after which a customer no longer counts as waiting at an origin. */
-const SILENT_EXCHANGES = 6;
+/**
+ * Number of exchanges without an update after which a customer no longer counts as waiting at an
+ * origin.
+ */
+const ORIGIN_WAITING_TTL_EXCHANGES = 6;
 
-/** Time after the loss of an origin at which its sums are folded. */
+/** Time since the last message of a lost origin after which its sums are folded. */
 const FOLD_AFTER_MS: Millis = 60_000;
 
-/** Time for which folded incarnations are remembered. */
-const RETIRED_RETENTION_MS: Millis = 3_600_000;
+/** Time for which folded incarnations are kept in order to reject their late messages. */
+const FOLDED_RETENTION_MS: Millis = 3_600_000;
 
-/** Takes the sums that an instance of this domain charged. */
-export function takeOriginSums(
+/** Applies the sums charged by an instance of this domain. */
+export function applyOriginSums(
   ctx: CoreContext,
   from: InstanceId,
   incarnation: number,
@@ -45,10 +49,10 @@
   origin.sequences.set(message.pool, message.sequence);
   origin.heardAt = ctx.now;
   const waiting = new Set<CustomerNumber>();
-  const until = waitingLimit(ctx);
+  const until = waitingExpiry(ctx);
   forEachSum(message, (sum, isWaiting) => {
     const entry = entryFor(ctx.state, message.pool, sum.customer);
-    raiseOrigin(entry, from, sum.sum, isLearning(ctx, sum.customer));
+    raiseOriginSum(entry, from, sum.sum, isLearning(ctx, sum.customer));
     raiseLift(entry, sum.lift);
     if (!isWaiting) return;
     waiting.add(sum.customer);
@@ -60,16 +64,16 @@
   origin.waiting.set(message.pool, waiting);
 }
 
-/** Takes the sums of a domain from a relay of it, or of this domain from any other relay. */
-export function takeDomainSums(ctx: CoreContext, message: ServiceSums): void {
+/** Applies the sums of another domain from one of its relays, or of this domain from any relay. */
+export function applyDomainSums(ctx: CoreContext, message: ServiceSums): void {
   const { self } = ctx.state;
-  const until = waitingLimit(ctx);
+  const until = waitingExpiry(ctx);
   const domain = message.origin;
   forEachSum(message, ({ customer, sum, lift }, isWaiting) => {
     const entry = entryFor(ctx.state, message.pool, customer);
     raiseLift(entry, lift);
     if (domain === self.domain) {
-      raiseDomain(entry, sum);
+      raiseDomainSum(entry, sum);
       return;
     }
     if (sum > (entry.byDomain.get(domain) ?? 0)) {
@@ -81,7 +85,7 @@
   });
 }
 
-/** Sends all that this relay holds of a group, to a relay that begins. */
+/** Sends all sums that this relay holds for a group to a new relay. */
 export function onServiceRequest(
   ctx: CoreContext,
   from: InstanceId,
@@ -90,8 +94,8 @@
   const { state } = ctx;
   const requester = state.membership.members.get(from);
   if (requester === undefined) return;
-  const isNear = requester.domain === state.self.domain;
-  const domains = isNear ? liveDomains(state) : [state.self.domain, requester.domain];
+  const isSameDomain = requester.domain === state.self.domain;
+  const domains = isSameDomain ? liveDomains(state) : [state.self.domain, requester.domain];
   state.shares.relay.entries.forEach((entries, account) => {
     domains.forEach((domain) => {
       const sums: SumEntry[] = [];
@@ -108,19 +112,19 @@
   });
 }
 
-/** Folds ended origins, decides lifts and sends what is due. */
-export function relayOnTimer(ctx: CoreContext): void {
-  takeOverGroups(ctx);
+/** Folds lost origins, decides lifts and sends the sums that are due. */
+export function runRelayRound(ctx: CoreContext): void {
+  updateRelayedGroups(ctx);
   foldLostOrigins(ctx);
   if (ctx.state.shares.relay.groups.size === 0) return;
   expireWaiting(ctx);
-  liftReturned(ctx, (customer) => isLearning(ctx, customer));
-  sendAbroad(ctx);
-  sendBelow(ctx);
+  applyLifts(ctx, (customer) => isLearning(ctx, customer));
+  sendToOtherDomains(ctx);
+  sendToOwnDomain(ctx);
 }
 
-/** Notes which groups this instance relays and asks others for those that are new. */
-function takeOverGroups(ctx: CoreContext): void {
+/** Updates the set of groups that this instance relays and requests the sums of new ones. */
+function updateRelayedGroups(ctx: CoreContext): void {
   const { state } = ctx;
   const { groups } = state.shares.relay;
   for (let group = 0; group < state.settings.customerGroups; group += 1) {
@@ -128,26 +132,27 @@
     if (!relays.includes(state.self.id)) groups.delete(group);
     else if (!groups.has(group)) {
       groups.set(group, ctx.now);
-      askForGroup(ctx, group, relays);
+      requestGroupSums(ctx, group, relays);
     }
   }
 }
 
-function askForGroup(ctx: CoreContext, group: number, relays: readonly InstanceId[]): void {
+function requestGroupSums(ctx: CoreContext, group: number, relays: readonly InstanceId[]): void {
   const { state } = ctx;
-  // The relays of before may be any member of the domain; the foremost two of the others are asked.
-  const near = membersOf(state, state.self.domain)
+  // Any other member of the domain may have been a relay before; only the first of them is asked.
+  const neighbours = membersOf(state, state.self.domain)
     .map((member) => member.id)
     .filter((id) => id !== state.self.id && !relays.includes(id))
     .slice(0, 1);
   const others = liveDomains(state)
     .filter((domain) => domain !== state.self.domain)
     .flatMap((domain) => groupRelays(state, domain, group).slice(0, 1));
-  new Set([...relays, ...near, ...others]).forEach((id) => {
+  new Set([...relays, ...neighbours, ...others]).forEach((id) => {
     if (id !== state.self.id) sendTo(ctx, id, { $case: 'serviceRequest', value: { group } });
   });
 }
 
+/** Returns the state of an origin, or undefined if the message is from an earlier incarnation. */
 function originFor(ctx: CoreContext, id: InstanceId, incarnation: number): Origin | undefined {
   const { origins, retired } = ctx.state.shares.relay;
   const known = origins.get(id);
@@ -172,10 +177,11 @@
     if (isLost) foldOrigin(ctx, id, origin);
   });
   retired.forEach(({ at }, id) => {
-    if (ctx.now - at > RETIRED_RETENTION_MS) retired.delete(id);
+    if (ctx.now - at > FOLDED_RETENTION_MS) retired.delete(id);
   });
 }
 
+/** Moves the sums of an origin from the live to the folded part. */
 function foldOrigin(ctx: CoreContext, id: InstanceId, origin: Origin): void {
   const { entries, origins, retired } = ctx.state.shares.relay;
   entries.forEach((ofAccount) => {
@@ -192,10 +198,15 @@
   retired.set(id, { incarnation: origin.incarnation, at: ctx.now });
 }
 
-function raiseOrigin(entry: RelayEntry, origin: InstanceId, sum: number, isNew: boolean): void {
+function raiseOriginSum(
+  entry: RelayEntry,
+  origin: InstanceId,
+  sum: number,
+  isRelayLearning: boolean,
+): void {
   const known = entry.byOrigin.get(origin);
   if (known !== undefined && known >= sum) return;
-  if (known === undefined && isNew) entry.folded = Math.max(0, entry.folded - sum);
+  if (known === undefined && isRelayLearning) entry.folded = Math.max(0, entry.folded - sum);
   entry.byOrigin.set(origin, sum);
   entry.live += sum - (known ?? 0);
   if (sum === 0) return;
@@ -203,7 +214,7 @@
   entry.isNewAbroad = true;
 }
 
-function raiseDomain(entry: RelayEntry, sum: number): void {
+function raiseDomainSum(entry: RelayEntry, sum: number): void {
   const missing = sum - entry.folded - entry.live;
   if (missing <= 0) return;
   entry.folded += missing;
@@ -222,8 +233,8 @@
   ctx.state.shares.relay.entries.forEach((entries) => {
     entries.forEach((entry) => {
       if (entry.waitingAt.size === 0) return;
-      entry.waitingAt.forEach((until, place) => {
-        if (until <= ctx.now) entry.waitingAt.delete(place);
+      entry.waitingAt.forEach((until, source) => {
+        if (until <= ctx.now) entry.waitingAt.delete(source);
       });
     });
   });
@@ -235,8 +246,8 @@
   return ctx.now - since < LEARNING_EXCHANGES * exchangeInterval(ctx.state);
 }
 
-function waitingLimit(ctx: CoreContext): Millis {
-  return ctx.now + SILENT_EXCHANGES * exchangeInterval(ctx.state);
+function waitingExpiry(ctx: CoreContext): Millis {
+  return ctx.now + ORIGIN_WAITING_TTL_EXCHANGES * exchangeInterval(ctx.state);
 }
 
 function entryFor(state: CoreState, account: PoolNumber, customer: CustomerNumber): RelayEntry {
--- a/src/core/shares/relaySending.ts
+++ b/src/core/shares/relaySending.ts
@@ -1,24 +1,24 @@
-/** What a relay of service sums sends: domain sums to other relays, fleet sums to its domain. */
+/** Sending side of a relay: domain sums to other domains' relays, fleet sums to its own domain. */
 import { sendTo, type CoreContext } from '../context.js';
 import { liveDomains, membersOf } from '../membership/memberIndex.js';
 import type { CustomerNumber, InstanceId, PoolNumber } from '../types.js';
 import { groupOf, groupRelays, isForemost } from './groups.js';
-import { sumOf, type RelayEntry } from './relayState.js';
+import { fleetSumOf, type RelayEntry } from './relayState.js';
 import { encodeSums, SumScope, type SumEntry } from './sumsCodec.js';
 
-interface Batch {
+interface SumBatch {
   readonly waiting: SumEntry[];
   readonly others: SumEntry[];
 }
 
-/** Sends the domain sums that changed, or are due again, to the relays of the other domains. */
-export function sendAbroad(ctx: CoreContext): void {
+/** Sends domain sums that changed or are due for a refresh to the relays of the other domains. */
+export function sendToOtherDomains(ctx: CoreContext): void {
   const { state } = ctx;
   const domains = liveDomains(state).filter((domain) => domain !== state.self.domain);
   forEachAccount(ctx, (account, entries) => {
-    const batches = new Map<InstanceId, Batch>();
+    const batches = new Map<InstanceId, SumBatch>();
     entries.forEach((entry, customer) => {
-      const isWaitingHere = [...entry.waitingAt.keys()].some((place) => !domains.includes(place));
+      const isWaitingHere = [...entry.waitingAt.keys()].some((source) => !domains.includes(source));
       if (!entry.isNewAbroad && !(isWaitingHere && isRefreshDue(ctx, customer))) return;
       const group = groupOf(state, customer);
       if (!isForemost(state, group)) return;
@@ -26,7 +26,7 @@
       const sum = { customer, sum: entry.folded + entry.live, lift: entry.lift };
       domains.forEach((domain) => {
         const relay = groupRelays(state, domain, group)[0];
-        if (relay !== undefined) addTo(batches, relay, sum, isWaitingHere);
+        if (relay !== undefined) addToBatch(batches, relay, sum, isWaitingHere);
       });
     });
     batches.forEach((batch, relay) => {
@@ -37,18 +37,18 @@
   });
 }
 
-/** Sends the fleet sums that changed, or are due again, to all instances of the domain. */
-export function sendBelow(ctx: CoreContext): void {
+/** Sends fleet sums that changed or are due for a refresh to all instances of the domain. */
+export function sendToOwnDomain(ctx: CoreContext): void {
   const { state } = ctx;
   const { origins } = state.shares.relay;
   forEachAccount(ctx, (account, entries) => {
-    const batch: Batch = { waiting: [], others: [] };
+    const batch: SumBatch = { waiting: [], others: [] };
     entries.forEach((entry, customer) => {
       const isWaiting = entry.waitingAt.size > 0;
       if (!entry.isNewBelow && !(isWaiting && isRefreshDue(ctx, customer))) return;
       if (!isForemost(state, groupOf(state, customer))) return;
       entry.isNewBelow = false;
-      const sum = { customer, sum: sumOf(entry), lift: entry.lift };
+      const sum = { customer, sum: fleetSumOf(entry), lift: entry.lift };
       (isWaiting ? batch.waiting : batch.others).push(sum);
     });
     if (batch.waiting.length + batch.others.length === 0) return;
@@ -61,14 +61,14 @@
   });
 }
 
-/** Spreads the repetition of unchanged sums over the exchanges. */
+/** Spreads the refreshes of unchanged sums evenly over the exchanges. */
 function isRefreshDue(ctx: CoreContext, customer: CustomerNumber): boolean {
   const { settings, shares } = ctx.state;
   return (customer + shares.ticks / 2) % settings.refreshExchanges === 0;
 }
 
-function addTo(
-  batches: Map<InstanceId, Batch>,
+function addToBatch(
+  batches: Map<InstanceId, SumBatch>,
   relay: InstanceId,
   sum: SumEntry,
   isWaiting: boolean,
--- a/src/core/shares/relayState.ts
+++ b/src/core/shares/relayState.ts
@@ -1,44 +1,46 @@
-/** State of a relay of service sums: the sums of the customers of its groups, by origin. */
+/** State of a relay: the service sums of the customers of its groups, by origin. */
 import type { Millis } from '../clock.js';
 import type { CustomerNumber, FailureDomainId, InstanceId, PoolNumber } from '../types.js';
 
-/** One customer in one account, as the relay of its group knows it. */
+/** Sums of one customer in one account, as known to the relay. */
 export interface RelayEntry {
-  /** Service in the own domain by origins that are gone, or learned from other relays. */
+  /** Service in the own domain that was reported by ended origins or learned from other relays. */
   folded: number;
-  /** Sum over `byOrigin`. */
+  /** Total of `byOrigin`. */
   live: number;
-  /** Largest sum of each live origin of the own domain. */
+  /** Largest sum reported by each live origin of the own domain. */
   readonly byOrigin: Map<InstanceId, number>;
-  /** Largest sum of each other domain. */
+  /** Largest sum reported for each other domain. */
   readonly byDomain: Map<FailureDomainId, number>;
   lift: number;
-  /** Origins and domains where the customer waits, with the time until which that holds. */
+  /** Origins and other domains at which the customer waits, with the expiry of this information. */
   readonly waitingAt: Map<string, Millis>;
+  /** Whether the customer waited anywhere at the previous relay round. */
   wasWaiting: boolean;
-  /** Whether members of the own domain, or relays of others, lack the latest sums. */
+  /** Whether the latest sums must still be sent to the instances of the own domain. */
   isNewBelow: boolean;
+  /** Whether the latest sums must still be sent to the relays of other domains. */
   isNewAbroad: boolean;
 }
 
-/** One origin of the own domain. */
+/** An instance of the own domain that reports service sums. */
 export interface Origin {
   incarnation: number;
   heardAt: Millis;
-  /** Latest sequence, by account. */
+  /** Latest sequence number received, by account. */
   readonly sequences: Map<PoolNumber, number>;
-  /** Customers that waited at the origin by its last message, by account. */
+  /** Customers that waited at the origin according to its last message, by account. */
   readonly waiting: Map<PoolNumber, ReadonlySet<CustomerNumber>>;
 }
 
 export interface RelayState {
   readonly entries: Map<PoolNumber, Map<CustomerNumber, RelayEntry>>;
   readonly origins: Map<InstanceId, Origin>;
-  /** Last incarnation of origins whose sums were folded, with the time of folding. */
+  /** Last folded incarnation of each origin, with the time of folding. */
   readonly retired: Map<InstanceId, { readonly incarnation: number; readonly at: Millis }>;
-  /** Weights with which customers last waited, by account. */
+  /** Weight of each customer when it last waited, by account. */
   readonly weights: Map<PoolNumber, Map<CustomerNumber, number>>;
-  /** Groups that this instance relays, with the time since which it does. */
+  /** Groups that this instance relays, with the time at which it started to. */
   readonly groups: Map<number, Millis>;
 }
 
@@ -66,8 +68,8 @@
   };
 }
 
-/** Returns the service of the whole fleet, as the relay knows it. */
-export function sumOf(entry: RelayEntry): number {
+/** Returns the customer's fleet-wide service, as known to the relay. */
+export function fleetSumOf(entry: RelayEntry): number {
   let sum = entry.folded + entry.live;
   entry.byDomain.forEach((ofDomain) => {
     sum += ofDomain;
--- a/src/core/shares/shares.ts
+++ b/src/core/shares/shares.ts
@@ -1,14 +1,20 @@
 /**
- * Shares: weighted virtual token counters (Sheng et al., "Fairness in Serving Large Language
- * Models", OSDI 2024). A customer's virtual service is its service divided by its weight; the
- * waiting customer with the least is served next. Service is charged while requests run and is
- * exchanged within the fleet (`exchange.ts`, `relay.ts`).
+ * Fair sharing by weighted virtual token counters (Sheng et al., "Fairness in Serving Large
+ * Language Models", OSDI 2024). A customer's virtual service is its service divided by its weight;
+ * the waiting customer with the least virtual service is served next. Service is charged while
+ * requests run and is exchanged within the fleet (`exchange.ts`, `relay.ts`).
  */
 import type { Millis } from '../clock.js';
 import type { CoreContext } from '../context.js';
 import type { CoreState } from '../state.js';
 import type { CustomerNumber, PoolId } from '../types.js';
-import { accountOf, ensureCapacity, forEachWaiting, serviceReader, virtualIn } from './accounts.js';
+import {
+  accountOf,
+  ensureCapacity,
+  forEachWaiting,
+  serviceReader,
+  virtualServiceIn,
+} from './accounts.js';
 
 /** Adds service, in cost units, that a customer received at this instance. */
 export function charge(
@@ -25,8 +31,8 @@
 }
 
 /**
- * Changes the service that is expected of a customer's grants. A reservation never exceeds a charge
- * step, so that no hint of the cost can move the bound.
+ * Adjusts the service reserved for a customer's grants. A grant never reserves more than one charge
+ * step, so that cost hints cannot affect the fairness bound.
  */
 export function reserve(
   state: CoreState,
@@ -40,10 +46,10 @@
   account.reserved[customer] = Math.max(0, (account.reserved[customer] ?? 0) + change);
 }
 
-/** Returns a customer's virtual service in a pool: cost units per weight. */
+/** Returns a customer's virtual service in a pool, in cost units per weight. */
 export function virtualService(state: CoreState, customer: CustomerNumber, pool: PoolId): number {
   const account = accountOf(state, pool);
-  return account === undefined ? 0 : virtualIn(state, account, customer);
+  return account === undefined ? 0 : virtualServiceIn(state, account, customer);
 }
 
 /** Returns the customer with the least virtual service. */
@@ -54,11 +60,11 @@
 ): CustomerNumber | undefined {
   const account = accountOf(state, pool);
   if (account === undefined) return undefined;
-  const read = serviceReader(state, account, 'reserved');
+  const serviceOf = serviceReader(state, account, 'reserved');
   let best: CustomerNumber | undefined;
   let least = Infinity;
   for (const customer of customers) {
-    const service = read(customer);
+    const service = serviceOf(customer);
     if (service < least) {
       best = customer;
       least = service;
@@ -68,17 +74,17 @@
 }
 
 /**
- * Returns the virtual service below which a waiting customer lags: the mean of the customers believed
- * to wait somewhere in the fleet, less twice their standard deviation.
+ * Returns the virtual service below which a waiting customer lags: the mean over the customers
+ * known to wait in the fleet, minus two standard deviations.
  */
-export function laggingBelow(state: CoreState, pool: PoolId, now: Millis): number {
+export function lagThresholdOf(state: CoreState, pool: PoolId, now: Millis): number {
   const account = accountOf(state, pool);
   if (account === undefined) return 0;
   let sum = 0;
   let squares = 0;
   let customers = 0;
   forEachWaiting(account, now, (customer) => {
-    const service = virtualIn(state, account, customer);
+    const service = virtualServiceIn(state, account, customer);
     sum += service;
     squares += service * service;
     customers += 1;
--- a/src/core/shares/sharesState.ts
+++ b/src/core/shares/sharesState.ts
@@ -1,13 +1,13 @@
 /**
- * State of shares. An account holds the service of all customers in one scope: a pool, or all pools
- * where the configuration says so. Per-customer numbers live in typed arrays indexed by customer
- * number; amounts are cost units, virtual amounts are cost units per weight.
+ * State of shares. An account holds the service of all customers in one scope: a single pool or, if
+ * so configured, all pools. Per-customer values are stored in typed arrays indexed by customer
+ * number. Amounts are in cost units, virtual amounts in cost units per weight.
  */
 import type { Millis } from '../clock.js';
 import type { AttemptId, CustomerNumber, InstanceId, PoolNumber } from '../types.js';
 import { createRelayState, type RelayState } from './relayState.js';
 
-/** Number of the account of all pools. */
+/** Number of the account that covers all pools. */
 export const FLEET_ACCOUNT = 0;
 
 export interface Account {
@@ -16,25 +16,27 @@
   capacity: number;
   /** Service charged at this instance. */
   own: Float64Array;
-  /** Part of `own` that `fleet` includes. */
+  /** Part of `own` that is included in `fleet`. */
   acknowledged: Float64Array;
-  /** Largest known sum over the fleet. */
+  /** Largest fleet-wide sum received. */
   fleet: Float64Array;
-  /** Virtual amount added on returns from idle. */
+  /** Virtual amount added by lifts, for example on a return from idle. */
   lift: Float64Array;
-  /** Service expected of grants and attempts that has not been charged yet. */
+  /** Expected service of grants and attempts that has not been charged yet. */
   reserved: Float64Array;
-  /** Time until which the customer is believed to have waiting work somewhere. */
+  /** Time until which the customer is considered to have waiting work somewhere in the fleet. */
   waitingUntil: Float64Array;
+  /** Cached weights; 0 if not cached. */
   weight: Float64Array;
+  /** Configuration version of the cached weights. */
   weightVersion: number;
   /** Customers whose `own` may exceed `acknowledged`. */
   readonly unsent: Set<CustomerNumber>;
-  /** Customers that wait somewhere, or did until lately. */
+  /** Customers that wait, or recently waited, somewhere in the fleet. */
   readonly active: Set<CustomerNumber>;
 }
 
-/** The last sums sent to one relay, until it acknowledges them. */
+/** The sums last sent to a relay, to be matched with its acknowledgement. */
 export interface SentSums {
   readonly sequence: number;
   readonly customers: readonly CustomerNumber[];
@@ -43,13 +45,13 @@
 
 export interface SharesState {
   readonly accounts: Map<PoolNumber, Account>;
-  /** By relay, then by account. */
+  /** Sums last sent, by relay and account. */
   readonly sent: Map<InstanceId, Map<PoolNumber, SentSums>>;
   readonly relay: RelayState;
-  /** Time up to which the slot time of an attempt at a plain service has been charged. */
+  /** Time up to which slot time has been charged, by attempt at a plain service. */
   readonly slotTimeUntil: Map<AttemptId, Millis>;
   sequence: number;
-  /** Half exchanges so far. */
+  /** Number of exchange timer events so far; an exchange consists of two. */
   ticks: number;
 }
 
--- a/src/core/shares/slotTime.ts
+++ b/src/core/shares/slotTime.ts
@@ -1,4 +1,4 @@
-/** Slot time of plain services: charged at each exchange while a request runs, the rest at its end. */
+/** Charges slot time of plain services at each exchange while a request runs and when it ends. */
 import type { Millis } from '../clock.js';
 import type { CoreContext } from '../context.js';
 import type { AttemptId, CustomerNumber, PoolId } from '../types.js';
@@ -11,12 +11,12 @@
   readonly startedAt: Millis;
 }
 
-/** Charges the slot time of all attempts at plain services that run for this instance. */
+/** Charges the slot time of all running attempts of this instance at plain services. */
 export function chargeRunningSlotTime(ctx: CoreContext): void {
   ctx.state.attempts.running.forEach((attempt) => chargeSlotTime(ctx, attempt));
 }
 
-/** Charges the slot time of an attempt that has not been charged yet. */
+/** Charges the slot time of an attempt since it was last charged. */
 export function chargeSlotTime(ctx: CoreContext, attempt: TimedAttempt): void {
   const pool = ctx.state.configuration.view?.pools.get(attempt.pool);
   if (pool?.kind !== 'service') return;
@@ -26,7 +26,7 @@
   slotTimeUntil.set(attempt.attemptId, ctx.now);
 }
 
-/** Charges the last of an attempt's slot time and forgets the attempt. */
+/** Charges the remaining slot time of an attempt and removes its record. */
 export function settleSlotTime(ctx: CoreContext, attempt: TimedAttempt): void {
   chargeSlotTime(ctx, attempt);
   ctx.state.shares.slotTimeUntil.delete(attempt.attemptId);
--- a/src/core/shares/sumsCodec.ts
+++ b/src/core/shares/sumsCodec.ts
@@ -1,9 +1,9 @@
-/** Service sums as they travel: whole sixteenths of a cost unit. */
+/** Encodes service sums for the wire as integers in sixteenths of a cost unit. */
 import type { CustomerNumber, PeerMessageOf, PoolNumber } from '../types.js';
 
 export type ServiceSums = PeerMessageOf<'serviceSums'>;
 
-/** Whose sums a message carries. */
+/** The scope of the sums in a message. */
 export const SumScope = { instance: 0, domain: 1, fleet: 2 } as const;
 
 const WIRE_UNITS_PER_COST_UNIT = 16;
@@ -14,12 +14,12 @@
   readonly lift: number;
 }
 
-/** Rounds an amount down to what the wire can carry. */
+/** Rounds an amount down to the precision of the wire format. */
 export function floorToWire(amount: number): number {
   return Math.floor(amount * WIRE_UNITS_PER_COST_UNIT) / WIRE_UNITS_PER_COST_UNIT;
 }
 
-/** Builds a message; `waiting` lists the entries of customers with waiting work. */
+/** Encodes a message; `waiting` contains the entries of customers with waiting work. */
 export function encodeSums(
   header: Pick<ServiceSums, 'scope'> & { readonly account: PoolNumber } & Partial<ServiceSums>,
   waiting: readonly SumEntry[],
@@ -41,7 +41,7 @@
   };
 }
 
-/** Calls `action` for each entry of a message. */
+/** Decodes a message and calls `action` for each entry. */
 export function forEachSum(
   message: ServiceSums,
   action: (entry: SumEntry, isWaiting: boolean) => void,
--- a/test/fair/dispatch.test.ts
+++ b/test/fair/dispatch.test.ts
@@ -175,7 +175,7 @@
     { id: 'e1', domain: 'd2', region: 'r2' },
     { id: 'e2', domain: 'd2', region: 'r2' },
   ];
-  // Owns nothing, as two others are ready in the upstreams' domain.
+  // Owns no upstream, since two other instances are ready in the upstreams' domain.
   const createEntry = () => {
     const core = createOwner({ upstreams });
     ['b', 'c'].forEach((id, i) => {
--- a/test/fair/exchange.test.ts
+++ b/test/fair/exchange.test.ts
@@ -1,10 +1,10 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
-import { accountByNumber, settledIn } from '../../src/core/shares/accounts.js';
+import { accountByNumber, settledServiceIn } from '../../src/core/shares/accounts.js';
 import { serviceGapBound } from '../../src/core/shares/bound.js';
 import { describeShares } from '../../src/core/shares/describe.js';
-import { takeOriginSums } from '../../src/core/shares/relay.js';
-import { sumOf } from '../../src/core/shares/relayState.js';
+import { applyOriginSums } from '../../src/core/shares/relay.js';
+import { fleetSumOf } from '../../src/core/shares/relayState.js';
 import { encodeSums, SumScope } from '../../src/core/shares/sumsCodec.js';
 import { DEFAULT_CORE_SETTINGS } from '../../src/core/settings.js';
 import { createCore } from '../../src/core/core.js';
@@ -12,7 +12,7 @@
 import { PER_OUTPUT_TOKEN, startSharing, type SharingLoad } from '../support/sharingLoad.js';
 
 const EXCHANGE_MS = DEFAULT_CORE_SETTINGS.exchangeMs;
-/** Exchanges over two relays, a repetition, and the time until a new relay has learned. */
+/** Covers the exchange over two relays, a refresh, and the learning phase of a new relay. */
 const SETTLE_MS = 16 * EXCHANGE_MS;
 
 const LOAD: SharingLoad = {
@@ -28,7 +28,7 @@
   ],
 };
 
-/** Returns the largest error, in cost units, of any live instance's sums. */
+/** Returns the largest error, in cost units, of the sums of any live instance. */
 function largestError(run: ReturnType<typeof startSharing>): number {
   let worst = 0;
   run.network.nodes.forEach(({ core, isUp }) => {
@@ -36,7 +36,7 @@
     const account = accountByNumber(core.state, 1);
     LOAD.customers.forEach(({ weight }, i) => {
       const lift = account.lift[i + 1] ?? 0;
-      const known = (settledIn(core.state, account, i + 1) - lift) * weight;
+      const known = (settledServiceIn(core.state, account, i + 1) - lift) * weight;
       const real = (run.network.served.get(i + 1) ?? 0) * PER_OUTPUT_TOKEN;
       worst = Math.max(worst, Math.abs(known - real));
     });
@@ -44,8 +44,8 @@
   return worst;
 }
 
-/** Service that an exchange may miss: all slots over the time until the sums arrive. */
-function unseen(run: ReturnType<typeof startSharing>, exchanges: number): number {
+/** Returns the service that may be unreported: that of all slots until the sums arrive. */
+function maxUnreported(run: ReturnType<typeof startSharing>, exchanges: number): number {
   return (run.slots * run.conditions.slotRate * exchanges * EXCHANGE_MS) / 1_000;
 }
 
@@ -53,7 +53,7 @@
   it('brings every instance to the true sums, but for the last exchanges', () => {
     const run = startSharing(LOAD);
     run.network.runUntil(run.network.now() + 20_000);
-    expect(largestError(run)).to.be.at.most(unseen(run, 4));
+    expect(largestError(run)).to.be.at.most(maxUnreported(run, 4));
   });
 
   it('keeps the sums when instances, relays among them, restart empty', () => {
@@ -68,8 +68,8 @@
           network.at(network.now() + 2_000, () => network.restart(id));
           network.runUntil(network.now() + 6_000 + SETTLE_MS);
         });
-        // Each crash may lose what the instance had not sent yet, and what its relay had not.
-        expect(largestError(run)).to.be.at.most(unseen(run, 4 + 2 * 4));
+        // Each crash may lose the sums that the instance, or its relay, had not sent yet.
+        expect(largestError(run)).to.be.at.most(maxUnreported(run, 4 + 2 * 4));
       }),
       { seed: 5, numRuns: 6 },
     );
@@ -93,8 +93,8 @@
           const sum = incarnation * 100 + sequence * 10;
           const header = { scope: SumScope.instance, account: 1, sequence };
           const value = encodeSums(header, [], [{ customer: 1, sum, lift: 0 }]);
-          takeOriginSums(ctx, origin, incarnation, value);
-          // An incarnation that was followed by a later one is closed.
+          applyOriginSums(ctx, origin, incarnation, value);
+          // Messages of an incarnation are ignored once a later one is known.
           if (incarnation < (latest.get(origin) ?? 0)) return;
           latest.set(origin, incarnation);
           const key = `${origin} ${incarnation}`;
@@ -102,7 +102,7 @@
         });
         const expected = [...greatest.values()].reduce((a, b) => a + b, 0);
         const entry = core.state.shares.relay.entries.get(1)?.get(1);
-        expect(entry && sumOf(entry)).to.equal(expected);
+        expect(entry && fleetSumOf(entry)).to.equal(expected);
       }),
       { seed: 6, numRuns: 200 },
     );
@@ -121,11 +121,11 @@
     network.runUntil(network.now() + 15_000);
     const before = new Map(network.served);
     network.runUntil(network.now() + 15_000);
-    const gained = (customer: number) =>
+    const servedSince = (customer: number) =>
       (network.served.get(customer) ?? 0) - (before.get(customer) ?? 0);
     const bound = serviceGapBound(DEFAULT_CORE_SETTINGS, run.conditions);
-    expect(gained(3)).to.be.above(0);
-    expect(Math.abs(gained(3) - gained(1)) * PER_OUTPUT_TOKEN).to.be.at.most(bound);
+    expect(servedSince(3)).to.be.above(0);
+    expect(Math.abs(servedSince(3) - servedSince(1)) * PER_OUTPUT_TOKEN).to.be.at.most(bound);
   });
 
   it('keeps the bound on each side of a partition and repays up to the debt cap', () => {
@@ -146,12 +146,12 @@
     const [a = 0, b = 0, c = 0, d = 0] = run.virtualServed();
     expect(Math.abs(a - b)).to.be.at.most(bound);
     expect(Math.abs(c - d)).to.be.at.most(bound);
-    const apart = c + d - a - b;
+    const gapBeforeHealing = c + d - a - b;
     network.heal();
     network.runUntil(network.now() + 20_000);
     const [e = 0, f = 0, g = 0, h = 0] = run.virtualServed();
-    // The side with fewer slots has lagged and catches up.
-    expect(g + h - e - f).to.be.below(apart / 2);
+    // The side with fewer slots lags and must catch up.
+    expect(g + h - e - f).to.be.below(gapBeforeHealing / 2);
   });
 
   it('describes who waits and why', () => {
--- a/test/fair/largeDomain.test.ts
+++ b/test/fair/largeDomain.test.ts
@@ -8,10 +8,10 @@
 const SAMPLE_MS = 500;
 const TICK_MS = 50;
 
-/** Share of slot time to be used while work waits, as the issue states it. */
+/** Minimum share of slot time in use while work waits. */
 const UTILISATION_TARGET = 0.97;
 
-/** Never within a run. */
+/** An interval longer than any run. */
 const NEVER_MS = 1e9;
 
 interface Observed {
@@ -20,7 +20,7 @@
   readonly utilisation: number;
 }
 
-/** One customer comes through one instance of the domain, another through all. */
+/** Runs one customer through a single instance of the domain and another through all instances. */
 function observe(settings: Partial<CoreSettings> = {}): Observed {
   const run = startSharing({
     seed: 3,
--- a/test/fair/limits.test.ts
+++ b/test/fair/limits.test.ts
@@ -25,7 +25,7 @@
   return network;
 }
 
-/** Submits at each of the given instances at a rate for some seconds; returns the admitted share. */
+/** Submits at a rate to each of the given instances; returns the number of admitted requests. */
 function submitFor(network: FakeNetwork, ids: readonly string[], perSecond: number, ms: number) {
   const before = network.jobs.size;
   const end = network.now() + ms;
@@ -104,7 +104,7 @@
     let most = 0;
     for (let i = 0; i < 100; i += 1) {
       network.runUntil(network.now() + 50);
-      // What began before the first exchange of use may exceed the limit.
+      // Requests started before the first exchange of usage may exceed the limit.
       if (i > 30) most = Math.max(most, network.runningOn('e1'));
     }
     expect(most).to.be.within(1, 3);
--- a/test/fair/membership.test.ts
+++ b/test/fair/membership.test.ts
@@ -29,14 +29,14 @@
   });
 }
 
-const liveIds = (network: FakeNetwork, id: string) =>
+const memberIdsOf = (network: FakeNetwork, id: string) =>
   [...(network.nodes.get(id)?.core.state.membership.members.keys() ?? [])].sort();
 
-const upNodes = (network: FakeNetwork) =>
+const idsOfRunningNodes = (network: FakeNetwork) =>
   [...network.nodes.values()].filter((node) => node.isUp).map((node) => node.self.id);
 
 function expectSameView(network: FakeNetwork, ids: readonly string[]): void {
-  ids.forEach((id) => expect(liveIds(network, id), id).to.deep.equal([...ids].sort()));
+  ids.forEach((id) => expect(memberIdsOf(network, id), id).to.deep.equal([...ids].sort()));
   UPSTREAMS.forEach((upstream) => {
     const owners = ids.map((id) => {
       const state = network.nodes.get(id)?.core.state;
@@ -47,14 +47,14 @@
   });
 }
 
-// Detection within the domain, then at the relays, then below them.
+// Failure detection within the domain, then propagation to the relays, then to their members.
 const SETTLE_MS = 3 * 4_000 + 6_000;
 
 describe('fair/membership', () => {
   it('brings all instances to one view and one owner per upstream', () => {
     const network = createFleet(1);
     network.runUntil(8_000);
-    expectSameView(network, upNodes(network));
+    expectSameView(network, idsOfRunningNodes(network));
     network.nodes.forEach((node) => {
       UPSTREAMS.forEach((upstream) => {
         expect(ownerOf(node.core.state, upstream.id)).to.match(new RegExp(`^${upstream.domain}`));
@@ -85,7 +85,7 @@
         network.runUntil(network.now() + 20_000);
         network.heal();
         network.runUntil(network.now() + SETTLE_MS);
-        expectSameView(network, upNodes(network));
+        expectSameView(network, idsOfRunningNodes(network));
       }),
       { seed: 4, numRuns: 60 },
     );
@@ -97,12 +97,12 @@
     network.crash('d1-i0');
     network.post('d2-i1', { kind: 'plannedStop' });
     network.runUntil(network.now() + SETTLE_MS);
-    // The list still names both.
+    // The instance list still contains both.
     network.runUntil(network.now() + 30_000);
     network.nodes.forEach((_, id) => {
       if (id === 'd1-i0' || id === 'd2-i1') return;
-      expect(liveIds(network, id)).to.not.include('d1-i0');
-      expect(liveIds(network, id)).to.not.include('d2-i1');
+      expect(memberIdsOf(network, id)).to.not.include('d1-i0');
+      expect(memberIdsOf(network, id)).to.not.include('d2-i1');
     });
   });
 
@@ -114,7 +114,7 @@
     network.runUntil(network.now() + 30_000);
     network.heal();
     network.runUntil(network.now() + SETTLE_MS);
-    expectSameView(network, upNodes(network));
+    expectSameView(network, idsOfRunningNodes(network));
   });
 
   it('gives the upstreams of a domain without instances to its region or the fleet', () => {
@@ -122,6 +122,6 @@
     network.runUntil(8_000);
     ['d1-i0', 'd1-i1', 'd1-i2'].forEach(network.crash);
     network.runUntil(network.now() + SETTLE_MS);
-    expectSameView(network, upNodes(network));
+    expectSameView(network, idsOfRunningNodes(network));
   });
 });
--- a/test/fair/sharing.test.ts
+++ b/test/fair/sharing.test.ts
@@ -7,7 +7,7 @@
 const DURATION_MS = 30_000;
 const SAMPLE_MS = 100;
 
-/** Time that the fake upstreams and their links add between two requests on one slot. */
+/** Delay that the fake upstreams and their links add between two requests on one slot. */
 const UPSTREAM_TURN_MS = 2 * 10 + 2 * 1;
 
 const customer = fc.record(
@@ -40,7 +40,7 @@
   readonly longestIdle: number;
 }
 
-/** Runs the load and returns the largest gap, unserved wait and idle time of a slot. */
+/** Runs the load and returns the largest service gap, unserved wait and slot idle time. */
 function observe(run: SharingRun): Extremes {
   const { network } = run;
   const start = network.now();
@@ -51,14 +51,14 @@
   while (network.now() < start + DURATION_MS) {
     network.runUntil(network.now() + SAMPLE_MS);
     const served = run.virtualServed();
-    noteServed(servedAt, last, served, network.now());
-    extremes = widen(extremes, run, served, servedAt, start);
+    recordServed(servedAt, last, served, network.now());
+    extremes = updateExtremes(extremes, run, served, servedAt, start);
     last = served;
   }
   return extremes;
 }
 
-function noteServed(
+function recordServed(
   servedAt: Map<number, number>,
   before: readonly number[],
   after: readonly number[],
@@ -69,7 +69,7 @@
   });
 }
 
-function widen(
+function updateExtremes(
   extremes: Extremes,
   { network }: SharingRun,
   served: readonly number[],
--- a/test/fair/suspension.test.ts
+++ b/test/fair/suspension.test.ts
@@ -8,14 +8,17 @@
 const SHORT_TOKENS = 5;
 const INSTANCES = ['a', 'b', 'c'].map((id) => ({ id, domain: 'd1', region: 'r1' }));
 
-interface Flood {
+interface FloodResult {
   readonly network: FakeNetwork;
-  readonly questions: readonly Job[];
+  readonly shortRequests: readonly Job[];
   readonly mostSuspended: number;
 }
 
-/** Customer 1 floods with long streams from one instance; customer 2 asks short questions. */
-function flood(suspendShare: number, idempotent = true): Flood {
+/**
+ * Customer 1 fills all slots with long streams from one instance; customer 2 submits short
+ * requests.
+ */
+function runFlood(suspendShare: number, idempotent = true): FloodResult {
   const view = createTestView({ upstreams: [{ id: 'e1', slots: SLOTS }], pool: { suspendShare } });
   const network = createFakeNetwork({ seed: 1, view, instances: INSTANCES });
   network.runUntil(5_000);
@@ -23,49 +26,49 @@
     network.submit({ instance: 'a', customer: 1, tokens: LONG_TOKENS, idempotent });
   }
   network.runUntil(9_000);
-  const questions: Job[] = [];
+  const shortRequests: Job[] = [];
   let mostSuspended = 0;
   for (let i = 0; i < 10; i += 1) {
-    questions.push(network.submit({ instance: 'b', customer: 2, tokens: SHORT_TOKENS }));
+    shortRequests.push(network.submit({ instance: 'b', customer: 2, tokens: SHORT_TOKENS }));
     for (let step = 0; step < 100; step += 1) {
       network.runUntil(network.now() + 10);
       mostSuspended = Math.max(mostSuspended, network.suspendedOn('e1'));
     }
   }
-  return { network, questions, mostSuspended };
+  return { network, shortRequests, mostSuspended };
 }
 
 const waitOf = (job: Job) => (job.firstTokenAt ?? Infinity) - job.submittedAt;
 
 describe('fair/suspension', () => {
   it('serves a short question while long streams hold all slots', () => {
-    const { questions, mostSuspended } = flood(0.25);
-    // Announcement, suspension there and back, grant, dispatch and two ticks of the upstream.
+    const { shortRequests, mostSuspended } = runFlood(0.25);
+    // Announcement, suspend request and reply, grant, dispatch and two ticks of the upstream.
     const most = 3 * 20 + 4 * 1 + 2 * 1 + 2 * 10;
-    questions.forEach((job) => expect(waitOf(job)).to.be.at.most(most));
+    shortRequests.forEach((job) => expect(waitOf(job)).to.be.at.most(most));
     expect(mostSuspended).to.be.within(1, SLOTS * 0.25);
   });
 
   it('lets it wait for a stream to end where nothing may be suspended', () => {
-    const { questions, mostSuspended } = flood(0);
-    expect(waitOf(questions[0] as Job)).to.be.above(1_000);
+    const { shortRequests, mostSuspended } = runFlood(0);
+    expect(waitOf(shortRequests[0] as Job)).to.be.above(1_000);
     expect(mostSuspended).to.equal(0);
   });
 
   it('suspends no stream that is not idempotent', () => {
-    const { mostSuspended } = flood(0.25, false);
+    const { mostSuspended } = runFlood(0.25, false);
     expect(mostSuspended).to.equal(0);
   });
 
   it('resumes every suspended stream', () => {
-    const { network } = flood(0.25);
+    const { network } = runFlood(0.25);
     const perStream = (LONG_TOKENS / 100) * 1_000;
     network.runUntil(network.now() + 5 * perStream);
     network.jobs.forEach((job) => expect(job.outcome).to.equal('finished'));
   });
 
   it('resumes streams whose owner has gone', () => {
-    const { network } = flood(0.25);
+    const { network } = runFlood(0.25);
     network.submit({ instance: 'b', customer: 2, tokens: SHORT_TOKENS });
     network.runUntil(network.now() + 60);
     const owner = INSTANCES.find(({ id }) =>
--- a/test/fair/weights.test.ts
+++ b/test/fair/weights.test.ts
@@ -38,7 +38,7 @@
         network.publish({ ...network.view, version: network.view.version + 1, weightOf });
         const served = () => next.map((_, i) => network.served.get(i + 1) ?? 0);
         const atChange = served();
-        // What one lags at the change may be repaid after it.
+        // The lag of a customer at the time of the change may be repaid afterwards.
         const most =
           serviceGapBound(DEFAULT_CORE_SETTINGS, conditions) +
           serviceGapBound(DEFAULT_CORE_SETTINGS, { ...conditions, leastWeight: Math.min(...next) });
