--- a/src/core/context.ts
+++ b/src/core/context.ts
@@ -1,24 +1,27 @@
-/** What a sub-reducer is given besides its event: the state, the time and a place for effects. */
+/** The context passed to every sub-reducer along with its event: state, time and effect output. */
 import type { Millis } from './clock.js';
 import type { DiagnosticArgs, DiagnosticCode } from './diagnostics.js';
 import type { CoreState } from './state.js';
 import type { Effect, InstanceId, LogLevel, Part, PeerMessage, TimerName } from './types.js';
 
-/** Lives for one call of `reduce`. */
+/** Created for each call of `reduce`. */
 export interface CoreContext {
   readonly state: CoreState;
   readonly now: Millis;
   readonly emit: (effect: Effect) => void;
-  /** Queues a message to this instance itself; it is reduced before the call returns. */
+  /** Queues a message to this instance itself; it is reduced before `reduce` returns. */
   readonly deliverToSelf: (message: PeerMessage) => void;
 }
 
-/** Sets a timer, replacing an earlier setting. */
-export function setTimer(ctx: CoreContext, timer: TimerName, after: Millis): void {
-  ctx.emit({ kind: 'setTimer', timer, at: ctx.now + after });
+/** Schedules a timer to fire after `delay`, replacing its previous schedule. */
+export function setTimer(ctx: CoreContext, timer: TimerName, delay: Millis): void {
+  ctx.emit({ kind: 'setTimer', timer, at: ctx.now + delay });
 }
 
-/** Sends a message to an instance, or reduces it at once if that is this instance. */
+/**
+ * Sends a message to an instance. A message to this instance is queued locally, and one to an
+ * unknown instance is dropped.
+ */
 export function sendTo(ctx: CoreContext, to: InstanceId, message: PeerMessage): void {
   if (to === ctx.state.self.id) {
     ctx.deliverToSelf(message);
@@ -29,7 +32,7 @@
   ctx.emit({ kind: 'sendPeer', to, address: member.address, message });
 }
 
-/** Writes a log line. */
+/** Emits a log line. */
 export function logLine(
   ctx: CoreContext,
   level: LogLevel,
@@ -40,7 +43,7 @@
   ctx.emit({ kind: 'log', level, part, code, args });
 }
 
-/** Counts a metric. */
+/** Adds `value` to a metric. */
 export function count(
   ctx: CoreContext,
   metric: string,
@@ -50,7 +53,7 @@
   ctx.emit({ kind: 'count', metric, value, tags });
 }
 
-/** Writes a line of the audit trail in the name of the system. */
+/** Adds an audit trail entry whose author is this instance rather than an operator. */
 export function audit(
   ctx: CoreContext,
   action: string,
--- a/src/core/core.ts
+++ b/src/core/core.ts
@@ -1,6 +1,6 @@
 /**
- * The public face of the core. A core decides; it performs no input or output. The same options and
- * the same events at the same times give the same effects.
+ * Public interface of the core, a deterministic state machine that performs no input or output:
+ * the same options and the same events at the same times produce the same effects.
  */
 import { createAuditState } from './audit/auditState.js';
 import { keepAudit } from './audit/audit.js';
@@ -33,45 +33,46 @@
   PeerMessage,
 } from './types.js';
 
-const GRANT_RANGES = 2 ** 20;
+/** Number of disjoint grant id ranges, one of which is chosen for each incarnation. */
+const GRANT_ID_RANGES = 2 ** 20;
 
-const GRANTS_PER_RANGE = 2 ** 24;
+const GRANT_IDS_PER_RANGE = 2 ** 24;
 
 export interface CoreOptions {
   readonly self: InstanceIdentity;
-  /** Seed of the generator in the state. */
+  /** Seed of the random number generator in the state. */
   readonly seed: number;
   readonly settings?: Partial<CoreSettings>;
-  /** A configuration to begin with, brought into force at `start`. */
+  /** Configuration to apply on the `start` event. */
   readonly initialConfiguration?: ConfigurationView;
 }
 
 export interface Core {
-  /** The state, for status pages and tests; only `reduce` writes to it. */
+  /** The state, for status output and tests; only `reduce` modifies it. */
   readonly state: CoreState;
-  /** Reduces one event at time `now`; returns the effects in the order in which they are due. */
+  /** Processes one event at time `now` and returns the effects in execution order. */
   readonly reduce: (event: CoreEvent, now: Millis) => readonly Effect[];
 }
 
-/** Creates the core of one instance. */
+/** Creates the core of an instance. */
 export function createCore(options: CoreOptions): Core {
   const state = createState(options);
 
   function reduce(event: CoreEvent, now: Millis): readonly Effect[] {
     const effects: Effect[] = [];
-    const ownMessages: PeerMessage[] = [];
+    const selfMessages: PeerMessage[] = [];
     const ctx: CoreContext = {
       state,
       now,
       emit: (effect) => effects.push(effect),
-      deliverToSelf: (message) => ownMessages.push(message),
+      deliverToSelf: (message) => selfMessages.push(message),
     };
     reduceEvent(ctx, event);
     if (event.kind === 'start' && options.initialConfiguration !== undefined) {
       applyView(ctx, options.initialConfiguration);
     }
-    // The list grows while it is walked: a message may cause further ones.
-    for (const message of ownMessages)
+    // The array grows during iteration: handling a message may queue further messages.
+    for (const message of selfMessages)
       reducePeerMessage(ctx, state.self.id, state.self.incarnation, message);
     keepAudit(state, effects);
     return effects;
@@ -102,8 +103,11 @@
   };
 }
 
-/** Grant numbers of two starts of one instance must not meet, so each start begins elsewhere. */
+/**
+ * Returns the first grant id of this incarnation. The ids of two incarnations of an instance must
+ * not overlap, so each incarnation starts in a range chosen by hash.
+ */
 function firstGrantId(self: InstanceIdentity): number {
-  const range = hash32(`${self.id} ${self.incarnation}`) % GRANT_RANGES;
-  return range * GRANTS_PER_RANGE + 1;
+  const range = hash32(`${self.id} ${self.incarnation}`) % GRANT_ID_RANGES;
+  return range * GRANT_IDS_PER_RANGE + 1;
 }
--- a/src/core/debug.ts
+++ b/src/core/debug.ts
@@ -1,15 +1,15 @@
-/** Assertions for conditions that only a programming error can break. */
+/** Assertions for invariants that only a programming error can violate. */
 
 function fail(message: string): never {
   throw new Error(`Debug failure: ${message}`);
 }
 
-/** Throws unless `condition` holds. */
+/** Throws if `condition` is false. */
 function assert(condition: boolean, message: string): asserts condition {
   if (!condition) fail(message);
 }
 
-/** Marks the branch that an exhaustive switch must never reach. */
+/** Marks the unreachable default branch of an exhaustive switch. */
 function assertNever(value: never): never {
   return fail(`unexpected value ${JSON.stringify(value)}`);
 }
--- a/src/core/hash.ts
+++ b/src/core/hash.ts
@@ -1,4 +1,4 @@
-/** Non-cryptographic hashing for placement decisions. */
+/** Non-cryptographic hashing and weighted rendezvous hashing. */
 import MurmurHash3 from 'imurmurhash';
 
 const UINT32_RANGE = 2 ** 32;
@@ -8,7 +8,7 @@
   return MurmurHash3(text, seed).result();
 }
 
-/** Combines two 32-bit hashes into one whose bits all depend on both (the finalizer of MurmurHash3). */
+/** Combines two 32-bit hashes so that every bit depends on both (finalizer of MurmurHash3). */
 export function mixHashes(first: number, second: number): number {
   let mixed = Math.imul(first ^ (first >>> 16), 0x85ebca6b) ^ second;
   mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b);
@@ -18,13 +18,13 @@
 
 /**
  * Weighted rendezvous score of `node` for `key` (Schindelhauer and Schomaker, "Weighted distributed
- * hash tables", SPAA 2005). The node with the greatest score is chosen.
+ * hash tables", SPAA 2005). The node with the highest score wins.
  */
 export function rendezvousScore(key: string, node: string, weight = 1): number {
   return rendezvousScoreOfHashes(hash32(key), hash32(node), weight);
 }
 
-/** `rendezvousScore` for callers that keep the hashes of their keys and nodes. */
+/** Variant of `rendezvousScore` for callers that cache the hashes of their keys and nodes. */
 export function rendezvousScoreOfHashes(keyHash: number, nodeHash: number, weight = 1): number {
   const uniform = (mixHashes(keyHash, nodeHash) + 0.5) / UINT32_RANGE;
   return -weight / Math.log(uniform);
--- a/src/core/random.ts
+++ b/src/core/random.ts
@@ -1,10 +1,10 @@
 /**
- * Seeded randomness for the core. The generator lives in the state, so that the same events give
- * the same effects.
+ * Seeded pseudo-random numbers for the core. The generator is part of the state, so that the same
+ * events produce the same effects.
  */
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 
-/** A seeded source of uniform numbers. */
+/** A seeded source of uniformly distributed numbers. */
 export interface Random {
   /** Returns a number in [0, 1). */
   next: () => number;
@@ -13,10 +13,10 @@
 }
 
 const UINT32_RANGE = 2 ** 32;
-/** Draws after which the sequences of neighbouring seeds no longer resemble each other. */
+/** Draws to discard, after which the sequences of adjacent seeds are no longer correlated. */
 const WARM_UP_DRAWS = 16;
 
-/** Creates a generator whose sequence depends on `seed` alone. */
+/** Creates a generator whose sequence depends only on `seed`. */
 export function createRandom(seed: number): Random {
   const generator = xoroshiro128plus(seed);
   for (let i = 0; i < WARM_UP_DRAWS; i += 1) generator.next();
--- a/src/core/reducer.ts
+++ b/src/core/reducer.ts
@@ -1,4 +1,4 @@
-/** The one reducer: hands each event to the sub-reducers of its matters. */
+/** The root reducer: dispatches events, peer messages, commands and timers to the sub-reducers. */
 import {
   AUDIT_STREAM,
   onAuditAppended,
@@ -238,7 +238,7 @@
     case 'liftQuarantine':
     case 'readAudit':
     case 'listOrders':
-      onKeyedCommand(ctx, commandId, command);
+      onAuthenticatedCommand(ctx, commandId, command);
       return;
     case 'status':
       ctx.emit({ kind: 'operatorReply', commandId, result: describeConfiguration(ctx) });
@@ -248,12 +248,16 @@
   }
 }
 
-type KeyedCommand = Extract<
+type AuthenticatedCommand = Extract<
   OperatorCommand,
   { readonly kind: 'liftQuarantine' | 'readAudit' | 'listOrders' }
 >;
 
-function onKeyedCommand(ctx: CoreContext, commandId: string, command: KeyedCommand): void {
+function onAuthenticatedCommand(
+  ctx: CoreContext,
+  commandId: string,
+  command: AuthenticatedCommand,
+): void {
   const check = checkOperatorKey(ctx, command.keyHash);
   if (check.kind === 'rejected') {
     ctx.emit({ kind: 'operatorReply', commandId, result: check });
--- a/src/core/settings.ts
+++ b/src/core/settings.ts
@@ -1,52 +1,52 @@
-/** Settings of the core with their defaults. All durations are milliseconds. */
+/** Settings of the core and their defaults. All durations are in milliseconds. */
 import type { Millis } from './clock.js';
 import { DEFAULT_SHARING_SETTINGS, type SharingSettings } from './dispatch/sharingSettings.js';
 import { DEFAULT_OUTCOME_SETTINGS, type OutcomeSettings } from './requests/outcomeSettings.js';
 
 export interface CoreSettings extends OutcomeSettings, SharingSettings {
-  /** Interval of heartbeats within a failure domain. */
+  /** Interval between heartbeats within a failure domain. */
   readonly heartbeatMs: Millis;
-  /** Silence after which an instance is taken for dead. */
+  /** Time without heartbeats after which an instance is considered dead. */
   readonly memberTimeoutMs: Millis;
-  /** Interval at which the platform's instance list is read. */
+  /** Interval between reads of the platform's instance list. */
   readonly instanceListMs: Millis;
-  /** Delay in which changes of waiting counts are batched. */
+  /** Delay for batching announcements of changed waiting counts. */
   readonly announceMs: Millis;
-  /** Interval at which sums of service are exchanged. */
+  /** Interval at which instances exchange the totals of service that customers received. */
   readonly exchangeMs: Millis;
-  /** Interval at which an owner reads an upstream's load. */
+  /** Interval at which an owner polls the load of an upstream. */
   readonly pollMs: Millis;
   /** Time after which an unused grant expires. */
   readonly grantTimeoutMs: Millis;
-  /** Resolution of request deadlines. */
+  /** Interval at which request deadlines are checked. */
   readonly deadlineTickMs: Millis;
-  /** Deadline of a request whose caller sets none. */
+  /** Deadline of requests whose caller sets none. */
   readonly defaultDeadlineMs: Millis;
-  /** Longest wait for the first part of an answer. */
+  /** Timeout for the first part of a response. */
   readonly firstByteTimeoutMs: Millis;
-  /** Longest silence between two parts of an answer, before rates are known. */
+  /** Maximum time between two parts of a response while its token rate is unknown. */
   readonly idleTimeoutMs: Millis;
-  /** Interval at which reading, asking and publishing of the configuration are looked after. */
+  /** Interval at which configuration reads, peer requests and publications are checked. */
   readonly configurationTickMs: Millis;
-  /** Longest wait of one read of the configuration's log. */
+  /** Long-poll timeout of reads of the configuration log. */
   readonly configurationPollMs: Millis;
-  /** Pause after a failed read or append of the configuration's log. */
+  /** Delay after a failed read from or append to the configuration log. */
   readonly configurationRetryMs: Millis;
-  /** Time in which a new instance expects a peer's configuration before it reads the log. */
+  /** Time that a new instance waits for a peer's configuration before it reads the log. */
   readonly configurationPeerWaitMs: Millis;
-  /** Interval of checkpoints; far below the time for which the log keeps records. */
+  /** Interval between checkpoints; must be far below the retention time of the log. */
   readonly checkpointMs: Millis;
-  /** Longest wait for the verdict of a published edit. */
+  /** Timeout for the result of a published edit. */
   readonly publishTimeoutMs: Millis;
-  /** Hashes of the keys that may publish the first document; none: any key may. */
+  /** Hashes of the keys that may publish the first document; any key may if empty. */
   readonly bootstrapKeyHashes: readonly string[];
-  /** Interval at which desired and observed states of engines are compared. */
+  /** Interval at which the desired and observed states of engines are reconciled. */
   readonly ordersTickMs: Millis;
-  /** Time after which an order whose effect is not seen is given again. */
+  /** Time after which an order without visible effect is sent again. */
   readonly orderTimeoutMs: Millis;
-  /** Time for which work of a pool waits until more upstreams are loaded for it. */
+  /** Time that requests of a pool must have been waiting before another upstream is loaded for it. */
   readonly placementGrowMs: Millis;
-  /** Time of little use after which one upstream less is kept loaded for a pool. */
+  /** Time of low utilization after which the number of loaded upstreams of a pool is reduced by one. */
   readonly placementShrinkMs: Millis;
 }
 
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -1,6 +1,7 @@
 /**
- * The state of the core: one part per matter. A part is written only by the sub-reducers of its own
- * folder, in place: copying thousands of customers at each event would exceed the processor budget.
+ * State of the core, with one member per module. Each member is modified only by the sub-reducers
+ * of its folder. Updates are made in place: copying the state of thousands of customers on every
+ * event would exceed the CPU budget.
  */
 import type { AuditState } from './audit/auditState.js';
 import type { MembershipState } from './membership/membershipState.js';
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -1,9 +1,9 @@
 /**
- * Shared unions and shapes of the core: identities, the configuration in force, requests and their
- * states, attempts, problems, events, effects and peer messages. All of them are read-only data.
+ * Shared types of the core: identities, the active configuration, requests and their states,
+ * attempts, problems, events, effects and peer messages. All of them are read-only data.
  *
- * Units: durations and times are milliseconds (`Millis`), sizes are bytes, service is counted in
- * cost units (see `PoolConfig.cost`).
+ * Units: durations and times are in milliseconds (`Millis`), sizes in bytes, and service in cost
+ * units (see `PoolConfig.cost`).
  */
 import type { Millis } from './clock.js';
 import type { DiagnosticArgs, DiagnosticCode } from './diagnostics.js';
@@ -13,22 +13,22 @@
 
 export type InstanceId = string;
 export type CustomerId = string;
-/** Number that the configuration assigns to a customer once; never reused. */
+/** Number that the configuration assigns to a customer; never reused. */
 export type CustomerNumber = number;
 export type PoolId = string;
-/** Number that the configuration assigns to a pool once; never reused. */
+/** Number that the configuration assigns to a pool; never reused. */
 export type PoolNumber = number;
 export type UpstreamId = string;
 export type RequestId = string;
 export type AttemptId = string;
-/** Number of a grant, unique with its owner and the owner's incarnation. */
+/** Number of a grant, unique per owner and incarnation of the owner. */
 export type GrantId = number;
 export type FailureDomainId = string;
 export type RegionId = string;
 /** SHA-256 of a caller's key in lower-case hexadecimal. */
 export type KeyHash = string;
 
-/** One start of one instance. A later start has the larger incarnation. */
+/** Identifies one run of an instance. The incarnation increases with each start. */
 export interface InstanceIdentity {
   readonly id: InstanceId;
   readonly incarnation: number;
@@ -40,7 +40,7 @@
 
 export type InstancePhase = 'starting' | 'ready' | 'leaving';
 
-/** What is believed of one instance. */
+/** Last known state of an instance. */
 export interface Member extends InstanceIdentity {
   readonly phase: InstancePhase;
   readonly beat: number;
@@ -48,15 +48,15 @@
   readonly configurationVersion: number;
 }
 
-// Configuration in force
+// Active configuration
 
 export type PoolKind = 'model' | 'service';
 
-/** Prices, in cost units, from which the cost of a request is computed. */
+/** Rates, in cost units, from which the cost of a request is computed. */
 export interface CostConfig {
   readonly perPromptToken: number;
   readonly perOutputToken: number;
-  /** Price of a millisecond of a plain service's slot. */
+  /** Cost of one slot of a plain service for one millisecond. */
   readonly perSlotMs: number;
 }
 
@@ -64,7 +64,7 @@
   readonly waitingRequests: number;
   readonly waitingBytes: number;
   readonly concurrency: number;
-  /** Requests per second, fleet-wide. */
+  /** Requests per second over the whole fleet. */
   readonly rate: number;
 }
 
@@ -75,7 +75,7 @@
   readonly limits: CustomerLimits;
 }
 
-/** A customer's entitlement weight in a pool; 1 where the configuration names none. */
+/** Entitlement weight of a customer in a pool; 1 if not configured. */
 export interface EntitlementConfig {
   readonly customer: CustomerId;
   readonly pool: PoolId;
@@ -89,30 +89,30 @@
   readonly cost: CostConfig;
   /** Whether a retry or a pulled request may run in another region. */
   readonly crossRegion: boolean;
-  /** Cost, in milliseconds of waiting, that a crossing of regions has to save. */
+  /** Waiting time that a cross-region dispatch must save to be worthwhile. */
   readonly crossRegionPriceMs: Millis;
-  /** Largest share of slots that may be freed by suspending streams. */
+  /** Maximum share of slots that may be freed by suspending streams. */
   readonly suspendShare: number;
-  /** Whether requests without a mark are idempotent. */
+  /** Whether requests are idempotent if neither the caller nor a route says so. */
   readonly idempotentByDefault: boolean;
 }
 
 export interface UpstreamConfig {
   readonly id: UpstreamId;
   readonly pool: PoolId;
-  /** Base address, `http://ip:port`. */
+  /** Base URL, `http://ip:port`. */
   readonly url: string;
   readonly domain: FailureDomainId;
   readonly region: RegionId;
-  /** Largest number of requests at a time. */
+  /** Maximum number of concurrent requests. */
   readonly slots: number;
-  /** Whether the upstream refuses an order with an old number. */
+  /** Whether the upstream rejects orders with an outdated number. */
   readonly checksOrders: boolean;
-  /** Whether the upstream has a load report and cache events. */
+  /** Whether the upstream provides load reports and cache events. */
   readonly reportsLoad: boolean;
 }
 
-/** Marks part of a plain service's paths; the longest matching prefix decides. */
+/** Idempotency of paths of a plain service; the longest matching prefix wins. */
 export interface RouteConfig {
   readonly pool: PoolId;
   readonly pathPrefix: string;
@@ -129,9 +129,9 @@
 
 export interface FairnessConfig {
   readonly scope: ShareScope;
-  /** Largest debt, in cost units per weight, that is repaid after a partition. */
+  /** Maximum debt, in cost units per weight, that is repaid after a network partition. */
   readonly debtCap: number;
-  /** Largest amount charged at once while a stream runs, in cost units. */
+  /** Maximum amount charged at once for a running stream, in cost units. */
   readonly chargeStep: number;
 }
 
@@ -140,15 +140,15 @@
   readonly model: string;
   readonly version: string;
   readonly adapters: readonly string[];
-  /** Role that the engines are given; empty or absent for any. */
+  /** Role assigned to the engines; empty or absent for any. */
   readonly role?: string;
   readonly minUpstreams: number;
   readonly maxUpstreams: number;
-  /** Smallest share of the pool that keeps serving during a rolling load. */
+  /** Minimum share of the pool that keeps serving during a rolling load. */
   readonly servingShare: number;
 }
 
-/** The accepted configuration, indexed for use. `version` is the offset of its last record. */
+/** The accepted configuration, indexed for lookups. `version` is the offset of its last record. */
 export interface ConfigurationView {
   readonly version: number;
   readonly customers: ReadonlyMap<CustomerNumber, CustomerConfig>;
@@ -162,15 +162,15 @@
   readonly plannedStops: ReadonlyMap<UpstreamId, PlannedStopConfig>;
   readonly fairness: FairnessConfig;
   readonly placement: readonly PlacementConfig[];
-  /** Model loads that may be under way at a time in the whole fleet. */
+  /** Maximum number of concurrent model loads in the whole fleet. */
   readonly concurrentLoads?: number;
-  /** Weight of a customer in a pool. */
+  /** Returns the entitlement weight of a customer in a pool. */
   readonly weightOf: (customer: CustomerNumber, pool: PoolId) => number;
 }
 
 // Requests
 
-/** What is known of a request when it arrives. The body stays with the caller host. */
+/** Properties of a request that are known on arrival. The body is kept by the caller host. */
 export interface RequestFacts {
   readonly requestId: RequestId;
   readonly customer: CustomerNumber;
@@ -180,9 +180,9 @@
   /** Hash of the customer, method, path and body. */
   readonly fingerprint: string;
   readonly bodyBytes: number;
-  /** Rough number of prompt tokens; 0 for a plain service. */
+  /** Estimated number of prompt tokens; 0 for a plain service. */
   readonly promptTokens: number;
-  /** The caller's hint of the cost, in cost units; rough or wrong. */
+  /** Cost estimate of the caller, in cost units; may be inaccurate or wrong. */
   readonly costHint?: number;
   /** Hashes of the prompt's prefix blocks, from the shortest to the longest prefix. */
   readonly prefixBlocks: readonly string[];
@@ -191,56 +191,56 @@
   readonly deadlineAt: Millis;
 }
 
-/** Passed the checks; not yet in a queue (a claim may be pending). */
+/** A request that passed admission but is not queued yet (a claim may be pending). */
 export interface AcceptedRequest {
   readonly state: 'accepted';
   readonly facts: RequestFacts;
 }
 
-/** In the queue of its customer and pool. No attempt has been made, or none was run. */
+/** A request in the queue of its customer and pool. No attempt was made, or none was executed. */
 export interface WaitingRequest {
   readonly state: 'waiting';
   readonly facts: RequestFacts;
   readonly since: Millis;
-  /** Upstreams of attempts that certainly did not run the request, the latest last. */
+  /** Upstreams that were tried and did not execute the request, in order. */
   readonly tried: readonly UpstreamId[];
 }
 
-/** Holds a slot on an upstream; nothing has been sent yet. */
+/** A request that holds a slot on an upstream; nothing has been sent yet. */
 export interface GrantedRequest {
   readonly state: 'granted';
   readonly facts: RequestFacts;
   readonly grant: GrantFacts;
 }
 
-/** An attempt was handed to the upstream host; bytes may have left. */
+/** A request whose attempt was handed to the upstream host; bytes may have been sent. */
 export interface DispatchedRequest {
   readonly state: 'dispatched';
   readonly facts: RequestFacts;
   readonly attempt: AttemptId;
-  /** Upstreams of this and earlier attempts, the latest last. */
+  /** Upstreams of this and earlier attempts, in order. */
   readonly tried: readonly UpstreamId[];
-  /** Output tokens that earlier attempts passed on to the caller. */
+  /** Output tokens that earlier attempts forwarded to the caller. */
   readonly forwardedTokens: number;
-  /** Whether an earlier attempt passed on any byte of an answer. */
+  /** Whether an earlier attempt forwarded any byte of a response. */
   readonly hasForwarded: boolean;
-  /** Whether an earlier attempt may have run the request. */
+  /** Whether an earlier attempt may have executed the request. */
   readonly mayHaveRun: boolean;
-  /** Number of times that the answer was resumed. */
+  /** Number of times the response was resumed. */
   readonly resumes: number;
-  /** Whether the caller has left while the outcome is still wanted for its key. */
+  /** Whether the caller disconnected while the outcome is still needed for its idempotency key. */
   readonly isCallerGone: boolean;
 }
 
-/** A stream that goes on at another engine, to which its key-value cache is copied first. */
+/** Source of a stream that continues on another engine after its key-value cache is copied there. */
 export interface CacheMove {
   readonly attemptId: AttemptId;
   readonly fromUrl: string;
 }
 
 /**
- * An idempotent request that an upstream may have run and that waits for another upstream. It can
- * fail, but it can never be refused as not run.
+ * An idempotent request that an upstream may have executed and that waits for another upstream. It
+ * can fail, but it can no longer be refused as not executed.
  */
 export interface RetryingRequest {
   readonly state: 'retrying';
@@ -250,32 +250,32 @@
   readonly forwardedTokens: number;
   readonly hasForwarded: boolean;
   readonly resumes: number;
-  /** Present for a stream that has passed on tokens. */
+  /** Present for a stream that has forwarded tokens. */
   readonly move?: CacheMove;
 }
 
 export type ActiveRequest =
   AcceptedRequest | WaitingRequest | GrantedRequest | DispatchedRequest | RetryingRequest;
 
-/** Requests that certainly no upstream has seen; only these can be refused as not run. */
+/** Requests that no upstream has executed; only these can be refused as not executed. */
 export type UntriedRequest = AcceptedRequest | WaitingRequest | GrantedRequest;
 
-/** The slot that a grant stands for. */
+/** A grant of a slot on an upstream. */
 export interface GrantFacts {
   readonly grantId: GrantId;
   readonly owner: InstanceId;
   readonly upstream: UpstreamId;
   readonly expiresAt: Millis;
-  /** Part of the prompt, from 0 to 1, that the upstream's cache is believed to hold. */
+  /** Estimated fraction of the prompt, from 0 to 1, that is in the cache of the upstream. */
   readonly cachedShare?: number;
 }
 
 // Problems
 
-/** Whether an upstream ran the request. */
+/** Whether an upstream executed the request. */
 export type Executed = 'no' | 'yes' | 'unknown';
 
-/** Step of a request's way at which a problem arose. */
+/** Processing step in which a problem occurred. */
 export type Step =
   | 'receive'
   | 'authenticate'
@@ -293,7 +293,7 @@
   | 'append'
   | 'read';
 
-/** Party at which a problem arose. */
+/** Component at which a problem occurred. */
 export type Peer =
   | { readonly kind: 'caller' }
   | { readonly kind: 'self' }
@@ -301,7 +301,7 @@
   | { readonly kind: 'upstream'; readonly id: UpstreamId }
   | { readonly kind: 'platform'; readonly part: 'log' | 'list' | 'weights' };
 
-/** A refusal or failure told to a caller as problem+json. */
+/** A refusal or failure reported to a caller as problem+json. */
 export interface Problem {
   readonly code: DiagnosticCode;
   readonly status: number;
@@ -309,17 +309,17 @@
   readonly step: Step;
   readonly peer: Peer;
   readonly detail?: string;
-  /** Values of the place-holders in the diagnostic's text. */
+  /** Values of the placeholders in the text of the diagnostic. */
   readonly args?: DiagnosticArgs;
   readonly retryAfterMs?: Millis;
 }
 
-/** A problem whose request no upstream has seen. */
+/** A problem of a request that no upstream has executed. */
 export interface NotRunProblem extends Problem {
   readonly executed: 'no';
 }
 
-/** An answer kept under an idempotency key. */
+/** A response stored under an idempotency key. */
 export interface RecordedAnswer {
   readonly status: number;
   readonly contentType: string;
@@ -328,7 +328,7 @@
 
 // Attempts
 
-/** All that the upstream host needs for one attempt. */
+/** Everything the upstream host needs to make an attempt. */
 export interface AttemptPlan {
   readonly attemptId: AttemptId;
   readonly requestId: RequestId;
@@ -336,27 +336,27 @@
   readonly url: string;
   readonly pool: PoolId;
   readonly kind: PoolKind;
-  /** First output token that the caller lacks; 0 for a fresh start. */
+  /** Index of the first output token that the caller has not received; 0 for a new response. */
   readonly resumeFromToken: number;
-  /** Longest silence between two parts of the answer. */
+  /** Maximum time between two parts of the response. */
   readonly idleTimeoutMs: Millis;
-  /** Longest wait for the first part of the answer. */
+  /** Timeout for the first part of the response. */
   readonly firstByteTimeoutMs: Millis;
-  /** Whether the host keeps a copy of a small answer for the claim's outcome. */
+  /** Whether the host captures a small response for the outcome of the claim. */
   readonly captureAnswer: boolean;
-  /** Time after which no byte may leave any more; the attempt then ends as `notSent`. */
+  /** Time after which no byte may be sent any more; the attempt then ends as `notSent`. */
   readonly sendBefore?: Millis;
 }
 
-/** Status and end-to-end headers of an upstream's answer. */
+/** Status and end-to-end headers of the response of an upstream. */
 export interface AnswerHead {
   readonly status: number;
   readonly headers: Readonly<Record<string, string>>;
 }
 
-/** How an attempt ended, as the upstream host saw it. */
+/** Result of an attempt as reported by the upstream host. */
 export type AttemptOutcome =
-  /** The whole answer, with its end mark or full length, was passed on to the caller. */
+  /** The whole response, including its end marker or full length, was forwarded to the caller. */
   | {
       readonly kind: 'complete';
       readonly status: number;
@@ -364,24 +364,24 @@
       readonly promptTokens?: number;
       readonly answer?: RecordedAnswer;
     }
-  /** No byte of the request left this instance. */
+  /** No byte of the request was sent. */
   | { readonly kind: 'notSent'; readonly detail: string }
-  /** The upstream said itself that it did not run the request (429, or 503 with `executed: no`). */
+  /** The upstream stated that it did not execute the request (429, or 503 with `executed: no`). */
   | { readonly kind: 'declined'; readonly status: number; readonly retryAfterMs?: Millis }
-  /** A server error; nothing was passed on. The request may have run. */
+  /** A server error; nothing was forwarded. The request may have been executed. */
   | { readonly kind: 'upstreamError'; readonly status: number; readonly detail: string }
-  /** The connection ended before the end mark. */
+  /** The connection closed before the end marker. */
   | { readonly kind: 'cut'; readonly detail: string }
-  /** Nothing arrived for longer than the time limit; the connection was given up. */
+  /** Nothing was received within the timeout; the connection was closed. */
   | { readonly kind: 'silent' }
-  /** The reply carried another attempt's id and was dropped. */
+  /** The response carried the id of another attempt and was discarded. */
   | { readonly kind: 'foreign' }
-  /** Stopped on request of the core. */
+  /** Cancelled by the core. */
   | { readonly kind: 'cancelled' };
 
 // Upstreams
 
-/** Load and cache of an upstream as it reports them, with a lag. */
+/** Load and loaded model of an upstream as reported by it, with some delay. */
 export interface UpstreamReport {
   readonly running: number;
   readonly queued: number;
@@ -392,7 +392,7 @@
   readonly role: string;
   readonly adapters: readonly string[];
   readonly orderNumber: number;
-  /** Changes when the upstream starts afresh. */
+  /** Changes when the upstream restarts. */
   readonly epoch: string;
 }
 
@@ -431,20 +431,20 @@
   /** May have been appended. */
   | { readonly kind: 'unknown'; readonly detail: string };
 
-/** An entry of the platform's instance list. */
+/** An entry in the instance list of the platform. */
 export interface ListedInstance {
   readonly id: InstanceId;
   readonly address: string;
   readonly domain: FailureDomainId;
   readonly region: RegionId;
   readonly state: 'live' | 'leaving';
-  /** Whether the entry is one of our instances or an upstream. */
+  /** Whether the entry is an instance of this fleet or an upstream. */
   readonly kind: 'instance' | 'upstream';
 }
 
 // Operators
 
-/** What an operator asks of an instance. */
+/** A command sent by an operator. */
 export type OperatorCommand =
   | {
       readonly kind: 'publish';
@@ -455,7 +455,7 @@
       readonly author: string;
       readonly keyHash: KeyHash;
     }
-  /** The source of a section, or of the document, in force or at an earlier version. */
+  /** Returns the source of a section or of the document, active or at an earlier version. */
   | {
       readonly kind: 'getConfiguration';
       readonly section?: string;
@@ -479,7 +479,7 @@
   | { readonly kind: 'done'; readonly data: unknown }
   | { readonly kind: 'rejected'; readonly problem: Problem; readonly data?: unknown };
 
-/** A line of the audit trail. */
+/** An entry in the audit trail. */
 export interface AuditEntry {
   readonly at: Millis;
   readonly who: string;
@@ -487,14 +487,14 @@
   readonly subject: string;
   readonly accepted: boolean;
   readonly detail: string;
-  /** Old and new state of the subject, shortened, without key hashes. */
+  /** Old and new state of the subject, truncated and without key hashes. */
   readonly before?: string;
   readonly after?: string;
 }
 
 // Timers
 
-/** Timers of the core; setting one again replaces it. */
+/** Timers of the core. Setting a pending timer reschedules it. */
 export type TimerName =
   | 'heartbeat'
   | 'instanceList'
@@ -524,7 +524,7 @@
   readonly method: string;
   /** Path below the pool for a plain service, or the completion path. */
   readonly path: string;
-  /** The caller's mark; absent when it set none. */
+  /** Value set by the caller, if any. */
   readonly idempotent?: boolean;
   readonly idempotencyKey?: string;
   readonly fingerprint: string;
@@ -533,7 +533,7 @@
   readonly costHint?: number;
   readonly prefixBlocks: readonly string[];
   readonly streamed: boolean;
-  /** Time until the caller gives up; absent for the instance's default. */
+  /** Time until the deadline of the caller; absent to use the default of the instance. */
   readonly deadlineInMs?: Millis;
 }
 
@@ -541,9 +541,9 @@
   | { readonly kind: 'start' }
   | CallerRequestEvent
   | { readonly kind: 'callerGone'; readonly requestId: RequestId }
-  /** The head of the answer arrived and carries the attempt's id. */
+  /** The response headers were received and carry the id of the attempt. */
   | { readonly kind: 'attemptStarted'; readonly attemptId: AttemptId }
-  /** Parts of the answer were passed on to the caller; counts since the last such event. */
+  /** Parts of the response were forwarded to the caller; counts since the previous event. */
   | {
       readonly kind: 'attemptProgress';
       readonly attemptId: AttemptId;
@@ -576,16 +576,16 @@
     }
   | {
       readonly kind: 'instanceList';
-      /** Absent when the list could not be read. */
+      /** Absent if the list could not be read. */
       readonly instances?: readonly ListedInstance[];
     }
   | {
       readonly kind: 'upstreamReport';
       readonly upstream: UpstreamId;
-      /** Absent when the upstream could not be asked. */
+      /** Absent if the upstream could not be polled. */
       readonly report?: UpstreamReport;
       readonly cacheEvents: readonly CacheEvent[];
-      /** Sequence from which the next events are to be read. */
+      /** Sequence number from which to read the next events. */
       readonly cacheNext: number;
       /** Whether events before `cacheEvents` were lost. */
       readonly cacheGap: boolean;
@@ -602,7 +602,7 @@
       readonly command: OperatorCommand;
     }
   | { readonly kind: 'timer'; readonly timer: TimerName }
-  /** The process was told to stop (SIGTERM). */
+  /** The process received SIGTERM. */
   | { readonly kind: 'plannedStop' };
 
 export type CoreEventKind = CoreEvent['kind'];
@@ -646,17 +646,17 @@
       readonly fromUrl: string;
       readonly toUrl: string;
     }
-  /** Ends the caller's answer, all of which has been passed on. */
+  /** Ends the response to the caller after all of it has been forwarded. */
   | { readonly kind: 'finishAnswer'; readonly requestId: RequestId }
-  /** Sends a whole answer that was kept under an idempotency key. */
+  /** Sends a complete response that was stored under an idempotency key. */
   | {
       readonly kind: 'replayAnswer';
       readonly requestId: RequestId;
       readonly answer: RecordedAnswer;
     }
-  /** Tells the caller of a request that was not run. */
+  /** Reports to the caller that the request was not executed. */
   | { readonly kind: 'refuse'; readonly requestId: RequestId; readonly problem: NotRunProblem }
-  /** Tells the caller of a failure; within a stream as its explicit last event. */
+  /** Reports a failure to the caller; within a stream, as an explicit final event. */
   | { readonly kind: 'fail'; readonly requestId: RequestId; readonly problem: Problem }
   | {
       readonly kind: 'sendPeer';
@@ -712,16 +712,16 @@
       readonly code: DiagnosticCode;
       readonly args: Readonly<Record<string, string | number>>;
     }
-  /** Whether the balancer may send callers here. */
+  /** Sets whether the load balancer may send callers to this instance. */
   | { readonly kind: 'setReady'; readonly ready: boolean }
-  /** All accepted work has ended; the process may exit. */
+  /** All accepted requests have ended; the process may exit. */
   | { readonly kind: 'stopped' };
 
 export type EffectKind = Effect['kind'];
 
 // Peer messages
 
-/** A message between instances, without its envelope. */
+/** Payload of a message between instances, without its envelope. */
 export type PeerMessage = NonNullable<peer.PeerMessage['body']>;
 export type PeerMessageKind = PeerMessage['$case'];
 export type PeerMessageOf<K extends PeerMessageKind> = Extract<
--- a/test/core.test.ts
+++ b/test/core.test.ts
@@ -5,13 +5,13 @@
 
 const SELF = { id: 'a', incarnation: 1, address: '127.0.0.1:1', domain: 'd1', region: 'r1' };
 
-function startedCore() {
+function createStartedCore() {
   const core = createCore({ self: SELF, seed: 1, initialConfiguration: createTestView() });
   core.reduce({ kind: 'start' }, 0);
   return core;
 }
 
-function requestEvent(requestId: string, keyHash = TEST_KEY_HASH) {
+function createRequestEvent(requestId: string, keyHash = TEST_KEY_HASH) {
   return {
     kind: 'callerRequest',
     requestId,
@@ -27,43 +27,43 @@
   } as const;
 }
 
-const kinds = (effects: readonly Effect[]) => effects.map((effect) => effect.kind);
+const kindsOf = (effects: readonly Effect[]) => effects.map((effect) => effect.kind);
 
 describe('core', () => {
   it('carries a request from the caller to an upstream and back', () => {
-    const core = startedCore();
-    core.reduce(requestEvent('q1'), 10);
+    const core = createStartedCore();
+    core.reduce(createRequestEvent('q1'), 10);
     const effects = core.reduce({ kind: 'timer', timer: 'announce' }, 30);
     const dispatch = effects.find((effect) => effect.kind === 'dispatch');
     expect(dispatch?.attempt).to.include({ requestId: 'q1', upstream: 'e1' });
     const attemptId = dispatch?.attempt.attemptId ?? '';
     const outcome = { kind: 'complete', status: 200, outputTokens: 3 } as const;
     const end = core.reduce({ kind: 'attemptEnded', attemptId, outcome }, 40);
-    expect(kinds(end)).to.include('finishAnswer');
+    expect(kindsOf(end)).to.include('finishAnswer');
     expect(core.state.requests.active.size).to.equal(0);
   });
 
   it('refuses an unknown key as not run', () => {
-    const core = startedCore();
-    const [effect] = core.reduce(requestEvent('q1', 'nobody'), 10);
+    const core = createStartedCore();
+    const [effect] = core.reduce(createRequestEvent('q1', 'nobody'), 10);
     expect(effect).to.deep.include({ kind: 'refuse', requestId: 'q1' });
     expect(effect?.kind === 'refuse' && effect.problem.executed).to.equal('no');
   });
 
   it('gives the same effects for the same events', () => {
     const run = () => {
-      const core = startedCore();
-      const events = ['q1', 'q2', 'q3'].map((id) => core.reduce(requestEvent(id), 10));
+      const core = createStartedCore();
+      const events = ['q1', 'q2', 'q3'].map((id) => core.reduce(createRequestEvent(id), 10));
       return [...events, core.reduce({ kind: 'timer', timer: 'announce' }, 30)];
     };
     expect(run()).to.deep.equal(run());
   });
 
   it('finishes accepted work before it stops', () => {
-    const core = startedCore();
-    core.reduce(requestEvent('q1'), 10);
-    expect(kinds(core.reduce({ kind: 'plannedStop' }, 11))).to.not.include('stopped');
+    const core = createStartedCore();
+    core.reduce(createRequestEvent('q1'), 10);
+    expect(kindsOf(core.reduce({ kind: 'plannedStop' }, 11))).to.not.include('stopped');
     const effects = core.reduce({ kind: 'timer', timer: 'announce' }, 30);
-    expect(kinds(effects)).to.include('dispatch');
+    expect(kindsOf(effects)).to.include('dispatch');
   });
 });
--- a/test/hash.test.ts
+++ b/test/hash.test.ts
@@ -22,16 +22,16 @@
     // Six standard deviations of a binomial count around its mean.
     NODES.forEach(({ id, weight }) => {
       const p = weight / 15;
-      const allowed = 6 * Math.sqrt(KEYS.length * p * (1 - p));
-      expect(Math.abs((counts.get(id) ?? 0) - KEYS.length * p), id).to.be.below(allowed);
+      const tolerance = 6 * Math.sqrt(KEYS.length * p * (1 - p));
+      expect(Math.abs((counts.get(id) ?? 0) - KEYS.length * p), id).to.be.below(tolerance);
     });
   });
 
   it('moves only the keys of a node that leaves', () => {
-    const left = NODES.slice(1);
+    const remaining = NODES.slice(1);
     KEYS.forEach((key) => {
       const before = choose(key, NODES);
-      if (before !== 'instance-0') expect(choose(key, left)).to.equal(before);
+      if (before !== 'instance-0') expect(choose(key, remaining)).to.equal(before);
     });
   });
 });
--- a/test/random.test.ts
+++ b/test/random.test.ts
@@ -20,7 +20,7 @@
       counts[bucket] = (counts[bucket] ?? 0) + 1;
     }
     // Five standard deviations of a binomial count.
-    const spread = 5 * Math.sqrt(SEEDS * (1 / BUCKETS) * (1 - 1 / BUCKETS));
-    counts.forEach((count) => expect(count).to.be.closeTo(SEEDS / BUCKETS, spread));
+    const tolerance = 5 * Math.sqrt(SEEDS * (1 / BUCKETS) * (1 - 1 / BUCKETS));
+    counts.forEach((count) => expect(count).to.be.closeTo(SEEDS / BUCKETS, tolerance));
   });
 });
