Reword the attempts and their recovery

Comments such as "an attempt that certainly was not run leaves the request as it was before" or "goes on at its own engine" now read in terms of execution, forwarding, resuming and retrying. Short verbs that named whole decisions say what they do.

Renames: recover -> handleFailedAttempt, resume -> resumeOnSameUpstream, move -> queueCacheMove, retry -> queueRetry, delayOf -> delayBeforeRetry, giveUpStream -> failStream, targetOf -> resolveTarget, avoid -> avoidUpstream, problemOf -> createProblem, detailOf -> formatOutcome, retryAfterOf -> selectRetryAfter.

--- a/src/core/attempts/attempts.ts
+++ b/src/core/attempts/attempts.ts
@@ -1,6 +1,7 @@
 /**
- * Attempts: one dispatch of a request to an upstream, its progress and its end. Each attempt has an
- * id of its own; events of an attempt that is not the request's current one only free its slot.
+ * Attempts: the dispatch of a request to an upstream, its progress and its end. Each attempt has a
+ * unique id; the end of an attempt that is no longer the current one of its request only frees its
+ * slot.
  */
 import { refuseExpiredClaim } from '../claims/claims.js';
 import { claimExpiry, needsClaim } from '../claims/ownClaims.js';
@@ -32,23 +33,26 @@
   WaitingRequest,
 } from '../types.js';
 import type { AttemptRecord } from './attemptsState.js';
-import { notRunProblemOf, problemOf } from './problems.js';
+import { createNotRunProblem, createProblem } from './problems.js';
 import { planRecovery } from './recovery.js';
 
 type FailedOutcome = Exclude<AttemptOutcome, { readonly kind: 'complete' }>;
 type QueuedRequest = WaitingRequest | RetryingRequest;
 
-/** An upstream with its pool, as the configuration in force has them. */
+/** An upstream and its pool in the active configuration. */
 interface Target {
   readonly upstream: UpstreamConfig;
   readonly pool: PoolConfig;
 }
 
-/** Dispatches a queued request to the upstream of a grant, unless it may not run there now. */
+/**
+ * Dispatches a queued request to the upstream of a grant. If the request may not run there at the
+ * moment, the grant is returned and the request is queued again.
+ */
 export function startAttempt(ctx: CoreContext, requestId: RequestId, grant: GrantFacts): void {
   const { state } = ctx;
   const request = state.requests.active.get(requestId);
-  const target = targetOf(state, grant);
+  const target = resolveTarget(state, grant);
   if (request === undefined || (request.state !== 'waiting' && request.state !== 'retrying')) {
     returnGrant(ctx, grant);
     return;
@@ -64,15 +68,15 @@
   }
   if (request.state === 'waiting' && request.tried.length === 0) noteFirstAttempt(state);
   if (request.state === 'retrying' && request.move !== undefined) {
-    moveCache(ctx, request.move, target.upstream);
+    emitCacheMove(ctx, request.move, target.upstream);
   }
   const { facts } = request;
   const newTokens = facts.promptTokens * (1 - (grant.cachedShare ?? 0));
   charge(ctx, facts.customer, target.pool.id, newTokens * target.pool.cost.perPromptToken);
-  dispatch(ctx, dispatchedFrom(request, grant), grant, target);
+  dispatch(ctx, toDispatchedRequest(request, grant), grant, target);
 }
 
-/** Charges the tokens that were passed on since the last report. */
+/** Charges the customer for the tokens forwarded since the last report. */
 export function onAttemptProgress(
   ctx: CoreContext,
   id: AttemptId,
@@ -93,7 +97,7 @@
   if (attempt === undefined) return;
   state.attempts.running.delete(id);
   settleSlotTime(ctx, attempt);
-  if (outcome.kind === 'notSent') avoid(ctx, attempt.grant.upstream);
+  if (outcome.kind === 'notSent') avoidUpstream(ctx, attempt.grant.upstream);
   noteAttemptOutcome(ctx, attempt, outcome);
   const request = state.requests.active.get(attempt.requestId);
   if (request?.state !== 'dispatched' || request.attempt !== id) {
@@ -105,22 +109,22 @@
     finishRequest(ctx, request, outcome.answer);
     return;
   }
-  recover(ctx, request, attempt, outcome);
+  handleFailedAttempt(ctx, request, attempt, outcome);
 }
 
-/** Lets upstreams that refused connections be tried again. */
-export function expireAvoided(ctx: CoreContext): void {
+/** Makes upstreams eligible again whose back-off after a refused connection has expired. */
+export function expireAvoidedUpstreams(ctx: CoreContext): void {
   const { avoided } = ctx.state.attempts;
   avoided.forEach((until, upstream) => {
     if (until <= ctx.now) avoided.delete(upstream);
   });
 }
 
-function avoid(ctx: CoreContext, upstream: UpstreamId): void {
+function avoidUpstream(ctx: CoreContext, upstream: UpstreamId): void {
   ctx.state.attempts.avoided.set(upstream, ctx.now + ctx.state.settings.avoidMs);
 }
 
-function recover(
+function handleFailedAttempt(
   ctx: CoreContext,
   request: DispatchedRequest,
   attempt: AttemptRecord,
@@ -136,26 +140,27 @@
     isUpstreamStopping: isUpstreamStopping(state, attempt.grant.upstream),
   });
   const isSuspected = isSuspect(state, request.facts.fingerprint);
-  if (recovery.kind === 'resume' && !isSuspected && resume(ctx, request, attempt)) return;
+  if (recovery.kind === 'resume' && !isSuspected && resumeOnSameUpstream(ctx, request, attempt))
+    return;
   releaseGrant(ctx, attempt.grant);
   switch (recovery.kind) {
     case 'finish':
-      Debug.fail('a failed attempt finishes no request');
+      Debug.fail('a failed attempt cannot finish a request');
       break;
     case 'resume':
-      giveUpStream(ctx, request, attempt, outcome);
+      failStream(ctx, request, attempt, outcome);
       return;
     case 'move':
-      if (!move(ctx, request, attempt)) giveUpStream(ctx, request, attempt, outcome);
+      if (!queueCacheMove(ctx, request, attempt)) failStream(ctx, request, attempt, outcome);
       return;
     case 'retry':
-      retry(ctx, request, attempt, outcome, recovery.mayHaveRun);
+      queueRetry(ctx, request, attempt, outcome, recovery.mayHaveRun);
       return;
     case 'giveUp':
       failRequest(
         ctx,
         request,
-        problemOf(state, attempt.grant.upstream, outcome, recovery.executed),
+        createProblem(state, attempt.grant.upstream, outcome, recovery.executed),
       );
       return;
     default:
@@ -163,19 +168,28 @@
   }
 }
 
-/** Goes on at the same engine, within the same slot. */
-function resume(ctx: CoreContext, request: DispatchedRequest, attempt: AttemptRecord): boolean {
-  const target = targetOf(ctx.state, attempt.grant);
+/** Continues the stream on the same engine in the same slot. */
+function resumeOnSameUpstream(
+  ctx: CoreContext,
+  request: DispatchedRequest,
+  attempt: AttemptRecord,
+): boolean {
+  const target = resolveTarget(ctx.state, attempt.grant);
   if (target === undefined || !takeRetry(ctx.state)) return false;
-  dispatch(ctx, resumedFrom(request, attempt), attempt.grant, target);
+  dispatch(ctx, toResumedRequest(request, attempt), attempt.grant, target);
   return true;
 }
 
-/** Queues a stream for another engine. */
-function move(ctx: CoreContext, request: DispatchedRequest, attempt: AttemptRecord): boolean {
+/** Queues a stream to continue on another engine, to which its cache is copied. */
+function queueCacheMove(
+  ctx: CoreContext,
+  request: DispatchedRequest,
+  attempt: AttemptRecord,
+): boolean {
   const from = ctx.state.configuration.view?.upstreams.get(attempt.grant.upstream);
-  const mayMove = from !== undefined && hasUntried(ctx.state, request) && takeRetry(ctx.state);
-  if (!mayMove) return false;
+  const canMove =
+    from !== undefined && hasUntriedUpstream(ctx.state, request) && takeRetry(ctx.state);
+  if (!canMove) return false;
   const { facts, tried, resumes } = request;
   ctx.state.requests.active.set(facts.requestId, {
     state: 'retrying',
@@ -191,8 +205,11 @@
   return true;
 }
 
-/** Queues a request for another upstream, or tells its caller at once that there is none. */
-function retry(
+/**
+ * Queues a request for another upstream. If none is left or the retry budget is exhausted, the
+ * request is refused or fails immediately.
+ */
+function queueRetry(
   ctx: CoreContext,
   request: DispatchedRequest,
   attempt: AttemptRecord,
@@ -201,34 +218,38 @@
 ): void {
   const { state } = ctx;
   const { facts, tried } = request;
-  const queued = queuedFrom(ctx, request, mayHaveRun);
-  if (!hasUntried(state, request) || !takeRetry(state)) {
+  const queued = toQueuedRequest(ctx, request, mayHaveRun);
+  if (!hasUntriedUpstream(state, request) || !takeRetry(state)) {
     const { upstream } = attempt.grant;
     if (queued.state === 'waiting') {
-      refuseRequest(ctx, queued, notRunProblemOf(state, upstream, outcome));
+      refuseRequest(ctx, queued, createNotRunProblem(state, upstream, outcome));
     } else {
-      failRequest(ctx, request, problemOf(state, upstream, outcome, 'unknown'));
+      failRequest(ctx, request, createProblem(state, upstream, outcome, 'unknown'));
     }
     return;
   }
   state.requests.active.set(facts.requestId, queued);
-  requeueAfter(ctx, facts.requestId, delayOf(state, outcome, tried.length));
+  requeueAfter(ctx, facts.requestId, delayBeforeRetry(state, outcome, tried.length));
 }
 
-/** A silent connection is given up late enough; a broken one may tell of a crash, which shows soon. */
-function delayOf(state: CoreState, outcome: FailedOutcome, failures: number): Millis {
+/**
+ * Returns the delay before a retry. After a silent connection no further delay is needed, since the
+ * timeout was long enough. A closed connection may mean a crash, which can be detected shortly
+ * after, so the retry waits for the probe of the upstream.
+ */
+function delayBeforeRetry(state: CoreState, outcome: FailedOutcome, failures: number): Millis {
   if (outcome.kind === 'silent') return 0;
   const delay = retryDelay(state, failures);
   return outcome.kind === 'cut' ? state.settings.crashProbeMs + delay : delay;
 }
 
-function giveUpStream(
+function failStream(
   ctx: CoreContext,
   request: DispatchedRequest,
   attempt: AttemptRecord,
   outcome: FailedOutcome,
 ): void {
-  failRequest(ctx, request, problemOf(ctx.state, attempt.grant.upstream, outcome, 'yes'));
+  failRequest(ctx, request, createProblem(ctx.state, attempt.grant.upstream, outcome, 'yes'));
 }
 
 function dispatch(
@@ -239,7 +260,7 @@
 ): void {
   const { state } = ctx;
   const { facts } = request;
-  const attemptId = createAttemptId(ctx);
+  const attemptId = allocateAttemptId(ctx);
   state.attempts.running.set(attemptId, {
     attemptId,
     requestId: facts.requestId,
@@ -272,7 +293,7 @@
   });
 }
 
-function dispatchedFrom(
+function toDispatchedRequest(
   request: QueuedRequest,
   grant: GrantFacts,
 ): Omit<DispatchedRequest, 'attempt'> {
@@ -289,7 +310,7 @@
   };
 }
 
-function resumedFrom(
+function toResumedRequest(
   request: DispatchedRequest,
   attempt: AttemptRecord,
 ): Omit<DispatchedRequest, 'attempt'> {
@@ -302,7 +323,7 @@
   };
 }
 
-function queuedFrom(
+function toQueuedRequest(
   ctx: CoreContext,
   request: DispatchedRequest,
   mayHaveRun: boolean,
@@ -319,15 +340,15 @@
   return pool?.kind === 'model' && facts.streamed && resumes < state.settings.maxResumes;
 }
 
-/** Whether the pool has an upstream that has not been tried and takes new work. */
-function hasUntried(state: CoreState, request: DispatchedRequest): boolean {
+/** Whether the pool has an untried upstream that accepts new requests. */
+function hasUntriedUpstream(state: CoreState, request: DispatchedRequest): boolean {
   const upstreams = state.configuration.view?.upstreamsByPool.get(request.facts.pool) ?? [];
   return upstreams.some(
     (upstream) => !request.tried.includes(upstream.id) && !isUpstreamStopping(state, upstream.id),
   );
 }
 
-function moveCache(ctx: CoreContext, from: CacheMove, to: UpstreamConfig): void {
+function emitCacheMove(ctx: CoreContext, from: CacheMove, to: UpstreamConfig): void {
   ctx.emit({
     kind: 'moveCache',
     attemptId: from.attemptId,
@@ -336,14 +357,14 @@
   });
 }
 
-function targetOf(state: CoreState, grant: GrantFacts): Target | undefined {
+function resolveTarget(state: CoreState, grant: GrantFacts): Target | undefined {
   const { view } = state.configuration;
   const upstream = view?.upstreams.get(grant.upstream);
   const pool = upstream && view?.pools.get(upstream.pool);
   return upstream === undefined || pool === undefined ? undefined : { upstream, pool };
 }
 
-function createAttemptId(ctx: CoreContext): AttemptId {
+function allocateAttemptId(ctx: CoreContext): AttemptId {
   const { attempts, self } = ctx.state;
   const number = attempts.nextNumber;
   attempts.nextNumber += 1;
--- a/src/core/attempts/attemptsState.ts
+++ b/src/core/attempts/attemptsState.ts
@@ -1,4 +1,4 @@
-/** State of the attempts that run for this instance's requests. */
+/** State of the running attempts of this instance's requests. */
 import type { Millis } from '../clock.js';
 import type {
   AttemptId,
@@ -17,15 +17,15 @@
   readonly fingerprint: string;
   readonly grant: GrantFacts;
   readonly startedAt: Millis;
-  /** Output tokens that this attempt passed on. */
+  /** Output tokens that this attempt forwarded to the caller. */
   outputTokens: number;
-  /** Whether this attempt passed on any byte of an answer. */
+  /** Whether this attempt forwarded any byte of a response. */
   hasForwarded: boolean;
 }
 
 export interface AttemptsState {
   readonly running: Map<AttemptId, AttemptRecord>;
-  /** Upstreams that refused a connection, by the time until which they are left alone. */
+  /** Upstreams that refused a connection, with the time until which they are not used. */
   readonly avoided: Map<UpstreamId, Millis>;
   nextNumber: number;
 }
--- a/src/core/attempts/problems.ts
+++ b/src/core/attempts/problems.ts
@@ -1,4 +1,4 @@
-/** The problems that end a request after a failed attempt. */
+/** Problems reported to the caller after a failed attempt. */
 import { Debug } from '../debug.js';
 import type { CoreState } from '../state.js';
 import type { AttemptOutcome, Executed, NotRunProblem, Problem, UpstreamId } from '../types.js';
@@ -9,33 +9,33 @@
 const UNAVAILABLE = 503;
 const GATEWAY_TIMEOUT = 504;
 
-/** Describes a failed attempt to the caller. */
-export function problemOf(
+/** Creates the problem for a failed attempt. */
+export function createProblem(
   state: CoreState,
   upstream: UpstreamId,
   outcome: FailedOutcome,
   executed: Executed,
 ): Problem {
   return {
-    ...describe(outcome),
+    ...classifyOutcome(outcome),
     executed,
     peer: { kind: 'upstream', id: upstream },
-    detail: detailOf(outcome),
-    args: { upstream, reason: detailOf(outcome) },
-    retryAfterMs: retryAfterOf(state, outcome),
+    detail: formatOutcome(outcome),
+    args: { upstream, reason: formatOutcome(outcome) },
+    retryAfterMs: selectRetryAfter(state, outcome),
   };
 }
 
-/** Describes an attempt that certainly was not run. */
-export function notRunProblemOf(
+/** Creates the problem for an attempt that is known not to have been executed. */
+export function createNotRunProblem(
   state: CoreState,
   upstream: UpstreamId,
   outcome: FailedOutcome,
 ): NotRunProblem {
-  return { ...problemOf(state, upstream, outcome, 'no'), status: UNAVAILABLE, executed: 'no' };
+  return { ...createProblem(state, upstream, outcome, 'no'), status: UNAVAILABLE, executed: 'no' };
 }
 
-function describe(outcome: FailedOutcome): Pick<Problem, 'code' | 'status' | 'step'> {
+function classifyOutcome(outcome: FailedOutcome): Pick<Problem, 'code' | 'status' | 'step'> {
   switch (outcome.kind) {
     case 'notSent':
     case 'declined':
@@ -53,11 +53,11 @@
   }
 }
 
-function detailOf(outcome: FailedOutcome): string {
+function formatOutcome(outcome: FailedOutcome): string {
   return 'detail' in outcome ? `${outcome.kind}: ${outcome.detail}` : outcome.kind;
 }
 
-function retryAfterOf(state: CoreState, outcome: FailedOutcome): number {
-  const asked = outcome.kind === 'declined' ? outcome.retryAfterMs : undefined;
-  return asked ?? state.settings.retryAfterMs;
+function selectRetryAfter(state: CoreState, outcome: FailedOutcome): number {
+  const requested = outcome.kind === 'declined' ? outcome.retryAfterMs : undefined;
+  return requested ?? state.settings.retryAfterMs;
 }
--- a/src/core/attempts/recovery.ts
+++ b/src/core/attempts/recovery.ts
@@ -1,13 +1,14 @@
 /**
- * What follows the end of an attempt. A pure decision over what is known of the request; the rules:
+ * Decides how to proceed after the end of an attempt. The decision is a pure function of what is
+ * known about the request:
  *
  * - only `complete` finishes a request;
- * - an attempt that certainly was not run leaves the request as it was before;
- * - a request that may have run is tried again only if it is idempotent, and only while nothing of
- *   an answer was passed on;
- * - a stream of which tokens were passed on goes on at its own engine, from its offset; if that
- *   engine takes no new work, its cache moves to another;
- * - all else ends the request at once with an explicit error.
+ * - an attempt that is known not to have been executed leaves the request as it was before;
+ * - a request that may have been executed is retried only if it is idempotent and nothing of a
+ *   response has been forwarded;
+ * - a stream that has forwarded tokens resumes on the same engine at its offset; if that engine
+ *   accepts no new requests, its cache is moved to another engine;
+ * - in all other cases the request fails immediately with an explicit error.
  */
 import { Debug } from '../debug.js';
 import type { AttemptOutcome, Executed } from '../types.js';
@@ -15,23 +16,23 @@
 export interface RecoveryFacts {
   readonly outcome: AttemptOutcome;
   readonly isIdempotent: boolean;
-  /** Whether any byte of an answer was passed on, by this attempt or an earlier one. */
+  /** Whether this attempt or an earlier one forwarded any byte of a response. */
   readonly hasForwarded: boolean;
-  /** Whether an earlier attempt may have run the request. */
+  /** Whether an earlier attempt may have executed the request. */
   readonly mayHaveRun: boolean;
-  /** Whether the answer is a token stream of an engine and may be resumed once more. */
+  /** Whether the response is a token stream that may be resumed once more. */
   readonly canResume: boolean;
-  /** Whether the upstream of the attempt takes no new work. */
+  /** Whether the upstream of the attempt accepts no new requests. */
   readonly isUpstreamStopping: boolean;
 }
 
 export type Recovery =
   | { readonly kind: 'finish' }
-  /** Go on at the same engine from the offset, on a new connection. */
+  /** Resume on the same engine at the offset, on a new connection. */
   | { readonly kind: 'resume' }
-  /** Go on at another engine, to which the cache is copied. */
+  /** Resume on another engine after copying the cache to it. */
   | { readonly kind: 'move' }
-  /** Start afresh at another upstream. */
+  /** Start over on another upstream. */
   | { readonly kind: 'retry'; readonly mayHaveRun: boolean }
   | { readonly kind: 'giveUp'; readonly executed: Executed };
 
--- a/src/core/requests/requests.ts
+++ b/src/core/requests/requests.ts
@@ -1,5 +1,5 @@
 /** Requests that end before their answer: passed deadlines and callers that leave. */
-import { expireAvoided } from '../attempts/attempts.js';
+import { expireAvoidedUpstreams } from '../attempts/attempts.js';
 import { cancelAttempt, hasForwarded } from '../attempts/cancel.js';
 import { needsClaim } from '../claims/ownClaims.js';
 import { setTimer, type CoreContext } from '../context.js';
@@ -11,7 +11,7 @@
 
 /** Ends the requests whose deadline has passed, in whatever state they are. */
 export function onDeadlinesTimer(ctx: CoreContext): void {
-  expireAvoided(ctx);
+  expireAvoidedUpstreams(ctx);
   ctx.state.requests.active.forEach((request) => {
     if (request.facts.deadlineAt <= ctx.now) endLate(ctx, request);
   });
