Reword the admission and the outcomes of requests

Comments spoke of callers that are told, of a key's earlier fate and of requests that no upstream was given; they now speak of reported outcomes, earlier submissions and requests known not to have been executed. The comments of the settings use the usual terms: interval, timeout, maximum.

Renames: refuseEvent -> refuseWithCode, tellRefusal -> emitRefusal, endLate -> endExpired, lateProblem -> createDeadlineProblem, isIdempotentRoute -> isIdempotentByRoute.

--- a/src/core/requests/admission.ts
+++ b/src/core/requests/admission.ts
@@ -1,6 +1,6 @@
 /**
- * Admission: checks a caller's request against the configuration and the state of this instance,
- * then queues it or refuses it as not run.
+ * Admission: validates a request against the configuration and the state of this instance, then
+ * queues it or refuses it as not executed.
  */
 import { requestClaim } from '../claims/claims.js';
 import type { CoreContext } from '../context.js';
@@ -22,29 +22,29 @@
 export function onCallerRequest(ctx: CoreContext, event: CallerRequestEvent): void {
   const { view } = ctx.state.configuration;
   if (view === undefined) {
-    refuseEvent(ctx, event, 'notReady', UNAVAILABLE, 'receive');
+    refuseWithCode(ctx, event, 'notReady', UNAVAILABLE, 'receive');
     return;
   }
   if (ctx.state.drain.isStopping) {
-    refuseEvent(ctx, event, 'instanceStopping', UNAVAILABLE, 'receive');
+    refuseWithCode(ctx, event, 'instanceStopping', UNAVAILABLE, 'receive');
     return;
   }
   const customer = view.customersByKey.get(event.keyHash);
   if (customer === undefined) {
-    refuseEvent(ctx, event, 'unknownKey', 401, 'authenticate');
+    refuseWithCode(ctx, event, 'unknownKey', 401, 'authenticate');
     return;
   }
   const pool = view.pools.get(event.pool);
   if (pool === undefined) {
-    refuseEvent(ctx, event, 'unknownPool', 404, 'route', { pool: event.pool });
+    refuseWithCode(ctx, event, 'unknownPool', 404, 'route', { pool: event.pool });
     return;
   }
   const admission = admit(ctx, customer, event.bodyBytes);
   if (admission.kind === 'refused') {
-    tellRefusal(ctx, event, admission.problem);
+    emitRefusal(ctx, event, admission.problem);
     return;
   }
-  const facts = createFacts(ctx, event, view, pool, customer);
+  const facts = createRequestFacts(ctx, event, view, pool, customer);
   ctx.state.requests.active.set(facts.requestId, {
     state: 'waiting',
     facts,
@@ -56,7 +56,7 @@
   requestClaim(ctx, facts);
 }
 
-function createFacts(
+function createRequestFacts(
   ctx: CoreContext,
   event: CallerRequestEvent,
   view: ConfigurationView,
@@ -67,7 +67,7 @@
     requestId: event.requestId,
     customer,
     pool: pool.id,
-    idempotent: event.idempotent ?? isIdempotentRoute(event, view, pool),
+    idempotent: event.idempotent ?? isIdempotentByRoute(event, view, pool),
     ...(event.idempotencyKey === undefined ? {} : { idempotencyKey: event.idempotencyKey }),
     fingerprint: event.fingerprint,
     bodyBytes: event.bodyBytes,
@@ -80,8 +80,8 @@
   };
 }
 
-/** The longest matching prefix decides; without a match the pool's default does. */
-function isIdempotentRoute(
+/** Uses the route with the longest matching prefix, or the default of the pool if none matches. */
+function isIdempotentByRoute(
   event: CallerRequestEvent,
   view: ConfigurationView,
   pool: PoolConfig,
@@ -101,7 +101,7 @@
   return idempotent;
 }
 
-function refuseEvent(
+function refuseWithCode(
   ctx: CoreContext,
   event: CallerRequestEvent,
   code: DiagnosticCode,
@@ -119,11 +119,15 @@
     args,
     ...(isTransient ? { retryAfterMs: ctx.state.settings.retryAfterMs } : {}),
   };
-  tellRefusal(ctx, event, problem);
+  emitRefusal(ctx, event, problem);
 }
 
-/** An earlier sending of the same key may have run, of which nothing is known here yet. */
-function tellRefusal(ctx: CoreContext, event: CallerRequestEvent, problem: NotRunProblem): void {
+/**
+ * Reports a refusal to the caller. A transient refusal of a non-idempotent request with an
+ * idempotency key is reported as `unknown`, since an earlier submission with the same key may have
+ * been executed without this instance knowing of it yet.
+ */
+function emitRefusal(ctx: CoreContext, event: CallerRequestEvent, problem: NotRunProblem): void {
   const { requestId, idempotencyKey, idempotent } = event;
   const isTransient = problem.retryAfterMs !== undefined;
   if (isTransient && idempotencyKey !== undefined && idempotent !== true) {
--- a/src/core/requests/outcomeSettings.ts
+++ b/src/core/requests/outcomeSettings.ts
@@ -1,65 +1,68 @@
-/** Settings of attempts, retries, claims, quarantine and stops. All durations are milliseconds. */
+/**
+ * Settings of attempts, retries, claims, quarantine and planned stops. All durations are in
+ * milliseconds.
+ */
 import type { Millis } from '../clock.js';
 
 export interface OutcomeSettings {
-  /** Retries, as a share of first attempts, that the fleet allows itself. */
+  /** Maximum ratio of retries to first attempts over the fleet. */
   readonly retryRatio: number;
-  /** Interval at which the use of the retry budget is exchanged. */
+  /** Interval at which instances exchange their usage of the retry budget. */
   readonly retryWindowMs: Millis;
-  /** Largest delay of a first retry; doubles with each further one. */
+  /** Maximum delay of the first retry; doubles with each further retry. */
   readonly retryBackoffMs: Millis;
-  /** Delay after which a request is offered again when it could not use a grant. */
+  /** Delay after which a request that could not use its grant is queued again. */
   readonly requeueMs: Millis;
-  /** Time for which an upstream that refused a connection is left alone. */
+  /** Time for which an upstream that refused a connection is not used. */
   readonly avoidMs: Millis;
-  /** Number of times that one answer is resumed on its engine. */
+  /** Maximum number of times a response is resumed. */
   readonly maxResumes: number;
-  /** `Retry-After` of refusals for want of capacity or of the log. */
+  /** `Retry-After` of refusals caused by missing capacity or an unavailable log. */
   readonly retryAfterMs: Millis;
 
-  /** Longest wait for a claim to be read back. */
+  /** Timeout for reading a claim back from the log. */
   readonly claimTimeoutMs: Millis;
-  /** Age, from its first append, after which a claim no longer permits a dispatch. */
+  /** Time from its first append after which a claim no longer permits a dispatch. */
   readonly claimHoldMs: Millis;
-  /** Time for which a key is remembered after it was last read in the log. */
+  /** Time for which a key is kept after it was last read from the log. */
   readonly claimMemoryMs: Millis;
-  /** Appends to the claims stream per second that the whole fleet allows itself. */
+  /** Maximum number of appends per second to the claims stream by the whole fleet. */
   readonly claimAppendsPerSecond: number;
-  /** Number of instances that append claims for the others. */
+  /** Number of instances that append claims on behalf of the others. */
   readonly claimWriters: number;
   /** Time after which a record that has not been read back is appended again. */
   readonly claimResubmitMs: Millis;
-  /** Resolution of claim time-outs. */
+  /** Interval at which claim timeouts are checked. */
   readonly claimTickMs: Millis;
-  /** Time for which the log holds back a read that finds nothing. */
+  /** Long-poll timeout of reads from the claims stream. */
   readonly claimReadWaitMs: Millis;
-  /** Interval of reads while no claim of this instance is pending. */
+  /** Interval between reads while no claim of this instance is pending. */
   readonly claimReadIdleMs: Millis;
-  /** Time after which the log counts as down once it fails. */
+  /** Time of continuous failure after which the log is considered unavailable. */
   readonly logOutageMs: Millis;
-  /** Longest wait for another instance's answer to an outcome query. */
+  /** Timeout for the reply of another instance to an outcome query. */
   readonly outcomeQueryMs: Millis;
-  /** Largest answer, in bytes, that is recorded under an idempotency key. */
+  /** Maximum size, in bytes, of a response that is recorded under an idempotency key. */
   readonly recordedAnswerBytes: number;
-  /** Bytes of recorded answers that an instance keeps in memory. */
+  /** Maximum total size, in bytes, of the recorded responses kept in memory. */
   readonly answerMemoryBytes: number;
-  /** Interval of checkpoints of the claims stream. */
+  /** Interval between checkpoints of the claims stream. */
   readonly claimCheckpointMs: Millis;
 
-  /** Time within which failures at one upstream are taken for one crash. */
+  /** Time within which failures of an upstream count as a single crash. */
   readonly crashWindowMs: Millis;
-  /** Delay of a retry after a broken connection, in which the upstream is looked at. */
+  /** Delay of a retry after a closed connection, during which the upstream is probed. */
   readonly crashProbeMs: Millis;
-  /** Time for which a suspicion is kept. */
+  /** Time after which a suspicion expires. */
   readonly suspicionMs: Millis;
   /** Time for which a request stays in quarantine. */
   readonly quarantineMs: Millis;
-  /** Time between announcing that a suspect is to run and running it. */
+  /** Time between announcing that a suspect request is about to run and running it. */
   readonly suspectSettleMs: Millis;
-  /** Interval at which suspects' permits advance and suspicions expire. */
+  /** Interval at which the permits of suspect requests and the expiry of suspicions are processed. */
   readonly quarantineTickMs: Millis;
 
-  /** Longest wait of a stopping instance for its records to be read back from the log. */
+  /** Time that a stopping instance waits for its records to be read back from the log. */
   readonly drainLogTimeoutMs: Millis;
 }
 
--- a/src/core/requests/outcomes.ts
+++ b/src/core/requests/outcomes.ts
@@ -1,4 +1,4 @@
-/** The outcomes that end a request: each request gets exactly one. */
+/** Outcomes of requests. Each request ends with exactly one. */
 import { isClaimWon } from '../claims/ownClaims.js';
 import { abandonClaim, settleClaim } from '../claims/settlement.js';
 import type { CoreContext } from '../context.js';
@@ -14,12 +14,12 @@
   UntriedRequest,
 } from '../types.js';
 
-/** Whether certainly no upstream ran the request. */
+/** Whether the request is known not to have been executed by any upstream. */
 export function isUntried(request: ActiveRequest): request is UntriedRequest {
   return request.state === 'accepted' || request.state === 'waiting' || request.state === 'granted';
 }
 
-/** Ends the answer of a request, all of which was passed on. */
+/** Finishes a request whose whole response has been forwarded. */
 export function finishRequest(
   ctx: CoreContext,
   request: DispatchedRequest,
@@ -31,16 +31,16 @@
   endRequest(ctx, facts);
 }
 
-/** Sends the answer that an earlier request with the same key was given. */
+/** Replays the response to an earlier request with the same idempotency key. */
 export function replayRequest(ctx: CoreContext, facts: RequestFacts, answer: RecordedAnswer): void {
   ctx.emit({ kind: 'replayAnswer', requestId: facts.requestId, answer });
   endRequest(ctx, facts);
 }
 
 /**
- * Ends a request that no upstream was given. The caller is told that it was not run, unless the
- * request has a key whose earlier fate this instance does not know: an earlier sending of the same
- * key may have run, so that only `unknown` is true.
+ * Ends a request that no upstream has executed and reports this to the caller. If the request has an
+ * idempotency key whose claim is not confirmed, an earlier submission with the same key may have
+ * been executed, so the problem is reported as `unknown`.
  */
 export function refuseRequest(
   ctx: CoreContext,
@@ -57,7 +57,10 @@
   endRequest(ctx, request.facts);
 }
 
-/** Tells the caller that its request was not run; what became of its key, if any, is known. */
+/**
+ * Reports to the caller that its request was not executed. The fate of its idempotency key, if it
+ * has one, must be known.
+ */
 export function refuseSettledKey(
   ctx: CoreContext,
   request: UntriedRequest,
@@ -69,7 +72,10 @@
   endRequest(ctx, request.facts);
 }
 
-/** Tells the caller that its request failed, or may have run elsewhere under its key. */
+/**
+ * Reports to the caller that its request failed, or that another request with its idempotency key
+ * may have been executed.
+ */
 export function failRequest(ctx: CoreContext, request: ActiveRequest, problem: Problem): void {
   const { facts } = request;
   const isCallerGone = request.state === 'dispatched' && request.isCallerGone;
@@ -79,13 +85,13 @@
   endRequest(ctx, facts);
 }
 
-/** Ends a request whose caller is gone and that certainly was not run. */
+/** Ends a request that was not executed and whose caller has disconnected. */
 export function dropRequest(ctx: CoreContext, request: UntriedRequest): void {
   abandonClaim(ctx, request.facts.requestId);
   endRequest(ctx, request.facts);
 }
 
-/** Forgets a request whose outcome was told, or whose caller is gone. */
+/** Removes a request whose outcome was reported or whose caller has disconnected. */
 export function endRequest(ctx: CoreContext, facts: RequestFacts): void {
   withdraw(ctx, facts);
   ctx.state.retries.delayed.delete(facts.requestId);
--- a/src/core/requests/readiness.ts
+++ b/src/core/requests/readiness.ts
@@ -1,4 +1,4 @@
-/** Which of the requests in a queue may be dispatched now, and on which upstream. */
+/** Determines which queued requests may be dispatched now, and to which upstreams. */
 import { isClaimWon } from '../claims/ownClaims.js';
 import { takesNewWork } from '../drain/upstreams.js';
 import { mayRun, mayRunOn } from '../quarantine/suspects.js';
@@ -6,8 +6,8 @@
 import type { RequestId, RetryingRequest, UpstreamId, WaitingRequest } from '../types.js';
 
 /**
- * Whether a queued request may use a grant: one for `upstream`, or any if none is named. Dispatch
- * skips the others, which keep their place in the queue.
+ * Whether a queued request may use a grant for `upstream`, or for any upstream if absent. Requests
+ * that may not are skipped by dispatch and keep their position in the queue.
  */
 export function isRunnable(state: CoreState, requestId: RequestId, upstream?: UpstreamId): boolean {
   const request = state.requests.active.get(requestId);
--- a/src/core/requests/requests.ts
+++ b/src/core/requests/requests.ts
@@ -1,4 +1,4 @@
-/** Requests that end before their answer: passed deadlines and callers that leave. */
+/** Requests that end before their response: expired deadlines and disconnected callers. */
 import { expireAvoidedUpstreams } from '../attempts/attempts.js';
 import { cancelAttempt, hasForwarded } from '../attempts/cancel.js';
 import { needsClaim } from '../claims/ownClaims.js';
@@ -9,18 +9,18 @@
 
 const GATEWAY_TIMEOUT = 504;
 
-/** Ends the requests whose deadline has passed, in whatever state they are. */
+/** Ends all requests whose deadline has passed, regardless of their state. */
 export function onDeadlinesTimer(ctx: CoreContext): void {
   expireAvoidedUpstreams(ctx);
   ctx.state.requests.active.forEach((request) => {
-    if (request.facts.deadlineAt <= ctx.now) endLate(ctx, request);
+    if (request.facts.deadlineAt <= ctx.now) endExpired(ctx, request);
   });
   setTimer(ctx, 'deadlines', ctx.state.settings.deadlineTickMs);
 }
 
 /**
- * Ends the work of a caller that has closed its connection. A request that runs under a claim goes
- * on, since its outcome is wanted for those who repeat the key.
+ * Ends the request of a caller that has closed its connection. A dispatched request with a claim
+ * continues, since its outcome is needed by callers that repeat the idempotency key.
  */
 export function onCallerGone(ctx: CoreContext, requestId: RequestId): void {
   const request = ctx.state.requests.active.get(requestId);
@@ -47,22 +47,30 @@
   }
 }
 
-function endLate(ctx: CoreContext, request: ActiveRequest): void {
+function endExpired(ctx: CoreContext, request: ActiveRequest): void {
   switch (request.state) {
     case 'accepted':
     case 'waiting':
     case 'granted':
-      refuseRequest(ctx, request, { ...lateProblem(ctx, 'no'), executed: 'no', step: 'wait' });
+      refuseRequest(ctx, request, {
+        ...createDeadlineProblem(ctx, 'no'),
+        executed: 'no',
+        step: 'wait',
+      });
       return;
     case 'retrying':
-      failRequest(ctx, request, lateProblem(ctx, request.hasForwarded ? 'yes' : 'unknown'));
+      failRequest(
+        ctx,
+        request,
+        createDeadlineProblem(ctx, request.hasForwarded ? 'yes' : 'unknown'),
+      );
       return;
     case 'dispatched':
       cancelAttempt(ctx, request.attempt);
       failRequest(
         ctx,
         request,
-        lateProblem(ctx, hasForwarded(ctx.state, request) ? 'yes' : 'unknown'),
+        createDeadlineProblem(ctx, hasForwarded(ctx.state, request) ? 'yes' : 'unknown'),
       );
       return;
     default:
@@ -70,7 +78,7 @@
   }
 }
 
-function lateProblem(ctx: CoreContext, executed: Executed): Problem {
+function createDeadlineProblem(ctx: CoreContext, executed: Executed): Problem {
   return {
     code: 'deadlinePassed',
     status: GATEWAY_TIMEOUT,
--- a/src/core/requests/requestsState.ts
+++ b/src/core/requests/requestsState.ts
@@ -1,4 +1,4 @@
-/** State of the requests that this instance has accepted and not yet ended. */
+/** State of the accepted requests of this instance that have not ended yet. */
 import type { ActiveRequest, RequestId } from '../types.js';
 
 export interface RequestsState {
