Reword the limits per customer and the exchange of their usage

Comments spoke of "use abroad", a "noticeable part" and refusals that are "told at once"; they now speak of usage in other domains, a report threshold and refusals that are never executed. Locals such as near, abroad and below name what they hold.

Renames: LimitUse/LocalUse/FleetUse/PlaceUse -> LimitUsage/LocalUsage/FleetUsage/ReportedUsage, reportAsRelay -> relayUsage, isNoticed -> exceedsReportThreshold, notePlace -> recordReport, limitOf -> reportExpiry, hasRoom -> isWithinLimit, burstOf -> burstSize, takeRateToken -> consumeRateToken.

--- a/src/core/limits/limitUsage.ts
+++ b/src/core/limits/limitUsage.ts
@@ -1,7 +1,8 @@
 /**
- * The exchange of limit use. Each instance reports the customers that use a noticeable part of a
- * limit to the relay of their group in its domain; relays exchange domain sums and tell the fleet's
- * use to the instances that reported the customer. Every report replaces the one before it.
+ * Exchange of limit usage between instances. Each instance reports the customers whose usage exceeds
+ * a threshold to the relay of the customer's group in its failure domain. Relays exchange totals
+ * per domain and send the usage of the whole fleet to the instances that reported the customer.
+ * Every report replaces the previous one.
  */
 import { sendTo, setTimer, type CoreContext } from '../context.js';
 import type { Millis } from '../clock.js';
@@ -10,21 +11,21 @@
 import type { CoreState } from '../state.js';
 import type { CustomerLimits, CustomerNumber, InstanceId, PeerMessageOf } from '../types.js';
 import { recentArrivals } from './limits.js';
-import type { LimitUse, LocalUse, PlaceUse } from './limitsState.js';
+import type { LimitUsage, LocalUsage, ReportedUsage } from './limitsState.js';
 
-type LimitUsage = PeerMessageOf<'limitUsage'>;
+type LimitUsageMessage = PeerMessageOf<'limitUsage'>;
 
 const UsageScope = { instance: 0, domain: 1, fleet: 2 } as const;
 
 const BYTES_PER_KIB = 1_024;
 
-/** Part of a limit, divided among the live instances, below which use is not reported. */
-const NOTICEABLE_PART = 1 / 8;
+/** Fraction of a limit, divided by the number of live instances, up to which usage is not reported. */
+const REPORT_THRESHOLD = 1 / 8;
 
-/** Exchanges after which a report no longer counts. */
-const REPORT_EXCHANGES = 4;
+/** Number of exchange intervals after which a report expires. */
+const REPORT_LIFETIME_EXCHANGES = 4;
 
-interface UsageEntry extends LimitUse {
+interface UsageEntry extends LimitUsage {
   readonly customer: CustomerNumber;
   readonly users: number;
 }
@@ -35,151 +36,167 @@
   limits.fleet.forEach((use, customer) => {
     if (use.until <= ctx.now) limits.fleet.delete(customer);
   });
-  if (limits.ticks % 2 === 1) reportOwn(ctx);
-  else reportAsRelay(ctx);
+  if (limits.ticks % 2 === 1) reportLocalUsage(ctx);
+  else relayUsage(ctx);
   setTimer(ctx, 'limits', settings.limitsMs / 2);
 }
 
-export function onLimitUsage(ctx: CoreContext, from: InstanceId, usage: LimitUsage): void {
+export function onLimitUsage(ctx: CoreContext, from: InstanceId, usage: LimitUsageMessage): void {
   const { limits, membership } = ctx.state;
   const domain = membership.members.get(from)?.domain;
   switch (usage.scope) {
     case UsageScope.instance:
     case UsageScope.domain: {
-      const place = usage.scope === UsageScope.instance ? from : domain;
+      const reporter = usage.scope === UsageScope.instance ? from : domain;
       const key = `${usage.scope} ${from}`;
-      if (place === undefined || (limits.sequences.get(key) ?? 0) >= usage.sequence) return;
+      if (reporter === undefined || (limits.sequences.get(key) ?? 0) >= usage.sequence) return;
       limits.sequences.set(key, usage.sequence);
-      forEachUsage(usage, (entry) => notePlace(ctx, place, entry));
+      forEachUsage(usage, (entry) => recordReport(ctx, reporter, entry));
       return;
     }
     case UsageScope.fleet:
-      forEachUsage(usage, (entry) => noteFleet(ctx, entry));
+      forEachUsage(usage, (entry) => recordFleetUsage(ctx, entry));
       break;
     default:
   }
 }
 
-function reportOwn(ctx: CoreContext): void {
+function reportLocalUsage(ctx: CoreContext): void {
   const { state } = ctx;
   const { local, reported } = state.limits;
   const batches = new Map<InstanceId, UsageEntry[]>();
   const instances = state.membership.members.size;
-  local.forEach((use, customer) => {
+  local.forEach((usage, customer) => {
     const config = state.configuration.view?.customers.get(customer);
     const entry = {
       customer,
-      waiting: use.waiting,
-      bytes: use.bytes,
-      running: use.running,
-      arrivals: Math.round(recentArrivals(use, ctx.now)),
+      waiting: usage.waiting,
+      bytes: usage.bytes,
+      running: usage.running,
+      arrivals: Math.round(recentArrivals(usage, ctx.now)),
       users: 1,
     };
-    const isNoticeable = config !== undefined && isNoticed(entry, config.limits, instances);
-    if (!isNoticeable && !reported.has(customer)) {
-      forgetIdle(state, customer, use, entry);
+    const shouldReport =
+      config !== undefined && exceedsReportThreshold(entry, config.limits, instances);
+    if (!shouldReport && !reported.has(customer)) {
+      deleteIfIdle(state, customer, usage, entry);
       return;
     }
-    if (isNoticeable) reported.set(customer, entry);
+    if (shouldReport) reported.set(customer, entry);
     else reported.delete(customer);
     const relay = groupRelays(state, state.self.domain, groupOf(state, customer))[0];
     if (relay === undefined) return;
     const batch = batches.get(relay) ?? [];
     batches.set(relay, batch);
-    batch.push(isNoticeable ? entry : { ...entry, users: 0 });
+    batch.push(shouldReport ? entry : { ...entry, users: 0 });
   });
-  batches.forEach((batch, relay) => send(ctx, relay, UsageScope.instance, batch));
+  batches.forEach((batch, relay) => sendUsage(ctx, relay, UsageScope.instance, batch));
 }
 
-function reportAsRelay(ctx: CoreContext): void {
+function relayUsage(ctx: CoreContext): void {
   const { state } = ctx;
   const { places, sequences, newcomers } = state.limits;
   const domains = liveDomains(state);
-  const abroad = new Map<InstanceId, UsageEntry[]>();
-  const below = new Map<InstanceId, UsageEntry[]>();
-  places.forEach((ofCustomer, customer) => {
-    ofCustomer.forEach((use, place) => {
-      if (use.until <= ctx.now || use.users === 0) ofCustomer.delete(place);
+  const domainBatches = new Map<InstanceId, UsageEntry[]>();
+  const memberBatches = new Map<InstanceId, UsageEntry[]>();
+  places.forEach((reports, customer) => {
+    reports.forEach((report, place) => {
+      if (report.until <= ctx.now || report.users === 0) reports.delete(place);
     });
     const group = groupOf(state, customer);
-    if (ofCustomer.size === 0 || !isForemost(state, group)) {
+    if (reports.size === 0 || !isForemost(state, group)) {
       places.delete(customer);
       newcomers.delete(customer);
       return;
     }
-    const near = [...ofCustomer.keys()].filter((place) => !domains.includes(place));
-    const ofDomain = total(
+    const localReporters = [...reports.keys()].filter((place) => !domains.includes(place));
+    const domainTotal = sumUsage(
       customer,
-      near.map((place) => ofCustomer.get(place) as PlaceUse),
+      localReporters.map((place) => reports.get(place) as ReportedUsage),
     );
-    const ofFleet = total(customer, [...ofCustomer.values()]);
-    if (!newcomers.delete(customer)) near.forEach((place) => addTo(below, place, ofFleet));
-    if (near.length === 0) return;
+    const fleetTotal = sumUsage(customer, [...reports.values()]);
+    if (!newcomers.delete(customer))
+      localReporters.forEach((place) => addToBatch(memberBatches, place, fleetTotal));
+    if (localReporters.length === 0) return;
     domains.forEach((domain) => {
       const relay = groupRelays(state, domain, group)[0];
-      if (domain !== state.self.domain && relay !== undefined) addTo(abroad, relay, ofDomain);
+      if (domain !== state.self.domain && relay !== undefined)
+        addToBatch(domainBatches, relay, domainTotal);
     });
   });
-  abroad.forEach((entries, relay) => send(ctx, relay, UsageScope.domain, entries));
-  below.forEach((entries, member) => send(ctx, member, UsageScope.fleet, entries));
+  domainBatches.forEach((entries, relay) => sendUsage(ctx, relay, UsageScope.domain, entries));
+  memberBatches.forEach((entries, member) => sendUsage(ctx, member, UsageScope.fleet, entries));
   sequences.forEach((_, key) => {
     if (!state.membership.members.has(key.slice(2))) sequences.delete(key);
   });
 }
 
-function isNoticed(use: LimitUse, limits: CustomerLimits, instances: number): boolean {
-  const part = NOTICEABLE_PART / Math.max(1, instances);
+function exceedsReportThreshold(
+  usage: LimitUsage,
+  limits: CustomerLimits,
+  instances: number,
+): boolean {
+  const threshold = REPORT_THRESHOLD / Math.max(1, instances);
   return (
-    use.waiting > limits.waitingRequests * part ||
-    use.bytes > limits.waitingBytes * part ||
-    use.running + use.waiting > limits.concurrency * part ||
-    use.arrivals > limits.rate * part
+    usage.waiting > limits.waitingRequests * threshold ||
+    usage.bytes > limits.waitingBytes * threshold ||
+    usage.running + usage.waiting > limits.concurrency * threshold ||
+    usage.arrivals > limits.rate * threshold
   );
 }
 
-/** Forgets a customer whose state says no more than that of a new one. */
-function forgetIdle(state: CoreState, customer: CustomerNumber, use: LocalUse, now: LimitUse) {
-  const isIdle = use.waiting === 0 && use.running === 0 && now.arrivals === 0;
+/** Deletes the usage of an idle customer, which equals the initial usage of a new one. */
+function deleteIfIdle(
+  state: CoreState,
+  customer: CustomerNumber,
+  local: LocalUsage,
+  current: LimitUsage,
+) {
+  const isIdle = local.waiting === 0 && local.running === 0 && current.arrivals === 0;
   if (isIdle) state.limits.local.delete(customer);
 }
 
-function notePlace(ctx: CoreContext, place: string, entry: UsageEntry): void {
+function recordReport(ctx: CoreContext, reporter: string, entry: UsageEntry): void {
   const { places, newcomers } = ctx.state.limits;
   if (!places.has(entry.customer)) newcomers.add(entry.customer);
-  const ofCustomer = places.get(entry.customer) ?? new Map<string, PlaceUse>();
-  places.set(entry.customer, ofCustomer);
-  ofCustomer.set(place, { ...entry, until: limitOf(ctx) });
+  const reports = places.get(entry.customer) ?? new Map<string, ReportedUsage>();
+  places.set(entry.customer, reports);
+  reports.set(reporter, { ...entry, until: reportExpiry(ctx) });
 }
 
-function noteFleet(ctx: CoreContext, entry: UsageEntry): void {
+function recordFleetUsage(ctx: CoreContext, entry: UsageEntry): void {
   const { fleet, reported } = ctx.state.limits;
   const own = reported.get(entry.customer) ?? { waiting: 0, bytes: 0, running: 0, arrivals: 0 };
-  fleet.set(entry.customer, { ...entry, own, until: limitOf(ctx) });
+  fleet.set(entry.customer, { ...entry, own, until: reportExpiry(ctx) });
 }
 
-function limitOf(ctx: CoreContext): Millis {
-  return ctx.now + REPORT_EXCHANGES * ctx.state.settings.limitsMs;
+function reportExpiry(ctx: CoreContext): Millis {
+  return ctx.now + REPORT_LIFETIME_EXCHANGES * ctx.state.settings.limitsMs;
 }
 
-function total(customer: CustomerNumber, uses: readonly PlaceUse[]): UsageEntry {
+function sumUsage(customer: CustomerNumber, reports: readonly ReportedUsage[]): UsageEntry {
   const sum = { customer, waiting: 0, bytes: 0, running: 0, arrivals: 0, users: 0 };
-  uses.forEach((use) => {
-    sum.waiting += use.waiting;
-    sum.bytes += use.bytes;
-    sum.running += use.running;
-    sum.arrivals += use.arrivals;
-    sum.users += use.users;
+  reports.forEach((report) => {
+    sum.waiting += report.waiting;
+    sum.bytes += report.bytes;
+    sum.running += report.running;
+    sum.arrivals += report.arrivals;
+    sum.users += report.users;
   });
   return sum;
 }
 
-function addTo(batches: Map<InstanceId, UsageEntry[]>, to: InstanceId, entry: UsageEntry): void {
+function addToBatch(
+  batches: Map<InstanceId, UsageEntry[]>,
+  to: InstanceId,
+  entry: UsageEntry,
+): void {
   const batch = batches.get(to) ?? [];
   batches.set(to, batch);
   batch.push(entry);
 }
 
-function send(
+function sendUsage(
   ctx: CoreContext,
   to: InstanceId,
   scope: number,
@@ -187,7 +204,7 @@
 ): void {
   const { limits } = ctx.state;
   limits.sequence += 1;
-  const value: LimitUsage = {
+  const value: LimitUsageMessage = {
     scope,
     sequence: limits.sequence,
     customers: entries.map((entry) => entry.customer),
@@ -200,7 +217,7 @@
   sendTo(ctx, to, { $case: 'limitUsage', value });
 }
 
-function forEachUsage(usage: LimitUsage, action: (entry: UsageEntry) => void): void {
+function forEachUsage(usage: LimitUsageMessage, action: (entry: UsageEntry) => void): void {
   usage.customers.forEach((customer, i) => {
     action({
       customer,
--- a/src/core/limits/limits.ts
+++ b/src/core/limits/limits.ts
@@ -1,22 +1,22 @@
 /**
- * Limits per customer over the whole fleet: waiting requests and bytes, requests at a time, and
- * rate. Instances exchange their use (`limitUsage.ts`); between two exchanges each may take its
- * part of what is left. A refusal is told at once and is always true: the request was not run.
+ * Fleet-wide limits per customer: waiting requests and bytes, concurrent requests and request rate.
+ * Instances exchange their usage (`limitUsage.ts`); between two exchanges, each instance may use its
+ * share of the remaining amount. A refused request fails immediately and is never executed.
  */
 import type { CoreContext } from '../context.js';
 import { MS_PER_SECOND, type Millis } from '../clock.js';
 import type { DiagnosticCode } from '../diagnostics.js';
 import type { CoreState } from '../state.js';
 import type { CustomerNumber, NotRunProblem } from '../types.js';
-import type { FleetUse, LimitUse, LocalUse } from './limitsState.js';
+import type { FleetUsage, LimitUsage, LocalUsage } from './limitsState.js';
 
-/** Time constant of the count of arrivals. */
+/** Time constant of the exponentially decaying arrival count. */
 const ARRIVALS_WINDOW_MS: Millis = 10_000;
 
-/** Burst that the rate limit admits, as a time at the full rate. */
+/** Burst admitted by the rate limit, as a duration at the full rate. */
 const BURST_MS: Millis = 1_000;
 
-/** `Retry-After` of a refusal because of waiting work. */
+/** `Retry-After` of a refusal caused by the limits on waiting requests. */
 const WAITING_RETRY_MS: Millis = 1_000;
 
 export interface Admitted {
@@ -30,135 +30,143 @@
 
 export type Admission = Admitted | LimitRefusal;
 
-/** Checks a new request of `bytes` against its customer's limits and counts its arrival. */
+/** Checks a new request with a body of `bytes` against the limits of its customer and counts it. */
 export function admit(ctx: CoreContext, customer: CustomerNumber, bytes: number): Admission {
   const { state, now } = ctx;
   const limits = state.configuration.view?.customers.get(customer)?.limits;
   if (limits === undefined) return { kind: 'admitted' };
-  const use = localUse(state, customer, now);
-  noteArrival(use, now);
-  const fleet = fleetUse(state, customer, now);
-  if (!hasRoom(limits.waitingRequests, 'waiting', 1, use, fleet)) {
-    return refuse('waitingLimit', WAITING_RETRY_MS);
+  const usage = getLocalUsage(state, customer, now);
+  recordArrival(usage, now);
+  const fleet = getFleetUsage(state, customer, now);
+  if (!isWithinLimit(limits.waitingRequests, 'waiting', 1, usage, fleet)) {
+    return createRefusal('waitingLimit', WAITING_RETRY_MS);
   }
-  if (!hasRoom(limits.waitingBytes, 'bytes', bytes, use, fleet)) {
-    return refuse('waitingBytesLimit', WAITING_RETRY_MS);
+  if (!isWithinLimit(limits.waitingBytes, 'bytes', bytes, usage, fleet)) {
+    return createRefusal('waitingBytesLimit', WAITING_RETRY_MS);
   }
-  const waitMs = takeRateToken(limits.rate, use, fleet, now);
-  return waitMs > 0 ? refuse('rateLimit', waitMs) : { kind: 'admitted' };
+  const waitMs = consumeRateToken(limits.rate, usage, fleet, now);
+  return waitMs > 0 ? createRefusal('rateLimit', waitMs) : { kind: 'admitted' };
 }
 
 /**
- * Returns how many more requests of a customer may run at this instance now. The limit is divided
- * by the instances' demand, running and waiting; each that has any gets at least one.
+ * Returns how many more requests of a customer this instance may run now. The limit is divided in
+ * proportion to the demand (running and waiting requests) of each instance; an instance with demand
+ * gets at least one.
  */
 export function concurrencyHeadroom(state: CoreState, customer: CustomerNumber): number {
   const limit = state.configuration.view?.customers.get(customer)?.limits.concurrency ?? Infinity;
   const running = state.limits.local.get(customer)?.running ?? 0;
   const fleet = state.limits.fleet.get(customer);
-  // Until the fleet's use is known, each instance takes an even part.
+  // Until the usage of the fleet is known, the limit is divided evenly.
   if (fleet === undefined) return Math.ceil(limit / state.membership.members.size) - running;
-  const own = demandOf(fleet.own);
-  const total = Math.max(own, demandOf(fleet));
+  const own = totalDemand(fleet.own);
+  const total = Math.max(own, totalDemand(fleet));
   if (total === 0) return limit - running;
   return Math.max(1, Math.floor((limit * own) / total)) - running;
 }
 
-function demandOf(use: LimitUse): number {
-  return use.running + use.waiting;
+function totalDemand(usage: LimitUsage): number {
+  return usage.running + usage.waiting;
 }
 
-/** Counts a request that began or ceased to wait. */
+/** Updates the waiting usage when a request starts or stops waiting. */
 export function noteQueued(
   ctx: { readonly state: CoreState },
   customer: CustomerNumber,
   requests: 1 | -1,
   bytes: number,
 ): void {
-  const use = localUse(ctx.state, customer, 0);
-  use.waiting = Math.max(0, use.waiting + requests);
-  use.bytes = Math.max(0, use.bytes + requests * bytes);
+  const usage = getLocalUsage(ctx.state, customer, 0);
+  usage.waiting = Math.max(0, usage.waiting + requests);
+  usage.bytes = Math.max(0, usage.bytes + requests * bytes);
 }
 
-/** Counts a request that began or ceased to run. */
+/** Updates the number of running requests when a request starts or stops running. */
 export function noteRunning(state: CoreState, customer: CustomerNumber, requests: 1 | -1): void {
-  const use = localUse(state, customer, 0);
-  use.running = Math.max(0, use.running + requests);
+  const usage = getLocalUsage(state, customer, 0);
+  usage.running = Math.max(0, usage.running + requests);
 }
 
-/** Returns the arrivals of about the last ten seconds. */
-export function recentArrivals(use: LocalUse, now: Millis): number {
-  return use.arrivals * Math.exp(-(now - use.arrivalsAt) / ARRIVALS_WINDOW_MS);
+/** Returns the approximate number of arrivals in the last ten seconds. */
+export function recentArrivals(usage: LocalUsage, now: Millis): number {
+  return usage.arrivals * Math.exp(-(now - usage.arrivalsAt) / ARRIVALS_WINDOW_MS);
 }
 
-function localUse(state: CoreState, customer: CustomerNumber, now: Millis): LocalUse {
+function getLocalUsage(state: CoreState, customer: CustomerNumber, now: Millis): LocalUsage {
   const { local } = state.limits;
-  const known = local.get(customer);
-  if (known !== undefined) return known;
+  const existing = local.get(customer);
+  if (existing !== undefined) return existing;
   const rate = state.configuration.view?.customers.get(customer)?.limits.rate ?? 0;
-  const use: LocalUse = {
+  const usage: LocalUsage = {
     waiting: 0,
     bytes: 0,
     running: 0,
     arrivals: 0,
     arrivalsAt: now,
-    tokens: burstOf(rate),
+    tokens: burstSize(rate),
     tokensAt: now,
   };
-  local.set(customer, use);
-  return use;
+  local.set(customer, usage);
+  return usage;
 }
 
-function fleetUse(state: CoreState, customer: CustomerNumber, now: Millis): FleetUse | undefined {
+function getFleetUsage(
+  state: CoreState,
+  customer: CustomerNumber,
+  now: Millis,
+): FleetUsage | undefined {
   const fleet = state.limits.fleet.get(customer);
   return fleet !== undefined && fleet.until > now ? fleet : undefined;
 }
 
-function hasRoom(
+function isWithinLimit(
   limit: number,
-  kind: keyof LimitUse,
+  kind: keyof LimitUsage,
   amount: number,
-  use: LocalUse,
-  fleet: FleetUse | undefined,
+  usage: LocalUsage,
+  fleet: FleetUsage | undefined,
 ): boolean {
-  const own = use[kind] + amount;
+  const own = usage[kind] + amount;
   if (fleet === undefined) return own <= limit;
   const others = Math.max(0, fleet[kind] - fleet.own[kind]);
   if (others + own > limit) return false;
-  const part = (limit - fleet[kind]) / Math.max(1, fleet.users);
-  return own - fleet.own[kind] <= Math.max(amount, part);
+  const share = (limit - fleet[kind]) / Math.max(1, fleet.users);
+  return own - fleet.own[kind] <= Math.max(amount, share);
 }
 
-function noteArrival(use: LocalUse, now: Millis): void {
-  use.arrivals = recentArrivals(use, now) + 1;
-  use.arrivalsAt = now;
+function recordArrival(usage: LocalUsage, now: Millis): void {
+  usage.arrivals = recentArrivals(usage, now) + 1;
+  usage.arrivalsAt = now;
 }
 
-/** Takes a token, or returns the time until one is there. The rate is divided by arrivals. */
-function takeRateToken(
+/**
+ * Takes a token and returns 0, or returns the time until one is available. The rate is divided among
+ * the instances in proportion to their arrivals.
+ */
+function consumeRateToken(
   rate: number,
-  use: LocalUse,
-  fleet: FleetUse | undefined,
+  usage: LocalUsage,
+  fleet: FleetUsage | undefined,
   now: Millis,
 ): Millis {
-  const total = fleet === undefined ? 0 : fleet.arrivals - fleet.own.arrivals + use.arrivals;
-  const share = total > 0 ? Math.min(1, use.arrivals / total) : 1;
+  const total = fleet === undefined ? 0 : fleet.arrivals - fleet.own.arrivals + usage.arrivals;
+  const share = total > 0 ? Math.min(1, usage.arrivals / total) : 1;
   const ownRate = rate * share;
-  const earned = ((now - use.tokensAt) * ownRate) / MS_PER_SECOND;
-  use.tokens = Math.min(burstOf(ownRate), use.tokens + Math.max(0, earned));
-  use.tokensAt = now;
-  if (use.tokens >= 1) {
-    use.tokens -= 1;
+  const earned = ((now - usage.tokensAt) * ownRate) / MS_PER_SECOND;
+  usage.tokens = Math.min(burstSize(ownRate), usage.tokens + Math.max(0, earned));
+  usage.tokensAt = now;
+  if (usage.tokens >= 1) {
+    usage.tokens -= 1;
     return 0;
   }
-  return Math.ceil(((1 - use.tokens) * MS_PER_SECOND) / Math.max(ownRate, Number.MIN_VALUE));
+  return Math.ceil(((1 - usage.tokens) * MS_PER_SECOND) / Math.max(ownRate, Number.MIN_VALUE));
 }
 
-function burstOf(rate: number): number {
+function burstSize(rate: number): number {
   return Math.max(1, (rate * BURST_MS) / MS_PER_SECOND);
 }
 
-function refuse(code: DiagnosticCode, retryAfterMs: Millis): LimitRefusal {
+function createRefusal(code: DiagnosticCode, retryAfterMs: Millis): LimitRefusal {
   const problem: NotRunProblem = {
     code,
     status: 429,
--- a/src/core/limits/limitsState.ts
+++ b/src/core/limits/limitsState.ts
@@ -1,48 +1,48 @@
-/** State of the limits per customer: this instance's use, and the fleet's by the exchange. */
+/** State of the limits per customer: usage of this instance, and usage of the fleet as reported. */
 import type { Millis } from '../clock.js';
 import type { CustomerNumber, InstanceId } from '../types.js';
 
-/** Use of one customer's limits. */
-export interface LimitUse {
+/** Usage of the limits of a customer. */
+export interface LimitUsage {
   waiting: number;
   bytes: number;
   running: number;
-  /** Arrivals, refused ones included, over about the last ten seconds. */
+  /** Approximate number of arrivals in the last ten seconds, including refused requests. */
   arrivals: number;
 }
 
-export interface LocalUse extends LimitUse {
+export interface LocalUsage extends LimitUsage {
   arrivalsAt: Millis;
-  /** Requests that the rate limit admits at once. */
+  /** Tokens in the bucket of the rate limit; a request takes one. */
   tokens: number;
   tokensAt: Millis;
 }
 
-/** Use over the fleet as last heard, with this instance's part in it. */
-export interface FleetUse extends LimitUse {
-  /** Instances that use the customer's limits. */
+/** Usage over the fleet as last reported, with the part of this instance in it. */
+export interface FleetUsage extends LimitUsage {
+  /** Number of instances that use the limits of the customer. */
   readonly users: number;
-  readonly own: LimitUse;
+  readonly own: LimitUsage;
   readonly until: Millis;
 }
 
-/** Use at one instance or in one domain, as a relay heard it. */
-export interface PlaceUse extends LimitUse {
+/** Usage of an instance or a domain as reported to a relay. */
+export interface ReportedUsage extends LimitUsage {
   readonly users: number;
   readonly until: Millis;
 }
 
 export interface LimitsState {
-  readonly local: Map<CustomerNumber, LocalUse>;
-  readonly fleet: Map<CustomerNumber, FleetUse>;
-  /** As relay: by customer, then by instance of this domain or by other domain. */
-  readonly places: Map<CustomerNumber, Map<string, PlaceUse>>;
-  /** As relay: customers of whose use abroad nothing can be known yet. */
+  readonly local: Map<CustomerNumber, LocalUsage>;
+  readonly fleet: Map<CustomerNumber, FleetUsage>;
+  /** As relay: reports by customer, then by instance of this domain or by other domain. */
+  readonly places: Map<CustomerNumber, Map<string, ReportedUsage>>;
+  /** As relay: new customers whose usage in other domains cannot be known yet. */
   readonly newcomers: Set<CustomerNumber>;
-  /** Last sequence by sender. */
+  /** Last sequence number by scope and sender. */
   readonly sequences: Map<InstanceId, number>;
-  /** Use in the last report, by customer. */
-  readonly reported: Map<CustomerNumber, LimitUse>;
+  /** Usage in the last report of this instance, by customer. */
+  readonly reported: Map<CustomerNumber, LimitUsage>;
   sequence: number;
   ticks: number;
 }
