Reword the schedule and the budget of retries

Comments spoke of retries "that they wanted", allowance "saved up" and a budget that is fed; they now describe a token bucket that is refilled, requested retries and a randomized exponential back-off.

Renames: takeRetry -> consumeRetryBudget, requeueAfter -> scheduleRequeue, releaseDue -> requeueDue, feedBudget -> refillBudget, noteFirstAttempt -> recordFirstAttempt, RetryUse -> RetryUsage, SAVED_WINDOWS -> MAX_SAVED_WINDOWS.

--- a/src/core/attempts/attempts.ts
+++ b/src/core/attempts/attempts.ts
@@ -15,7 +15,12 @@
 import { isSuspect } from '../quarantine/suspects.js';
 import { failRequest, finishRequest, refuseRequest } from '../requests/outcomes.js';
 import { isRunnableOn } from '../requests/readiness.js';
-import { noteFirstAttempt, requeueAfter, retryDelay, takeRetry } from '../retries/retries.js';
+import {
+  recordFirstAttempt,
+  scheduleRequeue,
+  retryDelay,
+  consumeRetryBudget,
+} from '../retries/retries.js';
 import { charge } from '../shares/shares.js';
 import { settleSlotTime } from '../shares/slotTime.js';
 import type { CoreState } from '../state.js';
@@ -59,14 +64,14 @@
   }
   if (target === undefined || !isRunnableOn(state, request, grant.upstream)) {
     returnGrant(ctx, grant);
-    requeueAfter(ctx, requestId, state.settings.requeueMs);
+    scheduleRequeue(ctx, requestId, state.settings.requeueMs);
     return;
   }
   if (refuseExpiredClaim(ctx, request.facts)) {
     returnGrant(ctx, grant);
     return;
   }
-  if (request.state === 'waiting' && request.tried.length === 0) noteFirstAttempt(state);
+  if (request.state === 'waiting' && request.tried.length === 0) recordFirstAttempt(state);
   if (request.state === 'retrying' && request.move !== undefined) {
     emitCacheMove(ctx, request.move, target.upstream);
   }
@@ -175,7 +180,7 @@
   attempt: AttemptRecord,
 ): boolean {
   const target = resolveTarget(ctx.state, attempt.grant);
-  if (target === undefined || !takeRetry(ctx.state)) return false;
+  if (target === undefined || !consumeRetryBudget(ctx.state)) return false;
   dispatch(ctx, toResumedRequest(request, attempt), attempt.grant, target);
   return true;
 }
@@ -188,7 +193,7 @@
 ): boolean {
   const from = ctx.state.configuration.view?.upstreams.get(attempt.grant.upstream);
   const canMove =
-    from !== undefined && hasUntriedUpstream(ctx.state, request) && takeRetry(ctx.state);
+    from !== undefined && hasUntriedUpstream(ctx.state, request) && consumeRetryBudget(ctx.state);
   if (!canMove) return false;
   const { facts, tried, resumes } = request;
   ctx.state.requests.active.set(facts.requestId, {
@@ -201,7 +206,7 @@
     resumes: resumes + 1,
     move: { attemptId: attempt.attemptId, fromUrl: from.url },
   });
-  requeueAfter(ctx, facts.requestId, 0);
+  scheduleRequeue(ctx, facts.requestId, 0);
   return true;
 }
 
@@ -219,7 +224,7 @@
   const { state } = ctx;
   const { facts, tried } = request;
   const queued = toQueuedRequest(ctx, request, mayHaveRun);
-  if (!hasUntriedUpstream(state, request) || !takeRetry(state)) {
+  if (!hasUntriedUpstream(state, request) || !consumeRetryBudget(state)) {
     const { upstream } = attempt.grant;
     if (queued.state === 'waiting') {
       refuseRequest(ctx, queued, createNotRunProblem(state, upstream, outcome));
@@ -229,7 +234,7 @@
     return;
   }
   state.requests.active.set(facts.requestId, queued);
-  requeueAfter(ctx, facts.requestId, delayBeforeRetry(state, outcome, tried.length));
+  scheduleRequeue(ctx, facts.requestId, delayBeforeRetry(state, outcome, tried.length));
 }
 
 /**
--- a/src/core/retries/retries.ts
+++ b/src/core/retries/retries.ts
@@ -1,10 +1,11 @@
 /**
- * Retries: their times and their budget.
+ * Scheduling and budget of retries.
  *
- * The budget is a token bucket that is fed at the end of each window. All instances of a failure
- * domain report their first attempts and the retries that they wanted; the domain's allowance, a
- * fixed ratio of its first attempts, is divided by what was wanted. Since each domain stays within
- * the ratio of its own requests, so does the fleet, and no report has to leave the domain.
+ * The budget is a token bucket that is refilled at the end of each window. All instances of a
+ * failure domain report their first attempts and the retries they requested. The allowance of the
+ * domain, a fixed ratio of its first attempts, is divided in proportion to the requested retries.
+ * Since each domain keeps to the ratio for its own requests, so does the fleet, and no report has
+ * to leave the domain.
  */
 import { sendTo, setTimer, type CoreContext } from '../context.js';
 import { enqueue, noteChange } from '../dispatch/queues.js';
@@ -12,25 +13,25 @@
 import type { CoreState } from '../state.js';
 import type { Millis } from '../clock.js';
 import type { InstanceId, PeerMessageOf, RequestId } from '../types.js';
-import type { RetryUse } from './retriesState.js';
+import type { RetryUsage } from './retriesState.js';
 
-/** Windows of allowance that may be saved up. */
-const SAVED_WINDOWS = 10;
-/** Doublings of the back-off. */
-const MAX_DOUBLINGS = 5;
+/** Number of windows whose allowance may accumulate in the bucket. */
+const MAX_SAVED_WINDOWS = 10;
+/** Maximum number of times the back-off is doubled. */
+const MAX_BACKOFF_DOUBLINGS = 5;
 
 export function startRetries(ctx: CoreContext): void {
   ctx.state.retries.windowEndsAt = ctx.now + ctx.state.settings.retryWindowMs;
-  schedule(ctx);
+  scheduleTimer(ctx);
 }
 
-/** Counts a request's first attempt, from which the budget grows. */
-export function noteFirstAttempt(state: CoreState): void {
+/** Counts the first attempt of a request, on which the budget is based. */
+export function recordFirstAttempt(state: CoreState): void {
   state.retries.requests += 1;
 }
 
-/** Takes one retry out of the budget; false if it is spent. */
-export function takeRetry(state: CoreState): boolean {
+/** Takes one retry from the budget and returns whether one was available. */
+export function consumeRetryBudget(state: CoreState): boolean {
   const { retries } = state;
   retries.wanted += 1;
   if (retries.tokens < 1) return false;
@@ -38,37 +39,37 @@
   return true;
 }
 
-/** Returns a random delay for a retry after `failures` failed attempts. */
+/** Returns the randomized exponential back-off of a retry after `failures` failed attempts. */
 export function retryDelay(state: CoreState, failures: number): Millis {
-  const doublings = Math.min(failures - 1, MAX_DOUBLINGS);
+  const doublings = Math.min(failures - 1, MAX_BACKOFF_DOUBLINGS);
   return state.random.next() * state.settings.retryBackoffMs * 2 ** doublings;
 }
 
-/** Puts a request back into its queue after `delay`. */
-export function requeueAfter(ctx: CoreContext, requestId: RequestId, delay: Millis): void {
+/** Returns a request to its queue after `delay`. */
+export function scheduleRequeue(ctx: CoreContext, requestId: RequestId, delay: Millis): void {
   ctx.state.retries.delayed.set(requestId, ctx.now + delay);
-  if (delay <= 0) releaseDue(ctx);
-  else schedule(ctx);
+  if (delay <= 0) requeueDue(ctx);
+  else scheduleTimer(ctx);
 }
 
 export function onRetriesTimer(ctx: CoreContext): void {
-  releaseDue(ctx);
+  requeueDue(ctx);
   if (ctx.now >= ctx.state.retries.windowEndsAt) closeWindow(ctx);
-  schedule(ctx);
+  scheduleTimer(ctx);
 }
 
 export function onRetryUsage(
   ctx: CoreContext,
   from: InstanceId,
-  use: PeerMessageOf<'retryUsage'>,
+  usage: PeerMessageOf<'retryUsage'>,
 ): void {
-  ctx.state.retries.peers.set(from, use);
+  ctx.state.retries.peers.set(from, usage);
 }
 
-function releaseDue(ctx: CoreContext): void {
+function requeueDue(ctx: CoreContext): void {
   const { retries, requests } = ctx.state;
-  retries.delayed.forEach((at, requestId) => {
-    if (at > ctx.now) return;
+  retries.delayed.forEach((dueAt, requestId) => {
+    if (dueAt > ctx.now) return;
     retries.delayed.delete(requestId);
     const request = requests.active.get(requestId);
     if (request === undefined) return;
@@ -79,48 +80,48 @@
 
 function closeWindow(ctx: CoreContext): void {
   const { retries, settings } = ctx.state;
-  const own: RetryUse = {
+  const own: RetryUsage = {
     window: retries.window,
     requests: retries.requests,
     retries: retries.wanted,
   };
-  feedBudget(ctx.state, own);
-  if (own.requests > 0 || own.retries > 0) reportUse(ctx, own);
+  refillBudget(ctx.state, own);
+  if (own.requests > 0 || own.retries > 0) reportUsage(ctx, own);
   retries.window += 1;
   retries.requests = 0;
   retries.wanted = 0;
   retries.windowEndsAt = ctx.now + settings.retryWindowMs;
 }
 
-function feedBudget(state: CoreState, own: RetryUse): void {
+function refillBudget(state: CoreState, own: RetryUsage): void {
   const { retries, settings } = state;
   let { requests, retries: wanted } = own;
   let instances = 1;
-  retries.peers.forEach((use) => {
-    requests += use.requests;
-    wanted += use.retries;
+  retries.peers.forEach((usage) => {
+    requests += usage.requests;
+    wanted += usage.retries;
     instances += 1;
   });
-  // A report counts for one window only, or a lost one would be spent again.
+  // A report counts for one window only: if the next one is lost, it must not be counted again.
   retries.peers.clear();
   const share = (own.retries + 1) / (wanted + instances);
-  const fed = settings.retryRatio * requests * share;
-  const limit = Math.max(1, retries.tokens, fed * SAVED_WINDOWS);
-  retries.tokens = Math.min(limit, retries.tokens + fed);
+  const refill = settings.retryRatio * requests * share;
+  const limit = Math.max(1, retries.tokens, refill * MAX_SAVED_WINDOWS);
+  retries.tokens = Math.min(limit, retries.tokens + refill);
 }
 
-function reportUse(ctx: CoreContext, own: RetryUse): void {
+function reportUsage(ctx: CoreContext, own: RetryUsage): void {
   forEachOther(ctx.state, (member) => {
     if (member.domain !== ctx.state.self.domain) return;
     sendTo(ctx, member.id, { $case: 'retryUsage', value: own });
   });
 }
 
-function schedule(ctx: CoreContext): void {
+function scheduleTimer(ctx: CoreContext): void {
   const { retries } = ctx.state;
-  let at = retries.windowEndsAt;
+  let nextAt = retries.windowEndsAt;
   retries.delayed.forEach((due) => {
-    at = Math.min(at, due);
+    nextAt = Math.min(nextAt, due);
   });
-  setTimer(ctx, 'retries', Math.max(0, at - ctx.now));
+  setTimer(ctx, 'retries', Math.max(0, nextAt - ctx.now));
 }
--- a/src/core/retries/retriesState.ts
+++ b/src/core/retries/retriesState.ts
@@ -1,27 +1,27 @@
-/** State of retries: requests that wait for their time, and the budget. */
+/** State of retries: delayed requests and the retry budget. */
 import type { Millis } from '../clock.js';
 import type { InstanceId, RequestId } from '../types.js';
 
-/** First attempts and wanted retries of one instance within one window. */
-export interface RetryUse {
+/** First attempts and requested retries of an instance within one window. */
+export interface RetryUsage {
   readonly window: number;
   readonly requests: number;
   readonly retries: number;
 }
 
 export interface RetriesState {
-  /** Requests that return to their queue at a time. */
+  /** Delayed requests, with the time at which they return to their queue. */
   readonly delayed: Map<RequestId, Millis>;
-  /** Retries that may be made now. */
+  /** Retries available in the token bucket. */
   tokens: number;
   /** Number of the current window. */
   window: number;
   windowEndsAt: Millis;
-  /** Use within the current window. */
+  /** First attempts and requested retries within the current window. */
   requests: number;
   wanted: number;
-  /** Latest whole window of each other instance of the failure domain. */
-  readonly peers: Map<InstanceId, RetryUse>;
+  /** Last complete window of each other instance of the failure domain. */
+  readonly peers: Map<InstanceId, RetryUsage>;
 }
 
 export function createRetriesState(): RetriesState {
