Reword the ownership of upstreams

"A lost one costs a full choice only for the upstreams that it owned" and the like now say what is cached, when it is updated and which instances are eligible.

Renames: candidatesOf -> ownerCandidates, domainOwners -> currentDomainOwners, removeUnknown -> removeStaleOwners, and the locals present, known, start and group.

--- a/src/core/ownership/ownership.ts
+++ b/src/core/ownership/ownership.ts
@@ -1,10 +1,11 @@
 /**
- * Ownership: every upstream has one owner at a time in the view of each instance, by rendezvous
- * hashing over the ready instances of the upstream's failure domain, else of its region, else of
- * the fleet. Views may differ for seconds; two owners are safe (docs/DESIGN.md).
+ * Ownership of upstreams. In the view of each instance, every upstream has a single owner, selected
+ * by rendezvous hashing over the ready instances of the upstream's failure domain. If there are
+ * none, the instances of its region are used, and then those of the whole fleet. The views of two
+ * instances may differ for seconds; two simultaneous owners are safe (docs/DESIGN.md).
  *
- * Owners are kept by domain and follow changes: a new candidate is compared with the present
- * owner, a lost one costs a full choice only for the upstreams that it owned.
+ * Owners are cached per domain and updated incrementally: a new candidate is only compared with the
+ * current owner, and the loss of a candidate requires a full selection only for its own upstreams.
  */
 import { hash32, rendezvousScoreOfHashes } from '../hash.js';
 import { membersOf, owningAmong, owningMembers } from '../membership/memberIndex.js';
@@ -24,11 +25,11 @@
   readonly hash: number;
 }
 
-/** Returns the owner of an upstream, if any instance is ready. */
+/** Returns the owner of an upstream, or `undefined` if no instance is eligible. */
 export function ownerOf(state: CoreState, upstream: UpstreamId): InstanceId | undefined {
   const config = state.configuration.view?.upstreams.get(upstream);
   if (config === undefined) return undefined;
-  return domainOwners(state, config.domain).owners.get(upstream)?.id;
+  return currentDomainOwners(state, config.domain).owners.get(upstream)?.id;
 }
 
 export function isOwner(state: CoreState, upstream: UpstreamId): boolean {
@@ -40,7 +41,9 @@
   ownedUpstreams(state).forEach(action);
 }
 
-/** Returns the upstreams that this instance owns. */
+/**
+ * Returns the upstreams that this instance owns; cached until membership or configuration changes.
+ */
 export function ownedUpstreams(state: CoreState): readonly UpstreamConfig[] {
   const { ownership, membership, configuration } = state;
   const { view } = configuration;
@@ -51,7 +54,7 @@
   const owned: UpstreamConfig[] = [];
   indexUpstreams(state, view).forEach((upstreams, domain) => {
     if (!isCandidate(state, domain)) return;
-    const { owners } = domainOwners(state, domain);
+    const { owners } = currentDomainOwners(state, domain);
     upstreams.forEach((upstream) => {
       if (owners.get(upstream.id)?.id === state.self.id) owned.push(upstream);
     });
@@ -62,64 +65,64 @@
   return owned;
 }
 
-/** Returns the upstreams of a domain. */
+/** Returns the upstreams of a failure domain. */
 export function upstreamsIn(state: CoreState, domain: FailureDomainId): readonly UpstreamConfig[] {
   const { view } = state.configuration;
   return view === undefined ? [] : (indexUpstreams(state, view).get(domain) ?? []);
 }
 
 function isCandidate(state: CoreState, domain: FailureDomainId): boolean {
-  return candidatesOf(state, domain).some((member) => member.id === state.self.id);
+  return ownerCandidates(state, domain).some((member) => member.id === state.self.id);
 }
 
-function domainOwners(state: CoreState, domain: FailureDomainId): DomainOwners {
+function currentDomainOwners(state: CoreState, domain: FailureDomainId): DomainOwners {
   const { ownership, membership, configuration } = state;
-  const group = ownership.domains.get(domain) ?? createDomainOwners();
-  ownership.domains.set(domain, group);
+  const entry = ownership.domains.get(domain) ?? createDomainOwners();
+  ownership.domains.set(domain, entry);
   const version = configuration.view?.version ?? -1;
-  if (group.generation === membership.generation && group.configurationVersion === version) {
-    return group;
+  if (entry.generation === membership.generation && entry.configurationVersion === version) {
+    return entry;
   }
-  updateOwners(state, domain, group);
-  group.generation = membership.generation;
-  group.configurationVersion = version;
-  return group;
+  updateOwners(state, domain, entry);
+  entry.generation = membership.generation;
+  entry.configurationVersion = version;
+  return entry;
 }
 
 function createDomainOwners(): DomainOwners {
   return { owners: new Map(), candidates: new Set(), generation: -1, configurationVersion: -1 };
 }
 
-function updateOwners(state: CoreState, domain: FailureDomainId, group: DomainOwners): void {
-  const candidates = candidatesOf(state, domain).map(({ id }) => ({ id, hash: hash32(id) }));
-  const present = new Set(candidates.map(({ id }) => id));
-  const added = candidates.filter(({ id }) => !group.candidates.has(id));
+function updateOwners(state: CoreState, domain: FailureDomainId, entry: DomainOwners): void {
+  const candidates = ownerCandidates(state, domain).map(({ id }) => ({ id, hash: hash32(id) }));
+  const candidateIds = new Set(candidates.map(({ id }) => id));
+  const added = candidates.filter(({ id }) => !entry.candidates.has(id));
   const upstreams = upstreamsIn(state, domain);
   upstreams.forEach(({ id }) => {
-    const known = group.owners.get(id);
-    const isKept = known !== undefined && present.has(known.id);
-    const best = isKept ? bestOwner(id, added, known) : bestOwner(id, candidates, undefined);
-    if (best === undefined) group.owners.delete(id);
-    else if (best !== known) group.owners.set(id, best);
+    const current = entry.owners.get(id);
+    const isKept = current !== undefined && candidateIds.has(current.id);
+    const best = isKept ? bestOwner(id, added, current) : bestOwner(id, candidates, undefined);
+    if (best === undefined) entry.owners.delete(id);
+    else if (best !== current) entry.owners.set(id, best);
   });
-  if (group.owners.size > upstreams.length) removeUnknown(group, upstreams);
-  group.candidates = present;
+  if (entry.owners.size > upstreams.length) removeStaleOwners(entry, upstreams);
+  entry.candidates = candidateIds;
 }
 
-function removeUnknown(group: DomainOwners, upstreams: readonly UpstreamConfig[]): void {
+function removeStaleOwners(entry: DomainOwners, upstreams: readonly UpstreamConfig[]): void {
   const ids = new Set(upstreams.map((upstream) => upstream.id));
-  group.owners.forEach((_, id) => {
-    if (!ids.has(id)) group.owners.delete(id);
+  entry.owners.forEach((_, id) => {
+    if (!ids.has(id)) entry.owners.delete(id);
   });
 }
 
 function bestOwner(
   upstream: UpstreamId,
   candidates: readonly Candidate[],
-  start: ScoredOwner | undefined,
+  current: ScoredOwner | undefined,
 ): ScoredOwner | undefined {
   const upstreamHash = hash32(upstream);
-  let best = start;
+  let best = current;
   for (const { id, hash } of candidates) {
     const score = rendezvousScoreOfHashes(upstreamHash, hash);
     if (best === undefined || score > best.score) best = { id, score };
@@ -127,8 +130,8 @@
   return best;
 }
 
-/** Instances that may own the upstreams of a domain. */
-function candidatesOf(state: CoreState, domain: FailureDomainId): readonly Member[] {
+/** Returns the instances that are eligible to own the upstreams of a domain. */
+function ownerCandidates(state: CoreState, domain: FailureDomainId): readonly Member[] {
   const inDomain = owningAmong(membersOf(state, domain));
   if (inDomain.length > 0) return inDomain;
   const region = upstreamsIn(state, domain)[0]?.region;
@@ -145,9 +148,9 @@
   if (ownership.indexedVersion === view.version) return ownership.upstreamsByDomain;
   const byDomain = new Map<FailureDomainId, UpstreamConfig[]>();
   view.upstreams.forEach((upstream) => {
-    const group = byDomain.get(upstream.domain) ?? [];
-    byDomain.set(upstream.domain, group);
-    group.push(upstream);
+    const upstreams = byDomain.get(upstream.domain) ?? [];
+    byDomain.set(upstream.domain, upstreams);
+    upstreams.push(upstream);
   });
   ownership.upstreamsByDomain = byDomain;
   ownership.indexedVersion = view.version;
--- a/src/core/ownership/ownershipState.ts
+++ b/src/core/ownership/ownershipState.ts
@@ -1,13 +1,15 @@
-/** State of ownership: the owner of each upstream in this instance's view, by failure domain. */
+/**
+ * State of ownership: the owner of each upstream in the view of this instance, by failure domain.
+ */
 import type { FailureDomainId, InstanceId, UpstreamConfig, UpstreamId } from '../types.js';
 
-/** The best candidate of an upstream and its rendezvous score. */
+/** The selected owner of an upstream and its rendezvous score. */
 export interface ScoredOwner {
   readonly id: InstanceId;
   readonly score: number;
 }
 
-/** Owners of the upstreams of one domain; brought up to date when asked for. */
+/** Owners of the upstreams of a domain; updated lazily on access. */
 export interface DomainOwners {
   readonly owners: Map<UpstreamId, ScoredOwner>;
   candidates: ReadonlySet<InstanceId>;
