Reword the planned stops

Comments such as "must not hold a stop up for ever" and "a grant may be older than the news" now name the timeout of the log and the grant issued before the stop became known.

Renames: checkStopped -> stopIfDrained, hasWaitedForLog -> hasLogWaitExpired, leave -> finishStop.

--- a/src/core/drain/drain.ts
+++ b/src/core/drain/drain.ts
@@ -1,13 +1,13 @@
 /**
- * The planned stop of this instance: not ready first, then it ends what it accepted, has its records
- * read back from the log, and leaves. Ownership and the appending of claims pass to others at once,
- * since a leaving instance is chosen for neither.
+ * Planned stop of this instance: it becomes not ready, finishes its accepted requests, waits for its
+ * records to be read back from the log, and leaves. Ownership and the appending of claims move to
+ * other instances immediately, since a leaving instance is not eligible for either.
  */
 import { unsettledRecords } from '../claims/ownClaims.js';
 import { logLine, sendTo, setTimer, type CoreContext } from '../context.js';
 import { forEachOther, setOwnPhase } from '../membership/membership.js';
 
-/** Interval at which a stopping instance looks whether its records are in the log. */
+/** Interval at which a stopping instance checks whether its records are in the log. */
 const DRAIN_TICK_MS = 100;
 
 export function onPlannedStop(ctx: CoreContext): void {
@@ -16,15 +16,15 @@
   drain.isStopping = true;
   ctx.emit({ kind: 'setReady', ready: false });
   setOwnPhase(ctx, 'leaving');
-  checkStopped(ctx);
+  stopIfDrained(ctx);
 }
 
 export function onDrainTimer(ctx: CoreContext): void {
-  checkStopped(ctx);
+  stopIfDrained(ctx);
 }
 
-/** Announces the end once no accepted request is left and the log has what it must have. */
-export function checkStopped(ctx: CoreContext): void {
+/** Completes a planned stop once no accepted request is left and the log has all records. */
+export function stopIfDrained(ctx: CoreContext): void {
   const { drain, requests, attempts } = ctx.state;
   if (!drain.isStopping || drain.hasStopped) return;
   if (requests.active.size > 0 || attempts.running.size > 0) {
@@ -32,20 +32,23 @@
     return;
   }
   drain.idleSince ??= ctx.now;
-  if (unsettledRecords(ctx.state) > 0 && !hasWaitedForLog(ctx)) {
+  if (unsettledRecords(ctx.state) > 0 && !hasLogWaitExpired(ctx)) {
     setTimer(ctx, 'drain', DRAIN_TICK_MS);
     return;
   }
-  leave(ctx);
+  finishStop(ctx);
 }
 
-/** An outage of the log must not hold a stop up for ever; unsettled keys are answered `unknown`. */
-function hasWaitedForLog(ctx: CoreContext): boolean {
+/**
+ * Whether the wait for the log has timed out. An outage of the log must not delay a stop forever;
+ * the outcome of unsettled idempotency keys is then reported as `unknown`.
+ */
+function hasLogWaitExpired(ctx: CoreContext): boolean {
   const since = ctx.state.drain.idleSince ?? ctx.now;
   return ctx.now - since >= ctx.state.settings.drainLogTimeoutMs;
 }
 
-function leave(ctx: CoreContext): void {
+function finishStop(ctx: CoreContext): void {
   const { drain, self } = ctx.state;
   const records = unsettledRecords(ctx.state);
   if (records > 0) logLine(ctx, 'warn', 'drain', 'drainUnsettled', { records });
--- a/src/core/drain/drainState.ts
+++ b/src/core/drain/drainState.ts
@@ -1,13 +1,13 @@
-/** State of planned stops: this instance's own, and those of upstreams that the list announces. */
+/** State of planned stops: that of this instance, and those of upstreams in the instance list. */
 import type { Millis } from '../clock.js';
 import type { UpstreamId } from '../types.js';
 
 export interface DrainState {
   isStopping: boolean;
   hasStopped: boolean;
-  /** Time at which the last accepted request ended; the log may take a while longer. */
+  /** Time at which the last accepted request ended; records may not be in the log yet. */
   idleSince: Millis | undefined;
-  /** Upstreams that the platform's list shows as leaving. */
+  /** Upstreams that the instance list of the platform shows as leaving. */
   readonly leavingUpstreams: Set<UpstreamId>;
 }
 
--- a/src/core/drain/upstreams.ts
+++ b/src/core/drain/upstreams.ts
@@ -1,24 +1,28 @@
 /**
- * Planned stops of upstreams. An upstream that the configuration or the platform's list names takes
- * no new work; the streams that run on it end by themselves. Owners ask before they grant and
- * entries ask again before they dispatch, since a grant may be older than the news.
+ * Planned stops of upstreams. An upstream that the configuration marks for a planned stop, or that
+ * the platform lists as leaving, accepts no new requests; its running streams are left to finish.
+ * Owners check this before they grant, and entry instances check it again before they dispatch,
+ * since a grant may have been issued before the stop became known.
  */
 import type { CoreContext } from '../context.js';
 import type { CoreState } from '../state.js';
 import type { ListedInstance, UpstreamId } from '../types.js';
 
-/** Whether an upstream takes no new work. */
+/** Whether an upstream has a planned stop and accepts no new requests. */
 export function isUpstreamStopping(state: CoreState, upstream: UpstreamId): boolean {
   const { view } = state.configuration;
   return (view?.plannedStops.has(upstream) ?? false) || state.drain.leavingUpstreams.has(upstream);
 }
 
-/** Whether an upstream may be given work: it is not to stop and has not just refused a connection. */
+/**
+ * Whether an upstream accepts new requests: it has no planned stop and did not just refuse a
+ * connection.
+ */
 export function takesNewWork(state: CoreState, upstream: UpstreamId): boolean {
   return !isUpstreamStopping(state, upstream) && !state.attempts.avoided.has(upstream);
 }
 
-/** Keeps the upstreams that the list shows as leaving; one that it lists as live takes work again. */
+/** Updates the set of leaving upstreams; one that is listed as live becomes eligible again. */
 export function onListedUpstreams(ctx: CoreContext, listed: readonly ListedInstance[]): void {
   const { leavingUpstreams } = ctx.state.drain;
   for (const entry of listed) {
--- a/src/core/reducer.ts
+++ b/src/core/reducer.ts
@@ -45,7 +45,7 @@
 } from './dispatch/owner.js';
 import { onAssignTimer, onDemandOffer, onDemandRequest } from './dispatch/pull.js';
 import { onLimitsTimer, onLimitUsage } from './limits/limitUsage.js';
-import { checkStopped, onDrainTimer, onPlannedStop } from './drain/drain.js';
+import { stopIfDrained, onDrainTimer, onPlannedStop } from './drain/drain.js';
 import { onListedUpstreams } from './drain/upstreams.js';
 import {
   onHeartbeat,
@@ -98,7 +98,7 @@
       return;
     case 'attemptEnded':
       onAttemptEnded(ctx, event.attemptId, event.outcome);
-      checkStopped(ctx);
+      stopIfDrained(ctx);
       return;
     case 'peerMessage':
       reducePeerMessage(ctx, event.from, event.incarnation, event.message);
--- a/src/core/requests/outcomeSettings.ts
+++ b/src/core/requests/outcomeSettings.ts
@@ -59,7 +59,9 @@
   readonly quarantineMs: Millis;
   /** Time between announcing that a suspect request is about to run and running it. */
   readonly suspectSettleMs: Millis;
-  /** Interval at which the permits of suspect requests and the expiry of suspicions are processed. */
+  /**
+   * Interval at which the permits of suspect requests and the expiry of suspicions are processed.
+   */
   readonly quarantineTickMs: Millis;
 
   /** Time that a stopping instance waits for its records to be read back from the log. */
--- a/src/core/requests/outcomes.ts
+++ b/src/core/requests/outcomes.ts
@@ -3,7 +3,7 @@
 import { abandonClaim, settleClaim } from '../claims/settlement.js';
 import type { CoreContext } from '../context.js';
 import { withdraw } from '../dispatch/queues.js';
-import { checkStopped } from '../drain/drain.js';
+import { stopIfDrained } from '../drain/drain.js';
 import type {
   ActiveRequest,
   DispatchedRequest,
@@ -96,5 +96,5 @@
   withdraw(ctx, facts);
   ctx.state.retries.delayed.delete(facts.requestId);
   ctx.state.requests.active.delete(facts.requestId);
-  checkStopped(ctx);
+  stopIfDrained(ctx);
 }
