--- a/src/core/drain/drain.ts
+++ b/src/core/drain/drain.ts
@@ -1,7 +1,7 @@
 /**
- * Planned stop of this instance: it becomes not ready, finishes its accepted requests, waits for its
- * records to be read back from the log, and leaves. Ownership and the appending of claims move to
- * other instances immediately, since a leaving instance is not eligible for either.
+ * Planned stop of this instance: it becomes not ready, finishes its accepted requests, waits for
+ * its records to be read back from the log, and leaves. Ownership and the appending of claims move
+ * to other instances immediately, since a leaving instance is not eligible for either.
  */
 import { unsettledRecords } from '../claims/ownClaims.js';
 import { logLine, sendTo, setTimer, type CoreContext } from '../context.js';
--- a/src/core/limits/limitUsage.ts
+++ b/src/core/limits/limitUsage.ts
@@ -1,8 +1,8 @@
 /**
- * Exchange of limit usage between instances. Each instance reports the customers whose usage exceeds
- * a threshold to the relay of the customer's group in its failure domain. Relays exchange totals
- * per domain and send the usage of the whole fleet to the instances that reported the customer.
- * Every report replaces the previous one.
+ * Exchange of limit usage between instances. Each instance reports the customers whose usage
+ * exceeds a threshold to the relay of the customer's group in its failure domain. Relays exchange
+ * totals per domain and send the usage of the whole fleet to the instances that reported the
+ * customer. Every report replaces the previous one.
  */
 import { sendTo, setTimer, type CoreContext } from '../context.js';
 import type { Millis } from '../clock.js';
@@ -19,7 +19,9 @@
 
 const BYTES_PER_KIB = 1_024;
 
-/** Fraction of a limit, divided by the number of live instances, up to which usage is not reported. */
+/**
+ * Fraction of a limit, divided by the number of live instances, up to which usage is not reported.
+ */
 const REPORT_THRESHOLD = 1 / 8;
 
 /** Number of exchange intervals after which a report expires. */
--- a/src/core/limits/limits.ts
+++ b/src/core/limits/limits.ts
@@ -1,7 +1,7 @@
 /**
  * Fleet-wide limits per customer: waiting requests and bytes, concurrent requests and request rate.
- * Instances exchange their usage (`limitUsage.ts`); between two exchanges, each instance may use its
- * share of the remaining amount. A refused request fails immediately and is never executed.
+ * Instances exchange their usage (`limitUsage.ts`); between two exchanges, each instance may use
+ * its share of the remaining amount. A refused request fails immediately and is never executed.
  */
 import type { CoreContext } from '../context.js';
 import { MS_PER_SECOND, type Millis } from '../clock.js';
@@ -140,8 +140,8 @@
 }
 
 /**
- * Takes a token and returns 0, or returns the time until one is available. The rate is divided among
- * the instances in proportion to their arrivals.
+ * Takes a token and returns 0, or returns the time until one is available. The rate is divided
+ * among the instances in proportion to their arrivals.
  */
 function consumeRateToken(
   rate: number,
--- a/src/core/requests/outcomes.ts
+++ b/src/core/requests/outcomes.ts
@@ -38,8 +38,8 @@
 }
 
 /**
- * Ends a request that no upstream has executed and reports this to the caller. If the request has an
- * idempotency key whose claim is not confirmed, an earlier submission with the same key may have
+ * Ends a request that no upstream has executed and reports this to the caller. If the request has
+ * an idempotency key whose claim is not confirmed, an earlier submission with the same key may have
  * been executed, so the problem is reported as `unknown`.
  */
 export function refuseRequest(
--- a/src/core/settings.ts
+++ b/src/core/settings.ts
@@ -44,9 +44,13 @@
   readonly ordersTickMs: Millis;
   /** Time after which an order without visible effect is sent again. */
   readonly orderTimeoutMs: Millis;
-  /** Time that requests of a pool must have been waiting before another upstream is loaded for it. */
+  /**
+   * Time that requests of a pool must have been waiting before another upstream is loaded for it.
+   */
   readonly placementGrowMs: Millis;
-  /** Time of low utilization after which the number of loaded upstreams of a pool is reduced by one. */
+  /**
+   * Time of low utilization after which the number of loaded upstreams of a pool is reduced by one.
+   */
   readonly placementShrinkMs: Millis;
 }
 
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -232,7 +232,9 @@
   readonly isCallerGone: boolean;
 }
 
-/** Source of a stream that continues on another engine after its key-value cache is copied there. */
+/**
+ * Source of a stream that continues on another engine after its key-value cache is copied there.
+ */
 export interface CacheMove {
   readonly attemptId: AttemptId;
   readonly fromUrl: string;
