--- a/src/core/reducer.ts
+++ b/src/core/reducer.ts
@@ -1,4 +1,4 @@
-/** The one reducer: hands each event to the sub-reducers of its matters. */
+/** The root reducer: dispatches events, peer messages, commands and timers to the sub-reducers. */
 import {
   AUDIT_STREAM,
   onAuditAppended,
@@ -45,7 +45,7 @@
 } from './dispatch/owner.js';
 import { onAssignTimer, onDemandOffer, onDemandRequest } from './dispatch/pull.js';
 import { onLimitsTimer, onLimitUsage } from './limits/limitUsage.js';
-import { checkStopped, onDrainTimer, onPlannedStop } from './drain/drain.js';
+import { stopIfDrained, onDrainTimer, onPlannedStop } from './drain/drain.js';
 import { onListedUpstreams } from './drain/upstreams.js';
 import {
   onHeartbeat,
@@ -98,7 +98,7 @@
       return;
     case 'attemptEnded':
       onAttemptEnded(ctx, event.attemptId, event.outcome);
-      checkStopped(ctx);
+      stopIfDrained(ctx);
       return;
     case 'peerMessage':
       reducePeerMessage(ctx, event.from, event.incarnation, event.message);
@@ -238,7 +238,7 @@
     case 'liftQuarantine':
     case 'readAudit':
     case 'listOrders':
-      onKeyedCommand(ctx, commandId, command);
+      onAuthenticatedCommand(ctx, commandId, command);
       return;
     case 'status':
       ctx.emit({ kind: 'operatorReply', commandId, result: describeConfiguration(ctx) });
@@ -248,12 +248,16 @@
   }
 }
 
-type KeyedCommand = Extract<
+type AuthenticatedCommand = Extract<
   OperatorCommand,
   { readonly kind: 'liftQuarantine' | 'readAudit' | 'listOrders' }
 >;
 
-function onKeyedCommand(ctx: CoreContext, commandId: string, command: KeyedCommand): void {
+function onAuthenticatedCommand(
+  ctx: CoreContext,
+  commandId: string,
+  command: AuthenticatedCommand,
+): void {
   const check = checkOperatorKey(ctx, command.keyHash);
   if (check.kind === 'rejected') {
     ctx.emit({ kind: 'operatorReply', commandId, result: check });
