Reword the placement of requests

Upstreams were "believed to keep" parts that instances "told" each other of, and constants were called ASSUMED and USUAL. The text now speaks of cached parts, announcements, home upstreams chosen by rendezvous hashing, penalties and fractions. Renames: PrefixMemory.isKept/noteSent/noteTold/takeNews/forget to isCached/recordSent/recordRemote/takePending/removeUpstream, keptBy to cachedBy, Uncached to UncachedTokens, rankOf to homeRankOf, partHash to hashPart, slotWait to expectedWait.

--- a/src/routing/exchange/domains.ts
+++ b/src/routing/exchange/domains.ts
@@ -98,7 +98,7 @@
   told.suspects.forEach((fingerprint, i) => {
     noteReportedCrashes(ctx, `domain ${domain}`, fingerprint, told.crashes[i] ?? 0);
   });
-  partsOf(told).forEach((read) => ctx.state.prefixes.noteTold(read, ctx.now));
+  partsOf(told).forEach((read) => ctx.state.prefixes.recordRemote(read, ctx.now));
 }
 
 /** The relay that was heard of, or else the instances of the domain in turn. */
--- a/src/routing/exchange/exchange.ts
+++ b/src/routing/exchange/exchange.ts
@@ -100,7 +100,7 @@
   expireSums(ctx);
   dropSums(ctx);
   exchange.sequence += 1;
-  const parts = ctx.state.prefixes.takeNews();
+  const parts = ctx.state.prefixes.takePending();
   const told = isRelayed(ctx) ? tellDomain(ctx, parts) : tellAll(ctx, parts);
   setTimer(ctx, 'exchange', exchangeInterval(ctx, told));
 }
@@ -130,7 +130,7 @@
     noteReportedCrashes(ctx, from, fingerprint, value.crashes[i] ?? 0);
   });
   const parts = partsOf(value);
-  parts.forEach((read) => ctx.state.prefixes.noteTold(read, ctx.now));
+  parts.forEach((read) => ctx.state.prefixes.recordRemote(read, ctx.now));
   if (!isNear(ctx, peer)) return;
   takeConfirmation(ctx, value);
   notePartsToPassOn(ctx, parts);
@@ -156,7 +156,7 @@
 export function announceLeaving(ctx: RoutingContext): void {
   const { exchange } = ctx.state;
   exchange.sequence += 1;
-  const parts = ctx.state.prefixes.takeNews();
+  const parts = ctx.state.prefixes.takePending();
   const message = composeOwn(ctx, parts);
   const near = nearPeers(ctx);
   const told = isRelayed(ctx) ? near : [...exchange.peers.values()];
--- a/src/routing/placement/placement.ts
+++ b/src/routing/placement/placement.ts
@@ -1,14 +1,14 @@
 /**
  * Chooses the upstream of a request.
  *
- * Load pattern: long prompts share their first parts in some hundred groups, many instances place
- * requests at the same time, and reading a shared part again takes as long as reading the rest of
- * the prompt. A request goes to an upstream that keeps its shared part, and elsewhere only where
- * time remains for reading the part again. A part that no upstream keeps goes to its first or second
- * home, on which all instances agree without a message.
+ * Load pattern: long prompts share their leading parts in a few hundred groups, many instances
+ * place requests concurrently, and rereading a shared part takes as long as reading the rest of the
+ * prompt. A request goes to an upstream that has its shared part cached, and to another one only if
+ * there is time to read the part again. A part that no upstream has cached goes to its first or
+ * second home, on which all instances agree without a message.
  *
- * The time to the first event is expected from the prompt tokens that are to be read before it, here
- * and by the requests of all instances, from the free slots and from the speed that was observed.
+ * The time to the first event is estimated from the prompt tokens that have to be read before it,
+ * counting the requests of all instances, and from the free slots and the observed speed.
  */
 import type { Millis } from '../../core/clock.js';
 import type { RoutingContext } from '../context.js';
@@ -18,61 +18,64 @@
 import { createPoolWait, type PoolWait } from './poolWait.js';
 import {
   describePrompt,
-  partHash,
-  rankOf,
-  uncachedParts,
+  hashPart,
+  homeRankOf,
+  countUncachedTokens,
   type HomeRank,
   type Prompt,
 } from './prompt.js';
 import { createSpeed, type Speed } from '../upstreams/speed.js';
 import type { OpenWork, Upstream } from '../upstreams/upstreamsState.js';
 
-/** Time to a first event without any wait, until one has been observed. */
-const ASSUMED_BASE_MS: Millis = 30;
-/** Time that a prompt token takes, until enough has been observed. */
-const ASSUMED_PER_TOKEN_MS = 0.01;
+/** Time to the first event without any wait, until one has been observed. */
+const DEFAULT_BASE_MS: Millis = 30;
+/** Time per prompt token, until there are enough observations. */
+const DEFAULT_PER_TOKEN_MS = 0.01;
 /** Time for which a request occupies its upstream, until one has been observed. */
-const ASSUMED_HOLD_MS: Millis = 100;
-/** Weight of reading a shared part once more, beyond the time that the request itself loses. */
-const SHARED_READ_WEIGHT = 12;
-/** Disadvantage of an upstream where the objective would be missed, as a multiple of it. */
-const LATE_OBJECTIVES = 10;
-/** Disadvantage of an upstream in another failure domain or region, beside its round trip. */
-const OTHER_DOMAIN_MS: Millis = 2;
-const OTHER_REGION_MS: Millis = 30;
-/** Disadvantage of failing requests, as a multiple of the objective. */
-const FAILURE_WEIGHT = 4;
-/** Failures that every upstream may have. */
-const USUAL_FAILURE_RATE = 0.1;
-/** Part of an upstream's memory that running requests may fill. */
-const USABLE_MEMORY = 0.85;
-/** Part of the connections of an upstream that the instances use together. */
-const USABLE_CONNECTIONS = 0.9;
+const DEFAULT_HOLD_MS: Millis = 100;
+/** Weight of the time to reread a shared part, in addition to the delay of the request itself. */
+const REREAD_PENALTY_FACTOR = 12;
+/** Penalty of an upstream that would miss the objective, as a multiple of the objective. */
+const LATE_PENALTY_FACTOR = 10;
+/** Penalty of an upstream in another failure domain or region, in addition to its round trip. */
+const OTHER_DOMAIN_PENALTY_MS: Millis = 2;
+const OTHER_REGION_PENALTY_MS: Millis = 30;
+/** Penalty for failing requests, as a multiple of the objective and the excess failure rate. */
+const FAILURE_PENALTY_FACTOR = 4;
+/** Failure rate up to which no penalty applies. */
+const TOLERATED_FAILURE_RATE = 0.1;
+/** Fraction of an upstream's memory that running requests may fill. */
+const USABLE_MEMORY_FRACTION = 0.85;
+/** Fraction of an upstream's connections that all instances together may use. */
+const USABLE_CONNECTION_FRACTION = 0.9;
 
-/** What is expected of a request at one upstream. */
+/** Estimates for a request at one upstream. */
 export interface Placement {
   readonly upstream: Upstream;
   /** Expected time to the first event. */
   readonly firstMs: Millis;
-  /** What it would be without any wait. */
+  /** Expected time to the first event without any wait. */
   readonly ownMs: Millis;
-  /** Part of that in which the upstream reads the request's own prompt. */
+  /** Portion of `ownMs` in which the upstream reads the request's own prompt. */
   readonly readMs: Millis;
   /**
-   * Expected time by which admission goes: reading a shared part again takes capacity from all, so
-   * that it has to leave more time to spare.
+   * Expected time that admission compares with the limit. It includes a surcharge for rereading a
+   * shared part, which takes capacity from all requests.
    */
   readonly reckonedMs: Millis;
-  /** Prompt tokens that the upstream has to read for the request. */
+  /** Prompt tokens that the upstream has to read for this request. */
   readonly uncachedTokens: number;
-  /** Prompt tokens that it has to read before those. */
+  /** Prompt tokens that it has to read for other requests first. */
   readonly tokensAhead: number;
-  /** Requests that run there, of all instances. */
+  /** Requests of all instances that run at the upstream. */
   readonly running: number;
-  /** Uncached tokens of shared parts that another upstream keeps, or that belong at a home. */
+  /**
+   * Uncached tokens of shared parts that another upstream has cached, or that should be read by a
+   * home.
+   */
   readonly readAgainTokens: number;
   readonly home: HomeRank;
-  /** Lowest is best: expected time and disadvantages. */
+  /** Expected time plus penalties; the lowest score wins. */
   readonly score: number;
 }
 
@@ -81,9 +84,9 @@
   readonly route: Route;
   readonly pool: PoolId;
   readonly excluded: readonly UpstreamId[];
-  /** Expected time to the first event up to which the request would be admitted. */
+  /** Maximum expected time to the first event with which the request would be admitted. */
   readonly withinMs: Millis;
-  /** How many times as long as reading a shared part again the request has to have to spare. */
+  /** Surcharge for rereading a shared part, as a multiple of the time that the read takes. */
   readonly spareReads: number;
 }
 
@@ -101,16 +104,16 @@
   let usable = 0;
   members.forEach((upstream) => {
     if (excluded.includes(upstream.listed.id) || upstream.own.running >= limit) return;
-    const placement = evaluate(ctx, request, upstream, prompt);
+    const placement = scoreUpstream(ctx, request, upstream, prompt);
     waitMs += placement.firstMs - placement.ownMs;
     usable += 1;
     if (best === undefined || placement.score < best.score) best = placement;
   });
-  if (usable > 0) poolWait(ctx, pool).note(waitMs / usable, ctx.now);
+  if (usable > 0) poolWait(ctx, pool).record(waitMs / usable, ctx.now);
   return best;
 }
 
-/** How long requests wait at a pool's upstreams. */
+/** Returns the moving average of the wait at a pool's upstreams. */
 export function poolWait(ctx: RoutingContext, pool: PoolId): PoolWait {
   const { waits } = ctx.state.upstreams;
   const wait = waits.get(pool) ?? createPoolWait();
@@ -118,24 +121,26 @@
   return wait;
 }
 
-/** Connections that this instance may have to one upstream of a pool. */
+/** Returns how many connections this instance may open to one upstream of a pool. */
 export function connectionLimit(ctx: RoutingContext, pool: PoolId): number {
   const all = ctx.state.freshness.configuration?.pools.get(pool)?.maxConnections ?? Infinity;
-  return Math.max(1, Math.floor((all * USABLE_CONNECTIONS) / countInstances(ctx)));
+  return Math.max(1, Math.floor((all * USABLE_CONNECTION_FRACTION) / countInstances(ctx)));
 }
 
-/** Remembers, and tells the other instances, that an upstream reads the parts of a prompt now. */
+/**
+ * Records that an upstream reads the parts of a prompt, and announces it to the other instances.
+ */
 export function notePrefix(ctx: RoutingContext, facts: RequestFacts, { hash }: Upstream): void {
   const last = facts.prefix.length - 1;
   facts.prefix.forEach(({ id }, i) => {
-    // The last part belongs to the request itself or to its session, which stays at one instance.
-    const isTold = i < last;
-    const read = { part: partHash(facts, id), upstream: hash };
-    ctx.state.prefixes.noteSent(read, ctx.now, isTold);
+    // The last part is unique to the request or its session, which stays at one instance.
+    const shouldAnnounce = i < last;
+    const read = { part: hashPart(facts, id), upstream: hash };
+    ctx.state.prefixes.recordSent(read, ctx.now, shouldAnnounce);
   });
 }
 
-/** Speed of a pool's upstreams taken together. */
+/** Returns the combined speed estimate of a pool's upstreams. */
 export function poolSpeed(ctx: RoutingContext, pool: PoolId): Speed {
   const { speeds } = ctx.state.upstreams;
   const speed = speeds.get(pool) ?? createSpeed();
@@ -143,88 +148,92 @@
   return speed;
 }
 
-/** Work of all instances at an upstream. */
-function workAt(ctx: RoutingContext, upstream: Upstream): OpenWork {
-  const others = peersWork(ctx, upstream.hash);
+/** Returns the open work of all instances at an upstream. */
+function totalWork(ctx: RoutingContext, upstream: Upstream): OpenWork {
+  const remote = peersWork(ctx, upstream.hash);
   const { own } = upstream;
   return {
-    running: own.running + others.running,
-    pendingTokens: own.pendingTokens + others.pendingTokens,
-    heldTokens: own.heldTokens + others.heldTokens,
+    running: own.running + remote.running,
+    pendingTokens: own.pendingTokens + remote.pendingTokens,
+    heldTokens: own.heldTokens + remote.heldTokens,
   };
 }
 
-function evaluate(
+function scoreUpstream(
   ctx: RoutingContext,
   request: PlacementRequest,
   upstream: Upstream,
   prompt: Prompt,
 ): Placement {
   const { route, pool } = request;
-  const home = rankOf(upstream, prompt.homes);
+  const home = homeRankOf(upstream, prompt.homes);
   const speed = poolSpeed(ctx, pool);
   const slowness = upstream.speed.slowness(ctx.now);
-  const perToken = (speed.perTokenMs() ?? ASSUMED_PER_TOKEN_MS) * slowness;
-  const work = workAt(ctx, upstream);
-  const uncached = uncachedParts(prompt, upstream, home);
-  const base = (speed.baseMs() ?? ASSUMED_BASE_MS) * slowness;
-  const wait = slotWait(ctx, request, upstream, work) * slowness;
-  const readMs = uncached.tokens * perToken;
+  const perToken = (speed.perTokenMs() ?? DEFAULT_PER_TOKEN_MS) * slowness;
+  const work = totalWork(ctx, upstream);
+  const uncached = countUncachedTokens(prompt, upstream, home);
+  const base = (speed.baseMs() ?? DEFAULT_BASE_MS) * slowness;
+  const wait = expectedWait(ctx, request, upstream, work) * slowness;
+  const readMs = uncached.total * perToken;
   const ownMs = base + readMs;
   const firstMs = ownMs + wait + work.pendingTokens * perToken;
-  const againMs = uncached.readAgain * perToken;
-  const reckonedMs = firstMs + againMs * request.spareReads;
+  const rereadMs = uncached.reread * perToken;
+  const reckonedMs = firstMs + rereadMs * request.spareReads;
   const score =
     firstMs +
-    againMs * SHARED_READ_WEIGHT +
-    distance(ctx, upstream) +
-    lateness(reckonedMs, request.withinMs, route.objectiveMs) +
-    Math.max(0, upstream.failureRate - USUAL_FAILURE_RATE) * FAILURE_WEIGHT * route.objectiveMs;
+    rereadMs * REREAD_PENALTY_FACTOR +
+    distancePenalty(ctx, upstream) +
+    latePenalty(reckonedMs, request.withinMs, route.objectiveMs) +
+    Math.max(0, upstream.failureRate - TOLERATED_FAILURE_RATE) *
+      FAILURE_PENALTY_FACTOR *
+      route.objectiveMs;
   return {
     upstream,
     firstMs,
     ownMs,
     readMs,
     reckonedMs,
-    uncachedTokens: uncached.tokens,
+    uncachedTokens: uncached.total,
     tokensAhead: work.pendingTokens,
     running: work.running,
-    readAgainTokens: uncached.readAgain,
+    readAgainTokens: uncached.reread,
     home,
     score,
   };
 }
 
-/** Disadvantage of an upstream at which the request would be refused: any other one is better. */
-function lateness(firstMs: Millis, withinMs: Millis, objectiveMs: Millis): Millis {
+/**
+ * Returns a penalty if the request would be refused; it ranks such an upstream below all others.
+ */
+function latePenalty(firstMs: Millis, withinMs: Millis, objectiveMs: Millis): Millis {
   const excess = firstMs - withinMs;
-  return excess > 0 ? LATE_OBJECTIVES * objectiveMs + excess : 0;
+  return excess > 0 ? LATE_PENALTY_FACTOR * objectiveMs + excess : 0;
 }
 
-/** Expected wait for a slot or for memory. */
-function slotWait(
+/** Estimates the wait for a free slot or for memory, whichever is longer. */
+function expectedWait(
   ctx: RoutingContext,
   { facts, pool }: PlacementRequest,
   { listed }: Upstream,
   work: OpenWork,
 ): Millis {
-  const hold = poolSpeed(ctx, pool).holdMs() ?? ASSUMED_HOLD_MS;
+  const hold = poolSpeed(ctx, pool).holdMs() ?? DEFAULT_HOLD_MS;
   const slots = Math.max(1, listed.slots);
   const excess = work.running + 1 - slots;
   const forSlot = excess > 0 ? (excess * hold) / slots : 0;
   const memory = ctx.state.freshness.configuration?.pools.get(pool)?.memoryTokens;
   if (memory === undefined) return forSlot;
   const needed = work.heldTokens + facts.promptTokens + facts.outputTokens;
-  const excessTokens = needed - memory * USABLE_MEMORY;
+  const excessTokens = needed - memory * USABLE_MEMORY_FRACTION;
   const perRequest = work.heldTokens / Math.max(1, work.running);
   const forMemory =
     excessTokens > 0 ? (hold * excessTokens) / Math.max(1, perRequest * work.running) : 0;
   return Math.max(forSlot, forMemory);
 }
 
-function distance(ctx: RoutingContext, { listed }: Upstream): Millis {
+function distancePenalty(ctx: RoutingContext, { listed }: Upstream): Millis {
   const { self, regions } = ctx.state;
   if (listed.domain === self.domain) return 0;
   const region: RegionId | undefined = regions.get(listed.domain);
-  return region === self.region ? OTHER_DOMAIN_MS : OTHER_REGION_MS;
+  return region === self.region ? OTHER_DOMAIN_PENALTY_MS : OTHER_REGION_PENALTY_MS;
 }
--- a/src/routing/placement/prefixMemory.ts
+++ b/src/routing/placement/prefixMemory.ts
@@ -1,63 +1,66 @@
 /**
- * Which upstreams are believed to keep a part of a prompt: those to which some instance has sent it
- * not long ago. Bounded; the parts that were not used for longest are dropped first.
+ * Tracks which upstreams are likely to have a part of a prompt in their prefix cache: those to
+ * which any instance has recently sent it. The table is bounded; the least recently used parts are
+ * evicted first.
  *
- * What this instance learns by its own sending is told to the others in two messages in a row, so
- * that the loss of one does no harm, and again after a while if the part is still in use.
+ * Parts that this instance sends are announced to the other instances in two consecutive messages,
+ * so that the loss of one message does no harm, and again at intervals while the part stays in use.
  */
 import type { Millis } from '../../core/clock.js';
 
-/** Hash of a part of a prompt together with the model that reads it. */
+/** Hash of a prompt part and the model that reads it. */
 export type PartHash = number;
-/** Hash of an upstream's id and start. */
+/** Hash of an upstream's id and start time. */
 export type UpstreamHash = number;
 
-/** That an upstream was given a part to read. */
+/** A prompt part that was sent to an upstream. */
 export interface PartRead {
   readonly part: PartHash;
   readonly upstream: UpstreamHash;
 }
 
 export interface PrefixMemory {
-  /** Whether an upstream is believed to keep a part. */
-  readonly isKept: (part: PartHash, upstream: UpstreamHash, now: Millis) => boolean;
-  /** Notes a part that this instance sent, to be told if `isTold` is set. */
-  readonly noteSent: (read: PartRead, now: Millis, isTold: boolean) => void;
-  /** Notes what another instance told. */
-  readonly noteTold: (read: PartRead, now: Millis) => void;
-  /** What is to be told now. */
-  readonly takeNews: () => readonly PartRead[];
-  /** Drops all that is believed of an upstream. */
-  readonly forget: (upstream: UpstreamHash) => void;
+  /** Returns whether an upstream is expected to have a part in its cache. */
+  readonly isCached: (part: PartHash, upstream: UpstreamHash, now: Millis) => boolean;
+  /**
+   * Records a part sent by this instance, and queues its announcement if `shouldAnnounce` is set.
+   */
+  readonly recordSent: (read: PartRead, now: Millis, shouldAnnounce: boolean) => void;
+  /** Records a part that another instance announced. */
+  readonly recordRemote: (read: PartRead, now: Millis) => void;
+  /** Returns the reads to announce in the next message. */
+  readonly takePending: () => readonly PartRead[];
+  /** Removes all entries of an upstream. */
+  readonly removeUpstream: (upstream: UpstreamHash) => void;
 }
 
 const MAX_PARTS = 20_000;
 /**
- * Time for which a part is believed to be kept after its last use. An upstream whose memory is full
- * drops what was not used for about so long.
+ * Time after its last use for which a part is assumed to be cached. An upstream whose memory is
+ * full evicts entries that have been unused for about this long.
  */
-const KEPT_MS: Millis = 15_000;
-/** Time after which a part that is still in use is told again, well within the time it is kept. */
-const TELL_AGAIN_MS: Millis = 4_000;
-/** Parts in one message at most. */
-const MAX_NEWS = 400;
+const PART_TTL_MS: Millis = 15_000;
+/** Interval at which a part still in use is announced again; well below `PART_TTL_MS`. */
+const REANNOUNCE_MS: Millis = 4_000;
+/** Maximum number of queued parts per message. */
+const MAX_PENDING = 400;
 
 interface PartUse {
-  at: Millis;
-  toldAt: Millis;
+  lastUsedAt: Millis;
+  announcedAt: Millis;
 }
 
 export function createPrefixMemory(): PrefixMemory {
   const parts = new Map<PartHash, Map<UpstreamHash, PartUse>>();
-  let news: PartRead[] = [];
-  let toldBefore: readonly PartRead[] = [];
+  let pending: PartRead[] = [];
+  let previousBatch: readonly PartRead[] = [];
 
-  function note({ part, upstream }: PartRead, now: Millis): PartUse {
+  function touch({ part, upstream }: PartRead, now: Millis): PartUse {
     const uses = parts.get(part) ?? new Map<UpstreamHash, PartUse>();
-    const use = uses.get(upstream) ?? { at: now, toldAt: -Infinity };
-    use.at = now;
+    const use = uses.get(upstream) ?? { lastUsedAt: now, announcedAt: -Infinity };
+    use.lastUsedAt = now;
     uses.set(upstream, use);
-    // Re-inserting keeps the map in the order of use.
+    // Re-inserting keeps the map in least-recently-used order.
     parts.delete(part);
     parts.set(part, uses);
     if (parts.size > MAX_PARTS) {
@@ -68,27 +71,28 @@
   }
 
   return {
-    isKept: (part, upstream, now) => {
+    isCached: (part, upstream, now) => {
       const use = parts.get(part)?.get(upstream);
-      return use !== undefined && now - use.at < KEPT_MS;
+      return use !== undefined && now - use.lastUsedAt < PART_TTL_MS;
     },
-    noteSent: (read, now, isTold) => {
-      const use = note(read, now);
-      if (!isTold || now - use.toldAt < TELL_AGAIN_MS || news.length >= MAX_NEWS) return;
-      use.toldAt = now;
-      news.push(read);
+    recordSent: (read, now, shouldAnnounce) => {
+      const use = touch(read, now);
+      if (!shouldAnnounce || now - use.announcedAt < REANNOUNCE_MS || pending.length >= MAX_PENDING)
+        return;
+      use.announcedAt = now;
+      pending.push(read);
     },
-    noteTold: (read, now) => {
-      // Another instance has told it; there is no need to tell it once more.
-      note(read, now).toldAt = now;
+    recordRemote: (read, now) => {
+      // Another instance has just announced it, so this one need not.
+      touch(read, now).announcedAt = now;
     },
-    takeNews: () => {
-      const told = [...toldBefore, ...news];
-      toldBefore = news;
-      news = [];
-      return told;
+    takePending: () => {
+      const batch = [...previousBatch, ...pending];
+      previousBatch = pending;
+      pending = [];
+      return batch;
     },
-    forget: (upstream) => {
+    removeUpstream: (upstream) => {
       parts.forEach((uses, part) => {
         uses.delete(upstream);
         if (uses.size === 0) parts.delete(part);
--- a/src/routing/placement/prompt.ts
+++ b/src/routing/placement/prompt.ts
@@ -1,6 +1,7 @@
 /**
- * A request's prompt as placement sees it: which of its parts are believed to be kept where, and the
- * upstreams on which all instances agree for its longest shared part, by rendezvous hashing.
+ * Describes a request's prompt for placement: which of its parts are expected to be cached where,
+ * and the home upstreams of its longest shared part. Homes are chosen by rendezvous hashing, so
+ * that all instances agree on them.
  */
 import { hash32, rendezvousScoreOfHashes } from '../../core/hash.js';
 import type { RoutingContext } from '../context.js';
@@ -8,26 +9,26 @@
 import type { Upstream } from '../upstreams/upstreamsState.js';
 import type { PartHash } from './prefixMemory.js';
 
-/** Whether all instances turn to an upstream first, or second, for a request's shared part. */
+/** Whether an upstream is the first or second rendezvous choice for a request's shared part. */
 export type HomeRank = 'first' | 'second' | 'none';
 
-/** A request's prompt as placement sees it. */
+/** A request's prompt, with the cache locations of its parts. */
 export interface Prompt {
   readonly tokens: number;
   readonly parts: readonly PromptPart[];
-  readonly homes: Homes;
+  readonly homes: HomeUpstreams;
 }
 
-/** One part, in the order of the prompt. */
+/** One part of a prompt, in prompt order. */
 export interface PromptPart {
   readonly hash: PartHash;
   readonly tokens: number;
   readonly isShared: boolean;
-  /** Upstreams that can be used and are believed to keep it. */
-  readonly keptBy: ReadonlySet<Upstream>;
+  /** Usable upstreams that are expected to have it cached. */
+  readonly cachedBy: ReadonlySet<Upstream>;
 }
 
-/** Describes a prompt with regard to the upstreams that can be used. */
+/** Describes a prompt relative to the usable upstreams. */
 export function describePrompt(
   ctx: RoutingContext,
   facts: RequestFacts,
@@ -36,51 +37,57 @@
   const { prefixes } = ctx.state;
   const last = facts.prefix.length - 1;
   const parts = facts.prefix.map(({ id, tokens }, i) => {
-    const hash = partHash(facts, id);
-    const keepers = members.filter((member) => prefixes.isKept(hash, member.hash, ctx.now));
-    return { hash, tokens, isShared: i < last, keptBy: new Set(keepers) };
+    const hash = hashPart(facts, id);
+    const caching = members.filter((member) => prefixes.isCached(hash, member.hash, ctx.now));
+    return { hash, tokens, isShared: i < last, cachedBy: new Set(caching) };
   });
-  return { tokens: facts.promptTokens, parts, homes: homesOf(parts, members) };
+  return { tokens: facts.promptTokens, parts, homes: selectHomes(parts, members) };
 }
 
-/** What an upstream does not keep of a prompt. */
-export interface Uncached {
-  readonly tokens: number;
-  /** Those of shared parts that another upstream keeps, or that belong at a home. */
-  readonly readAgain: number;
+/** Tokens of a prompt that an upstream does not have cached. */
+export interface UncachedTokens {
+  readonly total: number;
+  /**
+   * Tokens of shared parts that another upstream has cached, or that should be read by a home
+   * upstream.
+   */
+  readonly reread: number;
 }
 
-/** Tokens that an upstream has to read: all from the first part on that it does not keep. */
-export function uncachedParts(
+/**
+ * Counts the tokens that an upstream has to read. Only a contiguous prefix can be served from the
+ * cache: everything from the first uncached part on is read.
+ */
+export function countUncachedTokens(
   { tokens, parts }: Prompt,
   upstream: Upstream,
   home: HomeRank,
-): Uncached {
-  let kept = 0;
-  let readAgain = 0;
-  let isChained = true;
+): UncachedTokens {
+  let cachedTokens = 0;
+  let reread = 0;
+  let isPrefixCached = true;
   parts.forEach((part) => {
-    isChained &&= part.keptBy.has(upstream);
-    if (isChained) kept += part.tokens;
-    else if (part.isShared && (part.keptBy.size > 0 || home === 'none')) readAgain += part.tokens;
+    isPrefixCached &&= part.cachedBy.has(upstream);
+    if (isPrefixCached) cachedTokens += part.tokens;
+    else if (part.isShared && (part.cachedBy.size > 0 || home === 'none')) reread += part.tokens;
   });
-  return { tokens: Math.max(0, tokens - kept), readAgain };
+  return { total: Math.max(0, tokens - cachedTokens), reread };
 }
 
-/** Upstreams on which all instances agree for the longest shared part of a prompt. */
-export interface Homes {
+/** Rendezvous choices for the longest shared part of a prompt; all instances agree on them. */
+export interface HomeUpstreams {
   readonly first: Upstream | undefined;
-  /** Where requests go that the first one cannot take in time. */
+  /** Fallback for requests that the first home cannot serve in time. */
   readonly second: Upstream | undefined;
 }
 
-/** Which home of a prompt an upstream is. */
-export function rankOf(upstream: Upstream, homes: Homes): HomeRank {
+/** Returns whether an upstream is the first home, the second home or neither. */
+export function homeRankOf(upstream: Upstream, homes: HomeUpstreams): HomeRank {
   if (upstream === homes.first) return 'first';
   return upstream === homes.second ? 'second' : 'none';
 }
 
-function homesOf(parts: readonly PromptPart[], members: readonly Upstream[]): Homes {
+function selectHomes(parts: readonly PromptPart[], members: readonly Upstream[]): HomeUpstreams {
   const part = parts.at(-2);
   if (part === undefined) return { first: undefined, second: undefined };
   const key = part.hash;
@@ -100,7 +107,7 @@
   return { first, second };
 }
 
-/** Hash of a part together with the model, as instances tell each other of it. */
-export function partHash(facts: RequestFacts, part: string): PartHash {
+/** Returns the hash of a part and the model, as exchanged between instances. */
+export function hashPart(facts: RequestFacts, part: string): PartHash {
   return hash32(`${facts.model} ${part}`);
 }
--- a/src/routing/upstreams/list.ts
+++ b/src/routing/upstreams/list.ts
@@ -132,7 +132,7 @@
   const upstream = byId.get(id);
   if (upstream === undefined) return;
   byId.delete(id);
-  ctx.state.prefixes.forget(upstream.hash);
+  ctx.state.prefixes.removeUpstream(upstream.hash);
   const { bornAt } = upstream.listed;
   emit(ctx, { kind: 'forgetUpstream', upstream: id, bornAt });
   logInfo(ctx, 'upstreamRemoved', { upstream: id, reason, running: upstream.own.running });
--- a/test/routing/domains.test.ts
+++ b/test/routing/domains.test.ts
@@ -116,7 +116,7 @@
     fleet.cores.forEach((core) => {
       const { state, now } = fleet.context(core);
       const keepers = [...state.upstreams.byId.values()].filter(({ hash }) =>
-        state.prefixes.isKept(part, hash, now),
+        state.prefixes.isCached(part, hash, now),
       );
       expect(keepers, core.self.id).to.have.length(1);
     });
