Reword the fair shares of token capacity

Rates were "asked" and "owed", routes were "kinds" that "fare" well or badly. The text now speaks of max-min fair shares, decaying rates, admission rates and capacity margins.

--- a/src/routing/exchange/news.ts
+++ b/src/routing/exchange/news.ts
@@ -2,7 +2,7 @@
 import { hash32 } from '../../core/hash.js';
 import type { RoutingContext } from '../context.js';
 import type { PartRead } from '../placement/prefixMemory.js';
-import { ownRates } from '../shares/tokenShares.js';
+import { localRates } from '../shares/tokenShares.js';
 import { crashesSeenBy } from '../suspects/suspects.js';
 import type { OpenWork } from '../upstreams/upstreamsState.js';
 import { NO_CONFIRMATION, type ConfirmationNews } from './confirmations.js';
@@ -14,7 +14,7 @@
   ctx.state.upstreams.byId.forEach(({ hash, own }) => {
     if (own.running > 0) work.set(hash, own);
   });
-  const rates = new Map([...ownRates(ctx)].map(([name, rate]) => [hash32(name), rate]));
+  const rates = new Map([...localRates(ctx)].map(([name, rate]) => [hash32(name), rate]));
   return { work, rates, instances: 1 };
 }
 
--- a/src/routing/shares/sharesState.ts
+++ b/src/routing/shares/sharesState.ts
@@ -1,4 +1,4 @@
-/** Rates at which customers ask for tokens and get them, here and at the other instances. */
+/** Token rates of customers and request counts of routes, as seen by this instance. */
 import type { DecayingCounts } from '../decay.js';
 import type { CustomerName, PoolId } from '../types.js';
 
@@ -8,18 +8,18 @@
   readonly admitted: number;
 }
 
-/** Requests for a pool, of all routes and of each. */
-export interface PoolKinds {
+/** Request counts of a pool: in total and by route. */
+export interface PoolRouteCounts {
   readonly all: DecayingCounts;
   readonly byRoute: Map<string, DecayingCounts>;
 }
 
 export interface SharesState {
-  /** Rates of this instance, in tokens per second. */
-  readonly own: Map<CustomerName, DecayingCounts>;
-  readonly kinds: Map<PoolId, PoolKinds>;
+  /** Requested and admitted tokens per second, by customer. */
+  readonly customerRates: Map<CustomerName, DecayingCounts>;
+  readonly routeCounts: Map<PoolId, PoolRouteCounts>;
 }
 
 export function createSharesState(): SharesState {
-  return { own: new Map(), kinds: new Map() };
+  return { customerRates: new Map(), routeCounts: new Map() };
 }
--- a/src/routing/shares/tokenShares.ts
+++ b/src/routing/shares/tokenShares.ts
@@ -1,11 +1,12 @@
 /**
- * Fair shares of tokens among customers.
+ * Shares token capacity fairly among customers.
  *
- * Load pattern: a few customers at a time send several times their usual, at different instances,
- * while the upstreams are fully used. Each customer is owed its max-min share of what the upstreams
- * process: those that ask for less than an even share get all of it, the others the same amount.
- * Every instance counts what each customer asks for and gets, as rates over the last seconds, and
- * tells the others, so that all of them reach about the same level.
+ * Load pattern: a few customers at a time send several times their usual load, through different
+ * instances, while the upstreams are saturated. Each customer is entitled to its max-min fair share
+ * of the tokens that the upstreams process: customers that ask for less than an even share get all
+ * of it, the others get equal amounts. Every instance measures the requested and admitted token
+ * rate of each customer over the last seconds and sends the rates to the others, so that all
+ * instances compute about the same level.
  */
 import { MS_PER_SECOND, type Millis } from '../../core/clock.js';
 import { hash32 } from '../../core/hash.js';
@@ -15,52 +16,52 @@
 import type { CustomerName } from '../types.js';
 import type { TokenRates } from './sharesState.js';
 
-/** Time constant of the rates. */
-const RATE_SPAN_MS: Millis = 2_000;
-/** A generated token costs as much as two that are read. */
-const OUTPUT_TOKEN_PRICE = 2;
-/** Few refusals do not yet mean that there is no capacity left. */
+/** Time constant of the decaying rates. */
+const RATE_TIME_CONSTANT_MS: Millis = 2_000;
+/** Cost of a generated token relative to a prompt token. */
+const OUTPUT_TOKEN_COST = 2;
+/** Capacity added to the admitted rate, since a few refusals do not prove that it is exhausted. */
 const CAPACITY_MARGIN = 0.05;
-/** Part of what is admitted by which there may be more where nothing waits at the upstreams. */
-const IDLE_MARGIN = 3;
-/** Customers that ask for less than this are forgotten. */
+/** Additional margin, as a fraction of the admitted rate, if nothing waits at the upstreams. */
+const IDLE_CAPACITY_MARGIN = 3;
+/** Customers with a requested rate below this are removed. */
 const NEGLIGIBLE_RATE = 1;
 
-/** Price of a request in tokens. */
+/** Returns the cost of a request in tokens. */
 export function tokensOf(promptTokens: number, outputTokens: number): number {
-  return promptTokens + OUTPUT_TOKEN_PRICE * outputTokens;
+  return promptTokens + OUTPUT_TOKEN_COST * outputTokens;
 }
 
 export function noteAsked(ctx: RoutingContext, customer: CustomerName, tokens: number): void {
-  const rates = decayed(ctx, customer);
-  rates.asked += (tokens * MS_PER_SECOND) / RATE_SPAN_MS;
+  const rates = decayedRates(ctx, customer);
+  rates.asked += (tokens * MS_PER_SECOND) / RATE_TIME_CONSTANT_MS;
 }
 
 export function noteAdmitted(ctx: RoutingContext, customer: CustomerName, tokens: number): void {
-  const rates = decayed(ctx, customer);
-  rates.admitted += (tokens * MS_PER_SECOND) / RATE_SPAN_MS;
+  const rates = decayedRates(ctx, customer);
+  rates.admitted += (tokens * MS_PER_SECOND) / RATE_TIME_CONSTANT_MS;
 }
 
-/** This instance's rates now, without those that are negligible. */
-export function ownRates(ctx: RoutingContext): ReadonlyMap<CustomerName, TokenRates> {
+/** Returns the current rates of this instance and removes negligible ones. */
+export function localRates(ctx: RoutingContext): ReadonlyMap<CustomerName, TokenRates> {
   const rates = new Map<CustomerName, TokenRates>();
-  ctx.state.shares.own.forEach((_, customer) => {
-    const { asked, admitted } = decayed(ctx, customer);
-    if (asked < NEGLIGIBLE_RATE) ctx.state.shares.own.delete(customer);
+  ctx.state.shares.customerRates.forEach((_, customer) => {
+    const { asked, admitted } = decayedRates(ctx, customer);
+    if (asked < NEGLIGIBLE_RATE) ctx.state.shares.customerRates.delete(customer);
     else rates.set(customer, { asked, admitted });
   });
   return rates;
 }
 
-/** Where a customer stands with regard to its share of the fleet's tokens. */
+/** A customer's rates and the fair level across the fleet. */
 export interface Standing extends TokenRates {
-  /** Tokens per second that no customer exceeds while others want more than they get. */
+  /** Tokens per second that no customer may exceed while demand exceeds capacity. */
   readonly level: number;
-  /** 1 where nothing waits at the upstreams, 0 where they are kept busy. */
+  /** 1 if nothing waits at the upstreams, 0 if they are saturated. */
   readonly idleness: number;
 }
 
-/** Sums the rates of all instances and finds a customer's standing. */
+/** Sums the rates of all instances and computes a customer's share. */
 export function standingOf(
   ctx: RoutingContext,
   customer: CustomerName,
@@ -73,15 +74,16 @@
     sum.admitted += admitted;
     sums.set(key, sum);
   };
-  ownRates(ctx).forEach((rates, name) => add(hash32(name), rates));
+  localRates(ctx).forEach((rates, name) => add(hash32(name), rates));
   peersRates(ctx).forEach((rates, key) => add(key, rates));
   const all = [...sums.values()];
-  const admittedInAll = all.reduce((sum, { admitted }) => sum + admitted, 0);
-  // What is admitted while some are refused and the upstreams are busy is what they can process. A
-  // nominal figure would be too high while upstreams are lost, and then whoever asks most would get
-  // most. Where they are idle there is more, however little was admitted.
-  const margin = 1 + CAPACITY_MARGIN + IDLE_MARGIN * idleness;
-  const capacity = admittedInAll > 0 ? admittedInAll * margin : Infinity;
+  const totalAdmitted = all.reduce((sum, { admitted }) => sum + admitted, 0);
+  // While requests are refused and the upstreams are busy, the admitted rate is the capacity. A
+  // nominal capacity would be too high while upstreams are lost, and the customers that ask for
+  // most would then get most. If the upstreams are idle, there is more capacity, however little was
+  // admitted.
+  const margin = 1 + CAPACITY_MARGIN + IDLE_CAPACITY_MARGIN * idleness;
+  const capacity = totalAdmitted > 0 ? totalAdmitted * margin : Infinity;
   const level = fairLevel(
     all.map(({ asked }) => asked),
     capacity,
@@ -91,25 +93,25 @@
 }
 
 /**
- * Max-min level of `capacity` among demands: each gets the lesser of its demand and the level, and
- * all of the capacity is used. Without contention it is unbounded.
+ * Returns the max-min fair level of `capacity` among demands: each demand gets the lesser of itself
+ * and the level, and the capacity is used up. Returns `Infinity` without contention.
  */
 export function fairLevel(demands: readonly number[], capacity: number): number {
   const sorted = [...demands].sort((a, b) => a - b);
-  let left = capacity;
+  let remaining = capacity;
   for (let i = 0; i < sorted.length; i += 1) {
-    const even = left / (sorted.length - i);
+    const evenShare = remaining / (sorted.length - i);
     const demand = sorted[i] ?? 0;
-    if (demand > even) return even;
-    left -= demand;
+    if (demand > evenShare) return evenShare;
+    remaining -= demand;
   }
   return Infinity;
 }
 
-function decayed(ctx: RoutingContext, customer: CustomerName): DecayingCounts {
-  const { own } = ctx.state.shares;
-  const rates = own.get(customer) ?? createDecayingCounts(ctx.now);
-  own.set(customer, rates);
-  decay(rates, ctx.now, RATE_SPAN_MS);
+function decayedRates(ctx: RoutingContext, customer: CustomerName): DecayingCounts {
+  const { customerRates } = ctx.state.shares;
+  const rates = customerRates.get(customer) ?? createDecayingCounts(ctx.now);
+  customerRates.set(customer, rates);
+  decay(rates, ctx.now, RATE_TIME_CONSTANT_MS);
   return rates;
 }
