Reword the instance's own load

Control was "stretched", the process "relieved" and the queue served keys "in turn". The text now speaks of event loop utilization and lag, control intervals, hysteresis and a round-robin queue. Renames: controlStretch to controlIntervalFactor, BUSY, SATURATED and RELIEVED to *_UTILIZATION.

--- a/src/routing/exchange/exchange.ts
+++ b/src/routing/exchange/exchange.ts
@@ -16,7 +16,7 @@
   type RetryDelay,
   type RoutingContext,
 } from '../context.js';
-import { controlStretch } from '../load/ownLoad.js';
+import { controlIntervalFactor } from '../load/ownLoad.js';
 import { settlePoll, type Poll } from '../polls.js';
 import type { PartRead } from '../placement/prefixMemory.js';
 import { noteReportedCrashes } from '../suspects/suspects.js';
@@ -109,7 +109,7 @@
 function exchangeInterval(ctx: RoutingContext, told: number): Millis {
   const { exchangeMs, exchangeInstances } = ctx.state.settings;
   const usualMs = exchangeMs * Math.max(1, told / exchangeInstances);
-  return Math.max(usualMs, Math.min(usualMs * controlStretch(ctx), LONGEST_STRETCHED_MS));
+  return Math.max(usualMs, Math.min(usualMs * controlIntervalFactor(ctx), LONGEST_STRETCHED_MS));
 }
 
 export function onNews(ctx: RoutingContext, from: string, incarnation: number, value: News): void {
--- a/src/routing/load/fairQueue.ts
+++ b/src/routing/load/fairQueue.ts
@@ -1,18 +1,18 @@
 /**
- * A queue that serves its keys in turn, and the newest entry of a key first.
+ * A queue that serves its keys round-robin, and the newest entry of a key first.
  *
- * Load pattern: one customer sends many times its usual to an instance whose processor is saturated.
- * Each customer's requests then wait behind its own, not behind the others'. Of one customer, the
- * newest can still be answered in time; served in the order of arrival, all would be late. What has
- * waited too long is taken from the other end, to be turned away.
+ * Load pattern: one customer sends many times its usual load to an instance whose processor is
+ * saturated. Round-robin makes each customer's requests wait behind its own only. Within a
+ * customer, the newest request can still be answered in time; in order of arrival, all of them
+ * would be late. Entries that have waited too long are taken from the old end and refused.
  */
 import type { Millis } from '../../core/clock.js';
 
 export interface FairQueue<T> {
   readonly add: (key: string, entry: T, now: Millis) => void;
-  /** The newest entry of the key whose turn it is. */
+  /** Removes and returns the newest entry of the next key. */
   readonly takeNewest: () => T | undefined;
-  /** The entry that waits longest, if it was added at `before` or earlier. */
+  /** Removes and returns the oldest entry, if it was added at `before` or earlier. */
   readonly takeOldest: (before: Millis) => T | undefined;
   readonly size: () => number;
 }
@@ -23,14 +23,14 @@
 }
 
 export function createFairQueue<T>(): FairQueue<T> {
-  /** Keys that wait, in the order of their turns. */
+  /** Waiting entries by key; keys are in round-robin order. */
   const byKey = new Map<string, Waiting<T>[]>();
   let size = 0;
 
-  /** Puts what is left of a key behind the others. */
-  function endTurn(key: string, left: Waiting<T>[]): void {
+  /** Moves a key with its remaining entries to the end of the order. */
+  function endTurn(key: string, remaining: Waiting<T>[]): void {
     byKey.delete(key);
-    if (left.length > 0) byKey.set(key, left);
+    if (remaining.length > 0) byKey.set(key, remaining);
   }
 
   return {
--- a/src/routing/load/ownLoad.ts
+++ b/src/routing/load/ownLoad.ts
@@ -1,45 +1,52 @@
 /**
- * The instance's own processor as a resource: how busy its loop is and by how much it is late.
+ * Load of the instance's own process: utilization and lag of its event loop.
  *
- * Load pattern: many callers reach one small instance, or all of them return to a fleet that has just
- * started. Its upstreams are idle, and yet callers wait, because the process itself is saturated.
- * What control takes from callers then has to be little.
+ * Load pattern: many callers reach one small instance, or all of them return to a fleet that has
+ * just started. The upstreams are idle, yet callers wait because the process itself is saturated.
+ * Control traffic must then take little time from callers.
  */
 import type { Millis } from '../../core/clock.js';
 import { emit, logInfo, logWarning, type RoutingContext } from '../context.js';
 import type { LogFields } from '../types.js';
 
-/** What the host has measured over the last interval. */
+/** Measurements of the host over the last interval. */
 export interface LoadReading {
-  /** Part of the time in which the loop was at work or waited for the processor, from 0 to 1. */
+  /**
+   * Fraction of the time in which the event loop was busy or waited for the processor, from 0 to 1.
+   */
   readonly utilization: number;
-  /** Time by which the loop was late. */
+  /** Lag of the event loop. */
   readonly lagMs: Millis;
-  /** Counts of what passed the ports, for logs. */
+  /** Traffic counts of the ports, for logging. */
   readonly counts: Readonly<Record<string, number>>;
 }
 
 export interface OwnLoad {
   utilization: number;
   lagMs: Millis;
-  /** Whether new callers are better off at another instance. */
+  /** Whether new callers should be directed to another instance. */
   isSaturated: boolean;
 }
 
-/** Utilization from which on control is told and read less often. */
-const BUSY = 0.5;
-/** How many times as seldom at most. */
-const MAX_STRETCH = 3;
-/** Utilization from which on the process counts as saturated. */
-const SATURATED = 0.95;
-/** Utilization up to which a saturated process takes new callers again. */
-const RELIEVED = 0.7;
+/** Utilization above which control messages are sent and read less often. */
+const BUSY_UTILIZATION = 0.5;
+/** Upper bound of the factor by which control intervals are extended. */
+const MAX_INTERVAL_FACTOR = 3;
+/** Utilization at which the process counts as saturated. */
+const SATURATED_UTILIZATION = 0.95;
+/**
+ * Utilization at which a saturated process accepts new callers again. The gap to
+ * `SATURATED_UTILIZATION` is hysteresis.
+ */
+const RELIEVED_UTILIZATION = 0.7;
 
 export function createOwnLoad(): OwnLoad {
   return { utilization: 0, lagMs: 0, isSaturated: false };
 }
 
-/** Takes in a reading; a saturated process leaves a line of the class that is kept longest. */
+/**
+ * Applies a measurement. A saturated process logs it as a warning, since warnings are kept longest.
+ */
 export function onLoadMeasured(ctx: RoutingContext, reading: LoadReading): void {
   const { load, requests, isReady } = ctx.state;
   load.utilization = reading.utilization;
@@ -52,22 +59,26 @@
     open: requests.open.size,
     isReady,
   };
-  const log = reading.utilization >= SATURATED ? logWarning : logInfo;
+  const log = reading.utilization >= SATURATED_UTILIZATION ? logWarning : logInfo;
   log(ctx, 'loadMeasured', fields);
 }
 
-/** The balancer sends new callers elsewhere, and answers end their connections meanwhile. */
+/**
+ * While saturated, the load balancer sends new callers to other instances, and responses close
+ * their connections.
+ */
 function updateSaturation(ctx: RoutingContext): void {
   const { load } = ctx.state;
-  const isSaturated = load.utilization > (load.isSaturated ? RELIEVED : SATURATED);
+  const isSaturated =
+    load.utilization > (load.isSaturated ? RELIEVED_UTILIZATION : SATURATED_UTILIZATION);
   if (isSaturated === load.isSaturated) return;
   load.isSaturated = isSaturated;
   emit(ctx, { kind: 'moveCallers', isMoving: isSaturated });
 }
 
-/** Factor of the intervals of control: 1 while the processor has time to spare. */
-export function controlStretch({ state }: RoutingContext): number {
+/** Returns the factor for control intervals: 1 while the processor has time to spare. */
+export function controlIntervalFactor({ state }: RoutingContext): number {
   const { utilization } = state.load;
-  const excess = Math.max(0, utilization - BUSY) / (1 - BUSY);
-  return 1 + excess * (MAX_STRETCH - 1);
+  const excess = Math.max(0, utilization - BUSY_UTILIZATION) / (1 - BUSY_UTILIZATION);
+  return 1 + excess * (MAX_INTERVAL_FACTOR - 1);
 }
--- a/test/routing/load.test.ts
+++ b/test/routing/load.test.ts
@@ -11,7 +11,7 @@
   });
 }
 
-/** Time to the next news that an exchange sets. */
+/** Delay until the next exchange. */
 function exchangeDelay(core: TestCore): number {
   const effects = core.take({ kind: 'timer', timer: 'exchange' });
   const timer = effectsOf(effects, 'setTimer').find((effect) => effect.timer === 'exchange');
@@ -61,7 +61,7 @@
     };
     expect(ready(0.9)).to.deep.equal([]);
     expect(ready(1)).to.deep.equal([false, false]);
-    // It is not taken for relieved by the first second that is a little better.
+    // A slightly better second must not end the saturated state.
     expect(ready(0.8)).to.deep.equal([]);
     expect(ready(0.6)).to.deep.equal([true, true]);
     expect(core.routing.state.isReady).to.equal(true);
@@ -79,7 +79,7 @@
     core.take({ kind: 'attemptProgress', attempt });
     core.advance(50);
     watch();
-    // A turn of the loop takes 2 s; what the upstream sent meanwhile is read after the timer.
+    // The event loop blocks for 2 s; what the upstream sent in that time is read after the timer.
     core.advance(2_000);
     expect(lost(watch())).to.deep.equal([]);
     core.take({ kind: 'attemptProgress', attempt });
@@ -87,7 +87,7 @@
       core.advance(100);
       expect(lost(watch())).to.deep.equal([]);
     }
-    // And one that is silent indeed is found.
+    // An upstream that is really silent is detected.
     let found = 0;
     for (let i = 0; i < 40; i += 1) {
       core.advance(100);
@@ -105,7 +105,8 @@
     expect(exchangeDelay(core)).to.be.within(1.5 * usual, 2.5 * usual);
     measure(core, 1);
     expect(exchangeDelay(core)).to.equal(3 * usual);
-    // Neighbours follow an instance that they heard of within a second.
+    // Peers rely on the configuration reads of an instance only if they have heard from it within a
+    // second.
     expect(exchangeDelay(core)).to.be.below(1_000);
     measure(core, 0.1);
     expect(exchangeDelay(core)).to.equal(usual);
