Reword the detection of requests that crash upstreams

Crashes were "seen", "told" and "forgotten". The text now speaks of counts that are observed, reported, merged and expired. Renames: noteCrash and noteReportedCrashes to recordCrash and recordReportedCrashes, crashesSeenBy to crashCountsOf, SeenCrashes to CrashRecord. The two changed calls in the domains test follow the rename.

--- a/src/routing/exchange/domains.ts
+++ b/src/routing/exchange/domains.ts
@@ -11,7 +11,7 @@
  */
 import { logInfo, logWarning, type RoutingContext } from '../context.js';
 import type { PartRead } from '../placement/prefixMemory.js';
-import { noteReportedCrashes } from '../suspects/suspects.js';
+import { recordReportedCrashes } from '../suspects/suspects.js';
 import type { FailureDomainId } from '../types.js';
 import type { News, PeerInstance } from './exchangeState.js';
 import { isNear, isRelay, isRelayed } from './members.js';
@@ -96,7 +96,7 @@
   }
   domains.set(domain, { told, news: readNews(told), isToPassOn: true, heardAt: ctx.now });
   told.suspects.forEach((fingerprint, i) => {
-    noteReportedCrashes(ctx, `domain ${domain}`, fingerprint, told.crashes[i] ?? 0);
+    recordReportedCrashes(ctx, `domain ${domain}`, fingerprint, told.crashes[i] ?? 0);
   });
   partsOf(told).forEach((read) => ctx.state.prefixes.recordRemote(read, ctx.now));
 }
--- a/src/routing/exchange/exchange.ts
+++ b/src/routing/exchange/exchange.ts
@@ -19,7 +19,7 @@
 import { controlIntervalFactor } from '../load/ownLoad.js';
 import { settlePoll, type Poll } from '../polls.js';
 import type { PartRead } from '../placement/prefixMemory.js';
-import { noteReportedCrashes } from '../suspects/suspects.js';
+import { recordReportedCrashes } from '../suspects/suspects.js';
 import type { AnnouncedInstance, RoutingEvent } from '../types.js';
 import { composeConfirmation, takeConfirmation } from './confirmations.js';
 import {
@@ -127,7 +127,7 @@
   peer.isHeard = true;
   peer.news = value.isLeaving ? undefined : readNews(value);
   value.suspects.forEach((fingerprint, i) => {
-    noteReportedCrashes(ctx, from, fingerprint, value.crashes[i] ?? 0);
+    recordReportedCrashes(ctx, from, fingerprint, value.crashes[i] ?? 0);
   });
   const parts = partsOf(value);
   parts.forEach((read) => ctx.state.prefixes.recordRemote(read, ctx.now));
--- a/src/routing/exchange/news.ts
+++ b/src/routing/exchange/news.ts
@@ -3,7 +3,7 @@
 import type { RoutingContext } from '../context.js';
 import type { PartRead } from '../placement/prefixMemory.js';
 import { localRates } from '../shares/tokenShares.js';
-import { crashesSeenBy } from '../suspects/suspects.js';
+import { crashCountsOf } from '../suspects/suspects.js';
 import type { OpenWork } from '../upstreams/upstreamsState.js';
 import { NO_CONFIRMATION, type ConfirmationNews } from './confirmations.js';
 import type { News, PeerNews } from './exchangeState.js';
@@ -36,7 +36,7 @@
   const { exchange, phase } = ctx.state;
   const work = [...news.work.values()];
   const rates = [...news.rates.values()];
-  const crashes = crashesSeenBy(ctx, options.instances);
+  const crashes = crashCountsOf(ctx, options.instances);
   return {
     sequence: exchange.sequence,
     isLeaving: phase === 'stopping' || phase === 'stopped',
--- a/src/routing/suspects/suspects.ts
+++ b/src/routing/suspects/suspects.ts
@@ -1,37 +1,38 @@
 /**
- * Requests that crash the upstreams that run them. Each instance counts the crashes that it saw of a
- * request, known by its fingerprint, and tells the others; the sum over the instances decides. Once
- * it has reached the limit, the request is refused everywhere until it has not been seen for long.
+ * Detects requests that crash upstreams. Each instance counts the crashes it observed per request
+ * fingerprint and sends the counts to the others; the sum over all instances decides. Once the sum
+ * reaches the limit, the request is refused on all instances until no further crash has been
+ * counted for `EXPIRE_AFTER_MS`.
  *
- * A connection that is reset alone is no crash: only an upstream that is then found unreachable, or
- * that has lost several requests at the same moment, is taken for crashed.
+ * A connection reset alone is not a crash: an upstream counts as crashed only if it is then found
+ * to be unreachable, or if it lost several requests at the same moment.
  */
 import type { Millis } from '../../core/clock.js';
 import { logWarning, type RoutingContext } from '../context.js';
 import type { InstanceId } from '../types.js';
 
-/** Time after which crashes of a request that did not come again are forgotten. */
-const FORGET_AFTER_MS: Millis = 120_000;
-/** Fingerprints that are kept; the oldest go first. */
+/** Time without a new crash after which the counts of a request are removed. */
+const EXPIRE_AFTER_MS: Millis = 120_000;
+/** Maximum number of fingerprints; the oldest are evicted first. */
 const MAX_FINGERPRINTS = 2_000;
 
-/** Counts a crash of an upstream while it ran a request of this instance. */
-export function noteCrash(ctx: RoutingContext, fingerprint: number, upstream: string): void {
-  const own = crashesOf(ctx, fingerprint, ctx.state.self.id);
+/** Counts a crash of an upstream that was running a request of this instance. */
+export function recordCrash(ctx: RoutingContext, fingerprint: number, upstream: string): void {
+  const own = crashRecordOf(ctx, fingerprint, ctx.state.self.id);
   own.crashes += 1;
   own.at = ctx.now;
   const total = totalCrashes(ctx, fingerprint);
   logWarning(ctx, 'requestSuspected', { fingerprint, upstream, crashes: total });
 }
 
-/** Takes over what another instance, or all of another failure domain, has counted. */
-export function noteReportedCrashes(
+/** Merges the count reported by another instance, or by the relay of another failure domain. */
+export function recordReportedCrashes(
   ctx: RoutingContext,
   from: InstanceId,
   fingerprint: number,
   crashes: number,
 ): void {
-  const seen = crashesOf(ctx, fingerprint, from);
+  const seen = crashRecordOf(ctx, fingerprint, from);
   if (crashes > seen.crashes) {
     logWarning(ctx, 'requestSuspected', { fingerprint, from, crashes });
     seen.at = ctx.now;
@@ -39,13 +40,13 @@
   seen.crashes = Math.max(seen.crashes, crashes);
 }
 
-/** Whether a request may no longer be sent to upstreams. */
+/** Returns whether a request must not be sent to upstreams any more. */
 export function isBlocked(ctx: RoutingContext, fingerprint: number): boolean {
   return totalCrashes(ctx, fingerprint) >= ctx.state.settings.maxCrashes;
 }
 
-/** Crashes that some instances saw and that others have to know. */
-export function crashesSeenBy(
+/** Sums the crashes that the given instances observed, by fingerprint. */
+export function crashCountsOf(
   ctx: RoutingContext,
   instances: ReadonlySet<InstanceId>,
 ): readonly { readonly fingerprint: number; readonly crashes: number }[] {
@@ -60,12 +61,12 @@
   return found;
 }
 
-/** Forgets crashes that are long past. */
+/** Removes counts that have not increased for `EXPIRE_AFTER_MS`. */
 export function expireCrashes(ctx: RoutingContext): void {
   const { byFingerprint } = ctx.state.suspects;
   byFingerprint.forEach((seen, fingerprint) => {
     const latest = Math.max(...[...seen.values()].map(({ at }) => at));
-    if (ctx.now - latest > FORGET_AFTER_MS) byFingerprint.delete(fingerprint);
+    if (ctx.now - latest > EXPIRE_AFTER_MS) byFingerprint.delete(fingerprint);
   });
 }
 
@@ -77,7 +78,7 @@
   return total;
 }
 
-function crashesOf(ctx: RoutingContext, fingerprint: number, instance: InstanceId) {
+function crashRecordOf(ctx: RoutingContext, fingerprint: number, instance: InstanceId) {
   const { byFingerprint } = ctx.state.suspects;
   const seen =
     byFingerprint.get(fingerprint) ?? new Map<InstanceId, { crashes: number; at: Millis }>();
--- a/src/routing/suspects/suspectsState.ts
+++ b/src/routing/suspects/suspectsState.ts
@@ -1,17 +1,17 @@
-/** Requests that were running at upstreams as these crashed. */
+/** Fingerprints of requests that were running at upstreams when these crashed. */
 import type { Millis } from '../../core/clock.js';
 import type { InstanceId } from '../types.js';
 
-/** Crashes of one request that one instance has seen. */
-export interface SeenCrashes {
+/** Crashes of one request that one instance observed. */
+export interface CrashRecord {
   crashes: number;
-  /** Time of the last crash, or at which another instance told of it. */
+  /** Time of the last crash, or of the last report that raised the count. */
   at: Millis;
 }
 
 export interface SuspectsState {
-  /** By fingerprint, then by the instance that saw the crashes. */
-  readonly byFingerprint: Map<number, Map<InstanceId, SeenCrashes>>;
+  /** Keyed by fingerprint, then by the instance that observed the crashes. */
+  readonly byFingerprint: Map<number, Map<InstanceId, CrashRecord>>;
 }
 
 export function createSuspectsState(): SuspectsState {
--- a/src/routing/upstreams/crashes.ts
+++ b/src/routing/upstreams/crashes.ts
@@ -5,7 +5,7 @@
  */
 import type { Millis } from '../../core/clock.js';
 import { emit, type RoutingContext } from '../context.js';
-import { noteCrash } from '../suspects/suspects.js';
+import { recordCrash } from '../suspects/suspects.js';
 import type { Upstream } from './upstreamsState.js';
 
 /** Time within which a cut and the loss of its upstream belong together. */
@@ -33,5 +33,5 @@
   upstream.cuts = [];
   cuts
     .filter(({ at }) => ctx.now - at < CRASH_SPAN_MS)
-    .forEach(({ fingerprint }) => noteCrash(ctx, fingerprint, upstream.listed.id));
+    .forEach(({ fingerprint }) => recordCrash(ctx, fingerprint, upstream.listed.id));
 }
--- a/test/routing/domains.test.ts
+++ b/test/routing/domains.test.ts
@@ -3,7 +3,7 @@
 import { hash32 } from '../../src/core/hash.js';
 import { countInstances } from '../../src/routing/exchange/exchange.js';
 import { peersWork } from '../../src/routing/exchange/fleetSums.js';
-import { isBlocked, noteCrash } from '../../src/routing/suspects/suspects.js';
+import { isBlocked, recordCrash } from '../../src/routing/suspects/suspects.js';
 import {
   createCoreFleet,
   SHARED_PART,
@@ -124,7 +124,7 @@
 
   it('refuses a request everywhere that crashed upstreams in several domains, and none too early', () => {
     const fleet = createFleet();
-    const crash = (id: string) => noteCrash(fleet.context(coreAt(fleet, id)), 77, 'i-1');
+    const crash = (id: string) => recordCrash(fleet.context(coreAt(fleet, id)), 77, 'i-1');
     fleet.rounds(HOPS);
     crash('d0-3');
     crash('d1-0');
