Reword the list, health and speed of upstreams

Upstreams were "missed", "taken for lost" and "heard of", and the platform was "away". The text now speaks of silence timeouts, probes, interrupted requests, platform outages and least squares with decaying weights. The comment on REPORTED_FAILURE_RATE no longer claims a comparison with the pool, which the code does not make. Renames: regainedAt to platformRecoveredAt, waits and speeds to poolWaits and poolSpeeds, probeAt to nextProbeAt, miss to handleMissing, list to addOrUpdate.

--- a/src/routing/placement/placement.ts
+++ b/src/routing/placement/placement.ts
@@ -115,9 +115,9 @@
 
 /** Returns the moving average of the wait at a pool's upstreams. */
 export function poolWait(ctx: RoutingContext, pool: PoolId): PoolWait {
-  const { waits } = ctx.state.upstreams;
-  const wait = waits.get(pool) ?? createPoolWait();
-  waits.set(pool, wait);
+  const { poolWaits } = ctx.state.upstreams;
+  const wait = poolWaits.get(pool) ?? createPoolWait();
+  poolWaits.set(pool, wait);
   return wait;
 }
 
@@ -142,9 +142,9 @@
 
 /** Returns the combined speed estimate of a pool's upstreams. */
 export function poolSpeed(ctx: RoutingContext, pool: PoolId): Speed {
-  const { speeds } = ctx.state.upstreams;
-  const speed = speeds.get(pool) ?? createSpeed();
-  speeds.set(pool, speed);
+  const { poolSpeeds } = ctx.state.upstreams;
+  const speed = poolSpeeds.get(pool) ?? createSpeed();
+  poolSpeeds.set(pool, speed);
   return speed;
 }
 
--- a/src/routing/upstreams/crashes.ts
+++ b/src/routing/upstreams/crashes.ts
@@ -1,37 +1,40 @@
 /**
- * Tells crashes of upstreams from single broken connections. A broken connection is checked by a
- * probe; if the upstream does not answer it, all requests that it cut off at that time are suspected
- * to have crashed it.
+ * Distinguishes crashes of upstreams from single broken connections. A broken connection triggers a
+ * probe; if the upstream does not answer, all requests interrupted at about that time are suspected
+ * of having crashed it.
  */
 import type { Millis } from '../../core/clock.js';
 import { emit, type RoutingContext } from '../context.js';
 import { recordCrash } from '../suspects/suspects.js';
 import type { Upstream } from './upstreamsState.js';
 
-/** Time within which a cut and the loss of its upstream belong together. */
-const CRASH_SPAN_MS: Millis = 1_500;
-/** Shortest time between two probes after cuts. */
-const PROBE_SPACING_MS: Millis = 250;
+/**
+ * Maximum time between an interrupted request and the loss of its upstream for the two to be
+ * related.
+ */
+const CRASH_WINDOW_MS: Millis = 1_500;
+/** Minimum time between two probes triggered by interrupted requests. */
+const MIN_PROBE_INTERVAL_MS: Millis = 250;
 
-/** Counts a request that was cut off at an upstream, and has the upstream probed. */
+/** Records a request that was interrupted at an upstream, and probes the upstream. */
 export function noteCut(ctx: RoutingContext, upstream: Upstream, fingerprint: number): void {
-  upstream.cuts = upstream.cuts.filter(({ at }) => ctx.now - at < CRASH_SPAN_MS);
+  upstream.cuts = upstream.cuts.filter(({ at }) => ctx.now - at < CRASH_WINDOW_MS);
   const previous = upstream.cuts.at(-1);
   upstream.cuts.push({ fingerprint, at: ctx.now });
   if (upstream.reachability.kind === 'lost') {
     confirmCrash(ctx, upstream);
     return;
   }
-  if (previous !== undefined && ctx.now - previous.at < PROBE_SPACING_MS) return;
+  if (previous !== undefined && ctx.now - previous.at < MIN_PROBE_INTERVAL_MS) return;
   const { id, bornAt, address } = upstream.listed;
   emit(ctx, { kind: 'probe', upstream: id, bornAt, address });
 }
 
-/** The upstream is gone: what it cut off lately is suspected. */
+/** Counts a crash for each request that was recently interrupted at a lost upstream. */
 export function confirmCrash(ctx: RoutingContext, upstream: Upstream): void {
   const { cuts } = upstream;
   upstream.cuts = [];
   cuts
-    .filter(({ at }) => ctx.now - at < CRASH_SPAN_MS)
+    .filter(({ at }) => ctx.now - at < CRASH_WINDOW_MS)
     .forEach(({ fingerprint }) => recordCrash(ctx, fingerprint, upstream.listed.id));
 }
--- a/src/routing/upstreams/health.ts
+++ b/src/routing/upstreams/health.ts
@@ -1,23 +1,23 @@
 /**
- * Finds upstreams that do not answer, from the answers themselves: open connections may fall silent
- * without an error, and a health check may pass while requests fail. An upstream is lost when it
- * refuses connections, or when work is open there and nothing has come for longer than it usually
- * takes. A lost upstream gets no requests; it is probed now and then and used again once it answers.
+ * Detects unresponsive upstreams from their responses: open connections may fall silent without an
+ * error, and a health check may pass while requests fail. An upstream is lost if it refuses
+ * connections, or if it has open work and has sent nothing for longer than it usually takes. A lost
+ * upstream receives no requests; it is probed periodically and used again once it answers.
  */
 import type { Millis } from '../../core/clock.js';
 import { emit, logInfo, logWarning, type RoutingContext } from '../context.js';
 import type { Upstream } from './upstreamsState.js';
 
-/** Shortest silence that counts, whatever the upstream's usual times are. */
-const MIN_SILENCE_MS: Millis = 600;
-/** Silence that counts, relative to the usual time to a first event. */
-const SILENCE_FACTOR = 4;
+/** Lower bound of the silence timeout, whatever the upstream's usual response time. */
+const MIN_SILENCE_TIMEOUT_MS: Millis = 600;
+/** Silence timeout as a multiple of the usual time to the first event. */
+const SILENCE_TIMEOUT_FACTOR = 4;
 const PROBE_INTERVAL_MS: Millis = 700;
-/** Weight of one outcome in the part of requests that failed. */
-const FAILURE_WEIGHT = 0.08;
-/** Share of failures from which an upstream is reported, if its pool has fewer. */
+/** Smoothing factor of the failure rate, applied for each result. */
+const FAILURE_RATE_SMOOTHING = 0.08;
+/** Failure rate from which an upstream is logged as faulty; the line includes its pool's rate. */
 const REPORTED_FAILURE_RATE = 0.25;
-/** Failed connections in a row after which an upstream is taken for lost. */
+/** Consecutive failed connections after which an upstream counts as lost. */
 const MAX_FAILED_CONNECTS = 2;
 
 export function noteHeard(ctx: RoutingContext, upstream: Upstream): void {
@@ -31,7 +31,7 @@
 
 export function noteLost(ctx: RoutingContext, upstream: Upstream, reason: string): void {
   if (upstream.reachability.kind === 'lost') return;
-  upstream.reachability = { kind: 'lost', since: ctx.now, probeAt: ctx.now };
+  upstream.reachability = { kind: 'lost', since: ctx.now, nextProbeAt: ctx.now };
   const { id } = upstream.listed;
   const silentForMs = ctx.now - upstream.lastHeardAt;
   logWarning(ctx, 'upstreamLost', {
@@ -42,18 +42,19 @@
   });
 }
 
-/** Counts a connection that could not be opened. */
+/** Counts a failed attempt to open a connection. */
 export function noteFailedConnect(ctx: RoutingContext, upstream: Upstream, reason: string): void {
   upstream.failedConnects += 1;
   if (upstream.failedConnects >= MAX_FAILED_CONNECTS) noteLost(ctx, upstream, reason);
 }
 
-/** Takes in whether a request went well at an upstream. */
+/** Updates the failure rate of an upstream with the result of a request. */
 export function noteResult(ctx: RoutingContext, upstream: Upstream, isFailure: boolean): void {
   const before = upstream.failureRate;
-  upstream.failureRate += FAILURE_WEIGHT * ((isFailure ? 1 : 0) - before);
-  const crossed = before < REPORTED_FAILURE_RATE && upstream.failureRate >= REPORTED_FAILURE_RATE;
-  if (!crossed) return;
+  upstream.failureRate += FAILURE_RATE_SMOOTHING * ((isFailure ? 1 : 0) - before);
+  const hasCrossedThreshold =
+    before < REPORTED_FAILURE_RATE && upstream.failureRate >= REPORTED_FAILURE_RATE;
+  if (!hasCrossedThreshold) return;
   const { id, pool } = upstream.listed;
   const { failureRate } = upstream;
   logWarning(ctx, 'upstreamFaulty', {
@@ -63,7 +64,7 @@
   });
 }
 
-/** Average part of the requests of a pool that fail. */
+/** Returns the mean failure rate of a pool's upstreams. */
 function poolFailureRate(ctx: RoutingContext, pool: string): number {
   const rates = [...ctx.state.upstreams.byId.values()]
     .filter(({ listed }) => listed.pool === pool)
@@ -72,21 +73,21 @@
   return rates.reduce((sum, rate) => sum + rate, 0) / rates.length;
 }
 
-/** Silence of an upstream with open work from which on it is taken for lost. */
+/** Returns how long an upstream with open work may be silent before it counts as lost. */
 export function longestSilence(upstream: Upstream, objectiveMs: Millis): Millis {
   const usual = upstream.speed.baseMs() ?? objectiveMs;
-  return Math.max(MIN_SILENCE_MS, objectiveMs, SILENCE_FACTOR * usual);
+  return Math.max(MIN_SILENCE_TIMEOUT_MS, objectiveMs, SILENCE_TIMEOUT_FACTOR * usual);
 }
 
-/** Probes the lost upstreams that are due. */
+/** Probes the lost upstreams whose next probe is due. */
 export function probeLost(ctx: RoutingContext): void {
   ctx.state.upstreams.byId.forEach((upstream) => {
     const { reachability, listed } = upstream;
-    if (reachability.kind !== 'lost' || ctx.now < reachability.probeAt) return;
+    if (reachability.kind !== 'lost' || ctx.now < reachability.nextProbeAt) return;
     const jitter = PROBE_INTERVAL_MS * ctx.state.random.next();
     upstream.reachability = {
       ...reachability,
-      probeAt: ctx.now + PROBE_INTERVAL_MS + jitter,
+      nextProbeAt: ctx.now + PROBE_INTERVAL_MS + jitter,
     };
     const { id, bornAt, address } = listed;
     emit(ctx, { kind: 'probe', upstream: id, bornAt, address });
--- a/src/routing/upstreams/list.ts
+++ b/src/routing/upstreams/list.ts
@@ -1,7 +1,7 @@
 /**
- * Follows the platform's list of upstreams. An entry that is removed names no upstream any more,
- * except where the platform was away: entries lapse meanwhile although their upstreams live, and
- * those are kept for a short time in which a living upstream lists itself again.
+ * Follows the platform's list of upstreams. An upstream whose entry is removed is dropped, except
+ * after a platform outage: entries expire during the outage although their upstreams are alive, so
+ * these are kept for a short time in which a live upstream registers itself again.
  */
 import {
   emit,
@@ -15,14 +15,14 @@
 import type { ListedUpstream, RoutingEvent, UpstreamChange, UpstreamId } from '../types.js';
 import { createUpstream, hashOf, type Upstream } from './upstreamsState.js';
 
-/** Delay before a read that follows a failed one. */
+/** Delay before a failed read is retried. */
 const RETRY_DELAY: RetryDelay = { firstMs: 200, longestMs: 800 };
 
 /**
- * Part of the time in which an upstream's leaving has to be known that passes between two reads; the
- * rest is for reads that fail and for requests on their way.
+ * Interval between two reads, as a fraction of the time within which a draining upstream has to be
+ * noticed. The rest is for failed reads and for requests that are already on their way.
  */
-const POLLED_PART = 0.4;
+const POLL_INTERVAL_FRACTION = 0.4;
 
 type Polled = Extract<RoutingEvent, { readonly kind: 'upstreamsPolled' }>;
 
@@ -32,15 +32,15 @@
 
 export function onUpstreamsPolled(ctx: RoutingContext, event: Polled): void {
   const { upstreams, settings } = ctx.state;
-  const wasAway = upstreams.failures > 0;
+  const wasPlatformDown = upstreams.failures > 0;
   const changes = settlePoll(ctx, pollOf(ctx), event.outcome);
   if (changes === undefined) return;
-  if (wasAway) upstreams.regainedAt = ctx.now;
-  takeChanges(ctx, changes, event.isWhole);
+  if (wasPlatformDown) upstreams.platformRecoveredAt = ctx.now;
+  applyChanges(ctx, changes, event.isWhole);
   upstreams.isKnown = true;
   upstreams.readAt = event.askedAt;
   dropMissing(ctx);
-  const intervalMs = Math.max(settings.upstreamPollMs, settings.drainMs * POLLED_PART);
+  const intervalMs = Math.max(settings.upstreamPollMs, settings.drainMs * POLL_INTERVAL_FRACTION);
   setTimer(ctx, 'upstreamPoll', intervalMs);
 }
 
@@ -54,46 +54,51 @@
   };
 }
 
-/** Drops upstreams that did not come back into the list in time. */
+/** Removes upstreams that were not listed again in time after a platform outage. */
 export function dropMissing(ctx: RoutingContext): void {
   const { upstreams, settings } = ctx.state;
   if (upstreams.failures > 0) return;
-  const since = upstreams.regainedAt ?? -Infinity;
+  const since = upstreams.platformRecoveredAt ?? -Infinity;
   if (ctx.now - since < settings.relistWithinMs) return;
   upstreams.byId.forEach((upstream, id) => {
-    if (upstream.missingSince !== undefined) remove(ctx, id, 'not listed again');
+    if (upstream.missingSince !== undefined)
+      removeUpstream(ctx, id, 'not listed again after a platform outage');
   });
 }
 
-function takeChanges(
+function applyChanges(
   ctx: RoutingContext,
   changes: readonly UpstreamChange[],
   isWhole: boolean,
 ): void {
-  const named = new Set<UpstreamId>();
+  const listedIds = new Set<UpstreamId>();
   changes.forEach((change) => {
     if (change.kind === 'listed') {
-      named.add(change.upstream.id);
-      list(ctx, change.upstream);
+      listedIds.add(change.upstream.id);
+      addOrUpdate(ctx, change.upstream);
     } else if (change.kind === 'removed') {
-      miss(ctx, change.id);
+      handleMissing(ctx, change.id);
     } else {
-      named.add(change.id);
+      listedIds.add(change.id);
       logWarning(ctx, 'entryUnreadable', { upstream: change.id, reason: change.reason });
     }
   });
   if (!isWhole) return;
   [...ctx.state.upstreams.byId.keys()]
-    .filter((id) => !named.has(id))
-    .forEach((id) => miss(ctx, id));
+    .filter((id) => !listedIds.has(id))
+    .forEach((id) => handleMissing(ctx, id));
 }
 
-function list(ctx: RoutingContext, listed: ListedUpstream): void {
+function addOrUpdate(ctx: RoutingContext, listed: ListedUpstream): void {
   const { byId } = ctx.state.upstreams;
   const known = byId.get(listed.id);
-  if (known !== undefined && isOlder(listed, known.listed)) return;
-  if (known === undefined || listed.bornAt > known.listed.bornAt || hasMoved(known, listed)) {
-    if (known !== undefined) remove(ctx, listed.id, 'started again');
+  if (known !== undefined && isStale(listed, known.listed)) return;
+  if (
+    known === undefined ||
+    listed.bornAt > known.listed.bornAt ||
+    hasDifferentTarget(known, listed)
+  ) {
+    if (known !== undefined) removeUpstream(ctx, listed.id, 'restarted or moved');
     byId.set(listed.id, createUpstream(listed, ctx.now));
     const { id, pool, address, domain, phase } = listed;
     logInfo(ctx, 'upstreamListed', { upstream: id, pool, address, domain, phase });
@@ -107,27 +112,28 @@
   known.missingSince = undefined;
 }
 
-/** An entry of an earlier start, or an earlier entry of the same one, may be read late. */
-function isOlder(listed: ListedUpstream, known: ListedUpstream): boolean {
+/** Reads may deliver an entry of a previous start, or a previous entry of the same start, late. */
+function isStale(listed: ListedUpstream, known: ListedUpstream): boolean {
   if (listed.bornAt !== known.bornAt) return listed.bornAt < known.bornAt;
   return listed.beat < known.beat;
 }
 
-function hasMoved(known: Upstream, listed: ListedUpstream): boolean {
+function hasDifferentTarget(known: Upstream, listed: ListedUpstream): boolean {
   return known.listed.address !== listed.address || known.listed.pool !== listed.pool;
 }
 
-function miss(ctx: RoutingContext, id: UpstreamId): void {
+function handleMissing(ctx: RoutingContext, id: UpstreamId): void {
   const { upstreams, settings } = ctx.state;
   const upstream = upstreams.byId.get(id);
   if (upstream === undefined) return;
-  const wasAway =
-    upstreams.regainedAt !== undefined && ctx.now - upstreams.regainedAt < settings.relistWithinMs;
-  if (wasAway) upstream.missingSince ??= ctx.now;
-  else remove(ctx, id, 'left the list');
+  const wasPlatformDown =
+    upstreams.platformRecoveredAt !== undefined &&
+    ctx.now - upstreams.platformRecoveredAt < settings.relistWithinMs;
+  if (wasPlatformDown) upstream.missingSince ??= ctx.now;
+  else removeUpstream(ctx, id, 'removed from the list');
 }
 
-function remove(ctx: RoutingContext, id: UpstreamId, reason: string): void {
+function removeUpstream(ctx: RoutingContext, id: UpstreamId, reason: string): void {
   const { byId } = ctx.state.upstreams;
   const upstream = byId.get(id);
   if (upstream === undefined) return;
--- a/src/routing/upstreams/speed.ts
+++ b/src/routing/upstreams/speed.ts
@@ -1,29 +1,37 @@
 /**
- * Learns how long a first event takes: `first = base + perToken * tokens to be read before it`, by
- * least squares over recent observations, of which older ones count less and less. For pools whose
- * requests have no tokens, only the base is learnt.
+ * Estimates the time to the first event: `first = base + perToken * tokens to be read before it`,
+ * by least squares with exponentially decaying weights. For pools whose requests have no tokens,
+ * only the base is estimated.
  *
- * What is read ahead of a request is known roughly only: other instances tell of theirs late, and
- * part of it has been read already. Errors in it would make a token look cheaper than it is, so that
- * an observation counts by the part of its tokens that are the request's own.
+ * The number of tokens queued ahead of a request is known only approximately: other instances
+ * report theirs late, and part of it has been read already. Errors in the regressor would bias the
+ * slope towards zero, so an observation is weighted by the square of the request's own fraction of
+ * its tokens.
  */
 import type { Millis } from '../../core/clock.js';
 import { partKept } from '../decay.js';
 
 export interface Speed {
-  /** Takes in the time to a first event, with the tokens that were read for it and before it. */
+  /**
+   * Adds an observed time to the first event, with the tokens read for the request and before it.
+   */
   readonly observe: (tokens: ObservedTokens, first: Millis) => void;
-  /** Milliseconds that a token takes, if enough has been observed. */
+  /** Returns the estimated milliseconds per token, if there are enough observations. */
   readonly perTokenMs: () => number | undefined;
-  /** Time to the first event of a request without tokens, if anything was observed. */
+  /**
+   * Returns the estimated time to the first event of a request without tokens, if anything was
+   * observed.
+   */
   readonly baseMs: () => Millis | undefined;
-  /** Takes in how long a request occupied its upstream. */
+  /** Adds an observation of how long a request occupied its upstream. */
   readonly observeHold: (hold: Millis) => void;
-  /** Time for which a request occupies its upstream, if anything was observed. */
+  /**
+   * Returns the average time for which a request occupies its upstream, if anything was observed.
+   */
   readonly holdMs: () => Millis | undefined;
   /**
-   * Observed time over expected time, averaged; 1 for an upstream that is as fast as expected. It
-   * goes back to 1 while nothing is observed, so that an upstream that was slow is tried again.
+   * Returns the average ratio of observed to expected time; 1 for an upstream that is as fast as
+   * expected. The ratio decays to 1 without observations, so that a slow upstream is tried again.
    */
   readonly slowness: (now: Millis) => number;
   readonly observeSlowness: (ratio: number, now: Millis) => void;
@@ -32,20 +40,20 @@
 /** Tokens that an upstream had to read before a first event. */
 export interface ObservedTokens {
   readonly own: number;
-  /** Those of other requests, as they were believed to be. */
+  /** Tokens of other requests, as estimated. */
   readonly ahead: number;
 }
 
-/** Weight that older observations keep at each new one. */
-const KEPT_WEIGHT = 0.98;
+/** Factor applied to the weight of older observations for each new one. */
+const DECAY_PER_OBSERVATION = 0.98;
 const MIN_OBSERVATIONS = 8;
-/** Slopes outside of these cannot be a model engine's. */
+/** Bounds of the slope that are plausible for a model engine. */
 const MIN_PER_TOKEN_MS = 0.0005;
 const MAX_PER_TOKEN_MS = 1;
-const HOLD_WEIGHT = 0.05;
-const SLOWNESS_WEIGHT = 0.1;
-/** Time constant with which it is forgotten. */
-const SLOWNESS_SPAN_MS: Millis = 5_000;
+const HOLD_SMOOTHING = 0.05;
+const SLOWNESS_SMOOTHING = 0.1;
+/** Time constant with which the slowness decays to 1. */
+const SLOWNESS_TIME_CONSTANT_MS: Millis = 5_000;
 const MIN_SLOWNESS = 0.5;
 const MAX_SLOWNESS = 8;
 
@@ -59,8 +67,8 @@
   let slowness = 1;
   let slownessAt: Millis = 0;
 
-  function slownessNow(now: Millis): number {
-    return 1 + (slowness - 1) * partKept(now - slownessAt, SLOWNESS_SPAN_MS);
+  function decayedSlowness(now: Millis): number {
+    return 1 + (slowness - 1) * partKept(now - slownessAt, SLOWNESS_TIME_CONSTANT_MS);
   }
 
   function perTokenMs(): number | undefined {
@@ -74,14 +82,14 @@
   return {
     observe: ({ own, ahead }, first) => {
       const tokens = own + ahead;
-      const counts = tokens > 0 ? (own / tokens) ** 2 : 1;
-      // What counts little makes little of the older ones forgotten, too.
-      const kept = 1 - (1 - KEPT_WEIGHT) * counts;
-      weight = weight * kept + counts;
-      sumTokens = sumTokens * kept + counts * tokens;
-      sumFirst = sumFirst * kept + counts * first;
-      sumTokensSquared = sumTokensSquared * kept + counts * tokens * tokens;
-      sumProducts = sumProducts * kept + counts * tokens * first;
+      const observationWeight = tokens > 0 ? (own / tokens) ** 2 : 1;
+      // An observation with a low weight also decays the older ones less.
+      const decayFactor = 1 - (1 - DECAY_PER_OBSERVATION) * observationWeight;
+      weight = weight * decayFactor + observationWeight;
+      sumTokens = sumTokens * decayFactor + observationWeight * tokens;
+      sumFirst = sumFirst * decayFactor + observationWeight * first;
+      sumTokensSquared = sumTokensSquared * decayFactor + observationWeight * tokens * tokens;
+      sumProducts = sumProducts * decayFactor + observationWeight * tokens * first;
     },
     perTokenMs,
     baseMs: () => {
@@ -90,14 +98,14 @@
       return Math.max(0, (sumFirst - slope * sumTokens) / weight);
     },
     observeHold: (observed) => {
-      hold = hold === undefined ? observed : hold + HOLD_WEIGHT * (observed - hold);
+      hold = hold === undefined ? observed : hold + HOLD_SMOOTHING * (observed - hold);
     },
     holdMs: () => hold,
-    slowness: slownessNow,
+    slowness: decayedSlowness,
     observeSlowness: (ratio, now) => {
       const bounded = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, ratio));
-      const before = slownessNow(now);
-      slowness = before + SLOWNESS_WEIGHT * (bounded - before);
+      const before = decayedSlowness(now);
+      slowness = before + SLOWNESS_SMOOTHING * (bounded - before);
       slownessAt = now;
     },
   };
--- a/src/routing/upstreams/upstreamsState.ts
+++ b/src/routing/upstreams/upstreamsState.ts
@@ -1,4 +1,4 @@
-/** What is believed of the upstreams: the list, their open work, their speed and their health. */
+/** What this instance knows of the upstreams: list entries, open work, speed and health. */
 import type { Millis } from '../../core/clock.js';
 import { hash32 } from '../../core/hash.js';
 import type { ListedUpstream, PoolId, UpstreamId } from '../types.js';
@@ -6,18 +6,18 @@
 import type { PoolWait } from '../placement/poolWait.js';
 import { createSpeed, type Speed } from './speed.js';
 
-/** Whether an upstream answers. */
+/** Whether an upstream responds. */
 export type Reachability =
   | { readonly kind: 'reachable' }
-  /** Nothing came from it for too long, or it refuses connections. */
-  | { readonly kind: 'lost'; readonly since: Millis; readonly probeAt: Millis };
+  /** The upstream was silent for too long, or refuses connections. */
+  | { readonly kind: 'lost'; readonly since: Millis; readonly nextProbeAt: Millis };
 
 /** Work that was sent to an upstream and has not ended. */
 export interface OpenWork {
   readonly running: number;
-  /** Prompt tokens that have to be read before the first event, of requests that have none yet. */
+  /** Prompt tokens still to be read for requests without a first event. */
   readonly pendingTokens: number;
-  /** Tokens that the running requests keep in the upstream's memory. */
+  /** Tokens that the running requests occupy in the upstream's memory. */
   readonly heldTokens: number;
 }
 
@@ -28,43 +28,43 @@
   readonly own: { -readonly [K in keyof OpenWork]: OpenWork[K] };
   readonly speed: Speed;
   reachability: Reachability;
-  /** Time at which anything last came from the upstream. */
+  /** Time at which the upstream last sent anything. */
   lastHeardAt: Millis;
-  /** Connections in a row that could not be opened. */
+  /** Consecutive failed attempts to open a connection. */
   failedConnects: number;
-  /** Part of the recent requests that failed, from 0 to 1. */
+  /** Smoothed fraction of requests that failed, from 0 to 1. */
   failureRate: number;
-  /** Time at which the entry left the list while the platform had been away. */
+  /** Time at which the entry was found missing after a platform outage. */
   missingSince: Millis | undefined;
-  /** Requests that were cut off lately. */
-  cuts: CutRequest[];
+  /** Recently interrupted requests. */
+  cuts: InterruptedRequest[];
 }
 
-export interface CutRequest {
+export interface InterruptedRequest {
   readonly fingerprint: number;
   readonly at: Millis;
 }
 
 export interface UpstreamsState extends PollState {
   readonly byId: Map<UpstreamId, Upstream>;
-  readonly speeds: Map<PoolId, Speed>;
-  readonly waits: Map<PoolId, PoolWait>;
-  /** Time at which the platform answered again after it had been away. */
-  regainedAt: Millis | undefined;
+  readonly poolSpeeds: Map<PoolId, Speed>;
+  readonly poolWaits: Map<PoolId, PoolWait>;
+  /** Time at which the platform answered again after an outage. */
+  platformRecoveredAt: Millis | undefined;
   /** Whether the list has been read at least once. */
   isKnown: boolean;
-  /** Start of the last sound read. */
+  /** Start of the last successful read. */
   readAt: Millis | undefined;
 }
 
 export function createUpstreamsState(): UpstreamsState {
   return {
     byId: new Map(),
-    speeds: new Map(),
-    waits: new Map(),
+    poolSpeeds: new Map(),
+    poolWaits: new Map(),
     cursor: undefined,
     failures: 0,
-    regainedAt: undefined,
+    platformRecoveredAt: undefined,
     isKnown: false,
     readAt: undefined,
   };
@@ -85,7 +85,7 @@
   };
 }
 
-/** Hash of an upstream's id and start. */
+/** Returns the hash of an upstream's id and start time. */
 export function hashOf(listed: ListedUpstream): number {
   return hash32(`${listed.id}@${listed.bornAt}`);
 }
