Reword the freshness of the configuration

Instances "followed neighbours" that "told" of confirmations. The text now speaks of a lease, polls, peers and clock gaps. Renames: followConfirmation to onPeerConfirmation, readNewerVersion to pollNewerVersion, isFollowing to isConfirmedByPeers, putInForce to activate, FreshnessState.followedAt, isReading and uncountedMs to peerConfirmedAt, isPolling and clockGapMs. The confirmations test follows the rename and checks the same value.

--- a/src/routing/exchange/confirmations.ts
+++ b/src/routing/exchange/confirmations.ts
@@ -11,7 +11,7 @@
 import type { Millis } from '../../core/clock.js';
 import { hash32 } from '../../core/hash.js';
 import type { RoutingContext } from '../context.js';
-import { confirmationAge, followConfirmation, readNewerVersion } from '../freshness/freshness.js';
+import { confirmationAge, onPeerConfirmation, pollNewerVersion } from '../freshness/freshness.js';
 import type { InstanceId } from '../types.js';
 import type { News } from './exchangeState.js';
 import { nearPeers } from './members.js';
@@ -52,12 +52,12 @@
   const { configuration } = ctx.state.freshness;
   if (configuration === undefined || told.configurationVersion === 0) return;
   if (told.configurationVersion > configuration.version) {
-    readNewerVersion(ctx, told.configurationVersion);
+    pollNewerVersion(ctx, told.configurationVersion);
     return;
   }
   const sentAt = timeHeard(ctx, told);
   if (sentAt === undefined || told.configurationVersion < configuration.version) return;
-  followConfirmation(ctx, sentAt - told.confirmationAgeMs);
+  onPeerConfirmation(ctx, sentAt - told.confirmationAgeMs);
 }
 
 /** Forgets when news were sent, as time may have passed since that the clock did not count. */
--- a/src/routing/freshness/freshness.ts
+++ b/src/routing/freshness/freshness.ts
@@ -1,12 +1,12 @@
 /**
- * Freshness of the configuration as a lease. A read that the platform answered soundly confirms the
+ * Treats the freshness of the configuration as a lease. A successful read confirms the
  * configuration as of the time at which the read was *sent*; keyed requests are served only while
- * the last confirmation is young enough, so that a key that was taken away is refused in time even
- * by an instance that has lost the platform. A pending read confirms nothing.
+ * the last confirmation is recent enough. A revoked key is therefore refused in time even by an
+ * instance that has lost the platform. A pending read confirms nothing.
  *
- * Within a failure domain the instance with the lowest id reads all the time; the others take its
- * confirmations (`exchange/confirmations.ts`) and read by themselves as these get old, or as a
- * neighbour has a newer version.
+ * Within a failure domain, the instance with the lowest id polls continuously; the others use its
+ * confirmations (`exchange/confirmations.ts`) and poll only when these get old or a peer has a
+ * newer version.
  */
 import { MS_PER_SECOND, type Millis } from '../../core/clock.js';
 import {
@@ -23,82 +23,87 @@
 import type { RoutingState } from '../state.js';
 import type { ConfigurationChange, RoutingConfiguration, RoutingEvent } from '../types.js';
 
-/** Delay before a read that follows a failed one; keyed requests wait for it. */
+/** Delay before a failed read is retried; keyed requests are waiting for it. */
 const RETRY_DELAY: RetryDelay = { firstMs: 150, longestMs: 400 };
-/** Part of the time to a key's refusal that is left for a request on its way to an upstream. */
-const REVOKE_MARGIN_MS: Millis = 600;
+/** Margin within the revocation time for requests that are on their way to an upstream. */
+const REVOCATION_MARGIN_MS: Millis = 600;
 
-/** Interval at which an instance looks whether its neighbours' reads are enough. */
-const FOLLOW_CHECK_MS: Millis = 200;
+/** Interval at which an instance checks whether the confirmations of its peers suffice. */
+const PEER_CHECK_INTERVAL_MS: Millis = 200;
 /**
- * Part of the time to a configuration's being in force up to which a neighbour's confirmation may
- * age before an instance reads by itself; a new version is heard of by then at the latest.
+ * Maximum age of a peer's confirmation, as a fraction of the time in which a new configuration has
+ * to take effect; after it an instance polls by itself. It also bounds the delay until a new
+ * version is noticed.
  */
-const FOLLOWED_PART = 0.6;
-/** Silence of the neighbours after which an instance reads by itself. */
-const FOLLOWED_SILENCE_MS: Millis = 1_000;
+const MAX_PEER_AGE_FRACTION = 0.6;
+/** Time without a confirmation from a peer after which an instance polls by itself. */
+const PEER_SILENCE_TIMEOUT_MS: Millis = 1_000;
 
 type Polled = Extract<RoutingEvent, { readonly kind: 'configurationPolled' }>;
 
 export function startConfigurationPoll(ctx: RoutingContext): void {
   const { freshness, settings } = ctx.state;
-  freshness.isReading = true;
-  freshness.uncountedMs = 0;
+  freshness.isPolling = true;
+  freshness.clockGapMs = 0;
   emit(ctx, {
     kind: 'pollConfiguration',
     cursor: freshness.cursor,
-    // A whole read is answered at once; a stopping instance needs its answer soon, too.
+    // A full read is answered immediately. A stopping instance also needs the answer soon.
     waitMs: freshness.cursor === undefined ? 0 : settings.configurationWaitMs,
   });
 }
 
 export function onConfigurationPolled(ctx: RoutingContext, event: Polled): void {
   const { freshness } = ctx.state;
-  freshness.isReading = false;
+  freshness.isPolling = false;
   const changes = settlePoll(ctx, pollOf(ctx), event.outcome);
   if (changes === undefined) {
     updateFreshness(ctx);
     return;
   }
-  changes.forEach((change) => takeChange(ctx, change));
-  confirmAsOf(ctx, event.askedAt - freshness.uncountedMs);
+  changes.forEach((change) => applyChange(ctx, change));
+  confirmAsOf(ctx, event.askedAt - freshness.clockGapMs);
   onConfigurationTimer(ctx);
 }
 
-/** Reads the configuration again, unless a neighbour's reads confirm it. */
+/** Polls the configuration again, unless the confirmations of a peer suffice. */
 export function onConfigurationTimer(ctx: RoutingContext): void {
-  if (ctx.state.freshness.isReading) return;
-  if (isFollowing(ctx)) setTimer(ctx, 'configurationPoll', FOLLOW_CHECK_MS);
+  if (ctx.state.freshness.isPolling) return;
+  if (isConfirmedByPeers(ctx)) setTimer(ctx, 'configurationPoll', PEER_CHECK_INTERVAL_MS);
   else startConfigurationPoll(ctx);
 }
 
-/** Notes that the configuration in force was the newest at a time. */
+/** Records that the active configuration was the newest at the given time. */
 function confirmAsOf(ctx: RoutingContext, at: Millis): void {
   const { freshness } = ctx.state;
   freshness.confirmedAt = Math.max(freshness.confirmedAt ?? -Infinity, at);
   updateFreshness(ctx);
 }
 
-/** Notes that a neighbour told that the configuration in force was the newest at a time. */
-export function followConfirmation(ctx: RoutingContext, at: Millis): void {
-  ctx.state.freshness.followedAt = ctx.now;
+/** Records a peer's confirmation that the active configuration was the newest at the given time. */
+export function onPeerConfirmation(ctx: RoutingContext, at: Millis): void {
+  ctx.state.freshness.peerConfirmedAt = ctx.now;
   confirmAsOf(ctx, at);
 }
 
-/** Reads the configuration at once, as a neighbour has a newer version. */
-export function readNewerVersion(ctx: RoutingContext, version: number): void {
+/** Polls the configuration immediately, because a peer has a newer version. */
+export function pollNewerVersion(ctx: RoutingContext, version: number): void {
   const { freshness } = ctx.state;
-  if (freshness.isReading || freshness.failures > 0) return;
+  if (freshness.isPolling || freshness.failures > 0) return;
   logInfo(ctx, 'newerVersionHeard', { version, inForce: freshness.configuration?.version });
   startConfigurationPoll(ctx);
 }
 
-/** Whether another instance of the domain reads in place of this one, and tells of it in time. */
-function isFollowing(ctx: RoutingContext): boolean {
-  const { failures, followedAt } = ctx.state.freshness;
-  if (failures > 0 || isFirst(ctx) || ctx.now - followedAt > FOLLOWED_SILENCE_MS) return false;
+/**
+ * Returns whether another instance of the domain polls on behalf of this one, and its confirmations
+ * arrive in time.
+ */
+function isConfirmedByPeers(ctx: RoutingContext): boolean {
+  const { failures, peerConfirmedAt } = ctx.state.freshness;
+  if (failures > 0 || isFirst(ctx) || ctx.now - peerConfirmedAt > PEER_SILENCE_TIMEOUT_MS)
+    return false;
   const bound = Math.min(ctx.state.settings.applyMs, confirmationBound(ctx));
-  return (confirmationAge(ctx) ?? Infinity) < bound * FOLLOWED_PART;
+  return (confirmationAge(ctx) ?? Infinity) < bound * MAX_PEER_AGE_FRACTION;
 }
 
 function pollOf(ctx: RoutingContext): Poll {
@@ -111,33 +116,33 @@
   };
 }
 
-/** Drops the confirmation if time may have passed that the clock did not count. */
+/** Ages the confirmation by a clock gap: time that has passed without the clock counting it. */
 export function onClockGap(ctx: RoutingContext, gapMs: Millis, clock: string | undefined): void {
   const { freshness } = ctx.state;
   if (freshness.confirmedAt !== undefined) freshness.confirmedAt -= gapMs;
-  freshness.uncountedMs += gapMs;
+  freshness.clockGapMs += gapMs;
   logWarning(ctx, 'clockGap', { gapMs, clock, confirmationAgeMs: confirmationAge(ctx) });
   updateFreshness(ctx);
 }
 
-/** Age of the last confirmation, if there is one. */
+/** Returns the age of the last confirmation, if there is one. */
 export function confirmationAge(ctx: RoutingContext): Millis | undefined {
   const { confirmedAt } = ctx.state.freshness;
   return confirmedAt === undefined ? undefined : Math.max(0, ctx.now - confirmedAt);
 }
 
-/** Age of the confirmation from which keyed requests are no longer served. */
+/** Returns the age of the confirmation at which keyed requests are no longer served. */
 export function confirmationBound(ctx: RoutingContext): Millis {
-  return ctx.state.settings.revokeMs - REVOKE_MARGIN_MS;
+  return ctx.state.settings.revokeMs - REVOCATION_MARGIN_MS;
 }
 
-/** Whether keyed requests may be served at this moment. */
+/** Returns whether keyed requests may be served now. */
 export function isConfirmed(ctx: RoutingContext): boolean {
   const age = confirmationAge(ctx);
   return age !== undefined && age < confirmationBound(ctx);
 }
 
-/** Notes and logs whether the configuration is confirmed. */
+/** Updates whether the configuration is fresh and logs a change. */
 export function updateFreshness(ctx: RoutingContext): void {
   const { freshness } = ctx.state;
   const isFresh = freshness.configuration !== undefined && isConfirmed(ctx);
@@ -153,7 +158,7 @@
   else logWarning(ctx, 'configurationStale', fields);
 }
 
-function takeChange(ctx: RoutingContext, change: ConfigurationChange): void {
+function applyChange(ctx: RoutingContext, change: ConfigurationChange): void {
   const inForce = ctx.state.freshness.configuration?.version;
   if (change.kind === 'unreadable') {
     const { reason } = change;
@@ -161,17 +166,17 @@
     return;
   }
   const { configuration } = change;
-  // The configuration never goes back within the life of a process.
+  // The configuration version never decreases during the lifetime of a process.
   if (inForce !== undefined && configuration.version <= inForce) {
     if (configuration.version === inForce) return;
     const { version } = configuration;
     logWarning(ctx, 'configurationIgnored', { reason: 'older version', version, inForce });
     return;
   }
-  putInForce(ctx, configuration);
+  activate(ctx, configuration);
 }
 
-function putInForce(ctx: RoutingContext, configuration: RoutingConfiguration): void {
+function activate(ctx: RoutingContext, configuration: RoutingConfiguration): void {
   const { freshness } = ctx.state;
   const previous = freshness.configuration?.version;
   freshness.configuration = configuration;
@@ -186,7 +191,7 @@
   });
 }
 
-/** Time after which a caller that was refused for lack of a fresh configuration may return. */
+/** Returns the retry delay for a caller that was refused for lack of a fresh configuration. */
 export function staleRetryAfter(state: RoutingState): Millis {
   return MS_PER_SECOND * (0.5 + state.random.next());
 }
--- a/src/routing/freshness/freshnessState.ts
+++ b/src/routing/freshness/freshnessState.ts
@@ -1,4 +1,4 @@
-/** The configuration in force and since when it is known to be the newest. */
+/** The active configuration, and the time as of which it is confirmed to be the newest. */
 import type { Millis } from '../../core/clock.js';
 import type { PollState } from '../polls.js';
 import { createRouteTable, type RouteTable } from '../routes/routeTable.js';
@@ -7,15 +7,15 @@
 export interface FreshnessState extends PollState {
   configuration: RoutingConfiguration | undefined;
   routeTable: RouteTable;
-  /** Start of the last read that the platform answered soundly, here or at a neighbour. */
+  /** Start of the last successful read of the platform, by this instance or a peer. */
   confirmedAt: Millis | undefined;
-  /** Time at which a neighbour last told of a confirmation. */
-  followedAt: Millis;
-  /** Whether a read of the platform is in progress. */
-  isReading: boolean;
-  /** Time that the clock did not count since the last read was sent. */
-  uncountedMs: Millis;
-  /** Whether keyed requests may be served at present. */
+  /** Time at which a peer's confirmation was last received. */
+  peerConfirmedAt: Millis;
+  /** Whether a read of the platform is pending. */
+  isPolling: boolean;
+  /** Time that the clock failed to count since the last read was sent. */
+  clockGapMs: Millis;
+  /** Whether keyed requests may currently be served. */
   isFresh: boolean;
 }
 
@@ -26,9 +26,9 @@
     cursor: undefined,
     confirmedAt: undefined,
     failures: 0,
-    followedAt: -Infinity,
-    isReading: false,
-    uncountedMs: 0,
+    peerConfirmedAt: -Infinity,
+    isPolling: false,
+    clockGapMs: 0,
     isFresh: false,
   };
 }
--- a/test/routing/confirmations.test.ts
+++ b/test/routing/confirmations.test.ts
@@ -264,7 +264,7 @@
           }
           IDS.forEach((member) => {
             expect(domain.isSound(member), `${member} after ${one.kind}`).to.equal(true);
-            confirmedByOthers += domain.context(member).state.freshness.followedAt > 0 ? 1 : 0;
+            confirmedByOthers += domain.context(member).state.freshness.peerConfirmedAt > 0 ? 1 : 0;
           });
         });
       }),
