Reword the exchange between instances

Instances "told" each other "news", were "near" or "far" and "passed on sums". The text now speaks of messages, summaries, relays that forward, peers of the own failure domain and cached totals. Renames: News to RoutingMessage, PeerNews to LoadSummary, DomainSums to DomainSummary, isNear to isSameDomain, isRelayed to usesRelays, isFirst to hasLowestId, takeSumsToPassOn to takeSummariesToForward, tellAll, tellDomain and tellRelays to sendTo*, sumNews to mergeSummaries. The domains test follows the rename of peersWork.

--- a/src/routing/exchange/confirmations.ts
+++ b/src/routing/exchange/confirmations.ts
@@ -1,84 +1,90 @@
 /**
- * Confirmations of the configuration that instances of a failure domain give each other, so that one
- * of them reads the platform often and the others seldom, and so that an instance which the platform
- * turns away goes on as long as its neighbours are served.
+ * Lets the instances of a failure domain confirm the configuration to each other, so that one of
+ * them polls the platform often and the others rarely, and so that an instance that cannot read
+ * from the platform keeps serving as long as its peers can.
  *
- * Clocks are not compared. Each message tells how old the sender's confirmation is, and which news of
- * every neighbour it has read. A neighbour knows when it sent those; the sender composed its message
- * later, so that its confirmation is no older than that time less the age. Late messages make it
- * older only.
+ * Clocks are not compared. Each message carries the age of the sender's confirmation and the
+ * sequence of the last message that it read from every peer. A peer knows when it sent that
+ * message; the sender composed its own message later, so its confirmation is no older than that
+ * send time minus the age. A delayed message can only make the confirmation seem older.
  */
 import type { Millis } from '../../core/clock.js';
 import { hash32 } from '../../core/hash.js';
 import type { RoutingContext } from '../context.js';
 import { confirmationAge, onPeerConfirmation, pollNewerVersion } from '../freshness/freshness.js';
 import type { InstanceId } from '../types.js';
-import type { News } from './exchangeState.js';
-import { nearPeers } from './members.js';
+import type { RoutingMessage } from './exchangeState.js';
+import { domainPeers } from './members.js';
 
-/** Sent news whose times are kept; neighbours answer well within so many. */
-const MAX_SENT = 64;
+/**
+ * Number of send times that are kept; peers acknowledge a message well before that many more are
+ * sent.
+ */
+const MAX_SEND_TIMES = 64;
 
-export type ConfirmationNews = Pick<
-  News,
+export type ConfirmationFields = Pick<
+  RoutingMessage,
   'configurationVersion' | 'confirmationAgeMs' | 'heardFrom' | 'heardSequences'
 >;
 
-/** What messages to other failure domains tell. */
-export const NO_CONFIRMATION: ConfirmationNews = {
+/** Fields of a message without a confirmation, as sent to other failure domains. */
+export const NO_CONFIRMATION: ConfirmationFields = {
   configurationVersion: 0,
   confirmationAgeMs: 0,
   heardFrom: [],
   heardSequences: [],
 };
 
-/** Tells neighbours of this instance's confirmation, in the news that are sent now. */
-export function composeConfirmation(ctx: RoutingContext): ConfirmationNews {
-  noteSent(ctx);
+/** Composes this instance's confirmation for the message that is about to be sent. */
+export function composeConfirmation(ctx: RoutingContext): ConfirmationFields {
+  recordSendTime(ctx);
   const ageMs = confirmationAge(ctx);
   const version = ctx.state.freshness.configuration?.version;
   if (ageMs === undefined || version === undefined) return NO_CONFIRMATION;
-  const heard = nearPeers(ctx).filter(({ sequence }) => sequence >= 0);
+  const heard = domainPeers(ctx).filter(({ sequence }) => sequence >= 0);
   return {
     configurationVersion: version,
     confirmationAgeMs: Math.ceil(ageMs),
-    heardFrom: heard.map(({ id, incarnation }) => startHash(id, incarnation)),
+    heardFrom: heard.map(({ id, incarnation }) => hashIncarnation(id, incarnation)),
     heardSequences: heard.map(({ sequence }) => sequence),
   };
 }
 
-/** Takes a neighbour's confirmation, if it is of the version in force here. */
-export function takeConfirmation(ctx: RoutingContext, told: ConfirmationNews): void {
+/** Applies a peer's confirmation if it is for the active configuration version. */
+export function applyConfirmation(ctx: RoutingContext, message: ConfirmationFields): void {
   const { configuration } = ctx.state.freshness;
-  if (configuration === undefined || told.configurationVersion === 0) return;
-  if (told.configurationVersion > configuration.version) {
-    pollNewerVersion(ctx, told.configurationVersion);
+  if (configuration === undefined || message.configurationVersion === 0) return;
+  if (message.configurationVersion > configuration.version) {
+    pollNewerVersion(ctx, message.configurationVersion);
     return;
   }
-  const sentAt = timeHeard(ctx, told);
-  if (sentAt === undefined || told.configurationVersion < configuration.version) return;
-  onPeerConfirmation(ctx, sentAt - told.confirmationAgeMs);
+  const sentAt = acknowledgedSendTime(ctx, message);
+  if (sentAt === undefined || message.configurationVersion < configuration.version) return;
+  onPeerConfirmation(ctx, sentAt - message.confirmationAgeMs);
 }
 
-/** Forgets when news were sent, as time may have passed since that the clock did not count. */
+/** Clears the send times after a clock gap, which makes their ages unreliable. */
 export function forgetSentTimes(ctx: RoutingContext): void {
-  ctx.state.exchange.sentAt.clear();
+  ctx.state.exchange.sendTimes.clear();
 }
 
-function noteSent({ state, now }: RoutingContext): void {
-  const { sentAt, sequence } = state.exchange;
-  sentAt.set(sequence, now);
-  sentAt.delete(sequence - MAX_SENT);
+function recordSendTime({ state, now }: RoutingContext): void {
+  const { sendTimes, sequence } = state.exchange;
+  sendTimes.set(sequence, now);
+  sendTimes.delete(sequence - MAX_SEND_TIMES);
 }
 
-/** Time at which this instance sent the latest news that the neighbour had read. */
-function timeHeard(ctx: RoutingContext, told: ConfirmationNews): Millis | undefined {
+/** Returns when this instance sent the latest message that the peer had read. */
+function acknowledgedSendTime(
+  ctx: RoutingContext,
+  message: ConfirmationFields,
+): Millis | undefined {
   const { self, exchange } = ctx.state;
-  const i = told.heardFrom.indexOf(startHash(self.id, self.incarnation));
-  const sequence = told.heardSequences[i];
-  return sequence === undefined ? undefined : exchange.sentAt.get(sequence);
+  const i = message.heardFrom.indexOf(hashIncarnation(self.id, self.incarnation));
+  const sequence = message.heardSequences[i];
+  return sequence === undefined ? undefined : exchange.sendTimes.get(sequence);
 }
 
-function startHash(id: InstanceId, incarnation: number): number {
+function hashIncarnation(id: InstanceId, incarnation: number): number {
   return hash32(`${id} ${incarnation}`);
 }
--- a/src/routing/exchange/domains.ts
+++ b/src/routing/exchange/domains.ts
@@ -1,122 +1,139 @@
 /**
- * Exchange in a large fleet: the instances of a failure domain tell each other, and one of them, the
- * relay, exchanges the sums of its domain with the relays of the other domains and passes theirs on.
- * The messages of an instance grow with its domain then, and not with the fleet, and few of them
- * cross regions.
+ * Message exchange in a large fleet. The instances of a failure domain message each other; one of
+ * them, the relay, exchanges summaries with the relays of the other domains and forwards theirs
+ * within its own. Message sizes then grow with the failure domain rather than with the fleet, and
+ * few messages cross regions.
  *
- * The relay is the instance with the lowest id that its domain hears of; nobody is asked. While two
- * take themselves for it, or none, sums are told twice or come late; they are whole states, so that
- * nothing is counted twice. A domain from which nothing comes is told through one of its instances
- * after the other until its relay answers.
+ * The relay is the instance with the lowest id that its domain hears from; there is no election.
+ * While there are two relays, or none, summaries are sent twice or late; they are full states, so
+ * nothing is counted twice. A domain that is silent is contacted through one of its instances after
+ * the other until its relay answers.
  */
 import { logInfo, logWarning, type RoutingContext } from '../context.js';
 import type { PartRead } from '../placement/prefixMemory.js';
 import { recordReportedCrashes } from '../suspects/suspects.js';
 import type { FailureDomainId } from '../types.js';
-import type { News, PeerInstance } from './exchangeState.js';
-import { isNear, isRelay, isRelayed } from './members.js';
-import { partsOf, readNews } from './news.js';
+import type { RoutingMessage, PeerInstance } from './exchangeState.js';
+import { isSameDomain, isRelay, usesRelays } from './members.js';
+import { decodeParts, decodeSummary } from './news.js';
 
-/** Messages that an instance of a silent domain is sent before the next one is tried. */
-const TRIES_EACH = 2;
-/** Parts that are kept to be passed on with one message. */
-const MAX_PASSED_ON = 800;
+/** Messages sent to an instance of a silent domain before the next instance is tried. */
+const ATTEMPTS_PER_INSTANCE = 2;
+/** Maximum number of parts queued for one forwarded message. */
+const MAX_FORWARDED_PARTS = 800;
 
-/** Takes the sums of another domain, from its relay itself. */
-export function noteDomainSums(ctx: RoutingContext, from: PeerInstance, told: News): void {
+/** Handles a summary received directly from the relay of another domain. */
+export function onDomainSummary(
+  ctx: RoutingContext,
+  from: PeerInstance,
+  message: RoutingMessage,
+): void {
   const relay = from;
-  relay.relayedAt = told.isLeaving ? undefined : ctx.now;
-  if (told.isLeaving) return;
-  ctx.state.exchange.tries.delete(told.domain);
-  takeSums(ctx, told);
+  relay.lastRelayedAt = message.isLeaving ? undefined : ctx.now;
+  if (message.isLeaving) return;
+  ctx.state.exchange.relayAttempts.delete(message.domain);
+  applyDomainSummary(ctx, message);
   if (!isRelay(ctx)) return;
-  const { far } = ctx.state.exchange.passOn;
-  far.set(told.domain, queued(far.get(told.domain) ?? [], partsOf(told)));
+  const { fromOtherDomains } = ctx.state.exchange.partsToForward;
+  fromOtherDomains.set(
+    message.domain,
+    appendBounded(fromOtherDomains.get(message.domain) ?? [], decodeParts(message)),
+  );
 }
 
-/** Takes the sums of the other domains that the relay of this one passes on. */
-export function noteSumsPassedOn(ctx: RoutingContext, others: readonly News[]): void {
-  // The relay has them at first hand.
+/** Handles summaries of other domains that the relay of this one forwards. */
+export function onForwardedSummaries(ctx: RoutingContext, others: readonly RoutingMessage[]): void {
+  // The relay receives them directly.
   if (others.length === 0 || isRelay(ctx)) return;
-  others.forEach((told) => takeSums(ctx, told));
+  others.forEach((message) => applyDomainSummary(ctx, message));
 }
 
-/** Keeps what an instance of this domain told of parts that upstreams read, if it is to be passed on. */
-export function notePartsToPassOn(ctx: RoutingContext, parts: readonly PartRead[]): void {
-  const { passOn } = ctx.state.exchange;
-  if (isRelayed(ctx) && isRelay(ctx)) passOn.near = queued(passOn.near, parts);
+/**
+ * Queues parts reported within this domain for the other domains, if this instance is the relay.
+ */
+export function queuePartsToForward(ctx: RoutingContext, parts: readonly PartRead[]): void {
+  const { partsToForward } = ctx.state.exchange;
+  if (usesRelays(ctx) && isRelay(ctx))
+    partsToForward.fromOwnDomain = appendBounded(partsToForward.fromOwnDomain, parts);
 }
 
-/** The sums of the other domains for the instances of this one, with the parts read there. */
-export function takeSumsToPassOn(ctx: RoutingContext): readonly News[] {
-  const { domains, passOn } = ctx.state.exchange;
-  const sums = [...domains].flatMap(([domain, known]) => {
-    // Once only, or old sums would pass for new ones.
-    if (!known.isToPassOn) return [];
-    domains.set(domain, { ...known, isToPassOn: false });
-    const { told } = known;
-    const parts = passOn.far.get(domain) ?? [];
+/**
+ * Returns the summaries of other domains, with the parts read there, for the instances of this one.
+ */
+export function takeSummariesToForward(ctx: RoutingContext): readonly RoutingMessage[] {
+  const { domains, partsToForward } = ctx.state.exchange;
+  const summaries = [...domains].flatMap(([domain, known]) => {
+    // Forward each summary only once, or old summaries would be taken for new ones.
+    if (!known.isForwardPending) return [];
+    domains.set(domain, { ...known, isForwardPending: false });
+    const { message } = known;
+    const parts = partsToForward.fromOtherDomains.get(domain) ?? [];
     const readParts = parts.map(({ part }) => part);
     const readAt = parts.map(({ upstream }) => upstream);
-    return [{ ...told, readParts, readAt }];
+    return [{ ...message, readParts, readAt }];
   });
-  passOn.far.clear();
-  return sums;
+  partsToForward.fromOtherDomains.clear();
+  return summaries;
 }
 
-/** The instance of each other domain that is to be told of this one. */
-export function relaysToTell(ctx: RoutingContext): readonly PeerInstance[] {
+/** Selects the instance of each other domain that receives this domain's summary. */
+export function selectRelays(ctx: RoutingContext): readonly PeerInstance[] {
   const byDomain = new Map<FailureDomainId, PeerInstance[]>();
   ctx.state.exchange.peers.forEach((peer) => {
-    if (isNear(ctx, peer)) return;
+    if (isSameDomain(ctx, peer)) return;
     const members = byDomain.get(peer.domain) ?? [];
     byDomain.set(peer.domain, members);
     members.push(peer);
   });
-  return [...byDomain].map(([domain, members]) => relayToTell(ctx, domain, members));
+  return [...byDomain].map(([domain, members]) => selectRelay(ctx, domain, members));
 }
 
-/** Drops sums that are too old to count. */
-export function expireSums(ctx: RoutingContext): void {
+/** Discards summaries that are too old. */
+export function expireDomainSummaries(ctx: RoutingContext): void {
   const { domains } = ctx.state.exchange;
-  domains.forEach((sums, domain) => {
-    const silentForMs = ctx.now - sums.heardAt;
-    if (sums.news === undefined || silentForMs <= ctx.state.settings.peerTimeoutMs) return;
-    domains.set(domain, { ...sums, news: undefined, isToPassOn: false });
-    logWarning(ctx, 'domainLost', { domain, silentForMs, instances: sums.told.instances });
+  domains.forEach((known, domain) => {
+    const silentForMs = ctx.now - known.heardAt;
+    if (known.news === undefined || silentForMs <= ctx.state.settings.peerTimeoutMs) return;
+    domains.set(domain, { ...known, news: undefined, isForwardPending: false });
+    logWarning(ctx, 'domainLost', { domain, silentForMs, instances: known.message.instances });
   });
 }
 
-function takeSums(ctx: RoutingContext, told: News): void {
-  const { domain } = told;
+function applyDomainSummary(ctx: RoutingContext, message: RoutingMessage): void {
+  const { domain } = message;
   const { domains } = ctx.state.exchange;
   if (domain === ctx.state.self.domain) return;
   if (domains.get(domain)?.news === undefined) {
-    logInfo(ctx, 'domainFound', { domain, instances: told.instances });
+    logInfo(ctx, 'domainFound', { domain, instances: message.instances });
   }
-  domains.set(domain, { told, news: readNews(told), isToPassOn: true, heardAt: ctx.now });
-  told.suspects.forEach((fingerprint, i) => {
-    recordReportedCrashes(ctx, `domain ${domain}`, fingerprint, told.crashes[i] ?? 0);
+  domains.set(domain, {
+    message,
+    news: decodeSummary(message),
+    isForwardPending: true,
+    heardAt: ctx.now,
+  });
+  message.suspects.forEach((fingerprint, i) => {
+    recordReportedCrashes(ctx, `domain ${domain}`, fingerprint, message.crashes[i] ?? 0);
   });
-  partsOf(told).forEach((read) => ctx.state.prefixes.recordRemote(read, ctx.now));
+  decodeParts(message).forEach((read) => ctx.state.prefixes.recordRemote(read, ctx.now));
 }
 
-/** The relay that was heard of, or else the instances of the domain in turn. */
-function relayToTell(
+/** Returns the relay if it was heard from recently, or else the domain's instances in turn. */
+function selectRelay(
   ctx: RoutingContext,
   domain: FailureDomainId,
   members: readonly PeerInstance[],
 ): PeerInstance {
-  const { tries } = ctx.state.exchange;
-  const inOrder = [...members].sort((a, b) => (a.id < b.id ? -1 : 1));
-  const heardSince = ctx.now - ctx.state.settings.peerTimeoutMs;
-  const relay = inOrder.find(({ relayedAt = -Infinity }) => relayedAt > heardSince);
+  const { relayAttempts } = ctx.state.exchange;
+  const sorted = [...members].sort((a, b) => (a.id < b.id ? -1 : 1));
+  const activeSince = ctx.now - ctx.state.settings.peerTimeoutMs;
+  const relay = sorted.find(({ lastRelayedAt = -Infinity }) => lastRelayedAt > activeSince);
   if (relay !== undefined) return relay;
-  const tried = tries.get(domain) ?? 0;
-  tries.set(domain, tried + 1);
-  return inOrder[Math.floor(tried / TRIES_EACH) % inOrder.length] as PeerInstance;
+  const attempts = relayAttempts.get(domain) ?? 0;
+  relayAttempts.set(domain, attempts + 1);
+  return sorted[Math.floor(attempts / ATTEMPTS_PER_INSTANCE) % sorted.length] as PeerInstance;
 }
 
-function queued(queue: readonly PartRead[], parts: readonly PartRead[]): PartRead[] {
-  return [...queue, ...parts].slice(-MAX_PASSED_ON);
+function appendBounded(queue: readonly PartRead[], parts: readonly PartRead[]): PartRead[] {
+  return [...queue, ...parts].slice(-MAX_FORWARDED_PARTS);
 }
--- a/src/routing/exchange/exchange.ts
+++ b/src/routing/exchange/exchange.ts
@@ -1,10 +1,10 @@
 /**
- * Exchange between instances: each announces itself once on the platform, finds the others there,
- * and then tells them directly, some times a second, of its open work at upstreams, of what
- * customers ask for and get, of parts of prompts that upstreams read, and of requests that crash
- * upstreams. News are whole states, or told twice, so that a lost or late message does no harm; an
- * instance that is not heard of no longer counts. In a large fleet the failure domains tell each
- * other sums (`domains.ts`).
+ * Exchanges state between instances. Each instance announces itself once on the platform and finds
+ * the others there. It then sends them several messages per second directly, with its open work at
+ * upstreams, the requested and admitted rates of customers, the prompt parts that upstreams read,
+ * and the requests that crash upstreams. Messages contain full state, or repeat changes in two
+ * messages, so that a lost or delayed one does no harm. An instance that falls silent is no longer
+ * counted. In a large fleet, failure domains exchange summaries (`domains.ts`).
  */
 import type { Millis } from '../../core/clock.js';
 import {
@@ -21,32 +21,37 @@
 import type { PartRead } from '../placement/prefixMemory.js';
 import { recordReportedCrashes } from '../suspects/suspects.js';
 import type { AnnouncedInstance, RoutingEvent } from '../types.js';
-import { composeConfirmation, takeConfirmation } from './confirmations.js';
+import { composeConfirmation, applyConfirmation } from './confirmations.js';
 import {
-  expireSums,
-  noteDomainSums,
-  notePartsToPassOn,
-  noteSumsPassedOn,
-  relaysToTell,
-  takeSumsToPassOn,
+  expireDomainSummaries,
+  onDomainSummary,
+  queuePartsToForward,
+  onForwardedSummaries,
+  selectRelays,
+  takeSummariesToForward,
 } from './domains.js';
-import type { News, PeerInstance } from './exchangeState.js';
-import { dropSums, sumNews } from './fleetSums.js';
-import { isFirst, isNear, isRelay, isRelayed, nearPeers } from './members.js';
-import { composeMessage, ownNews, partsOf, readNews } from './news.js';
+import type { RoutingMessage, PeerInstance } from './exchangeState.js';
+import { invalidateTotals, mergeSummaries } from './fleetSums.js';
+import { hasLowestId, isSameDomain, isRelay, usesRelays, domainPeers } from './members.js';
+import { composeMessage, localSummary, decodeParts, decodeSummary } from './news.js';
 
-/** Delay before a failed announcement or read is tried again. */
+/** Delay before a failed announcement or read is retried. */
 const RETRY_DELAY: RetryDelay = { firstMs: 500, longestMs: 3_000 };
-/** Of so many news, instances that were found lately and are not heard of yet are told one. */
-const NEW_PEER_EVERY = 5;
-/** Interval at which instances that are not heard of are still told news. */
+/**
+ * A recently found peer that has not been heard from yet receives one message per this many
+ * exchanges.
+ */
+const NEW_PEER_EXCHANGES = 5;
+/** Interval of messages to other peers that are not heard from. */
 const SILENT_PEER_INTERVAL_MS: Millis = 2_000;
-/** Time after which an instance that was never heard of again is dropped. */
-const DROP_AFTER_MS: Millis = 30_000;
-/** Busy instances are heard of within this time, so that their neighbours follow them. */
-const LONGEST_STRETCHED_MS: Millis = 700;
-/** Time for which instances count that are not heard of, where connections are divided. */
-const COUNTED_FOR_MS: Millis = 10_000;
+/** Time without a message after which a peer is removed. */
+const REMOVE_AFTER_MS: Millis = 30_000;
+/**
+ * Upper bound of the interval on a busy instance, so that its peers can rely on its confirmations.
+ */
+const MAX_BUSY_INTERVAL_MS: Millis = 700;
+/** Time for which a silent instance still counts when connections are divided. */
+const COUNTED_SILENCE_MS: Millis = 10_000;
 
 type Polled = Extract<RoutingEvent, { readonly kind: 'instancesPolled' }>;
 
@@ -96,141 +101,159 @@
 
 export function onExchangeTimer(ctx: RoutingContext): void {
   const { exchange } = ctx.state;
-  exchange.peers.forEach((peer) => checkPeer(ctx, peer));
-  expireSums(ctx);
-  dropSums(ctx);
+  exchange.peers.forEach((peer) => expirePeer(ctx, peer));
+  expireDomainSummaries(ctx);
+  invalidateTotals(ctx);
   exchange.sequence += 1;
   const parts = ctx.state.prefixes.takePending();
-  const told = isRelayed(ctx) ? tellDomain(ctx, parts) : tellAll(ctx, parts);
-  setTimer(ctx, 'exchange', exchangeInterval(ctx, told));
+  const recipientCount = usesRelays(ctx) ? sendToDomain(ctx, parts) : sendToAll(ctx, parts);
+  setTimer(ctx, 'exchange', exchangeInterval(ctx, recipientCount));
 }
 
-/** Time to the next news: longer the more instances are told, and while the processor is busy. */
-function exchangeInterval(ctx: RoutingContext, told: number): Millis {
+/**
+ * Returns the time to the next exchange; it grows with the number of recipients and the instance's
+ * load.
+ */
+function exchangeInterval(ctx: RoutingContext, recipientCount: number): Millis {
   const { exchangeMs, exchangeInstances } = ctx.state.settings;
-  const usualMs = exchangeMs * Math.max(1, told / exchangeInstances);
-  return Math.max(usualMs, Math.min(usualMs * controlIntervalFactor(ctx), LONGEST_STRETCHED_MS));
+  const usualMs = exchangeMs * Math.max(1, recipientCount / exchangeInstances);
+  return Math.max(usualMs, Math.min(usualMs * controlIntervalFactor(ctx), MAX_BUSY_INTERVAL_MS));
 }
 
-export function onNews(ctx: RoutingContext, from: string, incarnation: number, value: News): void {
+export function onNews(
+  ctx: RoutingContext,
+  from: string,
+  incarnation: number,
+  message: RoutingMessage,
+): void {
   const peer = ctx.state.exchange.peers.get(from);
   if (peer === undefined || incarnation < peer.incarnation) return;
-  if (incarnation === peer.incarnation && value.sequence <= peer.sequence) return;
+  if (incarnation === peer.incarnation && message.sequence <= peer.sequence) return;
   peer.lastHeardAt = ctx.now;
-  peer.sequence = value.sequence;
-  dropSums(ctx);
-  if (value.domain !== '') {
-    noteDomainSums(ctx, peer, value);
+  peer.sequence = message.sequence;
+  invalidateTotals(ctx);
+  if (message.domain !== '') {
+    onDomainSummary(ctx, peer, message);
     return;
   }
   if (!peer.isHeard) logInfo(ctx, 'peerFound', { peer: from, address: peer.address });
   peer.isHeard = true;
-  peer.news = value.isLeaving ? undefined : readNews(value);
-  value.suspects.forEach((fingerprint, i) => {
-    recordReportedCrashes(ctx, from, fingerprint, value.crashes[i] ?? 0);
+  peer.news = message.isLeaving ? undefined : decodeSummary(message);
+  message.suspects.forEach((fingerprint, i) => {
+    recordReportedCrashes(ctx, from, fingerprint, message.crashes[i] ?? 0);
   });
-  const parts = partsOf(value);
+  const parts = decodeParts(message);
   parts.forEach((read) => ctx.state.prefixes.recordRemote(read, ctx.now));
-  if (!isNear(ctx, peer)) return;
-  takeConfirmation(ctx, value);
-  notePartsToPassOn(ctx, parts);
-  noteSumsPassedOn(ctx, value.others);
+  if (!isSameDomain(ctx, peer)) return;
+  applyConfirmation(ctx, message);
+  queuePartsToForward(ctx, parts);
+  onForwardedSummaries(ctx, message.others);
 }
 
-/** Instances that may open connections to upstreams, this one included. */
+/** Returns the number of instances that may open connections to upstreams, including this one. */
 export function countInstances(ctx: RoutingContext): number {
   const { peers, domains } = ctx.state.exchange;
-  const counted = isRelayed(ctx) ? nearPeers(ctx) : [...peers.values()];
+  const counted = usesRelays(ctx) ? domainPeers(ctx) : [...peers.values()];
   let count = 1;
   counted.forEach((peer) => {
-    if (ctx.now - peer.lastHeardAt < COUNTED_FOR_MS) count += 1;
+    if (ctx.now - peer.lastHeardAt < COUNTED_SILENCE_MS) count += 1;
   });
-  if (!isRelayed(ctx)) return count;
-  domains.forEach(({ told, heardAt }) => {
-    if (ctx.now - heardAt < COUNTED_FOR_MS) count += told.instances;
+  if (!usesRelays(ctx)) return count;
+  domains.forEach(({ message, heardAt }) => {
+    if (ctx.now - heardAt < COUNTED_SILENCE_MS) count += message.instances;
   });
   return count;
 }
 
-/** Tells the others at once that this instance leaves. */
+/** Immediately notifies the other instances that this one leaves. */
 export function announceLeaving(ctx: RoutingContext): void {
   const { exchange } = ctx.state;
   exchange.sequence += 1;
   const parts = ctx.state.prefixes.takePending();
-  const message = composeOwn(ctx, parts);
-  const near = nearPeers(ctx);
-  const told = isRelayed(ctx) ? near : [...exchange.peers.values()];
-  told.forEach((peer) => sendNews(ctx, peer, message));
-  if (isRelayed(ctx) && isFirst(ctx)) tellRelays(ctx, near, parts);
+  const message = composeInstanceMessage(ctx, parts);
+  const neighbors = domainPeers(ctx);
+  const recipients = usesRelays(ctx) ? neighbors : [...exchange.peers.values()];
+  recipients.forEach((peer) => sendMessage(ctx, peer, message));
+  if (usesRelays(ctx) && hasLowestId(ctx)) sendToRelays(ctx, neighbors, parts);
 }
 
-/** Tells every other instance; returns their number. */
-function tellAll(ctx: RoutingContext, parts: readonly PartRead[]): number {
+/** Sends a message to all other instances and returns their number. */
+function sendToAll(ctx: RoutingContext, parts: readonly PartRead[]): number {
   const { peers } = ctx.state.exchange;
-  const message = composeOwn(ctx, parts);
+  const message = composeInstanceMessage(ctx, parts);
   peers.forEach((peer) => {
-    if (isTold(ctx, peer)) sendNews(ctx, peer, message);
+    if (shouldSend(ctx, peer)) sendMessage(ctx, peer, message);
   });
   return peers.size;
 }
 
 /**
- * Tells the instances of this failure domain, and the other domains if it is for this instance to do
- * so. Returns how many are told.
+ * Sends messages within this failure domain and, if this instance is the relay, to the other
+ * domains. Returns the number of recipients.
  */
-function tellDomain(ctx: RoutingContext, parts: readonly PartRead[]): number {
-  const near = nearPeers(ctx);
+function sendToDomain(ctx: RoutingContext, parts: readonly PartRead[]): number {
+  const neighbors = domainPeers(ctx);
   const isForDomain = isRelay(ctx);
-  const others = isForDomain ? takeSumsToPassOn(ctx) : [];
-  const message = composeOwn(ctx, parts, others);
-  near.forEach((peer) => {
-    if (isTold(ctx, peer)) sendNews(ctx, peer, message);
+  const others = isForDomain ? takeSummariesToForward(ctx) : [];
+  const message = composeInstanceMessage(ctx, parts, others);
+  neighbors.forEach((peer) => {
+    if (shouldSend(ctx, peer)) sendMessage(ctx, peer, message);
   });
-  if (!isForDomain) return near.length;
-  return near.length + tellRelays(ctx, near, parts);
+  if (!isForDomain) return neighbors.length;
+  return neighbors.length + sendToRelays(ctx, neighbors, parts);
 }
 
-/** Tells the other domains the sums of this one; returns the number of domains. */
-function tellRelays(
+/** Sends the summary of this domain to the other domains and returns their number. */
+function sendToRelays(
   ctx: RoutingContext,
-  near: readonly PeerInstance[],
+  neighbors: readonly PeerInstance[],
   parts: readonly PartRead[],
 ): number {
-  const relays = relaysToTell(ctx);
-  const sums = composeDomain(ctx, near, parts);
-  relays.forEach((relay) => sendNews(ctx, relay, sums));
+  const relays = selectRelays(ctx);
+  const message = composeDomainMessage(ctx, neighbors, parts);
+  relays.forEach((relay) => sendMessage(ctx, relay, message));
   return relays.length;
 }
 
-function composeOwn(
+function composeInstanceMessage(
   ctx: RoutingContext,
   parts: readonly PartRead[],
-  others: readonly News[] = [],
-): News {
+  others: readonly RoutingMessage[] = [],
+): RoutingMessage {
   const instances = new Set([ctx.state.self.id]);
   const confirmation = composeConfirmation(ctx);
-  return composeMessage(ctx, { news: ownNews(ctx), parts, instances, others, confirmation });
+  return composeMessage(ctx, {
+    summary: localSummary(ctx),
+    parts,
+    instances,
+    others,
+    confirmation,
+  });
 }
 
-/** The sums of this failure domain. */
-function composeDomain(
+/** Composes the summary of this failure domain. */
+function composeDomainMessage(
   ctx: RoutingContext,
-  near: readonly PeerInstance[],
+  neighbors: readonly PeerInstance[],
   ownParts: readonly PartRead[],
-): News {
+): RoutingMessage {
   const { self, exchange } = ctx.state;
-  const known = near.flatMap(({ news }) => (news === undefined ? [] : [news]));
-  const parts = [...ownParts, ...exchange.passOn.near];
-  exchange.passOn.near = [];
+  const known = neighbors.flatMap(({ news }) => (news === undefined ? [] : [news]));
+  const parts = [...ownParts, ...exchange.partsToForward.fromOwnDomain];
+  exchange.partsToForward.fromOwnDomain = [];
   return composeMessage(ctx, {
-    news: sumNews([ownNews(ctx), ...known]),
+    summary: mergeSummaries([localSummary(ctx), ...known]),
     parts,
-    instances: new Set([self.id, ...near.map(({ id }) => id)]),
+    instances: new Set([self.id, ...neighbors.map(({ id }) => id)]),
     domain: self.domain,
   });
 }
 
-function sendNews(ctx: RoutingContext, { id, address }: PeerInstance, value: News): void {
+function sendMessage(
+  ctx: RoutingContext,
+  { id, address }: PeerInstance,
+  value: RoutingMessage,
+): void {
   emit(ctx, { kind: 'sendPeer', to: id, address, message: { $case: 'routingNews', value } });
 }
 
@@ -239,7 +262,7 @@
   if (announced.id === self.id) return;
   const known = exchange.peers.get(announced.id);
   if (known !== undefined && known.incarnation >= announced.incarnation) return;
-  dropSums(ctx);
+  invalidateTotals(ctx);
   const { id, incarnation, address, domain, region } = announced;
   exchange.peers.set(id, {
     id,
@@ -250,31 +273,31 @@
     news: undefined,
     lastHeardAt: ctx.now,
     isHeard: false,
-    relayedAt: undefined,
+    lastRelayedAt: undefined,
     sequence: -1,
   });
 }
 
-function checkPeer(ctx: RoutingContext, peer: PeerInstance): void {
-  // Nothing comes from most instances of other domains then.
-  if (isRelayed(ctx) && !isNear(ctx, peer)) return;
+function expirePeer(ctx: RoutingContext, peer: PeerInstance): void {
+  // Most instances of other domains send nothing to this one if relays are used.
+  if (usesRelays(ctx) && !isSameDomain(ctx, peer)) return;
   const silentForMs = ctx.now - peer.lastHeardAt;
   if (peer.isHeard && silentForMs > ctx.state.settings.peerTimeoutMs) {
     peer.isHeard = false;
     peer.news = undefined;
     logWarning(ctx, 'peerLost', { peer: peer.id, silentForMs });
   }
-  if (silentForMs > DROP_AFTER_MS) {
+  if (silentForMs > REMOVE_AFTER_MS) {
     ctx.state.exchange.peers.delete(peer.id);
     emit(ctx, { kind: 'dropPeer', to: peer.id });
   }
 }
 
-/** Instances that are silent are told now and then only. */
-function isTold(ctx: RoutingContext, peer: PeerInstance): boolean {
+/** Returns whether to send a message now; silent peers receive them less often. */
+function shouldSend(ctx: RoutingContext, peer: PeerInstance): boolean {
   if (peer.isHeard) return true;
   const { exchange, settings } = ctx.state;
   const everyNth = Math.max(1, Math.round(SILENT_PEER_INTERVAL_MS / settings.exchangeMs));
   const isNew = ctx.now - peer.lastHeardAt < settings.peerTimeoutMs;
-  return exchange.sequence % (isNew ? NEW_PEER_EVERY : everyNth) === 0;
+  return exchange.sequence % (isNew ? NEW_PEER_EXCHANGES : everyNth) === 0;
 }
--- a/src/routing/exchange/exchangeState.ts
+++ b/src/routing/exchange/exchangeState.ts
@@ -1,4 +1,4 @@
-/** The other instances and the last news of each. */
+/** The other instances, and the latest message of each. */
 import type { Millis } from '../../core/clock.js';
 import type { PeerMessageOf } from '../../core/types.js';
 import type { PartRead } from '../placement/prefixMemory.js';
@@ -7,16 +7,16 @@
 import type { FailureDomainId, InstanceId, RegionId } from '../types.js';
 import type { OpenWork } from '../upstreams/upstreamsState.js';
 
-/** News as instances send them. */
-export type News = PeerMessageOf<'routingNews'>;
+/** A routing message as sent between instances. */
+export type RoutingMessage = PeerMessageOf<'routingNews'>;
 
-/** What another instance, or the relay of another failure domain, told last. */
-export interface PeerNews {
-  /** Open work by the hash of the upstream's id and start. */
+/** Latest load reported by another instance, or by the relay of another failure domain. */
+export interface LoadSummary {
+  /** Open work, keyed by the hash of the upstream's id and start time. */
   readonly work: ReadonlyMap<number, OpenWork>;
-  /** Rates by the hash of the customer's name. */
+  /** Rates, keyed by the hash of the customer's name. */
   readonly rates: ReadonlyMap<number, TokenRates>;
-  /** Instances that the news are of. */
+  /** Number of instances that the summary covers. */
   readonly instances: number;
 }
 
@@ -26,46 +26,46 @@
   readonly address: string;
   readonly domain: FailureDomainId;
   readonly region: RegionId;
-  news: PeerNews | undefined;
-  /** Time at which it was found or last heard of. */
+  news: LoadSummary | undefined;
+  /** Time at which the instance was found or last heard from. */
   lastHeardAt: Millis;
   isHeard: boolean;
-  /** Time at which it last told the sums of its failure domain. */
-  relayedAt: Millis | undefined;
-  /** Sequence of the last news; older ones are dropped. */
+  /** Time at which it last sent the summary of its failure domain. */
+  lastRelayedAt: Millis | undefined;
+  /** Sequence of the latest message; older messages are dropped. */
   sequence: number;
 }
 
-/** The sums of another failure domain. */
-export interface DomainSums {
-  /** As they were told, to be passed on. */
-  readonly told: News;
-  /** Undefined once they are too old to count. */
-  readonly news: PeerNews | undefined;
-  /** Whether they are still to be passed on within this domain. */
-  readonly isToPassOn: boolean;
+/** Latest summary of another failure domain. */
+export interface DomainSummary {
+  /** The message as received, for forwarding. */
+  readonly message: RoutingMessage;
+  /** Undefined once the summary is too old to count. */
+  readonly news: LoadSummary | undefined;
+  /** Whether the summary has yet to be forwarded within this domain. */
+  readonly isForwardPending: boolean;
   readonly heardAt: Millis;
 }
 
-/** Parts of prompts that upstreams read, to be passed on with the next news. */
-export interface PartsToPassOn {
-  /** Told by instances of this failure domain, for the other domains. */
-  near: PartRead[];
-  /** Told by the other domains, for the instances of this one. */
-  readonly far: Map<FailureDomainId, PartRead[]>;
+/** Parts read by upstreams, queued for the next forwarded message. */
+export interface PartsToForward {
+  /** Reported by instances of this failure domain, for the other domains. */
+  fromOwnDomain: PartRead[];
+  /** Reported by the other domains, for the instances of this one. */
+  readonly fromOtherDomains: Map<FailureDomainId, PartRead[]>;
 }
 
 export interface ExchangeState extends PollState {
   readonly peers: Map<InstanceId, PeerInstance>;
-  /** Sums of the other failure domains, where not every instance tells all others. */
-  readonly domains: Map<FailureDomainId, DomainSums>;
-  /** Messages that a silent domain was sent, by its instances in turn. */
-  readonly tries: Map<FailureDomainId, number>;
-  readonly passOn: PartsToPassOn;
-  /** Times at which the latest news were sent, by their sequence. */
-  readonly sentAt: Map<number, Millis>;
-  /** Sums over all that the others told; undefined once something has changed. */
-  sums: PeerNews | undefined;
+  /** Summaries of the other failure domains; used if relays are in use. */
+  readonly domains: Map<FailureDomainId, DomainSummary>;
+  /** Number of messages sent to each silent domain, through its instances in turn. */
+  readonly relayAttempts: Map<FailureDomainId, number>;
+  readonly partsToForward: PartsToForward;
+  /** Send times of the latest messages, by sequence. */
+  readonly sendTimes: Map<number, Millis>;
+  /** Cached sum over all other instances; undefined after a change. */
+  remoteTotals: LoadSummary | undefined;
   isAnnounced: boolean;
   announceFailures: number;
   sequence: number;
@@ -75,10 +75,10 @@
   return {
     peers: new Map(),
     domains: new Map(),
-    tries: new Map(),
-    passOn: { near: [], far: new Map() },
-    sentAt: new Map(),
-    sums: undefined,
+    relayAttempts: new Map(),
+    partsToForward: { fromOwnDomain: [], fromOtherDomains: new Map() },
+    sendTimes: new Map(),
+    remoteTotals: undefined,
     cursor: undefined,
     failures: 0,
     isAnnounced: false,
--- a/src/routing/exchange/fleetSums.ts
+++ b/src/routing/exchange/fleetSums.ts
@@ -1,53 +1,58 @@
 /**
- * Sums over what the other instances told: their open work at upstreams and the rates of customers.
- * They are worked out anew after a change only, since each placement asks for them.
+ * Totals over the state reported by the other instances: open work at upstreams and customer rates.
+ * Each placement needs them, so they are cached until something changes.
  */
 import type { RoutingContext } from '../context.js';
 import type { TokenRates } from '../shares/sharesState.js';
 import type { OpenWork } from '../upstreams/upstreamsState.js';
-import type { PeerNews } from './exchangeState.js';
-import { isRelayed, nearPeers } from './members.js';
+import type { LoadSummary } from './exchangeState.js';
+import { usesRelays, domainPeers } from './members.js';
 
 const NO_WORK: OpenWork = { running: 0, pendingTokens: 0, heldTokens: 0 };
 
-/** Work of the other instances at an upstream, as they last told. */
-export function peersWork(ctx: RoutingContext, upstreamHash: number): OpenWork {
-  return othersSums(ctx).work.get(upstreamHash) ?? NO_WORK;
+/** Returns the open work of the other instances at an upstream, as last reported. */
+export function remoteWork(ctx: RoutingContext, upstreamHash: number): OpenWork {
+  return computeRemoteTotals(ctx).work.get(upstreamHash) ?? NO_WORK;
 }
 
-/** Rates of customers at the other instances, by the hash of the customer's name. */
-export function peersRates(ctx: RoutingContext): ReadonlyMap<number, TokenRates> {
-  return othersSums(ctx).rates;
+/** Returns the customer rates at the other instances, keyed by the hash of the customer's name. */
+export function remoteRates(ctx: RoutingContext): ReadonlyMap<number, TokenRates> {
+  return computeRemoteTotals(ctx).rates;
 }
 
-/** Has the sums worked out anew when they are next asked for. */
-export function dropSums(ctx: RoutingContext): void {
-  ctx.state.exchange.sums = undefined;
+/** Discards the cached totals; they are recomputed on next use. */
+export function invalidateTotals(ctx: RoutingContext): void {
+  ctx.state.exchange.remoteTotals = undefined;
 }
 
-/** Sums of several news. */
-export function sumNews(parts: readonly PeerNews[]): PeerNews {
+/** Merges several summaries into one. */
+export function mergeSummaries(summaries: readonly LoadSummary[]): LoadSummary {
   const work = new Map<number, OpenWork>();
   const rates = new Map<number, TokenRates>();
   let instances = 0;
-  parts.forEach((part) => {
-    part.work.forEach((one, upstream) => work.set(upstream, addWork(work.get(upstream), one)));
-    part.rates.forEach((one, customer) => rates.set(customer, addRates(rates.get(customer), one)));
-    instances += part.instances;
+  summaries.forEach((summary) => {
+    summary.work.forEach((one, upstream) => work.set(upstream, addWork(work.get(upstream), one)));
+    summary.rates.forEach((one, customer) =>
+      rates.set(customer, addRates(rates.get(customer), one)),
+    );
+    instances += summary.instances;
   });
   return { work, rates, instances };
 }
 
-function othersSums(ctx: RoutingContext): PeerNews {
+function computeRemoteTotals(ctx: RoutingContext): LoadSummary {
   const { exchange } = ctx.state;
-  exchange.sums ??= sumNews(newsThatCount(ctx));
-  return exchange.sums;
+  exchange.remoteTotals ??= mergeSummaries(currentSummaries(ctx));
+  return exchange.remoteTotals;
 }
 
-/** News of the other instances: of each, or of those near and the sums of the other domains. */
-function newsThatCount(ctx: RoutingContext): readonly PeerNews[] {
+/**
+ * Returns the summaries to add up: of every instance or, with relays, of the own domain's instances
+ * and the other domains.
+ */
+function currentSummaries(ctx: RoutingContext): readonly LoadSummary[] {
   const { peers, domains } = ctx.state.exchange;
-  const all = isRelayed(ctx) ? [...nearPeers(ctx), ...domains.values()] : [...peers.values()];
+  const all = usesRelays(ctx) ? [...domainPeers(ctx), ...domains.values()] : [...peers.values()];
   return all.flatMap(({ news }) => (news === undefined ? [] : [news]));
 }
 
--- a/src/routing/exchange/members.ts
+++ b/src/routing/exchange/members.ts
@@ -1,29 +1,31 @@
-/** The instances of this failure domain, and how the instances of the fleet tell each other. */
+/** Instances of this failure domain, and their roles in the message exchange. */
 import type { RoutingContext } from '../context.js';
 import type { PeerInstance } from './exchangeState.js';
 
-/** Whether instances tell those of their own failure domain only. */
-export function isRelayed({ state }: RoutingContext): boolean {
+/**
+ * Returns whether instances message only their own failure domain and relays connect the domains.
+ */
+export function usesRelays({ state }: RoutingContext): boolean {
   return state.exchange.peers.size >= state.settings.meshInstances;
 }
 
-export function isNear({ state }: RoutingContext, { domain }: PeerInstance): boolean {
+export function isSameDomain({ state }: RoutingContext, { domain }: PeerInstance): boolean {
   return domain === state.self.domain;
 }
 
-/** The other instances of this failure domain. */
-export function nearPeers(ctx: RoutingContext): readonly PeerInstance[] {
-  return [...ctx.state.exchange.peers.values()].filter((peer) => isNear(ctx, peer));
+/** Returns the other instances of this failure domain. */
+export function domainPeers(ctx: RoutingContext): readonly PeerInstance[] {
+  return [...ctx.state.exchange.peers.values()].filter((peer) => isSameDomain(ctx, peer));
 }
 
-/** Whether this instance exchanges the sums of its failure domain with the other domains. */
+/** Returns whether this instance exchanges summaries with the other failure domains. */
 export function isRelay(ctx: RoutingContext): boolean {
   const { phase } = ctx.state;
-  return phase !== 'stopping' && phase !== 'stopped' && isFirst(ctx);
+  return phase !== 'stopping' && phase !== 'stopped' && hasLowestId(ctx);
 }
 
-/** Whether no instance with a lower id is heard of in this failure domain. */
-export function isFirst(ctx: RoutingContext): boolean {
+/** Returns whether no instance with a lower id is heard from in this failure domain. */
+export function hasLowestId(ctx: RoutingContext): boolean {
   const { self } = ctx.state;
-  return nearPeers(ctx).every(({ id, news }) => news === undefined || id > self.id);
+  return domainPeers(ctx).every(({ id, news }) => news === undefined || id > self.id);
 }
--- a/src/routing/freshness/freshness.ts
+++ b/src/routing/freshness/freshness.ts
@@ -17,7 +17,7 @@
   type RetryDelay,
   type RoutingContext,
 } from '../context.js';
-import { isFirst } from '../exchange/members.js';
+import { hasLowestId } from '../exchange/members.js';
 import { settlePoll, type Poll } from '../polls.js';
 import { createRouteTable } from '../routes/routeTable.js';
 import type { RoutingState } from '../state.js';
@@ -100,7 +100,7 @@
  */
 function isConfirmedByPeers(ctx: RoutingContext): boolean {
   const { failures, peerConfirmedAt } = ctx.state.freshness;
-  if (failures > 0 || isFirst(ctx) || ctx.now - peerConfirmedAt > PEER_SILENCE_TIMEOUT_MS)
+  if (failures > 0 || hasLowestId(ctx) || ctx.now - peerConfirmedAt > PEER_SILENCE_TIMEOUT_MS)
     return false;
   const bound = Math.min(ctx.state.settings.applyMs, confirmationBound(ctx));
   return (confirmationAge(ctx) ?? Infinity) < bound * MAX_PEER_AGE_FRACTION;
--- a/src/routing/placement/placement.ts
+++ b/src/routing/placement/placement.ts
@@ -13,7 +13,7 @@
 import type { Millis } from '../../core/clock.js';
 import type { RoutingContext } from '../context.js';
 import { countInstances } from '../exchange/exchange.js';
-import { peersWork } from '../exchange/fleetSums.js';
+import { remoteWork } from '../exchange/fleetSums.js';
 import type { PoolId, RegionId, RequestFacts, Route, UpstreamId } from '../types.js';
 import { createPoolWait, type PoolWait } from './poolWait.js';
 import {
@@ -150,7 +150,7 @@
 
 /** Returns the open work of all instances at an upstream. */
 function totalWork(ctx: RoutingContext, upstream: Upstream): OpenWork {
-  const remote = peersWork(ctx, upstream.hash);
+  const remote = remoteWork(ctx, upstream.hash);
   const { own } = upstream;
   return {
     running: own.running + remote.running,
--- a/src/routing/shares/tokenShares.ts
+++ b/src/routing/shares/tokenShares.ts
@@ -11,7 +11,7 @@
 import { MS_PER_SECOND, type Millis } from '../../core/clock.js';
 import { hash32 } from '../../core/hash.js';
 import type { RoutingContext } from '../context.js';
-import { peersRates } from '../exchange/fleetSums.js';
+import { remoteRates } from '../exchange/fleetSums.js';
 import { createDecayingCounts, decay, type DecayingCounts } from '../decay.js';
 import type { CustomerName } from '../types.js';
 import type { TokenRates } from './sharesState.js';
@@ -75,7 +75,7 @@
     sums.set(key, sum);
   };
   localRates(ctx).forEach((rates, name) => add(hash32(name), rates));
-  peersRates(ctx).forEach((rates, key) => add(key, rates));
+  remoteRates(ctx).forEach((rates, key) => add(key, rates));
   const all = [...sums.values()];
   const totalAdmitted = all.reduce((sum, { admitted }) => sum + admitted, 0);
   // While requests are refused and the upstreams are busy, the admitted rate is the capacity. A
--- a/test/routing/domains.test.ts
+++ b/test/routing/domains.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import { hash32 } from '../../src/core/hash.js';
 import { countInstances } from '../../src/routing/exchange/exchange.js';
-import { peersWork } from '../../src/routing/exchange/fleetSums.js';
+import { remoteWork } from '../../src/routing/exchange/fleetSums.js';
 import { isBlocked, recordCrash } from '../../src/routing/suspects/suspects.js';
 import {
   createCoreFleet,
@@ -31,7 +31,7 @@
   const ctx = fleet.context(core);
   let running = 0;
   ctx.state.upstreams.byId.forEach(({ hash, own }) => {
-    running += own.running + peersWork(ctx, hash).running;
+    running += own.running + remoteWork(ctx, hash).running;
   });
   return running;
 }
