Reword the comments of the routing tests

Comments said what was "taken away", "under way" or "told". They now name revocation, pending reads, messages and retry delays. Only comments and local names change (HOPS to PROPAGATION_ROUNDS, TAKEOVER to TAKEOVER_ROUNDS); titles, values and checks are as before.

--- a/test/routing/beliefs.test.ts
+++ b/test/routing/beliefs.test.ts
@@ -65,7 +65,7 @@
         core.advance(silentForMs);
         failConfiguration(core);
         const isSent = effectsOf(core.arrive(), 'send').length > 0;
-        // A key that was taken away right after the last confirmation must be refused by then.
+        // A key revoked right after the last confirmation must be refused by then.
         if (silentForMs >= 5_000) expect(isSent).to.equal(false);
         if (silentForMs <= 3_000) expect(isSent).to.equal(true);
       }),
@@ -91,7 +91,7 @@
     const effects = core.take({ kind: 'clockGap', gapMs: 6_000 });
     expect(effectsOf(effects, 'setReady')).to.deep.equal([{ kind: 'setReady', isReady: false }]);
     expect(answerOf(core.arrive())?.reason).to.equal('staleConfiguration');
-    // The read that was under way had been sent before that time passed.
+    // The pending read was sent before the clock gap.
     core.configure();
     expect(answerOf(core.arrive())?.reason).to.equal('staleConfiguration');
     core.configure();
@@ -141,7 +141,7 @@
 });
 
 describe('calls to a platform that is away', () => {
-  /** Delays after failures in a row of one kind of read. */
+  /** Returns the retry delays after consecutive failures of one kind of read. */
   function delaysOf(kind: 'configurationPolled' | 'upstreamsPolled' | 'instancesPolled') {
     const core = createTestCore();
     return Array.from({ length: 12 }, () => {
@@ -177,7 +177,8 @@
     [configuration, upstreams, instances].forEach((delays) => {
       expect(delays.at(-1)).to.be.above((delays[0] ?? 0) * 1.5);
     });
-    // A configuration has to be in force, and a draining upstream left, 2.5 s after it was told.
+    // A configuration has to take effect, and a draining upstream to be avoided, within 2.5 s of
+    // its publication.
     expect(Math.max(...configuration)).to.be.at.most(700);
     expect(Math.max(...upstreams)).to.be.at.most(1_500);
     expect(Math.max(...instances)).to.be.at.most(5_000);
@@ -235,7 +236,7 @@
     expect(effectsOf(effects, 'forgetUpstream')).to.deep.equal([
       { kind: 'forgetUpstream', upstream: id, bornAt: 1 },
     ]);
-    // The end of the old attempt does not count against the new start.
+    // The end of the old attempt must not count against the new start.
     core.take({
       kind: 'attemptEnded',
       attempt: plan.attempt,
@@ -276,7 +277,7 @@
           });
           retries.forEach((start) => {
             const inWindow = (time: number) => time >= start && time < start + options.windowMs;
-            // Requests of the window before may have earned what is spent in this one.
+            // Requests of the previous window may have earned what is spent in this one.
             const earned = requests.filter(
               (time) => time >= start - 1_100 - options.windowMs && time < start + options.windowMs,
             ).length;
--- a/test/routing/confirmations.test.ts
+++ b/test/routing/confirmations.test.ts
@@ -8,15 +8,15 @@
 type Poll = Extract<RoutingEffect, { readonly kind: 'pollConfiguration' }>;
 
 interface PendingPoll extends Poll {
-  /** Version that the platform had as the read was sent. */
+  /** Version that the platform had when the read was sent. */
   readonly version: number;
-  /** Time of the instance's clock at which it was sent. */
+  /** Time at which it was sent, by the instance's clock. */
   readonly askedAt: number;
 }
 
 interface Member {
   readonly routing: Routing;
-  /** What its clock shows beyond the true time. */
+  /** Offset of its clock from the true time. */
   clockOffset: number;
   polls: PendingPoll[];
   isPlatformCut: boolean;
@@ -25,7 +25,10 @@
 const MEMBERS = 3;
 const IDS = ['a', 'b', 'c'] as const;
 
-/** Instances of one failure domain, a platform with versions, and a network that may be late. */
+/**
+ * Creates the instances of one failure domain, a platform with configuration versions, and a
+ * network that may delay messages.
+ */
 function createDomain() {
   let time = 1_000_000;
   const versions = [{ version: 1, since: 0 }];
@@ -58,7 +61,7 @@
     });
   }
 
-  /** The platform answers the oldest read of an instance with what it had as it was sent. */
+  /** Answers the oldest pending read of an instance with the version at the time it was sent. */
   function answer(id: string): void {
     const member = memberOf(id);
     const poll = member.polls.shift();
@@ -100,7 +103,7 @@
     change: () => versions.push({ version: newest() + 1, since: time }),
     exchange: (id: string) => take(id, { kind: 'timer', timer: 'exchange' }),
     check: (id: string) => take(id, { kind: 'timer', timer: 'configurationPoll' }),
-    /** Delivers the message at a place of those under way. */
+    /** Delivers the message at the given index of those in flight. */
     deliver: (place: number) => {
       const [message] = messages.splice(place % Math.max(1, messages.length), 1);
       if (message !== undefined) take(message.to, message.event);
@@ -110,7 +113,7 @@
       messages = [];
       arriving.forEach(({ to, event }) => take(to, event));
     },
-    /** An instance is suspended; its clock stands still, which it notices as it wakes. */
+    /** Suspends an instance: its clock stands still, which it detects on waking. */
     suspend: (id: string, ms: number) => {
       time += ms;
       memberOf(id).clockOffset -= ms;
@@ -127,7 +130,7 @@
       now: clockOf(id),
       effects: [] as RoutingEffect[],
     }),
-    /** Whether the version of an instance was the newest at the time its confirmation names. */
+    /** Whether an instance's version was the newest at the time that its confirmation refers to. */
     isSound: (id: string): boolean => {
       const { state, now } = { state: memberOf(id).routing.state, now: clockOf(id) };
       const ageMs = confirmationAge({ state, now, effects: [] });
@@ -141,7 +144,7 @@
 
 type Domain = ReturnType<typeof createDomain>;
 
-/** A fifth of a second in which all news arrive and reads are answered. */
+/** Simulates 200 ms in which all messages are delivered and reads are answered. */
 function calmRound(domain: Domain): void {
   domain.advance(200);
   domain.deliverAll();
@@ -170,7 +173,7 @@
     const domain = createDomain();
     calmRounds(domain, 10);
     domain.change();
-    // A read here tells what was known as it was sent.
+    // A read is answered with the version known when it was sent.
     calmRounds(domain, 5);
     IDS.forEach((id) => expect(domain.version(id), id).to.equal(2));
   });
@@ -209,7 +212,7 @@
     const domain = createDomain();
     calmRounds(domain, 10);
     domain.change();
-    // Nothing comes from the first instance any more, whose reads are not answered either.
+    // Instance a sends nothing any more, and its reads are not answered either.
     for (let ms = 0; ms < 1_600; ms += 200) {
       domain.advance(200);
       ['b', 'c'].forEach((id) => {
--- a/test/routing/domains.test.ts
+++ b/test/routing/domains.test.ts
@@ -14,10 +14,10 @@
 const DOMAINS = 4;
 const PER_DOMAIN = 5;
 const SETTINGS = { meshInstances: 6 };
-/** Rounds in which news pass from an instance over two relays to any other one. */
-const HOPS = 4;
-/** Rounds of 200 ms within the time after which a silent instance no longer counts, and the hops. */
-const TAKEOVER = 13 + 2 * HOPS;
+/** Rounds in which a message gets from any instance over two relays to any other one. */
+const PROPAGATION_ROUNDS = 4;
+/** Rounds of 200 ms until a silent instance no longer counts, plus the propagation of the change. */
+const TAKEOVER_ROUNDS = 13 + 2 * PROPAGATION_ROUNDS;
 
 const createFleet = () => createCoreFleet(DOMAINS, PER_DOMAIN, SETTINGS);
 const coreAt = (fleet: CoreFleet, id: string): FleetCore => {
@@ -26,7 +26,7 @@
   return core;
 };
 
-/** Requests that an instance believes to run at all upstreams, its own included. */
+/** Running requests at all upstreams as an instance knows of them, including its own. */
 function runningFor(fleet: CoreFleet, core: FleetCore): number {
   const ctx = fleet.context(core);
   let running = 0;
@@ -41,18 +41,18 @@
 describe('routing/exchange between failure domains', () => {
   it('tells every instance of all open work, each piece of it once', () => {
     const fleet = createFleet();
-    fleet.rounds(HOPS);
+    fleet.rounds(PROPAGATION_ROUNDS);
     fleet.cores.forEach((core, i) => {
       if (i % 3 === 0) fleet.arrive(core);
     });
-    fleet.rounds(HOPS);
+    fleet.rounds(PROPAGATION_ROUNDS);
     const expected = Math.ceil(fleet.cores.length / 3);
     fleet.cores.forEach((core) => expect(runningFor(fleet, core), core.self.id).to.equal(expected));
   });
 
   it('counts all instances', () => {
     const fleet = createFleet();
-    fleet.rounds(2 * HOPS);
+    fleet.rounds(2 * PROPAGATION_ROUNDS);
     fleet.cores.forEach((core) =>
       expect(countInstances(fleet.context(core)), core.self.id).to.equal(DOMAINS * PER_DOMAIN),
     );
@@ -60,7 +60,7 @@
 
   it('sends one message a round to each other domain', () => {
     const fleet = createFleet();
-    fleet.rounds(2 * HOPS);
+    fleet.rounds(2 * PROPAGATION_ROUNDS);
     const { abroad, all } = fleet.sent();
     expect(abroad).to.equal(DOMAINS * (DOMAINS - 1));
     expect(all - abroad).to.equal(DOMAINS * PER_DOMAIN * (PER_DOMAIN - 1));
@@ -68,24 +68,24 @@
 
   it('goes on through another instance once a relay has died', () => {
     const fleet = createFleet();
-    fleet.rounds(HOPS);
+    fleet.rounds(PROPAGATION_ROUNDS);
     coreAt(fleet, 'd1-0').isAlive = false;
     coreAt(fleet, 'd2-0').isAlive = false;
     coreAt(fleet, 'd2-1').isAlive = false;
-    fleet.rounds(TAKEOVER);
+    fleet.rounds(TAKEOVER_ROUNDS);
     fleet.arrive(coreAt(fleet, 'd1-4'));
     fleet.arrive(coreAt(fleet, 'd2-3'));
-    fleet.rounds(HOPS);
+    fleet.rounds(PROPAGATION_ROUNDS);
     alive(fleet).forEach((core) => expect(runningFor(fleet, core), core.self.id).to.equal(2));
   });
 
   it('loses no sums while a relay leaves as planned', () => {
     const fleet = createFleet();
-    fleet.rounds(HOPS);
+    fleet.rounds(PROPAGATION_ROUNDS);
     fleet.arrive(coreAt(fleet, 'd1-3'));
-    fleet.rounds(HOPS);
+    fleet.rounds(PROPAGATION_ROUNDS);
     fleet.take(coreAt(fleet, 'd1-0'), { kind: 'plannedStop' });
-    for (let i = 0; i < TAKEOVER; i += 1) {
+    for (let i = 0; i < TAKEOVER_ROUNDS; i += 1) {
       fleet.rounds(1);
       alive(fleet).forEach((core) => expect(runningFor(fleet, core), `${i}`).to.equal(1));
     }
@@ -93,47 +93,47 @@
 
   it('drops the sums of a domain that is cut off, and takes them up again', () => {
     const fleet = createFleet();
-    fleet.rounds(HOPS);
+    fleet.rounds(PROPAGATION_ROUNDS);
     fleet.arrive(coreAt(fleet, 'd3-2'));
-    fleet.rounds(HOPS);
+    fleet.rounds(PROPAGATION_ROUNDS);
     const far = coreAt(fleet, 'd0-4');
     fleet.cut('d3');
-    fleet.rounds(TAKEOVER);
+    fleet.rounds(TAKEOVER_ROUNDS);
     expect(runningFor(fleet, far)).to.equal(0);
     expect(fleet.logged(far)).to.include('domainLost');
     expect(runningFor(fleet, coreAt(fleet, 'd3-4')), 'within the domain').to.equal(1);
     fleet.cut(undefined);
-    fleet.rounds(2 * HOPS);
+    fleet.rounds(2 * PROPAGATION_ROUNDS);
     fleet.cores.forEach((core) => expect(runningFor(fleet, core), core.self.id).to.equal(1));
   });
 
   it('tells all instances where a shared part is kept', () => {
     const fleet = createFleet();
-    fleet.rounds(HOPS);
+    fleet.rounds(PROPAGATION_ROUNDS);
     fleet.arrive(coreAt(fleet, 'd2-3'));
-    fleet.rounds(HOPS);
+    fleet.rounds(PROPAGATION_ROUNDS);
     const part = hash32(`m ${SHARED_PART}`);
     fleet.cores.forEach((core) => {
       const { state, now } = fleet.context(core);
-      const keepers = [...state.upstreams.byId.values()].filter(({ hash }) =>
+      const caching = [...state.upstreams.byId.values()].filter(({ hash }) =>
         state.prefixes.isCached(part, hash, now),
       );
-      expect(keepers, core.self.id).to.have.length(1);
+      expect(caching, core.self.id).to.have.length(1);
     });
   });
 
   it('refuses a request everywhere that crashed upstreams in several domains, and none too early', () => {
     const fleet = createFleet();
     const crash = (id: string) => recordCrash(fleet.context(coreAt(fleet, id)), 77, 'i-1');
-    fleet.rounds(HOPS);
+    fleet.rounds(PROPAGATION_ROUNDS);
     crash('d0-3');
     crash('d1-0');
-    fleet.rounds(TAKEOVER);
+    fleet.rounds(TAKEOVER_ROUNDS);
     fleet.cores.forEach((core) =>
       expect(isBlocked(fleet.context(core), 77), core.self.id).to.equal(false),
     );
     crash('d2-4');
-    fleet.rounds(HOPS);
+    fleet.rounds(PROPAGATION_ROUNDS);
     fleet.cores.forEach((core) =>
       expect(isBlocked(fleet.context(core), 77), core.self.id).to.equal(true),
     );
@@ -150,16 +150,16 @@
         fc.integer({ min: 0, max: 20 }),
         (dead, cutDomain, cutRounds) => {
           const fleet = createFleet();
-          fleet.rounds(HOPS);
+          fleet.rounds(PROPAGATION_ROUNDS);
           dead.forEach((id) => {
             coreAt(fleet, id).isAlive = false;
           });
           fleet.cut(cutDomain);
           fleet.rounds(cutRounds);
           fleet.cut(undefined);
-          fleet.rounds(2 * TAKEOVER);
+          fleet.rounds(2 * TAKEOVER_ROUNDS);
           alive(fleet).forEach((core) => fleet.arrive(core));
-          fleet.rounds(HOPS);
+          fleet.rounds(PROPAGATION_ROUNDS);
           const expected = alive(fleet).length;
           alive(fleet).forEach((core) => expect(runningFor(fleet, core)).to.equal(expected));
         },
--- a/test/routing/replay.test.ts
+++ b/test/routing/replay.test.ts
@@ -32,7 +32,7 @@
   });
 
   it('keeps what others are owed when one customer floods', () => {
-    // The platform's rule: half of what a customer asks for within its share, at the least.
+    // The platform's rule: a customer gets at least half of what it asks for within its share.
     expect(replayPattern('one customer twelvefold').worstCustomer).to.be.at.least(0.5);
     expect(replayPattern('six customers fivefold').worstCustomer).to.be.at.least(0.5);
   });
@@ -75,7 +75,7 @@
 
   it('is told among instances, so that a part is not read a second time elsewhere', () => {
     const home = planOf(createFullCore().arrive(sharedFacts('a1', 'b1'))).upstream;
-    // The first instance knows of no home yet.
+    // The first instance does not have the home in its list yet.
     const others = upstreams.filter(({ id }) => id !== home);
     const elsewhere = others[0];
     if (elsewhere === undefined) throw new Error('no other upstream');
@@ -87,7 +87,7 @@
     const second = createFullCore();
     const outcome = { kind: 'answered', cursor: 1, changes: [peer] } as const;
     [first, second].forEach((core) => core.take({ kind: 'instancesPolled', outcome }));
-    // Instances that were not heard of yet are told something now and then only.
+    // Instances that have not been heard from receive messages only occasionally.
     for (let i = 0; i < 5; i += 1) tell(second, first);
     expect(planOf(first.arrive(sharedFacts('a1', 'b2'))).upstream).to.equal(elsewhere.id);
     tell(first, second);
@@ -102,8 +102,8 @@
     for (let i = 0; i < 400; i += 1) {
       const own = 500 + random.next() * 12_000;
       const ahead = random.next() < 0.3 ? 0 : random.next() * 30_000;
-      const believed = ahead * 2 * random.next();
-      speed.observe({ own, ahead: believed }, 35 + (own + ahead) / 120);
+      const estimatedAhead = ahead * 2 * random.next();
+      speed.observe({ own, ahead: estimatedAhead }, 35 + (own + ahead) / 120);
     }
     expect(1 / (speed.perTokenMs() ?? 0)).to.be.within(120 * 0.8, 120 * 1.25);
   });
