Reword the planned stop

Comments spoke of "what runs" and of an end that the balancer should notice. They now describe a graceful shutdown, readiness and the load balancer. Renames: CHECK_INTERVAL_MS -> STOP_CHECK_INTERVAL_MS, MIN_STOP_MS -> MIN_STOP_DURATION_MS, since -> elapsedMs. No behaviour changes.

--- a/src/routing/drain/stop.ts
+++ b/src/routing/drain/stop.ts
@@ -1,16 +1,18 @@
 /**
- * Planned stop of an instance. It is no longer ready at once, still takes requests for a short time
- * in which callers move away, lets what runs end, and then stops; at the latest a little before the
- * platform would end the process.
+ * Graceful shutdown. The instance reports itself as not ready at once, still accepts requests for a
+ * short time while callers move to other instances, waits for open requests and then stops. It
+ * stops shortly before the platform would kill the process, even if requests are still open.
  */
 import type { Millis } from '../../core/clock.js';
 import { emit, logInfo, setTimer, type RoutingContext } from '../context.js';
 import { announceLeaving } from '../exchange/exchange.js';
 
-const CHECK_INTERVAL_MS: Millis = 100;
-/** Shortest time to the end: the balancer takes some seconds to send new callers elsewhere. */
-const MIN_STOP_MS: Millis = 2_800;
-/** The process ends by itself this long before the platform would end it. */
+const STOP_CHECK_INTERVAL_MS: Millis = 100;
+/**
+ * Minimum duration of a stop: the load balancer needs some seconds to route new callers elsewhere.
+ */
+const MIN_STOP_DURATION_MS: Millis = 2_800;
+/** The process exits by itself this long before the platform would kill it. */
 const STOP_MARGIN_MS: Millis = 350;
 
 export function onPlannedStop(ctx: RoutingContext): void {
@@ -21,24 +23,24 @@
   updateReadiness(ctx);
   announceLeaving(ctx);
   emit(ctx, { kind: 'closeCallers' });
-  setTimer(ctx, 'stop', CHECK_INTERVAL_MS);
+  setTimer(ctx, 'stop', STOP_CHECK_INTERVAL_MS);
 }
 
 export function onStopTimer(ctx: RoutingContext): void {
   const { stopRequestedAt, settings, requests } = ctx.state;
   if (stopRequestedAt === undefined || ctx.state.phase === 'stopped') return;
-  const since = ctx.now - stopRequestedAt;
-  const isIdle = requests.open.size === 0 && since >= MIN_STOP_MS;
-  if (!isIdle && since < settings.stopGraceMs - STOP_MARGIN_MS) {
-    setTimer(ctx, 'stop', CHECK_INTERVAL_MS);
+  const elapsedMs = ctx.now - stopRequestedAt;
+  const isIdle = requests.open.size === 0 && elapsedMs >= MIN_STOP_DURATION_MS;
+  if (!isIdle && elapsedMs < settings.stopGraceMs - STOP_MARGIN_MS) {
+    setTimer(ctx, 'stop', STOP_CHECK_INTERVAL_MS);
     return;
   }
   ctx.state.phase = 'stopped';
-  logInfo(ctx, 'stopped', { afterMs: Math.round(since), open: requests.open.size });
+  logInfo(ctx, 'stopped', { afterMs: Math.round(elapsedMs), open: requests.open.size });
   emit(ctx, { kind: 'stopped' });
 }
 
-/** Tells the balancer whether new callers may come. */
+/** Updates the readiness that the load balancer sees. */
 export function updateReadiness(ctx: RoutingContext): void {
   const { freshness, upstreams, load, phase } = ctx.state;
   const isStopping = phase === 'stopping' || phase === 'stopped';
