Reword the retry budget

Comments spoke of retries that are taken and left. They now describe a sliding window that is counted in slices, and state why the fleet needs no coordination. Renames: SLICES -> SLICES_PER_WINDOW, current -> currentSlice. No behaviour changes.

--- a/src/routing/retries/retryBudget.ts
+++ b/src/routing/retries/retryBudget.ts
@@ -1,11 +1,12 @@
 /**
- * Budget of retries of one pool: a share of the instance's own requests in a sliding window, plus
- * the instance's part of a slack that all instances have together. Since each instance stays within
- * its part, the fleet does, and nothing has to be exchanged.
+ * Retry budget of one pool. Within a sliding window, an instance may make retries in proportion to
+ * its own requests, plus its part of a slack that is divided among all instances. The fleet stays
+ * within its total budget because each instance stays within its own, without any coordination.
  */
 import type { Millis } from '../../core/clock.js';
 
 export interface RetryBudgetOptions {
+  /** Retries per request. */
   readonly ratio: number;
   /** This instance's part of the slack in each window. */
   readonly slack: number;
@@ -13,15 +14,16 @@
 }
 
 export interface RetryBudget {
+  /** Counts a request, which increases the budget. */
   readonly noteRequest: (now: Millis) => void;
-  /** Takes one retry; false if the budget is spent. */
+  /** Consumes one retry. Returns false if the budget is exhausted. */
   readonly take: (now: Millis, options: RetryBudgetOptions) => boolean;
-  /** Retries that could be taken now. */
+  /** Returns the retries that remain. */
   readonly left: (now: Millis, options: RetryBudgetOptions) => number;
 }
 
-/** Parts into which a window is divided. */
-const SLICES = 10;
+/** Number of slices into which a window is divided for counting. */
+const SLICES_PER_WINDOW = 10;
 
 interface Slice {
   readonly number: number;
@@ -33,10 +35,10 @@
   let slices: Slice[] = [];
   let sliceMs: Millis = 1_000;
 
-  function current(now: Millis): Slice {
+  function currentSlice(now: Millis): Slice {
     const number = Math.floor(now / sliceMs);
-    // One slice more than the window, since windows slide.
-    slices = slices.filter((slice) => slice.number >= number - SLICES);
+    // Keeps one slice more than a window has: it covers its oldest and newest ones only in part.
+    slices = slices.filter((slice) => slice.number >= number - SLICES_PER_WINDOW);
     const last = slices.at(-1);
     if (last?.number === number) return last;
     const slice = { number, requests: 0, retries: 0 };
@@ -45,8 +47,8 @@
   }
 
   function left(now: Millis, options: RetryBudgetOptions): number {
-    sliceMs = options.windowMs / SLICES;
-    current(now);
+    sliceMs = options.windowMs / SLICES_PER_WINDOW;
+    currentSlice(now);
     const requests = slices.reduce((sum, slice) => sum + slice.requests, 0);
     const retries = slices.reduce((sum, slice) => sum + slice.retries, 0);
     return options.ratio * requests + options.slack - retries;
@@ -54,12 +56,12 @@
 
   return {
     noteRequest: (now) => {
-      current(now).requests += 1;
+      currentSlice(now).requests += 1;
     },
     left,
     take: (now, options) => {
       if (left(now, options) < 1) return false;
-      current(now).retries += 1;
+      currentSlice(now).retries += 1;
       return true;
     },
   };
