Reword the shared types, settings and events of routing

Comments and event texts used figurative phrases ("what the last second took of this process", "calls are tried again"). They now use the terms of the field: polling, backoff, cursor, forwarding, decay. Texts of events that are sent to callers as the title of a response are unchanged, as are all codes, numbers and field names. The log test matches the new text of upstreamLost, in full as before; its titles are reworded. Renames: OwnStatus -> LocalStatus, RETRY_GROWTH -> RETRY_BACKOFF_FACTOR. No behaviour changes.

--- a/src/routing/attempts/arrival.ts
+++ b/src/routing/attempts/arrival.ts
@@ -23,7 +23,7 @@
 import type {
   CustomerName,
   LogFields,
-  OwnStatus,
+  LocalStatus,
   RequestFacts,
   Route,
   RoutingConfiguration,
@@ -40,7 +40,7 @@
 const BLOCKED_RETRY_MS: Millis = 60_000;
 
 interface Refusal {
-  readonly status: OwnStatus;
+  readonly status: LocalStatus;
   readonly reason: RoutingEventCode;
   readonly retryAfterMs?: Millis;
   readonly fields?: LogFields;
--- a/src/routing/attempts/attempts.ts
+++ b/src/routing/attempts/attempts.ts
@@ -20,7 +20,7 @@
   AttemptOutcome,
   AttemptPlan,
   LogFields,
-  OwnStatus,
+  LocalStatus,
   PoolId,
   RoutingEvent,
 } from '../types.js';
@@ -196,7 +196,7 @@
 export function fail(
   ctx: RoutingContext,
   request: OpenRequest,
-  status: OwnStatus,
+  status: LocalStatus,
   reason: RoutingEventCode,
   detail: Readonly<Record<string, string | number | undefined>> = {},
 ): void {
--- a/src/routing/context.ts
+++ b/src/routing/context.ts
@@ -1,9 +1,10 @@
-/** What the sub-reducers of the routing core share: the state, the time and the effects so far. */
+/** The context that the sub-reducers of the routing core share, and helpers that emit effects. */
 import type { Millis } from '../core/clock.js';
 import type { RoutingEventCode } from './eventTable.js';
 import type { RoutingState } from './state.js';
 import type { LogFields, RoutingEffect, RoutingTimer } from './types.js';
 
+/** State of the core, the time of the current event and the effects emitted so far. */
 export interface RoutingContext {
   readonly state: RoutingState;
   readonly now: Millis;
@@ -18,34 +19,34 @@
   emit(ctx, { kind: 'setTimer', timer, at: ctx.now + delayMs });
 }
 
-/** Times after which calls are tried again that failed. */
+/** Backoff of calls that are retried after a failure. */
 export interface RetryDelay {
-  /** After the first failure; it grows by a half with each further one. */
+  /** Delay after the first failure. Each further failure increases it by half. */
   readonly firstMs: Millis;
   readonly longestMs: Millis;
 }
 
-const RETRY_GROWTH = 1.5;
-/** Random part of a delay, relative to it, so that instances do not call together. */
+const RETRY_BACKOFF_FACTOR = 1.5;
+/** Random part of a delay, relative to it, which keeps instances from calling at the same time. */
 const RETRY_JITTER = 0.6;
 
-/** Sets the timer after which a call is tried again that has failed `failures` times in a row. */
+/** Sets the timer for the retry of a call that has failed `failures` times in a row. */
 export function setRetryTimer(
   ctx: RoutingContext,
   timer: RoutingTimer,
   { firstMs, longestMs }: RetryDelay,
   failures: number,
 ): void {
-  const delayMs = Math.min(longestMs, firstMs * RETRY_GROWTH ** Math.max(0, failures - 1));
+  const delayMs = Math.min(longestMs, firstMs * RETRY_BACKOFF_FACTOR ** Math.max(0, failures - 1));
   setTimer(ctx, timer, delayMs * (1 + ctx.state.random.next() * RETRY_JITTER));
 }
 
-/** Logs something that went as expected. */
+/** Logs an expected event. */
 export function logInfo(ctx: RoutingContext, code: RoutingEventCode, fields: LogFields): void {
   emit(ctx, { kind: 'log', level: 'info', code, fields });
 }
 
-/** Logs a failure, a refusal or a loss. */
+/** Logs a failure, a refusal, or the loss of an upstream, peer or connection. */
 export function logWarning(ctx: RoutingContext, code: RoutingEventCode, fields: LogFields): void {
   emit(ctx, { kind: 'log', level: 'warn', code, fields });
 }
--- a/src/routing/decay.ts
+++ b/src/routing/decay.ts
@@ -1,12 +1,12 @@
-/** Averages and counts that follow the last moments: what is older counts less and less. */
+/** Exponentially decaying counts and averages: older observations have less weight. */
 import type { Millis } from '../core/clock.js';
 
-/** Part that is kept of a value after a time, with the time constant `spanMs`. */
-export function partKept(sinceMs: Millis, spanMs: Millis): number {
-  return Math.exp(-Math.max(0, sinceMs) / spanMs);
+/** Returns the fraction of a value that remains after `elapsedMs`. */
+export function partKept(elapsedMs: Millis, timeConstantMs: Millis): number {
+  return Math.exp(-Math.max(0, elapsedMs) / timeConstantMs);
 }
 
-/** What is asked for and what is admitted of it, as of a time. */
+/** Decaying counts of demand and of the admitted part of it, as of the time `at`. */
 export interface DecayingCounts {
   asked: number;
   admitted: number;
@@ -17,10 +17,10 @@
   return { asked: 0, admitted: 0, at: now };
 }
 
-/** Brings counts up to now. */
-export function decay(counts: DecayingCounts, now: Millis, spanMs: Millis): void {
-  const kept = partKept(now - counts.at, spanMs);
-  counts.asked *= kept;
-  counts.admitted *= kept;
+/** Applies the decay since the last update to counts. */
+export function decay(counts: DecayingCounts, now: Millis, timeConstantMs: Millis): void {
+  const factor = partKept(now - counts.at, timeConstantMs);
+  counts.asked *= factor;
+  counts.admitted *= factor;
   counts.at = now;
 }
--- a/src/routing/polls.ts
+++ b/src/routing/polls.ts
@@ -1,7 +1,7 @@
 /**
- * Repeated reads of the platform: of the configuration, of the list of upstreams and of the other
- * instances. Each goes on from where the last one ended, begins anew once the history is gone, and
- * is tried again less and less often while the platform is away.
+ * Polling of the platform for the configuration, the list of upstreams and the other instances.
+ * Each poll continues at the cursor of the last one, restarts with a read of the whole state if the
+ * history since the cursor is no longer available, and backs off while the platform is unavailable.
  */
 import { Debug } from '../core/debug.js';
 import {
@@ -14,15 +14,15 @@
 import type { Cursor, PollOutcome, RoutingTimer } from './types.js';
 
 export interface PollState {
-  /** Where the next read goes on; the whole state is read without one. */
+  /** Position at which the next read continues; without it, the whole state is read. */
   cursor: Cursor | undefined;
-  /** Reads in a row that failed. */
+  /** Number of consecutive failed reads. */
   failures: number;
 }
 
-/** One of the reads. */
+/** A polled resource: its state, its timer and how a read of it is started. */
 export interface Poll {
-  /** What is read, for logs. */
+  /** Name of the resource in log lines. */
   readonly reads: 'configuration' | 'upstreams' | 'instances';
   readonly state: PollState;
   readonly timer: RoutingTimer;
@@ -30,7 +30,7 @@
   readonly start: (ctx: RoutingContext) => void;
 }
 
-/** Notes how a read ended. Returns the changes, or `undefined` if the read is to be made again. */
+/** Handles the outcome of a read. Returns the changes, or `undefined` if the read is repeated. */
 export function settlePoll<T>(
   ctx: RoutingContext,
   { reads, state, timer, retryDelay, start }: Poll,
@@ -43,7 +43,7 @@
       state.cursor = outcome.cursor;
       return outcome.changes;
     case 'expired':
-      // Only a read of the whole state tells what is newest now.
+      // Without the history, only a read of the whole state returns the current state.
       state.cursor = undefined;
       start(ctx);
       return undefined;
--- a/src/routing/routing.ts
+++ b/src/routing/routing.ts
@@ -1,6 +1,7 @@
 /**
- * The routing core: passes callers' requests through to upstreams that the platform lists, on routes
- * that operators configure there. One reducer over all events; effects are data.
+ * The routing core. It forwards callers' requests to the upstreams that the platform lists, along
+ * the routes that operators configure there. A single reducer handles all events and returns
+ * effects as data.
  */
 import { Debug } from '../core/debug.js';
 import type { Millis } from '../core/clock.js';
@@ -48,18 +49,18 @@
 export interface RoutingOptions {
   readonly self: InstanceIdentity;
   readonly settings?: Partial<RoutingSettings>;
-  /** Regions of the failure domains. */
+  /** Region of each failure domain. */
   readonly regions?: ReadonlyMap<FailureDomainId, RegionId>;
   readonly seed: number;
 }
 
 export interface Routing {
   readonly state: RoutingState;
-  /** Takes one event and returns what is to be done. */
+  /** Processes one event and returns the effects that the host has to run. */
   readonly reduce: (event: RoutingEvent, now: Millis) => readonly RoutingEffect[];
 }
 
-/** Creates a routing core that waits for its `start` event. */
+/** Creates a routing core, which is idle until its `start` event. */
 export function createRouting(options: RoutingOptions): Routing {
   const state = createRoutingState({
     self: options.self,
--- a/src/routing/settings.ts
+++ b/src/routing/settings.ts
@@ -2,42 +2,47 @@
 import type { Millis } from '../core/clock.js';
 
 export interface RoutingSettings {
-  /** Time after which a key that was taken away must be refused everywhere. */
+  /** Time after which every instance must refuse a revoked key. */
   readonly revokeMs: Millis;
-  /** Time within which an accepted configuration has to be in force everywhere. */
+  /** Time within which an accepted configuration must be in force at every instance. */
   readonly applyMs: Millis;
-  /** Longest wait of one read of the configuration for news. */
+  /** Maximum time that one long poll of the configuration waits for changes. */
   readonly configurationWaitMs: Millis;
-  /** Shortest interval of reads of the list of upstreams. */
+  /** Minimum interval between reads of the upstream list. */
   readonly upstreamPollMs: Millis;
-  /** Time after which an upstream that leaves must get no more requests; it bounds that interval. */
+  /** Time after which a draining upstream must get no more requests; it bounds `upstreamPollMs`. */
   readonly drainMs: Millis;
-  /** Longest wait of one read of the announced instances for news. */
+  /** Maximum time that one long poll of the announced instances waits for changes. */
   readonly instanceWaitMs: Millis;
-  /** Interval at which an instance tells the others of its open work. */
+  /** Interval at which an instance sends its open work to the others. */
   readonly exchangeMs: Millis;
-  /** Instances to which the exchange interval applies; with more of them it grows in proportion. */
+  /**
+   * Number of instances up to which `exchangeMs` applies; above it, the interval grows in
+   * proportion.
+   */
   readonly exchangeInstances: number;
   /**
-   * Instances up to which each tells all others. With more of them, those of a failure domain tell
-   * each other, and one of each domain exchanges sums with the other domains.
+   * Number of instances up to which each one sends to all others. Above it, instances exchange only
+   * within their failure domain, and one instance of each domain exchanges sums with other domains.
    */
   readonly meshInstances: number;
-  /** Time after which an instance that was not heard of no longer counts. */
+  /** Time without a message after which another instance is considered gone. */
   readonly peerTimeoutMs: Millis;
-  /** Time after which the platform ends a process that was told to stop. */
+  /** Time after which the platform kills a process that was told to stop. */
   readonly stopGraceMs: Millis;
-  /** Time for which a stopping instance still takes new requests. */
+  /** Time for which a stopping instance still accepts new requests. */
   readonly stopAcceptMs: Millis;
-  /** Time for which upstreams that left the list while the platform was away are still used. */
+  /**
+   * Time for which upstreams that left the list while the platform was unavailable remain in use.
+   */
   readonly relistWithinMs: Millis;
-  /** Retries of all instances as a share of the requests for a pool. */
+  /** Retries per request for a pool, over all instances. */
   readonly retryRatio: number;
-  /** Retries of all instances beyond that share, in each window. */
+  /** Retries in each window in addition to `retryRatio`, over all instances. */
   readonly retrySlack: number;
-  /** Length of the window in which retries are counted. */
+  /** Length of the sliding window in which retries are counted. */
   readonly retryWindowMs: Millis;
-  /** Upstreams that a request may crash before it is refused. */
+  /** Number of upstreams that a request may crash before it is refused. */
   readonly maxCrashes: number;
 }
 
--- a/src/routing/state.ts
+++ b/src/routing/state.ts
@@ -1,4 +1,6 @@
-/** State of the routing core. Each part is written by the modules of its own folder only. */
+/**
+ * State of the routing core. Only the modules of a folder write to that folder's part of the state.
+ */
 import type { Millis } from '../core/clock.js';
 import { createRandom, type Random } from '../core/random.js';
 import type { InstanceIdentity } from '../core/types.js';
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -1,9 +1,9 @@
 /**
- * Shapes of the routing core: the configuration in force, upstreams, requests as they arrive,
- * attempts, events and effects. All of them are read-only data.
+ * Data types of the routing core: configuration, upstreams, incoming requests, attempts, events and
+ * effects. All of them are read-only.
  *
- * Units: times and durations are milliseconds (`Millis`), sizes are bytes, `tokens` are those of a
- * model's tokenizer.
+ * Units: times and durations are in milliseconds (`Millis`), sizes in bytes, `tokens` as counted by
+ * the tokenizer of a model.
  */
 import type { Millis } from '../core/clock.js';
 import type {
@@ -25,29 +25,31 @@
 
 export type RouteName = string;
 export type CustomerName = string;
-/** Number of a caller's request within one instance. */
+/** Number of a request, unique within one instance. */
 export type RequestNumber = number;
-/** Number of an attempt within one instance. */
+/** Number of an attempt, unique within one instance. */
 export type AttemptNumber = number;
-/** Identifies a part of a prompt; equal parts have equal ids. */
+/** Id of a prompt part; equal parts have equal ids. */
 export type PrefixPartId = string;
 
 // Configuration
 
-/** What may be repeated of a route's requests. */
+/**
+ * Whether requests of a route may run more than once, and whether they are answered by a stream.
+ */
 export type RouteMode =
-  /** May run any number of times. */
+  /** A request may run any number of times. */
   | 'idempotent'
-  /** Runs at most once for each request. */
+  /** A request runs at most once. */
   | 'nonIdempotent'
-  /** A stream of events that runs at most once. */
+  /** An event stream that runs at most once. */
   | 'stream'
-  /** A stream of events that may go on at another upstream after its last event. */
+  /** An event stream that another upstream can resume after the last event. */
   | 'resumableStream';
 
 export interface RouteTarget {
   readonly pool: PoolId;
-  /** Share of the route's requests relative to its other targets. */
+  /** Share of the route's requests, relative to the weights of its other targets. */
   readonly weight: number;
 }
 
@@ -58,21 +60,23 @@
   readonly pathPrefix: string;
   readonly mode: RouteMode;
   readonly targets: readonly RouteTarget[];
-  /** Largest number of upstreams that one request may be sent to. */
+  /** Maximum number of upstreams that one request may be sent to. */
   readonly maxUpstreams: number;
-  /** Longest time that a caller is kept waiting for its answer. */
+  /** Maximum time that a caller waits for an answer. */
   readonly timeoutMs: Millis;
-  /** Time to the answer, or to a stream's first event, that callers expect. */
+  /** Target for the time to the answer, or to the first event of a stream. */
   readonly objectiveMs: Millis;
-  /** Whether requests need no key. */
+  /** Whether requests are served without a key. */
   readonly isPublic: boolean;
 }
 
 export interface Pool {
   readonly id: PoolId;
-  /** Connections that one of its upstreams takes from all instances together. */
+  /** Maximum connections to one upstream of the pool, from all instances together. */
   readonly maxConnections: number;
-  /** Tokens of prompts and answers that an upstream keeps in memory, for pools of model engines. */
+  /**
+   * Prompt and output tokens that fit into the memory of one upstream, for pools of model engines.
+   */
   readonly memoryTokens?: number;
 }
 
@@ -84,12 +88,12 @@
   readonly idleTimeoutMs: Millis;
 }
 
-/** One accepted configuration. */
+/** An accepted configuration. */
 export interface RoutingConfiguration {
   readonly version: number;
   readonly routes: readonly Route[];
   readonly pools: ReadonlyMap<PoolId, Pool>;
-  /** Whether callers are known by keys at all. */
+  /** Whether callers are identified by keys. If not, every route is served without one. */
   readonly hasCustomers: boolean;
   readonly customersByKey: ReadonlyMap<string, CustomerName>;
   readonly callerLimits: CallerLimits;
@@ -99,7 +103,7 @@
 
 export type UpstreamPhase = 'ready' | 'draining';
 
-/** What the platform's list says of one upstream. */
+/** An entry of the platform's upstream list. */
 export interface ListedUpstream {
   readonly id: UpstreamId;
   readonly pool: PoolId;
@@ -108,9 +112,11 @@
   readonly domain: FailureDomainId;
   readonly slots: number;
   readonly phase: UpstreamPhase;
-  /** Time of its start; a later start under the same id knows nothing of the earlier one. */
+  /**
+   * Start time of the upstream. An upstream that restarts under the same id has lost all its state.
+   */
   readonly bornAt: Millis;
-  /** Counts the entries of one start. */
+  /** Sequence number of the entry, counted from the start of the upstream. */
   readonly beat: number;
 }
 
@@ -121,102 +127,107 @@
   readonly tokens: number;
 }
 
-/** What the decisions need of a request; its body and headers stay with the host. */
+/**
+ * The properties of a request that routing decisions use. Its body and headers stay in the host.
+ */
 export interface RequestFacts {
   readonly request: RequestNumber;
-  /** Id that the caller gave, for logs. */
+  /** Id that the caller supplied, for logs. */
   readonly requestId: string;
   readonly host: string;
-  /** Path with its query. */
+  /** Path, including the query. */
   readonly path: string;
-  /** Key of the caller, if it brought one. */
+  /** Key of the caller, if it sent one. */
   readonly key?: string;
-  /** Time that the caller waits, counted from the arrival. */
+  /** Time after the arrival at which the caller stops waiting. */
   readonly deadlineMs?: Millis;
   readonly promptTokens: number;
-  /** Estimate or limit of the tokens that are generated. */
+  /** Estimate of, or limit on, the generated tokens. */
   readonly outputTokens: number;
   readonly prefix: readonly PrefixPart[];
-  /** Model that is asked for; parts are kept for each model by itself. */
+  /** Requested model. Prompt parts are cached separately for each model. */
   readonly model: string;
   /** Hash of method, path, key and body. */
   readonly fingerprint: number;
-  /** Time that it has waited at this instance for its decision. */
+  /** Time that the request has waited at this instance for its admission decision. */
   readonly waitedMs?: Millis;
 }
 
-/** Id of the last event that the caller of a resumed stream has. */
+/** Id of the last event that the caller of a resumed stream received. */
 export type EventId = string;
 
-/** All that the host needs to send a request to an upstream. */
+/** Everything that the host needs to send a request to an upstream. */
 export interface AttemptPlan {
   readonly attempt: AttemptNumber;
   readonly request: RequestNumber;
   readonly upstream: UpstreamId;
   readonly address: string;
-  /** Start of the upstream that the plan is meant for. */
+  /** Start time of the upstream process that the plan targets. */
   readonly bornAt: Millis;
   readonly customer?: CustomerName;
-  /** Time that the upstream may take. */
+  /** Time until the attempt must end. */
   readonly deadlineMs: Millis;
   readonly mode: RouteMode;
-  /** Whether the answer goes on after the last event that the caller has. */
+  /** Whether the answer resumes after the last event that the caller received. */
   readonly isResumed: boolean;
   readonly maxConnections: number;
 }
 
-/** How an attempt ended. */
+/** Outcome of an attempt. */
 export type AttemptOutcome =
-  /** The whole answer was passed on to the caller. */
+  /** The complete answer was forwarded to the caller. */
   | { readonly kind: 'complete'; readonly status: number }
   /** No byte of the request left this instance. */
   | { readonly kind: 'notSent'; readonly reason: string }
-  /** The upstream said that it did not run the request. */
+  /** The upstream reported that it did not run the request. */
   | { readonly kind: 'declined'; readonly status: number }
-  /** A server error of the upstream, held back: the core decides whether the caller gets it. */
+  /**
+   * The upstream answered with a server error. The host holds it until the core decides about it.
+   */
   | { readonly kind: 'failed'; readonly status: number }
-  /** The upstream found the request at fault; held back as well. */
+  /** The upstream answered with a client error. The host holds it as well. */
   | { readonly kind: 'rejected'; readonly status: number }
   /** The connection ended before the answer was complete. */
   | { readonly kind: 'cut'; readonly reason: string }
-  /** The answer belonged to another request and was dropped. */
+  /** The answer belonged to another request and was discarded. */
   | { readonly kind: 'foreign' }
-  /** Ended by an effect of the core. */
+  /** The core cancelled or withdrew the attempt. */
   | { readonly kind: 'cancelled' };
 
-/** Status of an answer that this instance gives itself. */
-export type OwnStatus = 401 | 404 | 502 | 503 | 504;
+/** Status of a response that this instance generates itself. */
+export type LocalStatus = 401 | 404 | 502 | 503 | 504;
 
+/** A response that this instance generates itself. */
 export interface OwnAnswer {
   readonly request: RequestNumber;
-  readonly status: OwnStatus;
+  readonly status: LocalStatus;
   readonly reason: RoutingEventCode;
   readonly retryAfterMs?: Millis;
 }
 
 // Polls
 
-/** Place in a stream of the platform up to which it has been read. */
+/** Position in a stream of the platform up to which it has been read. */
 export type Cursor = number;
 
 export type PollOutcome<T> =
   | { readonly kind: 'answered'; readonly cursor: Cursor; readonly changes: readonly T[] }
-  /** The history since the cursor is gone; the whole state has to be read. */
+  /** The history since the cursor is no longer available; the whole state has to be read. */
   | { readonly kind: 'expired' }
   | { readonly kind: 'failed'; readonly reason: string };
 
-/** A change of one entry of the upstream list. */
+/** A change to one entry of the upstream list. */
 export type UpstreamChange =
   | { readonly kind: 'listed'; readonly upstream: ListedUpstream }
   | { readonly kind: 'removed'; readonly id: UpstreamId }
   | { readonly kind: 'unreadable'; readonly id: UpstreamId; readonly reason: string };
 
-/** A change of the operators' configuration. */
+/** A change to the operators' configuration. */
 export type ConfigurationChange =
   | { readonly kind: 'configured'; readonly configuration: RoutingConfiguration }
   | { readonly kind: 'unreadable'; readonly reason: string };
 
-/** Where an instance can be reached, as it announces itself on the platform. */
+/** Identity and address of an instance, as it announces itself on the platform. */
 export type AnnouncedInstance = InstanceIdentity;
 
 // Events and effects
@@ -233,18 +244,20 @@
 export type RoutingEvent =
   | { readonly kind: 'start' }
   | { readonly kind: 'timer'; readonly timer: RoutingTimer }
-  /** The process was suspended, or clocks disagree: this much time may have passed unnoticed. */
+  /**
+   * The process was suspended or its clocks disagree, so up to `gapMs` may have passed unnoticed.
+   */
   | {
       readonly kind: 'clockGap';
       readonly gapMs: Millis;
-      /** The clock that told it, for logs. */
+      /** The clock that showed the gap, for logs. */
       readonly clock?: string;
     }
   | {
       readonly kind: 'configurationPolled';
-      /** Time at which the read was sent. */
+      /** Time at which the read request was sent. */
       readonly askedAt: Millis;
-      /** Whether the whole state was read rather than changes. */
+      /** Whether the whole state was read, as opposed to changes only. */
       readonly isWhole: boolean;
       readonly outcome: PollOutcome<ConfigurationChange>;
     }
@@ -261,13 +274,15 @@
   | { readonly kind: 'announced'; readonly reason?: string }
   | { readonly kind: 'requestArrived'; readonly facts: RequestFacts }
   | { readonly kind: 'callerGone'; readonly request: RequestNumber }
-  /** The head of an answer arrived. */
+  /** The status and headers of an answer arrived. */
   | {
       readonly kind: 'attemptAnswered';
       readonly attempt: AttemptNumber;
       readonly status: number;
     }
-  /** Part of the answer was passed on; at most some a second for each attempt. */
+  /**
+   * Part of the answer was forwarded. The host limits the rate of these events for each attempt.
+   */
   | { readonly kind: 'attemptProgress'; readonly attempt: AttemptNumber }
   | {
       readonly kind: 'attemptEnded';
@@ -307,16 +322,18 @@
   | { readonly kind: 'send'; readonly plan: AttemptPlan }
   | { readonly kind: 'cancel'; readonly attempt: AttemptNumber }
   /**
-   * Ends an attempt in favour of another one, and reports its end. Left out if the attempt has begun
-   * to answer meanwhile, unless `mayResume` is set and the answer can go on elsewhere.
+   * Cancels an attempt in favour of another one and reports its end. Has no effect if an answer has
+   * started in the meantime, unless `mayResume` is set and another upstream can resume the answer.
    */
   | { readonly kind: 'withdraw'; readonly attempt: AttemptNumber; readonly mayResume: boolean }
   | { readonly kind: 'answer'; readonly answer: OwnAnswer }
-  /** Passes on the server error that the host held back. */
+  /** Forwards the upstream's error that the host holds. */
   | { readonly kind: 'passError'; readonly request: RequestNumber }
-  /** Closes the connection of a caller whose answer can no longer be completed. */
+  /** Closes the connection of a caller whose answer cannot be completed. */
   | { readonly kind: 'cutAnswer'; readonly request: RequestNumber }
-  /** Drops kept connections to an upstream that is gone. */
+  /**
+   * Closes the connections to an upstream that was removed or has restarted, once they are idle.
+   */
   | { readonly kind: 'forgetUpstream'; readonly upstream: UpstreamId; readonly bornAt: Millis }
   | {
       readonly kind: 'probe';
@@ -326,9 +343,9 @@
     }
   | { readonly kind: 'limitCallers'; readonly limits: CallerLimits }
   | { readonly kind: 'setReady'; readonly isReady: boolean }
-  /** Has each answer end its connection, or no longer. */
+  /** Starts or stops closing callers' connections after each answer. */
   | { readonly kind: 'moveCallers'; readonly isMoving: boolean }
-  /** Ends idle connections of callers, and others with their next answer. */
+  /** Closes idle connections of callers, and the other ones after their next answer. */
   | { readonly kind: 'closeCallers' }
   | {
       readonly kind: 'sendPeer';
@@ -348,8 +365,8 @@
   | { readonly kind: 'stopped' };
 
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>> &
-  /** Fields that each line has of itself; see `RoutingLog`. */
+  /** Fields that `RoutingLog` adds to each line, and that events must not set. */
   Partial<Readonly<Record<'time' | 'level' | 'instance' | 'event' | 'code', never>>>;
 
-/** Latencies that are kept as histograms. */
+/** Latencies that are recorded in histograms. */
 export type RoutingHistogram = 'firstPart' | 'whole' | 'predictionError';
--- a/test/routing/logs.test.ts
+++ b/test/routing/logs.test.ts
@@ -9,7 +9,7 @@
 import { routingEvents, type RoutingEventCode } from '../../src/routing/eventTable.js';
 import { createTestCore, effectsOf, planOf, type TestCore } from './support/core.js';
 
-describe('log of the routing core', () => {
+describe('routing core log', () => {
   const endings: readonly (readonly [string, RoutingEventCode, (core: TestCore) => unknown])[] = [
     ['no route', 'noRoute', (core) => core.arrive({ path: '/none/' })],
     ['an unknown key', 'unknownKey', (core) => core.arrive({ key: 'x' })],
@@ -52,7 +52,7 @@
     ],
   ];
   endings.forEach(([what, code, end]) => {
-    it(`keeps the level, event and instance of the line for ${what}`, async () => {
+    it(`writes the level, event and instance of the line for ${what}`, async () => {
       const core = createTestCore();
       let written = '';
       const log = createRoutingLog({
@@ -80,7 +80,7 @@
       });
     });
 
-    it(`has exactly one deciding line with its inputs for ${what}`, () => {
+    it(`logs exactly one decision, with its inputs, for ${what}`, () => {
       const core = createTestCore();
       const effects = end(core) as Parameters<typeof effectsOf>[0];
       const lines = effectsOf(effects, 'log').filter(
@@ -95,13 +95,13 @@
     });
   });
 
-  it('shows no key', () => {
+  it('does not log keys', () => {
     const core = createTestCore();
     const effects = [...core.arrive(), ...core.arrive({ key: 'secret-key' })];
     expect(JSON.stringify(effectsOf(effects, 'log'))).to.not.match(/secret-key|key-of-a/);
   });
 
-  it('follows a request over several files to the decision that ended it', () => {
+  it('traces a request across several files to the decision that ended it', () => {
     const line = (time: string, event: string, fields: object) =>
       JSON.stringify({ time: `2026-01-01T00:00:0${time}Z`, instance: 'a', event, ...fields });
     const files = [
@@ -114,13 +114,13 @@
     expect(way.map(({ event }) => event)).to.deep.equal(['sent', 'answerCut']);
     expect(ending?.event).to.equal('answerCut');
     expect(beliefs.map(formatLogLine)).to.deep.equal([
-      '2026-01-01T00:00:01.5Z a upstreamLost: An upstream does not answer. upstream=i-1 reason=silent',
+      '2026-01-01T00:00:01.5Z a upstreamLost: An upstream does not respond. upstream=i-1 reason=silent',
     ]);
   });
 });
 
-describe('writer of log lines', () => {
-  it('never waits for a reader that is stuck, and counts what it leaves out', async () => {
+describe('log line writer', () => {
+  it('never waits for a blocked reader, and counts the lines it drops', async () => {
     let writes = 0;
     const writer = createLineWriter({
       fd: 1,
@@ -138,7 +138,7 @@
     expect(writer.omitted()).to.be.at.least(580);
   });
 
-  it('keeps a budget a second for each class, failures before successes', async () => {
+  it('limits each class of lines per second, with a larger budget for failures', async () => {
     let written = '';
     let now = 0;
     const log = createRoutingLog({
@@ -171,7 +171,7 @@
   });
 });
 
-describe('clock that tells gaps', () => {
+describe('gap clock', () => {
   const gapOf = (clock: GapClock) => clock.takeGap()?.ms ?? 0;
 
   function createClocks() {
@@ -190,17 +190,17 @@
     return pass;
   }
 
-  it('tells a suspension, by the time of day or by the time since boot', () => {
+  it('detects a suspension by the time of day or by the time since boot', () => {
     expect(createClocks()(10, 5_010, 5_010)).to.equal(5_000);
     expect(createClocks()(250, 250, 5_250)).to.equal(5_000);
   });
 
-  it('tells a time of day that was set ahead, and nothing of one set back', () => {
+  it('reports a gap if the time of day is set ahead, but not if it is set back', () => {
     expect(createClocks()(10, 2_010, 10)).to.equal(2_000);
     expect(createClocks()(10, -2_000, 10)).to.equal(0);
   });
 
-  it('tells nothing where the time since boot is told in whole seconds', () => {
+  it('reports no gap if the time since boot has a resolution of whole seconds', () => {
     const at = { steady: 400, boot: 0 };
     const clock = createGapClock({
       steady: () => at.steady,
@@ -211,14 +211,14 @@
       at.steady += 70;
       expect(gapOf(clock)).to.equal(0);
     }
-    // And yet it tells a suspension.
+    // A suspension is still detected.
     at.boot += 5_000;
     at.steady += 300;
     expect(gapOf(clock)).to.be.within(4_000, 6_000);
   });
 
-  it('tells nothing where the process waits for the processor between two readings', () => {
-    // The charge for earlier work falls due at a system call, as the reading of another clock is one.
+  it('reports no gap if the process is descheduled between two clock readings', () => {
+    // The process is descheduled for its earlier CPU use at a system call, such as a clock reading.
     const at = { steady: 400, due: 0 };
     const read = (clock: number) => {
       at.steady += at.due;
@@ -237,8 +237,9 @@
     }
   });
 
-  it('tells nothing where the steady clock lags within a long turn of the loop', () => {
-    // A day showed 1,100 to 1,530 ms: whole seconds, and the steady clock behind by up to 0.6 s.
+  it('reports no gap if the steady clock lags during a long event loop iteration', () => {
+    // Apparent gaps of 1,100 to 1,530 ms were observed on one day. They came from the resolution of
+    // whole seconds together with a steady clock that was up to 0.6 s behind.
     const at = { time: 650, lag: 0 };
     const clock = createGapClock({
       steady: () => at.time - at.lag,
@@ -254,7 +255,7 @@
     expect(gapOf(clock)).to.equal(0);
   });
 
-  it('tells a suspension also while the process waits for the processor', () => {
+  it('detects a suspension that coincides with descheduling', () => {
     const at = { steady: 400, due: 0, suspended: 0 };
     const read = (clock: number) => {
       at.steady += at.due;
@@ -272,8 +273,9 @@
     expect(gapOf(clock)).to.be.within(2_900, 3_100);
   });
 
-  it('does not turn callers away where the time since boot runs at another pace', () => {
-    // Lead of the time since boot at checks 0.2 s apart, on a day that was slow to play.
+  it('reports no gap and distrusts the time since boot if it runs at a different rate', () => {
+    // Recorded leads of the time since boot over the steady clock, at checks 0.2 s apart, on a day
+    // whose replay was slow.
     const leads = [
       0, 1_787, 3_475, 5_603, 6_892, 6_801, 6_681, 7_421, 8_698, 9_487, 9_603, 9_810, 10_127,
       10_202, 10_351, 10_298, 10_768, 11_446, 11_505, 11_735, 11_960, 12_150, 12_489, 12_974,
@@ -292,7 +294,7 @@
     expect(clock.isBootTrusted()).to.equal(false);
   });
 
-  it('tells one gap at most of a time since boot that is faster or slower', () => {
+  it('reports at most one gap if the time since boot runs faster or slower', () => {
     fc.assert(
       fc.property(
         fc.double({ min: 0.1, max: 8, noNaN: true }),
@@ -316,7 +318,7 @@
     );
   });
 
-  it('takes no suspension for none where the time since boot is no help', () => {
+  it('does not miss a suspension once the time since boot is distrusted', () => {
     const at = { steady: 400, day: 1_000_000, boot: 0 };
     const clock = createGapClock({
       steady: () => at.steady,
@@ -328,15 +330,15 @@
       clock.takeGap();
     }
     expect(clock.isBootTrusted()).to.equal(false);
-    // Suspended for 3 s, and then seen.
+    // A suspension of 3 s shows in the time of day.
     at.day += 3_000;
     expect(gapOf(clock)).to.equal(3_000);
-    // Suspended for some time while the time of day was set back by more: nobody knows how long.
+    // Suspended while the time of day was set back by more: the length of the gap is unknown.
     at.day -= 1_000;
     expect(gapOf(clock)).to.be.at.least(60_000);
   });
 
-  it('tells nothing as time goes on as usual', () => {
+  it('reports no gap while the clocks advance normally', () => {
     const pass = createClocks();
     for (let i = 0; i < 100; i += 1) expect(pass(50, 50 + (i % 3), 50)).to.equal(0);
   });
