--- a/src/routing/attempts/arrival.ts
+++ b/src/routing/attempts/arrival.ts
@@ -181,7 +181,7 @@
       ownMs: placement.ownMs,
       readMs: placement.readMs,
       objectiveMs: route.objectiveMs,
-      urgentMs: ctx.state.freshness.routeTable.urgentObjective(pool) ?? route.objectiveMs,
+      urgentMs: ctx.state.freshness.routeTable.shortestObjective(pool) ?? route.objectiveMs,
       waitFactor: waitFactor(ctx, pool, route),
       leftMs: request.deadlineAt - ctx.now,
       ...(standing === undefined ? {} : { standing }),
