Reword the admission of requests

Constants were named by parts and shares without saying of what; comments spoke of what customers get and may have. They now name fractions of the objective, the fair share, contention and retry delays; the reasons behind each constant are kept. The policy tests use the new names with the same values and assertions. Notable renames: firstMs -> firstEventMs, ownMs -> unloadedMs, readMs -> promptReadMs, urgentMs -> shortestObjectiveMs, leftMs -> remainingMs, latestDecision -> maxDecisionDelay, partFor -> objectiveFraction, returnTime -> retryAfter. No behaviour changes.

--- a/src/routing/admission/admission.ts
+++ b/src/routing/admission/admission.ts
@@ -1,14 +1,16 @@
 /**
- * Decides whether a request is sent now or refused at once.
+ * Admission control: decides on arrival whether a request is sent to an upstream or refused.
  *
- * Load pattern: for seconds at a time more is asked for than the upstreams can process. Whatever is
- * let in beyond that waits at the upstreams, in order of arrival, until all answers are late. A
- * request is therefore refused while its first event cannot be expected within the objective of its
- * route, which is known at its arrival, and the caller is told when the backlog will have gone. As
- * upstreams work in order of arrival, the wait that is allowed is the same for all kinds of request:
- * that of the most urgent one, which would find no room otherwise; it is changed a little for kinds
- * that fare better or worse than the others. A customer beyond its fair share is refused earlier, so
- * that the others find the upstreams free.
+ * Demand exceeds the capacity of the upstreams for seconds at a time. Excess requests that are
+ * admitted queue at the upstreams, which process them in order of arrival, until every answer is
+ * late. A request is therefore refused if its first event is not expected within the objective of
+ * its route; the caller is told when the backlog should have cleared.
+ *
+ * Because upstreams process requests in order of arrival, all kinds of requests share one wait
+ * limit: that of the route with the shortest objective, whose requests would otherwise never be
+ * admitted. The limit is adjusted slightly for kinds that are admitted more or less often than the
+ * others. A customer that exceeds its fair share is refused earlier, which leaves capacity to the
+ * other customers.
  */
 import type { Millis } from '../../core/clock.js';
 import type { Random } from '../../core/random.js';
@@ -16,19 +18,21 @@
 
 export interface AdmissionInput {
   /** Expected time to the first event. */
-  readonly firstMs: Millis;
-  /** What it would be without any wait. */
-  readonly ownMs: Millis;
-  /** Part of that in which its own prompt is read. */
-  readonly readMs: Millis;
+  readonly firstEventMs: Millis;
+  /** Expected time to the first event at an upstream without a queue. */
+  readonly unloadedMs: Millis;
+  /** Part of `unloadedMs` in which the upstream reads the request's own prompt. */
+  readonly promptReadMs: Millis;
   readonly objectiveMs: Millis;
-  /** Shortest objective of the routes that lead to the same upstreams. */
-  readonly urgentMs: Millis;
-  /** Factor of the allowed wait, by which kinds of request are kept balanced. */
+  /** Shortest objective among the routes that target the same pool. */
+  readonly shortestObjectiveMs: Millis;
+  /**
+   * Factor on the allowed wait that balances the admission rates of different kinds of requests.
+   */
   readonly waitFactor: number;
-  /** Time that the caller waits. */
-  readonly leftMs: Millis;
-  /** The customer's place among the others; none for requests without tokens. */
+  /** Time until the caller's deadline. */
+  readonly remainingMs: Millis;
+  /** The customer's usage relative to its fair share; absent for requests without tokens. */
   readonly standing?: Standing;
 }
 
@@ -41,121 +45,155 @@
       readonly retryAfterMs: Millis;
     };
 
-/** Part of the objective that may be expected to pass; the rest is for errors of the estimate. */
-const USABLE_OBJECTIVE = 0.9;
-/** Part of it that a request may wait whose own prompt takes the objective to read. */
-const LARGE_WAIT_PART = 0.05;
-/** Part of the usable objective for a customer that gets just its share; smaller ones have all. */
-const AT_SHARE_PART = 0.75;
-/** Part of its share up to which a customer counts as small. */
-const SMALL_PART = 0.5;
-/** Part of the usable objective for a customer that is well beyond its share. */
-const OVER_SHARE_PART = 0.2;
-/** Excess over the share, relative to it, at which that part is reached. */
-const FULL_EXCESS = 0.25;
-/** Idleness from which a customer beyond its share has what is free. */
-const IDLE_ENOUGH = 0.5;
+/** Fraction of the objective that the estimate may use; the rest absorbs estimation errors. */
+const USABLE_FRACTION = 0.9;
+/**
+ * Fraction of the usable objective that a request may wait if its prompt alone takes up the
+ * objective.
+ */
+const LARGE_PROMPT_WAIT_FRACTION = 0.05;
+/**
+ * Fraction of the usable objective for a customer that uses exactly its fair share. Small customers
+ * get all of it.
+ */
+const AT_SHARE_FRACTION = 0.75;
+/** Usage, relative to the fair share, up to which a customer counts as small. */
+const SMALL_CUSTOMER_USAGE = 0.5;
+/** Fraction of the usable objective for a customer that far exceeds its fair share. */
+const OVER_SHARE_FRACTION = 0.2;
+/** Excess, relative to the fair share, at which `OVER_SHARE_FRACTION` applies in full. */
+const FULL_PENALTY_EXCESS = 0.25;
+/**
+ * Idleness of the upstreams above which a customer that exceeds its share may use spare capacity.
+ */
+const IDLENESS_THRESHOLD = 0.5;
 /**
- * Times that reading a shared part again has to be to spare: where there is capacity for all, and
- * for a customer that gets its share.
+ * Number of times that the expected cost of reading a shared prompt part again must fit into the
+ * time limit: without contention, and for a customer at its fair share.
  */
-const SPARE_READS_FREE = 2;
+const SPARE_READS_UNCONTENDED = 2;
 const SPARE_READS_AT_SHARE = 6;
-/** Part of the time that a caller has by which the first event must come; the answer needs the rest. */
-const LONGEST_FIRST = 0.5;
-/** Part of the objective that a request may wait for its decision. */
-const LONGEST_WAIT_PART = 0.3;
-/** Callers do not come back later than this part of the time that they have. */
-const LONGEST_RETURN = 1 / 3;
-const SHORTEST_RETURN_MS: Millis = 50;
-/** Width of the spread over which refused callers return, relative to the objective. */
-const RETURN_SPREAD = 0.25;
+/**
+ * Fraction of the time to the deadline that may pass before the first event; the answer needs the
+ * rest.
+ */
+const MAX_FIRST_EVENT_FRACTION = 0.5;
+/** Fraction of the objective that a request may wait for its admission decision. */
+const MAX_DECISION_DELAY_FRACTION = 0.3;
+/** Upper bound on the retry delay, as a fraction of the time to the deadline. */
+const MAX_RETRY_AFTER_FRACTION = 1 / 3;
+const MIN_RETRY_AFTER_MS: Millis = 50;
+/** Range of the random part of the retry delay, relative to the objective. */
+const RETRY_JITTER_FRACTION = 0.25;
 
 /**
- * Expected time up to which a request should be placed. A customer beyond its share is not worth
- * reading a shared part again, so it is not placed elsewhere to meet its own, shorter limit.
+ * Returns the expected time to the first event that placement tries to stay within. It is never
+ * below the limit of a customer at its share: reading a shared prompt part again is not worth it
+ * just to meet the shorter limit of a customer that exceeds its share.
  */
 export function placementLimit(objectiveMs: Millis, standing: Standing | undefined): Millis {
-  return objectiveMs * USABLE_OBJECTIVE * Math.max(AT_SHARE_PART, partFor(standing));
+  return objectiveMs * USABLE_FRACTION * Math.max(AT_SHARE_FRACTION, objectiveFraction(standing));
 }
 
 /**
- * Longest wait of a request at its instance. Turned away then, it can still be served in time at
- * another instance, whose processor may be idle.
+ * Returns how long a request may wait at this instance for its admission decision. A request that
+ * is refused after that time can still be served in time by another instance with an idle CPU.
  */
-export function latestDecision(objectiveMs: Millis): Millis {
-  return objectiveMs * LONGEST_WAIT_PART;
+export function maxDecisionDelay(objectiveMs: Millis): Millis {
+  return objectiveMs * MAX_DECISION_DELAY_FRACTION;
 }
 
-/** Admits a request or refuses it with the time after which to come back. */
+/** Admits a request, or refuses it with a delay after which the caller may retry. */
 export function decideAdmission(input: AdmissionInput, random: Random): AdmissionDecision {
-  const limitMs = limitFor(input);
-  if (input.firstMs <= limitMs) return { kind: 'admit', limitMs };
+  const limitMs = admissionLimit(input);
+  if (input.firstEventMs <= limitMs) return { kind: 'admit', limitMs };
   const reason = isOverShare(input.standing) ? 'overShare' : 'overload';
-  return { kind: 'refuse', reason, limitMs, retryAfterMs: returnTime(input, limitMs, random) };
+  return { kind: 'refuse', reason, limitMs, retryAfterMs: retryAfter(input, limitMs, random) };
 }
 
-/** Expected time up to which a request is admitted. */
-function limitFor(input: AdmissionInput): Millis {
-  const { objectiveMs, urgentMs, ownMs, readMs, leftMs, standing } = input;
-  const usableMs = objectiveMs * USABLE_OBJECTIVE * partFor(standing);
-  if (!isContended(standing)) return Math.max(usableMs, largeLimit(ownMs, usableMs, leftMs));
-  const urgentUsableMs = urgentMs * USABLE_OBJECTIVE * partFor(standing) * input.waitFactor;
-  const limitMs = Math.min(usableMs, urgentUsableMs + readMs);
-  if (!isOverShare(standing)) return Math.max(limitMs, largeLimit(ownMs, usableMs, leftMs));
-  // What customers get tells how much there is. Idle upstreams show that there is more.
-  return standing.idleness > IDLE_ENOUGH ? Math.max(limitMs, ownMs) : limitMs;
+/** Returns the longest expected time to the first event with which a request is admitted. */
+function admissionLimit(input: AdmissionInput): Millis {
+  const { objectiveMs, shortestObjectiveMs, unloadedMs, promptReadMs, remainingMs, standing } =
+    input;
+  const usableMs = objectiveMs * USABLE_FRACTION * objectiveFraction(standing);
+  if (!isContended(standing))
+    return Math.max(usableMs, largePromptLimit(unloadedMs, usableMs, remainingMs));
+  const shortestUsableMs =
+    shortestObjectiveMs * USABLE_FRACTION * objectiveFraction(standing) * input.waitFactor;
+  const limitMs = Math.min(usableMs, shortestUsableMs + promptReadMs);
+  if (!isOverShare(standing))
+    return Math.max(limitMs, largePromptLimit(unloadedMs, usableMs, remainingMs));
+  // Capacity is estimated from what is admitted; idle upstreams show that the estimate is too low.
+  return standing.idleness > IDLENESS_THRESHOLD ? Math.max(limitMs, unloadedMs) : limitMs;
 }
 
-/** Prompts that take the objective by themselves are served while next to nothing waits. */
-function largeLimit(ownMs: Millis, usableMs: Millis, leftMs: Millis): Millis {
-  return Math.min(ownMs + usableMs * LARGE_WAIT_PART, leftMs * LONGEST_FIRST);
+/**
+ * Returns the limit for prompts that take up the objective by themselves: they need a nearly empty
+ * queue.
+ */
+function largePromptLimit(unloadedMs: Millis, usableMs: Millis, remainingMs: Millis): Millis {
+  return Math.min(
+    unloadedMs + usableMs * LARGE_PROMPT_WAIT_FRACTION,
+    remainingMs * MAX_FIRST_EVENT_FRACTION,
+  );
 }
 
 /**
- * Times that reading a shared part again has to be to spare: little while there is capacity for all
- * and for customers that get little; more where the reading takes capacity from others.
+ * Returns how many times the cost of reading a shared prompt part again must fit into the time
+ * limit. The number is low without contention and for small customers, and rises with a customer's
+ * usage, since reading a part again takes capacity from the other customers.
  */
-export function spareReadsFor(standing: Standing | undefined): number {
-  if (!isContended(standing)) return SPARE_READS_FREE;
-  return interpolate(useOf(standing), SMALL_PART, SPARE_READS_FREE, 1, SPARE_READS_AT_SHARE);
+export function requiredSpareReads(standing: Standing | undefined): number {
+  if (!isContended(standing)) return SPARE_READS_UNCONTENDED;
+  return interpolate(
+    shareUsage(standing),
+    SMALL_CUSTOMER_USAGE,
+    SPARE_READS_UNCONTENDED,
+    1,
+    SPARE_READS_AT_SHARE,
+  );
 }
 
-/** Part of the usable objective that a customer may wait: less, the more it gets already. */
-function partFor(standing: Standing | undefined): number {
-  // While all get what they ask for, nobody has to be kept back.
+/**
+ * Returns the fraction of the usable objective that a customer may wait; it falls as usage rises.
+ */
+function objectiveFraction(standing: Standing | undefined): number {
+  // Without contention, no customer has to be limited.
   if (!isContended(standing)) return 1;
   if (!isOverShare(standing)) {
-    return interpolate(useOf(standing), SMALL_PART, 1, 1, AT_SHARE_PART);
+    return interpolate(shareUsage(standing), SMALL_CUSTOMER_USAGE, 1, 1, AT_SHARE_FRACTION);
   }
   const excess = standing.admitted / standing.level - 1;
-  return interpolate(excess, 0, AT_SHARE_PART, FULL_EXCESS, OVER_SHARE_PART);
+  return interpolate(excess, 0, AT_SHARE_FRACTION, FULL_PENALTY_EXCESS, OVER_SHARE_FRACTION);
 }
 
-/** Whether customers ask for more than there is. */
+/** Whether the customers' demand exceeds the capacity. */
 function isContended(standing: Standing | undefined): standing is Standing {
   return standing !== undefined && standing.level < Infinity;
 }
 
-/** What a customer gets, relative to what each may have. */
-function useOf({ admitted, level }: Standing): number {
+/** Returns a customer's admitted rate relative to the fair share. */
+function shareUsage({ admitted, level }: Standing): number {
   return admitted / level;
 }
 
-/** Straight line from (`x1`, `y1`) to (`x2`, `y2`), level outside of them. */
+/** Interpolates linearly between (`x1`, `y1`) and (`x2`, `y2`); constant outside that range. */
 function interpolate(x: number, x1: number, y1: number, x2: number, y2: number): number {
-  const part = Math.min(1, Math.max(0, (x - x1) / (x2 - x1)));
-  return y1 + part * (y2 - y1);
+  const fraction = Math.min(1, Math.max(0, (x - x1) / (x2 - x1)));
+  return y1 + fraction * (y2 - y1);
 }
 
 function isOverShare(standing: Standing | undefined): boolean {
   return standing !== undefined && standing.admitted > standing.level;
 }
 
-/** The backlog beyond the limit is gone after as long as it would have delayed the request. */
-function returnTime(input: AdmissionInput, limitMs: Millis, random: Random): Millis {
-  const spread = random.next() * RETURN_SPREAD * input.objectiveMs;
-  const wanted = input.firstMs - limitMs + spread;
-  const longest = input.leftMs * LONGEST_RETURN;
-  return Math.max(SHORTEST_RETURN_MS, Math.min(wanted, longest));
+/**
+ * Returns the delay after which a refused caller may retry. The backlog beyond the limit clears in
+ * the time by which it would have delayed the request.
+ */
+function retryAfter(input: AdmissionInput, limitMs: Millis, random: Random): Millis {
+  const jitterMs = random.next() * RETRY_JITTER_FRACTION * input.objectiveMs;
+  const delayMs = input.firstEventMs - limitMs + jitterMs;
+  const maxMs = input.remainingMs * MAX_RETRY_AFTER_FRACTION;
+  return Math.max(MIN_RETRY_AFTER_MS, Math.min(delayMs, maxMs));
 }
--- a/src/routing/attempts/arrival.ts
+++ b/src/routing/attempts/arrival.ts
@@ -2,9 +2,9 @@
 import type { Millis } from '../../core/clock.js';
 import {
   decideAdmission,
-  latestDecision,
+  maxDecisionDelay,
   placementLimit,
-  spareReadsFor,
+  requiredSpareReads,
   type AdmissionDecision,
 } from '../admission/admission.js';
 import { emit, logWarning, type RoutingContext } from '../context.js';
@@ -97,7 +97,7 @@
   { waitedMs = 0 }: RequestFacts,
   { objectiveMs }: Route,
 ): Refusal | undefined {
-  const limitMs = latestDecision(objectiveMs);
+  const limitMs = maxDecisionDelay(objectiveMs);
   if (waitedMs <= limitMs) return undefined;
   const { utilization, lagMs } = ctx.state.load;
   return {
@@ -168,7 +168,7 @@
   const { facts, route, pool } = request;
   const standing = noteDemand(ctx, request);
   const withinMs = placementLimit(route.objectiveMs, standing);
-  const spareReads = spareReadsFor(standing);
+  const spareReads = requiredSpareReads(standing);
   const placement = place(ctx, { facts, route, pool, excluded: [], withinMs, spareReads });
   if (placement === undefined) {
     refuse(ctx, facts, noUpstream(ctx, 'none is ready and reachable'));
@@ -177,13 +177,14 @@
   const decision = decideAdmission(
     {
       // The caller counts from the arrival.
-      firstMs: placement.reckonedMs + (facts.waitedMs ?? 0),
-      ownMs: placement.ownMs,
-      readMs: placement.readMs,
+      firstEventMs: placement.reckonedMs + (facts.waitedMs ?? 0),
+      unloadedMs: placement.ownMs,
+      promptReadMs: placement.readMs,
       objectiveMs: route.objectiveMs,
-      urgentMs: ctx.state.freshness.routeTable.shortestObjective(pool) ?? route.objectiveMs,
+      shortestObjectiveMs:
+        ctx.state.freshness.routeTable.shortestObjective(pool) ?? route.objectiveMs,
       waitFactor: waitFactor(ctx, pool, route),
-      leftMs: request.deadlineAt - ctx.now,
+      remainingMs: request.deadlineAt - ctx.now,
       ...(standing === undefined ? {} : { standing }),
     },
     ctx.state.random,
--- a/test/routing/policy.test.ts
+++ b/test/routing/policy.test.ts
@@ -17,18 +17,18 @@
   type TestCore,
 } from './support/core.js';
 
-function finish(core: TestCore, attempt: number): void {
+function completeAttempt(core: TestCore, attempt: number): void {
   core.take({ kind: 'attemptEnded', attempt, outcome: { kind: 'complete', status: 200 } });
 }
 
 describe('placement', () => {
-  it('brings the requests that share a part to one upstream, at all instances', () => {
+  it('sends requests that share a prompt part to the same upstream, at all instances', () => {
     const homes = [1, 2, 3].map(() => {
       const core = createTestCore();
       core.list(...createManyUpstreams());
       return Array.from({ length: 20 }, (_, i) => {
         const plan = planOf(core.arrive(sharedFacts(`a${i}`, `b${i}`)));
-        finish(core, plan.attempt);
+        completeAttempt(core, plan.attempt);
         return plan.upstream;
       });
     });
@@ -37,7 +37,7 @@
     expect(new Set(homes[0]).size).to.be.at.least(6);
   });
 
-  it('keeps most homes when an upstream comes', () => {
+  it('keeps most home upstreams when an upstream is added', () => {
     const homesWith = (count: number) => {
       const core = createTestCore();
       core.list(...createManyUpstreams().slice(0, count));
@@ -52,11 +52,11 @@
     const before = homesWith(11);
     const after = homesWith(12);
     const moved = before.filter((home, i) => home !== after[i]).length;
-    // One in fourteen moves on average.
+    // On average, one in fourteen moves.
     expect(moved).to.be.at.most(25);
   });
 
-  it('does not read a shared part again for a short wait, but rather than refuse', () => {
+  it('reads a shared part again to avoid a refusal, but not to avoid a short wait', () => {
     const core = createTestCore();
     core.list(...createManyUpstreams());
     const placed = Array.from({ length: 60 }, (_, i) => core.arrive(sharedFacts('aa', `b${i}`)));
@@ -76,7 +76,7 @@
     expect(new Set(upstreams).size).to.equal(14);
   });
 
-  it('prefers upstreams near by, and uses those far away under load', () => {
+  it('prefers upstreams in the same domain, and uses those in other domains under load', () => {
     const core = createTestCore();
     const far = createUpstreamEntry('i-20', { domain: 'domain-b' });
     core.list(far);
@@ -98,7 +98,7 @@
     }
     const upstreams = Array.from({ length: 6 }, () => {
       const plan = planOf(core.arrive({ path: '/book/1' }));
-      finish(core, plan.attempt);
+      completeAttempt(core, plan.attempt);
       return plan.upstream;
     });
     expect(new Set(upstreams)).to.deep.equal(new Set(['i-4']));
@@ -106,7 +106,7 @@
 });
 
 describe('speed of upstreams', () => {
-  it('is learnt from times to first events', () => {
+  it('is estimated from times to first events', () => {
     const speed = createSpeed();
     const random = createRandom(4);
     for (let i = 0; i < 200; i += 1) {
@@ -121,62 +121,68 @@
 describe('admission', () => {
   const random = createRandom(1);
   const input = {
-    ownMs: 0,
-    readMs: 0,
-    urgentMs: 500,
+    unloadedMs: 0,
+    promptReadMs: 0,
+    shortestObjectiveMs: 500,
     waitFactor: 1,
     objectiveMs: 500,
-    leftMs: 12_000,
+    remainingMs: 12_000,
   };
   const standing = { asked: 100, admitted: 100, level: Infinity, idleness: 0 };
 
-  it('admits what can begin within its objective and refuses the rest at once', () => {
-    expect(decideAdmission({ ...input, firstMs: 100 }, random).kind).to.equal('admit');
-    expect(decideAdmission({ ...input, firstMs: 600 }, random)).to.include({
+  it('admits requests that can start within their objective and refuses the others at once', () => {
+    expect(decideAdmission({ ...input, firstEventMs: 100 }, random).kind).to.equal('admit');
+    expect(decideAdmission({ ...input, firstEventMs: 600 }, random)).to.include({
       kind: 'refuse',
       reason: 'overload',
     });
   });
 
-  it('refuses a customer beyond its share earlier, and not while upstreams are free', () => {
+  it('refuses a customer beyond its share earlier, but not while upstreams are free', () => {
     const over = { ...standing, admitted: 200, level: 100 };
-    expect(decideAdmission({ ...input, firstMs: 300, standing: over }, random)).to.include({
+    expect(decideAdmission({ ...input, firstEventMs: 300, standing: over }, random)).to.include({
       kind: 'refuse',
       reason: 'overShare',
     });
-    expect(decideAdmission({ ...input, firstMs: 50, standing: over }, random).kind).to.equal(
+    expect(decideAdmission({ ...input, firstEventMs: 50, standing: over }, random).kind).to.equal(
       'admit',
     );
     const within = { ...standing, admitted: 90, level: 100 };
-    expect(decideAdmission({ ...input, firstMs: 300, standing: within }, random).kind).to.equal(
-      'admit',
-    );
+    expect(
+      decideAdmission({ ...input, firstEventMs: 300, standing: within }, random).kind,
+    ).to.equal('admit');
   });
 
-  it('admits a customer beyond its share where nothing waits, however little all get', () => {
+  it('admits a customer beyond its share at idle upstreams, even if the fair share is low', () => {
     const over = { asked: 2_000, admitted: 100, level: 50, idleness: 0.9 };
-    const idle = { ...input, ownMs: 130, readMs: 10, urgentMs: 300, standing: over };
-    expect(decideAdmission({ ...idle, firstMs: 130 }, random).kind).to.equal('admit');
-    expect(decideAdmission({ ...idle, firstMs: 250 }, random).kind).to.equal('refuse');
+    const idle = {
+      ...input,
+      unloadedMs: 130,
+      promptReadMs: 10,
+      shortestObjectiveMs: 300,
+      standing: over,
+    };
+    expect(decideAdmission({ ...idle, firstEventMs: 130 }, random).kind).to.equal('admit');
+    expect(decideAdmission({ ...idle, firstEventMs: 250 }, random).kind).to.equal('refuse');
   });
 
-  it('lets refused callers return spread, and within the time that they have', () => {
+  it('spreads the retries of refused callers, within their deadlines', () => {
     const times = Array.from({ length: 50 }, () => {
-      const decision = decideAdmission({ ...input, firstMs: 700 }, random);
+      const decision = decideAdmission({ ...input, firstEventMs: 700 }, random);
       return decision.kind === 'refuse' ? decision.retryAfterMs : 0;
     });
     expect(Math.min(...times)).to.be.at.least(200);
     expect(Math.max(...times) - Math.min(...times)).to.be.at.least(100);
-    const late = decideAdmission({ ...input, firstMs: 9_000, leftMs: 900 }, random);
+    const late = decideAdmission({ ...input, firstEventMs: 9_000, remainingMs: 900 }, random);
     expect(late.kind === 'refuse' && late.retryAfterMs).to.be.at.most(300);
   });
 
-  it('gives each of six customers that flood the same, and the others all that they ask', () => {
+  it('gives six flooding customers equal shares, and the others all of their demand', () => {
     const level = fairLevel([5, 5, 5, 100, 100, 100, 100, 100, 100], 315);
     expect(level).to.equal(50);
   });
 
-  it('uses all of the capacity, and gives no customer more than it asks', () => {
+  it('allocates all of the capacity, and no customer more than its demand', () => {
     fc.assert(
       fc.property(
         fc.array(fc.double({ min: 0.1, max: 1_000, noNaN: true }), { minLength: 1, maxLength: 40 }),
@@ -192,7 +198,7 @@
     );
   });
 
-  it('serves a customer within its share beside a flood', () => {
+  it('serves a customer within its share while another one floods', () => {
     const core = createTestCore();
     const engines = createFifoEngines(core);
     let served = 0;
@@ -204,13 +210,13 @@
       floodServed += engines.start(core.arrive({ key: 'key-of-b', promptTokens: 8_000 }));
       if (i % 20 === 10) served += engines.start(core.arrive({ promptTokens: 2_000 }));
     }
-    // Both upstreams are kept busy: two million tokens in ten seconds, less a tenth.
+    // Both upstreams stay busy: two million tokens in ten seconds, with a tolerance of a tenth.
     expect(floodServed * 8_000 + served * 2_000).to.be.at.least(1_800_000);
-    // Nine in ten of a customer within its share are served.
+    // At least nine in ten requests of the customer within its share are served.
     expect(served).to.be.at.least(90);
   });
 
-  it('gives customers that flood unequally about the same', () => {
+  it('gives customers that flood at different rates similar throughput', () => {
     const core = createTestCore();
     const engines = createFifoEngines(core);
     const tokens = { a: 0, b: 0 };
@@ -223,13 +229,14 @@
       }
       if (i % 4 === 0) tokens.a += 8_000 * engines.start(core.arrive({ promptTokens: 8_000 }));
     }
-    // Each asks for more than half; the lesser one gets half of what it is owed at least.
+    // Both demand more than half of the capacity, so the smaller one is owed half. It must get at
+    // least half as much as the larger one.
     expect(tokens.a).to.be.at.least(tokens.b / 2);
   });
 });
 
 describe('capacity after a loss of all upstreams', () => {
-  it('is used again within seconds, although next to nothing was admitted meanwhile', () => {
+  it('is used again within seconds, although almost nothing was admitted in the meantime', () => {
     const core = createTestCore();
     const slowToAnswerMs = 120;
     const engines = createFifoEngines(core, slowToAnswerMs);
@@ -262,15 +269,15 @@
 });
 
 /**
- * Upstreams that read one prompt after the other, a hundred tokens a millisecond; an answer takes
- * `baseMs` more.
+ * Emulates upstreams that read prompts one at a time, at a hundred tokens per millisecond. Each
+ * answer takes another `baseMs`.
  */
 function createFifoEngines(core: TestCore, baseMs = 0) {
   const tokensPerMs = 100;
   const freeAt = new Map<string, number>();
   const ends: { attempt: number; at: number }[] = [];
   return {
-    /** Starts what was sent; returns the number of requests. */
+    /** Starts the requests that were sent. Returns their number. */
     start: (effects: readonly RoutingEffect[]): number => {
       const sent = effectsOf(effects, 'send');
       sent.forEach(({ plan }) => {
@@ -281,14 +288,14 @@
       });
       return sent.length;
     },
-    /** Ends what has been read by now. */
+    /** Completes the requests that are due by now. */
     run: () => {
       ends
         .filter(({ at }) => at <= core.now())
         .forEach((end) => {
           ends.splice(ends.indexOf(end), 1);
           core.take({ kind: 'attemptProgress', attempt: end.attempt });
-          finish(core, end.attempt);
+          completeAttempt(core, end.attempt);
         });
     },
   };
