Reword the test support of routing

Doc comments of the simulated cores named what arrives rather than what the functions do. They now describe the functions. Renames: isAbroad -> isCrossDomain.

--- a/test/routing/support/core.ts
+++ b/test/routing/support/core.ts
@@ -1,4 +1,4 @@
-/** A routing core without hosts: events go in, effects are collected. */
+/** A routing core for tests, without hosts: takes events and returns their effects. */
 import { createRouting, type Routing } from '../../../src/routing/routing.js';
 import type { RoutingSettings } from '../../../src/routing/settings.js';
 import type {
@@ -91,12 +91,12 @@
   };
 }
 
-/** Twelve model upstreams, beside the two that a core begins with. */
+/** Creates twelve model upstreams, in addition to the two that a test core starts with. */
 export function createManyUpstreams(): readonly ListedUpstream[] {
   return Array.from({ length: 12 }, (_, i) => createUpstreamEntry(`i-${i + 10}`));
 }
 
-/** A prompt with a long part that others share and a part of its own. */
+/** Facts of a request whose prompt has a long shared part and a part of its own. */
 export function sharedFacts(
   shared: string,
   own: string,
@@ -117,16 +117,16 @@
   readonly routing: Routing;
   readonly now: () => number;
   readonly advance: (ms: number) => void;
-  /** Takes an event and returns its effects. */
+  /** Passes an event to the core and returns its effects. */
   readonly take: (event: RoutingEvent) => readonly RoutingEffect[];
   readonly configure: (configuration?: RoutingConfiguration) => readonly RoutingEffect[];
   readonly list: (...upstreams: readonly ListedUpstream[]) => readonly RoutingEffect[];
-  /** A request arrives; returns its effects. */
+  /** Has a request arrive and returns the effects. */
   readonly arrive: (facts?: Partial<RequestFacts>) => readonly RoutingEffect[];
   readonly nextRequest: () => number;
 }
 
-/** Creates a core with a configuration and two upstreams of each pool. */
+/** Creates a core with a configuration and two upstreams in each pool. */
 export function createTestCore(settings: Partial<RoutingSettings> = {}): TestCore {
   let now = 1_000_000;
   let cursor = 1;
@@ -200,7 +200,7 @@
   return core;
 }
 
-/** Effects of one kind. */
+/** Returns the effects of one kind. */
 export function effectsOf<K extends RoutingEffect['kind']>(
   effects: readonly RoutingEffect[],
   kind: K,
@@ -208,14 +208,14 @@
   return effects.filter((effect): effect is EffectOf<K> => effect.kind === kind);
 }
 
-/** The plan of the one attempt that was ordered. */
+/** Returns the plan of the first attempt that was sent. */
 export function planOf(effects: readonly RoutingEffect[]): AttemptPlan {
   const [send] = effectsOf(effects, 'send');
-  if (send === undefined) throw new Error('nothing was sent');
+  if (send === undefined) throw new Error('no attempt was sent');
   return send.plan;
 }
 
-/** The answer of the instance itself. */
+/** Returns the answer that the instance generated itself, if there is one. */
 export function answerOf(effects: readonly RoutingEffect[]): OwnAnswer | undefined {
   return effectsOf(effects, 'answer')[0]?.answer;
 }
--- a/test/routing/support/coreFleet.ts
+++ b/test/routing/support/coreFleet.ts
@@ -1,4 +1,4 @@
-/** Routing cores of several failure domains that exchange news over a network in simulated time. */
+/** Routing cores in several failure domains that exchange messages over a simulated network. */
 import { createRouting, type Routing } from '../../../src/routing/routing.js';
 import type { RoutingContext } from '../../../src/routing/context.js';
 import type { RoutingSettings } from '../../../src/routing/settings.js';
@@ -8,24 +8,24 @@
 export interface FleetCore {
   readonly self: InstanceIdentity;
   readonly routing: Routing;
-  /** Whether the process runs. */
+  /** Whether the process is running. */
   isAlive: boolean;
 }
 
 export interface CoreFleet {
   readonly cores: readonly FleetCore[];
   readonly context: (core: FleetCore) => RoutingContext;
-  /** Takes an event at a core; its messages arrive one round later. */
+  /** Passes an event to a core. The messages that the core sends arrive one round later. */
   readonly take: (core: FleetCore, event: RoutingEvent) => readonly RoutingEffect[];
-  /** A request with a prompt of two parts arrives. */
+  /** Has a request with a prompt of two parts arrive. */
   readonly arrive: (core: FleetCore) => readonly RoutingEffect[];
-  /** Lets every core exchange news `count` times. */
+  /** Runs `count` rounds in which every running core sends its news. */
   readonly rounds: (count: number) => void;
-  /** Messages of the last round that left their domain, and all of them. */
+  /** Number of messages of the last round, and how many of them crossed domains. */
   readonly sent: () => { readonly abroad: number; readonly all: number };
-  /** Cuts all links between a domain and the others, or heals them. */
+  /** Cuts all links between a domain and the others; `undefined` restores them. */
   readonly cut: (domain: string | undefined) => void;
-  /** Events that a core has logged. */
+  /** Codes of the events that a core has logged. */
   readonly logged: (core: FleetCore) => readonly string[];
 }
 
@@ -80,9 +80,9 @@
     return effects;
   }
 
-  const isAbroad = ({ from, to }: Message) => from.self.domain !== to.self.domain;
+  const isCrossDomain = ({ from, to }: Message) => from.self.domain !== to.self.domain;
   const isCut = (message: Message) =>
-    isAbroad(message) &&
+    isCrossDomain(message) &&
     [message.from.self.domain, message.to.self.domain].some((domain) => domain === cutDomain);
 
   function round(): void {
@@ -151,7 +151,7 @@
     rounds: (count) => {
       for (let i = 0; i < count; i += 1) round();
     },
-    sent: () => ({ abroad: inFlight.filter(isAbroad).length, all: inFlight.length }),
+    sent: () => ({ abroad: inFlight.filter(isCrossDomain).length, all: inFlight.length }),
     cut: (domain) => {
       cutDomain = domain;
     },
