--- a/src/routing/routing.ts
+++ b/src/routing/routing.ts
@@ -1,6 +1,7 @@
 /**
- * The routing core: passes callers' requests through to upstreams that the platform lists, on routes
- * that operators configure there. One reducer over all events; effects are data.
+ * The routing core. It forwards callers' requests to the upstreams that the platform lists, along
+ * the routes that operators configure there. A single reducer handles all events and returns
+ * effects as data.
  */
 import { Debug } from '../core/debug.js';
 import type { Millis } from '../core/clock.js';
@@ -12,7 +13,7 @@
   onAttemptProgress,
   onCallerGone,
 } from './attempts/attempts.js';
-import { onWatchTimer } from './attempts/watch.js';
+import { onHealthTimer } from './attempts/watch.js';
 import type { RoutingContext } from './context.js';
 import { onPlannedStop, onStopTimer, updateReadiness } from './drain/stop.js';
 import { forgetSentTimes } from './exchange/confirmations.js';
@@ -48,18 +49,18 @@
 export interface RoutingOptions {
   readonly self: InstanceIdentity;
   readonly settings?: Partial<RoutingSettings>;
-  /** Regions of the failure domains. */
+  /** Region of each failure domain. */
   readonly regions?: ReadonlyMap<FailureDomainId, RegionId>;
   readonly seed: number;
 }
 
 export interface Routing {
   readonly state: RoutingState;
-  /** Takes one event and returns what is to be done. */
+  /** Processes one event and returns the effects that the host has to run. */
   readonly reduce: (event: RoutingEvent, now: Millis) => readonly RoutingEffect[];
 }
 
-/** Creates a routing core that waits for its `start` event. */
+/** Creates a routing core, which is idle until its `start` event. */
 export function createRouting(options: RoutingOptions): Routing {
   const state = createRoutingState({
     self: options.self,
@@ -84,7 +85,7 @@
       startConfigurationPoll(ctx);
       startUpstreamPoll(ctx);
       startExchange(ctx);
-      onWatchTimer(ctx);
+      onHealthTimer(ctx);
       return;
     case 'timer':
       reduceTimer(ctx, event.timer);
@@ -158,7 +159,7 @@
       onExchangeTimer(ctx);
       return;
     case 'health':
-      onWatchTimer(ctx);
+      onHealthTimer(ctx);
       return;
     case 'stop':
       onStopTimer(ctx);
