--- a/src/core/audit/auditState.ts
+++ b/src/core/audit/auditState.ts
@@ -1,31 +1,35 @@
-/** State of the audit trail: entries that are not in the log yet, and operators that read it. */
+/** State of the audit trail: entries not yet in the log, and the operator query in progress. */
 import type { Millis } from '../clock.js';
 import type { AuditEntry } from '../types.js';
 
-/** A batch on its way into the log. */
+/** A batch whose append is not confirmed yet. */
 export interface AuditBatch {
   readonly appendId: number;
   readonly entries: readonly AuditEntry[];
   readonly sentAt: Millis;
 }
 
-/** An operator's reading of the trail. */
-export interface AuditReading {
+/** A read of the audit trail for one or more operator commands. */
+export interface AuditQuery {
+  /** Commands that are answered when the read ends. */
   readonly commandIds: string[];
+  /** Largest limit among the commands. */
   limit: number;
+  /** Log offset of the next read. */
   next: number;
+  /** Entries by batch id; a batch that was appended twice is kept once. */
   readonly batches: Map<string, readonly AuditEntry[]>;
   readonly startedAt: Millis;
 }
 
 export interface AuditState {
   pending: AuditEntry[];
-  /** Entries that were given up because too many waited. */
+  /** Number of entries dropped because the buffer was full. */
   dropped: number;
   batch: AuditBatch | undefined;
   nextBatchAt: Millis;
   nextAppendId: number;
-  reading: AuditReading | undefined;
+  reading: AuditQuery | undefined;
 }
 
 export function createAuditState(): AuditState {
--- a/test/configuration/audit.test.ts
+++ b/test/configuration/audit.test.ts
@@ -4,7 +4,7 @@
 import { ACCOUNTS_HASH, BASE_DOCUMENT, PLATFORM_HASH, PLATFORM_KEY } from '../support/edits.js';
 
 describe('audit trail', () => {
-  it('holds who changed what, accepted or refused, once, without keys', () => {
+  it('records each accepted or refused edit once, without keys or key hashes', () => {
     const fleet = createFakeFleet({ instances: 3, domains: 1, seed: 3 });
     fleet.run(1_500);
     const instance = fleet.instances[0] as FakeInstance;
@@ -43,7 +43,7 @@
     });
   });
 
-  it('tells that the trail cannot be read', () => {
+  it('rejects a query with auditUnread while the log is down', () => {
     const fleet = createFakeFleet({ instances: 1, domains: 1, seed: 3 });
     fleet.run(1_500);
     fleet.log.isDown = true;
