--- a/src/core/configuration/changes.ts
+++ b/src/core/configuration/changes.ts
@@ -1,4 +1,7 @@
-/** Differences between what an operator sent and the document that the fold holds. */
+/**
+ * Compares source text from an operator with the current document, and maps diagnostics back to
+ * positions in that text.
+ */
 import { checkDocument } from '../../configuration/checks.js';
 import {
   splitDocumentSteps,
@@ -17,40 +20,43 @@
   type Entry,
   type Steps,
 } from '../../configuration/types.js';
-import { applyChanges } from './fold.js';
+import { applyChangesSteps } from './fold.js';
 import type { SectionChange } from './records.js';
 
-/** Name under which a whole document is published. */
+/** Stands for the whole document where a command names a section. */
 export const WHOLE_DOCUMENT = 'document';
-const COMPARED_PER_STEP = 512;
-/** Work of comparing so many entries, in units of parsing one. */
-const COMPARE_WORK = 5;
+const COMPARISONS_PER_STEP = 512;
+/** Work of COMPARISONS_PER_STEP comparisons, in units of parsing one entry. */
+const COMPARE_STEP_WORK = 5;
 
-export type ChangesResult =
+export type DiffResult =
   | { readonly kind: 'changes'; readonly changes: readonly SectionChange[] }
   | { readonly kind: 'diagnostics'; readonly diagnostics: readonly DocumentDiagnostic[] };
 
-/** Compares a section's or document's source with `document`; only what differs is a change. */
-export function* changesSteps(
+/** Computes the changes that turn `document` into the given source of a section or document. */
+export function* diffSourceSteps(
   document: ConfigurationDocument,
   section: string,
   text: string,
-): Steps<ChangesResult> {
+): Steps<DiffResult> {
   const split = yield* splitSourceSteps(section, text);
   if (split.diagnostics.length > 0) return { kind: 'diagnostics', diagnostics: split.diagnostics };
   const changes: SectionChange[] = [];
   for (const part of split.parts) {
     const { parts, diagnostics } = yield* splitSectionSteps(part.name, part.text);
     if (diagnostics.length > 0) {
-      return { kind: 'diagnostics', diagnostics: diagnostics.map((d) => inSource(d, part)) };
+      return {
+        kind: 'diagnostics',
+        diagnostics: diagnostics.map((d) => addSourcePosition(d, part)),
+      };
     }
-    const change = yield* compareSteps(part, document[part.name], parts);
+    const change = yield* diffSectionSteps(part, document[part.name], parts);
     if (change !== undefined) changes.push(change);
   }
   return { kind: 'changes', changes };
 }
 
-/** A whole document that lacks a section empties it. */
+/** Splits the source into sections. A section that a whole document omits is taken as empty. */
 function* splitSourceSteps(section: string, text: string): Steps<Split<SectionSource>> {
   if (section !== WHOLE_DOCUMENT) {
     if (isSectionName(section)) {
@@ -68,42 +74,43 @@
   return { parts: [...parts, ...emptied], diagnostics };
 }
 
-function* compareSteps(
+/** Returns the changes of one section, or `undefined` if there are none. */
+function* diffSectionSteps(
   source: SectionSource,
   entries: ReadonlyMap<string, Entry>,
   parts: readonly EntrySource[],
 ): Steps<SectionChange | undefined> {
   const set: Record<string, string> = {};
-  const kept = new Set<string>();
-  let changed = 0;
+  const sourceKeys = new Set<string>();
+  let changedCount = 0;
   for (const part of parts) {
-    kept.add(part.key);
+    sourceKeys.add(part.key);
     if (entries.get(part.key)?.text !== part.text) {
       set[part.key] = part.text;
-      changed += 1;
+      changedCount += 1;
     }
-    if (kept.size % COMPARED_PER_STEP === 0) yield COMPARE_WORK;
+    if (sourceKeys.size % COMPARISONS_PER_STEP === 0) yield COMPARE_STEP_WORK;
   }
-  const remove = [...entries.keys()].filter((key) => !kept.has(key));
-  if (changed === 0 && remove.length === 0) return undefined;
+  const remove = [...entries.keys()].filter((key) => !sourceKeys.has(key));
+  if (changedCount === 0 && remove.length === 0) return undefined;
   return { section: source.name, set, remove };
 }
 
-/** Parses and checks a section's or document's source against the rest of `document`. */
-export function* checkSteps(
+/** Parses the source of a section or document and checks it together with the rest of `document`. */
+export function* validateSourceSteps(
   document: ConfigurationDocument,
   section: string,
   text: string,
 ): Steps<readonly DocumentDiagnostic[]> {
-  const result = yield* changesSteps(document, section, text);
+  const result = yield* diffSourceSteps(document, section, text);
   if (result.kind === 'diagnostics') return result.diagnostics;
-  const applied = yield* applyChanges(document, result.changes);
-  if (applied.diagnostics.length > 0) return locate(applied.diagnostics, section, text);
-  return locate(yield* checkDocument(applied.document), section, text);
+  const applied = yield* applyChangesSteps(document, result.changes);
+  if (applied.diagnostics.length > 0) return toSourcePositions(applied.diagnostics, section, text);
+  return toSourcePositions(yield* checkDocument(applied.document), section, text);
 }
 
-/** Turns lines within entries into lines of what the operator sent. */
-export function locate(
+/** Converts positions relative to an entry into positions in the operator's source text. */
+export function toSourcePositions(
   diagnostics: readonly DocumentDiagnostic[],
   section: string,
   text: string,
@@ -117,18 +124,22 @@
       ({ key }) => key === diagnostic.key,
     );
     if (entry === undefined) return diagnostic;
-    const line = Math.max(diagnostic.line, firstLineOf(entry)) + entry.line;
+    const line = Math.max(diagnostic.line, firstContentLine(entry)) + entry.line;
     const column = Math.max(diagnostic.column, 1);
-    return inSource({ ...diagnostic, line, column }, part);
+    return addSourcePosition({ ...diagnostic, line, column }, part);
   });
 }
 
-/** Number of the line, from 1, on which an entry begins behind its comments. */
-function firstLineOf(entry: EntrySource): number {
+/** Returns the 1-based number of an entry's first line that is neither blank nor a comment. */
+function firstContentLine(entry: EntrySource): number {
   return entry.text.split('\n').findIndex((line) => !/^\s*(#|$)/.test(line)) + 1;
 }
 
-function inSource(diagnostic: DocumentDiagnostic, part: SectionSource): DocumentDiagnostic {
+/** Adds the position of a section within the source to a diagnostic. */
+function addSourcePosition(
+  diagnostic: DocumentDiagnostic,
+  part: SectionSource,
+): DocumentDiagnostic {
   return {
     ...diagnostic,
     section: part.name,
--- a/src/core/configuration/checkpoint.ts
+++ b/src/core/configuration/checkpoint.ts
@@ -1,6 +1,7 @@
 /**
- * Checkpoints: the state of the fold in parts of bounded size, for the log and for peers. Entries
- * carry their parsed values, so that a new instance need not parse a long document.
+ * Encodes and decodes checkpoints: the state of the fold, split into parts of bounded size, for the
+ * log and for peers. Entries include their parsed values, so that a new instance does not have to
+ * parse a large document.
  */
 import * as z from 'zod';
 import { parseEntry } from '../../configuration/entry.js';
@@ -14,14 +15,14 @@
 import { createFoldState, type AcceptedEdit, type FoldState, type Verdict } from './foldState.js';
 import { parseJson, SCHEMA_VERSION } from './records.js';
 
-/** Length of the texts in one part. */
-const PART_TEXT = 32_768;
+/** Estimated text length at which the next part begins. */
+const PART_TEXT_LENGTH = 32_768;
 /** Work of encoding or decoding one part, in units of parsing one entry. */
 const PART_WORK = 4;
-/** Work of collecting the entries of one part. */
+/** Work of collecting the items of one part, in units of parsing one entry. */
 const CHUNK_WORK = 1;
 
-/** Key, source, value, and the number of a customer or pool, else 0. */
+/** Key, source text and parsed value, then the number of a customer or pool, or 0 in other sections. */
 type EntryRow = readonly [string, string, unknown, number];
 
 interface CheckpointHead {
@@ -38,7 +39,7 @@
   readonly id: string;
   readonly part: number;
   readonly parts: number;
-  /** Records before this offset are in the checkpoint. */
+  /** The checkpoint includes all records before this offset. */
   readonly through: number;
   readonly head?: CheckpointHead | undefined;
   readonly verdicts?: readonly Verdict[] | undefined;
@@ -70,9 +71,9 @@
   entries: z.array(z.tuple([z.string(), z.string(), z.unknown(), z.number()])).optional(),
 });
 
-/** Encodes the state of the fold in pieces; returns the parts in order. */
+/** Encodes the state of the fold incrementally; returns the parts in order. */
 export function* encodeCheckpointSteps(fold: FoldState, id: string): Steps<readonly string[]> {
-  const contents = yield* contentsSteps(fold);
+  const contents = yield* partContentsSteps(fold);
   const parts: string[] = [];
   for (const content of contents) {
     const part: CheckpointPart = {
@@ -90,15 +91,15 @@
   return parts;
 }
 
-function* contentsSteps(fold: FoldState): Steps<readonly PartContent[]> {
+function* partContentsSteps(fold: FoldState): Steps<readonly PartContent[]> {
   const head: CheckpointHead = {
     version: fold.version,
     nextCustomer: fold.numbers.nextCustomer,
     nextPool: fold.numbers.nextPool,
     sectionVersions: [...fold.sectionVersions],
   };
-  const verdicts = yield* chunkSteps([...fold.verdicts.values()], verdictLength);
-  const history = yield* chunkSteps(fold.history, editLength);
+  const verdicts = yield* chunkSteps([...fold.verdicts.values()], estimateVerdictLength);
+  const history = yield* chunkSteps(fold.history, estimateEditLength);
   const contents: PartContent[] = [
     { head },
     ...verdicts.map((chunk) => ({ verdicts: chunk })),
@@ -107,7 +108,7 @@
   for (const section of SECTION_NAMES) {
     const entries = (fold.document[section] as ReadonlyMap<string, Entry>).values();
     const numbers = numbersOf(fold, section);
-    const rows = yield* chunkSteps(entries, entryLength);
+    const rows = yield* chunkSteps(entries, estimateEntryLength);
     rows.forEach((chunk) => {
       const row = ({ key, text, value }: Entry): EntryRow => [
         key,
@@ -121,15 +122,15 @@
   return contents;
 }
 
-function entryLength(entry: Entry): number {
+function estimateEntryLength(entry: Entry): number {
   return entry.key.length + 2 * entry.text.length;
 }
 
-function verdictLength(verdict: Verdict): number {
+function estimateVerdictLength(verdict: Verdict): number {
   return 200 + 200 * (verdict.diagnostics.length + verdict.conflicts.length);
 }
 
-function editLength(edit: AcceptedEdit): number {
+function estimateEditLength(edit: AcceptedEdit): number {
   return 200 + edit.length;
 }
 
@@ -138,15 +139,15 @@
   return section === 'pools' ? fold.numbers.pools : undefined;
 }
 
-/** Groups items into chunks of bounded length, in pieces. */
+/** Groups items into chunks of bounded length, incrementally. */
 function* chunkSteps<T>(
   items: Iterable<T>,
   lengthOf: (item: T) => number,
 ): Steps<readonly (readonly T[])[]> {
   const result: T[][] = [];
-  let length = PART_TEXT;
+  let length = PART_TEXT_LENGTH;
   for (const item of items) {
-    if (length >= PART_TEXT) {
+    if (length >= PART_TEXT_LENGTH) {
       result.push([]);
       length = 0;
       yield CHUNK_WORK;
@@ -157,14 +158,17 @@
   return result;
 }
 
-/** Decodes one part; `undefined` for any other text and for parts of a later program. */
+/** Decodes one part; returns `undefined` for invalid text and for a newer schema version. */
 export function decodePart(data: string): CheckpointPart | undefined {
   const parsed = partSchema.safeParse(parseJson(data));
   if (!parsed.success || parsed.data.schemaVersion > SCHEMA_VERSION) return undefined;
   return parsed.data;
 }
 
-/** Builds the state of the fold from all parts of a checkpoint, in pieces. */
+/**
+ * Restores the state of the fold from all parts of a checkpoint, incrementally. Returns `undefined`
+ * if the head is missing or an entry cannot be parsed.
+ */
 export function* loadCheckpointSteps(
   parts: readonly CheckpointPart[],
 ): Steps<FoldState | undefined> {
@@ -182,7 +186,7 @@
     const { section } = part;
     if (section !== undefined) {
       for (const row of part.entries ?? []) {
-        const entry = entryOf(part, section, row);
+        const entry = decodeEntry(part, section, row);
         if (entry === undefined) return undefined;
         sections[section].set(row[0], entry);
         if (section === 'customers') customers.set(row[0], row[3]);
@@ -200,8 +204,8 @@
   return fold;
 }
 
-/** An earlier program's values may lack defaults, so its entries are parsed anew. */
-function entryOf(part: CheckpointPart, section: SectionName, row: EntryRow): Entry | undefined {
+/** Values of an older schema version may lack defaults, so their source text is parsed again. */
+function decodeEntry(part: CheckpointPart, section: SectionName, row: EntryRow): Entry | undefined {
   const [key, text, value] = row;
   if (part.schemaVersion === SCHEMA_VERSION) return { key, text, value };
   const result = parseEntry(section, { key, text, line: 0 });
--- a/src/core/configuration/configuration.ts
+++ b/src/core/configuration/configuration.ts
@@ -1,6 +1,6 @@
 /**
- * The configuration in force at this instance: takes the events of the log, of peers, of operators
- * and of timers, and brings accepted versions into force.
+ * Maintains the active configuration of this instance: handles events from the log, peers, operators
+ * and timers, and activates accepted versions.
  */
 import { logLine, setTimer, type CoreContext } from '../context.js';
 import { announceAll } from '../dispatch/queues.js';
@@ -15,21 +15,21 @@
 } from '../types.js';
 import { onCheckpointAppended, writeCheckpointIfDue } from './checkpointing.js';
 import {
-  askIfBehind,
+  requestRecordsIfBehind,
   onConfigurationRecords,
   onConfigurationRequest,
   onConfigurationSnapshot,
-  onPeerVersion,
+  recordPeerVersion,
 } from './distribution.js';
 import { checkOperatorKey } from './keys.js';
 import { advanceEdits, onEditAppended, onPublish } from './publishing.js';
 import { checkConfiguration, configurationHistory, getConfiguration } from './queries.js';
 import { onConfigurationRead, requestRead } from './reading.js';
-import { isFolded, work, type WorkHooks } from './work.js';
+import { isQueueFolded, runSlice, type WorkHooks } from './work.js';
 
 type EventOf<K extends CoreEvent['kind']> = Extract<CoreEvent, { readonly kind: K }>;
 
-/** Brings a newer view into force; an older one is ignored. */
+/** Activates a view if it is newer than the active one. */
 export function applyView(ctx: CoreContext, view: ConfigurationView): void {
   const { configuration, drain } = ctx.state;
   if (configuration.view !== undefined && configuration.view.version >= view.version) return;
@@ -50,25 +50,25 @@
 }
 
 export function onConfigurationTimer(ctx: CoreContext): void {
-  askIfBehind(ctx);
+  requestRecordsIfBehind(ctx);
   writeCheckpointIfDue(ctx);
-  advance(ctx);
+  advanceConfiguration(ctx);
   setTimer(ctx, 'configuration', ctx.state.settings.configurationTickMs);
 }
 
 export function onApplyTimer(ctx: CoreContext): void {
-  advance(ctx);
+  advanceConfiguration(ctx);
 }
 
 export function onConfigurationLogRead(ctx: CoreContext, event: EventOf<'logRead'>): void {
   onConfigurationRead(ctx, event);
-  advance(ctx);
+  advanceConfiguration(ctx);
 }
 
 export function onConfigurationAppended(ctx: CoreContext, event: EventOf<'appendSettled'>): void {
   onCheckpointAppended(ctx, event.appendId, event.result);
   onEditAppended(ctx, event.appendId, event.result);
-  advance(ctx);
+  advanceConfiguration(ctx);
 }
 
 export function onConfigurationMessage(
@@ -92,12 +92,12 @@
   else if (message.$case === 'configurationRequest') {
     onConfigurationRequest(ctx, from, message.value);
   } else onConfigurationSnapshot(ctx, message.value);
-  advance(ctx);
+  advanceConfiguration(ctx);
 }
 
-/** Compares a peer's version with this instance's. Called for each heartbeat. */
+/** Records the configuration version from a peer's heartbeat. */
 export function onHeartbeatVersion(ctx: CoreContext, from: InstanceId, version: number): void {
-  onPeerVersion(ctx, from, version);
+  recordPeerVersion(ctx, from, version);
 }
 
 export type ConfigurationCommand = Extract<
@@ -113,11 +113,11 @@
   command: ConfigurationCommand,
 ): void {
   if (command.kind === 'publish') onPublish(ctx, commandId, command);
-  else answer(ctx, commandId, command);
-  advance(ctx);
+  else answerQuery(ctx, commandId, command);
+  advanceConfiguration(ctx);
 }
 
-/** The versions of the configuration at this instance, without its content. */
+/** Describes the versions and the progress of the configuration, without its content. */
 export function describeConfiguration(ctx: CoreContext): OperatorResult {
   const { configuration } = ctx.state;
   const { fold, reading } = configuration;
@@ -133,7 +133,7 @@
   return { kind: 'done', data };
 }
 
-function answer(
+function answerQuery(
   ctx: CoreContext,
   commandId: string,
   command: Exclude<ConfigurationCommand, { readonly kind: 'publish' }>,
@@ -156,33 +156,36 @@
   onFolded: (ctx) => {
     advanceEdits(ctx);
   },
-  onViewBuilt: bringIntoForce,
+  onViewBuilt: applyBuiltView,
   onIdle: (ctx) => {
-    catchUp(ctx);
+    markCaughtUpIfCurrent(ctx);
     advanceEdits(ctx);
   },
 };
 
-function advance(ctx: CoreContext): void {
+function advanceConfiguration(ctx: CoreContext): void {
   advanceEdits(ctx);
-  work(ctx, HOOKS);
+  runSlice(ctx, HOOKS);
   requestRead(ctx);
 }
 
-function bringIntoForce(ctx: CoreContext): void {
+function applyBuiltView(ctx: CoreContext): void {
   const { built, hasCaughtUp } = ctx.state.configuration;
   if (built !== undefined && hasCaughtUp) applyView(ctx, built.view);
 }
 
-/** A new instance is ready once it has the highest version that log and peers show. */
-function catchUp(ctx: CoreContext): void {
+/**
+ * Activates the first view once the fold has reached the highest version known from the log and from
+ * peers. A failing log or a record of a newer schema version does not hold this up.
+ */
+function markCaughtUpIfCurrent(ctx: CoreContext): void {
   const { configuration } = ctx.state;
   const { fold, reading } = configuration;
-  if (configuration.hasCaughtUp || fold.version < 0 || !isFolded(configuration)) return;
+  if (configuration.hasCaughtUp || fold.version < 0 || !isQueueFolded(configuration)) return;
   const hasReadLog = reading.mode.kind === 'follow' && reading.atEndAt !== undefined;
   if (!hasReadLog && reading.failingSince === undefined) return;
   const isBehindPeers = (configuration.distribution.ahead?.version ?? -1) > fold.version;
   if (isBehindPeers && fold.blocked === undefined) return;
   configuration.hasCaughtUp = true;
-  bringIntoForce(ctx);
+  applyBuiltView(ctx);
 }
--- a/src/core/configuration/configurationState.ts
+++ b/src/core/configuration/configurationState.ts
@@ -1,6 +1,7 @@
 /**
- * State of the configuration: the view in force, the fold behind it, what has been read but not yet
- * folded, and the work under way. Long work is cut into pieces, one for each `apply` timer.
+ * State of the configuration: the active view, the fold from which it is built, the records that are
+ * read but not yet folded, and the jobs in progress. Long jobs run in slices, one for each `apply`
+ * timer.
  */
 import type { Steps } from '../../configuration/types.js';
 import type { BuiltView } from '../../configuration/view.js';
@@ -11,11 +12,11 @@
 import { createFoldState, type FoldState } from './foldState.js';
 import type { CheckpointNote } from './records.js';
 
-/** Takes over the result of a job. */
+/** Applies the result of a finished job. */
 export type Completion = (ctx: CoreContext) => void;
 export type Job = Steps<Completion>;
 
-/** The one outstanding read of the log. */
+/** The read of the log in progress; there is at most one. */
 export interface OutstandingRead {
   readonly stream: string;
   readonly from: number;
@@ -23,13 +24,13 @@
   readonly waitMs: Millis;
 }
 
-/** What the log is read for. */
+/** What the log is being read for. */
 export type ReadingMode =
-  /** Records after those that are known. */
+  /** New records, after those already read. */
   | { readonly kind: 'follow' }
-  /** The last note of a checkpoint, after the records before it have expired. */
+  /** The last checkpoint note, because records that have not been read have expired. */
   | { readonly kind: 'locate'; next: number; note: CheckpointNote | undefined }
-  /** The parts of a checkpoint. */
+  /** The parts of the checkpoint that `note` announces. */
   | { readonly kind: 'load'; readonly note: CheckpointNote; next: number };
 
 export interface ReadingState {
@@ -37,57 +38,61 @@
   outstanding: OutstandingRead | undefined;
   /** Earliest time of the next read. */
   retryAt: Millis;
+  /** Time of the first failed read since the last successful one. */
   failingSince: Millis | undefined;
-  /** Last time at which a read reached the end of the log. */
+  /** Time of the last read that reached the end of the log. */
   atEndAt: Millis | undefined;
 }
 
-/** Parts of one checkpoint as they come in. */
-export interface Assembly {
+/** Parts of one checkpoint received so far. */
+export interface CheckpointAssembly {
   readonly id: string;
   readonly parts: (CheckpointPart | undefined)[];
   missing: number;
 }
 
 export interface DistributionState {
-  /** Records that were read lately, to answer peers; they begin at `recentFrom`. */
+  /** Recent records, kept to answer peers; they include every record from `recentFrom` on. */
   recent: readonly StreamRecord[];
   recentFrom: number;
+  /** Time of the unanswered request, or of the last checkpoint part received for it. */
   askedAt: Millis | undefined;
+  /** Peer that was asked last. */
   asked: InstanceId | undefined;
-  /** Highest version that a peer has shown, and which peer. */
+  /** Highest version that a peer has reported, and the first peer that reported it. */
   ahead: { readonly peer: InstanceId; readonly version: number } | undefined;
-  assembly: Assembly | undefined;
+  assembly: CheckpointAssembly | undefined;
 }
 
-/** An edit that was taken from an operator and has no verdict yet. */
+/** An edit that an operator submitted here and that has no verdict yet. */
 export interface PendingEdit {
   readonly editId: string;
-  /** Commands that wait for the verdict; a repeated one joins the first. */
+  /** Commands waiting for the verdict; a command with the same edit id joins the first. */
   readonly commandIds: string[];
   readonly author: string;
   readonly team: string;
   readonly keyHash: string;
   readonly baseVersion: number;
-  /** What the operator sent, by section, to tell the lines of findings. */
+  /** Section and source text as submitted, to report positions of diagnostics. */
   readonly section: string;
   readonly text: string;
   readonly takenAt: Millis;
   phase: 'syncing' | 'preparing' | 'appending' | 'settling';
   appendId: number | undefined;
-  /** Shortened old and new texts for the audit trail. */
+  /** Truncated old and new texts for the audit trail. */
   before: string;
   after: string;
 }
 
 /** A checkpoint that this instance is writing. */
-export interface CheckpointWriting {
+export interface CheckpointWrite {
   readonly id: string;
   readonly through: number;
   readonly parts: readonly string[];
+  /** Number of parts appended, rounded up to whole appends. */
   written: number;
   appendId: number;
-  /** Offset of the first part. */
+  /** Offset of the first part in the checkpoint stream; unknown until it is appended. */
   offset: number | undefined;
 }
 
@@ -95,29 +100,33 @@
   view: ConfigurationView | undefined;
   fold: FoldState;
   built: BuiltView | undefined;
-  /** Offset after the last record that was read; records wait in `queue` to be folded. */
+  /** Offset after the last record that was read. Records wait in `queue` until they are folded. */
   intakeNext: number;
   readonly queue: StreamRecord[];
+  /** The job in progress. */
   job: Job | undefined;
+  /** Jobs that wait until all records are folded and the view is current. */
   readonly jobs: Job[];
+  /** Guards against starting a slice from within a slice. */
   isWorking: boolean;
-  /** Whether the fold has moved since the view was built. */
+  /** Whether the document has changed since the view was built. */
   isViewStale: boolean;
   startedAt: Millis;
-  /** Whether the highest of log, checkpoint and peers was reached once. */
+  /** Whether the instance has reached the highest version known from the log and from peers once. */
   hasCaughtUp: boolean;
   readonly reading: ReadingState;
   readonly distribution: DistributionState;
   readonly publishing: Map<string, PendingEdit>;
-  /** When a checkpoint was last seen, or this instance started. */
+  /** Time at which a checkpoint was last seen, or at which this instance started. */
   checkpointedAt: Millis;
-  writing: CheckpointWriting | undefined;
+  writing: CheckpointWrite | undefined;
+  /** Earliest time of the next checkpoint write. */
   writeRetryAt: Millis;
   nextAppendId: number;
   nextCheckpoint: number;
-  /** Times of the latest failed operator keys. */
+  /** Times of recent commands with an unknown operator key. */
   keyFailures: readonly Millis[];
-  /** Whether the stop at a later program's record was reported. */
+  /** Whether the record of a newer schema version that blocks the fold was logged. */
   hasReportedBlock: boolean;
 }
 
--- a/src/core/configuration/distribution.ts
+++ b/src/core/configuration/distribution.ts
@@ -1,18 +1,19 @@
 /**
- * Passes the configuration on between instances. The first reader of a domain sends new records to
- * the others; who sees a higher version in a heartbeat and has no news of it asks that peer, which
- * answers with records or, where they do not reach back, with its state in parts.
+ * Distributes the configuration between instances. The first reader of a domain sends new records to
+ * the other instances of the domain. An instance that sees a higher version in a heartbeat requests
+ * the records from that peer, which replies with records or, if it no longer has them all, with a
+ * checkpoint of its state.
  */
 import { sendTo, type CoreContext } from '../context.js';
 import { forEachOther, isLive, membersOf } from '../membership/memberIndex.js';
 import type { InstanceId, PeerMessageOf, StreamRecord } from '../types.js';
 import { decodePart, encodeCheckpointSteps } from './checkpoint.js';
-import { assemble, loadCheckpoint, takeRecords } from './intake.js';
+import { addCheckpointPart, loadCheckpoint, enqueueRecords } from './intake.js';
 import { CONFIGURATION_STREAM } from './records.js';
-import { addJob, isFolded } from './work.js';
+import { enqueueJob, isQueueFolded } from './work.js';
 
-/** Time after which another peer is asked. */
-const ASK_AGAIN_MS = 1_000;
+/** Time without a reply after which another peer is asked. */
+const REQUEST_RETRY_MS = 1_000;
 
 /** Sends new records to the other instances of this domain. */
 export function pushRecords(
@@ -35,13 +36,13 @@
 ): void {
   if (message.stream !== CONFIGURATION_STREAM) return;
   const { distribution } = ctx.state.configuration;
-  const taken = takeRecords(ctx, message.records, message.from, message.next);
-  if (taken === undefined) ask(ctx, from);
+  const newRecords = enqueueRecords(ctx, message.records, message.from, message.next);
+  if (newRecords === undefined) requestRecords(ctx, from);
   else if (distribution.asked === from) distribution.askedAt = undefined;
 }
 
-/** Notes the version in force at a peer. */
-export function onPeerVersion(ctx: CoreContext, peer: InstanceId, version: number): void {
+/** Records the configuration version of a peer if it is the highest so far. */
+export function recordPeerVersion(ctx: CoreContext, peer: InstanceId, version: number): void {
   const { configuration } = ctx.state;
   const { distribution } = configuration;
   if (version <= configuration.fold.version || version <= (distribution.ahead?.version ?? -1)) {
@@ -50,31 +51,32 @@
   distribution.ahead = { peer, version };
 }
 
-/** Asks a peer that is ahead, once what was read is folded. */
-export function askIfBehind(ctx: CoreContext): void {
+/** Requests records from a peer that is ahead, once all records read so far are folded. */
+export function requestRecordsIfBehind(ctx: CoreContext): void {
   const { configuration } = ctx.state;
   const { distribution, fold } = configuration;
   if ((distribution.ahead?.version ?? -1) <= fold.version) distribution.ahead = undefined;
   if (distribution.ahead === undefined) return;
-  if (!isFolded(configuration) || fold.blocked !== undefined) return;
-  if (distribution.askedAt !== undefined && ctx.now - distribution.askedAt < ASK_AGAIN_MS) return;
+  if (!isQueueFolded(configuration) || fold.blocked !== undefined) return;
+  if (distribution.askedAt !== undefined && ctx.now - distribution.askedAt < REQUEST_RETRY_MS)
+    return;
   const peer = choosePeer(ctx, distribution.ahead.peer);
   if (peer === undefined) distribution.ahead = undefined;
-  else ask(ctx, peer);
+  else requestRecords(ctx, peer);
 }
 
-/** The peer that showed the version first; if it did not answer, any other that is ahead. */
+/** Chooses the first peer that reported the version; if it did not reply, a random peer that is ahead. */
 function choosePeer(ctx: CoreContext, first: InstanceId): InstanceId | undefined {
   const { distribution, fold } = ctx.state.configuration;
   if (distribution.asked !== first && isLive(ctx.state, first)) return first;
-  const ahead: InstanceId[] = [];
+  const peersAhead: InstanceId[] = [];
   forEachOther(ctx.state, (member) => {
-    if (member.configurationVersion > fold.version) ahead.push(member.id);
+    if (member.configurationVersion > fold.version) peersAhead.push(member.id);
   });
-  return ahead[ctx.state.random.nextInt(Math.max(ahead.length, 1))];
+  return peersAhead[ctx.state.random.nextInt(Math.max(peersAhead.length, 1))];
 }
 
-function ask(ctx: CoreContext, peer: InstanceId): void {
+function requestRecords(ctx: CoreContext, peer: InstanceId): void {
   const { distribution, fold, intakeNext } = ctx.state.configuration;
   distribution.askedAt = ctx.now;
   distribution.asked = peer;
@@ -107,14 +109,17 @@
   const { self, configuration } = ctx.state;
   const id = `${self.id}/${self.incarnation}/${configuration.nextCheckpoint}`;
   configuration.nextCheckpoint += 1;
-  addJob(
+  enqueueJob(
     ctx,
     (function* encode() {
       const { version, next } = configuration.fold;
       const parts = yield* encodeCheckpointSteps(configuration.fold, id);
-      return (later: CoreContext) => {
+      return (completionCtx: CoreContext) => {
         parts.forEach((document) => {
-          sendTo(later, to, { $case: 'configurationSnapshot', value: { version, next, document } });
+          sendTo(completionCtx, to, {
+            $case: 'configurationSnapshot',
+            value: { version, next, document },
+          });
         });
       };
     })(),
@@ -129,9 +134,9 @@
   if (message.next <= fold.next) return;
   const part = decodePart(message.document);
   if (part === undefined) return;
-  const { assembly, parts } = assemble(distribution.assembly, part);
+  const { assembly, parts } = addCheckpointPart(distribution.assembly, part);
   distribution.assembly = parts === undefined ? assembly : undefined;
-  // Parts that still come in are an answer under way.
+  // The reply is still arriving, so the timeout starts again.
   distribution.askedAt = ctx.now;
   if (parts !== undefined) loadCheckpoint(ctx, parts);
 }
--- a/src/core/configuration/fold.ts
+++ b/src/core/configuration/fold.ts
@@ -1,6 +1,6 @@
 /**
- * The fold of the log's edits: decides from the records alone which edits are accepted, so that all
- * instances come to the same document, version and verdicts without agreeing on anything else.
+ * Folds the edits of the log into a document. Which edits are accepted depends on the records alone,
+ * so all instances compute the same document, version and verdicts without further coordination.
  */
 import { checkDocument } from '../../configuration/checks.js';
 import { parseEntry } from '../../configuration/entry.js';
@@ -19,9 +19,9 @@
 import { Debug } from '../debug.js';
 import { equalInConstantTime } from '../sha256.js';
 import {
-  HISTORY_KEYS_MAX,
-  HISTORY_MAX,
-  HISTORY_TEXT_MAX,
+  EARLIER_TEXTS_MAX,
+  HISTORY_EDITS_MAX,
+  HISTORY_TEXT_LENGTH_MAX,
   VERDICTS_MAX,
   type AcceptedEdit,
   type ConflictingEdit,
@@ -39,16 +39,16 @@
   type SectionChange,
 } from './records.js';
 
-/** Work of assigning numbers, in units of parsing one entry; it begins a new slice. */
-const ASSIGN_WORK = 24;
+/** Work of assigning numbers, in units of parsing one entry; as much as a slice, so the next one begins. */
+const ASSIGN_NUMBERS_WORK = 24;
 const CONFLICTS_MAX = 20;
 const CONFLICT_KEYS_MAX = 20;
 
-/** What one record does to the state. */
-export type Judgement =
+/** The effect of one record on the state. */
+export type FoldResult =
   | { readonly kind: 'ignored' }
-  /** A note of a checkpoint. */
-  | { readonly kind: 'noted' }
+  /** The record announces a checkpoint and changes nothing else. */
+  | { readonly kind: 'checkpointNote' }
   | { readonly kind: 'blocked'; readonly schemaVersion: number }
   | { readonly kind: 'refused'; readonly verdict: Verdict }
   | {
@@ -59,8 +59,12 @@
       readonly edit: AcceptedEdit;
     };
 
-/** Judges the record at `offset` in pieces; does not change the state. */
-export function* judgeSteps(fold: FoldState, offset: number, data: string): Steps<Judgement> {
+/** Evaluates the record at `offset` incrementally, without changing the state. */
+export function* evaluateRecordSteps(
+  fold: FoldState,
+  offset: number,
+  data: string,
+): Steps<FoldResult> {
   const record = yield* decodeRecordSteps(data);
   switch (record.kind) {
     case 'newer':
@@ -68,9 +72,9 @@
     case 'edit':
       return fold.verdicts.has(record.editId)
         ? { kind: 'ignored' }
-        : yield* judgeEdit(fold, offset, record);
+        : yield* evaluateEditSteps(fold, offset, record);
     case 'checkpoint':
-      return { kind: 'noted' };
+      return { kind: 'checkpointNote' };
     case 'malformed':
       return { kind: 'ignored' };
     default:
@@ -78,136 +82,149 @@
   }
 }
 
-/** Takes a judgement over into the state. */
-export function settle(fold: FoldState, offset: number, judgement: Judgement): void {
-  if (judgement.kind === 'blocked') {
-    fold.blocked = { offset, schemaVersion: judgement.schemaVersion };
+/** Applies the result of evaluating the record at `offset` to the state. */
+export function applyFoldResult(fold: FoldState, offset: number, result: FoldResult): void {
+  if (result.kind === 'blocked') {
+    fold.blocked = { offset, schemaVersion: result.schemaVersion };
     return;
   }
   fold.next = offset + 1;
-  if (judgement.kind === 'ignored' || judgement.kind === 'noted') return;
-  keepVerdict(fold, judgement.verdict);
-  if (judgement.kind === 'refused') return;
+  if (result.kind === 'ignored' || result.kind === 'checkpointNote') return;
+  storeVerdict(fold, result.verdict);
+  if (result.kind === 'refused') return;
   fold.version = offset;
-  fold.document = judgement.document;
-  fold.numbers = judgement.numbers;
-  judgement.verdict.sections.forEach((section) => fold.sectionVersions.set(section, offset));
-  fold.history = boundHistory([...fold.history, judgement.edit]);
+  fold.document = result.document;
+  fold.numbers = result.numbers;
+  result.verdict.sections.forEach((section) => fold.sectionVersions.set(section, offset));
+  fold.history = trimHistory([...fold.history, result.edit]);
 }
 
-/** Judges and takes over one record at once. */
-export function foldRecord(fold: FoldState, offset: number, data: string): Judgement {
-  const judgement = runSteps(judgeSteps(fold, offset, data));
-  settle(fold, offset, judgement);
-  return judgement;
+/** Evaluates one record and applies the result, without interruption. */
+export function foldRecord(fold: FoldState, offset: number, data: string): FoldResult {
+  const result = runSteps(evaluateRecordSteps(fold, offset, data));
+  applyFoldResult(fold, offset, result);
+  return result;
 }
 
-function keepVerdict(fold: FoldState, verdict: Verdict): void {
+function storeVerdict(fold: FoldState, verdict: Verdict): void {
   fold.verdicts.set(verdict.editId, verdict);
   if (fold.verdicts.size <= VERDICTS_MAX) return;
   const [oldest] = fold.verdicts.keys();
   if (oldest !== undefined) fold.verdicts.delete(oldest);
 }
 
-function boundHistory(history: readonly AcceptedEdit[]): readonly AcceptedEdit[] {
+/** Keeps the latest edits within the limits on their number and on the length of their texts. */
+function trimHistory(history: readonly AcceptedEdit[]): readonly AcceptedEdit[] {
   let length = 0;
   let first = history.length;
-  while (first > 0 && history.length - first < HISTORY_MAX) {
+  while (first > 0 && history.length - first < HISTORY_EDITS_MAX) {
     length += history[first - 1]?.length ?? 0;
-    if (length > HISTORY_TEXT_MAX) break;
+    if (length > HISTORY_TEXT_LENGTH_MAX) break;
     first -= 1;
   }
   return first === 0 ? history : history.slice(first);
 }
 
-function* judgeEdit(fold: FoldState, offset: number, edit: EditRecord): Steps<Judgement> {
+/** Checks an edit: its author, conflicts with later edits, its entries, then the whole document. */
+function* evaluateEditSteps(fold: FoldState, offset: number, edit: EditRecord): Steps<FoldResult> {
   const refuse = (
     reason: RefusalReason,
     diagnostics: readonly DocumentDiagnostic[] = [],
     conflicts: readonly ConflictingEdit[] = [],
-  ): Judgement => {
-    const verdict = verdictOf(edit, offset, { accepted: false, reason, diagnostics, conflicts });
+  ): FoldResult => {
+    const verdict = createVerdict(edit, offset, {
+      accepted: false,
+      reason,
+      diagnostics,
+      conflicts,
+    });
     return { kind: 'refused', verdict };
   };
-  const author = yield* checkAuthor(fold, edit);
-  if (author !== undefined) return refuse(author);
+  const authorRefusal = yield* checkAuthorSteps(fold, edit);
+  if (authorRefusal !== undefined) return refuse(authorRefusal);
   if (edit.baseVersion > fold.version) return refuse('unknownBase');
-  const conflicts = conflictsOf(fold, edit);
+  const conflicts = findConflicts(fold, edit);
   if (conflicts !== undefined) return refuse('conflict', [], conflicts);
-  const changed = yield* applyChanges(fold.document, edit.changes);
-  if (changed.diagnostics.length > 0) return refuse('invalid', changed.diagnostics);
-  const crossed = yield* checkDocument(changed.document, sectionsOf(edit));
-  if (crossed.length > 0) return refuse('invalid', crossed);
+  const applied = yield* applyChangesSteps(fold.document, edit.changes);
+  if (applied.diagnostics.length > 0) return refuse('invalid', applied.diagnostics);
+  const documentDiagnostics = yield* checkDocument(applied.document, sectionsOf(edit));
+  if (documentDiagnostics.length > 0) return refuse('invalid', documentDiagnostics);
   if (sectionsOf(edit).some((section) => section === 'customers' || section === 'pools')) {
-    yield ASSIGN_WORK;
+    yield ASSIGN_NUMBERS_WORK;
   }
   return {
     kind: 'accepted',
-    verdict: verdictOf(edit, offset, { accepted: true, diagnostics: [], conflicts: [] }),
-    document: changed.document,
-    numbers: assignNumbers(changed.document, fold.numbers),
-    edit: acceptedEdit(fold, offset, edit),
+    verdict: createVerdict(edit, offset, { accepted: true, diagnostics: [], conflicts: [] }),
+    document: applied.document,
+    numbers: assignNumbers(applied.document, fold.numbers),
+    edit: createAcceptedEdit(fold, offset, edit),
   };
 }
 
-type Finding = Pick<Verdict, 'accepted' | 'reason' | 'diagnostics' | 'conflicts'>;
+type EditOutcome = Pick<Verdict, 'accepted' | 'reason' | 'diagnostics' | 'conflicts'>;
 
-function verdictOf(edit: EditRecord, offset: number, finding: Finding): Verdict {
+function createVerdict(edit: EditRecord, offset: number, outcome: EditOutcome): Verdict {
   const { editId, author, team, at } = edit;
-  return { editId, offset, author, team, at, sections: sectionsOf(edit), ...finding };
+  return { editId, offset, author, team, at, sections: sectionsOf(edit), ...outcome };
 }
 
-/** The first edit of a fleet brings the teams; every later one needs an owner's proof. */
-function* checkAuthor(fold: FoldState, edit: EditRecord): Steps<RefusalReason | undefined> {
+/**
+ * Returns the reason to refuse the author, if any. The first edit of a fleet must define the teams;
+ * every later one needs the proof of a team that owns all of its sections.
+ */
+function* checkAuthorSteps(fold: FoldState, edit: EditRecord): Steps<RefusalReason | undefined> {
   const sections = sectionsOf(edit);
   if (fold.document.teams.size === 0) return sections.includes('teams') ? undefined : 'bootstrap';
   const team = fold.document.teams.get(edit.team)?.value;
   if (team === undefined) return 'unknownTeam';
-  if (!(yield* hasProof(team, edit))) return 'wrongProof';
+  if (!(yield* verifyProofSteps(team, edit))) return 'wrongProof';
   return sections.every((section) => team.sections.includes(section)) ? undefined : 'notOwner';
 }
 
-function* hasProof(team: TeamEntry, edit: EditRecord): Steps<boolean> {
+function* verifyProofSteps(team: TeamEntry, edit: EditRecord): Steps<boolean> {
   for (const keyHash of team.keyHashes) {
     if (equalInConstantTime(yield* proofSteps(keyHash, edit), edit.proof)) return true;
   }
   return false;
 }
 
-/** Later edits of the same sections, or `undefined` if there is none. */
-function conflictsOf(fold: FoldState, edit: EditRecord): readonly ConflictingEdit[] | undefined {
+/**
+ * Returns the edits of the same sections that were accepted after the base version, or `undefined` if
+ * no section has changed since. The list and the history are bounded, so edits may be missing.
+ */
+function findConflicts(fold: FoldState, edit: EditRecord): readonly ConflictingEdit[] | undefined {
   const sections = sectionsOf(edit);
   const isStale = sections.some(
     (section) => (fold.sectionVersions.get(section) ?? -1) > edit.baseVersion,
   );
   if (!isStale) return undefined;
   return fold.history
-    .filter((later) => later.version > edit.baseVersion)
-    .flatMap((later) =>
-      later.sections
+    .filter((laterEdit) => laterEdit.version > edit.baseVersion)
+    .flatMap((laterEdit) =>
+      laterEdit.sections
         .filter((section) => sections.includes(section))
-        .map((section) => conflictOf(later, section)),
+        .map((section) => createConflict(laterEdit, section)),
     )
     .slice(-CONFLICTS_MAX);
 }
 
-function conflictOf(edit: AcceptedEdit, section: SectionName): ConflictingEdit {
+function createConflict(edit: AcceptedEdit, section: SectionName): ConflictingEdit {
   const { version, author, team, at } = edit;
   const texts = edit.earlier?.find((change) => change.section === section)?.texts ?? {};
   const keys = Object.keys(texts).slice(0, CONFLICT_KEYS_MAX);
   return { version, author, team, at, section, keys };
 }
 
-interface Changed {
+interface AppliedChanges {
   readonly document: ConfigurationDocument;
   readonly diagnostics: readonly DocumentDiagnostic[];
 }
 
-/** Applies changes in pieces; only the entries that are set are parsed. */
-export function* applyChanges(
+/** Applies changes incrementally; only the entries that are set are parsed. */
+export function* applyChangesSteps(
   document: ConfigurationDocument,
   changes: readonly SectionChange[],
-): Steps<Changed> {
+): Steps<AppliedChanges> {
   const diagnostics: DocumentDiagnostic[] = [];
   const sections: Partial<Record<string, ReadonlyMap<string, Entry>>> = {};
   for (const change of changes) {
@@ -215,7 +232,7 @@
     change.remove.forEach((key) => entries.delete(key));
     for (const [key, text] of Object.entries(change.set)) {
       if (diagnostics.length >= DIAGNOSTICS_MAX) break;
-      const result = readEntry(change, key, text);
+      const result = parseChangedEntry(change, key, text);
       if (result.kind === 'entry') entries.set(key, result.entry);
       else diagnostics.push(...result.diagnostics);
       yield 1;
@@ -232,26 +249,27 @@
   };
 }
 
-function readEntry(change: SectionChange, key: string, text: string) {
+function parseChangedEntry(change: SectionChange, key: string, text: string) {
   const { section } = change;
   if (ID_PATTERN.test(key)) return parseEntry(section, { key, text, line: 0 });
-  const finding: DocumentDiagnostic = {
+  const diagnostic: DocumentDiagnostic = {
     code: 'notAnEntry',
     args: { section },
     section,
     line: 1,
     column: 1,
   };
-  return { kind: 'diagnostics', diagnostics: [finding] } as const;
+  return { kind: 'diagnostics', diagnostics: [diagnostic] } as const;
 }
 
-function acceptedEdit(fold: FoldState, version: number, edit: EditRecord): AcceptedEdit {
+/** Creates the history item of an edit, with the texts that it replaces unless there are too many. */
+function createAcceptedEdit(fold: FoldState, version: number, edit: EditRecord): AcceptedEdit {
   const { editId, author, team, at } = edit;
   const sections = sectionsOf(edit);
   const base = { version, editId, author, team, at, sections };
   const changes = edit.changes.map((change) => ({ change, keys: changedKeys(change) }));
-  const changed = changes.reduce((sum, { keys }) => sum + keys.length, 0);
-  if (changed > HISTORY_KEYS_MAX) return { ...base, length: 0 };
+  const changedCount = changes.reduce((sum, { keys }) => sum + keys.length, 0);
+  if (changedCount > EARLIER_TEXTS_MAX) return { ...base, length: 0 };
   let length = 0;
   const earlier = changes.map(({ change: { section }, keys }): EarlierTexts => {
     const texts = keys.map((key): [string, string | null] => {
@@ -264,7 +282,7 @@
   return { ...base, earlier, length };
 }
 
-/** Source of a section as it was at an earlier version, if the history reaches back to it. */
+/** Returns the source of a section at an earlier version, if the history reaches back to it. */
 export function entriesAt(
   fold: FoldState,
   section: SectionName,
@@ -272,19 +290,22 @@
 ): ReadonlyMap<string, string> | undefined {
   const current = new Map([...fold.document[section]].map(([key, { text }]) => [key, text]));
   if ((fold.sectionVersions.get(section) ?? -1) <= version) return current;
-  const later = fold.history.filter((edit) => edit.version > version);
-  const isWhole = fold.history.some((edit) => edit.version <= version);
-  if (!isWhole && version >= 0) return undefined;
-  for (const edit of [...later].reverse()) {
+  const laterEdits = fold.history.filter((edit) => edit.version > version);
+  const reachesVersion = fold.history.some((edit) => edit.version <= version);
+  if (!reachesVersion && version >= 0) return undefined;
+  for (const edit of [...laterEdits].reverse()) {
     if (edit.earlier === undefined) return undefined;
     edit.earlier
       .filter((change) => change.section === section)
-      .forEach(({ texts }) => restore(current, texts));
+      .forEach(({ texts }) => restoreTexts(current, texts));
   }
   return current;
 }
 
-function restore(entries: Map<string, string>, texts: Readonly<Record<string, string | null>>) {
+function restoreTexts(
+  entries: Map<string, string>,
+  texts: Readonly<Record<string, string | null>>,
+) {
   Object.entries(texts).forEach(([key, text]) => {
     if (text === null) entries.delete(key);
     else entries.set(key, text);
--- a/src/core/configuration/foldState.ts
+++ b/src/core/configuration/foldState.ts
@@ -1,4 +1,4 @@
-/** What every instance that has folded the same records of the log holds alike. */
+/** State of the fold, identical on all instances that have folded the same records of the log. */
 import {
   emptyDocument,
   type ConfigurationDocument,
@@ -8,16 +8,19 @@
 import { NO_NUMBERS, type Numbers } from '../../configuration/view.js';
 import type { Millis } from '../clock.js';
 
-/** Edits whose verdicts are kept, so that a repeated one gets the first verdict. */
+/** Number of verdicts kept, so that a repeated edit gets its first verdict. */
 export const VERDICTS_MAX = 1_024;
-/** Accepted edits that are kept for hints, history and reverts. */
-export const HISTORY_MAX = 500;
-/** Entries of one edit whose earlier texts are kept; a larger edit ends the history before it. */
-export const HISTORY_KEYS_MAX = 2_000;
-/** Total length of the earlier texts in the history. */
-export const HISTORY_TEXT_MAX = 2 ** 20;
+/** Number of accepted edits kept to describe conflicts, list the history and revert edits. */
+export const HISTORY_EDITS_MAX = 500;
+/**
+ * Largest number of entries whose earlier texts are kept for one edit. For a larger edit no texts are
+ * kept, so versions before it cannot be restored.
+ */
+export const EARLIER_TEXTS_MAX = 2_000;
+/** Limit on the total length of the earlier texts in the history. */
+export const HISTORY_TEXT_LENGTH_MAX = 2 ** 20;
 
-/** An accepted edit that a refused one collided with. */
+/** An accepted edit that conflicts with a refused one. */
 export interface ConflictingEdit {
   readonly version: number;
   readonly author: string;
@@ -30,7 +33,7 @@
 export type RefusalReason =
   'unknownTeam' | 'wrongProof' | 'notOwner' | 'unknownBase' | 'conflict' | 'invalid' | 'bootstrap';
 
-/** The judgement of an edit, the same on every instance. */
+/** Whether an edit was accepted, and why not; the same on every instance. */
 export interface Verdict {
   readonly editId: string;
   readonly offset: number;
@@ -40,28 +43,29 @@
   readonly at: Millis;
   readonly sections: readonly SectionName[];
   readonly reason?: RefusalReason;
-  /** Lines count from the beginning of the entry that a finding names. */
+  /** Lines are relative to the start of the entry that a diagnostic names. */
   readonly diagnostics: readonly DocumentDiagnostic[];
-  /** What changed since the author's base version, and by whom. */
+  /** Changes made since the author's base version, and their authors. */
   readonly conflicts: readonly ConflictingEdit[];
 }
 
-/** Earlier texts of the entries that an edit changed; null where there was none. */
+/** Earlier texts of the entries that an edit changed; null for an entry that did not exist. */
 export interface EarlierTexts {
   readonly section: SectionName;
   readonly texts: Readonly<Record<string, string | null>>;
 }
 
+/** An accepted edit in the history. */
 export interface AcceptedEdit {
   readonly version: number;
   readonly editId: string;
   readonly author: string;
   readonly team: string;
   readonly at: Millis;
-  /** Absent if the edit changed too many entries. */
+  /** Absent if the edit changed more than EARLIER_TEXTS_MAX entries. */
   readonly earlier?: readonly EarlierTexts[] | undefined;
   readonly sections: readonly SectionName[];
-  /** Length of the earlier texts. */
+  /** Total length of the keys and earlier texts. */
   readonly length: number;
 }
 
@@ -72,10 +76,12 @@
   version: number;
   document: ConfigurationDocument;
   numbers: Numbers;
+  /** Offset of the last accepted edit of each section. */
   readonly sectionVersions: Map<SectionName, number>;
+  /** Verdicts by edit id, oldest first. */
   readonly verdicts: Map<string, Verdict>;
   history: readonly AcceptedEdit[];
-  /** A record of a later program, at which this one stops. */
+  /** The record of a newer schema version at which the fold has stopped. */
   blocked: { readonly offset: number; readonly schemaVersion: number } | undefined;
 }
 
--- a/src/core/configuration/intake.ts
+++ b/src/core/configuration/intake.ts
@@ -1,21 +1,21 @@
-/** Takes records of the log in, from the log itself or from a peer, each offset once. */
+/** Receives records and checkpoints from the log or from a peer; each offset is processed once. */
 import type { CoreContext } from '../context.js';
 import type { StreamRecord } from '../types.js';
 import type { CheckpointPart } from './checkpoint.js';
 import { loadCheckpointSteps } from './checkpoint.js';
-import type { Assembly } from './configurationState.js';
-import { addJob } from './work.js';
+import type { CheckpointAssembly } from './configurationState.js';
+import { enqueueJob } from './work.js';
 
-/** Records that are kept to answer peers. */
-const RECENT_MAX = 512;
-/** Total length of those records. */
-const RECENT_TEXT_MAX = 2 ** 20;
+/** Number of recent records kept to answer peers. */
+const RECENT_RECORDS_MAX = 512;
+/** Limit on the total length of those records. */
+const RECENT_TEXT_LENGTH_MAX = 2 ** 20;
 
 /**
- * Takes in all records from `from` on before `next`. Returns the new ones, or `undefined` if records
- * between those that are known and `from` are missing.
+ * Queues the records with offsets from `from` up to but excluding `next`. Returns those that are new,
+ * or `undefined` if records before `from` are missing.
  */
-export function takeRecords(
+export function enqueueRecords(
   ctx: CoreContext,
   records: readonly StreamRecord[],
   from: number,
@@ -23,24 +23,24 @@
 ): readonly StreamRecord[] | undefined {
   const { configuration } = ctx.state;
   if (from > configuration.intakeNext) return undefined;
-  const fresh = records.filter(
+  const newRecords = records.filter(
     (record) => record.offset >= configuration.intakeNext && record.offset < next,
   );
   configuration.intakeNext = Math.max(configuration.intakeNext, next);
-  if (fresh.length === 0) return fresh;
-  configuration.queue.push(...fresh);
-  keepRecent(ctx, fresh);
-  return fresh;
+  if (newRecords.length === 0) return newRecords;
+  configuration.queue.push(...newRecords);
+  storeRecentRecords(ctx, newRecords);
+  return newRecords;
 }
 
-function keepRecent(ctx: CoreContext, fresh: readonly StreamRecord[]): void {
+function storeRecentRecords(ctx: CoreContext, newRecords: readonly StreamRecord[]): void {
   const { distribution } = ctx.state.configuration;
-  const all = [...distribution.recent, ...fresh];
+  const all = [...distribution.recent, ...newRecords];
   let first = all.length;
   let length = 0;
-  while (first > 0 && all.length - first < RECENT_MAX) {
+  while (first > 0 && all.length - first < RECENT_RECORDS_MAX) {
     length += all[first - 1]?.data.length ?? 0;
-    if (length > RECENT_TEXT_MAX) break;
+    if (length > RECENT_TEXT_LENGTH_MAX) break;
     first -= 1;
   }
   const dropped = all[first - 1];
@@ -48,12 +48,18 @@
   distribution.recent = all.slice(first);
 }
 
-/** Adds a part; returns the parts once they are complete. */
-export function assemble(
-  current: Assembly | undefined,
+/**
+ * Adds a part to its checkpoint; a part of another checkpoint replaces the incomplete one. Returns all
+ * parts once none is missing.
+ */
+export function addCheckpointPart(
+  current: CheckpointAssembly | undefined,
   part: CheckpointPart,
-): { readonly assembly: Assembly; readonly parts: readonly CheckpointPart[] | undefined } {
-  const assembly: Assembly =
+): {
+  readonly assembly: CheckpointAssembly;
+  readonly parts: readonly CheckpointPart[] | undefined;
+} {
+  const assembly: CheckpointAssembly =
     current?.id === part.id
       ? current
       : { id: part.id, parts: Array.from({ length: part.parts }), missing: part.parts };
@@ -65,16 +71,16 @@
   return { assembly, parts };
 }
 
-/** Loads a checkpoint in pieces, unless the fold has passed it. */
+/** Loads a checkpoint incrementally, unless the fold is already at or beyond it. */
 export function loadCheckpoint(ctx: CoreContext, parts: readonly CheckpointPart[]): void {
-  addJob(
+  enqueueJob(
     ctx,
     (function* load() {
       const loaded = yield* loadCheckpointSteps(parts);
-      return (later: CoreContext) => {
-        const { configuration } = later.state;
+      return (completionCtx: CoreContext) => {
+        const { configuration } = completionCtx.state;
         const { fold } = configuration;
-        // Neither the fold nor the version ever goes back.
+        // Neither the offset nor the version of the fold ever decreases.
         if (loaded === undefined || loaded.next <= fold.next || loaded.version < fold.version)
           return;
         configuration.fold = loaded;
@@ -87,9 +93,9 @@
           configuration.distribution.recentFrom = loaded.next;
         }
         configuration.isViewStale = true;
-        // Records behind the checkpoint are read next.
+        // Continues with the records after the checkpoint.
         configuration.reading.mode = { kind: 'follow' };
-        configuration.reading.retryAt = later.now;
+        configuration.reading.retryAt = completionCtx.now;
       };
     })(),
   );
--- a/src/core/configuration/publishing.ts
+++ b/src/core/configuration/publishing.ts
@@ -1,14 +1,15 @@
 /**
- * Publishes edits: the instance that takes an edit turns it into a record, appends it and answers
- * once the fold has judged the record. An edit is known by its id, so a lost reply is settled by
- * reading, and an edit that is sent again gets the first verdict.
+ * Publishes edits: the instance that receives an edit encodes it as a record, appends it to the log
+ * and replies once the fold has a verdict on the record. Edits are identified by their id, so if the
+ * reply to an append is lost, reading the log shows the result, and an edit that is submitted again
+ * gets its first verdict.
  */
 import type { DocumentDiagnostic } from '../../configuration/types.js';
 import { DOCUMENT_BYTES_MAX } from '../../configuration/bounds.js';
 import { formatDiagnostic, type DiagnosticCode } from '../diagnostics.js';
 import type { CoreContext } from '../context.js';
 import type { AppendResult, Executed, OperatorCommand, Problem, Step } from '../types.js';
-import { changesSteps, locate } from './changes.js';
+import { diffSourceSteps, toSourcePositions } from './changes.js';
 import type { PendingEdit } from './configurationState.js';
 import type { RefusalReason, Verdict } from './foldState.js';
 import { checkOperatorKey } from './keys.js';
@@ -21,16 +22,16 @@
   type EditContent,
   type SectionChange,
 } from './records.js';
-import { addJob, isFolded } from './work.js';
+import { enqueueJob, isQueueFolded } from './work.js';
 
 type PublishCommand = Extract<OperatorCommand, { readonly kind: 'publish' }>;
 
-/** Length of the old and new texts in the audit trail. */
-const AUDIT_TEXT_MAX = 500;
-/** Entries of one section of which the audit trail shows texts. */
+/** Largest length of the old and of the new text in an audit entry. */
+const AUDIT_TEXT_LENGTH_MAX = 500;
+/** Changed entries of one section whose texts an audit entry includes. */
 const AUDIT_KEYS_MAX = 50;
 
-const REASON_CODES: Readonly<Record<RefusalReason, DiagnosticCode>> = {
+const REFUSAL_CODES: Readonly<Record<RefusalReason, DiagnosticCode>> = {
   unknownTeam: 'operatorKeyUnknown',
   wrongProof: 'operatorKeyUnknown',
   notOwner: 'editNotOwner',
@@ -40,7 +41,7 @@
   bootstrap: 'editBootstrap',
 };
 
-const REASON_STATUS: Readonly<Record<RefusalReason, number>> = {
+const REFUSAL_STATUSES: Readonly<Record<RefusalReason, number>> = {
   unknownTeam: 401,
   wrongProof: 401,
   notOwner: 403,
@@ -50,15 +51,15 @@
   bootstrap: 422,
 };
 
-/** Takes an edit from an operator. */
+/** Handles an edit from an operator; a command with the id of a pending edit waits for its result. */
 export function onPublish(ctx: CoreContext, commandId: string, command: PublishCommand): void {
   const { configuration } = ctx.state;
-  const known = configuration.publishing.get(command.editId);
+  const pendingEdit = configuration.publishing.get(command.editId);
   const check = checkOperatorKey(ctx, command.keyHash);
   if (check.kind === 'rejected') {
     ctx.emit({ kind: 'operatorReply', commandId, result: check });
-  } else if (known !== undefined) {
-    known.commandIds.push(commandId);
+  } else if (pendingEdit !== undefined) {
+    pendingEdit.commandIds.push(commandId);
   } else {
     const edit: PendingEdit = {
       editId: command.editId,
@@ -81,20 +82,21 @@
   }
 }
 
-/** Moves every pending edit on as far as what has been read allows. */
+/** Advances every pending edit: replies with a verdict or a timeout, or prepares its record. */
 export function advanceEdits(ctx: CoreContext): void {
   const { configuration, settings } = ctx.state;
   for (const edit of [...configuration.publishing.values()]) {
     const verdict = configuration.fold.verdicts.get(edit.editId);
     if (verdict !== undefined) replyVerdict(ctx, edit, verdict);
-    else if (ctx.now - edit.takenAt >= settings.publishTimeoutMs) replyUnsettled(ctx, edit);
+    else if (ctx.now - edit.takenAt >= settings.publishTimeoutMs) replyTimeout(ctx, edit);
     else if (edit.phase === 'syncing') prepareIfSynced(ctx, edit);
   }
 }
 
 /**
- * The changes are computed against the sections in force, so these must be at least as new as the
- * version that the author had read. What changed in between makes the fold refuse the edit.
+ * Prepares the record of an edit once the fold has reached the edit's base version. The changes are
+ * computed against the current document, which must not be older than the version that the author
+ * has read. If a section has changed since that version, the fold refuses the edit.
  */
 function prepareIfSynced(ctx: CoreContext, edit: PendingEdit): void {
   const { configuration } = ctx.state;
@@ -102,28 +104,30 @@
   if (fold.blocked !== undefined) {
     const { offset, schemaVersion: version } = fold.blocked;
     const detail = formatDiagnostic('schemaNewer', { offset, version });
-    finish(ctx, edit, problemOf('schemaNewer', 503, 'no', 'configure', detail));
+    finishEdit(ctx, edit, createProblem('schemaNewer', 503, 'no', 'configure', detail));
     return;
   }
   const hasReadEnd = reading.atEndAt !== undefined && reading.mode.kind === 'follow';
-  if (!isFolded(configuration) || !(hasReadEnd || configuration.hasCaughtUp)) return;
+  if (!isQueueFolded(configuration) || !(hasReadEnd || configuration.hasCaughtUp)) return;
   if (fold.version >= edit.baseVersion) {
     prepare(ctx, edit);
   } else if (hasReadEnd && (reading.atEndAt ?? 0) > edit.takenAt) {
     const detail = formatDiagnostic('editUnknownBase', { version: edit.baseVersion });
-    finish(ctx, edit, problemOf('editUnknownBase', 409, 'no', 'configure', detail));
+    finishEdit(ctx, edit, createProblem('editUnknownBase', 409, 'no', 'configure', detail));
   }
 }
 
+/** Computes the changes and the proof of an edit and encodes its record, incrementally. */
 function prepare(ctx: CoreContext, edit: PendingEdit): void {
   edit.phase = 'preparing';
-  addJob(
+  enqueueJob(
     ctx,
     (function* prepareEdit() {
       const { fold } = ctx.state.configuration;
-      const result = yield* changesSteps(fold.document, edit.section, edit.text);
+      const result = yield* diffSourceSteps(fold.document, edit.section, edit.text);
       if (result.kind === 'diagnostics') {
-        return (later: CoreContext) => rejectInvalid(later, edit, result.diagnostics);
+        return (completionCtx: CoreContext) =>
+          rejectInvalid(completionCtx, edit, result.diagnostics);
       }
       const content: EditContent = {
         editId: edit.editId,
@@ -136,12 +140,12 @@
       const proof = yield* proofSteps(edit.keyHash, content);
       const record = { kind: 'edit', schemaVersion: SCHEMA_VERSION, ...content, proof } as const;
       const data = yield* encodeEditSteps(record);
-      return (later: CoreContext) => append(later, edit, data, result.changes);
+      return (completionCtx: CoreContext) => appendEdit(completionCtx, edit, data, result.changes);
     })(),
   );
 }
 
-function append(
+function appendEdit(
   ctx: CoreContext,
   edit: PendingEdit,
   record: string,
@@ -150,15 +154,15 @@
   const { configuration } = ctx.state;
   if (changes.length === 0) {
     const { version } = configuration.fold;
-    finish(ctx, edit, undefined, { editId: edit.editId, version, unchanged: true });
+    finishEdit(ctx, edit, undefined, { editId: edit.editId, version, unchanged: true });
     return;
   }
   if (record.length > DOCUMENT_BYTES_MAX) {
     const detail = formatDiagnostic('documentTooLarge', { limit: DOCUMENT_BYTES_MAX });
-    finish(ctx, edit, problemOf('documentTooLarge', 413, 'no', 'configure', detail));
+    finishEdit(ctx, edit, createProblem('documentTooLarge', 413, 'no', 'configure', detail));
     return;
   }
-  describeChanges(ctx, edit, changes);
+  setAuditTexts(ctx, edit, changes);
   edit.phase = 'appending';
   edit.appendId = configuration.nextAppendId;
   configuration.nextAppendId += 1;
@@ -166,28 +170,33 @@
   ctx.emit({ kind: 'appendLog', appendId, stream: CONFIGURATION_STREAM, records: [record] });
 }
 
-/** Settles an append: only a certain refusal of the log ends the edit. */
+/** Ends an edit only if the log rejected its record; any other result is settled by reading the log. */
 export function onEditAppended(ctx: CoreContext, appendId: number, result: AppendResult): void {
   const { publishing } = ctx.state.configuration;
   const edit = [...publishing.values()].find((pending) => pending.appendId === appendId);
   if (edit === undefined) return;
   edit.phase = 'settling';
   if (result.kind !== 'rejected') return;
-  finish(ctx, edit, problemOf('configurationLogDown', 503, 'no', 'append', result.detail));
+  finishEdit(ctx, edit, createProblem('configurationLogDown', 503, 'no', 'append', result.detail));
 }
 
 function replyVerdict(ctx: CoreContext, edit: PendingEdit, verdict: Verdict): void {
   if (verdict.accepted) {
     const { editId, offset, sections } = verdict;
-    finish(ctx, edit, undefined, { editId, version: offset, sections });
+    finishEdit(ctx, edit, undefined, { editId, version: offset, sections });
     return;
   }
   const reason = verdict.reason ?? 'invalid';
-  const code = REASON_CODES[reason];
+  const code = REFUSAL_CODES[reason];
   const detail = formatDiagnostic(code, { version: edit.baseVersion });
-  const diagnostics = locate(verdict.diagnostics, edit.section, edit.text);
+  const diagnostics = toSourcePositions(verdict.diagnostics, edit.section, edit.text);
   const data = { editId: edit.editId, reason, diagnostics, conflicts: verdict.conflicts };
-  finish(ctx, edit, problemOf(code, REASON_STATUS[reason], 'no', 'configure', detail), data);
+  finishEdit(
+    ctx,
+    edit,
+    createProblem(code, REFUSAL_STATUSES[reason], 'no', 'configure', detail),
+    data,
+  );
 }
 
 function rejectInvalid(
@@ -197,25 +206,25 @@
 ): void {
   const detail = formatDiagnostic('editInvalid');
   const data = { editId: edit.editId, reason: 'invalid', diagnostics, conflicts: [] };
-  finish(ctx, edit, problemOf('editInvalid', 422, 'no', 'configure', detail), data);
+  finishEdit(ctx, edit, createProblem('editInvalid', 422, 'no', 'configure', detail), data);
 }
 
-/** Nothing was appended as long as the edit was still being prepared. */
-function replyUnsettled(ctx: CoreContext, edit: PendingEdit): void {
+/** Replies to an edit that timed out. If it was still in preparation, nothing was appended. */
+function replyTimeout(ctx: CoreContext, edit: PendingEdit): void {
   const isAppended = edit.phase === 'appending' || edit.phase === 'settling';
   const problem = isAppended
-    ? problemOf('editUnsettled', 504, 'unknown', 'settle', formatDiagnostic('editUnsettled'))
-    : problemOf(
+    ? createProblem('editUnsettled', 504, 'unknown', 'settle', formatDiagnostic('editUnsettled'))
+    : createProblem(
         'configurationLogDown',
         503,
         'no',
         'read',
         formatDiagnostic('configurationLogDown'),
       );
-  finish(ctx, edit, problem);
+  finishEdit(ctx, edit, problem);
 }
 
-function finish(
+function finishEdit(
   ctx: CoreContext,
   edit: PendingEdit,
   problem: Problem | undefined,
@@ -242,7 +251,8 @@
   });
 }
 
-function describeChanges(
+/** Sets the old and new texts of the changed entries for the audit trail. */
+function setAuditTexts(
   ctx: CoreContext,
   edit: PendingEdit,
   changes: readonly SectionChange[],
@@ -253,23 +263,23 @@
       .slice(0, AUDIT_KEYS_MAX)
       .map((key) => ({ change, key })),
   );
-  edit.before = shorten(
+  edit.before = truncateAndRedact(
     keys.map(({ change, key }) => document[change.section].get(key)?.text ?? ''),
   );
-  edit.after = shorten(keys.map(({ change, key }) => change.set[key] ?? ''));
+  edit.after = truncateAndRedact(keys.map(({ change, key }) => change.set[key] ?? ''));
 }
 
-/** Shortens texts for the audit trail and blots out hashes of keys. */
-function shorten(texts: readonly string[]): string {
+/** Truncates texts for the audit trail and redacts key hashes to their first eight digits. */
+function truncateAndRedact(texts: readonly string[]): string {
   const text = texts
-    .slice(0, AUDIT_TEXT_MAX)
+    .slice(0, AUDIT_TEXT_LENGTH_MAX)
     .join('')
-    .slice(0, 4 * AUDIT_TEXT_MAX);
+    .slice(0, 4 * AUDIT_TEXT_LENGTH_MAX);
   const withoutHashes = text.replace(/[0-9a-f]{64}/g, (hash) => `${hash.slice(0, 8)}…`);
-  return withoutHashes.slice(0, AUDIT_TEXT_MAX);
+  return withoutHashes.slice(0, AUDIT_TEXT_LENGTH_MAX);
 }
 
-function problemOf(
+function createProblem(
   code: DiagnosticCode,
   status: number,
   executed: Executed,
--- a/src/core/configuration/queries.ts
+++ b/src/core/configuration/queries.ts
@@ -1,32 +1,33 @@
-/** Answers operators' questions about the configuration; nothing here changes it. */
+/** Read-only operator commands on the configuration. */
 import { sectionText, documentText } from '../../configuration/document.js';
 import { isSectionName, SECTION_NAMES, type SectionName } from '../../configuration/types.js';
 import type { CoreContext } from '../context.js';
 import { formatDiagnostic, type DiagnosticCode } from '../diagnostics.js';
 import type { OperatorCommand, OperatorResult, Problem } from '../types.js';
-import { checkSteps, WHOLE_DOCUMENT } from './changes.js';
+import { validateSourceSteps, WHOLE_DOCUMENT } from './changes.js';
 import { entriesAt } from './fold.js';
 import type { FoldState } from './foldState.js';
-import { addJob } from './work.js';
+import { enqueueJob } from './work.js';
 
 type CommandOf<K extends OperatorCommand['kind']> = Extract<OperatorCommand, { readonly kind: K }>;
 
-const HISTORY_KEYS_MAX = 50;
+/** Changed keys listed for one edit in the history. */
+const KEYS_PER_EDIT_MAX = 50;
 
-/** Returns the source of a section or of the document. */
+/** Returns the source of a section or of the whole document, by default in its latest version. */
 export function getConfiguration(
   ctx: CoreContext,
   command: CommandOf<'getConfiguration'>,
 ): OperatorResult {
   const { fold } = ctx.state.configuration;
   const section = command.section ?? WHOLE_DOCUMENT;
-  if (fold.version < 0) return rejected('noConfiguration', 503);
+  if (fold.version < 0) return createRejection('noConfiguration', 503);
   if (section !== WHOLE_DOCUMENT && !isSectionName(section)) {
-    return rejected('unknownSection', 404, { section });
+    return createRejection('unknownSection', 404, { section });
   }
   const version = command.version ?? fold.version;
   const text = textAt(fold, section, version);
-  if (text === undefined) return rejected('versionNotKept', 404, { version });
+  if (text === undefined) return createRejection('versionNotKept', 404, { version });
   const sectionVersion =
     section === WHOLE_DOCUMENT ? fold.version : (fold.sectionVersions.get(section) ?? -1);
   return { kind: 'done', data: { section, version, sectionVersion, text } };
@@ -56,29 +57,29 @@
   return entries === undefined ? undefined : [...entries.values()].join('');
 }
 
-/** Parses and checks a text in pieces, then answers. */
+/** Parses and checks a source text incrementally, then replies with the diagnostics. */
 export function checkConfiguration(
   ctx: CoreContext,
   commandId: string,
   command: CommandOf<'checkConfiguration'>,
 ): void {
-  addJob(
+  enqueueJob(
     ctx,
     (function* check() {
       const { document, version } = ctx.state.configuration.fold;
-      const diagnostics = yield* checkSteps(document, command.section, command.text);
+      const diagnostics = yield* validateSourceSteps(document, command.section, command.text);
       const result: OperatorResult = {
         kind: 'done',
         data: { valid: diagnostics.length === 0, version, diagnostics },
       };
-      return (later: CoreContext) => {
-        later.emit({ kind: 'operatorReply', commandId, result });
+      return (completionCtx: CoreContext) => {
+        completionCtx.emit({ kind: 'operatorReply', commandId, result });
       };
     })(),
   );
 }
 
-/** Returns the latest edits, accepted and refused, the latest last. */
+/** Returns the most recent edits, accepted and refused, in the order of the log. */
 export function configurationHistory(
   ctx: CoreContext,
   command: CommandOf<'configurationHistory'>,
@@ -86,8 +87,8 @@
   const { fold } = ctx.state.configuration;
   const edits = [...fold.verdicts.values()].slice(-command.limit).map((verdict) => {
     const { editId, offset, accepted, author, team, at, sections, reason } = verdict;
-    const accepting = fold.history.find((edit) => edit.version === offset);
-    const keys = (accepting?.earlier ?? []).flatMap(({ section, texts }) =>
+    const acceptedEdit = fold.history.find((edit) => edit.version === offset);
+    const keys = (acceptedEdit?.earlier ?? []).flatMap(({ section, texts }) =>
       Object.keys(texts).map((key) => `${section}.${key}`),
     );
     return {
@@ -98,14 +99,14 @@
       team,
       at,
       sections,
-      keys: keys.slice(0, HISTORY_KEYS_MAX),
+      keys: keys.slice(0, KEYS_PER_EDIT_MAX),
       ...(reason !== undefined && { reason }),
     };
   });
   return { kind: 'done', data: { version: fold.version, edits } };
 }
 
-function rejected(
+function createRejection(
   code: DiagnosticCode,
   status: number,
   args: Readonly<Record<string, string | number>> = {},
--- a/src/core/configuration/reading.ts
+++ b/src/core/configuration/reading.ts
@@ -1,10 +1,10 @@
 /**
- * Reads the log of the configuration. Two instances of each failure domain, by rendezvous, follow it
- * with long reads; the others read it only as they start, while an edit of theirs is under way, or
- * when the records that they need have expired. There is one outstanding read at a time.
+ * Reads the configuration log. Two instances of each failure domain, chosen by rendezvous hashing,
+ * follow it with long polling. The others read it only at startup, while they publish an edit, or
+ * when records that they need have expired. At most one read is outstanding.
  *
- * After the records that follow the known ones have expired, the last note of a checkpoint is
- * looked for, then its parts are read, then the records behind it.
+ * If the next records have expired, the instance searches for the last checkpoint note, reads the
+ * parts of that checkpoint, and then the records after it.
  */
 import { logLine, type CoreContext } from '../context.js';
 import { relaysOf } from '../membership/memberIndex.js';
@@ -13,15 +13,15 @@
 import { decodePart } from './checkpoint.js';
 import type { OutstandingRead, ReadingMode } from './configurationState.js';
 import { pushRecords } from './distribution.js';
-import { assemble, loadCheckpoint, takeRecords } from './intake.js';
+import { addCheckpointPart, loadCheckpoint, enqueueRecords } from './intake.js';
 import { CHECKPOINT_STREAM, CONFIGURATION_STREAM, decodeRecord } from './records.js';
 
-/** Records of one read; parts of checkpoints are larger. */
-const READ_LIMIT = 256;
-const PARTS_LIMIT = 16;
-/** Longest wait of a read by an instance that does not follow the log. */
-const BRIEF_POLL_MS = 1_000;
-/** Pause between reads of an instance that waits for the first document of the log. */
+/** Records requested in one read; fewer for checkpoint parts, which are larger. */
+const RECORDS_PER_READ = 256;
+const PARTS_PER_READ = 16;
+/** Long-polling time of a read by an instance that does not follow the log. */
+const SHORT_POLL_MS = 1_000;
+/** Pause between reads of an instance that has a configuration but is not a reader, while the log is empty. */
 const IDLE_PAUSE_MS = 5_000;
 
 type LogReadEvent = Extract<CoreEvent, { readonly kind: 'logRead' }>;
@@ -29,7 +29,7 @@
 type LocateMode = Extract<ReadingMode, { readonly kind: 'locate' }>;
 type LoadMode = Extract<ReadingMode, { readonly kind: 'load' }>;
 
-/** Returns the instances of this domain that follow the log, the one that passes it on first. */
+/** Returns the instances of this domain that follow the log; the first one distributes its records. */
 export function readersOf(state: CoreState): readonly InstanceId[] {
   return relaysOf(state, state.self.domain, 'configuration').map((member) => member.id);
 }
@@ -37,20 +37,20 @@
 /** Sends the next read if one is due and none is outstanding. */
 export function requestRead(ctx: CoreContext): void {
   const { reading } = ctx.state.configuration;
-  forgetLostRead(ctx);
+  discardTimedOutRead(ctx);
   if (reading.outstanding !== undefined || ctx.now < reading.retryAt) return;
   const isReader = readersOf(ctx.state).includes(ctx.state.self.id);
   if (!isReader && !needsRead(ctx)) return;
-  if (!ctx.state.configuration.hasCaughtUp && awaitsPeers(ctx)) return;
-  const read = nextRead(ctx, isReader);
-  const limit = read.stream === CHECKPOINT_STREAM ? PARTS_LIMIT : READ_LIMIT;
+  if (!ctx.state.configuration.hasCaughtUp && isWaitingForPeers(ctx)) return;
+  const read = createNextRead(ctx, isReader);
+  const limit = read.stream === CHECKPOINT_STREAM ? PARTS_PER_READ : RECORDS_PER_READ;
   reading.outstanding = read;
   const { stream, from, waitMs } = read;
   ctx.emit({ kind: 'readLog', stream, from, limit, waitMs });
 }
 
-/** A read whose reply never came counts as failed. */
-function forgetLostRead(ctx: CoreContext): void {
+/** Discards the outstanding read if its reply is overdue, so that another one can be sent. */
+function discardTimedOutRead(ctx: CoreContext): void {
   const { reading } = ctx.state.configuration;
   const read = reading.outstanding;
   if (read === undefined) return;
@@ -58,20 +58,21 @@
   if (ctx.now - read.sentAt > limit) reading.outstanding = undefined;
 }
 
+/** Whether an instance that does not follow the log has to read it. */
 function needsRead(ctx: CoreContext): boolean {
   const { configuration } = ctx.state;
   if (configuration.reading.mode.kind !== 'follow' || !configuration.hasCaughtUp) return true;
   return configuration.publishing.size > 0;
 }
 
-/** A new instance gives the peers some time: their snapshot spares the log. */
-function awaitsPeers(ctx: CoreContext): boolean {
+/** Whether a new instance still waits for a snapshot from a peer, which saves reading the log. */
+function isWaitingForPeers(ctx: CoreContext): boolean {
   const { configuration, settings } = ctx.state;
   const hasState = configuration.fold.next > 0;
   return !hasState && ctx.now - configuration.startedAt < settings.configurationPeerWaitMs;
 }
 
-function nextRead(ctx: CoreContext, isReader: boolean): OutstandingRead {
+function createNextRead(ctx: CoreContext, isReader: boolean): OutstandingRead {
   const { configuration, settings } = ctx.state;
   const { mode, atEndAt } = configuration.reading;
   const sentAt = ctx.now;
@@ -79,12 +80,12 @@
     return { stream: CHECKPOINT_STREAM, from: mode.next, sentAt, waitMs: 0 };
   }
   const from = mode.kind === 'locate' ? mode.next : configuration.intakeNext;
-  const longest = isReader ? settings.configurationPollMs : BRIEF_POLL_MS;
-  const waitMs = mode.kind === 'follow' && atEndAt !== undefined ? longest : 0;
+  const followWaitMs = isReader ? settings.configurationPollMs : SHORT_POLL_MS;
+  const waitMs = mode.kind === 'follow' && atEndAt !== undefined ? followWaitMs : 0;
   return { stream: CONFIGURATION_STREAM, from, sentAt, waitMs };
 }
 
-/** Takes a reply of the log; one that nobody waits for any more is dropped. */
+/** Handles a reply of the log; a reply to any read but the outstanding one is ignored. */
 export function onConfigurationRead(ctx: CoreContext, event: LogReadEvent): void {
   const { reading } = ctx.state.configuration;
   const read = reading.outstanding;
@@ -98,11 +99,12 @@
   }
   reading.failingSince = undefined;
   if (result.kind === 'expired') onExpired(ctx, result.oldest);
-  else if (reading.mode.kind === 'follow') onFollowed(ctx, event.from, result);
-  else if (reading.mode.kind === 'locate') onLocated(ctx, reading.mode, result);
+  else if (reading.mode.kind === 'follow') onRecordsRead(ctx, event.from, result);
+  else if (reading.mode.kind === 'locate') onNotesRead(ctx, reading.mode, result);
   else onPartsRead(ctx, reading.mode, result);
 }
 
+/** Starts searching for a checkpoint note after records or checkpoint parts have expired. */
 function onExpired(ctx: CoreContext, oldest: number): void {
   const { reading } = ctx.state.configuration;
   const next = reading.mode.kind === 'load' ? ctx.state.configuration.intakeNext : oldest;
@@ -115,13 +117,13 @@
   return ctx.state.settings.configurationRetryMs;
 }
 
-function onFollowed(ctx: CoreContext, from: number, result: RecordsResult): void {
+function onRecordsRead(ctx: CoreContext, from: number, result: RecordsResult): void {
   const { reading } = ctx.state.configuration;
-  const fresh = takeRecords(ctx, result.records, from, result.next) ?? [];
-  if (result.records.length < READ_LIMIT) reading.atEndAt = ctx.now;
+  const newRecords = enqueueRecords(ctx, result.records, from, result.next) ?? [];
+  if (result.records.length < RECORDS_PER_READ) reading.atEndAt = ctx.now;
   const [first] = readersOf(ctx.state);
-  if (fresh.length > 0 && first === ctx.state.self.id) pushRecords(ctx, from, fresh);
-  // With a document of its own and an empty log there is nothing to hurry for.
+  if (newRecords.length > 0 && first === ctx.state.self.id) pushRecords(ctx, from, newRecords);
+  // An instance that already has a configuration need not poll an empty log frequently.
   const { view, publishing } = ctx.state.configuration;
   const isIdle = result.records.length === 0 && view !== undefined && publishing.size === 0;
   if (isIdle && !readersOf(ctx.state).includes(ctx.state.self.id)) {
@@ -129,16 +131,16 @@
   }
 }
 
-function onLocated(ctx: CoreContext, mode: LocateMode, result: RecordsResult): void {
+function onNotesRead(ctx: CoreContext, mode: LocateMode, result: RecordsResult): void {
   const { reading } = ctx.state.configuration;
   for (const record of result.records) {
     const decoded = decodeRecord(record.data);
     if (decoded.kind === 'checkpoint') mode.note = decoded;
   }
   mode.next = result.next;
-  if (result.records.length === READ_LIMIT) return;
+  if (result.records.length === RECORDS_PER_READ) return;
   if (mode.note === undefined) {
-    // Someone who still has the configuration writes a checkpoint, or answers as a peer.
+    // An instance that still has the configuration will write a checkpoint or send a snapshot.
     logLine(ctx, 'error', 'configuration', 'configurationLost');
     reading.retryAt = ctx.now + retryMs(ctx);
     return;
@@ -152,7 +154,7 @@
   for (const record of result.records) {
     const part = decodePart(record.data);
     if (part?.id === mode.note.id) {
-      const { assembly, parts } = assemble(distribution.assembly, part);
+      const { assembly, parts } = addCheckpointPart(distribution.assembly, part);
       distribution.assembly = parts === undefined ? assembly : undefined;
       if (parts !== undefined) {
         loadCheckpoint(ctx, parts);
@@ -163,7 +165,7 @@
     }
   }
   if (result.records.length > 0) return;
-  // The note was written after the parts, so they have expired.
+  // Parts are appended before their note, so missing parts have expired.
   reading.mode = { kind: 'locate', next: mode.note.through, note: undefined };
   reading.retryAt = ctx.now + retryMs(ctx);
 }
--- a/src/core/configuration/records.ts
+++ b/src/core/configuration/records.ts
@@ -1,6 +1,7 @@
 /**
- * Records of the streams `configuration` (edits and notes of checkpoints) and
- * `configuration-checkpoints` (parts of checkpoints). Every record is one JSON text.
+ * Encodes and decodes the records of the `configuration` stream: edits and checkpoint notes. The
+ * parts of checkpoints are in the stream `configuration-checkpoints`; see checkpoint.ts. A checkpoint
+ * note is one JSON text, an edit has one on each line.
  */
 import * as z from 'zod';
 import {
@@ -17,24 +18,24 @@
 export const CONFIGURATION_STREAM = 'configuration';
 export const CHECKPOINT_STREAM = 'configuration-checkpoints';
 
-/** Version of the document's schema and of the fold's rules. A later one is not judged. */
+/** Version of the document schema and of the rules of the fold. Records of a newer version stop the fold. */
 export const SCHEMA_VERSION = 1;
 
-/** Changes of one section: entries that are set, by key, and keys that are removed. */
+/** Changes of one section: source texts of the entries that are set, by key, and the removed keys. */
 export interface SectionChange {
   readonly section: SectionName;
   readonly set: Readonly<Record<string, string>>;
   readonly remove: readonly string[];
 }
 
-/** What an edit says, without its proof. */
+/** Content of an edit, without its proof. */
 export interface EditContent {
   readonly editId: string;
-  /** Version that the author had read. */
+  /** Version on which the author based the edit. */
   readonly baseVersion: number;
   readonly author: string;
   readonly team: string;
-  /** Time of the instance that took the edit; information only. */
+  /** Time at the instance that received the edit; for information only. */
   readonly at: Millis;
   readonly changes: readonly SectionChange[];
 }
@@ -42,37 +43,37 @@
 export interface EditRecord extends EditContent {
   readonly kind: 'edit';
   readonly schemaVersion: number;
-  /** HMAC of the content under the stored hash of the author's key. */
+  /** HMAC of the content, keyed with the stored hash of the author's key. */
   readonly proof: string;
 }
 
-/** Says that a whole checkpoint has been appended. */
+/** Announces that all parts of a checkpoint have been appended. */
 export interface CheckpointNote {
   readonly kind: 'checkpoint';
   readonly schemaVersion: number;
   readonly id: string;
-  /** Records before this offset are in the checkpoint. */
+  /** The checkpoint includes all records before this offset. */
   readonly through: number;
-  /** Offset of its first part in the stream of checkpoints. */
+  /** Offset of the first part in the checkpoint stream. */
   readonly offset: number;
 }
 
-/** A record as it was read. */
+/** A decoded record. */
 export type ConfigurationRecord =
   | EditRecord
   | CheckpointNote
-  /** Written by a later program; it must not be passed over. */
+  /** Has a newer schema version; the fold must stop here rather than skip it. */
   | { readonly kind: 'newer'; readonly schemaVersion: number }
   | { readonly kind: 'malformed' };
 
-const id = z.string().min(1).max(128);
-const offset = z.int().min(-1);
+const idSchema = z.string().min(1).max(128);
+const offsetSchema = z.int().min(-1);
 
 const LINES_PER_STEP = 256;
-/** Work of encoding or decoding so many lines, in units of parsing one entry. */
+/** Work of encoding or decoding LINES_PER_STEP lines, in units of parsing one entry. */
 const LINES_WORK = 4;
 
-const changeSchema = z.object({
+const changeHeadSchema = z.object({
   section: z.enum(SECTION_NAMES),
   remove: z.array(z.string()),
 });
@@ -81,8 +82,8 @@
   z.object({
     kind: z.literal('edit'),
     schemaVersion: z.int(),
-    editId: id,
-    baseVersion: offset,
+    editId: idSchema,
+    baseVersion: offsetSchema,
     author: z.string().max(256),
     team: z.string().max(128),
     at: z.number(),
@@ -91,26 +92,26 @@
   z.object({
     kind: z.literal('checkpoint'),
     schemaVersion: z.int(),
-    id,
-    through: offset,
-    offset,
+    id: idSchema,
+    through: offsetSchema,
+    offset: offsetSchema,
   }),
 ]);
 
-/** Encodes a note of a checkpoint. */
-export function encodeNote(note: CheckpointNote): string {
+/** Encodes a checkpoint note. */
+export function encodeCheckpointNote(note: CheckpointNote): string {
   return JSON.stringify(note);
 }
 
-/** Encodes an edit at once. */
+/** Encodes an edit without interruption. */
 export function encodeEdit(record: EditRecord): string {
   return runSteps(encodeEditSteps(record));
 }
 
 /**
- * Encodes an edit in pieces. Its first line is a JSON object with all but the changes; for each
- * change follow a line `{"section":..,"remove":[..]}` and a line `[key,text]` for each entry that is
- * set, so that a long record is read and written line by line.
+ * Encodes an edit incrementally. The first line is a JSON object with all fields but the changes. For
+ * each change, a line `{"section":..,"remove":[..]}` follows, then a line `[key,text]` for each entry
+ * that is set, so that a long record can be read and written line by line.
  */
 export function* encodeEditSteps(record: EditRecord): Steps<string> {
   const { changes, ...head } = record;
@@ -126,12 +127,12 @@
   return lines.join('\n');
 }
 
-/** Decodes a record at once. */
+/** Decodes a record without interruption. */
 export function decodeRecord(data: string): ConfigurationRecord {
   return runSteps(decodeRecordSteps(data));
 }
 
-/** Decodes a record in pieces; an edit may set thousands of entries. */
+/** Decodes a record incrementally, because an edit may set thousands of entries. */
 export function* decodeRecordSteps(data: string): Steps<ConfigurationRecord> {
   const end = data.indexOf('\n');
   const value = parseJson(end < 0 ? data : data.slice(0, end));
@@ -153,7 +154,7 @@
   readonly remove: readonly string[];
 }
 
-/** Reads the lines behind the head; `undefined` if one is malformed or a section comes twice. */
+/** Decodes the lines after the head; returns `undefined` if one is malformed or a section occurs twice. */
 function* decodeChangesSteps(
   data: string,
   headEnd: number,
@@ -172,7 +173,7 @@
       if (change === undefined || !isEntry) return undefined;
       change.set[key] = text;
     } else {
-      const change = changeSchema.safeParse(value);
+      const change = changeHeadSchema.safeParse(value);
       if (!change.success) return undefined;
       const { section, remove } = change.data;
       if (changes.some((earlier) => earlier.section === section)) return undefined;
@@ -184,6 +185,7 @@
   return changes;
 }
 
+/** Parses JSON; returns `undefined` for invalid text. */
 export function parseJson(data: string): unknown {
   try {
     return JSON.parse(data) as unknown;
@@ -196,9 +198,9 @@
 const HASH_WORK = 0.05;
 
 /**
- * Computes the proof of an edit: an HMAC under the stored hash of the author's key. Whoever can read
- * the configuration could compute it too, so it binds an edit to a team against mistakes and
- * against writers that cannot read the log, not against a writer that can do both.
+ * Computes the proof of an edit: an HMAC keyed with the stored hash of the author's key. Anyone who
+ * can read the configuration could compute it too. It therefore protects against mistakes and against
+ * writers that cannot read the log, but not against one that can both read and write it.
  */
 export function* proofSteps(keyHash: KeyHash, content: EditContent): Steps<string> {
   const { editId, baseVersion, author, team, at, changes } = content;
@@ -214,12 +216,12 @@
   return hmac.digest();
 }
 
-/** Sections that an edit changes. */
+/** Returns the sections that an edit changes. */
 export function sectionsOf(content: Pick<EditContent, 'changes'>): readonly SectionName[] {
   return content.changes.map((change) => change.section).filter(isSectionName);
 }
 
-/** Keys that a change touches. */
+/** Returns the keys that a change sets or removes. */
 export function changedKeys(change: SectionChange): readonly string[] {
   return [...Object.keys(change.set), ...change.remove];
 }
--- a/test/configuration/fleet.test.ts
+++ b/test/configuration/fleet.test.ts
@@ -9,7 +9,7 @@
 import type { OperatorResult } from '../../src/core/types.js';
 import { ACCOUNTS_HASH, BASE_DOCUMENT, editRecord, PLATFORM_HASH } from '../support/edits.js';
 
-const IN_FORCE_MS = 4_000;
+const ACTIVATION_TIMEOUT_MS = 4_000;
 
 interface PublishOptions {
   readonly editId?: string;
@@ -37,24 +37,25 @@
   return results;
 }
 
-const versionOf = (instance: FakeInstance) => instance.core.state.configuration.view?.version ?? -1;
+const activeVersion = (instance: FakeInstance) =>
+  instance.core.state.configuration.view?.version ?? -1;
 const stopText = (reason: string) => `e1: { reason: ${reason} }\n`;
 
-function startedFleet(instances: number, domains: number, seed = 1): FakeFleet {
+function createStartedFleet(instances: number, domains: number, seed = 1): FakeFleet {
   const fleet = createFakeFleet({ instances, domains, seed, settings: { checkpointMs: 8_000 } });
   fleet.run(2_000);
   const results = publish(fleet, fleet.instances[0] as FakeInstance);
-  const taken = fleet.runUntil(
-    () => fleet.instances.every((instance) => versionOf(instance) === 0),
-    IN_FORCE_MS,
+  const activationMs = fleet.runUntil(
+    () => fleet.instances.every((instance) => activeVersion(instance) === 0),
+    ACTIVATION_TIMEOUT_MS,
   );
-  expect(taken, 'first document in force').to.not.equal(undefined);
+  expect(activationMs, 'time until the first document is active').to.not.equal(undefined);
   expect(results[0]).to.deep.include({ kind: 'done' });
   return fleet;
 }
 
-/** What must be alike on all instances that have folded the same records. */
-function foldOf(instance: FakeInstance) {
+/** Fingerprint of the state that must be equal on all instances that have folded the same records. */
+function foldFingerprint(instance: FakeInstance) {
   const { fold } = instance.core.state.configuration;
   const text = JSON.stringify([
     [...fold.document.plannedStops.values()],
@@ -67,8 +68,8 @@
 }
 
 describe('configuration of a fleet', () => {
-  it('is in force everywhere soon after it was accepted', () => {
-    const fleet = startedFleet(9, 3);
+  it('becomes active on every instance soon after it is accepted', () => {
+    const fleet = createStartedFleet(9, 3);
     const instance = fleet.instances[4] as FakeInstance;
     publish(fleet, instance, {
       editId: 's1',
@@ -79,23 +80,25 @@
     const taken = fleet.runUntil(
       () =>
         fleet.instances.every(({ core }) => core.state.configuration.view?.plannedStops.has('e1')),
-      IN_FORCE_MS,
+      ACTIVATION_TIMEOUT_MS,
     );
     expect(taken).to.not.equal(undefined);
   });
 
-  it('reaches an instance that starts empty while the log is down', () => {
-    const fleet = startedFleet(6, 2);
+  it('reaches an instance that restarts without state while the log is down', () => {
+    const fleet = createStartedFleet(6, 2);
     fleet.log.isDown = true;
     const instance = fleet.instances[5] as FakeInstance;
     fleet.stop(instance);
     fleet.run(1_000);
     fleet.start(instance);
-    expect(fleet.runUntil(() => versionOf(instance) === 0, IN_FORCE_MS)).to.not.equal(undefined);
+    expect(fleet.runUntil(() => activeVersion(instance) === 0, ACTIVATION_TIMEOUT_MS)).to.not.equal(
+      undefined,
+    );
     expect(instance.core.state.membership.members.get(instance.id)?.phase).to.equal('ready');
   });
 
-  it('is not ready without a configuration, and refuses to publish while the log is down', () => {
+  it('refuses the first edit while the log is down and stays without an active version', () => {
     const fleet = createFakeFleet({ instances: 2, domains: 1, seed: 1 });
     fleet.log.isDown = true;
     fleet.run(3_000);
@@ -105,26 +108,26 @@
       executed: 'no',
       code: 'configurationLogDown',
     });
-    expect(versionOf(fleet.instances[0] as FakeInstance)).to.equal(-1);
+    expect(activeVersion(fleet.instances[0] as FakeInstance)).to.equal(-1);
   });
 
-  it('survives the restart of all instances after the records have expired', () => {
-    const fleet = startedFleet(4, 2);
+  it('is restored from a checkpoint if all instances restart after the records have expired', () => {
+    const fleet = createStartedFleet(4, 2);
     const { log } = fleet;
     const noteAt = () =>
       (log.streams.get('configuration') ?? []).findIndex((data) => data.includes('"checkpoint"'));
     expect(fleet.runUntil(() => noteAt() > 0, 20_000)).to.not.equal(undefined);
     log.oldest.set('configuration', noteAt());
-    const before = foldOf(fleet.instances[0] as FakeInstance);
+    const before = foldFingerprint(fleet.instances[0] as FakeInstance);
     fleet.instances.forEach(fleet.stop);
     fleet.instances.forEach(fleet.start);
-    const isBack = () => fleet.instances.every((instance) => versionOf(instance) === 0);
+    const isBack = () => fleet.instances.every((instance) => activeVersion(instance) === 0);
     expect(fleet.runUntil(isBack, 10_000)).to.not.equal(undefined);
-    fleet.instances.forEach((instance) => expect(foldOf(instance)).to.equal(before));
+    fleet.instances.forEach((instance) => expect(foldFingerprint(instance)).to.equal(before));
   });
 
-  it('publishes once though the reply of the log was lost and the operator sent it again', () => {
-    const fleet = startedFleet(3, 1);
+  it('publishes an edit once if the reply of the log is lost and the operator submits it again', () => {
+    const fleet = createStartedFleet(3, 1);
     fleet.log.lostReplies = 1;
     const stop = { editId: 's1', section: 'plannedStops', baseVersion: 0, text: stopText('x') };
     const first = publish(fleet, fleet.instances[1] as FakeInstance, stop);
@@ -132,12 +135,12 @@
     fleet.run(5_000);
     expect(first[0]).to.deep.equal(second[0]);
     expect(first[0]?.kind).to.equal('done');
-    const versions = new Set(fleet.instances.map(versionOf));
+    const versions = new Set(fleet.instances.map(activeVersion));
     expect([...versions]).to.deep.equal([1]);
   });
 
-  it('lets exactly one of four racing editors win', () => {
-    const fleet = startedFleet(4, 2);
+  it('accepts exactly one of four concurrent edits of a section', () => {
+    const fleet = createStartedFleet(4, 2);
     const results = fleet.instances.map((instance, i) =>
       publish(fleet, instance, {
         editId: `s${i}`,
@@ -155,8 +158,8 @@
     );
   });
 
-  it('answers a refused edit with its place and an unknown key without a record', () => {
-    const fleet = startedFleet(2, 1);
+  it('reports the line of an invalid edit, and rejects an unknown key without writing a record', () => {
+    const fleet = createStartedFleet(2, 1);
     const instance = fleet.instances[1] as FakeInstance;
     const wrong = publish(fleet, instance, {
       editId: 'w',
@@ -172,8 +175,8 @@
     expect(fleet.log.streams.get('configuration')).to.have.lengthOf(2);
   });
 
-  it('refuses to publish through a program that cannot read the log any more', () => {
-    const fleet = startedFleet(2, 1);
+  it('refuses to publish once the log has a record of a newer schema version', () => {
+    const fleet = createStartedFleet(2, 1);
     fleet.log.streams.get('configuration')?.push('{"kind":"edit","schemaVersion":9}');
     const results = fleet.instances.map((instance, i) =>
       publish(fleet, instance, {
@@ -190,11 +193,11 @@
     const late = publish(fleet, fleet.instances[0] as FakeInstance, { editId: 'late' });
     fleet.run(100);
     expect(late[0]?.kind === 'rejected' && late[0].problem.code).to.equal('schemaNewer');
-    expect(fleet.instances.map(versionOf)).to.deep.equal([0, 0]);
+    expect(fleet.instances.map(activeVersion)).to.deep.equal([0, 0]);
   });
 
   it('never shows an operator key in state, log or replies', () => {
-    const fleet = startedFleet(2, 1);
+    const fleet = createStartedFleet(2, 1);
     const everything = JSON.stringify([
       [...fleet.log.streams.entries()],
       fleet.instances.map(({ core }) => [...core.state.configuration.fold.verdicts.values()]),
@@ -203,8 +206,8 @@
     expect(everything).to.not.contain('accounts-secret');
   });
 
-  it('does not go back for an old record, an old checkpoint or an old peer', () => {
-    const fleet = startedFleet(3, 1);
+  it('does not revert to old records or to an old snapshot from a peer', () => {
+    const fleet = createStartedFleet(3, 1);
     const instance = fleet.instances[1] as FakeInstance;
     publish(fleet, instance, {
       editId: 's1',
@@ -213,7 +216,7 @@
       text: stopText('x'),
     });
     fleet.run(2_000);
-    const before = foldOf(instance);
+    const before = foldFingerprint(instance);
     const old = {
       stream: 'configuration',
       from: 0,
@@ -233,7 +236,7 @@
       fleet.now(),
     );
     fleet.run(1_000);
-    expect(foldOf(instance)).to.equal(before);
+    expect(foldFingerprint(instance)).to.equal(before);
   });
 
   const actionArbitrary = fc.oneof(
@@ -279,11 +282,11 @@
     },
   );
 
-  it('is folded alike by all through races, faults and restarts, and only ever rises', () => {
+  it('converges on all instances despite races, faults and restarts, and its version never decreases', () => {
     fc.assert(
       fc.property(fc.array(actionArbitrary, { minLength: 3, maxLength: 25 }), (actions) => {
-        const fleet = startedFleet(5, 2);
-        const highest = new Map<string, number>();
+        const fleet = createStartedFleet(5, 2);
+        const highestVersions = new Map<string, number>();
         const results: OperatorResult[][] = [];
         const races: (readonly [string, string])[] = [];
         let edits = 0;
@@ -291,9 +294,9 @@
           fleet.runUntil(() => {
             fleet.instances.forEach((instance) => {
               const key = `${instance.id} ${instance.incarnation}`;
-              const version = versionOf(instance);
-              expect(version).to.be.at.least(highest.get(key) ?? -1);
-              highest.set(key, version);
+              const version = activeVersion(instance);
+              expect(version).to.be.at.least(highestVersions.get(key) ?? -1);
+              highestVersions.set(key, version);
             });
             return false;
           }, ms);
@@ -312,14 +315,16 @@
         for (const action of actions) {
           switch (action.kind) {
             case 'stop': {
-              const base = action.stale ? 0 : versionOf(fleet.instances[action.at] as FakeInstance);
+              const base = action.stale
+                ? 0
+                : activeVersion(fleet.instances[action.at] as FakeInstance);
               edit(action.at, 'plannedStops', stopText(`r${edits}`), base, PLATFORM_HASH);
               edit((action.at + 1) % 5, 'plannedStops', stopText(`r${edits}`), base, PLATFORM_HASH);
               races.push([`e${edits - 1}`, `e${edits}`]);
               break;
             }
             case 'weights': {
-              const base = versionOf(fleet.instances[action.at] as FakeInstance);
+              const base = activeVersion(fleet.instances[action.at] as FakeInstance);
               edit(action.at, 'entitlements', `c1: { chat: ${edits + 1} }\n`, base, ACCOUNTS_HASH);
               break;
             }
@@ -360,10 +365,10 @@
         fleet.log.lostReplies = 0;
         const isSettled = () =>
           fleet.instances.every(({ core }) => core.state.configuration.publishing.size === 0) &&
-          new Set(fleet.instances.map(versionOf)).size === 1;
+          new Set(fleet.instances.map(activeVersion)).size === 1;
         run(4_000);
         expect(fleet.runUntil(isSettled, 21_000)).to.not.equal(undefined);
-        expect(new Set(fleet.instances.map(foldOf)).size).to.equal(1);
+        expect(new Set(fleet.instances.map(foldFingerprint)).size).to.equal(1);
         const { fold } = (fleet.instances[0] as FakeInstance).core.state.configuration;
         races.forEach((race) => {
           const winners = race.filter((editId) => fold.verdicts.get(editId)?.accepted === true);
--- a/test/configuration/fold.test.ts
+++ b/test/configuration/fold.test.ts
@@ -11,44 +11,44 @@
 import type { SectionChange } from '../../src/core/configuration/records.js';
 import { ACCOUNTS_HASH, baseChanges, editRecord, stopChange } from '../support/edits.js';
 
-function startedFold(): FoldState {
+function createFoldWithBase(): FoldState {
   const fold = createFoldState();
   foldRecord(fold, 0, editRecord('base', -1, baseChanges()));
   return fold;
 }
 
-function reasonOf(fold: FoldState, offset: number, record: string) {
-  const judgement = foldRecord(fold, offset, record);
-  return judgement.kind === 'refused' ? judgement.verdict.reason : judgement.kind;
+function foldOutcome(fold: FoldState, offset: number, record: string) {
+  const result = foldRecord(fold, offset, record);
+  return result.kind === 'refused' ? result.verdict.reason : result.kind;
 }
 
 describe('fold of the configuration', () => {
-  it('needs the teams first, then an owner', () => {
+  it('requires the teams in the first edit, then the proof of a team that owns the section', () => {
     const empty = createFoldState();
-    expect(reasonOf(empty, 0, editRecord('x', -1, [stopChange('e1')]))).to.equal('bootstrap');
-    const fold = startedFold();
+    expect(foldOutcome(empty, 0, editRecord('x', -1, [stopChange('e1')]))).to.equal('bootstrap');
+    const fold = createFoldWithBase();
     expect(fold.version).to.equal(0);
     const byAccounts = { team: 'accounts' };
-    expect(reasonOf(fold, 1, editRecord('a', 0, [stopChange('e1')], byAccounts))).to.equal(
+    expect(foldOutcome(fold, 1, editRecord('a', 0, [stopChange('e1')], byAccounts))).to.equal(
       'notOwner',
     );
     const forged = { team: 'platform', keyHash: ACCOUNTS_HASH };
-    expect(reasonOf(fold, 2, editRecord('b', 0, [stopChange('e1')], forged))).to.equal(
+    expect(foldOutcome(fold, 2, editRecord('b', 0, [stopChange('e1')], forged))).to.equal(
       'wrongProof',
     );
     const unknown = { team: 'nobody', keyHash: ACCOUNTS_HASH };
-    expect(reasonOf(fold, 3, editRecord('c', 0, [stopChange('e1')], unknown))).to.equal(
+    expect(foldOutcome(fold, 3, editRecord('c', 0, [stopChange('e1')], unknown))).to.equal(
       'unknownTeam',
     );
-    expect(reasonOf(fold, 4, editRecord('d', 0, [stopChange('e1')]))).to.equal('accepted');
+    expect(foldOutcome(fold, 4, editRecord('d', 0, [stopChange('e1')]))).to.equal('accepted');
     expect(fold.version).to.equal(4);
   });
 
-  it('lets exactly one of racing edits of a section win, and says who won', () => {
-    const fold = startedFold();
-    expect(reasonOf(fold, 1, editRecord('first', 0, [stopChange('e1')]))).to.equal('accepted');
-    const judgement = foldRecord(fold, 2, editRecord('second', 0, [stopChange('e1', 'other')]));
-    const verdict = judgement.kind === 'refused' ? judgement.verdict : undefined;
+  it('accepts only the first of conflicting edits of a section, and names its author to the other', () => {
+    const fold = createFoldWithBase();
+    expect(foldOutcome(fold, 1, editRecord('first', 0, [stopChange('e1')]))).to.equal('accepted');
+    const result = foldRecord(fold, 2, editRecord('second', 0, [stopChange('e1', 'other')]));
+    const verdict = result.kind === 'refused' ? result.verdict : undefined;
     expect(verdict?.reason).to.equal('conflict');
     expect(verdict?.conflicts[0]).to.deep.include({ author: 'author-first', keys: ['e1'] });
     const other: SectionChange = {
@@ -57,27 +57,27 @@
       remove: [],
     };
     const byAccounts = { team: 'accounts' };
-    expect(reasonOf(fold, 3, editRecord('third', 0, [other], byAccounts))).to.equal('accepted');
+    expect(foldOutcome(fold, 3, editRecord('third', 0, [other], byAccounts))).to.equal('accepted');
   });
 
-  it('gives a repeated edit the first verdict and does not apply it again', () => {
-    const fold = startedFold();
+  it('ignores a repeated edit', () => {
+    const fold = createFoldWithBase();
     const record = editRecord('once', 0, [stopChange('e1')]);
-    expect(reasonOf(fold, 1, record)).to.equal('accepted');
-    expect(reasonOf(fold, 2, record)).to.equal('ignored');
+    expect(foldOutcome(fold, 1, record)).to.equal('accepted');
+    expect(foldOutcome(fold, 2, record)).to.equal('ignored');
     expect(fold.version).to.equal(1);
   });
 
-  it('refuses what breaks the document as a whole', () => {
-    const fold = startedFold();
+  it('refuses an edit that leaves a dangling reference or has an unknown base version', () => {
+    const fold = createFoldWithBase();
     const remove: SectionChange = { section: 'pools', set: {}, remove: ['chat'] };
-    const judgement = foldRecord(fold, 1, editRecord('a', 0, [remove]));
-    const verdict = judgement.kind === 'refused' ? judgement.verdict : undefined;
+    const result = foldRecord(fold, 1, editRecord('a', 0, [remove]));
+    const verdict = result.kind === 'refused' ? result.verdict : undefined;
     expect(verdict?.diagnostics[0]?.code).to.equal('unknownReference');
-    expect(reasonOf(fold, 2, editRecord('b', 9, [stopChange('e1')]))).to.equal('unknownBase');
+    expect(foldOutcome(fold, 2, editRecord('b', 9, [stopChange('e1')]))).to.equal('unknownBase');
   });
 
-  it('accepts with partial checks only what passes the whole', () => {
+  it('accepts, checking the changed sections only, no edit that fails the check of the whole document', () => {
     const change = fc.constantFrom<SectionChange>(
       { section: 'pools', set: {}, remove: ['chat'] },
       { section: 'pools', set: { shop: 'shop: { kind: service }\n' }, remove: [] },
@@ -93,7 +93,7 @@
     );
     fc.assert(
       fc.property(fc.array(change, { maxLength: 12 }), (changes) => {
-        const fold = startedFold();
+        const fold = createFoldWithBase();
         changes.forEach((each, i) => {
           const isAccounts = each.section === 'customers' || each.section === 'entitlements';
           const team = isAccounts ? 'accounts' : 'platform';
@@ -105,16 +105,16 @@
     );
   });
 
-  it('stops before a record of a later program', () => {
-    const fold = startedFold();
+  it('stops before a record of a newer schema version', () => {
+    const fold = createFoldWithBase();
     const later = JSON.stringify({ kind: 'edit', schemaVersion: 99, whatever: 1 });
     expect(foldRecord(fold, 1, later).kind).to.equal('blocked');
     expect(fold).to.deep.include({ next: 1, version: 0 });
     expect(fold.blocked).to.deep.equal({ offset: 1, schemaVersion: 99 });
   });
 
-  it('knows earlier texts of a section', () => {
-    const fold = startedFold();
+  it('restores earlier texts of a section', () => {
+    const fold = createFoldWithBase();
     foldRecord(fold, 1, editRecord('a', 0, [stopChange('e1', 'one')]));
     foldRecord(fold, 2, editRecord('b', 1, [stopChange('e1', 'two')]));
     const removed: SectionChange = { section: 'plannedStops', set: {}, remove: ['e1'] };
@@ -125,16 +125,16 @@
     expect(entriesAt(fold, 'plannedStops', 0)?.size).to.equal(0);
   });
 
-  it('ignores any other text and bounds what it keeps', () => {
+  it('ignores malformed records and bounds the number of verdicts', () => {
     fc.assert(
       fc.property(fc.oneof(fc.string(), fc.json()), (data) => {
-        const fold = startedFold();
+        const fold = createFoldWithBase();
         expect(foldRecord(fold, 1, data).kind).to.equal('ignored');
         expect(fold.next).to.equal(2);
       }),
       { seed: 6, numRuns: 100 },
     );
-    const fold = startedFold();
+    const fold = createFoldWithBase();
     for (let i = 1; i <= VERDICTS_MAX + 10; i += 1) {
       foldRecord(fold, i, editRecord(`e${i}`, 0, [stopChange('e1')], { keyHash: ACCOUNTS_HASH }));
     }
--- a/test/configuration/sha256.test.ts
+++ b/test/configuration/sha256.test.ts
@@ -4,7 +4,7 @@
 import { equalInConstantTime, hmacSha256Hex, sha256Hex } from '../../src/core/sha256.js';
 
 describe('SHA-256 in the core', () => {
-  it('agrees with the platform for any text', () => {
+  it('agrees with node:crypto for any text', () => {
     fc.assert(
       fc.property(fc.string({ unit: 'grapheme', maxLength: 300 }), fc.string(), (text, key) => {
         expect(sha256Hex(text)).to.equal(createHash('sha256').update(text).digest('hex'));
@@ -19,14 +19,14 @@
     );
   });
 
-  it('handles every length around the block size', () => {
+  it('handles every length around the block boundaries', () => {
     for (let length = 50; length < 140; length += 1) {
       const text = 'x'.repeat(length);
       expect(sha256Hex(text)).to.equal(createHash('sha256').update(text).digest('hex'));
     }
   });
 
-  it('compares hashes', () => {
+  it('compares hashes for equality', () => {
     expect(equalInConstantTime('ab', 'ab')).to.equal(true);
     expect(equalInConstantTime('ab', 'ac')).to.equal(false);
     expect(equalInConstantTime('ab', 'abc')).to.equal(false);
