--- a/src/configuration/bounds.ts
+++ b/src/configuration/bounds.ts
@@ -1,10 +1,13 @@
-/** Bounds of a document. All lengths are in UTF-16 units, which are bytes for plain text. */
+/**
+ * Size limits of a configuration document. Lengths are counted in UTF-16 code units, which equal
+ * bytes for ASCII text.
+ */
 
 export const DOCUMENT_BYTES_MAX = 16 * 2 ** 20;
-export const SECTION_BYTES_MAX = 8 * 2 ** 20;
-export const ENTRY_BYTES_MAX = 64 * 2 ** 10;
+export const MAX_SECTION_LENGTH = 8 * 2 ** 20;
+export const MAX_ENTRY_LENGTH = 64 * 2 ** 10;
 export const ENTRIES_MAX = 65_536;
-/** Nodes that aliases may add to one entry. */
-export const ALIASES_MAX = 16;
-/** Diagnostics that are kept of one check. */
+/** Maximum number of nodes that alias expansion may add to one entry. */
+export const MAX_ALIASES = 16;
+/** Maximum number of diagnostics reported by one check. */
 export const DIAGNOSTICS_MAX = 20;
--- a/src/configuration/checks.ts
+++ b/src/configuration/checks.ts
@@ -1,4 +1,4 @@
-/** Checks across the sections of a document: references, uniqueness, owners. */
+/** Cross-section validation of a document: references, uniqueness and section ownership. */
 import { DIAGNOSTICS_MAX } from './bounds.js';
 import { nearestName } from './nearest.js';
 import {
@@ -9,8 +9,8 @@
   type Steps,
 } from './types.js';
 
-/** Work of checking one entry, in units of parsing one. */
-const ENTRY_CHECK_WORK = 0.01;
+/** Cost of checking one entry, relative to parsing one. */
+const ENTRY_CHECK_COST = 0.01;
 const ENTRIES_PER_STEP = 256;
 
 type Report = (
@@ -20,48 +20,50 @@
   args: DocumentDiagnostic['args'],
 ) => void;
 
-/** Sections whose entries refer to those of a section. */
-const REFERRING: Partial<Record<SectionName, readonly SectionName[]>> = {
+/** For each section, the sections whose entries refer to its entries. */
+const REFERRING_SECTIONS: Partial<Record<SectionName, readonly SectionName[]>> = {
   customers: ['entitlements'],
   pools: ['entitlements', 'upstreams', 'routes', 'placement'],
   upstreams: ['plannedStops'],
 };
 
 /**
- * Checks a document in pieces. Lines of the diagnostics are 0; the caller knows the sources. With
- * `changed`, the rest is known to have passed: only those sections and what refers to them are
- * checked.
+ * Checks a document incrementally. Diagnostics have line 0; the caller, which has the source, sets
+ * their positions. Only the sections in `changed` and those that refer to them are checked; the
+ * others must have passed an earlier check.
  */
 export function* checkDocument(
   document: ConfigurationDocument,
   changed: readonly SectionName[] = SECTION_NAMES,
 ): Steps<readonly DocumentDiagnostic[]> {
-  const found: DocumentDiagnostic[] = [];
+  const diagnostics: DocumentDiagnostic[] = [];
   const report: Report = (section, key, code, args) => {
-    if (found.length >= DIAGNOSTICS_MAX) return;
-    found.push({ code, args, section, key, line: 0, column: 0 });
+    if (diagnostics.length >= DIAGNOSTICS_MAX) return;
+    diagnostics.push({ code, args, section, key, line: 0, column: 0 });
   };
   checkOwners(document, report);
-  const checks = createChecks(document, report);
-  const affected = new Set(changed.flatMap((section) => [section, ...(REFERRING[section] ?? [])]));
+  const checks = createEntryChecks(document, report);
+  const affected = new Set(
+    changed.flatMap((section) => [section, ...(REFERRING_SECTIONS[section] ?? [])]),
+  );
   for (const section of SECTION_NAMES) {
     const check = checks[section];
     if (check === undefined || !affected.has(section)) continue;
-    let pending = 0;
+    let entriesSinceYield = 0;
     for (const [key, entry] of document[section]) {
       check(key, entry.value);
-      pending += 1;
-      if (pending === ENTRIES_PER_STEP) {
-        yield pending * ENTRY_CHECK_WORK;
-        pending = 0;
+      entriesSinceYield += 1;
+      if (entriesSinceYield === ENTRIES_PER_STEP) {
+        yield entriesSinceYield * ENTRY_CHECK_COST;
+        entriesSinceYield = 0;
       }
     }
-    yield pending * ENTRY_CHECK_WORK;
+    yield entriesSinceYield * ENTRY_CHECK_COST;
   }
-  return found;
+  return diagnostics;
 }
 
-/** Some team must own each section, or nobody could ever change it again. */
+/** Requires an owning team for `teams` and every non-empty section: only owners may edit a section. */
 function checkOwners(document: ConfigurationDocument, report: Report): void {
   const owned = new Set([...document.teams.values()].flatMap((team) => team.value.sections));
   for (const section of SECTION_NAMES) {
@@ -74,11 +76,11 @@
 
 type EntryCheck = (key: string, value: never) => void;
 
-function createChecks(
+function createEntryChecks(
   document: ConfigurationDocument,
   report: Report,
 ): Partial<Record<SectionName, (key: string, value: unknown) => void>> {
-  const refer = (
+  const checkReference = (
     section: SectionName,
     key: string,
     target: 'customers' | 'pools' | 'upstreams',
@@ -93,7 +95,7 @@
   const customerKeys = new Map<string, string>();
   const teamKeys = new Map<string, string>();
   const urls = new Map<string, string>();
-  const unique = (
+  const checkUnique = (
     seen: Map<string, string>,
     section: SectionName,
     key: string,
@@ -111,25 +113,25 @@
     ) => void;
   } = {
     teams: (key, team) => {
-      team.keyHashes.forEach((hash) => unique(teamKeys, 'teams', key, hash, 'sharedKey'));
+      team.keyHashes.forEach((hash) => checkUnique(teamKeys, 'teams', key, hash, 'sharedKey'));
     },
     customers: (key, customer) => {
       customer.keyHashes.forEach((hash) =>
-        unique(customerKeys, 'customers', key, hash, 'sharedKey'),
+        checkUnique(customerKeys, 'customers', key, hash, 'sharedKey'),
       );
     },
     entitlements: (key, weights) => {
-      refer('entitlements', key, 'customers', key);
-      Object.keys(weights).forEach((pool) => refer('entitlements', key, 'pools', pool));
+      checkReference('entitlements', key, 'customers', key);
+      Object.keys(weights).forEach((pool) => checkReference('entitlements', key, 'pools', pool));
     },
     upstreams: (key, upstream) => {
-      refer('upstreams', key, 'pools', upstream.pool);
-      unique(urls, 'upstreams', key, upstream.url, 'sharedUrl');
+      checkReference('upstreams', key, 'pools', upstream.pool);
+      checkUnique(urls, 'upstreams', key, upstream.url, 'sharedUrl');
     },
-    routes: (key) => refer('routes', key, 'pools', key),
-    plannedStops: (key) => refer('plannedStops', key, 'upstreams', key),
+    routes: (key) => checkReference('routes', key, 'pools', key),
+    plannedStops: (key) => checkReference('plannedStops', key, 'upstreams', key),
     placement: (key, placement) => {
-      refer('placement', key, 'pools', key);
+      checkReference('placement', key, 'pools', key);
       if (placement.minUpstreams > placement.maxUpstreams) {
         const args = { low: 'minUpstreams', high: 'maxUpstreams' };
         report('placement', key, 'boundsCrossed', args);
--- a/src/configuration/entry.ts
+++ b/src/configuration/entry.ts
@@ -1,45 +1,49 @@
-/** Parses one entry of a section: YAML, bounds, schema. The result depends on the text alone. */
+/**
+ * Parses one entry of a section: size limits, YAML and schema. The result depends only on the
+ * section and the entry's source.
+ */
 import { isMap, LineCounter, parseDocument, type Document, type ParsedNode } from 'yaml';
 import type { z } from 'zod';
-import { ALIASES_MAX, ENTRY_BYTES_MAX } from './bounds.js';
+import { MAX_ALIASES, MAX_ENTRY_LENGTH } from './bounds.js';
 import { nearestName } from './nearest.js';
-import { knownFieldsOf, fixedKeysOf, schemaOf } from './schema.js';
-import { exceedsFlowDepth, type EntrySource } from './source.js';
+import { fieldNamesOf, fixedKeysOf, schemaOf } from './schema.js';
+import { exceedsMaxNesting, type EntrySource } from './source.js';
 import type { DocumentDiagnostic, Entry, SectionName } from './types.js';
 
 export type EntryResult =
   | { readonly kind: 'entry'; readonly entry: Entry }
   | { readonly kind: 'diagnostics'; readonly diagnostics: readonly DocumentDiagnostic[] };
 
-/** A place within an entry that findings can be attached to. */
-interface EntryDocument {
+/** The YAML syntax tree of an entry, with what is needed to position diagnostics in it. */
+interface ParsedEntry {
   readonly section: SectionName;
   readonly key: string;
   readonly doc: Document<ParsedNode>;
   readonly lines: LineCounter;
 }
 
-/** Parses an entry. Lines of its diagnostics count from 1 within the entry's text. */
+/** Parses an entry. Lines in its diagnostics are 1-based and relative to the entry's text. */
 export function parseEntry(section: SectionName, source: EntrySource): EntryResult {
   const { key, text } = source;
-  if (text.length > ENTRY_BYTES_MAX) {
-    return failed(section, key, 'entryTooLarge', { key, limit: ENTRY_BYTES_MAX });
+  if (text.length > MAX_ENTRY_LENGTH) {
+    return invalidEntry(section, key, 'entryTooLarge', { key, limit: MAX_ENTRY_LENGTH });
   }
-  if (exceedsFlowDepth(text)) return failed(section, key, 'entryTooDeep', { key });
+  if (exceedsMaxNesting(text)) return invalidEntry(section, key, 'entryTooDeep', { key });
   const lines = new LineCounter();
   const doc = parseDocument(text, { lineCounter: lines, schema: 'core', logLevel: 'silent' });
-  const [problem] = [...doc.errors, ...doc.warnings];
-  if (problem !== undefined) return malformed(section, key, problem);
-  return readValue({ section, key, doc, lines }, text);
+  const [syntaxError] = [...doc.errors, ...doc.warnings];
+  if (syntaxError !== undefined) return malformedYaml(section, key, syntaxError);
+  return validateEntry({ section, key, doc, lines }, text);
 }
 
-function malformed(
+function malformedYaml(
   section: SectionName,
   key: string,
-  problem: Document['errors'][number],
+  syntaxError: Document['errors'][number],
 ): EntryResult {
-  const { line, col } = problem.linePos?.[0] ?? { line: 1, col: 1 };
-  const reason = problem.message.split('\n')[0]?.replace(/ at line \d+, column \d+:?$/, '') ?? '';
+  const { line, col } = syntaxError.linePos?.[0] ?? { line: 1, col: 1 };
+  const reason =
+    syntaxError.message.split('\n')[0]?.replace(/ at line \d+, column \d+:?$/, '') ?? '';
   const diagnostic: DocumentDiagnostic = {
     code: 'malformedYaml',
     args: { reason },
@@ -51,25 +55,25 @@
   return { kind: 'diagnostics', diagnostics: [diagnostic] };
 }
 
-function readValue(place: EntryDocument, text: string): EntryResult {
-  const { section, key, doc } = place;
+function validateEntry(entry: ParsedEntry, text: string): EntryResult {
+  const { section, key, doc } = entry;
   if (!isMap(doc.contents) || doc.contents.items.length !== 1) {
-    return failed(section, key, 'notAnEntry', { section });
+    return invalidEntry(section, key, 'notAnEntry', { section });
   }
-  const raw = toPlainValue(doc);
+  const raw = expandAliases(doc);
   if (raw.kind !== 'value') {
     const reason = 'an alias has no anchor in its entry';
     return raw.kind === 'excessive'
-      ? failed(section, key, 'tooManyAliases', { key, limit: ALIASES_MAX })
-      : failed(section, key, 'malformedYaml', { reason });
+      ? invalidEntry(section, key, 'tooManyAliases', { key, limit: MAX_ALIASES })
+      : invalidEntry(section, key, 'malformedYaml', { reason });
   }
   const schema = schemaOf(section, key);
   if (schema === undefined) {
-    return { kind: 'diagnostics', diagnostics: [unknownField(place, [], key)] };
+    return { kind: 'diagnostics', diagnostics: [unknownField(entry, [], key)] };
   }
   const parsed = schema.safeParse(raw.value[key]);
   if (parsed.success) return { kind: 'entry', entry: { key, text, value: parsed.data } };
-  const diagnostics = parsed.error.issues.flatMap((issue) => describeIssue(place, issue));
+  const diagnostics = parsed.error.issues.flatMap((issue) => describeIssue(entry, issue));
   return { kind: 'diagnostics', diagnostics };
 }
 
@@ -77,10 +81,10 @@
   | { readonly kind: 'value'; readonly value: Readonly<Record<string, unknown>> }
   | { readonly kind: 'unresolved' | 'excessive' };
 
-/** Expands the aliases of an entry. */
-function toPlainValue(doc: Document<ParsedNode>): PlainValue {
+/** Converts an entry to plain data with its aliases expanded. */
+function expandAliases(doc: Document<ParsedNode>): PlainValue {
   try {
-    const value = doc.toJS({ maxAliasCount: ALIASES_MAX }) as Readonly<Record<string, unknown>>;
+    const value = doc.toJS({ maxAliasCount: MAX_ALIASES }) as Readonly<Record<string, unknown>>;
     return { kind: 'value', value };
   } catch (err) {
     if (!(err instanceof ReferenceError)) throw err;
@@ -88,56 +92,53 @@
   }
 }
 
-function describeIssue(
-  place: EntryDocument,
-  issue: z.core.$ZodIssue,
-): readonly DocumentDiagnostic[] {
+function describeIssue(entry: ParsedEntry, issue: z.core.$ZodIssue): readonly DocumentDiagnostic[] {
   if (issue.code === 'unrecognized_keys') {
-    return issue.keys.map((field) => unknownField(place, [...issue.path, field], field));
+    return issue.keys.map((field) => unknownField(entry, [...issue.path, field], field));
   }
-  const path = [place.key, ...issue.path].map(String);
+  const path = [entry.key, ...issue.path].map(String);
   const field = path.join('.');
-  const isMissing = place.doc.getIn(path, true) === undefined;
-  if (isMissing) return [at(place, issue.path, 'missingField', { field })];
-  return [at(place, issue.path, 'invalidValue', { field, reason: issue.message })];
+  const isMissing = entry.doc.getIn(path, true) === undefined;
+  if (isMissing) return [diagnosticAt(entry, issue.path, 'missingField', { field })];
+  return [diagnosticAt(entry, issue.path, 'invalidValue', { field, reason: issue.message })];
 }
 
 function unknownField(
-  place: EntryDocument,
+  entry: ParsedEntry,
   path: readonly PropertyKey[],
   field: string,
 ): DocumentDiagnostic {
-  const known = fixedKeysOf(place.section) ?? knownFieldsOf(place.section);
+  const known = fixedKeysOf(entry.section) ?? fieldNamesOf(entry.section);
   const nearest = nearestName(field, known);
   return nearest === undefined
-    ? at(place, path, 'unknownField', { field })
-    : at(place, path, 'unknownFieldNear', { field, nearest });
+    ? diagnosticAt(entry, path, 'unknownField', { field })
+    : diagnosticAt(entry, path, 'unknownFieldNear', { field, nearest });
 }
 
-/** Attaches a finding to the deepest node on `path` that exists. */
-function at(
-  place: EntryDocument,
+/** Creates a diagnostic positioned at the deepest existing node on `path`. */
+function diagnosticAt(
+  entry: ParsedEntry,
   path: readonly PropertyKey[],
   code: DocumentDiagnostic['code'],
   args: DocumentDiagnostic['args'],
 ): DocumentDiagnostic {
-  const { line, col } = positionOf(place, [place.key, ...path].map(String));
-  return { code, args, section: place.section, key: place.key, line, column: col };
+  const { line, col } = positionOf(entry, [entry.key, ...path].map(String));
+  return { code, args, section: entry.section, key: entry.key, line, column: col };
 }
 
-function positionOf(place: EntryDocument, path: readonly string[]) {
+function positionOf(entry: ParsedEntry, path: readonly string[]) {
   let offset = 0;
-  let node: unknown = place.doc.contents;
+  let node: unknown = entry.doc.contents;
   for (const name of path) {
     const next = childOf(node, name);
     if (next === undefined) break;
     offset = next.offset ?? offset;
     node = next.node;
   }
-  return place.lines.linePos(offset);
+  return entry.lines.linePos(offset);
 }
 
-/** The child of a node under `name`, and the offset of its key, or of the child in a sequence. */
+/** Returns the child of a node under `name` with the offset of its key, or of the sequence item. */
 function childOf(node: unknown, name: string): { offset?: number; node: unknown } | undefined {
   if (isMap(node)) {
     const pair = node.items.find((item) => String(item.key) === name);
@@ -150,7 +151,7 @@
   return item && { ...(offset !== undefined && { offset }), node: item };
 }
 
-function failed(
+function invalidEntry(
   section: SectionName,
   key: string,
   code: DocumentDiagnostic['code'],
--- a/src/configuration/initialView.ts
+++ b/src/configuration/initialView.ts
@@ -1,10 +1,10 @@
-/** The view of a configuration document that is given by a file, before the log gives one. */
+/** Builds the initial configuration view from a local file, used until the log provides one. */
 import type { ConfigurationView } from '../core/types.js';
 import { parseDocument } from './document.js';
 import type { DocumentDiagnostic } from './types.js';
 import { assignNumbers, createView, NO_NUMBERS } from './view.js';
 
-/** Version of a document that is not from the log: below -1, which stands for none. */
+/** Version of a document that does not come from the log. -1 already means that there is none. */
 const FILE_VERSION = -2;
 
 export type InitialViewResult =
--- a/src/configuration/nearest.ts
+++ b/src/configuration/nearest.ts
@@ -1,12 +1,15 @@
-/** Finds the known name that a mistyped one most likely stands for. */
+/** Spelling suggestions for unknown names. */
 
-/** Largest edit distance at which a name is still suggested. */
-const MAX_DISTANCE = 3;
+/** Maximum edit distance at which a name is suggested. */
+const MAX_EDIT_DISTANCE = 3;
 
-/** Returns the known name nearest to `name`, or `undefined` if none is near. */
+/**
+ * Returns the known name with the smallest edit distance to `name`, ignoring case, or `undefined`
+ * if none is within the maximum distance.
+ */
 export function nearestName(name: string, known: Iterable<string>): string | undefined {
   let best: string | undefined;
-  let bestDistance = Math.min(MAX_DISTANCE, Math.floor(name.length / 2)) + 1;
+  let bestDistance = Math.min(MAX_EDIT_DISTANCE, Math.floor(name.length / 2)) + 1;
   for (const candidate of known) {
     if (Math.abs(candidate.length - name.length) >= bestDistance) continue;
     const distance = editDistance(name.toLowerCase(), candidate.toLowerCase());
@@ -18,7 +21,7 @@
   return best;
 }
 
-/** Edit distance of Levenshtein, "Binary codes capable of correcting deletions" (1966). */
+/** Levenshtein distance ("Binary codes capable of correcting deletions", 1966). */
 function editDistance(a: string, b: string): number {
   let previous = Array.from({ length: b.length + 1 }, (_, i) => i);
   for (let i = 1; i <= a.length; i += 1) {
--- a/src/configuration/schema.ts
+++ b/src/configuration/schema.ts
@@ -1,8 +1,8 @@
-/** Schemas of the entries of each section, with the defaults of the fields that may be left out. */
+/** Schemas of the entries of each section, with the defaults of optional fields. */
 import * as z from 'zod';
 import { SECTION_NAMES, type SectionName } from './types.js';
 
-const MAX_TEXT = 256;
+const MAX_TEXT_LENGTH = 256;
 const MAX_KEYS = 16;
 const MAX_SLOTS = 65_536;
 const UINT32_MAX = 2 ** 32 - 1;
@@ -12,9 +12,9 @@
 
 const id = z.string().regex(ID_PATTERN);
 const keyHash = z.string().regex(/^[0-9a-f]{64}$/);
-const text = z.string().min(1).max(MAX_TEXT);
+const shortText = z.string().min(1).max(MAX_TEXT_LENGTH);
 const price = z.number().min(0).max(1e9);
-const share = z.number().min(0).max(1);
+const fraction = z.number().min(0).max(1);
 const count = z.int().min(1).max(UINT32_MAX);
 const weight = z.number().min(1e-3).max(1e6);
 const url = z
@@ -52,7 +52,7 @@
   cost: cost.default({ perPromptToken: 1, perOutputToken: 2, perSlotMs: 1 }),
   crossRegion: z.boolean().default(true),
   crossRegionPriceMs: z.number().min(0).max(3_600_000).default(500),
-  suspendShare: share.default(0.25),
+  suspendShare: fraction.default(0.25),
   idempotentByDefault: z.boolean().optional(),
 });
 
@@ -70,7 +70,7 @@
   pathPrefix: z
     .string()
     .regex(/^\/[\x21-\x7e]*$/)
-    .max(MAX_TEXT),
+    .max(MAX_TEXT_LENGTH),
   methods: z
     .array(z.string().regex(/^[A-Z]{3,10}$/))
     .max(16)
@@ -78,19 +78,19 @@
   idempotent: z.boolean(),
 });
 
-const plannedStop = z.strictObject({ reason: text });
+const plannedStop = z.strictObject({ reason: shortText });
 
 const placement = z.strictObject({
-  model: text,
-  version: z.union([text, z.number().transform(String)]),
-  adapters: z.array(text).max(256).default([]),
-  role: z.string().max(MAX_TEXT).default(''),
+  model: shortText,
+  version: z.union([shortText, z.number().transform(String)]),
+  adapters: z.array(shortText).max(256).default([]),
+  role: z.string().max(MAX_TEXT_LENGTH).default(''),
   minUpstreams: z.int().min(0).max(65_536).default(1),
   maxUpstreams: z.int().min(1).max(65_536).default(65_536),
-  servingShare: share.default(0.75),
+  servingShare: fraction.default(0.75),
 });
 
-/** Sections whose entries all have one schema and whose keys are chosen by the operator. */
+/** Entry schemas of the sections whose keys are chosen by the operator. */
 const entrySchemas: Readonly<Partial<Record<SectionName, z.ZodType>>> = {
   teams: team,
   customers: customer,
@@ -105,7 +105,7 @@
   placement,
 };
 
-/** Sections whose keys are fixed. */
+/** Field schemas of the sections whose keys are fixed. */
 const fieldSchemas: Readonly<Partial<Record<SectionName, Readonly<Record<string, z.ZodType>>>>> = {
   fairness: {
     scope: z.enum(['pool', 'fleet']),
@@ -114,7 +114,7 @@
   },
   limits: {
     ...customerLimits.shape,
-    /** Model loads under way at a time in the whole fleet. */
+    /** Maximum number of concurrent model loads in the fleet. */
     concurrentLoads: z.int().min(1).max(65_536),
   },
 };
@@ -131,21 +131,21 @@
   concurrentLoads: 4,
 } as const;
 
-/** Fixed keys of a section, or `undefined` if its keys are free. */
+/** Returns the fixed keys of a section, or `undefined` if the operator chooses its keys. */
 export function fixedKeysOf(section: SectionName): readonly string[] | undefined {
   const fields = fieldSchemas[section];
   return fields === undefined ? undefined : Object.keys(fields);
 }
 
-/** Schema of one entry, or `undefined` for a key that the section does not have. */
+/** Returns the schema of an entry, or `undefined` if the section does not allow the key. */
 export function schemaOf(section: SectionName, key: string): z.ZodType | undefined {
   const fields = fieldSchemas[section];
   if (fields === undefined) return entrySchemas[section];
   return Object.hasOwn(fields, key) ? fields[key] : undefined;
 }
 
-/** Names of the fields that `section` knows anywhere, for suggestions. */
-export function knownFieldsOf(section: SectionName): readonly string[] {
+/** Returns all field names at any depth of a section's schema, for spelling suggestions. */
+export function fieldNamesOf(section: SectionName): readonly string[] {
   const names = new Set<string>(fixedKeysOf(section) ?? []);
   const objects: Partial<Record<SectionName, readonly z.ZodObject[]>> = {
     teams: [team],
--- a/src/configuration/settings.ts
+++ b/src/configuration/settings.ts
@@ -1,6 +1,6 @@
 /**
- * Settings of an instance: a YAML file, checked as a whole before anything starts. Each finding
- * names its line and column and, for an unknown key, the nearest known one.
+ * Parses and validates the settings file of an instance (YAML) before anything starts. Each
+ * diagnostic has a line and a column and, for an unknown key, a spelling suggestion.
  */
 import {
   isMap,
@@ -24,7 +24,7 @@
 
 export type { Settings } from './settingsSchema.js';
 
-/** A finding in a settings file; line and column count from 1. */
+/** A diagnostic for a settings file; line and column are 1-based. */
 export interface SettingsDiagnostic {
   readonly code: DiagnosticCode;
   readonly args: DiagnosticArgs;
@@ -47,8 +47,8 @@
 export function parseSettings(text: string): SettingsResult {
   const lines = new LineCounter();
   const doc = parseDocument(text, { lineCounter: lines, schema: 'core', logLevel: 'silent' });
-  const broken = [...doc.errors, ...doc.warnings];
-  if (broken.length > 0) return { kind: 'invalid', diagnostics: broken.map(syntaxDiagnostic) };
+  const errors = [...doc.errors, ...doc.warnings];
+  if (errors.length > 0) return { kind: 'invalid', diagnostics: errors.map(syntaxDiagnostic) };
   const alias = findAlias(doc);
   if (alias !== undefined) return { kind: 'invalid', diagnostics: [aliasDiagnostic(lines, alias)] };
   const value: unknown = doc.toJS() ?? {};
@@ -56,17 +56,17 @@
   if (result.success) return { kind: 'settings', settings: result.data };
   const source = { doc, lines };
   const found = result.error.issues.flatMap((issue) => issueDiagnostics(source, issue));
-  return { kind: 'invalid', diagnostics: found.sort(byPlace) };
+  return { kind: 'invalid', diagnostics: found.sort(byPosition) };
 }
 
-/** One line for a finding, `file:line:column: error 3003: text`. */
+/** Formats a diagnostic as `file:line:column: error 3003: text`. */
 export function formatSettingsDiagnostic(file: string, diagnostic: SettingsDiagnostic): string {
   const { code, args, line, column } = diagnostic;
   const { category, code: number } = diagnostics[code];
   return `${file}:${line}:${column}: ${category} ${number}: ${formatDiagnostic(code, args)}`;
 }
 
-function byPlace(a: SettingsDiagnostic, b: SettingsDiagnostic): number {
+function byPosition(a: SettingsDiagnostic, b: SettingsDiagnostic): number {
   return a.line - b.line || a.column - b.column;
 }
 
@@ -79,7 +79,7 @@
   return { code: 'settingsMalformed', args: { reason }, line, column: col };
 }
 
-/** Aliases make a small file grow without bound; settings do without them. */
+/** Finds the first alias. Aliases are rejected because they can expand a small file without bound. */
 function findAlias(doc: Document): Alias | undefined {
   let found: Alias | undefined;
   visit(doc, {
@@ -93,7 +93,7 @@
 
 function aliasDiagnostic(lines: LineCounter, alias: Alias): SettingsDiagnostic {
   const args = { reason: 'Aliases are not allowed.' };
-  return { code: 'settingsMalformed', args, ...placeAt(lines, alias.range?.[0] ?? 0) };
+  return { code: 'settingsMalformed', args, ...positionAt(lines, alias.range?.[0] ?? 0) };
 }
 
 function issueDiagnostics(
@@ -105,30 +105,30 @@
     return issue.keys.map((key) => unknownKeyDiagnostic(source, path, key));
   }
   const setting = path.map(String).join('.');
-  if (valueAt(source.doc, path) === undefined) {
+  if (nodeAt(source.doc, path) === undefined) {
     const code = path.length === 0 ? 'settingsMalformed' : 'missingSetting';
     const args = path.length === 0 ? { reason: issue.message } : { setting };
-    return [{ code, args, ...placeOf(source, path.slice(0, -1)) }];
+    return [{ code, args, ...positionOf(source, path.slice(0, -1)) }];
   }
   const args = { setting, reason: issue.message };
-  return [{ code: 'invalidSetting', args, ...placeOf(source, path) }];
+  return [{ code: 'invalidSetting', args, ...positionOf(source, path) }];
 }
 
 function unknownKeyDiagnostic(source: SettingsSource, path: Path, key: string): SettingsDiagnostic {
   const nearest = nearestName(key, knownKeysAt(path));
-  const place = placeOfKey(source, path, key);
-  if (nearest === undefined) return { code: 'unknownSetting', args: { key }, ...place };
-  return { code: 'unknownSettingNear', args: { key, nearest }, ...place };
+  const position = positionOfKey(source, path, key);
+  if (nearest === undefined) return { code: 'unknownSetting', args: { key }, ...position };
+  return { code: 'unknownSettingNear', args: { key, nearest }, ...position };
 }
 
-/** Names that the schema knows below a path. */
+/** Returns the keys that the schema allows at a path. */
 function knownKeysAt(path: Path): readonly string[] {
   let type: unknown = settingsSchema;
   for (const key of path) type = shapeOf(type)?.[String(key)];
   return Object.keys(shapeOf(type) ?? {});
 }
 
-/** Fields of an object type, whatever it is wrapped in. */
+/** Returns the fields of an object schema, unwrapping pipes, defaults and optional types. */
 function shapeOf(type: unknown): Readonly<Record<string, unknown>> | undefined {
   if (type instanceof z.ZodObject) return type.shape;
   if (type instanceof z.ZodPipe) return shapeOf(type.in);
@@ -137,23 +137,23 @@
   return isWrapper ? shapeOf(type.unwrap()) : undefined;
 }
 
-function valueAt(doc: Document, path: Path): unknown {
+function nodeAt(doc: Document, path: Path): unknown {
   return path.length === 0 ? (doc.contents ?? undefined) : doc.getIn(path, true);
 }
 
-function placeOf(source: SettingsSource, path: Path) {
-  const node = valueAt(source.doc, path) as Node | undefined;
-  return placeAt(source.lines, node?.range?.[0] ?? 0);
+function positionOf(source: SettingsSource, path: Path) {
+  const node = nodeAt(source.doc, path) as Node | undefined;
+  return positionAt(source.lines, node?.range?.[0] ?? 0);
 }
 
-function placeOfKey(source: SettingsSource, path: Path, key: string) {
-  const map = valueAt(source.doc, path);
+function positionOfKey(source: SettingsSource, path: Path, key: string) {
+  const map = nodeAt(source.doc, path);
   const items = isMap(map) ? map.items : [];
   const pair = items.find((item) => isScalar(item.key) && String(item.key.value) === key);
-  return placeAt(source.lines, (pair?.key as Node | undefined)?.range?.[0] ?? 0);
+  return positionAt(source.lines, (pair?.key as Node | undefined)?.range?.[0] ?? 0);
 }
 
-function placeAt(lines: LineCounter, offset: number) {
+function positionAt(lines: LineCounter, offset: number) {
   const { line, col } = lines.linePos(offset);
   return { line: Math.max(1, line), column: Math.max(1, col) };
 }
--- a/src/configuration/settingsSchema.ts
+++ b/src/configuration/settingsSchema.ts
@@ -1,4 +1,4 @@
-/** Schema of an instance's settings. What it leaves out has the default of the part it concerns. */
+/** Schema of an instance's settings. Omitted settings take the default of their component. */
 import * as z from 'zod';
 import { DEFAULT_CORE_SETTINGS, type CoreSettings } from '../core/settings.js';
 import { DEFAULT_ROUTING_SETTINGS, type RoutingSettings } from '../routing/settings.js';
@@ -17,8 +17,8 @@
 const duration = z
   .string("a duration such as '250ms' or '4s' is expected")
   .transform((text, ctx) => {
-    const span = parseDuration(text);
-    if (span !== undefined) return span;
+    const millis = parseDuration(text);
+    if (millis !== undefined) return millis;
     ctx.addIssue("a duration such as '250ms', '4s', '5m' or '1h' is expected");
     return z.NEVER;
   });
@@ -30,10 +30,10 @@
   return z.NEVER;
 });
 
-/** IP number and port; instances know no host names. */
+/** IP address and port; host names are not resolved. */
 const address = z
   .string("an address such as '10.0.0.1:8080' is expected")
-  .refine(isAddress, "an IP number and a port such as '10.0.0.1:8080' are expected");
+  .refine(isAddress, "an IP address and a port such as '10.0.0.1:8080' are expected");
 
 const baseUrl = z
   .string("an address such as 'http://10.0.0.1:8080' is expected")
@@ -52,8 +52,11 @@
 const path = z.string().startsWith('/');
 const keyHash = z.string().regex(/^[0-9a-f]{64}$/, 'a SHA-256 hash in hexadecimal is expected');
 
-/** `heartbeatMs` is set as `heartbeat: 1s`, `answerMemoryBytes` as `answerMemory: 8MiB`. */
-function coreFieldOf(key: string): { readonly key: string; readonly type: z.ZodType } {
+/**
+ * Derives the name and the schema of a setting from the name of its field: `heartbeatMs` is written
+ * as `heartbeat: 1s`, `answerMemoryBytes` as `answerMemory: 8MiB`.
+ */
+function settingFieldOf(key: string): { readonly key: string; readonly type: z.ZodType } {
   if (key.endsWith('Ms')) return { key: key.slice(0, -'Ms'.length), type: duration };
   if (key.endsWith('Bytes')) return { key: key.slice(0, -'Bytes'.length), type: size };
   if (key.endsWith('Hashes')) return { key, type: z.array(keyHash) };
@@ -62,58 +65,61 @@
 
 type FieldDefaults = Readonly<Record<string, number | readonly string[]>>;
 
-interface NamedField {
+interface SettingField {
   readonly target: string;
   readonly field: { readonly key: string; readonly type: z.ZodType };
 }
 
-/** Fields of a group of settings that are named and typed after its defaults. */
-function fieldsOf(defaults: object): readonly NamedField[] {
-  return Object.keys(defaults).map((key) => ({ target: key, field: coreFieldOf(key) }));
+/** Derives the fields of a group of settings from the object with its defaults. */
+function settingFieldsOf(defaults: object): readonly SettingField[] {
+  return Object.keys(defaults).map((key) => ({ target: key, field: settingFieldOf(key) }));
 }
 
-/** Schema of such a group; all of its fields may be left out. */
-function groupOf<T extends object>(fields: readonly NamedField[], others: z.ZodRawShape = {}) {
+/** Creates the schema of a group of settings in which every derived field is optional. */
+function groupSchema<T extends object>(
+  fields: readonly SettingField[],
+  extraFields: z.ZodRawShape = {},
+) {
   const named = fields.map(({ field }) => [field.key, field.type.optional()] as const);
-  return z.strictObject({ ...Object.fromEntries(named), ...others }).transform((values) => {
-    const given = values as Readonly<Record<string, unknown>>;
+  return z.strictObject({ ...Object.fromEntries(named), ...extraFields }).transform((values) => {
+    const parsed = values as Readonly<Record<string, unknown>>;
     const entries = fields
-      .map(({ target, field }) => [target, given[field.key]] as const)
+      .map(({ target, field }) => [target, parsed[field.key]] as const)
       .filter(([, value]) => value !== undefined);
     return Object.fromEntries(entries) as Partial<T>;
   });
 }
 
-function defaultsOf(
-  fields: readonly NamedField[],
+function formatDefaults(
+  fields: readonly SettingField[],
   defaults: FieldDefaults,
 ): ReadonlyMap<string, string> {
   return new Map(
     fields.map(({ target, field }) => {
       const value = defaults[target];
-      if (typeof value !== 'number') return [field.key, listText(value ?? [])];
+      if (typeof value !== 'number') return [field.key, formatList(value ?? [])];
       if (target.endsWith('Ms')) return [field.key, formatDuration(value)];
       return [field.key, target.endsWith('Bytes') ? formatSize(value) : String(value)];
     }),
   );
 }
 
-function listText(values: readonly string[]): string {
+function formatList(values: readonly string[]): string {
   return values.length === 0 ? 'none' : values.join(', ');
 }
 
-const coreFields = fieldsOf(DEFAULT_CORE_SETTINGS);
-const core = groupOf<CoreSettings>(coreFields);
-const routingFields = fieldsOf(DEFAULT_ROUTING_SETTINGS);
+const coreFields = settingFieldsOf(DEFAULT_CORE_SETTINGS);
+const core = groupSchema<CoreSettings>(coreFields);
+const routingFields = settingFieldsOf(DEFAULT_ROUTING_SETTINGS);
 
-/** The defaults of the core's settings as settings write them, by name. */
+/** Returns the default of each core setting by name, in the notation of the settings file. */
 export function coreSettingDefaults(): ReadonlyMap<string, string> {
-  return defaultsOf(coreFields, { ...DEFAULT_CORE_SETTINGS });
+  return formatDefaults(coreFields, { ...DEFAULT_CORE_SETTINGS });
 }
 
-/** The defaults of the routing core's settings as settings write them, by name. */
+/** Returns the default of each routing setting by name, in the notation of the settings file. */
 export function routingSettingDefaults(): ReadonlyMap<string, string> {
-  return defaultsOf(routingFields, { ...DEFAULT_ROUTING_SETTINGS });
+  return formatDefaults(routingFields, { ...DEFAULT_ROUTING_SETTINGS });
 }
 
 export const settingsSchema = z.strictObject({
@@ -123,10 +129,10 @@
     peers: address,
     operators: address.default(`127.0.0.1:${DEFAULT_OPERATORS_PORT}`),
   }),
-  /** Address of the peer port as other instances reach it. */
+  /** Address at which other instances reach the peer port. */
   advertise: address.optional(),
   platform: z.strictObject({ url: baseUrl }).optional(),
-  /** Configuration document in force until the log gives a newer one. */
+  /** Configuration document used until the log provides a newer one. */
   document: file.optional(),
   tls: z
     .strictObject({
@@ -152,17 +158,17 @@
     })
     .prefault({}),
   core: core.prefault({}),
-  /** Present for an instance that passes requests through on routes of the platform. */
+  /** Enables forwarding of requests on the platform's routes. */
   routing: z
     .strictObject({
-      /** Address at which the balancer asks whether new callers may come, and the path. */
+      /** Address and path of the readiness probe of the load balancer. */
       readiness: address,
       readinessPath: path,
-      /** Path of the metrics at the operators' address. */
+      /** Path of the metrics endpoint on the operators' address. */
       metricsPath: path.default('/metrics'),
       /** Region of each failure domain. */
       regions: z.record(name, name),
-      tuning: groupOf<RoutingSettings>(routingFields).prefault({}),
+      tuning: groupSchema<RoutingSettings>(routingFields).prefault({}),
     })
     .optional(),
 });
--- a/src/configuration/source.ts
+++ b/src/configuration/source.ts
@@ -1,10 +1,10 @@
 /**
- * Splits the source of a document into sections and that of a section into entries, by lines that
- * begin in the first column. In YAML's block style every other line belongs to the entry before it,
- * so each entry can be parsed by itself and a change of one entry costs the parsing of one.
+ * Splits the source of a document into sections and that of a section into entries, at lines that
+ * begin in the first column. In YAML block style every other line belongs to the preceding entry,
+ * so entries can be parsed independently and changing one entry requires parsing only that entry.
  */
 import { parseDocument, stringify } from 'yaml';
-import { ENTRY_BYTES_MAX, ENTRIES_MAX, SECTION_BYTES_MAX } from './bounds.js';
+import { MAX_ENTRY_LENGTH, ENTRIES_MAX, MAX_SECTION_LENGTH } from './bounds.js';
 import { nearestName } from './nearest.js';
 import { ID_PATTERN } from './schema.js';
 import {
@@ -16,19 +16,19 @@
   type Steps,
 } from './types.js';
 
-/** Source of one entry. */
+/** Source text and key of one entry. */
 export interface EntrySource {
   readonly key: string;
   readonly text: string;
-  /** Line of the section's source on which `text` begins, from 0. */
+  /** Zero-based line of the section's source on which `text` begins. */
   readonly line: number;
 }
 
-/** Source of one section, its entries in the first column. */
+/** Source of one section, dedented so that its entries begin in the first column. */
 export interface SectionSource {
   readonly name: SectionName;
   readonly text: string;
-  /** Line and column of the document at which `text` begins, from 0. */
+  /** Zero-based line and column of the document at which `text` begins. */
   readonly line: number;
   readonly column: number;
 }
@@ -39,19 +39,19 @@
 }
 
 const LINES_PER_STEP = 1_024;
-/** Work of one such step, in units of parsing one entry. */
-const STEP_WORK = 5;
+/** Cost of scanning `LINES_PER_STEP` lines, relative to parsing one entry. */
+const STEP_COST = 5;
 
 const KEY_LINE = /^(["']?)([^\s"':#][^"':#]*?)\1\s*:(?:\s+(.*))?$/;
-const IGNORED_LINE = /^\s*(#.*)?$/;
+const BLANK_OR_COMMENT_LINE = /^\s*(#.*)?$/;
 const DOCUMENT_START = /^---\s*$/;
 
-/** Splits a document into its sections at once. */
+/** Splits a document into its sections. */
 export function splitDocument(source: string): Split<SectionSource> {
   return runSteps(splitDocumentSteps(source));
 }
 
-/** Splits a document into its sections, in pieces. */
+/** Splits a document into its sections incrementally. */
 export function* splitDocumentSteps(source: string): Steps<Split<SectionSource>> {
   const lines = yield* splitLinesSteps(source);
   const parts: SectionSource[] = [];
@@ -62,23 +62,23 @@
     const line = lines[index] ?? '';
     const start = index;
     index += 1;
-    if (IGNORED_LINE.test(line) || (start === 0 && DOCUMENT_START.test(line))) continue;
+    if (BLANK_OR_COMMENT_LINE.test(line) || (start === 0 && DOCUMENT_START.test(line))) continue;
     const name = KEY_LINE.exec(line)?.[2];
     if (name === undefined) {
-      diagnostics.push(at('notASection', start, 0));
+      diagnostics.push(diagnosticAt('notASection', start, 0));
       continue;
     }
     while (index < lines.length && !isTopLevel(lines[index] ?? '')) {
       index += 1;
-      if (index % LINES_PER_STEP === 0) yield STEP_WORK;
+      if (index % LINES_PER_STEP === 0) yield STEP_COST;
     }
     if (!isSectionName(name)) {
       diagnostics.push(unknownSection(name, start));
     } else if (seen.has(name)) {
-      diagnostics.push(at('duplicateKey', start, 0, { key: name }));
+      diagnostics.push(diagnosticAt('duplicateKey', start, 0, { key: name }));
     } else {
       seen.add(name);
-      parts.push(yield* sectionSteps(name, lines, start, index));
+      parts.push(yield* extractSectionSteps(name, lines, start, index));
     }
   }
   return { parts, diagnostics };
@@ -87,74 +87,74 @@
 function unknownSection(name: string, line: number): DocumentDiagnostic {
   const nearest = nearestName(name, SECTION_NAMES);
   return nearest === undefined
-    ? at('unknownSection', line, 0, { section: name })
-    : at('unknownSectionNear', line, 0, { section: name, nearest });
+    ? diagnosticAt('unknownSection', line, 0, { section: name })
+    : diagnosticAt('unknownSectionNear', line, 0, { section: name, nearest });
 }
 
-/** Splits at the ends of lines, in pieces. */
+/** Splits text into lines incrementally; accepts LF and CRLF. */
 function* splitLinesSteps(source: string): Steps<readonly string[]> {
   const lines: string[] = [];
   let begin = 0;
   while (begin <= source.length) {
-    const found = source.indexOf('\n', begin);
-    const end = found < 0 ? source.length : found;
+    const newline = source.indexOf('\n', begin);
+    const end = newline < 0 ? source.length : newline;
     lines.push(source.slice(begin, source[end - 1] === '\r' ? end - 1 : end));
     begin = end + 1;
-    if (lines.length % LINES_PER_STEP === 0) yield STEP_WORK;
+    if (lines.length % LINES_PER_STEP === 0) yield STEP_COST;
   }
   return lines;
 }
 
-/** Cuts the lines of one section out of a document and moves them to the first column. */
-function* sectionSteps(
+/** Extracts the lines of one section from a document and dedents them. */
+function* extractSectionSteps(
   name: SectionName,
   lines: readonly string[],
   start: number,
   end: number,
 ): Steps<SectionSource> {
-  const rest = stripComment(KEY_LINE.exec(lines[start] ?? '')?.[3] ?? '');
-  if (rest !== '') {
-    const text = [rest, ...lines.slice(start + 1, end)].join('\n');
+  const inlineValue = stripComment(KEY_LINE.exec(lines[start] ?? '')?.[3] ?? '');
+  if (inlineValue !== '') {
+    const text = [inlineValue, ...lines.slice(start + 1, end)].join('\n');
     return { name, text, line: start, column: 0 };
   }
   let indent: string | undefined;
-  const moved: string[] = [];
+  const dedentedLines: string[] = [];
   for (let i = start + 1; i < end; i += 1) {
     const line = lines[i] ?? '';
-    if (indent === undefined && !IGNORED_LINE.test(line)) indent = /^\s*/.exec(line)?.[0];
-    moved.push(moveLine(line, indent));
-    if (i % LINES_PER_STEP === 0) yield STEP_WORK;
+    if (indent === undefined && !BLANK_OR_COMMENT_LINE.test(line)) indent = /^\s*/.exec(line)?.[0];
+    dedentedLines.push(dedentLine(line, indent));
+    if (i % LINES_PER_STEP === 0) yield STEP_COST;
   }
-  return { name, text: trimEnd(moved), line: start + 1, column: indent?.length ?? 0 };
+  return { name, text: joinTrimmed(dedentedLines), line: start + 1, column: indent?.length ?? 0 };
 }
 
 /**
- * Removes the indent of a section. A line that is indented less is no part of the mapping: it is
- * marked so that it is reported as a malformed entry.
+ * Removes the indentation of a section from a line. A line with less indentation is not part of the
+ * mapping; it is prefixed with `? ` so that it is reported as a malformed entry.
  */
-function moveLine(line: string, indent: string | undefined): string {
+function dedentLine(line: string, indent: string | undefined): string {
   if (indent !== undefined && line.startsWith(indent)) return line.slice(indent.length);
-  return IGNORED_LINE.test(line) ? line.trimStart() : `? ${line.trimStart()}`;
+  return BLANK_OR_COMMENT_LINE.test(line) ? line.trimStart() : `? ${line.trimStart()}`;
 }
 
-function trimEnd(lines: readonly string[]): string {
+function joinTrimmed(lines: readonly string[]): string {
   const joined = lines.join('\n').trimEnd();
   return joined === '' ? '' : `${joined}\n`;
 }
 
-/** Splits a section into its entries at once. */
+/** Splits a section into its entries. */
 export function splitSection(section: SectionName, source: string): Split<EntrySource> {
   return runSteps(splitSectionSteps(section, source));
 }
 
-/** Splits a section into its entries, in pieces. Comments before an entry belong to it. */
+/** Splits a section into its entries incrementally. Comments before an entry belong to it. */
 export function* splitSectionSteps(
   section: SectionName,
   source: string,
 ): Steps<Split<EntrySource>> {
-  if (source.length > SECTION_BYTES_MAX) {
-    const args = { section, limit: SECTION_BYTES_MAX };
-    return { parts: [], diagnostics: [at('sectionTooLarge', 0, 0, args)] };
+  if (source.length > MAX_SECTION_LENGTH) {
+    const args = { section, limit: MAX_SECTION_LENGTH };
+    return { parts: [], diagnostics: [diagnosticAt('sectionTooLarge', 0, 0, args)] };
   }
   if (/^[{[]/.test(source.trimStart())) return splitFlowSection(section, source);
   const lines = yield* splitLinesSteps(source);
@@ -164,60 +164,67 @@
   let start = 0;
   let key: string | undefined;
   let commentStart: number | undefined;
-  const close = (end: number) => {
+  const finishEntry = (end: number) => {
     if (key === undefined) return;
-    if (seen.has(key)) diagnostics.push(at('duplicateKey', start, 0, { key }));
+    if (seen.has(key)) diagnostics.push(diagnosticAt('duplicateKey', start, 0, { key }));
     seen.add(key);
     parts.push({ key, text: entryText(lines.slice(start, end)), line: start });
   };
   for (let i = 0; i < lines.length; i += 1) {
-    if (i % LINES_PER_STEP === 0) yield STEP_WORK;
+    if (i % LINES_PER_STEP === 0) yield STEP_COST;
     const line = lines[i] ?? '';
-    if (IGNORED_LINE.test(line)) {
+    if (BLANK_OR_COMMENT_LINE.test(line)) {
       if (line.startsWith('#')) commentStart ??= i;
     } else if (isTopLevel(line)) {
       const next = KEY_LINE.exec(line)?.[2];
       if (next === undefined || !ID_PATTERN.test(next)) {
-        diagnostics.push(at('notAnEntry', i, 0, { section }));
+        diagnostics.push(diagnosticAt('notAnEntry', i, 0, { section }));
       } else {
         const begin = commentStart ?? i;
-        close(begin);
+        finishEntry(begin);
         key = next;
         start = begin;
       }
       commentStart = undefined;
     } else {
-      if (key === undefined) diagnostics.push(at('notAnEntry', i, 0, { section }));
+      if (key === undefined) diagnostics.push(diagnosticAt('notAnEntry', i, 0, { section }));
       commentStart = undefined;
     }
   }
-  close(lines.length);
+  finishEntry(lines.length);
   if (parts.length > ENTRIES_MAX) {
-    diagnostics.push(at('tooManyEntries', 0, 0, { section, limit: ENTRIES_MAX }));
+    diagnostics.push(diagnosticAt('tooManyEntries', 0, 0, { section, limit: ENTRIES_MAX }));
   }
   return { parts, diagnostics };
 }
 
-/** A section in flow style (`{...}`); it is brought into block style, entry by entry. */
+/** Splits a section in flow style (`{...}`), converting each entry to block style. */
 function splitFlowSection(section: SectionName, source: string): Split<EntrySource> {
-  const tooLarge = source.length > ENTRY_BYTES_MAX || exceedsFlowDepth(source);
-  if (tooLarge) return { parts: [], diagnostics: [at('flowSectionTooLarge', 0, 0, { section })] };
+  const tooLarge = source.length > MAX_ENTRY_LENGTH || exceedsMaxNesting(source);
+  if (tooLarge)
+    return { parts: [], diagnostics: [diagnosticAt('flowSectionTooLarge', 0, 0, { section })] };
   const doc = parseDocument(source, { schema: 'core', logLevel: 'silent' });
   const value: unknown = doc.errors.length === 0 ? doc.toJS({ maxAliasCount: 0 }) : undefined;
   if (typeof value !== 'object' || value === null || Array.isArray(value)) {
-    return { parts: [], diagnostics: [at('notAnEntry', 0, 0, { section })] };
+    return { parts: [], diagnostics: [diagnosticAt('notAnEntry', 0, 0, { section })] };
   }
   const parts = Object.entries(value).map(([key, item], line) => ({
     key,
     text: stringify({ [key]: item as unknown }),
     line,
   }));
-  const wrong = parts.filter((part) => !ID_PATTERN.test(part.key));
-  return { parts, diagnostics: wrong.map(() => at('notAnEntry', 0, 0, { section })) };
+  const invalidParts = parts.filter((part) => !ID_PATTERN.test(part.key));
+  return {
+    parts,
+    diagnostics: invalidParts.map(() => diagnosticAt('notAnEntry', 0, 0, { section })),
+  };
 }
 
-/** Nesting of brackets and of compact sequences, counted without regard to quotes. */
-export function exceedsFlowDepth(source: string, limit = 16): boolean {
+/**
+ * Whether brackets or compact sequences are nested too deeply. Quotes are not taken into account, so
+ * brackets within strings count as well.
+ */
+export function exceedsMaxNesting(source: string, limit = 16): boolean {
   let depth = 0;
   for (const char of source) {
     if (char === '[' || char === '{') depth += 1;
@@ -239,7 +246,7 @@
   return text.startsWith('#') ? '' : text.trim();
 }
 
-function at(
+function diagnosticAt(
   code: DocumentDiagnostic['code'],
   line: number,
   column: number,
--- a/src/configuration/types.ts
+++ b/src/configuration/types.ts
@@ -1,6 +1,6 @@
 /**
- * Shapes of the configuration document. The document is one YAML mapping of sections, each of them
- * a mapping of entries. An entry is the unit of parsing, of differences and of caching.
+ * Types of the configuration document. A document is a YAML mapping of sections, each of which is a
+ * mapping of entries. An entry is the unit of parsing, diffing and caching.
  */
 import type { DiagnosticArgs, DiagnosticCode } from '../core/diagnostics.js';
 import type {
@@ -14,7 +14,7 @@
   ShareScope,
 } from '../core/types.js';
 
-/** Sections in the order in which a whole document is written. */
+/** Section names in the order in which a document is formatted. */
 export const SECTION_NAMES = [
   'teams',
   'customers',
@@ -36,7 +36,7 @@
 
 export interface TeamEntry {
   readonly keyHashes: readonly KeyHash[];
-  /** Sections that the team may change. */
+  /** Sections that the team owns and may edit. */
   readonly sections: readonly SectionName[];
 }
 
@@ -86,7 +86,7 @@
   readonly servingShare: number;
 }
 
-/** Value of an entry by section. */
+/** Type of an entry's value, by section. */
 export interface EntryValues {
   readonly teams: TeamEntry;
   readonly customers: CustomerEntry;
@@ -100,22 +100,22 @@
   readonly placement: PlacementEntry;
 }
 
-/** An entry as it was written, with its value after defaults. */
+/** An entry's source and its value with defaults applied. */
 export interface Entry<V = unknown> {
   readonly key: string;
-  /** Source with its comments, the key in the first column. */
+  /** Source including preceding comments, with the key in the first column. */
   readonly text: string;
   readonly value: V;
 }
 
 export type EntriesOf<S extends SectionName> = ReadonlyMap<string, Entry<EntryValues[S]>>;
 
-/** A parsed document; absent sections are empty. */
+/** A parsed document. Absent sections are empty maps. */
 export type ConfigurationDocument = {
   readonly [S in SectionName]: EntriesOf<S>;
 };
 
-/** A finding in a document. Lines and columns count from 1; 0 where none applies. */
+/** A diagnostic for a document. Lines and columns are 1-based; 0 means that none applies. */
 export interface DocumentDiagnostic {
   readonly code: DiagnosticCode;
   readonly args: DiagnosticArgs;
@@ -129,10 +129,13 @@
   | { readonly kind: 'document'; readonly document: ConfigurationDocument }
   | { readonly kind: 'diagnostics'; readonly diagnostics: readonly DocumentDiagnostic[] };
 
-/** A computation in pieces: yields after each piece with the work done, in units of one entry. */
+/**
+ * An incremental computation. It yields the cost of each completed step, relative to parsing one
+ * entry, so that the caller can interleave other work.
+ */
 export type Steps<T> = Generator<number, T, void>;
 
-/** Runs a computation to its end at once. */
+/** Runs an incremental computation to completion. */
 export function runSteps<T>(steps: Steps<T>): T {
   for (;;) {
     const result = steps.next();
--- a/src/configuration/units.ts
+++ b/src/configuration/units.ts
@@ -1,4 +1,4 @@
-/** Durations and sizes as settings write them. */
+/** Parses and formats durations and sizes in the notation of the settings file. */
 import { MS_PER_SECOND, type Millis } from '../core/clock.js';
 
 const MS_PER_MINUTE: Millis = 60 * MS_PER_SECOND;
@@ -18,12 +18,12 @@
   GiB: 1_024 ** 3,
 };
 
-/** Returns `250ms`, `4s`, `5m` or `1h` in milliseconds; `undefined` if it is none of these. */
+/** Parses a duration such as `250ms`, `4s`, `5m` or `1h`; `undefined` if it is malformed. */
 export function parseDuration(text: string): Millis | undefined {
   return parseWithUnit(text, DURATION_UNITS);
 }
 
-/** Returns `100B`, `64KiB`, `4MiB` or `1GiB` in bytes; `undefined` if it is none of these. */
+/** Parses a size such as `100B`, `64KiB`, `4MiB` or `1GiB` to bytes; `undefined` if malformed. */
 export function parseSize(text: string): number | undefined {
   return parseWithUnit(text, SIZE_UNITS);
 }
@@ -34,18 +34,18 @@
   return unit === undefined ? undefined : Number(match?.[1]) * unit;
 }
 
-/** Writes a duration in the largest unit that divides it. */
-export function formatDuration(span: Millis): string {
-  return formatWithUnit(span, DURATION_UNITS);
+/** Formats a duration in the largest unit of which it is a multiple. */
+export function formatDuration(duration: Millis): string {
+  return formatWithUnit(duration, DURATION_UNITS);
 }
 
-/** Writes a size in the largest unit that divides it. */
+/** Formats a size in the largest unit of which it is a multiple. */
 export function formatSize(bytes: number): string {
   return formatWithUnit(bytes, SIZE_UNITS);
 }
 
 function formatWithUnit(value: number, units: Readonly<Record<string, number>>): string {
-  const fitting = Object.entries(units).findLast(([, unit]) => value % unit === 0 && value > 0);
-  const [name, unit] = fitting ?? Object.entries(units)[0] ?? ['', 1];
+  const largestUnit = Object.entries(units).findLast(([, unit]) => value % unit === 0 && value > 0);
+  const [name, unit] = largestUnit ?? Object.entries(units)[0] ?? ['', 1];
   return `${value / unit}${name}`;
 }
--- a/src/configuration/view.ts
+++ b/src/configuration/view.ts
@@ -1,6 +1,6 @@
 /**
- * Builds the view that the core works with from a parsed document. A section that has not changed
- * keeps its maps, so a small edit costs little; the rest is built in pieces.
+ * Builds the indexed view that the core uses from a parsed document. Maps of unchanged sections are
+ * reused, so that a small edit is cheap; the others are built incrementally.
  */
 import { FIELD_DEFAULTS } from './schema.js';
 import { runSteps, type ConfigurationDocument, type Entry, type Steps } from './types.js';
@@ -21,11 +21,11 @@
   UpstreamId,
 } from '../core/types.js';
 
-/** Work of indexing one entry, in units of parsing one. */
-const ENTRY_INDEX_WORK = 0.02;
+/** Cost of indexing one entry, relative to parsing one. */
+const ENTRY_INDEX_COST = 0.02;
 const ENTRIES_PER_STEP = 256;
 
-/** Numbers given to customers and pools; a number is given once and never again. */
+/** Numbers assigned to customers and pools. A number is never reused. */
 export interface Numbers {
   readonly customers: ReadonlyMap<CustomerId, CustomerNumber>;
   readonly nextCustomer: number;
@@ -40,17 +40,17 @@
   nextPool: 1,
 };
 
-/** A view together with what it was built from. */
+/** A view and the inputs from which it was built. */
 export interface BuiltView {
   readonly view: ConfigurationView;
   readonly document: ConfigurationDocument;
   readonly numbers: Numbers;
 }
 
-/** Gives numbers to new customers and pools and forgets those of removed ones. */
-export function assignNumbers(document: ConfigurationDocument, earlier: Numbers): Numbers {
-  const customers = assign(document.customers, earlier.customers, earlier.nextCustomer);
-  const pools = assign(document.pools, earlier.pools, earlier.nextPool);
+/** Assigns numbers to new customers and pools and drops the numbers of removed ones. */
+export function assignNumbers(document: ConfigurationDocument, previous: Numbers): Numbers {
+  const customers = assignStable(document.customers, previous.customers, previous.nextCustomer);
+  const pools = assignStable(document.pools, previous.pools, previous.nextPool);
   return {
     customers: customers.numbers,
     nextCustomer: customers.next,
@@ -59,26 +59,26 @@
   };
 }
 
-function assign(
+function assignStable(
   entries: ReadonlyMap<string, Entry>,
-  earlier: ReadonlyMap<string, number>,
-  firstFree: number,
+  previous: ReadonlyMap<string, number>,
+  nextFree: number,
 ) {
   const isUnchanged =
-    entries.size === earlier.size && [...entries.keys()].every((key) => earlier.has(key));
-  if (isUnchanged) return { numbers: earlier, next: firstFree };
-  let next = firstFree;
+    entries.size === previous.size && [...entries.keys()].every((key) => previous.has(key));
+  if (isUnchanged) return { numbers: previous, next: nextFree };
+  let next = nextFree;
   const numbers = new Map<string, number>();
-  // In the order of names, so that the order of entries in the source has no influence.
+  // Sorted, so that the assignment does not depend on the order of entries in the source.
   for (const key of [...entries.keys()].sort()) {
-    const known = earlier.get(key);
+    const known = previous.get(key);
     numbers.set(key, known ?? next);
     if (known === undefined) next += 1;
   }
   return { numbers, next };
 }
 
-/** Builds a view at once. */
+/** Builds a view. */
 export function createView(
   document: ConfigurationDocument,
   numbers: Numbers,
@@ -87,17 +87,17 @@
   return runSteps(createViewSteps(document, numbers, version)).view;
 }
 
-/** Builds a view in pieces, reusing the parts of `earlier` whose sections are the same. */
+/** Builds a view incrementally, reusing the parts of `previous` whose sections are unchanged. */
 export function* createViewSteps(
   document: ConfigurationDocument,
   numbers: Numbers,
   version: number,
-  earlier?: BuiltView,
+  previous?: BuiltView,
 ): Steps<BuiltView> {
-  const customers = yield* indexCustomers(document, numbers, earlier);
+  const customers = yield* indexCustomers(document, numbers, previous);
   const pools = indexPools(document, numbers);
-  const upstreams = yield* indexUpstreams(document, earlier);
-  const weightOf = yield* indexWeights(document, numbers, earlier);
+  const upstreams = yield* indexUpstreams(document, previous);
+  const weightOf = yield* indexWeights(document, numbers, previous);
   const view: ConfigurationView = {
     version,
     ...customers,
@@ -118,20 +118,20 @@
 function* indexCustomers(
   document: ConfigurationDocument,
   numbers: Numbers,
-  earlier: BuiltView | undefined,
+  previous: BuiltView | undefined,
 ): Steps<Pick<ConfigurationView, 'customers' | 'customersByKey' | 'customersById'>> {
   if (
-    earlier?.document.customers === document.customers &&
-    earlier.document.limits === document.limits &&
-    earlier.numbers.customers === numbers.customers
+    previous?.document.customers === document.customers &&
+    previous.document.limits === document.limits &&
+    previous.numbers.customers === numbers.customers
   ) {
-    const { customers, customersByKey, customersById } = earlier.view;
+    const { customers, customersByKey, customersById } = previous.view;
     return { customers, customersByKey, customersById };
   }
   const defaults = defaultLimitsOf(document);
   const customers = new Map<CustomerNumber, CustomerConfig>();
   const customersByKey = new Map<KeyHash, CustomerNumber>();
-  let pending = 0;
+  let processed = 0;
   for (const [id, { value }] of document.customers) {
     const number = numbers.customers.get(id);
     if (number !== undefined) {
@@ -139,26 +139,26 @@
       customers.set(number, { id, number, keyHashes: value.keyHashes, limits });
       value.keyHashes.forEach((hash) => customersByKey.set(hash, number));
     }
-    pending += 1;
-    if (pending % ENTRIES_PER_STEP === 0) yield ENTRIES_PER_STEP * ENTRY_INDEX_WORK;
+    processed += 1;
+    if (processed % ENTRIES_PER_STEP === 0) yield ENTRIES_PER_STEP * ENTRY_INDEX_COST;
   }
   return { customers, customersByKey, customersById: numbers.customers };
 }
 
 function defaultLimitsOf(document: ConfigurationDocument): CustomerLimits {
   return {
-    waitingRequests: numberOf(document, 'waitingRequests'),
-    waitingBytes: numberOf(document, 'waitingBytes'),
-    concurrency: numberOf(document, 'concurrency'),
-    rate: numberOf(document, 'rate'),
+    waitingRequests: limitOf(document, 'waitingRequests'),
+    waitingBytes: limitOf(document, 'waitingBytes'),
+    concurrency: limitOf(document, 'concurrency'),
+    rate: limitOf(document, 'rate'),
   };
 }
 
-function numberOf(document: ConfigurationDocument, key: keyof CustomerLimits): number {
+function limitOf(document: ConfigurationDocument, key: keyof CustomerLimits): number {
   return document.limits.get(key)?.value ?? FIELD_DEFAULTS[key];
 }
 
-/** Model loads that may be under way at a time in the whole fleet. */
+/** Returns the maximum number of concurrent model loads in the fleet. */
 export function concurrentLoadsOf(document: ConfigurationDocument): number {
   return document.limits.get('concurrentLoads')?.value ?? FIELD_DEFAULTS.concurrentLoads;
 }
@@ -179,27 +179,27 @@
 
 function* indexUpstreams(
   document: ConfigurationDocument,
-  earlier: BuiltView | undefined,
+  previous: BuiltView | undefined,
 ): Steps<Pick<ConfigurationView, 'upstreams' | 'upstreamsByPool'>> {
   if (
-    earlier?.document.upstreams === document.upstreams &&
-    earlier.document.pools === document.pools
+    previous?.document.upstreams === document.upstreams &&
+    previous.document.pools === document.pools
   ) {
-    const { upstreams, upstreamsByPool } = earlier.view;
+    const { upstreams, upstreamsByPool } = previous.view;
     return { upstreams, upstreamsByPool };
   }
   const upstreams = new Map<UpstreamId, UpstreamConfig>();
   const byPool = new Map<PoolId, UpstreamConfig[]>();
   for (const pool of document.pools.keys()) byPool.set(pool, []);
-  let pending = 0;
+  let processed = 0;
   for (const [id, { value }] of document.upstreams) {
-    const known = earlier?.document.upstreams.get(id);
-    const reused = known?.value === value ? earlier?.view.upstreams.get(id) : undefined;
+    const known = previous?.document.upstreams.get(id);
+    const reused = known?.value === value ? previous?.view.upstreams.get(id) : undefined;
     const upstream: UpstreamConfig = reused ?? { id, ...value };
     upstreams.set(id, upstream);
     byPool.get(upstream.pool)?.push(upstream);
-    pending += 1;
-    if (pending % ENTRIES_PER_STEP === 0) yield ENTRIES_PER_STEP * ENTRY_INDEX_WORK;
+    processed += 1;
+    if (processed % ENTRIES_PER_STEP === 0) yield ENTRIES_PER_STEP * ENTRY_INDEX_COST;
   }
   return { upstreams, upstreamsByPool: byPool };
 }
@@ -207,26 +207,26 @@
 function* indexWeights(
   document: ConfigurationDocument,
   numbers: Numbers,
-  earlier: BuiltView | undefined,
+  previous: BuiltView | undefined,
 ): Steps<ConfigurationView['weightOf']> {
   if (
-    earlier?.document.entitlements === document.entitlements &&
-    earlier.numbers.customers === numbers.customers
+    previous?.document.entitlements === document.entitlements &&
+    previous.numbers.customers === numbers.customers
   ) {
-    return earlier.view.weightOf;
+    return previous.view.weightOf;
   }
   const weights = new Map<CustomerNumber, Readonly<Record<PoolId, number>>>();
-  let pending = 0;
+  let processed = 0;
   for (const [id, { value }] of document.entitlements) {
     const number = numbers.customers.get(id);
     if (number !== undefined) weights.set(number, value);
-    pending += 1;
-    if (pending % ENTRIES_PER_STEP === 0) yield ENTRIES_PER_STEP * ENTRY_INDEX_WORK;
+    processed += 1;
+    if (processed % ENTRIES_PER_STEP === 0) yield ENTRIES_PER_STEP * ENTRY_INDEX_COST;
   }
   return (customer, pool) => weights.get(customer)?.[pool] ?? 1;
 }
 
-/** Longest prefixes first, so that the first match decides. */
+/** Lists routes with the longest prefix first, so that the first match is the most specific. */
 function routesOf(document: ConfigurationDocument): readonly RouteConfig[] {
   const routes = [...document.routes].flatMap(([pool, { value }]) =>
     value.map((route) => ({ pool, ...route })),
--- a/test/configuration/document.test.ts
+++ b/test/configuration/document.test.ts
@@ -20,14 +20,14 @@
   return result.document;
 }
 
-function findingsOf(source: string): readonly DocumentDiagnostic[] {
+function diagnosticsOf(source: string): readonly DocumentDiagnostic[] {
   const result = parseDocument(source);
   return result.kind === 'diagnostics' ? result.diagnostics : [];
 }
 
-const findingOf = (source: string) => {
-  const [finding] = findingsOf(TEAMS + source);
-  return finding && { code: finding.code, line: finding.line - 4, column: finding.column };
+const firstDiagnosticOf = (source: string) => {
+  const [first] = diagnosticsOf(TEAMS + source);
+  return first && { code: first.code, line: first.line - 4, column: first.column };
 };
 
 describe('configuration document', () => {
@@ -60,64 +60,78 @@
     expect(view.pools.get('shop')?.idempotentByDefault).to.equal(false);
   });
 
-  it('names the place of a finding and the nearest name', () => {
-    expect(findingOf('pols:\n  a: { kind: model }\n')).to.deep.equal({
+  it('reports the position of a diagnostic and suggests a similar name', () => {
+    expect(firstDiagnosticOf('pols:\n  a: { kind: model }\n')).to.deep.equal({
       code: 'unknownSectionNear',
       line: 1,
       column: 1,
     });
-    expect(findingOf('pools:\n  # note\n  a:\n    knd: model\n')).to.deep.equal({
+    expect(firstDiagnosticOf('pools:\n  # note\n  a:\n    knd: model\n')).to.deep.equal({
       code: 'missingField',
       line: 3,
       column: 3,
     });
     expect(
-      findingsOf(`${TEAMS}pools:\n  a:\n    kind: model\n    crosRegion: true\n`)[0],
+      diagnosticsOf(`${TEAMS}pools:\n  a:\n    kind: model\n    crosRegion: true\n`)[0],
     ).to.include({ code: 'unknownFieldNear', line: 8, column: 5 });
-    expect(findingOf('pools:\n  a: { kind: model }\n  a: { kind: model }\n')).to.deep.equal({
-      code: 'duplicateKey',
-      line: 3,
-      column: 3,
-    });
-    expect(findingOf('pools:\n  a: { kind: model, kind: service }\n')?.code).to.equal(
+    expect(firstDiagnosticOf('pools:\n  a: { kind: model }\n  a: { kind: model }\n')).to.deep.equal(
+      {
+        code: 'duplicateKey',
+        line: 3,
+        column: 3,
+      },
+    );
+    expect(firstDiagnosticOf('pools:\n  a: { kind: model, kind: service }\n')?.code).to.equal(
       'malformedYaml',
     );
-    expect(findingOf('fairness:\n  scop: pool\n')?.code).to.equal('unknownFieldNear');
-    expect(findingOf('pools:\n    a: { kind: model }\n  b: { kind: model }\n')?.line).to.equal(3);
+    expect(firstDiagnosticOf('fairness:\n  scop: pool\n')?.code).to.equal('unknownFieldNear');
+    expect(
+      firstDiagnosticOf('pools:\n    a: { kind: model }\n  b: { kind: model }\n')?.line,
+    ).to.equal(3);
   });
 
   it('checks references across sections', () => {
     const pools = 'pools:\n  chat: { kind: model }\n';
     const upstream = (pool: string, port = 1) =>
       `{ pool: ${pool}, url: "http://127.0.0.1:${port}", domain: d, region: r }`;
-    expect(findingOf(`${pools}upstreams:\n  e: ${upstream('chap')}\n`)).to.deep.equal({
+    expect(firstDiagnosticOf(`${pools}upstreams:\n  e: ${upstream('chap')}\n`)).to.deep.equal({
       code: 'unknownReferenceNear',
       line: 4,
       column: 3,
     });
-    expect(findingOf(`${pools}entitlements:\n  c: { chat: 1 }\n`)?.code).to.equal(
+    expect(firstDiagnosticOf(`${pools}entitlements:\n  c: { chat: 1 }\n`)?.code).to.equal(
+      'unknownReference',
+    );
+    expect(firstDiagnosticOf('plannedStops:\n  e9: { reason: x }\n')?.code).to.equal(
       'unknownReference',
     );
-    expect(findingOf('plannedStops:\n  e9: { reason: x }\n')?.code).to.equal('unknownReference');
     const twice = `upstreams:\n  e: ${upstream('chat')}\n  f: ${upstream('chat')}\n`;
-    expect(findingOf(pools + twice)?.code).to.equal('sharedUrl');
+    expect(firstDiagnosticOf(pools + twice)?.code).to.equal('sharedUrl');
     const shared = `customers:\n  c: { keyHashes: [${OTHER_KEY}] }\n  d: { keyHashes: [${OTHER_KEY}] }\n`;
-    expect(findingOf(shared)).to.deep.equal({ code: 'sharedKey', line: 3, column: 3 });
-    expect(findingsOf('pools:\n  a: { kind: model }\n')[0]?.code).to.equal('sectionWithoutOwner');
+    expect(firstDiagnosticOf(shared)).to.deep.equal({ code: 'sharedKey', line: 3, column: 3 });
+    expect(diagnosticsOf('pools:\n  a: { kind: model }\n')[0]?.code).to.equal(
+      'sectionWithoutOwner',
+    );
   });
 
-  it('bounds aliases, depth and size', () => {
+  it('limits aliases, nesting depth and size', () => {
     const bomb = Array.from({ length: 20 }, () => '*a').join(', ');
     expect(
-      findingOf(`routes:\n  a: [&a { pathPrefix: /, idempotent: true }, ${bomb}]\n`)?.code,
+      firstDiagnosticOf(`routes:\n  a: [&a { pathPrefix: /, idempotent: true }, ${bomb}]\n`)?.code,
     ).to.equal('tooManyAliases');
-    expect(findingOf(`pools:\n  a: ${'['.repeat(5_000)}\n`)?.code).to.equal('entryTooDeep');
-    expect(findingOf(`pools:\n  a:\n    ${'- '.repeat(5_000)}x\n`)?.code).to.equal('entryTooDeep');
-    expect(findingOf(`pools:\n  a: "${'x'.repeat(70_000)}"\n`)?.code).to.equal('entryTooLarge');
-    expect(findingOf(`plannedStops:\n  a: { reason: *b }\n`)?.code).to.equal('malformedYaml');
+    expect(firstDiagnosticOf(`pools:\n  a: ${'['.repeat(5_000)}\n`)?.code).to.equal('entryTooDeep');
+    expect(firstDiagnosticOf(`pools:\n  a:\n    ${'- '.repeat(5_000)}x\n`)?.code).to.equal(
+      'entryTooDeep',
+    );
+    expect(firstDiagnosticOf(`pools:\n  a: "${'x'.repeat(70_000)}"\n`)?.code).to.equal(
+      'entryTooLarge',
+    );
+    expect(firstDiagnosticOf(`plannedStops:\n  a: { reason: *b }\n`)?.code).to.equal(
+      'malformedYaml',
+    );
   });
 
-  it('never throws and gives the same result for any text', () => {
+  it('never throws and is deterministic for arbitrary text', () => {
     const line = fc.constantFrom(
       'pools:',
       'teams:',
@@ -149,8 +163,8 @@
   });
 });
 
-describe('numbers of customers and pools', () => {
-  it('are stable, unique and never used again', () => {
+describe('assignment of customer and pool numbers', () => {
+  it('is stable and unique and never reuses a number', () => {
     const names = fc.uniqueArray(fc.constantFrom('a', 'b', 'c', 'd', 'e', 'f'));
     fc.assert(
       fc.property(fc.array(names, { maxLength: 8 }), (history) => {
--- a/test/configuration/settings.test.ts
+++ b/test/configuration/settings.test.ts
@@ -14,13 +14,13 @@
   parseSize,
 } from '../../src/configuration/units.js';
 
-const GOOD = `instance: { id: a1, domain: iasi-a, region: moldova }
+const VALID_SETTINGS = `instance: { id: a1, domain: iasi-a, region: moldova }
 listen:
   callers: 10.0.0.1:8080
   peers: 10.0.0.1:8081
 `;
 
-const findingsOf = (text: string): readonly string[] => {
+const diagnosticLinesOf = (text: string): readonly string[] => {
   const result = parseSettings(text);
   if (result.kind === 'settings') return [];
   return result.diagnostics.map((diagnostic) => formatSettingsDiagnostic('s.yaml', diagnostic));
@@ -28,7 +28,9 @@
 
 describe('settings', () => {
   it('reads durations, sizes and defaults', () => {
-    const result = parseSettings(`${GOOD}core: { heartbeat: 250ms, recordedAnswer: 64KiB }\n`);
+    const result = parseSettings(
+      `${VALID_SETTINGS}core: { heartbeat: 250ms, recordedAnswer: 64KiB }\n`,
+    );
     expect(result).to.nested.include({
       kind: 'settings',
       'settings.core.heartbeatMs': 250,
@@ -40,30 +42,33 @@
 
   const cases: Readonly<Record<string, readonly [string, string]>> = {
     'an unknown key': [
-      `${GOOD}core:\n  heartbeet: 1s\n`,
+      `${VALID_SETTINGS}core:\n  heartbeet: 1s\n`,
       "s.yaml:6:3: error 3004: The key 'heartbeet' is not known here. Did you mean 'heartbeat'?",
     ],
-    'a bad unit': [`${GOOD}core:\n  heartbeat: 4sec\n`, 's.yaml:6:14: error 3006:'],
-    'a number without a unit': [`${GOOD}core: { poll: 5 }\n`, 's.yaml:5:15: error 3006:'],
-    'a name given twice': [`${GOOD}log: {}\nlog: {}\n`, 's.yaml:6:1: error 3007:'],
+    'a bad unit': [`${VALID_SETTINGS}core:\n  heartbeat: 4sec\n`, 's.yaml:6:14: error 3006:'],
+    'a number without a unit': [`${VALID_SETTINGS}core: { poll: 5 }\n`, 's.yaml:5:15: error 3006:'],
+    'a name given twice': [`${VALID_SETTINGS}log: {}\nlog: {}\n`, 's.yaml:6:1: error 3007:'],
     'a missing key': [
       'instance: { id: a, domain: d }\n',
       "s.yaml:1:11: error 3005: 'instance.region'",
     ],
-    'a host name': [GOOD.replace('10.0.0.1:8081', 'localhost:1'), 's.yaml:4:10: error 3006:'],
-    'a port out of range': [GOOD.replace('8081', '70000'), 's.yaml:4:10: error 3006:'],
-    'an alias': [`${GOOD}log: *x\n`, 's.yaml:5:6: error 300'],
+    'a host name': [
+      VALID_SETTINGS.replace('10.0.0.1:8081', 'localhost:1'),
+      's.yaml:4:10: error 3006:',
+    ],
+    'a port out of range': [VALID_SETTINGS.replace('8081', '70000'), 's.yaml:4:10: error 3006:'],
+    'an alias': [`${VALID_SETTINGS}log: *x\n`, 's.yaml:5:6: error 300'],
     'broken YAML': ['instance: [', 's.yaml:1:12: error 3002:'],
     'an empty file': ['', "s.yaml:1:1: error 3005: 'instance' is missing."],
   };
   Object.entries(cases).forEach(([what, [text, message]]) => {
-    it(`names the place of ${what}`, () => {
-      expect(findingsOf(text).join('\n')).to.include(message);
+    it(`reports the position of ${what}`, () => {
+      expect(diagnosticLinesOf(text).join('\n')).to.include(message);
     });
   });
 
-  // `node scripts/settingsPage.mjs` writes the page anew.
-  it('are all described with their defaults', async () => {
+  // `node scripts/settingsPage.mjs` regenerates the page.
+  it('documents every setting with its default', async () => {
     const page = await readFile(join('docs', 'SETTINGS.md'), 'utf8');
     const groups = { core: coreSettingDefaults(), 'routing.tuning': routingSettingDefaults() };
     Object.entries(groups).forEach(([name, defaults]) => {
@@ -77,7 +82,7 @@
     });
   });
 
-  it('reads back every duration and size that it writes', () => {
+  it('parses every duration and size that it formats', () => {
     fc.assert(
       fc.property(fc.integer({ min: 0, max: 999_999_999 }), (value) => {
         expect(parseDuration(formatDuration(value))).to.equal(value);
@@ -87,10 +92,10 @@
     );
   });
 
-  it('never throws, whatever the text', () => {
+  it('never throws and reports a located diagnostic for arbitrary text', () => {
     fc.assert(
       fc.property(fc.string({ maxLength: 60 }), (text) => {
-        const found = findingsOf(text);
+        const found = diagnosticLinesOf(text);
         expect(found).to.not.be.empty;
         found.forEach((line) => expect(line).to.match(/^s\.yaml:\d+:\d+: error 300\d: /));
       }),
