--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -1,4 +1,4 @@
-/** The command line: the table of commands and the mapping of their ends to exit codes. */
+/** Command-line entry point: defines the commands and maps their results to exit codes. */
 import { runSafely, subcommands } from 'cmd-ts';
 import { audit } from './commands/audit.js';
 import { check } from './commands/check.js';
@@ -17,7 +17,7 @@
 import { EXIT_CODES, type ExitCode } from './exitCodes.js';
 import { printDiagnostic, printError, printLine } from './output.js';
 
-/** All commands by name. Each resolves to its exit code. */
+/** All commands by name. The handler of each resolves to an exit code. */
 const COMMANDS = {
   serve,
   check,
@@ -42,7 +42,7 @@
   cmds: COMMANDS,
 });
 
-/** Runs the command line with the arguments after the program's name. Never rejects. */
+/** Runs the command line with the arguments that follow the program name. Never rejects. */
 export async function runCli(args: readonly string[]): Promise<ExitCode> {
   try {
     const result = await runSafely(cli, [...args]);
@@ -56,7 +56,7 @@
   }
 }
 
-/** Commands within commands come with the results of the inner ones. */
+/** Unwraps the exit code from the result of a command, which nests the results of subcommands. */
 async function exitCodeOf(output: unknown): Promise<ExitCode> {
   const value: unknown = await output;
   const isOuter = typeof value === 'object' && value !== null && 'value' in value;
--- a/src/cli/commands/audit.ts
+++ b/src/cli/commands/audit.ts
@@ -1,4 +1,4 @@
-/** `audit`: the latest entries of the audit trail. */
+/** The `audit` command: prints the latest entries of the audit trail. */
 import { command, flag, number, option } from 'cmd-ts';
 import type { AuditEntry } from '../../core/types.js';
 import { EXIT_CODES, type ExitCode } from '../exitCodes.js';
@@ -23,19 +23,19 @@
     });
     if (reply.kind !== 'done') return reportFailure(options.url, reply);
     if (json) printJson(reply.data.entries);
-    else reply.data.entries.flatMap(describe).forEach(printLine);
+    else reply.data.entries.flatMap(formatEntry).forEach(printLine);
     return EXIT_CODES.ok;
   },
 });
 
-function describe(entry: AuditEntry): readonly string[] {
+function formatEntry(entry: AuditEntry): readonly string[] {
   const verdict = entry.accepted ? 'accepted' : 'refused';
   const { at, who, action, subject, detail } = entry;
   const line = `${new Date(at).toISOString()} ${who} ${action} ${subject} ${verdict}: ${detail}`;
-  return [line, ...indent('-', entry.before), ...indent('+', entry.after)];
+  return [line, ...markLines('-', entry.before), ...markLines('+', entry.after)];
 }
 
-function indent(mark: string, text = ''): readonly string[] {
+function markLines(mark: string, text = ''): readonly string[] {
   return text
     .split('\n')
     .filter(Boolean)
--- a/src/cli/commands/check.ts
+++ b/src/cli/commands/check.ts
@@ -1,9 +1,15 @@
-/** `check`: checks a settings file or a configuration document without starting anything. */
+/** The `check` command: validates a settings file or a configuration document offline. */
 import { command, flag, oneOf, option, positional, string } from 'cmd-ts';
 import { parse } from 'yaml';
 import { SECTION_NAMES } from '../../configuration/types.js';
 import { EXIT_CODES, type ExitCode } from '../exitCodes.js';
-import { checkDocument, checkSettings, readText, UNREADABLE, type FileResult } from '../files.js';
+import {
+  checkDocument,
+  checkSettings,
+  readText,
+  UNREADABLE_EXIT_CODE,
+  type FileResult,
+} from '../files.js';
 import { printError, printJson, printLine } from '../output.js';
 
 const options = {
@@ -12,18 +18,18 @@
     type: oneOf(['auto', 'settings', 'document'] as const),
     long: 'kind',
     defaultValue: () => 'auto' as const,
-    description: 'what the file is; by default found from its keys',
+    description: 'type of the file; detected from its keys by default',
   }),
   json: flag({ long: 'json', description: 'print the findings as JSON' }),
 };
 
 export const check = command({
   name: 'check',
-  description: 'Checks settings or a configuration document.',
+  description: 'Validates a settings file or a configuration document.',
   args: options,
   handler: async ({ file, kind, json }): Promise<ExitCode> => {
     const text = await readText(file);
-    if (text === undefined) return UNREADABLE;
+    if (text === undefined) return UNREADABLE_EXIT_CODE;
     const isDocument = kind === 'document' || (kind === 'auto' && looksLikeDocument(text));
     const result: FileResult<unknown> = isDocument
       ? checkDocument(file, text)
@@ -36,7 +42,10 @@
   },
 });
 
-/** Whether a file has a section of the configuration document. */
+/**
+ * Whether a file contains a section of the configuration document. `limits` does not count because
+ * settings have a key of the same name.
+ */
 function looksLikeDocument(text: string): boolean {
   try {
     const value: unknown = parse(text, { logLevel: 'silent' });
--- a/src/cli/commands/config.ts
+++ b/src/cli/commands/config.ts
@@ -1,69 +1,75 @@
-/** `config`: reads, checks, publishes and reverts the configuration. */
+/** The `config` command: reads, validates, publishes and reverts the configuration. */
 import { writeFile } from 'node:fs/promises';
 import { command, number, option, optional, positional, string, subcommands } from 'cmd-ts';
 import type { DocumentDiagnostic } from '../../configuration/types.js';
 import { EXIT_CODES, type ExitCode } from '../exitCodes.js';
-import { readText, UNREADABLE } from '../files.js';
+import { readText, UNREADABLE_EXIT_CODE } from '../files.js';
 import { authorOption } from '../operators/author.js';
 import {
   createOperatorClient,
-  formatFinding,
+  formatFileDiagnostic,
   operatorOptions,
   reportFailure,
   type OperatorClient,
-  type SectionSource,
+  type SectionContent,
 } from '../operators/client.js';
 import { describeDifferences } from '../operators/differences.js';
-import { readExported, writeExported } from '../operators/exported.js';
+import { parseExport, formatExport } from '../operators/exported.js';
 import { formatColumns, printDiagnostic, printError, printLine } from '../output.js';
 
-const WHOLE = 'document';
+const WHOLE_DOCUMENT = 'document';
 
 const section = option({
   type: optional(string),
   long: 'section',
   short: 's',
-  description: 'section; by default that of the file, else the whole document',
+  description: 'section; defaults to the one named in the file, or to the whole document',
 });
 const file = positional({ type: string, displayName: 'FILE', description: 'YAML source' });
 const version = option({
   type: optional(number),
   long: 'version',
-  description: 'an earlier version in place of the one in force',
+  description: 'an earlier version instead of the current one',
 });
 
 const get = command({
   name: 'get',
-  description: 'Writes the source of a section or of the document.',
+  description: 'Prints the source of a section or of the whole document.',
   args: {
     ...operatorOptions,
     section: positional({ type: optional(string), displayName: 'SECTION' }),
     version,
-    output: option({ type: optional(string), long: 'output', short: 'o', description: 'file' }),
+    output: option({
+      type: optional(string),
+      long: 'output',
+      short: 'o',
+      description: 'output file',
+    }),
   },
   handler: async ({ url, keyFile, output, ...wanted }): Promise<ExitCode> => {
     const client = await createOperatorClient({ url, keyFile });
-    const reply = await readSource(client, wanted.section ?? WHOLE, wanted.version);
+    const reply = await readSource(client, wanted.section ?? WHOLE_DOCUMENT, wanted.version);
     if (reply.kind !== 'done') return reportFailure(url, reply);
     const { data } = reply;
-    const text = writeExported(data.section, data.version, data.text);
+    const text = formatExport(data.section, data.version, data.text);
     if (output === undefined) printLine(text.trimEnd());
     else await writeFile(output, text);
     return EXIT_CODES.ok;
   },
 });
 
-async function readSource(client: OperatorClient, name: string, wanted?: number) {
-  return client.run<SectionSource>({
+async function readSource(client: OperatorClient, name: string, requestedVersion?: number) {
+  return client.run<SectionContent>({
     kind: 'getConfiguration',
     section: name,
-    ...(wanted !== undefined && { version: wanted }),
+    ...(requestedVersion !== undefined && { version: requestedVersion }),
   });
 }
 
 const diff = command({
   name: 'diff',
-  description: 'Shows what a file, or the version in force, changes.',
+  description:
+    'Shows the changes that a file, or the current version, makes to a published version.',
   args: {
     ...operatorOptions,
     file: positional({ type: optional(string), displayName: 'FILE' }),
@@ -73,9 +79,9 @@
   handler: async ({ url, keyFile, from, ...given }): Promise<ExitCode> => {
     const client = await createOperatorClient({ url, keyFile });
     const source = given.file === undefined ? undefined : await readText(given.file);
-    if (given.file !== undefined && source === undefined) return UNREADABLE;
-    const exported = readExported(source ?? '');
-    const name = given.section ?? exported.section ?? WHOLE;
+    if (given.file !== undefined && source === undefined) return UNREADABLE_EXIT_CODE;
+    const exported = parseExport(source ?? '');
+    const name = given.section ?? exported.section ?? WHOLE_DOCUMENT;
     const before = await readSource(client, name, from);
     if (before.kind !== 'done') return reportFailure(url, before);
     const after = source === undefined ? await readSource(client, name) : undefined;
@@ -88,21 +94,21 @@
 
 const check = command({
   name: 'check',
-  description: 'Checks a file against the configuration in force, without publishing.',
+  description: 'Validates a file against the current configuration without publishing it.',
   args: { ...operatorOptions, file, section },
   handler: async ({ url, keyFile, ...given }): Promise<ExitCode> => {
     const source = await readText(given.file);
-    if (source === undefined) return UNREADABLE;
+    if (source === undefined) return UNREADABLE_EXIT_CODE;
     const client = await createOperatorClient({ url, keyFile });
-    const exported = readExported(source);
+    const exported = parseExport(source);
     const reply = await client.run<{ readonly diagnostics: readonly DocumentDiagnostic[] }>({
       kind: 'checkConfiguration',
-      section: given.section ?? exported.section ?? WHOLE,
+      section: given.section ?? exported.section ?? WHOLE_DOCUMENT,
       text: exported.text,
     });
     if (reply.kind !== 'done') return reportFailure(url, reply);
     const { diagnostics } = reply.data;
-    diagnostics.forEach((found) => printError(formatFinding(given.file, found)));
+    diagnostics.forEach((found) => printError(formatFileDiagnostic(given.file, found)));
     if (diagnostics.length === 0) printLine(`${given.file}: no findings`);
     return diagnostics.length === 0 ? EXIT_CODES.ok : EXIT_CODES.invalid;
   },
@@ -111,7 +117,7 @@
 const publish = command({
   name: 'publish',
   description:
-    'Publishes a file and waits for the verdict. Example: config get pools -o pools.yaml; ' +
+    'Publishes a file and waits for the result. Example: config get pools -o pools.yaml; ' +
     'edit; config publish pools.yaml',
   args: {
     ...operatorOptions,
@@ -120,20 +126,20 @@
     base: option({
       type: optional(number),
       long: 'base',
-      description: 'version that you had read; by default that of the file',
+      description: 'version on which the edit is based; defaults to the one named in the file',
     }),
     editId: option({
       type: optional(string),
       long: 'edit-id',
-      description: 'id of an edit that is sent again',
+      description: 'id of an earlier edit to resubmit',
     }),
     author: authorOption,
   },
   handler: async ({ url, keyFile, base, editId, author, ...given }): Promise<ExitCode> => {
     const source = await readText(given.file);
-    if (source === undefined) return UNREADABLE;
-    const exported = readExported(source);
-    const name = given.section ?? exported.section ?? WHOLE;
+    if (source === undefined) return UNREADABLE_EXIT_CODE;
+    const exported = parseExport(source);
+    const name = given.section ?? exported.section ?? WHOLE_DOCUMENT;
     const baseVersion = base ?? exported.version;
     if (baseVersion === undefined) {
       printDiagnostic('baseMissing');
@@ -198,7 +204,7 @@
   },
   handler: async ({ url, keyFile, author, ...given }): Promise<ExitCode> => {
     const client = await createOperatorClient({ url, keyFile });
-    const name = given.section ?? WHOLE;
+    const name = given.section ?? WHOLE_DOCUMENT;
     const current = await readSource(client, name);
     if (current.kind !== 'done') return reportFailure(url, current);
     const earlier = await readSource(client, name, given.version);
@@ -214,6 +220,6 @@
 
 export const config = subcommands({
   name: 'config',
-  description: 'Reads, checks, publishes and reverts the configuration.',
+  description: 'Reads, validates, publishes and reverts the configuration.',
   cmds: { get, diff, check, publish, history, revert },
 });
--- a/src/cli/commands/customer.ts
+++ b/src/cli/commands/customer.ts
@@ -1,4 +1,4 @@
-/** `customer`: lists, adds and removes customers and sets their weights. */
+/** The `customer` command: lists, adds and removes customers and sets their weights. */
 import { createHash } from 'node:crypto';
 import { readFile } from 'node:fs/promises';
 import { command, number, option, positional, string, subcommands } from 'cmd-ts';
@@ -12,7 +12,7 @@
   reportFailure,
   type OperatorOptions,
 } from '../operators/client.js';
-import { editEntries, readEntries, type EntryTexts } from '../operators/edits.js';
+import { editEntries, readEntries, type EntrySources } from '../operators/edits.js';
 import { printLine } from '../output.js';
 
 const customerId = positional({ type: string, displayName: 'CUSTOMER' });
@@ -50,7 +50,7 @@
 const add = command({
   name: 'add',
   description:
-    'Adds a customer, or a second key to one. Only the hash of the key leaves this machine.',
+    'Adds a customer, or another key to an existing one. Only the hash of the key is sent.',
   args: {
     ...operatorOptions,
     customer: customerId,
@@ -65,17 +65,17 @@
     const key = (await readFile(callerKey, 'utf8')).trim();
     const hash = createHash('sha256').update(key).digest('hex');
     return editSection(options, 'customers', author, (entries) => {
-      const known = valueOf(entries, id);
-      const hashes = (known.keyHashes ?? []) as readonly string[];
+      const existing = parseEntryValue(entries, id);
+      const hashes = (existing.keyHashes ?? []) as readonly string[];
       const keyHashes = [...new Set([...hashes, hash])];
-      entries.set(id, stringify({ [id]: { ...known, keyHashes } }));
+      entries.set(id, stringify({ [id]: { ...existing, keyHashes } }));
     });
   },
 });
 
 const remove = command({
   name: 'remove',
-  description: 'Removes a customer. Its running requests end by themselves.',
+  description: 'Removes a customer. Its running requests are not interrupted.',
   args: { ...operatorOptions, customer: customerId, author: authorOption },
   handler: async ({ customer: id, author, ...options }): Promise<ExitCode> => {
     const code = await editSection(options, 'entitlements', author, (entries) =>
@@ -98,12 +98,12 @@
   },
   handler: async ({ customer: id, pool, weight: value, author, ...options }): Promise<ExitCode> =>
     editSection(options, 'entitlements', author, (entries) => {
-      entries.set(id, stringify({ [id]: { ...valueOf(entries, id), [pool]: value } }));
+      entries.set(id, stringify({ [id]: { ...parseEntryValue(entries, id), [pool]: value } }));
     }),
 });
 
-/** The value of an entry as plain data; empty if there is none. */
-function valueOf(entries: EntryTexts, id: string): Readonly<Record<string, unknown>> {
+/** Parses the value of an entry; returns an empty object if the entry does not exist. */
+function parseEntryValue(entries: EntrySources, id: string): Readonly<Record<string, unknown>> {
   const document = parse(entries.get(id) ?? '{}') as Readonly<Record<string, unknown>>;
   return (document[id] ?? {}) as Readonly<Record<string, unknown>>;
 }
@@ -112,7 +112,7 @@
   options: OperatorOptions,
   section: SectionName,
   author: string,
-  change: (entries: EntryTexts) => void,
+  change: (entries: EntrySources) => void,
 ): Promise<ExitCode> {
   const client = await createOperatorClient(options);
   const reply = await editEntries(client, section, author, change);
--- a/src/cli/commands/demo.ts
+++ b/src/cli/commands/demo.ts
@@ -1,4 +1,7 @@
-/** `demo`: a fleet with stand-ins in one process, a load by four customers, and what came of it. */
+/**
+ * The `demo` command: starts a fleet with stand-ins in one process, runs a load from four customers
+ * and prints the results.
+ */
 import { command, flag, number, option } from 'cmd-ts';
 import { formatLoadResult, isTruthful, runLoad } from '../../bench/load/index.js';
 import { MS_PER_SECOND } from '../../core/clock.js';
@@ -12,7 +15,10 @@
 const DEFAULT_LOAD_SECONDS = 4;
 
 const options = {
-  once: flag({ long: 'once', description: 'exit after the load in place of staying up' }),
+  once: flag({
+    long: 'once',
+    description: 'exit after the load instead of keeping the fleet running',
+  }),
   seconds: option({
     type: number,
     long: 'seconds',
@@ -24,13 +30,13 @@
     long: 'port',
     short: 'p',
     defaultValue: () => 0,
-    description: "callers' port of the first instance; 0 lets the system choose",
+    description: "callers' port of the first instance; 0 selects a free port",
   }),
 };
 
 export const demo = command({
   name: 'demo',
-  description: 'Starts a fleet with stand-ins, sends a load and shows shares and utilisation.',
+  description: 'Starts a fleet with stand-ins, runs a load and shows shares and utilisation.',
   args: options,
   handler: async ({ once, seconds, port }): Promise<ExitCode> => {
     const fleet = await startDemoFleet({ port, log: { threshold: 'warn' } });
@@ -39,7 +45,7 @@
     if (run.kind === 'rejected') return EXIT_CODES.failed;
     printLine(formatLoadResult(run.result));
     if (!once) {
-      printInvitation(fleet);
+      printUsageHints(fleet);
       await stopRequested();
     }
     await fleet.stop();
@@ -50,18 +56,24 @@
 function printFleet({ instances, upstreams }: DemoFleet): void {
   const head = ['instance', 'domain', 'callers', 'operators', 'upstreams of its domain'];
   const rows = instances.map(({ id, domain, addresses }) => {
-    const near = upstreams.filter((upstream) => upstream.domain === domain);
-    return [id, domain, addresses.callers, addresses.operators, near.map((u) => u.id).join(' ')];
+    const localUpstreams = upstreams.filter((upstream) => upstream.domain === domain);
+    return [
+      id,
+      domain,
+      addresses.callers,
+      addresses.operators,
+      localUpstreams.map((u) => u.id).join(' '),
+    ];
   });
   printLine(formatColumns([head, ...rows]));
   printLine();
   printLine(
-    `${instances.length} instances and ${upstreams.length} upstreams are up. Sending a load.`,
+    `${instances.length} instances and ${upstreams.length} upstreams are running. Sending load.`,
   );
   printLine();
 }
 
-function printInvitation({ instances }: DemoFleet): void {
+function printUsageHints({ instances }: DemoFleet): void {
   const [first] = instances;
   const [customer] = DEMO_CUSTOMERS;
   if (first === undefined || customer === undefined) return;
@@ -72,7 +84,7 @@
     messages: [{ role: 'user', content: 'Which nets fit a cherry orchard?' }],
   });
   printLine();
-  printLine('The fleet stays up until Ctrl-C. Try:');
+  printLine('The fleet runs until interrupted with Ctrl-C. Try:');
   printLine();
   printLine(
     `  curl -N http://${first.addresses.callers}/v1/chat/completions -H 'Authorization: Bearer ${customer.key}' -d '${body}'`,
--- a/src/cli/commands/explain.ts
+++ b/src/cli/commands/explain.ts
@@ -1,8 +1,8 @@
-/** `explain`: the way of one request through the log files of several instances. */
+/** The `explain` command: traces one request through the log files of several instances. */
 import { command, flag, positional, restPositionals, string } from 'cmd-ts';
 import { EXIT_CODES, type ExitCode } from '../exitCodes.js';
 import { explainRequest, formatLogLine, readLogLines, type Explanation } from '../explain.js';
-import { readText, UNREADABLE } from '../files.js';
+import { readText, UNREADABLE_EXIT_CODE } from '../files.js';
 import { printDiagnostic, printJson, printLine } from '../output.js';
 
 const options = {
@@ -13,11 +13,11 @@
 
 export const explain = command({
   name: 'explain',
-  description: 'Prints the way of one request, and the decision that ended it, from log files.',
+  description: 'Prints the log lines of one request and the decision that ended it.',
   args: options,
   handler: async ({ request, files, json }): Promise<ExitCode> => {
     const texts = await Promise.all(files.map(readText));
-    if (texts.some((text) => text === undefined)) return UNREADABLE;
+    if (texts.some((text) => text === undefined)) return UNREADABLE_EXIT_CODE;
     const lines = texts.flatMap((text) => readLogLines(text ?? ''));
     const explanation = explainRequest(request, lines);
     if (json) printJson(explanation);
@@ -33,6 +33,6 @@
   if (ending === undefined) return;
   printLine(`Ended by '${ending.event}' at ${ending.instance}.`);
   if (beliefs.length === 0) return;
-  printLine('What that instance had come to believe in the seconds before:');
+  printLine('State changes observed by that instance in the preceding seconds:');
   beliefs.forEach((line) => printLine(`  ${formatLogLine(line)}`));
 }
--- a/src/cli/commands/load.ts
+++ b/src/cli/commands/load.ts
@@ -1,4 +1,7 @@
-/** `load`: runs an open-loop load against a fleet and reports shares, latencies and truth. */
+/**
+ * The `load` command: runs an open-loop load against a fleet and reports shares, latencies and the
+ * correctness of responses.
+ */
 import { writeFile } from 'node:fs/promises';
 import {
   type Type,
@@ -25,7 +28,7 @@
 import { readText } from '../files.js';
 import { printDiagnostic, printError, printJson, printLine } from '../output.js';
 
-/** `NAME=PID` of processes; signals go to these ids only. */
+/** Parses `NAME=PID` arguments. Signals are sent only to these process ids. */
 const processIds: Type<string[], ReadonlyMap<string, number>> = {
   displayName: 'name=pid',
   from: async (texts) =>
@@ -43,22 +46,22 @@
   faults: option({
     type: optional(string),
     long: 'faults',
-    description: 'YAML file of faults at set times',
+    description: 'YAML file with a schedule of faults',
   }),
   pids: multioption({
     type: processIds,
     long: 'pid',
-    description: 'NAME=PID of a process that the faults name; may be repeated',
+    description: 'NAME=PID of a process targeted by the faults; may be repeated',
   }),
   seed: option({
     type: optional(number),
     long: 'seed',
-    description: 'seed in place of the one in the file',
+    description: 'seed that overrides the one in the file',
   }),
   report: option({
     type: optional(string),
     long: 'report',
-    description: 'HTML file to write plots to',
+    description: 'HTML file to which plots are written',
   }),
   json: flag({ long: 'json', description: 'print the result as JSON' }),
 };
@@ -66,11 +69,11 @@
 export const load = command({
   name: 'load',
   description:
-    'Runs a load against a fleet. Exits with 1 if an answer was wrong or a refusal untrue.',
+    'Runs a load against a fleet. Exits with 1 if a response or a refusal was incorrect.',
   args: options,
   handler: async ({ file, faults, pids, seed, report, json }): Promise<ExitCode> => {
-    const loadFile = await readParsed(file, parseLoadFile);
-    const faultFile = faults === undefined ? undefined : await readParsed(faults, parseFaultFile);
+    const loadFile = await readAndParse(file, parseLoadFile);
+    const faultFile = faults === undefined ? undefined : await readAndParse(faults, parseFaultFile);
     if (loadFile === undefined || (faults !== undefined && faultFile === undefined)) {
       return EXIT_CODES.invalid;
     }
@@ -89,7 +92,7 @@
   },
 });
 
-async function readParsed<T>(
+async function readAndParse<T>(
   file: string,
   parse: (text: string) => ParsedFile<T>,
 ): Promise<T | undefined> {
--- a/src/cli/commands/orders.ts
+++ b/src/cli/commands/orders.ts
@@ -1,4 +1,4 @@
-/** `orders`: the orders to engines that an instance gives, and those outstanding in the fleet. */
+/** The `orders` command: lists the engine orders of an instance and those outstanding in the fleet. */
 import { command } from 'cmd-ts';
 import type { EngineOrder } from '../../core/types.js';
 import { EXIT_CODES, type ExitCode } from '../exitCodes.js';
@@ -24,7 +24,7 @@
 
 export const orders = command({
   name: 'orders',
-  description: 'Lists orders to engines that are under way.',
+  description: 'Lists the engine orders in progress.',
   args: operatorOptions,
   handler: async (options): Promise<ExitCode> => {
     const client = await createOperatorClient(options);
@@ -34,19 +34,19 @@
     const ownRows = own.map((entry) => [
       entry.upstream,
       String(entry.number),
-      describe(entry.order),
-      `${entry.phase}, try ${entry.attempts}, ${Math.round(entry.ageMs / 1_000)} s`,
+      describeOrder(entry.order),
+      `${entry.phase}, attempt ${entry.attempts}, ${Math.round(entry.ageMs / 1_000)} s`,
     ]);
-    const known = new Set(own.map(({ number }) => number));
+    const ownNumbers = new Set(own.map(({ number }) => number));
     const otherRows = outstanding
-      .filter(({ number }) => !known.has(number))
-      .map((entry) => [entry.upstream, String(entry.number), describe(entry.order), entry.by]);
+      .filter(({ number }) => !ownNumbers.has(number))
+      .map((entry) => [entry.upstream, String(entry.number), describeOrder(entry.order), entry.by]);
     printLine(formatColumns([['upstream', 'number', 'order', 'state'], ...ownRows, ...otherRows]));
     return EXIT_CODES.ok;
   },
 });
 
-function describe(order: EngineOrder): string {
+function describeOrder(order: EngineOrder): string {
   switch (order.kind) {
     case 'load-model':
       return `load ${order.model} ${order.version}`;
--- a/src/cli/commands/quarantine.ts
+++ b/src/cli/commands/quarantine.ts
@@ -1,26 +1,26 @@
-/** `quarantine`: requests that crashed upstreams and do not run any more. */
+/** The `quarantine` command: lists and releases requests blocked because they crash upstreams. */
 import { command, positional, string, subcommands } from 'cmd-ts';
 import { EXIT_CODES, type ExitCode } from '../exitCodes.js';
 import { createOperatorClient, operatorOptions, reportFailure } from '../operators/client.js';
-import { partOf } from '../operators/statusPage.js';
+import { objectAt } from '../operators/statusPage.js';
 import { printJson, printLine } from '../output.js';
 
 const list = command({
   name: 'list',
-  description: 'Lists suspected requests and those in quarantine.',
+  description: 'Lists suspected and quarantined requests.',
   args: operatorOptions,
   handler: async (options): Promise<ExitCode> => {
     const client = await createOperatorClient(options);
     const reply = await client.status();
     if (reply.kind !== 'done') return reportFailure(options.url, reply);
-    printJson(partOf(reply.data, 'state', 'quarantine') ?? {});
+    printJson(objectAt(reply.data, 'state', 'quarantine') ?? {});
     return EXIT_CODES.ok;
   },
 });
 
 const lift = command({
   name: 'lift',
-  description: 'Lets a request run again. Example: quarantine lift 4f1c…',
+  description: 'Allows a quarantined request to run again. Example: quarantine lift 4f1c…',
   args: {
     ...operatorOptions,
     fingerprint: positional({ type: string, displayName: 'FINGERPRINT' }),
--- a/src/cli/commands/serve.ts
+++ b/src/cli/commands/serve.ts
@@ -1,11 +1,11 @@
-/** `serve`: runs one instance until SIGTERM, then stops without cutting off a request. */
+/** The `serve` command: runs one instance until SIGTERM or SIGINT, then shuts it down gracefully. */
 import { dirname, resolve } from 'node:path';
 import { command, option, string } from 'cmd-ts';
 import type { Settings } from '../../configuration/settings.js';
 import type { ConfigurationView } from '../../core/types.js';
 import { startDaemon, type Daemon } from '../../daemon/serve.js';
 import { EXIT_CODES, type ExitCode } from '../exitCodes.js';
-import { checkDocument, checkSettings, readText, UNREADABLE } from '../files.js';
+import { checkDocument, checkSettings, readText, UNREADABLE_EXIT_CODE } from '../files.js';
 import { printDiagnostic, printError } from '../output.js';
 import { stopRequested } from '../stopSignals.js';
 
@@ -21,26 +21,26 @@
 export const serve = command({
   name: 'serve',
   description:
-    'Runs one instance. SIGTERM ends accepted work, then exits; SIGHUP reloads certificates.',
+    'Runs one instance. SIGTERM completes accepted requests and exits; SIGHUP reloads certificates.',
   args: options,
   handler: async ({ settings: file }): Promise<ExitCode> => {
     const text = await readText(file);
-    if (text === undefined) return UNREADABLE;
+    if (text === undefined) return UNREADABLE_EXIT_CODE;
     const checked = checkSettings(file, text);
     if (checked.kind === 'findings') {
       checked.lines.forEach(printError);
       return EXIT_CODES.invalid;
     }
-    return runWith(file, checked.value);
+    return runInstance(file, checked.value);
   },
 });
 
-async function runWith(file: string, settings: Settings): Promise<ExitCode> {
+async function runInstance(file: string, settings: Settings): Promise<ExitCode> {
   let initialConfiguration: ConfigurationView | undefined;
   if (settings.document !== undefined) {
     const documentFile = resolve(dirname(file), settings.document);
     const text = await readText(documentFile);
-    if (text === undefined) return UNREADABLE;
+    if (text === undefined) return UNREADABLE_EXIT_CODE;
     const checked = checkDocument(documentFile, text);
     if (checked.kind === 'findings') {
       checked.lines.forEach(printError);
@@ -48,7 +48,7 @@
     }
     initialConfiguration = checked.value;
   }
-  const daemon = await start(file, settings, initialConfiguration);
+  const daemon = await startOrReport(file, settings, initialConfiguration);
   if (daemon === undefined) return EXIT_CODES.failed;
   process.on('SIGHUP', daemon.reload);
   await stopRequested();
@@ -57,7 +57,7 @@
   return EXIT_CODES.ok;
 }
 
-async function start(
+async function startOrReport(
   file: string,
   settings: Settings,
   initialConfiguration: ConfigurationView | undefined,
--- a/src/cli/commands/status.ts
+++ b/src/cli/commands/status.ts
@@ -1,4 +1,4 @@
-/** `status`: shows what an instance believes and does. */
+/** The `status` command: prints the state of an instance. */
 import { command, flag, option, string } from 'cmd-ts';
 import { request } from 'undici';
 import { DEFAULT_OPERATORS_PORT } from '../../configuration/settingsSchema.js';
@@ -28,7 +28,7 @@
     const value = await readStatus(url);
     if (value === undefined) return EXIT_CODES.unreachable;
     if (json) printJson(value);
-    else printLine(formatColumns(rowsOf(value)));
+    else printLine(formatColumns(toRows(value)));
     return EXIT_CODES.ok;
   },
 });
@@ -47,24 +47,24 @@
   return undefined;
 }
 
-/** One row a fact; the parts of the state are shown by their sizes. */
-function rowsOf(value: Status): readonly (readonly string[])[] {
-  const { state, ...facts } = value;
+/** Converts a status to rows, one per field. Large values are summarized by their size. */
+function toRows(value: Status): readonly (readonly string[])[] {
+  const { state, ...fields } = value;
   const rows: string[][] = [];
-  Object.entries(facts).forEach(([key, fact]) => rows.push([key, shortForm(fact)]));
+  Object.entries(fields).forEach(([key, field]) => rows.push([key, summarize(field)]));
   Object.entries((state ?? {}) as Status).forEach(([part, content]) => {
-    Object.entries((content ?? {}) as Status).forEach(([key, fact]) => {
-      rows.push([`${part}.${key}`, shortForm(fact)]);
+    Object.entries((content ?? {}) as Status).forEach(([key, field]) => {
+      rows.push([`${part}.${key}`, summarize(field)]);
     });
   });
   return rows;
 }
 
-const MAX_CELL = 100;
+const MAX_CELL_LENGTH = 100;
 
-function shortForm(fact: unknown): string {
-  const text = JSON.stringify(fact) ?? '';
-  if (text.length <= MAX_CELL) return text;
-  const size = Object.keys(fact as object).length;
+function summarize(value: unknown): string {
+  const text = JSON.stringify(value) ?? '';
+  if (text.length <= MAX_CELL_LENGTH) return text;
+  const size = Object.keys(value as object).length;
   return `${size} entries`;
 }
--- a/src/cli/commands/stop.ts
+++ b/src/cli/commands/stop.ts
@@ -1,4 +1,7 @@
-/** `stop`: planned stops of upstreams. No new work within seconds; what runs there ends by itself. */
+/**
+ * The `stop` command: manages planned stops of upstreams. Within seconds an upstream receives no new
+ * requests; those already running there are not interrupted.
+ */
 import { command, option, positional, string, subcommands } from 'cmd-ts';
 import { stringify } from 'yaml';
 import { EXIT_CODES, type ExitCode } from '../exitCodes.js';
@@ -9,14 +12,15 @@
   reportFailure,
   type OperatorOptions,
 } from '../operators/client.js';
-import { editEntries, readEntries, type EntryTexts } from '../operators/edits.js';
+import { editEntries, readEntries, type EntrySources } from '../operators/edits.js';
 import { printLine } from '../output.js';
 
 const upstream = positional({ type: string, displayName: 'UPSTREAM' });
 
 const plan = command({
   name: 'plan',
-  description: 'Plans the stop of an upstream. Example: stop plan engine-7 --reason "new disks"',
+  description:
+    'Schedules the stop of an upstream. Example: stop plan engine-7 --reason "new disks"',
   args: {
     ...operatorOptions,
     upstream,
@@ -29,7 +33,7 @@
 
 const cancel = command({
   name: 'cancel',
-  description: 'Takes a planned stop back.',
+  description: 'Cancels a planned stop.',
   args: { ...operatorOptions, upstream, author: authorOption },
   handler: async ({ upstream: id, author, ...options }): Promise<ExitCode> =>
     editStops(options, author, (entries) => entries.delete(id)),
@@ -51,7 +55,7 @@
 async function editStops(
   options: OperatorOptions,
   author: string,
-  change: (entries: EntryTexts) => void,
+  change: (entries: EntrySources) => void,
 ): Promise<ExitCode> {
   const client = await createOperatorClient(options);
   const reply = await editEntries(client, 'plannedStops', author, change);
@@ -62,6 +66,6 @@
 
 export const stop = subcommands({
   name: 'stop',
-  description: 'Plans, lists and cancels stops of upstreams.',
+  description: 'Schedules, lists and cancels planned stops of upstreams.',
   cmds: { plan, list, cancel },
 });
--- a/src/cli/demo/demoDocument.ts
+++ b/src/cli/demo/demoDocument.ts
@@ -1,4 +1,4 @@
-/** Domains, customers and the configuration document of the demonstration fleet. */
+/** Failure domains, customers and configuration document of the demo fleet. */
 import { createHash } from 'node:crypto';
 import { stringify } from 'yaml';
 import { SECTION_NAMES } from '../../configuration/types.js';
@@ -14,7 +14,7 @@
   readonly weight: number;
 }
 
-/** An upstream that runs already. */
+/** A running upstream. */
 export interface DemoUpstream extends DemoDomain {
   readonly id: string;
   readonly pool: string;
@@ -39,7 +39,8 @@
 ];
 
 const OPERATORS_KEY = 'demo-operators';
-/** Writes the configuration document for these upstreams. */
+
+/** Creates the configuration document for the given upstreams. */
 export function createDemoDocument(upstreams: readonly DemoUpstream[]): string {
   return stringify({
     teams: { operators: { keyHashes: [hashOf(OPERATORS_KEY)], sections: SECTION_NAMES } },
--- a/src/cli/demo/demoFleet.ts
+++ b/src/cli/demo/demoFleet.ts
@@ -1,4 +1,4 @@
-/** A fleet in one process: three failure domains with stand-ins and instances in front of them. */
+/** Demo fleet in one process: stand-ins and instances in three failure domains. */
 import { parseInitialView } from '../../configuration/initialView.js';
 import {
   createInstance,
@@ -21,7 +21,7 @@
 } from './demoDocument.js';
 
 export interface DemoFleetOptions {
-  /** Port of the first instance for callers; 0 lets the system choose. */
+  /** Callers' port of the first instance; 0 selects a free port. */
   readonly port: number;
   readonly instancesPerDomain?: number;
   readonly enginesPerDomain?: number;
@@ -37,7 +37,7 @@
   readonly instances: readonly DemoInstance[];
   readonly upstreams: readonly DemoUpstream[];
   readonly platformUrl: string;
-  /** Ends accepted work, then stops everything. */
+  /** Completes accepted requests, then stops the instances and the stand-ins. */
   readonly stop: () => Promise<void>;
 }
 
@@ -56,29 +56,29 @@
   const { instancesPerDomain = 2, enginesPerDomain = 2 } = options;
   const platform = await createPlatformStandin();
   const running = await Promise.all(
-    DEMO_DOMAINS.flatMap((place) => [
-      ...range(enginesPerDomain).map(async (n) => startEngine(place, n)),
-      startService(place),
+    DEMO_DOMAINS.flatMap((location) => [
+      ...range(enginesPerDomain).map(async (n) => startEngine(location, n)),
+      startService(location),
     ]),
   );
   const upstreams = running.map(({ upstream }) => upstream);
   const result = parseInitialView(createDemoDocument(upstreams));
   if (result.kind !== 'view') throw new Error(JSON.stringify(result.diagnostics));
   const started: { readonly info: DemoInstance; readonly instance: Instance }[] = [];
-  const places = range(instancesPerDomain).flatMap((n) =>
-    DEMO_DOMAINS.map((place) => ({ ...place, id: `${place.domain}-${n}` })),
+  const instanceSpecs = range(instancesPerDomain).flatMap((n) =>
+    DEMO_DOMAINS.map((location) => ({ ...location, id: `${location.domain}-${n}` })),
   );
-  for (const place of places) {
+  for (const spec of instanceSpecs) {
     const port = started.length === 0 ? options.port : 0;
     const instance = createInstance({
-      ...place,
+      ...spec,
       callers: { host: LOOPBACK, port },
       platformUrl: platform.url,
       initialConfiguration: result.view,
       ...(options.log === undefined ? {} : { log: options.log }),
     });
     const addresses = await instance.start();
-    started.push({ info: { ...place, addresses }, instance });
+    started.push({ info: { ...spec, addresses }, instance });
   }
   const instances = started.map(({ info }) => info);
   platform.setInstances(
@@ -105,17 +105,17 @@
   return Array.from({ length: count }, (_, i) => i + 1);
 }
 
-async function startEngine(place: DemoDomain, n: number): Promise<RunningUpstream> {
+async function startEngine(location: DemoDomain, n: number): Promise<RunningUpstream> {
   const { url, stop } = await createEngineStandin({
     batchSize: ENGINE_SLOTS,
     tokenIntervalMs: TOKEN_INTERVAL_MS,
   });
-  const id = `engine-${place.domain}-${n}`;
-  return { upstream: { ...place, id, pool: MODEL_POOL, url, slots: ENGINE_SLOTS }, stop };
+  const id = `engine-${location.domain}-${n}`;
+  return { upstream: { ...location, id, pool: MODEL_POOL, url, slots: ENGINE_SLOTS }, stop };
 }
 
-async function startService(place: DemoDomain): Promise<RunningUpstream> {
+async function startService(location: DemoDomain): Promise<RunningUpstream> {
   const { url, stop } = await createServiceStandin({ concurrency: SERVICE_SLOTS });
-  const id = `booking-${place.domain}`;
-  return { upstream: { ...place, id, pool: SERVICE_POOL, url, slots: SERVICE_SLOTS }, stop };
+  const id = `booking-${location.domain}`;
+  return { upstream: { ...location, id, pool: SERVICE_POOL, url, slots: SERVICE_SLOTS }, stop };
 }
--- a/src/cli/demo/demoLoad.ts
+++ b/src/cli/demo/demoLoad.ts
@@ -1,11 +1,11 @@
-/** The load that the demonstration sends: four customers, of which one floods. */
+/** Load of the demo: requests from four customers, one of which floods the fleet. */
 import { stringify } from 'yaml';
 import { parseLoadFile, type LoadFile } from '../../bench/load/index.js';
 import { DEMO_CUSTOMERS, MODEL_POOL, SERVICE_POOL } from './demoDocument.js';
 import type { Millis } from '../../core/clock.js';
 import type { DemoFleet } from './demoFleet.js';
 
-/** Requests per second: more than the engines can run for the first two customers. */
+/** Requests per second by customer. The first two send more than the engines can process. */
 const RATES: Readonly<Record<string, number>> = {
   'orchard-north': 40,
   'orchard-south': 60,
@@ -13,11 +13,11 @@
   installers: 4,
 };
 
-/** Builds the load for a running fleet. */
+/** Creates the load for a running fleet. */
 export function createDemoLoad(fleet: DemoFleet, durationMs: Millis): LoadFile {
-  const targets = (wanted: string) =>
+  const targets = (poolName: string) =>
     fleet.upstreams
-      .filter(({ pool }) => pool === wanted)
+      .filter(({ pool }) => pool === poolName)
       .map(({ id, pool, url }) => ({ name: id, pool, url }));
   const parsed = parseLoadFile(
     stringify({
--- a/src/cli/exitCodes.ts
+++ b/src/cli/exitCodes.ts
@@ -1,10 +1,10 @@
 /** Exit codes of the command line. */
 export const EXIT_CODES = {
-  /** Done. */
+  /** The command succeeded. */
   ok: 0,
   /** The command ran and failed. */
   failed: 1,
-  /** The command line itself is wrong. */
+  /** The command-line arguments are invalid. */
   usage: 2,
   /** Settings, a document or a load file is invalid; nothing was started. */
   invalid: 3,
--- a/src/cli/explain.ts
+++ b/src/cli/explain.ts
@@ -1,10 +1,10 @@
 /**
- * Follows one request through the log lines of several instances: finds the lines that name it, puts
- * them in order and tells which decision ended it, with its inputs.
+ * Traces one request through the logs of several instances: selects the lines that mention it, sorts
+ * them by time and identifies the decision that ended it, with the inputs of that decision.
  */
 import { routingEvents, type RoutingEventCode } from '../routing/eventTable.js';
 
-/** A line of the routing core's log. */
+/** A parsed line of the routing core's log. */
 export interface LogLine {
   readonly time: string;
   readonly instance: string;
@@ -13,25 +13,25 @@
 }
 
 export interface Explanation {
-  /** Lines that name the request, the earliest first. */
+  /** Lines that mention the request, in chronological order. */
   readonly way: readonly LogLine[];
-  /** The decision that ended it, if a line tells it. */
+  /** The decision that ended the request, if it was logged. */
   readonly ending: LogLine | undefined;
-  /** Lines on what the deciding instance believed, from shortly before the end. */
+  /** Lines of category `belief` that the deciding instance logged shortly before the decision. */
   readonly beliefs: readonly LogLine[];
 }
 
-/** Events that a request may pass through; all others of its category end it. */
-const ON_THE_WAY: ReadonlySet<RoutingEventCode> = new Set([
+/** Events that do not end a request. Any other event that mentions the request ends it. */
+const NON_TERMINAL_EVENTS: ReadonlySet<RoutingEventCode> = new Set([
   'sent',
   'retried',
   'resumed',
   'retryBudgetSpent',
 ]);
-const BELIEF_SPAN_MS = 5_000;
+const BELIEF_WINDOW_MS = 5_000;
 const MAX_BELIEFS = 20;
 
-/** Reads lines of JSON; whatever else stands in a file is left out. */
+/** Parses JSON log lines. Text that is not a log line of the routing core is skipped. */
 export function readLogLines(text: string): readonly LogLine[] {
   return text.split('\n').flatMap((line) => {
     const start = line.indexOf('{');
@@ -51,15 +51,15 @@
   });
 }
 
-/** Explains what became of a request. */
+/** Reconstructs the course of a request from log lines. */
 export function explainRequest(requestId: string, lines: readonly LogLine[]): Explanation {
   const way = lines.filter(({ fields }) => fields.request === requestId).sort(byTime);
-  const ending = way.findLast(({ event }) => !ON_THE_WAY.has(event));
+  const ending = way.findLast(({ event }) => !NON_TERMINAL_EVENTS.has(event));
   const beliefs = ending === undefined ? [] : beliefsBefore(ending, lines);
   return { way, ending, beliefs };
 }
 
-/** One line for people: time, instance, event, what it means, and its inputs. */
+/** Formats a log line for display: time, instance, event, description and inputs. */
 export function formatLogLine({ time, instance, event, fields }: LogLine): string {
   const inputs = Object.entries(fields)
     .filter(([name, value]) => value !== undefined && !['level', 'code', 'request'].includes(name))
@@ -69,12 +69,12 @@
 
 function beliefsBefore(ending: LogLine, lines: readonly LogLine[]): readonly LogLine[] {
   const end = Date.parse(ending.time);
-  const isNear = ({ time }: LogLine) => {
-    const before = end - Date.parse(time);
-    return before >= 0 && before <= BELIEF_SPAN_MS;
+  const isInWindow = ({ time }: LogLine) => {
+    const ageMs = end - Date.parse(time);
+    return ageMs >= 0 && ageMs <= BELIEF_WINDOW_MS;
   };
   return lines
-    .filter((line) => line.instance === ending.instance && isNear(line))
+    .filter((line) => line.instance === ending.instance && isInWindow(line))
     .filter(({ event }) => routingEvents[event].category === 'belief')
     .sort(byTime)
     .slice(-MAX_BELIEFS);
--- a/src/cli/files.ts
+++ b/src/cli/files.ts
@@ -1,4 +1,4 @@
-/** Files that commands read, and the findings in them. */
+/** Reads and validates the files that are given to commands. */
 import { readFile } from 'node:fs/promises';
 import { formatDocumentDiagnostic } from '../configuration/document.js';
 import { parseInitialView } from '../configuration/initialView.js';
@@ -11,12 +11,12 @@
 import { EXIT_CODES, type ExitCode } from './exitCodes.js';
 import { printDiagnostic } from './output.js';
 
-/** What a file holds, or the findings in it, one a line. */
+/** The parsed value of a file, or its formatted diagnostics. */
 export type FileResult<T> =
   | { readonly kind: 'ok'; readonly value: T }
   | { readonly kind: 'findings'; readonly lines: readonly string[] };
 
-/** Reads a file; tells why it cannot be read and returns `undefined`. */
+/** Reads a file. If that fails, prints a diagnostic and returns `undefined`. */
 export async function readText(file: string): Promise<string | undefined> {
   try {
     return await readFile(file, 'utf8');
@@ -27,7 +27,7 @@
   }
 }
 
-/** Checks the text of a settings file. */
+/** Parses and validates the text of a settings file. */
 export function checkSettings(file: string, text: string): FileResult<Settings> {
   const result = parseSettings(text);
   if (result.kind === 'settings') return { kind: 'ok', value: result.settings };
@@ -35,7 +35,7 @@
   return { kind: 'findings', lines };
 }
 
-/** Checks the text of a configuration document. */
+/** Parses and validates the text of a configuration document. */
 export function checkDocument(file: string, text: string): FileResult<ConfigurationView> {
   const result = parseInitialView(text);
   if (result.kind === 'view') return { kind: 'ok', value: result.view };
@@ -43,5 +43,5 @@
   return { kind: 'findings', lines };
 }
 
-/** Exit code of a file that could not be read. */
-export const UNREADABLE: ExitCode = EXIT_CODES.unreachable;
+/** Exit code for a file that cannot be read. */
+export const UNREADABLE_EXIT_CODE: ExitCode = EXIT_CODES.unreachable;
--- a/src/cli/operators/author.ts
+++ b/src/cli/operators/author.ts
@@ -1,4 +1,4 @@
-/** The name under which an operator's edits stand in the history. */
+/** Option for the author name that is recorded with an operator's edits. */
 import { userInfo } from 'node:os';
 import { option, string } from 'cmd-ts';
 
@@ -6,5 +6,5 @@
   type: string,
   long: 'author',
   defaultValue: () => userInfo().username,
-  description: 'name that the history and the audit trail show',
+  description: 'author name recorded in the history and the audit trail',
 });
--- a/src/cli/operators/client.ts
+++ b/src/cli/operators/client.ts
@@ -1,4 +1,4 @@
-/** Speaks to the operators' port of an instance: commands, status, and edits that survive lost replies. */
+/** Client of an instance's operator port: commands, status and edits that are retried safely. */
 import { randomUUID } from 'node:crypto';
 import { readFile } from 'node:fs/promises';
 import { setTimeout as delay } from 'node:timers/promises';
@@ -13,11 +13,11 @@
 import { printDiagnostic, printError } from '../output.js';
 
 const TIMEOUT_MS = 35_000;
-const PUBLISH_TRIES = 3;
-const RETRY_PAUSE_MS = 500;
-const KEY_VARIABLE = 'PRIMROSESWITCH_KEY';
+const MAX_PUBLISH_ATTEMPTS = 3;
+const RETRY_DELAY_MS = 500;
+const KEY_ENV_VARIABLE = 'PRIMROSESWITCH_KEY';
 
-/** Options of every command that speaks to an instance. */
+/** Options of all commands that connect to an instance. */
 export const operatorOptions = {
   url: option({
     type: string,
@@ -29,7 +29,7 @@
   keyFile: option({
     type: optional(string),
     long: 'key-file',
-    description: `file with the operator key; else the variable ${KEY_VARIABLE}`,
+    description: `file with the operator key; defaults to the environment variable ${KEY_ENV_VARIABLE}`,
   }),
 };
 
@@ -38,13 +38,13 @@
   readonly keyFile: string | undefined;
 }
 
-/** What an instance answered. */
+/** Result of a request to an instance. */
 export type Reply<T> =
   | { readonly kind: 'done'; readonly data: T }
   | { readonly kind: 'refused'; readonly status: number; readonly problem: ProblemBody }
   | { readonly kind: 'unreachable'; readonly reason: string };
 
-/** A problem document with what commands add to it. */
+/** A problem document with the additional members of command responses. */
 export interface ProblemBody {
   readonly title?: string;
   readonly detail?: string;
@@ -55,7 +55,7 @@
   };
 }
 
-export interface SectionSource {
+export interface SectionContent {
   readonly section: string;
   readonly version: number;
   readonly sectionVersion: number;
@@ -67,11 +67,11 @@
   readonly text: string;
   readonly baseVersion: number;
   readonly author: string;
-  /** Known to the operator, so that the edit can be sent again later. */
+  /** Chosen by the operator so that the edit can be resubmitted; random by default. */
   readonly editId?: string | undefined;
 }
 
-export interface Published {
+export interface PublishResult {
   readonly editId: string;
   readonly version: number;
   readonly unchanged?: boolean;
@@ -79,8 +79,8 @@
 
 export interface OperatorClient {
   readonly run: <T>(command: WireCommand) => Promise<Reply<T>>;
-  /** Publishes under one edit id, again after a lost reply. */
-  readonly publish: (edit: PublishRequest) => Promise<Reply<Published>>;
+  /** Publishes an edit, retrying with the same edit id while its outcome is unknown. */
+  readonly publish: (edit: PublishRequest) => Promise<Reply<PublishResult>>;
   readonly status: () => Promise<Reply<Readonly<Record<string, unknown>>>>;
 }
 
@@ -106,31 +106,34 @@
 
   const run = async <T>(command: WireCommand) => send<T>('/commands', JSON.stringify(command));
 
-  async function publish(edit: PublishRequest): Promise<Reply<Published>> {
+  async function publish(edit: PublishRequest): Promise<Reply<PublishResult>> {
     const editId = edit.editId ?? randomUUID();
     const command = { ...edit, kind: 'publish', editId } as const;
-    for (let tries = 1; ; tries += 1) {
-      const reply = await run<Published>(command);
-      if (!isUnsettled(reply) || tries === PUBLISH_TRIES) return reply;
-      await delay(RETRY_PAUSE_MS);
+    for (let attempt = 1; ; attempt += 1) {
+      const reply = await run<PublishResult>(command);
+      if (!isOutcomeUnknown(reply) || attempt === MAX_PUBLISH_ATTEMPTS) return reply;
+      await delay(RETRY_DELAY_MS);
     }
   }
 
   return { run, publish, status: async () => send('/status') };
 }
 
-/** Whether an edit may or may not have been published; sending it again is safe. */
-function isUnsettled(reply: Reply<unknown>): boolean {
+/**
+ * Whether it is unknown if an edit was published. Retrying is safe because the edit id stays the
+ * same.
+ */
+function isOutcomeUnknown(reply: Reply<unknown>): boolean {
   if (reply.kind === 'unreachable') return true;
   return reply.kind === 'refused' && reply.problem.executed === 'unknown';
 }
 
 async function readKey(file: string | undefined): Promise<string> {
-  if (file === undefined) return process.env[KEY_VARIABLE] ?? '';
+  if (file === undefined) return process.env[KEY_ENV_VARIABLE] ?? '';
   return (await readFile(file, 'utf8')).trim();
 }
 
-/** Tells why a command had no success; returns the exit code. */
+/** Prints why a command failed and returns its exit code. */
 export function reportFailure(
   url: string,
   reply: Exclude<Reply<unknown>, { readonly kind: 'done' }>,
@@ -142,26 +145,26 @@
   }
   const { problem, status } = reply;
   printDiagnostic('operatorRefused', { status, reason: problem.detail ?? problem.title ?? '' });
-  reportFindings(file, problem.data?.diagnostics ?? []);
+  reportDiagnostics(file, problem.data?.diagnostics ?? []);
   reportConflicts(problem.data?.conflicts ?? []);
   return problem.data?.diagnostics?.length ? EXIT_CODES.invalid : EXIT_CODES.failed;
 }
 
-function reportFindings(file: string, diagnostics: readonly DocumentDiagnostic[]): void {
-  diagnostics.forEach((found) => printError(formatFinding(file, found)));
+function reportDiagnostics(file: string, diagnostics: readonly DocumentDiagnostic[]): void {
+  diagnostics.forEach((diagnostic) => printError(formatFileDiagnostic(file, diagnostic)));
 }
 
-/** Says what to merge with, and how. */
+/** Prints the conflicting edits and how to resolve the conflict. */
 function reportConflicts(conflicts: readonly ConflictingEdit[]): void {
   conflicts.forEach(({ version, author, team, section, keys }) => {
     printError(`  version ${version} by ${team}/${author} changed ${section}: ${keys.join(', ')}`);
   });
   if (conflicts.length === 0) return;
-  printError('Get the section again, take your change over, and publish with its new version.');
+  printError('Get the section again, reapply your change and publish it with the new version.');
 }
 
-/** `file:line:column: section: text`. */
-export function formatFinding(file: string, found: DocumentDiagnostic): string {
+/** Formats a document diagnostic as `file:line:column: section: text`. */
+export function formatFileDiagnostic(file: string, diagnostic: DocumentDiagnostic): string {
   const prefix = file === '' ? '' : `${file}:`;
-  return `${prefix}${formatDocumentDiagnostic(found)}`;
+  return `${prefix}${formatDocumentDiagnostic(diagnostic)}`;
 }
--- a/src/cli/operators/differences.ts
+++ b/src/cli/operators/differences.ts
@@ -1,13 +1,13 @@
-/** Differences between two sources of a section or document, entry by entry. */
+/** Compares two sources of a section or document entry by entry. */
 import { splitDocument, splitSection } from '../../configuration/source.js';
 import { isSectionName } from '../../configuration/types.js';
 
-/** Returns lines with `+`, `-` or `~` before the entries that differ, and their sources. */
+/** Lists added (`+`), removed (`-`) and changed (`~`) entries, each followed by its sources. */
 export function describeDifferences(section: string, before: string, after: string): string[] {
-  const old = entriesOf(section, before);
-  const fresh = entriesOf(section, after);
-  const keys = [...new Set([...old.keys(), ...fresh.keys()])];
-  return keys.flatMap((key) => describeEntry(key, old.get(key), fresh.get(key)));
+  const previous = entriesOf(section, before);
+  const updated = entriesOf(section, after);
+  const keys = [...new Set([...previous.keys(), ...updated.keys()])];
+  return keys.flatMap((key) => describeEntry(key, previous.get(key), updated.get(key)));
 }
 
 function describeEntry(
@@ -16,16 +16,16 @@
   after: string | undefined,
 ): readonly string[] {
   if (before === after) return [];
-  const mark = markOf(before, after);
-  return [`${mark} ${key}`, ...linesOf('-', before), ...linesOf('+', after)];
+  const mark = changeMarker(before, after);
+  return [`${mark} ${key}`, ...markLines('-', before), ...markLines('+', after)];
 }
 
-function markOf(before: string | undefined, after: string | undefined): string {
+function changeMarker(before: string | undefined, after: string | undefined): string {
   if (before === undefined) return '+';
   return after === undefined ? '-' : '~';
 }
 
-function linesOf(mark: string, text = ''): readonly string[] {
+function markLines(mark: string, text = ''): readonly string[] {
   return text
     .split('\n')
     .filter(Boolean)
--- a/src/cli/operators/edits.ts
+++ b/src/cli/operators/edits.ts
@@ -1,20 +1,20 @@
-/** Edits of single entries of a section, repeated when another editor was first. */
+/** Edits individual entries of a section, retrying after conflicts with concurrent edits. */
 import { splitSection } from '../../configuration/source.js';
 import type { SectionName } from '../../configuration/types.js';
-import type { OperatorClient, Published, Reply, SectionSource } from './client.js';
+import type { OperatorClient, PublishResult, Reply, SectionContent } from './client.js';
 
-/** Tries of an edit that other editors race. */
-const TRIES_MAX = 5;
+/** Maximum number of attempts when concurrent edits conflict. */
+const MAX_ATTEMPTS = 5;
 
-/** Entries of a section: their sources by key. */
-export type EntryTexts = Map<string, string>;
+/** Sources of a section's entries by key. */
+export type EntrySources = Map<string, string>;
 
-/** Reads a section's entries. */
+/** Reads the entries of a section and the version they belong to. */
 export async function readEntries(
   client: OperatorClient,
   section: SectionName,
-): Promise<Reply<{ readonly version: number; readonly entries: EntryTexts }>> {
-  const reply = await client.run<SectionSource>({ kind: 'getConfiguration', section });
+): Promise<Reply<{ readonly version: number; readonly entries: EntrySources }>> {
+  const reply = await client.run<SectionContent>({ kind: 'getConfiguration', section });
   if (reply.kind !== 'done') return reply;
   const { parts } = splitSection(section, reply.data.text);
   const entries = new Map(parts.map((part) => [part.key, part.text]));
@@ -22,15 +22,16 @@
 }
 
 /**
- * Changes entries of a section. `change` is applied to the latest entries, again after a conflict.
+ * Edits entries of a section. `change` mutates the latest entries and is called again, on entries
+ * that are read anew, after each conflict.
  */
 export async function editEntries(
   client: OperatorClient,
   section: SectionName,
   author: string,
-  change: (entries: EntryTexts) => void,
-): Promise<Reply<Published>> {
-  for (let tries = 1; ; tries += 1) {
+  change: (entries: EntrySources) => void,
+): Promise<Reply<PublishResult>> {
+  for (let attempt = 1; ; attempt += 1) {
     const current = await readEntries(client, section);
     if (current.kind !== 'done') return current;
     const { entries, version } = current.data;
@@ -38,6 +39,6 @@
     const text = [...entries.values()].join('');
     const reply = await client.publish({ section, text, baseVersion: version, author });
     const isConflict = reply.kind === 'refused' && reply.status === 409;
-    if (!isConflict || tries === TRIES_MAX) return reply;
+    if (!isConflict || attempt === MAX_ATTEMPTS) return reply;
   }
 }
--- a/src/cli/operators/statusPage.ts
+++ b/src/cli/operators/statusPage.ts
@@ -1,25 +1,27 @@
-/** Reads the status page, whose shape may be that of another version of the program. */
+/** Accessors for the status page, whose shape may differ if the instance runs another version. */
 
-export type StatusValue = Readonly<Record<string, unknown>>;
+export type StatusObject = Readonly<Record<string, unknown>>;
 
-/** Returns the object at a path; `undefined` if there is none. */
-export function partOf(value: unknown, ...path: readonly string[]): StatusValue | undefined {
+/** Returns the object at a path, or `undefined` if there is none. */
+export function objectAt(value: unknown, ...path: readonly string[]): StatusObject | undefined {
   let current: unknown = value;
   for (const name of path) {
     if (typeof current !== 'object' || current === null) return undefined;
-    current = (current as StatusValue)[name];
+    current = (current as StatusObject)[name];
   }
-  return typeof current === 'object' && current !== null ? (current as StatusValue) : undefined;
+  return typeof current === 'object' && current !== null ? (current as StatusObject) : undefined;
 }
 
-/** Entries of a map on the page; a cut one holds its first entries beside its size. */
-export function entriesOf(value: StatusValue | undefined): readonly (readonly [string, unknown])[] {
-  const first = partOf(value, 'first');
+/** Returns the entries of a map. A truncated map holds its first entries in `first`. */
+export function entriesOf(
+  value: StatusObject | undefined,
+): readonly (readonly [string, unknown])[] {
+  const first = objectAt(value, 'first');
   return Object.entries(first ?? value ?? {});
 }
 
 export function numberAt(value: unknown, ...path: readonly string[]): number {
-  const parent = partOf(value, ...path.slice(0, -1));
+  const parent = objectAt(value, ...path.slice(0, -1));
   const found = parent?.[path.at(-1) ?? ''];
   return typeof found === 'number' ? found : 0;
 }
--- a/src/cli/output.ts
+++ b/src/cli/output.ts
@@ -1,46 +1,46 @@
-/** Output of commands: data on standard output, errors on standard error. */
+/** Writes the output of commands: data to standard output, errors to standard error. */
 import { diagnostics, formatDiagnostic } from '../core/diagnostics.js';
 import type { DiagnosticArgs, DiagnosticCode } from '../core/diagnostics.js';
 import { EXIT_CODES } from './exitCodes.js';
 
-let isReaderWatched = false;
+let isPipeHandlerInstalled = false;
 
 /**
- * Ends the process in the usual way once nobody reads its output any more, as where `head` has read
- * enough: what is left to print has no reader. Any other failure to write is an error.
+ * Exits successfully when the reader of standard output closes the pipe (EPIPE), for example `head`.
+ * Any other write error is thrown.
  */
-function watchReader(): void {
-  if (isReaderWatched) return;
-  isReaderWatched = true;
+function handleClosedPipe(): void {
+  if (isPipeHandlerInstalled) return;
+  isPipeHandlerInstalled = true;
   process.stdout.on('error', (err: NodeJS.ErrnoException) => {
     if (err.code !== 'EPIPE') throw err;
     process.exit(EXIT_CODES.ok);
   });
 }
 
-/** Writes a line of data. */
+/** Writes a line to standard output. */
 export function printLine(line = ''): void {
-  watchReader();
+  handleClosedPipe();
   process.stdout.write(`${line}\n`);
 }
 
-/** Writes a value as JSON. */
+/** Writes a value as indented JSON to standard output. */
 export function printJson(value: unknown): void {
   printLine(JSON.stringify(value, undefined, 2));
 }
 
-/** Writes a diagnostic with its category and number. */
+/** Writes a diagnostic with its category and number to standard error. */
 export function printDiagnostic(code: DiagnosticCode, args: DiagnosticArgs = {}): void {
   const { category, code: number } = diagnostics[code];
   printError(`${category} ${number}: ${formatDiagnostic(code, args)}`);
 }
 
-/** Writes a line of error text. */
+/** Writes a line to standard error. */
 export function printError(line: string): void {
   process.stderr.write(`${line}\n`);
 }
 
-/** Aligns the columns of a table; the first row is its head. */
+/** Formats rows as a table with aligned columns. */
 export function formatColumns(rows: readonly (readonly string[])[]): string {
   const widths: number[] = [];
   rows.forEach((row) => {
--- a/src/cli/stopSignals.ts
+++ b/src/cli/stopSignals.ts
@@ -1,13 +1,16 @@
-/** Signals that end a command that stays up. */
+/** Signal handling of commands that run until they are stopped. */
 
-/** Resolves at the first SIGTERM or SIGINT; a second one then ends the process as usual. */
+/**
+ * Resolves on the first SIGTERM or SIGINT and then removes its handlers, so that a second signal
+ * terminates the process by default.
+ */
 export async function stopRequested(): Promise<void> {
   return new Promise((resolve) => {
     const signals = ['SIGTERM', 'SIGINT'] as const;
-    const settle = () => {
-      signals.forEach((signal) => process.removeListener(signal, settle));
+    const onSignal = () => {
+      signals.forEach((signal) => process.removeListener(signal, onSignal));
       resolve();
     };
-    signals.forEach((signal) => process.on(signal, settle));
+    signals.forEach((signal) => process.on(signal, onSignal));
   });
 }
--- a/src/index.ts
+++ b/src/index.ts
@@ -1,6 +1,7 @@
 /**
- * The library: the core with its events, effects and messages; the codec of peer messages; the
- * hosts and the instance that is made of them; settings and the configuration document.
+ * Entry point of the library. Exports the core with its events, effects and messages, the codec of
+ * peer messages, the types of the hosts, the instance that combines them, and the parsers of
+ * settings and configuration documents.
  */
 export * from './core/core.js';
 export * from './core/clock.js';
--- a/test/cli/cli.test.ts
+++ b/test/cli/cli.test.ts
@@ -11,7 +11,7 @@
 
 const MAIN = join('dist', 'src', 'cli', 'main.js');
 
-interface Ended {
+interface ProcessResult {
   readonly code: number | null;
   readonly stdout: string;
   readonly stderr: string;
@@ -30,13 +30,13 @@
   child.stderr.on('data', (part: Buffer) => {
     output.stderr += part.toString();
   });
-  const ended = new Promise<Ended>((resolve) => {
+  const ended = new Promise<ProcessResult>((resolve) => {
     child.once('close', (code) => resolve({ code, ...output }));
   });
   return { child, output, ended };
 }
 
-const run = async (...args: readonly string[]): Promise<Ended> => start(args).ended;
+const run = async (...args: readonly string[]): Promise<ProcessResult> => start(args).ended;
 
 describe('command line', () => {
   let dir: string;
@@ -52,14 +52,14 @@
     return file;
   };
 
-  it('tells a wrong command line by its exit code', async () => {
+  it('exits with the usage code for an unknown command', async () => {
     const { code, stdout, stderr } = await run('srve');
     expect(code).to.equal(EXIT_CODES.usage);
     expect(stdout).to.equal('');
     expect(stderr).to.include('serve');
   });
 
-  it('checks a document and names file, line and column', async () => {
+  it('validates a document and reports file, line and column', async () => {
     const good = await run('check', join('examples', 'cherry-net-hire.yaml'));
     expect(good.code).to.equal(EXIT_CODES.ok);
     const file = await write('document.yaml', 'custmers:\n  a: {}\n');
@@ -69,9 +69,9 @@
     expect(findings[0]).to.match(/document\.yaml:1:1: .*customers/);
   });
 
-  it('ends without an error once nobody reads its output', async () => {
+  it('exits successfully when the reader closes its output', async () => {
     const line = { time: '2026-01-01T00:00:00Z', instance: 'i1', event: 'sent', request: 'r1' };
-    // More than a pipe holds, so that the rest is written after its reader has left.
+    // Exceeds the pipe buffer, so that output remains to be written after the reader closes it.
     const file = await write('i1.log', `${JSON.stringify(line)}\n`.repeat(20_000));
     const { child, ended } = start(['explain', 'r1', file]);
     child.stdout?.once('data', () => child.stdout?.destroy());
@@ -80,14 +80,14 @@
     expect(code).to.equal(EXIT_CODES.ok);
   });
 
-  it('starts nothing with invalid settings', async () => {
+  it('rejects invalid settings before starting', async () => {
     const file = await write('bad.yaml', 'instance: { id: a, domain: d, reegion: r }\n');
     const { code, stderr } = await run('serve', '--settings', file);
     expect(code).to.equal(EXIT_CODES.invalid);
     expect(stderr).to.include(`${file}:1:31: error 3004`);
   });
 
-  it('takes process ids for faults by name, and no others', async () => {
+  it('accepts only NAME=PID and requires a process id for each fault', async () => {
     const load = join('examples', 'load.yaml');
     const faults = await write('faults.yaml', 'faults: [{atMs: 1, process: i1, signal: SIGCONT}]');
     const bad = await run('load', load, '--faults', faults, '--pid', 'i1');
@@ -98,13 +98,13 @@
     expect(other.stderr).to.include('i1');
   });
 
-  it('tells that an instance cannot be reached', async () => {
+  it('reports an unreachable instance', async () => {
     const { code, stderr } = await run('status', '--url', 'http://127.0.0.1:1');
     expect(code).to.equal(EXIT_CODES.unreachable);
     expect(stderr).to.include('error 7003');
   });
 
-  it('serves, and ends a stream in progress before it exits on SIGTERM', async () => {
+  it('completes a stream in progress before exiting on SIGTERM', async () => {
     const engine = await createEngineStandin({ tokenIntervalMs: 20 });
     const place = { domain: 'd', region: 'r' };
     await write(
@@ -140,7 +140,7 @@
     await engine.stop();
   });
 
-  it('shows a fleet at work and exits', async () => {
+  it('runs the demo load and exits', async () => {
     const { code, stdout } = await run('demo', '--once', '--seconds', '1');
     expect(stdout).to.match(/\n(\d+) sent in [\d.]+ s, \1 served, 0 refused, 0 failed/);
     expect(stdout).to.include('every request had a true end');
--- a/test/cli/operators.test.ts
+++ b/test/cli/operators.test.ts
@@ -10,13 +10,13 @@
 
 const MAIN = join('dist', 'src', 'cli', 'main.js');
 
-interface Ended {
+interface ProcessResult {
   readonly code: number | null;
   readonly stdout: string;
   readonly stderr: string;
 }
 
-async function run(key: string, args: readonly string[]): Promise<Ended> {
+async function run(key: string, args: readonly string[]): Promise<ProcessResult> {
   const env = { ...process.env, PRIMROSESWITCH_KEY: key };
   const child = spawn(process.execPath, [MAIN, ...args], { stdio: 'pipe', env });
   const output = { stdout: '', stderr: '' };
@@ -31,7 +31,7 @@
   });
 }
 
-describe("operators' commands", () => {
+describe('operator commands', () => {
   let dir: string;
   let platform: PlatformStandin;
   let instance: Instance;
@@ -57,44 +57,55 @@
     await rm(dir, { recursive: true });
   });
 
-  const operate = async (...args: readonly string[]) => run(PLATFORM_KEY, [...args, '--url', url]);
+  const runAsPlatformTeam = async (...args: readonly string[]) =>
+    run(PLATFORM_KEY, [...args, '--url', url]);
 
-  it('publish, get, edit, conflict, history, revert, stop, audit', async () => {
+  it('publish, edit and revert the configuration, report conflicts and plan stops', async () => {
     const file = join(dir, 'document.yaml');
     await writeFile(file, BASE_DOCUMENT);
-    const first = await operate('config', 'publish', file, '--base', '-1', '--author', 'ana');
+    const first = await runAsPlatformTeam(
+      'config',
+      'publish',
+      file,
+      '--base',
+      '-1',
+      '--author',
+      'ana',
+    );
     expect(first.stderr).to.equal('');
     expect(first.stdout).to.equal('version 0\n');
 
     const pools = join(dir, 'pools.yaml');
-    expect((await operate('config', 'get', 'pools', '-o', pools)).code).to.equal(EXIT_CODES.ok);
+    expect((await runAsPlatformTeam('config', 'get', 'pools', '-o', pools)).code).to.equal(
+      EXIT_CODES.ok,
+    );
     const source = await readFile(pools, 'utf8');
     await writeFile(pools, source.replace('model', 'modle'));
-    const wrong = await operate('config', 'check', pools);
+    const wrong = await runAsPlatformTeam('config', 'check', pools);
     expect(wrong.code).to.equal(EXIT_CODES.invalid);
     expect(wrong.stderr).to.include(`${pools}:2:`);
 
     await writeFile(pools, `${source}shop: { kind: service }\n`);
-    expect((await operate('config', 'diff', pools)).stdout).to.include('+ pools.shop');
-    expect((await operate('config', 'publish', pools)).stdout).to.equal('version 1\n');
+    expect((await runAsPlatformTeam('config', 'diff', pools)).stdout).to.include('+ pools.shop');
+    expect((await runAsPlatformTeam('config', 'publish', pools)).stdout).to.equal('version 1\n');
     await writeFile(pools, `${source}late: { kind: service }\n`);
-    const late = await operate('config', 'publish', pools);
+    const late = await runAsPlatformTeam('config', 'publish', pools);
     expect(late.code).to.equal(EXIT_CODES.failed);
     expect(late.stderr).to.include('version 1 by platform/');
 
-    const planned = await operate('stop', 'plan', 'e1', '--reason', 'disks');
+    const planned = await runAsPlatformTeam('stop', 'plan', 'e1', '--reason', 'disks');
     expect(planned.stderr).to.equal('');
-    expect((await operate('stop', 'list')).stdout).to.include('reason: disks');
-    expect((await operate('stop', 'cancel', 'e1')).code).to.equal(EXIT_CODES.ok);
-    const reverted = await operate('config', 'revert', '0', '--section', 'pools');
+    expect((await runAsPlatformTeam('stop', 'list')).stdout).to.include('reason: disks');
+    expect((await runAsPlatformTeam('stop', 'cancel', 'e1')).code).to.equal(EXIT_CODES.ok);
+    const reverted = await runAsPlatformTeam('config', 'revert', '0', '--section', 'pools');
     expect(reverted.code).to.equal(EXIT_CODES.ok);
-    expect((await operate('config', 'get', 'pools')).stdout).to.not.include('shop');
-    const history = await operate('config', 'history');
+    expect((await runAsPlatformTeam('config', 'get', 'pools')).stdout).to.not.include('shop');
+    const history = await runAsPlatformTeam('config', 'history');
     expect(history.stdout).to.include('refused: conflict');
     expect(history.stdout).to.include('plannedStops.e1');
   }).timeout(60_000);
 
-  it('keep to the team of the key', async () => {
+  it('are restricted to the sections owned by the team of the key', async () => {
     const key = join(dir, 'caller.key');
     await writeFile(key, 'caller-3');
     const args = ['customer', 'add', 'c3', '--caller-key-file', key, '--url', url];
@@ -105,7 +116,7 @@
     expect(added.code).to.equal(EXIT_CODES.ok);
     const unknown = await run('nobody', ['config', 'get', '--url', url]);
     expect(unknown.stderr).to.include('unknown');
-    // Knowing the stored hash of a key is not enough.
+    // The stored hash of a key is not accepted as a credential.
     const byHash = await run(PLATFORM_HASH, ['config', 'get', '--url', url]);
     expect(byHash.code).to.equal(EXIT_CODES.failed);
     const status = await fetch(`${url}/status`).then(async (res) => res.text());
@@ -114,12 +125,12 @@
     });
   }).timeout(30_000);
 
-  it('show orders, the audit trail and a view', async () => {
-    const trail = await operate('audit');
+  it('show orders, the audit trail, the live view and the quarantine', async () => {
+    const trail = await runAsPlatformTeam('audit');
     expect(trail.stdout).to.include('platform/');
     expect(trail.stdout).to.not.include(PLATFORM_HASH);
-    expect((await operate('orders')).stdout).to.include('upstream');
-    expect((await operate('top', '--once')).stdout).to.include('instance i1 (d1, r1)');
-    expect((await operate('quarantine', 'list')).code).to.equal(EXIT_CODES.ok);
+    expect((await runAsPlatformTeam('orders')).stdout).to.include('upstream');
+    expect((await runAsPlatformTeam('top', '--once')).stdout).to.include('instance i1 (d1, r1)');
+    expect((await runAsPlatformTeam('quarantine', 'list')).code).to.equal(EXIT_CODES.ok);
   }).timeout(30_000);
 });
