--- a/src/hosts/address.ts
+++ b/src/hosts/address.ts
@@ -1,12 +1,12 @@
-/** Addresses as settings and the platform spell them: `ip:port`, or `[ip]:port` for IPv6. */
+/** Addresses in the form that settings and the platform use: `ip:port`, or `[ip]:port` for IPv6. */
 
 export interface SocketAddress {
   readonly host: string;
-  /** 0 lets the system choose where an address is listened on. */
+  /** For a listening socket, 0 lets the operating system choose a port. */
   readonly port: number;
 }
 
-/** Host and port of an address. */
+/** Splits an address into host and port and removes the brackets of an IPv6 address. */
 export function splitAddress(address: string): SocketAddress {
   const split = address.lastIndexOf(':');
   const host = address.slice(0, split).replace(/^\[|\]$/g, '');
--- a/src/hosts/answerSink.ts
+++ b/src/hosts/answerSink.ts
@@ -1,57 +1,61 @@
-/** The caller's side of one answer: its head, its parts with back-pressure, and its end. */
+/** Writes one response to a caller: status and headers, body with backpressure, and completion. */
 import type { ServerResponse } from 'node:http';
 import type { Millis } from '../core/clock.js';
 import type { AnswerHead, Problem, RecordedAnswer } from '../core/types.js';
 import { sendJson } from './httpServer.js';
-import { problemBody, problemHeaders } from './problem.js';
-import type { AnswerSink } from './types.js';
+import { createProblemBody, createProblemHeaders } from './problem.js';
+import type { ResponseSink } from './types.js';
 
-const EVENT_STREAM = 'text/event-stream';
+const EVENT_STREAM_TYPE = 'text/event-stream';
 
-/** The sink of one request, and the ends that an answer can have. */
-export interface CallerAnswer extends AnswerSink {
+/** The response sink of one request, with the ways in which the response can be completed. */
+export interface CallerResponse extends ResponseSink {
   readonly finish: () => void;
   readonly replay: (answer: RecordedAnswer) => void;
-  /** Ends the answer as failed, whatever has been sent of it. */
+  /**
+   * Reports a failure to the caller: as a problem document if nothing was sent yet, otherwise by
+   * closing the connection before the body is complete, after an error event in an event stream.
+   */
   readonly fail: (problem: Problem) => void;
 }
 
-export interface CallerAnswerOptions {
+export interface CallerResponseOptions {
   readonly res: ServerResponse;
-  /** Headers that every answer carries. */
+  /** Headers added to every response. */
   readonly headers: Readonly<Record<string, string>>;
-  /** Time after which a caller that reads nothing is taken for gone. */
+  /** Time after which a caller that does not read its response is disconnected. */
   readonly stallTimeoutMs: Millis;
 }
 
-export function createCallerAnswer(options: CallerAnswerOptions): CallerAnswer {
+export function createCallerResponse(options: CallerResponseOptions): CallerResponse {
   const { res, headers, stallTimeoutMs } = options;
   let isEventStream = false;
 
   function start(head: AnswerHead): void {
     if (res.headersSent || res.destroyed) return;
-    isEventStream = head.headers['content-type']?.startsWith(EVENT_STREAM) === true;
+    isEventStream = head.headers['content-type']?.startsWith(EVENT_STREAM_TYPE) === true;
     res.writeHead(head.status, { ...head.headers, ...headers });
   }
 
   function write(chunk: Uint8Array): Promise<void> | undefined {
-    if (res.destroyed) return Promise.reject(new Error('The caller is gone.'));
-    return res.write(chunk) ? undefined : drained(res, stallTimeoutMs);
+    if (res.destroyed) return Promise.reject(new Error('The caller has disconnected.'));
+    return res.write(chunk) ? undefined : waitForDrain(res, stallTimeoutMs);
   }
 
-  /** Ends the connection once what was written has left. */
+  /** Closes the connection after all written data has been sent. */
   function closeConnection(): void {
     res.socket?.destroySoon();
   }
 
   function fail(problem: Problem): void {
     if (res.destroyed || res.writableEnded) return;
-    const body = problemBody(problem);
+    const body = createProblemBody(problem);
     if (!res.headersSent) {
-      sendJson(res, problem.status, body, { ...problemHeaders(problem), ...headers });
+      sendJson(res, problem.status, body, { ...createProblemHeaders(problem), ...headers });
       return;
     }
-    // Without the end of the chunked body no caller can take a failed answer for a whole one.
+    // Status and headers are already sent. Closing without the terminating chunk lets every caller
+    // see that the response is incomplete.
     if (isEventStream)
       res.write(`event: error\ndata: ${JSON.stringify(body)}\n\n`, closeConnection);
     else closeConnection();
@@ -77,15 +81,18 @@
   };
 }
 
-/** Resolves when the caller can take more; rejects when it is gone. */
-async function drained(res: ServerResponse, stallTimeoutMs: Millis): Promise<void> {
+/**
+ * Resolves when the caller can receive more; rejects if it has disconnected. Destroys the response
+ * if nothing could be sent within `stallTimeoutMs`.
+ */
+async function waitForDrain(res: ServerResponse, stallTimeoutMs: Millis): Promise<void> {
   return new Promise((resolve, reject) => {
     const timer = setTimeout(() => res.destroy(), stallTimeoutMs);
     function settle(): void {
       clearTimeout(timer);
       res.removeListener('drain', settle);
       res.removeListener('close', settle);
-      if (res.destroyed) reject(new Error('The caller is gone.'));
+      if (res.destroyed) reject(new Error('The caller has disconnected.'));
       else resolve();
     }
     res.once('drain', settle);
--- a/src/hosts/attemptRun.ts
+++ b/src/hosts/attemptRun.ts
@@ -1,20 +1,23 @@
 /**
- * One attempt on an upstream: sends the request, checks that the reply belongs to the attempt,
- * passes the answer on with back-pressure and finds out how it ended.
+ * Runs one attempt of a request on an upstream: sends the request, checks that the response belongs
+ * to the attempt, forwards it with backpressure and determines the outcome.
  */
 import type { IncomingHttpHeaders } from 'node:http';
 import { errors, type Dispatcher } from 'undici';
 import type { AnswerHead, AttemptOutcome, AttemptPlan, RecordedAnswer } from '../core/types.js';
-import { createEventStreamReader, readBodyFacts, type TokenUsage } from './eventStream.js';
-import type { AnswerSink, OutgoingRequest } from './types.js';
+import { createEventStreamReader, readResponseBodyInfo, type TokenUsage } from './eventStream.js';
+import type { ResponseSink, OutgoingRequest } from './types.js';
 
-/** Largest answer that is held until it is whole, and largest one kept for a claim's outcome. */
-const MAX_HELD_BYTES = 1024 * 1024;
-/** Bytes of an error answer that are read for its detail. */
-const MAX_ERROR_BYTES = 16 * 1024;
+/**
+ * Largest response that is buffered until it is complete, and therefore the largest one that can be
+ * recorded as the outcome of a claim.
+ */
+const MAX_BUFFERED_BYTES = 1024 * 1024;
+/** Largest body of an error response that is read to determine the outcome. */
+const MAX_ERROR_BODY_BYTES = 16 * 1024;
 const MS_PER_SECOND = 1_000;
 
-/** Response headers that end at this hop. */
+/** Response headers that are not forwarded: hop-by-hop headers and the id of the attempt. */
 const DROPPED_HEADERS: ReadonlySet<string> = new Set([
   'connection',
   'keep-alive',
@@ -28,15 +31,15 @@
 
 export interface AttemptListener {
   readonly onStarted: () => void;
-  /** The answer's body named the attempt by its id. */
-  readonly onNamed?: () => void;
+  /** Called when the id in the response body is the id of the attempt. */
+  readonly onAttemptIdEchoed?: () => void;
   readonly onProgress: (tokens: number, bytes: number) => void;
-  /** Called once. */
+  /** Called exactly once. */
   readonly onEnded: (outcome: AttemptOutcome) => void;
 }
 
 export interface AttemptRun {
-  /** Ends the attempt and its connection as `cancelled`. */
+  /** Closes the connection and ends the attempt with the outcome `cancelled`. */
   readonly cancel: () => void;
 }
 
@@ -44,31 +47,37 @@
   readonly dispatcher: Dispatcher;
   readonly plan: AttemptPlan;
   readonly req: OutgoingRequest;
-  readonly sink: AnswerSink;
+  readonly sink: ResponseSink;
   readonly listener: AttemptListener;
-  /** Whether bodies of this upstream name their attempt, so that another name is foreign. */
-  readonly namesAttempts?: boolean;
+  /**
+   * Whether this upstream puts the attempt id into response bodies. If so, a body with another id
+   * belongs to a different attempt.
+   */
+  readonly echoesAttemptIds?: boolean;
 }
 
-/** How the parts of an answer are treated. */
-type AnswerMode =
-  /** Server-sent events: passed on event by event; the end mark decides. */
+/** How the response body is processed. */
+type ResponseMode =
+  /** Server-sent events: forwarded event by event; complete once the end marker was received. */
   | { readonly kind: 'events'; readonly reader: ReturnType<typeof createEventStreamReader> }
-  /** Small body: held until it is whole, so that a broken one can be tried again. */
+  /** Small body: buffered until it is complete, so that the attempt can be retried if it is cut. */
   | { readonly kind: 'held' }
-  /** Passed on as it comes; the HTTP framing decides. */
+  /** Forwarded as it arrives; complete when the HTTP framing says so. */
   | { readonly kind: 'plain' }
-  /** Not for the caller. */
+  /** Error response: read to determine the outcome and not forwarded. */
   | { readonly kind: 'error' };
 
-/** Starts an attempt. The outcome is reported later, never from within this call. */
+/**
+ * Starts an attempt. The outcome is usually reported after this call has returned; only an attempt
+ * that cannot be sent may be reported as `notSent` from within the call.
+ */
 export function startAttemptRun(options: AttemptRunOptions): AttemptRun {
   const { plan, req, sink, listener } = options;
   let controller: Dispatcher.DispatchController | undefined;
   let head: AnswerHead = { status: 0, headers: {} };
-  let mode: AnswerMode = { kind: 'error' };
-  let kept: Uint8Array[] = [];
-  let keptBytes = 0;
+  let mode: ResponseMode = { kind: 'error' };
+  let bufferedChunks: Uint8Array[] = [];
+  let bufferedBytes = 0;
   let isFramed = true;
   let outputTokens = 0;
   let hasSent = false;
@@ -81,30 +90,31 @@
     listener.onEnded(outcome);
   }
 
-  function abortAs(outcome: AttemptOutcome): void {
+  function abortWith(outcome: AttemptOutcome): void {
     end(outcome);
     controller?.abort(new errors.RequestAbortedError());
   }
 
-  function pass(bytes: Uint8Array, tokens: number): void {
+  function forward(bytes: Uint8Array, tokens: number): void {
     if (bytes.length === 0) return;
     sink.start(head);
     outputTokens += tokens;
-    const blocked = sink.write(bytes);
+    const backpressure = sink.write(bytes);
     listener.onProgress(tokens, bytes.length);
-    if (blocked === undefined) return;
+    if (backpressure === undefined) return;
     controller?.pause();
-    blocked.then(
+    backpressure.then(
       () => controller?.resume(),
-      // The caller host reports the departure of the caller; the core then cancels.
+      // The write fails if the caller has disconnected. The caller host reports that to the core,
+      // which then cancels the attempt.
       () => controller?.resume(),
     );
   }
 
-  function keep(chunk: Uint8Array, limit: number): boolean {
-    if (keptBytes + chunk.length > limit) return false;
-    kept.push(chunk);
-    keptBytes += chunk.length;
+  function bufferChunk(chunk: Uint8Array, limit: number): boolean {
+    if (bufferedBytes + chunk.length > limit) return false;
+    bufferedChunks.push(chunk);
+    bufferedBytes += chunk.length;
     return true;
   }
 
@@ -112,25 +122,26 @@
     switch (mode.kind) {
       case 'events': {
         const batch = mode.reader.read(chunk);
-        if (batch.isForeign) abortAs({ kind: 'foreign' });
-        else pass(batch.bytes, batch.tokens);
+        if (batch.isForeign) abortWith({ kind: 'foreign' });
+        else forward(batch.bytes, batch.tokens);
         return;
       }
       case 'held':
-        if (keep(chunk, MAX_HELD_BYTES)) return;
+        if (bufferChunk(chunk, MAX_BUFFERED_BYTES)) return;
         mode = { kind: 'plain' };
-        pass(Buffer.concat([...kept, chunk]), 0);
-        kept = [];
+        forward(Buffer.concat([...bufferedChunks, chunk]), 0);
+        bufferedChunks = [];
         return;
       case 'plain':
-        pass(chunk, 0);
+        forward(chunk, 0);
         return;
       default:
-        if (!keep(chunk, MAX_ERROR_BYTES)) abortAs(errorOutcome(head, kept));
+        if (!bufferChunk(chunk, MAX_ERROR_BODY_BYTES))
+          abortWith(createErrorOutcome(head, bufferedChunks));
     }
   }
 
-  function endComplete(usage: TokenUsage, answer?: RecordedAnswer): void {
+  function completeAttempt(usage: TokenUsage, answer?: RecordedAnswer): void {
     end({
       kind: 'complete',
       status: head.status,
@@ -140,38 +151,42 @@
     });
   }
 
-  function endHeld(): void {
-    const body = Buffer.concat(kept);
-    const { id, ...usage } = plan.kind === 'model' ? readBodyFacts(body) : {};
-    if (options.namesAttempts === true && id !== undefined && id !== plan.attemptId) {
+  function endBuffered(): void {
+    const body = Buffer.concat(bufferedChunks);
+    const { id, ...usage } = plan.kind === 'model' ? readResponseBodyInfo(body) : {};
+    if (options.echoesAttemptIds === true && id !== undefined && id !== plan.attemptId) {
       end({ kind: 'foreign' });
       return;
     }
-    if (id === plan.attemptId) listener.onNamed?.();
+    if (id === plan.attemptId) listener.onAttemptIdEchoed?.();
     sink.start(head);
-    if (body.length > 0) pass(body, usage.outputTokens ?? 0);
+    if (body.length > 0) forward(body, usage.outputTokens ?? 0);
     const contentType = head.headers['content-type'] ?? 'application/octet-stream';
-    endComplete(usage, plan.captureAnswer ? { status: head.status, contentType, body } : undefined);
+    completeAttempt(
+      usage,
+      plan.captureAnswer ? { status: head.status, contentType, body } : undefined,
+    );
   }
 
-  function endAnswer(): void {
+  function endResponse(): void {
     if (mode.kind === 'error') {
-      end(errorOutcome(head, kept));
+      end(createErrorOutcome(head, bufferedChunks));
     } else if (!isFramed) {
       end({ kind: 'cut', detail: 'The answer has neither a length nor an end mark.' });
     } else if (mode.kind === 'events') {
-      const isWhole = plan.kind === 'service' ? !mode.reader.hasRest() : mode.reader.hasEnded();
-      if (!isWhole) end({ kind: 'cut', detail: 'The stream ended before its end mark.' });
+      const isComplete =
+        plan.kind === 'service' ? !mode.reader.hasPartialEvent() : mode.reader.hasEnded();
+      if (!isComplete) end({ kind: 'cut', detail: 'The stream ended before its end mark.' });
       else {
-        if (mode.reader.answerId() === plan.attemptId) listener.onNamed?.();
+        if (mode.reader.responseId() === plan.attemptId) listener.onAttemptIdEchoed?.();
         sink.start(head);
-        endComplete(mode.reader.usage());
+        completeAttempt(mode.reader.usage());
       }
     } else if (mode.kind === 'held') {
-      endHeld();
+      endBuffered();
     } else {
       sink.start(head);
-      endComplete({});
+      completeAttempt({});
     }
   }
 
@@ -186,7 +201,7 @@
         plan.sendBefore !== undefined &&
         performance.timeOrigin + performance.now() >= plan.sendBefore
       ) {
-        abortAs({ kind: 'notSent', detail: 'The time allowed for sending has passed.' });
+        abortWith({ kind: 'notSent', detail: 'The time allowed for sending has passed.' });
         return;
       }
       hasSent = true;
@@ -195,11 +210,11 @@
       if (hasEnded || status < 200) return;
       const echoed = headers['x-request-id'];
       if (echoed !== undefined && echoed !== plan.attemptId) {
-        abortAs({ kind: 'foreign' });
+        abortWith({ kind: 'foreign' });
         return;
       }
-      head = { status, headers: endToEndHeaders(headers) };
-      mode = modeOf(options, status, headers);
+      head = { status, headers: selectEndToEndHeaders(headers) };
+      mode = selectResponseMode(options, status, headers);
       isFramed = hasFraming(req, status, headers);
       if (mode.kind !== 'error') listener.onStarted();
     },
@@ -208,21 +223,21 @@
       try {
         readChunk(chunk);
       } catch (err) {
-        abortAs({ kind: 'cut', detail: messageOf(err) });
+        abortWith({ kind: 'cut', detail: getErrorMessage(err) });
       }
     },
     onResponseEnd: () => {
-      if (!hasEnded) endAnswer();
+      if (!hasEnded) endResponse();
     },
     onResponseError: (_controller, err) => {
       if (isCancelled) end({ kind: 'cancelled' });
-      else end(failureOutcome(err, hasSent));
+      else end(createFailureOutcome(err, hasSent));
     },
   };
   try {
     options.dispatcher.dispatch(dispatchOptions(plan, req), handler);
   } catch (err) {
-    end({ kind: 'notSent', detail: messageOf(err) });
+    end({ kind: 'notSent', detail: getErrorMessage(err) });
   }
   return {
     cancel: () => {
@@ -245,35 +260,35 @@
     body: hasBody ? req.body : null,
     headersTimeout: plan.firstByteTimeoutMs,
     bodyTimeout: plan.idleTimeoutMs,
-    // The connection's next answer may not wait for this one.
+    // Prevents undici from pipelining another request behind this one.
     blocking: true,
   };
 }
 
-function modeOf(
-  { plan, req, namesAttempts }: AttemptRunOptions,
+function selectResponseMode(
+  { plan, req, echoesAttemptIds }: AttemptRunOptions,
   status: number,
   headers: IncomingHttpHeaders,
-): AnswerMode {
+): ResponseMode {
   if (status === 429 || status >= 500) return { kind: 'error' };
   const type = headers['content-type'] ?? '';
   if (type.startsWith('text/event-stream')) {
-    const expectedId = namesAttempts === true ? plan.attemptId : undefined;
+    const expectedId = echoesAttemptIds === true ? plan.attemptId : undefined;
     return { kind: 'events', reader: createEventStreamReader(expectedId) };
   }
   const length = headers['content-length'];
-  const isSmall = length !== undefined && Number(length) <= MAX_HELD_BYTES;
-  const isWholeJson = plan.kind === 'model' || plan.captureAnswer;
-  return isSmall || isWholeJson || req.method === 'HEAD' ? { kind: 'held' } : { kind: 'plain' };
+  const isSmall = length !== undefined && Number(length) <= MAX_BUFFERED_BYTES;
+  const mustBuffer = plan.kind === 'model' || plan.captureAnswer;
+  return isSmall || mustBuffer || req.method === 'HEAD' ? { kind: 'held' } : { kind: 'plain' };
 }
 
-/** Whether the HTTP framing tells where the answer ends. */
+/** Whether the HTTP framing marks the end of the response. */
 function hasFraming(req: OutgoingRequest, status: number, headers: IncomingHttpHeaders): boolean {
   if (req.method === 'HEAD' || status === 204 || status === 304) return true;
   return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
 }
 
-function endToEndHeaders(headers: IncomingHttpHeaders): Record<string, string> {
+function selectEndToEndHeaders(headers: IncomingHttpHeaders): Record<string, string> {
   const kept: Record<string, string> = {};
   Object.entries(headers).forEach(([name, value]) => {
     if (value === undefined || DROPPED_HEADERS.has(name)) return;
@@ -282,9 +297,9 @@
   return kept;
 }
 
-function errorOutcome(head: AnswerHead, parts: readonly Uint8Array[]): AttemptOutcome {
+function createErrorOutcome(head: AnswerHead, parts: readonly Uint8Array[]): AttemptOutcome {
   const text = Buffer.concat(parts).toString('utf8');
-  if (head.status === 429 || (head.status === 503 && saysNotExecuted(text))) {
+  if (head.status === 429 || (head.status === 503 && reportsNotExecuted(text))) {
     const seconds = Number(head.headers['retry-after']);
     const retryAfterMs = seconds * MS_PER_SECOND;
     const retry = Number.isFinite(seconds) && seconds >= 0 ? { retryAfterMs } : {};
@@ -293,7 +308,7 @@
   return { kind: 'upstreamError', status: head.status, detail: `status ${head.status}` };
 }
 
-function saysNotExecuted(text: string): boolean {
+function reportsNotExecuted(text: string): boolean {
   try {
     const value = JSON.parse(text) as { readonly executed?: unknown } | null;
     return value?.executed === 'no';
@@ -302,14 +317,14 @@
   }
 }
 
-function failureOutcome(err: Error, hasSent: boolean): AttemptOutcome {
-  if (!hasSent) return { kind: 'notSent', detail: messageOf(err) };
+function createFailureOutcome(err: Error, hasSent: boolean): AttemptOutcome {
+  if (!hasSent) return { kind: 'notSent', detail: getErrorMessage(err) };
   const isSilent =
     err instanceof errors.HeadersTimeoutError || err instanceof errors.BodyTimeoutError;
-  return isSilent ? { kind: 'silent' } : { kind: 'cut', detail: messageOf(err) };
+  return isSilent ? { kind: 'silent' } : { kind: 'cut', detail: getErrorMessage(err) };
 }
 
-function messageOf(err: unknown): string {
+function getErrorMessage(err: unknown): string {
   if (!(err instanceof Error)) return String(err);
   const { code } = err as NodeJS.ErrnoException;
   return code ?? err.message;
--- a/src/hosts/callerHost.ts
+++ b/src/hosts/callerHost.ts
@@ -1,16 +1,22 @@
 /**
- * The callers' port: completions in the usual format of model servers and plain services below
- * `/apps/<pool>/`. Keeps each request's body and answer until the core has ended the request.
+ * HTTP server for callers: completions in the API format common to model servers, and plain
+ * services below `/apps/<pool>/`. Keeps the body and the response of each request until the core
+ * has completed it.
  */
 import { STATUS_CODES, type IncomingMessage, type ServerResponse } from 'node:http';
 import { H3 } from 'h3';
 import type { Millis } from '../core/clock.js';
 import type { InstanceIdentity, NotRunProblem, RequestId } from '../core/types.js';
-import { createCallerAnswer, type CallerAnswer } from './answerSink.js';
-import { malformed, readBody, readCallerRequest, type CallerRoute } from './callerRequest.js';
+import { createCallerResponse, type CallerResponse } from './answerSink.js';
+import {
+  refuseMalformed,
+  readBody,
+  parseCallerRequest,
+  type CallerRoute,
+} from './callerRequest.js';
 import type { CertificateSource } from './certificates.js';
 import { createHttpServer, headerOf, nodeRoute, type HttpLimits } from './httpServer.js';
-import { problemBody, problemHeaders } from './problem.js';
+import { createProblemBody, createProblemHeaders } from './problem.js';
 import type { CallerHost, OutgoingRequest, Post } from './types.js';
 
 export interface CallerHostOptions {
@@ -18,10 +24,10 @@
   readonly post: Post;
   readonly host: string;
   readonly port: number;
-  /** Largest body of a request in bytes. */
+  /** Maximum size of a request body in bytes. */
   readonly maxBodyBytes?: number;
   readonly limits?: Partial<HttpLimits>;
-  /** Longest time for which a caller may leave its answer unread. */
+  /** Longest time for which a caller may leave its response unread. */
   readonly stallTimeoutMs?: Millis;
   readonly certificates?: CertificateSource | undefined;
 }
@@ -30,26 +36,26 @@
 const DEFAULT_STALL_TIMEOUT_MS: Millis = 60_000;
 const SERVICE_PREFIX = '/apps/';
 const COMPLETION_PATHS = ['/v1/chat/completions', '/v1/completions'] as const;
-/** Ids of callers that are returned as they are. */
-const CALLER_ID_PATTERN = /^[\w.:-]{1,128}$/;
-const RADIX = 36;
+/** Request ids set by callers that are returned unchanged; others are replaced. */
+const CALLER_REQUEST_ID_PATTERN = /^[\w.:-]{1,128}$/;
+const ID_RADIX = 36;
 
 interface OpenRequest {
   readonly outgoing: OutgoingRequest;
-  readonly answer: CallerAnswer;
+  readonly response: CallerResponse;
 }
 
-/** Creates the callers' port; it does not listen yet. */
+/** Creates the server without starting to listen. */
 export function createCallerHost(options: CallerHostOptions): CallerHost {
   const { post, self } = options;
   const maxBodyBytes = options.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
   const stallTimeoutMs = options.stallTimeoutMs ?? DEFAULT_STALL_TIMEOUT_MS;
-  const open = new Map<RequestId, OpenRequest>();
+  const openRequests = new Map<RequestId, OpenRequest>();
   let nextNumber = 1;
   let isReady = false;
 
   function createRequestId(): RequestId {
-    const id = `${self.id}-${self.incarnation.toString(RADIX)}-q${nextNumber.toString(RADIX)}`;
+    const id = `${self.id}-${self.incarnation.toString(ID_RADIX)}-q${nextNumber.toString(ID_RADIX)}`;
     nextNumber += 1;
     return id;
   }
@@ -60,37 +66,39 @@
     res: ServerResponse,
   ): Promise<void> {
     const requestId = createRequestId();
-    const callerId = headerOf(req, 'x-request-id') ?? '';
-    const shownId = CALLER_ID_PATTERN.test(callerId) ? callerId : requestId;
-    const headers = { 'x-request-id': shownId };
-    const answer = createCallerAnswer({ res, headers, stallTimeoutMs });
+    const callerRequestId = headerOf(req, 'x-request-id') ?? '';
+    const returnedRequestId = CALLER_REQUEST_ID_PATTERN.test(callerRequestId)
+      ? callerRequestId
+      : requestId;
+    const headers = { 'x-request-id': returnedRequestId };
+    const response = createCallerResponse({ res, headers, stallTimeoutMs });
     const body = await readBody(req, maxBodyBytes);
     if (body === undefined) {
-      answer.fail(bodyTooLarge(maxBodyBytes));
+      response.fail(createBodyTooLargeProblem(maxBodyBytes));
       req.resume();
       return;
     }
-    const result = readCallerRequest(requestId, route, req, body);
+    const result = parseCallerRequest(requestId, route, req, body);
     if (result.kind === 'refused') {
-      answer.fail(result.problem);
+      response.fail(result.problem);
       return;
     }
-    open.set(requestId, { outgoing: result.request.outgoing, answer });
+    openRequests.set(requestId, { outgoing: result.request.outgoing, response });
     res.once('close', () => {
-      if (!open.delete(requestId)) return;
+      if (!openRequests.delete(requestId)) return;
       post({ kind: 'callerGone', requestId });
     });
     post(result.request.event);
   }
 
-  const handle = (routeOf: (req: IncomingMessage) => CallerRoute | undefined) =>
+  const createRouteHandler = (findRoute: (req: IncomingMessage) => CallerRoute | undefined) =>
     nodeRoute((req, res) => {
-      const route = routeOf(req);
+      const route = findRoute(req);
       if (route === undefined) {
-        createCallerAnswer({ res, headers: {}, stallTimeoutMs }).fail(notFound());
+        createCallerResponse({ res, headers: {}, stallTimeoutMs }).fail(createNotFoundProblem());
         return;
       }
-      // A caller that leaves while it sends its body has no answer to wait for.
+      // Rejects if the caller disconnects while it sends the body; there is nobody to respond to.
       receive(route, req, res).catch(() => res.destroy());
     });
 
@@ -98,21 +106,24 @@
   COMPLETION_PATHS.forEach((path) => {
     app.post(
       path,
-      handle(() => ({ kind: 'completion', path })),
+      createRouteHandler(() => ({ kind: 'completion', path })),
     );
   });
-  app.all(`${SERVICE_PREFIX}**`, handle(serviceRouteOf));
+  app.all(`${SERVICE_PREFIX}**`, createRouteHandler(parseServiceRoute));
   app.all(
     '/**',
-    handle(() => undefined),
+    createRouteHandler(() => undefined),
   );
   const server = createHttpServer({ app, ...options, malformedAnswer });
 
-  /** Takes a request out of the table; its caller's departure is of no more interest. */
-  function settle(id: RequestId): CallerAnswer | undefined {
-    const request = open.get(id);
-    open.delete(id);
-    return request?.answer;
+  /**
+   * Removes and returns an open request. A disconnect of its caller is no longer reported after
+   * that.
+   */
+  function takeRequest(id: RequestId): CallerResponse | undefined {
+    const request = openRequests.get(id);
+    openRequests.delete(id);
+    return request?.response;
   }
 
   return {
@@ -121,14 +132,15 @@
       isReady = ready;
     },
     isReady: () => isReady,
-    requestOf: (id) => open.get(id)?.outgoing,
-    sinkOf: (id) => open.get(id)?.answer,
-    finishAnswer: (id) => settle(id)?.finish(),
-    replayAnswer: (id, recorded) => settle(id)?.replay(recorded),
-    refuse: (id, problem) => settle(id)?.fail(problem),
-    fail: (id, problem) => settle(id)?.fail(problem),
+    requestOf: (id) => openRequests.get(id)?.outgoing,
+    sinkOf: (id) => openRequests.get(id)?.response,
+    finishAnswer: (id) => takeRequest(id)?.finish(),
+    replayAnswer: (id, recorded) => takeRequest(id)?.replay(recorded),
+    refuse: (id, problem) => takeRequest(id)?.fail(problem),
+    fail: (id, problem) => takeRequest(id)?.fail(problem),
     close: async () => {
-      // A caller that neither reads its answer nor leaves must not hold up a stop for good.
+      // A caller that neither reads its response nor disconnects would otherwise block the shutdown
+      // forever.
       const timer = setTimeout(() => {
         void server.kill();
       }, stallTimeoutMs);
@@ -139,8 +151,8 @@
   };
 }
 
-/** `/apps/<pool>/<path>`; `undefined` if no pool is named. */
-function serviceRouteOf(req: IncomingMessage): CallerRoute | undefined {
+/** Parses `/apps/<pool>/<path>`; returns `undefined` if the path does not name a pool. */
+function parseServiceRoute(req: IncomingMessage): CallerRoute | undefined {
   const match = /^\/apps\/([^/?#]+)(\/[^#]*|\?[^#]*)?$/.exec(req.url ?? '');
   if (match?.[1] === undefined) return undefined;
   const rest = match[2] ?? '/';
@@ -152,7 +164,7 @@
   }
 }
 
-function bodyTooLarge(limit: number): NotRunProblem {
+function createBodyTooLargeProblem(limit: number): NotRunProblem {
   return {
     code: 'bodyTooLarge',
     status: 413,
@@ -164,7 +176,7 @@
   };
 }
 
-function notFound(): NotRunProblem {
+function createNotFoundProblem(): NotRunProblem {
   return {
     code: 'notFound',
     status: 404,
@@ -174,18 +186,18 @@
   };
 }
 
-/** Status by the error code of a connection whose bytes cannot be read. */
-const CONNECTION_STATUS: Readonly<Record<string, number>> = {
+/** HTTP status by the error code that the Node.js HTTP parser reports. */
+const STATUS_BY_ERROR_CODE: Readonly<Record<string, number>> = {
   HPE_HEADER_OVERFLOW: 431,
   ERR_HTTP_REQUEST_TIMEOUT: 408,
 };
 
 function malformedAnswer(errorCode: string): string {
-  const status = CONNECTION_STATUS[errorCode] ?? 400;
-  const { problem } = malformed('The bytes are not a request of HTTP/1.1.', status);
-  const body = `${JSON.stringify(problemBody(problem))}\n`;
+  const status = STATUS_BY_ERROR_CODE[errorCode] ?? 400;
+  const { problem } = refuseMalformed('The bytes are not a request of HTTP/1.1.', status);
+  const body = `${JSON.stringify(createProblemBody(problem))}\n`;
   const headers = {
-    ...problemHeaders(problem),
+    ...createProblemHeaders(problem),
     'content-length': String(Buffer.byteLength(body)),
     connection: 'close',
   };
--- a/src/hosts/callerRequest.ts
+++ b/src/hosts/callerRequest.ts
@@ -1,4 +1,4 @@
-/** Reads a caller's request: its body within limits, its pool, its marks and its prompt. */
+/** Parses the request of a caller: size-limited body, pool, control headers and prompt. */
 import { createHash } from 'node:crypto';
 import type { IncomingMessage } from 'node:http';
 import type { Millis } from '../core/clock.js';
@@ -7,16 +7,17 @@
 import { CONNECTION_HEADERS } from './routing/headers.js';
 import type { OutgoingRequest } from './types.js';
 
-/** Characters of a prompt that one prefix block covers. */
+/** Length of a prefix block in characters of the prompt. */
 export const PREFIX_BLOCK_CHARS = 256;
-/** Longest prefix, in blocks, that is hashed. */
+/** Maximum number of prefix blocks that are hashed per prompt. */
 const MAX_PREFIX_BLOCKS = 64;
 const BLOCK_HASH_CHARS = 16;
+/** Estimate used to derive the number of prompt tokens. */
 const CHARS_PER_TOKEN = 4;
 const MAX_DEADLINE_MS: Millis = 24 * 60 * 60 * 1_000;
-const MAX_KEY_CHARS = 255;
+const MAX_IDEMPOTENCY_KEY_CHARS = 255;
 
-/** Request headers that end at this hop or that are replaced for the upstream. */
+/** Request headers that are not forwarded to the upstream or that are replaced for it. */
 const DROPPED_HEADERS: ReadonlySet<string> = new Set([
   ...CONNECTION_HEADERS,
   'authorization',
@@ -30,21 +31,21 @@
   'x-resume-from',
 ]);
 
-/** Where a request goes, found from its path. */
+/** Destination of a request, derived from its path. */
 export type CallerRoute =
   | { readonly kind: 'completion'; readonly path: string }
   | { readonly kind: 'service'; readonly pool: string; readonly path: string };
 
-export interface ReadRequest {
+export interface ParsedCallerRequest {
   readonly event: CallerRequestEvent;
   readonly outgoing: OutgoingRequest;
 }
 
-export type ReadResult =
-  | { readonly kind: 'read'; readonly request: ReadRequest }
+export type ParseResult =
+  | { readonly kind: 'read'; readonly request: ParsedCallerRequest }
   | { readonly kind: 'refused'; readonly problem: NotRunProblem };
 
-class RequestFormatError extends Error {}
+class MalformedRequestError extends Error {}
 
 interface CompletionContent {
   readonly model: string;
@@ -54,7 +55,7 @@
 
 const EMPTY_CONTENT: CompletionContent = { model: '', prompt: '', isStreamed: false };
 
-/** Reads the body; `undefined` if it is over the limit. Rejects if the caller leaves. */
+/** Reads the body; `undefined` if it exceeds the limit. Rejects if the caller disconnects. */
 export async function readBody(
   req: IncomingMessage,
   limit: number,
@@ -62,7 +63,7 @@
   if (Number(req.headers['content-length'] ?? 0) > limit) return undefined;
   const parts: Buffer[] = [];
   let size = 0;
-  // Leaving the loop early must not destroy the connection that the refusal is sent on.
+  // Leaving the loop early must not destroy the connection: the refusal is sent on it.
   for await (const part of req.iterator({ destroyOnReturn: false })) {
     size += (part as Buffer).length;
     if (size > limit) return undefined;
@@ -71,23 +72,23 @@
   return parts.length === 1 ? parts[0] : Buffer.concat(parts);
 }
 
-/** Reads the marks and the content of a request whose body has arrived. */
-export function readCallerRequest(
+/** Parses the control headers and the content of a request whose body was read. */
+export function parseCallerRequest(
   requestId: RequestId,
   route: CallerRoute,
   req: IncomingMessage,
   body: Uint8Array,
-): ReadResult {
+): ParseResult {
   try {
     return { kind: 'read', request: parseRequest(requestId, route, req, body) };
   } catch (err) {
-    if (err instanceof RequestFormatError) return malformed(err.message);
+    if (err instanceof MalformedRequestError) return refuseMalformed(err.message);
     throw err;
   }
 }
 
-/** A refusal of a request that cannot be read. */
-export function malformed(
+/** Creates the refusal of a request that cannot be parsed. */
+export function refuseMalformed(
   detail: string,
   status = 400,
 ): { kind: 'refused'; problem: NotRunProblem } {
@@ -110,11 +111,11 @@
   route: CallerRoute,
   req: IncomingMessage,
   body: Uint8Array,
-): ReadRequest {
+): ParsedCallerRequest {
   const method = req.method ?? 'GET';
-  const content = route.kind === 'completion' ? readCompletion(body) : EMPTY_CONTENT;
+  const content = route.kind === 'completion' ? parseCompletion(body) : EMPTY_CONTENT;
   const pool = route.kind === 'completion' ? content.model : route.pool;
-  const keyHash = readKeyHash(req);
+  const keyHash = hashBearerKey(req);
   const event: CallerRequestEvent = {
     kind: 'callerRequest',
     requestId,
@@ -122,8 +123,8 @@
     pool,
     method,
     path: route.path,
-    ...readMarks(req),
-    fingerprint: fingerprintOf(keyHash, method, route.path, body),
+    ...readControlHeaders(req),
+    fingerprint: computeFingerprint(keyHash, method, route.path, body),
     bodyBytes: body.length,
     promptTokens: Math.ceil(content.prompt.length / CHARS_PER_TOKEN),
     prefixBlocks: prefixBlocksOf(content.prompt),
@@ -131,26 +132,28 @@
   };
   return {
     event,
-    outgoing: { method, path: route.path, headers: forwardedHeaders(req, route), body },
+    outgoing: { method, path: route.path, headers: selectForwardedHeaders(req, route), body },
   };
 }
 
-/** SHA-256 of the bearer key, so that no key reaches the core, a log or a dump. */
-export function readKeyHash(req: IncomingMessage): KeyHash {
+/** Returns the SHA-256 of the bearer key, so that no key reaches the core, a log or a dump. */
+export function hashBearerKey(req: IncomingMessage): KeyHash {
   const match = /^Bearer +([!-~]+) *$/i.exec(headerOf(req, 'authorization') ?? '');
   return match?.[1] === undefined ? '' : sha256(match[1]);
 }
 
-function readMarks(req: IncomingMessage) {
-  const idempotent = readBoolean(req, 'x-idempotent');
+function readControlHeaders(req: IncomingMessage) {
+  const idempotent = readBooleanHeader(req, 'x-idempotent');
   const idempotencyKey = headerOf(req, 'idempotency-key');
-  const costHint = readNumber(req, 'x-cost-hint');
-  const deadlineInMs = readNumber(req, 'x-deadline-ms');
+  const costHint = readNumberHeader(req, 'x-cost-hint');
+  const deadlineInMs = readNumberHeader(req, 'x-deadline-ms');
   if (idempotencyKey !== undefined && !/^[!-~]+$/.test(idempotencyKey)) {
-    throw new RequestFormatError('Idempotency-Key has characters other than visible ASCII.');
+    throw new MalformedRequestError('Idempotency-Key has characters other than visible ASCII.');
   }
-  if ((idempotencyKey?.length ?? 0) > MAX_KEY_CHARS) {
-    throw new RequestFormatError(`Idempotency-Key is longer than ${MAX_KEY_CHARS} characters.`);
+  if ((idempotencyKey?.length ?? 0) > MAX_IDEMPOTENCY_KEY_CHARS) {
+    throw new MalformedRequestError(
+      `Idempotency-Key is longer than ${MAX_IDEMPOTENCY_KEY_CHARS} characters.`,
+    );
   }
   return {
     ...(idempotent === undefined ? {} : { idempotent }),
@@ -162,32 +165,32 @@
   };
 }
 
-function readBoolean(req: IncomingMessage, name: string): boolean | undefined {
+function readBooleanHeader(req: IncomingMessage, name: string): boolean | undefined {
   const value = headerOf(req, name)?.toLowerCase();
   if (value === undefined) return undefined;
   if (value !== 'true' && value !== 'false') {
-    throw new RequestFormatError(`${name} is neither true nor false.`);
+    throw new MalformedRequestError(`${name} is neither true nor false.`);
   }
   return value === 'true';
 }
 
-function readNumber(req: IncomingMessage, name: string): number | undefined {
+function readNumberHeader(req: IncomingMessage, name: string): number | undefined {
   const text = headerOf(req, name);
   if (text === undefined) return undefined;
   if (!/^\d{1,15}(\.\d{1,6})?$/.test(text)) {
-    throw new RequestFormatError(`${name} is not a number.`);
+    throw new MalformedRequestError(`${name} is not a number.`);
   }
   return Number(text);
 }
 
-function readCompletion(body: Uint8Array): CompletionContent {
+function parseCompletion(body: Uint8Array): CompletionContent {
   const value = parseJson(body);
-  if (!isObject(value)) throw new RequestFormatError('The body is not a JSON object.');
+  if (!isObject(value)) throw new MalformedRequestError('The body is not a JSON object.');
   const { model, stream = false } = value;
   if (typeof model !== 'string' || model === '')
-    throw new RequestFormatError("'model' is missing.");
-  if (typeof stream !== 'boolean') throw new RequestFormatError("'stream' is not a boolean.");
-  return { model, prompt: promptOf(value), isStreamed: stream };
+    throw new MalformedRequestError("'model' is missing.");
+  if (typeof stream !== 'boolean') throw new MalformedRequestError("'stream' is not a boolean.");
+  return { model, prompt: extractPrompt(value), isStreamed: stream };
 }
 
 function parseJson(body: Uint8Array): unknown {
@@ -195,12 +198,12 @@
   try {
     text = new TextDecoder('utf-8', { fatal: true }).decode(body);
   } catch {
-    throw new RequestFormatError('The body is not UTF-8.');
+    throw new MalformedRequestError('The body is not UTF-8.');
   }
   try {
     return JSON.parse(text);
   } catch {
-    throw new RequestFormatError('The body is not JSON.');
+    throw new MalformedRequestError('The body is not JSON.');
   }
 }
 
@@ -208,39 +211,44 @@
   return typeof value === 'object' && value !== null && !Array.isArray(value);
 }
 
-/** The prompt as one text: the messages one after the other, or the prompt itself. */
-function promptOf(value: Readonly<Record<string, unknown>>): string {
+/** Returns the prompt as a single string; the messages of a chat are joined. */
+function extractPrompt(value: Readonly<Record<string, unknown>>): string {
   const { messages, prompt } = value;
-  if (messages === undefined) return textOf(prompt ?? '', "'prompt'");
-  if (!Array.isArray(messages)) throw new RequestFormatError("'messages' is not a list.");
+  if (messages === undefined) return contentToText(prompt ?? '', "'prompt'");
+  if (!Array.isArray(messages)) throw new MalformedRequestError("'messages' is not a list.");
   return messages
     .map((message: unknown) => {
-      if (!isObject(message)) throw new RequestFormatError('A message is not an object.');
-      return `${String(message.role)} ${textOf(message.content ?? '', 'A content')}`;
+      if (!isObject(message)) throw new MalformedRequestError('A message is not an object.');
+      return `${String(message.role)} ${contentToText(message.content ?? '', 'A content')}`;
     })
     .join('\n');
 }
 
-function textOf(value: unknown, what: string): string {
+function contentToText(value: unknown, fieldName: string): string {
   if (typeof value === 'string') return value;
   if (Array.isArray(value)) return JSON.stringify(value);
-  throw new RequestFormatError(`${what} is neither a text nor a list.`);
+  throw new MalformedRequestError(`${fieldName} is neither a text nor a list.`);
 }
 
-/** Chained hashes: each block's hash covers the whole prefix up to its end. */
+/** Computes chained hashes: the hash of a block covers the whole prefix up to its end. */
 export function prefixBlocksOf(prompt: string): readonly string[] {
   const count = Math.min(Math.floor(prompt.length / PREFIX_BLOCK_CHARS), MAX_PREFIX_BLOCKS);
   const blocks: string[] = [];
-  let previous = '';
+  let previousHash = '';
   for (let i = 0; i < count; i += 1) {
     const block = prompt.slice(i * PREFIX_BLOCK_CHARS, (i + 1) * PREFIX_BLOCK_CHARS);
-    previous = sha256(previous + block).slice(0, BLOCK_HASH_CHARS);
-    blocks.push(previous);
+    previousHash = sha256(previousHash + block).slice(0, BLOCK_HASH_CHARS);
+    blocks.push(previousHash);
   }
   return blocks;
 }
 
-function fingerprintOf(keyHash: KeyHash, method: string, path: string, body: Uint8Array): string {
+function computeFingerprint(
+  keyHash: KeyHash,
+  method: string,
+  path: string,
+  body: Uint8Array,
+): string {
   const hash = createHash('sha256').update(`${keyHash}\n${method}\n${path}\n`).update(body);
   return hash.digest('hex').slice(0, 2 * BLOCK_HASH_CHARS);
 }
@@ -249,13 +257,13 @@
   return createHash('sha256').update(text).digest('hex');
 }
 
-function forwardedHeaders(req: IncomingMessage, route: CallerRoute): Record<string, string> {
-  const named = (headerOf(req, 'connection') ?? '').toLowerCase().split(/\s*,\s*/);
-  // Tokens can only be counted in an answer that is not compressed.
-  if (route.kind === 'completion') named.push('accept-encoding');
+function selectForwardedHeaders(req: IncomingMessage, route: CallerRoute): Record<string, string> {
+  const excludedHeaders = (headerOf(req, 'connection') ?? '').toLowerCase().split(/\s*,\s*/);
+  // Tokens can be counted only in an uncompressed response.
+  if (route.kind === 'completion') excludedHeaders.push('accept-encoding');
   const headers: Record<string, string> = {};
   Object.entries(req.headers).forEach(([name, value]) => {
-    if (value === undefined || DROPPED_HEADERS.has(name) || named.includes(name)) return;
+    if (value === undefined || DROPPED_HEADERS.has(name) || excludedHeaders.includes(name)) return;
     headers[name] = Array.isArray(value) ? value.join(', ') : value;
   });
   return headers;
--- a/src/hosts/certificates.ts
+++ b/src/hosts/certificates.ts
@@ -1,16 +1,16 @@
 /**
- * Certificates from files. They are read again when a file changes or on demand; a pair that does
- * not fit leaves the one in use in force.
+ * Loads TLS certificates from files and reloads them on demand or when a file changes. If the new
+ * certificate and key do not match, the current pair stays in use.
  */
 import { readFile, stat } from 'node:fs/promises';
 import { createSecureContext } from 'node:tls';
 import type { Millis } from '../core/clock.js';
 
-/** Files of a certificate, as PEM. */
+/** Paths of the PEM files of a certificate. */
 export interface CertificateFiles {
   readonly certificate: string;
   readonly key: string;
-  /** Certificates of the authorities that sign the other side's certificate. */
+  /** Certificates of the authorities that the certificate of the other side must be signed by. */
   readonly authorities?: string | undefined;
 }
 
@@ -23,33 +23,33 @@
 export interface CertificateSource {
   readonly current: () => CertificatePair;
   readonly onChange: (listener: (pair: CertificatePair) => void) => void;
-  /** Reads the files again; resolves to whether a valid pair was read. */
+  /** Reloads the files; resolves to whether a valid pair was loaded. */
   readonly reload: () => Promise<boolean>;
   readonly close: () => void;
 }
 
 export interface CertificateSourceOptions {
   readonly files: CertificateFiles;
-  /** Interval at which the files are checked for changes. */
+  /** Interval between checks of the files for changes. */
   readonly checkIntervalMs?: Millis;
   readonly onError?: (err: Error) => void;
 }
 
 const DEFAULT_CHECK_INTERVAL_MS = 10_000;
 
-/** Reads the files. Rejects if they cannot be read or do not fit together. */
+/** Loads the files. Rejects if they cannot be read or if the key does not match. */
 export async function createCertificateSource(
   options: CertificateSourceOptions,
 ): Promise<CertificateSource> {
   const { files } = options;
   const listeners: ((pair: CertificatePair) => void)[] = [];
-  let stamp = await stampOf(files);
-  let pair = await readPair(files);
+  let fileStamps = await readFileStamps(files);
+  let pair = await loadPair(files);
 
   async function reload(): Promise<boolean> {
     try {
-      stamp = await stampOf(files);
-      pair = await readPair(files);
+      fileStamps = await readFileStamps(files);
+      pair = await loadPair(files);
     } catch (err) {
       options.onError?.(err as Error);
       return false;
@@ -60,7 +60,7 @@
 
   async function checkFiles(): Promise<void> {
     try {
-      if ((await stampOf(files)) !== stamp) await reload();
+      if ((await readFileStamps(files)) !== fileStamps) await reload();
     } catch (err) {
       options.onError?.(err as Error);
     }
@@ -78,21 +78,22 @@
   };
 }
 
-function namesOf(files: CertificateFiles): readonly string[] {
+function listPaths(files: CertificateFiles): readonly string[] {
   const { certificate, key, authorities } = files;
   return authorities === undefined ? [certificate, key] : [certificate, key, authorities];
 }
 
-async function stampOf(files: CertificateFiles): Promise<string> {
-  const stats = await Promise.all(namesOf(files).map(async (name) => stat(name)));
+async function readFileStamps(files: CertificateFiles): Promise<string> {
+  const stats = await Promise.all(listPaths(files).map(async (name) => stat(name)));
   return stats.map(({ mtimeMs, size, ino }) => `${mtimeMs}:${size}:${ino}`).join(' ');
 }
 
-async function readPair(files: CertificateFiles): Promise<CertificatePair> {
-  const [cert, key, ca] = await Promise.all(namesOf(files).map(async (name) => readFile(name)));
-  if (cert === undefined || key === undefined) throw new Error('A certificate needs two files.');
+async function loadPair(files: CertificateFiles): Promise<CertificatePair> {
+  const [cert, key, ca] = await Promise.all(listPaths(files).map(async (name) => readFile(name)));
+  if (cert === undefined || key === undefined)
+    throw new Error('A certificate file and a private key file are required.');
   const pair = { cert, key, ...(ca === undefined ? {} : { ca }) };
-  // Throws if the key does not belong to the certificate.
+  // Throws if the private key does not match the certificate.
   createSecureContext(pair);
   return pair;
 }
--- a/src/hosts/engineControl.ts
+++ b/src/hosts/engineControl.ts
@@ -1,4 +1,7 @@
-/** Control calls to engines: load and cache events, orders, steering of requests, cache moves. */
+/**
+ * Control calls to engines (model servers): polling load and cache events, sending orders,
+ * cancelling, suspending and resuming requests, and copying caches between engines.
+ */
 import * as z from 'zod';
 import type { Millis } from '../core/clock.js';
 import type {
@@ -20,14 +23,14 @@
 
 export interface EngineControl {
   readonly poll: (upstream: UpstreamId, url: string, cacheAfter: number) => void;
-  readonly giveOrder: (
+  readonly sendOrder: (
     upstream: UpstreamId,
     url: string,
     orderNumber: number,
     order: EngineOrder,
   ) => void;
-  readonly steer: (plan: AttemptPlan, action: 'cancel' | 'suspend' | 'resume') => void;
-  /** Resolves when the copy is made or has failed; it never rejects. */
+  readonly controlAttempt: (plan: AttemptPlan, action: 'cancel' | 'suspend' | 'resume') => void;
+  /** Copies the cache of a request; resolves when the copy is done or has failed, never rejects. */
   readonly moveCache: (attempt: AttemptId, fromUrl: string, toUrl: string) => Promise<void>;
   readonly close: () => Promise<void>;
 }
@@ -63,41 +66,41 @@
       client.call({ method: 'GET', url: `${url}/load` }),
       client.call({ method: 'GET', url: `${url}/cache/events?after=${cacheAfter}` }),
     ]);
-    const report = readReport(load);
+    const report = parseLoadReport(load);
     post({
       kind: 'upstreamReport',
       upstream,
       ...(report === undefined ? {} : { report }),
-      ...readCacheEvents(cache, cacheAfter),
+      ...parseCacheEvents(cache, cacheAfter),
     });
   }
 
-  async function giveOrder(
+  async function sendOrder(
     upstream: UpstreamId,
     url: string,
     orderNumber: number,
     order: EngineOrder,
   ): Promise<void> {
-    const body = { number: orderNumber, order: wireOrder(order) };
+    const body = { number: orderNumber, order: toWireOrder(order) };
     const result = await client.call({ method: 'POST', url: `${url}/orders`, body });
-    post({ kind: 'orderSettled', upstream, orderNumber, result: orderResult(result) });
+    post({ kind: 'orderSettled', upstream, orderNumber, result: toOrderResult(result) });
   }
 
   async function moveCache(attempt: AttemptId, fromUrl: string, toUrl: string): Promise<void> {
     const path = `/kv/${encodeURIComponent(attempt)}`;
-    const got = await client.call({ method: 'GET', url: `${fromUrl}${path}` });
-    if (got.kind !== 'answer' || got.status !== 200) return;
-    await client.call({ method: 'PUT', url: `${toUrl}${path}`, body: got.value });
+    const download = await client.call({ method: 'GET', url: `${fromUrl}${path}` });
+    if (download.kind !== 'answer' || download.status !== 200) return;
+    await client.call({ method: 'PUT', url: `${toUrl}${path}`, body: download.value });
   }
 
   return {
     poll: (...args) => {
       void poll(...args);
     },
-    giveOrder: (...args) => {
-      void giveOrder(...args);
+    sendOrder: (...args) => {
+      void sendOrder(...args);
     },
-    steer: (plan, action) => {
+    controlAttempt: (plan, action) => {
       const id = encodeURIComponent(plan.attemptId);
       void client.call({ method: 'POST', url: `${plan.url}/requests/${id}/${action}` });
     },
@@ -106,22 +109,22 @@
   };
 }
 
-function readReport(result: JsonResult): UpstreamReport | undefined {
+function parseLoadReport(result: JsonResult): UpstreamReport | undefined {
   if (result.kind !== 'answer' || result.status !== 200) return undefined;
   const parsed = loadSchema.safeParse(result.value);
   if (!parsed.success) return undefined;
   const { adapters, cacheEpoch, ...report } = parsed.data;
-  // An adapter is named with and without its version, so that either name is found.
+  // An adapter is listed with and without its version, so that a lookup by either name succeeds.
   const names = Object.entries(adapters).flatMap(([name, version]) => [name, `${name}@${version}`]);
   return { ...report, adapters: names, epoch: String(cacheEpoch) };
 }
 
-type CacheFacts = Pick<
+type CacheEventFields = Pick<
   Extract<CoreEvent, { kind: 'upstreamReport' }>,
   'cacheEvents' | 'cacheNext' | 'cacheGap'
 >;
 
-function readCacheEvents(result: JsonResult, after: number): CacheFacts {
+function parseCacheEvents(result: JsonResult, after: number): CacheEventFields {
   const parsed = result.kind === 'answer' ? cacheSchema.safeParse(result.value) : undefined;
   if (parsed?.success !== true) return { cacheEvents: [], cacheNext: after, cacheGap: false };
   const { events, next } = parsed.data;
@@ -130,17 +133,17 @@
     kind,
     block,
   }));
-  const hasHole = cacheEvents.some(({ sequence }, i) => sequence !== after + 1 + i);
-  return { cacheEvents, cacheNext: next, cacheGap: hasHole || next < after };
+  const hasSequenceGap = cacheEvents.some(({ sequence }, i) => sequence !== after + 1 + i);
+  return { cacheEvents, cacheNext: next, cacheGap: hasSequenceGap || next < after };
 }
 
-function wireOrder(order: EngineOrder): object {
+function toWireOrder(order: EngineOrder): object {
   if (order.kind !== 'load-adapter') return order;
   const [adapter, version = DEFAULT_ADAPTER_VERSION] = order.adapter.split('@');
   return { kind: order.kind, adapter, version };
 }
 
-function orderResult(result: JsonResult): 'accepted' | 'stale' | 'failed' | 'unknown' {
+function toOrderResult(result: JsonResult): 'accepted' | 'stale' | 'failed' | 'unknown' {
   if (result.kind === 'notSent') return 'failed';
   if (result.kind === 'unknown') return 'unknown';
   if (result.status === 409) return 'stale';
--- a/src/hosts/eventStream.ts
+++ b/src/hosts/eventStream.ts
@@ -1,21 +1,23 @@
 /**
- * Splits a stream of server-sent events into whole events, counts the tokens they carry and finds
- * the end mark. Only whole events are passed on, so that a stream that breaks off can be resumed.
+ * Splits a stream of server-sent events into complete events, counts the tokens they carry and
+ * detects the end marker. Only complete events are forwarded, so that a stream that is cut can be
+ * resumed.
  */
 
-/** End of an event: an empty line, after `\n` or `\r\n`. */
+// An event ends with an empty line; lines end with `\n` or `\r\n`.
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
-const END_MARK = '[DONE]';
-/** Longest single event; a longer one is not a completion stream. */
+/** Data of the last event of a completion stream. */
+const END_MARKER = '[DONE]';
+/** Maximum size of an event; a stream with a longer one is not a completion stream. */
 const MAX_EVENT_BYTES = 1024 * 1024;
 
-/** What a chunk completed. */
+/** Events that were completed by a chunk. */
 export interface EventBatch {
-  /** Bytes of the whole events; empty if none was completed. */
+  /** Bytes of the complete events; empty if the chunk completed none. */
   readonly bytes: Uint8Array;
   readonly tokens: number;
-  /** Whether an event named another answer than the first event did. */
+  /** Whether an event has an id other than the expected one or that of the first event. */
   readonly isForeign: boolean;
 }
 
@@ -27,27 +29,27 @@
 export interface EventStreamReader {
   readonly read: (chunk: Uint8Array) => EventBatch;
   readonly hasEnded: () => boolean;
-  /** Whether bytes of an unfinished event are left. */
-  readonly hasRest: () => boolean;
+  /** Whether bytes of an incomplete event remain. */
+  readonly hasPartialEvent: () => boolean;
   readonly usage: () => TokenUsage;
-  /** Id that the events name, if they name one. */
-  readonly answerId: () => string | undefined;
+  /** Id in the events, if they have one. */
+  readonly responseId: () => string | undefined;
 }
 
-const NOTHING = new Uint8Array(0);
+const NO_BYTES = new Uint8Array(0);
 
-/** Creates a reader of one stream. With an `expectedId` events with another id are foreign. */
+/** Creates a reader of one stream. If `expectedId` is given, events with another id are foreign. */
 export function createEventStreamReader(expectedId?: string): EventStreamReader {
-  let rest: Uint8Array = NOTHING;
+  let partialEvent: Uint8Array = NO_BYTES;
   let hasEnded = false;
-  let answerId = expectedId;
+  let responseId = expectedId;
   let usage: TokenUsage = {};
 
-  /** Reads one event; returns its tokens, or `undefined` if it is another answer's. */
+  /** Reads one event; returns its tokens, or `undefined` if it belongs to another response. */
   function readEvent(text: string): number | undefined {
-    const data = dataOf(text);
+    const data = extractData(text);
     if (data === undefined) return 0;
-    if (data.trim() === END_MARK) {
+    if (data.trim() === END_MARKER) {
       hasEnded = true;
       return 0;
     }
@@ -55,8 +57,8 @@
     if (value === undefined) return 0;
     const { id } = value;
     if (typeof id === 'string') {
-      answerId ??= id;
-      if (id !== answerId) return undefined;
+      responseId ??= id;
+      if (id !== responseId) return undefined;
     }
     if (isRecord(value.usage)) usage = readUsage(value.usage);
     return hasContent(value) ? 1 : 0;
@@ -64,33 +66,33 @@
 
   return {
     read: (chunk) => {
-      const bytes = rest.length === 0 ? chunk : Buffer.concat([rest, chunk]);
+      const bytes = partialEvent.length === 0 ? chunk : Buffer.concat([partialEvent, chunk]);
       const end = endOfLastEvent(bytes);
-      rest = end === bytes.length ? NOTHING : bytes.subarray(end);
-      if (rest.length > MAX_EVENT_BYTES) throw new Error('An event is too long.');
-      if (end === 0) return { bytes: NOTHING, tokens: 0, isForeign: false };
-      const whole = bytes.subarray(0, end);
+      partialEvent = end === bytes.length ? NO_BYTES : bytes.subarray(end);
+      if (partialEvent.length > MAX_EVENT_BYTES) throw new Error('An event is too long.');
+      if (end === 0) return { bytes: NO_BYTES, tokens: 0, isForeign: false };
+      const completeEvents = bytes.subarray(0, end);
       let tokens = 0;
-      for (const text of splitEvents(whole)) {
+      for (const text of splitEvents(completeEvents)) {
         const count = readEvent(text);
-        if (count === undefined) return { bytes: NOTHING, tokens: 0, isForeign: true };
+        if (count === undefined) return { bytes: NO_BYTES, tokens: 0, isForeign: true };
         tokens += count;
       }
-      return { bytes: whole, tokens, isForeign: false };
+      return { bytes: completeEvents, tokens, isForeign: false };
     },
     hasEnded: () => hasEnded,
-    hasRest: () => rest.length > 0,
+    hasPartialEvent: () => partialEvent.length > 0,
     usage: () => usage,
-    answerId: () => answerId,
+    responseId: () => responseId,
   };
 }
 
-/** Position after the last empty line, with which the last whole event ends; 0 if there is none. */
+/** Position after the last empty line, which ends the last complete event; 0 if there is none. */
 export function endOfLastEvent(bytes: Uint8Array): number {
   for (let i = bytes.length - 1; i > 0; i -= 1) {
     if (bytes[i] === LINE_FEED) {
-      const before = bytes[i - 1] === CARRIAGE_RETURN ? i - 2 : i - 1;
-      if (before >= 0 && bytes[before] === LINE_FEED) return i + 1;
+      const previousLineEnd = bytes[i - 1] === CARRIAGE_RETURN ? i - 2 : i - 1;
+      if (previousLineEnd >= 0 && bytes[previousLineEnd] === LINE_FEED) return i + 1;
     }
   }
   return 0;
@@ -103,8 +105,8 @@
     .filter((text) => text !== '');
 }
 
-/** The data lines of an event, joined; `undefined` if it has none. */
-function dataOf(text: string): string | undefined {
+/** Returns the joined data lines of an event; `undefined` if it has none. */
+function extractData(text: string): string | undefined {
   if (text.startsWith('data: ') && !text.includes('\n')) return text.slice('data: '.length);
   const lines = text.split(/\r?\n/).filter((line) => line.startsWith('data:'));
   if (lines.length === 0) return undefined;
@@ -124,7 +126,7 @@
   return typeof value === 'object' && value !== null && !Array.isArray(value);
 }
 
-/** Whether the event carries a part of the answer's text. */
+/** Whether the event carries generated text. */
 function hasContent(value: Readonly<Record<string, unknown>>): boolean {
   const { choices } = value;
   if (!Array.isArray(choices)) return false;
@@ -136,7 +138,7 @@
   });
 }
 
-/** Reads the `usage` object of a completion; prompt tokens count without the cached ones. */
+/** Reads the `usage` object of a completion. Cached prompt tokens are not counted. */
 export function readUsage(usage: Readonly<Record<string, unknown>>): TokenUsage {
   const prompt = usage.prompt_tokens;
   const output = usage.completion_tokens;
@@ -148,13 +150,13 @@
   };
 }
 
-/** What an answer that came as one JSON body tells of itself. */
-export interface BodyFacts extends TokenUsage {
+/** Id and token usage of a response that is a single JSON body. */
+export interface ResponseBodyInfo extends TokenUsage {
   readonly id?: string;
 }
 
-/** Reads the id and the usage of an answer that came as one JSON body. */
-export function readBodyFacts(body: Uint8Array): BodyFacts {
+/** Reads id and token usage of a response that is a single JSON body. */
+export function readResponseBodyInfo(body: Uint8Array): ResponseBodyInfo {
   const value = parseObject(Buffer.from(body).toString('utf8'));
   const usage = isRecord(value?.usage) ? readUsage(value.usage) : {};
   return typeof value?.id === 'string' ? { ...usage, id: value.id } : usage;
--- a/src/hosts/httpServer.ts
+++ b/src/hosts/httpServer.ts
@@ -1,6 +1,6 @@
 /**
- * Listening side of the callers' and operators' ports: an `h3` application on a Node.js server,
- * over TLS if certificates are given.
+ * HTTP server for the ports of callers and operators: an `h3` application on a Node.js server, with
+ * TLS if certificates are given.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { createServer as createTlsServer, type Server as TlsServer } from 'node:https';
@@ -10,12 +10,12 @@
 import type { Millis } from '../core/clock.js';
 import type { CertificateSource } from './certificates.js';
 
-/** Limits on what a connection may send before a request is read. */
+/** Limits on connections and on the requests that they send. */
 export interface HttpLimits {
   readonly maxHeaderBytes: number;
-  /** Longest time in which the headers have to arrive. */
+  /** Time within which the headers must arrive. */
   readonly headersTimeoutMs: Millis;
-  /** Longest time in which a whole request has to arrive. */
+  /** Time within which the whole request must arrive. */
   readonly requestTimeoutMs: Millis;
   readonly maxConnections: number;
 }
@@ -27,56 +27,56 @@
   maxConnections: 20_000,
 };
 
-/** Interval at which connections are checked for their time limits. */
-const CHECK_INTERVAL_MS = 1_000;
+/** Interval at which the time limits of connections are checked. */
+const TIMEOUT_CHECK_INTERVAL_MS = 1_000;
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
 
-/** Takes each request and writes its answer, now or later. */
+/** Handles a request; the response may be written later. */
 export type RequestHandler = (req: IncomingMessage, res: ServerResponse) => void | Promise<void>;
 
 export interface HttpServerOptions {
-  /** An application, or a handler for ports on which all paths are handled alike. */
+  /** An application, or one handler for all paths. */
   readonly app: H3 | RequestHandler;
   readonly host: string;
   readonly port: number;
   readonly limits?: Partial<HttpLimits>;
   readonly certificates?: CertificateSource | undefined;
-  /** Answers a connection whose bytes are not HTTP, by the code of the error. */
+  /** Creates the raw response to a connection that did not send valid HTTP, by the error code. */
   readonly malformedAnswer?: (errorCode: string) => string;
-  /** Connections that may wait to be accepted; the system's usual number by default. */
+  /** Length of the queue of pending connections; the default of Node.js if not set. */
   readonly backlog?: number;
-  /** Called with each connection that is accepted. */
+  /** Called for each accepted connection. */
   readonly onConnection?: () => void;
 }
 
 export interface HttpServer {
-  /** Starts to listen; returns the bound address as `ip:port`. */
+  /** Starts listening; returns the bound address as `ip:port`. */
   readonly listen: () => Promise<string>;
-  /** Stops to listen and resolves once every connection has ended. */
+  /** Stops listening and resolves once every connection is closed. */
   readonly close: () => Promise<void>;
-  /** Stops to listen and cuts every connection. */
+  /** Stops listening and closes every connection immediately. */
   readonly kill: () => Promise<void>;
-  /** Changes time limits; connections that are open already keep their present wait. */
+  /** Changes the time limits; a timeout that is already running on a connection is not changed. */
   readonly setTimeouts: (timeouts: HttpTimeouts) => void;
   /** Closes the connections on which no request is in progress. */
   readonly closeIdle: () => void;
 }
 
 export interface HttpTimeouts {
-  /** Longest time in which the headers of a request have to arrive. */
+  /** Time within which the headers of a request must arrive. */
   readonly headersMs: Millis;
   /** Time after which an idle connection is closed. */
   readonly idleMs: Millis;
 }
 
-/** Creates a server that does not listen yet. */
+/** Creates a server without starting to listen. */
 export function createHttpServer(options: HttpServerOptions): HttpServer {
   const limits = { ...DEFAULT_HTTP_LIMITS, ...options.limits };
-  const busy = new WeakSet<Socket>();
-  const server = openServer(options, limits);
+  const activeSockets = new WeakSet<Socket>();
+  const server = createNodeServer(options, limits);
   server.prependListener('request', (req: IncomingMessage, res: ServerResponse) => {
-    busy.add(req.socket);
-    res.once('close', () => busy.delete(req.socket));
+    activeSockets.add(req.socket);
+    res.once('close', () => activeSockets.delete(req.socket));
   });
   server.maxConnections = limits.maxConnections;
   server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
@@ -85,8 +85,8 @@
     options.onConnection?.();
   });
   server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => {
-    // Bytes between the parts of an answer in progress would become part of it.
-    if (!socket.writable || busy.has(socket)) socket.destroy();
+    // While a response is in progress, written bytes would become part of its body.
+    if (!socket.writable || activeSockets.has(socket)) socket.destroy();
     else socket.end(options.malformedAnswer?.(err.code ?? '') ?? '');
   });
   return {
@@ -120,15 +120,15 @@
   };
 }
 
-function openServer(options: HttpServerOptions, limits: HttpLimits): Server | TlsServer {
+function createNodeServer(options: HttpServerOptions, limits: HttpLimits): Server | TlsServer {
   const { app } = options;
   const handler = typeof app === 'function' ? app : toNodeHandler(app);
   const serverOptions = {
     maxHeaderSize: limits.maxHeaderBytes,
     headersTimeout: limits.headersTimeoutMs,
     requestTimeout: limits.requestTimeoutMs,
-    connectionsCheckingInterval: CHECK_INTERVAL_MS,
-    // Checked below, so that the refusal has the form of all others.
+    connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
+    // Checked below, so that the refusal has the same format as all others.
     requireHostHeader: false,
   };
   const { certificates } = options;
@@ -146,8 +146,8 @@
 }
 
 /**
- * Wraps a handler that writes to the Node.js response itself, now or later. The route counts as
- * handled once the response is closed.
+ * Wraps a handler that writes to the Node.js response directly, possibly later. The route is
+ * treated as handled once the response is closed.
  */
 export function nodeRoute(
   handler: (req: IncomingMessage, res: ServerResponse) => void,
@@ -161,13 +161,13 @@
   });
 }
 
-/** First value of a request header, or `undefined`. */
+/** Returns the first value of a request header, or `undefined`. */
 export function headerOf(req: IncomingMessage, name: string): string | undefined {
   const value = req.headers[name];
   return Array.isArray(value) ? value[0] : value;
 }
 
-/** Writes a JSON answer. */
+/** Sends a JSON response unless headers were already sent or the connection is closed. */
 export function sendJson(
   res: ServerResponse,
   status: number,
--- a/src/hosts/jsonClient.ts
+++ b/src/hosts/jsonClient.ts
@@ -1,14 +1,14 @@
-/** Short calls that carry JSON, with a time limit and a limit on the size of the answer. */
+/** HTTP client for short JSON calls, with a timeout and a limit on the size of the response. */
 import { Agent, errors, request, type Dispatcher } from 'undici';
 import type { Millis } from '../core/clock.js';
 
-const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
 
 export interface JsonRequest {
   readonly method: 'GET' | 'POST' | 'PUT';
   readonly url: string;
   readonly body?: unknown;
-  /** Overrides the client's time limit. */
+  /** Overrides the timeout of the client. */
   readonly timeoutMs?: Millis;
 }
 
@@ -19,7 +19,7 @@
       readonly value: unknown;
       readonly retryAfterMs?: Millis;
     }
-  /** Nothing of the request was sent. */
+  /** No part of the request was sent. */
   | { readonly kind: 'notSent'; readonly detail: string }
   /** The request may have taken effect. */
   | { readonly kind: 'unknown'; readonly detail: string };
@@ -36,15 +36,15 @@
 
 const DEFAULT_CONNECT_TIMEOUT_MS = 2_000;
 const MS_PER_SECOND = 1_000;
-/** Failures before a connection existed. */
-const NOT_SENT_CODES: ReadonlySet<string> = new Set([
+/** Errors that occur before a connection is established. */
+const NOT_SENT_ERROR_CODES: ReadonlySet<string> = new Set([
   'ECONNREFUSED',
   'EHOSTUNREACH',
   'ENETUNREACH',
   'UND_ERR_CONNECT_TIMEOUT',
 ]);
 
-/** Creates a client that connects on demand. */
+/** Creates a client that opens connections on demand. */
 export function createJsonClient(options: JsonClientOptions): JsonClient {
   const connectTimeoutMs = options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS;
   const agent = new Agent({ connect: { timeout: connectTimeoutMs } });
@@ -61,16 +61,16 @@
         headers: { 'content-type': 'application/json' },
         body: req.body === undefined ? null : JSON.stringify(req.body),
       });
-      return await readAnswer(res);
+      return await readResponse(res);
     } catch (err) {
-      return failureOf(err);
+      return toFailure(err);
     }
   }
 
   return { call, close: async () => agent.destroy() };
 }
 
-async function readAnswer(res: Dispatcher.ResponseData): Promise<JsonResult> {
+async function readResponse(res: Dispatcher.ResponseData): Promise<JsonResult> {
   const seconds = Number(res.headers['retry-after']);
   const retry = Number.isFinite(seconds) ? { retryAfterMs: seconds * MS_PER_SECOND } : {};
   const text = await readText(res);
@@ -82,7 +82,7 @@
   let size = 0;
   for await (const part of res.body) {
     size += (part as Buffer).length;
-    if (size > MAX_ANSWER_BYTES) throw new Error('The answer is too long.');
+    if (size > MAX_RESPONSE_BYTES) throw new Error('The answer is too long.');
     parts.push(part as Buffer);
   }
   return Buffer.concat(parts).toString('utf8');
@@ -96,10 +96,11 @@
   }
 }
 
-function failureOf(err: unknown): JsonResult {
+function toFailure(err: unknown): JsonResult {
   const { code, message } = err as NodeJS.ErrnoException;
   const detail = code ?? message;
   const wasNotSent =
-    (code !== undefined && NOT_SENT_CODES.has(code)) || err instanceof errors.ConnectTimeoutError;
+    (code !== undefined && NOT_SENT_ERROR_CODES.has(code)) ||
+    err instanceof errors.ConnectTimeoutError;
   return { kind: wasNotSent ? 'notSent' : 'unknown', detail };
 }
--- a/src/hosts/logger.ts
+++ b/src/hosts/logger.ts
@@ -1,4 +1,4 @@
-/** Log lines through `loglevel`: one short sentence with the prefix of its part, as text or JSON. */
+/** Writes log lines with `loglevel`, as text with a prefix for the logging part or as JSON. */
 import loglevel from 'loglevel';
 import type { Clock } from '../core/clock.js';
 import { formatDiagnostic } from '../core/diagnostics.js';
@@ -12,13 +12,13 @@
   readonly clock: Clock;
   readonly threshold?: LogThreshold;
   readonly form?: LogForm;
-  /** Takes the finished lines; standard error by default. */
+  /** Writes a formatted line; to standard error by default. */
   readonly writeLine?: (line: string) => void;
 }
 
 const PREFIX_WIDTH = 13;
 
-/** Creates the log of one instance. */
+/** Creates the logger of one instance. */
 export function createLogger(options: LoggerOptions): Logger {
   const form = options.form ?? 'text';
   const writeLine = options.writeLine ?? ((line) => process.stderr.write(`${line}\n`));
--- a/src/hosts/metrics.ts
+++ b/src/hosts/metrics.ts
@@ -1,10 +1,10 @@
-/** Metrics over UDP by `hot-shots`; nothing is sent unless an address is set. */
+/** Sends metrics over UDP with `hot-shots`; sends nothing unless an address is set. */
 import { StatsD } from 'hot-shots';
 import type { Metrics } from './types.js';
 import { splitAddress } from './address.js';
 
 export interface MetricsOptions {
-  /** Receiver as `ip:port`; none switches metrics off. */
+  /** Address of the receiver as `ip:port`; metrics are disabled if it is not set. */
   readonly address?: string | undefined;
   readonly prefix?: string;
   readonly tags: Readonly<Record<string, string>>;
@@ -14,7 +14,7 @@
 const MAX_PACKET_BYTES = 1_400;
 const NO_METRICS: Metrics = { count: () => {}, close: async () => Promise.resolve() };
 
-/** Creates the sender of one instance's metrics. */
+/** Creates the metrics client of one instance. */
 export function createMetrics(options: MetricsOptions): Metrics {
   if (options.address === undefined) return NO_METRICS;
   const client = new StatsD({
@@ -23,7 +23,7 @@
     globalTags: { ...options.tags },
     maxBufferSize: MAX_PACKET_BYTES,
     cacheDns: true,
-    // A receiver that is away must not disturb the instance.
+    // An unreachable receiver must not affect the instance.
     errorHandler: () => {},
   });
   return {
--- a/src/hosts/operatorCommands.ts
+++ b/src/hosts/operatorCommands.ts
@@ -1,16 +1,16 @@
-/** Commands as operators send them: JSON, with the operator's key as bearer key beside it. */
+/** Parses operator commands: a JSON body, with the key of the operator sent as a bearer key. */
 import * as z from 'zod';
 import type { KeyHash, OperatorCommand } from '../core/types.js';
 
 const MAX_LIMIT = 1_000;
 
-const id = z.string().min(1).max(128);
-const limit = z.int().min(1).max(MAX_LIMIT).default(50);
+const idSchema = z.string().min(1).max(128);
+const limitSchema = z.int().min(1).max(MAX_LIMIT).default(50);
 
 const commandSchema = z.discriminatedUnion('kind', [
   z.strictObject({
     kind: z.literal('publish'),
-    editId: id,
+    editId: idSchema,
     section: z.string(),
     baseVersion: z.int(),
     text: z.string(),
@@ -26,14 +26,14 @@
     section: z.string(),
     text: z.string(),
   }),
-  z.strictObject({ kind: z.literal('configurationHistory'), limit }),
-  z.strictObject({ kind: z.literal('readAudit'), limit }),
+  z.strictObject({ kind: z.literal('configurationHistory'), limit: limitSchema }),
+  z.strictObject({ kind: z.literal('readAudit'), limit: limitSchema }),
   z.strictObject({ kind: z.literal('listOrders') }),
   z.strictObject({ kind: z.literal('liftQuarantine'), fingerprint: z.string() }),
   z.strictObject({ kind: z.literal('status') }),
 ]);
 
-/** A command without its author's key. */
+/** A command as it is sent, without the key of its author. */
 export type WireCommand = z.input<typeof commandSchema>;
 
 export type ParsedCommand =
@@ -41,8 +41,9 @@
   | { readonly kind: 'malformed'; readonly reason: string };
 
 /**
- * Reads a command. The key is hashed here, so that knowing a stored hash, which every reader of the
- * configuration does, is not enough to act for its team.
+ * Parses a command and adds the hash of the operator's key. Operators send the key itself and it is
+ * hashed on receipt: the stored hashes are visible to every reader of the configuration, so a hash
+ * must not be sufficient to act for a team.
  */
 export function parseCommand(body: Uint8Array | undefined, keyHash: KeyHash): ParsedCommand {
   const parsed = commandSchema.safeParse(body === undefined ? undefined : parseJson(body));
--- a/src/hosts/operatorHost.ts
+++ b/src/hosts/operatorHost.ts
@@ -1,12 +1,12 @@
-/** The operators' port: health, readiness, status and commands. */
+/** HTTP server for operators: health, readiness, status and commands. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { H3 } from 'h3';
 import type { Millis } from '../core/clock.js';
 import type { OperatorCommand, OperatorResult, Problem } from '../core/types.js';
-import { readBody, readKeyHash } from './callerRequest.js';
+import { readBody, hashBearerKey } from './callerRequest.js';
 import { createHttpServer, nodeRoute, sendJson } from './httpServer.js';
 import { parseCommand } from './operatorCommands.js';
-import { problemBody, problemHeaders } from './problem.js';
+import { createProblemBody, createProblemHeaders } from './problem.js';
 import type { OperatorHost, Post } from './types.js';
 
 export interface OperatorHostOptions {
@@ -14,9 +14,9 @@
   readonly host: string;
   readonly port: number;
   readonly isReady: () => boolean;
-  /** All that an instance tells of itself. */
+  /** Returns the state of the instance that `GET /status` shows. */
   readonly status: () => Readonly<Record<string, unknown>>;
-  /** Longest wait for the core's reply to a command. */
+  /** Timeout for the core's reply to a command. */
   readonly commandTimeoutMs?: Millis;
 }
 
@@ -30,14 +30,14 @@
   step: 'route',
   peer: { kind: 'caller' },
 };
-const BAD_COMMAND: Problem = {
+const MALFORMED_COMMAND: Problem = {
   ...NOT_FOUND,
   code: 'malformedRequest',
   status: 400,
   step: 'receive',
   args: { reason: 'a command as JSON is expected' },
 };
-/** The command may still take effect. */
+/** Reported if the core did not reply in time; the command may still take effect. */
 const NO_REPLY: Problem = {
   code: 'internalError',
   status: 504,
@@ -46,21 +46,21 @@
   peer: { kind: 'self' },
 };
 
-/** Creates the operators' port; it does not listen yet. */
+/** Creates the server without starting to listen. */
 export function createOperatorHost(options: OperatorHostOptions): OperatorHost {
   const timeoutMs = options.commandTimeoutMs ?? DEFAULT_COMMAND_TIMEOUT_MS;
-  const pending = new Map<string, (result: OperatorResult) => void>();
-  let nextCommand = 1;
+  const pendingCommands = new Map<string, (result: OperatorResult) => void>();
+  let nextCommandNumber = 1;
 
-  async function run(command: OperatorCommand): Promise<OperatorResult> {
-    const commandId = `c${nextCommand}`;
-    nextCommand += 1;
+  async function submitCommand(command: OperatorCommand): Promise<OperatorResult> {
+    const commandId = `c${nextCommandNumber}`;
+    nextCommandNumber += 1;
     return new Promise((resolve) => {
       const timer = setTimeout(
-        () => settle(commandId, { kind: 'rejected', problem: NO_REPLY }),
+        () => resolveCommand(commandId, { kind: 'rejected', problem: NO_REPLY }),
         timeoutMs,
       );
-      pending.set(commandId, (result) => {
+      pendingCommands.set(commandId, (result) => {
         clearTimeout(timer);
         resolve(result);
       });
@@ -68,22 +68,22 @@
     });
   }
 
-  function settle(commandId: string, result: OperatorResult): void {
-    pending.get(commandId)?.(result);
-    pending.delete(commandId);
+  function resolveCommand(commandId: string, result: OperatorResult): void {
+    pendingCommands.get(commandId)?.(result);
+    pendingCommands.delete(commandId);
   }
 
-  async function runCommand(req: IncomingMessage, res: ServerResponse): Promise<void> {
+  async function handleCommand(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const body = await readBody(req, MAX_COMMAND_BYTES);
-    const parsed = parseCommand(body, readKeyHash(req));
+    const parsed = parseCommand(body, hashBearerKey(req));
     if (parsed.kind === 'malformed') {
-      sendProblem(res, { ...BAD_COMMAND, detail: parsed.reason });
+      sendProblem(res, { ...MALFORMED_COMMAND, detail: parsed.reason });
       return;
     }
-    sendResult(res, await run(parsed.command));
+    sendResult(res, await submitCommand(parsed.command));
   }
 
-  function showStatus(res: ServerResponse): void {
+  function sendStatus(res: ServerResponse): void {
     sendJson(res, 200, { ready: options.isReady(), ...options.status() });
   }
 
@@ -102,13 +102,13 @@
   app.get(
     '/status',
     nodeRoute((_req, res) => {
-      showStatus(res);
+      sendStatus(res);
     }),
   );
   app.post(
     '/commands',
     nodeRoute((req, res) => {
-      runCommand(req, res).catch(() => res.destroy());
+      handleCommand(req, res).catch(() => res.destroy());
     }),
   );
   app.all(
@@ -118,9 +118,11 @@
   const server = createHttpServer({ app, host: options.host, port: options.port });
   return {
     listen: server.listen,
-    reply: settle,
+    reply: resolveCommand,
     close: async () => {
-      pending.forEach((_, id) => settle(id, { kind: 'rejected', problem: NO_REPLY }));
+      pendingCommands.forEach((_, id) =>
+        resolveCommand(id, { kind: 'rejected', problem: NO_REPLY }),
+      );
       await server.close();
     },
   };
@@ -132,10 +134,10 @@
     return;
   }
   const { problem, data } = result;
-  const body = { ...problemBody(problem), ...(data === undefined ? {} : { data }) };
-  sendJson(res, problem.status, body, problemHeaders(problem));
+  const body = { ...createProblemBody(problem), ...(data === undefined ? {} : { data }) };
+  sendJson(res, problem.status, body, createProblemHeaders(problem));
 }
 
 function sendProblem(res: ServerResponse, problem: Problem): void {
-  sendJson(res, problem.status, problemBody(problem), problemHeaders(problem));
+  sendJson(res, problem.status, createProblemBody(problem), createProblemHeaders(problem));
 }
--- a/src/hosts/peerHost.ts
+++ b/src/hosts/peerHost.ts
@@ -1,6 +1,6 @@
 /**
- * Links to the other instances by gRPC. Each instance opens one stream to each instance that it
- * sends to and takes the streams of the others; over mutual TLS if certificates are given.
+ * Links to the other instances over gRPC. Each instance opens one stream to every instance that it
+ * sends to and accepts the streams of the others, with mutual TLS if certificates are given.
  */
 import {
   ChannelCredentials,
@@ -21,7 +21,7 @@
 } from './peerLink.js';
 import type { ControlBytes, PeerHost, Post } from './types.js';
 
-/** How far a link reaches. */
+/** Network distance that a link covers. */
 export type LinkClass = keyof ControlBytes;
 
 export interface PeerHostOptions {
@@ -29,25 +29,25 @@
   readonly post: Post;
   readonly host: string;
   readonly port: number;
-  /** Finds how far the link to an instance reaches. */
+  /** Determines the network distance of the link to an instance. */
   readonly linkClassOf: (to: InstanceId) => LinkClass;
   readonly onLost?: (to: InstanceId, reason: string) => void;
-  /** Without certificates links are neither encrypted nor authenticated. */
+  /** Without certificates, links are neither encrypted nor authenticated. */
   readonly certificates?: CertificateSource | undefined;
   readonly limits?: Partial<PeerLinkLimits>;
 }
 
 type IncomingStream = ServerDuplexStream<PeerBatch, PeerBatch>;
 
-/** Largest batch that is taken. */
+/** Maximum size of a received batch. */
 const MAX_BATCH_BYTES = 32 * 1024 * 1024;
 
-/** Creates the host; it does not listen yet. */
+/** Creates the host without starting to listen. */
 export function createPeerHost(options: PeerHostOptions): PeerHost {
   const { self, post, certificates } = options;
   const limits = { ...DEFAULT_PEER_LINK_LIMITS, ...options.limits };
   const links = new Map<InstanceId, PeerLink>();
-  const bytes = { sameDomain: 0, sameRegion: 0, crossRegion: 0 };
+  const sentBytes = { sameDomain: 0, sameRegion: 0, crossRegion: 0 };
   const server = new Server({ 'grpc.max_receive_message_length': MAX_BATCH_BYTES });
 
   const createBatch = (messages: readonly PeerMessage[]): PeerBatch => ({
@@ -55,7 +55,7 @@
     messages,
   });
 
-  function takeStream(stream: IncomingStream): void {
+  function handleStream(stream: IncomingStream): void {
     stream.on('data', (batch: PeerBatch) => {
       const { sender } = batch;
       batch.messages.forEach((message) => {
@@ -78,17 +78,17 @@
         responseSerialize: (batch: PeerBatch) => Buffer.from(encodeBatch(batch)),
       },
     },
-    { exchange: takeStream },
+    { exchange: handleStream },
   );
 
   function openLink(to: InstanceId, address: string): PeerLink {
     const link = createPeerLink({
       address,
       limits,
-      createCredentials: () => clientCredentials(certificates),
+      createCredentials: () => createClientCredentials(certificates),
       createBatch,
       onBytesSent: (count) => {
-        bytes[options.linkClassOf(to)] += count;
+        sentBytes[options.linkClassOf(to)] += count;
       },
       onLost: (reason) => {
         options.onLost?.(to, reason);
@@ -99,7 +99,7 @@
     return link;
   }
 
-  function drop(to: InstanceId): void {
+  function closeLink(to: InstanceId): void {
     links.get(to)?.close();
     links.delete(to);
   }
@@ -108,7 +108,7 @@
     listen: async () => {
       const port = await new Promise<number>((resolve, reject) => {
         const target = `${options.host}:${options.port}`;
-        server.bindAsync(target, serverCredentials(certificates), (err, bound) => {
+        server.bindAsync(target, createServerCredentials(certificates), (err, bound) => {
           if (err === null) resolve(bound);
           else reject(err);
         });
@@ -116,12 +116,12 @@
       return `${options.host}:${port}`;
     },
     send: (to, address, message) => {
-      if (links.get(to)?.address !== address) drop(to);
+      if (links.get(to)?.address !== address) closeLink(to);
       const link = links.get(to) ?? openLink(to, address);
       link.send(message);
     },
-    drop,
-    controlBytes: () => ({ ...bytes }),
+    drop: closeLink,
+    controlBytes: () => ({ ...sentBytes }),
     close: async () => {
       links.forEach((link) => link.close());
       links.clear();
@@ -131,8 +131,11 @@
   };
 }
 
-/** The other side is known by its authority, not by a host name: instances have IP numbers only. */
-function clientCredentials(certificates: CertificateSource | undefined): ChannelCredentials {
+/**
+ * Creates client credentials. The other side is verified by its certificate authority and not by a
+ * host name, because instances have IP addresses only.
+ */
+function createClientCredentials(certificates: CertificateSource | undefined): ChannelCredentials {
   if (certificates === undefined) return ChannelCredentials.createInsecure();
   const { ca, key, cert } = certificates.current();
   return ChannelCredentials.createSsl(ca ?? null, key, cert, {
@@ -140,38 +143,46 @@
   });
 }
 
-/** Credentials that follow the certificates; a caller without a valid one is turned away. */
-function serverCredentials(certificates: CertificateSource | undefined): ServerCredentials {
+/**
+ * Creates server credentials that are updated when the certificates change. Clients without a valid
+ * certificate are rejected.
+ */
+function createServerCredentials(certificates: CertificateSource | undefined): ServerCredentials {
   if (certificates === undefined) return ServerCredentials.createInsecure();
-  const provider = createProvider(certificates);
+  const provider = createCertificateProvider(certificates);
   return experimental.createCertificateProviderServerCredentials(provider, provider, true);
 }
 
-/** Listeners are told later, since the server is not yet ready for an answer as it registers one. */
-function createProvider(certificates: CertificateSource): experimental.CertificateProvider {
+/**
+ * Creates a certificate provider. A new listener is called in a microtask, because the server is
+ * not ready to handle the call while it registers the listener.
+ */
+function createCertificateProvider(
+  certificates: CertificateSource,
+): experimental.CertificateProvider {
   const caListeners = new Set<experimental.CaCertificateUpdateListener>();
   const identityListeners = new Set<experimental.IdentityCertificateUpdateListener>();
-  const tellAuthority = (listener: experimental.CaCertificateUpdateListener) => {
+  const notifyCaListener = (listener: experimental.CaCertificateUpdateListener) => {
     const { ca } = certificates.current();
     listener(ca === undefined ? null : { caCertificate: ca });
   };
-  const tellIdentity = (listener: experimental.IdentityCertificateUpdateListener) => {
+  const notifyIdentityListener = (listener: experimental.IdentityCertificateUpdateListener) => {
     const { cert, key } = certificates.current();
     listener({ certificate: cert, privateKey: key });
   };
   certificates.onChange(() => {
-    caListeners.forEach(tellAuthority);
-    identityListeners.forEach(tellIdentity);
+    caListeners.forEach(notifyCaListener);
+    identityListeners.forEach(notifyIdentityListener);
   });
   return {
     addCaCertificateListener: (listener) => {
       caListeners.add(listener);
-      queueMicrotask(() => tellAuthority(listener));
+      queueMicrotask(() => notifyCaListener(listener));
     },
     removeCaCertificateListener: (listener) => caListeners.delete(listener),
     addIdentityCertificateListener: (listener) => {
       identityListeners.add(listener);
-      queueMicrotask(() => tellIdentity(listener));
+      queueMicrotask(() => notifyIdentityListener(listener));
     },
     removeIdentityCertificateListener: (listener) => identityListeners.delete(listener),
   };
--- a/src/hosts/peerLink.ts
+++ b/src/hosts/peerLink.ts
@@ -1,8 +1,9 @@
 /**
- * The sending link to one other instance: a gRPC stream that is opened on demand, opened anew after
- * failures with a growing delay, and given up when no answer to its pings arrives, since a
- * connection can fall silent for good while new ones work. Messages wait until the other side has
- * answered once, so that a connection that never comes up loses none of them.
+ * Outgoing link to one other instance: a gRPC stream that is opened on demand and reopened after
+ * failures with exponential backoff. A connection whose pings are not answered is closed, because a
+ * connection can stop delivering permanently while new ones work. Messages stay queued until the
+ * other side has answered the first ping, so that none is lost on a connection that is never
+ * established.
  */
 import { Client, type ChannelCredentials, type ClientDuplexStream } from '@grpc/grpc-js';
 import type { Millis } from '../core/clock.js';
@@ -11,12 +12,12 @@
 import { PeerService } from '../protocol/generated/peer.js';
 
 export interface PeerLinkLimits {
-  /** Messages that wait for a connection; beyond that the oldest is dropped. */
+  /** Maximum number of messages queued for a connection; the oldest is dropped beyond that. */
   readonly maxQueued: number;
-  /** Messages in one batch. */
+  /** Maximum number of messages in a batch. */
   readonly maxBatch: number;
   readonly pingIntervalMs: Millis;
-  /** Longest wait for the answer to a ping. */
+  /** Timeout for the answer to a ping. */
   readonly pingTimeoutMs: Millis;
   readonly minBackoffMs: Millis;
   readonly maxBackoffMs: Millis;
@@ -37,7 +38,7 @@
   readonly createCredentials: () => ChannelCredentials;
   readonly createBatch: (messages: readonly PeerMessage[]) => PeerBatch;
   readonly onBytesSent: (bytes: number) => void;
-  /** Called when a connection could not be opened or broke. */
+  /** Called when a connection could not be opened or was lost. */
   readonly onLost: (reason: string) => void;
 }
 
@@ -52,27 +53,27 @@
 interface Connection {
   readonly client: Client;
   readonly stream: Stream;
-  /** Time at which the unanswered ping was sent. */
+  /** Time at which the ping that is not yet answered was sent. */
   pingSentAt: number | undefined;
-  /** Whether the other side has answered on this connection. */
-  isOpen: boolean;
+  /** Whether the other side has answered a ping on this connection. */
+  isConfirmed: boolean;
   isBlocked: boolean;
 }
 
-/** Channels with the same address would share one connection. */
 const CHANNEL_OPTIONS = {
+  // With the global pool, channels to the same address would share one connection.
   'grpc.use_local_subchannel_pool': 1,
   'grpc.enable_retries': 0,
-  // IP numbers are not allowed as the server name of TLS.
+  // TLS does not allow an IP address as server name.
   'grpc.ssl_target_name_override': 'primroseswitch',
 } as const;
 
-/** Creates a link that connects with its first message. */
+/** Creates a link that connects when the first message is sent. */
 export function createPeerLink(options: PeerLinkOptions): PeerLink {
   const { limits } = options;
   let connection: Connection | undefined;
   let queue: PeerMessage[] = [];
-  let isFlushDue = false;
+  let isFlushScheduled = false;
   let isClosed = false;
   let backoffMs = limits.minBackoffMs;
   let retryTimer: NodeJS.Timeout | undefined;
@@ -88,31 +89,31 @@
     const client = new Client(options.address, options.createCredentials(), CHANNEL_OPTIONS);
     const { path } = PeerService.exchange;
     const stream: Stream = client.makeBidiStreamRequest(path, serialize, decodeBatch);
-    const opened = { client, stream, pingSentAt: undefined, isOpen: false, isBlocked: false };
+    const opened = { client, stream, pingSentAt: undefined, isConfirmed: false, isBlocked: false };
     connection = opened;
-    listen(opened);
+    attachHandlers(opened);
     ping(opened);
   }
 
-  function listen(opened: Connection): void {
+  function attachHandlers(opened: Connection): void {
     const { stream } = opened;
     stream.on('data', (batch: PeerBatch) => {
       if (!batch.messages.some((message) => message.$case === 'pong')) return;
       opened.pingSentAt = undefined;
       backoffMs = limits.minBackoffMs;
-      if (opened.isOpen) return;
-      opened.isOpen = true;
+      if (opened.isConfirmed) return;
+      opened.isConfirmed = true;
       flush();
     });
     stream.on('drain', () => {
       opened.isBlocked = false;
       flush();
     });
-    stream.on('error', (err: Error) => lose(opened, err.message));
-    stream.on('end', () => lose(opened, 'The stream was ended.'));
+    stream.on('error', (err: Error) => handleConnectionLoss(opened, err.message));
+    stream.on('end', () => handleConnectionLoss(opened, 'The other side closed the stream.'));
   }
 
-  function lose(lost: Connection, reason: string): void {
+  function handleConnectionLoss(lost: Connection, reason: string): void {
     if (connection !== lost) return;
     connection = undefined;
     lost.stream.cancel();
@@ -133,20 +134,20 @@
     target.stream.write(options.createBatch([{ $case: 'ping', value: { nonce } }]));
   }
 
-  function checkSilence(): void {
+  function checkPing(): void {
     if (connection === undefined) return;
     if (connection.pingSentAt === undefined) {
       ping(connection);
     } else if (performance.now() - connection.pingSentAt > limits.pingTimeoutMs) {
-      lose(connection, 'The connection is silent.');
+      handleConnectionLoss(connection, 'No answer to a ping was received in time.');
     }
   }
 
   function flush(): void {
-    isFlushDue = false;
+    isFlushScheduled = false;
     if (isClosed || queue.length === 0 || retryTimer !== undefined) return;
     if (connection === undefined) connect();
-    else if (connection.isOpen) sendQueued(connection);
+    else if (connection.isConfirmed) sendQueued(connection);
   }
 
   function sendQueued(target: Connection): void {
@@ -157,16 +158,16 @@
     }
   }
 
-  const pingTimer = setInterval(checkSilence, limits.pingIntervalMs);
+  const pingTimer = setInterval(checkPing, limits.pingIntervalMs);
   pingTimer.unref();
   return {
     address: options.address,
     send: (message) => {
       queue.push(message);
       if (queue.length > limits.maxQueued) queue.shift();
-      if (isFlushDue) return;
-      isFlushDue = true;
-      // Messages of one turn of the loop leave in one batch.
+      if (isFlushScheduled) return;
+      isFlushScheduled = true;
+      // Messages sent in the same turn of the event loop share one batch.
       queueMicrotask(flush);
     },
     close: () => {
--- a/src/hosts/platformHost.ts
+++ b/src/hosts/platformHost.ts
@@ -1,4 +1,4 @@
-/** The platform's log and instance list over HTTP. */
+/** HTTP client of the platform's log and instance list. */
 import * as z from 'zod';
 import type { Millis } from '../core/clock.js';
 import type { AppendResult, ListedInstance, LogReadResult } from '../core/types.js';
@@ -7,9 +7,9 @@
 
 export interface PlatformHostOptions {
   readonly post: Post;
-  /** Base address, `http://ip:port`; without one every call fails. */
+  /** Base URL, `http://ip:port`; if it is not set, every call fails. */
   readonly url: string | undefined;
-  /** Time limit of a call, besides the time that a read waits. */
+  /** Timeout of a call, in addition to the time that a read waits for new records. */
   readonly timeoutMs?: Millis;
 }
 
@@ -34,7 +34,7 @@
   ),
 });
 
-/** Creates the host; it connects on demand. */
+/** Creates the host; connections are opened on demand. */
 export function createPlatformHost(options: PlatformHostOptions): PlatformHost {
   const { post, url } = options;
   const client = createJsonClient({ timeoutMs: options.timeoutMs ?? DEFAULT_TIMEOUT_MS });
@@ -57,8 +57,8 @@
     waitMs: Millis,
   ): Promise<void> {
     const query = `from=${from}&limit=${limit}&waitMs=${waitMs}`;
-    const path = `${streamPath(stream)}?${query}`;
-    const result = readResult(await call('GET', path, undefined, baseTimeoutMs + waitMs));
+    const path = `${getRecordsPath(stream)}?${query}`;
+    const result = toReadResult(await call('GET', path, undefined, baseTimeoutMs + waitMs));
     post({ kind: 'logRead', stream, from, result });
   }
 
@@ -67,12 +67,12 @@
     stream: string,
     records: readonly string[],
   ): Promise<void> {
-    const result = appendResult(await call('POST', streamPath(stream), { records }));
+    const result = toAppendResult(await call('POST', getRecordsPath(stream), { records }));
     post({ kind: 'appendSettled', appendId, stream, result });
   }
 
   async function readInstanceList(): Promise<void> {
-    const instances = listedInstances(await call('GET', '/instances'));
+    const instances = toInstanceList(await call('GET', '/instances'));
     post({ kind: 'instanceList', ...(instances === undefined ? {} : { instances }) });
   }
 
@@ -90,11 +90,11 @@
   };
 }
 
-function streamPath(stream: string): string {
+function getRecordsPath(stream: string): string {
   return `/streams/${encodeURIComponent(stream)}/records`;
 }
 
-function readResult(result: JsonResult): LogReadResult {
+function toReadResult(result: JsonResult): LogReadResult {
   if (result.kind !== 'answer') return { kind: 'failed', detail: result.detail };
   const expired = result.status === 410 ? expiredSchema.safeParse(result.value) : undefined;
   if (expired?.success) return { kind: 'expired', oldest: expired.data.oldest };
@@ -103,8 +103,11 @@
   return { kind: 'failed', detail: `status ${result.status}` };
 }
 
-/** Only a refusal by the log itself proves that nothing was appended. */
-function appendResult(result: JsonResult): AppendResult {
+/**
+ * Converts the result of an append. Apart from a request that was never sent, only a refusal by the
+ * log itself proves that nothing was appended.
+ */
+function toAppendResult(result: JsonResult): AppendResult {
   if (result.kind === 'notSent') return { kind: 'rejected', detail: result.detail };
   if (result.kind === 'unknown') return { kind: 'unknown', detail: result.detail };
   const { status, value, retryAfterMs } = result;
@@ -116,8 +119,8 @@
   return { kind: 'rejected', detail, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) };
 }
 
-function listedInstances(result: JsonResult): readonly ListedInstance[] | undefined {
-  const isAnswer = result.kind === 'answer' && result.status === 200;
-  const parsed = isAnswer ? listSchema.safeParse(result.value) : undefined;
+function toInstanceList(result: JsonResult): readonly ListedInstance[] | undefined {
+  const isSuccess = result.kind === 'answer' && result.status === 200;
+  const parsed = isSuccess ? listSchema.safeParse(result.value) : undefined;
   return parsed?.success ? parsed.data.instances : undefined;
 }
--- a/src/hosts/problem.ts
+++ b/src/hosts/problem.ts
@@ -1,11 +1,11 @@
-/** Problems as callers and operators see them (RFC 9457, `application/problem+json`). */
+/** Problem documents for callers and operators (RFC 9457, `application/problem+json`). */
 import { MS_PER_SECOND } from '../core/clock.js';
 import { diagnostics, formatDiagnostic } from '../core/diagnostics.js';
 import type { Problem } from '../core/types.js';
 
 export const PROBLEM_TYPE = 'application/problem+json';
 
-/** Body of a problem answer. */
+/** Body of a problem response. */
 export interface ProblemBody {
   readonly type: string;
   readonly title: string;
@@ -17,8 +17,8 @@
   readonly detail?: string;
 }
 
-/** Turns a problem into the body of its answer. */
-export function problemBody(problem: Problem): ProblemBody {
+/** Creates the response body for a problem. */
+export function createProblemBody(problem: Problem): ProblemBody {
   const { args, code, status, executed, step, peer, detail } = problem;
   return {
     type: `urn:primroseswitch:problem:${code}`,
@@ -32,8 +32,8 @@
   };
 }
 
-/** Headers of a problem answer besides its length. */
-export function problemHeaders(problem: Problem): Record<string, string> {
+/** Creates the response headers for a problem, except for the length. */
+export function createProblemHeaders(problem: Problem): Record<string, string> {
   const headers: Record<string, string> = { 'content-type': PROBLEM_TYPE };
   if (problem.status === 401) headers['www-authenticate'] = 'Bearer';
   if (problem.retryAfterMs !== undefined) {
--- a/src/hosts/system.ts
+++ b/src/hosts/system.ts
@@ -1,10 +1,10 @@
-/** The real clock and timers. Time never steps back: it is read from the monotonic clock. */
+/** Clock and timers of Node.js. Time never goes backwards: it is read from the monotonic clock. */
 import type { System } from './types.js';
 
-/** Longest delay that a timer of Node.js takes. */
+/** Maximum delay of a Node.js timer. */
 const MAX_DELAY_MS = 2 ** 31 - 1;
 
-/** Creates the system interface of this process. */
+/** Creates the `System` of this process. */
 export function createSystem(): System {
   const now = () => performance.timeOrigin + performance.now();
   return {
--- a/src/hosts/types.ts
+++ b/src/hosts/types.ts
@@ -1,6 +1,7 @@
 /**
- * Interfaces between the core's effects and the outside world. Each has one real implementation in
- * this folder and small fakes in the tests. Hosts report back by posting events.
+ * Interfaces through which the effects of the core reach the network, the clock and the log. Each
+ * has one implementation in this folder; tests use small fakes. A host is an adapter that performs
+ * I/O and reports results to the core by posting events.
  */
 import type { Clock, Millis } from '../core/clock.js';
 import type {
@@ -23,49 +24,52 @@
 } from '../core/types.js';
 import type { DiagnosticArgs, DiagnosticCode } from '../core/diagnostics.js';
 
-/** Hands an event to the loop. Never calls back into the host synchronously. */
+/** Queues an event for the event loop of the core. Never calls back into the host synchronously. */
 export type Post = (event: CoreEvent) => void;
 
-/** A request as it is sent to an upstream. */
+/** A request in the form in which it is sent to an upstream. */
 export interface OutgoingRequest {
   readonly method: string;
-  /** Path and query on the upstream, beginning with `/`. */
+  /** Path and query on the upstream, starting with `/`. */
   readonly path: string;
-  /** End-to-end headers only. */
+  /** End-to-end headers only; hop-by-hop headers are removed. */
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Uint8Array;
 }
 
-/** Where the parts of one answer go. Belongs to one request and outlives its attempts. */
-export interface AnswerSink {
-  /** Sends status and headers unless an earlier attempt has done so. */
+/** Receives the response to one request. Shared by all attempts of the request. */
+export interface ResponseSink {
+  /** Sends status and headers unless an earlier attempt has already sent them. */
   readonly start: (head: AnswerHead) => void;
-  /** Passes on a part; resolves when the caller can take more. Rejects once the caller is gone. */
+  /**
+   * Sends a chunk of the body. Returns `undefined` if more can be written at once, otherwise a
+   * promise that resolves when the caller can receive more and rejects if it has disconnected.
+   */
   readonly write: (chunk: Uint8Array) => Promise<void> | undefined;
 }
 
-/** The callers' port. */
+/** HTTP server for callers. */
 export interface CallerHost {
   /** Starts to listen; returns the bound address as `ip:port`. */
   readonly listen: () => Promise<string>;
   readonly setReady: (ready: boolean) => void;
-  /** Whether the balancer may send callers here. */
+  /** Whether the load balancer may send callers to this instance. */
   readonly isReady: () => boolean;
   readonly requestOf: (id: RequestId) => OutgoingRequest | undefined;
-  readonly sinkOf: (id: RequestId) => AnswerSink | undefined;
+  readonly sinkOf: (id: RequestId) => ResponseSink | undefined;
   readonly finishAnswer: (id: RequestId) => void;
   readonly replayAnswer: (id: RequestId, answer: RecordedAnswer) => void;
   readonly refuse: (id: RequestId, problem: NotRunProblem) => void;
   readonly fail: (id: RequestId, problem: Problem) => void;
-  /** Stops to listen and resolves once every connection has ended. */
+  /** Stops listening and resolves once every connection is closed. */
   readonly close: () => Promise<void>;
-  /** Stops to listen and cuts every connection. */
+  /** Stops listening and closes every connection immediately. */
   readonly kill: () => Promise<void>;
 }
 
-/** Connections to engines and plain services. */
+/** HTTP client for model servers (engines) and plain services. */
 export interface UpstreamHost {
-  readonly dispatch: (plan: AttemptPlan, req: OutgoingRequest, sink: AnswerSink) => void;
+  readonly dispatch: (plan: AttemptPlan, req: OutgoingRequest, sink: ResponseSink) => void;
   readonly cancel: (attempt: AttemptId, upstream: UpstreamId) => void;
   readonly suspend: (attempt: AttemptId, upstream: UpstreamId) => void;
   readonly resume: (attempt: AttemptId, upstream: UpstreamId) => void;
@@ -80,26 +84,26 @@
   readonly close: () => Promise<void>;
 }
 
-/** Bytes of control traffic by class of link. */
+/** Bytes of control traffic by network distance of the link. */
 export interface ControlBytes {
   readonly sameDomain: number;
   readonly sameRegion: number;
   readonly crossRegion: number;
 }
 
-/** Links to the other instances. */
+/** Message links to the other instances. */
 export interface PeerHost {
   /** Starts to listen; returns the bound address as `ip:port`. */
   readonly listen: () => Promise<string>;
-  /** Queues a message; it may be lost. Messages of one event leave in one batch. */
+  /** Queues a message; it may be lost. Messages queued for the same event are sent in one batch. */
   readonly send: (to: InstanceId, address: string, message: PeerMessage) => void;
-  /** Closes the link to an instance; the next message opens a new one. */
+  /** Closes the link to an instance; the next message to it opens a new link. */
   readonly drop: (to: InstanceId) => void;
   readonly controlBytes: () => ControlBytes;
   readonly close: () => Promise<void>;
 }
 
-/** The platform's log, instance list and weight store. */
+/** Client of the platform's log and instance list. */
 export interface PlatformHost {
   readonly readLog: (stream: string, from: number, limit: number, waitMs: Millis) => void;
   readonly appendLog: (appendId: number, stream: string, records: readonly string[]) => void;
@@ -107,22 +111,22 @@
   readonly close: () => Promise<void>;
 }
 
-/** The operators' port. */
+/** HTTP server for operators. */
 export interface OperatorHost {
   readonly listen: () => Promise<string>;
   readonly reply: (commandId: string, result: OperatorResult) => void;
   readonly close: () => Promise<void>;
 }
 
-/** Timers and the process itself. */
+/** Clock, timers and deferred execution. */
 export interface System extends Clock {
   /** Runs `action` at or after `at`; returns a function that cancels it. */
   readonly schedule: (at: Millis, action: () => void) => () => void;
-  /** Runs `action` after the events that are due now. */
+  /** Runs `action` after the events that are already due. */
   readonly defer: (action: () => void) => void;
 }
 
-/** Log lines with a fixed prefix per part. */
+/** Writes log lines; each line starts with the name of the part that logged it. */
 export interface Logger {
   readonly write: (level: LogLevel, part: Part, code: DiagnosticCode, args: DiagnosticArgs) => void;
   readonly audit: (entry: AuditEntry) => void;
--- a/src/hosts/upstreamHost.ts
+++ b/src/hosts/upstreamHost.ts
@@ -1,6 +1,7 @@
 /**
- * Connections to engines and plain services. Each attempt runs on its own connection; control calls
- * use another pool, so that a silent answer cannot hold them up.
+ * HTTP client for engines and plain services. Each attempt uses a connection of its own. Control
+ * calls use a separate connection pool, so that an upstream that stops sending a response cannot
+ * delay them.
  */
 import { Agent } from 'undici';
 import { Debug } from '../core/debug.js';
@@ -8,16 +9,16 @@
 import type { AttemptId, AttemptPlan, UpstreamId } from '../core/types.js';
 import { startAttemptRun, type AttemptRun } from './attemptRun.js';
 import { createEngineControl } from './engineControl.js';
-import type { OutgoingRequest, Post, UpstreamHost, AnswerSink } from './types.js';
+import type { OutgoingRequest, Post, UpstreamHost, ResponseSink } from './types.js';
 
 export interface UpstreamHostOptions {
   readonly post: Post;
-  /** Longest delay of a progress event. */
+  /** Maximum delay before progress is reported. */
   readonly progressDelayMs?: Millis;
-  /** Tokens after which progress is reported at once. */
+  /** Number of tokens after which progress is reported immediately. */
   readonly progressTokens?: number;
   readonly connectTimeoutMs?: Millis;
-  /** Time limit of control calls. */
+  /** Timeout of control calls. */
   readonly controlTimeoutMs?: Millis;
 }
 
@@ -31,94 +32,98 @@
 interface RunningAttempt {
   readonly plan: AttemptPlan;
   run?: AttemptRun;
-  /** Progress that was not reported yet. */
-  tokens: number;
-  bytes: number;
+  unreportedTokens: number;
+  unreportedBytes: number;
 }
 
-/** Creates the host; it connects on demand. */
+/** Creates the host; connections are opened on demand. */
 export function createUpstreamHost(options: UpstreamHostOptions): UpstreamHost {
   const cfg = { ...DEFAULTS, ...options };
   const { post } = cfg;
   const agent = new Agent({ pipelining: 1, connect: { timeout: cfg.connectTimeoutMs } });
   const control = createEngineControl({ post, timeoutMs: cfg.controlTimeoutMs });
   const running = new Map<AttemptId, RunningAttempt>();
-  const changed = new Set<RunningAttempt>();
-  /** Upstreams whose answers have named their attempt in the body. */
-  const naming = new Set<UpstreamId>();
-  const moves = new Map<string, Promise<void>>();
-  let flushTimer: NodeJS.Timeout | undefined;
+  const unreportedAttempts = new Set<RunningAttempt>();
+  /** Upstreams that have put the attempt id into a response body. */
+  const upstreamsEchoingIds = new Set<UpstreamId>();
+  const cacheMovesByUrl = new Map<string, Promise<void>>();
+  let progressTimer: NodeJS.Timeout | undefined;
 
-  function flush(attempt: RunningAttempt): void {
-    if (!changed.delete(attempt)) return;
-    const { tokens, bytes } = attempt;
-    attempt.tokens = 0;
-    attempt.bytes = 0;
+  function reportProgress(attempt: RunningAttempt): void {
+    if (!unreportedAttempts.delete(attempt)) return;
+    const { unreportedTokens, unreportedBytes } = attempt;
+    attempt.unreportedTokens = 0;
+    attempt.unreportedBytes = 0;
     const { attemptId } = attempt.plan;
-    post({ kind: 'attemptProgress', attemptId, outputTokens: tokens, bytes });
+    post({
+      kind: 'attemptProgress',
+      attemptId,
+      outputTokens: unreportedTokens,
+      bytes: unreportedBytes,
+    });
   }
 
-  function noteProgress(attempt: RunningAttempt, tokens: number, bytes: number): void {
-    attempt.tokens += tokens;
-    attempt.bytes += bytes;
-    changed.add(attempt);
-    if (attempt.tokens >= cfg.progressTokens) flush(attempt);
-    flushTimer ??= setTimeout(() => {
-      flushTimer = undefined;
-      changed.forEach(flush);
+  function recordProgress(attempt: RunningAttempt, tokens: number, bytes: number): void {
+    attempt.unreportedTokens += tokens;
+    attempt.unreportedBytes += bytes;
+    unreportedAttempts.add(attempt);
+    if (attempt.unreportedTokens >= cfg.progressTokens) reportProgress(attempt);
+    progressTimer ??= setTimeout(() => {
+      progressTimer = undefined;
+      unreportedAttempts.forEach(reportProgress);
     }, cfg.progressDelayMs);
   }
 
-  function start(plan: AttemptPlan, req: OutgoingRequest, sink: AnswerSink): void {
+  function startAttempt(plan: AttemptPlan, req: OutgoingRequest, sink: ResponseSink): void {
     const { attemptId } = plan;
-    const attempt: RunningAttempt = { plan, tokens: 0, bytes: 0 };
+    const attempt: RunningAttempt = { plan, unreportedTokens: 0, unreportedBytes: 0 };
     running.set(attemptId, attempt);
     attempt.run = startAttemptRun({
       dispatcher: agent,
       plan,
       req,
       sink,
-      namesAttempts: plan.kind === 'model' && naming.has(plan.upstream),
+      echoesAttemptIds: plan.kind === 'model' && upstreamsEchoingIds.has(plan.upstream),
       listener: {
-        onNamed: () => naming.add(plan.upstream),
+        onAttemptIdEchoed: () => upstreamsEchoingIds.add(plan.upstream),
         onStarted: () => post({ kind: 'attemptStarted', attemptId }),
-        onProgress: (tokens, bytes) => noteProgress(attempt, tokens, bytes),
+        onProgress: (tokens, bytes) => recordProgress(attempt, tokens, bytes),
         onEnded: (outcome) => {
           running.delete(attemptId);
-          flush(attempt);
+          reportProgress(attempt);
           post({ kind: 'attemptEnded', attemptId, outcome });
-          // The upstream may not have noticed that nobody reads its answer any more.
+          // The upstream may not notice that its response is no longer read.
           const isAbandoned = ['cancelled', 'silent', 'foreign'].includes(outcome.kind);
-          if (isAbandoned && plan.kind === 'model') control.steer(plan, 'cancel');
+          if (isAbandoned && plan.kind === 'model') control.controlAttempt(plan, 'cancel');
         },
       },
     });
   }
 
-  function steer(attemptId: AttemptId, action: 'suspend' | 'resume'): void {
+  function controlAttempt(attemptId: AttemptId, action: 'suspend' | 'resume'): void {
     const attempt = running.get(attemptId);
-    if (attempt !== undefined) control.steer(attempt.plan, action);
+    if (attempt !== undefined) control.controlAttempt(attempt.plan, action);
   }
 
   return {
     dispatch: (plan, req, sink) => {
-      const move = plan.resumeFromToken > 0 ? moves.get(plan.url) : undefined;
-      if (move === undefined) start(plan, req, sink);
-      else void move.then(() => start(plan, req, sink));
+      const move = plan.resumeFromToken > 0 ? cacheMovesByUrl.get(plan.url) : undefined;
+      if (move === undefined) startAttempt(plan, req, sink);
+      else void move.then(() => startAttempt(plan, req, sink));
     },
     cancel: (attemptId) => running.get(attemptId)?.run?.cancel(),
-    suspend: (attemptId) => steer(attemptId, 'suspend'),
-    resume: (attemptId) => steer(attemptId, 'resume'),
+    suspend: (attemptId) => controlAttempt(attemptId, 'suspend'),
+    resume: (attemptId) => controlAttempt(attemptId, 'resume'),
     moveCache: (attemptId, fromUrl, toUrl) => {
       const move = control.moveCache(attemptId, fromUrl, toUrl).finally(() => {
-        if (moves.get(toUrl) === move) moves.delete(toUrl);
+        if (cacheMovesByUrl.get(toUrl) === move) cacheMovesByUrl.delete(toUrl);
       });
-      moves.set(toUrl, move);
+      cacheMovesByUrl.set(toUrl, move);
     },
     poll: control.poll,
-    giveOrder: control.giveOrder,
+    giveOrder: control.sendOrder,
     close: async () => {
-      clearTimeout(flushTimer);
+      clearTimeout(progressTimer);
       running.forEach(({ run }) => Debug.assertDefined(run, 'run').cancel());
       await Promise.all([agent.destroy(), control.close()]);
     },
--- a/test/hosts/callerHost.test.ts
+++ b/test/hosts/callerHost.test.ts
@@ -7,16 +7,16 @@
 import type { ProblemBody } from '../../src/hosts/problem.js';
 import type { CallerHost } from '../../src/hosts/types.js';
 
-const NOT_RUN = { executed: 'no' } as const;
+const NOT_EXECUTED = { executed: 'no' } as const;
 
-interface RawAnswer {
+interface RawResponse {
   readonly status: number;
   readonly head: string;
   readonly body: string;
 }
 
-/** Sends bytes on a connection of their own and reads until it is closed. */
-async function sendRaw(address: string, bytes: string | Uint8Array): Promise<RawAnswer> {
+/** Sends bytes on a new connection and reads until it is closed. */
+async function sendRaw(address: string, bytes: string | Uint8Array): Promise<RawResponse> {
   const [host = '', port] = address.split(':');
   const socket = createConnection(Number(port), host);
   socket.on('error', () => {});
@@ -30,13 +30,13 @@
   return { status: Number(head.split(' ')[1] ?? 0), head, body: rest.join('\r\n\r\n') };
 }
 
-async function until(condition: () => boolean): Promise<void> {
+async function waitUntil(condition: () => boolean): Promise<void> {
   if (condition()) return;
   await sleep(2);
-  await until(condition);
+  await waitUntil(condition);
 }
 
-describe("callers' port", () => {
+describe('caller host', () => {
   const hosts: CallerHost[] = [];
 
   async function startHost(options: Partial<CallerHostOptions> = {}) {
@@ -57,8 +57,8 @@
     return { host, events, address: await host.listen() };
   }
 
-  /** A host that answers each request with an empty 200. */
-  async function startAnswering() {
+  /** Starts a host that responds to every request with an empty 200. */
+  async function startRespondingHost() {
     const started = await startHost({
       post: (event) => {
         const { requestId } = event as CallerRequestEvent;
@@ -80,8 +80,8 @@
   ): Promise<Response> =>
     fetch(`http://${address}/v1/chat/completions`, { method: 'POST', body, headers });
 
-  it('answers any bytes that are no request as not run and goes on', async () => {
-    const { events, address } = await startAnswering();
+  it('refuses bytes that are not an HTTP request as not executed and keeps serving', async () => {
+    const { events, address } = await startRespondingHost();
     const method = fc.constantFrom('GET', 'POST', 'PUT', '\u0000', 'gEt', 'CONNECT', 'PRI');
     const path = fc.oneof(fc.string(), fc.constantFrom('*', '//', '/%', 'http://[', '/apps/%zz/x'));
     const version = fc.constantFrom('HTTP/1.1', 'HTTP/1.0', 'HTTP/9', '');
@@ -101,7 +101,7 @@
         expect(status).to.be.within(200, 499);
         if (status < 400 || body === '') return;
         expect(head.toLowerCase()).to.include('application/problem+json');
-        expect(JSON.parse(body)).to.include(NOT_RUN);
+        expect(JSON.parse(body)).to.include(NOT_EXECUTED);
       }),
       { seed: 11, numRuns: 300 },
     );
@@ -110,8 +110,8 @@
     expect(count('callerGone')).to.be.at.most(count('callerRequest'));
   });
 
-  it('refuses any body that is no completion request as not run', async () => {
-    const { events, address } = await startAnswering();
+  it('refuses bodies that are not a completion request as not executed', async () => {
+    const { events, address } = await startRespondingHost();
     const broken = fc.oneof(
       fc.uint8Array({ minLength: 1, maxLength: 50 }),
       fc.json().map((text) => new TextEncoder().encode(text)),
@@ -127,22 +127,22 @@
         const res = await post(address, new Uint8Array(body));
         expect(res.status).to.equal(400);
         expect(res.headers.get('content-type')).to.equal('application/problem+json');
-        expect(await res.json()).to.include({ ...NOT_RUN, step: 'receive' });
+        expect(await res.json()).to.include({ ...NOT_EXECUTED, step: 'receive' });
       }),
       { seed: 12, numRuns: 200 },
     );
     expect(events).to.deep.equal([]);
   });
 
-  it('refuses a body over the limit, whether its length is told or not', async () => {
+  it('refuses a body over the limit with and without a content-length header', async () => {
     const { events, address } = await startHost();
-    const told = await post(address, 'x'.repeat(20_000));
-    expect(told.status).to.equal(413);
+    const withLength = await post(address, 'x'.repeat(20_000));
+    expect(withLength.status).to.equal(413);
     const chunks = new Blob(['x'.repeat(20_000)]).stream();
     const init = { method: 'POST', body: chunks, duplex: 'half' } as RequestInit;
-    const untold = await fetch(`http://${address}/v1/completions`, init);
-    expect(untold.status).to.equal(413);
-    expect(await untold.json()).to.include(NOT_RUN);
+    const withoutLength = await fetch(`http://${address}/v1/completions`, init);
+    expect(withoutLength.status).to.equal(413);
+    expect(await withoutLength.json()).to.include(NOT_EXECUTED);
     expect(events).to.deep.equal([]);
   });
 
@@ -153,10 +153,10 @@
       `GET / HTTP/1.1\r\na: ${'x'.repeat(5_000)}\r\n`,
     );
     expect(status).to.equal(431);
-    expect(JSON.parse(body)).to.include(NOT_RUN);
+    expect(JSON.parse(body)).to.include(NOT_EXECUTED);
   });
 
-  it('ends a connection whose headers trickle in', async () => {
+  it('responds with 408 when the headers arrive too slowly', async () => {
     const { address } = await startHost({
       limits: { headersTimeoutMs: 50, requestTimeoutMs: 100 },
     });
@@ -176,24 +176,24 @@
     expect(answer).to.match(/^HTTP\/1\.1 408 /);
   });
 
-  it('reports the departure of a caller that waits', async () => {
+  it('reports the disconnect of a caller that waits for a response', async () => {
     const { events, address } = await startHost();
     const abort = new AbortController();
     const body = '{"model":"chat"}';
-    const asked = fetch(`http://${address}/v1/completions`, {
+    const responsePromise = fetch(`http://${address}/v1/completions`, {
       method: 'POST',
       body,
       signal: abort.signal,
     }).catch(() => undefined);
-    await until(() => events.length === 1);
+    await waitUntil(() => events.length === 1);
     abort.abort();
-    await asked;
-    await until(() => events.length === 2);
+    await responsePromise;
+    await waitUntil(() => events.length === 2);
     const [first, second] = events as [CallerRequestEvent, CoreEvent];
     expect(second).to.deep.equal({ kind: 'callerGone', requestId: first.requestId });
   });
 
-  it('takes a caller that reads nothing for gone', async () => {
+  it('disconnects a caller that does not read its response', async () => {
     const { host, events, address } = await startHost({ stallTimeoutMs: 30 });
     const [ip = '', port] = address.split(':');
     const socket = createConnection(Number(port), ip);
@@ -202,7 +202,7 @@
     socket.write(
       'POST /v1/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 16\r\n\r\n{"model":"chat"}',
     );
-    await until(() => events.length === 1);
+    await waitUntil(() => events.length === 1);
     const [request] = events as [CallerRequestEvent];
     const sink = host.sinkOf(request.requestId);
     sink?.start({ status: 200, headers: {} });
@@ -212,12 +212,12 @@
       await fill();
     };
     const ending = await fill().catch((err: Error) => err.message);
-    expect(ending).to.equal('The caller is gone.');
-    await until(() => events.some(({ kind }) => kind === 'callerGone'));
+    expect(ending).to.equal('The caller has disconnected.');
+    await waitUntil(() => events.some(({ kind }) => kind === 'callerGone'));
     socket.destroy();
   });
 
-  it('closes although a caller neither ends its request nor leaves', async () => {
+  it('closes even if a caller neither completes its request nor disconnects', async () => {
     const { host, address } = await startHost({ stallTimeoutMs: 30 });
     const [ip = '', port] = address.split(':');
     const socket = createConnection(Number(port), ip);
@@ -228,7 +228,7 @@
     socket.destroy();
   });
 
-  it('hashes the key and passes no credentials on', async () => {
+  it('hashes the key and does not forward credentials', async () => {
     const { host, events, address } = await startHost();
     const headers = {
       authorization: 'Bearer secret',
@@ -236,17 +236,17 @@
       'x-cost-hint': '7.5',
     };
     void post(address, '{"model":"chat"}', headers).catch(() => {});
-    await until(() => events.length === 1);
+    await waitUntil(() => events.length === 1);
     const [event] = events as [CallerRequestEvent];
     expect(event).to.include({ idempotent: true, costHint: 7.5, pool: 'chat' });
     expect(event.keyHash).to.match(/^[0-9a-f]{64}$/);
     expect(JSON.stringify([event, host.requestOf(event.requestId)])).to.not.include('secret');
   });
 
-  it('ends a stream that fails with an error event and never as a whole one', async () => {
+  it('ends a failed stream with an error event and an incomplete body', async () => {
     const { host, events, address } = await startHost();
-    const asked = post(address, '{"model":"chat","stream":true}');
-    await until(() => events.length === 1);
+    const responsePromise = post(address, '{"model":"chat","stream":true}');
+    await waitUntil(() => events.length === 1);
     const [{ requestId }] = events as [CallerRequestEvent];
     const sink = host.sinkOf(requestId);
     sink?.start({ status: 200, headers: { 'content-type': 'text/event-stream' } });
@@ -258,7 +258,7 @@
       step: 'stream',
       peer: { kind: 'upstream', id: 'e1' },
     });
-    const res = await asked;
+    const res = await responsePromise;
     let text = '';
     const readAll = async () => {
       const decoder = new TextDecoder();
--- a/test/hosts/certificates.test.ts
+++ b/test/hosts/certificates.test.ts
@@ -10,10 +10,10 @@
 
 const FIXTURES = join('test', 'fixtures', 'tls');
 
-async function until(condition: () => boolean): Promise<void> {
+async function waitUntil(condition: () => boolean): Promise<void> {
   if (condition()) return;
   await sleep(5);
-  await until(condition);
+  await waitUntil(condition);
 }
 
 describe('certificates', () => {
@@ -25,7 +25,7 @@
   });
   afterEach(async () => rm(dir, { recursive: true }));
 
-  const install = async (name: string) => {
+  const installCertificate = async (name: string) => {
     await copyFile(join(FIXTURES, `${name}.crt`), join(dir, 'crt'));
     await copyFile(join(FIXTURES, `${name}.key`), join(dir, 'key'));
   };
@@ -37,8 +37,8 @@
       onError: (err) => errors.push(err),
     });
 
-  it('serve callers over TLS and change without a restart', async () => {
-    await install('a');
+  it('are used to serve callers over TLS and are replaced without a restart', async () => {
+    await installCertificate('a');
     const certificates = await open();
     const host = createCallerHost({
       self: { id: 'a', incarnation: 1 },
@@ -54,7 +54,7 @@
     await body.dump();
     expect(statusCode).to.equal(404);
 
-    const nameShown = async () =>
+    const readServedName = async () =>
       new Promise<unknown>((resolve, reject) => {
         const socket = connect({ host: ip, port: Number(port), rejectUnauthorized: false }, () => {
           resolve(socket.getPeerCertificate().subject.CN);
@@ -62,21 +62,21 @@
         });
         socket.once('error', reject);
       });
-    expect(await nameShown()).to.equal('a');
-    await install('b');
+    expect(await readServedName()).to.equal('a');
+    await installCertificate('b');
     expect(await certificates.reload()).to.equal(true);
-    expect(await nameShown()).to.equal('b');
+    expect(await readServedName()).to.equal('b');
     await dispatcher.close();
     await host.kill();
     certificates.close();
   });
 
-  it('stay in force when the new files do not fit or cannot be read', async () => {
-    await install('a');
+  it('stay in use when the new files do not match or are invalid', async () => {
+    await installCertificate('a');
     const certificates = await open();
     const before = certificates.current();
     await copyFile(join(FIXTURES, 'b.crt'), join(dir, 'crt'));
-    await until(() => errors.length > 0);
+    await waitUntil(() => errors.length > 0);
     expect(certificates.current()).to.equal(before);
     await writeFile(join(dir, 'key'), 'no key');
     expect(await certificates.reload()).to.equal(false);
@@ -84,7 +84,7 @@
     certificates.close();
   });
 
-  it('are refused at the start when they cannot be read', async () => {
+  it('are rejected at startup when they cannot be read', async () => {
     const outcome = await open().then(
       () => 'opened',
       (err: NodeJS.ErrnoException) => err.code,
--- a/test/hosts/peerHost.test.ts
+++ b/test/hosts/peerHost.test.ts
@@ -16,31 +16,32 @@
 import type { PeerHost } from '../../src/hosts/types.js';
 
 const FIXTURES = join(process.cwd(), 'test', 'fixtures', 'tls');
-const FAST = { pingIntervalMs: 20, pingTimeoutMs: 60, minBackoffMs: 10, maxBackoffMs: 40 };
+const SHORT_LIMITS = { pingIntervalMs: 20, pingTimeoutMs: 60, minBackoffMs: 10, maxBackoffMs: 40 };
 
-interface Node {
+interface TestInstance {
   readonly host: PeerHost;
   readonly address: string;
   readonly events: CoreEvent[];
 }
 
-/** Text of all pings to be told apart: the sender and a nonce. */
-const received = (node: Node): string[] =>
-  node.events.flatMap((event) =>
+/** Sender and id of each test message that was received, as `sender:id`. */
+const receivedMessages = (instance: TestInstance): string[] =>
+  instance.events.flatMap((event) =>
     event.kind === 'peerMessage' && event.message.$case === 'grantReturn'
       ? event.message.value.grantIds.map((id) => `${event.from}:${id}`)
       : [],
   );
 
-const message = (id: number) => ({ $case: 'grantReturn', value: { grantIds: [id] } }) as const;
+const createMessage = (id: number) =>
+  ({ $case: 'grantReturn', value: { grantIds: [id] } }) as const;
 
-async function until(condition: () => boolean): Promise<void> {
+async function waitUntil(condition: () => boolean): Promise<void> {
   if (condition()) return;
   await sleep(5);
-  await until(condition);
+  await waitUntil(condition);
 }
 
-const certificatesOf = async (name: string): Promise<CertificateSource> =>
+const loadCertificates = async (name: string): Promise<CertificateSource> =>
   createCertificateSource({
     files: {
       certificate: join(FIXTURES, `${name}.crt`),
@@ -50,10 +51,13 @@
   });
 
 describe('peer host', () => {
-  const nodes: Node[] = [];
+  const instances: TestInstance[] = [];
   const servers: Server[] = [];
 
-  async function startNode(id: string, options: Partial<PeerHostOptions> = {}): Promise<Node> {
+  async function startInstance(
+    id: string,
+    options: Partial<PeerHostOptions> = {},
+  ): Promise<TestInstance> {
     const events: CoreEvent[] = [];
     const host = createPeerHost({
       self: { id, incarnation: 1 },
@@ -61,67 +65,70 @@
       host: '127.0.0.1',
       port: 0,
       linkClassOf: () => 'sameDomain',
-      limits: FAST,
+      limits: SHORT_LIMITS,
       ...options,
     });
-    const node = { host, address: await host.listen(), events };
-    nodes.push(node);
-    return node;
+    const instance = { host, address: await host.listen(), events };
+    instances.push(instance);
+    return instance;
   }
 
   afterEach(async () => {
-    await Promise.all(nodes.splice(0).map(async ({ host }) => host.close()));
+    await Promise.all(instances.splice(0).map(async ({ host }) => host.close()));
     servers.splice(0).forEach((server) => server.close());
   });
 
-  it('carries messages among three instances in order', async () => {
-    const all = await Promise.all(['a', 'b', 'c'].map(async (id) => startNode(id)));
+  it('delivers messages between three instances in order', async () => {
+    const all = await Promise.all(['a', 'b', 'c'].map(async (id) => startInstance(id)));
     const ids = ['a', 'b', 'c'];
     all.forEach((from, i) => {
       all.forEach((to, j) => {
         if (i === j) return;
-        [1, 2, 3].forEach((n) => from.host.send(ids[j] ?? '', to.address, message(n)));
+        [1, 2, 3].forEach((n) => from.host.send(ids[j] ?? '', to.address, createMessage(n)));
       });
     });
-    await until(() => all.every((node) => received(node).length === 6));
-    all.forEach((node, i) => {
+    await waitUntil(() => all.every((instance) => receivedMessages(instance).length === 6));
+    all.forEach((instance, i) => {
       ids.forEach((from, j) => {
         if (i === j) return;
-        const numbers = received(node).filter((text) => text.startsWith(from));
+        const numbers = receivedMessages(instance).filter((text) => text.startsWith(from));
         expect(numbers).to.deep.equal([1, 2, 3].map((n) => `${from}:${n}`));
       });
     });
   });
 
-  it('counts bytes by how far the link reaches', async () => {
+  it('counts bytes by the network distance of the link', async () => {
     const classes: Record<string, LinkClass> = { b: 'sameRegion', c: 'crossRegion' };
-    const a = await startNode('a', { linkClassOf: (to) => classes[to] ?? 'sameDomain' });
-    const c = await startNode('c');
-    a.host.send('c', c.address, message(1));
-    await until(() => received(c).length === 1);
+    const a = await startInstance('a', { linkClassOf: (to) => classes[to] ?? 'sameDomain' });
+    const c = await startInstance('c');
+    a.host.send('c', c.address, createMessage(1));
+    await waitUntil(() => receivedMessages(c).length === 1);
     const bytes = a.host.controlBytes();
     expect(bytes.crossRegion).to.be.greaterThan(0);
     expect(bytes).to.include({ sameDomain: 0, sameRegion: 0 });
   });
 
-  it('exchanges nothing with an instance that has another authority', async () => {
-    const a = await startNode('a', { certificates: await certificatesOf('a') });
-    const b = await startNode('b', { certificates: await certificatesOf('b') });
-    const stranger = await startNode('s', { certificates: await certificatesOf('stranger') });
-    const bare = await startNode('n');
-    stranger.host.send('a', a.address, message(1));
-    bare.host.send('a', a.address, message(2));
-    a.host.send('s', stranger.address, message(3));
-    a.host.send('n', bare.address, message(4));
-    const hasFailed = (node: Node) => node.events.some(({ kind }) => kind === 'peerUnreachable');
-    await until(() => [stranger, bare, a].every(hasFailed));
-    b.host.send('a', a.address, message(5));
-    await until(() => received(a).length > 0);
-    expect(received(a)).to.deep.equal(['b:5']);
-    expect([...received(stranger), ...received(bare)]).to.deep.equal([]);
+  it('exchanges no messages without a certificate of the same authority', async () => {
+    const a = await startInstance('a', { certificates: await loadCertificates('a') });
+    const b = await startInstance('b', { certificates: await loadCertificates('b') });
+    const foreignCa = await startInstance('s', {
+      certificates: await loadCertificates('stranger'),
+    });
+    const withoutTls = await startInstance('n');
+    foreignCa.host.send('a', a.address, createMessage(1));
+    withoutTls.host.send('a', a.address, createMessage(2));
+    a.host.send('s', foreignCa.address, createMessage(3));
+    a.host.send('n', withoutTls.address, createMessage(4));
+    const hasFailed = (instance: TestInstance) =>
+      instance.events.some(({ kind }) => kind === 'peerUnreachable');
+    await waitUntil(() => [foreignCa, withoutTls, a].every(hasFailed));
+    b.host.send('a', a.address, createMessage(5));
+    await waitUntil(() => receivedMessages(a).length > 0);
+    expect(receivedMessages(a)).to.deep.equal(['b:5']);
+    expect([...receivedMessages(foreignCa), ...receivedMessages(withoutTls)]).to.deep.equal([]);
   });
 
-  it('takes a new certificate into use without a restart', async () => {
+  it('uses a new certificate without a restart', async () => {
     const dir = await mkdtemp(join(tmpdir(), 'primroseswitch-'));
     const install = async (name: string, authority: string) => {
       await copyFile(join(FIXTURES, `${name}.crt`), join(dir, 'crt'));
@@ -135,20 +142,20 @@
       authorities: join(dir, 'ca'),
     };
     const certificates = await createCertificateSource({ files, checkIntervalMs: 10 });
-    const a = await startNode('a', { certificates });
-    const b = await startNode('b', { certificates: await certificatesOf('b') });
-    b.host.send('a', a.address, message(1));
-    await until(() => b.events.some(({ kind }) => kind === 'peerUnreachable'));
+    const a = await startInstance('a', { certificates });
+    const b = await startInstance('b', { certificates: await loadCertificates('b') });
+    b.host.send('a', a.address, createMessage(1));
+    await waitUntil(() => b.events.some(({ kind }) => kind === 'peerUnreachable'));
     await install('a', 'ca.crt');
-    await until(() => received(a).length > 0);
-    a.host.send('b', b.address, message(2));
-    await until(() => received(b).length > 0);
+    await waitUntil(() => receivedMessages(a).length > 0);
+    a.host.send('b', b.address, createMessage(2));
+    await waitUntil(() => receivedMessages(b).length > 0);
     certificates.close();
     await rm(dir, { recursive: true });
   });
 
-  it('opens a new connection when one falls silent', async () => {
-    const b = await startNode('b');
+  it('opens a new connection when the current one stops delivering', async () => {
+    const b = await startInstance('b');
     const target = Number(b.address.split(':')[1]);
     let isSilent = false;
     const forward = (from: Socket) => {
@@ -161,29 +168,29 @@
     };
     const proxy = createServer(forward).listen(0, '127.0.0.1');
     servers.push(proxy);
-    await until(() => proxy.listening);
+    await waitUntil(() => proxy.listening);
     const address = `127.0.0.1:${(proxy.address() as AddressInfo).port}`;
-    const a = await startNode('a');
-    a.host.send('b', address, message(1));
-    await until(() => received(b).length === 1);
+    const a = await startInstance('a');
+    a.host.send('b', address, createMessage(1));
+    await waitUntil(() => receivedMessages(b).length === 1);
     isSilent = true;
-    await until(() => a.events.some(({ kind }) => kind === 'peerUnreachable'));
+    await waitUntil(() => a.events.some(({ kind }) => kind === 'peerUnreachable'));
     isSilent = false;
-    a.host.send('b', address, message(2));
-    await until(() => received(b).includes('a:2'));
+    a.host.send('b', address, createMessage(2));
+    await waitUntil(() => receivedMessages(b).includes('a:2'));
   });
 
-  it('keeps the newest messages of an instance that cannot be reached', async () => {
-    const a = await startNode('a', { limits: { ...FAST, maxQueued: 3 } });
-    const b = await startNode('b');
+  it('keeps the newest messages for an instance that is unreachable', async () => {
+    const a = await startInstance('a', { limits: { ...SHORT_LIMITS, maxQueued: 3 } });
+    const b = await startInstance('b');
     const { address } = b;
     await b.host.close();
-    [1, 2].forEach((n) => a.host.send('b', address, message(n)));
-    await until(() => a.events.some(({ kind }) => kind === 'peerUnreachable'));
-    [3, 4, 5, 6, 7].forEach((n) => a.host.send('b', address, message(n)));
+    [1, 2].forEach((n) => a.host.send('b', address, createMessage(n)));
+    await waitUntil(() => a.events.some(({ kind }) => kind === 'peerUnreachable'));
+    [3, 4, 5, 6, 7].forEach((n) => a.host.send('b', address, createMessage(n)));
     const port = Number(address.split(':')[1]);
-    const reborn = await startNode('b', { port });
-    await until(() => received(reborn).length >= 3);
-    expect(received(reborn).slice(-3)).to.deep.equal(['a:5', 'a:6', 'a:7']);
+    const restarted = await startInstance('b', { port });
+    await waitUntil(() => receivedMessages(restarted).length >= 3);
+    expect(receivedMessages(restarted).slice(-3)).to.deep.equal(['a:5', 'a:6', 'a:7']);
   });
 });
--- a/test/hosts/upstreamHost.test.ts
+++ b/test/hosts/upstreamHost.test.ts
@@ -3,21 +3,22 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'chai';
 import type { AttemptOutcome, AttemptPlan, CoreEvent } from '../../src/core/types.js';
-import type { AnswerSink, UpstreamHost } from '../../src/hosts/types.js';
+import type { ResponseSink, UpstreamHost } from '../../src/hosts/types.js';
 import { createUpstreamHost } from '../../src/hosts/upstreamHost.js';
 
 const ATTEMPT = 'attempt-1';
-const EVENT = (text: string) => `data: ${JSON.stringify({ id: ATTEMPT, choices: [{ text }] })}\n\n`;
+const createEvent = (text: string) =>
+  `data: ${JSON.stringify({ id: ATTEMPT, choices: [{ text }] })}\n\n`;
 const DONE = 'data: [DONE]\n\n';
 const EVENTS = { 'content-type': 'text/event-stream', 'x-request-id': ATTEMPT };
 
-async function until(condition: () => boolean): Promise<void> {
+async function waitUntil(condition: () => boolean): Promise<void> {
   if (condition()) return;
   await sleep(2);
-  await until(condition);
+  await waitUntil(condition);
 }
 
-interface Ran {
+interface AttemptResult {
   readonly outcome: AttemptOutcome;
   readonly text: string;
   readonly status: number | undefined;
@@ -36,7 +37,7 @@
     });
   });
 
-  async function serve(answer: (res: ServerResponse) => void): Promise<string> {
+  async function startServer(answer: (res: ServerResponse) => void): Promise<string> {
     const server = createServer((req, res) => {
       req.resume();
       if (req.url === '/ask') answer(res);
@@ -49,24 +50,24 @@
     return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
   }
 
-  /** Starts an attempt, on the host of an earlier one if it is given. */
-  function begin(
+  /** Starts an attempt, on the host of a previous attempt if one is given. */
+  function startAttempt(
     url: string,
     plan: Partial<AttemptPlan> = {},
-    write?: AnswerSink['write'],
-    earlier?: { readonly host: UpstreamHost; readonly events: CoreEvent[] },
+    write?: ResponseSink['write'],
+    previous?: { readonly host: UpstreamHost; readonly events: CoreEvent[] },
   ) {
-    const events: CoreEvent[] = earlier?.events ?? [];
+    const events: CoreEvent[] = previous?.events ?? [];
     events.splice(0);
-    const passed: { text: string; status: number | undefined } = { text: '', status: undefined };
-    const host = earlier?.host ?? createUpstreamHost({ post: (event) => events.push(event) });
-    if (earlier === undefined) hosts.push(host);
-    const sink: AnswerSink = {
+    const forwarded: { text: string; status: number | undefined } = { text: '', status: undefined };
+    const host = previous?.host ?? createUpstreamHost({ post: (event) => events.push(event) });
+    if (previous === undefined) hosts.push(host);
+    const sink: ResponseSink = {
       start: ({ status }) => {
-        passed.status ??= status;
+        forwarded.status ??= status;
       },
       write: (chunk): Promise<void> | undefined => {
-        passed.text += Buffer.from(chunk).toString();
+        forwarded.text += Buffer.from(chunk).toString();
         return write?.(chunk);
       },
     };
@@ -88,29 +89,29 @@
       { method: 'POST', path: '/ask', headers: {}, body },
       sink,
     );
-    const ended = async (): Promise<Ran> => {
+    const waitForEnd = async (): Promise<AttemptResult> => {
       const outcomeOf = () => events.find((event) => event.kind === 'attemptEnded');
-      await until(() => outcomeOf() !== undefined);
+      await waitUntil(() => outcomeOf() !== undefined);
       const event = outcomeOf();
       if (event?.kind !== 'attemptEnded') throw new Error('The attempt has not ended.');
-      return { outcome: event.outcome, ...passed, events };
+      return { outcome: event.outcome, ...forwarded, events };
     };
-    return { host, events, passed, ended };
+    return { host, events, forwarded, waitForEnd };
   }
 
-  const run = async (answer: (res: ServerResponse) => void, plan?: Partial<AttemptPlan>) =>
-    begin(await serve(answer), plan).ended();
+  const runAttempt = async (answer: (res: ServerResponse) => void, plan?: Partial<AttemptPlan>) =>
+    startAttempt(await startServer(answer), plan).waitForEnd();
 
-  it('counts tokens and takes a stream with its end mark for complete', async () => {
+  it('counts tokens and treats a stream with an end marker as complete', async () => {
     const usage = {
       prompt_tokens: 9,
       completion_tokens: 2,
       prompt_tokens_details: { cached_tokens: 4 },
     };
-    const { outcome, text, events } = await run((res) => {
+    const { outcome, text, events } = await runAttempt((res) => {
       res.writeHead(200, EVENTS);
       res.end(
-        `${EVENT('a')}${EVENT('b')}data: ${JSON.stringify({ id: ATTEMPT, usage })}\n\n${DONE}`,
+        `${createEvent('a')}${createEvent('b')}data: ${JSON.stringify({ id: ATTEMPT, usage })}\n\n${DONE}`,
       );
     });
     expect(outcome).to.deep.equal({
@@ -124,22 +125,22 @@
     expect(progress.reduce((sum, event) => sum + event.outputTokens, 0)).to.equal(2);
   });
 
-  it('passes on whole events only and takes a stream without end mark for cut', async () => {
-    const { outcome, text } = await run((res) => {
+  it('forwards only complete events and treats a stream without an end marker as cut', async () => {
+    const { outcome, text } = await runAttempt((res) => {
       res.writeHead(200, EVENTS);
-      res.end(`${EVENT('a')}${EVENT('b').slice(0, 20)}`);
+      res.end(`${createEvent('a')}${createEvent('b').slice(0, 20)}`);
     });
     expect(outcome.kind).to.equal('cut');
-    expect(text).to.equal(EVENT('a'));
+    expect(text).to.equal(createEvent('a'));
   });
 
-  it('takes a reset connection and a short body for cut and passes no part of the body on', async () => {
-    const reset = await run((res) => {
+  it('treats a reset connection and a short body as cut and forwards no partial body', async () => {
+    const reset = await runAttempt((res) => {
       res.writeHead(200, EVENTS);
-      res.write(EVENT('a'), () => setTimeout(() => res.socket?.resetAndDestroy(), 20));
+      res.write(createEvent('a'), () => setTimeout(() => res.socket?.resetAndDestroy(), 20));
     });
     expect(reset.outcome.kind).to.equal('cut');
-    const short = await run((res) => {
+    const short = await runAttempt((res) => {
       res.writeHead(200, { 'content-length': '100' });
       res.write('{"half', () => res.socket?.end());
     });
@@ -147,59 +148,59 @@
     expect(short.text).to.equal('');
   });
 
-  it('drops the reply of another attempt, from the head or from mid-stream on', async () => {
-    const head = await run((res) => {
+  it('drops the response of another attempt, detected by its header or mid-stream', async () => {
+    const head = await runAttempt((res) => {
       res.writeHead(200, { ...EVENTS, 'x-request-id': 'other' });
-      res.end(EVENT('a') + DONE);
+      res.end(createEvent('a') + DONE);
     });
     expect(head).to.deep.include({ outcome: { kind: 'foreign' }, text: '' });
-    const middle = await run((res) => {
+    const middle = await runAttempt((res) => {
       res.writeHead(200, EVENTS);
-      res.write(EVENT('a'));
-      setTimeout(() => res.end(EVENT('b').replace(ATTEMPT, 'other') + DONE), 20);
+      res.write(createEvent('a'));
+      setTimeout(() => res.end(createEvent('b').replace(ATTEMPT, 'other') + DONE), 20);
     });
-    expect(middle).to.deep.include({ outcome: { kind: 'foreign' }, text: EVENT('a') });
+    expect(middle).to.deep.include({ outcome: { kind: 'foreign' }, text: createEvent('a') });
   });
 
-  it('drops a crossed reply of an engine that names attempts in its body only', async () => {
+  it('drops the response of another attempt if attempt ids are only in the body', async () => {
     const headers = { 'content-type': 'text/event-stream' };
-    let reply = EVENT('a') + DONE;
-    const url = await serve((res) => {
+    let reply = createEvent('a') + DONE;
+    const url = await startServer((res) => {
       res.writeHead(200, headers);
       res.end(reply);
     });
-    const first = begin(url);
-    expect((await first.ended()).outcome.kind).to.equal('complete');
+    const first = startAttempt(url);
+    expect((await first.waitForEnd()).outcome.kind).to.equal('complete');
     reply = reply.replace(ATTEMPT, 'other');
-    const second = begin(url, {}, undefined, first);
-    const { outcome, text } = await second.ended();
+    const second = startAttempt(url, {}, undefined, first);
+    const { outcome, text } = await second.waitForEnd();
     expect([outcome.kind, text]).to.deep.equal(['foreign', '']);
   });
 
-  const refusals: readonly (readonly [number, string, AttemptOutcome['kind']])[] = [
+  const errorResponses: readonly (readonly [number, string, AttemptOutcome['kind']])[] = [
     [429, '', 'declined'],
     [503, '{"executed":"no"}', 'declined'],
     [503, '', 'upstreamError'],
     [500, '{"executed":"no"}', 'upstreamError'],
   ];
-  refusals.forEach(([status, body, kind]) => {
-    it(`takes ${status} '${body}' for ${kind} and passes nothing on`, async () => {
+  errorResponses.forEach(([status, body, kind]) => {
+    it(`treats ${status} '${body}' as ${kind} and forwards nothing`, async () => {
       const {
         outcome,
         text,
-        status: passed,
-      } = await run((res) => {
+        status: forwardedStatus,
+      } = await runAttempt((res) => {
         res.writeHead(status, { 'retry-after': '2' });
         res.end(body);
       });
       expect(outcome).to.include({ kind, status });
       if (kind === 'declined') expect(outcome).to.include({ retryAfterMs: 2_000 });
-      expect([text, passed]).to.deep.equal(['', undefined]);
+      expect([text, forwardedStatus]).to.deep.equal(['', undefined]);
     });
   });
 
-  it('passes other client errors on as complete', async () => {
-    const { outcome, text, status } = await run((res) => {
+  it('forwards other client errors as complete', async () => {
+    const { outcome, text, status } = await runAttempt((res) => {
       res.writeHead(404, { 'content-type': 'application/json' });
       res.end('{"error":1}');
     });
@@ -207,47 +208,47 @@
     expect([text, status]).to.deep.equal(['{"error":1}', 404]);
   });
 
-  it('knows that nothing was sent when the connection is refused', async () => {
-    const url = await serve(() => {});
+  it('reports that nothing was sent when the connection is refused', async () => {
+    const url = await startServer(() => {});
     servers.splice(0).forEach((server) => server.close());
-    expect((await begin(url).ended()).outcome.kind).to.equal('notSent');
+    expect((await startAttempt(url).waitForEnd()).outcome.kind).to.equal('notSent');
   });
 
-  it('gives up an upstream that is silent before or within its answer', async () => {
-    const before = await run(() => {}, { firstByteTimeoutMs: 40 });
+  it('times out when an upstream is silent before or within its response', async () => {
+    const before = await runAttempt(() => {}, { firstByteTimeoutMs: 40 });
     expect(before.outcome.kind).to.equal('silent');
-    const within = await run(
+    const within = await runAttempt(
       (res) => {
         res.writeHead(200, EVENTS);
-        res.write(EVENT('a'));
+        res.write(createEvent('a'));
       },
       { idleTimeoutMs: 40 },
     );
     expect(within.outcome.kind).to.equal('silent');
-    expect(within.text).to.equal(EVENT('a'));
+    expect(within.text).to.equal(createEvent('a'));
   });
 
-  it('ends the connection of a cancelled attempt', async () => {
+  it('closes the connection of a cancelled attempt', async () => {
     let isClosed = false;
-    const url = await serve((res) => {
+    const url = await startServer((res) => {
       res.writeHead(200, EVENTS);
-      res.write(EVENT('a'));
+      res.write(createEvent('a'));
       res.once('close', () => {
         isClosed = true;
       });
     });
-    const { host, passed, ended } = begin(url);
-    await until(() => passed.text !== '');
+    const { host, forwarded, waitForEnd } = startAttempt(url);
+    await waitUntil(() => forwarded.text !== '');
     host.cancel(ATTEMPT, 'e1');
-    expect((await ended()).outcome).to.deep.equal({ kind: 'cancelled' });
-    await until(() => isClosed);
+    expect((await waitForEnd()).outcome).to.deep.equal({ kind: 'cancelled' });
+    await waitUntil(() => isClosed);
   });
 
-  it('stops reading while the caller cannot take more, for longer than the idle limit', async () => {
-    const part = EVENT('x'.repeat(100_000));
+  it('stops reading while the caller is blocked, even beyond the idle timeout', async () => {
+    const part = createEvent('x'.repeat(100_000));
     const parts = 200;
     let sent = 0;
-    const url = await serve((res) => {
+    const url = await startServer((res) => {
       res.writeHead(200, EVENTS);
       const fill = () => {
         while (sent < parts) {
@@ -266,26 +267,30 @@
       release = resolve;
     });
     let isFirst = true;
-    const { ended, passed } = begin(url, { idleTimeoutMs: 50 }, (): Promise<void> | undefined => {
-      if (!isFirst) return undefined;
-      isFirst = false;
-      return blocked;
-    });
-    await until(() => passed.text !== '');
+    const { waitForEnd, forwarded } = startAttempt(
+      url,
+      { idleTimeoutMs: 50 },
+      (): Promise<void> | undefined => {
+        if (!isFirst) return undefined;
+        isFirst = false;
+        return blocked;
+      },
+    );
+    await waitUntil(() => forwarded.text !== '');
     await sleep(200);
     expect(sent).to.be.lessThan(parts);
     release();
-    const { outcome, text } = await ended();
+    const { outcome, text } = await waitForEnd();
     expect(outcome.kind).to.equal('complete');
     expect(text.length).to.equal(parts * part.length + DONE.length);
   });
 
-  it('does not wait for a connection that is accepted but never served', async () => {
-    const held = createTcpServer(() => {}).listen(0, '127.0.0.1');
-    await until(() => held.listening);
-    const url = `http://127.0.0.1:${(held.address() as AddressInfo).port}`;
-    const { outcome } = await begin(url, { firstByteTimeoutMs: 40 }).ended();
+  it('times out when a connection is accepted but never served', async () => {
+    const silentServer = createTcpServer(() => {}).listen(0, '127.0.0.1');
+    await waitUntil(() => silentServer.listening);
+    const url = `http://127.0.0.1:${(silentServer.address() as AddressInfo).port}`;
+    const { outcome } = await startAttempt(url, { firstByteTimeoutMs: 40 }).waitForEnd();
     expect(outcome.kind).to.equal('silent');
-    held.close();
+    silentServer.close();
   });
 });
