Reword the protocol between instances

The titles of the fuzz test say that the core must not throw.

Names, numbers and types of the protocol are unchanged, and so is the text of the decoding error, which may reach the other side as a gRPC status.

--- a/src/protocol/codec.ts
+++ b/src/protocol/codec.ts
@@ -1,11 +1,11 @@
-/** Codec of the batches that instances exchange, as bytes. */
+/** Encodes and decodes the message batches that instances exchange. */
 import type { PeerMessage } from '../core/types.js';
 import { Batch, type Sender } from './generated/peer.js';
 
-/** Framing of a batch on its link: gRPC's five bytes and the frame head of HTTP/2. */
+/** Framing overhead of a batch: five bytes of gRPC and nine of the HTTP/2 frame header. */
 export const FRAMING_BYTES = 14;
 
-/** Messages that one instance sends to another at once. */
+/** Messages that one instance sends to another together. */
 export interface PeerBatch {
   readonly sender: Sender;
   readonly messages: readonly PeerMessage[];
@@ -18,8 +18,8 @@
 }
 
 /**
- * Decodes a batch. Messages of a kind that this version does not know are left out. Throws if the
- * bytes are no batch or name no sender.
+ * Decodes a batch. Messages of a kind that is unknown to this version are omitted. Throws if the
+ * bytes are not a valid batch or the sender is missing.
  */
 export function decodeBatch(bytes: Uint8Array): PeerBatch {
   const { sender, messages } = Batch.decode(bytes);
--- a/test/protocol/fuzz.test.ts
+++ b/test/protocol/fuzz.test.ts
@@ -6,15 +6,15 @@
 import { PeerMessage as PeerMessageCodec } from '../../src/protocol/generated/peer.js';
 import { createTestView } from '../support/configuration.js';
 
-/** `FUZZ_RUNS=N FUZZ_SEED=S npm test` fuzzes more widely than CI does. */
-const RUNS = Number(process.env.FUZZ_RUNS ?? 2_000);
+/** `FUZZ_RUNS=N FUZZ_SEED=S npm test` runs more cases or another seed than CI. */
+const NUM_RUNS = Number(process.env.FUZZ_RUNS ?? 2_000);
 const SEED = Number(process.env.FUZZ_SEED ?? 11);
-const PARAMETERS = { numRuns: RUNS, seed: SEED };
+const PARAMETERS = { numRuns: NUM_RUNS, seed: SEED };
 const SELF = { id: 'a', incarnation: 5, address: '127.0.0.1:1', domain: 'd1', region: 'r1' };
 const STREAMS = ['claims', 'claims-checkpoints', 'configuration', 'orders', 'audit'];
-const LARGEST_FIELD = 34;
+const MAX_FUZZED_FIELD = 34;
 
-function startedCore(): Core {
+function createStartedCore(): Core {
   const core = createCore({ self: SELF, seed: 1, initialConfiguration: createTestView() });
   core.reduce({ kind: 'start' }, 0);
   return core;
@@ -28,9 +28,9 @@
   }
 }
 
-/** A message of a known kind whose fields are arbitrary bytes, as far as they decode. */
+/** A message of a known kind with arbitrary bytes as fields; `undefined` if it does not decode. */
 const peerMessage = fc
-  .tuple(fc.integer({ min: 1, max: LARGEST_FIELD }), fc.uint8Array({ maxLength: 60 }))
+  .tuple(fc.integer({ min: 1, max: MAX_FUZZED_FIELD }), fc.uint8Array({ maxLength: 60 }))
   .map(([field, body]) => {
     const tag = field * 8 + 2;
     const head = tag < 128 ? [tag] : [(tag % 128) + 128, Math.floor(tag / 128)];
@@ -53,8 +53,8 @@
     .map((value) => JSON.stringify(value)),
 );
 
-describe('foreign input', () => {
-  it('decodes what was encoded', () => {
+describe('untrusted input', () => {
+  it('decodes encoded batches to equal values', () => {
     fc.assert(
       fc.property(peerMessage, (message) => {
         if (message === undefined) return;
@@ -65,8 +65,8 @@
     );
   });
 
-  it('never ends the loop by a message of a peer', () => {
-    const core = startedCore();
+  it('does not make the core throw on a message of a peer', () => {
+    const core = createStartedCore();
     const kinds = new Set<string>();
     let now = 1;
     fc.assert(
@@ -79,13 +79,13 @@
       }),
       PARAMETERS,
     );
-    // The generator must reach most kinds of message, or the check says little.
+    // Ensures that the generator covers most kinds of message.
     expect(kinds.size).to.be.above(20);
     expect(core.state.configuration.view?.version).to.equal(1);
   });
 
-  it('never ends the loop by a record of the log', () => {
-    const core = startedCore();
+  it('does not make the core throw on a log record', () => {
+    const core = createStartedCore();
     let now = 1;
     const records = fc.array(record, { maxLength: 5 });
     fc.assert(
