Reword the model checker

The checker spoke of choices, matters, lenses and judges, and its messages of requests that were told something or of a fleet that comes to rest. It now uses the terms of model checking: a transition system with actions, invariants and violations.

ChoiceSystem is TransitionSystem, choices are enabledActions, LogLens is LogTransform, matters are stateMembers, judge is findViolation. The doc comments of `faults` and of the controlled streams now say what the code does: one limit for all kinds of faults, and immediate appends to other streams.

The tests of the checker match the reworded violations in full, as before.

--- a/src/checker/claims.ts
+++ b/src/checker/claims.ts
@@ -1,33 +1,33 @@
 /**
- * The claims protocol under exhaustive exploration: two instances are sent requests with one
- * idempotency key, and every order and fate of appends, reads and attempts is tried.
+ * Model checking of the claims protocol: several instances receive requests with the same
+ * idempotency key, and every order and outcome of appends, reads and attempts is explored.
  */
 import type { CallerRequestEvent, RequestId, StreamRecord } from '../core/types.js';
 import { createCallerRequest } from '../bench/support/callerRequest.js';
 import { createFleetView } from '../bench/support/fleetView.js';
 import type { ExploreOptions } from './explore.js';
-import { createFleetSystem, type LogLens, type Observed } from './fleetSystem.js';
+import { createFleetSystem, type LogTransform, type FleetObservation } from './fleetSystem.js';
 
 export interface ClaimsCheckOptions {
-  /** Instances of the fleet; each is sent one request. */
+  /** Number of instances in the fleet; each receives one request. */
   readonly instances: number;
   readonly faults: number;
   readonly maxDepth: number;
-  /** Switches off the rule that the first claim in log order wins. */
+  /** Disables the rule that the first claim in log order wins. */
   readonly withoutLogOrder?: boolean;
 }
 
-const KEY = 'booking-1';
+const IDEMPOTENCY_KEY = 'booking-1';
 
-/** Shows each reader its own claims at the places of the others', as if the log had no order. */
-const ownClaimsFirst: LogLens = (records, reader, stream) => {
+/** Reorders the records so that each reader sees its own claims first, as if the log had no order. */
+const ownClaimsFirst: LogTransform = (records, reader, stream) => {
   if (stream !== 'claims') return records;
   const isOwn = (record: StreamRecord) => record.data.includes(`"instance":"${reader.id}"`);
   const sorted = [...records].sort((a, b) => Number(isOwn(b)) - Number(isOwn(a)));
   return sorted.map(({ data }, i) => ({ offset: records[i]?.offset ?? i, data }));
 };
 
-/** Creates an exploration of the claims protocol. */
+/** Creates the exploration options for the claims protocol. */
 export function createClaimsCheck(options: ClaimsCheckOptions): ExploreOptions {
   const { instances, faults, maxDepth, withoutLogOrder = false } = options;
   const view = createFleetView({ customers: 1, upstreams: 1, slots: 4 });
@@ -35,7 +35,7 @@
     instance,
     event: createRequest(`q${instance}`),
   }));
-  const lens = withoutLogOrder ? { lens: ownClaimsFirst } : {};
+  const logOptions = withoutLogOrder ? { transformLog: ownClaimsFirst } : {};
   return {
     create: () =>
       createFleetSystem({
@@ -43,10 +43,10 @@
         view,
         arrivals,
         faults,
-        judge,
-        matters: ['requests', 'claims'],
-        streams: ['claims'],
-        ...lens,
+        findViolation,
+        stateMembers: ['requests', 'claims'],
+        controlledStreams: ['claims'],
+        ...logOptions,
       }),
     maxDepth,
   };
@@ -55,22 +55,26 @@
 function createRequest(requestId: RequestId): CallerRequestEvent {
   return createCallerRequest(requestId, 1, {
     idempotent: false,
-    idempotencyKey: KEY,
+    idempotencyKey: IDEMPOTENCY_KEY,
     fingerprint: 'same',
     streamed: false,
   });
 }
 
-/** What must hold in every state: one execution per key, true refusals, one outcome per request. */
-function judge(observed: Observed): string | undefined {
+/**
+ * Invariants of every state: at most one execution per key, at most one outcome per request, and no
+ * request reported as not executed that was dispatched.
+ */
+function findViolation(observed: FleetObservation): string | undefined {
   const { dispatched, outcomes } = observed;
-  if (dispatched.length > 1) return 'a keyed request ran twice';
+  if (dispatched.length > 1) return 'a request with an idempotency key was executed twice';
   for (const [requestId, effects] of outcomes) {
-    if (effects.length > 1) return `${requestId} was told two outcomes`;
+    if (effects.length > 1) return `${requestId} received two outcomes`;
     const [effect] = effects;
     const isNotRun =
       (effect?.kind === 'refuse' || effect?.kind === 'fail') && effect.problem.executed === 'no';
-    if (isNotRun && dispatched.includes(requestId)) return `${requestId} ran, but was told not`;
+    if (isNotRun && dispatched.includes(requestId))
+      return `${requestId} was executed, but reported as not executed`;
   }
   return undefined;
 }
--- a/src/checker/configuration.ts
+++ b/src/checker/configuration.ts
@@ -1,6 +1,7 @@
 /**
- * The fold of the configuration under exhaustive exploration: two operators edit the same entry from
- * the same version through two instances, with lost replies, failed reads and empty restarts.
+ * Model checking of how instances apply configuration edits: operators edit the same entry from the
+ * same base version through different instances, with lost replies, failed reads and restarts that
+ * lose all state.
  */
 import { splitDocument, splitSection } from '../configuration/source.js';
 import { runSteps, SECTION_NAMES } from '../configuration/types.js';
@@ -16,21 +17,21 @@
 import { sha256Hex } from '../core/sha256.js';
 import type { CoreEvent, StreamRecord } from '../core/types.js';
 import type { ExploreOptions } from './explore.js';
-import { createFleetSystem, type LogLens, type Observed } from './fleetSystem.js';
+import { createFleetSystem, type LogTransform, type FleetObservation } from './fleetSystem.js';
 
 export interface ConfigurationCheckOptions {
   readonly instances: number;
   readonly faults: number;
   readonly maxDepth: number;
-  /** Switches off the check of the base version: each edit looks as if based on the one before. */
+  /** Disables the check of the base version: each edit appears to be based on the previous one. */
   readonly withoutBaseCheck?: boolean;
 }
 
-const KEY_HASH = sha256Hex('platform-secret');
+const TEAM_KEY_HASH = sha256Hex('platform-secret');
 const BASE_VERSION = 0;
 const DOCUMENT = `teams:
   platform:
-    keyHashes: [${KEY_HASH}]
+    keyHashes: [${TEAM_KEY_HASH}]
     sections: [${SECTION_NAMES.join(', ')}]
 customers:
   c1: { keyHashes: [${sha256Hex('caller-1')}] }
@@ -40,8 +41,8 @@
   e1: { pool: chat, url: 'http://127.0.0.1:9', domain: d0, region: r0, slots: 2 }
 `;
 
-/** Shows each edit with the version before its own offset as its base, and a proof to match. */
-const rebaseAll: LogLens = (records, _, stream) => {
+/** Sets the base version of each edit to the offset of the previous record and recomputes its proof. */
+const rebaseEdits: LogTransform = (records, _, stream) => {
   if (stream !== CONFIGURATION_STREAM) return records;
   return records.map((record, i): StreamRecord => {
     const edit = decodeRecord(record.data);
@@ -52,34 +53,34 @@
   });
 };
 
-/** Creates an exploration of racing edits. */
+/** Creates the exploration options for concurrent edits. */
 export function createConfigurationCheck(options: ConfigurationCheckOptions): ExploreOptions {
   const { instances, faults, maxDepth, withoutBaseCheck = false } = options;
   const arrivals = Array.from({ length: instances }, (_, instance) => ({
     instance,
-    event: publish(instance),
+    event: createPublishCommand(instance),
   }));
-  const preload = { [CONFIGURATION_STREAM]: [createRecord('base', -1, documentChanges())] };
-  const lens = withoutBaseCheck ? { lens: rebaseAll } : {};
-  const matters = ['configuration'];
+  const initialRecords = { [CONFIGURATION_STREAM]: [createRecord('base', -1, documentChanges())] };
+  const logOptions = withoutBaseCheck ? { transformLog: rebaseEdits } : {};
+  const stateMembers = ['configuration'];
   return {
     create: () =>
       createFleetSystem({
         instances,
         arrivals,
         faults,
-        preload,
+        initialRecords,
         restarts: true,
-        matters,
-        streams: [CONFIGURATION_STREAM],
-        judge,
-        ...lens,
+        stateMembers,
+        controlledStreams: [CONFIGURATION_STREAM],
+        findViolation,
+        ...logOptions,
       }),
     maxDepth,
   };
 }
 
-function publish(editor: number): CoreEvent {
+function createPublishCommand(editor: number): CoreEvent {
   return {
     kind: 'operatorCommand',
     commandId: `command-${editor}`,
@@ -90,27 +91,31 @@
       baseVersion: BASE_VERSION,
       text: `e1: { reason: editor ${editor} }\n`,
       author: `editor-${editor}`,
-      keyHash: KEY_HASH,
+      keyHash: TEAM_KEY_HASH,
     },
   };
 }
 
-/** What must hold in every state: one winner, the same verdicts everywhere, versions that only rise. */
-function judge(observed: Observed): string | undefined {
+/**
+ * Invariants of every state: at most one edit is accepted, all instances agree on the verdict of
+ * each edit, and the version in force never decreases.
+ */
+function findViolation(observed: FleetObservation): string | undefined {
   const isRising = observed.versions.every((seen) =>
     seen.every((version, i) => i === 0 || version > (seen[i - 1] ?? -1)),
   );
-  if (!isRising) return 'a version went back';
+  if (!isRising) return 'a configuration version decreased';
   const accepted = new Map<string, boolean>();
   for (const { state } of observed.cores) {
     for (const verdict of state.configuration.fold.verdicts.values()) {
       const known = accepted.get(verdict.editId);
-      if (known !== undefined && known !== verdict.accepted) return 'two verdicts on one edit';
+      if (known !== undefined && known !== verdict.accepted)
+        return 'instances disagree on the verdict of an edit';
       accepted.set(verdict.editId, verdict.accepted);
     }
   }
   const winners = [...accepted].filter(([id, isAccepted]) => isAccepted && id !== 'base');
-  return winners.length > 1 ? 'two edits from one base version were accepted' : undefined;
+  return winners.length > 1 ? 'two edits of the same base version were accepted' : undefined;
 }
 
 function createRecord(
@@ -122,7 +127,7 @@
 }
 
 function encode(content: EditContent): string {
-  const proof = runSteps(proofSteps(KEY_HASH, content));
+  const proof = runSteps(proofSteps(TEAM_KEY_HASH, content));
   return encodeEdit({ kind: 'edit', schemaVersion: SCHEMA_VERSION, ...content, proof });
 }
 
--- a/src/checker/explore.ts
+++ b/src/checker/explore.ts
@@ -1,63 +1,68 @@
 /**
- * Exhaustive exploration of a system with choices: every sequence of choices up to a depth, each
- * state visited once. A system is rebuilt by repeating its choices, so it needs no copying.
+ * Exhaustive exploration of a transition system: tries every sequence of actions up to a maximum
+ * depth and expands each distinct state once. A state is restored by replaying its actions on a new
+ * system, so systems need not support copying.
  */
 
-/** A system that is driven by choices and can tell whether a rule was broken. */
-export interface ChoiceSystem {
-  /** Names of the choices that are open now, in a fixed order. */
-  readonly choices: () => readonly string[];
+/** A system that is driven by discrete actions and checks its own invariants. */
+export interface TransitionSystem {
+  /** Names of the actions that are possible in the current state, in a deterministic order. */
+  readonly enabledActions: () => readonly string[];
   readonly apply: (choice: string) => void;
-  /** Text that is equal for states that behave alike from here on. */
-  readonly key: () => string;
-  /** The broken rule, or `undefined`. */
+  /** Serialized state; equal for states that behave identically from here on. */
+  readonly stateKey: () => string;
+  /** The invariant that is violated in the current state, or `undefined`. */
   readonly violation: () => string | undefined;
 }
 
 export interface ExploreOptions {
-  readonly create: () => ChoiceSystem;
-  /** Longest sequence of choices. */
+  readonly create: () => TransitionSystem;
+  /** Maximum length of a sequence of actions. */
   readonly maxDepth: number;
-  /** Largest number of states; an exploration that reaches it is not complete. */
+  /** Maximum number of distinct states; an exploration that reaches it is incomplete. */
   readonly maxStates?: number;
 }
 
 export interface ExploreResult {
   readonly states: number;
   readonly isComplete: boolean;
-  /** The shortest sequence of choices that breaks a rule. */
+  /** A shortest sequence of actions that violates an invariant. */
   readonly failure?: { readonly rule: string; readonly trace: readonly string[] };
 }
 
-/** Explores breadth-first, so that the failure found is one of the shortest. */
+/** Explores breadth-first, so that a failure has a trace of minimal length. */
 export function explore(options: ExploreOptions): ExploreResult {
   const { create, maxDepth, maxStates = 1_000_000 } = options;
-  const seen = new Set([create().key()]);
+  const seen = new Set([create().stateKey()]);
   let frontier: (readonly string[])[] = [[]];
   for (let depth = 0; depth < maxDepth && frontier.length > 0; depth += 1) {
-    const next: (readonly string[])[] = [];
+    const nextFrontier: (readonly string[])[] = [];
     for (const trace of frontier) {
-      for (const choice of replay(create, trace).choices()) {
-        const extended = [...trace, choice];
-        const system = replay(create, extended);
-        const rule = system.violation();
-        if (rule !== undefined) {
-          return { states: seen.size, isComplete: true, failure: { rule, trace: extended } };
+      for (const action of replay(create, trace).enabledActions()) {
+        const nextTrace = [...trace, action];
+        const system = replay(create, nextTrace);
+        const violation = system.violation();
+        if (violation !== undefined) {
+          return {
+            states: seen.size,
+            isComplete: true,
+            failure: { rule: violation, trace: nextTrace },
+          };
         }
-        const key = system.key();
+        const key = system.stateKey();
         if (!seen.has(key)) {
           seen.add(key);
-          next.push(extended);
+          nextFrontier.push(nextTrace);
         }
         if (seen.size >= maxStates) return { states: seen.size, isComplete: false };
       }
     }
-    frontier = next;
+    frontier = nextFrontier;
   }
   return { states: seen.size, isComplete: true };
 }
 
-function replay(create: () => ChoiceSystem, trace: readonly string[]): ChoiceSystem {
+function replay(create: () => TransitionSystem, trace: readonly string[]): TransitionSystem {
   const system = create();
   trace.forEach((choice) => system.apply(choice));
   return system;
--- a/src/checker/fleetSystem.ts
+++ b/src/checker/fleetSystem.ts
@@ -1,7 +1,8 @@
 /**
- * A fleet of real cores as a system with choices. The choices are the events whose order and fate
- * decide the exact protocols: appends, reads, ends of attempts, arrivals, pauses and restarts.
- * Everything else (timers, messages between instances) happens at once, in a fixed order.
+ * Model of a fleet of real cores as a transition system. The actions are the events whose order and
+ * outcome determine the result of the claims and configuration protocols: appends, reads, ends of
+ * attempts, arrivals, pauses and restarts. Everything else (timers, messages between instances) is
+ * processed immediately, in a fixed order.
  */
 import { createCore, type Core } from '../core/core.js';
 import type { Millis } from '../core/clock.js';
@@ -15,10 +16,10 @@
   StreamRecord,
   TimerName,
 } from '../core/types.js';
-import type { ChoiceSystem } from './explore.js';
+import type { TransitionSystem } from './explore.js';
 
-/** How an instance sees the log; the identity unless a check switches a rule off. */
-export type LogLens = (
+/** Transforms the log as an instance reads it; checks use it to disable a rule of the protocol. */
+export type LogTransform = (
   records: readonly StreamRecord[],
   reader: InstanceIdentity,
   stream: string,
@@ -32,35 +33,38 @@
 export interface FleetSystemOptions {
   readonly instances: number;
   readonly view?: ConfigurationView;
-  /** Events from callers or operators; each arrives once, in any order. */
+  /** Events from callers or operators; each is delivered once, in any order. */
   readonly arrivals: readonly Arrival[];
-  /** How many appends may be lost before or after their effect, and how many reads may fail. */
+  /**
+   * Maximum number of faults in a sequence of actions, over all kinds together: appends lost before
+   * or after their effect, failed reads, cut attempts, restarts and periods without an event.
+   */
   readonly faults: number;
-  readonly lens?: LogLens;
-  /** Records that are in the log from the beginning, by stream. */
-  readonly preload?: Readonly<Record<string, readonly string[]>>;
-  /** Whether an instance may restart empty, as one of the faults. */
+  readonly transformLog?: LogTransform;
+  /** Initial records of the log, by stream. */
+  readonly initialRecords?: Readonly<Record<string, readonly string[]>>;
+  /** Whether the faults include a restart of an instance with loss of all its state. */
   readonly restarts?: boolean;
-  /** Streams whose appends and reads are choices; others are served at once. */
-  readonly streams: readonly string[];
-  /** Matters of the core's state that tell two states apart. */
-  readonly matters: readonly string[];
-  /** Judges the whole system after each choice. */
-  readonly judge: (observed: Observed) => string | undefined;
+  /** Streams whose appends are actions; appends to other streams succeed immediately. */
+  readonly controlledStreams: readonly string[];
+  /** Members of the core's state that are part of the state key. */
+  readonly stateMembers: readonly string[];
+  /** Returns the violated invariant, if any; evaluated after each action. */
+  readonly findViolation: (observed: FleetObservation) => string | undefined;
 }
 
-/** What an outsider sees of the fleet. */
-export interface Observed {
+/** State of the fleet that the invariants are checked against. */
+export interface FleetObservation {
   readonly cores: readonly Core[];
   readonly logs: ReadonlyMap<string, readonly StreamRecord[]>;
-  /** Requests dispatched to the upstream, in order. */
+  /** Requests dispatched to upstreams, in order. */
   readonly dispatched: readonly RequestId[];
-  /** Final answers by request. */
+  /** Effects that ended a request, by request. */
   readonly outcomes: ReadonlyMap<RequestId, readonly Effect[]>;
-  /** Versions in force by instance since its start, in order. */
+  /** Configuration versions in force since the last start, in order, by instance. */
   readonly versions: readonly (readonly number[])[];
   /** Replies to operators by command. */
-  readonly verdicts: ReadonlyMap<string, Effect>;
+  readonly operatorReplies: ReadonlyMap<string, Effect>;
 }
 
 interface PendingAppend {
@@ -74,8 +78,8 @@
   readonly instance: number;
   readonly stream: string;
   readonly from: number;
-  /** Time at which the log answers a reader for whom nothing new has come. */
-  readonly heldUntil: Millis;
+  /** Time at which a read without new records is answered with an empty result. */
+  readonly waitsUntil: Millis;
 }
 
 interface PendingAttempt {
@@ -84,37 +88,37 @@
   readonly requestId: RequestId;
 }
 
-const CHOICE_TAKES_MS: Millis = 60;
-/** Matters that take no part in the exact protocols are kept quiet, so that a state costs less. */
-const QUIET_SETTINGS = {
+const ACTION_DURATION_MS: Millis = 60;
+/** Intervals of timers outside the checked protocols, long enough to keep the state space small. */
+const LONG_INTERVAL_SETTINGS = {
   exchangeMs: 60_000,
   limitsMs: 60_000,
   pollMs: 60_000,
   holdReportMs: 60_000,
   pullMs: 60_000,
 } as const;
-const WAIT_MS: Millis = 1_000;
-const SETTLING_ROUNDS = 10;
-const SETTLING_ROUND_MS: Millis = 300;
-const MAX_EVENTS_PER_CHOICE = 2_000;
+const WAIT_ACTION_MS: Millis = 1_000;
+const STARTUP_ROUNDS = 10;
+const STARTUP_ROUND_MS: Millis = 300;
+const MAX_EVENTS_PER_ACTION = 2_000;
 
-export function createFleetSystem(options: FleetSystemOptions): ChoiceSystem {
+export function createFleetSystem(options: FleetSystemOptions): TransitionSystem {
   const cores = Array.from({ length: options.instances }, (_, i) =>
     createInstanceCore(i, 0, options),
   );
   const logs = new Map<string, StreamRecord[]>();
-  Object.entries(options.preload ?? {}).forEach(([stream, records]) => {
+  Object.entries(options.initialRecords ?? {}).forEach(([stream, records]) => {
     logs.set(
       stream,
       records.map((data, offset) => ({ offset, data })),
     );
   });
   const versions = cores.map((): number[] => []);
-  const verdicts = new Map<string, Effect>();
+  const operatorReplies = new Map<string, Effect>();
   const timers = cores.map(() => new Map<TimerName, Millis>());
   const dispatched: RequestId[] = [];
   const outcomes = new Map<RequestId, Effect[]>();
-  const left = new Set(options.arrivals.map((_, i) => i));
+  const pendingArrivals = new Set(options.arrivals.map((_, i) => i));
   let appends: PendingAppend[] = [];
   let reads: PendingRead[] = [];
   let attempts: PendingAttempt[] = [];
@@ -122,28 +126,29 @@
   let { faults } = options;
   let now: Millis = 0;
 
-  function post(to: number, event: CoreEvent): void {
+  function enqueue(to: number, event: CoreEvent): void {
     inbox.push({ to, event });
   }
 
-  function drainInbox(): void {
+  function processInbox(): void {
     for (let i = 0; inbox.length > 0; i += 1) {
-      if (i > MAX_EVENTS_PER_CHOICE) throw new Error('the fleet does not come to rest');
+      if (i > MAX_EVENTS_PER_ACTION)
+        throw new Error('the fleet exceeded the limit of events for one action');
       const [first] = inbox;
       inbox = inbox.slice(1);
-      if (first !== undefined) reduceAt(first.to, first.event);
+      if (first !== undefined) deliver(first.to, first.event);
     }
   }
 
-  function reduceAt(instance: number, event: CoreEvent): void {
+  function deliver(instance: number, event: CoreEvent): void {
     const core = cores[instance];
-    core?.reduce(event, now).forEach((effect) => perform(instance, effect));
+    core?.reduce(event, now).forEach((effect) => performEffect(instance, effect));
     const version = core?.state.configuration.view?.version;
     const seen = versions[instance];
     if (version !== undefined && seen !== undefined && seen.at(-1) !== version) seen.push(version);
   }
 
-  function perform(instance: number, effect: Effect): void {
+  function performEffect(instance: number, effect: Effect): void {
     switch (effect.kind) {
       case 'setTimer':
         timers[instance]?.set(effect.timer, effect.at);
@@ -152,7 +157,7 @@
         const self = cores[instance]?.state.self;
         const to = cores.findIndex((core) => core.state.self.id === effect.to);
         if (to < 0 || self === undefined) return;
-        post(to, {
+        enqueue(to, {
           kind: 'peerMessage',
           from: self.id,
           incarnation: self.incarnation,
@@ -162,7 +167,8 @@
       }
       case 'appendLog':
         appends = [...appends, { instance, ...effect }];
-        if (!options.streams.includes(effect.stream)) settleAppend(appends.length - 1, 'append');
+        if (!options.controlledStreams.includes(effect.stream))
+          completeAppend(appends.length - 1, 'append');
         return;
       case 'readLog':
         reads = reads.filter((read) => read.instance !== instance || read.stream !== effect.stream);
@@ -172,12 +178,12 @@
             instance,
             stream: effect.stream,
             from: effect.from,
-            heldUntil: now + effect.waitMs,
+            waitsUntil: now + effect.waitMs,
           },
         ];
         return;
       case 'readInstanceList':
-        post(instance, { kind: 'instanceList', instances: listInstances(cores) });
+        enqueue(instance, { kind: 'instanceList', instances: listInstances(cores) });
         return;
       case 'dispatch': {
         const { attemptId, requestId } = effect.attempt;
@@ -192,60 +198,62 @@
         outcomes.set(effect.requestId, [...(outcomes.get(effect.requestId) ?? []), effect]);
         break;
       case 'operatorReply':
-        verdicts.set(effect.commandId, effect);
+        operatorReplies.set(effect.commandId, effect);
         break;
       default:
     }
   }
 
-  /** Serves reads at once for a while, until the instances know what is in the log. */
-  function settle(): void {
-    for (let i = 0; i < SETTLING_ROUNDS; i += 1) {
-      serveReads();
-      advance(SETTLING_ROUND_MS);
+  /** Serves reads immediately for several rounds, until the instances have read the initial log. */
+  function runStartup(): void {
+    for (let i = 0; i < STARTUP_ROUNDS; i += 1) {
+      completeReadableReads();
+      advanceTime(STARTUP_ROUND_MS);
     }
   }
 
-  function serveReads(): void {
+  function completeReadableReads(): void {
     for (;;) {
-      const at = reads.findIndex((read) => visibleRecords(read).length > 0);
-      if (at < 0) return;
-      settleRead(at, true);
-      drainInbox();
+      const index = reads.findIndex((read) => visibleRecords(read).length > 0);
+      if (index < 0) return;
+      completeRead(index, true);
+      processInbox();
     }
   }
 
-  function advance(span: Millis): void {
-    const end = now + span;
+  function advanceTime(duration: Millis): void {
+    const end = now + duration;
     for (;;) {
-      answerHeldReads();
-      const due = earliestTimer(timers, end);
+      completeExpiredReads();
+      const due = findEarliestTimer(timers, end);
       if (due === undefined) break;
       now = Math.max(now, due.at);
       timers[due.instance]?.delete(due.timer);
-      post(due.instance, { kind: 'timer', timer: due.timer });
-      drainInbox();
+      enqueue(due.instance, { kind: 'timer', timer: due.timer });
+      processInbox();
     }
     now = end;
-    answerHeldReads();
+    completeExpiredReads();
   }
 
-  /** Answers the reads that were held back long enough and for which there is nothing new. */
-  function answerHeldReads(): void {
-    const idle = reads.filter((read) => read.heldUntil <= now && visibleRecords(read).length === 0);
-    if (idle.length === 0) return;
-    reads = reads.filter((read) => !idle.includes(read));
-    idle.forEach(({ instance, stream, from }) => {
+  /** Answers reads with an empty result if their wait has expired and there are no new records. */
+  function completeExpiredReads(): void {
+    const expired = reads.filter(
+      (read) => read.waitsUntil <= now && visibleRecords(read).length === 0,
+    );
+    if (expired.length === 0) return;
+    reads = reads.filter((read) => !expired.includes(read));
+    expired.forEach(({ instance, stream, from }) => {
       const result = { kind: 'records', records: [], next: from } as const;
-      post(instance, { kind: 'logRead', stream, from, result });
+      enqueue(instance, { kind: 'logRead', stream, from, result });
     });
-    drainInbox();
+    processInbox();
   }
 
-  function choices(): readonly string[] {
+  function enabledActions(): readonly string[] {
     const canFail = faults > 0;
     const open = [
-      ...[...left].map((i) => `arrive ${i}`),
+      ...[...pendingArrivals].map((i) => `arrive ${i}`),
       ...appends.flatMap((_, i) => [
         `append ${i}`,
         ...(canFail ? [`append-lost-reply ${i}`, `append-rejected ${i}`] : []),
@@ -257,7 +265,7 @@
       ...(canFail && options.restarts === true ? cores.map((_, i) => `restart ${i}`) : []),
       ...attempts.flatMap((_, i) => [`complete ${i}`, ...(canFail ? [`cut ${i}`] : [])]),
     ];
-    // Nothing happens for a while: always possible, but a fault as long as something is under way.
+    // Time can pass without another event; this counts as a fault while other actions are possible.
     return canFail || open.length === 0 ? [...open, 'wait'] : open;
   }
 
@@ -265,127 +273,130 @@
     const records = logs.get(read.stream) ?? [];
     const self = cores[read.instance]?.state.self;
     if (self === undefined) return [];
-    const seen = options.lens?.(records, self, read.stream) ?? records;
+    const seen = options.transformLog?.(records, self, read.stream) ?? records;
     return seen.filter((record) => record.offset >= read.from);
   }
 
-  function apply(choice: string): void {
-    const [action, index] = choice.split(' ');
-    const at = Number(index);
-    if (isFault(action) && faults > 0) faults -= 1;
-    switch (action) {
+  function apply(action: string): void {
+    const [kind, argument] = action.split(' ');
+    const index = Number(argument);
+    if (isFault(kind) && faults > 0) faults -= 1;
+    switch (kind) {
       case 'arrive': {
-        const arrival = options.arrivals[at];
-        left.delete(at);
-        if (arrival !== undefined) post(arrival.instance, arrival.event);
+        const arrival = options.arrivals[index];
+        pendingArrivals.delete(index);
+        if (arrival !== undefined) enqueue(arrival.instance, arrival.event);
         break;
       }
       case 'append':
       case 'append-lost-reply':
       case 'append-rejected':
-        settleAppend(at, action);
+        completeAppend(index, kind);
         break;
       case 'read':
       case 'read-fails':
-        settleRead(at, action === 'read');
+        completeRead(index, kind === 'read');
         break;
       case 'restart':
-        restart(at);
+        restart(index);
         break;
       case 'complete':
       case 'cut':
-        settleAttempt(at, action === 'complete');
+        endAttempt(index, kind === 'complete');
         break;
       default:
     }
-    drainInbox();
-    advance(choice === 'wait' ? WAIT_MS : CHOICE_TAKES_MS);
+    processInbox();
+    advanceTime(action === 'wait' ? WAIT_ACTION_MS : ACTION_DURATION_MS);
   }
 
-  /** Replaces an instance by an empty one; what it had under way is lost with it. */
-  function restart(at: number): void {
-    cores[at] = createInstanceCore(at, now, options);
-    timers[at]?.clear();
-    versions[at]?.splice(0);
-    reads = reads.filter((read) => read.instance !== at);
-    attempts = attempts.filter((attempt) => attempt.instance !== at);
-    post(at, { kind: 'start' });
+  /** Restarts an instance with empty state; its pending reads and attempts are dropped. */
+  function restart(instance: number): void {
+    cores[instance] = createInstanceCore(instance, now, options);
+    timers[instance]?.clear();
+    versions[instance]?.splice(0);
+    reads = reads.filter((read) => read.instance !== instance);
+    attempts = attempts.filter((attempt) => attempt.instance !== instance);
+    enqueue(instance, { kind: 'start' });
   }
 
-  function settleAppend(at: number, action: string): void {
-    const append = appends[at];
+  function completeAppend(index: number, outcome: string): void {
+    const append = appends[index];
     if (append === undefined) return;
     appends = appends.filter((other) => other !== append);
     const { appendId, stream } = append;
     const log = logs.get(stream) ?? [];
     const offset = log.length;
-    if (action !== 'append-rejected') {
+    if (outcome !== 'append-rejected') {
       logs.set(stream, [
         ...log,
         ...append.records.map((data, i) => ({ offset: offset + i, data })),
       ]);
     }
-    const detail = 'switched by the checker';
-    post(append.instance, {
+    const detail = 'injected by the checker';
+    enqueue(append.instance, {
       kind: 'appendSettled',
       appendId,
       stream,
       result:
-        action === 'append'
+        outcome === 'append'
           ? { kind: 'appended', offset }
-          : { kind: action === 'append-rejected' ? 'rejected' : 'unknown', detail },
+          : { kind: outcome === 'append-rejected' ? 'rejected' : 'unknown', detail },
     });
   }
 
-  function settleRead(at: number, succeeds: boolean): void {
-    const read = reads[at];
+  function completeRead(index: number, succeeds: boolean): void {
+    const read = reads[index];
     if (read === undefined) return;
     reads = reads.filter((other) => other !== read);
     const records = visibleRecords(read);
     const next = Math.max(read.from, ...records.map((record) => record.offset + 1));
-    post(read.instance, {
+    enqueue(read.instance, {
       kind: 'logRead',
       stream: read.stream,
       from: read.from,
       result: succeeds
         ? { kind: 'records', records, next }
-        : { kind: 'failed', detail: 'switched by the checker' },
+        : { kind: 'failed', detail: 'injected by the checker' },
     });
   }
 
-  function settleAttempt(at: number, isComplete: boolean): void {
-    const attempt = attempts[at];
+  function endAttempt(index: number, isComplete: boolean): void {
+    const attempt = attempts[index];
     if (attempt === undefined) return;
     attempts = attempts.filter((other) => other !== attempt);
     const answer = { status: 200, contentType: 'text/plain', body: new Uint8Array() };
-    post(attempt.instance, {
+    enqueue(attempt.instance, {
       kind: 'attemptEnded',
       attemptId: attempt.attemptId,
       outcome: isComplete
         ? { kind: 'complete', status: 200, outputTokens: 1, answer }
-        : { kind: 'cut', detail: 'switched by the checker' },
+        : { kind: 'cut', detail: 'injected by the checker' },
     });
   }
 
-  function key(): string {
-    const matters = cores.map(({ state }) => options.matters.map((name) => matterOf(state, name)));
-    const open = [appends, reads, attempts, [...left], faults];
-    const observed = [logs, dispatched, outcomes, verdicts, versions];
-    return JSON.stringify([now, matters, open, observed], encodeValue);
+  function stateKey(): string {
+    const states = cores.map(({ state }) =>
+      options.stateMembers.map((name) => readStateMember(state, name)),
+    );
+    const pending = [appends, reads, attempts, [...pendingArrivals], faults];
+    const observed = [logs, dispatched, outcomes, operatorReplies, versions];
+    return JSON.stringify([now, states, pending, observed], serializeValue);
   }
 
-  cores.forEach((_, i) => post(i, { kind: 'start' }));
-  drainInbox();
-  settle();
+  cores.forEach((_, i) => enqueue(i, { kind: 'start' }));
+  processInbox();
+  runStartup();
   return {
-    choices,
+    enabledActions,
     apply,
-    key,
-    violation: () => options.judge({ cores, logs, dispatched, outcomes, versions, verdicts }),
+    stateKey,
+    violation: () =>
+      options.findViolation({ cores, logs, dispatched, outcomes, versions, operatorReplies }),
   };
 }
 
-const FAULTS: ReadonlySet<string> = new Set([
+const FAULT_ACTIONS: ReadonlySet<string> = new Set([
   'append-lost-reply',
   'append-rejected',
   'read-fails',
@@ -394,8 +405,8 @@
   'wait',
 ]);
 
-function isFault(action: string | undefined): boolean {
-  return action !== undefined && FAULTS.has(action);
+function isFault(kind: string | undefined): boolean {
+  return kind !== undefined && FAULT_ACTIONS.has(kind);
 }
 
 function createInstanceCore(index: number, startedAt: Millis, options: FleetSystemOptions): Core {
@@ -410,7 +421,7 @@
   return createCore({
     self,
     seed: index,
-    settings: QUIET_SETTINGS,
+    settings: LONG_INTERVAL_SETTINGS,
     ...(view === undefined ? {} : { initialConfiguration: view }),
   });
 }
@@ -426,13 +437,13 @@
   }));
 }
 
-function earliestTimer(
+function findEarliestTimer(
   timers: readonly ReadonlyMap<TimerName, Millis>[],
   end: Millis,
 ): { readonly instance: number; readonly timer: TimerName; readonly at: Millis } | undefined {
   let earliest: { instance: number; timer: TimerName; at: Millis } | undefined;
-  timers.forEach((ofInstance, instance) => {
-    ofInstance.forEach((at, timer) => {
+  timers.forEach((instanceTimers, instance) => {
+    instanceTimers.forEach((at, timer) => {
       if (at <= end && (earliest === undefined || at < earliest.at)) {
         earliest = { instance, timer, at };
       }
@@ -441,14 +452,14 @@
   return earliest;
 }
 
-function matterOf(state: object, name: string): unknown {
+function readStateMember(state: object, name: string): unknown {
   return (state as Readonly<Record<string, unknown>>)[name];
 }
 
-/** Lets maps, sets and byte arrays take part in a key. */
-function encodeValue(_: string, value: unknown): unknown {
+/** `JSON.stringify` replacer that serializes maps, sets and byte arrays as arrays. */
+function serializeValue(_: string, value: unknown): unknown {
   if (value instanceof Map || value instanceof Set) return [...value];
   if (value instanceof Uint8Array) return [...value];
-  // Work under way holds functions; what it works on is in the state besides.
+  // Pending operations hold functions; the data that they work on is in the state as well.
   return typeof value === 'function' ? undefined : value;
 }
--- a/src/checker/main.ts
+++ b/src/checker/main.ts
@@ -1,6 +1,6 @@
 /**
- * `npm run checker`: explores the exact protocols more deeply than CI does and prints the number of
- * states. Options: `--depth N`, `--faults N`, `--instances N`.
+ * `npm run checker`: explores the claims and configuration protocols to a greater depth than the
+ * tests and prints the number of states. Options: `--depth N`, `--faults N`, `--instances N`.
  */
 import { parseArgs } from 'node:util';
 import { createClaimsCheck } from './claims.js';
@@ -21,26 +21,28 @@
 const checks: readonly (readonly [string, ExploreOptions, boolean])[] = [
   ['claims', createClaimsCheck({ instances, faults, maxDepth }), false],
   [
-    'claims, without the order of the log',
+    'claims, with the log order ignored',
     createClaimsCheck({ instances, faults: 0, maxDepth, withoutLogOrder: true }),
     true,
   ],
   ['configuration', createConfigurationCheck({ instances, faults, maxDepth }), false],
   [
-    'configuration, without the check of the base version',
+    'configuration, with the base version unchecked',
     createConfigurationCheck({ instances, faults: 0, maxDepth, withoutBaseCheck: true }),
     true,
   ],
 ];
 
 let isAsExpected = true;
-checks.forEach(([name, options, mustFail]) => {
+checks.forEach(([name, options, expectsFailure]) => {
   const result = explore(options);
-  const found = result.failure;
+  const counterexample = result.failure;
   const verdict =
-    found === undefined ? 'no rule broken' : `${found.rule}: ${found.trace.join(', ')}`;
+    counterexample === undefined
+      ? 'no violation'
+      : `${counterexample.rule}: ${counterexample.trace.join(', ')}`;
   const scope = result.isComplete ? 'all' : 'the first';
   console.log(`${name}: ${scope} ${result.states} states, ${verdict}`);
-  isAsExpected &&= (found !== undefined) === mustFail;
+  isAsExpected &&= (counterexample !== undefined) === expectsFailure;
 });
 process.exitCode = isAsExpected ? 0 : 1;
--- a/test/checker/checker.test.ts
+++ b/test/checker/checker.test.ts
@@ -6,8 +6,8 @@
 const SMALL = { instances: 2, faults: 0, maxDepth: 7 };
 const FAULTY = { instances: 2, faults: 1, maxDepth: 4 };
 
-describe('exhaustive checker', () => {
-  it('finds no rule broken by claims', () => {
+describe('model checker', () => {
+  it('finds no violation in the claims protocol', () => {
     [SMALL, FAULTY].forEach((options) => {
       const result = explore(createClaimsCheck(options));
       expect(result.failure).to.equal(undefined);
@@ -15,12 +15,12 @@
     });
   });
 
-  it('finds a double run if the order of the log does not decide', () => {
+  it('finds a double execution if the log order is ignored', () => {
     const result = explore(createClaimsCheck({ ...SMALL, withoutLogOrder: true }));
-    expect(result.failure?.rule).to.equal('a keyed request ran twice');
+    expect(result.failure?.rule).to.equal('a request with an idempotency key was executed twice');
   });
 
-  it('finds no rule broken by racing edits', () => {
+  it('finds no violation with concurrent edits', () => {
     [SMALL, FAULTY].forEach((options) => {
       const result = explore(createConfigurationCheck(options));
       expect(result.failure).to.equal(undefined);
@@ -28,8 +28,8 @@
     });
   });
 
-  it('finds two winners if the base version is not checked', () => {
+  it('finds two accepted edits if the base version is not checked', () => {
     const result = explore(createConfigurationCheck({ ...SMALL, withoutBaseCheck: true }));
-    expect(result.failure?.rule).to.equal('two edits from one base version were accepted');
+    expect(result.failure?.rule).to.equal('two edits of the same base version were accepted');
   });
 });
