--- a/src/standins/attempts.ts
+++ b/src/standins/attempts.ts
@@ -1,37 +1,37 @@
 /**
- * Attempts of a model engine: what each request asked for, how far it came and how it ended. The
- * records outlive a crash, since checks read them; the engine's own state does not.
+ * Attempts of a model engine: the request, progress and outcome of each. The attempt records survive
+ * a simulated crash because test checks read them; the engine's own state does not.
  */
 import type { Millis } from '../core/clock.js';
 import type { Sequence } from './batch.js';
 import {
   answerSeed,
   countTokens,
-  promptOf,
+  extractPrompt,
   questionHash,
-  questionOf,
+  extractQuestion,
   type CompletionBody,
 } from './content.js';
 import type { Output, Usage } from './output.js';
 
-/** How an attempt ended. */
+/** State of an attempt: waiting, running, or the way it ended. */
 export type AttemptOutcome =
   'waiting' | 'running' | 'finished' | 'disconnected' | 'cancelled' | 'cut' | 'crashed';
 
-/** What one attempt ran, as listed by `GET /_control/log`. */
+/** Record of one attempt in `GET /_control/log`. */
 export interface AttemptRecord {
   /** The `X-Request-Id` of the attempt. */
   readonly id: string;
-  /** The `Idempotency-Key`, if there was one. */
+  /** The `Idempotency-Key`, if present. */
   readonly key: string | undefined;
   /** Hash of the question, in hexadecimal. */
   readonly question: string;
-  /** Index of the first token that was to be produced. */
+  /** Index of the first requested token. */
   readonly from: number;
-  /** Index after the last token produced. */
+  /** Index after the last generated token. */
   readonly to: number;
   readonly length: number;
-  /** Whether it was in the batch at any time. */
+  /** Whether the attempt was ever admitted to the batch. */
   readonly admitted: boolean;
   readonly outcome: AttemptOutcome;
   readonly receivedAt: Millis;
@@ -49,11 +49,11 @@
   readonly from: number;
   readonly receivedAt: Millis;
   cachedTokens: number;
-  /** Where the answer goes; another attempt's connection if the answers are crossed. */
+  /** Writer that receives the answer; another attempt's writer if the answers are crossed. */
   output: Output;
-  /** Position at which the stream is cut, if it is to be. */
+  /** Position at which the stream is cut, if this fault was chosen. */
   cutAt: number | undefined;
-  /** Position at which the answer is crossed with another, if it is to be. */
+  /** Position at which the answer is crossed with another, if this fault was chosen. */
   crossAt: number | undefined;
   outcome: AttemptOutcome;
   endedAt: Millis | undefined;
@@ -71,10 +71,10 @@
 /** Creates the attempt for a request. */
 export function createAttempt(options: AttemptOptions): Attempt {
   const { id, key, body, output, now } = options;
-  const prompt = promptOf(body);
-  const question = questionOf(body);
-  const wanted = Number.isFinite(options.resumeFrom) ? Math.trunc(options.resumeFrom) : 0;
-  const from = Math.min(Math.max(0, wanted), body.max_tokens);
+  const prompt = extractPrompt(body);
+  const question = extractQuestion(body);
+  const requestedStart = Number.isFinite(options.resumeFrom) ? Math.trunc(options.resumeFrom) : 0;
+  const from = Math.min(Math.max(0, requestedStart), body.max_tokens);
   return {
     id,
     key,
@@ -87,7 +87,7 @@
     receivedAt: now,
     length: body.max_tokens,
     position: from,
-    prefillLeft: 0,
+    remainingPrefill: 0,
     cachedTokens: 0,
     output,
     cutAt: undefined,
@@ -97,15 +97,15 @@
   };
 }
 
-/** The record of an attempt as checks read it. */
-export function recordOf(attempt: Attempt): AttemptRecord {
+/** Returns the record of an attempt for `GET /_control/log`. */
+export function toAttemptRecord(attempt: Attempt): AttemptRecord {
   const { id, key, question, from, position, length, admitted, outcome } = attempt;
   const { receivedAt, endedAt } = attempt;
   return { id, key, question, from, to: position, length, admitted, outcome, receivedAt, endedAt };
 }
 
-/** Token counts in the usual format. */
-export function usageOf(attempt: Attempt): Usage {
+/** Returns the token counts of an attempt in the OpenAI format. */
+export function toUsage(attempt: Attempt): Usage {
   const prompt = attempt.promptTokens;
   return {
     prompt_tokens: prompt,
--- a/src/standins/batch.ts
+++ b/src/standins/batch.ts
@@ -1,66 +1,66 @@
 /**
- * Continuous batching: at each step every sequence in the batch yields one token, a place that gets
- * free goes to the sequence that waits longest. There are no priorities. Prompts are processed
- * (prefill) at a rate that all sequences of the batch share.
+ * Continuous batching: each step generates one token for every sequence in the batch, and a freed
+ * slot is assigned to the sequence at the head of a FIFO queue. There are no priorities. Prompt
+ * processing (prefill) has a rate that all sequences of the batch share.
  */
 import type { Millis } from '../core/clock.js';
 import { MS_PER_SECOND } from '../core/clock.js';
 
-/** Steps made up for at once after the event loop was late; older ones are lost. */
+/** Maximum number of overdue steps executed at once after an event loop delay; the rest are skipped. */
 const MAX_CATCH_UP_STEPS = 20;
 
-/** Work of one request. */
+/** Generation progress of one request. */
 export interface Sequence {
-  /** Number of tokens of the complete answer. */
+  /** Number of tokens in the complete answer. */
   readonly length: number;
   /** Index of the next token. */
   position: number;
-  /** Prompt tokens still to be processed before the first token. */
-  prefillLeft: number;
+  /** Prompt tokens that remain to be processed before the first token. */
+  remainingPrefill: number;
 }
 
 export interface BatchOptions<S extends Sequence> {
-  /** Sequences processed at the same time. */
+  /** Maximum number of sequences in the batch. */
   readonly slots: number;
-  /** Time between two tokens of a sequence; 0 runs as fast as the event loop. */
+  /** Time between two tokens of a sequence; with 0 a step runs in every event loop iteration. */
   readonly tokenIntervalMs: Millis;
-  /** Prompt tokens processed in a second, shared by the batch. */
+  /** Prefill rate, shared by the sequences of the batch. */
   readonly prefillTokensPerSecond: number;
   readonly onAdmitted: (sequence: S) => void;
   readonly onToken: (sequence: S, index: number) => void;
   readonly onFinished: (sequence: S) => void;
 }
 
-/** Counters since the start of the batch. */
+/** Counters since the creation of the batch. */
 export interface BatchStats {
   readonly tokens: number;
   readonly prefillTokens: number;
-  /** Time that slots were taken, summed over the slots. */
+  /** Time during which slots were in use, summed over all slots. */
   readonly busySlotMs: Millis;
   readonly elapsedMs: Millis;
 }
 
 export interface Batch<S extends Sequence> {
   add: (sequence: S) => void;
-  /** Takes a sequence out for good; false if it is not there. */
+  /** Removes a sequence from the batch, the queue or the suspended ones; false if it is in none. */
   remove: (sequence: S) => boolean;
-  /** Takes a sequence out of the batch or the queue but keeps its progress. */
+  /** Moves a sequence out of the batch or the queue and keeps its progress. */
   suspend: (sequence: S) => boolean;
-  /** Puts a suspended sequence at the end of the queue. */
+  /** Appends a suspended sequence to the queue. */
   resume: (sequence: S) => boolean;
   running: () => number;
   queued: () => number;
   suspended: () => number;
-  /** Stops and restarts all progress. */
+  /** Pauses or continues the processing of all sequences. */
   setPaused: (paused: boolean) => void;
   /** Multiplies the time between tokens. */
   setSlowdown: (factor: number) => void;
-  /** Drops all sequences without a call to any listener. */
+  /** Removes all sequences without calling any listener. */
   clear: () => void;
   stats: () => BatchStats;
 }
 
-/** Creates an empty batch. Its timer runs only while there is work. */
+/** Creates an empty batch. Its timer runs only while there are sequences to process. */
 export function createBatch<S extends Sequence>(options: BatchOptions<S>): Batch<S> {
   const running = new Set<S>();
   const queue = new Set<S>();
@@ -69,22 +69,22 @@
   let tokens = 0;
   let prefillTokens = 0;
   let busySlotMs = 0;
-  let countedAt = startedAt;
+  let busyTimeUpdatedAt = startedAt;
   let slowdown = 1;
   let paused = false;
   let timer: NodeJS.Timeout | NodeJS.Immediate | undefined;
-  let dueAt = 0;
+  let nextStepAt = 0;
 
-  const interval = () => options.tokenIntervalMs * slowdown;
+  const stepInterval = () => options.tokenIntervalMs * slowdown;
 
-  function countBusyTime(): void {
+  function updateBusyTime(): void {
     const now = performance.now();
-    busySlotMs += running.size * (now - countedAt);
-    countedAt = now;
+    busySlotMs += running.size * (now - busyTimeUpdatedAt);
+    busyTimeUpdatedAt = now;
   }
 
   function admit(): void {
-    countBusyTime();
+    updateBusyTime();
     for (const sequence of queue) {
       if (running.size >= options.slots) return;
       queue.delete(sequence);
@@ -93,32 +93,32 @@
     }
   }
 
-  function takeOut(sequence: S): boolean {
-    countBusyTime();
+  function removeActive(sequence: S): boolean {
+    updateBusyTime();
     return running.delete(sequence) || queue.delete(sequence);
   }
 
-  /** Prompt tokens that a step can process. */
-  function prefillBudget(): number {
+  /** Maximum number of prompt tokens processed in one step. */
+  function prefillPerStep(): number {
     const perStep = (options.prefillTokensPerSecond * options.tokenIntervalMs) / MS_PER_SECOND;
     return perStep > 0 ? perStep : Infinity;
   }
 
   function finish(sequence: S): void {
-    takeOut(sequence);
+    removeActive(sequence);
     options.onFinished(sequence);
   }
 
   function step(): void {
     admit();
-    let budget = prefillBudget();
+    let budget = prefillPerStep();
     for (const sequence of [...running]) {
       if (!running.has(sequence)) continue;
-      if (sequence.prefillLeft > 0) {
-        const done = Math.min(budget, sequence.prefillLeft);
-        budget -= done;
-        prefillTokens += done;
-        sequence.prefillLeft -= done;
+      if (sequence.remainingPrefill > 0) {
+        const processed = Math.min(budget, sequence.remainingPrefill);
+        budget -= processed;
+        prefillTokens += processed;
+        sequence.remainingPrefill -= processed;
         continue;
       }
       const index = sequence.position;
@@ -132,7 +132,7 @@
     admit();
   }
 
-  function run(): void {
+  function runDueSteps(): void {
     timer = undefined;
     if (paused) return;
     const now = performance.now();
@@ -140,21 +140,28 @@
     do {
       step();
       steps += 1;
-      dueAt += interval();
-    } while (interval() > 0 && dueAt <= now && steps < MAX_CATCH_UP_STEPS && running.size > 0);
-    if (dueAt < now) dueAt = now;
+      nextStepAt += stepInterval();
+    } while (
+      stepInterval() > 0 &&
+      nextStepAt <= now &&
+      steps < MAX_CATCH_UP_STEPS &&
+      running.size > 0
+    );
+    if (nextStepAt < now) nextStepAt = now;
     schedule();
   }
 
   function schedule(): void {
     if (timer !== undefined || paused || running.size + queue.size === 0) return;
     timer =
-      interval() > 0 ? setTimeout(run, Math.max(0, dueAt - performance.now())) : setImmediate(run);
+      stepInterval() > 0
+        ? setTimeout(runDueSteps, Math.max(0, nextStepAt - performance.now()))
+        : setImmediate(runDueSteps);
   }
 
-  function wake(): void {
+  function startTimer(): void {
     if (timer !== undefined || paused) return;
-    dueAt = performance.now() + interval();
+    nextStepAt = performance.now() + stepInterval();
     schedule();
   }
 
@@ -169,11 +176,11 @@
     add: (sequence) => {
       queue.add(sequence);
       admit();
-      wake();
+      startTimer();
     },
-    remove: (sequence) => takeOut(sequence) || suspended.delete(sequence),
+    remove: (sequence) => removeActive(sequence) || suspended.delete(sequence),
     suspend: (sequence) => {
-      if (!takeOut(sequence)) return false;
+      if (!removeActive(sequence)) return false;
       suspended.add(sequence);
       admit();
       return true;
@@ -182,7 +189,7 @@
       if (!suspended.delete(sequence)) return false;
       queue.add(sequence);
       admit();
-      wake();
+      startTimer();
       return true;
     },
     running: () => running.size,
@@ -191,18 +198,18 @@
     setPaused: (value) => {
       paused = value;
       if (paused) stopTimer();
-      else wake();
+      else startTimer();
     },
     setSlowdown: (factor) => {
       slowdown = factor;
     },
     clear: () => {
-      countBusyTime();
+      updateBusyTime();
       stopTimer();
       [running, queue, suspended].forEach((set) => set.clear());
     },
     stats: () => {
-      countBusyTime();
+      updateBusyTime();
       return { tokens, prefillTokens, busySlotMs, elapsedMs: performance.now() - startedAt };
     },
   };
--- a/src/standins/engine.ts
+++ b/src/standins/engine.ts
@@ -1,7 +1,7 @@
 /**
- * Stand-in for a model engine: batches continuously within a limited batch, streams tokens, caches
- * prompt prefixes, reports load with a lag and cache events late and with gaps, takes orders, and
- * fails on demand. Answers follow from the prompt (see content.ts).
+ * Stand-in for a model engine: continuous batching with a limited batch size, token streaming,
+ * prefix caching, load reports that lag, cache events that are delayed and lossy, orders, and fault
+ * injection. Answers are deterministic (see content.ts).
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { getRouterParam, H3, type H3Event } from 'h3';
@@ -17,12 +17,12 @@
 } from './engineState.js';
 import { engineFaultSchema, type EngineFault } from './faults.js';
 import {
-  headerOf,
+  getHeader,
   listen,
   nodeRoute,
   parseJson,
-  queryNumber,
-  readBytes,
+  readQueryNumber,
+  readBody,
   readJson,
   sendJson,
   type HttpServer,
@@ -37,26 +37,26 @@
   readonly model?: string;
   readonly version?: string;
   readonly role?: string;
-  /** Requests processed at the same time. */
+  /** Maximum number of requests in the batch. */
   readonly batchSize?: number;
   /** Time between two tokens of a stream. */
   readonly tokenIntervalMs?: Millis;
-  /** Prompt tokens processed in a second, shared by the batch. */
+  /** Prefill rate, shared by the requests of the batch. */
   readonly prefillTokensPerSecond?: number;
-  /** Whether answers carry the `X-Request-Id` of the request. */
+  /** Whether responses carry the `X-Request-Id` of the request. */
   readonly echoesRequestId?: boolean;
-  /** Blocks of 64 prompt tokens that the prefix cache holds. */
+  /** Capacity of the prefix cache in blocks of 64 prompt tokens. */
   readonly cacheBlocks?: number;
   readonly cacheEventDelayMs?: Millis;
-  /** Share of cache events that are never published. */
+  /** Fraction of cache events that are never published. */
   readonly cacheEventLossRate?: number;
-  /** Age that a load report reaches; 0 reports the state of the moment. */
+  /** Maximum age of a load report; with 0 it is always current. */
   readonly loadLagMs?: Millis;
-  /** Whether an order with a number older than the last is refused. */
+  /** Whether an order with a lower number than the last accepted one is rejected. */
   readonly checksOrders?: boolean;
-  /** Time to load a model, besides the download. */
+  /** Time to load a model or an adapter, in addition to the download. */
   readonly modelLoadMs?: Millis;
-  /** Base URL of the weight store; without it nothing is downloaded. */
+  /** Base URL of the weight store; if absent, nothing is downloaded. */
   readonly weightsUrl?: string;
 }
 
@@ -90,7 +90,7 @@
   stop: () => Promise<void>;
 }
 
-/** Starts an engine. Rejects if the port is taken. */
+/** Starts an engine. Rejects if the port is in use. */
 export async function createEngineStandin(options: EngineOptions = {}): Promise<EngineStandin> {
   const cfg = { ...DEFAULTS, ...options };
   const app = new H3({ silent: true });
@@ -119,18 +119,18 @@
   { work }: EngineState,
   echoesRequestId: boolean,
 ): void {
-  let unnamed = 0;
+  let generatedIds = 0;
 
   async function complete(req: IncomingMessage, res: ServerResponse, chat: boolean) {
-    const body = parseJson(completionSchema, (await readBytes(req)).toString('utf8'));
+    const body = parseJson(completionSchema, (await readBody(req)).toString('utf8'));
     const { stream, model } = body;
     const output = createOutput({ res, stream, chat, model, echoesRequestId });
     res.once('close', () => {
-      if (!server.isSilent(req.socket)) work.disconnect(output);
+      if (!server.isSilenced(req.socket)) work.disconnect(output);
     });
-    const id = headerOf(req, 'x-request-id') ?? `engine-${(unnamed += 1)}`;
-    const key = headerOf(req, 'idempotency-key');
-    const resumeFrom = Number(headerOf(req, 'x-resume-from') ?? 0);
+    const id = getHeader(req, 'x-request-id') ?? `engine-${(generatedIds += 1)}`;
+    const key = getHeader(req, 'idempotency-key');
+    const resumeFrom = Number(getHeader(req, 'x-resume-from') ?? 0);
     work.submit(createAttempt({ id, key, body, resumeFrom, output, now: Date.now() }));
   }
 
@@ -147,24 +147,24 @@
 function addEngineRoutes(app: H3, state: EngineState): void {
   const { work, batch, cache, cacheEvents, orders } = state;
 
-  /** Runs `action` on the attempt named in the path; 404 if there is none or it is over. */
-  const onAttempt = (action: (attempt: Attempt) => boolean) => (event: H3Event) => {
+  /** Applies `action` to the attempt named in the path; 404 if it is unknown or `action` fails. */
+  const attemptRoute = (action: (attempt: Attempt) => boolean) => (event: H3Event) => {
     const attempt = work.find(getRouterParam(event, 'id') ?? '');
     const isDone = attempt !== undefined && action(attempt);
     if (!isDone) event.res.status = 404;
     return { done: isDone };
   };
 
-  app.post('/requests/:id/cancel', onAttempt(work.cancel));
-  app.post('/requests/:id/suspend', onAttempt(batch.suspend));
-  app.post('/requests/:id/resume', onAttempt(batch.resume));
+  app.post('/requests/:id/cancel', attemptRoute(work.cancel));
+  app.post('/requests/:id/suspend', attemptRoute(batch.suspend));
+  app.post('/requests/:id/resume', attemptRoute(batch.resume));
   app.get('/load', () => state.load());
   app.get('/cache/events', (event) => ({
-    ...cacheEvents.read(queryNumber(event, 'after', 0)),
+    ...cacheEvents.read(readQueryNumber(event, 'after', 0)),
     epoch: state.cacheEpoch(),
   }));
   app.post('/orders', async (event) => {
-    const accepted = orders.give(await readJson(numberedOrderSchema, event));
+    const accepted = orders.submit(await readJson(numberedOrderSchema, event));
     if (!accepted) event.res.status = 409;
     return { accepted, orderNumber: orders.current().orderNumber };
   });
--- a/src/standins/engineState.ts
+++ b/src/standins/engineState.ts
@@ -1,6 +1,6 @@
 /**
- * State of one model engine: its work, prefix cache, orders and load report, and the faults that
- * concern the engine as a whole.
+ * State of one model engine: its attempts, prefix cache, orders and load report, and the faults that
+ * affect the engine as a whole.
  */
 import type { Millis } from '../core/clock.js';
 import { createRandom } from '../core/random.js';
@@ -10,7 +10,7 @@
 import { createEngineWork, type EngineWork } from './engineWork.js';
 import { engineFaultSchema, type EngineFault } from './faults.js';
 import type { HttpServer } from './http.js';
-import { createLaggingReport, createRateMeter, type LoadReport } from './loadReport.js';
+import { createCachedReport, createRateMeter, type LoadReport } from './loadReport.js';
 import { createOrders, type OrderRecord, type Orders } from './orders.js';
 import { createPrefixCache, type PrefixCache } from './prefixCache.js';
 
@@ -31,7 +31,7 @@
   readonly weightsUrl?: string | undefined;
 }
 
-/** What checks read from `GET /_control/log`. */
+/** Body of `GET /_control/log`, which test checks read. */
 export interface EngineLog {
   readonly attempts: readonly AttemptRecord[];
   readonly orders: readonly OrderRecord[];
@@ -40,13 +40,13 @@
 
 export interface EngineCrash {
   readonly at: Millis;
-  /** Request id of the poisoned request that caused it. */
+  /** Id of the poisoned request that caused the crash, if any. */
   readonly poisonedBy: string | undefined;
-  /** Request ids that were in the batch. */
+  /** Ids of the requests that were in the batch. */
   readonly running: readonly string[];
 }
 
-/** Use of the engine since its start, from `GET /_control/stats`. */
+/** Utilization of the engine since its start, from `GET /_control/stats`. */
 export interface EngineStats extends BatchStats {
   readonly slots: number;
 }
@@ -71,7 +71,7 @@
   const now = () => Date.now();
   const crashes: EngineCrash[] = [];
   let cacheEpoch = 1;
-  let isHung = false;
+  let isHanging = false;
 
   const cacheEvents = createCacheEvents({
     delayMs: cfg.cacheEventDelayMs,
@@ -102,19 +102,19 @@
     loadMs: cfg.modelLoadMs,
     weightsUrl: cfg.weightsUrl,
     onChange: () => {
-      if (orders.isLoadingModel()) loseCache();
+      if (orders.isLoadingModel()) resetCache();
       updatePause();
     },
   });
 
-  function loseCache(): void {
+  function resetCache(): void {
     cache.clear();
     cacheEvents.clear();
     cacheEpoch += 1;
   }
 
   function updatePause(): void {
-    batch.setPaused(isHung || orders.isLoadingModel());
+    batch.setPaused(isHanging || orders.isLoadingModel());
   }
 
   function crash(restartAfterMs: Millis, poisonedBy?: Attempt): void {
@@ -123,7 +123,7 @@
     crashes.push({ at: now(), poisonedBy: poisonedBy?.id, running: running.map(({ id }) => id) });
     server.crash(restartAfterMs);
     work.crash();
-    loseCache();
+    resetCache();
     orders.reset();
     updatePause();
   }
@@ -135,30 +135,30 @@
         crash(fault.restartAfterMs);
         return;
       case 'hang':
-        isHung = true;
-        server.hold();
+        isHanging = true;
+        server.holdRequests();
         updatePause();
         return;
       case 'silent':
-        server.silence();
+        server.silenceConnections();
         return;
       case 'slow':
         batch.setSlowdown(fault.factor);
         return;
       case 'clear':
-        isHung = false;
+        isHanging = false;
         work.clearFaults();
         batch.setSlowdown(1);
         updatePause();
-        server.release();
+        server.releaseRequests();
         return;
       default:
-        work.addFault(fault);
+        work.setFault(fault);
     }
   }
 
   const readTokenRate = createRateMeter(() => batch.stats().tokens);
-  const report = createLaggingReport<LoadReport>(
+  const report = createCachedReport<LoadReport>(
     () => ({
       running: batch.running(),
       queued: batch.queued(),
--- a/src/standins/engineWork.ts
+++ b/src/standins/engineWork.ts
@@ -1,21 +1,21 @@
 /**
- * The work of a model engine: attempts in a batch, what they write, and the faults that concern
- * single attempts (crossed, late and cut answers, poisoned requests).
+ * Execution of attempts in a model engine: batching, output, and the faults that affect individual
+ * attempts (crossed, late and cut answers, poisoned requests).
  */
 import { Debug } from '../core/debug.js';
 import type { Millis } from '../core/clock.js';
 import type { Random } from '../core/random.js';
-import { recordOf, usageOf, type Attempt, type AttemptOutcome } from './attempts.js';
+import { toAttemptRecord, toUsage, type Attempt, type AttemptOutcome } from './attempts.js';
 import { createBatch, type Batch } from './batch.js';
 import { answerToken } from './content.js';
 import type { ParsedEngineFault } from './faults.js';
 import type { Output } from './output.js';
 import type { PrefixCache } from './prefixCache.js';
 
-/** Attempts whose records are kept. */
-const MAX_RECORDS = 200_000;
+/** Minimum number of attempt records retained once records are discarded. */
+const RETAINED_RECORDS = 200_000;
 
-/** Faults that concern single attempts. */
+/** Faults that affect individual attempts. */
 export type AttemptFault = Extract<
   ParsedEngineFault,
   { kind: 'crossed' | 'late' | 'cut' | 'poison' }
@@ -30,173 +30,185 @@
   readonly cache: PrefixCache;
   readonly random: Random;
   readonly now: () => Millis;
-  /** Called when a poisoned request is run. */
+  /** Called when a poisoned request is admitted to the batch. */
   readonly onPoisoned: (attempt: Attempt, restartAfterMs: Millis) => void;
 }
 
 export interface EngineWork {
   readonly batch: Batch<Attempt>;
   submit: (attempt: Attempt) => void;
-  /** The connection of `output` was closed by the caller. */
+  /** Ends the attempt that writes to `output` after the caller closed the connection. */
   disconnect: (output: Output) => void;
-  /** The last attempt with this request id. */
+  /** Returns the latest attempt with this request id. */
   find: (id: string) => Attempt | undefined;
   cancel: (attempt: Attempt) => boolean;
-  addFault: (fault: AttemptFault) => void;
+  setFault: (fault: AttemptFault) => void;
   clearFaults: () => void;
-  /** Ends all attempts, as a crash does. */
+  /** Ends all attempts with the outcome `crashed`. */
   crash: () => void;
-  records: () => ReturnType<typeof recordOf>[];
+  records: () => ReturnType<typeof toAttemptRecord>[];
 }
 
-/** Discards what is written, for attempts that lost their connection to another answer. */
-const NO_OUTPUT: Output = { token: () => {}, finish: () => {}, delay: () => {}, cut: () => {} };
+/** Discards all writes; for attempts whose connection carries the answer of another attempt. */
+const DISCARDING_OUTPUT: Output = {
+  token: () => {},
+  finish: () => {},
+  bufferFor: () => {},
+  cut: () => {},
+};
 
-/** Creates the work of one engine. */
+/** Creates the execution of attempts in one engine. */
 export function createEngineWork(options: WorkOptions): EngineWork {
   const { random, cache, now } = options;
-  const live = new Set<Attempt>();
+  const activeAttempts = new Set<Attempt>();
   const byOutput = new Map<Output, Attempt>();
   const byId = new Map<string, Attempt>();
-  let recorded: Attempt[] = [];
+  let retainedAttempts: Attempt[] = [];
   let lastFinished: Attempt | undefined;
-  /** Attempts crossed once; a second exchange would undo the first and lose a token unseen. */
-  const exchanged = new WeakSet<Attempt>();
+  /**
+   * Attempts that have been crossed. A second exchange would undo the first, so that a token would
+   * be missing without a visible change of the request id.
+   */
+  const crossedAttempts = new WeakSet<Attempt>();
   let faults: AttemptFaults = {};
 
   const batch = createBatch<Attempt>({
     slots: options.batchSize,
     tokenIntervalMs: options.tokenIntervalMs,
     prefillTokensPerSecond: options.prefillTokensPerSecond,
-    onAdmitted: admit,
-    onToken: produce,
+    onAdmitted: handleAdmitted,
+    onToken: emitToken,
     onFinished: (attempt) => {
-      // A resumed stream may have nothing left to produce.
-      if (attempt.crossAt === attempt.position) cross(attempt);
-      end(attempt, 'finished');
+      // A resumed stream may have no tokens left to generate.
+      if (attempt.crossAt === attempt.position) crossAnswers(attempt);
+      endAttempt(attempt, 'finished');
       lastFinished = attempt;
-      attempt.output.finish(attempt.id, 'length', usageOf(attempt));
+      attempt.output.finish(attempt.id, 'length', toUsage(attempt));
     },
   });
 
-  function end(attempt: Attempt, outcome: AttemptOutcome): void {
+  function endAttempt(attempt: Attempt, outcome: AttemptOutcome): void {
     attempt.outcome = outcome;
     attempt.endedAt = now();
-    live.delete(attempt);
+    activeAttempts.delete(attempt);
     byOutput.delete(attempt.output);
   }
 
-  function admit(attempt: Attempt): void {
+  function handleAdmitted(attempt: Attempt): void {
     if (attempt.outcome === 'waiting') {
       attempt.cachedTokens = cache.match(attempt.prompt);
       const uncached = attempt.promptTokens - attempt.cachedTokens;
-      attempt.prefillLeft = Math.min(attempt.prefillLeft, uncached + attempt.from);
-      drawFaults(attempt);
+      attempt.remainingPrefill = Math.min(attempt.remainingPrefill, uncached + attempt.from);
+      chooseFaults(attempt);
     }
     attempt.admitted = true;
     attempt.outcome = 'running';
     const { poison } = faults;
     if (poison === undefined || !attempt.prompt.includes(poison.marker)) return;
-    // The batch is in the middle of a step.
+    // Deferred because the batch is in the middle of a step.
     setImmediate(() => options.onPoisoned(attempt, poison.restartAfterMs));
   }
 
-  function isDrawn(fault: { readonly rate: number } | undefined): boolean {
+  function shouldInject(fault: { readonly rate: number } | undefined): boolean {
     return fault !== undefined && random.next() < fault.rate;
   }
 
-  /** A position after the first token and before the last. */
-  function middleOf(attempt: Attempt): number {
+  /** Selects a random position after the first token of an attempt. */
+  function pickMiddlePosition(attempt: Attempt): number {
     return attempt.from + 1 + random.nextInt(Math.max(1, attempt.length - attempt.from - 1));
   }
 
-  function drawFaults(attempt: Attempt): void {
+  function chooseFaults(attempt: Attempt): void {
     const { cut, crossed, late } = faults;
-    if (isDrawn(cut)) attempt.cutAt = middleOf(attempt);
-    if (isDrawn(crossed)) {
-      attempt.crossAt = crossed?.at === 'middle' ? middleOf(attempt) : attempt.from;
+    if (shouldInject(cut)) attempt.cutAt = pickMiddlePosition(attempt);
+    if (shouldInject(crossed)) {
+      attempt.crossAt = crossed?.at === 'middle' ? pickMiddlePosition(attempt) : attempt.from;
     }
-    if (isDrawn(late)) attempt.output.delay(late?.delayMs ?? 0);
+    if (shouldInject(late)) attempt.output.bufferFor(late?.delayMs ?? 0);
   }
 
-  function produce(attempt: Attempt, index: number): void {
+  function emitToken(attempt: Attempt, index: number): void {
     if (index === attempt.from) cache.store(attempt.prompt);
     if (index === attempt.cutAt) {
       batch.remove(attempt);
-      end(attempt, 'cut');
+      endAttempt(attempt, 'cut');
       attempt.output.cut(faults.cut?.ending ?? 'reset');
       return;
     }
-    if (index === attempt.crossAt) cross(attempt);
+    if (index === attempt.crossAt) crossAnswers(attempt);
     attempt.output.token(attempt.id, answerToken(attempt.seed, index));
   }
 
   function setOutput(attempt: Attempt, output: Output): void {
     attempt.output = output;
-    if (output !== NO_OUTPUT) byOutput.set(output, attempt);
+    if (output !== DISCARDING_OUTPUT) byOutput.set(output, attempt);
   }
 
-  /** Exchanges the connections of two attempts, or repeats an earlier answer on this one. */
-  function cross(attempt: Attempt): void {
+  /**
+   * Exchanges the writers of two attempts. Without a suitable partner, replays the last finished
+   * answer on the connection of this attempt.
+   */
+  function crossAnswers(attempt: Attempt): void {
     attempt.crossAt = undefined;
-    if (exchanged.has(attempt)) return;
-    const isHead = attempt.position <= attempt.from + 1;
-    const partner = [...live].find(
+    if (crossedAttempts.has(attempt)) return;
+    const isAtStart = attempt.position <= attempt.from + 1;
+    const partner = [...activeAttempts].find(
       (other) =>
         other !== attempt &&
-        !exchanged.has(other) &&
-        other.output !== NO_OUTPUT &&
-        (isHead ? other.position === other.from : other.position > other.from),
+        !crossedAttempts.has(other) &&
+        other.output !== DISCARDING_OUTPUT &&
+        (isAtStart ? other.position === other.from : other.position > other.from),
     );
     const { output } = attempt;
-    exchanged.add(attempt);
+    crossedAttempts.add(attempt);
     if (partner !== undefined) {
-      exchanged.add(partner);
+      crossedAttempts.add(partner);
       setOutput(attempt, partner.output);
       setOutput(partner, output);
     } else if (lastFinished !== undefined) {
-      setOutput(attempt, NO_OUTPUT);
+      setOutput(attempt, DISCARDING_OUTPUT);
       byOutput.delete(output);
-      repeat(lastFinished, output);
+      replayAnswer(lastFinished, output);
     }
   }
 
-  function repeat(earlier: Attempt, output: Output): void {
+  function replayAnswer(earlier: Attempt, output: Output): void {
     for (let index = earlier.from; index < earlier.length; index += 1) {
       output.token(earlier.id, answerToken(earlier.seed, index));
     }
-    output.finish(earlier.id, 'length', usageOf(earlier));
+    output.finish(earlier.id, 'length', toUsage(earlier));
   }
 
-  function record(attempt: Attempt): void {
-    recorded.push(attempt);
-    if (recorded.length > 2 * MAX_RECORDS) recorded = recorded.slice(-MAX_RECORDS);
+  function retain(attempt: Attempt): void {
+    retainedAttempts.push(attempt);
+    if (retainedAttempts.length > 2 * RETAINED_RECORDS)
+      retainedAttempts = retainedAttempts.slice(-RETAINED_RECORDS);
   }
 
   return {
     batch,
     submit: (attempt) => {
-      live.add(attempt);
+      activeAttempts.add(attempt);
       byId.set(attempt.id, attempt);
       byOutput.set(attempt.output, attempt);
-      record(attempt);
-      attempt.prefillLeft = attempt.promptTokens + attempt.from;
+      retain(attempt);
+      attempt.remainingPrefill = attempt.promptTokens + attempt.from;
       batch.add(attempt);
     },
     disconnect: (output) => {
       const attempt = byOutput.get(output);
-      if (attempt === undefined || !live.has(attempt)) return;
+      if (attempt === undefined || !activeAttempts.has(attempt)) return;
       batch.remove(attempt);
-      end(attempt, 'disconnected');
+      endAttempt(attempt, 'disconnected');
     },
     find: (id) => byId.get(id),
     cancel: (attempt) => {
       if (!batch.remove(attempt)) return false;
-      end(attempt, 'cancelled');
-      attempt.output.finish(attempt.id, 'cancelled', usageOf(attempt));
+      endAttempt(attempt, 'cancelled');
+      attempt.output.finish(attempt.id, 'cancelled', toUsage(attempt));
       return true;
     },
-    addFault: (fault) => {
+    setFault: (fault) => {
       switch (fault.kind) {
         case 'crossed':
           faults = { ...faults, crossed: fault };
@@ -219,10 +231,10 @@
     },
     crash: () => {
       batch.clear();
-      [...live].forEach((attempt) => end(attempt, 'crashed'));
+      [...activeAttempts].forEach((attempt) => endAttempt(attempt, 'crashed'));
       byId.clear();
       lastFinished = undefined;
     },
-    records: () => recorded.map(recordOf),
+    records: () => retainedAttempts.map(toAttemptRecord),
   };
 }
--- a/src/standins/faults.ts
+++ b/src/standins/faults.ts
@@ -1,38 +1,39 @@
 /**
- * Faults that a stand-in brings about, as bodies of `POST /_control/faults`. Faults with a rate hit
- * a share of the requests, drawn from the seed of the stand-in; each stays until `clear`.
+ * Faults that a stand-in can inject: the bodies of `POST /_control/faults`. Faults with a `rate`
+ * affect that fraction of the requests, chosen by the seeded generator of the stand-in. A fault
+ * stays active until `clear`, except for single events such as `crash`.
  */
 import * as z from 'zod';
 
 const rate = z.number().min(0).max(1);
 const restartAfterMs = z.number().min(0).default(1_000);
 
-/** Cuts all connections, forgets all state and starts again after a time. */
+/** Resets all connections, discards the state and listens again after `restartAfterMs`. */
 const crash = z.strictObject({ kind: z.literal('crash'), restartAfterMs });
-/** Accepts connections and requests, but does no work and answers nothing. */
+/** Accepts connections and requests, but processes and answers none. */
 const hang = z.strictObject({ kind: z.literal('hang') });
-/** Leaves the connections of this moment open without a byte in either direction; new ones work. */
+/** Keeps the current connections open without passing any bytes; new connections work. */
 const silent = z.strictObject({ kind: z.literal('silent') });
-/** Ends all faults. */
+/** Removes all faults. */
 const clear = z.strictObject({ kind: z.literal('clear') });
-/** Crashes whenever a request whose text contains the marker is run. */
+/** Crashes whenever a request that contains the marker is executed. */
 const poison = z.strictObject({
   kind: z.literal('poison'),
   marker: z.string().min(1),
   restartAfterMs,
 });
-/** Multiplies the time that work takes. */
+/** Multiplies processing times by `factor`. */
 const slow = z.strictObject({ kind: z.literal('slow'), factor: z.number().positive() });
 
-/** Sends the answer of another request under its id, from the head on or from mid-stream on. */
+/** Sends the answer to another request, with that request's id, from the start or from mid-stream. */
 const crossed = z.strictObject({
   kind: z.literal('crossed'),
   rate,
   at: z.enum(['head', 'middle']).default('head'),
 });
-/** Holds answers back. */
+/** Delays answers. */
 const late = z.strictObject({ kind: z.literal('late'), rate, delayMs: z.number().min(0) });
-/** Ends streams before their end mark: by a reset, or as if they were complete. */
+/** Ends streams before their end marker: by a connection reset or by a regular close. */
 const cut = z.strictObject({
   kind: z.literal('cut'),
   rate,
@@ -53,9 +54,9 @@
 export type EngineFault = z.input<typeof engineFaultSchema>;
 export type ParsedEngineFault = z.output<typeof engineFaultSchema>;
 
-/** Executes the call, then cuts the connection. */
+/** Executes the call, then resets the connection instead of answering. */
 const lostReply = z.strictObject({ kind: z.literal('lost-reply'), rate });
-/** Refuses calls before they are executed. */
+/** Rejects calls with `status` without executing them. */
 const refuse = z.strictObject({
   kind: z.literal('refuse'),
   rate,
@@ -84,15 +85,15 @@
 export const platformFaultSchema = z.discriminatedUnion('kind', [
   silent,
   clear,
-  /** Answers nothing, or 503, for the named parts. */
+  /** Answers calls to the given parts with 503, or not at all. */
   z.strictObject({
     kind: z.literal('outage'),
     mode: z.enum(['refuse', 'hang']).default('refuse'),
     parts,
   }),
-  /** Appends take effect, but their replies are lost. */
+  /** Executes appends, but drops their replies. */
   z.strictObject({ kind: z.literal('lost-reply'), rate }),
-  /** Adds a delay to each call. */
+  /** Delays each call to the given parts. */
   z.strictObject({ kind: z.literal('slow'), delayMs: z.number().min(0), parts }),
 ]);
 export type PlatformFault = z.input<typeof platformFaultSchema>;
--- a/src/standins/http.ts
+++ b/src/standins/http.ts
@@ -1,8 +1,8 @@
 /**
- * Listening side shared by the stand-ins: an `h3` application on a Node.js server whose connections
- * can be cut or fall silent, which can hold all requests, and which can stop listening and later
- * listen again on the same port, as a process does that crashed and was restarted. Requests to
- * control paths are not subject to these faults.
+ * HTTP server shared by the stand-ins: an `h3` application on a Node.js server with injectable
+ * faults. Connections can be reset or silenced, requests can be held, and the server can stop
+ * listening and later listen again on the same port, as after a process crash and restart. Requests
+ * to control paths are not subject to these faults.
  */
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
@@ -19,15 +19,15 @@
 import type { Millis } from '../core/clock.js';
 
 const LOOPBACK = '127.0.0.1';
-/** Time between attempts to listen again on a port that is taken. */
-const REOPEN_INTERVAL_MS: Millis = 100;
+/** Interval between attempts to listen again while the port is in use. */
+const LISTEN_RETRY_INTERVAL_MS: Millis = 100;
 const CONTROL_PREFIX = '/_control/';
 
-/** Where a stand-in listens. */
+/** Address on which a stand-in listens. */
 export interface ListenOptions {
-  /** IP number; the loopback interface by default. */
+  /** IP address; the loopback address by default. */
   readonly host?: string;
-  /** TCP port; 0, the default, lets the system choose. */
+  /** TCP port; with 0, the default, the operating system selects a free port. */
   readonly port?: number;
 }
 
@@ -37,26 +37,26 @@
   readonly port: number;
   /** Stops listening and resets every open connection. */
   close: () => Promise<void>;
-  /** Closes, and listens again on the same port after a time. */
+  /** Closes the server, and listens again on the same port after `restartAfterMs`. */
   crash: (restartAfterMs: Millis) => void;
   isListening: () => boolean;
-  /** Holds requests unanswered until `release`. */
-  hold: () => void;
-  release: () => void;
-  /** From now on no byte passes on the connections open at this moment. */
-  silence: () => void;
-  isSilent: (socket: Socket | null) => boolean;
+  /** Defers the processing of requests until `releaseRequests` is called. */
+  holdRequests: () => void;
+  releaseRequests: () => void;
+  /** Stops all traffic on the currently open connections without closing them. */
+  silenceConnections: () => void;
+  isSilenced: (socket: Socket | null) => boolean;
 }
 
-/** Serves `app` over HTTP/1.1. Rejects if the port is taken. */
+/** Serves `app` over HTTP/1.1. Rejects if the port is in use. */
 export async function listen(app: H3, options: ListenOptions = {}): Promise<HttpServer> {
   const host = options.host ?? LOOPBACK;
-  const sockets = new Set<Socket>();
+  const openSockets = new Set<Socket>();
   const controlSockets = new WeakSet<Socket>();
-  const silent = new WeakSet<Socket>();
+  const silencedSockets = new WeakSet<Socket>();
   const handler = toNodeHandler(app);
-  let held: (() => void)[] | undefined;
-  let restart: NodeJS.Timeout | undefined;
+  let heldRequests: (() => void)[] | undefined;
+  let restartTimer: NodeJS.Timeout | undefined;
 
   function handle(req: IncomingMessage, res: ServerResponse): void {
     void handler(req, res);
@@ -66,10 +66,10 @@
     if (req.url?.startsWith(CONTROL_PREFIX) === true) {
       controlSockets.add(req.socket);
       handle(req, res);
-    } else if (silent.has(req.socket)) {
+    } else if (silencedSockets.has(req.socket)) {
       req.resume();
-    } else if (held !== undefined) {
-      held.push(() => handle(req, res));
+    } else if (heldRequests !== undefined) {
+      heldRequests.push(() => handle(req, res));
     } else {
       handle(req, res);
     }
@@ -78,11 +78,11 @@
   server.requestTimeout = 0;
   server.on('connection', (socket) => {
     socket.setNoDelay(true);
-    sockets.add(socket);
-    socket.once('close', () => sockets.delete(socket));
+    openSockets.add(socket);
+    socket.once('close', () => openSockets.delete(socket));
   });
 
-  const open = async (port: number) =>
+  const listenOn = async (port: number) =>
     new Promise<void>((resolve, reject) => {
       server.once('error', reject);
       server.listen(port, host, () => {
@@ -90,24 +90,24 @@
         resolve();
       });
     });
-  await open(options.port ?? 0);
+  await listenOn(options.port ?? 0);
   const { port } = server.address() as AddressInfo;
 
-  const shutDown = async (isCut: (socket: Socket) => boolean) =>
+  const closeServer = async (shouldReset: (socket: Socket) => boolean) =>
     new Promise<void>((resolve) => {
       server.close(() => resolve());
-      [...sockets].filter(isCut).forEach((socket) => socket.resetAndDestroy());
+      [...openSockets].filter(shouldReset).forEach((socket) => socket.resetAndDestroy());
     });
 
-  function reopen(): void {
-    open(port).catch(() => {
-      restart = setTimeout(reopen, REOPEN_INTERVAL_MS);
+  function listenAgain(): void {
+    listenOn(port).catch(() => {
+      restartTimer = setTimeout(listenAgain, LISTEN_RETRY_INTERVAL_MS);
     });
   }
 
-  function release(): void {
-    const requests = held ?? [];
-    held = undefined;
+  function releaseRequests(): void {
+    const requests = heldRequests ?? [];
+    heldRequests = undefined;
     requests.forEach((resume) => resume());
   }
 
@@ -116,37 +116,37 @@
     port,
     isListening: () => server.listening,
     close: async () => {
-      clearTimeout(restart);
-      held = undefined;
-      await shutDown(() => true);
+      clearTimeout(restartTimer);
+      heldRequests = undefined;
+      await closeServer(() => true);
     },
     crash: (restartAfterMs) => {
       if (!server.listening) return;
-      if (held !== undefined) held = [];
-      // The request that asked for the crash is still answered.
-      void shutDown((socket) => !controlSockets.has(socket));
-      restart = setTimeout(reopen, restartAfterMs);
+      if (heldRequests !== undefined) heldRequests = [];
+      // Connections with control requests stay open, so that the request for the crash is answered.
+      void closeServer((socket) => !controlSockets.has(socket));
+      restartTimer = setTimeout(listenAgain, restartAfterMs);
     },
-    hold: () => {
-      held ??= [];
+    holdRequests: () => {
+      heldRequests ??= [];
     },
-    release,
-    silence: () => {
-      sockets.forEach((socket) => {
-        if (controlSockets.has(socket) || silent.has(socket)) return;
-        silent.add(socket);
-        // Written bytes stay in the buffer; the HTTP server would uncork at the end of a response.
+    releaseRequests,
+    silenceConnections: () => {
+      openSockets.forEach((socket) => {
+        if (controlSockets.has(socket) || silencedSockets.has(socket)) return;
+        silencedSockets.add(socket);
+        // Keeps written bytes in the buffer: the HTTP server would uncork at the end of a response.
         socket.cork();
         socket.uncork = () => {};
       });
     },
-    isSilent: (socket) => socket !== null && silent.has(socket),
+    isSilenced: (socket) => socket !== null && silencedSockets.has(socket),
   };
 }
 
 /**
- * Wraps a handler that writes to the Node.js response itself, now or later. The route counts as
- * handled until the response is closed.
+ * Wraps a handler that writes to the Node.js response directly, possibly after it has returned. The
+ * route is pending until the response is closed.
  */
 export function nodeRoute(
   handler: (req: IncomingMessage, res: ServerResponse) => void | Promise<void>,
@@ -160,14 +160,14 @@
   });
 }
 
-/** Reads a whole request body. Rejects if the caller disconnects before its end. */
-export async function readBytes(req: IncomingMessage): Promise<Buffer> {
-  const parts: Buffer[] = [];
-  for await (const part of req) parts.push(part as Buffer);
-  return Buffer.concat(parts);
+/** Reads the complete request body. Rejects if the caller disconnects before its end. */
+export async function readBody(req: IncomingMessage): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  for await (const part of req) chunks.push(part as Buffer);
+  return Buffer.concat(chunks);
 }
 
-/** Parses JSON and checks it; throws an `HTTPError` with status 400 if it does not fit. */
+/** Parses and validates JSON text; throws an `HTTPError` with status 400 if it is invalid. */
 export function parseJson<T>(schema: ZodType<T>, text: string): T {
   let value: unknown;
   try {
@@ -180,26 +180,26 @@
   throw new HTTPError({ status: 400, message: parsed.error.issues[0]?.message ?? 'Bad body.' });
 }
 
-/** Reads a JSON body and checks it; throws an `HTTPError` with status 400 if it does not fit. */
+/** Reads and validates a JSON body; throws an `HTTPError` with status 400 if it is invalid. */
 export async function readJson<T>(schema: ZodType<T>, event: H3Event): Promise<T> {
   return parseJson(schema, await event.req.text());
 }
 
-/** A non-negative whole number of the query; `fallback` if it is missing or something else. */
-export function queryNumber(event: H3Event, name: string, fallback: number): number {
+/** Returns a query parameter, truncated to an integer; `fallback` if missing, negative or not a number. */
+export function readQueryNumber(event: H3Event, name: string, fallback: number): number {
   const value = Number(getQuery<Record<string, string>>(event)[name] ?? fallback);
   return Number.isFinite(value) && value >= 0 ? Math.trunc(value) : fallback;
 }
 
-/** Writes a JSON answer on a Node.js response. */
+/** Writes a JSON response, unless the response is closed or its headers were sent. */
 export function sendJson(res: ServerResponse, status: number, value: unknown): void {
   if (res.destroyed || res.headersSent) return;
   res.writeHead(status, { 'content-type': 'application/json' });
   res.end(JSON.stringify(value));
 }
 
-/** First value of a request header, or `undefined`. */
-export function headerOf(req: IncomingMessage, name: string): string | undefined {
+/** Returns the first value of a request header, or `undefined`. */
+export function getHeader(req: IncomingMessage, name: string): string | undefined {
   const value = req.headers[name];
   return Array.isArray(value) ? value[0] : value;
 }
--- a/src/standins/index.ts
+++ b/src/standins/index.ts
@@ -1,4 +1,4 @@
-/** Stand-ins for what primroseswitch talks to: model engines, plain services and the platform. */
+/** Simulators of the systems that primroseswitch talks to: model engines, plain services, the platform. */
 export type { AttemptOutcome, AttemptRecord } from './attempts.js';
 export * from './content.js';
 export * from './engine.js';
@@ -7,6 +7,6 @@
 export type { LoadReport } from './loadReport.js';
 export type { EngineOrder, NumberedOrder, OrderRecord } from './orders.js';
 export * from './platform.js';
-export { BLOCK_TOKENS } from './prefixCache.js';
+export { TOKENS_PER_BLOCK } from './prefixCache.js';
 export * from './service.js';
 export * from './settings.js';
--- a/src/standins/loadReport.ts
+++ b/src/standins/loadReport.ts
@@ -1,4 +1,4 @@
-/** Load reports of the model engine, which lag behind its state. */
+/** Load reports that lag behind the state they describe. */
 import type { Millis } from '../core/clock.js';
 import { MS_PER_SECOND } from '../core/clock.js';
 
@@ -6,7 +6,7 @@
 export interface LoadReport {
   /** Requests in the batch. */
   readonly running: number;
-  /** Requests that wait in the engine. */
+  /** Requests queued in the engine. */
   readonly queued: number;
   readonly slots: number;
   readonly tokensPerSecond: number;
@@ -15,17 +15,17 @@
   readonly role: string;
   readonly adapters: Readonly<Record<string, string>>;
   readonly orderNumber: number;
-  /** Changes whenever the prefix cache was lost and its events start again. */
+  /** Changes whenever the prefix cache is lost and its event numbers start over. */
   readonly cacheEpoch: number;
 }
 
-export interface LaggingReport<T> {
+export interface CachedReport<T> {
   current: () => T;
   stop: () => void;
 }
 
-/** Publishes `read()` every `lagMs`; a lag of 0 shows the state of the moment. */
-export function createLaggingReport<T>(read: () => T, lagMs: Millis): LaggingReport<T> {
+/** Refreshes the report from `read()` every `lagMs`; with a lag of 0 it is always current. */
+export function createCachedReport<T>(read: () => T, lagMs: Millis): CachedReport<T> {
   if (lagMs === 0) return { current: read, stop: () => {} };
   let published = read();
   const timer = setInterval(() => {
@@ -35,18 +35,18 @@
   return { current: () => published, stop: () => clearInterval(timer) };
 }
 
-/** Creates a meter that turns a growing count into a rate over about the last second. */
+/** Creates a meter that derives a rate per second from a growing count, updated at most once a second. */
 export function createRateMeter(count: () => number): () => number {
-  let countBefore = count();
+  let previousCount = count();
   let measuredAt = performance.now();
   let rate = 0;
   return () => {
     const now = performance.now();
     const elapsed = now - measuredAt;
     if (elapsed < MS_PER_SECOND) return rate;
-    const counted = count();
-    rate = ((counted - countBefore) * MS_PER_SECOND) / elapsed;
-    countBefore = counted;
+    const currentCount = count();
+    rate = ((currentCount - previousCount) * MS_PER_SECOND) / elapsed;
+    previousCount = currentCount;
     measuredAt = now;
     return rate;
   };
--- a/src/standins/log.ts
+++ b/src/standins/log.ts
@@ -1,6 +1,6 @@
 /**
- * One append-only stream of the platform's log: records with offsets, readers that wait for the
- * next record, and records that expire by count and by age.
+ * One append-only stream of the platform's log, with record offsets, long-polling reads, and
+ * retention by count and by age.
  */
 import type { Millis } from '../core/clock.js';
 
@@ -9,25 +9,25 @@
   readonly data: string;
 }
 
-/** What a read gives. */
+/** Result of a read; `expired` if the requested offset is no longer retained. */
 export type ReadResult =
   | { readonly kind: 'records'; readonly records: readonly LogRecord[]; readonly next: number }
   | { readonly kind: 'expired'; readonly oldest: number };
 
 export interface LogStreamOptions {
-  /** Records kept at most. */
+  /** Maximum number of retained records. */
   readonly retentionRecords: number;
-  /** Age at which a record expires. */
+  /** Maximum age of a retained record. */
   readonly retentionMs: Millis;
   readonly now: () => Millis;
 }
 
 export interface LogStream {
-  /** Appends records and returns the offset of the first. */
+  /** Appends records and returns the offset of the first one. */
   append: (records: readonly string[]) => number;
-  /** Reads from `from`; waits up to `waitMs` if there is nothing yet. */
+  /** Reads up to `limit` records from offset `from`; waits up to `waitMs` if there are none yet. */
   read: (from: number, limit: number, waitMs: Millis) => Promise<ReadResult>;
-  /** Wakes all waiting readers. */
+  /** Wakes all waiting readers without a new record. */
   wake: () => void;
 }
 
@@ -38,36 +38,36 @@
 
 /** Creates an empty stream. */
 export function createLogStream(options: LogStreamOptions): LogStream {
-  const waiting = new Set<() => void>();
+  const waitingReaders = new Set<() => void>();
   let records: StoredRecord[] = [];
   let oldest = 0;
 
-  function expire(): void {
-    const limit = options.now() - options.retentionMs;
-    const firstFresh = records.findIndex(({ appendedAt }) => appendedAt >= limit);
-    const aged = firstFresh < 0 ? records.length : firstFresh;
-    const expired = Math.max(aged, records.length - options.retentionRecords);
-    if (expired <= 0) return;
-    records = records.slice(expired);
-    oldest += expired;
+  function removeExpired(): void {
+    const minAppendedAt = options.now() - options.retentionMs;
+    const firstRetained = records.findIndex(({ appendedAt }) => appendedAt >= minAppendedAt);
+    const expiredByAge = firstRetained < 0 ? records.length : firstRetained;
+    const expiredCount = Math.max(expiredByAge, records.length - options.retentionRecords);
+    if (expiredCount <= 0) return;
+    records = records.slice(expiredCount);
+    oldest += expiredCount;
   }
 
   function wake(): void {
-    waiting.forEach((resume) => resume());
-    waiting.clear();
+    waitingReaders.forEach((resume) => resume());
+    waitingReaders.clear();
   }
 
   const waitForAppend = async (waitMs: Millis) =>
     new Promise<void>((resolve) => {
-      waiting.add(resolve);
+      waitingReaders.add(resolve);
       setTimeout(() => {
-        waiting.delete(resolve);
+        waitingReaders.delete(resolve);
         resolve();
       }, waitMs).unref();
     });
 
   function readNow(from: number, limit: number): ReadResult {
-    expire();
+    removeExpired();
     if (from < oldest) return { kind: 'expired', oldest };
     const found = records
       .slice(from - oldest, from - oldest + limit)
@@ -80,7 +80,7 @@
       const first = oldest + records.length;
       const appendedAt = options.now();
       added.forEach((data) => records.push({ data, appendedAt }));
-      expire();
+      removeExpired();
       wake();
       return first;
     },
--- a/src/standins/orders.ts
+++ b/src/standins/orders.ts
@@ -1,6 +1,6 @@
 /**
- * Orders to a model engine: which model, adapters and role it has. Engines that check the number of
- * an order refuse one that is older than the last accepted; others take any order.
+ * Orders that set the model, adapters and role of a model engine. An engine that checks order
+ * numbers rejects an order with a number lower than the last accepted one; others accept any order.
  */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { request } from 'undici';
@@ -21,7 +21,7 @@
 export type EngineOrder = z.infer<typeof orderSchema>;
 export type NumberedOrder = z.infer<typeof numberedOrderSchema>;
 
-/** What orders decide. */
+/** Configuration of an engine as set by orders. */
 export interface EngineAssignment {
   readonly model: string;
   readonly version: string;
@@ -31,40 +31,40 @@
   readonly orderNumber: number;
 }
 
-/** An order as it was met. */
+/** A received order and whether it was accepted. */
 export interface OrderRecord extends NumberedOrder {
   readonly accepted: boolean;
 }
 
 export interface OrdersOptions {
   readonly initial: EngineAssignment;
-  /** Whether an older number is refused. */
+  /** Whether an order with a lower number than the last accepted one is rejected. */
   readonly checksOrders: boolean;
-  /** Time to load a model or an adapter, besides the download. */
+  /** Time to load a model or an adapter, in addition to the download. */
   readonly loadMs: Millis;
-  /** Base URL of the weight store; without it nothing is downloaded. */
+  /** Base URL of the weight store; if absent, nothing is downloaded. */
   readonly weightsUrl: string | undefined;
-  /** Called when the load of a model starts or ends. */
+  /** Called when loading a model or an adapter starts, and when loading a model ends. */
   readonly onChange: () => void;
 }
 
 export interface Orders {
-  /** Takes an order; false if its number is too old. It is carried out after this returns. */
-  give: (numbered: NumberedOrder) => boolean;
+  /** Submits an order; returns false if its number is too low. Loading continues asynchronously. */
+  submit: (numbered: NumberedOrder) => boolean;
   current: () => EngineAssignment;
-  /** Whether a model is being replaced, while no request runs. */
+  /** Whether a model is being loaded; the engine processes no requests in the meantime. */
   isLoadingModel: () => boolean;
   history: () => readonly OrderRecord[];
-  /** Forgets all but the number, as a restart does. */
+  /** Restores the initial configuration but keeps the order number, as a restart does. */
   reset: () => void;
 }
 
-const MODEL_SLOT = 'model';
+const MODEL_LOAD_KEY = 'model';
 
-/** Creates the orders' state of one engine. */
+/** Creates the order handling of one engine. */
 export function createOrders(options: OrdersOptions): Orders {
   const history: OrderRecord[] = [];
-  /** The load in progress of the model and of each adapter; a newer one takes its place. */
+  /** Load in progress of the model and of each adapter; a newer load supersedes the current one. */
   const loads = new Map<string, object>();
   let assignment = options.initial;
 
@@ -77,27 +77,27 @@
     await download(path, isCurrent);
   }
 
-  /** Returns false if the load failed or was replaced by a newer one. */
-  async function load(slot: string, name: string, version: string): Promise<boolean> {
-    const mine = {};
-    const isCurrent = () => loads.get(slot) === mine;
-    loads.set(slot, mine);
+  /** Resolves to false if the load failed or was superseded by a newer one. */
+  async function load(loadKey: string, name: string, version: string): Promise<boolean> {
+    const currentLoad = {};
+    const isCurrent = () => loads.get(loadKey) === currentLoad;
+    loads.set(loadKey, currentLoad);
     options.onChange();
     try {
       await download(`${name}/${version}`, isCurrent);
       await sleep(options.loadMs);
     } catch {
-      // The weight store can't be reached: the engine keeps what it has.
-      if (isCurrent()) loads.delete(slot);
+      // The weight store is unreachable: the engine keeps its current weights.
+      if (isCurrent()) loads.delete(loadKey);
       return false;
     }
     if (!isCurrent()) return false;
-    loads.delete(slot);
+    loads.delete(loadKey);
     return true;
   }
 
   async function loadModel(model: string, version: string): Promise<void> {
-    if (await load(MODEL_SLOT, model, version)) assignment = { ...assignment, model, version };
+    if (await load(MODEL_LOAD_KEY, model, version)) assignment = { ...assignment, model, version };
     options.onChange();
   }
 
@@ -106,23 +106,23 @@
     assignment = { ...assignment, adapters: { ...assignment.adapters, [adapter]: version } };
   }
 
-  function carryOut(order: EngineOrder): void {
+  function executeOrder(order: EngineOrder): void {
     if (order.kind === 'load-model') void loadModel(order.model, order.version);
     else if (order.kind === 'load-adapter') void loadAdapter(order.adapter, order.version);
     else assignment = { ...assignment, role: order.role };
   }
 
   return {
-    give: (numbered) => {
+    submit: (numbered) => {
       const accepted = !options.checksOrders || numbered.number >= assignment.orderNumber;
       history.push({ ...numbered, accepted });
       if (!accepted) return false;
       assignment = { ...assignment, orderNumber: numbered.number };
-      carryOut(numbered.order);
+      executeOrder(numbered.order);
       return true;
     },
     current: () => assignment,
-    isLoadingModel: () => loads.has(MODEL_SLOT),
+    isLoadingModel: () => loads.has(MODEL_LOAD_KEY),
     history: () => history,
     reset: () => {
       loads.clear();
--- a/src/standins/output.ts
+++ b/src/standins/output.ts
@@ -1,11 +1,11 @@
 /**
- * The answer of the model engine on one connection: server-sent events or one JSON body. The head
- * is sent with the first token, under the request id of the attempt that is written to it.
+ * Writer for a completion response of the model engine: server-sent events or one JSON body. The
+ * headers are sent with the first write and carry the request id of the attempt that writes it.
  */
 import type { ServerResponse } from 'node:http';
 import type { Millis } from '../core/clock.js';
 
-/** How an answer ended. */
+/** Value of `finish_reason`. */
 export type FinishReason = 'length' | 'cancelled';
 
 export interface Usage {
@@ -18,51 +18,51 @@
 export interface OutputOptions {
   readonly res: ServerResponse;
   readonly stream: boolean;
-  /** Format of `/v1/chat/completions`, else that of `/v1/completions`. */
+  /** Whether to use the format of `/v1/chat/completions` instead of `/v1/completions`. */
   readonly chat: boolean;
   readonly model: string;
-  /** False for engines that do not return the request id. */
+  /** Whether the response carries the request id in `X-Request-Id`; some engines omit it. */
   readonly echoesRequestId: boolean;
 }
 
-/** Writer of one answer. */
+/** Writer for one response. */
 export interface Output {
   token: (id: string, text: string) => void;
   finish: (id: string, reason: FinishReason, usage: Usage) => void;
-  /** Keeps all that is written for a time before it is sent. */
-  delay: (span: Millis) => void;
-  /** Ends the answer early: with a reset, or as if it were complete. */
+  /** Buffers all writes for the given time before they are sent. */
+  bufferFor: (duration: Millis) => void;
+  /** Ends the response early, by a connection reset or by a regular end of the body. */
   cut: (ending: 'reset' | 'close') => void;
 }
 
-/** Creates the writer of the answer on `res`. */
+/** Creates a writer for the response `res`. */
 export function createOutput(options: OutputOptions): Output {
   const { res, stream, chat, model } = options;
   const object = chat ? 'chat.completion' : 'text_completion';
-  const texts: string[] = [];
-  let delayed: (() => void)[] | undefined;
+  const tokens: string[] = [];
+  let bufferedWrites: (() => void)[] | undefined;
 
   const isOpen = () => !res.destroyed && !res.writableEnded;
 
   function send(write: () => void): void {
-    if (delayed !== undefined) delayed.push(write);
+    if (bufferedWrites !== undefined) bufferedWrites.push(write);
     else if (isOpen()) write();
   }
 
-  function release(): void {
-    const writes = delayed ?? [];
-    delayed = undefined;
+  function flush(): void {
+    const writes = bufferedWrites ?? [];
+    bufferedWrites = undefined;
     writes.forEach(send);
   }
 
-  function sendHead(id: string, type: string): void {
+  function sendHeaders(id: string, type: string): void {
     if (res.headersSent) return;
     const idHeader = options.echoesRequestId ? { 'x-request-id': id } : {};
     res.writeHead(200, { 'content-type': type, ...idHeader });
   }
 
   function sendEvent(id: string, choice: object, extra: object = {}): void {
-    sendHead(id, 'text/event-stream');
+    sendHeaders(id, 'text/event-stream');
     const chunk = { id, object: chat ? `${object}.chunk` : object, model, choices: [choice] };
     res.write(`data: ${JSON.stringify({ ...chunk, ...extra })}\n\n`);
   }
@@ -72,15 +72,15 @@
     return { index: 0, ...content, finish_reason: reason };
   }
 
-  function sendWhole(id: string, reason: FinishReason, usage: Usage): void {
-    const text = texts.join('');
+  function sendCompletion(id: string, reason: FinishReason, usage: Usage): void {
+    const text = tokens.join('');
     const content = chat ? { message: { role: 'assistant', content: text } } : { text };
     const choices = [{ index: 0, ...content, finish_reason: reason }];
-    sendHead(id, 'application/json');
+    sendHeaders(id, 'application/json');
     res.end(JSON.stringify({ id, object, model, choices, usage }));
   }
 
-  function sendEnd(id: string, reason: FinishReason, usage: Usage): void {
+  function sendStreamEnd(id: string, reason: FinishReason, usage: Usage): void {
     sendEvent(id, streamChoice('', reason), { usage });
     res.end('data: [DONE]\n\n');
   }
@@ -88,14 +88,14 @@
   return {
     token: (id, text) => {
       if (stream) send(() => sendEvent(id, streamChoice(text, null)));
-      else texts.push(text);
+      else tokens.push(text);
     },
     finish: (id, reason, usage) => {
-      send(() => (stream ? sendEnd : sendWhole)(id, reason, usage));
+      send(() => (stream ? sendStreamEnd : sendCompletion)(id, reason, usage));
     },
-    delay: (span) => {
-      delayed ??= [];
-      setTimeout(release, span).unref();
+    bufferFor: (span) => {
+      bufferedWrites ??= [];
+      setTimeout(flush, span).unref();
     },
     cut: (ending) => {
       if (ending === 'reset' || !res.headersSent) res.socket?.resetAndDestroy();
--- a/src/standins/platform.ts
+++ b/src/standins/platform.ts
@@ -1,6 +1,6 @@
 /**
  * Stand-in for the platform: the append-only log, the list of instances and the store of model
- * weights, over HTTP, with their limits, lags and outages.
+ * weights, over HTTP, with rate limits, propagation delays and outages.
  */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { getRouterParam, H3, type H3Event } from 'h3';
@@ -14,7 +14,7 @@
   type PlatformFault,
   type PlatformPart,
 } from './faults.js';
-import { listen, queryNumber, readJson, type ListenOptions } from './http.js';
+import { listen, readQueryNumber, readJson, type ListenOptions } from './http.js';
 import { createLogStream, type LogStream } from './log.js';
 import { createRateLimit, type RateLimit } from './rateLimit.js';
 
@@ -23,17 +23,17 @@
 
 export interface PlatformOptions extends ListenOptions {
   readonly seed?: number;
-  /** Appends to all streams together in a second. */
+  /** Maximum rate of appends, over all streams together. */
   readonly appendsPerSecond?: number;
-  /** Records that a stream keeps at most. */
+  /** Maximum number of records that a stream retains. */
   readonly retentionRecords?: number;
-  /** Age at which a record expires. */
+  /** Maximum age of a retained record. */
   readonly retentionMs?: Millis;
-  /** Time after which a change of the instance list is seen. */
+  /** Delay before a change of the instance list becomes visible. */
   readonly listLagMs?: Millis;
-  /** Downloads of weights that may start in a second. */
+  /** Maximum rate of weight downloads. */
   readonly weightsPerSecond?: number;
-  /** Size of the weights of a model. */
+  /** Size of each weight download in bytes. */
   readonly weightBytes?: number;
 }
 
@@ -61,7 +61,7 @@
 /** An entry of the instance list. */
 export type ListedInstance = z.input<typeof instanceSchema>;
 
-/** Calls that took effect, from `GET /_control/stats`. */
+/** Call counters from `GET /_control/stats`. */
 export interface PlatformStats {
   readonly appends: number;
   readonly appendedRecords: number;
@@ -80,14 +80,14 @@
   stop: () => Promise<void>;
 }
 
-/** Starts a platform. Rejects if the port is taken. */
+/** Starts a platform. Rejects if the port is in use. */
 export async function createPlatformStandin(
   options: PlatformOptions = {},
 ): Promise<PlatformStandin> {
   const cfg = { ...DEFAULTS, ...options };
   const app = new H3({ silent: true });
   const server = await listen(app, options);
-  const faults = createPlatformFaults(cfg.seed, server.silence);
+  const faults = createPlatformFaults(cfg.seed, server.silenceConnections);
   const list = createInstanceList(cfg.listLagMs);
   const streams = new Map<string, LogStream>();
   const stats = {
@@ -102,7 +102,7 @@
   const appendLimit = createRateLimit(cfg.appendsPerSecond, cfg.appendsPerSecond, now);
   const weightLimit = createRateLimit(cfg.weightsPerSecond, 1, now);
 
-  function streamOf(event: H3Event): LogStream {
+  function getStream(event: H3Event): LogStream {
     const name = getRouterParam(event, 'name') ?? '';
     const existing = streams.get(name);
     if (existing !== undefined) return existing;
@@ -117,29 +117,29 @@
     return { error };
   }
 
-  /** Answers 429 if the limit is reached; otherwise returns `undefined`. */
-  function refuseOver(limit: RateLimit, event: H3Event): object | undefined {
+  /** Responds with 429 if the rate limit is exceeded; otherwise returns `undefined`. */
+  function refuseIfLimited(limit: RateLimit, event: H3Event): object | undefined {
     const waitMs = limit.take();
     if (waitMs === 0) return undefined;
     event.res.headers.set('retry-after', String(Math.ceil(waitMs / MS_PER_SECOND)));
     return refuse(event, 429, 'rate');
   }
 
-  /** Subjects a route to the outages and delays of a part of the platform. */
-  const during =
+  /** Wraps a route so that the outages and delays of a part of the platform apply to it. */
+  const withFaults =
     (part: PlatformPart, route: (event: H3Event) => unknown) => async (event: H3Event) => {
-      const isUp = await faults.pass(part);
-      return isUp ? route(event) : refuse(event, 503, 'outage');
+      const isAvailable = await faults.applyFaults(part);
+      return isAvailable ? route(event) : refuse(event, 503, 'outage');
     };
 
   async function append(event: H3Event): Promise<unknown> {
     const { records } = await readJson(appendSchema, event);
-    const refusal = refuseOver(appendLimit, event);
+    const refusal = refuseIfLimited(appendLimit, event);
     if (refusal !== undefined) return refusal;
-    const offset = streamOf(event).append(records);
+    const offset = getStream(event).append(records);
     stats.appends += 1;
     stats.appendedRecords += records.length;
-    if (faults.losesReply()) {
+    if (faults.shouldLoseReply()) {
       stats.lostReplies += 1;
       event.runtime?.node?.res?.socket?.destroy();
     }
@@ -147,10 +147,10 @@
   }
 
   async function read(event: H3Event): Promise<unknown> {
-    const from = queryNumber(event, 'from', 0);
-    const limit = queryNumber(event, 'limit', DEFAULT_READ_LIMIT);
-    const waitMs = Math.min(queryNumber(event, 'waitMs', 0), MAX_WAIT_MS);
-    const result = await streamOf(event).read(from, limit, waitMs);
+    const from = readQueryNumber(event, 'from', 0);
+    const limit = readQueryNumber(event, 'limit', DEFAULT_READ_LIMIT);
+    const waitMs = Math.min(readQueryNumber(event, 'waitMs', 0), MAX_WAIT_MS);
+    const result = await getStream(event).read(from, limit, waitMs);
     stats.reads += 1;
     if (result.kind === 'records') return { records: result.records, next: result.next };
     event.res.status = 410;
@@ -158,20 +158,20 @@
   }
 
   function download(event: H3Event): unknown {
-    const refusal = refuseOver(weightLimit, event);
+    const refusal = refuseIfLimited(weightLimit, event);
     if (refusal !== undefined) return refusal;
     stats.downloads += 1;
     event.res.headers.set('content-type', 'application/octet-stream');
     return new Uint8Array(cfg.weightBytes);
   }
 
-  app.post('/streams/:name/records', during('log', append));
-  app.get('/streams/:name/records', during('log', read));
+  app.post('/streams/:name/records', withFaults('log', append));
+  app.get('/streams/:name/records', withFaults('log', read));
   app.get(
     '/instances',
-    during('list', () => ({ instances: list.read() })),
+    withFaults('list', () => ({ instances: list.readVisible() })),
   );
-  app.get('/weights/:model/:version', during('weights', download));
+  app.get('/weights/:model/:version', withFaults('weights', download));
   app.put('/_control/instances', async (event) => {
     list.set((await readJson(instancesSchema, event)).instances);
     return { done: true };
@@ -198,8 +198,8 @@
 
 interface InstanceList {
   set: (instances: readonly ListedInstance[]) => void;
-  /** The list as it was before the lag. */
-  read: () => readonly ListedInstance[];
+  /** Returns the visible list, which lags behind `set`. */
+  readVisible: () => readonly ListedInstance[];
 }
 
 function createInstanceList(lagMs: Millis): InstanceList {
@@ -214,43 +214,43 @@
         visible = instances;
       }, lagMs).unref();
     },
-    read: () => visible,
+    readVisible: () => visible,
   };
 }
 
 interface PlatformFaults {
   set: (fault: PlatformFault) => void;
-  /** Waits as the faults demand; false if the part is to refuse the call. */
-  pass: (part: PlatformPart) => Promise<boolean>;
-  losesReply: () => boolean;
+  /** Applies delays and outages; resolves to false if the call must be refused. */
+  applyFaults: (part: PlatformPart) => Promise<boolean>;
+  shouldLoseReply: () => boolean;
 }
 
-type LastingFault = Exclude<ParsedPlatformFault, { kind: 'silent' | 'clear' }>;
+type PersistentFault = Exclude<ParsedPlatformFault, { kind: 'silent' | 'clear' }>;
 
-function createPlatformFaults(seed: number, silence: () => void): PlatformFaults {
+function createPlatformFaults(seed: number, silenceConnections: () => void): PlatformFaults {
   const random = createRandom(seed);
-  const held = new Set<() => void>();
-  let faults: { [K in LastingFault['kind']]?: Extract<LastingFault, { kind: K }> } = {};
+  const heldCalls = new Set<() => void>();
+  let faults: { [K in PersistentFault['kind']]?: Extract<PersistentFault, { kind: K }> } = {};
 
   function clear(): void {
     faults = {};
-    held.forEach((resume) => resume());
-    held.clear();
+    heldCalls.forEach((resume) => resume());
+    heldCalls.clear();
   }
 
   const waitForClear = async () =>
     new Promise<void>((resolve) => {
-      held.add(resolve);
+      heldCalls.add(resolve);
     });
 
   return {
     set: (input) => {
       const fault = platformFaultSchema.parse(input);
       if (fault.kind === 'clear') clear();
-      else if (fault.kind === 'silent') silence();
+      else if (fault.kind === 'silent') silenceConnections();
       else faults = { ...faults, [fault.kind]: fault };
     },
-    pass: async (part) => {
+    applyFaults: async (part) => {
       const { outage, slow } = faults;
       if (slow?.parts.includes(part) === true) await sleep(slow.delayMs);
       if (outage?.parts.includes(part) !== true) return true;
@@ -258,6 +258,6 @@
       await waitForClear();
       return true;
     },
-    losesReply: () => random.next() < (faults['lost-reply']?.rate ?? 0),
+    shouldLoseReply: () => random.next() < (faults['lost-reply']?.rate ?? 0),
   };
 }
--- a/src/standins/prefixCache.ts
+++ b/src/standins/prefixCache.ts
@@ -1,40 +1,39 @@
 /**
- * Prefix cache of the model engine: prompts are cut into blocks, a block is named by the hash of the
- * whole prefix up to its end, as instances name it, and the least recently used block is evicted
- * when the memory is full.
+ * LRU cache of prompt prefixes in a model engine. Prompts are split into fixed-size blocks; a block
+ * is identified by the hash of the entire prefix up to its end, in the same way as on instances.
  */
 import { PREFIX_BLOCK_CHARS, prefixBlocksOf } from '../hosts/callerRequest.js';
 import { CHARS_PER_TOKEN } from './content.js';
 
-/** Tokens in a block. */
-export const BLOCK_TOKENS = PREFIX_BLOCK_CHARS / CHARS_PER_TOKEN;
+/** Number of tokens in a block. */
+export const TOKENS_PER_BLOCK = PREFIX_BLOCK_CHARS / CHARS_PER_TOKEN;
 
 /** A change of the cache. */
 export interface CacheChange {
   readonly kind: 'stored' | 'evicted';
-  /** Name of the block. */
+  /** Hash that identifies the block. */
   readonly block: string;
 }
 
 export interface PrefixCacheOptions {
-  /** Blocks that fit into the memory. */
+  /** Maximum number of cached blocks. */
   readonly capacity: number;
   readonly onChange: (change: CacheChange) => void;
 }
 
 export interface PrefixCache {
-  /** Tokens at the start of the prompt that need no processing; marks their blocks as used. */
+  /** Returns the number of leading prompt tokens that are cached; marks their blocks as used. */
   match: (prompt: string) => number;
-  /** Keeps the full blocks of a processed prompt. */
+  /** Caches the full blocks of a processed prompt. */
   store: (prompt: string) => void;
   size: () => number;
-  /** Forgets everything without an event, as a restart does. */
+  /** Removes all blocks without events, as a restart does. */
   clear: () => void;
 }
 
 /** Creates an empty cache. */
 export function createPrefixCache(options: PrefixCacheOptions): PrefixCache {
-  /** Blocks from the least to the most recently used. */
+  /** Block hashes, from the least to the most recently used. */
   const blocks = new Set<string>();
 
   function touch(block: string): void {
@@ -42,7 +41,7 @@
     blocks.add(block);
   }
 
-  function evictOver(capacity: number): void {
+  function evictDownTo(capacity: number): void {
     for (const block of blocks) {
       if (blocks.size <= capacity) return;
       blocks.delete(block);
@@ -56,7 +55,7 @@
       const missing = names.findIndex((block) => !blocks.has(block));
       const count = missing < 0 ? names.length : missing;
       names.slice(0, count).forEach(touch);
-      return count * BLOCK_TOKENS;
+      return count * TOKENS_PER_BLOCK;
     },
     store: (prompt) => {
       prefixBlocksOf(prompt)
@@ -66,7 +65,7 @@
           touch(block);
           if (isNew) options.onChange({ kind: 'stored', block });
         });
-      evictOver(options.capacity);
+      evictDownTo(options.capacity);
     },
     size: () => blocks.size,
     clear: () => blocks.clear(),
--- a/src/standins/rateLimit.ts
+++ b/src/standins/rateLimit.ts
@@ -1,13 +1,13 @@
-/** Limits how often something may happen, as a token bucket. */
+/** Token bucket rate limiter. */
 import type { Millis } from '../core/clock.js';
 import { MS_PER_SECOND } from '../core/clock.js';
 
 export interface RateLimit {
-  /** Takes one; returns 0, or the time until one is free. */
+  /** Takes a token and returns 0, or returns the time until the next token is available. */
   take: () => Millis;
 }
 
-/** Creates a limit of `perSecond`, of which up to `burst` may come at once. */
+/** Creates a full bucket of `burst` tokens that is refilled at `perSecond`. */
 export function createRateLimit(perSecond: number, burst: number, now: () => Millis): RateLimit {
   let tokens = burst;
   let refilledAt = now();
--- a/src/standins/service.ts
+++ b/src/standins/service.ts
@@ -1,7 +1,7 @@
 /**
- * Stand-in for a plain service: answers any path with what it was asked, and counts how often each
- * idempotency key and each request was executed, so that a test can tell a call that ran twice. The
- * counts outlive a crash. `GET /load` reports load as model engines do.
+ * Stand-in for a plain service: answers any path with a description of the request, and counts
+ * executions by idempotency key and by request, so that tests can detect a call that was executed
+ * twice. The counts survive a crash. `GET /load` reports load as model engines do.
  */
 import { createHash } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
@@ -11,30 +11,30 @@
 import { createRandom, type Random } from '../core/random.js';
 import { serviceFaultSchema, type ParsedServiceFault, type ServiceFault } from './faults.js';
 import {
-  headerOf,
+  getHeader,
   listen,
   nodeRoute,
-  readBytes,
+  readBody,
   readJson,
   sendJson,
   type HttpServer,
   type ListenOptions,
 } from './http.js';
-import { createLaggingReport } from './loadReport.js';
+import { createCachedReport } from './loadReport.js';
 
 export interface ServiceOptions extends ListenOptions {
   readonly seed?: number;
-  /** Time that a call takes. */
+  /** Processing time of a call. */
   readonly latencyMs?: Millis;
-  /** Calls executed at the same time; further ones wait. */
+  /** Maximum number of concurrent calls; further calls are queued. */
   readonly concurrency?: number;
-  /** Age that a load report reaches; 0 reports the state of the moment. */
+  /** Maximum age of a load report; with 0 it is always current. */
   readonly loadLagMs?: Millis;
 }
 
 const DEFAULTS = { seed: 1, latencyMs: 5, concurrency: 16, loadLagMs: 0 } as const;
 
-/** How often a key was executed. */
+/** Numbers of executed calls. */
 export interface ExecutionCounts {
   /** By `Idempotency-Key`. */
   readonly byKey: Readonly<Record<string, number>>;
@@ -45,10 +45,10 @@
   readonly total: number;
 }
 
-/** Use of the service since its start, from `GET /_control/stats`. */
+/** Utilization of the service since its start, from `GET /_control/stats`. */
 export interface ServiceStats {
   readonly slots: number;
-  /** Time that slots were taken, summed over the slots. */
+  /** Time during which slots were in use, summed over all slots. */
   readonly busySlotMs: Millis;
   readonly elapsedMs: Millis;
 }
@@ -63,7 +63,7 @@
   stop: () => Promise<void>;
 }
 
-/** Body of an answer. */
+/** Response body of a call: a description of the request. */
 export interface ServiceReply {
   readonly method: string;
   readonly path: string;
@@ -82,20 +82,26 @@
 >;
 type CallFaults = { [K in CallFault['kind']]?: Extract<CallFault, { kind: K }> };
 
-/** Hash of a body as the service returns it. */
+/** Returns the hash of a request body as reported in `ServiceReply.bodyHash`. */
 export function bodyHash(body: Uint8Array | string): string {
   return createHash('sha256').update(body).digest('hex');
 }
 
-/** Starts a plain service. Rejects if the port is taken. */
+/** Starts a plain service. Rejects if the port is in use. */
 export async function createServiceStandin(options: ServiceOptions = {}): Promise<ServiceStandin> {
   const cfg = { ...DEFAULTS, ...options };
   const app = new H3({ silent: true });
   const server = await listen(app, options);
   const slots = createSlots(cfg.concurrency);
-  const counts = createExecutionCounts();
-  const calls = createCalls({ ...cfg, random: createRandom(cfg.seed), server, slots, counts });
-  const report = createLaggingReport(
+  const counts = createExecutionCounter();
+  const calls = createCallHandler({
+    ...cfg,
+    random: createRandom(cfg.seed),
+    server,
+    slots,
+    counts,
+  });
+  const report = createCachedReport(
     () => ({ running: slots.running(), queued: slots.queued(), slots: cfg.concurrency }),
     cfg.loadLagMs,
   );
@@ -131,50 +137,50 @@
 }
 
 function createSlots(slots: number): Slots {
-  const waiting: (() => void)[] = [];
+  const waitingCalls: (() => void)[] = [];
   const startedAt = performance.now();
   let running = 0;
   let busySlotMs = 0;
-  let countedAt = startedAt;
+  let busyTimeUpdatedAt = startedAt;
 
-  function countBusyTime(): void {
+  function updateBusyTime(): void {
     const now = performance.now();
-    busySlotMs += running * (now - countedAt);
-    countedAt = now;
+    busySlotMs += running * (now - busyTimeUpdatedAt);
+    busyTimeUpdatedAt = now;
   }
 
   return {
     acquire: async () => {
-      countBusyTime();
+      updateBusyTime();
       if (running < slots) {
         running += 1;
         return;
       }
       await new Promise<void>((resolve) => {
-        waiting.push(resolve);
+        waitingCalls.push(resolve);
       });
     },
     release: () => {
-      countBusyTime();
-      const next = waiting.shift();
+      updateBusyTime();
+      const next = waitingCalls.shift();
       if (next === undefined) running -= 1;
       else next();
     },
     running: () => running,
-    queued: () => waiting.length,
+    queued: () => waitingCalls.length,
     stats: () => {
-      countBusyTime();
+      updateBusyTime();
       return { slots, busySlotMs, elapsedMs: performance.now() - startedAt };
     },
   };
 }
 
-interface Executions {
-  add: (req: IncomingMessage, body: Buffer) => void;
+interface ExecutionCounter {
+  count: (req: IncomingMessage, body: Buffer) => void;
   read: () => ExecutionCounts;
 }
 
-function createExecutionCounts(): Executions {
+function createExecutionCounter(): ExecutionCounter {
   const byKey = new Map<string, number>();
   const byRequest = new Map<string, number>();
   const byBody = new Map<string, number>();
@@ -183,10 +189,10 @@
     if (name !== undefined) map.set(name, (map.get(name) ?? 0) + 1);
   };
   return {
-    add: (req, body) => {
+    count: (req, body) => {
       total += 1;
-      increment(byKey, headerOf(req, 'idempotency-key'));
-      increment(byRequest, headerOf(req, 'x-request-id'));
+      increment(byKey, getHeader(req, 'idempotency-key'));
+      increment(byRequest, getHeader(req, 'x-request-id'));
       increment(byBody, bodyHash(body));
     },
     read: () => ({
@@ -198,26 +204,32 @@
   };
 }
 
-interface CallOptions {
+interface CallHandlerOptions {
   readonly latencyMs: Millis;
   readonly random: Random;
   readonly server: HttpServer;
   readonly slots: Slots;
-  readonly counts: Executions;
+  readonly counts: ExecutionCounter;
 }
 
-interface Calls {
+interface CallHandler {
   execute: (req: IncomingMessage, res: ServerResponse) => Promise<void>;
   setFault: (fault: ServiceFault) => void;
 }
 
-/** Executes calls under the faults that are set. */
-function createCalls({ latencyMs, random, server, slots, counts }: CallOptions): Calls {
+/** Creates the handler that executes calls and applies the configured faults. */
+function createCallHandler({
+  latencyMs,
+  random,
+  server,
+  slots,
+  counts,
+}: CallHandlerOptions): CallHandler {
   let faults: CallFaults = {};
   let slowdown = 1;
   let lastAnswer: Answer | undefined;
 
-  function isDrawn(fault: { readonly rate: number } | undefined): boolean {
+  function shouldInject(fault: { readonly rate: number } | undefined): boolean {
     return fault !== undefined && random.next() < fault.rate;
   }
 
@@ -228,10 +240,10 @@
         server.crash(fault.restartAfterMs);
         return;
       case 'hang':
-        server.hold();
+        server.holdRequests();
         return;
       case 'silent':
-        server.silence();
+        server.silenceConnections();
         return;
       case 'slow':
         slowdown = fault.factor;
@@ -239,7 +251,7 @@
       case 'clear':
         faults = {};
         slowdown = 1;
-        server.release();
+        server.releaseRequests();
         return;
       default:
         faults = { ...faults, [fault.kind]: fault };
@@ -247,23 +259,23 @@
   }
 
   async function run(req: IncomingMessage, body: Buffer): Promise<Answer> {
-    counts.add(req, body);
+    counts.count(req, body);
     const { poison } = faults;
     if (poison !== undefined && body.includes(poison.marker)) server.crash(poison.restartAfterMs);
     await sleep(latencyMs * slowdown);
     const { method = '', url: path = '' } = req;
     return {
-      id: headerOf(req, 'x-request-id'),
+      id: getHeader(req, 'x-request-id'),
       reply: { method, path, bodyHash: bodyHash(body) },
     };
   }
 
-  async function answer(res: ServerResponse, own: Answer): Promise<void> {
+  async function sendAnswer(res: ServerResponse, ownAnswer: Answer): Promise<void> {
     const { late, crossed } = faults;
-    if (isDrawn(late)) await sleep(late?.delayMs ?? 0);
-    const sent = isDrawn(crossed) ? (lastAnswer ?? own) : own;
-    lastAnswer = own;
-    if (isDrawn(faults['lost-reply'])) {
+    if (shouldInject(late)) await sleep(late?.delayMs ?? 0);
+    const sent = shouldInject(crossed) ? (lastAnswer ?? ownAnswer) : ownAnswer;
+    lastAnswer = ownAnswer;
+    if (shouldInject(faults['lost-reply'])) {
       res.socket?.resetAndDestroy();
       return;
     }
@@ -274,21 +286,21 @@
   return {
     setFault,
     execute: async (req, res) => {
-      const body = await readBytes(req);
+      const body = await readBody(req);
       const { refuse } = faults;
-      if (isDrawn(refuse)) {
+      if (shouldInject(refuse)) {
         sendJson(res, refuse?.status ?? 503, { executed: 'no' });
         return;
       }
       await slots.acquire();
       let own: Answer | undefined;
       try {
-        // A caller that left while its call waited is not served.
+        // The caller may have disconnected while its call was queued.
         if (!res.destroyed) own = await run(req, body);
       } finally {
         slots.release();
       }
-      if (own !== undefined) await answer(res, own);
+      if (own !== undefined) await sendAnswer(res, own);
     },
   };
 }
--- a/src/standins/settings.ts
+++ b/src/standins/settings.ts
@@ -1,5 +1,5 @@
 /**
- * Settings of a set of stand-ins as a YAML document, and the start of all that it lists.
+ * Settings of a set of stand-ins in YAML, and the function that starts all of them.
  */
 import { parse } from 'yaml';
 import * as z from 'zod';
@@ -7,52 +7,52 @@
 import { createPlatformStandin, type PlatformStandin } from './platform.js';
 import { createServiceStandin, type ServiceStandin } from './service.js';
 
-const listenShape = {
+const listenFields = {
   host: z.string().optional(),
   port: z.number().int().min(0).optional(),
   seed: z.number().int().optional(),
 };
 const text = z.string().optional();
 const flag = z.boolean().optional();
-const share = z.number().min(0).max(1).optional();
+const fraction = z.number().min(0).max(1).optional();
 const positive = z.number().positive().optional();
-const notNegative = z.number().min(0).optional();
+const nonNegative = z.number().min(0).optional();
 
 const engineSchema = z.strictObject({
-  ...listenShape,
+  ...listenFields,
   name: z.string(),
   model: text,
   version: text,
   role: text,
   batchSize: positive,
-  tokenIntervalMs: notNegative,
+  tokenIntervalMs: nonNegative,
   prefillTokensPerSecond: positive,
   echoesRequestId: flag,
-  cacheBlocks: notNegative,
-  cacheEventDelayMs: notNegative,
-  cacheEventLossRate: share,
-  loadLagMs: notNegative,
+  cacheBlocks: nonNegative,
+  cacheEventDelayMs: nonNegative,
+  cacheEventLossRate: fraction,
+  loadLagMs: nonNegative,
   checksOrders: flag,
-  modelLoadMs: notNegative,
+  modelLoadMs: nonNegative,
   weightsUrl: text,
 });
 
 const serviceSchema = z.strictObject({
-  ...listenShape,
+  ...listenFields,
   name: z.string(),
-  latencyMs: notNegative,
+  latencyMs: nonNegative,
   concurrency: positive,
-  loadLagMs: notNegative,
+  loadLagMs: nonNegative,
 });
 
 const platformSchema = z.strictObject({
-  ...listenShape,
+  ...listenFields,
   appendsPerSecond: positive,
   retentionRecords: positive,
   retentionMs: positive,
-  listLagMs: notNegative,
+  listLagMs: nonNegative,
   weightsPerSecond: positive,
-  weightBytes: notNegative,
+  weightBytes: nonNegative,
 });
 
 const standinSettingsSchema = z.strictObject({
@@ -63,7 +63,7 @@
 
 export type StandinSettings = z.infer<typeof standinSettingsSchema>;
 
-/** Running stand-ins by the names of their settings. */
+/** Running stand-ins, by their names in the settings. */
 export interface StandinSet {
   readonly engines: ReadonlyMap<string, EngineStandin>;
   readonly services: ReadonlyMap<string, ServiceStandin>;
@@ -76,10 +76,8 @@
   return standinSettingsSchema.parse(parse(yaml) ?? {});
 }
 
-/** Drops the keys without a value, so that the defaults of the factories apply. */
-function withoutUndefined<T extends object>(
-  options: T,
-): { [K in keyof T]: Exclude<T[K], undefined> } {
+/** Removes the keys whose value is `undefined`, so that the defaults of the factories apply. */
+function omitUndefined<T extends object>(options: T): { [K in keyof T]: Exclude<T[K], undefined> } {
   const entries = Object.entries(options).filter(([, value]) => value !== undefined);
   return Object.fromEntries(entries) as { [K in keyof T]: Exclude<T[K], undefined> };
 }
@@ -89,17 +87,17 @@
   start: (options: { [K in keyof O]: Exclude<O[K], undefined> }) => Promise<S>,
 ): Promise<ReadonlyMap<string, S>> {
   const started = await Promise.all(
-    list.map(async (options) => [options.name, await start(withoutUndefined(options))] as const),
+    list.map(async (options) => [options.name, await start(omitUndefined(options))] as const),
   );
   return new Map(started);
 }
 
-/** Starts all stand-ins of the settings. Rejects if a port is taken. */
+/** Starts all stand-ins of the settings. Rejects if a port is in use. */
 export async function startStandins(settings: StandinSettings): Promise<StandinSet> {
   const engines = await startAll(settings.engines, createEngineStandin);
   const services = await startAll(settings.services, createServiceStandin);
   const platform =
-    settings.platform && (await createPlatformStandin(withoutUndefined(settings.platform)));
+    settings.platform && (await createPlatformStandin(omitUndefined(settings.platform)));
   const all = [...engines.values(), ...services.values(), ...(platform ? [platform] : [])];
   return {
     engines,
--- a/test/standins/engine.test.ts
+++ b/test/standins/engine.test.ts
@@ -1,12 +1,21 @@
 import { expect } from 'chai';
 import {
-  BLOCK_TOKENS,
+  TOKENS_PER_BLOCK,
   answerText,
   createEngineStandin,
   type EngineOptions,
   type EngineStandin,
 } from '../../src/standins/index.js';
-import { ask, FAST, post, readChunks, readJson, send, textOf, until } from './helpers.js';
+import {
+  createChatBody,
+  NO_DELAY_OPTIONS,
+  postCompletion,
+  readChunks,
+  readJson,
+  send,
+  joinTokens,
+  until,
+} from './helpers.js';
 import type { Completion } from './helpers.js';
 
 const LONG = Array.from({ length: 4 * 64 }, (_, i) => `w${i % 10}x`).join(' ');
@@ -14,31 +23,35 @@
 describe('engine stand-in', () => {
   let engine: EngineStandin;
   const start = async (options: EngineOptions = {}) => {
-    engine = await createEngineStandin({ ...FAST, ...options });
+    engine = await createEngineStandin({ ...NO_DELAY_OPTIONS, ...options });
   };
   afterEach(async () => engine.stop());
 
   const answerOf = async (question: string) =>
-    readJson<Completion>(await post(engine, ask(question, false)));
+    readJson<Completion>(await postCompletion(engine, createChatBody(question, false)));
 
-  it('streams one token per event under the request id', async () => {
+  it('streams one token per event with the request id', async () => {
     await start();
-    const res = await post(engine, ask('hail nets', true), { 'x-request-id': 'r1' });
+    const res = await postCompletion(engine, createChatBody('hail nets', true), {
+      'x-request-id': 'r1',
+    });
     const chunks = await readChunks(res);
     expect(res.headers.get('x-request-id')).to.equal('r1');
     expect(new Set(chunks.map((chunk) => chunk.id))).to.deep.equal(new Set(['r1']));
     expect(chunks).to.have.length(8 + 1);
-    expect(textOf(chunks)).to.equal(answerText('hail nets', 8));
+    expect(joinTokens(chunks)).to.equal(answerText('hail nets', 8));
   });
 
   it('starts at the token named by X-Resume-From', async () => {
     await start();
-    const res = await post(engine, ask('rota', true), { 'x-resume-from': '5' });
-    expect(textOf(await readChunks(res))).to.equal(answerText('rota', 8, 5));
+    const res = await postCompletion(engine, createChatBody('rota', true), {
+      'x-resume-from': '5',
+    });
+    expect(joinTokens(await readChunks(res))).to.equal(answerText('rota', 8, 5));
     expect(engine.log().attempts[0]).to.include({ from: 5, to: 8, outcome: 'finished' });
   });
 
-  it('gives concurrent callers their own answers within the batch', async () => {
+  it('returns its own answer to each of many concurrent callers', async () => {
     await start({ batchSize: 3 });
     const questions = Array.from({ length: 40 }, (_, i) => `question ${i}`);
     const answers = await Promise.all(questions.map(answerOf));
@@ -47,16 +60,16 @@
     expect(engine.log().attempts.map(({ outcome }) => outcome)).to.include.members(['finished']);
   });
 
-  it('refuses a body that is not JSON', async () => {
+  it('rejects a body that is not JSON', async () => {
     await start();
     const res = await fetch(`${engine.url}/v1/completions`, { method: 'POST', body: '{x' });
     expect(res.status).to.equal(400);
   });
 
-  it('queues beyond the batch and frees the place of a caller that disconnects', async () => {
+  it('queues requests beyond the batch size and frees the slot of a caller that disconnects', async () => {
     await start({ batchSize: 1, tokenIntervalMs: 1 });
     const abort = new AbortController();
-    const body = JSON.stringify(ask('long', true, 1_000_000));
+    const body = JSON.stringify(createChatBody('long', true, 1_000_000));
     const url = `${engine.url}/v1/chat/completions`;
     await fetch(url, { method: 'POST', body, signal: abort.signal });
     const second = answerOf('short');
@@ -66,12 +79,12 @@
     expect(engine.log().attempts[0]?.outcome).to.equal('disconnected');
   });
 
-  it('finds cached prefixes and reports stored and evicted blocks', async () => {
+  it('reuses cached prefixes and publishes events for stored and evicted blocks', async () => {
     await start({ cacheBlocks: 4 });
     const cachedOf = async (question: string) =>
       (await answerOf(question)).usage.prompt_tokens_details.cached_tokens;
     expect(await cachedOf(LONG)).to.equal(0);
-    expect(await cachedOf(`${LONG} more`)).to.equal(4 * BLOCK_TOKENS);
+    expect(await cachedOf(`${LONG} more`)).to.equal(4 * TOKENS_PER_BLOCK);
     await cachedOf(LONG.replaceAll('w', 'v'));
     expect(await cachedOf(LONG)).to.equal(0);
     const res = await fetch(`${engine.url}/cache/events?after=0`);
@@ -81,7 +94,7 @@
     expect(next).to.equal(20);
   });
 
-  it('leaves gaps in the sequence of cache events', async () => {
+  it('omits lost cache events', async () => {
     await start({ cacheEventLossRate: 0.5, seed: 7 });
     await answerOf(`${LONG} ${LONG.replaceAll('w', 'u')}`);
     const res = await fetch(`${engine.url}/cache/events`);
@@ -91,7 +104,9 @@
 
   it('suspends, resumes and cancels a stream', async () => {
     await start({ batchSize: 1, tokenIntervalMs: 1 });
-    const res = await post(engine, ask('held', true, 400), { 'x-request-id': 'held' });
+    const res = await postCompletion(engine, createChatBody('held', true, 400), {
+      'x-request-id': 'held',
+    });
     const control = async (verb: string) =>
       (await fetch(`${engine.url}/requests/held/${verb}`, { method: 'POST' })).status;
     expect(await control('suspend')).to.equal(200);
@@ -99,25 +114,27 @@
       answerText('between', 8),
     );
     expect(await control('resume')).to.equal(200);
-    expect(textOf(await readChunks(res))).to.equal(answerText('held', 400));
+    expect(joinTokens(await readChunks(res))).to.equal(answerText('held', 400));
     expect(await control('cancel')).to.equal(404);
   });
 
-  it('takes over a prompt that another engine processed', async () => {
+  it('imports a prompt that another engine processed', async () => {
     await start();
-    const other = await createEngineStandin(FAST);
-    await (await post(other, ask(LONG, false), { 'x-request-id': 'kv' })).text();
+    const other = await createEngineStandin(NO_DELAY_OPTIONS);
+    await (
+      await postCompletion(other, createChatBody(LONG, false), { 'x-request-id': 'kv' })
+    ).text();
     const kv = await readJson<unknown>(await fetch(`${other.url}/kv/kv`));
     await other.stop();
     const url = `${engine.url}/kv/kv`;
     await fetch(url, { method: 'PUT', body: JSON.stringify(kv) });
     expect((await answerOf(LONG)).usage.prompt_tokens_details.cached_tokens).to.equal(
-      4 * BLOCK_TOKENS,
+      4 * TOKENS_PER_BLOCK,
     );
   });
 
   [true, false].forEach((checksOrders) => {
-    it(`${checksOrders ? 'refuses' : 'follows'} an older order`, async () => {
+    it(`${checksOrders ? 'rejects' : 'executes'} an order with a lower number`, async () => {
       await start({ checksOrders, modelLoadMs: 0 });
       const give = async (number: number, version: string) => {
         const order = { kind: 'load-model', model: 'rota', version };
--- a/test/standins/helpers.ts
+++ b/test/standins/helpers.ts
@@ -1,9 +1,12 @@
-/** Calls to stand-ins shared by their tests. */
+/** Helpers shared by the tests of the stand-ins. */
 import { expect } from 'chai';
 import type { EngineOptions } from '../../src/standins/index.js';
 
-/** An engine that works as fast as the event loop. */
-export const FAST: EngineOptions = { tokenIntervalMs: 0, prefillTokensPerSecond: Infinity };
+/** Options of an engine without delays between tokens or for prefill. */
+export const NO_DELAY_OPTIONS: EngineOptions = {
+  tokenIntervalMs: 0,
+  prefillTokensPerSecond: Infinity,
+};
 
 export interface Chunk {
   readonly id: string;
@@ -24,7 +27,7 @@
   return fetch(url, { method: 'POST', headers, body: JSON.stringify(body) });
 }
 
-export async function post(
+export async function postCompletion(
   engine: { readonly url: string },
   body: object,
   headers: Record<string, string> = {},
@@ -32,28 +35,28 @@
   return send(`${engine.url}/v1/chat/completions`, body, headers);
 }
 
-export const ask = (text: string, stream: boolean, maxTokens = 8): object => ({
+export const createChatBody = (text: string, stream: boolean, maxTokens = 8): object => ({
   model: 'm',
   messages: [{ role: 'user', content: text }],
   stream,
   max_tokens: maxTokens,
 });
 
-/** Events of a stream without its end mark, which must be there. */
+/** Reads the events of a stream; asserts that it ends with the `[DONE]` marker. */
 export async function readChunks(res: Response): Promise<Chunk[]> {
   const events = (await res.text()).split('\n\n').filter((event) => event !== '');
   expect(events.pop()).to.equal('data: [DONE]');
   return events.map((event) => JSON.parse(event.slice('data: '.length)) as Chunk);
 }
 
-export const textOf = (chunks: readonly Chunk[]): string =>
+export const joinTokens = (chunks: readonly Chunk[]): string =>
   chunks.map((chunk) => chunk.choices[0].delta.content ?? '').join('');
 
 export async function readJson<T>(res: Response): Promise<T> {
   return (await res.json()) as T;
 }
 
-/** Resolves once `check` holds; the test's time limit bounds the wait. */
+/** Polls until `check` returns true; only the timeout of the test bounds the wait. */
 export async function until(check: () => boolean): Promise<void> {
   if (check()) return;
   await new Promise((resolve) => {
@@ -62,8 +65,8 @@
   await until(check);
 }
 
-/** The rejection of a promise, or `undefined` if it was fulfilled. */
-export async function failureOf(promise: Promise<unknown>): Promise<unknown> {
+/** Resolves to the rejection reason of a promise, or to `undefined` if it was fulfilled. */
+export async function catchRejection(promise: Promise<unknown>): Promise<unknown> {
   return promise.then(
     () => undefined,
     (err: unknown) => err,
--- a/test/standins/platform.test.ts
+++ b/test/standins/platform.test.ts
@@ -6,7 +6,7 @@
 } from '../../src/standins/index.js';
 import { createLogStream } from '../../src/standins/log.js';
 import { createRateLimit } from '../../src/standins/rateLimit.js';
-import { failureOf, readJson, send, until } from './helpers.js';
+import { catchRejection, readJson, send, until } from './helpers.js';
 
 interface Page {
   readonly records: readonly { readonly offset: number; readonly data: string }[];
@@ -25,7 +25,7 @@
   const read = async (from: number, waitMs = 0) =>
     fetch(`${records()}?from=${from}&waitMs=${waitMs}`);
 
-  it('gives records in the order of their offsets', async () => {
+  it('returns records in the order of their offsets', async () => {
     await start();
     expect(await readJson(await append('a', 'b'))).to.deep.equal({ offset: 0 });
     expect(await readJson(await append('c'))).to.deep.equal({ offset: 2 });
@@ -38,14 +38,14 @@
     });
   });
 
-  it('wakes a reader that waits for the next record', async () => {
+  it('answers a waiting read when a record is appended', async () => {
     await start();
     const page = read(0, 30_000);
     await append('late');
     expect((await readJson<Page>(await page)).next).to.equal(1);
   });
 
-  it('answers 410 with the oldest offset once a record expired', async () => {
+  it('answers 410 with the oldest retained offset if the record has expired', async () => {
     await start({ retentionRecords: 2 });
     await append('a', 'b', 'c');
     const res = await read(0);
@@ -53,14 +53,14 @@
     expect(await readJson(res)).to.deep.equal({ oldest: 1 });
   });
 
-  it('loses the reply of an append that took effect', async () => {
+  it('drops the reply of an executed append', async () => {
     await start();
     platform.setFault({ kind: 'lost-reply', rate: 1 });
-    expect(await failureOf(append('kept'))).to.be.instanceOf(Error);
+    expect(await catchRejection(append('kept'))).to.be.instanceOf(Error);
     expect((await readJson<Page>(await read(0))).records).to.have.length(1);
   });
 
-  it('refuses or holds only the parts of an outage', async () => {
+  it('rejects or holds calls only to the parts in outage', async () => {
     await start();
     platform.setFault({ kind: 'outage', parts: ['log'] });
     expect((await append('refused')).status).to.equal(503);
@@ -71,7 +71,7 @@
     expect((await held).status).to.equal(200);
   });
 
-  it('limits appends and downloads of weights', async () => {
+  it('limits the rates of appends and weight downloads', async () => {
     await start({ appendsPerSecond: 1, weightsPerSecond: 0.1 });
     expect((await append('a')).status).to.equal(200);
     const refused = await append('b');
@@ -86,13 +86,13 @@
   ];
   const list = async () => readJson(await fetch(`${platform.url}/instances`));
 
-  it('hides a change of the instance list during its lag', async () => {
+  it('hides a change of the instance list until the delay has passed', async () => {
     await start({ listLagMs: 3_600_000 });
     platform.setInstances(instances);
     expect(await list()).to.deep.equal({ instances: [] });
   });
 
-  it('shows a change of the instance list after its lag', async () => {
+  it('shows a change of the instance list after the delay', async () => {
     await start({ listLagMs: 1 });
     platform.setInstances(instances);
     let seen: unknown;
@@ -106,7 +106,7 @@
 });
 
 describe('log stream', () => {
-  it('expires records by age and keeps counting offsets', async () => {
+  it('expires records by age without reusing offsets', async () => {
     let now = 0;
     const stream = createLogStream({
       retentionRecords: 10,
@@ -123,7 +123,7 @@
 });
 
 describe('rate limit', () => {
-  it('lets a burst pass and then one per interval', () => {
+  it('allows a burst and then one call per interval', () => {
     let now = 0;
     const limit = createRateLimit(10, 2, () => now);
     expect([limit.take(), limit.take(), limit.take()]).to.deep.equal([0, 0, 100]);
--- a/test/standins/service.test.ts
+++ b/test/standins/service.test.ts
@@ -6,7 +6,7 @@
   type ServiceReply,
   type ServiceStandin,
 } from '../../src/standins/index.js';
-import { failureOf, readJson, until } from './helpers.js';
+import { catchRejection, readJson, until } from './helpers.js';
 
 describe('service stand-in', () => {
   let service: ServiceStandin;
@@ -35,7 +35,7 @@
     expect(service.executions()).to.deep.include({ byKey: { a: 2 }, total: 2 });
   });
 
-  it('executes only as many calls at once as it is set to', async () => {
+  it('limits the number of concurrent calls', async () => {
     await start({ concurrency: 2, latencyMs: 5 });
     const keys = Array.from({ length: 10 }, (_, i) => `k${i}`);
     await Promise.all(keys.map(call));
@@ -44,30 +44,30 @@
     expect(service.executions().total).to.equal(10);
   });
 
-  it('loses the reply after the call took effect', async () => {
+  it('drops the reply after executing the call', async () => {
     await start();
     service.setFault({ kind: 'lost-reply', rate: 1 });
-    expect(await failureOf(call('lost'))).to.be.instanceOf(Error);
+    expect(await catchRejection(call('lost'))).to.be.instanceOf(Error);
     expect(service.executions().byKey).to.deep.equal({ lost: 1 });
   });
 
-  it('refuses before the call takes effect', async () => {
+  it('rejects a call without executing it', async () => {
     await start();
     service.setFault({ kind: 'refuse', rate: 1 });
     expect((await call('refused')).status).to.equal(503);
     expect(service.executions().total).to.equal(0);
   });
 
-  it('crashes on a poisoned call and keeps its counts', async () => {
+  it('crashes on a poisoned call and retains its counts', async () => {
     await start();
     service.setFault({ kind: 'poison', marker: 'body bad', restartAfterMs: 0 });
-    expect(await failureOf(call('bad'))).to.be.instanceOf(Error);
+    expect(await catchRejection(call('bad'))).to.be.instanceOf(Error);
     await until(service.isListening);
     expect((await call('good')).status).to.equal(200);
     expect(service.executions().byKey).to.deep.equal({ bad: 1, good: 1 });
   });
 
-  it('sends the answer to another call under its id', async () => {
+  it('sends the answer to another call with the id of that call', async () => {
     await start();
     await call('first');
     service.setFault({ kind: 'crossed', rate: 1 });
