Reword the stand-ins for the platform's store and upstreams

The store was said to fall silent and drop keys, the upstream to run and break off, struck by faults. The comments now say what each fault sends and whether the request is executed.

takeAppend, readLog and readNewest are handleAppend, handleLogRead and handleLatestRead; takeFault is consumeFault, headerLines is formatHeaders. The interfaces used by other tests keep their names.

--- a/src/standins/platform/batchEngine.ts
+++ b/src/standins/platform/batchEngine.ts
@@ -1,32 +1,33 @@
 /**
- * Stand-in for an upstream of the platform over real sockets: answers with events or a body, tells
- * its load, refuses what it is not meant for, and misbehaves on request. It records what it ran.
+ * Stand-in for an upstream of the platform, over real sockets: answers with an event stream or a
+ * plain body, reports its load in a header, rejects requests for another instance, injects faults
+ * and records the requests that it executed.
  */
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Millis } from '../../core/clock.js';
 
-/** How the next requests are answered. */
+/** Fault that determines how the next requests are answered. */
 export type EngineFault =
   | { readonly kind: 'none' }
-  /** 503 without running. */
+  /** Answers 503 without executing the request. */
   | { readonly kind: 'shed' }
-  /** Runs, then a server error. */
+  /** Executes the request, then answers 500. */
   | { readonly kind: 'error' }
-  /** Runs and never answers. */
+  /** Executes the request, but never answers. */
   | { readonly kind: 'hang' }
-  /** Runs and resets the connection before its answer. */
+  /** Executes the request, then resets the connection without an answer. */
   | { readonly kind: 'reset' }
-  /** Breaks off in the middle of an event. */
+  /** Closes the connection in the middle of an event, after `afterEvents` complete events. */
   | { readonly kind: 'breakOff'; readonly afterEvents: number }
-  /** Answers with the id of another request. */
+  /** Answers with the request id and body of another request. */
   | { readonly kind: 'foreign' }
-  /** A second answer follows the first on the same connection. */
+  /** Sends an extra response after the regular one on the same connection. */
   | { readonly kind: 'extra' }
-  /** No length; the end of the connection ends the answer. */
+  /** Sends a body without a length, delimited by the end of the connection. */
   | { readonly kind: 'unframed'; readonly isReset: boolean }
-  /** In chunks on a connection that is closed in the usual way before the last one. */
+  /** Sends a chunked body, but closes the connection regularly before the last chunk. */
   | { readonly kind: 'unfinished' };
 
 export interface EngineRun {
@@ -35,7 +36,7 @@
   readonly path: string;
   readonly body: string;
   readonly headers: IncomingMessage['headers'];
-  /** Whether the connection was closed before the answer had ended. */
+  /** Whether the connection was closed before the response was complete. */
   isAbandoned: boolean;
 }
 
@@ -44,10 +45,10 @@
   readonly address: string;
   readonly runs: readonly EngineRun[];
   readonly setFault: (fault: EngineFault) => void;
-  /** Number of further requests that the fault strikes; all by default. */
+  /** Limits the current fault to the next `count` requests; without a limit it applies to all. */
   readonly strikeNext: (count: number) => void;
   readonly connections: () => number;
-  /** Ends as a crash does. */
+  /** Stops listening and resets all connections, as a crash does. */
   readonly close: () => Promise<void>;
 }
 
@@ -57,13 +58,13 @@
   readonly events?: number;
   readonly eventGapMs?: Millis;
   readonly firstEventMs?: Millis;
-  /** Whether answers are streams of events. */
+  /** Whether answers are event streams. */
   readonly isStream?: boolean;
 }
 
 const DEFAULTS = { port: 0, events: 5, eventGapMs: 2, firstEventMs: 2, isStream: true } as const;
 
-/** Text of one event of the stand-in's streams. */
+/** Returns the text of one event in the streams of the stand-in. */
 export function eventText(id: number): string {
   return `id: ${id}\ndata: piece ${id}\n\n`;
 }
@@ -74,15 +75,15 @@
   const runs: EngineRun[] = [];
   const sockets = new Set<Socket>();
   let fault: EngineFault = { kind: 'none' };
-  let strikes = Infinity;
+  let remainingFaults = Infinity;
 
-  function takeFault(): EngineFault {
-    if (strikes <= 0) return { kind: 'none' };
-    if (fault.kind !== 'none') strikes -= 1;
+  function consumeFault(): EngineFault {
+    if (remainingFaults <= 0) return { kind: 'none' };
+    if (fault.kind !== 'none') remainingFaults -= 1;
     return fault;
   }
 
-  function headersOf(requestId: string): Record<string, string> {
+  function createHeaders(requestId: string): Record<string, string> {
     return {
       'Request-Id': requestId,
       'Response-Signature': `signed-${requestId}`,
@@ -100,16 +101,16 @@
         return;
       }
       res.write(eventText(id));
-      // eslint-disable-next-line no-await-in-loop -- events have a pause between them
+      // eslint-disable-next-line no-await-in-loop -- events are spaced by `eventGapMs`
       await sleep(cfg.eventGapMs);
     }
     res.end();
   }
 
-  async function answer(run: EngineRun, req: IncomingMessage, res: ServerResponse) {
-    const struck = takeFault();
-    const headers = headersOf(run.requestId);
-    switch (struck.kind) {
+  async function sendAnswer(run: EngineRun, req: IncomingMessage, res: ServerResponse) {
+    const activeFault = consumeFault();
+    const headers = createHeaders(run.requestId);
+    switch (activeFault.kind) {
       case 'shed':
         runs.pop();
         res.writeHead(503, { 'Not-Executed': '1', 'Request-Id': run.requestId });
@@ -125,17 +126,17 @@
         req.socket.resetAndDestroy();
         return;
       case 'foreign':
-        res.writeHead(200, headersOf('another'));
+        res.writeHead(200, createHeaders('another'));
         res.end('not yours');
         return;
       case 'unframed':
-        req.socket.write(`HTTP/1.1 200 OK\r\n${headerLines(headers)}\r\nwhole body`);
-        // At once: the reset arrives together with the bytes before it.
-        if (struck.isReset) req.socket.resetAndDestroy();
+        req.socket.write(`HTTP/1.1 200 OK\r\n${formatHeaders(headers)}\r\nwhole body`);
+        // Without a delay, so that the reset arrives together with the preceding bytes.
+        if (activeFault.isReset) req.socket.resetAndDestroy();
         else req.socket.end();
         return;
       case 'unfinished': {
-        const lines = headerLines({
+        const lines = formatHeaders({
           ...headers,
           Connection: 'close',
           'Transfer-Encoding': 'chunked',
@@ -150,23 +151,27 @@
     }
     if (cfg.isStream) {
       res.writeHead(200, { ...headers, 'Content-Type': 'text/event-stream' });
-      await streamEvents(req, res, struck.kind === 'breakOff' ? struck.afterEvents : Infinity);
+      await streamEvents(
+        req,
+        res,
+        activeFault.kind === 'breakOff' ? activeFault.afterEvents : Infinity,
+      );
     } else {
       await sleep(cfg.firstEventMs);
       res.writeHead(200, headers);
       res.end(`answer to ${run.requestId}`);
     }
-    if (struck.kind === 'extra') {
-      const lines = headerLines({ ...headersOf(run.requestId), 'Content-Length': '5' });
+    if (activeFault.kind === 'extra') {
+      const lines = formatHeaders({ ...createHeaders(run.requestId), 'Content-Length': '5' });
       req.socket.write(`HTTP/1.1 200 OK\r\n${lines}\r\nextra`);
     }
   }
 
   async function handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const parts: Buffer[] = [];
-    for await (const part of req) parts.push(part as Buffer);
-    const expected = req.headers['expect-instance'];
-    if (expected !== undefined && expected !== cfg.id) {
+    const chunks: Buffer[] = [];
+    for await (const part of req) chunks.push(part as Buffer);
+    const expectedInstance = req.headers['expect-instance'];
+    if (expectedInstance !== undefined && expectedInstance !== cfg.id) {
       res.writeHead(421, { 'Instance-Id': cfg.id, 'Not-Executed': '1' });
       res.end();
       return;
@@ -175,7 +180,7 @@
       requestId: String(req.headers['request-id']),
       method: req.method ?? '',
       path: req.url ?? '',
-      body: Buffer.concat(parts).toString('utf8'),
+      body: Buffer.concat(chunks).toString('utf8'),
       headers: req.headers,
       isAbandoned: false,
     };
@@ -183,7 +188,7 @@
     res.once('close', () => {
       run.isAbandoned = !res.writableFinished;
     });
-    await answer(run, req, res);
+    await sendAnswer(run, req, res);
   }
 
   const server = createServer((req, res) => {
@@ -202,10 +207,10 @@
     runs,
     setFault: (next) => {
       fault = next;
-      strikes = Infinity;
+      remainingFaults = Infinity;
     },
     strikeNext: (count) => {
-      strikes = count;
+      remainingFaults = count;
     },
     connections: () => sockets.size,
     close: async () =>
@@ -216,7 +221,7 @@
   };
 }
 
-function headerLines(headers: Readonly<Record<string, string>>): string {
+function formatHeaders(headers: Readonly<Record<string, string>>): string {
   return Object.entries(headers)
     .map(([name, value]) => `${name}: ${value}\r\n`)
     .join('');
--- a/src/standins/platform/logStore.ts
+++ b/src/standins/platform/logStore.ts
@@ -1,31 +1,32 @@
 /**
- * Stand-in for the platform's store: keyed topics of one partition, read as a log or by the newest
- * record of each key. It can be slow, refuse, fall silent, lose answers and drop its history.
+ * Stand-in for the platform's store: keyed topics with one partition, which can be read as a log or
+ * by the latest record of each key. Faults include delays, refusals, missing and lost responses, and
+ * the loss of the history.
  */
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Millis } from '../../core/clock.js';
 
-/** What is wrong with the store. */
+/** Fault that applies to all calls until it is replaced. */
 export type StoreFault =
   | { readonly kind: 'none' }
   | { readonly kind: 'refuse'; readonly status: 429 | 503 }
   | { readonly kind: 'reset' }
   | { readonly kind: 'silent' }
   | { readonly kind: 'slow'; readonly delayMs: Millis }
-  /** Calls are carried out, and their answers are lost. */
+  /** Appends are executed, but their responses are lost. */
   | { readonly kind: 'lost' };
 
 export interface LogStore {
   readonly url: string;
-  /** Appends a record to a keyed topic; without a value the key is dropped. */
+  /** Appends a record to a topic; an `undefined` value deletes the key. */
   readonly put: (topic: string, key: string, value: string | undefined) => void;
   readonly newest: (topic: string, key: string) => string | undefined;
   readonly setFault: (fault: StoreFault) => void;
-  /** Drops all records but the newest of each key. */
+  /** Discards the log of a topic but keeps the latest record of each key. */
   readonly dropHistory: (topic: string) => void;
-  /** Calls that arrived, by path. */
+  /** Number of received calls, by path. */
   readonly calls: () => ReadonlyMap<string, number>;
   readonly close: () => Promise<void>;
 }
@@ -38,91 +39,91 @@
 
 interface Topic {
   records: StoredRecord[];
-  end: number;
-  readonly newest: Map<string, StoredRecord>;
-  readonly waiting: Set<() => void>;
+  endOffset: number;
+  readonly latestByKey: Map<string, StoredRecord>;
+  readonly waitingReaders: Set<() => void>;
 }
 
 const PAGE_SIZE = 500;
 const LENGTH_BYTES = 4;
 const OFFSET_BYTES = 8;
 
-/** Starts the store on a port of the loopback interface. */
+/** Starts the store on a free port of the loopback interface. */
 export async function startLogStore(): Promise<LogStore> {
   const topics = new Map<string, Topic>();
   const calls = new Map<string, number>();
   let fault: StoreFault = { kind: 'none' };
 
-  function topicOf(name: string): Topic {
+  function getTopic(name: string): Topic {
     const topic = topics.get(name) ?? {
       records: [],
-      end: 0,
-      newest: new Map<string, StoredRecord>(),
-      waiting: new Set<() => void>(),
+      endOffset: 0,
+      latestByKey: new Map<string, StoredRecord>(),
+      waitingReaders: new Set<() => void>(),
     };
     topics.set(name, topic);
     return topic;
   }
 
   function append(name: string, key: string, value: Buffer): number {
-    const topic = topicOf(name);
-    const record = { offset: topic.end, key, value };
-    topic.end += 1;
+    const topic = getTopic(name);
+    const record = { offset: topic.endOffset, key, value };
+    topic.endOffset += 1;
     topic.records.push(record);
-    if (value.length === 0) topic.newest.delete(key);
-    else topic.newest.set(key, record);
-    topic.waiting.forEach((wake) => wake());
-    topic.waiting.clear();
+    if (value.length === 0) topic.latestByKey.delete(key);
+    else topic.latestByKey.set(key, record);
+    topic.waitingReaders.forEach((wake) => wake());
+    topic.waitingReaders.clear();
     return record.offset;
   }
 
-  async function takeAppend(query: URLSearchParams, req: IncomingMessage, res: ServerResponse) {
-    const parts: Buffer[] = [];
-    for await (const part of req) parts.push(part as Buffer);
+  async function handleAppend(query: URLSearchParams, req: IncomingMessage, res: ServerResponse) {
+    const chunks: Buffer[] = [];
+    for await (const part of req) chunks.push(part as Buffer);
     const name = query.get('Topic') ?? '';
-    const offsets = decodeAppended(Buffer.concat(parts)).map(({ key, value }) =>
+    const offsets = decodeRecords(Buffer.concat(chunks)).map(({ key, value }) =>
       append(name, key, value),
     );
     if (fault.kind === 'lost') {
       req.socket.destroy();
       return;
     }
-    sendJson(res, { Offset: offsets[0], EndOffset: topicOf(name).end });
+    sendJson(res, { Offset: offsets[0], EndOffset: getTopic(name).endOffset });
   }
 
-  async function readLog(query: URLSearchParams, res: ServerResponse): Promise<void> {
-    const topic = topicOf(query.get('Topic') ?? '');
+  async function handleLogRead(query: URLSearchParams, res: ServerResponse): Promise<void> {
+    const topic = getTopic(query.get('Topic') ?? '');
     const from = Number(query.get('From'));
     const waitMs = Number(query.get('WaitMs') ?? 0);
-    if (from >= topic.end && waitMs > 0) await waitForNews(topic, waitMs);
+    if (from >= topic.endOffset && waitMs > 0) await waitForAppend(topic, waitMs);
     const [first] = topic.records;
-    const start = first?.offset ?? topic.end;
+    const start = first?.offset ?? topic.endOffset;
     if (from < start) {
       sendJson(res, { StartOffset: start }, 410);
       return;
     }
-    const head = Buffer.alloc(2 * OFFSET_BYTES);
-    head.writeBigUInt64BE(BigInt(topic.end), 0);
-    head.writeBigUInt64BE(BigInt(start), OFFSET_BYTES);
-    const wanted = topic.records.filter(({ offset }) => offset >= from);
+    const header = Buffer.alloc(2 * OFFSET_BYTES);
+    header.writeBigUInt64BE(BigInt(topic.endOffset), 0);
+    header.writeBigUInt64BE(BigInt(start), OFFSET_BYTES);
+    const requested = topic.records.filter(({ offset }) => offset >= from);
     res.writeHead(200, { 'content-type': 'application/octet-stream' });
-    res.end(Buffer.concat([head, ...wanted.map(encodeRecord)]));
+    res.end(Buffer.concat([header, ...requested.map(encodeRecord)]));
   }
 
-  function readNewest(query: URLSearchParams, res: ServerResponse): void {
-    const topic = topicOf(query.get('Topic') ?? '');
+  function handleLatestRead(query: URLSearchParams, res: ServerResponse): void {
+    const topic = getTopic(query.get('Topic') ?? '');
     const after = query.get('After') ?? '';
-    const rest = [...topic.newest.values()]
+    const remaining = [...topic.latestByKey.values()]
       .filter(({ key }) => key > after)
       .sort((a, b) => (a.key < b.key ? -1 : 1));
     sendJson(res, {
-      Entries: rest.slice(0, PAGE_SIZE).map(({ key, value, offset }) => ({
+      Entries: remaining.slice(0, PAGE_SIZE).map(({ key, value, offset }) => ({
         Key: key,
         Value: value.toString('base64'),
         Offset: offset,
       })),
-      HasMore: rest.length > PAGE_SIZE,
-      EndOffset: topic.end,
+      HasMore: remaining.length > PAGE_SIZE,
+      EndOffset: topic.endOffset,
     });
   }
 
@@ -139,9 +140,9 @@
       return;
     }
     if (fault.kind === 'slow') await sleep(fault.delayMs);
-    if (url.pathname === '/-/log-append') await takeAppend(url.searchParams, req, res);
-    else if (url.pathname === '/-/log-read') await readLog(url.searchParams, res);
-    else if (url.pathname === '/-/log-newest') readNewest(url.searchParams, res);
+    if (url.pathname === '/-/log-append') await handleAppend(url.searchParams, req, res);
+    else if (url.pathname === '/-/log-read') await handleLogRead(url.searchParams, res);
+    else if (url.pathname === '/-/log-newest') handleLatestRead(url.searchParams, res);
     else sendJson(res, {}, 404);
   }
 
@@ -156,12 +157,12 @@
     put: (topic, key, value) => {
       append(topic, key, Buffer.from(value ?? ''));
     },
-    newest: (topic, key) => topicOf(topic).newest.get(key)?.value.toString('utf8'),
+    newest: (topic, key) => getTopic(topic).latestByKey.get(key)?.value.toString('utf8'),
     setFault: (next) => {
       fault = next;
     },
     dropHistory: (name) => {
-      const topic = topicOf(name);
+      const topic = getTopic(name);
       topic.records = [];
     },
     calls: () => calls,
@@ -173,15 +174,15 @@
   };
 }
 
-async function waitForNews(topic: Topic, waitMs: Millis): Promise<void> {
+async function waitForAppend(topic: Topic, waitMs: Millis): Promise<void> {
   await new Promise<void>((resolve) => {
     const timer = setTimeout(wake, waitMs);
     function wake(): void {
       clearTimeout(timer);
-      topic.waiting.delete(wake);
+      topic.waitingReaders.delete(wake);
       resolve();
     }
-    topic.waiting.add(wake);
+    topic.waitingReaders.add(wake);
   });
 }
 
@@ -191,27 +192,27 @@
 }
 
 function encodeRecord({ key, value }: StoredRecord): Buffer {
-  const name = Buffer.from(key);
-  const head = Buffer.alloc(LENGTH_BYTES + 1);
-  head.writeUInt32BE(1 + name.length + value.length, 0);
-  head.writeUInt8(name.length, LENGTH_BYTES);
-  return Buffer.concat([head, name, value]);
+  const keyBytes = Buffer.from(key);
+  const header = Buffer.alloc(LENGTH_BYTES + 1);
+  header.writeUInt32BE(1 + keyBytes.length + value.length, 0);
+  header.writeUInt8(keyBytes.length, LENGTH_BYTES);
+  return Buffer.concat([header, keyBytes, value]);
 }
 
-interface AppendedRecord {
+interface DecodedRecord {
   readonly key: string;
   readonly value: Buffer;
 }
 
-function decodeAppended(body: Buffer): readonly AppendedRecord[] {
-  const records: AppendedRecord[] = [];
-  let at = 0;
-  while (at + LENGTH_BYTES < body.length) {
-    const end = at + LENGTH_BYTES + body.readUInt32BE(at);
-    const keyEnd = at + LENGTH_BYTES + 1 + body.readUInt8(at + LENGTH_BYTES);
-    const key = body.toString('utf8', at + LENGTH_BYTES + 1, keyEnd);
+function decodeRecords(body: Buffer): readonly DecodedRecord[] {
+  const records: DecodedRecord[] = [];
+  let position = 0;
+  while (position + LENGTH_BYTES < body.length) {
+    const end = position + LENGTH_BYTES + body.readUInt32BE(position);
+    const keyEnd = position + LENGTH_BYTES + 1 + body.readUInt8(position + LENGTH_BYTES);
+    const key = body.toString('utf8', position + LENGTH_BYTES + 1, keyEnd);
     records.push({ key, value: body.subarray(keyEnd, end) });
-    at = end;
+    position = end;
   }
   return records;
 }
