--- a/src/hosts/routing/attempt.ts
+++ b/src/hosts/routing/attempt.ts
@@ -11,7 +11,7 @@
 import { createEventCutter } from './eventCutter.js';
 import { headerValue } from './headers.js';
 import type { ConnectionEnd } from './upstreamPools.js';
-import type { AnswerFacts, RawHeaders, RequestHead, RequestProtocol } from './types.js';
+import type { ResponseFacts, RawHeaders, RequestHead, RequestProtocol } from './types.js';
 
 const NOTHING = new Uint8Array(0);
 /** Largest error answer that is held back. */
@@ -64,7 +64,7 @@
   const cutter = plan.mode === 'resumableStream' ? createEventCutter() : undefined;
   let controller: Dispatcher.DispatchController | undefined;
   let head: UpstreamHead | undefined;
-  let facts: AnswerFacts | undefined;
+  let facts: ResponseFacts | undefined;
   let held: Uint8Array[] = [];
   let heldBytes = 0;
   let hasSent = false;
@@ -115,7 +115,7 @@
     onResponseStart: (_controller, status, _headers, statusMessage) => {
       if (hasEnded || status < FIRST_FINAL_STATUS) return;
       const rawHeaders = textHeaders(_controller.rawHeaders);
-      facts = protocol.readAnswer(rawHeaders);
+      facts = protocol.parseResponseHead(rawHeaders);
       if (!belongsTo(options.requestId, status, facts)) {
         abortAs({ kind: 'foreign' });
         return;
@@ -197,7 +197,7 @@
 }
 
 /** Whether an answer is the one to a request. */
-function belongsTo(requestId: string, status: number, facts: AnswerFacts): boolean {
+function belongsTo(requestId: string, status: number, facts: ResponseFacts): boolean {
   if (facts.requestId !== undefined && facts.requestId !== requestId) return false;
   if (status >= FIRST_ERROR_STATUS) return true;
   return facts.requestId === requestId && facts.isGenuine;
@@ -212,8 +212,8 @@
   return connectionEnd === 'closed' && !isFramed;
 }
 
-function errorOutcome(status: number, facts: AnswerFacts): AttemptOutcome {
-  if (facts.isNotRun) return { kind: 'declined', status };
+function errorOutcome(status: number, facts: ResponseFacts): AttemptOutcome {
+  if (facts.isNotExecuted) return { kind: 'declined', status };
   const isRequestAtFault = status < 500 && !NOT_RUN_STATUSES.has(status);
   return { kind: isRequestAtFault ? 'rejected' : 'failed', status };
 }
--- a/src/hosts/routing/callerAnswer.ts
+++ b/src/hosts/routing/callerAnswer.ts
@@ -69,7 +69,7 @@
       res.writeHead(status, {
         'content-type': 'application/problem+json',
         'content-length': String(Buffer.byteLength(body)),
-        ...protocol.ownHeaders(answer),
+        ...protocol.localResponseHeaders(answer),
         ...(isLast() ? { connection: 'close' } : {}),
       });
       res.end(body);
--- a/src/hosts/routing/frontHost.ts
+++ b/src/hosts/routing/frontHost.ts
@@ -22,7 +22,7 @@
 import { createCallerAnswer, type CallerAnswer } from './callerAnswer.js';
 import { createIntake } from './intake.js';
 import type { LoadMeter } from './loadMeter.js';
-import type { HeadFacts, PostRoutingEvent, RequestHead, RequestProtocol } from './types.js';
+import type { RequestHeadFacts, PostRoutingEvent, RequestHead, RequestProtocol } from './types.js';
 import type { UpstreamPools } from './upstreamPools.js';
 
 export interface FrontHostOptions {
@@ -116,7 +116,7 @@
       reject(req, res, 431, 'the headers are too long');
       return;
     }
-    const result = protocol.readHead(head);
+    const result = protocol.parseRequestHead(head);
     if (result.kind === 'malformed') {
       reject(req, res, 400, result.reason);
       return;
@@ -131,7 +131,7 @@
 
   function take(
     head: RequestHead,
-    facts: HeadFacts,
+    facts: RequestHeadFacts,
     body: Uint8Array,
     res: ServerResponse,
     isSentWithBody: boolean,
--- a/src/hosts/routing/types.ts
+++ b/src/hosts/routing/types.ts
@@ -32,34 +32,34 @@
 }
 
 /** What the head of a request tells, without what the host itself knows. */
-export type HeadFacts = Omit<RequestFacts, 'request' | 'fingerprint' | 'path'>;
+export type RequestHeadFacts = Omit<RequestFacts, 'request' | 'fingerprint' | 'path'>;
 
-export type HeadResult =
-  | { readonly kind: 'facts'; readonly facts: HeadFacts }
+export type RequestHeadResult =
+  | { readonly kind: 'facts'; readonly facts: RequestHeadFacts }
   | { readonly kind: 'malformed'; readonly reason: string };
 
 /** What the head of an upstream's answer tells. */
-export interface AnswerFacts {
+export interface ResponseFacts {
   /** Id of the request that it answers, if it names one. */
   readonly requestId?: string;
   /** Whether the upstream says that it did not run the request. */
-  readonly isNotRun: boolean;
+  readonly isNotExecuted: boolean;
   /** Whether it bears what marks an answer of the upstream as its own. */
   readonly isGenuine: boolean;
 }
 
 /** Translates the headers of requests and answers. */
 export interface RequestProtocol {
-  readonly readHead: (head: RequestHead) => HeadResult;
+  readonly parseRequestHead: (head: RequestHead) => RequestHeadResult;
   /** End-to-end headers for the upstream, in place of those of the caller. */
   readonly upstreamHeaders: (
     head: RequestHead,
     plan: AttemptPlan,
     resumeAfter: EventId | undefined,
   ) => readonly string[];
-  readonly readAnswer: (rawHeaders: RawHeaders) => AnswerFacts;
+  readonly parseResponseHead: (rawHeaders: RawHeaders) => ResponseFacts;
   /** Headers of an answer that the instance gives itself. */
-  readonly ownHeaders: (
+  readonly localResponseHeaders: (
     answer: Pick<OwnAnswer, 'retryAfterMs'>,
   ) => Readonly<Record<string, string>>;
 }
--- a/test/hosts/intake.test.ts
+++ b/test/hosts/intake.test.ts
@@ -8,7 +8,7 @@
 
 /** Knows requests by their path and takes the header `key` for the caller's key. */
 const PROTOCOL: RequestProtocol = {
-  readHead: ({ path, rawHeaders }) => {
+  parseRequestHead: ({ path, rawHeaders }) => {
     const key = rawHeaders[rawHeaders.indexOf('Key') + 1];
     return {
       kind: 'facts',
@@ -24,8 +24,8 @@
     };
   },
   upstreamHeaders: () => [],
-  readAnswer: () => ({ isNotRun: false, isGenuine: true }),
-  ownHeaders: () => ({}),
+  parseResponseHead: () => ({ isNotExecuted: false, isGenuine: true }),
+  localResponseHeaders: () => ({}),
 };
 
 const EMPTY_METER = { count: () => {}, noteAge: () => {} };
--- a/test/platform/bundle.test.ts
+++ b/test/platform/bundle.test.ts
@@ -9,7 +9,7 @@
 
 const execute = promisify(execFile);
 
-/** Settings with ports that the system chooses. */
+/** Settings with ephemeral ports. */
 const settingsText = async (storeAddress: string): Promise<string> =>
   fillTemplate({
     NodeName: 'instance-1',
@@ -23,7 +23,7 @@
     'Provider.Address': storeAddress,
   });
 
-describe('bundle of the program', () => {
+describe('program bundle', () => {
   let dir: string;
   let program: string;
   before(async () => {
@@ -33,13 +33,13 @@
   });
   after(async () => rm(dir, { recursive: true }));
 
-  it('starts alone, and stops on SIGTERM', async () => {
+  it('starts without node_modules and exits with 0 on SIGTERM', async () => {
     const fleet = await createPlatformFleet();
     fleet.configure(1);
     await fleet.addEngine('desk');
     const settings = join(dir, 'settings.yaml');
     await writeFile(settings, await settingsText(fleet.store.url.replace('http://', '')));
-    // From a folder without libraries, so that nothing but the bundle can be loaded.
+    // The working directory has no node_modules, so only the bundle can be loaded.
     const child = spawn(process.execPath, [program, settings], { cwd: dir });
     let output = '';
     const isReady = new Promise<void>((resolve) => {
@@ -58,7 +58,7 @@
     await fleet.close();
   });
 
-  it('names what is wrong with its settings', async () => {
+  it('reports invalid settings', async () => {
     const settings = join(dir, 'wrong.yaml');
     await writeFile(settings, 'instance: { id: a }\n');
     const failed = await execute(process.execPath, [program, settings]).then(
--- a/test/platform/path.test.ts
+++ b/test/platform/path.test.ts
@@ -14,10 +14,10 @@
   type StartedInstance,
 } from './support/fleet.js';
 
-const wholeStream = (events: number, from = 1) =>
+const expectedStream = (events: number, from = 1) =>
   Array.from({ length: events - from + 1 }, (_, i) => eventText(from + i)).join('');
 
-/** A port that the system gives to nobody who asks for any port. */
+/** Port 1 is never assigned to a listener that asks for an ephemeral port. */
 const CLOSED_ADDRESS = '127.0.0.1:1';
 
 describe('a request on the platform', () => {
@@ -36,17 +36,17 @@
     return started;
   }
 
-  it('passes a stream through unchanged, with its headers and signature', async () => {
+  it('forwards a stream unchanged, with its headers and signature', async () => {
     const engine = await fleet.addEngine('models');
     const answer = await call(await readyInstance(), '/draft/7?x=1', { body: 'the prompt' });
     expect(answer.status).to.equal(200);
-    expect(answer.text).to.equal(wholeStream(5));
+    expect(answer.text).to.equal(expectedStream(5));
     const [run] = engine.runs;
     expect(run).to.include({ method: 'POST', path: '/draft/7?x=1', body: 'the prompt' });
     expect(answer.headers['response-signature']).to.equal(`signed-${run?.requestId}`);
   });
 
-  it('gives the upstream the customer and never the key', async () => {
+  it('sends the customer but never the API key to the upstream', async () => {
     const engine = await fleet.addEngine('models');
     await call(await readyInstance(), '/draft/7');
     const headers = engine.runs[0]?.headers;
@@ -55,7 +55,7 @@
     expect(Number(headers?.['deadline-ms'])).to.be.within(1, 4_000);
   });
 
-  it('drops headers that are the system\u2019s to set', async () => {
+  it('drops reserved headers that a caller sends', async () => {
     const engine = await fleet.addEngine('models');
     const forged = {
       Tenant: 'another',
@@ -72,7 +72,7 @@
     expect(headers).to.not.have.any.keys('hold', 'pin-ms', 'kv-backup', 'kv-from', 'kv-fetch');
   });
 
-  it('refuses unknown paths, hosts and keys with the right status', async () => {
+  it('rejects unknown paths and hosts with 404 and invalid keys with 401', async () => {
     await fleet.addEngine('models');
     const started = await readyInstance();
     expect((await call(started, '/none/7')).status).to.equal(404);
@@ -81,7 +81,7 @@
     expect((await call(started, '/draft/7', { key: undefined })).status).to.equal(401);
   });
 
-  it('takes bodies in chunks and refuses those beyond the limit', async () => {
+  it('accepts chunked bodies and rejects those that exceed the limit', async () => {
     const engine = await fleet.addEngine('desk');
     const started = await readyInstance();
     const answer = await request(`http://${started.addresses.callers}/book/1`, {
@@ -94,7 +94,7 @@
     expect((await call(started, '/book/1', { body: 'x'.repeat(70_000) })).status).to.equal(413);
   });
 
-  it('answers 400 to a request whose length is given twice, and closes', async () => {
+  it('answers 400 to a request with both Content-Length and Transfer-Encoding, and closes', async () => {
     await fleet.addEngine('desk');
     const { addresses } = await readyInstance();
     const [host, port] = addresses.callers.split(':');
@@ -115,7 +115,7 @@
     expect(text.match(/HTTP\/1\.1/g)).to.have.length(1);
   });
 
-  it('runs a request that may not be repeated once, whatever happens to its answer', async () => {
+  it('executes a non-idempotent request at most once, even if its response is lost', async () => {
     const first = await fleet.addEngine('desk');
     const second = await fleet.addEngine('desk');
     const started = await readyInstance();
@@ -124,7 +124,7 @@
     expect(first.runs.length + second.runs.length).to.equal(1);
   });
 
-  it('passes the upstream\u2019s own error on unchanged', async () => {
+  it('forwards an error response of the upstream unchanged', async () => {
     const engine = await fleet.addEngine('desk');
     engine.setFault({ kind: 'error' });
     const answer = await call(await readyInstance(), '/book/1');
@@ -132,7 +132,7 @@
     expect(answer.headers['response-signature']).to.equal(`signed-${engine.runs[0]?.requestId}`);
   });
 
-  it('repeats an idempotent request at another upstream', async () => {
+  it('retries an idempotent request at another upstream', async () => {
     const first = await fleet.addEngine('desk');
     const second = await fleet.addEngine('desk');
     const started = await readyInstance();
@@ -145,17 +145,17 @@
     expect(answers.map(({ status }) => status)).to.deep.equal([200, 200, 200, 200]);
   });
 
-  it('goes to another upstream if one takes no connection, and refuses without one', async () => {
+  it('uses another upstream if one refuses connections, and answers 503 if there is none', async () => {
     const gone = await fleet.addEngine('desk');
     await gone.close();
-    // Its own port may be given to any other listener by now.
+    // The port of the closed engine may have been reassigned.
     fleet.listEngine({ ...gone, address: CLOSED_ADDRESS }, 'desk');
     const started = await readyInstance();
     expect((await call(started, '/book/1')).status).to.equal(503);
     const other = await fleet.addEngine('desk');
     await until(
       () => started.instance.routing().state.upstreams.byId.has(other.id),
-      'the other one is listed',
+      'the second upstream is listed',
     );
     const answers = await Promise.all(
       Array.from({ length: 4 }, async () => call(started, '/book/1')),
@@ -163,8 +163,9 @@
     expect(answers.map(({ status }) => status)).to.deep.equal([200, 200, 200, 200]);
   });
 
-  it('does not let a request run later that was given up behind a silent connection', async () => {
-    // Takes the connection and reads nothing, as behind a cut.
+  it('resets the connection of an aborted request that the upstream has not read', async () => {
+    // Accepts connections and reads nothing, as behind a network partition. If the connection were
+    // closed gracefully, the buffered request would be executed after its caller has left.
     const received: Buffer[] = [];
     const sockets: Socket[] = [];
     const errors: string[] = [];
@@ -184,17 +185,20 @@
     const started = await readyInstance();
     const abort = new AbortController();
     const left = call(started, '/book/1', { signal: abort.signal }).catch(() => undefined);
-    await until(() => sockets.length > 0, 'it is connected');
+    await until(() => sockets.length > 0, 'the upstream has a connection');
     abort.abort();
     await left;
-    await until(() => started.logged.some(({ event }) => event === 'callerGone'), 'it is gone');
+    await until(
+      () => started.logged.some(({ event }) => event === 'callerGone'),
+      'the caller has left',
+    );
     sockets.forEach((socket) => socket.resume());
     await until(() => errors.length > 0, 'the connection is reset');
     expect(errors).to.include('ECONNRESET');
     silent.close();
   });
 
-  it('refuses what no upstream ran, and says when to come back', async () => {
+  it('answers 503 with Retry-After if no upstream executed the request', async () => {
     const engine = await fleet.addEngine('desk');
     engine.setFault({ kind: 'shed' });
     const answer = await call(await readyInstance(), '/book/1');
@@ -203,14 +207,14 @@
     expect(engine.runs).to.have.length(0);
   });
 
-  it('continues a resumable stream elsewhere, each event once', async () => {
+  it('resumes a stream at another upstream and delivers each event once', async () => {
     const engines = [await fleet.addEngine('models'), await fleet.addEngine('models')];
     const started = await readyInstance();
     engines.forEach((engine) => {
       engine.setFault({ kind: 'breakOff', afterEvents: 2 });
       engine.strikeNext(1);
     });
-    // Only the first of the two attempts breaks off.
+    // Only the first of the two attempts fails.
     engines[1]?.strikeNext(0);
     engines[0]?.strikeNext(1);
     const answers = await Promise.all(
@@ -218,16 +222,16 @@
     );
     answers.forEach(({ status, text }) => {
       expect(status).to.equal(200);
-      expect(text).to.equal(wholeStream(5));
+      expect(text).to.equal(expectedStream(5));
     });
   });
 
-  it('gives each event once if a slow stream begins just as it is moved elsewhere', async () => {
+  it('delivers each event once if a slow stream starts while it is being retried', async () => {
     const slow = { firstEventMs: 1_080, events: 40, eventGapMs: 10 };
     await fleet.addEngine('models', slow);
     await fleet.addEngine('models', slow);
     const started = await readyInstance();
-    // Times to the first event around the limit at which a request is moved.
+    // The first events arrive around the time limit after which a request is retried elsewhere.
     const answers = await Promise.all(
       Array.from({ length: 12 }, async (_, i) => {
         await sleep(i * 17);
@@ -236,12 +240,12 @@
     );
     answers.forEach(({ status, text }) => {
       expect(status).to.equal(200);
-      expect(text).to.equal(wholeStream(40));
+      expect(text).to.equal(expectedStream(40));
     });
     expect(started.logged.map(({ event }) => event)).to.include('retried');
   });
 
-  it('never lets a broken stream look complete', async () => {
+  it('aborts the response if a stream breaks off', async () => {
     const engine = await fleet.addEngine('models');
     engine.setFault({ kind: 'breakOff', afterEvents: 2 });
     const started = await readyInstance();
@@ -250,10 +254,13 @@
       failure = err;
     });
     expect(failure).to.be.instanceOf(Error);
-    await until(() => started.logged.some(({ event }) => event === 'answerCut'), 'it is logged');
+    await until(
+      () => started.logged.some(({ event }) => event === 'answerCut'),
+      'the aborted response is logged',
+    );
   });
 
-  it('gives no caller the answer to another request', async () => {
+  it('never forwards the response to another request', async () => {
     const engine = await fleet.addEngine('desk');
     engine.setFault({ kind: 'foreign' });
     const answer = await call(await readyInstance(), '/book/1');
@@ -261,26 +268,26 @@
     expect(answer.text).to.not.include('not yours');
   });
 
-  it('drops a second answer that follows the first', async () => {
+  it('ignores a surplus response on a kept connection', async () => {
     const engine = await fleet.addEngine('desk');
     engine.setFault({ kind: 'extra' });
     const started = await readyInstance();
     for (let i = 0; i < 5; i += 1) {
-      // eslint-disable-next-line no-await-in-loop -- on one connection, one after the other
+      // eslint-disable-next-line no-await-in-loop -- sequential requests on one connection
       const { status, text } = await call(started, '/look/1', { method: 'GET' });
       expect(status).to.equal(200);
       expect(text).to.match(/^answer to r\d+$/);
     }
   });
 
-  it('takes an answer without a length as whole only if its connection ends well', async () => {
+  it('accepts an unframed response only if its connection is closed gracefully', async () => {
     const engine = await fleet.addEngine('desk');
     const started = await readyInstance();
     engine.setFault({ kind: 'unframed', isReset: false });
     expect((await call(started, '/book/1')).text).to.equal('whole body');
     engine.setFault({ kind: 'unframed', isReset: true });
     for (let i = 0; i < 20; i += 1) {
-      // eslint-disable-next-line no-await-in-loop -- one connection after the other
+      // eslint-disable-next-line no-await-in-loop -- one connection at a time
       const broken = await call(started, '/book/1').then(
         ({ status }) => status,
         () => 'cut',
@@ -289,7 +296,7 @@
     }
   });
 
-  it('never takes an answer in chunks for whole without the last one', async () => {
+  it('aborts a chunked response that lacks its last chunk', async () => {
     const engine = await fleet.addEngine('desk');
     engine.setFault({ kind: 'unfinished' });
     const started = await readyInstance();
@@ -304,24 +311,24 @@
     expect(ends).to.deep.equal(['cut', 'cut']);
   });
 
-  it('ends the work of a caller that leaves', async () => {
+  it('aborts the attempt when the caller disconnects', async () => {
     const engine = await fleet.addEngine('models', { events: 1_000, eventGapMs: 5 });
     const started = await readyInstance();
     const abort = new AbortController();
     const left = call(started, '/draft/1', { signal: abort.signal }).catch(() => undefined);
-    await until(() => engine.runs.length === 1, 'the request runs');
+    await until(() => engine.runs.length === 1, 'the request is running');
     abort.abort();
     await left;
-    await until(() => engine.runs[0]?.isAbandoned === true, 'the upstream sees it');
+    await until(() => engine.runs[0]?.isAbandoned === true, 'the upstream sees the abort');
   });
 
-  it('does not send on the request of a caller that left while the process was busy', async () => {
+  it('does not forward the request of a caller that disconnected while the event loop was blocked', async () => {
     const engine = await fleet.addEngine('desk', { firstEventMs: 200 });
     const { addresses } = await readyInstance();
     const [host, port] = addresses.callers.split(':');
     for (let i = 0; i < 10; i += 1) {
       const socket = connect(Number(port), host);
-      // eslint-disable-next-line no-await-in-loop -- one caller after the other
+      // eslint-disable-next-line no-await-in-loop -- one caller at a time
       await new Promise((resolve) => {
         socket.once('connect', resolve);
       });
@@ -332,13 +339,13 @@
       socket.destroy();
       const busyUntil = performance.now() + 20;
       while (performance.now() < busyUntil);
-      // eslint-disable-next-line no-await-in-loop -- the loop takes up what has come
+      // eslint-disable-next-line no-await-in-loop -- the event loop processes the request
       await sleep(20);
     }
     expect(engine.runs.map(({ requestId }) => requestId)).to.deep.equal([]);
   });
 
-  it('gives the final answer at the time limit of the route', async () => {
+  it('answers 504 at the timeout of the route', async () => {
     fleet.configure(2, {
       Routes: [
         {
@@ -360,7 +367,7 @@
     expect(engine.runs).to.have.length(1);
   });
 
-  it('refuses while the configuration is not known', async () => {
+  it('answers 503 until a configuration is loaded', async () => {
     fleet.store.setFault({ kind: 'refuse', status: 503 });
     const started = await fleet.addInstance();
     const answer = await call(started, '/draft/1');
--- a/test/platform/platform.test.ts
+++ b/test/platform/platform.test.ts
@@ -32,7 +32,7 @@
   const statusOf = async (started: StartedInstance, key?: string) =>
     (await call(started, '/draft/1', key === undefined ? {} : { key })).status;
 
-  it('puts a new configuration in force and never goes back', async () => {
+  it('applies a newer configuration and ignores an older one', async () => {
     await fleet.addEngine('models');
     const started = await readyInstance();
     fleet.configure(5, { Tenants: [{ Name: 'b', ApiKeys: ['new-key'] }] });
@@ -40,15 +40,18 @@
     expect(await statusOf(started)).to.equal(401);
     expect(await statusOf(started, 'new-key')).to.equal(200);
     fleet.configure(3);
-    await until(() => hasLogged(started, 'configurationIgnored'), 'the old one is ignored');
+    await until(() => hasLogged(started, 'configurationIgnored'), 'the older version is ignored');
     expect(await statusOf(started)).to.equal(401);
   });
 
-  it('keeps what is in force if a configuration cannot be read', async () => {
+  it('keeps the active configuration if a new one is invalid', async () => {
     await fleet.addEngine('models');
     const started = await readyInstance();
     fleet.store.put('keyed.op', 'config', '{"Version": 9, "Routes": 1}');
-    await until(() => hasLogged(started, 'configurationIgnored'), 'it is logged');
+    await until(
+      () => hasLogged(started, 'configurationIgnored'),
+      'the invalid configuration is logged',
+    );
     expect(await statusOf(started)).to.equal(200);
   });
 
@@ -60,21 +63,21 @@
   ];
   outages.forEach((fault) => {
     const name = fault.kind === 'refuse' ? `answers ${fault.status}` : `is ${fault.kind}`;
-    it(`refuses keyed requests in time when the store ${name}, and serves again after it`, async () => {
+    it(`rejects authenticated requests once the configuration is stale when the store ${name}, then recovers`, async () => {
       await fleet.addEngine('models');
-      // The time to a key's refusal is short here, so that the test is.
+      // A short revocation time keeps the test short.
       const started = await readyInstance({ revokeMs: 1_200 });
       fleet.store.setFault(fault);
-      await until(() => hasLogged(started, 'configurationStale'), 'it is stale');
+      await until(() => hasLogged(started, 'configurationStale'), 'the configuration is stale');
       expect(await statusOf(started)).to.equal(503);
       expect(started.instance.isReady()).to.equal(false);
       fleet.store.setFault({ kind: 'none' });
-      await until(() => started.instance.isReady(), 'it is ready again');
+      await until(() => started.instance.isReady(), 'the instance is ready again');
       expect(await statusOf(started)).to.equal(200);
     });
   });
 
-  it('goes on when the store has dropped its history', async () => {
+  it('recovers when the store no longer retains the requested records', async () => {
     await fleet.addEngine('models');
     const started = await readyInstance();
     fleet.store.dropHistory('keyed.op');
@@ -85,20 +88,20 @@
     expect(await statusOf(started)).to.equal(200);
   });
 
-  it('sends nothing to an upstream that drains or has left', async () => {
+  it('sends no requests to an upstream that is draining or was removed', async () => {
     const first = await fleet.addEngine('models');
     const second = await fleet.addEngine('models');
     const started = await readyInstance();
     fleet.listEngine(first, 'models', { State: 'draining' });
-    await until(() => hasLogged(started, 'upstreamDraining'), 'it drains');
+    await until(() => hasLogged(started, 'upstreamDraining'), 'the upstream is draining');
     await Promise.all(Array.from({ length: 6 }, async () => statusOf(started)));
     expect(first.runs).to.have.length(0);
     fleet.store.put('keyed.servers', second.id, undefined);
-    await until(() => hasLogged(started, 'upstreamRemoved'), 'it is gone');
+    await until(() => hasLogged(started, 'upstreamRemoved'), 'the upstream is removed');
     expect(await statusOf(started)).to.equal(503);
   });
 
-  it('uses no entry that it cannot read, and the others', async () => {
+  it('skips invalid upstream entries and uses the valid ones', async () => {
     await fleet.addEngine('models');
     ['not json', '{}', '{"Service":"models","Address":7}'].forEach((text, i) => {
       fleet.store.put('keyed.servers', `bad-${i}`, text);
@@ -112,7 +115,7 @@
     expect(await statusOf(started)).to.equal(200);
   });
 
-  it('does not run a request at an address that belongs to another upstream by now', async () => {
+  it('does not execute a request at an address that was reassigned to another upstream', async () => {
     const engine = await fleet.addEngine('models');
     fleet.listEngine({ ...engine, id: 'i-gone' }, 'models');
     fleet.store.put('keyed.servers', engine.id, undefined);
@@ -121,31 +124,34 @@
     expect(engine.runs).to.have.length(0);
   });
 
-  it('finds the other instances and tells them of its work', async () => {
+  it('discovers peer instances and reports its running requests to them', async () => {
     const engine = await fleet.addEngine('models', { events: 400, eventGapMs: 5 });
     const first = await readyInstance();
     const second = await readyInstance();
     const isHeard = (started: StartedInstance) =>
       [...started.instance.routing().state.exchange.peers.values()].some((peer) => peer.isHeard);
-    await until(() => isHeard(first) && isHeard(second), 'they hear of each other');
+    await until(() => isHeard(first) && isHeard(second), 'the instances have exchanged messages');
     const abort = new AbortController();
     const open = call(first, '/draft/1', { signal: abort.signal }).catch(() => undefined);
     await until(() => engine.runs.length === 1, 'a request runs');
     const peer = () => [...second.instance.routing().state.exchange.peers.values()][0];
     const told = () => [...(peer()?.news?.work.values() ?? [])][0]?.running;
-    await until(() => told() === 1, 'the other instance knows');
+    await until(() => told() === 1, 'the peer has the number of running requests');
     abort.abort();
     await open;
-    await until(() => told() === undefined, 'it hears that the work has ended');
+    await until(() => told() === undefined, 'the peer no longer counts the request');
   });
 
-  it('lets running streams end when it is told to stop, then refuses, then ends', async () => {
+  it('on stop, rejects new requests and exits once the running streams are complete', async () => {
     await fleet.addEngine('models', { events: 200, eventGapMs: 10 });
     const started = await readyInstance({ stopGraceMs: 20_000, stopAcceptMs: 100 });
     const running = call(started, '/draft/1');
-    await until(() => started.instance.routing().state.requests.open.size === 1, 'it runs');
+    await until(
+      () => started.instance.routing().state.requests.open.size === 1,
+      'the request is running',
+    );
     const stopped = started.instance.stop();
-    await until(() => hasLogged(started, 'notReady'), 'it is not ready');
+    await until(() => hasLogged(started, 'notReady'), 'the instance is not ready');
     await new Promise((resolve) => {
       setTimeout(resolve, 200);
     });
@@ -158,7 +164,7 @@
     await stopped;
   });
 
-  it('shows readiness and metrics', async () => {
+  it('serves readiness and metrics', async () => {
     await fleet.addEngine('models');
     const started = await readyInstance();
     await statusOf(started);
@@ -172,8 +178,8 @@
   });
 });
 
-describe('template of the settings', () => {
-  it('yields settings that the check accepts', async () => {
+describe('settings template', () => {
+  it('renders valid settings', async () => {
     const text = await fillTemplate({
       NodeName: 'front-iasi-a-1',
       Zone: 'iasi-a',
--- a/test/platform/support/fleet.ts
+++ b/test/platform/support/fleet.ts
@@ -1,4 +1,4 @@
-/** A small fleet on the platform's stand-ins over real sockets. */
+/** A small fleet on stand-ins of the platform, connected by real sockets. */
 import { request } from 'undici';
 import { createRequestProtocol } from '../../../platform/headers.js';
 import { createStorePlatform } from '../../../platform/store.js';
@@ -39,20 +39,20 @@
 
 const LISTEN = { host: '127.0.0.1', port: 0 };
 
-/** Waits until a condition holds; fails the test after a while. */
+/** Polls until `condition` holds; throws after 2000 polls at intervals of 5 ms. */
 export async function until(condition: () => boolean, what: string): Promise<void> {
   const attempts = 2_000;
   for (let i = 0; i < attempts; i += 1) {
     if (condition()) return;
-    // eslint-disable-next-line no-await-in-loop -- polls
+    // eslint-disable-next-line no-await-in-loop -- polling
     await new Promise((resolve) => {
       setTimeout(resolve, 5);
     });
   }
-  throw new Error(`did not happen: ${what}`);
+  throw new Error(`timed out waiting until ${what}`);
 }
 
-/** The operators' configuration as they write it. */
+/** Returns an operator configuration in the platform's format. */
 export function createOperatorConfiguration(version: number, changes: object = {}): string {
   const route = { Host: HOST, TimeoutMs: 4_000, SloMs: 500, Priority: 1, Public: false };
   return JSON.stringify({
@@ -117,7 +117,7 @@
   readonly close: () => Promise<void>;
 }
 
-/** Creates a fleet whose parts are all closed by `close`. */
+/** Creates a fleet; `close` closes all of its parts. */
 export async function createPlatformFleet(): Promise<PlatformFleet> {
   const store: LogStore = await startLogStore();
   const engines: BatchEngine[] = [];
@@ -192,7 +192,7 @@
 
 let nextId = 1;
 
-/** Sends a request as a caller does. */
+/** Sends a request to an instance's caller port. */
 export async function call(
   { addresses }: StartedInstance,
   path: string,
--- a/test/platform/support/settings.ts
+++ b/test/platform/support/settings.ts
@@ -1,8 +1,8 @@
-/** The settings of an instance as the platform fills them in from the template. */
+/** Renders the settings template the way the platform does. */
 import { readFile } from 'node:fs/promises';
 import { join } from 'node:path';
 
-/** Bounds as the platform gives them. */
+/** Values of `Bounds` that the platform supplies. */
 const BOUNDS: Readonly<Record<string, string>> = {
   'Bounds.RevokeMs': '5000',
   'Bounds.ConfigApplyMs': '2500',
@@ -13,7 +13,7 @@
   'Bounds.RetryWindowS': '10',
 };
 
-/** Fills in the template with the fields of one instance, whose failure domain is the only one. */
+/** Renders the template with the fields of one instance in a single failure domain. */
 export async function fillTemplate(fields: Readonly<Record<string, string>>): Promise<string> {
   const template = await readFile(join('platform', 'settings.yaml.template'), 'utf8');
   const values: Readonly<Record<string, string>> = { ...BOUNDS, ...fields };
