Reword the daemon

The loop took "anything that a core reduces", failures were logged by logFailure, which also fails the request, and the status page came from a function describe. Comments now speak of graceful shutdown, ports in use, pending timers and starved I/O; the functions are handleFailure, toStatusJson and detectClockGap. Keys of the status, codes of log events and the detail of an attempt whose caller is gone stay.

Assertions are unchanged.

--- a/src/daemon/effects.ts
+++ b/src/daemon/effects.ts
@@ -1,4 +1,4 @@
-/** Executes each effect through the host that it concerns. */
+/** Executes the effects of the core by dispatching each to its host. */
 import { Debug } from '../core/debug.js';
 import type { AttemptPlan, Effect } from '../core/types.js';
 import type {
@@ -37,22 +37,22 @@
 }: EffectRunnerOptions): EffectRunner<Effect> {
   const { callers, upstreams, peers, platform, operators, logger, metrics } = hosts;
 
-  function dispatch(plan: AttemptPlan): void {
+  function dispatchAttempt(plan: AttemptPlan): void {
     const req = callers.requestOf(plan.requestId);
-    const sink = callers.sinkOf(plan.requestId);
-    if (req === undefined || sink === undefined) {
+    const responseSink = callers.sinkOf(plan.requestId);
+    if (req === undefined || responseSink === undefined) {
       const detail = 'The caller is gone.';
       const { attemptId } = plan;
       post({ kind: 'attemptEnded', attemptId, outcome: { kind: 'notSent', detail } });
       return;
     }
-    upstreams.dispatch(plan, req, sink);
+    upstreams.dispatch(plan, req, responseSink);
   }
 
   return (effect) => {
     switch (effect.kind) {
       case 'dispatch':
-        dispatch(effect.attempt);
+        dispatchAttempt(effect.attempt);
         return;
       case 'cancelAttempt':
         upstreams.cancel(effect.attemptId, effect.upstream);
--- a/src/daemon/incarnation.ts
+++ b/src/daemon/incarnation.ts
@@ -1,10 +1,10 @@
-/** Numbers that tell the starts of an instance apart. */
+/** Creates numbers that identify the starts of an instance. */
 import type { System } from '../hosts/types.js';
 
-/** Random values that tell starts within the same millisecond apart. */
+/** Range of the random part, which distinguishes starts within the same millisecond. */
 const RANDOM_RANGE = 1_024;
 
-/** A later start has the larger number: the start time, then random bits. */
+/** Combines start time and random bits, so that a later start has a larger number. */
 export function createIncarnation(system: System): number {
   const random = Math.floor(Math.random() * RANDOM_RANGE);
   return Math.floor(system.now()) * RANDOM_RANGE + random;
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -1,4 +1,4 @@
-/** Wires the core of one instance to its hosts. */
+/** Connects the core of an instance to its hosts. */
 import { createCore, type Core } from '../core/core.js';
 import type { CoreSettings } from '../core/settings.js';
 import type {
@@ -24,11 +24,11 @@
 import type { ControlBytes, System } from '../hosts/types.js';
 import { createUpstreamHost } from '../hosts/upstreamHost.js';
 import { createIncarnation } from './incarnation.js';
-import { describe } from './describe.js';
+import { toStatusJson } from './describe.js';
 import { createEffectRunner, type Hosts } from './effects.js';
 import { createLoop, type Loop } from './loop.js';
 
-/** Where a port listens. */
+/** Options of an instance. Ports without an address listen on an ephemeral loopback port. */
 export interface InstanceOptions {
   readonly id: InstanceId;
   readonly domain: FailureDomainId;
@@ -36,9 +36,9 @@
   readonly callers?: SocketAddress;
   readonly peers?: SocketAddress;
   readonly operators?: SocketAddress;
-  /** Address of the peer port as others reach it, if it differs from the bound one. */
+  /** Address at which peers reach the peer port, if it differs from the bound one. */
   readonly advertisedAddress?: string | undefined;
-  /** Base address of the platform, `http://ip:port`. */
+  /** Base URL of the platform, `http://ip:port`. */
   readonly platformUrl?: string | undefined;
   readonly maxBodyBytes?: number;
   readonly limits?: Partial<HttpLimits>;
@@ -49,11 +49,11 @@
     readonly form?: LogForm;
     readonly writeLine?: (line: string) => void;
   };
-  /** Receiver of metrics as `ip:port`. */
+  /** Address of the metrics receiver, `ip:port`. */
   readonly metricsAddress?: string | undefined;
   readonly settings?: Partial<CoreSettings>;
   readonly initialConfiguration?: ConfigurationView | undefined;
-  /** Number of this start; by default made of the time and random bits. */
+  /** Number of this start; derived from the start time and random bits by default. */
   readonly incarnation?: number;
   readonly seed?: number;
   readonly system?: System;
@@ -67,14 +67,14 @@
 }
 
 export interface Instance {
-  /** Starts all ports and the core. Rejects if a port is taken. */
+  /** Opens all ports and starts the core. Rejects if a port is in use. */
   readonly start: () => Promise<InstanceAddresses>;
-  /** Planned stop: ends accepted work, leaves, then resolves. */
+  /** Graceful shutdown: completes accepted requests, leaves the fleet, then resolves. */
   readonly stop: () => Promise<void>;
-  /** Ends at once, as a crash does; connections are cut. */
+  /** Shuts down at once and closes all connections, as a crash would. */
   readonly kill: () => Promise<void>;
   readonly isReady: () => boolean;
-  /** The core of a started instance. */
+  /** Returns the core; throws if the instance has not been started. */
   readonly core: () => Core;
   readonly controlBytes: () => ControlBytes;
   readonly post: (event: CoreEvent) => void;
@@ -83,21 +83,21 @@
 const LOOPBACK: SocketAddress = { host: '127.0.0.1', port: 0 };
 const SEED_RANGE = 2 ** 31;
 
-/** Creates an instance that does not listen yet. */
+/** Creates an instance without starting to listen. */
 export function createInstance(options: InstanceOptions): Instance {
   const system = options.system ?? createSystem();
   const incarnation = options.incarnation ?? createIncarnation(system);
   const self = { id: options.id, incarnation };
   let running: { readonly core: Core; readonly loop: Loop<CoreEvent> } | undefined;
-  let early: CoreEvent[] = [];
+  let pendingEvents: CoreEvent[] = [];
   let resolveStopped: () => void = () => {};
   const stopped = new Promise<void>((resolve) => {
     resolveStopped = resolve;
   });
 
-  /** Events that arrive while ports are opened wait for the core. */
+  /** Posts an event, or queues it while the ports are being opened and there is no core yet. */
   function post(event: CoreEvent): void {
-    if (running === undefined) early.push(event);
+    if (running === undefined) pendingEvents.push(event);
     else running.loop.post(event);
   }
 
@@ -108,8 +108,8 @@
     return member.region === options.region ? 'sameRegion' : 'crossRegion';
   }
 
-  const describeCore = () => describe(running?.core.state);
-  const hosts = createHosts({ options, system, self, post, linkClassOf, describeCore });
+  const describeState = () => toStatusJson(running?.core.state);
+  const hosts = createHosts({ options, system, self, post, linkClassOf, describeState });
 
   async function start(): Promise<InstanceAddresses> {
     const peers = await hosts.peers.listen();
@@ -133,18 +133,18 @@
       core,
       system,
       runEffect,
-      onError: logFailure,
+      onError: handleFailure,
     });
     running = { core, loop };
     loop.post({ kind: 'start' });
-    early.forEach(loop.post);
-    early = [];
+    pendingEvents.forEach(loop.post);
+    pendingEvents = [];
     const callers = await hosts.callers.listen();
     hosts.logger.write('info', 'daemon', 'started', { id: options.id, callers, peers, operators });
     return { callers, peers, operators };
   }
 
-  function logFailure(err: unknown, event: CoreEvent): void {
+  function handleFailure(err: unknown, event: CoreEvent): void {
     const reason = err instanceof Error ? (err.stack ?? err.message) : String(err);
     hosts.logger.write('error', 'daemon', 'eventFailed', { event: event.kind, reason });
     if (event.kind !== 'callerRequest') return;
@@ -201,11 +201,11 @@
   readonly self: Pick<InstanceIdentity, 'id' | 'incarnation'>;
   readonly post: (event: CoreEvent) => void;
   readonly linkClassOf: (to: InstanceId) => LinkClass;
-  readonly describeCore: () => unknown;
+  readonly describeState: () => unknown;
 }
 
 function createHosts(context: HostContext): Hosts {
-  const { options, system, self, post, linkClassOf, describeCore } = context;
+  const { options, system, self, post, linkClassOf, describeState } = context;
   const logger = createLogger({ instance: options.id, clock: system, ...options.log });
   const callers = createCallerHost({
     self,
@@ -233,8 +233,8 @@
       domain: options.domain,
       region: options.region,
       controlBytes: peers.controlBytes(),
-      memory: memoryUse(),
-      state: describeCore(),
+      memory: memoryUsage(),
+      state: describeState(),
     }),
   });
   return {
@@ -251,8 +251,8 @@
   };
 }
 
-/** Memory of the process in bytes. */
-function memoryUse(): { readonly resident: number; readonly heapUsed: number } {
+/** Memory usage of the process in bytes. */
+function memoryUsage(): { readonly resident: number; readonly heapUsed: number } {
   const { rss, heapUsed } = process.memoryUsage();
   return { resident: rss, heapUsed };
 }
--- a/src/daemon/loop.ts
+++ b/src/daemon/loop.ts
@@ -1,30 +1,30 @@
 /**
- * The one loop of an instance: takes the events that hosts post, reduces each at the current time
- * and executes the effects through the hosts, in order.
+ * Event loop of an instance. Takes events from the hosts in order, reduces each with the current time,
+ * and executes the resulting effects.
  */
 import type { Millis } from '../core/clock.js';
 import { Debug } from '../core/debug.js';
 import type { System } from '../hosts/types.js';
 
-/** Anything that a core reduces. */
+/** Base type of events and effects. */
 export interface LoopEvent {
   readonly kind: string;
 }
 
-/** Effect that the loop executes itself. */
+/** Effect that the loop handles itself: sets or replaces a timer. */
 export interface SetTimerEffect<Timer extends string> {
   readonly kind: 'setTimer';
   readonly timer: Timer;
   readonly at: Millis;
 }
 
-/** Event that a timer posts. */
+/** Event that is reduced when a timer fires. */
 export interface TimerEvent<Timer extends string> {
   readonly kind: 'timer';
   readonly timer: Timer;
 }
 
-/** Executes the effects that do not concern the loop itself. */
+/** Executes all effects that the loop does not handle itself. */
 export type EffectRunner<Effect extends LoopEvent> = (
   effect: Exclude<Effect, { readonly kind: 'setTimer' }>,
 ) => void;
@@ -42,29 +42,29 @@
   };
   readonly system: System;
   readonly runEffect: EffectRunner<Effect>;
-  /** Called when an event or an effect throws; the loop goes on with the next event. */
+  /** Called if reducing an event or executing an effect throws; the loop continues. */
   readonly onError: (err: unknown, event: Event | TimerEvent<Timer>) => void;
-  /** Called before the events of a turn are reduced. */
+  /** Returns events to reduce at the start of each turn, before the queued ones. */
   readonly beforeTurn?: () => readonly Event[];
 }
 
 export interface Loop<Event extends LoopEvent> {
-  /** Queues an event. It is reduced later, never within this call. */
+  /** Queues an event, which is always reduced asynchronously. */
   readonly post: (event: Event) => void;
-  /** Stops to take events and cancels all timers. */
+  /** Discards queued and future events and cancels all timers. */
   readonly close: () => void;
 }
 
-/** A timer that is set, with the event that it posts. */
+/** A pending timer and the event that it will post. */
 interface PendingTimer<Timer extends string> {
   readonly event: TimerEvent<Timer>;
   readonly cancel: () => void;
 }
 
-/** Events that are reduced before input and output get their turn. */
+/** Maximum number of events per turn, so that pending I/O is not starved. */
 const MAX_EVENTS_PER_TURN = 512;
 
-/** Creates the loop; it runs as soon as the first event is posted. */
+/** Creates a loop, which runs once the first event is posted. */
 export function createLoop<Event extends LoopEvent, Effect extends LoopEvent, Timer extends string>(
   options: LoopOptions<Event, Effect, Timer>,
 ): Loop<Event> {
@@ -82,11 +82,11 @@
 
   function runTurn(): void {
     let handled = 0;
-    options.beforeTurn?.().forEach(handle);
-    // Events that are posted by effects of this turn belong to it.
+    options.beforeTurn?.().forEach(reduceEvent);
+    // Includes events that effects of this turn post.
     for (let i = 0; i < queue.length && i < MAX_EVENTS_PER_TURN; i += 1) {
       const event = queue[i];
-      if (event !== undefined) handle(event);
+      if (event !== undefined) reduceEvent(event);
       handled = i + 1;
     }
     queue = queue.slice(handled);
@@ -94,9 +94,9 @@
     schedule();
   }
 
-  function handle(event: Event | TimerEvent<Timer>): void {
+  function reduceEvent(event: Event | TimerEvent<Timer>): void {
     if (isTimerEvent(event)) {
-      // The timer may have been set anew after it was due.
+      // The timer may have been replaced after its event was queued.
       if (timers.get(event.timer)?.event !== event) return;
       timers.delete(event.timer);
     }
@@ -116,7 +116,7 @@
     timers.get(timer)?.cancel();
     const event = { kind: 'timer', timer } as const;
     const fire = () => enqueue(event);
-    // A timer of Node.js takes a millisecond at least.
+    // Node.js timers take at least 1 ms, so a timer that is already due is queued directly.
     if (at <= system.now()) {
       timers.set(timer, { event, cancel: () => {} });
       fire();
--- a/src/daemon/routingInstance.ts
+++ b/src/daemon/routingInstance.ts
@@ -1,4 +1,4 @@
-/** Wires the routing core of one instance to its hosts. */
+/** Connects the routing core of an instance to its hosts. */
 import type { CoreEvent, FailureDomainId, InstanceIdentity, RegionId } from '../core/types.js';
 import { Debug } from '../core/debug.js';
 import type { SocketAddress } from '../hosts/address.js';
@@ -51,13 +51,13 @@
 }
 
 export interface RoutingInstance {
-  /** Opens all ports and starts the core. Rejects if a port is taken. */
+  /** Opens all ports and starts the core. Rejects if a port is in use. */
   readonly start: () => Promise<RoutingAddresses>;
-  /** Planned stop: resolves once what ran has ended, or the time allowed has passed. */
+  /** Graceful shutdown: resolves once pending requests have ended or the grace period is over. */
   readonly stop: () => Promise<void>;
-  /** Ends at once, as a crash does; connections are cut. */
+  /** Shuts down at once and closes all connections, as a crash would. */
   readonly kill: () => Promise<void>;
-  /** Takes changed settings. */
+  /** Applies changed settings. */
   readonly reload: (settings: Partial<RoutingSettings>) => void;
   readonly isReady: () => boolean;
   readonly routing: () => Routing;
@@ -77,7 +77,7 @@
   readonly log: RoutingLog;
 }
 
-/** Creates an instance that does not listen yet. */
+/** Creates an instance without starting to listen. */
 export function createRoutingInstance(options: RoutingInstanceOptions): RoutingInstance {
   const clock = options.clock ?? createGapClock();
   const system: System = { ...createSystem(), now: clock.now };
@@ -96,20 +96,20 @@
     const peers = await hosts.peers.listen();
     const { id, domain, region } = options;
     const self: InstanceIdentity = { id, incarnation, address: peers, domain, region };
-    const core = createRouting({
+    const routingCore = createRouting({
       self,
       regions: options.regions,
       seed: options.seed ?? Math.floor(Math.random() * SEED_RANGE),
       ...(options.settings === undefined ? {} : { settings: options.settings }),
     });
     const loop = createLoop<RoutingEvent, RoutingEffect, RoutingTimer>({
-      core,
+      core: routingCore,
       system,
       runEffect,
-      onError: logFailure,
-      beforeTurn: takeClockGap,
+      onError: handleFailure,
+      beforeTurn: detectClockGap,
     });
-    running = { routing: core, loop };
+    running = { routing: routingCore, loop };
     const readiness = await hosts.readiness.listen();
     const operators = await hosts.operators.listen();
     const callers = await hosts.front.listen();
@@ -127,7 +127,7 @@
     return { callers, peers, readiness, operators };
   }
 
-  function takeClockGap(): readonly RoutingEvent[] {
+  function detectClockGap(): readonly RoutingEvent[] {
     const wasTrusted = clock.isBootTrusted();
     const gap = clock.takeGap();
     if (wasTrusted && !clock.isBootTrusted()) {
@@ -136,7 +136,7 @@
     return gap === undefined ? [] : [{ kind: 'clockGap', gapMs: gap.ms, clock: gap.clock }];
   }
 
-  function logFailure(err: unknown, event: RoutingEvent): void {
+  function handleFailure(err: unknown, event: RoutingEvent): void {
     const reason = err instanceof Error ? (err.stack ?? err.message) : String(err);
     hosts.log.write('error', 'eventFailed', { failed: event.kind, reason });
     if (event.kind !== 'requestArrived') return;
@@ -193,7 +193,7 @@
       case 'pollUpstreams':
       case 'pollInstances':
       case 'announce':
-        callPlatform(effect);
+        runPlatformCall(effect);
         return;
       case 'log':
         hosts.log.write(effect.level, effect.code, effect.fields);
@@ -218,7 +218,7 @@
     });
   }
 
-  function callPlatform(
+  function runPlatformCall(
     effect: EffectOf<'pollConfiguration' | 'pollUpstreams' | 'pollInstances' | 'announce'>,
   ): void {
     const { platform } = options;
@@ -299,7 +299,7 @@
   const pools = createUpstreamPools();
   const meter = createLoadMeter({
     now: clock.now,
-    onReading: (reading) => post({ kind: 'loadMeasured', reading: readingOf(reading) }),
+    onReading: (reading) => post({ kind: 'loadMeasured', reading: toLoadReading(reading) }),
   });
   return {
     log,
@@ -322,7 +322,7 @@
       self: { id: options.id, incarnation },
       post: (event) => {
         meter.count('messagesIn');
-        postPeerEvent(event, post);
+        forwardRoutingNews(event, post);
       },
       ...options.peers,
       linkClassOf: () => 'crossRegion',
@@ -345,15 +345,15 @@
   };
 }
 
-/** Other messages belong to the core that grants slots, which does not run here. */
-function postPeerEvent(event: CoreEvent, post: (event: RoutingEvent) => void): void {
+/** Drops other messages: they belong to the slot-granting core, which does not run here. */
+function forwardRoutingNews(event: CoreEvent, post: (event: RoutingEvent) => void): void {
   if (event.kind !== 'peerMessage' || event.message.$case !== 'routingNews') return;
   const { from, incarnation, message } = event;
   post({ kind: 'peerMessage', from, incarnation, news: message.value });
 }
 
-/** A measured load as the core takes it. */
-function readingOf({ utilization, lagMs, ...counts }: MeasuredLoad): LoadReading {
+/** Converts a measurement to the core's format. */
+function toLoadReading({ utilization, lagMs, ...counts }: MeasuredLoad): LoadReading {
   return { utilization, lagMs, counts: { ...counts, oldestMs: Math.round(counts.oldestMs) } };
 }
 
--- a/src/daemon/serve.ts
+++ b/src/daemon/serve.ts
@@ -1,4 +1,4 @@
-/** Runs one instance as its settings say, until it is told to stop. */
+/** Runs an instance with the given settings until it is stopped. */
 import { resolve } from 'node:path';
 import { splitAddress } from '../hosts/address.js';
 import type { Settings } from '../configuration/settings.js';
@@ -13,9 +13,9 @@
 
 export interface ServeOptions {
   readonly settings: Settings;
-  /** Folder that the files named in the settings are relative to. */
+  /** Directory against which file names in the settings are resolved. */
   readonly baseDir: string;
-  /** Configuration in force until the log gives a newer one. */
+  /** Active configuration until a newer one is read from the log. */
   readonly initialConfiguration?: ConfigurationView | undefined;
   readonly writeLine?: (line: string) => void;
 }
@@ -23,18 +23,18 @@
 export interface Daemon {
   readonly instance: Instance;
   readonly addresses: InstanceAddresses;
-  /** Reads the certificates again. */
+  /** Reloads the certificates. */
   readonly reload: () => void;
   readonly stop: () => Promise<void>;
 }
 
-/** Starts an instance. Rejects if a certificate cannot be read or a port is taken. */
+/** Starts an instance. Rejects if a certificate cannot be read or a port is in use. */
 export async function startDaemon(options: ServeOptions): Promise<Daemon> {
   const { settings } = options;
   const writeLine = options.writeLine ?? ((line) => process.stderr.write(`${line}\n`));
   const { tls, limits } = settings;
 
-  const openSource = async (
+  const openCertificateSource = async (
     files: CertificateFiles | undefined,
   ): Promise<CertificateSource | undefined> =>
     files &&
@@ -46,9 +46,9 @@
       },
     });
 
-  const callerCertificates = await openSource(tls?.callers);
-  const peerCertificates = await openSource(tls?.peers);
-  const sources = [callerCertificates, peerCertificates];
+  const callerCertificates = await openCertificateSource(tls?.callers);
+  const peerCertificates = await openCertificateSource(tls?.peers);
+  const certificateSources = [callerCertificates, peerCertificates];
   const instance = createInstance({
     ...settings.instance,
     callers: splitAddress(settings.listen.callers),
@@ -75,13 +75,13 @@
     instance,
     addresses,
     reload: () => {
-      sources.forEach((source) => {
+      certificateSources.forEach((source) => {
         void source?.reload();
       });
     },
     stop: async () => {
       await instance.stop();
-      sources.forEach((source) => source?.close());
+      certificateSources.forEach((source) => source?.close());
     },
   };
 }
--- a/src/daemon/serveRouting.ts
+++ b/src/daemon/serveRouting.ts
@@ -1,4 +1,4 @@
-/** Runs one instance that passes requests through, as its settings say. */
+/** Runs an instance that proxies requests on a platform, with settings from a file. */
 import { readFile } from 'node:fs/promises';
 import type { Millis } from '../core/clock.js';
 import {
@@ -17,30 +17,30 @@
 
 export interface ServeRoutingOptions {
   readonly settingsFile: string;
-  /** Creates the adapter of the platform at an address, `http://ip:port`. */
+  /** Creates the adapter for the platform at a URL, `http://ip:port`. */
   readonly createAdapter: (platformUrl: string) => PlatformAdapter;
-  readonly readText?: (file: string) => Promise<string>;
+  readonly readFileText?: (file: string) => Promise<string>;
 }
 
 export interface RoutingDaemon {
   readonly instance: RoutingInstance;
-  /** Reads the settings again and takes those that may change while the instance runs. */
+  /** Reloads the settings and applies those that may change at run time. */
   readonly reload: () => Promise<void>;
   readonly stop: () => Promise<void>;
 }
 
-/** Interval at which the settings file is compared with what was read last. */
+/** Interval at which the settings file is checked for changes. */
 const SETTINGS_CHECK_INTERVAL_MS: Millis = 2_000;
 
-/** Starts an instance. Rejects if the settings are invalid or a port is taken. */
+/** Starts an instance. Rejects if the settings are invalid or a port is in use. */
 export async function startRoutingDaemon(options: ServeRoutingOptions): Promise<RoutingDaemon> {
   const { settingsFile } = options;
-  const readText = options.readText ?? (async (file) => readFile(file, 'utf8'));
-  let text = await readText(settingsFile);
-  const settings = readSettings(settingsFile, text);
+  const readFileText = options.readFileText ?? (async (file) => readFile(file, 'utf8'));
+  let text = await readFileText(settingsFile);
+  const settings = parseSettingsText(settingsFile, text);
   const { routing } = settings;
   if (routing === undefined || settings.platform === undefined) {
-    throw new Error(`${settingsFile} has no sections 'routing' and 'platform'.`);
+    throw new Error(`${settingsFile}: the sections 'routing' and 'platform' are required.`);
   }
   const instance = createRoutingInstance({
     ...settings.instance,
@@ -59,12 +59,12 @@
 
   async function reload(): Promise<void> {
     try {
-      const next = await readText(settingsFile);
+      const next = await readFileText(settingsFile);
       if (next === text) {
         instance.log.write('info', 'reloaded', { isChanged: false });
         return;
       }
-      const { routing: changed } = readSettings(settingsFile, next);
+      const { routing: changed } = parseSettingsText(settingsFile, next);
       text = next;
       instance.reload(changed?.tuning ?? {});
       instance.log.write('info', 'reloaded', { isChanged: true });
@@ -74,13 +74,13 @@
     }
   }
 
-  async function checkFile(): Promise<void> {
-    const next = await readText(settingsFile).catch(() => text);
+  async function reloadIfChanged(): Promise<void> {
+    const next = await readFileText(settingsFile).catch(() => text);
     if (next !== text) await reload();
   }
 
   const timer = setInterval(() => {
-    void checkFile();
+    void reloadIfChanged();
   }, SETTINGS_CHECK_INTERVAL_MS);
   timer.unref();
   return {
@@ -93,7 +93,7 @@
   };
 }
 
-function readSettings(file: string, text: string): Settings {
+function parseSettingsText(file: string, text: string): Settings {
   const result = parseSettings(text);
   if (result.kind === 'settings') return result.settings;
   const findings = result.diagnostics.map((found) => formatSettingsDiagnostic(file, found));
--- a/test/daemon/crossed.test.ts
+++ b/test/daemon/crossed.test.ts
@@ -5,13 +5,13 @@
 import { answerText } from '../../src/standins/index.js';
 import { startTestFleet, streamedText, TEST_KEY, type TestFleet } from '../support/fleet.js';
 
-/** Concurrent requests; `WIDE_REQUESTS` sets another number within the limit on open files. */
+/** Number of concurrent requests. `WIDE_REQUESTS` overrides it; the limit on open files bounds it. */
 const REQUESTS = Number(process.env.WIDE_REQUESTS ?? 2_000);
 const INSTANCES = 5;
 const ENGINES = 8;
 const TOKENS = 6;
 const WARM_UP_REQUESTS = 1_000;
-/** Of the requests of one instance a tenth is crossed, twice that is allowed for. */
+/** A tenth of an instance's requests get a crossed reply; the retry budget allows for twice that. */
 const MIN_BUDGET = (REQUESTS / INSTANCES) * 0.2;
 
 async function until(condition: () => boolean): Promise<void> {
@@ -20,7 +20,7 @@
   await until(condition);
 }
 
-describe('answers under crossed and late replies', () => {
+describe('responses with crossed and late replies', () => {
   let fleet: TestFleet;
   const agent = new Agent();
   before(async () => {
@@ -28,18 +28,18 @@
     fleet = await startTestFleet({
       instances: INSTANCES,
       engines: Array.from({ length: ENGINES }, (_, i) => ({ ...engine, seed: i + 1 })),
-      // Each crossed reply costs a retry; the budget of operation would end some requests.
+      // Each crossed reply costs a retry, and the default retry budget would fail some requests.
       instance: { settings: { retryRatio: 1 } },
-      // All callers are of one customer. Between two reports each instance takes only its part of
-      // what is left of the limit, so that it has to exceed what all of them send to one instance.
+      // All callers belong to one customer. Between two reports each instance uses only its share of
+      // the remaining limit, so the limit must exceed the load of all instances on a single one.
       waitingRequests: INSTANCES * REQUESTS,
     });
     await Promise.all(
       Array.from({ length: WARM_UP_REQUESTS }, async (_, i) => {
-        await answerTo(`warm-up ${i}`, fleet.urls[i % INSTANCES] ?? '');
+        await requestAnswer(`warm-up ${i}`, fleet.urls[i % INSTANCES] ?? '');
       }),
     );
-    // The budget of retries grows with the requests of the windows before.
+    // The retry budget grows with the requests of previous windows.
     const budgetOf = (instance: Instance) => instance.core().state.retries.tokens;
     await until(() => fleet.instances.every((instance) => budgetOf(instance) >= MIN_BUDGET));
     fleet.engines.forEach(({ setFault }, i) => {
@@ -52,7 +52,7 @@
     await fleet.close();
   });
 
-  async function answerTo(question: string, url: string): Promise<string> {
+  async function requestAnswer(question: string, url: string): Promise<string> {
     const { statusCode, body } = await request(`${url}/v1/chat/completions`, {
       dispatcher: agent,
       method: 'POST',
@@ -68,19 +68,19 @@
     try {
       for await (const part of body.setEncoding('utf8')) text += part;
     } catch (err) {
-      // What arrived before the end tells why the instance gave up.
+      // The partial body contains the reason for the failure.
       throw new Error(`${(err as Error).message} after ${JSON.stringify(text)}`);
     }
     return statusCode === 200 ? streamedText(text) : `status ${statusCode}: ${text}`;
   }
 
-  it(`gives each of ${REQUESTS} concurrent callers its own whole answer`, async () => {
+  it(`gives each of ${REQUESTS} concurrent callers its own complete answer`, async () => {
     const questions = Array.from({ length: REQUESTS }, (_, i) => `question ${i}`);
     const wrong: string[] = [];
     await Promise.all(
       questions.map(async (question, i) => {
         const url = fleet.urls[i % fleet.urls.length] ?? '';
-        const text = await answerTo(question, url).catch((err: Error) => err.message);
+        const text = await requestAnswer(question, url).catch((err: Error) => err.message);
         if (text !== answerText(question, TOKENS)) wrong.push(`${question}: ${text}`);
       }),
     );
--- a/test/daemon/loop.test.ts
+++ b/test/daemon/loop.test.ts
@@ -6,9 +6,9 @@
 import type { System } from '../../src/hosts/types.js';
 
 const stopEvent = { kind: 'plannedStop' } as const;
-const gone = (requestId: string) => ({ kind: 'callerGone', requestId }) as const;
+const callerGoneEvent = (requestId: string) => ({ kind: 'callerGone', requestId }) as const;
 
-/** A system whose deferred actions and timers run when the test says so. */
+/** A system whose deferred actions and timers the test runs explicitly. */
 function createManualSystem() {
   const clock = createManualClock(100);
   const deferred: (() => void)[] = [];
@@ -34,7 +34,7 @@
   return { system, runDeferred, advance };
 }
 
-/** A loop around a core that answers each event with the effects that `answer` gives. */
+/** Creates a loop around a core that returns the effects of `answer` for each event. */
 function createTestLoop(answer: (event: CoreEvent, now: number) => readonly Effect[]) {
   const manual = createManualSystem();
   const reduced: CoreEvent[] = [];
@@ -54,55 +54,55 @@
 }
 
 describe('loop', () => {
-  it('reduces events in order, never within post', () => {
+  it('reduces events in order and asynchronously', () => {
     const { loop, reduced, runDeferred } = createTestLoop(() => []);
-    ['a', 'b', 'c'].forEach((id) => loop.post(gone(id)));
+    ['a', 'b', 'c'].forEach((id) => loop.post(callerGoneEvent(id)));
     expect(reduced).to.deep.equal([]);
     runDeferred();
-    expect(reduced).to.deep.equal(['a', 'b', 'c'].map(gone));
+    expect(reduced).to.deep.equal(['a', 'b', 'c'].map(callerGoneEvent));
   });
 
-  it('runs a timer once, at its time, and only its last setting', () => {
+  it('fires a timer once, at the time it was last set to', () => {
     const { loop, reduced, advance, runDeferred } = createTestLoop((event, now) => {
       if (event.kind !== 'callerGone') return [];
       const at = now + Number(event.requestId);
       return [{ kind: 'setTimer', timer: 'poll', at }];
     });
     const timerEvents = () => reduced.filter(({ kind }) => kind === 'timer').length;
-    [10, 50].forEach((span) => loop.post(gone(String(span))));
+    [10, 50].forEach((span) => loop.post(callerGoneEvent(String(span))));
     runDeferred();
     advance(49);
     expect(timerEvents()).to.equal(0);
     advance(1);
     expect(timerEvents()).to.equal(1);
-    // A timer that is due at once is replaced as well.
-    [0, 20].forEach((span) => loop.post(gone(String(span))));
+    // A timer that is already due can be replaced as well.
+    [0, 20].forEach((span) => loop.post(callerGoneEvent(String(span))));
     runDeferred();
     expect(timerEvents()).to.equal(1);
     advance(20);
     expect(timerEvents()).to.equal(2);
   });
 
-  it('goes on after an event that throws', () => {
+  it('continues after an event that throws', () => {
     const { loop, reduced, errors, runDeferred } = createTestLoop((event) => {
       if (event.kind === 'plannedStop') throw new Error('broken');
       return [];
     });
-    [stopEvent, gone('a')].forEach(loop.post);
+    [stopEvent, callerGoneEvent('a')].forEach(loop.post);
     runDeferred();
     expect(errors).to.have.length(1);
-    expect(reduced).to.deep.equal([stopEvent, gone('a')]);
+    expect(reduced).to.deep.equal([stopEvent, callerGoneEvent('a')]);
   });
 
-  it('handles nothing more once it is closed', () => {
+  it('reduces no events after it is closed', () => {
     const { loop, reduced, advance, runDeferred } = createTestLoop((_event, now) => [
       { kind: 'setTimer', timer: 'poll', at: now + 10 },
     ]);
-    loop.post(gone('a'));
+    loop.post(callerGoneEvent('a'));
     runDeferred();
-    loop.post(gone('b'));
+    loop.post(callerGoneEvent('b'));
     loop.close();
     advance(20);
-    expect(reduced).to.deep.equal([gone('a')]);
+    expect(reduced).to.deep.equal([callerGoneEvent('a')]);
   });
 });
--- a/test/daemon/path.test.ts
+++ b/test/daemon/path.test.ts
@@ -9,7 +9,7 @@
   await until(condition);
 }
 
-describe('path of a request', () => {
+describe('request path', () => {
   let fleet: TestFleet;
   let url: string;
   before(async () => {
@@ -18,20 +18,20 @@
   });
   after(async () => fleet.close());
 
-  it('streams the whole answer of an engine to the caller', async () => {
+  it('streams the complete response of an engine to the caller', async () => {
     const res = await ask(url, 'what is a lease', { tokens: 20 });
     expect(res.status).to.equal(200);
     expect(res.headers.get('content-type')).to.equal('text/event-stream');
     expect(streamedText(await res.text())).to.equal(answerText('what is a lease', 20));
   });
 
-  it('returns an answer that is not streamed', async () => {
+  it('returns a response that is not streamed', async () => {
     const res = await ask(url, 'one body', { stream: false });
     const body = (await res.json()) as { choices: { message: { content: string } }[] };
     expect(body.choices[0]?.message.content).to.equal(answerText('one body', 5));
   });
 
-  it('passes a call on to a plain service', async () => {
+  it('forwards a call to a plain service', async () => {
     const res = await fetch(`${url}/apps/app/book/7?x=1`, {
       method: 'PUT',
       headers: { authorization: `Bearer ${TEST_KEY}` },
@@ -44,7 +44,7 @@
     });
   });
 
-  it('ends the work at the engine when the caller leaves', async () => {
+  it('aborts the attempt at the engine when the caller disconnects', async () => {
     const abort = new AbortController();
     const res = await ask(url, 'never read', { tokens: 500, signal: abort.signal });
     const recordOf = () =>
@@ -56,7 +56,7 @@
     await until(() => fleet.instances[0]?.core().state.requests.active.size === 0);
   });
 
-  it('lets a slow caller hold up its own stream only', async () => {
+  it('does not delay other streams for a slow caller', async () => {
     const slow = await ask(url, 'slow', { tokens: 40 });
     const others = ['a', 'b', 'c'].map(async (question) => (await ask(url, question)).text());
     const texts = (await Promise.all(others)).map(streamedText);
@@ -64,7 +64,7 @@
     expect(streamedText(await slow.text())).to.equal(answerText('slow', 40));
   });
 
-  it('refuses an unknown model and an unknown path as not run', async () => {
+  it('rejects an unknown model and an unknown path as not executed', async () => {
     const post = { method: 'POST', body: '{"model":"none"}' };
     const headers = { authorization: `Bearer ${TEST_KEY}` };
     const model = await fetch(`${url}/v1/completions`, { ...post, headers });
@@ -80,21 +80,21 @@
     expect(await path.json()).to.deep.include({ executed: 'no', code: 1012 });
   });
 
-  it('shows the state of each part to operators', async () => {
+  it('serves the state of each component to operators', async () => {
     const status = await fetch(`${fleet.operatorUrls[0]}/status`);
     const body = (await status.json()) as { state: { requests: object; membership: object } };
     expect(body).to.include({ ready: true, id: 'i1', domain: 'd1' });
     expect(body.state).to.include.keys('requests', 'membership', 'dispatch', 'shares');
   });
 
-  it('refuses a wrong key as not run', async () => {
+  it('rejects an invalid key as not executed', async () => {
     const res = await ask(url, 'q', { headers: { authorization: 'Bearer wrong' } });
     expect(res.status).to.equal(401);
     expect(res.headers.get('content-type')).to.equal('application/problem+json');
     expect(await res.json()).to.deep.include({ executed: 'no', step: 'authenticate', code: 1001 });
   });
 
-  it('answers health and readiness to operators', async () => {
+  it('serves health and readiness checks to operators', async () => {
     const operators = fleet.operatorUrls[0] ?? '';
     expect((await fetch(`${operators}/healthz`)).status).to.equal(200);
     expect((await fetch(`${operators}/readyz`)).status).to.equal(200);
