--- a/src/daemon/routingInstance.ts
+++ b/src/daemon/routingInstance.ts
@@ -1,4 +1,4 @@
-/** Wires the routing core of one instance to its hosts. */
+/** Connects the routing core of an instance to its hosts. */
 import type { CoreEvent, FailureDomainId, InstanceIdentity, RegionId } from '../core/types.js';
 import { Debug } from '../core/debug.js';
 import type { SocketAddress } from '../hosts/address.js';
@@ -9,7 +9,7 @@
 import { createRoutingLog, type RoutingLog } from '../hosts/routing/routingLog.js';
 import type { GapClock, RequestProtocol, RoutingPlatform } from '../hosts/routing/types.js';
 import { createUpstreamPools, type UpstreamPools } from '../hosts/routing/upstreamPools.js';
-import { createWatchHost, type WatchHost } from '../hosts/routing/watchHost.js';
+import { createMonitoringHost, type MonitoringHost } from '../hosts/routing/watchHost.js';
 import type { LogThreshold } from '../hosts/logger.js';
 import { createPeerHost } from '../hosts/peerHost.js';
 import { createSystem } from '../hosts/system.js';
@@ -51,13 +51,13 @@
 }
 
 export interface RoutingInstance {
-  /** Opens all ports and starts the core. Rejects if a port is taken. */
+  /** Opens all ports and starts the core. Rejects if a port is in use. */
   readonly start: () => Promise<RoutingAddresses>;
-  /** Planned stop: resolves once what ran has ended, or the time allowed has passed. */
+  /** Graceful shutdown: resolves once pending requests have ended or the grace period is over. */
   readonly stop: () => Promise<void>;
-  /** Ends at once, as a crash does; connections are cut. */
+  /** Shuts down at once and closes all connections, as a crash would. */
   readonly kill: () => Promise<void>;
-  /** Takes changed settings. */
+  /** Applies changed settings. */
   readonly reload: (settings: Partial<RoutingSettings>) => void;
   readonly isReady: () => boolean;
   readonly routing: () => Routing;
@@ -70,14 +70,14 @@
   readonly front: FrontHost;
   readonly pools: UpstreamPools;
   readonly peers: PeerHost;
-  readonly readiness: WatchHost;
-  readonly operators: WatchHost;
+  readonly readiness: MonitoringHost;
+  readonly operators: MonitoringHost;
   readonly metrics: MetricsPage;
   readonly meter: LoadMeter;
   readonly log: RoutingLog;
 }
 
-/** Creates an instance that does not listen yet. */
+/** Creates an instance without starting to listen. */
 export function createRoutingInstance(options: RoutingInstanceOptions): RoutingInstance {
   const clock = options.clock ?? createGapClock();
   const system: System = { ...createSystem(), now: clock.now };
@@ -96,20 +96,20 @@
     const peers = await hosts.peers.listen();
     const { id, domain, region } = options;
     const self: InstanceIdentity = { id, incarnation, address: peers, domain, region };
-    const core = createRouting({
+    const routingCore = createRouting({
       self,
       regions: options.regions,
       seed: options.seed ?? Math.floor(Math.random() * SEED_RANGE),
       ...(options.settings === undefined ? {} : { settings: options.settings }),
     });
     const loop = createLoop<RoutingEvent, RoutingEffect, RoutingTimer>({
-      core,
+      core: routingCore,
       system,
       runEffect,
-      onError: logFailure,
-      beforeTurn: takeClockGap,
+      onError: handleFailure,
+      beforeTurn: detectClockGap,
     });
-    running = { routing: core, loop };
+    running = { routing: routingCore, loop };
     const readiness = await hosts.readiness.listen();
     const operators = await hosts.operators.listen();
     const callers = await hosts.front.listen();
@@ -127,7 +127,7 @@
     return { callers, peers, readiness, operators };
   }
 
-  function takeClockGap(): readonly RoutingEvent[] {
+  function detectClockGap(): readonly RoutingEvent[] {
     const wasTrusted = clock.isBootTrusted();
     const gap = clock.takeGap();
     if (wasTrusted && !clock.isBootTrusted()) {
@@ -136,12 +136,12 @@
     return gap === undefined ? [] : [{ kind: 'clockGap', gapMs: gap.ms, clock: gap.clock }];
   }
 
-  function logFailure(err: unknown, event: RoutingEvent): void {
+  function handleFailure(err: unknown, event: RoutingEvent): void {
     const reason = err instanceof Error ? (err.stack ?? err.message) : String(err);
     hosts.log.write('error', 'eventFailed', { failed: event.kind, reason });
     if (event.kind !== 'requestArrived') return;
     const { request } = event.facts;
-    hosts.front.answer({ request, status: 502, reason: 'internalError' });
+    hosts.front.sendLocalResponse({ request, status: 502, reason: 'internalError' });
   }
 
   function runEffect(effect: Exclude<RoutingEffect, { readonly kind: 'setTimer' }>): void {
@@ -153,25 +153,25 @@
         hosts.front.cancel(effect.attempt);
         return;
       case 'withdraw':
-        hosts.front.withdraw(effect.attempt, effect.mayResume);
+        hosts.front.cancelIfReplaceable(effect.attempt, effect.mayResume);
         return;
       case 'answer':
-        hosts.front.answer(effect.answer);
+        hosts.front.sendLocalResponse(effect.answer);
         return;
       case 'passError':
-        hosts.front.passError(effect.request);
+        hosts.front.forwardErrorResponse(effect.request);
         return;
       case 'cutAnswer':
-        hosts.front.cutAnswer(effect.request);
+        hosts.front.abortResponse(effect.request);
         return;
       case 'limitCallers':
-        hosts.front.limit(effect.limits);
+        hosts.front.setLimits(effect.limits);
         return;
       case 'closeCallers':
-        hosts.front.closeCallers();
+        hosts.front.drainConnections();
         return;
       case 'moveCallers':
-        hosts.front.setMovingCallers(effect.isMoving);
+        hosts.front.setCloseAfterResponse(effect.isMoving);
         return;
       case 'setReady':
         isReady = effect.isReady;
@@ -184,7 +184,7 @@
         hosts.peers.drop(effect.to);
         return;
       case 'forgetUpstream':
-        hosts.pools.forget(effect.upstream, effect.bornAt);
+        hosts.pools.removePool(effect.upstream, effect.bornAt);
         return;
       case 'probe':
         probe(effect);
@@ -193,7 +193,7 @@
       case 'pollUpstreams':
       case 'pollInstances':
       case 'announce':
-        callPlatform(effect);
+        runPlatformCall(effect);
         return;
       case 'log':
         hosts.log.write(effect.level, effect.code, effect.fields);
@@ -218,7 +218,7 @@
     });
   }
 
-  function callPlatform(
+  function runPlatformCall(
     effect: EffectOf<'pollConfiguration' | 'pollUpstreams' | 'pollInstances' | 'announce'>,
   ): void {
     const { platform } = options;
@@ -299,7 +299,7 @@
   const pools = createUpstreamPools();
   const meter = createLoadMeter({
     now: clock.now,
-    onReading: (reading) => post({ kind: 'loadMeasured', reading: readingOf(reading) }),
+    onReading: (reading) => post({ kind: 'loadMeasured', reading: toLoadReading(reading) }),
   });
   return {
     log,
@@ -322,12 +322,12 @@
       self: { id: options.id, incarnation },
       post: (event) => {
         meter.count('messagesIn');
-        postPeerEvent(event, post);
+        forwardRoutingNews(event, post);
       },
       ...options.peers,
       linkClassOf: () => 'crossRegion',
     }),
-    readiness: createWatchHost({
+    readiness: createMonitoringHost({
       ...options.readiness,
       pages: new Map([
         [
@@ -336,7 +336,7 @@
         ],
       ]),
     }),
-    operators: createWatchHost({
+    operators: createMonitoringHost({
       ...options.operators,
       pages: new Map([
         [options.metricsPath, async () => renderMetrics(context, { metrics, meter, log })],
@@ -345,15 +345,15 @@
   };
 }
 
-/** Other messages belong to the core that grants slots, which does not run here. */
-function postPeerEvent(event: CoreEvent, post: (event: RoutingEvent) => void): void {
+/** Drops other messages: they belong to the slot-granting core, which does not run here. */
+function forwardRoutingNews(event: CoreEvent, post: (event: RoutingEvent) => void): void {
   if (event.kind !== 'peerMessage' || event.message.$case !== 'routingNews') return;
   const { from, incarnation, message } = event;
   post({ kind: 'peerMessage', from, incarnation, news: message.value });
 }
 
-/** A measured load as the core takes it. */
-function readingOf({ utilization, lagMs, ...counts }: MeasuredLoad): LoadReading {
+/** Converts a measurement to the core's format. */
+function toLoadReading({ utilization, lagMs, ...counts }: MeasuredLoad): LoadReading {
   return { utilization, lagMs, counts: { ...counts, oldestMs: Math.round(counts.oldestMs) } };
 }
 
@@ -372,8 +372,8 @@
     lostUpstreams: upstreams.filter(({ reachability }) => reachability.kind === 'lost').length,
     instances: countInstances(ctx),
     linesOmitted: log.omitted(),
-    loopUtilization: meter.last().utilization,
-    loopLagMs: meter.last().lagMs,
+    loopUtilization: meter.lastReading().utilization,
+    loopLagMs: meter.lastReading().lagMs,
   });
   return { status: 200, contentType: metrics.contentType, text };
 }
