--- a/test/support/configuration.ts
+++ b/test/support/configuration.ts
@@ -1,4 +1,4 @@
-/** A small configuration for tests of the core. */
+/** Creates small configurations for tests of the core. */
 import type {
   ConfigurationView,
   CustomerLimits,
@@ -46,25 +46,25 @@
   rate: 1e6,
 };
 
-/** Customers are numbered from 1; customer n has the key hash `hash-n`. */
+/** Creates a view with one pool. Customers are numbered from 1; customer n has the key hash `hash-n`. */
 export function createTestView(options: TestViewOptions = {}): ConfigurationView {
   const pool = { ...DEFAULT_POOL, ...options.pool };
   const upstreams = (options.upstreams ?? [{}]).map((upstream) => ({
     ...DEFAULT_UPSTREAM,
     ...upstream,
   }));
-  const numbers = Array.from({ length: options.customers ?? 2 }, (_, i) => i + 1);
+  const customerNumbers = Array.from({ length: options.customers ?? 2 }, (_, i) => i + 1);
   const limits = { ...DEFAULT_LIMITS, ...options.limits };
   return {
     version: options.version ?? 1,
     customers: new Map(
-      numbers.map((number) => [
+      customerNumbers.map((number) => [
         number,
         { id: `c${number}`, number, keyHashes: [`hash-${number}`], limits },
       ]),
     ),
-    customersByKey: new Map(numbers.map((number) => [`hash-${number}`, number])),
-    customersById: new Map(numbers.map((number) => [`c${number}`, number])),
+    customersByKey: new Map(customerNumbers.map((number) => [`hash-${number}`, number])),
+    customersById: new Map(customerNumbers.map((number) => [`c${number}`, number])),
     pools: new Map([[pool.id, pool]]),
     poolsByNumber: new Map([[pool.number, pool]]),
     upstreams: new Map(upstreams.map((upstream) => [upstream.id, upstream])),
--- a/test/support/edits.ts
+++ b/test/support/edits.ts
@@ -1,4 +1,4 @@
-/** Builds edits of the configuration for tests. */
+/** Creates configuration edits for tests. */
 import { sha256Hex } from '../../src/core/sha256.js';
 import {
   encodeEdit,
@@ -36,7 +36,7 @@
   e1: { pool: chat, url: 'http://127.0.0.1:9', domain: d1, region: r1, slots: 2 }
 `;
 
-/** Changes that publish the base document. */
+/** Returns the changes that publish the base document. */
 export function baseChanges(): SectionChange[] {
   return splitDocument(BASE_DOCUMENT).parts.map(({ name, text }) => ({
     section: name,
@@ -45,7 +45,7 @@
   }));
 }
 
-/** A change that plans the stop of an upstream. */
+/** Returns a change that plans a stop of the upstream `key`. */
 export function stopChange(key: string, reason = 'r'): SectionChange {
   return { section: 'plannedStops', set: { [key]: `${key}: { reason: ${reason} }\n` }, remove: [] };
 }
@@ -56,6 +56,7 @@
   readonly at?: number;
 }
 
+/** Returns the encoded log record of an edit, with a proof derived from the key hash of its team. */
 export function editRecord(
   editId: string,
   baseVersion: number,
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -1,4 +1,4 @@
-/** A small fleet in this process: engines, a service, a platform and instances in front of them. */
+/** Starts an in-process fleet: engines, a service, a platform and the instances that route to them. */
 import { createHash } from 'node:crypto';
 import { createInstance, type Instance, type InstanceOptions } from '../../src/daemon/instance.js';
 import type { ConfigurationView, UpstreamConfig } from '../../src/core/types.js';
@@ -19,7 +19,7 @@
   readonly instances?: number;
   readonly engines?: readonly EngineOptions[];
   readonly instance?: Partial<InstanceOptions>;
-  /** Requests of a customer that may wait in the whole fleet. */
+  /** Maximum number of waiting requests per customer across the fleet. */
   readonly waitingRequests?: number;
 }
 
@@ -28,24 +28,24 @@
   readonly service: ServiceStandin;
   readonly platform: PlatformStandin;
   readonly instances: readonly Instance[];
-  /** Base addresses of the callers' ports. */
+  /** Base URLs of the callers' ports. */
   readonly urls: readonly string[];
   readonly operatorUrls: readonly string[];
   readonly close: () => Promise<void>;
 }
 
-const DOMAIN = { domain: 'd1', region: 'r1' };
+const LOCATION = { domain: 'd1', region: 'r1' };
 
 export const keyHashOf = (key: string): string => createHash('sha256').update(key).digest('hex');
 
-/** Customer n of the view has the key `key-n`. */
+/** Creates the view of the fleet; customer n has the key `key-n`. */
 function createFleetView(
   engines: readonly EngineStandin[],
   service: ServiceStandin,
   waitingRequests?: number,
 ): ConfigurationView {
   const upstreams: UpstreamConfig[] = engines.map(({ url }, i) => ({
-    ...DOMAIN,
+    ...LOCATION,
     id: `e${i + 1}`,
     pool: 'chat',
     url,
@@ -58,7 +58,7 @@
     ...(waitingRequests === undefined ? {} : { limits: { waitingRequests } }),
   });
   const chat = view.pools.get('chat');
-  if (chat === undefined) throw new Error('The view has no pool.');
+  if (chat === undefined) throw new Error('The test view does not contain the pool "chat".');
   const app = {
     ...chat,
     id: 'app',
@@ -67,7 +67,7 @@
     idempotentByDefault: false,
   } as const;
   const appUpstream: UpstreamConfig = {
-    ...DOMAIN,
+    ...LOCATION,
     id: 's1',
     pool: 'app',
     url: service.url,
@@ -75,10 +75,10 @@
     checksOrders: false,
     reportsLoad: false,
   };
-  const numbers = [...view.customers.keys()];
+  const customerNumbers = [...view.customers.keys()];
   return {
     ...view,
-    customersByKey: new Map(numbers.map((number) => [keyHashOf(`key-${number}`), number])),
+    customersByKey: new Map(customerNumbers.map((number) => [keyHashOf(`key-${number}`), number])),
     pools: new Map([...view.pools, [app.id, app]]),
     poolsByNumber: new Map([...view.poolsByNumber, [app.number, app]]),
     upstreams: new Map([...view.upstreams, [appUpstream.id, appUpstream]]),
@@ -94,7 +94,7 @@
   const instances = Array.from({ length: options.instances ?? 1 }, (_, i) =>
     createInstance({
       id: `i${i + 1}`,
-      ...DOMAIN,
+      ...LOCATION,
       platformUrl: platform.url,
       log: { threshold: 'error' },
       initialConfiguration: view,
@@ -105,7 +105,7 @@
   const addresses = await Promise.all(instances.map(async (instance) => instance.start()));
   platform.setInstances(
     addresses.map(({ peers }, i) => ({
-      ...DOMAIN,
+      ...LOCATION,
       id: `i${i + 1}`,
       address: peers,
       state: 'live',
@@ -132,7 +132,7 @@
   readonly signal?: AbortSignal;
 }
 
-/** Sends a completion request with `question` as its one message. */
+/** Sends a completion request with `question` as its only message. */
 export async function ask(
   url: string,
   question: string,
@@ -151,10 +151,11 @@
   });
 }
 
-/** The text of a streamed answer; throws unless it has its end mark. */
+/** Returns the text of a streamed response; throws if the final `[DONE]` event is missing. */
 export function streamedText(answer: string): string {
   const events = answer.split('\n\n').filter((event) => event !== '');
-  if (events.at(-1) !== 'data: [DONE]') throw new Error(`No end mark: ${answer}`);
+  if (events.at(-1) !== 'data: [DONE]')
+    throw new Error(`The stream has no final [DONE] event: ${answer}`);
   return events
     .slice(0, -1)
     .map((event) => JSON.parse(event.slice('data: '.length)) as StreamChunk)
--- a/test/support/sharingLoad.ts
+++ b/test/support/sharingLoad.ts
@@ -1,4 +1,4 @@
-/** Load on a fake network that keeps every customer's queue filled, and what came of it. */
+/** Generates load on a simulated network that keeps every customer backlogged. */
 import type { SharingConditions } from '../../src/core/shares/bound.js';
 import { createRandom } from '../../src/core/random.js';
 import { createTestView } from './configuration.js';
@@ -11,32 +11,33 @@
 export const LINK_DELAY_MS = 12;
 export const TOKENS_PER_SECOND = 100;
 
-/** Price of an output token in the test configuration. */
+/** Cost of an output token in the test configuration. */
 export const PER_OUTPUT_TOKEN = 2;
 
 const CHARGE_STEP = 100;
-const CROSSING_PRICE_MS = 100;
-const REFILL_MS = 20;
+const CROSS_REGION_PRICE_MS = 100;
+const REFILL_INTERVAL_MS = 20;
 
-export interface FloodingCustomer {
+export interface BackloggedCustomer {
   readonly weight: number;
-  /** Index of the one instance that takes its requests; absent for all. */
+  /** Index of the instance that receives all its requests; if absent, requests go to random instances. */
   readonly instance?: number;
+  /** Maximum number of output tokens per request. */
   readonly tokens: number;
-  /** Factor on the true cost in the hint; absent for no hint. */
+  /** Cost hint divided by the number of output tokens; if absent, requests carry no hint. */
   readonly hint?: number;
-  /** Time, after the load began, at which the customer's requests begin. */
+  /** Delay between the start of the load and the customer's first request. */
   readonly startsAfterMs?: number;
 }
 
 export interface SharingLoad {
   readonly seed: number;
-  /** Instances and slots of the upstreams, by failure domain. */
+  /** Number of instances and slots of each upstream, by failure domain. */
   readonly domains: readonly {
     readonly instances: number;
     readonly upstreams: readonly number[];
   }[];
-  readonly customers: readonly FloodingCustomer[];
+  readonly customers: readonly BackloggedCustomer[];
   readonly suspendShare?: number;
   readonly network?: Partial<FakeNetworkOptions>;
 }
@@ -45,31 +46,31 @@
   readonly network: FakeNetwork;
   readonly conditions: SharingConditions;
   readonly slots: number;
-  /** True service in cost units per weight, by customer from 1. */
+  /** Returns the service received by each customer, in cost units divided by weight. */
   readonly virtualServed: () => readonly number[];
 }
 
-/** Builds the fleet, waits until it knows itself and fills the queues from then on. */
+/** Creates the fleet, runs it until membership has converged and then keeps the queues filled. */
 export function startSharing(load: SharingLoad): SharingRun {
   const slots = load.domains.flatMap(({ upstreams }) => upstreams).reduce((a, b) => a + b, 0);
   const network = createNetwork(load);
   network.runUntil(8_000);
   const random = createRandom(load.seed);
-  const ids = [...network.nodes.keys()];
+  const instanceIds = [...network.nodes.keys()];
   const start = network.now();
   const refill = () => {
     load.customers.forEach((customer, i) => {
       if (network.now() < start + (customer.startsAfterMs ?? 0)) return;
       const number = i + 1;
       while ((network.waiting.get(number)?.size ?? 0) < 2 * slots) {
-        const at = customer.instance ?? random.nextInt(ids.length);
+        const instanceIndex = customer.instance ?? random.nextInt(instanceIds.length);
         const tokens = 1 + random.nextInt(customer.tokens);
         const hint = customer.hint === undefined ? {} : { costHint: tokens * customer.hint };
-        const instance = ids[at % ids.length] as string;
+        const instance = instanceIds[instanceIndex % instanceIds.length] as string;
         network.submit({ instance, customer: number, tokens, ...hint });
       }
     });
-    network.at(network.now() + REFILL_MS, refill);
+    network.at(network.now() + REFILL_INTERVAL_MS, refill);
   };
   refill();
   return {
@@ -96,7 +97,7 @@
     upstreams,
     customers: load.customers.length,
     weights: new Map(load.customers.map(({ weight }, i) => [i + 1, weight])),
-    pool: { suspendShare: load.suspendShare ?? 0.25, crossRegionPriceMs: CROSSING_PRICE_MS },
+    pool: { suspendShare: load.suspendShare ?? 0.25, crossRegionPriceMs: CROSS_REGION_PRICE_MS },
   });
   return createFakeNetwork({
     seed: load.seed,
@@ -123,7 +124,7 @@
     slotRate: TOKENS_PER_SECOND * PER_OUTPUT_TOKEN,
     leastWeight: Math.min(...customers.map(({ weight }) => weight)),
     delayMs: LINK_DELAY_MS + (load.network?.jitterMs ?? 0),
-    crossRegionPriceMs: CROSSING_PRICE_MS,
+    crossRegionPriceMs: CROSS_REGION_PRICE_MS,
     lostMessages: (load.network?.loss ?? 0) > 0 ? 2 : 0,
     customers: customers.length,
     instancesInDomain: Math.max(...load.domains.map(({ instances }) => instances)),
