--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import { configs, plugins, rules } from 'eslint-config-airbnb-extended';
 import prettier from 'eslint-config-prettier';
 
-/** Globals and modules through which the core would reach the outside world. */
+/** Forbids globals and modules through which the core could read the time or perform I/O. */
 const coreRestrictions = {
   'no-restricted-globals': [
     'error',
@@ -47,7 +47,8 @@
   prettier,
   {
     rules: {
-      // The layout follows the TypeScript compiler: named exports, functions ordered from the general to the particular.
+      // As in the TypeScript compiler, exports are named and callers are declared before the functions
+      // that they call.
       'import-x/prefer-default-export': 'off',
       'import-x/extensions': 'off',
       'import-x/no-rename-default': 'off',
@@ -55,9 +56,9 @@
         'error',
         { functions: false, classes: true, variables: true },
       ],
-      // Sub-reducers write in place to the part of the state that they own (see docs/DESIGN.md).
+      // Sub-reducers mutate the part of the state that they own (see docs/DESIGN.md).
       'no-param-reassign': ['error', { props: false }],
-      // Iterators need no transpilation on Node.js 20.
+      // Allows `for...of`: Node.js 20 supports iterators natively, without transpilation.
       'no-restricted-syntax': ['error', 'ForInStatement', 'LabeledStatement', 'WithStatement'],
       'no-continue': 'off',
       'no-bitwise': 'off',
@@ -82,7 +83,7 @@
     rules: {
       'n/no-sync': 'off',
       'n/no-process-exit': 'off',
-      // The executable keeps its first line when it is compiled.
+      // The compiler preserves the hashbang of the executable.
       'n/hashbang': 'off',
       'no-console': 'off',
       'import-x/no-extraneous-dependencies': 'off',
