--- a/src/bench/routing/baselines.ts
+++ b/src/bench/routing/baselines.ts
@@ -1,10 +1,11 @@
 /**
- * Plain routers to compare with. Each instance decides by its own requests alone.
+ * Baseline routers for comparison with the routing core. Each instance uses only its own request
+ * counts and does not communicate with other instances.
  *
- * - `leastLoaded`: the upstream at which it runs fewest; nothing is refused.
- * - `homes`: the upstream that a hash of the shared part names, or the next one while that has too
- *   many; refused where both have. A customer that runs more than the mean of its instance has a
- *   smaller limit.
+ * - `leastLoaded`: picks the upstream with the fewest requests of this instance; never rejects.
+ * - `homes`: picks the upstream with the highest rendezvous hash for the shared prefix, or the
+ *   second highest if the first is at its limit, and rejects if both are. The limit is lower for a
+ *   customer that has more requests in flight than the mean of the instance's customers.
  */
 import type { Millis } from '../../core/clock.js';
 import { Debug } from '../../core/debug.js';
@@ -22,12 +23,14 @@
 
 export type Router = Pick<Routing, 'reduce'>;
 
-/** Requests that an instance runs at one upstream at most, and for a customer above the mean. */
-const HOME_LIMIT = 5;
-const GREEDY_LIMIT = 2;
+/**
+ * Maximum requests of one instance at an upstream, and the maximum for customers above the mean.
+ */
+const UPSTREAM_LIMIT = 5;
+const HEAVY_CUSTOMER_LIMIT = 2;
 const RETRY_AFTER_MS: Millis = 300;
-const POLL_MS: Millis = 1_000;
-const DEADLINE_MS: Millis = 12_000;
+const POLL_INTERVAL_MS: Millis = 1_000;
+const DEFAULT_DEADLINE_MS: Millis = 12_000;
 
 interface RunningRequest {
   readonly upstream: string;
@@ -39,40 +42,40 @@
   const running = new Map<AttemptNumber, RunningRequest>();
   let nextAttempt = 1;
 
-  const runningAt = (id: string) =>
+  const countRunning = (id: string) =>
     [...running.values()].filter(({ upstream }) => upstream === id).length;
 
-  function limitFor(customer: string): number {
+  function upstreamLimitFor(customer: string): number {
     const byCustomer = new Map<string, number>();
     running.forEach(({ customer: name }) => {
       byCustomer.set(name, (byCustomer.get(name) ?? 0) + 1);
     });
     const mean = running.size / Math.max(1, byCustomer.size);
-    return (byCustomer.get(customer) ?? 0) > mean ? GREEDY_LIMIT : HOME_LIMIT;
+    return (byCustomer.get(customer) ?? 0) > mean ? HEAVY_CUSTOMER_LIMIT : UPSTREAM_LIMIT;
   }
 
-  function pick(facts: RequestFacts): ListedUpstream | undefined {
+  function chooseUpstream(facts: RequestFacts): ListedUpstream | undefined {
     const all = [...upstreams.values()];
     switch (policy) {
       case 'leastLoaded':
-        return all.sort((a, b) => runningAt(a.id) - runningAt(b.id))[0];
+        return all.sort((a, b) => countRunning(a.id) - countRunning(b.id))[0];
       case 'homes': {
         const key = hash32(facts.prefix.at(-2)?.id ?? '');
         const scoreOf = ({ id }: ListedUpstream) => rendezvousScoreOfHashes(key, hash32(id));
-        const limit = limitFor(facts.key ?? '');
+        const limit = upstreamLimitFor(facts.key ?? '');
         return all
           .sort((a, b) => scoreOf(b) - scoreOf(a))
           .slice(0, 2)
-          .find(({ id }) => runningAt(id) < limit);
+          .find(({ id }) => countRunning(id) < limit);
       }
       default:
         return Debug.assertNever(policy);
     }
   }
 
-  function arrive(facts: RequestFacts): readonly RoutingEffect[] {
+  function startRequest(facts: RequestFacts): readonly RoutingEffect[] {
     const { request } = facts;
-    const upstream = pick(facts);
+    const upstream = chooseUpstream(facts);
     if (upstream === undefined) {
       const retryAfterMs = RETRY_AFTER_MS;
       const answer = { request, status: 503, reason: 'overload', retryAfterMs } as const;
@@ -91,7 +94,7 @@
           upstream: id,
           address,
           bornAt,
-          deadlineMs: facts.deadlineMs ?? DEADLINE_MS,
+          deadlineMs: facts.deadlineMs ?? DEFAULT_DEADLINE_MS,
           mode: 'stream',
           isResumed: false,
           maxConnections: Infinity,
@@ -100,7 +103,9 @@
     ];
   }
 
-  function takeList(event: Extract<RoutingEvent, { readonly kind: 'upstreamsPolled' }>): void {
+  function applyUpstreamList(
+    event: Extract<RoutingEvent, { readonly kind: 'upstreamsPolled' }>,
+  ): void {
     if (event.outcome.kind !== 'answered') return;
     upstreams.clear();
     event.outcome.changes.forEach((change) => {
@@ -114,12 +119,12 @@
         case 'start':
           return [{ kind: 'pollUpstreams' }];
         case 'upstreamsPolled':
-          takeList(event);
-          return [{ kind: 'setTimer', timer: 'upstreamPoll', at: now + POLL_MS }];
+          applyUpstreamList(event);
+          return [{ kind: 'setTimer', timer: 'upstreamPoll', at: now + POLL_INTERVAL_MS }];
         case 'timer':
           return [{ kind: 'pollUpstreams' }];
         case 'requestArrived':
-          return arrive(event.facts);
+          return startRequest(event.facts);
         case 'attemptEnded':
           running.delete(event.attempt);
           return [];
--- a/src/bench/routing/emulatedEngine.ts
+++ b/src/bench/routing/emulatedEngine.ts
@@ -1,27 +1,28 @@
 /**
- * A model engine in simulated time: continuous batching with chunked prefill. In each step every
- * running request whose prompt has been read makes one token, and a chunk of prompt tokens is read
- * in order of arrival. Parts of prompts are kept in memory and yield in order of last use; a request
- * for whose memory there is no room waits.
+ * Simulates a model engine with continuous batching and chunked prefill. In each step, every
+ * running request whose prefill is complete generates one token, and a chunk of prompt tokens is
+ * prefilled in order of arrival. Prompt parts are cached with LRU eviction. A request waits until
+ * there is memory for its prompt and output.
  *
- * Left out: preemption, swapped memory, and the dependence of a step's time on the context.
+ * Not modeled: preemption, swapping, and the dependence of the step time on the context length.
  */
 import type { Millis } from '../../core/clock.js';
 import type { PrefixPart } from '../../routing/types.js';
 import type { Simulation } from './simulation.js';
 
 export interface EngineModel {
-  /** Requests that run at a time. */
+  /** Maximum number of requests that run concurrently. */
   readonly slots: number;
-  /** Tokens that running requests and kept parts have room for. */
+  /** Memory capacity in tokens, shared by running requests and cached parts. */
   readonly memoryTokens: number;
-  /** Time of a step, and what each running request adds. */
+  /** Base duration of a step, and the addition for each running request. */
   readonly stepMs: Millis;
   readonly stepMsPerRequest: Millis;
+  /** Prefill speed. */
   readonly readTokensPerMs: number;
-  /** Prompt tokens that are read in one step at most. */
+  /** Maximum number of prompt tokens that are prefilled in one step. */
   readonly chunkTokens: number;
-  /** Time that each request takes before its first step. */
+  /** Delay between the submission of a request and its admission to the queue. */
   readonly startMs: Millis;
 }
 
@@ -37,69 +38,69 @@
 export interface EmulatedEngine {
   readonly submit: (job: EngineJob) => void;
   readonly cancel: (id: number) => void;
-  /** Ends all work without an answer; returns the jobs. */
+  /** Drops all jobs and the cache; returns the ids of the jobs. */
   readonly crash: () => readonly number[];
-  /** Makes all steps longer by a factor. */
+  /** Multiplies the duration of all steps by a factor. */
   readonly slowDown: (factor: number) => void;
 }
 
 export interface EmulatedEngineOptions {
   readonly simulation: Simulation;
   readonly model: EngineModel;
-  /** Called with what a request has to read as it begins. */
+  /** Called when a job starts, with its parts and the number of tokens to prefill. */
   readonly onRead: (parts: readonly PrefixPart[], firstUncached: number, tokens: number) => void;
 }
 
 interface RunningJob {
   readonly job: EngineJob;
-  unread: number;
-  made: number;
+  unreadTokens: number;
+  emittedTokens: number;
 }
 
 export function createEmulatedEngine(options: EmulatedEngineOptions): EmulatedEngine {
   const { simulation, model } = options;
-  const kept = new Map<string, number>();
-  let keptTokens = 0;
-  let heldTokens = 0;
+  const cachedParts = new Map<string, number>();
+  let cachedTokens = 0;
+  let reservedTokens = 0;
   let waiting: EngineJob[] = [];
   let running: RunningJob[] = [];
   let isStepping = false;
-  let slowness = 1;
-  let life = 0;
+  let slowdownFactor = 1;
+  let generation = 0;
 
-  const needOf = (job: EngineJob) => job.promptTokens + job.outputTokens;
+  const requiredTokens = (job: EngineJob) => job.promptTokens + job.outputTokens;
 
   function evictFor(tokens: number): void {
-    for (const [id, size] of kept) {
-      if (heldTokens + keptTokens + tokens <= model.memoryTokens) return;
-      kept.delete(id);
-      keptTokens -= size;
+    for (const [id, size] of cachedParts) {
+      if (reservedTokens + cachedTokens + tokens <= model.memoryTokens) return;
+      cachedParts.delete(id);
+      cachedTokens -= size;
     }
   }
 
-  function begin(job: EngineJob): void {
-    const found = job.parts.findIndex(({ id }) => !kept.has(id));
-    const firstUncached = found === -1 ? job.parts.length : found;
+  function startJob(job: EngineJob): void {
+    const firstMiss = job.parts.findIndex(({ id }) => !cachedParts.has(id));
+    const firstUncached = firstMiss === -1 ? job.parts.length : firstMiss;
     const cached = job.parts.slice(0, firstUncached);
-    cached.forEach(touch);
-    const unread = job.promptTokens - cached.reduce((sum, { tokens }) => sum + tokens, 0);
-    options.onRead(job.parts, firstUncached, unread);
-    evictFor(needOf(job));
-    heldTokens += needOf(job);
-    running.push({ job, unread: Math.max(1, unread), made: 0 });
+    cached.forEach(markUsed);
+    const unreadTokens = job.promptTokens - cached.reduce((sum, { tokens }) => sum + tokens, 0);
+    options.onRead(job.parts, firstUncached, unreadTokens);
+    evictFor(requiredTokens(job));
+    reservedTokens += requiredTokens(job);
+    running.push({ job, unreadTokens: Math.max(1, unreadTokens), emittedTokens: 0 });
   }
 
-  function touch({ id, tokens }: PrefixPart): void {
-    if (!kept.delete(id)) keptTokens += tokens;
-    kept.set(id, tokens);
+  function markUsed({ id, tokens }: PrefixPart): void {
+    if (!cachedParts.delete(id)) cachedTokens += tokens;
+    cachedParts.set(id, tokens);
   }
 
   function admit(): void {
     while (running.length < model.slots) {
       const [next] = waiting;
-      if (next === undefined || heldTokens + needOf(next) > model.memoryTokens) return;
+      if (next === undefined || reservedTokens + requiredTokens(next) > model.memoryTokens) return;
       waiting.shift();
-      begin(next);
+      startJob(next);
     }
   }
 
@@ -108,48 +109,50 @@
     isStepping = running.length > 0;
     if (!isStepping) return;
     let budget = model.chunkTokens;
-    const reading: { run: RunningJob; tokens: number }[] = [];
+    const prefills: { run: RunningJob; tokens: number }[] = [];
     running.forEach((run) => {
-      const tokens = Math.min(budget, run.unread);
+      const tokens = Math.min(budget, run.unreadTokens);
       if (tokens === 0) return;
       budget -= tokens;
-      reading.push({ run, tokens });
+      prefills.push({ run, tokens });
     });
-    const read = model.chunkTokens - budget;
+    const prefilledTokens = model.chunkTokens - budget;
     const durationMs =
-      (model.stepMs + running.length * model.stepMsPerRequest + read / model.readTokensPerMs) *
-      slowness;
-    const making = running.filter(({ unread }) => unread === 0);
-    const current = life;
+      (model.stepMs +
+        running.length * model.stepMsPerRequest +
+        prefilledTokens / model.readTokensPerMs) *
+      slowdownFactor;
+    const decoding = running.filter(({ unreadTokens }) => unreadTokens === 0);
+    const current = generation;
     simulation.after(durationMs, () => {
-      if (current !== life) return;
-      reading.forEach(({ run, tokens }) => {
-        run.unread -= tokens;
-        if (run.unread === 0) making.push(run);
+      if (current !== generation) return;
+      prefills.forEach(({ run, tokens }) => {
+        run.unreadTokens -= tokens;
+        if (run.unreadTokens === 0) decoding.push(run);
       });
-      making.forEach(make);
+      decoding.forEach(emitToken);
       step();
     });
   }
 
-  function make(run: RunningJob): void {
+  function emitToken(run: RunningJob): void {
     if (!running.includes(run)) return;
-    run.made += 1;
-    if (run.made === 1) {
-      run.job.parts.forEach(touch);
+    run.emittedTokens += 1;
+    if (run.emittedTokens === 1) {
+      run.job.parts.forEach(markUsed);
       run.job.onFirst();
     }
-    if (run.made < run.job.outputTokens) return;
-    remove(run);
+    if (run.emittedTokens < run.job.outputTokens) return;
+    removeRunning(run);
     run.job.onEnded();
   }
 
-  function remove(run: RunningJob): void {
+  function removeRunning(run: RunningJob): void {
     running = running.filter((other) => other !== run);
-    heldTokens -= needOf(run.job);
+    reservedTokens -= requiredTokens(run.job);
   }
 
-  function wake(): void {
+  function scheduleStep(): void {
     if (isStepping) return;
     isStepping = true;
     simulation.after(0, step);
@@ -157,31 +160,31 @@
 
   return {
     submit: (job) => {
-      const current = life;
-      simulation.after(model.startMs * slowness, () => {
-        if (current !== life) return;
+      const current = generation;
+      simulation.after(model.startMs * slowdownFactor, () => {
+        if (current !== generation) return;
         waiting.push(job);
-        wake();
+        scheduleStep();
       });
     },
     cancel: (id) => {
       waiting = waiting.filter((job) => job.id !== id);
       const run = running.find(({ job }) => job.id === id);
-      if (run !== undefined) remove(run);
+      if (run !== undefined) removeRunning(run);
     },
     crash: () => {
-      life += 1;
+      generation += 1;
       const lost = [...waiting.map(({ id }) => id), ...running.map(({ job }) => job.id)];
       waiting = [];
       running = [];
-      kept.clear();
-      keptTokens = 0;
-      heldTokens = 0;
+      cachedParts.clear();
+      cachedTokens = 0;
+      reservedTokens = 0;
       isStepping = false;
       return lost;
     },
     slowDown: (factor) => {
-      slowness = factor;
+      slowdownFactor = factor;
     },
   };
 }
--- a/src/bench/routing/emulatedFleet.ts
+++ b/src/bench/routing/emulatedFleet.ts
@@ -1,7 +1,7 @@
 /**
- * A fleet in simulated time: routing cores that exchange news over links with a delay, emulated
- * engines, and callers that return after a refusal. It keeps what callers got of each customer and
- * kind of request, and how many shared tokens engines read again.
+ * Simulates a fleet: routing cores that exchange routing news over links with a delay, emulated
+ * engines, and callers that retry after a rejection. Records the outcomes by customer and by route,
+ * and the number of shared prompt tokens that engines prefilled repeatedly.
  */
 import { createRandom } from '../../core/random.js';
 import type { Millis } from '../../core/clock.js';
@@ -22,26 +22,32 @@
 } from '../../routing/types.js';
 import { createBaselineRouter, type BaselinePolicy, type Router } from './baselines.js';
 import { createEmulatedEngine, type EmulatedEngine, type EngineModel } from './emulatedEngine.js';
-import { createReadCounter, createResults, type Ending, type FleetResults } from './results.js';
+import {
+  createPrefillCounter,
+  createResults,
+  type UnservedOutcome,
+  type FleetResults,
+} from './results.js';
 import type { Simulation } from './simulation.js';
 
 export interface FleetShape {
   readonly engine: EngineModel;
-  /** Failure domains, each in a region of its own, with their instances and engines. */
+  /** Failure domains, each in its own region, with the numbers of instances and engines. */
   readonly domains: readonly {
     readonly id: FailureDomainId;
     readonly instances: number;
     readonly engines: number;
   }[];
-  /** One-way delay between regions, and within one. */
+  /** One-way network delay between regions, and within a region. */
   readonly crossRegionMs: Millis;
   readonly withinRegionMs: Millis;
+  /** One-way network delay between a caller and its instance. */
   readonly callerMs: Millis;
   readonly routes: readonly Route[];
   readonly customers: number;
 }
 
-/** A request as a caller makes it. */
+/** A request of a caller. */
 export interface OfferedRequest {
   readonly at: Millis;
   readonly domain: FailureDomainId;
@@ -51,21 +57,21 @@
   readonly promptTokens: number;
   readonly outputTokens: number;
   readonly deadlineMs: Millis;
-  /** How often the caller returns after a refusal. */
-  readonly returns: number;
+  /** Number of times that the caller retries after a rejection. */
+  readonly maxRetries: number;
 }
 
 export interface EmulatedFleet {
   readonly offer: (request: OfferedRequest) => void;
   readonly results: FleetResults;
   readonly engines: ReadonlyMap<string, EmulatedEngine>;
-  /** An engine ends; its connections are cut and it leaves the list. */
-  readonly loseEngine: (id: string) => void;
-  /** All instances end and start again at once, knowing nothing of before. */
+  /** Crashes an engine: its connections are reset and it is removed from the upstream list. */
+  readonly failEngine: (id: string) => void;
+  /** Restarts all instances at the same time without any state. */
   readonly restartInstances: () => void;
 }
 
-/** How instances decide: by the core, by the core without news of each other, or by a baseline. */
+/** Routing policy: the core, the core without the exchange of routing news, or a baseline. */
 export type FleetPolicy = 'core' | 'coreWithoutNews' | BaselinePolicy;
 
 export interface EmulatedFleetOptions {
@@ -76,10 +82,10 @@
   readonly settings?: Partial<RoutingSettings>;
 }
 
-const POOL = 'models';
-const STORE_MS: Millis = 4;
+const POOL_ID = 'models';
+const STORE_LATENCY_MS: Millis = 4;
 const MAX_CONNECTIONS = 10_000;
-const RESET: AttemptOutcome = { kind: 'cut', reason: 'ECONNRESET' };
+const CONNECTION_RESET: AttemptOutcome = { kind: 'cut', reason: 'ECONNRESET' };
 
 const regionOf = (domain: FailureDomainId): RegionId => `region-of-${domain}`;
 
@@ -88,37 +94,40 @@
   readonly domain: FailureDomainId;
   router: Router;
   readonly timers: Map<RoutingTimer, number>;
-  readonly open: Map<number, OpenCall>;
+  readonly openCalls: Map<number, OpenCall>;
   readonly attempts: Map<AttemptNumber, { readonly engine: string; readonly job: number }>;
-  readonly post: (event: RoutingEvent) => void;
+  readonly dispatch: (event: RoutingEvent) => void;
 }
 
 interface OpenCall {
   readonly offered: OfferedRequest;
-  /** Number of the request among all, the same as it returns. */
-  readonly number: number;
-  readonly firstAt: Millis;
-  readonly returns: number;
+  /** Identifies the call; a retry keeps the number. */
+  readonly callNumber: number;
+  readonly firstSentAt: Millis;
+  readonly retriesLeft: number;
 }
 
-/** Creates the fleet; its instances start at once and know of each other and of all engines. */
+/**
+ * Creates a fleet. Its instances start within `STORE_LATENCY_MS` and poll for instances and
+ * engines.
+ */
 export function createEmulatedFleet(options: EmulatedFleetOptions): EmulatedFleet {
   const { simulation, shape, policy = 'core' } = options;
   const random = createRandom(options.seed);
-  const reads = createReadCounter(simulation.now);
-  const results = createResults(reads);
+  const prefillCounter = createPrefillCounter(simulation.now);
+  const results = createResults(prefillCounter);
   const regions = new Map(shape.domains.map(({ id }) => [id, regionOf(id)]));
-  const listed = shape.domains.flatMap(({ id, engines }) =>
-    Array.from({ length: engines }, (_, i) => listEngine(id, i, shape.engine)),
+  const listedEngines = shape.domains.flatMap(({ id, engines }) =>
+    Array.from({ length: engines }, (_, i) => createListedEngine(id, i, shape.engine)),
   );
-  const engineDomains = new Map(listed.map(({ id, domain }) => [id, domain]));
+  const engineDomains = new Map(listedEngines.map(({ id, domain }) => [id, domain]));
   const engines = new Map<string, EmulatedEngine>(
-    listed.map(({ id }) => [
+    listedEngines.map(({ id }) => [
       id,
-      createEmulatedEngine({ simulation, model: shape.engine, onRead: reads.count }),
+      createEmulatedEngine({ simulation, model: shape.engine, onRead: prefillCounter.record }),
     ]),
   );
-  const present = new Set(engines.keys());
+  const availableEngines = new Set(engines.keys());
   const instances = new Map<string, Instance>();
   let nextJob = 1;
   let nextRequest = 1;
@@ -145,9 +154,9 @@
       domain,
       router,
       timers: new Map(),
-      open: new Map(),
+      openCalls: new Map(),
       attempts: new Map(),
-      post: (event) => {
+      dispatch: (event) => {
         const effects = instance.router.reduce(event, simulation.now());
         effects.forEach((effect) => execute(instance, effect));
       },
@@ -166,14 +175,14 @@
         answerPoll(instance, effect);
         return;
       case 'announce':
-        simulation.after(STORE_MS, () => instance.post({ kind: 'announced' }));
+        simulation.after(STORE_LATENCY_MS, () => instance.dispatch({ kind: 'announced' }));
         return;
       case 'send':
-        send(instance, effect);
+        sendAttempt(instance, effect);
         return;
       case 'cancel':
       case 'withdraw':
-        withdraw(instance, effect.attempt);
+        cancelAttempt(instance, effect.attempt);
         return;
       case 'answer':
         endCall(instance, effect.answer.request, 'refused', effect.answer.retryAfterMs);
@@ -183,10 +192,10 @@
         endCall(instance, effect.request, 'failed');
         return;
       case 'sendPeer':
-        deliver(instance, effect.to, effect.message);
+        deliverMessage(instance, effect.to, effect.message);
         break;
       default:
-      // The others concern logs, metrics and connections, which are not emulated.
+      // Other effects concern logs, metrics and connections, which are not emulated.
     }
   }
 
@@ -195,7 +204,7 @@
     simulation.at(at, () => {
       if (instance.timers.get(timer) !== at) return;
       instance.timers.delete(timer);
-      instance.post({ kind: 'timer', timer });
+      instance.dispatch({ kind: 'timer', timer });
     });
   }
 
@@ -209,21 +218,21 @@
     const askedAt = simulation.now();
     const isWhole = effect.cursor === undefined;
     const waitMs = 'waitMs' in effect ? effect.waitMs : 0;
-    simulation.after(STORE_MS + waitMs, () => {
+    simulation.after(STORE_LATENCY_MS + waitMs, () => {
       switch (effect.kind) {
         case 'pollConfiguration': {
           const configuration = createConfiguration(shape);
           const changes = isWhole ? [{ kind: 'configured', configuration } as const] : [];
           const outcome = { kind: 'answered', cursor: 1, changes } as const;
-          instance.post({ kind: 'configurationPolled', askedAt, isWhole, outcome });
+          instance.dispatch({ kind: 'configurationPolled', askedAt, isWhole, outcome });
           return;
         }
         case 'pollUpstreams': {
-          const changes = listed
-            .filter(({ id }) => present.has(id))
+          const changes = listedEngines
+            .filter(({ id }) => availableEngines.has(id))
             .map((upstream) => ({ kind: 'listed', upstream }) as const);
           const outcome = { kind: 'answered', cursor: 1, changes } as const;
-          instance.post({ kind: 'upstreamsPolled', askedAt, isWhole: true, outcome });
+          instance.dispatch({ kind: 'upstreamsPolled', askedAt, isWhole: true, outcome });
           return;
         }
         default: {
@@ -237,7 +246,7 @@
                 region: regionOf(domain),
               }))
             : [];
-          instance.post({
+          instance.dispatch({
             kind: 'instancesPolled',
             outcome: { kind: 'answered', cursor: 1, changes },
           });
@@ -246,35 +255,40 @@
     });
   }
 
-  function deliver(from: Instance, to: string, message: PeerMessage): void {
+  function deliverMessage(from: Instance, to: string, message: PeerMessage): void {
     const receiver = instances.get(to);
     if (receiver === undefined || message.$case !== 'routingNews') return;
     if (policy === 'coreWithoutNews') return;
     simulation.after(delayBetween(from.domain, receiver.domain), () => {
-      receiver.post({ kind: 'peerMessage', from: from.id, incarnation: 1, news: message.value });
+      receiver.dispatch({
+        kind: 'peerMessage',
+        from: from.id,
+        incarnation: 1,
+        news: message.value,
+      });
     });
   }
 
-  function send(
+  function sendAttempt(
     instance: Instance,
     { plan }: Extract<RoutingEffect, { readonly kind: 'send' }>,
   ): void {
     const { attempt, upstream, request } = plan;
-    const call = instance.open.get(request);
+    const call = instance.openCalls.get(request);
     const engine = engines.get(upstream);
     if (call === undefined || engine === undefined) return;
     const delay = delayBetween(instance.domain, engineDomains.get(upstream));
     const job = nextJob;
     nextJob += 1;
     instance.attempts.set(attempt, { engine: upstream, job });
-    const back = (action: () => void) => {
+    const afterReturnDelay = (action: () => void) => {
       simulation.after(delay, () => {
         if (instance.attempts.get(attempt)?.job === job) action();
       });
     };
     simulation.after(delay, () => {
-      if (!present.has(upstream)) {
-        back(() => endAttempt(instance, attempt, RESET));
+      if (!availableEngines.has(upstream)) {
+        afterReturnDelay(() => endAttempt(instance, attempt, CONNECTION_RESET));
         return;
       }
       engine.submit({
@@ -283,15 +297,18 @@
         promptTokens: call.offered.promptTokens,
         outputTokens: call.offered.outputTokens,
         onFirst: () => {
-          back(() => {
-            instance.post({ kind: 'attemptAnswered', attempt, status: 200 });
-            instance.post({ kind: 'attemptProgress', attempt });
-            results.first(call.offered, simulation.now() + shape.callerMs - call.firstAt);
+          afterReturnDelay(() => {
+            instance.dispatch({ kind: 'attemptAnswered', attempt, status: 200 });
+            instance.dispatch({ kind: 'attemptProgress', attempt });
+            results.recordFirstToken(
+              call.offered,
+              simulation.now() + shape.callerMs - call.firstSentAt,
+            );
           });
         },
         onEnded: () => {
-          back(() => {
-            instance.open.delete(request);
+          afterReturnDelay(() => {
+            instance.openCalls.delete(request);
             endAttempt(instance, attempt, { kind: 'complete', status: 200 });
           });
         },
@@ -301,10 +318,10 @@
 
   function endAttempt(instance: Instance, attempt: AttemptNumber, outcome: AttemptOutcome): void {
     instance.attempts.delete(attempt);
-    instance.post({ kind: 'attemptEnded', attempt, outcome });
+    instance.dispatch({ kind: 'attemptEnded', attempt, outcome });
   }
 
-  function withdraw(instance: Instance, attempt: AttemptNumber): void {
+  function cancelAttempt(instance: Instance, attempt: AttemptNumber): void {
     const running = instance.attempts.get(attempt);
     if (running === undefined) return;
     engines.get(running.engine)?.cancel(running.job);
@@ -314,29 +331,29 @@
   function endCall(
     instance: Instance,
     request: number,
-    ending: Ending,
+    outcome: UnservedOutcome,
     retryAfterMs: Millis = 0,
   ): void {
-    const call = instance.open.get(request);
+    const call = instance.openCalls.get(request);
     if (call === undefined) return;
-    instance.open.delete(request);
-    const leftMs = call.firstAt + call.offered.deadlineMs - simulation.now();
-    if (ending === 'refused' && call.returns > 0 && leftMs > 0) {
+    instance.openCalls.delete(request);
+    const leftMs = call.firstSentAt + call.offered.deadlineMs - simulation.now();
+    if (outcome === 'refused' && call.retriesLeft > 0 && leftMs > 0) {
       const waitMs = Math.min(retryAfterMs, leftMs / 3) + 2 * shape.callerMs;
-      simulation.after(waitMs, () => arrive({ ...call, returns: call.returns - 1 }));
+      simulation.after(waitMs, () => startRequest({ ...call, retriesLeft: call.retriesLeft - 1 }));
       return;
     }
-    results.end(call.offered, ending);
+    results.recordUnserved(call.offered, outcome);
   }
 
-  function arrive(call: OpenCall): void {
+  function startRequest(call: OpenCall): void {
     const { offered } = call;
     const instance = pickInstance(instances, offered);
     const request = nextRequest;
     nextRequest += 1;
-    instance.open.set(request, call);
-    const leftMs = call.firstAt + offered.deadlineMs - simulation.now();
-    instance.post({ kind: 'requestArrived', facts: factsOf(call, request, leftMs) });
+    instance.openCalls.set(request, call);
+    const leftMs = call.firstSentAt + offered.deadlineMs - simulation.now();
+    instance.dispatch({ kind: 'requestArrived', facts: factsOf(call, request, leftMs) });
   }
 
   shape.domains.forEach(({ id, instances: count }) => {
@@ -345,17 +362,22 @@
     });
   });
   instances.forEach((instance) => {
-    simulation.after(random.next() * STORE_MS, () => instance.post({ kind: 'start' }));
+    simulation.after(random.next() * STORE_LATENCY_MS, () => instance.dispatch({ kind: 'start' }));
   });
 
   return {
     offer: (offered) => {
-      const number = nextCall;
+      const callNumber = nextCall;
       nextCall += 1;
       simulation.at(offered.at, () => {
-        results.asked(offered);
+        results.recordRequest(offered);
         simulation.after(shape.callerMs, () => {
-          arrive({ offered, number, firstAt: offered.at, returns: offered.returns });
+          startRequest({
+            offered,
+            callNumber,
+            firstSentAt: offered.at,
+            retriesLeft: offered.maxRetries,
+          });
         });
       });
     },
@@ -366,18 +388,18 @@
         instance.attempts.forEach(({ engine, job }) => engines.get(engine)?.cancel(job));
         instance.attempts.clear();
         instance.timers.clear();
-        instance.open.forEach(({ offered }) => results.end(offered, 'failed'));
-        instance.open.clear();
+        instance.openCalls.forEach(({ offered }) => results.recordUnserved(offered, 'failed'));
+        instance.openCalls.clear();
         instance.router = createRouter(instance.id, instance.domain);
-        instance.post({ kind: 'start' });
+        instance.dispatch({ kind: 'start' });
       });
     },
-    loseEngine: (id) => {
-      present.delete(id);
+    failEngine: (id) => {
+      availableEngines.delete(id);
       const lost = new Set(engines.get(id)?.crash());
       instances.forEach((instance) => {
         instance.attempts.forEach(({ job }, attempt) => {
-          if (lost.has(job)) endAttempt(instance, attempt, RESET);
+          if (lost.has(job)) endAttempt(instance, attempt, CONNECTION_RESET);
         });
       });
     },
@@ -386,10 +408,14 @@
 
 const keyOf = (customer: number) => `key-${customer}`;
 
-function listEngine(domain: FailureDomainId, index: number, model: EngineModel): ListedUpstream {
+function createListedEngine(
+  domain: FailureDomainId,
+  index: number,
+  model: EngineModel,
+): ListedUpstream {
   const id = `${domain}-engine-${index}`;
   const { slots } = model;
-  return { id, pool: POOL, address: id, domain, slots, phase: 'ready', bornAt: 1, beat: 1 };
+  return { id, pool: POOL_ID, address: id, domain, slots, phase: 'ready', bornAt: 1, beat: 1 };
 }
 
 function createConfiguration(shape: FleetShape): RoutingConfiguration {
@@ -399,9 +425,9 @@
     routes: shape.routes,
     pools: new Map([
       [
-        POOL,
+        POOL_ID,
         {
-          id: POOL,
+          id: POOL_ID,
           maxConnections: MAX_CONNECTIONS,
           memoryTokens: shape.engine.memoryTokens,
         },
@@ -418,19 +444,19 @@
   };
 }
 
-/** A customer's connections reach one instance of their domain, as the balancer's hash has it. */
+/** Picks an instance of the domain by a hash of the connection, as the load balancer does. */
 function pickInstance(
   instances: ReadonlyMap<string, Instance>,
   { domain, customer, parts }: OfferedRequest,
 ): Instance {
-  const near = [...instances.values()].filter((instance) => instance.domain === domain);
+  const candidates = [...instances.values()].filter((instance) => instance.domain === domain);
   const connection = createRandom(customer * 31 + (parts.at(-1)?.tokens ?? 0)).next();
-  const picked = near[Math.floor(connection * near.length)];
-  if (picked === undefined) throw new Error(`no instance in ${domain}`);
+  const picked = candidates[Math.floor(connection * candidates.length)];
+  if (picked === undefined) throw new Error(`failure domain "${domain}" has no instances`);
   return picked;
 }
 
-function factsOf({ offered, number }: OpenCall, request: number, leftMs: Millis): RequestFacts {
+function factsOf({ offered, callNumber }: OpenCall, request: number, leftMs: Millis): RequestFacts {
   const { route, parts, promptTokens, outputTokens } = offered;
   return {
     request,
@@ -443,6 +469,6 @@
     outputTokens,
     prefix: parts,
     model: 'm',
-    fingerprint: number,
+    fingerprint: callNumber,
   };
 }
--- a/src/bench/routing/main.ts
+++ b/src/bench/routing/main.ts
@@ -1,6 +1,6 @@
 /**
- * `npm run bench:routing`: replays load patterns on an emulated fleet with several policies and
- * prints what callers got. Options: `--seconds N`, `--seed N`, `--only POLICY`, `--json FILE`,
+ * `npm run bench:routing`: replays load patterns on an emulated fleet with each routing policy and
+ * prints the outcomes. Options: `--seconds N`, `--seed N`, `--only POLICY`, `--json FILE`,
  * `--report FILE` (an HTML page with plots).
  */
 import { writeFileSync } from 'node:fs';
@@ -9,7 +9,7 @@
 import { formatPlotPage, type Plot } from '../support/plotPage.js';
 import { readRevision } from '../support/revision.js';
 import type { FleetPolicy } from './emulatedFleet.js';
-import { KINDS, PATTERNS, type LoadPattern } from './patterns.js';
+import { REQUEST_KINDS, PATTERNS, type LoadPattern } from './patterns.js';
 import { replay, summarize, type ReplaySummary } from './replay.js';
 import type { FleetResults } from './results.js';
 
@@ -42,7 +42,7 @@
   'late',
   'refused',
   'worst cust.',
-  ...KINDS.map(({ route }) => route.name),
+  ...REQUEST_KINDS.map(({ route }) => route.name),
   'begun/s',
   'read/s',
   'again/s',
@@ -62,7 +62,7 @@
     ...summaries.map(formatSummary),
   ];
   const page = { title: 'Load patterns on an emulated fleet', text: text.join('\n') };
-  writeFileSync(values.report, formatPlotPage({ ...page, plots: PATTERNS.flatMap(plotsOf) }));
+  writeFileSync(values.report, formatPlotPage({ ...page, plots: PATTERNS.flatMap(createPlots) }));
 }
 
 function run(pattern: LoadPattern, policy: FleetPolicy): Run {
@@ -80,7 +80,7 @@
     summary.late.toFixed(3),
     summary.refused.toFixed(3),
     summary.worstCustomer.toFixed(3),
-    ...KINDS.map(({ route }) => (summary.inTimeByRoute[route.name] ?? 0).toFixed(3)),
+    ...REQUEST_KINDS.map(({ route }) => (summary.inTimeByRoute[route.name] ?? 0).toFixed(3)),
     summary.begunTokensPerSecond.toFixed(0),
     summary.readTokensPerSecond.toFixed(0),
     summary.readAgainPerSecond.toFixed(0),
@@ -94,20 +94,20 @@
   );
 }
 
-/** What callers got over time, by policy: the part in time, late, and refused. */
-function plotsOf(pattern: LoadPattern): readonly Plot[] {
+/** Plots, for each policy, the fractions of requests in time, late and refused over time. */
+function createPlots(pattern: LoadPattern): readonly Plot[] {
   const ofPattern = runs.filter((candidate) => candidate.pattern === pattern);
   const times = [...(ofPattern[0]?.results.bySecond.keys() ?? [])].sort((a, b) => a - b);
   return (['inTime', 'late', 'refused'] as const).map((what) => ({
     title: `${pattern.name}: ${what === 'inTime' ? 'in time' : what}`,
-    unit: 'part',
+    unit: 'fraction',
     lines: ofPattern.map(({ policy }) => policy),
     data: [
       times,
       ...ofPattern.map(({ results }) =>
         times.map((second) => {
           const tally = results.bySecond.get(second);
-          return tally === undefined || tally.asked === 0 ? null : tally[what] / tally.asked;
+          return tally === undefined || tally.requests === 0 ? null : tally[what] / tally.requests;
         }),
       ),
     ],
--- a/src/bench/routing/patterns.ts
+++ b/src/bench/routing/patterns.ts
@@ -1,38 +1,40 @@
 /**
- * Load patterns for emulated fleets: long drafts over some hundred shared parts, short questions and
- * labels, at a usual load and at the worst ones. Sizes and rates are those of a deployment with
- * thirteen engines in three regions.
+ * Load patterns for emulated fleets: long drafts with several hundred distinct shared parts, short
+ * chat questions and tagging requests, at the usual load and under the worst cases. Sizes and rates
+ * are those of a deployment with thirteen engines in three regions.
  */
 import { MS_PER_SECOND, type Millis } from '../../core/clock.js';
 import { createRandom, type Random } from '../../core/random.js';
 import type { PrefixPart, Route } from '../../routing/types.js';
 import type { FleetShape, OfferedRequest } from './emulatedFleet.js';
 
-/** A kind of request. */
+/** Route, rate and size distribution of a kind of request. */
 export interface RequestKind {
   readonly route: Route;
-  readonly perSecond: number;
-  /** Shared parts in order: how many there are, and their tokens. */
-  readonly shared: readonly { readonly count: number; readonly tokens: number }[];
-  readonly ownTokens: number;
-  readonly ownSpread: number;
+  readonly requestsPerSecond: number;
+  /** For each level of the shared prefix: the number of distinct parts and their size in tokens. */
+  readonly sharedParts: readonly { readonly count: number; readonly tokens: number }[];
+  /** Mean size of the part that no other request shares. */
+  readonly uniqueTokens: number;
+  /** Standard deviation of the logarithm of that size. */
+  readonly uniqueTokensSigma: number;
   readonly outputTokens: number;
   readonly deadlineMs: Millis;
 }
 
 export interface LoadPattern {
   readonly name: string;
-  /** What is asked for at a time, as a multiple of the usual. */
-  readonly load: (at: Millis) => number;
-  /** Customers that ask for a multiple of their usual, at one failure domain. */
-  readonly hot?: { readonly customers: number; readonly factor: number };
-  /** Time at which an engine ends. */
-  readonly engineLostAt?: Millis;
-  /** Time at which all instances start again. */
-  readonly restartAt?: Millis;
+  /** Request rate at a time, as a multiple of the usual rate. */
+  readonly loadFactor: (at: Millis) => number;
+  /** Customers that send a multiple of their usual rate, all to the first failure domain. */
+  readonly heavyCustomers?: { readonly customers: number; readonly factor: number };
+  /** Time at which an engine crashes. */
+  readonly engineFailsAt?: Millis;
+  /** Time at which all instances restart. */
+  readonly instancesRestartAt?: Millis;
 }
 
-const route = (name: string, objectiveMs: Millis, timeoutMs: Millis): Route => ({
+const createRoute = (name: string, objectiveMs: Millis, timeoutMs: Millis): Route => ({
   name,
   host: 'orchard.example',
   pathPrefix: `/${name}/`,
@@ -44,40 +46,40 @@
   isPublic: false,
 });
 
-export const KINDS: readonly RequestKind[] = [
+export const REQUEST_KINDS: readonly RequestKind[] = [
   {
-    route: route('draft', 500, 12_000),
-    perSecond: 65,
-    shared: [
+    route: createRoute('draft', 500, 12_000),
+    requestsPerSecond: 65,
+    sharedParts: [
       { count: 1, tokens: 512 },
       { count: 491, tokens: 4_870 },
     ],
-    ownTokens: 6_610,
-    ownSpread: 1,
+    uniqueTokens: 6_610,
+    uniqueTokensSigma: 1,
     outputTokens: 384,
     deadlineMs: 12_000,
   },
   {
-    route: route('chat', 300, 12_000),
-    perSecond: 38,
-    shared: [
+    route: createRoute('chat', 300, 12_000),
+    requestsPerSecond: 38,
+    sharedParts: [
       { count: 8, tokens: 119 },
       { count: 288, tokens: 79 },
     ],
-    ownTokens: 628,
-    ownSpread: 0.8,
+    uniqueTokens: 628,
+    uniqueTokensSigma: 0.8,
     outputTokens: 294,
     deadlineMs: 12_000,
   },
   {
-    route: route('tag', 300, 2_500),
-    perSecond: 110,
-    shared: [
+    route: createRoute('tag', 300, 2_500),
+    requestsPerSecond: 110,
+    sharedParts: [
       { count: 40, tokens: 341 },
       { count: 563, tokens: 227 },
     ],
-    ownTokens: 1_800,
-    ownSpread: 1,
+    uniqueTokens: 1_800,
+    uniqueTokensSigma: 1,
     outputTokens: 23,
     deadlineMs: 2_500,
   },
@@ -101,26 +103,34 @@
   crossRegionMs: 12,
   withinRegionMs: 0.2,
   callerMs: 3,
-  routes: KINDS.map((kind) => kind.route),
+  routes: REQUEST_KINDS.map((kind) => kind.route),
   customers: 12,
 };
 
-const between = (at: Millis, from: Millis, until: Millis) => at >= from && at < until;
+const isWithin = (at: Millis, from: Millis, until: Millis) => at >= from && at < until;
 
 export const PATTERNS: readonly LoadPattern[] = [
-  { name: 'usual', load: () => 1 },
-  { name: 'double for 8 s', load: (at) => (between(at, 6_000, 14_000) ? 2 : 1) },
-  { name: 'triple throughout', load: () => 3 },
-  { name: 'one customer twelvefold', load: () => 1, hot: { customers: 1, factor: 12 } },
-  { name: 'six customers fivefold', load: () => 1, hot: { customers: 6, factor: 5 } },
-  { name: 'an engine lost at usual load', load: () => 1, engineLostAt: 8_000 },
-  { name: 'all restart at 1.5 times the load', load: () => 1.5, restartAt: 4_000 },
+  { name: 'usual', loadFactor: () => 1 },
+  { name: 'double for 8 s', loadFactor: (at) => (isWithin(at, 6_000, 14_000) ? 2 : 1) },
+  { name: 'triple throughout', loadFactor: () => 3 },
+  {
+    name: 'one customer twelvefold',
+    loadFactor: () => 1,
+    heavyCustomers: { customers: 1, factor: 12 },
+  },
+  {
+    name: 'six customers fivefold',
+    loadFactor: () => 1,
+    heavyCustomers: { customers: 6, factor: 5 },
+  },
+  { name: 'an engine lost at usual load', loadFactor: () => 1, engineFailsAt: 8_000 },
+  { name: 'all restart at 1.5 times the load', loadFactor: () => 1.5, instancesRestartAt: 4_000 },
 ];
 
 const TICK_MS: Millis = 10;
-const RETURNS = 1;
+const MAX_RETRIES = 1;
 
-/** Draws the requests of a pattern. */
+/** Generates the requests of a pattern. */
 export function drawRequests(
   pattern: LoadPattern,
   lengthMs: Millis,
@@ -129,11 +139,11 @@
   const random = createRandom(seed);
   const requests: OfferedRequest[] = [];
   for (let at = 0; at < lengthMs; at += TICK_MS) {
-    KINDS.forEach((kind) => {
+    REQUEST_KINDS.forEach((kind) => {
       for (let customer = 0; customer < SHAPE.customers; customer += 1) {
-        const isHot = customer < (pattern.hot?.customers ?? 0);
-        const rate = (kind.perSecond * pattern.load(at)) / SHAPE.customers;
-        const factor = isHot ? (pattern.hot?.factor ?? 1) : 1;
+        const isHot = customer < (pattern.heavyCustomers?.customers ?? 0);
+        const rate = (kind.requestsPerSecond * pattern.loadFactor(at)) / SHAPE.customers;
+        const factor = isHot ? (pattern.heavyCustomers?.factor ?? 1) : 1;
         const expected = (rate * factor * TICK_MS) / MS_PER_SECOND;
         const count = Math.floor(expected + random.next());
         for (let i = 0; i < count; i += 1) {
@@ -154,11 +164,14 @@
   number: number,
 ): OfferedRequest {
   const domain = isHot ? SHAPE.domains[0] : SHAPE.domains[random.nextInt(SHAPE.domains.length)];
-  const shared: PrefixPart[] = kind.shared.map(({ count, tokens }, level) => ({
-    id: `${kind.route.name}-${level}-${drawSubject(random, count, customer)}`,
+  const shared: PrefixPart[] = kind.sharedParts.map(({ count, tokens }, level) => ({
+    id: `${kind.route.name}-${level}-${drawPartIndex(random, count, customer)}`,
     tokens,
   }));
-  const own = Math.max(1, Math.round(drawLogNormal(random, kind.ownTokens, kind.ownSpread)));
+  const own = Math.max(
+    1,
+    Math.round(drawLogNormal(random, kind.uniqueTokens, kind.uniqueTokensSigma)),
+  );
   const parts = [...shared, { id: `own-${number}`, tokens: own }];
   return {
     at: at + random.next() * TICK_MS,
@@ -169,18 +182,23 @@
     promptTokens: parts.reduce((sum, { tokens }) => sum + tokens, 0),
     outputTokens: kind.outputTokens,
     deadlineMs: kind.deadlineMs,
-    returns: RETURNS,
+    maxRetries: MAX_RETRIES,
   };
 }
 
-/** Subjects belong to customers; a few of them are asked for more often. */
-function drawSubject(random: Random, count: number, customer: number): number {
+/**
+ * Draws the index of a shared part. Each customer has its own range of parts and uses the lower
+ * ones more often; if there are fewer parts than customers, all customers share them.
+ */
+function drawPartIndex(random: Random, count: number, customer: number): number {
   const perCustomer = Math.max(1, Math.floor(count / SHAPE.customers));
   const skewed = Math.floor(random.next() ** 1.3 * perCustomer);
   return count < SHAPE.customers ? random.nextInt(count) : customer * perCustomer + skewed;
 }
 
-/** Draws from a log-normal distribution with a mean and a spread of its logarithm. */
+/**
+ * Draws from a log-normal distribution with a given mean and standard deviation of the logarithm.
+ */
 function drawLogNormal(random: Random, mean: number, spread: number): number {
   const normal =
     Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next());
--- a/src/bench/routing/replay.ts
+++ b/src/bench/routing/replay.ts
@@ -14,24 +14,26 @@
 export interface ReplaySummary {
   readonly pattern: string;
   readonly policy: FleetPolicy;
-  /** Parts of what was asked for. */
+  /** Fractions of all requests. */
   readonly inTime: number;
   readonly late: number;
   readonly refused: number;
-  /** Part in time of the customer that fares worst among those that ask for their usual. */
+  /** Lowest in-time fraction among the customers that send their usual load. */
   readonly worstCustomer: number;
-  /** Part in time by route. */
+  /** In-time fraction by route. */
   readonly inTimeByRoute: Readonly<Record<string, number>>;
+  /** Weighted tokens of the requests that got a first token. */
   readonly begunTokensPerSecond: number;
+  /** Prompt tokens that engines prefilled. */
   readonly readTokensPerSecond: number;
-  /** Tokens of shared parts that engines read again. */
+  /** Tokens of shared parts that were prefilled although an engine had used them recently. */
   readonly readAgainPerSecond: number;
 }
 
-/** Instances find each other before callers come. */
-const LEAD_MS: Millis = 3_000;
-/** What runs at the end is waited for. */
-const TAIL_MS: Millis = 5_000;
+/** Time before the first request, in which instances discover each other. */
+const WARM_UP_MS: Millis = 3_000;
+/** Time after the last request, in which running requests end. */
+const DRAIN_MS: Millis = 5_000;
 
 export function replay(
   pattern: LoadPattern,
@@ -40,40 +42,43 @@
   const simulation = createSimulation();
   const fleet = createEmulatedFleet({ simulation, shape: SHAPE, seed, policy });
   drawRequests(pattern, lengthMs, seed).forEach((request) => {
-    fleet.offer({ ...request, at: request.at + LEAD_MS });
+    fleet.offer({ ...request, at: request.at + WARM_UP_MS });
   });
-  if (pattern.engineLostAt !== undefined) {
-    simulation.at(LEAD_MS + pattern.engineLostAt, () => fleet.loseEngine('a-engine-0'));
+  if (pattern.engineFailsAt !== undefined) {
+    simulation.at(WARM_UP_MS + pattern.engineFailsAt, () => fleet.failEngine('a-engine-0'));
   }
-  if (pattern.restartAt !== undefined) {
-    simulation.at(LEAD_MS + pattern.restartAt, fleet.restartInstances);
+  if (pattern.instancesRestartAt !== undefined) {
+    simulation.at(WARM_UP_MS + pattern.instancesRestartAt, fleet.restartInstances);
   }
-  simulation.runUntil(LEAD_MS + lengthMs + TAIL_MS);
+  simulation.runUntil(WARM_UP_MS + lengthMs + DRAIN_MS);
   return fleet.results;
 }
 
 export function summarize(
   pattern: string,
   policy: FleetPolicy,
-  { all, byCustomer, byRoute, reads }: FleetResults,
+  { all, byCustomer, byRoute, prefillCounter }: FleetResults,
   seconds: number,
 ): ReplaySummary {
-  const part = (tally: Tally, count: number) => count / Math.max(1, tally.asked);
+  const fractionOf = (tally: Tally, count: number) => count / Math.max(1, tally.requests);
   const customers = [...byCustomer.values()];
-  const usual = Math.min(...customers.map(({ askedTokens }) => askedTokens)) * 2;
-  const calm = customers.filter(({ askedTokens }) => askedTokens <= usual);
+  const maxNormalTokens =
+    Math.min(...customers.map(({ requestedTokens: askedTokens }) => askedTokens)) * 2;
+  const normalCustomers = customers.filter(
+    ({ requestedTokens: askedTokens }) => askedTokens <= maxNormalTokens,
+  );
   return {
     pattern,
     policy,
-    inTime: part(all, all.inTime),
-    late: part(all, all.late),
-    refused: part(all, all.refused),
-    worstCustomer: Math.min(...calm.map((tally) => part(tally, tally.inTime))),
+    inTime: fractionOf(all, all.inTime),
+    late: fractionOf(all, all.late),
+    refused: fractionOf(all, all.refused),
+    worstCustomer: Math.min(...normalCustomers.map((tally) => fractionOf(tally, tally.inTime))),
     inTimeByRoute: Object.fromEntries(
-      [...byRoute].map(([name, tally]) => [name, part(tally, tally.inTime)]),
+      [...byRoute].map(([name, tally]) => [name, fractionOf(tally, tally.inTime)]),
     ),
-    begunTokensPerSecond: all.begunTokens / seconds,
-    readTokensPerSecond: reads.tokens() / seconds,
-    readAgainPerSecond: reads.again() / seconds,
+    begunTokensPerSecond: all.startedTokens / seconds,
+    readTokensPerSecond: prefillCounter.totalTokens() / seconds,
+    readAgainPerSecond: prefillCounter.repeatedTokens() / seconds,
   };
 }
--- a/src/bench/routing/results.ts
+++ b/src/bench/routing/results.ts
@@ -1,121 +1,121 @@
-/** What callers of an emulated fleet got, and what its engines read. */
+/** Request outcomes and prefill counts of an emulated fleet. */
 import { MS_PER_SECOND, type Millis } from '../../core/clock.js';
 import type { PrefixPart } from '../../routing/types.js';
 import type { OfferedRequest } from './emulatedFleet.js';
 
-export type Ending = 'refused' | 'failed';
+export type UnservedOutcome = 'refused' | 'failed';
 
-/** Counts of requests, and tokens of those that began. */
+/** Requests by outcome, and the weighted tokens of all requests and of those that started. */
 export interface Tally {
-  asked: number;
+  requests: number;
   inTime: number;
   late: number;
   refused: number;
   failed: number;
-  askedTokens: number;
-  begunTokens: number;
+  requestedTokens: number;
+  startedTokens: number;
 }
 
-export interface ReadCounter {
-  readonly count: (parts: readonly PrefixPart[], firstUncached: number, tokens: number) => void;
-  /** Prompt tokens that engines read. */
-  readonly tokens: () => number;
-  /** Those of shared parts that some engine had read or used within the window before. */
-  readonly again: () => number;
+export interface PrefillCounter {
+  readonly record: (parts: readonly PrefixPart[], firstUncached: number, tokens: number) => void;
+  /** Prompt tokens that engines prefilled. */
+  readonly totalTokens: () => number;
+  /** Prefilled tokens of shared parts that some engine had used within `REUSE_WINDOW_MS`. */
+  readonly repeatedTokens: () => number;
 }
 
 export interface FleetResults {
   readonly all: Tally;
-  /** By the second of the first call, counted from the start of the simulation. */
+  /** By the second in which the caller first sent the request, from the start of the simulation. */
   readonly bySecond: ReadonlyMap<number, Tally>;
   readonly byCustomer: ReadonlyMap<number, Tally>;
   readonly byRoute: ReadonlyMap<string, Tally>;
-  readonly reads: ReadCounter;
-  readonly asked: (request: OfferedRequest) => void;
-  /** Takes in the time to a first event, counted from the caller's first call. */
-  readonly first: (request: OfferedRequest, firstMs: Millis) => void;
-  readonly end: (request: OfferedRequest, ending: Ending) => void;
+  readonly prefillCounter: PrefillCounter;
+  readonly recordRequest: (request: OfferedRequest) => void;
+  /** Records the time to the first token, measured from when the caller first sent the request. */
+  readonly recordFirstToken: (request: OfferedRequest, firstMs: Millis) => void;
+  readonly recordUnserved: (request: OfferedRequest, outcome: UnservedOutcome) => void;
 }
 
-/** Reading a part again counts only this long after its last use. */
+/** A prefill of a shared part counts as repeated only within this time after the last use. */
 const REUSE_WINDOW_MS: Millis = 10_000;
 
-export function createReadCounter(now: () => Millis): ReadCounter {
+export function createPrefillCounter(now: () => Millis): PrefillCounter {
   const lastUse = new Map<string, Millis>();
-  let read = 0;
-  let again = 0;
+  let total = 0;
+  let repeated = 0;
   return {
-    count: (parts, firstUncached, tokens) => {
-      read += tokens;
+    record: (parts, firstUncached, tokens) => {
+      total += tokens;
       parts.slice(0, -1).forEach(({ id, tokens: size }, i) => {
         const used = lastUse.get(id);
         const isRecent = used !== undefined && now() - used < REUSE_WINDOW_MS;
-        if (i >= firstUncached && isRecent) again += size;
+        if (i >= firstUncached && isRecent) repeated += size;
         lastUse.set(id, now());
       });
     },
-    tokens: () => read,
-    again: () => again,
+    totalTokens: () => total,
+    repeatedTokens: () => repeated,
   };
 }
 
-export function createResults(reads: ReadCounter): FleetResults {
+export function createResults(prefillCounter: PrefillCounter): FleetResults {
   const all = createTally();
   const bySecond = new Map<number, Tally>();
   const byCustomer = new Map<number, Tally>();
   const byRoute = new Map<string, Tally>();
   const talliesOf = ({ at, customer, route }: OfferedRequest) => [
     all,
-    tallyOf(bySecond, Math.floor(at / MS_PER_SECOND)),
-    tallyOf(byCustomer, customer),
-    tallyOf(byRoute, route.name),
+    getOrCreateTally(bySecond, Math.floor(at / MS_PER_SECOND)),
+    getOrCreateTally(byCustomer, customer),
+    getOrCreateTally(byRoute, route.name),
   ];
   return {
     all,
     bySecond,
     byCustomer,
     byRoute,
-    reads,
-    asked: (request) => {
+    prefillCounter,
+    recordRequest: (request) => {
       talliesOf(request).forEach((tally) => {
-        tally.asked += 1;
-        tally.askedTokens += tokensOf(request);
+        tally.requests += 1;
+        tally.requestedTokens += weightedTokens(request);
       });
     },
-    first: (request, firstMs) => {
+    recordFirstToken: (request, firstMs) => {
       const isInTime = firstMs <= request.route.objectiveMs;
       talliesOf(request).forEach((tally) => {
         if (isInTime) tally.inTime += 1;
         else tally.late += 1;
-        tally.begunTokens += tokensOf(request);
+        tally.startedTokens += weightedTokens(request);
       });
     },
-    end: (request, ending) => {
+    recordUnserved: (request, outcome) => {
       talliesOf(request).forEach((tally) => {
-        tally[ending] += 1;
+        tally[outcome] += 1;
       });
     },
   };
 }
 
-/** A token that is generated counts twice. */
-function tokensOf({ promptTokens, outputTokens }: OfferedRequest): number {
+/** Token count of a request in which a generated token counts twice. */
+function weightedTokens({ promptTokens, outputTokens }: OfferedRequest): number {
   return promptTokens + 2 * outputTokens;
 }
 
 function createTally(): Tally {
   return {
-    asked: 0,
+    requests: 0,
     inTime: 0,
     late: 0,
     refused: 0,
     failed: 0,
-    askedTokens: 0,
-    begunTokens: 0,
+    requestedTokens: 0,
+    startedTokens: 0,
   };
 }
 
-function tallyOf<K>(tallies: Map<K, Tally>, key: K): Tally {
+function getOrCreateTally<K>(tallies: Map<K, Tally>, key: K): Tally {
   const tally = tallies.get(key) ?? createTally();
   tallies.set(key, tally);
   return tally;
--- a/src/bench/routing/simulation.ts
+++ b/src/bench/routing/simulation.ts
@@ -1,4 +1,4 @@
-/** Simulated time: actions run in the order of their times, those of one time in the order given. */
+/** Discrete-event simulation. Actions run in order of time; ties run in order of scheduling. */
 import TinyQueue from 'tinyqueue';
 import type { Millis } from '../../core/clock.js';
 
@@ -6,32 +6,32 @@
   readonly now: () => Millis;
   readonly at: (time: Millis, action: () => void) => void;
   readonly after: (delay: Millis, action: () => void) => void;
-  /** Runs all actions up to a time. */
+  /** Runs all actions up to and including `end`. */
   readonly runUntil: (end: Millis) => void;
 }
 
-interface Planned {
+interface ScheduledAction {
   readonly time: Millis;
   readonly order: number;
   readonly action: () => void;
 }
 
 export function createSimulation(): Simulation {
-  const planned = new TinyQueue<Planned>([], (a, b) => a.time - b.time || a.order - b.order);
+  const queue = new TinyQueue<ScheduledAction>([], (a, b) => a.time - b.time || a.order - b.order);
   let now: Millis = 0;
   let order = 0;
   const at = (time: Millis, action: () => void) => {
     order += 1;
-    planned.push({ time: Math.max(now, time), order, action });
+    queue.push({ time: Math.max(now, time), order, action });
   };
   return {
     now: () => now,
     at,
     after: (delay, action) => at(now + delay, action),
     runUntil: (end) => {
-      for (let next = planned.peek(); next !== undefined; next = planned.peek()) {
+      for (let next = queue.peek(); next !== undefined; next = queue.peek()) {
         if (next.time > end) break;
-        planned.pop();
+        queue.pop();
         now = next.time;
         next.action();
       }
