--- a/src/bench/load/answerCheck.ts
+++ b/src/bench/load/answerCheck.ts
@@ -1,74 +1,81 @@
 /**
- * Checks that a completion is the complete answer to its own question, while it arrives. The
- * content that an engine stand-in must give follows from the question.
+ * Checks that a completion is the complete answer to the question that was sent. The expected
+ * content is computed from the question, as the engine stand-ins do.
  */
 import { answerSeed, answerText, answerToken } from '../../standins/content.js';
-import { failed, parseObject, SERVED, wrong, type Outcome, type Progress } from './outcome.js';
+import {
+  failedOutcome,
+  parseObject,
+  SERVED,
+  wrongOutcome,
+  type Outcome,
+  type Progress,
+} from './outcome.js';
 
 const END_MARK = '[DONE]';
 const DATA_PREFIX = 'data:';
 
-/** Reader of one streamed answer. */
+/** Incremental check of one streamed answer. */
 export interface StreamCheck {
-  /** Takes the next part of the body. */
+  /** Processes the next chunk of the body. */
   push: (text: string) => void;
-  /** The body ended without an error of the connection. */
+  /** Returns the outcome, once the body has ended without a connection error. */
   end: () => Outcome;
 }
 
-/** Creates the reader of a stream that must hold `maxTokens` tokens. */
+/** Creates the check of a stream that must contain exactly `maxTokens` tokens. */
 export function createStreamCheck(
   question: string,
   maxTokens: number,
   progress: Progress,
 ): StreamCheck {
   const seed = answerSeed(question);
-  let rest = '';
+  let buffered = '';
   let index = 0;
   let lastAt: number | undefined;
-  let isEnded = false;
+  let hasEndMark = false;
   let outcome: Outcome | undefined;
 
-  function takeToken(content: string): void {
+  function handleToken(content: string): void {
     const now = performance.now();
     if (lastAt === undefined) progress.onFirst();
     else progress.onGap(now - lastAt);
     lastAt = now;
     progress.onTokens(1);
-    if (content !== answerToken(seed, index)) outcome ??= wrong('not-own', `token ${index}`);
+    if (content !== answerToken(seed, index)) outcome ??= wrongOutcome('not-own', `token ${index}`);
     index += 1;
   }
 
-  function takeEvent(event: string): void {
-    const data = dataOf(event);
+  function handleEvent(event: string): void {
+    const data = extractData(event);
     if (data === undefined) return;
     if (data === END_MARK) {
-      isEnded = true;
+      hasEndMark = true;
       return;
     }
     const chunk = parseObject(data);
-    if (isProblem(chunk)) outcome ??= failed('unknown', 'error event in the stream');
-    const content = contentOf(chunk);
-    if (content !== '') takeToken(content);
+    if (isErrorBody(chunk)) outcome ??= failedOutcome('unknown', 'error event in the stream');
+    const content = extractContent(chunk);
+    if (content !== '') handleToken(content);
     reportUsage(chunk, progress);
   }
 
   return {
     push: (text) => {
-      const events = (rest + text).split('\n\n');
-      rest = events.pop() ?? '';
-      events.forEach(takeEvent);
+      const events = (buffered + text).split('\n\n');
+      buffered = events.pop() ?? '';
+      events.forEach(handleEvent);
     },
     end: () => {
       if (outcome !== undefined) return outcome;
-      if (!isEnded) return wrong('truncated', `no end mark after token ${index}`);
-      if (index !== maxTokens) return wrong('truncated', `${index} of ${maxTokens} tokens`);
+      if (!hasEndMark) return wrongOutcome('truncated', `no end mark after token ${index}`);
+      if (index !== maxTokens) return wrongOutcome('truncated', `${index} of ${maxTokens} tokens`);
       return SERVED;
     },
   };
 }
 
-/** Checks an answer that came as one JSON body. */
+/** Checks an answer that was sent as a single JSON body. */
 export function checkWholeAnswer(
   question: string,
   maxTokens: number,
@@ -76,23 +83,26 @@
   progress: Progress,
 ): Outcome {
   const answer = parseObject(body);
-  if (isProblem(answer)) return failed('unknown', 'error body');
-  const content = contentOf(answer);
+  if (isErrorBody(answer)) return failedOutcome('unknown', 'error body');
+  const content = extractContent(answer);
   const expected = answerText(question, maxTokens);
   progress.onFirst();
   progress.onTokens(content === expected ? maxTokens : 0);
   reportUsage(answer, progress);
   if (content === expected) return SERVED;
-  const isPart = expected.startsWith(content);
-  return wrong(isPart ? 'truncated' : 'not-own', `${content.length} of ${expected.length} bytes`);
+  const isPrefix = expected.startsWith(content);
+  return wrongOutcome(
+    isPrefix ? 'truncated' : 'not-own',
+    `${content.length} of ${expected.length} bytes`,
+  );
 }
 
-function dataOf(event: string): string | undefined {
+function extractData(event: string): string | undefined {
   const line = event.split('\n').find((candidate) => candidate.startsWith(DATA_PREFIX));
   return line?.slice(DATA_PREFIX.length).trim();
 }
 
-function isProblem(chunk: Readonly<Record<string, unknown>>): boolean {
+function isErrorBody(chunk: Readonly<Record<string, unknown>>): boolean {
   return 'error' in chunk || 'executed' in chunk;
 }
 
@@ -102,7 +112,7 @@
   readonly text?: string;
 }
 
-function contentOf(chunk: Readonly<Record<string, unknown>>): string {
+function extractContent(chunk: Readonly<Record<string, unknown>>): string {
   const [choice] = (chunk.choices ?? []) as readonly Choice[];
   return choice?.delta?.content ?? choice?.message?.content ?? choice?.text ?? '';
 }
--- a/src/bench/load/arrivals.ts
+++ b/src/bench/load/arrivals.ts
@@ -1,7 +1,8 @@
 /**
- * Arrivals of an open-loop load: when each request is sent does not depend on the answers. A
- * customer's steady requests and each of its floods are Poisson processes; bursts arrive at once.
- * All content follows from the seed, and each request has a content of its own.
+ * Generates the arrivals of an open-loop load: send times do not depend on responses. The steady
+ * load and each flood of a customer are Poisson processes; all requests of a burst arrive at the
+ * same time. Arrivals and contents are determined by the seed, and the content of each request is
+ * unique.
  */
 import type { Millis } from '../../core/clock.js';
 import { MS_PER_SECOND } from '../../core/clock.js';
@@ -17,8 +18,8 @@
   readonly id: string;
   readonly atMs: Millis;
   readonly customer: LoadCustomer;
-  /** Number in [0, 1) that chooses the instance. */
-  readonly balance: number;
+  /** Number in [0, 1) from which the balancer picks the instance. */
+  readonly instanceDraw: number;
 }
 
 export interface CompletionArrival extends ArrivalBase {
@@ -34,25 +35,25 @@
 export interface CallArrival extends ArrivalBase {
   readonly kind: 'call';
   readonly work: CallWork;
-  /** Sent as `Idempotency-Key` unless the call is idempotent; a repeat has the key of the first. */
+  /** Sent as `Idempotency-Key` unless the call is idempotent. A repeat uses the same key. */
   readonly key: string;
   readonly body: string;
 }
 
-/** A request that is to be sent. */
+/** A scheduled request. */
 export type Arrival = CompletionArrival | CallArrival;
 
-/** All arrivals of a load in the order of their times. */
+/** Returns all arrivals of a load, sorted by time. */
 export function createArrivals(file: LoadFile): readonly Arrival[] {
-  const arrivals = file.customers.flatMap((customer) => arrivalsOf(customer, file));
+  const arrivals = file.customers.flatMap((customer) => createCustomerArrivals(customer, file));
   return arrivals.sort((a, b) => a.atMs - b.atMs);
 }
 
-function arrivalsOf(customer: LoadCustomer, { seed, durationMs }: LoadFile): Arrival[] {
+function createCustomerArrivals(customer: LoadCustomer, { seed, durationMs }: LoadFile): Arrival[] {
   const random = createRandom(hash32(customer.name, seed));
-  const steady = poisson(random, 0, durationMs, customer.ratePerSecond);
+  const steady = drawPoissonTimes(random, 0, durationMs, customer.ratePerSecond);
   const floods = customer.floods.flatMap(({ fromMs, toMs, ratePerSecond }) =>
-    poisson(random, fromMs, Math.min(toMs, durationMs), ratePerSecond),
+    drawPoissonTimes(random, fromMs, Math.min(toMs, durationMs), ratePerSecond),
   );
   const bursts = customer.bursts.flatMap(({ atMs, requests }) =>
     Array.from({ length: requests }, () => atMs),
@@ -63,16 +64,21 @@
   });
 }
 
-/** Adds the second sending of a call, through an instance of its own. */
+/** Adds a repeat of a non-idempotent call, which goes to an independently picked instance. */
 function withRepeat(arrival: Arrival, random: Random): readonly Arrival[] {
   if (arrival.kind !== 'call' || arrival.work.idempotent) return [arrival];
   const { repeatShare, repeatWithinMs } = arrival.work;
   if (random.next() >= repeatShare) return [arrival];
   const atMs = arrival.atMs + random.next() * repeatWithinMs;
-  return [arrival, { ...arrival, id: `${arrival.id}-again`, atMs, balance: random.next() }];
+  return [arrival, { ...arrival, id: `${arrival.id}-again`, atMs, instanceDraw: random.next() }];
 }
 
-function poisson(random: Random, fromMs: Millis, toMs: Millis, ratePerSecond: number): Millis[] {
+function drawPoissonTimes(
+  random: Random,
+  fromMs: Millis,
+  toMs: Millis,
+  ratePerSecond: number,
+): Millis[] {
   const times: Millis[] = [];
   if (ratePerSecond === 0) return times;
   const gap = () => (-Math.log(1 - random.next()) * MS_PER_SECOND) / ratePerSecond;
@@ -82,7 +88,7 @@
 
 function createArrival(customer: LoadCustomer, id: string, atMs: Millis, random: Random): Arrival {
   const work = pickWork(customer, random);
-  const base = { id, atMs, customer, balance: random.next() };
+  const base = { id, atMs, customer, instanceDraw: random.next() };
   if (work.kind === 'call') {
     const size = drawRange(random, work.bodyBytes);
     return { ...base, kind: 'call', work, key: id, body: `${id} `.padEnd(size, '.') };
@@ -93,11 +99,11 @@
     ...base,
     kind: 'completion',
     work,
-    system: sharedText(customer.name, work.sharedWords),
+    system: createSharedText(customer.name, work.sharedWords),
     question: [id, ...drawWords(random, promptWords - 1)].join(' '),
     promptWords: promptWords + work.sharedWords,
     maxTokens,
-    costHint: hintOf(random, maxTokens, work.hintError),
+    costHint: drawCostHint(random, maxTokens, work.hintError),
   };
 }
 
@@ -119,11 +125,11 @@
   return Array.from({ length }, () => random.nextInt(WORD_RANGE).toString(WORD_RADIX));
 }
 
-function sharedText(customer: string, words: number): string {
+function createSharedText(customer: string, words: number): string {
   return Array.from({ length: words }, (_, i) => `${customer}${i}`).join(' ');
 }
 
-function hintOf(random: Random, cost: number, error: number | undefined): number | undefined {
+function drawCostHint(random: Random, cost: number, error: number | undefined): number | undefined {
   if (error === undefined) return undefined;
   const factor = error ** (2 * random.next() - 1);
   return Math.max(1, Math.round(cost * factor));
--- a/src/bench/load/caller.ts
+++ b/src/bench/load/caller.ts
@@ -1,6 +1,6 @@
 /**
- * Sends the requests of a load as a caller does, through the instances that the balancer picks. An
- * instance that can't be connected to is passed over.
+ * Sends the requests of a load through the instances that the balancer picks. If the connection to
+ * an instance fails, the next one is tried.
  */
 import { Agent } from 'undici';
 import type { Dispatcher } from 'undici';
@@ -10,11 +10,11 @@
 import type { Arrival, CallArrival, CompletionArrival } from './arrivals.js';
 import { checkWholeAnswer, createStreamCheck } from './answerCheck.js';
 import {
-  failed,
-  outcomeOfProblem,
+  failedOutcome,
+  parseProblemOutcome,
   parseObject,
   SERVED,
-  wrong,
+  wrongOutcome,
   type Outcome,
   type Progress,
 } from './outcome.js';
@@ -33,14 +33,14 @@
 
 export interface CallerOptions {
   readonly balancer: Balancer;
-  /** Time without a byte after which a request counts as lost. */
+  /** Idle time (no byte received) after which a request counts as lost. */
   readonly timeoutMs: Millis;
 }
 
 export interface Caller {
   /** Sends a request; never rejects. */
   send: (arrival: Arrival, progress: Progress) => Promise<Outcome>;
-  /** Ends all connections, with the requests on them. */
+  /** Closes all connections and aborts the requests on them. */
   close: () => Promise<void>;
 }
 
@@ -51,7 +51,7 @@
   readonly body: string;
 }
 
-/** Creates a caller. */
+/** Creates a caller with its own connection pool. */
 export function createCaller(options: CallerOptions): Caller {
   const agent = new Agent({
     headersTimeout: options.timeoutMs,
@@ -59,7 +59,7 @@
     connect: { timeout: CONNECT_TIMEOUT_MS },
   });
 
-  /** Connects to the first instance or, if it can't be reached, to the next. */
+  /** Sends a call to the first instance to which a connection can be established. */
   async function request(
     call: HttpCall,
     [origin = '', ...others]: readonly string[],
@@ -67,7 +67,7 @@
     try {
       return await agent.request({ ...call, origin });
     } catch (err) {
-      if (!CONNECT_ERRORS.has(codeOf(err)) || others.length === 0) throw err;
+      if (!CONNECT_ERRORS.has(errorCodeOf(err)) || others.length === 0) throw err;
       return request(call, others);
     }
   }
@@ -75,22 +75,22 @@
   return {
     send: async (arrival, progress) => {
       try {
-        const res = await request(toCall(arrival), options.balancer.order(arrival.balance));
+        const res = await request(toCall(arrival), options.balancer.order(arrival.instanceDraw));
         if (res.statusCode >= 400) {
-          return outcomeOfProblem(res.statusCode, await res.body.text());
+          return parseProblemOutcome(res.statusCode, await res.body.text());
         }
         return await readAnswer(arrival, res, progress);
       } catch (err) {
-        const code = codeOf(err);
+        const code = errorCodeOf(err);
         if (TIMEOUT_ERRORS.has(code)) return { kind: 'lost', reason: code };
-        return failed(CONNECT_ERRORS.has(code) ? 'no' : 'unknown', code);
+        return failedOutcome(CONNECT_ERRORS.has(code) ? 'no' : 'unknown', code);
       }
     },
     close: async () => agent.destroy(),
   };
 }
 
-function codeOf(err: unknown): string {
+function errorCodeOf(err: unknown): string {
   const { code, name } = err as { code?: string; name?: string };
   return code ?? name ?? 'error';
 }
@@ -157,8 +157,8 @@
 function checkReply(arrival: CallArrival, text: string, progress: Progress): Outcome {
   const reply = parseObject(text) as Partial<ServiceReply>;
   progress.onFirst();
-  if (reply.bodyHash === undefined) return wrong('truncated', 'no body hash');
+  if (reply.bodyHash === undefined) return wrongOutcome('truncated', 'no body hash');
   const sent = arrival.work.method === 'GET' ? '' : arrival.body;
   const isOwn = reply.bodyHash === bodyHash(sent) && reply.method === arrival.work.method;
-  return isOwn ? SERVED : wrong('not-own', `reply to ${reply.method} ${reply.path}`);
+  return isOwn ? SERVED : wrongOutcome('not-own', `reply to ${reply.method} ${reply.path}`);
 }
--- a/src/bench/load/customerMetrics.ts
+++ b/src/bench/load/customerMetrics.ts
@@ -1,4 +1,4 @@
-/** What the load tool counts for each customer and pool. */
+/** Metrics of the load tool for each customer and pool. */
 import { build, type Histogram } from 'hdr-histogram-js';
 import type { Millis } from '../../core/clock.js';
 import type { LoadFile } from './loadFile.js';
@@ -17,48 +17,48 @@
   readonly max: Millis;
 }
 
-/** Requests of a customer by how they ended. */
+/** Number of requests of a customer by outcome. */
 export interface OutcomeCounts {
   sent: number;
-  /** Arrivals that were not sent, since too many were in flight. */
+  /** Arrivals that were not sent because `maxInFlight` requests were in flight. */
   notSent: number;
   served: number;
   refused: number;
   failed: number;
-  /** Requests without an answer or a problem for as long as the caller waited. */
+  /** Requests that timed out at the caller without an answer or a problem. */
   lost: number;
-  /** Answers of another request. */
+  /** Answers that belong to another request. */
   notOwn: number;
-  /** Answers that ended early without an error. */
+  /** Answers that ended early without reporting an error. */
   truncated: number;
-  /** Refusals and failures by their reasons. */
+  /** Refused, failed and lost requests by reason. */
   readonly reasons: Record<string, number>;
 }
 
-/** Measures of one customer at one pool. */
+/** Metrics of one customer at one pool. */
 export interface CustomerPoolMetrics {
   readonly customer: string;
   readonly pool: string;
   readonly weight: number;
   readonly counts: OutcomeCounts;
-  readonly firstToken: Durations;
-  readonly betweenTokens: Durations;
-  readonly latency: Durations;
-  /** Service received, in the units of the pool. */
+  readonly firstToken: DurationHistogram;
+  readonly betweenTokens: DurationHistogram;
+  readonly latency: DurationHistogram;
+  /** Service received, in the cost units of the pool. */
   service: number;
-  /** Requests that have had no byte of an answer for as long as the load file sets. */
+  /** Requests that received no byte of an answer within `waitingAfterMs` after they were sent. */
   waiting: number;
-  /** Whether no request waited at some moment since the last sample. */
+  /** Whether there was a moment without a waiting request since the last sample. */
   wasIdle: boolean;
 }
 
 /** A histogram of durations. */
-export interface Durations {
+export interface DurationHistogram {
   add: (span: Millis) => void;
   quantiles: () => Quantiles;
 }
 
-export function createDurations(): Durations {
+export function createDurations(): DurationHistogram {
   const histogram: Histogram = build({
     highestTrackableValue: MAX_MICROS,
     numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
@@ -83,7 +83,7 @@
   };
 }
 
-/** One entry for each customer and each pool that it calls. */
+/** Creates one entry for each customer and each pool that it calls. */
 export function createCustomerMetrics(file: LoadFile): readonly CustomerPoolMetrics[] {
   return file.customers.flatMap(({ name, weight, mix }) =>
     [...new Set(mix.map(({ pool }) => pool))].map((pool) => ({
@@ -101,7 +101,7 @@
   );
 }
 
-/** Counts of nothing yet. */
+/** Creates counts that are all zero. */
 export function createCounts(): OutcomeCounts {
   return {
     sent: 0,
@@ -116,7 +116,7 @@
   };
 }
 
-/** Adds the end of a request to the counts. */
+/** Adds the outcome of a request to the counts. */
 export function countOutcome(counts: OutcomeCounts, outcome: Outcome): void {
   const addReason = (reason: string) => {
     counts.reasons[reason] = (counts.reasons[reason] ?? 0) + 1;
--- a/src/bench/load/fairness.ts
+++ b/src/bench/load/fairness.ts
@@ -1,16 +1,16 @@
 /**
- * Fairness gap over time. For two customers that both wait without a break, the gap is the greatest
- * difference in weighted service that they received over any part of that time: the range of the
- * difference of their service sums.
+ * Measures the fairness gap over time. For two continuously backlogged customers, the gap is the
+ * largest difference in weighted service received over any subinterval of the backlogged period. It
+ * equals the range (maximum minus minimum) of the difference of their cumulative service.
  */
 import type { Millis } from '../../core/clock.js';
 import type { CustomerPoolMetrics } from './customerMetrics.js';
 
 export interface GapSample {
   readonly atMs: Millis;
-  /** Greatest gap of any pair, in service units by weight. */
+  /** Largest gap of any pair of customers, in service units divided by weight. */
   readonly gap: number;
-  /** Customers that waited since the sample before. */
+  /** Number of customers that were backlogged continuously since the previous sample. */
   readonly waiting: number;
 }
 
@@ -19,17 +19,17 @@
   maxGap: () => number;
 }
 
-interface Pair {
+interface DifferenceRange {
   readonly low: number;
   readonly high: number;
 }
 
-/** Creates the meter of one pool from the metrics of its customers. */
+/** Creates the meter of one pool. `customers` are the metrics of the customers of that pool. */
 export function createGapMeter(customers: readonly CustomerPoolMetrics[]): GapMeter {
-  const pairs = new Map<string, Pair>();
+  const pairs = new Map<string, DifferenceRange>();
   let maxGap = 0;
 
-  function gapOf(first: CustomerPoolMetrics, second: CustomerPoolMetrics): number {
+  function updateGap(first: CustomerPoolMetrics, second: CustomerPoolMetrics): number {
     const name = `${first.customer}\n${second.customer}`;
     const difference = first.service / first.weight - second.service / second.weight;
     const before = pairs.get(name) ?? { low: difference, high: difference };
@@ -50,7 +50,7 @@
         if (!name.split('\n').every((customer) => names.has(customer))) pairs.delete(name);
       }
       const gaps = waiting.flatMap((first, i) =>
-        waiting.slice(i + 1).map((second) => gapOf(first, second)),
+        waiting.slice(i + 1).map((second) => updateGap(first, second)),
       );
       const gap = gaps.reduce((max, value) => Math.max(max, value), 0);
       maxGap = Math.max(maxGap, gap);
--- a/src/bench/load/faultPlan.ts
+++ b/src/bench/load/faultPlan.ts
@@ -1,7 +1,7 @@
 /**
- * Draws a schedule of faults from a seed: kills, pauses and planned stops of instances, and faults
- * of every stand-in. Several may be under way at a time, but one target has one fault at a time, and
- * all have ended some time before the load does.
+ * Generates a random fault schedule from a seed: kills, pauses and planned stops of instances, and
+ * faults of all stand-ins. Faults of different targets may overlap, but a target has at most one
+ * fault at a time. All faults end before the fault-free last part of the load.
  */
 import type { Millis } from '../../core/clock.js';
 import { MS_PER_SECOND } from '../../core/clock.js';
@@ -11,13 +11,13 @@
 export interface FaultPlanOptions {
   readonly seed: number;
   readonly durationMs: Millis;
-  /** Mean number of faults that start in a second. */
+  /** Mean number of faults that start per second. */
   readonly faultsPerSecond?: number;
-  /** Instances that may be down or paused at a time. */
+  /** Maximum number of instances that are down or paused at the same time. */
   readonly maxInstancesDown?: number;
-  /** Names of processes. */
+  /** Process names. */
   readonly instances: readonly string[];
-  /** Names of stand-ins. */
+  /** Stand-in names. */
   readonly engines: readonly string[];
   readonly services: readonly string[];
   readonly hasPlatform: boolean;
@@ -25,17 +25,17 @@
 
 const DEFAULTS = { faultsPerSecond: 0.5, maxInstancesDown: 1 } as const;
 
-/** Part of the load, at its end, in which no fault is under way. */
-const QUIET_SHARE = 0.15;
+/** Fraction of the duration, at its end, that is free of faults. */
+const FAULT_FREE_SHARE = 0.15;
 const MIN_SPAN_MS: Millis = 500;
 const MAX_SPAN_MS: Millis = 6_000;
-/** Time that a killed or stopped instance has to be started again and to join. */
+/** Time allowed for a killed or stopped instance to restart and to rejoin the fleet. */
 const RECOVERY_MS: Millis = 5_000;
-/** Share of requests that a fault with a rate hits. */
+/** Fraction of requests affected by a fault that has a rate. */
 const FAULT_RATE = 0.05;
-const LATE_MS: Millis = 800;
+const LATE_DELAY_MS: Millis = 800;
 const SLOW_FACTOR = 4;
-const SLOW_PLATFORM_MS: Millis = 400;
+const PLATFORM_DELAY_MS: Millis = 400;
 
 type TargetKind = 'instance' | 'engine' | 'service' | 'platform';
 
@@ -44,16 +44,16 @@
   readonly name: string;
 }
 
-type StandinBody = Extract<ScheduledFault, { standin: string }>['fault'];
+type StandinFault = Extract<ScheduledFault, { standin: string }>['fault'];
 
-/** Faults of stand-ins that last until they are cleared. */
-const LASTING_FAULTS: Readonly<Record<Exclude<TargetKind, 'instance'>, readonly StandinBody[]>> = {
+/** Stand-in faults that stay active until they are cleared. */
+const LASTING_FAULTS: Readonly<Record<Exclude<TargetKind, 'instance'>, readonly StandinFault[]>> = {
   engine: [
     { kind: 'hang' },
     { kind: 'slow', factor: SLOW_FACTOR },
     { kind: 'crossed', rate: FAULT_RATE },
     { kind: 'crossed', rate: FAULT_RATE, at: 'middle' },
-    { kind: 'late', rate: FAULT_RATE, delayMs: LATE_MS },
+    { kind: 'late', rate: FAULT_RATE, delayMs: LATE_DELAY_MS },
     { kind: 'cut', rate: FAULT_RATE },
     { kind: 'cut', rate: FAULT_RATE, ending: 'close' },
   ],
@@ -62,22 +62,22 @@
     { kind: 'slow', factor: SLOW_FACTOR },
     { kind: 'lost-reply', rate: FAULT_RATE },
     { kind: 'refuse', rate: FAULT_RATE },
-    { kind: 'late', rate: FAULT_RATE, delayMs: LATE_MS },
+    { kind: 'late', rate: FAULT_RATE, delayMs: LATE_DELAY_MS },
   ],
   platform: [
     { kind: 'outage', mode: 'refuse' },
     { kind: 'outage', mode: 'hang' },
     { kind: 'outage', mode: 'refuse', parts: ['list'] },
     { kind: 'lost-reply', rate: FAULT_RATE * 4 },
-    { kind: 'slow', delayMs: SLOW_PLATFORM_MS },
+    { kind: 'slow', delayMs: PLATFORM_DELAY_MS },
   ],
 };
 
-/** Creates the schedule; the same options give the same one. */
+/** Creates the schedule. It is deterministic: equal options yield equal schedules. */
 export function createFaultPlan(options: FaultPlanOptions): FaultFile {
   const cfg = { ...DEFAULTS, ...options };
   const random = createRandom(cfg.seed);
-  const endMs = cfg.durationMs * (1 - QUIET_SHARE);
+  const endMs = cfg.durationMs * (1 - FAULT_FREE_SHARE);
   const busyUntil = new Map<string, Millis>();
   const faults: ScheduledFault[] = [];
   const gap = () => (-Math.log(1 - random.next()) * MS_PER_SECOND) / cfg.faultsPerSecond;
@@ -126,15 +126,15 @@
   spanMs: Millis,
 ): readonly ScheduledFault[] {
   if (kind === 'instance') return drawInstanceFault(random, name, atMs, spanMs);
-  const once: readonly StandinBody[] =
+  const oneShotFaults: readonly StandinFault[] =
     kind === 'platform'
       ? [{ kind: 'silent' }]
       : [{ kind: 'silent' }, { kind: 'crash', restartAfterMs: spanMs }];
-  const lasting = LASTING_FAULTS[kind];
-  const index = random.nextInt(once.length + lasting.length);
-  const single = once[index];
-  if (single !== undefined) return [{ atMs, standin: name, fault: single }];
-  const fault = lasting[index - once.length] as StandinBody;
+  const lastingFaults = LASTING_FAULTS[kind];
+  const index = random.nextInt(oneShotFaults.length + lastingFaults.length);
+  const oneShot = oneShotFaults[index];
+  if (oneShot !== undefined) return [{ atMs, standin: name, fault: oneShot }];
+  const fault = lastingFaults[index - oneShotFaults.length] as StandinFault;
   return [
     { atMs, standin: name, fault },
     { atMs: atMs + spanMs, standin: name, fault: { kind: 'clear' } },
--- a/src/bench/load/faultSchedule.ts
+++ b/src/bench/load/faultSchedule.ts
@@ -1,6 +1,6 @@
 /**
- * Faults at set times of a load: on stand-ins through their control paths, and signals to processes
- * whose ids the caller of the load tool hands over.
+ * Injects faults at scheduled times of a load: into stand-ins through their control endpoints, and
+ * into processes by signals. The process ids are passed in by the caller of the load tool.
  */
 import { request } from 'undici';
 import * as z from 'zod';
@@ -28,7 +28,7 @@
 export type FaultFile = z.output<typeof faultFileSchema>;
 export type ScheduledFault = FaultFile['faults'][number];
 
-/** A fault that was brought about, or was not. */
+/** A fault that was injected, or the error if the injection failed. */
 export interface AppliedFault {
   readonly atMs: Millis;
   readonly target: string;
@@ -48,26 +48,26 @@
   stop: () => void;
 }
 
-/** Parses and checks a fault file. */
+/** Parses and validates a fault file. */
 export function parseFaultFile(text: string): ParsedFile<FaultFile> {
   return parseYaml(faultFileSchema, text);
 }
 
-/** Names in the schedule that no target has. */
+/** Returns the names in the schedule that do not match any target. */
 export function findUnknownTargets(file: FaultFile, targets: FaultTargets): readonly string[] {
   return file.faults.flatMap((fault) => {
     const isKnown =
       'standin' in fault ? targets.standins.has(fault.standin) : targets.pids.has(fault.process);
-    return isKnown ? [] : [targetOf(fault)];
+    return isKnown ? [] : [targetNameOf(fault)];
   });
 }
 
-/** Starts the schedule; times count from now. */
+/** Starts the schedule. Fault times are relative to this call. */
 export function startFaultSchedule(file: FaultFile, targets: FaultTargets): FaultSchedule {
   const applied: AppliedFault[] = [];
 
   async function run(fault: ScheduledFault): Promise<void> {
-    const entry = { atMs: fault.atMs, target: targetOf(fault), what: describe(fault) };
+    const entry = { atMs: fault.atMs, target: targetNameOf(fault), what: describeFault(fault) };
     try {
       await apply(fault, targets);
       applied.push({ ...entry, error: undefined });
@@ -90,22 +90,22 @@
 async function apply(fault: ScheduledFault, targets: FaultTargets): Promise<void> {
   if ('process' in fault) {
     const pid = targets.pids.get(fault.process);
-    if (pid === undefined) throw new Error(`no process is named ${fault.process}`);
+    if (pid === undefined) throw new Error(`unknown process "${fault.process}"`);
     process.kill(pid, fault.signal);
     return;
   }
   const url = targets.standins.get(fault.standin);
-  if (url === undefined) throw new Error(`no stand-in is named ${fault.standin}`);
+  if (url === undefined) throw new Error(`unknown stand-in "${fault.standin}"`);
   const body = JSON.stringify(fault.fault);
   const res = await request(`${url}/_control/faults`, { method: 'POST', body });
   await res.body.dump();
-  if (res.statusCode !== 200) throw new Error(`the stand-in answered ${res.statusCode}`);
+  if (res.statusCode !== 200) throw new Error(`stand-in returned status ${res.statusCode}`);
 }
 
-function targetOf(fault: ScheduledFault): string {
+function targetNameOf(fault: ScheduledFault): string {
   return 'standin' in fault ? fault.standin : fault.process;
 }
 
-function describe(fault: ScheduledFault): string {
+function describeFault(fault: ScheduledFault): string {
   return 'standin' in fault ? fault.fault.kind : fault.signal;
 }
--- a/src/bench/load/index.ts
+++ b/src/bench/load/index.ts
@@ -1,4 +1,6 @@
-/** The load tool: an open-loop load against a fleet, with its faults, measures and reports. */
+/**
+ * The load tool: generates an open-loop load, injects faults, collects metrics and reports results.
+ */
 export type { OutcomeCounts, Quantiles } from './customerMetrics.js';
 export { createFaultPlan, type FaultPlanOptions } from './faultPlan.js';
 export { parseFaultFile, type AppliedFault, type FaultFile } from './faultSchedule.js';
--- a/src/bench/load/loadFile.ts
+++ b/src/bench/load/loadFile.ts
@@ -1,11 +1,12 @@
 /**
- * The load file: customers with their mixes, floods and bursts, the instances to call and the
- * stand-ins to read use and logs from. YAML, checked before anything is sent.
+ * Schema and parser of the load file, a YAML file with the customers and their request mixes,
+ * floods and bursts, the instances to call, and the stand-ins whose utilisation and logs are read.
+ * The file is validated before any request is sent.
  */
 import { LineCounter, parseDocument } from 'yaml';
 import * as z from 'zod';
 
-/** Requests that a load may have in all. */
+/** Maximum number of expected requests of a load. */
 const MAX_REQUESTS = 2_000_000;
 
 const name = z.string().min(1);
@@ -14,27 +15,30 @@
 const span = z.number().min(0);
 const rate = z.number().min(0);
 
-/** A whole number drawn evenly from a closed range. */
-const range = z
-  .tuple([positiveCount, positiveCount])
-  .refine(([low, high]) => low <= high, { message: 'the range ends before it starts' });
+/** An integer that is drawn uniformly from an inclusive range. */
+const range = z.tuple([positiveCount, positiveCount]).refine(([low, high]) => low <= high, {
+  message: 'the lower bound of the range is greater than the upper bound',
+});
 
-/** A completion at a model pool. */
+/** A completion request to a model pool. */
 const completion = z.strictObject({
   kind: z.literal('completion'),
   pool: name,
   share: z.number().positive().default(1),
   promptWords: range.default([10, 40]),
-  /** Words at the start of every prompt of the customer, for prefix caches. */
+  /** Length of the prefix that all prompts of the customer share, to exercise prefix caches. */
   sharedWords: count.default(0),
   maxTokens: range.default([8, 64]),
   stream: z.boolean().default(true),
-  /** Factor between the cost and its hint is drawn from 1/n to n; no hint without it. */
+  /**
+   * The cost hint is the cost times a factor drawn from [1/n, n]. Without this key, no hint is
+   * sent.
+   */
   hintError: z.number().min(1).optional(),
   deadlineMs: z.number().positive().optional(),
 });
 
-/** A call to a plain service. */
+/** A call to a service pool. */
 const call = z.strictObject({
   kind: z.literal('call'),
   pool: name,
@@ -42,11 +46,11 @@
   method: z.enum(['POST', 'PUT', 'GET']).default('POST'),
   path: z.string().startsWith('/').default('/'),
   bodyBytes: range.default([32, 256]),
-  /** Whether the call may be repeated; one that may not carries an `Idempotency-Key`. */
+  /** Whether the call is safe to repeat. If not, it is sent with an `Idempotency-Key`. */
   idempotent: z.boolean().default(true),
-  /** Share of the calls with a key that the caller sends again, under the same key. */
+  /** Fraction of the calls with an `Idempotency-Key` that the caller repeats with the same key. */
   repeatShare: z.number().min(0).max(1).default(0),
-  /** Longest time until a call is sent again. */
+  /** Maximum delay of a repeat. */
   repeatWithinMs: span.default(500),
   deadlineMs: z.number().positive().optional(),
 });
@@ -57,9 +61,9 @@
 
 const customer = z.strictObject({
   name,
-  /** Bearer key. */
+  /** API key, sent as a bearer token. */
   key: z.string().min(1),
-  /** Entitlement weight, for shares and the fairness gap. */
+  /** Entitlement weight, used for service by weight and the fairness gap. */
   weight: z.number().positive().default(1),
   ratePerSecond: rate.default(0),
   mix: z.array(work).min(1),
@@ -69,7 +73,9 @@
 
 const pool = z.strictObject({
   name,
-  /** Service units; an instance that is to agree with the report uses the same. */
+  /**
+   * Cost in service units. The report agrees with the instances only if they use the same costs.
+   */
   cost: z
     .strictObject({
       perPromptToken: rate.default(0),
@@ -85,13 +91,16 @@
   .strictObject({
     seed: z.number().int().default(1),
     durationMs: z.number().positive(),
-    /** Time that requests in flight have to end after the last arrival. */
+    /** Time limit for in-flight requests to end after the last arrival. */
     drainMs: span.default(30_000),
-    /** Time without a byte after which a request counts as waiting for the fairness gap. */
+    /**
+     * A request counts as waiting if it received no byte of an answer for this time after it was
+     * sent.
+     */
     waitingAfterMs: span.default(250),
-    /** Interval of the samples of gap, use and control bytes. */
+    /** Sampling interval of fairness gap, utilisation and control bytes. */
     sampleMs: z.number().min(10).default(500),
-    /** Requests in flight at most; arrivals beyond are counted as not sent. */
+    /** Maximum number of in-flight requests. Further arrivals are counted as not sent. */
     maxInFlight: positiveCount.default(20_000),
     instances: z
       .array(
@@ -99,7 +108,9 @@
           name,
           url: z.url(),
           statusUrl: z.url().optional(),
-          /** Asked by the balancer; an instance that does not answer 200 gets no requests. */
+          /**
+           * Readiness check of the balancer. An instance that does not return 200 gets no requests.
+           */
           readyUrl: z.url().optional(),
         }),
       )
@@ -115,12 +126,15 @@
       const names = file[list].map((entry) => entry.name);
       const repeated = names.findIndex((entry, i) => names.indexOf(entry) < i);
       if (repeated < 0) continue;
-      const message = `the name ${names[repeated]} is used twice`;
+      const message = `duplicate name "${names[repeated]}"`;
       ctx.addIssue({ code: 'custom', path: [list, repeated, 'name'], message });
     }
     const requests = file.customers.reduce((sum, entry) => sum + expectedRequests(entry, file), 0);
     if (requests <= MAX_REQUESTS) return;
-    ctx.addIssue({ code: 'custom', message: `more than ${MAX_REQUESTS} requests are expected` });
+    ctx.addIssue({
+      code: 'custom',
+      message: `expected number of requests exceeds ${MAX_REQUESTS}`,
+    });
   });
 
 export type LoadFile = z.output<typeof loadFileSchema>;
@@ -129,24 +143,24 @@
 export type CompletionWork = Extract<LoadWork, { kind: 'completion' }>;
 export type CallWork = Extract<LoadWork, { kind: 'call' }>;
 
-/** A place in a file that does not fit, with its line if it is known. */
+/** A validation error in a file, with its line if known. */
 export interface FileIssue {
   readonly line: number | undefined;
   readonly path: string;
   readonly message: string;
 }
 
-/** Result of reading a YAML file. */
+/** Result of parsing a YAML file. */
 export type ParsedFile<T> =
   | { readonly kind: 'parsed'; readonly value: T }
   | { readonly kind: 'rejected'; readonly issues: readonly FileIssue[] };
 
-/** Parses and checks a load file. */
+/** Parses and validates a load file. */
 export function parseLoadFile(text: string): ParsedFile<LoadFile> {
   return parseYaml(loadFileSchema, text);
 }
 
-/** Parses YAML and checks it by a schema; issues carry their lines. */
+/** Parses YAML and validates it against a schema. Issues include line numbers. */
 export function parseYaml<T>(schema: z.ZodType<T>, text: string): ParsedFile<T> {
   const lineCounter = new LineCounter();
   const doc = parseDocument(text, { lineCounter });
--- a/src/bench/load/observe.ts
+++ b/src/bench/load/observe.ts
@@ -1,6 +1,6 @@
 /**
- * What the load tool reads from others while it runs: use of upstreams from the control paths of
- * the stand-ins, and control bytes from the status of the instances.
+ * Reads metrics from other processes during a load: upstream utilisation from the control endpoints
+ * of the stand-ins, and control bytes from the status endpoint of the instances.
  */
 import { request } from 'undici';
 import type { Millis } from '../../core/clock.js';
@@ -8,7 +8,7 @@
 
 const READ_TIMEOUT_MS: Millis = 2_000;
 
-/** Control bytes by the class of the link. */
+/** Bytes of control traffic between instances, by class of link. */
 export interface ControlBytes {
   readonly sameDomain: number;
   readonly sameRegion: number;
@@ -22,17 +22,17 @@
   readonly tokens?: number;
 }
 
-/** Use of one upstream over a span of time. */
-export interface UpstreamUse {
+/** Utilisation of one upstream over an interval. */
+export interface UpstreamUtilisation {
   readonly name: string;
   readonly pool: string;
-  /** Share of the slot time that was taken, from 0 to 1. */
+  /** Fraction of the slot time that was busy, from 0 to 1. */
   readonly utilisation: number;
   readonly tokensPerSecond: number;
 }
 
-/** Reads JSON; `undefined` if it can't be had. */
-export async function readFrom<T>(
+/** Fetches JSON. Returns `undefined` on an error, a timeout or a status other than 200. */
+export async function fetchJson<T>(
   url: string,
   timeoutMs = READ_TIMEOUT_MS,
 ): Promise<T | undefined> {
@@ -47,8 +47,8 @@
   }
 }
 
-/** The status of an answer; `undefined` if there was none in time. */
-export async function readStatusOf(url: string): Promise<number | undefined> {
+/** Returns the status code of a response, or `undefined` on an error or a timeout. */
+export async function fetchStatusCode(url: string): Promise<number | undefined> {
   try {
     const { statusCode, body } = await request(url, {
       signal: AbortSignal.timeout(READ_TIMEOUT_MS),
@@ -66,24 +66,26 @@
   readonly url: string;
 }
 
-export interface UseMeter {
-  /** Use since the last call. */
-  sample: () => Promise<readonly UpstreamUse[]>;
-  /** Use since the meter was created. */
-  total: () => Promise<readonly UpstreamUse[]>;
+export interface UtilisationMeter {
+  /** Utilisation since the last call. */
+  sample: () => Promise<readonly UpstreamUtilisation[]>;
+  /** Utilisation since the creation of the meter. */
+  total: () => Promise<readonly UpstreamUtilisation[]>;
 }
 
-/** Creates a meter; reads the counts that later ones are compared with. */
-export async function createUseMeter(targets: readonly UpstreamTarget[]): Promise<UseMeter> {
+/** Creates a meter and reads the initial counters. */
+export async function createUtilisationMeter(
+  targets: readonly UpstreamTarget[],
+): Promise<UtilisationMeter> {
   const readAll = async () =>
-    Promise.all(targets.map(async ({ url }) => readFrom<UpstreamStats>(`${url}/_control/stats`)));
+    Promise.all(targets.map(async ({ url }) => fetchJson<UpstreamStats>(`${url}/_control/stats`)));
   const start = await readAll();
   let before = start;
 
-  function useSince(
+  function utilisationSince(
     earlier: readonly (UpstreamStats | undefined)[],
     later: readonly (UpstreamStats | undefined)[],
-  ): UpstreamUse[] {
+  ): UpstreamUtilisation[] {
     return targets.flatMap(({ name, pool }, i) => {
       const [from, to] = [earlier[i], later[i]];
       if (from === undefined || to === undefined) return [];
@@ -98,12 +100,12 @@
   return {
     sample: async () => {
       const stats = await readAll();
-      const use = useSince(before, stats);
-      // An upstream that could not be read is compared with its last known counts.
+      const use = utilisationSince(before, stats);
+      // If an upstream could not be read, its next sample is computed from its last known counters.
       before = stats.map((entry, i) => entry ?? before[i]);
       return use;
     },
-    total: async () => useSince(start, await readAll()),
+    total: async () => utilisationSince(start, await readAll()),
   };
 }
 
@@ -117,18 +119,20 @@
   };
 }
 
-export interface ByteMeter {
+export interface ControlByteMeter {
   /** Control bytes of all instances since the last call. */
   sample: () => Promise<ControlBytes>;
 }
 
-/** Creates a meter over the status URLs of the instances. */
-export async function createByteMeter(statusUrls: readonly string[]): Promise<ByteMeter> {
+/** Creates a meter that reads the status URLs of the instances. */
+export async function createControlByteMeter(
+  statusUrls: readonly string[],
+): Promise<ControlByteMeter> {
   const before = new Map<string, ControlBytes>();
 
-  /** Bytes since the last reading; an instance that restarted counts from zero again. */
+  /** Returns the bytes since the last reading. A counter that decreased was reset by a restart. */
   async function readOne(url: string): Promise<ControlBytes> {
-    const status = await readFrom<{ readonly controlBytes?: ControlBytes }>(url);
+    const status = await fetchJson<{ readonly controlBytes?: ControlBytes }>(url);
     const bytes = status?.controlBytes;
     if (bytes === undefined) return NO_BYTES;
     const last = before.get(url) ?? NO_BYTES;
--- a/src/bench/load/report.ts
+++ b/src/bench/load/report.ts
@@ -1,4 +1,4 @@
-/** Results of a load as one HTML page with plots. */
+/** Formats the results of a load as a single HTML page with plots. */
 import { MS_PER_SECOND } from '../../core/clock.js';
 import { formatPlotPage, type Plot } from '../support/plotPage.js';
 import type { LoadResult } from './results.js';
@@ -35,7 +35,7 @@
   const times = fairness[0]?.samples ?? [];
   return {
     title: 'Fairness gap between waiting customers',
-    unit: 'units by weight',
+    unit: 'units / weight',
     lines: fairness.map(({ pool }) => pool),
     data: [
       times.map(({ atMs }) => atMs / MS_PER_SECOND),
--- a/src/bench/load/results.ts
+++ b/src/bench/load/results.ts
@@ -1,47 +1,47 @@
-/** What a load run found, as data. */
+/** Result types of a load run. */
 import { createCounts } from './customerMetrics.js';
 import type { Millis } from '../../core/clock.js';
 import type { CustomerPoolMetrics, OutcomeCounts, Quantiles } from './customerMetrics.js';
 import type { GapSample } from './fairness.js';
 import type { AppliedFault } from './faultSchedule.js';
-import type { ControlBytes, UpstreamUse } from './observe.js';
-import type { TruthReport } from './truthCheck.js';
+import type { ControlBytes, UpstreamUtilisation } from './observe.js';
+import type { ExecutionReport } from './truthCheck.js';
 
-/** Measures of one customer at one pool. */
+/** Results of one customer at one pool. */
 export interface CustomerResult {
   readonly customer: string;
   readonly pool: string;
   readonly weight: number;
   readonly counts: Readonly<OutcomeCounts>;
-  /** Service received, in the units of the pool. */
+  /** Service received, in the cost units of the pool. */
   readonly service: number;
-  /** Share of the service of the pool, from 0 to 1. */
+  /** Fraction of the total service of the pool, from 0 to 1. */
   readonly serviceShare: number;
   readonly firstTokenMs: Quantiles;
   readonly betweenTokensMs: Quantiles;
   readonly latencyMs: Quantiles;
 }
 
-/** Fairness of one pool. */
+/** Fairness gap of one pool. */
 export interface FairnessResult {
   readonly pool: string;
   readonly maxGap: number;
   readonly samples: readonly GapSample[];
 }
 
-export interface UseSample {
+export interface UtilisationSample {
   readonly atMs: Millis;
   /** Mean utilisation of the upstreams of each pool, from 0 to 1. */
   readonly byPool: Readonly<Record<string, number>>;
 }
 
-export interface ByteSample extends ControlBytes {
+export interface ControlByteSample extends ControlBytes {
   readonly atMs: Millis;
 }
 
 export interface ServiceSample {
   readonly atMs: Millis;
-  /** Service of each customer at each pool so far, in the order of `customers`. */
+  /** Cumulative service of each customer at each pool, in the order of `customers`. */
   readonly service: readonly number[];
 }
 
@@ -52,23 +52,23 @@
   readonly customers: readonly CustomerResult[];
   readonly fairness: readonly FairnessResult[];
   readonly utilisation: {
-    readonly upstreams: readonly UpstreamUse[];
-    readonly samples: readonly UseSample[];
+    readonly upstreams: readonly UpstreamUtilisation[];
+    readonly samples: readonly UtilisationSample[];
   };
   readonly controlBytes: {
     readonly total: ControlBytes;
-    readonly samples: readonly ByteSample[];
+    readonly samples: readonly ControlByteSample[];
   };
   readonly serviceSamples: readonly ServiceSample[];
   readonly faults: readonly AppliedFault[];
-  readonly truth: TruthReport;
-  /** Ids of the requests that got neither an answer nor a problem. */
+  readonly truth: ExecutionReport;
+  /** Ids of the requests that received neither an answer nor a problem. */
   readonly lost: readonly string[];
-  /** Requests without an end when the time to drain was over. */
+  /** Number of requests still in flight when the drain time limit expired. */
   readonly unfinished: number;
 }
 
-/** Sums over all customers. */
+/** Returns the outcome counts summed over all customers. */
 export function totalCounts(result: LoadResult): OutcomeCounts {
   const total = createCounts();
   for (const { counts } of result.customers) {
@@ -87,7 +87,7 @@
   return total;
 }
 
-/** Whether every request had an end, and every answer was the caller's own, complete and true. */
+/** Whether every request ended, every answer was valid and no execution report was wrong. */
 export function isTruthful(result: LoadResult): boolean {
   const { lost, notOwn, truncated } = totalCounts(result);
   const { falseRefusals, doubled, servedNotRun } = result.truth;
--- a/src/bench/load/runLoad.ts
+++ b/src/bench/load/runLoad.ts
@@ -1,7 +1,7 @@
 /**
- * Runs an open-loop load against a fleet: sends each request at its time whatever the answers do,
- * samples gap, use and control bytes, brings about the scheduled faults, and compares at the end
- * what callers were told with what the upstreams ran.
+ * Runs an open-loop load against a fleet: sends each request at its scheduled time regardless of
+ * responses, samples fairness gap, utilisation and control bytes, injects the scheduled faults, and
+ * finally compares the outcomes at the callers with the executions recorded by the upstreams.
  */
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Millis } from '../../core/clock.js';
@@ -14,17 +14,17 @@
 import { toCustomerResults, type LoadResult } from './results.js';
 import { createSampler, startSampling } from './sampler.js';
 import { createSender } from './sender.js';
-import { checkTruth } from './truthCheck.js';
+import { checkExecutions } from './truthCheck.js';
 
 const DEFAULT_TIMEOUT_MS: Millis = 60_000;
 
 export interface LoadOptions {
   readonly file: LoadFile;
-  /** Faults at set times; none by default. */
+  /** Scheduled faults; none by default. */
   readonly faults?: FaultFile;
-  /** Process ids by the names that the faults use. */
+  /** Process ids by the process names in `faults`. */
   readonly pids?: ReadonlyMap<string, number>;
-  /** Time without a byte after which a request counts as lost. */
+  /** Idle time (no byte received) after which a request counts as lost. */
   readonly timeoutMs?: Millis;
   /** Called after each sample. */
   readonly onSample?: (atMs: Millis, inFlight: number) => void;
@@ -32,10 +32,10 @@
 
 export type LoadRun =
   | { readonly kind: 'finished'; readonly result: LoadResult }
-  /** Nothing was sent: the file names no instance, or faults name what does not exist. */
+  /** Nothing was sent: the file has no instances, or faults refer to unknown targets. */
   | { readonly kind: 'rejected'; readonly unknownTargets: readonly string[] };
 
-/** Runs the load to its end. */
+/** Runs a load to completion. */
 export async function runLoad(options: LoadOptions): Promise<LoadRun> {
   const { file } = options;
   const faults = options.faults ?? { faults: [] };
@@ -75,7 +75,7 @@
     customers: toCustomerResults(metrics),
     ...(await sampler.results(elapsedMs)),
     faults: schedule.applied(),
-    truth: await checkTruth(file, sender.ended()),
+    truth: await checkExecutions(file, sender.ended()),
     lost: sender
       .ended()
       .filter(({ outcome }) => outcome.kind === 'lost')
@@ -95,7 +95,7 @@
   ]);
 }
 
-/** Calls `send` for each arrival at its time, or as soon after it as the event loop allows. */
+/** Calls `send` for each arrival at its scheduled time, or as soon as the event loop allows. */
 async function sendAll(
   arrivals: readonly Arrival[],
   elapsed: () => Millis,
--- a/src/bench/load/sampler.ts
+++ b/src/bench/load/sampler.ts
@@ -1,28 +1,28 @@
-/** Samples of a running load: fairness gap, use of upstreams, control bytes and service. */
+/** Samples fairness gap, upstream utilisation, control bytes and service during a load. */
 import type { Millis } from '../../core/clock.js';
 import type { CustomerPoolMetrics } from './customerMetrics.js';
 import { createGapMeter, type GapMeter, type GapSample } from './fairness.js';
 import type { LoadFile } from './loadFile.js';
 import {
   addBytes,
-  createByteMeter,
-  createUseMeter,
+  createControlByteMeter,
+  createUtilisationMeter,
   NO_BYTES,
-  type UpstreamUse,
+  type UpstreamUtilisation,
 } from './observe.js';
 import type {
-  ByteSample,
+  ControlByteSample,
   FairnessResult,
   LoadResult,
   ServiceSample,
-  UseSample,
+  UtilisationSample,
 } from './results.js';
 
 export interface Sampling {
   stop: () => Promise<void>;
 }
 
-/** Calls `sample` at an interval, never twice at a time, and once more at the stop. */
+/** Calls `sample` at a fixed interval, without overlapping calls, and a last time on stop. */
 export function startSampling(intervalMs: Millis, sample: () => Promise<void>): Sampling {
   let current: Promise<void> | undefined;
   const run = async () => {
@@ -50,7 +50,7 @@
   ) => Promise<Pick<LoadResult, 'fairness' | 'utilisation' | 'controlBytes' | 'serviceSamples'>>;
 }
 
-/** Creates a sampler; reads the counts that the first sample is compared with. */
+/** Creates a sampler and reads the initial counters. */
 export async function createSampler(
   file: LoadFile,
   metrics: readonly CustomerPoolMetrics[],
@@ -61,24 +61,24 @@
     meter: createGapMeter(metrics.filter((entry) => entry.pool === pool)),
     samples: [] as GapSample[],
   }));
-  const useMeter = await createUseMeter([...file.engines, ...file.services]);
+  const utilisationMeter = await createUtilisationMeter([...file.engines, ...file.services]);
   const statusUrls = file.instances.flatMap(({ statusUrl }) => statusUrl ?? []);
-  const byteMeter = await createByteMeter(statusUrls);
-  const useSamples: UseSample[] = [];
-  const byteSamples: ByteSample[] = [];
+  const byteMeter = await createControlByteMeter(statusUrls);
+  const utilisationSamples: UtilisationSample[] = [];
+  const byteSamples: ControlByteSample[] = [];
   const serviceSamples: ServiceSample[] = [];
 
   return {
     sample: async (atMs) => {
       meters.forEach(({ meter, samples }) => samples.push(meter.sample(atMs)));
       serviceSamples.push({ atMs, service: metrics.map(({ service }) => service) });
-      const [use, bytes] = await Promise.all([useMeter.sample(), byteMeter.sample()]);
-      useSamples.push({ atMs, byPool: meanByPool(use) });
+      const [use, bytes] = await Promise.all([utilisationMeter.sample(), byteMeter.sample()]);
+      utilisationSamples.push({ atMs, byPool: meanByPool(use) });
       byteSamples.push({ atMs, ...bytes });
     },
     results: async () => ({
       fairness: meters.map(({ pool, meter, samples }) => toFairness(pool, meter, samples)),
-      utilisation: { upstreams: await useMeter.total(), samples: useSamples },
+      utilisation: { upstreams: await utilisationMeter.total(), samples: utilisationSamples },
       controlBytes: { total: byteSamples.reduce(addBytes, NO_BYTES), samples: byteSamples },
       serviceSamples,
     }),
@@ -89,7 +89,7 @@
   return { pool, maxGap: meter.maxGap(), samples };
 }
 
-function meanByPool(use: readonly UpstreamUse[]): Readonly<Record<string, number>> {
+function meanByPool(use: readonly UpstreamUtilisation[]): Readonly<Record<string, number>> {
   const pools = [...new Set(use.map(({ pool }) => pool))];
   return Object.fromEntries(
     pools.map((pool) => {
--- a/src/bench/load/sender.ts
+++ b/src/bench/load/sender.ts
@@ -1,6 +1,7 @@
 /**
- * Requests in flight of a load: sends them, counts how they end and what customers received. Times
- * count from when a request was due, so that a late sender does not hide a wait.
+ * Sends the requests of a load and records their outcomes and the service that customers receive.
+ * Latencies are measured from the due time of a request, so that a delayed sender does not hide
+ * waiting time (coordinated omission).
  */
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Millis } from '../../core/clock.js';
@@ -22,9 +23,9 @@
 export interface Sender {
   send: (arrival: Arrival) => void;
   inFlight: () => number;
-  /** Waits for the ends of all requests; returns how many are still without one after the time. */
+  /** Waits until all requests end or the time limit expires. Returns the number still in flight. */
   drain: (limitMs: Millis) => Promise<number>;
-  /** Resolves once every request has an end. */
+  /** Resolves when all requests have ended. */
   settled: () => Promise<void>;
   ended: () => readonly EndedRequest[];
 }
@@ -33,14 +34,16 @@
   readonly file: LoadFile;
   readonly metrics: readonly CustomerPoolMetrics[];
   readonly caller: Caller;
-  /** Time of arrival 0 on the clock of `performance.now`. */
+  /** Start of the load, on the `performance.now` clock. */
   readonly startedAt: Millis;
 }
 
-/** Creates a sender without requests. */
+/** Creates a sender with no requests in flight. */
 export function createSender({ file, metrics, caller, startedAt }: SenderOptions): Sender {
-  const nameOf = (customer: string, pool: string) => `${customer}\n${pool}`;
-  const byName = new Map(metrics.map((entry) => [nameOf(entry.customer, entry.pool), entry]));
+  const metricsKey = (customer: string, pool: string) => `${customer}\n${pool}`;
+  const metricsByKey = new Map(
+    metrics.map((entry) => [metricsKey(entry.customer, entry.pool), entry]),
+  );
   const costs = new Map(file.pools.map(({ name, cost }) => [name, cost]));
   const ended: EndedRequest[] = [];
   const running = new Set<Promise<void>>();
@@ -60,7 +63,7 @@
 
   return {
     send: (arrival) => {
-      const entry = byName.get(nameOf(arrival.customer.name, arrival.work.pool));
+      const entry = metricsByKey.get(metricsKey(arrival.customer.name, arrival.work.pool));
       if (entry === undefined) return;
       if (running.size >= file.maxInFlight) {
         entry.counts.notSent += 1;
@@ -92,7 +95,7 @@
   readonly waitingAfterMs: Millis;
 }
 
-/** Counts waiting, times and service of one request; `end` must be called once. */
+/** Tracks waiting, latency and service of one request. `end` must be called exactly once. */
 function trackProgress(options: TrackOptions): Progress & { readonly end: () => void } {
   const { arrival, entry, cost, dueAt } = options;
   let isWaiting = false;
--- a/src/bench/load/table.ts
+++ b/src/bench/load/table.ts
@@ -1,10 +1,10 @@
-/** Results of a load as text tables. */
+/** Formats the results of a load as text tables. */
 import type { Quantiles } from './customerMetrics.js';
 import { isTruthful, totalCounts, type LoadResult } from './results.js';
 
 const PERCENT = 100;
 
-/** Formats a result for a terminal. */
+/** Formats a result as plain text for a terminal. */
 export function formatLoadResult(result: LoadResult): string {
   return [
     formatCustomers(result),
@@ -14,7 +14,7 @@
   ].join('\n\n');
 }
 
-/** Lays out rows in columns: the first column to the left, the others to the right. */
+/** Formats rows as aligned columns. The first column is left-aligned, all others right-aligned. */
 export function formatTable(
   header: readonly string[],
   rows: readonly (readonly string[])[],
--- a/src/bench/load/truthCheck.ts
+++ b/src/bench/load/truthCheck.ts
@@ -1,6 +1,7 @@
 /**
- * Compares what callers were told with what the upstreams ran, after a load: a request that was
- * refused as not run must not have run, and one that is not idempotent must have run at most once.
+ * Compares the outcomes at the callers with the executions recorded by the upstreams, after a load:
+ * a request refused as not executed must not have been executed, and a non-idempotent request must
+ * have been executed at most once.
  */
 import type { Millis } from '../../core/clock.js';
 import { questionHash } from '../../standins/content.js';
@@ -8,41 +9,41 @@
 import type { EngineLog } from '../../standins/engineState.js';
 import type { Arrival } from './arrivals.js';
 import type { LoadFile } from './loadFile.js';
-import { readFrom } from './observe.js';
+import { fetchJson } from './observe.js';
 import type { Outcome } from './outcome.js';
 
-/** Records of a long load are large. */
+/** Execution records of a long load are large, hence the long timeout. */
 const RECORDS_TIMEOUT_MS: Millis = 30_000;
 
-/** A request and how it ended. */
+/** A request and its outcome. */
 export interface EndedRequest {
   readonly arrival: Arrival;
   readonly outcome: Outcome;
-  /** Time of the end since the start of the load. */
+  /** Time between the start of the load and the end of the request. */
   readonly endedAtMs: Millis;
 }
 
-export interface TruthReport {
-  /** Requests refused as not run that an upstream ran. */
+export interface ExecutionReport {
+  /** Requests that were refused as not executed, although an upstream executed them. */
   readonly falseRefusals: readonly string[];
-  /** Requests that are not idempotent and ran more than once. */
+  /** Non-idempotent requests that were executed more than once. */
   readonly doubled: readonly string[];
   /** Served calls that no service executed. */
   readonly servedNotRun: readonly string[];
-  /** Upstreams whose records could not be read; the check is partial if there are any. */
+  /** Upstreams whose records could not be read. If there are any, the check is incomplete. */
   readonly unread: readonly string[];
 }
 
-/** Reads the records of all upstreams of the load file and compares. */
-export async function checkTruth(
+/** Compares the requests with the execution records of all upstreams of the load file. */
+export async function checkExecutions(
   file: LoadFile,
   requests: readonly EndedRequest[],
-): Promise<TruthReport> {
-  const logs = await readEach(file.engines, async (url) =>
-    readFrom<EngineLog>(`${url}/_control/log`, RECORDS_TIMEOUT_MS),
+): Promise<ExecutionReport> {
+  const logs = await readRecords(file.engines, async (url) =>
+    fetchJson<EngineLog>(`${url}/_control/log`, RECORDS_TIMEOUT_MS),
   );
-  const counts = await readEach(file.services, async (url) =>
-    readFrom<ExecutionCounts>(`${url}/_control/executions`, RECORDS_TIMEOUT_MS),
+  const counts = await readRecords(file.services, async (url) =>
+    fetchJson<ExecutionCounts>(`${url}/_control/executions`, RECORDS_TIMEOUT_MS),
   );
   const ranAtEngine = new Set(
     logs.found.flatMap(({ attempts }) =>
@@ -57,30 +58,30 @@
     return counts.found.reduce((sum, { byBody }) => sum + (byBody[hash] ?? 0), 0);
   };
 
-  const firstByKey = (matches: (request: EndedRequest) => boolean) => [
+  const uniqueKeys = (matches: (request: EndedRequest) => boolean) => [
     ...new Set(requests.filter(matches).map(({ arrival }) => keyOf(arrival))),
   ];
-  const sendings = groupByKey(requests);
-  const hasRecords = ({ arrival: { work } }: EndedRequest) => hasTargets(file, work.pool);
+  const requestsByKey = groupByKey(requests);
+  const hasRecords = ({ arrival: { work } }: EndedRequest) => hasServiceOf(file, work.pool);
   return {
-    falseRefusals: firstByKey(
+    falseRefusals: uniqueKeys(
       (request) =>
         request.outcome.kind === 'refused' &&
-        (request.arrival.kind === 'completion' || hasOwnBody(request)) &&
+        (request.arrival.kind === 'completion' || hasUniqueBody(request)) &&
         executions(request.arrival) > 0 &&
-        !mayRunLater(request, sendings.get(keyOf(request.arrival)) ?? []),
+        !mayHaveRunLater(request, requestsByKey.get(keyOf(request.arrival)) ?? []),
     ),
-    doubled: firstByKey(
+    doubled: uniqueKeys(
       (request) =>
-        hasOwnBody(request) &&
+        hasUniqueBody(request) &&
         request.arrival.kind === 'call' &&
         !request.arrival.work.idempotent &&
         executions(request.arrival) > 1,
     ),
-    servedNotRun: firstByKey(
+    servedNotRun: uniqueKeys(
       (request) =>
         request.outcome.kind === 'served' &&
-        hasOwnBody(request) &&
+        hasUniqueBody(request) &&
         hasRecords(request) &&
         counts.unread.length === 0 &&
         executions(request.arrival) === 0,
@@ -89,13 +90,13 @@
   };
 }
 
-/** The name that all sendings of a request share. */
+/** Returns the key that a request shares with its repeats. */
 function keyOf(arrival: Arrival): string {
   return arrival.kind === 'call' ? arrival.key : arrival.id;
 }
 
-/** Whether no other request has the same body. */
-function hasOwnBody({ arrival }: EndedRequest): boolean {
+/** Whether the request is a call with a body. Only its repeats have the same body. */
+function hasUniqueBody({ arrival }: EndedRequest): boolean {
   return arrival.kind === 'call' && arrival.work.method !== 'GET';
 }
 
@@ -111,20 +112,20 @@
 }
 
 /**
- * Whether a refused request can have run by another sending that had not ended when this one was
- * refused. The refusal was true then.
+ * Whether another request with the same key was still in flight when this one was refused, and was
+ * not refused itself. The execution may then belong to that request, and the refusal was correct.
  */
-function mayRunLater(refused: EndedRequest, sendings: readonly EndedRequest[]): boolean {
-  return sendings.some(
+function mayHaveRunLater(refused: EndedRequest, requests: readonly EndedRequest[]): boolean {
+  return requests.some(
     ({ outcome, endedAtMs }) => outcome.kind !== 'refused' && endedAtMs > refused.endedAtMs,
   );
 }
 
-function hasTargets(file: LoadFile, pool: string): boolean {
+function hasServiceOf(file: LoadFile, pool: string): boolean {
   return file.services.some((service) => service.pool === pool);
 }
 
-async function readEach<T>(
+async function readRecords<T>(
   targets: readonly { readonly name: string; readonly url: string }[],
   read: (url: string) => Promise<T | undefined>,
 ): Promise<{ readonly found: readonly T[]; readonly unread: readonly string[] }> {
--- a/test/bench/balancer.test.ts
+++ b/test/bench/balancer.test.ts
@@ -5,7 +5,7 @@
 import { until } from '../standins/helpers.js';
 
 describe('balancer', () => {
-  it('tries all instances, the picked one first', () => {
+  it('returns all instances, starting with the picked one', () => {
     const balancer = createBalancer([{ url: 'a' }, { url: 'b' }, { url: 'c' }]);
     expect(balancer.order(0)).to.deep.equal(['a', 'b', 'c']);
     expect(balancer.order(0.5)).to.deep.equal(['b', 'c', 'a']);
@@ -13,7 +13,7 @@
     balancer.stop();
   });
 
-  it('leaves out an instance while it is not ready', async () => {
+  it('omits an instance while it is not ready', async () => {
     let status = 503;
     const server = createServer((_req, res) => {
       res.writeHead(status).end();
--- a/test/bench/capacity.test.ts
+++ b/test/bench/capacity.test.ts
@@ -5,12 +5,12 @@
 import { SLOPES_PATH, type SlopesFile } from '../../src/bench/capacity/slopesFile.js';
 
 describe('capacity page', () => {
-  it('is what the measured slopes give', async () => {
+  it('matches the page rendered from the measured slopes', async () => {
     const slopes = JSON.parse(await readFile(SLOPES_PATH, 'utf8')) as SlopesFile;
     expect(await readFile('docs/CAPACITY.md', 'utf8')).to.equal(renderCapacity(slopes));
   });
 
-  it('fits lines by least squares', () => {
+  it('fits a line by least squares', () => {
     const line = fitLine([
       [0, 1],
       [1, 3],
--- a/test/bench/faultPlan.test.ts
+++ b/test/bench/faultPlan.test.ts
@@ -24,7 +24,7 @@
     .record({ seed: fc.nat(), durationMs: fc.integer({ min: 1_000, max: 300_000 }) })
     .map((options) => ({ ...options, ...TARGETS, faultsPerSecond: 2 }));
 
-  it('holds only faults that the stand-ins know', () => {
+  it('contains only faults that the stand-in schemas accept', () => {
     fc.assert(
       fc.property(anyPlan, (options) => {
         const plan = createFaultPlan(options);
@@ -37,7 +37,7 @@
     );
   });
 
-  it('holds faults of every kind of target for any seed, if the load is long', () => {
+  it('contains faults for every kind of target for any seed, if the load is long', () => {
     fc.assert(
       fc.property(fc.nat(), (seed) => {
         const plan = createFaultPlan({ ...TARGETS, seed, durationMs: 300_000, faultsPerSecond: 2 });
@@ -55,7 +55,7 @@
     );
   });
 
-  it('repeats for the same seed and ends every lasting fault', () => {
+  it('is deterministic and ends every pause before the end of the load', () => {
     fc.assert(
       fc.property(anyPlan, (options) => {
         const { faults } = createFaultPlan(options);
--- a/test/bench/load.test.ts
+++ b/test/bench/load.test.ts
@@ -15,7 +15,7 @@
 import { createArrivals } from '../../src/bench/load/arrivals.js';
 import { createCustomerMetrics } from '../../src/bench/load/customerMetrics.js';
 import { createGapMeter } from '../../src/bench/load/fairness.js';
-import { checkTruth } from '../../src/bench/load/truthCheck.js';
+import { checkExecutions } from '../../src/bench/load/truthCheck.js';
 import {
   createEngineStandin,
   createServiceStandin,
@@ -58,7 +58,7 @@
 }
 
 describe('load file', () => {
-  it('names the line of what does not fit', () => {
+  it('reports the line of an unknown key', () => {
     const parsed = parseLoadFile('durationMs: 10\ncustomers:\n  - name: a\n    kye: b\n');
     expect(parsed.kind).to.equal('rejected');
     const issues = parsed.kind === 'rejected' ? parsed.issues : [];
@@ -66,7 +66,7 @@
     expect(issues.some(({ message }) => message.includes('kye'))).to.equal(true);
   });
 
-  it('refuses a name that is used twice', () => {
+  it('rejects duplicate names', () => {
     const parsed = parseLoadFile(`
 durationMs: 10
 customers:
@@ -76,7 +76,7 @@
     expect(parsed.kind === 'rejected' && parsed.issues[0]?.path).to.equal('customers.1.name');
   });
 
-  it('gives the same arrivals for the same seed, each with content of its own', () => {
+  it('generates the same arrivals for the same seed, each with unique content', () => {
     const arrivals = createArrivals(loadFile(''));
     expect(createArrivals(loadFile(''))).to.deep.equal(arrivals);
     const questions = arrivals.map((arrival) => arrival.kind === 'completion' && arrival.question);
@@ -101,7 +101,7 @@
     return result;
   }
 
-  it('serves every request and measures it', async () => {
+  it('serves and measures every request', async () => {
     const result = await runAgainstEngine();
     const total = totalCounts(result);
     expect(total.served).to.equal(total.sent);
@@ -115,19 +115,19 @@
     expect(shares.reduce((sum, share) => sum + share, 0)).to.be.closeTo(1, 1e-9);
   });
 
-  it('sees answers of other requests', async () => {
+  it('detects answers that belong to other requests', async () => {
     const result = await runAgainstEngine({ kind: 'crossed', rate: 1 });
     expect(totalCounts(result).notOwn).to.be.above(0);
     expect(isTruthful(result)).to.equal(false);
   });
 
-  it('sees cut answers that end as if they were complete', async () => {
+  it('detects truncated answers that end without an error', async () => {
     const result = await runAgainstEngine({ kind: 'cut', rate: 1, ending: 'close' });
     expect(totalCounts(result).truncated).to.be.above(0);
     expect(formatLoadResult(result)).to.include('NOT EVERY REQUEST HAD A TRUE END');
   });
 
-  it('sees the gap that an engine leaves which serves in order of arrival', async () => {
+  it('measures the fairness gap of an engine that serves in order of arrival', async () => {
     const engine = await createEngineStandin({ tokenIntervalMs: 4, batchSize: 1 });
     const customer = (name: string) =>
       `{ name: ${name}, key: k, bursts: [{ atMs: 0, requests: 20 }], mix: [*work] }`;
@@ -151,13 +151,13 @@
     );
   });
 
-  it('counts requests without an end as lost', async () => {
+  it('counts requests that never end as lost', async () => {
     const result = await runAgainstEngine({ kind: 'hang' }, 500);
     expect(totalCounts(result).lost).to.be.above(0);
     expect(isTruthful(result)).to.equal(false);
   });
 
-  it('counts broken connections as failed, with an unknown execution', async () => {
+  it('counts broken connections as failed with unknown execution', async () => {
     const result = await runAgainstEngine({ kind: 'crash', restartAfterMs: 0 });
     const total = totalCounts(result);
     expect(total.sent).to.equal(total.served + total.failed);
@@ -165,13 +165,13 @@
     expect(isTruthful(result)).to.equal(true);
   });
 
-  it('writes a page that loads nothing from elsewhere', async () => {
+  it('formats a report page without external resources', async () => {
     const page = formatLoadReport(await runAgainstEngine());
     expect(page).to.include('uPlot');
     expect(page).to.not.match(/(src|href)="/u);
   });
 
-  it('refuses faults on targets that do not exist', async () => {
+  it('rejects faults on unknown targets', async () => {
     const parsed = parseFaultFile('faults: [{ atMs: 1, process: i9, signal: SIGSTOP }]');
     if (parsed.kind === 'rejected') throw new Error(JSON.stringify(parsed.issues));
     const file = loadFile('instances: [{ name: i, url: "http://127.0.0.1:9" }]');
@@ -184,8 +184,8 @@
 
 const REFUSED = { kind: 'refused', status: 503, step: 'wait' } as const;
 
-describe('truth check', () => {
-  it('finds calls that ran twice, or although they were refused', async () => {
+describe('execution check', () => {
+  it('detects calls that were executed twice, after a refusal, or not at all', async () => {
     const service = await createServiceStandin({ latencyMs: 0 });
     const parsed = parseLoadFile(`
 durationMs: 100
@@ -203,7 +203,7 @@
     }
     const post = async (body: string) => fetch(`${service.url}/x`, { method: 'POST', body });
     await Promise.all([post(twice.body), post(twice.body), post(refused.body)]);
-    const truth = await checkTruth(parsed.value, [
+    const truth = await checkExecutions(parsed.value, [
       { arrival: twice, outcome: { kind: 'served' }, endedAtMs: 1 },
       { arrival: refused, outcome: REFUSED, endedAtMs: 2 },
       { arrival: missing, outcome: { kind: 'served' }, endedAtMs: 3 },
@@ -217,7 +217,7 @@
     });
   });
 
-  it('takes a refusal for true if another sending of the key ran later', async () => {
+  it('accepts a refusal if another request with the same key was served later', async () => {
     const service = await createServiceStandin({ latencyMs: 0 });
     const parsed = parseLoadFile(`
 durationMs: 100
@@ -234,7 +234,7 @@
     expect(again).to.include({ key: first.key, body: first.body });
     await fetch(`${service.url}/x`, { method: 'POST', body: first.body });
     const falseRefusalsIf = async (refusedAt: number, servedAt: number) => {
-      const { falseRefusals } = await checkTruth(parsed.value, [
+      const { falseRefusals } = await checkExecutions(parsed.value, [
         { arrival: first, outcome: REFUSED, endedAtMs: refusedAt },
         { arrival: again, outcome: { kind: 'served' }, endedAtMs: servedAt },
       ]);
@@ -247,7 +247,7 @@
 });
 
 describe('gap meter', () => {
-  it('measures only while both customers wait without a break', () => {
+  it('measures only while both customers are continuously backlogged', () => {
     const metrics = createCustomerMetrics(loadFile(''));
     const meter = createGapMeter(metrics);
     const [a, b] = metrics;
@@ -275,7 +275,7 @@
   const folder = new URL('../../../examples/', import.meta.url);
   const read = async (name: string) => readFile(new URL(name, folder), 'utf8');
 
-  it('fit their schemas and name the same stand-ins', async () => {
+  it('match their schemas and refer to the same stand-ins', async () => {
     const load = parseLoadFile(await read('load.yaml'));
     const faults = parseFaultFile(await read('faults.yaml'));
     const standins = parseStandinSettings(await read('standins.yaml'));
