Reword the scripts

Ends were "broken", answers "true", ports "held" and failures "red". Now: unexpected exits, failures, distinct ports, known failures. Notable renames: createProcesses to createProcessGroup, broken to failures, part (of the load) to loadShare, take to nextPort, readKnownRed to readKnownFailures. The last line of scripts/test.mjs, its "known red" lines and the text that settingsPage.mjs writes stay.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,7 +1,7 @@
 /**
- * Bundles the program of the platform into one file, `target/primroseswitch.mjs` or the path that is
- * given: one file is read and compiled in a third of the time that the modules take one by one, and
- * what is not used of the libraries takes no memory.
+ * Bundles the platform program into a single file, `target/primroseswitch.mjs` or the path given as
+ * argument. Loading the bundle takes a third of the time of loading the modules one by one, and
+ * unused library code, which the bundle omits, takes no memory.
  */
 import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -16,7 +16,7 @@
   platform: 'node',
   format: 'esm',
   target: 'node20',
-  // Libraries in the older module format ask for Node's own modules in this way.
+  // CommonJS libraries load built-in Node.js modules with `require`, which ES modules lack.
   banner: {
     js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);",
   },
--- a/scripts/fleet.mjs
+++ b/scripts/fleet.mjs
@@ -1,6 +1,7 @@
 /**
  * Starts a fleet of instances and stand-ins as processes, runs a load with faults against it and
- * prints what callers got. Exits with 1 if an answer was not true.
+ * prints the results. Exits with 1 if a request did not end, an answer or a report of its execution
+ * was wrong, or a process exited unexpectedly.
  *
  *   node scripts/fleet.mjs --instances 5 --seconds 60 --rate 200 --faults random --seed 1
  */
@@ -17,7 +18,7 @@
   planFleet,
   standinSettings,
 } from './fleet/files.mjs';
-import { createProcesses, waitUntilReady } from './fleet/processes.mjs';
+import { createProcessGroup, waitUntilReady } from './fleet/processes.mjs';
 
 const root = join(dirname(fileURLToPath(import.meta.url)), '..');
 const {
@@ -36,15 +37,15 @@
     engines: { type: 'string', default: '6' },
     services: { type: 'string', default: '3' },
     seconds: { type: 'string', default: '30' },
-    /** Requests in a second. */
+    /** Requests per second. */
     rate: { type: 'string', default: '100' },
-    /** Requests that arrive at once at the start. */
+    /** Requests that arrive simultaneously at the start. */
     burst: { type: 'string', default: '0' },
-    /** `none`, `random`, or a fault file. */
+    /** `none`, `random`, or the path of a fault file. */
     faults: { type: 'string', default: 'none' },
     'faults-per-second': { type: 'string', default: '0.5' },
     seed: { type: 'string', default: '1' },
-    /** Time until a killed or stopped instance is started again. */
+    /** Delay before a killed or stopped instance is restarted. */
     'restart-ms': { type: 'string', default: '1000' },
     report: { type: 'string' },
     json: { type: 'boolean', default: false },
@@ -60,8 +61,8 @@
 });
 const folder = await mkdtemp(join(tmpdir(), 'primroseswitch-fleet-'));
 const command = join(root, 'dist/src/cli/main.js');
-const standins = createProcesses({ command });
-const instances = createProcesses({ command, restartMs: Number(args['restart-ms']) });
+const standins = createProcessGroup({ command });
+const instances = createProcessGroup({ command, restartMs: Number(args['restart-ms']) });
 
 function unwrap(parsed) {
   if (parsed.kind === 'parsed') return parsed.value;
@@ -89,8 +90,8 @@
     await writeFile(path, text);
     return path;
   };
-  const set = await write('standins.yaml', standinSettings(plan, seed));
-  standins.start('standins', ['standin', 'set', '--file', set]);
+  const standinFile = await write('standins.yaml', standinSettings(plan, seed));
+  standins.start('standins', ['standin', 'set', '--file', standinFile]);
   const platform = `http://127.0.0.1:${plan.platform.port}`;
   await waitUntilReady(`${platform}/instances`);
   const list = JSON.stringify(instanceList(plan));
@@ -106,7 +107,7 @@
   );
 }
 
-async function run() {
+async function main() {
   await startFleet();
   const faults = await readFaults();
   const file = unwrap(
@@ -119,18 +120,18 @@
       }),
     ),
   );
-  const done = await runLoad({ file, faults, pids: instances.pids });
-  if (done.kind === 'rejected') throw new Error(`unknown targets: ${done.unknownTargets}`);
-  const { result } = done;
+  const run = await runLoad({ file, faults, pids: instances.pids });
+  if (run.kind === 'rejected') throw new Error(`unknown fault targets: ${run.unknownTargets}`);
+  const { result } = run;
   console.log(args.json ? JSON.stringify(result) : formatLoadResult(result));
   if (args.report !== undefined) await writeFile(args.report, formatLoadReport(result));
-  const broken = [...standins.broken(), ...instances.broken()];
-  broken.forEach((text) => console.error(text));
-  return isTruthful(result) && broken.length === 0 ? 0 : 1;
+  const failures = [...standins.failures(), ...instances.failures()];
+  failures.forEach((text) => console.error(text));
+  return isTruthful(result) && failures.length === 0 ? 0 : 1;
 }
 
 try {
-  process.exitCode = await run();
+  process.exitCode = await main();
 } finally {
   await instances.stop();
   await standins.stop();
--- a/scripts/fleet/files.mjs
+++ b/scripts/fleet/files.mjs
@@ -1,6 +1,6 @@
 /**
- * Files of a trial fleet: settings of the stand-ins and of each instance, the configuration document
- * and the load. Domains, customers and rates are those of a small site.
+ * Generates the files of a local test fleet: settings of the stand-ins and of each instance, the
+ * configuration document and the load file. Domains, customers and rates are those of a small site.
  */
 import { createHash } from 'node:crypto';
 import { createServer } from 'node:net';
@@ -21,12 +21,12 @@
   { domain: 'pitesti-a', region: 'muntenia' },
 ];
 
-/** Customers by weight and by their part of the load. */
+/** Customers with their entitlement weights and their fractions of the load. */
 const CUSTOMERS = [
-  { name: 'orchard-north', weight: 2, part: 0.4, long: true },
-  { name: 'orchard-south', weight: 1, part: 0.3, long: true },
-  { name: 'installers', weight: 1, part: 0.1, long: false },
-  { name: 'depot-clerks', weight: 1, part: 0.2, long: false },
+  { name: 'orchard-north', weight: 2, loadShare: 0.4, long: true },
+  { name: 'orchard-south', weight: 1, loadShare: 0.3, long: true },
+  { name: 'installers', weight: 1, loadShare: 0.1, long: false },
+  { name: 'depot-clerks', weight: 1, loadShare: 0.2, long: false },
 ];
 
 const url = (port) => `http://${LOOPBACK}:${port}`;
@@ -35,7 +35,7 @@
 const range = (count) => Array.from({ length: count }, (_, i) => i);
 const domainOf = (index) => DOMAINS[index % DOMAINS.length];
 
-/** Ports that are free now. They are held until all are known, so that they differ. */
+/** Finds free ports. All are kept open until the last is assigned, so that they are distinct. */
 export async function findFreePorts(count) {
   const servers = await Promise.all(
     range(count).map(
@@ -61,29 +61,33 @@
   return ports;
 }
 
-/** Chooses names, places and ports of all parts of a fleet. */
+/** Assigns names, failure domains and ports to all members of a fleet. */
 export async function planFleet({ instances, engines, services }) {
   const ports = await findFreePorts(1 + engines + services + 3 * instances);
-  const take = () => ports.pop();
+  const nextPort = () => ports.pop();
   return {
-    platform: { port: take() },
-    engines: range(engines).map((i) => ({ name: `engine-${i + 1}`, port: take(), ...domainOf(i) })),
+    platform: { port: nextPort() },
+    engines: range(engines).map((i) => ({
+      name: `engine-${i + 1}`,
+      port: nextPort(),
+      ...domainOf(i),
+    })),
     services: range(services).map((i) => ({
       name: `service-${i + 1}`,
-      port: take(),
+      port: nextPort(),
       ...domainOf(i),
     })),
     instances: range(instances).map((i) => ({
       name: `instance-${i + 1}`,
-      callers: take(),
-      peers: take(),
-      operators: take(),
+      callers: nextPort(),
+      peers: nextPort(),
+      operators: nextPort(),
       ...domainOf(i),
     })),
   };
 }
 
-/** Settings of the stand-ins. */
+/** Returns the settings file of the stand-ins. */
 export function standinSettings(plan, seed) {
   return stringify({
     platform: { port: plan.platform.port, seed },
@@ -107,7 +111,7 @@
   });
 }
 
-/** The configuration document. */
+/** Returns the configuration document. */
 export function configurationDocument(plan) {
   const upstream = (pool, slots) => (entry) => [
     entry.name,
@@ -139,7 +143,7 @@
   });
 }
 
-/** Settings of one instance. */
+/** Returns the settings file of an instance. */
 export function instanceSettings(plan, instance) {
   return stringify({
     instance: { id: instance.name, domain: instance.domain, region: instance.region },
@@ -151,12 +155,12 @@
     platform: { url: url(plan.platform.port) },
     document: 'configuration.yaml',
     log: { level: 'warn' },
-    // No call of this load takes seconds, so a silent upstream can be given up early.
+    // No call of this load takes seconds, so short timeouts for silent upstreams are safe.
     core: { firstByteTimeout: '10s', idleTimeout: '5s' },
   });
 }
 
-/** Body of `PUT /_control/instances` of the platform. */
+/** Returns the body of `PUT /_control/instances` of the platform stand-in. */
 export function instanceList(plan) {
   return {
     instances: plan.instances.map(({ name, peers, domain, region }) => ({
@@ -169,7 +173,7 @@
   };
 }
 
-/** A load with short and long completions, and bookings that may run once only. */
+/** Returns a load file with short and long completions, and bookings that are not idempotent. */
 export function loadFile(plan, { seed, durationMs, ratePerSecond, burst }) {
   const targets = (list, pool) => list.map(({ name, port }) => ({ name, pool, url: url(port) }));
   return stringify({
@@ -189,12 +193,12 @@
       { name: MODEL_POOL, cost: { perPromptToken: 0.1, perOutputToken: 1 } },
       { name: SERVICE_POOL, cost: { perCall: 1 } },
     ],
-    customers: CUSTOMERS.map(({ name, weight, part, long }) => ({
+    customers: CUSTOMERS.map(({ name, weight, loadShare, long }) => ({
       name,
       key: keyOf(name),
       weight,
-      ratePerSecond: ratePerSecond * part,
-      bursts: burst > 0 ? [{ atMs: 0, requests: Math.round(burst * part) }] : [],
+      ratePerSecond: ratePerSecond * loadShare,
+      bursts: burst > 0 ? [{ atMs: 0, requests: Math.round(burst * loadShare) }] : [],
       mix: [
         {
           kind: 'completion',
--- a/scripts/generate.mjs
+++ b/scripts/generate.mjs
@@ -1,4 +1,4 @@
-/** Regenerates the codec of the peer protocol. Needs `protoc` (Debian: protobuf-compiler). */
+/** Regenerates the codec of the peer protocol. Requires `protoc` (Debian: protobuf-compiler). */
 import { execFileSync } from 'node:child_process';
 import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
--- a/scripts/prepare.mjs
+++ b/scripts/prepare.mjs
@@ -1,6 +1,6 @@
 /**
  * Prepares a checkout: installs the dependencies if they are missing or older than the lock file,
- * then compiles. Run before `npm start` and `npm test`.
+ * then compiles. Runs before `npm start` and `npm test`.
  */
 import { execFileSync } from 'node:child_process';
 import { existsSync, lstatSync, statSync } from 'node:fs';
@@ -10,7 +10,7 @@
 const root = join(dirname(fileURLToPath(import.meta.url)), '..');
 const run = (command, args) => execFileSync(command, args, { cwd: root, stdio: 'inherit' });
 
-/** A linked folder belongs to another checkout, which keeps it up to date. */
+/** Whether `node_modules` is a symbolic link to another checkout, which keeps it up to date. */
 const isLinked = () =>
   lstatSync(join(root, 'node_modules'), { throwIfNoEntry: false })?.isSymbolicLink();
 
--- a/scripts/settingsPage.mjs
+++ b/scripts/settingsPage.mjs
@@ -1,4 +1,4 @@
-/** Writes the tables of the cores' settings in docs/SETTINGS.md from their doc comments. */
+/** Generates the settings tables in docs/SETTINGS.md from the doc comments of the core settings. */
 import { readFileSync, readdirSync, writeFileSync } from 'node:fs';
 import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -8,7 +8,7 @@
 const { coreSettingDefaults, routingSettingDefaults } =
   await import('../dist/src/configuration/settingsSchema.js');
 
-/** Doc comments of the settings in a folder, by the names that settings files use. */
+/** Returns the doc comments of the settings in a folder, by their key in settings files. */
 function readComments(folder) {
   const comments = new Map();
   const dir = join(root, 'src', folder);
@@ -25,7 +25,7 @@
   return comments;
 }
 
-function tableOf(defaults, comments) {
+function formatTable(defaults, comments) {
   const rows = [...defaults].map(
     ([key, value]) => `| \`${key}\` | \`${value}\` | ${comments.get(key) ?? ''} |`,
   );
@@ -33,11 +33,11 @@
 }
 
 const text = readFileSync(page, 'utf8');
-const kept = text.slice(0, text.indexOf('## `core`'));
+const preamble = text.slice(0, text.indexOf('## `core`'));
 const sections = [
   '## `core`\n\nWhat the instances of one fleet decide by. Give all instances the same values.\n',
-  tableOf(coreSettingDefaults(), readComments('core')),
+  formatTable(coreSettingDefaults(), readComments('core')),
   '\n## `routing.tuning`\n\nSettings of an instance that passes requests through on the platform.\n',
-  tableOf(routingSettingDefaults(), readComments('routing')),
+  formatTable(routingSettingDefaults(), readComments('routing')),
 ];
-writeFileSync(page, `${kept}${sections.join('\n')}\n`);
+writeFileSync(page, `${preamble}${sections.join('\n')}\n`);
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -1,6 +1,7 @@
 /**
  * Runs the compiled tests with mocha and prints `N passed, N failed, N skipped` as the last line.
- * A test named in KNOWN-RED.txt is still run; its failure is printed and does not fail the run.
+ * Tests listed in KNOWN-RED.txt are run as well. Their failures are printed and counted as skipped,
+ * and do not fail the run.
  */
 import { existsSync, readFileSync, readdirSync } from 'node:fs';
 import { dirname, join } from 'node:path';
@@ -10,8 +11,8 @@
 const root = join(dirname(fileURLToPath(import.meta.url)), '..');
 const TEST_TIMEOUT_MS = 120_000;
 
-/** Full titles on lines that start with `test: ` in KNOWN-RED.txt. */
-function readKnownRed() {
+/** Returns the full test titles from the lines of KNOWN-RED.txt that start with `test: `. */
+function readKnownFailures() {
   const file = join(root, 'KNOWN-RED.txt');
   if (!existsSync(file)) return new Set();
   const lines = readFileSync(file, 'utf8').split('\n');
@@ -25,24 +26,24 @@
     .sort();
 }
 
-const wanted = process.argv.slice(2);
+const filters = process.argv.slice(2);
 const mocha = new Mocha({ timeout: TEST_TIMEOUT_MS, reporter: 'dot', slow: 5_000 });
 const files = findTests(join(root, 'dist', 'test'));
 files
-  .filter((file) => wanted.length === 0 || wanted.some((part) => file.includes(part)))
+  .filter((file) => filters.length === 0 || filters.some((part) => file.includes(part)))
   .forEach((file) => mocha.addFile(file));
 await mocha.loadFilesAsync();
 
-const knownRed = readKnownRed();
-let red = 0;
+const knownFailures = readKnownFailures();
+let knownFailureCount = 0;
 const runner = mocha.run(() => {
   const { passes, failures, pending } = runner.stats;
-  const failed = failures - red;
-  console.log(`${passes} passed, ${failed} failed, ${pending + red} skipped`);
+  const failed = failures - knownFailureCount;
+  console.log(`${passes} passed, ${failed} failed, ${pending + knownFailureCount} skipped`);
   process.exit(failed > 0 || passes === 0 ? 1 : 0);
 });
 runner.on('fail', (test) => {
-  if (!knownRed.has(test.fullTitle())) return;
-  red += 1;
+  if (!knownFailures.has(test.fullTitle())) return;
+  knownFailureCount += 1;
   console.log(`known red: ${test.fullTitle()}`);
 });
