--- a/src/bench/routing/emulatedEngine.ts
+++ b/src/bench/routing/emulatedEngine.ts
@@ -53,7 +53,7 @@
 
 interface RunningJob {
   readonly job: EngineJob;
-  unreadTokens: number;
+  tokensToPrefill: number;
   emittedTokens: number;
 }
 
@@ -83,11 +83,11 @@
     const firstUncached = firstMiss === -1 ? job.parts.length : firstMiss;
     const cached = job.parts.slice(0, firstUncached);
     cached.forEach(markUsed);
-    const unreadTokens = job.promptTokens - cached.reduce((sum, { tokens }) => sum + tokens, 0);
-    options.onRead(job.parts, firstUncached, unreadTokens);
+    const tokensToPrefill = job.promptTokens - cached.reduce((sum, { tokens }) => sum + tokens, 0);
+    options.onRead(job.parts, firstUncached, tokensToPrefill);
     evictFor(requiredTokens(job));
     reservedTokens += requiredTokens(job);
-    running.push({ job, unreadTokens: Math.max(1, unreadTokens), emittedTokens: 0 });
+    running.push({ job, tokensToPrefill: Math.max(1, tokensToPrefill), emittedTokens: 0 });
   }
 
   function markUsed({ id, tokens }: PrefixPart): void {
@@ -111,7 +111,7 @@
     let budget = model.chunkTokens;
     const prefills: { run: RunningJob; tokens: number }[] = [];
     running.forEach((run) => {
-      const tokens = Math.min(budget, run.unreadTokens);
+      const tokens = Math.min(budget, run.tokensToPrefill);
       if (tokens === 0) return;
       budget -= tokens;
       prefills.push({ run, tokens });
@@ -122,13 +122,13 @@
         running.length * model.stepMsPerRequest +
         prefilledTokens / model.readTokensPerMs) *
       slowdownFactor;
-    const decoding = running.filter(({ unreadTokens }) => unreadTokens === 0);
+    const decoding = running.filter(({ tokensToPrefill }) => tokensToPrefill === 0);
     const current = generation;
     simulation.after(durationMs, () => {
       if (current !== generation) return;
       prefills.forEach(({ run, tokens }) => {
-        run.unreadTokens -= tokens;
-        if (run.unreadTokens === 0) decoding.push(run);
+        run.tokensToPrefill -= tokens;
+        if (run.tokensToPrefill === 0) decoding.push(run);
       });
       decoding.forEach(emitToken);
       step();
--- a/src/bench/routing/patterns.ts
+++ b/src/bench/routing/patterns.ts
@@ -141,13 +141,13 @@
   for (let at = 0; at < lengthMs; at += TICK_MS) {
     REQUEST_KINDS.forEach((kind) => {
       for (let customer = 0; customer < SHAPE.customers; customer += 1) {
-        const isHot = customer < (pattern.heavyCustomers?.customers ?? 0);
+        const isHeavy = customer < (pattern.heavyCustomers?.customers ?? 0);
         const rate = (kind.requestsPerSecond * pattern.loadFactor(at)) / SHAPE.customers;
-        const factor = isHot ? (pattern.heavyCustomers?.factor ?? 1) : 1;
+        const factor = isHeavy ? (pattern.heavyCustomers?.factor ?? 1) : 1;
         const expected = (rate * factor * TICK_MS) / MS_PER_SECOND;
         const count = Math.floor(expected + random.next());
         for (let i = 0; i < count; i += 1) {
-          requests.push(drawRequest(random, kind, customer, isHot, at, requests.length));
+          requests.push(drawRequest(random, kind, customer, isHeavy, at, requests.length));
         }
       }
     });
@@ -159,11 +159,11 @@
   random: Random,
   kind: RequestKind,
   customer: number,
-  isHot: boolean,
+  isHeavy: boolean,
   at: Millis,
   number: number,
 ): OfferedRequest {
-  const domain = isHot ? SHAPE.domains[0] : SHAPE.domains[random.nextInt(SHAPE.domains.length)];
+  const domain = isHeavy ? SHAPE.domains[0] : SHAPE.domains[random.nextInt(SHAPE.domains.length)];
   const shared: PrefixPart[] = kind.sharedParts.map(({ count, tokens }, level) => ({
     id: `${kind.route.name}-${level}-${drawPartIndex(random, count, customer)}`,
     tokens,
