Reword the benchmarks of exact outcomes

Comments and violation messages spoke of callers being "told an untruth", faults that "strike" and upstreams that have "seen" requests. They now name outcomes, injected faults and executions. Pools are called the model pool and the service pool instead of the assistant and the desk.

--- a/src/bench/exact/fakeLog.ts
+++ b/src/bench/exact/fakeLog.ts
@@ -1,4 +1,4 @@
-/** A fake of the platform's log at the interface of effects and events. */
+/** Fake of the platform's log, driven by the core's effects and answering with events. */
 import type { Millis } from '../../core/clock.js';
 import type { Random } from '../../core/random.js';
 import type { AppendResult, LogReadResult, StreamRecord } from '../../core/types.js';
@@ -6,9 +6,9 @@
 
 export interface FakeLogFaults {
   isDown: boolean;
-  /** Time of a round trip. */
+  /** Round-trip time. */
   delayMs: Millis;
-  /** Share of replies to appends that are lost after the append took effect. */
+  /** Share of appends that take effect but whose reply is lost. */
   lostReplies: number;
 }
 
@@ -26,7 +26,7 @@
     waitMs: Millis,
     reply: (result: LogReadResult) => void,
   ) => void;
-  /** Number of appends that were asked for, and the records that reads returned. */
+  /** Appends requested, records stored by them, and records returned by reads. */
   readonly counts: { appends: number; recordsAppended: number; recordsRead: number };
 }
 
@@ -37,12 +37,12 @@
   readonly retentionMs: Millis;
 }
 
-interface Kept extends StreamRecord {
+interface StoredRecord extends StreamRecord {
   readonly at: Millis;
 }
 
 interface Stream {
-  readonly kept: Kept[];
+  readonly records: StoredRecord[];
   oldest: number;
   next: number;
   waiters: (() => void)[];
@@ -55,20 +55,20 @@
   const counts = { appends: 0, recordsAppended: 0, recordsRead: 0 };
 
   const streamOf = (name: string): Stream => {
-    const stream = streams.get(name) ?? { kept: [], oldest: 0, next: 0, waiters: [] };
+    const stream = streams.get(name) ?? { records: [], oldest: 0, next: 0, waiters: [] };
     streams.set(name, stream);
-    while (stream.kept[0] !== undefined && stream.kept[0].at < schedule.now() - retentionMs) {
-      stream.oldest = (stream.kept.shift() as Kept).offset + 1;
+    while (stream.records[0] !== undefined && stream.records[0].at < schedule.now() - retentionMs) {
+      stream.oldest = (stream.records.shift() as StoredRecord).offset + 1;
     }
     return stream;
   };
 
-  /** Calls `there` when the message arrives; what it returns travels back to `reply`. */
-  const roundTrip = <T>(there: () => T, reply: (result: T) => void) => {
-    const half = faults.delayMs / 2;
-    schedule.after(half, () => {
-      const result = there();
-      schedule.after(half, () => reply(result));
+  /** Calls `handleAtLog` after the one-way delay and passes its result to `reply` after another one. */
+  const roundTrip = <T>(handleAtLog: () => T, reply: (result: T) => void) => {
+    const oneWayMs = faults.delayMs / 2;
+    schedule.after(oneWayMs, () => {
+      const result = handleAtLog();
+      schedule.after(oneWayMs, () => reply(result));
     });
   };
 
@@ -76,7 +76,7 @@
     const stream = streamOf(name);
     const offset = stream.next;
     records.forEach((data) => {
-      stream.kept.push({ offset: stream.next, data, at: schedule.now() });
+      stream.records.push({ offset: stream.next, data, at: schedule.now() });
       stream.next += 1;
     });
     counts.recordsAppended += records.length;
@@ -96,31 +96,31 @@
     }, reply);
   };
 
-  const take = (stream: Stream, from: number, limit: number): LogReadResult => {
+  const readRecords = (stream: Stream, from: number, limit: number): LogReadResult => {
     if (faults.isDown) return { kind: 'failed', detail: 'down' };
     if (from < stream.oldest) return { kind: 'expired', oldest: stream.oldest };
-    const records = stream.kept.slice(from - stream.oldest, from - stream.oldest + limit);
+    const records = stream.records.slice(from - stream.oldest, from - stream.oldest + limit);
     counts.recordsRead += records.length;
     return { kind: 'records', records, next: (records.at(-1)?.offset ?? from - 1) + 1 };
   };
 
   const read: FakeLog['read'] = (name, from, limit, waitMs, reply) => {
-    const half = faults.delayMs / 2;
-    schedule.after(half, () => {
+    const oneWayMs = faults.delayMs / 2;
+    schedule.after(oneWayMs, () => {
       const stream = streamOf(name);
-      let isDone = false;
-      const answer = () => {
-        if (isDone) return;
-        isDone = true;
-        const result = take(streamOf(name), from, limit);
-        schedule.after(half, () => reply(result));
+      let isCompleted = false;
+      const complete = () => {
+        if (isCompleted) return;
+        isCompleted = true;
+        const result = readRecords(streamOf(name), from, limit);
+        schedule.after(oneWayMs, () => reply(result));
       };
       if (faults.isDown || from < stream.next || waitMs === 0) {
-        answer();
+        complete();
         return;
       }
-      stream.waiters.push(answer);
-      schedule.after(waitMs, answer);
+      stream.waiters.push(complete);
+      schedule.after(waitMs, complete);
     });
   };
 
--- a/src/bench/exact/fakePeers.ts
+++ b/src/bench/exact/fakePeers.ts
@@ -1,11 +1,11 @@
-/** A fake of the links between instances: delay, loss and partition. */
+/** Fake links between instances, with delays and partitions. */
 import type { Millis } from '../../core/clock.js';
 import type { Random } from '../../core/random.js';
 import type { InstanceId, PeerMessage } from '../../core/types.js';
 import type { Schedule } from './schedule.js';
 
 export interface FakePeers {
-  /** Instances on one side of a partition; none while there is no partition. */
+  /** The instances on one side of a partition; empty while there is no partition. */
   readonly cutOff: Set<InstanceId>;
   readonly send: (from: InstanceId, to: InstanceId, message: PeerMessage) => void;
   readonly counts: { messages: number };
--- a/src/bench/exact/fakeUpstreams.ts
+++ b/src/bench/exact/fakeUpstreams.ts
@@ -1,6 +1,6 @@
 /**
- * A fake of engines and plain services behind the upstream host: it reports the outcomes of attempts
- * as the host would, and keeps what each upstream has seen for the reference model.
+ * Fake engines and plain services. Reports the outcomes of attempts as the upstream host does, and
+ * records what each upstream executed, for the reference model.
  */
 import type { Millis } from '../../core/clock.js';
 import type { Random } from '../../core/random.js';
@@ -13,42 +13,42 @@
 } from '../../core/types.js';
 import type { Schedule } from './schedule.js';
 
-/** What the fake has to know of a request. */
-export interface Work {
+/** The properties of a request that determine how the fake runs it. */
+export interface RequestWork {
   readonly outputTokens: number;
-  /** Whether the request crashes each upstream that runs it. */
+  /** Whether the request crashes every upstream that runs it. */
   readonly isCrashing: boolean;
   readonly key?: string;
 }
 
-/** Shares of attempts that go wrong in one way. */
+/** Share of the attempts that fail in each way, from 0 to 1. */
 export interface FakeUpstreamFaults {
   silent: number;
   cut: number;
   crossed: number;
   declined: number;
-  /** Every attempt ends with a server error. */
+  /** Whether every attempt ends with a server error. */
   isFailing: boolean;
 }
 
-export interface Sighting {
+export interface Execution {
   readonly requestId: string;
   readonly upstream: UpstreamId;
   readonly at: Millis;
-  /** Whether it continued an answer of the same engine, or of its moved cache. */
+  /** Whether the attempt resumed an earlier answer, on the same engine or from its moved cache. */
   readonly isResume: boolean;
 }
 
 export interface FakeUpstreams {
   readonly faults: FakeUpstreamFaults;
-  /** Requests that an upstream began or went on to run. */
-  readonly sightings: Sighting[];
+  /** Each start or resumption of a request on an upstream. */
+  readonly sightings: Execution[];
   readonly crashes: { readonly upstream: UpstreamId; readonly at: Millis }[];
   readonly counts: { dispatches: number; moves: number };
   readonly dispatch: (plan: AttemptPlan, post: (event: CoreEvent) => void) => void;
   readonly cancel: (attemptId: AttemptId) => void;
   readonly moveCache: () => void;
-  /** Cuts all streams of an upstream, which goes on running; returns their number. */
+  /** Cuts all streams of an upstream, which itself keeps running. Returns the number of streams. */
   readonly cutAll: (upstream: UpstreamId) => number;
   readonly isDown: (upstream: UpstreamId) => boolean;
   readonly epochOf: (upstream: UpstreamId) => string;
@@ -57,23 +57,23 @@
 export interface FakeUpstreamsOptions {
   readonly schedule: Schedule;
   readonly random: Random;
-  readonly workOf: (requestId: string) => Work;
-  /** Time of a token, or of a whole answer of a plain service. */
+  readonly workOf: (requestId: string) => RequestWork;
+  /** Time to produce one token, or the whole answer of a plain service. */
   readonly tokenMs: Millis;
   /** Time for which a crashed upstream refuses connections. */
   readonly downMs: Millis;
 }
 
-interface Running {
+interface RunningAttempt {
   readonly plan: AttemptPlan;
   readonly post: (event: CoreEvent) => void;
   isOver: boolean;
 }
 
-type Fate = 'well' | 'silent' | 'cut' | 'crossed';
+type AttemptBehavior = 'well' | 'silent' | 'cut' | 'crossed';
 
-const NETWORK_MS = 2;
-const CRASH_MS = 20;
+const NETWORK_DELAY_MS = 2;
+const CRASH_DELAY_MS = 20;
 
 export function createFakeUpstreams(options: FakeUpstreamsOptions): FakeUpstreams {
   const { schedule, random, workOf, tokenMs, downMs } = options;
@@ -84,17 +84,17 @@
     declined: 0,
     isFailing: false,
   };
-  const sightings: Sighting[] = [];
+  const sightings: Execution[] = [];
   const crashes: { upstream: UpstreamId; at: Millis }[] = [];
   const counts = { dispatches: 0, moves: 0 };
-  const running = new Map<AttemptId, Running>();
+  const running = new Map<AttemptId, RunningAttempt>();
   const downUntil = new Map<UpstreamId, Millis>();
 
   const isDown = (upstream: UpstreamId) => (downUntil.get(upstream) ?? 0) > schedule.now();
   const epochOf = (upstream: UpstreamId) =>
     String(crashes.filter((crash) => crash.upstream === upstream).length);
 
-  const end = (run: Running, outcome: AttemptOutcome) => {
+  const endAttempt = (run: RunningAttempt, outcome: AttemptOutcome) => {
     if (run.isOver) return;
     run.isOver = true;
     running.delete(run.plan.attemptId);
@@ -107,16 +107,16 @@
     downUntil.set(upstream, schedule.now() + downMs);
     [...running.values()]
       .filter((run) => run.plan.upstream === upstream)
-      .forEach((run) => end(run, { kind: 'cut', detail: 'reset' }));
+      .forEach((run) => endAttempt(run, { kind: 'cut', detail: 'reset' }));
   };
 
   const cutAll = (upstream: UpstreamId) => {
     const cut = [...running.values()].filter((run) => run.plan.upstream === upstream);
-    cut.forEach((run) => end(run, { kind: 'cut', detail: 'reset' }));
+    cut.forEach((run) => endAttempt(run, { kind: 'cut', detail: 'reset' }));
     return cut.length;
   };
 
-  const drawFate = (): Fate => {
+  const drawBehavior = (): AttemptBehavior => {
     const draw = random.next();
     if (draw < faults.silent) return 'silent';
     if (draw < faults.silent + faults.cut) return 'cut';
@@ -124,11 +124,11 @@
     return 'well';
   };
 
-  const finish = (run: Running, work: Work) => {
+  const completeAttempt = (run: RunningAttempt, work: RequestWork) => {
     const { plan } = run;
     const body = new TextEncoder().encode(`answer of ${work.key ?? plan.requestId}`);
     const answer = { status: 200, contentType: 'text/plain', body };
-    end(run, {
+    endAttempt(run, {
       kind: 'complete',
       status: 200,
       outputTokens: work.outputTokens,
@@ -136,48 +136,54 @@
     });
   };
 
-  const strike = (run: Running, fate: Fate) => {
+  const failAttempt = (run: RunningAttempt, behavior: AttemptBehavior) => {
     const { plan } = run;
-    if (fate === 'silent') {
-      schedule.after(plan.idleTimeoutMs, () => end(run, { kind: 'silent' }));
+    if (behavior === 'silent') {
+      schedule.after(plan.idleTimeoutMs, () => endAttempt(run, { kind: 'silent' }));
       return;
     }
-    end(run, fate === 'cut' ? { kind: 'cut', detail: 'reset' } : { kind: 'foreign' });
-    // The answer arrives after all, for an attempt that has ended.
+    endAttempt(run, behavior === 'cut' ? { kind: 'cut', detail: 'reset' } : { kind: 'foreign' });
+    // A late answer then arrives for the attempt that has already ended.
     const outcome = { kind: 'complete', status: 200, outputTokens: 1 } as const;
     schedule.after(tokenMs * 3, () => {
       run.post({ kind: 'attemptEnded', attemptId: plan.attemptId, outcome });
     });
   };
 
-  /** Passes on token by token; `failAt` is the token at which the fate strikes. */
-  const produce = (run: Running, work: Work, token: number, fate: Fate, failAt: number) => {
+  /** Produces one token after another. A faulty attempt fails at the token `failAt`. */
+  const streamTokens = (
+    run: RunningAttempt,
+    work: RequestWork,
+    token: number,
+    behavior: AttemptBehavior,
+    failAt: number,
+  ) => {
     if (run.isOver) return;
-    if (fate !== 'well' && token >= failAt) {
-      strike(run, fate);
+    if (behavior !== 'well' && token >= failAt) {
+      failAttempt(run, behavior);
       return;
     }
     if (token >= work.outputTokens) {
-      finish(run, work);
+      completeAttempt(run, work);
       return;
     }
     schedule.after(tokenMs, () => {
       if (run.isOver) return;
       const { attemptId } = run.plan;
       run.post({ kind: 'attemptProgress', attemptId, outputTokens: 1, bytes: 10 });
-      produce(run, work, token + 1, fate, failAt);
+      streamTokens(run, work, token + 1, behavior, failAt);
     });
   };
 
-  const begin = (run: Running) => {
+  const beginAttempt = (run: RunningAttempt) => {
     const { plan } = run;
     const work = workOf(plan.requestId);
     if (isDown(plan.upstream)) {
-      end(run, { kind: 'notSent', detail: 'refused' });
+      endAttempt(run, { kind: 'notSent', detail: 'refused' });
       return;
     }
     if (random.next() < faults.declined) {
-      end(run, { kind: 'declined', status: 429 });
+      endAttempt(run, { kind: 'declined', status: 429 });
       return;
     }
     sightings.push({
@@ -187,31 +193,33 @@
       isResume: plan.resumeFromToken > 0,
     });
     if (faults.isFailing) {
-      end(run, { kind: 'upstreamError', status: 500, detail: 'failing' });
+      endAttempt(run, { kind: 'upstreamError', status: 500, detail: 'failing' });
       return;
     }
-    if (work.isCrashing) schedule.after(CRASH_MS, () => !run.isOver && crash(plan.upstream));
-    const fate = drawFate();
-    const left = work.outputTokens - plan.resumeFromToken;
-    const failAt = plan.resumeFromToken + (fate === 'crossed' ? 0 : random.nextInt(left + 1));
+    if (work.isCrashing) schedule.after(CRASH_DELAY_MS, () => !run.isOver && crash(plan.upstream));
+    const behavior = drawBehavior();
+    const remainingTokens = work.outputTokens - plan.resumeFromToken;
+    const failAt =
+      plan.resumeFromToken + (behavior === 'crossed' ? 0 : random.nextInt(remainingTokens + 1));
     run.post({ kind: 'attemptStarted', attemptId: plan.attemptId });
     schedule.after(plan.kind === 'service' ? tokenMs : 0, () =>
-      produce(run, work, plan.resumeFromToken, fate, failAt),
+      streamTokens(run, work, plan.resumeFromToken, behavior, failAt),
     );
   };
 
   const dispatch: FakeUpstreams['dispatch'] = (plan, post) => {
     counts.dispatches += 1;
-    const run: Running = { plan, post, isOver: false };
+    const run: RunningAttempt = { plan, post, isOver: false };
     running.set(plan.attemptId, run);
-    schedule.after(NETWORK_MS, () => {
-      if (!run.isOver) begin(run);
+    schedule.after(NETWORK_DELAY_MS, () => {
+      if (!run.isOver) beginAttempt(run);
     });
   };
 
   const cancel: FakeUpstreams['cancel'] = (attemptId) => {
     const run = running.get(attemptId);
-    if (run !== undefined) schedule.after(NETWORK_MS, () => end(run, { kind: 'cancelled' }));
+    if (run !== undefined)
+      schedule.after(NETWORK_DELAY_MS, () => endAttempt(run, { kind: 'cancelled' }));
   };
 
   return {
--- a/src/bench/exact/faults.ts
+++ b/src/bench/exact/faults.ts
@@ -1,4 +1,4 @@
-/** The faults that exact outcomes have to survive, each as a change of the fakes and its end. */
+/** The faults under which outcomes must stay exact. Each one changes the fakes for a limited time. */
 import type { Millis } from '../../core/clock.js';
 import { Debug } from '../../core/debug.js';
 import type { ExactFleet } from './fleet.js';
@@ -22,15 +22,15 @@
 
 export type Fault = (typeof FAULTS)[number];
 
-/** Share of attempts that a fault of connections strikes. */
-const STRUCK_SHARE = 0.15;
+/** Share of the attempts that fail while a connection fault is active. */
+const FAULTY_ATTEMPT_SHARE = 0.15;
 const SLOW_LOG_MS = 1_500;
 const FLOOD_REQUESTS = 150;
-const RESENDS = 3;
-const RESEND_MS = 2_500;
+const MAX_RESENDS = 3;
+const RESEND_INTERVAL_MS = 2_500;
 
-/** Brings a fault about for a while at an instance that `pick` chooses. */
-export function strike(fleet: ExactFleet, fault: Fault, pick: number, span: Millis): void {
+/** Injects a fault for the time `span`. `pick` selects the affected instance or upstream. */
+export function injectFault(fleet: ExactFleet, fault: Fault, pick: number, span: Millis): void {
   const { log, peers, upstreams, schedule } = fleet;
   const id = fleet.ids[pick % fleet.ids.length] as string;
   const atEnd = (action: () => void) => schedule.after(span, action);
@@ -67,19 +67,19 @@
       fleet.pause(id, span);
       return;
     case 'crashingRequest':
-      sendCrashing(fleet, pick, 0);
+      sendCrashingRequest(fleet, pick, 0);
       return;
     case 'silentConnection':
-      strikeShare(fleet, 'silent', span);
+      injectAttemptFault(fleet, 'silent', span);
       return;
     case 'cutStream':
-      strikeShare(fleet, 'cut', span);
+      injectAttemptFault(fleet, 'cut', span);
       return;
     case 'crossedReply':
-      strikeShare(fleet, 'crossed', span);
+      injectAttemptFault(fleet, 'crossed', span);
       return;
     case 'decliningUpstream':
-      strikeShare(fleet, 'declined', span);
+      injectAttemptFault(fleet, 'declined', span);
       return;
     case 'upstreamStop': {
       const upstream = `engine${pick % 4}`;
@@ -95,12 +95,12 @@
       Debug.assertNever(fault);
   }
 
-  function strikeShare(
+  function injectAttemptFault(
     of: ExactFleet,
     kind: 'silent' | 'cut' | 'crossed' | 'declined',
     time: Millis,
   ): void {
-    of.upstreams.faults[kind] = STRUCK_SHARE;
+    of.upstreams.faults[kind] = FAULTY_ATTEMPT_SHARE;
     of.schedule.after(time, () => {
       upstreams.faults[kind] = 0;
     });
@@ -108,16 +108,16 @@
 }
 
 function slowLog({ log, schedule }: ExactFleet, span: Millis): void {
-  const normal = log.faults.delayMs;
+  const originalDelayMs = log.faults.delayMs;
   log.faults.delayMs = SLOW_LOG_MS;
   schedule.after(span, () => {
-    log.faults.delayMs = normal;
+    log.faults.delayMs = originalDelayMs;
   });
 }
 
-/** A caller sends the same crashing request again and again, to one instance after the other. */
-function sendCrashing(fleet: ExactFleet, pick: number, sent: number): void {
-  if (sent > RESENDS) return;
+/** Sends the same crashing request repeatedly, as a retrying caller does, each time to the next instance. */
+function sendCrashingRequest(fleet: ExactFleet, pick: number, sent: number): void {
+  if (sent > MAX_RESENDS) return;
   const id = fleet.ids[(pick + sent) % fleet.ids.length] as string;
   fleet.submit(id, {
     pool: 'chat',
@@ -126,5 +126,5 @@
     isCrashing: true,
     content: 'crashing',
   });
-  fleet.schedule.after(RESEND_MS, () => sendCrashing(fleet, pick, sent + 1));
+  fleet.schedule.after(RESEND_INTERVAL_MS, () => sendCrashingRequest(fleet, pick, sent + 1));
 }
--- a/src/bench/exact/fleet.ts
+++ b/src/bench/exact/fleet.ts
@@ -1,6 +1,6 @@
 /**
- * Some real cores between the fakes, in simulated time: enough to bring about the faults that exact
- * outcomes have to survive.
+ * Several real cores connected to fakes of the log, the upstreams and the peer links, in simulated
+ * time. The fakes can inject every fault under which outcomes must stay exact.
  */
 import { createCore, type Core } from '../../core/core.js';
 import type { Millis } from '../../core/clock.js';
@@ -21,7 +21,7 @@
 import { createFakeUpstreams, type FakeUpstreams } from './fakeUpstreams.js';
 import { createModel, type Model } from './model.js';
 import { createSchedule, type Schedule } from './schedule.js';
-import { CHAT, createExactView, DESK } from './view.js';
+import { MODEL_POOL, createExactView, SERVICE_POOL } from './view.js';
 
 export interface ExactFleetOptions {
   readonly seed: number;
@@ -32,18 +32,18 @@
   readonly logRetentionMs?: Millis;
   readonly tokenMs?: Millis;
   readonly settings?: Partial<CoreSettings>;
-  /** Hides the claims of others from each reader, which breaks the rule of the first claim. */
+  /** Hides the claims of other instances from each reader, which violates the first-claim-wins rule. */
   readonly hidesForeignClaims?: boolean;
 }
 
-/** A request of a caller. */
+/** A request that a caller submits. */
 export interface RequestSpec {
   readonly pool: 'chat' | 'desk';
   readonly customer: number;
   readonly outputTokens: number;
   readonly key?: string;
   readonly isCrashing?: boolean;
-  /** Stands for the request's content; by default no other request has the same. */
+  /** Identifies the request's content. Unique by default. */
   readonly content?: string;
 }
 
@@ -57,18 +57,18 @@
   readonly ids: readonly InstanceId[];
   readonly stopped: Set<InstanceId>;
   readonly coreOf: (id: InstanceId) => Core | undefined;
-  /** Sends a request to an instance; returns its id. */
+  /** Sends a request to an instance and returns its ID. */
   readonly submit: (to: InstanceId, spec: RequestSpec) => string;
-  /** Starts an instance, empty. */
+  /** Starts an instance with empty state. */
   readonly start: (id: InstanceId) => void;
   readonly kill: (id: InstanceId) => void;
   readonly stop: (id: InstanceId) => void;
   readonly pause: (id: InstanceId, span: Millis) => void;
-  /** Has the list show an upstream as leaving, or as live again. */
+  /** Makes the instance list show an upstream as leaving, or as live again. */
   readonly setLeaving: (upstream: UpstreamId, isLeaving: boolean) => void;
-  /** Has the caller of a request close its connection. */
-  readonly leave: (requestId: string) => void;
-  /** Gives an instance an operator's command. */
+  /** Closes the connection of the caller of a request. */
+  readonly disconnectCaller: (requestId: string) => void;
+  /** Sends an operator command to an instance. */
   readonly operate: (id: InstanceId, command: OperatorCommand) => void;
   readonly runFor: (span: Millis) => void;
 }
@@ -77,8 +77,8 @@
   readonly core: Core;
   readonly incarnation: number;
   readonly timers: Map<string, number>;
-  readonly open: Set<string>;
-  /** Upstreams that the list showed as leaving, by the time at which this instance learnt it. */
+  readonly openRequests: Set<string>;
+  /** Upstreams listed as leaving, with the time at which this instance learned of it. */
   readonly leaving: Map<UpstreamId, Millis>;
   pausedUntil: Millis;
 }
@@ -137,7 +137,7 @@
 
   function post(id: InstanceId, node: Node, event: CoreEvent): void {
     if (nodes.get(id) !== node) {
-      // The instance is gone: the caller's connection is refused, and nothing was accepted.
+      // The instance is down, so the caller's connection is refused and no request was accepted.
       if (event.kind === 'callerRequest') model.excused.add(event.requestId);
       return;
     }
@@ -152,7 +152,11 @@
     model.onEffect(effect);
     switch (effect.kind) {
       case 'dispatch':
-        model.onDispatch(effect.attempt, sinceNews(node, effect.attempt.upstream), schedule.now());
+        model.onDispatch(
+          effect.attempt,
+          timeSinceLeaving(node, effect.attempt.upstream),
+          schedule.now(),
+        );
         upstreams.dispatch(effect.attempt, (event) => {
           if (nodes.get(id) !== node) return;
           const isTokens = event.kind === 'attemptProgress';
@@ -172,7 +176,8 @@
       case 'readLog':
         log.read(effect.stream, effect.from, effect.limit, effect.waitMs, (result) => {
           const { stream, from } = effect;
-          const shown = options.hidesForeignClaims === true ? hideForeign(result, id) : result;
+          const shown =
+            options.hidesForeignClaims === true ? hideForeignClaims(result, id) : result;
           post(id, node, { kind: 'logRead', stream, from, result: shown });
         });
         return;
@@ -184,12 +189,12 @@
         return;
       case 'readInstanceList':
         schedule.after(LIST_DELAY_MS, () => {
-          noteLeaving(node);
+          recordLeaving(node);
           post(id, node, { kind: 'instanceList', instances: listInstances() });
         });
         return;
       case 'pollUpstream':
-        schedule.after(POLL_DELAY_MS, () => post(id, node, reportOf(effect.upstream)));
+        schedule.after(POLL_DELAY_MS, () => post(id, node, createReport(effect.upstream)));
         return;
       case 'setTimer':
         setNodeTimer(id, node, effect.timer, effect.at);
@@ -202,14 +207,14 @@
     }
   }
 
-  function noteLeaving(node: Node): void {
+  function recordLeaving(node: Node): void {
     node.leaving.forEach((_, upstream) => leaving.has(upstream) || node.leaving.delete(upstream));
     leaving.forEach((upstream) => {
       if (!node.leaving.has(upstream)) node.leaving.set(upstream, schedule.now());
     });
   }
 
-  function sinceNews(node: Node, upstream: UpstreamId): Millis {
+  function timeSinceLeaving(node: Node, upstream: UpstreamId): Millis {
     return schedule.now() - (node.leaving.get(upstream) ?? schedule.now());
   }
 
@@ -240,7 +245,7 @@
     return listed;
   }
 
-  function reportOf(id: UpstreamId): CoreEvent {
+  function createReport(id: UpstreamId): CoreEvent {
     const common = {
       kind: 'upstreamReport',
       upstream: id,
@@ -282,7 +287,7 @@
       core,
       incarnation: incarnations,
       timers: new Map(),
-      open: new Set(),
+      openRequests: new Set(),
       leaving: new Map(),
       pausedUntil: 0,
     };
@@ -294,7 +299,7 @@
   function kill(id: InstanceId): void {
     const node = nodes.get(id);
     nodes.delete(id);
-    node?.open.forEach((requestId) => {
+    node?.openRequests.forEach((requestId) => {
       if (!model.told.has(requestId)) model.excused.add(requestId);
     });
   }
@@ -318,12 +323,12 @@
       model.excused.add(requestId);
       return requestId;
     }
-    node.open.add(requestId);
+    node.openRequests.add(requestId);
     post(to, node, {
       kind: 'callerRequest',
       requestId,
       keyHash: `hash-${spec.customer}`,
-      pool: spec.pool === 'chat' ? CHAT : DESK,
+      pool: spec.pool === 'chat' ? MODEL_POOL : SERVICE_POOL,
       method: 'POST',
       path: '/',
       fingerprint,
@@ -337,7 +342,7 @@
     return requestId;
   }
 
-  function leave(requestId: string): void {
+  function disconnectCaller(requestId: string): void {
     const id = model.submissions.get(requestId)?.instance ?? '';
     const node = nodes.get(id);
     if (node === undefined || model.told.has(requestId)) return;
@@ -371,7 +376,7 @@
       if (isLeaving) leaving.add(upstream);
       else leaving.delete(upstream);
     },
-    leave,
+    disconnectCaller,
     operate: (id, command) => {
       const node = nodes.get(id);
       if (node === undefined) return;
@@ -381,7 +386,7 @@
   };
 }
 
-function hideForeign(result: LogReadResult, reader: InstanceId): LogReadResult {
+function hideForeignClaims(result: LogReadResult, reader: InstanceId): LogReadResult {
   if (result.kind !== 'records') return result;
   const isShown = (data: string) => {
     const record = JSON.parse(data) as { type: string; instance?: string };
--- a/src/bench/exact/main.ts
+++ b/src/bench/exact/main.ts
@@ -1,6 +1,7 @@
 /**
- * Prints the figures of exact outcomes: `node --expose-gc dist/src/bench/exact/main.js [runs]
- * [seed]`. Exits with 1 if a figure exceeds its bound.
+ * Measures the claims protocol, which keeps outcomes exact, and prints the results:
+ * `node --expose-gc dist/src/bench/exact/main.js [runs] [seed]`. Exits with 1 if a result exceeds
+ * its bound.
  */
 import {
   measureAppends,
@@ -28,11 +29,11 @@
   ...measureFaults(runs ?? DEFAULT_RUNS, seed ?? 1),
 ];
 
-let isExceeded = false;
+let hasExceededBound = false;
 figures.forEach(({ name, value, unit, bound }) => {
-  const isOver = bound !== undefined && value > bound;
-  isExceeded ||= isOver;
-  const limit = bound === undefined ? '' : ` (bound ${bound}${isOver ? ', EXCEEDED' : ''})`;
+  const exceedsBound = bound !== undefined && value > bound;
+  hasExceededBound ||= exceedsBound;
+  const limit = bound === undefined ? '' : ` (bound ${bound}${exceedsBound ? ', EXCEEDED' : ''})`;
   process.stdout.write(`${name}: ${value.toFixed(2)} ${unit}${limit}\n`);
 });
-process.exitCode = isExceeded ? 1 : 0;
+process.exitCode = hasExceededBound ? 1 : 0;
--- a/src/bench/exact/model.ts
+++ b/src/bench/exact/model.ts
@@ -1,13 +1,13 @@
 /**
- * The reference model: what each caller may be told, judged by what the upstreams have seen. It knows
- * nothing of the core but its effects.
+ * Reference model that checks the outcome reported to each caller against what the upstreams
+ * executed. It observes the core only through its effects.
  */
 import type { Millis } from '../../core/clock.js';
 import { Debug } from '../../core/debug.js';
 import type { AttemptPlan, Effect, InstanceId, Problem, RequestId } from '../../core/types.js';
-import type { Sighting, Work } from './fakeUpstreams.js';
+import type { Execution, RequestWork } from './fakeUpstreams.js';
 
-export interface Submission extends Work {
+export interface Submission extends RequestWork {
   readonly requestId: RequestId;
   readonly instance: InstanceId;
   readonly at: Millis;
@@ -15,58 +15,61 @@
   readonly fingerprint: string;
 }
 
-/** Time after the news of its stop in which an upstream may still be given work. */
-const STOP_NEWS_MS: Millis = 2_000;
+/** Time for which an instance may still dispatch to an upstream after learning that it is leaving. */
+const STOP_GRACE_MS: Millis = 2_000;
 
-/** What a caller was told in the end. */
-export type Told =
+/** The final outcome reported to a caller. */
+export type CallerOutcome =
   | { readonly kind: 'answer' }
   | { readonly kind: 'replay'; readonly body: string }
   | { readonly kind: 'refuse' | 'fail'; readonly problem: Problem };
 
 export interface Model {
   readonly submissions: Map<RequestId, Submission>;
-  readonly told: Map<RequestId, Told[]>;
-  /** Requests that need no outcome: the caller left, or its instance was lost. */
+  readonly told: Map<RequestId, CallerOutcome[]>;
+  /** Requests that need no outcome because the caller disconnected or the instance was lost. */
   readonly excused: Set<RequestId>;
-  /** Time of the first dispatch of a request. */
+  /** Time at which each request was first dispatched. */
   readonly dispatchedAt: Map<RequestId, Millis>;
   readonly submit: (submission: Submission) => void;
-  /** `sinceNews` is the time since its instance learnt that the upstream leaves; 0 if it stays. */
-  readonly onDispatch: (plan: AttemptPlan, sinceNews: Millis, now: Millis) => void;
+  /** `sinceLeavingMs` is the time since the instance learned that the upstream leaves, 0 if it stays. */
+  readonly onDispatch: (plan: AttemptPlan, sinceLeavingMs: Millis, now: Millis) => void;
   readonly onTokens: (requestId: RequestId, tokens: number) => void;
   readonly onEffect: (effect: Effect) => void;
-  /** Returns what was broken, given all that the upstreams saw. */
-  readonly judge: (sightings: readonly Sighting[]) => readonly string[];
+  /** Returns the violations found, given all executions on the upstreams. */
+  readonly judge: (sightings: readonly Execution[]) => readonly string[];
 }
 
 export function createModel(): Model {
   const submissions = new Map<RequestId, Submission>();
-  const told = new Map<RequestId, Told[]>();
+  const told = new Map<RequestId, CallerOutcome[]>();
   const excused = new Set<RequestId>();
   const dispatchedAt = new Map<RequestId, Millis>();
   const received = new Map<RequestId, number>();
   const violations: string[] = [];
 
-  const tell = (requestId: RequestId, what: Told) => {
-    told.set(requestId, [...(told.get(requestId) ?? []), what]);
+  const recordOutcome = (requestId: RequestId, outcome: CallerOutcome) => {
+    told.set(requestId, [...(told.get(requestId) ?? []), outcome]);
   };
 
-  const onDispatch = (plan: AttemptPlan, sinceNews: Millis, now: Millis) => {
+  const onDispatch = (plan: AttemptPlan, sinceLeavingMs: Millis, now: Millis) => {
     if (!dispatchedAt.has(plan.requestId)) dispatchedAt.set(plan.requestId, now);
-    if (sinceNews > STOP_NEWS_MS) {
-      violations.push(`${plan.requestId} went to ${plan.upstream}, which is to stop`);
+    if (sinceLeavingMs > STOP_GRACE_MS) {
+      violations.push(`${plan.requestId} was dispatched to ${plan.upstream}, which is leaving`);
     }
     const tokens = received.get(plan.requestId) ?? 0;
     if (plan.resumeFromToken === tokens) return;
-    violations.push(`${plan.requestId} goes on at ${plan.resumeFromToken}, not at ${tokens}`);
+    violations.push(
+      `${plan.requestId} resumes at token ${plan.resumeFromToken} instead of ${tokens}`,
+    );
   };
 
   const onAnswer = (requestId: RequestId) => {
-    const wanted = Debug.assertDefined(submissions.get(requestId), requestId).outputTokens;
+    const expected = Debug.assertDefined(submissions.get(requestId), requestId).outputTokens;
     const tokens = received.get(requestId) ?? 0;
-    if (tokens !== wanted) violations.push(`${requestId} ended with ${tokens} of ${wanted} tokens`);
-    tell(requestId, { kind: 'answer' });
+    if (tokens !== expected)
+      violations.push(`${requestId} ended with ${tokens} of ${expected} tokens`);
+    recordOutcome(requestId, { kind: 'answer' });
   };
 
   const onEffect = (effect: Effect) => {
@@ -75,14 +78,14 @@
         onAnswer(effect.requestId);
         return;
       case 'replayAnswer':
-        tell(effect.requestId, {
+        recordOutcome(effect.requestId, {
           kind: 'replay',
           body: new TextDecoder().decode(effect.answer.body),
         });
         return;
       case 'refuse':
       case 'fail':
-        tell(effect.requestId, { kind: effect.kind, problem: effect.problem });
+        recordOutcome(effect.requestId, { kind: effect.kind, problem: effect.problem });
         break;
 
       default:
@@ -102,39 +105,42 @@
     onEffect,
     judge: (sightings) => [
       ...violations,
-      ...judgeOutcomes(submissions, told, excused, sightings),
-      ...judgeExecutions(submissions, sightings),
+      ...findOutcomeViolations(submissions, told, excused, sightings),
+      ...findRepeatedExecutions(submissions, sightings),
     ],
   };
 }
 
-/** Each caller is told one thing, and it is true. */
-function judgeOutcomes(
+/** Checks that each caller gets exactly one outcome and that it matches what was executed. */
+function findOutcomeViolations(
   submissions: ReadonlyMap<RequestId, Submission>,
-  told: ReadonlyMap<RequestId, readonly Told[]>,
+  told: ReadonlyMap<RequestId, readonly CallerOutcome[]>,
   excused: ReadonlySet<RequestId>,
-  sightings: readonly Sighting[],
+  sightings: readonly Execution[],
 ): string[] {
-  const seen = new Set(sightings.map((sighting) => sighting.requestId));
-  const seenKeys = new Set([...seen].map((id) => submissions.get(id)?.key));
-  const broken: string[] = [];
+  const executed = new Set(sightings.map((sighting) => sighting.requestId));
+  const executedKeys = new Set([...executed].map((id) => submissions.get(id)?.key));
+  const violations: string[] = [];
   submissions.forEach((submission, requestId) => {
     const outcomes = told.get(requestId) ?? [];
-    if (outcomes.length > 1) broken.push(`${requestId} was told ${outcomes.length} outcomes`);
-    if (outcomes.length === 0 && !excused.has(requestId)) broken.push(`${requestId} was told none`);
-    const wasRun = seen.has(requestId);
-    const wasKeyRun = wasRun || (submission.key !== undefined && seenKeys.has(submission.key));
+    if (outcomes.length > 1) violations.push(`${requestId} got ${outcomes.length} outcomes`);
+    if (outcomes.length === 0 && !excused.has(requestId))
+      violations.push(`${requestId} got no outcome`);
+    const wasRun = executed.has(requestId);
+    const wasKeyRun = wasRun || (submission.key !== undefined && executedKeys.has(submission.key));
     outcomes.forEach((outcome) => {
-      if (!isTrue(outcome, submission, wasRun, wasKeyRun)) {
-        broken.push(`${requestId} was told an untruth: ${JSON.stringify(outcome)}`);
+      if (!isConsistent(outcome, submission, wasRun, wasKeyRun)) {
+        violations.push(
+          `${requestId} got an outcome that contradicts its execution: ${JSON.stringify(outcome)}`,
+        );
       }
     });
   });
-  return broken;
+  return violations;
 }
 
-function isTrue(
-  outcome: Told,
+function isConsistent(
+  outcome: CallerOutcome,
   submission: Submission,
   wasRun: boolean,
   wasKeyRun: boolean,
@@ -155,10 +161,10 @@
   }
 }
 
-/** A non-idempotent request, and all requests of its key together, run at most once. */
-function judgeExecutions(
+/** Checks that a non-idempotent request, or all requests with its key together, ran at most once. */
+function findRepeatedExecutions(
   submissions: ReadonlyMap<RequestId, Submission>,
-  sightings: readonly Sighting[],
+  sightings: readonly Execution[],
 ): string[] {
   const runs = new Map<string, number>();
   sightings.forEach(({ requestId, isResume }) => {
--- a/src/bench/exact/scenario.ts
+++ b/src/bench/exact/scenario.ts
@@ -1,11 +1,11 @@
-/** One run of a fleet under steady work and some faults, judged by the reference model. */
+/** Runs a fleet under steady load with injected faults and checks it against the reference model. */
 import type { Millis } from '../../core/clock.js';
-import { strike, type Fault } from './faults.js';
+import { injectFault, type Fault } from './faults.js';
 import { createExactFleet, type ExactFleet, type ExactFleetOptions } from './fleet.js';
 
 export interface Strike {
   readonly fault: Fault;
-  /** Time after the begin of the work. */
+  /** Time after the start of the load. */
   readonly at: Millis;
   readonly span: Millis;
   readonly pick: number;
@@ -25,12 +25,12 @@
 
 const WARM_UP_MS = 6_000;
 const SETTLE_MS = 40_000;
-/** Requests of which a key is sent to several instances at once. */
+/** Number of requests with the same key that are sent to several instances. */
 const COPIES = 3;
-/** Share of callers that leave, and the time within which they do. */
-const LEAVING_SHARE = 0.1;
-const LEAVING_MS = 200;
-/** Crashes that a request may still cause from its second sending on. */
+/** Share of callers that disconnect early, and the time within which they do. */
+const DISCONNECT_SHARE = 0.1;
+const DISCONNECT_WITHIN_MS = 200;
+/** Upstream crashes that a request may still cause after it was sent a second time. */
 const MAX_CRASHES = 2;
 
 export function runScenario(options: ScenarioOptions): ScenarioResult {
@@ -38,30 +38,30 @@
   const workMs = options.workMs ?? 8_000;
   fleet.runFor(WARM_UP_MS);
   options.strikes.forEach(({ fault, at, span, pick }) => {
-    fleet.schedule.after(at, () => strike(fleet, fault, pick, span));
+    fleet.schedule.after(at, () => injectFault(fleet, fault, pick, span));
   });
   const every = options.requestEveryMs ?? 100;
   for (let at = 0; at < workMs; at += every) {
-    fleet.schedule.after(at, () => sendSome(fleet));
+    fleet.schedule.after(at, () => sendRandomRequests(fleet));
   }
   fleet.runFor(workMs + SETTLE_MS);
   const violations = [
     ...fleet.model.judge(fleet.upstreams.sightings),
-    ...judgeCrashes(fleet, options.strikes),
-    ...judgeQuarantine(fleet),
+    ...findExcessCrashes(fleet, options.strikes),
+    ...findWrongQuarantines(fleet),
   ];
   return { fleet, violations };
 }
 
-/** Sends a stream to the assistant, or a booking under a key to several instances at once. */
-function sendSome(fleet: ExactFleet): void {
+/** Sends a streamed request, an unkeyed request, or one or several requests with the same key. */
+function sendRandomRequests(fleet: ExactFleet): void {
   const { random, ids } = fleet;
   const at = () => ids[random.nextInt(ids.length)] as string;
   const customer = 1 + random.nextInt(3);
   const kind = random.nextInt(5);
   if (kind < 2) {
     const outputTokens = 1 + random.nextInt(10);
-    mayLeave(fleet, fleet.submit(at(), { pool: 'chat', customer, outputTokens }));
+    maybeDisconnect(fleet, fleet.submit(at(), { pool: 'chat', customer, outputTokens }));
   } else if (kind === 2) {
     fleet.submit(at(), { pool: 'desk', customer, outputTokens: 0 });
   } else {
@@ -71,35 +71,40 @@
       const delay = random.nextInt(2) * random.nextInt(3_000);
       fleet.schedule.after(delay, () => {
         const spec = { pool: 'desk', customer, outputTokens: 0, key, content: key } as const;
-        mayLeave(fleet, fleet.submit(at(), spec));
+        maybeDisconnect(fleet, fleet.submit(at(), spec));
       });
     }
   }
 }
 
-/** Some callers do not wait for their answer. */
-function mayLeave(fleet: ExactFleet, requestId: string): void {
-  if (fleet.random.next() >= LEAVING_SHARE) return;
-  fleet.schedule.after(fleet.random.nextInt(LEAVING_MS), () => fleet.leave(requestId));
+/** Disconnects a share of the callers before they get their answer. */
+function maybeDisconnect(fleet: ExactFleet, requestId: string): void {
+  if (fleet.random.next() >= DISCONNECT_SHARE) return;
+  fleet.schedule.after(fleet.random.nextInt(DISCONNECT_WITHIN_MS), () =>
+    fleet.disconnectCaller(requestId),
+  );
 }
 
-function judgeCrashes(fleet: ExactFleet, strikes: readonly Strike[]): readonly string[] {
-  const sendings = [...fleet.model.submissions.values()].filter(({ isCrashing }) => isCrashing);
-  const second = sendings[1]?.at;
-  if (second === undefined) return [];
-  const sides = strikes.some(({ fault }) => fault === 'partition') ? 2 : 1;
-  const crashes = fleet.upstreams.crashes.filter((crash) => crash.at > second).length;
-  return crashes > MAX_CRASHES * sides ? [`${crashes} crashes from the second sending on`] : [];
+function findExcessCrashes(fleet: ExactFleet, strikes: readonly Strike[]): readonly string[] {
+  const submissions = [...fleet.model.submissions.values()].filter(({ isCrashing }) => isCrashing);
+  const secondSubmittedAt = submissions[1]?.at;
+  if (secondSubmittedAt === undefined) return [];
+  const sideCount = strikes.some(({ fault }) => fault === 'partition') ? 2 : 1;
+  const crashes = fleet.upstreams.crashes.filter((crash) => crash.at > secondSubmittedAt).length;
+  return crashes > MAX_CRASHES * sideCount
+    ? [`${crashes} crashes after the request was sent a second time`]
+    : [];
 }
 
-function judgeQuarantine({ model }: ExactFleet): readonly string[] {
-  const broken: string[] = [];
+function findWrongQuarantines({ model }: ExactFleet): readonly string[] {
+  const violations: string[] = [];
   model.told.forEach((outcomes, requestId) => {
     if (model.submissions.get(requestId)?.isCrashing === true) return;
     const isWrong = outcomes.some(
       (outcome) => 'problem' in outcome && outcome.problem.code === 'quarantined',
     );
-    if (isWrong) broken.push(`${requestId} was quarantined although it crashes nothing`);
+    if (isWrong)
+      violations.push(`${requestId} was quarantined although it does not crash upstreams`);
   });
-  return broken;
+  return violations;
 }
--- a/src/bench/exact/schedule.ts
+++ b/src/bench/exact/schedule.ts
@@ -1,11 +1,11 @@
-/** Simulated time: actions in order of their time, and of their making where times are equal. */
+/** Simulated time. Actions run in time order; actions due at the same time run in the order scheduled. */
 import type { Millis } from '../../core/clock.js';
 
 export interface Schedule {
   readonly now: () => Millis;
   /** Runs `action` after `delay`. */
   readonly after: (delay: Millis, action: () => void) => void;
-  /** Runs all that is due up to `time`, then moves the time there. */
+  /** Runs all actions due up to `time`, then sets the current time to it. */
   readonly runUntil: (time: Millis) => void;
 }
 
@@ -41,7 +41,7 @@
   return a.at === b.at ? a.order < b.order : a.at < b.at;
 }
 
-/** Adds to a binary heap with the earliest entry first. */
+/** Inserts an entry into a binary min-heap ordered by time. */
 function push(heap: Entry[], entry: Entry): void {
   let index = heap.length;
   heap.push(entry);
@@ -55,7 +55,7 @@
   heap[index] = entry;
 }
 
-/** Removes the earliest entry. */
+/** Removes the earliest entry from the heap. */
 function pop(heap: Entry[]): void {
   const last = heap.pop() as Entry;
   if (heap.length === 0) return;
--- a/src/bench/exact/view.ts
+++ b/src/bench/exact/view.ts
@@ -1,13 +1,16 @@
-/** The configuration of the exact benches: an assistant on engines and a desk whose calls book. */
+/**
+ * Configuration of the benchmarks of exact outcomes: a model pool with streamed, idempotent requests
+ * and a service pool with non-idempotent ones.
+ */
 import type { ConfigurationView, PoolConfig, UpstreamConfig } from '../../core/types.js';
 import { createFleetView } from '../support/fleetView.js';
 
-export const CHAT = 'pool0';
-export const DESK = 'pool1';
+export const MODEL_POOL = 'pool0';
+export const SERVICE_POOL = 'pool1';
 
 export interface ExactViewOptions {
   readonly version: number;
-  /** Upstreams, alternately of the assistant and the desk. */
+  /** Total number of upstreams, assigned alternately to the model pool and the service pool. */
   readonly upstreams: number;
   readonly slots: number;
   readonly plannedStops?: readonly string[];
@@ -16,8 +19,8 @@
 export function createExactView(options: ExactViewOptions): ConfigurationView {
   const { plannedStops = [], ...sizes } = options;
   const view = createFleetView({ ...sizes, customers: 4, pools: 2, domains: 3, regions: 3 });
-  const pools = [...view.pools.values()].map(asExactPool);
-  const upstreams = [...view.upstreams.values()].map(asExactUpstream);
+  const pools = [...view.pools.values()].map(toExactPool);
+  const upstreams = [...view.upstreams.values()].map(toExactUpstream);
   return {
     ...view,
     pools: new Map(pools.map((pool) => [pool.id, pool])),
@@ -32,12 +35,12 @@
   };
 }
 
-function asExactPool(pool: PoolConfig): PoolConfig {
-  if (pool.id === CHAT) return pool;
+function toExactPool(pool: PoolConfig): PoolConfig {
+  if (pool.id === MODEL_POOL) return pool;
   const cost = { perPromptToken: 0, perOutputToken: 0, perSlotMs: 1 };
   return { ...pool, kind: 'service', idempotentByDefault: false, cost };
 }
 
-function asExactUpstream(upstream: UpstreamConfig): UpstreamConfig {
+function toExactUpstream(upstream: UpstreamConfig): UpstreamConfig {
   return { ...upstream, reportsLoad: true };
 }
