--- a/src/bench/support/callerRequest.ts
+++ b/src/bench/support/callerRequest.ts
@@ -1,7 +1,7 @@
-/** Requests of callers for benchmarks that drive a core without hosts. */
+/** Creates caller requests for benchmarks that drive a core without hosts. */
 import type { CallerRequestEvent, RequestId } from '../../core/types.js';
 
-/** A streamed completion of customer n, whose key has the hash `hash-n`, at `pool0`. */
+/** Creates a streamed completion request to `pool0` from customer n, whose key hash is `hash-n`. */
 export function createCallerRequest(
   requestId: RequestId,
   customer: number,
--- a/src/bench/support/fakeNetwork.ts
+++ b/src/bench/support/fakeNetwork.ts
@@ -1,7 +1,7 @@
 /**
- * Several cores joined by a fake network with delay, loss, duplication, reordering and partitions,
- * and fake upstreams that serve a fixed number of requests at a time. For property tests and
- * measurements of the policy; it keeps the true service of every customer for comparison.
+ * Several cores connected by a fake network with delay, loss, duplication, reordering and partitions,
+ * and fake upstreams that serve a fixed number of requests at a time. Used by property tests and by
+ * measurements of the sharing policy, so it records the actual service of every customer.
  */
 import { applyView } from '../../core/configuration/configuration.js';
 import type { CoreContext } from '../../core/context.js';
@@ -27,14 +27,14 @@
   readonly settings?: Partial<CoreSettings>;
   /** One-way delay between two instances; a request to an upstream takes 1 ms. */
   readonly delayMs?: (from: InstanceIdentity, to: InstanceIdentity) => number;
-  /** Further random delay; messages overtake each other. */
+  /** Maximum additional random delay, which reorders messages. */
   readonly jitterMs?: number;
   readonly loss?: number;
   readonly duplication?: number;
-  /** Output tokens that one slot gives in a second. */
+  /** Output tokens that one slot produces per second. */
   readonly tokensPerSecond?: number;
   readonly tickMs?: number;
-  /** Sees every message that is sent. */
+  /** Called for every message that is sent. */
   readonly onSend?: (from: InstanceIdentity, to: InstanceIdentity, effect: SendEffect) => void;
   /** Wraps every call of `reduce`. */
   readonly onReduce?: (
@@ -62,7 +62,7 @@
   readonly instance: InstanceId;
   readonly customer: number;
   readonly tokens: number;
-  /** Customer whose key the request carries, if it differs from the one it counts for. */
+  /** Customer whose key the request carries, if it differs from the customer that it is recorded for. */
   readonly keyOf?: number;
   readonly promptTokens?: number;
   readonly costHint?: number;
@@ -87,7 +87,7 @@
   isUp: boolean;
 }
 
-interface Pending {
+interface ScheduledAction {
   readonly at: number;
   readonly order: number;
   readonly run: () => void;
@@ -101,49 +101,51 @@
   const nodes = new Map<InstanceId, Node>();
   const jobs = new Map<RequestId, Job>();
   const engines = new Map<UpstreamId, Map<string, Attempt>>();
-  /** True service by customer, in tokens. */
+  /** Actual service per customer, in tokens. */
   const served = new Map<number, number>();
   const waiting = new Map<number, Set<RequestId>>();
-  /** Last time at which an upstream was full or began a request. */
-  const usedAt = new Map<UpstreamId, number>();
-  const heap: Pending[] = [];
+  /** Last time at which all slots of an upstream were busy or it started a request. */
+  const lastBusyAt = new Map<UpstreamId, number>();
+  const heap: ScheduledAction[] = [];
   const tickMs = options.tickMs ?? 10;
   const tokensPerTick = ((options.tokensPerSecond ?? 100) * tickMs) / 1_000;
-  let current = options.view;
-  let listed: readonly ListedInstance[] = [];
+  let currentView = options.view;
+  let listedInstances: readonly ListedInstance[] = [];
   let isCut: (from: InstanceId, to: string) => boolean = () => false;
   let now = 0;
-  let order = 0;
+  let nextOrder = 0;
   let jobNumber = 0;
   let busySlotMs = 0;
 
   function schedule(at: number, run: () => void): void {
-    order += 1;
-    pushHeap(heap, { at, order, run });
+    nextOrder += 1;
+    pushHeap(heap, { at, order: nextOrder, run });
   }
 
   function startNode(id: InstanceId): void {
     const place = options.instances.find((instance) => instance.id === id);
-    if (place === undefined) throw new Error(`no instance ${id}`);
+    if (place === undefined) throw new Error(`instance ${id} does not exist`);
     const self = { ...place, incarnation: 1_000 + Math.floor(now), address: `${id}:1` };
     const core = createCore({
       self,
       seed: options.seed + nodes.size + now,
-      initialConfiguration: current,
+      initialConfiguration: currentView,
       ...(options.settings === undefined ? {} : { settings: options.settings }),
     });
     nodes.set(id, { core, self, timers: new Map(), isUp: true });
     post(id, { kind: 'start' });
   }
 
-  /** Ends a node without notice; its requests are lost with it. */
+  /** Stops a node abruptly. Its requests are lost. */
   function crash(id: InstanceId): void {
     const node = nodes.get(id);
     if (node !== undefined) node.isUp = false;
     engines.forEach((attempts) => {
       attempts.forEach((attempt, key) => attempt.instance === id && attempts.delete(key));
     });
-    jobs.forEach((job) => job.instance === id && job.endedAt === undefined && end(job, 'failed'));
+    jobs.forEach(
+      (job) => job.instance === id && job.endedAt === undefined && endJob(job, 'failed'),
+    );
   }
 
   function post(id: InstanceId, event: CoreEvent): void {
@@ -185,14 +187,14 @@
         schedule(now + 2 * UPSTREAM_DELAY_MS, () => report(node, effect.upstream));
         return;
       case 'readInstanceList':
-        schedule(now + 5, () => post(id, { kind: 'instanceList', instances: listed }));
+        schedule(now + 5, () => post(id, { kind: 'instanceList', instances: listedInstances }));
         return;
       case 'finishAnswer':
       case 'refuse':
       case 'fail': {
         const job = jobs.get(effect.requestId);
         const outcome = { finishAnswer: 'finished', refuse: 'refused', fail: 'failed' } as const;
-        if (job !== undefined) end(job, outcome[effect.kind]);
+        if (job !== undefined) endJob(job, outcome[effect.kind]);
         break;
       }
       default:
@@ -200,11 +202,11 @@
   }
 
   function setTimer(node: Node, timer: Extract<Effect, { kind: 'setTimer' }>['timer'], at: number) {
-    order += 1;
-    const mark = order;
-    node.timers.set(timer, mark);
+    nextOrder += 1;
+    const token = nextOrder;
+    node.timers.set(timer, token);
     schedule(Math.max(at, now), () => {
-      if (node.timers.get(timer) === mark && node.isUp) {
+      if (node.timers.get(timer) === token && node.isUp) {
         post(node.self.id, { kind: 'timer', timer });
       }
     });
@@ -247,27 +249,27 @@
     };
     job.dispatchedAt ??= now;
     waiting.get(job.customer)?.delete(job.requestId);
-    engineOf(plan.upstream).set(plan.attemptId, attempt);
-    fill(plan.upstream);
+    attemptsOn(plan.upstream).set(plan.attemptId, attempt);
+    startQueued(plan.upstream);
   }
 
-  function engineOf(upstream: UpstreamId): Map<string, Attempt> {
+  function attemptsOn(upstream: UpstreamId): Map<string, Attempt> {
     const attempts = engines.get(upstream) ?? new Map<string, Attempt>();
     engines.set(upstream, attempts);
     return attempts;
   }
 
-  function fill(upstream: UpstreamId): void {
+  function startQueued(upstream: UpstreamId): void {
     const slots = options.view.upstreams.get(upstream)?.slots ?? 0;
-    const attempts = [...engineOf(upstream).values()];
+    const attempts = [...attemptsOn(upstream).values()];
     let running = attempts.filter((attempt) => attempt.state === 'running').length;
     attempts.forEach((attempt) => {
       if (attempt.state !== 'queued' || running >= slots) return;
       attempt.state = 'running';
       running += 1;
-      usedAt.set(upstream, now);
+      lastBusyAt.set(upstream, now);
     });
-    if (running >= slots) usedAt.set(upstream, now);
+    if (running >= slots) lastBusyAt.set(upstream, now);
   }
 
   function tickEngines(): void {
@@ -277,7 +279,7 @@
         busySlotMs += tickMs;
         advance(attempt, id, attempts);
       });
-      fill(upstream);
+      startQueued(upstream);
     });
     schedule(now + tickMs, tickEngines);
   }
@@ -304,12 +306,12 @@
   }
 
   function report(node: Node, upstream: UpstreamId): void {
-    const noNews = { cacheEvents: [], cacheNext: 0, cacheGap: false };
+    const noCacheEvents = { cacheEvents: [], cacheNext: 0, cacheGap: false };
     if (isCut(node.self.id, upstream)) {
-      post(node.self.id, { kind: 'upstreamReport', upstream, ...noNews });
+      post(node.self.id, { kind: 'upstreamReport', upstream, ...noCacheEvents });
       return;
     }
-    const attempts = [...engineOf(upstream).values()];
+    const attempts = [...attemptsOn(upstream).values()];
     const running = attempts.filter((attempt) => attempt.state === 'running').length;
     post(node.self.id, {
       kind: 'upstreamReport',
@@ -326,11 +328,11 @@
         orderNumber: 0,
         epoch: '1',
       },
-      ...noNews,
+      ...noCacheEvents,
     });
   }
 
-  function end(job: Job, outcome: NonNullable<Job['outcome']>): void {
+  function endJob(job: Job, outcome: NonNullable<Job['outcome']>): void {
     job.endedAt = now;
     job.outcome = outcome;
     waiting.get(job.customer)?.delete(job.requestId);
@@ -364,9 +366,9 @@
     return job;
   }
 
-  /** Puts a newer view in force on every node at once; its upstreams are those of the first. */
+  /** Applies a newer view on every node at once. The upstreams must be those of the initial view. */
   function publish(view: ConfigurationView): void {
-    current = view;
+    currentView = view;
     nodes.forEach((node) => {
       const effects: Effect[] = [];
       const ctx: CoreContext = {
@@ -374,7 +376,7 @@
         now,
         emit: (effect) => effects.push(effect),
         deliverToSelf: () => {
-          throw new Error('a view sends no message to its own instance');
+          throw new Error('applying a view must not send a message to its own instance');
         },
       };
       if (node.isUp) applyView(ctx, view);
@@ -384,7 +386,7 @@
 
   function runUntil(until: number): void {
     while (heap[0] !== undefined && heap[0].at <= until) {
-      const next = popHeap(heap) as Pending;
+      const next = popHeap(heap) as ScheduledAction;
       now = Math.max(now, next.at);
       next.run();
     }
@@ -392,7 +394,7 @@
   }
 
   function list(ids: readonly InstanceId[]): void {
-    listed = options.instances
+    listedInstances = options.instances
       .filter((instance) => ids.includes(instance.id))
       .map((place) => ({ ...place, address: `${place.id}:1`, state: 'live', kind: 'instance' }));
   }
@@ -409,8 +411,8 @@
     waiting,
     now: () => now,
     busySlotMs: () => busySlotMs,
-    /** Time for which an upstream has had a free slot and begun nothing. */
-    idleFor: (upstream: UpstreamId) => now - (usedAt.get(upstream) ?? 0),
+    /** Time for which an upstream has had a free slot and started no request. */
+    idleFor: (upstream: UpstreamId) => now - (lastBusyAt.get(upstream) ?? 0),
     at: schedule,
     submit,
     publish,
@@ -419,7 +421,7 @@
     crash,
     restart: startNode,
     list,
-    /** Cuts all links, to upstreams as well, for which `rule` holds. */
+    /** Cuts all links, including those to upstreams, for which `rule` returns true. */
     partition: (rule: (from: InstanceId, to: string) => boolean) => {
       isCut = rule;
     },
@@ -427,29 +429,30 @@
       isCut = () => false;
     },
     runningOn: (upstream: UpstreamId) =>
-      [...engineOf(upstream).values()].filter((attempt) => attempt.state !== 'suspended').length,
+      [...attemptsOn(upstream).values()].filter((attempt) => attempt.state !== 'suspended').length,
     suspendedOn: (upstream: UpstreamId) =>
-      [...engineOf(upstream).values()].filter((attempt) => attempt.state === 'suspended').length,
+      [...attemptsOn(upstream).values()].filter((attempt) => attempt.state === 'suspended').length,
   };
 }
 
 export type FakeNetwork = ReturnType<typeof createFakeNetwork>;
 
-const isBefore = (a: Pending, b: Pending) => a.at < b.at || (a.at === b.at && a.order < b.order);
+const isBefore = (a: ScheduledAction, b: ScheduledAction) =>
+  a.at < b.at || (a.at === b.at && a.order < b.order);
 
-function pushHeap(heap: Pending[], item: Pending): void {
+function pushHeap(heap: ScheduledAction[], item: ScheduledAction): void {
   let i = heap.length;
   heap.push(item);
   while (i > 0) {
     const parent = (i - 1) >> 1;
-    if (!isBefore(item, heap[parent] as Pending)) break;
-    heap[i] = heap[parent] as Pending;
+    if (!isBefore(item, heap[parent] as ScheduledAction)) break;
+    heap[i] = heap[parent] as ScheduledAction;
     i = parent;
   }
   heap[i] = item;
 }
 
-function popHeap(heap: Pending[]): Pending | undefined {
+function popHeap(heap: ScheduledAction[]): ScheduledAction | undefined {
   const top = heap[0];
   const last = heap.pop();
   if (heap.length === 0 || last === undefined) return top;
@@ -458,9 +461,9 @@
     let child = 2 * i + 1;
     if (child >= heap.length) break;
     const right = heap[child + 1];
-    if (right !== undefined && isBefore(right, heap[child] as Pending)) child += 1;
-    if (!isBefore(heap[child] as Pending, last)) break;
-    heap[i] = heap[child] as Pending;
+    if (right !== undefined && isBefore(right, heap[child] as ScheduledAction)) child += 1;
+    if (!isBefore(heap[child] as ScheduledAction, last)) break;
+    heap[i] = heap[child] as ScheduledAction;
     i = child;
   }
   heap[i] = last;
--- a/src/bench/support/fleetView.ts
+++ b/src/bench/support/fleetView.ts
@@ -1,4 +1,4 @@
-/** Builds configurations of a stated size for benchmarks, without a document. */
+/** Builds configuration views of a given size for benchmarks, without parsing a document. */
 import type {
   ConfigurationView,
   CustomerConfig,
@@ -18,7 +18,7 @@
 
 const UNLIMITED = { waitingRequests: 1e9, waitingBytes: 1e15, concurrency: 1e9, rate: 1e9 };
 
-/** Customer n (from 1) has the key hash `hash-n`; upstream i is in domain `d<i mod domains>`. */
+/** Customer n (from 1) has the key hash `hash-n`. Upstream i is in domain `d<i mod domains>`. */
 export function createFleetView(options: FleetViewOptions): ConfigurationView {
   const pools = range(options.pools ?? 1).map(createPool);
   const customers = range(options.customers).map(createCustomer);
@@ -42,11 +42,12 @@
   };
 }
 
-/** Name of the failure domain with an index, and of the region that it is in. */
+/** Returns the name of a failure domain. */
 export function domainName(index: number): string {
   return `d${index}`;
 }
 
+/** Returns the name of the region that contains a failure domain. */
 export function regionName(domain: number, regions: number): string {
   return `r${domain % regions}`;
 }
--- a/src/bench/support/plotPage.ts
+++ b/src/bench/support/plotPage.ts
@@ -1,10 +1,10 @@
-/** A page with plots. The plotting library is written into it, so that it needs nothing else. */
+/** Generates HTML pages with plots. The plotting library is inlined, so a page is self-contained. */
 import { readFileSync } from 'node:fs';
 import { createRequire } from 'node:module';
 
 const require = createRequire(import.meta.url);
 
-/** One plot: x values in seconds, then a row of values for each named line. */
+/** One plot. `data` holds the x values in seconds, followed by the values of each line. */
 export interface Plot {
   readonly title: string;
   readonly unit: string;
@@ -29,7 +29,7 @@
 
 export interface PlotPage {
   readonly title: string;
-  /** Shown above the plots as it stands. */
+  /** Preformatted text shown above the plots. */
   readonly text: string;
   readonly plots: readonly Plot[];
 }
@@ -66,7 +66,7 @@
   return text.replaceAll('&', '&amp;').replaceAll('<', '&lt;').replaceAll('>', '&gt;');
 }
 
-/** JSON that can't end the script element it stands in. */
+/** Serializes a value to JSON that cannot close the enclosing script element. */
 function toScriptJson(value: unknown): string {
   return JSON.stringify(value).replaceAll('<', '\\u003c');
 }
--- a/src/bench/support/revision.ts
+++ b/src/bench/support/revision.ts
@@ -1,4 +1,4 @@
-/** The revision that a measurement belongs to, read from the checkout without starting a process. */
+/** Reads the Git revision of the checkout from its files, without starting a process. */
 import { existsSync, readFileSync, statSync } from 'node:fs';
 import { join } from 'node:path';
 
@@ -17,7 +17,7 @@
   return existsSync(file) ? readFileSync(file, 'utf8').slice(0, SHORT_LENGTH) : 'unknown';
 }
 
-/** In a linked work tree `.git` is a file that names the real folder. */
+/** Resolves `.git`, which in a linked worktree is a file with the path of the actual directory. */
 function findGitDir(path: string): string | undefined {
   if (!existsSync(path)) return undefined;
   if (statSync(path).isDirectory()) return path;
--- a/src/bench/support/timing.ts
+++ b/src/bench/support/timing.ts
@@ -1,4 +1,4 @@
-/** Repeated timing of short operations: a warm-up, then rounds whose median counts. */
+/** Times short operations: a warm-up, then several rounds of which the median is taken. */
 import { performance } from 'node:perf_hooks';
 
 export interface TimingOptions {
@@ -10,8 +10,8 @@
 const NS_PER_MS = 1e6;
 
 /**
- * Runs `operation` again and again and returns the median time of one run in nanoseconds.
- * `operation` returns how many units of work it did.
+ * Runs `operation` repeatedly and returns the median time of one unit of work in nanoseconds.
+ * `operation` returns the number of units it did.
  */
 export function timeOperation(operation: () => number, options: TimingOptions = {}): number {
   const { warmUpMs = 200, roundMs = 200, rounds = 5 } = options;
@@ -32,7 +32,7 @@
   return (elapsed * NS_PER_MS) / units;
 }
 
-/** Returns the bytes of heap in use after a collection, if the process allows one. */
+/** Returns the heap and external memory in use, after a garbage collection if `--expose-gc` is set. */
 export function heapBytes(): number {
   globalThis.gc?.();
   return process.memoryUsage().heapUsed + process.memoryUsage().external;
