Reword the sharing benchmark

The load generator spoke of customers that "ask quick questions". It now sends short requests. Comments name the baselines, the aggregation over seeds and the units plainly.

Fields of the JSON output keep their names. Notable renames: ownedByFirst -> assignToFirstInstance, ask -> submitShort.

--- a/src/bench/fair/main.ts
+++ b/src/bench/fair/main.ts
@@ -1,5 +1,5 @@
 /**
- * `npm run bench:fair`: measures the sharing policy and its control cost on the fake network and
+ * `npm run bench:fair`: measures the sharing policy and its control overhead on the fake network and
  * prints tables. Options: `--json FILE`, `--only policies|slopes`.
  */
 import { writeFileSync } from 'node:fs';
@@ -25,7 +25,7 @@
     'policy',
     'gap/B',
     'utilisation',
-    'quick p95 ms',
+    'short p95 ms',
     'without flood ms',
     'B/request',
     'B/s domain',
@@ -61,7 +61,7 @@
     'B/s',
     'B/s cross',
     'ms/s',
-    'most bytes',
+    'largest kinds',
   ]);
   return SLOPE_SIZES.map((size) => {
     const result = measureSlope(size);
--- a/src/bench/fair/policies.ts
+++ b/src/bench/fair/policies.ts
@@ -1,7 +1,7 @@
 /**
- * Measures the sharing policy on the fake network in the shapes of two deployments, against three
- * baselines: no sums exchanged between instances, first come first served, and one owner of all
- * upstreams.
+ * Measures the sharing policy on the fake network for the shapes of two deployments and compares it
+ * with three baselines: no exchange of service sums between instances, first come first served, and
+ * a single owner of all upstreams.
  */
 import { serviceGapBound, type SharingConditions } from '../../core/shares/bound.js';
 import { createRandom } from '../../core/random.js';
@@ -14,7 +14,7 @@
 
 export interface Shape {
   readonly name: string;
-  /** Instances in each of the three domains, one domain to a region. */
+  /** Number of instances in each of the three domains. Each domain is in its own region. */
   readonly instances: readonly number[];
   readonly engines: number;
 }
@@ -52,13 +52,16 @@
 const SAMPLE_MS = 100;
 const REFILL_MS = 20;
 
-/** Largest output, in tokens, of the requests of the three large customers. */
+/** Maximum output tokens per request of each of the three large customers. */
 const LARGE_TOKENS = [600, 200, 100] as const;
 const SMALL_CUSTOMERS = 13;
-const QUICK_TOKENS = 20;
-const QUICK_INTERVAL_MS = 2_000;
+const SHORT_TOKENS = 20;
+const SHORT_INTERVAL_MS = 2_000;
 
-/** Measures a policy with several seeds; the worst of each figure counts, of the bytes the mean. */
+/**
+ * Measures a policy with several seeds. Returns the worst value of each metric, except for the number
+ * of requests and the bytes, for which it returns the mean.
+ */
 export function measurePolicy(shape: Shape, policy: Policy): PolicyResult {
   const flooded = SEEDS.map((seed) => runPolicy(shape, policy, true, seed));
   const idle = SEEDS.map((seed) => runPolicy(shape, policy, false, seed));
@@ -85,8 +88,8 @@
 
 function runPolicy(shape: Shape, policy: Policy, withFlood: boolean, seed: number): PolicyResult {
   const probe = createProbe();
-  const instances = placesOf(shape, policy);
-  const view = viewOf(shape, policy, instances);
+  const instances = createPlaces(shape, policy);
+  const view = createPolicyView(shape, policy, instances);
   const noExchange = { exchangeMs: 1e9 };
   const network = createFakeNetwork({
     seed,
@@ -106,7 +109,7 @@
   const slots = shape.engines * SLOTS;
   const busyBefore = network.busySlotMs();
   const jobsBefore = network.jobs.size;
-  const bound = serviceGapBound(DEFAULT_CORE_SETTINGS, conditionsOf(slots));
+  const bound = serviceGapBound(DEFAULT_CORE_SETTINGS, createConditions(slots));
   const end = network.now() + DURATION_MS;
   let gap = 0;
   while (network.now() < end) {
@@ -122,7 +125,7 @@
     policy,
     gapToBound: gap / bound,
     utilisation: (network.busySlotMs() - busyBefore) / (DURATION_MS * slots),
-    quickP95Ms: percentile(load.quickWaits(), 0.95),
+    quickP95Ms: percentile(load.shortRequestWaits(), 0.95),
     quickP95IdleMs: 0,
     requests,
     bytesPerRequest: (bytes.sameDomain + bytes.sameRegion + bytes.crossRegion) / requests,
@@ -134,7 +137,7 @@
   };
 }
 
-/** Three large customers keep their queues filled; small ones ask short questions now and then. */
+/** Three large customers keep their queues filled; small customers send short requests occasionally. */
 function startLoad(
   network: FakeNetwork,
   shape: Shape,
@@ -145,41 +148,43 @@
   const random = createRandom(seed);
   const ids = [...network.nodes.keys()];
   const depth = 2 * shape.engines * SLOTS;
-  // With one key for all, queues are served in order of arrival.
+  // If all requests carry the same key, they are served in order of arrival.
   const key = policy === 'first come' ? { keyOf: 1 } : {};
-  const quick: string[] = [];
-  const flood = () => {
+  const shortRequests: string[] = [];
+  const refill = () => {
     LARGE_TOKENS.forEach((largest, i) => {
       const customer = i + 1;
       while ((network.waiting.get(customer)?.size ?? 0) < depth) {
-        // The first comes by one instance only, the others by all.
+        // The first customer sends all requests to one instance; the others use all instances.
         const instance = ids[i === 0 ? 0 : random.nextInt(ids.length)] as string;
         network.submit({ instance, customer, tokens: 1 + random.nextInt(largest), ...key });
       }
     });
-    network.at(network.now() + REFILL_MS, flood);
+    network.at(network.now() + REFILL_MS, refill);
   };
-  if (withFlood) flood();
+  if (withFlood) refill();
   for (let i = 0; i < SMALL_CUSTOMERS; i += 1) {
     const customer = LARGE_TOKENS.length + 1 + i;
-    const ask = () => {
+    const submitShort = () => {
       const instance = ids[random.nextInt(ids.length)] as string;
-      quick.push(network.submit({ instance, customer, tokens: QUICK_TOKENS, ...key }).requestId);
-      network.at(network.now() + random.next() * 2 * QUICK_INTERVAL_MS, ask);
+      shortRequests.push(
+        network.submit({ instance, customer, tokens: SHORT_TOKENS, ...key }).requestId,
+      );
+      network.at(network.now() + random.next() * 2 * SHORT_INTERVAL_MS, submitShort);
     };
-    network.at(network.now() + random.next() * QUICK_INTERVAL_MS, ask);
+    network.at(network.now() + random.next() * SHORT_INTERVAL_MS, submitShort);
   }
   return {
-    /** Waits until the first token; a question not answered yet counts with its wait so far. */
-    quickWaits: () =>
-      quick.map((id) => {
+    /** Times to the first token. A request without one counts with its wait so far. */
+    shortRequestWaits: () =>
+      shortRequests.map((id) => {
         const job = network.jobs.get(id);
         return (job?.firstTokenAt ?? network.now()) - (job?.submittedAt ?? 0);
       }),
   };
 }
 
-function placesOf(shape: Shape, policy: Policy) {
+function createPlaces(shape: Shape, policy: Policy) {
   return shape.instances.flatMap((amount, d) =>
     Array.from({ length: amount }, (_, n) => ({
       id: `d${d}-i${n}`,
@@ -189,10 +194,10 @@
   );
 }
 
-function viewOf(
+function createPolicyView(
   shape: Shape,
   policy: Policy,
-  instances: ReturnType<typeof placesOf>,
+  instances: ReturnType<typeof createPlaces>,
 ): ConfigurationView {
   const customers = LARGE_TOKENS.length + SMALL_CUSTOMERS;
   const view = createFleetView({
@@ -204,7 +209,7 @@
   });
   if (policy !== 'one owner') return view;
   const upstreams = [...view.upstreams.values()].map((upstream) =>
-    ownedByFirst(upstream, instances),
+    assignToFirstInstance(upstream, instances),
   );
   return {
     ...view,
@@ -213,10 +218,10 @@
   };
 }
 
-/** Renames an upstream until the first instance owns it. */
-function ownedByFirst(
+/** Changes the ID of an upstream until rendezvous hashing assigns it to the first instance. */
+function assignToFirstInstance(
   upstream: UpstreamConfig,
-  instances: ReturnType<typeof placesOf>,
+  instances: ReturnType<typeof createPlaces>,
 ): UpstreamConfig {
   const members = instances.map((place) => place as unknown as Member);
   for (let n = 0; ; n += 1) {
@@ -227,7 +232,7 @@
   }
 }
 
-function conditionsOf(slots: number): SharingConditions {
+function createConditions(slots: number): SharingConditions {
   return {
     slots,
     largestRequest: Math.max(...LARGE_TOKENS) * PER_OUTPUT_TOKEN,
@@ -241,7 +246,7 @@
   };
 }
 
-function percentile(values: readonly number[], part: number): number {
+function percentile(values: readonly number[], fraction: number): number {
   const sorted = [...values].sort((a, b) => a - b);
-  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * part))] ?? 0;
+  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * fraction))] ?? 0;
 }
--- a/src/bench/fair/probe.ts
+++ b/src/bench/fair/probe.ts
@@ -1,4 +1,4 @@
-/** Counts control bytes by class of link and processor time by instance on the fake network. */
+/** Counts control bytes by link class and by message kind, and processor time, on the fake network. */
 import { performance } from 'node:perf_hooks';
 import { PeerMessage as PeerMessageCodec } from '../../protocol/generated/peer.js';
 import type { FakeNetworkOptions } from '../support/fakeNetwork.js';
@@ -9,7 +9,7 @@
   readonly hooks: Pick<FakeNetworkOptions, 'onSend' | 'onReduce'>;
   readonly reset: () => void;
   readonly bytes: () => Readonly<Record<LinkClass, number>>;
-  /** Time in events of timers and peers, in milliseconds. */
+  /** Time spent handling timers and peer messages, in milliseconds. */
   readonly controlMs: () => number;
   readonly bytesByKind: () => ReadonlyMap<string, number>;
 }
--- a/src/bench/fair/slopes.ts
+++ b/src/bench/fair/slopes.ts
@@ -1,4 +1,4 @@
-/** Control bytes and processor time of one instance over the fleet's size, on the fake network. */
+/** Measures control bytes and processor time per instance against fleet size, on the fake network. */
 import { createRandom } from '../../core/random.js';
 import { createFakeNetwork, type FakeNetwork } from '../support/fakeNetwork.js';
 import { createFleetView } from '../support/fleetView.js';
@@ -15,7 +15,7 @@
   /** Per instance and second. */
   readonly bytes: number;
   readonly crossRegionBytes: number;
-  /** Per instance: milliseconds of processor time in timers and peer messages per second. */
+  /** Processor time for timers and peer messages, in milliseconds per instance and second. */
   readonly controlMs: number;
   readonly largestKinds: string;
 }
@@ -40,7 +40,7 @@
 const DURATION_MS = 10_000;
 const REFILL_MS = 100;
 
-/** All customers keep at least one request waiting throughout. */
+/** Measures a fleet in which every customer has requests waiting throughout. */
 export function measureSlope(size: FleetSize): SlopeResult {
   const probe = createProbe();
   const domains = Math.max(3, Math.ceil(size.instances / INSTANCES_PER_DOMAIN));
@@ -65,7 +65,7 @@
     ...probe.hooks,
   });
   network.runUntil(WARM_UP_MS);
-  keepWaiting(network, size);
+  keepQueuesFilled(network, size);
   network.runUntil(network.now() + SETTLE_MS);
   probe.reset();
   network.runUntil(network.now() + DURATION_MS);
@@ -84,10 +84,10 @@
   };
 }
 
-function keepWaiting(network: FakeNetwork, size: FleetSize): void {
+function keepQueuesFilled(network: FakeNetwork, size: FleetSize): void {
   const random = createRandom(5);
   const ids = [...network.nodes.keys()];
-  // More requests than slots, spread evenly over the customers.
+  // Twice as many waiting requests as slots, spread evenly over the customers.
   const depth = Math.max(2, Math.ceil((2 * size.engines * SLOTS) / size.customers));
   const refill = () => {
     for (let customer = 1; customer <= size.customers; customer += 1) {
