Reword the micro-benchmarks

Comments describe the setup, the timed operation and the unit of work.

Notable renames: encodeCase -> createEncodeCase, earlier -> referenceRun.

--- a/src/bench/micro/cases.ts
+++ b/src/bench/micro/cases.ts
@@ -1,4 +1,4 @@
-/** The micro-benchmarks: name, unit of work and the operation that is timed. */
+/** Defines the micro-benchmarks. */
 import { rendezvousScore } from '../../core/hash.js';
 import type { PeerMessage } from '../../core/types.js';
 import { Batch } from '../../protocol/generated/peer.js';
@@ -6,16 +6,16 @@
 
 export interface BenchCase {
   readonly name: string;
-  /** What one unit of work is. */
+  /** Name of the unit of work. */
   readonly unit: string;
-  /** Prepares the state and returns the operation, which returns its units of work. */
+  /** Sets up the state and returns the operation to time, which returns the units of work done. */
   readonly prepare: () => () => number;
-  /** Bytes of one unit on the wire, where that makes sense. */
+  /** Encoded size of one unit, for messages. */
   readonly bytes?: () => number;
 }
 
 const TARGET_SIZE = { customers: 9_000, waiting: 900, upstreams: 30 } as const;
-const ENTRIES = 100;
+const ENTRY_COUNT = 100;
 const SENDER = { id: 'instance-117', incarnation: 1_700_000_000_123_456 };
 
 const WAITING_UPDATE: PeerMessage = {
@@ -24,9 +24,9 @@
     pool: 3,
     sequence: 70_000,
     full: true,
-    customers: numbers((i) => i * 90),
-    counts: numbers((i) => i % 40),
-    waitedMs: numbers((i) => i * 10),
+    customers: createNumbers((i) => i * 90),
+    counts: createNumbers((i) => i % 40),
+    waitedMs: createNumbers((i) => i * 10),
     headSizes: [],
     heads: [],
   },
@@ -41,10 +41,10 @@
     originIncarnation: SENDER.incarnation,
     sequence: 70_000,
     acknowledged: 69_998,
-    waiting: ENTRIES,
-    customers: numbers((i) => i * 90),
-    sums: numbers((i) => i * 1_234),
-    lifts: numbers((i) => i * 77),
+    waiting: ENTRY_COUNT,
+    customers: createNumbers((i) => i * 90),
+    sums: createNumbers((i) => i * 1_234),
+    lifts: createNumbers((i) => i * 77),
   },
 };
 
@@ -67,13 +67,13 @@
       return 1_000;
     },
   },
-  encodeCase('waiting update of 100 customers', WAITING_UPDATE),
-  decodeCase('waiting update of 100 customers', WAITING_UPDATE),
-  encodeCase('service sums of 100 customers', SERVICE_SUMS),
-  decodeCase('service sums of 100 customers', SERVICE_SUMS),
+  createEncodeCase('waiting update of 100 customers', WAITING_UPDATE),
+  createDecodeCase('waiting update of 100 customers', WAITING_UPDATE),
+  createEncodeCase('service sums of 100 customers', SERVICE_SUMS),
+  createDecodeCase('service sums of 100 customers', SERVICE_SUMS),
 ];
 
-function encodeCase(what: string, message: PeerMessage): BenchCase {
+function createEncodeCase(what: string, message: PeerMessage): BenchCase {
   const batch = { sender: SENDER, messages: [{ body: message }] };
   return {
     name: `codec: encode ${what}`,
@@ -86,7 +86,7 @@
   };
 }
 
-function decodeCase(what: string, message: PeerMessage): BenchCase {
+function createDecodeCase(what: string, message: PeerMessage): BenchCase {
   const bytes = Batch.encode({ sender: SENDER, messages: [{ body: message }] }).finish();
   return {
     name: `codec: decode ${what}`,
@@ -98,6 +98,6 @@
   };
 }
 
-function numbers(at: (index: number) => number): number[] {
-  return Array.from({ length: ENTRIES }, (_, i) => at(i));
+function createNumbers(at: (index: number) => number): number[] {
+  return Array.from({ length: ENTRY_COUNT }, (_, i) => at(i));
 }
--- a/src/bench/micro/main.ts
+++ b/src/bench/micro/main.ts
@@ -1,6 +1,6 @@
 /**
- * `npm run bench`: runs the micro-benchmarks, prints a table, and on request writes JSON or compares
- * with an earlier run. Options: `--json FILE`, `--compare FILE`, `--only TEXT`.
+ * `npm run bench`: runs the micro-benchmarks and prints a table. It can also write the results as JSON
+ * and compare them with an earlier run. Options: `--json FILE`, `--compare FILE`, `--only TEXT`.
  */
 import { readFileSync, writeFileSync } from 'node:fs';
 import { parseArgs } from 'node:util';
@@ -28,12 +28,12 @@
   },
 });
 
-const earlier = values.compare === undefined ? undefined : readRun(values.compare);
+const referenceRun = values.compare === undefined ? undefined : readRun(values.compare);
 const cases = BENCH_CASES.filter(({ name }) => name.includes(values.only ?? ''));
 console.log(`revision ${readRevision()}`);
 const results = cases.map((benchCase) => {
   const result = runCase(benchCase);
-  console.log(formatResult(result, earlier));
+  console.log(formatResult(result, referenceRun));
   return result;
 });
 if (values.json !== undefined) {
--- a/src/bench/micro/steadyCore.ts
+++ b/src/bench/micro/steadyCore.ts
@@ -1,6 +1,6 @@
 /**
- * A core in a steady state for benchmarks: one instance that owns all upstreams, with a number of
- * customers that always have work waiting.
+ * A core in steady state for benchmarks: a single instance that owns all upstreams, and customers
+ * that always have requests waiting.
  */
 import { createCore, type Core } from '../../core/core.js';
 import type { Millis } from '../../core/clock.js';
@@ -17,11 +17,11 @@
 
 export interface SteadyCore {
   readonly core: Core;
-  /** Ends one attempt and sends one new request of the same customer; returns the events used. */
+  /** Ends one attempt and sends a new request of the same customer. Returns the number of events. */
   readonly cycle: () => number;
-  /** Reports tokens for one running attempt; returns the events used. */
+  /** Reports tokens for one running attempt. Returns the number of events. */
   readonly progress: () => number;
-  /** Fires the timers that are due; returns the events used. */
+  /** Fires the timers that are due. Returns the number of events. */
   readonly fireTimers: () => number;
 }
 
@@ -46,10 +46,10 @@
   let nextRunning = 0;
 
   function apply(event: CoreEvent): void {
-    core.reduce(event, now).forEach(handle);
+    core.reduce(event, now).forEach(handleEffect);
   }
 
-  function handle(effect: Effect): void {
+  function handleEffect(effect: Effect): void {
     if (effect.kind === 'setTimer') timers.set(effect.timer, effect.at);
     if (effect.kind === 'dispatch') {
       const customer = customerOf.get(effect.attempt.requestId) ?? 1;
@@ -58,7 +58,7 @@
     }
   }
 
-  function send(customer: number): void {
+  function sendRequest(customer: number): void {
     nextRequest += 1;
     const requestId = `q${nextRequest}`;
     customerOf.set(requestId, customer);
@@ -83,7 +83,7 @@
     if (ended === undefined) return events;
     const outcome = { kind: 'complete', status: 200, outputTokens: TOKENS_PER_REPORT } as const;
     apply({ kind: 'attemptEnded', attemptId: ended.id, outcome });
-    send(ended.customer);
+    sendRequest(ended.customer);
     events += 2;
     return events;
   }
@@ -99,7 +99,7 @@
 
   apply({ kind: 'start' });
   for (let i = 0; i < (options.requestsPerCustomer ?? 10); i += 1) {
-    for (let customer = 1; customer <= options.waiting; customer += 1) send(customer);
+    for (let customer = 1; customer <= options.waiting; customer += 1) sendRequest(customer);
   }
   for (let i = 0; i < 100; i += 1) {
     now += 10;
