Reword the live benchmarks

"Own whole answers", "ways" and "parts" are now correct answers, targets and chunks, and comments say which requests, limits and samples are meant. The head of processes.ts now also names the platform stand-in.

Notable renames: createWay -> createTarget, nextMatch -> waitForMatch, ADDRESSES -> LISTENING_PATTERN, slopeOf -> fitSlope.

--- a/src/bench/live/crossed.ts
+++ b/src/bench/live/crossed.ts
@@ -1,6 +1,6 @@
 /**
- * Many concurrent callers of five instances while engines cross and delay replies: whether each
- * gets its own whole answer.
+ * Checks that each of many concurrent callers gets its own complete answer while engines send replies
+ * to the wrong request or after a delay.
  */
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Readable } from 'node:stream';
@@ -17,17 +17,17 @@
 }
 
 export interface CrossedResult {
-  readonly own: number;
-  /** Ended with an explicit error. */
+  readonly correct: number;
+  /** Answers that ended with an explicit error. */
   readonly failed: number;
-  /** Another answer, or a part of one that looked whole. */
+  /** Answers of another caller, or incomplete answers without an error. */
   readonly wrong: readonly string[];
   readonly attempts: number;
   readonly elapsedMs: Millis;
 }
 
 const TOKENS = 6;
-/** Failures and wrong answers that are shown in full. */
+/** Maximum number of failures and wrong answers to print. */
 const MAX_SHOWN = 10;
 const MAX_DETAIL = 1_000;
 const WARM_UP_SHARE = 0.2;
@@ -48,7 +48,7 @@
   });
   const dispatcher = new Agent();
   await warmUp(dispatcher, fleet, options.requests);
-  await Promise.all(fleet.engineUrls.map(setFaults));
+  await Promise.all(fleet.engineUrls.map(enableFaults));
   const attemptsBefore = await countAllAttempts(fleet);
   const failures: string[] = [];
   const wrong: string[] = [];
@@ -70,7 +70,7 @@
   await fleet.stop();
   [...failures, ...wrong].slice(0, MAX_SHOWN).forEach((detail) => console.error(detail));
   return {
-    own: options.requests - failures.length - wrong.length,
+    correct: options.requests - failures.length - wrong.length,
     failed: failures.length,
     wrong,
     attempts,
@@ -78,7 +78,7 @@
   };
 }
 
-async function setFaults(url: string): Promise<void> {
+async function enableFaults(url: string): Promise<void> {
   for (const fault of FAULTS) {
     const path = `${url}/_control/faults`;
     const { body } = await request(path, { method: 'POST', body: JSON.stringify(fault) });
@@ -86,7 +86,7 @@
   }
 }
 
-/** Lets the budget of retries grow, as it has in a fleet that is at work. */
+/** Sends requests so that the retry budget reaches its size in a loaded fleet. */
 async function warmUp(dispatcher: Agent, fleet: BenchFleet, requests: number): Promise<void> {
   await Promise.all(
     Array.from({ length: Math.ceil(requests * WARM_UP_SHARE) }, async (_, i) => {
@@ -115,7 +115,7 @@
   readonly choices: readonly { readonly delta: { readonly content?: string } }[];
 }
 
-/** Sends a streamed completion; an answer without its end mark counts as failed. */
+/** Sends a streamed completion request. An answer without the `[DONE]` event counts as failed. */
 async function askOnce(dispatcher: Agent, origin: string, question: string): Promise<AskResult> {
   try {
     const { statusCode, body } = await request(`${origin}/v1/chat/completions`, {
@@ -136,13 +136,13 @@
     if (isBroken || statusCode !== 200 || events.pop() !== 'data: [DONE]') {
       return { kind: 'failed', detail: `status ${statusCode}: ${text.slice(-MAX_DETAIL)}` };
     }
-    return { kind: 'answer', text: events.map(contentOf).join('') };
+    return { kind: 'answer', text: events.map(parseContent).join('') };
   } catch (err) {
     return { kind: 'failed', detail: (err as Error).message };
   }
 }
 
-/** Reads what there is of a body. */
+/** Reads a body up to its end or the point where the connection breaks. */
 async function readText(body: Readable): Promise<{ text: string; isBroken: boolean }> {
   let text = '';
   try {
@@ -153,7 +153,7 @@
   }
 }
 
-function contentOf(event: string): string {
+function parseContent(event: string): string {
   const chunk = JSON.parse(event.slice('data: '.length)) as StreamChunk;
   return chunk.choices[0]?.delta.content ?? '';
 }
--- a/src/bench/live/latency.ts
+++ b/src/bench/live/latency.ts
@@ -1,6 +1,6 @@
 /**
- * Latency that an idle instance adds: the same calls to an engine, directly and through an
- * instance in turn, one at a time.
+ * Measures the latency that an idle instance adds. The same calls go to an engine alternately directly
+ * and through an instance, one at a time.
  */
 import { Agent } from 'undici';
 import type { Millis } from '../../core/clock.js';
@@ -14,7 +14,7 @@
   readonly tokenIntervalMs: Millis;
 }
 
-/** Quantiles of one way, in milliseconds. */
+/** Quantiles for one target, in milliseconds. */
 export interface LatencyResult {
   readonly firstP50: Millis;
   readonly totalP50: Millis;
@@ -40,10 +40,10 @@
   });
   const dispatcher = new Agent();
   const origins = [...fleet.engineUrls, ...fleet.instanceUrls];
-  const ways = origins.map((origin) => createWay(origin));
+  const targets = origins.map((origin) => createTarget(origin));
 
   async function callAll(round: number, isCounted: boolean): Promise<void> {
-    for (const way of ways) {
+    for (const way of targets) {
       const question = `call ${round}`;
       await way.call({ dispatcher, question, tokens, isCounted });
     }
@@ -54,29 +54,29 @@
   }
   await dispatcher.close();
   await fleet.stop();
-  const [direct, viaInstance] = ways.map(({ result }) => result());
-  if (direct === undefined || viaInstance === undefined) throw new Error('Nothing was measured.');
+  const [direct, viaInstance] = targets.map(({ result }) => result());
+  if (direct === undefined || viaInstance === undefined) throw new Error('No call was measured.');
   return { direct, viaInstance };
 }
 
-interface WayCall {
+interface TargetCall {
   readonly dispatcher: Agent;
   readonly question: string;
   readonly tokens: number;
   readonly isCounted: boolean;
 }
 
-function createWay(origin: string) {
+function createTarget(origin: string) {
   const first = createDurations();
   const total = createDurations();
   const gaps = createDurations();
   return {
-    call: async ({ dispatcher, question, tokens, isCounted }: WayCall): Promise<void> => {
+    call: async ({ dispatcher, question, tokens, isCounted }: TargetCall): Promise<void> => {
       const onPart = (_events: number, gapMs: Millis) => {
         if (isCounted) gaps.add(gapMs);
       };
       const result = await callStream({ dispatcher, origin, question, tokens, onPart });
-      if (!result.isWhole) throw new Error('An answer was not whole.');
+      if (!result.isWhole) throw new Error('An answer was incomplete.');
       if (!isCounted) return;
       first.add(result.firstPartMs);
       total.add(result.totalMs);
--- a/src/bench/live/main.ts
+++ b/src/bench/live/main.ts
@@ -1,6 +1,6 @@
 /**
- * `npm run bench:live`: measures one instance process against engine stand-ins in processes of
- * their own. Options: `--only latency|streams|crossed`, `--calls N`, `--streams N`, `--interval MS`,
+ * `npm run bench:live`: measures instance processes against engine stand-ins that run in separate
+ * processes. Options: `--only latency|streams|crossed`, `--calls N`, `--streams N`, `--interval MS`,
  * `--seconds N`, `--direct`, `--requests N`.
  */
 import { parseArgs } from 'node:util';
@@ -39,7 +39,7 @@
     name,
     ...(['firstP50', 'totalP50', 'gapP50', 'gapP95'] as const).map((key) => pick(key).toFixed(2)),
   ];
-  const head = ['ms', 'first part p50', 'whole p50', 'between tokens p50', 'between tokens p95'];
+  const head = ['ms', 'first part p50', 'total p50', 'between tokens p50', 'between tokens p95'];
   console.log(
     formatColumns([
       head,
@@ -62,16 +62,16 @@
   console.log(
     formatColumns([
       ['token events/s', result.eventsPerSecond.toFixed(0)],
-      ['answers, of them broken', `${result.answers}, ${result.broken}`],
+      ['answers, broken answers', `${result.answers}, ${result.broken}`],
       [
         'between tokens p50/p95/p99 ms',
         [result.gapP50, result.gapP95, result.gapP99].map((gap) => gap.toFixed(1)).join(' / '),
       ],
-      ['processor time of the instance, cores', result.cpuShare.toFixed(2)],
+      ['processor use of the instance, cores', result.cpuShare.toFixed(2)],
       ['idle memory MiB', (result.idleBytes / BYTES_PER_MIB).toFixed(1)],
       ['memory per stream KiB', (result.bytesPerStream / BYTES_PER_KIB).toFixed(1)],
-      ['slope of resident memory KiB/min', (result.residentSlope / BYTES_PER_KIB).toFixed(1)],
-      ['slope of the collected heap KiB/min', (result.heapSlope / BYTES_PER_KIB).toFixed(1)],
+      ['resident memory growth KiB/min', (result.residentSlope / BYTES_PER_KIB).toFixed(1)],
+      ['heap growth after collection KiB/min', (result.heapSlope / BYTES_PER_KIB).toFixed(1)],
     ]),
   );
 }
@@ -82,12 +82,12 @@
   console.log(
     formatColumns([
       ['concurrent callers', String(requests)],
-      ['own whole answers', String(result.own)],
+      ['correct answers', String(result.correct)],
       ['explicit errors', String(result.failed)],
-      ['wrong or short answers', String(result.wrong.length)],
-      ['attempts at engines', String(result.attempts)],
+      ['wrong or incomplete answers', String(result.wrong.length)],
+      ['attempts on engines', String(result.attempts)],
       ['seconds', (result.elapsedMs / MS_PER_SECOND).toFixed(1)],
     ]),
   );
-  if (result.own < requests) process.exitCode = 1;
+  if (result.correct < requests) process.exitCode = 1;
 }
--- a/src/bench/live/processes.ts
+++ b/src/bench/live/processes.ts
@@ -1,6 +1,6 @@
 /**
- * Processes that a live benchmark measures: engine stand-ins and one instance, each on its own, on
- * the loopback interface.
+ * Starts the processes for live benchmarks on the loopback interface: engine stand-ins, a platform
+ * stand-in and the instances, each in a process of its own.
  */
 import { spawn, type ChildProcess } from 'node:child_process';
 import { createHash } from 'node:crypto';
@@ -17,14 +17,14 @@
 export const BENCH_POOL = 'bench';
 
 export interface BenchFleetOptions {
-  /** Instances; with more than one a platform tells them of each other. */
+  /** Number of instances. They discover each other through the platform stand-in. */
   readonly instances?: number;
   readonly engines: number;
   readonly slotsPerEngine: number;
   readonly tokenIntervalMs: Millis;
-  /** Requests that the one customer may have at a time. */
+  /** Maximum number of concurrent requests of the only customer. */
   readonly maxRequests: number;
-  /** Core settings as the settings file writes them. */
+  /** Core settings in the format of the settings file. */
   readonly core?: Readonly<Record<string, unknown>>;
 }
 
@@ -38,35 +38,35 @@
 
 const CLI = fileURLToPath(new URL('../../cli/main.js', import.meta.url));
 const ANY_PORT = '127.0.0.1:0';
-const ADDRESSES = /callers on (\S+), for peers on (\S+) and for operators on (\S+)\./;
-const PLACE = { domain: 'bench-a', region: 'bench' };
-/** Fast enough that prompts cost no time of note. */
+const LISTENING_PATTERN = /callers on (\S+), for peers on (\S+) and for operators on (\S+)\./;
+const BENCH_LOCATION = { domain: 'bench-a', region: 'bench' };
+/** High enough that the time to process prompts is negligible. */
 const PREFILL_TOKENS_PER_SECOND = 1e9;
 
-/** Starts the engines and the instance. */
+/** Starts the engines, the platform and the instances. */
 export async function startBenchFleet(options: BenchFleetOptions): Promise<BenchFleet> {
   const dir = await mkdtemp(join(tmpdir(), 'primroseswitch-bench-'));
   const children: ChildProcess[] = [];
-  // A benchmark that fails leaves no process behind.
+  // Stops the processes if the benchmark fails.
   process.once('exit', () => children.forEach((child) => child.kill()));
   const engineUrls = await Promise.all(
     Array.from({ length: options.engines }, async (_, i) => {
       const file = join(dir, `engine-${i}.yaml`);
-      await writeFile(file, stringify({ engines: [engineSettings(options, `engine-${i}`)] }));
+      await writeFile(file, stringify({ engines: [createEngineSettings(options, `engine-${i}`)] }));
       const engine = startCli(children, ['standin', 'set', '--file', file]);
-      const [url = ''] = await nextMatch(engine, 'stdout', /engine-\d+ (http:\S+)\n/);
+      const [url = ''] = await waitForMatch(engine, 'stdout', /engine-\d+ (http:\S+)\n/);
       return url;
     }),
   );
   const platform = startCli(children, ['standin', 'platform']);
-  const [platformUrl = ''] = await nextMatch(platform, 'stdout', /(http:\S+)\n/);
+  const [platformUrl = ''] = await waitForMatch(platform, 'stdout', /(http:\S+)\n/);
   const document = await writeDocument(dir, options, engineUrls);
   const instances = await Promise.all(
     Array.from({ length: options.instances ?? 1 }, async (_, i) => {
       const id = `bench-${i + 1}`;
       const settings = await writeSettings(dir, options, id, document, platformUrl);
       const child = startCli(children, ['serve', '--settings', settings]);
-      const match = await nextMatch(child, 'stderr', ADDRESSES);
+      const match = await waitForMatch(child, 'stderr', LISTENING_PATTERN);
       const [address = '', peers = '', operators = ''] = match;
       return { id, child, address, peers, operators };
     }),
@@ -84,7 +84,10 @@
   };
 }
 
-function engineSettings({ slotsPerEngine, tokenIntervalMs }: BenchFleetOptions, name: string) {
+function createEngineSettings(
+  { slotsPerEngine, tokenIntervalMs }: BenchFleetOptions,
+  name: string,
+) {
   return {
     name,
     batchSize: slotsPerEngine,
@@ -109,7 +112,7 @@
     upstreams: Object.fromEntries(
       engineUrls.map((url, i) => [
         `engine-${i}`,
-        { ...PLACE, pool: BENCH_POOL, url, slots: options.slotsPerEngine },
+        { ...BENCH_LOCATION, pool: BENCH_POOL, url, slots: options.slotsPerEngine },
       ]),
     ),
   };
@@ -127,7 +130,7 @@
   platformUrl: string,
 ): Promise<string> {
   const settings = {
-    instance: { id, ...PLACE },
+    instance: { id, ...BENCH_LOCATION },
     listen: { callers: ANY_PORT, peers: ANY_PORT, operators: ANY_PORT },
     platform: { url: platformUrl },
     document,
@@ -138,12 +141,17 @@
   return file;
 }
 
-/** Has the platform list the instances, so that they find each other. */
+/** Registers the instances with the platform, so that they find each other. */
 async function listInstances(
   platformUrl: string,
   instances: readonly { readonly id: string; readonly peers: string }[],
 ): Promise<void> {
-  const list = instances.map(({ id, peers }) => ({ ...PLACE, id, address: peers, state: 'live' }));
+  const list = instances.map(({ id, peers }) => ({
+    ...BENCH_LOCATION,
+    id,
+    address: peers,
+    state: 'live',
+  }));
   await request(`${platformUrl}/_control/instances`, {
     method: 'PUT',
     body: JSON.stringify({ instances: list }),
@@ -156,8 +164,8 @@
   return child;
 }
 
-/** Resolves with the groups of the pattern once the output of a process has it. */
-async function nextMatch(
+/** Waits until the output of a process matches the pattern and returns the captured groups. */
+async function waitForMatch(
   child: ChildProcess,
   stream: 'stdout' | 'stderr',
   pattern: RegExp,
@@ -169,7 +177,7 @@
       const match = pattern.exec(text);
       if (match !== null) resolve(match.slice(1));
     });
-    child.once('close', (code) => reject(new Error(`ended with ${code}: ${text}`)));
+    child.once('close', (code) => reject(new Error(`process exited with code ${code}: ${text}`)));
   });
 }
 
@@ -182,16 +190,16 @@
   await ended;
 }
 
-/** Memory and processor time of a process, from the kernel's tables. */
+/** Memory and processor time of a process, from `/proc` and the status endpoint. */
 export interface ProcessUse {
   readonly residentBytes: number;
-  /** Heap in use, with what is not collected yet. */
+  /** Heap in use, including garbage that is not collected yet. */
   readonly heapBytes: number;
   readonly cpuMs: Millis;
 }
 
 const BYTES_PER_KIB = 1_024;
-/** Ticks of the kernel's accounting in a second. */
+/** Clock ticks per second in `/proc/PID/stat`. */
 const TICKS_PER_SECOND = 100;
 const MS_PER_TICK = 1_000 / TICKS_PER_SECOND;
 
--- a/src/bench/live/streamCall.ts
+++ b/src/bench/live/streamCall.ts
@@ -1,4 +1,4 @@
-/** One streamed completion, with the times at which its tokens arrive. */
+/** Sends one streamed completion request and records when its tokens arrive. */
 import type { Dispatcher } from 'undici';
 import type { Millis } from '../../core/clock.js';
 import { BENCH_KEY, BENCH_POOL } from './processes.js';
@@ -8,20 +8,20 @@
   readonly origin: string;
   readonly question: string;
   readonly tokens: number;
-  /** Called for each part with the number of events in it and the time since the part before. */
+  /** Called for each chunk but the first with its event count and the time since the previous chunk. */
   readonly onPart?: (events: number, gapMs: Millis) => void;
 }
 
 export interface StreamCallResult {
   readonly firstPartMs: Millis;
   readonly totalMs: Millis;
-  /** Whether the end mark arrived. */
+  /** Whether the `[DONE]` event arrived. */
   readonly isWhole: boolean;
 }
 
 const LINE_FEED = 0x0a;
 
-/** Sends a completion. Rejects on any status but 200 and on a broken connection. */
+/** Sends a completion request. Rejects on any status other than 200 and on a connection error. */
 export async function callStream(options: StreamCallOptions): Promise<StreamCallResult> {
   const { dispatcher, origin, question, tokens, onPart } = options;
   const startedAt = performance.now();
@@ -47,7 +47,7 @@
       {
         onRequestStart: () => {},
         onResponseStart: (_controller, status) => {
-          if (status !== 200) reject(new Error(`status ${status}`));
+          if (status !== 200) reject(new Error(`unexpected status ${status}`));
         },
         onResponseData: (_controller, chunk) => {
           const now = performance.now();
@@ -65,7 +65,7 @@
   return { firstPartMs, totalMs, isWhole: tail.endsWith('[DONE]\n\n') };
 }
 
-/** Events in a part; each ends with an empty line. */
+/** Counts the events in a chunk. Each event ends with an empty line. */
 function countEvents(chunk: Uint8Array): number {
   let count = 0;
   for (let i = chunk.indexOf(LINE_FEED); i >= 0; i = chunk.indexOf(LINE_FEED, i + 1)) {
--- a/src/bench/live/streams.ts
+++ b/src/bench/live/streams.ts
@@ -1,6 +1,6 @@
 /**
- * Many streams through one instance process at the same time: token events a second, processor
- * time, memory per stream and the slope of the memory.
+ * Measures many concurrent streams through one instance process: token events per second, processor
+ * time, memory per stream and memory growth.
  */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Agent } from 'undici';
@@ -15,7 +15,7 @@
   readonly tokenIntervalMs: Millis;
   readonly tokensPerStream: number;
   readonly seconds: number;
-  /** Whether the streams go to the engines directly, for comparison. */
+  /** Whether the streams bypass the instance and go directly to the engines, for comparison. */
   readonly isDirect: boolean;
 }
 
@@ -26,13 +26,13 @@
   readonly gapP50: Millis;
   readonly gapP95: Millis;
   readonly gapP99: Millis;
-  /** Share of one core that the instance used. */
+  /** Processor use of the instance, as a fraction of one core. */
   readonly cpuShare: number;
   readonly idleBytes: number;
   readonly bytesPerStream: number;
-  /** Growth of the resident memory by a line fitted to its second half, in bytes a minute. */
+  /** Growth of resident memory in bytes per minute, from a line fitted to the second half of the samples. */
   readonly residentSlope: number;
-  /** The same of the heap after collections: the least value in each span of ten samples. */
+  /** Growth of the heap after garbage collections, taken as the minimum of each ten samples. */
   readonly heapSlope: number;
 }
 
@@ -40,7 +40,7 @@
 const MS_PER_MINUTE = 60 * MS_PER_SECOND;
 const HEAP_SPAN_SAMPLES = 10;
 const SETTLE_MS = 2_000;
-/** Pause after a broken answer. */
+/** Delay after a broken answer. */
 const RETRY_MS = 100;
 
 interface Sample extends ProcessUse {
@@ -98,9 +98,9 @@
 
   const [first] = samples;
   const last = samples.at(-1);
-  if (first === undefined || last === undefined) throw new Error('Nothing was sampled.');
+  if (first === undefined || last === undefined) throw new Error('No sample was taken.');
   const elapsed = last.at - first.at;
-  const late = samples.slice(Math.floor(samples.length / 2));
+  const secondHalf = samples.slice(Math.floor(samples.length / 2));
   const { p50, p95, p99 } = gaps.quantiles();
   return {
     eventsPerSecond: (counts.events * MS_PER_SECOND) / countedMs,
@@ -112,8 +112,8 @@
     cpuShare: (last.cpuMs - first.cpuMs) / elapsed,
     idleBytes: idle.residentBytes,
     bytesPerStream: (last.residentBytes - idle.residentBytes) / options.streams,
-    residentSlope: slopeOf(late.map(({ at, residentBytes }) => [at, residentBytes])),
-    heapSlope: slopeOf(lowest(late).map(({ at, heapBytes }) => [at, heapBytes])),
+    residentSlope: fitSlope(secondHalf.map(({ at, residentBytes }) => [at, residentBytes])),
+    heapSlope: fitSlope(lowestHeapSamples(secondHalf).map(({ at, heapBytes }) => [at, heapBytes])),
   };
 }
 
@@ -127,8 +127,8 @@
   return samples;
 }
 
-/** The sample with the smallest heap of each span. */
-function lowest(samples: readonly Sample[]): readonly Sample[] {
+/** Returns the sample with the smallest heap in each group of `HEAP_SPAN_SAMPLES`. */
+function lowestHeapSamples(samples: readonly Sample[]): readonly Sample[] {
   const spans = Array.from({ length: Math.ceil(samples.length / HEAP_SPAN_SAMPLES) }, (_, i) =>
     samples.slice(i * HEAP_SPAN_SAMPLES, (i + 1) * HEAP_SPAN_SAMPLES),
   );
@@ -137,8 +137,8 @@
 
 type Point = readonly [at: Millis, bytes: number];
 
-/** Slope of the line of least squares through the points, in bytes a minute. */
-function slopeOf(points: readonly Point[]): number {
+/** Returns the slope of the least-squares line through the points, in bytes per minute. */
+function fitSlope(points: readonly Point[]): number {
   const mean = (values: readonly number[]) =>
     values.reduce((sum, value) => sum + value, 0) / values.length;
   const meanAt = mean(points.map(([at]) => at));
