Reword the capacity model

The text of docs/CAPACITY.md and the keys of docs/slopes.json are unchanged.

Notable renames: bySlope -> extrapolate, NOTHING -> ZERO_LOAD, shorten -> roundNumber, noteKind -> addToKind.

--- a/src/bench/capacity/fit.ts
+++ b/src/bench/capacity/fit.ts
@@ -1,12 +1,12 @@
-/** Straight lines fitted to measured points by least squares. */
+/** Fits straight lines to measured points by least squares. */
 
-/** One measured point: size and amount. */
+/** A measured point. */
 export type Point = readonly [x: number, y: number];
 
 export interface Line {
   readonly slope: number;
   readonly intercept: number;
-  /** Root mean square of the residuals, relative to the largest measured amount. */
+  /** Root mean square of the residuals, relative to the largest absolute y value. */
   readonly residual: number;
 }
 
@@ -23,7 +23,7 @@
   return { slope, intercept, residual: Math.sqrt(squares / n) / largest };
 }
 
-/** Returns the amount that a line gives at a size; never less than nothing. */
+/** Returns the y value of a line at `x`, or 0 if it is negative. */
 export function valueAt(line: Line, x: number): number {
   return Math.max(0, line.intercept + line.slope * x);
 }
--- a/src/bench/capacity/fleetRun.ts
+++ b/src/bench/capacity/fleetRun.ts
@@ -1,7 +1,7 @@
 /**
- * One run of a fleet of real cores on the fake network at a stated size, with work waiting
- * throughout. Control traffic and processor time are counted per instance, since a limit holds for
- * the busiest instance and not for the mean.
+ * Runs a fleet of real cores of a given size on the fake network, with requests waiting throughout.
+ * Control traffic and processor time are counted per instance, because the limits apply to the
+ * busiest instance and not to the mean.
  */
 import { performance } from 'node:perf_hooks';
 import type { Millis } from '../../core/clock.js';
@@ -20,7 +20,7 @@
   readonly pools: number;
   readonly engines: number;
   readonly slots: number;
-  /** Customers that always have work waiting; each uses one pool. */
+  /** Number of customers that always have requests waiting. Each uses a single pool. */
   readonly waiting: number;
   readonly customers: number;
   readonly tokensPerRequest: number;
@@ -28,41 +28,41 @@
   readonly durationMs: Millis;
 }
 
-/** Amounts per second of one instance. */
+/** Load of one instance, per second. */
 export interface InstanceLoad {
-  /** Sent and received, with framing. */
+  /** Bytes sent and received, including framing. */
   readonly bytes: number;
   readonly crossRegionBytes: number;
   readonly messages: number;
-  /** Processor time in timers and peer messages, coding included, in milliseconds. */
+  /** Processor time for timers and peer messages, including encoding and decoding, in milliseconds. */
   readonly controlMs: number;
   readonly polls: number;
 }
 
 export interface FleetRunResult {
   readonly mean: InstanceLoad;
-  /** The largest of each amount over the instances. */
+  /** The maximum of each field over the instances. */
   readonly largest: InstanceLoad;
-  /** Means per instance and second by kind: of a message, or `timer NAME`. */
+  /** Mean load per instance and second by message kind or `timer NAME`. */
   readonly kinds: Readonly<Record<string, KindLoad>>;
   readonly requestsPerSecond: number;
 }
 
-/** Amounts per second of one kind of message or timer at one instance. */
+/** Load of one instance from one kind of message or timer, per second. */
 export interface KindLoad {
-  /** Messages sent and received, or firings of the timer. */
+  /** Number of messages sent and received, or of times that the timer fired. */
   readonly events: number;
   readonly bytes: number;
   readonly controlMs: number;
 }
 
-type Totals = { -readonly [K in keyof InstanceLoad]: number };
+type InstanceTotals = { -readonly [K in keyof InstanceLoad]: number };
 
-/** Tag and length of a further message in a batch. */
-const MESSAGE_HEAD_BYTES = 3;
+/** Size of the tag and length that precede each further message in a batch. */
+const MESSAGE_HEADER_BYTES = 3;
 
 const TICK_MS: Millis = 200;
-const MEMBERSHIP_MS: Millis = 6_000;
+const MEMBERSHIP_SETTLE_MS: Millis = 6_000;
 const SETTLE_MS: Millis = 4_000;
 const REFILL_MS: Millis = 200;
 const SAME_REGION_DELAY_MS: Millis = 1;
@@ -84,24 +84,24 @@
       from.region === to.region ? SAME_REGION_DELAY_MS : CROSS_REGION_DELAY_MS,
     ...meter.hooks,
   });
-  network.runUntil(MEMBERSHIP_MS);
-  keepWaiting(network, size);
-  network.runUntil(MEMBERSHIP_MS + SETTLE_MS);
+  network.runUntil(MEMBERSHIP_SETTLE_MS);
+  keepQueuesFilled(network, size);
+  network.runUntil(MEMBERSHIP_SETTLE_MS + SETTLE_MS);
   meter.reset();
-  const jobsBefore = endedJobs(network);
-  network.runUntil(MEMBERSHIP_MS + SETTLE_MS + size.durationMs);
+  const jobsBefore = countFinishedJobs(network);
+  network.runUntil(MEMBERSHIP_SETTLE_MS + SETTLE_MS + size.durationMs);
   const seconds = size.durationMs / MS_PER_SECOND;
-  const requestsPerSecond = (endedJobs(network) - jobsBefore) / seconds;
+  const requestsPerSecond = (countFinishedJobs(network) - jobsBefore) / seconds;
   return { ...meter.result([...network.nodes.keys()], seconds), requestsPerSecond };
 }
 
 function createMeter() {
-  const totals = new Map<InstanceId, Totals>();
-  /** Messages to one instance that one event causes share a batch, and so its framing. */
+  const totals = new Map<InstanceId, InstanceTotals>();
+  /** Links used by the current event. Its messages to one instance share a batch and its framing. */
   const batches = new Set<string>();
   const byKind = new Map<string, { -readonly [K in keyof KindLoad]: number }>();
 
-  function totalsOf(id: InstanceId): Totals {
+  function totalsOf(id: InstanceId): InstanceTotals {
     const known = totals.get(id);
     if (known !== undefined) return known;
     const fresh = { bytes: 0, crossRegionBytes: 0, messages: 0, controlMs: 0, polls: 0 };
@@ -109,7 +109,7 @@
     return fresh;
   }
 
-  function noteKind(kind: string, events: number, bytes: number, controlMs: number): void {
+  function addToKind(kind: string, events: number, bytes: number, controlMs: number): void {
     const known = byKind.get(kind) ?? { events: 0, bytes: 0, controlMs: 0 };
     byKind.set(kind, known);
     known.events += events;
@@ -124,7 +124,7 @@
       const middle = performance.now();
       PeerMessageCodec.decode(encoded);
       const link = `${from.id} ${to.id}`;
-      const bytes = encoded.length + (batches.has(link) ? MESSAGE_HEAD_BYTES : FRAMING_BYTES);
+      const bytes = encoded.length + (batches.has(link) ? MESSAGE_HEADER_BYTES : FRAMING_BYTES);
       batches.add(link);
       const sender = totalsOf(from.id);
       const receiver = totalsOf(to.id);
@@ -136,7 +136,7 @@
         side.messages += 1;
         if (from.region !== to.region) side.crossRegionBytes += bytes;
       });
-      noteKind(message.$case, 2, 2 * bytes, end - start);
+      addToKind(message.$case, 2, 2 * bytes, end - start);
     },
     onReduce: (id, event, run) => {
       const isControl = event.kind === 'peerMessage' || event.kind === 'timer';
@@ -146,8 +146,8 @@
       const side = totalsOf(id);
       const spent = performance.now() - start;
       if (isControl) side.controlMs += spent;
-      if (event.kind === 'peerMessage') noteKind(event.message.$case, 0, 0, spent);
-      if (event.kind === 'timer') noteKind(`timer ${event.timer}`, 1, 0, spent);
+      if (event.kind === 'peerMessage') addToKind(event.message.$case, 0, 0, spent);
+      if (event.kind === 'timer') addToKind(`timer ${event.timer}`, 1, 0, spent);
       side.polls += effects.filter((effect) => effect.kind === 'pollUpstream').length;
       return effects;
     },
@@ -155,9 +155,9 @@
 
   function result(ids: readonly InstanceId[], seconds: number) {
     const sides = ids.map(totalsOf);
-    const mean = (of: (side: Totals) => number) =>
+    const mean = (of: (side: InstanceTotals) => number) =>
       sides.reduce((sum, side) => sum + of(side), 0) / sides.length / seconds;
-    const largest = (of: (side: Totals) => number) => Math.max(...sides.map(of)) / seconds;
+    const largest = (of: (side: InstanceTotals) => number) => Math.max(...sides.map(of)) / seconds;
     const each = (pick: typeof mean): InstanceLoad => ({
       bytes: pick((side) => side.bytes),
       crossRegionBytes: pick((side) => side.crossRegionBytes),
@@ -183,8 +183,8 @@
   return { hooks, reset, result };
 }
 
-/** Sends requests so that each waiting customer has more of them than slots can take. */
-function keepWaiting(network: FakeNetwork, size: FleetRunSize): void {
+/** Refills the queues of the waiting customers, so that more requests wait than there are slots. */
+function keepQueuesFilled(network: FakeNetwork, size: FleetRunSize): void {
   const random = createRandom(5);
   const ids = [...network.nodes.keys()];
   const depth = Math.max(2, Math.ceil((2 * size.engines * size.slots) / size.waiting));
@@ -213,7 +213,7 @@
   });
 }
 
-function endedJobs(network: FakeNetwork): number {
+function countFinishedJobs(network: FakeNetwork): number {
   let ended = 0;
   network.jobs.forEach((job) => {
     if (job.outcome === 'finished') ended += 1;
--- a/src/bench/capacity/page.ts
+++ b/src/bench/capacity/page.ts
@@ -1,4 +1,4 @@
-/** Works out docs/CAPACITY.md from the measured slopes. The same slopes give the same page. */
+/** Renders docs/CAPACITY.md from the measured slopes. The output depends on nothing else. */
 import { valueAt } from './fit.js';
 import type { KindLoad } from './fleetRun.js';
 import { KEYED_SHARE, MEASURED_ELSEWHERE, ROLES, type Role, type Share } from './roles.js';
@@ -9,7 +9,7 @@
 const KIB = 1_024;
 const MIB = 1_024 * 1_024;
 
-const NOTHING: KindLoad = { events: 0, bytes: 0, controlMs: 0 };
+const ZERO_LOAD: KindLoad = { events: 0, bytes: 0, controlMs: 0 };
 
 export function renderCapacity(slopes: SlopesFile): string {
   return [
@@ -48,82 +48,84 @@
 
 function renderRoles(slopes: SlopesFile): string {
   const rows = ROLES.map((role) => {
-    const bySlopes = sum(role.shares.map((share) => bySlope(slopes, share)));
-    const inSlice = sum(role.shares.map((share) => slopes.slice.kinds[share.kind] ?? NOTHING));
-    return row([
+    const bySlopes = sumLoads(role.shares.map((share) => extrapolate(slopes, share)));
+    const inSlice = sumLoads(
+      role.shares.map((share) => slopes.slice.kinds[share.kind] ?? ZERO_LOAD),
+    );
+    return renderRow([
       role.name,
       role.mechanism,
       bySlopes.events.toFixed(0),
-      kib(bySlopes.bytes),
+      formatKib(bySlopes.bytes),
       bySlopes.controlMs.toFixed(1),
-      kib(inSlice.bytes),
+      formatKib(inSlice.bytes),
       inSlice.controlMs.toFixed(1),
     ]);
   });
   const polls = pollLoad(slopes);
-  return table(
+  return renderTable(
     'Approximate state, per instance and second',
     ['role', 'mechanism', 'events', 'KiB/s', 'ms/s', 'KiB/s in the slice', 'ms/s in the slice'],
     [
       ...rows,
-      row([
+      renderRow([
         'owner, readings of load',
         '`GET /load` and `/cache/events` of engines (`core/dispatch/loadPolls.ts`)',
         polls.events.toFixed(0),
-        kib(polls.bytes),
+        formatKib(polls.bytes),
         '-',
-        kib(polls.bytes),
+        formatKib(polls.bytes),
         '-',
       ]),
     ],
   );
 }
 
-/** Roles whose work is by requests with a key or by edits, from measurements of their own. */
+/** Renders the roles whose load depends on keyed requests or edits, from separate measurements. */
 function renderExactRoles(): string {
-  const m = MEASURED_ELSEWHERE;
+  const measured = MEASURED_ELSEWHERE;
   const keyed = TARGET.requestsPerSecond * KEYED_SHARE;
   const edits = TARGET.changesPerDay / SECONDS_PER_DAY;
   const restarts = TARGET.restartsPerDay / SECONDS_PER_DAY;
-  return table(
+  return renderTable(
     'Exact state',
     ['role', 'mechanism', 'amount', 'per instance'],
     [
-      row([
+      renderRow([
         'claim reader (each instance)',
         'log stream `claims` (`core/claims`)',
         `${keyed} keyed requests/s, ${KEYED_SHARE * 100}% of all (assumed)`,
-        `${kib(keyed * m.claimRecordBytes)} KiB/s, ${mib(keyed * m.claimMemoryBytes * m.claimMemorySeconds)} MiB: **over the limits**`,
+        `${formatKib(keyed * measured.claimRecordBytes)} KiB/s, ${formatMib(keyed * measured.claimMemoryBytes * measured.claimMemorySeconds)} MiB: **over the limits**`,
       ]),
-      row([
+      renderRow([
         'claim writer (2 instances)',
         'group commit (`core/claims/submission.ts`)',
         'at most 200 appends/s for the fleet',
-        `${kib((keyed * m.claimRecordBytes) / 2)} KiB/s towards the log`,
+        `${formatKib((keyed * measured.claimRecordBytes) / 2)} KiB/s towards the log`,
       ]),
-      row([
+      renderRow([
         'configuration, each instance',
         'records passed on in the domain (`core/configuration/distribution.ts`)',
         `${edits.toFixed(3)} edits/s`,
-        `${(edits * m.editBytes).toFixed(0)} B/s, ${(edits * m.editMs).toFixed(2)} ms/s, ${mib(m.heapBytes)} MiB`,
+        `${(edits * measured.editBytes).toFixed(0)} B/s, ${(edits * measured.editMs).toFixed(2)} ms/s, ${formatMib(measured.heapBytes)} MiB`,
       ]),
-      row([
+      renderRow([
         'checkpoint writer (1 instance)',
         'document in parts (`core/configuration/checkpointing.ts`)',
-        `${mib(m.documentBytes)} MiB every ${m.checkpointSeconds / 60} min`,
-        `${kib(m.documentBytes / m.checkpointSeconds)} KiB/s towards the log`,
+        `${formatMib(measured.documentBytes)} MiB every ${measured.checkpointSeconds / 60} min`,
+        `${formatKib(measured.documentBytes / measured.checkpointSeconds)} KiB/s towards the log`,
       ]),
-      row([
+      renderRow([
         'order giver (owners)',
         'orders by the log (`core/orders`)',
         'one record and one call for each load',
         'by changes only',
       ]),
-      row([
+      renderRow([
         'newcomer',
         'configuration from a peer, claims since the checkpoint',
         `${restarts.toFixed(3)} restarts/s in the fleet`,
-        `${mib(m.documentBytes)} MiB once; ${((restarts * m.documentBytes) / TARGET.instances).toFixed(0)} B/s on the mean instance that serves it`,
+        `${formatMib(measured.documentBytes)} MiB once; ${((restarts * measured.documentBytes) / TARGET.instances).toFixed(0)} B/s on the mean instance that serves it`,
       ]),
     ],
   );
@@ -137,15 +139,15 @@
     'waiting requests': 4 * TARGET_VALUES.requestsPerInstance,
   };
   const rows = slopes.state.map(({ per, line }) =>
-    row([
+    renderRow([
       per,
       line.slope.toFixed(0),
-      percent(line.residual),
+      formatPercent(line.residual),
       String(amounts[per] ?? 0),
-      mib((amounts[per] ?? 0) * line.slope),
+      formatMib((amounts[per] ?? 0) * line.slope),
     ]),
   );
-  return table(
+  return renderTable(
     'State of the core in memory',
     ['of', 'bytes each', 'residual', 'number at an instance', 'MiB'],
     rows,
@@ -158,73 +160,78 @@
   const largest = slice.largest.bytes + pollLoad(slopes).bytes;
   const sent = slice.mean.bytes / 2;
   const rows = [
-    limitRow(
+    renderLimitRow(
       'bytes/s, sent and received, with readings of load',
       bytes / KIB,
       LIMITS.bytesPerSecond / KIB,
       'KiB/s',
     ),
-    limitRow(
+    renderLimitRow(
       'the same at the busiest instance',
       largest / KIB,
       LIMITS.bytesPerSecond / KIB,
       'KiB/s',
     ),
-    limitRow('bytes/s sent to other instances', sent / KIB, LIMITS.bytesPerSecond / KIB, 'KiB/s'),
-    limitRow('processor time', slice.mean.controlMs, LIMITS.controlMs, 'ms/s'),
-    limitRow(
+    renderLimitRow(
+      'bytes/s sent to other instances',
+      sent / KIB,
+      LIMITS.bytesPerSecond / KIB,
+      'KiB/s',
+    ),
+    renderLimitRow('processor time', slice.mean.controlMs, LIMITS.controlMs, 'ms/s'),
+    renderLimitRow(
       'processor time at the busiest instance',
       slice.largest.controlMs,
       LIMITS.controlMs,
       'ms/s',
     ),
-    limitRow(
+    renderLimitRow(
       'memory of the configuration and its view',
       MEASURED_ELSEWHERE.heapBytes / MIB,
       LIMITS.memoryBytes / MIB,
       'MiB',
     ),
   ];
-  return `${table('Against the limits, in the slice', ['what', 'figure', 'limit', 'verdict'], rows)}
+  return `${renderTable('Against the limits, in the slice', ['what', 'figure', 'limit', 'verdict'], rows)}
 What would mend the figures over the limit:
 
 - **Bytes**: half of them are announcements of waiting work, at some ${slopes.slice.kinds.waitingUpdate?.events.toFixed(0) ?? '?'} messages a second of
-  ${perMessage(slopes)} bytes. One message to an owner for all pools, and counts that are announced with a
+  ${bytesPerWaitingUpdate(slopes)} bytes. One message to an owner for all pools, and counts that are announced with a
   tolerance where an owner has other work of the customer, would halve them again. Readings of load
   shrink if engines push their load, or if one answer holds load and cache events.
 - **Processor time**: two thirds are in the announce timer and in the waiting updates, which look for a
   free slot at each change. An index of waiting customers by virtual service in place of a walk is next.
 - **Claims**: each instance reads every claim. Dividing the stream by key among the instances of a
-  domain (docs/notes/claims.md) makes it a share of 1/${Math.ceil(TARGET_VALUES.instancesPerDomain)}: ${kib((TARGET.requestsPerSecond * KEYED_SHARE * MEASURED_ELSEWHERE.claimRecordBytes) / Math.ceil(TARGET_VALUES.instancesPerDomain))} KiB/s. Not built.
+  domain (docs/notes/claims.md) makes it a share of 1/${Math.ceil(TARGET_VALUES.instancesPerDomain)}: ${formatKib((TARGET.requestsPerSecond * KEYED_SHARE * MEASURED_ELSEWHERE.claimRecordBytes) / Math.ceil(TARGET_VALUES.instancesPerDomain))} KiB/s. Not built.
 
 What was mended from an earlier figure is in docs/MEASUREMENTS.md, under "Size to come".
 `;
 }
 
-/** What rarer events add, by formula. */
+/** Renders the additional load from rare events, calculated from the target size. */
 function renderEvents(): string {
   const perDomain = Math.ceil(TARGET_VALUES.instancesPerDomain);
   const enginesPerDomain = Math.round(TARGET.engines / TARGET.domains);
   const { documentBytes } = MEASURED_ELSEWHERE;
   const restarts = (TARGET.restartsPerDay + TARGET.failuresPerDay) / SECONDS_PER_DAY;
-  return table(
+  return renderTable(
     'What rarer events add',
     ['event', 'what happens', 'cost'],
     [
-      row([
+      renderRow([
         'loss of a failure domain',
         `its ${enginesPerDomain} engines pass to the ready instances of the region, or of the fleet`,
         `${(enginesPerDomain / (TARGET.instances / TARGET.regions - perDomain)).toFixed(1)} more engines for each instance of the region`,
       ]),
-      row([
+      renderRow([
         'flood by one customer',
         'its counts are announced up to 64; the rest waits in the queues of the entries',
         'no more messages than any waiting customer; memory up to its limits',
       ]),
-      row([
+      renderRow([
         'restarts and failures',
         `${restarts.toFixed(3)} a second: a newcomer takes the document from a peer`,
-        `${mib(documentBytes)} MiB each`,
+        `${formatMib(documentBytes)} MiB each`,
       ]),
     ],
   );
@@ -233,38 +240,38 @@
 function renderSlopes(slopes: SlopesFile): string {
   const rows = ROLES.flatMap((role: Role) =>
     role.shares.flatMap((share) => {
-      const line = lineOf(slopes, share);
+      const line = findLine(slopes, share);
       if (line === undefined) return [];
       return [
-        row([
+        renderRow([
           share.kind,
           share.driver,
           line.bytes.slope.toPrecision(3),
-          percent(line.bytes.residual),
+          formatPercent(line.bytes.residual),
           line.controlMs.slope.toPrecision(3),
-          percent(line.controlMs.residual),
+          formatPercent(line.controlMs.residual),
         ]),
       ];
     }),
   );
-  return table(
+  return renderTable(
     'The slopes',
     ['kind', 'over', 'B/s for one more', 'residual', 'ms/s for one more', 'residual'],
     rows,
   );
 }
 
-/** Plots the measured totals over each dimension, as charts that Markdown viewers draw. */
+/** Renders the measured totals over each dimension as Mermaid charts. */
 function renderPlots(slopes: SlopesFile): string {
   const charts = slopes.totals.flatMap(({ dimension, points }) => {
     const at = points.map((point) => point.at);
     return [
-      chart(
+      renderChart(
         `${dimension}: bytes/s of an instance`,
         at,
         points.map((point) => point.bytes),
       ),
-      chart(
+      renderChart(
         `${dimension}: ms/s of an instance`,
         at,
         points.map((point) => point.controlMs),
@@ -274,7 +281,7 @@
   return `## Plots\n\n${charts.join('\n')}`;
 }
 
-function chart(title: string, x: readonly number[], y: readonly number[]): string {
+function renderChart(title: string, x: readonly number[], y: readonly number[]): string {
   const top = Math.ceil(1.1 * Math.max(...y));
   return [
     '```mermaid',
@@ -288,16 +295,16 @@
   ].join('\n');
 }
 
-function lineOf(slopes: SlopesFile, share: Share) {
+function findLine(slopes: SlopesFile, share: Share) {
   return slopes.kinds.find(
     ({ kind, dimension }) => kind === share.kind && dimension === share.driver,
   );
 }
 
-function bySlope(slopes: SlopesFile, share: Share): KindLoad {
-  const line = lineOf(slopes, share);
+function extrapolate(slopes: SlopesFile, share: Share): KindLoad {
+  const line = findLine(slopes, share);
   const at = TARGET_VALUES[share.driver];
-  if (line === undefined) return NOTHING;
+  if (line === undefined) return ZERO_LOAD;
   return {
     events: valueAt(line.events, at),
     bytes: valueAt(line.bytes, at),
@@ -310,44 +317,44 @@
   return { events: polls, bytes: polls * slopes.pollBytes, controlMs: 0 };
 }
 
-function perMessage(slopes: SlopesFile): string {
-  const updates = slopes.slice.kinds.waitingUpdate ?? NOTHING;
+function bytesPerWaitingUpdate(slopes: SlopesFile): string {
+  const updates = slopes.slice.kinds.waitingUpdate ?? ZERO_LOAD;
   return updates.events === 0 ? '?' : (updates.bytes / updates.events).toFixed(0);
 }
 
-function sum(loads: readonly KindLoad[]): KindLoad {
+function sumLoads(loads: readonly KindLoad[]): KindLoad {
   return loads.reduce(
     (total, load) => ({
       events: total.events + load.events,
       bytes: total.bytes + load.bytes,
       controlMs: total.controlMs + load.controlMs,
     }),
-    NOTHING,
+    ZERO_LOAD,
   );
 }
 
-function limitRow(what: string, figure: number, limit: number, unit: string): string {
+function renderLimitRow(what: string, figure: number, limit: number, unit: string): string {
   const verdict = figure <= limit ? 'within' : `**over, ${(figure / limit).toFixed(1)} times**`;
-  return row([what, `${figure.toFixed(1)} ${unit}`, `${limit.toFixed(0)} ${unit}`, verdict]);
+  return renderRow([what, `${figure.toFixed(1)} ${unit}`, `${limit.toFixed(0)} ${unit}`, verdict]);
 }
 
-function table(title: string, head: readonly string[], rows: readonly string[]): string {
-  const rule = row(head.map(() => '---'));
-  return `## ${title}\n\n${[row(head), rule, ...rows].join('\n')}\n`;
+function renderTable(title: string, head: readonly string[], rows: readonly string[]): string {
+  const rule = renderRow(head.map(() => '---'));
+  return `## ${title}\n\n${[renderRow(head), rule, ...rows].join('\n')}\n`;
 }
 
-function row(cells: readonly string[]): string {
+function renderRow(cells: readonly string[]): string {
   return `| ${cells.join(' | ')} |`;
 }
 
-function kib(bytes: number): string {
+function formatKib(bytes: number): string {
   return (bytes / KIB).toFixed(1);
 }
 
-function mib(bytes: number): string {
+function formatMib(bytes: number): string {
   return (bytes / MIB).toFixed(1);
 }
 
-function percent(share: number): string {
+function formatPercent(share: number): string {
   return `${(100 * share).toFixed(0)}%`;
 }
--- a/src/bench/capacity/pollBytes.ts
+++ b/src/bench/capacity/pollBytes.ts
@@ -1,10 +1,10 @@
-/** The bytes that one reading of an engine's load and cache events takes on its connection. */
+/** Measures the bytes that one poll of an engine's load and cache events transfers. */
 import { connect } from 'node:net';
 import { createEngineStandin } from '../../standins/index.js';
 
 const PATHS = ['/load', '/cache/events?after=0'] as const;
 
-/** Asks an engine stand-in on one connection and counts the bytes both ways. */
+/** Polls an engine stand-in, with one connection per path, and returns the bytes sent and received. */
 export async function measurePollBytes(): Promise<number> {
   const engine = await createEngineStandin({});
   const sizes = await Promise.all(PATHS.map(async (path) => measurePath(engine.port, path)));
--- a/src/bench/capacity/roles.ts
+++ b/src/bench/capacity/roles.ts
@@ -1,15 +1,15 @@
-/** The roles of an instance: which messages and timers belong to each, and what drives their number. */
+/** The roles of an instance, with the messages and timers of each and the dimension that drives them. */
 import type { Dimension } from './target.js';
 
 export interface Share {
-  /** Kind of message, or `timer NAME`, as fleet runs count them. */
+  /** Message kind or `timer NAME`, as counted by `runFleet`. */
   readonly kind: string;
   readonly driver: Dimension;
 }
 
 export interface Role {
   readonly name: string;
-  /** What carries it, by module. */
+  /** The mechanism that implements the role, with its module. */
   readonly mechanism: string;
   readonly shares: readonly Share[];
 }
@@ -66,13 +66,13 @@
   },
 ];
 
-/** Figures of other measurements, with the section of docs/MEASUREMENTS.md that has them. */
+/** Results of other measurements, by section of docs/MEASUREMENTS.md. */
 export const MEASURED_ELSEWHERE = {
-  /** Exact outcomes: bytes of a key's records in the log, and of what is remembered of it. */
+  /** Exact outcomes: size of the records of a key in the log, and of its state in memory. */
   claimRecordBytes: 494,
   claimMemoryBytes: 473,
   claimMemorySeconds: 900,
-  /** Configuration: per edit, instance; and the heap of an instance with the whole document. */
+  /** Configuration: cost per edit and instance, and heap of an instance with the whole document. */
   editBytes: 205,
   editMs: 5.4,
   documentBytes: 2.76 * 1024 * 1024,
@@ -80,5 +80,5 @@
   checkpointSeconds: 1_200,
 } as const;
 
-/** Share of the requests that are assumed to be keyed and not idempotent. */
+/** Assumed share of requests that are keyed and not idempotent. */
 export const KEYED_SHARE = 0.01;
--- a/src/bench/capacity/slopes.ts
+++ b/src/bench/capacity/slopes.ts
@@ -1,6 +1,6 @@
 /**
- * `npm run slopes`: measures the slopes of state, messages, bytes and processor time and writes
- * docs/slopes.json, from which `npm run capacity` works out docs/CAPACITY.md.
+ * `npm run slopes`: measures how state, messages, bytes and processor time grow with the size of the
+ * fleet and writes docs/slopes.json, from which `npm run capacity` renders docs/CAPACITY.md.
  */
 import { writeFileSync } from 'node:fs';
 import { readRevision } from '../support/revision.js';
@@ -19,7 +19,7 @@
   'requestsPerInstance',
 ];
 
-const NOTHING: KindLoad = { events: 0, bytes: 0, controlMs: 0 };
+const ZERO_LOAD: KindLoad = { events: 0, bytes: 0, controlMs: 0 };
 
 async function measure(): Promise<SlopesFile> {
   const sweeps = DIMENSIONS.map((dimension) => ({
@@ -29,7 +29,7 @@
       return { at, result: runFleet(size) };
     }),
   }));
-  console.log('one failure domain of the size to come');
+  console.log('one failure domain of the target size');
   const slice = runFleet(DOMAIN_SLICE);
   const pollBytes = await measurePollBytes();
   return {
@@ -57,7 +57,7 @@
   const kinds = new Set(runs.flatMap(({ result }) => Object.keys(result.kinds)));
   return [...kinds].sort().map((kind) => {
     const line = (of: (load: KindLoad) => number) =>
-      fitLine(runs.map(({ at, result }): Point => [at, of(result.kinds[kind] ?? NOTHING)]));
+      fitLine(runs.map(({ at, result }): Point => [at, of(result.kinds[kind] ?? ZERO_LOAD)]));
     return {
       kind,
       dimension,
@@ -68,10 +68,10 @@
   });
 }
 
-/** Numbers are written with four digits, so that the file can be read. */
-function shorten(_: string, value: unknown): unknown {
+/** Rounds numbers to four significant digits, to keep the file readable. */
+function roundNumber(_: string, value: unknown): unknown {
   return typeof value === 'number' ? Number(value.toPrecision(4)) : value;
 }
 
-writeFileSync(SLOPES_PATH, `${JSON.stringify(await measure(), shorten, 1)}\n`);
+writeFileSync(SLOPES_PATH, `${JSON.stringify(await measure(), roundNumber, 1)}\n`);
 console.log(`wrote ${SLOPES_PATH}`);
--- a/src/bench/capacity/slopesFile.ts
+++ b/src/bench/capacity/slopesFile.ts
@@ -1,10 +1,10 @@
-/** The file of measured slopes. */
+/** The format of docs/slopes.json. */
 import type { Line } from './fit.js';
 import type { FleetRunResult } from './fleetRun.js';
 import type { StateSlope } from './stateSlopes.js';
 import type { Dimension } from './target.js';
 
-/** A kind of message or timer over one dimension. */
+/** Load from one kind of message or timer over one dimension. */
 export interface KindSlope {
   readonly kind: string;
   readonly dimension: Dimension;
@@ -27,7 +27,7 @@
   }[];
   readonly state: readonly StateSlope[];
   readonly slice: FleetRunResult;
-  /** Bytes of one reading of an engine's load and cache events, both ways. */
+  /** Bytes sent and received for one poll of an engine's load and cache events. */
   readonly pollBytes: number;
 }
 
--- a/src/bench/capacity/target.ts
+++ b/src/bench/capacity/target.ts
@@ -1,4 +1,4 @@
-/** The size to come, the limits on control, and the sizes at which slopes are measured. */
+/** The target size, the limits on control load, and the sizes at which slopes are measured. */
 import type { FleetRunSize } from './fleetRun.js';
 
 export const TARGET = {
@@ -23,7 +23,7 @@
   bytesPerSecond: 21 * 1024,
 } as const;
 
-/** What a slope is measured over. */
+/** An independent variable of the slopes. */
 export type Dimension =
   'waiting' | 'instancesPerDomain' | 'enginesPerInstance' | 'domains' | 'requestsPerInstance';
 
@@ -31,7 +31,7 @@
 const REQUESTS_PER_ENGINE = TARGET.requestsPerSecond / TARGET.engines;
 const TOKENS_PER_REQUEST = TARGET.tokensPerSecond / TARGET.requestsPerSecond;
 
-/** The value of a dimension at the size to come. */
+/** The value of each dimension at the target size. */
 export const TARGET_VALUES: Readonly<Record<Dimension, number>> = {
   waiting: TARGET.waiting,
   instancesPerDomain: TARGET.instances / TARGET.domains,
@@ -64,21 +64,21 @@
   requestsPerInstance: [5, 10, 20, 40],
 };
 
-/** Sizes along one dimension, the others as in the base. */
+/** Returns run sizes that vary one dimension and take the others from `BASE`. */
 export function sizesAlong(
   dimension: Dimension,
 ): readonly { readonly at: number; readonly size: FleetRunSize }[] {
   return STEPS[dimension].map((at) => {
     const shape = { ...BASE, [dimension]: at };
-    // The rate of an engine is kept while their number changes.
+    // The request rate per engine stays constant when the number of engines varies.
     const requestsPerInstance =
       dimension === 'enginesPerInstance' ? at * REQUESTS_PER_ENGINE : shape.requestsPerInstance;
-    return { at, size: sizeOf({ ...shape, requestsPerInstance }) };
+    return { at, size: toRunSize({ ...shape, requestsPerInstance }) };
   });
 }
 
-/** One failure domain of the size to come, as large as it will be. */
-export const DOMAIN_SLICE: FleetRunSize = sizeOf({
+/** One full failure domain at the target size. */
+export const DOMAIN_SLICE: FleetRunSize = toRunSize({
   waiting: TARGET.waiting,
   instancesPerDomain: Math.ceil(TARGET_VALUES.instancesPerDomain),
   enginesPerInstance: TARGET_VALUES.enginesPerInstance,
@@ -86,7 +86,7 @@
   requestsPerInstance: TARGET_VALUES.requestsPerInstance,
 });
 
-function sizeOf(shape: Shape): FleetRunSize {
+function toRunSize(shape: Shape): FleetRunSize {
   const instances = shape.instancesPerDomain * shape.domains;
   const engines = shape.enginesPerInstance * instances;
   const slotRate = (shape.requestsPerInstance * instances) / (engines * SLOTS);
