Reword the configuration benchmarks

The race benchmark counted instances that "went back" and the large document was of "the size to come". Output and comments now speak of version decreases, agreement between instances and the target size.

Notable renames: inForce -> waitUntilInForce, tallies -> counts, faultFor -> applyPlatformFault, measureNewcomer -> measureEmptyStart.

--- a/src/bench/configuration/fakeEngines.ts
+++ b/src/bench/configuration/fakeEngines.ts
@@ -1,20 +1,20 @@
-/** Engines that load models on order, with a time for each load, for tests of orders. */
+/** Fake engines that execute orders, such as loading a model, with a fixed duration. */
 import type { CoreEvent, EngineOrder, UpstreamId, UpstreamReport } from '../../core/types.js';
 
 type OrderResult = Extract<CoreEvent, { readonly kind: 'orderSettled' }>['result'];
 
 export interface FakeEngine {
   readonly id: UpstreamId;
-  /** Whether it refuses an order with a number below the last one. */
+  /** Whether the engine rejects orders with a number lower than that of the last accepted one. */
   readonly checks: boolean;
   model: string;
   version: string;
   adapters: string[];
   role: string;
   orderNumber: number;
-  /** Order under way, in effect at `doneAt`. */
+  /** The order in progress, which takes effect at `doneAt`. */
   loading: { readonly order: EngineOrder; readonly doneAt: number } | undefined;
-  /** Model loads that were begun. */
+  /** Number of model loads started. */
   loads: number;
   isUp: boolean;
 }
@@ -28,7 +28,7 @@
     order: EngineOrder,
     now: number,
   ) => OrderResult;
-  /** Engines of which a model is being loaded. */
+  /** Returns the number of engines that are loading a model. */
   readonly loadingCount: (now: number) => number;
 }
 
@@ -57,7 +57,7 @@
     ]),
   );
 
-  function settle(engine: FakeEngine, now: number): void {
+  function completeLoading(engine: FakeEngine, now: number): void {
     const { loading } = engine;
     if (loading === undefined || now < loading.doneAt) return;
     engine.loading = undefined;
@@ -78,7 +78,7 @@
     report: (id, now) => {
       const engine = engines.get(id);
       if (engine?.isUp !== true) return undefined;
-      settle(engine, now);
+      completeLoading(engine, now);
       const { model, version, adapters, role, orderNumber } = engine;
       const load = { running: 0, queued: 0, slots: 4, tokensPerSecond: 0, epoch: 'e' };
       return { model, version, adapters, role, orderNumber, ...load };
@@ -86,7 +86,7 @@
     giveOrder: (id, number, order, now) => {
       const engine = engines.get(id);
       if (engine?.isUp !== true) return 'failed';
-      settle(engine, now);
+      completeLoading(engine, now);
       if (engine.checks && number < engine.orderNumber) return 'stale';
       engine.orderNumber = number;
       const loadMs = order.kind === 'load-model' ? options.loadMs : 10;
@@ -95,7 +95,7 @@
       return 'accepted';
     },
     loadingCount: (now) => {
-      engines.forEach((engine) => settle(engine, now));
+      engines.forEach((engine) => completeLoading(engine, now));
       const all = [...engines.values()];
       return all.filter(({ loading }) => loading?.order.kind === 'load-model').length;
     },
--- a/src/bench/configuration/fakeFleet.ts
+++ b/src/bench/configuration/fakeFleet.ts
@@ -1,6 +1,6 @@
 /**
- * Several cores with a fake clock, a fake network and a fake log, for the tests and measurements of
- * the configuration. Messages take a fixed time; links, the log and single replies can fail.
+ * Several cores with a fake clock, a fake network and a fake log, for tests and measurements of the
+ * configuration. Messages have a fixed latency. Links, the log and individual replies can fail.
  */
 import { createCore, type Core } from '../../core/core.js';
 import type { FakeEngines } from './fakeEngines.js';
@@ -32,22 +32,22 @@
   readonly settings?: Partial<CoreSettings>;
   readonly latencyMs?: number;
   readonly engines?: FakeEngines;
-  /** Share of the replies to orders that are lost. */
+  /** Share of the replies to orders that are lost, from 0 to 1. */
   readonly lostOrderReplies?: number;
   readonly onMessage?: (from: FakeInstance, to: FakeInstance, message: PeerMessage) => void;
-  /** Wraps each call of a core, to time it. */
-  readonly timed?: (instance: FakeInstance, event: CoreEvent, run: () => void) => void;
+  /** Wraps each call to `reduce`, for example to time it. */
+  readonly onReduce?: (instance: FakeInstance, event: CoreEvent, run: () => void) => void;
 }
 
-/** State of the fake log; tests set the faults. */
+/** State of the fake log. Tests set its fields to inject faults. */
 export interface FakeLog {
   readonly streams: Map<string, string[]>;
-  /** Offset of the oldest record that is kept. */
+  /** Offset of the oldest retained record of each stream. */
   readonly oldest: Map<string, number>;
   isDown: boolean;
-  /** Instances that cannot reach it. */
+  /** Instances that cannot reach the log. */
   readonly cutOff: Set<InstanceId>;
-  /** Appends that take effect but whose replies are lost. */
+  /** Number of further appends that take effect but whose replies are lost. */
   lostReplies: number;
   delayMs: number;
   appends: number;
@@ -69,13 +69,13 @@
   readonly instances: readonly FakeInstance[];
   readonly log: FakeLog;
   readonly now: () => number;
-  /** Pairs of domains whose instances cannot talk, as `a|b` in sorted order. */
+  /** Pairs of domains that cannot exchange messages, as `a|b` in sorted order. */
   readonly cutLinks: Set<string>;
   readonly run: (ms: number) => void;
-  /** Runs until `until` holds, at most for `ms`; returns the time taken, or undefined. */
+  /** Runs until `until` returns true. Returns the elapsed time, or undefined after `ms`. */
   readonly runUntil: (until: () => boolean, ms: number) => number | undefined;
   readonly stop: (instance: FakeInstance) => void;
-  /** Starts an instance afresh, with empty state. */
+  /** Starts an instance with empty state. */
   readonly start: (instance: FakeInstance) => void;
   readonly command: (
     instance: FakeInstance,
@@ -90,7 +90,7 @@
 export function createFakeFleet(options: FakeFleetOptions): FakeFleet {
   const random = createRandom(options.seed);
   const latencyMs = options.latencyMs ?? DEFAULT_LATENCY_MS;
-  const due = new Map<number, Action[]>();
+  const actionsByTime = new Map<number, Action[]>();
   const timers = new Map<string, number>();
   const replies = new Map<string, (result: OperatorResult) => void>();
   const cutLinks = new Set<string>();
@@ -105,7 +105,7 @@
     appends: 0,
     reads: 0,
   };
-  let current = 0;
+  let currentTime = 0;
   let nextCommand = 1;
   const instances = Array.from({ length: options.instances }, (_, i): FakeInstance => {
     const id = `i${i}`;
@@ -114,19 +114,19 @@
   });
   const byId = new Map(instances.map((instance) => [instance.id, instance]));
 
-  function at(time: number, action: Action): void {
-    const actions = due.get(time) ?? [];
+  function scheduleAt(time: number, action: Action): void {
+    const actions = actionsByTime.get(time) ?? [];
     actions.push(action);
-    due.set(time, actions);
+    actionsByTime.set(time, actions);
   }
 
   function post(instance: FakeInstance, incarnation: number, event: CoreEvent): void {
     if (!instance.isUp || instance.incarnation !== incarnation) return;
     const run = () => {
-      instance.core.reduce(event, current).forEach((effect) => perform(instance, effect));
+      instance.core.reduce(event, currentTime).forEach((effect) => perform(instance, effect));
     };
-    if (options.timed === undefined) run();
-    else options.timed(instance, event, run);
+    if (options.onReduce === undefined) run();
+    else options.onReduce(instance, event, run);
   }
 
   function perform(instance: FakeInstance, effect: Effect): void {
@@ -134,9 +134,9 @@
     switch (effect.kind) {
       case 'setTimer': {
         const name = `${instance.id} ${incarnation} ${effect.timer}`;
-        const time = Math.max(Math.ceil(effect.at), current + 1);
+        const time = Math.max(Math.ceil(effect.at), currentTime + 1);
         timers.set(name, time);
-        at(time, () => {
+        scheduleAt(time, () => {
           if (timers.get(name) !== time) return;
           timers.delete(name);
           post(instance, incarnation, { kind: 'timer', timer: effect.timer });
@@ -153,14 +153,14 @@
         append(instance, effect.appendId, effect.stream, effect.records);
         return;
       case 'readInstanceList':
-        at(current + 1, () =>
-          post(instance, incarnation, { kind: 'instanceList', instances: listed() }),
+        scheduleAt(currentTime + 1, () =>
+          post(instance, incarnation, { kind: 'instanceList', instances: listInstances() }),
         );
         return;
       case 'pollUpstream': {
         const { upstream } = effect;
-        at(current + 1, () => {
-          const report = options.engines?.report(upstream, current);
+        scheduleAt(currentTime + 1, () => {
+          const report = options.engines?.report(upstream, currentTime);
           const cache = { cacheEvents: [], cacheNext: 0, cacheGap: false };
           const event = { kind: 'upstreamReport', upstream, ...cache } as const;
           post(instance, incarnation, report === undefined ? event : { ...event, report });
@@ -184,17 +184,18 @@
   ): void {
     const { incarnation } = instance;
     const { upstream, orderNumber, order } = effect;
-    at(current + latencyMs, () => {
-      const answer = options.engines?.giveOrder(upstream, orderNumber, order, current) ?? 'failed';
+    scheduleAt(currentTime + latencyMs, () => {
+      const answer =
+        options.engines?.giveOrder(upstream, orderNumber, order, currentTime) ?? 'failed';
       const isLost = random.next() < (options.lostOrderReplies ?? 0);
       const result = isLost ? 'unknown' : answer;
-      at(current + latencyMs, () => {
+      scheduleAt(currentTime + latencyMs, () => {
         post(instance, incarnation, { kind: 'orderSettled', upstream, orderNumber, result });
       });
     });
   }
 
-  function listed(): readonly ListedInstance[] {
+  function listInstances(): readonly ListedInstance[] {
     return instances
       .filter((instance) => instance.isUp)
       .map(({ id, domain }) => ({
@@ -214,7 +215,7 @@
     if (cutLinks.has(link)) return;
     options.onMessage?.(from, target, message);
     const { incarnation } = from;
-    at(current + latencyMs, () => {
+    scheduleAt(currentTime + latencyMs, () => {
       const event = { kind: 'peerMessage', from: from.id, incarnation, message } as const;
       post(target, target.incarnation, event);
     });
@@ -229,12 +230,12 @@
   ): void {
     const { incarnation } = instance;
     log.reads += 1;
-    const until = current + waitMs;
-    at(current + log.delayMs, () => {
+    const until = currentTime + waitMs;
+    scheduleAt(currentTime + log.delayMs, () => {
       const request = { instance, incarnation, stream, from, limit, until };
       if (!answerRead(request)) {
         longReads.add(request);
-        at(Math.max(until, current + 1), () => answerRead(request));
+        scheduleAt(Math.max(until, currentTime + 1), () => answerRead(request));
       }
     });
   }
@@ -244,7 +245,7 @@
     if (result === undefined) return false;
     longReads.delete(request);
     const { instance, incarnation, stream, from } = request;
-    at(current + log.delayMs, () =>
+    scheduleAt(currentTime + log.delayMs, () =>
       post(instance, incarnation, { kind: 'logRead', stream, from, result }),
     );
     return true;
@@ -258,7 +259,7 @@
     const records = (log.streams.get(stream) ?? [])
       .slice(from, from + limit)
       .map((data, i) => ({ offset: from + i, data }));
-    if (records.length === 0 && current < until) return undefined;
+    if (records.length === 0 && currentTime < until) return undefined;
     return { kind: 'records', records, next: from + records.length };
   }
 
@@ -274,7 +275,7 @@
   ): void {
     const { incarnation } = instance;
     log.appends += 1;
-    at(current + log.delayMs, () => {
+    scheduleAt(currentTime + log.delayMs, () => {
       if (isUnreachable(instance)) {
         const isCertain = random.next() < 0.5;
         const result = { kind: isCertain ? 'rejected' : 'unknown', detail: 'down' } as const;
@@ -291,7 +292,7 @@
       const result = isLost
         ? ({ kind: 'unknown', detail: 'lost' } as const)
         : ({ kind: 'appended', offset } as const);
-      at(current + log.delayMs, () => {
+      scheduleAt(currentTime + log.delayMs, () => {
         post(instance, incarnation, { kind: 'appendSettled', appendId, stream, result });
       });
     });
@@ -310,22 +311,22 @@
   }
 
   function runUntil(until: () => boolean, ms: number): number | undefined {
-    const begin = current;
-    while (current < begin + ms) {
-      if (until()) return current - begin;
-      current += 1;
-      // Actions of this time may add further ones for it.
-      for (const action of due.get(current) ?? []) action();
-      due.delete(current);
+    const begin = currentTime;
+    while (currentTime < begin + ms) {
+      if (until()) return currentTime - begin;
+      currentTime += 1;
+      // An action may add further actions for the same time.
+      for (const action of actionsByTime.get(currentTime) ?? []) action();
+      actionsByTime.delete(currentTime);
     }
-    return until() ? current - begin : undefined;
+    return until() ? currentTime - begin : undefined;
   }
 
   instances.forEach(start);
   return {
     instances,
     log,
-    now: () => current,
+    now: () => currentTime,
     cutLinks,
     run: (ms) => {
       runUntil(() => false, ms);
--- a/src/bench/configuration/largeDocument.ts
+++ b/src/bench/configuration/largeDocument.ts
@@ -1,4 +1,7 @@
-/** A document at the size to come: 9,000 customers, 12,000 upstreams, 8 pools, 14 failure domains. */
+/**
+ * Generates a configuration document of the target size: 9,000 customers, 12,000 upstreams, 8 pools and
+ * 14 failure domains.
+ */
 import { SECTION_NAMES } from '../../configuration/types.js';
 import { sha256Hex } from '../../core/sha256.js';
 
@@ -11,35 +14,35 @@
 }
 
 const REGIONS = 4;
-const BYTE = 256;
+const BYTE_VALUES = 256;
 
-/** Writes the source of the document. */
+/** Returns the source text of the document. */
 export function writeLargeDocument(options: LargeDocumentOptions): string {
   const { customers = 9_000, upstreams = 12_000, pools = 8, domains = 14 } = options;
   return [
     'teams:',
     `  all: { keyHashes: [${options.teamKeyHash}], sections: [${SECTION_NAMES.join(', ')}] }`,
     'customers:',
-    ...list(customers, (i) => `  customer-${i}: { keyHashes: [${sha256Hex(`key-${i}`)}] }`),
+    ...createLines(customers, (i) => `  customer-${i}: { keyHashes: [${sha256Hex(`key-${i}`)}] }`),
     'entitlements:',
-    ...list(customers, (i) => `  customer-${i}: { pool-${i % pools}: ${1 + (i % 5)} }`),
+    ...createLines(customers, (i) => `  customer-${i}: { pool-${i % pools}: ${1 + (i % 5)} }`),
     'pools:',
-    ...list(pools, (i) => `  pool-${i}: { kind: model }`),
+    ...createLines(pools, (i) => `  pool-${i}: { kind: model }`),
     'upstreams:',
-    ...list(upstreams, (i) => upstreamLines(i, pools, domains)),
+    ...createLines(upstreams, (i) => formatUpstream(i, pools, domains)),
     'fairness: { scope: pool }',
     'placement:',
-    ...list(pools, (i) => `  pool-${i}: { model: model-${i}, version: '1' }`),
+    ...createLines(pools, (i) => `  pool-${i}: { model: model-${i}, version: '1' }`),
     '',
   ].join('\n');
 }
 
-function upstreamLines(i: number, pools: number, domains: number): string {
+function formatUpstream(i: number, pools: number, domains: number): string {
   const domain = i % domains;
   return [
     `  engine-${i}:`,
     `    pool: pool-${i % pools}`,
-    `    url: http://10.${Math.floor(i / BYTE)}.${i % BYTE}.1:8000`,
+    `    url: http://10.${Math.floor(i / BYTE_VALUES)}.${i % BYTE_VALUES}.1:8000`,
     `    domain: domain-${domain}`,
     `    region: region-${domain % REGIONS}`,
     '    slots: 32',
@@ -47,6 +50,6 @@
   ].join('\n');
 }
 
-function list(length: number, line: (i: number) => string): readonly string[] {
+function createLines(length: number, line: (i: number) => string): readonly string[] {
   return Array.from({ length }, (_, i) => line(i));
 }
--- a/src/bench/configuration/main.ts
+++ b/src/bench/configuration/main.ts
@@ -1,8 +1,8 @@
 /**
- * `npm run bench:configuration`: measures the configuration at the size to come. One document is
- * published to several cores over a fake network and log, then edited. Printed are the times of
- * parsing and checking, the longest single event, the processor time and the simulated time until
- * the edit is in force everywhere, the bytes of peer messages, and memory. Option: `--edits N`.
+ * `npm run bench:configuration`: measures the configuration at the target size. Publishes a document
+ * to several cores over a fake network and log, then edits it. Prints the time to parse and check the
+ * document, the longest single event, the processor time, the simulated time until an edit is in
+ * force on all instances, the bytes of peer messages, and memory. Option: `--edits N`.
  */
 import { parseArgs } from 'node:util';
 import { performance } from 'node:perf_hooks';
@@ -25,8 +25,8 @@
 
 const { values } = parseArgs({ options: { edits: { type: 'string', default: '100' } } });
 
-/** Longest event and total time of one part of the core, over all cores. */
-interface Timing {
+/** Longest event and total time of one part of the core, across all cores. */
+interface EventTiming {
   longestMs: number;
   longestKind: string;
   totalMs: number;
@@ -43,7 +43,7 @@
   instances: INSTANCES,
   domains: DOMAINS,
   seed: 6,
-  timed: timeEvent,
+  onReduce: timeEvent,
   onMessage: (_from, _to, message) => {
     if (!message.$case.startsWith('configuration')) return;
     bytes.configuration += PeerMessage.encode({ body: message }).finish().length;
@@ -52,18 +52,18 @@
 fleet.run(2_000);
 measureFirstDocument();
 measureEdits(Number(values.edits));
-measureNewcomer();
+measureEmptyStart();
 
 function measureParsing(): void {
-  const whole = timed(() => parseDocument(source));
+  const whole = measureTime(() => parseDocument(source));
   const parsed = whole.value;
   if (parsed.kind !== 'document') throw new Error(JSON.stringify(parsed.diagnostics[0]));
-  print('parse and check, nothing known', `${whole.ms.toFixed(0)} ms`);
+  print('parse and check, from scratch', `${whole.ms.toFixed(0)} ms`);
   const changed = source.replace('slots: 32', 'slots: 31');
-  const again = timed(() => runSteps(parseDocumentSteps(changed, parsed.document)));
+  const again = measureTime(() => runSteps(parseDocumentSteps(changed, parsed.document)));
   print('parse and check, one entry changed', `${again.ms.toFixed(1)} ms`);
   const numbers = assignNumbers(parsed.document, NO_NUMBERS);
-  const view = timed(() => createView(parsed.document, numbers, 1));
+  const view = measureTime(() => createView(parsed.document, numbers, 1));
   print('build the view', `${view.ms.toFixed(1)} ms`);
 }
 
@@ -72,9 +72,9 @@
   const taken = publish('first', 'document', source);
   print('first document, in force everywhere', `${taken} ms simulated`);
   printTiming('first document');
-  print('peer messages', `${(bytes.configuration / INSTANCES / MIB).toFixed(2)} MiB an instance`);
+  print('peer messages', `${(bytes.configuration / INSTANCES / MIB).toFixed(2)} MiB per instance`);
   const heap = (heapBytes() - before) / INSTANCES / MIB;
-  print('heap', `${heap.toFixed(1)} MiB an instance`);
+  print('heap', `${heap.toFixed(1)} MiB per instance`);
 }
 
 function measureEdits(edits: number): void {
@@ -92,13 +92,13 @@
   times.sort((a, b) => a - b);
   const quantile = (q: number) => times[Math.min(times.length - 1, Math.floor(times.length * q))];
   const figures = `p50 ${quantile(0.5)} p99 ${quantile(0.99)} max ${quantile(1)} ms simulated`;
-  print('edits, from publish to in force everywhere', figures);
+  print('edits, publish until in force everywhere', figures);
   printTiming(`${edits} edits`);
   const each = bytes.configuration / edits / INSTANCES;
-  print('peer messages', `${each.toFixed(0)} bytes an edit and instance`);
+  print('peer messages', `${each.toFixed(0)} bytes per edit and instance`);
 }
 
-function measureNewcomer(): void {
+function measureEmptyStart(): void {
   resetTiming();
   const instance = fleet.instances[INSTANCES - 1] as FakeInstance;
   const version = versionOf(fleet.instances[0] as FakeInstance);
@@ -111,7 +111,7 @@
   print('peer messages', `${(bytes.configuration / MIB).toFixed(2)} MiB`);
 }
 
-/** Publishes through one instance; returns the simulated time until all have it in force. */
+/** Publishes an edit through one instance. Returns the simulated time until it is in force on all. */
 function publish(editId: string, section: string, text: string): number {
   const results: OperatorResult[] = [];
   const instance = fleet.instances[1] as FakeInstance;
@@ -143,8 +143,8 @@
 }
 
 function timeEvent(_instance: FakeInstance, event: CoreEvent, run: () => void): void {
-  const { ms } = timed(run);
-  const kind = describe(event);
+  const { ms } = measureTime(run);
+  const kind = describeEvent(event);
   const part = isConfigurationEvent(event) ? timing.configuration : timing.others;
   part.totalMs += ms;
   if (ms <= part.longestMs) return;
@@ -152,11 +152,11 @@
   part.longestKind = kind;
 }
 
-function createTiming(): Timing {
+function createTiming(): EventTiming {
   return { longestMs: 0, longestKind: '', totalMs: 0 };
 }
 
-/** Events that the configuration handles; those of other parts follow from it at most. */
+/** Whether the configuration handles the event. Other events are at most a consequence of these. */
 function isConfigurationEvent(event: CoreEvent): boolean {
   switch (event.kind) {
     case 'timer':
@@ -171,13 +171,13 @@
   }
 }
 
-function describe(event: CoreEvent): string {
+function describeEvent(event: CoreEvent): string {
   if (event.kind === 'timer') return `timer ${event.timer}`;
   if (event.kind === 'peerMessage') return `message ${event.message.$case}`;
   return event.kind === 'operatorCommand' ? `command ${event.command.kind}` : event.kind;
 }
 
-function timed<T>(action: () => T): { readonly value: T; readonly ms: number } {
+function measureTime<T>(action: () => T): { readonly value: T; readonly ms: number } {
   const start = performance.now();
   const value = action();
   return { value, ms: performance.now() - start };
@@ -191,13 +191,13 @@
 
 function printTiming(what: string): void {
   const { configuration, others } = timing;
-  print(`${what}: longest event`, longestOf(configuration));
-  print(`${what}: longest event of other parts`, longestOf(others));
+  print(`${what}: longest event`, formatLongest(configuration));
+  print(`${what}: longest event of other parts`, formatLongest(others));
   const total = configuration.totalMs / INSTANCES;
-  print(`${what}: processor time`, `${total.toFixed(0)} ms an instance`);
+  print(`${what}: processor time`, `${total.toFixed(0)} ms per instance`);
 }
 
-function longestOf(part: Timing): string {
+function formatLongest(part: EventTiming): string {
   return `${part.longestMs.toFixed(1)} ms (${part.longestKind})`;
 }
 
--- a/src/bench/configuration/race.ts
+++ b/src/bench/configuration/race.ts
@@ -1,9 +1,10 @@
 /**
- * `npm run bench:race`: four teams race for the same sections through seven instances with real
- * links and the platform stand-in, with outages, lost replies and restarts. Printed are the times
- * from sending an accepted edit until it is in force at all instances, those from the log's reply
- * on, verdicts, control bytes by class of link, and whether all instances agree. Options:
- * `--edits N`, `--seed N`. The exit code is 1 if an instance went back or disagrees.
+ * `npm run bench:race`: four teams concurrently edit the same sections through seven instances with
+ * real links and the platform stand-in, during log outages, lost replies and restarts. Prints the
+ * times from sending an accepted edit, and from receiving the reply to it, until the edit is in force
+ * on all instances, the numbers of accepted, refused and unsettled edits, the control bytes per link
+ * class, and whether all instances agree. Options: `--edits N`, `--seed N`. The exit code is 1 if the
+ * version of an instance decreased or instances disagree.
  */
 import { parseArgs } from 'node:util';
 import { performance } from 'node:perf_hooks';
@@ -23,7 +24,7 @@
 const TEAMS = 4;
 const SETTLE_MS = 8_000;
 const IN_FORCE_TARGET_MS = 4_000;
-/** Edits between two faults. */
+/** Number of edits between two faults. */
 const FAULT_EVERY = 50;
 const FAULT_MS = 1_500;
 const OUTAGE: PlatformFault = { kind: 'outage', parts: ['log'] };
@@ -47,9 +48,9 @@
 
 const platform = await createPlatformStandin();
 const nodes: Node[] = [];
-const tallies = { accepted: 0, refused: 0, unsettled: 0, wentBack: 0 };
-const fromSending: number[] = [];
-const fromReply: number[] = [];
+const counts = { accepted: 0, refused: 0, unsettled: 0, wentBack: 0 };
+const timesSinceSending: number[] = [];
+const timesSinceReply: number[] = [];
 let faults = 0;
 
 await run();
@@ -60,11 +61,11 @@
     const node = { id: `instance-${i}`, domain: DOMAINS[i % DOMAINS.length] as string };
     nodes.push({ ...node, ...(await start(node.id, node.domain)), highest: -1, isUp: true });
   }
-  list();
+  publishInstanceList();
   const watch = setInterval(watchVersions, 1);
   await delay(3_000);
-  await publish(0, nodes[0] as Node, 'first', 'document', -1, firstDocument());
-  await inForce(0, SETTLE_MS);
+  await publish(0, nodes[0] as Node, 'first', 'document', -1, createFirstDocument());
+  await waitUntilInForce(0, SETTLE_MS);
   let next = 0;
   const editor = async (team: number) => {
     while (next < edits) {
@@ -74,11 +75,11 @@
   };
   await Promise.all([
     ...Array.from({ length: TEAMS }, async (_, team) => editor(team)),
-    setFaults(() => next),
+    injectFaults(() => next),
   ]);
   await delay(SETTLE_MS);
   clearInterval(watch);
-  report();
+  printReport();
   await Promise.all(nodes.map(async ({ instance }) => instance.kill()));
   await platform.stop();
 }
@@ -96,7 +97,7 @@
   return { instance, operators, peers };
 }
 
-function list(): void {
+function publishInstanceList(): void {
   platform.setInstances(
     nodes
       .filter(({ isUp }) => isUp)
@@ -110,7 +111,7 @@
   );
 }
 
-function firstDocument(): string {
+function createFirstDocument(): string {
   const teams = Array.from({ length: TEAMS }, (_, team) => {
     const hash = sha256Hex(keyOf(team));
     return `  team-${team}: { keyHashes: [${hash}], sections: [${SECTION_NAMES.join(', ')}] }`;
@@ -130,7 +131,7 @@
   ].join('\n');
 }
 
-/** One edit of one team: half of them in a section that all race for. */
+/** Makes one edit for a team. Half of the edits go to the `fairness` section, for which all compete. */
 async function editOnce(team: number, number: number): Promise<void> {
   const up = nodes.filter(({ isUp }) => isUp);
   const node = up[random.nextInt(up.length)] as Node;
@@ -143,17 +144,17 @@
   const sentAt = performance.now();
   const reply = await publish(team, node, `edit-${number}`, section, base, text);
   const repliedAt = performance.now();
-  if (reply === 'refused') tallies.refused += 1;
-  if (reply === 'unsettled') tallies.unsettled += 1;
+  if (reply === 'refused') counts.refused += 1;
+  if (reply === 'unsettled') counts.unsettled += 1;
   if (typeof reply !== 'number') return;
-  tallies.accepted += 1;
-  const isEverywhere = await inForce(reply, SETTLE_MS);
+  counts.accepted += 1;
+  const isEverywhere = await waitUntilInForce(reply, SETTLE_MS);
   if (!isEverywhere) return;
-  fromSending.push(performance.now() - sentAt);
-  fromReply.push(performance.now() - repliedAt);
+  timesSinceSending.push(performance.now() - sentAt);
+  timesSinceReply.push(performance.now() - repliedAt);
 }
 
-/** Sends an edit, up to three times under its id; returns its version if it was accepted. */
+/** Sends an edit, up to three times with the same ID. Returns its version if it was accepted. */
 async function publish(
   team: number,
   node: Node,
@@ -182,15 +183,15 @@
       if (statusCode === 200 && answer.version !== undefined) return answer.version;
       if (answer.executed === 'no' && statusCode !== 503) return 'refused';
     } catch {
-      // The instance was restarted; another one knows the verdict.
+      // The instance was restarted. Another instance knows whether the edit was accepted.
     }
     await delay(300);
   }
   return 'unsettled';
 }
 
-/** Waits until a version is in force at all instances that are up. */
-async function inForce(version: number, limitMs: number): Promise<boolean> {
+/** Waits until a version is in force on all running instances. */
+async function waitUntilInForce(version: number, limitMs: number): Promise<boolean> {
   const until = performance.now() + limitMs;
   while (performance.now() < until) {
     if (nodes.every((node) => !node.isUp || versionOf(node) >= version)) return true;
@@ -199,19 +200,19 @@
   return false;
 }
 
-/** Outages, lost replies and restarts, one after another while edits go on. */
-async function setFaults(progress: () => number): Promise<void> {
+/** Injects log outages, lost replies and restarts in turn while edits are made. */
+async function injectFaults(progress: () => number): Promise<void> {
   while (progress() < edits) {
     const at = progress() + FAULT_EVERY;
     while (progress() < Math.min(at, edits)) await delay(20);
     faults += 1;
     const kind = faults % 3;
     if (kind === 0) await restart(nodes[random.nextInt(nodes.length)] as Node);
-    else await faultFor(kind === 1 ? OUTAGE : LOST_REPLIES);
+    else await applyPlatformFault(kind === 1 ? OUTAGE : LOST_REPLIES);
   }
 }
 
-async function faultFor(fault: PlatformFault): Promise<void> {
+async function applyPlatformFault(fault: PlatformFault): Promise<void> {
   platform.setFault(fault);
   await delay(FAULT_MS);
   platform.setFault({ kind: 'clear' });
@@ -222,7 +223,7 @@
   await node.instance.kill();
   node.highest = -1;
   Object.assign(node, await start(node.id, node.domain));
-  list();
+  publishInstanceList();
   const until = performance.now() + SETTLE_MS;
   while (versionOf(node) < 0 && performance.now() < until) await delay(5);
   node.isUp = true;
@@ -237,12 +238,12 @@
     .filter(({ isUp }) => isUp)
     .forEach((node) => {
       const version = versionOf(node);
-      if (version < node.highest) tallies.wentBack += 1;
+      if (version < node.highest) counts.wentBack += 1;
       node.highest = Math.max(node.highest, version);
     });
 }
 
-function report(): void {
+function printReport(): void {
   const folds = nodes.map(({ instance }) => {
     const { fold } = instance.core().state.configuration;
     const stops = [...fold.document.plannedStops.values()].map(({ text }) => text);
@@ -250,14 +251,14 @@
     return JSON.stringify([fold.version, stops, fairness]);
   });
   const agree = new Set(folds).size === 1;
-  const { accepted, refused, unsettled, wentBack } = tallies;
+  const { accepted, refused, unsettled, wentBack } = counts;
   console.log(`${edits} edits, ${accepted} accepted, ${refused} refused, ${unsettled} unsettled`);
-  console.log(`${faults} faults: log down 1.5 s, replies of the log lost, restart`);
-  console.log(`in force everywhere from sending: ${quantiles(fromSending)}`);
-  console.log(`in force everywhere from the reply: ${quantiles(fromReply)}`);
-  const late = fromSending.filter((ms) => ms > IN_FORCE_TARGET_MS).length;
+  console.log(`${faults} faults: log outages of 1.5 s, lost replies from the log, restarts`);
+  console.log(`time from sending until in force everywhere: ${formatQuantiles(timesSinceSending)}`);
+  console.log(`time from the reply until in force everywhere: ${formatQuantiles(timesSinceReply)}`);
+  const late = timesSinceSending.filter((ms) => ms > IN_FORCE_TARGET_MS).length;
   console.log(
-    `not measured in force within ${SETTLE_MS} ms: ${accepted - fromSending.length}; over the target: ${late}`,
+    `not seen in force within ${SETTLE_MS} ms: ${accepted - timesSinceSending.length}; above the target: ${late}`,
   );
   const bytes = nodes.map(({ instance }) => instance.controlBytes());
   const sum = (name: 'sameDomain' | 'sameRegion' | 'crossRegion') =>
@@ -265,11 +266,11 @@
   console.log(
     `control bytes since the last restarts: ${sum('sameDomain')} same domain, ${sum('sameRegion')} same region, ${sum('crossRegion')} cross-region`,
   );
-  console.log(`went back: ${wentBack}; all instances alike: ${agree}`);
+  console.log(`version decreases: ${wentBack}; all instances agree: ${agree}`);
   if (!agree || wentBack > 0) process.exitCode = 1;
 }
 
-function quantiles(times: readonly number[]): string {
+function formatQuantiles(times: readonly number[]): string {
   const sorted = [...times].sort((a, b) => a - b);
   const at = (q: number) =>
     sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * q))] ?? NaN;
