State what the ranges of diagnostics and the tests of the core cover

The head of the diagnostics assigned 8000 to membership and shares, but its codes are limits of customers, and it listed two ranges that have no codes. It now lists the ranges as they are used and names the two reserved ones. The comment on the first grant id said that ids must not overlap, although a hash chooses their range; it now says what the hash does. The heartbeat number of a member has a comment.

Test titles such as "finishes accepted work" and "spreads keys by weight" now name the requests, the nodes and the proportion. The test of the random numbers says which failure it guards against. No assertion changed.

--- a/src/core/core.ts
+++ b/src/core/core.ts
@@ -104,8 +104,8 @@
 }
 
 /**
- * Returns the first grant id of this incarnation. The ids of two incarnations of an instance must
- * not overlap, so each incarnation starts in a range chosen by hash.
+ * Returns the first grant id of this incarnation. To keep the ids of two incarnations of an instance
+ * apart, each incarnation starts in a range chosen by hash out of GRANT_ID_RANGES.
  */
 function firstGrantId(self: InstanceIdentity): number {
   const range = hash32(`${self.id} ${self.incarnation}`) % GRANT_ID_RANGES;
--- a/src/core/diagnostics.ts
+++ b/src/core/diagnostics.ts
@@ -1,7 +1,8 @@
 /**
  * The table of diagnostics: the messages shown to callers and operators and written to the log.
- * Codes are stable. Ranges: 1000 requests, 2000 configuration document, 3000 settings, 4000
- * platform, 5000 peers and TLS, 6000 orders, 7000 command line, 8000 membership and shares.
+ * Codes are stable. Ranges: 1000 requests, 2000 configuration document and edits, 3000 settings,
+ * 5000 process, peers and TLS, 7000 command line, 8000 limits of customers. The ranges 4000
+ * (platform) and 6000 (orders) are reserved.
  */
 
 export type DiagnosticCategory = 'error' | 'warning' | 'message';
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -43,6 +43,7 @@
 /** Last known state of an instance. */
 export interface Member extends InstanceIdentity {
   readonly phase: InstancePhase;
+  /** Number of the last heartbeat; increases within an incarnation. */
   readonly beat: number;
   readonly lastHeardAt: Millis;
   readonly configurationVersion: number;
--- a/test/core.test.ts
+++ b/test/core.test.ts
@@ -43,14 +43,14 @@
     expect(core.state.requests.active.size).to.equal(0);
   });
 
-  it('refuses an unknown key as not run', () => {
+  it('refuses a request with an unknown key as not executed', () => {
     const core = createStartedCore();
     const [effect] = core.reduce(createRequestEvent('q1', 'nobody'), 10);
     expect(effect).to.deep.include({ kind: 'refuse', requestId: 'q1' });
     expect(effect?.kind === 'refuse' && effect.problem.executed).to.equal('no');
   });
 
-  it('gives the same effects for the same events', () => {
+  it('produces the same effects for the same events', () => {
     const run = () => {
       const core = createStartedCore();
       const events = ['q1', 'q2', 'q3'].map((id) => core.reduce(createRequestEvent(id), 10));
@@ -59,7 +59,7 @@
     expect(run()).to.deep.equal(run());
   });
 
-  it('finishes accepted work before it stops', () => {
+  it('dispatches accepted requests before it stops', () => {
     const core = createStartedCore();
     core.reduce(createRequestEvent('q1'), 10);
     expect(kindsOf(core.reduce({ kind: 'plannedStop' }, 11))).to.not.include('stopped');
--- a/test/hash.test.ts
+++ b/test/hash.test.ts
@@ -13,13 +13,13 @@
 }
 
 describe('rendezvous hashing', () => {
-  it('spreads keys by weight', () => {
+  it('distributes keys in proportion to the weights of the nodes', () => {
     const counts = new Map<string, number>();
     KEYS.forEach((key) => {
       const node = choose(key, NODES);
       counts.set(node, (counts.get(node) ?? 0) + 1);
     });
-    // Six standard deviations of a binomial count around its mean.
+    // Tolerates a deviation of six standard deviations of the binomial distribution.
     NODES.forEach(({ id, weight }) => {
       const p = weight / 15;
       const tolerance = 6 * Math.sqrt(KEYS.length * p * (1 - p));
@@ -27,7 +27,7 @@
     });
   });
 
-  it('moves only the keys of a node that leaves', () => {
+  it('reassigns only the keys of a removed node', () => {
     const remaining = NODES.slice(1);
     KEYS.forEach((key) => {
       const before = choose(key, NODES);
--- a/test/random.test.ts
+++ b/test/random.test.ts
@@ -11,7 +11,8 @@
     expect(draw(7)).to.not.deep.equal(draw(8));
   });
 
-  it('spreads the first draws of small seeds evenly', () => {
+  // Without discarded draws, the sequences of adjacent seeds are correlated.
+  it('distributes the first draws of adjacent seeds evenly', () => {
     const SEEDS = 10_000;
     const BUCKETS = 10;
     const counts = new Array<number>(BUCKETS).fill(0);
@@ -19,7 +20,7 @@
       const bucket = createRandom(seed).nextInt(BUCKETS);
       counts[bucket] = (counts[bucket] ?? 0) + 1;
     }
-    // Five standard deviations of a binomial count.
+    // Five standard deviations of the binomial distribution.
     const tolerance = 5 * Math.sqrt(SEEDS * (1 / BUCKETS) * (1 - 1 / BUCKETS));
     counts.forEach((count) => expect(count).to.be.closeTo(SEEDS / BUCKETS, tolerance));
   });
