Reword the comments on superseded attempts and avoided upstreams

Upstreams are avoided after every attempt that was not sent, not only after a refused connection. The branch in which a stream could not be resumed says how it is reached.

Only comments changed; no test file was touched.

--- a/src/core/attempts/attempts.ts
+++ b/src/core/attempts/attempts.ts
@@ -1,7 +1,7 @@
 /**
  * Attempts: the dispatch of a request to an upstream, its progress and its end. Each attempt has a
- * unique id; the end of an attempt that is no longer the current one of its request only frees its
- * slot.
+ * unique id. The end of an attempt that is no longer the current one of its request frees the slot,
+ * but does not affect the request.
  */
 import { refuseExpiredClaim } from '../claims/claims.js';
 import { claimExpiry, needsClaim } from '../claims/ownClaims.js';
@@ -117,7 +117,7 @@
   handleFailedAttempt(ctx, request, attempt, outcome);
 }
 
-/** Makes upstreams eligible again whose back-off after a refused connection has expired. */
+/** Makes avoided upstreams eligible again after `avoidMs`. */
 export function expireAvoidedUpstreams(ctx: CoreContext): void {
   const { avoided } = ctx.state.attempts;
   avoided.forEach((until, upstream) => {
@@ -153,6 +153,7 @@
       Debug.fail('a failed attempt cannot finish a request');
       break;
     case 'resume':
+      // The request is suspected of causing crashes, or resuming it on the same upstream failed.
       failStream(ctx, request, attempt, outcome);
       return;
     case 'move':
--- a/src/core/attempts/attemptsState.ts
+++ b/src/core/attempts/attemptsState.ts
@@ -25,7 +25,7 @@
 
 export interface AttemptsState {
   readonly running: Map<AttemptId, AttemptRecord>;
-  /** Upstreams that refused a connection, with the time until which they are not used. */
+  /** Upstreams to which a request could not be sent, with the time until which they are not used. */
   readonly avoided: Map<UpstreamId, Millis>;
   nextNumber: number;
 }
