Name requests that no upstream has executed UnexecutedRequest

The type is now UnexecutedRequest. endExpired is now endExpiredRequest.

The comment on reporting a refusal spoke of non-idempotent requests, but the code asks only for the mark of the caller; it now says so. The "fate" of a key is its outcome, and the head says that requests end before their response is complete. The comment on avoidMs covers all attempts that were not sent.

--- a/src/core/requests/admission.ts
+++ b/src/core/requests/admission.ts
@@ -123,9 +123,9 @@
 }
 
 /**
- * Reports a refusal to the caller. A transient refusal of a non-idempotent request with an
- * idempotency key is reported as `unknown`, since an earlier submission with the same key may have
- * been executed without this instance knowing of it yet.
+ * Reports a refusal to the caller. If the request has an idempotency key and the caller has not
+ * marked it as idempotent, a transient refusal is reported as `unknown`: an earlier submission with
+ * the same key may have been executed without this instance knowing of it yet.
  */
 function emitRefusal(ctx: CoreContext, event: CallerRequestEvent, problem: NotRunProblem): void {
   const { requestId, idempotencyKey, idempotent } = event;
--- a/src/core/requests/outcomeSettings.ts
+++ b/src/core/requests/outcomeSettings.ts
@@ -13,7 +13,10 @@
   readonly retryBackoffMs: Millis;
   /** Delay after which a request that could not use its grant is queued again. */
   readonly requeueMs: Millis;
-  /** Time for which an upstream that refused a connection is not used. */
+  /**
+   * Time for which an upstream is not used after a request could not be sent to it, for example
+   * because it refused the connection.
+   */
   readonly avoidMs: Millis;
   /** Maximum number of times a response is resumed. */
   readonly maxResumes: number;
--- a/src/core/requests/outcomes.ts
+++ b/src/core/requests/outcomes.ts
@@ -11,11 +11,11 @@
   Problem,
   RecordedAnswer,
   RequestFacts,
-  UntriedRequest,
+  UnexecutedRequest,
 } from '../types.js';
 
 /** Whether the request is known not to have been executed by any upstream. */
-export function isUntried(request: ActiveRequest): request is UntriedRequest {
+export function isUntried(request: ActiveRequest): request is UnexecutedRequest {
   return request.state === 'accepted' || request.state === 'waiting' || request.state === 'granted';
 }
 
@@ -44,7 +44,7 @@
  */
 export function refuseRequest(
   ctx: CoreContext,
-  request: UntriedRequest,
+  request: UnexecutedRequest,
   problem: NotRunProblem,
 ): void {
   if (isClaimWon(ctx.state, request.facts)) {
@@ -58,12 +58,12 @@
 }
 
 /**
- * Reports to the caller that its request was not executed. The fate of its idempotency key, if it
- * has one, must be known.
+ * Reports to the caller that its request was not executed. If the request has an idempotency key,
+ * the outcome of that key must be known.
  */
 export function refuseSettledKey(
   ctx: CoreContext,
-  request: UntriedRequest,
+  request: UnexecutedRequest,
   problem: NotRunProblem,
 ): void {
   const { requestId } = request.facts;
@@ -86,7 +86,7 @@
 }
 
 /** Ends a request that was not executed and whose caller has disconnected. */
-export function dropRequest(ctx: CoreContext, request: UntriedRequest): void {
+export function dropRequest(ctx: CoreContext, request: UnexecutedRequest): void {
   abandonClaim(ctx, request.facts.requestId);
   endRequest(ctx, request.facts);
 }
--- a/src/core/requests/requests.ts
+++ b/src/core/requests/requests.ts
@@ -1,4 +1,4 @@
-/** Requests that end before their response: expired deadlines and disconnected callers. */
+/** Requests that end before their response is complete: expired deadlines, disconnected callers. */
 import { expireAvoidedUpstreams } from '../attempts/attempts.js';
 import { cancelAttempt, hasForwarded } from '../attempts/cancel.js';
 import { needsClaim } from '../claims/ownClaims.js';
@@ -13,7 +13,7 @@
 export function onDeadlinesTimer(ctx: CoreContext): void {
   expireAvoidedUpstreams(ctx);
   ctx.state.requests.active.forEach((request) => {
-    if (request.facts.deadlineAt <= ctx.now) endExpired(ctx, request);
+    if (request.facts.deadlineAt <= ctx.now) endExpiredRequest(ctx, request);
   });
   setTimer(ctx, 'deadlines', ctx.state.settings.deadlineTickMs);
 }
@@ -47,7 +47,7 @@
   }
 }
 
-function endExpired(ctx: CoreContext, request: ActiveRequest): void {
+function endExpiredRequest(ctx: CoreContext, request: ActiveRequest): void {
   switch (request.state) {
     case 'accepted':
     case 'waiting':
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -261,7 +261,7 @@
   AcceptedRequest | WaitingRequest | GrantedRequest | DispatchedRequest | RetryingRequest;
 
 /** Requests that no upstream has executed; only these can be refused as not executed. */
-export type UntriedRequest = AcceptedRequest | WaitingRequest | GrantedRequest;
+export type UnexecutedRequest = AcceptedRequest | WaitingRequest | GrantedRequest;
 
 /** A grant of a slot on an upstream. */
 export interface GrantFacts {
