Call the sources of limit reports reporters throughout

recordReport called the key of a report `reporter`, relayUsage called the same key `place`; both are `reporter` now. A comment explains that a report with no users withdraws the previous one. The head said that a refused request fails, while failing and refusing are different outcomes here.

--- a/src/core/limits/limitUsage.ts
+++ b/src/core/limits/limitUsage.ts
@@ -35,8 +35,8 @@
 export function onLimitsTimer(ctx: CoreContext): void {
   const { limits, settings } = ctx.state;
   limits.ticks += 1;
-  limits.fleet.forEach((use, customer) => {
-    if (use.until <= ctx.now) limits.fleet.delete(customer);
+  limits.fleet.forEach((usage, customer) => {
+    if (usage.until <= ctx.now) limits.fleet.delete(customer);
   });
   if (limits.ticks % 2 === 1) reportLocalUsage(ctx);
   else relayUsage(ctx);
@@ -90,6 +90,7 @@
     if (relay === undefined) return;
     const batch = batches.get(relay) ?? [];
     batches.set(relay, batch);
+    // A report with no users withdraws the previous one.
     batch.push(shouldReport ? entry : { ...entry, users: 0 });
   });
   batches.forEach((batch, relay) => sendUsage(ctx, relay, UsageScope.instance, batch));
@@ -102,8 +103,8 @@
   const domainBatches = new Map<InstanceId, UsageEntry[]>();
   const memberBatches = new Map<InstanceId, UsageEntry[]>();
   places.forEach((reports, customer) => {
-    reports.forEach((report, place) => {
-      if (report.until <= ctx.now || report.users === 0) reports.delete(place);
+    reports.forEach((report, reporter) => {
+      if (report.until <= ctx.now || report.users === 0) reports.delete(reporter);
     });
     const group = groupOf(state, customer);
     if (reports.size === 0 || !isForemost(state, group)) {
@@ -111,14 +112,14 @@
       newcomers.delete(customer);
       return;
     }
-    const localReporters = [...reports.keys()].filter((place) => !domains.includes(place));
+    const localReporters = [...reports.keys()].filter((reporter) => !domains.includes(reporter));
     const domainTotal = sumUsage(
       customer,
-      localReporters.map((place) => reports.get(place) as ReportedUsage),
+      localReporters.map((reporter) => reports.get(reporter) as ReportedUsage),
     );
     const fleetTotal = sumUsage(customer, [...reports.values()]);
     if (!newcomers.delete(customer))
-      localReporters.forEach((place) => addToBatch(memberBatches, place, fleetTotal));
+      localReporters.forEach((reporter) => addToBatch(memberBatches, reporter, fleetTotal));
     if (localReporters.length === 0) return;
     domains.forEach((domain) => {
       const relay = groupRelays(state, domain, group)[0];
--- a/src/core/limits/limits.ts
+++ b/src/core/limits/limits.ts
@@ -1,7 +1,7 @@
 /**
  * Fleet-wide limits per customer: waiting requests and bytes, concurrent requests and request rate.
  * Instances exchange their usage (`limitUsage.ts`); between two exchanges, each instance may use
- * its share of the remaining amount. A refused request fails immediately and is never executed.
+ * its share of the remaining amount. A refusal is immediate; the refused request is never executed.
  */
 import type { CoreContext } from '../context.js';
 import { MS_PER_SECOND, type Millis } from '../clock.js';
