--- a/src/core/retries/retries.ts
+++ b/src/core/retries/retries.ts
@@ -48,12 +48,12 @@
 /** Returns a request to its queue after `delay`. */
 export function scheduleRequeue(ctx: CoreContext, requestId: RequestId, delay: Millis): void {
   ctx.state.retries.delayed.set(requestId, ctx.now + delay);
-  if (delay <= 0) requeueDue(ctx);
+  if (delay <= 0) requeueDueRequests(ctx);
   else scheduleTimer(ctx);
 }
 
 export function onRetriesTimer(ctx: CoreContext): void {
-  requeueDue(ctx);
+  requeueDueRequests(ctx);
   if (ctx.now >= ctx.state.retries.windowEndsAt) closeWindow(ctx);
   scheduleTimer(ctx);
 }
@@ -66,7 +66,7 @@
   ctx.state.retries.peers.set(from, usage);
 }
 
-function requeueDue(ctx: CoreContext): void {
+function requeueDueRequests(ctx: CoreContext): void {
   const { retries, requests } = ctx.state;
   retries.delayed.forEach((dueAt, requestId) => {
     if (dueAt > ctx.now) return;
