State when an upstream has no owner

ownerOf also returns undefined for an upstream that is not configured.

Only a comment changed; no test file was touched.

--- a/src/core/ownership/ownership.ts
+++ b/src/core/ownership/ownership.ts
@@ -25,7 +25,7 @@
   readonly hash: number;
 }
 
-/** Returns the owner of an upstream, or `undefined` if no instance is eligible. */
+/** Returns the owner; `undefined` if the upstream is unknown or no instance is eligible. */
 export function ownerOf(state: CoreState, upstream: UpstreamId): InstanceId | undefined {
   const config = state.configuration.view?.upstreams.get(upstream);
   if (config === undefined) return undefined;
