Name the limits of the audit trail as maxima

PENDING_ENTRIES_MAX, BATCH_ENTRIES_MAX and RETURNED_ENTRIES_MAX are now MAX_PENDING_ENTRIES, MAX_BATCH_ENTRIES and MAX_RETURNED_ENTRIES, as constants are named elsewhere, and their comments say that they are maxima.

--- a/src/core/audit/audit.ts
+++ b/src/core/audit/audit.ts
@@ -14,18 +14,18 @@
 
 export const AUDIT_STREAM = 'audit';
 
-/** Entries buffered until they are appended; the oldest are dropped above this number. */
-const PENDING_ENTRIES_MAX = 500;
-/** Entries in one record of the log. */
-const BATCH_ENTRIES_MAX = 50;
-/** Limit of audit appends per second, summed over all instances. */
+/** Maximum number of buffered entries; the oldest are dropped above it. */
+const MAX_PENDING_ENTRIES = 500;
+/** Maximum number of entries in one record of the log. */
+const MAX_BATCH_ENTRIES = 50;
+/** Maximum number of audit appends per second by the whole fleet. */
 const FLEET_APPENDS_PER_SECOND = 20;
 const BATCH_INTERVAL_MS = 1_000;
 const APPEND_TIMEOUT_MS = 10_000;
 const READ_TIMEOUT_MS = 10_000;
 const RECORDS_PER_READ = 256;
-/** Largest number of entries returned to an operator. */
-const RETURNED_ENTRIES_MAX = 1_000;
+/** Maximum number of entries returned to an operator. */
+const MAX_RETURNED_ENTRIES = 1_000;
 
 type LogReadEvent = Extract<CoreEvent, { readonly kind: 'logRead' }>;
 
@@ -40,7 +40,7 @@
   effects.forEach((effect) => {
     if (effect.kind === 'audit') audit.pending.push(effect.entry);
   });
-  const excess = audit.pending.length - PENDING_ENTRIES_MAX;
+  const excess = audit.pending.length - MAX_PENDING_ENTRIES;
   if (excess <= 0) return;
   audit.pending.splice(0, excess);
   audit.dropped += excess;
@@ -55,7 +55,7 @@
     return;
   }
   if (audit.pending.length === 0 || ctx.now < audit.nextBatchAt) return;
-  const entries = audit.pending.splice(0, BATCH_ENTRIES_MAX);
+  const entries = audit.pending.splice(0, MAX_BATCH_ENTRIES);
   const appendId = audit.nextAppendId;
   audit.nextAppendId += 1;
   appendBatch(ctx, { appendId, entries, sentAt: ctx.now });
@@ -86,7 +86,7 @@
  */
 export function onReadAudit(ctx: CoreContext, commandId: string, limit: number): void {
   const { audit } = ctx.state;
-  const boundedLimit = Math.min(Math.max(limit, 1), RETURNED_ENTRIES_MAX);
+  const boundedLimit = Math.min(Math.max(limit, 1), MAX_RETURNED_ENTRIES);
   if (audit.reading !== undefined) {
     audit.reading.commandIds.push(commandId);
     audit.reading.limit = Math.max(audit.reading.limit, boundedLimit);
