Name the checkpoint stream and the limits of the configuration

CHECKPOINT_STREAM of the configuration stood next to CHECKPOINTS_STREAM of the claims in the reducer; it is now CONFIGURATION_CHECKPOINT_STREAM, with the same value. The constants that ended in _MAX begin with MAX_ as elsewhere, and their comments say that they are maxima.

Tests: actions of the random test are named after what they do (plannedStop, loseReply, partition, expireRecords). A title claimed that state and replies were searched for operator keys; the test reads the log and the verdicts, and the title now says so.

--- a/src/core/configuration/checkpointing.ts
+++ b/src/core/configuration/checkpointing.ts
@@ -9,7 +9,7 @@
 import { encodeCheckpointSteps } from './checkpoint.js';
 import type { CheckpointWrite } from './configurationState.js';
 import {
-  CHECKPOINT_STREAM,
+  CONFIGURATION_CHECKPOINT_STREAM,
   CONFIGURATION_STREAM,
   encodeCheckpointNote,
   SCHEMA_VERSION,
@@ -70,7 +70,12 @@
   const { id, through, offset, parts, written, appendId } = writing;
   const nextParts = parts.slice(written, written + PARTS_PER_APPEND);
   if (nextParts.length > 0) {
-    ctx.emit({ kind: 'appendLog', appendId, stream: CHECKPOINT_STREAM, records: nextParts });
+    ctx.emit({
+      kind: 'appendLog',
+      appendId,
+      stream: CONFIGURATION_CHECKPOINT_STREAM,
+      records: nextParts,
+    });
     return;
   }
   const note = { kind: 'checkpoint', schemaVersion: SCHEMA_VERSION, id, through } as const;
--- a/src/core/configuration/distribution.ts
+++ b/src/core/configuration/distribution.ts
@@ -2,7 +2,7 @@
  * Distributes the configuration between instances. The first reader of a domain sends new records to
  * the other instances of the domain. An instance that sees a higher version in a heartbeat requests
  * the records from that peer, which replies with records or, if it no longer has them all, with a
- * checkpoint of its state.
+ * snapshot: a checkpoint of its state, one part per message.
  */
 import { sendTo, type CoreContext } from '../context.js';
 import { forEachOther, isLive, membersOf } from '../membership/memberIndex.js';
--- a/src/core/configuration/fold.ts
+++ b/src/core/configuration/fold.ts
@@ -19,10 +19,10 @@
 import { Debug } from '../debug.js';
 import { equalInConstantTime } from '../sha256.js';
 import {
-  EARLIER_TEXTS_MAX,
-  HISTORY_EDITS_MAX,
-  HISTORY_TEXT_LENGTH_MAX,
-  VERDICTS_MAX,
+  MAX_EARLIER_TEXTS,
+  MAX_HISTORY_EDITS,
+  MAX_HISTORY_TEXT_LENGTH,
+  MAX_VERDICTS,
   type AcceptedEdit,
   type ConflictingEdit,
   type EarlierTexts,
@@ -39,10 +39,13 @@
   type SectionChange,
 } from './records.js';
 
-/** Work of assigning numbers, in units of parsing one entry; as much as a slice, so the next one begins. */
+/**
+ * Work of assigning numbers, in units of parsing one entry. It equals the work of a whole slice, so
+ * the numbers are assigned at the start of a new slice.
+ */
 const ASSIGN_NUMBERS_WORK = 24;
-const CONFLICTS_MAX = 20;
-const CONFLICT_KEYS_MAX = 20;
+const MAX_CONFLICTS = 20;
+const MAX_CONFLICT_KEYS = 20;
 
 /** The effect of one record on the state. */
 export type FoldResult =
@@ -108,7 +111,7 @@
 
 function storeVerdict(fold: FoldState, verdict: Verdict): void {
   fold.verdicts.set(verdict.editId, verdict);
-  if (fold.verdicts.size <= VERDICTS_MAX) return;
+  if (fold.verdicts.size <= MAX_VERDICTS) return;
   const [oldest] = fold.verdicts.keys();
   if (oldest !== undefined) fold.verdicts.delete(oldest);
 }
@@ -117,9 +120,9 @@
 function trimHistory(history: readonly AcceptedEdit[]): readonly AcceptedEdit[] {
   let length = 0;
   let first = history.length;
-  while (first > 0 && history.length - first < HISTORY_EDITS_MAX) {
+  while (first > 0 && history.length - first < MAX_HISTORY_EDITS) {
     length += history[first - 1]?.length ?? 0;
-    if (length > HISTORY_TEXT_LENGTH_MAX) break;
+    if (length > MAX_HISTORY_TEXT_LENGTH) break;
     first -= 1;
   }
   return first === 0 ? history : history.slice(first);
@@ -205,13 +208,13 @@
         .filter((section) => sections.includes(section))
         .map((section) => createConflict(laterEdit, section)),
     )
-    .slice(-CONFLICTS_MAX);
+    .slice(-MAX_CONFLICTS);
 }
 
 function createConflict(edit: AcceptedEdit, section: SectionName): ConflictingEdit {
   const { version, author, team, at } = edit;
   const texts = edit.earlier?.find((change) => change.section === section)?.texts ?? {};
-  const keys = Object.keys(texts).slice(0, CONFLICT_KEYS_MAX);
+  const keys = Object.keys(texts).slice(0, MAX_CONFLICT_KEYS);
   return { version, author, team, at, section, keys };
 }
 
@@ -269,7 +272,7 @@
   const base = { version, editId, author, team, at, sections };
   const changes = edit.changes.map((change) => ({ change, keys: changedKeys(change) }));
   const changedCount = changes.reduce((sum, { keys }) => sum + keys.length, 0);
-  if (changedCount > EARLIER_TEXTS_MAX) return { ...base, length: 0 };
+  if (changedCount > MAX_EARLIER_TEXTS) return { ...base, length: 0 };
   let length = 0;
   const earlier = changes.map(({ change: { section }, keys }): EarlierTexts => {
     const texts = keys.map((key): [string, string | null] => {
@@ -282,7 +285,10 @@
   return { ...base, earlier, length };
 }
 
-/** Returns the source of a section at an earlier version, if the history reaches back to it. */
+/**
+ * Returns the source texts of a section's entries at an earlier version, by key, or `undefined` if
+ * the history does not reach back to it.
+ */
 export function entriesAt(
   fold: FoldState,
   section: SectionName,
--- a/src/core/configuration/foldState.ts
+++ b/src/core/configuration/foldState.ts
@@ -8,17 +8,17 @@
 import { NO_NUMBERS, type Numbers } from '../../configuration/view.js';
 import type { Millis } from '../clock.js';
 
-/** Number of verdicts kept, so that a repeated edit gets its first verdict. */
-export const VERDICTS_MAX = 1_024;
-/** Number of accepted edits kept to describe conflicts, list the history and revert edits. */
-export const HISTORY_EDITS_MAX = 500;
+/** Maximum number of verdicts kept, so that a repeated edit gets its first verdict. */
+export const MAX_VERDICTS = 1_024;
+/** Maximum number of accepted edits kept to describe conflicts, list the history and revert edits. */
+export const MAX_HISTORY_EDITS = 500;
 /**
- * Largest number of entries whose earlier texts are kept for one edit. For a larger edit no texts are
+ * Maximum number of entries whose earlier texts are kept for one edit. For a larger edit no texts are
  * kept, so versions before it cannot be restored.
  */
-export const EARLIER_TEXTS_MAX = 2_000;
-/** Limit on the total length of the earlier texts in the history. */
-export const HISTORY_TEXT_LENGTH_MAX = 2 ** 20;
+export const MAX_EARLIER_TEXTS = 2_000;
+/** Maximum total length of the earlier texts in the history. */
+export const MAX_HISTORY_TEXT_LENGTH = 2 ** 20;
 
 /** An accepted edit that conflicts with a refused one. */
 export interface ConflictingEdit {
@@ -62,7 +62,7 @@
   readonly author: string;
   readonly team: string;
   readonly at: Millis;
-  /** Absent if the edit changed more than EARLIER_TEXTS_MAX entries. */
+  /** Absent if the edit changed more than MAX_EARLIER_TEXTS entries. */
   readonly earlier?: readonly EarlierTexts[] | undefined;
   readonly sections: readonly SectionName[];
   /** Total length of the keys and earlier texts. */
--- a/src/core/configuration/intake.ts
+++ b/src/core/configuration/intake.ts
@@ -6,14 +6,14 @@
 import type { CheckpointAssembly } from './configurationState.js';
 import { enqueueJob } from './work.js';
 
-/** Number of recent records kept to answer peers. */
-const RECENT_RECORDS_MAX = 512;
-/** Limit on the total length of those records. */
-const RECENT_TEXT_LENGTH_MAX = 2 ** 20;
+/** Maximum number of recent records kept to answer peers. */
+const MAX_RECENT_RECORDS = 512;
+/** Maximum total length of those records. */
+const MAX_RECENT_TEXT_LENGTH = 2 ** 20;
 
 /**
- * Queues the records with offsets from `from` up to but excluding `next`. Returns those that are new,
- * or `undefined` if records before `from` are missing.
+ * Queues and returns the new ones among `records`, which cover the offsets from `from` up to but
+ * excluding `next`. Returns `undefined` if records before `from` are missing.
  */
 export function enqueueRecords(
   ctx: CoreContext,
@@ -38,9 +38,9 @@
   const all = [...distribution.recent, ...newRecords];
   let first = all.length;
   let length = 0;
-  while (first > 0 && all.length - first < RECENT_RECORDS_MAX) {
+  while (first > 0 && all.length - first < MAX_RECENT_RECORDS) {
     length += all[first - 1]?.data.length ?? 0;
-    if (length > RECENT_TEXT_LENGTH_MAX) break;
+    if (length > MAX_RECENT_TEXT_LENGTH) break;
     first -= 1;
   }
   const dropped = all[first - 1];
--- a/src/core/configuration/keys.ts
+++ b/src/core/configuration/keys.ts
@@ -4,8 +4,8 @@
 import { equalInConstantTime } from '../sha256.js';
 import type { KeyHash, NotRunProblem } from '../types.js';
 
-/** Failed keys within the window that are audited one by one; further ones get status 429. */
-const KEY_FAILURES_MAX = 10;
+/** Number of unknown keys within the window that are audited; further ones get status 429. */
+const MAX_KEY_FAILURES = 10;
 const KEY_FAILURE_WINDOW_MS: Millis = 60_000;
 
 /** Team name for the first edit of a fleet, before the document defines teams. */
@@ -15,7 +15,10 @@
   | { readonly kind: 'team'; readonly team: string }
   | { readonly kind: 'rejected'; readonly problem: NotRunProblem };
 
-/** Returns the team that owns a key. Compares in constant time with the key hashes of all teams. */
+/**
+ * Returns the team that owns a key, or the problem with which to reject the command. Compares in
+ * constant time with the key hashes of all teams.
+ */
 export function checkOperatorKey(ctx: CoreContext, keyHash: KeyHash): KeyCheck {
   const team = findTeam(ctx, keyHash);
   if (team !== undefined) return { kind: 'team', team };
@@ -23,7 +26,7 @@
   const recentFailures = configuration.keyFailures.filter(
     (at) => ctx.now - at < KEY_FAILURE_WINDOW_MS,
   );
-  const isRateLimited = recentFailures.length >= KEY_FAILURES_MAX;
+  const isRateLimited = recentFailures.length >= MAX_KEY_FAILURES;
   configuration.keyFailures = isRateLimited ? recentFailures : [...recentFailures, ctx.now];
   if (!isRateLimited) audit(ctx, 'authenticate', 'operators', 'unknown operator key', false);
   const problem: NotRunProblem = {
--- a/src/core/configuration/publishing.ts
+++ b/src/core/configuration/publishing.ts
@@ -26,10 +26,10 @@
 
 type PublishCommand = Extract<OperatorCommand, { readonly kind: 'publish' }>;
 
-/** Largest length of the old and of the new text in an audit entry. */
-const AUDIT_TEXT_LENGTH_MAX = 500;
-/** Changed entries of one section whose texts an audit entry includes. */
-const AUDIT_KEYS_MAX = 50;
+/** Maximum length of the old text, and of the new text, in an audit entry. */
+const MAX_AUDIT_TEXT_LENGTH = 500;
+/** Maximum number of changed entries of one section whose texts an audit entry includes. */
+const MAX_AUDIT_KEYS = 50;
 
 const REFUSAL_CODES: Readonly<Record<RefusalReason, DiagnosticCode>> = {
   unknownTeam: 'operatorKeyUnknown',
@@ -260,7 +260,7 @@
   const { document } = ctx.state.configuration.fold;
   const keys = changes.flatMap((change) =>
     changedKeys(change)
-      .slice(0, AUDIT_KEYS_MAX)
+      .slice(0, MAX_AUDIT_KEYS)
       .map((key) => ({ change, key })),
   );
   edit.before = truncateAndRedact(
@@ -272,11 +272,11 @@
 /** Truncates texts for the audit trail and redacts key hashes to their first eight digits. */
 function truncateAndRedact(texts: readonly string[]): string {
   const text = texts
-    .slice(0, AUDIT_TEXT_LENGTH_MAX)
+    .slice(0, MAX_AUDIT_TEXT_LENGTH)
     .join('')
-    .slice(0, 4 * AUDIT_TEXT_LENGTH_MAX);
+    .slice(0, 4 * MAX_AUDIT_TEXT_LENGTH);
   const withoutHashes = text.replace(/[0-9a-f]{64}/g, (hash) => `${hash.slice(0, 8)}…`);
-  return withoutHashes.slice(0, AUDIT_TEXT_LENGTH_MAX);
+  return withoutHashes.slice(0, MAX_AUDIT_TEXT_LENGTH);
 }
 
 function createProblem(
--- a/src/core/configuration/queries.ts
+++ b/src/core/configuration/queries.ts
@@ -11,8 +11,8 @@
 
 type CommandOf<K extends OperatorCommand['kind']> = Extract<OperatorCommand, { readonly kind: K }>;
 
-/** Changed keys listed for one edit in the history. */
-const KEYS_PER_EDIT_MAX = 50;
+/** Maximum number of changed keys listed for one edit in the history. */
+const MAX_KEYS_PER_EDIT = 50;
 
 /** Returns the source of a section or of the whole document, by default in its latest version. */
 export function getConfiguration(
@@ -99,7 +99,7 @@
       team,
       at,
       sections,
-      keys: keys.slice(0, KEYS_PER_EDIT_MAX),
+      keys: keys.slice(0, MAX_KEYS_PER_EDIT),
       ...(reason !== undefined && { reason }),
     };
   });
--- a/src/core/configuration/reading.ts
+++ b/src/core/configuration/reading.ts
@@ -14,7 +14,7 @@
 import type { OutstandingRead, ReadingMode } from './configurationState.js';
 import { pushRecords } from './distribution.js';
 import { addCheckpointPart, loadCheckpoint, enqueueRecords } from './intake.js';
-import { CHECKPOINT_STREAM, CONFIGURATION_STREAM, decodeRecord } from './records.js';
+import { CONFIGURATION_CHECKPOINT_STREAM, CONFIGURATION_STREAM, decodeRecord } from './records.js';
 
 /** Records requested in one read; fewer for checkpoint parts, which are larger. */
 const RECORDS_PER_READ = 256;
@@ -43,7 +43,7 @@
   if (!isReader && !needsRead(ctx)) return;
   if (!ctx.state.configuration.hasCaughtUp && isWaitingForPeers(ctx)) return;
   const read = createNextRead(ctx, isReader);
-  const limit = read.stream === CHECKPOINT_STREAM ? PARTS_PER_READ : RECORDS_PER_READ;
+  const limit = read.stream === CONFIGURATION_CHECKPOINT_STREAM ? PARTS_PER_READ : RECORDS_PER_READ;
   reading.outstanding = read;
   const { stream, from, waitMs } = read;
   ctx.emit({ kind: 'readLog', stream, from, limit, waitMs });
@@ -77,7 +77,7 @@
   const { mode, atEndAt } = configuration.reading;
   const sentAt = ctx.now;
   if (mode.kind === 'load') {
-    return { stream: CHECKPOINT_STREAM, from: mode.next, sentAt, waitMs: 0 };
+    return { stream: CONFIGURATION_CHECKPOINT_STREAM, from: mode.next, sentAt, waitMs: 0 };
   }
   const from = mode.kind === 'locate' ? mode.next : configuration.intakeNext;
   const followWaitMs = isReader ? settings.configurationPollMs : SHORT_POLL_MS;
--- a/src/core/configuration/records.ts
+++ b/src/core/configuration/records.ts
@@ -1,7 +1,7 @@
 /**
  * Encodes and decodes the records of the `configuration` stream: edits and checkpoint notes. The
  * parts of checkpoints are in the stream `configuration-checkpoints`; see checkpoint.ts. A checkpoint
- * note is one JSON text, an edit has one on each line.
+ * note is a single JSON text. An edit is a sequence of JSON texts, one per line.
  */
 import * as z from 'zod';
 import {
@@ -16,7 +16,7 @@
 import type { KeyHash } from '../types.js';
 
 export const CONFIGURATION_STREAM = 'configuration';
-export const CHECKPOINT_STREAM = 'configuration-checkpoints';
+export const CONFIGURATION_CHECKPOINT_STREAM = 'configuration-checkpoints';
 
 /** Version of the document schema and of the rules of the fold. Records of a newer version stop the fold. */
 export const SCHEMA_VERSION = 1;
--- a/src/core/reducer.ts
+++ b/src/core/reducer.ts
@@ -18,7 +18,7 @@
   onHeartbeatVersion,
   startConfiguration,
 } from './configuration/configuration.js';
-import { CHECKPOINT_STREAM, CONFIGURATION_STREAM } from './configuration/records.js';
+import { CONFIGURATION_CHECKPOINT_STREAM, CONFIGURATION_STREAM } from './configuration/records.js';
 import { onClaimsTimer } from './claims/claimsTimer.js';
 import { onOutcomeQuery, onOutcomeReply } from './claims/duplicates.js';
 import { onClaimsLogRead, startReading } from './claims/reading.js';
@@ -355,7 +355,7 @@
 }
 
 function isConfigurationStream(stream: string): boolean {
-  return stream === CONFIGURATION_STREAM || stream === CHECKPOINT_STREAM;
+  return stream === CONFIGURATION_STREAM || stream === CONFIGURATION_CHECKPOINT_STREAM;
 }
 
 function isClaimsStream(stream: string): boolean {
--- a/test/configuration/checkpoint.test.ts
+++ b/test/configuration/checkpoint.test.ts
@@ -86,18 +86,18 @@
 
   it('does not make a new instance ready while a peer reports a higher version', () => {
     const core = createCore({ self: SELF, seed: 1 });
-    const news = [createHeartbeat('old', 0, 1), createHeartbeat('new', 3, 1)];
+    const heartbeats = [createHeartbeat('old', 0, 1), createHeartbeat('new', 3, 1)];
     const early = runEvents(
       core,
-      [{ kind: 'start' }, ...news, ...createSnapshots(createFoldWithEdits(0), 'old')],
+      [{ kind: 'start' }, ...heartbeats, ...createSnapshots(createFoldWithEdits(0), 'old')],
       2_000,
     );
     expect(early.some((effect) => effect.kind === 'setReady')).to.equal(false);
     expect(core.state.configuration.view).to.equal(undefined);
-    const asked = runEvents(core, [], 3_500).find(
+    const request = runEvents(core, [], 3_500).find(
       (effect) => effect.kind === 'sendPeer' && effect.message.$case === 'configurationRequest',
     );
-    expect(asked?.kind === 'sendPeer' && asked.to).to.equal('new');
+    expect(request?.kind === 'sendPeer' && request.to).to.equal('new');
     const late = runEvents(core, createSnapshots(createFoldWithEdits(3), 'new'), 4_000);
     expect(late.some((effect) => effect.kind === 'setReady' && effect.ready)).to.equal(true);
     expect(core.state.configuration.view?.version).to.equal(3);
--- a/test/configuration/fleet.test.ts
+++ b/test/configuration/fleet.test.ts
@@ -39,7 +39,7 @@
 
 const activeVersion = (instance: FakeInstance) =>
   instance.core.state.configuration.view?.version ?? -1;
-const stopText = (reason: string) => `e1: { reason: ${reason} }\n`;
+const plannedStopText = (reason: string) => `e1: { reason: ${reason} }\n`;
 
 function createStartedFleet(instances: number, domains: number, seed = 1): FakeFleet {
   const fleet = createFakeFleet({ instances, domains, seed, settings: { checkpointMs: 8_000 } });
@@ -75,14 +75,14 @@
       editId: 's1',
       section: 'plannedStops',
       baseVersion: 0,
-      text: stopText('x'),
+      text: plannedStopText('x'),
     });
-    const taken = fleet.runUntil(
+    const activationMs = fleet.runUntil(
       () =>
         fleet.instances.every(({ core }) => core.state.configuration.view?.plannedStops.has('e1')),
       ACTIVATION_TIMEOUT_MS,
     );
-    expect(taken).to.not.equal(undefined);
+    expect(activationMs).to.not.equal(undefined);
   });
 
   it('reaches an instance that restarts without state while the log is down', () => {
@@ -129,9 +129,14 @@
   it('publishes an edit once if the reply of the log is lost and the operator submits it again', () => {
     const fleet = createStartedFleet(3, 1);
     fleet.log.lostReplies = 1;
-    const stop = { editId: 's1', section: 'plannedStops', baseVersion: 0, text: stopText('x') };
-    const first = publish(fleet, fleet.instances[1] as FakeInstance, stop);
-    const second = publish(fleet, fleet.instances[2] as FakeInstance, stop);
+    const plannedStop = {
+      editId: 's1',
+      section: 'plannedStops',
+      baseVersion: 0,
+      text: plannedStopText('x'),
+    };
+    const first = publish(fleet, fleet.instances[1] as FakeInstance, plannedStop);
+    const second = publish(fleet, fleet.instances[2] as FakeInstance, plannedStop);
     fleet.run(5_000);
     expect(first[0]).to.deep.equal(second[0]);
     expect(first[0]?.kind).to.equal('done');
@@ -146,7 +151,7 @@
         editId: `s${i}`,
         section: 'plannedStops',
         baseVersion: 0,
-        text: stopText(`by ${i}`),
+        text: plannedStopText(`by ${i}`),
       }),
     );
     fleet.run(3_000);
@@ -183,7 +188,7 @@
         editId: `s${i}`,
         section: 'plannedStops',
         baseVersion: 0,
-        text: stopText('x'),
+        text: plannedStopText('x'),
       }),
     );
     fleet.run(25_000);
@@ -196,7 +201,7 @@
     expect(fleet.instances.map(activeVersion)).to.deep.equal([0, 0]);
   });
 
-  it('never shows an operator key in state, log or replies', () => {
+  it('never writes an operator key to the log or to a verdict', () => {
     const fleet = createStartedFleet(2, 1);
     const everything = JSON.stringify([
       [...fleet.log.streams.entries()],
@@ -213,7 +218,7 @@
       editId: 's1',
       section: 'plannedStops',
       baseVersion: 0,
-      text: stopText('x'),
+      text: plannedStopText('x'),
     });
     fleet.run(2_000);
     const before = foldFingerprint(instance);
@@ -243,7 +248,7 @@
     {
       weight: 6,
       arbitrary: fc.record({
-        kind: fc.constant('stop' as const),
+        kind: fc.constant('plannedStop' as const),
         at: fc.nat(4),
         stale: fc.boolean(),
       }),
@@ -263,16 +268,16 @@
         ms: fc.integer({ min: 1, max: 400 }),
       }),
     },
-    { weight: 1, arbitrary: fc.record({ kind: fc.constant('lose' as const) }) },
+    { weight: 1, arbitrary: fc.record({ kind: fc.constant('loseReply' as const) }) },
     { weight: 2, arbitrary: fc.record({ kind: fc.constant('restart' as const), at: fc.nat(4) }) },
     {
       weight: 1,
       arbitrary: fc.record({
-        kind: fc.constant('cut' as const),
+        kind: fc.constant('partition' as const),
         ms: fc.integer({ min: 500, max: 8_000 }),
       }),
     },
-    { weight: 1, arbitrary: fc.record({ kind: fc.constant('expire' as const) }) },
+    { weight: 1, arbitrary: fc.record({ kind: fc.constant('expireRecords' as const) }) },
     {
       weight: 4,
       arbitrary: fc.record({
@@ -314,12 +319,18 @@
         };
         for (const action of actions) {
           switch (action.kind) {
-            case 'stop': {
+            case 'plannedStop': {
               const base = action.stale
                 ? 0
                 : activeVersion(fleet.instances[action.at] as FakeInstance);
-              edit(action.at, 'plannedStops', stopText(`r${edits}`), base, PLATFORM_HASH);
-              edit((action.at + 1) % 5, 'plannedStops', stopText(`r${edits}`), base, PLATFORM_HASH);
+              edit(action.at, 'plannedStops', plannedStopText(`r${edits}`), base, PLATFORM_HASH);
+              edit(
+                (action.at + 1) % 5,
+                'plannedStops',
+                plannedStopText(`r${edits}`),
+                base,
+                PLATFORM_HASH,
+              );
               races.push([`e${edits - 1}`, `e${edits}`]);
               break;
             }
@@ -336,7 +347,7 @@
             case 'logSlow':
               fleet.log.delayMs = action.ms;
               break;
-            case 'lose':
+            case 'loseReply':
               fleet.log.lostReplies += 1;
               break;
             case 'restart': {
@@ -346,12 +357,12 @@
               fleet.start(instance);
               break;
             }
-            case 'cut':
+            case 'partition':
               fleet.cutLinks.add('d0|d1');
               run(action.ms);
               fleet.cutLinks.clear();
               break;
-            case 'expire': {
+            case 'expireRecords': {
               const records = fleet.log.streams.get('configuration') ?? [];
               const note = records.findLastIndex((data) => data.startsWith('{"kind":"checkpoint"'));
               if (note >= 0) fleet.log.oldest.set('configuration', note);
--- a/test/configuration/fold.test.ts
+++ b/test/configuration/fold.test.ts
@@ -6,7 +6,7 @@
 import {
   createFoldState,
   type FoldState,
-  VERDICTS_MAX,
+  MAX_VERDICTS,
 } from '../../src/core/configuration/foldState.js';
 import type { SectionChange } from '../../src/core/configuration/records.js';
 import { ACCOUNTS_HASH, baseChanges, editRecord, stopChange } from '../support/edits.js';
@@ -68,7 +68,7 @@
     expect(fold.version).to.equal(1);
   });
 
-  it('refuses an edit that leaves a dangling reference or has an unknown base version', () => {
+  it('refuses an edit that leaves an unresolved reference or has an unknown base version', () => {
     const fold = createFoldWithBase();
     const remove: SectionChange = { section: 'pools', set: {}, remove: ['chat'] };
     const result = foldRecord(fold, 1, editRecord('a', 0, [remove]));
@@ -77,7 +77,7 @@
     expect(foldOutcome(fold, 2, editRecord('b', 9, [stopChange('e1')]))).to.equal('unknownBase');
   });
 
-  it('accepts, checking the changed sections only, no edit that fails the check of the whole document', () => {
+  it('accepts no edit that makes the document invalid, although only changed sections are checked', () => {
     const change = fc.constantFrom<SectionChange>(
       { section: 'pools', set: {}, remove: ['chat'] },
       { section: 'pools', set: { shop: 'shop: { kind: service }\n' }, remove: [] },
@@ -107,8 +107,8 @@
 
   it('stops before a record of a newer schema version', () => {
     const fold = createFoldWithBase();
-    const later = JSON.stringify({ kind: 'edit', schemaVersion: 99, whatever: 1 });
-    expect(foldRecord(fold, 1, later).kind).to.equal('blocked');
+    const newerRecord = JSON.stringify({ kind: 'edit', schemaVersion: 99, whatever: 1 });
+    expect(foldRecord(fold, 1, newerRecord).kind).to.equal('blocked');
     expect(fold).to.deep.include({ next: 1, version: 0 });
     expect(fold.blocked).to.deep.equal({ offset: 1, schemaVersion: 99 });
   });
@@ -125,7 +125,7 @@
     expect(entriesAt(fold, 'plannedStops', 0)?.size).to.equal(0);
   });
 
-  it('ignores malformed records and bounds the number of verdicts', () => {
+  it('ignores malformed records and limits the number of stored verdicts', () => {
     fc.assert(
       fc.property(fc.oneof(fc.string(), fc.json()), (data) => {
         const fold = createFoldWithBase();
@@ -135,9 +135,9 @@
       { seed: 6, numRuns: 100 },
     );
     const fold = createFoldWithBase();
-    for (let i = 1; i <= VERDICTS_MAX + 10; i += 1) {
+    for (let i = 1; i <= MAX_VERDICTS + 10; i += 1) {
       foldRecord(fold, i, editRecord(`e${i}`, 0, [stopChange('e1')], { keyHash: ACCOUNTS_HASH }));
     }
-    expect(fold.verdicts.size).to.equal(VERDICTS_MAX);
+    expect(fold.verdicts.size).to.equal(MAX_VERDICTS);
   });
 });
