--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -43,6 +43,7 @@
 /** Last known state of an instance. */
 export interface Member extends InstanceIdentity {
   readonly phase: InstancePhase;
+  /** Number of the last heartbeat; increases within an incarnation. */
   readonly beat: number;
   readonly lastHeardAt: Millis;
   readonly configurationVersion: number;
@@ -260,7 +261,7 @@
   AcceptedRequest | WaitingRequest | GrantedRequest | DispatchedRequest | RetryingRequest;
 
 /** Requests that no upstream has executed; only these can be refused as not executed. */
-export type UntriedRequest = AcceptedRequest | WaitingRequest | GrantedRequest;
+export type UnexecutedRequest = AcceptedRequest | WaitingRequest | GrantedRequest;
 
 /** A grant of a slot on an upstream. */
 export interface GrantFacts {
