Reword the rest of the routing core

Read again from top to bottom. What had to be read twice, and what it is now: - The surcharge for rereading a shared prompt part was described in admission as a number of reads to spare, and in placement as a factor of the read time. Both say factor now (computeRereadFactor, REREAD_FACTOR_*). - The estimates of a placement had other names than the same estimates in admission: firstMs, ownMs and readMs are firstEventMs, unloadedMs and promptReadMs in both. The value called standing is named share, and latePenalty names the estimate that it is given. - Admission spoke of kinds of requests where the code counts routes. - Upstream.cuts is interruptedRequests, hashOf is hashUpstream, neighbors are peersInDomain, and isForDomain is actsAsRelay. checkRequest in watch.ts and wasPlatformDown in handleMissing shared a name with something else. - Comments that did not say what the code does: the interval of list reads has a lower bound, not an upper one; exchangeInstances counts recipients; homes are chosen for the last shared part; a crash is inferred only from an upstream that is found unreachable, not from several broken connections.

--- a/src/routing/admission/admission.ts
+++ b/src/routing/admission/admission.ts
@@ -6,11 +6,11 @@
  * late. A request is therefore refused if its first event is not expected within the objective of
  * its route; the caller is told when the backlog should have cleared.
  *
- * Because upstreams process requests in order of arrival, all kinds of requests share one wait
- * limit: that of the route with the shortest objective, whose requests would otherwise never be
- * admitted. The limit is adjusted slightly for kinds that are admitted more or less often than the
- * others. A customer that exceeds its fair share is refused earlier, which leaves capacity to the
- * other customers.
+ * Because upstreams process requests in order of arrival, the requests of all routes to a pool
+ * share one wait limit: that of the route with the shortest objective, whose requests would
+ * otherwise never be admitted. The limit is adjusted slightly for routes whose requests are
+ * admitted more or less often than the others. A customer that exceeds its fair share is refused
+ * earlier, which leaves capacity to the other customers.
  */
 import type { Millis } from '../../core/clock.js';
 import type { Random } from '../../core/random.js';
@@ -26,14 +26,12 @@
   readonly objectiveMs: Millis;
   /** Shortest objective among the routes that target the same pool. */
   readonly shortestObjectiveMs: Millis;
-  /**
-   * Factor on the allowed wait that balances the admission rates of different kinds of requests.
-   */
+  /** Factor on the allowed wait that balances the admission rates of the pool's routes. */
   readonly waitFactor: number;
   /** Time until the caller's deadline. */
   readonly remainingMs: Millis;
   /** The customer's usage relative to its fair share; absent for requests without tokens. */
-  readonly standing?: Standing;
+  readonly share?: Standing;
 }
 
 export type AdmissionDecision =
@@ -68,11 +66,11 @@
  */
 const IDLENESS_THRESHOLD = 0.5;
 /**
- * Number of times that the expected cost of reading a shared prompt part again must fit into the
- * time limit: without contention, and for a customer at its fair share.
+ * Surcharge for rereading a shared prompt part, as a multiple of the time that the read takes:
+ * without contention, and for a customer at its fair share.
  */
-const SPARE_READS_UNCONTENDED = 2;
-const SPARE_READS_AT_SHARE = 6;
+const REREAD_FACTOR_UNCONTENDED = 2;
+const REREAD_FACTOR_AT_SHARE = 6;
 /**
  * Fraction of the time to the deadline that may pass before the first event; the answer needs the
  * rest.
@@ -91,8 +89,8 @@
  * below the limit of a customer at its share: reading a shared prompt part again is not worth it
  * just to meet the shorter limit of a customer that exceeds its share.
  */
-export function placementLimit(objectiveMs: Millis, standing: Standing | undefined): Millis {
-  return objectiveMs * USABLE_FRACTION * Math.max(AT_SHARE_FRACTION, objectiveFraction(standing));
+export function placementLimit(objectiveMs: Millis, share: Standing | undefined): Millis {
+  return objectiveMs * USABLE_FRACTION * Math.max(AT_SHARE_FRACTION, objectiveFraction(share));
 }
 
 /**
@@ -107,24 +105,23 @@
 export function decideAdmission(input: AdmissionInput, random: Random): AdmissionDecision {
   const limitMs = admissionLimit(input);
   if (input.firstEventMs <= limitMs) return { kind: 'admit', limitMs };
-  const reason = isOverShare(input.standing) ? 'overShare' : 'overload';
+  const reason = isOverShare(input.share) ? 'overShare' : 'overload';
   return { kind: 'refuse', reason, limitMs, retryAfterMs: retryAfter(input, limitMs, random) };
 }
 
 /** Returns the longest expected time to the first event with which a request is admitted. */
 function admissionLimit(input: AdmissionInput): Millis {
-  const { objectiveMs, shortestObjectiveMs, unloadedMs, promptReadMs, remainingMs, standing } =
-    input;
-  const usableMs = objectiveMs * USABLE_FRACTION * objectiveFraction(standing);
-  if (!isContended(standing))
+  const { objectiveMs, shortestObjectiveMs, unloadedMs, promptReadMs, remainingMs, share } = input;
+  const usableMs = objectiveMs * USABLE_FRACTION * objectiveFraction(share);
+  if (!isContended(share))
     return Math.max(usableMs, largePromptLimit(unloadedMs, usableMs, remainingMs));
   const shortestUsableMs =
-    shortestObjectiveMs * USABLE_FRACTION * objectiveFraction(standing) * input.waitFactor;
+    shortestObjectiveMs * USABLE_FRACTION * objectiveFraction(share) * input.waitFactor;
   const limitMs = Math.min(usableMs, shortestUsableMs + promptReadMs);
-  if (!isOverShare(standing))
+  if (!isOverShare(share))
     return Math.max(limitMs, largePromptLimit(unloadedMs, usableMs, remainingMs));
   // Capacity is estimated from what is admitted; idle upstreams show that the estimate is too low.
-  return standing.idleness > IDLENESS_THRESHOLD ? Math.max(limitMs, unloadedMs) : limitMs;
+  return share.idleness > IDLENESS_THRESHOLD ? Math.max(limitMs, unloadedMs) : limitMs;
 }
 
 /**
@@ -139,37 +136,37 @@
 }
 
 /**
- * Returns how many times the cost of reading a shared prompt part again must fit into the time
- * limit. The number is low without contention and for small customers, and rises with a customer's
- * usage, since reading a part again takes capacity from the other customers.
+ * Returns the surcharge for rereading a shared prompt part, as a multiple of the time that the read
+ * takes. It is low without contention and for small customers, and rises with a customer's usage,
+ * since rereading a part takes capacity from the other customers.
  */
-export function requiredSpareReads(standing: Standing | undefined): number {
-  if (!isContended(standing)) return SPARE_READS_UNCONTENDED;
+export function computeRereadFactor(share: Standing | undefined): number {
+  if (!isContended(share)) return REREAD_FACTOR_UNCONTENDED;
   return interpolate(
-    shareUsage(standing),
+    shareUsage(share),
     SMALL_CUSTOMER_USAGE,
-    SPARE_READS_UNCONTENDED,
+    REREAD_FACTOR_UNCONTENDED,
     1,
-    SPARE_READS_AT_SHARE,
+    REREAD_FACTOR_AT_SHARE,
   );
 }
 
 /**
  * Returns the fraction of the usable objective that a customer may wait; it falls as usage rises.
  */
-function objectiveFraction(standing: Standing | undefined): number {
+function objectiveFraction(share: Standing | undefined): number {
   // Without contention, no customer has to be limited.
-  if (!isContended(standing)) return 1;
-  if (!isOverShare(standing)) {
-    return interpolate(shareUsage(standing), SMALL_CUSTOMER_USAGE, 1, 1, AT_SHARE_FRACTION);
+  if (!isContended(share)) return 1;
+  if (!isOverShare(share)) {
+    return interpolate(shareUsage(share), SMALL_CUSTOMER_USAGE, 1, 1, AT_SHARE_FRACTION);
   }
-  const excess = standing.admitted / standing.level - 1;
+  const excess = share.admitted / share.level - 1;
   return interpolate(excess, 0, AT_SHARE_FRACTION, FULL_PENALTY_EXCESS, OVER_SHARE_FRACTION);
 }
 
 /** Whether the customers' demand exceeds the capacity. */
-function isContended(standing: Standing | undefined): standing is Standing {
-  return standing !== undefined && standing.level < Infinity;
+function isContended(share: Standing | undefined): share is Standing {
+  return share !== undefined && share.level < Infinity;
 }
 
 /** Returns a customer's admitted rate relative to the fair share. */
@@ -183,13 +180,13 @@
   return y1 + fraction * (y2 - y1);
 }
 
-function isOverShare(standing: Standing | undefined): boolean {
-  return standing !== undefined && standing.admitted > standing.level;
+function isOverShare(share: Standing | undefined): boolean {
+  return share !== undefined && share.admitted > share.level;
 }
 
 /**
- * Returns the delay after which a refused caller may retry. The backlog beyond the limit clears in
- * the time by which it would have delayed the request.
+ * Returns the delay after which a refused caller may retry: the time by which the estimate exceeds
+ * the limit, in which the upstreams process that much of their backlog, and a random part.
  */
 function retryAfter(input: AdmissionInput, limitMs: Millis, random: Random): Millis {
   const jitterMs = random.next() * RETRY_JITTER_FRACTION * input.objectiveMs;
--- a/src/routing/attempts/arrival.ts
+++ b/src/routing/attempts/arrival.ts
@@ -7,7 +7,7 @@
   decideAdmission,
   maxDecisionDelay,
   placementLimit,
-  requiredSpareReads,
+  computeRereadFactor,
   type AdmissionDecision,
 } from '../admission/admission.js';
 import { emit, logWarning, type RoutingContext } from '../context.js';
@@ -171,9 +171,9 @@
 /** Chooses an upstream for a request, then sends the request or refuses it. */
 function admit(ctx: RoutingContext, request: OpenRequest): void {
   const { facts, route, pool } = request;
-  const standing = recordDemand(ctx, request);
-  const withinMs = placementLimit(route.objectiveMs, standing);
-  const spareReads = requiredSpareReads(standing);
+  const share = recordDemand(ctx, request);
+  const withinMs = placementLimit(route.objectiveMs, share);
+  const spareReads = computeRereadFactor(share);
   const placement = place(ctx, { facts, route, pool, excluded: [], withinMs, spareReads });
   if (placement === undefined) {
     refuse(
@@ -187,14 +187,14 @@
     {
       // The objective counts from the arrival.
       firstEventMs: placement.reckonedMs + (facts.waitedMs ?? 0),
-      unloadedMs: placement.ownMs,
-      promptReadMs: placement.readMs,
+      unloadedMs: placement.unloadedMs,
+      promptReadMs: placement.promptReadMs,
       objectiveMs: route.objectiveMs,
       shortestObjectiveMs:
         ctx.state.freshness.routeTable.shortestObjective(pool) ?? route.objectiveMs,
       waitFactor: waitFactor(ctx, pool, route),
       remainingMs: request.deadlineAt - ctx.now,
-      ...(standing === undefined ? {} : { standing }),
+      ...(share === undefined ? {} : { share }),
     },
     ctx.state.random,
   );
@@ -206,26 +206,26 @@
     return;
   }
   const { reason, retryAfterMs } = decision;
-  const fields = describeRefusal(request, placement, standing, decision);
+  const fields = describeRefusal(request, placement, share, decision);
   refuse(ctx, facts, { status: 503, reason, retryAfterMs, fields });
 }
 
-/** Adds a request to its customer's demand. Returns the customer's usage relative to its share. */
+/** Adds a request to its customer's demand. Returns the customer's rates and its fair share. */
 function recordDemand(ctx: RoutingContext, request: OpenRequest): Standing | undefined {
   const { facts, customer } = request;
   const tokens = tokensOf(facts.promptTokens, facts.outputTokens);
   if (customer === undefined || tokens === 0) return undefined;
-  // Computed before this request is counted: none of its tokens can have been admitted yet.
+  // Computed before this request is counted, since none of its tokens have been admitted yet.
   const { idleness } = poolWait(ctx, request.pool);
-  const standing = standingOf(ctx, customer, idleness());
+  const share = standingOf(ctx, customer, idleness());
   noteAsked(ctx, customer, tokens);
-  return standing;
+  return share;
 }
 
 function describeRefusal(
   { route, customer, facts }: OpenRequest,
   placement: Placement,
-  standing: Standing | undefined,
+  share: Standing | undefined,
   decision: AdmissionDecision,
 ): LogFields {
   return {
@@ -233,13 +233,13 @@
     customer,
     tokens: facts.promptTokens,
     upstream: placement.upstream.listed.id,
-    expectedMs: Math.round(placement.firstMs),
+    expectedMs: Math.round(placement.firstEventMs),
     limitMs: Math.round(decision.limitMs),
     ahead: Math.round(placement.tokensAhead),
     running: placement.running,
-    asked: standing && Math.round(standing.asked),
-    admitted: standing && Math.round(standing.admitted),
-    shareLevel: standing && Math.round(standing.level),
+    asked: share && Math.round(share.asked),
+    admitted: share && Math.round(share.admitted),
+    shareLevel: share && Math.round(share.level),
   };
 }
 
--- a/src/routing/attempts/attempts.ts
+++ b/src/routing/attempts/attempts.ts
@@ -81,7 +81,7 @@
     uncachedTokens,
     tokensAhead: placement.tokensAhead,
     heldTokens: facts.promptTokens + facts.outputTokens,
-    expectedMs: placement.firstMs,
+    expectedMs: placement.firstEventMs,
     firstPartAt: undefined,
     lastPartAt: undefined,
   };
@@ -127,7 +127,7 @@
     customer,
     upstream: placement.upstream.listed.id,
     version: ctx.state.freshness.configuration?.version,
-    expectedMs: Math.round(placement.firstMs),
+    expectedMs: Math.round(placement.firstEventMs),
     ahead: Math.round(placement.tokensAhead),
     uncached: placement.uncachedTokens,
     running: placement.running,
--- a/src/routing/attempts/statuses.ts
+++ b/src/routing/attempts/statuses.ts
@@ -2,7 +2,7 @@
 
 /** Statuses that guarantee to the caller that its request has not run and will not run. */
 export const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-/** The request reached another upstream, because the address was reassigned. */
+/** Status of an upstream that got a request meant for the previous user of its address. */
 export const MISDIRECTED_STATUS = 421;
 /** Lowest status that indicates an error. */
 export const FIRST_ERROR_STATUS = 400;
--- a/src/routing/attempts/watch.ts
+++ b/src/routing/attempts/watch.ts
@@ -1,7 +1,7 @@
 /**
  * Periodic health check of open requests and upstreams. Enforces time limits, detects upstreams
- * that have stopped responding, and retries requests that stall at an upstream that still answers
- * others.
+ * that have stopped responding, and retries requests that wait at such an upstream or stall at one
+ * that still answers others.
  */
 import type { Millis } from '../../core/clock.js';
 import type { RoutingContext } from '../context.js';
@@ -26,12 +26,12 @@
   dropMissing(ctx);
   expireCrashes(ctx);
   detectSilentUpstreams(ctx, takeTimerDelay(ctx));
-  [...ctx.state.requests.open.values()].forEach((request) => checkRequest(ctx, request));
+  [...ctx.state.requests.open.values()].forEach((request) => checkOpenRequest(ctx, request));
   probeLost(ctx);
   setTimer(ctx, 'health', HEALTH_CHECK_INTERVAL_MS);
 }
 
-function checkRequest(ctx: RoutingContext, request: OpenRequest): void {
+function checkOpenRequest(ctx: RoutingContext, request: OpenRequest): void {
   const dueAt = request.hasAnswerStarted ? request.deadlineAt : request.dueAt;
   if (ctx.now >= dueAt) {
     cancelAttempt(ctx, request);
--- a/src/routing/exchange/domains.ts
+++ b/src/routing/exchange/domains.ts
@@ -6,8 +6,8 @@
  *
  * The relay is the instance with the lowest id that its domain hears from; there is no election.
  * While there are two relays, or none, summaries are sent twice or late; they are full states, so
- * nothing is counted twice. A domain that is silent is contacted through one of its instances after
- * the other until its relay answers.
+ * nothing is counted twice. Messages to a silent domain go to each of its instances in turn until
+ * its relay answers.
  */
 import { logInfo, logWarning, type RoutingContext } from '../context.js';
 import type { PartRead } from '../placement/prefixMemory.js';
@@ -118,7 +118,7 @@
   decodeParts(message).forEach((read) => ctx.state.prefixes.recordRemote(read, ctx.now));
 }
 
-/** Returns the relay if it was heard from recently, or else the domain's instances in turn. */
+/** Returns the relay if it was heard from recently, or else the next instance of the domain. */
 function selectRelay(
   ctx: RoutingContext,
   domain: FailureDomainId,
--- a/src/routing/exchange/exchange.ts
+++ b/src/routing/exchange/exchange.ts
@@ -171,10 +171,10 @@
   exchange.sequence += 1;
   const parts = ctx.state.prefixes.takePending();
   const message = composeInstanceMessage(ctx, parts);
-  const neighbors = domainPeers(ctx);
-  const recipients = usesRelays(ctx) ? neighbors : [...exchange.peers.values()];
+  const peersInDomain = domainPeers(ctx);
+  const recipients = usesRelays(ctx) ? peersInDomain : [...exchange.peers.values()];
   recipients.forEach((peer) => sendMessage(ctx, peer, message));
-  if (usesRelays(ctx) && hasLowestId(ctx)) sendToRelays(ctx, neighbors, parts);
+  if (usesRelays(ctx) && hasLowestId(ctx)) sendToRelays(ctx, peersInDomain, parts);
 }
 
 /** Sends a message to all other instances and returns their number. */
@@ -192,25 +192,25 @@
  * domains. Returns the number of recipients.
  */
 function sendToDomain(ctx: RoutingContext, parts: readonly PartRead[]): number {
-  const neighbors = domainPeers(ctx);
-  const isForDomain = isRelay(ctx);
-  const others = isForDomain ? takeSummariesToForward(ctx) : [];
+  const peersInDomain = domainPeers(ctx);
+  const actsAsRelay = isRelay(ctx);
+  const others = actsAsRelay ? takeSummariesToForward(ctx) : [];
   const message = composeInstanceMessage(ctx, parts, others);
-  neighbors.forEach((peer) => {
+  peersInDomain.forEach((peer) => {
     if (shouldSend(ctx, peer)) sendMessage(ctx, peer, message);
   });
-  if (!isForDomain) return neighbors.length;
-  return neighbors.length + sendToRelays(ctx, neighbors, parts);
+  if (!actsAsRelay) return peersInDomain.length;
+  return peersInDomain.length + sendToRelays(ctx, peersInDomain, parts);
 }
 
 /** Sends the summary of this domain to the other domains and returns their number. */
 function sendToRelays(
   ctx: RoutingContext,
-  neighbors: readonly PeerInstance[],
+  peersInDomain: readonly PeerInstance[],
   parts: readonly PartRead[],
 ): number {
   const relays = selectRelays(ctx);
-  const message = composeDomainMessage(ctx, neighbors, parts);
+  const message = composeDomainMessage(ctx, peersInDomain, parts);
   relays.forEach((relay) => sendMessage(ctx, relay, message));
   return relays.length;
 }
@@ -234,17 +234,17 @@
 /** Composes the summary of this failure domain. */
 function composeDomainMessage(
   ctx: RoutingContext,
-  neighbors: readonly PeerInstance[],
+  peersInDomain: readonly PeerInstance[],
   ownParts: readonly PartRead[],
 ): RoutingMessage {
   const { self, exchange } = ctx.state;
-  const known = neighbors.flatMap(({ news }) => (news === undefined ? [] : [news]));
+  const known = peersInDomain.flatMap(({ news }) => (news === undefined ? [] : [news]));
   const parts = [...ownParts, ...exchange.partsToForward.fromOwnDomain];
   exchange.partsToForward.fromOwnDomain = [];
   return composeMessage(ctx, {
     summary: mergeSummaries([localSummary(ctx), ...known]),
     parts,
-    instances: new Set([self.id, ...neighbors.map(({ id }) => id)]),
+    instances: new Set([self.id, ...peersInDomain.map(({ id }) => id)]),
     domain: self.domain,
   });
 }
--- a/src/routing/exchange/exchangeState.ts
+++ b/src/routing/exchange/exchangeState.ts
@@ -57,7 +57,7 @@
 
 export interface ExchangeState extends PollState {
   readonly peers: Map<InstanceId, PeerInstance>;
-  /** Summaries of the other failure domains; used if relays are in use. */
+  /** Summaries of the other failure domains; used only while relays connect the domains. */
   readonly domains: Map<FailureDomainId, DomainSummary>;
   /** Number of messages sent to each silent domain, through its instances in turn. */
   readonly relayAttempts: Map<FailureDomainId, number>;
@@ -68,6 +68,7 @@
   remoteTotals: LoadSummary | undefined;
   isAnnounced: boolean;
   announceFailures: number;
+  /** Sequence of the latest message that this instance sent. */
   sequence: number;
 }
 
--- a/src/routing/exchange/fleetSums.ts
+++ b/src/routing/exchange/fleetSums.ts
@@ -47,8 +47,8 @@
 }
 
 /**
- * Returns the summaries to add up: of every instance or, with relays, of the own domain's instances
- * and the other domains.
+ * Returns the summaries to add up: those of all other instances or, if relays are used, those of
+ * the other instances of this domain and of the other domains.
  */
 function currentSummaries(ctx: RoutingContext): readonly LoadSummary[] {
   const { peers, domains } = ctx.state.exchange;
--- a/src/routing/freshness/freshness.ts
+++ b/src/routing/freshness/freshness.ts
@@ -2,7 +2,7 @@
  * Treats the freshness of the configuration as a lease. A successful read confirms the
  * configuration as of the time at which the read was *sent*; keyed requests are served only while
  * the last confirmation is recent enough. A revoked key is therefore refused in time even by an
- * instance that has lost the platform. A pending read confirms nothing.
+ * instance that cannot reach the platform. A pending read confirms nothing.
  *
  * Within a failure domain, the instance with the lowest id polls continuously; the others use its
  * confirmations (`exchange/confirmations.ts`) and poll only when these get old or a peer has a
@@ -23,7 +23,7 @@
 import type { RoutingState } from '../state.js';
 import type { ConfigurationChange, RoutingConfiguration, RoutingEvent } from '../types.js';
 
-/** Delay before a failed read is retried; keyed requests are waiting for it. */
+/** Delay before a failed read is retried. Short, since keyed requests need a confirmation. */
 const RETRY_DELAY: RetryDelay = { firstMs: 150, longestMs: 400 };
 /** Margin within the revocation time for requests that are on their way to an upstream. */
 const REVOCATION_MARGIN_MS: Millis = 600;
--- a/src/routing/load/ownLoad.ts
+++ b/src/routing/load/ownLoad.ts
@@ -64,8 +64,8 @@
 }
 
 /**
- * While saturated, the load balancer sends new callers to other instances, and responses close
- * their connections.
+ * Updates whether the process is saturated. While it is, the load balancer sends new callers to
+ * other instances, and responses close the connections of callers.
  */
 function updateSaturation(ctx: RoutingContext): void {
   const { load } = ctx.state;
--- a/src/routing/placement/placement.ts
+++ b/src/routing/placement/placement.ts
@@ -1,11 +1,12 @@
 /**
  * Chooses the upstream of a request.
  *
- * Load pattern: long prompts share their leading parts in a few hundred groups, many instances
- * place requests concurrently, and rereading a shared part takes as long as reading the rest of the
+ * Load pattern: long prompts begin with one of a few hundred shared parts, many instances place
+ * requests concurrently, and rereading a shared part takes as long as reading the rest of the
  * prompt. A request goes to an upstream that has its shared part cached, and to another one only if
- * there is time to read the part again. A part that no upstream has cached goes to its first or
- * second home, on which all instances agree without a message.
+ * there is time to read the part again. A request whose shared part no upstream has cached goes to
+ * the first or second home of the part. All instances compute the same homes (`prompt.ts`), so they
+ * need not exchange messages to agree on them.
  *
  * The time to the first event is estimated from the prompt tokens that have to be read before it,
  * counting the requests of all instances, and from the free slots and the observed speed.
@@ -35,12 +36,12 @@
 const DEFAULT_HOLD_MS: Millis = 100;
 /** Weight of the time to reread a shared part, in addition to the delay of the request itself. */
 const REREAD_PENALTY_FACTOR = 12;
-/** Penalty of an upstream that would miss the objective, as a multiple of the objective. */
+/** Penalty of an upstream at which the request would be refused, as a multiple of the objective. */
 const LATE_PENALTY_FACTOR = 10;
 /** Penalty of an upstream in another failure domain or region, in addition to its round trip. */
 const OTHER_DOMAIN_PENALTY_MS: Millis = 2;
 const OTHER_REGION_PENALTY_MS: Millis = 30;
-/** Penalty for failing requests, as a multiple of the objective and the excess failure rate. */
+/** Penalty per unit of failure rate above the tolerated rate, as a multiple of the objective. */
 const FAILURE_PENALTY_FACTOR = 4;
 /** Failure rate up to which no penalty applies. */
 const TOLERATED_FAILURE_RATE = 0.1;
@@ -53,11 +54,11 @@
 export interface Placement {
   readonly upstream: Upstream;
   /** Expected time to the first event. */
-  readonly firstMs: Millis;
+  readonly firstEventMs: Millis;
   /** Expected time to the first event without any wait. */
-  readonly ownMs: Millis;
-  /** Portion of `ownMs` in which the upstream reads the request's own prompt. */
-  readonly readMs: Millis;
+  readonly unloadedMs: Millis;
+  /** Part of `unloadedMs` in which the upstream reads the request's own prompt. */
+  readonly promptReadMs: Millis;
   /**
    * Expected time that admission compares with the limit. It includes a surcharge for rereading a
    * shared part, which takes capacity from all requests.
@@ -70,10 +71,11 @@
   /** Requests of all instances that run at the upstream. */
   readonly running: number;
   /**
-   * Uncached tokens of shared parts that another upstream has cached, or that should be read by a
-   * home.
+   * Uncached tokens of shared parts that another upstream has cached, or that a home upstream
+   * should read.
    */
   readonly readAgainTokens: number;
+  /** Whether the upstream is a home of the request's shared part. */
   readonly home: HomeRank;
   /** Expected time plus penalties; the lowest score wins. */
   readonly score: number;
@@ -105,7 +107,7 @@
   members.forEach((upstream) => {
     if (excluded.includes(upstream.listed.id) || upstream.own.running >= limit) return;
     const placement = scoreUpstream(ctx, request, upstream, prompt);
-    waitMs += placement.firstMs - placement.ownMs;
+    waitMs += placement.firstEventMs - placement.unloadedMs;
     usable += 1;
     if (best === undefined || placement.score < best.score) best = placement;
   });
@@ -174,13 +176,13 @@
   const uncached = countUncachedTokens(prompt, upstream, home);
   const base = (speed.baseMs() ?? DEFAULT_BASE_MS) * slowness;
   const wait = expectedWait(ctx, request, upstream, work) * slowness;
-  const readMs = uncached.total * perToken;
-  const ownMs = base + readMs;
-  const firstMs = ownMs + wait + work.pendingTokens * perToken;
+  const promptReadMs = uncached.total * perToken;
+  const unloadedMs = base + promptReadMs;
+  const firstEventMs = unloadedMs + wait + work.pendingTokens * perToken;
   const rereadMs = uncached.reread * perToken;
-  const reckonedMs = firstMs + rereadMs * request.spareReads;
+  const reckonedMs = firstEventMs + rereadMs * request.spareReads;
   const score =
-    firstMs +
+    firstEventMs +
     rereadMs * REREAD_PENALTY_FACTOR +
     distancePenalty(ctx, upstream) +
     latePenalty(reckonedMs, request.withinMs, route.objectiveMs) +
@@ -189,9 +191,9 @@
       route.objectiveMs;
   return {
     upstream,
-    firstMs,
-    ownMs,
-    readMs,
+    firstEventMs,
+    unloadedMs,
+    promptReadMs,
     reckonedMs,
     uncachedTokens: uncached.total,
     tokensAhead: work.pendingTokens,
@@ -205,8 +207,8 @@
 /**
  * Returns a penalty if the request would be refused; it ranks such an upstream below all others.
  */
-function latePenalty(firstMs: Millis, withinMs: Millis, objectiveMs: Millis): Millis {
-  const excess = firstMs - withinMs;
+function latePenalty(reckonedMs: Millis, withinMs: Millis, objectiveMs: Millis): Millis {
+  const excess = reckonedMs - withinMs;
   return excess > 0 ? LATE_PENALTY_FACTOR * objectiveMs + excess : 0;
 }
 
--- a/src/routing/placement/poolWait.ts
+++ b/src/routing/placement/poolWait.ts
@@ -8,7 +8,10 @@
 export interface PoolWait {
   /** Adds a sample: the mean wait at the usable upstreams. */
   readonly record: (waitMs: Millis, now: Millis) => void;
-  /** Returns 1 if nothing waits, falling linearly to 0 at `SATURATED_WAIT_MS`. */
+  /**
+   * Returns 1 if nothing waits; the value falls linearly to 0 at `SATURATED_WAIT_MS`. It is also 0
+   * before the first sample.
+   */
   readonly idleness: () => number;
 }
 
@@ -19,12 +22,12 @@
 
 export function createPoolWait(): PoolWait {
   let average: Millis | undefined;
-  let notedAt: Millis = 0;
+  let recordedAt: Millis = 0;
   return {
     record: (waitMs, now) => {
-      const kept = partKept(now - notedAt, AVERAGE_TIME_CONSTANT_MS);
-      average = average === undefined ? waitMs : waitMs + kept * (average - waitMs);
-      notedAt = now;
+      const factor = partKept(now - recordedAt, AVERAGE_TIME_CONSTANT_MS);
+      average = average === undefined ? waitMs : waitMs + factor * (average - waitMs);
+      recordedAt = now;
     },
     idleness: () => (average === undefined ? 0 : Math.max(0, 1 - average / SATURATED_WAIT_MS)),
   };
--- a/src/routing/placement/prompt.ts
+++ b/src/routing/placement/prompt.ts
@@ -1,7 +1,7 @@
 /**
  * Describes a request's prompt for placement: which of its parts are expected to be cached where,
- * and the home upstreams of its longest shared part. Homes are chosen by rendezvous hashing, so
- * that all instances agree on them.
+ * and the home upstreams of its last shared part. Homes are chosen by rendezvous hashing, so that
+ * all instances agree on them.
  */
 import { hash32, rendezvousScoreOfHashes } from '../../core/hash.js';
 import type { RoutingContext } from '../context.js';
@@ -48,8 +48,7 @@
 export interface UncachedTokens {
   readonly total: number;
   /**
-   * Tokens of shared parts that another upstream has cached, or that should be read by a home
-   * upstream.
+   * Tokens of shared parts that another upstream has cached, or that a home upstream should read.
    */
   readonly reread: number;
 }
@@ -74,7 +73,7 @@
   return { total: Math.max(0, tokens - cachedTokens), reread };
 }
 
-/** Rendezvous choices for the longest shared part of a prompt; all instances agree on them. */
+/** Rendezvous choices for the last shared part of a prompt; all instances agree on them. */
 export interface HomeUpstreams {
   readonly first: Upstream | undefined;
   /** Fallback for requests that the first home cannot serve in time. */
--- a/src/routing/retries/retryBudget.ts
+++ b/src/routing/retries/retryBudget.ts
@@ -37,7 +37,7 @@
 
   function currentSlice(now: Millis): Slice {
     const number = Math.floor(now / sliceMs);
-    // Keeps one slice more than a window has: it covers its oldest and newest ones only in part.
+    // Keeps one slice more than a window has, since a window covers two of them only in part.
     slices = slices.filter((slice) => slice.number >= number - SLICES_PER_WINDOW);
     const last = slices.at(-1);
     if (last?.number === number) return last;
--- a/src/routing/settings.ts
+++ b/src/routing/settings.ts
@@ -4,21 +4,24 @@
 export interface RoutingSettings {
   /** Time after which every instance must refuse a revoked key. */
   readonly revokeMs: Millis;
-  /** Time within which an accepted configuration must be in force at every instance. */
+  /** Time within which an accepted configuration must be active at every instance. */
   readonly applyMs: Millis;
   /** Maximum time that one long poll of the configuration waits for changes. */
   readonly configurationWaitMs: Millis;
   /** Minimum interval between reads of the upstream list. */
   readonly upstreamPollMs: Millis;
-  /** Time after which a draining upstream must get no more requests; it bounds `upstreamPollMs`. */
+  /**
+   * Time after which a draining upstream must get no more requests. The upstream list is read at an
+   * interval of a fraction of it, but no more often than `upstreamPollMs`.
+   */
   readonly drainMs: Millis;
   /** Maximum time that one long poll of the announced instances waits for changes. */
   readonly instanceWaitMs: Millis;
   /** Interval at which an instance sends its open work to the others. */
   readonly exchangeMs: Millis;
   /**
-   * Number of instances up to which `exchangeMs` applies; above it, the interval grows in
-   * proportion.
+   * Number of recipients of an instance's messages up to which `exchangeMs` applies; above it, the
+   * interval grows in proportion.
    */
   readonly exchangeInstances: number;
   /**
--- a/src/routing/shares/kindBalance.ts
+++ b/src/routing/shares/kindBalance.ts
@@ -13,7 +13,7 @@
 
 /** Time constant of the decaying counts. */
 const COUNT_TIME_CONSTANT_MS: Millis = 3_000;
-/** Change of the wait factor per unit of difference in the admission rate. */
+/** Change of the wait factor per unit of difference between the admission rates. */
 const GAIN = 3;
 const MIN_WAIT_FACTOR = 0.4;
 const MAX_WAIT_FACTOR = 2;
--- a/src/routing/shares/tokenShares.ts
+++ b/src/routing/shares/tokenShares.ts
@@ -20,11 +20,14 @@
 const RATE_TIME_CONSTANT_MS: Millis = 2_000;
 /** Cost of a generated token relative to a prompt token. */
 const OUTPUT_TOKEN_COST = 2;
-/** Capacity added to the admitted rate, since a few refusals do not prove that it is exhausted. */
+/**
+ * Margin of the estimated capacity, as a fraction of the admitted rate, since a few refusals do not
+ * prove that the capacity is exhausted.
+ */
 const CAPACITY_MARGIN = 0.05;
-/** Additional margin, as a fraction of the admitted rate, if nothing waits at the upstreams. */
+/** Additional margin if nothing waits at the upstreams. */
 const IDLE_CAPACITY_MARGIN = 3;
-/** Customers with a requested rate below this are removed. */
+/** Requested tokens per second below which a customer is removed. */
 const NEGLIGIBLE_RATE = 1;
 
 /** Returns the cost of a request in tokens. */
--- a/src/routing/suspects/suspects.ts
+++ b/src/routing/suspects/suspects.ts
@@ -5,7 +5,7 @@
  * counted for `EXPIRE_AFTER_MS`.
  *
  * A connection reset alone is not a crash: an upstream counts as crashed only if it is then found
- * to be unreachable, or if it lost several requests at the same moment.
+ * to be unreachable (`upstreams/crashes.ts`).
  */
 import type { Millis } from '../../core/clock.js';
 import { logWarning, type RoutingContext } from '../context.js';
--- a/src/routing/upstreams/crashes.ts
+++ b/src/routing/upstreams/crashes.ts
@@ -18,9 +18,11 @@
 
 /** Records a request that was interrupted at an upstream, and probes the upstream. */
 export function noteCut(ctx: RoutingContext, upstream: Upstream, fingerprint: number): void {
-  upstream.cuts = upstream.cuts.filter(({ at }) => ctx.now - at < CRASH_WINDOW_MS);
-  const previous = upstream.cuts.at(-1);
-  upstream.cuts.push({ fingerprint, at: ctx.now });
+  upstream.interruptedRequests = upstream.interruptedRequests.filter(
+    ({ at }) => ctx.now - at < CRASH_WINDOW_MS,
+  );
+  const previous = upstream.interruptedRequests.at(-1);
+  upstream.interruptedRequests.push({ fingerprint, at: ctx.now });
   if (upstream.reachability.kind === 'lost') {
     confirmCrash(ctx, upstream);
     return;
@@ -32,9 +34,9 @@
 
 /** Counts a crash for each request that was recently interrupted at a lost upstream. */
 export function confirmCrash(ctx: RoutingContext, upstream: Upstream): void {
-  const { cuts } = upstream;
-  upstream.cuts = [];
-  cuts
+  const { interruptedRequests } = upstream;
+  upstream.interruptedRequests = [];
+  interruptedRequests
     .filter(({ at }) => ctx.now - at < CRASH_WINDOW_MS)
     .forEach(({ fingerprint }) => recordCrash(ctx, fingerprint, upstream.listed.id));
 }
--- a/src/routing/upstreams/health.ts
+++ b/src/routing/upstreams/health.ts
@@ -1,8 +1,9 @@
 /**
- * Detects unresponsive upstreams from their responses: open connections may fall silent without an
- * error, and a health check may pass while requests fail. An upstream is lost if it refuses
- * connections, or if it has open work and has sent nothing for longer than it usually takes. A lost
- * upstream receives no requests; it is probed periodically and used again once it answers.
+ * Detects unresponsive upstreams by how they respond to callers' requests, since open connections
+ * may fall silent without an error, and a health check may pass while requests fail. An upstream is
+ * lost if it refuses connections, or if it has open work and has sent nothing for longer than it
+ * usually takes. A lost upstream receives no requests; it is probed periodically and used again
+ * once it answers.
  */
 import type { Millis } from '../../core/clock.js';
 import { emit, logInfo, logWarning, type RoutingContext } from '../context.js';
--- a/src/routing/upstreams/list.ts
+++ b/src/routing/upstreams/list.ts
@@ -13,7 +13,7 @@
 } from '../context.js';
 import { settlePoll, type Poll } from '../polls.js';
 import type { ListedUpstream, RoutingEvent, UpstreamChange, UpstreamId } from '../types.js';
-import { createUpstream, hashOf, type Upstream } from './upstreamsState.js';
+import { createUpstream, hashUpstream, type Upstream } from './upstreamsState.js';
 
 /** Delay before a failed read is retried. */
 const RETRY_DELAY: RetryDelay = { firstMs: 200, longestMs: 800 };
@@ -108,11 +108,14 @@
     logInfo(ctx, 'upstreamDraining', { upstream: listed.id, running: known.own.running });
   }
   known.listed = listed;
-  known.hash = hashOf(listed);
+  known.hash = hashUpstream(listed);
   known.missingSince = undefined;
 }
 
-/** Reads may deliver an entry of a previous start, or a previous entry of the same start, late. */
+/**
+ * Returns whether an entry is of a previous start, or a previous entry of the same start. Reads may
+ * deliver such an entry late.
+ */
 function isStale(listed: ListedUpstream, known: ListedUpstream): boolean {
   if (listed.bornAt !== known.bornAt) return listed.bornAt < known.bornAt;
   return listed.beat < known.beat;
@@ -126,10 +129,10 @@
   const { upstreams, settings } = ctx.state;
   const upstream = upstreams.byId.get(id);
   if (upstream === undefined) return;
-  const wasPlatformDown =
+  const hasJustRecovered =
     upstreams.platformRecoveredAt !== undefined &&
     ctx.now - upstreams.platformRecoveredAt < settings.relistWithinMs;
-  if (wasPlatformDown) upstream.missingSince ??= ctx.now;
+  if (hasJustRecovered) upstream.missingSince ??= ctx.now;
   else removeUpstream(ctx, id, 'removed from the list');
 }
 
--- a/src/routing/upstreams/speed.ts
+++ b/src/routing/upstreams/speed.ts
@@ -5,8 +5,8 @@
  *
  * The number of tokens queued ahead of a request is known only approximately: other instances
  * report theirs late, and part of it has been read already. Errors in the regressor would bias the
- * slope towards zero, so an observation is weighted by the square of the request's own fraction of
- * its tokens.
+ * slope towards zero, so an observation is weighted by the square of the fraction of its tokens
+ * that belong to the request itself.
  */
 import type { Millis } from '../../core/clock.js';
 import { partKept } from '../decay.js';
@@ -84,12 +84,12 @@
       const tokens = own + ahead;
       const observationWeight = tokens > 0 ? (own / tokens) ** 2 : 1;
       // An observation with a low weight also decays the older ones less.
-      const decayFactor = 1 - (1 - DECAY_PER_OBSERVATION) * observationWeight;
-      weight = weight * decayFactor + observationWeight;
-      sumTokens = sumTokens * decayFactor + observationWeight * tokens;
-      sumFirst = sumFirst * decayFactor + observationWeight * first;
-      sumTokensSquared = sumTokensSquared * decayFactor + observationWeight * tokens * tokens;
-      sumProducts = sumProducts * decayFactor + observationWeight * tokens * first;
+      const retainedFraction = 1 - (1 - DECAY_PER_OBSERVATION) * observationWeight;
+      weight = weight * retainedFraction + observationWeight;
+      sumTokens = sumTokens * retainedFraction + observationWeight * tokens;
+      sumFirst = sumFirst * retainedFraction + observationWeight * first;
+      sumTokensSquared = sumTokensSquared * retainedFraction + observationWeight * tokens * tokens;
+      sumProducts = sumProducts * retainedFraction + observationWeight * tokens * first;
     },
     perTokenMs,
     baseMs: () => {
--- a/src/routing/upstreams/upstreamsState.ts
+++ b/src/routing/upstreams/upstreamsState.ts
@@ -25,6 +25,7 @@
   listed: ListedUpstream;
   /** Identifies this start of the upstream in messages between instances. */
   hash: number;
+  /** Open work that this instance sent. */
   readonly own: { -readonly [K in keyof OpenWork]: OpenWork[K] };
   readonly speed: Speed;
   reachability: Reachability;
@@ -36,8 +37,8 @@
   failureRate: number;
   /** Time at which the entry was found missing after a platform outage. */
   missingSince: Millis | undefined;
-  /** Recently interrupted requests. */
-  cuts: InterruptedRequest[];
+  /** Requests that were recently interrupted at this upstream. */
+  interruptedRequests: InterruptedRequest[];
 }
 
 export interface InterruptedRequest {
@@ -73,7 +74,7 @@
 export function createUpstream(listed: ListedUpstream, now: Millis): Upstream {
   return {
     listed,
-    hash: hashOf(listed),
+    hash: hashUpstream(listed),
     own: { running: 0, pendingTokens: 0, heldTokens: 0 },
     speed: createSpeed(),
     reachability: { kind: 'reachable' },
@@ -81,11 +82,11 @@
     failedConnects: 0,
     failureRate: 0,
     missingSince: undefined,
-    cuts: [],
+    interruptedRequests: [],
   };
 }
 
 /** Returns the hash of an upstream's id and start time. */
-export function hashOf(listed: ListedUpstream): number {
+export function hashUpstream(listed: ListedUpstream): number {
   return hash32(`${listed.id}@${listed.bornAt}`);
 }
--- a/test/routing/policy.test.ts
+++ b/test/routing/policy.test.ts
@@ -128,7 +128,7 @@
     objectiveMs: 500,
     remainingMs: 12_000,
   };
-  const standing = { asked: 100, admitted: 100, level: Infinity, idleness: 0 };
+  const share = { asked: 100, admitted: 100, level: Infinity, idleness: 0 };
 
   it('admits requests that can start within their objective and refuses the others at once', () => {
     expect(decideAdmission({ ...input, firstEventMs: 100 }, random).kind).to.equal('admit');
@@ -138,29 +138,29 @@
     });
   });
 
-  it('refuses a customer beyond its share earlier, but not while upstreams are free', () => {
-    const over = { ...standing, admitted: 200, level: 100 };
-    expect(decideAdmission({ ...input, firstEventMs: 300, standing: over }, random)).to.include({
+  it('refuses a customer beyond its share earlier, but not while the expected time is short', () => {
+    const over = { ...share, admitted: 200, level: 100 };
+    expect(decideAdmission({ ...input, firstEventMs: 300, share: over }, random)).to.include({
       kind: 'refuse',
       reason: 'overShare',
     });
-    expect(decideAdmission({ ...input, firstEventMs: 50, standing: over }, random).kind).to.equal(
+    expect(decideAdmission({ ...input, firstEventMs: 50, share: over }, random).kind).to.equal(
+      'admit',
+    );
+    const within = { ...share, admitted: 90, level: 100 };
+    expect(decideAdmission({ ...input, firstEventMs: 300, share: within }, random).kind).to.equal(
       'admit',
     );
-    const within = { ...standing, admitted: 90, level: 100 };
-    expect(
-      decideAdmission({ ...input, firstEventMs: 300, standing: within }, random).kind,
-    ).to.equal('admit');
   });
 
-  it('admits a customer beyond its share at idle upstreams, even if the fair share is low', () => {
+  it('admits a customer beyond a low fair share at idle upstreams, unless it would have to wait', () => {
     const over = { asked: 2_000, admitted: 100, level: 50, idleness: 0.9 };
     const idle = {
       ...input,
       unloadedMs: 130,
       promptReadMs: 10,
       shortestObjectiveMs: 300,
-      standing: over,
+      share: over,
     };
     expect(decideAdmission({ ...idle, firstEventMs: 130 }, random).kind).to.equal('admit');
     expect(decideAdmission({ ...idle, firstEventMs: 250 }, random).kind).to.equal('refuse');
@@ -229,8 +229,8 @@
       }
       if (i % 4 === 0) tokens.a += 8_000 * engines.start(core.arrive({ promptTokens: 8_000 }));
     }
-    // Both demand more than half of the capacity, so the smaller one is owed half. It must get at
-    // least half as much as the larger one.
+    // Both demand more than half of the capacity, so the smaller one is entitled to half. It must
+    // get at least half as much as the larger one.
     expect(tokens.a).to.be.at.least(tokens.b / 2);
   });
 });
@@ -238,8 +238,8 @@
 describe('capacity after a loss of all upstreams', () => {
   it('is used again within seconds, although almost nothing was admitted in the meantime', () => {
     const core = createTestCore();
-    const slowToAnswerMs = 120;
-    const engines = createFifoEngines(core, slowToAnswerMs);
+    const answerMs = 120;
+    const engines = createFifoEngines(core, answerMs);
     const set = (phase: 'ready' | 'draining', beat: number) => {
       core.list(...['i-1', 'i-2'].map((id) => createUpstreamEntry(id, { phase, beat })));
     };
