Reword the titles of the routing tests

The titles of the tests of beliefs, confirmations, domains, load and replay were still figurative ("tells every instance of all open work, each piece of it once", "takes no upstream for silent because it was itself late to look"). They now name the behaviour and the number that is checked. Titles that named only part of what a property checks name all of it.

--- a/test/routing/attempts.test.ts
+++ b/test/routing/attempts.test.ts
@@ -77,7 +77,7 @@
     expect(visibleEffect(endAttempt(core, attempt, CUT))).to.equal('cut');
   });
 
-  it('refuses a declined request only if no upstream can have run it', () => {
+  it('answers with 503 to a declined request only if no upstream can have run it', () => {
     const core = createTestCore();
     const first = planOf(core.arrive({ path: '/look/1' }));
     const second = planOf(endAttempt(core, first.attempt, CUT));
@@ -86,7 +86,7 @@
     ).to.equal('502');
   });
 
-  it('never sends a request to more upstreams than its route allows', () => {
+  it('never exceeds the upstreams of the route, and never runs a non-repeatable request twice', () => {
     fc.assert(
       fc.property(
         fc.constantFrom<Mode>('nonIdempotent', 'idempotent', 'stream', 'resumableStream'),
@@ -102,15 +102,15 @@
         (mode, outcomes) => {
           const core = createTestCore();
           let effects = core.arrive({ path: PATH_BY_MODE[mode] });
-          let ran = 0;
+          let sent = 0;
           let mayHaveRun = 0;
           outcomes.forEach((outcome) => {
             if (effectsOf(effects, 'send').length === 0) return;
-            ran += 1;
+            sent += 1;
             if (outcome.kind !== 'declined') mayHaveRun += 1;
             effects = endAttempt(core, planOf(effects).attempt, outcome);
           });
-          expect(ran).to.be.at.most(2);
+          expect(sent).to.be.at.most(2);
           if (mode === 'nonIdempotent' || mode === 'stream') expect(mayHaveRun).to.be.at.most(1);
           const status = answerOf(effects)?.status;
           if (status === 503) expect(mayHaveRun).to.equal(0);
@@ -135,7 +135,7 @@
     });
   });
 
-  it('gives the final answer at the time limit of the route', () => {
+  it('answers with 504 at the time limit of the route', () => {
     const core = createTestCore();
     const plan = planOf(core.arrive({ path: '/book/1', deadlineMs: 60_000 }));
     core.advance(10_000);
--- a/test/routing/beliefs.test.ts
+++ b/test/routing/beliefs.test.ts
@@ -41,7 +41,7 @@
   });
 });
 
-describe('reads of the list of upstreams', () => {
+describe('interval of upstream list reads', () => {
   const intervalFor = (drainMs: number): number => {
     const core = createTestCore({ drainMs });
     const timers = effectsOf(core.list(), 'setTimer');
@@ -49,7 +49,7 @@
     return (poll?.at ?? NaN) - core.now();
   };
 
-  it('come twice within the time in which leaving has to be known, and no more often than needed', () => {
+  it('is between a third and a half of the time within which a draining upstream must be noticed', () => {
     [2_500, 4_000, 10_000].forEach((drainMs) => {
       expect(intervalFor(drainMs) * 2, `${drainMs}`).to.be.below(drainMs);
       expect(intervalFor(drainMs) * 3, `${drainMs}`).to.be.above(drainMs);
@@ -58,7 +58,7 @@
 });
 
 describe('freshness of the configuration', () => {
-  it('ends a keyed request in time after the platform was lost', () => {
+  it('ends no later than the revocation time after the last confirmation', () => {
     fc.assert(
       fc.property(fc.integer({ min: 0, max: 20_000 }), (silentForMs) => {
         const core = createTestCore({ revokeMs: 5_000 });
@@ -73,7 +73,7 @@
     );
   });
 
-  it('counts from the time at which the read was sent', () => {
+  it('is counted from the time at which the read was sent', () => {
     const core = createTestCore({ revokeMs: 5_000 });
     const askedAt = core.now();
     core.advance(6_000);
@@ -86,7 +86,7 @@
     expect(answerOf(core.arrive())?.reason).to.equal('staleConfiguration');
   });
 
-  it('ends at once when time has passed that the clock did not count', () => {
+  it('ends at once after a clock gap', () => {
     const core = createTestCore({ revokeMs: 5_000 });
     const effects = core.take({ kind: 'clockGap', gapMs: 6_000 });
     expect(effectsOf(effects, 'setReady')).to.deep.equal([{ kind: 'setReady', isReady: false }]);
@@ -98,7 +98,7 @@
     expect(effectsOf(core.arrive(), 'send')).to.have.length(1);
   });
 
-  it('is not needed for public routes', () => {
+  it('is not required for public routes', () => {
     const core = createTestCore();
     const routes = [{ ...MODEL_ROUTE, isPublic: true }];
     core.configure(createConfiguration({ version: 2, routes }));
@@ -106,14 +106,14 @@
     expect(effectsOf(core.arrive({ path: '/draft/1' }), 'send')).to.have.length(1);
   });
 
-  it('never refuses with a final status what a newer configuration may allow', () => {
+  it('is required for a 401 or 404, since a newer configuration may allow the request', () => {
     const core = createTestCore();
     core.take({ kind: 'clockGap', gapMs: 60_000 });
     expect(answerOf(core.arrive({ path: '/new/1' }))?.status).to.equal(503);
     expect(answerOf(core.arrive({ key: 'new' }))?.status).to.equal(503);
   });
 
-  it('never takes an older version, in whatever order they come', () => {
+  it('never returns to an older version, in whatever order versions arrive', () => {
     fc.assert(
       fc.property(fc.array(fc.integer({ min: 1, max: 30 }), { maxLength: 20 }), (versions) => {
         const core = createTestCore();
@@ -128,7 +128,7 @@
     );
   });
 
-  it('reads the whole state if the history is gone', () => {
+  it('requires a read of the whole state if the history since the cursor is no longer available', () => {
     const core = createTestCore();
     const effects = core.take({
       kind: 'configurationPolled',
@@ -140,7 +140,7 @@
   });
 });
 
-describe('calls to a platform that is away', () => {
+describe('reads while the platform is unavailable', () => {
   /** Returns the retry delays after consecutive failures of one kind of read. */
   function delaysOf(kind: 'configurationPolled' | 'upstreamsPolled' | 'instancesPolled') {
     const core = createTestCore();
@@ -155,7 +155,7 @@
   }
 
   (['configurationPolled', 'upstreamsPolled', 'instancesPolled'] as const).forEach((kind) => {
-    it(`tell once that it is lost and once that it is back: ${kind}`, () => {
+    it(`log its loss once and its return once: ${kind}`, () => {
       const core = createTestCore();
       const read = (outcome: PollOutcome<never>) =>
         effectsOf(core.take({ kind, askedAt: core.now(), isWhole: false, outcome }), 'log')
@@ -170,7 +170,7 @@
     });
   });
 
-  it('become fewer, within bounds that keep the news in time', () => {
+  it('are retried less and less often, but often enough to notice changes in time', () => {
     const configuration = delaysOf('configurationPolled');
     const upstreams = delaysOf('upstreamsPolled');
     const instances = delaysOf('instancesPolled');
@@ -192,13 +192,13 @@
     changes,
   });
 
-  it('drops what left the list at once', () => {
+  it('removes an upstream as soon as its entry is removed', () => {
     const core = createTestCore();
     pollUpstreams(core, answered([{ kind: 'removed', id: 'i-1' }]));
     expect(upstreamIds(core)).to.not.include('i-1');
   });
 
-  it('keeps what lapsed while the platform was away for two seconds, then drops it', () => {
+  it('keeps upstreams that expired during a platform outage for another two seconds', () => {
     const core = createTestCore({ relistWithinMs: 2_000 });
     pollUpstreams(core, { kind: 'failed', reason: 'down' });
     core.advance(6_000);
@@ -218,7 +218,7 @@
     expect(upstreamIds(core)).to.not.include('i-2');
   });
 
-  it('drops what a read of the whole state does not name', () => {
+  it('removes upstreams that a read of the whole state does not contain', () => {
     const core = createTestCore();
     pollUpstreams(
       core,
@@ -228,7 +228,7 @@
     expect(upstreamIds(core)).to.deep.equal(['i-2']);
   });
 
-  it('takes a new start under the same id for another upstream', () => {
+  it('treats a restart under the same id as another upstream', () => {
     const core = createTestCore();
     const plan = planOf(core.arrive());
     const id = plan.upstream;
@@ -245,7 +245,7 @@
     expect(core.routing.state.upstreams.byId.get(id)?.own.running).to.equal(0);
   });
 
-  it('ignores entries that are older than what is known', () => {
+  it('ignores entries that are older than the known one', () => {
     const core = createTestCore();
     core.list(createUpstreamEntry('i-1', { phase: 'draining', beat: 5 }));
     core.list(createUpstreamEntry('i-1', { phase: 'ready', beat: 4 }));
@@ -254,7 +254,7 @@
 });
 
 describe('retry budget', () => {
-  it('keeps to the ratio and the slack in every window that slides', () => {
+  it('limits retries to the ratio plus the slack in every sliding window', () => {
     const options = { ratio: 0.2, slack: 5, windowMs: 10_000 };
     fc.assert(
       fc.property(
--- a/test/routing/confirmations.test.ts
+++ b/test/routing/confirmations.test.ts
@@ -131,7 +131,7 @@
       effects: [] as RoutingEffect[],
     }),
     /** Whether an instance's version was the newest at the time that its confirmation refers to. */
-    isSound: (id: string): boolean => {
+    isConfirmationCorrect: (id: string): boolean => {
       const { state, now } = { state: memberOf(id).routing.state, now: clockOf(id) };
       const ageMs = confirmationAge({ state, now, effects: [] });
       const version = state.freshness.configuration?.version;
@@ -145,7 +145,7 @@
 type Domain = ReturnType<typeof createDomain>;
 
 /** Simulates 200 ms in which all messages are delivered and reads are answered. */
-function calmRound(domain: Domain): void {
+function runRound(domain: Domain): void {
   domain.advance(200);
   domain.deliverAll();
   IDS.forEach((id) => {
@@ -155,52 +155,52 @@
   });
 }
 
-function calmRounds(domain: Domain, count: number): void {
-  for (let i = 0; i < count; i += 1) calmRound(domain);
+function runRounds(domain: Domain, count: number): void {
+  for (let i = 0; i < count; i += 1) runRound(domain);
 }
 
-describe('routing/confirmations among neighbours', () => {
-  it('lets one instance read for all', () => {
+describe('configuration confirmations within a failure domain', () => {
+  it('let one instance poll the platform for all', () => {
     const domain = createDomain();
-    calmRounds(domain, 10);
+    runRounds(domain, 10);
     const before = domain.reads();
-    calmRounds(domain, 50);
+    runRounds(domain, 50);
     expect(domain.reads() - before).to.be.at.most(50);
     IDS.forEach((id) => expect(isConfirmed(domain.context(id)), id).to.equal(true));
   });
 
-  it('brings a new version to all within a second', () => {
+  it('bring a new version to all instances within a second', () => {
     const domain = createDomain();
-    calmRounds(domain, 10);
+    runRounds(domain, 10);
     domain.change();
     // A read is answered with the version known when it was sent.
-    calmRounds(domain, 5);
+    runRounds(domain, 5);
     IDS.forEach((id) => expect(domain.version(id), id).to.equal(2));
   });
 
-  it('keeps an instance confirmed that the platform turns away', () => {
+  it('keep an instance confirmed that cannot read from the platform', () => {
     const domain = createDomain();
-    calmRounds(domain, 10);
+    runRounds(domain, 10);
     domain.cut('a', true);
     for (let i = 0; i < 60; i += 1) {
-      calmRound(domain);
+      runRound(domain);
       expect(isConfirmed(domain.context('a')), `round ${i}`).to.equal(true);
     }
   });
 
-  it('confirms nothing to an instance that has an older version and cannot read the newer one', () => {
+  it('do not confirm an older version at an instance that cannot read the newer one', () => {
     const domain = createDomain();
-    calmRounds(domain, 10);
+    runRounds(domain, 10);
     domain.cut('b', true);
     domain.change();
-    calmRounds(domain, 25);
+    runRounds(domain, 25);
     expect(domain.version('b')).to.equal(1);
     expect(isConfirmed(domain.context('b'))).to.equal(false);
   });
 
-  it('counts a suspension while a read was under way', () => {
+  it('include the time of a suspension during a pending read in their age', () => {
     const domain = createDomain();
-    calmRounds(domain, 10);
+    runRounds(domain, 10);
     domain.check('a');
     domain.suspend('a', 60_000);
     domain.change();
@@ -208,9 +208,9 @@
     expect(isConfirmed(domain.context('a'))).to.equal(false);
   });
 
-  it('reads by itself soon after the instance that read has fallen silent', () => {
+  it('are replaced by own reads soon after the polling instance has fallen silent', () => {
     const domain = createDomain();
-    calmRounds(domain, 10);
+    runRounds(domain, 10);
     domain.change();
     // Instance a sends nothing any more, and its reads are not answered either.
     for (let ms = 0; ms < 1_600; ms += 200) {
@@ -224,7 +224,7 @@
     expect(domain.version('c')).to.equal(2);
   });
 
-  it('never takes a version for confirmed at a time at which a newer one was accepted', () => {
+  it('never confirm a version as of a time at which a newer one had been accepted', () => {
     const id = fc.constantFrom(...IDS);
     const step = fc.oneof(
       fc.record({ kind: fc.constant('advance' as const), ms: fc.integer({ min: 1, max: 900 }) }),
@@ -241,7 +241,7 @@
       }),
       fc.record({ kind: fc.constant('cut' as const), id, isCut: fc.boolean() }),
     );
-    let confirmedByOthers = 0;
+    let confirmedByPeers = 0;
     fc.assert(
       fc.property(fc.array(step, { minLength: 20, maxLength: 120 }), (steps) => {
         const domain = createDomain();
@@ -266,13 +266,15 @@
               domain[one.kind](one.id);
           }
           IDS.forEach((member) => {
-            expect(domain.isSound(member), `${member} after ${one.kind}`).to.equal(true);
-            confirmedByOthers += domain.context(member).state.freshness.peerConfirmedAt > 0 ? 1 : 0;
+            expect(domain.isConfirmationCorrect(member), `${member} after ${one.kind}`).to.equal(
+              true,
+            );
+            confirmedByPeers += domain.context(member).state.freshness.peerConfirmedAt > 0 ? 1 : 0;
           });
         });
       }),
       { seed: 20261204, numRuns: 400 },
     );
-    expect(confirmedByOthers, 'no confirmation was taken over').to.be.greaterThan(MEMBERS);
+    expect(confirmedByPeers, 'no confirmation came from a peer').to.be.greaterThan(MEMBERS);
   });
 });
--- a/test/routing/domains.test.ts
+++ b/test/routing/domains.test.ts
@@ -38,8 +38,8 @@
 
 const alive = (fleet: CoreFleet) => fleet.cores.filter(({ isAlive }) => isAlive);
 
-describe('routing/exchange between failure domains', () => {
-  it('tells every instance of all open work, each piece of it once', () => {
+describe('message exchange between failure domains', () => {
+  it('reports all open work to every instance, and counts each request once', () => {
     const fleet = createFleet();
     fleet.rounds(PROPAGATION_ROUNDS);
     fleet.cores.forEach((core, i) => {
@@ -58,15 +58,15 @@
     );
   });
 
-  it('sends one message a round to each other domain', () => {
+  it('sends one message per round from each domain to each other one', () => {
     const fleet = createFleet();
     fleet.rounds(2 * PROPAGATION_ROUNDS);
-    const { abroad, all } = fleet.sent();
-    expect(abroad).to.equal(DOMAINS * (DOMAINS - 1));
-    expect(all - abroad).to.equal(DOMAINS * PER_DOMAIN * (PER_DOMAIN - 1));
+    const { crossDomain, all } = fleet.sent();
+    expect(crossDomain).to.equal(DOMAINS * (DOMAINS - 1));
+    expect(all - crossDomain).to.equal(DOMAINS * PER_DOMAIN * (PER_DOMAIN - 1));
   });
 
-  it('goes on through another instance once a relay has died', () => {
+  it('continues through another instance after relays have crashed', () => {
     const fleet = createFleet();
     fleet.rounds(PROPAGATION_ROUNDS);
     coreAt(fleet, 'd1-0').isAlive = false;
@@ -79,7 +79,7 @@
     alive(fleet).forEach((core) => expect(runningFor(fleet, core), core.self.id).to.equal(2));
   });
 
-  it('loses no sums while a relay leaves as planned', () => {
+  it('loses no summary during the planned stop of a relay', () => {
     const fleet = createFleet();
     fleet.rounds(PROPAGATION_ROUNDS);
     fleet.arrive(coreAt(fleet, 'd1-3'));
@@ -91,7 +91,7 @@
     }
   });
 
-  it('drops the sums of a domain that is cut off, and takes them up again', () => {
+  it('discards the summary of an isolated domain, and uses it again once the links are restored', () => {
     const fleet = createFleet();
     fleet.rounds(PROPAGATION_ROUNDS);
     fleet.arrive(coreAt(fleet, 'd3-2'));
@@ -107,7 +107,7 @@
     fleet.cores.forEach((core) => expect(runningFor(fleet, core), core.self.id).to.equal(1));
   });
 
-  it('tells all instances where a shared part is kept', () => {
+  it('tells all instances which upstream has a shared part cached', () => {
     const fleet = createFleet();
     fleet.rounds(PROPAGATION_ROUNDS);
     fleet.arrive(coreAt(fleet, 'd2-3'));
@@ -122,7 +122,7 @@
     });
   });
 
-  it('refuses a request everywhere that crashed upstreams in several domains, and none too early', () => {
+  it('blocks a request on all instances once its crashes in all domains reach the limit, not before', () => {
     const fleet = createFleet();
     const crash = (id: string) => recordCrash(fleet.context(coreAt(fleet, id)), 77, 'i-1');
     fleet.rounds(PROPAGATION_ROUNDS);
@@ -139,7 +139,7 @@
     );
   });
 
-  it('agrees again after any instances have died and any domain was cut', () => {
+  it('reports all open work again after any instances have crashed and any domain was isolated', () => {
     fc.assert(
       fc.property(
         fc.subarray(
--- a/test/routing/load.test.ts
+++ b/test/routing/load.test.ts
@@ -18,8 +18,8 @@
   return (timer?.at ?? NaN) - core.now();
 }
 
-describe('routing/load', () => {
-  it('refuses at once what has waited too long for its decision, and counts the wait for others', () => {
+describe('load control', () => {
+  it('refuses requests that waited too long for their decision, and deducts the wait from deadlines', () => {
     const core = createTestCore();
     // The objective of the route is 500 ms.
     const late = core.arrive({ waitedMs: 160 });
@@ -31,7 +31,7 @@
     expect(send?.plan.deadlineMs).to.equal(1_900);
   });
 
-  it('serves customers in turn, the newest request of each first, and finds the oldest', () => {
+  it('queues by customer in turn and newest request first, and returns the oldest for refusal', () => {
     const queue = createFairQueue<string>();
     ['a1', 'a2', 'a3', 'b1', 'a4', 'c1', 'b2'].forEach((entry, at) =>
       queue.add(entry[0] ?? '', entry, at),
@@ -50,7 +50,7 @@
     ]);
   });
 
-  it('sends new callers elsewhere while the processor is saturated, and takes them again', () => {
+  it('sends new callers to other instances while saturated, and accepts them again afterwards', () => {
     const core = createTestCore();
     const ready = (utilization: number) => {
       const effects = measure(core, utilization);
@@ -61,42 +61,42 @@
     };
     expect(ready(0.9)).to.deep.equal([]);
     expect(ready(1)).to.deep.equal([false, false]);
-    // A slightly better second must not end the saturated state.
+    // A utilization between the two thresholds must not end the saturated state.
     expect(ready(0.8)).to.deep.equal([]);
     expect(ready(0.6)).to.deep.equal([true, true]);
     expect(core.routing.state.isReady).to.equal(true);
   });
 
-  it('takes no upstream for silent because it was itself late to look', () => {
+  it('does not mark an upstream as lost because the health check itself ran late', () => {
     const core = createTestCore();
-    const watch = () => core.take({ kind: 'timer', timer: 'health' });
-    const lost = (effects: ReturnType<typeof watch>) =>
+    const checkHealth = () => core.take({ kind: 'timer', timer: 'health' });
+    const lost = (effects: ReturnType<typeof checkHealth>) =>
       effectsOf(effects, 'log').filter(({ code }) => code === 'upstreamLost');
-    watch();
+    checkHealth();
     const { attempt } = planOf(core.arrive());
     core.advance(50);
     core.take({ kind: 'attemptAnswered', attempt, status: 200 });
     core.take({ kind: 'attemptProgress', attempt });
     core.advance(50);
-    watch();
+    checkHealth();
     // The event loop blocks for 2 s; what the upstream sent in that time is read after the timer.
     core.advance(2_000);
-    expect(lost(watch())).to.deep.equal([]);
+    expect(lost(checkHealth())).to.deep.equal([]);
     core.take({ kind: 'attemptProgress', attempt });
     for (let i = 0; i < 5; i += 1) {
       core.advance(100);
-      expect(lost(watch())).to.deep.equal([]);
+      expect(lost(checkHealth())).to.deep.equal([]);
     }
     // An upstream that is really silent is detected.
     let found = 0;
     for (let i = 0; i < 40; i += 1) {
       core.advance(100);
-      found += lost(watch()).length;
+      found += lost(checkHealth()).length;
     }
     expect(found).to.equal(1);
   });
 
-  it('tells the others less often while the processor is saturated, and yet often enough', () => {
+  it('sends messages to peers less often under load, but often enough for peers to rely on them', () => {
     const core = createTestCore();
     const usual = exchangeDelay(core);
     measure(core, 0.4);
@@ -112,7 +112,7 @@
     expect(exchangeDelay(core)).to.equal(usual);
   });
 
-  it('leaves a line with what the last second took, as a failure where it is saturated', () => {
+  it('logs the load of the last second, as a warning if the process is saturated', () => {
     const core = createTestCore();
     const [calm] = effectsOf(measure(core, 0.2), 'log');
     expect(calm).to.include({ level: 'info', code: 'loadMeasured' });
--- a/test/routing/logs.test.ts
+++ b/test/routing/logs.test.ts
@@ -120,7 +120,7 @@
 });
 
 describe('log line writer', () => {
-  it('never waits for a blocked reader, and counts the lines it drops', async () => {
+  it('never waits for a blocked reader, and counts the lines that it drops', async () => {
     let writes = 0;
     const writer = createLineWriter({
       fd: 1,
@@ -299,12 +299,12 @@
       fc.property(
         fc.double({ min: 0.1, max: 8, noNaN: true }),
         fc.integer({ min: 20, max: 1_500 }),
-        (pace, intervalMs) => {
+        (rate, intervalMs) => {
           let steady = 400;
           const clock = createGapClock({
             steady: () => steady,
             timeOfDay: () => 1_000_000 + steady,
-            sinceBoot: () => 7_300 + steady * pace,
+            sinceBoot: () => 7_300 + steady * rate,
           });
           let gaps = 0;
           for (let i = 0; i < 500; i += 1) {
--- a/test/routing/replay.test.ts
+++ b/test/routing/replay.test.ts
@@ -24,31 +24,31 @@
   return summarize(name, 'core', results, SECONDS);
 }
 
-describe('load patterns on an emulated fleet', () => {
-  it('serves nine in ten in time at the usual load, and refuses one in twenty at most', () => {
+describe('emulated fleet', () => {
+  it('serves at least 90 % of requests in time at the usual load, and refuses at most 5 %', () => {
     const { inTime, refused } = replayPattern('usual');
     expect(inTime).to.be.at.least(0.9);
     expect(refused).to.be.at.most(0.05);
   });
 
-  it('keeps what others are owed when one customer floods', () => {
+  it('serves half of the requests of each other customer in time while one or six customers flood', () => {
     // The platform's rule: a customer gets at least half of what it asks for within its share.
     expect(replayPattern('one customer twelvefold').worstCustomer).to.be.at.least(0.5);
     expect(replayPattern('six customers fivefold').worstCustomer).to.be.at.least(0.5);
   });
 
-  it('makes as much at three times the usual load as at the usual one', () => {
+  it('starts at least as many tokens per second at three times the usual load as at the usual load', () => {
     const usual = replayPattern('usual').begunTokensPerSecond;
     const worst = replayPattern('triple throughout').begunTokensPerSecond;
     expect(worst).to.be.at.least(usual);
   });
 
-  it('goes on as an engine is lost', () => {
+  it('serves at least 85 % of requests in time although an engine is lost', () => {
     expect(replayPattern('an engine lost at usual load').inTime).to.be.at.least(0.85);
   });
 });
 
-describe('knowledge of what upstreams keep', () => {
+describe('prompt parts cached by upstreams', () => {
   const upstreams = createManyUpstreams();
   const peer = {
     id: 'instance-2',
@@ -64,7 +64,7 @@
     return core;
   };
 
-  function tell(from: TestCore, to: TestCore): void {
+  function sendMessages(from: TestCore, to: TestCore): void {
     effectsOf(from.take({ kind: 'timer', timer: 'exchange' }), 'sendPeer').forEach(
       ({ message }) => {
         if (message.$case !== 'routingNews') return;
@@ -73,7 +73,7 @@
     );
   }
 
-  it('is told among instances, so that a part is not read a second time elsewhere', () => {
+  it('are announced between instances, so that no other upstream reads a part again', () => {
     const home = planOf(createFullCore().arrive(sharedFacts('a1', 'b1'))).upstream;
     // The first instance does not have the home in its list yet.
     const others = upstreams.filter(({ id }) => id !== home);
@@ -88,15 +88,15 @@
     const outcome = { kind: 'answered', cursor: 1, changes: [peer] } as const;
     [first, second].forEach((core) => core.take({ kind: 'instancesPolled', outcome }));
     // Instances that have not been heard from receive messages only occasionally.
-    for (let i = 0; i < 5; i += 1) tell(second, first);
+    for (let i = 0; i < 5; i += 1) sendMessages(second, first);
     expect(planOf(first.arrive(sharedFacts('a1', 'b2'))).upstream).to.equal(elsewhere.id);
-    tell(first, second);
+    sendMessages(first, second);
     expect(planOf(second.arrive(sharedFacts('a1', 'b3'))).upstream).to.equal(elsewhere.id);
   });
 });
 
-describe('speed that is learnt', () => {
-  it('is not mistaken where the queue ahead is known roughly only', () => {
+describe('estimated speed', () => {
+  it('is accurate although the tokens queued ahead are known only approximately', () => {
     const speed = createSpeed();
     const random = createRandom(4);
     for (let i = 0; i < 400; i += 1) {
@@ -110,7 +110,7 @@
 });
 
 describe('emulated engine', () => {
-  it('reads in chunks, keeps parts and makes a token in each step', () => {
+  it('reads prompts in chunks, caches their parts and generates one token per step', () => {
     const simulation = createSimulation();
     const reads: number[] = [];
     const engine = createEmulatedEngine({
@@ -145,7 +145,7 @@
     expect(ends[0]).to.be.closeTo(firstMs + 9 * (stepMs + stepMsPerRequest), 0.01);
   });
 
-  it('yields the parts that were not used for longest, and loses all as it crashes', () => {
+  it('evicts the least recently used parts, and loses all parts in a crash', () => {
     const simulation = createSimulation();
     const reads: number[] = [];
     const engine = createEmulatedEngine({
--- a/test/routing/support/coreFleet.ts
+++ b/test/routing/support/coreFleet.ts
@@ -19,10 +19,10 @@
   readonly take: (core: FleetCore, event: RoutingEvent) => readonly RoutingEffect[];
   /** Has a request with a prompt of two parts arrive. */
   readonly arrive: (core: FleetCore) => readonly RoutingEffect[];
-  /** Runs `count` rounds in which every running core sends its news. */
+  /** Runs `count` rounds in which every running core sends its messages. */
   readonly rounds: (count: number) => void;
   /** Number of messages of the last round, and how many of them crossed domains. */
-  readonly sent: () => { readonly abroad: number; readonly all: number };
+  readonly sent: () => { readonly crossDomain: number; readonly all: number };
   /** Cuts all links between a domain and the others; `undefined` restores them. */
   readonly cut: (domain: string | undefined) => void;
   /** Codes of the events that a core has logged. */
@@ -45,7 +45,7 @@
 ): CoreFleet {
   let now = 1_000_000;
   let requests = 0;
-  let cutDomain: string | undefined;
+  let isolatedDomain: string | undefined;
   let inFlight: Message[] = [];
   const logs = new Map<FleetCore, string[]>();
   const regions = new Map<string, string>();
@@ -83,7 +83,7 @@
   const isCrossDomain = ({ from, to }: Message) => from.self.domain !== to.self.domain;
   const isCut = (message: Message) =>
     isCrossDomain(message) &&
-    [message.from.self.domain, message.to.self.domain].some((domain) => domain === cutDomain);
+    [message.from.self.domain, message.to.self.domain].some((domain) => domain === isolatedDomain);
 
   function round(): void {
     now += ROUND_MS;
@@ -151,9 +151,9 @@
     rounds: (count) => {
       for (let i = 0; i < count; i += 1) round();
     },
-    sent: () => ({ abroad: inFlight.filter(isCrossDomain).length, all: inFlight.length }),
+    sent: () => ({ crossDomain: inFlight.filter(isCrossDomain).length, all: inFlight.length }),
     cut: (domain) => {
-      cutDomain = domain;
+      isolatedDomain = domain;
     },
     logged: (core) => logs.get(core) ?? [],
   };
