Reword the last unclear sentences of the platform adapter

Waits in tests timed out 'until 5', locals were called left, ends and told, and 'the response to another request' could be read in two ways.

--- a/test/platform/bundle.test.ts
+++ b/test/platform/bundle.test.ts
@@ -61,10 +61,10 @@
   it('reports invalid settings', async () => {
     const settings = join(dir, 'wrong.yaml');
     await writeFile(settings, 'instance: { id: a }\n');
-    const failed = await execute(process.execPath, [program, settings]).then(
+    const errorOutput = await execute(process.execPath, [program, settings]).then(
       () => undefined,
       (err: { readonly stderr: string }) => err.stderr,
     );
-    expect(failed).to.include('domain');
+    expect(errorOutput).to.include('domain');
   });
 });
--- a/test/platform/path.test.ts
+++ b/test/platform/path.test.ts
@@ -184,10 +184,12 @@
     fleet.listEngine({ ...engine, id: 'silent', address: `127.0.0.1:${port}` }, 'desk');
     const started = await readyInstance();
     const abort = new AbortController();
-    const left = call(started, '/book/1', { signal: abort.signal }).catch(() => undefined);
+    const responsePromise = call(started, '/book/1', { signal: abort.signal }).catch(
+      () => undefined,
+    );
     await until(() => sockets.length > 0, 'the upstream has a connection');
     abort.abort();
-    await left;
+    await responsePromise;
     await until(
       () => started.logged.some(({ event }) => event === 'callerGone'),
       'the caller has left',
@@ -260,7 +262,7 @@
     );
   });
 
-  it('never forwards the response to another request', async () => {
+  it('never forwards a response that belongs to another request', async () => {
     const engine = await fleet.addEngine('desk');
     engine.setFault({ kind: 'foreign' });
     const answer = await call(await readyInstance(), '/book/1');
@@ -268,7 +270,7 @@
     expect(answer.text).to.not.include('not yours');
   });
 
-  it('ignores a surplus response on a kept connection', async () => {
+  it('ignores a surplus response on a keep-alive connection', async () => {
     const engine = await fleet.addEngine('desk');
     engine.setFault({ kind: 'extra' });
     const started = await readyInstance();
@@ -288,11 +290,11 @@
     engine.setFault({ kind: 'unframed', isReset: true });
     for (let i = 0; i < 20; i += 1) {
       // eslint-disable-next-line no-await-in-loop -- one connection at a time
-      const broken = await call(started, '/book/1').then(
+      const outcome = await call(started, '/book/1').then(
         ({ status }) => status,
         () => 'cut',
       );
-      expect(broken).to.be.oneOf(['cut', 502]);
+      expect(outcome).to.be.oneOf(['cut', 502]);
     }
   });
 
@@ -300,7 +302,7 @@
     const engine = await fleet.addEngine('desk');
     engine.setFault({ kind: 'unfinished' });
     const started = await readyInstance();
-    const ends = await Promise.all(
+    const outcomes = await Promise.all(
       ['/book/1', '/book/2'].map(async (path) =>
         call(started, path).then(
           ({ status }) => status,
@@ -308,17 +310,19 @@
         ),
       ),
     );
-    expect(ends).to.deep.equal(['cut', 'cut']);
+    expect(outcomes).to.deep.equal(['cut', 'cut']);
   });
 
   it('aborts the attempt when the caller disconnects', async () => {
     const engine = await fleet.addEngine('models', { events: 1_000, eventGapMs: 5 });
     const started = await readyInstance();
     const abort = new AbortController();
-    const left = call(started, '/draft/1', { signal: abort.signal }).catch(() => undefined);
+    const responsePromise = call(started, '/draft/1', { signal: abort.signal }).catch(
+      () => undefined,
+    );
     await until(() => engine.runs.length === 1, 'the request is running');
     abort.abort();
-    await left;
+    await responsePromise;
     await until(() => engine.runs[0]?.isAbandoned === true, 'the upstream sees the abort');
   });
 
--- a/test/platform/platform.test.ts
+++ b/test/platform/platform.test.ts
@@ -36,7 +36,10 @@
     await fleet.addEngine('models');
     const started = await readyInstance();
     fleet.configure(5, { Tenants: [{ Name: 'b', ApiKeys: ['new-key'] }] });
-    await until(() => started.instance.routing().state.freshness.configuration?.version === 5, '5');
+    await until(
+      () => started.instance.routing().state.freshness.configuration?.version === 5,
+      'version 5 is active',
+    );
     expect(await statusOf(started)).to.equal(401);
     expect(await statusOf(started, 'new-key')).to.equal(200);
     fleet.configure(3);
@@ -84,7 +87,10 @@
     fleet.store.dropHistory('keyed.servers');
     fleet.configure(2);
     fleet.store.dropHistory('keyed.op');
-    await until(() => started.instance.routing().state.freshness.configuration?.version === 2, '2');
+    await until(
+      () => started.instance.routing().state.freshness.configuration?.version === 2,
+      'version 2 is active',
+    );
     expect(await statusOf(started)).to.equal(200);
   });
 
@@ -128,18 +134,23 @@
     const engine = await fleet.addEngine('models', { events: 400, eventGapMs: 5 });
     const first = await readyInstance();
     const second = await readyInstance();
-    const isHeard = (started: StartedInstance) =>
+    const hasHeardPeer = (started: StartedInstance) =>
       [...started.instance.routing().state.exchange.peers.values()].some((peer) => peer.isHeard);
-    await until(() => isHeard(first) && isHeard(second), 'the instances have exchanged messages');
+    await until(
+      () => hasHeardPeer(first) && hasHeardPeer(second),
+      'the instances have exchanged messages',
+    );
     const abort = new AbortController();
-    const open = call(first, '/draft/1', { signal: abort.signal }).catch(() => undefined);
+    const responsePromise = call(first, '/draft/1', { signal: abort.signal }).catch(
+      () => undefined,
+    );
     await until(() => engine.runs.length === 1, 'a request runs');
     const peer = () => [...second.instance.routing().state.exchange.peers.values()][0];
-    const told = () => [...(peer()?.news?.work.values() ?? [])][0]?.running;
-    await until(() => told() === 1, 'the peer has the number of running requests');
+    const reportedRunning = () => [...(peer()?.news?.work.values() ?? [])][0]?.running;
+    await until(() => reportedRunning() === 1, 'the peer has the number of running requests');
     abort.abort();
-    await open;
-    await until(() => told() === undefined, 'the peer no longer counts the request');
+    await responsePromise;
+    await until(() => reportedRunning() === undefined, 'the peer no longer counts the request');
   });
 
   it('on stop, rejects new requests and exits once the running streams are complete', async () => {
--- a/test/platform/support/fleet.ts
+++ b/test/platform/support/fleet.ts
@@ -122,10 +122,10 @@
   const store: LogStore = await startLogStore();
   const engines: BatchEngine[] = [];
   const instances: StartedInstance[] = [];
-  let beat = 0;
+  let sequence = 0;
 
   function listEngine(engine: BatchEngine, pool: string, changes: object = {}): void {
-    beat += 1;
+    sequence += 1;
     const entry = {
       Service: pool,
       Address: engine.address,
@@ -134,7 +134,7 @@
       Slots: 8,
       State: 'ready',
       ColdLeftMs: 0,
-      Seq: beat,
+      Seq: sequence,
       born: 1,
       ...changes,
     };
