Reword the last unclear sentences of the hosts

A doc comment promised that an outcome is always reported asynchronously, although cancel reports it at once. The comments on connection ends, foreign events, the listen backlog and malformed requests had to be read twice; Logger and Metrics promised more than they do. The response modes held and plain are buffered and unbuffered, as the code around them says, and NO_BYTES is EMPTY_BYTES as in the event splitter.

--- a/src/hosts/attemptRun.ts
+++ b/src/hosts/attemptRun.ts
@@ -61,9 +61,9 @@
   /** Server-sent events: forwarded event by event; complete once the end marker was received. */
   | { readonly kind: 'events'; readonly reader: ReturnType<typeof createEventStreamReader> }
   /** Small body: buffered until it is complete, so that the attempt can be retried if it is cut. */
-  | { readonly kind: 'held' }
+  | { readonly kind: 'buffered' }
   /** Forwarded as it arrives; complete when the HTTP framing says so. */
-  | { readonly kind: 'plain' }
+  | { readonly kind: 'unbuffered' }
   /** Error response: read to determine the outcome and not forwarded. */
   | { readonly kind: 'error' };
 
@@ -126,13 +126,13 @@
         else forward(batch.bytes, batch.tokens);
         return;
       }
-      case 'held':
+      case 'buffered':
         if (bufferChunk(chunk, MAX_BUFFERED_BYTES)) return;
-        mode = { kind: 'plain' };
+        mode = { kind: 'unbuffered' };
         forward(Buffer.concat([...bufferedChunks, chunk]), 0);
         bufferedChunks = [];
         return;
-      case 'plain':
+      case 'unbuffered':
         forward(chunk, 0);
         return;
       default:
@@ -182,7 +182,7 @@
         sink.start(head);
         completeAttempt(mode.reader.usage());
       }
-    } else if (mode.kind === 'held') {
+    } else if (mode.kind === 'buffered') {
       endBuffered();
     } else {
       sink.start(head);
@@ -235,7 +235,7 @@
     },
   };
   try {
-    options.dispatcher.dispatch(dispatchOptions(plan, req), handler);
+    options.dispatcher.dispatch(createDispatchOptions(plan, req), handler);
   } catch (err) {
     end({ kind: 'notSent', detail: getErrorMessage(err) });
   }
@@ -249,7 +249,10 @@
   };
 }
 
-function dispatchOptions(plan: AttemptPlan, req: OutgoingRequest): Dispatcher.DispatchOptions {
+function createDispatchOptions(
+  plan: AttemptPlan,
+  req: OutgoingRequest,
+): Dispatcher.DispatchOptions {
   const resume = plan.resumeFromToken > 0 ? { 'x-resume-from': String(plan.resumeFromToken) } : {};
   const hasBody = req.body.length > 0 || !['GET', 'HEAD'].includes(req.method);
   return {
@@ -279,7 +282,9 @@
   const length = headers['content-length'];
   const isSmall = length !== undefined && Number(length) <= MAX_BUFFERED_BYTES;
   const mustBuffer = plan.kind === 'model' || plan.captureAnswer;
-  return isSmall || mustBuffer || req.method === 'HEAD' ? { kind: 'held' } : { kind: 'plain' };
+  return isSmall || mustBuffer || req.method === 'HEAD'
+    ? { kind: 'buffered' }
+    : { kind: 'unbuffered' };
 }
 
 /** Whether the HTTP framing marks the end of the response. */
--- a/src/hosts/callerHost.ts
+++ b/src/hosts/callerHost.ts
@@ -36,7 +36,7 @@
 const DEFAULT_STALL_TIMEOUT_MS: Millis = 60_000;
 const SERVICE_PREFIX = '/apps/';
 const COMPLETION_PATHS = ['/v1/chat/completions', '/v1/completions'] as const;
-/** Request ids set by callers that are returned unchanged; others are replaced. */
+/** A caller's request id that matches is returned unchanged; any other is replaced. */
 const CALLER_REQUEST_ID_PATTERN = /^[\w.:-]{1,128}$/;
 const ID_RADIX = 36;
 
--- a/src/hosts/certificates.ts
+++ b/src/hosts/certificates.ts
@@ -10,7 +10,7 @@
 export interface CertificateFiles {
   readonly certificate: string;
   readonly key: string;
-  /** Certificates of the authorities that the certificate of the other side must be signed by. */
+  /** Certificates of the authorities that may sign the other side's certificate. */
   readonly authorities?: string | undefined;
 }
 
--- a/src/hosts/eventStream.ts
+++ b/src/hosts/eventStream.ts
@@ -17,7 +17,7 @@
   /** Bytes of the complete events; empty if the chunk completed none. */
   readonly bytes: Uint8Array;
   readonly tokens: number;
-  /** Whether an event has an id other than the expected one or that of the first event. */
+  /** Whether an event's id differs from the expected id or, without one, from the first event's. */
   readonly isForeign: boolean;
 }
 
@@ -36,11 +36,11 @@
   readonly responseId: () => string | undefined;
 }
 
-const NO_BYTES = new Uint8Array(0);
+const EMPTY_BYTES = new Uint8Array(0);
 
 /** Creates a reader of one stream. If `expectedId` is given, events with another id are foreign. */
 export function createEventStreamReader(expectedId?: string): EventStreamReader {
-  let partialEvent: Uint8Array = NO_BYTES;
+  let partialEvent: Uint8Array = EMPTY_BYTES;
   let hasEnded = false;
   let responseId = expectedId;
   let usage: TokenUsage = {};
@@ -68,14 +68,14 @@
     read: (chunk) => {
       const bytes = partialEvent.length === 0 ? chunk : Buffer.concat([partialEvent, chunk]);
       const end = endOfLastEvent(bytes);
-      partialEvent = end === bytes.length ? NO_BYTES : bytes.subarray(end);
+      partialEvent = end === bytes.length ? EMPTY_BYTES : bytes.subarray(end);
       if (partialEvent.length > MAX_EVENT_BYTES) throw new Error('An event is too long.');
-      if (end === 0) return { bytes: NO_BYTES, tokens: 0, isForeign: false };
+      if (end === 0) return { bytes: EMPTY_BYTES, tokens: 0, isForeign: false };
       const completeEvents = bytes.subarray(0, end);
       let tokens = 0;
       for (const text of splitEvents(completeEvents)) {
         const count = readEvent(text);
-        if (count === undefined) return { bytes: NO_BYTES, tokens: 0, isForeign: true };
+        if (count === undefined) return { bytes: EMPTY_BYTES, tokens: 0, isForeign: true };
         tokens += count;
       }
       return { bytes: completeEvents, tokens, isForeign: false };
--- a/src/hosts/httpServer.ts
+++ b/src/hosts/httpServer.ts
@@ -10,7 +10,7 @@
 import type { Millis } from '../core/clock.js';
 import type { CertificateSource } from './certificates.js';
 
-/** Limits on connections and on the requests that they send. */
+/** Limits on connections and their requests. */
 export interface HttpLimits {
   readonly maxHeaderBytes: number;
   /** Time within which the headers must arrive. */
@@ -41,7 +41,10 @@
   readonly port: number;
   readonly limits?: Partial<HttpLimits>;
   readonly certificates?: CertificateSource | undefined;
-  /** Creates the raw response to a connection that did not send valid HTTP, by the error code. */
+  /**
+   * Creates the raw response to bytes that are not a valid request. `errorCode` is the code of the
+   * Node.js error; it is empty if there is none, as for a missing `Host` header.
+   */
   readonly malformedAnswer?: (errorCode: string) => string;
   /** Length of the queue of pending connections; the default of Node.js if not set. */
   readonly backlog?: number;
--- a/src/hosts/logger.ts
+++ b/src/hosts/logger.ts
@@ -1,4 +1,4 @@
-/** Writes log lines with `loglevel`, as text with a prefix for the logging part or as JSON. */
+/** Writes log lines with `loglevel`, as text with a prefix for the logging component or as JSON. */
 import loglevel from 'loglevel';
 import type { Clock } from '../core/clock.js';
 import { formatDiagnostic } from '../core/diagnostics.js';
@@ -27,7 +27,7 @@
   log.setLevel(options.threshold ?? 'info', false);
   const time = () => new Date(options.clock.now()).toISOString();
 
-  function textLine(part: string, message: string): string {
+  function formatTextLine(part: string, message: string): string {
     return `${time()} ${options.instance} ${`${part}:`.padEnd(PREFIX_WIDTH)} ${message}`;
   }
 
@@ -35,7 +35,7 @@
     write: (level, part, code, args) => {
       const message = formatDiagnostic(code, args);
       const fields = { time: time(), level, instance: options.instance, part, code, message, args };
-      log[level](form === 'json' ? JSON.stringify(fields) : textLine(part, message));
+      log[level](form === 'json' ? JSON.stringify(fields) : formatTextLine(part, message));
     },
     audit: (entry) => {
       const { at, who, action, subject, accepted, detail } = entry;
@@ -43,7 +43,7 @@
       const message = `${action} ${subject} by ${who} ${verdict}. ${detail}`.trimEnd();
       const fields = { level: 'info', instance: options.instance, part: 'audit', ...entry };
       const line = { time: new Date(at).toISOString(), ...fields };
-      log.info(form === 'json' ? JSON.stringify(line) : textLine('audit', message));
+      log.info(form === 'json' ? JSON.stringify(line) : formatTextLine('audit', message));
     },
   };
 }
--- a/src/hosts/routing/attempt.ts
+++ b/src/hosts/routing/attempt.ts
@@ -48,7 +48,7 @@
   readonly protocol: RequestProtocol;
   readonly listener: AttemptListener;
   readonly now: () => Millis;
-  /** How the connection whose events are being handled is ending. */
+  /** How the connection ends whose socket event is being handled; `none` if it does not end. */
   readonly connectionEnd: () => ConnectionEnd;
   /** Id of the last event that the caller has received, if this attempt resumes a stream. */
   readonly resumeAfter?: EventId | undefined;
@@ -61,7 +61,7 @@
   readonly isReplaceable: (mayResume: boolean) => boolean;
 }
 
-/** Starts an attempt. The outcome is always reported asynchronously. */
+/** Starts an attempt. The outcome is reported after this call has returned. */
 export function startAttempt(options: AttemptOptions): RunningAttempt {
   const { plan, callerResponse, protocol, listener } = options;
   const eventSplitter = plan.mode === 'resumableStream' ? createEventSplitter() : undefined;
@@ -170,9 +170,9 @@
   }
 
   try {
-    options.dispatcher.dispatch(dispatchOptions(options), handler);
+    options.dispatcher.dispatch(createDispatchOptions(options), handler);
   } catch (err) {
-    // The outcome must not be reported synchronously.
+    // The outcome must not be reported from within this call.
     queueMicrotask(() => end({ kind: 'notSent', reason: describeError(err) }));
   }
   return {
@@ -186,7 +186,7 @@
   };
 }
 
-function dispatchOptions(options: AttemptOptions): Dispatcher.DispatchOptions {
+function createDispatchOptions(options: AttemptOptions): Dispatcher.DispatchOptions {
   const { plan, head, body, protocol, resumeAfter } = options;
   return {
     path: head.path,
@@ -206,7 +206,10 @@
   return facts.requestId === requestId && facts.isGenuine;
 }
 
-/** Whether a response ended where its framing says, given how its connection is ending. */
+/**
+ * Whether a response that has ended is complete. If its connection ends at the same time, only a
+ * response without framing is complete, and only if the connection was closed gracefully.
+ */
 function isComplete({ rawHeaders }: UpstreamResponseHead, connectionEnd: ConnectionEnd): boolean {
   if (connectionEnd === 'none') return true;
   const isFramed =
--- a/src/hosts/routing/callerAnswer.ts
+++ b/src/hosts/routing/callerAnswer.ts
@@ -1,4 +1,4 @@
-/** Writes one response to a caller, with back-pressure: a forwarded, a local or an aborted one. */
+/** Writes one response to a caller, with backpressure: forwards, generates or aborts it. */
 import type { ServerResponse } from 'node:http';
 import type { OwnAnswer } from '../../routing/types.js';
 import { routingEvents } from '../../routing/eventTable.js';
--- a/src/hosts/routing/frontHost.ts
+++ b/src/hosts/routing/frontHost.ts
@@ -73,12 +73,15 @@
 }
 
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
-/** Limit of the HTTP parser. Heads between the configured limit and this one get a proper 431. */
+/**
+ * Limit of the HTTP parser. A head between the configured limit and this one is parsed, so that it is
+ * rejected with a JSON body and logged with a reason.
+ */
 const MAX_READABLE_HEADER_BYTES = 64 * 1024;
 /**
  * Callers abandon a connection that is not accepted within a second, and connections are accepted in
- * order. With a backlog longer than a small machine accepts in that time, every one is accepted too
- * late.
+ * order. If the backlog could hold more connections than a small machine accepts in a second, a full
+ * backlog would delay every connection until its caller had left.
  */
 const LISTEN_BACKLOG = 64;
 const DEFAULT_LIMITS: CallerLimits = {
@@ -301,6 +304,7 @@
   };
 }
 
+/** Returns the approximate size of a request head as sent, with its separators. */
 function measureHead({ method, path, rawHeaders }: RequestHead): number {
   const separators = 4;
   return rawHeaders.reduce(
--- a/src/hosts/routing/gapClock.ts
+++ b/src/hosts/routing/gapClock.ts
@@ -108,7 +108,7 @@
       const value = clock();
       if (steady() - before <= MAX_READING_MS) return value - before;
     }
-    // Left to the next call.
+    // The next call tries again.
     return undefined;
   }
   return { read, initialOffset: read() ?? clock() - steady() };
--- a/src/hosts/routing/types.ts
+++ b/src/hosts/routing/types.ts
@@ -44,7 +44,7 @@
   readonly requestId?: string;
   /** Whether the upstream states that it did not execute the request. */
   readonly isNotExecuted: boolean;
-  /** Whether the response has the marks of one that the upstream itself produced. */
+  /** Whether the headers show that the upstream itself produced the response. */
   readonly isGenuine: boolean;
 }
 
--- a/src/hosts/routing/upstreamPools.ts
+++ b/src/hosts/routing/upstreamPools.ts
@@ -26,7 +26,7 @@
   /** Removes a pool; it closes once its pending requests have ended. */
   readonly removePool: (upstream: UpstreamId, bornAt: Millis) => void;
   /**
-   * How the connection whose events are being handled is ending. undici treats any end of a
+   * How the connection ends whose socket event is being handled. undici treats any end of a
    * non-keep-alive connection as the end of the response, so the caller must check it against the
    * response's framing.
    */
@@ -69,8 +69,8 @@
 
   function observeSocket(socket: Socket): void {
     socket.setNoDelay(true);
-    const markEnd = (endOf: () => ConnectionEnd) => () => {
-      connectionEnd = endOf();
+    const markEnd = (getEnd: () => ConnectionEnd) => () => {
+      connectionEnd = getEnd();
       queueMicrotask(() => {
         connectionEnd = 'none';
       });
--- a/src/hosts/types.ts
+++ b/src/hosts/types.ts
@@ -74,6 +74,7 @@
   readonly suspend: (attempt: AttemptId, upstream: UpstreamId) => void;
   readonly resume: (attempt: AttemptId, upstream: UpstreamId) => void;
   readonly moveCache: (attempt: AttemptId, fromUrl: string, toUrl: string) => void;
+  /** Reads the load and the cache events that follow the sequence number `cacheAfter`. */
   readonly poll: (upstream: UpstreamId, url: string, cacheAfter: number) => void;
   readonly giveOrder: (
     upstream: UpstreamId,
@@ -126,13 +127,13 @@
   readonly defer: (action: () => void) => void;
 }
 
-/** Writes log lines; each line starts with the name of the part that logged it. */
+/** Writes log lines; each names the component that logged it. */
 export interface Logger {
   readonly write: (level: LogLevel, part: Part, code: DiagnosticCode, args: DiagnosticArgs) => void;
   readonly audit: (entry: AuditEntry) => void;
 }
 
-/** Counters, gauges and timings. */
+/** Sends counters to a metrics receiver. */
 export interface Metrics {
   readonly count: (metric: string, value: number, tags: Readonly<Record<string, string>>) => void;
   readonly close: () => Promise<void>;
--- a/src/hosts/upstreamHost.ts
+++ b/src/hosts/upstreamHost.ts
@@ -1,5 +1,5 @@
 /**
- * HTTP client for engines and plain services. Each attempt uses a connection of its own. Control
+ * HTTP client for engines and plain services. No two running attempts share a connection. Control
  * calls use a separate connection pool, so that an upstream that stops sending a response cannot
  * delay them.
  */
--- a/test/hosts/callerHost.test.ts
+++ b/test/hosts/callerHost.test.ts
@@ -165,15 +165,15 @@
     socket.on('error', () => {});
     const timer = setInterval(() => socket.write('x'), 20);
     socket.write('GET / HTTP/1.1\r\n');
-    let answer = '';
+    let received = '';
     socket.on('data', (part: Buffer) => {
-      answer += part.toString();
+      received += part.toString();
     });
     await new Promise((resolve) => {
       socket.once('close', resolve);
     });
     clearInterval(timer);
-    expect(answer).to.match(/^HTTP\/1\.1 408 /);
+    expect(received).to.match(/^HTTP\/1\.1 408 /);
   });
 
   it('reports the disconnect of a caller that waits for a response', async () => {
--- a/test/hosts/intake.test.ts
+++ b/test/hosts/intake.test.ts
@@ -60,6 +60,8 @@
   });
 }
 
+// Guards against an event loop turn that handles all requests of keep-alive connections: new
+// connections would wait in the accept queue until their callers give up.
 describe('caller intake', () => {
   it('admits requests of new connections while keep-alive connections send continuously', async () => {
     const { host, admitted, port } = await startFront();
--- a/test/hosts/loadMeter.test.ts
+++ b/test/hosts/loadMeter.test.ts
@@ -2,7 +2,7 @@
 import { createLoadMeter, type MeasuredLoad } from '../../src/hosts/routing/loadMeter.js';
 
 describe('load meter', () => {
-  /** Collects `count` readings; calls the callback once per interval, before its reading is taken. */
+  /** Collects `count` readings; calls `onInterval` once per interval, before its reading is taken. */
   async function collect(
     count: number,
     onInterval: (
@@ -34,8 +34,8 @@
       onInterval(meter, 0, advance);
       meter.start();
       // The meter's timer is unreferenced and does not keep the process alive.
-      const alive = setInterval(() => {
-        if (readings.length >= count) clearInterval(alive);
+      const keepAliveTimer = setInterval(() => {
+        if (readings.length >= count) clearInterval(keepAliveTimer);
       }, 5);
     });
     return readings;
--- a/test/hosts/output.test.ts
+++ b/test/hosts/output.test.ts
@@ -22,7 +22,7 @@
     return { lines, logger: createLogger({ instance: 'a', clock, threshold, form, writeLine }) };
   }
 
-  it('writes text lines with time, instance and part', () => {
+  it('writes text lines with time, instance and component', () => {
     const { lines, logger } = createTestLogger('text', 'info');
     logger.write('info', 'daemon', 'stopped', { id: 'a' });
     logger.write('debug', 'daemon', 'stopped', { id: 'a' });
--- a/test/hosts/upstreamHost.test.ts
+++ b/test/hosts/upstreamHost.test.ts
@@ -37,10 +37,10 @@
     });
   });
 
-  async function startServer(answer: (res: ServerResponse) => void): Promise<string> {
+  async function startServer(respond: (res: ServerResponse) => void): Promise<string> {
     const server = createServer((req, res) => {
       req.resume();
-      if (req.url === '/ask') answer(res);
+      if (req.url === '/ask') respond(res);
       else res.end('{}');
     });
     servers.push(server);
@@ -99,8 +99,8 @@
     return { host, events, forwarded, waitForEnd };
   }
 
-  const runAttempt = async (answer: (res: ServerResponse) => void, plan?: Partial<AttemptPlan>) =>
-    startAttempt(await startServer(answer), plan).waitForEnd();
+  const runAttempt = async (respond: (res: ServerResponse) => void, plan?: Partial<AttemptPlan>) =>
+    startAttempt(await startServer(respond), plan).waitForEnd();
 
   it('counts tokens and treats a stream with an end marker as complete', async () => {
     const usage = {
