Reword the last unclear sentences of the daemon and its tests

Ports without an address, 'other messages' without the ones they differ from, and 'responses with crossed and late replies' had to be read twice.

--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -28,7 +28,7 @@
 import { createEffectRunner, type Hosts } from './effects.js';
 import { createLoop, type Loop } from './loop.js';
 
-/** Options of an instance. Ports without an address listen on an ephemeral loopback port. */
+/** Options of an instance. A server without an address listens on an ephemeral loopback port. */
 export interface InstanceOptions {
   readonly id: InstanceId;
   readonly domain: FailureDomainId;
--- a/src/daemon/routingInstance.ts
+++ b/src/daemon/routingInstance.ts
@@ -345,7 +345,7 @@
   };
 }
 
-/** Drops other messages: they belong to the slot-granting core, which does not run here. */
+/** Forwards routing news; drops all other events, which only the slot-granting core handles. */
 function forwardRoutingNews(event: CoreEvent, post: (event: RoutingEvent) => void): void {
   if (event.kind !== 'peerMessage' || event.message.$case !== 'routingNews') return;
   const { from, incarnation, message } = event;
--- a/test/daemon/crossed.test.ts
+++ b/test/daemon/crossed.test.ts
@@ -20,7 +20,9 @@
   await until(condition);
 }
 
-describe('responses with crossed and late replies', () => {
+// Guards against a caller receiving another caller's output: engines send a reply on the connection
+// of another request (crossed) or with a delay (late).
+describe('a fleet whose engines send crossed and late replies', () => {
   let fleet: TestFleet;
   const agent = new Agent();
   before(async () => {
@@ -40,8 +42,8 @@
       }),
     );
     // The retry budget grows with the requests of previous windows.
-    const budgetOf = (instance: Instance) => instance.core().state.retries.tokens;
-    await until(() => fleet.instances.every((instance) => budgetOf(instance) >= MIN_BUDGET));
+    const getRetryBudget = (instance: Instance) => instance.core().state.retries.tokens;
+    await until(() => fleet.instances.every((instance) => getRetryBudget(instance) >= MIN_BUDGET));
     fleet.engines.forEach(({ setFault }, i) => {
       setFault({ kind: 'crossed', rate: 0.05, at: i % 2 === 0 ? 'head' : 'middle' });
       setFault({ kind: 'late', rate: 0.05, delayMs: 300 });
@@ -76,15 +78,15 @@
 
   it(`gives each of ${REQUESTS} concurrent callers its own complete answer`, async () => {
     const questions = Array.from({ length: REQUESTS }, (_, i) => `question ${i}`);
-    const wrong: string[] = [];
+    const mismatches: string[] = [];
     await Promise.all(
       questions.map(async (question, i) => {
         const url = fleet.urls[i % fleet.urls.length] ?? '';
         const text = await requestAnswer(question, url).catch((err: Error) => err.message);
-        if (text !== answerText(question, TOKENS)) wrong.push(`${question}: ${text}`);
+        if (text !== answerText(question, TOKENS)) mismatches.push(`${question}: ${text}`);
       }),
     );
-    expect(wrong.slice(0, 5)).to.deep.equal([]);
+    expect(mismatches.slice(0, 5)).to.deep.equal([]);
     const attempts = fleet.engines.reduce((sum, { log }) => sum + log().attempts.length, 0);
     expect(attempts, 'no reply was crossed').to.be.greaterThan(REQUESTS);
   });
--- a/test/daemon/loop.test.ts
+++ b/test/daemon/loop.test.ts
@@ -34,15 +34,15 @@
   return { system, runDeferred, advance };
 }
 
-/** Creates a loop around a core that returns the effects of `answer` for each event. */
-function createTestLoop(answer: (event: CoreEvent, now: number) => readonly Effect[]) {
+/** Creates a loop around a core that records each event and reduces it with `reduceEvent`. */
+function createTestLoop(reduceEvent: (event: CoreEvent, now: number) => readonly Effect[]) {
   const manual = createManualSystem();
   const reduced: CoreEvent[] = [];
   const effects: Effect[] = [];
   const errors: unknown[] = [];
   const reduce: Core['reduce'] = (event, now) => {
     reduced.push(event);
-    return answer(event, now);
+    return reduceEvent(event, now);
   };
   const loop = createLoop({
     core: { reduce },
--- a/test/daemon/path.test.ts
+++ b/test/daemon/path.test.ts
@@ -47,12 +47,12 @@
   it('aborts the attempt at the engine when the caller disconnects', async () => {
     const abort = new AbortController();
     const res = await ask(url, 'never read', { tokens: 500, signal: abort.signal });
-    const recordOf = () =>
+    const runningAttempt = () =>
       fleet.engines[0]?.log().attempts.find(({ outcome }) => outcome === 'running');
-    expect(recordOf()).to.not.equal(undefined);
+    expect(runningAttempt()).to.not.equal(undefined);
     await res.body?.getReader().read();
     abort.abort();
-    await until(() => recordOf() === undefined);
+    await until(() => runningAttempt() === undefined);
     await until(() => fleet.instances[0]?.core().state.requests.active.size === 0);
   });
 
--- a/test/daemon/silentUpstreams.test.ts
+++ b/test/daemon/silentUpstreams.test.ts
@@ -4,8 +4,8 @@
 
 const REQUESTS = 16;
 
-describe('upstreams whose connections stop responding', () => {
-  it('complete every request, with the full response or with a 504 problem', async () => {
+describe('an instance whose upstream connections stop responding', () => {
+  it('completes every request, with the full response or with a 504 problem', async () => {
     const fleet = await startTestFleet({
       engines: [
         { seed: 1, tokenIntervalMs: 5 },
