--- a/test/protocol/fuzz.test.ts
+++ b/test/protocol/fuzz.test.ts
@@ -6,7 +6,7 @@
 import { PeerMessage as PeerMessageCodec } from '../../src/protocol/generated/peer.js';
 import { createTestView } from '../support/configuration.js';
 
-/** `FUZZ_RUNS=N FUZZ_SEED=S npm test` runs more cases or another seed than CI. */
+/** `FUZZ_RUNS=N FUZZ_SEED=S npm test` runs another number of cases and uses another seed than CI. */
 const NUM_RUNS = Number(process.env.FUZZ_RUNS ?? 2_000);
 const SEED = Number(process.env.FUZZ_SEED ?? 11);
 const PARAMETERS = { numRuns: NUM_RUNS, seed: SEED };
