Clarify the remaining sentences of dispatch

Three comments had to be read twice: which suspended stream is resumed and why a resume precedes a new grant, when an unowned upstream is polled anew, and that local offers go in passes, not rounds. The local variables askedAt, oldest, amount and head now have the name of what they hold: pulledAt, cutoff, count and offset. The owner side of the state says what its first member holds.

--- a/src/core/dispatch/announcements.ts
+++ b/src/core/dispatch/announcements.ts
@@ -2,8 +2,9 @@
  * Announces the counts of waiting requests. Work is offered to this instance's own upstreams first.
  * The remainder is announced to a few owners of the domain, to more of them the longer it waits (in
  * a large domain only if its customer lags), and to the pool's relay, from which owners in other
- * domains pull. An owner is updated only when the count last announced to it is off by more than a
- * factor of two, so that a long queue does not cost one message per request.
+ * domains pull. An owner is updated only when the count last announced to it differs from the
+ * current one by more than a factor of two, so that a long queue does not cost one message per
+ * request.
  */
 import { sendTo, type CoreContext } from '../context.js';
 import type { Millis } from '../clock.js';
@@ -27,7 +28,7 @@
 /** Number of announce intervals after which the number of targets doubles. */
 const FANOUT_DOUBLING_INTERVALS = 2;
 
-/** Maximum rounds of local offers per timer event; each round may change which work waits. */
+/** Maximum passes of local offers per timer event; each pass may change which work waits. */
 const MAX_LOCAL_PASSES = 3;
 
 /**
--- a/src/core/dispatch/assign.ts
+++ b/src/core/dispatch/assign.ts
@@ -26,7 +26,7 @@
 import { endReservation, resetLoadReports, foreignUse, freeSlots, slotsOf } from './slots.js';
 import { requestSuspension, resumeNextSuspended } from './suspension.js';
 
-/** Number of exchanges after which the service sums include the service of a new grant. */
+/** Number of exchanges after which the service sums include the service under a new grant. */
 const RESERVATION_EXCHANGES = 3;
 
 /** Maximum consecutive grants to local requests while other instances have waiting work. */
@@ -285,8 +285,8 @@
 /** Releases the reservations of grants whose service the sums now include. */
 export function settleReservations(ctx: CoreContext): void {
   const { dispatch } = ctx.state;
-  const oldest = ctx.now - RESERVATION_EXCHANGES * exchangeInterval(ctx.state);
+  const cutoff = ctx.now - RESERVATION_EXCHANGES * exchangeInterval(ctx.state);
   dispatch.issued.forEach((grant) => {
-    if (grant.reserved > 0 && grant.issuedAt <= oldest) endReservation(ctx.state, grant);
+    if (grant.reserved > 0 && grant.issuedAt <= cutoff) endReservation(ctx.state, grant);
   });
 }
--- a/src/core/dispatch/cache.ts
+++ b/src/core/dispatch/cache.ts
@@ -21,9 +21,9 @@
 
 /** Returns hashes of some of a request's prefix blocks, the longest prefix last. */
 export function blockHashes(blocks: readonly string[]): readonly number[] {
-  const amount = Math.min(COMPARED_BLOCKS, blocks.length);
-  return Array.from({ length: amount }, (_, i) => {
-    const block = blocks[Math.ceil(((i + 1) * blocks.length) / amount) - 1] as string;
+  const count = Math.min(COMPARED_BLOCKS, blocks.length);
+  return Array.from({ length: count }, (_, i) => {
+    const block = blocks[Math.ceil(((i + 1) * blocks.length) / count) - 1] as string;
     return hash32(block);
   });
 }
--- a/src/core/dispatch/demand.ts
+++ b/src/core/dispatch/demand.ts
@@ -53,11 +53,11 @@
       removeWaiting(demand, customer, entry);
     });
   }
-  let head = 0;
+  let offset = 0;
   update.customers.forEach((customer, i) => {
     const size = update.headSizes[i] ?? 0;
-    const heads = update.heads.slice(head, head + size);
-    head += size;
+    const heads = update.heads.slice(offset, offset + size);
+    offset += size;
     const known = demand.get(customer)?.get(entry);
     if (known !== undefined && known.sequence > update.sequence) return;
     const { sequence } = update;
--- a/src/core/dispatch/dispatchState.ts
+++ b/src/core/dispatch/dispatchState.ts
@@ -119,7 +119,7 @@
 }
 
 export interface DispatchState {
-  /** Entry side: waiting requests by pool and customer, in order of arrival. */
+  /** Entry side: ids of waiting requests by pool and customer, in order of arrival. */
   readonly queues: Map<PoolId, Map<CustomerNumber, RequestId[]>>;
   /** Pools whose waiting work must be re-evaluated for all customers. */
   readonly changedPools: Set<PoolId>;
@@ -147,7 +147,7 @@
   holdReportAt: Millis;
   holdReports: number;
 
-  /** Owner side. */
+  /** Owner side: waiting work by pool. */
   readonly demand: Map<PoolId, PoolDemand>;
   readonly issued: Map<GrantId, IssuedGrant>;
   /** Pairs of waiting work and upstream with a returned grant, with the end of the backoff. */
--- a/src/core/dispatch/pull.ts
+++ b/src/core/dispatch/pull.ts
@@ -34,7 +34,7 @@
 /** Lag, in charge steps, at which work of customers waiting elsewhere is requested. */
 const MIN_LAG_STEPS = 2;
 
-/** Number of requests of lagging customers to ask for in addition to the owned slots. */
+/** Number of requests of lagging customers that are asked for beyond one per owned slot. */
 const LAG_PREFETCH_REQUESTS = 8;
 
 /** Share of the owned slots for which work is requested in advance. */
@@ -196,11 +196,11 @@
   const pool = state.configuration.view?.pools.get(poolId);
   const relay = demandRelay(state, state.self.domain, poolId);
   if (pool === undefined || relay === undefined) return;
-  const askedAt = dispatch.pulledAt.get(poolId);
-  if (askedAt !== undefined && ctx.now - askedAt < settings.pullMs) return;
+  const pulledAt = dispatch.pulledAt.get(poolId);
+  if (pulledAt !== undefined && ctx.now - pulledAt < settings.pullMs) return;
   const wanted = computeWantedDemand(ctx, poolId, countOwnSlots(ctx, poolId));
   if (wanted === undefined) {
-    if (askedAt === undefined) return;
+    if (pulledAt === undefined) return;
     dispatch.pulledAt.delete(poolId);
     sendDemandRequest(ctx, relay, pool, { slots: 0, below: Infinity }, 0);
     return;
--- a/src/core/dispatch/slots.ts
+++ b/src/core/dispatch/slots.ts
@@ -156,8 +156,8 @@
 }
 
 /**
- * Discards the load reports of upstreams that are no longer owned, so that they are polled anew
- * later.
+ * Discards the load reports of upstreams that are no longer owned, so that these are polled anew if
+ * this instance owns them again.
  */
 export function resetLoadReports(state: CoreState, owned: readonly UpstreamConfig[]): void {
   const ids = new Set(owned.map(({ id }) => id));
--- a/src/core/dispatch/suspension.ts
+++ b/src/core/dispatch/suspension.ts
@@ -61,9 +61,10 @@
 }
 
 /**
- * Resumes the stream that has been suspended longest among those on the `free` upstreams that are
- * eligible: no customer waits, the stream's customer is not ahead of the next waiting one, the
- * maximum suspension has elapsed, or too many streams are suspended on the upstream.
+ * Resumes one suspended stream on the `free` upstreams: of the eligible ones, that with the longest
+ * suspension. A stream is eligible if no customer waits, if its customer is not ahead of the next
+ * waiting one, if the maximum suspension has elapsed, or if too many streams are suspended on its
+ * upstream. Returns whether a stream was resumed.
  */
 export function resumeNextSuspended(
   ctx: CoreContext,
@@ -80,8 +81,8 @@
   let next: IssuedGrant | undefined;
   free.forEach((upstream) => {
     if ((state.dispatch.slots.get(upstream.id)?.suspended ?? 0) === 0) return;
-    // Use a free slot first to restore the half of the allowance reserved for customers without
-    // slots.
+    // Resuming a stream restores the half of the allowance that is reserved for customers without
+    // slots. This takes precedence over a new grant.
     const isOverdrawn = !waitingHasNoSlot && suspensionHeadroom(state, pool, upstream.id, true) < 0;
     state.dispatch.issued.forEach((grant) => {
       if (grant.upstream !== upstream.id || grant.phase !== 'suspended') return;
