Clarify the remaining sentences of shares

The heads of the exchange, the lifts and the slot time, and the two halves of an exchange, read plainly. One thing had two names: waitsInDomain and isWaitingHere are now isWaitingInOwnDomain. removeLostRelays removed no relay but the sums sent to it: pruneSentSums. The locals weights, neighbours and others are totalWeight, otherMembers and remoteRelays.

--- a/src/core/shares/bound.ts
+++ b/src/core/shares/bound.ts
@@ -8,7 +8,7 @@
 import { scaledExchangeInterval } from './exchangeInterval.js';
 
 export interface SharingConditions {
-  /** Slots of the pool over all upstreams. */
+  /** Total number of slots of the pool's upstreams. */
   readonly slots: number;
   /** Cost of the largest request. */
   readonly largestRequest: number;
@@ -38,7 +38,7 @@
 /** Number of messages that carry service sums from one instance through two relays to another. */
 const EXCHANGE_HOPS = 3;
 
-/** Announce intervals until all owners of a small domain and the relay know of waiting work. */
+/** Announce intervals after which all owners of a small domain and the relay know of the work. */
 const ANNOUNCE_INTERVALS = 3;
 
 /** Number of messages to pull work through two relays, including the grant to the entry. */
--- a/src/core/shares/describe.ts
+++ b/src/core/shares/describe.ts
@@ -91,9 +91,9 @@
   const queues = state.dispatch.queues.get(pool.id);
   const waiting = new Set<CustomerNumber>(queues?.keys() ?? []);
   forEachWaiting(account, now, (customer) => waiting.add(customer));
-  let weights = 0;
+  let totalWeight = 0;
   waiting.forEach((customer) => {
-    weights += weightIn(state, account, customer);
+    totalWeight += weightIn(state, account, customer);
   });
   const shares: CustomerShare[] = [];
   state.configuration.view?.customers.forEach(({ id, number }) => {
@@ -110,7 +110,7 @@
       lift,
       virtualService,
       weight,
-      share: isWaiting ? weight / weights : 0,
+      share: isWaiting ? weight / totalWeight : 0,
       isWaitingInFleet: isWaiting,
       waitingHere: queues?.get(number)?.length ?? 0,
       ...(reason === undefined ? {} : { waitReason: reason }),
--- a/src/core/shares/exchange.ts
+++ b/src/core/shares/exchange.ts
@@ -1,8 +1,8 @@
 /**
- * The part of every instance in the exchange of service sums. An instance sends its charged service
- * and its waiting customers to the relays of the customers' groups in its domain and receives the
- * sums of the fleet from them. Sums only grow and are merged by maximum, so messages may be
- * reordered, duplicated or delayed.
+ * Exchange of service sums, as done by every instance. An instance sends its charged service and
+ * its waiting customers to the relays of the customers' groups in its domain and receives the sums
+ * of the fleet from them. Sums only grow and are merged by maximum, so messages may be reordered,
+ * duplicated or delayed.
  */
 import { sendTo, setTimer, type CoreContext } from '../context.js';
 import { isLive } from '../membership/memberIndex.js';
@@ -32,15 +32,15 @@
 }
 
 /**
- * Fires twice per exchange: instances send their sums to the relays first, and the relays
- * distribute them half an interval later.
+ * Runs twice per exchange: first, every instance sends its sums to the relays; half an interval
+ * later, the relays distribute them.
  */
 export function onExchangeTimer(ctx: CoreContext): void {
   const { shares } = ctx.state;
   shares.ticks += 1;
   if (shares.ticks % 2 === 1) {
     chargeRunningSlotTime(ctx);
-    removeLostRelays(ctx.state);
+    pruneSentSums(ctx.state);
     const waiting = waitingByAccount(ctx.state);
     shares.accounts.forEach((account) => {
       sendOwnSums(ctx, account, waiting.get(account) ?? new Set());
@@ -51,7 +51,8 @@
   setTimer(ctx, 'exchange', exchangeInterval(ctx.state) / 2);
 }
 
-function removeLostRelays(state: CoreState): void {
+/** Drops the sums sent to relays that are no longer live. */
+function pruneSentSums(state: CoreState): void {
   state.shares.sent.forEach((_, relay) => {
     if (!isLive(state, relay)) state.shares.sent.delete(relay);
   });
@@ -167,7 +168,7 @@
   acknowledge(ctx.state, account, from, message.acknowledged);
 }
 
-/** Records that the fleet's sums include the sums sent with a sequence number. */
+/** Records that the fleet's sums include the sums sent to a relay under a sequence number. */
 function acknowledge(state: CoreState, account: Account, relay: InstanceId, sequence: number) {
   const sent = state.shares.sent.get(relay)?.get(account.number);
   if (sent?.sequence !== sequence) return;
--- a/src/core/shares/lifts.ts
+++ b/src/core/shares/lifts.ts
@@ -1,11 +1,11 @@
 /**
- * Lifts increase a customer's virtual service; the primary relay of the customer's group decides
- * them. A customer that returns from idle is raised to the least virtual service among the waiting
- * customers, so that idling earns no credit. A customer that lags the most-served waiting customer
- * by more than the debt cap is raised to the cap, which bounds the service repaid after a
- * partition. A change of weights would rescale all past service, so every waiting customer is
- * raised to the most-served one and the new weights apply from then on. A lift is a max register:
- * it only grows.
+ * Lifts increase a customer's virtual service. They are decided by the primary relay of the
+ * customer's group. A customer that returns from idle is raised to the least virtual service among
+ * the waiting customers, so that idling earns no credit. A customer that lags the most-served
+ * waiting customer by more than the debt cap is raised to the cap, which bounds the service repaid
+ * after a partition. A change of weights would rescale all past service, so every waiting customer
+ * is raised to the most-served one and the new weights apply from then on. A lift is a max
+ * register: it only grows.
  */
 import type { CoreContext } from '../context.js';
 import { liveDomains } from '../membership/memberIndex.js';
@@ -34,8 +34,10 @@
       const isWaiting = entry.waitingAt.size > 0;
       // Only the domain in which a customer returns decides this. In other domains, the end of a
       // partition cannot be distinguished from a return.
-      const waitsInDomain = [...entry.waitingAt.keys()].some((source) => !domains.includes(source));
-      const hasReturned = waitsInDomain && !entry.wasWaiting;
+      const isWaitingInOwnDomain = [...entry.waitingAt.keys()].some(
+        (source) => !domains.includes(source),
+      );
+      const hasReturned = isWaitingInOwnDomain && !entry.wasWaiting;
       // The next sums report both the start and the end of waiting.
       if (isWaiting !== entry.wasWaiting) {
         entry.isNewBelow = true;
--- a/src/core/shares/relay.ts
+++ b/src/core/shares/relay.ts
@@ -140,14 +140,14 @@
 function requestGroupSums(ctx: CoreContext, group: number, relays: readonly InstanceId[]): void {
   const { state } = ctx;
   // Any other member of the domain may have been a relay before; only the first of them is asked.
-  const neighbours = membersOf(state, state.self.domain)
+  const otherMembers = membersOf(state, state.self.domain)
     .map((member) => member.id)
     .filter((id) => id !== state.self.id && !relays.includes(id))
     .slice(0, 1);
-  const others = liveDomains(state)
+  const remoteRelays = liveDomains(state)
     .filter((domain) => domain !== state.self.domain)
     .flatMap((domain) => groupRelays(state, domain, group).slice(0, 1));
-  new Set([...relays, ...neighbours, ...others]).forEach((id) => {
+  new Set([...relays, ...otherMembers, ...remoteRelays]).forEach((id) => {
     if (id !== state.self.id) sendTo(ctx, id, { $case: 'serviceRequest', value: { group } });
   });
 }
--- a/src/core/shares/relaySending.ts
+++ b/src/core/shares/relaySending.ts
@@ -18,15 +18,17 @@
   forEachAccount(ctx, (account, entries) => {
     const batches = new Map<InstanceId, SumBatch>();
     entries.forEach((entry, customer) => {
-      const isWaitingHere = [...entry.waitingAt.keys()].some((source) => !domains.includes(source));
-      if (!entry.isNewAbroad && !(isWaitingHere && isRefreshDue(ctx, customer))) return;
+      const isWaitingInOwnDomain = [...entry.waitingAt.keys()].some(
+        (source) => !domains.includes(source),
+      );
+      if (!entry.isNewAbroad && !(isWaitingInOwnDomain && isRefreshDue(ctx, customer))) return;
       const group = groupOf(state, customer);
       if (!isForemost(state, group)) return;
       entry.isNewAbroad = false;
       const sum = { customer, sum: entry.folded + entry.live, lift: entry.lift };
       domains.forEach((domain) => {
         const relay = groupRelays(state, domain, group)[0];
-        if (relay !== undefined) addToBatch(batches, relay, sum, isWaitingHere);
+        if (relay !== undefined) addToBatch(batches, relay, sum, isWaitingInOwnDomain);
       });
     });
     batches.forEach((batch, relay) => {
--- a/src/core/shares/slotTime.ts
+++ b/src/core/shares/slotTime.ts
@@ -1,4 +1,4 @@
-/** Charges slot time of plain services at each exchange while a request runs and when it ends. */
+/** Charges the slot time of attempts at plain services, at each exchange and when they end. */
 import type { Millis } from '../clock.js';
 import type { CoreContext } from '../context.js';
 import type { AttemptId, CustomerNumber, PoolId } from '../types.js';
