Clarify the remaining sentences of membership

It had to be read twice whom a domain vouches for, and why a heartbeat from another domain is answered with a summary. Both now say who knows whom. greetNewMember replies, so it is replyToNewMember; the locals amount and others are count and otherDomains.

--- a/src/core/membership/memberIndex.ts
+++ b/src/core/membership/memberIndex.ts
@@ -44,7 +44,7 @@
   return owningAmong([...state.membership.members.values()]);
 }
 
-/** Filters members to those that may own upstreams, as `owningMembers` does. */
+/** Filters members by the same rule as `owningMembers`. */
 export function owningAmong(members: readonly Member[]): readonly Member[] {
   const ready = members.filter((member) => member.phase === 'ready');
   return ready.length > 0 ? ready : members.filter((member) => member.phase === 'leaving');
@@ -68,15 +68,15 @@
   return chosen;
 }
 
-/** Returns the `amount` members with the highest rendezvous scores, in descending order. */
+/** Returns the `count` members with the highest rendezvous scores, in descending order. */
 export function bestScored(
   members: readonly Member[],
   key: string,
-  amount: number,
+  count: number,
 ): readonly Member[] {
   const scored = members.map((member) => ({ member, score: rendezvousScore(key, member.id) }));
   scored.sort((a, b) => b.score - a.score);
-  return scored.slice(0, amount).map((entry) => entry.member);
+  return scored.slice(0, count).map((entry) => entry.member);
 }
 
 function memberIndex(state: CoreState): MemberIndex {
--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -30,7 +30,7 @@
 /** Heartbeats between two probes of instances that are listed or were lost but are not live. */
 const PROBE_INTERVAL_BEATS = 3;
 
-/** Seeds probed at a time in each other domain that has no live members. */
+/** Maximum number of seeds probed at a time in each other domain without live members. */
 const MAX_PROBES_PER_DOMAIN = 2;
 
 /** Time for which an instance that was lost and is not listed is still probed. */
@@ -45,7 +45,7 @@
   setTimer(ctx, 'heartbeat', 0);
 }
 
-/** Removes timed-out members, and sends the heartbeat, probes and any summaries that are due. */
+/** Removes timed-out members, and sends the heartbeat and the probes and summaries that are due. */
 export function onHeartbeatTimer(ctx: CoreContext): void {
   const { membership, settings, self } = ctx.state;
   membership.beat += 1;
@@ -93,8 +93,9 @@
   });
   setMember(ctx.state, member);
   seeds.delete(info.id);
-  if (known?.incarnation !== info.incarnation) greetNewMember(ctx, member);
-  // Only probes are sent across domains: the sender knows no member here, but may be known.
+  if (known?.incarnation !== info.incarnation) replyToNewMember(ctx, member);
+  // Only probes cross domains. Their sender knows no live member of this domain, even if this
+  // instance already knows the sender.
   else if (member.domain !== ctx.state.self.domain) sendOwnSummary(ctx, member);
 }
 
@@ -125,7 +126,7 @@
 }
 
 /** Replies to a new member immediately, so that both know each other within one round trip. */
-function greetNewMember(ctx: CoreContext, member: Member): void {
+function replyToNewMember(ctx: CoreContext, member: Member): void {
   sendToAddress(ctx, member, encodeHeartbeat(ctx.state));
   if (member.domain === ctx.state.self.domain) sendAllSummaries(ctx, member);
   else sendOwnSummary(ctx, member);
--- a/src/core/membership/relays.ts
+++ b/src/core/membership/relays.ts
@@ -33,13 +33,13 @@
   const rank = relays.findIndex((relay) => relay.id === self.id);
   if (rank < 0) return;
   if (rank > 0 && membership.beat % SECOND_RELAY_INTERVAL_BEATS !== 0) return;
-  const others = liveDomains(state).filter((domain) => domain !== self.domain);
-  others.forEach((domain) => {
+  const otherDomains = liveDomains(state).filter((domain) => domain !== self.domain);
+  otherDomains.forEach((domain) => {
     relaysOf(state, domain).forEach((relay) => sendDomainSummaries(ctx, relay, [self.domain]));
   });
-  if (others.length === 0) return;
+  if (otherDomains.length === 0) return;
   membersOf(state, self.domain).forEach((member) => {
-    if (member.id !== self.id) sendDomainSummaries(ctx, member, others);
+    if (member.id !== self.id) sendDomainSummaries(ctx, member, otherDomains);
   });
 }
 
@@ -89,7 +89,10 @@
   return false;
 }
 
-/** Returns the members of another domain that were heard directly or that it vouches for itself. */
+/**
+ * Returns the members of another domain that this instance has heard directly or that a relay of
+ * that domain vouches for.
+ */
 function forwardableMembers(
   state: CoreState,
   domain: FailureDomainId,
