Clarify the remaining sentences of orders

The selection of needed upstreams by level, the condition for a decrement and the definition of an outdated upstream had to be read twice. The comment on a leftover order now says why the stream is read. isAdmitted and isValid named one thing: the function is now isValidOrder.

--- a/src/core/orders/demandLevels.ts
+++ b/src/core/orders/demandLevels.ts
@@ -1,8 +1,8 @@
 /**
  * Demand levels: how many upstreams of a pool should hold its model, within the configured bounds.
- * Each owner estimates the level from the demand it sees and keeps as many of its own upstreams as
- * there are among the first `level` in the pool's rendezvous order. All owners use the same order,
- * so the bounds hold fleet-wide even while their estimates differ.
+ * Each owner estimates the level from the demand it sees, counts its own upstreams among the first
+ * `level` of the pool's rendezvous order, and keeps that many of its upstreams. All owners use the
+ * same order, so the bounds hold fleet-wide even while their estimates differ.
  */
 import { count, type CoreContext } from '../context.js';
 import { ownedByPool, ownedInPool } from '../dispatch/assign.js';
@@ -14,7 +14,7 @@
 
 /** Factor by which the level grows while requests keep waiting. */
 const GROWTH_FACTOR = 2;
-/** Utilization, relative to the slots with one upstream less, below which the level may shrink. */
+/** Utilization of the slots with one upstream less, below which the level is decremented. */
 const SHRINK_UTILIZATION = 0.5;
 
 /** Updates the level of every pool that has a placement and an upstream owned by this instance. */
@@ -75,8 +75,8 @@
 }
 
 /**
- * Selects as many candidates as there are among the first `level` of the pool. Candidates that hold
- * the model are preferred.
+ * Counts the candidates among the first `level` upstreams of the pool's rendezvous order and
+ * selects that many, preferring those that hold the model.
  */
 function selectNeeded(
   state: CoreState,
@@ -111,7 +111,7 @@
   needed: readonly UpstreamConfig[],
 ): void {
   const { settings, dispatch } = ctx.state;
-  const slotLimit = needed.reduce((sum, each) => sum + slotsOf(ctx.state, each).limit, 0);
+  const slotLimit = needed.reduce((sum, upstream) => sum + slotsOf(ctx.state, upstream).limit, 0);
   const isWaiting = (dispatch.demand.get(pool)?.size ?? 0) > 0;
   demand.waitingSince = isWaiting ? (demand.waitingSince ?? ctx.now) : undefined;
   const isIdle = !isWaiting && isUnderused(ctx, pool, demand.level, slotLimit);
@@ -127,7 +127,10 @@
   }
 }
 
-/** Whether the work on all owned upstreams would need little capacity with one upstream less. */
+/**
+ * Whether the requests on all owned upstreams would use less than `SHRINK_UTILIZATION` of the slots
+ * that remain with one needed upstream less.
+ */
 function isUnderused(ctx: CoreContext, pool: PoolId, level: number, slotLimit: number): boolean {
   const inUse = ownedInPool(ctx.state, pool).reduce((sum, upstream) => {
     const slots = slotsOf(ctx.state, upstream);
--- a/src/core/orders/orderRecords.ts
+++ b/src/core/orders/orderRecords.ts
@@ -113,7 +113,7 @@
     if (outstanding?.number === record.number) fold.outstanding.delete(record.upstream);
     return undefined;
   }
-  const isValid = isAdmitted(fold, record);
+  const isValid = isValidOrder(fold, record);
   if (isValid) {
     const { id, upstream, pool, order, by } = record;
     fold.outstanding.set(upstream, { number: entry.offset, id, upstream, pool, order, by });
@@ -130,7 +130,7 @@
   }
 }
 
-function isAdmitted(fold: OrdersFold, record: OrderRecord): boolean {
+function isValidOrder(fold: OrdersFold, record: OrderRecord): boolean {
   const number = fold.outstanding.get(record.upstream)?.number ?? NO_ORDER;
   if (number !== record.replaces) return false;
   return record.order.kind !== 'load-model' || isWithinLoadLimits(fold, record);
--- a/src/core/orders/orders.ts
+++ b/src/core/orders/orders.ts
@@ -40,7 +40,7 @@
 const READ_TIMEOUT_MS = 10_000;
 /** Reports older than this are ignored. */
 const MAX_REPORT_AGE_MS = 10_000;
-/** Maximum time from proposing to sending an order, so that no stale order follows a pause. */
+/** Maximum time from proposing to sending an order; prevents a stale order after a pause. */
 const MAX_DECISION_AGE_MS = 10_000;
 /** Time after which an order without an observed effect is sent again. */
 const RESEND_INTERVAL_MS = 10_000;
@@ -108,7 +108,7 @@
   const placement = view && isNeeded ? placementOf(view, upstream) : undefined;
   const requiredOrder = placement && nextOrder(placement, report);
   if (placement === undefined || requiredOrder === undefined) {
-    // A previous owner may have left an order outstanding.
+    // A previous owner may have left an order outstanding, so the stream is read to its end once.
     return settleLeftoverOrder(ctx, upstream.id, report) || observed.since > orders.atEndAt;
   }
   if (ctx.now < (orders.notBefore.get(upstream.id) ?? 0)) return false;
--- a/src/core/orders/ordersState.ts
+++ b/src/core/orders/ordersState.ts
@@ -22,7 +22,7 @@
 export interface ObservedReport {
   readonly report: UpstreamReport;
   readonly at: Millis;
-  /** Time of the first report since this instance owns the upstream. */
+  /** Time of the first report after this instance became the owner. */
   readonly since: Millis;
 }
 
@@ -31,7 +31,7 @@
   level: number;
   /** Time since which every update has found waiting work; restarts when the level grows. */
   waitingSince: Millis | undefined;
-  /** Time since which every update has found little use; restarts when the level shrinks. */
+  /** Time since which every update has found low utilization; restarts when the level shrinks. */
   idleSince: Millis | undefined;
 }
 
