Clarify the remaining sentences of the quarantine

The head spoke of several connections, but the rule counts distinct requests; head and constant now agree. A suspect is tied to the upstream that crashed, and the catch-up says whom it brings up to date.

--- a/src/core/quarantine/catchUp.ts
+++ b/src/core/quarantine/catchUp.ts
@@ -1,7 +1,7 @@
 /**
- * Synchronizes suspicions with instances that may lack them. An instance that has just started or
- * was paused requests the suspicions of other members, and runs no requests until one has answered
- * or the catch-up times out. New members are sent all suspicions without a request.
+ * Brings instances that may lack suspicions up to date. An instance that has just started or was
+ * paused requests the suspicions of other members, and runs no requests until one has answered or
+ * the catch-up times out. New members are sent all suspicions without a request.
  */
 import type { Millis } from '../clock.js';
 import { announceAll } from '../dispatch/queues.js';
--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -2,11 +2,12 @@
  * Quarantine of requests that crash the upstreams that run them.
  *
  * A crash is inferred when a connection breaks and the upstream then refuses connections, stops
- * reporting or reports a new epoch; for an upstream without reports, when several connections break
- * within a short time. Every request that ran there becomes a suspect, because the one that caused
- * the crash is unknown. A suspect is retried only where no other suspect runs, and by one instance
- * of the fleet at a time. If it finishes, it is cleared; if the upstream crashes again, the request
- * is quarantined fleet-wide until the quarantine expires or an operator lifts it.
+ * reporting or reports a new epoch; for an upstream without reports, when the connections of
+ * several requests break within a short time. Every request that ran there becomes a suspect,
+ * because the one that caused the crash is unknown. A suspect is retried only where no other
+ * suspect runs, and by one instance of the fleet at a time. If it finishes, it is cleared; if the
+ * upstream crashes again, the request is quarantined fleet-wide until the quarantine expires or an
+ * operator lifts it.
  */
 import { cancelAttempt } from '../attempts/cancel.js';
 import type { AttemptRecord } from '../attempts/attemptsState.js';
@@ -37,7 +38,7 @@
 } from './suspicions.js';
 
 const UNPROCESSABLE = 422;
-/** Distinct requests whose connections to an upstream break close in time, as sign of a crash. */
+/** Distinct requests whose connections must break within the crash window to imply a crash. */
 const CRASH_CUT_THRESHOLD = 2;
 
 export function startQuarantine(ctx: CoreContext): void {
--- a/src/core/quarantine/quarantineState.ts
+++ b/src/core/quarantine/quarantineState.ts
@@ -24,7 +24,7 @@
   upstream: UpstreamId;
 }
 
-/** A request that ran on an upstream when it crashed. */
+/** A request that ran on an upstream when that upstream crashed. */
 export interface Suspect {
   /** Number of crashes counted against the request; two put it in quarantine. */
   crashes: number;
