Say plainly what the tests of fairness check

Titles spoke in figures (take off, tell apart, drop what it believes, restart empty) or left out what is checked; each now names the checked behaviour in the terms of the code. Controls are marked as such. The locals most, two, of, real and worst have the name of what they hold, and arbitraries end in Arbitrary. No assertion, number or order of calls has changed.

--- a/test/fair/dispatch.test.ts
+++ b/test/fair/dispatch.test.ts
@@ -28,7 +28,12 @@
   return core;
 }
 
-function report(core: Core, upstream: string, change: Partial<UpstreamReport> = {}, news = {}) {
+function report(
+  core: Core,
+  upstream: string,
+  change: Partial<UpstreamReport> = {},
+  cacheUpdate = {},
+) {
   return core.reduce(
     {
       kind: 'upstreamReport',
@@ -37,7 +42,7 @@
       cacheEvents: [],
       cacheNext: 0,
       cacheGap: false,
-      ...news,
+      ...cacheUpdate,
     },
     5,
   );
@@ -69,16 +74,16 @@
 const stored = (...blocks: string[]): CacheEvent[] =>
   blocks.map((block, i) => ({ sequence: i + 1, kind: 'stored', block }));
 
-describe('fair/dispatch: engine choice', () => {
-  const two = {
+describe('fair/dispatch: upstream selection', () => {
+  const twoUpstreams = {
     upstreams: [
       { id: 'e1', slots: 4 },
       { id: 'e2', slots: 4 },
     ],
   };
 
-  it('prefers the longest cached prefix and charges the rest of the prompt only', () => {
-    const core = createOwner(two);
+  it('prefers the longest cached prefix and charges only the uncached part of the prompt', () => {
+    const core = createOwner(twoUpstreams);
     report(core, 'e1');
     report(core, 'e2', {}, { cacheEvents: stored('p1', 'p2', 'p3'), cacheNext: 3 });
     expect(upstreamOf(request(core, 'q1', ['p1', 'p2', 'p3']))).to.equal('e2');
@@ -87,8 +92,8 @@
     expect(core.state.shares.accounts.get(1)?.own[1]).to.equal(67);
   });
 
-  it('prefers the less loaded upstream beyond the margin', () => {
-    const core = createOwner(two);
+  it('prefers the less loaded upstream if the load difference exceeds the margin', () => {
+    const core = createOwner(twoUpstreams);
     report(core, 'e1');
     report(core, 'e2', {}, { cacheEvents: stored('p1') });
     ['q1', 'q2', 'q3'].forEach((id) => request(core, id, ['p1']));
@@ -97,8 +102,8 @@
     expect(used).to.deep.equal([1, 2]);
   });
 
-  it('drops what it believes at a gap or a new start, and bounds it', () => {
-    const core = createOwner(two, { cacheBlocks: 8 });
+  it('clears the cache estimate after a gap or a restart, and bounds its size', () => {
+    const core = createOwner(twoUpstreams, { cacheBlocks: 8 });
     const blocks = () => core.state.dispatch.caches.get('e1')?.blocks.size;
     report(core, 'e1', {}, { cacheEvents: stored('a', 'b') });
     expect(blocks()).to.equal(2);
@@ -113,20 +118,20 @@
 });
 
 describe('fair/dispatch: slots', () => {
-  it('takes the load of others off its free slots', () => {
+  it('subtracts the requests of other owners from the free slots', () => {
     const core = createOwner({ upstreams: [{ id: 'e1', slots: 4 }] });
     report(core, 'e1', { running: 3 });
     const started = ['q1', 'q2', 'q3'].map((id) => upstreamOf(request(core, id)));
     expect(started).to.deep.equal(['e1', undefined, undefined]);
   });
 
-  it('grants half the slots before the first report', () => {
+  it('grants only half of the slots before the first report', () => {
     const core = createOwner({ upstreams: [{ id: 'e1', slots: 4 }] });
     const started = ['q1', 'q2', 'q3'].map((id) => upstreamOf(request(core, id)));
     expect(started).to.deep.equal(['e1', 'e1', undefined]);
   });
 
-  it('lowers the limit while the upstream queues and raises it again', () => {
+  it('decreases the limit while the upstream queues requests and increases it again', () => {
     const core = createOwner({ upstreams: [{ id: 'e1', slots: 8 }] });
     const limit = () => core.state.dispatch.slots.get('e1')?.limit ?? 0;
     report(core, 'e1', { slots: 8, running: 8, queued: 6 });
@@ -138,15 +143,15 @@
     expect(limit()).to.be.above(7);
   });
 
-  it('keeps two owners of one upstream within one and a half times its slots', () => {
+  it('limits two concurrent owners of an upstream to one and a half times its slots', () => {
     const instances = ['a', 'b'].map((id) => ({ id, domain: 'd1', region: 'r1' }));
     const view = createTestView({ upstreams: [{ id: 'e1', slots: 8 }] });
     const network = createFakeNetwork({ seed: 1, view, instances });
     network.runUntil(6_000);
-    let most = 0;
+    let maxRunning = 0;
     const refill = () => {
       instances.forEach(({ id }) => network.submit({ instance: id, customer: 1, tokens: 50 }));
-      most = Math.max(most, network.runningOn('e1'));
+      maxRunning = Math.max(maxRunning, network.runningOn('e1'));
       network.at(network.now() + 20, refill);
     };
     refill();
@@ -157,7 +162,7 @@
       network.nodes.get(id)?.core.state.ownership.owned.some((owned) => owned.id === 'e1'),
     );
     expect(owners).to.have.length(2);
-    expect(most).to.be.at.most(12);
+    expect(maxRunning).to.be.at.most(12);
     network.heal();
     network.runUntil(40_000);
     expect(network.runningOn('e1')).to.be.at.most(9);
@@ -194,7 +199,7 @@
     return core;
   };
 
-  it('uses a repeated grant once and returns one that it cannot use', () => {
+  it('uses a duplicate grant once and returns a grant that it cannot use', () => {
     const core = createEntry();
     request(core, 'q1');
     expect(upstreamOf(deliver(core, 'b', grant('e1')))).to.equal('e1');
@@ -206,7 +211,7 @@
     expect(returned).to.equal(true);
   });
 
-  it('tells grants of two owners with one number apart', () => {
+  it('distinguishes grants of two owners with the same id', () => {
     const core = createEntry();
     request(core, 'q1');
     request(core, 'q2');
--- a/test/fair/exchange.test.ts
+++ b/test/fair/exchange.test.ts
@@ -30,18 +30,18 @@
 
 /** Returns the largest error, in cost units, of the sums of any live instance. */
 function largestError(run: ReturnType<typeof startSharing>): number {
-  let worst = 0;
+  let maxError = 0;
   run.network.nodes.forEach(({ core, isUp }) => {
     if (!isUp) return;
     const account = accountByNumber(core.state, 1);
     LOAD.customers.forEach(({ weight }, i) => {
       const lift = account.lift[i + 1] ?? 0;
       const known = (settledServiceIn(core.state, account, i + 1) - lift) * weight;
-      const real = (run.network.served.get(i + 1) ?? 0) * PER_OUTPUT_TOKEN;
-      worst = Math.max(worst, Math.abs(known - real));
+      const actual = (run.network.served.get(i + 1) ?? 0) * PER_OUTPUT_TOKEN;
+      maxError = Math.max(maxError, Math.abs(known - actual));
     });
   });
-  return worst;
+  return maxError;
 }
 
 /** Returns the service that may be unreported: that of all slots until the sums arrive. */
@@ -50,13 +50,13 @@
 }
 
 describe('fair/exchange', () => {
-  it('brings every instance to the true sums, but for the last exchanges', () => {
+  it('gives every instance the actual sums, except for the service of the last exchanges', () => {
     const run = startSharing(LOAD);
     run.network.runUntil(run.network.now() + 20_000);
     expect(largestError(run)).to.be.at.most(maxUnreported(run, 4));
   });
 
-  it('keeps the sums when instances, relays among them, restart empty', () => {
+  it('keeps the sums when instances, including relays, restart without state', () => {
     fc.assert(
       fc.property(fc.integer({ min: 0, max: 5 }), fc.integer({ min: 0, max: 5 }), (a, b) => {
         const run = startSharing(LOAD);
@@ -75,7 +75,7 @@
     );
   });
 
-  it('merges sums in any order, twice and late', () => {
+  it('merges sums that arrive reordered, duplicated or late', () => {
     const message = fc.record({
       origin: fc.constantFrom('x', 'y'),
       incarnation: fc.integer({ min: 1, max: 2 }),
@@ -86,7 +86,7 @@
         const self = { id: 'a', incarnation: 1, address: 'a', domain: 'd1', region: 'r1' };
         const core = createCore({ self, seed: 1, initialConfiguration: createTestView() });
         const ctx = { state: core.state, now: 1e6, emit: () => {}, deliverToSelf: () => {} };
-        const greatest = new Map<string, number>();
+        const largestSums = new Map<string, number>();
         const latest = new Map<string, number>();
         core.state.shares.relay.groups.set(1, 0);
         messages.forEach(({ origin, incarnation, sequence }) => {
@@ -98,9 +98,9 @@
           if (incarnation < (latest.get(origin) ?? 0)) return;
           latest.set(origin, incarnation);
           const key = `${origin} ${incarnation}`;
-          greatest.set(key, Math.max(greatest.get(key) ?? 0, sum));
+          largestSums.set(key, Math.max(largestSums.get(key) ?? 0, sum));
         });
-        const expected = [...greatest.values()].reduce((a, b) => a + b, 0);
+        const expected = [...largestSums.values()].reduce((a, b) => a + b, 0);
         const entry = core.state.shares.relay.entries.get(1)?.get(1);
         expect(entry && fleetSumOf(entry)).to.equal(expected);
       }),
@@ -128,7 +128,7 @@
     expect(Math.abs(servedSince(3) - servedSince(1)) * PER_OUTPUT_TOKEN).to.be.at.most(bound);
   });
 
-  it('keeps the bound on each side of a partition and repays up to the debt cap', () => {
+  it('keeps the bound on each side of a partition and repays service up to the debt cap', () => {
     const run = startSharing({
       ...LOAD,
       customers: [
@@ -149,12 +149,12 @@
     const gapBeforeHealing = c + d - a - b;
     network.heal();
     network.runUntil(network.now() + 20_000);
-    const [e = 0, f = 0, g = 0, h = 0] = run.virtualServed();
+    const [a2 = 0, b2 = 0, c2 = 0, d2 = 0] = run.virtualServed();
     // The side with fewer slots lags and must catch up.
-    expect(g + h - e - f).to.be.below(gapBeforeHealing / 2);
+    expect(c2 + d2 - a2 - b2).to.be.below(gapBeforeHealing / 2);
   });
 
-  it('describes who waits and why', () => {
+  it('describes which customers wait and why', () => {
     const run = startSharing(LOAD);
     run.network.runUntil(run.network.now() + 5_000);
     const node = run.network.nodes.get('d0-i0');
--- a/test/fair/largeDomain.test.ts
+++ b/test/fair/largeDomain.test.ts
@@ -48,13 +48,13 @@
 }
 
 describe('a failure domain of many instances', () => {
-  it('keeps the bound and its slots in use with few owners told of each customer', () => {
+  it('keeps the bound and uses its slots while work is announced to a few owners only', () => {
     const { gap, bound, utilisation } = observe();
     expect(gap).to.be.below(bound);
     expect(utilisation).to.be.above(UTILISATION_TARGET);
   });
 
-  it('exceeds the bound without sums and pulls, as a control', () => {
+  it('exceeds the bound without the exchange of sums and pulling (control)', () => {
     const { gap, bound } = observe({ exchangeMs: NEVER_MS, pullMs: NEVER_MS });
     expect(gap).to.be.above(bound);
   });
--- a/test/fair/limits.test.ts
+++ b/test/fair/limits.test.ts
@@ -4,18 +4,19 @@
 import { createFakeNetwork, type FakeNetwork } from '../../src/bench/support/fakeNetwork.js';
 
 const INSTANCES = ['a', 'b', 'c'].map((id, i) => ({ id, domain: `d${i % 2}`, region: 'r1' }));
-const OPEN: CustomerLimits = {
+const UNLIMITED: CustomerLimits = {
   waitingRequests: 1e6,
   waitingBytes: 1e9,
   concurrency: 1e6,
   rate: 1e6,
 };
 
-function createLimited(limits: Partial<CustomerLimits>, slots = 8): FakeNetwork {
+function createLimitedNetwork(limits: Partial<CustomerLimits>, slots = 8): FakeNetwork {
   const view = createTestView({ upstreams: [{ id: 'e1', slots, domain: 'd0' }] });
   const customers = new Map(view.customers);
   const customer = customers.get(1);
-  if (customer !== undefined) customers.set(1, { ...customer, limits: { ...OPEN, ...limits } });
+  if (customer !== undefined)
+    customers.set(1, { ...customer, limits: { ...UNLIMITED, ...limits } });
   const network = createFakeNetwork({
     seed: 1,
     view: { ...view, customers },
@@ -38,8 +39,8 @@
 }
 
 describe('fair/limits', () => {
-  it('refuses at once, as not run, and says when to try again', () => {
-    const network = createLimited({ waitingRequests: 5 }, 1);
+  it('refuses requests over the waiting limit at once, as not run and with a retry delay', () => {
+    const network = createLimitedNetwork({ waitingRequests: 5 }, 1);
     const jobs = Array.from({ length: 10 }, () =>
       network.submit({ instance: 'a', customer: 1, tokens: 1_000 }),
     );
@@ -69,45 +70,45 @@
     });
   });
 
-  it('refuses more waiting bytes than the limit', () => {
-    const network = createLimited({ waitingBytes: 350 }, 1);
+  it('refuses requests over the limit of waiting bytes', () => {
+    const network = createLimitedNetwork({ waitingBytes: 350 }, 1);
     const jobs = Array.from({ length: 6 }, () =>
       network.submit({ instance: 'a', customer: 1, tokens: 1_000 }),
     );
     expect(jobs.filter((job) => job.outcome === 'refused')).to.have.length(3);
   });
 
-  it('divides the waiting limit over the fleet', () => {
+  it('enforces the waiting limit across the fleet', () => {
     const limit = 60;
-    const network = createLimited({ waitingRequests: limit }, 1);
+    const network = createLimitedNetwork({ waitingRequests: limit }, 1);
     submitFor(network, ['a', 'b', 'c'], 20, 6_000);
     const waiting = network.waiting.get(1)?.size ?? 0;
     expect(waiting).to.be.within(limit * 0.7, limit * 1.1);
   });
 
-  it('keeps the rate over the fleet, however the customer is spread', () => {
+  it('enforces the rate limit across the fleet for requests to one or several instances', () => {
     const rate = 20;
     const seconds = 20;
     [['a'], ['a', 'b', 'c']].forEach((ids) => {
-      const network = createLimited({ rate }, 64);
+      const network = createLimitedNetwork({ rate }, 64);
       submitFor(network, ids, 40, 10_000);
       const admitted = submitFor(network, ids, 40, seconds * 1_000);
       expect(admitted, ids.join()).to.be.within(rate * seconds * 0.85, rate * seconds * 1.15);
     });
   });
 
-  it('runs no more requests at a time than the limit, without refusing', () => {
-    const network = createLimited({ concurrency: 3 });
+  it('enforces the concurrency limit without refusing requests', () => {
+    const network = createLimitedNetwork({ concurrency: 3 });
     for (let i = 0; i < 30; i += 1) {
       network.submit({ instance: INSTANCES[i % 3]?.id ?? '', customer: 1, tokens: 100 });
     }
-    let most = 0;
+    let maxRunning = 0;
     for (let i = 0; i < 100; i += 1) {
       network.runUntil(network.now() + 50);
       // Requests started before the first exchange of usage may exceed the limit.
-      if (i > 30) most = Math.max(most, network.runningOn('e1'));
+      if (i > 30) maxRunning = Math.max(maxRunning, network.runningOn('e1'));
     }
-    expect(most).to.be.within(1, 3);
+    expect(maxRunning).to.be.within(1, 3);
     network.runUntil(network.now() + 30_000);
     network.jobs.forEach((job) => expect(job.outcome).to.equal('finished'));
   });
--- a/test/fair/membership.test.ts
+++ b/test/fair/membership.test.ts
@@ -51,7 +51,7 @@
 const SETTLE_MS = 3 * 4_000 + 6_000;
 
 describe('fair/membership', () => {
-  it('brings all instances to one view and one owner per upstream', () => {
+  it('converges to one view and one owner per upstream', () => {
     const network = createFleet(1);
     network.runUntil(8_000);
     expectSameView(network, idsOfRunningNodes(network));
@@ -62,7 +62,7 @@
     });
   });
 
-  it('follows crashes, empty restarts and partitions, two at once', () => {
+  it('converges after two concurrent faults: crash, restart without state or partition', () => {
     const fault = fc.record({
       kind: fc.constantFrom('crash', 'restart', 'partition'),
       target: fc.integer({ min: 0, max: 8 }),
@@ -91,7 +91,7 @@
     );
   });
 
-  it('neither counts a listed instance that never answers nor revives one that has left', () => {
+  it('does not count a listed instance as a member after it has crashed or left', () => {
     const network = createFleet(3);
     network.runUntil(8_000);
     network.crash('d1-i0');
@@ -106,7 +106,7 @@
     });
   });
 
-  it('keeps the fleet together while the list is empty', () => {
+  it('reunites the fleet after a partition while the instance list is empty', () => {
     const network = createFleet(5);
     network.runUntil(8_000);
     network.list([]);
@@ -117,7 +117,7 @@
     expectSameView(network, idsOfRunningNodes(network));
   });
 
-  it('gives the upstreams of a domain without instances to its region or the fleet', () => {
+  it('assigns the upstreams of a domain without instances within its region or the fleet', () => {
     const network = createFleet(6);
     network.runUntil(8_000);
     ['d1-i0', 'd1-i1', 'd1-i2'].forEach(network.crash);
--- a/test/fair/sharing.test.ts
+++ b/test/fair/sharing.test.ts
@@ -10,7 +10,7 @@
 /** Delay that the fake upstreams and their links add between two requests on one slot. */
 const UPSTREAM_TURN_MS = 2 * 10 + 2 * 1;
 
-const customer = fc.record(
+const customerArbitrary = fc.record(
   {
     weight: fc.integer({ min: 1, max: 3 }),
     instance: fc.integer({ min: 0, max: 8 }),
@@ -20,17 +20,17 @@
   { requiredKeys: ['weight', 'tokens'] },
 );
 
-const domain = fc.record({
+const domainArbitrary = fc.record({
   instances: fc.integer({ min: 1, max: 3 }),
   upstreams: fc.array(fc.integer({ min: 1, max: 4 }), { maxLength: 2 }),
 });
 
-const load: fc.Arbitrary<SharingLoad> = fc.record({
+const loadArbitrary: fc.Arbitrary<SharingLoad> = fc.record({
   seed: fc.integer({ min: 1, max: 1e6 }),
   domains: fc
-    .array(domain, { minLength: 1, maxLength: 3 })
+    .array(domainArbitrary, { minLength: 1, maxLength: 3 })
     .filter((domains) => domains.some(({ upstreams }) => upstreams.length > 0)),
-  customers: fc.array(customer, { minLength: 2, maxLength: 4 }),
+  customers: fc.array(customerArbitrary, { minLength: 2, maxLength: 4 }),
   suspendShare: fc.constantFrom(0, 0.25),
 });
 
@@ -92,25 +92,28 @@
   const { gap, longestWait } = observe(run);
   const { conditions } = run;
   expect(gap, 'gap').to.be.at.most(serviceGapBound(DEFAULT_CORE_SETTINGS, conditions));
-  const most = waitBound(DEFAULT_CORE_SETTINGS, conditions, greatestWeight);
-  expect(longestWait, 'wait').to.be.at.most(most + SAMPLE_MS);
+  const maxWaitMs = waitBound(DEFAULT_CORE_SETTINGS, conditions, greatestWeight);
+  expect(longestWait, 'wait').to.be.at.most(maxWaitMs + SAMPLE_MS);
 }
 
-const greatestWeight = (of: SharingLoad) => Math.max(...of.customers.map(({ weight }) => weight));
+const greatestWeight = (load: SharingLoad) =>
+  Math.max(...load.customers.map(({ weight }) => weight));
 
 describe('fair/sharing', () => {
-  it('keeps every two waiting customers within the stated bound', () => {
+  it('keeps the service gap and the waiting time of customers within the bounds', () => {
     fc.assert(
-      fc.property(load, (of) => expectWithinBounds(startSharing(of), greatestWeight(of))),
+      fc.property(loadArbitrary, (load) =>
+        expectWithinBounds(startSharing(load), greatestWeight(load)),
+      ),
       { seed: 7, numRuns: 14 },
     );
   });
 
-  it('keeps the bound with loss, duplication and reordering', () => {
+  it('keeps the bounds despite loss, duplication and reordering of messages', () => {
     const network = { loss: 0.03, duplication: 0.03, jitterMs: 30 };
     fc.assert(
-      fc.property(load, (of) =>
-        expectWithinBounds(startSharing({ ...of, network }), greatestWeight(of)),
+      fc.property(loadArbitrary, (load) =>
+        expectWithinBounds(startSharing({ ...load, network }), greatestWeight(load)),
       ),
       { seed: 8, numRuns: 8 },
     );
@@ -118,18 +121,18 @@
 
   it('leaves no slot idle for longer than the discovery time while work waits', () => {
     fc.assert(
-      fc.property(load, (of) => {
-        const run = startSharing(of);
+      fc.property(loadArbitrary, (load) => {
+        const run = startSharing(load);
         const { longestIdle } = observe(run);
-        const most = discoveryTime(DEFAULT_CORE_SETTINGS, run.conditions) + UPSTREAM_TURN_MS;
-        expect(longestIdle).to.be.at.most(most + SAMPLE_MS);
+        const maxIdleMs = discoveryTime(DEFAULT_CORE_SETTINGS, run.conditions) + UPSTREAM_TURN_MS;
+        expect(longestIdle).to.be.at.most(maxIdleMs + SAMPLE_MS);
       }),
       { seed: 9, numRuns: 10 },
     );
   });
 
-  it('exceeds the bound once the exchange of sums is off', () => {
-    const of: SharingLoad = {
+  it('exceeds the bound without the exchange of sums and pulling (control)', () => {
+    const load: SharingLoad = {
       seed: 1,
       domains: [
         { instances: 2, upstreams: [4] },
@@ -143,7 +146,7 @@
       ],
       network: { settings: { exchangeMs: 1e9, pullMs: 1e9 } },
     };
-    const run = startSharing(of);
+    const run = startSharing(load);
     const { gap } = observe(run);
     expect(gap).to.be.above(serviceGapBound(DEFAULT_CORE_SETTINGS, run.conditions));
   });
--- a/test/fair/suspension.test.ts
+++ b/test/fair/suspension.test.ts
@@ -11,7 +11,7 @@
 interface FloodResult {
   readonly network: FakeNetwork;
   readonly shortRequests: readonly Job[];
-  readonly mostSuspended: number;
+  readonly maxSuspended: number;
 }
 
 /**
@@ -27,47 +27,47 @@
   }
   network.runUntil(9_000);
   const shortRequests: Job[] = [];
-  let mostSuspended = 0;
+  let maxSuspended = 0;
   for (let i = 0; i < 10; i += 1) {
     shortRequests.push(network.submit({ instance: 'b', customer: 2, tokens: SHORT_TOKENS }));
     for (let step = 0; step < 100; step += 1) {
       network.runUntil(network.now() + 10);
-      mostSuspended = Math.max(mostSuspended, network.suspendedOn('e1'));
+      maxSuspended = Math.max(maxSuspended, network.suspendedOn('e1'));
     }
   }
-  return { network, shortRequests, mostSuspended };
+  return { network, shortRequests, maxSuspended };
 }
 
 const waitOf = (job: Job) => (job.firstTokenAt ?? Infinity) - job.submittedAt;
 
 describe('fair/suspension', () => {
-  it('serves a short question while long streams hold all slots', () => {
-    const { shortRequests, mostSuspended } = runFlood(0.25);
-    // Announcement, suspend request and reply, grant, dispatch and two ticks of the upstream.
-    const most = 3 * 20 + 4 * 1 + 2 * 1 + 2 * 10;
-    shortRequests.forEach((job) => expect(waitOf(job)).to.be.at.most(most));
-    expect(mostSuspended).to.be.within(1, SLOTS * 0.25);
+  it('serves a short request within the expected delay while long streams hold all slots', () => {
+    const { shortRequests, maxSuspended } = runFlood(0.25);
+    // Delays of announcement, suspend request and reply, grant, dispatch and two upstream ticks.
+    const maxWaitMs = 3 * 20 + 4 * 1 + 2 * 1 + 2 * 10;
+    shortRequests.forEach((job) => expect(waitOf(job)).to.be.at.most(maxWaitMs));
+    expect(maxSuspended).to.be.within(1, SLOTS * 0.25);
   });
 
-  it('lets it wait for a stream to end where nothing may be suspended', () => {
-    const { shortRequests, mostSuspended } = runFlood(0);
+  it('makes a short request wait for a stream to end if the pool permits no suspension', () => {
+    const { shortRequests, maxSuspended } = runFlood(0);
     expect(waitOf(shortRequests[0] as Job)).to.be.above(1_000);
-    expect(mostSuspended).to.equal(0);
+    expect(maxSuspended).to.equal(0);
   });
 
-  it('suspends no stream that is not idempotent', () => {
-    const { mostSuspended } = runFlood(0.25, false);
-    expect(mostSuspended).to.equal(0);
+  it('does not suspend non-idempotent streams', () => {
+    const { maxSuspended } = runFlood(0.25, false);
+    expect(maxSuspended).to.equal(0);
   });
 
   it('resumes every suspended stream', () => {
     const { network } = runFlood(0.25);
-    const perStream = (LONG_TOKENS / 100) * 1_000;
-    network.runUntil(network.now() + 5 * perStream);
+    const streamMs = (LONG_TOKENS / 100) * 1_000;
+    network.runUntil(network.now() + 5 * streamMs);
     network.jobs.forEach((job) => expect(job.outcome).to.equal('finished'));
   });
 
-  it('resumes streams whose owner has gone', () => {
+  it('resumes suspended streams after their owner has crashed', () => {
     const { network } = runFlood(0.25);
     network.submit({ instance: 'b', customer: 2, tokens: SHORT_TOKENS });
     network.runUntil(network.now() + 60);
@@ -75,8 +75,8 @@
       network.nodes.get(id)?.core.state.ownership.owned.some((owned) => owned.id === 'e1'),
     );
     if (owner?.id !== 'a') network.crash(owner?.id ?? '');
-    const perStream = (LONG_TOKENS / 100) * 1_000;
-    network.runUntil(network.now() + 5 * perStream);
+    const streamMs = (LONG_TOKENS / 100) * 1_000;
+    network.runUntil(network.now() + 5 * streamMs);
     network.jobs.forEach((job) => {
       if (job.customer === 1 && job.instance === 'a') expect(job.outcome).to.equal('finished');
     });
