Say in one sentence who holds a claimed key

The head spoke of the ownership of a key, a word that stands for upstreams everywhere else; the winner now keeps the key in one sentence. The expiry of a claim and the halves of the append budget read plainly.

--- a/src/core/claims/claims.ts
+++ b/src/core/claims/claims.ts
@@ -4,10 +4,9 @@
  *
  * Before dispatch, the instance that received the request appends a claim to the log and reads it
  * back; the first claim of a key in log order wins. This happens while the request waits for a
- * slot. Ownership of a key depends on no clock or lease: the winner keeps the key permanently, even
- * if it crashes. After a crash it is unknown whether the request ran, so no other instance runs it.
- * Only the claiming instance itself can abandon a claim, and it never dispatches under it
- * afterwards.
+ * slot. The winner depends on no clock or lease and keeps the key permanently, even if it crashes.
+ * After a crash it is unknown whether the request ran, so no other instance runs it. Only the
+ * claiming instance itself can abandon a claim, and it never dispatches under it afterwards.
  */
 import { logLine, type CoreContext } from '../context.js';
 import { Debug } from '../debug.js';
--- a/src/core/claims/ownClaims.ts
+++ b/src/core/claims/ownClaims.ts
@@ -15,7 +15,7 @@
   return !needsClaim(facts) || findOwnClaim(state, facts.requestId)?.status === 'won';
 }
 
-/** Time from which a request must not be dispatched under its claim; `undefined` without one. */
+/** Returns the time from which a request must not be dispatched under its claim, if it has one. */
 export function claimExpiry(state: CoreState, facts: RequestFacts): Millis | undefined {
   const claim = findOwnClaim(state, facts.requestId);
   return claim && claim.submittedAt + state.settings.claimHoldMs;
--- a/src/core/claims/submission.ts
+++ b/src/core/claims/submission.ts
@@ -19,7 +19,7 @@
 export const CHECKPOINTS_STREAM = 'claims-checkpoints';
 
 const MAX_RECORDS_PER_APPEND = 500;
-/** In a large fleet, the writers share one half of the append budget, and all others the other. */
+/** In a large fleet, the writers share half of the append budget, and all others the other half. */
 const BUDGET_SHARE_PER_GROUP = 0.5;
 /** Limit of the exponential backoff between appends of the same record. */
 const MAX_BACKOFF_DOUBLINGS = 3;
