Say plainly what the tests of exact outcomes check

Titles spoke of taking a key again, starting afresh, giving up and cutting nothing; each now names the checked behaviour in the terms of the code. The local moved counted cut streams: cutStreams. No assertion, number or order of calls has changed.

--- a/test/exact/claims.test.ts
+++ b/test/exact/claims.test.ts
@@ -20,7 +20,7 @@
   expect(fleet.model.judge(fleet.upstreams.sightings)).to.deep.equal([]);
 
 describe('claims', () => {
-  it('let one of ten instances run a key that reaches all at once', () => {
+  it('let exactly one of ten instances run a key that is sent to all of them at once', () => {
     const fleet = readyFleet({ instances: 10 });
     const ids = fleet.ids.map((instance) => fleet.submit(instance, BOOKING));
     fleet.runFor(10_000);
@@ -29,7 +29,7 @@
     expectNoViolations(fleet);
   });
 
-  it('let one instance run a key across a partition', () => {
+  it('let exactly one instance run a key during a partition', () => {
     const fleet = readyFleet();
     fleet.peers.cutOff.add('i0');
     fleet.runFor(8_000);
@@ -39,7 +39,7 @@
     expectNoViolations(fleet);
   });
 
-  it('replay the recorded answer, also at an instance that has started since', () => {
+  it('replay the recorded answer, even from an instance that has started since', () => {
     const fleet = readyFleet();
     fleet.submit('i0', BOOKING);
     fleet.runFor(1_000);
@@ -53,7 +53,7 @@
     expectNoViolations(fleet);
   });
 
-  it('answer another request under the same key with 422, not run', () => {
+  it('refuse a different request with the same key with status 422, as not run', () => {
     const fleet = readyFleet();
     fleet.submit('i0', BOOKING);
     fleet.runFor(1_000);
@@ -62,10 +62,11 @@
     expect(problemOf(fleet, id)).to.include({ code: 'keyReused', status: 422, executed: 'no' });
   });
 
-  it('tell others that it is unknown once the claimant is gone, before or after its dispatch', () => {
+  it('report an unknown outcome after the claimant crashed before or after its dispatch', () => {
     [5, 60].forEach((caseId) => {
       const fleet = readyFleet({ logDelayMs: 40, tokenMs: 200 });
       fleet.submit('i0', BOOKING);
+      // The claimant crashes after 30 ms, before its dispatch, or after 120 ms, after its dispatch.
       fleet.runFor(caseId === 5 ? 30 : 120);
       fleet.kill('i0');
       fleet.runFor(6_000);
@@ -76,7 +77,7 @@
     });
   });
 
-  it('refuse keyed requests only while the log is down, and take the key again afterwards', () => {
+  it('refuse only requests with a key while the log is down, and accept the key afterwards', () => {
     const fleet = readyFleet();
     fleet.log.faults.isDown = true;
     const keyed = fleet.submit('i0', BOOKING);
@@ -96,7 +97,7 @@
     expectNoViolations(fleet);
   });
 
-  it('never say of a repeated key that it was not run, if an earlier sending ran', () => {
+  it('never report a request as not run if an earlier one with the same key ran', () => {
     const fleet = readyFleet();
     fleet.kill('i1');
     const first = fleet.submit('i0', BOOKING);
@@ -112,7 +113,7 @@
     expectNoViolations(fleet);
   });
 
-  it('free a key whose claim was given up while its append was on the way', () => {
+  it('release a key whose claim was abandoned while its append was in flight', () => {
     const fleet = readyFleet({ logDelayMs: 12_000 });
     fleet.runFor(60_000);
     const late = fleet.submit('i0', BOOKING);
@@ -126,7 +127,7 @@
     expectNoViolations(fleet);
   });
 
-  it('settle lost replies of the log by reading', () => {
+  it('recover from lost replies of the log by reading', () => {
     const fleet = readyFleet();
     fleet.log.faults.lostReplies = 1;
     const id = fleet.submit('i0', BOOKING);
@@ -135,7 +136,7 @@
     expectNoViolations(fleet);
   });
 
-  it('keep a claimant that was paused for longer than its claim holds from dispatching', () => {
+  it('prevent a claimant that was paused until its claim expired from dispatching', () => {
     const settings = { claimHoldMs: 4_000, claimMemoryMs: 10_000, defaultDeadlineMs: 1e6 };
     const fleet = readyFleet({ settings, slots: 1, upstreams: 2, tokenMs: 2_000 });
     fleet.submit('i1', { ...BOOKING, key: 'other', content: 'other' });
@@ -151,7 +152,7 @@
     expectNoViolations(fleet);
   });
 
-  it('give up what was claimed before records expired unread', () => {
+  it('are abandoned while pending if records expire before they are read', () => {
     const fleet = readyFleet({ logDelayMs: 400 });
     const id = fleet.submit('i0', BOOKING);
     const core = fleet.coreOf('i0');
@@ -170,7 +171,7 @@
     expect(fleet.upstreams.sightings).to.have.length(0);
   });
 
-  it('begin an empty restart at the latest checkpoint', () => {
+  it('are read from the latest checkpoint after a restart without state', () => {
     const settings = { claimMemoryMs: 2_000, claimCheckpointMs: 1_000, claimHoldMs: 1_000 };
     const fleet = readyFleet({ settings });
     for (let i = 0; i < 100; i += 1) {
@@ -189,7 +190,7 @@
     expect(fleet.coreOf('i0')?.state.claims.phase).to.equal('following');
   });
 
-  it('share few appends among many claims of many instances', () => {
+  it('are batched into few appends for many claims of many instances', () => {
     const fleet = readyFleet({ instances: 9, slots: 1_000 });
     const before = fleet.log.counts.appends;
     for (let i = 0; i < 200; i += 1) {
--- a/test/exact/faults.test.ts
+++ b/test/exact/faults.test.ts
@@ -43,7 +43,7 @@
     });
   });
 
-  it('are judged broken when the rule of the first claim is off', () => {
+  it('are reported as violated if the first claim of a key does not win (control)', () => {
     const { violations } = runScenario({
       fleet: { seed: 1, hidesForeignClaims: true },
       strikes: [],
--- a/test/exact/quarantine.test.ts
+++ b/test/exact/quarantine.test.ts
@@ -28,7 +28,7 @@
   expect(fleet.model.judge(fleet.upstreams.sightings)).to.deep.equal([]);
 
 describe('quarantine', () => {
-  it('stops a request after two crashes, wherever it is sent again', () => {
+  it('blocks a request after two crashes, regardless of the instance that receives it', () => {
     const fleet = readyFleet();
     for (let sent = 0; sent < 6; sent += 1) {
       fleet.submit(fleet.ids[sent % 3] as string, CRASHING_REQUEST);
@@ -41,7 +41,7 @@
     expectNoViolations(fleet);
   });
 
-  it('loses at most two more upstreams to copies that are sent at once', () => {
+  it('limits concurrent copies of a crashing request to two more crashes', () => {
     const fleet = readyFleet();
     fleet.submit('i0', CRASHING_REQUEST);
     fleet.runFor(1_000);
@@ -54,7 +54,7 @@
     expectNoViolations(fleet);
   });
 
-  it('quarantines no innocent request that ran beside it', () => {
+  it('does not quarantine harmless requests that ran on a crashed upstream', () => {
     const fleet = readyFleet();
     const harmless = Array.from({ length: 60 }, (_, i) =>
       fleet.submit(fleet.ids[i % 3] as string, { ...HARMLESS_REQUEST, content: `innocent${i}` }),
@@ -84,7 +84,7 @@
     expect(codesOf(fleet, id)).to.deep.equal(['']);
   });
 
-  it("ends everywhere on an operator's word, and stays ended", () => {
+  it('is lifted on all instances by an operator and does not return', () => {
     const fleet = readyFleet();
     fleet.submit('i0', CRASHING_REQUEST);
     fleet.runFor(3_000);
--- a/test/exact/recovery.test.ts
+++ b/test/exact/recovery.test.ts
@@ -26,7 +26,7 @@
   outcome.kind === 'notSent' || outcome.kind === 'declined';
 
 describe('recovery of a failed attempt', () => {
-  it('never finishes a request, and never says that it was not run', () => {
+  it('never finishes a request and never reports it as not run', () => {
     fc.assert(
       fc.property(facts, (f) => {
         const recovery = planRecovery(f);
@@ -37,7 +37,7 @@
     );
   });
 
-  it('starts afresh only what has passed nothing on', () => {
+  it('retries from the start only if nothing has been forwarded', () => {
     fc.assert(
       fc.property(facts, (f) => {
         const recovery = planRecovery(f);
@@ -47,7 +47,7 @@
     );
   });
 
-  it('runs a non-idempotent request again only if it certainly was not run', () => {
+  it('retries a non-idempotent request only if it was definitely not run', () => {
     fc.assert(
       fc.property(facts, (f) => {
         const { kind } = planRecovery({ ...f, isIdempotent: false, hasForwarded: false });
@@ -58,7 +58,7 @@
     );
   });
 
-  it('keeps that an earlier attempt may have run when a later one was declined', () => {
+  it('still reports that an earlier attempt may have run if a later one was declined', () => {
     const declined = { kind: 'declined', status: 503 } as const;
     const base = { outcome: declined, isIdempotent: true, hasForwarded: false, canResume: false };
     const plan = (mayHaveRun: boolean) =>
@@ -67,7 +67,7 @@
     expect(plan(false)).to.deep.equal({ kind: 'retry', mayHaveRun: false });
   });
 
-  it('resumes a cut stream on its engine, and moves it from one that stops', () => {
+  it('resumes an interrupted stream on its engine, or moves it if the engine is stopping', () => {
     const cut = { kind: 'cut', detail: 'reset' } as const;
     const base = { outcome: cut, isIdempotent: true, hasForwarded: true, mayHaveRun: false };
     const plan = (isUpstreamStopping: boolean) =>
--- a/test/exact/retries.test.ts
+++ b/test/exact/retries.test.ts
@@ -13,7 +13,7 @@
   expect(fleet.model.judge(fleet.upstreams.sightings)).to.deep.equal([]);
 
 describe('retries', () => {
-  it('stay under 1.1 attempts a request when every upstream fails', () => {
+  it('stay below 1.1 attempts per request when every upstream fails', () => {
     const fleet = readyFleet();
     fleet.upstreams.faults.isFailing = true;
     const requests = 3_000;
@@ -27,7 +27,7 @@
     expectNoViolations(fleet);
   });
 
-  it('go to another upstream than before', () => {
+  it('go to an upstream that has not been tried', () => {
     const fleet = readyFleet();
     fleet.upstreams.faults.cut = 0.1;
     for (let i = 0; i < 500; i += 1) {
@@ -47,7 +47,7 @@
     expectNoViolations(fleet);
   });
 
-  it('reach upstreams of other domains when those of the own domain were tried', () => {
+  it('use upstreams of other domains after those of the own domain have been tried', () => {
     const fleet = readyFleet();
     fleet.upstreams.faults.declined = 0.1;
     const ids: string[] = [];
@@ -65,23 +65,23 @@
     expectNoViolations(fleet);
   });
 
-  it('move the cache of a cut stream whose engine is to stop', () => {
+  it('move the cache of an interrupted stream if its engine is about to stop', () => {
     const fleet = readyFleet();
     for (let i = 0; i < 100; i += 1) fleet.submit('i0', { ...CHAT, outputTokens: 500 });
     fleet.runFor(400);
     fleet.setLeaving('engine0', true);
     fleet.runFor(5_500);
     // Cuts the remaining streams; the retry budget allows some of them to move.
-    const moved = fleet.upstreams.cutAll('engine0');
+    const cutStreams = fleet.upstreams.cutAll('engine0');
     fleet.runFor(10_000);
-    expect(moved).to.be.above(0);
+    expect(cutStreams).to.be.above(0);
     expect(fleet.upstreams.counts.moves).to.be.above(0);
     expectNoViolations(fleet);
   });
 });
 
 describe('planned stops of instances', () => {
-  it('lose, double and cut nothing in a rolling replacement under load', () => {
+  it('do not lose, duplicate or interrupt requests in a rolling replacement under load', () => {
     const fleet = readyFleet(11);
     const submitted: string[] = [];
     fleet.ids.forEach((stopping) => {
--- a/test/exact/sendBefore.test.ts
+++ b/test/exact/sendBefore.test.ts
@@ -5,7 +5,7 @@
 import type { AttemptOutcome, AttemptPlan } from '../../src/core/types.js';
 import { startAttemptRun } from '../../src/hosts/attemptRun.js';
 
-describe('an attempt with a last time of sending', () => {
+describe('an attempt with a send deadline', () => {
   let server: Server;
   let requestsReceived = 0;
   const agent = new Agent();
@@ -52,12 +52,12 @@
       });
     });
 
-  it('sends nothing once that time has passed', async () => {
+  it('is not sent after the deadline', async () => {
     expect((await run(Date.now() - 1_000)).kind).to.equal('notSent');
     expect(requestsReceived).to.equal(0);
   });
 
-  it('is sent before that time', async () => {
+  it('is sent before the deadline', async () => {
     expect((await run(Date.now() + 60_000)).kind).to.equal('complete');
     expect(requestsReceived).to.equal(1);
   });
