Say plainly what the tests of orders check

Titles spoke of settling, passing over and the serving share that goes on; each now names the checked behaviour. Locals with two meanings have their own names: each is beforeSample or upstream, held is engineState, most is maxUpstreams, given is readEffects, ordersGivenAfter is ordersSentAfter. No assertion, number or order of calls has changed.

--- a/test/orders/demandLevels.test.ts
+++ b/test/orders/demandLevels.test.ts
@@ -56,10 +56,14 @@
 }
 
 /** Runs the network for `ms` and returns the number of needed upstreams at each sample. */
-function sampleNeeded(network: FakeNetwork, ms: number, each: () => void = () => undefined) {
+function sampleNeeded(
+  network: FakeNetwork,
+  ms: number,
+  beforeSample: () => void = () => undefined,
+) {
   const neededCounts: number[] = [];
   for (const until = network.now() + ms; network.now() < until;) {
-    each();
+    beforeSample();
     network.runUntil(network.now() + SAMPLE_MS);
     neededCounts.push(needed(network).length);
   }
@@ -82,7 +86,7 @@
 const last = (numbers: readonly number[]) => numbers[numbers.length - 1];
 
 describe('placement by demand', () => {
-  it('shrinks to the least when idle, grows to the most in a flood and stays within', () => {
+  it('shrinks to the minimum when idle, grows to the maximum in overload, stays in range', () => {
     const network = createPool(1);
     network.runUntil(SAMPLE_MS * 4);
     expect(needed(network)).to.have.length(MAX_UPSTREAMS);
@@ -99,7 +103,7 @@
     });
   });
 
-  it('settles with steady load', () => {
+  it('converges under steady load', () => {
     const network = createPool(2);
     sampleNeeded(network, IDLE_MS);
     // Each sample period adds enough work to occupy five slots.
@@ -110,7 +114,7 @@
     expect(steady[0]).to.be.at.least(Math.ceil(5 / SLOTS));
   });
 
-  it('lets running work end on an upstream that is no longer needed', () => {
+  it('lets running requests finish on an upstream that is no longer needed', () => {
     const network = createPool(3);
     network.runUntil(8_000);
     const seconds = 100;
@@ -125,7 +129,7 @@
     });
   });
 
-  it('gives nothing new to an upstream that is not needed and holds something else', () => {
+  it('sends no new requests to an unneeded upstream that holds another model', () => {
     // The upstreams of the fake network report no model, so they count as holding another one.
     const network = createPool(4);
     sampleNeeded(network, IDLE_MS);
@@ -137,7 +141,7 @@
     jobs.forEach(({ outcome }) => expect(outcome).to.equal('finished'));
   });
 
-  it('orders a new version only to those that are needed, and those held the model', () => {
+  it('loads a new version only on needed upstreams, which already held the model', () => {
     const engines = createFakeEngines({ ids, checks: () => true, loadMs: 1_000 });
     const settings = { ...SETTINGS, placementShrinkMs: 10_000 };
     const fleet = createFakeFleet({ instances: 3, domains: 1, seed: 5, settings, engines });
@@ -171,19 +175,19 @@
     expect(held).to.include.members(holding('2'));
   });
 
-  it('keeps those that hold the model before those that come first by rank', () => {
+  it('prefers upstreams that hold the model to upstreams of a better rank', () => {
     const ranked = [...ids].sort((a, b) => rankIn(a) - rankIn(b));
     const holders = ranked.slice(MAX_UPSTREAMS - MIN_UPSTREAMS, MAX_UPSTREAMS);
     const self = { id: 'a', incarnation: 1, address: 'a:1', domain: 'd1', region: 'r1' };
     const core = createCore({ self, seed: 1, settings: SETTINGS, initialConfiguration: view });
     core.reduce({ kind: 'start' }, 0);
     const load = { running: 0, queued: 0, slots: SLOTS, tokensPerSecond: 0, epoch: 'e' };
-    const held = { version: '1', adapters: [], role: '', orderNumber: -1 };
+    const engineState = { version: '1', adapters: [], role: '', orderNumber: -1 };
     const cache = { cacheEvents: [], cacheNext: 0, cacheGap: false };
     for (let now = 1; now < IDLE_MS; now += SAMPLE_MS) {
       ids.forEach((upstream) => {
         const model = holders.includes(upstream) ? 'm' : 'other';
-        const report = { ...load, ...held, model };
+        const report = { ...load, ...engineState, model };
         core.reduce({ kind: 'upstreamReport', upstream, report, ...cache }, now);
       });
       core.reduce({ kind: 'timer', timer: 'orders' }, now);
--- a/test/orders/orders.test.ts
+++ b/test/orders/orders.test.ts
@@ -78,7 +78,7 @@
 }
 
 describe('orders to engines', () => {
-  it('bring every engine to its placement while the serving share goes on', () => {
+  it('bring every engine to its placement while the serving share keeps serving', () => {
     const { engines, fleet } = createScenario(1);
     expect(runUntilHeld(fleet, engines, '1', 120_000)).to.not.equal(undefined);
     engines.engines.forEach((engine) => expect(engine.loads).to.equal(1));
@@ -90,7 +90,7 @@
     expect(fleet.log.streams.get('orders')?.length).to.be.at.most((appends ?? 0) + ENGINES);
   });
 
-  it('end where they should through lost replies, restarts and an outage of the log', () => {
+  it('reach the placement despite lost replies, restarts and an outage of the log', () => {
     fc.assert(
       fc.property(
         fc.integer({ min: 1, max: 1_000 }),
@@ -116,7 +116,7 @@
     );
   });
 
-  it('corrects an engine that took a late order of a paused owner', () => {
+  it('correct an engine that executed a late order of a paused owner', () => {
     const { engines, fleet } = createScenario(2);
     expect(runUntilHeld(fleet, engines, '1', 120_000)).to.not.equal(undefined);
     const late = { kind: 'load-model', model: 'm', version: '0' } as const;
@@ -128,7 +128,7 @@
   });
 });
 
-describe('an owner that was paused between its decision and the order', () => {
+describe('an owner that was paused between proposing and sending an order', () => {
   const self = { id: 'a', incarnation: 1, address: '127.0.0.1:1', domain: 'd1', region: 'r1' };
   const placement = [
     {
@@ -143,7 +143,7 @@
   ];
 
   /** Returns how many orders are sent if the record is read back `pauseMs` after its append. */
-  function ordersGivenAfter(pauseMs: number): number {
+  function ordersSentAfter(pauseMs: number): number {
     const initialConfiguration = { ...createTestView(), placement };
     const core = createCore({ self, seed: 1, initialConfiguration });
     core.reduce({ kind: 'start' }, 0);
@@ -164,13 +164,13 @@
     core.reduce({ kind: 'appendSettled', appendId, stream, result: appended }, now);
     const read = [{ offset: 0, data: records[0] ?? '' }];
     const result = { kind: 'records', records: read, next: 1 } as const;
-    const given = core.reduce({ kind: 'logRead', stream, from: 0, result }, now + 1);
-    return given.filter((effect) => effect.kind === 'giveOrder').length;
+    const readEffects = core.reduce({ kind: 'logRead', stream, from: 0, result }, now + 1);
+    return readEffects.filter((effect) => effect.kind === 'giveOrder').length;
   }
 
-  it('gives it in time, and not any more when it is old', () => {
-    expect(ordersGivenAfter(10)).to.equal(1);
-    expect(ordersGivenAfter(60_000)).to.equal(0);
+  it('sends a recent order and drops one that is too old', () => {
+    expect(ordersSentAfter(10)).to.equal(1);
+    expect(ordersSentAfter(60_000)).to.equal(0);
   });
 });
 
@@ -189,7 +189,7 @@
     fleetLoads: fc.constant(2),
   });
 
-  it('keeps the bounds of loads and one outstanding order an engine, whoever writes', () => {
+  it('keeps the load limits and one outstanding order per engine for any records', () => {
     fc.assert(
       fc.property(fc.array(orderArbitrary, { maxLength: 20 }), (records: OrderRecord[]) => {
         const fold = createOrdersFold();
@@ -206,7 +206,7 @@
     );
   });
 
-  it('passes over any other text', () => {
+  it('ignores invalid data', () => {
     fc.assert(
       fc.property(fc.oneof(fc.string(), fc.json()), (data) => {
         const fold = createOrdersFold();
--- a/test/orders/placement.test.ts
+++ b/test/orders/placement.test.ts
@@ -41,7 +41,7 @@
 }
 
 describe('placement', () => {
-  it('is reached by orders that each have an effect, and needs none afterwards', () => {
+  it('is reached by orders that each have an effect, after which none is needed', () => {
     let report = REPORT;
     const kinds: string[] = [];
     for (let order = nextOrder(PLACEMENT, report); order !== undefined;) {
@@ -56,23 +56,25 @@
     expect(kinds).to.deep.equal(['load-model', 'load-adapter', 'load-adapter', 'set-role']);
   });
 
-  it('chooses as many upstreams as allowed, none with a planned stop, and keeps its choice', () => {
+  it('selects as many upstreams as allowed, none that will stop; a higher limit only adds', () => {
     const size = fc.integer({ min: 1, max: 30 });
     fc.assert(
-      fc.property(size, size, fc.boolean(), (count, most, hasStop) => {
-        const view = viewOf(count, most, hasStop ? ['e0'] : []);
-        const chosen = [...view.upstreams.values()].filter((each) => placementOf(view, each));
+      fc.property(size, size, fc.boolean(), (count, maxUpstreams, hasStop) => {
+        const view = viewOf(count, maxUpstreams, hasStop ? ['e0'] : []);
+        const chosen = [...view.upstreams.values()].filter((upstream) =>
+          placementOf(view, upstream),
+        );
         const available = count - (hasStop ? 1 : 0);
-        expect(chosen.length).to.equal(Math.min(most, available));
+        expect(chosen.length).to.equal(Math.min(maxUpstreams, available));
         if (hasStop) expect(chosen.map(({ id }) => id)).to.not.include('e0');
-        const larger = viewOf(count, most + 1, hasStop ? ['e0'] : []);
-        chosen.forEach((each) => expect(placementOf(larger, each)).to.not.equal(undefined));
+        const larger = viewOf(count, maxUpstreams + 1, hasStop ? ['e0'] : []);
+        chosen.forEach((upstream) => expect(placementOf(larger, upstream)).to.not.equal(undefined));
       }),
       { seed: 6 },
     );
   });
 
-  it('lets only so many load that the serving share goes on', () => {
+  it('limits concurrent loads so that the serving share keeps serving', () => {
     fc.assert(
       fc.property(
         fc.integer({ min: 1, max: 2_000 }),
