Name actions, violations and periods without an event alike in the model checker

An action was also called a choice, a violation a rule, and the wait action a pause. The invariants of claims and of the version in force had to be read twice; the second now says that a restart ends it, as the check does. ExploreResult.isComplete and ACTION_DURATION_MS say what they mean. The test reads failure.violation instead of failure.rule and compares the same texts.

--- a/src/checker/claims.ts
+++ b/src/checker/claims.ts
@@ -63,7 +63,7 @@
 
 /**
  * Invariants of every state: at most one execution per key, at most one outcome per request, and no
- * request reported as not executed that was dispatched.
+ * dispatched request is reported as not executed.
  */
 function findViolation(observed: FleetObservation): string | undefined {
   const { dispatched, outcomes } = observed;
@@ -71,9 +71,9 @@
   for (const [requestId, effects] of outcomes) {
     if (effects.length > 1) return `${requestId} received two outcomes`;
     const [effect] = effects;
-    const isNotRun =
+    const isReportedNotExecuted =
       (effect?.kind === 'refuse' || effect?.kind === 'fail') && effect.problem.executed === 'no';
-    if (isNotRun && dispatched.includes(requestId))
+    if (isReportedNotExecuted && dispatched.includes(requestId))
       return `${requestId} was executed, but reported as not executed`;
   }
   return undefined;
--- a/src/checker/configuration.ts
+++ b/src/checker/configuration.ts
@@ -98,13 +98,13 @@
 
 /**
  * Invariants of every state: at most one edit is accepted, all instances agree on the verdict of
- * each edit, and the version in force never decreases.
+ * each edit, and the version in force on an instance increases until the instance restarts.
  */
 function findViolation(observed: FleetObservation): string | undefined {
-  const isRising = observed.versions.every((seen) =>
+  const isIncreasing = observed.versions.every((seen) =>
     seen.every((version, i) => i === 0 || version > (seen[i - 1] ?? -1)),
   );
-  if (!isRising) return 'a configuration version decreased';
+  if (!isIncreasing) return 'a configuration version decreased';
   const accepted = new Map<string, boolean>();
   for (const { state } of observed.cores) {
     for (const verdict of state.configuration.fold.verdicts.values()) {
@@ -114,8 +114,8 @@
       accepted.set(verdict.editId, verdict.accepted);
     }
   }
-  const winners = [...accepted].filter(([id, isAccepted]) => isAccepted && id !== 'base');
-  return winners.length > 1 ? 'two edits of the same base version were accepted' : undefined;
+  const acceptedEdits = [...accepted].filter(([id, isAccepted]) => isAccepted && id !== 'base');
+  return acceptedEdits.length > 1 ? 'two edits of the same base version were accepted' : undefined;
 }
 
 function createRecord(
--- a/src/checker/explore.ts
+++ b/src/checker/explore.ts
@@ -8,10 +8,10 @@
 export interface TransitionSystem {
   /** Names of the actions that are possible in the current state, in a deterministic order. */
   readonly enabledActions: () => readonly string[];
-  readonly apply: (choice: string) => void;
+  readonly apply: (action: string) => void;
   /** Serialized state; equal for states that behave identically from here on. */
   readonly stateKey: () => string;
-  /** The invariant that is violated in the current state, or `undefined`. */
+  /** Description of the violated invariant in the current state, or `undefined`. */
   readonly violation: () => string | undefined;
 }
 
@@ -25,9 +25,10 @@
 
 export interface ExploreResult {
   readonly states: number;
+  /** False only if the exploration stopped because it reached `maxStates`. */
   readonly isComplete: boolean;
   /** A shortest sequence of actions that violates an invariant. */
-  readonly failure?: { readonly rule: string; readonly trace: readonly string[] };
+  readonly failure?: { readonly violation: string; readonly trace: readonly string[] };
 }
 
 /** Explores breadth-first, so that a failure has a trace of minimal length. */
@@ -46,7 +47,7 @@
           return {
             states: seen.size,
             isComplete: true,
-            failure: { rule: violation, trace: nextTrace },
+            failure: { violation, trace: nextTrace },
           };
         }
         const key = system.stateKey();
@@ -64,6 +65,6 @@
 
 function replay(create: () => TransitionSystem, trace: readonly string[]): TransitionSystem {
   const system = create();
-  trace.forEach((choice) => system.apply(choice));
+  trace.forEach((action) => system.apply(action));
   return system;
 }
--- a/src/checker/fleetSystem.ts
+++ b/src/checker/fleetSystem.ts
@@ -1,8 +1,8 @@
 /**
  * Model of a fleet of real cores as a transition system. The actions are the events whose order and
  * outcome determine the result of the claims and configuration protocols: appends, reads, ends of
- * attempts, arrivals, pauses and restarts. Everything else (timers, messages between instances) is
- * processed immediately, in a fixed order.
+ * attempts, arrivals, restarts and periods without an event. Everything else (timers, messages
+ * between instances) is processed immediately, in a fixed order.
  */
 import { createCore, type Core } from '../core/core.js';
 import type { Millis } from '../core/clock.js';
@@ -88,6 +88,7 @@
   readonly requestId: RequestId;
 }
 
+/** Time that passes after each action other than `wait`. */
 const ACTION_DURATION_MS: Millis = 60;
 /** Intervals of timers outside the checked protocols, long enough to keep the state space small. */
 const LONG_INTERVAL_SETTINGS = {
@@ -207,12 +208,12 @@
   /** Serves reads immediately for several rounds, until the instances have read the initial log. */
   function runStartup(): void {
     for (let i = 0; i < STARTUP_ROUNDS; i += 1) {
-      completeReadableReads();
+      completeReadyReads();
       advanceTime(STARTUP_ROUND_MS);
     }
   }
 
-  function completeReadableReads(): void {
+  function completeReadyReads(): void {
     for (;;) {
       const index = reads.findIndex((read) => visibleRecords(read).length > 0);
       if (index < 0) return;
@@ -252,7 +253,7 @@
 
   function enabledActions(): readonly string[] {
     const canFail = faults > 0;
-    const open = [
+    const actions = [
       ...[...pendingArrivals].map((i) => `arrive ${i}`),
       ...appends.flatMap((_, i) => [
         `append ${i}`,
@@ -266,7 +267,7 @@
       ...attempts.flatMap((_, i) => [`complete ${i}`, ...(canFail ? [`cut ${i}`] : [])]),
     ];
     // Time can pass without another event; this counts as a fault while other actions are possible.
-    return canFail || open.length === 0 ? [...open, 'wait'] : open;
+    return canFail || actions.length === 0 ? [...actions, 'wait'] : actions;
   }
 
   function visibleRecords(read: PendingRead): readonly StreamRecord[] {
--- a/src/checker/main.ts
+++ b/src/checker/main.ts
@@ -40,7 +40,7 @@
   const verdict =
     counterexample === undefined
       ? 'no violation'
-      : `${counterexample.rule}: ${counterexample.trace.join(', ')}`;
+      : `${counterexample.violation}: ${counterexample.trace.join(', ')}`;
   const scope = result.isComplete ? 'all' : 'the first';
   console.log(`${name}: ${scope} ${result.states} states, ${verdict}`);
   isAsExpected &&= (counterexample !== undefined) === expectsFailure;
--- a/test/checker/checker.test.ts
+++ b/test/checker/checker.test.ts
@@ -17,7 +17,9 @@
 
   it('finds a double execution if the log order is ignored', () => {
     const result = explore(createClaimsCheck({ ...SMALL, withoutLogOrder: true }));
-    expect(result.failure?.rule).to.equal('a request with an idempotency key was executed twice');
+    expect(result.failure?.violation).to.equal(
+      'a request with an idempotency key was executed twice',
+    );
   });
 
   it('finds no violation with concurrent edits', () => {
@@ -30,6 +32,6 @@
 
   it('finds two accepted edits if the base version is not checked', () => {
     const result = explore(createConfigurationCheck({ ...SMALL, withoutBaseCheck: true }));
-    expect(result.failure?.rule).to.equal('two edits of the same base version were accepted');
+    expect(result.failure?.violation).to.equal('two edits of the same base version were accepted');
   });
 });
