Say what the commands of the command line do in one reading

The demo load named one customer that floods the fleet and two that overload the engines; it now says which customer exceeds its share and that the two overload the engines together. markLines is prefixLines.

--- a/src/cli/commands/audit.ts
+++ b/src/cli/commands/audit.ts
@@ -32,12 +32,12 @@
   const verdict = entry.accepted ? 'accepted' : 'refused';
   const { at, who, action, subject, detail } = entry;
   const line = `${new Date(at).toISOString()} ${who} ${action} ${subject} ${verdict}: ${detail}`;
-  return [line, ...markLines('-', entry.before), ...markLines('+', entry.after)];
+  return [line, ...prefixLines('-', entry.before), ...prefixLines('+', entry.after)];
 }
 
-function markLines(mark: string, text = ''): readonly string[] {
+function prefixLines(marker: string, text = ''): readonly string[] {
   return text
     .split('\n')
     .filter(Boolean)
-    .map((line) => `    ${mark} ${line}`);
+    .map((line) => `    ${marker} ${line}`);
 }
--- a/src/cli/commands/config.ts
+++ b/src/cli/commands/config.ts
@@ -46,9 +46,9 @@
       description: 'output file',
     }),
   },
-  handler: async ({ url, keyFile, output, ...wanted }): Promise<ExitCode> => {
+  handler: async ({ url, keyFile, output, ...given }): Promise<ExitCode> => {
     const client = await createOperatorClient({ url, keyFile });
-    const reply = await readSource(client, wanted.section ?? WHOLE_DOCUMENT, wanted.version);
+    const reply = await readSource(client, given.section ?? WHOLE_DOCUMENT, given.version);
     if (reply.kind !== 'done') return reportFailure(url, reply);
     const { data } = reply;
     const text = formatExport(data.section, data.version, data.text);
@@ -68,13 +68,16 @@
 
 const diff = command({
   name: 'diff',
-  description:
-    'Shows the changes that a file, or the current version, makes to a published version.',
+  description: 'Shows how a file, or the current version, differs from a published version.',
   args: {
     ...operatorOptions,
     file: positional({ type: optional(string), displayName: 'FILE' }),
     section,
-    from: option({ type: optional(number), long: 'from', description: 'earlier version' }),
+    from: option({
+      type: optional(number),
+      long: 'from',
+      description: 'version to compare with; defaults to the current one',
+    }),
   },
   handler: async ({ url, keyFile, from, ...given }): Promise<ExitCode> => {
     const client = await createOperatorClient({ url, keyFile });
--- a/src/cli/commands/demo.ts
+++ b/src/cli/commands/demo.ts
@@ -36,7 +36,7 @@
 
 export const demo = command({
   name: 'demo',
-  description: 'Starts a fleet with stand-ins, runs a load and shows shares and utilisation.',
+  description: 'Starts a fleet with stand-ins, runs a load and shows shares and utilization.',
   args: options,
   handler: async ({ once, seconds, port }): Promise<ExitCode> => {
     const fleet = await startDemoFleet({ port, log: { threshold: 'warn' } });
--- a/src/cli/commands/quarantine.ts
+++ b/src/cli/commands/quarantine.ts
@@ -1,4 +1,4 @@
-/** The `quarantine` command: lists and releases requests blocked because they crash upstreams. */
+/** The `quarantine` command: lists requests blocked for crashing upstreams, and unblocks them. */
 import { command, positional, string, subcommands } from 'cmd-ts';
 import { EXIT_CODES, type ExitCode } from '../exitCodes.js';
 import { createOperatorClient, operatorOptions, reportFailure } from '../operators/client.js';
@@ -39,6 +39,6 @@
 
 export const quarantine = subcommands({
   name: 'quarantine',
-  description: 'Lists and lifts the quarantine of requests.',
+  description: 'Lists quarantined requests and lifts their quarantine.',
   cmds: { list, lift },
 });
--- a/src/cli/commands/serve.ts
+++ b/src/cli/commands/serve.ts
@@ -21,7 +21,7 @@
 export const serve = command({
   name: 'serve',
   description:
-    'Runs one instance. SIGTERM completes accepted requests and exits; SIGHUP reloads certificates.',
+    'Runs one instance. SIGTERM stops it once accepted requests end; SIGHUP reloads certificates.',
   args: options,
   handler: async ({ settings: file }): Promise<ExitCode> => {
     const text = await readText(file);
--- a/src/cli/demo/demoLoad.ts
+++ b/src/cli/demo/demoLoad.ts
@@ -1,11 +1,11 @@
-/** Load of the demo: requests from four customers, one of which floods the fleet. */
+/** Load of the demo: four customers, of which `orchard-south` sends far more than its share. */
 import { stringify } from 'yaml';
 import { parseLoadFile, type LoadFile } from '../../bench/load/index.js';
 import { DEMO_CUSTOMERS, MODEL_POOL, SERVICE_POOL } from './demoDocument.js';
 import type { Millis } from '../../core/clock.js';
 import type { DemoFleet } from './demoFleet.js';
 
-/** Requests per second by customer. The first two send more than the engines can process. */
+/** Requests per second by customer. The first two together overload the engines. */
 const RATES: Readonly<Record<string, number>> = {
   'orchard-north': 40,
   'orchard-south': 60,
--- a/src/cli/exitCodes.ts
+++ b/src/cli/exitCodes.ts
@@ -8,7 +8,7 @@
   usage: 2,
   /** Settings, a document or a load file is invalid; nothing was started. */
   invalid: 3,
-  /** An instance or a file could not be reached. */
+  /** An instance cannot be reached, or a file cannot be read. */
   unreachable: 4,
 } as const;
 
--- a/src/cli/operators/client.ts
+++ b/src/cli/operators/client.ts
@@ -119,10 +119,7 @@
   return { run, publish, status: async () => send('/status') };
 }
 
-/**
- * Whether it is unknown if an edit was published. Retrying is safe because the edit id stays the
- * same.
- */
+/** Whether the outcome of an edit is unknown. Retrying is safe because the edit id stays the same. */
 function isOutcomeUnknown(reply: Reply<unknown>): boolean {
   if (reply.kind === 'unreachable') return true;
   return reply.kind === 'refused' && reply.problem.executed === 'unknown';
--- a/src/cli/operators/differences.ts
+++ b/src/cli/operators/differences.ts
@@ -16,8 +16,8 @@
   after: string | undefined,
 ): readonly string[] {
   if (before === after) return [];
-  const mark = changeMarker(before, after);
-  return [`${mark} ${key}`, ...markLines('-', before), ...markLines('+', after)];
+  const marker = changeMarker(before, after);
+  return [`${marker} ${key}`, ...prefixLines('-', before), ...prefixLines('+', after)];
 }
 
 function changeMarker(before: string | undefined, after: string | undefined): string {
@@ -25,11 +25,11 @@
   return after === undefined ? '-' : '~';
 }
 
-function markLines(mark: string, text = ''): readonly string[] {
+function prefixLines(marker: string, text = ''): readonly string[] {
   return text
     .split('\n')
     .filter(Boolean)
-    .map((line) => `    ${mark} ${line}`);
+    .map((line) => `    ${marker} ${line}`);
 }
 
 function entriesOf(section: string, source: string): ReadonlyMap<string, string> {
--- a/src/cli/operators/edits.ts
+++ b/src/cli/operators/edits.ts
@@ -22,8 +22,8 @@
 }
 
 /**
- * Edits entries of a section. `change` mutates the latest entries and is called again, on entries
- * that are read anew, after each conflict.
+ * Edits entries of a section. `change` mutates the latest entries; after each conflict, the entries
+ * are read again and `change` is called on them.
  */
 export async function editEntries(
   client: OperatorClient,
