Clarify limits, versions and test titles of the configuration parser

The suggestion distance states its limit for short names, which the code has and the comment left out. Setting fields say which name belongs to the file and which to the parsed settings. PlainValue is ExpansionResult, since it also holds failures, and assignStable is assignStableNumbers. Test titles name a duplicate key, an unknown unit and a diagnostic with a position; the assertions are unchanged.

--- a/src/configuration/entry.ts
+++ b/src/configuration/entry.ts
@@ -77,12 +77,12 @@
   return { kind: 'diagnostics', diagnostics };
 }
 
-type PlainValue =
+type ExpansionResult =
   | { readonly kind: 'value'; readonly value: Readonly<Record<string, unknown>> }
   | { readonly kind: 'unresolved' | 'excessive' };
 
 /** Converts an entry to plain data with its aliases expanded. */
-function expandAliases(doc: Document<ParsedNode>): PlainValue {
+function expandAliases(doc: Document<ParsedNode>): ExpansionResult {
   try {
     const value = doc.toJS({ maxAliasCount: MAX_ALIASES }) as Readonly<Record<string, unknown>>;
     return { kind: 'value', value };
--- a/src/configuration/initialView.ts
+++ b/src/configuration/initialView.ts
@@ -4,7 +4,7 @@
 import type { DocumentDiagnostic } from './types.js';
 import { assignNumbers, createView, NO_NUMBERS } from './view.js';
 
-/** Version of a document that does not come from the log. -1 already means that there is none. */
+/** Version of a document that does not come from the log. -1 already means "no document". */
 const FILE_VERSION = -2;
 
 export type InitialViewResult =
--- a/src/configuration/nearest.ts
+++ b/src/configuration/nearest.ts
@@ -1,6 +1,6 @@
 /** Spelling suggestions for unknown names. */
 
-/** Maximum edit distance at which a name is suggested. */
+/** Maximum edit distance of a suggestion; for names under six characters, half the length. */
 const MAX_EDIT_DISTANCE = 3;
 
 /**
--- a/src/configuration/settingsSchema.ts
+++ b/src/configuration/settingsSchema.ts
@@ -66,7 +66,9 @@
 type FieldDefaults = Readonly<Record<string, number | readonly string[]>>;
 
 interface SettingField {
+  /** Member of the parsed settings. */
   readonly target: string;
+  /** Key in the settings file and schema of its value. */
   readonly field: { readonly key: string; readonly type: z.ZodType };
 }
 
--- a/src/configuration/view.ts
+++ b/src/configuration/view.ts
@@ -49,8 +49,12 @@
 
 /** Assigns numbers to new customers and pools and drops the numbers of removed ones. */
 export function assignNumbers(document: ConfigurationDocument, previous: Numbers): Numbers {
-  const customers = assignStable(document.customers, previous.customers, previous.nextCustomer);
-  const pools = assignStable(document.pools, previous.pools, previous.nextPool);
+  const customers = assignStableNumbers(
+    document.customers,
+    previous.customers,
+    previous.nextCustomer,
+  );
+  const pools = assignStableNumbers(document.pools, previous.pools, previous.nextPool);
   return {
     customers: customers.numbers,
     nextCustomer: customers.next,
@@ -59,7 +63,7 @@
   };
 }
 
-function assignStable(
+function assignStableNumbers(
   entries: ReadonlyMap<string, Entry>,
   previous: ReadonlyMap<string, number>,
   nextFree: number,
--- a/test/configuration/document.test.ts
+++ b/test/configuration/document.test.ts
@@ -25,6 +25,7 @@
   return result.kind === 'diagnostics' ? result.diagnostics : [];
 }
 
+/** Returns the first diagnostic, without the four lines of `TEAMS` in its line number. */
 const firstDiagnosticOf = (source: string) => {
   const [first] = diagnosticsOf(TEAMS + source);
   return first && { code: first.code, line: first.line - 4, column: first.column };
--- a/test/configuration/settings.test.ts
+++ b/test/configuration/settings.test.ts
@@ -45,9 +45,9 @@
       `${VALID_SETTINGS}core:\n  heartbeet: 1s\n`,
       "s.yaml:6:3: error 3004: The key 'heartbeet' is not known here. Did you mean 'heartbeat'?",
     ],
-    'a bad unit': [`${VALID_SETTINGS}core:\n  heartbeat: 4sec\n`, 's.yaml:6:14: error 3006:'],
+    'an unknown unit': [`${VALID_SETTINGS}core:\n  heartbeat: 4sec\n`, 's.yaml:6:14: error 3006:'],
     'a number without a unit': [`${VALID_SETTINGS}core: { poll: 5 }\n`, 's.yaml:5:15: error 3006:'],
-    'a name given twice': [`${VALID_SETTINGS}log: {}\nlog: {}\n`, 's.yaml:6:1: error 3007:'],
+    'a duplicate key': [`${VALID_SETTINGS}log: {}\nlog: {}\n`, 's.yaml:6:1: error 3007:'],
     'a missing key': [
       'instance: { id: a, domain: d }\n',
       "s.yaml:1:11: error 3005: 'instance.region'",
@@ -92,7 +92,7 @@
     );
   });
 
-  it('never throws and reports a located diagnostic for arbitrary text', () => {
+  it('never throws and reports a diagnostic with a position for arbitrary text', () => {
     fc.assert(
       fc.property(fc.string({ maxLength: 60 }), (text) => {
         const found = diagnosticLinesOf(text);
