Say what the stand-ins retain, reset and keep silent

Two constants with the same meaning were called a maximum and a minimum: both now say how many records are always retained and that up to twice as many are kept. The comments now state that a clear does not revive silenced connections, that a cut before the headers always resets, that a sequence in prefill generates no token and that the service also counts by body. Options of the batch engine are described. A test title no longer leaves open whose answer is meant; the assertions are unchanged.

--- a/src/standins/batch.ts
+++ b/src/standins/batch.ts
@@ -1,7 +1,7 @@
 /**
- * Continuous batching: each step generates one token for every sequence in the batch, and a freed
- * slot is assigned to the sequence at the head of a FIFO queue. There are no priorities. Prompt
- * processing (prefill) has a rate that all sequences of the batch share.
+ * Continuous batching: each step generates one token for every sequence in the batch whose prompt is
+ * processed, and a freed slot is assigned to the sequence at the head of a FIFO queue. There are no
+ * priorities. Prompt processing (prefill) has a rate that all sequences of the batch share.
  */
 import type { Millis } from '../core/clock.js';
 import { MS_PER_SECOND } from '../core/clock.js';
--- a/src/standins/cacheEvents.ts
+++ b/src/standins/cacheEvents.ts
@@ -6,8 +6,8 @@
 import type { Random } from '../core/random.js';
 import type { CacheChange } from './prefixCache.js';
 
-/** Number of events retained for slow readers. */
-const MAX_RETAINED_EVENTS = 10_000;
+/** Number of latest events always retained for slow readers; up to twice as many are kept. */
+const RETAINED_EVENTS = 10_000;
 
 export interface CacheEvent extends CacheChange {
   readonly seq: number;
@@ -40,8 +40,7 @@
       seq += 1;
       if (options.random.next() < options.lossRate) return;
       retained.push({ event: { seq, ...change }, visibleAt: options.now() + options.delayMs });
-      if (retained.length > 2 * MAX_RETAINED_EVENTS)
-        retained = retained.slice(-MAX_RETAINED_EVENTS);
+      if (retained.length > 2 * RETAINED_EVENTS) retained = retained.slice(-RETAINED_EVENTS);
     },
     read: (after) => {
       const now = options.now();
--- a/src/standins/engineState.ts
+++ b/src/standins/engineState.ts
@@ -57,6 +57,7 @@
   readonly orders: Orders;
   readonly cache: PrefixCache;
   readonly cacheEvents: CacheEvents;
+  /** See `LoadReport.cacheEpoch`. */
   cacheEpoch: () => number;
   setFault: (fault: EngineFault) => void;
   load: () => LoadReport;
--- a/src/standins/engineWork.ts
+++ b/src/standins/engineWork.ts
@@ -12,7 +12,7 @@
 import type { Output } from './output.js';
 import type { PrefixCache } from './prefixCache.js';
 
-/** Minimum number of attempt records retained once records are discarded. */
+/** Number of latest attempt records always retained; up to twice as many are kept. */
 const RETAINED_RECORDS = 200_000;
 
 /** Faults that affect individual attempts. */
--- a/src/standins/faults.ts
+++ b/src/standins/faults.ts
@@ -14,7 +14,7 @@
 const hang = z.strictObject({ kind: z.literal('hang') });
 /** Keeps the current connections open without passing any bytes; new connections work. */
 const silent = z.strictObject({ kind: z.literal('silent') });
-/** Removes all faults. */
+/** Removes all faults, but connections that were silenced remain silent. */
 const clear = z.strictObject({ kind: z.literal('clear') });
 /** Crashes whenever a request that contains the marker is executed. */
 const poison = z.strictObject({
--- a/src/standins/http.ts
+++ b/src/standins/http.ts
@@ -135,7 +135,8 @@
       openSockets.forEach((socket) => {
         if (controlSockets.has(socket) || silencedSockets.has(socket)) return;
         silencedSockets.add(socket);
-        // Keeps written bytes in the buffer: the HTTP server would uncork at the end of a response.
+        // Written bytes stay in the buffer. `uncork` is disabled because the HTTP server calls it at
+        // the end of a response.
         socket.cork();
         socket.uncork = () => {};
       });
--- a/src/standins/index.ts
+++ b/src/standins/index.ts
@@ -1,4 +1,4 @@
-/** Simulators of the systems that primroseswitch talks to: model engines, plain services, the platform. */
+/** Stand-ins for the systems around primroseswitch: model engines, plain services, the platform. */
 export type { AttemptOutcome, AttemptRecord } from './attempts.js';
 export * from './content.js';
 export * from './engine.js';
--- a/src/standins/orders.ts
+++ b/src/standins/orders.ts
@@ -21,7 +21,7 @@
 export type EngineOrder = z.infer<typeof orderSchema>;
 export type NumberedOrder = z.infer<typeof numberedOrderSchema>;
 
-/** Configuration of an engine as set by orders. */
+/** Model, adapters and role of an engine as set by orders. */
 export interface EngineAssignment {
   readonly model: string;
   readonly version: string;
@@ -55,7 +55,7 @@
   /** Whether a model is being loaded; the engine processes no requests in the meantime. */
   isLoadingModel: () => boolean;
   history: () => readonly OrderRecord[];
-  /** Restores the initial configuration but keeps the order number, as a restart does. */
+  /** Restores the initial assignment but keeps the order number, as a restart does. */
   reset: () => void;
 }
 
--- a/src/standins/output.ts
+++ b/src/standins/output.ts
@@ -31,7 +31,10 @@
   finish: (id: string, reason: FinishReason, usage: Usage) => void;
   /** Buffers all writes for the given time before they are sent. */
   bufferFor: (duration: Millis) => void;
-  /** Ends the response early, by a connection reset or by a regular end of the body. */
+  /**
+   * Ends the response early, by a connection reset or by a regular end of the body. Before the
+   * headers are sent, it always resets the connection.
+   */
   cut: (ending: 'reset' | 'close') => void;
 }
 
@@ -93,9 +96,9 @@
     finish: (id, reason, usage) => {
       send(() => (stream ? sendStreamEnd : sendCompletion)(id, reason, usage));
     },
-    bufferFor: (span) => {
+    bufferFor: (duration) => {
       bufferedWrites ??= [];
-      setTimeout(flush, span).unref();
+      setTimeout(flush, duration).unref();
     },
     cut: (ending) => {
       if (ending === 'reset' || !res.headersSent) res.socket?.resetAndDestroy();
--- a/src/standins/platform/batchEngine.ts
+++ b/src/standins/platform/batchEngine.ts
@@ -25,11 +25,12 @@
   | { readonly kind: 'foreign' }
   /** Sends an extra response after the regular one on the same connection. */
   | { readonly kind: 'extra' }
-  /** Sends a body without a length, delimited by the end of the connection. */
+  /** Sends a body without a length, which ends with a regular close or a reset of the connection. */
   | { readonly kind: 'unframed'; readonly isReset: boolean }
   /** Sends a chunked body, but closes the connection regularly before the last chunk. */
   | { readonly kind: 'unfinished' };
 
+/** A request that the engine executed. */
 export interface EngineRun {
   readonly requestId: string;
   readonly method: string;
@@ -55,8 +56,11 @@
 export interface BatchEngineOptions {
   readonly id: string;
   readonly port?: number;
+  /** Number of events in a complete stream. */
   readonly events?: number;
+  /** Time between two events. */
   readonly eventGapMs?: Millis;
+  /** Time before the first event, or before a plain body. */
   readonly firstEventMs?: Millis;
   /** Whether answers are event streams. */
   readonly isStream?: boolean;
--- a/src/standins/prefixCache.ts
+++ b/src/standins/prefixCache.ts
@@ -51,10 +51,10 @@
 
   return {
     match: (prompt) => {
-      const names = prefixBlocksOf(prompt);
-      const missing = names.findIndex((block) => !blocks.has(block));
-      const count = missing < 0 ? names.length : missing;
-      names.slice(0, count).forEach(touch);
+      const hashes = prefixBlocksOf(prompt);
+      const missing = hashes.findIndex((block) => !blocks.has(block));
+      const count = missing < 0 ? hashes.length : missing;
+      hashes.slice(0, count).forEach(touch);
       return count * TOKENS_PER_BLOCK;
     },
     store: (prompt) => {
--- a/src/standins/service.ts
+++ b/src/standins/service.ts
@@ -1,7 +1,7 @@
 /**
  * Stand-in for a plain service: answers any path with a description of the request, and counts
- * executions by idempotency key and by request, so that tests can detect a call that was executed
- * twice. The counts survive a crash. `GET /load` reports load as model engines do.
+ * executions by idempotency key, request id and body, so that tests can detect a call that was
+ * executed twice. The counts survive a crash. `GET /load` reports load as model engines do.
  */
 import { createHash } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
@@ -293,14 +293,14 @@
         return;
       }
       await slots.acquire();
-      let own: Answer | undefined;
+      let answer: Answer | undefined;
       try {
         // The caller may have disconnected while its call was queued.
-        if (!res.destroyed) own = await run(req, body);
+        if (!res.destroyed) answer = await run(req, body);
       } finally {
         slots.release();
       }
-      if (own !== undefined) await sendAnswer(res, own);
+      if (answer !== undefined) await sendAnswer(res, answer);
     },
   };
 }
--- a/src/standins/settings.ts
+++ b/src/standins/settings.ts
@@ -1,6 +1,4 @@
-/**
- * Settings of a set of stand-ins in YAML, and the function that starts all of them.
- */
+/** Settings of a set of stand-ins in YAML, and the function that starts all of them. */
 import { parse } from 'yaml';
 import * as z from 'zod';
 import { createEngineStandin, type EngineStandin } from './engine.js';
--- a/test/standins/engine.test.ts
+++ b/test/standins/engine.test.ts
@@ -51,7 +51,7 @@
     expect(engine.log().attempts[0]).to.include({ from: 5, to: 8, outcome: 'finished' });
   });
 
-  it('returns its own answer to each of many concurrent callers', async () => {
+  it('returns to each of many concurrent callers the answer to its question', async () => {
     await start({ batchSize: 3 });
     const questions = Array.from({ length: 40 }, (_, i) => `question ${i}`);
     const answers = await Promise.all(questions.map(answerOf));
@@ -107,8 +107,8 @@
     const res = await postCompletion(engine, createChatBody('held', true, 400), {
       'x-request-id': 'held',
     });
-    const control = async (verb: string) =>
-      (await fetch(`${engine.url}/requests/held/${verb}`, { method: 'POST' })).status;
+    const control = async (action: string) =>
+      (await fetch(`${engine.url}/requests/held/${action}`, { method: 'POST' })).status;
     expect(await control('suspend')).to.equal(200);
     expect((await answerOf('between')).choices[0].message.content).to.equal(
       answerText('between', 8),
@@ -136,14 +136,14 @@
   [true, false].forEach((checksOrders) => {
     it(`${checksOrders ? 'rejects' : 'executes'} an order with a lower number`, async () => {
       await start({ checksOrders, modelLoadMs: 0 });
-      const give = async (number: number, version: string) => {
+      const submitOrder = async (number: number, version: string) => {
         const order = { kind: 'load-model', model: 'rota', version };
         const { status } = await send(`${engine.url}/orders`, { order, number });
         if (status === 200) await until(() => engine.load().version === version);
         return status;
       };
-      expect(await give(5, 'v5')).to.equal(200);
-      expect(await give(4, 'v4')).to.equal(checksOrders ? 409 : 200);
+      expect(await submitOrder(5, 'v5')).to.equal(200);
+      expect(await submitOrder(4, 'v4')).to.equal(checksOrders ? 409 : 200);
       expect(engine.load()).to.include({ model: 'rota', version: checksOrders ? 'v5' : 'v4' });
       expect(engine.log().orders.map(({ accepted }) => accepted)).to.deep.equal([
         true,
