Keep what the rates of the demo load say about its first two customers

The rates exceed what the engines can process for the first two customers; by the rates alone it is not sure that these two overload the engines without the others.

--- a/src/cli/demo/demoLoad.ts
+++ b/src/cli/demo/demoLoad.ts
@@ -5,7 +5,7 @@
 import type { Millis } from '../../core/clock.js';
 import type { DemoFleet } from './demoFleet.js';
 
-/** Requests per second by customer. The first two together overload the engines. */
+/** Requests per second by customer. The engines cannot process all that the first two send. */
 const RATES: Readonly<Record<string, number>> = {
   'orchard-north': 40,
   'orchard-south': 60,
