Name the load sources, chunks and exempt requests in the benchmarks

What had to be read twice: - "Share" in the capacity model was a kind of message or timer with its dimension, although a share is a fraction everywhere else. The heads of the race and claim time measurements, the reasons why an answer is wrong and the customer weight were hard to follow. - Of the progress callbacks some said what happens and some what is passed; each now says when it is called. - The results of the sharing policies and the probabilities of the fake network had no description.

Comparison of the syntax trees: no change of structure, ten members (credit, excused, firstPartMs, highest, isWhole, onFirst, onPart, sent, shares, wentBack) and one inner text (well -> normal) renamed, no message changed.

--- a/src/bench/capacity/fleetRun.ts
+++ b/src/bench/capacity/fleetRun.ts
@@ -98,7 +98,7 @@
 function createMeter() {
   const totals = new Map<InstanceId, InstanceTotals>();
   /** Links used by the current event. Its messages to one instance share a batch and its framing. */
-  const batches = new Set<string>();
+  const usedLinks = new Set<string>();
   const byKind = new Map<string, { -readonly [K in keyof KindLoad]: number }>();
 
   function totalsOf(id: InstanceId): InstanceTotals {
@@ -121,16 +121,16 @@
     onSend: (from, to, { message }) => {
       const start = performance.now();
       const encoded = PeerMessageCodec.encode({ body: message }).finish();
-      const middle = performance.now();
+      const encodedAt = performance.now();
       PeerMessageCodec.decode(encoded);
       const link = `${from.id} ${to.id}`;
-      const bytes = encoded.length + (batches.has(link) ? MESSAGE_HEADER_BYTES : FRAMING_BYTES);
-      batches.add(link);
+      const bytes = encoded.length + (usedLinks.has(link) ? MESSAGE_HEADER_BYTES : FRAMING_BYTES);
+      usedLinks.add(link);
       const sender = totalsOf(from.id);
       const receiver = totalsOf(to.id);
-      sender.controlMs += middle - start;
+      sender.controlMs += encodedAt - start;
       const end = performance.now();
-      receiver.controlMs += end - middle;
+      receiver.controlMs += end - encodedAt;
       [sender, receiver].forEach((side) => {
         side.bytes += bytes;
         side.messages += 1;
@@ -140,7 +140,7 @@
     },
     onReduce: (id, event, run) => {
       const isControl = event.kind === 'peerMessage' || event.kind === 'timer';
-      batches.clear();
+      usedLinks.clear();
       const start = performance.now();
       const effects = run();
       const side = totalsOf(id);
@@ -158,21 +158,25 @@
     const mean = (of: (side: InstanceTotals) => number) =>
       sides.reduce((sum, side) => sum + of(side), 0) / sides.length / seconds;
     const largest = (of: (side: InstanceTotals) => number) => Math.max(...sides.map(of)) / seconds;
-    const each = (pick: typeof mean): InstanceLoad => ({
-      bytes: pick((side) => side.bytes),
-      crossRegionBytes: pick((side) => side.crossRegionBytes),
-      messages: pick((side) => side.messages),
-      controlMs: pick((side) => side.controlMs),
-      polls: pick((side) => side.polls),
+    const combine = (aggregate: typeof mean): InstanceLoad => ({
+      bytes: aggregate((side) => side.bytes),
+      crossRegionBytes: aggregate((side) => side.crossRegionBytes),
+      messages: aggregate((side) => side.messages),
+      controlMs: aggregate((side) => side.controlMs),
+      polls: aggregate((side) => side.polls),
     });
-    const share = ids.length * seconds;
+    const instanceSeconds = ids.length * seconds;
     const kinds = Object.fromEntries(
       [...byKind].map(([kind, { events, bytes, controlMs }]) => [
         kind,
-        { events: events / share, bytes: bytes / share, controlMs: controlMs / share },
+        {
+          events: events / instanceSeconds,
+          bytes: bytes / instanceSeconds,
+          controlMs: controlMs / instanceSeconds,
+        },
       ]),
     );
-    return { mean: each(mean), largest: each(largest), kinds };
+    return { mean: combine(mean), largest: combine(largest), kinds };
   }
 
   function reset(): void {
@@ -214,9 +218,9 @@
 }
 
 function countFinishedJobs(network: FakeNetwork): number {
-  let ended = 0;
+  let finished = 0;
   network.jobs.forEach((job) => {
-    if (job.outcome === 'finished') ended += 1;
+    if (job.outcome === 'finished') finished += 1;
   });
-  return ended;
+  return finished;
 }
--- a/src/bench/capacity/page.ts
+++ b/src/bench/capacity/page.ts
@@ -1,7 +1,7 @@
 /** Renders docs/CAPACITY.md from the measured slopes. The output depends on nothing else. */
 import { valueAt } from './fit.js';
 import type { KindLoad } from './fleetRun.js';
-import { KEYED_SHARE, MEASURED_ELSEWHERE, ROLES, type Role, type Share } from './roles.js';
+import { KEYED_SHARE, MEASURED_ELSEWHERE, ROLES, type LoadSource, type Role } from './roles.js';
 import type { SlopesFile } from './slopesFile.js';
 import { LIMITS, TARGET, TARGET_VALUES } from './target.js';
 
@@ -48,9 +48,9 @@
 
 function renderRoles(slopes: SlopesFile): string {
   const rows = ROLES.map((role) => {
-    const bySlopes = sumLoads(role.shares.map((share) => extrapolate(slopes, share)));
+    const bySlopes = sumLoads(role.loadSources.map((source) => extrapolate(slopes, source)));
     const inSlice = sumLoads(
-      role.shares.map((share) => slopes.slice.kinds[share.kind] ?? ZERO_LOAD),
+      role.loadSources.map((source) => slopes.slice.kinds[source.kind] ?? ZERO_LOAD),
     );
     return renderRow([
       role.name,
@@ -239,13 +239,13 @@
 
 function renderSlopes(slopes: SlopesFile): string {
   const rows = ROLES.flatMap((role: Role) =>
-    role.shares.flatMap((share) => {
-      const line = findLine(slopes, share);
+    role.loadSources.flatMap((source) => {
+      const line = findLine(slopes, source);
       if (line === undefined) return [];
       return [
         renderRow([
-          share.kind,
-          share.driver,
+          source.kind,
+          source.driver,
           line.bytes.slope.toPrecision(3),
           formatPercent(line.bytes.residual),
           line.controlMs.slope.toPrecision(3),
@@ -295,15 +295,15 @@
   ].join('\n');
 }
 
-function findLine(slopes: SlopesFile, share: Share) {
+function findLine(slopes: SlopesFile, source: LoadSource) {
   return slopes.kinds.find(
-    ({ kind, dimension }) => kind === share.kind && dimension === share.driver,
+    ({ kind, dimension }) => kind === source.kind && dimension === source.driver,
   );
 }
 
-function extrapolate(slopes: SlopesFile, share: Share): KindLoad {
-  const line = findLine(slopes, share);
-  const at = TARGET_VALUES[share.driver];
+function extrapolate(slopes: SlopesFile, source: LoadSource): KindLoad {
+  const line = findLine(slopes, source);
+  const at = TARGET_VALUES[source.driver];
   if (line === undefined) return ZERO_LOAD;
   return {
     events: valueAt(line.events, at),
@@ -355,6 +355,6 @@
   return (bytes / MIB).toFixed(1);
 }
 
-function formatPercent(share: number): string {
-  return `${(100 * share).toFixed(0)}%`;
+function formatPercent(fraction: number): string {
+  return `${(100 * fraction).toFixed(0)}%`;
 }
--- a/src/bench/capacity/roles.ts
+++ b/src/bench/capacity/roles.ts
@@ -1,7 +1,8 @@
-/** The roles of an instance, with the messages and timers of each and the dimension that drives them. */
+/** The roles of an instance, with the messages and timers of each and the dimension that drives their rate. */
 import type { Dimension } from './target.js';
 
-export interface Share {
+/** A kind of message or timer that belongs to a role, and the dimension that drives its rate. */
+export interface LoadSource {
   /** Message kind or `timer NAME`, as counted by `runFleet`. */
   readonly kind: string;
   readonly driver: Dimension;
@@ -11,57 +12,57 @@
   readonly name: string;
   /** The mechanism that implements the role, with its module. */
   readonly mechanism: string;
-  readonly shares: readonly Share[];
+  readonly loadSources: readonly LoadSource[];
 }
 
-const share = (kind: string, driver: Dimension): Share => ({ kind, driver });
+const createLoadSource = (kind: string, driver: Dimension): LoadSource => ({ kind, driver });
 
 export const ROLES: readonly Role[] = [
   {
     name: 'entry',
     mechanism: 'announcements of waiting work, use of grants (`core/dispatch/announcements.ts`)',
-    shares: [
-      share('waitingUpdate', 'instancesPerDomain'),
-      share('grantReturn', 'requestsPerInstance'),
-      share('limitUsage', 'waiting'),
-      share('timer announce', 'enginesPerInstance'),
-      share('timer deadlines', 'requestsPerInstance'),
-      share('timer limits', 'waiting'),
-      share('timer retries', 'requestsPerInstance'),
+    loadSources: [
+      createLoadSource('waitingUpdate', 'instancesPerDomain'),
+      createLoadSource('grantReturn', 'requestsPerInstance'),
+      createLoadSource('limitUsage', 'waiting'),
+      createLoadSource('timer announce', 'enginesPerInstance'),
+      createLoadSource('timer deadlines', 'requestsPerInstance'),
+      createLoadSource('timer limits', 'waiting'),
+      createLoadSource('timer retries', 'requestsPerInstance'),
     ],
   },
   {
     name: 'owner',
     mechanism: 'grants, slots, readings of load (`core/dispatch/assign.ts`, `slots.ts`)',
-    shares: [
-      share('grant', 'requestsPerInstance'),
-      share('slotUpdate', 'requestsPerInstance'),
-      share('suspendRequest', 'requestsPerInstance'),
-      share('timer assign', 'enginesPerInstance'),
-      share('timer poll', 'enginesPerInstance'),
+    loadSources: [
+      createLoadSource('grant', 'requestsPerInstance'),
+      createLoadSource('slotUpdate', 'requestsPerInstance'),
+      createLoadSource('suspendRequest', 'requestsPerInstance'),
+      createLoadSource('timer assign', 'enginesPerInstance'),
+      createLoadSource('timer poll', 'enginesPerInstance'),
     ],
   },
   {
     name: 'relay',
     mechanism: 'sums of service, members and demand of other domains (`core/shares/relay.ts`)',
-    shares: [
-      share('serviceSums', 'waiting'),
-      share('serviceRequest', 'domains'),
-      share('memberSummaries', 'domains'),
-      share('memberRequest', 'domains'),
-      share('demandRequest', 'domains'),
-      share('demandOffer', 'domains'),
-      share('timer exchange', 'waiting'),
+    loadSources: [
+      createLoadSource('serviceSums', 'waiting'),
+      createLoadSource('serviceRequest', 'domains'),
+      createLoadSource('memberSummaries', 'domains'),
+      createLoadSource('memberRequest', 'domains'),
+      createLoadSource('demandRequest', 'domains'),
+      createLoadSource('demandOffer', 'domains'),
+      createLoadSource('timer exchange', 'waiting'),
     ],
   },
   {
     name: 'member',
     mechanism: 'heartbeats and retry budget in the domain (`core/membership`)',
-    shares: [
-      share('heartbeat', 'instancesPerDomain'),
-      share('retryUsage', 'instancesPerDomain'),
-      share('timer heartbeat', 'instancesPerDomain'),
-      share('timer quarantine', 'requestsPerInstance'),
+    loadSources: [
+      createLoadSource('heartbeat', 'instancesPerDomain'),
+      createLoadSource('retryUsage', 'instancesPerDomain'),
+      createLoadSource('timer heartbeat', 'instancesPerDomain'),
+      createLoadSource('timer quarantine', 'requestsPerInstance'),
     ],
   },
 ];
--- a/src/bench/capacity/slopes.ts
+++ b/src/bench/capacity/slopes.ts
@@ -9,7 +9,7 @@
 import { measurePollBytes } from './pollBytes.js';
 import { SLOPES_PATH, type KindSlope, type SlopesFile } from './slopesFile.js';
 import { measureStateSlopes } from './stateSlopes.js';
-import { DOMAIN_SLICE, sizesAlong, type Dimension } from './target.js';
+import { createSweep, DOMAIN_SLICE, type Dimension } from './target.js';
 
 const DIMENSIONS: readonly Dimension[] = [
   'waiting',
@@ -24,7 +24,7 @@
 async function measure(): Promise<SlopesFile> {
   const sweeps = DIMENSIONS.map((dimension) => ({
     dimension,
-    runs: sizesAlong(dimension).map(({ at, size }) => {
+    runs: createSweep(dimension).map(({ at, size }) => {
       console.log(`${dimension} ${at}`);
       return { at, result: runFleet(size) };
     }),
--- a/src/bench/capacity/stateSlopes.ts
+++ b/src/bench/capacity/stateSlopes.ts
@@ -54,7 +54,7 @@
     const before = heapBytes();
     const core = create(n);
     const bytes = heapBytes() - before;
-    // Uses the core after the measurement, so that it is not collected before.
+    // Keeps the core reachable until its memory has been measured.
     if (core.state.self.id !== SELF.id)
       throw new Error('unexpected instance ID in the measured core');
     return [n, bytes];
--- a/src/bench/capacity/target.ts
+++ b/src/bench/capacity/target.ts
@@ -56,7 +56,7 @@
   requestsPerInstance: 10 * REQUESTS_PER_ENGINE,
 };
 
-const STEPS: Readonly<Record<Dimension, readonly number[]>> = {
+const SWEEP_VALUES: Readonly<Record<Dimension, readonly number[]>> = {
   waiting: [50, 200, 450, 900],
   instancesPerDomain: [4, 8, 16, 29],
   enginesPerInstance: [5, 10, 20, 30],
@@ -65,10 +65,10 @@
 };
 
 /** Returns run sizes that vary one dimension and take the others from `BASE`. */
-export function sizesAlong(
+export function createSweep(
   dimension: Dimension,
 ): readonly { readonly at: number; readonly size: FleetRunSize }[] {
-  return STEPS[dimension].map((at) => {
+  return SWEEP_VALUES[dimension].map((at) => {
     const shape = { ...BASE, [dimension]: at };
     // The request rate per engine stays constant when the number of engines varies.
     const requestsPerInstance =
--- a/src/bench/configuration/main.ts
+++ b/src/bench/configuration/main.ts
@@ -55,13 +55,13 @@
 measureEmptyStart();
 
 function measureParsing(): void {
-  const whole = measureTime(() => parseDocument(source));
-  const parsed = whole.value;
+  const full = measureTime(() => parseDocument(source));
+  const parsed = full.value;
   if (parsed.kind !== 'document') throw new Error(JSON.stringify(parsed.diagnostics[0]));
-  print('parse and check, from scratch', `${whole.ms.toFixed(0)} ms`);
+  print('parse and check, from scratch', `${full.ms.toFixed(0)} ms`);
   const changed = source.replace('slots: 32', 'slots: 31');
-  const again = measureTime(() => runSteps(parseDocumentSteps(changed, parsed.document)));
-  print('parse and check, one entry changed', `${again.ms.toFixed(1)} ms`);
+  const incremental = measureTime(() => runSteps(parseDocumentSteps(changed, parsed.document)));
+  print('parse and check, one entry changed', `${incremental.ms.toFixed(1)} ms`);
   const numbers = assignNumbers(parsed.document, NO_NUMBERS);
   const view = measureTime(() => createView(parsed.document, numbers, 1));
   print('build the view', `${view.ms.toFixed(1)} ms`);
@@ -69,8 +69,8 @@
 
 function measureFirstDocument(): void {
   const before = heapBytes();
-  const taken = publish('first', 'document', source);
-  print('first document, in force everywhere', `${taken} ms simulated`);
+  const elapsedMs = publish('first', 'document', source);
+  print('first document, in force everywhere', `${elapsedMs} ms simulated`);
   printTiming('first document');
   print('peer messages', `${(bytes.configuration / INSTANCES / MIB).toFixed(2)} MiB per instance`);
   const heap = (heapBytes() - before) / INSTANCES / MIB;
@@ -82,7 +82,7 @@
   const times: number[] = [];
   const sections: readonly ((i: number) => readonly [string, string])[] = [
     (i) => ['plannedStops', `engine-${i}: { reason: maintenance }\n`],
-    (i) => ['entitlements', editedSection('entitlements', `customer-${i}`, `{ pool-0: ${i + 2} }`)],
+    (i) => ['entitlements', replaceEntry('entitlements', `customer-${i}`, `{ pool-0: ${i + 2} }`)],
     (i) => ['fairness', `chargeStep: ${i + 10}\n`],
   ];
   for (let i = 0; i < edits; i += 1) {
@@ -94,8 +94,8 @@
   const figures = `p50 ${quantile(0.5)} p99 ${quantile(0.99)} max ${quantile(1)} ms simulated`;
   print('edits, publish until in force everywhere', figures);
   printTiming(`${edits} edits`);
-  const each = bytes.configuration / edits / INSTANCES;
-  print('peer messages', `${each.toFixed(0)} bytes per edit and instance`);
+  const bytesPerEdit = bytes.configuration / edits / INSTANCES;
+  print('peer messages', `${bytesPerEdit.toFixed(0)} bytes per edit and instance`);
 }
 
 function measureEmptyStart(): void {
@@ -105,8 +105,8 @@
   fleet.stop(instance);
   fleet.log.isDown = true;
   fleet.start(instance);
-  const taken = fleet.runUntil(() => versionOf(instance) === version, WAIT_MS);
-  print('empty instance in force, log down', `${taken} ms simulated`);
+  const elapsedMs = fleet.runUntil(() => versionOf(instance) === version, WAIT_MS);
+  print('empty instance in force, log down', `${elapsedMs} ms simulated`);
   printTiming('empty instance');
   print('peer messages', `${(bytes.configuration / MIB).toFixed(2)} MiB`);
 }
@@ -123,14 +123,14 @@
   );
   const isInForce = () =>
     results.length > 0 && fleet.instances.every((each) => versionOf(each) > baseVersion);
-  const taken = fleet.runUntil(isInForce, WAIT_MS);
-  if (results[0]?.kind !== 'done' || taken === undefined) {
+  const elapsedMs = fleet.runUntil(isInForce, WAIT_MS);
+  if (results[0]?.kind !== 'done' || elapsedMs === undefined) {
     throw new Error(JSON.stringify(results[0]).slice(0, 1_000));
   }
-  return taken;
+  return elapsedMs;
 }
 
-function editedSection(section: string, key: string, value: string): string {
+function replaceEntry(section: string, key: string, value: string): string {
   const { fold } = (fleet.instances[1] as FakeInstance).core.state.configuration;
   const entries = fold.document[section as 'entitlements'];
   return [...entries.values()]
--- a/src/bench/configuration/race.ts
+++ b/src/bench/configuration/race.ts
@@ -1,10 +1,10 @@
 /**
  * `npm run bench:race`: four teams concurrently edit the same sections through seven instances with
  * real links and the platform stand-in, during log outages, lost replies and restarts. Prints the
- * times from sending an accepted edit, and from receiving the reply to it, until the edit is in force
- * on all instances, the numbers of accepted, refused and unsettled edits, the control bytes per link
- * class, and whether all instances agree. Options: `--edits N`, `--seed N`. The exit code is 1 if the
- * version of an instance decreased or instances disagree.
+ * time until an accepted edit is in force on all instances (once from sending it, once from receiving
+ * the reply), the numbers of accepted, refused and unsettled edits, the control bytes per link class,
+ * and whether all instances agree. Options: `--edits N`, `--seed N`. The exit code is 1 if the version
+ * of an instance decreased or instances disagree.
  */
 import { parseArgs } from 'node:util';
 import { performance } from 'node:perf_hooks';
@@ -42,13 +42,13 @@
   readonly domain: string;
   instance: Instance;
   operators: string;
-  highest: number;
+  maxVersion: number;
   isUp: boolean;
 }
 
 const platform = await createPlatformStandin();
 const nodes: Node[] = [];
-const counts = { accepted: 0, refused: 0, unsettled: 0, wentBack: 0 };
+const counts = { accepted: 0, refused: 0, unsettled: 0, versionDecreases: 0 };
 const timesSinceSending: number[] = [];
 const timesSinceReply: number[] = [];
 let faults = 0;
@@ -59,10 +59,10 @@
   console.log(`revision ${readRevision()}`);
   for (let i = 0; i < INSTANCES; i += 1) {
     const node = { id: `instance-${i}`, domain: DOMAINS[i % DOMAINS.length] as string };
-    nodes.push({ ...node, ...(await start(node.id, node.domain)), highest: -1, isUp: true });
+    nodes.push({ ...node, ...(await start(node.id, node.domain)), maxVersion: -1, isUp: true });
   }
   publishInstanceList();
-  const watch = setInterval(watchVersions, 1);
+  const watchTimer = setInterval(watchVersions, 1);
   await delay(3_000);
   await publish(0, nodes[0] as Node, 'first', 'document', -1, createFirstDocument());
   await waitUntilInForce(0, SETTLE_MS);
@@ -78,7 +78,7 @@
     injectFaults(() => next),
   ]);
   await delay(SETTLE_MS);
-  clearInterval(watch);
+  clearInterval(watchTimer);
   printReport();
   await Promise.all(nodes.map(async ({ instance }) => instance.kill()));
   await platform.stop();
@@ -171,7 +171,7 @@
     text,
     author: `editor-${team}`,
   };
-  for (let tries = 0; tries < 3; tries += 1) {
+  for (let attempt = 0; attempt < 3; attempt += 1) {
     const target = node.isUp ? node : (nodes.find(({ isUp }) => isUp) as Node);
     try {
       const { statusCode, body } = await request(`http://${target.operators}/commands`, {
@@ -221,7 +221,7 @@
 async function restart(node: Node): Promise<void> {
   node.isUp = false;
   await node.instance.kill();
-  node.highest = -1;
+  node.maxVersion = -1;
   Object.assign(node, await start(node.id, node.domain));
   publishInstanceList();
   const until = performance.now() + SETTLE_MS;
@@ -238,8 +238,8 @@
     .filter(({ isUp }) => isUp)
     .forEach((node) => {
       const version = versionOf(node);
-      if (version < node.highest) counts.wentBack += 1;
-      node.highest = Math.max(node.highest, version);
+      if (version < node.maxVersion) counts.versionDecreases += 1;
+      node.maxVersion = Math.max(node.maxVersion, version);
     });
 }
 
@@ -251,7 +251,7 @@
     return JSON.stringify([fold.version, stops, fairness]);
   });
   const agree = new Set(folds).size === 1;
-  const { accepted, refused, unsettled, wentBack } = counts;
+  const { accepted, refused, unsettled, versionDecreases } = counts;
   console.log(`${edits} edits, ${accepted} accepted, ${refused} refused, ${unsettled} unsettled`);
   console.log(`${faults} faults: log outages of 1.5 s, lost replies from the log, restarts`);
   console.log(`time from sending until in force everywhere: ${formatQuantiles(timesSinceSending)}`);
@@ -266,8 +266,8 @@
   console.log(
     `control bytes since the last restarts: ${sum('sameDomain')} same domain, ${sum('sameRegion')} same region, ${sum('crossRegion')} cross-region`,
   );
-  console.log(`version decreases: ${wentBack}; all instances agree: ${agree}`);
-  if (!agree || wentBack > 0) process.exitCode = 1;
+  console.log(`version decreases: ${versionDecreases}; all instances agree: ${agree}`);
+  if (!agree || versionDecreases > 0) process.exitCode = 1;
 }
 
 function formatQuantiles(times: readonly number[]): string {
--- a/src/bench/exact/fakeLog.ts
+++ b/src/bench/exact/fakeLog.ts
@@ -63,7 +63,7 @@
     return stream;
   };
 
-  /** Calls `handleAtLog` after the one-way delay and passes its result to `reply` after another one. */
+  /** Calls `handleAtLog` after the one-way delay and passes its result to `reply` after the same delay. */
   const roundTrip = <T>(handleAtLog: () => T, reply: (result: T) => void) => {
     const oneWayMs = faults.delayMs / 2;
     schedule.after(oneWayMs, () => {
--- a/src/bench/exact/fakeUpstreams.ts
+++ b/src/bench/exact/fakeUpstreams.ts
@@ -70,7 +70,7 @@
   isOver: boolean;
 }
 
-type AttemptBehavior = 'well' | 'silent' | 'cut' | 'crossed';
+type AttemptBehavior = 'normal' | 'silent' | 'cut' | 'crossed';
 
 const NETWORK_DELAY_MS = 2;
 const CRASH_DELAY_MS = 20;
@@ -121,7 +121,7 @@
     if (draw < faults.silent) return 'silent';
     if (draw < faults.silent + faults.cut) return 'cut';
     if (draw < faults.silent + faults.cut + faults.crossed) return 'crossed';
-    return 'well';
+    return 'normal';
   };
 
   const completeAttempt = (run: RunningAttempt, work: RequestWork) => {
@@ -159,7 +159,7 @@
     failAt: number,
   ) => {
     if (run.isOver) return;
-    if (behavior !== 'well' && token >= failAt) {
+    if (behavior !== 'normal' && token >= failAt) {
       failAttempt(run, behavior);
       return;
     }
--- a/src/bench/exact/fleet.ts
+++ b/src/bench/exact/fleet.ts
@@ -138,7 +138,7 @@
   function post(id: InstanceId, node: Node, event: CoreEvent): void {
     if (nodes.get(id) !== node) {
       // The instance is down, so the caller's connection is refused and no request was accepted.
-      if (event.kind === 'callerRequest') model.excused.add(event.requestId);
+      if (event.kind === 'callerRequest') model.exemptRequests.add(event.requestId);
       return;
     }
     if (node.pausedUntil > schedule.now()) {
@@ -300,7 +300,7 @@
     const node = nodes.get(id);
     nodes.delete(id);
     node?.openRequests.forEach((requestId) => {
-      if (!model.told.has(requestId)) model.excused.add(requestId);
+      if (!model.told.has(requestId)) model.exemptRequests.add(requestId);
     });
   }
 
@@ -320,7 +320,7 @@
       ...(spec.key === undefined ? {} : { key: spec.key }),
     });
     if (node === undefined) {
-      model.excused.add(requestId);
+      model.exemptRequests.add(requestId);
       return requestId;
     }
     node.openRequests.add(requestId);
@@ -346,7 +346,7 @@
     const id = model.submissions.get(requestId)?.instance ?? '';
     const node = nodes.get(id);
     if (node === undefined || model.told.has(requestId)) return;
-    model.excused.add(requestId);
+    model.exemptRequests.add(requestId);
     post(id, node, { kind: 'callerGone', requestId });
   }
 
--- a/src/bench/exact/measure.ts
+++ b/src/bench/exact/measure.ts
@@ -53,8 +53,8 @@
 
 /**
  * Measures the latency of claims, in round trips to the log: the time from the arrival of a request
- * until its claim is read back, sampled every millisecond, and the additional time until dispatch of
- * keyed requests over unkeyed ones, as the difference between the same quantile of both kinds.
+ * until its claim is read back, sampled every millisecond, and the time by which keyed requests are
+ * dispatched later than unkeyed ones. For the latter, equal quantiles of both kinds are subtracted.
  */
 export function measureClaimTime(instances: number, logDelayMs: Millis): readonly Figure[] {
   const fleet = createWarmFleet({ seed: 2, instances, logDelayMs });
--- a/src/bench/exact/model.ts
+++ b/src/bench/exact/model.ts
@@ -28,7 +28,7 @@
   readonly submissions: Map<RequestId, Submission>;
   readonly told: Map<RequestId, CallerOutcome[]>;
   /** Requests that need no outcome because the caller disconnected or the instance was lost. */
-  readonly excused: Set<RequestId>;
+  readonly exemptRequests: Set<RequestId>;
   /** Time at which each request was first dispatched. */
   readonly dispatchedAt: Map<RequestId, Millis>;
   readonly submit: (submission: Submission) => void;
@@ -43,7 +43,7 @@
 export function createModel(): Model {
   const submissions = new Map<RequestId, Submission>();
   const told = new Map<RequestId, CallerOutcome[]>();
-  const excused = new Set<RequestId>();
+  const exemptRequests = new Set<RequestId>();
   const dispatchedAt = new Map<RequestId, Millis>();
   const received = new Map<RequestId, number>();
   const violations: string[] = [];
@@ -95,7 +95,7 @@
   return {
     submissions,
     told,
-    excused,
+    exemptRequests,
     dispatchedAt,
     submit: (submission) => submissions.set(submission.requestId, submission),
     onDispatch,
@@ -105,7 +105,7 @@
     onEffect,
     judge: (sightings) => [
       ...violations,
-      ...findOutcomeViolations(submissions, told, excused, sightings),
+      ...findOutcomeViolations(submissions, told, exemptRequests, sightings),
       ...findRepeatedExecutions(submissions, sightings),
     ],
   };
@@ -115,7 +115,7 @@
 function findOutcomeViolations(
   submissions: ReadonlyMap<RequestId, Submission>,
   told: ReadonlyMap<RequestId, readonly CallerOutcome[]>,
-  excused: ReadonlySet<RequestId>,
+  exemptRequests: ReadonlySet<RequestId>,
   sightings: readonly Execution[],
 ): string[] {
   const executed = new Set(sightings.map((sighting) => sighting.requestId));
@@ -124,7 +124,7 @@
   submissions.forEach((submission, requestId) => {
     const outcomes = told.get(requestId) ?? [];
     if (outcomes.length > 1) violations.push(`${requestId} got ${outcomes.length} outcomes`);
-    if (outcomes.length === 0 && !excused.has(requestId))
+    if (outcomes.length === 0 && !exemptRequests.has(requestId))
       violations.push(`${requestId} got no outcome`);
     const wasRun = executed.has(requestId);
     const wasKeyRun = wasRun || (submission.key !== undefined && executedKeys.has(submission.key));
--- a/src/bench/fair/policies.ts
+++ b/src/bench/fair/policies.ts
@@ -30,9 +30,12 @@
 export interface PolicyResult {
   readonly shape: string;
   readonly policy: Policy;
+  /** Largest difference in service between two large customers, divided by `serviceGapBound`. */
   readonly gapToBound: number;
   readonly utilisation: number;
+  /** 95th percentile of the time to the first token of short requests. */
   readonly quickP95Ms: number;
+  /** The same while the large customers send nothing. */
   readonly quickP95IdleMs: number;
   readonly requests: number;
   readonly bytesPerRequest: number;
@@ -65,10 +68,10 @@
 export function measurePolicy(shape: Shape, policy: Policy): PolicyResult {
   const flooded = SEEDS.map((seed) => runPolicy(shape, policy, true, seed));
   const idle = SEEDS.map((seed) => runPolicy(shape, policy, false, seed));
-  const worst = (of: readonly PolicyResult[], figure: (result: PolicyResult) => number) =>
-    Math.max(...of.map(figure));
-  const mean = (figure: (result: PolicyResult) => number) =>
-    flooded.reduce((sum, result) => sum + figure(result), 0) / SEEDS.length;
+  const worst = (of: readonly PolicyResult[], metric: (result: PolicyResult) => number) =>
+    Math.max(...of.map(metric));
+  const mean = (metric: (result: PolicyResult) => number) =>
+    flooded.reduce((sum, result) => sum + metric(result), 0) / SEEDS.length;
   return {
     shape: shape.name,
     policy,
@@ -88,7 +91,7 @@
 
 function runPolicy(shape: Shape, policy: Policy, withFlood: boolean, seed: number): PolicyResult {
   const probe = createProbe();
-  const instances = createPlaces(shape, policy);
+  const instances = createInstances(shape, policy);
   const view = createPolicyView(shape, policy, instances);
   const noExchange = { exchangeMs: 1e9 };
   const network = createFakeNetwork({
@@ -184,9 +187,9 @@
   };
 }
 
-function createPlaces(shape: Shape, policy: Policy) {
-  return shape.instances.flatMap((amount, d) =>
-    Array.from({ length: amount }, (_, n) => ({
+function createInstances(shape: Shape, policy: Policy) {
+  return shape.instances.flatMap((count, d) =>
+    Array.from({ length: count }, (_, n) => ({
       id: `d${d}-i${n}`,
       domain: policy === 'one owner' ? 'd0' : `d${d}`,
       region: `r${d}`,
@@ -197,7 +200,7 @@
 function createPolicyView(
   shape: Shape,
   policy: Policy,
-  instances: ReturnType<typeof createPlaces>,
+  instances: ReturnType<typeof createInstances>,
 ): ConfigurationView {
   const customers = LARGE_TOKENS.length + SMALL_CUSTOMERS;
   const view = createFleetView({
@@ -221,9 +224,9 @@
 /** Changes the ID of an upstream until rendezvous hashing assigns it to the first instance. */
 function assignToFirstInstance(
   upstream: UpstreamConfig,
-  instances: ReturnType<typeof createPlaces>,
+  instances: ReturnType<typeof createInstances>,
 ): UpstreamConfig {
-  const members = instances.map((place) => place as unknown as Member);
+  const members = instances.map((instance) => instance as unknown as Member);
   for (let n = 0; ; n += 1) {
     const id = `${upstream.id}-${n}`;
     if (bestScored(members, id, 1)[0]?.id === instances[0]?.id) {
--- a/src/bench/fair/probe.ts
+++ b/src/bench/fair/probe.ts
@@ -44,12 +44,12 @@
   };
 }
 
-interface Place {
+interface Location {
   readonly domain: string;
   readonly region: string;
 }
 
-function linkClass(from: Place, to: Place): LinkClass {
+function linkClass(from: Location, to: Location): LinkClass {
   if (from.region !== to.region) return 'crossRegion';
   return from.domain === to.domain ? 'sameDomain' : 'sameRegion';
 }
--- a/src/bench/fair/slopes.ts
+++ b/src/bench/fair/slopes.ts
@@ -17,6 +17,7 @@
   readonly crossRegionBytes: number;
   /** Processor time for timers and peer messages, in milliseconds per instance and second. */
   readonly controlMs: number;
+  /** The three kinds of message with the most bytes, and the bytes of each. */
   readonly largestKinds: string;
 }
 
--- a/src/bench/live/crossed.ts
+++ b/src/bench/live/crossed.ts
@@ -57,7 +57,7 @@
     Array.from({ length: options.requests }, async (_, i) => {
       const question = `question ${i}`;
       const origin = fleet.instanceUrls[i % fleet.instanceUrls.length] ?? '';
-      const answer = await askOnce(dispatcher, origin, question);
+      const answer = await sendCompletion(dispatcher, origin, question);
       if (answer.kind === 'failed') failures.push(answer.detail);
       else if (answer.text !== answerText(question, TOKENS)) {
         wrong.push(`${question}: '${answer.text}'`);
@@ -91,7 +91,7 @@
   await Promise.all(
     Array.from({ length: Math.ceil(requests * WARM_UP_SHARE) }, async (_, i) => {
       const origin = fleet.instanceUrls[i % fleet.instanceUrls.length] ?? '';
-      return askOnce(dispatcher, origin, `warm-up ${i}`);
+      return sendCompletion(dispatcher, origin, `warm-up ${i}`);
     }),
   );
   await sleep(RETRY_WINDOWS_MS);
@@ -107,7 +107,7 @@
   return ((await body.json()) as { readonly attempts: readonly unknown[] }).attempts.length;
 }
 
-type AskResult =
+type CompletionResult =
   | { readonly kind: 'answer'; readonly text: string }
   | { readonly kind: 'failed'; readonly detail: string };
 
@@ -116,7 +116,11 @@
 }
 
 /** Sends a streamed completion request. An answer without the `[DONE]` event counts as failed. */
-async function askOnce(dispatcher: Agent, origin: string, question: string): Promise<AskResult> {
+async function sendCompletion(
+  dispatcher: Agent,
+  origin: string,
+  question: string,
+): Promise<CompletionResult> {
   try {
     const { statusCode, body } = await request(`${origin}/v1/chat/completions`, {
       dispatcher,
--- a/src/bench/live/latency.ts
+++ b/src/bench/live/latency.ts
@@ -43,9 +43,9 @@
   const targets = origins.map((origin) => createTarget(origin));
 
   async function callAll(round: number, isCounted: boolean): Promise<void> {
-    for (const way of targets) {
+    for (const target of targets) {
       const question = `call ${round}`;
-      await way.call({ dispatcher, question, tokens, isCounted });
+      await target.call({ dispatcher, question, tokens, isCounted });
     }
   }
 
@@ -72,13 +72,13 @@
   const gaps = createDurations();
   return {
     call: async ({ dispatcher, question, tokens, isCounted }: TargetCall): Promise<void> => {
-      const onPart = (_events: number, gapMs: Millis) => {
+      const onChunk = (_events: number, gapMs: Millis) => {
         if (isCounted) gaps.add(gapMs);
       };
-      const result = await callStream({ dispatcher, origin, question, tokens, onPart });
-      if (!result.isWhole) throw new Error('An answer was incomplete.');
+      const result = await callStream({ dispatcher, origin, question, tokens, onChunk });
+      if (!result.isComplete) throw new Error('An answer was incomplete.');
       if (!isCounted) return;
-      first.add(result.firstPartMs);
+      first.add(result.firstChunkMs);
       total.add(result.totalMs);
     },
     result: (): LatencyResult => ({
--- a/src/bench/live/streamCall.ts
+++ b/src/bench/live/streamCall.ts
@@ -9,23 +9,23 @@
   readonly question: string;
   readonly tokens: number;
   /** Called for each chunk but the first with its event count and the time since the previous chunk. */
-  readonly onPart?: (events: number, gapMs: Millis) => void;
+  readonly onChunk?: (events: number, gapMs: Millis) => void;
 }
 
 export interface StreamCallResult {
-  readonly firstPartMs: Millis;
+  readonly firstChunkMs: Millis;
   readonly totalMs: Millis;
   /** Whether the `[DONE]` event arrived. */
-  readonly isWhole: boolean;
+  readonly isComplete: boolean;
 }
 
 const LINE_FEED = 0x0a;
 
 /** Sends a completion request. Rejects on any status other than 200 and on a connection error. */
 export async function callStream(options: StreamCallOptions): Promise<StreamCallResult> {
-  const { dispatcher, origin, question, tokens, onPart } = options;
+  const { dispatcher, origin, question, tokens, onChunk } = options;
   const startedAt = performance.now();
-  let firstPartMs = 0;
+  let firstChunkMs = 0;
   let lastAt = startedAt;
   let tail = '';
   await new Promise<void>((resolve, reject) => {
@@ -51,8 +51,8 @@
         },
         onResponseData: (_controller, chunk) => {
           const now = performance.now();
-          if (firstPartMs === 0) firstPartMs = now - startedAt;
-          else onPart?.(countEvents(chunk), now - lastAt);
+          if (firstChunkMs === 0) firstChunkMs = now - startedAt;
+          else onChunk?.(countEvents(chunk), now - lastAt);
           lastAt = now;
           tail = chunk.subarray(-16).toString();
         },
@@ -62,7 +62,7 @@
     );
   });
   const totalMs = performance.now() - startedAt;
-  return { firstPartMs, totalMs, isWhole: tail.endsWith('[DONE]\n\n') };
+  return { firstChunkMs, totalMs, isComplete: tail.endsWith('[DONE]\n\n') };
 }
 
 /** Counts the events in a chunk. Each event ends with an empty line. */
--- a/src/bench/live/streams.ts
+++ b/src/bench/live/streams.ts
@@ -32,7 +32,7 @@
   readonly bytesPerStream: number;
   /** Growth of resident memory in bytes per minute, from a line fitted to the second half of the samples. */
   readonly residentSlope: number;
-  /** Growth of the heap after garbage collections, taken as the minimum of each ten samples. */
+  /** Growth of the heap, computed likewise from the minimum of each ten samples, to exclude garbage. */
   readonly heapSlope: number;
 }
 
@@ -63,7 +63,7 @@
   let isEnding = false;
   let isCounting = false;
 
-  const onPart = (events: number, gapMs: Millis) => {
+  const onChunk = (events: number, gapMs: Millis) => {
     if (!isCounting) return;
     counts.events += events;
     gaps.add(gapMs);
@@ -75,10 +75,10 @@
     for (let round = 0; !isEnding; round += 1) {
       const question = `stream ${n} round ${round}`;
       const tokens = options.tokensPerStream;
-      const call = callStream({ dispatcher, origin, question, tokens, onPart });
+      const call = callStream({ dispatcher, origin, question, tokens, onChunk });
       const result = await call.catch(() => undefined);
       counts.answers += 1;
-      if (result?.isWhole === true) continue;
+      if (result?.isComplete === true) continue;
       counts.broken += 1;
       await sleep(RETRY_MS);
     }
--- a/src/bench/load/answerCheck.ts
+++ b/src/bench/load/answerCheck.ts
@@ -38,7 +38,7 @@
 
   function handleToken(content: string): void {
     const now = performance.now();
-    if (lastAt === undefined) progress.onFirst();
+    if (lastAt === undefined) progress.onAnswerStarted();
     else progress.onGap(now - lastAt);
     lastAt = now;
     progress.onTokens(1);
@@ -86,7 +86,7 @@
   if (isErrorBody(answer)) return failedOutcome('unknown', 'error body');
   const content = extractContent(answer);
   const expected = answerText(question, maxTokens);
-  progress.onFirst();
+  progress.onAnswerStarted();
   progress.onTokens(content === expected ? maxTokens : 0);
   reportUsage(answer, progress);
   if (content === expected) return SERVED;
--- a/src/bench/load/caller.ts
+++ b/src/bench/load/caller.ts
@@ -156,7 +156,7 @@
 
 function checkReply(arrival: CallArrival, text: string, progress: Progress): Outcome {
   const reply = parseObject(text) as Partial<ServiceReply>;
-  progress.onFirst();
+  progress.onAnswerStarted();
   if (reply.bodyHash === undefined) return wrongOutcome('truncated', 'no body hash');
   const sent = arrival.work.method === 'GET' ? '' : arrival.body;
   const isOwn = reply.bodyHash === bodyHash(sent) && reply.method === arrival.work.method;
--- a/src/bench/load/loadFile.ts
+++ b/src/bench/load/loadFile.ts
@@ -63,7 +63,7 @@
   name,
   /** API key, sent as a bearer token. */
   key: z.string().min(1),
-  /** Entitlement weight, used for service by weight and the fairness gap. */
+  /** Entitlement weight, by which the service is divided in the report and in the fairness gap. */
   weight: z.number().positive().default(1),
   ratePerSecond: rate.default(0),
   mix: z.array(work).min(1),
--- a/src/bench/load/observe.ts
+++ b/src/bench/load/observe.ts
@@ -100,10 +100,10 @@
   return {
     sample: async () => {
       const stats = await readAll();
-      const use = utilisationSince(before, stats);
+      const utilisation = utilisationSince(before, stats);
       // If an upstream could not be read, its next sample is computed from its last known counters.
       before = stats.map((entry, i) => entry ?? before[i]);
-      return use;
+      return utilisation;
     },
     total: async () => utilisationSince(start, await readAll()),
   };
@@ -137,11 +137,11 @@
     if (bytes === undefined) return NO_BYTES;
     const last = before.get(url) ?? NO_BYTES;
     before.set(url, bytes);
-    const since = (now: number, then: number) => (now >= then ? now - then : now);
+    const increase = (now: number, then: number) => (now >= then ? now - then : now);
     return {
-      sameDomain: since(bytes.sameDomain, last.sameDomain),
-      sameRegion: since(bytes.sameRegion, last.sameRegion),
-      crossRegion: since(bytes.crossRegion, last.crossRegion),
+      sameDomain: increase(bytes.sameDomain, last.sameDomain),
+      sameRegion: increase(bytes.sameRegion, last.sameRegion),
+      crossRegion: increase(bytes.crossRegion, last.crossRegion),
     };
   }
 
--- a/src/bench/load/outcome.ts
+++ b/src/bench/load/outcome.ts
@@ -1,11 +1,9 @@
 /** Outcomes of the requests of a load, as observed by the caller. */
 import type { Millis } from '../../core/clock.js';
 
-export type Executed = 'no' | 'yes' | 'unknown';
+export type ExecutionStatus = 'no' | 'yes' | 'unknown';
 
-/**
- * Kind of error in an answer that ended without reporting one: the wrong content, or a part of it.
- */
+/** Why an answer that ended without an error is wrong: it has other content, or it is incomplete. */
 export type Violation = 'not-own' | 'truncated';
 
 export type Outcome =
@@ -14,27 +12,27 @@
   /** A problem response states that the request was not executed. */
   | { readonly kind: 'refused'; readonly status: number; readonly step: string }
   /** A problem response that does not rule out execution, or a connection error. */
-  | { readonly kind: 'failed'; readonly executed: Executed; readonly reason: string }
+  | { readonly kind: 'failed'; readonly executed: ExecutionStatus; readonly reason: string }
   /** The caller timed out without an answer or a problem. */
   | { readonly kind: 'lost'; readonly reason: string }
-  /** The answer is invalid, although it was not reported as an error. */
+  /** The answer ended without an error but is not the complete answer to the request. */
   | { readonly kind: 'wrong'; readonly violation: Violation; readonly detail: string };
 
 /** Callbacks for the progress of a request. */
 export interface Progress {
-  /** The answer has started. Not called for a problem response. */
-  readonly onFirst: () => void;
-  /** Output tokens received since the last call. */
+  /** Called when an answer starts to arrive, but not for a problem response. */
+  readonly onAnswerStarted: () => void;
+  /** Called with the number of output tokens received since the last call. */
   readonly onTokens: (tokens: number) => void;
-  /** Time since the previous token of a stream. */
+  /** Called for each token of a stream but the first, with the time since the previous one. */
   readonly onGap: (span: Millis) => void;
-  /** Token counts that the engine reports at the end. */
+  /** Called with the token counts that the engine reports at the end of an answer. */
   readonly onUsage: (uncachedPromptTokens: number, outputTokens: number) => void;
 }
 
 export const SERVED: Outcome = { kind: 'served' };
 
-export function failedOutcome(executed: Executed, reason: string): Outcome {
+export function failedOutcome(executed: ExecutionStatus, reason: string): Outcome {
   return { kind: 'failed', executed, reason };
 }
 
@@ -42,7 +40,7 @@
   return { kind: 'wrong', violation, detail };
 }
 
-const isExecuted = (value: unknown): value is Executed =>
+const isExecuted = (value: unknown): value is ExecutionStatus =>
   value === 'no' || value === 'yes' || value === 'unknown';
 
 /** Parses a problem+json body. Without an `executed` member, the execution counts as unknown. */
--- a/src/bench/load/results.ts
+++ b/src/bench/load/results.ts
@@ -91,8 +91,8 @@
 export function isTruthful(result: LoadResult): boolean {
   const { lost, notOwn, truncated } = totalCounts(result);
   const { falseRefusals, doubled, servedNotRun } = result.truth;
-  const untrue = falseRefusals.length + doubled.length + servedNotRun.length;
-  return lost + result.unfinished + notOwn + truncated + untrue === 0;
+  const wrongReports = falseRefusals.length + doubled.length + servedNotRun.length;
+  return lost + result.unfinished + notOwn + truncated + wrongReports === 0;
 }
 
 export function toCustomerResults(
--- a/src/bench/load/sampler.ts
+++ b/src/bench/load/sampler.ts
@@ -72,8 +72,8 @@
     sample: async (atMs) => {
       meters.forEach(({ meter, samples }) => samples.push(meter.sample(atMs)));
       serviceSamples.push({ atMs, service: metrics.map(({ service }) => service) });
-      const [use, bytes] = await Promise.all([utilisationMeter.sample(), byteMeter.sample()]);
-      utilisationSamples.push({ atMs, byPool: meanByPool(use) });
+      const [upstreams, bytes] = await Promise.all([utilisationMeter.sample(), byteMeter.sample()]);
+      utilisationSamples.push({ atMs, byPool: meanByPool(upstreams) });
       byteSamples.push({ atMs, ...bytes });
     },
     results: async () => ({
@@ -89,11 +89,11 @@
   return { pool, maxGap: meter.maxGap(), samples };
 }
 
-function meanByPool(use: readonly UpstreamUtilisation[]): Readonly<Record<string, number>> {
-  const pools = [...new Set(use.map(({ pool }) => pool))];
+function meanByPool(upstreams: readonly UpstreamUtilisation[]): Readonly<Record<string, number>> {
+  const pools = [...new Set(upstreams.map(({ pool }) => pool))];
   return Object.fromEntries(
     pools.map((pool) => {
-      const values = use.filter((entry) => entry.pool === pool);
+      const values = upstreams.filter((entry) => entry.pool === pool);
       const sum = values.reduce((total, { utilisation }) => total + utilisation, 0);
       return [pool, sum / values.length];
     }),
--- a/src/bench/load/sender.ts
+++ b/src/bench/load/sender.ts
@@ -113,7 +113,7 @@
   }
 
   return {
-    onFirst: () => {
+    onAnswerStarted: () => {
       stopWaiting();
       entry.firstToken.add(performance.now() - dueAt);
       if (arrival.kind === 'call') entry.service += cost.perCall;
--- a/src/bench/load/table.ts
+++ b/src/bench/load/table.ts
@@ -28,9 +28,9 @@
   return lines.map((line) => line.map(pad).join('  ').trimEnd()).join('\n');
 }
 
-const percent = (share: number) => `${(share * PERCENT).toFixed(1)}%`;
+const formatPercent = (share: number) => `${(share * PERCENT).toFixed(1)}%`;
 
-const quantiles = ({ count, p50, p95, p99 }: Quantiles) =>
+const formatQuantiles = ({ count, p50, p95, p99 }: Quantiles) =>
   count === 0 ? '-' : [p50, p95, p99].map((value) => value.toFixed(1)).join('/');
 
 function formatCustomers({ customers }: LoadResult): string {
@@ -58,18 +58,18 @@
     String(entry.counts.lost),
     String(entry.counts.notOwn + entry.counts.truncated),
     entry.service.toFixed(0),
-    percent(entry.serviceShare),
-    quantiles(entry.firstTokenMs),
-    quantiles(entry.betweenTokensMs),
+    formatPercent(entry.serviceShare),
+    formatQuantiles(entry.firstTokenMs),
+    formatQuantiles(entry.betweenTokensMs),
   ]);
   return formatTable(header, rows);
 }
 
 function formatPools({ fairness, utilisation }: LoadResult): string {
   const rows = fairness.map(({ pool, maxGap }) => {
-    const own = utilisation.upstreams.filter((upstream) => upstream.pool === pool);
-    const mean = own.reduce((sum, entry) => sum + entry.utilisation, 0) / own.length;
-    return [pool, maxGap.toFixed(1), own.length === 0 ? '-' : percent(mean)];
+    const upstreams = utilisation.upstreams.filter((upstream) => upstream.pool === pool);
+    const mean = upstreams.reduce((sum, entry) => sum + entry.utilisation, 0) / upstreams.length;
+    return [pool, maxGap.toFixed(1), upstreams.length === 0 ? '-' : formatPercent(mean)];
   });
   return formatTable(['pool', 'greatest gap', 'utilisation'], rows);
 }
--- a/src/bench/routing/main.ts
+++ b/src/bench/routing/main.ts
@@ -96,15 +96,15 @@
 
 /** Plots, for each policy, the fractions of requests in time, late and refused over time. */
 function createPlots(pattern: LoadPattern): readonly Plot[] {
-  const ofPattern = runs.filter((candidate) => candidate.pattern === pattern);
-  const times = [...(ofPattern[0]?.results.bySecond.keys() ?? [])].sort((a, b) => a - b);
+  const patternRuns = runs.filter((candidate) => candidate.pattern === pattern);
+  const times = [...(patternRuns[0]?.results.bySecond.keys() ?? [])].sort((a, b) => a - b);
   return (['inTime', 'late', 'refused'] as const).map((what) => ({
     title: `${pattern.name}: ${what === 'inTime' ? 'in time' : what}`,
     unit: 'fraction',
-    lines: ofPattern.map(({ policy }) => policy),
+    lines: patternRuns.map(({ policy }) => policy),
     data: [
       times,
-      ...ofPattern.map(({ results }) =>
+      ...patternRuns.map(({ results }) =>
         times.map((second) => {
           const tally = results.bySecond.get(second);
           return tally === undefined || tally.requests === 0 ? null : tally[what] / tally.requests;
--- a/src/bench/routing/patterns.ts
+++ b/src/bench/routing/patterns.ts
@@ -168,11 +168,11 @@
     id: `${kind.route.name}-${level}-${drawPartIndex(random, count, customer)}`,
     tokens,
   }));
-  const own = Math.max(
+  const uniqueTokens = Math.max(
     1,
     Math.round(drawLogNormal(random, kind.uniqueTokens, kind.uniqueTokensSigma)),
   );
-  const parts = [...shared, { id: `own-${number}`, tokens: own }];
+  const parts = [...shared, { id: `own-${number}`, tokens: uniqueTokens }];
   return {
     at: at + random.next() * TICK_MS,
     domain: domain?.id ?? '',
@@ -199,8 +199,8 @@
 /**
  * Draws from a log-normal distribution with a given mean and standard deviation of the logarithm.
  */
-function drawLogNormal(random: Random, mean: number, spread: number): number {
+function drawLogNormal(random: Random, mean: number, sigma: number): number {
   const normal =
     Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next());
-  return mean * Math.exp(spread * normal - (spread * spread) / 2);
+  return mean * Math.exp(sigma * normal - (sigma * sigma) / 2);
 }
--- a/src/bench/routing/replay.ts
+++ b/src/bench/routing/replay.ts
@@ -62,10 +62,9 @@
 ): ReplaySummary {
   const fractionOf = (tally: Tally, count: number) => count / Math.max(1, tally.requests);
   const customers = [...byCustomer.values()];
-  const maxNormalTokens =
-    Math.min(...customers.map(({ requestedTokens: askedTokens }) => askedTokens)) * 2;
+  const maxNormalTokens = Math.min(...customers.map(({ requestedTokens }) => requestedTokens)) * 2;
   const normalCustomers = customers.filter(
-    ({ requestedTokens: askedTokens }) => askedTokens <= maxNormalTokens,
+    ({ requestedTokens }) => requestedTokens <= maxNormalTokens,
   );
   return {
     pattern,
--- a/src/bench/support/fakeNetwork.ts
+++ b/src/bench/support/fakeNetwork.ts
@@ -1,7 +1,7 @@
 /**
  * Several cores connected by a fake network with delay, loss, duplication, reordering and partitions,
- * and fake upstreams that serve a fixed number of requests at a time. Used by property tests and by
- * measurements of the sharing policy, so it records the actual service of every customer.
+ * and fake upstreams that serve a fixed number of requests at a time. Records the actual service of
+ * every customer, for property tests and measurements of the sharing policy.
  */
 import { applyView } from '../../core/configuration/configuration.js';
 import type { CoreContext } from '../../core/context.js';
@@ -29,7 +29,9 @@
   readonly delayMs?: (from: InstanceIdentity, to: InstanceIdentity) => number;
   /** Maximum additional random delay, which reorders messages. */
   readonly jitterMs?: number;
+  /** Probability that a message is lost. */
   readonly loss?: number;
+  /** Probability that a message is delivered twice. */
   readonly duplication?: number;
   /** Output tokens that one slot produces per second. */
   readonly tokensPerSecond?: number;
@@ -75,8 +77,9 @@
   readonly plan: AttemptPlan;
   readonly job: Job;
   readonly instance: InstanceId;
-  sent: number;
-  credit: number;
+  sentTokens: number;
+  /** Tokens produced but not sent yet. The fraction of a token is carried over to the next tick. */
+  unsentTokens: number;
   state: 'queued' | 'running' | 'suspended';
 }
 
@@ -243,8 +246,8 @@
       plan,
       job,
       instance: node.self.id,
-      sent: plan.resumeFromToken,
-      credit: 0,
+      sentTokens: plan.resumeFromToken,
+      unsentTokens: 0,
       state: 'queued',
     };
     job.dispatchedAt ??= now;
@@ -285,10 +288,13 @@
   }
 
   function advance(attempt: Attempt, id: string, attempts: Map<string, Attempt>): void {
-    attempt.credit += tokensPerTick;
-    const tokens = Math.min(Math.floor(attempt.credit), attempt.job.tokens - attempt.sent);
-    attempt.credit -= tokens;
-    attempt.sent += tokens;
+    attempt.unsentTokens += tokensPerTick;
+    const tokens = Math.min(
+      Math.floor(attempt.unsentTokens),
+      attempt.job.tokens - attempt.sentTokens,
+    );
+    attempt.unsentTokens -= tokens;
+    attempt.sentTokens += tokens;
     if (tokens > 0) {
       attempt.job.firstTokenAt ??= now;
       served.set(attempt.job.customer, (served.get(attempt.job.customer) ?? 0) + tokens);
@@ -299,9 +305,9 @@
         bytes: tokens,
       });
     }
-    if (attempt.sent < attempt.job.tokens) return;
+    if (attempt.sentTokens < attempt.job.tokens) return;
     attempts.delete(id);
-    const outcome = { kind: 'complete', status: 200, outputTokens: attempt.sent } as const;
+    const outcome = { kind: 'complete', status: 200, outputTokens: attempt.sentTokens } as const;
     post(attempt.instance, { kind: 'attemptEnded', attemptId: id, outcome });
   }
 
--- a/src/bench/support/timing.ts
+++ b/src/bench/support/timing.ts
@@ -21,14 +21,14 @@
   return samples[Math.floor(rounds / 2)] ?? NaN;
 }
 
-function timeRound(operation: () => number, lengthMs: number): number {
+function timeRound(operation: () => number, durationMs: number): number {
   const start = performance.now();
   let units = 0;
   let elapsed = 0;
   do {
     units += operation();
     elapsed = performance.now() - start;
-  } while (elapsed < lengthMs);
+  } while (elapsed < durationMs);
   return (elapsed * NS_PER_MS) / units;
 }
 
