Say when the fleet script fails and name its long requests

The head of the fleet script spoke of "an answer or a report of its execution"; it now lists the four failures one by one. The flag of the customers that send long prompts and ask for long answers was only "long". A one-letter parameter of the test runner is a line. The settings page is made from the comments of the routing settings too, not only of the core's.

Comparison of the syntax trees: no change of structure, one member (long -> hasLongRequests), no message changed.

--- a/scripts/fleet.mjs
+++ b/scripts/fleet.mjs
@@ -1,7 +1,7 @@
 /**
  * Starts a fleet of instances and stand-ins as processes, runs a load with faults against it and
- * prints the results. Exits with 1 if a request did not end, an answer or a report of its execution
- * was wrong, or a process exited unexpectedly.
+ * prints the results. Exits with 1 if a request did not end, an answer was wrong, a caller was told
+ * wrongly whether its request was executed, or a process exited unexpectedly.
  *
  *   node scripts/fleet.mjs --instances 5 --seconds 60 --rate 200 --faults random --seed 1
  */
--- a/scripts/fleet/files.mjs
+++ b/scripts/fleet/files.mjs
@@ -23,10 +23,10 @@
 
 /** Customers with their entitlement weights and their fractions of the load. */
 const CUSTOMERS = [
-  { name: 'orchard-north', weight: 2, loadShare: 0.4, long: true },
-  { name: 'orchard-south', weight: 1, loadShare: 0.3, long: true },
-  { name: 'installers', weight: 1, loadShare: 0.1, long: false },
-  { name: 'depot-clerks', weight: 1, loadShare: 0.2, long: false },
+  { name: 'orchard-north', weight: 2, loadShare: 0.4, hasLongRequests: true },
+  { name: 'orchard-south', weight: 1, loadShare: 0.3, hasLongRequests: true },
+  { name: 'installers', weight: 1, loadShare: 0.1, hasLongRequests: false },
+  { name: 'depot-clerks', weight: 1, loadShare: 0.2, hasLongRequests: false },
 ];
 
 const url = (port) => `http://${LOOPBACK}:${port}`;
@@ -193,7 +193,7 @@
       { name: MODEL_POOL, cost: { perPromptToken: 0.1, perOutputToken: 1 } },
       { name: SERVICE_POOL, cost: { perCall: 1 } },
     ],
-    customers: CUSTOMERS.map(({ name, weight, loadShare, long }) => ({
+    customers: CUSTOMERS.map(({ name, weight, loadShare, hasLongRequests }) => ({
       name,
       key: keyOf(name),
       weight,
@@ -204,8 +204,8 @@
           kind: 'completion',
           pool: MODEL_POOL,
           share: 3,
-          maxTokens: long ? [4, 40] : [2, 10],
-          sharedWords: long ? 100 : 0,
+          maxTokens: hasLongRequests ? [4, 40] : [2, 10],
+          sharedWords: hasLongRequests ? 100 : 0,
         },
         { kind: 'completion', pool: MODEL_POOL, share: 1, maxTokens: [2, 10], stream: false },
         {
--- a/scripts/settingsPage.mjs
+++ b/scripts/settingsPage.mjs
@@ -1,4 +1,7 @@
-/** Generates the settings tables in docs/SETTINGS.md from the doc comments of the core settings. */
+/**
+ * Generates the settings tables in docs/SETTINGS.md from the doc comments of the settings in src/core
+ * and src/routing.
+ */
 import { readFileSync, readdirSync, writeFileSync } from 'node:fs';
 import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -16,7 +16,9 @@
   const file = join(root, 'KNOWN-RED.txt');
   if (!existsSync(file)) return new Set();
   const lines = readFileSync(file, 'utf8').split('\n');
-  return new Set(lines.filter((l) => l.startsWith('test: ')).map((l) => l.slice(6).trim()));
+  return new Set(
+    lines.filter((line) => line.startsWith('test: ')).map((line) => line.slice(6).trim()),
+  );
 }
 
 function findTests(dir) {
