--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -125,7 +125,7 @@
   };
 }
 
-export interface AskOptions {
+export interface CompletionOptions {
   readonly tokens?: number;
   readonly stream?: boolean;
   readonly headers?: Readonly<Record<string, string>>;
@@ -136,7 +136,7 @@
 export async function ask(
   url: string,
   question: string,
-  options: AskOptions = {},
+  options: CompletionOptions = {},
 ): Promise<Response> {
   return fetch(`${url}/v1/chat/completions`, {
     method: 'POST',
--- a/test/support/sharingLoad.ts
+++ b/test/support/sharingLoad.ts
@@ -1,4 +1,4 @@
-/** Generates load on a simulated network that keeps every customer backlogged. */
+/** Runs a load on a simulated network in which every customer always has requests waiting. */
 import type { SharingConditions } from '../../src/core/shares/bound.js';
 import { createRandom } from '../../src/core/random.js';
 import { createTestView } from './configuration.js';
