--- a/src/bench/routing/baselines.ts
+++ b/src/bench/routing/baselines.ts
@@ -84,7 +84,7 @@
     const attempt = nextAttempt;
     nextAttempt += 1;
     running.set(attempt, { upstream: upstream.id, customer: facts.key ?? '' });
-    const { id, address, bornAt } = upstream;
+    const { id, address, startedAt: bornAt } = upstream;
     return [
       {
         kind: 'send',
--- a/src/bench/routing/emulatedFleet.ts
+++ b/src/bench/routing/emulatedFleet.ts
@@ -415,7 +415,7 @@
 ): ListedUpstream {
   const id = `${domain}-engine-${index}`;
   const { slots } = model;
-  return { id, pool: POOL_ID, address: id, domain, slots, phase: 'ready', bornAt: 1, beat: 1 };
+  return { id, pool: POOL_ID, address: id, domain, slots, phase: 'ready', startedAt: 1, beat: 1 };
 }
 
 function createConfiguration(shape: FleetShape): RoutingConfiguration {
--- a/src/routing/attempts/accounting.ts
+++ b/src/routing/attempts/accounting.ts
@@ -12,7 +12,7 @@
 /** Returns the upstream of an attempt, or `undefined` if it was removed or has restarted since. */
 export function findUpstream(ctx: RoutingContext, attempt: Attempt): Upstream | undefined {
   const upstream = ctx.state.upstreams.byId.get(attempt.upstream);
-  return upstream?.listed.bornAt === attempt.upstreamStartedAt ? upstream : undefined;
+  return upstream?.listed.startedAt === attempt.upstreamStartedAt ? upstream : undefined;
 }
 
 /** Removes an attempt and subtracts its work from its upstream. */
--- a/src/routing/attempts/attempts.ts
+++ b/src/routing/attempts/attempts.ts
@@ -76,7 +76,7 @@
     number: requests.nextAttempt,
     request: facts.request,
     upstream: upstream.listed.id,
-    upstreamStartedAt: upstream.listed.bornAt,
+    upstreamStartedAt: upstream.listed.startedAt,
     startedAt: ctx.now,
     uncachedTokens,
     tokensAhead: placement.tokensAhead,
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -115,7 +115,7 @@
   /**
    * Start time of the upstream. An upstream that restarts under the same id has lost all its state.
    */
-  readonly bornAt: Millis;
+  readonly startedAt: Millis;
   /** Sequence number of the entry, counted from the start of the upstream. */
   readonly beat: number;
 }
--- a/src/routing/upstreams/crashes.ts
+++ b/src/routing/upstreams/crashes.ts
@@ -28,7 +28,7 @@
     return;
   }
   if (previous !== undefined && ctx.now - previous.at < MIN_PROBE_INTERVAL_MS) return;
-  const { id, bornAt, address } = upstream.listed;
+  const { id, startedAt: bornAt, address } = upstream.listed;
   emit(ctx, { kind: 'probe', upstream: id, bornAt, address });
 }
 
--- a/src/routing/upstreams/health.ts
+++ b/src/routing/upstreams/health.ts
@@ -90,7 +90,7 @@
       ...reachability,
       nextProbeAt: ctx.now + PROBE_INTERVAL_MS + jitter,
     };
-    const { id, bornAt, address } = listed;
+    const { id, startedAt: bornAt, address } = listed;
     emit(ctx, { kind: 'probe', upstream: id, bornAt, address });
   });
 }
--- a/src/routing/upstreams/list.ts
+++ b/src/routing/upstreams/list.ts
@@ -95,7 +95,7 @@
   if (known !== undefined && isStale(listed, known.listed)) return;
   if (
     known === undefined ||
-    listed.bornAt > known.listed.bornAt ||
+    listed.startedAt > known.listed.startedAt ||
     hasDifferentTarget(known, listed)
   ) {
     if (known !== undefined) removeUpstream(ctx, listed.id, 'restarted or moved');
@@ -117,7 +117,7 @@
  * deliver such an entry late.
  */
 function isStale(listed: ListedUpstream, known: ListedUpstream): boolean {
-  if (listed.bornAt !== known.bornAt) return listed.bornAt < known.bornAt;
+  if (listed.startedAt !== known.startedAt) return listed.startedAt < known.startedAt;
   return listed.beat < known.beat;
 }
 
@@ -142,7 +142,7 @@
   if (upstream === undefined) return;
   byId.delete(id);
   ctx.state.prefixes.removeUpstream(upstream.hash);
-  const { bornAt } = upstream.listed;
+  const { startedAt: bornAt } = upstream.listed;
   emit(ctx, { kind: 'forgetUpstream', upstream: id, bornAt });
   logInfo(ctx, 'upstreamRemoved', { upstream: id, reason, running: upstream.own.running });
 }
--- a/src/routing/upstreams/upstreamsState.ts
+++ b/src/routing/upstreams/upstreamsState.ts
@@ -88,5 +88,5 @@
 
 /** Returns the hash of an upstream's id and start time. */
 export function hashUpstream(listed: ListedUpstream): number {
-  return hash32(`${listed.id}@${listed.bornAt}`);
+  return hash32(`${listed.id}@${listed.startedAt}`);
 }
--- a/test/routing/beliefs.test.ts
+++ b/test/routing/beliefs.test.ts
@@ -232,7 +232,7 @@
     const core = createTestCore();
     const plan = planOf(core.arrive());
     const id = plan.upstream;
-    const effects = core.list(createUpstreamEntry(id, { bornAt: 9 }));
+    const effects = core.list(createUpstreamEntry(id, { startedAt: 9 }));
     expect(effectsOf(effects, 'forgetUpstream')).to.deep.equal([
       { kind: 'forgetUpstream', upstream: id, bornAt: 1 },
     ]);
--- a/test/routing/support/core.ts
+++ b/test/routing/support/core.ts
@@ -85,7 +85,7 @@
     domain: 'domain-a',
     slots: 32,
     phase: 'ready',
-    bornAt: 1,
+    startedAt: 1,
     beat: 1,
     ...changes,
   };
