Rename AttemptPlan.bornAt to upstreamStartedAt

AttemptPlan.bornAt of src/routing/types.ts is upstreamStartedAt now. PoolTarget.bornAt of src/hosts/routing/upstreamPools.ts is upstreamStartedAt now.

--- a/src/bench/routing/baselines.ts
+++ b/src/bench/routing/baselines.ts
@@ -93,7 +93,7 @@
           request,
           upstream: id,
           address,
-          bornAt,
+          upstreamStartedAt: bornAt,
           deadlineMs: facts.deadlineMs ?? DEFAULT_DEADLINE_MS,
           mode: 'stream',
           isResumed: false,
--- a/src/hosts/routing/upstreamPools.ts
+++ b/src/hosts/routing/upstreamPools.ts
@@ -38,7 +38,7 @@
 
 export interface PoolTarget {
   readonly upstream: UpstreamId;
-  readonly bornAt: Millis;
+  readonly upstreamStartedAt: Millis;
   readonly address: string;
   readonly maxConnections: number;
 }
@@ -103,7 +103,7 @@
 
   return {
     getPool: (target) => {
-      const key = poolKey(target.upstream, target.bornAt);
+      const key = poolKey(target.upstream, target.upstreamStartedAt);
       const pool = pools.get(key) ?? createPool(target);
       pools.set(key, pool);
       return pool;
--- a/src/routing/attempts/attempts.ts
+++ b/src/routing/attempts/attempts.ts
@@ -106,7 +106,7 @@
     request: attempt.request,
     upstream: attempt.upstream,
     address: upstream.listed.address,
-    bornAt: attempt.upstreamStartedAt,
+    upstreamStartedAt: attempt.upstreamStartedAt,
     ...(customer === undefined ? {} : { customer }),
     deadlineMs: Math.max(MIN_DEADLINE_MS, attemptDeadline(request) - ctx.now),
     mode: route.mode,
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -163,7 +163,7 @@
   readonly upstream: UpstreamId;
   readonly address: string;
   /** Start time of the upstream process that the plan targets. */
-  readonly bornAt: Millis;
+  readonly upstreamStartedAt: Millis;
   readonly customer?: CustomerName;
   /** Time until the attempt must end. */
   readonly deadlineMs: Millis;
--- a/test/routing/attempts.test.ts
+++ b/test/routing/attempts.test.ts
@@ -193,7 +193,7 @@
     const plan = planOf(core.arrive({ path: '/draft/1', fingerprint }));
     const effects = endAttempt(core, plan.attempt, { kind: 'cut', reason: 'reset' });
     expect(effectsOf(effects, 'probe')).to.have.length(1);
-    const { upstream, bornAt } = plan;
+    const { upstream, upstreamStartedAt: bornAt } = plan;
     core.take({ kind: 'probed', upstream, bornAt, isAlive: false });
     core.advance(300);
     core.take({ kind: 'probed', upstream, bornAt, isAlive: true });
@@ -212,7 +212,12 @@
     for (let i = 0; i < 4; i += 1) {
       const plan = planOf(core.arrive({ fingerprint: 77 }));
       endAttempt(core, plan.attempt, { kind: 'cut', reason: 'reset' });
-      core.take({ kind: 'probed', upstream: plan.upstream, bornAt: plan.bornAt, isAlive: true });
+      core.take({
+        kind: 'probed',
+        upstream: plan.upstream,
+        bornAt: plan.upstreamStartedAt,
+        isAlive: true,
+      });
       core.advance(1_000);
     }
     expect(effectsOf(core.arrive({ fingerprint: 77 }), 'send')).to.have.length(1);
