--- a/src/hosts/routing/callerAnswer.ts
+++ b/src/hosts/routing/callerAnswer.ts
@@ -1,6 +1,6 @@
 /** Writes one response to a caller, with backpressure: forwards, generates or aborts it. */
 import type { ServerResponse } from 'node:http';
-import type { OwnAnswer } from '../../routing/types.js';
+import type { LocalAnswer } from '../../routing/types.js';
 import { routingEvents } from '../../routing/eventTable.js';
 import { endToEndHeaders } from './headers.js';
 import type { RawHeaders, RequestProtocol } from './types.js';
@@ -23,7 +23,7 @@
   /** Closes the connection, so that the caller cannot mistake a partial response for a complete one. */
   readonly abort: () => void;
   /** Sends a response that the instance generates itself. */
-  readonly sendLocalResponse: (answer: OwnAnswer, protocol: RequestProtocol) => void;
+  readonly sendLocalResponse: (answer: LocalAnswer, protocol: RequestProtocol) => void;
 }
 
 export interface CallerResponseOptions {
--- a/src/hosts/routing/frontHost.ts
+++ b/src/hosts/routing/frontHost.ts
@@ -12,7 +12,7 @@
   AttemptPlan,
   CallerLimits,
   EventId,
-  OwnAnswer,
+  LocalAnswer,
   RequestFacts,
   RequestNumber,
 } from '../../routing/types.js';
@@ -44,7 +44,7 @@
   readonly cancel: (attempt: AttemptNumber) => void;
   /** Cancels an attempt in favour of another, unless its response has started and cannot be resumed. */
   readonly cancelIfReplaceable: (attempt: AttemptNumber, mayResume: boolean) => void;
-  readonly sendLocalResponse: (answer: OwnAnswer) => void;
+  readonly sendLocalResponse: (answer: LocalAnswer) => void;
   /** Forwards the buffered error response. */
   readonly forwardErrorResponse: (request: RequestNumber) => void;
   readonly abortResponse: (request: RequestNumber) => void;
--- a/src/hosts/routing/types.ts
+++ b/src/hosts/routing/types.ts
@@ -10,7 +10,7 @@
   ConfigurationChange,
   Cursor,
   EventId,
-  OwnAnswer,
+  LocalAnswer,
   PollOutcome,
   RequestFacts,
   RoutingEvent,
@@ -60,7 +60,7 @@
   readonly parseResponseHead: (rawHeaders: RawHeaders) => ResponseFacts;
   /** Additional headers of a response that the instance generates itself. */
   readonly localResponseHeaders: (
-    answer: Pick<OwnAnswer, 'retryAfterMs'>,
+    answer: Pick<LocalAnswer, 'retryAfterMs'>,
   ) => Readonly<Record<string, string>>;
 }
 
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -198,7 +198,7 @@
 export type LocalStatus = 401 | 404 | 502 | 503 | 504;
 
 /** A response that this instance generates itself. */
-export interface OwnAnswer {
+export interface LocalAnswer {
   readonly request: RequestNumber;
   readonly status: LocalStatus;
   readonly reason: RoutingEventCode;
@@ -326,7 +326,7 @@
    * started in the meantime, unless `mayResume` is set and another upstream can resume the answer.
    */
   | { readonly kind: 'withdraw'; readonly attempt: AttemptNumber; readonly mayResume: boolean }
-  | { readonly kind: 'answer'; readonly answer: OwnAnswer }
+  | { readonly kind: 'answer'; readonly answer: LocalAnswer }
   /** Forwards the upstream's error that the host holds. */
   | { readonly kind: 'passError'; readonly request: RequestNumber }
   /** Closes the connection of a caller whose answer cannot be completed. */
--- a/test/routing/support/core.ts
+++ b/test/routing/support/core.ts
@@ -4,7 +4,7 @@
 import type {
   AttemptPlan,
   ListedUpstream,
-  OwnAnswer,
+  LocalAnswer,
   Route,
   RoutingConfiguration,
   RoutingEffect,
@@ -216,6 +216,6 @@
 }
 
 /** Returns the answer that the instance generated itself, if there is one. */
-export function answerOf(effects: readonly RoutingEffect[]): OwnAnswer | undefined {
+export function answerOf(effects: readonly RoutingEffect[]): LocalAnswer | undefined {
   return effectsOf(effects, 'answer')[0]?.answer;
 }
