--- a/src/routing/context.ts
+++ b/src/routing/context.ts
@@ -22,7 +22,7 @@
 /** Backoff of calls that are retried after a failure. */
 export interface RetryDelay {
   /** Delay after the first failure. Each further failure increases it by half. */
-  readonly firstMs: Millis;
+  readonly initialMs: Millis;
   readonly longestMs: Millis;
 }
 
@@ -34,7 +34,7 @@
 export function setRetryTimer(
   ctx: RoutingContext,
   timer: RoutingTimer,
-  { firstMs, longestMs }: RetryDelay,
+  { initialMs: firstMs, longestMs }: RetryDelay,
   failures: number,
 ): void {
   const delayMs = Math.min(longestMs, firstMs * RETRY_BACKOFF_FACTOR ** Math.max(0, failures - 1));
