--- a/src/routing/context.ts
+++ b/src/routing/context.ts
@@ -23,7 +23,7 @@
 export interface RetryDelay {
   /** Delay after the first failure. Each further failure increases it by half. */
   readonly initialMs: Millis;
-  readonly longestMs: Millis;
+  readonly maxMs: Millis;
 }
 
 const RETRY_BACKOFF_FACTOR = 1.5;
@@ -34,7 +34,7 @@
 export function setRetryTimer(
   ctx: RoutingContext,
   timer: RoutingTimer,
-  { initialMs: firstMs, longestMs }: RetryDelay,
+  { initialMs: firstMs, maxMs: longestMs }: RetryDelay,
   failures: number,
 ): void {
   const delayMs = Math.min(longestMs, firstMs * RETRY_BACKOFF_FACTOR ** Math.max(0, failures - 1));
--- a/src/routing/upstreams/list.ts
+++ b/src/routing/upstreams/list.ts
@@ -16,7 +16,7 @@
 import { createUpstream, hashUpstream, type Upstream } from './upstreamsState.js';
 
 /** Delay before a failed read is retried. */
-const RETRY_DELAY: RetryDelay = { initialMs: 200, longestMs: 800 };
+const RETRY_DELAY: RetryDelay = { initialMs: 200, maxMs: 800 };
 
 /**
  * Interval between two reads, as a fraction of the time within which a draining upstream has to be
