--- a/src/routing/context.ts
+++ b/src/routing/context.ts
@@ -20,7 +20,7 @@
 }
 
 /** Backoff of calls that are retried after a failure. */
-export interface RetryDelay {
+export interface RetryBackoff {
   /** Delay after the first failure. Each further failure increases it by half. */
   readonly initialMs: Millis;
   readonly maxMs: Millis;
@@ -34,7 +34,7 @@
 export function setRetryTimer(
   ctx: RoutingContext,
   timer: RoutingTimer,
-  { initialMs: firstMs, maxMs: longestMs }: RetryDelay,
+  { initialMs: firstMs, maxMs: longestMs }: RetryBackoff,
   failures: number,
 ): void {
   const delayMs = Math.min(longestMs, firstMs * RETRY_BACKOFF_FACTOR ** Math.max(0, failures - 1));
--- a/src/routing/exchange/exchange.ts
+++ b/src/routing/exchange/exchange.ts
@@ -13,7 +13,7 @@
   logWarning,
   setRetryTimer,
   setTimer,
-  type RetryDelay,
+  type RetryBackoff,
   type RoutingContext,
 } from '../context.js';
 import { controlIntervalFactor } from '../load/ownLoad.js';
@@ -36,7 +36,7 @@
 import { composeMessage, localSummary, decodeParts, decodeSummary } from './news.js';
 
 /** Delay before a failed announcement or read is retried. */
-const RETRY_DELAY: RetryDelay = { initialMs: 500, maxMs: 3_000 };
+const RETRY_DELAY: RetryBackoff = { initialMs: 500, maxMs: 3_000 };
 /**
  * A recently found peer that has not been heard from yet receives one message per this many
  * exchanges.
--- a/src/routing/freshness/freshness.ts
+++ b/src/routing/freshness/freshness.ts
@@ -14,7 +14,7 @@
   logInfo,
   logWarning,
   setTimer,
-  type RetryDelay,
+  type RetryBackoff,
   type RoutingContext,
 } from '../context.js';
 import { hasLowestId } from '../exchange/members.js';
@@ -24,7 +24,7 @@
 import type { ConfigurationChange, RoutingConfiguration, RoutingEvent } from '../types.js';
 
 /** Delay before a failed read is retried. Short, since keyed requests need a confirmation. */
-const RETRY_DELAY: RetryDelay = { initialMs: 150, maxMs: 400 };
+const RETRY_DELAY: RetryBackoff = { initialMs: 150, maxMs: 400 };
 /** Margin within the revocation time for requests that are on their way to an upstream. */
 const REVOCATION_MARGIN_MS: Millis = 600;
 
--- a/src/routing/polls.ts
+++ b/src/routing/polls.ts
@@ -8,7 +8,7 @@
   logInfo,
   logWarning,
   setRetryTimer,
-  type RetryDelay,
+  type RetryBackoff,
   type RoutingContext,
 } from './context.js';
 import type { Cursor, PollOutcome, RoutingTimer } from './types.js';
@@ -26,7 +26,7 @@
   readonly reads: 'configuration' | 'upstreams' | 'instances';
   readonly state: PollState;
   readonly timer: RoutingTimer;
-  readonly retryDelay: RetryDelay;
+  readonly retryDelay: RetryBackoff;
   readonly start: (ctx: RoutingContext) => void;
 }
 
--- a/src/routing/upstreams/list.ts
+++ b/src/routing/upstreams/list.ts
@@ -8,7 +8,7 @@
   logInfo,
   logWarning,
   setTimer,
-  type RetryDelay,
+  type RetryBackoff,
   type RoutingContext,
 } from '../context.js';
 import { settlePoll, type Poll } from '../polls.js';
@@ -16,7 +16,7 @@
 import { createUpstream, hashUpstream, type Upstream } from './upstreamsState.js';
 
 /** Delay before a failed read is retried. */
-const RETRY_DELAY: RetryDelay = { initialMs: 200, maxMs: 800 };
+const RETRY_DELAY: RetryBackoff = { initialMs: 200, maxMs: 800 };
 
 /**
  * Interval between two reads, as a fraction of the time within which a draining upstream has to be
