--- a/src/routing/decay.ts
+++ b/src/routing/decay.ts
@@ -2,7 +2,7 @@
 import type { Millis } from '../core/clock.js';
 
 /** Returns the fraction of a value that remains after `elapsedMs`. */
-export function partKept(elapsedMs: Millis, timeConstantMs: Millis): number {
+export function decayFactor(elapsedMs: Millis, timeConstantMs: Millis): number {
   return Math.exp(-Math.max(0, elapsedMs) / timeConstantMs);
 }
 
@@ -19,7 +19,7 @@
 
 /** Applies the decay since the last update to counts. */
 export function decay(counts: DecayingCounts, now: Millis, timeConstantMs: Millis): void {
-  const factor = partKept(now - counts.at, timeConstantMs);
+  const factor = decayFactor(now - counts.at, timeConstantMs);
   counts.asked *= factor;
   counts.admitted *= factor;
   counts.at = now;
--- a/src/routing/placement/poolWait.ts
+++ b/src/routing/placement/poolWait.ts
@@ -3,7 +3,7 @@
  * capacity, however much has been admitted so far.
  */
 import type { Millis } from '../../core/clock.js';
-import { partKept } from '../decay.js';
+import { decayFactor } from '../decay.js';
 
 export interface PoolWait {
   /** Adds a sample: the mean wait at the usable upstreams. */
@@ -25,7 +25,7 @@
   let recordedAt: Millis = 0;
   return {
     record: (waitMs, now) => {
-      const factor = partKept(now - recordedAt, AVERAGE_TIME_CONSTANT_MS);
+      const factor = decayFactor(now - recordedAt, AVERAGE_TIME_CONSTANT_MS);
       average = average === undefined ? waitMs : waitMs + factor * (average - waitMs);
       recordedAt = now;
     },
--- a/src/routing/upstreams/speed.ts
+++ b/src/routing/upstreams/speed.ts
@@ -9,7 +9,7 @@
  * that belong to the request itself.
  */
 import type { Millis } from '../../core/clock.js';
-import { partKept } from '../decay.js';
+import { decayFactor } from '../decay.js';
 
 export interface Speed {
   /**
@@ -68,7 +68,7 @@
   let slownessAt: Millis = 0;
 
   function decayedSlowness(now: Millis): number {
-    return 1 + (slowness - 1) * partKept(now - slownessAt, SLOWNESS_TIME_CONSTANT_MS);
+    return 1 + (slowness - 1) * decayFactor(now - slownessAt, SLOWNESS_TIME_CONSTANT_MS);
   }
 
   function perTokenMs(): number | undefined {
