--- a/src/routing/exchange/exchange.ts
+++ b/src/routing/exchange/exchange.ts
@@ -17,7 +17,7 @@
   type RoutingContext,
 } from '../context.js';
 import { controlIntervalFactor } from '../load/ownLoad.js';
-import { settlePoll, type Poll } from '../polls.js';
+import { handlePollOutcome, type Poll } from '../polls.js';
 import type { PartRead } from '../placement/prefixMemory.js';
 import { recordReportedCrashes } from '../suspects/suspects.js';
 import type { AnnouncedInstance, RoutingEvent } from '../types.js';
@@ -83,7 +83,7 @@
 }
 
 export function onInstancesPolled(ctx: RoutingContext, { outcome }: Polled): void {
-  const changes = settlePoll(ctx, pollOf(ctx), outcome);
+  const changes = handlePollOutcome(ctx, pollOf(ctx), outcome);
   if (changes === undefined) return;
   changes.forEach((announced) => addPeer(ctx, announced));
   startInstancePoll(ctx);
--- a/src/routing/freshness/freshness.ts
+++ b/src/routing/freshness/freshness.ts
@@ -18,7 +18,7 @@
   type RoutingContext,
 } from '../context.js';
 import { hasLowestId } from '../exchange/members.js';
-import { settlePoll, type Poll } from '../polls.js';
+import { handlePollOutcome, type Poll } from '../polls.js';
 import { createRouteTable } from '../routes/routeTable.js';
 import type { RoutingState } from '../state.js';
 import type { ConfigurationChange, RoutingConfiguration, RoutingEvent } from '../types.js';
@@ -56,7 +56,7 @@
 export function onConfigurationPolled(ctx: RoutingContext, event: Polled): void {
   const { freshness } = ctx.state;
   freshness.isPolling = false;
-  const changes = settlePoll(ctx, pollOf(ctx), event.outcome);
+  const changes = handlePollOutcome(ctx, pollOf(ctx), event.outcome);
   if (changes === undefined) {
     updateFreshness(ctx);
     return;
--- a/src/routing/polls.ts
+++ b/src/routing/polls.ts
@@ -31,7 +31,7 @@
 }
 
 /** Handles the outcome of a read. Returns the changes, or `undefined` if the read is repeated. */
-export function settlePoll<T>(
+export function handlePollOutcome<T>(
   ctx: RoutingContext,
   { reads, state, timer, retryDelay, start }: Poll,
   outcome: PollOutcome<T>,
--- a/src/routing/upstreams/list.ts
+++ b/src/routing/upstreams/list.ts
@@ -11,7 +11,7 @@
   type RetryBackoff,
   type RoutingContext,
 } from '../context.js';
-import { settlePoll, type Poll } from '../polls.js';
+import { handlePollOutcome, type Poll } from '../polls.js';
 import type { ListedUpstream, RoutingEvent, UpstreamChange, UpstreamId } from '../types.js';
 import { createUpstream, hashUpstream, type Upstream } from './upstreamsState.js';
 
@@ -33,7 +33,7 @@
 export function onUpstreamsPolled(ctx: RoutingContext, event: Polled): void {
   const { upstreams, settings } = ctx.state;
   const wasPlatformDown = upstreams.failures > 0;
-  const changes = settlePoll(ctx, pollOf(ctx), event.outcome);
+  const changes = handlePollOutcome(ctx, pollOf(ctx), event.outcome);
   if (changes === undefined) return;
   if (wasPlatformDown) upstreams.platformRecoveredAt = ctx.now;
   applyChanges(ctx, changes, event.isWhole);
