--- a/src/routing/attempts/arrival.ts
+++ b/src/routing/attempts/arrival.ts
@@ -64,7 +64,7 @@
     return;
   }
   const request = createRequest(ctx, facts, route, pool, customer);
-  retryBudgetFor(ctx, pool).noteRequest(ctx.now);
+  retryBudgetFor(ctx, pool).recordRequest(ctx.now);
   admit(ctx, request);
 }
 
--- a/src/routing/retries/retryBudget.ts
+++ b/src/routing/retries/retryBudget.ts
@@ -15,7 +15,7 @@
 
 export interface RetryBudget {
   /** Counts a request, which increases the budget. */
-  readonly noteRequest: (now: Millis) => void;
+  readonly recordRequest: (now: Millis) => void;
   /** Consumes one retry. Returns false if the budget is exhausted. */
   readonly take: (now: Millis, options: RetryBudgetOptions) => boolean;
   /** Returns the retries that remain. */
@@ -55,7 +55,7 @@
   }
 
   return {
-    noteRequest: (now) => {
+    recordRequest: (now) => {
       currentSlice(now).requests += 1;
     },
     left,
--- a/test/routing/beliefs.test.ts
+++ b/test/routing/beliefs.test.ts
@@ -269,7 +269,7 @@
           steps.forEach(({ afterMs, isRetry }) => {
             now += afterMs;
             if (!isRetry) {
-              budget.noteRequest(now);
+              budget.recordRequest(now);
               requests.push(now);
             } else if (budget.take(now, options)) {
               retries.push(now);
