--- a/src/routing/attempts/attempts.ts
+++ b/src/routing/attempts/attempts.ts
@@ -267,7 +267,7 @@
   // A retry consumes budget only if an earlier attempt may have reached an upstream.
   if (
     request.tried.length > 0 &&
-    !retryBudgetFor(ctx, pool).take(ctx.now, retryBudgetOptions(ctx))
+    !retryBudgetFor(ctx, pool).tryConsume(ctx.now, retryBudgetOptions(ctx))
   ) {
     logWarning(ctx, 'retryBudgetSpent', { request: facts.requestId, pool });
     return false;
--- a/src/routing/retries/retryBudget.ts
+++ b/src/routing/retries/retryBudget.ts
@@ -17,7 +17,7 @@
   /** Counts a request, which increases the budget. */
   readonly recordRequest: (now: Millis) => void;
   /** Consumes one retry. Returns false if the budget is exhausted. */
-  readonly take: (now: Millis, options: RetryBudgetOptions) => boolean;
+  readonly tryConsume: (now: Millis, options: RetryBudgetOptions) => boolean;
   /** Returns the retries that remain. */
   readonly left: (now: Millis, options: RetryBudgetOptions) => number;
 }
@@ -59,7 +59,7 @@
       currentSlice(now).requests += 1;
     },
     left,
-    take: (now, options) => {
+    tryConsume: (now, options) => {
       if (left(now, options) < 1) return false;
       currentSlice(now).retries += 1;
       return true;
--- a/test/routing/beliefs.test.ts
+++ b/test/routing/beliefs.test.ts
@@ -271,7 +271,7 @@
             if (!isRetry) {
               budget.recordRequest(now);
               requests.push(now);
-            } else if (budget.take(now, options)) {
+            } else if (budget.tryConsume(now, options)) {
               retries.push(now);
             }
           });
