--- a/src/routing/attempts/attempts.ts
+++ b/src/routing/attempts/attempts.ts
@@ -243,7 +243,8 @@
 /** Whether the route, the retry budget and the upstreams permit a retry at another upstream now. */
 export function canRetryElsewhere(ctx: RoutingContext, request: OpenRequest): boolean {
   if (request.tried.length >= request.route.maxUpstreams) return false;
-  const hasBudget = retryBudgetFor(ctx, request.pool).left(ctx.now, retryBudgetOptions(ctx)) >= 1;
+  const hasBudget =
+    retryBudgetFor(ctx, request.pool).remaining(ctx.now, retryBudgetOptions(ctx)) >= 1;
   return hasBudget && placeOnOtherUpstream(ctx, request) !== undefined;
 }
 
--- a/src/routing/retries/retryBudget.ts
+++ b/src/routing/retries/retryBudget.ts
@@ -19,7 +19,7 @@
   /** Consumes one retry. Returns false if the budget is exhausted. */
   readonly tryConsume: (now: Millis, options: RetryBudgetOptions) => boolean;
   /** Returns the retries that remain. */
-  readonly left: (now: Millis, options: RetryBudgetOptions) => number;
+  readonly remaining: (now: Millis, options: RetryBudgetOptions) => number;
 }
 
 /** Number of slices into which a window is divided for counting. */
@@ -58,7 +58,7 @@
     recordRequest: (now) => {
       currentSlice(now).requests += 1;
     },
-    left,
+    remaining: left,
     tryConsume: (now, options) => {
       if (left(now, options) < 1) return false;
       currentSlice(now).retries += 1;
