--- a/test/routing/attempts.test.ts
+++ b/test/routing/attempts.test.ts
@@ -13,7 +13,7 @@
 type Mode = keyof typeof PATH_BY_MODE;
 
 const endAttempt = (core: TestCore, attempt: number, outcome: AttemptOutcome) =>
-  core.take({ kind: 'attemptEnded', attempt, outcome });
+  core.dispatch({ kind: 'attemptEnded', attempt, outcome });
 
 /** Describes the effect that a caller or an upstream can observe. */
 function visibleEffect(effects: readonly RoutingEffect[]): string {
@@ -56,15 +56,15 @@
   it('closes the connection if an answer that has started cannot be resumed', () => {
     const core = createTestCore();
     const { attempt } = planOf(core.arrive());
-    core.take({ kind: 'attemptAnswered', attempt, status: 200 });
+    core.dispatch({ kind: 'attemptAnswered', attempt, status: 200 });
     expect(visibleEffect(endAttempt(core, attempt, CUT))).to.equal('cut');
   });
 
   it('resumes a stream after its last complete event', () => {
     const core = createTestCore();
     const first = planOf(core.arrive({ path: '/chat/1' }));
-    core.take({ kind: 'attemptAnswered', attempt: first.attempt, status: 200 });
-    core.take({ kind: 'attemptProgress', attempt: first.attempt });
+    core.dispatch({ kind: 'attemptAnswered', attempt: first.attempt, status: 200 });
+    core.dispatch({ kind: 'attemptProgress', attempt: first.attempt });
     const second = planOf(endAttempt(core, first.attempt, CUT));
     expect(second.isResumed).to.equal(true);
     expect(second.upstream).to.not.equal(first.upstream);
@@ -73,7 +73,7 @@
   it('closes a stream that was cut before its first event, rather than starting it twice', () => {
     const core = createTestCore();
     const { attempt } = planOf(core.arrive({ path: '/chat/1' }));
-    core.take({ kind: 'attemptAnswered', attempt, status: 200 });
+    core.dispatch({ kind: 'attemptAnswered', attempt, status: 200 });
     expect(visibleEffect(endAttempt(core, attempt, CUT))).to.equal('cut');
   });
 
@@ -124,7 +124,7 @@
   it('cancels the attempt of a caller that disconnects', () => {
     const core = createTestCore();
     const plan = planOf(core.arrive());
-    const effects = core.take({ kind: 'callerGone', request: plan.request });
+    const effects = core.dispatch({ kind: 'callerGone', request: plan.request });
     expect(effectsOf(effects, 'cancel').map(({ attempt }) => attempt)).to.deep.equal([
       plan.attempt,
     ]);
@@ -139,7 +139,7 @@
     const core = createTestCore();
     const plan = planOf(core.arrive({ path: '/book/1', deadlineMs: 60_000 }));
     core.advance(10_000);
-    const effects = core.take({ kind: 'timer', timer: 'health' });
+    const effects = core.dispatch({ kind: 'timer', timer: 'health' });
     expect(answerOf(effects)).to.include({ request: plan.request, status: 504 });
     expect(effectsOf(effects, 'cancel')).to.have.length(1);
   });
@@ -159,7 +159,7 @@
       const core = createTestCore();
       const first = planOf(core.arrive({ path }));
       core.advance(3_000);
-      const effects = core.take({ kind: 'timer', timer: 'health' });
+      const effects = core.dispatch({ kind: 'timer', timer: 'health' });
       return { core, first, effects };
     }
 
@@ -173,8 +173,8 @@
 
     it('are resumed after the events that arrived before the attempt ended', () => {
       const { core, first } = fallSilent(PATH_BY_MODE.resumableStream);
-      core.take({ kind: 'attemptAnswered', attempt: first.attempt, status: 200 });
-      core.take({ kind: 'attemptProgress', attempt: first.attempt });
+      core.dispatch({ kind: 'attemptAnswered', attempt: first.attempt, status: 200 });
+      core.dispatch({ kind: 'attemptProgress', attempt: first.attempt });
       expect(planOf(endAttempt(core, first.attempt, { kind: 'cancelled' })).isResumed).to.equal(
         true,
       );
@@ -194,9 +194,9 @@
     const effects = endAttempt(core, plan.attempt, { kind: 'cut', reason: 'reset' });
     expect(effectsOf(effects, 'probe')).to.have.length(1);
     const { upstream, upstreamStartedAt: bornAt } = plan;
-    core.take({ kind: 'probed', upstream, bornAt, isAlive: false });
+    core.dispatch({ kind: 'probed', upstream, bornAt, isAlive: false });
     core.advance(300);
-    core.take({ kind: 'probed', upstream, bornAt, isAlive: true });
+    core.dispatch({ kind: 'probed', upstream, bornAt, isAlive: true });
   }
 
   it('are refused after the third crash, while others are sent', () => {
@@ -212,7 +212,7 @@
     for (let i = 0; i < 4; i += 1) {
       const plan = planOf(core.arrive({ fingerprint: 77 }));
       endAttempt(core, plan.attempt, { kind: 'cut', reason: 'reset' });
-      core.take({
+      core.dispatch({
         kind: 'probed',
         upstream: plan.upstream,
         bornAt: plan.upstreamStartedAt,
@@ -227,9 +227,9 @@
     const core = createTestCore();
     const announced = { incarnation: 1, domain: 'domain-a', region: 'region-a' };
     const changes = ['a', 'b', 'c'].map((id) => ({ ...announced, id, address: '10.0.0.8:1' }));
-    core.take({ kind: 'instancesPolled', outcome: { kind: 'answered', cursor: 1, changes } });
+    core.dispatch({ kind: 'instancesPolled', outcome: { kind: 'answered', cursor: 1, changes } });
     changes.forEach(({ id }) => {
-      core.take({
+      core.dispatch({
         kind: 'peerMessage',
         from: id,
         incarnation: 1,
--- a/test/routing/beliefs.test.ts
+++ b/test/routing/beliefs.test.ts
@@ -17,7 +17,7 @@
 } from './support/core.js';
 
 const failConfiguration = (core: TestCore) =>
-  core.take({
+  core.dispatch({
     kind: 'configurationPolled',
     askedAt: core.now(),
     isWhole: false,
@@ -25,7 +25,7 @@
   });
 
 const pollUpstreams = (core: TestCore, outcome: PollOutcome<UpstreamChange>, isWhole = false) =>
-  core.take({ kind: 'upstreamsPolled', askedAt: core.now(), isWhole, outcome });
+  core.dispatch({ kind: 'upstreamsPolled', askedAt: core.now(), isWhole, outcome });
 
 const upstreamIds = (core: TestCore) => [...core.routing.state.upstreams.byId.keys()];
 
@@ -77,7 +77,7 @@
     const core = createTestCore({ revokeMs: 5_000 });
     const askedAt = core.now();
     core.advance(6_000);
-    core.take({
+    core.dispatch({
       kind: 'configurationPolled',
       askedAt,
       isWhole: false,
@@ -88,7 +88,7 @@
 
   it('ends at once after a clock gap', () => {
     const core = createTestCore({ revokeMs: 5_000 });
-    const effects = core.take({ kind: 'clockGap', gapMs: 6_000 });
+    const effects = core.dispatch({ kind: 'clockGap', gapMs: 6_000 });
     expect(effectsOf(effects, 'setReady')).to.deep.equal([{ kind: 'setReady', isReady: false }]);
     expect(answerOf(core.arrive())?.reason).to.equal('staleConfiguration');
     // The pending read was sent before the clock gap.
@@ -102,13 +102,13 @@
     const core = createTestCore();
     const routes = [{ ...MODEL_ROUTE, isPublic: true }];
     core.configure(createConfiguration({ version: 2, routes }));
-    core.take({ kind: 'clockGap', gapMs: 60_000 });
+    core.dispatch({ kind: 'clockGap', gapMs: 60_000 });
     expect(effectsOf(core.arrive({ path: '/draft/1' }), 'send')).to.have.length(1);
   });
 
   it('is required for a 401 or 404, since a newer configuration may allow the request', () => {
     const core = createTestCore();
-    core.take({ kind: 'clockGap', gapMs: 60_000 });
+    core.dispatch({ kind: 'clockGap', gapMs: 60_000 });
     expect(answerOf(core.arrive({ path: '/new/1' }))?.status).to.equal(503);
     expect(answerOf(core.arrive({ key: 'new' }))?.status).to.equal(503);
   });
@@ -130,7 +130,7 @@
 
   it('requires a read of the whole state if the history since the cursor is no longer available', () => {
     const core = createTestCore();
-    const effects = core.take({
+    const effects = core.dispatch({
       kind: 'configurationPolled',
       askedAt: core.now(),
       isWhole: false,
@@ -146,7 +146,7 @@
     const core = createTestCore();
     return Array.from({ length: 12 }, () => {
       const outcome = { kind: 'failed', reason: 'ECONNRESET' } as const;
-      const effects = core.take({ kind, askedAt: core.now(), isWhole: false, outcome });
+      const effects = core.dispatch({ kind, askedAt: core.now(), isWhole: false, outcome });
       const at = effectsOf(effects, 'setTimer')[0]?.at ?? Infinity;
       const delayMs = at - core.now();
       core.advance(delayMs);
@@ -158,7 +158,7 @@
     it(`log its loss once and its return once: ${kind}`, () => {
       const core = createTestCore();
       const read = (outcome: PollOutcome<never>) =>
-        effectsOf(core.take({ kind, askedAt: core.now(), isWhole: false, outcome }), 'log')
+        effectsOf(core.dispatch({ kind, askedAt: core.now(), isWhole: false, outcome }), 'log')
           .map(({ code }) => code)
           .filter((code) => code === 'platformLost' || code === 'platformRegained');
       const failed = { kind: 'failed', reason: 'ECONNRESET' } as const;
@@ -213,7 +213,7 @@
     core.advance(1_000);
     core.list(createUpstreamEntry('i-1', { beat: 2 }));
     core.advance(1_100);
-    core.take({ kind: 'timer', timer: 'health' });
+    core.dispatch({ kind: 'timer', timer: 'health' });
     expect(upstreamIds(core)).to.include('i-1');
     expect(upstreamIds(core)).to.not.include('i-2');
   });
@@ -237,7 +237,7 @@
       { kind: 'forgetUpstream', upstream: id, bornAt: 1 },
     ]);
     // The end of the old attempt must not count against the new start.
-    core.take({
+    core.dispatch({
       kind: 'attemptEnded',
       attempt: plan.attempt,
       outcome: { kind: 'cut', reason: 'reset' },
--- a/test/routing/load.test.ts
+++ b/test/routing/load.test.ts
@@ -5,7 +5,7 @@
 const COUNTS = { accepted: 100, read: 80, dead: 20 };
 
 function measure(core: TestCore, utilization: number) {
-  return core.take({
+  return core.dispatch({
     kind: 'loadMeasured',
     reading: { utilization, lagMs: 400, counts: COUNTS },
   });
@@ -13,7 +13,7 @@
 
 /** Delay until the next exchange. */
 function exchangeDelay(core: TestCore): number {
-  const effects = core.take({ kind: 'timer', timer: 'exchange' });
+  const effects = core.dispatch({ kind: 'timer', timer: 'exchange' });
   const timer = effectsOf(effects, 'setTimer').find((effect) => effect.timer === 'exchange');
   return (timer?.at ?? NaN) - core.now();
 }
@@ -69,20 +69,20 @@
 
   it('does not mark an upstream as lost because the health check itself ran late', () => {
     const core = createTestCore();
-    const checkHealth = () => core.take({ kind: 'timer', timer: 'health' });
+    const checkHealth = () => core.dispatch({ kind: 'timer', timer: 'health' });
     const lost = (effects: ReturnType<typeof checkHealth>) =>
       effectsOf(effects, 'log').filter(({ code }) => code === 'upstreamLost');
     checkHealth();
     const { attempt } = planOf(core.arrive());
     core.advance(50);
-    core.take({ kind: 'attemptAnswered', attempt, status: 200 });
-    core.take({ kind: 'attemptProgress', attempt });
+    core.dispatch({ kind: 'attemptAnswered', attempt, status: 200 });
+    core.dispatch({ kind: 'attemptProgress', attempt });
     core.advance(50);
     checkHealth();
     // The event loop blocks for 2 s; what the upstream sent in that time is read after the timer.
     core.advance(2_000);
     expect(lost(checkHealth())).to.deep.equal([]);
-    core.take({ kind: 'attemptProgress', attempt });
+    core.dispatch({ kind: 'attemptProgress', attempt });
     for (let i = 0; i < 5; i += 1) {
       core.advance(100);
       expect(lost(checkHealth())).to.deep.equal([]);
--- a/test/routing/logs.test.ts
+++ b/test/routing/logs.test.ts
@@ -17,7 +17,7 @@
       'a stale configuration',
       'staleConfiguration',
       (core) => {
-        core.take({ kind: 'clockGap', gapMs: 60_000 });
+        core.dispatch({ kind: 'clockGap', gapMs: 60_000 });
         return core.arrive();
       },
     ],
@@ -27,7 +27,7 @@
       (core) => {
         const outcome = { kind: 'answered', cursor: 3, changes: [] } as const;
         const askedAt = core.now();
-        core.take({ kind: 'upstreamsPolled', askedAt, isWhole: true, outcome });
+        core.dispatch({ kind: 'upstreamsPolled', askedAt, isWhole: true, outcome });
         return core.arrive();
       },
     ],
@@ -38,7 +38,7 @@
       (core) => {
         const { attempt } = planOf(core.arrive());
         const outcome = { kind: 'cut', reason: 'ECONNRESET' } as const;
-        return core.take({ kind: 'attemptEnded', attempt, outcome });
+        return core.dispatch({ kind: 'attemptEnded', attempt, outcome });
       },
     ],
     [
@@ -47,7 +47,7 @@
       (core) => {
         core.arrive();
         core.advance(10_000);
-        return core.take({ kind: 'timer', timer: 'health' });
+        return core.dispatch({ kind: 'timer', timer: 'health' });
       },
     ],
   ];
--- a/test/routing/policy.test.ts
+++ b/test/routing/policy.test.ts
@@ -18,7 +18,7 @@
 } from './support/core.js';
 
 function completeAttempt(core: TestCore, attempt: number): void {
-  core.take({ kind: 'attemptEnded', attempt, outcome: { kind: 'complete', status: 200 } });
+  core.dispatch({ kind: 'attemptEnded', attempt, outcome: { kind: 'complete', status: 200 } });
 }
 
 describe('placement', () => {
@@ -43,7 +43,7 @@
       core.list(...createManyUpstreams().slice(0, count));
       return Array.from({ length: 100 }, (_, i) => {
         const plan = planOf(core.arrive({ ...sharedFacts(`a${i}`, `b${i}`), key: 'key-of-b' }));
-        core.take({ kind: 'callerGone', request: plan.request });
+        core.dispatch({ kind: 'callerGone', request: plan.request });
         core.advance(3_000);
         core.configure();
         return plan.upstream;
@@ -93,7 +93,7 @@
         plan.upstream === 'i-3'
           ? ({ kind: 'failed', status: 500 } as const)
           : ({ kind: 'complete', status: 200 } as const);
-      core.take({ kind: 'attemptEnded', attempt: plan.attempt, outcome });
+      core.dispatch({ kind: 'attemptEnded', attempt: plan.attempt, outcome });
       core.advance(50);
     }
     const upstreams = Array.from({ length: 6 }, () => {
@@ -294,7 +294,7 @@
         .filter(({ at }) => at <= core.now())
         .forEach((end) => {
           ends.splice(ends.indexOf(end), 1);
-          core.take({ kind: 'attemptProgress', attempt: end.attempt });
+          core.dispatch({ kind: 'attemptProgress', attempt: end.attempt });
           completeAttempt(core, end.attempt);
         });
     },
--- a/test/routing/replay.test.ts
+++ b/test/routing/replay.test.ts
@@ -65,10 +65,10 @@
   };
 
   function sendMessages(from: TestCore, to: TestCore): void {
-    effectsOf(from.take({ kind: 'timer', timer: 'exchange' }), 'sendPeer').forEach(
+    effectsOf(from.dispatch({ kind: 'timer', timer: 'exchange' }), 'sendPeer').forEach(
       ({ message }) => {
         if (message.$case !== 'routingNews') return;
-        to.take({ kind: 'peerMessage', from: peer.id, incarnation: 1, news: message.value });
+        to.dispatch({ kind: 'peerMessage', from: peer.id, incarnation: 1, news: message.value });
       },
     );
   }
@@ -86,7 +86,7 @@
     first.list(elsewhere);
     const second = createFullCore();
     const outcome = { kind: 'answered', cursor: 1, changes: [peer] } as const;
-    [first, second].forEach((core) => core.take({ kind: 'instancesPolled', outcome }));
+    [first, second].forEach((core) => core.dispatch({ kind: 'instancesPolled', outcome }));
     // Instances that have not been heard from receive messages only occasionally.
     for (let i = 0; i < 5; i += 1) sendMessages(second, first);
     expect(planOf(first.arrive(sharedFacts('a1', 'b2'))).upstream).to.equal(elsewhere.id);
--- a/test/routing/support/core.ts
+++ b/test/routing/support/core.ts
@@ -118,7 +118,7 @@
   readonly now: () => number;
   readonly advance: (ms: number) => void;
   /** Passes an event to the core and returns its effects. */
-  readonly take: (event: RoutingEvent) => readonly RoutingEffect[];
+  readonly dispatch: (event: RoutingEvent) => readonly RoutingEffect[];
   readonly configure: (configuration?: RoutingConfiguration) => readonly RoutingEffect[];
   readonly list: (...upstreams: readonly ListedUpstream[]) => readonly RoutingEffect[];
   /** Has a request arrive and returns the effects. */
@@ -153,7 +153,7 @@
     advance: (ms) => {
       now += ms;
     },
-    take,
+    dispatch: take,
     configure: (configuration = createConfiguration()) => {
       cursor += 1;
       return take({
