--- a/test/routing/domains.test.ts
+++ b/test/routing/domains.test.ts
@@ -84,7 +84,7 @@
     fleet.rounds(PROPAGATION_ROUNDS);
     fleet.arrive(coreAt(fleet, 'd1-3'));
     fleet.rounds(PROPAGATION_ROUNDS);
-    fleet.take(coreAt(fleet, 'd1-0'), { kind: 'plannedStop' });
+    fleet.dispatch(coreAt(fleet, 'd1-0'), { kind: 'plannedStop' });
     for (let i = 0; i < TAKEOVER_ROUNDS; i += 1) {
       fleet.rounds(1);
       alive(fleet).forEach((core) => expect(runningFor(fleet, core), `${i}`).to.equal(1));
--- a/test/routing/support/coreFleet.ts
+++ b/test/routing/support/coreFleet.ts
@@ -16,7 +16,7 @@
   readonly cores: readonly FleetCore[];
   readonly context: (core: FleetCore) => RoutingContext;
   /** Passes an event to a core. The messages that the core sends arrive one round later. */
-  readonly take: (core: FleetCore, event: RoutingEvent) => readonly RoutingEffect[];
+  readonly dispatch: (core: FleetCore, event: RoutingEvent) => readonly RoutingEffect[];
   /** Has a request with a prompt of two parts arrive. */
   readonly arrive: (core: FleetCore) => readonly RoutingEffect[];
   /** Runs `count` rounds in which every running core sends its messages. */
@@ -123,7 +123,7 @@
   return {
     cores,
     context: ({ routing }) => ({ state: routing.state, now, effects: [] }),
-    take,
+    dispatch: take,
     arrive: (core) => {
       requests += 1;
       // The platform confirms the configuration.
