--- a/test/routing/domains.test.ts
+++ b/test/routing/domains.test.ts
@@ -97,12 +97,12 @@
     fleet.arrive(coreAt(fleet, 'd3-2'));
     fleet.rounds(PROPAGATION_ROUNDS);
     const far = coreAt(fleet, 'd0-4');
-    fleet.cut('d3');
+    fleet.isolateDomain('d3');
     fleet.rounds(TAKEOVER_ROUNDS);
     expect(runningFor(fleet, far)).to.equal(0);
     expect(fleet.logged(far)).to.include('domainLost');
     expect(runningFor(fleet, coreAt(fleet, 'd3-4')), 'within the domain').to.equal(1);
-    fleet.cut(undefined);
+    fleet.isolateDomain(undefined);
     fleet.rounds(2 * PROPAGATION_ROUNDS);
     fleet.cores.forEach((core) => expect(runningFor(fleet, core), core.self.id).to.equal(1));
   });
@@ -154,9 +154,9 @@
           dead.forEach((id) => {
             coreAt(fleet, id).isAlive = false;
           });
-          fleet.cut(cutDomain);
+          fleet.isolateDomain(cutDomain);
           fleet.rounds(cutRounds);
-          fleet.cut(undefined);
+          fleet.isolateDomain(undefined);
           fleet.rounds(2 * TAKEOVER_ROUNDS);
           alive(fleet).forEach((core) => fleet.arrive(core));
           fleet.rounds(PROPAGATION_ROUNDS);
--- a/test/routing/support/coreFleet.ts
+++ b/test/routing/support/coreFleet.ts
@@ -24,7 +24,7 @@
   /** Number of messages of the last round, and how many of them crossed domains. */
   readonly sent: () => { readonly crossDomain: number; readonly all: number };
   /** Cuts all links between a domain and the others; `undefined` restores them. */
-  readonly cut: (domain: string | undefined) => void;
+  readonly isolateDomain: (domain: string | undefined) => void;
   /** Codes of the events that a core has logged. */
   readonly logged: (core: FleetCore) => readonly string[];
 }
@@ -152,7 +152,7 @@
       for (let i = 0; i < count; i += 1) round();
     },
     sent: () => ({ crossDomain: inFlight.filter(isCrossDomain).length, all: inFlight.length }),
-    cut: (domain) => {
+    isolateDomain: (domain) => {
       isolatedDomain = domain;
     },
     logged: (core) => logs.get(core) ?? [],
