--- a/src/routing/attempts/arrival.ts
+++ b/src/routing/attempts/arrival.ts
@@ -186,7 +186,7 @@
   const decision = decideAdmission(
     {
       // The objective counts from the arrival.
-      firstEventMs: placement.reckonedMs + (facts.waitedMs ?? 0),
+      firstEventMs: placement.admissionMs + (facts.waitedMs ?? 0),
       unloadedMs: placement.unloadedMs,
       promptReadMs: placement.promptReadMs,
       objectiveMs: route.objectiveMs,
--- a/src/routing/placement/placement.ts
+++ b/src/routing/placement/placement.ts
@@ -63,7 +63,7 @@
    * Expected time that admission compares with the limit. It includes a surcharge for rereading a
    * shared part, which takes capacity from all requests.
    */
-  readonly reckonedMs: Millis;
+  readonly admissionMs: Millis;
   /** Prompt tokens that the upstream has to read for this request. */
   readonly uncachedTokens: number;
   /** Prompt tokens that it has to read for other requests first. */
@@ -194,7 +194,7 @@
     firstEventMs,
     unloadedMs,
     promptReadMs,
-    reckonedMs,
+    admissionMs: reckonedMs,
     uncachedTokens: uncached.total,
     tokensAhead: work.pendingTokens,
     running: work.running,
