--- a/src/routing/attempts/attempts.ts
+++ b/src/routing/attempts/attempts.ts
@@ -131,7 +131,7 @@
     ahead: Math.round(placement.tokensAhead),
     uncached: placement.uncachedTokens,
     running: placement.running,
-    sharedToRead: placement.readAgainTokens,
+    sharedToRead: placement.rereadTokens,
     part: facts.prefix.at(-2)?.id,
     home: placement.home,
   };
--- a/src/routing/placement/placement.ts
+++ b/src/routing/placement/placement.ts
@@ -74,7 +74,7 @@
    * Uncached tokens of shared parts that another upstream has cached, or that a home upstream
    * should read.
    */
-  readonly readAgainTokens: number;
+  readonly rereadTokens: number;
   /** Whether the upstream is a home of the request's shared part. */
   readonly home: HomeRank;
   /** Expected time plus penalties; the lowest score wins. */
@@ -198,7 +198,7 @@
     uncachedTokens: uncached.total,
     tokensAhead: work.pendingTokens,
     running: work.running,
-    readAgainTokens: uncached.reread,
+    rereadTokens: uncached.reread,
     home,
     score,
   };
