--- a/src/routing/attempts/arrival.ts
+++ b/src/routing/attempts/arrival.ts
@@ -174,7 +174,14 @@
   const share = recordDemand(ctx, request);
   const withinMs = placementLimit(route.objectiveMs, share);
   const spareReads = computeRereadFactor(share);
-  const placement = place(ctx, { facts, route, pool, excluded: [], withinMs, spareReads });
+  const placement = place(ctx, {
+    facts,
+    route,
+    pool,
+    excluded: [],
+    withinMs,
+    rereadFactor: spareReads,
+  });
   if (placement === undefined) {
     refuse(
       ctx,
--- a/src/routing/attempts/attempts.ts
+++ b/src/routing/attempts/attempts.ts
@@ -252,7 +252,7 @@
   const { facts, route, pool } = request;
   const excluded = [...request.tried, ...request.unreachable];
   const withinMs = route.objectiveMs;
-  return place(ctx, { facts, route, pool, excluded, withinMs, spareReads: 0 });
+  return place(ctx, { facts, route, pool, excluded, withinMs, rereadFactor: 0 });
 }
 
 /**
--- a/src/routing/placement/placement.ts
+++ b/src/routing/placement/placement.ts
@@ -89,7 +89,7 @@
   /** Maximum expected time to the first event with which the request would be admitted. */
   readonly withinMs: Millis;
   /** Surcharge for rereading a shared part, as a multiple of the time that the read takes. */
-  readonly spareReads: number;
+  readonly rereadFactor: number;
 }
 
 /** Returns the best upstream for a request, or `undefined` if none can take it. */
@@ -180,7 +180,7 @@
   const unloadedMs = base + promptReadMs;
   const firstEventMs = unloadedMs + wait + work.pendingTokens * perToken;
   const rereadMs = uncached.reread * perToken;
-  const reckonedMs = firstEventMs + rereadMs * request.spareReads;
+  const reckonedMs = firstEventMs + rereadMs * request.rereadFactor;
   const score =
     firstEventMs +
     rereadMs * REREAD_PENALTY_FACTOR +
