--- a/src/routing/attempts/attempts.ts
+++ b/src/routing/attempts/attempts.ts
@@ -9,7 +9,7 @@
 import { emit, logInfo, logWarning, type RoutingContext } from '../context.js';
 import type { RoutingEventCode } from '../eventTable.js';
 import { countInstances } from '../exchange/exchange.js';
-import { connectionLimit, notePrefix, place } from '../placement/placement.js';
+import { connectionLimit, recordPrefix, place } from '../placement/placement.js';
 import type { Placement } from '../placement/placement.js';
 import {
   createRetryBudget,
@@ -54,7 +54,7 @@
   const { facts, customer } = request;
   const { id } = placement.upstream.listed;
   const attempt = createAttempt(ctx, request, placement);
-  notePrefix(ctx, facts, placement.upstream);
+  recordPrefix(ctx, facts, placement.upstream);
   const isFirst = request.tried.length === 0 && request.unreachable.length === 0;
   if (isFirst && customer !== undefined) {
     noteAdmitted(ctx, customer, tokensOf(facts.promptTokens, facts.outputTokens));
--- a/src/routing/placement/placement.ts
+++ b/src/routing/placement/placement.ts
@@ -132,7 +132,7 @@
 /**
  * Records that an upstream reads the parts of a prompt, and announces it to the other instances.
  */
-export function notePrefix(ctx: RoutingContext, facts: RequestFacts, { hash }: Upstream): void {
+export function recordPrefix(ctx: RoutingContext, facts: RequestFacts, { hash }: Upstream): void {
   const last = facts.prefix.length - 1;
   facts.prefix.forEach(({ id }, i) => {
     // The last part is unique to the request or its session, which stays at one instance.
