--- a/src/routing/placement/prefixMemory.ts
+++ b/src/routing/placement/prefixMemory.ts
@@ -19,7 +19,7 @@
   readonly upstream: UpstreamHash;
 }
 
-export interface PrefixMemory {
+export interface PrefixCacheTable {
   /** Returns whether an upstream is expected to have a part in its cache. */
   readonly isCached: (part: PartHash, upstream: UpstreamHash, now: Millis) => boolean;
   /**
@@ -50,7 +50,7 @@
   announcedAt: Millis;
 }
 
-export function createPrefixMemory(): PrefixMemory {
+export function createPrefixMemory(): PrefixCacheTable {
   const parts = new Map<PartHash, Map<UpstreamHash, PartUse>>();
   let pending: PartRead[] = [];
   let previousBatch: readonly PartRead[] = [];
--- a/src/routing/state.ts
+++ b/src/routing/state.ts
@@ -4,7 +4,7 @@
 import type { Millis } from '../core/clock.js';
 import { createRandom, type Random } from '../core/random.js';
 import type { InstanceIdentity } from '../core/types.js';
-import { createPrefixMemory, type PrefixMemory } from './placement/prefixMemory.js';
+import { createPrefixMemory, type PrefixCacheTable } from './placement/prefixMemory.js';
 import { createRequestsState, type RequestsState } from './attempts/attemptsState.js';
 import { createExchangeState, type ExchangeState } from './exchange/exchangeState.js';
 import { createFreshnessState, type FreshnessState } from './freshness/freshnessState.js';
@@ -31,7 +31,7 @@
   readonly exchange: ExchangeState;
   readonly requests: RequestsState;
   readonly shares: SharesState;
-  readonly prefixes: PrefixMemory;
+  readonly prefixes: PrefixCacheTable;
   readonly retries: Map<PoolId, RetryBudget>;
   readonly suspects: SuspectsState;
   readonly load: OwnLoad;
