--- a/src/routing/placement/prefixMemory.ts
+++ b/src/routing/placement/prefixMemory.ts
@@ -50,7 +50,7 @@
   announcedAt: Millis;
 }
 
-export function createPrefixMemory(): PrefixCacheTable {
+export function createPrefixCacheTable(): PrefixCacheTable {
   const parts = new Map<PartHash, Map<UpstreamHash, PartUse>>();
   let pending: PartRead[] = [];
   let previousBatch: readonly PartRead[] = [];
--- a/src/routing/state.ts
+++ b/src/routing/state.ts
@@ -4,7 +4,7 @@
 import type { Millis } from '../core/clock.js';
 import { createRandom, type Random } from '../core/random.js';
 import type { InstanceIdentity } from '../core/types.js';
-import { createPrefixMemory, type PrefixCacheTable } from './placement/prefixMemory.js';
+import { createPrefixCacheTable, type PrefixCacheTable } from './placement/prefixMemory.js';
 import { createRequestsState, type RequestsState } from './attempts/attemptsState.js';
 import { createExchangeState, type ExchangeState } from './exchange/exchangeState.js';
 import { createFreshnessState, type FreshnessState } from './freshness/freshnessState.js';
@@ -58,7 +58,7 @@
     exchange: createExchangeState(),
     requests: createRequestsState(),
     shares: createSharesState(),
-    prefixes: createPrefixMemory(),
+    prefixes: createPrefixCacheTable(),
     retries: new Map(),
     suspects: createSuspectsState(),
     load: createOwnLoad(),
