--- a/src/routing/attempts/arrival.ts
+++ b/src/routing/attempts/arrival.ts
@@ -21,7 +21,7 @@
 import { place, poolWait, type Placement } from '../placement/placement.js';
 import { pickPool } from '../routes/routeTable.js';
 import { noteKindAdmitted, noteKindAsked, waitFactor } from '../shares/kindBalance.js';
-import { noteAsked, standingOf, tokensOf, type Standing } from '../shares/tokenShares.js';
+import { noteAsked, standingOf, requestCost, type Standing } from '../shares/tokenShares.js';
 import { isBlocked } from '../suspects/suspects.js';
 import type {
   CustomerName,
@@ -220,7 +220,7 @@
 /** Adds a request to its customer's demand. Returns the customer's rates and its fair share. */
 function recordDemand(ctx: RoutingContext, request: OpenRequest): Standing | undefined {
   const { facts, customer } = request;
-  const tokens = tokensOf(facts.promptTokens, facts.outputTokens);
+  const tokens = requestCost(facts.promptTokens, facts.outputTokens);
   if (customer === undefined || tokens === 0) return undefined;
   // Computed before this request is counted, since none of its tokens have been admitted yet.
   const { idleness } = poolWait(ctx, request.pool);
--- a/src/routing/shares/tokenShares.ts
+++ b/src/routing/shares/tokenShares.ts
@@ -31,7 +31,7 @@
 const NEGLIGIBLE_RATE = 1;
 
 /** Returns the cost of a request in tokens. */
-export function tokensOf(promptTokens: number, outputTokens: number): number {
+export function requestCost(promptTokens: number, outputTokens: number): number {
   return promptTokens + OUTPUT_TOKEN_COST * outputTokens;
 }
 
