--- a/src/routing/attempts/arrival.ts
+++ b/src/routing/attempts/arrival.ts
@@ -21,7 +21,12 @@
 import { place, poolWait, type Placement } from '../placement/placement.js';
 import { pickPool } from '../routes/routeTable.js';
 import { noteKindAdmitted, noteKindAsked, waitFactor } from '../shares/kindBalance.js';
-import { noteAsked, standingOf, requestCost, type Standing } from '../shares/tokenShares.js';
+import {
+  recordTokenDemand,
+  standingOf,
+  requestCost,
+  type Standing,
+} from '../shares/tokenShares.js';
 import { isBlocked } from '../suspects/suspects.js';
 import type {
   CustomerName,
@@ -225,7 +230,7 @@
   // Computed before this request is counted, since none of its tokens have been admitted yet.
   const { idleness } = poolWait(ctx, request.pool);
   const share = standingOf(ctx, customer, idleness());
-  noteAsked(ctx, customer, tokens);
+  recordTokenDemand(ctx, customer, tokens);
   return share;
 }
 
--- a/src/routing/shares/tokenShares.ts
+++ b/src/routing/shares/tokenShares.ts
@@ -35,7 +35,11 @@
   return promptTokens + OUTPUT_TOKEN_COST * outputTokens;
 }
 
-export function noteAsked(ctx: RoutingContext, customer: CustomerName, tokens: number): void {
+export function recordTokenDemand(
+  ctx: RoutingContext,
+  customer: CustomerName,
+  tokens: number,
+): void {
   const rates = decayedRates(ctx, customer);
   rates.asked += (tokens * MS_PER_SECOND) / RATE_TIME_CONSTANT_MS;
 }
