--- a/src/routing/attempts/attempts.ts
+++ b/src/routing/attempts/attempts.ts
@@ -16,7 +16,7 @@
   type RetryBudget,
   type RetryBudgetOptions,
 } from '../retries/retryBudget.js';
-import { noteAdmitted, requestCost } from '../shares/tokenShares.js';
+import { recordAdmitted, requestCost } from '../shares/tokenShares.js';
 import type {
   AttemptOutcome,
   AttemptPlan,
@@ -57,7 +57,7 @@
   recordPrefix(ctx, facts, placement.upstream);
   const isFirst = request.tried.length === 0 && request.unreachable.length === 0;
   if (isFirst && customer !== undefined) {
-    noteAdmitted(ctx, customer, requestCost(facts.promptTokens, facts.outputTokens));
+    recordAdmitted(ctx, customer, requestCost(facts.promptTokens, facts.outputTokens));
   }
   request.tried.push(id);
   emit(ctx, { kind: 'send', plan: createAttemptPlan(ctx, request, attempt, placement) });
--- a/src/routing/shares/tokenShares.ts
+++ b/src/routing/shares/tokenShares.ts
@@ -44,7 +44,7 @@
   rates.asked += (tokens * MS_PER_SECOND) / RATE_TIME_CONSTANT_MS;
 }
 
-export function noteAdmitted(ctx: RoutingContext, customer: CustomerName, tokens: number): void {
+export function recordAdmitted(ctx: RoutingContext, customer: CustomerName, tokens: number): void {
   const rates = decayedRates(ctx, customer);
   rates.admitted += (tokens * MS_PER_SECOND) / RATE_TIME_CONSTANT_MS;
 }
