--- a/src/routing/attempts/arrival.ts
+++ b/src/routing/attempts/arrival.ts
@@ -23,7 +23,7 @@
 import { noteKindAdmitted, noteKindAsked, waitFactor } from '../shares/kindBalance.js';
 import {
   recordTokenDemand,
-  standingOf,
+  computeShare,
   requestCost,
   type CustomerShare,
 } from '../shares/tokenShares.js';
@@ -229,7 +229,7 @@
   if (customer === undefined || tokens === 0) return undefined;
   // Computed before this request is counted, since none of its tokens have been admitted yet.
   const { idleness } = poolWait(ctx, request.pool);
-  const share = standingOf(ctx, customer, idleness());
+  const share = computeShare(ctx, customer, idleness());
   recordTokenDemand(ctx, customer, tokens);
   return share;
 }
--- a/src/routing/shares/tokenShares.ts
+++ b/src/routing/shares/tokenShares.ts
@@ -69,7 +69,7 @@
 }
 
 /** Sums the rates of all instances and computes a customer's share. */
-export function standingOf(
+export function computeShare(
   ctx: RoutingContext,
   customer: CustomerName,
   idleness: number,
