--- a/src/routing/attempts/arrival.ts
+++ b/src/routing/attempts/arrival.ts
@@ -20,7 +20,7 @@
 } from '../freshness/freshness.js';
 import { place, poolWait, type Placement } from '../placement/placement.js';
 import { pickPool } from '../routes/routeTable.js';
-import { noteKindAdmitted, noteKindAsked, waitFactor } from '../shares/kindBalance.js';
+import { noteKindAdmitted, recordRouteRequest, waitFactor } from '../shares/kindBalance.js';
 import {
   recordTokenDemand,
   computeShare,
@@ -210,7 +210,7 @@
     },
     ctx.state.random,
   );
-  noteKindAsked(ctx, pool, route);
+  recordRouteRequest(ctx, pool, route);
   if (decision.kind === 'admit') {
     noteKindAdmitted(ctx, pool, route);
     ctx.state.requests.open.set(facts.request, request);
--- a/src/routing/shares/kindBalance.ts
+++ b/src/routing/shares/kindBalance.ts
@@ -21,7 +21,7 @@
 const MIN_REQUESTS = 5;
 
 /** Counts an arriving request. */
-export function noteKindAsked(ctx: RoutingContext, pool: PoolId, route: Route): void {
+export function recordRouteRequest(ctx: RoutingContext, pool: PoolId, route: Route): void {
   decayedCounts(ctx, pool, route).forEach((counts) => {
     counts.asked += 1;
   });
