--- a/src/routing/attempts/arrival.ts
+++ b/src/routing/attempts/arrival.ts
@@ -20,7 +20,7 @@
 } from '../freshness/freshness.js';
 import { place, poolWait, type Placement } from '../placement/placement.js';
 import { pickPool } from '../routes/routeTable.js';
-import { noteKindAdmitted, recordRouteRequest, waitFactor } from '../shares/kindBalance.js';
+import { recordRouteAdmission, recordRouteRequest, waitFactor } from '../shares/kindBalance.js';
 import {
   recordTokenDemand,
   computeShare,
@@ -212,7 +212,7 @@
   );
   recordRouteRequest(ctx, pool, route);
   if (decision.kind === 'admit') {
-    noteKindAdmitted(ctx, pool, route);
+    recordRouteAdmission(ctx, pool, route);
     ctx.state.requests.open.set(facts.request, request);
     sendToUpstream(ctx, request, placement);
     return;
--- a/src/routing/shares/kindBalance.ts
+++ b/src/routing/shares/kindBalance.ts
@@ -28,7 +28,7 @@
 }
 
 /** Counts an admitted request. */
-export function noteKindAdmitted(ctx: RoutingContext, pool: PoolId, route: Route): void {
+export function recordRouteAdmission(ctx: RoutingContext, pool: PoolId, route: Route): void {
   decayedCounts(ctx, pool, route).forEach((counts) => {
     counts.admitted += 1;
   });
