--- a/src/routing/exchange/exchange.ts
+++ b/src/routing/exchange/exchange.ts
@@ -120,7 +120,7 @@
   return Math.max(usualMs, Math.min(usualMs * controlIntervalFactor(ctx), MAX_BUSY_INTERVAL_MS));
 }
 
-export function onNews(
+export function onRoutingMessage(
   ctx: RoutingContext,
   from: string,
   incarnation: number,
--- a/src/routing/routing.ts
+++ b/src/routing/routing.ts
@@ -22,7 +22,7 @@
   onAnnounceTimer,
   onExchangeTimer,
   onInstancesPolled,
-  onNews,
+  onRoutingMessage,
   startExchange,
   startInstancePoll,
 } from './exchange/exchange.js';
@@ -122,7 +122,7 @@
       onAttemptEnded(ctx, event.attempt, event.outcome);
       return;
     case 'peerMessage':
-      onNews(ctx, event.from, event.incarnation, event.news);
+      onRoutingMessage(ctx, event.from, event.incarnation, event.news);
       return;
     case 'probed':
       onProbed(ctx, event);
