--- a/src/routing/exchange/confirmations.ts
+++ b/src/routing/exchange/confirmations.ts
@@ -64,7 +64,7 @@
 }
 
 /** Clears the send times after a clock gap, which makes their ages unreliable. */
-export function forgetSentTimes(ctx: RoutingContext): void {
+export function clearSendTimes(ctx: RoutingContext): void {
   ctx.state.exchange.sendTimes.clear();
 }
 
--- a/src/routing/routing.ts
+++ b/src/routing/routing.ts
@@ -16,7 +16,7 @@
 import { onHealthTimer } from './attempts/watch.js';
 import type { RoutingContext } from './context.js';
 import { onPlannedStop, onStopTimer, updateReadiness } from './drain/stop.js';
-import { forgetSentTimes } from './exchange/confirmations.js';
+import { clearSendTimes } from './exchange/confirmations.js';
 import {
   onAnnounced,
   onAnnounceTimer,
@@ -91,7 +91,7 @@
       reduceTimer(ctx, event.timer);
       return;
     case 'clockGap':
-      forgetSentTimes(ctx);
+      clearSendTimes(ctx);
       onClockGap(ctx, event.gapMs, event.clock);
       return;
     case 'configurationPolled':
