--- a/src/routing/attempts/watch.ts
+++ b/src/routing/attempts/watch.ts
@@ -9,7 +9,7 @@
 import { updateFreshness } from '../freshness/freshness.js';
 import { expireCrashes } from '../suspects/suspects.js';
 import { longestSilence, noteLost, probeLost } from '../upstreams/health.js';
-import { dropMissing } from '../upstreams/list.js';
+import { removeMissing } from '../upstreams/list.js';
 import type { Upstream } from '../upstreams/upstreamsState.js';
 import { cancelAttempt, failRequest, canRetryElsewhere, isRepeatable } from './attempts.js';
 import type { Attempt, OpenRequest } from './attemptsState.js';
@@ -23,7 +23,7 @@
 
 export function onHealthTimer(ctx: RoutingContext): void {
   updateFreshness(ctx);
-  dropMissing(ctx);
+  removeMissing(ctx);
   expireCrashes(ctx);
   detectSilentUpstreams(ctx, takeTimerDelay(ctx));
   [...ctx.state.requests.open.values()].forEach((request) => checkOpenRequest(ctx, request));
--- a/src/routing/upstreams/list.ts
+++ b/src/routing/upstreams/list.ts
@@ -39,7 +39,7 @@
   applyChanges(ctx, changes, event.isWhole);
   upstreams.isKnown = true;
   upstreams.readAt = event.askedAt;
-  dropMissing(ctx);
+  removeMissing(ctx);
   const intervalMs = Math.max(settings.upstreamPollMs, settings.drainMs * POLL_INTERVAL_FRACTION);
   setTimer(ctx, 'upstreamPoll', intervalMs);
 }
@@ -55,7 +55,7 @@
 }
 
 /** Removes upstreams that were not listed again in time after a platform outage. */
-export function dropMissing(ctx: RoutingContext): void {
+export function removeMissing(ctx: RoutingContext): void {
   const { upstreams, settings } = ctx.state;
   if (upstreams.failures > 0) return;
   const since = upstreams.platformRecoveredAt ?? -Infinity;
