--- a/src/routing/attempts/accounting.ts
+++ b/src/routing/attempts/accounting.ts
@@ -4,7 +4,7 @@
 import { poolSpeed } from '../placement/placement.js';
 import type { AttemptOutcome } from '../types.js';
 import { noteCut } from '../upstreams/crashes.js';
-import { noteFailedConnect, noteHeard, noteLost, noteResult } from '../upstreams/health.js';
+import { noteFailedConnect, markReachable, noteLost, noteResult } from '../upstreams/health.js';
 import type { Upstream } from '../upstreams/upstreamsState.js';
 import type { Attempt, OpenRequest } from './attemptsState.js';
 import { MISDIRECTED_STATUS } from './statuses.js';
@@ -60,7 +60,7 @@
 ): void {
   switch (outcome.kind) {
     case 'complete':
-      noteHeard(ctx, upstream);
+      markReachable(ctx, upstream);
       noteResult(ctx, upstream, false);
       poolSpeed(ctx, upstream.listed.pool).observeHold(ctx.now - attempt.startedAt);
       return;
--- a/src/routing/attempts/attempts.ts
+++ b/src/routing/attempts/attempts.ts
@@ -25,7 +25,7 @@
   PoolId,
   RoutingEvent,
 } from '../types.js';
-import { noteHeard } from '../upstreams/health.js';
+import { markReachable } from '../upstreams/health.js';
 import { recordFirstPart, recordOutcome, releaseAttempt, findUpstream } from './accounting.js';
 import type { Attempt, OpenRequest } from './attemptsState.js';
 import { FIRST_ERROR_STATUS, NOT_RUN_STATUSES } from './statuses.js';
@@ -149,7 +149,7 @@
   const attempt = ctx.state.requests.attempts.get(event.attempt);
   if (attempt === undefined) return;
   const upstream = findUpstream(ctx, attempt);
-  if (upstream !== undefined) noteHeard(ctx, upstream);
+  if (upstream !== undefined) markReachable(ctx, upstream);
   const request = ctx.state.requests.open.get(attempt.request);
   // The host holds back error responses until the core decides whether to forward them.
   if (request === undefined) return;
@@ -162,7 +162,7 @@
   if (attempt === undefined) return;
   attempt.lastPartAt = ctx.now;
   const upstream = findUpstream(ctx, attempt);
-  if (upstream !== undefined) noteHeard(ctx, upstream);
+  if (upstream !== undefined) markReachable(ctx, upstream);
   if (attempt.firstPartAt === undefined) recordFirstPart(ctx, attempt, upstream);
 }
 
--- a/src/routing/routing.ts
+++ b/src/routing/routing.ts
@@ -43,7 +43,7 @@
   RoutingTimer,
 } from './types.js';
 import { confirmCrash } from './upstreams/crashes.js';
-import { noteHeard, noteLost } from './upstreams/health.js';
+import { markReachable, noteLost } from './upstreams/health.js';
 import { onUpstreamsPolled, startUpstreamPoll } from './upstreams/list.js';
 
 export interface RoutingOptions {
@@ -176,7 +176,7 @@
   const upstream = ctx.state.upstreams.byId.get(event.upstream);
   if (upstream?.listed.startedAt !== event.bornAt) return;
   if (event.isAlive) {
-    noteHeard(ctx, upstream);
+    markReachable(ctx, upstream);
     return;
   }
   noteLost(ctx, upstream, 'probe failed');
--- a/src/routing/upstreams/health.ts
+++ b/src/routing/upstreams/health.ts
@@ -21,7 +21,7 @@
 /** Consecutive failed connections after which an upstream counts as lost. */
 const MAX_FAILED_CONNECTS = 2;
 
-export function noteHeard(ctx: RoutingContext, upstream: Upstream): void {
+export function markReachable(ctx: RoutingContext, upstream: Upstream): void {
   upstream.lastHeardAt = ctx.now;
   upstream.failedConnects = 0;
   if (upstream.reachability.kind === 'reachable') return;
