--- a/src/routing/attempts/accounting.ts
+++ b/src/routing/attempts/accounting.ts
@@ -4,7 +4,7 @@
 import { poolSpeed } from '../placement/placement.js';
 import type { AttemptOutcome } from '../types.js';
 import { noteCut } from '../upstreams/crashes.js';
-import { noteFailedConnect, markReachable, noteLost, noteResult } from '../upstreams/health.js';
+import { noteFailedConnect, markReachable, markLost, noteResult } from '../upstreams/health.js';
 import type { Upstream } from '../upstreams/upstreamsState.js';
 import type { Attempt, OpenRequest } from './attemptsState.js';
 import { MISDIRECTED_STATUS } from './statuses.js';
@@ -69,7 +69,7 @@
       return;
     case 'declined':
       // The address has been reassigned to another upstream.
-      if (outcome.status === MISDIRECTED_STATUS) noteLost(ctx, upstream, 'address reused');
+      if (outcome.status === MISDIRECTED_STATUS) markLost(ctx, upstream, 'address reused');
       noteResult(ctx, upstream, true);
       return;
     case 'cut':
--- a/src/routing/routing.ts
+++ b/src/routing/routing.ts
@@ -43,7 +43,7 @@
   RoutingTimer,
 } from './types.js';
 import { confirmCrash } from './upstreams/crashes.js';
-import { markReachable, noteLost } from './upstreams/health.js';
+import { markReachable, markLost } from './upstreams/health.js';
 import { onUpstreamsPolled, startUpstreamPoll } from './upstreams/list.js';
 
 export interface RoutingOptions {
@@ -179,6 +179,6 @@
     markReachable(ctx, upstream);
     return;
   }
-  noteLost(ctx, upstream, 'probe failed');
+  markLost(ctx, upstream, 'probe failed');
   confirmCrash(ctx, upstream);
 }
--- a/src/routing/upstreams/health.ts
+++ b/src/routing/upstreams/health.ts
@@ -30,7 +30,7 @@
   logInfo(ctx, 'upstreamRegained', { upstream: upstream.listed.id, lostForMs: ctx.now - since });
 }
 
-export function noteLost(ctx: RoutingContext, upstream: Upstream, reason: string): void {
+export function markLost(ctx: RoutingContext, upstream: Upstream, reason: string): void {
   if (upstream.reachability.kind === 'lost') return;
   upstream.reachability = { kind: 'lost', since: ctx.now, nextProbeAt: ctx.now };
   const { id } = upstream.listed;
@@ -46,7 +46,7 @@
 /** Counts a failed attempt to open a connection. */
 export function noteFailedConnect(ctx: RoutingContext, upstream: Upstream, reason: string): void {
   upstream.failedConnects += 1;
-  if (upstream.failedConnects >= MAX_FAILED_CONNECTS) noteLost(ctx, upstream, reason);
+  if (upstream.failedConnects >= MAX_FAILED_CONNECTS) markLost(ctx, upstream, reason);
 }
 
 /** Updates the failure rate of an upstream with the result of a request. */
