--- a/src/routing/attempts/accounting.ts
+++ b/src/routing/attempts/accounting.ts
@@ -4,7 +4,7 @@
 import { poolSpeed } from '../placement/placement.js';
 import type { AttemptOutcome } from '../types.js';
 import { noteCut } from '../upstreams/crashes.js';
-import { noteFailedConnect, markReachable, markLost, noteResult } from '../upstreams/health.js';
+import { recordFailedConnect, markReachable, markLost, noteResult } from '../upstreams/health.js';
 import type { Upstream } from '../upstreams/upstreamsState.js';
 import type { Attempt, OpenRequest } from './attemptsState.js';
 import { MISDIRECTED_STATUS } from './statuses.js';
@@ -65,7 +65,7 @@
       poolSpeed(ctx, upstream.listed.pool).observeHold(ctx.now - attempt.startedAt);
       return;
     case 'notSent':
-      noteFailedConnect(ctx, upstream, outcome.reason);
+      recordFailedConnect(ctx, upstream, outcome.reason);
       return;
     case 'declined':
       // The address has been reassigned to another upstream.
--- a/src/routing/upstreams/health.ts
+++ b/src/routing/upstreams/health.ts
@@ -44,7 +44,7 @@
 }
 
 /** Counts a failed attempt to open a connection. */
-export function noteFailedConnect(ctx: RoutingContext, upstream: Upstream, reason: string): void {
+export function recordFailedConnect(ctx: RoutingContext, upstream: Upstream, reason: string): void {
   upstream.failedConnects += 1;
   if (upstream.failedConnects >= MAX_FAILED_CONNECTS) markLost(ctx, upstream, reason);
 }
