--- a/src/routing/attempts/accounting.ts
+++ b/src/routing/attempts/accounting.ts
@@ -4,7 +4,7 @@
 import { poolSpeed } from '../placement/placement.js';
 import type { AttemptOutcome } from '../types.js';
 import { noteCut } from '../upstreams/crashes.js';
-import { recordFailedConnect, markReachable, markLost, noteResult } from '../upstreams/health.js';
+import { recordFailedConnect, markReachable, markLost, recordResult } from '../upstreams/health.js';
 import type { Upstream } from '../upstreams/upstreamsState.js';
 import type { Attempt, OpenRequest } from './attemptsState.js';
 import { MISDIRECTED_STATUS } from './statuses.js';
@@ -61,7 +61,7 @@
   switch (outcome.kind) {
     case 'complete':
       markReachable(ctx, upstream);
-      noteResult(ctx, upstream, false);
+      recordResult(ctx, upstream, false);
       poolSpeed(ctx, upstream.listed.pool).observeHold(ctx.now - attempt.startedAt);
       return;
     case 'notSent':
@@ -70,15 +70,15 @@
     case 'declined':
       // The address has been reassigned to another upstream.
       if (outcome.status === MISDIRECTED_STATUS) markLost(ctx, upstream, 'address reused');
-      noteResult(ctx, upstream, true);
+      recordResult(ctx, upstream, true);
       return;
     case 'cut':
-      noteResult(ctx, upstream, true);
+      recordResult(ctx, upstream, true);
       if (request !== undefined) noteCut(ctx, upstream, request.facts.fingerprint);
       return;
     case 'failed':
     case 'foreign':
-      noteResult(ctx, upstream, true);
+      recordResult(ctx, upstream, true);
       return;
     case 'rejected':
     case 'cancelled':
--- a/src/routing/upstreams/health.ts
+++ b/src/routing/upstreams/health.ts
@@ -50,7 +50,7 @@
 }
 
 /** Updates the failure rate of an upstream with the result of a request. */
-export function noteResult(ctx: RoutingContext, upstream: Upstream, isFailure: boolean): void {
+export function recordResult(ctx: RoutingContext, upstream: Upstream, isFailure: boolean): void {
   const before = upstream.failureRate;
   upstream.failureRate += FAILURE_RATE_SMOOTHING * ((isFailure ? 1 : 0) - before);
   const hasCrossedThreshold =
