--- a/src/routing/attempts/watch.ts
+++ b/src/routing/attempts/watch.ts
@@ -8,7 +8,7 @@
 import { emit, setTimer } from '../context.js';
 import { updateFreshness } from '../freshness/freshness.js';
 import { expireCrashes } from '../suspects/suspects.js';
-import { longestSilence, markLost, probeLost } from '../upstreams/health.js';
+import { silenceTimeout, markLost, probeLost } from '../upstreams/health.js';
 import { removeMissing } from '../upstreams/list.js';
 import type { Upstream } from '../upstreams/upstreamsState.js';
 import { cancelAttempt, failRequest, canRetryElsewhere, isRepeatable } from './attempts.js';
@@ -93,7 +93,7 @@
   });
   waitingByUpstream.forEach(({ since, objectiveMs }, upstream) => {
     const silentForMs = ctx.now - delayMs - Math.max(since, upstream.lastHeardAt);
-    if (silentForMs > longestSilence(upstream, objectiveMs)) markLost(ctx, upstream, 'silent');
+    if (silentForMs > silenceTimeout(upstream, objectiveMs)) markLost(ctx, upstream, 'silent');
   });
 }
 
--- a/src/routing/upstreams/health.ts
+++ b/src/routing/upstreams/health.ts
@@ -75,7 +75,7 @@
 }
 
 /** Returns how long an upstream with open work may be silent before it counts as lost. */
-export function longestSilence(upstream: Upstream, objectiveMs: Millis): Millis {
+export function silenceTimeout(upstream: Upstream, objectiveMs: Millis): Millis {
   const usual = upstream.speed.baseMs() ?? objectiveMs;
   return Math.max(MIN_SILENCE_TIMEOUT_MS, objectiveMs, SILENCE_TIMEOUT_FACTOR * usual);
 }
