Rename probeLost to probeLostUpstreams

probeLost of src/routing/upstreams/health.ts is probeLostUpstreams now. Several folders share the name, so it has a commit of its own: 3 places in 2 files, by the language service of the compiler, then the formatter.

--- a/src/routing/attempts/watch.ts
+++ b/src/routing/attempts/watch.ts
@@ -8,7 +8,7 @@
 import { emit, setTimer } from '../context.js';
 import { updateFreshness } from '../freshness/freshness.js';
 import { expireCrashes } from '../suspects/suspects.js';
-import { silenceTimeout, markLost, probeLost } from '../upstreams/health.js';
+import { silenceTimeout, markLost, probeLostUpstreams } from '../upstreams/health.js';
 import { removeMissing } from '../upstreams/list.js';
 import type { Upstream } from '../upstreams/upstreamsState.js';
 import { cancelAttempt, failRequest, canRetryElsewhere, isRepeatable } from './attempts.js';
@@ -27,7 +27,7 @@
   expireCrashes(ctx);
   detectSilentUpstreams(ctx, takeTimerDelay(ctx));
   [...ctx.state.requests.open.values()].forEach((request) => checkOpenRequest(ctx, request));
-  probeLost(ctx);
+  probeLostUpstreams(ctx);
   setTimer(ctx, 'health', HEALTH_CHECK_INTERVAL_MS);
 }
 
--- a/src/routing/upstreams/health.ts
+++ b/src/routing/upstreams/health.ts
@@ -81,7 +81,7 @@
 }
 
 /** Probes the lost upstreams whose next probe is due. */
-export function probeLost(ctx: RoutingContext): void {
+export function probeLostUpstreams(ctx: RoutingContext): void {
   ctx.state.upstreams.byId.forEach((upstream) => {
     const { reachability, listed } = upstream;
     if (reachability.kind !== 'lost' || ctx.now < reachability.nextProbeAt) return;
