--- a/src/routing/attempts/accounting.ts
+++ b/src/routing/attempts/accounting.ts
@@ -3,7 +3,7 @@
 import { emit, type RoutingContext } from '../context.js';
 import { poolSpeed } from '../placement/placement.js';
 import type { AttemptOutcome } from '../types.js';
-import { noteCut } from '../upstreams/crashes.js';
+import { recordInterruptedRequest } from '../upstreams/crashes.js';
 import { recordFailedConnect, markReachable, markLost, recordResult } from '../upstreams/health.js';
 import type { Upstream } from '../upstreams/upstreamsState.js';
 import type { Attempt, OpenRequest } from './attemptsState.js';
@@ -74,7 +74,7 @@
       return;
     case 'cut':
       recordResult(ctx, upstream, true);
-      if (request !== undefined) noteCut(ctx, upstream, request.facts.fingerprint);
+      if (request !== undefined) recordInterruptedRequest(ctx, upstream, request.facts.fingerprint);
       return;
     case 'failed':
     case 'foreign':
--- a/src/routing/upstreams/crashes.ts
+++ b/src/routing/upstreams/crashes.ts
@@ -17,7 +17,11 @@
 const MIN_PROBE_INTERVAL_MS: Millis = 250;
 
 /** Records a request that was interrupted at an upstream, and probes the upstream. */
-export function noteCut(ctx: RoutingContext, upstream: Upstream, fingerprint: number): void {
+export function recordInterruptedRequest(
+  ctx: RoutingContext,
+  upstream: Upstream,
+  fingerprint: number,
+): void {
   upstream.interruptedRequests = upstream.interruptedRequests.filter(
     ({ at }) => ctx.now - at < CRASH_WINDOW_MS,
   );
