--- a/src/routing/attempts/arrival.ts
+++ b/src/routing/attempts/arrival.ts
@@ -14,7 +14,7 @@
 import type { RoutingEventCode } from '../eventTable.js';
 import {
   confirmationAge,
-  confirmationBound,
+  maxConfirmationAge,
   isConfirmed,
   staleRetryAfter,
 } from '../freshness/freshness.js';
@@ -134,7 +134,7 @@
     retryAfterMs: staleRetryAfter(ctx.state),
     fields: {
       confirmationAgeMs: confirmationAge(ctx),
-      boundMs: confirmationBound(ctx),
+      boundMs: maxConfirmationAge(ctx),
       failures: ctx.state.freshness.failures,
     },
   };
--- a/src/routing/freshness/freshness.ts
+++ b/src/routing/freshness/freshness.ts
@@ -102,7 +102,7 @@
   const { failures, peerConfirmedAt } = ctx.state.freshness;
   if (failures > 0 || hasLowestId(ctx) || ctx.now - peerConfirmedAt > PEER_SILENCE_TIMEOUT_MS)
     return false;
-  const bound = Math.min(ctx.state.settings.applyMs, confirmationBound(ctx));
+  const bound = Math.min(ctx.state.settings.applyMs, maxConfirmationAge(ctx));
   return (confirmationAge(ctx) ?? Infinity) < bound * MAX_PEER_AGE_FRACTION;
 }
 
@@ -132,14 +132,14 @@
 }
 
 /** Returns the age of the confirmation at which keyed requests are no longer served. */
-export function confirmationBound(ctx: RoutingContext): Millis {
+export function maxConfirmationAge(ctx: RoutingContext): Millis {
   return ctx.state.settings.revokeMs - REVOCATION_MARGIN_MS;
 }
 
 /** Returns whether keyed requests may be served now. */
 export function isConfirmed(ctx: RoutingContext): boolean {
   const age = confirmationAge(ctx);
-  return age !== undefined && age < confirmationBound(ctx);
+  return age !== undefined && age < maxConfirmationAge(ctx);
 }
 
 /** Updates whether the configuration is fresh and logs a change. */
@@ -151,7 +151,7 @@
   const fields = {
     version: freshness.configuration?.version,
     ageMs: confirmationAge(ctx),
-    boundMs: confirmationBound(ctx),
+    boundMs: maxConfirmationAge(ctx),
     failures: freshness.failures,
   };
   if (isFresh) logInfo(ctx, 'configurationFresh', fields);
