--- a/src/routing/load/ownLoad.ts
+++ b/src/routing/load/ownLoad.ts
@@ -21,7 +21,7 @@
   readonly counts: Readonly<Record<string, number>>;
 }
 
-export interface OwnLoad {
+export interface InstanceLoad {
   utilization: number;
   lagMs: Millis;
   /** Whether new callers should be directed to another instance. */
@@ -40,7 +40,7 @@
  */
 const RELIEVED_UTILIZATION = 0.7;
 
-export function createOwnLoad(): OwnLoad {
+export function createOwnLoad(): InstanceLoad {
   return { utilization: 0, lagMs: 0, isSaturated: false };
 }
 
--- a/src/routing/state.ts
+++ b/src/routing/state.ts
@@ -8,7 +8,7 @@
 import { createRequestsState, type RequestsState } from './attempts/attemptsState.js';
 import { createExchangeState, type ExchangeState } from './exchange/exchangeState.js';
 import { createFreshnessState, type FreshnessState } from './freshness/freshnessState.js';
-import { createOwnLoad, type OwnLoad } from './load/ownLoad.js';
+import { createOwnLoad, type InstanceLoad } from './load/ownLoad.js';
 import type { RetryBudget } from './retries/retryBudget.js';
 import type { RoutingSettings } from './settings.js';
 import { createSharesState, type SharesState } from './shares/sharesState.js';
@@ -34,7 +34,7 @@
   readonly prefixes: PrefixCacheTable;
   readonly retries: Map<PoolId, RetryBudget>;
   readonly suspects: SuspectsState;
-  readonly load: OwnLoad;
+  readonly load: InstanceLoad;
 }
 
 export interface RoutingStateOptions {
