--- a/src/routing/load/ownLoad.ts
+++ b/src/routing/load/ownLoad.ts
@@ -40,7 +40,7 @@
  */
 const RELIEVED_UTILIZATION = 0.7;
 
-export function createOwnLoad(): InstanceLoad {
+export function createInstanceLoad(): InstanceLoad {
   return { utilization: 0, lagMs: 0, isSaturated: false };
 }
 
--- a/src/routing/state.ts
+++ b/src/routing/state.ts
@@ -8,7 +8,7 @@
 import { createRequestsState, type RequestsState } from './attempts/attemptsState.js';
 import { createExchangeState, type ExchangeState } from './exchange/exchangeState.js';
 import { createFreshnessState, type FreshnessState } from './freshness/freshnessState.js';
-import { createOwnLoad, type InstanceLoad } from './load/ownLoad.js';
+import { createInstanceLoad, type InstanceLoad } from './load/ownLoad.js';
 import type { RetryBudget } from './retries/retryBudget.js';
 import type { RoutingSettings } from './settings.js';
 import { createSharesState, type SharesState } from './shares/sharesState.js';
@@ -61,6 +61,6 @@
     prefixes: createPrefixCacheTable(),
     retries: new Map(),
     suspects: createSuspectsState(),
-    load: createOwnLoad(),
+    load: createInstanceLoad(),
   };
 }
