--- a/src/routing/exchange/exchange.ts
+++ b/src/routing/exchange/exchange.ts
@@ -136,8 +136,8 @@
     onDomainSummary(ctx, peer, message);
     return;
   }
-  if (!peer.isHeard) logInfo(ctx, 'peerFound', { peer: from, address: peer.address });
-  peer.isHeard = true;
+  if (!peer.isAlive) logInfo(ctx, 'peerFound', { peer: from, address: peer.address });
+  peer.isAlive = true;
   peer.news = message.isLeaving ? undefined : decodeSummary(message);
   message.suspects.forEach((fingerprint, i) => {
     recordReportedCrashes(ctx, from, fingerprint, message.crashes[i] ?? 0);
@@ -272,7 +272,7 @@
     region,
     news: undefined,
     lastHeardAt: ctx.now,
-    isHeard: false,
+    isAlive: false,
     lastRelayedAt: undefined,
     sequence: -1,
   });
@@ -282,8 +282,8 @@
   // Most instances of other domains send nothing to this one if relays are used.
   if (usesRelays(ctx) && !isSameDomain(ctx, peer)) return;
   const silentForMs = ctx.now - peer.lastHeardAt;
-  if (peer.isHeard && silentForMs > ctx.state.settings.peerTimeoutMs) {
-    peer.isHeard = false;
+  if (peer.isAlive && silentForMs > ctx.state.settings.peerTimeoutMs) {
+    peer.isAlive = false;
     peer.news = undefined;
     logWarning(ctx, 'peerLost', { peer: peer.id, silentForMs });
   }
@@ -295,7 +295,7 @@
 
 /** Returns whether to send a message now; silent peers receive them less often. */
 function shouldSend(ctx: RoutingContext, peer: PeerInstance): boolean {
-  if (peer.isHeard) return true;
+  if (peer.isAlive) return true;
   const { exchange, settings } = ctx.state;
   const everyNth = Math.max(1, Math.round(SILENT_PEER_INTERVAL_MS / settings.exchangeMs));
   const isNew = ctx.now - peer.lastHeardAt < settings.peerTimeoutMs;
--- a/src/routing/exchange/exchangeState.ts
+++ b/src/routing/exchange/exchangeState.ts
@@ -29,7 +29,7 @@
   news: LoadSummary | undefined;
   /** Time at which the instance was found or last heard from. */
   lastHeardAt: Millis;
-  isHeard: boolean;
+  isAlive: boolean;
   /** Time at which it last sent the summary of its failure domain. */
   lastRelayedAt: Millis | undefined;
   /** Sequence of the latest message; older messages are dropped. */
--- a/test/platform/platform.test.ts
+++ b/test/platform/platform.test.ts
@@ -135,7 +135,7 @@
     const first = await readyInstance();
     const second = await readyInstance();
     const hasHeardPeer = (started: StartedInstance) =>
-      [...started.instance.routing().state.exchange.peers.values()].some((peer) => peer.isHeard);
+      [...started.instance.routing().state.exchange.peers.values()].some((peer) => peer.isAlive);
     await until(
       () => hasHeardPeer(first) && hasHeardPeer(second),
       'the instances have exchanged messages',
