Rename PeerInstance.news to summary

PeerInstance.news of src/routing/exchange/exchangeState.ts is summary now. DomainSummary.news of src/routing/exchange/exchangeState.ts is summary now.

--- a/src/routing/exchange/domains.ts
+++ b/src/routing/exchange/domains.ts
@@ -93,8 +93,8 @@
   const { domains } = ctx.state.exchange;
   domains.forEach((known, domain) => {
     const silentForMs = ctx.now - known.heardAt;
-    if (known.news === undefined || silentForMs <= ctx.state.settings.peerTimeoutMs) return;
-    domains.set(domain, { ...known, news: undefined, isForwardPending: false });
+    if (known.summary === undefined || silentForMs <= ctx.state.settings.peerTimeoutMs) return;
+    domains.set(domain, { ...known, summary: undefined, isForwardPending: false });
     logWarning(ctx, 'domainLost', { domain, silentForMs, instances: known.message.instances });
   });
 }
@@ -103,12 +103,12 @@
   const { domain } = message;
   const { domains } = ctx.state.exchange;
   if (domain === ctx.state.self.domain) return;
-  if (domains.get(domain)?.news === undefined) {
+  if (domains.get(domain)?.summary === undefined) {
     logInfo(ctx, 'domainFound', { domain, instances: message.instances });
   }
   domains.set(domain, {
     message,
-    news: decodeSummary(message),
+    summary: decodeSummary(message),
     isForwardPending: true,
     heardAt: ctx.now,
   });
--- a/src/routing/exchange/exchange.ts
+++ b/src/routing/exchange/exchange.ts
@@ -138,7 +138,7 @@
   }
   if (!peer.isAlive) logInfo(ctx, 'peerFound', { peer: from, address: peer.address });
   peer.isAlive = true;
-  peer.news = message.isLeaving ? undefined : decodeSummary(message);
+  peer.summary = message.isLeaving ? undefined : decodeSummary(message);
   message.suspects.forEach((fingerprint, i) => {
     recordReportedCrashes(ctx, from, fingerprint, message.crashes[i] ?? 0);
   });
@@ -238,7 +238,7 @@
   ownParts: readonly PartRead[],
 ): RoutingMessage {
   const { self, exchange } = ctx.state;
-  const known = peersInDomain.flatMap(({ news }) => (news === undefined ? [] : [news]));
+  const known = peersInDomain.flatMap(({ summary: news }) => (news === undefined ? [] : [news]));
   const parts = [...ownParts, ...exchange.partsToForward.fromOwnDomain];
   exchange.partsToForward.fromOwnDomain = [];
   return composeMessage(ctx, {
@@ -270,7 +270,7 @@
     address,
     domain,
     region,
-    news: undefined,
+    summary: undefined,
     lastHeardAt: ctx.now,
     isAlive: false,
     lastRelayedAt: undefined,
@@ -284,7 +284,7 @@
   const silentForMs = ctx.now - peer.lastHeardAt;
   if (peer.isAlive && silentForMs > ctx.state.settings.peerTimeoutMs) {
     peer.isAlive = false;
-    peer.news = undefined;
+    peer.summary = undefined;
     logWarning(ctx, 'peerLost', { peer: peer.id, silentForMs });
   }
   if (silentForMs > REMOVE_AFTER_MS) {
--- a/src/routing/exchange/exchangeState.ts
+++ b/src/routing/exchange/exchangeState.ts
@@ -26,7 +26,7 @@
   readonly address: string;
   readonly domain: FailureDomainId;
   readonly region: RegionId;
-  news: LoadSummary | undefined;
+  summary: LoadSummary | undefined;
   /** Time at which the instance was found or last heard from. */
   lastHeardAt: Millis;
   isAlive: boolean;
@@ -41,7 +41,7 @@
   /** The message as received, for forwarding. */
   readonly message: RoutingMessage;
   /** Undefined once the summary is too old to count. */
-  readonly news: LoadSummary | undefined;
+  readonly summary: LoadSummary | undefined;
   /** Whether the summary has yet to be forwarded within this domain. */
   readonly isForwardPending: boolean;
   readonly heardAt: Millis;
--- a/test/platform/platform.test.ts
+++ b/test/platform/platform.test.ts
@@ -146,7 +146,7 @@
     );
     await until(() => engine.runs.length === 1, 'a request runs');
     const peer = () => [...second.instance.routing().state.exchange.peers.values()][0];
-    const reportedRunning = () => [...(peer()?.news?.work.values() ?? [])][0]?.running;
+    const reportedRunning = () => [...(peer()?.summary?.work.values() ?? [])][0]?.running;
     await until(() => reportedRunning() === 1, 'the peer has the number of running requests');
     abort.abort();
     await responsePromise;
