--- a/src/core/context.ts
+++ b/src/core/context.ts
@@ -2,7 +2,14 @@
 import type { Millis } from './clock.js';
 import type { DiagnosticArgs, DiagnosticCode } from './diagnostics.js';
 import type { CoreState } from './state.js';
-import type { Effect, InstanceId, LogLevel, Part, PeerMessage, TimerName } from './types.js';
+import type {
+  Effect,
+  InstanceId,
+  LogLevel,
+  LogComponent,
+  PeerMessage,
+  TimerName,
+} from './types.js';
 
 /** Created for each call of `reduce`. */
 export interface CoreContext {
@@ -36,7 +43,7 @@
 export function logLine(
   ctx: CoreContext,
   level: LogLevel,
-  part: Part,
+  part: LogComponent,
   code: DiagnosticCode,
   args: DiagnosticArgs = {},
 ): void {
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -614,7 +614,7 @@
 
 export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
 
-export type Part =
+export type LogComponent =
   | 'core'
   | 'membership'
   | 'ownership'
@@ -711,7 +711,7 @@
   | {
       readonly kind: 'log';
       readonly level: LogLevel;
-      readonly part: Part;
+      readonly part: LogComponent;
       readonly code: DiagnosticCode;
       readonly args: Readonly<Record<string, string | number>>;
     }
--- a/src/hosts/types.ts
+++ b/src/hosts/types.ts
@@ -15,7 +15,7 @@
   LogLevel,
   NotRunProblem,
   OperatorResult,
-  Part,
+  LogComponent,
   PeerMessage,
   Problem,
   RecordedAnswer,
@@ -129,7 +129,12 @@
 
 /** Writes log lines; each names the component that logged it. */
 export interface Logger {
-  readonly write: (level: LogLevel, part: Part, code: DiagnosticCode, args: DiagnosticArgs) => void;
+  readonly write: (
+    level: LogLevel,
+    part: LogComponent,
+    code: DiagnosticCode,
+    args: DiagnosticArgs,
+  ) => void;
   readonly audit: (entry: AuditEntry) => void;
 }
 
