--- a/src/core/configuration/publishing.ts
+++ b/src/core/configuration/publishing.ts
@@ -8,7 +8,7 @@
 import { DOCUMENT_BYTES_MAX } from '../../configuration/bounds.js';
 import { formatDiagnostic, type DiagnosticCode } from '../diagnostics.js';
 import type { CoreContext } from '../context.js';
-import type { AppendResult, Executed, OperatorCommand, Problem, Step } from '../types.js';
+import type { AppendResult, Executed, OperatorCommand, Problem, ProcessingStep } from '../types.js';
 import { diffSourceSteps, toSourcePositions } from './changes.js';
 import type { PendingEdit } from './configurationState.js';
 import type { RefusalReason, Verdict } from './foldState.js';
@@ -283,7 +283,7 @@
   code: DiagnosticCode,
   status: number,
   executed: Executed,
-  step: Step,
+  step: ProcessingStep,
   detail: string,
 ): Problem {
   const isLog = step === 'append' || step === 'read' || step === 'settle';
--- a/src/core/requests/admission.ts
+++ b/src/core/requests/admission.ts
@@ -14,7 +14,7 @@
   NotRunProblem,
   PoolConfig,
   RequestFacts,
-  Step,
+  ProcessingStep,
 } from '../types.js';
 
 const UNAVAILABLE = 503;
@@ -106,7 +106,7 @@
   event: CallerRequestEvent,
   code: DiagnosticCode,
   status: number,
-  step: Step,
+  step: ProcessingStep,
   args: DiagnosticArgs = {},
 ): void {
   const isTransient = status === UNAVAILABLE;
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -279,7 +279,7 @@
 export type Executed = 'no' | 'yes' | 'unknown';
 
 /** Processing step in which a problem occurred. */
-export type Step =
+export type ProcessingStep =
   | 'receive'
   | 'authenticate'
   | 'route'
@@ -309,7 +309,7 @@
   readonly code: DiagnosticCode;
   readonly status: number;
   readonly executed: Executed;
-  readonly step: Step;
+  readonly step: ProcessingStep;
   readonly peer: Peer;
   readonly detail?: string;
   /** Values of the placeholders in the text of the diagnostic. */
