--- a/src/core/claims/duplicates.ts
+++ b/src/core/claims/duplicates.ts
@@ -9,7 +9,7 @@
 import type {
   Executed,
   InstanceId,
-  Peer,
+  ProblemSource,
   PeerMessageOf,
   Problem,
   RecordedAnswer,
@@ -147,7 +147,7 @@
   facts: RequestFacts,
   code: DiagnosticCode,
   executed: Executed,
-  peer: Peer,
+  peer: ProblemSource,
 ): void {
   const request = ctx.state.requests.active.get(facts.requestId);
   if (request === undefined) return;
@@ -170,7 +170,7 @@
   ctx: CoreContext,
   code: DiagnosticCode,
   status: number,
-  peer: Peer,
+  peer: ProblemSource,
 ): Omit<Problem, 'executed'> {
   return { code, status, step: 'claim', peer, retryAfterMs: ctx.state.settings.retryAfterMs };
 }
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -297,7 +297,7 @@
   | 'read';
 
 /** Component at which a problem occurred. */
-export type Peer =
+export type ProblemSource =
   | { readonly kind: 'caller' }
   | { readonly kind: 'self' }
   | { readonly kind: 'instance'; readonly id: InstanceId }
@@ -310,7 +310,7 @@
   readonly status: number;
   readonly executed: Executed;
   readonly step: ProcessingStep;
-  readonly peer: Peer;
+  readonly peer: ProblemSource;
   readonly detail?: string;
   /** Values of the placeholders in the text of the diagnostic. */
   readonly args?: DiagnosticArgs;
