--- a/src/core/attempts/problems.ts
+++ b/src/core/attempts/problems.ts
@@ -1,7 +1,13 @@
 /** Problems reported to the caller after a failed attempt. */
 import { Debug } from '../debug.js';
 import type { CoreState } from '../state.js';
-import type { AttemptOutcome, Executed, NotRunProblem, Problem, UpstreamId } from '../types.js';
+import type {
+  AttemptOutcome,
+  ExecutionStatus,
+  NotRunProblem,
+  Problem,
+  UpstreamId,
+} from '../types.js';
 
 type FailedOutcome = Exclude<AttemptOutcome, { readonly kind: 'complete' }>;
 
@@ -14,7 +20,7 @@
   state: CoreState,
   upstream: UpstreamId,
   outcome: FailedOutcome,
-  executed: Executed,
+  executed: ExecutionStatus,
 ): Problem {
   return {
     ...classifyOutcome(outcome),
--- a/src/core/attempts/recovery.ts
+++ b/src/core/attempts/recovery.ts
@@ -11,7 +11,7 @@
  * - in all other cases the request fails immediately with an explicit error.
  */
 import { Debug } from '../debug.js';
-import type { AttemptOutcome, Executed } from '../types.js';
+import type { AttemptOutcome, ExecutionStatus } from '../types.js';
 
 export interface RecoveryFacts {
   readonly outcome: AttemptOutcome;
@@ -34,7 +34,7 @@
   | { readonly kind: 'move' }
   /** Start over on another upstream. */
   | { readonly kind: 'retry'; readonly mayHaveRun: boolean }
-  | { readonly kind: 'giveUp'; readonly executed: Executed };
+  | { readonly kind: 'giveUp'; readonly executed: ExecutionStatus };
 
 export function planRecovery(facts: RecoveryFacts): Recovery {
   const { outcome } = facts;
--- a/src/core/claims/duplicates.ts
+++ b/src/core/claims/duplicates.ts
@@ -7,7 +7,7 @@
 import { failRequest, isUntried, refuseSettledKey, replayRequest } from '../requests/outcomes.js';
 import type { DiagnosticCode } from '../diagnostics.js';
 import type {
-  Executed,
+  ExecutionStatus,
   InstanceId,
   ProblemSource,
   PeerMessageOf,
@@ -146,7 +146,7 @@
   ctx: CoreContext,
   facts: RequestFacts,
   code: DiagnosticCode,
-  executed: Executed,
+  executed: ExecutionStatus,
   peer: ProblemSource,
 ): void {
   const request = ctx.state.requests.active.get(facts.requestId);
--- a/src/core/configuration/publishing.ts
+++ b/src/core/configuration/publishing.ts
@@ -8,7 +8,13 @@
 import { DOCUMENT_BYTES_MAX } from '../../configuration/bounds.js';
 import { formatDiagnostic, type DiagnosticCode } from '../diagnostics.js';
 import type { CoreContext } from '../context.js';
-import type { AppendResult, Executed, OperatorCommand, Problem, ProcessingStep } from '../types.js';
+import type {
+  AppendResult,
+  ExecutionStatus,
+  OperatorCommand,
+  Problem,
+  ProcessingStep,
+} from '../types.js';
 import { diffSourceSteps, toSourcePositions } from './changes.js';
 import type { PendingEdit } from './configurationState.js';
 import type { RefusalReason, Verdict } from './foldState.js';
@@ -282,7 +288,7 @@
 function createProblem(
   code: DiagnosticCode,
   status: number,
-  executed: Executed,
+  executed: ExecutionStatus,
   step: ProcessingStep,
   detail: string,
 ): Problem {
--- a/src/core/requests/requests.ts
+++ b/src/core/requests/requests.ts
@@ -4,7 +4,7 @@
 import { needsClaim } from '../claims/ownClaims.js';
 import { setTimer, type CoreContext } from '../context.js';
 import { Debug } from '../debug.js';
-import type { ActiveRequest, Executed, Problem, RequestId } from '../types.js';
+import type { ActiveRequest, ExecutionStatus, Problem, RequestId } from '../types.js';
 import { dropRequest, endRequest, failRequest, refuseRequest } from './outcomes.js';
 
 const GATEWAY_TIMEOUT = 504;
@@ -78,7 +78,7 @@
   }
 }
 
-function createDeadlineProblem(ctx: CoreContext, executed: Executed): Problem {
+function createDeadlineProblem(ctx: CoreContext, executed: ExecutionStatus): Problem {
   return {
     code: 'deadlinePassed',
     status: GATEWAY_TIMEOUT,
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -276,7 +276,7 @@
 // Problems
 
 /** Whether an upstream executed the request. */
-export type Executed = 'no' | 'yes' | 'unknown';
+export type ExecutionStatus = 'no' | 'yes' | 'unknown';
 
 /** Processing step in which a problem occurred. */
 export type ProcessingStep =
@@ -308,7 +308,7 @@
 export interface Problem {
   readonly code: DiagnosticCode;
   readonly status: number;
-  readonly executed: Executed;
+  readonly executed: ExecutionStatus;
   readonly step: ProcessingStep;
   readonly peer: ProblemSource;
   readonly detail?: string;
