--- a/src/core/attempts/attempts.ts
+++ b/src/core/attempts/attempts.ts
@@ -29,7 +29,7 @@
   AttemptOutcome,
   CacheMove,
   DispatchedRequest,
-  GrantFacts,
+  SlotGrant,
   PoolConfig,
   RequestId,
   RetryingRequest,
@@ -54,7 +54,7 @@
  * Dispatches a queued request to the upstream of a grant. If the request may not run there at the
  * moment, the grant is returned and the request is queued again.
  */
-export function startAttempt(ctx: CoreContext, requestId: RequestId, grant: GrantFacts): void {
+export function startAttempt(ctx: CoreContext, requestId: RequestId, grant: SlotGrant): void {
   const { state } = ctx;
   const request = state.requests.active.get(requestId);
   const target = resolveTarget(state, grant);
@@ -261,7 +261,7 @@
 function dispatch(
   ctx: CoreContext,
   request: Omit<DispatchedRequest, 'attempt'>,
-  grant: GrantFacts,
+  grant: SlotGrant,
   target: Target,
 ): void {
   const { state } = ctx;
@@ -301,7 +301,7 @@
 
 function toDispatchedRequest(
   request: QueuedRequest,
-  grant: GrantFacts,
+  grant: SlotGrant,
 ): Omit<DispatchedRequest, 'attempt'> {
   const isRetrying = request.state === 'retrying';
   return {
@@ -363,7 +363,7 @@
   });
 }
 
-function resolveTarget(state: CoreState, grant: GrantFacts): Target | undefined {
+function resolveTarget(state: CoreState, grant: SlotGrant): Target | undefined {
   const { view } = state.configuration;
   const upstream = view?.upstreams.get(grant.upstream);
   const pool = upstream && view?.pools.get(upstream.pool);
--- a/src/core/attempts/attemptsState.ts
+++ b/src/core/attempts/attemptsState.ts
@@ -3,7 +3,7 @@
 import type {
   AttemptId,
   CustomerNumber,
-  GrantFacts,
+  SlotGrant,
   PoolId,
   RequestId,
   UpstreamId,
@@ -15,7 +15,7 @@
   readonly customer: CustomerNumber;
   readonly pool: PoolId;
   readonly fingerprint: string;
-  readonly grant: GrantFacts;
+  readonly grant: SlotGrant;
   readonly startedAt: Millis;
   /** Output tokens that this attempt forwarded to the caller. */
   outputTokens: number;
--- a/src/core/dispatch/dispatchState.ts
+++ b/src/core/dispatch/dispatchState.ts
@@ -7,7 +7,7 @@
 import type {
   AttemptId,
   CustomerNumber,
-  GrantFacts,
+  SlotGrant,
   GrantId,
   InstanceId,
   PoolId,
@@ -204,6 +204,6 @@
   };
 }
 
-export function grantKey(grant: Pick<GrantFacts, 'owner' | 'grantId'>): GrantKey {
+export function grantKey(grant: Pick<SlotGrant, 'owner' | 'grantId'>): GrantKey {
   return `${grant.owner} ${grant.grantId}`;
 }
--- a/src/core/dispatch/entry.ts
+++ b/src/core/dispatch/entry.ts
@@ -3,7 +3,7 @@
 import { sendTo, type CoreContext } from '../context.js';
 import { noteRunning } from '../limits/limits.js';
 import type { CoreState } from '../state.js';
-import type { GrantFacts, GrantId, InstanceId, PeerMessageOf } from '../types.js';
+import type { SlotGrant, GrantId, InstanceId, PeerMessageOf } from '../types.js';
 import { grantKey } from './dispatchState.js';
 import { recordGranted } from './announcements.js';
 import { returnGrant } from './grants.js';
@@ -22,7 +22,7 @@
   const { state } = ctx;
   if (!isFirstDelivery(state, owner, incarnation, grant.grantId)) return;
   const pool = state.configuration.view?.poolsByNumber.get(grant.pool);
-  const facts: GrantFacts = {
+  const facts: SlotGrant = {
     grantId: grant.grantId,
     owner,
     upstream: grant.upstream,
--- a/src/core/dispatch/grants.ts
+++ b/src/core/dispatch/grants.ts
@@ -2,12 +2,12 @@
 import { sendTo, type CoreContext } from '../context.js';
 import { noteRunning } from '../limits/limits.js';
 import { ownerOf } from '../ownership/ownership.js';
-import type { GrantFacts } from '../types.js';
+import type { SlotGrant } from '../types.js';
 import { grantKey } from './dispatchState.js';
 import { countUnderEarlierOwners, isFromEarlierOwner } from './holds.js';
 
 /** Returns an unused grant to its owner. */
-export function returnGrant(ctx: CoreContext, grant: GrantFacts): void {
+export function returnGrant(ctx: CoreContext, grant: SlotGrant): void {
   removeHeldGrant(ctx, grant);
   sendTo(ctx, grant.owner, { $case: 'grantReturn', value: { grantIds: [grant.grantId] } });
 }
@@ -16,7 +16,7 @@
  * Reports the end of a grant to its owner and, if that has changed, to the upstream's current
  * owner.
  */
-export function releaseGrant(ctx: CoreContext, grant: GrantFacts): void {
+export function releaseGrant(ctx: CoreContext, grant: SlotGrant): void {
   const { state } = ctx;
   const hasEarlierOwner = isFromEarlierOwner(state, grant);
   removeHeldGrant(ctx, grant);
@@ -35,7 +35,7 @@
   });
 }
 
-function removeHeldGrant(ctx: CoreContext, grant: GrantFacts): void {
+function removeHeldGrant(ctx: CoreContext, grant: SlotGrant): void {
   const { heldGrants } = ctx.state.dispatch;
   const held = heldGrants.get(grantKey(grant));
   if (held === undefined) return;
--- a/src/core/dispatch/holds.ts
+++ b/src/core/dispatch/holds.ts
@@ -7,7 +7,7 @@
 import { sendTo, type CoreContext } from '../context.js';
 import { ownerOf } from '../ownership/ownership.js';
 import type { CoreState } from '../state.js';
-import type { GrantFacts, GrantId, InstanceId, UpstreamId } from '../types.js';
+import type { SlotGrant, GrantId, InstanceId, UpstreamId } from '../types.js';
 import { grantKey } from './dispatchState.js';
 import { refreshAnnouncements } from './announcements.js';
 
@@ -53,7 +53,7 @@
 }
 
 /** Whether the issuer of a grant no longer owns the upstream or has restarted since. */
-export function isFromEarlierOwner(state: CoreState, grant: GrantFacts): boolean {
+export function isFromEarlierOwner(state: CoreState, grant: SlotGrant): boolean {
   if (ownerOf(state, grant.upstream) !== grant.owner) return true;
   const incarnation = state.membership.members.get(grant.owner)?.incarnation;
   return incarnation !== state.dispatch.heldGrants.get(grantKey(grant))?.incarnation;
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -211,7 +211,7 @@
 export interface GrantedRequest {
   readonly state: 'granted';
   readonly facts: RequestFacts;
-  readonly grant: GrantFacts;
+  readonly grant: SlotGrant;
 }
 
 /** A request whose attempt was handed to the upstream host; bytes may have been sent. */
@@ -264,7 +264,7 @@
 export type UnexecutedRequest = AcceptedRequest | WaitingRequest | GrantedRequest;
 
 /** A grant of a slot on an upstream. */
-export interface GrantFacts {
+export interface SlotGrant {
   readonly grantId: GrantId;
   readonly owner: InstanceId;
   readonly upstream: UpstreamId;
