--- a/src/core/claims/claims.ts
+++ b/src/core/claims/claims.ts
@@ -8,7 +8,7 @@
  * After a crash it is unknown whether the request ran, so no other instance runs it. Only the
  * claiming instance itself can abandon a claim, and it never dispatches under it afterwards.
  */
-import { logLine, type CoreContext } from '../context.js';
+import { emitLog, type CoreContext } from '../context.js';
 import { Debug } from '../debug.js';
 import type { DiagnosticCode } from '../diagnostics.js';
 import { noteChange } from '../dispatch/queues.js';
@@ -127,7 +127,7 @@
     peer: { kind: 'platform', part: 'log' },
     retryAfterMs: ctx.state.settings.retryAfterMs,
   };
-  logLine(ctx, 'warn', 'claims', code);
+  emitLog(ctx, 'warn', 'claims', code);
   refuseRequest(ctx, request, problem);
 }
 
--- a/src/core/claims/reading.ts
+++ b/src/core/claims/reading.ts
@@ -6,7 +6,7 @@
  * At most one read is outstanding. Reads are long polls, so a record is read as soon as it is
  * appended; while no record of this instance is waiting to be read back, reads are less frequent.
  */
-import { logLine, setTimer, type CoreContext } from '../context.js';
+import { emitLog, setTimer, type CoreContext } from '../context.js';
 import { Debug } from '../debug.js';
 import type { CoreState } from '../state.js';
 import type { LogReadResult, StreamRecord } from '../types.js';
@@ -127,7 +127,7 @@
   const hasGap = stream === CLAIMS_STREAM && claims.hasRead;
   claims.next = Math.max(oldest, claims.next);
   if (hasGap) {
-    logLine(ctx, 'warn', 'claims', 'claimsGap', { offset: oldest });
+    emitLog(ctx, 'warn', 'claims', 'claimsGap', { offset: oldest });
     abandonPendingClaims(ctx);
   }
   requestRead(ctx);
--- a/src/core/configuration/configuration.ts
+++ b/src/core/configuration/configuration.ts
@@ -2,7 +2,7 @@
  * Maintains the active configuration of this instance: handles events from the log, peers, operators
  * and timers, and activates accepted versions.
  */
-import { logLine, setTimer, type CoreContext } from '../context.js';
+import { emitLog, setTimer, type CoreContext } from '../context.js';
 import { announceAll } from '../dispatch/queues.js';
 import { setOwnPhase } from '../membership/membership.js';
 import type {
@@ -34,7 +34,7 @@
   const { configuration, drain } = ctx.state;
   if (configuration.view !== undefined && configuration.view.version >= view.version) return;
   configuration.view = view;
-  logLine(ctx, 'info', 'configuration', 'configurationLoaded', { version: view.version });
+  emitLog(ctx, 'info', 'configuration', 'configurationLoaded', { version: view.version });
   if (!drain.isStopping) {
     setOwnPhase(ctx, 'ready');
     ctx.emit({ kind: 'setReady', ready: true });
--- a/src/core/configuration/reading.ts
+++ b/src/core/configuration/reading.ts
@@ -6,7 +6,7 @@
  * If the next records have expired, the instance searches for the last checkpoint note, reads the
  * parts of that checkpoint, and then the records after it.
  */
-import { logLine, type CoreContext } from '../context.js';
+import { emitLog, type CoreContext } from '../context.js';
 import { relaysOf } from '../membership/memberIndex.js';
 import type { CoreState } from '../state.js';
 import type { CoreEvent, InstanceId, LogReadResult } from '../types.js';
@@ -141,7 +141,7 @@
   if (result.records.length === RECORDS_PER_READ) return;
   if (mode.note === undefined) {
     // An instance that still has the configuration will write a checkpoint or send a snapshot.
-    logLine(ctx, 'error', 'configuration', 'configurationLost');
+    emitLog(ctx, 'error', 'configuration', 'configurationLost');
     reading.retryAt = ctx.now + retryMs(ctx);
     return;
   }
--- a/src/core/configuration/work.ts
+++ b/src/core/configuration/work.ts
@@ -4,7 +4,7 @@
  */
 import type { Steps } from '../../configuration/types.js';
 import { createViewSteps } from '../../configuration/view.js';
-import { logLine, setTimer, type CoreContext } from '../context.js';
+import { emitLog, setTimer, type CoreContext } from '../context.js';
 import type { StreamRecord } from '../types.js';
 import type { Completion, ConfigurationState, Job } from './configurationState.js';
 import { evaluateRecordSteps, applyFoldResult, type FoldResult } from './fold.js';
@@ -86,7 +86,7 @@
   const { configuration } = ctx.state;
   if (configuration.hasReportedBlock) return;
   configuration.hasReportedBlock = true;
-  logLine(ctx, 'error', 'configuration', 'schemaNewer', { offset, version });
+  emitLog(ctx, 'error', 'configuration', 'schemaNewer', { offset, version });
 }
 
 function* viewJob(ctx: CoreContext, hooks: WorkHooks): Steps<Completion> {
--- a/src/core/context.ts
+++ b/src/core/context.ts
@@ -40,7 +40,7 @@
 }
 
 /** Emits a log line. */
-export function logLine(
+export function emitLog(
   ctx: CoreContext,
   level: LogLevel,
   part: LogComponent,
--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -11,7 +11,7 @@
  */
 import { cancelAttempt } from '../attempts/cancel.js';
 import type { AttemptRecord } from '../attempts/attemptsState.js';
-import { audit, logLine, setTimer, type CoreContext } from '../context.js';
+import { audit, emitLog, setTimer, type CoreContext } from '../context.js';
 import { failRequest, isUntried, refuseRequest } from '../requests/outcomes.js';
 import type {
   ActiveRequest,
@@ -160,7 +160,7 @@
   const isQuarantine = suspect.crashes >= QUARANTINE_CRASH_THRESHOLD;
   const retentionMs = isQuarantine ? settings.quarantineMs : settings.suspicionMs;
   suspect.expiresAt = Math.max(suspect.expiresAt, ctx.now + retentionMs);
-  logLine(ctx, 'warn', 'quarantine', 'suspected', { fingerprint, crashes: suspect.crashes });
+  emitLog(ctx, 'warn', 'quarantine', 'suspected', { fingerprint, crashes: suspect.crashes });
   announceSuspect(ctx, fingerprint);
   enforceQuarantine(ctx, fingerprint);
 }
--- a/src/core/quarantine/suspicions.ts
+++ b/src/core/quarantine/suspicions.ts
@@ -3,7 +3,7 @@
  * reach members that missed a message, each instance periodically sends all its suspicions to two
  * random members.
  */
-import { logLine, sendTo, type CoreContext } from '../context.js';
+import { emitLog, sendTo, type CoreContext } from '../context.js';
 import { forEachOther } from '../membership/membership.js';
 import type { InstanceId, PeerMessageOf } from '../types.js';
 import type { Fingerprint, Suspect, SuspectRun } from './quarantineState.js';
@@ -51,7 +51,7 @@
   if (suspect === undefined) return false;
   broadcast(ctx, { ...encodeSuspicion(ctx, fingerprint, suspect), crashes: 0, cleared: true });
   removeSuspect(ctx, fingerprint, suspect);
-  logLine(ctx, 'info', 'quarantine', 'quarantineLifted', { fingerprint });
+  emitLog(ctx, 'info', 'quarantine', 'quarantineLifted', { fingerprint });
   return true;
 }
 
