--- a/src/core/context.ts
+++ b/src/core/context.ts
@@ -51,7 +51,7 @@
 }
 
 /** Adds `value` to a metric. */
-export function count(
+export function emitMetric(
   ctx: CoreContext,
   metric: string,
   value: number,
--- a/src/core/orders/demandLevels.ts
+++ b/src/core/orders/demandLevels.ts
@@ -4,7 +4,7 @@
  * `level` of the pool's rendezvous order, and keeps that many of its upstreams. All owners use the
  * same order, so the bounds hold fleet-wide even while their estimates differ.
  */
-import { count, type CoreContext } from '../context.js';
+import { emitMetric, type CoreContext } from '../context.js';
 import { ownedByPool, ownedInPool } from '../dispatch/assign.js';
 import { foreignUse, slotsOf } from '../dispatch/slots.js';
 import type { CoreState } from '../state.js';
@@ -119,11 +119,11 @@
   if (ctx.now - (demand.waitingSince ?? ctx.now) >= settings.placementGrowMs) {
     demand.level = Math.max(1, demand.level * GROWTH_FACTOR);
     demand.waitingSince = ctx.now;
-    count(ctx, 'orders.level', 1, { change: 'grow' });
+    emitMetric(ctx, 'orders.level', 1, { change: 'grow' });
   } else if (ctx.now - (demand.idleSince ?? ctx.now) >= settings.placementShrinkMs) {
     demand.level -= 1;
     demand.idleSince = ctx.now;
-    count(ctx, 'orders.level', 1, { change: 'shrink' });
+    emitMetric(ctx, 'orders.level', 1, { change: 'shrink' });
   }
 }
 
--- a/src/core/orders/orders.ts
+++ b/src/core/orders/orders.ts
@@ -4,7 +4,7 @@
  * after a lost reply, a crash or a change of owner, the next pass decides again from the current
  * state. The `orders` stream is read only while an order is needed or in progress.
  */
-import { audit, count, setTimer, type CoreContext } from '../context.js';
+import { audit, emitMetric, setTimer, type CoreContext } from '../context.js';
 import { forEachOwned, isOwner } from '../ownership/ownership.js';
 import type {
   AppendResult,
@@ -240,7 +240,7 @@
     orderNumber: number,
     order,
   });
-  count(ctx, 'orders.given', 1, { kind: order.kind });
+  emitMetric(ctx, 'orders.given', 1, { kind: order.kind });
 }
 
 /** Handles the engine's answer. If it is inconclusive, the engine's next reports are decisive. */
