--- a/src/core/configuration/keys.ts
+++ b/src/core/configuration/keys.ts
@@ -1,6 +1,6 @@
 /** Authenticates operators: checks their keys against the key hashes of the teams in the document. */
 import type { Millis } from '../clock.js';
-import { audit, type CoreContext } from '../context.js';
+import { emitAuditEntry, type CoreContext } from '../context.js';
 import { equalInConstantTime } from '../sha256.js';
 import type { KeyHash, NotRunProblem } from '../types.js';
 
@@ -28,7 +28,8 @@
   );
   const isRateLimited = recentFailures.length >= MAX_KEY_FAILURES;
   configuration.keyFailures = isRateLimited ? recentFailures : [...recentFailures, ctx.now];
-  if (!isRateLimited) audit(ctx, 'authenticate', 'operators', 'unknown operator key', false);
+  if (!isRateLimited)
+    emitAuditEntry(ctx, 'authenticate', 'operators', 'unknown operator key', false);
   const problem: NotRunProblem = {
     code: isRateLimited ? 'operatorKeyRate' : 'operatorKeyUnknown',
     status: isRateLimited ? 429 : 401,
--- a/src/core/context.ts
+++ b/src/core/context.ts
@@ -61,7 +61,7 @@
 }
 
 /** Adds an audit trail entry whose author is this instance rather than an operator. */
-export function audit(
+export function emitAuditEntry(
   ctx: CoreContext,
   action: string,
   subject: string,
--- a/src/core/orders/orders.ts
+++ b/src/core/orders/orders.ts
@@ -4,7 +4,7 @@
  * after a lost reply, a crash or a change of owner, the next pass decides again from the current
  * state. The `orders` stream is read only while an order is needed or in progress.
  */
-import { audit, emitMetric, setTimer, type CoreContext } from '../context.js';
+import { emitAuditEntry, emitMetric, setTimer, type CoreContext } from '../context.js';
 import { forEachOwned, isOwner } from '../ownership/ownership.js';
 import type {
   AppendResult,
@@ -273,7 +273,7 @@
   }
   appendSettled(ctx, upstream, number, outcome);
   const detail = `${JSON.stringify(order)} number ${number} ${outcome}`;
-  audit(ctx, 'order', upstream, detail, outcome === 'done');
+  emitAuditEntry(ctx, 'order', upstream, detail, outcome === 'done');
 }
 
 function appendSettled(
--- a/src/core/orders/ownerAudit.ts
+++ b/src/core/orders/ownerAudit.ts
@@ -1,5 +1,5 @@
 /** Audit entries for upstreams that this instance starts or stops owning. */
-import { audit, type CoreContext } from '../context.js';
+import { emitAuditEntry, type CoreContext } from '../context.js';
 import { ownedUpstreams } from '../ownership/ownership.js';
 import type { UpstreamId } from '../types.js';
 
@@ -20,7 +20,7 @@
   const detail = [formatChange('gained', gained), formatChange('lost', lost)]
     .filter(Boolean)
     .join('; ');
-  audit(ctx, 'owner', 'upstreams', detail);
+  emitAuditEntry(ctx, 'owner', 'upstreams', detail);
 }
 
 function formatChange(what: string, ids: readonly UpstreamId[]): string {
--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -11,7 +11,7 @@
  */
 import { cancelAttempt } from '../attempts/cancel.js';
 import type { AttemptRecord } from '../attempts/attemptsState.js';
-import { audit, emitLog, setTimer, type CoreContext } from '../context.js';
+import { emitAuditEntry, emitLog, setTimer, type CoreContext } from '../context.js';
 import { failRequest, isUntried, refuseRequest } from '../requests/outcomes.js';
 import type {
   ActiveRequest,
@@ -168,7 +168,7 @@
 /** Ends the active requests of a fingerprint if it is in quarantine. */
 function enforceQuarantine(ctx: CoreContext, fingerprint: Fingerprint): void {
   if (!isQuarantined(ctx.state, fingerprint)) return;
-  audit(ctx, 'quarantine', fingerprint, 'crashed upstreams twice');
+  emitAuditEntry(ctx, 'quarantine', fingerprint, 'crashed upstreams twice');
   ctx.state.requests.active.forEach((request) => {
     if (request.facts.fingerprint === fingerprint) endQuarantined(ctx, request);
   });
--- a/src/core/reducer.ts
+++ b/src/core/reducer.ts
@@ -31,7 +31,7 @@
 } from './claims/submission.js';
 import { checkOperatorKey } from './configuration/keys.js';
 import type { CoreContext } from './context.js';
-import { audit, setTimer } from './context.js';
+import { emitAuditEntry, setTimer } from './context.js';
 import { Debug } from './debug.js';
 import { onAnnounceTimer } from './dispatch/announcements.js';
 import { onGrant, onSuspendRequest } from './dispatch/entry.js';
@@ -272,7 +272,7 @@
       return;
     case 'liftQuarantine': {
       const wasLifted = liftQuarantine(ctx, command.fingerprint);
-      audit(ctx, 'liftQuarantine', command.fingerprint, check.team, wasLifted);
+      emitAuditEntry(ctx, 'liftQuarantine', command.fingerprint, check.team, wasLifted);
       ctx.emit({ kind: 'operatorReply', commandId, result: { kind: 'done', data: { wasLifted } } });
       return;
     }
