--- a/src/core/claims/duplicates.ts
+++ b/src/core/claims/duplicates.ts
@@ -3,7 +3,7 @@
  * answer describes the operation under the key: its recorded answer, that it has run, or that it is
  * running or may have run.
  */
-import { sendTo, type CoreContext } from '../context.js';
+import { sendToInstance, type CoreContext } from '../context.js';
 import { failRequest, isUntried, refuseSettledKey, replayRequest } from '../requests/outcomes.js';
 import type { DiagnosticCode } from '../diagnostics.js';
 import type {
@@ -47,7 +47,7 @@
 ): void {
   const known = getKeyState(ctx.state, keyIdOf(query.customer, query.key));
   const answer = known?.outcome?.answer;
-  sendTo(ctx, from, {
+  sendToInstance(ctx, from, {
     $case: 'outcomeReply',
     value: {
       queryId: query.queryId,
@@ -119,7 +119,7 @@
     knownKey: keyId,
     sentAt: ctx.now,
   });
-  sendTo(ctx, holder.instance, {
+  sendToInstance(ctx, holder.instance, {
     $case: 'outcomeQuery',
     value: { queryId, customer: facts.customer, key },
   });
--- a/src/core/claims/submission.ts
+++ b/src/core/claims/submission.ts
@@ -9,7 +9,7 @@
  * the record again. Duplicate records in the log have no further effect.
  */
 import { MS_PER_SECOND, type Millis } from '../clock.js';
-import { sendTo, setTimer, type CoreContext } from '../context.js';
+import { sendToInstance, setTimer, type CoreContext } from '../context.js';
 import { rendezvousScore } from '../hash.js';
 import type { CoreState } from '../state.js';
 import type { AppendResult, InstanceId, Member } from '../types.js';
@@ -33,7 +33,10 @@
     flushAppends(ctx);
     return;
   }
-  sendTo(ctx, writer, { $case: 'claimSubmission', value: { records: [encodeRecord(record)] } });
+  sendToInstance(ctx, writer, {
+    $case: 'claimSubmission',
+    value: { records: [encodeRecord(record)] },
+  });
 }
 
 /** Stops submitting a record that is not needed in the log any more. */
--- a/src/core/configuration/distribution.ts
+++ b/src/core/configuration/distribution.ts
@@ -4,7 +4,7 @@
  * the records from that peer, which replies with records or, if it no longer has them all, with a
  * snapshot: a checkpoint of its state, one part per message.
  */
-import { sendTo, type CoreContext } from '../context.js';
+import { sendToInstance, type CoreContext } from '../context.js';
 import { forEachOther, isLive, membersOf } from '../membership/memberIndex.js';
 import type { InstanceId, PeerMessageOf, StreamRecord } from '../types.js';
 import { decodePart, encodeCheckpointSteps } from './checkpoint.js';
@@ -26,7 +26,7 @@
   const value = { stream: CONFIGURATION_STREAM, records: [...records], from, next };
   membersOf(ctx.state, self.domain)
     .filter((member) => member.id !== self.id)
-    .forEach((member) => sendTo(ctx, member.id, { $case: 'configurationRecords', value }));
+    .forEach((member) => sendToInstance(ctx, member.id, { $case: 'configurationRecords', value }));
 }
 
 export function onConfigurationRecords(
@@ -81,7 +81,7 @@
   distribution.askedAt = ctx.now;
   distribution.asked = peer;
   const value = { version: fold.version, next: intakeNext };
-  sendTo(ctx, peer, { $case: 'configurationRequest', value });
+  sendToInstance(ctx, peer, { $case: 'configurationRequest', value });
 }
 
 export function onConfigurationRequest(
@@ -99,7 +99,7 @@
       from: request.next,
       next: intakeNext,
     };
-    sendTo(ctx, from, { $case: 'configurationRecords', value });
+    sendToInstance(ctx, from, { $case: 'configurationRecords', value });
     return;
   }
   if (fold.version >= 0 && request.next < fold.next) sendSnapshot(ctx, from);
@@ -116,7 +116,7 @@
       const parts = yield* encodeCheckpointSteps(configuration.fold, id);
       return (completionCtx: CoreContext) => {
         parts.forEach((document) => {
-          sendTo(completionCtx, to, {
+          sendToInstance(completionCtx, to, {
             $case: 'configurationSnapshot',
             value: { version, next, document },
           });
--- a/src/core/context.ts
+++ b/src/core/context.ts
@@ -29,7 +29,7 @@
  * Sends a message to an instance. A message to this instance is queued locally, and one to an
  * unknown instance is dropped.
  */
-export function sendTo(ctx: CoreContext, to: InstanceId, message: PeerMessage): void {
+export function sendToInstance(ctx: CoreContext, to: InstanceId, message: PeerMessage): void {
   if (to === ctx.state.self.id) {
     ctx.deliverToSelf(message);
     return;
--- a/src/core/dispatch/announcements.ts
+++ b/src/core/dispatch/announcements.ts
@@ -6,7 +6,7 @@
  * current one by more than a factor of two, so that a long queue does not cost one message per
  * request.
  */
-import { sendTo, type CoreContext } from '../context.js';
+import { sendToInstance, type CoreContext } from '../context.js';
 import type { Millis } from '../clock.js';
 import { hash32 } from '../hash.js';
 import { bestScored, isLive, membersOf, relaysOf } from '../membership/memberIndex.js';
@@ -325,7 +325,7 @@
   const heads = update.customers.map((customer, i) =>
     (update.counts[i] ?? 0) > 0 ? prefixHashesOf(state, pool.id, customer) : [],
   );
-  sendTo(ctx, target, {
+  sendToInstance(ctx, target, {
     $case: 'waitingUpdate',
     value: {
       pool: pool.number,
--- a/src/core/dispatch/assign.ts
+++ b/src/core/dispatch/assign.ts
@@ -3,7 +3,7 @@
  * service. Among the upstreams with free slots, it selects the one that caches the longest prefix
  * of the customer's next request, unless another is less loaded by more than the configured margin.
  */
-import { sendTo, type CoreContext } from '../context.js';
+import { sendToInstance, type CoreContext } from '../context.js';
 import type { Millis } from '../clock.js';
 import { takesNewWork } from '../drain/upstreams.js';
 import { isOutdated } from '../orders/outdated.js';
@@ -269,7 +269,7 @@
   slots.inUse += 1;
   slots.lastUsedAt = ctx.now;
   reserve(ctx.state, customer, pool.id, grant.reserved);
-  sendTo(ctx, entry, {
+  sendToInstance(ctx, entry, {
     $case: 'grant',
     value: {
       grantId,
--- a/src/core/dispatch/entry.ts
+++ b/src/core/dispatch/entry.ts
@@ -1,6 +1,6 @@
 /** Entry side of dispatch: handles grants and suspend requests from owners. */
 import { startAttempt } from '../attempts/attempts.js';
-import { sendTo, type CoreContext } from '../context.js';
+import { sendToInstance, type CoreContext } from '../context.js';
 import { noteRunning } from '../limits/limits.js';
 import type { CoreState } from '../state.js';
 import type { SlotGrant, GrantId, InstanceId, PeerMessageOf } from '../types.js';
@@ -82,7 +82,7 @@
   isRefused: boolean,
 ): void {
   const isSuspended = ctx.state.dispatch.suspendedAttempts.has(grantKey({ owner, grantId }));
-  sendTo(ctx, owner, {
+  sendToInstance(ctx, owner, {
     $case: 'slotUpdate',
     value: {
       running: isSuspended ? [] : [grantId],
--- a/src/core/dispatch/grants.ts
+++ b/src/core/dispatch/grants.ts
@@ -1,5 +1,5 @@
 /** Returns and releases grants held by an entry. */
-import { sendTo, type CoreContext } from '../context.js';
+import { sendToInstance, type CoreContext } from '../context.js';
 import { noteRunning } from '../limits/limits.js';
 import { ownerOf } from '../ownership/ownership.js';
 import type { SlotGrant } from '../types.js';
@@ -9,7 +9,7 @@
 /** Returns an unused grant to its owner. */
 export function returnGrant(ctx: CoreContext, grant: SlotGrant): void {
   removeHeldGrant(ctx, grant);
-  sendTo(ctx, grant.owner, { $case: 'grantReturn', value: { grantIds: [grant.grantId] } });
+  sendToInstance(ctx, grant.owner, { $case: 'grantReturn', value: { grantIds: [grant.grantId] } });
 }
 
 /**
@@ -22,14 +22,14 @@
   removeHeldGrant(ctx, grant);
   state.dispatch.suspendedAttempts.delete(grantKey(grant));
   const value = { running: [], ended: [grant.grantId], suspended: [], refused: [] };
-  sendTo(ctx, grant.owner, {
+  sendToInstance(ctx, grant.owner, {
     $case: 'slotUpdate',
     value: { ...value, heldUpstreams: [], heldCounts: [] },
   });
   const owner = ownerOf(state, grant.upstream);
   if (!hasEarlierOwner || owner === undefined) return;
   const held = countUnderEarlierOwners(state, grant.upstream);
-  sendTo(ctx, owner, {
+  sendToInstance(ctx, owner, {
     $case: 'slotUpdate',
     value: { ...value, ended: [], heldUpstreams: [grant.upstream], heldCounts: [held] },
   });
--- a/src/core/dispatch/holds.ts
+++ b/src/core/dispatch/holds.ts
@@ -4,7 +4,7 @@
  * upstream has changed, the new owner receives the number of attempts that still run there under
  * earlier grants.
  */
-import { sendTo, type CoreContext } from '../context.js';
+import { sendToInstance, type CoreContext } from '../context.js';
 import { ownerOf } from '../ownership/ownership.js';
 import type { CoreState } from '../state.js';
 import type { SlotGrant, GrantId, InstanceId, UpstreamId } from '../types.js';
@@ -28,7 +28,7 @@
   dispatch.holdReports += 1;
   resumeAbandonedAttempts(ctx);
   collectHoldReports(ctx.state).forEach((report, owner) => {
-    sendTo(ctx, owner, {
+    sendToInstance(ctx, owner, {
       $case: 'slotUpdate',
       value: {
         running: report.running,
--- a/src/core/dispatch/pull.ts
+++ b/src/core/dispatch/pull.ts
@@ -5,7 +5,7 @@
  * other domains: those of its region for any work, those of other regions only for work that has
  * waited longer than the cross-region price, provided that the pool permits cross-region dispatch.
  */
-import { sendTo, setTimer, type CoreContext } from '../context.js';
+import { sendToInstance, setTimer, type CoreContext } from '../context.js';
 import type { Millis } from '../clock.js';
 import { isLive, liveDomains, membersOf } from '../membership/memberIndex.js';
 import { accountOf, leastWaitingService, serviceReader } from '../shares/accounts.js';
@@ -155,7 +155,7 @@
     waitedMs: Math.max(0, Math.round(ctx.now - since)),
   }));
   const value = { pool: pool.number, entries: offered };
-  sendTo(ctx, to, { $case: 'demandOffer', value });
+  sendToInstance(ctx, to, { $case: 'demandOffer', value });
   if (subscription.slots <= 0) state.dispatch.subscriptions.get(pool.id)?.delete(to);
 }
 
@@ -301,7 +301,7 @@
 ): void {
   const validMs = MAX_LOST_RENEWALS * ctx.state.settings.pullMs;
   const below = wanted.below === Infinity ? 0 : wanted.below;
-  sendTo(ctx, relay, {
+  sendToInstance(ctx, relay, {
     $case: 'demandRequest',
     value: { pool: pool.number, slots: wanted.slots, validMs, minWaitedMs, below },
   });
--- a/src/core/dispatch/suspension.ts
+++ b/src/core/dispatch/suspension.ts
@@ -5,7 +5,7 @@
  * idempotent streams are suspended, at most the pool's configured share of an upstream's slots, and
  * the duration of a suspension is bounded.
  */
-import { sendTo, type CoreContext } from '../context.js';
+import { sendToInstance, type CoreContext } from '../context.js';
 import { accountOf, serviceReader } from '../shares/accounts.js';
 import type { CoreState } from '../state.js';
 import type { CustomerNumber, PoolConfig, UpstreamConfig, UpstreamId } from '../types.js';
@@ -125,5 +125,5 @@
 
 function sendSuspendRequest(ctx: CoreContext, grant: IssuedGrant, resume: boolean): void {
   const value = { grantId: grant.grantId, resume };
-  sendTo(ctx, grant.entry, { $case: 'suspendRequest', value });
+  sendToInstance(ctx, grant.entry, { $case: 'suspendRequest', value });
 }
--- a/src/core/drain/drain.ts
+++ b/src/core/drain/drain.ts
@@ -4,7 +4,7 @@
  * to other instances immediately, since a leaving instance is not eligible for either.
  */
 import { unsettledRecords } from '../claims/ownClaims.js';
-import { emitLog, sendTo, setTimer, type CoreContext } from '../context.js';
+import { emitLog, sendToInstance, setTimer, type CoreContext } from '../context.js';
 import { forEachOther, setOwnPhase } from '../membership/membership.js';
 
 /** Interval at which a stopping instance checks whether its records are in the log. */
@@ -54,7 +54,7 @@
   if (records > 0) emitLog(ctx, 'warn', 'drain', 'drainUnsettled', { records });
   drain.hasStopped = true;
   forEachOther(ctx.state, (member) => {
-    sendTo(ctx, member.id, { $case: 'leaving', value: { incarnation: self.incarnation } });
+    sendToInstance(ctx, member.id, { $case: 'leaving', value: { incarnation: self.incarnation } });
   });
   ctx.emit({ kind: 'stopped' });
 }
--- a/src/core/limits/limitUsage.ts
+++ b/src/core/limits/limitUsage.ts
@@ -4,7 +4,7 @@
  * totals per domain and send the usage of the whole fleet to the instances that reported the
  * customer. Every report replaces the previous one.
  */
-import { sendTo, setTimer, type CoreContext } from '../context.js';
+import { sendToInstance, setTimer, type CoreContext } from '../context.js';
 import type { Millis } from '../clock.js';
 import { liveDomains } from '../membership/memberIndex.js';
 import { groupOf, groupRelays, isForemost } from '../shares/groups.js';
@@ -217,7 +217,7 @@
     rates: entries.map((entry) => entry.arrivals),
     users: entries.map((entry) => entry.users),
   };
-  sendTo(ctx, to, { $case: 'limitUsage', value });
+  sendToInstance(ctx, to, { $case: 'limitUsage', value });
 }
 
 function forEachUsage(usage: LimitUsageMessage, action: (entry: UsageEntry) => void): void {
--- a/src/core/membership/relays.ts
+++ b/src/core/membership/relays.ts
@@ -8,7 +8,7 @@
  * learned from another relay of its own domain; otherwise two relays could keep a dead instance
  * alive by vouching for it to each other.
  */
-import { sendTo, type CoreContext } from '../context.js';
+import { sendToInstance, type CoreContext } from '../context.js';
 import type { Millis } from '../clock.js';
 import type { CoreState } from '../state.js';
 import type { FailureDomainId, InstanceId, Member, PeerMessageOf } from '../types.js';
@@ -67,7 +67,7 @@
     if (!applySummary(ctx, from, summary)) domainsToRequest.push(summary.domain);
   });
   if (domainsToRequest.length === 0) return;
-  sendTo(ctx, from, { $case: 'memberRequest', value: { domains: domainsToRequest } });
+  sendToInstance(ctx, from, { $case: 'memberRequest', value: { domains: domainsToRequest } });
 }
 
 export function onMemberRequest(
@@ -169,5 +169,5 @@
     summaries.push({ domain, hash, full, members: full ? members.map(encodeMember) : [] });
   });
   if (summaries.length === 0) return;
-  sendTo(ctx, to.id, { $case: 'memberSummaries', value: { domains: summaries } });
+  sendToInstance(ctx, to.id, { $case: 'memberSummaries', value: { domains: summaries } });
 }
--- a/src/core/quarantine/catchUp.ts
+++ b/src/core/quarantine/catchUp.ts
@@ -5,7 +5,7 @@
  */
 import type { Millis } from '../clock.js';
 import { announceAll } from '../dispatch/queues.js';
-import { sendTo, type CoreContext } from '../context.js';
+import { sendToInstance, type CoreContext } from '../context.js';
 import { forEachOther } from '../membership/membership.js';
 import type { InstanceId } from '../types.js';
 import { sendAllSuspicions } from './suspicions.js';
@@ -64,7 +64,7 @@
   for (let asked = 0; asked < MEMBERS_ASKED_PER_TICK && others.length > 0; asked += 1) {
     const [to] = others.splice(ctx.state.random.nextInt(others.length), 1);
     if (to === undefined) return;
-    sendTo(ctx, to, { $case: 'suspicions', value: { entries: [], wantsAll: true } });
+    sendToInstance(ctx, to, { $case: 'suspicions', value: { entries: [], wantsAll: true } });
   }
 }
 
--- a/src/core/quarantine/suspicions.ts
+++ b/src/core/quarantine/suspicions.ts
@@ -3,7 +3,7 @@
  * reach members that missed a message, each instance periodically sends all its suspicions to two
  * random members.
  */
-import { emitLog, sendTo, type CoreContext } from '../context.js';
+import { emitLog, sendToInstance, type CoreContext } from '../context.js';
 import { forEachOther } from '../membership/membership.js';
 import type { InstanceId, PeerMessageOf } from '../types.js';
 import type { Fingerprint, Suspect, SuspectRun } from './quarantineState.js';
@@ -112,7 +112,7 @@
 }
 
 function sendEntries(ctx: CoreContext, to: InstanceId, entries: readonly Suspicion[]): void {
-  sendTo(ctx, to, { $case: 'suspicions', value: { entries, wantsAll: false } });
+  sendToInstance(ctx, to, { $case: 'suspicions', value: { entries, wantsAll: false } });
 }
 
 function encodeAllSuspicions(ctx: CoreContext): readonly Suspicion[] {
--- a/src/core/retries/retries.ts
+++ b/src/core/retries/retries.ts
@@ -7,7 +7,7 @@
  * Since each domain keeps to the ratio for its own requests, so does the fleet, and no report has
  * to leave the domain.
  */
-import { sendTo, setTimer, type CoreContext } from '../context.js';
+import { sendToInstance, setTimer, type CoreContext } from '../context.js';
 import { enqueue, noteChange } from '../dispatch/queues.js';
 import { forEachOther } from '../membership/membership.js';
 import type { CoreState } from '../state.js';
@@ -113,7 +113,7 @@
 function reportUsage(ctx: CoreContext, own: RetryUsage): void {
   forEachOther(ctx.state, (member) => {
     if (member.domain !== ctx.state.self.domain) return;
-    sendTo(ctx, member.id, { $case: 'retryUsage', value: own });
+    sendToInstance(ctx, member.id, { $case: 'retryUsage', value: own });
   });
 }
 
--- a/src/core/shares/exchange.ts
+++ b/src/core/shares/exchange.ts
@@ -4,7 +4,7 @@
  * of the fleet from them. Sums only grow and are merged by maximum, so messages may be reordered,
  * duplicated or delayed.
  */
-import { sendTo, setTimer, type CoreContext } from '../context.js';
+import { sendToInstance, setTimer, type CoreContext } from '../context.js';
 import { isLive } from '../membership/memberIndex.js';
 import { exchangeInterval } from './exchangeInterval.js';
 import type { CoreState } from '../state.js';
@@ -152,7 +152,7 @@
     customers: entries.map((entry) => entry.customer),
     sums: entries.map((entry) => entry.sum),
   });
-  sendTo(ctx, relay, { $case: 'serviceSums', value });
+  sendToInstance(ctx, relay, { $case: 'serviceSums', value });
 }
 
 function applyFleetSums(ctx: CoreContext, from: InstanceId, message: ServiceSums): void {
--- a/src/core/shares/relay.ts
+++ b/src/core/shares/relay.ts
@@ -9,7 +9,7 @@
  * while it is learning, the first report of an origin counts as part of those sums instead of being
  * added to them.
  */
-import { sendTo, type CoreContext } from '../context.js';
+import { sendToInstance, type CoreContext } from '../context.js';
 import { exchangeInterval } from './exchangeInterval.js';
 import type { Millis } from '../clock.js';
 import { isLive, liveDomains, membersOf } from '../membership/memberIndex.js';
@@ -107,7 +107,7 @@
       });
       if (sums.length === 0) return;
       const value = encodeSums({ scope: SumScope.domain, account, origin: domain }, [], sums);
-      sendTo(ctx, from, { $case: 'serviceSums', value });
+      sendToInstance(ctx, from, { $case: 'serviceSums', value });
     });
   });
 }
@@ -148,7 +148,8 @@
     .filter((domain) => domain !== state.self.domain)
     .flatMap((domain) => groupRelays(state, domain, group).slice(0, 1));
   new Set([...relays, ...otherMembers, ...remoteRelays]).forEach((id) => {
-    if (id !== state.self.id) sendTo(ctx, id, { $case: 'serviceRequest', value: { group } });
+    if (id !== state.self.id)
+      sendToInstance(ctx, id, { $case: 'serviceRequest', value: { group } });
   });
 }
 
--- a/src/core/shares/relaySending.ts
+++ b/src/core/shares/relaySending.ts
@@ -1,5 +1,5 @@
 /** Sending side of a relay: domain sums to other domains' relays, fleet sums to its own domain. */
-import { sendTo, type CoreContext } from '../context.js';
+import { sendToInstance, type CoreContext } from '../context.js';
 import { liveDomains, membersOf } from '../membership/memberIndex.js';
 import type { CustomerNumber, InstanceId, PoolNumber } from '../types.js';
 import { groupOf, groupRelays, isForemost } from './groups.js';
@@ -34,7 +34,7 @@
     batches.forEach((batch, relay) => {
       const header = { scope: SumScope.domain, account, origin: state.self.domain };
       const value = encodeSums(header, batch.waiting, batch.others);
-      sendTo(ctx, relay, { $case: 'serviceSums', value });
+      sendToInstance(ctx, relay, { $case: 'serviceSums', value });
     });
   });
 }
@@ -58,7 +58,7 @@
       const acknowledged = origins.get(member.id)?.sequences.get(account) ?? 0;
       const header = { scope: SumScope.fleet, account, acknowledged };
       const value = encodeSums(header, batch.waiting, batch.others);
-      sendTo(ctx, member.id, { $case: 'serviceSums', value });
+      sendToInstance(ctx, member.id, { $case: 'serviceSums', value });
     });
   });
 }
