Rename admit to admitRequest

admit of src/core/limits/limits.ts is admitRequest now. Several folders share the name, so it has a commit of its own: 3 places in 2 files, by the language service of the compiler, then the formatter.

--- a/src/core/limits/limits.ts
+++ b/src/core/limits/limits.ts
@@ -31,7 +31,7 @@
 export type Admission = Admitted | LimitRefusal;
 
 /** Checks a new request with a body of `bytes` against the limits of its customer and counts it. */
-export function admit(ctx: CoreContext, customer: CustomerNumber, bytes: number): Admission {
+export function admitRequest(ctx: CoreContext, customer: CustomerNumber, bytes: number): Admission {
   const { state, now } = ctx;
   const limits = state.configuration.view?.customers.get(customer)?.limits;
   if (limits === undefined) return { kind: 'admitted' };
--- a/src/core/requests/admission.ts
+++ b/src/core/requests/admission.ts
@@ -6,7 +6,7 @@
 import type { CoreContext } from '../context.js';
 import type { DiagnosticArgs, DiagnosticCode } from '../diagnostics.js';
 import { enqueue } from '../dispatch/queues.js';
-import { admit } from '../limits/limits.js';
+import { admitRequest } from '../limits/limits.js';
 import { refuseQuarantined } from '../quarantine/quarantine.js';
 import type {
   CallerRequestEvent,
@@ -39,7 +39,7 @@
     refuseWithCode(ctx, event, 'unknownPool', 404, 'route', { pool: event.pool });
     return;
   }
-  const admission = admit(ctx, customer, event.bodyBytes);
+  const admission = admitRequest(ctx, customer, event.bodyBytes);
   if (admission.kind === 'refused') {
     emitRefusal(ctx, event, admission.problem);
     return;
