--- a/src/core/dispatch/queues.ts
+++ b/src/core/dispatch/queues.ts
@@ -1,7 +1,7 @@
 /** Queues of the requests waiting at this instance, by pool and customer. */
 import type { CoreContext } from '../context.js';
 import type { Millis } from '../clock.js';
-import { concurrencyHeadroom, noteQueued } from '../limits/limits.js';
+import { concurrencyHeadroom, updateWaitingUsage } from '../limits/limits.js';
 import { isRunnable } from '../requests/readiness.js';
 import type { CoreState } from '../state.js';
 import type { CustomerNumber, PoolId, RequestFacts, RequestId, UpstreamId } from '../types.js';
@@ -12,7 +12,7 @@
 /** Appends a request to the queue of its pool and customer. */
 export function enqueue(ctx: CoreContext, facts: RequestFacts): void {
   queueOf(ctx.state, facts.pool, facts.customer).push(facts.requestId);
-  noteQueued(ctx, facts.customer, 1, facts.bodyBytes);
+  updateWaitingUsage(ctx, facts.customer, 1, facts.bodyBytes);
   noteChange(ctx, facts.pool, facts.customer);
 }
 
@@ -22,7 +22,7 @@
   const index = queue?.indexOf(facts.requestId) ?? -1;
   if (queue === undefined || index < 0) return;
   queue.splice(index, 1);
-  noteQueued(ctx, facts.customer, -1, facts.bodyBytes);
+  updateWaitingUsage(ctx, facts.customer, -1, facts.bodyBytes);
   removeIfEmpty(ctx.state, facts.pool, facts.customer, queue);
   noteChange(ctx, facts.pool, facts.customer);
 }
@@ -46,7 +46,7 @@
   const requestId = queue[index] as RequestId;
   queue.splice(index, 1);
   const bytes = state.requests.active.get(requestId)?.facts.bodyBytes ?? 0;
-  noteQueued({ state }, customer, -1, bytes);
+  updateWaitingUsage({ state }, customer, -1, bytes);
   removeIfEmpty(state, pool, customer, queue);
   return requestId;
 }
--- a/src/core/limits/limits.ts
+++ b/src/core/limits/limits.ts
@@ -70,7 +70,7 @@
 }
 
 /** Updates the waiting usage when a request starts or stops waiting. */
-export function noteQueued(
+export function updateWaitingUsage(
   ctx: { readonly state: CoreState },
   customer: CustomerNumber,
   requests: 1 | -1,
