--- a/src/core/dispatch/entry.ts
+++ b/src/core/dispatch/entry.ts
@@ -1,7 +1,7 @@
 /** Entry side of dispatch: handles grants and suspend requests from owners. */
 import { startAttempt } from '../attempts/attempts.js';
 import { sendToInstance, type CoreContext } from '../context.js';
-import { noteRunning } from '../limits/limits.js';
+import { updateRunningUsage } from '../limits/limits.js';
 import type { CoreState } from '../state.js';
 import type { SlotGrant, GrantId, InstanceId, PeerMessageOf } from '../types.js';
 import { grantKey } from './dispatchState.js';
@@ -44,7 +44,7 @@
   }
   noteChange(ctx, pool.id, grant.customer);
   state.dispatch.heldGrants.set(grantKey(facts), { customer: grant.customer, incarnation });
-  noteRunning(state, grant.customer, 1);
+  updateRunningUsage(state, grant.customer, 1);
   startAttempt(ctx, requestId, facts);
 }
 
--- a/src/core/dispatch/grants.ts
+++ b/src/core/dispatch/grants.ts
@@ -1,6 +1,6 @@
 /** Returns and releases grants held by an entry. */
 import { sendToInstance, type CoreContext } from '../context.js';
-import { noteRunning } from '../limits/limits.js';
+import { updateRunningUsage } from '../limits/limits.js';
 import { ownerOf } from '../ownership/ownership.js';
 import type { SlotGrant } from '../types.js';
 import { grantKey } from './dispatchState.js';
@@ -40,5 +40,5 @@
   const held = heldGrants.get(grantKey(grant));
   if (held === undefined) return;
   heldGrants.delete(grantKey(grant));
-  noteRunning(ctx.state, held.customer, -1);
+  updateRunningUsage(ctx.state, held.customer, -1);
 }
--- a/src/core/limits/limits.ts
+++ b/src/core/limits/limits.ts
@@ -82,7 +82,11 @@
 }
 
 /** Updates the number of running requests when a request starts or stops running. */
-export function noteRunning(state: CoreState, customer: CustomerNumber, requests: 1 | -1): void {
+export function updateRunningUsage(
+  state: CoreState,
+  customer: CustomerNumber,
+  requests: 1 | -1,
+): void {
   const usage = getLocalUsage(state, customer, 0);
   usage.running = Math.max(0, usage.running + requests);
 }
