--- a/src/core/dispatch/assign.ts
+++ b/src/core/dispatch/assign.ts
@@ -5,7 +5,7 @@
  */
 import { sendToInstance, type CoreContext } from '../context.js';
 import type { Millis } from '../clock.js';
-import { takesNewWork } from '../drain/upstreams.js';
+import { acceptsNewRequests } from '../drain/upstreams.js';
 import { isOutdated } from '../orders/outdated.js';
 import { ownedUpstreams } from '../ownership/ownership.js';
 import { exchangeInterval } from '../shares/exchangeInterval.js';
@@ -172,7 +172,7 @@
   const { state } = ctx;
   return ownedInPool(state, pool).filter(
     (upstream) =>
-      takesNewWork(state, upstream.id) &&
+      acceptsNewRequests(state, upstream.id) &&
       !isOutdated(state, upstream) &&
       freeSlots(state, upstream, ctx.now) > 0,
   );
--- a/src/core/drain/upstreams.ts
+++ b/src/core/drain/upstreams.ts
@@ -18,7 +18,7 @@
  * Whether an upstream accepts new requests: it has no planned stop, and it is not avoided because a
  * request could not be sent to it.
  */
-export function takesNewWork(state: CoreState, upstream: UpstreamId): boolean {
+export function acceptsNewRequests(state: CoreState, upstream: UpstreamId): boolean {
   return !isUpstreamStopping(state, upstream) && !state.attempts.avoided.has(upstream);
 }
 
--- a/src/core/requests/readiness.ts
+++ b/src/core/requests/readiness.ts
@@ -1,6 +1,6 @@
 /** Determines which queued requests may be dispatched now, and to which upstreams. */
 import { isClaimWon } from '../claims/ownClaims.js';
-import { takesNewWork } from '../drain/upstreams.js';
+import { acceptsNewRequests } from '../drain/upstreams.js';
 import { mayRun, mayRunOn } from '../quarantine/suspects.js';
 import type { CoreState } from '../state.js';
 import type { RequestId, RetryingRequest, UpstreamId, WaitingRequest } from '../types.js';
@@ -26,6 +26,6 @@
     isClaimWon(state, request.facts) &&
     mayRunOn(state, request.facts, upstream) &&
     !request.tried.includes(upstream) &&
-    takesNewWork(state, upstream)
+    acceptsNewRequests(state, upstream)
   );
 }
