--- a/src/core/dispatch/announcements.ts
+++ b/src/core/dispatch/announcements.ts
@@ -10,7 +10,7 @@
 import type { Millis } from '../clock.js';
 import { hash32 } from '../hash.js';
 import { bestScored, isLive, membersOf, relaysOf } from '../membership/memberIndex.js';
-import { ownerOf, upstreamsIn } from '../ownership/ownership.js';
+import { ownerOf, upstreamsInDomain } from '../ownership/ownership.js';
 import { lagThresholdOf, virtualService } from '../shares/shares.js';
 import type { CoreState } from '../state.js';
 import type { CustomerNumber, InstanceId, PoolConfig, PoolId } from '../types.js';
@@ -369,7 +369,7 @@
 /** Returns the other owners of the pool's upstreams in this domain, in a stable order. */
 function ownersInDomain(state: CoreState, pool: PoolId): readonly InstanceId[] {
   const owners = new Set<InstanceId>();
-  upstreamsIn(state, state.self.domain).forEach((upstream) => {
+  upstreamsInDomain(state, state.self.domain).forEach((upstream) => {
     const owner = upstream.pool === pool ? ownerOf(state, upstream.id) : undefined;
     if (owner !== undefined && owner !== state.self.id) owners.add(owner);
   });
--- a/src/core/ownership/ownership.ts
+++ b/src/core/ownership/ownership.ts
@@ -66,7 +66,10 @@
 }
 
 /** Returns the upstreams of a failure domain. */
-export function upstreamsIn(state: CoreState, domain: FailureDomainId): readonly UpstreamConfig[] {
+export function upstreamsInDomain(
+  state: CoreState,
+  domain: FailureDomainId,
+): readonly UpstreamConfig[] {
   const { view } = state.configuration;
   return view === undefined ? [] : (indexUpstreams(state, view).get(domain) ?? []);
 }
@@ -97,7 +100,7 @@
   const candidates = ownerCandidates(state, domain).map(({ id }) => ({ id, hash: hash32(id) }));
   const candidateIds = new Set(candidates.map(({ id }) => id));
   const added = candidates.filter(({ id }) => !entry.candidates.has(id));
-  const upstreams = upstreamsIn(state, domain);
+  const upstreams = upstreamsInDomain(state, domain);
   upstreams.forEach(({ id }) => {
     const current = entry.owners.get(id);
     const isKept = current !== undefined && candidateIds.has(current.id);
@@ -134,7 +137,7 @@
 function ownerCandidates(state: CoreState, domain: FailureDomainId): readonly Member[] {
   const inDomain = owningAmong(membersOf(state, domain));
   if (inDomain.length > 0) return inDomain;
-  const region = upstreamsIn(state, domain)[0]?.region;
+  const region = upstreamsInDomain(state, domain)[0]?.region;
   const all = owningMembers(state);
   const inRegion = all.filter((member) => member.region === region);
   return inRegion.length > 0 ? inRegion : all;
