--- a/src/core/orders/orders.ts
+++ b/src/core/orders/orders.ts
@@ -5,7 +5,7 @@
  * state. The `orders` stream is read only while an order is needed or in progress.
  */
 import { emitAuditEntry, emitMetric, setTimer, type CoreContext } from '../context.js';
-import { forEachOwned, isOwner } from '../ownership/ownership.js';
+import { forEachOwnedUpstream, isOwner } from '../ownership/ownership.js';
 import type {
   AppendResult,
   CoreEvent,
@@ -57,7 +57,7 @@
   dropStaleState(ctx);
   updateDemandLevels(ctx);
   let needsLog = orders.progress.size > 0;
-  forEachOwned(ctx.state, (upstream) => {
+  forEachOwnedUpstream(ctx.state, (upstream) => {
     if (reconcile(ctx, upstream)) needsLog = true;
   });
   if (needsLog) requestRead(ctx);
--- a/src/core/ownership/ownership.ts
+++ b/src/core/ownership/ownership.ts
@@ -37,7 +37,10 @@
 }
 
 /** Calls `action` for each upstream that this instance owns. */
-export function forEachOwned(state: CoreState, action: (upstream: UpstreamConfig) => void): void {
+export function forEachOwnedUpstream(
+  state: CoreState,
+  action: (upstream: UpstreamConfig) => void,
+): void {
   ownedUpstreams(state).forEach(action);
 }
 
