--- a/src/core/claims/duplicates.ts
+++ b/src/core/claims/duplicates.ts
@@ -4,7 +4,7 @@
  * running or may have run.
  */
 import { sendToInstance, type CoreContext } from '../context.js';
-import { failRequest, isUntried, refuseSettledKey, replayRequest } from '../requests/outcomes.js';
+import { failRequest, isUntried, refuseWithKnownKey, replayRequest } from '../requests/outcomes.js';
 import type { DiagnosticCode } from '../diagnostics.js';
 import type {
   ExecutionStatus,
@@ -163,7 +163,7 @@
   const request = ctx.state.requests.active.get(facts.requestId);
   if (request === undefined || !isUntried(request)) return;
   const details = createProblem(ctx, code, status, { kind: 'self' });
-  refuseSettledKey(ctx, request, { ...details, executed: 'no' });
+  refuseWithKnownKey(ctx, request, { ...details, executed: 'no' });
 }
 
 function createProblem(
--- a/src/core/requests/outcomes.ts
+++ b/src/core/requests/outcomes.ts
@@ -48,7 +48,7 @@
   problem: NotRunProblem,
 ): void {
   if (isClaimWon(ctx.state, request.facts)) {
-    refuseSettledKey(ctx, request, problem);
+    refuseWithKnownKey(ctx, request, problem);
     return;
   }
   const { requestId } = request.facts;
@@ -61,7 +61,7 @@
  * Reports to the caller that its request was not executed. If the request has an idempotency key,
  * the outcome of that key must be known.
  */
-export function refuseSettledKey(
+export function refuseWithKnownKey(
   ctx: CoreContext,
   request: UnexecutedRequest,
   problem: NotRunProblem,
