--- a/src/core/claims/claims.ts
+++ b/src/core/claims/claims.ts
@@ -11,7 +11,7 @@
 import { emitLog, type CoreContext } from '../context.js';
 import { Debug } from '../debug.js';
 import type { DiagnosticCode } from '../diagnostics.js';
-import { noteChange } from '../dispatch/queues.js';
+import { scheduleAnnouncement } from '../dispatch/queues.js';
 import { isUntried, refuseRequest } from '../requests/outcomes.js';
 import type { NotRunProblem, RequestFacts } from '../types.js';
 import { keyIdOf, type KeyState, type OwnClaim } from './claimsState.js';
@@ -102,7 +102,7 @@
         return;
       }
       claim.status = 'won';
-      noteChange(ctx, claim.facts.pool);
+      scheduleAnnouncement(ctx, claim.facts.pool);
       break;
     default:
       Debug.assertNever(claim.status);
--- a/src/core/dispatch/entry.ts
+++ b/src/core/dispatch/entry.ts
@@ -7,7 +7,7 @@
 import { grantKey } from './dispatchState.js';
 import { recordGranted } from './announcements.js';
 import { returnGrant } from './grants.js';
-import { noteChange, scheduleDelayedAnnouncement, dequeueNext } from './queues.js';
+import { scheduleAnnouncement, scheduleDelayedAnnouncement, dequeueNext } from './queues.js';
 
 /** Maximum number of grant ids kept per owner to detect duplicate delivery. */
 const MAX_SEEN_GRANTS = 512;
@@ -42,7 +42,7 @@
     returnGrant(ctx, facts);
     return;
   }
-  noteChange(ctx, pool.id, grant.customer);
+  scheduleAnnouncement(ctx, pool.id, grant.customer);
   state.dispatch.heldGrants.set(grantKey(facts), { customer: grant.customer, incarnation });
   updateRunningUsage(state, grant.customer, 1);
   startAttempt(ctx, requestId, facts);
--- a/src/core/dispatch/pull.ts
+++ b/src/core/dispatch/pull.ts
@@ -22,7 +22,7 @@
 import { applyOffer, decrementWaiting } from './demand.js';
 import type { DemandSubscription, PoolDemand, WaitingCount } from './dispatchState.js';
 import { pollLoad } from './loadPolls.js';
-import { noteChange } from './queues.js';
+import { scheduleAnnouncement } from './queues.js';
 import { freeSlots, slotsOf } from './slots.js';
 
 /** Number of checks for free slots per renewal interval. */
@@ -67,7 +67,7 @@
   const { dispatch, settings } = ctx.state;
   if (dispatch.ownOffersAt > ctx.now) return;
   dispatch.ownOffersAt = ctx.now + settings.pullMs;
-  dispatch.queues.forEach((_, pool) => noteChange(ctx, pool));
+  dispatch.queues.forEach((_, pool) => scheduleAnnouncement(ctx, pool));
 }
 
 /** Updates or cancels a subscription, then serves the pool's subscriptions. */
--- a/src/core/dispatch/queues.ts
+++ b/src/core/dispatch/queues.ts
@@ -13,7 +13,7 @@
 export function enqueue(ctx: CoreContext, facts: RequestFacts): void {
   queueOf(ctx.state, facts.pool, facts.customer).push(facts.requestId);
   updateWaitingUsage(ctx, facts.customer, 1, facts.bodyBytes);
-  noteChange(ctx, facts.pool, facts.customer);
+  scheduleAnnouncement(ctx, facts.pool, facts.customer);
 }
 
 /** Removes a request from its queue, if it is queued. */
@@ -24,12 +24,12 @@
   queue.splice(index, 1);
   updateWaitingUsage(ctx, facts.customer, -1, facts.bodyBytes);
   removeIfEmpty(ctx.state, facts.pool, facts.customer, queue);
-  noteChange(ctx, facts.pool, facts.customer);
+  scheduleAnnouncement(ctx, facts.pool, facts.customer);
 }
 
 /** Schedules an announcement for every pool with waiting work, so that new owners learn of it. */
 export function announceAll(ctx: CoreContext): void {
-  ctx.state.dispatch.queues.forEach((_, pool) => noteChange(ctx, pool));
+  ctx.state.dispatch.queues.forEach((_, pool) => scheduleAnnouncement(ctx, pool));
 }
 
 /** Dequeues a customer's oldest runnable request, restricted to an upstream if one is given. */
@@ -75,7 +75,11 @@
 }
 
 /** Schedules an immediate announcement for a pool, or for one of its customers. */
-export function noteChange(ctx: CoreContext, pool: PoolId, customer?: CustomerNumber): void {
+export function scheduleAnnouncement(
+  ctx: CoreContext,
+  pool: PoolId,
+  customer?: CustomerNumber,
+): void {
   markChanged(ctx.state, pool, customer);
   setAnnounceTimer(ctx, ctx.now);
 }
--- a/src/core/quarantine/permits.ts
+++ b/src/core/quarantine/permits.ts
@@ -5,7 +5,7 @@
  * lowest id.
  */
 import type { CoreContext } from '../context.js';
-import { noteChange } from '../dispatch/queues.js';
+import { scheduleAnnouncement } from '../dispatch/queues.js';
 import type { ActiveRequest, InstanceId, UpstreamId } from '../types.js';
 import { ANY_UPSTREAM, type Fingerprint, type Suspect } from './quarantineState.js';
 import { QUARANTINE_CRASH_THRESHOLD } from './suspects.js';
@@ -60,7 +60,7 @@
   }
   if (!permit.isReady && permit.readyAt <= ctx.now) {
     permit.isReady = true;
-    noteChange(ctx, request.facts.pool);
+    scheduleAnnouncement(ctx, request.facts.pool);
   }
   announceSuspect(ctx, fingerprint);
 }
--- a/src/core/retries/retries.ts
+++ b/src/core/retries/retries.ts
@@ -8,7 +8,7 @@
  * to leave the domain.
  */
 import { sendToInstance, setTimer, type CoreContext } from '../context.js';
-import { enqueue, noteChange } from '../dispatch/queues.js';
+import { enqueue, scheduleAnnouncement } from '../dispatch/queues.js';
 import { forEachOther } from '../membership/membership.js';
 import type { CoreState } from '../state.js';
 import type { Millis } from '../clock.js';
@@ -74,7 +74,7 @@
     const request = requests.active.get(requestId);
     if (request === undefined) return;
     enqueue(ctx, request.facts);
-    noteChange(ctx, request.facts.pool);
+    scheduleAnnouncement(ctx, request.facts.pool);
   });
 }
 
