--- a/src/core/configuration/configuration.ts
+++ b/src/core/configuration/configuration.ts
@@ -3,7 +3,7 @@
  * and timers, and activates accepted versions.
  */
 import { emitLog, setTimer, type CoreContext } from '../context.js';
-import { announceAll } from '../dispatch/queues.js';
+import { scheduleAllAnnouncements } from '../dispatch/queues.js';
 import { setOwnPhase } from '../membership/membership.js';
 import type {
   ConfigurationView,
@@ -39,7 +39,7 @@
     setOwnPhase(ctx, 'ready');
     ctx.emit({ kind: 'setReady', ready: true });
   }
-  announceAll(ctx);
+  scheduleAllAnnouncements(ctx);
 }
 
 export function startConfiguration(ctx: CoreContext): void {
--- a/src/core/dispatch/queues.ts
+++ b/src/core/dispatch/queues.ts
@@ -28,7 +28,7 @@
 }
 
 /** Schedules an announcement for every pool with waiting work, so that new owners learn of it. */
-export function announceAll(ctx: CoreContext): void {
+export function scheduleAllAnnouncements(ctx: CoreContext): void {
   ctx.state.dispatch.queues.forEach((_, pool) => scheduleAnnouncement(ctx, pool));
 }
 
--- a/src/core/quarantine/catchUp.ts
+++ b/src/core/quarantine/catchUp.ts
@@ -4,7 +4,7 @@
  * the catch-up times out. New members are sent all suspicions without a request.
  */
 import type { Millis } from '../clock.js';
-import { announceAll } from '../dispatch/queues.js';
+import { scheduleAllAnnouncements } from '../dispatch/queues.js';
 import { sendToInstance, type CoreContext } from '../context.js';
 import { forEachOther } from '../membership/membership.js';
 import type { InstanceId } from '../types.js';
@@ -45,7 +45,7 @@
   const { quarantine } = ctx.state;
   if (quarantine.catchUp === 'done') return;
   quarantine.catchUp = 'done';
-  announceAll(ctx);
+  scheduleAllAnnouncements(ctx);
 }
 
 function advanceCatchUp(ctx: CoreContext): void {
--- a/src/core/reducer.ts
+++ b/src/core/reducer.ts
@@ -35,7 +35,7 @@
 import { Debug } from './debug.js';
 import { onAnnounceTimer } from './dispatch/announcements.js';
 import { onGrant, onSuspendRequest } from './dispatch/entry.js';
-import { announceAll } from './dispatch/queues.js';
+import { scheduleAllAnnouncements } from './dispatch/queues.js';
 import {
   onGrantReturn,
   onPollTimer,
@@ -294,7 +294,7 @@
       return;
     case 'poll':
       onPollTimer(ctx);
-      announceAll(ctx);
+      scheduleAllAnnouncements(ctx);
       return;
     case 'deadlines':
       onDeadlinesTimer(ctx);
