--- a/src/core/dispatch/queues.ts
+++ b/src/core/dispatch/queues.ts
@@ -17,7 +17,7 @@
 }
 
 /** Removes a request from its queue, if it is queued. */
-export function withdraw(ctx: CoreContext, facts: RequestFacts): void {
+export function removeFromQueue(ctx: CoreContext, facts: RequestFacts): void {
   const queue = ctx.state.dispatch.queues.get(facts.pool)?.get(facts.customer);
   const index = queue?.indexOf(facts.requestId) ?? -1;
   if (queue === undefined || index < 0) return;
--- a/src/core/requests/outcomes.ts
+++ b/src/core/requests/outcomes.ts
@@ -2,7 +2,7 @@
 import { isClaimWon } from '../claims/ownClaims.js';
 import { abandonClaim, settleClaim } from '../claims/settlement.js';
 import type { CoreContext } from '../context.js';
-import { withdraw } from '../dispatch/queues.js';
+import { removeFromQueue } from '../dispatch/queues.js';
 import { stopIfDrained } from '../drain/drain.js';
 import type {
   ActiveRequest,
@@ -93,7 +93,7 @@
 
 /** Removes a request whose outcome was reported or whose caller has disconnected. */
 export function endRequest(ctx: CoreContext, facts: RequestFacts): void {
-  withdraw(ctx, facts);
+  removeFromQueue(ctx, facts);
   ctx.state.retries.delayed.delete(facts.requestId);
   ctx.state.requests.active.delete(facts.requestId);
   stopIfDrained(ctx);
