--- a/src/core/dispatch/assign.ts
+++ b/src/core/dispatch/assign.ts
@@ -23,7 +23,13 @@
 import { decrementWaiting } from './demand.js';
 import type { IssuedGrant, PoolDemand, WaitingCount } from './dispatchState.js';
 import { setAnnounceTimer } from './queues.js';
-import { endReservation, resetLoadReports, foreignUse, freeSlots, slotsOf } from './slots.js';
+import {
+  endReservation,
+  resetLoadReports,
+  slotsUsedByOthers,
+  freeSlots,
+  slotsOf,
+} from './slots.js';
 import { requestSuspension, resumeNextSuspended } from './suspension.js';
 
 /** Number of exchanges after which the service sums include the service under a new grant. */
@@ -237,7 +243,7 @@
 
 function loadOf(state: CoreState, upstream: UpstreamConfig, now: Millis): number {
   const slots = slotsOf(state, upstream);
-  return (slots.inUse + foreignUse(slots, now)) / Math.max(1, slots.limit);
+  return (slots.inUse + slotsUsedByOthers(slots, now)) / Math.max(1, slots.limit);
 }
 
 function issueGrant(
--- a/src/core/dispatch/slots.ts
+++ b/src/core/dispatch/slots.ts
@@ -61,11 +61,11 @@
   const limit = Math.floor(Math.min(slots.limit, upstream.slots));
   // Until the first report, assume that another owner may still use part of the upstream.
   const usable = upstream.reportsLoad && !slots.hasReport ? Math.ceil(limit / 2) : limit;
-  return usable - slots.inUse - foreignUse(slots, now);
+  return usable - slots.inUse - slotsUsedByOthers(slots, now);
 }
 
 /** Returns the slots used by others: earlier owners, or owners with a different membership view. */
-export function foreignUse(slots: Slots, now: Millis): number {
+export function slotsUsedByOthers(slots: Slots, now: Millis): number {
   let held = 0;
   slots.foreignHeld.forEach(({ count, until }, entry) => {
     if (until > now) held += count;
--- a/src/core/orders/demandLevels.ts
+++ b/src/core/orders/demandLevels.ts
@@ -6,7 +6,7 @@
  */
 import { emitMetric, type CoreContext } from '../context.js';
 import { ownedByPool, ownedInPool } from '../dispatch/assign.js';
-import { foreignUse, slotsOf } from '../dispatch/slots.js';
+import { slotsUsedByOthers, slotsOf } from '../dispatch/slots.js';
 import type { CoreState } from '../state.js';
 import type { ConfigurationView, PlacementConfig, PoolId, UpstreamConfig } from '../types.js';
 import type { DemandLevel } from './ordersState.js';
@@ -134,7 +134,7 @@
 function isUnderused(ctx: CoreContext, pool: PoolId, level: number, slotLimit: number): boolean {
   const inUse = ownedInPool(ctx.state, pool).reduce((sum, upstream) => {
     const slots = slotsOf(ctx.state, upstream);
-    return sum + slots.inUse + slots.suspended + foreignUse(slots, ctx.now);
+    return sum + slots.inUse + slots.suspended + slotsUsedByOthers(slots, ctx.now);
   }, 0);
   // The owned upstreams are treated as a representative sample of the pool.
   const remainingSlots = level === 0 ? 0 : (slotLimit * (level - 1)) / level;
--- a/src/core/shares/describe.ts
+++ b/src/core/shares/describe.ts
@@ -1,6 +1,6 @@
 /** Read-only snapshots of shares and dispatch for status pages. */
 import type { Millis } from '../clock.js';
-import { foreignUse } from '../dispatch/slots.js';
+import { slotsUsedByOthers } from '../dispatch/slots.js';
 import { concurrencyHeadroom } from '../limits/limits.js';
 import { ownedUpstreams, ownerOf } from '../ownership/ownership.js';
 import { isRunnable } from '../requests/readiness.js';
@@ -149,7 +149,7 @@
     slots: upstream.slots,
     limit: Math.floor(slots?.limit ?? upstream.slots),
     inUse: slots?.inUse ?? 0,
-    inUseByOthers: slots === undefined ? 0 : foreignUse(slots, now),
+    inUseByOthers: slots === undefined ? 0 : slotsUsedByOthers(slots, now),
     suspended: slots?.suspended ?? 0,
     cachedBlocks: cache?.blocks.size ?? 0,
     cacheEpoch: cache?.epoch ?? '',
