--- a/src/core/dispatch/assign.ts
+++ b/src/core/dispatch/assign.ts
@@ -42,7 +42,7 @@
 const RETURNED_BACKOFF_INTERVALS = 5;
 
 /** Returns the owned upstreams of a pool. */
-export function ownedInPool(state: CoreState, pool: PoolId): readonly UpstreamConfig[] {
+export function ownedUpstreamsInPool(state: CoreState, pool: PoolId): readonly UpstreamConfig[] {
   return ownedByPool(state).get(pool) ?? [];
 }
 
@@ -176,7 +176,7 @@
 /** Returns the owned upstreams of a pool that accept new work and have free slots. */
 export function upstreamsWithFreeSlots(ctx: CoreContext, pool: PoolId): readonly UpstreamConfig[] {
   const { state } = ctx;
-  return ownedInPool(state, pool).filter(
+  return ownedUpstreamsInPool(state, pool).filter(
     (upstream) =>
       acceptsNewRequests(state, upstream.id) &&
       !isOutdated(state, upstream) &&
--- a/src/core/dispatch/pull.ts
+++ b/src/core/dispatch/pull.ts
@@ -15,7 +15,7 @@
 import {
   assignPool,
   ownedByPool,
-  ownedInPool,
+  ownedUpstreamsInPool,
   retryReturnedGrants,
   upstreamsWithFreeSlots,
 } from './assign.js';
@@ -263,7 +263,7 @@
     (sum, upstream) => sum + freeSlots(state, upstream, ctx.now),
     0,
   );
-  const all = ownedInPool(state, pool).reduce((sum, upstream) => sum + upstream.slots, 0);
+  const all = ownedUpstreamsInPool(state, pool).reduce((sum, upstream) => sum + upstream.slots, 0);
   return { free, all };
 }
 
--- a/src/core/orders/demandLevels.ts
+++ b/src/core/orders/demandLevels.ts
@@ -5,7 +5,7 @@
  * same order, so the bounds hold fleet-wide even while their estimates differ.
  */
 import { emitMetric, type CoreContext } from '../context.js';
-import { ownedByPool, ownedInPool } from '../dispatch/assign.js';
+import { ownedByPool, ownedUpstreamsInPool } from '../dispatch/assign.js';
 import { slotsUsedByOthers, slotsOf } from '../dispatch/slots.js';
 import type { CoreState } from '../state.js';
 import type { ConfigurationView, PlacementConfig, PoolId, UpstreamConfig } from '../types.js';
@@ -132,7 +132,7 @@
  * that remain with one needed upstream less.
  */
 function isUnderused(ctx: CoreContext, pool: PoolId, level: number, slotLimit: number): boolean {
-  const inUse = ownedInPool(ctx.state, pool).reduce((sum, upstream) => {
+  const inUse = ownedUpstreamsInPool(ctx.state, pool).reduce((sum, upstream) => {
     const slots = slotsOf(ctx.state, upstream);
     return sum + slots.inUse + slots.suspended + slotsUsedByOthers(slots, ctx.now);
   }, 0);
