--- a/src/core/dispatch/assign.ts
+++ b/src/core/dispatch/assign.ts
@@ -43,11 +43,13 @@
 
 /** Returns the owned upstreams of a pool. */
 export function ownedUpstreamsInPool(state: CoreState, pool: PoolId): readonly UpstreamConfig[] {
-  return ownedByPool(state).get(pool) ?? [];
+  return ownedUpstreamsByPool(state).get(pool) ?? [];
 }
 
 /** Groups the owned upstreams by pool; cached until the list of owned upstreams is replaced. */
-export function ownedByPool(state: CoreState): ReadonlyMap<PoolId, readonly UpstreamConfig[]> {
+export function ownedUpstreamsByPool(
+  state: CoreState,
+): ReadonlyMap<PoolId, readonly UpstreamConfig[]> {
   const { dispatch } = state;
   const owned = ownedUpstreams(state);
   if (dispatch.ownedSource === owned) return dispatch.ownedByPool;
@@ -65,7 +67,7 @@
 
 /** Assigns free slots in every pool with owned upstreams. */
 export function assignAll(ctx: CoreContext): void {
-  ownedByPool(ctx.state).forEach((_, pool) => assignPool(ctx, pool));
+  ownedUpstreamsByPool(ctx.state).forEach((_, pool) => assignPool(ctx, pool));
 }
 
 /** Assigns free slots of a pool until no slot is free or no request waits. */
--- a/src/core/dispatch/pull.ts
+++ b/src/core/dispatch/pull.ts
@@ -14,7 +14,7 @@
 import { demandRelay } from './announcements.js';
 import {
   assignPool,
-  ownedByPool,
+  ownedUpstreamsByPool,
   ownedUpstreamsInPool,
   retryReturnedGrants,
   upstreamsWithFreeSlots,
@@ -46,7 +46,7 @@
   const { dispatch, settings } = state;
   pollNewUpstreams(ctx);
   reclaimUntakenOffers(ctx);
-  ownedByPool(state).forEach((_, pool) => requestDemand(ctx, pool));
+  ownedUpstreamsByPool(state).forEach((_, pool) => requestDemand(ctx, pool));
   dispatch.subscriptions.forEach((subscribers, poolId) => {
     subscribers.forEach((subscription, id) => {
       if (subscription.until <= ctx.now || !isLive(state, id)) subscribers.delete(id);
@@ -309,7 +309,7 @@
 
 /** Polls the load of newly owned upstreams. */
 function pollNewUpstreams(ctx: CoreContext): void {
-  ownedByPool(ctx.state).forEach((upstreams) => {
+  ownedUpstreamsByPool(ctx.state).forEach((upstreams) => {
     upstreams.forEach((upstream) => {
       if (!slotsOf(ctx.state, upstream).isPolled) pollLoad(ctx, upstream);
     });
--- a/src/core/orders/demandLevels.ts
+++ b/src/core/orders/demandLevels.ts
@@ -5,7 +5,7 @@
  * same order, so the bounds hold fleet-wide even while their estimates differ.
  */
 import { emitMetric, type CoreContext } from '../context.js';
-import { ownedByPool, ownedUpstreamsInPool } from '../dispatch/assign.js';
+import { ownedUpstreamsByPool, ownedUpstreamsInPool } from '../dispatch/assign.js';
 import { slotsUsedByOthers, slotsOf } from '../dispatch/slots.js';
 import type { CoreState } from '../state.js';
 import type { ConfigurationView, PlacementConfig, PoolId, UpstreamConfig } from '../types.js';
@@ -21,7 +21,7 @@
 export function updateDemandLevels(ctx: CoreContext): void {
   const { configuration, orders } = ctx.state;
   const { view } = configuration;
-  const owned = ownedByPool(ctx.state);
+  const owned = ownedUpstreamsByPool(ctx.state);
   orders.unneeded.clear();
   const pools = new Set<PoolId>();
   view?.placement.forEach((placement) => {
