--- a/src/core/limits/limitUsage.ts
+++ b/src/core/limits/limitUsage.ts
@@ -7,7 +7,7 @@
 import { sendToInstance, setTimer, type CoreContext } from '../context.js';
 import type { Millis } from '../clock.js';
 import { liveDomains } from '../membership/memberIndex.js';
-import { groupOf, groupRelays, isForemost } from '../shares/groups.js';
+import { groupOf, groupRelays, isPrimaryRelay } from '../shares/groups.js';
 import type { CoreState } from '../state.js';
 import type { CustomerLimits, CustomerNumber, InstanceId, PeerMessageOf } from '../types.js';
 import { recentArrivals } from './limits.js';
@@ -107,7 +107,7 @@
       if (report.until <= ctx.now || report.users === 0) reports.delete(reporter);
     });
     const group = groupOf(state, customer);
-    if (reports.size === 0 || !isForemost(state, group)) {
+    if (reports.size === 0 || !isPrimaryRelay(state, group)) {
       places.delete(customer);
       newcomers.delete(customer);
       return;
--- a/src/core/shares/groups.ts
+++ b/src/core/shares/groups.ts
@@ -22,6 +22,6 @@
 }
 
 /** Whether this instance is the primary relay of a group in its domain. */
-export function isForemost(state: CoreState, group: number): boolean {
+export function isPrimaryRelay(state: CoreState, group: number): boolean {
   return groupRelays(state, state.self.domain, group)[0] === state.self.id;
 }
--- a/src/core/shares/lifts.ts
+++ b/src/core/shares/lifts.ts
@@ -11,7 +11,7 @@
 import { liveDomains } from '../membership/memberIndex.js';
 import type { CustomerNumber, PoolNumber } from '../types.js';
 import { accountByNumber, forEachWaiting, settledServiceIn, weightIn } from './accounts.js';
-import { groupOf, isForemost } from './groups.js';
+import { groupOf, isPrimaryRelay } from './groups.js';
 import { fleetSumOf, type RelayEntry } from './relayState.js';
 
 interface ServiceRange {
@@ -45,7 +45,7 @@
       }
       entry.wasWaiting = isWaiting;
       if (!isWaiting || range === undefined || isLearning(customer)) return;
-      if (!isForemost(state, groupOf(state, customer))) return;
+      if (!isPrimaryRelay(state, groupOf(state, customer))) return;
       const cap = isReweighted ? 0 : debtCap;
       const floor = Math.max(hasReturned ? range.least : 0, range.most - cap);
       raiseLiftTo(ctx, account, customer, entry, floor);
--- a/src/core/shares/relaySending.ts
+++ b/src/core/shares/relaySending.ts
@@ -2,7 +2,7 @@
 import { sendToInstance, type CoreContext } from '../context.js';
 import { liveDomains, membersOf } from '../membership/memberIndex.js';
 import type { CustomerNumber, InstanceId, PoolNumber } from '../types.js';
-import { groupOf, groupRelays, isForemost } from './groups.js';
+import { groupOf, groupRelays, isPrimaryRelay } from './groups.js';
 import { fleetSumOf, type RelayEntry } from './relayState.js';
 import { encodeSums, SumScope, type SumEntry } from './sumsCodec.js';
 
@@ -23,7 +23,7 @@
       );
       if (!entry.isNewAbroad && !(isWaitingInOwnDomain && isRefreshDue(ctx, customer))) return;
       const group = groupOf(state, customer);
-      if (!isForemost(state, group)) return;
+      if (!isPrimaryRelay(state, group)) return;
       entry.isNewAbroad = false;
       const sum = { customer, sum: entry.folded + entry.live, lift: entry.lift };
       domains.forEach((domain) => {
@@ -48,7 +48,7 @@
     entries.forEach((entry, customer) => {
       const isWaiting = entry.waitingAt.size > 0;
       if (!entry.isNewBelow && !(isWaiting && isRefreshDue(ctx, customer))) return;
-      if (!isForemost(state, groupOf(state, customer))) return;
+      if (!isPrimaryRelay(state, groupOf(state, customer))) return;
       entry.isNewBelow = false;
       const sum = { customer, sum: fleetSumOf(entry), lift: entry.lift };
       (isWaiting ? batch.waiting : batch.others).push(sum);
