--- a/src/core/claims/ownClaims.ts
+++ b/src/core/claims/ownClaims.ts
@@ -41,6 +41,6 @@
 }
 
 /** Returns the number of records of this instance that have not been read back from the log. */
-export function unsettledRecords(state: CoreState): number {
+export function countUnconfirmedRecords(state: CoreState): number {
   return state.claims.unseen.size;
 }
--- a/src/core/drain/drain.ts
+++ b/src/core/drain/drain.ts
@@ -3,7 +3,7 @@
  * its records to be read back from the log, and leaves. Ownership and the appending of claims move
  * to other instances immediately, since a leaving instance is not eligible for either.
  */
-import { unsettledRecords } from '../claims/ownClaims.js';
+import { countUnconfirmedRecords } from '../claims/ownClaims.js';
 import { emitLog, sendToInstance, setTimer, type CoreContext } from '../context.js';
 import { forEachOther, setOwnPhase } from '../membership/membership.js';
 
@@ -32,7 +32,7 @@
     return;
   }
   drain.idleSince ??= ctx.now;
-  if (unsettledRecords(ctx.state) > 0 && !hasLogWaitExpired(ctx)) {
+  if (countUnconfirmedRecords(ctx.state) > 0 && !hasLogWaitExpired(ctx)) {
     setTimer(ctx, 'drain', DRAIN_TICK_MS);
     return;
   }
@@ -50,7 +50,7 @@
 
 function finishStop(ctx: CoreContext): void {
   const { drain, self } = ctx.state;
-  const records = unsettledRecords(ctx.state);
+  const records = countUnconfirmedRecords(ctx.state);
   if (records > 0) emitLog(ctx, 'warn', 'drain', 'drainUnsettled', { records });
   drain.hasStopped = true;
   forEachOther(ctx.state, (member) => {
