--- a/src/core/membership/memberIndex.ts
+++ b/src/core/membership/memberIndex.ts
@@ -40,7 +40,7 @@
  * Returns the live instances that may own upstreams: the ready ones or, if there are none, the
  * leaving ones, which still have accepted work to finish.
  */
-export function owningMembers(state: CoreState): readonly Member[] {
+export function ownershipCandidates(state: CoreState): readonly Member[] {
   return owningAmong([...state.membership.members.values()]);
 }
 
--- a/src/core/ownership/ownership.ts
+++ b/src/core/ownership/ownership.ts
@@ -8,7 +8,7 @@
  * current owner, and the loss of a candidate requires a full selection only for its own upstreams.
  */
 import { hash32, rendezvousScoreOfHashes } from '../hash.js';
-import { membersOf, owningAmong, owningMembers } from '../membership/memberIndex.js';
+import { membersOf, owningAmong, ownershipCandidates } from '../membership/memberIndex.js';
 import type { CoreState } from '../state.js';
 import type {
   ConfigurationView,
@@ -141,7 +141,7 @@
   const inDomain = owningAmong(membersOf(state, domain));
   if (inDomain.length > 0) return inDomain;
   const region = upstreamsInDomain(state, domain)[0]?.region;
-  const all = owningMembers(state);
+  const all = ownershipCandidates(state);
   const inRegion = all.filter((member) => member.region === region);
   return inRegion.length > 0 ? inRegion : all;
 }
