--- a/src/core/membership/memberIndex.ts
+++ b/src/core/membership/memberIndex.ts
@@ -41,11 +41,11 @@
  * leaving ones, which still have accepted work to finish.
  */
 export function ownershipCandidates(state: CoreState): readonly Member[] {
-  return owningAmong([...state.membership.members.values()]);
+  return filterOwnershipCandidates([...state.membership.members.values()]);
 }
 
 /** Filters members by the same rule as `owningMembers`. */
-export function owningAmong(members: readonly Member[]): readonly Member[] {
+export function filterOwnershipCandidates(members: readonly Member[]): readonly Member[] {
   const ready = members.filter((member) => member.phase === 'ready');
   return ready.length > 0 ? ready : members.filter((member) => member.phase === 'leaving');
 }
--- a/src/core/ownership/ownership.ts
+++ b/src/core/ownership/ownership.ts
@@ -8,7 +8,11 @@
  * current owner, and the loss of a candidate requires a full selection only for its own upstreams.
  */
 import { hash32, rendezvousScoreOfHashes } from '../hash.js';
-import { membersOf, owningAmong, ownershipCandidates } from '../membership/memberIndex.js';
+import {
+  membersOf,
+  filterOwnershipCandidates,
+  ownershipCandidates,
+} from '../membership/memberIndex.js';
 import type { CoreState } from '../state.js';
 import type {
   ConfigurationView,
@@ -138,7 +142,7 @@
 
 /** Returns the instances that are eligible to own the upstreams of a domain. */
 function ownerCandidates(state: CoreState, domain: FailureDomainId): readonly Member[] {
-  const inDomain = owningAmong(membersOf(state, domain));
+  const inDomain = filterOwnershipCandidates(membersOf(state, domain));
   if (inDomain.length > 0) return inDomain;
   const region = upstreamsInDomain(state, domain)[0]?.region;
   const all = ownershipCandidates(state);
