--- a/src/bench/fair/policies.ts
+++ b/src/bench/fair/policies.ts
@@ -5,7 +5,7 @@
  */
 import { serviceGapBound, type SharingConditions } from '../../core/shares/bound.js';
 import { createRandom } from '../../core/random.js';
-import { bestScored } from '../../core/membership/memberIndex.js';
+import { topByRendezvousScore } from '../../core/membership/memberIndex.js';
 import { DEFAULT_CORE_SETTINGS } from '../../core/settings.js';
 import type { ConfigurationView, Member, UpstreamConfig } from '../../core/types.js';
 import { createFakeNetwork, type FakeNetwork } from '../support/fakeNetwork.js';
@@ -229,7 +229,7 @@
   const members = instances.map((instance) => instance as unknown as Member);
   for (let n = 0; ; n += 1) {
     const id = `${upstream.id}-${n}`;
-    if (bestScored(members, id, 1)[0]?.id === instances[0]?.id) {
+    if (topByRendezvousScore(members, id, 1)[0]?.id === instances[0]?.id) {
       return { ...upstream, id, domain: 'd0', region: 'r0' };
     }
   }
--- a/src/core/configuration/checkpointing.ts
+++ b/src/core/configuration/checkpointing.ts
@@ -4,7 +4,7 @@
  * writers are harmless: an instance that has already folded the records in a checkpoint ignores it.
  */
 import type { CoreContext } from '../context.js';
-import { bestScored, ownershipCandidates } from '../membership/memberIndex.js';
+import { topByRendezvousScore, ownershipCandidates } from '../membership/memberIndex.js';
 import type { AppendResult } from '../types.js';
 import { encodeCheckpointSteps } from './checkpoint.js';
 import type { CheckpointWrite } from './configurationState.js';
@@ -33,7 +33,7 @@
   if (configuration.writing !== undefined || ctx.now < configuration.writeRetryAt) return;
   const age = ctx.now - configuration.checkpointedAt;
   if (age < settings.checkpointMs) return;
-  const writers = bestScored(
+  const writers = topByRendezvousScore(
     ownershipCandidates(ctx.state),
     'configuration checkpoint',
     WRITER_CANDIDATES,
--- a/src/core/dispatch/announcements.ts
+++ b/src/core/dispatch/announcements.ts
@@ -9,7 +9,7 @@
 import { sendToInstance, type CoreContext } from '../context.js';
 import type { Millis } from '../clock.js';
 import { hash32 } from '../hash.js';
-import { bestScored, isLive, membersOf, relaysOf } from '../membership/memberIndex.js';
+import { topByRendezvousScore, isLive, membersOf, relaysOf } from '../membership/memberIndex.js';
 import { ownerOf, upstreamsInDomain } from '../ownership/ownership.js';
 import { lagThresholdOf, virtualService } from '../shares/shares.js';
 import type { CoreState } from '../state.js';
@@ -374,7 +374,7 @@
     if (owner !== undefined && owner !== state.self.id) owners.add(owner);
   });
   const members = membersOf(state, state.self.domain).filter(({ id }) => owners.has(id));
-  return bestScored(members, `owners ${pool}`, members.length).map(({ id }) => id);
+  return topByRendezvousScore(members, `owners ${pool}`, members.length).map(({ id }) => id);
 }
 
 function announcedCountsOf(
--- a/src/core/membership/memberIndex.ts
+++ b/src/core/membership/memberIndex.ts
@@ -63,13 +63,13 @@
   const members = membersOf(state, domain);
   const ready = members.filter((member) => member.phase === 'ready');
   const candidates = ready.length > 0 ? ready : members;
-  const chosen = bestScored(candidates, `relay ${key}`, RELAYS_PER_DOMAIN);
+  const chosen = topByRendezvousScore(candidates, `relay ${key}`, RELAYS_PER_DOMAIN);
   relays.set(cacheKey, chosen);
   return chosen;
 }
 
 /** Returns the `count` members with the highest rendezvous scores, in descending order. */
-export function bestScored(
+export function topByRendezvousScore(
   members: readonly Member[],
   key: string,
   count: number,
