--- a/src/core/attempts/attempts.ts
+++ b/src/core/attempts/attempts.ts
@@ -10,7 +10,7 @@
 import { Debug } from '../debug.js';
 import { releaseGrant, returnGrant } from '../dispatch/grants.js';
 import { isUpstreamStopping } from '../drain/upstreams.js';
-import { notePermitUsed } from '../quarantine/permits.js';
+import { recordPermitUse } from '../quarantine/permits.js';
 import { noteAttemptOutcome } from '../quarantine/quarantine.js';
 import { isSuspect } from '../quarantine/suspects.js';
 import { failRequest, finishRequest, refuseRequest } from '../requests/outcomes.js';
@@ -279,7 +279,7 @@
     hasForwarded: false,
   });
   state.requests.active.set(facts.requestId, { ...request, attempt: attemptId });
-  notePermitUsed(ctx, facts.fingerprint, target.upstream.id);
+  recordPermitUse(ctx, facts.fingerprint, target.upstream.id);
   const sendBefore = claimExpiry(state, facts);
   ctx.emit({
     kind: 'dispatch',
--- a/src/core/quarantine/permits.ts
+++ b/src/core/quarantine/permits.ts
@@ -20,7 +20,7 @@
 }
 
 /** Records the upstream on which a suspect runs, and announces it to the other members. */
-export function notePermitUsed(
+export function recordPermitUse(
   ctx: CoreContext,
   fingerprint: Fingerprint,
   upstream: UpstreamId,
