--- a/src/core/attempts/attempts.ts
+++ b/src/core/attempts/attempts.ts
@@ -11,7 +11,7 @@
 import { releaseGrant, returnGrant } from '../dispatch/grants.js';
 import { isUpstreamStopping } from '../drain/upstreams.js';
 import { recordPermitUse } from '../quarantine/permits.js';
-import { noteAttemptOutcome } from '../quarantine/quarantine.js';
+import { recordAttemptOutcome } from '../quarantine/quarantine.js';
 import { isSuspect } from '../quarantine/suspects.js';
 import { failRequest, finishRequest, refuseRequest } from '../requests/outcomes.js';
 import { isRunnableOn } from '../requests/readiness.js';
@@ -103,7 +103,7 @@
   state.attempts.running.delete(id);
   settleSlotTime(ctx, attempt);
   if (outcome.kind === 'notSent') avoidUpstream(ctx, attempt.grant.upstream);
-  noteAttemptOutcome(ctx, attempt, outcome);
+  recordAttemptOutcome(ctx, attempt, outcome);
   const request = state.requests.active.get(attempt.requestId);
   if (request?.state !== 'dispatched' || request.attempt !== id) {
     releaseGrant(ctx, attempt.grant);
--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -63,7 +63,7 @@
 }
 
 /** Updates suspicions from the outcome of an attempt. May end the attempt's request. */
-export function noteAttemptOutcome(
+export function recordAttemptOutcome(
   ctx: CoreContext,
   attempt: AttemptRecord,
   outcome: AttemptOutcome,
