--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -90,7 +90,7 @@
 }
 
 /** Infers a crash from an upstream's report or from a missing one. */
-export function noteReport(
+export function recordUpstreamReport(
   ctx: CoreContext,
   upstream: UpstreamId,
   report: UpstreamReport | undefined,
--- a/src/core/reducer.ts
+++ b/src/core/reducer.ts
@@ -68,7 +68,7 @@
 import { onMemberRequest, onMemberSummaries } from './membership/relays.js';
 import {
   liftQuarantine,
-  noteReport,
+  recordUpstreamReport,
   onQuarantineTimer,
   onSuspicions,
   startQuarantine,
@@ -109,7 +109,7 @@
       return;
     case 'upstreamReport':
       onUpstreamReport(ctx, event);
-      noteReport(ctx, event.upstream, event.report);
+      recordUpstreamReport(ctx, event.upstream, event.report);
       onOrderReport(ctx, event.upstream, event.report);
       return;
     case 'logRead':
