--- a/src/core/audit/audit.ts
+++ b/src/core/audit/audit.ts
@@ -35,7 +35,7 @@
 }
 
 /** Buffers the audit entries among the effects of an event. */
-export function keepAudit(state: CoreState, effects: readonly Effect[]): void {
+export function collectAuditEntries(state: CoreState, effects: readonly Effect[]): void {
   const { audit } = state;
   effects.forEach((effect) => {
     if (effect.kind === 'audit') audit.pending.push(effect.entry);
--- a/src/core/core.ts
+++ b/src/core/core.ts
@@ -3,7 +3,7 @@
  * the same options and the same events at the same times produce the same effects.
  */
 import { createAuditState } from './audit/auditState.js';
-import { keepAudit } from './audit/audit.js';
+import { collectAuditEntries } from './audit/audit.js';
 import { createAttemptsState } from './attempts/attemptsState.js';
 import { createClaimsState } from './claims/claimsState.js';
 import type { Millis } from './clock.js';
@@ -74,7 +74,7 @@
     // The array grows during iteration: handling a message may queue further messages.
     for (const message of selfMessages)
       reducePeerMessage(ctx, state.self.id, state.self.incarnation, message);
-    keepAudit(state, effects);
+    collectAuditEntries(state, effects);
     return effects;
   }
 
