--- a/src/configuration/bounds.ts
+++ b/src/configuration/bounds.ts
@@ -10,4 +10,4 @@
 /** Maximum number of nodes that alias expansion may add to one entry. */
 export const MAX_ALIASES = 16;
 /** Maximum number of diagnostics reported by one check. */
-export const DIAGNOSTICS_MAX = 20;
+export const MAX_DIAGNOSTICS = 20;
--- a/src/configuration/checks.ts
+++ b/src/configuration/checks.ts
@@ -1,5 +1,5 @@
 /** Cross-section validation of a document: references, uniqueness and section ownership. */
-import { DIAGNOSTICS_MAX } from './bounds.js';
+import { MAX_DIAGNOSTICS } from './bounds.js';
 import { nearestName } from './nearest.js';
 import {
   SECTION_NAMES,
@@ -38,7 +38,7 @@
 ): Steps<readonly DocumentDiagnostic[]> {
   const diagnostics: DocumentDiagnostic[] = [];
   const report: Report = (section, key, code, args) => {
-    if (diagnostics.length >= DIAGNOSTICS_MAX) return;
+    if (diagnostics.length >= MAX_DIAGNOSTICS) return;
     diagnostics.push({ code, args, section, key, line: 0, column: 0 });
   };
   checkOwners(document, report);
--- a/src/configuration/document.ts
+++ b/src/configuration/document.ts
@@ -3,7 +3,7 @@
  * diagnostics. All functions are pure, so that every instance computes the same result.
  */
 import { formatDiagnostic } from '../core/diagnostics.js';
-import { DIAGNOSTICS_MAX, DOCUMENT_BYTES_MAX } from './bounds.js';
+import { MAX_DIAGNOSTICS, DOCUMENT_BYTES_MAX } from './bounds.js';
 import { checkDocument } from './checks.js';
 import { parseEntry } from './entry.js';
 import {
@@ -68,7 +68,7 @@
 }
 
 function diagnosticsResult(diagnostics: readonly DocumentDiagnostic[]): ParseResult {
-  return { kind: 'diagnostics', diagnostics: diagnostics.slice(0, DIAGNOSTICS_MAX) };
+  return { kind: 'diagnostics', diagnostics: diagnostics.slice(0, MAX_DIAGNOSTICS) };
 }
 
 /** Parses one section whose entries begin in the first column. */
@@ -84,7 +84,7 @@
   }));
   const entries = new Map<string, Entry>();
   for (const part of split.parts) {
-    if (diagnostics.length >= DIAGNOSTICS_MAX) break;
+    if (diagnostics.length >= MAX_DIAGNOSTICS) break;
     const reused = previous.get(part.key);
     if (reused?.text === part.text) {
       entries.set(part.key, reused);
--- a/src/core/configuration/fold.ts
+++ b/src/core/configuration/fold.ts
@@ -4,7 +4,7 @@
  */
 import { checkDocument } from '../../configuration/checks.js';
 import { parseEntry } from '../../configuration/entry.js';
-import { DIAGNOSTICS_MAX, ENTRIES_MAX } from '../../configuration/bounds.js';
+import { MAX_DIAGNOSTICS, ENTRIES_MAX } from '../../configuration/bounds.js';
 import { ID_PATTERN } from '../../configuration/schema.js';
 import {
   runSteps,
@@ -234,7 +234,7 @@
     const entries = new Map<string, Entry>(document[change.section]);
     change.remove.forEach((key) => entries.delete(key));
     for (const [key, text] of Object.entries(change.set)) {
-      if (diagnostics.length >= DIAGNOSTICS_MAX) break;
+      if (diagnostics.length >= MAX_DIAGNOSTICS) break;
       const result = parseChangedEntry(change, key, text);
       if (result.kind === 'entry') entries.set(key, result.entry);
       else diagnostics.push(...result.diagnostics);
@@ -248,7 +248,7 @@
   }
   return {
     document: { ...document, ...sections },
-    diagnostics: diagnostics.slice(0, DIAGNOSTICS_MAX),
+    diagnostics: diagnostics.slice(0, MAX_DIAGNOSTICS),
   };
 }
 
