--- a/src/configuration/bounds.ts
+++ b/src/configuration/bounds.ts
@@ -3,7 +3,7 @@
  * bytes for ASCII text.
  */
 
-export const DOCUMENT_BYTES_MAX = 16 * 2 ** 20;
+export const MAX_DOCUMENT_LENGTH = 16 * 2 ** 20;
 export const MAX_SECTION_LENGTH = 8 * 2 ** 20;
 export const MAX_ENTRY_LENGTH = 64 * 2 ** 10;
 export const ENTRIES_MAX = 65_536;
--- a/src/configuration/document.ts
+++ b/src/configuration/document.ts
@@ -3,7 +3,7 @@
  * diagnostics. All functions are pure, so that every instance computes the same result.
  */
 import { formatDiagnostic } from '../core/diagnostics.js';
-import { MAX_DIAGNOSTICS, DOCUMENT_BYTES_MAX } from './bounds.js';
+import { MAX_DIAGNOSTICS, MAX_DOCUMENT_LENGTH } from './bounds.js';
 import { checkDocument } from './checks.js';
 import { parseEntry } from './entry.js';
 import {
@@ -44,8 +44,8 @@
   source: string,
   previous: ConfigurationDocument = emptyDocument(),
 ): Steps<ParseResult> {
-  if (source.length > DOCUMENT_BYTES_MAX) {
-    const args = { limit: DOCUMENT_BYTES_MAX };
+  if (source.length > MAX_DOCUMENT_LENGTH) {
+    const args = { limit: MAX_DOCUMENT_LENGTH };
     return diagnosticsResult([{ code: 'documentTooLarge', args, line: 1, column: 1 }]);
   }
   const { parts, diagnostics } = yield* splitDocumentSteps(source);
--- a/src/core/configuration/publishing.ts
+++ b/src/core/configuration/publishing.ts
@@ -5,7 +5,7 @@
  * gets its first verdict.
  */
 import type { DocumentDiagnostic } from '../../configuration/types.js';
-import { DOCUMENT_BYTES_MAX } from '../../configuration/bounds.js';
+import { MAX_DOCUMENT_LENGTH } from '../../configuration/bounds.js';
 import { formatDiagnostic, type DiagnosticCode } from '../diagnostics.js';
 import type { CoreContext } from '../context.js';
 import type {
@@ -163,8 +163,8 @@
     finishEdit(ctx, edit, undefined, { editId: edit.editId, version, unchanged: true });
     return;
   }
-  if (record.length > DOCUMENT_BYTES_MAX) {
-    const detail = formatDiagnostic('documentTooLarge', { limit: DOCUMENT_BYTES_MAX });
+  if (record.length > MAX_DOCUMENT_LENGTH) {
+    const detail = formatDiagnostic('documentTooLarge', { limit: MAX_DOCUMENT_LENGTH });
     finishEdit(ctx, edit, createProblem('documentTooLarge', 413, 'no', 'configure', detail));
     return;
   }
