--- a/src/configuration/source.ts
+++ b/src/configuration/source.ts
@@ -4,7 +4,7 @@
  * so entries can be parsed independently and changing one entry requires parsing only that entry.
  */
 import { parseDocument, stringify } from 'yaml';
-import { MAX_ENTRY_LENGTH, ENTRIES_MAX, MAX_SECTION_LENGTH } from './bounds.js';
+import { MAX_ENTRY_LENGTH, MAX_SECTION_ENTRIES, MAX_SECTION_LENGTH } from './bounds.js';
 import { nearestName } from './nearest.js';
 import { ID_PATTERN } from './schema.js';
 import {
@@ -192,8 +192,8 @@
     }
   }
   finishEntry(lines.length);
-  if (parts.length > ENTRIES_MAX) {
-    diagnostics.push(diagnosticAt('tooManyEntries', 0, 0, { section, limit: ENTRIES_MAX }));
+  if (parts.length > MAX_SECTION_ENTRIES) {
+    diagnostics.push(diagnosticAt('tooManyEntries', 0, 0, { section, limit: MAX_SECTION_ENTRIES }));
   }
   return { parts, diagnostics };
 }
--- a/src/core/configuration/fold.ts
+++ b/src/core/configuration/fold.ts
@@ -4,7 +4,7 @@
  */
 import { checkDocument } from '../../configuration/checks.js';
 import { parseEntry } from '../../configuration/entry.js';
-import { MAX_DIAGNOSTICS, ENTRIES_MAX } from '../../configuration/bounds.js';
+import { MAX_DIAGNOSTICS, MAX_SECTION_ENTRIES } from '../../configuration/bounds.js';
 import { ID_PATTERN } from '../../configuration/schema.js';
 import {
   runSteps,
@@ -240,8 +240,8 @@
       else diagnostics.push(...result.diagnostics);
       yield 1;
     }
-    if (entries.size > ENTRIES_MAX) {
-      const args = { section: change.section, limit: ENTRIES_MAX };
+    if (entries.size > MAX_SECTION_ENTRIES) {
+      const args = { section: change.section, limit: MAX_SECTION_ENTRIES };
       diagnostics.push({ code: 'tooManyEntries', args, line: 1, column: 1 });
     }
     sections[change.section] = entries;
