--- a/src/configuration/view.ts
+++ b/src/configuration/view.ts
@@ -26,14 +26,14 @@
 const ENTRIES_PER_STEP = 256;
 
 /** Numbers assigned to customers and pools. A number is never reused. */
-export interface Numbers {
+export interface NumberAssignments {
   readonly customers: ReadonlyMap<CustomerId, CustomerNumber>;
   readonly nextCustomer: number;
   readonly pools: ReadonlyMap<PoolId, PoolNumber>;
   readonly nextPool: number;
 }
 
-export const NO_NUMBERS: Numbers = {
+export const NO_NUMBERS: NumberAssignments = {
   customers: new Map(),
   nextCustomer: 1,
   pools: new Map(),
@@ -44,11 +44,14 @@
 export interface BuiltView {
   readonly view: ConfigurationView;
   readonly document: ConfigurationDocument;
-  readonly numbers: Numbers;
+  readonly numbers: NumberAssignments;
 }
 
 /** Assigns numbers to new customers and pools and drops the numbers of removed ones. */
-export function assignNumbers(document: ConfigurationDocument, previous: Numbers): Numbers {
+export function assignNumbers(
+  document: ConfigurationDocument,
+  previous: NumberAssignments,
+): NumberAssignments {
   const customers = assignStableNumbers(
     document.customers,
     previous.customers,
@@ -85,7 +88,7 @@
 /** Builds a view. */
 export function createView(
   document: ConfigurationDocument,
-  numbers: Numbers,
+  numbers: NumberAssignments,
   version: number,
 ): ConfigurationView {
   return runSteps(createViewSteps(document, numbers, version)).view;
@@ -94,7 +97,7 @@
 /** Builds a view incrementally, reusing the parts of `previous` whose sections are unchanged. */
 export function* createViewSteps(
   document: ConfigurationDocument,
-  numbers: Numbers,
+  numbers: NumberAssignments,
   version: number,
   previous?: BuiltView,
 ): Steps<BuiltView> {
@@ -121,7 +124,7 @@
 
 function* indexCustomers(
   document: ConfigurationDocument,
-  numbers: Numbers,
+  numbers: NumberAssignments,
   previous: BuiltView | undefined,
 ): Steps<Pick<ConfigurationView, 'customers' | 'customersByKey' | 'customersById'>> {
   if (
@@ -169,7 +172,7 @@
 
 function indexPools(
   document: ConfigurationDocument,
-  numbers: Numbers,
+  numbers: NumberAssignments,
 ): Pick<ConfigurationView, 'pools' | 'poolsByNumber'> {
   const pools = new Map<PoolId, PoolConfig>();
   const poolsByNumber = new Map<PoolNumber, PoolConfig>();
@@ -210,7 +213,7 @@
 
 function* indexWeights(
   document: ConfigurationDocument,
-  numbers: Numbers,
+  numbers: NumberAssignments,
   previous: BuiltView | undefined,
 ): Steps<ConfigurationView['weightOf']> {
   if (
--- a/src/core/configuration/fold.ts
+++ b/src/core/configuration/fold.ts
@@ -15,7 +15,7 @@
   type Steps,
   type TeamEntry,
 } from '../../configuration/types.js';
-import { assignNumbers, type Numbers } from '../../configuration/view.js';
+import { assignNumbers, type NumberAssignments } from '../../configuration/view.js';
 import { Debug } from '../debug.js';
 import { equalInConstantTime } from '../sha256.js';
 import {
@@ -58,7 +58,7 @@
       readonly kind: 'accepted';
       readonly verdict: Verdict;
       readonly document: ConfigurationDocument;
-      readonly numbers: Numbers;
+      readonly numbers: NumberAssignments;
       readonly edit: AcceptedEdit;
     };
 
--- a/src/core/configuration/foldState.ts
+++ b/src/core/configuration/foldState.ts
@@ -5,7 +5,7 @@
   type DocumentDiagnostic,
   type SectionName,
 } from '../../configuration/types.js';
-import { NO_NUMBERS, type Numbers } from '../../configuration/view.js';
+import { NO_NUMBERS, type NumberAssignments } from '../../configuration/view.js';
 import type { Millis } from '../clock.js';
 
 /** Maximum number of verdicts kept, so that a repeated edit gets its first verdict. */
@@ -75,7 +75,7 @@
   /** Offset of the last accepted edit, -1 before the first. */
   version: number;
   document: ConfigurationDocument;
-  numbers: Numbers;
+  numbers: NumberAssignments;
   /** Offset of the last accepted edit of each section. */
   readonly sectionVersions: Map<SectionName, number>;
   /** Verdicts by edit id, oldest first. */
