--- a/src/bench/configuration/main.ts
+++ b/src/bench/configuration/main.ts
@@ -8,7 +8,7 @@
 import { performance } from 'node:perf_hooks';
 import { parseDocument, parseDocumentSteps } from '../../configuration/document.js';
 import { runSteps } from '../../configuration/types.js';
-import { assignNumbers, createView, NO_NUMBERS } from '../../configuration/view.js';
+import { assignNumbers, createView, NO_ASSIGNMENTS } from '../../configuration/view.js';
 import { sha256Hex } from '../../core/sha256.js';
 import type { CoreEvent, OperatorResult } from '../../core/types.js';
 import { PeerMessage } from '../../protocol/generated/peer.js';
@@ -62,7 +62,7 @@
   const changed = source.replace('slots: 32', 'slots: 31');
   const incremental = measureTime(() => runSteps(parseDocumentSteps(changed, parsed.document)));
   print('parse and check, one entry changed', `${incremental.ms.toFixed(1)} ms`);
-  const numbers = assignNumbers(parsed.document, NO_NUMBERS);
+  const numbers = assignNumbers(parsed.document, NO_ASSIGNMENTS);
   const view = measureTime(() => createView(parsed.document, numbers, 1));
   print('build the view', `${view.ms.toFixed(1)} ms`);
 }
--- a/src/configuration/initialView.ts
+++ b/src/configuration/initialView.ts
@@ -2,7 +2,7 @@
 import type { ConfigurationView } from '../core/types.js';
 import { parseDocument } from './document.js';
 import type { DocumentDiagnostic } from './types.js';
-import { assignNumbers, createView, NO_NUMBERS } from './view.js';
+import { assignNumbers, createView, NO_ASSIGNMENTS } from './view.js';
 
 /** Version of a document that does not come from the log. -1 already means "no document". */
 const FILE_VERSION = -2;
@@ -15,6 +15,6 @@
 export function parseInitialView(text: string): InitialViewResult {
   const result = parseDocument(text);
   if (result.kind !== 'document') return result;
-  const numbers = assignNumbers(result.document, NO_NUMBERS);
+  const numbers = assignNumbers(result.document, NO_ASSIGNMENTS);
   return { kind: 'view', view: createView(result.document, numbers, FILE_VERSION) };
 }
--- a/src/configuration/view.ts
+++ b/src/configuration/view.ts
@@ -33,7 +33,7 @@
   readonly nextPool: number;
 }
 
-export const NO_NUMBERS: NumberAssignments = {
+export const NO_ASSIGNMENTS: NumberAssignments = {
   customers: new Map(),
   nextCustomer: 1,
   pools: new Map(),
--- a/src/core/configuration/foldState.ts
+++ b/src/core/configuration/foldState.ts
@@ -5,7 +5,7 @@
   type DocumentDiagnostic,
   type SectionName,
 } from '../../configuration/types.js';
-import { NO_NUMBERS, type NumberAssignments } from '../../configuration/view.js';
+import { NO_ASSIGNMENTS, type NumberAssignments } from '../../configuration/view.js';
 import type { Millis } from '../clock.js';
 
 /** Maximum number of verdicts kept, so that a repeated edit gets its first verdict. */
@@ -90,7 +90,7 @@
     next: 0,
     version: -1,
     document: emptyDocument(),
-    numbers: NO_NUMBERS,
+    numbers: NO_ASSIGNMENTS,
     sectionVersions: new Map(),
     verdicts: new Map(),
     history: [],
--- a/test/configuration/document.test.ts
+++ b/test/configuration/document.test.ts
@@ -4,7 +4,7 @@
 import fc from 'fast-check';
 import { documentText, parseDocument } from '../../src/configuration/document.js';
 import type { ConfigurationDocument, DocumentDiagnostic } from '../../src/configuration/types.js';
-import { assignNumbers, createView, NO_NUMBERS } from '../../src/configuration/view.js';
+import { assignNumbers, createView, NO_ASSIGNMENTS } from '../../src/configuration/view.js';
 
 const KEY = 'a'.repeat(64);
 const OTHER_KEY = 'b'.repeat(64);
@@ -35,7 +35,7 @@
   for (const name of ['cherry-net-hire', 'lembah-salju']) {
     it(`accepts the example ${name}`, async () => {
       const document = documentOf(await readFile(join('examples', `${name}.yaml`), 'utf8'));
-      const numbers = assignNumbers(document, NO_NUMBERS);
+      const numbers = assignNumbers(document, NO_ASSIGNMENTS);
       const view = createView(document, numbers, 5);
       expect(view.upstreams.size).to.equal(document.upstreams.size);
       expect(view.customersByKey.size).to.equal(document.customers.size);
@@ -53,7 +53,7 @@
 entitlements:
   c1: { chat: 2.5 }
 `);
-    const view = createView(document, assignNumbers(document, NO_NUMBERS), 1);
+    const view = createView(document, assignNumbers(document, NO_ASSIGNMENTS), 1);
     expect(view.customers.get(1)?.limits).to.include({ concurrency: 3, rate: 7 });
     expect(view.weightOf(1, 'chat')).to.equal(2.5);
     expect(view.weightOf(1, 'shop')).to.equal(1);
@@ -169,7 +169,7 @@
     const names = fc.uniqueArray(fc.constantFrom('a', 'b', 'c', 'd', 'e', 'f'));
     fc.assert(
       fc.property(fc.array(names, { maxLength: 8 }), (history) => {
-        let numbers = NO_NUMBERS;
+        let numbers = NO_ASSIGNMENTS;
         const ownerOf = new Map<number, string>();
         const retired = new Set<number>();
         history.forEach((ids) => {
