--- a/src/configuration/source.ts
+++ b/src/configuration/source.ts
@@ -33,7 +33,7 @@
   readonly column: number;
 }
 
-export interface Split<T> {
+export interface SplitResult<T> {
   readonly parts: readonly T[];
   readonly diagnostics: readonly DocumentDiagnostic[];
 }
@@ -47,12 +47,12 @@
 const DOCUMENT_START = /^---\s*$/;
 
 /** Splits a document into its sections. */
-export function splitDocument(source: string): Split<SectionSource> {
+export function splitDocument(source: string): SplitResult<SectionSource> {
   return runSteps(splitDocumentSteps(source));
 }
 
 /** Splits a document into its sections incrementally. */
-export function* splitDocumentSteps(source: string): Steps<Split<SectionSource>> {
+export function* splitDocumentSteps(source: string): Steps<SplitResult<SectionSource>> {
   const lines = yield* splitLinesSteps(source);
   const parts: SectionSource[] = [];
   const diagnostics: DocumentDiagnostic[] = [];
@@ -143,7 +143,7 @@
 }
 
 /** Splits a section into its entries. */
-export function splitSection(section: SectionName, source: string): Split<EntrySource> {
+export function splitSection(section: SectionName, source: string): SplitResult<EntrySource> {
   return runSteps(splitSectionSteps(section, source));
 }
 
@@ -151,7 +151,7 @@
 export function* splitSectionSteps(
   section: SectionName,
   source: string,
-): Steps<Split<EntrySource>> {
+): Steps<SplitResult<EntrySource>> {
   if (source.length > MAX_SECTION_LENGTH) {
     const args = { section, limit: MAX_SECTION_LENGTH };
     return { parts: [], diagnostics: [diagnosticAt('sectionTooLarge', 0, 0, args)] };
@@ -199,7 +199,7 @@
 }
 
 /** Splits a section in flow style (`{...}`), converting each entry to block style. */
-function splitFlowSection(section: SectionName, source: string): Split<EntrySource> {
+function splitFlowSection(section: SectionName, source: string): SplitResult<EntrySource> {
   const tooLarge = source.length > MAX_ENTRY_LENGTH || exceedsMaxNesting(source);
   if (tooLarge)
     return { parts: [], diagnostics: [diagnosticAt('flowSectionTooLarge', 0, 0, { section })] };
--- a/src/core/configuration/changes.ts
+++ b/src/core/configuration/changes.ts
@@ -9,7 +9,7 @@
   splitSectionSteps,
   type EntrySource,
   type SectionSource,
-  type Split,
+  type SplitResult,
 } from '../../configuration/source.js';
 import {
   isSectionName,
@@ -57,7 +57,7 @@
 }
 
 /** Splits the source into sections. A section that a whole document omits is taken as empty. */
-function* splitSourceSteps(section: string, text: string): Steps<Split<SectionSource>> {
+function* splitSourceSteps(section: string, text: string): Steps<SplitResult<SectionSource>> {
   if (section !== WHOLE_DOCUMENT) {
     if (isSectionName(section)) {
       return { parts: [{ name: section, text, line: 0, column: 0 }], diagnostics: [] };
