--- a/src/configuration/document.ts
+++ b/src/configuration/document.ts
@@ -137,14 +137,14 @@
 }
 
 /** Concatenates the sources of a section's entries into the form in which it is published. */
-export function sectionText(entries: ReadonlyMap<string, Entry>): string {
+export function formatSection(entries: ReadonlyMap<string, Entry>): string {
   return [...entries.values()].map((entry) => entry.text).join('');
 }
 
 /** Formats the source of a whole document; empty sections are omitted. */
 export function documentText(document: ConfigurationDocument): string {
   return SECTION_NAMES.filter((name) => document[name].size > 0)
-    .map((name) => `${name}:\n${indentLines(sectionText(document[name]))}`)
+    .map((name) => `${name}:\n${indentLines(formatSection(document[name]))}`)
     .join('\n');
 }
 
--- a/src/core/configuration/queries.ts
+++ b/src/core/configuration/queries.ts
@@ -1,5 +1,5 @@
 /** Read-only operator commands on the configuration. */
-import { sectionText, documentText } from '../../configuration/document.js';
+import { formatSection, documentText } from '../../configuration/document.js';
 import { isSectionName, SECTION_NAMES, type SectionName } from '../../configuration/types.js';
 import type { CoreContext } from '../context.js';
 import { formatDiagnostic, type DiagnosticCode } from '../diagnostics.js';
@@ -41,7 +41,7 @@
   if (version >= fold.version) {
     return section === WHOLE_DOCUMENT
       ? documentText(fold.document)
-      : sectionText(fold.document[section]);
+      : formatSection(fold.document[section]);
   }
   if (section !== WHOLE_DOCUMENT) return earlierText(fold, section, version);
   const texts = SECTION_NAMES.map((name) => ({ name, text: earlierText(fold, name, version) }));
