--- a/src/configuration/document.ts
+++ b/src/configuration/document.ts
@@ -142,7 +142,7 @@
 }
 
 /** Formats the source of a whole document; empty sections are omitted. */
-export function documentText(document: ConfigurationDocument): string {
+export function formatDocument(document: ConfigurationDocument): string {
   return SECTION_NAMES.filter((name) => document[name].size > 0)
     .map((name) => `${name}:\n${indentLines(formatSection(document[name]))}`)
     .join('\n');
--- a/src/core/configuration/queries.ts
+++ b/src/core/configuration/queries.ts
@@ -1,5 +1,5 @@
 /** Read-only operator commands on the configuration. */
-import { formatSection, documentText } from '../../configuration/document.js';
+import { formatSection, formatDocument } from '../../configuration/document.js';
 import { isSectionName, SECTION_NAMES, type SectionName } from '../../configuration/types.js';
 import type { CoreContext } from '../context.js';
 import { formatDiagnostic, type DiagnosticCode } from '../diagnostics.js';
@@ -40,7 +40,7 @@
 ): string | undefined {
   if (version >= fold.version) {
     return section === WHOLE_DOCUMENT
-      ? documentText(fold.document)
+      ? formatDocument(fold.document)
       : formatSection(fold.document[section]);
   }
   if (section !== WHOLE_DOCUMENT) return earlierText(fold, section, version);
--- a/test/configuration/document.test.ts
+++ b/test/configuration/document.test.ts
@@ -2,7 +2,7 @@
 import { join } from 'node:path';
 import { expect } from 'chai';
 import fc from 'fast-check';
-import { documentText, parseDocument } from '../../src/configuration/document.js';
+import { formatDocument, parseDocument } from '../../src/configuration/document.js';
 import type { ConfigurationDocument, DocumentDiagnostic } from '../../src/configuration/types.js';
 import { assignNumbers, createView, NO_ASSIGNMENTS } from '../../src/configuration/view.js';
 
@@ -39,7 +39,7 @@
       const view = createView(document, numbers, 5);
       expect(view.upstreams.size).to.equal(document.upstreams.size);
       expect(view.customersByKey.size).to.equal(document.customers.size);
-      expect(documentOf(documentText(document))).to.deep.equal(document);
+      expect(documentOf(formatDocument(document))).to.deep.equal(document);
     });
   }
 
