--- a/src/cli/commands/demo.ts
+++ b/src/cli/commands/demo.ts
@@ -10,7 +10,7 @@
 import { createDemoLoad } from '../demo/demoLoad.js';
 import { EXIT_CODES, type ExitCode } from '../exitCodes.js';
 import { formatColumns, printLine } from '../output.js';
-import { stopRequested } from '../stopSignals.js';
+import { waitForStopSignal } from '../stopSignals.js';
 
 const DEFAULT_LOAD_SECONDS = 4;
 
@@ -46,7 +46,7 @@
     printLine(formatLoadResult(run.result));
     if (!once) {
       printUsageHints(fleet);
-      await stopRequested();
+      await waitForStopSignal();
     }
     await fleet.stop();
     return isTruthful(run.result) ? EXIT_CODES.ok : EXIT_CODES.failed;
--- a/src/cli/commands/serve.ts
+++ b/src/cli/commands/serve.ts
@@ -7,7 +7,7 @@
 import { EXIT_CODES, type ExitCode } from '../exitCodes.js';
 import { checkDocument, checkSettings, readText, UNREADABLE_EXIT_CODE } from '../files.js';
 import { printDiagnostic, printError } from '../output.js';
-import { stopRequested } from '../stopSignals.js';
+import { waitForStopSignal } from '../stopSignals.js';
 
 const options = {
   settings: option({
@@ -51,7 +51,7 @@
   const daemon = await startOrReport(file, settings, initialConfiguration);
   if (daemon === undefined) return EXIT_CODES.failed;
   process.on('SIGHUP', daemon.reload);
-  await stopRequested();
+  await waitForStopSignal();
   await daemon.stop();
   process.removeListener('SIGHUP', daemon.reload);
   return EXIT_CODES.ok;
--- a/src/cli/commands/standin.ts
+++ b/src/cli/commands/standin.ts
@@ -10,7 +10,7 @@
 import { EXIT_CODES, type ExitCode } from '../exitCodes.js';
 import { readText, UNREADABLE_EXIT_CODE } from '../files.js';
 import { printDiagnostic, printLine } from '../output.js';
-import { stopRequested } from '../stopSignals.js';
+import { waitForStopSignal } from '../stopSignals.js';
 
 const KINDS = ['engine', 'service', 'platform', 'set'] as const;
 type Kind = (typeof KINDS)[number];
@@ -57,7 +57,7 @@
     try {
       const running = await start(kind, { host, port }, text);
       running.urls.forEach((url) => printLine(url));
-      await stopRequested();
+      await waitForStopSignal();
       await running.stop();
       return EXIT_CODES.ok;
     } catch (err) {
--- a/src/cli/stopSignals.ts
+++ b/src/cli/stopSignals.ts
@@ -4,7 +4,7 @@
  * Resolves on the first SIGTERM or SIGINT and then removes its handlers, so that a second signal
  * terminates the process by default.
  */
-export async function stopRequested(): Promise<void> {
+export async function waitForStopSignal(): Promise<void> {
   return new Promise((resolve) => {
     const signals = ['SIGTERM', 'SIGINT'] as const;
     const onSignal = () => {
