--- a/src/daemon/effects.ts
+++ b/src/daemon/effects.ts
@@ -38,7 +38,7 @@
   const { callers, upstreams, peers, platform, operators, logger, metrics } = hosts;
 
   function dispatchAttempt(plan: AttemptPlan): void {
-    const req = callers.requestOf(plan.requestId);
+    const req = callers.getRequest(plan.requestId);
     const responseSink = callers.sinkOf(plan.requestId);
     if (req === undefined || responseSink === undefined) {
       const detail = 'The caller is gone.';
--- a/src/hosts/callerHost.ts
+++ b/src/hosts/callerHost.ts
@@ -132,7 +132,7 @@
       isReady = ready;
     },
     isReady: () => isReady,
-    requestOf: (id) => openRequests.get(id)?.outgoing,
+    getRequest: (id) => openRequests.get(id)?.outgoing,
     sinkOf: (id) => openRequests.get(id)?.response,
     finishAnswer: (id) => takeRequest(id)?.finish(),
     replayAnswer: (id, recorded) => takeRequest(id)?.replay(recorded),
--- a/src/hosts/types.ts
+++ b/src/hosts/types.ts
@@ -55,7 +55,7 @@
   readonly setReady: (ready: boolean) => void;
   /** Whether the load balancer may send callers to this instance. */
   readonly isReady: () => boolean;
-  readonly requestOf: (id: RequestId) => OutgoingRequest | undefined;
+  readonly getRequest: (id: RequestId) => OutgoingRequest | undefined;
   readonly sinkOf: (id: RequestId) => ResponseSink | undefined;
   readonly finishAnswer: (id: RequestId) => void;
   readonly replayAnswer: (id: RequestId, answer: RecordedAnswer) => void;
--- a/test/hosts/callerHost.test.ts
+++ b/test/hosts/callerHost.test.ts
@@ -240,7 +240,7 @@
     const [event] = events as [CallerRequestEvent];
     expect(event).to.include({ idempotent: true, costHint: 7.5, pool: 'chat' });
     expect(event.keyHash).to.match(/^[0-9a-f]{64}$/);
-    expect(JSON.stringify([event, host.requestOf(event.requestId)])).to.not.include('secret');
+    expect(JSON.stringify([event, host.getRequest(event.requestId)])).to.not.include('secret');
   });
 
   it('ends a failed stream with an error event and an incomplete body', async () => {
