--- a/src/daemon/effects.ts
+++ b/src/daemon/effects.ts
@@ -39,7 +39,7 @@
 
   function dispatchAttempt(plan: AttemptPlan): void {
     const req = callers.getRequest(plan.requestId);
-    const responseSink = callers.sinkOf(plan.requestId);
+    const responseSink = callers.getResponseSink(plan.requestId);
     if (req === undefined || responseSink === undefined) {
       const detail = 'The caller is gone.';
       const { attemptId } = plan;
--- a/src/hosts/types.ts
+++ b/src/hosts/types.ts
@@ -56,7 +56,7 @@
   /** Whether the load balancer may send callers to this instance. */
   readonly isReady: () => boolean;
   readonly getRequest: (id: RequestId) => OutgoingRequest | undefined;
-  readonly sinkOf: (id: RequestId) => ResponseSink | undefined;
+  readonly getResponseSink: (id: RequestId) => ResponseSink | undefined;
   readonly finishAnswer: (id: RequestId) => void;
   readonly replayAnswer: (id: RequestId, answer: RecordedAnswer) => void;
   readonly refuse: (id: RequestId, problem: NotRunProblem) => void;
--- a/test/hosts/callerHost.test.ts
+++ b/test/hosts/callerHost.test.ts
@@ -62,7 +62,7 @@
     const started = await startHost({
       post: (event) => {
         const { requestId } = event as CallerRequestEvent;
-        started.host.sinkOf(requestId)?.start({ status: 200, headers: {} });
+        started.host.getResponseSink(requestId)?.start({ status: 200, headers: {} });
         started.host.finishAnswer(requestId);
       },
     });
@@ -204,7 +204,7 @@
     );
     await waitUntil(() => events.length === 1);
     const [request] = events as [CallerRequestEvent];
-    const sink = host.sinkOf(request.requestId);
+    const sink = host.getResponseSink(request.requestId);
     sink?.start({ status: 200, headers: {} });
     const part = new Uint8Array(1024 * 1024);
     const fill = async (): Promise<void> => {
@@ -248,7 +248,7 @@
     const responsePromise = post(address, '{"model":"chat","stream":true}');
     await waitUntil(() => events.length === 1);
     const [{ requestId }] = events as [CallerRequestEvent];
-    const sink = host.sinkOf(requestId);
+    const sink = host.getResponseSink(requestId);
     sink?.start({ status: 200, headers: { 'content-type': 'text/event-stream' } });
     void sink?.write(Buffer.from('data: {}\n\n'));
     host.fail(requestId, {
