--- a/src/daemon/effects.ts
+++ b/src/daemon/effects.ts
@@ -67,7 +67,7 @@
         upstreams.moveCache(effect.attemptId, effect.fromUrl, effect.toUrl);
         return;
       case 'finishAnswer':
-        callers.finishAnswer(effect.requestId);
+        callers.finishResponse(effect.requestId);
         return;
       case 'replayAnswer':
         callers.replayAnswer(effect.requestId, effect.answer);
--- a/src/hosts/callerHost.ts
+++ b/src/hosts/callerHost.ts
@@ -134,7 +134,7 @@
     isReady: () => isReady,
     getRequest: (id) => openRequests.get(id)?.outgoing,
     getResponseSink: (id) => openRequests.get(id)?.response,
-    finishAnswer: (id) => takeRequest(id)?.finish(),
+    finishResponse: (id) => takeRequest(id)?.finish(),
     replayAnswer: (id, recorded) => takeRequest(id)?.replay(recorded),
     refuse: (id, problem) => takeRequest(id)?.fail(problem),
     fail: (id, problem) => takeRequest(id)?.fail(problem),
--- a/src/hosts/types.ts
+++ b/src/hosts/types.ts
@@ -57,7 +57,7 @@
   readonly isReady: () => boolean;
   readonly getRequest: (id: RequestId) => OutgoingRequest | undefined;
   readonly getResponseSink: (id: RequestId) => ResponseSink | undefined;
-  readonly finishAnswer: (id: RequestId) => void;
+  readonly finishResponse: (id: RequestId) => void;
   readonly replayAnswer: (id: RequestId, answer: RecordedAnswer) => void;
   readonly refuse: (id: RequestId, problem: NotRunProblem) => void;
   readonly fail: (id: RequestId, problem: Problem) => void;
--- a/test/hosts/callerHost.test.ts
+++ b/test/hosts/callerHost.test.ts
@@ -63,7 +63,7 @@
       post: (event) => {
         const { requestId } = event as CallerRequestEvent;
         started.host.getResponseSink(requestId)?.start({ status: 200, headers: {} });
-        started.host.finishAnswer(requestId);
+        started.host.finishResponse(requestId);
       },
     });
     return started;
