--- a/src/daemon/effects.ts
+++ b/src/daemon/effects.ts
@@ -70,7 +70,7 @@
         callers.finishResponse(effect.requestId);
         return;
       case 'replayAnswer':
-        callers.replayAnswer(effect.requestId, effect.answer);
+        callers.replayResponse(effect.requestId, effect.answer);
         return;
       case 'refuse':
         callers.refuse(effect.requestId, effect.problem);
--- a/src/hosts/callerHost.ts
+++ b/src/hosts/callerHost.ts
@@ -135,7 +135,7 @@
     getRequest: (id) => openRequests.get(id)?.outgoing,
     getResponseSink: (id) => openRequests.get(id)?.response,
     finishResponse: (id) => takeRequest(id)?.finish(),
-    replayAnswer: (id, recorded) => takeRequest(id)?.replay(recorded),
+    replayResponse: (id, recorded) => takeRequest(id)?.replay(recorded),
     refuse: (id, problem) => takeRequest(id)?.fail(problem),
     fail: (id, problem) => takeRequest(id)?.fail(problem),
     close: async () => {
--- a/src/hosts/types.ts
+++ b/src/hosts/types.ts
@@ -58,7 +58,7 @@
   readonly getRequest: (id: RequestId) => OutgoingRequest | undefined;
   readonly getResponseSink: (id: RequestId) => ResponseSink | undefined;
   readonly finishResponse: (id: RequestId) => void;
-  readonly replayAnswer: (id: RequestId, answer: RecordedAnswer) => void;
+  readonly replayResponse: (id: RequestId, answer: RecordedAnswer) => void;
   readonly refuse: (id: RequestId, problem: NotRunProblem) => void;
   readonly fail: (id: RequestId, problem: Problem) => void;
   /** Stops listening and resolves once every connection is closed. */
