--- a/src/daemon/effects.ts
+++ b/src/daemon/effects.ts
@@ -97,7 +97,7 @@
         upstreams.poll(effect.upstream, effect.url, effect.cacheAfter);
         return;
       case 'giveOrder':
-        upstreams.giveOrder(effect.upstream, effect.url, effect.orderNumber, effect.order);
+        upstreams.sendOrder(effect.upstream, effect.url, effect.orderNumber, effect.order);
         return;
       case 'operatorReply':
         operators.reply(effect.commandId, effect.result);
--- a/src/hosts/types.ts
+++ b/src/hosts/types.ts
@@ -76,7 +76,7 @@
   readonly moveCache: (attempt: AttemptId, fromUrl: string, toUrl: string) => void;
   /** Reads the load and the cache events that follow the sequence number `cacheAfter`. */
   readonly poll: (upstream: UpstreamId, url: string, cacheAfter: number) => void;
-  readonly giveOrder: (
+  readonly sendOrder: (
     upstream: UpstreamId,
     url: string,
     orderNumber: number,
--- a/src/hosts/upstreamHost.ts
+++ b/src/hosts/upstreamHost.ts
@@ -121,7 +121,7 @@
       cacheMovesByUrl.set(toUrl, move);
     },
     poll: control.poll,
-    giveOrder: control.sendOrder,
+    sendOrder: control.sendOrder,
     close: async () => {
       clearTimeout(progressTimer);
       running.forEach(({ run }) => Debug.assertDefined(run, 'run').cancel());
