--- a/src/daemon/effects.ts
+++ b/src/daemon/effects.ts
@@ -82,7 +82,7 @@
         peers.send(effect.to, effect.address, effect.message);
         return;
       case 'dropPeer':
-        peers.drop(effect.to);
+        peers.closeLink(effect.to);
         return;
       case 'readLog':
         platform.readLog(effect.stream, effect.from, effect.limit, effect.waitMs);
--- a/src/daemon/routingInstance.ts
+++ b/src/daemon/routingInstance.ts
@@ -181,7 +181,7 @@
         hosts.peers.send(effect.to, effect.address, effect.message);
         return;
       case 'dropPeer':
-        hosts.peers.drop(effect.to);
+        hosts.peers.closeLink(effect.to);
         return;
       case 'forgetUpstream':
         hosts.pools.removePool(effect.upstream, effect.bornAt);
--- a/src/hosts/types.ts
+++ b/src/hosts/types.ts
@@ -99,7 +99,7 @@
   /** Queues a message; it may be lost. Messages queued for the same event are sent in one batch. */
   readonly send: (to: InstanceId, address: string, message: PeerMessage) => void;
   /** Closes the link to an instance; the next message to it opens a new link. */
-  readonly drop: (to: InstanceId) => void;
+  readonly closeLink: (to: InstanceId) => void;
   readonly controlBytes: () => ControlBytes;
   readonly close: () => Promise<void>;
 }
