--- a/src/daemon/serve.ts
+++ b/src/daemon/serve.ts
@@ -1,6 +1,6 @@
 /** Runs an instance with the given settings until it is stopped. */
 import { resolve } from 'node:path';
-import { splitAddress } from '../hosts/address.js';
+import { parseAddress } from '../hosts/address.js';
 import type { Settings } from '../configuration/settings.js';
 import { formatDiagnostic } from '../core/diagnostics.js';
 import type { ConfigurationView } from '../core/types.js';
@@ -51,9 +51,9 @@
   const certificateSources = [callerCertificates, peerCertificates];
   const instance = createInstance({
     ...settings.instance,
-    callers: splitAddress(settings.listen.callers),
-    peers: splitAddress(settings.listen.peers),
-    operators: splitAddress(settings.listen.operators),
+    callers: parseAddress(settings.listen.callers),
+    peers: parseAddress(settings.listen.peers),
+    operators: parseAddress(settings.listen.operators),
     advertisedAddress: settings.advertise,
     platformUrl: settings.platform?.url,
     ...(limits.body === undefined ? {} : { maxBodyBytes: limits.body }),
--- a/src/daemon/serveRouting.ts
+++ b/src/daemon/serveRouting.ts
@@ -8,7 +8,7 @@
 } from '../configuration/settings.js';
 import type { RequestProtocol, RoutingPlatform } from '../hosts/routing/types.js';
 import { createRoutingInstance, type RoutingInstance } from './routingInstance.js';
-import { splitAddress } from '../hosts/address.js';
+import { parseAddress } from '../hosts/address.js';
 
 export interface PlatformAdapter {
   readonly protocol: RequestProtocol;
@@ -45,10 +45,10 @@
   const instance = createRoutingInstance({
     ...settings.instance,
     regions: new Map(Object.entries(routing.regions)),
-    callers: splitAddress(settings.listen.callers),
-    peers: splitAddress(settings.listen.peers),
-    operators: splitAddress(settings.listen.operators),
-    readiness: splitAddress(routing.readiness),
+    callers: parseAddress(settings.listen.callers),
+    peers: parseAddress(settings.listen.peers),
+    operators: parseAddress(settings.listen.operators),
+    readiness: parseAddress(routing.readiness),
     readinessPath: routing.readinessPath,
     metricsPath: routing.metricsPath,
     settings: routing.tuning,
--- a/src/hosts/address.ts
+++ b/src/hosts/address.ts
@@ -7,7 +7,7 @@
 }
 
 /** Splits an address into host and port and removes the brackets of an IPv6 address. */
-export function splitAddress(address: string): SocketAddress {
+export function parseAddress(address: string): SocketAddress {
   const split = address.lastIndexOf(':');
   const host = address.slice(0, split).replace(/^\[|\]$/g, '');
   return { host, port: Number(address.slice(split + 1)) };
--- a/src/hosts/metrics.ts
+++ b/src/hosts/metrics.ts
@@ -1,7 +1,7 @@
 /** Sends metrics over UDP with `hot-shots`; sends nothing unless an address is set. */
 import { StatsD } from 'hot-shots';
 import type { Metrics } from './types.js';
-import { splitAddress } from './address.js';
+import { parseAddress } from './address.js';
 
 export interface MetricsOptions {
   /** Address of the receiver as `ip:port`; metrics are disabled if it is not set. */
@@ -18,7 +18,7 @@
 export function createMetrics(options: MetricsOptions): Metrics {
   if (options.address === undefined) return NO_METRICS;
   const client = new StatsD({
-    ...splitAddress(options.address),
+    ...parseAddress(options.address),
     prefix: options.prefix ?? DEFAULT_PREFIX,
     globalTags: { ...options.tags },
     maxBufferSize: MAX_PACKET_BYTES,
--- a/src/hosts/routing/upstreamPools.ts
+++ b/src/hosts/routing/upstreamPools.ts
@@ -3,7 +3,7 @@
 import { buildConnector, errors, Pool } from 'undici';
 import type { Millis } from '../../core/clock.js';
 import type { UpstreamId } from '../../routing/types.js';
-import { splitAddress } from '../address.js';
+import { parseAddress } from '../address.js';
 
 export interface UpstreamPoolsOptions {
   /** Timeout for establishing a connection. */
@@ -149,7 +149,7 @@
 
 async function probeConnection(address: string, timeoutMs: Millis): Promise<boolean> {
   return new Promise((resolve) => {
-    const socket = connectSocket(splitAddress(address));
+    const socket = connectSocket(parseAddress(address));
     const finish = (isAlive: boolean) => {
       socket.destroy();
       resolve(isAlive);
--- a/test/soak/link.ts
+++ b/test/soak/link.ts
@@ -1,6 +1,6 @@
 /** A loopback TCP proxy that delays traffic, resets connections, or drops traffic in one or both directions. */
 import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
-import { splitAddress } from '../../src/hosts/address.js';
+import { parseAddress } from '../../src/hosts/address.js';
 
 export type LinkFault =
   | { readonly kind: 'none' }
@@ -54,7 +54,7 @@
       near.resetAndDestroy();
       return;
     }
-    const far = connect(splitAddress(target));
+    const far = connect(parseAddress(target));
     [near, far].forEach((socket) => {
       sockets.add(socket);
       socket.setNoDelay(true);
