--- a/src/hosts/callerRequest.ts
+++ b/src/hosts/callerRequest.ts
@@ -127,7 +127,7 @@
     fingerprint: computeFingerprint(keyHash, method, route.path, body),
     bodyBytes: body.length,
     promptTokens: Math.ceil(content.prompt.length / CHARS_PER_TOKEN),
-    prefixBlocks: prefixBlocksOf(content.prompt),
+    prefixBlocks: hashPrefixBlocks(content.prompt),
     streamed: content.isStreamed,
   };
   return {
@@ -231,7 +231,7 @@
 }
 
 /** Computes chained hashes: the hash of a block covers the whole prefix up to its end. */
-export function prefixBlocksOf(prompt: string): readonly string[] {
+export function hashPrefixBlocks(prompt: string): readonly string[] {
   const count = Math.min(Math.floor(prompt.length / PREFIX_BLOCK_CHARS), MAX_PREFIX_BLOCKS);
   const blocks: string[] = [];
   let previousHash = '';
--- a/src/standins/prefixCache.ts
+++ b/src/standins/prefixCache.ts
@@ -2,7 +2,7 @@
  * LRU cache of prompt prefixes in a model engine. Prompts are split into fixed-size blocks; a block
  * is identified by the hash of the entire prefix up to its end, in the same way as on instances.
  */
-import { PREFIX_BLOCK_CHARS, prefixBlocksOf } from '../hosts/callerRequest.js';
+import { PREFIX_BLOCK_CHARS, hashPrefixBlocks } from '../hosts/callerRequest.js';
 import { CHARS_PER_TOKEN } from './content.js';
 
 /** Number of tokens in a block. */
@@ -51,14 +51,14 @@
 
   return {
     match: (prompt) => {
-      const hashes = prefixBlocksOf(prompt);
+      const hashes = hashPrefixBlocks(prompt);
       const missing = hashes.findIndex((block) => !blocks.has(block));
       const count = missing < 0 ? hashes.length : missing;
       hashes.slice(0, count).forEach(touch);
       return count * TOKENS_PER_BLOCK;
     },
     store: (prompt) => {
-      prefixBlocksOf(prompt)
+      hashPrefixBlocks(prompt)
         .slice(0, options.capacity)
         .forEach((block) => {
           const isNew = !blocks.has(block);
