--- a/src/hosts/eventStream.ts
+++ b/src/hosts/eventStream.ts
@@ -67,7 +67,7 @@
   return {
     read: (chunk) => {
       const bytes = partialEvent.length === 0 ? chunk : Buffer.concat([partialEvent, chunk]);
-      const end = endOfLastEvent(bytes);
+      const end = findLastEventEnd(bytes);
       partialEvent = end === bytes.length ? EMPTY_BYTES : bytes.subarray(end);
       if (partialEvent.length > MAX_EVENT_BYTES) throw new Error('An event is too long.');
       if (end === 0) return { bytes: EMPTY_BYTES, tokens: 0, isForeign: false };
@@ -88,7 +88,7 @@
 }
 
 /** Position after the last empty line, which ends the last complete event; 0 if there is none. */
-export function endOfLastEvent(bytes: Uint8Array): number {
+export function findLastEventEnd(bytes: Uint8Array): number {
   for (let i = bytes.length - 1; i > 0; i -= 1) {
     if (bytes[i] === LINE_FEED) {
       const previousLineEnd = bytes[i - 1] === CARRIAGE_RETURN ? i - 2 : i - 1;
--- a/src/hosts/routing/eventCutter.ts
+++ b/src/hosts/routing/eventCutter.ts
@@ -4,7 +4,7 @@
  * continue after the last one.
  */
 import type { EventId } from '../../routing/types.js';
-import { endOfLastEvent } from '../eventStream.js';
+import { findLastEventEnd } from '../eventStream.js';
 
 const ID_FIELD = 'id:';
 /** Maximum size of an incomplete event. */
@@ -27,7 +27,7 @@
   return {
     push: (chunk) => {
       const bytes = remainder.length === 0 ? chunk : Buffer.concat([remainder, chunk]);
-      const end = endOfLastEvent(bytes);
+      const end = findLastEventEnd(bytes);
       remainder = end === bytes.length ? EMPTY_BYTES : bytes.subarray(end);
       if (remainder.length > MAX_EVENT_BYTES) throw new Error('The event exceeds the size limit.');
       if (end === 0) return EMPTY_BYTES;
