--- a/src/hosts/callerHost.ts
+++ b/src/hosts/callerHost.ts
@@ -114,7 +114,7 @@
     '/**',
     createRouteHandler(() => undefined),
   );
-  const server = createHttpServer({ app, ...options, malformedAnswer });
+  const server = createHttpServer({ app, ...options, createMalformedResponse: malformedAnswer });
 
   /**
    * Removes and returns an open request. A disconnect of its caller is no longer reported after
--- a/src/hosts/httpServer.ts
+++ b/src/hosts/httpServer.ts
@@ -45,7 +45,7 @@
    * Creates the raw response to bytes that are not a valid request. `errorCode` is the code of the
    * Node.js error; it is empty if there is none, as for a missing `Host` header.
    */
-  readonly malformedAnswer?: (errorCode: string) => string;
+  readonly createMalformedResponse?: (errorCode: string) => string;
   /** Length of the queue of pending connections; the default of Node.js if not set. */
   readonly backlog?: number;
   /** Called for each accepted connection. */
@@ -90,7 +90,7 @@
   server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => {
     // While a response is in progress, written bytes would become part of its body.
     if (!socket.writable || activeSockets.has(socket)) socket.destroy();
-    else socket.end(options.malformedAnswer?.(err.code ?? '') ?? '');
+    else socket.end(options.createMalformedResponse?.(err.code ?? '') ?? '');
   });
   return {
     listen: async () => {
@@ -137,7 +137,7 @@
   const { certificates } = options;
   const listener = (req: IncomingMessage, res: ServerResponse) => {
     if (req.headers.host === undefined && req.httpVersion === '1.1') {
-      req.socket.end(options.malformedAnswer?.('') ?? '');
+      req.socket.end(options.createMalformedResponse?.('') ?? '');
       return;
     }
     Promise.resolve(handler(req, res)).catch(() => res.destroy());
--- a/src/hosts/routing/frontHost.ts
+++ b/src/hosts/routing/frontHost.ts
@@ -256,7 +256,7 @@
     limits: { maxHeaderBytes: MAX_READABLE_HEADER_BYTES },
     backlog: LISTEN_BACKLOG,
     onConnection: () => meter.count('accepted'),
-    malformedAnswer: (errorCode) => {
+    createMalformedResponse: (errorCode) => {
       const status = STATUS_BY_ERROR_CODE[errorCode] ?? 400;
       options.onMalformed(status, errorCode, undefined);
       return `HTTP/1.1 ${status} ${STATUS_TEXT[status] ?? ''}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
