--- a/src/hosts/callerHost.ts
+++ b/src/hosts/callerHost.ts
@@ -15,7 +15,7 @@
   type CallerRoute,
 } from './callerRequest.js';
 import type { CertificateSource } from './certificates.js';
-import { createHttpServer, headerOf, nodeRoute, type HttpLimits } from './httpServer.js';
+import { createHttpServer, getHeader, nodeRoute, type HttpLimits } from './httpServer.js';
 import { createProblemBody, createProblemHeaders } from './problem.js';
 import type { CallerHost, OutgoingRequest, Post } from './types.js';
 
@@ -66,7 +66,7 @@
     res: ServerResponse,
   ): Promise<void> {
     const requestId = createRequestId();
-    const callerRequestId = headerOf(req, 'x-request-id') ?? '';
+    const callerRequestId = getHeader(req, 'x-request-id') ?? '';
     const returnedRequestId = CALLER_REQUEST_ID_PATTERN.test(callerRequestId)
       ? callerRequestId
       : requestId;
--- a/src/hosts/callerRequest.ts
+++ b/src/hosts/callerRequest.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage } from 'node:http';
 import type { Millis } from '../core/clock.js';
 import type { CallerRequestEvent, KeyHash, NotRunProblem, RequestId } from '../core/types.js';
-import { headerOf } from './httpServer.js';
+import { getHeader } from './httpServer.js';
 import { CONNECTION_HEADERS } from './routing/headers.js';
 import type { OutgoingRequest } from './types.js';
 
@@ -138,13 +138,13 @@
 
 /** Returns the SHA-256 of the bearer key, so that no key reaches the core, a log or a dump. */
 export function hashBearerKey(req: IncomingMessage): KeyHash {
-  const match = /^Bearer +([!-~]+) *$/i.exec(headerOf(req, 'authorization') ?? '');
+  const match = /^Bearer +([!-~]+) *$/i.exec(getHeader(req, 'authorization') ?? '');
   return match?.[1] === undefined ? '' : sha256(match[1]);
 }
 
 function readControlHeaders(req: IncomingMessage) {
   const idempotent = readBooleanHeader(req, 'x-idempotent');
-  const idempotencyKey = headerOf(req, 'idempotency-key');
+  const idempotencyKey = getHeader(req, 'idempotency-key');
   const costHint = readNumberHeader(req, 'x-cost-hint');
   const deadlineInMs = readNumberHeader(req, 'x-deadline-ms');
   if (idempotencyKey !== undefined && !/^[!-~]+$/.test(idempotencyKey)) {
@@ -166,7 +166,7 @@
 }
 
 function readBooleanHeader(req: IncomingMessage, name: string): boolean | undefined {
-  const value = headerOf(req, name)?.toLowerCase();
+  const value = getHeader(req, name)?.toLowerCase();
   if (value === undefined) return undefined;
   if (value !== 'true' && value !== 'false') {
     throw new MalformedRequestError(`${name} is neither true nor false.`);
@@ -175,7 +175,7 @@
 }
 
 function readNumberHeader(req: IncomingMessage, name: string): number | undefined {
-  const text = headerOf(req, name);
+  const text = getHeader(req, name);
   if (text === undefined) return undefined;
   if (!/^\d{1,15}(\.\d{1,6})?$/.test(text)) {
     throw new MalformedRequestError(`${name} is not a number.`);
@@ -258,7 +258,7 @@
 }
 
 function selectForwardedHeaders(req: IncomingMessage, route: CallerRoute): Record<string, string> {
-  const excludedHeaders = (headerOf(req, 'connection') ?? '').toLowerCase().split(/\s*,\s*/);
+  const excludedHeaders = (getHeader(req, 'connection') ?? '').toLowerCase().split(/\s*,\s*/);
   // Tokens can be counted only in an uncompressed response.
   if (route.kind === 'completion') excludedHeaders.push('accept-encoding');
   const headers: Record<string, string> = {};
--- a/src/hosts/httpServer.ts
+++ b/src/hosts/httpServer.ts
@@ -165,7 +165,7 @@
 }
 
 /** Returns the first value of a request header, or `undefined`. */
-export function headerOf(req: IncomingMessage, name: string): string | undefined {
+export function getHeader(req: IncomingMessage, name: string): string | undefined {
   const value = req.headers[name];
   return Array.isArray(value) ? value[0] : value;
 }
