--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -15,7 +15,7 @@
 import { createCallerHost } from '../hosts/callerHost.js';
 import type { CertificateSource } from '../hosts/certificates.js';
 import type { HttpLimits } from '../hosts/httpServer.js';
-import { createLogger, type LogForm, type LogThreshold } from '../hosts/logger.js';
+import { createLogger, type LogFormat, type LogThreshold } from '../hosts/logger.js';
 import { createMetrics } from '../hosts/metrics.js';
 import { createOperatorHost } from '../hosts/operatorHost.js';
 import { createPeerHost, type LinkClass } from '../hosts/peerHost.js';
@@ -46,7 +46,7 @@
   readonly peerCertificates?: CertificateSource | undefined;
   readonly log?: {
     readonly threshold?: LogThreshold;
-    readonly form?: LogForm;
+    readonly form?: LogFormat;
     readonly writeLine?: (line: string) => void;
   };
   /** Address of the metrics receiver, `ip:port`. */
--- a/src/hosts/logger.ts
+++ b/src/hosts/logger.ts
@@ -5,13 +5,13 @@
 import type { Logger } from './types.js';
 
 export type LogThreshold = 'debug' | 'info' | 'warn' | 'error' | 'silent';
-export type LogForm = 'text' | 'json';
+export type LogFormat = 'text' | 'json';
 
 export interface LoggerOptions {
   readonly instance: string;
   readonly clock: Clock;
   readonly threshold?: LogThreshold;
-  readonly form?: LogForm;
+  readonly form?: LogFormat;
   /** Writes a formatted line; to standard error by default. */
   readonly writeLine?: (line: string) => void;
 }
