--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -219,7 +219,7 @@
     self,
     post,
     ...(options.peers ?? LOOPBACK),
-    linkClassOf,
+    classifyLink: linkClassOf,
     onLost: (to, reason) => logger.write('info', 'peers', 'peerLost', { id: to, reason }),
     certificates: options.peerCertificates,
   });
--- a/src/daemon/routingInstance.ts
+++ b/src/daemon/routingInstance.ts
@@ -325,7 +325,7 @@
         forwardRoutingNews(event, post);
       },
       ...options.peers,
-      linkClassOf: () => 'crossRegion',
+      classifyLink: () => 'crossRegion',
     }),
     readiness: createMonitoringHost({
       ...options.readiness,
--- a/src/hosts/peerHost.ts
+++ b/src/hosts/peerHost.ts
@@ -30,7 +30,7 @@
   readonly host: string;
   readonly port: number;
   /** Determines the network distance of the link to an instance. */
-  readonly linkClassOf: (to: InstanceId) => LinkClass;
+  readonly classifyLink: (to: InstanceId) => LinkClass;
   readonly onLost?: (to: InstanceId, reason: string) => void;
   /** Without certificates, links are neither encrypted nor authenticated. */
   readonly certificates?: CertificateSource | undefined;
@@ -88,7 +88,7 @@
       createCredentials: () => createClientCredentials(certificates),
       createBatch,
       onBytesSent: (count) => {
-        sentBytes[options.linkClassOf(to)] += count;
+        sentBytes[options.classifyLink(to)] += count;
       },
       onLost: (reason) => {
         options.onLost?.(to, reason);
--- a/test/hosts/peerHost.test.ts
+++ b/test/hosts/peerHost.test.ts
@@ -64,7 +64,7 @@
       post: (event) => events.push(event),
       host: '127.0.0.1',
       port: 0,
-      linkClassOf: () => 'sameDomain',
+      classifyLink: () => 'sameDomain',
       limits: SHORT_LIMITS,
       ...options,
     });
@@ -99,7 +99,7 @@
 
   it('counts bytes by the network distance of the link', async () => {
     const classes: Record<string, LinkClass> = { b: 'sameRegion', c: 'crossRegion' };
-    const a = await startInstance('a', { linkClassOf: (to) => classes[to] ?? 'sameDomain' });
+    const a = await startInstance('a', { classifyLink: (to) => classes[to] ?? 'sameDomain' });
     const c = await startInstance('c');
     a.host.send('c', c.address, createMessage(1));
     await waitUntil(() => receivedMessages(c).length === 1);
