--- a/src/standins/platform/batchEngine.ts
+++ b/src/standins/platform/batchEngine.ts
@@ -47,7 +47,7 @@
   readonly runs: readonly EngineRun[];
   readonly setFault: (fault: EngineFault) => void;
   /** Limits the current fault to the next `count` requests; without a limit it applies to all. */
-  readonly strikeNext: (count: number) => void;
+  readonly limitFault: (count: number) => void;
   readonly connections: () => number;
   /** Stops listening and resets all connections, as a crash does. */
   readonly close: () => Promise<void>;
@@ -213,7 +213,7 @@
       fault = next;
       remainingFaults = Infinity;
     },
-    strikeNext: (count) => {
+    limitFault: (count) => {
       remainingFaults = count;
     },
     connections: () => sockets.size,
--- a/test/platform/path.test.ts
+++ b/test/platform/path.test.ts
@@ -138,7 +138,7 @@
     const started = await readyInstance();
     first.setFault({ kind: 'reset' });
     second.setFault({ kind: 'error' });
-    second.strikeNext(0);
+    second.limitFault(0);
     const answers = await Promise.all(
       Array.from({ length: 4 }, async () => call(started, '/look/1', { method: 'GET' })),
     );
@@ -214,11 +214,11 @@
     const started = await readyInstance();
     engines.forEach((engine) => {
       engine.setFault({ kind: 'breakOff', afterEvents: 2 });
-      engine.strikeNext(1);
+      engine.limitFault(1);
     });
     // Only the first of the two attempts fails.
-    engines[1]?.strikeNext(0);
-    engines[0]?.strikeNext(1);
+    engines[1]?.limitFault(0);
+    engines[0]?.limitFault(1);
     const answers = await Promise.all(
       Array.from({ length: 3 }, async () => call(started, '/chat/1')),
     );
--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -272,7 +272,7 @@
     case 'engine': {
       const engine = fleet.engines()[fault.engine]?.engine;
       engine?.setFault(fault.fault);
-      engine?.strikeNext(10);
+      engine?.limitFault(10);
       return;
     }
     case 'crashEngine':
