--- a/src/standins/platform/logStore.ts
+++ b/src/standins/platform/logStore.ts
@@ -21,7 +21,7 @@
 export interface LogStore {
   readonly url: string;
   /** Appends a record to a topic; an `undefined` value deletes the key. */
-  readonly put: (topic: string, key: string, value: string | undefined) => void;
+  readonly append: (topic: string, key: string, value: string | undefined) => void;
   readonly newest: (topic: string, key: string) => string | undefined;
   readonly setFault: (fault: StoreFault) => void;
   /** Discards the log of a topic but keeps the latest record of each key. */
@@ -154,7 +154,7 @@
   });
   return {
     url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`,
-    put: (topic, key, value) => {
+    append: (topic, key, value) => {
       append(topic, key, Buffer.from(value ?? ''));
     },
     newest: (topic, key) => getTopic(topic).latestByKey.get(key)?.value.toString('utf8'),
--- a/test/platform/path.test.ts
+++ b/test/platform/path.test.ts
@@ -180,7 +180,7 @@
     });
     const { port } = silent.address() as AddressInfo;
     const engine = await fleet.addEngine('models');
-    fleet.store.put('keyed.servers', engine.id, undefined);
+    fleet.store.append('keyed.servers', engine.id, undefined);
     fleet.listEngine({ ...engine, id: 'silent', address: `127.0.0.1:${port}` }, 'desk');
     const started = await readyInstance();
     const abort = new AbortController();
--- a/test/platform/platform.test.ts
+++ b/test/platform/platform.test.ts
@@ -50,7 +50,7 @@
   it('keeps the active configuration if a new one is invalid', async () => {
     await fleet.addEngine('models');
     const started = await readyInstance();
-    fleet.store.put('keyed.op', 'config', '{"Version": 9, "Routes": 1}');
+    fleet.store.append('keyed.op', 'config', '{"Version": 9, "Routes": 1}');
     await until(
       () => hasLogged(started, 'configurationIgnored'),
       'the invalid configuration is logged',
@@ -102,7 +102,7 @@
     await until(() => hasLogged(started, 'upstreamDraining'), 'the upstream is draining');
     await Promise.all(Array.from({ length: 6 }, async () => statusOf(started)));
     expect(first.runs).to.have.length(0);
-    fleet.store.put('keyed.servers', second.id, undefined);
+    fleet.store.append('keyed.servers', second.id, undefined);
     await until(() => hasLogged(started, 'upstreamRemoved'), 'the upstream is removed');
     expect(await statusOf(started)).to.equal(503);
   });
@@ -110,7 +110,7 @@
   it('skips invalid upstream entries and uses the valid ones', async () => {
     await fleet.addEngine('models');
     ['not json', '{}', '{"Service":"models","Address":7}'].forEach((text, i) => {
-      fleet.store.put('keyed.servers', `bad-${i}`, text);
+      fleet.store.append('keyed.servers', `bad-${i}`, text);
     });
     fleet.listEngine({ ...(await fleet.addEngine('models')), id: 'odd' }, 'models', {
       State: 'odd',
@@ -124,7 +124,7 @@
   it('does not execute a request at an address that was reassigned to another upstream', async () => {
     const engine = await fleet.addEngine('models');
     fleet.listEngine({ ...engine, id: 'i-gone' }, 'models');
-    fleet.store.put('keyed.servers', engine.id, undefined);
+    fleet.store.append('keyed.servers', engine.id, undefined);
     const started = await readyInstance();
     expect(await statusOf(started)).to.equal(503);
     expect(engine.runs).to.have.length(0);
--- a/test/platform/support/fleet.ts
+++ b/test/platform/support/fleet.ts
@@ -138,14 +138,14 @@
       born: 1,
       ...changes,
     };
-    store.put('keyed.servers', engine.id, JSON.stringify(entry));
+    store.append('keyed.servers', engine.id, JSON.stringify(entry));
   }
 
   return {
     store,
     listEngine,
     configure: (version: number, changes: object = {}) =>
-      store.put('keyed.op', 'config', createOperatorConfiguration(version, changes)),
+      store.append('keyed.op', 'config', createOperatorConfiguration(version, changes)),
     addEngine: async (pool: string, options: Partial<BatchEngineOptions> = {}) => {
       const id = options.id ?? `i-${engines.length + 1}`;
       const engine = await startBatchEngine({ isStream: pool === 'models', ...options, id });
--- a/test/soak/fleet.ts
+++ b/test/soak/fleet.ts
@@ -82,7 +82,7 @@
       Seq: sequence,
       born: Date.now(),
     };
-    store.put('keyed.servers', engine.id, JSON.stringify(entry));
+    store.append('keyed.servers', engine.id, JSON.stringify(entry));
     return { pool, engine, link };
   }
 
@@ -167,7 +167,7 @@
       engines[index] = await startEngine(crashed.pool);
       await crashed.engine.close();
       crashed.link.close();
-      store.put('keyed.servers', crashed.engine.id, undefined);
+      store.append('keyed.servers', crashed.engine.id, undefined);
     },
     close: async () => {
       isClosing = true;
--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -87,7 +87,7 @@
     version += 1;
     const valid = keys.filter((key) => !revokedAt.has(key));
     const tenants = [{ Name: 'customer-a', ApiKeys: valid, Priority: 1 }];
-    store.put('keyed.op', 'config', createOperatorConfiguration(version, { Tenants: tenants }));
+    store.append('keyed.op', 'config', createOperatorConfiguration(version, { Tenants: tenants }));
   }
 
   return {
