Rename LogStore.newest to readLatest

LogStore.newest of src/standins/platform/logStore.ts is readLatest now. Several folders share the name, so it has a commit of its own: 2 places in 1 files, by the language service of the compiler, then the formatter.

--- a/src/standins/platform/logStore.ts
+++ b/src/standins/platform/logStore.ts
@@ -22,7 +22,7 @@
   readonly url: string;
   /** Appends a record to a topic; an `undefined` value deletes the key. */
   readonly append: (topic: string, key: string, value: string | undefined) => void;
-  readonly newest: (topic: string, key: string) => string | undefined;
+  readonly readLatest: (topic: string, key: string) => string | undefined;
   readonly setFault: (fault: StoreFault) => void;
   /** Discards the log of a topic but keeps the latest record of each key. */
   readonly dropHistory: (topic: string) => void;
@@ -157,7 +157,7 @@
     append: (topic, key, value) => {
       append(topic, key, Buffer.from(value ?? ''));
     },
-    newest: (topic, key) => getTopic(topic).latestByKey.get(key)?.value.toString('utf8'),
+    readLatest: (topic, key) => getTopic(topic).latestByKey.get(key)?.value.toString('utf8'),
     setFault: (next) => {
       fault = next;
     },
