--- a/src/hosts/callerRequest.ts
+++ b/src/hosts/callerRequest.ts
@@ -4,7 +4,7 @@
 import type { Millis } from '../core/clock.js';
 import type { CallerRequestEvent, KeyHash, NotRunProblem, RequestId } from '../core/types.js';
 import { getHeader } from './httpServer.js';
-import { CONNECTION_HEADERS } from './routing/headers.js';
+import { HOP_BY_HOP_HEADERS } from './routing/headers.js';
 import type { OutgoingRequest } from './types.js';
 
 /** Length of a prefix block in characters of the prompt. */
@@ -19,7 +19,7 @@
 
 /** Request headers that are not forwarded to the upstream or that are replaced for it. */
 const DROPPED_HEADERS: ReadonlySet<string> = new Set([
-  ...CONNECTION_HEADERS,
+  ...HOP_BY_HOP_HEADERS,
   'authorization',
   'content-length',
   'expect',
--- a/src/hosts/routing/headers.ts
+++ b/src/hosts/routing/headers.ts
@@ -2,7 +2,7 @@
 import type { RawHeaders } from './types.js';
 
 /** Lower-case names of the hop-by-hop headers. */
-export const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
+export const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([
   'connection',
   'keep-alive',
   'proxy-authenticate',
@@ -38,7 +38,7 @@
   const kept: string[] = [];
   forEachHeader(rawHeaders, (name, value, lowerName) => {
     const isExcluded =
-      CONNECTION_HEADERS.has(lowerName) ||
+      HOP_BY_HOP_HEADERS.has(lowerName) ||
       connectionOptions.has(lowerName) ||
       excluded.has(lowerName);
     if (!isExcluded) kept.push(name, value);
