--- a/test/fair/exchange.test.ts
+++ b/test/fair/exchange.test.ts
@@ -9,7 +9,7 @@
 import { DEFAULT_CORE_SETTINGS } from '../../src/core/settings.js';
 import { createCore } from '../../src/core/core.js';
 import { createTestView } from '../support/configuration.js';
-import { PER_OUTPUT_TOKEN, startSharing, type SharingLoad } from '../support/sharingLoad.js';
+import { PER_OUTPUT_TOKEN, startSharingLoad, type SharingLoad } from '../support/sharingLoad.js';
 
 const EXCHANGE_MS = DEFAULT_CORE_SETTINGS.exchangeMs;
 /** Covers the exchange over two relays, a refresh, and the learning phase of a new relay. */
@@ -29,7 +29,7 @@
 };
 
 /** Returns the largest error, in cost units, of the sums of any live instance. */
-function largestError(run: ReturnType<typeof startSharing>): number {
+function largestError(run: ReturnType<typeof startSharingLoad>): number {
   let maxError = 0;
   run.network.nodes.forEach(({ core, isUp }) => {
     if (!isUp) return;
@@ -45,13 +45,13 @@
 }
 
 /** Returns the service that may be unreported: that of all slots until the sums arrive. */
-function maxUnreported(run: ReturnType<typeof startSharing>, exchanges: number): number {
+function maxUnreported(run: ReturnType<typeof startSharingLoad>, exchanges: number): number {
   return (run.slots * run.conditions.slotRate * exchanges * EXCHANGE_MS) / 1_000;
 }
 
 describe('fair/exchange', () => {
   it('gives every instance the actual sums, except for the service of the last exchanges', () => {
-    const run = startSharing(LOAD);
+    const run = startSharingLoad(LOAD);
     run.network.runUntil(run.network.now() + 20_000);
     expect(largestError(run)).to.be.at.most(maxUnreported(run, 4));
   });
@@ -59,7 +59,7 @@
   it('keeps the sums when instances, including relays, restart without state', () => {
     fc.assert(
       fc.property(fc.integer({ min: 0, max: 5 }), fc.integer({ min: 0, max: 5 }), (a, b) => {
-        const run = startSharing(LOAD);
+        const run = startSharingLoad(LOAD);
         const { network } = run;
         network.runUntil(network.now() + 10_000);
         [a, b].forEach((index) => {
@@ -109,7 +109,7 @@
   });
 
   it('gives no credit for idling', () => {
-    const run = startSharing({
+    const run = startSharingLoad({
       ...LOAD,
       customers: [
         { weight: 1, tokens: 100, instance: 0 },
@@ -129,7 +129,7 @@
   });
 
   it('keeps the bound on each side of a partition and repays service up to the debt cap', () => {
-    const run = startSharing({
+    const run = startSharingLoad({
       ...LOAD,
       customers: [
         { weight: 1, tokens: 60, instance: 0 },
@@ -155,7 +155,7 @@
   });
 
   it('describes which customers wait and why', () => {
-    const run = startSharing(LOAD);
+    const run = startSharingLoad(LOAD);
     run.network.runUntil(run.network.now() + 5_000);
     const node = run.network.nodes.get('d0-i0');
     const described = node && describeShares(node.core.state, run.network.now());
--- a/test/fair/largeDomain.test.ts
+++ b/test/fair/largeDomain.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import { DEFAULT_CORE_SETTINGS, type CoreSettings } from '../../src/core/settings.js';
 import { serviceGapBound } from '../../src/core/shares/bound.js';
-import { startSharing } from '../support/sharingLoad.js';
+import { startSharingLoad } from '../support/sharingLoad.js';
 
 const INSTANCES = 24;
 const DURATION_MS = 60_000;
@@ -22,7 +22,7 @@
 
 /** Runs one customer through a single instance of the domain and another through all instances. */
 function observe(settings: Partial<CoreSettings> = {}): Observed {
-  const run = startSharing({
+  const run = startSharingLoad({
     seed: 3,
     domains: [{ instances: INSTANCES, upstreams: Array.from({ length: INSTANCES }, () => 2) }],
     customers: [
--- a/test/fair/sharing.test.ts
+++ b/test/fair/sharing.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import { DEFAULT_CORE_SETTINGS } from '../../src/core/settings.js';
 import { discoveryTime, serviceGapBound, waitBound } from '../../src/core/shares/bound.js';
-import { startSharing, type SharingLoad, type SharingRun } from '../support/sharingLoad.js';
+import { startSharingLoad, type SharingLoad, type SharingRun } from '../support/sharingLoad.js';
 
 const DURATION_MS = 30_000;
 const SAMPLE_MS = 100;
@@ -103,7 +103,7 @@
   it('keeps the service gap and the waiting time of customers within the bounds', () => {
     fc.assert(
       fc.property(loadArbitrary, (load) =>
-        expectWithinBounds(startSharing(load), greatestWeight(load)),
+        expectWithinBounds(startSharingLoad(load), greatestWeight(load)),
       ),
       { seed: 7, numRuns: 14 },
     );
@@ -113,7 +113,7 @@
     const network = { loss: 0.03, duplication: 0.03, jitterMs: 30 };
     fc.assert(
       fc.property(loadArbitrary, (load) =>
-        expectWithinBounds(startSharing({ ...load, network }), greatestWeight(load)),
+        expectWithinBounds(startSharingLoad({ ...load, network }), greatestWeight(load)),
       ),
       { seed: 8, numRuns: 8 },
     );
@@ -122,7 +122,7 @@
   it('leaves no slot idle for longer than the discovery time while work waits', () => {
     fc.assert(
       fc.property(loadArbitrary, (load) => {
-        const run = startSharing(load);
+        const run = startSharingLoad(load);
         const { longestIdle } = observe(run);
         const maxIdleMs = discoveryTime(DEFAULT_CORE_SETTINGS, run.conditions) + UPSTREAM_TURN_MS;
         expect(longestIdle).to.be.at.most(maxIdleMs + SAMPLE_MS);
@@ -146,7 +146,7 @@
       ],
       network: { settings: { exchangeMs: 1e9, pullMs: 1e9 } },
     };
-    const run = startSharing(load);
+    const run = startSharingLoad(load);
     const { gap } = observe(run);
     expect(gap).to.be.above(serviceGapBound(DEFAULT_CORE_SETTINGS, run.conditions));
   });
--- a/test/fair/weights.test.ts
+++ b/test/fair/weights.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import { DEFAULT_CORE_SETTINGS } from '../../src/core/settings.js';
 import { serviceGapBound } from '../../src/core/shares/bound.js';
-import { PER_OUTPUT_TOKEN, startSharing } from '../support/sharingLoad.js';
+import { PER_OUTPUT_TOKEN, startSharingLoad } from '../support/sharingLoad.js';
 
 const BEFORE_MS = 30_000;
 const AFTER_MS = 30_000;
@@ -30,7 +30,7 @@
   it('keeps the bound for the new weights when weights change while requests wait', () => {
     fc.assert(
       fc.property(loadArbitrary, (load) => {
-        const run = startSharing(load);
+        const run = startSharingLoad(load);
         const { network, conditions } = run;
         network.runUntil(network.now() + BEFORE_MS);
         const newWeights = load.customers.map(({ nextWeight }) => nextWeight);
--- a/test/support/sharingLoad.ts
+++ b/test/support/sharingLoad.ts
@@ -51,7 +51,7 @@
 }
 
 /** Creates the fleet, runs it until membership has converged and then keeps the queues filled. */
-export function startSharing(load: SharingLoad): SharingRun {
+export function startSharingLoad(load: SharingLoad): SharingRun {
   const slots = load.domains.flatMap(({ upstreams }) => upstreams).reduce((a, b) => a + b, 0);
   const network = createNetwork(load);
   network.runUntil(8_000);
