--- a/test/fair/largeDomain.test.ts
+++ b/test/fair/largeDomain.test.ts
@@ -37,7 +37,7 @@
   let gap = 0;
   while (network.now() < start + DURATION_MS) {
     network.runUntil(network.now() + SAMPLE_MS);
-    const served = run.virtualServed();
+    const served = run.normalizedService();
     gap = Math.max(gap, Math.max(...served) - Math.min(...served));
   }
   return {
--- a/test/fair/sharing.test.ts
+++ b/test/fair/sharing.test.ts
@@ -46,11 +46,11 @@
   const start = network.now();
   const servedAt = new Map<number, number>();
   let extremes: Extremes = { gap: 0, longestWait: 0, longestIdle: 0 };
-  let last = run.virtualServed();
+  let last = run.normalizedService();
   last.forEach((_, i) => servedAt.set(i, start));
   while (network.now() < start + DURATION_MS) {
     network.runUntil(network.now() + SAMPLE_MS);
-    const served = run.virtualServed();
+    const served = run.normalizedService();
     recordServed(servedAt, last, served, network.now());
     extremes = updateExtremes(extremes, run, served, servedAt, start);
     last = served;
