--- a/test/daemon/path.test.ts
+++ b/test/daemon/path.test.ts
@@ -1,7 +1,13 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'chai';
 import { answerText, bodyHash } from '../../src/standins/index.js';
-import { ask, startTestFleet, streamedText, TEST_KEY, type TestFleet } from '../support/fleet.js';
+import {
+  sendCompletion,
+  startTestFleet,
+  streamedText,
+  TEST_KEY,
+  type TestFleet,
+} from '../support/fleet.js';
 
 async function until(condition: () => boolean): Promise<void> {
   if (condition()) return;
@@ -19,14 +25,14 @@
   after(async () => fleet.close());
 
   it('streams the complete response of an engine to the caller', async () => {
-    const res = await ask(url, 'what is a lease', { tokens: 20 });
+    const res = await sendCompletion(url, 'what is a lease', { tokens: 20 });
     expect(res.status).to.equal(200);
     expect(res.headers.get('content-type')).to.equal('text/event-stream');
     expect(streamedText(await res.text())).to.equal(answerText('what is a lease', 20));
   });
 
   it('returns a response that is not streamed', async () => {
-    const res = await ask(url, 'one body', { stream: false });
+    const res = await sendCompletion(url, 'one body', { stream: false });
     const body = (await res.json()) as { choices: { message: { content: string } }[] };
     expect(body.choices[0]?.message.content).to.equal(answerText('one body', 5));
   });
@@ -46,7 +52,7 @@
 
   it('aborts the attempt at the engine when the caller disconnects', async () => {
     const abort = new AbortController();
-    const res = await ask(url, 'never read', { tokens: 500, signal: abort.signal });
+    const res = await sendCompletion(url, 'never read', { tokens: 500, signal: abort.signal });
     const runningAttempt = () =>
       fleet.engines[0]?.log().attempts.find(({ outcome }) => outcome === 'running');
     expect(runningAttempt()).to.not.equal(undefined);
@@ -57,8 +63,10 @@
   });
 
   it('does not delay other streams for a slow caller', async () => {
-    const slow = await ask(url, 'slow', { tokens: 40 });
-    const others = ['a', 'b', 'c'].map(async (question) => (await ask(url, question)).text());
+    const slow = await sendCompletion(url, 'slow', { tokens: 40 });
+    const others = ['a', 'b', 'c'].map(async (question) =>
+      (await sendCompletion(url, question)).text(),
+    );
     const texts = (await Promise.all(others)).map(streamedText);
     expect(texts).to.deep.equal(['a', 'b', 'c'].map((question) => answerText(question, 5)));
     expect(streamedText(await slow.text())).to.equal(answerText('slow', 40));
@@ -88,7 +96,7 @@
   });
 
   it('rejects an invalid key as not executed', async () => {
-    const res = await ask(url, 'q', { headers: { authorization: 'Bearer wrong' } });
+    const res = await sendCompletion(url, 'q', { headers: { authorization: 'Bearer wrong' } });
     expect(res.status).to.equal(401);
     expect(res.headers.get('content-type')).to.equal('application/problem+json');
     expect(await res.json()).to.deep.include({ executed: 'no', step: 'authenticate', code: 1001 });
--- a/test/daemon/silentUpstreams.test.ts
+++ b/test/daemon/silentUpstreams.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { answerText } from '../../src/standins/index.js';
-import { ask, startTestFleet, streamedText } from '../support/fleet.js';
+import { sendCompletion, startTestFleet, streamedText } from '../support/fleet.js';
 
 const REQUESTS = 16;
 
@@ -18,7 +18,7 @@
       Promise.all(
         Array.from({ length: REQUESTS }, async (_, i) => {
           const question = `${name} ${i}`;
-          const res = await ask(url, question);
+          const res = await sendCompletion(url, question);
           return { question, status: res.status, text: await res.text() };
         }),
       );
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -133,7 +133,7 @@
 }
 
 /** Sends a completion request with `question` as its only message. */
-export async function ask(
+export async function sendCompletion(
   url: string,
   question: string,
   options: CompletionOptions = {},
