--- a/test/cli/cli.test.ts
+++ b/test/cli/cli.test.ts
@@ -7,7 +7,7 @@
 import { SECTION_NAMES } from '../../src/configuration/types.js';
 import { EXIT_CODES } from '../../src/cli/exitCodes.js';
 import { answerText, createEngineStandin } from '../../src/standins/index.js';
-import { sendCompletion, keyHashOf, streamedText, TEST_KEY } from '../support/fleet.js';
+import { sendCompletion, keyHashOf, parseStreamText, TEST_KEY } from '../support/fleet.js';
 
 const MAIN = join('dist', 'src', 'cli', 'main.js');
 
@@ -133,7 +133,7 @@
     });
     const res = await sendCompletion(`http://${address}`, 'still running', { tokens: 30 });
     child.kill('SIGTERM');
-    expect(streamedText(await res.text())).to.equal(answerText('still running', 30));
+    expect(parseStreamText(await res.text())).to.equal(answerText('still running', 30));
     const { code, stderr } = await ended;
     expect(code).to.equal(EXIT_CODES.ok);
     expect(stderr).to.include('has stopped');
--- a/test/daemon/crossed.test.ts
+++ b/test/daemon/crossed.test.ts
@@ -3,7 +3,7 @@
 import { Agent, request } from 'undici';
 import type { Instance } from '../../src/daemon/instance.js';
 import { answerText } from '../../src/standins/index.js';
-import { startTestFleet, streamedText, TEST_KEY, type TestFleet } from '../support/fleet.js';
+import { startTestFleet, parseStreamText, TEST_KEY, type TestFleet } from '../support/fleet.js';
 
 /** Number of concurrent requests. `WIDE_REQUESTS` overrides it; the limit on open files bounds it. */
 const REQUESTS = Number(process.env.WIDE_REQUESTS ?? 2_000);
@@ -73,7 +73,7 @@
       // The partial body contains the reason for the failure.
       throw new Error(`${(err as Error).message} after ${JSON.stringify(text)}`);
     }
-    return statusCode === 200 ? streamedText(text) : `status ${statusCode}: ${text}`;
+    return statusCode === 200 ? parseStreamText(text) : `status ${statusCode}: ${text}`;
   }
 
   it(`gives each of ${REQUESTS} concurrent callers its own complete answer`, async () => {
--- a/test/daemon/path.test.ts
+++ b/test/daemon/path.test.ts
@@ -4,7 +4,7 @@
 import {
   sendCompletion,
   startTestFleet,
-  streamedText,
+  parseStreamText,
   TEST_KEY,
   type TestFleet,
 } from '../support/fleet.js';
@@ -28,7 +28,7 @@
     const res = await sendCompletion(url, 'what is a lease', { tokens: 20 });
     expect(res.status).to.equal(200);
     expect(res.headers.get('content-type')).to.equal('text/event-stream');
-    expect(streamedText(await res.text())).to.equal(answerText('what is a lease', 20));
+    expect(parseStreamText(await res.text())).to.equal(answerText('what is a lease', 20));
   });
 
   it('returns a response that is not streamed', async () => {
@@ -67,9 +67,9 @@
     const others = ['a', 'b', 'c'].map(async (question) =>
       (await sendCompletion(url, question)).text(),
     );
-    const texts = (await Promise.all(others)).map(streamedText);
+    const texts = (await Promise.all(others)).map(parseStreamText);
     expect(texts).to.deep.equal(['a', 'b', 'c'].map((question) => answerText(question, 5)));
-    expect(streamedText(await slow.text())).to.equal(answerText('slow', 40));
+    expect(parseStreamText(await slow.text())).to.equal(answerText('slow', 40));
   });
 
   it('rejects an unknown model and an unknown path as not executed', async () => {
--- a/test/daemon/silentUpstreams.test.ts
+++ b/test/daemon/silentUpstreams.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { answerText } from '../../src/standins/index.js';
-import { sendCompletion, startTestFleet, streamedText } from '../support/fleet.js';
+import { sendCompletion, startTestFleet, parseStreamText } from '../support/fleet.js';
 
 const REQUESTS = 16;
 
@@ -27,7 +27,7 @@
     const answers = await askAll('meets a silent connection');
     await fleet.close();
     answers.forEach(({ question, status, text }) => {
-      if (status === 200) expect(streamedText(text)).to.equal(answerText(question, 5));
+      if (status === 200) expect(parseStreamText(text)).to.equal(answerText(question, 5));
       else expect(JSON.parse(text)).to.include({ status: 504, executed: 'unknown' });
     });
   });
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -152,7 +152,7 @@
 }
 
 /** Returns the text of a streamed response; throws if the final `[DONE]` event is missing. */
-export function streamedText(answer: string): string {
+export function parseStreamText(answer: string): string {
   const events = answer.split('\n\n').filter((event) => event !== '');
   if (events.at(-1) !== 'data: [DONE]')
     throw new Error(`The stream has no final [DONE] event: ${answer}`);
