--- a/test/configuration/checkpoint.test.ts
+++ b/test/configuration/checkpoint.test.ts
@@ -10,7 +10,7 @@
 import { createFoldState, type FoldState } from '../../src/core/configuration/foldState.js';
 import { createCore, type Core } from '../../src/core/core.js';
 import type { CoreEvent, Effect } from '../../src/core/types.js';
-import { baseChanges, editRecord, stopChange } from '../support/edits.js';
+import { baseChanges, editRecord, plannedStopChange } from '../support/edits.js';
 
 const SELF = { id: 'a', incarnation: 1, address: '127.0.0.1:1', domain: 'd1', region: 'r1' };
 
@@ -19,7 +19,7 @@
   const fold = createFoldState();
   foldRecord(fold, 0, editRecord('base', -1, baseChanges()));
   for (let i = 1; i <= edits; i += 1) {
-    foldRecord(fold, i, editRecord(`e${i}`, i - 1, [stopChange('e1', `r${i}`)]));
+    foldRecord(fold, i, editRecord(`e${i}`, i - 1, [plannedStopChange('e1', `r${i}`)]));
   }
   return fold;
 }
--- a/test/configuration/fold.test.ts
+++ b/test/configuration/fold.test.ts
@@ -9,7 +9,7 @@
   MAX_VERDICTS,
 } from '../../src/core/configuration/foldState.js';
 import type { SectionChange } from '../../src/core/configuration/records.js';
-import { ACCOUNTS_HASH, baseChanges, editRecord, stopChange } from '../support/edits.js';
+import { ACCOUNTS_HASH, baseChanges, editRecord, plannedStopChange } from '../support/edits.js';
 
 function createFoldWithBase(): FoldState {
   const fold = createFoldState();
@@ -25,29 +25,35 @@
 describe('fold of the configuration', () => {
   it('requires the teams in the first edit, then the proof of a team that owns the section', () => {
     const empty = createFoldState();
-    expect(foldOutcome(empty, 0, editRecord('x', -1, [stopChange('e1')]))).to.equal('bootstrap');
+    expect(foldOutcome(empty, 0, editRecord('x', -1, [plannedStopChange('e1')]))).to.equal(
+      'bootstrap',
+    );
     const fold = createFoldWithBase();
     expect(fold.version).to.equal(0);
     const byAccounts = { team: 'accounts' };
-    expect(foldOutcome(fold, 1, editRecord('a', 0, [stopChange('e1')], byAccounts))).to.equal(
-      'notOwner',
-    );
+    expect(
+      foldOutcome(fold, 1, editRecord('a', 0, [plannedStopChange('e1')], byAccounts)),
+    ).to.equal('notOwner');
     const forged = { team: 'platform', keyHash: ACCOUNTS_HASH };
-    expect(foldOutcome(fold, 2, editRecord('b', 0, [stopChange('e1')], forged))).to.equal(
+    expect(foldOutcome(fold, 2, editRecord('b', 0, [plannedStopChange('e1')], forged))).to.equal(
       'wrongProof',
     );
     const unknown = { team: 'nobody', keyHash: ACCOUNTS_HASH };
-    expect(foldOutcome(fold, 3, editRecord('c', 0, [stopChange('e1')], unknown))).to.equal(
+    expect(foldOutcome(fold, 3, editRecord('c', 0, [plannedStopChange('e1')], unknown))).to.equal(
       'unknownTeam',
     );
-    expect(foldOutcome(fold, 4, editRecord('d', 0, [stopChange('e1')]))).to.equal('accepted');
+    expect(foldOutcome(fold, 4, editRecord('d', 0, [plannedStopChange('e1')]))).to.equal(
+      'accepted',
+    );
     expect(fold.version).to.equal(4);
   });
 
   it('accepts only the first of conflicting edits of a section, and names its author to the other', () => {
     const fold = createFoldWithBase();
-    expect(foldOutcome(fold, 1, editRecord('first', 0, [stopChange('e1')]))).to.equal('accepted');
-    const result = foldRecord(fold, 2, editRecord('second', 0, [stopChange('e1', 'other')]));
+    expect(foldOutcome(fold, 1, editRecord('first', 0, [plannedStopChange('e1')]))).to.equal(
+      'accepted',
+    );
+    const result = foldRecord(fold, 2, editRecord('second', 0, [plannedStopChange('e1', 'other')]));
     const verdict = result.kind === 'refused' ? result.verdict : undefined;
     expect(verdict?.reason).to.equal('conflict');
     expect(verdict?.conflicts[0]).to.deep.include({ author: 'author-first', keys: ['e1'] });
@@ -62,7 +68,7 @@
 
   it('ignores a repeated edit', () => {
     const fold = createFoldWithBase();
-    const record = editRecord('once', 0, [stopChange('e1')]);
+    const record = editRecord('once', 0, [plannedStopChange('e1')]);
     expect(foldOutcome(fold, 1, record)).to.equal('accepted');
     expect(foldOutcome(fold, 2, record)).to.equal('ignored');
     expect(fold.version).to.equal(1);
@@ -74,7 +80,9 @@
     const result = foldRecord(fold, 1, editRecord('a', 0, [remove]));
     const verdict = result.kind === 'refused' ? result.verdict : undefined;
     expect(verdict?.diagnostics[0]?.code).to.equal('unknownReference');
-    expect(foldOutcome(fold, 2, editRecord('b', 9, [stopChange('e1')]))).to.equal('unknownBase');
+    expect(foldOutcome(fold, 2, editRecord('b', 9, [plannedStopChange('e1')]))).to.equal(
+      'unknownBase',
+    );
   });
 
   it('accepts no edit that makes the document invalid, although only changed sections are checked', () => {
@@ -88,7 +96,7 @@
       { section: 'routes', set: { shop: 'shop: []\n' }, remove: [] },
       { section: 'placement', set: { chat: "chat: { model: m, version: '1' }\n" }, remove: [] },
       { section: 'teams', set: {}, remove: ['accounts'] },
-      stopChange('e1'),
+      plannedStopChange('e1'),
       { section: 'plannedStops', set: {}, remove: ['e1'] },
     );
     fc.assert(
@@ -115,8 +123,8 @@
 
   it('restores earlier texts of a section', () => {
     const fold = createFoldWithBase();
-    foldRecord(fold, 1, editRecord('a', 0, [stopChange('e1', 'one')]));
-    foldRecord(fold, 2, editRecord('b', 1, [stopChange('e1', 'two')]));
+    foldRecord(fold, 1, editRecord('a', 0, [plannedStopChange('e1', 'one')]));
+    foldRecord(fold, 2, editRecord('b', 1, [plannedStopChange('e1', 'two')]));
     const removed: SectionChange = { section: 'plannedStops', set: {}, remove: ['e1'] };
     foldRecord(fold, 3, editRecord('c', 2, [removed]));
     expect(entriesAt(fold, 'plannedStops', 1)?.get('e1')).to.contain('one');
@@ -136,7 +144,11 @@
     );
     const fold = createFoldWithBase();
     for (let i = 1; i <= MAX_VERDICTS + 10; i += 1) {
-      foldRecord(fold, i, editRecord(`e${i}`, 0, [stopChange('e1')], { keyHash: ACCOUNTS_HASH }));
+      foldRecord(
+        fold,
+        i,
+        editRecord(`e${i}`, 0, [plannedStopChange('e1')], { keyHash: ACCOUNTS_HASH }),
+      );
     }
     expect(fold.verdicts.size).to.equal(MAX_VERDICTS);
   });
--- a/test/support/edits.ts
+++ b/test/support/edits.ts
@@ -46,7 +46,7 @@
 }
 
 /** Returns a change that plans a stop of the upstream `key`. */
-export function stopChange(key: string, reason = 'r'): SectionChange {
+export function plannedStopChange(key: string, reason = 'r'): SectionChange {
   return { section: 'plannedStops', set: { [key]: `${key}: { reason: ${reason} }\n` }, remove: [] };
 }
 
