--- a/src/bench/routing/patterns.ts
+++ b/src/bench/routing/patterns.ts
@@ -85,7 +85,7 @@
   },
 ];
 
-export const SHAPE: FleetShape = {
+export const FLEET_SHAPE: FleetShape = {
   engine: {
     slots: 32,
     memoryTokens: 942_185,
@@ -140,9 +140,9 @@
   const requests: OfferedRequest[] = [];
   for (let at = 0; at < lengthMs; at += TICK_MS) {
     REQUEST_KINDS.forEach((kind) => {
-      for (let customer = 0; customer < SHAPE.customers; customer += 1) {
+      for (let customer = 0; customer < FLEET_SHAPE.customers; customer += 1) {
         const isHeavy = customer < (pattern.heavyCustomers?.customers ?? 0);
-        const rate = (kind.requestsPerSecond * pattern.loadFactor(at)) / SHAPE.customers;
+        const rate = (kind.requestsPerSecond * pattern.loadFactor(at)) / FLEET_SHAPE.customers;
         const factor = isHeavy ? (pattern.heavyCustomers?.factor ?? 1) : 1;
         const expected = (rate * factor * TICK_MS) / MS_PER_SECOND;
         const count = Math.floor(expected + random.next());
@@ -163,7 +163,9 @@
   at: Millis,
   number: number,
 ): OfferedRequest {
-  const domain = isHeavy ? SHAPE.domains[0] : SHAPE.domains[random.nextInt(SHAPE.domains.length)];
+  const domain = isHeavy
+    ? FLEET_SHAPE.domains[0]
+    : FLEET_SHAPE.domains[random.nextInt(FLEET_SHAPE.domains.length)];
   const shared: PrefixPart[] = kind.sharedParts.map(({ count, tokens }, level) => ({
     id: `${kind.route.name}-${level}-${drawPartIndex(random, count, customer)}`,
     tokens,
@@ -191,9 +193,9 @@
  * ones more often; if there are fewer parts than customers, all customers share them.
  */
 function drawPartIndex(random: Random, count: number, customer: number): number {
-  const perCustomer = Math.max(1, Math.floor(count / SHAPE.customers));
+  const perCustomer = Math.max(1, Math.floor(count / FLEET_SHAPE.customers));
   const skewed = Math.floor(random.next() ** 1.3 * perCustomer);
-  return count < SHAPE.customers ? random.nextInt(count) : customer * perCustomer + skewed;
+  return count < FLEET_SHAPE.customers ? random.nextInt(count) : customer * perCustomer + skewed;
 }
 
 /**
--- a/src/bench/routing/replay.ts
+++ b/src/bench/routing/replay.ts
@@ -1,7 +1,7 @@
 /** Replays a load pattern on an emulated fleet. */
 import type { Millis } from '../../core/clock.js';
 import { createEmulatedFleet, type FleetPolicy } from './emulatedFleet.js';
-import { drawRequests, SHAPE, type LoadPattern } from './patterns.js';
+import { drawRequests, FLEET_SHAPE, type LoadPattern } from './patterns.js';
 import type { FleetResults, Tally } from './results.js';
 import { createSimulation } from './simulation.js';
 
@@ -40,7 +40,7 @@
   { lengthMs, seed, policy = 'core' }: ReplayOptions,
 ): FleetResults {
   const simulation = createSimulation();
-  const fleet = createEmulatedFleet({ simulation, shape: SHAPE, seed, policy });
+  const fleet = createEmulatedFleet({ simulation, shape: FLEET_SHAPE, seed, policy });
   drawRequests(pattern, lengthMs, seed).forEach((request) => {
     fleet.offer({ ...request, at: request.at + WARM_UP_MS });
   });
--- a/test/routing/replay.test.ts
+++ b/test/routing/replay.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { createEmulatedEngine } from '../../src/bench/routing/emulatedEngine.js';
-import { PATTERNS, SHAPE } from '../../src/bench/routing/patterns.js';
+import { PATTERNS, FLEET_SHAPE } from '../../src/bench/routing/patterns.js';
 import { replay, summarize } from '../../src/bench/routing/replay.js';
 import { createSimulation } from '../../src/bench/routing/simulation.js';
 import { createRandom } from '../../src/core/random.js';
@@ -115,7 +115,7 @@
     const reads: number[] = [];
     const engine = createEmulatedEngine({
       simulation,
-      model: SHAPE.engine,
+      model: FLEET_SHAPE.engine,
       onRead: (_parts, _first, tokens) => reads.push(tokens),
     });
     const firsts: number[] = [];
@@ -138,7 +138,7 @@
     submit(2);
     simulation.runUntil(2_000);
     expect(reads).to.deep.equal([6_000, 1_000]);
-    const { startMs, stepMs, stepMsPerRequest, readTokensPerMs } = SHAPE.engine;
+    const { startMs, stepMs, stepMsPerRequest, readTokensPerMs } = FLEET_SHAPE.engine;
     // Three chunks, and one step for each further token.
     const firstMs = startMs + 3 * (stepMs + stepMsPerRequest) + 6_000 / readTokensPerMs;
     expect(firsts[0]).to.be.closeTo(firstMs, 0.01);
@@ -150,7 +150,7 @@
     const reads: number[] = [];
     const engine = createEmulatedEngine({
       simulation,
-      model: { ...SHAPE.engine, memoryTokens: 10_000 },
+      model: { ...FLEET_SHAPE.engine, memoryTokens: 10_000 },
       onRead: (_parts, _first, tokens) => reads.push(tokens),
     });
     const run = (id: number, part: string) => {
