--- a/src/bench/routing/main.ts
+++ b/src/bench/routing/main.ts
@@ -9,7 +9,7 @@
 import { formatPlotPage, type Plot } from '../support/plotPage.js';
 import { readRevision } from '../support/revision.js';
 import type { FleetPolicy } from './emulatedFleet.js';
-import { REQUEST_KINDS, PATTERNS, type LoadPattern } from './patterns.js';
+import { REQUEST_KINDS, LOAD_PATTERNS, type LoadPattern } from './patterns.js';
 import { replay, summarize, type ReplaySummary } from './replay.js';
 import type { FleetResults } from './results.js';
 
@@ -50,7 +50,7 @@
 console.log(`revision ${revision}`);
 console.log(header);
 const policies = POLICIES.filter((policy) => values.only === undefined || policy === values.only);
-const runs = PATTERNS.flatMap((pattern) => policies.map((policy) => run(pattern, policy)));
+const runs = LOAD_PATTERNS.flatMap((pattern) => policies.map((policy) => run(pattern, policy)));
 const summaries = runs.map(({ summary }) => summary);
 if (values.json !== undefined) {
   writeFileSync(values.json, `${JSON.stringify({ revision, summaries }, null, 2)}\n`);
@@ -62,7 +62,10 @@
     ...summaries.map(formatSummary),
   ];
   const page = { title: 'Load patterns on an emulated fleet', text: text.join('\n') };
-  writeFileSync(values.report, formatPlotPage({ ...page, plots: PATTERNS.flatMap(createPlots) }));
+  writeFileSync(
+    values.report,
+    formatPlotPage({ ...page, plots: LOAD_PATTERNS.flatMap(createPlots) }),
+  );
 }
 
 function run(pattern: LoadPattern, policy: FleetPolicy): Run {
--- a/src/bench/routing/patterns.ts
+++ b/src/bench/routing/patterns.ts
@@ -109,7 +109,7 @@
 
 const isWithin = (at: Millis, from: Millis, until: Millis) => at >= from && at < until;
 
-export const PATTERNS: readonly LoadPattern[] = [
+export const LOAD_PATTERNS: readonly LoadPattern[] = [
   { name: 'usual', loadFactor: () => 1 },
   { name: 'double for 8 s', loadFactor: (at) => (isWithin(at, 6_000, 14_000) ? 2 : 1) },
   { name: 'triple throughout', loadFactor: () => 3 },
--- a/test/routing/replay.test.ts
+++ b/test/routing/replay.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { createEmulatedEngine } from '../../src/bench/routing/emulatedEngine.js';
-import { PATTERNS, FLEET_SHAPE } from '../../src/bench/routing/patterns.js';
+import { LOAD_PATTERNS, FLEET_SHAPE } from '../../src/bench/routing/patterns.js';
 import { replay, summarize } from '../../src/bench/routing/replay.js';
 import { createSimulation } from '../../src/bench/routing/simulation.js';
 import { createRandom } from '../../src/core/random.js';
@@ -18,7 +18,7 @@
 const SECONDS = 8;
 
 function replayPattern(name: string) {
-  const pattern = PATTERNS.find((candidate) => candidate.name === name);
+  const pattern = LOAD_PATTERNS.find((candidate) => candidate.name === name);
   if (pattern === undefined) throw new Error(`no pattern ${name}`);
   const results = replay(pattern, { lengthMs: SECONDS * 1_000, seed: 3 });
   return summarize(name, 'core', results, SECONDS);
