Rename ReplayOptions.lengthMs to durationMs

ReplayOptions.lengthMs of src/bench/routing/replay.ts is durationMs now. options.lengthMs of src/bench/routing/main.ts is durationMs now.

--- a/src/bench/routing/main.ts
+++ b/src/bench/routing/main.ts
@@ -69,7 +69,7 @@
 }
 
 function run(pattern: LoadPattern, policy: FleetPolicy): Run {
-  const options = { lengthMs: seconds * MS_PER_SECOND, seed: Number(values.seed), policy };
+  const options = { durationMs: seconds * MS_PER_SECOND, seed: Number(values.seed), policy };
   const results = replay(pattern, options);
   const summary = summarize(pattern.name, policy, results, seconds);
   console.log(formatSummary(summary));
--- a/src/bench/routing/replay.ts
+++ b/src/bench/routing/replay.ts
@@ -6,7 +6,7 @@
 import { createSimulation } from './simulation.js';
 
 export interface ReplayOptions {
-  readonly lengthMs: Millis;
+  readonly durationMs: Millis;
   readonly seed: number;
   readonly policy?: FleetPolicy;
 }
@@ -37,7 +37,7 @@
 
 export function replay(
   pattern: LoadPattern,
-  { lengthMs, seed, policy = 'core' }: ReplayOptions,
+  { durationMs: lengthMs, seed, policy = 'core' }: ReplayOptions,
 ): FleetResults {
   const simulation = createSimulation();
   const fleet = createEmulatedFleet({ simulation, shape: FLEET_SHAPE, seed, policy });
--- a/test/routing/replay.test.ts
+++ b/test/routing/replay.test.ts
@@ -20,7 +20,7 @@
 function replayPattern(name: string) {
   const pattern = LOAD_PATTERNS.find((candidate) => candidate.name === name);
   if (pattern === undefined) throw new Error(`no pattern ${name}`);
-  const results = replay(pattern, { lengthMs: SECONDS * 1_000, seed: 3 });
+  const results = replay(pattern, { durationMs: SECONDS * 1_000, seed: 3 });
   return summarize(name, 'core', results, SECONDS);
 }
 
