--- a/src/bench/routing/emulatedEngine.ts
+++ b/src/bench/routing/emulatedEngine.ts
@@ -19,7 +19,7 @@
   readonly stepMs: Millis;
   readonly stepMsPerRequest: Millis;
   /** Prefill speed. */
-  readonly readTokensPerMs: number;
+  readonly prefillTokensPerMs: number;
   /** Maximum number of prompt tokens that are prefilled in one step. */
   readonly chunkTokens: number;
   /** Delay between the submission of a request and its admission to the queue. */
@@ -120,7 +120,7 @@
     const durationMs =
       (model.stepMs +
         running.length * model.stepMsPerRequest +
-        prefilledTokens / model.readTokensPerMs) *
+        prefilledTokens / model.prefillTokensPerMs) *
       slowdownFactor;
     const decoding = running.filter(({ tokensToPrefill }) => tokensToPrefill === 0);
     const current = generation;
--- a/src/bench/routing/patterns.ts
+++ b/src/bench/routing/patterns.ts
@@ -91,7 +91,7 @@
     memoryTokens: 942_185,
     stepMs: 3.55,
     stepMsPerRequest: 0.0462,
-    readTokensPerMs: 157,
+    prefillTokensPerMs: 157,
     chunkTokens: 2_048,
     startMs: 10,
   },
