--- a/src/bench/routing/emulatedEngine.ts
+++ b/src/bench/routing/emulatedEngine.ts
@@ -48,7 +48,7 @@
   readonly simulation: Simulation;
   readonly model: EngineModel;
   /** Called when a job starts, with its parts and the number of tokens to prefill. */
-  readonly onRead: (parts: readonly PrefixPart[], firstUncached: number, tokens: number) => void;
+  readonly onPrefill: (parts: readonly PrefixPart[], firstUncached: number, tokens: number) => void;
 }
 
 interface RunningJob {
@@ -84,7 +84,7 @@
     const cached = job.parts.slice(0, firstUncached);
     cached.forEach(markUsed);
     const tokensToPrefill = job.promptTokens - cached.reduce((sum, { tokens }) => sum + tokens, 0);
-    options.onRead(job.parts, firstUncached, tokensToPrefill);
+    options.onPrefill(job.parts, firstUncached, tokensToPrefill);
     evictFor(requiredTokens(job));
     reservedTokens += requiredTokens(job);
     running.push({ job, tokensToPrefill: Math.max(1, tokensToPrefill), emittedTokens: 0 });
--- a/src/bench/routing/emulatedFleet.ts
+++ b/src/bench/routing/emulatedFleet.ts
@@ -124,7 +124,7 @@
   const engines = new Map<string, EmulatedEngine>(
     listedEngines.map(({ id }) => [
       id,
-      createEmulatedEngine({ simulation, model: shape.engine, onRead: prefillCounter.record }),
+      createEmulatedEngine({ simulation, model: shape.engine, onPrefill: prefillCounter.record }),
     ]),
   );
   const availableEngines = new Set(engines.keys());
--- a/test/routing/replay.test.ts
+++ b/test/routing/replay.test.ts
@@ -116,7 +116,7 @@
     const engine = createEmulatedEngine({
       simulation,
       model: FLEET_SHAPE.engine,
-      onRead: (_parts, _first, tokens) => reads.push(tokens),
+      onPrefill: (_parts, _first, tokens) => reads.push(tokens),
     });
     const firsts: number[] = [];
     const ends: number[] = [];
@@ -156,7 +156,7 @@
     const engine = createEmulatedEngine({
       simulation,
       model: { ...FLEET_SHAPE.engine, memoryTokens: 10_000 },
-      onRead: (_parts, _first, tokens) => reads.push(tokens),
+      onPrefill: (_parts, _first, tokens) => reads.push(tokens),
     });
     const run = (id: number, part: string) => {
       const parts = [
