--- a/src/bench/routing/emulatedEngine.ts
+++ b/src/bench/routing/emulatedEngine.ts
@@ -31,7 +31,7 @@
   readonly parts: readonly PrefixPart[];
   readonly promptTokens: number;
   readonly outputTokens: number;
-  readonly onFirst: () => void;
+  readonly onFirstToken: () => void;
   readonly onEnded: () => void;
 }
 
@@ -140,7 +140,7 @@
     run.emittedTokens += 1;
     if (run.emittedTokens === 1) {
       run.job.parts.forEach(markUsed);
-      run.job.onFirst();
+      run.job.onFirstToken();
     }
     if (run.emittedTokens < run.job.outputTokens) return;
     removeRunning(run);
--- a/src/bench/routing/emulatedFleet.ts
+++ b/src/bench/routing/emulatedFleet.ts
@@ -296,7 +296,7 @@
         parts: call.offered.parts,
         promptTokens: call.offered.promptTokens,
         outputTokens: call.offered.outputTokens,
-        onFirst: () => {
+        onFirstToken: () => {
           afterReturnDelay(() => {
             instance.dispatch({ kind: 'attemptAnswered', attempt, status: 200 });
             instance.dispatch({ kind: 'attemptProgress', attempt });
