--- a/src/bench/routing/emulatedEngine.ts
+++ b/src/bench/routing/emulatedEngine.ts
@@ -32,7 +32,7 @@
   readonly promptTokens: number;
   readonly outputTokens: number;
   readonly onFirstToken: () => void;
-  readonly onEnded: () => void;
+  readonly onCompleted: () => void;
 }
 
 export interface EmulatedEngine {
@@ -144,7 +144,7 @@
     }
     if (run.emittedTokens < run.job.outputTokens) return;
     removeRunning(run);
-    run.job.onEnded();
+    run.job.onCompleted();
   }
 
   function removeRunning(run: RunningJob): void {
--- a/src/bench/routing/emulatedFleet.ts
+++ b/src/bench/routing/emulatedFleet.ts
@@ -306,7 +306,7 @@
             );
           });
         },
-        onEnded: () => {
+        onCompleted: () => {
           afterReturnDelay(() => {
             instance.openCalls.delete(request);
             endAttempt(instance, attempt, { kind: 'complete', status: 200 });
--- a/test/routing/replay.test.ts
+++ b/test/routing/replay.test.ts
@@ -130,7 +130,7 @@
         promptTokens: 6_000,
         outputTokens: 10,
         onFirstToken: () => firsts.push(simulation.now()),
-        onEnded: () => ends.push(simulation.now()),
+        onCompleted: () => ends.push(simulation.now()),
       });
     };
     submit(1);
@@ -165,7 +165,7 @@
       ];
       const ignore = () => {};
       const sizes = { promptTokens: 3_500, outputTokens: 10 };
-      engine.submit({ id, parts, ...sizes, onFirstToken: ignore, onEnded: ignore });
+      engine.submit({ id, parts, ...sizes, onFirstToken: ignore, onCompleted: ignore });
       simulation.runUntil(simulation.now() + 500);
     };
     ['a', 'b', 'a', 'c', 'a', 'b'].forEach((part, i) => run(i, part));
