--- a/src/bench/live/latency.ts
+++ b/src/bench/live/latency.ts
@@ -4,7 +4,7 @@
  */
 import { Agent } from 'undici';
 import type { Millis } from '../../core/clock.js';
-import { createDurations } from '../load/customerMetrics.js';
+import { createDurationHistogram } from '../load/customerMetrics.js';
 import { startBenchFleet } from './processes.js';
 import { callStream } from './streamCall.js';
 
@@ -67,9 +67,9 @@
 }
 
 function createTarget(origin: string) {
-  const first = createDurations();
-  const total = createDurations();
-  const gaps = createDurations();
+  const first = createDurationHistogram();
+  const total = createDurationHistogram();
+  const gaps = createDurationHistogram();
   return {
     call: async ({ dispatcher, question, tokens, isCounted }: TargetCall): Promise<void> => {
       const onChunk = (_events: number, gapMs: Millis) => {
--- a/src/bench/live/streams.ts
+++ b/src/bench/live/streams.ts
@@ -5,7 +5,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Agent } from 'undici';
 import { MS_PER_SECOND, type Millis } from '../../core/clock.js';
-import { createDurations } from '../load/customerMetrics.js';
+import { createDurationHistogram } from '../load/customerMetrics.js';
 import { readProcessUse, startBenchFleet, type ProcessUse } from './processes.js';
 import { callStream } from './streamCall.js';
 
@@ -58,7 +58,7 @@
   const [statusUrl = ''] = fleet.statusUrls;
   const idle = await readProcessUse(pid, statusUrl);
   const dispatcher = new Agent();
-  const gaps = createDurations();
+  const gaps = createDurationHistogram();
   const counts = { events: 0, answers: 0, broken: 0 };
   let isEnding = false;
   let isCounting = false;
--- a/src/bench/load/customerMetrics.ts
+++ b/src/bench/load/customerMetrics.ts
@@ -58,7 +58,7 @@
   quantiles: () => Quantiles;
 }
 
-export function createDurations(): DurationHistogram {
+export function createDurationHistogram(): DurationHistogram {
   const histogram: Histogram = build({
     highestTrackableValue: MAX_MICROS,
     numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
@@ -91,9 +91,9 @@
       pool,
       weight,
       counts: createCounts(),
-      firstToken: createDurations(),
-      betweenTokens: createDurations(),
-      latency: createDurations(),
+      firstToken: createDurationHistogram(),
+      betweenTokens: createDurationHistogram(),
+      latency: createDurationHistogram(),
       service: 0,
       waiting: 0,
       wasIdle: true,
