Rename Strike to FaultInjection

Strike of src/bench/exact/scenario.ts is FaultInjection now. ScenarioOptions.strikes of src/bench/exact/scenario.ts is faultInjections now.

--- a/src/bench/exact/measure.ts
+++ b/src/bench/exact/measure.ts
@@ -212,7 +212,10 @@
       span: 100 + generator.nextInt(9_000),
       pick: generator.nextInt(12),
     }));
-    const { fleet, violations } = runScenario({ fleet: { seed: seed + run }, strikes });
+    const { fleet, violations } = runScenario({
+      fleet: { seed: seed + run },
+      faultInjections: strikes,
+    });
     requests += fleet.model.submissions.size;
     if (violations.length === 0) continue;
     failedRuns += 1;
--- a/src/bench/exact/scenario.ts
+++ b/src/bench/exact/scenario.ts
@@ -3,7 +3,7 @@
 import { injectFault, type Fault } from './faults.js';
 import { createExactFleet, type ExactFleet, type ExactFleetOptions } from './fleet.js';
 
-export interface Strike {
+export interface FaultInjection {
   readonly fault: Fault;
   /** Time after the start of the load. */
   readonly at: Millis;
@@ -13,7 +13,7 @@
 
 export interface ScenarioOptions {
   readonly fleet: ExactFleetOptions;
-  readonly strikes: readonly Strike[];
+  readonly faultInjections: readonly FaultInjection[];
   readonly workMs?: Millis;
   readonly requestEveryMs?: Millis;
 }
@@ -37,7 +37,7 @@
   const fleet = createExactFleet(options.fleet);
   const workMs = options.workMs ?? 8_000;
   fleet.runFor(WARM_UP_MS);
-  options.strikes.forEach(({ fault, at, span, pick }) => {
+  options.faultInjections.forEach(({ fault, at, span, pick }) => {
     fleet.schedule.after(at, () => injectFault(fleet, fault, pick, span));
   });
   const every = options.requestEveryMs ?? 100;
@@ -47,7 +47,7 @@
   fleet.runFor(workMs + SETTLE_MS);
   const violations = [
     ...fleet.model.judge(fleet.upstreams.sightings),
-    ...findExcessCrashes(fleet, options.strikes),
+    ...findExcessCrashes(fleet, options.faultInjections),
     ...findWrongQuarantines(fleet),
   ];
   return { fleet, violations };
@@ -85,7 +85,10 @@
   );
 }
 
-function findExcessCrashes(fleet: ExactFleet, strikes: readonly Strike[]): readonly string[] {
+function findExcessCrashes(
+  fleet: ExactFleet,
+  strikes: readonly FaultInjection[],
+): readonly string[] {
   const submissions = [...fleet.model.submissions.values()].filter(({ isCrashing }) => isCrashing);
   const secondSubmittedAt = submissions[1]?.at;
   if (secondSubmittedAt === undefined) return [];
--- a/test/exact/faults.test.ts
+++ b/test/exact/faults.test.ts
@@ -1,12 +1,12 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { FAULTS, type Fault } from '../../src/bench/exact/faults.js';
-import { runScenario, type Strike } from '../../src/bench/exact/scenario.js';
+import { runScenario, type FaultInjection } from '../../src/bench/exact/scenario.js';
 
 const instant = fc.integer({ min: 0, max: 6_000 });
 const span = fc.integer({ min: 100, max: 9_000 });
 
-const strikeOf = (fault: Fault): fc.Arbitrary<Strike> =>
+const strikeOf = (fault: Fault): fc.Arbitrary<FaultInjection> =>
   fc.record({
     fault: fc.constant(fault),
     at: instant,
@@ -14,10 +14,10 @@
     pick: fc.integer({ min: 0, max: 11 }),
   });
 
-const check = (strikes: fc.Arbitrary<readonly Strike[]>, seed: number, numRuns: number) =>
+const check = (strikes: fc.Arbitrary<readonly FaultInjection[]>, seed: number, numRuns: number) =>
   fc.assert(
     fc.property(strikes, fc.integer({ min: 1, max: 1e6 }), (list, fleetSeed) => {
-      const { violations } = runScenario({ fleet: { seed: fleetSeed }, strikes: list });
+      const { violations } = runScenario({ fleet: { seed: fleetSeed }, faultInjections: list });
       expect(violations).to.deep.equal([]);
     }),
     { seed, numRuns },
@@ -46,7 +46,7 @@
   it('are reported as violated if the first claim of a key does not win (control)', () => {
     const { violations } = runScenario({
       fleet: { seed: 1, hidesForeignClaims: true },
-      strikes: [],
+      faultInjections: [],
     });
     expect(violations.join()).to.match(/ran \d times/);
   });
