--- a/src/bench/exact/fleet.ts
+++ b/src/bench/exact/fleet.ts
@@ -300,7 +300,7 @@
     const node = nodes.get(id);
     nodes.delete(id);
     node?.openRequests.forEach((requestId) => {
-      if (!model.told.has(requestId)) model.exemptRequests.add(requestId);
+      if (!model.outcomes.has(requestId)) model.exemptRequests.add(requestId);
     });
   }
 
@@ -345,7 +345,7 @@
   function disconnectCaller(requestId: string): void {
     const id = model.submissions.get(requestId)?.instance ?? '';
     const node = nodes.get(id);
-    if (node === undefined || model.told.has(requestId)) return;
+    if (node === undefined || model.outcomes.has(requestId)) return;
     model.exemptRequests.add(requestId);
     post(id, node, { kind: 'callerGone', requestId });
   }
--- a/src/bench/exact/measure.ts
+++ b/src/bench/exact/measure.ts
@@ -130,7 +130,7 @@
   fleet.log.faults.isDown = false;
   const restoredAt = fleet.schedule.now();
   const recoveryMs = timeToFirstDispatch(fleet, restoredAt);
-  const isRefused = (id: string) => fleet.model.told.get(id)?.[0]?.kind === 'refuse';
+  const isRefused = (id: string) => fleet.model.outcomes.get(id)?.[0]?.kind === 'refuse';
   const share = (ids: readonly string[]) => (100 * ids.filter(isRefused).length) / ids.length;
   const name = 'refused during a 10-minute log outage';
   return [
--- a/src/bench/exact/model.ts
+++ b/src/bench/exact/model.ts
@@ -26,7 +26,7 @@
 
 export interface Model {
   readonly submissions: Map<RequestId, Submission>;
-  readonly told: Map<RequestId, CallerOutcome[]>;
+  readonly outcomes: Map<RequestId, CallerOutcome[]>;
   /** Requests that need no outcome because the caller disconnected or the instance was lost. */
   readonly exemptRequests: Set<RequestId>;
   /** Time at which each request was first dispatched. */
@@ -94,7 +94,7 @@
 
   return {
     submissions,
-    told,
+    outcomes: told,
     exemptRequests,
     dispatchedAt,
     submit: (submission) => submissions.set(submission.requestId, submission),
--- a/src/bench/exact/scenario.ts
+++ b/src/bench/exact/scenario.ts
@@ -101,7 +101,7 @@
 
 function findWrongQuarantines({ model }: ExactFleet): readonly string[] {
   const violations: string[] = [];
-  model.told.forEach((outcomes, requestId) => {
+  model.outcomes.forEach((outcomes, requestId) => {
     if (model.submissions.get(requestId)?.isCrashing === true) return;
     const isWrong = outcomes.some(
       (outcome) => 'problem' in outcome && outcome.problem.code === 'quarantined',
--- a/test/exact/claims.test.ts
+++ b/test/exact/claims.test.ts
@@ -9,7 +9,7 @@
   return fleet;
 }
 
-const outcomeOf = (fleet: ExactFleet, id: string) => fleet.model.told.get(id)?.[0];
+const outcomeOf = (fleet: ExactFleet, id: string) => fleet.model.outcomes.get(id)?.[0];
 
 const problemOf = (fleet: ExactFleet, id: string) => {
   const told = outcomeOf(fleet, id);
--- a/test/exact/quarantine.test.ts
+++ b/test/exact/quarantine.test.ts
@@ -22,7 +22,7 @@
 }
 
 const codesOf = (fleet: ExactFleet, id: string) =>
-  (fleet.model.told.get(id) ?? []).map((told) => ('problem' in told ? told.problem.code : ''));
+  (fleet.model.outcomes.get(id) ?? []).map((told) => ('problem' in told ? told.problem.code : ''));
 
 const expectNoViolations = (fleet: ExactFleet) =>
   expect(fleet.model.judge(fleet.upstreams.sightings)).to.deep.equal([]);
--- a/test/exact/retries.test.ts
+++ b/test/exact/retries.test.ts
@@ -57,7 +57,7 @@
     }
     fleet.runFor(20_000);
     const codes = ids.map((id) => {
-      const told = fleet.model.told.get(id)?.[0];
+      const told = fleet.model.outcomes.get(id)?.[0];
       return told !== undefined && 'problem' in told ? told.problem.code : 'answered';
     });
     expect(codes).to.include('answered');
@@ -100,7 +100,7 @@
       fleet.runFor(4_000);
     });
     fleet.runFor(20_000);
-    const kinds = submitted.map((id) => fleet.model.told.get(id)?.[0]?.kind);
+    const kinds = submitted.map((id) => fleet.model.outcomes.get(id)?.[0]?.kind);
     expect(new Set(kinds)).to.deep.equal(new Set(['answer']));
     expectNoViolations(fleet);
   });
