--- a/src/bench/exact/model.ts
+++ b/src/bench/exact/model.ts
@@ -37,7 +37,7 @@
   readonly onTokens: (requestId: RequestId, tokens: number) => void;
   readonly onEffect: (effect: Effect) => void;
   /** Returns the violations found, given all executions on the upstreams. */
-  readonly judge: (sightings: readonly Execution[]) => readonly string[];
+  readonly findViolations: (sightings: readonly Execution[]) => readonly string[];
 }
 
 export function createModel(): Model {
@@ -103,7 +103,7 @@
       received.set(requestId, (received.get(requestId) ?? 0) + tokens);
     },
     onEffect,
-    judge: (sightings) => [
+    findViolations: (sightings) => [
       ...violations,
       ...findOutcomeViolations(submissions, told, exemptRequests, sightings),
       ...findRepeatedExecutions(submissions, sightings),
--- a/test/exact/claims.test.ts
+++ b/test/exact/claims.test.ts
@@ -17,7 +17,7 @@
 };
 
 const expectNoViolations = (fleet: ExactFleet) =>
-  expect(fleet.model.judge(fleet.upstreams.sightings)).to.deep.equal([]);
+  expect(fleet.model.findViolations(fleet.upstreams.sightings)).to.deep.equal([]);
 
 describe('claims', () => {
   it('let exactly one of ten instances run a key that is sent to all of them at once', () => {
--- a/test/exact/retries.test.ts
+++ b/test/exact/retries.test.ts
@@ -10,7 +10,7 @@
 }
 
 const expectNoViolations = (fleet: ExactFleet) =>
-  expect(fleet.model.judge(fleet.upstreams.sightings)).to.deep.equal([]);
+  expect(fleet.model.findViolations(fleet.upstreams.sightings)).to.deep.equal([]);
 
 describe('retries', () => {
   it('stay below 1.1 attempts per request when every upstream fails', () => {
