--- a/src/bench/exact/fakeUpstreams.ts
+++ b/src/bench/exact/fakeUpstreams.ts
@@ -42,7 +42,7 @@
 export interface FakeUpstreams {
   readonly faults: FakeUpstreamFaults;
   /** Each start or resumption of a request on an upstream. */
-  readonly sightings: Execution[];
+  readonly executions: Execution[];
   readonly crashes: { readonly upstream: UpstreamId; readonly at: Millis }[];
   readonly counts: { dispatches: number; moves: number };
   readonly dispatch: (plan: AttemptPlan, post: (event: CoreEvent) => void) => void;
@@ -224,7 +224,7 @@
 
   return {
     faults,
-    sightings,
+    executions: sightings,
     crashes,
     counts,
     dispatch,
--- a/src/bench/exact/scenario.ts
+++ b/src/bench/exact/scenario.ts
@@ -46,7 +46,7 @@
   }
   fleet.runFor(workMs + SETTLE_MS);
   const violations = [
-    ...fleet.model.findViolations(fleet.upstreams.sightings),
+    ...fleet.model.findViolations(fleet.upstreams.executions),
     ...findExcessCrashes(fleet, options.faultInjections),
     ...findWrongQuarantines(fleet),
   ];
--- a/test/exact/claims.test.ts
+++ b/test/exact/claims.test.ts
@@ -17,14 +17,14 @@
 };
 
 const expectNoViolations = (fleet: ExactFleet) =>
-  expect(fleet.model.findViolations(fleet.upstreams.sightings)).to.deep.equal([]);
+  expect(fleet.model.findViolations(fleet.upstreams.executions)).to.deep.equal([]);
 
 describe('claims', () => {
   it('let exactly one of ten instances run a key that is sent to all of them at once', () => {
     const fleet = readyFleet({ instances: 10 });
     const ids = fleet.ids.map((instance) => fleet.submit(instance, BOOKING));
     fleet.runFor(10_000);
-    expect(fleet.upstreams.sightings).to.have.length(1);
+    expect(fleet.upstreams.executions).to.have.length(1);
     expect(ids.filter((id) => outcomeOf(fleet, id)?.kind === 'answer')).to.have.length(1);
     expectNoViolations(fleet);
   });
@@ -35,7 +35,7 @@
     fleet.runFor(8_000);
     fleet.ids.forEach((instance) => fleet.submit(instance, BOOKING));
     fleet.runFor(10_000);
-    expect(fleet.upstreams.sightings).to.have.length(1);
+    expect(fleet.upstreams.executions).to.have.length(1);
     expectNoViolations(fleet);
   });
 
@@ -109,7 +109,7 @@
     const repeat = fleet.submit('i1', BOOKING);
     fleet.runFor(10_000);
     expect(problemOf(fleet, repeat)?.executed).to.equal('unknown');
-    expect(fleet.upstreams.sightings).to.have.length(1);
+    expect(fleet.upstreams.executions).to.have.length(1);
     expectNoViolations(fleet);
   });
 
@@ -148,7 +148,7 @@
     fleet.submit('i1', BOOKING);
     fleet.runFor(20_000);
     expect(problemOf(fleet, id)?.executed).to.equal('no');
-    expect(fleet.upstreams.sightings).to.have.length(2);
+    expect(fleet.upstreams.executions).to.have.length(2);
     expectNoViolations(fleet);
   });
 
@@ -168,7 +168,7 @@
       'problem.executed': 'unknown',
     });
     fleet.runFor(10_000);
-    expect(fleet.upstreams.sightings).to.have.length(0);
+    expect(fleet.upstreams.executions).to.have.length(0);
   });
 
   it('are read from the latest checkpoint after a restart without state', () => {
@@ -203,7 +203,7 @@
     const seconds = (200 * 5) / 1_000 + 5;
     const { claimAppendsPerSecond } = fleet.coreOf('i0')?.state.settings ?? {};
     expect(fleet.log.counts.appends - before).to.be.at.most((claimAppendsPerSecond ?? 0) * seconds);
-    expect(fleet.upstreams.sightings).to.have.length(1_800);
+    expect(fleet.upstreams.executions).to.have.length(1_800);
     expectNoViolations(fleet);
   });
 });
--- a/test/exact/quarantine.test.ts
+++ b/test/exact/quarantine.test.ts
@@ -25,7 +25,7 @@
   (fleet.model.outcomes.get(id) ?? []).map((told) => ('problem' in told ? told.problem.code : ''));
 
 const expectNoViolations = (fleet: ExactFleet) =>
-  expect(fleet.model.findViolations(fleet.upstreams.sightings)).to.deep.equal([]);
+  expect(fleet.model.findViolations(fleet.upstreams.executions)).to.deep.equal([]);
 
 describe('quarantine', () => {
   it('blocks a request after two crashes, regardless of the instance that receives it', () => {
--- a/test/exact/retries.test.ts
+++ b/test/exact/retries.test.ts
@@ -10,7 +10,7 @@
 }
 
 const expectNoViolations = (fleet: ExactFleet) =>
-  expect(fleet.model.findViolations(fleet.upstreams.sightings)).to.deep.equal([]);
+  expect(fleet.model.findViolations(fleet.upstreams.executions)).to.deep.equal([]);
 
 describe('retries', () => {
   it('stay below 1.1 attempts per request when every upstream fails', () => {
@@ -36,7 +36,7 @@
     }
     fleet.runFor(20_000);
     const tried = new Map<string, string[]>();
-    fleet.upstreams.sightings
+    fleet.upstreams.executions
       .filter(({ isResume }) => !isResume)
       .forEach(({ requestId, upstream }) => {
         tried.set(requestId, [...(tried.get(requestId) ?? []), upstream]);
