Rename FakeEngine.checks to checksOrderNumber

FakeEngine.checks of src/bench/configuration/fakeEngines.ts is checksOrderNumber now. FakeEnginesOptions.checks of src/bench/configuration/fakeEngines.ts is checksOrderNumber now.

--- a/src/bench/configuration/fakeEngines.ts
+++ b/src/bench/configuration/fakeEngines.ts
@@ -6,7 +6,7 @@
 export interface FakeEngine {
   readonly id: UpstreamId;
   /** Whether the engine rejects orders with a number lower than that of the last accepted one. */
-  readonly checks: boolean;
+  readonly checksOrderNumber: boolean;
   model: string;
   version: string;
   adapters: string[];
@@ -34,7 +34,7 @@
 
 export interface FakeEnginesOptions {
   readonly ids: readonly UpstreamId[];
-  readonly checks: (id: UpstreamId) => boolean;
+  readonly checksOrderNumber: (id: UpstreamId) => boolean;
   readonly loadMs: number;
 }
 
@@ -44,7 +44,7 @@
       id,
       {
         id,
-        checks: options.checks(id),
+        checksOrderNumber: options.checksOrderNumber(id),
         model: 'old',
         version: '0',
         adapters: [],
@@ -87,7 +87,7 @@
       const engine = engines.get(id);
       if (engine?.isUp !== true) return 'failed';
       completeLoading(engine, now);
-      if (engine.checks && number < engine.orderNumber) return 'stale';
+      if (engine.checksOrderNumber && number < engine.orderNumber) return 'stale';
       engine.orderNumber = number;
       const loadMs = order.kind === 'load-model' ? options.loadMs : 10;
       if (order.kind === 'load-model') engine.loads += 1;
--- a/test/orders/demandLevels.test.ts
+++ b/test/orders/demandLevels.test.ts
@@ -142,7 +142,7 @@
   });
 
   it('loads a new version only on needed upstreams, which already held the model', () => {
-    const engines = createFakeEngines({ ids, checks: () => true, loadMs: 1_000 });
+    const engines = createFakeEngines({ ids, checksOrderNumber: () => true, loadMs: 1_000 });
     const settings = { ...SETTINGS, placementShrinkMs: 10_000 };
     const fleet = createFakeFleet({ instances: 3, domains: 1, seed: 5, settings, engines });
     const publish = (version: number) => {
--- a/test/orders/orders.test.ts
+++ b/test/orders/orders.test.ts
@@ -54,7 +54,7 @@
 function createScenario(seed: number, lostOrderReplies = 0) {
   const engines = createFakeEngines({
     ids,
-    checks: (id) => Number(id.slice(1)) % 2 === 0,
+    checksOrderNumber: (id) => Number(id.slice(1)) % 2 === 0,
     loadMs: 3_000,
   });
   const settings = { ordersTickMs: 500, orderTimeoutMs: 20_000 };
@@ -147,7 +147,7 @@
     const initialConfiguration = { ...createTestView(), placement };
     const core = createCore({ self, seed: 1, initialConfiguration });
     core.reduce({ kind: 'start' }, 0);
-    const engines = createFakeEngines({ ids: ['e1'], checks: () => false, loadMs: 10 });
+    const engines = createFakeEngines({ ids: ['e1'], checksOrderNumber: () => false, loadMs: 10 });
     const report = engines.report('e1', 0);
     if (report === undefined) throw new Error('no report');
     const cache = { cacheEvents: [], cacheNext: 0, cacheGap: false };
