--- a/src/core/claims/claims.ts
+++ b/src/core/claims/claims.ts
@@ -12,7 +12,7 @@
 import { Debug } from '../debug.js';
 import type { DiagnosticCode } from '../diagnostics.js';
 import { scheduleAnnouncement } from '../dispatch/queues.js';
-import { isUntried, refuseRequest } from '../requests/outcomes.js';
+import { isUnexecuted, refuseRequest } from '../requests/outcomes.js';
 import type { NotRunProblem, RequestFacts } from '../types.js';
 import { keyIdOf, type KeyState, type OwnClaim } from './claimsState.js';
 import { answerDuplicate } from './duplicates.js';
@@ -118,7 +118,7 @@
 
 function refuseClaim(ctx: CoreContext, facts: RequestFacts, code: DiagnosticCode): void {
   const request = ctx.state.requests.active.get(facts.requestId);
-  if (request === undefined || !isUntried(request)) return;
+  if (request === undefined || !isUnexecuted(request)) return;
   const problem: NotRunProblem = {
     code,
     status: UNAVAILABLE,
--- a/src/core/claims/duplicates.ts
+++ b/src/core/claims/duplicates.ts
@@ -4,7 +4,12 @@
  * running or may have run.
  */
 import { sendToInstance, type CoreContext } from '../context.js';
-import { failRequest, isUntried, refuseWithKnownKey, replayRequest } from '../requests/outcomes.js';
+import {
+  failRequest,
+  isUnexecuted,
+  refuseWithKnownKey,
+  replayRequest,
+} from '../requests/outcomes.js';
 import type { DiagnosticCode } from '../diagnostics.js';
 import type {
   ExecutionStatus,
@@ -161,7 +166,7 @@
   status: number,
 ): void {
   const request = ctx.state.requests.active.get(facts.requestId);
-  if (request === undefined || !isUntried(request)) return;
+  if (request === undefined || !isUnexecuted(request)) return;
   const details = createProblem(ctx, code, status, { kind: 'self' });
   refuseWithKnownKey(ctx, request, { ...details, executed: 'no' });
 }
--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -12,7 +12,7 @@
 import { cancelAttempt } from '../attempts/cancel.js';
 import type { AttemptRecord } from '../attempts/attemptsState.js';
 import { emitAuditEntry, emitLog, setTimer, type CoreContext } from '../context.js';
-import { failRequest, isUntried, refuseRequest } from '../requests/outcomes.js';
+import { failRequest, isUnexecuted, refuseRequest } from '../requests/outcomes.js';
 import type {
   ActiveRequest,
   AttemptOutcome,
@@ -182,7 +182,7 @@
     peer: { kind: 'self' },
     retryAfterMs: ctx.state.settings.quarantineMs,
   };
-  if (isUntried(request)) {
+  if (isUnexecuted(request)) {
     refuseRequest(ctx, request, { ...problem, executed: 'no' });
     return;
   }
--- a/src/core/requests/outcomes.ts
+++ b/src/core/requests/outcomes.ts
@@ -15,7 +15,7 @@
 } from '../types.js';
 
 /** Whether the request is known not to have been executed by any upstream. */
-export function isUntried(request: ActiveRequest): request is UnexecutedRequest {
+export function isUnexecuted(request: ActiveRequest): request is UnexecutedRequest {
   return request.state === 'accepted' || request.state === 'waiting' || request.state === 'granted';
 }
 
