--- a/src/core/claims/logReader.ts
+++ b/src/core/claims/logReader.ts
@@ -1,7 +1,7 @@
 /** Reads the claims and checkpoints streams, with at most one read outstanding. */
 import type { CoreContext } from '../context.js';
 import type { CoreState } from '../state.js';
-import { CHECKPOINTS_STREAM, CLAIMS_STREAM } from './submission.js';
+import { CLAIM_CHECKPOINT_STREAM, CLAIMS_STREAM } from './submission.js';
 
 /** Largest number of records that one read returns. */
 export const READ_LIMIT = 1_000;
@@ -26,5 +26,5 @@
 
 /** Returns the stream to read in the current phase. */
 export function currentStream(state: CoreState): string {
-  return state.claims.phase === 'locating' ? CHECKPOINTS_STREAM : CLAIMS_STREAM;
+  return state.claims.phase === 'locating' ? CLAIM_CHECKPOINT_STREAM : CLAIMS_STREAM;
 }
--- a/src/core/claims/reading.ts
+++ b/src/core/claims/reading.ts
@@ -16,7 +16,7 @@
 import { decodeCheckpoint, decodeRecord } from './records.js';
 import {
   appendCheckpoint,
-  CHECKPOINTS_STREAM,
+  CLAIM_CHECKPOINT_STREAM,
   CLAIMS_STREAM,
   selectClaimWriters,
 } from './submission.js';
@@ -53,7 +53,7 @@
       return;
     case 'records':
       claims.failingSince = undefined;
-      if (stream === CHECKPOINTS_STREAM) applyCheckpoints(ctx, result.records, result.next);
+      if (stream === CLAIM_CHECKPOINT_STREAM) applyCheckpoints(ctx, result.records, result.next);
       else applyClaims(ctx, result.records, result.next, sentAt);
       break;
     default:
--- a/src/core/claims/submission.ts
+++ b/src/core/claims/submission.ts
@@ -16,7 +16,7 @@
 import { encodeRecord, type ClaimsRecord, type CheckpointRecord } from './records.js';
 
 export const CLAIMS_STREAM = 'claims';
-export const CHECKPOINTS_STREAM = 'claims-checkpoints';
+export const CLAIM_CHECKPOINT_STREAM = 'claims-checkpoints';
 
 const MAX_RECORDS_PER_APPEND = 500;
 /** In a large fleet, the writers share half of the append budget, and all others the other half. */
@@ -85,7 +85,7 @@
 }
 
 export function appendCheckpoint(ctx: CoreContext, record: CheckpointRecord): void {
-  emitAppend(ctx, CHECKPOINTS_STREAM, [encodeRecord(record)]);
+  emitAppend(ctx, CLAIM_CHECKPOINT_STREAM, [encodeRecord(record)]);
 }
 
 /**
--- a/src/core/reducer.ts
+++ b/src/core/reducer.ts
@@ -23,7 +23,7 @@
 import { onOutcomeQuery, onOutcomeReply } from './claims/duplicates.js';
 import { onClaimsLogRead, startReading } from './claims/reading.js';
 import {
-  CHECKPOINTS_STREAM,
+  CLAIM_CHECKPOINT_STREAM,
   CLAIMS_STREAM,
   flushAppends,
   onClaimsAppended,
@@ -359,5 +359,5 @@
 }
 
 function isClaimsStream(stream: string): boolean {
-  return stream === CLAIMS_STREAM || stream === CHECKPOINTS_STREAM;
+  return stream === CLAIMS_STREAM || stream === CLAIM_CHECKPOINT_STREAM;
 }
