--- a/src/bench/routing/emulatedFleet.ts
+++ b/src/bench/routing/emulatedFleet.ts
@@ -264,7 +264,7 @@
         kind: 'peerMessage',
         from: from.id,
         incarnation: 1,
-        news: message.value,
+        message: message.value,
       });
     });
   }
--- a/src/daemon/routingInstance.ts
+++ b/src/daemon/routingInstance.ts
@@ -349,7 +349,7 @@
 function forwardRoutingNews(event: CoreEvent, post: (event: RoutingEvent) => void): void {
   if (event.kind !== 'peerMessage' || event.message.$case !== 'routingNews') return;
   const { from, incarnation, message } = event;
-  post({ kind: 'peerMessage', from, incarnation, news: message.value });
+  post({ kind: 'peerMessage', from, incarnation, message: message.value });
 }
 
 /** Converts a measurement to the core's format. */
--- a/src/routing/routing.ts
+++ b/src/routing/routing.ts
@@ -122,7 +122,7 @@
       onAttemptEnded(ctx, event.attempt, event.outcome);
       return;
     case 'peerMessage':
-      onRoutingMessage(ctx, event.from, event.incarnation, event.news);
+      onRoutingMessage(ctx, event.from, event.incarnation, event.message);
       return;
     case 'probed':
       onProbed(ctx, event);
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -293,7 +293,7 @@
       readonly kind: 'peerMessage';
       readonly from: InstanceId;
       readonly incarnation: number;
-      readonly news: PeerMessageOf<'routingNews'>;
+      readonly message: PeerMessageOf<'routingNews'>;
     }
   | {
       readonly kind: 'probed';
--- a/test/routing/attempts.test.ts
+++ b/test/routing/attempts.test.ts
@@ -233,7 +233,7 @@
         kind: 'peerMessage',
         from: id,
         incarnation: 1,
-        news: {
+        message: {
           sequence: 1,
           isLeaving: false,
           upstreams: [],
--- a/test/routing/confirmations.test.ts
+++ b/test/routing/confirmations.test.ts
@@ -55,7 +55,7 @@
         const { value: news } = effect.message;
         messages.push({
           to: effect.to,
-          event: { kind: 'peerMessage', from: id, incarnation, news },
+          event: { kind: 'peerMessage', from: id, incarnation, message: news },
         });
       }
     });
--- a/test/routing/replay.test.ts
+++ b/test/routing/replay.test.ts
@@ -68,7 +68,7 @@
     effectsOf(from.dispatch({ kind: 'timer', timer: 'exchange' }), 'sendPeer').forEach(
       ({ message }) => {
         if (message.$case !== 'routingNews') return;
-        to.dispatch({ kind: 'peerMessage', from: peer.id, incarnation: 1, news: message.value });
+        to.dispatch({ kind: 'peerMessage', from: peer.id, incarnation: 1, message: message.value });
       },
     );
   }
--- a/test/routing/support/coreFleet.ts
+++ b/test/routing/support/coreFleet.ts
@@ -75,7 +75,11 @@
       if (effect.kind !== 'sendPeer' || effect.message.$case !== 'routingNews' || !to) return;
       const { id: from, incarnation } = core.self;
       const news = effect.message.value;
-      inFlight.push({ from: core, to, event: { kind: 'peerMessage', from, incarnation, news } });
+      inFlight.push({
+        from: core,
+        to,
+        event: { kind: 'peerMessage', from, incarnation, message: news },
+      });
     });
     return effects;
   }
