--- a/src/hosts/routing/gapClock.ts
+++ b/src/hosts/routing/gapClock.ts
@@ -13,7 +13,7 @@
 import type { ClockGap, GapClock } from './types.js';
 
 export interface ClockSources {
-  readonly steady: () => Millis;
+  readonly monotonic: () => Millis;
   readonly timeOfDay: () => Millis;
   /** Time since the machine started, suspensions included. */
   readonly sinceBoot: () => Millis;
@@ -36,13 +36,13 @@
 const MAX_READINGS = 3;
 
 const SYSTEM_CLOCKS: ClockSources = {
-  steady: () => performance.timeOrigin + performance.now(),
+  monotonic: () => performance.timeOrigin + performance.now(),
   timeOfDay: () => Date.now(),
   sinceBoot: () => uptime() * MS_PER_SECOND,
 };
 
 export function createGapClock(sources: ClockSources = SYSTEM_CLOCKS): GapClock {
-  const { steady, timeOfDay, sinceBoot } = sources;
+  const { monotonic: steady, timeOfDay, sinceBoot } = sources;
   const timeOfDayReader = createOffsetReader(steady, timeOfDay);
   const bootReader = createOffsetReader(steady, sinceBoot);
   let timeOfDayOffset = timeOfDayReader.initialOffset;
--- a/test/routing/logs.test.ts
+++ b/test/routing/logs.test.ts
@@ -177,7 +177,7 @@
   function createClocks() {
     const at = { steady: 0, timeOfDay: 1_000_000, boot: 50_000 };
     const clock = createGapClock({
-      steady: () => at.steady,
+      monotonic: () => at.steady,
       timeOfDay: () => at.timeOfDay,
       sinceBoot: () => at.boot,
     });
@@ -203,7 +203,7 @@
   it('reports no gap if the time since boot has a resolution of whole seconds', () => {
     const at = { steady: 400, boot: 0 };
     const clock = createGapClock({
-      steady: () => at.steady,
+      monotonic: () => at.steady,
       timeOfDay: () => 1_000_000 + at.steady,
       sinceBoot: () => Math.floor((7_300 + at.steady + at.boot) / 1_000) * 1_000,
     });
@@ -226,7 +226,7 @@
       return clock + at.steady;
     };
     const clock = createGapClock({
-      steady: () => at.steady,
+      monotonic: () => at.steady,
       timeOfDay: () => read(1_000_000),
       sinceBoot: () => Math.floor(read(7_300) / 1_000) * 1_000,
     });
@@ -242,7 +242,7 @@
     // whole seconds together with a steady clock that was up to 0.6 s behind.
     const at = { time: 650, lag: 0 };
     const clock = createGapClock({
-      steady: () => at.time - at.lag,
+      monotonic: () => at.time - at.lag,
       timeOfDay: () => 1_000_000 + at.time - at.lag,
       sinceBoot: () => Math.floor((7_300 + at.time) / 1_000) * 1_000,
     });
@@ -263,7 +263,7 @@
       return clock + at.steady + at.suspended;
     };
     const clock = createGapClock({
-      steady: () => at.steady,
+      monotonic: () => at.steady,
       timeOfDay: () => read(1_000_000),
       sinceBoot: () => read(7_300),
     });
@@ -282,7 +282,7 @@
     ];
     const at = { steady: 400, lead: 0 };
     const clock = createGapClock({
-      steady: () => at.steady,
+      monotonic: () => at.steady,
       timeOfDay: () => 1_000_000 + at.steady,
       sinceBoot: () => 7_300 + at.steady + at.lead,
     });
@@ -302,7 +302,7 @@
         (rate, intervalMs) => {
           let steady = 400;
           const clock = createGapClock({
-            steady: () => steady,
+            monotonic: () => steady,
             timeOfDay: () => 1_000_000 + steady,
             sinceBoot: () => 7_300 + steady * rate,
           });
@@ -321,7 +321,7 @@
   it('does not miss a suspension once the time since boot is distrusted', () => {
     const at = { steady: 400, day: 1_000_000, boot: 0 };
     const clock = createGapClock({
-      steady: () => at.steady,
+      monotonic: () => at.steady,
       timeOfDay: () => at.day + at.steady,
       sinceBoot: () => 7_300 + at.steady * 3,
     });
