Rename locals and comments that still use the old names of shared symbols

The events and effects that carry the start time of an upstream call it `upstreamStartedAt`, as AttemptPlan does, instead of `bornAt`. Constants and members of type RetryBackoff are named for the backoff, not the delay. The tests of the gap clock speak of the monotonic clock in names, one title and two comments; no assertion changes, except that one names the renamed member.

--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -101,7 +101,7 @@
     else running.loop.post(event);
   }
 
-  function linkClassOf(to: InstanceId): LinkClass {
+  function classifyLink(to: InstanceId): LinkClass {
     const member = running?.core.state.membership.members.get(to);
     if (member === undefined) return 'crossRegion';
     if (member.domain === options.domain) return 'sameDomain';
@@ -109,7 +109,7 @@
   }
 
   const describeState = () => toStatusJson(running?.core.state);
-  const hosts = createHosts({ options, system, self, post, linkClassOf, describeState });
+  const hosts = createHosts({ options, system, self, post, classifyLink, describeState });
 
   async function start(): Promise<InstanceAddresses> {
     const peers = await hosts.peers.listen();
@@ -200,12 +200,12 @@
   readonly system: System;
   readonly self: Pick<InstanceIdentity, 'id' | 'incarnation'>;
   readonly post: (event: CoreEvent) => void;
-  readonly linkClassOf: (to: InstanceId) => LinkClass;
+  readonly classifyLink: (to: InstanceId) => LinkClass;
   readonly describeState: () => unknown;
 }
 
 function createHosts(context: HostContext): Hosts {
-  const { options, system, self, post, linkClassOf, describeState } = context;
+  const { options, system, self, post, classifyLink, describeState } = context;
   const logger = createLogger({ instance: options.id, clock: system, ...options.log });
   const callers = createCallerHost({
     self,
@@ -219,7 +219,7 @@
     self,
     post,
     ...(options.peers ?? LOOPBACK),
-    classifyLink: linkClassOf,
+    classifyLink,
     onLost: (to, reason) => logger.write('info', 'peers', 'peerLost', { id: to, reason }),
     certificates: options.peerCertificates,
   });
--- a/src/daemon/routingInstance.ts
+++ b/src/daemon/routingInstance.ts
@@ -184,7 +184,7 @@
         hosts.peers.closeLink(effect.to);
         return;
       case 'forgetUpstream':
-        hosts.pools.removePool(effect.upstream, effect.bornAt);
+        hosts.pools.removePool(effect.upstream, effect.upstreamStartedAt);
         return;
       case 'probe':
         probe(effect);
@@ -212,9 +212,9 @@
     }
   }
 
-  function probe({ upstream, bornAt, address }: EffectOf<'probe'>): void {
+  function probe({ upstream, upstreamStartedAt, address }: EffectOf<'probe'>): void {
     void hosts.pools.probe(address).then((isAlive) => {
-      post({ kind: 'probed', upstream, bornAt, isAlive });
+      post({ kind: 'probed', upstream, upstreamStartedAt, isAlive });
     });
   }
 
@@ -322,7 +322,7 @@
       self: { id: options.id, incarnation },
       post: (event) => {
         meter.count('messagesIn');
-        forwardRoutingNews(event, post);
+        forwardRoutingMessage(event, post);
       },
       ...options.peers,
       classifyLink: () => 'crossRegion',
@@ -345,8 +345,8 @@
   };
 }
 
-/** Forwards routing news; drops all other events, which only the slot-granting core handles. */
-function forwardRoutingNews(event: CoreEvent, post: (event: RoutingEvent) => void): void {
+/** Forwards routing messages; drops all other events, which only the slot-granting core handles. */
+function forwardRoutingMessage(event: CoreEvent, post: (event: RoutingEvent) => void): void {
   if (event.kind !== 'peerMessage' || event.message.$case !== 'routingNews') return;
   const { from, incarnation, message } = event;
   post({ kind: 'peerMessage', from, incarnation, message: message.value });
--- a/src/hosts/callerHost.ts
+++ b/src/hosts/callerHost.ts
@@ -114,7 +114,7 @@
     '/**',
     createRouteHandler(() => undefined),
   );
-  const server = createHttpServer({ app, ...options, createMalformedResponse: malformedAnswer });
+  const server = createHttpServer({ app, ...options, createMalformedResponse });
 
   /**
    * Removes and returns an open request. A disconnect of its caller is no longer reported after
@@ -192,7 +192,7 @@
   ERR_HTTP_REQUEST_TIMEOUT: 408,
 };
 
-function malformedAnswer(errorCode: string): string {
+function createMalformedResponse(errorCode: string): string {
   const status = STATUS_BY_ERROR_CODE[errorCode] ?? 400;
   const { problem } = refuseMalformed('The bytes are not a request of HTTP/1.1.', status);
   const body = `${JSON.stringify(createProblemBody(problem))}\n`;
--- a/src/hosts/peerHost.ts
+++ b/src/hosts/peerHost.ts
@@ -120,7 +120,7 @@
       const link = links.get(to) ?? openLink(to, address);
       link.send(message);
     },
-    closeLink: closeLink,
+    closeLink,
     controlBytes: () => ({ ...sentBytes }),
     close: async () => {
       links.forEach((link) => link.close());
--- a/src/hosts/routing/gapClock.ts
+++ b/src/hosts/routing/gapClock.ts
@@ -42,15 +42,15 @@
 };
 
 export function createGapClock(sources: ClockSources = SYSTEM_CLOCKS): GapClock {
-  const { monotonic: steady, timeOfDay, sinceBoot } = sources;
-  const timeOfDayReader = createOffsetReader(steady, timeOfDay);
-  const bootReader = createOffsetReader(steady, sinceBoot);
+  const { monotonic, timeOfDay, sinceBoot } = sources;
+  const timeOfDayReader = createOffsetReader(monotonic, timeOfDay);
+  const bootReader = createOffsetReader(monotonic, sinceBoot);
   let timeOfDayOffset = timeOfDayReader.initialOffset;
   let bootOffset = bootReader.initialOffset;
   /** Offset of the time since boot after its last gap; drift is measured from here. */
   let bootBaseline = bootReader.initialOffset;
   let isBootTrusted = true;
-  let bootCheckedAt = steady();
+  let bootCheckedAt = monotonic();
   let hasTimeOfDayShifted = false;
 
   /** Returns the change of the time of day's offset since the last shift; 0 below the minimum. */
@@ -64,7 +64,7 @@
   }
 
   function takeBootGap(): Millis {
-    const now = steady();
+    const now = monotonic();
     if (!isBootTrusted || now - bootCheckedAt < BOOT_CHECK_INTERVAL_MS) return 0;
     bootCheckedAt = now;
     const offset = bootReader.read() ?? bootOffset;
@@ -81,7 +81,7 @@
   }
 
   return {
-    now: steady,
+    now: monotonic,
     isBootTrusted: () => isBootTrusted,
     // Both clocks show a suspension, possibly in different calls. Counting it twice is safe.
     takeGap: (): ClockGap | undefined => {
@@ -97,19 +97,19 @@
 }
 
 /** Creates a reader of a clock's offset from the monotonic clock. */
-function createOffsetReader(steady: () => Millis, clock: () => Millis) {
+function createOffsetReader(monotonic: () => Millis, clock: () => Millis) {
   /**
    * Reads both clocks, and again if too much time passed in between: a process that is descheduled
    * between the two readings would count that delay as a gap.
    */
   function read(): Millis | undefined {
     for (let i = 0; i < MAX_READINGS; i += 1) {
-      const before = steady();
+      const before = monotonic();
       const value = clock();
-      if (steady() - before <= MAX_READING_MS) return value - before;
+      if (monotonic() - before <= MAX_READING_MS) return value - before;
     }
     // The next call tries again.
     return undefined;
   }
-  return { read, initialOffset: read() ?? clock() - steady() };
+  return { read, initialOffset: read() ?? clock() - monotonic() };
 }
--- a/src/hosts/routing/upstreamPools.ts
+++ b/src/hosts/routing/upstreamPools.ts
@@ -24,7 +24,7 @@
   /** Returns the pool for one start of an upstream, creating it if necessary. */
   readonly getPool: (target: PoolTarget) => Pool;
   /** Removes a pool; it closes once its pending requests have ended. */
-  readonly removePool: (upstream: UpstreamId, bornAt: Millis) => void;
+  readonly removePool: (upstream: UpstreamId, upstreamStartedAt: Millis) => void;
   /**
    * How the connection ends whose socket event is being handled. undici treats any end of a
    * non-keep-alive connection as the end of the response, so the caller must check it against the
@@ -53,7 +53,8 @@
 export function createUpstreamPools(options: UpstreamPoolsOptions = {}): UpstreamPools {
   const cfg = { ...DEFAULTS, ...options };
   const pools = new Map<string, Pool>();
-  const poolKey = (upstream: UpstreamId, bornAt: Millis) => `${upstream}@${bornAt}`;
+  const poolKey = (upstream: UpstreamId, upstreamStartedAt: Millis) =>
+    `${upstream}@${upstreamStartedAt}`;
 
   const connector = buildConnector({ timeout: cfg.connectTimeoutMs });
   let connectionEnd: ConnectionEnd = 'none';
@@ -108,8 +109,8 @@
       pools.set(key, pool);
       return pool;
     },
-    removePool: (upstream, bornAt) => {
-      const key = poolKey(upstream, bornAt);
+    removePool: (upstream, upstreamStartedAt) => {
+      const key = poolKey(upstream, upstreamStartedAt);
       const pool = pools.get(key);
       pools.delete(key);
       // Pending requests run to completion; a failure to close surfaces in their outcomes.
--- a/src/routing/attempts/arrival.ts
+++ b/src/routing/attempts/arrival.ts
@@ -178,14 +178,14 @@
   const { facts, route, pool } = request;
   const share = recordDemand(ctx, request);
   const withinMs = placementLimit(route.objectiveMs, share);
-  const spareReads = computeRereadFactor(share);
+  const rereadFactor = computeRereadFactor(share);
   const placement = place(ctx, {
     facts,
     route,
     pool,
     excluded: [],
     withinMs,
-    rereadFactor: spareReads,
+    rereadFactor,
   });
   if (placement === undefined) {
     refuse(
--- a/src/routing/context.ts
+++ b/src/routing/context.ts
@@ -34,10 +34,10 @@
 export function setRetryTimer(
   ctx: RoutingContext,
   timer: RoutingTimer,
-  { initialMs: firstMs, maxMs: longestMs }: RetryBackoff,
+  { initialMs, maxMs }: RetryBackoff,
   failures: number,
 ): void {
-  const delayMs = Math.min(longestMs, firstMs * RETRY_BACKOFF_FACTOR ** Math.max(0, failures - 1));
+  const delayMs = Math.min(maxMs, initialMs * RETRY_BACKOFF_FACTOR ** Math.max(0, failures - 1));
   setTimer(ctx, timer, delayMs * (1 + ctx.state.random.next() * RETRY_JITTER));
 }
 
--- a/src/routing/exchange/exchange.ts
+++ b/src/routing/exchange/exchange.ts
@@ -35,8 +35,8 @@
 import { hasLowestId, isSameDomain, isRelay, usesRelays, domainPeers } from './members.js';
 import { composeMessage, localSummary, decodeParts, decodeSummary } from './news.js';
 
-/** Delay before a failed announcement or read is retried. */
-const RETRY_DELAY: RetryBackoff = { initialMs: 500, maxMs: 3_000 };
+/** Backoff of failed announcements and reads. */
+const RETRY_BACKOFF: RetryBackoff = { initialMs: 500, maxMs: 3_000 };
 /**
  * A recently found peer that has not been heard from yet receives one message per this many
  * exchanges.
@@ -75,7 +75,7 @@
   const { exchange } = ctx.state;
   logWarning(ctx, 'announceFailed', { reason });
   exchange.announceFailures += 1;
-  setRetryTimer(ctx, 'announce', RETRY_DELAY, exchange.announceFailures);
+  setRetryTimer(ctx, 'announce', RETRY_BACKOFF, exchange.announceFailures);
 }
 
 export function onAnnounceTimer(ctx: RoutingContext): void {
@@ -94,7 +94,7 @@
     reads: 'instances',
     state: ctx.state.exchange,
     timer: 'instancePoll',
-    retryDelay: RETRY_DELAY,
+    retryBackoff: RETRY_BACKOFF,
     start: startInstancePoll,
   };
 }
@@ -238,7 +238,7 @@
   ownParts: readonly PartRead[],
 ): RoutingMessage {
   const { self, exchange } = ctx.state;
-  const known = peersInDomain.flatMap(({ summary: news }) => (news === undefined ? [] : [news]));
+  const known = peersInDomain.flatMap(({ summary }) => (summary === undefined ? [] : [summary]));
   const parts = [...ownParts, ...exchange.partsToForward.fromOwnDomain];
   exchange.partsToForward.fromOwnDomain = [];
   return composeMessage(ctx, {
--- a/src/routing/exchange/fleetSums.ts
+++ b/src/routing/exchange/fleetSums.ts
@@ -53,7 +53,7 @@
 function currentSummaries(ctx: RoutingContext): readonly LoadSummary[] {
   const { peers, domains } = ctx.state.exchange;
   const all = usesRelays(ctx) ? [...domainPeers(ctx), ...domains.values()] : [...peers.values()];
-  return all.flatMap(({ summary: news }) => (news === undefined ? [] : [news]));
+  return all.flatMap(({ summary }) => (summary === undefined ? [] : [summary]));
 }
 
 function addWork(sum: OpenWork | undefined, one: OpenWork): OpenWork {
--- a/src/routing/exchange/members.ts
+++ b/src/routing/exchange/members.ts
@@ -27,5 +27,5 @@
 /** Returns whether no instance with a lower id is heard from in this failure domain. */
 export function hasLowestId(ctx: RoutingContext): boolean {
   const { self } = ctx.state;
-  return domainPeers(ctx).every(({ id, summary: news }) => news === undefined || id > self.id);
+  return domainPeers(ctx).every(({ id, summary }) => summary === undefined || id > self.id);
 }
--- a/src/routing/freshness/freshness.ts
+++ b/src/routing/freshness/freshness.ts
@@ -23,8 +23,8 @@
 import type { RoutingState } from '../state.js';
 import type { ConfigurationChange, RoutingConfiguration, RoutingEvent } from '../types.js';
 
-/** Delay before a failed read is retried. Short, since keyed requests need a confirmation. */
-const RETRY_DELAY: RetryBackoff = { initialMs: 150, maxMs: 400 };
+/** Backoff of failed reads. Short, since keyed requests need a confirmation. */
+const RETRY_BACKOFF: RetryBackoff = { initialMs: 150, maxMs: 400 };
 /** Margin within the revocation time for requests that are on their way to an upstream. */
 const REVOCATION_MARGIN_MS: Millis = 600;
 
@@ -111,7 +111,7 @@
     reads: 'configuration',
     state: ctx.state.freshness,
     timer: 'configurationPoll',
-    retryDelay: RETRY_DELAY,
+    retryBackoff: RETRY_BACKOFF,
     start: startConfigurationPoll,
   };
 }
--- a/src/routing/placement/placement.ts
+++ b/src/routing/placement/placement.ts
@@ -180,12 +180,12 @@
   const unloadedMs = base + promptReadMs;
   const firstEventMs = unloadedMs + wait + work.pendingTokens * perToken;
   const rereadMs = uncached.reread * perToken;
-  const reckonedMs = firstEventMs + rereadMs * request.rereadFactor;
+  const admissionMs = firstEventMs + rereadMs * request.rereadFactor;
   const score =
     firstEventMs +
     rereadMs * REREAD_PENALTY_FACTOR +
     distancePenalty(ctx, upstream) +
-    latePenalty(reckonedMs, request.withinMs, route.objectiveMs) +
+    latePenalty(admissionMs, request.withinMs, route.objectiveMs) +
     Math.max(0, upstream.failureRate - TOLERATED_FAILURE_RATE) *
       FAILURE_PENALTY_FACTOR *
       route.objectiveMs;
@@ -194,7 +194,7 @@
     firstEventMs,
     unloadedMs,
     promptReadMs,
-    admissionMs: reckonedMs,
+    admissionMs,
     uncachedTokens: uncached.total,
     tokensAhead: work.pendingTokens,
     running: work.running,
@@ -207,8 +207,8 @@
 /**
  * Returns a penalty if the request would be refused; it ranks such an upstream below all others.
  */
-function latePenalty(reckonedMs: Millis, withinMs: Millis, objectiveMs: Millis): Millis {
-  const excess = reckonedMs - withinMs;
+function latePenalty(admissionMs: Millis, withinMs: Millis, objectiveMs: Millis): Millis {
+  const excess = admissionMs - withinMs;
   return excess > 0 ? LATE_PENALTY_FACTOR * objectiveMs + excess : 0;
 }
 
--- a/src/routing/polls.ts
+++ b/src/routing/polls.ts
@@ -26,14 +26,14 @@
   readonly reads: 'configuration' | 'upstreams' | 'instances';
   readonly state: PollState;
   readonly timer: RoutingTimer;
-  readonly retryDelay: RetryBackoff;
+  readonly retryBackoff: RetryBackoff;
   readonly start: (ctx: RoutingContext) => void;
 }
 
 /** Handles the outcome of a read. Returns the changes, or `undefined` if the read is repeated. */
 export function handlePollOutcome<T>(
   ctx: RoutingContext,
-  { reads, state, timer, retryDelay, start }: Poll,
+  { reads, state, timer, retryBackoff, start }: Poll,
   outcome: PollOutcome<T>,
 ): readonly T[] | undefined {
   switch (outcome.kind) {
@@ -50,7 +50,7 @@
     case 'failed':
       state.failures += 1;
       if (state.failures === 1) logWarning(ctx, 'platformLost', { reads, reason: outcome.reason });
-      setRetryTimer(ctx, timer, retryDelay, state.failures);
+      setRetryTimer(ctx, timer, retryBackoff, state.failures);
       return undefined;
     default:
       return Debug.assertNever(outcome);
--- a/src/routing/retries/retryBudget.ts
+++ b/src/routing/retries/retryBudget.ts
@@ -46,7 +46,7 @@
     return slice;
   }
 
-  function left(now: Millis, options: RetryBudgetOptions): number {
+  function remaining(now: Millis, options: RetryBudgetOptions): number {
     sliceMs = options.windowMs / SLICES_PER_WINDOW;
     currentSlice(now);
     const requests = slices.reduce((sum, slice) => sum + slice.requests, 0);
@@ -58,9 +58,9 @@
     recordRequest: (now) => {
       currentSlice(now).requests += 1;
     },
-    remaining: left,
+    remaining,
     tryConsume: (now, options) => {
-      if (left(now, options) < 1) return false;
+      if (remaining(now, options) < 1) return false;
       currentSlice(now).retries += 1;
       return true;
     },
--- a/src/routing/routing.ts
+++ b/src/routing/routing.ts
@@ -174,7 +174,7 @@
   event: Extract<RoutingEvent, { readonly kind: 'probed' }>,
 ): void {
   const upstream = ctx.state.upstreams.byId.get(event.upstream);
-  if (upstream?.listed.startedAt !== event.bornAt) return;
+  if (upstream?.listed.startedAt !== event.upstreamStartedAt) return;
   if (event.isAlive) {
     markReachable(ctx, upstream);
     return;
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -298,7 +298,7 @@
   | {
       readonly kind: 'probed';
       readonly upstream: UpstreamId;
-      readonly bornAt: Millis;
+      readonly upstreamStartedAt: Millis;
       readonly isAlive: boolean;
     }
   | { readonly kind: 'loadMeasured'; readonly reading: LoadReading }
@@ -334,11 +334,15 @@
   /**
    * Closes the connections to an upstream that was removed or has restarted, once they are idle.
    */
-  | { readonly kind: 'forgetUpstream'; readonly upstream: UpstreamId; readonly bornAt: Millis }
+  | {
+      readonly kind: 'forgetUpstream';
+      readonly upstream: UpstreamId;
+      readonly upstreamStartedAt: Millis;
+    }
   | {
       readonly kind: 'probe';
       readonly upstream: UpstreamId;
-      readonly bornAt: Millis;
+      readonly upstreamStartedAt: Millis;
       readonly address: string;
     }
   | { readonly kind: 'limitCallers'; readonly limits: CallerLimits }
--- a/src/routing/upstreams/crashes.ts
+++ b/src/routing/upstreams/crashes.ts
@@ -32,8 +32,8 @@
     return;
   }
   if (previous !== undefined && ctx.now - previous.at < MIN_PROBE_INTERVAL_MS) return;
-  const { id, startedAt: bornAt, address } = upstream.listed;
-  emit(ctx, { kind: 'probe', upstream: id, bornAt, address });
+  const { id, startedAt: upstreamStartedAt, address } = upstream.listed;
+  emit(ctx, { kind: 'probe', upstream: id, upstreamStartedAt, address });
 }
 
 /** Counts a crash for each request that was recently interrupted at a lost upstream. */
--- a/src/routing/upstreams/health.ts
+++ b/src/routing/upstreams/health.ts
@@ -90,7 +90,7 @@
       ...reachability,
       nextProbeAt: ctx.now + PROBE_INTERVAL_MS + jitter,
     };
-    const { id, startedAt: bornAt, address } = listed;
-    emit(ctx, { kind: 'probe', upstream: id, bornAt, address });
+    const { id, startedAt: upstreamStartedAt, address } = listed;
+    emit(ctx, { kind: 'probe', upstream: id, upstreamStartedAt, address });
   });
 }
--- a/src/routing/upstreams/list.ts
+++ b/src/routing/upstreams/list.ts
@@ -15,8 +15,8 @@
 import type { ListedUpstream, RoutingEvent, UpstreamChange, UpstreamId } from '../types.js';
 import { createUpstream, hashUpstream, type Upstream } from './upstreamsState.js';
 
-/** Delay before a failed read is retried. */
-const RETRY_DELAY: RetryBackoff = { initialMs: 200, maxMs: 800 };
+/** Backoff of failed reads. */
+const RETRY_BACKOFF: RetryBackoff = { initialMs: 200, maxMs: 800 };
 
 /**
  * Interval between two reads, as a fraction of the time within which a draining upstream has to be
@@ -49,7 +49,7 @@
     reads: 'upstreams',
     state: ctx.state.upstreams,
     timer: 'upstreamPoll',
-    retryDelay: RETRY_DELAY,
+    retryBackoff: RETRY_BACKOFF,
     start: startUpstreamPoll,
   };
 }
@@ -142,7 +142,7 @@
   if (upstream === undefined) return;
   byId.delete(id);
   ctx.state.prefixes.removeUpstream(upstream.hash);
-  const { startedAt: bornAt } = upstream.listed;
-  emit(ctx, { kind: 'forgetUpstream', upstream: id, bornAt });
+  const { startedAt: upstreamStartedAt } = upstream.listed;
+  emit(ctx, { kind: 'forgetUpstream', upstream: id, upstreamStartedAt });
   logInfo(ctx, 'upstreamRemoved', { upstream: id, reason, running: upstream.own.running });
 }
--- a/test/platform/platform.test.ts
+++ b/test/platform/platform.test.ts
@@ -134,10 +134,10 @@
     const engine = await fleet.addEngine('models', { events: 400, eventGapMs: 5 });
     const first = await readyInstance();
     const second = await readyInstance();
-    const hasHeardPeer = (started: StartedInstance) =>
+    const hasAlivePeer = (started: StartedInstance) =>
       [...started.instance.routing().state.exchange.peers.values()].some((peer) => peer.isAlive);
     await until(
-      () => hasHeardPeer(first) && hasHeardPeer(second),
+      () => hasAlivePeer(first) && hasAlivePeer(second),
       'the instances have exchanged messages',
     );
     const abort = new AbortController();
--- a/test/routing/attempts.test.ts
+++ b/test/routing/attempts.test.ts
@@ -193,10 +193,10 @@
     const plan = planOf(core.arrive({ path: '/draft/1', fingerprint }));
     const effects = endAttempt(core, plan.attempt, { kind: 'cut', reason: 'reset' });
     expect(effectsOf(effects, 'probe')).to.have.length(1);
-    const { upstream, upstreamStartedAt: bornAt } = plan;
-    core.dispatch({ kind: 'probed', upstream, bornAt, isAlive: false });
+    const { upstream, upstreamStartedAt } = plan;
+    core.dispatch({ kind: 'probed', upstream, upstreamStartedAt, isAlive: false });
     core.advance(300);
-    core.dispatch({ kind: 'probed', upstream, bornAt, isAlive: true });
+    core.dispatch({ kind: 'probed', upstream, upstreamStartedAt, isAlive: true });
   }
 
   it('are refused after the third crash, while others are sent', () => {
@@ -215,7 +215,7 @@
       core.dispatch({
         kind: 'probed',
         upstream: plan.upstream,
-        bornAt: plan.upstreamStartedAt,
+        upstreamStartedAt: plan.upstreamStartedAt,
         isAlive: true,
       });
       core.advance(1_000);
--- a/test/routing/beliefs.test.ts
+++ b/test/routing/beliefs.test.ts
@@ -234,7 +234,7 @@
     const id = plan.upstream;
     const effects = core.list(createUpstreamEntry(id, { startedAt: 9 }));
     expect(effectsOf(effects, 'forgetUpstream')).to.deep.equal([
-      { kind: 'forgetUpstream', upstream: id, bornAt: 1 },
+      { kind: 'forgetUpstream', upstream: id, upstreamStartedAt: 1 },
     ]);
     // The end of the old attempt must not count against the new start.
     core.dispatch({
--- a/test/routing/confirmations.test.ts
+++ b/test/routing/confirmations.test.ts
@@ -44,7 +44,7 @@
   };
   const clockOf = (id: string) => time + memberOf(id).clockOffset;
 
-  function take(id: string, event: RoutingEvent): void {
+  function dispatch(id: string, event: RoutingEvent): void {
     const member = memberOf(id);
     const { incarnation } = member.routing.state.self;
     member.routing.reduce(event, clockOf(id)).forEach((effect) => {
@@ -52,10 +52,10 @@
         reads += 1;
         member.polls.push({ ...effect, version: newest(), askedAt: clockOf(id) });
       } else if (effect.kind === 'sendPeer' && effect.message.$case === 'routingNews') {
-        const { value: news } = effect.message;
+        const { value: message } = effect.message;
         messages.push({
           to: effect.to,
-          event: { kind: 'peerMessage', from: id, incarnation, message: news },
+          event: { kind: 'peerMessage', from: id, incarnation, message },
         });
       }
     });
@@ -70,13 +70,13 @@
     const isWhole = cursor === undefined;
     if (member.isPlatformCut) {
       const outcome = { kind: 'failed', reason: 'cut' } as const;
-      take(id, { kind: 'configurationPolled', askedAt, isWhole, outcome });
+      dispatch(id, { kind: 'configurationPolled', askedAt, isWhole, outcome });
       return;
     }
     const configuration = createConfiguration({ version });
     const changes = [{ kind: 'configured', configuration } as const];
     const outcome = { kind: 'answered', cursor: version, changes } as const;
-    take(id, { kind: 'configurationPolled', askedAt, isWhole, outcome });
+    dispatch(id, { kind: 'configurationPolled', askedAt, isWhole, outcome });
   }
 
   IDS.forEach((id, i) => {
@@ -86,8 +86,8 @@
   });
   const announced = [...members.values()].map(({ routing }) => routing.state.self);
   IDS.forEach((id) => {
-    take(id, { kind: 'start' });
-    take(id, {
+    dispatch(id, { kind: 'start' });
+    dispatch(id, {
       kind: 'instancesPolled',
       outcome: { kind: 'answered', cursor: 1, changes: announced },
     });
@@ -95,29 +95,29 @@
   });
 
   return {
-    take,
+    dispatch,
     answer,
     advance: (ms: number) => {
       time += ms;
     },
     change: () => versions.push({ version: newest() + 1, since: time }),
-    exchange: (id: string) => take(id, { kind: 'timer', timer: 'exchange' }),
-    check: (id: string) => take(id, { kind: 'timer', timer: 'configurationPoll' }),
+    exchange: (id: string) => dispatch(id, { kind: 'timer', timer: 'exchange' }),
+    check: (id: string) => dispatch(id, { kind: 'timer', timer: 'configurationPoll' }),
     /** Delivers the message at the given index of those in flight. */
     deliver: (place: number) => {
       const [message] = messages.splice(place % Math.max(1, messages.length), 1);
-      if (message !== undefined) take(message.to, message.event);
+      if (message !== undefined) dispatch(message.to, message.event);
     },
     deliverAll: () => {
       const arriving = messages;
       messages = [];
-      arriving.forEach(({ to, event }) => take(to, event));
+      arriving.forEach(({ to, event }) => dispatch(to, event));
     },
     /** Suspends an instance: its clock stands still, which it detects on waking. */
     suspend: (id: string, ms: number) => {
       time += ms;
       memberOf(id).clockOffset -= ms;
-      take(id, { kind: 'clockGap', gapMs: ms });
+      dispatch(id, { kind: 'clockGap', gapMs: ms });
     },
     cut: (id: string, isCut: boolean) => {
       memberOf(id).isPlatformCut = isCut;
--- a/test/routing/domains.test.ts
+++ b/test/routing/domains.test.ts
@@ -148,14 +148,14 @@
         ),
         fc.constantFrom(undefined, 'd0', 'd1', 'd2', 'd3'),
         fc.integer({ min: 0, max: 20 }),
-        (dead, cutDomain, cutRounds) => {
+        (dead, isolatedDomain, isolatedRounds) => {
           const fleet = createFleet();
           fleet.rounds(PROPAGATION_ROUNDS);
           dead.forEach((id) => {
             coreAt(fleet, id).isAlive = false;
           });
-          fleet.isolateDomain(cutDomain);
-          fleet.rounds(cutRounds);
+          fleet.isolateDomain(isolatedDomain);
+          fleet.rounds(isolatedRounds);
           fleet.isolateDomain(undefined);
           fleet.rounds(2 * TAKEOVER_ROUNDS);
           alive(fleet).forEach((core) => fleet.arrive(core));
--- a/test/routing/logs.test.ts
+++ b/test/routing/logs.test.ts
@@ -175,14 +175,14 @@
   const gapOf = (clock: GapClock) => clock.takeGap()?.ms ?? 0;
 
   function createClocks() {
-    const at = { steady: 0, timeOfDay: 1_000_000, boot: 50_000 };
+    const at = { monotonic: 0, timeOfDay: 1_000_000, boot: 50_000 };
     const clock = createGapClock({
-      monotonic: () => at.steady,
+      monotonic: () => at.monotonic,
       timeOfDay: () => at.timeOfDay,
       sinceBoot: () => at.boot,
     });
-    const pass = (steady: number, timeOfDay: number, boot: number) => {
-      at.steady += steady;
+    const pass = (monotonic: number, timeOfDay: number, boot: number) => {
+      at.monotonic += monotonic;
       at.timeOfDay += timeOfDay;
       at.boot += boot;
       return gapOf(clock);
@@ -201,45 +201,45 @@
   });
 
   it('reports no gap if the time since boot has a resolution of whole seconds', () => {
-    const at = { steady: 400, boot: 0 };
+    const at = { monotonic: 400, boot: 0 };
     const clock = createGapClock({
-      monotonic: () => at.steady,
-      timeOfDay: () => 1_000_000 + at.steady,
-      sinceBoot: () => Math.floor((7_300 + at.steady + at.boot) / 1_000) * 1_000,
+      monotonic: () => at.monotonic,
+      timeOfDay: () => 1_000_000 + at.monotonic,
+      sinceBoot: () => Math.floor((7_300 + at.monotonic + at.boot) / 1_000) * 1_000,
     });
     for (let i = 0; i < 200; i += 1) {
-      at.steady += 70;
+      at.monotonic += 70;
       expect(gapOf(clock)).to.equal(0);
     }
     // A suspension is still detected.
     at.boot += 5_000;
-    at.steady += 300;
+    at.monotonic += 300;
     expect(gapOf(clock)).to.be.within(4_000, 6_000);
   });
 
   it('reports no gap if the process is descheduled between two clock readings', () => {
     // The process is descheduled for its earlier CPU use at a system call, such as a clock reading.
-    const at = { steady: 400, due: 0 };
+    const at = { monotonic: 400, due: 0 };
     const read = (clock: number) => {
-      at.steady += at.due;
+      at.monotonic += at.due;
       at.due = 0;
-      return clock + at.steady;
+      return clock + at.monotonic;
     };
     const clock = createGapClock({
-      monotonic: () => at.steady,
+      monotonic: () => at.monotonic,
       timeOfDay: () => read(1_000_000),
       sinceBoot: () => Math.floor(read(7_300) / 1_000) * 1_000,
     });
     for (let i = 0; i < 200; i += 1) {
-      at.steady += 70;
+      at.monotonic += 70;
       at.due = 100 + (i % 7) * 90;
       expect(gapOf(clock)).to.equal(0);
     }
   });
 
-  it('reports no gap if the steady clock lags during a long event loop iteration', () => {
+  it('reports no gap if the monotonic clock lags during a long event loop iteration', () => {
     // Apparent gaps of 1,100 to 1,530 ms were observed on one day. They came from the resolution of
-    // whole seconds together with a steady clock that was up to 0.6 s behind.
+    // whole seconds together with a monotonic clock that was up to 0.6 s behind.
     const at = { time: 650, lag: 0 };
     const clock = createGapClock({
       monotonic: () => at.time - at.lag,
@@ -256,38 +256,38 @@
   });
 
   it('detects a suspension that coincides with descheduling', () => {
-    const at = { steady: 400, due: 0, suspended: 0 };
+    const at = { monotonic: 400, due: 0, suspended: 0 };
     const read = (clock: number) => {
-      at.steady += at.due;
+      at.monotonic += at.due;
       at.due = 0;
-      return clock + at.steady + at.suspended;
+      return clock + at.monotonic + at.suspended;
     };
     const clock = createGapClock({
-      monotonic: () => at.steady,
+      monotonic: () => at.monotonic,
       timeOfDay: () => read(1_000_000),
       sinceBoot: () => read(7_300),
     });
-    at.steady += 300;
+    at.monotonic += 300;
     at.due = 700;
     at.suspended += 3_000;
     expect(gapOf(clock)).to.be.within(2_900, 3_100);
   });
 
   it('reports no gap and distrusts the time since boot if it runs at a different rate', () => {
-    // Recorded leads of the time since boot over the steady clock, at checks 0.2 s apart, on a day
-    // whose replay was slow.
+    // Recorded leads of the time since boot over the monotonic clock, at checks 0.2 s apart, on a
+    // day whose replay was slow.
     const leads = [
       0, 1_787, 3_475, 5_603, 6_892, 6_801, 6_681, 7_421, 8_698, 9_487, 9_603, 9_810, 10_127,
       10_202, 10_351, 10_298, 10_768, 11_446, 11_505, 11_735, 11_960, 12_150, 12_489, 12_974,
     ];
-    const at = { steady: 400, lead: 0 };
+    const at = { monotonic: 400, lead: 0 };
     const clock = createGapClock({
-      monotonic: () => at.steady,
-      timeOfDay: () => 1_000_000 + at.steady,
-      sinceBoot: () => 7_300 + at.steady + at.lead,
+      monotonic: () => at.monotonic,
+      timeOfDay: () => 1_000_000 + at.monotonic,
+      sinceBoot: () => 7_300 + at.monotonic + at.lead,
     });
     leads.forEach((lead) => {
-      at.steady += 210;
+      at.monotonic += 210;
       at.lead = lead;
       expect(gapOf(clock)).to.equal(0);
     });
@@ -300,15 +300,15 @@
         fc.double({ min: 0.1, max: 8, noNaN: true }),
         fc.integer({ min: 20, max: 1_500 }),
         (rate, intervalMs) => {
-          let steady = 400;
+          let monotonic = 400;
           const clock = createGapClock({
-            monotonic: () => steady,
-            timeOfDay: () => 1_000_000 + steady,
-            sinceBoot: () => 7_300 + steady * rate,
+            monotonic: () => monotonic,
+            timeOfDay: () => 1_000_000 + monotonic,
+            sinceBoot: () => 7_300 + monotonic * rate,
           });
           let gaps = 0;
           for (let i = 0; i < 500; i += 1) {
-            steady += intervalMs;
+            monotonic += intervalMs;
             if (gapOf(clock) > 0) gaps += 1;
           }
           expect(gaps).to.be.at.most(1);
@@ -319,14 +319,14 @@
   });
 
   it('does not miss a suspension once the time since boot is distrusted', () => {
-    const at = { steady: 400, day: 1_000_000, boot: 0 };
+    const at = { monotonic: 400, day: 1_000_000, boot: 0 };
     const clock = createGapClock({
-      monotonic: () => at.steady,
-      timeOfDay: () => at.day + at.steady,
-      sinceBoot: () => 7_300 + at.steady * 3,
+      monotonic: () => at.monotonic,
+      timeOfDay: () => at.day + at.monotonic,
+      sinceBoot: () => 7_300 + at.monotonic * 3,
     });
     for (let i = 0; i < 20; i += 1) {
-      at.steady += 300;
+      at.monotonic += 300;
       clock.takeGap();
     }
     expect(clock.isBootTrusted()).to.equal(false);
--- a/test/routing/replay.test.ts
+++ b/test/routing/replay.test.ts
@@ -138,14 +138,9 @@
     submit(2);
     simulation.runUntil(2_000);
     expect(reads).to.deep.equal([6_000, 1_000]);
-    const {
-      startMs,
-      stepMs,
-      stepMsPerRequest,
-      prefillTokensPerMs: readTokensPerMs,
-    } = FLEET_SHAPE.engine;
+    const { startMs, stepMs, stepMsPerRequest, prefillTokensPerMs } = FLEET_SHAPE.engine;
     // Three chunks, and one step for each further token.
-    const firstMs = startMs + 3 * (stepMs + stepMsPerRequest) + 6_000 / readTokensPerMs;
+    const firstMs = startMs + 3 * (stepMs + stepMsPerRequest) + 6_000 / prefillTokensPerMs;
     expect(firsts[0]).to.be.closeTo(firstMs, 0.01);
     expect(ends[0]).to.be.closeTo(firstMs + 9 * (stepMs + stepMsPerRequest), 0.01);
   });
--- a/test/routing/support/core.ts
+++ b/test/routing/support/core.ts
@@ -146,17 +146,17 @@
     settings,
     seed: 1,
   });
-  const take = (event: RoutingEvent) => routing.reduce(event, now);
+  const dispatch = (event: RoutingEvent) => routing.reduce(event, now);
   const core: TestCore = {
     routing,
     now: () => now,
     advance: (ms) => {
       now += ms;
     },
-    dispatch: take,
+    dispatch,
     configure: (configuration = createConfiguration()) => {
       cursor += 1;
-      return take({
+      return dispatch({
         kind: 'configurationPolled',
         askedAt: now,
         isWhole: false,
@@ -167,11 +167,11 @@
       cursor += 1;
       const changes = upstreams.map((upstream) => ({ kind: 'listed', upstream }) as const);
       const outcome = { kind: 'answered', cursor, changes } as const;
-      return take({ kind: 'upstreamsPolled', askedAt: now, isWhole: false, outcome });
+      return dispatch({ kind: 'upstreamsPolled', askedAt: now, isWhole: false, outcome });
     },
     arrive: (facts = {}) => {
       request += 1;
-      return take({
+      return dispatch({
         kind: 'requestArrived',
         facts: {
           request,
--- a/test/routing/support/coreFleet.ts
+++ b/test/routing/support/coreFleet.ts
@@ -67,18 +67,18 @@
   }
   const byId = new Map(cores.map((core) => [core.self.id, core]));
 
-  function take(core: FleetCore, event: RoutingEvent): readonly RoutingEffect[] {
+  function dispatch(core: FleetCore, event: RoutingEvent): readonly RoutingEffect[] {
     const effects = core.routing.reduce(event, now);
     effects.forEach((effect) => {
       if (effect.kind === 'log') logs.set(core, [...(logs.get(core) ?? []), effect.code]);
       const to = effect.kind === 'sendPeer' ? byId.get(effect.to) : undefined;
       if (effect.kind !== 'sendPeer' || effect.message.$case !== 'routingNews' || !to) return;
       const { id: from, incarnation } = core.self;
-      const news = effect.message.value;
+      const message = effect.message.value;
       inFlight.push({
         from: core,
         to,
-        event: { kind: 'peerMessage', from, incarnation, message: news },
+        event: { kind: 'peerMessage', from, incarnation, message },
       });
     });
     return effects;
@@ -93,17 +93,17 @@
     now += ROUND_MS;
     const arriving = inFlight.filter((message) => message.to.isAlive && !isCut(message));
     inFlight = [];
-    arriving.forEach(({ to, event }) => take(to, event));
+    arriving.forEach(({ to, event }) => dispatch(to, event));
     cores
       .filter(({ isAlive }) => isAlive)
-      .forEach((core) => take(core, { kind: 'timer', timer: 'exchange' }));
+      .forEach((core) => dispatch(core, { kind: 'timer', timer: 'exchange' }));
   }
 
   const changes = cores.map(({ self }) => self);
   const upstreams = [createUpstreamEntry('i-1'), createUpstreamEntry('i-2')];
   cores.forEach((core) => {
     const read = { askedAt: now, isWhole: true } as const;
-    take(core, {
+    dispatch(core, {
       kind: 'configurationPolled',
       ...read,
       outcome: {
@@ -112,7 +112,7 @@
         changes: [{ kind: 'configured', configuration: createConfiguration() }],
       },
     });
-    take(core, {
+    dispatch(core, {
       kind: 'upstreamsPolled',
       ...read,
       outcome: {
@@ -121,19 +121,19 @@
         changes: upstreams.map((upstream) => ({ kind: 'listed', upstream }) as const),
       },
     });
-    take(core, { kind: 'instancesPolled', outcome: { kind: 'answered', cursor: 1, changes } });
+    dispatch(core, { kind: 'instancesPolled', outcome: { kind: 'answered', cursor: 1, changes } });
   });
 
   return {
     cores,
     context: ({ routing }) => ({ state: routing.state, now, effects: [] }),
-    dispatch: take,
+    dispatch,
     arrive: (core) => {
       requests += 1;
       // The platform confirms the configuration.
       const outcome = { kind: 'answered', cursor: 1, changes: [] } as const;
-      take(core, { kind: 'configurationPolled', askedAt: now, isWhole: false, outcome });
-      return take(core, {
+      dispatch(core, { kind: 'configurationPolled', askedAt: now, isWhole: false, outcome });
+      return dispatch(core, {
         kind: 'requestArrived',
         facts: {
           request: requests,
