Rename the logger option form to format

LoggerOptions.form has the type LogFormat, so it read as two words for one thing. The option, its local and the test's parameter are named format now. The setting log.form keeps its name; the daemon maps it to the option.

--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -46,7 +46,7 @@
   readonly peerCertificates?: CertificateSource | undefined;
   readonly log?: {
     readonly threshold?: LogThreshold;
-    readonly form?: LogFormat;
+    readonly format?: LogFormat;
     readonly writeLine?: (line: string) => void;
   };
   /** Address of the metrics receiver, `ip:port`. */
--- a/src/daemon/serve.ts
+++ b/src/daemon/serve.ts
@@ -65,7 +65,7 @@
     },
     callerCertificates,
     peerCertificates,
-    log: { threshold: settings.log.level, form: settings.log.form, writeLine },
+    log: { threshold: settings.log.level, format: settings.log.form, writeLine },
     metricsAddress: settings.metrics?.address,
     settings: settings.core,
     initialConfiguration: options.initialConfiguration,
--- a/src/hosts/logger.ts
+++ b/src/hosts/logger.ts
@@ -11,7 +11,7 @@
   readonly instance: string;
   readonly clock: Clock;
   readonly threshold?: LogThreshold;
-  readonly form?: LogFormat;
+  readonly format?: LogFormat;
   /** Writes a formatted line; to standard error by default. */
   readonly writeLine?: (line: string) => void;
 }
@@ -20,7 +20,7 @@
 
 /** Creates the logger of one instance. */
 export function createLogger(options: LoggerOptions): Logger {
-  const form = options.form ?? 'text';
+  const format = options.format ?? 'text';
   const writeLine = options.writeLine ?? ((line) => process.stderr.write(`${line}\n`));
   const log = loglevel.getLogger(Symbol(options.instance));
   log.methodFactory = () => (line: string) => writeLine(line);
@@ -35,7 +35,7 @@
     write: (level, part, code, args) => {
       const message = formatDiagnostic(code, args);
       const fields = { time: time(), level, instance: options.instance, part, code, message, args };
-      log[level](form === 'json' ? JSON.stringify(fields) : formatTextLine(part, message));
+      log[level](format === 'json' ? JSON.stringify(fields) : formatTextLine(part, message));
     },
     audit: (entry) => {
       const { at, who, action, subject, accepted, detail } = entry;
@@ -43,7 +43,7 @@
       const message = `${action} ${subject} by ${who} ${verdict}. ${detail}`.trimEnd();
       const fields = { level: 'info', instance: options.instance, part: 'audit', ...entry };
       const line = { time: new Date(at).toISOString(), ...fields };
-      log.info(form === 'json' ? JSON.stringify(line) : formatTextLine('audit', message));
+      log.info(format === 'json' ? JSON.stringify(line) : formatTextLine('audit', message));
     },
   };
 }
--- a/test/hosts/output.test.ts
+++ b/test/hosts/output.test.ts
@@ -15,11 +15,11 @@
 };
 
 describe('log', () => {
-  function createTestLogger(form: 'text' | 'json', threshold: 'info' | 'error') {
+  function createTestLogger(format: 'text' | 'json', threshold: 'info' | 'error') {
     const lines: string[] = [];
     const writeLine = (line: string) => lines.push(line);
     const clock = createManualClock(0);
-    return { lines, logger: createLogger({ instance: 'a', clock, threshold, form, writeLine }) };
+    return { lines, logger: createLogger({ instance: 'a', clock, threshold, format, writeLine }) };
   }
 
   it('writes text lines with time, instance and component', () => {
