Rename locals and comments that kept the names before the last renames

The renames of declared symbols left locals with the old word: `told` for an outcome, `strikeOf`, `strikes` and `list` for fault injections, `served` for the normalized service, and `facts` for a slot grant next to request facts. They are now `outcome` (`item` in one callback), `faultInjectionOf`, `injectionLists`, `faultInjections`, `service` and `slotGrant`.

`ownershipCandidates` was still re-exported as `owningMembers`, a name without a use, and a comment referred to it. Both now use `ownershipCandidates`.

Four comments that only repeated the new name of their function are removed. The comments on `SlotGrant`, `updateWaitingUsage` and the claim log reader say what the new names leave out.

--- a/src/core/claims/logReader.ts
+++ b/src/core/claims/logReader.ts
@@ -1,4 +1,4 @@
-/** Reads the claims and checkpoints streams, with at most one read outstanding. */
+/** Reads the claim and claim checkpoint streams, with at most one read outstanding. */
 import type { CoreContext } from '../context.js';
 import type { CoreState } from '../state.js';
 import { CLAIM_CHECKPOINT_STREAM, CLAIMS_STREAM } from './submission.js';
--- a/src/core/context.ts
+++ b/src/core/context.ts
@@ -39,7 +39,6 @@
   ctx.emit({ kind: 'sendPeer', to, address: member.address, message });
 }
 
-/** Emits a log line. */
 export function emitLog(
   ctx: CoreContext,
   level: LogLevel,
--- a/src/core/dispatch/assign.ts
+++ b/src/core/dispatch/assign.ts
@@ -41,7 +41,6 @@
 /** Number of announce intervals for which work is not granted an upstream that it has returned. */
 const RETURNED_BACKOFF_INTERVALS = 5;
 
-/** Returns the owned upstreams of a pool. */
 export function ownedUpstreamsInPool(state: CoreState, pool: PoolId): readonly UpstreamConfig[] {
   return ownedUpstreamsByPool(state).get(pool) ?? [];
 }
--- a/src/core/dispatch/entry.ts
+++ b/src/core/dispatch/entry.ts
@@ -22,7 +22,7 @@
   const { state } = ctx;
   if (!isFirstDelivery(state, owner, incarnation, grant.grantId)) return;
   const pool = state.configuration.view?.poolsByNumber.get(grant.pool);
-  const facts: SlotGrant = {
+  const slotGrant: SlotGrant = {
     grantId: grant.grantId,
     owner,
     upstream: grant.upstream,
@@ -30,7 +30,7 @@
     cachedShare: Math.min(100, grant.cachedPercent) / 100,
   };
   if (pool === undefined) {
-    returnGrant(ctx, facts);
+    returnGrant(ctx, slotGrant);
     return;
   }
   recordGranted(state, owner, pool.id, grant.customer);
@@ -39,13 +39,13 @@
     // No waiting request may run on this upstream. Announcing immediately would yield the same
     // grant.
     scheduleDelayedAnnouncement(ctx, pool.id, grant.customer);
-    returnGrant(ctx, facts);
+    returnGrant(ctx, slotGrant);
     return;
   }
   scheduleAnnouncement(ctx, pool.id, grant.customer);
-  state.dispatch.heldGrants.set(grantKey(facts), { customer: grant.customer, incarnation });
+  state.dispatch.heldGrants.set(grantKey(slotGrant), { customer: grant.customer, incarnation });
   updateRunningUsage(state, grant.customer, 1);
-  startAttempt(ctx, requestId, facts);
+  startAttempt(ctx, requestId, slotGrant);
 }
 
 /** Resumes the attempt of a grant, or suspends it if it is a running, idempotent stream. */
--- a/src/core/limits/limits.ts
+++ b/src/core/limits/limits.ts
@@ -69,7 +69,7 @@
   return usage.running + usage.waiting;
 }
 
-/** Updates the waiting usage when a request starts or stops waiting. */
+/** Updates the number and total size of waiting requests when a request starts or stops waiting. */
 export function updateWaitingUsage(
   ctx: { readonly state: CoreState },
   customer: CustomerNumber,
--- a/src/core/membership/memberIndex.ts
+++ b/src/core/membership/memberIndex.ts
@@ -44,7 +44,7 @@
   return filterOwnershipCandidates([...state.membership.members.values()]);
 }
 
-/** Filters members by the same rule as `owningMembers`. */
+/** Filters members by the same rule as `ownershipCandidates`. */
 export function filterOwnershipCandidates(members: readonly Member[]): readonly Member[] {
   const ready = members.filter((member) => member.phase === 'ready');
   return ready.length > 0 ? ready : members.filter((member) => member.phase === 'leaving');
--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -25,7 +25,7 @@
 import { isDeparted, setMember } from './memberTable.js';
 import { isVouched, sendAllSummaries, sendOwnSummary, sendSummaries } from './relays.js';
 
-export { forEachOther, isLive, ownershipCandidates as owningMembers } from './memberIndex.js';
+export { forEachOther, isLive, ownershipCandidates } from './memberIndex.js';
 
 /** Heartbeats between two probes of instances that are listed or were lost but are not live. */
 const PROBE_INTERVAL_BEATS = 3;
--- a/src/core/ownership/ownership.ts
+++ b/src/core/ownership/ownership.ts
@@ -40,7 +40,6 @@
   return ownerOf(state, upstream) === state.self.id;
 }
 
-/** Calls `action` for each upstream that this instance owns. */
 export function forEachOwnedUpstream(
   state: CoreState,
   action: (upstream: UpstreamConfig) => void,
@@ -72,7 +71,6 @@
   return owned;
 }
 
-/** Returns the upstreams of a failure domain. */
 export function upstreamsInDomain(
   state: CoreState,
   domain: FailureDomainId,
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -263,7 +263,7 @@
 /** Requests that no upstream has executed; only these can be refused as not executed. */
 export type UnexecutedRequest = AcceptedRequest | WaitingRequest | GrantedRequest;
 
-/** A grant of a slot on an upstream. */
+/** Reserves a slot of an upstream for one request; issued by the owner of the upstream. */
 export interface SlotGrant {
   readonly grantId: GrantId;
   readonly owner: InstanceId;
--- a/test/exact/claims.test.ts
+++ b/test/exact/claims.test.ts
@@ -12,8 +12,8 @@
 const outcomeOf = (fleet: ExactFleet, id: string) => fleet.model.outcomes.get(id)?.[0];
 
 const problemOf = (fleet: ExactFleet, id: string) => {
-  const told = outcomeOf(fleet, id);
-  return told !== undefined && 'problem' in told ? told.problem : undefined;
+  const outcome = outcomeOf(fleet, id);
+  return outcome !== undefined && 'problem' in outcome ? outcome.problem : undefined;
 };
 
 const expectNoViolations = (fleet: ExactFleet) =>
--- a/test/exact/faults.test.ts
+++ b/test/exact/faults.test.ts
@@ -6,7 +6,7 @@
 const instant = fc.integer({ min: 0, max: 6_000 });
 const span = fc.integer({ min: 100, max: 9_000 });
 
-const strikeOf = (fault: Fault): fc.Arbitrary<FaultInjection> =>
+const faultInjectionOf = (fault: Fault): fc.Arbitrary<FaultInjection> =>
   fc.record({
     fault: fc.constant(fault),
     at: instant,
@@ -14,10 +14,14 @@
     pick: fc.integer({ min: 0, max: 11 }),
   });
 
-const check = (strikes: fc.Arbitrary<readonly FaultInjection[]>, seed: number, numRuns: number) =>
+const check = (
+  injectionLists: fc.Arbitrary<readonly FaultInjection[]>,
+  seed: number,
+  numRuns: number,
+) =>
   fc.assert(
-    fc.property(strikes, fc.integer({ min: 1, max: 1e6 }), (list, fleetSeed) => {
-      const { violations } = runScenario({ fleet: { seed: fleetSeed }, faultInjections: list });
+    fc.property(injectionLists, fc.integer({ min: 1, max: 1e6 }), (faultInjections, fleetSeed) => {
+      const { violations } = runScenario({ fleet: { seed: fleetSeed }, faultInjections });
       expect(violations).to.deep.equal([]);
     }),
     { seed, numRuns },
@@ -31,13 +35,13 @@
 
   FAULTS.forEach((first, i) => {
     it(`hold under ${first}`, () => {
-      check(fc.tuple(strikeOf(first)), i, 2);
+      check(fc.tuple(faultInjectionOf(first)), i, 2);
       covered.push(first);
     });
 
     it(`hold under ${first} together with each fault`, () => {
       FAULTS.slice(i).forEach((second, j) => {
-        check(fc.tuple(strikeOf(first), strikeOf(second)), 100 * i + j, 1);
+        check(fc.tuple(faultInjectionOf(first), faultInjectionOf(second)), 100 * i + j, 1);
         covered.push(`${first}+${second}`);
       });
     });
--- a/test/exact/quarantine.test.ts
+++ b/test/exact/quarantine.test.ts
@@ -22,7 +22,7 @@
 }
 
 const codesOf = (fleet: ExactFleet, id: string) =>
-  (fleet.model.outcomes.get(id) ?? []).map((told) => ('problem' in told ? told.problem.code : ''));
+  (fleet.model.outcomes.get(id) ?? []).map((item) => ('problem' in item ? item.problem.code : ''));
 
 const expectNoViolations = (fleet: ExactFleet) =>
   expect(fleet.model.findViolations(fleet.upstreams.executions)).to.deep.equal([]);
--- a/test/exact/retries.test.ts
+++ b/test/exact/retries.test.ts
@@ -57,8 +57,8 @@
     }
     fleet.runFor(20_000);
     const codes = ids.map((id) => {
-      const told = fleet.model.outcomes.get(id)?.[0];
-      return told !== undefined && 'problem' in told ? told.problem.code : 'answered';
+      const outcome = fleet.model.outcomes.get(id)?.[0];
+      return outcome !== undefined && 'problem' in outcome ? outcome.problem.code : 'answered';
     });
     expect(codes).to.include('answered');
     expect(codes).to.not.include('deadlinePassed');
--- a/test/fair/largeDomain.test.ts
+++ b/test/fair/largeDomain.test.ts
@@ -37,8 +37,8 @@
   let gap = 0;
   while (network.now() < start + DURATION_MS) {
     network.runUntil(network.now() + SAMPLE_MS);
-    const served = run.normalizedService();
-    gap = Math.max(gap, Math.max(...served) - Math.min(...served));
+    const service = run.normalizedService();
+    gap = Math.max(gap, Math.max(...service) - Math.min(...service));
   }
   return {
     gap,
--- a/test/fair/sharing.test.ts
+++ b/test/fair/sharing.test.ts
@@ -50,10 +50,10 @@
   last.forEach((_, i) => servedAt.set(i, start));
   while (network.now() < start + DURATION_MS) {
     network.runUntil(network.now() + SAMPLE_MS);
-    const served = run.normalizedService();
-    recordServed(servedAt, last, served, network.now());
-    extremes = updateExtremes(extremes, run, served, servedAt, start);
-    last = served;
+    const service = run.normalizedService();
+    recordServed(servedAt, last, service, network.now());
+    extremes = updateExtremes(extremes, run, service, servedAt, start);
+    last = service;
   }
   return extremes;
 }
@@ -72,7 +72,7 @@
 function updateExtremes(
   extremes: Extremes,
   { network }: SharingRun,
-  served: readonly number[],
+  service: readonly number[],
   servedAt: ReadonlyMap<number, number>,
   start: number,
 ): Extremes {
@@ -82,7 +82,7 @@
     Math.min(network.idleFor(id), now - start),
   );
   return {
-    gap: Math.max(extremes.gap, Math.max(...served) - Math.min(...served)),
+    gap: Math.max(extremes.gap, Math.max(...service) - Math.min(...service)),
     longestWait: Math.max(extremes.longestWait, ...waits),
     longestIdle: Math.max(extremes.longestIdle, ...idle),
   };
