--- a/src/bench/routing/baselines.ts
+++ b/src/bench/routing/baselines.ts
@@ -84,7 +84,7 @@
     const attempt = nextAttempt;
     nextAttempt += 1;
     running.set(attempt, { upstream: upstream.id, customer: facts.key ?? '' });
-    const { id, address, startedAt: bornAt } = upstream;
+    const { id, address, startedAt } = upstream;
     return [
       {
         kind: 'send',
@@ -93,7 +93,7 @@
           request,
           upstream: id,
           address,
-          upstreamStartedAt: bornAt,
+          upstreamStartedAt: startedAt,
           deadlineMs: facts.deadlineMs ?? DEFAULT_DEADLINE_MS,
           mode: 'stream',
           isResumed: false,
--- a/src/bench/routing/replay.ts
+++ b/src/bench/routing/replay.ts
@@ -37,11 +37,11 @@
 
 export function replay(
   pattern: LoadPattern,
-  { durationMs: lengthMs, seed, policy = 'core' }: ReplayOptions,
+  { durationMs, seed, policy = 'core' }: ReplayOptions,
 ): FleetResults {
   const simulation = createSimulation();
   const fleet = createEmulatedFleet({ simulation, shape: FLEET_SHAPE, seed, policy });
-  drawRequests(pattern, lengthMs, seed).forEach((request) => {
+  drawRequests(pattern, durationMs, seed).forEach((request) => {
     fleet.offer({ ...request, at: request.at + WARM_UP_MS });
   });
   if (pattern.engineFailsAt !== undefined) {
@@ -50,7 +50,7 @@
   if (pattern.instancesRestartAt !== undefined) {
     simulation.at(WARM_UP_MS + pattern.instancesRestartAt, fleet.restartInstances);
   }
-  simulation.runUntil(WARM_UP_MS + lengthMs + DRAIN_MS);
+  simulation.runUntil(WARM_UP_MS + durationMs + DRAIN_MS);
   return fleet.results;
 }
 
