Name ten modules after what they export

holds, describe, answerSink, callerAnswer, eventCutter, watchHost, watch, news, ownLoad and prefixMemory kept the names of what they held before.

--- a/src/core/dispatch/grants.ts
+++ b/src/core/dispatch/grants.ts
@@ -4,7 +4,7 @@
 import { ownerOf } from '../ownership/ownership.js';
 import type { SlotGrant } from '../types.js';
 import { grantKey } from './dispatchState.js';
-import { countUnderEarlierOwners, isFromEarlierOwner } from './holds.js';
+import { countUnderEarlierOwners, isFromEarlierOwner } from './heldGrants.js';
 
 /** Returns an unused grant to its owner. */
 export function returnGrant(ctx: CoreContext, grant: SlotGrant): void {
--- a/src/core/dispatch/owner.ts
+++ b/src/core/dispatch/owner.ts
@@ -6,7 +6,7 @@
 import { assignAll, assignPool, recordReturnedGrant, settleReservations } from './assign.js';
 import { applyCacheUpdate } from './cache.js';
 import { pruneDemand, applyAnnouncement } from './demand.js';
-import { reportHeldGrants } from './holds.js';
+import { reportHeldGrants } from './heldGrants.js';
 import { pollRoundRobin } from './loadPolls.js';
 import { serveSubscriptions } from './pull.js';
 import {
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -24,7 +24,7 @@
 import type { ControlBytes, System } from '../hosts/types.js';
 import { createUpstreamHost } from '../hosts/upstreamHost.js';
 import { createIncarnation } from './incarnation.js';
-import { toStatusJson } from './describe.js';
+import { toStatusJson } from './statusJson.js';
 import { createEffectRunner, type Hosts } from './effects.js';
 import { createLoop, type Loop } from './loop.js';
 
--- a/src/daemon/routingInstance.ts
+++ b/src/daemon/routingInstance.ts
@@ -9,14 +9,14 @@
 import { createRoutingLog, type RoutingLog } from '../hosts/routing/routingLog.js';
 import type { GapClock, RequestProtocol, RoutingPlatform } from '../hosts/routing/types.js';
 import { createUpstreamPools, type UpstreamPools } from '../hosts/routing/upstreamPools.js';
-import { createMonitoringHost, type MonitoringHost } from '../hosts/routing/watchHost.js';
+import { createMonitoringHost, type MonitoringHost } from '../hosts/routing/monitoringHost.js';
 import type { LogThreshold } from '../hosts/logger.js';
 import { createPeerHost } from '../hosts/peerHost.js';
 import { createSystem } from '../hosts/system.js';
 import type { PeerHost, System } from '../hosts/types.js';
 import { countInstances } from '../routing/exchange/exchange.js';
 import { confirmationAge } from '../routing/freshness/freshness.js';
-import type { LoadReading } from '../routing/load/ownLoad.js';
+import type { LoadReading } from '../routing/load/instanceLoad.js';
 import { createRouting, type Routing } from '../routing/routing.js';
 import type { RoutingSettings } from '../routing/settings.js';
 import type { RoutingEffect, RoutingEvent, RoutingTimer } from '../routing/types.js';
--- a/src/hosts/callerHost.ts
+++ b/src/hosts/callerHost.ts
@@ -7,7 +7,7 @@
 import { H3 } from 'h3';
 import type { Millis } from '../core/clock.js';
 import type { InstanceIdentity, NotRunProblem, RequestId } from '../core/types.js';
-import { createCallerResponse, type CallerResponse } from './answerSink.js';
+import { createCallerResponse, type CallerResponse } from './callerResponse.js';
 import {
   refuseMalformed,
   readBody,
--- a/src/hosts/routing/frontHost.ts
+++ b/src/hosts/routing/frontHost.ts
@@ -19,7 +19,7 @@
 import { readBody } from '../callerRequest.js';
 import { createHttpServer, sendJson } from '../httpServer.js';
 import { startAttempt, type BufferedErrorResponse, type RunningAttempt } from './attempt.js';
-import { createCallerResponse, type CallerResponse } from './callerAnswer.js';
+import { createCallerResponse, type CallerResponse } from './callerResponse.js';
 import { createIntake } from './intake.js';
 import type { LoadMeter } from './loadMeter.js';
 import type { RequestHeadFacts, PostRoutingEvent, RequestHead, RequestProtocol } from './types.js';
--- a/src/routing/exchange/domains.ts
+++ b/src/routing/exchange/domains.ts
@@ -10,12 +10,12 @@
  * its relay answers.
  */
 import { logInfo, logWarning, type RoutingContext } from '../context.js';
-import type { PartRead } from '../placement/prefixMemory.js';
+import type { PartRead } from '../placement/prefixCacheTable.js';
 import { recordReportedCrashes } from '../suspects/suspects.js';
 import type { FailureDomainId } from '../types.js';
 import type { RoutingMessage, PeerInstance } from './exchangeState.js';
 import { isSameDomain, isRelay, usesRelays } from './members.js';
-import { decodeParts, decodeSummary } from './news.js';
+import { decodeParts, decodeSummary } from './routingMessage.js';
 
 /** Messages sent to an instance of a silent domain before the next instance is tried. */
 const ATTEMPTS_PER_INSTANCE = 2;
--- a/src/routing/exchange/exchange.ts
+++ b/src/routing/exchange/exchange.ts
@@ -16,9 +16,9 @@
   type RetryBackoff,
   type RoutingContext,
 } from '../context.js';
-import { controlIntervalFactor } from '../load/ownLoad.js';
+import { controlIntervalFactor } from '../load/instanceLoad.js';
 import { handlePollOutcome, type Poll } from '../polls.js';
-import type { PartRead } from '../placement/prefixMemory.js';
+import type { PartRead } from '../placement/prefixCacheTable.js';
 import { recordReportedCrashes } from '../suspects/suspects.js';
 import type { AnnouncedInstance, RoutingEvent } from '../types.js';
 import { composeConfirmation, applyConfirmation } from './confirmations.js';
@@ -33,7 +33,7 @@
 import type { RoutingMessage, PeerInstance } from './exchangeState.js';
 import { invalidateTotals, mergeSummaries } from './fleetSums.js';
 import { hasLowestId, isSameDomain, isRelay, usesRelays, domainPeers } from './members.js';
-import { composeMessage, localSummary, decodeParts, decodeSummary } from './news.js';
+import { composeMessage, localSummary, decodeParts, decodeSummary } from './routingMessage.js';
 
 /** Backoff of failed announcements and reads. */
 const RETRY_BACKOFF: RetryBackoff = { initialMs: 500, maxMs: 3_000 };
--- a/src/routing/exchange/exchangeState.ts
+++ b/src/routing/exchange/exchangeState.ts
@@ -1,7 +1,7 @@
 /** The other instances, and the latest message of each. */
 import type { Millis } from '../../core/clock.js';
 import type { PeerMessageOf } from '../../core/types.js';
-import type { PartRead } from '../placement/prefixMemory.js';
+import type { PartRead } from '../placement/prefixCacheTable.js';
 import type { PollState } from '../polls.js';
 import type { TokenRates } from '../shares/sharesState.js';
 import type { FailureDomainId, InstanceId, RegionId } from '../types.js';
--- a/src/routing/exchange/news.ts
+++ b/src/routing/exchange/routingMessage.ts
@@ -1,7 +1,7 @@
 /** Composes and decodes the messages between instances. */
 import { hash32 } from '../../core/hash.js';
 import type { RoutingContext } from '../context.js';
-import type { PartRead } from '../placement/prefixMemory.js';
+import type { PartRead } from '../placement/prefixCacheTable.js';
 import { localRates } from '../shares/tokenShares.js';
 import { crashCountsOf } from '../suspects/suspects.js';
 import type { OpenWork } from '../upstreams/upstreamsState.js';
--- a/src/routing/placement/prompt.ts
+++ b/src/routing/placement/prompt.ts
@@ -7,7 +7,7 @@
 import type { RoutingContext } from '../context.js';
 import type { RequestFacts } from '../types.js';
 import type { Upstream } from '../upstreams/upstreamsState.js';
-import type { PartHash } from './prefixMemory.js';
+import type { PartHash } from './prefixCacheTable.js';
 
 /** Whether an upstream is the first or second rendezvous choice for a request's shared part. */
 export type HomeRank = 'first' | 'second' | 'none';
--- a/src/routing/routing.ts
+++ b/src/routing/routing.ts
@@ -13,7 +13,7 @@
   onAttemptProgress,
   onCallerGone,
 } from './attempts/attempts.js';
-import { onHealthTimer } from './attempts/watch.js';
+import { onHealthTimer } from './attempts/healthCheck.js';
 import type { RoutingContext } from './context.js';
 import { onPlannedStop, onStopTimer, updateReadiness } from './drain/stop.js';
 import { clearSendTimes } from './exchange/confirmations.js';
@@ -32,7 +32,7 @@
   onConfigurationTimer,
   startConfigurationPoll,
 } from './freshness/freshness.js';
-import { onLoadMeasured } from './load/ownLoad.js';
+import { onLoadMeasured } from './load/instanceLoad.js';
 import { DEFAULT_ROUTING_SETTINGS, type RoutingSettings } from './settings.js';
 import { createRoutingState, type RoutingState } from './state.js';
 import type {
--- a/src/routing/state.ts
+++ b/src/routing/state.ts
@@ -4,11 +4,11 @@
 import type { Millis } from '../core/clock.js';
 import { createRandom, type Random } from '../core/random.js';
 import type { InstanceIdentity } from '../core/types.js';
-import { createPrefixCacheTable, type PrefixCacheTable } from './placement/prefixMemory.js';
+import { createPrefixCacheTable, type PrefixCacheTable } from './placement/prefixCacheTable.js';
 import { createRequestsState, type RequestsState } from './attempts/attemptsState.js';
 import { createExchangeState, type ExchangeState } from './exchange/exchangeState.js';
 import { createFreshnessState, type FreshnessState } from './freshness/freshnessState.js';
-import { createInstanceLoad, type InstanceLoad } from './load/ownLoad.js';
+import { createInstanceLoad, type InstanceLoad } from './load/instanceLoad.js';
 import type { RetryBudget } from './retries/retryBudget.js';
 import type { RoutingSettings } from './settings.js';
 import { createSharesState, type SharesState } from './shares/sharesState.js';
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -18,7 +18,7 @@
   UpstreamId,
 } from '../core/types.js';
 import type { RoutingEventCode } from './eventTable.js';
-import type { LoadReading } from './load/ownLoad.js';
+import type { LoadReading } from './load/instanceLoad.js';
 import type { RoutingSettings } from './settings.js';
 
 export type { FailureDomainId, InstanceId, InstanceIdentity, PoolId, RegionId, UpstreamId };
