Give one name to one thing in the shares of routing and the sharing tests

CustomerShare named one type of routing and another of the core: that of routing is FairShareUsage. normalizedService was a second name of virtual service.

--- a/src/core/configuration/records.ts
+++ b/src/core/configuration/records.ts
@@ -199,8 +199,9 @@
 
 /**
  * Computes the proof of an edit: an HMAC keyed with the stored hash of the author's key. Anyone who
- * can read the configuration could compute it too. It therefore protects against mistakes and against
- * writers that cannot read the log, but not against one that can both read and write it.
+ * can read the configuration could compute it too. It therefore binds an edit to a team against
+ * mistakes and against writers that cannot read the log, but not against a writer that can both read
+ * and write it.
  */
 export function* proofSteps(keyHash: KeyHash, content: EditContent): Steps<string> {
   const { editId, baseVersion, author, team, at, changes } = content;
--- a/src/routing/admission/admission.ts
+++ b/src/routing/admission/admission.ts
@@ -14,7 +14,7 @@
  */
 import type { Millis } from '../../core/clock.js';
 import type { Random } from '../../core/random.js';
-import type { CustomerShare } from '../shares/tokenShares.js';
+import type { FairShareUsage } from '../shares/tokenShares.js';
 
 export interface AdmissionInput {
   /** Expected time to the first event. */
@@ -31,7 +31,7 @@
   /** Time until the caller's deadline. */
   readonly remainingMs: Millis;
   /** The customer's usage relative to its fair share; absent for requests without tokens. */
-  readonly share?: CustomerShare;
+  readonly share?: FairShareUsage;
 }
 
 export type AdmissionDecision =
@@ -89,7 +89,7 @@
  * below the limit of a customer at its share: reading a shared prompt part again is not worth it
  * just to meet the shorter limit of a customer that exceeds its share.
  */
-export function placementLimit(objectiveMs: Millis, share: CustomerShare | undefined): Millis {
+export function placementLimit(objectiveMs: Millis, share: FairShareUsage | undefined): Millis {
   return objectiveMs * USABLE_FRACTION * Math.max(AT_SHARE_FRACTION, objectiveFraction(share));
 }
 
@@ -140,7 +140,7 @@
  * takes. It is low without contention and for small customers, and rises with a customer's usage,
  * since rereading a part takes capacity from the other customers.
  */
-export function computeRereadFactor(share: CustomerShare | undefined): number {
+export function computeRereadFactor(share: FairShareUsage | undefined): number {
   if (!isContended(share)) return REREAD_FACTOR_UNCONTENDED;
   return interpolate(
     shareUsage(share),
@@ -154,7 +154,7 @@
 /**
  * Returns the fraction of the usable objective that a customer may wait; it falls as usage rises.
  */
-function objectiveFraction(share: CustomerShare | undefined): number {
+function objectiveFraction(share: FairShareUsage | undefined): number {
   // Without contention, no customer has to be limited.
   if (!isContended(share)) return 1;
   if (!isOverShare(share)) {
@@ -165,12 +165,12 @@
 }
 
 /** Whether the customers' demand exceeds the capacity. */
-function isContended(share: CustomerShare | undefined): share is CustomerShare {
+function isContended(share: FairShareUsage | undefined): share is FairShareUsage {
   return share !== undefined && share.level < Infinity;
 }
 
 /** Returns a customer's admitted rate relative to the fair share. */
-function shareUsage({ admitted, level }: CustomerShare): number {
+function shareUsage({ admitted, level }: FairShareUsage): number {
   return admitted / level;
 }
 
@@ -180,7 +180,7 @@
   return y1 + fraction * (y2 - y1);
 }
 
-function isOverShare(share: CustomerShare | undefined): boolean {
+function isOverShare(share: FairShareUsage | undefined): boolean {
   return share !== undefined && share.admitted > share.level;
 }
 
--- a/src/routing/attempts/arrival.ts
+++ b/src/routing/attempts/arrival.ts
@@ -25,7 +25,7 @@
   recordTokenDemand,
   computeShare,
   requestCost,
-  type CustomerShare,
+  type FairShareUsage,
 } from '../shares/tokenShares.js';
 import { isBlocked } from '../suspects/suspects.js';
 import type {
@@ -223,7 +223,7 @@
 }
 
 /** Adds a request to its customer's demand. Returns the customer's rates and its fair share. */
-function recordDemand(ctx: RoutingContext, request: OpenRequest): CustomerShare | undefined {
+function recordDemand(ctx: RoutingContext, request: OpenRequest): FairShareUsage | undefined {
   const { facts, customer } = request;
   const tokens = requestCost(facts.promptTokens, facts.outputTokens);
   if (customer === undefined || tokens === 0) return undefined;
@@ -237,7 +237,7 @@
 function describeRefusal(
   { route, customer, facts }: OpenRequest,
   placement: Placement,
-  share: CustomerShare | undefined,
+  share: FairShareUsage | undefined,
   decision: AdmissionDecision,
 ): LogFields {
   return {
--- a/src/routing/placement/prefixCacheTable.ts
+++ b/src/routing/placement/prefixCacheTable.ts
@@ -42,7 +42,7 @@
 const PART_TTL_MS: Millis = 15_000;
 /** Interval at which a part still in use is announced again; well below `PART_TTL_MS`. */
 const REANNOUNCE_MS: Millis = 4_000;
-/** Maximum number of queued parts per message. */
+/** Maximum number of parts queued between two messages. */
 const MAX_PENDING = 400;
 
 interface PartUse {
--- a/src/routing/shares/tokenShares.ts
+++ b/src/routing/shares/tokenShares.ts
@@ -61,7 +61,7 @@
 }
 
 /** A customer's rates and the fair level across the fleet. */
-export interface CustomerShare extends TokenRates {
+export interface FairShareUsage extends TokenRates {
   /** Tokens per second that no customer may exceed while demand exceeds capacity. */
   readonly level: number;
   /** 1 if nothing waits at the upstreams, 0 if they are saturated. */
@@ -73,7 +73,7 @@
   ctx: RoutingContext,
   customer: CustomerName,
   idleness: number,
-): CustomerShare {
+): FairShareUsage {
   const sums = new Map<number, { asked: number; admitted: number }>();
   const add = (key: number, { asked, admitted }: TokenRates) => {
     const sum = sums.get(key) ?? { asked: 0, admitted: 0 };
--- a/test/fair/exchange.test.ts
+++ b/test/fair/exchange.test.ts
@@ -143,13 +143,13 @@
     network.partition((a, b) => a.slice(0, 2) !== b.slice(0, 2));
     network.runUntil(network.now() + 20_000);
     const bound = serviceGapBound(DEFAULT_CORE_SETTINGS, run.conditions);
-    const [a = 0, b = 0, c = 0, d = 0] = run.normalizedService();
+    const [a = 0, b = 0, c = 0, d = 0] = run.virtualService();
     expect(Math.abs(a - b)).to.be.at.most(bound);
     expect(Math.abs(c - d)).to.be.at.most(bound);
     const gapBeforeHealing = c + d - a - b;
     network.heal();
     network.runUntil(network.now() + 20_000);
-    const [a2 = 0, b2 = 0, c2 = 0, d2 = 0] = run.normalizedService();
+    const [a2 = 0, b2 = 0, c2 = 0, d2 = 0] = run.virtualService();
     // The side with fewer slots lags and must catch up.
     expect(c2 + d2 - a2 - b2).to.be.below(gapBeforeHealing / 2);
   });
--- a/test/fair/largeDomain.test.ts
+++ b/test/fair/largeDomain.test.ts
@@ -37,7 +37,7 @@
   let gap = 0;
   while (network.now() < start + DURATION_MS) {
     network.runUntil(network.now() + SAMPLE_MS);
-    const service = run.normalizedService();
+    const service = run.virtualService();
     gap = Math.max(gap, Math.max(...service) - Math.min(...service));
   }
   return {
--- a/test/fair/sharing.test.ts
+++ b/test/fair/sharing.test.ts
@@ -46,11 +46,11 @@
   const start = network.now();
   const servedAt = new Map<number, number>();
   let extremes: Extremes = { gap: 0, longestWait: 0, longestIdle: 0 };
-  let last = run.normalizedService();
+  let last = run.virtualService();
   last.forEach((_, i) => servedAt.set(i, start));
   while (network.now() < start + DURATION_MS) {
     network.runUntil(network.now() + SAMPLE_MS);
-    const service = run.normalizedService();
+    const service = run.virtualService();
     recordServed(servedAt, last, service, network.now());
     extremes = updateExtremes(extremes, run, service, servedAt, start);
     last = service;
--- a/test/support/sharingLoad.ts
+++ b/test/support/sharingLoad.ts
@@ -46,8 +46,8 @@
   readonly network: FakeNetwork;
   readonly conditions: SharingConditions;
   readonly slots: number;
-  /** Returns the service received by each customer, in cost units divided by weight. */
-  readonly normalizedService: () => readonly number[];
+  /** Returns the service received by customers 1, 2, …, in cost units divided by weight. */
+  readonly virtualService: () => readonly number[];
 }
 
 /** Creates the fleet, runs it until membership has converged and then keeps the queues filled. */
@@ -77,7 +77,7 @@
     network,
     slots,
     conditions: conditionsOf(load, slots),
-    normalizedService: () =>
+    virtualService: () =>
       load.customers.map(
         ({ weight }, i) => ((network.served.get(i + 1) ?? 0) * PER_OUTPUT_TOKEN) / weight,
       ),
