Answer what the framework refuses with a problem document

What callers saw: a request whose path holds a malformed percent escape (/%, /apps/%zz/x) got status 400 with the web framework's own JSON, no problem document and no mark that it had not been executed.

Cause: the framework checks the path before any route and answers by itself. The same holds for whatever else it refuses or for a handler that throws, on the ports of callers and of operators.

Change: one function makes the application of both ports. Malformed escapes reach our routes, which read the request target as sent; any other error of the framework becomes a problem document, executed 'no' below 500 and 'unknown' from 500 on. The stand-ins let such paths through as real services do.

Class: an answer that a library gives in the product's name; the routing front and the monitoring port use no framework.

--- a/src/hosts/callerHost.ts
+++ b/src/hosts/callerHost.ts
@@ -4,9 +4,9 @@
  * has completed it.
  */
 import { STATUS_CODES, type IncomingMessage, type ServerResponse } from 'node:http';
-import { H3 } from 'h3';
 import type { Millis } from '../core/clock.js';
 import type { InstanceIdentity, NotRunProblem, RequestId } from '../core/types.js';
+import { createApplication } from './application.js';
 import { createCallerResponse, type CallerResponse } from './callerResponse.js';
 import {
   refuseMalformed,
@@ -102,7 +102,7 @@
       receive(route, req, res).catch(() => res.destroy());
     });
 
-  const app = new H3({ silent: true });
+  const app = createApplication();
   COMPLETION_PATHS.forEach((path) => {
     app.post(
       path,
--- a/src/hosts/operatorHost.ts
+++ b/src/hosts/operatorHost.ts
@@ -1,8 +1,8 @@
 /** HTTP server for operators: health, readiness, status and commands. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { H3 } from 'h3';
 import type { Millis } from '../core/clock.js';
 import type { OperatorCommand, OperatorResult, Problem } from '../core/types.js';
+import { createApplication } from './application.js';
 import { readBody, hashBearerKey } from './callerRequest.js';
 import { createHttpServer, nodeRoute, sendJson } from './httpServer.js';
 import { parseCommand } from './operatorCommands.js';
@@ -87,7 +87,7 @@
     sendJson(res, 200, { ready: options.isReady(), ...options.status() });
   }
 
-  const app = new H3({ silent: true });
+  const app = createApplication();
   app.get(
     '/healthz',
     nodeRoute((_req, res) => sendJson(res, 200, { healthy: true })),
--- a/src/standins/engine.ts
+++ b/src/standins/engine.ts
@@ -93,7 +93,7 @@
 /** Starts an engine. Rejects if the port is in use. */
 export async function createEngineStandin(options: EngineOptions = {}): Promise<EngineStandin> {
   const cfg = { ...DEFAULTS, ...options };
-  const app = new H3({ silent: true });
+  const app = new H3({ silent: true, allowMalformedURL: true });
   const server = await listen(app, options);
   const state = createEngineState(cfg, server);
   addCompletionRoutes(app, server, state, cfg.echoesRequestId);
--- a/src/standins/service.ts
+++ b/src/standins/service.ts
@@ -90,7 +90,7 @@
 /** Starts a plain service. Rejects if the port is in use. */
 export async function createServiceStandin(options: ServiceOptions = {}): Promise<ServiceStandin> {
   const cfg = { ...DEFAULTS, ...options };
-  const app = new H3({ silent: true });
+  const app = new H3({ silent: true, allowMalformedURL: true });
   const server = await listen(app, options);
   const slots = createSlots(cfg.concurrency);
   const counts = createExecutionCounter();
--- a/test/hosts/callerHost.test.ts
+++ b/test/hosts/callerHost.test.ts
@@ -110,6 +110,26 @@
     expect(count('callerGone')).to.be.at.most(count('callerRequest'));
   });
 
+  it('refuses malformed percent escapes as not executed, and not in the words of the framework', async () => {
+    const { address } = await startRespondingHost();
+    const paths = ['/%', '/apps/%zz/x', '/apps/%E0%A4%A/x', '/v1/%'];
+    const responses = await Promise.all(
+      paths.map(async (path) => sendRaw(address, `GET ${path} HTTP/1.0\r\n\r\n`)),
+    );
+    responses.forEach(({ status, head, body }) => {
+      expect(status).to.equal(404);
+      expect(head.toLowerCase()).to.include('application/problem+json');
+      expect(JSON.parse(body)).to.include(NOT_EXECUTED);
+    });
+  });
+
+  it('passes a malformed percent escape in the path of a service on unchanged', async () => {
+    const { address, events } = await startRespondingHost();
+    const { status } = await sendRaw(address, 'GET /apps/desk/a%zz?b=% HTTP/1.0\r\n\r\n');
+    expect(status).to.equal(200);
+    expect(events.filter(({ kind }) => kind === 'callerRequest')).to.have.lengthOf(1);
+  });
+
   it('refuses bodies that are not a completion request as not executed', async () => {
     const { events, address } = await startRespondingHost();
     const broken = fc.oneof(
