Log crashes of upstreams, and all parts of a prompt with each attempt

The lines could not tell the hypotheses of the incident apart: a crash had no line of its own, only one part of a prompt was named, and a broken answer did not say how long it had run. A crash now has upstreamCrashed (9065), sent, retried and resumed name all parts, and answerCut says how long the attempt had run and since when it answered.

--- a/src/routing/attempts/attempts.ts
+++ b/src/routing/attempts/attempts.ts
@@ -132,7 +132,7 @@
     uncached: placement.uncachedTokens,
     running: placement.running,
     sharedToRead: placement.rereadTokens,
-    part: facts.prefix.at(-2)?.id,
+    parts: facts.prefix.map(({ id }) => id).join(','),
     home: placement.home,
   };
 }
@@ -331,6 +331,9 @@
       failRequest(ctx, request, 502, 'answerCut', {
         upstream: attempt.upstream,
         reason: outcome.reason,
+        runningMs: Math.round(ctx.now - attempt.startedAt),
+        sinceFirstPartMs:
+          attempt.firstPartAt === undefined ? undefined : Math.round(ctx.now - attempt.firstPartAt),
       });
       return;
     case 'foreign':
--- a/src/routing/eventTable.ts
+++ b/src/routing/eventTable.ts
@@ -74,6 +74,7 @@
   clockDistrusted: entry(9062, 'belief', 'A clock runs at a different rate and is ignored.'),
   messageMalformed: entry(9063, 'belief', 'A message from another instance cannot be decoded.'),
   messageNotSent: entry(9064, 'belief', 'A message to another instance could not be sent.'),
+  upstreamCrashed: entry(9065, 'belief', 'An upstream broke off its answers and is gone.'),
   started: entry(9070, 'process', 'The instance has started.'),
   ready: entry(9071, 'process', 'The instance accepts new callers.'),
   notReady: entry(9072, 'process', 'The instance accepts no new callers.'),
--- a/src/routing/upstreams/crashes.ts
+++ b/src/routing/upstreams/crashes.ts
@@ -4,7 +4,7 @@
  * of having crashed it.
  */
 import type { Millis } from '../../core/clock.js';
-import { emit, type RoutingContext } from '../context.js';
+import { emit, logWarning, type RoutingContext } from '../context.js';
 import { recordCrash } from '../suspects/suspects.js';
 import type { Upstream } from './upstreamsState.js';
 
@@ -40,7 +40,16 @@
 export function confirmCrash(ctx: RoutingContext, upstream: Upstream): void {
   const { interruptedRequests } = upstream;
   upstream.interruptedRequests = [];
-  interruptedRequests
-    .filter(({ at }) => ctx.now - at < CRASH_WINDOW_MS)
-    .forEach(({ fingerprint }) => recordCrash(ctx, fingerprint, upstream.listed.id));
+  const recent = interruptedRequests.filter(({ at }) => ctx.now - at < CRASH_WINDOW_MS);
+  const [first] = recent;
+  if (first === undefined) return;
+  const { id, pool, phase } = upstream.listed;
+  logWarning(ctx, 'upstreamCrashed', {
+    upstream: id,
+    pool,
+    phase,
+    interrupted: recent.length,
+    afterMs: Math.round(ctx.now - first.at),
+  });
+  recent.forEach(({ fingerprint }) => recordCrash(ctx, fingerprint, id));
 }
