Reproduce upstreams crashed by a part of a prompt on emulated engines

Emulated engines can crash on a part of a prompt, restart after four seconds with an empty cache, and be probed; a refused connection is told from a reset one.

--- a/src/bench/routing/emulatedEngine.ts
+++ b/src/bench/routing/emulatedEngine.ts
@@ -32,9 +32,14 @@
   readonly promptTokens: number;
   readonly outputTokens: number;
   readonly onFirstToken: () => void;
+  /** Called at intervals of `PROGRESS_TOKENS` after the first token. */
+  readonly onProgress?: () => void;
   readonly onCompleted: () => void;
 }
 
+/** Tokens between two reports of progress. */
+const PROGRESS_TOKENS = 16;
+
 export interface EmulatedEngine {
   readonly submit: (job: EngineJob) => void;
   readonly cancel: (id: number) => void;
@@ -141,7 +146,7 @@
     if (run.emittedTokens === 1) {
       run.job.parts.forEach(markUsed);
       run.job.onFirstToken();
-    }
+    } else if (run.emittedTokens % PROGRESS_TOKENS === 0) run.job.onProgress?.();
     if (run.emittedTokens < run.job.outputTokens) return;
     removeRunning(run);
     run.job.onCompleted();
--- a/src/bench/routing/emulatedFleet.ts
+++ b/src/bench/routing/emulatedFleet.ts
@@ -1,7 +1,8 @@
 /**
  * Simulates a fleet: routing cores that exchange routing news over links with a delay, emulated
  * engines, and callers that retry after a rejection. Records the outcomes by customer and by route,
- * and the number of shared prompt tokens that engines prefilled repeatedly.
+ * and the number of shared prompt tokens that engines prefilled repeatedly. Engines may crash on
+ * requests with certain prompt parts; they restart after `RESTART_MS` with an empty cache.
  */
 import { createRandom } from '../../core/random.js';
 import type { Millis } from '../../core/clock.js';
@@ -61,6 +62,15 @@
   readonly maxRetries: number;
 }
 
+/** What happened to a request, as an observer outside the fleet sees it. */
+export type FleetObservation =
+  /** The request was sent to an engine that was running. */
+  | { readonly kind: 'reachedEngine'; readonly at: Millis; readonly offered: OfferedRequest }
+  | { readonly kind: 'engineCrashed'; readonly at: Millis; readonly engine: string }
+  /** The first token of the answer to the caller's first or repeated call. */
+  | { readonly kind: 'begun'; readonly at: Millis; readonly offered: OfferedRequest }
+  | { readonly kind: 'refused'; readonly at: Millis; readonly offered: OfferedRequest };
+
 export interface EmulatedFleet {
   readonly offer: (request: OfferedRequest) => void;
   readonly results: FleetResults;
@@ -69,6 +79,8 @@
   readonly failEngine: (id: string) => void;
   /** Restarts all instances at the same time without any state. */
   readonly restartInstances: () => void;
+  /** Restarts one instance without any state. */
+  readonly restartInstance: (id: string) => void;
 }
 
 /** Routing policy: the core, the core without the exchange of routing news, or a baseline. */
@@ -80,18 +92,28 @@
   readonly shape: FleetShape;
   readonly seed: number;
   readonly settings?: Partial<RoutingSettings>;
+  /** Whether an engine that begins to answer a request with this part crashes. */
+  readonly isDeadly?: (part: PrefixPart, now: Millis) => boolean;
+  readonly observe?: (observation: FleetObservation) => void;
 }
 
+/** Time from the first token of a deadly request to the crash of its engine. */
+const CRASH_DELAY_MS: Millis = 100;
+/** Time that a crashed engine takes to restart. */
+const RESTART_MS: Millis = 4_000;
 const POOL_ID = 'models';
 const STORE_LATENCY_MS: Millis = 4;
 const MAX_CONNECTIONS = 10_000;
 const CONNECTION_RESET: AttemptOutcome = { kind: 'cut', reason: 'ECONNRESET' };
+const CONNECTION_REFUSED: AttemptOutcome = { kind: 'notSent', reason: 'ECONNREFUSED' };
 
 const regionOf = (domain: FailureDomainId): RegionId => `region-of-${domain}`;
 
 interface Instance {
   readonly id: string;
   readonly domain: FailureDomainId;
+  /** Increases with each restart. */
+  incarnation: number;
   router: Router;
   readonly timers: Map<RoutingTimer, number>;
   readonly openCalls: Map<number, OpenCall>;
@@ -112,12 +134,12 @@
  * engines.
  */
 export function createEmulatedFleet(options: EmulatedFleetOptions): EmulatedFleet {
-  const { simulation, shape, policy = 'core' } = options;
+  const { simulation, shape, policy = 'core', observe = () => {} } = options;
   const random = createRandom(options.seed);
   const prefillCounter = createPrefillCounter(simulation.now);
   const results = createResults(prefillCounter);
   const regions = new Map(shape.domains.map(({ id }) => [id, regionOf(id)]));
-  const listedEngines = shape.domains.flatMap(({ id, engines }) =>
+  let listedEngines = shape.domains.flatMap(({ id, engines }) =>
     Array.from({ length: engines }, (_, i) => createListedEngine(id, i, shape.engine)),
   );
   const engineDomains = new Map(listedEngines.map(({ id, domain }) => [id, domain]));
@@ -136,10 +158,10 @@
   const delayBetween = (a: FailureDomainId | undefined, b: FailureDomainId | undefined) =>
     a === b ? shape.withinRegionMs : shape.crossRegionMs;
 
-  function createRouter(id: string, domain: FailureDomainId): Router {
+  function createRouter(id: string, domain: FailureDomainId, incarnation: number): Router {
     if (policy !== 'core' && policy !== 'coreWithoutNews') return createBaselineRouter(policy);
     return createRouting({
-      self: { id, incarnation: 1, address: id, domain, region: regionOf(domain) },
+      self: { id, incarnation, address: id, domain, region: regionOf(domain) },
       regions,
       seed: options.seed + instances.size,
       ...(options.settings === undefined ? {} : { settings: options.settings }),
@@ -148,10 +170,11 @@
 
   function createInstance(domain: FailureDomainId, index: number): Instance {
     const id = `${domain}-instance-${index}`;
-    const router = createRouter(id, domain);
+    const router = createRouter(id, domain, 1);
     const instance: Instance = {
       id,
       domain,
+      incarnation: 1,
       router,
       timers: new Map(),
       openCalls: new Map(),
@@ -191,6 +214,9 @@
       case 'cutAnswer':
         endCall(instance, effect.request, 'failed');
         return;
+      case 'probe':
+        probeEngine(instance, effect);
+        return;
       case 'sendPeer':
         deliverMessage(instance, effect.to, effect.message);
         break;
@@ -228,9 +254,7 @@
           return;
         }
         case 'pollUpstreams': {
-          const changes = listedEngines
-            .filter(({ id }) => availableEngines.has(id))
-            .map((upstream) => ({ kind: 'listed', upstream }) as const);
+          const changes = listedEngines.map((upstream) => ({ kind: 'listed', upstream }) as const);
           const outcome = { kind: 'answered', cursor: 1, changes } as const;
           instance.dispatch({ kind: 'upstreamsPolled', askedAt, isWhole: true, outcome });
           return;
@@ -238,9 +262,9 @@
         default: {
           const others = [...instances.values()].filter(({ id }) => id !== instance.id);
           const changes = isWhole
-            ? others.map(({ id, domain }) => ({
+            ? others.map(({ id, domain, incarnation }) => ({
                 id,
-                incarnation: 1,
+                incarnation,
                 address: id,
                 domain,
                 region: regionOf(domain),
@@ -255,15 +279,28 @@
     });
   }
 
+  function probeEngine(
+    instance: Instance,
+    effect: Extract<RoutingEffect, { readonly kind: 'probe' }>,
+  ): void {
+    const { upstream, upstreamStartedAt } = effect;
+    const delay = delayBetween(instance.domain, engineDomains.get(upstream));
+    simulation.after(2 * delay, () => {
+      const isAlive = availableEngines.has(upstream);
+      instance.dispatch({ kind: 'probed', upstream, upstreamStartedAt, isAlive });
+    });
+  }
+
   function deliverMessage(from: Instance, to: string, message: PeerMessage): void {
     const receiver = instances.get(to);
     if (receiver === undefined || message.$case !== 'routingNews') return;
     if (policy === 'coreWithoutNews') return;
+    const { incarnation } = from;
     simulation.after(delayBetween(from.domain, receiver.domain), () => {
       receiver.dispatch({
         kind: 'peerMessage',
         from: from.id,
-        incarnation: 1,
+        incarnation,
         message: message.value,
       });
     });
@@ -288,18 +325,25 @@
     };
     simulation.after(delay, () => {
       if (!availableEngines.has(upstream)) {
-        afterReturnDelay(() => endAttempt(instance, attempt, CONNECTION_RESET));
+        afterReturnDelay(() => endAttempt(instance, attempt, CONNECTION_REFUSED));
         return;
       }
+      if (instance.attempts.get(attempt)?.job !== job) return;
+      observe({ kind: 'reachedEngine', at: simulation.now(), offered: call.offered });
       engine.submit({
         id: job,
         parts: call.offered.parts,
         promptTokens: call.offered.promptTokens,
         outputTokens: call.offered.outputTokens,
+        onProgress: () => {
+          afterReturnDelay(() => instance.dispatch({ kind: 'attemptProgress', attempt }));
+        },
         onFirstToken: () => {
+          crashIfDeadly(upstream, call.offered);
           afterReturnDelay(() => {
             instance.dispatch({ kind: 'attemptAnswered', attempt, status: 200 });
             instance.dispatch({ kind: 'attemptProgress', attempt });
+            observe({ kind: 'begun', at: simulation.now(), offered: call.offered });
             results.recordFirstToken(
               call.offered,
               simulation.now() + shape.callerMs - call.firstSentAt,
@@ -316,6 +360,52 @@
     });
   }
 
+  /** Crashes an engine that has begun to answer a request with a deadly part. */
+  function crashIfDeadly(engine: string, { parts }: OfferedRequest): void {
+    const { isDeadly = () => false } = options;
+    if (!parts.some((part) => isDeadly(part, simulation.now()))) return;
+    simulation.after(CRASH_DELAY_MS, () => {
+      if (!availableEngines.has(engine)) return;
+      failEngine(engine);
+      simulation.after(RESTART_MS, () => restartEngine(engine));
+    });
+  }
+
+  function failEngine(id: string): void {
+    availableEngines.delete(id);
+    observe({ kind: 'engineCrashed', at: simulation.now(), engine: id });
+    const lost = new Set(engines.get(id)?.crash());
+    instances.forEach((instance) => {
+      const delay = delayBetween(instance.domain, engineDomains.get(id));
+      instance.attempts.forEach(({ job }, attempt) => {
+        if (!lost.has(job)) return;
+        simulation.after(delay, () => {
+          if (instance.attempts.get(attempt)?.job === job)
+            endAttempt(instance, attempt, CONNECTION_RESET);
+        });
+      });
+    });
+  }
+
+  /** Lists a crashed engine again, with the time of its new start. */
+  function restartEngine(id: string): void {
+    availableEngines.add(id);
+    listedEngines = listedEngines.map((listed) =>
+      listed.id === id ? { ...listed, startedAt: simulation.now() } : listed,
+    );
+  }
+
+  function restartInstance(instance: Instance): void {
+    instance.attempts.forEach(({ engine, job }) => engines.get(engine)?.cancel(job));
+    instance.attempts.clear();
+    instance.timers.clear();
+    instance.openCalls.forEach(({ offered }) => results.recordUnserved(offered, 'failed'));
+    instance.openCalls.clear();
+    instance.incarnation += 1;
+    instance.router = createRouter(instance.id, instance.domain, instance.incarnation);
+    instance.dispatch({ kind: 'start' });
+  }
+
   function endAttempt(instance: Instance, attempt: AttemptNumber, outcome: AttemptOutcome): void {
     instance.attempts.delete(attempt);
     instance.dispatch({ kind: 'attemptEnded', attempt, outcome });
@@ -337,6 +427,8 @@
     const call = instance.openCalls.get(request);
     if (call === undefined) return;
     instance.openCalls.delete(request);
+    if (outcome === 'refused')
+      observe({ kind: 'refused', at: simulation.now(), offered: call.offered });
     const leftMs = call.firstSentAt + call.offered.deadlineMs - simulation.now();
     if (outcome === 'refused' && call.retriesLeft > 0 && leftMs > 0) {
       const waitMs = Math.min(retryAfterMs, leftMs / 3) + 2 * shape.callerMs;
@@ -383,25 +475,15 @@
     },
     results,
     engines,
-    restartInstances: () => {
-      instances.forEach((instance) => {
-        instance.attempts.forEach(({ engine, job }) => engines.get(engine)?.cancel(job));
-        instance.attempts.clear();
-        instance.timers.clear();
-        instance.openCalls.forEach(({ offered }) => results.recordUnserved(offered, 'failed'));
-        instance.openCalls.clear();
-        instance.router = createRouter(instance.id, instance.domain);
-        instance.dispatch({ kind: 'start' });
-      });
+    restartInstances: () => instances.forEach(restartInstance),
+    restartInstance: (id) => {
+      const instance = instances.get(id);
+      if (instance !== undefined) restartInstance(instance);
     },
     failEngine: (id) => {
-      availableEngines.delete(id);
-      const lost = new Set(engines.get(id)?.crash());
-      instances.forEach((instance) => {
-        instance.attempts.forEach(({ job }, attempt) => {
-          if (lost.has(job)) endAttempt(instance, attempt, CONNECTION_RESET);
-        });
-      });
+      // A failed engine does not come back.
+      listedEngines = listedEngines.filter((listed) => listed.id !== id);
+      failEngine(id);
     },
   };
 }
