Suspect the parts of prompts, not whole requests, of crashing upstreams

What callers saw: a part of a prompt crashed one upstream after the other; each crash broke off all answers of its upstream.

Cause: crashes were counted by the fingerprint of the whole request, so that requests which only share a part never added up, while sound ones that were sent on did, and a success cleared nothing.

Change: a request's fingerprint and each part of its prompt are possible causes. A cause counts crashes of upstreams that held a request with it, only those that followed one another (the request was sent after the crash before), and only since it was last answered anywhere; requests whose answer had run for a second are not suspected. With three crashes a cause is refused on all instances, what waits at upstreams is called back, and nothing with it is retried or resumed. Instances exchange crashes and answers (three messages each; refused causes in all of them); the sum does not depend on who observed what. A refused cause is tried again by one instance at a time: after 20 s, tripled with each crash, or at once if another refused cause explains all of its crashes. Requests at draining upstreams are not suspected, those at an upstream that has started again are.

Two tests were changed as they fed the counts by request that no longer exist: the domains' test has its three crashes follow one another and asks as much of every instance; the message test sends three crashes of one cause.

--- a/src/daemon/routingInstance.ts
+++ b/src/daemon/routingInstance.ts
@@ -377,6 +377,7 @@
     upstreams: upstreams.length,
     lostUpstreams: upstreams.filter(({ reachability }) => reachability.kind === 'lost').length,
     instances: countInstances(ctx),
+    blockedCauses: state.suspects.blocked.size,
     linesOmitted: log.omitted(),
     loopUtilization: meter.lastReading().utilization,
     loopLagMs: meter.lastReading().lagMs,
--- a/src/hosts/routing/metricsPage.ts
+++ b/src/hosts/routing/metricsPage.ts
@@ -12,6 +12,8 @@
   readonly upstreams: number;
   readonly lostUpstreams: number;
   readonly instances: number;
+  /** Requests and prompt parts that are refused, since upstreams crash on them. */
+  readonly blockedCauses: number;
   readonly linesOmitted: number;
   /** Event loop utilization over the last second. */
   readonly loopUtilization: number;
@@ -60,6 +62,7 @@
     upstreams: gauge('upstreams', 'Upstreams in the list.'),
     lostUpstreams: gauge('lost_upstreams', 'Upstreams that do not answer.'),
     instances: gauge('instances', 'Instances heard of, this one included.'),
+    blockedCauses: gauge('blocked_causes', 'Requests and parts refused as they crash upstreams.'),
     linesOmitted: gauge('log_lines_omitted', 'Log lines that were left out.'),
     loopUtilization: gauge('loop_utilization', 'Part of the last second in which the loop worked.'),
     loopLagMs: gauge('loop_lag_ms', 'Time by which the loop was late.'),
--- a/src/routing/attempts/accounting.ts
+++ b/src/routing/attempts/accounting.ts
@@ -87,7 +87,14 @@
       return;
     case 'cut':
       recordResult(ctx, upstream, true);
-      if (request !== undefined) recordInterruptedRequest(ctx, upstream, request.facts.fingerprint);
+      if (request !== undefined) {
+        recordInterruptedRequest(ctx, upstream, {
+          facts: request.facts,
+          sentAt: attempt.startedAt,
+          at: ctx.now,
+          wasAnswering: attempt.wasAnswering,
+        });
+      }
       return;
     case 'failed':
     case 'foreign':
--- a/src/routing/attempts/arrival.ts
+++ b/src/routing/attempts/arrival.ts
@@ -29,7 +29,7 @@
   requestCost,
   type FairShareUsage,
 } from '../shares/tokenShares.js';
-import { isBlocked } from '../suspects/suspects.js';
+import { findBlockedCause, tryTrial, type BlockedCause } from '../suspects/suspects.js';
 import type {
   CustomerName,
   LogFields,
@@ -48,8 +48,6 @@
  * Mean retry delay of callers whose instance is overloaded; their retry reaches another instance.
  */
 const BUSY_RETRY_AFTER_MS: Millis = 200;
-/** Long, because retrying a request that crashes upstreams does harm. */
-const BLOCKED_RETRY_AFTER_MS: Millis = 60_000;
 
 interface Refusal {
   readonly status: LocalStatus;
@@ -64,13 +62,13 @@
     refuse(ctx, facts, checked);
     return;
   }
-  const { route, customer } = checked;
+  const { route, customer, isTrial } = checked;
   const pool = pickPool(route, ctx.state.random);
   if (pool === undefined) {
     refuse(ctx, facts, createNoUpstreamRefusal(ctx, 'the route has no target pool'));
     return;
   }
-  const request = createRequest(ctx, facts, route, pool, customer);
+  const request = createRequest(ctx, facts, { route, customer, isTrial }, pool);
   retryBudgetFor(ctx, pool).recordRequest(ctx.now);
   admit(ctx, request);
 }
@@ -78,6 +76,8 @@
 interface RouteMatch {
   readonly route: Route;
   readonly customer: CustomerName | undefined;
+  /** Whether the request is sent to see if upstreams still crash on it. */
+  readonly isTrial: boolean;
 }
 
 /** Finds the route and customer of a request, or the reason to refuse it. */
@@ -95,12 +95,27 @@
   if (!allowsAnonymous && !isConfirmed(ctx)) return createStaleRefusal(ctx);
   if (route === undefined) return { status: 404, reason: 'noRoute' };
   if (!allowsAnonymous && customer === undefined) return { status: 401, reason: 'unknownKey' };
-  if (isBlocked(ctx, facts.fingerprint)) {
-    const { fingerprint } = facts;
-    const retryAfterMs = BLOCKED_RETRY_AFTER_MS;
-    return { status: 503, reason: 'crashesUpstreams', retryAfterMs, fields: { fingerprint } };
-  }
-  return checkQueueTime(ctx, facts, route) ?? { route, customer };
+  const tooLate = checkQueueTime(ctx, facts, route);
+  if (tooLate !== undefined) return tooLate;
+  const blocked = findBlockedCause(ctx, facts);
+  if (blocked === undefined) return { route, customer, isTrial: false };
+  return tryAgain(ctx, facts, blocked)
+    ? { route, customer, isTrial: true }
+    : refuseBlocked(blocked);
+}
+
+/** Returns whether a request that may crash the upstream is due to be sent all the same. */
+function tryAgain(ctx: RoutingContext, facts: RequestFacts, blocked: BlockedCause): boolean {
+  if (!tryTrial(ctx, facts)) return false;
+  const { hash: cause, part, crashes } = blocked;
+  emit(ctx, { kind: 'count', decision: 'triedAgain' });
+  logWarning(ctx, 'triedAgain', { request: facts.requestId, cause, part, crashes });
+  return true;
+}
+
+function refuseBlocked({ hash: cause, part, crashes, retryAfterMs }: BlockedCause): Refusal {
+  const fields = { cause, part, crashes };
+  return { status: 503, reason: 'crashesUpstreams', retryAfterMs, fields };
 }
 
 /** Refuses a request that waited too long at this instance for an upstream to answer in time. */
@@ -156,9 +171,8 @@
 function createRequest(
   ctx: RoutingContext,
   facts: RequestFacts,
-  route: Route,
+  { route, customer, isTrial }: RouteMatch,
   pool: string,
-  customer: CustomerName | undefined,
 ): OpenRequest {
   const deadlineMs = facts.deadlineMs ?? route.timeoutMs;
   const arrivedAt = ctx.now - (facts.waitedMs ?? 0);
@@ -172,6 +186,7 @@
     deadlineAt: arrivedAt + deadlineMs,
     tried: [],
     unreachable: [],
+    isTrial,
     attempt: undefined,
     isWithdrawing: false,
     hasAnswerStarted: false,
--- a/src/routing/attempts/attempts.ts
+++ b/src/routing/attempts/attempts.ts
@@ -16,6 +16,7 @@
   type RetryBudget,
   type RetryBudgetOptions,
 } from '../retries/retryBudget.js';
+import { findBlockedCause, recordAnswered } from '../suspects/suspects.js';
 import { recordAdmitted, requestCost } from '../shares/tokenShares.js';
 import type {
   AttemptOutcome,
@@ -40,6 +41,8 @@
  * starts a new window, so its retries before and after the restart are not limited together.
  */
 const USABLE_BUDGET_FRACTION = 0.7;
+/** Time for which an answer has run if its request does not crash the upstream as it begins. */
+const SOUND_ANSWER_MS: Millis = 1_000;
 /** Minimum deadline of an attempt, even if no time is left. */
 const MIN_DEADLINE_MS: Millis = 1;
 
@@ -84,6 +87,7 @@
     expectedMs: placement.firstEventMs,
     firstPartAt: undefined,
     lastPartAt: undefined,
+    wasAnswering: false,
   };
   requests.nextAttempt += 1;
   requests.attempts.set(attempt.number, attempt);
@@ -164,6 +168,15 @@
   const upstream = findUpstream(ctx, attempt);
   if (upstream !== undefined) markReachable(ctx, upstream);
   if (attempt.firstPartAt === undefined) recordFirstPart(ctx, attempt, upstream);
+  else noteRunningAnswer(ctx, attempt, attempt.firstPartAt);
+}
+
+/** Clears the request of suspicion once its answer has been running for a while. */
+function noteRunningAnswer(ctx: RoutingContext, attempt: Attempt, firstPartAt: Millis): void {
+  if (attempt.wasAnswering || ctx.now - firstPartAt < SOUND_ANSWER_MS) return;
+  attempt.wasAnswering = true;
+  const request = ctx.state.requests.open.get(attempt.request);
+  if (request !== undefined) recordAnswered(ctx, request.facts);
 }
 
 export function onAttemptEnded(ctx: RoutingContext, number: number, outcome: AttemptOutcome): void {
@@ -243,6 +256,7 @@
 /** Whether the route, the retry budget and the upstreams permit a retry at another upstream now. */
 export function canRetryElsewhere(ctx: RoutingContext, request: OpenRequest): boolean {
   if (request.tried.length >= request.route.maxUpstreams) return false;
+  if (findBlockedCause(ctx, request.facts) !== undefined) return false;
   const hasBudget =
     retryBudgetFor(ctx, request.pool).remaining(ctx.now, retryBudgetOptions(ctx)) >= 1;
   return hasBudget && placeOnOtherUpstream(ctx, request) !== undefined;
@@ -263,6 +277,7 @@
   const { facts, route, pool } = request;
   if (request.tried.length >= route.maxUpstreams || ctx.now >= attemptDeadline(request))
     return false;
+  if (isRefusedNow(ctx, request)) return false;
   const placement = placeOnOtherUpstream(ctx, request);
   if (placement === undefined) return false;
   // A retry consumes budget only if an earlier attempt may have reached an upstream.
@@ -277,6 +292,16 @@
   return true;
 }
 
+/** Whether a cause of the request has been found to crash upstreams since it was sent. */
+function isRefusedNow(ctx: RoutingContext, { facts }: OpenRequest): boolean {
+  const blocked = findBlockedCause(ctx, facts);
+  if (blocked === undefined) return false;
+  const { hash: cause, part, crashes } = blocked;
+  logWarning(ctx, 'notRetried', { request: facts.requestId, cause, part, crashes });
+  emit(ctx, { kind: 'count', decision: 'notRetried' });
+  return true;
+}
+
 function retryBudgetOptions(ctx: RoutingContext): RetryBudgetOptions {
   const { settings } = ctx.state;
   return {
@@ -372,6 +397,7 @@
 ): void {
   const { facts, arrivedAt, firstPartAt } = request;
   ctx.state.requests.open.delete(facts.request);
+  recordAnswered(ctx, facts);
   const firstPartMs = (firstPartAt ?? ctx.now) - arrivedAt;
   emit(ctx, { kind: 'count', decision: 'served' });
   emit(ctx, { kind: 'observe', metric: 'firstPart', valueMs: firstPartMs });
--- a/src/routing/attempts/attemptsState.ts
+++ b/src/routing/attempts/attemptsState.ts
@@ -26,6 +26,8 @@
   readonly tried: UpstreamId[];
   /** Upstreams to which no connection could be opened. */
   readonly unreachable: UpstreamId[];
+  /** Whether it was sent to see if upstreams still crash on it. */
+  readonly isTrial: boolean;
   /** The current attempt. */
   attempt: AttemptNumber | undefined;
   /** Whether the current attempt is being withdrawn in favour of one at another upstream. */
@@ -53,6 +55,8 @@
   readonly expectedMs: Millis;
   firstPartAt: Millis | undefined;
   lastPartAt: Millis | undefined;
+  /** Whether the answer has been running long enough to show that it does not crash the upstream. */
+  wasAnswering: boolean;
 }
 
 export interface RequestsState {
--- a/src/routing/attempts/healthCheck.ts
+++ b/src/routing/attempts/healthCheck.ts
@@ -8,7 +8,7 @@
 import { emit, setTimer } from '../context.js';
 import { exchangeDelay, recordTimerDelay } from '../load/ownDelay.js';
 import { updateFreshness } from '../freshness/freshness.js';
-import { expireCrashes } from '../suspects/suspects.js';
+import { expireSuspects, findBlockedCause } from '../suspects/suspects.js';
 import { silenceTimeout, markLost, probeLostUpstreams } from '../upstreams/health.js';
 import { removeMissing } from '../upstreams/list.js';
 import type { Upstream } from '../upstreams/upstreamsState.js';
@@ -25,10 +25,11 @@
 export function onHealthTimer(ctx: RoutingContext): void {
   updateFreshness(ctx);
   removeMissing(ctx);
-  expireCrashes(ctx);
+  expireSuspects(ctx);
   const delayMs = takeTimerDelay(ctx);
   recordTimerDelay(ctx, delayMs);
   detectSilentUpstreams(ctx, delayMs);
+  abandonBlocked(ctx);
   [...ctx.state.requests.open.values()].forEach((request) => checkOpenRequest(ctx, request));
   probeLostUpstreams(ctx);
   setTimer(ctx, 'health', HEALTH_CHECK_INTERVAL_MS);
@@ -47,6 +48,21 @@
   }
 }
 
+/** Ends the requests that wait at an upstream with a cause that has been found to crash upstreams. */
+function abandonBlocked(ctx: RoutingContext): void {
+  const { requests, suspects } = ctx.state;
+  if (!suspects.hasNewBlocked) return;
+  suspects.hasNewBlocked = false;
+  [...requests.open.values()].forEach((request) => {
+    if (request.isTrial || request.hasAnswerStarted) return;
+    const blocked = findBlockedCause(ctx, request.facts);
+    if (blocked === undefined) return;
+    cancelAttempt(ctx, request);
+    const { hash: cause, part, crashes } = blocked;
+    failRequest(ctx, request, 502, 'crashesUpstreams', { cause, part, crashes });
+  });
+}
+
 function isStalled(ctx: RoutingContext, request: OpenRequest, attempt: Attempt): boolean {
   if (!isRepeatable(request)) return false;
   const upstream = ctx.state.upstreams.byId.get(attempt.upstream);
--- a/src/routing/exchange/domains.ts
+++ b/src/routing/exchange/domains.ts
@@ -11,7 +11,7 @@
  */
 import { logInfo, logWarning, type RoutingContext } from '../context.js';
 import type { PartRead } from '../placement/prefixCacheTable.js';
-import { recordReportedCrashes } from '../suspects/suspects.js';
+import { applySuspectNews } from '../suspects/suspectNews.js';
 import type { FailureDomainId } from '../types.js';
 import type { RoutingMessage, PeerInstance } from './exchangeState.js';
 import { isSameDomain, isRelay, usesRelays } from './members.js';
@@ -112,9 +112,7 @@
     isForwardPending: true,
     heardAt: ctx.now,
   });
-  message.suspects.forEach((fingerprint, i) => {
-    recordReportedCrashes(ctx, `domain ${domain}`, fingerprint, message.crashes[i] ?? 0);
-  });
+  applySuspectNews(ctx, message.suspectNews, isRelay(ctx));
   decodeParts(message).forEach((read) => ctx.state.prefixes.recordRemote(read, ctx.now));
 }
 
--- a/src/routing/exchange/exchange.ts
+++ b/src/routing/exchange/exchange.ts
@@ -19,7 +19,7 @@
 import { controlIntervalFactor } from '../load/instanceLoad.js';
 import { handlePollOutcome, type Poll } from '../polls.js';
 import type { PartRead } from '../placement/prefixCacheTable.js';
-import { recordReportedCrashes } from '../suspects/suspects.js';
+import { applySuspectNews, takeSuspectNews } from '../suspects/suspectNews.js';
 import type { AnnouncedInstance, RoutingEvent } from '../types.js';
 import { composeConfirmation, applyConfirmation } from './confirmations.js';
 import {
@@ -105,8 +105,8 @@
   expireDomainSummaries(ctx);
   invalidateTotals(ctx);
   exchange.sequence += 1;
-  const parts = ctx.state.prefixes.takePending();
-  const recipientCount = usesRelays(ctx) ? sendToDomain(ctx, parts) : sendToAll(ctx, parts);
+  const news = takeNews(ctx);
+  const recipientCount = usesRelays(ctx) ? sendToDomain(ctx, news) : sendToAll(ctx, news);
   setTimer(ctx, 'exchange', exchangeInterval(ctx, recipientCount));
 }
 
@@ -139,9 +139,7 @@
   if (!peer.isAlive) logInfo(ctx, 'peerFound', { peer: from, address: peer.address });
   peer.isAlive = true;
   peer.summary = message.isLeaving ? undefined : decodeSummary(message);
-  message.suspects.forEach((fingerprint, i) => {
-    recordReportedCrashes(ctx, from, fingerprint, message.crashes[i] ?? 0);
-  });
+  applySuspectNews(ctx, message.suspectNews, usesRelays(ctx) && isRelay(ctx));
   const parts = decodeParts(message);
   parts.forEach((read) => ctx.state.prefixes.recordRemote(read, ctx.now));
   if (!isSameDomain(ctx, peer)) return;
@@ -169,18 +167,28 @@
 export function announceLeaving(ctx: RoutingContext): void {
   const { exchange } = ctx.state;
   exchange.sequence += 1;
-  const parts = ctx.state.prefixes.takePending();
-  const message = composeInstanceMessage(ctx, parts);
+  const news = takeNews(ctx);
+  const message = composeInstanceMessage(ctx, news);
   const peersInDomain = domainPeers(ctx);
   const recipients = usesRelays(ctx) ? peersInDomain : [...exchange.peers.values()];
   recipients.forEach((peer) => sendMessage(ctx, peer, message));
-  if (usesRelays(ctx) && hasLowestId(ctx)) sendToRelays(ctx, peersInDomain, parts);
+  if (usesRelays(ctx) && hasLowestId(ctx)) sendToRelays(ctx, peersInDomain, news);
+}
+
+/** What the next messages contain once or a few times. */
+interface News {
+  readonly parts: readonly PartRead[];
+  readonly suspectNews: RoutingMessage['suspectNews'];
+}
+
+function takeNews(ctx: RoutingContext): News {
+  return { parts: ctx.state.prefixes.takePending(), suspectNews: takeSuspectNews(ctx) };
 }
 
 /** Sends a message to all other instances and returns their number. */
-function sendToAll(ctx: RoutingContext, parts: readonly PartRead[]): number {
+function sendToAll(ctx: RoutingContext, news: News): number {
   const { peers } = ctx.state.exchange;
-  const message = composeInstanceMessage(ctx, parts);
+  const message = composeInstanceMessage(ctx, news);
   peers.forEach((peer) => {
     if (shouldSend(ctx, peer)) sendMessage(ctx, peer, message);
   });
@@ -191,41 +199,40 @@
  * Sends messages within this failure domain and, if this instance is the relay, to the other
  * domains. Returns the number of recipients.
  */
-function sendToDomain(ctx: RoutingContext, parts: readonly PartRead[]): number {
+function sendToDomain(ctx: RoutingContext, news: News): number {
   const peersInDomain = domainPeers(ctx);
   const actsAsRelay = isRelay(ctx);
   const others = actsAsRelay ? takeSummariesToForward(ctx) : [];
-  const message = composeInstanceMessage(ctx, parts, others);
+  const message = composeInstanceMessage(ctx, news, others);
   peersInDomain.forEach((peer) => {
     if (shouldSend(ctx, peer)) sendMessage(ctx, peer, message);
   });
   if (!actsAsRelay) return peersInDomain.length;
-  return peersInDomain.length + sendToRelays(ctx, peersInDomain, parts);
+  return peersInDomain.length + sendToRelays(ctx, peersInDomain, news);
 }
 
 /** Sends the summary of this domain to the other domains and returns their number. */
 function sendToRelays(
   ctx: RoutingContext,
   peersInDomain: readonly PeerInstance[],
-  parts: readonly PartRead[],
+  news: News,
 ): number {
   const relays = selectRelays(ctx);
-  const message = composeDomainMessage(ctx, peersInDomain, parts);
+  const message = composeDomainMessage(ctx, peersInDomain, news);
   relays.forEach((relay) => sendMessage(ctx, relay, message));
   return relays.length;
 }
 
 function composeInstanceMessage(
   ctx: RoutingContext,
-  parts: readonly PartRead[],
+  { parts, suspectNews }: News,
   others: readonly RoutingMessage[] = [],
 ): RoutingMessage {
-  const instances = new Set([ctx.state.self.id]);
   const confirmation = composeConfirmation(ctx);
   return composeMessage(ctx, {
     summary: localSummary(ctx),
     parts,
-    instances,
+    suspectNews,
     others,
     confirmation,
   });
@@ -235,7 +242,7 @@
 function composeDomainMessage(
   ctx: RoutingContext,
   peersInDomain: readonly PeerInstance[],
-  ownParts: readonly PartRead[],
+  { parts: ownParts, suspectNews }: News,
 ): RoutingMessage {
   const { self, exchange } = ctx.state;
   const known = peersInDomain.flatMap(({ summary }) => (summary === undefined ? [] : [summary]));
@@ -244,7 +251,7 @@
   return composeMessage(ctx, {
     summary: mergeSummaries([localSummary(ctx), ...known]),
     parts,
-    instances: new Set([self.id, ...peersInDomain.map(({ id }) => id)]),
+    suspectNews,
     domain: self.domain,
   });
 }
--- a/src/routing/exchange/routingMessage.ts
+++ b/src/routing/exchange/routingMessage.ts
@@ -3,7 +3,6 @@
 import type { RoutingContext } from '../context.js';
 import type { PartRead } from '../placement/prefixCacheTable.js';
 import { localRates } from '../shares/tokenShares.js';
-import { crashCountsOf } from '../suspects/suspects.js';
 import type { OpenWork } from '../upstreams/upstreamsState.js';
 import { NO_CONFIRMATION, type ConfirmationFields } from './confirmations.js';
 import type { RoutingMessage, LoadSummary } from './exchangeState.js';
@@ -22,8 +21,8 @@
   readonly summary: LoadSummary;
   /** Prompt parts that were sent to upstreams. */
   readonly parts: readonly PartRead[];
-  /** Instances whose crash counts are included. */
-  readonly instances: ReadonlySet<string>;
+  /** What is known of crashes of upstreams. */
+  readonly suspectNews: RoutingMessage['suspectNews'];
   /** Failure domain that the summary covers; unset for a single instance. */
   readonly domain?: string;
   /** Summaries of other domains to forward. */
@@ -36,7 +35,6 @@
   const { exchange, phase } = ctx.state;
   const work = [...summary.work.values()];
   const rates = [...summary.rates.values()];
-  const crashes = crashCountsOf(ctx, options.instances);
   return {
     sequence: exchange.sequence,
     isLeaving: phase === 'stopping' || phase === 'stopped',
@@ -47,8 +45,7 @@
     customers: [...summary.rates.keys()],
     asked: rates.map(({ asked }) => Math.round(asked)),
     admitted: rates.map(({ admitted }) => Math.round(admitted)),
-    suspects: crashes.map(({ fingerprint }) => fingerprint),
-    crashes: crashes.map((entry) => entry.crashes),
+    suspectNews: options.suspectNews,
     readParts: parts.map(({ part }) => part),
     readAt: parts.map(({ upstream }) => upstream),
     instances: summary.instances,
--- a/src/routing/suspects/suspects.ts
+++ b/src/routing/suspects/suspects.ts
@@ -1,93 +1,189 @@
 /**
- * Detects requests that crash upstreams. Each instance counts the crashes it observed per request
- * fingerprint and sends the counts to the others; the sum over all instances decides. Once the sum
- * reaches the limit, the request is refused on all instances until no further crash has been
- * counted for `EXPIRE_AFTER_MS`.
+ * Finds out which requests, or which parts of prompts, crash upstreams, and has them refused on all
+ * instances.
  *
- * A connection reset alone is not a crash: an upstream counts as crashed only if it is then found
- * to be unreachable (`upstreams/crashes.ts`).
+ * Load pattern: requests that share one part crash every upstream that begins to answer them. They come
+ * in at any instance, no two alike, and share their other parts with sound requests. An upstream that
+ * crashes holds many sound requests, whose parts are suspected with the deadly one. Three things tell
+ * them apart: a cause that is answered anywhere is cleared at once; only crashes that followed one
+ * another count (`crash.ts`); and a request that had been answered for a while when its upstream crashed
+ * is not suspected at all. A cause with `maxCrashes` of them is refused until a trial (`trials.ts`)
+ * succeeds.
+ *
+ * Each instance tells the others what it observed (`suspectNews.ts`); all of them add it up alike.
  */
 import type { Millis } from '../../core/clock.js';
-import { logWarning, type RoutingContext } from '../context.js';
-import type { InstanceId } from '../types.js';
+import { emit, logInfo, logWarning, type RoutingContext } from '../context.js';
+import type { RequestFacts } from '../types.js';
+import { causesOf, namedCausesOf, type CauseHash, type NamedCause } from './causes.js';
+import { queueChange } from './changeQueue.js';
+import { addCrash, countSuccessiveCrashes, type Crash } from './crash.js';
+
+import { isTrialDue, trialDueAt } from './trials.js';
+
+/** Time after the last crash after which a cause that is not refused is no longer suspected. */
+const FORGET_SUSPECT_MS: Millis = 120_000;
+/** Time after the last crash after which a cause that nobody has asked for is no longer refused. */
+const FORGET_BLOCKED_MS: Millis = 60 * 60_000;
+/** Maximum number of suspected causes that are not refused; the oldest are evicted. */
+const MAX_SUSPECTS = 8_000;
+/** Maximum number of refused causes; beyond it no further ones are refused. */
+const MAX_BLOCKED = 500;
+const MAX_ANSWERED = 8_000;
+/** Minimum retry delay of callers of a refused cause. */
+const MIN_RETRY_AFTER_MS: Millis = 1_000;
 
-/** Time without a new crash after which the counts of a request are removed. */
-const EXPIRE_AFTER_MS: Millis = 120_000;
-/** Maximum number of fingerprints; the oldest are evicted first. */
-const MAX_FINGERPRINTS = 2_000;
+/** Why a request must not be sent. */
+export interface BlockedCause extends NamedCause {
+  readonly crashes: number;
+  /** Time until a request with the cause may be sent again. */
+  readonly retryAfterMs: Millis;
+}
+
+/** Records that an upstream crashed while it held a request. */
+export function recordCrash(ctx: RoutingContext, facts: RequestFacts, crash: Crash): void {
+  causesOf(facts).forEach((cause) => {
+    if (mergeCrash(ctx, cause, crash, true)) queueChange(ctx, { kind: 'crash', cause, crash });
+  });
+}
 
-/** Counts a crash of an upstream that was running a request of this instance. */
-export function recordCrash(ctx: RoutingContext, fingerprint: number, upstream: string): void {
-  const own = crashRecordOf(ctx, fingerprint, ctx.state.self.id);
-  own.crashes += 1;
-  own.at = ctx.now;
-  const total = totalCrashes(ctx, fingerprint);
-  logWarning(ctx, 'requestSuspected', { fingerprint, upstream, crashes: total });
+/**
+ * Records that a request was answered, or that its answer has run for a while: none of its causes
+ * crashes upstreams.
+ */
+export function recordAnswered(ctx: RoutingContext, facts: RequestFacts): void {
+  const at = ctx.now;
+  causesOf(facts).forEach((cause) => {
+    noteAnswered(ctx, cause, at);
+    if (mergeAnswered(ctx, cause, at)) queueChange(ctx, { kind: 'answered', cause, at });
+  });
 }
 
-/** Merges the count reported by another instance, or by the relay of another failure domain. */
-export function recordReportedCrashes(
+/**
+ * Adds a crash of a cause that this instance observed, or that another one reported. Returns whether
+ * it was unknown.
+ */
+export function mergeCrash(
   ctx: RoutingContext,
-  from: InstanceId,
-  fingerprint: number,
-  crashes: number,
-): void {
-  const seen = crashRecordOf(ctx, fingerprint, from);
-  if (crashes > seen.crashes) {
-    logWarning(ctx, 'requestSuspected', { fingerprint, from, crashes });
-    seen.at = ctx.now;
+  cause: CauseHash,
+  crash: Crash,
+  isObserved: boolean,
+): boolean {
+  const { suspects, answeredAt } = ctx.state.suspects;
+  const at = answeredAt.get(cause);
+  if (at !== undefined && at > crash.crashedAt) {
+    // Those who reported the crash may not know that the cause has been answered since.
+    if (!isObserved) queueChange(ctx, { kind: 'answered', cause, at });
+    return false;
   }
-  seen.crashes = Math.max(seen.crashes, crashes);
+  const known = suspects.get(cause);
+  const crashes = addCrash(known?.crashes ?? [], crash, isObserved);
+  if (crashes === known?.crashes) return false;
+  const count = countSuccessiveCrashes(crashes);
+  suspects.delete(cause);
+  suspects.set(cause, { crashes, count, lastTrialAt: known?.lastTrialAt });
+  evictSuspects(ctx);
+  updateBlocked(ctx, cause, count);
+  return true;
 }
 
-/** Returns whether a request must not be sent to upstreams any more. */
-export function isBlocked(ctx: RoutingContext, fingerprint: number): boolean {
-  return totalCrashes(ctx, fingerprint) >= ctx.state.settings.maxCrashes;
+/** Merges that a request with a cause was answered. Returns whether the cause was suspected until then. */
+export function mergeAnswered(ctx: RoutingContext, cause: CauseHash, at: Millis): boolean {
+  const { suspects, blocked } = ctx.state.suspects;
+  const suspect = suspects.get(cause);
+  if (suspect === undefined) return false;
+  const crashes = suspect.crashes.filter(({ crashedAt }) => crashedAt >= at);
+  if (crashes.length === suspect.crashes.length) return false;
+  suspect.crashes = crashes;
+  suspect.count = countSuccessiveCrashes(crashes);
+  if (suspect.count < ctx.state.settings.maxCrashes && blocked.delete(cause)) {
+    emit(ctx, { kind: 'count', decision: 'causeFreed' });
+    logInfo(ctx, 'causeFreed', { cause, crashes: suspect.count });
+  }
+  if (crashes.length === 0) suspects.delete(cause);
+  return true;
+}
+
+/** Notes that a cause was answered, for crashes before it that are reported later. */
+export function noteAnswered(ctx: RoutingContext, cause: CauseHash, at: Millis): void {
+  const { answeredAt } = ctx.state.suspects;
+  const known = answeredAt.get(cause) ?? -Infinity;
+  answeredAt.delete(cause);
+  answeredAt.set(cause, Math.max(known, at));
+  if (answeredAt.size > MAX_ANSWERED) deleteOldest(answeredAt);
 }
 
-/** Sums the crashes that the given instances observed, by fingerprint. */
-export function crashCountsOf(
+/** Returns the cause for which a request must not be sent to any upstream, if there is one. */
+export function findBlockedCause(
   ctx: RoutingContext,
-  instances: ReadonlySet<InstanceId>,
-): readonly { readonly fingerprint: number; readonly crashes: number }[] {
-  const found: { fingerprint: number; crashes: number }[] = [];
-  ctx.state.suspects.byFingerprint.forEach((seen, fingerprint) => {
-    let total = 0;
-    seen.forEach(({ crashes }, instance) => {
-      if (instances.has(instance)) total += crashes;
-    });
-    if (total > 0) found.push({ fingerprint, crashes: total });
-  });
-  return found;
+  facts: RequestFacts,
+): BlockedCause | undefined {
+  const { suspects, blocked } = ctx.state.suspects;
+  if (blocked.size === 0) return undefined;
+  const named = namedCausesOf(facts);
+  const found = named.find(({ hash }) => blocked.has(hash));
+  const suspect = found && suspects.get(found.hash);
+  if (found === undefined || suspect === undefined) return undefined;
+  const dueAt = trialDueAt(ctx, found.hash, suspect, new Set(named.map(({ hash }) => hash)));
+  const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, dueAt - ctx.now);
+  return { ...found, crashes: suspect.count, retryAfterMs };
 }
 
-/** Removes counts that have not increased for `EXPIRE_AFTER_MS`. */
-export function expireCrashes(ctx: RoutingContext): void {
-  const { byFingerprint } = ctx.state.suspects;
-  byFingerprint.forEach((seen, fingerprint) => {
-    const latest = Math.max(...[...seen.values()].map(({ at }) => at));
-    if (ctx.now - latest > EXPIRE_AFTER_MS) byFingerprint.delete(fingerprint);
+/** Returns whether a request may be sent as a trial of each of its refused causes, and notes it. */
+export function tryTrial(ctx: RoutingContext, facts: RequestFacts): boolean {
+  const { suspects, blocked } = ctx.state.suspects;
+  const all = new Set(causesOf(facts));
+  const refused = [...all].filter((cause) => blocked.has(cause));
+  if (!refused.every((cause) => isTrialDue(ctx, cause, all))) return false;
+  refused.forEach((cause) => {
+    const suspect = suspects.get(cause);
+    if (suspect !== undefined) suspect.lastTrialAt = ctx.now;
   });
+  return true;
 }
 
-function totalCrashes(ctx: RoutingContext, fingerprint: number): number {
-  let total = 0;
-  ctx.state.suspects.byFingerprint.get(fingerprint)?.forEach(({ crashes }) => {
-    total += crashes;
+/** Removes causes that have not crashed an upstream for long. */
+export function expireSuspects(ctx: RoutingContext): void {
+  const { suspects, blocked } = ctx.state.suspects;
+  suspects.forEach(({ crashes }, cause) => {
+    const ageMs = ctx.now - (crashes.at(-1)?.crashedAt ?? -Infinity);
+    if (ageMs <= (blocked.has(cause) ? FORGET_BLOCKED_MS : FORGET_SUSPECT_MS)) return;
+    suspects.delete(cause);
+    if (blocked.delete(cause)) logInfo(ctx, 'causeFreed', { cause, ageMs: Math.round(ageMs) });
   });
-  return total;
 }
 
-function crashRecordOf(ctx: RoutingContext, fingerprint: number, instance: InstanceId) {
-  const { byFingerprint } = ctx.state.suspects;
-  const seen =
-    byFingerprint.get(fingerprint) ?? new Map<InstanceId, { crashes: number; at: Millis }>();
-  if (!byFingerprint.has(fingerprint) && byFingerprint.size >= MAX_FINGERPRINTS) {
-    const [oldest] = byFingerprint.keys();
-    if (oldest !== undefined) byFingerprint.delete(oldest);
+function updateBlocked(ctx: RoutingContext, cause: CauseHash, count: number): void {
+  const { suspects, blocked } = ctx.state.suspects;
+  if (count < ctx.state.settings.maxCrashes || blocked.has(cause)) return;
+  const crashes = suspects.get(cause)?.crashes ?? [];
+  const fields = { cause, crashes: count, sinceMs: sinceFirst(ctx, crashes) };
+  if (blocked.size >= MAX_BLOCKED) {
+    logWarning(ctx, 'causeNotBlocked', { ...fields, limit: MAX_BLOCKED });
+    return;
   }
-  byFingerprint.set(fingerprint, seen);
-  const crashes = seen.get(instance) ?? { crashes: 0, at: ctx.now };
-  seen.set(instance, crashes);
-  return crashes;
+  blocked.add(cause);
+  ctx.state.suspects.hasNewBlocked = true;
+  emit(ctx, { kind: 'count', decision: 'causeBlocked' });
+  logWarning(ctx, 'causeBlocked', fields);
+}
+
+function sinceFirst(ctx: RoutingContext, crashes: readonly Crash[]): Millis {
+  return Math.round(ctx.now - (crashes[0]?.crashedAt ?? ctx.now));
+}
+
+/** Evicts the oldest causes that are not refused. */
+function evictSuspects(ctx: RoutingContext): void {
+  const { suspects, blocked } = ctx.state.suspects;
+  if (suspects.size - blocked.size <= MAX_SUSPECTS) return;
+  for (const [cause] of suspects) {
+    if (blocked.has(cause)) continue;
+    suspects.delete(cause);
+    return;
+  }
+}
+
+function deleteOldest<K>(map: Map<K, unknown>): void {
+  const [oldest] = map.keys();
+  if (oldest !== undefined) map.delete(oldest);
 }
--- a/src/routing/suspects/suspectsState.ts
+++ b/src/routing/suspects/suspectsState.ts
@@ -1,19 +1,47 @@
-/** Fingerprints of requests that were running at upstreams when these crashed. */
+/** Possible causes of upstreams' crashes, and what is known in their favour. */
 import type { Millis } from '../../core/clock.js';
-import type { InstanceId } from '../types.js';
+import type { CauseHash } from './causes.js';
+import type { Crash } from './crash.js';
 
-/** Crashes of one request that one instance observed. */
-export interface CrashRecord {
-  crashes: number;
-  /** Time of the last crash, or of the last report that raised the count. */
-  at: Millis;
+export interface Suspect {
+  /** Crashes since a request with the cause was last answered, in order of time. */
+  crashes: readonly Crash[];
+  /** Number of crashes that followed one another. */
+  count: number;
+  /** Time at which this instance last sent a request with the cause although it is refused. */
+  lastTrialAt: Millis | undefined;
+}
+
+/** A change that the other instances have to learn. */
+export type SuspectChange =
+  | { readonly kind: 'crash'; readonly cause: CauseHash; readonly crash: Crash }
+  | { readonly kind: 'answered'; readonly cause: CauseHash; readonly at: Millis };
+
+export interface QueuedChange {
+  readonly change: SuspectChange;
+  /** Number of messages that are still to contain it. */
+  readonly sendsLeft: number;
 }
 
 export interface SuspectsState {
-  /** Keyed by fingerprint, then by the instance that observed the crashes. */
-  readonly byFingerprint: Map<number, Map<InstanceId, CrashRecord>>;
+  /** Least recently changed first. */
+  readonly suspects: Map<CauseHash, Suspect>;
+  /** Causes that are refused; all of them are in `suspects`. */
+  readonly blocked: Set<CauseHash>;
+  /** Whether a cause was refused since the open requests were last searched for it. */
+  hasNewBlocked: boolean;
+  /** Time at which a request with the cause was last answered; least recent first. */
+  readonly answeredAt: Map<CauseHash, Millis>;
+  /** Changes for the next messages, by cause, kind and upstream. */
+  readonly queue: Map<string, QueuedChange>;
 }
 
 export function createSuspectsState(): SuspectsState {
-  return { byFingerprint: new Map() };
+  return {
+    suspects: new Map(),
+    blocked: new Set(),
+    hasNewBlocked: false,
+    answeredAt: new Map(),
+    queue: new Map(),
+  };
 }
--- a/src/routing/upstreams/crashes.ts
+++ b/src/routing/upstreams/crashes.ts
@@ -1,12 +1,12 @@
 /**
  * Distinguishes crashes of upstreams from single broken connections. A broken connection triggers a
- * probe; if the upstream does not answer, all requests interrupted at about that time are suspected
- * of having crashed it.
+ * probe; if the upstream does not answer, or has started again, all requests interrupted at about that
+ * time are suspected of having crashed it. An upstream that is draining was stopped by its operator.
  */
 import type { Millis } from '../../core/clock.js';
 import { emit, logWarning, type RoutingContext } from '../context.js';
 import { recordCrash } from '../suspects/suspects.js';
-import type { Upstream } from './upstreamsState.js';
+import type { InterruptedRequest, Upstream } from './upstreamsState.js';
 
 /**
  * Maximum time between an interrupted request and the loss of its upstream for the two to be
@@ -20,13 +20,14 @@
 export function recordInterruptedRequest(
   ctx: RoutingContext,
   upstream: Upstream,
-  fingerprint: number,
+  interrupted: InterruptedRequest,
 ): void {
+  if (upstream.listed.phase === 'draining') return;
   upstream.interruptedRequests = upstream.interruptedRequests.filter(
     ({ at }) => ctx.now - at < CRASH_WINDOW_MS,
   );
   const previous = upstream.interruptedRequests.at(-1);
-  upstream.interruptedRequests.push({ fingerprint, at: ctx.now });
+  upstream.interruptedRequests.push(interrupted);
   if (upstream.reachability.kind === 'lost') {
     confirmCrash(ctx, upstream);
     return;
@@ -43,13 +44,16 @@
   const recent = interruptedRequests.filter(({ at }) => ctx.now - at < CRASH_WINDOW_MS);
   const [first] = recent;
   if (first === undefined) return;
-  const { id, pool, phase } = upstream.listed;
+  const suspected = recent.filter(({ wasAnswering }) => !wasAnswering);
+  const { id, pool } = upstream.listed;
   logWarning(ctx, 'upstreamCrashed', {
     upstream: id,
     pool,
-    phase,
     interrupted: recent.length,
+    suspected: suspected.length,
     afterMs: Math.round(ctx.now - first.at),
   });
-  recent.forEach(({ fingerprint }) => recordCrash(ctx, fingerprint, id));
+  suspected.forEach(({ facts, at, sentAt }) =>
+    recordCrash(ctx, facts, { upstream: upstream.hash, crashedAt: at, runMs: at - sentAt }),
+  );
 }
--- a/src/routing/upstreams/list.ts
+++ b/src/routing/upstreams/list.ts
@@ -21,6 +21,7 @@
 import { beginRead, confirmRead, isConfirmedByReader } from '../freshness/sharedRead.js';
 import { handlePollOutcome, type Poll } from '../polls.js';
 import type { Cursor, ListedUpstream, RoutingEvent, UpstreamChange, UpstreamId } from '../types.js';
+import { confirmCrash } from './crashes.js';
 import type { PositionedChange } from './listHistory.js';
 import { createUpstream, hashUpstream, type Upstream } from './upstreamsState.js';
 
@@ -188,7 +189,7 @@
     listed.startedAt > known.listed.startedAt ||
     hasDifferentTarget(known, listed)
   ) {
-    if (known !== undefined) removeUpstream(ctx, listed.id, 'restarted or moved');
+    if (known !== undefined) replaceUpstream(ctx, known);
     byId.set(listed.id, createUpstream(listed, ctx.now));
     const { id, pool, address, domain, phase } = listed;
     logInfo(ctx, 'upstreamListed', { upstream: id, pool, address, domain, phase });
@@ -202,6 +203,12 @@
   known.missingSince = undefined;
 }
 
+/** Removes an upstream that has started again or moved. Requests that it broke off may be the reason. */
+function replaceUpstream(ctx: RoutingContext, known: Upstream): void {
+  confirmCrash(ctx, known);
+  removeUpstream(ctx, known.listed.id, 'restarted or moved');
+}
+
 /**
  * Returns whether an entry is of a previous start, or a previous entry of the same start. Reads may
  * deliver such an entry late.
--- a/src/routing/upstreams/upstreamsState.ts
+++ b/src/routing/upstreams/upstreamsState.ts
@@ -1,7 +1,7 @@
 /** What this instance knows of the upstreams: list entries, open work, speed and health. */
 import type { Millis } from '../../core/clock.js';
 import { hash32 } from '../../core/hash.js';
-import type { ListedUpstream, PoolId, UpstreamId } from '../types.js';
+import type { ListedUpstream, PoolId, RequestFacts, UpstreamId } from '../types.js';
 import { createSharedReadState, type SharedReadState } from '../freshness/sharedRead.js';
 import type { PoolWait } from '../placement/poolWait.js';
 import { createListHistory, type ListHistory } from './listHistory.js';
@@ -43,8 +43,11 @@
 }
 
 export interface InterruptedRequest {
-  readonly fingerprint: number;
+  readonly facts: RequestFacts;
+  readonly sentAt: Millis;
   readonly at: Millis;
+  /** Whether its answer had been running for a while. */
+  readonly wasAnswering: boolean;
 }
 
 export interface UpstreamsState extends SharedReadState {
--- a/test/routing/attempts.test.ts
+++ b/test/routing/attempts.test.ts
@@ -1,7 +1,15 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import type { AttemptOutcome, RoutingEffect } from '../../src/routing/types.js';
-import { answerOf, createTestCore, effectsOf, planOf, type TestCore } from './support/core.js';
+import { causesOf } from '../../src/routing/suspects/causes.js';
+import {
+  answerOf,
+  createFacts,
+  createTestCore,
+  effectsOf,
+  planOf,
+  type TestCore,
+} from './support/core.js';
 import { NO_CONFIRMATION } from '../../src/routing/exchange/confirmations.js';
 
 const PATH_BY_MODE = {
@@ -228,7 +236,10 @@
     const announced = { incarnation: 1, domain: 'domain-a', region: 'region-a' };
     const changes = ['a', 'b', 'c'].map((id) => ({ ...announced, id, address: '10.0.0.8:1' }));
     core.dispatch({ kind: 'instancesPolled', outcome: { kind: 'answered', cursor: 1, changes } });
-    changes.forEach(({ id }) => {
+    const [cause = 0] = causesOf(createFacts(1, { fingerprint: 77 }));
+    changes.forEach(({ id }, i) => {
+      core.advance(1_000);
+      core.configure();
       core.dispatch({
         kind: 'peerMessage',
         from: id,
@@ -243,8 +254,10 @@
           customers: [],
           asked: [],
           admitted: [],
-          suspects: [77],
-          crashes: [1],
+          suspectNews: {
+            crashes: [{ cause, upstream: i, ageMs: 100, runMs: 300 }],
+            answers: [],
+          },
           readParts: [],
           readAt: [],
           instances: 1,
--- a/test/routing/domains.test.ts
+++ b/test/routing/domains.test.ts
@@ -3,7 +3,8 @@
 import { hash32 } from '../../src/core/hash.js';
 import { countInstances } from '../../src/routing/exchange/exchange.js';
 import { remoteWork } from '../../src/routing/exchange/fleetSums.js';
-import { isBlocked, recordCrash } from '../../src/routing/suspects/suspects.js';
+import { findBlockedCause, recordCrash } from '../../src/routing/suspects/suspects.js';
+import { createFacts } from './support/core.js';
 import {
   createCoreFleet,
   SHARED_PART,
@@ -124,19 +125,22 @@
 
   it('blocks a request on all instances once its crashes in all domains reach the limit, not before', () => {
     const fleet = createFleet();
-    const crash = (id: string) => recordCrash(fleet.context(coreAt(fleet, id)), 77, 'i-1');
+    const facts = createFacts(77);
+    const crash = (id: string) => {
+      const ctx = fleet.context(coreAt(fleet, id));
+      recordCrash(ctx, facts, { upstream: hash32(id), crashedAt: ctx.now, runMs: 50 });
+    };
+    const isBlocked = (core: FleetCore) =>
+      findBlockedCause(fleet.context(core), facts) !== undefined;
     fleet.rounds(PROPAGATION_ROUNDS);
     crash('d0-3');
+    fleet.rounds(TAKEOVER_ROUNDS);
     crash('d1-0');
     fleet.rounds(TAKEOVER_ROUNDS);
-    fleet.cores.forEach((core) =>
-      expect(isBlocked(fleet.context(core), 77), core.self.id).to.equal(false),
-    );
+    fleet.cores.forEach((core) => expect(isBlocked(core), core.self.id).to.equal(false));
     crash('d2-4');
     fleet.rounds(PROPAGATION_ROUNDS);
-    fleet.cores.forEach((core) =>
-      expect(isBlocked(fleet.context(core), 77), core.self.id).to.equal(true),
-    );
+    fleet.cores.forEach((core) => expect(isBlocked(core), core.self.id).to.equal(true));
   });
 
   it('reports all open work again after any instances have crashed and any domain was isolated', () => {
--- a/test/routing/support/core.ts
+++ b/test/routing/support/core.ts
@@ -126,6 +126,23 @@
   readonly nextRequest: () => number;
 }
 
+/** Facts of a request with the given properties. */
+export function createFacts(request: number, facts: Partial<RequestFacts> = {}): RequestFacts {
+  return {
+    request,
+    requestId: `r${request}`,
+    host: HOST,
+    path: '/draft/1',
+    key: KEY,
+    promptTokens: 1_000,
+    outputTokens: 50,
+    prefix: [],
+    model: 'm',
+    fingerprint: request,
+    ...facts,
+  };
+}
+
 /** Creates a core with a configuration and two upstreams in each pool. */
 export function createTestCore(settings: Partial<RoutingSettings> = {}): TestCore {
   let now = 1_000_000;
@@ -171,22 +188,7 @@
     },
     arrive: (facts = {}) => {
       request += 1;
-      return dispatch({
-        kind: 'requestArrived',
-        facts: {
-          request,
-          requestId: `r${request}`,
-          host: HOST,
-          path: '/draft/1',
-          key: KEY,
-          promptTokens: 1_000,
-          outputTokens: 50,
-          prefix: [],
-          model: 'm',
-          fingerprint: request,
-          ...facts,
-        },
-      });
+      return dispatch({ kind: 'requestArrived', facts: createFacts(request, facts) });
     },
     nextRequest: () => request,
   };
