Close the connection of a refusal that does not name its request

What callers saw elsewhere (an operators' report): an engine wrote an earlier refusal once more on a kept connection; the next request there was answered 'not run, try again' although the engine ran it, or was sent to a second engine.

Cause: refusals need not carry the id of their request, so that a copy of one could be taken for the answer to the next request on its connection.

Change: an answer that says the request has not run, by its status or its mark, and does not name the request, ends its connection. One that names another request was dropped already.

Evidence: the stand-in repeats a refusal before the next answer; path.test.ts, 'does not take a refusal that an engine repeats ...', failed before (a request that had run was answered 503) and passes now.

--- a/src/hosts/routing/attempt.ts
+++ b/src/hosts/routing/attempt.ts
@@ -125,8 +125,12 @@
         abortWith({ kind: 'foreign' });
         return;
       }
-      head = { status, statusMessage: statusMessage ?? '', rawHeaders };
       listener.onResponseHead(status);
+      if (isUnnamedRefusal(status, responseFacts)) {
+        abortWith(toErrorOutcome(status, responseFacts));
+        return;
+      }
+      head = { status, statusMessage: statusMessage ?? '', rawHeaders };
       if (status < FIRST_ERROR_STATUS) callerResponse.forwardHead(head);
     },
     onResponseData: (_controller, chunk) => {
@@ -215,6 +219,14 @@
   return facts.requestId === requestId && facts.isGenuine;
 }
 
+/**
+ * Whether a response is a refusal that does not name its request. Its connection is not used again: if
+ * the upstream sent the refusal once more, it would be taken for the answer to the next request.
+ */
+function isUnnamedRefusal(status: number, { requestId, isNotExecuted }: ResponseFacts): boolean {
+  return requestId === undefined && (isNotExecuted || NOT_RUN_STATUSES.has(status));
+}
+
 /**
  * Whether a response that has ended is complete. If its connection ends at the same time, only a
  * response without framing is complete, and only if the connection was closed gracefully.
--- a/test/platform/path.test.ts
+++ b/test/platform/path.test.ts
@@ -324,6 +324,18 @@
     expect(engine.runs.length + other.runs.length).to.equal(3);
   });
 
+  it('does not take a refusal that an engine repeats on a kept connection for the next answer', async () => {
+    const engine = await fleet.addEngine('desk');
+    engine.setFault({ kind: 'repeatedRefusal' });
+    const started = await readyInstance();
+    for (let i = 0; i < 4; i += 1) {
+      const ranBefore = engine.runs.length;
+      // eslint-disable-next-line no-await-in-loop -- sequential requests on one connection
+      const { status } = await call(started, `/book/${i}`);
+      if (status === 503) expect(engine.runs, `request ${i} ran`).to.have.lengthOf(ranBefore);
+    }
+  });
+
   /** Reads an answer as far as it comes, and tells whether it seemed whole. */
   async function readAnswer(started: StartedInstance, path: string) {
     let text = '';
