--- a/src/bench/routing/emulatedFleet.ts
+++ b/src/bench/routing/emulatedFleet.ts
@@ -8,11 +8,13 @@
 import type { Millis } from '../../core/clock.js';
 import type { FailureDomainId, PeerMessage, RegionId } from '../../core/types.js';
 import { createRouting } from '../../routing/routing.js';
+import type { RoutingEventCode } from '../../routing/eventTable.js';
 import type { RoutingSettings } from '../../routing/settings.js';
 import type {
   AttemptNumber,
   AttemptOutcome,
   ListedUpstream,
+  LocalAnswer,
   PrefixPart,
   RequestFacts,
   Route,
@@ -69,7 +71,12 @@
   | { readonly kind: 'engineCrashed'; readonly at: Millis; readonly engine: string }
   /** The first token of the answer to the caller's first or repeated call. */
   | { readonly kind: 'begun'; readonly at: Millis; readonly offered: OfferedRequest }
-  | { readonly kind: 'refused'; readonly at: Millis; readonly offered: OfferedRequest };
+  | {
+      readonly kind: 'refused';
+      readonly at: Millis;
+      readonly offered: OfferedRequest;
+      readonly reason: RoutingEventCode;
+    };
 
 export interface EmulatedFleet {
   readonly offer: (request: OfferedRequest) => void;
@@ -208,7 +215,7 @@
         cancelAttempt(instance, effect.attempt);
         return;
       case 'answer':
-        endCall(instance, effect.answer.request, 'refused', effect.answer.retryAfterMs);
+        refuseCall(instance, effect.answer);
         return;
       case 'passError':
       case 'cutAnswer':
@@ -418,6 +425,13 @@
     endAttempt(instance, attempt, { kind: 'cancelled' });
   }
 
+  function refuseCall(instance: Instance, { request, reason, retryAfterMs }: LocalAnswer): void {
+    const call = instance.openCalls.get(request);
+    if (call === undefined) return;
+    observe({ kind: 'refused', at: simulation.now(), offered: call.offered, reason });
+    endCall(instance, request, 'refused', retryAfterMs);
+  }
+
   function endCall(
     instance: Instance,
     request: number,
@@ -427,8 +441,6 @@
     const call = instance.openCalls.get(request);
     if (call === undefined) return;
     instance.openCalls.delete(request);
-    if (outcome === 'refused')
-      observe({ kind: 'refused', at: simulation.now(), offered: call.offered });
     const leftMs = call.firstSentAt + call.offered.deadlineMs - simulation.now();
     if (outcome === 'refused' && call.retriesLeft > 0 && leftMs > 0) {
       const waitMs = Math.min(retryAfterMs, leftMs / 3) + 2 * shape.callerMs;
--- a/test/routing/attempts.test.ts
+++ b/test/routing/attempts.test.ts
@@ -1,15 +1,17 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import type { AttemptOutcome, RoutingEffect } from '../../src/routing/types.js';
-import { causesOf } from '../../src/routing/suspects/causes.js';
 import {
   answerOf,
   createFacts,
+  createManyUpstreams,
   createTestCore,
+  createUpstreamEntry,
   effectsOf,
   planOf,
   type TestCore,
 } from './support/core.js';
+import { causesOf } from '../../src/routing/suspects/causes.js';
 import { NO_CONFIRMATION } from '../../src/routing/exchange/confirmations.js';
 
 const PATH_BY_MODE = {
@@ -269,4 +271,170 @@
     });
     expect(answerOf(core.arrive({ fingerprint: 77 }))?.reason).to.equal('crashesUpstreams');
   });
+
+  describe('by a part of their prompts', () => {
+    let sent = 0;
+    const withPart = (part: string) => {
+      sent += 1;
+      return {
+        path: '/chat/1',
+        prefix: ['shared', part, `own-${sent}`].map((id) => ({ id, tokens: 300 })),
+      };
+    };
+
+    /** Cuts a request off at an upstream; what happens to the upstream is up to the caller. */
+    function cut(core: TestCore, part: string) {
+      const plan = planOf(core.arrive(withPart(part)));
+      const effects = endAttempt(core, plan.attempt, { kind: 'cut', reason: 'reset' });
+      return { plan, effects };
+    }
+
+    /** Has three upstreams crash on a part, or only seem to. */
+    function thrice(core: TestCore, happen: (core: TestCore, i: number) => void): void {
+      for (let i = 0; i < 3; i += 1) {
+        happen(core, i);
+        core.advance(1_000);
+        core.configure();
+        const all = [createUpstreamEntry('i-1'), createUpstreamEntry('i-2')];
+        core.list(...all.map((entry) => ({ ...entry, startedAt: 10 + i })));
+      }
+    }
+
+    function lose(core: TestCore, part: string): void {
+      const { plan } = cut(core, part);
+      const { upstream, upstreamStartedAt } = plan;
+      core.dispatch({ kind: 'probed', upstream, upstreamStartedAt, isAlive: false });
+    }
+
+    const reasonFor = (core: TestCore, part: string) =>
+      answerOf(core.arrive(withPart(part)))?.reason;
+
+    it('are refused as not run, with the time to come back, while those with its neighbours are sent', () => {
+      const core = createTestCore();
+      thrice(core, () => {
+        lose(core, 'deadly');
+        // The shared part is answered again at another upstream.
+        const { attempt } = planOf(core.arrive(withPart('other')));
+        endAttempt(core, attempt, { kind: 'complete', status: 200 });
+      });
+      const answer = answerOf(core.arrive(withPart('deadly')));
+      expect(answer).to.include({ status: 503, reason: 'crashesUpstreams' });
+      expect(answer?.retryAfterMs).to.be.at.least(1_000);
+      expect(reasonFor(core, 'sound')).to.equal(undefined);
+    });
+
+    it('are suspected if the upstream has started again before it was probed', () => {
+      const core = createTestCore();
+      thrice(core, () => cut(core, 'deadly'));
+      expect(reasonFor(core, 'deadly')).to.equal('crashesUpstreams');
+    });
+
+    it('are not suspected if connections were reset and the upstreams are alive', () => {
+      const core = createTestCore();
+      for (let i = 0; i < 5; i += 1) {
+        const { upstream, upstreamStartedAt } = cut(core, 'sound').plan;
+        core.dispatch({ kind: 'probed', upstream, upstreamStartedAt, isAlive: true });
+        core.advance(700);
+        core.configure();
+      }
+      expect(reasonFor(core, 'sound')).to.equal(undefined);
+    });
+
+    it('are not suspected if connections were refused', () => {
+      const core = createTestCore();
+      thrice(core, () => {
+        const { attempt } = planOf(core.arrive(withPart('sound')));
+        endAttempt(core, attempt, { kind: 'notSent', reason: 'ECONNREFUSED' });
+      });
+      expect(reasonFor(core, 'sound')).to.equal(undefined);
+    });
+
+    it('are not suspected if the upstream was frozen', () => {
+      const core = createTestCore();
+      core.list(...createManyUpstreams());
+      thrice(core, () => {
+        const { attempt } = planOf(core.arrive(withPart('sound')));
+        for (let i = 0; i < 30; i += 1) {
+          core.advance(100);
+          core.dispatch({ kind: 'timer', timer: 'health' });
+        }
+        endAttempt(core, attempt, { kind: 'cancelled' });
+        core.configure();
+      });
+      expect(reasonFor(core, 'sound')).to.equal(undefined);
+    });
+
+    it('are not suspected if the upstream was draining', () => {
+      const core = createTestCore();
+      thrice(core, (_, i) => {
+        const plan = planOf(core.arrive(withPart('sound')));
+        const { upstream, upstreamStartedAt } = plan;
+        core.list(
+          createUpstreamEntry(upstream, {
+            address: plan.address,
+            startedAt: upstreamStartedAt,
+            beat: 2 + i,
+            phase: 'draining',
+          }),
+        );
+        endAttempt(core, plan.attempt, { kind: 'cut', reason: 'reset' });
+        core.dispatch({ kind: 'probed', upstream, upstreamStartedAt, isAlive: false });
+      });
+      expect(reasonFor(core, 'sound')).to.equal(undefined);
+    });
+
+    it('are not suspected if their answers had been running', () => {
+      const core = createTestCore();
+      thrice(core, () => {
+        const { attempt, upstream, upstreamStartedAt } = planOf(core.arrive(withPart('sound')));
+        core.dispatch({ kind: 'attemptAnswered', attempt, status: 200 });
+        core.dispatch({ kind: 'attemptProgress', attempt });
+        core.advance(1_100);
+        core.dispatch({ kind: 'attemptProgress', attempt });
+        endAttempt(core, attempt, { kind: 'cut', reason: 'reset' });
+        core.dispatch({ kind: 'probed', upstream, upstreamStartedAt, isAlive: false });
+      });
+      expect(reasonFor(core, 'sound')).to.equal(undefined);
+    });
+
+    it('are called back from the upstreams at which they wait', () => {
+      const core = createTestCore();
+      core.list(...createManyUpstreams());
+      lose(core, 'deadly');
+      core.advance(1_000);
+      lose(core, 'deadly');
+      core.advance(1_000);
+      core.configure();
+      const waiting = planOf(core.arrive(withPart('deadly')));
+      const sound = planOf(core.arrive({ path: '/chat/1', prefix: [{ id: 'x', tokens: 9 }] }));
+      lose(core, 'deadly');
+      const effects = core.dispatch({ kind: 'timer', timer: 'health' });
+      const cancelled = effectsOf(effects, 'cancel').map(({ attempt }) => attempt);
+      expect(cancelled).to.include(waiting.attempt);
+      expect(cancelled).to.not.include(sound.attempt);
+      const answers = effectsOf(effects, 'answer').map(({ answer }) => answer);
+      expect(answers.find(({ request }) => request === waiting.request)).to.include({
+        status: 502,
+        reason: 'crashesUpstreams',
+      });
+    });
+
+    it('are not resumed at a further upstream', () => {
+      const core = createTestCore();
+      core.list(...createManyUpstreams());
+      lose(core, 'deadly');
+      core.advance(1_000);
+      core.configure();
+      lose(core, 'deadly');
+      core.advance(1_000);
+      core.configure();
+      const begun = planOf(core.arrive(withPart('deadly')));
+      core.dispatch({ kind: 'attemptAnswered', attempt: begun.attempt, status: 200 });
+      core.dispatch({ kind: 'attemptProgress', attempt: begun.attempt });
+      lose(core, 'deadly');
+      const effects = endAttempt(core, begun.attempt, { kind: 'cut', reason: 'reset' });
+      expect(effectsOf(effects, 'send')).to.have.lengthOf(0);
+      expect(effectsOf(effects, 'cutAnswer')).to.have.lengthOf(1);
+    });
+  });
 });
--- a/test/routing/support/deadlyPart.ts
+++ b/test/routing/support/deadlyPart.ts
@@ -75,6 +75,14 @@
   ).length;
 }
 
+/** Counts the sound requests that were refused as if they crashed engines. */
+export function countWronglyRefused({ observations, isDeadly }: DeadlyPartRun): number {
+  return observations.filter(
+    (seen) =>
+      seen.kind === 'refused' && seen.reason === 'crashesUpstreams' && !isDeadly(seen.offered),
+  ).length;
+}
+
 /** Fraction of the sound drafts that began rather than being refused, between two times. */
 export function soundDraftsBegun(
   { observations, isDeadly }: DeadlyPartRun,
