Answer 429 where a customer is beyond its share

What callers saw: a request that was refused since its customer asks for more than its share had the same status as one that no upstream could take, so that a caller could not tell its own excess from a failing service.

Change: overShare is answered with 429; overload and all other refusals keep 503. Both promise that the request has not run. Test: policy.test.ts, 'tell a customer beyond its share ...' (503 before).

--- a/src/routing/attempts/arrival.ts
+++ b/src/routing/attempts/arrival.ts
@@ -49,6 +49,9 @@
  */
 const BUSY_RETRY_AFTER_MS: Millis = 200;
 
+/** Tells a caller that its customer asks for too much, rather than that the service lacks capacity. */
+const OVER_SHARE_STATUS = 429;
+
 interface Refusal {
   readonly status: LocalStatus;
   readonly reason: RoutingEventCode;
@@ -246,7 +249,8 @@
     return;
   }
   const fields = describeRefusal(request, placement, share, decision);
-  refuse(ctx, facts, { status: 503, reason, retryAfterMs, fields });
+  const status = reason === 'overShare' ? OVER_SHARE_STATUS : 503;
+  refuse(ctx, facts, { status, reason, retryAfterMs, fields });
 }
 
 /** Adds a request to its customer's demand. Returns the customer's rates and its fair share. */
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -200,7 +200,7 @@
   | { readonly kind: 'cancelled' };
 
 /** Status of a response that this instance generates itself. */
-export type LocalStatus = 401 | 404 | 502 | 503 | 504;
+export type LocalStatus = 401 | 404 | 429 | 502 | 503 | 504;
 
 /** A response that this instance generates itself. */
 export interface LocalAnswer {
--- a/test/routing/policy.test.ts
+++ b/test/routing/policy.test.ts
@@ -6,11 +6,13 @@
 import type { RoutingEffect } from '../../src/routing/types.js';
 import { createSpeed } from '../../src/routing/upstreams/speed.js';
 import {
+  answerOf,
   createConfiguration,
   createManyUpstreams,
   createTestCore,
   createUpstreamEntry,
   effectsOf,
+  KEY,
   MODEL_ROUTE,
   planOf,
   sharedFacts,
@@ -300,3 +302,20 @@
     },
   };
 }
+
+describe('refusals under load', () => {
+  it('tell a customer beyond its share from a service without capacity by their status', () => {
+    const core = createTestCore();
+    const answers = Array.from({ length: 3_000 }, (_, i) => {
+      core.advance(2);
+      if (i % 100 === 0) core.configure();
+      const key = i % 10 === 0 ? 'key-of-b' : KEY;
+      return answerOf(core.arrive({ ...sharedFacts(`a${i % 7}`, `b${i}`), key }));
+    }).filter((answer) => answer !== undefined);
+    const statusesOf = (wanted: string) =>
+      new Set(answers.filter(({ reason }) => reason === wanted).map(({ status }) => status));
+    expect([...statusesOf('overShare')]).to.deep.equal([429]);
+    expect([...statusesOf('overload')]).to.deep.equal([503]);
+    answers.forEach(({ retryAfterMs }) => expect(retryAfterMs).to.be.at.least(1));
+  });
+});
