Suspect a request whose upstream had started again before its answer broke off

Cause: the outcome of an attempt at an upstream that was listed with a new start by then was dropped, so that a crash counted only where the connection ended before the list told of the new start. The instance that sent a deadly request may be the one that learns late.

Change: such an outcome counts as a crash at the earlier start, unless the answer had been running. Test: attempts.test.ts, 'are suspected if the upstream had started again before its answer broke off here', failed before.

--- a/src/routing/attempts/accounting.ts
+++ b/src/routing/attempts/accounting.ts
@@ -1,13 +1,18 @@
 /** Updates the open work, speed and failure statistics of upstreams from their attempts. */
 import type { Millis } from '../../core/clock.js';
 import { Debug } from '../../core/debug.js';
-import { emit, type RoutingContext } from '../context.js';
+import { emit, logWarning, type RoutingContext } from '../context.js';
 import { upstreamTime } from '../load/ownDelay.js';
 import { poolSpeed } from '../placement/placement.js';
 import type { AttemptOutcome } from '../types.js';
+import { recordCrash } from '../suspects/suspects.js';
 import { recordEndedConnection, recordInterruptedRequest } from '../upstreams/crashes.js';
 import { recordFailedConnect, markReachable, markLost, recordResult } from '../upstreams/health.js';
-import type { InterruptedRequest, Upstream } from '../upstreams/upstreamsState.js';
+import {
+  hashUpstreamStart,
+  type InterruptedRequest,
+  type Upstream,
+} from '../upstreams/upstreamsState.js';
 import type { Attempt, OpenRequest } from './attemptsState.js';
 import { MISDIRECTED_STATUS } from './statuses.js';
 
@@ -104,6 +109,28 @@
   }
 }
 
+/**
+ * Records the outcome of an attempt whose upstream is no longer listed as it was. If it has started again
+ * and broke off its answer, the request may have crashed it.
+ */
+export function recordLateOutcome(
+  ctx: RoutingContext,
+  attempt: Attempt,
+  outcome: AttemptOutcome,
+  { facts }: OpenRequest,
+): void {
+  const { upstream: id, upstreamStartedAt: startedAt } = attempt;
+  const successor = ctx.state.upstreams.byId.get(id);
+  const hasRestarted = successor !== undefined && successor.listed.startedAt > startedAt;
+  if (outcome.kind !== 'cut' || !hasRestarted || attempt.wasAnswering) return;
+  logWarning(ctx, 'upstreamCrashed', { upstream: id, interrupted: 1, suspected: 1 });
+  recordCrash(ctx, facts, {
+    upstream: hashUpstreamStart(id, startedAt),
+    crashedAt: ctx.now,
+    runMs: ctx.now - attempt.startedAt,
+  });
+}
+
 function describeInterruption(
   ctx: RoutingContext,
   { startedAt, wasAnswering }: Attempt,
--- a/src/routing/attempts/attempts.ts
+++ b/src/routing/attempts/attempts.ts
@@ -27,7 +27,13 @@
   RoutingEvent,
 } from '../types.js';
 import { markReachable } from '../upstreams/health.js';
-import { recordFirstPart, recordOutcome, releaseAttempt, findUpstream } from './accounting.js';
+import {
+  findUpstream,
+  recordFirstPart,
+  recordLateOutcome,
+  recordOutcome,
+  releaseAttempt,
+} from './accounting.js';
 import type { Attempt, OpenRequest } from './attemptsState.js';
 import { FIRST_ERROR_STATUS, NOT_RUN_STATUSES } from './statuses.js';
 
@@ -185,6 +191,7 @@
   const upstream = releaseAttempt(ctx, attempt);
   const request = ctx.state.requests.open.get(attempt.request);
   if (upstream !== undefined) recordOutcome(ctx, attempt, upstream, outcome, request);
+  else if (request !== undefined) recordLateOutcome(ctx, attempt, outcome, request);
   if (request?.attempt !== number) return;
   request.attempt = undefined;
   request.isWithdrawing = false;
--- a/src/routing/upstreams/upstreamsState.ts
+++ b/src/routing/upstreams/upstreamsState.ts
@@ -90,6 +90,11 @@
 }
 
 /** Returns the hash of an upstream's id and start time. */
-export function hashUpstream(listed: ListedUpstream): number {
-  return hash32(`${listed.id}@${listed.startedAt}`);
+export function hashUpstream({ id, startedAt }: ListedUpstream): number {
+  return hashUpstreamStart(id, startedAt);
+}
+
+/** Returns the hash of one start of an upstream. */
+export function hashUpstreamStart(id: UpstreamId, startedAt: Millis): number {
+  return hash32(`${id}@${startedAt}`);
 }
--- a/test/routing/attempts.test.ts
+++ b/test/routing/attempts.test.ts
@@ -329,6 +329,19 @@
       expect(reasonFor(core, 'deadly')).to.equal('crashesUpstreams');
     });
 
+    it('are suspected if the upstream had started again before its answer broke off here', () => {
+      const core = createTestCore();
+      for (let i = 0; i < 3; i += 1) {
+        const { attempt } = planOf(core.arrive(withPart('deadly')));
+        const all = [createUpstreamEntry('i-1'), createUpstreamEntry('i-2')];
+        core.list(...all.map((entry) => ({ ...entry, startedAt: 10 + i })));
+        endAttempt(core, attempt, { kind: 'cut', reason: 'reset' });
+        core.advance(1_000);
+        core.configure();
+      }
+      expect(reasonFor(core, 'deadly')).to.equal('crashesUpstreams');
+    });
+
     it('are not suspected if connections were reset and the upstreams are alive', () => {
       const core = createTestCore();
       for (let i = 0; i < 5; i += 1) {
