List what is refused as crashing upstreams, and trace a refusal to its crashes

An operator could not see which parts of prompts are refused, and explain showed what was believed in the five seconds before a refusal only, while a part may have been refused minutes earlier. GET /refused at the operators' address lists causes, the parts where known, crashes and the age of the last one; causeBlocked and causeFreed name the part; explain shows the lines of the cause however old, and no longer takes a trial for the end of a request. Tests: path.test.ts over sockets (three crashes at one instance, refused by another with 503 and Retry-After), logs.test.ts.

--- a/src/cli/explain.ts
+++ b/src/cli/explain.ts
@@ -27,6 +27,8 @@
   'retried',
   'resumed',
   'retryBudgetSpent',
+  'triedAgain',
+  'notRetried',
 ]);
 const BELIEF_WINDOW_MS = 5_000;
 const MAX_BELIEFS = 20;
@@ -73,8 +75,13 @@
     const ageMs = end - Date.parse(time);
     return ageMs >= 0 && ageMs <= BELIEF_WINDOW_MS;
   };
+  const { cause } = ending.fields;
+  // What is known of a refused cause may be minutes old.
+  const isOfCause = ({ time, fields }: LogLine) =>
+    cause !== undefined && fields.cause === cause && time <= ending.time;
   return lines
-    .filter((line) => line.instance === ending.instance && isInWindow(line))
+    .filter((line) => line.instance === ending.instance)
+    .filter((line) => isInWindow(line) || isOfCause(line))
     .filter(({ event }) => routingEvents[event].category === 'belief')
     .sort(byTime)
     .slice(-MAX_BELIEFS);
--- a/src/daemon/routingInstance.ts
+++ b/src/daemon/routingInstance.ts
@@ -22,6 +22,7 @@
 import type { LoadReading } from '../routing/load/instanceLoad.js';
 import { createRouting, type Routing } from '../routing/routing.js';
 import type { RoutingSettings } from '../routing/settings.js';
+import { listBlockedCauses } from '../routing/suspects/suspects.js';
 import type { RoutingEffect, RoutingEvent, RoutingTimer } from '../routing/types.js';
 import { createLoop, type Loop } from './loop.js';
 import { createIncarnation } from './incarnation.js';
@@ -46,6 +47,9 @@
   readonly seed?: number;
 }
 
+/** Path at the operators' address of the list of what is refused. */
+const REFUSED_PATH = '/refused';
+
 export interface RoutingAddresses {
   readonly callers: string;
   readonly peers: string;
@@ -342,6 +346,7 @@
       ...options.operators,
       pages: new Map([
         [options.metricsPath, async () => renderMetrics(context, { metrics, meter, log })],
+        [REFUSED_PATH, async () => renderRefused(context)],
       ]),
     }),
   };
@@ -363,6 +368,12 @@
   return { utilization, lagMs, counts: { ...counts, oldestMs: Math.round(counts.oldestMs) } };
 }
 
+/** Lists the requests and prompt parts that are refused, since upstreams crash on them. */
+async function renderRefused(context: HostContext) {
+  const refused = listBlockedCauses(context.routing().state, context.clock.now());
+  return { status: 200, contentType: 'application/json', text: `${JSON.stringify(refused)}\n` };
+}
+
 async function renderMetrics(
   context: HostContext,
   { metrics, meter, log }: Pick<RoutingHosts, 'metrics' | 'meter' | 'log'>,
--- a/src/routing/suspects/suspectNews.ts
+++ b/src/routing/suspects/suspectNews.ts
@@ -58,7 +58,7 @@
   if (news === undefined) return;
   news.crashes.forEach(({ cause, upstream, ageMs, runMs }) => {
     const crash = { upstream, crashedAt: ctx.now - ageMs, runMs };
-    const isNew = mergeCrash(ctx, cause, crash, false);
+    const isNew = mergeCrash(ctx, { hash: cause }, crash, false);
     if (isNew && shouldPassOn) queueChange(ctx, { kind: 'crash', cause, crash });
   });
   news.answers.forEach(({ cause, ageMs }) => {
--- a/src/routing/suspects/suspects.ts
+++ b/src/routing/suspects/suspects.ts
@@ -14,7 +14,9 @@
  */
 import type { Millis } from '../../core/clock.js';
 import { emit, logInfo, logWarning, type RoutingContext } from '../context.js';
+import type { RoutingState } from '../state.js';
 import type { RequestFacts } from '../types.js';
+import type { Suspect } from './suspectsState.js';
 import { causesOf, namedCausesOf, type CauseHash, type NamedCause } from './causes.js';
 import { queueChange } from './changeQueue.js';
 import { addCrash, countSuccessiveCrashes, type Crash } from './crash.js';
@@ -42,8 +44,9 @@
 
 /** Records that an upstream crashed while it held a request. */
 export function recordCrash(ctx: RoutingContext, facts: RequestFacts, crash: Crash): void {
-  causesOf(facts).forEach((cause) => {
-    if (mergeCrash(ctx, cause, crash, true)) queueChange(ctx, { kind: 'crash', cause, crash });
+  namedCausesOf(facts).forEach((cause) => {
+    if (mergeCrash(ctx, cause, crash, true))
+      queueChange(ctx, { kind: 'crash', cause: cause.hash, crash });
   });
 }
 
@@ -65,7 +68,7 @@
  */
 export function mergeCrash(
   ctx: RoutingContext,
-  cause: CauseHash,
+  { hash: cause, part }: NamedCause,
   crash: Crash,
   isObserved: boolean,
 ): boolean {
@@ -81,7 +84,12 @@
   if (crashes === known?.crashes) return false;
   const count = countSuccessiveCrashes(crashes);
   suspects.delete(cause);
-  suspects.set(cause, { crashes, count, lastTrialAt: known?.lastTrialAt });
+  suspects.set(cause, {
+    part: known?.part ?? part,
+    crashes,
+    count,
+    lastTrialAt: known?.lastTrialAt,
+  });
   evictSuspects(ctx);
   updateBlocked(ctx, cause, count);
   return true;
@@ -98,7 +106,7 @@
   suspect.count = countSuccessiveCrashes(crashes);
   if (suspect.count < ctx.state.settings.maxCrashes && blocked.delete(cause)) {
     emit(ctx, { kind: 'count', decision: 'causeFreed' });
-    logInfo(ctx, 'causeFreed', { cause, crashes: suspect.count });
+    logInfo(ctx, 'causeFreed', { cause, part: suspect.part, crashes: suspect.count });
   }
   if (crashes.length === 0) suspects.delete(cause);
   return true;
@@ -121,7 +129,9 @@
   const { suspects, blocked } = ctx.state.suspects;
   if (blocked.size === 0) return undefined;
   const named = namedCausesOf(facts);
-  const found = named.find(({ hash }) => blocked.has(hash));
+  const refused = named.filter(({ hash }) => blocked.has(hash));
+  refused.forEach(({ hash, part }) => nameSuspect(suspects.get(hash), part));
+  const [found] = refused;
   const suspect = found && suspects.get(found.hash);
   if (found === undefined || suspect === undefined) return undefined;
   const dueAt = trialDueAt(ctx, found.hash, suspect, new Set(named.map(({ hash }) => hash)));
@@ -129,6 +139,11 @@
   return { ...found, crashes: suspect.count, retryAfterMs };
 }
 
+/** Notes the name of a cause that was known by its hash only. */
+function nameSuspect(suspect: Suspect | undefined, part: string | undefined): void {
+  if (suspect !== undefined) suspect.part ??= part;
+}
+
 /** Returns whether a request may be sent as a trial of each of its refused causes, and notes it. */
 export function tryTrial(ctx: RoutingContext, facts: RequestFacts): boolean {
   const { suspects, blocked } = ctx.state.suspects;
@@ -142,6 +157,29 @@
   return true;
 }
 
+/** A refused cause, as operators see it. */
+export interface BlockedCauseStatus {
+  readonly cause: CauseHash;
+  readonly part: string | undefined;
+  /** Number of crashes that followed one another. */
+  readonly crashes: number;
+  readonly lastCrashAgeMs: Millis;
+}
+
+/** Lists the refused causes, those with the latest crash first. */
+export function listBlockedCauses(
+  { suspects }: Pick<RoutingState, 'suspects'>,
+  now: Millis,
+): readonly BlockedCauseStatus[] {
+  return [...suspects.blocked]
+    .map((cause) => {
+      const { part, count = 0, crashes = [] } = suspects.suspects.get(cause) ?? {};
+      const lastCrashAgeMs = Math.round(now - (crashes.at(-1)?.crashedAt ?? now));
+      return { cause, part, crashes: count, lastCrashAgeMs };
+    })
+    .sort((a, b) => a.lastCrashAgeMs - b.lastCrashAgeMs);
+}
+
 /** Removes causes that have not crashed an upstream for long. */
 export function expireSuspects(ctx: RoutingContext): void {
   const { suspects, blocked } = ctx.state.suspects;
@@ -156,8 +194,8 @@
 function updateBlocked(ctx: RoutingContext, cause: CauseHash, count: number): void {
   const { suspects, blocked } = ctx.state.suspects;
   if (count < ctx.state.settings.maxCrashes || blocked.has(cause)) return;
-  const crashes = suspects.get(cause)?.crashes ?? [];
-  const fields = { cause, crashes: count, sinceMs: sinceFirst(ctx, crashes) };
+  const { crashes = [], part } = suspects.get(cause) ?? {};
+  const fields = { cause, part, crashes: count, sinceMs: sinceFirst(ctx, crashes) };
   if (blocked.size >= MAX_BLOCKED) {
     logWarning(ctx, 'causeNotBlocked', { ...fields, limit: MAX_BLOCKED });
     return;
--- a/src/routing/suspects/suspectsState.ts
+++ b/src/routing/suspects/suspectsState.ts
@@ -4,6 +4,8 @@
 import type { Crash } from './crash.js';
 
 export interface Suspect {
+  /** Id of the part, if the cause is one and a request with it has been seen here. */
+  part: string | undefined;
   /** Crashes since a request with the cause was last answered, in order of time. */
   crashes: readonly Crash[];
   /** Number of crashes that followed one another. */
--- a/test/platform/path.test.ts
+++ b/test/platform/path.test.ts
@@ -10,6 +10,7 @@
   HOST,
   KEY,
   until,
+  type LoggedEvent,
   type PlatformFleet,
   type StartedInstance,
 } from './support/fleet.js';
@@ -20,6 +21,14 @@
 /** Port 1 is never assigned to a listener that asks for an ephemeral port. */
 const CLOSED_ADDRESS = '127.0.0.1:1';
 
+const isListed =
+  (id: string) =>
+  ({ event, fields }: LoggedEvent): boolean =>
+    event === 'upstreamListed' && fields.upstream === id;
+
+const countEvents = ({ logged }: StartedInstance, wanted: string) =>
+  logged.filter(({ event }) => event === wanted).length;
+
 describe('a request on the platform', () => {
   let fleet: PlatformFleet;
 
@@ -381,6 +390,41 @@
     });
   });
 
+  it('refuses a part of prompts on which engines crashed, at an instance that saw none of it', async () => {
+    const witness = await readyInstance();
+    const other = await readyInstance();
+    const withPart = (i: number) => ({
+      headers: { 'Prompt-Prefix': `aa:100,deadbeef:200,b${i}:10`, Model: 'm' },
+      body: `prompt ${i}`,
+    });
+    for (let i = 0; i < 3; i += 1) {
+      // eslint-disable-next-line no-await-in-loop -- one crash after the other
+      const engine = await fleet.addEngine('models', { firstEventMs: 60_000 });
+      // eslint-disable-next-line no-await-in-loop
+      await until(() => witness.logged.some(isListed(engine.id)), 'the engine is listed');
+      const answer = call(witness, `/draft/${i}`, withPart(i)).catch(() => undefined);
+      // eslint-disable-next-line no-await-in-loop
+      await until(() => engine.runs.length > 0, 'the engine runs the request');
+      // eslint-disable-next-line no-await-in-loop
+      await Promise.all([engine.close(), answer]);
+      // eslint-disable-next-line no-await-in-loop
+      await until(() => countEvents(witness, 'upstreamCrashed') > i, 'the crash is noticed');
+      // eslint-disable-next-line no-await-in-loop
+      await sleep(300);
+    }
+    await until(() => countEvents(other, 'causeBlocked') > 0, 'the other instance knows the part');
+    const sound = await fleet.addEngine('models');
+    await until(() => other.logged.some(isListed(sound.id)), 'a sound engine is listed');
+    const refused = await call(other, '/draft/9', withPart(9));
+    expect(refused.status).to.equal(503);
+    expect(JSON.parse(refused.text)).to.include({ reason: 'crashesUpstreams' });
+    expect(Number(refused.headers['retry-after'])).to.be.at.least(1);
+    expect(sound.runs).to.have.lengthOf(0);
+    const { body } = await request(`http://${other.addresses.operators}/refused`);
+    const listed = (await body.json()) as readonly { readonly part?: string }[];
+    expect(listed.map(({ part }) => part)).to.include('deadbeef');
+  });
+
   it('never makes a whole answer of a head that an engine broke off', async () => {
     const engine = await fleet.addEngine('desk');
     const started = await readyInstance();
--- a/test/routing/logs.test.ts
+++ b/test/routing/logs.test.ts
@@ -119,6 +119,33 @@
   });
 });
 
+describe('a request that is refused as crashing', () => {
+  it('is traced to the crashes, however long ago, and not to those of other parts', () => {
+    const line = (time: string, event: string, fields: object) =>
+      JSON.stringify({ time: `2026-01-01T00:0${time}.0Z`, instance: 'a', event, ...fields });
+    const log = [
+      line('1:00', 'causeBlocked', { cause: 7, part: 'ab', crashes: 3 }),
+      line('1:30', 'causeBlocked', { cause: 8, part: 'cd', crashes: 3 }),
+      line('5:00', 'crashesUpstreams', { request: 'r1', cause: 7, part: 'ab', crashes: 3 }),
+    ].join('\n');
+    const { ending, beliefs } = explainRequest('r1', readLogLines(log));
+    expect(ending?.event).to.equal('crashesUpstreams');
+    expect(beliefs.map(({ fields }) => fields.part)).to.deep.equal(['ab']);
+  });
+
+  it('is traced over its trial to its end', () => {
+    const line = (time: string, event: string) =>
+      JSON.stringify({
+        time: `2026-01-01T00:00:0${time}.0Z`,
+        instance: 'a',
+        event,
+        request: 'r1',
+      });
+    const log = ['triedAgain', 'sent', 'served'].map((event, i) => line(String(i), event));
+    expect(explainRequest('r1', readLogLines(log.join('\n'))).ending?.event).to.equal('served');
+  });
+});
+
 describe('log line writer', () => {
   it('never waits for a blocked reader, and counts the lines that it drops', async () => {
     let writes = 0;
