--- a/src/bench/routing/emulatedFleet.ts
+++ b/src/bench/routing/emulatedFleet.ts
@@ -6,25 +6,30 @@
  */
 import { createRandom } from '../../core/random.js';
 import type { Millis } from '../../core/clock.js';
-import type { FailureDomainId, PeerMessage, RegionId } from '../../core/types.js';
+import type { FailureDomainId, PeerMessage } from '../../core/types.js';
 import { createRouting } from '../../routing/routing.js';
-import type { RoutingEventCode } from '../../routing/eventTable.js';
 import type { RoutingSettings } from '../../routing/settings.js';
 import type {
   AttemptNumber,
   AttemptOutcome,
-  ListedUpstream,
   LocalAnswer,
   PrefixPart,
   RequestFacts,
-  Route,
-  RoutingConfiguration,
   RoutingEffect,
   RoutingEvent,
   RoutingTimer,
 } from '../../routing/types.js';
+import {
+  createConfiguration,
+  createListedEngine,
+  keyOf,
+  regionOf,
+  type FleetObservation,
+  type FleetShape,
+  type OfferedRequest,
+} from './fleetShape.js';
 import { createBaselineRouter, type BaselinePolicy, type Router } from './baselines.js';
-import { createEmulatedEngine, type EmulatedEngine, type EngineModel } from './emulatedEngine.js';
+import { createEmulatedEngine, type EmulatedEngine } from './emulatedEngine.js';
 import {
   createPrefillCounter,
   createResults,
@@ -33,51 +38,6 @@
 } from './results.js';
 import type { Simulation } from './simulation.js';
 
-export interface FleetShape {
-  readonly engine: EngineModel;
-  /** Failure domains, each in its own region, with the numbers of instances and engines. */
-  readonly domains: readonly {
-    readonly id: FailureDomainId;
-    readonly instances: number;
-    readonly engines: number;
-  }[];
-  /** One-way network delay between regions, and within a region. */
-  readonly crossRegionMs: Millis;
-  readonly withinRegionMs: Millis;
-  /** One-way network delay between a caller and its instance. */
-  readonly callerMs: Millis;
-  readonly routes: readonly Route[];
-  readonly customers: number;
-}
-
-/** A request of a caller. */
-export interface OfferedRequest {
-  readonly at: Millis;
-  readonly domain: FailureDomainId;
-  readonly customer: number;
-  readonly route: Route;
-  readonly parts: readonly PrefixPart[];
-  readonly promptTokens: number;
-  readonly outputTokens: number;
-  readonly deadlineMs: Millis;
-  /** Number of times that the caller retries after a rejection. */
-  readonly maxRetries: number;
-}
-
-/** What happened to a request, as an observer outside the fleet sees it. */
-export type FleetObservation =
-  /** The request was sent to an engine that was running. */
-  | { readonly kind: 'reachedEngine'; readonly at: Millis; readonly offered: OfferedRequest }
-  | { readonly kind: 'engineCrashed'; readonly at: Millis; readonly engine: string }
-  /** The first token of the answer to the caller's first or repeated call. */
-  | { readonly kind: 'begun'; readonly at: Millis; readonly offered: OfferedRequest }
-  | {
-      readonly kind: 'refused';
-      readonly at: Millis;
-      readonly offered: OfferedRequest;
-      readonly reason: RoutingEventCode;
-    };
-
 export interface EmulatedFleet {
   readonly offer: (request: OfferedRequest) => void;
   readonly results: FleetResults;
@@ -108,14 +68,10 @@
 const CRASH_DELAY_MS: Millis = 100;
 /** Time that a crashed engine takes to restart. */
 const RESTART_MS: Millis = 4_000;
-const POOL_ID = 'models';
 const STORE_LATENCY_MS: Millis = 4;
-const MAX_CONNECTIONS = 10_000;
 const CONNECTION_RESET: AttemptOutcome = { kind: 'cut', reason: 'ECONNRESET' };
 const CONNECTION_REFUSED: AttemptOutcome = { kind: 'notSent', reason: 'ECONNREFUSED' };
 
-const regionOf = (domain: FailureDomainId): RegionId => `region-of-${domain}`;
-
 interface Instance {
   readonly id: string;
   readonly domain: FailureDomainId;
@@ -500,44 +456,6 @@
   };
 }
 
-const keyOf = (customer: number) => `key-${customer}`;
-
-function createListedEngine(
-  domain: FailureDomainId,
-  index: number,
-  model: EngineModel,
-): ListedUpstream {
-  const id = `${domain}-engine-${index}`;
-  const { slots } = model;
-  return { id, pool: POOL_ID, address: id, domain, slots, phase: 'ready', startedAt: 1, beat: 1 };
-}
-
-function createConfiguration(shape: FleetShape): RoutingConfiguration {
-  const customers = Array.from({ length: shape.customers }, (_, i) => i);
-  return {
-    version: 1,
-    routes: shape.routes,
-    pools: new Map([
-      [
-        POOL_ID,
-        {
-          id: POOL_ID,
-          maxConnections: MAX_CONNECTIONS,
-          memoryTokens: shape.engine.memoryTokens,
-        },
-      ],
-    ]),
-    hasCustomers: true,
-    customersByKey: new Map(customers.map((i) => [keyOf(i), `customer-${i}`])),
-    callerLimits: {
-      maxHeaderBytes: 16_384,
-      maxBodyBytes: 65_536,
-      headerTimeoutMs: 3_000,
-      idleTimeoutMs: 15_000,
-    },
-  };
-}
-
 /** Picks an instance of the domain by a hash of the connection, as the load balancer does. */
 function pickInstance(
   instances: ReadonlyMap<string, Instance>,
--- a/src/bench/routing/patterns.ts
+++ b/src/bench/routing/patterns.ts
@@ -6,7 +6,7 @@
 import { MS_PER_SECOND, type Millis } from '../../core/clock.js';
 import { createRandom, type Random } from '../../core/random.js';
 import type { PrefixPart, Route } from '../../routing/types.js';
-import type { FleetShape, OfferedRequest } from './emulatedFleet.js';
+import type { FleetShape, OfferedRequest } from './fleetShape.js';
 
 /** Route, rate and size distribution of a kind of request. */
 export interface RequestKind {
--- a/src/bench/routing/results.ts
+++ b/src/bench/routing/results.ts
@@ -1,7 +1,7 @@
 /** Request outcomes and prefill counts of an emulated fleet. */
 import { MS_PER_SECOND, type Millis } from '../../core/clock.js';
 import type { PrefixPart } from '../../routing/types.js';
-import type { OfferedRequest } from './emulatedFleet.js';
+import type { OfferedRequest } from './fleetShape.js';
 
 export type UnservedOutcome = 'refused' | 'failed';
 
--- a/test/routing/support/deadlyPart.ts
+++ b/test/routing/support/deadlyPart.ts
@@ -2,9 +2,8 @@
 import {
   createEmulatedFleet,
   type EmulatedFleet,
-  type FleetObservation,
-  type OfferedRequest,
 } from '../../../src/bench/routing/emulatedFleet.js';
+import type { FleetObservation, OfferedRequest } from '../../../src/bench/routing/fleetShape.js';
 import { drawRequests, FLEET_SHAPE, LOAD_PATTERNS } from '../../../src/bench/routing/patterns.js';
 import { createSimulation, type Simulation } from '../../../src/bench/routing/simulation.js';
 import { createRandom } from '../../../src/core/random.js';
