--- a/src/routing/settings.ts
+++ b/src/routing/settings.ts
@@ -45,7 +45,10 @@
   readonly retrySlack: number;
   /** Length of the sliding window in which retries are counted. */
   readonly retryWindowMs: Millis;
-  /** Number of upstreams that a request may crash before it is refused. */
+  /**
+   * Number of upstreams that a request, or requests with one part of their prompts, may crash one after
+   * the other before it is refused.
+   */
   readonly maxCrashes: number;
 }
 
--- a/src/routing/suspects/suspects.ts
+++ b/src/routing/suspects/suspects.ts
@@ -16,11 +16,10 @@
 import { emit, logInfo, logWarning, type RoutingContext } from '../context.js';
 import type { RoutingState } from '../state.js';
 import type { RequestFacts } from '../types.js';
-import type { Suspect } from './suspectsState.js';
 import { causesOf, namedCausesOf, type CauseHash, type NamedCause } from './causes.js';
 import { queueChange } from './changeQueue.js';
 import { addCrash, countSuccessiveCrashes, type Crash } from './crash.js';
-
+import type { Suspect } from './suspectsState.js';
 import { isTrialDue, trialDueAt } from './trials.js';
 
 /** Time after the last crash after which a cause that is not refused is no longer suspected. */
@@ -31,6 +30,7 @@
 const MAX_SUSPECTS = 8_000;
 /** Maximum number of refused causes; beyond it no further ones are refused. */
 const MAX_BLOCKED = 500;
+/** Maximum number of causes of which it is kept when they were answered. */
 const MAX_ANSWERED = 8_000;
 /** Minimum retry delay of callers of a refused cause. */
 const MIN_RETRY_AFTER_MS: Millis = 1_000;
