--- a/src/standins/platform/batchEngine.ts
+++ b/src/standins/platform/batchEngine.ts
@@ -11,8 +11,8 @@
 /** Fault that determines how the next requests are answered. */
 export type EngineFault =
   | { readonly kind: 'none' }
-  /** Answers 503 without executing the request. */
-  | { readonly kind: 'shed' }
+  /** Answers 503 without executing the request, with a `Retry-After` if one is given. */
+  | { readonly kind: 'shed'; readonly retryAfter?: string }
   /** Executes the request, then answers 500. */
   | { readonly kind: 'error' }
   /** Executes the request, but never answers. */
@@ -59,6 +59,10 @@
   readonly limitFault: (count: number) => void;
   /** Sets the requests per second that all answers state; `undefined` states none. */
   readonly setRateLimit: (perSecond: number | undefined) => void;
+  /** Sets whether all answers say that the engine leaves. */
+  readonly setLeaving: (isLeaving: boolean) => void;
+  /** Number of requests that arrived, with those that were not executed. */
+  readonly arrivals: () => number;
   readonly connections: () => number;
   /** Stops listening and resets all connections, as a crash does. */
   readonly close: () => Promise<void>;
@@ -96,6 +100,8 @@
   let fault: EngineFault = { kind: 'none' };
   let remainingFaults = Infinity;
   let rateLimit: number | undefined;
+  let isLeaving = false;
+  let arrivals = 0;
 
   function consumeFault(): EngineFault {
     if (remainingFaults <= 0) return { kind: 'none' };
@@ -108,12 +114,16 @@
       'Request-Id': requestId,
       'Response-Signature': `signed-${requestId}`,
       'Server-Load': `${sockets.size},0,8`,
-      ...limitHeaders(),
+      ...statementHeaders(),
     };
   }
 
-  function limitHeaders(): Record<string, string> {
-    return rateLimit === undefined ? {} : { 'Server-Limit': String(rateLimit) };
+  /** Headers in which the engine tells of itself. */
+  function statementHeaders(): Record<string, string> {
+    return {
+      ...(rateLimit === undefined ? {} : { 'Server-Limit': String(rateLimit) }),
+      ...(isLeaving ? { 'Server-Leaving': '1' } : {}),
+    };
   }
 
   async function streamEvents(req: IncomingMessage, res: ServerResponse, stopAfter: number) {
@@ -141,7 +151,10 @@
         res.writeHead(503, {
           'Not-Executed': '1',
           'Request-Id': run.requestId,
-          ...limitHeaders(),
+          ...statementHeaders(),
+          ...(activeFault.retryAfter === undefined
+            ? {}
+            : { 'Retry-After': activeFault.retryAfter }),
         });
         res.end();
         return;
@@ -220,11 +233,12 @@
   }
 
   async function handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    arrivals += 1;
     const chunks: Buffer[] = [];
     for await (const part of req) chunks.push(part as Buffer);
     const expectedInstance = req.headers['expect-instance'];
     if (expectedInstance !== undefined && expectedInstance !== cfg.id) {
-      res.writeHead(421, { 'Instance-Id': cfg.id, 'Not-Executed': '1' });
+      res.writeHead(421, { 'Instance-Id': cfg.id, 'Not-Executed': '1', ...statementHeaders() });
       res.end();
       return;
     }
@@ -267,6 +281,10 @@
     setRateLimit: (perSecond) => {
       rateLimit = perSecond;
     },
+    setLeaving: (next) => {
+      isLeaving = next;
+    },
+    arrivals: () => arrivals,
     connections: () => sockets.size,
     close: async () =>
       new Promise((resolve) => {
