--- a/src/routing/attempts/healthCheck.ts
+++ b/src/routing/attempts/healthCheck.ts
@@ -7,10 +7,10 @@
 import type { RoutingContext } from '../context.js';
 import { emit, setTimer } from '../context.js';
 import { exchangeDelay, recordTimerDelay } from '../load/ownDelay.js';
-import { updateFreshness } from '../freshness/freshness.js';
+import { replaceOverdueRead, updateFreshness } from '../freshness/freshness.js';
 import { expireSuspects, findBlockedCause } from '../suspects/suspects.js';
 import { silenceTimeout, markLost, probeLostUpstreams } from '../upstreams/health.js';
-import { removeMissing } from '../upstreams/list.js';
+import { removeMissing, replaceOverdueListRead } from '../upstreams/list.js';
 import type { Upstream } from '../upstreams/upstreamsState.js';
 import { cancelAttempt, failRequest, canRetryElsewhere, isRepeatable } from './attempts.js';
 import type { Attempt, OpenRequest } from './attemptsState.js';
@@ -23,6 +23,8 @@
 const STALL_OBJECTIVE_FACTOR = 2;
 
 export function onHealthTimer(ctx: RoutingContext): void {
+  replaceOverdueRead(ctx);
+  replaceOverdueListRead(ctx);
   updateFreshness(ctx);
   removeMissing(ctx);
   expireSuspects(ctx);
--- a/src/routing/eventTable.ts
+++ b/src/routing/eventTable.ts
@@ -101,6 +101,7 @@
     'belief',
     'The platform has come back from an earlier copy of itself.',
   ),
+  readOverdue: entry(9083, 'belief', 'A read of the platform never ended and was begun anew.'),
   started: entry(9070, 'process', 'The instance has started.'),
   ready: entry(9071, 'process', 'The instance accepts new callers.'),
   notReady: entry(9072, 'process', 'The instance accepts no new callers.'),
--- a/src/routing/freshness/freshness.ts
+++ b/src/routing/freshness/freshness.ts
@@ -28,7 +28,9 @@
   beginRead,
   confirmByPeer,
   confirmRead,
+  giveUpOverdue,
   isConfirmedByReader,
+  isGivenUp,
 } from './sharedRead.js';
 
 /** Backoff of failed reads. Short, since keyed requests need a confirmation. */
@@ -55,7 +57,7 @@
 
 export function startConfigurationPoll(ctx: RoutingContext): void {
   const { freshness, settings } = ctx.state;
-  beginRead(freshness);
+  beginRead(ctx, freshness);
   const cursor = nextCursor(ctx, freshness);
   // A full read is answered immediately. A stopping instance also needs the answer soon.
   const waitMs = cursor === undefined ? 0 : settings.configurationWaitMs;
@@ -64,6 +66,7 @@
 
 export function onConfigurationPolled(ctx: RoutingContext, event: Polled): void {
   const { freshness } = ctx.state;
+  if (isGivenUp(freshness, event.askedAt)) return;
   freshness.isPolling = false;
   const answer = handlePollOutcome(ctx, pollOf(ctx), event.outcome, event.isWhole);
   if (answer === undefined) {
@@ -85,6 +88,13 @@
   else startConfigurationPoll(ctx);
 }
 
+/** Reads the configuration anew if a read of it never ended. */
+export function replaceOverdueRead(ctx: RoutingContext): void {
+  const { freshness, settings } = ctx.state;
+  const isOverdue = giveUpOverdue(ctx, 'configuration', freshness, settings.configurationWaitMs);
+  if (isOverdue) startConfigurationPoll(ctx);
+}
+
 /** Records a peer's confirmation that the active configuration was the newest at the given time. */
 export function onPeerConfirmation(ctx: RoutingContext, at: Millis): void {
   confirmByPeer(ctx, ctx.state.freshness, at);
--- a/src/routing/freshness/sharedRead.ts
+++ b/src/routing/freshness/sharedRead.ts
@@ -5,12 +5,14 @@
  * or its reader falls silent.
  */
 import type { Millis } from '../../core/clock.js';
-import type { RoutingContext } from '../context.js';
+import { logWarning, type RoutingContext } from '../context.js';
 import { hasLowestId } from '../exchange/members.js';
 import type { PollState } from '../polls.js';
 
 /** Time without a confirmation from a peer after which an instance polls by itself. */
 const PEER_SILENCE_TIMEOUT_MS: Millis = 1_000;
+/** Time within which a read ends, its wait for changes aside, even if every page of it is late. */
+const MAX_READ_MS: Millis = 5_000;
 
 export interface SharedReadState extends PollState {
   /** Start of the last successful read of the platform, by this instance or a peer. */
@@ -19,6 +21,10 @@
   peerConfirmedAt: Millis;
   /** Whether a read of the platform is pending. */
   isPolling: boolean;
+  /** Time at which the last read was begun. */
+  begunAt: Millis;
+  /** Answers to reads that were sent before this time are ignored, as these reads were given up. */
+  givenUpBefore: Millis;
   /** Time that the clock failed to count since the last read was sent. */
   clockGapMs: Millis;
 }
@@ -31,17 +37,45 @@
     confirmedAt: undefined,
     peerConfirmedAt: -Infinity,
     isPolling: false,
+    begunAt: -Infinity,
+    givenUpBefore: -Infinity,
     clockGapMs: 0,
   };
 }
 
 /** Marks a read as pending. */
-export function beginRead(read: SharedReadState): void {
+export function beginRead({ now }: RoutingContext, read: SharedReadState): void {
   const begun = read;
   begun.isPolling = true;
+  begun.begunAt = now;
   begun.clockGapMs = 0;
 }
 
+/**
+ * Gives up a read that should have ended long ago, whether answered or failed. Returns whether it did.
+ *
+ * @param reads Name of the resource in the log line.
+ */
+export function giveUpOverdue(
+  ctx: RoutingContext,
+  reads: string,
+  read: SharedReadState,
+  waitMs: Millis,
+): boolean {
+  const pendingMs = ctx.now - read.begunAt;
+  if (!read.isPolling || pendingMs < waitMs + MAX_READ_MS) return false;
+  const overdue = read;
+  overdue.isPolling = false;
+  overdue.givenUpBefore = ctx.now;
+  logWarning(ctx, 'readOverdue', { reads, pendingMs: Math.round(pendingMs) });
+  return true;
+}
+
+/** Returns whether an answer is of a read that was given up. */
+export function isGivenUp(read: SharedReadState, askedAt: Millis): boolean {
+  return askedAt < read.givenUpBefore;
+}
+
 /** Returns the age of the last confirmation, if there is one. */
 export function ageOfRead({ now }: RoutingContext, read: SharedReadState): Millis | undefined {
   return read.confirmedAt === undefined ? undefined : Math.max(0, now - read.confirmedAt);
--- a/src/routing/upstreams/list.ts
+++ b/src/routing/upstreams/list.ts
@@ -18,7 +18,13 @@
   type RoutingContext,
 } from '../context.js';
 import { hasLivePeer } from '../exchange/members.js';
-import { beginRead, confirmRead, isConfirmedByReader } from '../freshness/sharedRead.js';
+import {
+  beginRead,
+  confirmRead,
+  giveUpOverdue,
+  isConfirmedByReader,
+  isGivenUp,
+} from '../freshness/sharedRead.js';
 import { handlePollOutcome, nextCursor, type Poll } from '../polls.js';
 import type { Cursor, ListedUpstream, RoutingEvent, UpstreamChange, UpstreamId } from '../types.js';
 import { confirmCrash } from './crashes.js';
@@ -52,7 +58,7 @@
 
 export function startUpstreamPoll(ctx: RoutingContext): void {
   const { upstreams } = ctx.state;
-  beginRead(upstreams);
+  beginRead(ctx, upstreams);
   emit(ctx, { kind: 'pollUpstreams', cursor: nextCursor(ctx, upstreams) });
 }
 
@@ -66,8 +72,14 @@
   else startUpstreamPoll(ctx);
 }
 
+/** Reads the list anew if a read of it never ended. */
+export function replaceOverdueListRead(ctx: RoutingContext): void {
+  if (giveUpOverdue(ctx, 'upstreams', ctx.state.upstreams, 0)) startUpstreamPoll(ctx);
+}
+
 export function onUpstreamsPolled(ctx: RoutingContext, event: Polled): void {
   const { upstreams, settings } = ctx.state;
+  if (isGivenUp(upstreams, event.askedAt)) return;
   upstreams.isPolling = false;
   const wasPlatformDown = upstreams.failures > 0;
   const knownCursor = upstreams.cursor;
