--- a/src/routing/attempts/attempts.ts
+++ b/src/routing/attempts/attempts.ts
@@ -37,7 +37,7 @@
   releaseAttempt,
 } from './accounting.js';
 import type { Attempt, OpenRequest } from './attemptsState.js';
-import { FIRST_ERROR_STATUS, NOT_RUN_STATUSES } from './statuses.js';
+import { FIRST_ERROR_STATUS, MISDIRECTED_STATUS, NOT_RUN_STATUSES } from './statuses.js';
 
 /**
  * Minimum retry delay of callers whose request was declined by every upstream that it may be sent
@@ -171,7 +171,9 @@
   const upstream = findUpstream(ctx, attempt);
   if (upstream !== undefined) {
     markReachable(ctx, upstream);
-    recordRate(ctx, upstream, event.rate, attempt.startedAt);
+    // Another upstream that has taken over the address speaks of itself.
+    if (event.status !== MISDIRECTED_STATUS)
+      recordRate(ctx, upstream, event.rate, attempt.startedAt);
   }
   const request = ctx.state.requests.open.get(attempt.request);
   // The host holds back error responses until the core decides whether to forward them.
--- a/test/routing/rateStatements.test.ts
+++ b/test/routing/rateStatements.test.ts
@@ -66,6 +66,13 @@
     expect(loggedEvents(effects)).to.include('limitStated');
   });
 
+  it('does not count if another upstream at the same address states it', () => {
+    const core = createLimitedCore();
+    const { attempt } = planOf(core.arrive());
+    const effects = core.dispatch({ kind: 'attemptAnswered', attempt, status: 421, rate: LIMITED });
+    expect(loggedEvents(effects)).to.not.include('limitStated');
+  });
+
   it('holds no more after the upstream has started again under its id', () => {
     const core = createLimitedCore();
     answer(core, { kind: 'limited', perSecond: 0 });
