Send no request to an upstream that has said in an answer that it leaves

From the head of the answer on, refusals included, the upstream is not placed on, neither for first attempts nor for repeats and resumed streams, until a later start of it is listed. Messages tell the other instances, also through relays and those that start later. One function decides whether an upstream may be sent anything.

--- a/src/hosts/routing/attempt.ts
+++ b/src/hosts/routing/attempt.ts
@@ -6,7 +6,12 @@
 import { errors, type Dispatcher } from 'undici';
 import type { Millis } from '../../core/clock.js';
 import { FIRST_ERROR_STATUS, NOT_RUN_STATUSES } from '../../routing/attempts/statuses.js';
-import type { AttemptOutcome, AttemptPlan, EventId, RateStatement } from '../../routing/types.js';
+import type {
+  AttemptOutcome,
+  AttemptPlan,
+  EventId,
+  UpstreamStatements,
+} from '../../routing/types.js';
 import type { CallerResponse, UpstreamResponseHead } from './callerResponse.js';
 import { createEventBoundary, createEventSplitter } from './eventSplitter.js';
 import { headerValue } from './headers.js';
@@ -27,7 +32,7 @@
 }
 
 export interface AttemptListener {
-  readonly onResponseHead: (status: number, rate: RateStatement | undefined) => void;
+  readonly onResponseHead: (status: number, statements: UpstreamStatements) => void;
   readonly onProgress: () => void;
   /** All events up to and including this one have been forwarded. */
   readonly onEventForwarded: (id: EventId) => void;
@@ -125,7 +130,7 @@
         abortWith({ kind: 'foreign' });
         return;
       }
-      listener.onResponseHead(status, responseFacts.rate);
+      listener.onResponseHead(status, responseFacts.statements);
       if (isUnnamedRefusal(status, responseFacts)) {
         abortWith(toErrorOutcome(status, responseFacts));
         return;
--- a/src/hosts/routing/frontHost.ts
+++ b/src/hosts/routing/frontHost.ts
@@ -226,13 +226,8 @@
         connectionEnd: pools.connectionEnd,
         resumeAfter: plan.isResumed ? request.lastEventId : undefined,
         listener: {
-          onResponseHead: (status, rate) =>
-            post({
-              kind: 'attemptAnswered',
-              attempt,
-              status,
-              ...(rate === undefined ? {} : { rate }),
-            }),
+          onResponseHead: (status, statements) =>
+            post({ kind: 'attemptAnswered', attempt, status, ...statements }),
           onEventForwarded: (id) => {
             request.lastEventId = id;
           },
--- a/src/hosts/routing/types.ts
+++ b/src/hosts/routing/types.ts
@@ -12,10 +12,10 @@
   EventId,
   LocalAnswer,
   PollOutcome,
-  RateStatement,
   RequestFacts,
   RoutingEvent,
   UpstreamChange,
+  UpstreamStatements,
 } from '../../routing/types.js';
 
 /** Posts an event to the loop. Never calls back into the host synchronously. */
@@ -47,8 +47,8 @@
   readonly isNotExecuted: boolean;
   /** Whether the headers show that the upstream itself produced the response. */
   readonly isGenuine: boolean;
-  /** The rate of requests that the upstream accepts. */
-  readonly rate?: RateStatement;
+  /** What the upstream says of itself. */
+  readonly statements: UpstreamStatements;
 }
 
 /** Translates request and response headers. */
--- a/src/routing/attempts/arrival.ts
+++ b/src/routing/attempts/arrival.ts
@@ -15,7 +15,7 @@
 import { remainingGrace } from '../drain/stop.js';
 import { isConfirmed, staleRetryAfter } from '../freshness/freshness.js';
 import { readingDelay } from '../load/ownDelay.js';
-import { poolSpeed, poolWait, rank, type Placement } from '../placement/placement.js';
+import { poolSpeed, poolWait, rank, type LeftOut, type Placement } from '../placement/placement.js';
 import { chooseTurn, hasTurn } from '../rateLimits/rateLimits.js';
 import { pickPool } from '../routes/routeTable.js';
 import { recordRouteAdmission, recordRouteRequest, waitFactor } from '../shares/kindBalance.js';
@@ -56,7 +56,7 @@
   const { route, customer, isTrial } = checked;
   const pool = pickPool(route, ctx.state.random);
   if (pool === undefined) {
-    refuse(ctx, facts, createNoUpstreamRefusal(ctx, 'the route has no target pool'));
+    refuse(ctx, facts, createNoUpstreamRefusal(ctx, 'the route has no target pool', []));
     return;
   }
   const tooLong = checkGrace(ctx, facts, route, pool);
@@ -200,7 +200,11 @@
     refuse(
       ctx,
       facts,
-      createNoUpstreamRefusal(ctx, 'no upstream of the pool is ready and reachable'),
+      createNoUpstreamRefusal(
+        ctx,
+        'no upstream of the pool is ready and reachable',
+        ranking.unwilling,
+      ),
     );
     return;
   }
@@ -210,12 +214,14 @@
     refuse(ctx, facts, createAdmissionRefusal(ctx, request, placement, share, decision));
     return;
   }
+  const { unwilling } = ranking;
   const passedOver: Placement[] = [];
   const deferred: Placement[] = [];
   while (placement !== undefined && decide(ctx, request, placement, share).kind === 'admit') {
     const choice = chooseTurn(ctx, placement.upstream, valueOfTurn(facts, placement, share));
     if (choice !== 'defer' && hasTurn(ctx, placement.upstream)) {
-      send(ctx, request, placement, passedOver);
+      const better = passedOver.map(({ upstream }) => upstream);
+      send(ctx, request, placement, { passedOver: better, unwilling });
       return;
     }
     passedOver.push(placement);
@@ -224,7 +230,7 @@
   }
   const turn = deferred.find(({ upstream }) => hasTurn(ctx, upstream));
   if (turn === undefined) refuse(ctx, facts, createLimitedRefusal(ctx, request, passedOver, share));
-  else send(ctx, request, turn, []);
+  else send(ctx, request, turn, { passedOver: [], unwilling });
 }
 
 /**
@@ -268,12 +274,12 @@
   ctx: RoutingContext,
   request: OpenRequest,
   placement: Placement,
-  passedOver: readonly Placement[],
+  leftOut: LeftOut,
 ): void {
   recordRouteAdmission(ctx, request.pool, request.route);
-  if (passedOver.length > 0) emit(ctx, { kind: 'count', decision: 'passedOver' });
+  if (leftOut.passedOver.length > 0) emit(ctx, { kind: 'count', decision: 'passedOver' });
   ctx.state.requests.open.set(request.facts.request, request);
-  sendToUpstream(ctx, request, placement, passedOver);
+  sendToUpstream(ctx, request, placement, leftOut);
 }
 
 /** Adds a request to its customer's demand. Returns the customer's rates and its fair share. */
--- a/src/routing/attempts/attempts.ts
+++ b/src/routing/attempts/attempts.ts
@@ -10,7 +10,7 @@
 import type { RoutingEventCode } from '../eventTable.js';
 import { countInstances } from '../exchange/countedInstances.js';
 import { connectionLimit, listIds, recordPrefix, rank } from '../placement/placement.js';
-import type { Placement } from '../placement/placement.js';
+import type { LeftOut, Placement, Ranking } from '../placement/placement.js';
 import {
   createRetryBudget,
   type RetryBudget,
@@ -27,8 +27,10 @@
   LocalStatus,
   PoolId,
   RoutingEvent,
+  UpstreamStatements,
 } from '../types.js';
 import { markReachable } from '../upstreams/health.js';
+import { recordLeaving } from '../upstreams/leaving.js';
 import {
   findUpstream,
   recordFirstPart,
@@ -56,16 +58,12 @@
 
 type AttemptAnsweredEvent = Extract<RoutingEvent, { readonly kind: 'attemptAnswered' }>;
 
-/**
- * Sends a request to the upstream of a placement.
- *
- * @param passedOver Better placements whose upstreams get as many requests as they accept.
- */
+/** Sends a request to the upstream of a placement. */
 export function sendToUpstream(
   ctx: RoutingContext,
   request: OpenRequest,
   placement: Placement,
-  passedOver: readonly Placement[] = [],
+  leftOut: LeftOut,
 ): void {
   const { facts, customer } = request;
   const { id } = placement.upstream.listed;
@@ -81,7 +79,8 @@
   const repeatCode = request.hasAnswerStarted ? 'resumed' : 'retried';
   const code = isFirst ? 'sent' : repeatCode;
   emit(ctx, { kind: 'count', decision: code });
-  logInfo(ctx, code, describePlacement(ctx, request, placement, passedOver));
+  if (leftOut.unwilling.length > 0) emit(ctx, { kind: 'count', decision: 'unwilling' });
+  logInfo(ctx, code, describePlacement(ctx, request, placement, leftOut));
 }
 
 /** Creates the attempt and adds its work to the upstream. */
@@ -138,7 +137,7 @@
   ctx: RoutingContext,
   { facts, route, customer }: OpenRequest,
   placement: Placement,
-  passedOver: readonly Placement[],
+  { passedOver, unwilling }: LeftOut,
 ): LogFields {
   return {
     request: facts.requestId,
@@ -154,6 +153,7 @@
     parts: facts.prefix.map(({ id }) => id).join(','),
     home: placement.home,
     passedOver: passedOver.length === 0 ? undefined : listIds(passedOver),
+    unwilling: unwilling.length === 0 ? undefined : listIds(unwilling),
   };
 }
 
@@ -169,19 +169,29 @@
   const attempt = ctx.state.requests.attempts.get(event.attempt);
   if (attempt === undefined) return;
   const upstream = findUpstream(ctx, attempt);
-  if (upstream !== undefined) {
-    markReachable(ctx, upstream);
-    // Another upstream that has taken over the address speaks of itself.
-    if (event.status !== MISDIRECTED_STATUS)
-      recordRate(ctx, upstream, event.rate, attempt.startedAt);
-  }
+  if (upstream !== undefined) markReachable(ctx, upstream);
   const request = ctx.state.requests.open.get(attempt.request);
+  // Another upstream that has taken over the address speaks of itself.
+  if (event.status !== MISDIRECTED_STATUS) recordStatements(ctx, attempt, event, request);
   // The host holds back error responses until the core decides whether to forward them.
   if (request === undefined) return;
   request.hasAnswerStarted ||= event.status < FIRST_ERROR_STATUS;
   request.isWithdrawing = false;
 }
 
+/** Records what an upstream says of itself. */
+function recordStatements(
+  ctx: RoutingContext,
+  attempt: Attempt,
+  { rate, isLeaving }: UpstreamStatements,
+  request: OpenRequest | undefined,
+): void {
+  const upstream = findUpstream(ctx, attempt);
+  if (upstream !== undefined) recordRate(ctx, upstream, rate, attempt.startedAt);
+  if (isLeaving === true)
+    recordLeaving(ctx, attempt.upstream, attempt.upstreamStartedAt, request?.facts.requestId);
+}
+
 export function onAttemptProgress(ctx: RoutingContext, number: number): void {
   const attempt = ctx.state.requests.attempts.get(number);
   if (attempt === undefined) return;
@@ -281,14 +291,19 @@
   if (findBlockedCause(ctx, request.facts) !== undefined) return false;
   const hasBudget =
     retryBudgetFor(ctx, request.pool).remaining(ctx.now, retryBudgetOptions(ctx)) >= 1;
-  return hasBudget && placeOnOtherUpstream(ctx, request) !== undefined;
+  return hasBudget && takeForRetry(ctx, rankOthers(ctx, request)) !== undefined;
 }
 
-function placeOnOtherUpstream(ctx: RoutingContext, request: OpenRequest): Placement | undefined {
+/** Ranks the upstreams that a request has not been sent to. */
+function rankOthers(ctx: RoutingContext, request: OpenRequest): Ranking {
   const { facts, route, pool } = request;
   const excluded = [...request.tried, ...request.unreachable];
   const withinMs = route.objectiveMs;
-  const ranking = rank(ctx, { facts, route, pool, excluded, withinMs, rereadFactor: 0 });
+  return rank(ctx, { facts, route, pool, excluded, withinMs, rereadFactor: 0 });
+}
+
+/** Takes the best upstream that accepts a retry now. */
+function takeForRetry(ctx: RoutingContext, ranking: Ranking): Placement | undefined {
   let placement = ranking.next();
   while (placement !== undefined && !mayRetryAt(ctx, placement.upstream))
     placement = ranking.next();
@@ -304,7 +319,8 @@
   if (request.tried.length >= route.maxUpstreams || ctx.now >= attemptDeadline(request))
     return false;
   if (isRefusedNow(ctx, request)) return false;
-  const placement = placeOnOtherUpstream(ctx, request);
+  const ranking = rankOthers(ctx, request);
+  const placement = takeForRetry(ctx, ranking);
   if (placement === undefined) return false;
   // A retry consumes budget only if an earlier attempt may have reached an upstream.
   if (
@@ -314,7 +330,7 @@
     logWarning(ctx, 'retryBudgetSpent', { request: facts.requestId, pool });
     return false;
   }
-  sendToUpstream(ctx, request, placement);
+  sendToUpstream(ctx, request, placement, { passedOver: [], unwilling: ranking.unwilling });
   return true;
 }
 
--- a/src/routing/attempts/refusals.ts
+++ b/src/routing/attempts/refusals.ts
@@ -15,6 +15,7 @@
 import type { FairShareUsage } from '../shares/tokenShares.js';
 import type { BlockedCause } from '../suspects/suspects.js';
 import type { LogFields, LocalStatus, RequestFacts } from '../types.js';
+import type { Upstream } from '../upstreams/upstreamsState.js';
 import type { OpenRequest } from './attemptsState.js';
 
 /** Mean retry delay of callers that no upstream can serve at present. */
@@ -98,13 +99,21 @@
 }
 
 /** Refuses a request as no upstream can take it. */
-export function createNoUpstreamRefusal(ctx: RoutingContext, detail: string): Refusal {
+export function createNoUpstreamRefusal(
+  ctx: RoutingContext,
+  detail: string,
+  unwilling: readonly Upstream[],
+): Refusal {
   const { upstreams } = ctx.state;
   return {
     status: 503,
     reason: 'noUpstream',
     retryAfterMs: NO_UPSTREAM_RETRY_AFTER_MS * (0.5 + ctx.state.random.next()),
-    fields: { detail, listAgeMs: ageOfRead(ctx, upstreams) },
+    fields: {
+      detail,
+      unwilling: unwilling.length === 0 ? undefined : listIds(unwilling),
+      listAgeMs: ageOfRead(ctx, upstreams),
+    },
   };
 }
 
@@ -150,7 +159,7 @@
       route: route.name,
       customer,
       tokens: facts.promptTokens,
-      passedOver: listIds(passedOver),
+      passedOver: listIds(passedOver.map(({ upstream }) => upstream)),
       turnsPerSecond: Number(perSecond.toFixed(3)),
       ...describeShare(share),
     },
--- a/src/routing/exchange/domains.ts
+++ b/src/routing/exchange/domains.ts
@@ -14,6 +14,7 @@
 import { applyLimitNews } from '../rateLimits/limitNews.js';
 import { applySuspectNews } from '../suspects/suspectNews.js';
 import type { FailureDomainId } from '../types.js';
+import { applyLeavingNews } from '../upstreams/leaving.js';
 import type { RoutingMessage, PeerInstance } from './exchangeState.js';
 import { isSameDomain, isRelay, usesRelays } from './members.js';
 import { decodeParts, decodeSummary } from './routingMessage.js';
@@ -115,6 +116,7 @@
     heardAt: ctx.now,
   });
   applySuspectNews(ctx, message.suspectNews, isRelay(ctx));
+  applyLeavingNews(ctx, domain, message.leaving);
   decodeParts(message).forEach((read) => ctx.state.prefixes.recordRemote(read, ctx.now));
 }
 
--- a/src/routing/exchange/exchange.ts
+++ b/src/routing/exchange/exchange.ts
@@ -25,6 +25,7 @@
 import { domainLimitUse, ownLimitUse } from '../rateLimits/rateLimits.js';
 import { LIMIT_WINDOW_MS } from '../rateLimits/rateLimitsState.js';
 import type { AnnouncedInstance, RoutingEvent } from '../types.js';
+import { applyLeavingNews, expireLeaving } from '../upstreams/leaving.js';
 import { composeConfirmation, applyConfirmation } from './confirmations.js';
 import {
   expireDomainSummaries,
@@ -130,6 +131,7 @@
   );
   expireDomainSummaries(ctx);
   expireLimits(ctx);
+  expireLeaving(ctx);
   invalidateTotals(ctx);
   exchange.sequence += 1;
   const news = takeNews(ctx);
@@ -167,6 +169,7 @@
   peer.isAlive = true;
   peer.summary = message.isLeaving ? undefined : decodeSummary(message);
   peer.limitUses = applyLimitNews(ctx, message.rateLimits);
+  applyLeavingNews(ctx, from, message.leaving);
   applySuspectNews(ctx, message.suspectNews, usesRelays(ctx) && isRelay(ctx));
   const parts = decodeParts(message);
   parts.forEach((read) => ctx.state.prefixes.recordRemote(read, ctx.now));
--- a/src/routing/exchange/routingMessage.ts
+++ b/src/routing/exchange/routingMessage.ts
@@ -4,6 +4,7 @@
 import type { PartRead } from '../placement/prefixCacheTable.js';
 import type { LimitNews } from '../rateLimits/limitNews.js';
 import { localRates } from '../shares/tokenShares.js';
+import { composeLeavingNews } from '../upstreams/leaving.js';
 import type { OpenWork } from '../upstreams/upstreamsState.js';
 import { NO_CONFIRMATION, type ConfirmationFields } from './confirmations.js';
 import type { RoutingMessage, LoadSummary } from './exchangeState.js';
@@ -50,6 +51,7 @@
     admitted: rates.map(({ admitted }) => Math.round(admitted)),
     suspectNews: options.suspectNews,
     rateLimits: options.rateLimits,
+    leaving: composeLeavingNews(ctx),
     readParts: parts.map(({ part }) => part),
     readAt: parts.map(({ upstream }) => upstream),
     instances: summary.instances,
--- a/src/routing/placement/placement.ts
+++ b/src/routing/placement/placement.ts
@@ -26,6 +26,7 @@
   type HomeRank,
   type Prompt,
 } from './prompt.js';
+import { availabilityOf, isUnwilling } from '../upstreams/availability.js';
 import { createSpeed, type Speed } from '../upstreams/speed.js';
 import type { OpenWork, Upstream } from '../upstreams/upstreamsState.js';
 
@@ -93,31 +94,41 @@
   readonly rereadFactor: number;
 }
 
+/** Upstreams that were not used for a request although they respond. */
+export interface LeftOut {
+  /** Better ones, which already get as many requests as they accept. */
+  readonly passedOver: readonly Upstream[];
+  /** Those that have said that they want no requests. */
+  readonly unwilling: readonly Upstream[];
+}
+
 /** The upstreams that can take a request, best first. */
 export interface Ranking {
   /** Takes the best upstream that was not taken yet. */
   readonly next: () => Placement | undefined;
+  /** Upstreams that could take the request, but have said that they want none. */
+  readonly unwilling: readonly Upstream[];
 }
 
 /** Ranks the upstreams that can take a request. */
 export function rank(ctx: RoutingContext, request: PlacementRequest): Ranking {
   const { pool, excluded } = request;
-  const members = [...ctx.state.upstreams.byId.values()].filter(
-    ({ listed, reachability }) =>
-      listed.pool === pool && listed.phase === 'ready' && reachability.kind === 'reachable',
-  );
+  const all = [...ctx.state.upstreams.byId.values()].filter(({ listed }) => listed.pool === pool);
+  const members = all.filter((upstream) => availabilityOf(ctx, upstream) === 'open');
+  const unwilling = all.filter((upstream) => isUnwilling(availabilityOf(ctx, upstream)));
   const limit = connectionLimit(ctx, pool);
   const prompt = describePrompt(ctx, request.facts, members);
   const placements = members
     .filter(({ listed, own }) => !excluded.includes(listed.id) && own.running < limit)
     .map((upstream) => scoreUpstream(ctx, request, upstream, prompt));
   recordPoolWait(ctx, pool, placements);
-  return createRanking(placements);
+  return createRanking(placements, unwilling);
 }
 
-function createRanking(placements: readonly Placement[]): Ranking {
+function createRanking(placements: readonly Placement[], unwilling: readonly Upstream[]): Ranking {
   const left = new Set(placements);
   return {
+    unwilling,
     next: () => {
       let best: Placement | undefined;
       left.forEach((placement) => {
@@ -139,9 +150,9 @@
   poolWait(ctx, pool).record(waitMs / placements.length, ctx.now);
 }
 
-/** Returns the ids of the upstreams of placements, for log lines. */
-export function listIds(placements: readonly Placement[]): string {
-  return placements.map(({ upstream }) => upstream.listed.id).join(',');
+/** Returns the ids of upstreams, for log lines. */
+export function listIds(upstreams: readonly Upstream[]): string {
+  return upstreams.map(({ listed }) => listed.id).join(',');
 }
 
 /** Returns the moving average of the wait at a pool's upstreams. */
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -206,6 +206,14 @@
   | { readonly kind: 'limited'; readonly perSecond: number }
   | { readonly kind: 'unreadable'; readonly text: string };
 
+/** What an answer of an upstream says of the upstream itself. */
+export interface UpstreamStatements {
+  /** Unset if the host cannot tell. */
+  readonly rate?: RateStatement;
+  /** Whether the upstream leaves and wants no new requests. */
+  readonly isLeaving?: boolean;
+}
+
 /** Status of a response that this instance generates itself. */
 export type LocalStatus = 401 | 404 | 429 | 502 | 503 | 504;
 
@@ -305,13 +313,11 @@
   | { readonly kind: 'requestArrived'; readonly facts: RequestFacts }
   | { readonly kind: 'callerGone'; readonly request: RequestNumber }
   /** The status and headers of an answer arrived. */
-  | {
+  | ({
       readonly kind: 'attemptAnswered';
       readonly attempt: AttemptNumber;
       readonly status: number;
-      /** Unset if the host cannot tell. */
-      readonly rate?: RateStatement;
-    }
+    } & UpstreamStatements)
   /**
    * Part of the answer was forwarded. The host limits the rate of these events for each attempt.
    */
--- a/src/routing/upstreams/crashes.ts
+++ b/src/routing/upstreams/crashes.ts
@@ -1,11 +1,12 @@
 /**
  * Distinguishes crashes of upstreams from single broken connections. A broken connection triggers a
  * probe; if the upstream does not answer, or has started again, all requests interrupted at about that
- * time are suspected of having crashed it. An upstream that is draining was stopped by its operator.
+ * time are suspected of having crashed it. An upstream that drains or leaves was stopped by its operator.
  */
 import type { Millis } from '../../core/clock.js';
 import { emit, logWarning, type RoutingContext } from '../context.js';
 import { recordCrash } from '../suspects/suspects.js';
+import { isLeaving } from './leaving.js';
 import type { InterruptedRequest, Upstream } from './upstreamsState.js';
 
 /**
@@ -22,7 +23,7 @@
   upstream: Upstream,
   interrupted: InterruptedRequest,
 ): void {
-  if (upstream.listed.phase === 'draining') return;
+  if (upstream.listed.phase === 'draining' || isLeaving(ctx, upstream)) return;
   const previous = upstream.interruptedRequests.at(-1);
   recordEndedConnection(ctx, upstream, interrupted);
   if (upstream.reachability.kind === 'lost') {
--- a/src/routing/upstreams/upstreamsState.ts
+++ b/src/routing/upstreams/upstreamsState.ts
@@ -50,10 +50,19 @@
   readonly wasAnswering: boolean;
 }
 
+/** An upstream has said that it leaves. */
+export interface LeavingStatement {
+  readonly saidAt: Millis;
+  /** Whether it said so to this instance or to another one. */
+  readonly source: 'answer' | 'instance';
+}
+
 export interface UpstreamsState extends SharedReadState {
   readonly byId: Map<UpstreamId, Upstream>;
   /** The last entries of upstreams that have left the list, and when they left. */
   readonly removed: Map<UpstreamId, { readonly listed: ListedUpstream; readonly at: Millis }>;
+  /** Upstreams that have said that they leave, by the hash of their id and start time. */
+  readonly leaving: Map<number, LeavingStatement>;
   readonly poolSpeeds: Map<PoolId, Speed>;
   readonly poolWaits: Map<PoolId, PoolWait>;
   /** Time at which the platform answered again after an outage. */
@@ -68,6 +77,7 @@
   return {
     byId: new Map(),
     removed: new Map(),
+    leaving: new Map(),
     poolSpeeds: new Map(),
     poolWaits: new Map(),
     ...createSharedReadState(),
--- a/test/hosts/intake.test.ts
+++ b/test/hosts/intake.test.ts
@@ -24,7 +24,7 @@
     };
   },
   upstreamHeaders: () => [],
-  parseResponseHead: () => ({ isNotExecuted: false, isGenuine: true }),
+  parseResponseHead: () => ({ isNotExecuted: false, isGenuine: true, statements: {} }),
   localResponseHeaders: () => ({}),
 };
 
--- a/test/platform/headers.test.ts
+++ b/test/platform/headers.test.ts
@@ -3,7 +3,7 @@
 
 describe('the limit that an engine states in its answers', () => {
   const { parseResponseHead } = createRequestProtocol();
-  const rateOf = (text: string) => parseResponseHead(['Server-Limit', text]).rate;
+  const rateOf = (text: string) => parseResponseHead(['Server-Limit', text]).statements.rate;
 
   it('is a decimal number of requests a second', () => {
     expect(rateOf('7.25')).to.deep.equal({ kind: 'limited', perSecond: 7.25 });
@@ -12,7 +12,8 @@
   });
 
   it('does not hold without the header', () => {
-    expect(parseResponseHead(['Content-Length', '2']).rate).to.deep.equal({ kind: 'unlimited' });
+    const { statements } = parseResponseHead(['Content-Length', '2']);
+    expect(statements.rate).to.deep.equal({ kind: 'unlimited' });
   });
 
   ['', ' ', '-3', 'NaN', 'Infinity', '1e400', 'seven', '7 8'].forEach((text) => {
--- a/test/routing/attempts.test.ts
+++ b/test/routing/attempts.test.ts
@@ -265,6 +265,7 @@
             crashes: [{ cause, upstream: i, ageMs: 100, runMs: 300 }],
             answers: [],
           },
+          leaving: [],
           rateLimits: [],
           readParts: [],
           readAt: [],
--- a/test/routing/messageFuzz.test.ts
+++ b/test/routing/messageFuzz.test.ts
@@ -44,7 +44,10 @@
   sent: count,
 });
 
+const leaving = fc.record({ upstream: count, ageMs: count });
+
 const news = fc.record({
+  leaving: fc.array(leaving, { maxLength: 3 }),
   rateLimits: fc.array(rateLimit, { maxLength: 3 }),
   upstreams: fc.array(count, { maxLength: 4 }),
   running: fc.array(count, { maxLength: 4 }),
