Send an upstream no request for the time that it names in a refusal

The instance sends it nothing until then, no first attempt, repeat or probe; the pause that ends last holds; what cannot be read is logged and counts as none. If no other upstream is left, callers are refused at once with a Retry-After that is no shorter. After a pause requests rise from one to the instance's part of the slots within a second. The pool counts as busy while all pause. /upstreams, a gauge, a counter and explain show it.

--- a/src/cli/explain.ts
+++ b/src/cli/explain.ts
@@ -30,6 +30,11 @@
   'triedAgain',
   'notRetried',
 ]);
+/** Events that tell why an upstream was sent no requests. */
+const UNWILLING_EVENTS: ReadonlySet<RoutingEventCode> = new Set([
+  'upstreamLeaving',
+  'pauseRequested',
+]);
 const BELIEF_WINDOW_MS = 5_000;
 const MAX_BELIEFS = 20;
 
@@ -79,9 +84,15 @@
   // What is known of a refused cause may be minutes old.
   const isOfCause = ({ time, fields }: LogLine) =>
     cause !== undefined && fields.cause === cause && time <= ending.time;
+  const unwilling = String(ending.fields.unwilling ?? '').split(',');
+  // What an upstream has said of itself may be minutes old.
+  const isOfUnwilling = ({ time, event, fields }: LogLine) =>
+    UNWILLING_EVENTS.has(event) &&
+    unwilling.includes(String(fields.upstream)) &&
+    time <= ending.time;
   return lines
     .filter((line) => line.instance === ending.instance)
-    .filter((line) => isInWindow(line) || isOfCause(line))
+    .filter((line) => isInWindow(line) || isOfCause(line) || isOfUnwilling(line))
     .filter(({ event }) => routingEvents[event].category === 'belief')
     .sort(byTime)
     .slice(-MAX_BELIEFS);
--- a/src/daemon/routingInstance.ts
+++ b/src/daemon/routingInstance.ts
@@ -17,6 +17,7 @@
 } from '../hosts/routing/datagramPeerHost.js';
 import { createSystem } from '../hosts/system.js';
 import type { System } from '../hosts/types.js';
+import type { RoutingContext } from '../routing/context.js';
 import { countInstances } from '../routing/exchange/countedInstances.js';
 import { confirmationAge } from '../routing/freshness/freshness.js';
 import type { LoadReading } from '../routing/load/instanceLoad.js';
@@ -25,6 +26,7 @@
 import type { RoutingSettings } from '../routing/settings.js';
 import { listBlockedCauses } from '../routing/suspects/suspects.js';
 import type { RoutingEffect, RoutingEvent, RoutingTimer } from '../routing/types.js';
+import { countUnwilling, listUpstreamStates } from '../routing/upstreams/overview.js';
 import { createLoop, type Loop } from './loop.js';
 import { createIncarnation } from './incarnation.js';
 
@@ -48,9 +50,10 @@
   readonly seed?: number;
 }
 
-/** Paths at the operators' address: what is refused, and the rate limits of upstreams. */
+/** Paths at the operators' address: what is refused, the rate limits of upstreams, and their state. */
 const REFUSED_PATH = '/refused';
 const LIMITS_PATH = '/limits';
+const UPSTREAMS_PATH = '/upstreams';
 
 export interface RoutingAddresses {
   readonly callers: string;
@@ -351,6 +354,7 @@
         [options.metricsPath, async () => renderMetrics(context, { metrics, meter, log })],
         [REFUSED_PATH, async () => renderRefused(context)],
         [LIMITS_PATH, async () => renderLimits(context)],
+        [UPSTREAMS_PATH, async () => renderUpstreams(context)],
       ]),
     }),
   };
@@ -379,8 +383,17 @@
 
 /** Lists the rate limits of upstreams, and how they are used. */
 async function renderLimits(context: HostContext) {
-  const ctx = { state: context.routing().state, now: context.clock.now(), effects: [] };
-  return renderJson(listLimits(ctx));
+  return renderJson(listLimits(createReadContext(context)));
+}
+
+/** Lists the upstreams, and whether they may be sent requests. */
+async function renderUpstreams(context: HostContext) {
+  return renderJson(listUpstreamStates(createReadContext(context)));
+}
+
+/** Creates a context to read the state between two events. */
+function createReadContext({ routing, clock }: HostContext): RoutingContext {
+  return { state: routing().state, now: clock.now(), effects: [] };
 }
 
 function renderJson(value: unknown) {
@@ -391,8 +404,8 @@
   context: HostContext,
   { metrics, meter, log }: Pick<RoutingHosts, 'metrics' | 'meter' | 'log'>,
 ) {
-  const { state } = context.routing();
-  const ctx = { state, now: context.clock.now(), effects: [] };
+  const ctx = createReadContext(context);
+  const { state } = ctx;
   const upstreams = [...state.upstreams.byId.values()];
   const text = await metrics.render({
     openRequests: state.requests.open.size,
@@ -403,6 +416,7 @@
     instances: countInstances(ctx),
     blockedCauses: state.suspects.blocked.size,
     limitedUpstreams: listLimits(ctx).length,
+    unwillingUpstreams: countUnwilling(ctx),
     linesOmitted: log.omitted(),
     loopUtilization: meter.lastReading().utilization,
     loopLagMs: meter.lastReading().lagMs,
--- a/src/hosts/routing/metricsPage.ts
+++ b/src/hosts/routing/metricsPage.ts
@@ -16,6 +16,8 @@
   readonly blockedCauses: number;
   /** Upstreams that limit the rate of their requests. */
   readonly limitedUpstreams: number;
+  /** Upstreams that have said that they want no requests. */
+  readonly unwillingUpstreams: number;
   readonly linesOmitted: number;
   /** Event loop utilization over the last second. */
   readonly loopUtilization: number;
@@ -66,6 +68,7 @@
     instances: gauge('instances', 'Instances heard of, this one included.'),
     blockedCauses: gauge('blocked_causes', 'Requests and parts refused as they crash upstreams.'),
     limitedUpstreams: gauge('limited_upstreams', 'Upstreams that limit their rate.'),
+    unwillingUpstreams: gauge('unwilling_upstreams', 'Upstreams that leave or want a pause.'),
     linesOmitted: gauge('log_lines_omitted', 'Log lines that were left out.'),
     loopUtilization: gauge('loop_utilization', 'Part of the last second in which the loop worked.'),
     loopLagMs: gauge('loop_lag_ms', 'Time by which the loop was late.'),
--- a/src/routing/attempts/arrival.ts
+++ b/src/routing/attempts/arrival.ts
@@ -56,7 +56,7 @@
   const { route, customer, isTrial } = checked;
   const pool = pickPool(route, ctx.state.random);
   if (pool === undefined) {
-    refuse(ctx, facts, createNoUpstreamRefusal(ctx, 'the route has no target pool', []));
+    refuse(ctx, facts, createNoUpstreamRefusal(ctx, 'the route has no target pool', undefined, []));
     return;
   }
   const tooLong = checkGrace(ctx, facts, route, pool);
@@ -203,6 +203,7 @@
       createNoUpstreamRefusal(
         ctx,
         'no upstream of the pool is ready and reachable',
+        pool,
         ranking.unwilling,
       ),
     );
--- a/src/routing/attempts/attempts.ts
+++ b/src/routing/attempts/attempts.ts
@@ -27,10 +27,11 @@
   LocalStatus,
   PoolId,
   RoutingEvent,
-  UpstreamStatements,
 } from '../types.js';
+import { hasOpenUpstream } from '../upstreams/availability.js';
 import { markReachable } from '../upstreams/health.js';
 import { recordLeaving } from '../upstreams/leaving.js';
+import { recordPause, recordSentAfterPause, returnAfterPause } from '../upstreams/pauses.js';
 import {
   findUpstream,
   recordFirstPart,
@@ -39,7 +40,12 @@
   releaseAttempt,
 } from './accounting.js';
 import type { Attempt, OpenRequest } from './attemptsState.js';
-import { FIRST_ERROR_STATUS, MISDIRECTED_STATUS, NOT_RUN_STATUSES } from './statuses.js';
+import {
+  FIRST_ERROR_STATUS,
+  MISDIRECTED_STATUS,
+  NOT_RUN_STATUSES,
+  UNAVAILABLE_STATUS,
+} from './statuses.js';
 
 /**
  * Minimum retry delay of callers whose request was declined by every upstream that it may be sent
@@ -70,6 +76,7 @@
   const attempt = createAttempt(ctx, request, placement);
   recordPrefix(ctx, facts, placement.upstream);
   recordSentRequest(ctx, placement.upstream);
+  recordSentAfterPause(ctx, placement.upstream);
   const isFirst = request.tried.length === 0 && request.unreachable.length === 0;
   if (isFirst && customer !== undefined) {
     recordAdmitted(ctx, customer, requestCost(facts.promptTokens, facts.outputTokens));
@@ -183,13 +190,17 @@
 function recordStatements(
   ctx: RoutingContext,
   attempt: Attempt,
-  { rate, isLeaving }: UpstreamStatements,
+  { status, rate, isLeaving, pause }: AttemptAnsweredEvent,
   request: OpenRequest | undefined,
 ): void {
-  const upstream = findUpstream(ctx, attempt);
-  if (upstream !== undefined) recordRate(ctx, upstream, rate, attempt.startedAt);
+  const requestId = request?.facts.requestId;
   if (isLeaving === true)
-    recordLeaving(ctx, attempt.upstream, attempt.upstreamStartedAt, request?.facts.requestId);
+    recordLeaving(ctx, attempt.upstream, attempt.upstreamStartedAt, requestId);
+  const upstream = findUpstream(ctx, attempt);
+  if (upstream === undefined) return;
+  recordRate(ctx, upstream, rate, attempt.startedAt);
+  if (status === UNAVAILABLE_STATUS && pause !== undefined)
+    recordPause(ctx, upstream, pause, requestId);
 }
 
 export function onAttemptProgress(ctx: RoutingContext, number: number): void {
@@ -248,6 +259,12 @@
   emit(ctx, { kind: 'cancel', attempt: open.number });
 }
 
+/** Returns when a caller should come back whose request no upstream has taken. */
+function declinedRetryAfter(ctx: RoutingContext, { pool }: OpenRequest): Millis {
+  const usualMs = DECLINED_RETRY_AFTER_MS * (1 + ctx.state.random.next());
+  return hasOpenUpstream(ctx, pool) ? usualMs : Math.max(usualMs, returnAfterPause(ctx, pool));
+}
+
 /** Ends a request with an error, or closes the caller's connection if an answer has started. */
 export function failRequest(
   ctx: RoutingContext,
@@ -260,8 +277,7 @@
   ctx.state.requests.open.delete(facts.request);
   if (request.hasAnswerStarted) emit(ctx, { kind: 'cutAnswer', request: facts.request });
   else {
-    const retryAfterMs =
-      status === 503 ? DECLINED_RETRY_AFTER_MS * (1 + ctx.state.random.next()) : 0;
+    const retryAfterMs = status === 503 ? declinedRetryAfter(ctx, request) : 0;
     emit(ctx, {
       kind: 'answer',
       answer: {
--- a/src/routing/attempts/healthCheck.ts
+++ b/src/routing/attempts/healthCheck.ts
@@ -11,6 +11,7 @@
 import { expireSuspects, findBlockedCause } from '../suspects/suspects.js';
 import { silenceTimeout, markLost, probeLostUpstreams } from '../upstreams/health.js';
 import { removeMissing, replaceOverdueListRead } from '../upstreams/list.js';
+import { endPauses } from '../upstreams/pauses.js';
 import type { Upstream } from '../upstreams/upstreamsState.js';
 import { cancelAttempt, failRequest, canRetryElsewhere, isRepeatable } from './attempts.js';
 import type { Attempt, OpenRequest } from './attemptsState.js';
@@ -28,6 +29,7 @@
   updateFreshness(ctx);
   removeMissing(ctx);
   expireSuspects(ctx);
+  endPauses(ctx);
   const delayMs = takeTimerDelay(ctx);
   recordTimerDelay(ctx, delayMs);
   detectSilentUpstreams(ctx, delayMs);
--- a/src/routing/attempts/refusals.ts
+++ b/src/routing/attempts/refusals.ts
@@ -14,7 +14,9 @@
 import { ownRate } from '../rateLimits/rateLimits.js';
 import type { FairShareUsage } from '../shares/tokenShares.js';
 import type { BlockedCause } from '../suspects/suspects.js';
-import type { LogFields, LocalStatus, RequestFacts } from '../types.js';
+import type { LogFields, LocalStatus, PoolId, RequestFacts } from '../types.js';
+import { hasOpenUpstream } from '../upstreams/availability.js';
+import { returnAfterPause } from '../upstreams/pauses.js';
 import type { Upstream } from '../upstreams/upstreamsState.js';
 import type { OpenRequest } from './attemptsState.js';
 
@@ -102,13 +104,17 @@
 export function createNoUpstreamRefusal(
   ctx: RoutingContext,
   detail: string,
+  pool: PoolId | undefined,
   unwilling: readonly Upstream[],
 ): Refusal {
   const { upstreams } = ctx.state;
   return {
     status: 503,
     reason: 'noUpstream',
-    retryAfterMs: NO_UPSTREAM_RETRY_AFTER_MS * (0.5 + ctx.state.random.next()),
+    retryAfterMs: Math.max(
+      NO_UPSTREAM_RETRY_AFTER_MS * (0.5 + ctx.state.random.next()),
+      pool === undefined || hasOpenUpstream(ctx, pool) ? 0 : returnAfterPause(ctx, pool),
+    ),
     fields: {
       detail,
       unwilling: unwilling.length === 0 ? undefined : listIds(unwilling),
--- a/src/routing/eventTable.ts
+++ b/src/routing/eventTable.ts
@@ -107,6 +107,13 @@
     'The platform has come back from an earlier copy of itself.',
   ),
   upstreamLeaving: entry(9084, 'belief', 'An upstream has said in an answer that it leaves.'),
+  pauseRequested: entry(
+    9085,
+    'belief',
+    'An upstream wants no request of this instance for a time.',
+  ),
+  pauseEnded: entry(9086, 'belief', 'The time for which an upstream wanted no request has passed.'),
+  pauseUnreadable: entry(9087, 'belief', 'The time that a refusal names cannot be read.'),
   readOverdue: entry(9083, 'belief', 'A read of the platform never ended and was begun anew.'),
   started: entry(9070, 'process', 'The instance has started.'),
   ready: entry(9071, 'process', 'The instance accepts new callers.'),
--- a/src/routing/placement/placement.ts
+++ b/src/routing/placement/placement.ts
@@ -27,6 +27,7 @@
   type Prompt,
 } from './prompt.js';
 import { availabilityOf, isUnwilling } from '../upstreams/availability.js';
+import { hasRampRoom } from '../upstreams/pauses.js';
 import { createSpeed, type Speed } from '../upstreams/speed.js';
 import type { OpenWork, Upstream } from '../upstreams/upstreamsState.js';
 
@@ -120,8 +121,11 @@
   const prompt = describePrompt(ctx, request.facts, members);
   const placements = members
     .filter(({ listed, own }) => !excluded.includes(listed.id) && own.running < limit)
+    .filter((upstream) => hasRampRoom(ctx, upstream))
     .map((upstream) => scoreUpstream(ctx, request, upstream, prompt));
-  recordPoolWait(ctx, pool, placements);
+  if (members.length === 0 && unwilling.length > 0)
+    poolWait(ctx, pool).record(SATURATED_WAIT_MS, ctx.now);
+  else recordPoolWait(ctx, pool, placements);
   return createRanking(placements, unwilling);
 }
 
--- a/src/routing/routing.ts
+++ b/src/routing/routing.ts
@@ -44,6 +44,7 @@
 } from './types.js';
 import { confirmCrash } from './upstreams/crashes.js';
 import { markReachable, markLost } from './upstreams/health.js';
+import { agePauses } from './upstreams/pauses.js';
 import { onUpstreamsPolled, onUpstreamTimer, startUpstreamPoll } from './upstreams/list.js';
 
 export interface RoutingOptions {
@@ -92,6 +93,7 @@
       return;
     case 'clockGap':
       clearSendTimes(ctx);
+      agePauses(ctx, event.gapMs, event.clock);
       onClockGap(ctx, event.gapMs, event.clock);
       return;
     case 'configurationPolled':
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -206,12 +206,19 @@
   | { readonly kind: 'limited'; readonly perSecond: number }
   | { readonly kind: 'unreadable'; readonly text: string };
 
+/** For how long an upstream that refuses a request wants no others of this instance. */
+export type PauseStatement =
+  | { readonly kind: 'for'; readonly ms: Millis }
+  | { readonly kind: 'unreadable'; readonly text: string };
+
 /** What an answer of an upstream says of the upstream itself. */
 export interface UpstreamStatements {
   /** Unset if the host cannot tell. */
   readonly rate?: RateStatement;
   /** Whether the upstream leaves and wants no new requests. */
   readonly isLeaving?: boolean;
+  /** Counts only if the upstream refuses the request for lack of capacity. */
+  readonly pause?: PauseStatement;
 }
 
 /** Status of a response that this instance generates itself. */
--- a/src/routing/upstreams/crashes.ts
+++ b/src/routing/upstreams/crashes.ts
@@ -7,6 +7,7 @@
 import { emit, logWarning, type RoutingContext } from '../context.js';
 import { recordCrash } from '../suspects/suspects.js';
 import { isLeaving } from './leaving.js';
+import { remainingPause } from './pauses.js';
 import type { InterruptedRequest, Upstream } from './upstreamsState.js';
 
 /**
@@ -30,6 +31,8 @@
     confirmCrash(ctx, upstream);
     return;
   }
+  // A probe counts as a request. That the upstream starts again shows the crash as well.
+  if (remainingPause(ctx, upstream) > 0) return;
   if (previous !== undefined && ctx.now - previous.at < MIN_PROBE_INTERVAL_MS) return;
   const { id, startedAt: upstreamStartedAt, address } = upstream.listed;
   emit(ctx, { kind: 'probe', upstream: id, upstreamStartedAt, address });
--- a/src/routing/upstreams/health.ts
+++ b/src/routing/upstreams/health.ts
@@ -7,6 +7,7 @@
  */
 import type { Millis } from '../../core/clock.js';
 import { emit, logInfo, logWarning, type RoutingContext } from '../context.js';
+import { remainingPause } from './pauses.js';
 import type { Upstream } from './upstreamsState.js';
 
 /** Lower bound of the silence timeout, whatever the upstream's usual response time. */
@@ -80,11 +81,12 @@
   return Math.max(MIN_SILENCE_TIMEOUT_MS, objectiveMs, SILENCE_TIMEOUT_FACTOR * usual);
 }
 
-/** Probes the lost upstreams whose next probe is due. */
+/** Probes the lost upstreams whose next probe is due, unless they want no requests. */
 export function probeLostUpstreams(ctx: RoutingContext): void {
   ctx.state.upstreams.byId.forEach((upstream) => {
     const { reachability, listed } = upstream;
     if (reachability.kind !== 'lost' || ctx.now < reachability.nextProbeAt) return;
+    if (remainingPause(ctx, upstream) > 0) return;
     const jitter = PROBE_INTERVAL_MS * ctx.state.random.next();
     upstream.reachability = {
       ...reachability,
--- a/src/routing/upstreams/upstreamsState.ts
+++ b/src/routing/upstreams/upstreamsState.ts
@@ -57,12 +57,22 @@
   readonly source: 'answer' | 'instance';
 }
 
+/** An upstream wants no request of this instance for a time. */
+export interface Pause {
+  until: Millis;
+  hasEnded: boolean;
+  /** Requests sent since its end. */
+  sentSince: number;
+}
+
 export interface UpstreamsState extends SharedReadState {
   readonly byId: Map<UpstreamId, Upstream>;
   /** The last entries of upstreams that have left the list, and when they left. */
   readonly removed: Map<UpstreamId, { readonly listed: ListedUpstream; readonly at: Millis }>;
   /** Upstreams that have said that they leave, by the hash of their id and start time. */
   readonly leaving: Map<number, LeavingStatement>;
+  /** Pauses that upstreams have asked for, by the hash of their id and start time. */
+  readonly pauses: Map<number, Pause>;
   readonly poolSpeeds: Map<PoolId, Speed>;
   readonly poolWaits: Map<PoolId, PoolWait>;
   /** Time at which the platform answered again after an outage. */
@@ -78,6 +88,7 @@
     byId: new Map(),
     removed: new Map(),
     leaving: new Map(),
+    pauses: new Map(),
     poolSpeeds: new Map(),
     poolWaits: new Map(),
     ...createSharedReadState(),
