--- a/test/platform/support/fleet.ts
+++ b/test/platform/support/fleet.ts
@@ -112,7 +112,12 @@
   readonly store: LogStore;
   readonly listEngine: (engine: BatchEngine, pool: string, changes?: object) => void;
   readonly configure: (version: number, changes?: object) => void;
-  readonly addEngine: (pool: string, options?: Partial<BatchEngineOptions>) => Promise<BatchEngine>;
+  /** Starts an engine and lists it; `changes` replace fields of its entry. */
+  readonly addEngine: (
+    pool: string,
+    options?: Partial<BatchEngineOptions>,
+    changes?: object,
+  ) => Promise<BatchEngine>;
   readonly addInstance: (settings?: Partial<RoutingSettings>) => Promise<StartedInstance>;
   readonly close: () => Promise<void>;
 }
@@ -146,11 +151,11 @@
     listEngine,
     configure: (version: number, changes: object = {}) =>
       store.append('keyed.op', 'config', createOperatorConfiguration(version, changes)),
-    addEngine: async (pool: string, options: Partial<BatchEngineOptions> = {}) => {
+    addEngine: async (pool, options = {}, changes = {}) => {
       const id = options.id ?? `i-${engines.length + 1}`;
       const engine = await startBatchEngine({ isStream: pool === 'models', ...options, id });
       engines.push(engine);
-      listEngine(engine, pool);
+      listEngine(engine, pool, changes);
       return engine;
     },
     addInstance: async (settings: Partial<RoutingSettings> = {}): Promise<StartedInstance> => {
