Keep what is known of versions when the platform has dropped its history

Found by reading: after each read of the whole list, the versions of before counted as unknown, so that take-ups of streams that nobody had told were refused for the life of a stream after the platform had dropped its history, with one version in service. That is needed only if changes can have been missed: over more than the time for which an upstream drains, while another instance is not heard of. The third of the three new cases passes without the change; the first two fail.

--- a/src/routing/upstreams/list.ts
+++ b/src/routing/upstreams/list.ts
@@ -91,8 +91,9 @@
   if (event.isWhole || event.from === undefined) applyWhole(ctx, changes, event.isWhole);
   else applyRead(ctx, event.from, knownCursor ?? event.from, changes);
   upstreams.isKnown = true;
+  const sinceReadMs = event.askedAt - (upstreams.confirmedAt ?? -Infinity);
   confirmRead(upstreams, event.askedAt - upstreams.clockGapMs);
-  onListRead(ctx, event.askedAt, event.isWhole);
+  onListRead(ctx, event.askedAt, event.isWhole ? sinceReadMs : 0);
   removeMissing(ctx);
   const fraction = hasLivePeer(ctx) ? SHARED_POLL_INTERVAL_FRACTION : POLL_INTERVAL_FRACTION;
   const intervalMs = Math.max(settings.upstreamPollMs, settings.drainMs * fraction);
--- a/src/routing/versions/served.ts
+++ b/src/routing/versions/served.ts
@@ -7,6 +7,7 @@
  */
 import type { Millis } from '../../core/clock.js';
 import { emit, logInfo, logWarning, type RoutingContext } from '../context.js';
+import { domainPeers, usesRelays } from '../exchange/members.js';
 import { ageOfRead } from '../freshness/sharedRead.js';
 import type { ListedUpstream, PoolId, RoutingEvent } from '../types.js';
 import { hashVersion, versionOf, type VersionHash } from './versionsState.js';
@@ -44,11 +45,21 @@
 
 /** Returns whether all versions are known that can have begun a stream which still goes on. */
 export function areVersionsKnown(ctx: RoutingContext): boolean {
-  const { upstreams, versions, settings, exchange } = ctx.state;
+  const { upstreams, versions, settings } = ctx.state;
   if (ctx.now - versions.knownSince < horizon(ctx)) return false;
   const isListFresh = (ageOfRead(ctx, upstreams) ?? Infinity) <= settings.drainMs;
-  // An instance with a newer list tells of the streams that a version began which is not in this one.
-  return isListFresh || [...exchange.peers.values()].every(({ isAlive }) => isAlive);
+  return isListFresh || hearsAllInstances(ctx);
+}
+
+/**
+ * Returns whether all other instances are heard of. One with a newer list would have told of the streams
+ * that a version began which is not in the list of this one.
+ */
+function hearsAllInstances(ctx: RoutingContext): boolean {
+  const { peers, domains } = ctx.state.exchange;
+  if (!usesRelays(ctx)) return [...peers.values()].every(({ isAlive }) => isAlive);
+  const areDomainsHeard = [...domains.values()].every(({ summary }) => summary !== undefined);
+  return areDomainsHeard && domainPeers(ctx).every(({ isAlive }) => isAlive);
 }
 
 /** Returns the versions that can have begun a stream in a pool; undefined stands for one that is not told. */
@@ -107,11 +118,15 @@
 
 /**
  * Notes that the list has been read. From the first read on all versions are known; the history tells
- * of those before it. A later read of the whole list lacks what came and went since the read before.
+ * of those before it.
+ *
+ * @param missedMs Time before the read of whose changes it does not tell. No upstream comes and goes within the
+ *   time for which it drains, and the others tell of the streams that it began.
  */
-export function onListRead(ctx: RoutingContext, askedAt: Millis, isWhole: boolean): void {
+export function onListRead(ctx: RoutingContext, askedAt: Millis, missedMs: Millis): void {
   const { versions, settings } = ctx.state;
-  if (isWhole && versions.history === 'read') {
+  const hasMissed = missedMs > settings.drainMs && !hearsAllInstances(ctx);
+  if (hasMissed && versions.history === 'read') {
     versions.history = 'unread';
     versions.knownSince = askedAt;
   }
--- a/test/routing/streamVersions.test.ts
+++ b/test/routing/streamVersions.test.ts
@@ -121,6 +121,31 @@
     expect(effectsOf(takeUp(core, 'before'), 'send')).to.have.lengthOf(1);
   });
 
+  [
+    { awayMs: 1_000, isHeard: false, reason: undefined },
+    { awayMs: 4_000, isHeard: true, reason: undefined },
+    { awayMs: 4_000, isHeard: false, reason: 'versionUnknown' },
+  ].forEach(({ awayMs, isHeard, reason }) => {
+    const others = isHeard ? 'are heard of' : 'are silent';
+    it(`after the platform has forgotten ${awayMs} ms of the list, while the others ${others}`, () => {
+      const core = createCore();
+      const announced = { incarnation: 1, domain: 'domain-a', region: 'region-a' };
+      const peer = { ...announced, id: 'peer', address: '10.0.0.8:1' };
+      const found = { kind: 'answered', cursor: 1, changes: [peer] } as const;
+      core.dispatch({ kind: 'instancesPolled', askedAt: 0, isWhole: true, outcome: found });
+      core.advance(awayMs);
+      const message = { ...RoutingNews.decode(new Uint8Array()), sequence: 1 };
+      if (isHeard) core.dispatch({ kind: 'peerMessage', from: 'peer', incarnation: 1, message });
+      core.configure();
+      const changes = ['i-1', 'i-2'].map(
+        (id) => ({ kind: 'listed', upstream: createUpstreamEntry(id) }) as const,
+      );
+      const outcome = { kind: 'answered', cursor: 90, changes } as const;
+      core.dispatch({ kind: 'upstreamsPolled', askedAt: core.now(), isWhole: true, outcome });
+      expect(isRefusedFor(takeUp(core, 'before'))).to.equal(reason);
+    });
+  });
+
   it('is told a time to come back while the history has not been read', () => {
     const core = createTestCore();
     const refusal = answerOf(takeUp(core, 'before'));
