--- a/src/routing/attempts/attempts.ts
+++ b/src/routing/attempts/attempts.ts
@@ -1,5 +1,5 @@
 /**
- * Sends requests to upstreams and handles the outcomes of these attempts. A non-repeatable request
+ * Handles the answers and outcomes of attempts, and sends requests to other upstreams. A non-repeatable request
  * is sent again only if no upstream can have run it. Likewise, a request is refused with a status
  * that says that it has not run only if that is certain; otherwise the caller gets an error that
  * does not say whether it ran.
@@ -9,31 +9,21 @@
 import { emit, logInfo, logWarning, type RoutingContext } from '../context.js';
 import type { RoutingEventCode } from '../eventTable.js';
 import { countInstances } from '../exchange/countedInstances.js';
-import { connectionLimit, listIds, recordPrefix, rank } from '../placement/placement.js';
-import type { LeftOut, Placement, Ranking } from '../placement/placement.js';
+import { rank, type Placement, type Ranking } from '../placement/placement.js';
 import {
   createRetryBudget,
   type RetryBudget,
   type RetryBudgetOptions,
 } from '../retries/retryBudget.js';
-import { mayRetryAt, recordSentRequest } from '../rateLimits/rateLimits.js';
+import { mayRetryAt } from '../rateLimits/rateLimits.js';
 import { recordRate } from '../rateLimits/statements.js';
 import { findBlockedCause, recordAnswered } from '../suspects/suspects.js';
-import { recordAdmitted, requestCost } from '../shares/tokenShares.js';
-import type {
-  AttemptOutcome,
-  AttemptPlan,
-  LogFields,
-  LocalStatus,
-  PoolId,
-  RoutingEvent,
-} from '../types.js';
+import type { AttemptOutcome, LocalStatus, PoolId, RoutingEvent } from '../types.js';
 import { hasOpenUpstream } from '../upstreams/availability.js';
 import { markReachable } from '../upstreams/health.js';
-import { recordStream } from '../versions/streams.js';
-import { versionOf } from '../versions/versionsState.js';
 import { recordLeaving } from '../upstreams/leaving.js';
-import { recordPause, recordSentAfterPause, returnAfterPause } from '../upstreams/pauses.js';
+import { recordPause, returnAfterPause } from '../upstreams/pauses.js';
+import { recordStream } from '../versions/streams.js';
 import {
   findUpstream,
   recordFirstPart,
@@ -42,6 +32,7 @@
   releaseAttempt,
 } from './accounting.js';
 import type { Attempt, OpenRequest } from './attemptsState.js';
+import { attemptDeadline, sendToUpstream } from './sending.js';
 import {
   FIRST_ERROR_STATUS,
   MISDIRECTED_STATUS,
@@ -61,114 +52,8 @@
 const USABLE_BUDGET_FRACTION = 0.7;
 /** Time for which an answer has run if its request does not crash the upstream as it begins. */
 const SOUND_ANSWER_MS: Millis = 1_000;
-/** Minimum deadline of an attempt, even if no time is left. */
-const MIN_DEADLINE_MS: Millis = 1;
-
 type AttemptAnsweredEvent = Extract<RoutingEvent, { readonly kind: 'attemptAnswered' }>;
 
-/** Sends a request to the upstream of a placement. */
-export function sendToUpstream(
-  ctx: RoutingContext,
-  request: OpenRequest,
-  placement: Placement,
-  leftOut: LeftOut,
-): void {
-  const { facts, customer } = request;
-  const { id } = placement.upstream.listed;
-  const attempt = createAttempt(ctx, request, placement);
-  recordPrefix(ctx, facts, placement.upstream);
-  recordSentRequest(ctx, placement.upstream);
-  recordSentAfterPause(ctx, placement.upstream);
-  const isFirst = request.tried.length === 0 && request.unreachable.length === 0;
-  if (isFirst && customer !== undefined) {
-    recordAdmitted(ctx, customer, requestCost(facts.promptTokens, facts.outputTokens));
-  }
-  request.tried.push(id);
-  emit(ctx, { kind: 'send', plan: createAttemptPlan(ctx, request, attempt, placement) });
-  const repeatCode = request.hasAnswerStarted ? 'resumed' : 'retried';
-  const code = isFirst ? 'sent' : repeatCode;
-  emit(ctx, { kind: 'count', decision: code });
-  if (leftOut.unwilling.length > 0) emit(ctx, { kind: 'count', decision: 'unwilling' });
-  logInfo(ctx, code, describePlacement(ctx, request, placement, leftOut));
-}
-
-/** Creates the attempt and adds its work to the upstream. */
-function createAttempt(ctx: RoutingContext, request: OpenRequest, placement: Placement): Attempt {
-  const { requests } = ctx.state;
-  const { facts } = request;
-  const { upstream, uncachedTokens } = placement;
-  const attempt: Attempt = {
-    number: requests.nextAttempt,
-    request: facts.request,
-    upstream: upstream.listed.id,
-    upstreamStartedAt: upstream.listed.startedAt,
-    upstreamVersion: versionOf(upstream.listed),
-    startedAt: ctx.now,
-    uncachedTokens,
-    tokensAhead: placement.tokensAhead,
-    heldTokens: facts.promptTokens + facts.outputTokens,
-    expectedMs: placement.firstEventMs,
-    firstPartAt: undefined,
-    lastPartAt: undefined,
-    wasAnswering: false,
-  };
-  requests.nextAttempt += 1;
-  requests.attempts.set(attempt.number, attempt);
-  request.attempt = attempt.number;
-  upstream.own.running += 1;
-  upstream.own.pendingTokens += uncachedTokens;
-  upstream.own.heldTokens += attempt.heldTokens;
-  return attempt;
-}
-
-function createAttemptPlan(
-  ctx: RoutingContext,
-  request: OpenRequest,
-  attempt: Attempt,
-  { upstream }: Placement,
-): AttemptPlan {
-  const { route, pool, customer } = request;
-  return {
-    attempt: attempt.number,
-    request: attempt.request,
-    upstream: attempt.upstream,
-    address: upstream.listed.address,
-    upstreamStartedAt: attempt.upstreamStartedAt,
-    ...(customer === undefined ? {} : { customer }),
-    deadlineMs: Math.max(MIN_DEADLINE_MS, attemptDeadline(request) - ctx.now),
-    mode: route.mode,
-    isResumed: request.hasAnswerStarted,
-    maxConnections: connectionLimit(ctx, pool),
-  };
-}
-
-/** Returns the inputs of a placement decision as log fields. */
-function describePlacement(
-  ctx: RoutingContext,
-  { facts, route, customer }: OpenRequest,
-  placement: Placement,
-  { passedOver, unwilling }: LeftOut,
-): LogFields {
-  return {
-    request: facts.requestId,
-    route: route.name,
-    customer,
-    upstream: placement.upstream.listed.id,
-    version: ctx.state.freshness.configuration?.version,
-    expectedMs: Math.round(placement.firstEventMs),
-    ahead: Math.round(placement.tokensAhead),
-    uncached: placement.uncachedTokens,
-    running: placement.running,
-    sharedToRead: placement.rereadTokens,
-    parts: facts.prefix.map(({ id }) => id).join(','),
-    home: placement.home,
-    passedOver: passedOver.length === 0 ? undefined : listIds(passedOver),
-    unwilling: unwilling.length === 0 ? undefined : listIds(unwilling),
-    takesUp: facts.takesUp === undefined ? undefined : (facts.takesUp.beganAs ?? ''),
-    software: facts.takesUp === undefined ? undefined : placement.upstream.listed.version,
-  };
-}
-
 /** Returns the retry budget of a pool, and creates it on first use. */
 export function retryBudgetFor(ctx: RoutingContext, pool: PoolId): RetryBudget {
   const { retries } = ctx.state;
@@ -387,11 +272,6 @@
   };
 }
 
-/** Returns the time at which an attempt must have ended. */
-function attemptDeadline(request: OpenRequest): Millis {
-  return request.hasAnswerStarted ? request.deadlineAt : request.dueAt;
-}
-
 function handleOutcome(
   ctx: RoutingContext,
   request: OpenRequest,
