--- a/test/soak/fleet.ts
+++ b/test/soak/fleet.ts
@@ -1,7 +1,7 @@
 /** Runs the instances as separate processes, each connected to the store through its own fault-injecting link. */
 import { spawn, type ChildProcess } from 'node:child_process';
 import { writeFile } from 'node:fs/promises';
-import { createServer, type AddressInfo } from 'node:net';
+import { createServer } from 'node:net';
 import { join } from 'node:path';
 import { startBatchEngine, type BatchEngine } from '../../src/standins/platform/batchEngine.js';
 import { startLogStore, type LogStore } from '../../src/standins/platform/logStore.js';
@@ -10,6 +10,12 @@
 export const SOAK_EVENTS = 8;
 const EVENT_GAP_MS = 20;
 const STOP_GRACE_S = 8;
+/**
+ * Ports of instances. They lie below those that the system gives to outgoing connections, which may
+ * take a port while its instance is restarting.
+ */
+const FIRST_PORT = 10_000;
+const PORT_COUNT = 20_000;
 const RESTART_AFTER_MS = 200;
 const MAX_LOG_LINES = 40;
 
@@ -205,10 +211,14 @@
 
 /** Returns a port that was free when it was probed; another process may take it before it is used. */
 async function freePort(): Promise<number> {
+  const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
+  return (await isFree(port)) ? port : freePort();
+}
+
+async function isFree(port: number): Promise<boolean> {
   return new Promise((resolve) => {
-    const server = createServer().listen(0, '127.0.0.1', () => {
-      const { port } = server.address() as AddressInfo;
-      server.close(() => resolve(port));
-    });
+    const server = createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
   });
 }
