Read the configuration anew, and serve nothing by an older one, once another instance has a newer version

Same class, still there: pollNewerVersion did nothing while a read was pending, however old, and the version in force went on to serve what needs no key for as long as that lasted, although messages told of a newer one.

Change: a read that is still pending 0.3 s after the news is given up and begun anew, once for each time; an instance that knows of a newer version for 0.4 of the time to apply refuses all requests (503, staleConfiguration, behindMs) and is not ready, until a read settles which version is the newest. News of other failure domains count too.

--- a/src/routing/attempts/arrival.ts
+++ b/src/routing/attempts/arrival.ts
@@ -13,7 +13,7 @@
 } from '../admission/admission.js';
 import { emit, logWarning, type RoutingContext } from '../context.js';
 import { remainingGrace } from '../drain/stop.js';
-import { isConfirmed, staleRetryAfter } from '../freshness/freshness.js';
+import { isConfirmed, isOutdated, staleRetryAfter } from '../freshness/freshness.js';
 import { readingDelay } from '../load/ownDelay.js';
 import { poolSpeed, poolWait, rank, type LeftOut, type Placement } from '../placement/placement.js';
 import { chooseTurn, hasTurn } from '../rateLimits/rateLimits.js';
@@ -100,7 +100,8 @@
   const route = ctx.state.freshness.routeTable.find(facts.host, facts.path);
   const customer = findCustomer(configuration, facts);
   const allowsAnonymous = route !== undefined && (route.isPublic || !configuration.hasCustomers);
-  if (!allowsAnonymous && !isConfirmed(ctx)) return createStaleRefusal(ctx);
+  const mayServe = !isOutdated(ctx) && (allowsAnonymous || isConfirmed(ctx));
+  if (!mayServe) return createStaleRefusal(ctx);
   if (route === undefined) return { status: 404, reason: 'noRoute' };
   if (!allowsAnonymous && customer === undefined) return { status: 401, reason: 'unknownKey' };
   const tooLate = checkQueueTime(ctx, facts, route);
--- a/src/routing/attempts/refusals.ts
+++ b/src/routing/attempts/refusals.ts
@@ -7,7 +7,12 @@
 } from '../admission/admission.js';
 import { emit, logWarning, type RoutingContext } from '../context.js';
 import type { RoutingEventCode } from '../eventTable.js';
-import { confirmationAge, maxConfirmationAge, staleRetryAfter } from '../freshness/freshness.js';
+import {
+  behindFor,
+  confirmationAge,
+  maxConfirmationAge,
+  staleRetryAfter,
+} from '../freshness/freshness.js';
 import { ageOfRead } from '../freshness/sharedRead.js';
 import { readingDelay } from '../load/ownDelay.js';
 import { listIds, type Placement } from '../placement/placement.js';
@@ -98,6 +103,7 @@
       confirmationAgeMs: confirmationAge(ctx),
       boundMs: maxConfirmationAge(ctx),
       failures: ctx.state.freshness.failures,
+      behindMs: behindFor(ctx),
     },
   };
 }
--- a/src/routing/exchange/confirmations.ts
+++ b/src/routing/exchange/confirmations.ts
@@ -66,6 +66,16 @@
   if (sentAt !== undefined && message.list !== undefined) applyListNews(ctx, message.list, sentAt);
 }
 
+/** Reads the configuration if an instance, also one of another failure domain, has a newer version. */
+export function noteNewerVersion(
+  ctx: RoutingContext,
+  { configurationVersion }: ConfirmationFields,
+): void {
+  const { configuration } = ctx.state.freshness;
+  if (configuration !== undefined && configurationVersion > configuration.version)
+    pollNewerVersion(ctx, configurationVersion);
+}
+
 /** Applies a peer's confirmation if it is for the active configuration version. */
 function applyVersion(
   ctx: RoutingContext,
@@ -73,12 +83,8 @@
   sentAt: Millis | undefined,
 ): void {
   const { configuration } = ctx.state.freshness;
-  if (configuration === undefined || message.configurationVersion === 0) return;
-  if (message.configurationVersion > configuration.version) {
-    pollNewerVersion(ctx, message.configurationVersion);
-    return;
-  }
-  if (sentAt === undefined || message.configurationVersion < configuration.version) return;
+  if (sentAt === undefined || message.configurationVersion === 0) return;
+  if (message.configurationVersion !== configuration?.version) return;
   onPeerConfirmation(ctx, sentAt - message.confirmationAgeMs);
 }
 
--- a/src/routing/exchange/exchange.ts
+++ b/src/routing/exchange/exchange.ts
@@ -29,7 +29,7 @@
 import { expireFormerVersions } from '../versions/served.js';
 import { applyStreamNews, takeStreamNews } from '../versions/streamNews.js';
 import { tellAllStreams } from '../versions/streams.js';
-import { composeConfirmation, applyConfirmation } from './confirmations.js';
+import { applyConfirmation, composeConfirmation, noteNewerVersion } from './confirmations.js';
 import {
   expireDomainSummaries,
   onDomainSummary,
@@ -181,6 +181,7 @@
   applySuspectNews(ctx, message.suspectNews, usesRelays(ctx) && isRelay(ctx));
   const parts = decodeParts(message);
   parts.forEach((read) => ctx.state.prefixes.recordRemote(read, ctx.now));
+  noteNewerVersion(ctx, message);
   if (!isSameDomain(ctx, peer)) return;
   applyConfirmation(ctx, message);
   queuePartsToForward(ctx, parts);
--- a/src/routing/freshness/freshness.ts
+++ b/src/routing/freshness/freshness.ts
@@ -4,6 +4,9 @@
  * the last confirmation is recent enough. A revoked key is therefore refused in time even by an
  * instance that cannot reach the platform. A pending read confirms nothing.
  *
+ * An instance that knows of a newer version, and cannot read it for a while, serves nothing: what it
+ * would serve, it would serve by an older version than others do.
+ *
  * Within a failure domain, the instance with the lowest id polls continuously; the others use its
  * confirmations (`exchange/confirmations.ts`) and poll only when these get old or a peer has a
  * newer version.
@@ -28,6 +31,7 @@
   beginRead,
   confirmByPeer,
   confirmRead,
+  giveUp,
   giveUpOverdue,
   isConfirmedByReader,
   isGivenUp,
@@ -53,6 +57,17 @@
  */
 const MAX_PEER_AGE_FRACTION = 0.6;
 
+/**
+ * Time for which a read stays pending after a peer has told of a newer version, before it is begun anew.
+ * The platform ends a pending read when there is one.
+ */
+const MAX_PENDING_MS: Millis = 300;
+/**
+ * Time for which an instance that knows of a newer version serves by its own, as a fraction of the time in
+ * which a new configuration has to take effect. The rest is for the peer that told of it.
+ */
+const MAX_BEHIND_FRACTION = 0.4;
+
 type Polled = Extract<RoutingEvent, { readonly kind: 'configurationPolled' }>;
 
 export function startConfigurationPoll(ctx: RoutingContext): void {
@@ -101,16 +116,38 @@
   updateFreshness(ctx);
 }
 
-/** Polls the configuration immediately, because a peer has a newer version. */
+/** Reads the configuration immediately, because a peer has a newer version. */
 export function pollNewerVersion(ctx: RoutingContext, version: number): void {
   const { freshness } = ctx.state;
-  if (version > (freshness.heardVersion?.version ?? 0))
+  if (version > (freshness.heardVersion?.version ?? 0)) {
     freshness.heardVersion = { version, at: ctx.now };
-  if (freshness.isPolling || freshness.failures > 0) return;
+    freshness.behindSince ??= ctx.now;
+  }
+  if (freshness.failures > 0) return;
+  if (freshness.isPolling && !giveUpUnanswered(ctx)) return;
   logInfo(ctx, 'newerVersionHeard', { version, inForce: freshness.configuration?.version });
   startConfigurationPoll(ctx);
 }
 
+/** Gives up a read that the platform would have answered with the newer version. Returns whether it did. */
+function giveUpUnanswered(ctx: RoutingContext): boolean {
+  const { freshness } = ctx.state;
+  const { behindSince, begunAt } = freshness;
+  if (behindSince === undefined || begunAt > behindSince) return false;
+  return ctx.now - behindSince >= MAX_PENDING_MS && giveUp(ctx, 'configuration', freshness);
+}
+
+/** Returns for how long this instance has known of a newer version; `undefined` if it knows of none. */
+export function behindFor({ state, now }: RoutingContext): Millis | undefined {
+  const { behindSince } = state.freshness;
+  return behindSince === undefined ? undefined : now - behindSince;
+}
+
+/** Returns whether a newer version has been in force elsewhere for too long to serve by this one. */
+export function isOutdated(ctx: RoutingContext): boolean {
+  return (behindFor(ctx) ?? 0) >= ctx.state.settings.applyMs * MAX_BEHIND_FRACTION;
+}
+
 /** What a read says of the configuration in force. */
 type Finding =
   /** It was the newest when the read was sent. */
@@ -145,6 +182,7 @@
   const finding = judgeRead(ctx, askedAt);
   switch (finding) {
     case 'newest':
+      if (askedAt >= (freshness.behindSince ?? Infinity)) freshness.behindSince = undefined;
       confirmRead(freshness, askedAt - freshness.clockGapMs);
       return;
     case 'unknown':
@@ -200,7 +238,7 @@
 /** Updates whether the configuration is fresh and logs a change. */
 export function updateFreshness(ctx: RoutingContext): void {
   const { freshness } = ctx.state;
-  const isFresh = freshness.configuration !== undefined && isConfirmed(ctx);
+  const isFresh = freshness.configuration !== undefined && isConfirmed(ctx) && !isOutdated(ctx);
   if (isFresh === freshness.isFresh) return;
   freshness.isFresh = isFresh;
   const fields = {
@@ -208,6 +246,8 @@
     ageMs: confirmationAge(ctx),
     boundMs: maxConfirmationAge(ctx),
     failures: freshness.failures,
+    behindMs: behindFor(ctx),
+    heard: freshness.heardVersion?.version,
   };
   if (isFresh) logInfo(ctx, 'configurationFresh', fields);
   else logWarning(ctx, 'configurationStale', fields);
--- a/src/routing/freshness/freshnessState.ts
+++ b/src/routing/freshness/freshnessState.ts
@@ -13,6 +13,11 @@
   storedVersion: number | undefined;
   /** Newest version that a peer has told of, and when it first did. */
   heardVersion: { readonly version: number; readonly at: Millis } | undefined;
+  /**
+   * Time at which a peer first told of a version that is newer than the one in force, until a read of the
+   * platform settles which one is the newest.
+   */
+  behindSince: Millis | undefined;
   /** Time at which the platform was found to have come back from an earlier copy of itself. */
   restoredAt: Millis | undefined;
   /** Whether keyed requests may currently be served. */
@@ -27,6 +32,7 @@
     routeTable: createRouteTable([]),
     storedVersion: undefined,
     heardVersion: undefined,
+    behindSince: undefined,
     restoredAt: undefined,
     isFresh: false,
   };
--- a/src/routing/freshness/sharedRead.ts
+++ b/src/routing/freshness/sharedRead.ts
@@ -63,11 +63,15 @@
   waitMs: Millis,
 ): boolean {
   const pendingMs = ctx.now - read.begunAt;
-  if (!read.isPolling || pendingMs < waitMs + MAX_READ_MS) return false;
-  const overdue = read;
-  overdue.isPolling = false;
-  overdue.givenUpBefore = ctx.now;
-  logWarning(ctx, 'readOverdue', { reads, pendingMs: Math.round(pendingMs) });
+  return read.isPolling && pendingMs >= waitMs + MAX_READ_MS && giveUp(ctx, reads, read);
+}
+
+/** Gives up the pending read: what it may still answer is ignored. Returns true. */
+export function giveUp(ctx: RoutingContext, reads: string, read: SharedReadState): true {
+  const pending = read;
+  pending.isPolling = false;
+  pending.givenUpBefore = ctx.now;
+  logWarning(ctx, 'readOverdue', { reads, pendingMs: Math.round(ctx.now - read.begunAt) });
   return true;
 }
 
