Tell the reader of the list what the others have read themselves, if its own reads are not answered

Same class, still there: the others notice that the reader's news are old and read the list by themselves, but tell what they read to nobody, as only the reader's messages contain changes. The reader alone goes on with its old list for as long as its reads take. Change: an instance that reads the list by itself tells the latest changes too.

Before: the reader never learns of a drain while its reads are not answered (test/routing/listNews.test.ts, failed); after: within the time to drain, as all others.

--- a/src/routing/exchange/listNews.ts
+++ b/src/routing/exchange/listNews.ts
@@ -1,8 +1,10 @@
 /**
  * Passes the platform's list of upstreams on within a failure domain. Every message tells up to
  * which position of the platform's log its sender knows the list and how old that knowledge is;
- * those of the reader also contain the latest changes. A receiver applies changes only if none is
- * missing between its own position and theirs, so that its list is always one that the platform had.
+ * those of the reader also contain the latest changes. So do those of the others while they read the
+ * list by themselves, since the reader may be the one whose reads are not answered. A receiver applies
+ * changes only if none is missing between its own position and theirs, so that its list is always one
+ * that the platform had.
  *
  * That the platform was away for the reader is not passed on: it may have been cut off alone, and
  * the others must then drop what leaves the list at once.
@@ -11,10 +13,9 @@
 import type { RoutingContext } from '../context.js';
 import { ageOfRead, confirmByPeer } from '../freshness/sharedRead.js';
 import type { UpstreamChange } from '../types.js';
-import { applyFrom } from '../upstreams/list.js';
+import { applyFrom, isListTold } from '../upstreams/list.js';
 import type { PositionedChange } from '../upstreams/listHistory.js';
 import type { RoutingMessage } from './exchangeState.js';
-import { hasLowestId } from './members.js';
 
 export type ListNews = NonNullable<RoutingMessage['list']>;
 type ListNewsChange = ListNews['changes'][number];
@@ -38,9 +39,9 @@
   const { upstreams } = ctx.state;
   const ageMs = ageOfRead(ctx, upstreams);
   if (upstreams.cursor === undefined || ageMs === undefined) return undefined;
-  const { from, changes } = hasLowestId(ctx)
-    ? upstreams.history.recent(ctx.now)
-    : { from: undefined, changes: [] };
+  const { from, changes } = isListTold(ctx)
+    ? { from: undefined, changes: [] }
+    : upstreams.history.recent(ctx.now);
   return {
     cursor: upstreams.cursor,
     era: upstreams.era ?? NO_ERA,
--- a/test/routing/listNews.test.ts
+++ b/test/routing/listNews.test.ts
@@ -53,6 +53,19 @@
     });
   });
 
+  it('reaches its reader in the time to drain while its reads are not answered', () => {
+    const domain = createListDomain(3);
+    runRounds(domain, 10);
+    domain.append({ kind: 'listed', upstream: drainingEntry('e1') });
+    for (let passed = 0; passed < DRAIN_MS; passed += ROUND_MS) {
+      domain.advance(ROUND_MS);
+      domain.deliverAll();
+      domain.runTimers();
+      domain.ids.slice(1).forEach(domain.answer);
+    }
+    expectAllKnow(domain);
+  });
+
   it('is read at once by a reader that wakes with an old one', () => {
     const domain = createListDomain(3);
     runRounds(domain, 10);
