Refuse a request that crashed two upstreams until a trial, and tell of crashes and trials at once

Cause: only crashes that followed one another count, and a request that is sent within 250 ms of the crash before does not follow it. Ruled out: another cause in each wave (one hash is named on all instances). Added to it: messages leave every 200 ms, so that a repeat meets an instance that knows nothing yet, and a caller whose trial crashed could start another trial at the next instance.

Change: a request as a whole with maxCrashes - 1 crashes, in whatever order, is doubted: refused (503, as not run) until one trial, 2 s later, which clears it or crashes a third upstream; three crashes in two waves prove it. Parts of prompts are judged as before, since upstreams hold many requests with one part when they fail together, and the margin of 250 ms stays. Crashes, answers that clear and trials are told within 5 ms (50 ms apart at least), and a trial counts for all instances.

Replaced: 'are refused after the third crash' (attempts.test.ts) expected that the third request is sent. It is three tests now: refused after the second, for long after the third, and sent again after an answered trial.

--- a/src/routing/exchange/exchange.ts
+++ b/src/routing/exchange/exchange.ts
@@ -138,6 +138,7 @@
   expireFormerVersions(ctx);
   invalidateTotals(ctx);
   exchange.sequence += 1;
+  exchange.exchangedAt = ctx.now;
   const news = takeNews(ctx);
   const recipientCount = usesRelays(ctx) ? sendToDomain(ctx, news) : sendToAll(ctx, news);
   setTimer(ctx, 'exchange', exchangeInterval(ctx, recipientCount));
--- a/src/routing/exchange/exchangeState.ts
+++ b/src/routing/exchange/exchangeState.ts
@@ -81,6 +81,8 @@
   announceFailures: number;
   /** Sequence of the latest message that this instance sent. */
   sequence: number;
+  /** Time of the last regular exchange. */
+  exchangedAt: Millis;
 }
 
 export function createExchangeState(): ExchangeState {
@@ -99,5 +101,6 @@
     announcedAt: undefined,
     announceFailures: 0,
     sequence: 0,
+    exchangedAt: -Infinity,
   };
 }
--- a/src/routing/settings.ts
+++ b/src/routing/settings.ts
@@ -49,7 +49,7 @@
   readonly retryWindowMs: Millis;
   /**
    * Number of upstreams that a request, or requests with one part of their prompts, may crash one after
-   * the other before it is refused.
+   * the other before it is refused. A request as a whole is refused after one less, until an early trial.
    */
   readonly maxCrashes: number;
 }
--- a/src/routing/suspects/causes.ts
+++ b/src/routing/suspects/causes.ts
@@ -18,17 +18,22 @@
 export interface NamedCause {
   readonly hash: CauseHash;
   readonly part?: string;
+  /** Whether the cause is the request as a whole. */
+  readonly isWhole: boolean;
 }
 
 /** Returns the possible causes of a crash while a request ran. */
 export function namedCausesOf(facts: RequestFacts): readonly NamedCause[] {
-  const whole = { hash: mixHashes(facts.fingerprint, FINGERPRINT_SALT) };
+  const whole = { hash: mixHashes(facts.fingerprint, FINGERPRINT_SALT), isWhole: true };
   const { prefix } = facts;
   const parts =
     prefix.length <= 2 * MAX_PARTS_AT_END
       ? prefix
       : [...prefix.slice(0, MAX_PARTS_AT_END), ...prefix.slice(-MAX_PARTS_AT_END)];
-  return [whole, ...parts.map(({ id }) => ({ hash: hashPart(facts, id), part: id }))];
+  return [
+    whole,
+    ...parts.map(({ id }) => ({ hash: hashPart(facts, id), part: id, isWhole: false })),
+  ];
 }
 
 export function causesOf(facts: RequestFacts): readonly CauseHash[] {
--- a/src/routing/suspects/changeQueue.ts
+++ b/src/routing/suspects/changeQueue.ts
@@ -1,5 +1,7 @@
 /** Queue of the changes that the other instances have to learn; each is part of several messages. */
-import type { RoutingContext } from '../context.js';
+import type { Millis } from '../../core/clock.js';
+import { setTimer, type RoutingContext } from '../context.js';
+import { Debug } from '../../core/debug.js';
 import type { SuspectChange } from './suspectsState.js';
 
 /** Number of messages that contain a change. */
@@ -8,6 +10,21 @@
 const MAX_CHANGES = 300;
 /** Maximum number of queued changes; further ones are not told. */
 const MAX_QUEUED = 4_000;
+/** Delay of a message with an urgent change, so that it contains all changes of the same moment. */
+const URGENT_MS: Millis = 5;
+/** Minimum interval between a message with an urgent change and the one before. */
+const MIN_URGENT_INTERVAL_MS: Millis = 50;
+
+/**
+ * Queues a change that the other instances have to learn before a caller repeats its request at one of
+ * them.
+ */
+export function queueUrgentChange(ctx: RoutingContext, change: SuspectChange): void {
+  queueChange(ctx, change);
+  const { exchangedAt } = ctx.state.exchange;
+  setTimer(ctx, 'exchange', Math.max(URGENT_MS, exchangedAt + MIN_URGENT_INTERVAL_MS - ctx.now));
+}
+
 /** Queues a change for the next messages. */
 export function queueChange({ state }: RoutingContext, change: SuspectChange): void {
   const { queue } = state.suspects;
@@ -17,9 +34,17 @@
 }
 
 function keyOf(change: SuspectChange): string {
-  return change.kind === 'crash'
-    ? `${change.cause} ${change.crash.upstream}`
-    : String(change.cause);
+  const { kind, cause } = change;
+  switch (kind) {
+    case 'crash':
+      return `${cause} ${change.crash.upstream}`;
+    case 'answered':
+      return String(cause);
+    case 'trial':
+      return `${cause} trial`;
+    default:
+      return Debug.assertNever(kind);
+  }
 }
 
 /** Takes the changes for the next message. */
--- a/src/routing/suspects/suspectNews.ts
+++ b/src/routing/suspects/suspectNews.ts
@@ -8,8 +8,8 @@
 import type { Millis } from '../../core/clock.js';
 import type { PeerMessageOf } from '../../core/types.js';
 import type { RoutingContext } from '../context.js';
-import { queueChange, takeChanges } from './changeQueue.js';
-import { mergeAnswered, mergeCrash, noteAnswered } from './suspects.js';
+import { queueUrgentChange, takeChanges } from './changeQueue.js';
+import { mergeAnswered, mergeCrash, mergeTrial, noteAnswered } from './suspects.js';
 import type { SuspectChange } from './suspectsState.js';
 
 type SuspectNews = NonNullable<PeerMessageOf<'routingNews'>['suspectNews']>;
@@ -25,24 +25,26 @@
   return {
     crashes: changes.flatMap((change) => {
       if (change.kind !== 'crash') return [];
-      const { upstream, crashedAt, runMs } = change.crash;
-      return [{ cause: change.cause, upstream, ageMs: toAge(crashedAt), runMs: Math.round(runMs) }];
+      const { cause, isWhole, crash } = change;
+      const { upstream, crashedAt, runMs } = crash;
+      const ageMs = toAge(crashedAt);
+      return [{ cause, isWhole, upstream, ageMs, runMs: Math.round(runMs) }];
     }),
     answers: changes.flatMap((change) =>
       change.kind === 'answered' ? [{ cause: change.cause, ageMs: toAge(change.at) }] : [],
     ),
+    trials: changes.flatMap((change) =>
+      change.kind === 'trial' ? [{ cause: change.cause, ageMs: toAge(change.at) }] : [],
+    ),
   };
 }
 
 function blockedCrashes({ state }: RoutingContext): readonly SuspectChange[] {
   const { suspects, blocked } = state.suspects;
-  return [...blocked]
-    .slice(-MAX_BLOCKED_TOLD)
-    .flatMap((cause) =>
-      (suspects.get(cause)?.crashes ?? []).map(
-        (crash) => ({ kind: 'crash', cause, crash }) as const,
-      ),
-    );
+  return [...blocked].slice(-MAX_BLOCKED_TOLD).flatMap((cause) => {
+    const { isWhole = false, crashes = [] } = suspects.get(cause) ?? {};
+    return crashes.map((crash) => ({ kind: 'crash', cause, isWhole, crash }) as const);
+  });
 }
 
 /**
@@ -56,15 +58,20 @@
   shouldPassOn: boolean,
 ): void {
   if (news === undefined) return;
-  news.crashes.forEach(({ cause, upstream, ageMs, runMs }) => {
+  news.crashes.forEach(({ cause, isWhole, upstream, ageMs, runMs }) => {
     const crash = { upstream, crashedAt: ctx.now - ageMs, runMs };
-    const isNew = mergeCrash(ctx, { hash: cause }, crash, false);
-    if (isNew && shouldPassOn) queueChange(ctx, { kind: 'crash', cause, crash });
+    const isNew = mergeCrash(ctx, { hash: cause, isWhole }, crash, false);
+    if (isNew && shouldPassOn) queueUrgentChange(ctx, { kind: 'crash', cause, isWhole, crash });
   });
   news.answers.forEach(({ cause, ageMs }) => {
     const at = ctx.now - ageMs;
     noteAnswered(ctx, cause, at);
     const isNew = mergeAnswered(ctx, cause, at);
-    if (isNew && shouldPassOn) queueChange(ctx, { kind: 'answered', cause, at });
+    if (isNew && shouldPassOn) queueUrgentChange(ctx, { kind: 'answered', cause, at });
+  });
+  news.trials.forEach(({ cause, ageMs }) => {
+    const at = ctx.now - ageMs;
+    const isNew = mergeTrial(ctx, cause, at);
+    if (isNew && shouldPassOn) queueUrgentChange(ctx, { kind: 'trial', cause, at });
   });
 }
--- a/src/routing/suspects/suspects.ts
+++ b/src/routing/suspects/suspects.ts
@@ -10,6 +10,11 @@
  * is not suspected at all. A cause with `maxCrashes` of them is refused until a trial (`trials.ts`)
  * succeeds.
  *
+ * Load pattern: a request comes again with the same body, at any instance, and its sender and its caller
+ * repeat it at once. A service of three upstreams is gone in less than half a second, comes back after some
+ * seconds, and is gone again. Such a request is refused after fewer crashes, until an early trial
+ * (`verdict.ts`).
+ *
  * Each instance tells the others what it observed (`suspectNews.ts`); all of them add it up alike.
  */
 import type { Millis } from '../../core/clock.js';
@@ -17,14 +22,15 @@
 import type { RoutingState } from '../state.js';
 import type { RequestFacts } from '../types.js';
 import { causesOf, namedCausesOf, type CauseHash, type NamedCause } from './causes.js';
-import { queueChange } from './changeQueue.js';
-import { addCrash, countSuccessiveCrashes, type Crash } from './crash.js';
+import { queueChange, queueUrgentChange } from './changeQueue.js';
+import { addCrash, type Crash } from './crash.js';
 import type { Suspect } from './suspectsState.js';
 import { isTrialDue, trialDueAt } from './trials.js';
+import { judge, type Verdict } from './verdict.js';
 
-/** Time after the last crash after which a cause that is not refused is no longer suspected. */
+/** Time after the last crash after which a cause that is not proven is no longer suspected. */
 const FORGET_SUSPECT_MS: Millis = 120_000;
-/** Time after the last crash after which a cause that nobody has asked for is no longer refused. */
+/** The same for a proven cause that nobody has asked for. */
 const FORGET_BLOCKED_MS: Millis = 60 * 60_000;
 /** Maximum number of suspected causes that are not refused; the oldest are evicted. */
 const MAX_SUSPECTS = 8_000;
@@ -32,11 +38,14 @@
 const MAX_BLOCKED = 500;
 /** Maximum number of causes of which it is kept when they were answered. */
 const MAX_ANSWERED = 8_000;
+/** Within this time, reports are about the same trial. */
+const SAME_TRIAL_MS: Millis = 1_000;
 /** Minimum retry delay of callers of a refused cause. */
 const MIN_RETRY_AFTER_MS: Millis = 1_000;
 
 /** Why a request must not be sent. */
 export interface BlockedCause extends NamedCause {
+  readonly verdict: Verdict;
   readonly crashes: number;
   /** Time until a request with the cause may be sent again. */
   readonly retryAfterMs: Millis;
@@ -45,8 +54,9 @@
 /** Records that an upstream crashed while it held a request. */
 export function recordCrash(ctx: RoutingContext, facts: RequestFacts, crash: Crash): void {
   namedCausesOf(facts).forEach((cause) => {
+    const { hash, isWhole } = cause;
     if (mergeCrash(ctx, cause, crash, true))
-      queueChange(ctx, { kind: 'crash', cause: cause.hash, crash });
+      queueUrgentChange(ctx, { kind: 'crash', cause: hash, isWhole, crash });
   });
 }
 
@@ -58,7 +68,7 @@
   const at = ctx.now;
   causesOf(facts).forEach((cause) => {
     noteAnswered(ctx, cause, at);
-    if (mergeAnswered(ctx, cause, at)) queueChange(ctx, { kind: 'answered', cause, at });
+    if (mergeAnswered(ctx, cause, at)) queueUrgentChange(ctx, { kind: 'answered', cause, at });
   });
 }
 
@@ -68,7 +78,7 @@
  */
 export function mergeCrash(
   ctx: RoutingContext,
-  { hash: cause, part }: NamedCause,
+  { hash: cause, part, isWhole }: NamedCause,
   crash: Crash,
   isObserved: boolean,
 ): boolean {
@@ -82,16 +92,17 @@
   const known = suspects.get(cause);
   const crashes = addCrash(known?.crashes ?? [], crash, isObserved);
   if (crashes === known?.crashes) return false;
-  const count = countSuccessiveCrashes(crashes);
-  suspects.delete(cause);
-  suspects.set(cause, {
+  const suspect = {
     part: known?.part ?? part,
+    isWhole: isWhole || known?.isWhole === true,
     crashes,
-    count,
     lastTrialAt: known?.lastTrialAt,
-  });
+  };
+  const judgment = judge(crashes, suspect.isWhole, ctx.state.settings.maxCrashes);
+  suspects.delete(cause);
+  suspects.set(cause, { ...suspect, ...judgment });
   evictSuspects(ctx);
-  updateBlocked(ctx, cause, count);
+  updateBlocked(ctx, cause, known?.verdict ?? 'open');
   return true;
 }
 
@@ -103,8 +114,8 @@
   const crashes = suspect.crashes.filter(({ crashedAt }) => crashedAt >= at);
   if (crashes.length === suspect.crashes.length) return false;
   suspect.crashes = crashes;
-  suspect.count = countSuccessiveCrashes(crashes);
-  if (suspect.count < ctx.state.settings.maxCrashes && blocked.delete(cause)) {
+  Object.assign(suspect, judge(crashes, suspect.isWhole, ctx.state.settings.maxCrashes));
+  if (suspect.verdict === 'open' && blocked.delete(cause)) {
     emit(ctx, { kind: 'count', decision: 'causeFreed' });
     logInfo(ctx, 'causeFreed', { cause, part: suspect.part, crashes: suspect.count });
   }
@@ -136,7 +147,7 @@
   if (found === undefined || suspect === undefined) return undefined;
   const dueAt = trialDueAt(ctx, found.hash, suspect, new Set(named.map(({ hash }) => hash)));
   const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, dueAt - ctx.now);
-  return { ...found, crashes: suspect.count, retryAfterMs };
+  return { ...found, verdict: suspect.verdict, crashes: suspect.crashes.length, retryAfterMs };
 }
 
 /** Notes the name of a cause that was known by its hash only. */
@@ -153,15 +164,27 @@
   refused.forEach((cause) => {
     const suspect = suspects.get(cause);
     if (suspect !== undefined) suspect.lastTrialAt = ctx.now;
+    queueUrgentChange(ctx, { kind: 'trial', cause, at: ctx.now });
   });
   return true;
 }
 
+/** Merges that an instance tries a request with a cause. Returns whether this was not known. */
+export function mergeTrial(ctx: RoutingContext, cause: CauseHash, at: Millis): boolean {
+  const suspect = ctx.state.suspects.suspects.get(cause);
+  // Several messages tell of a trial, at ages that differ by the delay of the messages.
+  if (suspect === undefined || at - (suspect.lastTrialAt ?? -Infinity) < SAME_TRIAL_MS)
+    return false;
+  suspect.lastTrialAt = at;
+  return true;
+}
+
 /** A refused cause, as operators see it. */
 export interface BlockedCauseStatus {
   readonly cause: CauseHash;
   readonly part: string | undefined;
-  /** Number of crashes that followed one another. */
+  readonly verdict: Verdict;
+  /** Number of upstreams that have crashed since a request with the cause was last answered. */
   readonly crashes: number;
   readonly lastCrashAgeMs: Millis;
 }
@@ -173,9 +196,9 @@
 ): readonly BlockedCauseStatus[] {
   return [...suspects.blocked]
     .map((cause) => {
-      const { part, count = 0, crashes = [] } = suspects.suspects.get(cause) ?? {};
+      const { part, verdict = 'open', crashes = [] } = suspects.suspects.get(cause) ?? {};
       const lastCrashAgeMs = Math.round(now - (crashes.at(-1)?.crashedAt ?? now));
-      return { cause, part, crashes: count, lastCrashAgeMs };
+      return { cause, part, verdict, crashes: crashes.length, lastCrashAgeMs };
     })
     .sort((a, b) => a.lastCrashAgeMs - b.lastCrashAgeMs);
 }
@@ -183,20 +206,23 @@
 /** Removes causes that have not crashed an upstream for long. */
 export function expireSuspects(ctx: RoutingContext): void {
   const { suspects, blocked } = ctx.state.suspects;
-  suspects.forEach(({ crashes }, cause) => {
+  suspects.forEach(({ crashes, verdict }, cause) => {
     const ageMs = ctx.now - (crashes.at(-1)?.crashedAt ?? -Infinity);
-    if (ageMs <= (blocked.has(cause) ? FORGET_BLOCKED_MS : FORGET_SUSPECT_MS)) return;
+    if (ageMs <= (verdict === 'proven' ? FORGET_BLOCKED_MS : FORGET_SUSPECT_MS)) return;
     suspects.delete(cause);
     if (blocked.delete(cause)) logInfo(ctx, 'causeFreed', { cause, ageMs: Math.round(ageMs) });
   });
 }
 
-function updateBlocked(ctx: RoutingContext, cause: CauseHash, count: number): void {
+/** Refuses requests with a cause if its verdict says so. */
+function updateBlocked(ctx: RoutingContext, cause: CauseHash, before: Verdict): void {
   const { suspects, blocked } = ctx.state.suspects;
-  if (count < ctx.state.settings.maxCrashes || blocked.has(cause)) return;
-  const { crashes = [], part } = suspects.get(cause) ?? {};
-  const fields = { cause, part, crashes: count, sinceMs: sinceFirst(ctx, crashes) };
-  if (blocked.size >= MAX_BLOCKED) {
+  const suspect = suspects.get(cause);
+  if (suspect === undefined || suspect.verdict === 'open' || suspect.verdict === before) return;
+  const { crashes, part, verdict, count: successive } = suspect;
+  const sinceMs = sinceFirst(ctx, crashes);
+  const fields = { cause, part, verdict, crashes: crashes.length, successive, sinceMs };
+  if (blocked.size >= MAX_BLOCKED && !blocked.has(cause)) {
     logWarning(ctx, 'causeNotBlocked', { ...fields, limit: MAX_BLOCKED });
     return;
   }
--- a/src/routing/suspects/suspectsState.ts
+++ b/src/routing/suspects/suspectsState.ts
@@ -2,22 +2,32 @@
 import type { Millis } from '../../core/clock.js';
 import type { CauseHash } from './causes.js';
 import type { Crash } from './crash.js';
+import type { Verdict } from './verdict.js';
 
 export interface Suspect {
   /** Id of the part, if the cause is one and a request with it has been seen here. */
   part: string | undefined;
+  /** Whether the cause is a request as a whole, as far as is known. */
+  isWhole: boolean;
+  verdict: Verdict;
   /** Crashes since a request with the cause was last answered, in order of time. */
   crashes: readonly Crash[];
   /** Number of crashes that followed one another. */
   count: number;
-  /** Time at which this instance last sent a request with the cause although it is refused. */
+  /** Time at which any instance last sent a request with the cause although it is refused. */
   lastTrialAt: Millis | undefined;
 }
 
 /** A change that the other instances have to learn. */
 export type SuspectChange =
-  | { readonly kind: 'crash'; readonly cause: CauseHash; readonly crash: Crash }
-  | { readonly kind: 'answered'; readonly cause: CauseHash; readonly at: Millis };
+  | {
+      readonly kind: 'crash';
+      readonly cause: CauseHash;
+      readonly isWhole: boolean;
+      readonly crash: Crash;
+    }
+  | { readonly kind: 'answered'; readonly cause: CauseHash; readonly at: Millis }
+  | { readonly kind: 'trial'; readonly cause: CauseHash; readonly at: Millis };
 
 export interface QueuedChange {
   readonly change: SuspectChange;
--- a/test/routing/attempts.test.ts
+++ b/test/routing/attempts.test.ts
@@ -209,14 +209,39 @@
     core.dispatch({ kind: 'probed', upstream, upstreamStartedAt, isAlive: true });
   }
 
-  it('are refused after the third crash, while others are sent', () => {
+  it('are refused after the second crash until an early trial, while others are sent', () => {
     const core = createTestCore();
-    [1, 2, 3].forEach(() => crash(core, 77));
+    [1, 2].forEach(() => crash(core, 77));
     const refused = core.arrive({ fingerprint: 77 });
     expect(answerOf(refused)).to.include({ status: 503, reason: 'crashesUpstreams' });
+    expect(answerOf(refused)?.retryAfterMs).to.be.at.most(2_000);
     expect(effectsOf(core.arrive({ fingerprint: 78 }), 'send')).to.have.length(1);
   });
 
+  it('are refused for long after the third crash, while others are sent', () => {
+    const core = createTestCore();
+    [1, 2].forEach(() => crash(core, 77));
+    core.advance(2_000);
+    crash(core, 77);
+    const refused = core.arrive({ fingerprint: 77 });
+    expect(answerOf(refused)).to.include({ status: 503, reason: 'crashesUpstreams' });
+    core.advance(15_000);
+    core.configure();
+    expect(effectsOf(core.arrive({ fingerprint: 77 }), 'send')).to.have.length(0);
+    expect(effectsOf(core.arrive({ fingerprint: 78 }), 'send')).to.have.length(1);
+  });
+
+  it('are sent again after an early trial that was answered', () => {
+    const core = createTestCore();
+    [1, 2].forEach(() => crash(core, 77));
+    core.advance(2_000);
+    const { attempt } = planOf(core.arrive({ fingerprint: 77 }));
+    expect(effectsOf(core.arrive({ fingerprint: 77 }), 'send')).to.have.length(0);
+    core.dispatch({ kind: 'attemptAnswered', attempt, status: 200 });
+    endAttempt(core, attempt, { kind: 'complete', status: 200 });
+    expect(effectsOf(core.arrive({ fingerprint: 77 }), 'send')).to.have.length(1);
+  });
+
   it('are not suspected if the upstream is still alive', () => {
     const core = createTestCore();
     for (let i = 0; i < 4; i += 1) {
@@ -262,8 +287,9 @@
           asked: [],
           admitted: [],
           suspectNews: {
-            crashes: [{ cause, upstream: i, ageMs: 100, runMs: 300 }],
+            crashes: [{ isWhole: false, cause, upstream: i, ageMs: 100, runMs: 300 }],
             answers: [],
+            trials: [],
           },
           leaving: [],
           streams: [],
--- a/test/routing/support/timedFleet.ts
+++ b/test/routing/support/timedFleet.ts
@@ -3,7 +3,12 @@
 import { createRandom } from '../../../src/core/random.js';
 import type { RoutingContext } from '../../../src/routing/context.js';
 import { createRouting, type Routing } from '../../../src/routing/routing.js';
-import type { InstanceIdentity, RoutingEvent, RoutingTimer } from '../../../src/routing/types.js';
+import type {
+  InstanceIdentity,
+  RoutingEffect,
+  RoutingEvent,
+  RoutingTimer,
+} from '../../../src/routing/types.js';
 import { createConfiguration } from './core.js';
 
 const SAME_REGION_MS = 0.5;
@@ -18,6 +23,8 @@
   readonly simulation: Simulation;
   readonly cores: readonly TimedCore[];
   readonly context: (core: TimedCore) => RoutingContext;
+  /** Passes an event to a core, and runs the effects. */
+  readonly dispatch: (core: TimedCore, event: RoutingEvent) => void;
   /** Number of crash entries in all messages sent so far. */
   readonly entriesSent: () => number;
   /** Starts an instance that knows nothing, in place of an existing one. */
@@ -30,10 +37,12 @@
   /** Share of the messages that are lost. */
   readonly loss?: number;
   readonly isCut?: (from: InstanceIdentity, to: InstanceIdentity) => boolean;
+  /** Runs the effects other than timers and messages. */
+  readonly onEffect?: (core: TimedCore, effect: RoutingEffect) => void;
 }
 
 export function createTimedFleet(options: TimedFleetOptions): TimedFleet {
-  const { domains, perDomain, loss = 0, isCut = () => false } = options;
+  const { domains, perDomain, loss = 0, isCut = () => false, onEffect } = options;
   const simulation = createSimulation();
   const random = createRandom(7);
   const cores: TimedCore[] = [];
@@ -50,6 +59,7 @@
   function dispatch(core: TimedCore, event: RoutingEvent): void {
     core.routing.reduce(event, simulation.now()).forEach((effect) => {
       if (effect.kind === 'setTimer') setTimer(core, effect.timer, effect.at);
+      else onEffect?.(core, effect);
       if (effect.kind !== 'sendPeer' || effect.message.$case !== 'routingNews') return;
       const to = byId.get(effect.to);
       if (to === undefined) return;
@@ -107,6 +117,7 @@
     simulation,
     cores,
     context: ({ routing }) => ({ state: routing.state, now: simulation.now(), effects: [] }),
+    dispatch,
     entriesSent: () => entries,
     restart: (index) => start(index, 2),
   };
