Try a request that is proven to crash upstreams 30 s after the crash, not 20

Change: 30, 90, 270 s for a request as a whole, which only its own callers miss; parts of prompts keep their times.

--- a/src/routing/suspects/trials.ts
+++ b/src/routing/suspects/trials.ts
@@ -20,6 +20,8 @@
 
 /** Time after the crash from which a cause is refused until the first trial. */
 const FIRST_TRIAL_MS: Millis = 20_000;
+/** The same for a request as a whole, which only its own callers miss. */
+const FIRST_WHOLE_TRIAL_MS: Millis = 30_000;
 /** Factor of that time with each further crash. */
 const TRIAL_BACKOFF = 3;
 const MAX_TRIAL_MS: Millis = 30 * 60_000;
@@ -70,7 +72,8 @@
   const { maxCrashes } = ctx.state.settings;
   const provenBy = isWhole ? Math.min(PROVING_WAVES, maxCrashes) : maxCrashes;
   const further = Math.max(0, count - provenBy);
-  return Math.min(MAX_TRIAL_MS, FIRST_TRIAL_MS * TRIAL_BACKOFF ** further);
+  const firstMs = isWhole ? FIRST_WHOLE_TRIAL_MS : FIRST_TRIAL_MS;
+  return Math.min(MAX_TRIAL_MS, firstMs * TRIAL_BACKOFF ** further);
 }
 
 function isExplained(
