Begin streams at a new software version only when all instances in step have it in their lists

Cause: an untold stream is taken for one of the only version listed, with a list of up to 2.5 s, while another instance begins streams at a version in the moment in which it lists it; and that all others are heard of was told by flags that a timer clears, after messages of before a standstill had been read. Nothing bounds by how much two lists differ.

Change: streams begin at a version that an instance has listed for drainMs, as long as another has room; an untold stream is taken up with a list younger than 0.8 of that, or if each other instance told its versions within that time, and not after a standstill. Every message names the versions while there are several. Weighed: a fresh read of the list for each take-up (exact, but a call to the store in front of hundreds of take-ups a second when an instance is lost, and none while the store is away); a bound without messages holds for the larger half too.

--- a/src/routing/exchange/exchangeState.ts
+++ b/src/routing/exchange/exchangeState.ts
@@ -81,6 +81,10 @@
   announceFailures: number;
   /** Sequence of the latest message that this instance sent. */
   sequence: number;
+  /** Time of the last event of any kind. */
+  lastEventAt: Millis | undefined;
+  /** Time at which this process last went on after it had stood still for a while. */
+  resumedAt: Millis;
   /** Time of the last regular exchange. */
   exchangedAt: Millis;
 }
@@ -102,5 +106,7 @@
     announceFailures: 0,
     sequence: 0,
     exchangedAt: -Infinity,
+    lastEventAt: undefined,
+    resumedAt: -Infinity,
   };
 }
--- a/src/routing/exchange/members.ts
+++ b/src/routing/exchange/members.ts
@@ -1,5 +1,7 @@
 /** Instances of this failure domain, and their roles in the message exchange. */
+import type { Millis } from '../../core/clock.js';
 import type { RoutingContext } from '../context.js';
+import type { RoutingEvent } from '../types.js';
 import type { PeerInstance } from './exchangeState.js';
 
 /**
@@ -23,6 +25,20 @@
   return domainPeers(ctx).some(({ isAlive }) => isAlive);
 }
 
+/**
+ * Longest time without an event while a process runs, as its health check is one. Beyond it, what others
+ * have sent meanwhile may be old.
+ */
+const MAX_QUIET_MS: Millis = 500;
+
+/** Notes an event, and whether this process stood still before it. */
+export function noteEvent({ state, now }: RoutingContext, { kind }: RoutingEvent): void {
+  const { exchange } = state;
+  const quietMs = now - (exchange.lastEventAt ?? now);
+  if (quietMs > MAX_QUIET_MS || kind === 'clockGap') exchange.resumedAt = now;
+  exchange.lastEventAt = now;
+}
+
 /** Returns whether this instance exchanges summaries with the other failure domains. */
 export function isRelay(ctx: RoutingContext): boolean {
   const { phase } = ctx.state;
--- a/src/routing/placement/placement.ts
+++ b/src/routing/placement/placement.ts
@@ -27,6 +27,7 @@
   type Prompt,
 } from './prompt.js';
 import { availabilityOf, isUnwilling } from '../upstreams/availability.js';
+import { withSettledVersion } from '../versions/settling.js';
 import { fitsVersion } from '../versions/streams.js';
 import type { VersionNeed } from '../versions/versionsState.js';
 import { hasRampRoom } from '../upstreams/pauses.js';
@@ -120,7 +121,11 @@
   const { pool, excluded } = request;
   const all = [...ctx.state.upstreams.byId.values()].filter(({ listed }) => listed.pool === pool);
   const open = all.filter((upstream) => availabilityOf(ctx, upstream) === 'open');
-  const members = open.filter((upstream) => fitsVersion(upstream, request.versionNeed));
+  const fitting = open.filter((upstream) => fitsVersion(upstream, request.versionNeed));
+  const members =
+    request.route.mode === 'resumableStream'
+      ? withSettledVersion(ctx, fitting, request.versionNeed)
+      : fitting;
   const unwilling = all.filter((upstream) => isUnwilling(availabilityOf(ctx, upstream)));
   const limit = connectionLimit(ctx, pool);
   const prompt = describePrompt(ctx, request.facts, members);
--- a/src/routing/routing.ts
+++ b/src/routing/routing.ts
@@ -32,6 +32,7 @@
   onConfigurationTimer,
   startConfigurationPoll,
 } from './freshness/freshness.js';
+import { noteEvent } from './exchange/members.js';
 import { onLoadMeasured } from './load/instanceLoad.js';
 import { DEFAULT_ROUTING_SETTINGS, type RoutingSettings } from './settings.js';
 import { createRoutingState, type RoutingState } from './state.js';
@@ -74,6 +75,7 @@
     state,
     reduce: (event, now) => {
       const ctx: RoutingContext = { state, now, effects: [] };
+      noteEvent(ctx, event);
       reduceEvent(ctx, event);
       updateReadiness(ctx);
       return ctx.effects;
--- a/src/routing/upstreams/list.ts
+++ b/src/routing/upstreams/list.ts
@@ -28,6 +28,7 @@
 import { handlePollOutcome, nextCursor, type Poll } from '../polls.js';
 import type { Cursor, ListedUpstream, RoutingEvent, UpstreamChange, UpstreamId } from '../types.js';
 import { onListRead, recordFormerVersion } from '../versions/served.js';
+import { recordListedVersion } from '../versions/settling.js';
 import { confirmCrash } from './crashes.js';
 import type { PositionedChange } from './listHistory.js';
 import { createUpstream, hashUpstream, type Upstream } from './upstreamsState.js';
@@ -219,6 +220,7 @@
     return;
   }
   removed.delete(listed.id);
+  recordListedVersion(ctx, listed);
   if (
     known === undefined ||
     listed.startedAt > known.listed.startedAt ||
--- a/src/routing/versions/served.ts
+++ b/src/routing/versions/served.ts
@@ -10,12 +10,15 @@
 import { domainPeers, usesRelays } from '../exchange/members.js';
 import { ageOfRead } from '../freshness/sharedRead.js';
 import type { ListedUpstream, PoolId, RoutingEvent } from '../types.js';
+import { expireListedVersions, maxTakeUpListAge } from './settling.js';
 import { hashVersion, versionOf, type VersionHash } from './versionsState.js';
 
 type HistoryRead = Extract<RoutingEvent, { readonly kind: 'listHistoryRead' }>;
 
 /** Bound of the deadlines of callers that count for the life of a stream. */
 const MAX_DEADLINE_MS: Millis = 60_000;
+/** Time within which a process that stood still has read the messages that came meanwhile. */
+const OLD_NEWS_MS: Millis = 300;
 
 /** Returns the time for which a stream may go on after its first event. */
 export function streamLife({ state }: RoutingContext): Millis {
@@ -45,10 +48,25 @@
 
 /** Returns whether all versions are known that can have begun a stream which still goes on. */
 export function areVersionsKnown(ctx: RoutingContext): boolean {
-  const { upstreams, versions, settings } = ctx.state;
+  const { upstreams, versions } = ctx.state;
   if (ctx.now - versions.knownSince < horizon(ctx)) return false;
-  const isListFresh = (ageOfRead(ctx, upstreams) ?? Infinity) <= settings.drainMs;
-  return isListFresh || hearsAllInstances(ctx);
+  const isListFresh = (ageOfRead(ctx, upstreams) ?? Infinity) <= maxTakeUpListAge(ctx);
+  return isListFresh || hearsAllNow(ctx);
+}
+
+/**
+ * Returns whether all other instances have told within the last moments which versions they list, so that
+ * this one knows the versions at which they may begin streams. What waited for this process while it
+ * stood still does not count.
+ */
+function hearsAllNow(ctx: RoutingContext): boolean {
+  const { exchange } = ctx.state;
+  const earliest = ctx.now - maxTakeUpListAge(ctx);
+  if (usesRelays(ctx)) return exchange.resumedAt < earliest && hearsAllInstances(ctx);
+  const since = Math.max(earliest, exchange.resumedAt + OLD_NEWS_MS);
+  return [...exchange.peers.values()].every(
+    ({ isAlive, lastHeardAt }) => isAlive && lastHeardAt >= since,
+  );
 }
 
 /**
@@ -110,6 +128,7 @@
 
 /** Forgets the versions that no stream can go on at any more. */
 export function expireFormerVersions(ctx: RoutingContext): void {
+  expireListedVersions(ctx);
   const since = ctx.now - horizon(ctx);
   ctx.state.versions.former.forEach(({ at }, key) => {
     if (at < since) ctx.state.versions.former.delete(key);
--- a/src/routing/versions/streamNews.ts
+++ b/src/routing/versions/streamNews.ts
@@ -1,7 +1,8 @@
 /**
  * Tells the other instances which software version began which streams, while several versions can have
  * begun streams of a pool. While there is one, nothing is told, and what began lately is told as soon as
- * a second one is listed. A stream is part of several messages, so that a lost one does no harm.
+ * a second one is listed. A stream is part of several messages, so that a lost one does no harm. Every
+ * message then names the versions that its sender lists, with or without streams.
  */
 import type { PeerMessageOf } from '../../core/types.js';
 import type { RoutingContext } from '../context.js';
@@ -18,8 +19,9 @@
 export function takeStreamNews(ctx: RoutingContext): StreamNews {
   expireStreams(ctx);
   const { untold } = ctx.state.versions;
-  if (untold.size === 0 || !hasSeveralVersions(ctx)) return [];
+  if (!hasSeveralVersions(ctx)) return [];
   const byVersion = new Map<VersionHash, StreamHash[]>();
+  ctx.state.versions.listedSince.forEach((_, version) => byVersion.set(version, []));
   [...untold].slice(0, MAX_TOLD).forEach(([hash, { version, sendsLeft }]) => {
     byVersion.set(version, [...(byVersion.get(version) ?? []), hash]);
     // Those that are told again come after the others.
--- a/src/routing/versions/versionsState.ts
+++ b/src/routing/versions/versionsState.ts
@@ -44,6 +44,8 @@
   readonly untold: Map<StreamHash, UntoldStream>;
   /** Versions of upstreams that have left the list, by pool and version. */
   readonly former: Map<string, FormerVersion>;
+  /** Times since which the versions in the list are known. */
+  readonly listedSince: Map<VersionHash, Millis>;
   /** Time since which all versions are known that upstreams of the list had. */
   knownSince: Millis;
   /** Whether the history of the list has been read, which tells of versions of before the start. */
@@ -57,6 +59,7 @@
     streams: new Map(),
     untold: new Map(),
     former: new Map(),
+    listedSince: new Map(),
     knownSince: Infinity,
     history: 'unread',
     longestDeadlineMs: 0,
--- a/test/routing/support/timedFleet.ts
+++ b/test/routing/support/timedFleet.ts
@@ -37,12 +37,14 @@
   /** Share of the messages that are lost. */
   readonly loss?: number;
   readonly isCut?: (from: InstanceIdentity, to: InstanceIdentity) => boolean;
+  /** Returns until when an instance stands still; what happens to it meanwhile reaches it then. */
+  readonly frozenUntil?: (instance: InstanceIdentity) => number;
   /** Runs the effects other than timers and messages. */
   readonly onEffect?: (core: TimedCore, effect: RoutingEffect) => void;
 }
 
 export function createTimedFleet(options: TimedFleetOptions): TimedFleet {
-  const { domains, perDomain, loss = 0, isCut = () => false, onEffect } = options;
+  const { domains, perDomain, loss = 0, isCut = () => false, frozenUntil, onEffect } = options;
   const simulation = createSimulation();
   const random = createRandom(7);
   const cores: TimedCore[] = [];
@@ -57,6 +59,11 @@
   }
 
   function dispatch(core: TimedCore, event: RoutingEvent): void {
+    const wakesAt = frozenUntil?.(core.self) ?? 0;
+    if (wakesAt > simulation.now()) {
+      simulation.at(wakesAt, () => dispatch(core, event));
+      return;
+    }
     core.routing.reduce(event, simulation.now()).forEach((effect) => {
       if (effect.kind === 'setTimer') setTimer(core, effect.timer, effect.at);
       else onEffect?.(core, effect);
