Count an instance as behind no longer once the newer version is in force

Cause: cleared the mark only when a read asked after the news settled which version is the newest; the read that was pending when the news came brought the newer version itself. Change: the version that comes into force clears it. The new test in test/routing/newerVersion.test.ts failed before.

--- a/src/routing/freshness/freshness.ts
+++ b/src/routing/freshness/freshness.ts
@@ -296,6 +296,8 @@
   const previous = freshness.configuration?.version;
   freshness.configuration = configuration;
   freshness.activatedIn = freshness.era;
+  if (configuration.version >= (freshness.heardVersion?.version ?? 0))
+    freshness.behindSince = undefined;
   freshness.routeTable = createRouteTable(configuration.routes);
   emit(ctx, { kind: 'limitCallers', limits: configuration.callerLimits });
   logInfo(ctx, 'configurationInForce', {
--- a/test/routing/newerVersion.test.ts
+++ b/test/routing/newerVersion.test.ts
@@ -99,6 +99,17 @@
     expect(isSent(look())).to.equal(true);
   });
 
+  it('serves with the newer version that the read brings which was pending before', () => {
+    const askedAt = core.now() - 1;
+    core.advance(MESSAGE_INTERVAL_MS);
+    hear(OLD + 1);
+    const changes = [{ kind: 'configured', configuration: configuration(OLD + 1) }] as const;
+    const outcome = { kind: 'answered', cursor: 50, changes } as const;
+    core.dispatch({ kind: 'configurationPolled', askedAt, isWhole: false, outcome });
+    hearFor(APPLY_MS, OLD + 1);
+    expect(isSent(look())).to.equal(true);
+  });
+
   it('serves again by its own if the platform does not have the newer one for long', () => {
     hearFor(APPLY_MS, OLD + 1);
     core.configure(configuration(OLD));
