Tell of a stream before the next message is due, while two software versions serve

Change: the next message leaves 5 ms after a stream began, 80 ms after the one before at the earliest, while several versions serve and every instance sends to all others. With relays the interval stays, as each message goes to a whole failure domain. The new test in streamVersions.test.ts failed before.

--- a/src/routing/suspects/changeQueue.ts
+++ b/src/routing/suspects/changeQueue.ts
@@ -1,6 +1,7 @@
 /** Queue of the changes that the other instances have to learn; each is part of several messages. */
 import type { Millis } from '../../core/clock.js';
-import { setTimer, type RoutingContext } from '../context.js';
+import type { RoutingContext } from '../context.js';
+import { hastenExchange } from '../exchange/hasten.js';
 import { Debug } from '../../core/debug.js';
 import type { SuspectChange } from './suspectsState.js';
 
@@ -10,8 +11,6 @@
 const MAX_CHANGES = 300;
 /** Maximum number of queued changes; further ones are not told. */
 const MAX_QUEUED = 4_000;
-/** Delay of a message with an urgent change, so that it contains all changes of the same moment. */
-const URGENT_MS: Millis = 5;
 /** Minimum interval between a message with an urgent change and the one before. */
 const MIN_URGENT_INTERVAL_MS: Millis = 50;
 
@@ -21,8 +20,7 @@
  */
 export function queueUrgentChange(ctx: RoutingContext, change: SuspectChange): void {
   queueChange(ctx, change);
-  const { exchangedAt } = ctx.state.exchange;
-  setTimer(ctx, 'exchange', Math.max(URGENT_MS, exchangedAt + MIN_URGENT_INTERVAL_MS - ctx.now));
+  hastenExchange(ctx, MIN_URGENT_INTERVAL_MS);
 }
 
 /** Queues a change for the next messages. */
--- a/src/routing/versions/streamNews.ts
+++ b/src/routing/versions/streamNews.ts
@@ -19,7 +19,8 @@
 export function takeStreamNews(ctx: RoutingContext): StreamNews {
   expireStreams(ctx);
   const { untold } = ctx.state.versions;
-  if (!hasSeveralVersions(ctx)) return [];
+  ctx.state.versions.areSeveral = hasSeveralVersions(ctx);
+  if (!ctx.state.versions.areSeveral) return [];
   const byVersion = new Map<VersionHash, StreamHash[]>();
   ctx.state.versions.listedSince.forEach((_, version) => byVersion.set(version, []));
   [...untold].slice(0, MAX_TOLD).forEach(([hash, { version, sendsLeft }]) => {
--- a/src/routing/versions/streams.ts
+++ b/src/routing/versions/streams.ts
@@ -8,7 +8,10 @@
  * versions can have begun streams, instances tell each other which one began which (`streamNews.ts`).
  * What nobody has told goes on only if a single version can have begun it.
  */
+import type { Millis } from '../../core/clock.js';
 import type { RoutingContext } from '../context.js';
+import { hastenExchange } from '../exchange/hasten.js';
+import { usesRelays } from '../exchange/members.js';
 import type { PoolId, RequestFacts, Route } from '../types.js';
 import type { Upstream } from '../upstreams/upstreamsState.js';
 import { areVersionsKnown, possibleVersions, recordDeadline, streamLife } from './served.js';
@@ -16,6 +19,8 @@
 
 /** Number of messages that tell of a stream. */
 const TELLS = 2;
+/** Minimum interval between two messages that tell of streams at once. */
+const MIN_STREAM_INTERVAL_MS: Millis = 80;
 /** Maximum number of streams that are remembered; older ones are forgotten. */
 const MAX_STREAMS = 50_000;
 
@@ -86,7 +91,11 @@
 ): void {
   const hash = hashStream(requestId);
   addStream(ctx, hash, version);
-  if (version !== undefined) ctx.state.versions.untold.set(hash, { version, sendsLeft: TELLS });
+  if (version === undefined) return;
+  ctx.state.versions.untold.set(hash, { version, sendsLeft: TELLS });
+  // With relays, a message goes to too many instances for each to be sent at once.
+  if (ctx.state.versions.areSeveral && !usesRelays(ctx))
+    hastenExchange(ctx, MIN_STREAM_INTERVAL_MS);
 }
 
 /** Records a stream that another instance tells of. Returns whether it was not known. */
--- a/src/routing/versions/versionsState.ts
+++ b/src/routing/versions/versionsState.ts
@@ -42,6 +42,8 @@
   /** Streams that began lately at any instance, oldest first. */
   readonly streams: Map<StreamHash, StreamOrigin>;
   readonly untold: Map<StreamHash, UntoldStream>;
+  /** Whether streams of any pool can have been begun by several versions, as of the last message. */
+  areSeveral: boolean;
   /** Versions of upstreams that have left the list, by pool and version. */
   readonly former: Map<string, FormerVersion>;
   /** Times since which the versions in the list are known. */
@@ -58,6 +60,7 @@
   return {
     streams: new Map(),
     untold: new Map(),
+    areSeveral: false,
     former: new Map(),
     listedSince: new Map(),
     knownSince: Infinity,
--- a/test/routing/streamVersions.test.ts
+++ b/test/routing/streamVersions.test.ts
@@ -263,6 +263,23 @@
     });
   });
 
+  it('tell of a stream before the next message is due, while two versions serve', () => {
+    const fleet = createCoreFleet(2, 2);
+    const [core] = fleet.cores as [FleetCore];
+    const nextMessage = () => {
+      nextRequest += 1;
+      const facts = createFacts(nextRequest, CHAT);
+      const { attempt } = planOf(fleet.dispatch(core, { kind: 'requestArrived', facts }));
+      const effects = fleet.dispatch(core, { kind: 'attemptAnswered', attempt, status: 200 });
+      return effectsOf(effects, 'setTimer').find(({ timer }) => timer === 'exchange')?.at;
+    };
+    fleet.rounds(2);
+    expect(nextMessage()).to.equal(undefined);
+    listTwo(fleet, core);
+    fleet.rounds(2);
+    expect(nextMessage()).to.be.at.most(fleet.context(core).now + 100);
+  });
+
   it('tell nothing of streams while there is one version', () => {
     const fleet = createCoreFleet(1, 4);
     fleet.rounds(10);
