Have an instance tell the changes of the list for as long as others may lack them

Cause: an instance that had read the list by itself counted as told by the reader again in the same moment, since its own read had made its list young, so that no message ever contained what it read. Change: the changes are told for drainMs after a read of one's own began. The test passes (9 of listNews.test.ts).

--- a/src/routing/exchange/listNews.ts
+++ b/src/routing/exchange/listNews.ts
@@ -13,9 +13,10 @@
 import type { RoutingContext } from '../context.js';
 import { ageOfRead, confirmByPeer } from '../freshness/sharedRead.js';
 import type { UpstreamChange } from '../types.js';
-import { applyFrom, isListTold } from '../upstreams/list.js';
+import { applyFrom } from '../upstreams/list.js';
 import type { PositionedChange } from '../upstreams/listHistory.js';
 import type { RoutingMessage } from './exchangeState.js';
+import { hasLowestId } from './members.js';
 
 export type ListNews = NonNullable<RoutingMessage['list']>;
 type ListNewsChange = ListNews['changes'][number];
@@ -39,9 +40,9 @@
   const { upstreams } = ctx.state;
   const ageMs = ageOfRead(ctx, upstreams);
   if (upstreams.cursor === undefined || ageMs === undefined) return undefined;
-  const { from, changes } = isListTold(ctx)
-    ? { from: undefined, changes: [] }
-    : upstreams.history.recent(ctx.now);
+  const { from, changes } = tellsChanges(ctx)
+    ? upstreams.history.recent(ctx.now)
+    : { from: undefined, changes: [] };
   return {
     cursor: upstreams.cursor,
     era: upstreams.era ?? NO_ERA,
@@ -51,6 +52,12 @@
   };
 }
 
+/** Returns whether this instance reads the list for the others, or has just read it by itself. */
+function tellsChanges(ctx: RoutingContext): boolean {
+  const { upstreams, settings } = ctx.state;
+  return hasLowestId(ctx) || ctx.now - upstreams.begunAt < settings.drainMs;
+}
+
 /**
  * Applies a peer's news.
  *
--- a/src/routing/upstreams/list.ts
+++ b/src/routing/upstreams/list.ts
@@ -64,16 +64,13 @@
   emit(ctx, { kind: 'pollUpstreams', cursor: nextCursor(ctx, upstreams) });
 }
 
-/** Returns whether the news of a peer suffice, so that this instance does not read the list. */
-export function isListTold(ctx: RoutingContext): boolean {
-  const { upstreams, settings } = ctx.state;
-  return isConfirmedByReader(ctx, upstreams, settings.drainMs * MAX_PEER_AGE_FRACTION);
-}
-
 /** Reads the list again, unless the news of a peer suffice. */
 export function onUpstreamTimer(ctx: RoutingContext): void {
-  if (ctx.state.upstreams.isPolling) return;
-  if (isListTold(ctx)) setTimer(ctx, 'upstreamPoll', PEER_CHECK_INTERVAL_MS);
+  const { upstreams, settings } = ctx.state;
+  if (upstreams.isPolling) return;
+  const maxAgeMs = settings.drainMs * MAX_PEER_AGE_FRACTION;
+  if (isConfirmedByReader(ctx, upstreams, maxAgeMs))
+    setTimer(ctx, 'upstreamPoll', PEER_CHECK_INTERVAL_MS);
   else startUpstreamPoll(ctx);
 }
 
