--- a/src/routing/freshness/freshness.ts
+++ b/src/routing/freshness/freshness.ts
@@ -294,6 +294,7 @@
 function activate(ctx: RoutingContext, configuration: RoutingConfiguration): void {
   const { freshness } = ctx.state;
   const previous = freshness.configuration?.version;
+  const behindMs = behindFor(ctx);
   freshness.configuration = configuration;
   freshness.activatedIn = freshness.era;
   if (configuration.version >= (freshness.heardVersion?.version ?? 0))
@@ -306,6 +307,8 @@
     routes: configuration.routes.length,
     pools: configuration.pools.size,
     keys: configuration.customersByKey.size,
+    readMs: Math.round(ctx.now - freshness.begunAt),
+    behindMs: behindMs === undefined ? undefined : Math.round(behindMs),
   });
 }
 
