Begin a hung read of the configuration anew although the reads before it failed

Cause: news of a newer version changed nothing while reads were failing, to spare a store that turns this instance away. Change: a read that is still pending 0.3 s after the news is begun anew in that case too; a backoff is waited out as before. The new test in test/routing/newerVersion.test.ts failed before.

--- a/src/routing/freshness/freshness.ts
+++ b/src/routing/freshness/freshness.ts
@@ -123,8 +123,8 @@
     freshness.heardVersion = { version, at: ctx.now };
     freshness.behindSince ??= ctx.now;
   }
-  if (freshness.failures > 0) return;
-  if (freshness.isPolling && !giveUpUnanswered(ctx)) return;
+  const mustWait = freshness.isPolling ? !giveUpUnanswered(ctx) : freshness.failures > 0;
+  if (mustWait) return;
   logInfo(ctx, 'newerVersionHeard', { version, inForce: freshness.configuration?.version });
   startConfigurationPoll(ctx);
 }
--- a/test/routing/newerVersion.test.ts
+++ b/test/routing/newerVersion.test.ts
@@ -66,6 +66,15 @@
     expect(effectsOf(effects, 'pollConfiguration')).to.have.lengthOf(1);
   });
 
+  it('reads anew after failed reads too, as the platform answers the others', () => {
+    const failed = { kind: 'failed', reason: 'silent' } as const;
+    const askedAt = core.now();
+    core.dispatch({ kind: 'configurationPolled', askedAt, isWhole: false, outcome: failed });
+    core.advance(1_000);
+    expect(isRead(core.dispatch({ kind: 'timer', timer: 'configurationPoll' }))).to.equal(true);
+    expect(effectsOf(hearFor(1_000, OLD + 1), 'pollConfiguration')).to.have.lengthOf(1);
+  });
+
   it('takes no answer of the read that it gave up', () => {
     const askedAt = core.now();
     hearFor(1_000, OLD + 1);
