Wait in a test until the history of the list has been read

An instance is ready once it has read the list, and reads the history next; the test asked in between. What is told meanwhile is right, and has a test (streamVersions.test.ts of the core: 'is told a time to come back while the history has not been read'). The test waits for the line listHistoryRead now; what it expects is unchanged.

--- a/test/platform/streamVersions.test.ts
+++ b/test/platform/streamVersions.test.ts
@@ -122,6 +122,8 @@
     engines.forEach((engine) => engine.setFault({ kind: 'none' }));
     await before.instance.kill();
     const after = await addReadyInstance(fleet);
+    // Until then a caller is told a time to come back, as the history may tell of a single version.
+    await until(() => hasLogged(after, 'listHistoryRead'), 'the history has been read');
     const answers = await Promise.all(
       range(STREAMS).map(async (i) => takeUp(after, `again-${i}`, `begun-${i}`)),
     );
