--- a/test/routing/streamVersions.test.ts
+++ b/test/routing/streamVersions.test.ts
@@ -263,6 +263,24 @@
     });
   });
 
+  it('tell nothing while only a service without such streams has two versions', () => {
+    const fleet = createCoreFleet(2, 2);
+    const [core, ...others] = fleet.cores as [FleetCore, ...FleetCore[]];
+    const { now } = fleet.context(core);
+    const changes = ['v1', 'v2'].map((version, i) => {
+      const upstream = createUpstreamEntry(`i-${i + 5}`, { pool: 'desk', version });
+      return { kind: 'listed', upstream } as const;
+    });
+    fleet.dispatch(core, {
+      kind: 'upstreamsPolled',
+      askedAt: now,
+      isWhole: false,
+      outcome: { kind: 'answered', cursor: 9, changes },
+    });
+    fleet.rounds(3);
+    others.forEach(({ routing }) => expect(routing.state.versions.former.size).to.equal(0));
+  });
+
   it('tell of a stream before the next message is due, while two versions serve', () => {
     const fleet = createCoreFleet(2, 2);
     const [core] = fleet.cores as [FleetCore];
