--- a/test/routing/streamVersions.test.ts
+++ b/test/routing/streamVersions.test.ts
@@ -266,6 +266,7 @@
   it('tell nothing while only a service without such streams has two versions', () => {
     const fleet = createCoreFleet(2, 2);
     const [core, ...others] = fleet.cores as [FleetCore, ...FleetCore[]];
+    fleet.rounds(12);
     const { now } = fleet.context(core);
     const changes = ['v1', 'v2'].map((version, i) => {
       const upstream = createUpstreamEntry(`i-${i + 5}`, { pool: 'desk', version });
