--- a/test/routing/support/deadlyRequest.ts
+++ b/test/routing/support/deadlyRequest.ts
@@ -10,6 +10,7 @@
   RoutingEffect,
 } from '../../../src/routing/types.js';
 import { createFacts, createUpstreamEntry } from './core.js';
+import { createFakePlatform } from './fakePlatform.js';
 import { createTimedFleet, type TimedCore, type TimedFleet } from './timedFleet.js';
 
 const LINK_MS = 2;
@@ -19,7 +20,6 @@
 const MAX_DEADLY_MS = 150;
 /** Time after which a crashed upstream starts again. */
 const RESTART_MS = 5_000;
-const CONFIGURATION_WAIT_MS = 600;
 const DEADLY_INTERVAL_MS = 300;
 const SOUND_INTERVAL_MS = 50;
 /** Time after which a caller repeats a request whose outcome it does not know. */
@@ -90,7 +90,6 @@
   const fingerprints = new Map<string, number>();
   let requests = 0;
   let starts = servers.length;
-  let cursor = 1;
 
   const fleet: TimedFleet = createTimedFleet({ domains: 3, perDomain: 3, onEffect });
   const { simulation, dispatch, cores } = fleet;
@@ -98,11 +97,15 @@
   const keyOf = (core: TimedCore, request: number) => `${core.self.id} ${request}`;
   const pickCore = () => cores[Math.floor(random.next() * cores.length)] as TimedCore;
 
+  const answerRead = createFakePlatform({
+    fleet: () => fleet,
+    listed: () => servers.filter(({ isAlive }) => isAlive).map(({ entry }) => entry),
+  });
+
   function onEffect(core: TimedCore, effect: RoutingEffect): void {
     const { kind } = effect;
-    if (kind === 'pollConfiguration') answerConfigurationPoll(core);
-    else if (kind === 'pollUpstreams') answerUpstreamPoll(core);
-    else if (kind === 'send') after(LINK_MS, () => begin(core, effect.plan));
+    answerRead(core, effect);
+    if (kind === 'send') after(LINK_MS, () => begin(core, effect.plan));
     else if (kind === 'answer') onAnswer(core, effect.answer);
     else if (kind === 'probe') {
       const server = serverOf(effect.upstream);
@@ -114,26 +117,6 @@
     }
   }
 
-  function answerConfigurationPoll(core: TimedCore): void {
-    const askedAt = simulation.now();
-    after(CONFIGURATION_WAIT_MS, () => {
-      const outcome = { kind: 'answered', cursor: 1, changes: [] } as const;
-      dispatch(core, { kind: 'configurationPolled', askedAt, isWhole: false, outcome });
-    });
-  }
-
-  function answerUpstreamPoll(core: TimedCore): void {
-    const askedAt = simulation.now();
-    cursor += 1;
-    const changes = servers
-      .filter(({ isAlive }) => isAlive)
-      .map(({ entry: upstream }) => ({ kind: 'listed', upstream }) as const);
-    const outcome = { kind: 'answered', cursor, changes } as const;
-    after(2 * LINK_MS, () =>
-      dispatch(core, { kind: 'upstreamsPolled', askedAt, isWhole: true, outcome }),
-    );
-  }
-
   function serverOf(id: string): Server | undefined {
     return servers.find(({ entry }) => entry.id === id);
   }
--- a/test/routing/support/outOfStep.ts
+++ b/test/routing/support/outOfStep.ts
@@ -5,6 +5,7 @@
 import { createRandom } from '../../../src/core/random.js';
 import type { AttemptPlan, ListedUpstream, RoutingEffect } from '../../../src/routing/types.js';
 import { createFacts, createUpstreamEntry } from './core.js';
+import { createFakePlatform } from './fakePlatform.js';
 import { createTimedFleet, type TimedCore } from './timedFleet.js';
 
 export type Trouble = 'none' | 'cut' | 'cutFromStoreToo' | 'frozen';
@@ -26,14 +27,12 @@
   readonly begunAtSecond: number;
 }
 
-const STORE_MS = 4;
 const EVENT_MS = 3;
 const JOIN_AT_MS = 15_000;
 const BEGIN_MS = 5_000;
 const STREAM_INTERVAL_MS = 15;
 /** Longest time after which a stream breaks and is taken up. */
 const MAX_LIFE_MS = 400;
-const CONFIGURATION_WAIT_MS = 600;
 const AFTER_MS = 4_000;
 const CHAT = { path: '/chat/1', deadlineMs: 10_000 };
 
@@ -62,7 +61,6 @@
   const begun = new Map<number, string>();
   const takeUps = new Map<number, number>();
   let requests = 0;
-  let cursor = 1;
 
   const isOut = (id: string) => id === 'd0-0';
   const fleet = createTimedFleet({
@@ -77,22 +75,15 @@
   clock.now = simulation.now;
   const [out] = cores as [TimedCore];
 
+  const answerRead = createFakePlatform({
+    fleet: () => fleet,
+    listed: () => list.filter(({ from }) => from <= clock.now()).map(({ entry }) => entry),
+    isCut: ({ self }) => trouble === 'cutFromStoreToo' && isOut(self.id) && isTroubled(),
+  });
+
   function onEffect(core: TimedCore, effect: RoutingEffect): void {
+    answerRead(core, effect);
     switch (effect.kind) {
-      case 'pollConfiguration':
-        answerConfigurationPoll(core);
-        return;
-      case 'pollUpstreams':
-        answerUpstreamPoll(core);
-        return;
-      case 'readListHistory': {
-        const outcome = { kind: 'read', mentions: [], coversMs: Infinity } as const;
-        const askedAt = simulation.now();
-        simulation.after(STORE_MS, () =>
-          dispatch(core, { kind: 'listHistoryRead', askedAt, outcome }),
-        );
-        return;
-      }
       case 'send':
         onSend(core, effect.plan);
         return;
@@ -103,34 +94,6 @@
     }
   }
 
-  function answerConfigurationPoll(core: TimedCore): void {
-    const askedAt = simulation.now();
-    simulation.after(CONFIGURATION_WAIT_MS, () => {
-      const outcome = { kind: 'answered', cursor: 1, changes: [] } as const;
-      dispatch(core, { kind: 'configurationPolled', askedAt, isWhole: false, outcome });
-    });
-  }
-
-  function answerUpstreamPoll(core: TimedCore): void {
-    const askedAt = simulation.now();
-    const isWhole = true;
-    if (trouble === 'cutFromStoreToo' && isOut(core.self.id) && isTroubled()) {
-      const outcome = { kind: 'failed', reason: 'cut' } as const;
-      simulation.after(STORE_MS, () =>
-        dispatch(core, { kind: 'upstreamsPolled', askedAt, isWhole, outcome }),
-      );
-      return;
-    }
-    cursor += 1;
-    const changes = list
-      .filter(({ from }) => from <= simulation.now())
-      .map(({ entry: upstream }) => ({ kind: 'listed', upstream }) as const);
-    const outcome = { kind: 'answered', cursor, changes } as const;
-    simulation.after(STORE_MS, () =>
-      dispatch(core, { kind: 'upstreamsPolled', askedAt, isWhole, outcome }),
-    );
-  }
-
   function onSend(core: TimedCore, { request, attempt, upstream }: AttemptPlan): void {
     const version = versionBy.get(upstream) ?? '';
     const taken = takeUps.get(request);
