Split retries at other upstreams from the handling of outcomes

attempts.ts had 412 lines with two jobs: what an outcome means for its request, and whether and where the request is sent again. Moved as it stands to retrying.ts; the routing tests pass.

--- a/src/routing/attempts/arrival.ts
+++ b/src/routing/attempts/arrival.ts
@@ -28,7 +28,6 @@
 import { findBlockedCause, tryTrial, type BlockedCause } from '../suspects/suspects.js';
 import { findStreamStart } from '../versions/streams.js';
 import type { CustomerName, PoolId, RequestFacts, Route, RoutingConfiguration } from '../types.js';
-import { retryBudgetFor } from './attempts.js';
 import type { OpenRequest } from './attemptsState.js';
 import {
   createAdmissionRefusal,
@@ -41,6 +40,7 @@
   refuse,
   type Refusal,
 } from './refusals.js';
+import { retryBudgetFor } from './retrying.js';
 import { sendToUpstream } from './sending.js';
 
 const STOPPING_RETRY_AFTER_MS: Millis = 50;
--- a/src/routing/attempts/healthCheck.ts
+++ b/src/routing/attempts/healthCheck.ts
@@ -13,8 +13,9 @@
 import { removeMissing, replaceOverdueListRead } from '../upstreams/list.js';
 import { endPauses } from '../upstreams/pauses.js';
 import type { Upstream } from '../upstreams/upstreamsState.js';
-import { cancelAttempt, failRequest, canRetryElsewhere, isRepeatable } from './attempts.js';
+import { cancelAttempt, failRequest, isRepeatable } from './attempts.js';
 import type { Attempt, OpenRequest } from './attemptsState.js';
+import { canRetryElsewhere } from './retrying.js';
 
 const HEALTH_CHECK_INTERVAL_MS: Millis = 100;
 /**
