Refuse by an older configuration at the time to apply, not long before

Cause: lets an instance that knows of a newer version serve for 0.4 of the time to apply (1 s). A new version has to be in force within all of it (2.5 s); what is refused before is lost for callers, and their retries read shared parts again elsewhere. Evidence: lines of front-iasi-a-1, configurationStale with behindMs 1,026 and ageMs 2,021, staleConfiguration 22, 102, 69 times a second. Change: 0.8 (2 s); the rest is for the neighbour to learn and to tell.

--- a/src/routing/freshness/freshness.ts
+++ b/src/routing/freshness/freshness.ts
@@ -66,7 +66,7 @@
  * Time for which an instance that knows of a newer version serves by its own, as a fraction of the time in
  * which a new configuration has to take effect. The rest is for the peer that told of it.
  */
-const MAX_BEHIND_FRACTION = 0.4;
+const MAX_BEHIND_FRACTION = 0.8;
 
 type Polled = Extract<RoutingEvent, { readonly kind: 'configurationPolled' }>;
 
