End successfully too if the reader of the output closes a socket with unread data

The output of a child is a socket pair; a reader that closes it with data unread resets it, and without, the write fails with EPIPE. Only the latter was taken for a reader that has gone. Change: both are.

--- a/src/cli/output.ts
+++ b/src/cli/output.ts
@@ -3,17 +3,20 @@
 import type { DiagnosticArgs, DiagnosticCode } from '../core/diagnostics.js';
 import { EXIT_CODES } from './exitCodes.js';
 
+/** Errors of a write whose reader has closed: of a pipe, and of a socket that had unread data. */
+const CLOSED_BY_READER = new Set(['EPIPE', 'ECONNRESET']);
+
 let isPipeHandlerInstalled = false;
 
 /**
- * Exits successfully when the reader of standard output closes the pipe (EPIPE), for example `head`.
- * Any other write error is thrown.
+ * Exits successfully when the reader of standard output closes it, for example `head`. Any other write
+ * error is thrown.
  */
 function handleClosedPipe(): void {
   if (isPipeHandlerInstalled) return;
   isPipeHandlerInstalled = true;
   process.stdout.on('error', (err: NodeJS.ErrnoException) => {
-    if (err.code !== 'EPIPE') throw err;
+    if (err.code === undefined || !CLOSED_BY_READER.has(err.code)) throw err;
     process.exit(EXIT_CODES.ok);
   });
 }
