Show that a failure with a spoiled reason phrase leaves its caller without an answer

One of three engines spoils one answer in forty: a failure whose reason phrase has bytes that are no text. Each such request stays without any answer until its client gives up.

--- /dev/null
+++ b/review/lib/engine.mjs
@@ -0,0 +1,84 @@
+/**
+ * Stand-in for an engine of a plain service or of a model service. It registers itself in the store,
+ * writes its entry there regularly, and answers each request as `answer` says; without it, with a
+ * whole, signed body. A request counts as run once its head and body have been read.
+ */
+import { createServer } from 'node:http';
+import { listen, readAll } from './net.mjs';
+
+const HEARTBEAT_MS = 1_200;
+
+export function signatureOf(requestId) {
+  return `3e1b.07.${requestId}`;
+}
+
+/** Sends a whole, signed success. */
+export function answerWhole(req, res, body = `answer to ${req.headers['request-id']}\n`) {
+  const requestId = req.headers['request-id'];
+  res.writeHead(200, {
+    'Request-Id': requestId,
+    'Response-Signature': signatureOf(requestId),
+    'Content-Length': Buffer.byteLength(body),
+  });
+  res.end(body);
+}
+
+export async function startEngine({ store, id, service, zone, slots = 6, host, answer, record }) {
+  let seq = 0;
+  const born = Date.now();
+  async function handle(req, res) {
+    if (req.url === '/healthz') {
+      res.writeHead(200, { 'Instance-Id': id }).end();
+      return;
+    }
+    let body;
+    try {
+      body = await readAll(req);
+    } catch {
+      return;
+    }
+    const expected = req.headers['expect-instance'];
+    if (expected !== undefined && expected !== id) {
+      res.writeHead(421, { 'Instance-Id': id, 'Not-Executed': '1' }).end();
+      return;
+    }
+    const requestId = req.headers['request-id'];
+    record?.({ what: 'run', engine: id, requestId, path: req.url, bytes: body.length });
+    (answer ?? answerWhole)(req, res, undefined, body);
+  }
+
+  const server = createServer(handle);
+  server.keepAliveTimeout = 60_000;
+  const port = await listen(server, host ?? '127.0.0.1');
+  const address = `${host ?? '127.0.0.1'}:${port}`;
+  let state = 'ready';
+  const beat = () => {
+    seq += 1;
+    store.append('keyed.servers', id, {
+      Service: service,
+      Address: address,
+      Zone: zone,
+      Version: 'v1',
+      Slots: slots,
+      State: state,
+      ColdLeftMs: 0,
+      Seq: seq,
+      born,
+    });
+  };
+  beat();
+  const timer = setInterval(beat, HEARTBEAT_MS);
+  return {
+    id,
+    address,
+    drain: () => {
+      state = 'draining';
+      beat();
+    },
+    close: () => {
+      clearInterval(timer);
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
