Show that a fleet that was killed forgets which request crashes its engines

Case 2 of the review: a request that crashes each engine that runs it comes again every 3 s, and all machines are killed twice. Each fleet that starts anew has three more engines crash.

--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -23,7 +23,17 @@
   res.end(body);
 }
 
-export async function startEngine({ store, id, service, zone, slots = 6, host, answer, record }) {
+export async function startEngine({
+  store,
+  id,
+  service,
+  zone,
+  slots = 6,
+  host,
+  port: usedPort = 0,
+  answer,
+  record,
+}) {
   let seq = 0;
   const born = Date.now();
   async function handle(req, res) {
@@ -49,8 +59,7 @@
 
   const server = createServer(handle);
   server.keepAliveTimeout = 60_000;
-  const port = await listen(server, host ?? '127.0.0.1');
-  const address = `${host ?? '127.0.0.1'}:${port}`;
+  const address = `${host ?? '127.0.0.1'}:${await listen(server, host ?? '127.0.0.1', usedPort)}`;
   let state = 'ready';
   const beat = () => {
     seq += 1;
@@ -75,6 +84,14 @@
       state = 'draining';
       beat();
     },
+    /** Ends at once, as a crash would: all connections break, and its entry is written no more. */
+    crash: () => {
+      clearInterval(timer);
+      server.close();
+      server.closeAllConnections();
+    },
+    /** Has the platform remove the entry of an engine that has been silent for long. */
+    expire: () => store.remove('keyed.servers', id),
     close: () => {
       clearInterval(timer);
       server.close();
