Show that a caller who leaves an answer without a length ends the process

Tried: plays of 60 s at three instances, with 45 streams a second, one answer in twenty without a length and three clients in ten leaving.

--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,66 +1,56 @@
 /**
- * One of three engines spoils one in forty of its answers: a failure whose status line has bytes that
- * are no text. Counts the requests that are unanswered at their route's timeout, and half a second
- * later.
+ * Sound engines give one answer in twenty without a length: it ends with its connection. Some clients
+ * leave in the midst of their answers. Counts the processes that end by themselves, and the
+ * requests that had been passed on from a kept connection to a sound engine and got no answer.
  */
 import { dirname } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { createAgent, send } from '../lib/client.mjs';
-import { answerWhole, signatureOf, startEngine } from '../lib/engine.mjs';
+import { answerStream, startEngine } from '../lib/engine.mjs';
 import { createFleet } from '../lib/fleet.mjs';
 import { sleep } from '../lib/net.mjs';
 import { hasTrouble, runCase } from '../lib/run.mjs';
-import { clientHeaders, configuration, machines, ROUTES, ZONES } from '../lib/site.mjs';
+import { clientHeaders, configuration, machines, ZONES } from '../lib/site.mjs';
 import { startStore } from '../lib/store.mjs';
 
 const SECONDS = 60;
-const PER_SECOND = 20;
-const WORK_MS = 15;
-const DEADLINE_MS = 2_500;
-/** Share of the answers of the faulty engine that are spoiled. */
-const SPOILED = 0.025;
-const SLACK_MS = 500;
-
-/** Spoils one answer in forty, evenly, so that each play has the same dose. */
-function createFaultyAnswer(record) {
-  let count = 0;
-  return (req, res) => {
-    count += 1;
-    if (count % Math.round(1 / SPOILED) !== 0) {
-      answerWhole(req, res);
-      return;
-    }
-    const requestId = req.headers['request-id'];
-    record({ what: 'spoiled answer', requestId });
-    const head = [
-      'Content-Length: 0',
-      `Request-Id: ${requestId}`,
-      `Response-Signature: ${signatureOf(requestId)}`,
-    ].join('\r\n');
-    const spoiled = Buffer.from([0x49, 0x9c, 0xe3, 0x07, 0x81, 0xfe, 0x6f, 0x72]);
-    req.socket.write(
-      Buffer.concat([Buffer.from('HTTP/1.1 500 '), spoiled, Buffer.from(`\r\n${head}\r\n\r\n`)]),
-    );
-    // The engine goes on with the next request on this connection.
-    req.socket.destroySoon();
-  };
-}
+const PER_SECOND = 45;
+const STREAM = { pieces: 20, intervalMs: 100, readMs: 150 };
+const DEADLINE_MS = 3_000;
+const WAIT_MS = 4_000;
+/** Share of the answers that have no length. */
+const UNFRAMED = 0.05;
+/** Share of the clients that leave, and when. They do so for five seconds of six. */
+const LEAVING = 0.3;
+const LEAVE_AFTER_MS = 1_000;
+const LEAVING_FOR_MS = 5_000;
+const LEAVING_EVERY_MS = 6_000;
+const RESTART_DELAY_MS = 200;
+const MAX_LOST = 3;
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async ({ record, onEnd }) => {
   const store = await startStore();
   onEnd(() => store.close());
   store.append('keyed.op', 'config', configuration(7));
-  const spoil = createFaultyAnswer(record);
+  const runs = new Set();
   for (const [i, zone] of ZONES.entries()) {
-    const isFaulty = hasTrouble && i === 0;
+    let count = 0;
     // eslint-disable-next-line no-await-in-loop -- in order
     const engine = await startEngine({
       store,
-      id: `i-desk-${i}`,
-      service: 'desk',
+      id: `i-model-${i}`,
+      service: 'model',
+      slots: 128,
       zone,
       record,
-      answer: (req, res) => setTimeout(() => (isFaulty ? spoil : answerWhole)(req, res), WORK_MS),
+      answer: (req, res) => {
+        count += 1;
+        const isUnframed = count % Math.round(1 / UNFRAMED) === 0;
+        runs.add(req.headers['request-id']);
+        if (isUnframed)
+          record({ what: 'answer without length', requestId: req.headers['request-id'] });
+        return answerStream(req, res, { ...STREAM, isUnframed });
+      },
     });
     onEnd(() => engine.close());
   }
@@ -70,44 +60,67 @@
   await Promise.all(fleet.instances.map((instance) => fleet.untilReady(instance)));
   await sleep(1_000);
 
-  const agents = fleet.instances.map(() => createAgent());
+  let isEnding = false;
+  const ends = new Map(fleet.instances.map(({ name }) => [name, 0]));
+  const reasons = new Set();
+
+  /** Starts the process of a machine again whenever it has ended, as the platform does. */
+  async function keepRunning(instance) {
+    for (;;) {
+      // eslint-disable-next-line no-await-in-loop -- until the next end
+      await instance.exited;
+      if (isEnding) return;
+      ends.set(instance.name, ends.get(instance.name) + 1);
+      // eslint-disable-next-line no-await-in-loop -- a short delay
+      await sleep(RESTART_DELAY_MS);
+      // eslint-disable-next-line no-await-in-loop -- after each end
+      const log = await fleet.logOf(instance);
+      log.split('\n').forEach((line) => {
+        if (line.includes('assert')) reasons.add(line.trim());
+      });
+      if (!isEnding) fleet.start(instance);
+    }
+  }
+  const keepers = fleet.instances.map(keepRunning);
+
+  const agents = fleet.instances.map(() => createAgent(256));
   onEnd(() => agents.forEach((agent) => agent.destroy()));
-  const answers = [];
+  const sent = [];
+  const playedFrom = Date.now();
   for (let i = 0; i < SECONDS * PER_SECOND; i += 1) {
     const at = i % fleet.instances.length;
-    const headers = clientHeaders({ deadlineMs: DEADLINE_MS });
-    answers.push(
-      send({
-        to: fleet.instances[at].front,
-        agent: agents[at],
-        path: '/swap/2f',
-        headers,
-        body: 'swap',
-        waitMs: DEADLINE_MS,
-      }).then((answer) => {
-        const { kind, status, afterMs } = answer;
-        const requestId = headers['Request-Id'];
-        record({
-          what: 'client',
-          requestId,
-          instance: fleet.instances[at].name,
-          kind,
-          status,
-          afterMs,
-        });
-        return answer;
-      }),
+    const headers = clientHeaders({
+      deadlineMs: DEADLINE_MS,
+      more: { Model: 'm', 'Token-Usage': '200,100', 'Prompt-Prefix': `e${i}:200` },
+    });
+    const requestId = headers['Request-Id'];
+    const isTime = (Date.now() - playedFrom) % LEAVING_EVERY_MS < LEAVING_FOR_MS;
+    const isLeaving = hasTrouble && isTime && (i * LEAVING) % 1 < LEAVING;
+    const { front: to, name: instance } = fleet.instances[at];
+    const waitMs = isLeaving ? LEAVE_AFTER_MS : WAIT_MS;
+    sent.push(
+      send({ to, agent: agents[at], path: '/tag/2f', headers, body: 'prompt', waitMs }).then(
+        ({ kind, status, afterMs, isKept }) => {
+          record({ what: 'client', requestId, instance, kind, status, afterMs, isKept, isLeaving });
+          return { kind, requestId, isKept, isLeaving };
+        },
+      ),
     );
     // eslint-disable-next-line no-await-in-loop -- one after the other
     await sleep(1_000 / PER_SECOND);
   }
-  const ended = await Promise.all(answers);
-  const timeoutMs = ROUTES.swap.TimeoutMs;
-  const lasting = ended.filter(({ afterMs }) => afterMs > timeoutMs);
-  const unanswered = lasting.filter(({ afterMs }) => afterMs > timeoutMs + SLACK_MS);
-  const served = ended.filter(({ kind, status }) => kind === 'answered' && status === 200);
+  const ended = await Promise.all(sent);
+  isEnding = true;
+  await fleet.close();
+  await Promise.all(keepers);
+  const staying = ended.filter(({ isLeaving }) => !isLeaving);
+  const lost = staying.filter(
+    ({ kind, requestId, isKept }) => kind === 'closed' && isKept && runs.has(requestId),
+  );
+  const cut = staying.filter(({ kind }) => kind === 'cut');
+  const endings = [...ends].map(([name, times]) => `${name} ${times}`).join(', ');
   return {
-    isBroken: unanswered.length > lasting.length / 2,
-    summary: `${ended.length} requests, ${served.length} served, ${lasting.length} unanswered at the timeout of ${timeoutMs} ms, ${unanswered.length} of these also ${SLACK_MS} ms later`,
+    isBroken: lost.length > MAX_LOST,
+    summary: `processes that ended by themselves: ${endings} (${[...reasons].join('; ') || 'none'}); of ${staying.length} requests whose clients stayed, ${lost.length} on kept connections ran at a sound engine and got no answer, ${cut.length} were cut in their answers`,
   };
 });
--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -6,7 +6,7 @@
   new Agent({ keepAlive: true, maxSockets, keepAliveMsecs: 60_000 });
 
 /**
- * Sends a request. Resolves with `kind`: `answered` (whole), `closed` without an answer, `cut` in the
+ * Sends a request. Resolves with whether its connection had been used before, and `kind`: `answered` (whole), `closed` without an answer, `cut` in the
  * answer, or `unanswered` when the time that the client waits has passed.
  */
 export async function send({ to, agent, method = 'POST', path, headers, body, waitMs }) {
@@ -19,7 +19,14 @@
     const req = request({ ...to, agent, method, path, headers });
     const done = (kind, more = {}) => {
       clearTimeout(timer);
-      resolve({ kind, status, bytes, afterMs: Date.now() - sentAt, ...more });
+      resolve({
+        kind,
+        isKept: req.reusedSocket,
+        status,
+        bytes,
+        afterMs: Date.now() - sentAt,
+        ...more,
+      });
     };
     timer = setTimeout(() => {
       done('unanswered');
--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -4,7 +4,7 @@
  * whole, signed body. A request counts as run once its head and body have been read.
  */
 import { createServer } from 'node:http';
-import { listen, readAll } from './net.mjs';
+import { listen, readAll, sleep } from './net.mjs';
 
 const HEARTBEAT_MS = 1_200;
 
@@ -23,6 +23,32 @@
   res.end(body);
 }
 
+/**
+ * Sends a stream of events, one at each interval, after the time to read the prompt; in chunks, or
+ * without a length, so that it ends with its connection.
+ */
+export async function answerStream(
+  req,
+  res,
+  { pieces, intervalMs, readMs = 0, isUnframed = false },
+) {
+  const requestId = req.headers['request-id'];
+  await sleep(readMs);
+  if (isUnframed) res.useChunkedEncodingByDefault = false;
+  if (isUnframed) res.shouldKeepAlive = false;
+  res.writeHead(200, {
+    'Request-Id': requestId,
+    'Response-Signature': signatureOf(requestId),
+    'Content-Type': 'text/event-stream',
+  });
+  for (let i = 1; i <= pieces && !res.destroyed; i += 1) {
+    res.write(`id: ${i}\ndata: piece ${i} of ${requestId}\n\n`);
+    // eslint-disable-next-line no-await-in-loop -- one after the other
+    await sleep(intervalMs);
+  }
+  res.end();
+}
+
 export async function startEngine({
   store,
   id,
@@ -35,9 +61,10 @@
   record,
 }) {
   let seq = 0;
+  let isSilent = false;
   const born = Date.now();
   async function handle(req, res) {
-    if (req.url === '/healthz') {
+    if (req.url === '/healthz' && !isSilent) {
       res.writeHead(200, { 'Instance-Id': id }).end();
       return;
     }
@@ -47,6 +74,7 @@
     } catch {
       return;
     }
+    if (isSilent) return;
     const expected = req.headers['expect-instance'];
     if (expected !== undefined && expected !== id) {
       res.writeHead(421, { 'Instance-Id': id, 'Not-Executed': '1' }).end();
@@ -84,6 +112,11 @@
       state = 'draining';
       beat();
     },
+    /** Runs nothing more and writes its entry no more; `answer` has to leave what it runs unanswered. */
+    fallSilent: () => {
+      isSilent = true;
+      clearInterval(timer);
+    },
     /** Ends at once, as a crash would: all connections break, and its entry is written no more. */
     crash: () => {
       clearInterval(timer);
