--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -15,7 +15,7 @@
 
 const SECONDS = 60;
 const PER_SECOND = 45;
-const STREAM = { pieces: 20, intervalMs: 100, readMs: 150 };
+const STREAM = { pieces: 20, intervalMs: 100, readMs: 300 };
 const DEADLINE_MS = 3_000;
 const WAIT_MS = 4_000;
 /** Share of the answers that have no length. */
@@ -26,15 +26,25 @@
 const LEAVING_FOR_MS = 5_000;
 const LEAVING_EVERY_MS = 6_000;
 const RESTART_DELAY_MS = 200;
+const SEED = 44;
 const MAX_LOST = 3;
 
+/** Returns a generator of numbers from 0 to 1, the same in each play. */
+function createRandom(seed) {
+  let state = seed;
+  return () => {
+    state = (state * 1_103_515_245 + 12_345) % 2_147_483_648;
+    return state / 2_147_483_648;
+  };
+}
+
 await runCase(dirname(fileURLToPath(import.meta.url)), async ({ record, onEnd }) => {
   const store = await startStore();
   onEnd(() => store.close());
   store.append('keyed.op', 'config', configuration(7));
   const runs = new Set();
   for (const [i, zone] of ZONES.entries()) {
-    let count = 0;
+    const random = createRandom(SEED + 1 + i);
     // eslint-disable-next-line no-await-in-loop -- in order
     const engine = await startEngine({
       store,
@@ -44,8 +54,7 @@
       zone,
       record,
       answer: (req, res) => {
-        count += 1;
-        const isUnframed = count % Math.round(1 / UNFRAMED) === 0;
+        const isUnframed = random() < UNFRAMED;
         runs.add(req.headers['request-id']);
         if (isUnframed)
           record({ what: 'answer without length', requestId: req.headers['request-id'] });
@@ -85,6 +94,7 @@
 
   const agents = fleet.instances.map(() => createAgent(256));
   onEnd(() => agents.forEach((agent) => agent.destroy()));
+  const random = createRandom(SEED);
   const sent = [];
   const playedFrom = Date.now();
   for (let i = 0; i < SECONDS * PER_SECOND; i += 1) {
@@ -95,7 +105,7 @@
     });
     const requestId = headers['Request-Id'];
     const isTime = (Date.now() - playedFrom) % LEAVING_EVERY_MS < LEAVING_FOR_MS;
-    const isLeaving = hasTrouble && isTime && (i * LEAVING) % 1 < LEAVING;
+    const isLeaving = hasTrouble && isTime && random() < LEAVING;
     const { front: to, name: instance } = fleet.instances[at];
     const waitMs = isLeaving ? LEAVE_AFTER_MS : WAIT_MS;
     sent.push(
