--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -81,6 +81,10 @@
       return;
     }
     const requestId = req.headers['request-id'];
+    if (requestId === undefined) {
+      res.writeHead(400, { 'Not-Executed': '1' }).end();
+      return;
+    }
     record?.({ what: 'run', engine: id, requestId, path: req.url, bytes: body.length });
     (answer ?? answerWhole)(req, res, undefined, body);
   }
--- a/review/lib/run.mjs
+++ b/review/lib/run.mjs
@@ -33,6 +33,12 @@
   setTimeout(() => {
     void finish(2, 'took too long');
   }, LIMIT_MS).unref();
+  // A fault of the stand-ins shows nothing of the rule.
+  const fail = (err) => {
+    void finish(2, `could not run: ${err?.stack ?? err}`);
+  };
+  process.once('uncaughtException', fail);
+  process.once('unhandledRejection', fail);
   try {
     const { isBroken, summary } = await play({
       record,
