Reset an aborted upstream connection without taking its end for the end of the answer

Cause: resetOnAbort replaced destroy(err) by resetAndDestroy(), which drops the error. undici then took the end of the connection for the end of the answer and completed a request that it had aborted, which it asserts against in a socket event. The socket is now reset and destroyed with the error, by public functions of the runtime only.

--- a/src/hosts/routing/upstreamPools.ts
+++ b/src/hosts/routing/upstreamPools.ts
@@ -137,13 +137,19 @@
 /**
  * Resets the connection of an aborted request. After a graceful close, bytes that are still in transit
  * would be delivered later, and the request would be executed after its caller has left.
+ *
+ * The socket is destroyed with the error of the abort, which `resetAndDestroy` would drop: without an
+ * error, undici takes the end of the connection for the end of an answer without a length, and its
+ * assertion that the request was not aborted ends the process.
  */
 function resetOnAbort(socket: Socket): void {
   const destroy = socket.destroy.bind(socket);
   socket.destroy = (err) => {
     const isAborted = err instanceof errors.InformationalError && err.message === ABORT_MESSAGE;
-    if (!isAborted || socket.destroyed) return destroy(err);
-    socket.destroy = destroy;
+    // A socket that is already being shut down cannot be reset.
+    if (!isAborted || socket.destroyed || socket.writableEnded) return destroy(err);
+    // `resetAndDestroy` marks the socket and then calls `destroy` without an error.
+    socket.destroy = () => destroy(err);
     return socket.resetAndDestroy();
   };
 }
