Answer a caller whose response cannot be written, and send no reason phrase of an upstream

Cause: the server refuses such a phrase (ERR_INVALID_CHAR) after the core has ended the request and the host has forgotten it; the loop answers for arrivals only. Any effect on a request that throws had the same result.

Change: the standard phrase goes out. Every answer that ends a request goes through one function, which replaces what cannot be written by a 502 or a closed connection and logs responseFailed. A send that throws is reported as not sent.

--- a/src/daemon/loop.ts
+++ b/src/daemon/loop.ts
@@ -42,8 +42,8 @@
   };
   readonly system: System;
   readonly runEffect: EffectRunner<Effect>;
-  /** Called if reducing an event or executing an effect throws; the loop continues. */
-  readonly onError: (err: unknown, event: Event | TimerEvent<Timer>) => void;
+  /** Called if reducing an event or executing one of its effects throws; the loop continues. */
+  readonly onError: (err: unknown, event: Event | TimerEvent<Timer>, effect?: Effect) => void;
   /** Returns events to reduce at the start of each turn, before the queued ones. */
   readonly beforeTurn?: () => readonly Event[];
 }
@@ -113,7 +113,8 @@
       if (isSetTimer(effect)) setTimer(effect.timer, effect.at);
       else runEffect(effect as Exclude<Effect, { readonly kind: 'setTimer' }>);
     } catch (err) {
-      options.onError(err, event);
+      if (isSetTimer(effect)) options.onError(err, event);
+      else options.onError(err, event, effect);
     }
   }
 
--- a/src/daemon/routingInstance.ts
+++ b/src/daemon/routingInstance.ts
@@ -149,10 +149,19 @@
     return gap === undefined ? [] : [{ kind: 'clockGap', gapMs: gap.ms, clock: gap.clock }];
   }
 
-  function handleFailure(err: unknown, event: RoutingEvent): void {
-    const reason = err instanceof Error ? (err.stack ?? err.message) : String(err);
-    hosts.log.write('error', 'eventFailed', { failed: event.kind, reason });
-    if (event.kind !== 'requestArrived') return;
+  /** Logs a failure, and ends what the core takes for begun or its caller still waits for. */
+  function handleFailure(err: unknown, event: RoutingEvent, effect?: RoutingEffect): void {
+    const reason = describeFailure(err);
+    hosts.log.write('error', 'eventFailed', { failed: event.kind, effect: effect?.kind, reason });
+    if (effect?.kind === 'send') {
+      const { attempt } = effect.plan;
+      post({
+        kind: 'attemptEnded',
+        attempt,
+        outcome: { kind: 'notSent', reason: 'internal error' },
+      });
+    }
+    if (event.kind !== 'requestArrived' || effect !== undefined) return;
     const { request } = event.facts;
     hosts.front.sendLocalResponse({ request, status: 502, reason: 'internalError' });
   }
@@ -293,6 +302,10 @@
   };
 }
 
+function describeFailure(err: unknown): string {
+  return err instanceof Error ? (err.stack ?? err.message) : String(err);
+}
+
 type EffectOf<K extends RoutingEffect['kind']> = Extract<RoutingEffect, { readonly kind: K }>;
 
 interface HostContext {
@@ -336,6 +349,9 @@
         metrics.count('malformed');
         log.write('warn', 'malformed', { request: requestId, status, reason });
       },
+      onResponseFailed: (request, err) => {
+        log.write('error', 'responseFailed', { request, reason: describeFailure(err) });
+      },
     }),
     peers: createDatagramPeerHost({
       self: { id: options.id, incarnation },
--- a/src/hosts/routing/attempt.ts
+++ b/src/hosts/routing/attempt.ts
@@ -122,7 +122,7 @@
       }
       isDispatched = true;
     },
-    onResponseStart: (_controller, status, _headers, statusMessage) => {
+    onResponseStart: (_controller, status) => {
       if (hasEnded || status < FIRST_FINAL_STATUS) return;
       const rawHeaders = decodeRawHeaders(_controller.rawHeaders);
       responseFacts = protocol.parseResponseHead(rawHeaders);
@@ -135,7 +135,7 @@
         abortWith(toErrorOutcome(status, responseFacts));
         return;
       }
-      head = { status, statusMessage: statusMessage ?? '', rawHeaders };
+      head = { status, rawHeaders };
       if (status < FIRST_ERROR_STATUS) callerResponse.forwardHead(head);
     },
     onResponseData: (_controller, chunk) => {
--- a/src/hosts/routing/callerResponse.ts
+++ b/src/hosts/routing/callerResponse.ts
@@ -1,14 +1,13 @@
 /** Writes one response to a caller, with backpressure: forwards, generates or aborts it. */
-import type { ServerResponse } from 'node:http';
+import type { OutgoingHttpHeaders, ServerResponse } from 'node:http';
 import type { LocalAnswer } from '../../routing/types.js';
 import { routingEvents } from '../../routing/eventTable.js';
 import { endToEndHeaders } from './headers.js';
 import type { RawHeaders, RequestProtocol } from './types.js';
 
-/** Status line and headers of an upstream's response. */
+/** Status and headers of an upstream's response. Its reason phrase means nothing and is not kept. */
 export interface UpstreamResponseHead {
   readonly status: number;
-  readonly statusMessage: string;
   readonly rawHeaders: RawHeaders;
 }
 
@@ -24,6 +23,8 @@
   readonly abort: () => void;
   /** Sends a response that the instance generates itself. */
   readonly sendLocalResponse: (answer: LocalAnswer, protocol: RequestProtocol) => void;
+  /** Whether the response head has been written. */
+  readonly hasHead: () => boolean;
 }
 
 export interface CallerResponseOptions {
@@ -36,17 +37,21 @@
   const connectionCloseHeader = () => (shouldClose() ? ['Connection', 'close'] : []);
   let hasBodyStarted = false;
 
-  function forwardHead({ status, statusMessage, rawHeaders }: UpstreamResponseHead): void {
+  /** Writes the head with the standard reason phrase. Throws if a header cannot be sent. */
+  function forwardHead({ status, rawHeaders }: UpstreamResponseHead): void {
     if (res.headersSent || res.destroyed) return;
     res.sendDate = false;
-    res.writeHead(status, statusMessage, [
-      ...endToEndHeaders(rawHeaders),
-      ...connectionCloseHeader(),
-    ]);
+    writeHead(status, [...endToEndHeaders(rawHeaders), ...connectionCloseHeader()]);
     // Body bytes that arrived together with the head are sent together with it.
     process.nextTick(flushHead);
   }
 
+  function writeHead(status: number, headers: OutgoingHttpHeaders | string[]): void {
+    // An earlier call that threw has left its phrase.
+    res.statusMessage = '';
+    res.writeHead(status, headers);
+  }
+
   function flushHead(): void {
     if (!hasBodyStarted && !res.writableEnded && !res.destroyed) res.flushHeaders();
   }
@@ -79,7 +84,8 @@
       const { number, text } = routingEvents[reason];
       // A string body is written together with the head; a buffer would need a second write.
       const body = `${JSON.stringify({ status, code: number, reason, title: text })}\n`;
-      res.writeHead(status, {
+      res.sendDate = true;
+      writeHead(status, {
         'content-type': 'application/problem+json',
         'content-length': String(Buffer.byteLength(body)),
         ...protocol.localResponseHeaders(answer),
@@ -87,5 +93,6 @@
       });
       res.end(body);
     },
+    hasHead: () => res.headersSent,
   };
 }
--- a/src/hosts/routing/frontHost.ts
+++ b/src/hosts/routing/frontHost.ts
@@ -36,6 +36,8 @@
   readonly meter: Pick<LoadMeter, 'count' | 'recordWait'>;
   /** Called when a request is rejected before it reaches the core. */
   readonly onMalformed: (status: number, reason: string, requestId: string | undefined) => void;
+  /** Called when a response cannot be written; its caller gets an error or a closed connection. */
+  readonly onResponseFailed: (requestId: string, err: unknown) => void;
 }
 
 export interface FrontHost {
@@ -258,6 +260,27 @@
     return openRequest;
   }
 
+  /**
+   * Ends a request with a response. If it cannot be written, the caller gets an error of the instance, as
+   * the core does not know the request any more.
+   */
+  function respond(request: RequestNumber, write: (openRequest: OpenRequest) => void): void {
+    const openRequest = removeRequest(request);
+    if (openRequest === undefined) return;
+    try {
+      write(openRequest);
+    } catch (err) {
+      const { callerResponse, requestId } = openRequest;
+      options.onResponseFailed(requestId, err);
+      if (callerResponse.hasHead()) callerResponse.abort();
+      else
+        callerResponse.sendLocalResponse(
+          { request, status: 502, reason: 'internalError' },
+          protocol,
+        );
+    }
+  }
+
   const handleRequest = async (req: IncomingMessage, res: ServerResponse) => {
     try {
       await receive(req, res);
@@ -298,19 +321,17 @@
       if (run?.isReplaceable(mayResume)) run.cancel();
     },
     sendLocalResponse: (answer) =>
-      removeRequest(answer.request)?.callerResponse.sendLocalResponse(answer, protocol),
-    forwardErrorResponse: (request) => {
-      const openRequest = removeRequest(request);
-      if (openRequest === undefined) return;
-      const { head, body } = Debug.assertDefined(
-        openRequest.errorResponse,
-        'buffered error response',
-      );
-      openRequest.callerResponse.forwardHead(head);
-      openRequest.callerResponse.write(body);
-      openRequest.callerResponse.end();
-    },
-    abortResponse: (request) => removeRequest(request)?.callerResponse.abort(),
+      respond(answer.request, ({ callerResponse }) =>
+        callerResponse.sendLocalResponse(answer, protocol),
+      ),
+    forwardErrorResponse: (request) =>
+      respond(request, ({ callerResponse, errorResponse }) => {
+        const { head, body } = Debug.assertDefined(errorResponse, 'buffered error response');
+        callerResponse.forwardHead(head);
+        callerResponse.write(body);
+        callerResponse.end();
+      }),
+    abortResponse: (request) => respond(request, ({ callerResponse }) => callerResponse.abort()),
     setCloseAfterResponse: (shouldClose) => {
       closesAfterResponse = shouldClose;
     },
--- a/test/hosts/callerResponse.test.ts
+++ b/test/hosts/callerResponse.test.ts
@@ -5,7 +5,7 @@
 import { expect } from 'chai';
 import { createCallerResponse } from '../../src/hosts/routing/callerResponse.js';
 
-const HEAD = { status: 200, statusMessage: 'OK', rawHeaders: ['Response-Signature', 's'] };
+const HEAD = { status: 200, rawHeaders: ['Response-Signature', 's'] };
 
 /** Creates a response whose connection records the bytes of each write. */
 function createResponse() {
--- a/test/hosts/intake.test.ts
+++ b/test/hosts/intake.test.ts
@@ -49,6 +49,7 @@
     now: () => performance.now(),
     meter: NOOP_METER,
     onMalformed: () => {},
+    onResponseFailed: () => {},
   });
   const address = await host.listen();
   return { host, admitted, port: Number(address.split(':').at(-1)) };
--- a/test/platform/attemptEnds.test.ts
+++ b/test/platform/attemptEnds.test.ts
@@ -136,9 +136,7 @@
       };
       write();
     });
-    ['models', 'desk'].forEach((pool) =>
-      fleet.store.append('keyed.servers', `raw-${pool}`, describeUpstream(pool, upstream.address)),
-    );
+    ['models', 'desk'].forEach((pool) => fleet.listAddress(upstream.address, pool));
   }
 
   function openCaller({ addresses }: StartedInstance, { path, deadlineMs = TIMEOUT_MS }: Ending) {
@@ -185,17 +183,3 @@
     ),
   );
 });
-
-function describeUpstream(pool: string, address: string): string {
-  return JSON.stringify({
-    Service: pool,
-    Address: address,
-    Zone: 'domain-a',
-    Version: 'v1',
-    Slots: 8,
-    State: 'ready',
-    ColdLeftMs: 0,
-    Seq: 1,
-    born: 1,
-  });
-}
--- a/test/platform/support/fleet.ts
+++ b/test/platform/support/fleet.ts
@@ -111,6 +111,8 @@
 export interface PlatformFleet {
   readonly store: LogStore;
   readonly listEngine: (engine: BatchEngine, pool: string, changes?: object) => void;
+  /** Lists an upstream that a test has started itself, as `raw-POOL`. */
+  readonly listAddress: (address: string, pool: string) => void;
   readonly configure: (version: number, changes?: object) => void;
   /** Starts an engine and lists it; `changes` replace fields of its entry. */
   readonly addEngine: (
@@ -130,10 +132,14 @@
   let sequence = 0;
 
   function listEngine(engine: BatchEngine, pool: string, changes: object = {}): void {
+    listUpstream(engine.id, engine.address, pool, changes);
+  }
+
+  function listUpstream(id: string, address: string, pool: string, changes: object = {}): void {
     sequence += 1;
     const entry = {
       Service: pool,
-      Address: engine.address,
+      Address: address,
       Zone: 'domain-a',
       Version: 'v1',
       Slots: 8,
@@ -143,12 +149,13 @@
       born: 1,
       ...changes,
     };
-    store.append('keyed.servers', engine.id, JSON.stringify(entry));
+    store.append('keyed.servers', id, JSON.stringify(entry));
   }
 
   return {
     store,
     listEngine,
+    listAddress: (address, pool) => listUpstream(`raw-${pool}`, address, pool),
     configure: (version: number, changes: object = {}) =>
       store.append('keyed.op', 'config', createOperatorConfiguration(version, changes)),
     addEngine: async (pool, options = {}, changes = {}) => {
