Bound the bytes that wait for all requests together, and decide on long bodies by their heads

Reproduced with the bundled program: 150 callers whose bodies of 4 MiB lack their last byte took it to 1,038 MiB, 150 error answers of 4 MiB whose end is held back to 498 MiB; a process that takes more than 350 MB is killed on the users' machines, with all of its requests. A body was read whole before a request without route or upstream was refused.

Cause: bounds for each request, none for all of them; decisions after the body that its head allows.

Change: a budget from the memory in the settings (a fifth), in which long requests leave room to short ones and one customer to others; the core decides on the head of a long request before its body is read. Gauges buffered_bytes and its limit.

--- a/src/daemon/routingInstance.ts
+++ b/src/daemon/routingInstance.ts
@@ -21,10 +21,11 @@
 import { countInstances } from '../routing/exchange/countedInstances.js';
 import { behindFor, confirmationAge } from '../routing/freshness/freshness.js';
 import { ageOfRead } from '../routing/freshness/sharedRead.js';
+import { createByteBudget, type ByteBudget } from '../routing/load/byteBudget.js';
 import type { LoadReading } from '../routing/load/instanceLoad.js';
 import { createRouting, type Routing } from '../routing/routing.js';
 import { listLimits } from '../routing/rateLimits/rateLimits.js';
-import type { RoutingSettings } from '../routing/settings.js';
+import { DEFAULT_ROUTING_SETTINGS, type RoutingSettings } from '../routing/settings.js';
 import { listBlockedCauses } from '../routing/suspects/suspects.js';
 import type { RoutingEffect, RoutingEvent, RoutingTimer } from '../routing/types.js';
 import { countUnwilling, listUpstreamStates } from '../routing/upstreams/overview.js';
@@ -78,6 +79,8 @@
 }
 
 const SEED_RANGE = 2 ** 31;
+/** Fraction of the memory that bytes of requests may take; the rest is for the program and for garbage. */
+const BUFFERED_MEMORY_FRACTION = 0.2;
 
 interface RoutingHosts {
   readonly front: FrontHost;
@@ -177,6 +180,9 @@
       case 'withdraw':
         hosts.front.cancelIfReplaceable(effect.attempt, effect.mayResume);
         return;
+      case 'readBody':
+        hosts.front.readBody(effect.request);
+        return;
       case 'answer':
         hosts.front.sendLocalResponse(effect.answer);
         return;
@@ -329,6 +335,8 @@
     });
   const metrics = createMetricsPage();
   const pools = createUpstreamPools();
+  const { memoryBytes } = { ...DEFAULT_ROUTING_SETTINGS, ...options.settings };
+  const buffers = createByteBudget(memoryBytes * BUFFERED_MEMORY_FRACTION);
   const meter = createLoadMeter({
     now: clock.now,
     onReading: (reading) => post({ kind: 'loadMeasured', reading: toLoadReading(reading) }),
@@ -343,6 +351,7 @@
       ...options.callers,
       protocol: options.protocol,
       pools,
+      buffers,
       now: clock.now,
       meter,
       onMalformed: (status, reason, requestId) => {
@@ -376,7 +385,7 @@
     operators: createMonitoringHost({
       ...options.operators,
       pages: new Map([
-        [options.metricsPath, async () => renderMetrics(context, { metrics, meter, log })],
+        [options.metricsPath, async () => renderMetrics(context, { metrics, meter, log, buffers })],
         [REFUSED_PATH, async () => renderRefused(context)],
         [LIMITS_PATH, async () => renderLimits(context)],
         [UPSTREAMS_PATH, async () => renderUpstreams(context)],
@@ -425,9 +434,17 @@
   return { status: 200, contentType: 'application/json', text: `${JSON.stringify(value)}\n` };
 }
 
+/** Everything outside of the core that the metrics page tells of. */
+interface MetricsSources {
+  readonly metrics: MetricsPage;
+  readonly meter: LoadMeter;
+  readonly log: RoutingLog;
+  readonly buffers: ByteBudget;
+}
+
 async function renderMetrics(
   context: HostContext,
-  { metrics, meter, log }: Pick<RoutingHosts, 'metrics' | 'meter' | 'log'>,
+  { metrics, meter, log, buffers }: MetricsSources,
 ) {
   const ctx = createReadContext(context);
   const { state } = ctx;
@@ -444,6 +461,8 @@
     blockedCauses: state.suspects.blocked.size,
     limitedUpstreams: listLimits(ctx).length,
     unwillingUpstreams: countUnwilling(ctx),
+    bufferedBytes: buffers.used(),
+    bufferedBytesLimit: buffers.limitBytes,
     linesOmitted: log.omitted(),
     loopUtilization: meter.lastReading().utilization,
     loopLagMs: meter.lastReading().lagMs,
--- a/src/hosts/routing/attempt.ts
+++ b/src/hosts/routing/attempt.ts
@@ -12,6 +12,7 @@
   EventId,
   UpstreamStatements,
 } from '../../routing/types.js';
+import type { ByteHold } from '../../routing/load/byteBudget.js';
 import type { CallerResponse, UpstreamResponseHead } from './callerResponse.js';
 import { createEventBoundary, createEventSplitter } from './eventSplitter.js';
 import { headerValue } from './headers.js';
@@ -52,6 +53,8 @@
   readonly callerResponse: CallerResponse;
   readonly protocol: RequestProtocol;
   readonly listener: AttemptListener;
+  /** Bytes of the answer that are not passed on yet are counted here. */
+  readonly hold: ByteHold;
   readonly now: () => Millis;
   /** How the connection ends whose socket event is being handled; `none` if it does not end. */
   readonly connectionEnd: () => ConnectionEnd;
@@ -110,7 +113,14 @@
     errorBytes += chunk.length;
     if (errorBytes > MAX_ERROR_BODY_BYTES)
       abortWith({ kind: 'cut', reason: 'The error response exceeds the size limit.' });
-    else errorChunks.push(chunk);
+    else if (keep(errorBytes)) errorChunks.push(chunk);
+  }
+
+  /** Counts the bytes that wait; gives the attempt up if there is no room for them. */
+  function keep(bytes: number): boolean {
+    const isKept = options.hold.set('answer', bytes);
+    if (!isKept) abortWith({ kind: 'cut', reason: 'There is no memory for more of the answer.' });
+    return isKept;
   }
 
   const handler: Dispatcher.DispatchHandler = {
@@ -180,6 +190,7 @@
         return;
       }
       forwardBytes(eventSplitter.push(chunk));
+      if (!keep(eventSplitter.remainder().length)) return;
       const id = eventSplitter.lastEventId();
       if (id !== undefined) listener.onEventForwarded(id);
     } catch (err) {
--- a/src/hosts/routing/frontHost.ts
+++ b/src/hosts/routing/frontHost.ts
@@ -17,10 +17,15 @@
   RequestFacts,
   RequestNumber,
 } from '../../routing/types.js';
-import { readBody } from '../callerRequest.js';
+import {
+  SHORT_REQUEST_BYTES,
+  type ByteBudget,
+  type ByteHold,
+} from '../../routing/load/byteBudget.js';
 import { createHttpServer, sendJson } from '../httpServer.js';
 import { startAttempt, type BufferedErrorResponse, type RunningAttempt } from './attempt.js';
 import { createCallerResponse, type CallerResponse } from './callerResponse.js';
+import { readBodyWithin } from './bodyReader.js';
 import { createIntake } from './intake.js';
 import type { LoadMeter } from './loadMeter.js';
 import type { RequestHeadFacts, PostRoutingEvent, RequestHead, RequestProtocol } from './types.js';
@@ -32,6 +37,8 @@
   readonly port: number;
   readonly protocol: RequestProtocol;
   readonly pools: UpstreamPools;
+  /** Bytes that requests may hold. */
+  readonly buffers: ByteBudget;
   readonly now: () => Millis;
   readonly meter: Pick<LoadMeter, 'count' | 'recordWait'>;
   /** Called when a request is rejected before it reaches the core. */
@@ -44,6 +51,8 @@
   readonly listen: () => Promise<string>;
   readonly setLimits: (limits: CallerLimits) => void;
   readonly send: (plan: AttemptPlan) => void;
+  /** Reads the body of a request whose head the core has accepted. */
+  readonly readBody: (request: RequestNumber) => void;
   readonly cancel: (attempt: AttemptNumber) => void;
   /** Cancels an attempt in favour of another, unless its response has started and cannot be resumed. */
   readonly cancelIfReplaceable: (attempt: AttemptNumber, mayResume: boolean) => void;
@@ -63,8 +72,12 @@
 interface OpenRequest {
   readonly requestId: string;
   readonly head: RequestHead;
-  readonly body: Uint8Array | undefined;
+  /** Set once the whole body has arrived, if the request has one. */
+  body: Uint8Array | undefined;
+  readonly hold: ByteHold;
   readonly callerResponse: CallerResponse;
+  /** Called with the decision on a head that the core is asked about. */
+  onHeadDecided: ((isAccepted: boolean) => void) | undefined;
   errorResponse: BufferedErrorResponse | undefined;
   /** Id of the last event that was forwarded to the caller. */
   lastEventId: EventId | undefined;
@@ -109,7 +122,7 @@
 
 /** Creates the server without starting to listen. */
 export function createFrontHost(options: FrontHostOptions): FrontHost {
-  const { post, protocol, pools, meter } = options;
+  const { post, protocol, pools, buffers, meter } = options;
   const openRequests = new Map<RequestNumber, OpenRequest>();
   const runningAttempts = new Map<AttemptNumber, RunningAttempt>();
   let limits = DEFAULT_LIMITS;
@@ -130,21 +143,29 @@
       reject(req, res, 400, result.reason);
       return;
     }
-    const body = await readBody(req, limits.maxBodyBytes);
-    if (body === undefined) {
-      reject(req, res, 413, 'the body is too long', result.facts.requestId);
-      return;
+    const { facts } = result;
+    const request = open(head, facts, res);
+    const read = await readBodyWithin(req, {
+      maxBytes: limits.maxBodyBytes,
+      mayKeep: async (bytes) => mayKeep(request, head, facts, bytes),
+    });
+    switch (read.kind) {
+      case 'read':
+        enqueue(request, facts, read.body, { res, isSentWithBody: hasBody(req) });
+        return;
+      case 'tooLong':
+        removeRequest(request);
+        reject(req, res, 413, 'the body is too long', facts.requestId);
+        return;
+      case 'refused':
+        return;
+      default:
+        Debug.assertNever(read);
     }
-    enqueue(head, result.facts, body, res, hasBody(req));
   }
 
-  function enqueue(
-    head: RequestHead,
-    facts: RequestHeadFacts,
-    body: Uint8Array,
-    res: ServerResponse,
-    isSentWithBody: boolean,
-  ): void {
+  /** Registers a request whose head has arrived. */
+  function open(head: RequestHead, facts: RequestHeadFacts, res: ServerResponse): RequestNumber {
     const request = nextRequest;
     nextRequest += 1;
     const { requestId } = facts;
@@ -155,15 +176,55 @@
     openRequests.set(request, {
       requestId,
       head,
-      body: isSentWithBody ? body : undefined,
+      body: undefined,
+      hold: buffers.open(facts.key ?? ''),
       callerResponse,
+      onHeadDecided: undefined,
       errorResponse: undefined,
       lastEventId: undefined,
     });
     res.once('close', () => {
-      if (openRequests.delete(request) && !res.writableFinished)
+      if (removeRequest(request) !== undefined && !res.writableFinished)
         post({ kind: 'callerGone', request });
     });
+    return request;
+  }
+
+  /** Whether bytes of a body may be kept. The core decides on long bodies, and if there is no room. */
+  async function mayKeep(
+    request: RequestNumber,
+    { path }: RequestHead,
+    facts: RequestHeadFacts,
+    bytes: number,
+  ): Promise<boolean> {
+    const openRequest = openRequests.get(request);
+    if (openRequest === undefined) return false;
+    const hasRoom = openRequest.hold.set('body', bytes);
+    if (hasRoom && bytes <= SHORT_REQUEST_BYTES) return true;
+    return new Promise((resolve) => {
+      openRequest.onHeadDecided = resolve;
+      const room = {
+        hasRoom,
+        bytes,
+        usedBytes: buffers.used(),
+        limitBytes: buffers.limitBytes,
+      };
+      post({ kind: 'headArrived', facts: { ...facts, request, path, fingerprint: 0 }, room });
+    });
+  }
+
+  /** Passes a request whose body has arrived to the admission queue. */
+  function enqueue(
+    request: RequestNumber,
+    facts: RequestHeadFacts,
+    body: Uint8Array,
+    { res, isSentWithBody }: { readonly res: ServerResponse; readonly isSentWithBody: boolean },
+  ): void {
+    const openRequest = openRequests.get(request);
+    if (openRequest === undefined) return;
+    const { head, hold } = openRequest;
+    hold.set('body', body.length);
+    openRequest.body = isSentWithBody ? body : undefined;
     const fingerprint = computeFingerprint(head, facts.key, body);
     meter.count('read');
     intake.add(facts.key ?? '', {
@@ -179,7 +240,7 @@
     const isAbandoned = res.socket?.readableEnded === true;
     if (!openRequests.has(request) || isAbandoned) {
       meter.count('dead');
-      if (openRequests.delete(request)) res.destroy();
+      if (removeRequest(request) !== undefined) res.destroy();
       return false;
     }
     const waitedMs = Math.max(0, options.now() - readAt);
@@ -208,7 +269,7 @@
       post({ kind: 'attemptEnded', attempt, outcome });
       return;
     }
-    const { requestId, head, body, callerResponse } = request;
+    const { requestId, head, body, hold, callerResponse } = request;
     const dispatcher = openPool(plan);
     if (typeof dispatcher === 'string') {
       post({ kind: 'attemptEnded', attempt, outcome: { kind: 'notSent', reason: dispatcher } });
@@ -223,6 +284,7 @@
         head,
         body,
         callerResponse,
+        hold,
         protocol,
         now: options.now,
         connectionEnd: pools.connectionEnd,
@@ -237,7 +299,8 @@
           onEnded: (outcome, errorResponse) => {
             runningAttempts.delete(attempt);
             request.errorResponse = errorResponse;
-            if (outcome.kind === 'complete') openRequests.delete(plan.request);
+            if (outcome.kind === 'complete') removeRequest(plan.request);
+            else if (errorResponse === undefined) hold.set('answer', 0);
             post({ kind: 'attemptEnded', attempt, outcome });
           },
         },
@@ -254,9 +317,13 @@
     }
   }
 
+  /** Forgets a request, and gives its memory back. */
   function removeRequest(request: RequestNumber): OpenRequest | undefined {
     const openRequest = openRequests.get(request);
+    if (openRequest === undefined) return undefined;
     openRequests.delete(request);
+    openRequest.hold.release();
+    openRequest.onHeadDecided?.(false);
     return openRequest;
   }
 
@@ -311,6 +378,7 @@
       server.setTimeouts({ headersMs: next.headerTimeoutMs, idleMs: next.idleTimeoutMs });
     },
     send,
+    readBody: (request) => openRequests.get(request)?.onHeadDecided?.(true),
     cancel: (attempt) => {
       const run = runningAttempts.get(attempt);
       runningAttempts.delete(attempt);
--- a/src/hosts/routing/metricsPage.ts
+++ b/src/hosts/routing/metricsPage.ts
@@ -22,6 +22,9 @@
   readonly limitedUpstreams: number;
   /** Upstreams that have said that they want no requests. */
   readonly unwillingUpstreams: number;
+  /** Bytes of bodies and of answers that wait, and the most that may. */
+  readonly bufferedBytes: number;
+  readonly bufferedBytesLimit: number;
   readonly linesOmitted: number;
   /** Event loop utilization over the last second. */
   readonly loopUtilization: number;
@@ -78,6 +81,8 @@
     blockedCauses: gauge('blocked_causes', 'Requests and parts refused as they crash upstreams.'),
     limitedUpstreams: gauge('limited_upstreams', 'Upstreams that limit their rate.'),
     unwillingUpstreams: gauge('unwilling_upstreams', 'Upstreams that leave or want a pause.'),
+    bufferedBytes: gauge('buffered_bytes', 'Bytes of bodies and of answers that wait.'),
+    bufferedBytesLimit: gauge('buffered_bytes_limit', 'Most bytes that may wait.'),
     linesOmitted: gauge('log_lines_omitted', 'Log lines that were left out.'),
     loopUtilization: gauge('loop_utilization', 'Part of the last second in which the loop worked.'),
     loopLagMs: gauge('loop_lag_ms', 'Time by which the loop was late.'),
--- a/src/routing/attempts/arrival.ts
+++ b/src/routing/attempts/arrival.ts
@@ -27,13 +27,22 @@
 } from '../shares/tokenShares.js';
 import { findBlockedCause, tryTrial, type BlockedCause } from '../suspects/suspects.js';
 import { findStreamStart } from '../versions/streams.js';
-import type { CustomerName, PoolId, RequestFacts, Route, RoutingConfiguration } from '../types.js';
+import type {
+  BodyRoom,
+  CustomerName,
+  PoolId,
+  RequestFacts,
+  Route,
+  RoutingConfiguration,
+} from '../types.js';
+import { hasOpenUpstream } from '../upstreams/availability.js';
 import type { OpenRequest } from './attemptsState.js';
 import {
   createAdmissionRefusal,
   createBlockedRefusal,
   createBusyRefusal,
   createLimitedRefusal,
+  createNoRoomRefusal,
   createNoUpstreamRefusal,
   createStaleRefusal,
   createVersionRefusal,
@@ -81,15 +90,45 @@
   admit(ctx, request);
 }
 
-interface RouteMatch {
+/**
+ * Decides on a request with a long body before the body is read: it is refused at once if the whole request
+ * would be, or if its body cannot be kept.
+ */
+export function onHeadArrived(ctx: RoutingContext, facts: RequestFacts, room: BodyRoom): void {
+  const access = checkAccess(ctx, facts);
+  if ('status' in access) refuse(ctx, facts, access);
+  else if (!access.route.targets.some(({ pool }) => hasOpenUpstream(ctx, pool))) {
+    const detail = 'no upstream of the route is ready and reachable';
+    refuse(ctx, facts, createNoUpstreamRefusal(ctx, detail, access.route.targets[0]?.pool, []));
+  } else if (!room.hasRoom) refuse(ctx, facts, createNoRoomRefusal(ctx, access.route, room));
+  else emit(ctx, { kind: 'readBody', request: facts.request });
+}
+
+interface Access {
   readonly route: Route;
   readonly customer: CustomerName | undefined;
+}
+
+interface RouteMatch extends Access {
   /** Whether the request is sent to see if upstreams still crash on it. */
   readonly isTrial: boolean;
 }
 
 /** Finds the route and customer of a request, or the reason to refuse it. */
 function checkRequest(ctx: RoutingContext, facts: RequestFacts): RouteMatch | Refusal {
+  const access = checkAccess(ctx, facts);
+  if ('status' in access) return access;
+  const tooLate = checkQueueTime(ctx, facts, access.route);
+  if (tooLate !== undefined) return tooLate;
+  const blocked = findBlockedCause(ctx, facts);
+  if (blocked === undefined) return { ...access, isTrial: false };
+  return tryAgain(ctx, facts, blocked)
+    ? { ...access, isTrial: true }
+    : createBlockedRefusal(blocked);
+}
+
+/** Finds the route and customer of a request, or why it may not be served whatever its body. */
+function checkAccess(ctx: RoutingContext, facts: RequestFacts): Access | Refusal {
   const { configuration } = ctx.state.freshness;
   if (configuration === undefined) {
     const retryAfterMs = staleRetryAfter(ctx.state);
@@ -104,13 +143,7 @@
   if (!mayServe) return createStaleRefusal(ctx);
   if (route === undefined) return { status: 404, reason: 'noRoute' };
   if (!allowsAnonymous && customer === undefined) return { status: 401, reason: 'unknownKey' };
-  const tooLate = checkQueueTime(ctx, facts, route);
-  if (tooLate !== undefined) return tooLate;
-  const blocked = findBlockedCause(ctx, facts);
-  if (blocked === undefined) return { route, customer, isTrial: false };
-  return tryAgain(ctx, facts, blocked)
-    ? { route, customer, isTrial: true }
-    : createBlockedRefusal(blocked);
+  return { route, customer };
 }
 
 /** Returns whether a request that may crash the upstream is due to be sent all the same. */
--- a/src/routing/attempts/refusals.ts
+++ b/src/routing/attempts/refusals.ts
@@ -19,7 +19,7 @@
 import { ownRate } from '../rateLimits/rateLimits.js';
 import type { FairShareUsage } from '../shares/tokenShares.js';
 import type { BlockedCause } from '../suspects/suspects.js';
-import type { LogFields, LocalStatus, PoolId, RequestFacts, Route } from '../types.js';
+import type { BodyRoom, LogFields, LocalStatus, PoolId, RequestFacts, Route } from '../types.js';
 import { listedVersions } from '../versions/served.js';
 import type { StreamStart } from '../versions/streams.js';
 import { hasOpenUpstream } from '../upstreams/availability.js';
@@ -33,6 +33,8 @@
  * Mean retry delay of callers whose instance is overloaded; their retry reaches another instance.
  */
 const BUSY_RETRY_AFTER_MS: Millis = 200;
+/** Mean retry delay of callers for whose bodies there is no memory; others end within about this time. */
+const NO_ROOM_RETRY_AFTER_MS: Millis = 1_000;
 /** Bounds of the mean retry delay of callers that wait for a turn at a limited upstream. */
 const MIN_TURN_RETRY_AFTER_MS: Millis = 200;
 const MAX_TURN_RETRY_AFTER_MS: Millis = 1_000;
@@ -108,6 +110,20 @@
   };
 }
 
+/** Refuses a request whose body cannot be kept. */
+export function createNoRoomRefusal(
+  ctx: RoutingContext,
+  { name }: Route,
+  { bytes, usedBytes, limitBytes }: BodyRoom,
+): Refusal {
+  return {
+    status: 503,
+    reason: 'noRoomForBody',
+    retryAfterMs: NO_ROOM_RETRY_AFTER_MS * (0.5 + ctx.state.random.next()),
+    fields: { route: name, bytes, usedBytes, limitBytes },
+  };
+}
+
 /** Refuses a request as no upstream can take it. */
 export function createNoUpstreamRefusal(
   ctx: RoutingContext,
--- a/src/routing/eventTable.ts
+++ b/src/routing/eventTable.ts
@@ -64,6 +64,7 @@
     'request',
     'A better upstream already gets as many requests as it accepts.',
   ),
+  noRoomForBody: entry(9036, 'request', 'There is no memory for the body of the request.'),
   unwilling: entry(
     9033,
     'request',
--- a/src/routing/routing.ts
+++ b/src/routing/routing.ts
@@ -6,7 +6,7 @@
 import { Debug } from '../core/debug.js';
 import type { Millis } from '../core/clock.js';
 import type { InstanceIdentity } from '../core/types.js';
-import { onRequestArrived } from './attempts/arrival.js';
+import { onHeadArrived, onRequestArrived } from './attempts/arrival.js';
 import {
   onAttemptAnswered,
   onAttemptEnded,
@@ -117,6 +117,9 @@
     case 'requestArrived':
       onRequestArrived(ctx, event.facts);
       return;
+    case 'headArrived':
+      onHeadArrived(ctx, event.facts, event.room);
+      return;
     case 'callerGone':
       onCallerGone(ctx, event.request);
       return;
--- a/src/routing/settings.ts
+++ b/src/routing/settings.ts
@@ -2,6 +2,11 @@
 import type { Millis } from '../core/clock.js';
 
 export interface RoutingSettings {
+  /**
+   * Memory that the process may use. A fifth of it is for bodies of callers, and for parts of answers, that
+   * wait; a change takes effect at the next start.
+   */
+  readonly memoryBytes: number;
   /** Time after which every instance must refuse a revoked key. */
   readonly revokeMs: Millis;
   /** Time within which an accepted configuration must be active at every instance. */
@@ -55,6 +60,7 @@
 }
 
 export const DEFAULT_ROUTING_SETTINGS: RoutingSettings = {
+  memoryBytes: 350 * 1024 * 1024,
   revokeMs: 5_000,
   applyMs: 2_500,
   configurationWaitMs: 600,
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -163,6 +163,16 @@
   readonly waitedMs?: Millis;
 }
 
+/** Whether the host can keep the body of a request. */
+export interface BodyRoom {
+  readonly hasRoom: boolean;
+  /** Bytes to be kept. */
+  readonly bytes: number;
+  /** Bytes that all requests hold, and may hold. */
+  readonly usedBytes: number;
+  readonly limitBytes: number;
+}
+
 /** Id of the last event that the caller of a resumed stream received. */
 export type EventId = string;
 
@@ -352,6 +362,13 @@
     }
   | { readonly kind: 'announced'; readonly reason?: string }
   | { readonly kind: 'requestArrived'; readonly facts: RequestFacts }
+  /** The head of a request has arrived whose body is long, or for whose body there is no room. */
+  | {
+      readonly kind: 'headArrived';
+      /** The fingerprint is not known yet. */
+      readonly facts: RequestFacts;
+      readonly room: BodyRoom;
+    }
   | { readonly kind: 'callerGone'; readonly request: RequestNumber }
   /** The status and headers of an answer arrived. */
   | ({
@@ -408,6 +425,8 @@
    */
   | { readonly kind: 'withdraw'; readonly attempt: AttemptNumber; readonly mayResume: boolean }
   | { readonly kind: 'answer'; readonly answer: LocalAnswer }
+  /** Reads the body of a request whose head has arrived. */
+  | { readonly kind: 'readBody'; readonly request: RequestNumber }
   /** Forwards the upstream's error that the host holds. */
   | { readonly kind: 'passError'; readonly request: RequestNumber }
   /** Closes the connection of a caller whose answer cannot be completed. */
--- a/test/hosts/frontHost.test.ts
+++ b/test/hosts/frontHost.test.ts
@@ -3,6 +3,7 @@
 import { expect } from 'chai';
 import { createFrontHost, type FrontHost } from '../../src/hosts/routing/frontHost.js';
 import type { RequestProtocol } from '../../src/hosts/routing/types.js';
+import { createByteBudget } from '../../src/routing/load/byteBudget.js';
 import { createUpstreamPools } from '../../src/hosts/routing/upstreamPools.js';
 
 /** Names a header that cannot be sent in answers that say when to come back. */
@@ -42,6 +43,7 @@
       port: 0,
       protocol: PROTOCOL,
       pools: createUpstreamPools(),
+      buffers: createByteBudget(1_000_000),
       now: () => performance.now(),
       meter: { count: () => {}, recordWait: () => {} },
       onMalformed: () => {},
--- a/test/hosts/intake.test.ts
+++ b/test/hosts/intake.test.ts
@@ -3,6 +3,7 @@
 import { setImmediate as nextTurn } from 'node:timers/promises';
 import { expect } from 'chai';
 import { createFrontHost, type FrontHost } from '../../src/hosts/routing/frontHost.js';
+import { createByteBudget } from '../../src/routing/load/byteBudget.js';
 import { createUpstreamPools } from '../../src/hosts/routing/upstreamPools.js';
 import type { RequestProtocol } from '../../src/hosts/routing/types.js';
 
@@ -46,6 +47,7 @@
     port: 0,
     protocol: PROTOCOL,
     pools: createUpstreamPools(),
+    buffers: createByteBudget(1_000_000),
     now: () => performance.now(),
     meter: NOOP_METER,
     onMalformed: () => {},
--- a/test/platform/support/fleet.ts
+++ b/test/platform/support/fleet.ts
@@ -112,7 +112,7 @@
   readonly store: LogStore;
   readonly listEngine: (engine: BatchEngine, pool: string, changes?: object) => void;
   /** Lists an upstream that a test has started itself, as `raw-POOL`. */
-  readonly listAddress: (address: string, pool: string) => void;
+  readonly listAddress: (address: string, pool: string, changes?: object) => void;
   readonly configure: (version: number, changes?: object) => void;
   /** Starts an engine and lists it; `changes` replace fields of its entry. */
   readonly addEngine: (
@@ -155,7 +155,7 @@
   return {
     store,
     listEngine,
-    listAddress: (address, pool) => listUpstream(`raw-${pool}`, address, pool),
+    listAddress: (address, pool, changes) => listUpstream(`raw-${pool}`, address, pool, changes),
     configure: (version: number, changes: object = {}) =>
       store.append('keyed.op', 'config', createOperatorConfiguration(version, changes)),
     addEngine: async (pool, options = {}, changes = {}) => {
--- /dev/null
+++ b/test/platform/support/program.ts
@@ -0,0 +1,128 @@
+/** Starts the bundled program as a process of its own, as the platform does. */
+import { execFile, spawn } from 'node:child_process';
+import { readFile, mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { promisify } from 'node:util';
+import { fillTemplate } from './settings.js';
+
+const execute = promisify(execFile);
+const MIB = 1024 * 1024;
+const KIB = 1024;
+
+/** A built bundle in a folder of its own, without `node_modules`. */
+export interface Bundle {
+  readonly dir: string;
+  readonly program: string;
+  readonly remove: () => Promise<void>;
+}
+
+export interface Program {
+  readonly pid: number;
+  /** Address of its callers' port. */
+  readonly callers: string;
+  readonly output: () => string;
+  /** Peak of its resident memory in MiB, or `undefined` if the system does not tell. */
+  readonly peakMemoryMib: () => Promise<number | undefined>;
+  readonly signal: (signal: NodeJS.Signals) => void;
+  /** Resolves with the exit code, or the signal that ended the process. */
+  readonly ended: Promise<number | NodeJS.Signals | null>;
+}
+
+/** Options with which the platform starts the program (deploy/system.toml). */
+const RUNTIME_OPTIONS = ['--max-old-space-size=160', '--max-semi-space-size=4'];
+
+export async function buildBundle(): Promise<Bundle> {
+  const dir = await mkdtemp(join(tmpdir(), 'primroseswitch-'));
+  const program = join(dir, 'program.mjs');
+  await execute(process.execPath, [join('scripts', 'bundle.mjs'), program]);
+  return { dir, program, remove: async () => rm(dir, { recursive: true }) };
+}
+
+/** Returns settings with ephemeral ports; `fields` replace values of the platform. */
+export async function settingsText(
+  storeUrl: string,
+  fields: Readonly<Record<string, string>> = {},
+): Promise<string> {
+  return fillTemplate({
+    NodeName: 'instance-1',
+    Zone: 'domain-a',
+    Region: 'region-a',
+    'Listen.Front': '127.0.0.1:0',
+    'Listen.Ready': '127.0.0.1:0',
+    Ip: '127.0.0.1',
+    'PortRange.0': '0',
+    'PortRange.1': '0',
+    'Provider.Address': storeUrl.replace('http://', ''),
+    ...fields,
+  });
+}
+
+export interface SpawnedProgram {
+  readonly pid: number;
+  readonly output: () => string;
+  readonly signal: (signal: NodeJS.Signals) => void;
+  readonly ended: Promise<number | NodeJS.Signals | null>;
+  /** Resolves once a line contains `text`; rejects if the process ends before. */
+  readonly untilOutput: (text: string) => Promise<void>;
+}
+
+/** Starts the program with settings, and does not wait for anything. */
+export async function spawnProgram(
+  { dir, program }: Bundle,
+  settings: string,
+): Promise<SpawnedProgram> {
+  const file = join(dir, 'settings.yaml');
+  await writeFile(file, settings);
+  // The working directory has no node_modules, so only the bundle can be loaded.
+  const child = spawn(process.execPath, [...RUNTIME_OPTIONS, program, file], { cwd: dir });
+  let output = '';
+  const waiting = new Map<string, () => void>();
+  child.stdout.on('data', (part: Buffer) => {
+    output += part.toString();
+    waiting.forEach((resolve, text) => {
+      if (output.includes(text)) resolve();
+    });
+  });
+  child.stderr.on('data', (part: Buffer) => {
+    output += part.toString();
+  });
+  const ended = new Promise<number | NodeJS.Signals | null>((resolve) => {
+    child.once('close', (code, signal) => resolve(code ?? signal));
+  });
+  return {
+    pid: child.pid ?? 0,
+    output: () => output,
+    signal: (signal) => child.kill(signal),
+    ended,
+    untilOutput: async (text) => {
+      if (output.includes(text)) return;
+      await Promise.race([
+        new Promise<void>((resolve) => {
+          waiting.set(text, resolve);
+        }),
+        ended.then((code) => {
+          throw new Error(`the process ended with ${code}: ${output.slice(-2_000)}`);
+        }),
+      ]);
+    },
+  };
+}
+
+/** Starts the program and waits until it is ready. */
+export async function startProgram(
+  bundle: Bundle,
+  storeUrl: string,
+  fields: Readonly<Record<string, string>> = {},
+): Promise<Program> {
+  const spawned = await spawnProgram(bundle, await settingsText(storeUrl, fields));
+  await spawned.untilOutput('"event":"ready"');
+  const callers = /"event":"started".*?"callers":"([^"]+)"/.exec(spawned.output())?.[1] ?? '';
+  return { ...spawned, callers, peakMemoryMib: async () => readPeakMemory(spawned.pid) };
+}
+
+async function readPeakMemory(pid: number): Promise<number | undefined> {
+  const status = await readFile(`/proc/${pid}/status`, 'utf8').catch(() => '');
+  const kib = /^VmHWM:\s+(\d+) kB/m.exec(status)?.[1];
+  return kib === undefined ? undefined : (Number(kib) * KIB) / MIB;
+}
--- a/test/platform/support/settings.ts
+++ b/test/platform/support/settings.ts
@@ -8,6 +8,7 @@
   'Bounds.ConfigApplyMs': '2500',
   'Bounds.DrainMs': '2500',
   HeartbeatMs: '1200',
+  'Limits.MemoryMb': '350',
   'Bounds.GraceS': '8',
   'Bounds.RetryRatio': '0.2',
   'Bounds.RetrySlack': '54',
