Keep 64 KiB of an error answer instead of 4 MiB

An error answer is held back until the core has decided whether to repeat its request; its text is for people. A longer one is given up, as one over 4 MiB was: the request is repeated if it may be, and answered 502 otherwise.

The process-wide budget bounds them already (124 MiB with 150 of 4 MiB); with this, such answers do not take the room of bodies.

--- a/src/hosts/routing/attempt.ts
+++ b/src/hosts/routing/attempt.ts
@@ -20,8 +20,8 @@
 import type { ResponseFacts, RawHeaders, RequestHead, RequestProtocol } from './types.js';
 
 const EMPTY_BYTES = new Uint8Array(0);
-/** Maximum size of a buffered error response. */
-const MAX_ERROR_BODY_BYTES = 4 * 1024 * 1024;
+/** Maximum size of a buffered error response: its text is for people, and no part of the request's result. */
+const MAX_ERROR_BODY_BYTES = 64 * 1024;
 /** Minimum interval between two progress events. */
 const PROGRESS_INTERVAL_MS: Millis = 80;
 const FIRST_FINAL_STATUS = 200;
