Count attempts that never end against their upstream, and leave time for the second attempt

Callers went on being sent to an upstream that never ends its answers while sound ones stood idle: of 46 idempotent requests after the first time limits, 46 failed (bodies, chunk extensions, held error answers) or 25 (interim answers, a status line without end), and all 46 were sent there.

Cause: an attempt that the instance itself ended was no evidence, and a request without a head was repeated only after twice its objective, which may be its whole time.

Change: a time limit counts as a failure if the answer took more than twice as long as usual, as does a withdrawal; a request is withdrawn at the latest after half of its time.

--- a/src/routing/attempts/accounting.ts
+++ b/src/routing/attempts/accounting.ts
@@ -16,6 +16,9 @@
 import type { Attempt, OpenRequest } from './attemptsState.js';
 import { MISDIRECTED_STATUS } from './statuses.js';
 
+/** An answer that takes longer than this multiple of the usual time is overlong. */
+const OVERLONG_FACTOR = 2;
+
 /** Returns the upstream of an attempt, or `undefined` if it was removed or has restarted since. */
 export function findUpstream(ctx: RoutingContext, attempt: Attempt): Upstream | undefined {
   const upstream = ctx.state.upstreams.byId.get(attempt.upstream);
@@ -101,14 +104,26 @@
     case 'foreign':
       recordResult(ctx, upstream, true);
       return;
-    case 'rejected':
     case 'cancelled':
+      // An attempt that the instance withdrew, as its upstream did not begin to answer in time.
+      if (request?.isWithdrawing === true) recordResult(ctx, upstream, true);
+      return;
+    case 'rejected':
       return;
     default:
       Debug.assertNever(outcome);
   }
 }
 
+/**
+ * Records that an upstream had not ended an answer at its time limit. Callers that set short deadlines are
+ * no evidence against it, so only an answer that took far longer than others of the pool counts.
+ */
+export function recordUnfinished(ctx: RoutingContext, upstream: Upstream, ranMs: Millis): void {
+  const usualMs = poolSpeed(ctx, upstream.listed.pool).holdMs() ?? 0;
+  if (ranMs > usualMs * OVERLONG_FACTOR) recordResult(ctx, upstream, true);
+}
+
 /**
  * Records the outcome of an attempt whose upstream is no longer listed as it was. If it has started again
  * and broke off its answer, the request may have crashed it.
--- a/src/routing/attempts/healthCheck.ts
+++ b/src/routing/attempts/healthCheck.ts
@@ -15,7 +15,9 @@
 import type { Upstream } from '../upstreams/upstreamsState.js';
 import { cancelAttempt, failRequest, isRepeatable } from './attempts.js';
 import type { Attempt, OpenRequest } from './attemptsState.js';
+import { findUpstream, recordUnfinished } from './accounting.js';
 import { canRetryElsewhere } from './retrying.js';
+import { attemptDeadline } from './sending.js';
 
 const HEALTH_CHECK_INTERVAL_MS: Millis = 100;
 /**
@@ -23,6 +25,8 @@
  * its objective, or of its expected time if that is longer.
  */
 const STALL_OBJECTIVE_FACTOR = 2;
+/** Fraction of an attempt's time after which it is retried at the latest, to leave time for the retry. */
+const STALL_TIME_FRACTION = 0.5;
 
 export function onHealthTimer(ctx: RoutingContext): void {
   replaceOverdueRead(ctx);
@@ -43,6 +47,7 @@
 function checkOpenRequest(ctx: RoutingContext, request: OpenRequest): void {
   const dueAt = request.hasAnswerStarted ? request.deadlineAt : request.dueAt;
   if (ctx.now >= dueAt) {
+    recordTimeout(ctx, request);
     cancelAttempt(ctx, request);
     failRequest(ctx, request, 504, 'timedOut', { limitMs: Math.round(dueAt - request.arrivedAt) });
     return;
@@ -73,10 +78,21 @@
   const upstream = ctx.state.upstreams.byId.get(attempt.upstream);
   if (upstream?.reachability.kind === 'lost') return true;
   if (attempt.firstPartAt !== undefined) return false;
-  const limitMs = Math.max(attempt.expectedMs, request.route.objectiveMs) * STALL_OBJECTIVE_FACTOR;
+  const limitMs = Math.min(
+    Math.max(attempt.expectedMs, request.route.objectiveMs) * STALL_OBJECTIVE_FACTOR,
+    (attemptDeadline(request) - attempt.startedAt) * STALL_TIME_FRACTION,
+  );
   return ctx.now - attempt.startedAt > limitMs + exchangeDelay(ctx);
 }
 
+/** Counts an attempt that its time limit ends against its upstream, if it took far longer than usual. */
+function recordTimeout(ctx: RoutingContext, request: OpenRequest): void {
+  const attempt = findAttempt(ctx, request);
+  const upstream = attempt === undefined ? undefined : findUpstream(ctx, attempt);
+  if (attempt === undefined || upstream === undefined) return;
+  recordUnfinished(ctx, upstream, ctx.now - attempt.startedAt);
+}
+
 /**
  * Withdraws an attempt if the request can be sent to another upstream. It is sent there only once
  * the end of the attempt is reported, because the attempt may start to answer in the meantime.
