--- a/src/daemon/routingInstance.ts
+++ b/src/daemon/routingInstance.ts
@@ -29,6 +29,7 @@
 import { listBlockedCauses } from '../routing/suspects/suspects.js';
 import type { RoutingEffect, RoutingEvent, RoutingTimer } from '../routing/types.js';
 import { countUnwilling, listUpstreamStates } from '../routing/upstreams/overview.js';
+import { listenWhenFree } from '../hosts/listenRetry.js';
 import { createLoop, type Loop } from './loop.js';
 import { createIncarnation } from './incarnation.js';
 
@@ -65,7 +66,7 @@
 }
 
 export interface RoutingInstance {
-  /** Opens all ports and starts the core. Rejects if a port is in use. */
+  /** Opens all ports and starts the core. Waits for a port that is in use; rejects if it stays so. */
   readonly start: () => Promise<RoutingAddresses>;
   /** Graceful shutdown: resolves once pending requests have ended or the grace period is over. */
   readonly stop: () => Promise<void>;
@@ -109,7 +110,11 @@
   const hosts = createHosts({ options, clock, incarnation, post, isReady: () => isReady, routing });
 
   async function start(): Promise<RoutingAddresses> {
-    const peers = await hosts.peers.listen();
+    const open = async (port: string, { listen }: { readonly listen: () => Promise<string> }) =>
+      listenWhenFree(listen, {
+        onTaken: (reason) => hosts.log.write('warn', 'portTaken', { port, reason }),
+      });
+    const peers = await open('peers', hosts.peers);
     const { id, domain, region } = options;
     const self: InstanceIdentity = { id, incarnation, address: peers, domain, region };
     const routingCore = createRouting({
@@ -126,9 +131,9 @@
       beforeTurn: detectClockGap,
     });
     running = { routing: routingCore, loop };
-    const readiness = await hosts.readiness.listen();
-    const operators = await hosts.operators.listen();
-    const callers = await hosts.front.listen();
+    const readiness = await open('readiness', hosts.readiness);
+    const operators = await open('operators', hosts.operators);
+    const callers = await open('callers', hosts.front);
     hosts.log.write('info', 'started', {
       id,
       domain,
--- a/src/routing/eventTable.ts
+++ b/src/routing/eventTable.ts
@@ -141,6 +141,7 @@
   reloaded: entry(9075, 'process', 'The settings were reloaded.'),
   reloadFailed: entry(9076, 'process', 'The reloaded settings were rejected.'),
   linesOmitted: entry(9077, 'process', 'Log lines were dropped.'),
+  portTaken: entry(9092, 'process', 'A port is in use; opening it is tried again.'),
   responseFailed: entry(9091, 'process', 'A response could not be written to its caller.'),
   eventFailed: entry(9078, 'process', 'An event could not be handled.'),
 } as const satisfies Readonly<Record<string, RoutingEventEntry>>;
--- a/test/platform/bundle.test.ts
+++ b/test/platform/bundle.test.ts
@@ -1,70 +1,51 @@
-import { execFile, spawn } from 'node:child_process';
-import { mkdtemp, rm, writeFile } from 'node:fs/promises';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
-import { promisify } from 'node:util';
 import { expect } from 'chai';
-import { createPlatformFleet } from './support/fleet.js';
-import { fillTemplate } from './support/settings.js';
-
-const execute = promisify(execFile);
-
-/** Settings with ephemeral ports. */
-const settingsText = async (storeAddress: string): Promise<string> =>
-  fillTemplate({
-    NodeName: 'instance-1',
-    Zone: 'domain-a',
-    Region: 'region-a',
-    'Listen.Front': '127.0.0.1:0',
-    'Listen.Ready': '127.0.0.1:0',
-    Ip: '127.0.0.1',
-    'PortRange.0': '0',
-    'PortRange.1': '0',
-    'Provider.Address': storeAddress,
-  });
+import { createPlatformFleet, type PlatformFleet } from './support/fleet.js';
+import {
+  buildBundle,
+  settingsText,
+  spawnProgram,
+  takePort,
+  type Bundle,
+} from './support/program.js';
 
 describe('program bundle', () => {
-  let dir: string;
-  let program: string;
+  let bundle: Bundle;
+  let fleet: PlatformFleet;
   before(async () => {
-    dir = await mkdtemp(join(tmpdir(), 'primroseswitch-'));
-    program = join(dir, 'program.mjs');
-    await execute(process.execPath, [join('scripts', 'bundle.mjs'), program]);
+    bundle = await buildBundle();
   });
-  after(async () => rm(dir, { recursive: true }));
+  after(async () => bundle.remove());
 
-  it('starts without node_modules and exits with 0 on SIGTERM', async () => {
-    const fleet = await createPlatformFleet();
+  beforeEach(async () => {
+    fleet = await createPlatformFleet();
     fleet.configure(1);
     await fleet.addEngine('desk');
-    const settings = join(dir, 'settings.yaml');
-    await writeFile(settings, await settingsText(fleet.store.url.replace('http://', '')));
-    // The working directory has no node_modules, so only the bundle can be loaded.
-    const child = spawn(process.execPath, [program, settings], { cwd: dir });
-    let output = '';
-    const isReady = new Promise<void>((resolve) => {
-      child.stdout.on('data', (part: Buffer) => {
-        output += part.toString();
-        if (output.includes('"event":"ready"')) resolve();
-      });
-    });
-    const ended = new Promise<number | null>((resolve) => {
-      child.once('close', resolve);
-    });
-    await isReady;
-    child.kill('SIGTERM');
-    expect(await ended).to.equal(0);
-    expect(output).to.include('"event":"stopped"');
-    await fleet.close();
+  });
+  afterEach(async () => fleet.close());
+
+  it('starts without node_modules and exits with 0 on SIGTERM', async () => {
+    const program = await spawnProgram(bundle, await settingsText(fleet.store.url));
+    await program.untilOutput('"event":"ready"');
+    program.signal('SIGTERM');
+    expect(await program.ended).to.equal(0);
+    expect(program.output()).to.include('"event":"stopped"');
   });
 
   it('reports invalid settings', async () => {
-    const settings = join(dir, 'wrong.yaml');
-    await writeFile(settings, 'instance: { id: a }\n');
-    const errorOutput = await execute(process.execPath, [program, settings]).then(
-      () => undefined,
-      (err: { readonly stderr: string }) => err.stderr,
-    );
-    expect(errorOutput).to.include('domain');
+    const program = await spawnProgram(bundle, 'instance: { id: a }\n');
+    expect(await program.ended).to.equal(3);
+    expect(program.output()).to.include('domain');
+  });
+
+  // The process before may hold a port for a moment, or another one of the machine uses it for a connection.
+  it('waits for a port that is taken when it starts', async () => {
+    const taken = await takePort();
+    const settings = await settingsText(fleet.store.url, { 'Listen.Front': taken.address });
+    const program = await spawnProgram(bundle, settings);
+    await program.untilOutput('"event":"portTaken"');
+    taken.free();
+    await program.untilOutput('"event":"ready"');
+    program.signal('SIGTERM');
+    expect(await program.ended).to.equal(0);
   });
 });
--- a/test/platform/support/program.ts
+++ b/test/platform/support/program.ts
@@ -1,6 +1,7 @@
 /** Starts the bundled program as a process of its own, as the platform does. */
 import { execFile, spawn } from 'node:child_process';
 import { readFile, mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { createServer, type AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { promisify } from 'node:util';
@@ -121,6 +122,16 @@
   return { ...spawned, callers, peakMemoryMib: async () => readPeakMemory(spawned.pid) };
 }
 
+/** Listens on a port, so that nobody else can. */
+export async function takePort(): Promise<{ readonly address: string; readonly free: () => void }> {
+  const server = createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  return { address: `127.0.0.1:${port}`, free: () => server.close() };
+}
+
 async function readPeakMemory(pid: number): Promise<number | undefined> {
   const status = await readFile(`/proc/${pid}/status`, 'utf8').catch(() => '');
   const kib = /^VmHWM:\s+(\d+) kB/m.exec(status)?.[1];
