Take signals from the first moment of a process on

A SIGHUP or SIGTERM during the start ended the process by the signal's default action: the handlers were installed after it. The platform sends SIGHUP whenever the settings change.

Change: a first file of 1 KB installs the handlers and then loads the program.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,17 +1,23 @@
 /**
- * Bundles the platform program into a single file, `target/primroseswitch.mjs` or the path given as
- * argument. Loading the bundle takes a third of the time of loading the modules one by one, and
- * unused library code, which the bundle omits, takes no memory.
+ * Bundles the platform program into two files: `target/primroseswitch.mjs` or the path given as argument,
+ * which only installs the handlers of signals and can be loaded at once, and beside it the program.
+ * Loading the bundle takes a third of the time of loading the modules one by one, and unused library
+ * code, which the bundle omits, takes no memory.
  */
-import { dirname, join } from 'node:path';
+import { basename, dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { build } from 'esbuild';
 
 const root = join(dirname(fileURLToPath(import.meta.url)), '..');
+const outfile = process.argv[2] ?? join(root, 'target', 'primroseswitch.mjs');
+const name = basename(outfile, '.mjs');
 
 await build({
-  entryPoints: [join(root, 'platform', 'main.ts')],
-  outfile: process.argv[2] ?? join(root, 'target', 'primroseswitch.mjs'),
+  entryPoints: { [name]: join(root, 'platform', 'main.ts') },
+  outdir: dirname(outfile),
+  outExtension: { '.js': '.mjs' },
+  chunkNames: `${name}-[name]`,
+  splitting: true,
   bundle: true,
   platform: 'node',
   format: 'esm',
