Hold the end of a paused answer back, and lose only the connection to an error of its listeners

Change: the end of a connection is held back while its answer is paused, so that the caller gets the whole of it; a reset cuts the request. Any other error of a listener loses its connection only (connectionFailed).

--- a/src/daemon/routingInstance.ts
+++ b/src/daemon/routingInstance.ts
@@ -339,7 +339,10 @@
       ...(options.logThreshold === undefined ? {} : { threshold: options.logThreshold }),
     });
   const metrics = createMetricsPage();
-  const pools = createUpstreamPools();
+  const pools = createUpstreamPools({
+    onListenerFailed: (event, err) =>
+      log.write('error', 'connectionFailed', { failed: event, reason: describeFailure(err) }),
+  });
   const { memoryBytes } = { ...DEFAULT_ROUTING_SETTINGS, ...options.settings };
   const buffers = createByteBudget(memoryBytes * BUFFERED_MEMORY_FRACTION);
   const meter = createLoadMeter({
--- a/src/hosts/routing/attempt.ts
+++ b/src/hosts/routing/attempt.ts
@@ -16,7 +16,7 @@
 import type { CallerResponse, UpstreamResponseHead } from './callerResponse.js';
 import { createEventBoundary, createEventSplitter } from './eventSplitter.js';
 import { headerValue } from './headers.js';
-import type { ConnectionEnd } from './upstreamPools.js';
+import type { ConnectionEnd, PausableConnection } from './upstreamPools.js';
 import type { ResponseFacts, RawHeaders, RequestHead, RequestProtocol } from './types.js';
 
 const EMPTY_BYTES = new Uint8Array(0);
@@ -58,6 +58,8 @@
   readonly now: () => Millis;
   /** How the connection ends whose socket event is being handled; `none` if it does not end. */
   readonly connectionEnd: () => ConnectionEnd;
+  /** The connection whose socket event is being handled. */
+  readonly currentConnection: () => PausableConnection | undefined;
   /** Id of the last event that the caller has received, if this attempt resumes a stream. */
   readonly resumeAfter?: EventId | undefined;
 }
@@ -84,6 +86,8 @@
   let hasEnded = false;
   let isCancelled = false;
   let progressReportedAt = -Infinity;
+  let isPaused = false;
+  let connection: PausableConnection | undefined;
 
   function end(outcome: AttemptOutcome, errorResponse?: BufferedErrorResponse): void {
     if (hasEnded) return;
@@ -104,9 +108,20 @@
       progressReportedAt = now;
       listener.onProgress();
     }
-    if (isWritable) return;
+    if (isWritable || isPaused) return;
+    isPaused = true;
+    connection ??= options.currentConnection();
+    connection?.pause();
     controller?.pause();
-    callerResponse.onceWritable(() => controller?.resume());
+    callerResponse.onceWritable(resume);
+  }
+
+  /** Goes on with an answer once its caller has read what was sent. */
+  function resume(): void {
+    isPaused = false;
+    controller?.resume();
+    // It may have been paused again by what had arrived meanwhile.
+    if (!isPaused) connection?.resume();
   }
 
   function bufferErrorChunk(chunk: Uint8Array): void {
--- a/src/hosts/routing/frontHost.ts
+++ b/src/hosts/routing/frontHost.ts
@@ -288,6 +288,7 @@
         protocol,
         now: options.now,
         connectionEnd: pools.connectionEnd,
+        currentConnection: pools.currentConnection,
         resumeAfter: plan.isResumed ? request.lastEventId : undefined,
         listener: {
           onResponseHead: (status, statements) =>
--- a/src/hosts/routing/upstreamPools.ts
+++ b/src/hosts/routing/upstreamPools.ts
@@ -10,6 +10,8 @@
   readonly connectTimeoutMs?: Millis;
   /** Keep-alive timeout of idle connections if the upstream does not specify one. */
   readonly idleTimeoutMs?: Millis;
+  /** Called if the client library fails to handle an event of a connection. */
+  readonly onListenerFailed?: (event: string, err: unknown) => void;
 }
 
 export type ConnectionEnd =
@@ -20,6 +22,16 @@
   /** It was reset or aborted. */
   | 'broken';
 
+/**
+ * A connection whose answer may be paused. undici asserts that no answer is paused when its connection
+ * ends, so the end is held back until the answer goes on.
+ */
+export interface PausableConnection {
+  readonly pause: () => void;
+  /** Tells of an end that was held back. */
+  readonly resume: () => void;
+}
+
 export interface UpstreamPools {
   /** Returns the pool for one start of an upstream, creating it if necessary. */
   readonly getPool: (target: PoolTarget) => Pool;
@@ -31,6 +43,8 @@
    * response's framing.
    */
   readonly connectionEnd: () => ConnectionEnd;
+  /** The connection whose socket event is being handled. */
+  readonly currentConnection: () => PausableConnection | undefined;
   /** Whether an upstream accepts a connection. */
   readonly probe: (address: string) => Promise<boolean>;
   readonly close: () => Promise<void>;
@@ -58,6 +72,7 @@
 
   const connector = buildConnector({ timeout: cfg.connectTimeoutMs });
   let connectionEnd: ConnectionEnd = 'none';
+  let currentConnection: PausableConnection | undefined;
 
   /** Connects, and registers listeners that run before those of undici. */
   const connectObserved: buildConnector.connector = (target, callback) => {
@@ -89,6 +104,14 @@
       markEnd(() => 'broken'),
     );
     resetOnAbort(socket);
+    guardEvents(socket, {
+      onFailed: (event, err) => options.onListenerFailed?.(event, err),
+      replaceCurrent: (connection) => {
+        const replaced = currentConnection;
+        currentConnection = connection;
+        return replaced;
+      },
+    });
   }
 
   function createPool(target: PoolTarget): Pool {
@@ -117,6 +140,7 @@
       pool?.close().catch(() => undefined);
     },
     connectionEnd: () => connectionEnd,
+    currentConnection: () => currentConnection,
     probe: async (address) => probeConnection(address, cfg.connectTimeoutMs),
     close: async () => {
       const all = [...pools.values()];
@@ -154,6 +178,69 @@
   };
 }
 
+interface GuardOptions {
+  readonly onFailed: (event: string, err: unknown) => void;
+  /** Sets the connection whose events are handled; returns the one before, as events may be nested. */
+  readonly replaceCurrent: (
+    connection: PausableConnection | undefined,
+  ) => PausableConnection | undefined;
+}
+
+/**
+ * Guards the process against what undici asserts when it handles the events of a connection.
+ *
+ * The end of a connection is held back while its answer is paused for a slow caller. Any other error that
+ * a listener throws is caught: the connection is told of an error, so that its request ends, and is lost.
+ */
+function guardEvents(socket: Socket, { onFailed, replaceCurrent }: GuardOptions): void {
+  const emit = socket.emit.bind(socket) as (event: string | symbol, ...args: unknown[]) => boolean;
+  let isPaused = false;
+  let isEndHeldBack = false;
+  const connection: PausableConnection = {
+    pause: () => {
+      isPaused = true;
+      // Otherwise the socket would close by itself although its end is held back.
+      socket.allowHalfOpen = true;
+    },
+    resume: () => {
+      isPaused = false;
+      socket.allowHalfOpen = false;
+      if (!isEndHeldBack || socket.destroyed) return;
+      isEndHeldBack = false;
+      socket.emit('end');
+    },
+  };
+
+  function tryEmit(event: string | symbol, args: readonly unknown[]): boolean | undefined {
+    const outer = replaceCurrent(connection);
+    try {
+      return emit(event, ...args);
+    } catch (err) {
+      onFailed(String(event), err);
+      return undefined;
+    } finally {
+      replaceCurrent(outer);
+    }
+  }
+
+  socket.emit = (event: string | symbol, ...args: unknown[]): boolean => {
+    if (event === 'end' && isPaused) {
+      isEndHeldBack = true;
+      return true;
+    }
+    // undici takes a reset for a possible end of the answer, but no other error.
+    const isReset = event === 'error' && isPaused;
+    const result = tryEmit(event, isReset ? [new Error('reset while paused')] : args);
+    if (result !== undefined) return result;
+    // Without an error, undici would take the end of the connection for the end of the answer.
+    const failure = new Error('The connection failed.');
+    tryEmit('error', [failure]);
+    if (event === 'close') tryEmit(event, args);
+    else socket.destroy(failure);
+    return true;
+  };
+}
+
 async function probeConnection(address: string, timeoutMs: Millis): Promise<boolean> {
   return new Promise((resolve) => {
     const socket = tryConnect(address);
--- a/src/routing/eventTable.ts
+++ b/src/routing/eventTable.ts
@@ -142,6 +142,12 @@
   reloadFailed: entry(9076, 'process', 'The reloaded settings were rejected.'),
   linesOmitted: entry(9077, 'process', 'Log lines were dropped.'),
   portTaken: entry(9092, 'process', 'A port is in use; opening it is tried again.'),
+  connectionFailed: entry(
+    9093,
+    'process',
+    'An event of a connection to an upstream could not be handled; the connection is lost.',
+  ),
+  uncaughtError: entry(9094, 'process', 'An error was not caught where it arose.'),
   responseFailed: entry(9091, 'process', 'A response could not be written to its caller.'),
   eventFailed: entry(9078, 'process', 'An event could not be handled.'),
 } as const satisfies Readonly<Record<string, RoutingEventEntry>>;
--- a/test/support/rawUpstream.ts
+++ b/test/support/rawUpstream.ts
@@ -88,3 +88,10 @@
     '',
   ].join('\r\n');
 }
+
+/** Returns the connection of the first request that an upstream got. */
+export function firstSocket({ exchanges }: RawUpstream): Socket {
+  const [first] = exchanges;
+  if (first === undefined) throw new Error('no request has arrived');
+  return first.socket;
+}
