Soak: answers that end with their connection, never end or are held back; memory; SIGHUP at the start

Change: three such faults of upstreams; a SIGHUP to the next process as soon as it has a handler; processes start with the options of deploy/system.toml, and one that takes more than 350 MiB breaks a promise.

--- a/src/standins/platform/batchEngine.ts
+++ b/src/standins/platform/batchEngine.ts
@@ -29,6 +29,12 @@
   | { readonly kind: 'unframed'; readonly isReset: boolean }
   /** Sends events without a length, and closes the connection regularly, in the midst of an event or not. */
   | { readonly kind: 'unframedStream'; readonly endsInsideEvent: boolean }
+  /** Sends the whole regular answer without a length, and closes the connection regularly. */
+  | { readonly kind: 'unframedWhole' }
+  /** Sends a body in chunks without end, until the connection is closed. */
+  | { readonly kind: 'endless' }
+  /** Sends all but the last bytes of a long error answer, and then nothing. */
+  | { readonly kind: 'heldError' }
   /** Sends a chunked body, but closes the connection regularly before the last chunk. */
   | { readonly kind: 'unfinished' }
   /** Closes the connection regularly in the middle of the head of a successful answer. */
@@ -94,6 +100,10 @@
 
 const DEFAULTS = { port: 0, events: 5, eventGapMs: 2, firstEventMs: 2, isStream: true } as const;
 
+/** Interval at which a body without end goes on. */
+const ENDLESS_INTERVAL_MS: Millis = 10;
+const LONG_ERROR_BYTES = 4 * 1024 * 1024;
+
 /** A refusal that does not name the request that it answers. */
 const REFUSAL = 'HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n';
 
@@ -200,6 +210,28 @@
         req.socket.end();
         return;
       }
+      case 'unframedWhole': {
+        const from = Number(req.headers['last-event-id'] ?? 0);
+        const ids = Array.from({ length: cfg.events - from }, (_, i) => from + i + 1);
+        const events = ids.map(eventText).join('');
+        const body = cfg.isStream ? events : `answer to ${run.requestId}`;
+        req.socket.write(`HTTP/1.1 200 OK\r\n${formatHeaders(headers)}\r\n${body}`);
+        req.socket.end();
+        return;
+      }
+      case 'endless': {
+        const lines = formatHeaders({ ...headers, 'Transfer-Encoding': 'chunked' });
+        req.socket.write(`HTTP/1.1 200 OK\r\n${lines}\r\n`);
+        const timer = setInterval(() => req.socket.write('1\r\nx\r\n'), ENDLESS_INTERVAL_MS);
+        req.socket.once('close', () => clearInterval(timer));
+        return;
+      }
+      case 'heldError': {
+        const lines = formatHeaders({ ...headers, 'Content-Length': String(LONG_ERROR_BYTES) });
+        req.socket.write(`HTTP/1.1 500 Internal Server Error\r\n${lines}\r\n`);
+        req.socket.write(Buffer.alloc(LONG_ERROR_BYTES - 100, 'x'));
+        return;
+      }
       case 'cutHead':
         req.socket.write('HTTP/1.1 200 OK\r\nContent-Length: 10\r\nResponse-Sig');
         await sleep(cfg.eventGapMs);
--- a/test/platform/support/program.ts
+++ b/test/platform/support/program.ts
@@ -31,7 +31,7 @@
 }
 
 /** Options with which the platform starts the program (deploy/system.toml). */
-const RUNTIME_OPTIONS = ['--max-old-space-size=160', '--max-semi-space-size=4'];
+export const RUNTIME_OPTIONS = ['--max-old-space-size=160', '--max-semi-space-size=4'];
 
 export async function buildBundle(): Promise<Bundle> {
   const dir = await mkdtemp(join(tmpdir(), 'primroseswitch-'));
@@ -132,8 +132,19 @@
   return { address: `127.0.0.1:${port}`, free: () => server.close() };
 }
 
-async function readPeakMemory(pid: number): Promise<number | undefined> {
-  const status = await readFile(`/proc/${pid}/status`, 'utf8').catch(() => '');
-  const kib = /^VmHWM:\s+(\d+) kB/m.exec(status)?.[1];
+/** Returns the peak of a process's resident memory in MiB, or `undefined` if the system does not tell. */
+export async function readPeakMemory(pid: number): Promise<number | undefined> {
+  const kib = /^VmHWM:\s+(\d+) kB/m.exec(await readStatus(pid))?.[1];
   return kib === undefined ? undefined : (Number(kib) * KIB) / MIB;
 }
+
+/** Whether a process has a handler of its own for SIGHUP; without one, the signal ends it. */
+export async function takesHup(pid: number): Promise<boolean> {
+  const caught = /^SigCgt:\s+([0-9a-f]+)/m.exec(await readStatus(pid))?.[1];
+  // SIGHUP is signal 1, the lowest bit.
+  return caught !== undefined && Number.parseInt(caught.slice(-1), 16) % 2 === 1;
+}
+
+async function readStatus(pid: number): Promise<string> {
+  return readFile(`/proc/${pid}/status`, 'utf8').catch(() => '');
+}
--- a/test/soak/checks.ts
+++ b/test/soak/checks.ts
@@ -35,6 +35,8 @@
   readonly disturbances: readonly Disturbance[];
   /** Process exits that were not requested by the test. */
   readonly unexpectedExits: readonly string[];
+  /** Most memory that a process has taken. */
+  readonly peakMemoryMib: number;
   /** Time by which all faults have ended and the instances have had time to recover. */
   readonly recoveredAt: number;
 }
@@ -46,6 +48,8 @@
   readonly eventsPerStream: number;
   /** Minimum fraction of requests served after recovery; 0 disables the check. */
   readonly minServedRatio: number;
+  /** Memory that the platform gives to a process; one that takes more is killed. */
+  readonly memoryLimitMib: number;
 }
 
 /** Statuses that guarantee that the request was not executed. */
@@ -65,6 +69,7 @@
     ...violations,
     ...checkLeaving(record, options),
     ...record.unexpectedExits,
+    ...checkMemory(record, options),
     ...checkRecovery(record, options),
   ];
 }
@@ -126,6 +131,12 @@
     );
 }
 
+function checkMemory({ peakMemoryMib }: SoakRecord, { memoryLimitMib }: CheckOptions) {
+  return peakMemoryMib > memoryLimitMib
+    ? [`a process took ${Math.round(peakMemoryMib)} MiB of ${memoryLimitMib}`]
+    : [];
+}
+
 function checkRecovery({ requests, recoveredAt }: SoakRecord, { minServedRatio }: CheckOptions) {
   const afterRecovery = requests.filter(({ sentAt }) => sentAt >= recoveredAt);
   const served = afterRecovery.filter(({ status }) => status === 200 || status === 401).length;
--- a/test/soak/fleet.ts
+++ b/test/soak/fleet.ts
@@ -3,8 +3,10 @@
 import { writeFile } from 'node:fs/promises';
 import { createServer } from 'node:net';
 import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { startBatchEngine, type BatchEngine } from '../../src/standins/platform/batchEngine.js';
 import { startLogStore, type LogStore } from '../../src/standins/platform/logStore.js';
+import { readPeakMemory, RUNTIME_OPTIONS, takesHup } from '../platform/support/program.js';
 import { startLink, type Link, type LinkFault } from './link.js';
 
 export const SOAK_EVENTS = 8;
@@ -18,6 +20,8 @@
 const PORT_COUNT = 20_000;
 const RESTART_AFTER_MS = 200;
 const MAX_LOG_LINES = 40;
+const MEMORY_INTERVAL_MS = 500;
+const HUP_CHECK_INTERVAL_MS = 2;
 
 export interface SoakInstance {
   readonly number: number;
@@ -26,6 +30,8 @@
   /** Sends a signal to the running process. */
   readonly signal: (signal: NodeJS.Signals) => void;
   readonly isRunning: () => boolean;
+  /** Sends a SIGHUP to the next process that is started, as soon as it has a handler. */
+  readonly hupAtNextStart: () => void;
   readonly setStoreFault: (fault: LinkFault) => void;
   /** The most recent log lines of the process. */
   readonly logLines: () => readonly string[];
@@ -49,6 +55,8 @@
   /** Has the running engines write their entries again; those of the others lapse. */
   readonly relistEngines: () => void;
   readonly unexpectedExits: readonly string[];
+  /** Most memory that a process has taken; 0 if the system does not tell. */
+  readonly peakMemoryMib: () => number;
   readonly close: () => Promise<void>;
 }
 
@@ -72,6 +80,7 @@
   const entries = new Map<string, object>();
   let isClosing = false;
   let sequence = 0;
+  let peakMemoryMib = 0;
 
   async function startEngine(pool: string): Promise<SoakEngine> {
     const engine = await startBatchEngine({
@@ -97,6 +106,11 @@
     return { pool, engine, link };
   }
 
+  async function recordMemory(pid: number | undefined): Promise<void> {
+    if (pid === undefined) return;
+    peakMemoryMib = Math.max(peakMemoryMib, (await readPeakMemory(pid)) ?? 0);
+  }
+
   function listEngine(id: string): void {
     sequence += 1;
     const entry = { ...entries.get(id), Seq: sequence };
@@ -111,6 +125,7 @@
     const lines: string[] = [];
     let child: ChildProcess | undefined;
     let isExitRequested = false;
+    let isHupPending = false;
     await writeFile(
       settings,
       [
@@ -130,8 +145,11 @@
     function start(): void {
       if (isClosing) return;
       isExitRequested = false;
-      const started = spawn(process.execPath, [options.program, settings], { stdio: 'pipe' });
+      const args = [...RUNTIME_OPTIONS, options.program, settings];
+      const started = spawn(process.execPath, args, { stdio: 'pipe' });
       child = started;
+      if (isHupPending) void hupEarly(started);
+      isHupPending = false;
       [started.stdout, started.stderr].forEach((stream) =>
         stream.on('data', (part: Buffer) => {
           lines.push(...part.toString().split('\n').filter(Boolean));
@@ -150,7 +168,11 @@
       });
     }
 
+    const watch = setInterval(() => {
+      void recordMemory(child?.pid);
+    }, MEMORY_INTERVAL_MS);
     start();
+    cleanups.push(() => clearInterval(watch));
     cleanups.push(() => child?.kill('SIGKILL'));
     return {
       number,
@@ -161,6 +183,9 @@
         child?.kill(signal);
       },
       isRunning: () => child !== undefined,
+      hupAtNextStart: () => {
+        isHupPending = true;
+      },
       setStoreFault: link.setFault,
       logLines: () => lines,
     };
@@ -178,6 +203,7 @@
     engines: () => engines,
     allEngines: () => allEngines,
     unexpectedExits,
+    peakMemoryMib: () => peakMemoryMib,
     crashEngine: async (index) => {
       const crashed = engines[index];
       if (crashed === undefined) return;
@@ -209,6 +235,17 @@
   };
 }
 
+/** Sends a SIGHUP to a process as soon as it has a handler, or not if it ends before. */
+async function hupEarly(child: ChildProcess): Promise<void> {
+  const { pid } = child;
+  if (pid === undefined || child.exitCode !== null || child.signalCode !== null) return;
+  if (await takesHup(pid)) child.kill('SIGHUP');
+  else {
+    await sleep(HUP_CHECK_INTERVAL_MS);
+    await hupEarly(child);
+  }
+}
+
 /** Returns a port that was free when it was probed; another process may take it before it is used. */
 async function freePort(): Promise<number> {
   const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -39,7 +39,7 @@
   const served = record.requests.filter(({ status }) => status === 200).length;
   if (violations.length > 0) failedRuns += 1;
   process.stdout.write(
-    `seed ${seed}: ${faults.length} faults, ${record.requests.length} requests, ${served} served, ${violations.length} violations\n`,
+    `seed ${seed}: ${faults.length} faults, ${record.requests.length} requests, ${served} served, peak ${Math.round(record.peakMemoryMib)} MiB, ${violations.length} violations\n`,
   );
   violations.slice(0, 10).forEach((violation) => process.stdout.write(`  ${violation}\n`));
 }
--- a/test/soak/plan.ts
+++ b/test/soak/plan.ts
@@ -6,6 +6,8 @@
 
 export type SoakFault =
   | { readonly kind: 'kill' | 'stop' | 'hup'; readonly instance: number }
+  /** Kills an instance, and sends a SIGHUP to its next process as soon as that takes signals. */
+  | { readonly kind: 'hupAtStart'; readonly instance: number }
   | { readonly kind: 'pause'; readonly instance: number; readonly forMs: number }
   | { readonly kind: 'store'; readonly fault: StoreFault; readonly forMs: number }
   | { readonly kind: 'dropHistory' }
@@ -76,6 +78,9 @@
   { kind: 'extra' },
   { kind: 'unframed', isReset: true },
   { kind: 'unfinished' },
+  { kind: 'unframedWhole' },
+  { kind: 'endless' },
+  { kind: 'heldError' },
 ];
 const MAX_FAULT_MS = 6_000;
 
@@ -97,7 +102,7 @@
   const instance = randomInt(instances);
   const engine = randomInt(engines);
   const forMs = 500 + randomInt(MAX_FAULT_MS - 500);
-  switch (randomInt(15)) {
+  switch (randomInt(16)) {
     case 0:
       return { kind: 'kill', instance };
     case 1:
@@ -124,6 +129,8 @@
       return { kind: 'restore', ageMs: forMs };
     case 12:
       return { kind: 'rateLimit', engine, perSecond: 4 * random.next(), forMs };
+    case 14:
+      return { kind: 'hupAtStart', instance };
     case 13:
       return { kind: 'leave', engine, forMs: forMs + MAX_FAULT_MS };
     default:
--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -34,6 +34,7 @@
   drainMs: 2_500,
   eventsPerStream: SOAK_EVENTS,
   minServedRatio: 0.9,
+  memoryLimitMib: 350,
 };
 
 const READY_INTERVAL_MS = 200;
@@ -87,6 +88,7 @@
         lateArrivals,
         disturbances,
         unexpectedExits,
+        peakMemoryMib: fleet.peakMemoryMib(),
         recoveredAt,
       },
     };
@@ -105,6 +107,7 @@
 function findDisturbance(at: number, fault: SoakFault): readonly Disturbance[] {
   switch (fault.kind) {
     case 'kill':
+    case 'hupAtStart':
     case 'stop':
       return [{ from: at, until: at + STOP_DISTURBANCE_MS + REJOIN_MS }];
     case 'pause':
@@ -291,6 +294,10 @@
     case 'hup':
       instances[fault.instance]?.signal('SIGHUP');
       return;
+    case 'hupAtStart':
+      instances[fault.instance]?.hupAtNextStart();
+      instances[fault.instance]?.signal('SIGKILL');
+      return;
     case 'pause':
       instances[fault.instance]?.signal('SIGSTOP');
       later(fault.forMs, () => instances[fault.instance]?.signal('SIGCONT'));
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -50,6 +50,7 @@
   lateArrivals: [],
   disturbances: [],
   unexpectedExits: [],
+  peakMemoryMib: 100,
   recoveredAt: 0,
 };
 
@@ -75,6 +76,7 @@
       'after it had said that it leaves',
       { ...RECORD, lateArrivals: [{ requestId: 'r1', at: 9_000, sinceMs: 4_000 }] },
     ],
+    ['a process took 400 MiB', { ...RECORD, peakMemoryMib: 400 }],
     ['exited unexpectedly', { ...RECORD, unexpectedExits: ['instance-1 exited unexpectedly: 1'] }],
     ['0 of 1 requests', { ...withRequest({ status: 502 }), runs: [] }],
   ];
