Ignore further SIGTERMs while the process stops

Cause: the handlers were removed at the first signal, which suits a person at a terminal. Now only SIGINT ends a stopping process; the grace time and the platform's SIGKILL bound the stop.

The new test failed before (the stream broke off).

--- a/src/daemon/processSignals.ts
+++ b/src/daemon/processSignals.ts
@@ -10,21 +10,21 @@
   readonly untilStop: () => Promise<void>;
 }
 
-const STOP_SIGNALS = ['SIGTERM', 'SIGINT'] as const;
-
 /**
- * Installs the handlers: SIGHUP reloads, SIGTERM and SIGINT stop. After the first stop signal a second one
- * terminates the process by default.
+ * Installs the handlers: SIGHUP reloads, SIGTERM and SIGINT stop. Further SIGTERMs change nothing, as a stop is
+ * under way and requests still run; a SIGINT after the first stop signal, which a person sends at a
+ * terminal, terminates the process by default.
  */
 export function captureSignals(): ProcessSignals {
   let reload: (() => void) | undefined;
   let isReloadPending = false;
   const stop = new Promise<void>((resolve) => {
     const onStop = () => {
-      STOP_SIGNALS.forEach((signal) => process.removeListener(signal, onStop));
+      process.removeListener('SIGINT', onStop);
       resolve();
     };
-    STOP_SIGNALS.forEach((signal) => process.on(signal, onStop));
+    process.on('SIGTERM', onStop);
+    process.on('SIGINT', onStop);
   });
   process.on('SIGHUP', () => {
     if (reload === undefined) isReloadPending = true;
--- a/test/platform/bundle.test.ts
+++ b/test/platform/bundle.test.ts
@@ -1,9 +1,12 @@
 import { expect } from 'chai';
-import { createPlatformFleet, type PlatformFleet } from './support/fleet.js';
+import { request } from 'undici';
+import { eventText } from '../../src/standins/platform/batchEngine.js';
+import { createPlatformFleet, HOST, KEY, type PlatformFleet } from './support/fleet.js';
 import {
   buildBundle,
   settingsText,
   spawnProgram,
+  startProgram,
   takePort,
   type Bundle,
 } from './support/program.js';
@@ -37,6 +40,23 @@
     expect(program.output()).to.include('domain');
   });
 
+  // A second SIGTERM ended a stopping process at once, with all streams that it passed on (review/5).
+  it('ends its streams whole if it is told to stop once more', async () => {
+    await fleet.addEngine('models', { events: 40, eventGapMs: 25 });
+    const program = await startProgram(bundle, fleet.store.url);
+    const stream = request(`http://${program.callers}/draft/1`, {
+      method: 'POST',
+      headers: { host: HOST, 'request-id': 'r1', authorization: `Token ${KEY}` },
+    }).then(async ({ body }) => body.text());
+    await program.untilOutput('"event":"sent"');
+    program.signal('SIGTERM');
+    await program.untilOutput('"event":"stopRequested"');
+    program.signal('SIGTERM');
+    program.signal('SIGTERM');
+    expect(await stream).to.include(eventText(40));
+    expect(await program.ended).to.equal(0);
+  });
+
   // The process before may hold a port for a moment, or another one of the machine uses it for a connection.
   it('waits for a port that is taken when it starts', async () => {
     const taken = await takePort();
--- a/test/platform/support/program.ts
+++ b/test/platform/support/program.ts
@@ -18,16 +18,11 @@
   readonly remove: () => Promise<void>;
 }
 
-export interface Program {
-  readonly pid: number;
+export interface Program extends SpawnedProgram {
   /** Address of its callers' port. */
   readonly callers: string;
-  readonly output: () => string;
   /** Peak of its resident memory in MiB, or `undefined` if the system does not tell. */
   readonly peakMemoryMib: () => Promise<number | undefined>;
-  readonly signal: (signal: NodeJS.Signals) => void;
-  /** Resolves with the exit code, or the signal that ended the process. */
-  readonly ended: Promise<number | NodeJS.Signals | null>;
 }
 
 /** Options with which the platform starts the program (deploy/system.toml). */
