--- a/test/platform/bundle.test.ts
+++ b/test/platform/bundle.test.ts
@@ -34,6 +34,15 @@
     expect(program.output()).to.include('"event":"stopped"');
   });
 
+  it('starts on a platform that does not tell how much memory it gives', async () => {
+    const settings = await settingsText(fleet.store.url, { 'Limits.MemoryMb': '' });
+    expect(settings).to.not.include('memory');
+    const program = await spawnProgram(bundle, settings);
+    await program.untilOutput('"event":"ready"');
+    program.signal('SIGTERM');
+    expect(await program.ended).to.equal(0);
+  });
+
   it('reports invalid settings', async () => {
     const program = await spawnProgram(bundle, 'instance: { id: a }\n');
     expect(await program.ended).to.equal(3);
--- a/test/platform/support/settings.ts
+++ b/test/platform/support/settings.ts
@@ -24,5 +24,8 @@
       /\{\{#Zones\}\}\n([\s\S]*?)\{\{\/Zones\}\}\n/,
       `    ${values.Zone}: ${values.Region}\n`,
     )
+    .replace(/\{\{#([\w.]+)\}\}\n([\s\S]*?)\{\{\/\1\}\}\n/g, (_, name: string, section: string) =>
+      (values[name] ?? '') === '' ? '' : section,
+    )
     .replace(/\{\{([\w.]+)\}\}/g, (_, name: string) => values[name] ?? '');
 }
