Log the parts of an expected time, and what is learnt of each pool

Refusals tell baseMs, uncached, queueMs and surchargeMs beside expectedMs; a line a second (poolEstimated) and a gauge (longest_base_ms) tell what is learnt of a pool.

--- a/src/daemon/routingInstance.ts
+++ b/src/daemon/routingInstance.ts
@@ -23,6 +23,7 @@
 import { ageOfRead } from '../routing/freshness/sharedRead.js';
 import { createByteBudget, type ByteBudget } from '../routing/load/byteBudget.js';
 import type { LoadReading } from '../routing/load/instanceLoad.js';
+import { longestBase } from '../routing/placement/estimateLog.js';
 import { createRouting, type Routing } from '../routing/routing.js';
 import { listLimits } from '../routing/rateLimits/rateLimits.js';
 import { DEFAULT_ROUTING_SETTINGS, type RoutingSettings } from '../routing/settings.js';
@@ -471,6 +472,7 @@
     unwillingUpstreams: countUnwilling(ctx),
     bufferedBytes: buffers.used(),
     bufferedBytesLimit: buffers.limitBytes,
+    longestBaseMs: longestBase(ctx),
     linesOmitted: log.omitted(),
     loopUtilization: meter.lastReading().utilization,
     loopLagMs: meter.lastReading().lagMs,
--- a/src/hosts/routing/metricsPage.ts
+++ b/src/hosts/routing/metricsPage.ts
@@ -25,6 +25,8 @@
   /** Bytes of bodies and of answers that wait, and the most that may. */
   readonly bufferedBytes: number;
   readonly bufferedBytesLimit: number;
+  /** Longest estimated time to a first event without any wait, among pools. */
+  readonly longestBaseMs: Millis;
   readonly linesOmitted: number;
   /** Event loop utilization over the last second. */
   readonly loopUtilization: number;
@@ -83,6 +85,10 @@
     unwillingUpstreams: gauge('unwilling_upstreams', 'Upstreams that leave or want a pause.'),
     bufferedBytes: gauge('buffered_bytes', 'Bytes of bodies and of answers that wait.'),
     bufferedBytesLimit: gauge('buffered_bytes_limit', 'Most bytes that may wait.'),
+    longestBaseMs: gauge(
+      'longest_base_ms',
+      'Longest estimated time to a first event without any wait, among pools.',
+    ),
     linesOmitted: gauge('log_lines_omitted', 'Log lines that were left out.'),
     loopUtilization: gauge('loop_utilization', 'Part of the last second in which the loop worked.'),
     loopLagMs: gauge('loop_lag_ms', 'Time by which the loop was late.'),
--- a/src/routing/attempts/refusals.ts
+++ b/src/routing/attempts/refusals.ts
@@ -235,12 +235,24 @@
     upstream: placement.upstream.listed.id,
     expectedMs: Math.round(placement.firstEventMs),
     limitMs: Math.round(decision.limitMs),
+    ...describeEstimate(placement),
     ahead: Math.round(placement.tokensAhead),
     running: placement.running,
     ...describeShare(share),
   };
 }
 
+/** The parts of an expected time: what the upstream needs by itself, and what comes on top. */
+function describeEstimate(placement: Placement): LogFields {
+  const { admissionMs, firstEventMs, unloadedMs, promptReadMs } = placement;
+  return {
+    baseMs: Math.round(unloadedMs - promptReadMs),
+    uncached: placement.uncachedTokens,
+    queueMs: Math.round(firstEventMs - unloadedMs),
+    surchargeMs: Math.round(admissionMs - firstEventMs),
+  };
+}
+
 function describeShare(share: FairShareUsage | undefined): LogFields {
   return {
     asked: share && Math.round(share.asked),
--- a/src/routing/eventTable.ts
+++ b/src/routing/eventTable.ts
@@ -108,6 +108,11 @@
   domainLost: entry(9059, 'belief', 'No sums from another failure domain arrived in time.'),
   newerVersionHeard: entry(9060, 'belief', 'Another instance has a newer configuration.'),
   loadMeasured: entry(9061, 'belief', 'The load of this process in the last second.'),
+  poolEstimated: entry(
+    9095,
+    'belief',
+    'What this process has learnt of the speed of the upstreams of a pool.',
+  ),
   clockDistrusted: entry(9062, 'belief', 'A clock runs at a different rate and is ignored.'),
   messageMalformed: entry(9063, 'belief', 'A message from another instance cannot be decoded.'),
   messageNotSent: entry(9064, 'belief', 'A message to another instance could not be sent.'),
--- a/src/routing/routing.ts
+++ b/src/routing/routing.ts
@@ -34,6 +34,7 @@
 } from './freshness/freshness.js';
 import { noteEvent } from './exchange/members.js';
 import { onLoadMeasured } from './load/instanceLoad.js';
+import { logEstimates } from './placement/estimateLog.js';
 import { DEFAULT_ROUTING_SETTINGS, type RoutingSettings } from './settings.js';
 import { createRoutingState, type RoutingState } from './state.js';
 import type {
@@ -140,6 +141,7 @@
       return;
     case 'loadMeasured':
       onLoadMeasured(ctx, event.reading);
+      logEstimates(ctx);
       return;
     case 'settingsChanged':
       ctx.state.settings = { ...DEFAULT_ROUTING_SETTINGS, ...event.settings };
--- a/test/routing/logs.test.ts
+++ b/test/routing/logs.test.ts
@@ -95,6 +95,34 @@
     });
   });
 
+  it('tells the parts of the expected time of which a refusal is the consequence', () => {
+    const core = createTestCore();
+    const refusal = effectsOf(core.arrive({ promptTokens: 900_000 }), 'log').find(
+      ({ code }) => code === 'overload',
+    );
+    const { expectedMs, baseMs, queueMs, uncached } = refusal?.fields ?? {};
+    expect(refusal?.fields).to.include.keys('surchargeMs');
+    expect(uncached).to.equal(900_000);
+    expect(Number(baseMs)).to.be.greaterThan(0);
+    expect(Number(expectedMs)).to.be.greaterThan(Number(baseMs) + Number(queueMs));
+  });
+
+  it('tells each second what it has learnt of the speed of a pool', () => {
+    const core = createTestCore();
+    const measure = () =>
+      effectsOf(
+        core.dispatch({ kind: 'loadMeasured', reading: { utilization: 0, lagMs: 0, counts: {} } }),
+        'log',
+      ).filter(({ code }) => code === 'poolEstimated');
+    expect(measure()).to.have.length(0);
+    const { attempt } = planOf(core.arrive());
+    core.advance(80);
+    core.dispatch({ kind: 'attemptAnswered', attempt, status: 200 });
+    core.dispatch({ kind: 'attemptProgress', attempt });
+    const [line] = measure();
+    expect(line?.fields).to.include({ baseMs: 80, idleness: 1 });
+  });
+
   it('does not log keys', () => {
     const core = createTestCore();
     const effects = [...core.arrive(), ...core.arrive({ key: 'secret-key' })];
