--- a/src/bench/routing/emulatedFleet.ts
+++ b/src/bench/routing/emulatedFleet.ts
@@ -8,11 +8,13 @@
 import type { Millis } from '../../core/clock.js';
 import type { FailureDomainId, PeerMessage } from '../../core/types.js';
 import { createRouting } from '../../routing/routing.js';
+import type { RoutingEventCode } from '../../routing/eventTable.js';
 import type { RoutingSettings } from '../../routing/settings.js';
 import type {
   AttemptNumber,
   AttemptOutcome,
   LocalAnswer,
+  LogFields,
   PrefixPart,
   RateStatement,
   RequestFacts,
@@ -70,6 +72,16 @@
   /** Whether messages from one instance to another are lost. */
   readonly isCut?: (from: string, to: string, now: Millis) => boolean;
   readonly observe?: (observation: FleetObservation) => void;
+  /** Receives the log lines of the instances. */
+  readonly onLog?: (line: EmulatedLogLine) => void;
+}
+
+/** A log line of an instance. */
+export interface EmulatedLogLine {
+  readonly at: Millis;
+  readonly instance: string;
+  readonly code: RoutingEventCode;
+  readonly fields: LogFields;
 }
 
 /** Time from the first token of a deadly request to the crash of its engine. */
@@ -106,7 +118,7 @@
  */
 export function createEmulatedFleet(options: EmulatedFleetOptions): EmulatedFleet {
   const { simulation, shape, policy = 'core', observe = () => {} } = options;
-  const { limitOf = () => undefined, isCut = () => false } = options;
+  const { limitOf = () => undefined, isCut = () => false, onLog = () => {} } = options;
   const random = createRandom(options.seed);
   const prefillCounter = createPrefillCounter(simulation.now);
   const results = createResults(prefillCounter);
@@ -192,8 +204,16 @@
       case 'sendPeer':
         deliverMessage(instance, effect.to, effect.message);
         break;
+      case 'log':
+        onLog({
+          at: simulation.now(),
+          instance: instance.id,
+          code: effect.code,
+          fields: effect.fields,
+        });
+        break;
       default:
-      // Other effects concern logs, metrics and connections, which are not emulated.
+      // Other effects concern metrics and connections, which are not emulated.
     }
   }
 
@@ -483,11 +503,11 @@
 /** Picks an instance of the domain by a hash of the connection, as the load balancer does. */
 function pickInstance(
   instances: ReadonlyMap<string, Instance>,
-  { domain, customer, parts }: OfferedRequest,
+  { domain, instance: index, customer, parts }: OfferedRequest,
 ): Instance {
   const candidates = [...instances.values()].filter((instance) => instance.domain === domain);
   const connection = createRandom(customer * 31 + (parts.at(-1)?.tokens ?? 0)).next();
-  const picked = candidates[Math.floor(connection * candidates.length)];
+  const picked = candidates[index ?? Math.floor(connection * candidates.length)];
   if (picked === undefined) throw new Error(`failure domain "${domain}" has no instances`);
   return picked;
 }
--- a/src/bench/routing/fleetShape.ts
+++ b/src/bench/routing/fleetShape.ts
@@ -34,6 +34,8 @@
 export interface OfferedRequest {
   readonly at: Millis;
   readonly domain: FailureDomainId;
+  /** Instance of the domain that the caller reaches, by its number; chosen by a hash if it is absent. */
+  readonly instance?: number;
   readonly customer: number;
   readonly route: Route;
   readonly parts: readonly PrefixPart[];
