Expect of other instances what an instance sees of its own requests, until they tell

Cause: news of other instances take some tenths of a second, in which each instance takes the upstreams for free. All of them fill the queues for seconds, in proportion to what customers ask.

An instance that has more unread requests than when the others told of theirs expects the same of each of the others, as far as the difference is not chance, until its requests are answered or news can have told. The guess counts as work ahead, for the decision and for what is learnt from the answer.

--- a/src/routing/attempts/accounting.ts
+++ b/src/routing/attempts/accounting.ts
@@ -32,10 +32,15 @@
   if (upstream === undefined) return undefined;
   upstream.own.running -= 1;
   upstream.own.heldTokens -= attempt.heldTokens;
-  if (attempt.firstPartAt === undefined) upstream.own.pendingTokens -= attempt.uncachedTokens;
+  if (attempt.firstPartAt === undefined) removeUnread(upstream, attempt);
   return upstream;
 }
 
+function removeUnread(upstream: Upstream, { uncachedTokens }: Attempt): void {
+  upstream.own.pendingTokens -= uncachedTokens;
+  upstream.unanswered -= 1;
+}
+
 /** Records the time to the first part of an answer. */
 export function recordFirstPart(
   ctx: RoutingContext,
@@ -46,7 +51,7 @@
   const request = ctx.state.requests.open.get(attempt.request);
   if (request !== undefined) request.firstPartAt ??= ctx.now;
   if (upstream === undefined) return;
-  upstream.own.pendingTokens -= attempt.uncachedTokens;
+  removeUnread(upstream, attempt);
   const firstPartMs = ctx.now - attempt.startedAt;
   learnSpeed(ctx, attempt, upstream, firstPartMs);
   const errorMs = Math.abs(firstPartMs - attempt.expectedMs);
--- a/src/routing/attempts/refusals.ts
+++ b/src/routing/attempts/refusals.ts
@@ -237,6 +237,7 @@
     limitMs: Math.round(decision.limitMs),
     ...describeEstimate(placement),
     ahead: Math.round(placement.tokensAhead),
+    unseen: placement.unseenTokens > 0 ? Math.round(placement.unseenTokens) : undefined,
     running: placement.running,
     ...describeShare(share),
   };
--- a/src/routing/attempts/sending.ts
+++ b/src/routing/attempts/sending.ts
@@ -63,6 +63,7 @@
   requests.attempts.set(attempt.number, attempt);
   request.attempt = attempt.number;
   upstream.own.running += 1;
+  upstream.unanswered += 1;
   upstream.own.pendingTokens += uncachedTokens;
   upstream.own.heldTokens += attempt.heldTokens;
   return attempt;
@@ -104,6 +105,7 @@
     version: ctx.state.freshness.configuration?.version,
     expectedMs: Math.round(placement.firstEventMs),
     ahead: Math.round(placement.tokensAhead),
+    unseen: placement.unseenTokens > 0 ? Math.round(placement.unseenTokens) : undefined,
     uncached: placement.uncachedTokens,
     running: placement.running,
     sharedToRead: placement.rereadTokens,
--- a/src/routing/exchange/members.ts
+++ b/src/routing/exchange/members.ts
@@ -11,6 +11,15 @@
   return state.exchange.peers.size >= state.settings.meshInstances;
 }
 
+/** Messages that news of another instance take: to this one, or by way of two relays. */
+const HOPS = 1;
+const RELAYED_HOPS = 2;
+
+/** Returns the usual time from a change at another instance until this one knows of it. */
+export function newsDelay(ctx: RoutingContext): Millis {
+  return ctx.state.settings.exchangeMs * (usesRelays(ctx) ? RELAYED_HOPS : HOPS);
+}
+
 export function isSameDomain({ state }: RoutingContext, { domain }: PeerInstance): boolean {
   return domain === state.self.domain;
 }
--- a/src/routing/placement/placement.ts
+++ b/src/routing/placement/placement.ts
@@ -17,6 +17,13 @@
 import { remoteWork } from '../exchange/fleetSums.js';
 import type { PoolId, RegionId, RequestFacts, Route, UpstreamId } from '../types.js';
 import { isAtLimit } from '../rateLimits/rateLimits.js';
+import {
+  createToldWork,
+  estimateUnseenTokens,
+  type ToldWork,
+  type UnreadWork,
+} from './unseenWork.js';
+import { newsDelay } from '../exchange/members.js';
 import { createPoolWait, SATURATED_WAIT_MS, type PoolWait } from './poolWait.js';
 import {
   describePrompt,
@@ -72,8 +79,10 @@
   readonly admissionMs: Millis;
   /** Prompt tokens that the upstream has to read for this request. */
   readonly uncachedTokens: number;
-  /** Prompt tokens that it has to read for other requests first. */
+  /** Prompt tokens that it has to read for other requests first, those that nobody has told of included. */
   readonly tokensAhead: number;
+  /** Part of `tokensAhead` that nobody has told of. */
+  readonly unseenTokens: number;
   /** Requests of all instances that run at the upstream. */
   readonly running: number;
   /**
@@ -129,10 +138,11 @@
   const unwilling = all.filter((upstream) => isUnwilling(availabilityOf(ctx, upstream)));
   const limit = connectionLimit(ctx, pool);
   const prompt = describePrompt(ctx, request.facts, members);
+  const unseen = unseenTokens(ctx, pool, members);
   const placements = members
     .filter(({ listed, own }) => !excluded.includes(listed.id) && own.running < limit)
     .filter((upstream) => hasRampRoom(ctx, upstream))
-    .map((upstream) => scoreUpstream(ctx, request, upstream, prompt));
+    .map((upstream) => scoreUpstream(ctx, request, upstream, prompt, unseen));
   if (open.length === 0 && unwilling.length > 0)
     poolWait(ctx, pool).record(SATURATED_WAIT_MS, ctx.now);
   else recordPoolWait(ctx, pool, placements);
@@ -204,6 +214,45 @@
   return speed;
 }
 
+/** Returns the tokens that each upstream probably has to read for requests that nobody has told of. */
+function unseenTokens(ctx: RoutingContext, pool: PoolId, members: readonly Upstream[]): number {
+  const toldAt = ctx.now - newsDelay(ctx);
+  return estimateUnseenTokens({
+    unread: sumUnread(members),
+    told: toldWork(ctx, pool).at(toldAt),
+    otherInstances: countInstances(ctx) - 1,
+    upstreams: members.length,
+  });
+}
+
+/** Remembers the unread work that the message of this moment tells of. */
+export function recordToldWork(ctx: RoutingContext): void {
+  const byPool = new Map<PoolId, Upstream[]>();
+  ctx.state.upstreams.byId.forEach((upstream) => {
+    const members = byPool.get(upstream.listed.pool) ?? [];
+    byPool.set(upstream.listed.pool, members);
+    members.push(upstream);
+  });
+  byPool.forEach((members, pool) => toldWork(ctx, pool).record(sumUnread(members), ctx.now));
+}
+
+function sumUnread(upstreams: readonly Upstream[]): UnreadWork {
+  return upstreams.reduce(
+    (sum, { own, unanswered }) => ({
+      requests: sum.requests + unanswered,
+      tokens: sum.tokens + own.pendingTokens,
+    }),
+    { requests: 0, tokens: 0 },
+  );
+}
+
+function toldWork(ctx: RoutingContext, pool: PoolId): ToldWork {
+  const { toldWork: byPool } = ctx.state.upstreams;
+  const told = byPool.get(pool) ?? createToldWork();
+  byPool.set(pool, told);
+  return told;
+}
+
 /** Returns the open work of all instances at an upstream. */
 function totalWork(ctx: RoutingContext, upstream: Upstream): OpenWork {
   const remote = remoteWork(ctx, upstream.hash);
@@ -220,6 +269,7 @@
   request: PlacementRequest,
   upstream: Upstream,
   prompt: Prompt,
+  unseen: number,
 ): Placement {
   const { route, pool } = request;
   const home = homeRankOf(upstream, prompt.homes);
@@ -232,7 +282,8 @@
   const wait = expectedWait(ctx, request, upstream, work) * slowness;
   const promptReadMs = uncached.total * perToken;
   const unloadedMs = base + promptReadMs;
-  const firstEventMs = unloadedMs + wait + work.pendingTokens * perToken;
+  const tokensAhead = work.pendingTokens + unseen;
+  const firstEventMs = unloadedMs + wait + tokensAhead * perToken;
   const rereadMs = uncached.reread * perToken;
   const admissionMs = firstEventMs + rereadMs * request.rereadFactor;
   const score =
@@ -250,7 +301,8 @@
     promptReadMs,
     admissionMs,
     uncachedTokens: uncached.total,
-    tokensAhead: work.pendingTokens,
+    tokensAhead,
+    unseenTokens: unseen,
     running: work.running,
     rereadTokens: uncached.reread,
     home,
--- a/src/routing/upstreams/upstreamsState.ts
+++ b/src/routing/upstreams/upstreamsState.ts
@@ -4,6 +4,7 @@
 import type { ListedUpstream, PoolId, RequestFacts, UpstreamId } from '../types.js';
 import { createSharedReadState, type SharedReadState } from '../freshness/sharedRead.js';
 import type { PoolWait } from '../placement/poolWait.js';
+import type { ToldWork } from '../placement/unseenWork.js';
 import { createListHistory, type ListHistory } from './listHistory.js';
 import { createSpeed, type Speed } from './speed.js';
 
@@ -28,6 +29,8 @@
   hash: number;
   /** Open work that this instance sent. */
   readonly own: { -readonly [K in keyof OpenWork]: OpenWork[K] };
+  /** Requests that this instance sent and whose answers have not begun. */
+  unanswered: number;
   readonly speed: Speed;
   reachability: Reachability;
   /** Time at which the upstream last sent anything. */
@@ -75,6 +78,8 @@
   readonly pauses: Map<number, Pause>;
   readonly poolSpeeds: Map<PoolId, Speed>;
   readonly poolWaits: Map<PoolId, PoolWait>;
+  /** What this instance has told of its requests that no upstream has read. */
+  readonly toldWork: Map<PoolId, ToldWork>;
   /** Time at which the platform answered again after an outage. */
   platformRecoveredAt: Millis | undefined;
   /** Whether the list has been read at least once. */
@@ -91,6 +96,7 @@
     pauses: new Map(),
     poolSpeeds: new Map(),
     poolWaits: new Map(),
+    toldWork: new Map(),
     ...createSharedReadState(),
     platformRecoveredAt: undefined,
     isKnown: false,
@@ -103,6 +109,7 @@
     listed,
     hash: hashUpstream(listed),
     own: { running: 0, pendingTokens: 0, heldTokens: 0 },
+    unanswered: 0,
     speed: createSpeed(),
     reachability: { kind: 'reachable' },
     lastHeardAt: now,
