Leave the wait at the instance out of what a customer's share decides

The wait at the instance was part of the time of which a customer near or beyond its share may use only a fraction; but it takes nothing from other customers. It still counts against the objective in full.

The new test failed before (refused at 155 ms of 500, 100 of them at the instance, 50 at the upstream).

--- a/src/routing/admission/admission.ts
+++ b/src/routing/admission/admission.ts
@@ -23,6 +23,8 @@
   readonly unloadedMs: Millis;
   /** Part of `unloadedMs` in which the upstream reads the request's own prompt. */
   readonly promptReadMs: Millis;
+  /** Part of `firstEventMs` that passes at this instance. */
+  readonly ownDelayMs?: Millis;
   readonly objectiveMs: Millis;
   /** Shortest objective among the routes that target the same pool. */
   readonly shortestObjectiveMs: Millis;
@@ -114,7 +116,7 @@
 /** Returns the longest expected time to the first event with which a request is admitted. */
 function admissionLimit(input: AdmissionInput): Millis {
   const { objectiveMs, shortestObjectiveMs, unloadedMs, promptReadMs, remainingMs, share } = input;
-  const baseMs = unloadedMs - promptReadMs;
+  const baseMs = (input.ownDelayMs ?? 0) + unloadedMs - promptReadMs;
   const fraction = objectiveFraction(share);
   const usableMs = usableTime(objectiveMs, baseMs, fraction);
   if (!isContended(share))
@@ -128,8 +130,8 @@
 }
 
 /**
- * Returns the part of an objective that the expected time may use. What the upstream needs without any wait is
- * left out of the fraction: a customer beyond its share may not make others wait, but takes nothing from them where
+ * Returns the part of an objective that the expected time may use. What passes at this instance, and what the
+ * upstream needs without any wait, is left out of the fraction: a customer beyond its share may not make others wait, but takes nothing from them where
  * nobody waits.
  */
 function usableTime(objectiveMs: Millis, baseMs: Millis, fraction: number): Millis {
--- a/src/routing/attempts/arrival.ts
+++ b/src/routing/attempts/arrival.ts
@@ -309,10 +309,12 @@
   placement: Placement,
   share: FairShareUsage | undefined,
 ): AdmissionDecision {
+  const ownDelayMs = (facts.waitedMs ?? 0) + readingDelay(ctx);
   return decideAdmission(
     {
       // The objective counts from the arrival.
-      firstEventMs: placement.admissionMs + (facts.waitedMs ?? 0) + readingDelay(ctx),
+      firstEventMs: placement.admissionMs + ownDelayMs,
+      ownDelayMs,
       unloadedMs: placement.unloadedMs,
       promptReadMs: placement.promptReadMs,
       objectiveMs: route.objectiveMs,
--- a/test/routing/policy.test.ts
+++ b/test/routing/policy.test.ts
@@ -168,6 +168,22 @@
     expect(decideAdmission({ ...slow, firstEventMs: 220 }, random).kind).to.equal('refuse');
   });
 
+  it('does not hold the wait at the instance against a customer beyond its share, but against the objective', () => {
+    const over = { asked: 500, admitted: 200, level: 100, idleness: 0 };
+    const busy = {
+      ...input,
+      unloadedMs: 50,
+      promptReadMs: 10,
+      ownDelayMs: 100,
+      shortestObjectiveMs: 300,
+      share: over,
+    };
+    expect(decideAdmission({ ...busy, firstEventMs: 155 }, random).kind).to.equal('admit');
+    expect(decideAdmission({ ...busy, firstEventMs: 190 }, random).kind).to.equal('refuse');
+    const late = { ...busy, ownDelayMs: 450, firstEventMs: 501 };
+    expect(decideAdmission(late, random).kind).to.equal('refuse');
+  });
+
   it('admits a customer beyond a low fair share at idle upstreams, unless it would have to wait', () => {
     const over = { asked: 2_000, admitted: 100, level: 50, idleness: 0.9 };
     const idle = {
