Count what a busy instance turns away as demand of its customer

A request that waited too long at its instance was refused before its demand was counted.

The new test failed before (nothing asked).

--- a/src/routing/attempts/arrival.ts
+++ b/src/routing/attempts/arrival.ts
@@ -119,7 +119,11 @@
   const access = checkAccess(ctx, facts);
   if ('status' in access) return access;
   const tooLate = checkQueueTime(ctx, facts, access.route);
-  if (tooLate !== undefined) return tooLate;
+  if (tooLate !== undefined) {
+    // The customer is owed it all the same, although its callers reach a busy instance.
+    recordDemandOf(ctx, facts, access.customer);
+    return tooLate;
+  }
   const blocked = findBlockedCause(ctx, facts);
   if (blocked === undefined) return { ...access, isTrial: false };
   return tryAgain(ctx, facts, blocked)
@@ -238,7 +242,7 @@
  */
 function admit(ctx: RoutingContext, request: OpenRequest): void {
   const { facts, route, pool, versionNeed } = request;
-  const share = recordDemand(ctx, request);
+  const share = recordDemandAndShare(ctx, request);
   const withinMs = placementLimit(route.objectiveMs, share);
   const rereadFactor = computeRereadFactor(share);
   const ranking = rank(ctx, {
@@ -341,13 +345,28 @@
 }
 
 /** Adds a request to its customer's demand. Returns the customer's rates and its fair share. */
-function recordDemand(ctx: RoutingContext, request: OpenRequest): FairShareUsage | undefined {
+function recordDemandAndShare(
+  ctx: RoutingContext,
+  request: OpenRequest,
+): FairShareUsage | undefined {
   const { facts, customer } = request;
-  const tokens = requestCost(facts.promptTokens, facts.outputTokens);
-  if (customer === undefined || tokens === 0) return undefined;
+  if (customer === undefined || tokenCost(facts) === 0) return undefined;
   // Computed before this request is counted, since none of its tokens have been admitted yet.
   const { idleness } = poolWait(ctx, request.pool);
   const share = computeShare(ctx, customer, idleness());
-  recordTokenDemand(ctx, customer, tokens);
+  recordDemandOf(ctx, facts, customer);
   return share;
 }
+
+function recordDemandOf(
+  ctx: RoutingContext,
+  facts: RequestFacts,
+  customer: CustomerName | undefined,
+): void {
+  const tokens = tokenCost(facts);
+  if (customer !== undefined && tokens > 0) recordTokenDemand(ctx, customer, tokens);
+}
+
+function tokenCost({ promptTokens, outputTokens }: RequestFacts): number {
+  return requestCost(promptTokens, outputTokens);
+}
--- a/test/routing/load.test.ts
+++ b/test/routing/load.test.ts
@@ -31,6 +31,14 @@
     expect(send?.plan.deadlineMs).to.equal(1_900);
   });
 
+  it('counts what a busy instance turns away as demand of its customer', () => {
+    const core = createTestCore();
+    core.arrive({ waitedMs: 160 });
+    const [rates] = [...core.routing.state.shares.customerRates.values()];
+    expect(rates).to.include({ admitted: 0 });
+    expect(rates?.asked).to.be.greaterThan(0);
+  });
+
   it('queues by customer in turn and newest request first, and returns the oldest for refusal', () => {
     const queue = createFairQueue<string>();
     ['a1', 'a2', 'a3', 'b1', 'a4', 'c1', 'b2'].forEach((entry, at) =>
