Expect work of other instances in proportion to what they were asked

The change before expected as much of each other instance as of this one.

What others told of their demand, beside what this instance told of its own at that time, says how many more callers they have. While nothing is known, half of an equal part is expected. The guess is also no sign that upstreams are busy and does not count against the capacity that an idle pool has.

--- a/src/routing/exchange/exchange.ts
+++ b/src/routing/exchange/exchange.ts
@@ -18,7 +18,7 @@
 } from '../context.js';
 import { controlIntervalFactor } from '../load/instanceLoad.js';
 import { handlePollOutcome, nextCursor, type Poll } from '../polls.js';
-import { recordToldWork } from '../placement/placement.js';
+import { recordToldState } from '../placement/placement.js';
 import type { PartRead } from '../placement/prefixCacheTable.js';
 import { applySuspectNews, takeSuspectNews } from '../suspects/suspectNews.js';
 import { applyLimitNews, composeLimitNews } from '../rateLimits/limitNews.js';
@@ -140,7 +140,7 @@
   invalidateTotals(ctx);
   exchange.sequence += 1;
   exchange.exchangedAt = ctx.now;
-  recordToldWork(ctx);
+  recordToldState(ctx);
   const news = takeNews(ctx);
   const recipientCount = usesRelays(ctx) ? sendToDomain(ctx, news) : sendToAll(ctx, news);
   setTimer(ctx, 'exchange', exchangeInterval(ctx, recipientCount));
--- a/src/routing/placement/placement.ts
+++ b/src/routing/placement/placement.ts
@@ -14,13 +14,15 @@
 import type { Millis } from '../../core/clock.js';
 import type { RoutingContext } from '../context.js';
 import { countInstances } from '../exchange/countedInstances.js';
-import { remoteWork } from '../exchange/fleetSums.js';
+import { remoteRates, remoteWork } from '../exchange/fleetSums.js';
+import type { TokenRates } from '../shares/sharesState.js';
+import { localRates } from '../shares/tokenShares.js';
 import type { PoolId, RegionId, RequestFacts, Route, UpstreamId } from '../types.js';
 import { isAtLimit } from '../rateLimits/rateLimits.js';
 import {
-  createToldWork,
+  createToldHistory,
   estimateUnseenTokens,
-  type ToldWork,
+  type ToldHistory,
   type UnreadWork,
 } from './unseenWork.js';
 import { newsDelay } from '../exchange/members.js';
@@ -81,8 +83,9 @@
   readonly uncachedTokens: number;
   /** Prompt tokens that it has to read for other requests first, those that nobody has told of included. */
   readonly tokensAhead: number;
-  /** Part of `tokensAhead` that nobody has told of. */
+  /** Part of `tokensAhead` that nobody has told of, and the time that the upstream takes to read it. */
   readonly unseenTokens: number;
+  readonly unseenMs: Millis;
   /** Requests of all instances that run at the upstream. */
   readonly running: number;
   /**
@@ -167,8 +170,9 @@
 /** Records the mean wait at the upstreams. One that gets as many requests as it accepts is busy. */
 function recordPoolWait(ctx: RoutingContext, pool: PoolId, placements: readonly Placement[]): void {
   if (placements.length === 0) return;
-  const waitMs = placements.reduce((sum, { upstream, firstEventMs, unloadedMs }) => {
-    const queuedMs = firstEventMs - unloadedMs;
+  const waitMs = placements.reduce((sum, { upstream, firstEventMs, unloadedMs, unseenMs }) => {
+    // What is only expected of other instances is no sign that upstreams are busy.
+    const queuedMs = firstEventMs - unloadedMs - unseenMs;
     return sum + (isAtLimit(ctx, upstream) ? Math.max(queuedMs, SATURATED_WAIT_MS) : queuedMs);
   }, 0);
   poolWait(ctx, pool).record(waitMs / placements.length, ctx.now);
@@ -219,21 +223,29 @@
   const toldAt = ctx.now - newsDelay(ctx);
   return estimateUnseenTokens({
     unread: sumUnread(members),
-    told: toldWork(ctx, pool).at(toldAt),
+    told: toldHistory(ctx, pool).at(toldAt),
+    othersAsked: sumAsked(remoteRates(ctx)),
     otherInstances: countInstances(ctx) - 1,
     upstreams: members.length,
   });
 }
 
-/** Remembers the unread work that the message of this moment tells of. */
-export function recordToldWork(ctx: RoutingContext): void {
+/** Remembers what the message of this moment tells. */
+export function recordToldState(ctx: RoutingContext): void {
+  const asked = sumAsked(localRates(ctx));
   const byPool = new Map<PoolId, Upstream[]>();
   ctx.state.upstreams.byId.forEach((upstream) => {
     const members = byPool.get(upstream.listed.pool) ?? [];
     byPool.set(upstream.listed.pool, members);
     members.push(upstream);
   });
-  byPool.forEach((members, pool) => toldWork(ctx, pool).record(sumUnread(members), ctx.now));
+  byPool.forEach((members, pool) =>
+    toldHistory(ctx, pool).record({ unread: sumUnread(members), asked }, ctx.now),
+  );
+}
+
+function sumAsked(rates: ReadonlyMap<unknown, TokenRates>): number {
+  return [...rates.values()].reduce((sum, { asked }) => sum + asked, 0);
 }
 
 function sumUnread(upstreams: readonly Upstream[]): UnreadWork {
@@ -246,9 +258,9 @@
   );
 }
 
-function toldWork(ctx: RoutingContext, pool: PoolId): ToldWork {
-  const { toldWork: byPool } = ctx.state.upstreams;
-  const told = byPool.get(pool) ?? createToldWork();
+function toldHistory(ctx: RoutingContext, pool: PoolId): ToldHistory {
+  const { toldHistory: byPool } = ctx.state.upstreams;
+  const told = byPool.get(pool) ?? createToldHistory();
   byPool.set(pool, told);
   return told;
 }
@@ -303,6 +315,7 @@
     uncachedTokens: uncached.total,
     tokensAhead,
     unseenTokens: unseen,
+    unseenMs: unseen * perToken,
     running: work.running,
     rereadTokens: uncached.reread,
     home,
--- a/src/routing/placement/unseenWork.ts
+++ b/src/routing/placement/unseenWork.ts
@@ -6,8 +6,8 @@
  * all of them together fill their queues for seconds.
  *
  * An instance therefore expects of the others what it sees of its own requests: if more of them wait to be
- * read than when the others told of theirs, the same goes for the others. The estimate ends as soon as its own
- * requests are answered, or news can have told.
+ * read than when the others told of theirs, the same goes for the others, in proportion to what they were asked
+ * then. The estimate ends as soon as its own requests are answered, or news can have told.
  */
 import type { Millis } from '../../core/clock.js';
 
@@ -17,42 +17,65 @@
   readonly tokens: number;
 }
 
-const NO_WORK: UnreadWork = { requests: 0, tokens: 0 };
+/** What an instance told at some time. */
+export interface ToldState {
+  readonly unread: UnreadWork;
+  /** Tokens per second that its callers asked for. */
+  readonly asked: number;
+}
 
-/** What this instance has told of its unread work. */
-export interface ToldWork {
-  readonly record: (work: UnreadWork, now: Millis) => void;
+const NOTHING_TOLD: ToldState = { unread: { requests: 0, tokens: 0 }, asked: 0 };
+
+/** What this instance has told. */
+export interface ToldHistory {
+  readonly record: (state: ToldState, now: Millis) => void;
   /** Returns what was told last at or before a time. */
-  readonly at: (time: Millis) => UnreadWork;
+  readonly at: (time: Millis) => ToldState;
 }
 
 /** Messages that are remembered: more than are sent in the time that news take. */
 const MAX_REMEMBERED = 10;
 
-export function createToldWork(): ToldWork {
-  let told: readonly { readonly at: Millis; readonly work: UnreadWork }[] = [];
+/**
+ * Demand in tokens per second below which nothing tells whether this instance has more callers than the others.
+ */
+const PRIOR_ASKED = 500;
+/** Demand of another instance as a part of this one's while nothing tells; instances that ask have more. */
+const PRIOR_RATIO = 0.5;
+
+export function createToldHistory(): ToldHistory {
+  let told: readonly { readonly at: Millis; readonly state: ToldState }[] = [];
   return {
-    record: (work, now) => {
-      told = [...told, { at: now, work }].slice(-MAX_REMEMBERED);
+    record: (state, now) => {
+      told = [...told, { at: now, state }].slice(-MAX_REMEMBERED);
     },
-    at: (time) => told.findLast(({ at }) => at <= time)?.work ?? NO_WORK,
+    at: (time) => told.findLast(({ at }) => at <= time)?.state ?? NOTHING_TOLD,
   };
 }
 
 export interface UnseenWorkInput {
-  /** Own unread work now, and as it was when the others told of theirs. */
   readonly unread: UnreadWork;
-  readonly told: UnreadWork;
+  /** What this instance told when the others told what is known of them. */
+  readonly told: ToldState;
+  /** Tokens per second that the others' callers asked for then. */
+  readonly othersAsked: number;
   readonly otherInstances: number;
   readonly upstreams: number;
 }
 
 /** Returns the tokens that each upstream probably has to read for requests that nobody has told of. */
 export function estimateUnseenTokens(input: UnseenWorkInput): number {
-  const { unread, told, otherInstances, upstreams } = input;
-  const growth = Math.max(0, unread.tokens - told.tokens);
-  const perInstance = growth * significance(unread.requests, told.requests);
-  return (perInstance * otherInstances) / Math.max(1, upstreams);
+  const { unread, told, upstreams } = input;
+  const growth = Math.max(0, unread.tokens - told.unread.tokens);
+  const own = growth * significance(unread.requests, told.unread.requests);
+  return (own * relativeDemand(input)) / Math.max(1, upstreams);
+}
+
+/** Returns the demand of the other instances as a multiple of this one's, at most that of equal ones. */
+function relativeDemand({ told, othersAsked, otherInstances }: UnseenWorkInput): number {
+  const priorAsked = PRIOR_ASKED * PRIOR_RATIO * otherInstances;
+  const ratio = (othersAsked + priorAsked) / (told.asked + PRIOR_ASKED);
+  return Math.min(otherInstances, ratio);
 }
 
 /**
--- a/src/routing/upstreams/upstreamsState.ts
+++ b/src/routing/upstreams/upstreamsState.ts
@@ -4,7 +4,7 @@
 import type { ListedUpstream, PoolId, RequestFacts, UpstreamId } from '../types.js';
 import { createSharedReadState, type SharedReadState } from '../freshness/sharedRead.js';
 import type { PoolWait } from '../placement/poolWait.js';
-import type { ToldWork } from '../placement/unseenWork.js';
+import type { ToldHistory } from '../placement/unseenWork.js';
 import { createListHistory, type ListHistory } from './listHistory.js';
 import { createSpeed, type Speed } from './speed.js';
 
@@ -78,8 +78,8 @@
   readonly pauses: Map<number, Pause>;
   readonly poolSpeeds: Map<PoolId, Speed>;
   readonly poolWaits: Map<PoolId, PoolWait>;
-  /** What this instance has told of its requests that no upstream has read. */
-  readonly toldWork: Map<PoolId, ToldWork>;
+  /** What this instance has told the others of its requests. */
+  readonly toldHistory: Map<PoolId, ToldHistory>;
   /** Time at which the platform answered again after an outage. */
   platformRecoveredAt: Millis | undefined;
   /** Whether the list has been read at least once. */
@@ -96,7 +96,7 @@
     pauses: new Map(),
     poolSpeeds: new Map(),
     poolWaits: new Map(),
-    toldWork: new Map(),
+    toldHistory: new Map(),
     ...createSharedReadState(),
     platformRecoveredAt: undefined,
     isKnown: false,
