Count requests that are open when an upstream falls silent and leaves the list as a crash

Cause: only requests whose connection broke counted. At a silent engine a request ends by its time limit or is withdrawn, and the engine's entry leaves the list afterwards. A probe, which is a connection only, regained the engine in between.

--- a/src/routing/attempts/accounting.ts
+++ b/src/routing/attempts/accounting.ts
@@ -7,7 +7,7 @@
 import type { AttemptOutcome } from '../types.js';
 import { recordCrash } from '../suspects/suspects.js';
 import { recordEndedConnection, recordInterruptedRequest } from '../upstreams/crashes.js';
-import { recordFailedConnect, markReachable, markLost, recordResult } from '../upstreams/health.js';
+import { recordFailedConnect, markAnswering, markLost, recordResult } from '../upstreams/health.js';
 import {
   hashUpstreamStart,
   type InterruptedRequest,
@@ -86,7 +86,7 @@
 ): void {
   switch (outcome.kind) {
     case 'complete':
-      markReachable(ctx, upstream);
+      markAnswering(ctx, upstream);
       recordResult(ctx, upstream, false);
       poolSpeed(ctx, upstream.listed.pool).observeHold(ctx.now - attempt.startedAt);
       if (request !== undefined && outcome.endsWithConnection === true)
--- a/src/routing/attempts/attempts.ts
+++ b/src/routing/attempts/attempts.ts
@@ -12,7 +12,7 @@
 import { recordAnswered } from '../suspects/suspects.js';
 import type { AttemptOutcome, LocalStatus, RoutingEvent } from '../types.js';
 import { hasOpenUpstream } from '../upstreams/availability.js';
-import { markReachable } from '../upstreams/health.js';
+import { markAnswering } from '../upstreams/health.js';
 import { recordLeaving } from '../upstreams/leaving.js';
 import { recordPause, returnAfterPause } from '../upstreams/pauses.js';
 import { recordStream } from '../versions/streams.js';
@@ -45,7 +45,7 @@
   const attempt = ctx.state.requests.attempts.get(event.attempt);
   if (attempt === undefined) return;
   const upstream = findUpstream(ctx, attempt);
-  if (upstream !== undefined) markReachable(ctx, upstream);
+  if (upstream !== undefined) markAnswering(ctx, upstream);
   const request = ctx.state.requests.open.get(attempt.request);
   // Another upstream that has taken over the address speaks of itself.
   if (event.status !== MISDIRECTED_STATUS) recordStatements(ctx, attempt, event, request);
@@ -90,7 +90,7 @@
   if (attempt === undefined) return;
   attempt.lastPartAt = ctx.now;
   const upstream = findUpstream(ctx, attempt);
-  if (upstream !== undefined) markReachable(ctx, upstream);
+  if (upstream !== undefined) markAnswering(ctx, upstream);
   if (attempt.firstPartAt === undefined) recordFirstPart(ctx, attempt, upstream);
   else noteRunningAnswer(ctx, attempt, attempt.firstPartAt);
 }
--- a/src/routing/attempts/healthCheck.ts
+++ b/src/routing/attempts/healthCheck.ts
@@ -10,6 +10,7 @@
 import { replaceOverdueRead, updateFreshness } from '../freshness/freshness.js';
 import { expireSuspects, findBlockedCause } from '../suspects/suspects.js';
 import { silenceTimeout, markLost, probeLostUpstreams } from '../upstreams/health.js';
+import { recordSilence } from '../upstreams/crashes.js';
 import { removeMissing, replaceOverdueListRead } from '../upstreams/list.js';
 import { endPauses } from '../upstreams/pauses.js';
 import type { Upstream } from '../upstreams/upstreamsState.js';
@@ -134,7 +135,11 @@
   waitingByUpstream.forEach(({ since, objectiveMs }, upstream) => {
     const unreadMs = Math.max(delayMs, exchangeDelay(ctx));
     const silentForMs = ctx.now - unreadMs - Math.max(since, upstream.lastHeardAt);
-    if (silentForMs > silenceTimeout(upstream, objectiveMs)) markLost(ctx, upstream, 'silent');
+    const isNewlySilent =
+      upstream.reachability.kind !== 'lost' && silentForMs > silenceTimeout(upstream, objectiveMs);
+    if (!isNewlySilent) return;
+    markLost(ctx, upstream, 'silent');
+    recordSilence(ctx, upstream);
   });
 }
 
--- a/src/routing/upstreams/health.ts
+++ b/src/routing/upstreams/health.ts
@@ -22,6 +22,13 @@
 /** Consecutive failed connections after which an upstream counts as lost. */
 const MAX_FAILED_CONNECTS = 2;
 
+/** Records that an upstream has sent a part of an answer. */
+export function markAnswering(ctx: RoutingContext, upstream: Upstream): void {
+  // A probe is a connection only, which a crashed upstream may accept as well.
+  upstream.silencedRequests = [];
+  markReachable(ctx, upstream);
+}
+
 export function markReachable(ctx: RoutingContext, upstream: Upstream): void {
   upstream.lastHeardAt = ctx.now;
   upstream.failedConnects = 0;
--- a/src/routing/upstreams/list.ts
+++ b/src/routing/upstreams/list.ts
@@ -29,7 +29,7 @@
 import type { Cursor, ListedUpstream, RoutingEvent, UpstreamChange, UpstreamId } from '../types.js';
 import { onListRead, recordFormerVersion } from '../versions/served.js';
 import { recordListedVersion } from '../versions/settling.js';
-import { confirmCrash } from './crashes.js';
+import { confirmCrash, confirmSilentCrash } from './crashes.js';
 import type { PositionedChange } from './listHistory.js';
 import { createUpstream, hashUpstream, type Upstream } from './upstreamsState.js';
 
@@ -297,6 +297,7 @@
   const { byId } = ctx.state.upstreams;
   const upstream = byId.get(id);
   if (upstream === undefined) return;
+  confirmSilentCrash(ctx, upstream);
   byId.delete(id);
   recordFormerVersion(ctx, upstream.listed);
   ctx.state.upstreams.removed.set(id, { listed: upstream.listed, at: ctx.now });
--- a/src/routing/upstreams/upstreamsState.ts
+++ b/src/routing/upstreams/upstreamsState.ts
@@ -43,6 +43,8 @@
   missingSince: Millis | undefined;
   /** Requests that were recently interrupted at this upstream. */
   interruptedRequests: InterruptedRequest[];
+  /** Requests that were open when it fell silent, until it is heard of again. */
+  silencedRequests: readonly InterruptedRequest[];
 }
 
 export interface InterruptedRequest {
@@ -117,6 +119,7 @@
     failureRate: 0,
     missingSince: undefined,
     interruptedRequests: [],
+    silencedRequests: [],
   };
 }
 
