Compare the demand of other instances with this one's of the same age

At a start the share of an instance in the fleet's demand was known too late: what others had told within 0.2 s was compared with what this instance had told 0.4 s ago, which was nothing, so that each expected a full part of all others.

News of others are half as old as the oldest on average; the own demand of that time is compared now, and a quarter of an equal part is expected while nothing is known.

--- a/src/routing/placement/placement.ts
+++ b/src/routing/placement/placement.ts
@@ -220,11 +220,14 @@
 
 /** Returns the tokens that each upstream probably has to read for requests that nobody has told of. */
 function unseenTokens(ctx: RoutingContext, pool: PoolId, members: readonly Upstream[]): number {
-  const toldAt = ctx.now - newsDelay(ctx);
+  const told = toldHistory(ctx, pool);
+  const delayMs = newsDelay(ctx);
   return estimateUnseenTokens({
     unread: sumUnread(members),
-    told: toldHistory(ctx, pool).at(toldAt),
+    toldUnread: told.at(ctx.now - delayMs).unread,
     othersAsked: sumAsked(remoteRates(ctx)),
+    // News are half as old as the oldest on average.
+    ownAsked: told.at(ctx.now - delayMs / 2).asked,
     otherInstances: countInstances(ctx) - 1,
     upstreams: members.length,
   });
--- a/src/routing/placement/unseenWork.ts
+++ b/src/routing/placement/unseenWork.ts
@@ -41,7 +41,7 @@
  */
 const PRIOR_ASKED = 500;
 /** Demand of another instance as a part of this one's while nothing tells; instances that ask have more. */
-const PRIOR_RATIO = 0.5;
+const PRIOR_RATIO = 0.25;
 
 export function createToldHistory(): ToldHistory {
   let told: readonly { readonly at: Millis; readonly state: ToldState }[] = [];
@@ -54,27 +54,28 @@
 }
 
 export interface UnseenWorkInput {
+  /** Own unread work now, and as it was when the oldest news of others left. */
   readonly unread: UnreadWork;
-  /** What this instance told when the others told what is known of them. */
-  readonly told: ToldState;
-  /** Tokens per second that the others' callers asked for then. */
+  readonly toldUnread: UnreadWork;
+  /** Tokens per second that others' callers asked for, as told, and this one's at about that time. */
   readonly othersAsked: number;
+  readonly ownAsked: number;
   readonly otherInstances: number;
   readonly upstreams: number;
 }
 
 /** Returns the tokens that each upstream probably has to read for requests that nobody has told of. */
 export function estimateUnseenTokens(input: UnseenWorkInput): number {
-  const { unread, told, upstreams } = input;
-  const growth = Math.max(0, unread.tokens - told.unread.tokens);
-  const own = growth * significance(unread.requests, told.unread.requests);
+  const { unread, toldUnread, upstreams } = input;
+  const growth = Math.max(0, unread.tokens - toldUnread.tokens);
+  const own = growth * significance(unread.requests, toldUnread.requests);
   return (own * relativeDemand(input)) / Math.max(1, upstreams);
 }
 
 /** Returns the demand of the other instances as a multiple of this one's, at most that of equal ones. */
-function relativeDemand({ told, othersAsked, otherInstances }: UnseenWorkInput): number {
+function relativeDemand({ ownAsked, othersAsked, otherInstances }: UnseenWorkInput): number {
   const priorAsked = PRIOR_ASKED * PRIOR_RATIO * otherInstances;
-  const ratio = (othersAsked + priorAsked) / (told.asked + PRIOR_ASKED);
+  const ratio = (othersAsked + priorAsked) / (ownAsked + PRIOR_ASKED);
   return Math.min(otherInstances, ratio);
 }
 
