Apply the balance among routes to the whole wait again, not to the customer's fraction only

The factor changes the objective again, as before; the customer's fraction applies to what is left of it.

--- a/src/routing/admission/admission.ts
+++ b/src/routing/admission/admission.ts
@@ -121,7 +121,7 @@
   const usableMs = usableTime(objectiveMs, baseMs, fraction);
   if (!isContended(share))
     return Math.max(usableMs, largePromptLimit(unloadedMs, usableMs, remainingMs));
-  const shortestUsableMs = usableTime(shortestObjectiveMs, baseMs, fraction * input.waitFactor);
+  const shortestUsableMs = usableTime(shortestObjectiveMs * input.waitFactor, baseMs, fraction);
   const limitMs = Math.min(usableMs, shortestUsableMs + promptReadMs);
   if (!isOverShare(share))
     return Math.max(limitMs, largePromptLimit(unloadedMs, usableMs, remainingMs));
