--- a/src/routing/admission/admission.ts
+++ b/src/routing/admission/admission.ts
@@ -130,9 +130,11 @@
 }
 
 /**
- * Returns the part of an objective that the expected time may use. What passes at this instance, and what the
- * upstream needs without any wait, is left out of the fraction: a customer beyond its share may not make others wait, but takes nothing from them where
- * nobody waits.
+ * Returns the part of an objective that the expected time may use. What passes at this instance, and
+ * what the upstream needs without any wait, is left out of the fraction: a customer beyond its share
+ * may not make others wait, but takes nothing from them where nobody waits.
+ *
+ * @param baseMs Time that is left out.
  */
 function usableTime(objectiveMs: Millis, baseMs: Millis, fraction: number): Millis {
   const usableMs = objectiveMs * USABLE_FRACTION;
--- a/src/routing/exchange/exchange.ts
+++ b/src/routing/exchange/exchange.ts
@@ -18,8 +18,8 @@
 } from '../context.js';
 import { controlIntervalFactor } from '../load/instanceLoad.js';
 import { handlePollOutcome, nextCursor, type Poll } from '../polls.js';
-import { recordToldState } from '../placement/placement.js';
 import type { PartRead } from '../placement/prefixCacheTable.js';
+import { recordToldState } from '../placement/toldState.js';
 import { applySuspectNews, takeSuspectNews } from '../suspects/suspectNews.js';
 import { applyLimitNews, composeLimitNews } from '../rateLimits/limitNews.js';
 import { expireLimits } from '../rateLimits/statements.js';
--- a/src/routing/placement/placement.ts
+++ b/src/routing/placement/placement.ts
@@ -14,18 +14,9 @@
 import type { Millis } from '../../core/clock.js';
 import type { RoutingContext } from '../context.js';
 import { countInstances } from '../exchange/countedInstances.js';
-import { remoteRates, remoteWork } from '../exchange/fleetSums.js';
-import type { TokenRates } from '../shares/sharesState.js';
-import { localRates } from '../shares/tokenShares.js';
+import { remoteWork } from '../exchange/fleetSums.js';
 import type { PoolId, RegionId, RequestFacts, Route, UpstreamId } from '../types.js';
 import { isAtLimit } from '../rateLimits/rateLimits.js';
-import {
-  createToldHistory,
-  estimateUnseenTokens,
-  type ToldHistory,
-  type UnreadWork,
-} from './unseenWork.js';
-import { newsDelay } from '../exchange/members.js';
 import { createPoolWait, SATURATED_WAIT_MS, type PoolWait } from './poolWait.js';
 import {
   describePrompt,
@@ -35,6 +26,7 @@
   type HomeRank,
   type Prompt,
 } from './prompt.js';
+import { unseenTokens } from './toldState.js';
 import { availabilityOf, isUnwilling } from '../upstreams/availability.js';
 import { withSettledVersion } from '../versions/settling.js';
 import { fitsVersion } from '../versions/streams.js';
@@ -218,56 +210,6 @@
   return speed;
 }
 
-/** Returns the tokens that each upstream probably has to read for requests that nobody has told of. */
-function unseenTokens(ctx: RoutingContext, pool: PoolId, members: readonly Upstream[]): number {
-  const told = toldHistory(ctx, pool);
-  const delayMs = newsDelay(ctx);
-  return estimateUnseenTokens({
-    unread: sumUnread(members),
-    toldUnread: told.at(ctx.now - delayMs).unread,
-    othersAsked: sumAsked(remoteRates(ctx)),
-    // News are half as old as the oldest on average.
-    ownAsked: told.at(ctx.now - delayMs / 2).asked,
-    otherInstances: countInstances(ctx) - 1,
-    upstreams: members.length,
-  });
-}
-
-/** Remembers what the message of this moment tells. */
-export function recordToldState(ctx: RoutingContext): void {
-  const asked = sumAsked(localRates(ctx));
-  const byPool = new Map<PoolId, Upstream[]>();
-  ctx.state.upstreams.byId.forEach((upstream) => {
-    const members = byPool.get(upstream.listed.pool) ?? [];
-    byPool.set(upstream.listed.pool, members);
-    members.push(upstream);
-  });
-  byPool.forEach((members, pool) =>
-    toldHistory(ctx, pool).record({ unread: sumUnread(members), asked }, ctx.now),
-  );
-}
-
-function sumAsked(rates: ReadonlyMap<unknown, TokenRates>): number {
-  return [...rates.values()].reduce((sum, { asked }) => sum + asked, 0);
-}
-
-function sumUnread(upstreams: readonly Upstream[]): UnreadWork {
-  return upstreams.reduce(
-    (sum, { own, unanswered }) => ({
-      requests: sum.requests + unanswered,
-      tokens: sum.tokens + own.pendingTokens,
-    }),
-    { requests: 0, tokens: 0 },
-  );
-}
-
-function toldHistory(ctx: RoutingContext, pool: PoolId): ToldHistory {
-  const { toldHistory: byPool } = ctx.state.upstreams;
-  const told = byPool.get(pool) ?? createToldHistory();
-  byPool.set(pool, told);
-  return told;
-}
-
 /** Returns the open work of all instances at an upstream. */
 function totalWork(ctx: RoutingContext, upstream: Upstream): OpenWork {
   const remote = remoteWork(ctx, upstream.hash);
--- a/src/routing/upstreams/health.ts
+++ b/src/routing/upstreams/health.ts
@@ -29,6 +29,7 @@
   markReachable(ctx, upstream);
 }
 
+/** Records that an upstream takes connections. */
 export function markReachable(ctx: RoutingContext, upstream: Upstream): void {
   upstream.lastHeardAt = ctx.now;
   upstream.failedConnects = 0;
