Let what a customer beyond its share may wait fall faster with its usage

A customer a little beyond its share was allowed 0.43 of the wait where it had been 0.2, and filled the queues of the others.

--- a/src/routing/admission/admission.ts
+++ b/src/routing/admission/admission.ts
@@ -61,8 +61,10 @@
 const AT_SHARE_FRACTION = 0.75;
 /** Usage, relative to the fair share, up to which a customer counts as small. */
 const SMALL_CUSTOMER_USAGE = 0.5;
-/** Power of the share's part in the usage with which the fraction falls beyond the fair share. */
-const OVER_SHARE_EXPONENT = 2.5;
+/** Fraction of the usable objective for a customer that far exceeds its fair share. */
+const OVER_SHARE_FRACTION = 0.115;
+/** Power of the usage, relative to the fair share, with which the fraction falls to it. */
+const OVER_SHARE_EXPONENT = 4;
 /**
  * Idleness of the upstreams above which a customer that exceeds its share may use spare capacity.
  */
@@ -178,7 +180,10 @@
   if (!isOverShare(share)) {
     return interpolate(shareUsage(share), SMALL_CUSTOMER_USAGE, 1, 1, AT_SHARE_FRACTION);
   }
-  return AT_SHARE_FRACTION / shareUsage(share) ** OVER_SHARE_EXPONENT;
+  return Math.max(
+    OVER_SHARE_FRACTION,
+    AT_SHARE_FRACTION / shareUsage(share) ** OVER_SHARE_EXPONENT,
+  );
 }
 
 /** Whether the customers' demand exceeds the capacity. */
