--- a/src/routing/attempts/accounting.ts
+++ b/src/routing/attempts/accounting.ts
@@ -38,7 +38,7 @@
 
 function removeUnread(upstream: Upstream, { uncachedTokens }: Attempt): void {
   upstream.own.pendingTokens -= uncachedTokens;
-  upstream.unanswered -= 1;
+  upstream.unreadRequests -= 1;
 }
 
 /** Records the time to the first part of an answer. */
--- a/src/routing/attempts/sending.ts
+++ b/src/routing/attempts/sending.ts
@@ -63,7 +63,7 @@
   requests.attempts.set(attempt.number, attempt);
   request.attempt = attempt.number;
   upstream.own.running += 1;
-  upstream.unanswered += 1;
+  upstream.unreadRequests += 1;
   upstream.own.pendingTokens += uncachedTokens;
   upstream.own.heldTokens += attempt.heldTokens;
   return attempt;
--- a/src/routing/placement/toldState.ts
+++ b/src/routing/placement/toldState.ts
@@ -66,8 +66,8 @@
 
 function sumUnread(upstreams: readonly Upstream[]): UnreadWork {
   return upstreams.reduce(
-    (sum, { own, unanswered }) => ({
-      requests: sum.requests + unanswered,
+    (sum, { own, unreadRequests }) => ({
+      requests: sum.requests + unreadRequests,
       tokens: sum.tokens + own.pendingTokens,
     }),
     { requests: 0, tokens: 0 },
--- a/src/routing/upstreams/upstreamsState.ts
+++ b/src/routing/upstreams/upstreamsState.ts
@@ -30,7 +30,7 @@
   /** Open work that this instance sent. */
   readonly own: { -readonly [K in keyof OpenWork]: OpenWork[K] };
   /** Requests that this instance sent and whose answers have not begun. */
-  unanswered: number;
+  unreadRequests: number;
   readonly speed: Speed;
   reachability: Reachability;
   /** Time at which the upstream last sent anything. */
@@ -111,7 +111,7 @@
     listed,
     hash: hashUpstream(listed),
     own: { running: 0, pendingTokens: 0, heldTokens: 0 },
-    unanswered: 0,
+    unreadRequests: 0,
     speed: createSpeed(),
     reachability: { kind: 'reachable' },
     lastHeardAt: now,
